--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks. */
+export {};
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,2 @@
+/** The gateway program: HTTP for callers. */
+export {};
--- /dev/null
+++ b/packages/common/src/admin.ts
@@ -0,0 +1,56 @@
+/** The operators' HTTP port of a process: health, metrics, events, status. */
+import http from 'node:http';
+import type {EventRing} from './events.js';
+import {sendJson} from './json-http.js';
+import type {Metrics} from './metrics.js';
+
+/** What the admin port of a process shows. */
+export interface AdminSource {
+  readonly metrics: Metrics;
+  readonly events: EventRing;
+  readonly isReady: () => boolean;
+  readonly status: () => Readonly<Record<string, unknown>>;
+}
+
+/**
+ * Serves `/healthz`, `/readyz`, `/metrics`, `/events` and `/status`.
+ *
+ * @returns the server, listening
+ * @example
+ * const admin = await serveAdmin('127.0.0.1', 8081, source);
+ */
+export function serveAdmin(
+  ip: string,
+  port: number,
+  source: AdminSource,
+): Promise<http.Server> {
+  const server = http.createServer((req, res) => {
+    const path = (req.url ?? '/').split('?')[0];
+    if (path === '/healthz') return sendJson(res, 200, {status: 'alive'});
+    if (path === '/readyz') return sendReady(res, source.isReady());
+    if (path === '/metrics') return sendText(res, source.metrics.toText());
+    if (path === '/events') return sendJson(res, 200, listEvents(source));
+    if (path === '/status') return sendJson(res, 200, source.status());
+    return sendJson(res, 404, {error: 'routeUnknown'});
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, () => {
+      resolve(server);
+    });
+  });
+}
+
+function sendReady(res: http.ServerResponse, isReady: boolean): void {
+  sendJson(res, isReady ? 200 : 503, {ready: isReady});
+}
+
+function sendText(res: http.ServerResponse, text: string): void {
+  res.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+  res.end(text);
+}
+
+function listEvents(source: AdminSource): Readonly<object> {
+  const dropped = source.events.droppedCount();
+  return {dropped, events: [...source.events.list()]};
+}
--- /dev/null
+++ b/packages/common/src/ids.ts
@@ -0,0 +1,14 @@
+/** Random identifiers. */
+import {randomBytes} from 'node:crypto';
+
+const ID_BYTES = 12;
+
+/**
+ * Makes an identifier that is unique for all practical purposes.
+ *
+ * @example
+ * const jobId = newId('j'); // 'j-5c1f…'
+ */
+export function newId(prefix: string): string {
+  return `${prefix}-${randomBytes(ID_BYTES).toString('hex')}`;
+}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,2 @@
+/** The demonstration run. */
+export {};
--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,3 @@
+/** Client of the platform's append-only log service. */
+export * from './types.js';
+export * from './client.js';
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' programs: ctl and timeline. */
+export {};
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,5 @@
+/** The protocol between gateways and schedulers. */
+export * from './messages.js';
+export * from './framing.js';
+export * from './connection.js';
+export * from './mesh.js';
--- /dev/null
+++ b/packages/peer/src/messages.ts
@@ -0,0 +1,228 @@
+/** The messages between gateways and schedulers. */
+import type {
+  Failure,
+  HybridTime,
+  ProcessRef,
+  Resources,
+} from '@dragonflyward/common';
+
+/** What a process does. */
+export type PeerRole = 'gateway' | 'scheduler';
+
+/** First message on each connection, both ways. */
+export interface Hello {
+  readonly type: 'hello';
+  readonly role: PeerRole;
+  readonly process: ProcessRef;
+}
+
+/** Shows that the sender is alive. */
+export interface Heartbeat {
+  readonly type: 'heartbeat';
+  readonly at: HybridTime;
+  /** Shards that the sender owns and may act for, with their terms. */
+  readonly owns: readonly OwnedShard[];
+  /** Highest configuration offset that the sender has applied. */
+  readonly configOffset: number;
+  readonly isDraining: boolean;
+}
+
+/** A shard and the term of its owner. */
+export interface OwnedShard {
+  readonly shard: string;
+  readonly term: number;
+}
+
+/** Asks a shard's owner for an executor for one request. */
+export interface TicketAsk {
+  readonly type: 'ticketAsk';
+  readonly shard: string;
+  readonly requestId: string;
+  readonly team: string;
+  readonly queue: string;
+  readonly service: string;
+  readonly deadlineMs: number;
+  /** Executors that failed this request before. */
+  readonly avoid: readonly string[];
+}
+
+/** Lets the gateway send one request to one executor. */
+export interface Ticket {
+  readonly type: 'ticket';
+  readonly ticketId: string;
+  readonly shard: string;
+  readonly term: number;
+  readonly executorId: string;
+  readonly ip: string;
+  readonly port: number;
+  /** Send the first byte within this time from the ask, or not at all. */
+  readonly startByMs: number;
+  /** Close the connection within this time from the ask. */
+  readonly runByMs: number;
+}
+
+/** How the use of a ticket went. */
+export type TicketUse = 'done' | 'notSent' | 'failed' | 'unknown';
+
+/** Gives a ticket's slot back. */
+export interface TicketClose {
+  readonly type: 'ticketClose';
+  readonly ticketId: string;
+  readonly shard: string;
+  readonly executorId: string;
+  readonly use: TicketUse;
+  /** Whether the executor said that it is draining. */
+  readonly isDraining: boolean;
+}
+
+/** A ticket that a gateway still holds. */
+export interface OpenTicket {
+  readonly ticketId: string;
+  readonly executorId: string;
+  readonly team: string;
+  readonly runByMs: number;
+}
+
+/** Asks a gateway for its open tickets of a shard, at a takeover. */
+export interface OpenTicketsAsk {
+  readonly type: 'openTicketsAsk';
+  readonly shard: string;
+  readonly term: number;
+}
+
+/** The open tickets; older terms' tickets are refused from now on. */
+export interface OpenTicketsReply {
+  readonly type: 'openTickets';
+  readonly tickets: readonly OpenTicket[];
+}
+
+/** Submits a job to the shard's owner. */
+export interface JobSubmit {
+  readonly type: 'jobSubmit';
+  readonly shard: string;
+  readonly jobId: string;
+  readonly team: string;
+  readonly queue: string;
+  readonly tasks: number;
+  readonly isGang: boolean;
+  readonly isService: boolean;
+  readonly isIdempotent: boolean;
+  readonly size: Resources;
+  readonly runMs: number;
+  readonly payload: unknown;
+}
+
+/** The job stands in the log. */
+export interface JobAccepted {
+  readonly type: 'jobAccepted';
+  readonly jobId: string;
+  readonly shard: string;
+}
+
+/** Asks for a job's status. */
+export interface JobAsk {
+  readonly type: 'jobAsk';
+  readonly shard: string;
+  readonly jobId: string;
+}
+
+/** Asks for the jobs of a team, or of all with an empty name. */
+export interface JobListAsk {
+  readonly type: 'jobListAsk';
+  readonly shard: string;
+  readonly team: string;
+  readonly maxJobs: number;
+}
+
+/** Cancels a job. */
+export interface JobCancel {
+  readonly type: 'jobCancel';
+  readonly shard: string;
+  readonly jobId: string;
+}
+
+/** A job's status, shaped as state's JobStatus. */
+export interface JobReply<S = unknown> {
+  readonly type: 'job';
+  readonly status: S;
+}
+
+/** Several jobs' status. */
+export interface JobListReply<S = unknown> {
+  readonly type: 'jobs';
+  readonly jobs: readonly S[];
+}
+
+/** Asks a successor not to claim the shard for a while. */
+export interface PromiseAsk {
+  readonly type: 'promiseAsk';
+  readonly shard: string;
+  readonly term: number;
+  readonly listVersion: number;
+  readonly forMs: number;
+}
+
+/** The successor will not claim before the asked time has run out. */
+export interface PromiseReply {
+  readonly type: 'promise';
+  readonly isGiven: boolean;
+}
+
+/** Asks a peer for its configuration tail. */
+export interface ConfigTailAsk {
+  readonly type: 'configTailAsk';
+  readonly from: number;
+}
+
+/** Log records of the configuration stream, as read by the sender. */
+export interface ConfigTailReply {
+  readonly type: 'configTail';
+  readonly records: readonly unknown[];
+  /** How long ago the sender last read the end of the stream. */
+  readonly ageMs: number;
+  readonly end: number;
+}
+
+/** Answers where nothing else is to be said. */
+export interface Done {
+  readonly type: 'done';
+}
+
+/** Answers that the ask failed. */
+export interface FailureReply {
+  readonly type: 'failure';
+  readonly failure: Failure;
+}
+
+/** A message that wants an answer. */
+export type PeerAsk =
+  | TicketAsk
+  | OpenTicketsAsk
+  | JobSubmit
+  | JobAsk
+  | JobListAsk
+  | JobCancel
+  | PromiseAsk
+  | ConfigTailAsk;
+
+/** A message that wants none. */
+export type PeerNotice = Heartbeat | TicketClose;
+
+/** An answer. */
+export type PeerReply =
+  | Ticket
+  | OpenTicketsReply
+  | JobAccepted
+  | JobReply
+  | JobListReply
+  | PromiseReply
+  | ConfigTailReply
+  | Done
+  | FailureReply;
+
+/** What one frame holds. */
+export type Frame =
+  | {readonly kind: 'hello'; readonly hello: Hello}
+  | {readonly kind: 'ask'; readonly id: number; readonly ask: PeerAsk}
+  | {readonly kind: 'reply'; readonly id: number; readonly reply: PeerReply}
+  | {readonly kind: 'notice'; readonly notice: PeerNotice};
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** The scheduler program: owns shards and decides placements. */
+export {};
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins for the platform, for tests and the demo. */
+export {};
--- /dev/null
+++ b/packages/target/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients of workers and executors. */
+export * from './worker-client.js';
--- /dev/null
+++ b/packages/vms/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's list of VMs. */
+export * from './client.js';
--- /dev/null
+++ b/tools/setup.mjs
@@ -0,0 +1,20 @@
+// Installs the declared dependencies when they are missing or out of date.
+import {spawnSync} from 'node:child_process';
+import {existsSync, statSync} from 'node:fs';
+
+const INSTALLED_MARK = 'node_modules/.package-lock.json';
+
+/** Tells whether node_modules is older than the lock file. */
+function isInstallNeeded() {
+  if (!existsSync(INSTALLED_MARK)) return true;
+  return (
+    statSync(INSTALLED_MARK).mtimeMs < statSync('package-lock.json').mtimeMs
+  );
+}
+
+if (isInstallNeeded()) {
+  const res = spawnSync('npm', ['ci', '--prefer-offline', '--no-audit'], {
+    stdio: 'inherit',
+  });
+  process.exit(res.status ?? 1);
+}
