--- a/packages/policy/src/first-fit-engine.ts
+++ b/packages/policy/src/first-fit-engine.ts
@@ -92,7 +92,7 @@
     for (const [jobId, entry] of this.waiting) {
       const tasks = this.place(entry);
       if (entry.job.isGang && tasks.length < entry.taskIndexes.length) {
-        for (const task of tasks) this.ended(task.taskId, 'notRunning');
+        for (const task of tasks) this.ended(task.taskId);
         continue;
       }
       entry.taskIndexes.splice(0, tasks.length);
