--- a/packages/state/src/fold.ts
+++ b/packages/log/src/fold.ts
@@ -1,5 +1,5 @@
 /** A state that is folded from the records of one log stream. */
-import type {LogRecord} from '@dragonflyward/log';
+import type {LogRecord} from './types.js';
 
 /** What became of a record. */
 export type ApplyResult =
--- /dev/null
+++ b/packages/state/src/allowance-state.ts
@@ -0,0 +1,172 @@
+/** The table of what each team may have running in each shard. */
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
+import type {ApplyResult} from '@dragonflyward/log';
+import {ALLOWANCE_RECORD_SCHEMAS} from './record-schema.js';
+import type {
+  AllowanceAckRecord,
+  AllowanceRecord,
+  AllowanceStreamRecord,
+} from './records.js';
+import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+
+/** An amount and the version of the table that set it. */
+interface VersionedAmount {
+  readonly version: number;
+  readonly amount: Resources;
+}
+
+/** The newest acknowledgement of a shard. */
+export interface ShardAck {
+  readonly term: number;
+  readonly version: number;
+}
+
+interface DumpEntry {
+  readonly head?: {readonly version: number; readonly term: number};
+  readonly ack?: ShardAck & {readonly shard: string};
+  readonly cell?: {
+    readonly team: string;
+    readonly shard: string;
+    readonly amounts: readonly VersionedAmount[];
+  };
+}
+
+type TeamRow = Map<string, readonly VersionedAmount[]>;
+
+/** Allowances, folded from their stream. */
+export class AllowanceState extends SnapshotFold<AllowanceStreamRecord> {
+  /** Grows by one with each change of the table. */
+  version = 0;
+  /** The highest term of a budget owner that changed the table. */
+  term = 0;
+  private readonly rows = new Map<string, TeamRow>();
+  private readonly ackMap = new Map<string, ShardAck>();
+
+  constructor() {
+    super(ALLOWANCE_RECORD_SCHEMAS);
+  }
+
+  /** The newest acknowledgement of each shard. */
+  get acks(): ReadonlyMap<string, ShardAck> {
+    return this.ackMap;
+  }
+
+  /**
+   * What the team may have running in the shard.
+   *
+   * @example
+   * engine.setTeams(teams.map(t => toPolicyTeam(t, table.amount(t, shard))));
+   */
+  amount(team: string, shard: string): Resources {
+    const newest = this.rows.get(team)?.get(shard)?.at(-1);
+    return newest?.amount ?? NO_RESOURCES;
+  }
+
+  /** The most that the shard may hold to, as far as it has acknowledged. */
+  charge(team: string, shard: string): Resources {
+    const amounts = this.rows.get(team)?.get(shard) ?? [];
+    return amounts.map(({amount}) => amount).reduce(maxResources, NO_RESOURCES);
+  }
+
+  /** The shards that have or had an allowance of the team. */
+  shardsOf(team: string): readonly string[] {
+    return [...(this.rows.get(team)?.keys() ?? [])];
+  }
+
+  /** All teams of the table. */
+  teams(): readonly string[] {
+    return [...this.rows.keys()];
+  }
+
+  protected override applyChange(
+    change: ChangeOf<AllowanceStreamRecord>,
+  ): ApplyResult {
+    return change.type === 'allowances'
+      ? this.changeTable(change)
+      : this.acknowledge(change);
+  }
+
+  protected override *entries(): Generator<DumpEntry> {
+    yield {head: {version: this.version, term: this.term}};
+    for (const [shard, ack] of this.ackMap) yield {ack: {shard, ...ack}};
+    for (const [team, row] of this.rows) {
+      for (const [shard, amounts] of row) yield {cell: {team, shard, amounts}};
+    }
+  }
+
+  protected override restore(entries: readonly unknown[]): void {
+    this.rows.clear();
+    this.ackMap.clear();
+    for (const {head, ack, cell} of entries as readonly DumpEntry[]) {
+      if (head !== undefined) this.version = head.version;
+      if (head !== undefined) this.term = head.term;
+      if (ack !== undefined) this.ackMap.set(ack.shard, toAck(ack));
+      if (cell === undefined) continue;
+      this.rowOf(cell.team).set(cell.shard, cell.amounts);
+    }
+  }
+
+  /** Whether a change of the table cites its present version and term. */
+  protected isCurrent(change: AllowanceRecord): boolean {
+    return change.prevVersion === this.version && change.term >= this.term;
+  }
+
+  private changeTable(change: AllowanceRecord): ApplyResult {
+    if (!this.isCurrent(change)) return 'void';
+    this.version += 1;
+    this.term = change.term;
+    const {version} = this;
+    for (const {team, shard, amount} of change.changes) {
+      const row = this.rowOf(team);
+      row.set(shard, [...(row.get(shard) ?? []), {version, amount}]);
+    }
+    return 'applied';
+  }
+
+  private acknowledge(change: AllowanceAckRecord): ApplyResult {
+    const {shard, term, version} = change;
+    const known = this.ackMap.get(shard);
+    if (version > this.version || version <= (known?.version ?? 0)) {
+      return 'void';
+    }
+    if (term < (known?.term ?? 0)) return 'void';
+    this.ackMap.set(shard, {term, version});
+    for (const row of this.rows.values()) dropAcknowledged(row, shard, version);
+    return 'applied';
+  }
+
+  private rowOf(team: string): TeamRow {
+    const known = this.rows.get(team);
+    if (known !== undefined) return known;
+    const added: TeamRow = new Map();
+    this.rows.set(team, added);
+    return added;
+  }
+}
+
+function toAck({term, version}: ShardAck): ShardAck {
+  return {term, version};
+}
+
+/** Drops the amounts that the shard has left behind. */
+function dropAcknowledged(row: TeamRow, shard: string, version: number): void {
+  const amounts = row.get(shard);
+  if (amounts === undefined) return;
+  const inForce = amounts.findLastIndex(entry => entry.version <= version);
+  if (inForce > 0) row.set(shard, amounts.slice(inForce));
+}
+
+/**
+ * The larger of each part of two amounts.
+ *
+ * @example
+ * const charge = maxResources(before, after);
+ */
+export function maxResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMilli: Math.max(a.cpuMilli, b.cpuMilli),
+    memMb: Math.max(a.memMb, b.memMb),
+    accel: Math.max(a.accel, b.accel),
+    slots: Math.max(a.slots, b.slots),
+  };
+}
--- /dev/null
+++ b/packages/state/src/config-state.ts
@@ -0,0 +1,258 @@
+/** The configuration and the keys in force. */
+import {createHash} from 'node:crypto';
+import type {ApplyResult, LogRecord} from '@dragonflyward/log';
+import type {
+  Configuration,
+  Exception,
+  KeyEntry,
+  OrganisationConfig,
+  QueueConfig,
+  TeamConfig,
+} from './config-types.js';
+import {CONFIG_RECORD_SCHEMAS} from './record-schema.js';
+import type {
+  ConfigRecord,
+  ConfigStreamRecord,
+  KeyGrantedRecord,
+} from './records.js';
+import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+
+/** The revision of a cell that was never configured. */
+export const NO_REVISION = -1;
+const HISTORY_SIZE = 200;
+const KEY_SEPARATOR = '.';
+
+const EMPTY_CONFIGURATION: Configuration = {
+  defaults: {queues: {}, organisations: {}, teams: {}},
+  exceptions: [],
+};
+
+/** What became of a publication. */
+export type PublicationVerdict =
+  'inForce' | 'superseded' | 'lostRace' | 'invalid';
+
+/** One publication of a configuration and what became of it. */
+export interface Publication {
+  readonly revision: number;
+  readonly base: number;
+  readonly author: string;
+  readonly reason: string;
+  readonly timeMs: number;
+  readonly verdict: PublicationVerdict;
+  /** The revision that took its place or won the race; -1 for none. */
+  readonly by: number;
+}
+
+/** A key and whether it is still valid. */
+export interface KeyStatus extends KeyEntry {
+  readonly isWithdrawn: boolean;
+  readonly author: string;
+  /** Offset of the record that set this status. */
+  readonly offset: number;
+}
+
+interface HeadEntry {
+  readonly revision: number;
+  readonly recordId: string;
+  readonly configuration: Configuration;
+}
+
+interface DumpEntry {
+  readonly head?: HeadEntry;
+  readonly publication?: Publication;
+  readonly key?: KeyStatus;
+}
+
+/**
+ * Makes the digest under which a key's secret is kept.
+ *
+ * @example
+ * const digest = keyDigest(secret);
+ */
+export function keyDigest(secret: string): string {
+  return createHash('sha256').update(secret).digest('hex');
+}
+
+/** Configuration and keys, folded from the configuration stream. */
+export class ConfigState extends SnapshotFold<ConfigStreamRecord> {
+  /** Offset of the configuration record in force. */
+  revision = NO_REVISION;
+  configuration: Configuration = EMPTY_CONFIGURATION;
+  private queueMap: ReadonlyMap<string, QueueConfig> = new Map();
+  private teamMap: ReadonlyMap<string, TeamConfig> = new Map();
+  private recordId = '';
+  private publications: readonly Publication[] = [];
+  private readonly keyMap = new Map<string, KeyStatus>();
+
+  constructor() {
+    super(CONFIG_RECORD_SCHEMAS);
+  }
+
+  /**
+   * A queue as it is in force, exceptions applied.
+   *
+   * @example
+   * const queue = config.queue('quotes');
+   */
+  queue(name: string): QueueConfig | undefined {
+    return this.queueMap.get(name);
+  }
+
+  /** A team as it is in force, exceptions applied. */
+  team(name: string): TeamConfig | undefined {
+    return this.teamMap.get(name);
+  }
+
+  /** An organisation as it is in force. */
+  organisation(name: string): OrganisationConfig | undefined {
+    const {organisations} = this.configuration.defaults;
+    return Object.hasOwn(organisations, name) ? organisations[name] : undefined;
+  }
+
+  /** All queues as they are in force. */
+  queues(): ReadonlyMap<string, QueueConfig> {
+    return this.queueMap;
+  }
+
+  /** All teams as they are in force. */
+  teams(): ReadonlyMap<string, TeamConfig> {
+    return this.teamMap;
+  }
+
+  /**
+   * The team of a valid key, given as `keyId.secret`.
+   *
+   * @example
+   * const team = config.teamOfKey(bearer);
+   * if (team === undefined) raise('keyUnknown', keyId);
+   */
+  teamOfKey(key: string): string | undefined {
+    const at = key.indexOf(KEY_SEPARATOR);
+    if (at < 0) return undefined;
+    const entry = this.keyMap.get(key.slice(0, at));
+    if (entry === undefined || entry.isWithdrawn) return undefined;
+    const isRight = entry.digest === keyDigest(key.slice(at + 1));
+    return isRight ? entry.team : undefined;
+  }
+
+  /** The newest publications, oldest first. */
+  history(): readonly Publication[] {
+    return this.publications;
+  }
+
+  /** All keys, withdrawn ones as well. */
+  keys(): readonly KeyStatus[] {
+    return [...this.keyMap.values()];
+  }
+
+  protected override applyChange(
+    change: ChangeOf<ConfigStreamRecord>,
+    record: LogRecord,
+  ): ApplyResult {
+    if (change.type === 'config') return this.publish(change, record);
+    if (change.type === 'keyGranted') {
+      return this.grant(change, record.offset);
+    }
+    return this.withdraw(change.keyId, change.author, record.offset);
+  }
+
+  /** Whether a publication's base is the revision in force. */
+  protected isCurrent(change: ConfigRecord): boolean {
+    return change.base === this.revision;
+  }
+
+  protected override *entries(): Generator<DumpEntry> {
+    const {revision, recordId, configuration} = this;
+    yield {head: {revision, recordId, configuration}};
+    for (const publication of this.publications) yield {publication};
+    for (const key of this.keyMap.values()) yield {key};
+  }
+
+  protected override restore(entries: readonly unknown[]): void {
+    const dumps = entries as readonly DumpEntry[];
+    this.keyMap.clear();
+    this.publications = dumps.flatMap(({publication}) => publication ?? []);
+    for (const {head, key} of dumps) {
+      if (head !== undefined) this.setHead(head);
+      if (key !== undefined) this.keyMap.set(key.keyId, key);
+    }
+  }
+
+  private setHead({revision, recordId, configuration}: HeadEntry): void {
+    this.revision = revision;
+    this.recordId = recordId;
+    this.configuration = configuration;
+    const {defaults, exceptions} = configuration;
+    this.queueMap = resolve(defaults.queues, 'queue', exceptions);
+    this.teamMap = resolve(defaults.teams, 'team', exceptions);
+  }
+
+  private publish(change: ConfigRecord, record: LogRecord): ApplyResult {
+    if (record.id === this.recordId) return 'void';
+    if (!this.isCurrent(change)) {
+      this.note(change, record, 'lostRace', this.revision);
+      return 'void';
+    }
+    const {offset, id} = record;
+    const {configuration} = change;
+    this.supersede(offset);
+    this.note(change, record, 'inForce', NO_REVISION);
+    this.setHead({revision: offset, recordId: id, configuration});
+    return 'applied';
+  }
+
+  private supersede(by: number): void {
+    this.publications = this.publications.map(publication =>
+      publication.revision === this.revision
+        ? {...publication, verdict: 'superseded', by}
+        : publication,
+    );
+  }
+
+  private note(
+    change: ConfigRecord,
+    record: LogRecord,
+    verdict: PublicationVerdict,
+    by: number,
+  ): void {
+    const {base, author, reason} = change;
+    const {offset: revision, timeMs} = record;
+    const added = {revision, base, author, reason, timeMs, verdict, by};
+    this.publications = [...this.publications, added].slice(-HISTORY_SIZE);
+  }
+
+  private grant(change: KeyGrantedRecord, offset: number): ApplyResult {
+    const {key, author} = change;
+    if (this.keyMap.has(key.keyId)) return 'void';
+    this.keyMap.set(key.keyId, {...key, isWithdrawn: false, author, offset});
+    return 'applied';
+  }
+
+  /** A withdrawn key stays known, so that no later grant revives it. */
+  protected withdraw(
+    keyId: string,
+    author: string,
+    offset: number,
+  ): ApplyResult {
+    const key = this.keyMap.get(keyId) ?? {keyId, team: '', digest: ''};
+    if ('isWithdrawn' in key && key.isWithdrawn) return 'void';
+    this.keyMap.set(keyId, {...key, isWithdrawn: true, author, offset});
+    return 'applied';
+  }
+}
+
+/** Applies the exceptions of each value, in their order. */
+function resolve<T extends object>(
+  defaults: Readonly<Record<string, T>>,
+  kind: 'queue' | 'team',
+  exceptions: readonly Exception[],
+): ReadonlyMap<string, T> {
+  const values = new Map(Object.entries(defaults));
+  for (const {scope, set} of exceptions) {
+    const name = scope[kind];
+    const value = name === undefined ? undefined : values.get(name);
+    if (name === undefined || value === undefined) continue;
+    values.set(name, {...value, ...set});
+  }
+  return values;
+}
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -88,15 +88,15 @@
   readonly reason: string;
 }
 
-/** One part of a carried-forward state of a stream. */
-export interface SnapshotRecord extends UnderTerm {
+/** One part of the carried-forward state of any of the streams. */
+export interface SnapshotRecord extends Versioned {
   readonly type: 'snapshot';
   readonly snapshotId: string;
   /** The state covers all records before this offset. */
   readonly covers: number;
   readonly part: number;
   readonly parts: number;
-  /** JSON of this part. */
+  /** JSON of the entries of this part. */
   readonly body: string;
 }
 
@@ -136,19 +136,9 @@
   readonly reason: string;
 }
 
-/** One part of the carried-forward configuration and keys. */
-export interface ConfigSnapshotRecord extends Versioned {
-  readonly type: 'configSnapshot';
-  readonly snapshotId: string;
-  readonly covers: number;
-  readonly part: number;
-  readonly parts: number;
-  readonly body: string;
-}
-
 /** A record of the configuration stream. */
 export type ConfigStreamRecord =
-  ConfigRecord | KeyGrantedRecord | KeyWithdrawnRecord | ConfigSnapshotRecord;
+  ConfigRecord | KeyGrantedRecord | KeyWithdrawnRecord | SnapshotRecord;
 
 /** What one team may have running in one shard. */
 export interface Allowance {
@@ -175,4 +165,5 @@
 }
 
 /** A record of the allowance stream. */
-export type AllowanceStreamRecord = AllowanceRecord | AllowanceAckRecord;
+export type AllowanceStreamRecord =
+  AllowanceRecord | AllowanceAckRecord | SnapshotRecord;
--- /dev/null
+++ b/packages/state/test/ownership.test.ts
@@ -0,0 +1,109 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
+
+/** From the owner's death until urgent work starts again in its shard. */
+const TAKEOVER_BOUND_MS = 9_400;
+
+const ownership = suite('ownership');
+
+async function startCell(): Promise<{cell: Cell; owner: Member}> {
+  const cell = new Cell();
+  for (const vm of ['a', 'b', 'c', 'd']) cell.start(vm);
+  await cell.run(5_000);
+  const [owner] = cell.acting();
+  assert.ok(owner);
+  return {cell, owner};
+}
+
+ownership('gives a new shard one owner with two successors', async () => {
+  const {cell, owner} = await startCell();
+  assert.is(owner.ref.vm, 'a');
+  assert.is(owner.fold.successors.length, 2);
+  cell.end();
+});
+
+ownership('passes to a successor when the owner dies', async () => {
+  const {cell, owner} = await startCell();
+  cell.kill(owner);
+  await cell.run(TAKEOVER_BOUND_MS);
+  assert.is(cell.acting().length, 1);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+ownership('lasts through an outage of the log by promises', async () => {
+  const {cell, owner} = await startCell();
+  cell.log.isDown = true;
+  await cell.run(120_000);
+  assert.ok(owner.ownership.mayAct());
+  cell.end();
+});
+
+ownership('ends when the owner is cut off from log and peers', async () => {
+  const {cell, owner} = await startCell();
+  owner.client.isCut = true;
+  owner.isCutFromPeers = true;
+  await cell.run(LEASE_MS + SILENCE_MS);
+  assert.not(owner.ownership.mayAct());
+  await cell.run(TAKEOVER_BOUND_MS);
+  assert.is(cell.acting().length, 1);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+ownership(
+  'stands still when the owner dies while the log is down',
+  async () => {
+    const {cell, owner} = await startCell();
+    cell.log.isDown = true;
+    cell.kill(owner);
+    await cell.run(180_000);
+    assert.is(cell.acting().length, 0);
+    cell.log.isDown = false;
+    await cell.run(TAKEOVER_BOUND_MS);
+    assert.is(cell.acting().length, 1);
+    cell.end();
+  },
+);
+
+ownership('is handed over without a gap', async () => {
+  const {cell, owner} = await startCell();
+  const [successor] = owner.fold.successors;
+  assert.ok(successor);
+  const done = owner.ownership.handOver(successor, []);
+  await cell.run(1_000);
+  assert.ok(await done);
+  assert.equal(
+    cell.acting().map(m => m.ref),
+    [successor],
+  );
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+ownership('comes back to a restarted VM when all others are gone', async () => {
+  const {cell, owner} = await startCell();
+  for (const member of cell.members) cell.kill(member);
+  await cell.run(2_000);
+  const restarted = cell.start(owner.ref.vm, 2);
+  await cell.run(TAKEOVER_BOUND_MS);
+  assert.ok(restarted.ownership.mayAct());
+  cell.end();
+});
+
+ownership('comes back when all VMs were replaced', async () => {
+  const {cell} = await startCell();
+  for (const member of cell.members) {
+    cell.kill(member);
+    cell.droppedVms.add(member.ref.vm);
+  }
+  cell.start('e');
+  cell.start('f');
+  await cell.run(30_000);
+  assert.is(cell.acting().length, 1);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+ownership.run();
