--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -112,6 +112,17 @@
     this.lastProofMs = Math.max(this.lastProofMs, sentMs);
   }
 
+  /**
+   * Applies records that a peer has read from the same stream.
+   *
+   * @example
+   * tail.applyFromPeer(reply.records);
+   */
+  applyFromPeer(records: readonly LogRecord[]): void {
+    for (const record of records) this.applyRecord(record);
+    this.wakeWaiters();
+  }
+
   private async run(): Promise<void> {
     while (this.isRunning) {
       try {
--- /dev/null
+++ b/packages/state/src/config-exchange.ts
@@ -0,0 +1,127 @@
+/** Passes the tail of the configuration stream between peers. */
+import {newId, type Clock} from '@dragonflyward/common';
+import type {LogRecord, StreamTail} from '@dragonflyward/log';
+import type {ConfigFreshness, ListedPeer} from './config-freshness.js';
+import type {ConfigState} from './config-state.js';
+import type {SnapshotRecord} from './records.js';
+
+const KEPT_RECORDS = 1_000;
+const ASK_PERIOD_MS = 500;
+/** Peers are asked once the newest read is this part of its maximum age. */
+const ASK_AT_AGE_PART = 0.4;
+
+/** What a peer passes on. */
+export interface ConfigTail {
+  /** The records from the asked offset on, or parts of a snapshot. */
+  readonly records: readonly unknown[];
+  readonly ageMs: number;
+  readonly end: number;
+}
+
+/** The peers that may know more of the configuration. */
+export abstract class ConfigPeers {
+  /** The listed entry VMs but this one; undefined while no list was read. */
+  abstract listed(): readonly ListedPeer[] | undefined;
+  /**
+   * Asks the peer for its records from the offset on.
+   *
+   * @throws peerDown, peerLost
+   */
+  abstract askTail(vm: string, from: number): Promise<ConfigTail>;
+}
+
+/** What the exchange needs. */
+export interface ConfigExchangeOptions {
+  readonly fold: ConfigState;
+  readonly tail: StreamTail;
+  readonly clock: Clock;
+  readonly freshness: ConfigFreshness;
+  readonly peers: ConfigPeers;
+  readonly maxAgeMs: number;
+}
+
+/** Answers peers' asks, and asks them while the log is not read. */
+export class ConfigExchange {
+  private kept: readonly LogRecord[] = [];
+
+  constructor(private readonly options: ConfigExchangeOptions) {
+    options.tail.listen(record => {
+      this.kept = [...this.kept, record].slice(-KEPT_RECORDS);
+    });
+  }
+
+  /**
+   * Answers a peer that has applied all records before the offset.
+   *
+   * @example
+   * return {type: 'configTail', ...exchange.answer(ask.from)};
+   */
+  answer(from: number): ConfigTail {
+    const {fold, freshness} = this.options;
+    this.noteOwnRead();
+    const ageMs = freshness.ageMs();
+    const end = fold.nextOffset;
+    if (!fold.isComplete) return {records: [], ageMs: Infinity, end: 0};
+    return {records: this.recordsFrom(from), ageMs, end};
+  }
+
+  /** Keeps the freshness up to date, for as long as it is wanted. */
+  async run(isWanted: () => boolean): Promise<void> {
+    const {clock, peers, freshness} = this.options;
+    while (isWanted()) {
+      this.noteOwnRead();
+      const listed = peers.listed();
+      if (listed !== undefined) freshness.setListed(listed);
+      if (this.isAskDue()) await this.askAll(listed ?? []);
+      await clock.sleep(ASK_PERIOD_MS);
+    }
+  }
+
+  private noteOwnRead(): void {
+    const {fold, tail, freshness} = this.options;
+    if (fold.isComplete) freshness.noteLogRead(tail.lastProofMs);
+  }
+
+  private isAskDue(): boolean {
+    const {freshness, maxAgeMs} = this.options;
+    return freshness.ageMs() > maxAgeMs * ASK_AT_AGE_PART;
+  }
+
+  private async askAll(listed: readonly ListedPeer[]): Promise<void> {
+    await Promise.all(listed.map(({vm}) => this.askOne(vm)));
+  }
+
+  private async askOne(vm: string): Promise<void> {
+    const {clock, fold, freshness, peers} = this.options;
+    const askedMs = clock.monotonicMs();
+    try {
+      const from = fold.isComplete ? fold.nextOffset : 0;
+      const {records, ageMs, end} = await peers.askTail(vm, from);
+      this.take(records);
+      freshness.notePeerTail({vm, ageMs, end, askedMs});
+    } catch {
+      // A silent peer counts as one that did not answer.
+    }
+  }
+
+  private take(records: readonly unknown[]): void {
+    const {fold, tail} = this.options;
+    const [first] = records;
+    if (first === undefined) return;
+    if (isSnapshotPart(first)) fold.adopt(records as SnapshotRecord[]);
+    else tail.applyFromPeer(records as LogRecord[]);
+  }
+
+  private recordsFrom(from: number): readonly unknown[] {
+    const {fold} = this.options;
+    const missing = fold.nextOffset - from;
+    if (missing <= 0) return [];
+    const records = this.kept.filter(({offset}) => offset >= from);
+    const isWhole = records.length === missing;
+    return isWhole ? records : fold.snapshot(newId('snapshot'));
+  }
+}
+
+function isSnapshotPart(record: unknown): boolean {
+  return typeof record === 'object' && record !== null && 'covers' in record;
+}
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -1,6 +1,7 @@
 /** The configuration and the keys in force. */
 import {createHash} from 'node:crypto';
 import type {ApplyResult, LogRecord} from '@dragonflyward/log';
+import {validateConfiguration} from './config-schema.js';
 import type {
   Configuration,
   Exception,
@@ -189,6 +190,10 @@
 
   private publish(change: ConfigRecord, record: LogRecord): ApplyResult {
     if (record.id === this.recordId) return 'void';
+    if (validateConfiguration(change.configuration).isErr()) {
+      this.note(change, record, 'invalid', NO_REVISION);
+      return 'skipped';
+    }
     if (!this.isCurrent(change)) {
       this.note(change, record, 'lostRace', this.revision);
       return 'void';
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -80,6 +80,27 @@
     }));
   }
 
+  /**
+   * Takes up a snapshot that a peer made; an older one than the present
+   * state is left alone.
+   *
+   * @returns whether it was taken up
+   * @example
+   * if (fold.adopt(parts)) events.add('configApplied', {});
+   */
+  adopt(parts: readonly SnapshotRecord[]): boolean {
+    const [first] = parts;
+    if (first === undefined || parts.length !== first.parts) return false;
+    const isNewer = first.covers > this.nextOffset;
+    const isMissing = !this.isComplete && first.covers >= this.nextOffset;
+    if (!isNewer && !isMissing) return false;
+    const state = readState(new Map(parts.map(part => [part.part, part])));
+    if (state === undefined) return false;
+    this.nextOffset = first.covers;
+    this.takeUp(state);
+    return true;
+  }
+
   /** Applies a well-formed change; its result is a function of the prefix. */
   protected abstract applyChange(
     change: ChangeOf<R>,
@@ -95,9 +116,18 @@
     if (known === undefined) return 'skipped';
     const result = this.applyChange(known as ChangeOf<R>, record);
     if (result === 'void') this.voidCount += 1;
+    if (result === 'skipped') this.skippedCount += 1;
     return result;
   }
 
+  private takeUp({logMs, entries}: FoldedState): void {
+    this.logMs = logMs;
+    this.restore(entries);
+    this.isComplete = true;
+    this.held = [];
+    this.parts.clear();
+  }
+
   private collect(snapshot: SnapshotRecord, offset: number): ApplyResult {
     const {snapshotId, part, parts, covers} = snapshot;
     if (part >= parts || covers > offset) {
@@ -122,12 +152,8 @@
     if (covers < this.startOffset) return;
     const state = readState(parts);
     if (state === undefined) return;
-    this.logMs = state.logMs;
-    this.restore(state.entries);
-    this.isComplete = true;
     const {held} = this;
-    this.held = [];
-    this.parts.clear();
+    this.takeUp(state);
     for (const record of held) {
       if (record.offset < covers) continue;
       this.applyKnown(record, this.checker.check(record.data));
--- /dev/null
+++ b/packages/state/src/snapshot-task.ts
@@ -0,0 +1,114 @@
+/** Carries the state of a stream forward before the log forgets it. */
+import {newId, type Clock, type EventRing} from '@dragonflyward/common';
+import type {StreamTail, StreamWriter} from '@dragonflyward/log';
+import type {SnapshotRecord} from './records.js';
+
+/** A snapshot is written at least this often. */
+export const SNAPSHOT_PERIOD_MS = 10 * 60_000;
+/** A reader that starts empty has at most about this much to read. */
+export const SNAPSHOT_MAX_RECORDS = 20_000;
+const CHECK_PERIOD_MS = 1_000;
+
+/** What snapshots need of a fold. */
+export interface SnapshotSource {
+  readonly isComplete: boolean;
+  readonly nextOffset: number;
+  readonly snapshotCovers: number;
+  snapshot(snapshotId: string): readonly SnapshotRecord[];
+}
+
+/** What a snapshot task needs. */
+export interface SnapshotTaskOptions {
+  readonly fold: SnapshotSource;
+  readonly tail: StreamTail;
+  readonly writer: StreamWriter;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  /** Whether this process is the one to write snapshots now. */
+  readonly isAllowed: () => boolean;
+  readonly periodMs?: number;
+}
+
+/** What decides whether a snapshot is due. */
+export interface SnapshotAge {
+  readonly firstKept: number;
+  readonly covers: number;
+  readonly nextOffset: number;
+  /** How long ago the newest snapshot was written or first read. */
+  readonly ageMs: number;
+  readonly periodMs: number;
+}
+
+/**
+ * Tells whether a snapshot is due: the newest one stands in the older half
+ * of what the log keeps, or is old, or much was written since.
+ *
+ * @example
+ * if (isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs})) write();
+ */
+export function isSnapshotDue(age: SnapshotAge): boolean {
+  const {firstKept, covers, nextOffset, ageMs, periodMs} = age;
+  if (nextOffset === 0) return false;
+  if (ageMs >= periodMs) return true;
+  if (nextOffset - covers >= SNAPSHOT_MAX_RECORDS) return true;
+  const isForgetting = firstKept > 0;
+  return isForgetting && covers - firstKept < (nextOffset - firstKept) / 2;
+}
+
+/** Writes the snapshots of one stream. */
+export class SnapshotTask {
+  private covers = 0;
+  private sinceMs: number;
+
+  constructor(private readonly options: SnapshotTaskOptions) {
+    this.sinceMs = options.clock.monotonicMs();
+  }
+
+  /** Writes snapshots when they are due, for as long as it is wanted. */
+  async run(isWanted: () => boolean): Promise<void> {
+    const {clock} = this.options;
+    while (isWanted()) {
+      if (this.isDue()) await this.tryWrite();
+      await clock.sleep(CHECK_PERIOD_MS);
+    }
+  }
+
+  /**
+   * Writes one snapshot now, part by part.
+   *
+   * @throws logDown, appendUnknown
+   * @example
+   * await task.write();
+   */
+  async write(): Promise<void> {
+    const {fold, writer, events, tail} = this.options;
+    const parts = fold.snapshot(newId('snapshot'));
+    for (const part of parts) await writer.write(part);
+    const note = `${tail.stream}: ${parts.length} parts`;
+    events.add('snapshotWritten', {}, note);
+  }
+
+  private isDue(): boolean {
+    const {fold, tail, clock, isAllowed} = this.options;
+    const {nextOffset, snapshotCovers: covers} = fold;
+    if (covers !== this.covers) this.noteSnapshot(covers);
+    if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
+    const {firstKept} = tail;
+    const ageMs = clock.monotonicMs() - this.sinceMs;
+    const {periodMs = SNAPSHOT_PERIOD_MS} = this.options;
+    return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
+  }
+
+  private noteSnapshot(covers: number): void {
+    this.covers = covers;
+    this.sinceMs = this.options.clock.monotonicMs();
+  }
+
+  private async tryWrite(): Promise<void> {
+    try {
+      await this.write();
+    } catch {
+      // The next check finds the snapshot still due.
+    }
+  }
+}
