Check ownership under random faults, with each mechanism also switched off

Cause: eight hand-written cases do not cover faults that come together.

fast-check plays kills, restarts, replacements, pauses, cuts from the log or from peers, outages, lost replies with late effect and hand-overs against up to a dozen processes whose clocks differ in rate. Without the wait after a claim, the end of the right to act, the promise of all successors, the citations of a claim or the fence of terms, a counterexample is found.

--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -15,8 +15,6 @@
   records: LogRecord[];
 }
 
-const POLL_STEP_MS = 10;
-
 /** The streams and the faults of one log service. */
 export class MemoryLog {
   /** All clients are refused, as in an outage. */
@@ -30,6 +28,7 @@
   /** How many appends took effect. */
   appends = 0;
   private readonly streams = new Map<string, MemoryStream>();
+  private readonly readers: (() => void)[] = [];
 
   constructor(readonly clock: Clock) {}
 
@@ -44,12 +43,18 @@
       timeMs,
     }));
     this.appends += 1;
+    for (const wake of this.readers.splice(0)) wake();
     kept.records.push(...added);
     const excess = kept.records.length - this.retainRecords;
     if (excess > 0) this.drop(stream, kept.first + excess);
     return offset;
   }
 
+  /** Resolves at the next append to any stream. */
+  pushed(): Promise<void> {
+    return new Promise(resolve => this.readers.push(resolve));
+  }
+
   /** Drops all records before the offset. */
   drop(stream: string, first: number): void {
     const kept = this.stream(stream);
@@ -127,8 +132,9 @@
       this.check();
       const page = this.log.page(stream, from, options.maxRecords);
       if (page.records.length > 0) return page;
-      if (clock.monotonicMs() >= untilMs) return page;
-      await clock.sleep(POLL_STEP_MS);
+      const leftMs = untilMs - clock.monotonicMs();
+      if (leftMs <= 0) return page;
+      await Promise.race([clock.sleep(leftMs), this.log.pushed()]);
     }
   }
 
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -1,7 +1,7 @@
 /** The table of what each team may have running in each shard. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {ApplyResult} from '@dragonflyward/log';
-import {ALLOWANCE_RECORD_SCHEMAS} from './record-schema.js';
+import {ALLOWANCE_RECORDS} from './record-schema.js';
 import type {
   AllowanceAckRecord,
   AllowanceRecord,
@@ -43,7 +43,7 @@
   private readonly ackMap = new Map<string, ShardAck>();
 
   constructor() {
-    super(ALLOWANCE_RECORD_SCHEMAS);
+    super(ALLOWANCE_RECORDS);
   }
 
   /** The newest acknowledgement of each shard. */
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -10,7 +10,7 @@
   QueueConfig,
   TeamConfig,
 } from './config-types.js';
-import {CONFIG_RECORD_SCHEMAS} from './record-schema.js';
+import {CONFIG_RECORDS} from './record-schema.js';
 import type {
   ConfigRecord,
   ConfigStreamRecord,
@@ -86,7 +86,7 @@
   private readonly keyMap = new Map<string, KeyStatus>();
 
   constructor() {
-    super(CONFIG_RECORD_SCHEMAS);
+    super(CONFIG_RECORDS);
   }
 
   /**
--- a/packages/state/src/record-schema.ts
+++ b/packages/state/src/record-schema.ts
@@ -1,6 +1,11 @@
 /** Checks the shape of records, so that all readers skip the same ones. */
 import {Ajv, type ValidateFunction} from 'ajv';
-import {RECORD_VERSION} from './records.js';
+import {
+  RECORD_VERSION,
+  type AllowanceStreamRecord,
+  type ConfigStreamRecord,
+  type ShardRecord,
+} from './records.js';
 
 type Properties = Readonly<Record<string, object>>;
 
@@ -57,8 +62,7 @@
   body: TEXT,
 });
 
-/** The schemas of the records of a shard's stream. */
-export const SHARD_RECORD_SCHEMAS = [
+const SHARD_RECORD_SCHEMAS = [
   record('claim', {
     prevTerm: COUNT,
     prevListVersion: COUNT,
@@ -89,8 +93,7 @@
   SNAPSHOT,
 ];
 
-/** The schemas of the records of the configuration stream. */
-export const CONFIG_RECORD_SCHEMAS = [
+const CONFIG_RECORD_SCHEMAS = [
   record('config', {
     base: {type: 'integer', minimum: -1},
     author: TEXT,
@@ -107,8 +110,7 @@
 
 const ALLOWANCE = object({team: NAME, shard: NAME, amount: RESOURCES});
 
-/** The schemas of the records of the allowance stream. */
-export const ALLOWANCE_RECORD_SCHEMAS = [
+const ALLOWANCE_RECORD_SCHEMAS = [
   record('allowances', {
     prevVersion: COUNT,
     term: COUNT,
@@ -152,3 +154,18 @@
   if (typeof data !== 'object' || data === null) return false;
   return 'type' in data && typeof data.type === 'string';
 }
+
+/** Checks the records of a shard's stream. */
+export const SHARD_RECORDS = new RecordChecker<ShardRecord>(
+  SHARD_RECORD_SCHEMAS,
+);
+
+/** Checks the records of the configuration stream. */
+export const CONFIG_RECORDS = new RecordChecker<ConfigStreamRecord>(
+  CONFIG_RECORD_SCHEMAS,
+);
+
+/** Checks the records of the allowance stream. */
+export const ALLOWANCE_RECORDS = new RecordChecker<AllowanceStreamRecord>(
+  ALLOWANCE_RECORD_SCHEMAS,
+);
--- a/packages/state/src/shard-state.ts
+++ b/packages/state/src/shard-state.ts
@@ -2,7 +2,7 @@
 import type {ProcessRef} from '@dragonflyward/common';
 import type {ApplyResult} from '@dragonflyward/log';
 import type {JobEnd, JobSpec} from './job-types.js';
-import {SHARD_RECORD_SCHEMAS} from './record-schema.js';
+import {SHARD_RECORDS} from './record-schema.js';
 import type {
   ClaimRecord,
   HandoverRecord,
@@ -76,7 +76,7 @@
   private readonly endedIds = new Set<string>();
 
   constructor(private readonly keptMs = ENDED_JOB_KEPT_MS) {
-    super(SHARD_RECORD_SCHEMAS);
+    super(SHARD_RECORDS);
   }
 
   /** All jobs that are live or ended not long ago. */
@@ -96,6 +96,12 @@
     return change.term === this.term;
   }
 
+  /** Whether a claim cites the current term and list. */
+  protected isClaimCurrent(claim: ClaimRecord): boolean {
+    if (claim.prevTerm !== this.term) return false;
+    return claim.prevListVersion === this.listVersion;
+  }
+
   protected override *entries(): Generator<OwnershipEntry | JobDump> {
     const {term, owner, listVersion, successors} = this;
     yield {term, owner, listVersion, successors};
@@ -135,8 +141,7 @@
   }
 
   private claim(claim: ClaimRecord): ApplyResult {
-    if (claim.prevTerm !== this.term) return 'void';
-    if (claim.prevListVersion !== this.listVersion) return 'void';
+    if (!this.isClaimCurrent(claim)) return 'void';
     const {owner, successors} = claim;
     this.setOwner(this.term + 1, owner, this.listVersion + 1, successors);
     return 'applied';
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -7,7 +7,7 @@
   type ShardRecord,
   type SnapshotRecord,
 } from './records.js';
-import {RecordChecker} from './record-schema.js';
+import type {RecordChecker} from './record-schema.js';
 
 const PART_BYTES = 128 * 1024;
 
@@ -28,15 +28,13 @@
   snapshotCovers = 0;
   /** The log's time of the newest record; never goes back. */
   logMs = 0;
-  private readonly checker: RecordChecker<R>;
   private readonly parts = new Map<string, Map<number, SnapshotRecord>>();
   /** Records that a snapshot yet to be read may not cover. */
   private held: LogRecord[] = [];
   private startOffset = 0;
 
-  constructor(schemas: readonly object[]) {
+  constructor(private readonly checker: RecordChecker<R>) {
     super();
-    this.checker = new RecordChecker<R>(schemas);
   }
 
   override apply(record: LogRecord): ApplyResult {
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -1,5 +1,6 @@
 /** Several processes around one log in memory, on a clock set by the test. */
 import {
+  Clock,
   EventRing,
   HybridClock,
   isSameProcess,
@@ -7,35 +8,118 @@
   raise,
   type ProcessRef,
 } from '@dragonflyward/common';
-import {MemoryLog, MemoryLogClient, StreamTail} from '@dragonflyward/log';
+import {
+  LogClient,
+  MemoryLog,
+  MemoryLogClient,
+  StreamTail,
+  StreamWriter,
+  type AppendReply,
+  type LogPage,
+  type NewRecord,
+  type ReadOptions,
+} from '@dragonflyward/log';
 import {
   OwnershipPeers,
+  RECORD_VERSION,
   ShardOwnership,
   shardStream,
   ShardState,
+  type JobAcceptedRecord,
   type OwnershipAsk,
   type OwnershipOptions,
 } from '@dragonflyward/state';
+import {jobSpec} from './records.js';
 
 export const SHARD = 'north-1';
+export const STREAM = shardStream(SHARD);
 export const LEASE_MS = 2_500;
 export const SILENCE_MS = 1_500;
 const READ_WAIT_MS = 200;
 const PEER_DELAY_MS = 30;
+const STEP_MS = 25;
+const PAUSE_CHECK_MS = 25;
+/** Monotonic clocks differ by at most 4 % in rate between two VMs. */
+const RATES = [1, 0.98, 1.02];
+
+/** The clock of one process; its tasks stand still while it is paused. */
+class MemberClock extends Clock {
+  isPaused = false;
+
+  constructor(
+    private readonly base: ManualClock,
+    private readonly rate: number,
+  ) {
+    super();
+  }
+
+  override monotonicMs(): number {
+    return this.base.monotonicMs() * this.rate;
+  }
+
+  override wallMs(): number {
+    return this.base.wallMs();
+  }
+
+  override async sleep(delayMs: number): Promise<void> {
+    await this.base.sleep(delayMs / this.rate);
+    await this.resumed();
+  }
+
+  async resumed(): Promise<void> {
+    while (this.isPaused) await this.base.sleep(PAUSE_CHECK_MS);
+  }
+}
+
+/** A client whose replies are seen only once the process is resumed. */
+class MemberLogClient extends LogClient {
+  constructor(
+    private readonly inner: MemoryLogClient,
+    private readonly clock: MemberClock,
+  ) {
+    super();
+  }
+
+  override append(
+    stream: string,
+    records: readonly NewRecord[],
+  ): Promise<AppendReply> {
+    return this.inner.append(stream, records).finally(this.resumed);
+  }
+
+  override read(
+    stream: string,
+    from: number,
+    options: ReadOptions,
+  ): Promise<LogPage> {
+    return this.inner.read(stream, from, options).finally(this.resumed);
+  }
+
+  override streams(): ReturnType<LogClient['streams']> {
+    return this.inner.streams();
+  }
+
+  private readonly resumed = (): Promise<void> => this.clock.resumed();
+}
 
 /** One process of the cell. */
 export interface Member {
   readonly ref: ProcessRef;
+  readonly clock: MemberClock;
   readonly client: MemoryLogClient;
-  readonly tail: StreamTail;
   readonly fold: ShardState;
   readonly ownership: ShardOwnership;
+  readonly tail: StreamTail;
+  readonly writer: StreamWriter;
   isCutFromPeers: boolean;
   isDead: boolean;
 }
 
-/** Makes the ownership under test; tests switch mechanisms off here. */
-export type OwnershipMaker = (options: OwnershipOptions) => ShardOwnership;
+/** What tests replace to switch a mechanism off. */
+export interface CellParts {
+  readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
+  readonly makeFold?: () => ShardState;
+}
 
 class CellPeers extends OwnershipPeers {
   constructor(
@@ -46,7 +130,9 @@
   }
 
   override candidates(): readonly ProcessRef[] {
-    const others = this.cell.members.filter(m => !this.isSelf(m.ref));
+    const others = this.cell.members.filter(
+      m => !isSameProcess(m.ref, this.self),
+    );
     return others.filter(m => !m.isDead).map(m => m.ref);
   }
 
@@ -63,24 +149,21 @@
     process: ProcessRef,
     ask: OwnershipAsk,
   ): Promise<boolean> {
-    await this.cell.clock.sleep(PEER_DELAY_MS);
-    const peer = this.cell.find(process);
     const self = this.cell.find(this.self);
+    await self?.clock.sleep(PEER_DELAY_MS);
+    const peer = this.cell.find(process);
     if (!isReachable(peer) || !isReachable(self)) {
       return raise('peerDown', process.vm);
     }
     const isGiven = peer.ownership.answerPromise(ask, this.self);
-    await this.cell.clock.sleep(PEER_DELAY_MS);
+    await self.clock.sleep(PEER_DELAY_MS);
     return isGiven;
   }
-
-  private isSelf(ref: ProcessRef): boolean {
-    return isSameProcess(ref, this.self);
-  }
 }
 
 function isReachable(member: Member | undefined): member is Member {
-  return member !== undefined && !member.isDead && !member.isCutFromPeers;
+  if (member === undefined || member.isDead) return false;
+  return !member.isCutFromPeers && !member.clock.isPaused;
 }
 
 /** All processes that may own one shard. */
@@ -91,32 +174,42 @@
   members: readonly Member[] = [];
   /** Moments at which more than one process might act. */
   violations = 0;
+  /** Jobs that their writer was told stand in the log. */
+  readonly accepted = new Set<string>();
   private readonly lastHeardMs = new Map<string, number>();
+  private nextJob = 1;
 
-  constructor(
-    private readonly makeOwnership: OwnershipMaker = o => new ShardOwnership(o),
-  ) {}
+  constructor(private readonly parts: CellParts = {}) {}
 
   /** Starts a process; a higher incarnation is a restart on the same VM. */
   start(vm: string, incarnation = 1): Member {
     const ref = {vm, incarnation};
+    const rank = this.members.length;
+    const rate = RATES[rank % RATES.length] ?? 1;
+    const clock = new MemberClock(this.clock, rate);
     const client = new MemoryLogClient(this.log);
-    const fold = new ShardState();
-    const tail = this.makeTail(client, fold);
-    const ownership = this.makeOwnership({
+    const fold = this.parts.makeFold?.() ?? new ShardState();
+    const log = new MemberLogClient(client, clock);
+    const base = {client: log, stream: STREAM, clock};
+    const tail = new StreamTail({...base, fold, waitMs: READ_WAIT_MS});
+    const writer = new StreamWriter({...base, tail});
+    const options = {
       shard: SHARD,
       self: ref,
-      clock: this.clock,
+      clock,
       tail,
       fold,
-      log: client,
+      log,
       peers: new CellPeers(this, ref),
       timing: {ownerLeaseMs: LEASE_MS, ownerSilenceMs: SILENCE_MS},
-      events: new EventRing(vm, new HybridClock(this.clock)),
-      rank: this.members.length,
-    });
-    const state = {isCutFromPeers: false, isDead: false};
-    const member = {ref, client, tail, fold, ownership, ...state};
+      events: new EventRing(vm, new HybridClock(clock)),
+      rank,
+    };
+    const {makeOwnership} = this.parts;
+    const ownership = makeOwnership?.(options) ?? new ShardOwnership(options);
+    const flags = {isCutFromPeers: false, isDead: false};
+    const parts = {ref, clock, client, fold, ownership, tail, writer};
+    const member = {...parts, ...flags};
     this.members = [...this.members, member];
     tail.start();
     void ownership.run();
@@ -133,14 +226,20 @@
 
   /** Moves the time on in small steps and checks who may act. */
   async run(durationMs: number): Promise<void> {
-    const stepMs = 25;
-    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
       this.beat();
-      await this.clock.advance(stepMs);
+      await this.clock.advance(STEP_MS);
       if (this.acting().length > 1) this.violations += 1;
     }
   }
 
+  /** Has each process that may act accept a job. */
+  acceptJobs(): void {
+    for (const member of this.acting()) {
+      if (!member.clock.isPaused) void this.acceptJob(member);
+    }
+  }
+
   /** The processes that may act now. */
   acting(): readonly Member[] {
     return this.members.filter(m => m.ownership.mayAct());
@@ -153,7 +252,7 @@
 
   /** When one process last heard another. */
   heardMs(from: ProcessRef, by: ProcessRef): number {
-    return this.lastHeardMs.get(keyOf(from, by)) ?? 0;
+    return this.lastHeardMs.get(`${keyOf(from)}>${keyOf(by)}`) ?? 0;
   }
 
   /** Stops all tasks. */
@@ -161,23 +260,31 @@
     for (const member of this.members) this.kill(member);
   }
 
+  private async acceptJob({writer, ownership, ref}: Member): Promise<void> {
+    const jobId = `${SHARD}:${this.nextJob}`;
+    this.nextJob += 1;
+    const record: JobAcceptedRecord = {
+      v: RECORD_VERSION,
+      type: 'jobAccepted',
+      term: ownership.term,
+      acceptedMs: 0,
+      job: {...jobSpec(jobId), payload: {writer: ref}},
+    };
+    const result = await writer.write(record).catch(() => undefined);
+    if (result === 'applied') this.accepted.add(jobId);
+  }
+
   private beat(): void {
     const reachable = this.members.filter(isReachable);
     for (const from of reachable) {
       for (const by of reachable) {
-        const key = keyOf(from.ref, by.ref);
+        const key = `${keyOf(from.ref)}>${keyOf(by.ref)}`;
         this.lastHeardMs.set(key, this.clock.monotonicMs());
       }
     }
   }
-
-  private makeTail(client: MemoryLogClient, fold: ShardState): StreamTail {
-    const stream = shardStream(SHARD);
-    const {clock} = this;
-    return new StreamTail({client, stream, fold, clock, waitMs: READ_WAIT_MS});
-  }
 }
 
-function keyOf(from: ProcessRef, by: ProcessRef): string {
-  return `${from.vm}#${from.incarnation}>${by.vm}#${by.incarnation}`;
+function keyOf({vm, incarnation}: ProcessRef): string {
+  return `${vm}#${incarnation}`;
 }
--- /dev/null
+++ b/packages/state/test/ownership.property.test.ts
@@ -0,0 +1,329 @@
+import {isSameProcess, type ProcessRef} from '@dragonflyward/common';
+import {
+  OwnerDuties,
+  RECORD_VERSION,
+  ShardOwnership,
+  ShardState,
+  type OwnershipOptions,
+} from '@dragonflyward/state';
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {Cell, STREAM, type CellParts, type Member} from './cell.js';
+
+const SEED = 20261204;
+const RUNS = 60;
+const MAX_STEPS = 14;
+const SETTLE_MS = 30_000;
+
+const FAULTS = [
+  'kill',
+  'restart',
+  'replace',
+  'pause',
+  'resume',
+  'cutFromLog',
+  'healLog',
+  'cutFromPeers',
+  'healPeers',
+  'outage',
+  'outageEnds',
+  'loseReplies',
+  'handOver',
+] as const;
+
+type Fault = (typeof FAULTS)[number];
+
+interface Step {
+  readonly fault: Fault;
+  /** One bit for each process that it hits, or the number of one. */
+  readonly target: number;
+  readonly thenMs: number;
+}
+
+function stepOf(faults: readonly Fault[]): fc.Arbitrary<Step> {
+  return fc.record({
+    fault: fc.constantFrom(...faults),
+    target: fc.nat(15),
+    thenMs: fc.integer({min: 100, max: 6_000}),
+  });
+}
+
+const ANY_STEPS = fc.array(stepOf(FAULTS), {
+  minLength: 1,
+  maxLength: MAX_STEPS,
+});
+
+/** Some are cut from the log, and those that are not from their peers. */
+const PARTITION_STEPS = fc
+  .tuple(fc.nat(15), fc.integer({min: 100, max: 12_000}))
+  .map(([target, thenMs]): readonly Step[] => [
+    {fault: 'cutFromLog', target, thenMs: 100},
+    {fault: 'cutFromPeers', target: 15 - target, thenMs},
+  ]);
+
+/** A write under way while its writer is dead or stands still. */
+const LATE_WRITE_STEPS = fc.tuple(
+  stepOf(['loseReplies']),
+  stepOf(['kill', 'pause', 'cutFromLog']),
+  stepOf(FAULTS),
+);
+
+const STEPS: fc.Arbitrary<readonly Step[]> = fc.oneof(
+  ANY_STEPS,
+  PARTITION_STEPS,
+  LATE_WRITE_STEPS,
+);
+
+function inject(cell: Cell, {fault, target, thenMs}: Step): void {
+  const alive = cell.members.filter(m => !m.isDead);
+  const [owner] = cell.acting();
+  const one = target === 0 ? owner : alive[target % alive.length];
+  const several = alive.filter((_, i) => (target >> (i % 4)) % 2 === 1);
+  if (one !== undefined) injectInto(cell, one, fault);
+  for (const member of several) cut(member, fault);
+  injectForAll(cell, fault);
+  if (fault !== 'loseReplies') return;
+  cell.log.lostReplies = 1 + (target % 4);
+  cell.log.delayedEffectMs = thenMs * 4;
+}
+
+function injectForAll({log, members}: Cell, fault: Fault): void {
+  if (fault === 'outage') log.isDown = true;
+  if (fault === 'outageEnds') log.isDown = false;
+  for (const member of members) {
+    if (fault === 'resume') member.clock.isPaused = false;
+    if (fault === 'healLog') member.client.isCut = member.isDead;
+    if (fault === 'healPeers') member.isCutFromPeers = false;
+  }
+}
+
+function cut(member: Member, fault: Fault): void {
+  if (fault === 'pause') member.clock.isPaused = true;
+  if (fault === 'cutFromLog') member.client.isCut = true;
+  if (fault === 'cutFromPeers') member.isCutFromPeers = true;
+}
+
+function injectInto(cell: Cell, member: Member, fault: Fault): void {
+  const {ref} = member;
+  if (fault === 'handOver') return handOver(member);
+  if (!['kill', 'restart', 'replace'].includes(fault)) return;
+  cell.kill(member);
+  if (fault === 'restart') cell.start(ref.vm, ref.incarnation + 1);
+  if (fault !== 'replace') return;
+  cell.droppedVms.add(ref.vm);
+  cell.start(`vm${cell.members.length}`);
+}
+
+function handOver({ownership, fold}: Member): void {
+  const [first, ...others] = fold.successors;
+  if (first !== undefined) void ownership.handOver(first, others);
+}
+
+async function heal(cell: Cell): Promise<void> {
+  cell.log.isDown = false;
+  cell.log.lostReplies = 0;
+  for (const member of cell.members) {
+    member.isCutFromPeers = false;
+    member.clock.isPaused = false;
+    member.client.isCut = member.isDead;
+  }
+  const aliveVms = cell.members.filter(m => !m.isDead).map(m => m.ref.vm);
+  for (const {ref} of cell.members) {
+    if (!aliveVms.includes(ref.vm)) cell.droppedVms.add(ref.vm);
+  }
+  cell.start('last');
+  await cell.run(SETTLE_MS);
+}
+
+async function play(
+  steps: readonly Step[],
+  parts: CellParts = {},
+): Promise<Cell> {
+  const cell = new Cell(parts);
+  for (const vm of ['a', 'b', 'c', 'd']) cell.start(vm);
+  await cell.run(4_000);
+  for (const step of steps) {
+    inject(cell, step);
+    if (step.target % 2 === 0) cell.acceptJobs();
+    await cell.run(step.thenMs);
+  }
+  return cell;
+}
+
+/** Replays the whole log and checks who wrote each applied job record. */
+function hasForeignJob(cell: Cell, state: ShardState): boolean {
+  let isForeign = false;
+  for (const record of cell.log.records(STREAM)) {
+    const isApplied = state.apply(record) === 'applied';
+    const data = record.data as {job?: {payload: {writer: ProcessRef}}};
+    const writer = data.job?.payload.writer;
+    if (!isApplied || writer === undefined) continue;
+    isForeign ||= !state.owner || !isSameProcess(writer, state.owner);
+  }
+  return isForeign;
+}
+
+/** Checks that a property holds, or that a counterexample is found. */
+function check<T>(
+  name: string,
+  values: fc.Arbitrary<T>,
+  holds: (value: T) => Promise<boolean>,
+  shouldHold = true,
+): void {
+  property(name, async () => {
+    const run = fc.asyncProperty(values, holds);
+    const numRuns = shouldHold ? RUNS : RUNS * 4;
+    const options = {seed: SEED, numRuns, endOnFailure: true};
+    const {failed, counterexample} = await fc.check(run, options);
+    assert.is(!failed, shouldHold, JSON.stringify(counterexample));
+  });
+}
+
+/** Checks that the steps lead to a violation with a mechanism off. */
+function checkFails(
+  name: string,
+  steps: fc.Arbitrary<readonly Step[]>,
+  parts: CellParts,
+): void {
+  const holds = async (value: readonly Step[]): Promise<boolean> => {
+    const cell = await play(value, parts);
+    cell.end();
+    return cell.violations === 0;
+  };
+  check(name, steps, holds, false);
+}
+
+/** A dropped successor's claim lands while all others are cut off. */
+async function playLateClaim(
+  landsAfterMs: number,
+  parts: CellParts = {},
+): Promise<boolean> {
+  const cell = await play([], parts);
+  const [owner, dropped, ...others] = cell.members;
+  assert.ok(owner && dropped);
+  const {term: prevTerm, listVersion: prevListVersion} = dropped.fold;
+  dropped.client.isCut = true;
+  dropped.isCutFromPeers = true;
+  await cell.run(6_000);
+  for (const member of [owner, ...others]) member.client.isCut = true;
+  await cell.run(landsAfterMs);
+  const citations = {prevTerm, prevListVersion};
+  const claim = {v: RECORD_VERSION, type: 'claim', ...citations};
+  const data = {...claim, owner: dropped.ref, successors: []};
+  cell.log.push(STREAM, [{id: 'late', data}]);
+  dropped.client.isCut = false;
+  await cell.run(8_000);
+  cell.end();
+  return cell.violations === 0;
+}
+
+const LANDS_AFTER_MS = fc.integer({min: 0, max: 8_000});
+
+const property = suite('ownership under random faults');
+
+check('one owner at a time, and one again once healed', STEPS, async steps => {
+  const cell = await play(steps);
+  await heal(cell);
+  const ownerCount = cell.acting().length;
+  cell.end();
+  return cell.violations === 0 && ownerCount === 1;
+});
+
+check('accepted jobs survive; only owners write', STEPS, async steps => {
+  const cell = await play(steps);
+  await heal(cell);
+  cell.end();
+  const state = new ShardState();
+  if (hasForeignJob(cell, state)) return false;
+  return [...cell.accepted].every(jobId => state.jobs.has(jobId));
+});
+
+check('a dropped successor cannot win', LANDS_AFTER_MS, ms =>
+  playLateClaim(ms),
+);
+
+/** Acts as soon as it reads its claim back. */
+class HastyOwnership extends ShardOwnership {
+  protected override claimWaitMs(): number {
+    return 0;
+  }
+}
+
+/** Acts until it reads of another owner. */
+class EndlessOwnership extends ShardOwnership {
+  protected override rightEndMs(): number {
+    return Infinity;
+  }
+}
+
+/** Is content with the promise of the first successor. */
+class EasyDuties extends OwnerDuties {
+  protected override possibleSuccessors(): readonly ProcessRef[] {
+    return super.possibleSuccessors().slice(0, 1);
+  }
+}
+
+class EasyOwnership extends ShardOwnership {
+  protected override makeDuties(): OwnerDuties {
+    return new EasyDuties(this.options);
+  }
+}
+
+/** Lets a claim win whatever it cites. */
+class UncitedShardState extends ShardState {
+  protected override isClaimCurrent(): boolean {
+    return true;
+  }
+}
+
+/** Takes records of former owners. */
+class UnfencedShardState extends ShardState {
+  protected override isCurrent(): boolean {
+    return true;
+  }
+}
+
+type OwnershipClass = new (options: OwnershipOptions) => ShardOwnership;
+
+function withOwnership(type: OwnershipClass): CellParts {
+  return {makeOwnership: options => new type(options)};
+}
+
+checkFails(
+  'fails without the wait after a claim',
+  STEPS,
+  withOwnership(HastyOwnership),
+);
+
+checkFails(
+  'fails without an end of the right to act',
+  STEPS,
+  withOwnership(EndlessOwnership),
+);
+
+checkFails(
+  'fails with the promise of one successor',
+  PARTITION_STEPS,
+  withOwnership(EasyOwnership),
+);
+
+check(
+  'a dropped successor wins where claims cite nothing',
+  LANDS_AFTER_MS,
+  ms => playLateClaim(ms, {makeFold: () => new UncitedShardState()}),
+  false,
+);
+
+check(
+  'fails without the fence of terms',
+  STEPS,
+  async steps => {
+    const cell = await play(steps, {makeFold: () => new UnfencedShardState()});
+    cell.end();
+    return !hasForeignJob(cell, new UnfencedShardState());
+  },
+  false,
+);
+
+property.run();
