--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -15,3 +15,5 @@
 export * from './claimant.js';
 export * from './owner-duties.js';
 export * from './ownership.js';
+export * from './allowance-plan.js';
+export * from './allowance-tasks.js';
