--- a/packages/state/src/shard-state.ts
+++ b/packages/state/src/shard-state.ts
@@ -93,7 +93,7 @@
 
   /** Whether the record was written under the current term. */
   protected isCurrent(change: TermRecord): boolean {
-    return change.term === this.term;
+    return this.owner !== null && change.term === this.term;
   }
 
   /** Whether a claim cites the current term and list. */
--- /dev/null
+++ b/packages/state/test/snapshot.test.ts
@@ -0,0 +1,283 @@
+import {
+  EventRing,
+  HybridClock,
+  ManualClock,
+  newId,
+} from '@dragonflyward/common';
+import {
+  MemoryLog,
+  MemoryLogClient,
+  StreamTail,
+  StreamWriter,
+  type ApplyResult,
+  type LogRecord,
+} from '@dragonflyward/log';
+import {
+  ENDED_JOB_KEPT_MS,
+  isSnapshotDue,
+  RECORD_VERSION,
+  ShardState,
+  SnapshotTask,
+} from '@dragonflyward/state';
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {jobSpec} from './records.js';
+
+const SEED = 20261204;
+const RUNS = 300;
+const STREAM = 'shard-north-1';
+const V = RECORD_VERSION;
+
+function processOf(n: number): object {
+  return {vm: `vm${n}`, incarnation: 1};
+}
+
+const TERM = fc.constantFrom(0, 1, 1, 1, 2, 3);
+const JOB_ID = fc.nat(6).map(n => `north-1:${n}`);
+const TASK = fc.nat(2);
+
+/** Records of all types, well formed, with citations of any state. */
+const SOUND = fc.oneof(
+  fc.record({
+    type: fc.constant('claim'),
+    prevTerm: TERM,
+    prevListVersion: fc.nat(5),
+    owner: fc.nat(3).map(processOf),
+    successors: fc.array(fc.nat(3).map(processOf), {maxLength: 2}),
+  }),
+  fc.record({
+    type: fc.constant('jobAccepted'),
+    term: TERM,
+    acceptedMs: fc.nat(),
+    job: JOB_ID.map(jobSpec),
+  }),
+  fc.record({
+    type: fc.constant('taskStarting'),
+    term: TERM,
+    jobId: JOB_ID,
+    taskIndex: TASK,
+    taskId: fc.string({minLength: 1}),
+    workerId: fc.constant('w'),
+  }),
+  fc.record({
+    type: fc.constant('taskEnded'),
+    term: TERM,
+    jobId: JOB_ID,
+    taskIndex: TASK,
+    result: fc.string(),
+  }),
+  fc.record({
+    type: fc.constant('jobEnded'),
+    term: TERM,
+    jobId: JOB_ID,
+    end: fc.constantFrom('succeeded', 'cancelled'),
+    reason: fc.string(),
+  }),
+);
+
+/** Anything at all, and sound records spoilt in one place. */
+const UNSOUND = fc.oneof(
+  fc.anything(),
+  SOUND.map(record => ({...record, v: 99})),
+  SOUND.map(record => ({...record, v: V, type: 'unheardOf'})),
+  SOUND.map(record => ({...record, v: V, term: 'x', prevTerm: null})),
+  fc.constant({v: V, type: 'snapshot', snapshotId: 's', covers: 1e9, body: ''}),
+);
+
+const DATA = fc.oneof(
+  {weight: 4, arbitrary: SOUND.map(record => ({...record, v: V}))},
+  {weight: 1, arbitrary: UNSOUND},
+);
+
+/** Puts the records into a stream, minutes apart so that jobs are forgotten. */
+function toStream(data: readonly unknown[]): LogRecord[] {
+  return data.map((value, offset) => ({
+    offset,
+    timeMs: offset * (ENDED_JOB_KEPT_MS / 10),
+    id: `r${offset}`,
+    data: value,
+  }));
+}
+
+function stateOf(fold: ShardState): string {
+  const bodies = fold.snapshot('x').map(({body}) => body);
+  return bodies.join('\n');
+}
+
+interface Carried {
+  readonly full: ShardState;
+  readonly records: readonly LogRecord[];
+  /** Offset from which a late reader reads. */
+  readonly first: number;
+}
+
+/** Writes a snapshot in the middle and forgets what came before it. */
+function carry(
+  data: readonly unknown[],
+  at: number,
+  between: number,
+  makeFold: () => ShardState,
+): Carried {
+  const full = makeFold();
+  const before = toStream(data);
+  const covers = Math.min(at, before.length);
+  for (const record of before.slice(0, covers)) full.apply(record);
+  const parts = full.snapshot(newId('s'));
+  const rest = data.slice(covers);
+  const all = [...data.slice(0, covers), ...rest.slice(0, between)];
+  const records = toStream([...all, ...parts, ...rest.slice(between)]);
+  for (const record of records.slice(covers)) full.apply(record);
+  return {full, records, first: covers};
+}
+
+function readLate({records, first}: Carried, fold: ShardState): ShardState {
+  fold.skipTo(first);
+  for (const record of records.slice(first)) fold.apply(record);
+  return fold;
+}
+
+/** Starts from a snapshot but leaves out what it does not cover. */
+class ForgetfulState extends ShardState {
+  override apply(record: LogRecord): ApplyResult {
+    const wasComplete = this.isComplete;
+    const result = super.apply(record);
+    if (!wasComplete && this.isComplete) this.restartHere();
+    return result;
+  }
+
+  private restartHere(): void {
+    const [part] = this.snapshot('x');
+    if (part !== undefined) this.adopt([{...part, covers: Infinity}]);
+  }
+}
+
+const FIRST_CLAIM = {
+  v: V,
+  type: 'claim',
+  prevTerm: 0,
+  prevListVersion: 0,
+  owner: processOf(1),
+  successors: [],
+};
+
+const CARRIED = fc.tuple(
+  fc.array(DATA, {maxLength: 60}).map(data => [FIRST_CLAIM, ...data]),
+  fc.nat(60),
+  fc.nat(8),
+);
+
+const snapshots = suite('snapshots');
+
+snapshots('a late start equals a full replay', () => {
+  const holds = fc.property(CARRIED, ([data, at, between]) => {
+    const carried = carry(data, at, between, () => new ShardState());
+    if (carried.first === 0) return;
+    const late = readLate(carried, new ShardState());
+    assert.ok(late.isComplete);
+    assert.is(stateOf(late), stateOf(carried.full));
+  });
+  fc.assert(holds, {seed: SEED, numRuns: RUNS});
+});
+
+snapshots('it does not where later records are left out', () => {
+  const run = fc.check(
+    fc.property(CARRIED, ([data, at, between]) => {
+      const carried = carry(data, at, between, () => new ShardState());
+      if (carried.first === 0) return;
+      const late = readLate(carried, new ForgetfulState());
+      assert.is(stateOf(late), stateOf(carried.full));
+    }),
+    {seed: SEED, numRuns: RUNS, endOnFailure: true},
+  );
+  assert.ok(run.failed);
+});
+
+snapshots('all readers skip the same records and none stops', () => {
+  const holds = fc.property(fc.array(DATA), data => {
+    const records = toStream(data);
+    const [a, b] = [new ShardState(), new ShardState()];
+    const verdicts = [a, b].map(fold => records.map(r => fold.apply(r)));
+    assert.equal(verdicts[0], verdicts[1]);
+    assert.is(stateOf(a), stateOf(b));
+    const skipped = verdicts[0]?.filter(v => v === 'skipped').length;
+    assert.is(a.skippedCount, skipped);
+  });
+  fc.assert(holds, {seed: SEED, numRuns: RUNS});
+});
+
+snapshots('ended jobs are forgotten, live ones are not', () => {
+  const state = new ShardState();
+  const under = {v: V, term: 1};
+  const accept = {...under, type: 'jobAccepted', acceptedMs: 0};
+  const end = {end: 'succeeded', reason: ''};
+  const data = [
+    FIRST_CLAIM,
+    {...accept, job: jobSpec('north-1:1')},
+    {...accept, job: jobSpec('north-1:2')},
+    {...under, type: 'jobEnded', jobId: 'north-1:1', ...end},
+    {...under, type: 'jobEnded', jobId: 'north-1:9', ...end},
+  ];
+  const records = toStream(data);
+  const last = records.at(-1);
+  assert.ok(last);
+  for (const record of records.slice(0, -1)) state.apply(record);
+  assert.is(state.jobs.size, 2);
+  state.apply({...last, timeMs: last.timeMs + ENDED_JOB_KEPT_MS});
+  assert.equal([...state.jobs.keys()], ['north-1:2']);
+});
+
+snapshots('are due before the log forgets the newest one', () => {
+  const age = {covers: 60, nextOffset: 100, ageMs: 0, periodMs: 1_000};
+  assert.not(isSnapshotDue({...age, firstKept: 0}));
+  assert.not(isSnapshotDue({...age, firstKept: 10}));
+  assert.ok(isSnapshotDue({...age, firstKept: 30}));
+  assert.ok(isSnapshotDue({...age, firstKept: 0, ageMs: 1_000}));
+});
+
+/** Runs one writer for a while against a log that forgets quickly. */
+async function runWriter(log: MemoryLog, clock: ManualClock): Promise<string> {
+  const fold = new ShardState();
+  const client = new MemoryLogClient(log);
+  const base = {client, stream: STREAM, clock};
+  const tail = new StreamTail({...base, fold, waitMs: 100});
+  const writer = new StreamWriter({...base, tail});
+  const events = new EventRing('p', new HybridClock(clock));
+  const isAllowed = (): boolean => true;
+  const options = {fold, tail, writer, clock, events, isAllowed};
+  const task = new SnapshotTask(options);
+  let isRunning = true;
+  tail.start();
+  void task.run(() => isRunning);
+  const {term: prevTerm, listVersion: prevListVersion} = fold;
+  const claim = {v: V, type: 'claim', prevTerm, prevListVersion};
+  void writer.write({...claim, owner: processOf(1), successors: []});
+  for (let i = 0; i < 300; i += 1) {
+    await clock.advance(100);
+    const job = jobSpec(`north-1:${i % 40}`);
+    const under = {v: V, type: 'jobAccepted', term: fold.term};
+    void writer.write({...under, acceptedMs: 0, job});
+  }
+  await clock.advance(1_000);
+  isRunning = false;
+  tail.stop();
+  await clock.advance(5_000);
+  return stateOf(fold);
+}
+
+snapshots('a whole fleet starts again from what the log keeps', async () => {
+  const clock = new ManualClock();
+  const log = new MemoryLog(clock);
+  log.retainRecords = 80;
+  const before = await runWriter(log, clock);
+  assert.ok(log.page(STREAM, 0, 1).first > 0);
+  const fold = new ShardState();
+  const client = new MemoryLogClient(log);
+  const base = {client, stream: STREAM, clock};
+  const tail = new StreamTail({...base, fold, waitMs: 100});
+  await tail.readOnce();
+  assert.ok(fold.isComplete);
+  assert.is(stateOf(fold), before);
+});
+
+snapshots.run();
--- /dev/null
+++ b/packages/state/test/traces.test.ts
@@ -0,0 +1,62 @@
+import {readdirSync, readFileSync} from 'node:fs';
+import {ManualClock} from '@dragonflyward/common';
+import {MemoryLog, type ApplyResult} from '@dragonflyward/log';
+import {ConfigState, ShardState, type SnapshotFold} from '@dragonflyward/state';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+
+const TRACES = new URL('../../test/traces/', import.meta.url);
+
+interface Trace {
+  readonly stream: 'shard' | 'config';
+  readonly what: string;
+  readonly steps: readonly {
+    readonly by: string;
+    readonly record: unknown;
+    readonly verdict: ApplyResult;
+  }[];
+  readonly outcome: Readonly<Record<string, unknown>>;
+}
+
+function outcomeOf(fold: ShardState | ConfigState): Trace['outcome'] {
+  if (fold instanceof ShardState) {
+    const {term, owner, jobs} = fold;
+    return {term, owner: owner?.vm, jobs: [...jobs.keys()]};
+  }
+  const valid = fold.keys().filter(({isWithdrawn}) => !isWithdrawn);
+  return {
+    revision: fold.revision,
+    verdicts: fold.history().map(({verdict}) => verdict),
+    validKeys: valid.map(({keyId}) => keyId),
+  };
+}
+
+function replay(
+  {stream, steps}: Trace,
+  fold: Pick<SnapshotFold<never>, 'apply'>,
+): readonly ApplyResult[] {
+  const log = new MemoryLog(new ManualClock());
+  for (const [i, {by, record}] of steps.entries()) {
+    log.push(stream, [{id: `${by}-${i}`, data: record}]);
+  }
+  return log.records(stream).map(record => fold.apply(record));
+}
+
+const traces = suite('recorded traces');
+
+for (const file of readdirSync(TRACES).sort()) {
+  const text = readFileSync(new URL(file, TRACES), 'utf8');
+  const trace = JSON.parse(text) as Trace;
+  traces(`${file}: ${trace.what}`, () => {
+    const isShard = trace.stream === 'shard';
+    const fold = isShard ? new ShardState() : new ConfigState();
+    const verdicts = replay(trace, fold);
+    assert.equal(
+      verdicts,
+      trace.steps.map(({verdict}) => verdict),
+    );
+    assert.equal(outcomeOf(fold), trace.outcome);
+  });
+}
+
+traces.run();
