--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -5,7 +5,7 @@
 import type {ConfigState} from './config-state.js';
 import type {SnapshotRecord} from './records.js';
 
-const KEPT_RECORDS = 1_000;
+const DEFAULT_KEPT_RECORDS = 1_000;
 const ASK_PERIOD_MS = 500;
 /** Peers are asked once the newest read is this part of its maximum age. */
 const ASK_AT_AGE_PART = 0.4;
@@ -38,6 +38,8 @@
   readonly freshness: ConfigFreshness;
   readonly peers: ConfigPeers;
   readonly maxAgeMs: number;
+  /** How many records are kept to be passed on one by one. */
+  readonly keptRecords?: number;
 }
 
 /** Answers peers' asks, and asks them while the log is not read. */
@@ -45,8 +47,9 @@
   private kept: readonly LogRecord[] = [];
 
   constructor(private readonly options: ConfigExchangeOptions) {
-    options.tail.listen(record => {
-      this.kept = [...this.kept, record].slice(-KEPT_RECORDS);
+    const {tail, keptRecords = DEFAULT_KEPT_RECORDS} = options;
+    tail.listen(record => {
+      this.kept = [...this.kept, record].slice(-keptRecords);
     });
   }
 
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -89,9 +89,7 @@
   adopt(parts: readonly SnapshotRecord[]): boolean {
     const [first] = parts;
     if (first === undefined || parts.length !== first.parts) return false;
-    const isNewer = first.covers > this.nextOffset;
-    const isMissing = !this.isComplete && first.covers >= this.nextOffset;
-    if (!isNewer && !isMissing) return false;
+    if (!this.isAhead(first.covers)) return false;
     const state = readState(new Map(parts.map(part => [part.part, part])));
     if (state === undefined) return false;
     this.nextOffset = first.covers;
@@ -99,6 +97,12 @@
     return true;
   }
 
+  /** Whether a state that covers this much is newer than the present one. */
+  protected isAhead(covers: number): boolean {
+    if (covers > this.nextOffset) return true;
+    return !this.isComplete && covers === this.nextOffset;
+  }
+
   /** Applies a well-formed change; its result is a function of the prefix. */
   protected abstract applyChange(
     change: ChangeOf<R>,
