Take a shard over from an owner that alone cannot read the log

Cause: an owner cut off from the log only was kept by promises for as long as the cut lasted, and its shard could accept no job. A successor that reads the log itself now refuses its promise after 10 s and claims.

Also found: a process that had just started took an owner that it had not heard yet for silent and claimed at once. Nobody is silent for longer than the process has listened; the new case fails without this (owner b#2 instead of a#1) and passes with it. The cell of the tests now beats every 500 ms and drops candidates by silence, as the programs do.

--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -1,6 +1,7 @@
 /** A process's side of a shard that it does not own: promises and claims. */
 import {isSameProcess, newId, toFailure} from '@dragonflyward/common';
 import type {ProcessRef} from '@dragonflyward/common';
+import {StallWatch} from './stall-watch.js';
 import {chooseSuccessors} from './successors.js';
 import {
   CLOCK_RATE_MARGIN,
@@ -43,9 +44,15 @@
   private readonly startMs: number;
   /** VMs that the list of VMs has shown. */
   private readonly seenVms = new Set<string>();
+  private readonly stall: StallWatch;
+  /** The owner that was read last, and when it was first read. */
+  private ownerTerm = 0;
+  private ownerSinceMs: number;
 
   constructor(private readonly options: OwnershipOptions) {
     this.startMs = options.clock.monotonicMs();
+    this.ownerSinceMs = this.startMs;
+    this.stall = new StallWatch(options);
   }
 
   /** Claims whenever there are grounds, for as long as it is wanted. */
@@ -53,6 +60,7 @@
     const {clock} = this.options;
     while (isWanted()) {
       this.noteSeen();
+      this.stall.update();
       const ground = this.ground();
       if (ground !== undefined) await this.claim(ground);
       await clock.sleep(ground === undefined ? TICK_MS : CLAIM_RETRY_MS);
@@ -68,6 +76,8 @@
     if (ask.listVersion !== fold.listVersion) return false;
     if (!fold.successors.some(p => isSameProcess(p, self))) return false;
     if (this.mayHaveClaimed()) return false;
+    this.stall.noteAsk();
+    if (this.stall.isStalled()) return false;
     const untilMs = clock.monotonicMs() + ask.forMs * (1 + CLOCK_RATE_MARGIN);
     this.promise = {term: ask.term, untilMs};
     return true;
@@ -112,12 +122,13 @@
   }
 
   private groundAgainst(owner: ProcessRef): ClaimGround | undefined {
-    const {fold, self, peers, rank, timing} = this.options;
+    const {fold, self, rank, timing} = this.options;
     const place = fold.successors.findIndex(p => p.vm === self.vm);
     const isSuccessor = place >= 0;
     const turn = isSuccessor ? place : fold.successors.length + rank;
     const boundMs = timing.ownerSilenceMs + turn * CLAIM_STAGGER_MS;
-    if (peers.silentMs(owner) < boundMs) return undefined;
+    if (isSuccessor && this.stall.isStalled()) return 'ownerStalled';
+    if (this.silentMs(owner) < boundMs) return undefined;
     if (isSuccessor) return 'ownerSilent';
     if (this.isGone(owner)) return 'ownerGone';
     if (fold.successors.length === 0) return undefined;
@@ -125,6 +136,13 @@
     return areGone ? 'successorsGone' : undefined;
   }
 
+  /** Nobody is silent for longer than this process has listened for it. */
+  private silentMs(owner: ProcessRef): number {
+    const {peers, clock} = this.options;
+    const listenedMs = clock.monotonicMs() - this.ownerSinceMs;
+    return Math.min(peers.silentMs(owner), listenedMs);
+  }
+
   /** Whether the list of VMs has dropped the VM, or never had it. */
   private isGone(process: ProcessRef): boolean {
     const {peers, clock} = this.options;
@@ -134,7 +152,9 @@
   }
 
   private noteSeen(): void {
-    const {fold, peers} = this.options;
+    const {clock, fold, peers} = this.options;
+    if (fold.term !== this.ownerTerm) this.ownerSinceMs = clock.monotonicMs();
+    this.ownerTerm = fold.term;
     const named = fold.owner === null ? [] : [fold.owner];
     for (const process of [...named, ...fold.successors]) {
       if (peers.isListed(process)) this.seenVms.add(process.vm);
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -13,6 +13,7 @@
 export * from './allowance-state.js';
 export * from './ownership-types.js';
 export * from './claimant.js';
+export * from './stall-watch.js';
 export * from './owner-duties.js';
 export * from './ownership.js';
 export * from './allowance-plan.js';
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -38,6 +38,8 @@
 const READ_WAIT_MS = 200;
 const PEER_DELAY_MS = 30;
 const STEP_MS = 25;
+const HEARTBEAT_MS = 500;
+const CANDIDATE_SILENCE_MS = 2_500;
 const PAUSE_CHECK_MS = 25;
 /** Monotonic clocks differ by at most 4 % in rate between two VMs. */
 const RATES = [1, 0.98, 1.02];
@@ -133,7 +135,9 @@
     const others = this.cell.members.filter(
       m => !isSameProcess(m.ref, this.self),
     );
-    return others.filter(m => !m.isDead).map(m => m.ref);
+    return others
+      .map(m => m.ref)
+      .filter(ref => this.silentMs(ref) < CANDIDATE_SILENCE_MS);
   }
 
   override silentMs(process: ProcessRef): number {
@@ -227,7 +231,7 @@
   /** Moves the time on in small steps and checks who may act. */
   async run(durationMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
-      this.beat();
+      if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.beat();
       await this.clock.advance(STEP_MS);
       if (this.acting().length > 1) this.violations += 1;
     }
@@ -252,7 +256,7 @@
 
   /** When one process last heard another. */
   heardMs(from: ProcessRef, by: ProcessRef): number {
-    return this.lastHeardMs.get(`${keyOf(from)}>${keyOf(by)}`) ?? 0;
+    return this.lastHeardMs.get(`${keyOf(from)}>${keyOf(by)}`) ?? -Infinity;
   }
 
   /** Stops all tasks. */
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -1,9 +1,11 @@
+import {STALL_GRACE_MS} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
 
 /** From the owner's death until urgent work starts again in its shard. */
 const TAKEOVER_BOUND_MS = 9_400;
+const BETWEEN_HEARTBEATS_MS = 100;
 
 const ownership = suite('ownership');
 
@@ -52,6 +54,33 @@
   cell.end();
 });
 
+ownership('passes on when only the owner cannot read the log', async () => {
+  const {cell, owner} = await startCell();
+  owner.client.isCut = true;
+  await cell.run(STALL_GRACE_MS + TAKEOVER_BOUND_MS);
+  assert.is(cell.acting().length, 1);
+  assert.is.not(cell.acting()[0], owner);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+ownership('stays when a successor is restarted', async () => {
+  const {cell, owner} = await startCell();
+  const [successor] = owner.fold.successors;
+  const member = successor && cell.find(successor);
+  assert.ok(member);
+  await cell.run(BETWEEN_HEARTBEATS_MS);
+  cell.kill(member);
+  cell.start(member.ref.vm, 2);
+  await cell.run(10_000);
+  assert.equal(
+    cell.acting().map(m => m.ref),
+    [owner.ref],
+  );
+  assert.is(owner.ownership.term, 1);
+  cell.end();
+});
+
 ownership(
   'stands still when the owner dies while the log is down',
   async () => {
