--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export * from './settings.js';
 export * from './process-settings.js';
 export * from './json-http.js';
+export * from './json-client.js';
 export * from './admin.js';
 export * from './ids.js';
 export * from './shutdown.js';
--- /dev/null
+++ b/packages/common/src/json-client.ts
@@ -0,0 +1,73 @@
+/** A JSON client of one server that outlives lost and silent connections. */
+import http from 'node:http';
+import {toFailure} from './errors.js';
+import {callJson, type JsonCall, type JsonReply} from './json-http.js';
+
+const KEEP_ALIVE_MS = 5_000;
+
+/** How a client reaches its server. */
+export interface JsonClientOptions {
+  /** The IP that connections come from; this process's VM. */
+  readonly localAddress?: string;
+}
+
+/** Sends JSON calls to one server over kept connections. */
+export class JsonClient {
+  private agent: http.Agent;
+
+  constructor(
+    private readonly baseUrl: string,
+    private readonly options: JsonClientOptions = {},
+  ) {
+    this.agent = this.makeAgent();
+  }
+
+  /**
+   * Sends a call and reads the whole answer within the time.
+   *
+   * @throws peerDown when it was not sent, peerLost when it may have been
+   * @example
+   * const res = await client.call('GET', '/vms', 1000);
+   */
+  async call(
+    method: JsonCall['method'],
+    path: string,
+    timeoutMs: number,
+    body?: unknown,
+  ): Promise<JsonReply> {
+    const {agent} = this;
+    const url = this.baseUrl + path;
+    try {
+      return await callJson({method, url, timeoutMs, agent, body});
+    } catch (err) {
+      if (toFailure(err).kind === 'peerLost') this.renewAgent(agent);
+      throw err;
+    }
+  }
+
+  /** Ends the idle connections. */
+  close(): void {
+    dropIdle(this.agent);
+  }
+
+  /** One silent connection may not be the only one: none is used again. */
+  private renewAgent(lost: http.Agent): void {
+    if (this.agent !== lost) return;
+    this.agent = this.makeAgent();
+    dropIdle(lost);
+  }
+
+  private makeAgent(): http.Agent {
+    return new http.Agent({
+      keepAlive: true,
+      keepAliveMsecs: KEEP_ALIVE_MS,
+      ...this.options,
+    });
+  }
+}
+
+function dropIdle(agent: http.Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -1,2 +1,3 @@
 /** Clients of workers and executors. */
 export * from './worker-client.js';
+export * from './http-worker-client.js';
--- a/packages/vms/src/index.ts
+++ b/packages/vms/src/index.ts
@@ -1,2 +1,3 @@
 /** Client of the platform's list of VMs. */
 export * from './client.js';
+export * from './http-client.js';
