--- /dev/null
+++ b/packages/common/src/promise-test.ts
@@ -0,0 +1,77 @@
+/** Ties a test to the promise to users that it proves, for `npm run prove`. */
+
+/** The ten promises to users, by a short id each. */
+export const PROMISE_IDS = [
+  'overcommit',
+  'one-place',
+  'team-key',
+  'team-limit',
+  'whole-answer',
+  'not-run-true',
+  'at-most-once',
+  'leaving-target',
+  'graceful-stop',
+  'config-in-force',
+] as const;
+
+/** The id of one promise. */
+export type PromiseId = (typeof PROMISE_IDS)[number];
+
+/** Set while only the promise tests are to run. */
+export const PROVE_VARIABLE = 'DRAGONFLYWARD_PROVE';
+
+type TestBody<C> = (context: C) => Promise<void> | void;
+type AddTest<C> = (name: string, body: TestBody<C>) => void;
+
+/** The part of a uvu suite that is used here. */
+export interface PromiseSuite<C> {
+  (name: string, body: TestBody<C>): void;
+  readonly only: AddTest<C>;
+  readonly skip: (name?: string, body?: TestBody<C>) => void;
+}
+
+/**
+ * Adds a test to a uvu suite and reports how it ended, for each promise.
+ *
+ * @example
+ * promiseTest(shard, 'overcommit', 'adopts what runs', async () => {…});
+ */
+export function promiseTest<C>(
+  suite: PromiseSuite<C>,
+  promise: PromiseId,
+  name: string,
+  body: TestBody<C>,
+): void {
+  report(promise, 'declared', name);
+  const add = process.env[PROVE_VARIABLE] === undefined ? suite : suite.only;
+  add(name, async context => {
+    try {
+      await body(context);
+    } catch (err) {
+      report(promise, 'failed', name);
+      throw err;
+    }
+    report(promise, 'passed', name);
+  });
+}
+
+/**
+ * Adds a test that is not run, and reports it as skipped.
+ *
+ * @example
+ * skipPromiseTest(shard, 'overcommit', 'adopts what runs');
+ */
+export function skipPromiseTest<C>(
+  suite: PromiseSuite<C>,
+  promise: PromiseId,
+  name: string,
+): void {
+  suite.skip(name);
+  report(promise, 'skipped', name);
+}
+
+type TestState = 'declared' | 'passed' | 'failed' | 'skipped';
+
+function report(promise: PromiseId, state: TestState, name: string): void {
+  process.stdout.write(`\npromise ${promise} ${state} ${name}\n`);
+}
