Add the share engine: max-min shares, priorities, gangs, limits

Cause: the first-fit engine knows no shares, priorities or classes of size. Waiting jobs are kept per team and kind; a kind that found no room is not tried again until a worker has room for it, so a decision does not scan all waiting jobs. Gangs are placed whole or not at all, services over racks.

--- /dev/null
+++ b/packages/policy/src/cell.ts
@@ -0,0 +1,165 @@
+/** The workers of a shard and the tasks that have reservations on them. */
+import {
+  addResources,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '@dragonflyward/common';
+import type {PolicyWorker} from './engine.js';
+import {newWorkerState, type RunningTask, type WorkerState} from './state.js';
+import type {TeamTable} from './team-table.js';
+
+/** Told of workers that may have got more room. */
+export type RoomListener = (worker: WorkerState) => void;
+
+/** Counts what is reserved on each worker and for each team. */
+export class Cell {
+  readonly workers = new Map<string, WorkerState>();
+  readonly tasks = new Map<string, RunningTask>();
+
+  constructor(
+    private readonly teams: TeamTable,
+    private readonly onRoom: RoomListener,
+  ) {}
+
+  /** Adds a worker or changes its capacity or condition. */
+  setWorker(worker: PolicyWorker): void {
+    const state = this.workers.get(worker.workerId);
+    if (state === undefined) {
+      this.addWorker(worker);
+      return;
+    }
+    const former = state.worker;
+    state.worker = worker;
+    state.free = subtractResources(worker.capacity, state.used);
+    if (isSameOffer(former, worker)) return;
+    this.refreshTotal();
+    this.onRoom(state);
+  }
+
+  /** Removes a worker and the tasks that were counted on it. */
+  removeWorker(workerId: string): readonly RunningTask[] {
+    const state = this.workers.get(workerId);
+    if (state === undefined) return [];
+    const lost = [...state.tasks];
+    for (const running of lost) this.release(running);
+    this.workers.delete(workerId);
+    this.refreshTotal();
+    return lost;
+  }
+
+  /** The worker of this name; an unknown one has no capacity. */
+  getWorker(workerId: string): WorkerState {
+    const known = this.workers.get(workerId);
+    if (known !== undefined) return known;
+    return this.addWorker({
+      workerId,
+      rack: '',
+      capacity: NO_RESOURCES,
+      condition: 'silent',
+    });
+  }
+
+  /** Reserves what a task needs. */
+  charge(running: RunningTask): void {
+    const {task, job} = running;
+    const worker = this.getWorker(task.workerId);
+    this.tasks.set(task.taskId, running);
+    worker.tasks.add(running);
+    this.addUse(worker, task.size);
+    this.teams.charge(job.team, task.size, running.isUrgent);
+    job.running.set(task.taskIndex, running);
+    addPlace(job.placeCounts, worker, 1);
+  }
+
+  /** Frees what a task has reserved. */
+  release(running: RunningTask): void {
+    const {task, job} = running;
+    const worker = this.getWorker(task.workerId);
+    this.tasks.delete(task.taskId);
+    worker.tasks.delete(running);
+    this.addUse(worker, subtractResources(NO_RESOURCES, task.size));
+    this.teams.release(job.team, task.size, running.isUrgent);
+    if (job.running.get(task.taskIndex) === running) {
+      job.running.delete(task.taskIndex);
+    }
+    addPlace(job.placeCounts, worker, -1);
+    this.onRoom(worker);
+  }
+
+  /** Changes what a running task has reserved. */
+  resize(running: RunningTask, size: Resources): void {
+    const worker = this.getWorker(running.task.workerId);
+    const change = subtractResources(size, running.task.size);
+    running.task = {...running.task, size};
+    this.addUse(worker, change);
+    this.teams.charge(running.job.team, change, running.isUrgent);
+    this.onRoom(worker);
+  }
+
+  private addWorker(worker: PolicyWorker): WorkerState {
+    const state = newWorkerState(worker);
+    this.workers.set(worker.workerId, state);
+    this.refreshTotal();
+    this.onRoom(state);
+    return state;
+  }
+
+  private addUse(worker: WorkerState, change: Resources): void {
+    worker.used = addResources(worker.used, change);
+    worker.free = subtractResources(worker.worker.capacity, worker.used);
+  }
+
+  private refreshTotal(): void {
+    let total = NO_RESOURCES;
+    for (const {worker} of this.workers.values()) {
+      if (worker.condition === 'leaving') continue;
+      total = addResources(total, worker.capacity);
+    }
+    this.teams.setTotal(total);
+  }
+}
+
+function isSameOffer(a: PolicyWorker, b: PolicyWorker): boolean {
+  return a.condition === b.condition && a.capacity === b.capacity;
+}
+
+function addPlace(
+  counts: Map<string, number>,
+  state: WorkerState,
+  change: number,
+): void {
+  const {rack, workerId} = state.worker;
+  addCount(counts, rackKey(rack), change);
+  addCount(counts, workerKey(workerId), change);
+}
+
+function addCount(
+  counts: Map<string, number>,
+  key: string,
+  change: number,
+): void {
+  const count = (counts.get(key) ?? 0) + change;
+  if (count === 0) counts.delete(key);
+  else counts.set(key, count);
+}
+
+/**
+ * The key under which a job counts its tasks in a rack.
+ *
+ * @example
+ * const inRack = job.placeCounts.get(rackKey(worker.rack)) ?? 0;
+ */
+export function rackKey(rack: string): string {
+  return `rack ${rack}`;
+}
+
+/**
+ * The key under which a job counts its tasks on a worker.
+ *
+ * @example
+ * const here = job.placeCounts.get(workerKey(worker.workerId)) ?? 0;
+ */
+export function workerKey(workerId: string): string {
+  return `worker ${workerId}`;
+}
--- /dev/null
+++ b/packages/policy/src/core.ts
@@ -0,0 +1,178 @@
+/** The state that the stages of a decision share. */
+import type {Resources} from '@dragonflyward/common';
+import {countFits} from './amounts.js';
+import {Cell} from './cell.js';
+import type {
+  Decision,
+  PlacedTask,
+  PolicyJob,
+  PolicyPriority,
+  PolicyQueue,
+} from './engine.js';
+import {
+  GangPolicy,
+  PackPolicy,
+  SpreadPolicy,
+  type PlacementPolicy,
+} from './placement-policy.js';
+import {JobFailures} from './failures.js';
+import {RoomMemo} from './room-memo.js';
+import type {JobState, RunningTask, WorkerState} from './state.js';
+import {TeamTable} from './team-table.js';
+
+/** The policy of each kind of work. */
+export interface PolicySet {
+  readonly pack: PlacementPolicy;
+  readonly spread: PlacementPolicy;
+  readonly gang: PlacementPolicy;
+}
+
+/** How an engine is set up. */
+export interface ShareOptions {
+  /**
+   * The number of the first task id; an owner of a later term starts above
+   * all that an earlier one may have given.
+   */
+  readonly firstTaskNumber?: number;
+  readonly policies?: PolicySet;
+}
+
+/** All state of one engine. */
+export interface EngineCore {
+  readonly teams: TeamTable;
+  readonly memo: RoomMemo;
+  readonly cell: Cell;
+  readonly queues: Map<string, PolicyQueue>;
+  readonly jobs: Map<string, JobState>;
+  readonly failures: JobFailures;
+  readonly policies: PolicySet;
+  /** Decisions that are counted and still have to be yielded. */
+  readonly outbox: Decision[];
+  nextTask: number;
+  nowMs: number;
+  /** When the fair shares were last computed. */
+  fairAtMs: number;
+}
+
+/** The priorities from the most to the least urgent. */
+export const PRIORITIES: readonly PolicyPriority[] = [
+  'urgent',
+  'normal',
+  'batch',
+];
+
+/**
+ * Makes the state of an engine that knows nothing yet.
+ *
+ * @example
+ * const core = newCore({firstTaskNumber: term * TASKS_PER_TERM});
+ */
+export function newCore(options: ShareOptions): EngineCore {
+  const teams = new TeamTable();
+  const memo = new RoomMemo();
+  return {
+    teams,
+    memo,
+    cell: new Cell(teams, worker => memo.noteRoom(worker)),
+    queues: new Map(),
+    jobs: new Map(),
+    failures: new JobFailures(),
+    policies: options.policies ?? {
+      pack: new PackPolicy(),
+      spread: new SpreadPolicy(),
+      gang: new GangPolicy(),
+    },
+    outbox: [],
+    nextTask: options.firstTaskNumber ?? 1,
+    nowMs: 0,
+    fairAtMs: -Infinity,
+  };
+}
+
+/**
+ * The queue of this name; an unknown one acts as a batch queue.
+ *
+ * @example
+ * const {priority} = queueOf(core, job.queue);
+ */
+export function queueOf(core: EngineCore, queue: string): PolicyQueue {
+  const known = core.queues.get(queue);
+  return known ?? {queue, priority: 'batch', policy: 'pack'};
+}
+
+/**
+ * The policy that places a job's tasks.
+ *
+ * @example
+ * const workers = policyOf(core, state).choose(core.cell.workers, ask);
+ */
+export function policyOf(core: EngineCore, state: JobState): PlacementPolicy {
+  if (state.job.isGang) return core.policies.gang;
+  const isSpread = state.job.isService || state.queue.policy === 'spread';
+  return isSpread ? core.policies.spread : core.policies.pack;
+}
+
+/**
+ * Reserves room for one waiting task of a job.
+ *
+ * @example
+ * const running = startTask(core, state, taskIndex, worker, size);
+ */
+export function startTask(
+  core: EngineCore,
+  state: JobState,
+  taskIndex: number,
+  worker: WorkerState,
+  size: Resources,
+): RunningTask {
+  const {jobId} = state.job;
+  const taskId = `${jobId}.${taskIndex}.${core.nextTask}`;
+  core.nextTask += 1;
+  state.pending.delete(taskIndex);
+  state.waitClass?.shrink(state, 1);
+  const {workerId} = worker.worker;
+  return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
+}
+
+/**
+ * Counts a task that has, or may have, room on a worker.
+ *
+ * @example
+ * countTask(core, state, adopted);
+ */
+export function countTask(
+  core: EngineCore,
+  state: JobState,
+  task: PlacedTask,
+): RunningTask {
+  const running: RunningTask = {
+    task,
+    job: state,
+    startedMs: core.nowMs,
+    isUrgent: state.queue.priority === 'urgent',
+    isStopping: false,
+    peakCpuMilli: 0,
+    peakMemMb: 0,
+    sampleCount: 0,
+  };
+  core.cell.charge(running);
+  return running;
+}
+
+/**
+ * Tells why no worker of the shard could ever hold a task of the job.
+ *
+ * @example
+ * const reason = obstacleOf(core, job);
+ */
+export function obstacleOf(core: EngineCore, job: PolicyJob): string {
+  const wanted = job.isGang ? job.taskIndexes.length : 1;
+  let slots = 0;
+  for (const {worker} of core.cell.workers.values()) {
+    if (worker.condition === 'leaving') continue;
+    slots += Math.min(wanted, countFits(job.size, worker.capacity));
+    if (slots >= wanted) return '';
+  }
+  if (slots === 0) return 'no worker is large enough for one task';
+  return `only ${slots} of ${wanted} tasks fit at once`;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,6 @@
 /** The decisions: placement, shares, limits, gangs and estimates. */
 export * from './engine.js';
 export * from './first-fit-engine.js';
+export * from './placement-policy.js';
+export * from './share-engine.js';
+export type {PolicySet, ShareOptions} from './core.js';
--- /dev/null
+++ b/packages/policy/src/share-engine.ts
@@ -0,0 +1,186 @@
+/** The engine of the project: shares, priorities, gangs and limits. */
+import {newCore, obstacleOf, queueOf, countTask} from './core.js';
+import type {EngineCore, ShareOptions} from './core.js';
+import {
+  PlacementEngine,
+  type Decision,
+  type PlacedTask,
+  type PlacedTaskEnd,
+  type PolicyJob,
+  type PolicyQueue,
+  type PolicyTeam,
+  type PolicyWorker,
+  type TeamDemand,
+  type UsageSample,
+} from './engine.js';
+import {waitingOf} from './fair-shares.js';
+import {decideAll} from './decide.js';
+import {newJobState, type JobState} from './state.js';
+import {dequeue, enqueue} from './waiting-list.js';
+
+/** Decides by weighted max-min shares of the dominant resource. */
+export class ShareEngine extends PlacementEngine {
+  private readonly core: EngineCore;
+
+  constructor(options: ShareOptions = {}) {
+    super();
+    this.core = newCore(options);
+  }
+
+  override setQueues(queues: readonly PolicyQueue[]): void {
+    this.core.queues.clear();
+    for (const queue of queues) this.core.queues.set(queue.queue, queue);
+    for (const state of this.core.jobs.values()) this.refreshQueue(state);
+  }
+
+  override setTeams(teams: readonly PolicyTeam[]): void {
+    this.core.teams.setTeams(teams);
+  }
+
+  override setWorker(worker: PolicyWorker): void {
+    this.core.cell.setWorker(worker);
+  }
+
+  override removeWorker(workerId: string): void {
+    for (const {job} of this.core.cell.removeWorker(workerId)) {
+      this.forgetIfIdle(job);
+    }
+  }
+
+  override findObstacle(job: PolicyJob): string {
+    return obstacleOf(this.core, job);
+  }
+
+  override submit(job: PolicyJob): void {
+    const state = this.getJob(job);
+    dequeue(state);
+    this.describe(state, job);
+    for (const index of job.taskIndexes) {
+      if (!state.running.has(index)) state.pending.add(index);
+    }
+    enqueue(state);
+    this.forgetIfIdle(state);
+  }
+
+  override cancel(jobId: string): readonly PlacedTask[] {
+    const state = this.core.jobs.get(jobId);
+    if (state === undefined) return [];
+    dequeue(state);
+    state.pending.clear();
+    const placed = [...state.running.values()].map(running => running.task);
+    this.forgetIfIdle(state);
+    return placed;
+  }
+
+  override adopt(task: PlacedTask): void {
+    if (this.core.cell.tasks.has(task.taskId)) return;
+    const state = this.core.jobs.get(task.jobId) ?? this.addUnknownJob(task);
+    dequeue(state);
+    state.pending.delete(task.taskIndex);
+    enqueue(state);
+    countTask(this.core, state, task);
+  }
+
+  override ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void {
+    const running = this.core.cell.tasks.get(taskId);
+    if (running === undefined) return;
+    this.core.nowMs = Math.max(this.core.nowMs, nowMs);
+    this.core.cell.release(running);
+    const {jobId, workerId} = running.task;
+    if (end === 'failed') this.core.failures.note(jobId, workerId);
+    if (end === 'succeeded') this.core.failures.forget(jobId);
+    this.forgetIfIdle(running.job);
+  }
+
+  override learn(samples: readonly UsageSample[], nowMs: number): void {
+    this.core.nowMs = Math.max(this.core.nowMs, nowMs);
+    void samples;
+  }
+
+  override *decide(nowMs: number): Generator<Decision> {
+    this.core.nowMs = Math.max(this.core.nowMs, nowMs);
+    yield* decideAll(this.core);
+  }
+
+  override explain(jobId: string): string {
+    const state = this.core.jobs.get(jobId);
+    if (state === undefined) return 'no task of it waits or runs here';
+    const {waitClass, pending, running} = state;
+    const workers = [...running.values()].map(({task}) => task.workerId);
+    const runs = `${running.size} placed (${workers.slice(0, 8).join(', ')})`;
+    if (waitClass === null) return runs;
+    const obstacle = obstacleOf(this.core, state.job);
+    const reason = obstacle === '' ? waitClass.obstacle : obstacle;
+    return `${pending.size} waiting: ${reason}; ${runs}`;
+  }
+
+  override demand(): readonly TeamDemand[] {
+    return [...this.core.teams.values()].map(team => ({
+      team: team.team.team,
+      running: team.used,
+      waiting: waitingOf(team),
+    }));
+  }
+
+  override waitingCount(): number {
+    let count = 0;
+    for (const team of this.core.teams.values()) {
+      for (const waitClass of team.waiting.values()) {
+        count += waitClass.taskCount;
+      }
+    }
+    return count;
+  }
+
+  private getJob(job: PolicyJob): JobState {
+    const known = this.core.jobs.get(job.jobId);
+    if (known !== undefined) return known;
+    const team = this.core.teams.get(job.team);
+    const state = newJobState(job, queueOf(this.core, job.queue), team);
+    this.core.jobs.set(job.jobId, state);
+    return state;
+  }
+
+  /** Stands for a job of which only a running task is known yet. */
+  private addUnknownJob(task: PlacedTask): JobState {
+    return this.getJob({
+      jobId: task.jobId,
+      team: '',
+      queue: '',
+      taskIndexes: [],
+      isGang: false,
+      isService: false,
+      isIdempotent: false,
+      size: task.size,
+      runMs: 0,
+      acceptedMs: this.core.nowMs,
+    });
+  }
+
+  /** Takes over what a later submission says of a job. */
+  private describe(state: JobState, job: PolicyJob): void {
+    const team = this.core.teams.get(job.team);
+    state.job = job;
+    state.queue = queueOf(this.core, job.queue);
+    if (state.team === team) return;
+    for (const {task, isUrgent} of state.running.values()) {
+      this.core.teams.release(state.team, task.size, isUrgent);
+      this.core.teams.charge(team, task.size, isUrgent);
+    }
+    state.team = team;
+  }
+
+  private refreshQueue(state: JobState): void {
+    const queue = queueOf(this.core, state.job.queue);
+    const {priority, policy} = state.queue;
+    if (queue.priority === priority && queue.policy === policy) return;
+    dequeue(state);
+    state.queue = queue;
+    enqueue(state);
+  }
+
+  private forgetIfIdle(state: JobState): void {
+    if (state.pending.size > 0 || state.running.size > 0) return;
+    this.core.jobs.delete(state.job.jobId);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/state.ts
@@ -0,0 +1,141 @@
+/** What the engine keeps for each worker, team, job and running task. */
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
+import type {
+  PlacedTask,
+  PolicyJob,
+  PolicyQueue,
+  PolicyTeam,
+  PolicyWorker,
+} from './engine.js';
+import type {WaitClass} from './wait-class.js';
+
+/** A worker with what is reserved and held on it. */
+export interface WorkerState {
+  worker: PolicyWorker;
+  used: Resources;
+  /** Capacity minus what is used; parts may be negative. */
+  free: Resources;
+  /** Kept for tasks that have been promised this room. */
+  held: Resources;
+  /** The part of what is held that belongs to urgent tasks. */
+  heldUrgent: Resources;
+  /** When the room that is held is expected to be taken. */
+  heldFromMs: number;
+  readonly tasks: Set<RunningTask>;
+  /** Set aside for its failures until this time; 0 where it is not. */
+  setAsideUntilMs: number;
+  /** Gets one task at a time until one succeeds. */
+  isOnProbation: boolean;
+}
+
+/** An organisation with the sum of its teams' use. */
+export interface OrganisationState {
+  readonly organisation: string;
+  share: number;
+  used: Resources;
+  /** The dominant share in use, divided by the weight. */
+  ratio: number;
+}
+
+/** A team with its use and its waiting jobs. */
+export interface TeamState {
+  team: PolicyTeam;
+  organisation: OrganisationState;
+  used: Resources;
+  /** The part of the use that belongs to urgent queues. */
+  urgentUsed: Resources;
+  /** The dominant share in use, divided by the weight. */
+  ratio: number;
+  readonly waiting: Map<string, WaitClass>;
+  /** The dominant share that the team is due now. */
+  fair: number;
+}
+
+/** A job with its waiting and running tasks. */
+export interface JobState {
+  job: PolicyJob;
+  queue: PolicyQueue;
+  team: TeamState;
+  /** Indexes of the tasks that wait. */
+  readonly pending: Set<number>;
+  readonly running: Map<number, RunningTask>;
+  /** How many tasks run in each rack and on each worker. */
+  readonly placeCounts: Map<string, number>;
+  /** The class in which the job waits. */
+  waitClass: WaitClass | null;
+  /** Tells the job's present entry in its class from older ones. */
+  ticket: number;
+  /** Why it was set aside; empty where it was not. */
+  setAsideReason: string;
+}
+
+/** A task that has a reservation. */
+export interface RunningTask {
+  task: PlacedTask;
+  readonly job: JobState;
+  readonly startedMs: number;
+  /** Whether it counts as urgent use of its team. */
+  readonly isUrgent: boolean;
+  /** Whether it was told to stop. */
+  isStopping: boolean;
+  /** The largest use that was measured. */
+  peakCpuMilli: number;
+  peakMemMb: number;
+  sampleCount: number;
+}
+
+/**
+ * Makes the state of a worker that holds nothing.
+ *
+ * @example
+ * workers.set(worker.workerId, newWorkerState(worker));
+ */
+export function newWorkerState(worker: PolicyWorker): WorkerState {
+  return {
+    worker,
+    used: NO_RESOURCES,
+    free: worker.capacity,
+    held: NO_RESOURCES,
+    heldUrgent: NO_RESOURCES,
+    heldFromMs: 0,
+    tasks: new Set(),
+    setAsideUntilMs: 0,
+    isOnProbation: false,
+  };
+}
+
+/**
+ * Makes the state of a job of which no task waits or runs.
+ *
+ * @example
+ * jobs.set(job.jobId, newJobState(job, queue, team));
+ */
+export function newJobState(
+  job: PolicyJob,
+  queue: PolicyQueue,
+  team: TeamState,
+): JobState {
+  return {
+    job,
+    queue,
+    team,
+    pending: new Set(),
+    running: new Map(),
+    placeCounts: new Map(),
+    waitClass: null,
+    ticket: 0,
+    setAsideReason: '',
+  };
+}
+
+/**
+ * Tells whether a worker may get new tasks.
+ *
+ * @example
+ * if (!isUsable(state)) continue;
+ */
+export function isUsable(state: WorkerState): boolean {
+  if (state.worker.condition !== 'ready') return false;
+  if (state.setAsideUntilMs > 0) return false;
+  return !state.isOnProbation || state.tasks.size === 0;
+}
--- /dev/null
+++ b/packages/policy/src/team-table.ts
@@ -0,0 +1,134 @@
+/** Teams and organisations with their use and their weights. */
+import {
+  addResources,
+  fitsIn,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '@dragonflyward/common';
+import {dominantShare} from './amounts.js';
+import type {PolicyTeam} from './engine.js';
+import type {OrganisationState, TeamState} from './state.js';
+
+/** The weight of a team or organisation whose share is not positive. */
+const LEAST_WEIGHT = 1e-9;
+
+/** All teams of a shard, and what they use there. */
+export class TeamTable {
+  private readonly byName = new Map<string, TeamState>();
+  private readonly organisations = new Map<string, OrganisationState>();
+  /** What the dominant shares are parts of. */
+  total: Resources = NO_RESOURCES;
+
+  /** Replaces the teams; those that are gone may run nothing new. */
+  setTeams(teams: readonly PolicyTeam[]): void {
+    const names = new Set(teams.map(team => team.team));
+    for (const [name, state] of this.byName) {
+      if (names.has(name)) continue;
+      state.team = {...state.team, allowance: NO_RESOURCES};
+    }
+    for (const team of teams) this.setTeam(team);
+    this.refreshRatios();
+  }
+
+  /** Sets what the dominant shares are parts of. */
+  setTotal(total: Resources): void {
+    this.total = total;
+    this.refreshRatios();
+  }
+
+  /** The team of this name; an unknown one may run nothing. */
+  get(name: string): TeamState {
+    const known = this.byName.get(name);
+    if (known !== undefined) return known;
+    return this.add({
+      team: name,
+      organisation: '',
+      share: 0,
+      organisationShare: 0,
+      allowance: NO_RESOURCES,
+    });
+  }
+
+  /** All teams, also those without work. */
+  values(): IterableIterator<TeamState> {
+    return this.byName.values();
+  }
+
+  /** Adds to what a team uses, or takes away where the size is negative. */
+  charge(team: TeamState, size: Resources, isUrgent: boolean): void {
+    team.used = addResources(team.used, size);
+    if (isUrgent) team.urgentUsed = addResources(team.urgentUsed, size);
+    const {organisation} = team;
+    organisation.used = addResources(organisation.used, size);
+    this.refreshTeam(team);
+    this.refreshOrganisation(organisation);
+  }
+
+  /** Takes away from what a team uses. */
+  release(team: TeamState, size: Resources, isUrgent: boolean): void {
+    this.charge(team, subtractResources(NO_RESOURCES, size), isUrgent);
+  }
+
+  /** Tells whether a team may use that much more. */
+  isAllowed(team: TeamState, more: Resources): boolean {
+    return fitsIn(addResources(team.used, more), team.team.allowance);
+  }
+
+  private setTeam(team: PolicyTeam): void {
+    const state = this.byName.get(team.team) ?? this.add(team);
+    state.team = team;
+    const organisation = this.getOrganisation(team.organisation);
+    organisation.share = team.organisationShare;
+    if (state.organisation === organisation) return;
+    const former = state.organisation;
+    former.used = subtractResources(former.used, state.used);
+    organisation.used = addResources(organisation.used, state.used);
+    state.organisation = organisation;
+  }
+
+  private add(team: PolicyTeam): TeamState {
+    const organisation = this.getOrganisation(team.organisation);
+    const state: TeamState = {
+      team,
+      organisation,
+      used: NO_RESOURCES,
+      urgentUsed: NO_RESOURCES,
+      ratio: 0,
+      waiting: new Map(),
+      fair: 0,
+    };
+    this.byName.set(team.team, state);
+    return state;
+  }
+
+  private getOrganisation(name: string): OrganisationState {
+    const known = this.organisations.get(name);
+    if (known !== undefined) return known;
+    const organisation: OrganisationState = {
+      organisation: name,
+      share: 0,
+      used: NO_RESOURCES,
+      ratio: 0,
+    };
+    this.organisations.set(name, organisation);
+    return organisation;
+  }
+
+  private refreshRatios(): void {
+    for (const team of this.byName.values()) this.refreshTeam(team);
+    for (const organisation of this.organisations.values()) {
+      this.refreshOrganisation(organisation);
+    }
+  }
+
+  private refreshTeam(team: TeamState): void {
+    const weight = Math.max(team.team.share, LEAST_WEIGHT);
+    team.ratio = dominantShare(team.used, this.total) / weight;
+  }
+
+  private refreshOrganisation(organisation: OrganisationState): void {
+    const weight = Math.max(organisation.share, LEAST_WEIGHT);
+    organisation.ratio = dominantShare(organisation.used, this.total) / weight;
+  }
+}
