Give out tickets for executors: bounded waiting, limits, takeover

Cause: a gateway needs leave for each request so that the slots of an executor and the allowance of a team hold over all gateways together.

Its waiting requests stand in a p-queue whose order is urgent before normal before batch, then the team that is served least, with a turn for the oldest.

Ruled out: a memory of request ids at the gateways (a repeat may come through another one), and at schedulers by hash (a restart of all of them cannot be told from a first start).

Not measured yet; tests follow.

--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -83,6 +83,29 @@
   readonly runByMs: number;
 }
 
+/**
+ * Claims a request id at its home shard before a request that is not
+ * idempotent is sent, so that a repeat of the id is found.
+ */
+export interface RequestClaim {
+  readonly type: 'requestClaim';
+  readonly shard: string;
+  /** Team, queue and the caller's request id as one text. */
+  readonly key: string;
+  /** Names this attempt; only its own claim may be given back. */
+  readonly claimId: string;
+  /** Wall time at which the id was made, where the id tells it; else 0. */
+  readonly issuedMs: number;
+}
+
+/** Gives a claim back: the request surely did not run. */
+export interface RequestRelease {
+  readonly type: 'requestRelease';
+  readonly shard: string;
+  readonly key: string;
+  readonly claimId: string;
+}
+
 /** Asks a gateway for its open tickets of a shard, at a takeover. */
 export interface OpenTicketsAsk {
   readonly type: 'openTicketsAsk';
@@ -197,6 +220,7 @@
 /** A message that wants an answer. */
 export type PeerAsk =
   | TicketAsk
+  | RequestClaim
   | OpenTicketsAsk
   | JobSubmit
   | JobAsk
@@ -206,7 +230,7 @@
   | ConfigTailAsk;
 
 /** A message that wants none. */
-export type PeerNotice = Heartbeat | TicketClose;
+export type PeerNotice = Heartbeat | TicketClose | RequestRelease;
 
 /** An answer. */
 export type PeerReply =
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,2 +1,4 @@
 /** The scheduler program: owns shards and decides placements. */
-export {};
+export * from './ticket-blind.js';
+export * from './ticket-desk.js';
+export * from './ticket-home.js';
--- /dev/null
+++ b/packages/scheduler/src/ticket-order.ts
@@ -0,0 +1,229 @@
+/** The order in which waiting requests get tickets, as a p-queue queue. */
+import {raise, type Clock} from '@dragonflyward/common';
+import type {TicketAsk} from '@dragonflyward/peer';
+import type {Priority} from '@dragonflyward/state';
+import type {VmEntry} from '@dragonflyward/vms';
+import PQueue, {type Queue, type QueueAddOptions} from 'p-queue';
+
+type RunFunction = () => Promise<unknown>;
+
+/** Every so many tickets the request that waits longest comes first. */
+const AGEING_PERIOD = 16;
+/** A request that waits less is not moved forward by its age. */
+const AGEING_MIN_WAIT_MS = 5_000;
+const PRIORITIES: readonly Priority[] = ['urgent', 'normal', 'batch'];
+
+/** A request that waits for a ticket. */
+export interface Waiter {
+  readonly ask: TicketAsk;
+  readonly gateway: string;
+  readonly priority: Priority;
+  readonly sinceMs: number;
+  readonly untilMs: number;
+  /** Called with the executor once it is the request's turn. */
+  readonly grant: (executor: VmEntry) => void;
+  readonly refuse: (err: Error) => void;
+}
+
+/** The options that come with each p-queue entry. */
+export interface TicketOptions extends QueueAddOptions {
+  readonly waiter?: Waiter;
+}
+
+/** Decides whether a waiting request could have a ticket now. */
+export abstract class TicketRoom {
+  /** The executor for the request, or undefined while there is none. */
+  abstract executorFor(waiter: Waiter): VmEntry | undefined;
+  /** How far a team is served, in relation to its share. */
+  abstract serviceLevel(team: string): number;
+}
+
+interface Lane {
+  readonly priority: Priority;
+  readonly team: string;
+  readonly entries: Entry[];
+}
+
+interface Entry {
+  readonly waiter: Waiter;
+  readonly run: RunFunction;
+}
+
+interface Choice {
+  readonly lane: Lane;
+  readonly entry: Entry;
+  readonly executor: VmEntry;
+}
+
+/**
+ * Urgent before normal before batch; within one priority the team that is
+ * served least; within a team in order of arrival.
+ */
+export class TicketOrder implements Queue<RunFunction, TicketOptions> {
+  private readonly lanes = new Map<string, Lane>();
+  private granted = 0;
+
+  constructor(
+    private readonly room: TicketRoom,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Entries that could run now; p-queue takes entries while there are any. */
+  get size(): number {
+    return this.choose() === undefined ? 0 : 1;
+  }
+
+  enqueue(run: RunFunction, options?: Partial<TicketOptions>): void {
+    const waiter = options?.waiter;
+    if (waiter === undefined) return;
+    const lane = this.laneOf(waiter);
+    lane.entries.push({waiter, run});
+  }
+
+  dequeue(): RunFunction | undefined {
+    const choice = this.choose();
+    if (choice === undefined) return undefined;
+    this.granted += 1;
+    this.take(choice.lane, choice.entry);
+    choice.entry.waiter.grant(choice.executor);
+    return choice.entry.run;
+  }
+
+  filter(): RunFunction[] {
+    return [...this.entries()].map(entry => entry.run);
+  }
+
+  setPriority(): void {
+    return;
+  }
+
+  /** Takes out the requests whose time has run out. */
+  takeExpired(): readonly Waiter[] {
+    const nowMs = this.clock.monotonicMs();
+    return this.takeWhere(waiter => waiter.untilMs <= nowMs);
+  }
+
+  /** Takes out all requests. */
+  takeAll(): readonly Waiter[] {
+    return this.takeWhere(() => true);
+  }
+
+  /** All waiting requests. */
+  *waiters(): Generator<Waiter> {
+    for (const entry of this.entries()) yield entry.waiter;
+  }
+
+  private takeWhere(isTaken: (waiter: Waiter) => boolean): readonly Waiter[] {
+    const taken = [...this.lanes.values()].flatMap(lane =>
+      lane.entries
+        .filter(entry => isTaken(entry.waiter))
+        .map(entry => ({lane, entry})),
+    );
+    for (const {lane, entry} of taken) this.take(lane, entry);
+    return taken.map(({entry}) => entry.waiter);
+  }
+
+  private *entries(): Generator<Entry> {
+    for (const lane of this.lanes.values()) yield* lane.entries;
+  }
+
+  private choose(): Choice | undefined {
+    const isAgeingTurn = this.granted % AGEING_PERIOD === AGEING_PERIOD - 1;
+    const oldest = isAgeingTurn ? this.chooseOldest() : undefined;
+    if (oldest !== undefined) return oldest;
+    for (const priority of PRIORITIES) {
+      const choice = this.chooseIn(priority);
+      if (choice !== undefined) return choice;
+    }
+    return undefined;
+  }
+
+  private chooseOldest(): Choice | undefined {
+    const bornBeforeMs = this.clock.monotonicMs() - AGEING_MIN_WAIT_MS;
+    const heads = [...this.lanes.values()]
+      .map(lane => lane.entries[0]?.waiter.sinceMs ?? Infinity)
+      .filter(sinceMs => sinceMs <= bornBeforeMs)
+      .sort((a, b) => a - b);
+    for (const sinceMs of heads) {
+      const choice = this.chooseFrom(
+        lane => lane.entries[0]?.waiter.sinceMs === sinceMs,
+      );
+      if (choice !== undefined) return choice;
+    }
+    return undefined;
+  }
+
+  private chooseIn(priority: Priority): Choice | undefined {
+    return this.chooseFrom(lane => lane.priority === priority);
+  }
+
+  private chooseFrom(isMeant: (lane: Lane) => boolean): Choice | undefined {
+    const lanes = [...this.lanes.values()]
+      .filter(isMeant)
+      .map(lane => ({lane, level: this.room.serviceLevel(lane.team)}))
+      .sort((a, b) => a.level - b.level);
+    for (const {lane} of lanes) {
+      const [entry] = lane.entries;
+      if (entry === undefined) continue;
+      const executor = this.room.executorFor(entry.waiter);
+      if (executor !== undefined) return {lane, entry, executor};
+    }
+    return undefined;
+  }
+
+  private laneOf(waiter: Waiter): Lane {
+    const {team, service} = waiter.ask;
+    const key = JSON.stringify([waiter.priority, team, service]);
+    const found = this.lanes.get(key);
+    if (found !== undefined) return found;
+    const lane: Lane = {priority: waiter.priority, team, entries: []};
+    this.lanes.set(key, lane);
+    return lane;
+  }
+
+  private take(lane: Lane, entry: Entry): void {
+    const at = lane.entries.indexOf(entry);
+    if (at >= 0) lane.entries.splice(at, 1);
+    if (lane.entries.length > 0) return;
+    for (const [key, value] of this.lanes) {
+      if (value === lane) this.lanes.delete(key);
+    }
+  }
+}
+
+/** A p-queue of waiting requests and the order that it follows. */
+export interface TicketQueue {
+  readonly queue: PQueue<TicketOrder, TicketOptions>;
+  readonly order: TicketOrder;
+}
+
+/**
+ * Makes the p-queue of waiting requests.
+ *
+ * @example
+ * const {queue, order} = openTicketQueue(room, clock);
+ */
+export function openTicketQueue(room: TicketRoom, clock: Clock): TicketQueue {
+  const orders: TicketOrder[] = [];
+  const queue = new PQueue<TicketOrder, TicketOptions>({
+    queueClass: class extends TicketOrder {
+      constructor() {
+        super(room, clock);
+        orders.push(this);
+      }
+    },
+  });
+  const [order] = orders;
+  if (order === undefined) return raise('internal', 'no queue was made');
+  return {queue, order};
+}
+
+/**
+ * Ranks a priority; lower comes first.
+ *
+ * @example
+ * if (priorityRank(a) < priorityRank(b)) serveFirst(a);
+ */
+export function priorityRank(priority: Priority): number {
+  return PRIORITIES.indexOf(priority);
+}
