Let environment and flags override settings, in a stated order

Cause: settings came from the file alone. Ruled out: a hand-kept table of variables per program, which would fall behind the schema.

--- a/packages/common/test/settings.test.ts
+++ b/packages/common/test/settings.test.ts
@@ -1,4 +1,8 @@
-import {DragonflywardError, parseSettings} from '@dragonflyward/common';
+import {
+  DragonflywardError,
+  loadProgramSettings,
+  parseSettings,
+} from '@dragonflyward/common';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -58,4 +62,20 @@
   });
 }
 
+settings('lets the environment replace the file, and flags both', () => {
+  const env = {DRAGONFLYWARD_PORT: '2', DRAGONFLYWARD_LEVEL: 'debug'};
+  const sources = {file: '', flags: ['port=3'], env};
+  const cfg = loadProgramSettings<object>(sources, SCHEMA);
+  assert.equal(cfg, {port: 3, level: 'debug'});
+});
+
+settings('names the override that holds a bad value', () => {
+  const env = {DRAGONFLYWARD_PORT: 'x'};
+  const bad = () => loadProgramSettings({file: '', flags: [], env}, SCHEMA);
+  assert.throws(bad, /environment variable DRAGONFLYWARD_PORT: key "port"/);
+  const unknown = () =>
+    loadProgramSettings({file: '', flags: ['prot=1'], env: {}}, SCHEMA);
+  assert.throws(unknown, /--set prot=1/);
+});
+
 settings.run();
