--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export * from './settings-overrides.js';
 export * from './process-settings.js';
 export * from './json-http.js';
+export * from './json-client.js';
 export * from './admin.js';
 export * from './ids.js';
 export * from './shutdown.js';
