Add stand-ins of the platform and the rig that runs them

Cause: nothing took the platform's place in tests. Log service, VM list, workers and executors are programs of their own with fault switches; several workers or executors of a domain share a process, to stay small. The rig starts them and the product's programs on a loopback network of its own, and judges double runs, overcommits and limits from what the targets recorded. It signals only what it started.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,13 @@
-/** Small stand-ins for the platform, for tests and the demo. */
-export {};
+/** Small stand-ins for the platform, and the rig that runs them. */
+export * from './fleet.js';
+export * from './judge.js';
+export * from './operator.js';
+export * from './processes.js';
+export * from './rig.js';
+export * from './targets.js';
+export * from './wait.js';
+export type {ExecutorSwitches, RequestRun} from './executor-service.js';
+export type {LogSwitches} from './log-service.js';
+export type {VmsSwitches} from './vms-service.js';
+export type {WorkerSwitches} from './worker-service.js';
+export type {TaskPayload, TaskRun} from './worker-task.js';
--- /dev/null
+++ b/packages/standins/src/processes.ts
@@ -0,0 +1,101 @@
+/** The child processes of a rig; only these are ever signalled. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {raise} from '@dragonflyward/common';
+
+const KEPT_OUTPUT_CHARS = 20_000;
+
+class Child {
+  output = '';
+
+  constructor(readonly process: ChildProcess) {
+    const keep = (chunk: Buffer): void => {
+      const text = this.output + chunk.toString();
+      this.output = text.slice(-KEPT_OUTPUT_CHARS);
+    };
+    process.stdout?.on('data', keep);
+    process.stderr?.on('data', keep);
+  }
+
+  get isRunning(): boolean {
+    return this.process.exitCode === null && this.process.signalCode === null;
+  }
+}
+
+/** Child processes by name; all are ended when this process exits. */
+export class ProcessSet {
+  private readonly children = new Map<string, Child>();
+  private readonly atExit = (): void => {
+    this.killAll();
+  };
+
+  constructor() {
+    process.once('exit', this.atExit);
+  }
+
+  /**
+   * Starts a Node.js program under a name that is free.
+   *
+   * @example
+   * processes.start('log', 'dist/src/log-main.js', ['--port', '7000']);
+   */
+  start(name: string, script: string, args: readonly string[]): void {
+    if (this.isRunning(name)) raise('badRequest', `${name} runs already`);
+    const child = spawn(process.execPath, [script, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.children.set(name, new Child(child));
+  }
+
+  isRunning(name: string): boolean {
+    return this.children.get(name)?.isRunning ?? false;
+  }
+
+  /** The newest output of a program, for reports of failures. */
+  output(name: string): string {
+    return this.childOf(name).output;
+  }
+
+  pid(name: string): number {
+    return this.childOf(name).process.pid ?? 0;
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    const child = this.childOf(name);
+    if (child.isRunning) child.process.kill(signal);
+  }
+
+  /** Ends a program at once and waits until it is gone. */
+  async kill(name: string): Promise<void> {
+    this.signal(name, 'SIGKILL');
+    await this.exit(name);
+  }
+
+  /**
+   * Waits until a program is gone.
+   *
+   * @returns its exit code, or -1 after a signal
+   */
+  async exit(name: string): Promise<number> {
+    const child = this.childOf(name);
+    if (child.isRunning) await once(child.process, 'exit');
+    return child.process.exitCode ?? -1;
+  }
+
+  /** Ends all programs and waits until they are gone. */
+  async stop(): Promise<void> {
+    this.killAll();
+    await Promise.all([...this.children.keys()].map(name => this.exit(name)));
+    process.off('exit', this.atExit);
+  }
+
+  private killAll(): void {
+    for (const child of this.children.values()) {
+      if (child.isRunning) child.process.kill('SIGKILL');
+    }
+  }
+
+  private childOf(name: string): Child {
+    return this.children.get(name) ?? raise('badRequest', `no ${name}`);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/rig.ts
@@ -0,0 +1,214 @@
+/** Stand-ins and the product's programs as processes, for tests. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {raise, type TimingSettings} from '@dragonflyward/common';
+import {HttpLogClient} from '@dragonflyward/log';
+import type {VmEntry} from '@dragonflyward/vms';
+import {getJson, postAdmin, standinOf, untilAnswers} from './calls.js';
+import {entryVm, Subnet, targetVms, type FleetPlan} from './fleet.js';
+import type {LogSwitches} from './log-service.js';
+import {RigOperator} from './operator.js';
+import {ProcessSet} from './processes.js';
+import {TargetSet} from './targets.js';
+import type {VmsSwitches} from './vms-service.js';
+import {waitUntil} from './wait.js';
+
+const LOG_HOST = 250;
+const VMS_HOST = 251;
+const SERVICE_PORT = 7_000;
+const PORTS = {
+  gateway: 8_080,
+  gatewayAdmin: 8_081,
+  scheduler: 8_090,
+  schedulerAdmin: 8_091,
+} as const;
+const START_BOUND_MS = 20_000;
+
+/** The product's program of a role on an entry VM. */
+export type Role = 'gateway' | 'scheduler';
+
+/** What a rig consists of and how its programs are set. */
+export interface RigPlan extends FleetPlan {
+  readonly timing?: Partial<TimingSettings>;
+}
+
+/** A fleet in small; ends all that it started at its stop. */
+export class Rig {
+  readonly processes = new ProcessSet();
+  readonly targets: TargetSet;
+  readonly log: HttpLogClient;
+  readonly operator: RigOperator;
+  private readonly subnet = new Subnet(process.pid);
+  private readonly dir = mkdtempSync(join(tmpdir(), 'dragonflyward-'));
+  private readonly entriesById = new Map<string, VmEntry>();
+  private nextEntry = 1;
+
+  constructor(private readonly plan: RigPlan) {
+    const vms = [...targetVms(plan, this.subnet)];
+    this.targets = new TargetSet(this.processes, vms);
+    this.log = new HttpLogClient(this.logUrl);
+    this.operator = new RigOperator(this.log);
+  }
+
+  /** The entry VMs, oldest first. */
+  get entries(): readonly VmEntry[] {
+    return [...this.entriesById.values()];
+  }
+
+  get logUrl(): string {
+    return `http://${this.subnet.ip(LOG_HOST)}:${SERVICE_PORT}`;
+  }
+
+  get vmsUrl(): string {
+    return `http://${this.subnet.ip(VMS_HOST)}:${SERVICE_PORT}`;
+  }
+
+  /** Starts the stand-ins and fills the list of VMs. */
+  async startPlatform(): Promise<void> {
+    this.startService('log', LOG_HOST);
+    this.startService('vms', VMS_HOST);
+    this.targets.start();
+    await untilAnswers(`${this.logUrl}/admin`);
+    await untilAnswers(`${this.vmsUrl}/admin`);
+    await this.targets.untilAnswers();
+    await this.switchVms({set: this.targets.vms});
+  }
+
+  /** Starts the entry VMs of the plan with their programs. */
+  async startEntries(): Promise<void> {
+    for (let i = 0; i < this.plan.entriesPerDomain; i += 1) {
+      for (const domain of this.plan.domains) await this.addEntry(domain);
+    }
+  }
+
+  /** Waits until all programs on the entry VMs are ready. */
+  async untilReady(boundMs = START_BOUND_MS): Promise<void> {
+    for (const {id} of this.entries) {
+      await this.untilRoleReady('gateway', id, boundMs);
+      await this.untilRoleReady('scheduler', id, boundMs);
+    }
+  }
+
+  async untilRoleReady(
+    role: Role,
+    id: string,
+    boundMs = START_BOUND_MS,
+  ): Promise<void> {
+    const name = nameOf(role, id);
+    try {
+      await waitUntil(`${name} ready`, boundMs, () => this.isReady(role, id));
+    } catch {
+      raise('deadlinePassed', `${name}: ${this.processes.output(name)}`);
+    }
+  }
+
+  async isReady(role: Role, id: string): Promise<boolean> {
+    return (await getJson(`${this.adminUrl(role, id)}/readyz`)).status === 200;
+  }
+
+  /** Adds an entry VM, as the platform does, and starts its programs. */
+  async addEntry(domain: string): Promise<VmEntry> {
+    const host = this.nextEntry;
+    this.nextEntry += 1;
+    const vm = entryVm(`entry-${host}`, this.subnet.ip(host), domain);
+    this.entriesById.set(vm.id, vm);
+    await this.switchVms({set: [vm]});
+    this.startRole('scheduler', vm.id);
+    this.startRole('gateway', vm.id);
+    return vm;
+  }
+
+  /** Takes an entry VM away: its programs die and it leaves the list. */
+  async removeEntry(id: string): Promise<void> {
+    await this.kill('gateway', id);
+    await this.kill('scheduler', id);
+    this.entriesById.delete(id);
+    await this.switchVms({remove: [id]});
+  }
+
+  /** Starts a program on an entry VM; also again after it ended. */
+  startRole(role: Role, id: string): void {
+    const file = join(this.dir, `${id}.json`);
+    writeFileSync(file, JSON.stringify(this.settingsOf(id)));
+    const script = programOf(role === 'gateway' ? 'caller' : 'scheduler');
+    this.processes.start(nameOf(role, id), script, ['--settings', file]);
+  }
+
+  kill(role: Role, id: string): Promise<void> {
+    return this.processes.kill(nameOf(role, id));
+  }
+
+  pause(role: Role, id: string): void {
+    this.processes.signal(nameOf(role, id), 'SIGSTOP');
+  }
+
+  resume(role: Role, id: string): void {
+    this.processes.signal(nameOf(role, id), 'SIGCONT');
+  }
+
+  /** Asks for a graceful shutdown and returns the exit code. */
+  terminate(role: Role, id: string): Promise<number> {
+    this.processes.signal(nameOf(role, id), 'SIGTERM');
+    return this.processes.exit(nameOf(role, id));
+  }
+
+  switchLog(change: Partial<LogSwitches>): Promise<void> {
+    return postAdmin(`${this.logUrl}/admin`, change);
+  }
+
+  switchVms(change: VmsSwitches): Promise<void> {
+    return postAdmin(`${this.vmsUrl}/admin`, change);
+  }
+
+  gatewayUrl(id: string): string {
+    return `http://${this.entryOf(id).ip}:${PORTS.gateway}`;
+  }
+
+  adminUrl(role: Role, id: string): string {
+    const port = role === 'gateway' ? PORTS.gatewayAdmin : PORTS.schedulerAdmin;
+    return `http://${this.entryOf(id).ip}:${port}`;
+  }
+
+  /** The status page of a program. */
+  async status(role: Role, id: string): Promise<Readonly<object>> {
+    const res = await getJson(`${this.adminUrl(role, id)}/status`);
+    return res.body as Readonly<object>;
+  }
+
+  /** Ends all that this rig started. */
+  async stop(): Promise<void> {
+    await this.processes.stop();
+    rmSync(this.dir, {recursive: true, force: true});
+  }
+
+  private startService(name: 'log' | 'vms', host: number): void {
+    const args = ['--ip', this.subnet.ip(host), '--port', `${SERVICE_PORT}`];
+    this.processes.start(name, standinOf(name), args);
+  }
+
+  private settingsOf(id: string): Readonly<object> {
+    const {ip, region, domain, rack} = this.entryOf(id);
+    return {
+      vm: {id, ip, region, domain, rack},
+      logUrl: this.logUrl,
+      vmListUrl: this.vmsUrl,
+      ports: PORTS,
+      timing: this.plan.timing ?? {},
+    };
+  }
+
+  private entryOf(id: string): VmEntry {
+    return this.entriesById.get(id) ?? raise('badRequest', `no VM ${id}`);
+  }
+}
+
+function nameOf(role: Role, id: string): string {
+  return `${role}@${id}`;
+}
+
+function programOf(pkg: string): string {
+  const path = `../../../${pkg}/dist/src/main.js`;
+  return fileURLToPath(new URL(path, import.meta.url));
+}
--- /dev/null
+++ b/packages/standins/src/targets.ts
@@ -0,0 +1,104 @@
+/** The workers and executors of a rig. */
+import {raise} from '@dragonflyward/common';
+import type {VmEntry} from '@dragonflyward/vms';
+import {getJson, postAdmin, standinOf, untilAnswers} from './calls.js';
+import type {ExecutorSwitches, RequestRun} from './executor-service.js';
+import type {TargetRecords} from './judge.js';
+import type {ProcessSet} from './processes.js';
+import type {WorkerSwitches} from './worker-service.js';
+import type {TaskRun} from './worker-task.js';
+
+type TargetKind = 'worker' | 'executor';
+
+interface WorkerRecords {
+  readonly overcommits: number;
+  readonly runs: readonly TaskRun[];
+}
+
+interface ExecutorRecords {
+  readonly slotBreaches: number;
+  readonly runs: readonly RequestRun[];
+}
+
+/** The targets; those of one kind and domain share a process. */
+export class TargetSet {
+  constructor(
+    private readonly processes: ProcessSet,
+    readonly vms: readonly VmEntry[],
+  ) {}
+
+  /** Starts the stand-ins. */
+  start(): void {
+    for (const domain of new Set(this.vms.map(vm => vm.domain))) {
+      this.startIn(domain, 'worker', workerSpec);
+      this.startIn(domain, 'executor', executorSpec);
+    }
+  }
+
+  /** Waits until all stand-ins answer. */
+  async untilAnswers(): Promise<void> {
+    for (const vm of this.vms) await untilAnswers(adminOf(vm));
+  }
+
+  switchWorker(id: string, change: Partial<WorkerSwitches>): Promise<void> {
+    return postAdmin(adminOf(this.vmOf(id)), change);
+  }
+
+  switchExecutor(id: string, change: Partial<ExecutorSwitches>): Promise<void> {
+    return postAdmin(adminOf(this.vmOf(id)), change);
+  }
+
+  /** Reads what all workers and executors recorded. */
+  async records(): Promise<TargetRecords> {
+    const workers = await this.readAll<WorkerRecords>('worker');
+    const executors = await this.readAll<ExecutorRecords>('executor');
+    return {
+      overcommits: workers.reduce((sum, w) => sum + w.overcommits, 0),
+      slotBreaches: executors.reduce((sum, e) => sum + e.slotBreaches, 0),
+      tasks: workers.flatMap(worker => worker.runs),
+      requests: executors.flatMap(executor => executor.runs),
+    };
+  }
+
+  /** The requests that one executor ran. */
+  async requestsOf(id: string): Promise<readonly RequestRun[]> {
+    const {body} = await getJson(adminOf(this.vmOf(id)));
+    return (body as ExecutorRecords).runs;
+  }
+
+  vmOf(id: string): VmEntry {
+    const vm = this.vms.find(target => target.id === id);
+    return vm ?? raise('badRequest', `no VM ${id}`);
+  }
+
+  private async readAll<T>(kind: TargetKind): Promise<readonly T[]> {
+    const targets = this.vms.filter(vm => vm.kind === kind);
+    const replies = await Promise.all(targets.map(vm => getJson(adminOf(vm))));
+    return replies.map(res => res.body as T);
+  }
+
+  private startIn(
+    domain: string,
+    kind: TargetKind,
+    specOf: (vm: VmEntry) => string,
+  ): void {
+    const specs = this.vms
+      .filter(vm => vm.domain === domain && vm.kind === kind)
+      .map(specOf);
+    if (specs.length === 0) return;
+    this.processes.start(`${kind}s-${domain}`, standinOf(kind), specs);
+  }
+}
+
+function adminOf(vm: VmEntry): string {
+  return `http://${vm.ip}:${vm.port}/admin`;
+}
+
+function workerSpec(vm: VmEntry): string {
+  const {cpuMilli, memMb, accel} = vm.capacity;
+  return [vm.id, vm.ip, vm.port, cpuMilli, memMb, accel].join(',');
+}
+
+function executorSpec(vm: VmEntry): string {
+  return [vm.ip, vm.port, vm.capacity.slots].join(',');
+}
--- /dev/null
+++ b/packages/standins/src/worker-task.ts
@@ -0,0 +1,112 @@
+/** One task on a stand-in worker: its run time, lease and end. */
+import type {Resources} from '@dragonflyward/common';
+import type {TaskEnd, TaskReport, TaskStart} from '@dragonflyward/target';
+
+/** What a stand-in worker does for a task. */
+export interface TaskPayload {
+  readonly runMs: number;
+  readonly fail?: boolean;
+  readonly usage?: {readonly cpuMilli: number; readonly memMb: number};
+  readonly result?: string;
+}
+
+/** What a task held from a time on. */
+export interface Holding {
+  readonly sinceMs: number;
+  readonly size: Resources;
+}
+
+/** The time that a task ran, as the judge reads it. */
+export interface TaskRun {
+  readonly workerId: string;
+  readonly taskId: string;
+  readonly jobId: string;
+  readonly team: string;
+  readonly holdings: readonly Holding[];
+  readonly startMs: number;
+  readonly endMs: number | null;
+  readonly end: TaskEnd | null;
+}
+
+/** A task that runs or lately ran. */
+export class WorkerTask {
+  readonly payload: TaskPayload;
+  readonly startMs = Date.now();
+  private holdings: readonly Holding[];
+  endMs: number | null = null;
+  end: TaskEnd | null = null;
+  private leaseUntilMs = 0;
+  private leaseTimer: NodeJS.Timeout | undefined;
+  private readonly runTimer: NodeJS.Timeout;
+
+  constructor(
+    readonly start: TaskStart,
+    savedMs: number,
+    willFail: boolean,
+    private readonly ended: () => void,
+  ) {
+    this.payload = (start.payload ?? {runMs: 0}) as TaskPayload;
+    this.holdings = [{sinceMs: this.startMs, size: start.size}];
+    const end = willFail || this.payload.fail ? 'failed' : 'succeeded';
+    const runMs = Math.max(0, this.payload.runMs - savedMs);
+    this.runTimer = setTimeout(() => {
+      this.finish(end);
+    }, runMs);
+    this.renew(start.leaseMs);
+  }
+
+  get isRunning(): boolean {
+    return this.end === null;
+  }
+
+  /** The cap that holds now. */
+  get size(): Resources {
+    return this.holdings.at(-1)?.size ?? this.start.size;
+  }
+
+  throttle(size: Resources): void {
+    this.holdings = [...this.holdings, {sinceMs: Date.now(), size}];
+  }
+
+  renew(leaseMs: number): void {
+    this.leaseUntilMs = Date.now() + leaseMs;
+    clearTimeout(this.leaseTimer);
+    this.leaseTimer = setTimeout(() => {
+      this.finish('leaseLapsed');
+    }, leaseMs);
+  }
+
+  finish(end: TaskEnd): void {
+    if (!this.isRunning) return;
+    clearTimeout(this.runTimer);
+    clearTimeout(this.leaseTimer);
+    this.end = end;
+    this.endMs = Date.now();
+    this.ended();
+  }
+
+  report(): TaskReport {
+    const {taskId, jobId, shard, team, queue} = this.start;
+    const {size, end} = this;
+    const isDone = end === 'succeeded';
+    return {
+      taskId,
+      jobId,
+      shard,
+      team,
+      queue,
+      size,
+      state: this.isRunning ? 'running' : 'ended',
+      end,
+      result: isDone ? (this.payload.result ?? 'done') : '',
+      leaseLeftMs: Math.max(0, this.leaseUntilMs - Date.now()),
+      runMs: (this.endMs ?? Date.now()) - this.startMs,
+    };
+  }
+
+  run(workerId: string): TaskRun {
+    const {taskId, jobId, team} = this.start;
+    const {startMs, endMs, end, holdings} = this;
+    return {workerId, taskId, jobId, team, holdings, startMs, endMs, end};
+  }
+}
