--- /dev/null
+++ b/packages/scheduler/src/dispatcher.ts
@@ -0,0 +1,228 @@
+/** Carries out the policy's decisions. */
+import {
+  type Clock,
+  type EventRing,
+  type Metrics,
+  type Resources,
+  type TimingSettings,
+} from '@dragonflyward/common';
+import type {
+  Decision,
+  PlacedTask,
+  PlacementEngine,
+} from '@dragonflyward/policy';
+import type {ShardState} from '@dragonflyward/state';
+import type {TaskStart} from '@dragonflyward/target';
+import type {JobBook} from './job-book.js';
+import type {JobRecords} from './job-records.js';
+import type {WorkerSet} from './worker-set.js';
+import {
+  START_WITHIN_MS,
+  type StartOutcome,
+  type WorkerObserver,
+} from './worker-task.js';
+
+const IDLE_PERIOD_MS = 100;
+const STOP_RETRY_MS = 500;
+const MICROSECONDS_PER_MS = 1000;
+/** Decisions in one turn, so that other work gets its share of the thread. */
+const MAX_DECISIONS_PER_TURN = 200;
+
+/** The parts that a dispatcher needs. */
+export interface DispatcherParts {
+  readonly shard: string;
+  readonly engine: PlacementEngine;
+  readonly fold: ShardState;
+  readonly book: JobBook;
+  readonly records: JobRecords;
+  readonly workers: WorkerSet;
+  readonly clock: Clock;
+  readonly timing: TimingSettings;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly observer: WorkerObserver;
+  /** Called with a task that surely does not run and may run again. */
+  readonly runAgain: (task: PlacedTask, why: string) => void;
+}
+
+/** Runs the decision loop of one term. */
+export class Dispatcher {
+  private isStopped = false;
+  private wakeUp: () => void = () => undefined;
+
+  constructor(private readonly parts: DispatcherParts) {}
+
+  /** Makes the loop decide soon. */
+  wake(): void {
+    this.wakeUp();
+  }
+
+  /** Ends the loop. */
+  stop(): void {
+    this.isStopped = true;
+    this.wake();
+  }
+
+  /** Decides whenever it is woken, and at a fixed period. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      const decided = this.parts.observer.mayAct() ? this.decideOnce() : 0;
+      if (decided >= MAX_DECISIONS_PER_TURN) await yieldThread();
+      else await this.untilWoken();
+    }
+  }
+
+  /** Stops a placed task; tries again until the worker confirms it. */
+  stopTask(task: PlacedTask): void {
+    void this.stopUntilConfirmed(task);
+  }
+
+  private untilWoken(): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, IDLE_PERIOD_MS);
+      this.wakeUp = () => {
+        clearTimeout(timer);
+        setImmediate(resolve);
+      };
+    });
+  }
+
+  private decideOnce(): number {
+    const {engine, clock, metrics} = this.parts;
+    const startedMs = clock.monotonicMs();
+    let count = 0;
+    for (const decision of engine.decide(startedMs)) {
+      this.perform(decision);
+      count += 1;
+      if (count >= MAX_DECISIONS_PER_TURN) break;
+    }
+    if (count === 0) return 0;
+    const tookMs = clock.monotonicMs() - startedMs;
+    metrics.count('decisions_total', count);
+    metrics.record('decision_us', (tookMs * MICROSECONDS_PER_MS) / count);
+    return count;
+  }
+
+  private perform(decision: Decision): void {
+    switch (decision.kind) {
+      case 'start':
+        this.parts.book.notePlaced(decision.task);
+        return void this.start(decision.task);
+      case 'preempt':
+        return void this.preempt(decision.taskId, decision.workerId);
+      case 'resize':
+        return this.resize(decision.taskId, decision.workerId, decision.size);
+      case 'setAside':
+        this.parts.book.noteAside(decision.jobId, decision.reason);
+        return this.event('jobSetAside', decision.jobId, decision.reason);
+      case 'worker':
+        return this.parts.events.add(
+          'workerSetAside',
+          {worker: decision.workerId},
+          decision.reason,
+        );
+    }
+  }
+
+  private event(kind: 'jobSetAside', job: string, note: string): void {
+    this.parts.events.add(kind, {job}, note);
+  }
+
+  private async start(task: PlacedTask): Promise<void> {
+    const worker = this.parts.workers.get(task.workerId);
+    const start = this.toStart(task);
+    if (worker === undefined || start === undefined) {
+      return this.notRun(task);
+    }
+    if (!(await this.noteStarting(task))) return this.notRun(task);
+    const outcome: StartOutcome = await worker.start(task, start);
+    if (outcome === 'notRun') return this.notRun(task);
+    this.parts.metrics.count('tasks_started_total');
+    const subject = {job: task.jobId, task: task.taskId};
+    this.parts.events.add('taskStarted', {...subject, worker: task.workerId});
+    if (this.isUnwanted(task)) this.stopTask(task);
+  }
+
+  /** A non-idempotent task's start stands in the log before it is sent. */
+  private async noteStarting(task: PlacedTask): Promise<boolean> {
+    const {fold, records} = this.parts;
+    const entry = fold.jobs.get(task.jobId);
+    if (entry === undefined || records.isEnding(entry)) return false;
+    if (entry.spec.isIdempotent) return true;
+    const {jobId, taskIndex, taskId, workerId} = task;
+    try {
+      const ids = {jobId, taskIndex, taskId, workerId};
+      await records.write({type: 'taskStarting', ...ids});
+      return !this.isUnwanted(task);
+    } catch {
+      return false;
+    }
+  }
+
+  private isUnwanted(task: PlacedTask): boolean {
+    return this.parts.fold.jobs.get(task.jobId)?.end !== null;
+  }
+
+  private notRun(task: PlacedTask): void {
+    const {book, engine, clock} = this.parts;
+    if (this.isStopped) return;
+    book.noteGone(task);
+    engine.ended(task.taskId, 'notRunning', clock.monotonicMs());
+    this.parts.runAgain(task, 'notRun');
+  }
+
+  private toStart(task: PlacedTask): TaskStart | undefined {
+    const {fold, shard, observer, timing} = this.parts;
+    const spec = fold.jobs.get(task.jobId)?.spec;
+    if (spec === undefined) return undefined;
+    return {
+      taskId: task.taskId,
+      jobId: task.jobId,
+      team: spec.team,
+      queue: spec.queue,
+      shard,
+      term: observer.term(),
+      size: task.size,
+      leaseMs: timing.taskLeaseMs,
+      startWithinMs: START_WITHIN_MS,
+      payload: spec.payload,
+    };
+  }
+
+  private async preempt(taskId: string, workerId: string): Promise<void> {
+    const worker = this.parts.workers.get(workerId);
+    const task = worker?.leases.find(taskId);
+    if (worker === undefined || task === undefined) return;
+    const isStopped = await worker.checkpoint(taskId);
+    if (isStopped) this.afterStop(task, 'checkpointed');
+  }
+
+  private resize(taskId: string, workerId: string, size: Resources): void {
+    const worker = this.parts.workers.get(workerId);
+    void worker?.throttle(taskId, size);
+  }
+
+  private async stopUntilConfirmed(task: PlacedTask): Promise<void> {
+    while (!this.isStopped) {
+      const worker = this.parts.workers.get(task.workerId);
+      if (worker?.leases.find(task.taskId) === undefined) return;
+      if (await worker.stopTask(task.taskId)) {
+        return this.afterStop(task, 'stopped');
+      }
+      await this.parts.clock.sleep(STOP_RETRY_MS);
+    }
+  }
+
+  private afterStop(task: PlacedTask, why: string): void {
+    const {book, engine, clock, events} = this.parts;
+    book.noteGone(task);
+    events.add('taskStopped', {job: task.jobId, task: task.taskId}, why);
+    engine.ended(task.taskId, 'notRunning', clock.monotonicMs());
+    this.parts.runAgain(task, why);
+    this.wake();
+  }
+}
+
+function yieldThread(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,11 @@
-/** The scheduler program: owns shards and decides placements. */
+/** The scheduler: ownership of shards, leases, dispatch and tickets. */
+export * from './lease-book.js';
+export * from './membership.js';
+export * from './rendezvous.js';
+export * from './scheduler-process.js';
+export * from './shard-owner.js';
+export * from './takeover-guard.js';
 export * from './ticket-blind.js';
 export * from './ticket-desk.js';
 export * from './ticket-home.js';
+export * from './worker-task.js';
--- /dev/null
+++ b/packages/scheduler/src/job-book.ts
@@ -0,0 +1,127 @@
+/** What the owner knows of live jobs beyond the log: runs and attempts. */
+import type {JobEntry, JobStatus, ShardState} from '@dragonflyward/state';
+import type {PlacedTask, PolicyJob} from '@dragonflyward/policy';
+
+/** A task that fails this often ends its job as failed. */
+export const MAX_TASK_ATTEMPTS = 5;
+
+/** The result that a task gets when nobody can say whether it ran. */
+export const UNKNOWN_RESULT = 'outcome unknown';
+
+/** The live jobs of a shard. */
+export class JobBook {
+  private readonly placed = new Map<string, Map<string, PlacedTask>>();
+  private readonly attempts = new Map<string, number>();
+  private readonly asideReasons = new Map<string, string>();
+
+  constructor(private readonly fold: ShardState) {}
+
+  /** Notes that a task was placed. */
+  notePlaced(task: PlacedTask): void {
+    const tasks = this.placed.get(task.jobId) ?? new Map<string, PlacedTask>();
+    tasks.set(task.taskId, task);
+    this.placed.set(task.jobId, tasks);
+    this.asideReasons.delete(task.jobId);
+  }
+
+  /** Notes that a task runs no more. */
+  noteGone(task: PlacedTask): void {
+    const tasks = this.placed.get(task.jobId);
+    tasks?.delete(task.taskId);
+    if (tasks?.size === 0) this.placed.delete(task.jobId);
+  }
+
+  /** Counts a failed attempt; true where the task may be tried again. */
+  mayRetry(task: PlacedTask): boolean {
+    const key = `${task.jobId}.${task.taskIndex}`;
+    const count = (this.attempts.get(key) ?? 0) + 1;
+    this.attempts.set(key, count);
+    return count < MAX_TASK_ATTEMPTS;
+  }
+
+  /** Notes why a job was set aside. */
+  noteAside(jobId: string, reason: string): void {
+    this.asideReasons.set(jobId, reason);
+  }
+
+  /** The placed tasks of a job. */
+  *tasksOf(jobId: string): Generator<PlacedTask> {
+    yield* this.placed.get(jobId)?.values() ?? [];
+  }
+
+  /** Forgets a job that has ended. */
+  forget(entry: JobEntry): void {
+    this.asideReasons.delete(entry.spec.jobId);
+    for (let index = 0; index < entry.spec.tasks; index += 1) {
+      this.attempts.delete(`${entry.spec.jobId}.${index}`);
+    }
+  }
+
+  /** Indexes of the tasks that have neither ended nor been placed. */
+  missingIndexes(entry: JobEntry): readonly number[] {
+    const running = new Set<number>();
+    for (const task of this.tasksOf(entry.spec.jobId)) {
+      running.add(task.taskIndex);
+    }
+    const missing: number[] = [];
+    for (let index = 0; index < entry.spec.tasks; index += 1) {
+      if (!entry.ended.has(index) && !running.has(index)) missing.push(index);
+    }
+    return missing;
+  }
+
+  /** A job as the policy sees it. */
+  toPolicyJob(entry: JobEntry, taskIndexes: readonly number[]): PolicyJob {
+    const {spec} = entry;
+    return {
+      jobId: spec.jobId,
+      team: spec.team,
+      queue: spec.queue,
+      taskIndexes,
+      isGang: spec.isGang,
+      isService: spec.isService,
+      isIdempotent: spec.isIdempotent,
+      size: spec.size,
+      runMs: spec.runMs,
+      acceptedMs: entry.acceptedMs,
+    };
+  }
+
+  /** A job as its caller sees it. */
+  status(shard: string, jobId: string, waitReason: string): JobStatus | null {
+    const entry = this.fold.jobs.get(jobId);
+    if (entry === undefined) return null;
+    const running = this.placed.get(jobId)?.size ?? 0;
+    const aside = this.asideReasons.get(jobId);
+    const {spec} = entry;
+    return {
+      jobId,
+      team: spec.team,
+      queue: spec.queue,
+      shard,
+      phase: phaseOf(entry, running, aside),
+      end: entry.end,
+      tasksRunning: running,
+      tasksEnded: entry.ended.size,
+      results: listResults(entry),
+      reason: entry.end === null ? (aside ?? waitReason) : entry.reason,
+    };
+  }
+}
+
+function phaseOf(
+  entry: JobEntry,
+  running: number,
+  aside: string | undefined,
+): JobStatus['phase'] {
+  if (entry.end !== null) return 'ended';
+  if (running > 0) return 'running';
+  return aside === undefined ? 'waiting' : 'setAside';
+}
+
+function listResults(entry: JobEntry): readonly string[] {
+  return Array.from(
+    {length: entry.spec.tasks},
+    (_, index) => entry.ended.get(index) ?? '',
+  );
+}
--- /dev/null
+++ b/packages/scheduler/src/job-desk.ts
@@ -0,0 +1,136 @@
+/** What callers ask of a shard's jobs: submit, cancel, status. */
+import {raise, type Clock, type Metrics} from '@dragonflyward/common';
+import type {JobListAsk, JobSubmit} from '@dragonflyward/peer';
+import type {PlacementEngine, PolicyJob} from '@dragonflyward/policy';
+import type {
+  ConfigState,
+  JobSpec,
+  JobStatus,
+  ShardState,
+} from '@dragonflyward/state';
+import type {JobBook} from './job-book.js';
+import type {JobRecords} from './job-records.js';
+import type {TakeoverGuard} from './takeover-guard.js';
+
+const HELD_REASON = 'waits for workers to answer after a takeover';
+
+/** The parts that the desk needs. */
+export interface JobDeskParts {
+  readonly shard: string;
+  readonly fold: ShardState;
+  readonly config: ConfigState;
+  readonly engine: PlacementEngine;
+  readonly book: JobBook;
+  readonly records: JobRecords;
+  readonly guard: TakeoverGuard;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly mayAct: () => boolean;
+}
+
+/** Answers for the jobs of one shard during one term. */
+export class JobDesk {
+  constructor(private readonly parts: JobDeskParts) {}
+
+  /**
+   * Accepts a job; it stands in the log when this returns.
+   *
+   * @throws duplicateId, neverRunnable, queueUnknown, queueFull, notOwner,
+   *     logDown, appendUnknown
+   * @example
+   * await desk.submit(ask);
+   */
+  async submit(ask: JobSubmit): Promise<void> {
+    this.requireRight();
+    if (this.isRepeat(ask)) return;
+    const job = toJobSpec(ask);
+    const acceptedMs = this.parts.clock.wallMs();
+    this.requireRunnable(job, acceptedMs);
+    this.requireRoom(job);
+    const body = {type: 'jobAccepted', acceptedMs, job} as const;
+    await this.parts.records.write(body);
+    this.parts.metrics.count('jobs_accepted_total');
+  }
+
+  /**
+   * Cancels a job; a job that has ended stays as it is.
+   *
+   * @throws jobUnknown, notOwner, logDown, appendUnknown
+   */
+  async cancel(jobId: string): Promise<void> {
+    this.requireRight();
+    const entry = this.parts.fold.jobs.get(jobId);
+    if (entry === undefined) return raise('jobUnknown', jobId);
+    if (entry.end !== null) return;
+    await this.parts.records.cancel(jobId);
+  }
+
+  /**
+   * Tells a job's status.
+   *
+   * @throws jobUnknown, notOwner
+   */
+  status(jobId: string): JobStatus {
+    this.requireRight();
+    const {shard, engine, guard, book} = this.parts;
+    const reason = guard.isOver ? engine.explain(jobId) : HELD_REASON;
+    const status = book.status(shard, jobId, reason);
+    return status ?? raise('jobUnknown', jobId);
+  }
+
+  /** Lists the newest jobs of a team, or of all with an empty name. */
+  list(ask: JobListAsk): readonly JobStatus[] {
+    this.requireRight();
+    const ids: string[] = [];
+    for (const [jobId, {spec}] of this.parts.fold.jobs) {
+      if (ask.team === '' || spec.team === ask.team) ids.push(jobId);
+    }
+    const newest = ids.slice(-ask.maxJobs);
+    return newest.map(jobId => this.status(jobId));
+  }
+
+  private isRepeat(ask: JobSubmit): boolean {
+    const known = this.parts.fold.jobs.get(ask.jobId);
+    if (known === undefined) return false;
+    const {team, queue} = known.spec;
+    const isSame = team === ask.team && queue === ask.queue;
+    return isSame || raise('duplicateId', ask.jobId);
+  }
+
+  private requireRight(): void {
+    if (!this.parts.mayAct()) raise('notOwner', this.parts.shard);
+  }
+
+  private requireRunnable(spec: JobSpec, acceptedMs: number): void {
+    const job: PolicyJob = {
+      ...spec,
+      acceptedMs,
+      taskIndexes: Array.from({length: spec.tasks}, (_, index) => index),
+    };
+    const obstacle = this.parts.engine.findObstacle(job);
+    if (obstacle !== '') raise('neverRunnable', obstacle);
+  }
+
+  private requireRoom(job: JobSpec): void {
+    const queue = this.parts.config.queue(job.queue);
+    if (queue === undefined) return raise('queueUnknown', job.queue);
+    if (this.parts.engine.waitingCount() >= queue.maxWaiting) {
+      raise('queueFull', job.queue);
+    }
+  }
+}
+
+function toJobSpec(ask: JobSubmit): JobSpec {
+  return {
+    jobId: ask.jobId,
+    team: ask.team,
+    queue: ask.queue,
+    tasks: ask.tasks,
+    isGang: ask.isGang,
+    isService: ask.isService,
+    isIdempotent: ask.isIdempotent,
+    size: ask.size,
+    runMs: ask.runMs,
+    payload: ask.payload,
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/job-records.ts
@@ -0,0 +1,116 @@
+/** Writes a term's job records: accepts, starts, results and ends. */
+import {
+  raise,
+  toFailure,
+  type Clock,
+  type Metrics,
+} from '@dragonflyward/common';
+import type {StreamWriter} from '@dragonflyward/log';
+import {
+  RECORD_VERSION,
+  type JobEnd,
+  type JobEntry,
+  type ShardRecord,
+  type ShardState,
+} from '@dragonflyward/state';
+import {UNKNOWN_RESULT} from './job-book.js';
+
+const RETRY_PERIOD_MS = 500;
+
+type WithoutHead<T> = T extends unknown ? Omit<T, 'v' | 'term'> : never;
+type JobRecord = Extract<
+  ShardRecord,
+  {type: 'jobAccepted' | 'taskEnded' | 'jobEnded' | 'taskStarting'}
+>;
+
+/** A job record without its version and term. */
+export type JobRecordBody = WithoutHead<JobRecord>;
+
+/** The parts that the records need. */
+export interface JobRecordsParts {
+  readonly term: number;
+  readonly fold: ShardState;
+  readonly writer: StreamWriter;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
+
+/** The job records of one term. */
+export class JobRecords {
+  private readonly ending = new Set<string>();
+  private isStopped = false;
+
+  constructor(private readonly parts: JobRecordsParts) {}
+
+  /** Ends all repeats. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /**
+   * Writes a record once.
+   *
+   * @throws notOwner when it is void, logDown, appendUnknown
+   * @example
+   * await records.write({type: 'jobAccepted', acceptedMs, job});
+   */
+  async write(body: JobRecordBody): Promise<void> {
+    const {term, writer} = this.parts;
+    const result = await writer.write({v: RECORD_VERSION, term, ...body});
+    if (result !== 'applied') raise('notOwner', `term ${term} has ended`);
+  }
+
+  /** Whether a job's end is being written, or stands in the log. */
+  isEnding(entry: JobEntry): boolean {
+    return entry.end !== null || this.ending.has(entry.spec.jobId);
+  }
+
+  /** Notes that a job's end was read back. */
+  noteEnded(jobId: string): void {
+    this.ending.delete(jobId);
+  }
+
+  /** Writes the result of one task, again and again until it stands. */
+  recordResult(jobId: string, taskIndex: number, result: string): void {
+    void this.persist({type: 'taskEnded', jobId, taskIndex, result});
+  }
+
+  /** Writes the end of a job, again and again until it stands. */
+  recordEnd(jobId: string, end: JobEnd, reason: string): void {
+    if (this.ending.has(jobId)) return;
+    this.ending.add(jobId);
+    void this.persist({type: 'jobEnded', jobId, end, reason});
+  }
+
+  /**
+   * Writes a cancellation once.
+   *
+   * @throws notOwner, logDown, appendUnknown
+   */
+  async cancel(jobId: string): Promise<void> {
+    const reason = 'cancelled by its team';
+    await this.write({type: 'jobEnded', jobId, end: 'cancelled', reason});
+  }
+
+  /** Ends a job once all its tasks have ended. */
+  endIfComplete(jobId: string): void {
+    const entry = this.parts.fold.jobs.get(jobId);
+    if (entry === undefined || this.isEnding(entry)) return;
+    if (entry.ended.size < entry.spec.tasks) return;
+    const isUnknown = [...entry.ended.values()].includes(UNKNOWN_RESULT);
+    this.recordEnd(jobId, isUnknown ? 'outcomeUnknown' : 'succeeded', '');
+  }
+
+  private async persist(body: JobRecordBody): Promise<void> {
+    while (!this.isStopped) {
+      try {
+        return await this.write(body);
+      } catch (err) {
+        const {kind} = toFailure(err);
+        this.parts.metrics.count(`record_retries_total{kind="${kind}"}`);
+        if (kind === 'notOwner') return;
+        await this.parts.clock.sleep(RETRY_PERIOD_MS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lease-book.ts
@@ -0,0 +1,107 @@
+/** The leases of the tasks that an owner placed on one worker. */
+import type {PlacedTask} from '@dragonflyward/policy';
+
+/** How long a call to a worker may take. */
+export const WORKER_CALL_TIMEOUT_MS = 2_000;
+/** Longest delay of bytes in the network, beyond a call's time-out. */
+export const NETWORK_DELAY_MARGIN_MS = 3_000;
+/** How far clock rates may differ. */
+const CLOCK_RATE_MARGIN = 0.01;
+
+/** What a placed task's start came to. */
+export type StartState = 'starting' | 'confirmed' | 'unconfirmed';
+
+interface LeaseEntry {
+  readonly task: PlacedTask;
+  state: StartState;
+  /** When the newest start or renewal was sent. */
+  sentMs: number;
+  /** From then on a list without the task shows that it does not run. */
+  decidedMs: number;
+}
+
+/**
+ * Computes when a lease must have run out on the worker, whatever delays the
+ * newest renewal had.
+ *
+ * @example
+ * if (nowMs > lapseMs(sentMs, 20_000)) free(task);
+ */
+export function lapseMs(sentMs: number, leaseMs: number): number {
+  const slowest = leaseMs * (1 + CLOCK_RATE_MARGIN);
+  const delay = WORKER_CALL_TIMEOUT_MS + NETWORK_DELAY_MARGIN_MS;
+  return sentMs + slowest + delay;
+}
+
+/** The leases on one worker. */
+export class LeaseBook {
+  private readonly entries = new Map<string, LeaseEntry>();
+
+  constructor(private readonly leaseMs: number) {}
+
+  /** Notes a start that is about to be sent. */
+  noteStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
+    const decidedMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
+    const state: StartState = 'starting';
+    this.entries.set(task.taskId, {task, state, sentMs: nowMs, decidedMs});
+  }
+
+  /** Notes a task that was found running. */
+  noteFound(task: PlacedTask, nowMs: number): void {
+    const entry = {task, state: 'confirmed' as StartState, sentMs: nowMs};
+    this.entries.set(task.taskId, {...entry, decidedMs: nowMs});
+  }
+
+  /** Notes that the start was confirmed, or that its reply was lost. */
+  setState(taskId: string, state: StartState): void {
+    const entry = this.entries.get(taskId);
+    if (entry !== undefined) entry.state = state;
+  }
+
+  /** Notes a renewal of all tasks that is about to be sent. */
+  noteRenewal(nowMs: number): readonly string[] {
+    for (const entry of this.entries.values()) entry.sentMs = nowMs;
+    return [...this.entries.keys()];
+  }
+
+  /** Forgets a task. */
+  remove(taskId: string): void {
+    this.entries.delete(taskId);
+  }
+
+  /** The task, where the worker holds, or may hold, a lease for it. */
+  find(taskId: string): PlacedTask | undefined {
+    return this.entries.get(taskId)?.task;
+  }
+
+  /** All tasks. */
+  *tasks(): Generator<PlacedTask> {
+    for (const {task} of this.entries.values()) yield task;
+  }
+
+  /** How many tasks there are. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /**
+   * Lists the tasks that a list without them, asked for at the given time,
+   * shows not to run.
+   */
+  *missing(
+    listed: ReadonlySet<string>,
+    askedMs: number,
+  ): Generator<PlacedTask> {
+    for (const {task, state, decidedMs} of this.entries.values()) {
+      if (listed.has(task.taskId)) continue;
+      if (state === 'confirmed' || askedMs >= decidedMs) yield task;
+    }
+  }
+
+  /** Lists the tasks whose leases must have run out. */
+  *lapsed(nowMs: number): Generator<PlacedTask> {
+    for (const {task, sentMs} of this.entries.values()) {
+      if (nowMs > lapseMs(sentMs, this.leaseMs)) yield task;
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/membership.ts
@@ -0,0 +1,154 @@
+/** Who is there: the list of VMs joined with the peers' heartbeats. */
+import type {Clock, ProcessRef} from '@dragonflyward/common';
+import type {Heartbeat, PeerConnection, PeerInfo} from '@dragonflyward/peer';
+import type {VmEntry} from '@dragonflyward/vms';
+import {rankByHash} from './rendezvous.js';
+
+/** How many schedulers follow a shard: its owner and its successors. */
+const FOLLOWERS_PER_SHARD = 3;
+
+interface Heard {
+  readonly process: ProcessRef;
+  readonly atMs: number;
+  readonly isDraining: boolean;
+}
+
+/** The list of VMs and the schedulers that were heard lately. */
+export class Membership {
+  private vms: ReadonlyMap<string, VmEntry> = new Map();
+  private readonly connections = new Set<PeerConnection>();
+  private readonly heard = new Map<string, Heard>();
+  /** When the newest list was asked for; undefined before the first. */
+  listSentMs: number | undefined;
+
+  constructor(
+    private readonly self: ProcessRef,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Takes in a newly read list.
+   *
+   * @example
+   * membership.setVms(await vmList.list(), sentMs);
+   */
+  setVms(vms: readonly VmEntry[], sentMs: number): void {
+    this.vms = new Map(vms.map(vm => [vm.id, vm]));
+    this.listSentMs = sentMs;
+  }
+
+  /** Notes a connection that came up. */
+  addConnection(connection: PeerConnection): void {
+    this.connections.add(connection);
+  }
+
+  /** Notes a connection that is gone. */
+  removeConnection(connection: PeerConnection): void {
+    this.connections.delete(connection);
+  }
+
+  /** Lists one open connection for each gateway. */
+  gatewayConnections(): readonly PeerConnection[] {
+    const found = new Map<string, PeerConnection>();
+    for (const connection of this.connections) {
+      const {info, isOpen} = connection;
+      if (!isOpen || info?.role !== 'gateway') continue;
+      found.set(info.process.vm, connection);
+    }
+    return [...found.values()];
+  }
+
+  /** Takes in a scheduler's heartbeat. */
+  noteHeartbeat(from: PeerInfo, heartbeat: Heartbeat): void {
+    if (from.role !== 'scheduler') return;
+    const known = this.heard.get(from.process.vm);
+    const isOlder =
+      known !== undefined &&
+      known.process.incarnation > from.process.incarnation;
+    if (isOlder) return;
+    this.heard.set(from.process.vm, {
+      process: from.process,
+      atMs: this.clock.monotonicMs(),
+      isDraining: heartbeat.isDraining,
+    });
+  }
+
+  /** Lists the VMs of one kind in one failure domain. */
+  *vmsIn(domain: string, kind: VmEntry['kind']): Generator<VmEntry> {
+    for (const vm of this.vms.values()) {
+      if (vm.kind === kind && vm.domain === domain) yield vm;
+    }
+  }
+
+  /** Lists all entry VMs. */
+  *entryVms(): Generator<VmEntry> {
+    for (const vm of this.vms.values()) if (vm.kind === 'entry') yield vm;
+  }
+
+  /** Names the failure domains that have targets, in order. */
+  domains(): readonly string[] {
+    const names = new Set<string>();
+    for (const vm of this.vms.values()) {
+      if (vm.kind !== 'entry') names.add(vm.domain);
+    }
+    return [...names].sort();
+  }
+
+  /** Whether the list shows the process's VM, or has not been read yet. */
+  isListed(process: ProcessRef): boolean {
+    return this.listSentMs === undefined || this.vms.has(process.vm);
+  }
+
+  /** Time since the process was heard; infinite where it never was. */
+  silentMs(process: ProcessRef): number {
+    if (process.vm === this.self.vm) {
+      return process.incarnation === this.self.incarnation ? 0 : Infinity;
+    }
+    const heard = this.heard.get(process.vm);
+    if (heard?.process.incarnation !== process.incarnation) return Infinity;
+    return this.clock.monotonicMs() - heard.atMs;
+  }
+
+  /**
+   * Ranks the entry VMs for a shard: those of its failure domain first, then
+   * those of its region, then the others.
+   */
+  rankedVms(shard: string): readonly VmEntry[] {
+    const region = this.regionOf(shard);
+    const entries = [...this.entryVms()].filter(vm => vm.state === 'live');
+    const distance = (vm: VmEntry): number => {
+      if (vm.domain === shard) return 0;
+      return vm.region === region ? 1 : 2;
+    };
+    const ranked = rankByHash(shard, entries, vm => vm.id);
+    return ranked.sort((a, b) => distance(a) - distance(b));
+  }
+
+  /** The entry VMs whose schedulers follow the shard's stream. */
+  followers(shard: string): readonly VmEntry[] {
+    return this.rankedVms(shard).slice(0, FOLLOWERS_PER_SHARD);
+  }
+
+  /** The other running schedulers that follow the shard, best first. */
+  otherFollowers(shard: string, maxSilentMs: number): readonly ProcessRef[] {
+    const found: ProcessRef[] = [];
+    for (const vm of this.followers(shard)) {
+      const process = this.schedulerOn(vm.id);
+      if (process === undefined || process.vm === this.self.vm) continue;
+      if (this.silentMs(process) <= maxSilentMs) found.push(process);
+    }
+    return found;
+  }
+
+  private schedulerOn(vm: string): ProcessRef | undefined {
+    const heard = this.heard.get(vm);
+    return heard?.isDraining === true ? undefined : heard?.process;
+  }
+
+  private regionOf(domain: string): string {
+    for (const vm of this.vms.values()) {
+      if (vm.domain === domain) return vm.region;
+    }
+    return '';
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -0,0 +1,50 @@
+/** How ownership reaches the other schedulers. */
+import type {ProcessRef} from '@dragonflyward/common';
+import type {PeerMesh} from '@dragonflyward/peer';
+import {OwnershipPeers, type OwnershipAsk} from '@dragonflyward/state';
+import type {Membership} from './membership.js';
+
+const PROMISE_TIMEOUT_MS = 800;
+const CANDIDATE_SILENCE_MS = 2_500;
+
+/** Ownership's view of the peers, over the mesh. */
+export class MeshOwnershipPeers extends OwnershipPeers {
+  constructor(
+    private readonly shard: string,
+    private readonly membership: Membership,
+    private readonly mesh: PeerMesh,
+  ) {
+    super();
+  }
+
+  override candidates(): readonly ProcessRef[] {
+    return this.membership.otherFollowers(this.shard, CANDIDATE_SILENCE_MS);
+  }
+
+  override silentMs(process: ProcessRef): number {
+    return this.membership.silentMs(process);
+  }
+
+  override isListed(process: ProcessRef): boolean {
+    return this.membership.isListed(process);
+  }
+
+  override async askPromise(
+    process: ProcessRef,
+    ask: OwnershipAsk,
+  ): Promise<boolean> {
+    const connection = this.mesh.connectionTo(process.vm);
+    const info = connection?.info;
+    if (connection === undefined || info === undefined) return false;
+    if (info.process.incarnation !== process.incarnation) return false;
+    try {
+      const reply = await connection.ask(
+        {type: 'promiseAsk', ...ask},
+        PROMISE_TIMEOUT_MS,
+      );
+      return reply.type === 'promise' && reply.isGiven;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy-config.ts
@@ -0,0 +1,46 @@
+/** Hands the configuration in force to the policy. */
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
+import type {
+  PlacementEngine,
+  PolicyQueue,
+  PolicyTeam,
+} from '@dragonflyward/policy';
+import type {Allowance, ConfigState} from '@dragonflyward/state';
+
+const DEFAULT_ORGANISATION_SHARE = 1;
+
+/**
+ * Sets the policy's queues, teams and allowances.
+ *
+ * @example
+ * applyPolicyConfig(engine, config, allowances.amountsOf(shard));
+ */
+export function applyPolicyConfig(
+  engine: PlacementEngine,
+  config: ConfigState,
+  amounts: readonly Allowance[],
+): void {
+  engine.setQueues([...policyQueues(config)]);
+  engine.setTeams([...policyTeams(config, amounts)]);
+}
+
+function* policyQueues(config: ConfigState): Generator<PolicyQueue> {
+  for (const [queue, {priority, policy}] of config.queues()) {
+    yield {queue, priority, policy};
+  }
+}
+
+function* policyTeams(
+  config: ConfigState,
+  amounts: readonly Allowance[],
+): Generator<PolicyTeam> {
+  const byTeam = new Map<string, Resources>();
+  for (const {team, amount} of amounts) byTeam.set(team, amount);
+  for (const [team, {organisation, share}] of config.teams()) {
+    const organisations = config.configuration.defaults.organisations;
+    const organisationShare =
+      organisations[organisation]?.share ?? DEFAULT_ORGANISATION_SHARE;
+    const allowance = byTeam.get(team) ?? NO_RESOURCES;
+    yield {team, organisation, share, organisationShare, allowance};
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler-peers.ts
@@ -0,0 +1,122 @@
+/** What a scheduler answers to gateways and to other schedulers. */
+import {raise, type HybridClock, type ProcessRef} from '@dragonflyward/common';
+import {
+  PeerHandler,
+  type Heartbeat,
+  type Hello,
+  type OwnedShard,
+  type PeerAsk,
+  type PeerConnection,
+  type PeerInfo,
+  type PeerNotice,
+  type PeerReply,
+} from '@dragonflyward/peer';
+import type {ConfigFeed} from './config-feed.js';
+import type {Membership} from './membership.js';
+import type {ShardOwner} from './shard-owner.js';
+import type {ShardTask} from './shard-task.js';
+
+/** The parts that the handler needs. */
+export interface SchedulerPeersParts {
+  readonly self: ProcessRef;
+  readonly hybrid: HybridClock;
+  readonly membership: Membership;
+  readonly config: ConfigFeed;
+  readonly shards: ReadonlyMap<string, ShardTask>;
+  readonly isDraining: () => boolean;
+}
+
+/** Answers asks by the shard that they name. */
+export class SchedulerPeers extends PeerHandler {
+  constructor(private readonly parts: SchedulerPeersParts) {
+    super();
+  }
+
+  override hello(): Hello {
+    return {type: 'hello', role: 'scheduler', process: this.parts.self};
+  }
+
+  override heartbeat(): Heartbeat {
+    return {
+      type: 'heartbeat',
+      at: this.parts.hybrid.tick(),
+      owns: [...this.ownedShards()],
+      configOffset: this.parts.config.state.nextOffset,
+      isDraining: this.parts.isDraining(),
+    };
+  }
+
+  override async answer(from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
+    switch (ask.type) {
+      case 'ticketAsk': {
+        const {desk, owner} = this.active(ask.shard);
+        return desk.ask(from.process, ask, owner.term());
+      }
+      case 'requestClaim': {
+        const {desk, owner} = this.active(ask.shard);
+        desk.claim(ask, owner.term());
+        return {type: 'done'};
+      }
+      case 'jobSubmit':
+        await this.active(ask.shard).owner.jobs.submit(ask);
+        return {type: 'jobAccepted', jobId: ask.jobId, shard: ask.shard};
+      case 'jobAsk': {
+        const {owner} = this.active(ask.shard);
+        return {type: 'job', status: owner.jobs.status(ask.jobId)};
+      }
+      case 'jobListAsk': {
+        const {owner} = this.active(ask.shard);
+        return {type: 'jobs', jobs: owner.jobs.list(ask)};
+      }
+      case 'jobCancel':
+        await this.active(ask.shard).owner.jobs.cancel(ask.jobId);
+        return {type: 'done'};
+      case 'promiseAsk': {
+        const task = this.parts.shards.get(ask.shard);
+        const isGiven =
+          task?.ownership.answerPromise(ask, from.process) ?? false;
+        return {type: 'promise', isGiven};
+      }
+      case 'configTailAsk':
+        return this.parts.config.tailFrom(ask.from);
+      default:
+        return raise('badRequest', ask.type);
+    }
+  }
+
+  override notice(from: PeerInfo, notice: PeerNotice): void {
+    if (notice.type === 'heartbeat') {
+      this.parts.hybrid.observe(notice.at);
+      return this.parts.membership.noteHeartbeat(from, notice);
+    }
+    const desk = this.parts.shards.get(notice.shard)?.desk;
+    if (notice.type === 'requestRelease') return desk?.release(notice);
+    desk?.close(from.process, notice);
+  }
+
+  override peerUp(connection: PeerConnection): void {
+    this.parts.membership.addConnection(connection);
+  }
+
+  override peerDown(connection: PeerConnection): void {
+    this.parts.membership.removeConnection(connection);
+  }
+
+  private *ownedShards(): Generator<OwnedShard> {
+    for (const [shard, task] of this.parts.shards) {
+      if (task.isActive) yield {shard, term: task.ownership.term};
+    }
+  }
+
+  private active(shard: string): ActiveShard {
+    const task = this.parts.shards.get(shard);
+    const {owner, desk} = task ?? {};
+    if (!task?.isActive || !owner || !desk) return raise('notOwner', shard);
+    return {owner, desk};
+  }
+}
+
+interface ActiveShard {
+  readonly owner: ShardOwner;
+  readonly desk: NonNullable<ShardTask['desk']>;
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -0,0 +1,207 @@
+/** The scheduler program: wires log, list of VMs, peers and shards. */
+import {
+  EventRing,
+  HybridClock,
+  logCounters,
+  makeLogger,
+  Metrics,
+  serveAdmin,
+  SystemClock,
+  type Logger,
+  type ProcessRef,
+  type ProcessSettings,
+} from '@dragonflyward/common';
+import {HttpLogClient} from '@dragonflyward/log';
+import {listenPeers, PeerMesh, type PeerAddress} from '@dragonflyward/peer';
+import {HttpWorkerClient} from '@dragonflyward/target';
+import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
+import {AllowanceTask} from './allowance-task.js';
+import {ConfigFeed} from './config-feed.js';
+import {Membership} from './membership.js';
+import {SchedulerPeers} from './scheduler-peers.js';
+import {ShardTask} from './shard-task.js';
+
+const HANDOVER_BOUND_MS = 10_000;
+const HANDOVER_CHECK_MS = 50;
+
+/** One running scheduler. */
+export class SchedulerProcess {
+  readonly self: ProcessRef;
+  readonly metrics = new Metrics();
+  readonly events: EventRing;
+  private readonly clock = new SystemClock();
+  private readonly hybrid = new HybridClock(this.clock);
+  private readonly logger: Logger;
+  private readonly membership: Membership;
+  private readonly log: HttpLogClient;
+  private readonly vmList: HttpVmListClient;
+  private readonly config: ConfigFeed;
+  private readonly shards = new Map<string, ShardTask>();
+  private readonly handler: SchedulerPeers;
+  private readonly mesh: PeerMesh;
+  private readonly allowances: AllowanceTask;
+  private isDraining = false;
+  private isStopped = false;
+
+  constructor(private readonly cfg: ProcessSettings) {
+    const {vm, logUrl, vmListUrl, logLevel} = cfg;
+    const name = `scheduler@${vm.id}`;
+    const {clock, metrics} = this;
+    this.self = {vm: vm.id, incarnation: Date.now()};
+    this.events = new EventRing(name, this.hybrid);
+    this.logger = makeLogger(name, logLevel);
+    this.membership = new Membership(this.self, clock);
+    const bind = {localAddress: vm.ip};
+    this.log = new HttpLogClient(logUrl, bind);
+    this.vmList = new HttpVmListClient(vmListUrl, bind);
+    this.config = new ConfigFeed(this.log, clock, this.events, metrics);
+    this.handler = new SchedulerPeers({
+      self: this.self,
+      hybrid: this.hybrid,
+      membership: this.membership,
+      config: this.config,
+      shards: this.shards,
+      isDraining: () => this.isDraining,
+    });
+    this.mesh = new PeerMesh(this.handler, clock);
+    this.allowances = new AllowanceTask({
+      log: this.log,
+      config: this.config.state,
+      membership: this.membership,
+      shards: this.shards,
+      clock,
+      events: this.events,
+      metrics,
+    });
+  }
+
+  /** Starts all tasks; returns once the ports are open. */
+  async start(): Promise<void> {
+    const {vm, ports} = this.cfg;
+    this.config.tail.start();
+    this.allowances.start();
+    await listenPeers(vm.ip, ports.scheduler, this.handler);
+    await serveAdmin(vm.ip, ports.schedulerAdmin, {
+      metrics: this.metrics,
+      events: this.events,
+      isReady: () => this.isReady(),
+      status: () => this.status(),
+    });
+    logCounters(this.logger, this.metrics);
+    this.events.add('processStarted', {});
+    this.logger.info({vm: vm.id}, 'started');
+    void this.followVmList();
+  }
+
+  /** Hands all shards over, then ends all tasks. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    this.events.add('processDraining', {});
+    this.logger.info('draining');
+    const handovers = [...this.shards.values()].map(task =>
+      this.handOver(task),
+    );
+    await Promise.all(handovers);
+    this.isStopped = true;
+    for (const task of this.shards.values()) task.stop();
+    this.allowances.stop();
+    this.config.tail.stop();
+    this.mesh.close();
+    this.events.add('processStopped', {});
+  }
+
+  private isReady(): boolean {
+    return !this.isDraining && this.config.state.nextOffset > 0;
+  }
+
+  private async handOver(task: ShardTask): Promise<void> {
+    if (!task.isActive) return;
+    const [heir, ...others] = task.heirs();
+    if (heir === undefined) return;
+    const endMs = this.clock.monotonicMs() + HANDOVER_BOUND_MS;
+    while (task.isActive && this.clock.monotonicMs() < endMs) {
+      await task.ownership.handOver(heir, others).catch(() => undefined);
+      await this.clock.sleep(HANDOVER_CHECK_MS);
+    }
+  }
+
+  private async followVmList(): Promise<void> {
+    while (!this.isStopped) {
+      const sentMs = this.clock.monotonicMs();
+      try {
+        this.membership.setVms(await this.vmList.list(), sentMs);
+        this.followMembers();
+      } catch {
+        this.metrics.count('vm_list_failures_total');
+      }
+      await this.clock.sleep(this.cfg.timing.vmListPeriodMs);
+    }
+  }
+
+  private followMembers(): void {
+    const {ports} = this.cfg;
+    const addresses: PeerAddress[] = [];
+    for (const entry of this.membership.entryVms()) {
+      if (entry.id === this.self.vm) continue;
+      addresses.push({vm: entry.id, ip: entry.ip, port: ports.scheduler});
+    }
+    this.mesh.setPeers(addresses);
+    this.followShards();
+  }
+
+  private followShards(): void {
+    if (this.isDraining) return;
+    for (const shard of this.membership.domains()) {
+      const rank = this.rankIn(shard);
+      const task = this.shards.get(shard);
+      if (rank >= 0 && task === undefined) this.addShard(shard, rank);
+      if (rank < 0 && task !== undefined && !task.isBound) {
+        task.stop();
+        this.shards.delete(shard);
+      }
+    }
+  }
+
+  private rankIn(shard: string): number {
+    const followers = this.membership.followers(shard);
+    return followers.findIndex(vm => vm.id === this.self.vm);
+  }
+
+  private addShard(shard: string, rank: number): void {
+    const {self, log, membership, mesh, clock, events, metrics} = this;
+    const bind = {localAddress: this.cfg.vm.ip};
+    const task = new ShardTask({
+      ...{shard, rank, self, log, membership, mesh, clock, events, metrics},
+      config: this.config.state,
+      allowances: this.allowances,
+      timing: this.cfg.timing,
+      makeWorkerClient: (vm: VmEntry, name: string) =>
+        new HttpWorkerClient(vm.ip, vm.port, name, bind),
+    });
+    this.shards.set(shard, task);
+    void task.run();
+  }
+
+  private status(): Readonly<Record<string, unknown>> {
+    const nowMs = this.clock.monotonicMs();
+    return {
+      process: this.self,
+      role: 'scheduler',
+      isReady: this.isReady(),
+      isDraining: this.isDraining,
+      configOffset: this.config.state.nextOffset,
+      configRevision: this.config.state.revision,
+      configAgeMs: nowMs - this.config.tail.lastProofMs,
+      shards: [...this.shards].map(([shard, task]) => ({
+        shard,
+        term: task.fold.term,
+        owner: task.fold.owner,
+        successors: task.fold.successors,
+        isActive: task.isActive,
+        offset: task.fold.nextOffset,
+        logAgeMs: nowMs - task.tail.lastProofMs,
+        ...task.owner?.summary(),
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/shard-task.ts
@@ -0,0 +1,197 @@
+/** One shard as a scheduler serves it: its stream, ownership and owner. */
+import {
+  type Clock,
+  type EventRing,
+  type Metrics,
+  type ProcessRef,
+  type TimingSettings,
+} from '@dragonflyward/common';
+import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
+import type {OpenTicketsAsk, PeerMesh} from '@dragonflyward/peer';
+import {ShareEngine} from '@dragonflyward/policy';
+import {
+  shardStream,
+  ShardOwnership,
+  ShardState,
+  type ConfigState,
+} from '@dragonflyward/state';
+import type {WorkerClient} from '@dragonflyward/target';
+import type {VmEntry} from '@dragonflyward/vms';
+import type {AllowanceView} from './allowance-view.js';
+import type {Membership} from './membership.js';
+import {MeshOwnershipPeers} from './ownership-peers.js';
+import {applyPolicyConfig} from './policy-config.js';
+import {ShardOwner} from './shard-owner.js';
+import {TicketDesk} from './ticket-desk.js';
+
+const CHECK_PERIOD_MS = 50;
+const REFRESH_PERIOD_MS = 500;
+const TAIL_WAIT_MS = 500;
+const HEIR_SILENCE_MS = 2_000;
+
+/** The parts that a shard task needs. */
+export interface ShardTaskParts {
+  readonly shard: string;
+  readonly self: ProcessRef;
+  /** This VM's place among the shard's followers; 0 is the best. */
+  readonly rank: number;
+  readonly log: LogClient;
+  readonly config: ConfigState;
+  readonly allowances: AllowanceView;
+  readonly membership: Membership;
+  readonly mesh: PeerMesh;
+  readonly clock: Clock;
+  readonly timing: TimingSettings;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly makeWorkerClient: (vm: VmEntry, shard: string) => WorkerClient;
+}
+
+/** Serves one shard, as its owner or as a successor. */
+export class ShardTask {
+  readonly fold: ShardState;
+  readonly ownership: ShardOwnership;
+  readonly tail: StreamTail;
+  owner: ShardOwner | undefined;
+  desk: TicketDesk | undefined;
+  private readonly writer: StreamWriter;
+  private activeTerm = 0;
+  private isStopped = false;
+  private refreshedMs = -Infinity;
+
+  constructor(private readonly parts: ShardTaskParts) {
+    const {shard, log, clock, metrics, events, self, timing} = parts;
+    this.fold = new ShardState();
+    this.tail = new StreamTail({
+      client: log,
+      stream: shardStream(shard),
+      fold: this.fold,
+      clock,
+      waitMs: TAIL_WAIT_MS,
+      onApplied: (record, result) => {
+        metrics.count(`shard_records_total{result="${result}"}`);
+        if (result === 'skipped') events.add('recordSkipped', {shard});
+        if (result === 'applied') this.owner?.applied(record);
+      },
+    });
+    this.writer = new StreamWriter({
+      client: log,
+      stream: shardStream(shard),
+      tail: this.tail,
+      clock,
+    });
+    const peers = new MeshOwnershipPeers(shard, parts.membership, parts.mesh);
+    this.ownership = new ShardOwnership({
+      ...{shard, self, clock, log, peers, timing, events},
+      tail: this.tail,
+      fold: this.fold,
+      rank: parts.rank,
+    });
+  }
+
+  /** Whether this process owns the shard and may act for it. */
+  get isActive(): boolean {
+    return this.owner?.mayAct() ?? false;
+  }
+
+  /** Whether this process must go on reading the shard's stream. */
+  get isBound(): boolean {
+    const {vm} = this.parts.self;
+    if (this.fold.owner?.vm === vm) return true;
+    return this.fold.successors.some(process => process.vm === vm);
+  }
+
+  /** The running schedulers that could take the shard over, best first. */
+  heirs(): readonly ProcessRef[] {
+    const {membership, shard} = this.parts;
+    return membership.otherFollowers(shard, HEIR_SILENCE_MS);
+  }
+
+  /** Runs until it is stopped. */
+  async run(): Promise<void> {
+    this.tail.start();
+    void this.ownership.run();
+    while (!this.isStopped) {
+      this.followOwnership();
+      this.refresh();
+      await this.parts.clock.sleep(CHECK_PERIOD_MS);
+    }
+  }
+
+  /** Ends all that belongs to the shard. */
+  stop(): void {
+    this.isStopped = true;
+    this.deactivate();
+    this.ownership.stop();
+    this.tail.stop();
+  }
+
+  private followOwnership(): void {
+    const {ownership} = this;
+    const isSuperseded =
+      this.owner !== undefined && ownership.term !== this.activeTerm;
+    if (isSuperseded) this.deactivate();
+    if (this.owner === undefined && ownership.mayAct()) this.activate();
+  }
+
+  private activate(): void {
+    const {shard, clock, metrics, events, config, membership} = this.parts;
+    this.activeTerm = this.ownership.term;
+    const engine = new ShareEngine();
+    this.desk = new TicketDesk({shard, clock, metrics, events});
+    this.owner = new ShardOwner({
+      ...this.parts,
+      ...{engine, config, membership},
+      right: this.ownership,
+      fold: this.fold,
+      writer: this.writer,
+    });
+    this.refreshedMs = -Infinity;
+    this.refresh();
+    void this.collectTickets(this.desk);
+    void this.owner.run();
+  }
+
+  private deactivate(): void {
+    if (this.owner === undefined) return;
+    this.owner.stop();
+    this.desk?.stop();
+    this.owner = undefined;
+    this.desk = undefined;
+  }
+
+  /** Hands the current configuration and allowances on. */
+  private refresh(): void {
+    const {clock, config, allowances, membership, shard} = this.parts;
+    const nowMs = clock.monotonicMs();
+    if (this.owner === undefined || this.desk === undefined) return;
+    if (nowMs - this.refreshedMs < REFRESH_PERIOD_MS) return;
+    this.refreshedMs = nowMs;
+    const amounts = allowances.amountsOf(shard);
+    applyPolicyConfig(this.owner.engine, config, amounts);
+    const executors = [...membership.vmsIn(shard, 'executor')];
+    this.desk.setExecutors(executors);
+    this.desk.setConfig(config);
+    this.desk.setGateways([...membership.entryVms()].length);
+    for (const {team, amount} of amounts) {
+      this.desk.setAllowance(team, amount.slots);
+    }
+  }
+
+  /** Asks all gateways for the tickets that earlier owners gave them. */
+  private async collectTickets(desk: TicketDesk): Promise<void> {
+    const {shard} = this.parts;
+    const term = this.activeTerm;
+    const ask: OpenTicketsAsk = {type: 'openTicketsAsk', shard, term};
+    const gateways = this.parts.membership.gatewayConnections();
+    for (const connection of gateways) {
+      try {
+        const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
+        if (reply.type !== 'openTickets' || !connection.info) continue;
+        desk.adopt(connection.info.process, reply.tickets);
+      } catch {
+        this.parts.metrics.count('open_tickets_unanswered_total');
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/worker-set.ts
@@ -0,0 +1,106 @@
+/** The worker tasks of one shard, kept in step with the list of VMs. */
+import type {
+  Clock,
+  EventRing,
+  Metrics,
+  TimingSettings,
+} from '@dragonflyward/common';
+import type {WorkerClient} from '@dragonflyward/target';
+import type {VmEntry} from '@dragonflyward/vms';
+import type {Membership} from './membership.js';
+import {WorkerTask, type WorkerObserver} from './worker-task.js';
+
+/** The parts that a set of workers needs. */
+export interface WorkerSetParts {
+  readonly shard: string;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly timing: TimingSettings;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly makeWorkerClient: (vm: VmEntry, shard: string) => WorkerClient;
+}
+
+/** Counts over the workers of a shard. */
+export interface WorkerCounts {
+  readonly workers: number;
+  readonly workersReady: number;
+  readonly tasksRunning: number;
+}
+
+/** One task for each worker of the shard. */
+export class WorkerSet {
+  private readonly workers = new Map<string, WorkerTask>();
+
+  constructor(
+    private readonly parts: WorkerSetParts,
+    private readonly observer: WorkerObserver,
+  ) {}
+
+  /**
+   * Starts and ends worker tasks as the list of VMs says.
+   *
+   * @returns the workers that are gone
+   * @example
+   * for (const id of workers.sync()) engine.removeWorker(id);
+   */
+  sync(): readonly string[] {
+    const {membership, shard} = this.parts;
+    const listed = new Map<string, VmEntry>();
+    for (const vm of membership.vmsIn(shard, 'worker')) listed.set(vm.id, vm);
+    for (const [id, vm] of listed) {
+      if (!this.workers.has(id)) this.add(vm);
+    }
+    for (const [id, worker] of this.workers) worker.setVm(listed.get(id));
+    return this.dropGone();
+  }
+
+  /** The task of one worker. */
+  get(workerId: string): WorkerTask | undefined {
+    return this.workers.get(workerId);
+  }
+
+  /** All worker tasks. */
+  list(): readonly WorkerTask[] {
+    return [...this.workers.values()];
+  }
+
+  /** Counts for the status page. */
+  counts(): WorkerCounts {
+    const workers = this.list();
+    const ready = workers.filter(worker => worker.condition === 'ready');
+    const running = workers.reduce((sum, w) => sum + w.leases.size, 0);
+    return {
+      workers: workers.length,
+      workersReady: ready.length,
+      tasksRunning: running,
+    };
+  }
+
+  /** Ends all worker tasks. */
+  stop(): void {
+    for (const worker of this.workers.values()) worker.stop();
+  }
+
+  private add(vm: VmEntry): void {
+    const {shard, clock, timing, events, metrics} = this.parts;
+    const {observer} = this;
+    const client = this.parts.makeWorkerClient(vm, shard);
+    const common = {shard, clock, timing, events, metrics};
+    const worker = new WorkerTask({vm, client, observer, ...common});
+    this.workers.set(vm.id, worker);
+    observer.workerChanged(worker);
+    void worker.run();
+  }
+
+  private dropGone(): readonly string[] {
+    const gone: string[] = [];
+    for (const [id, worker] of this.workers) {
+      if (!worker.isGone) continue;
+      worker.stop();
+      this.workers.delete(id);
+      gone.push(id);
+    }
+    return gone;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/test/lease-book.test.ts
@@ -0,0 +1,93 @@
+import {promiseTest} from '@dragonflyward/common/promise-test';
+import {
+  lapseMs,
+  LeaseBook,
+  NETWORK_DELAY_MARGIN_MS,
+  WORKER_CALL_TIMEOUT_MS,
+} from '@dragonflyward/scheduler';
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+
+const SEED = 20261204;
+const LEASE_MS = 20_000;
+const LONGEST_DELAY_MS = WORKER_CALL_TIMEOUT_MS + NETWORK_DELAY_MARGIN_MS;
+
+interface Renewal {
+  readonly gapMs: number;
+  readonly delayMs: number;
+  readonly isDelivered: boolean;
+}
+
+/** When the worker itself ends the task, on the owner's clock. */
+function workerEndMs(renewals: readonly Renewal[], clockRate: number): number {
+  let sentMs = 0;
+  let endMs = 0;
+  for (const renewal of renewals) {
+    sentMs += renewal.gapMs;
+    if (!renewal.isDelivered) continue;
+    const arrivalMs = sentMs + renewal.delayMs;
+    endMs = Math.max(endMs, arrivalMs + LEASE_MS * clockRate);
+  }
+  return endMs;
+}
+
+const renewalsArb = fc.array(
+  fc.record({
+    gapMs: fc.integer({min: 1, max: 5_000}),
+    delayMs: fc.integer({min: 0, max: LONGEST_DELAY_MS}),
+    isDelivered: fc.boolean(),
+  }),
+  {minLength: 1, maxLength: 12},
+);
+const clockRateArb = fc.double({min: 0.99, max: 1.01, noNaN: true});
+
+/** Checks that a lapse computed by the given rule is never too early. */
+function checkLapse(lapseOf: (sentMs: number) => number): void {
+  fc.assert(
+    fc.property(renewalsArb, clockRateArb, (renewals, clockRate) => {
+      const lastSentMs = renewals.reduce((sum, r) => sum + r.gapMs, 0);
+      return lapseOf(lastSentMs) >= workerEndMs(renewals, clockRate);
+    }),
+    {seed: SEED},
+  );
+}
+
+const task = {
+  taskId: 'd:j.0.1',
+  jobId: 'd:j',
+  taskIndex: 0,
+  workerId: 'w',
+  size: {cpuMilli: 1, memMb: 1, accel: 0, slots: 0},
+};
+
+const leases = suite('lease book');
+
+promiseTest(leases, 'one-place', 'a lapse is never before the end', () => {
+  checkLapse(sentMs => lapseMs(sentMs, LEASE_MS));
+});
+
+promiseTest(leases, 'one-place', 'without its margin it may be', () => {
+  assert.throws(() => {
+    checkLapse(sentMs => sentMs + LEASE_MS);
+  });
+});
+
+leases('a start whose reply was lost is missing only once decided', () => {
+  const book = new LeaseBook(LEASE_MS);
+  book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  book.setState(task.taskId, 'unconfirmed');
+  const none = new Set<string>();
+  assert.equal([...book.missing(none, LONGEST_DELAY_MS - 1)], []);
+  assert.equal([...book.missing(none, LONGEST_DELAY_MS)], [task]);
+});
+
+leases('a confirmed task that the worker no longer lists is missing', () => {
+  const book = new LeaseBook(LEASE_MS);
+  book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  book.setState(task.taskId, 'confirmed');
+  assert.equal([...book.missing(new Set([task.taskId]), 1)], []);
+  assert.equal([...book.missing(new Set(), 1)], [task]);
+});
+
+leases.run();
