Add the demonstration run over the rig's processes

Requests refused with "not run" are sent again by their caller until its deadline, as the error table's retryable mark allows; all else is final.

--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -34,11 +34,12 @@
     path: string,
     timeoutMs: number,
     body?: unknown,
+    headers: Readonly<Record<string, string>> = {},
   ): Promise<JsonReply> {
     const {agent} = this;
     const url = this.baseUrl + path;
     try {
-      return await callJson({method, url, timeoutMs, agent, body});
+      return await callJson({method, url, timeoutMs, agent, body, headers});
     } catch (err) {
       if (toFailure(err).kind === 'peerLost') this.renewAgent(agent);
       throw err;
--- /dev/null
+++ b/packages/demo/src/demo.ts
@@ -0,0 +1,99 @@
+/** The demonstration: both users' mixes while one scheduler dies. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {newId} from '@dragonflyward/common';
+import {
+  Balancer,
+  CallerClient,
+  Rig,
+  type TeamKey,
+} from '@dragonflyward/standins';
+import {JobLoad} from './job-load.js';
+import {jobOrders} from './job-orders.js';
+import {makeReport, type DemoReport} from './report.js';
+import {RequestLoad} from './request-load.js';
+import {demoConfiguration, DEMO_FLEET, REQUEST_QUEUES, TEAMS} from './users.js';
+
+const REQUEST_DEADLINE_MS = 8_000;
+const LOAD_MS = 12_000;
+const KILL_AFTER_MS = 4_000;
+const FOLLOW_BOUND_MS = 8_000;
+const NO_REVISION = -1;
+
+/** Tells how far the run is. */
+export type ShowProgress = (text: string) => void;
+
+/**
+ * Runs the demonstration.
+ *
+ * @example
+ * const report = await runDemo(console.error);
+ */
+export async function runDemo(show: ShowProgress): Promise<DemoReport> {
+  const rig = new Rig(DEMO_FLEET);
+  try {
+    show('starting the stand-ins');
+    await rig.startPlatform();
+    await rig.operator.publish(demoConfiguration(), NO_REVISION);
+    const keys = await grantKeys(rig);
+    show('starting three entry VMs');
+    await rig.startEntries();
+    await rig.untilReady();
+    return await runLoads(rig, keys, show);
+  } finally {
+    await rig.stop();
+  }
+}
+
+async function grantKeys(rig: Rig): Promise<ReadonlyMap<string, TeamKey>> {
+  const keys = new Map<string, TeamKey>();
+  for (const team of TEAMS) keys.set(team, await rig.operator.grant(team));
+  return keys;
+}
+
+async function runLoads(
+  rig: Rig,
+  keys: ReadonlyMap<string, TeamKey>,
+  show: ShowProgress,
+): Promise<DemoReport> {
+  const balancer = new Balancer(rig);
+  const caller = new CallerClient(() => balancer.pick());
+  const loads = REQUEST_QUEUES.map(({team, perSecond, ...queue}) => {
+    const key = keys.get(team)?.text ?? '';
+    const deadlineMs = REQUEST_DEADLINE_MS;
+    return new RequestLoad(caller, {...queue, key, deadlineMs}, perSecond);
+  });
+  const jobs = new JobLoad(caller);
+  show('sending requests and jobs');
+  for (const load of loads) void load.run();
+  const submissions = [...jobOrders(newId('demo'), keys)].map(order =>
+    jobs.submit(order),
+  );
+  await killOne(rig, loads, show);
+  const results = await Promise.all(loads.map(load => load.stop()));
+  show('waiting for the jobs');
+  await Promise.all(submissions);
+  await jobs.follow(FOLLOW_BOUND_MS);
+  balancer.stop();
+  const nonIdempotent = new Set(
+    REQUEST_QUEUES.flatMap(({isIdempotent}, i) =>
+      isIdempotent ? [] : (results[i] ?? []).map(res => res.requestId),
+    ),
+  );
+  const requests = results.flat();
+  const records = await rig.targets.records();
+  return makeReport({requests, nonIdempotent, jobs, records});
+}
+
+async function killOne(
+  rig: Rig,
+  loads: readonly RequestLoad[],
+  show: ShowProgress,
+): Promise<void> {
+  await sleep(KILL_AFTER_MS);
+  const [victim] = rig.entries;
+  if (victim !== undefined) await rig.kill('scheduler', victim.id);
+  show(`killed the scheduler on ${victim?.id ?? ''}`);
+  await sleep(LOAD_MS - KILL_AFTER_MS);
+  const sent = loads.reduce((sum, load) => sum + load.sent, 0);
+  show(`${sent} requests sent`);
+}
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,6 @@
-/** The demonstration run. */
-export {};
+/** The demonstration run, and the loads that tests share with it. */
+export * from './demo.js';
+export * from './job-load.js';
+export * from './report.js';
+export * from './request-load.js';
+export * from './users.js';
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,23 @@
+/** Runs the demonstration and prints a table of what it came to. */
+import {Command} from 'commander';
+import {runDemo} from './demo.js';
+import {isGood, tableLines} from './report.js';
+
+interface Options {
+  readonly json?: boolean;
+}
+
+const command = new Command('dragonflyward-demo')
+  .description("runs both users' mixes on one machine for under 30 s")
+  .option('--json', 'print one JSON line at the end')
+  .parse();
+const {json} = command.opts<Options>();
+
+const startMs = performance.now();
+const report = await runDemo(text => {
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+  process.stderr.write(`${seconds.padStart(5)} s  ${text}\n`);
+});
+for (const line of tableLines(report)) process.stdout.write(`${line}\n`);
+if (json) process.stdout.write(`${JSON.stringify(report)}\n`);
+process.exitCode = isGood(report) ? 0 : 1;
--- /dev/null
+++ b/packages/demo/src/report.ts
@@ -0,0 +1,119 @@
+/** What the demonstration run came to. */
+import {
+  findDoubleRuns,
+  findLimitBreaches,
+  findRepeatedRequests,
+  type RequestResult,
+  type TargetRecords,
+} from '@dragonflyward/standins';
+import type {JobLoad} from './job-load.js';
+import {countOutcome} from './request-load.js';
+import {limitOf, TEAMS} from './users.js';
+
+const PERCENT = 100;
+
+/** The outcomes of a run. */
+export interface DemoReport {
+  readonly requests: {
+    readonly sent: number;
+    readonly answered: number;
+    readonly refused: number;
+    readonly unknown: number;
+    readonly lost: number;
+    /** Non-idempotent requests that ran more than once. */
+    readonly doubled: number;
+    readonly medianMs: number;
+    readonly p99Ms: number;
+  };
+  readonly jobs: {
+    readonly accepted: number;
+    readonly finished: number;
+    readonly refused: number;
+    readonly lost: number;
+    /** Tasks that ran in two places at one time. */
+    readonly doubled: number;
+  };
+  readonly overcommits: number;
+  readonly slotBreaches: number;
+  readonly limitBreaches: number;
+}
+
+/** What was sent, and what the targets recorded. */
+export interface DemoResults {
+  readonly requests: readonly RequestResult[];
+  readonly nonIdempotent: ReadonlySet<string>;
+  readonly jobs: JobLoad;
+  readonly records: TargetRecords;
+}
+
+/** Judges a run. */
+export function makeReport(results: DemoResults): DemoReport {
+  const {requests, jobs, records} = results;
+  const limits = new Map(TEAMS.map(team => [team, limitOf(team)]));
+  const repeated = findRepeatedRequests(records.requests);
+  const isOnce = (id: string): boolean => results.nonIdempotent.has(id);
+  const finished = jobs.count('succeeded');
+  return {
+    requests: {
+      sent: requests.length,
+      answered: countOutcome(requests, 'answered'),
+      refused: countOutcome(requests, 'refused'),
+      unknown: countOutcome(requests, 'unknown'),
+      lost: countOutcome(requests, 'lost'),
+      doubled: repeated.filter(isOnce).length,
+      medianMs: quantileMs(requests, 50),
+      p99Ms: quantileMs(requests, 99),
+    },
+    jobs: {
+      accepted: jobs.jobs.length,
+      finished,
+      refused: jobs.refused.length,
+      lost: jobs.jobs.length - finished,
+      doubled: findDoubleRuns(records.tasks).length,
+    },
+    overcommits: records.overcommits,
+    slotBreaches: records.slotBreaches,
+    limitBreaches: findLimitBreaches(records, limits).length,
+  };
+}
+
+/** Whether the run kept every promise that it looks at. */
+export function isGood(report: DemoReport): boolean {
+  const {requests, jobs} = report;
+  const faults = [
+    requests.lost,
+    requests.doubled,
+    jobs.lost,
+    jobs.doubled,
+    report.overcommits,
+    report.slotBreaches,
+    report.limitBreaches,
+  ];
+  return faults.every(count => count === 0) && jobs.accepted > 0;
+}
+
+/** Writes the report as a table. */
+export function* tableLines(report: DemoReport): Generator<string> {
+  yield* sectionLines('requests', report.requests);
+  yield* sectionLines('jobs', report.jobs);
+  const {overcommits, slotBreaches, limitBreaches} = report;
+  yield* sectionLines('fleet', {overcommits, slotBreaches, limitBreaches});
+}
+
+function* sectionLines(
+  name: string,
+  values: Readonly<Record<string, number>>,
+): Generator<string> {
+  for (const [key, value] of Object.entries(values)) {
+    yield `${name.padEnd(10)}${key.padEnd(16)}${String(value).padStart(8)}`;
+  }
+}
+
+function quantileMs(
+  requests: readonly RequestResult[],
+  percent: number,
+): number {
+  const sorted = requests.map(req => req.tookMs).sort((a, b) => a - b);
+  const index = Math.floor(((sorted.length - 1) * percent) / PERCENT);
+  return Math.round(sorted[index] ?? 0);
+}
--- /dev/null
+++ b/packages/demo/src/request-load.ts
@@ -0,0 +1,67 @@
+/** Sends requests at a steady rate, whatever becomes of earlier ones. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {
+  CallerClient,
+  Outcome,
+  RequestCall,
+  RequestResult,
+} from '@dragonflyward/standins';
+
+const SECOND_MS = 1_000;
+
+/** An open-loop load of one sort of request. */
+export class RequestLoad {
+  readonly results: RequestResult[] = [];
+  private readonly open = new Set<Promise<void>>();
+  private isStopped = false;
+  private sentCount = 0;
+
+  constructor(
+    private readonly caller: CallerClient,
+    private readonly call: RequestCall,
+    private readonly perSecond: number,
+  ) {}
+
+  get sent(): number {
+    return this.sentCount;
+  }
+
+  /** Sends until it is stopped. */
+  async run(): Promise<void> {
+    const startMs = performance.now();
+    while (!this.isStopped) {
+      const dueMs = startMs + (this.sentCount * SECOND_MS) / this.perSecond;
+      await sleep(Math.max(0, dueMs - performance.now()));
+      this.send();
+    }
+  }
+
+  /** Stops sending and waits for what is open. */
+  async stop(): Promise<readonly RequestResult[]> {
+    this.isStopped = true;
+    await Promise.all(this.open);
+    return this.results;
+  }
+
+  private send(): void {
+    this.sentCount += 1;
+    const one = this.caller.request(this.call).then(result => {
+      this.results.push(result);
+      this.open.delete(one);
+    });
+    this.open.add(one);
+  }
+}
+
+/**
+ * Counts the results of one outcome.
+ *
+ * @example
+ * assert.is(countOutcome(await load.stop(), 'lost'), 0);
+ */
+export function countOutcome(
+  results: readonly RequestResult[],
+  outcome: Outcome,
+): number {
+  return results.filter(result => result.outcome === outcome).length;
+}
--- /dev/null
+++ b/packages/standins/src/balancer.ts
@@ -0,0 +1,47 @@
+/** The platform's balancer: hands callers the gateways that are ready. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {raise} from '@dragonflyward/common';
+import type {Rig} from './rig.js';
+
+const PROBE_PERIOD_MS = 200;
+
+/** Chooses gateways in turn among those that were ready at the last probe. */
+export class Balancer {
+  private ready: readonly string[] = [];
+  private next = 0;
+  private isStopped = false;
+
+  constructor(private readonly rig: Rig) {
+    void this.run();
+  }
+
+  /**
+   * The URL of the next ready gateway.
+   *
+   * @throws peerDown when none is ready
+   */
+  pick(): string {
+    this.next += 1;
+    const url = this.ready[this.next % Math.max(1, this.ready.length)];
+    return url ?? raise('peerDown', 'no gateway is ready');
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      const probes = this.rig.entries.map(async ({id}) => {
+        const isReady = await this.rig.isReady('gateway', id);
+        return isReady ? this.rig.gatewayUrl(id) : undefined;
+      });
+      const results = await Promise.allSettled(probes);
+      const urls = results.map(res =>
+        res.status === 'fulfilled' ? res.value : undefined,
+      );
+      this.ready = urls.filter(url => url !== undefined);
+      await sleep(PROBE_PERIOD_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/caller-client.ts
@@ -0,0 +1,206 @@
+/** A caller: sends requests and jobs through the balancer. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  ERRORS,
+  JsonClient,
+  newId,
+  toFailure,
+  type ErrorKind,
+  type JsonReply,
+} from '@dragonflyward/common';
+import type {JobSpec, JobStatus} from '@dragonflyward/state';
+
+const RETRY_DELAY_MS = 100;
+const REPLY_MARGIN_MS = 2_000;
+const STATUS_TIMEOUT_MS = 3_000;
+
+/** How a request or a submission ended, as its caller saw it. */
+export type Outcome =
+  /** Answered whole, with the answer to this request. */
+  | 'answered'
+  /** Refused with "not run" until the deadline, or for good. */
+  | 'refused'
+  /** Answered with "outcome unknown". */
+  | 'unknown'
+  /** No answer, a cut one, or another request's. */
+  | 'lost';
+
+/** One request. */
+export interface RequestCall {
+  readonly queue: string;
+  readonly key: string;
+  readonly isIdempotent: boolean;
+  readonly deadlineMs: number;
+  readonly sleepMs: number;
+  readonly requestId?: string;
+}
+
+/** What a caller knows after a request. */
+export interface RequestResult {
+  readonly requestId: string;
+  readonly outcome: Outcome;
+  readonly status: number;
+  readonly kind: string;
+  readonly tookMs: number;
+}
+
+/** One job as its caller submits it. */
+export type JobCall = Omit<JobSpec, 'jobId' | 'team'> & {
+  readonly id: string;
+  readonly domain?: string;
+};
+
+/** What a caller knows after a submission. */
+export interface SubmitResult {
+  readonly outcome: Outcome;
+  readonly jobId: string;
+  readonly kind: string;
+}
+
+interface ErrorBody {
+  readonly error?: {readonly kind: ErrorKind; readonly outcome: string};
+}
+
+interface Attempt {
+  readonly outcome: Outcome;
+  readonly status: number;
+  readonly kind: string;
+  readonly isRetryable: boolean;
+  readonly body: unknown;
+}
+
+/** Sends through whichever gateway the balancer gives it. */
+export class CallerClient {
+  private readonly clients = new Map<string, JsonClient>();
+
+  constructor(private readonly pick: () => string) {}
+
+  /**
+   * Sends a request; a refusal that says "not run" is sent again.
+   *
+   * @example
+   * const {outcome} = await caller.request(call);
+   */
+  async request(call: RequestCall): Promise<RequestResult> {
+    const requestId = call.requestId ?? newId('q');
+    const {queue, key, deadlineMs, sleepMs, isIdempotent} = call;
+    const startMs = performance.now();
+    const body = {sleepMs, echo: requestId};
+    const attempt = await this.persist(deadlineMs, leftMs =>
+      this.call('POST', `/v1/requests/${queue}`, leftMs, body, {
+        ...authorization(key),
+        'x-request-id': requestId,
+        'x-deadline-ms': `${Math.floor(leftMs)}`,
+        'x-idempotent': `${isIdempotent}`,
+      }),
+    );
+    const {status, kind} = attempt;
+    const isOwn = attempt.outcome !== 'answered' || attempt.body === requestId;
+    const outcome = isOwn ? attempt.outcome : 'lost';
+    const tookMs = performance.now() - startMs;
+    return {requestId, outcome, status, kind, tookMs};
+  }
+
+  /**
+   * Submits a job; its id makes it safe to send it again.
+   *
+   * @example
+   * const {jobId} = await caller.submit(key, job, 10_000);
+   */
+  async submit(
+    key: string,
+    job: JobCall,
+    deadlineMs: number,
+  ): Promise<SubmitResult> {
+    const attempt = await this.persist(deadlineMs, async leftMs => {
+      const headers = authorization(key);
+      const made = await this.call('POST', '/v1/jobs', leftMs, job, headers);
+      const isOpen = made.outcome === 'lost' || made.outcome === 'unknown';
+      return isOpen ? {...made, isRetryable: true} : made;
+    });
+    const {outcome, kind} = attempt;
+    const {jobId = ''} = (attempt.body ?? {}) as {readonly jobId?: string};
+    return {outcome, jobId, kind};
+  }
+
+  /** Reads a job's status; undefined when no gateway told it. */
+  async status(key: string, jobId: string): Promise<JobStatus | undefined> {
+    const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
+    const headers = authorization(key);
+    const timeoutMs = STATUS_TIMEOUT_MS;
+    const attempt = await this.call('GET', path, timeoutMs, undefined, headers);
+    const isTold = attempt.outcome === 'answered';
+    return isTold ? (attempt.body as JobStatus) : undefined;
+  }
+
+  /** Cancels a job. */
+  async cancel(key: string, jobId: string): Promise<Outcome> {
+    const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
+    const headers = authorization(key);
+    const timeoutMs = STATUS_TIMEOUT_MS;
+    const attempt = await this.call(
+      'DELETE',
+      path,
+      timeoutMs,
+      undefined,
+      headers,
+    );
+    return attempt.outcome;
+  }
+
+  private async persist(
+    deadlineMs: number,
+    send: (leftMs: number) => Promise<Attempt>,
+  ): Promise<Attempt> {
+    const endMs = performance.now() + deadlineMs;
+    for (;;) {
+      const attempt = await send(endMs - performance.now());
+      const leftMs = endMs - performance.now() - RETRY_DELAY_MS;
+      if (!attempt.isRetryable || leftMs <= 0) return attempt;
+      await sleep(RETRY_DELAY_MS);
+    }
+  }
+
+  private async call(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    leftMs: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<Attempt> {
+    const timeoutMs = leftMs + REPLY_MARGIN_MS;
+    try {
+      const client = this.clientOf(this.pick());
+      return judge(await client.call(method, path, timeoutMs, body, headers));
+    } catch (err) {
+      const {kind, detail} = toFailure(err);
+      const isUnsent = kind === 'peerDown';
+      const outcome = isUnsent ? 'refused' : 'lost';
+      const isRetryable = isUnsent;
+      return {outcome, status: 0, kind: detail, isRetryable, body: undefined};
+    }
+  }
+
+  private clientOf(url: string): JsonClient {
+    const known = this.clients.get(url);
+    if (known !== undefined) return known;
+    const client = new JsonClient(url);
+    this.clients.set(url, client);
+    return client;
+  }
+}
+
+function authorization(key: string): Readonly<Record<string, string>> {
+  return {authorization: `Bearer ${key}`};
+}
+
+function judge({status, body}: JsonReply): Attempt {
+  const made = {status, body, kind: '', isRetryable: false};
+  if (status === 200 || status === 202) return {...made, outcome: 'answered'};
+  const {error} = (body ?? {}) as ErrorBody;
+  if (error === undefined) return {...made, outcome: 'lost'};
+  const {kind} = error;
+  if (error.outcome !== 'not run') return {...made, kind, outcome: 'unknown'};
+  const {isRetryable} = ERRORS[kind];
+  return {...made, kind, isRetryable, outcome: 'refused'};
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,6 @@
 /** Small stand-ins for the platform, and the rig that runs them. */
+export * from './balancer.js';
+export * from './caller-client.js';
 export * from './fleet.js';
 export * from './judge.js';
 export * from './operator.js';
