--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -43,6 +43,11 @@
     return this.results;
   }
 
+  /** The ids of the requests that have ended. */
+  requestIds(): readonly string[] {
+    return this.results.map(result => result.requestId);
+  }
+
   private send(): void {
     this.sentCount += 1;
     const one = this.caller.request(this.call).then(result => {
--- /dev/null
+++ b/packages/demo/test/cell.ts
@@ -0,0 +1,233 @@
+/** A small cell under load, and the verdict on what it did. */
+import {
+  newId,
+  NO_RESOURCES,
+  type Resources,
+  type TimingSettings,
+} from '@dragonflyward/common';
+import type {Configuration, JobStatus, QueueConfig} from '@dragonflyward/state';
+import {
+  Balancer,
+  CallerClient,
+  findDoubleRuns,
+  findLimitBreaches,
+  findRepeatedRequests,
+  findRepeats,
+  readShard,
+  Rig,
+  waitUntil,
+  type FleetPlan,
+  type JobCall,
+  type RequestCall,
+  type TeamKey,
+} from '@dragonflyward/standins';
+import * as assert from 'uvu/assert';
+import {JobLoad, RequestLoad} from '../src/index.js';
+
+export const TEAM = 'roofers';
+export const REQUEST_DEADLINE_MS = 10_000;
+/** How long a cell may take to be whole again after one failure. */
+export const RECOVERY_BOUND_MS = 30_000;
+export const DOMAINS = ['north-1', 'south-1', 'east-1'];
+
+const CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
+const LIMIT: Resources = {
+  cpuMilli: 40_000,
+  memMb: 40_960,
+  accel: 0,
+  slots: 64,
+};
+const WORKER: Resources = {...NO_RESOURCES, cpuMilli: 8_000, memMb: 16_384};
+const NO_REVISION = -1;
+
+/** Short leases, so that their lapse is seen soon. */
+const TIMING: Partial<TimingSettings> = {
+  taskLeaseMs: 6_000,
+  renewPeriodMs: 1_000,
+  vmListPeriodMs: 500,
+  balancerDelayMs: 1_000,
+};
+
+const FLEET: FleetPlan = {
+  domains: DOMAINS,
+  entriesPerDomain: 1,
+  workers: [{count: 6, capacity: WORKER}],
+  executors: [{count: 6, service: 'counter'}],
+};
+
+const QUEUE: QueueConfig = {
+  priority: 'normal',
+  service: '',
+  isOpen: false,
+  maxBodyBytes: 65_536,
+  maxDeadlineMs: 30_000,
+  maxWaiting: 1_000,
+  policy: 'pack',
+};
+
+const CONFIGURATION: Configuration = {
+  defaults: {
+    queues: {
+      quotes: {...QUEUE, priority: 'urgent', service: 'counter'},
+      kilns: QUEUE,
+    },
+    organisations: {valley: {share: 1}},
+    teams: {[TEAM]: {organisation: 'valley', share: 1, limit: LIMIT}},
+  },
+  exceptions: [],
+};
+
+/** A job of short tasks. */
+export function jobOf(change: Partial<JobCall> = {}): JobCall {
+  return {
+    id: newId('job'),
+    queue: 'kilns',
+    tasks: 2,
+    isGang: false,
+    isService: false,
+    isIdempotent: true,
+    size: CORE,
+    runMs: 500,
+    payload: {runMs: 500},
+    ...change,
+  };
+}
+
+/** A job whose tasks run for this long. */
+export function longJob(runMs: number, change: Partial<JobCall> = {}): JobCall {
+  return jobOf({runMs, payload: {runMs}, ...change});
+}
+
+/** Three entry VMs, six workers and six executors with one team. */
+export class Cell {
+  readonly rig = new Rig({...FLEET, timing: TIMING});
+  readonly balancer = new Balancer(this.rig);
+  readonly caller = new CallerClient(() => this.balancer.pick());
+  readonly jobs = new JobLoad(this.caller);
+  private readonly loads: RequestLoad[] = [];
+  private readonly onceJobs = new Set<string>();
+  private teamKey: TeamKey | undefined;
+
+  /** Starts all and waits until the cell serves. */
+  async start(): Promise<void> {
+    await this.rig.startPlatform();
+    await this.rig.operator.publish(CONFIGURATION, NO_REVISION);
+    this.teamKey = await this.rig.operator.grant(TEAM);
+    await this.rig.startEntries();
+    await this.rig.untilReady();
+    await this.untilServing();
+  }
+
+  async stop(): Promise<void> {
+    this.balancer.stop();
+    await this.rig.stop();
+  }
+
+  get key(): TeamKey {
+    assert.ok(this.teamKey);
+    return this.teamKey;
+  }
+
+  /** Waits until each shard has an owner and requests are answered. */
+  async untilServing(): Promise<void> {
+    for (const domain of DOMAINS) {
+      await waitUntil(`${domain} has an owner`, RECOVERY_BOUND_MS, () =>
+        this.ownerOf(domain),
+      );
+    }
+    await waitUntil('a request is answered', RECOVERY_BOUND_MS, async () => {
+      const {outcome} = await this.caller.request(this.requestOf());
+      return outcome === 'answered';
+    });
+  }
+
+  /** The VM whose scheduler owns a domain's shard by the log. */
+  async ownerOf(domain: string): Promise<string | undefined> {
+    const {owner} = await readShard(this.rig.log, domain);
+    return owner?.vm;
+  }
+
+  async termOf(domain: string): Promise<number> {
+    return (await readShard(this.rig.log, domain)).term;
+  }
+
+  requestOf(change: Partial<RequestCall> = {}): RequestCall {
+    return {
+      queue: 'quotes',
+      key: this.key.text,
+      isIdempotent: true,
+      deadlineMs: REQUEST_DEADLINE_MS,
+      sleepMs: 50,
+      ...change,
+    };
+  }
+
+  /** Sends requests at a steady rate until the load is stopped. */
+  startLoad(perSecond: number, change: Partial<RequestCall> = {}): RequestLoad {
+    const load = new RequestLoad(
+      this.caller,
+      this.requestOf(change),
+      perSecond,
+    );
+    if (change.isIdempotent === false) this.loads.push(load);
+    void load.run();
+    return load;
+  }
+
+  /** Submits a job, which must be accepted. */
+  async submit(job: JobCall): Promise<string> {
+    const jobId = await this.jobs.submit({key: this.key, job});
+    assert.ok(jobId, this.jobs.refused.at(-1));
+    if (!job.isIdempotent) this.onceJobs.add(jobId);
+    return jobId;
+  }
+
+  async submitAll(jobs: readonly JobCall[]): Promise<readonly string[]> {
+    return Promise.all(jobs.map(job => this.submit(job)));
+  }
+
+  /** Waits until a job has this many tasks running on workers. */
+  async untilRunning(jobId: string, tasks: number): Promise<void> {
+    await waitUntil(`${jobId} runs`, RECOVERY_BOUND_MS, async () => {
+      const records = await this.rig.targets.records();
+      const runs = records.tasks.filter(run => run.jobId === jobId);
+      return runs.filter(run => run.endMs === null).length >= tasks;
+    });
+  }
+
+  statusOf(jobId: string): JobStatus | undefined {
+    return this.jobs.jobs.find(job => job.jobId === jobId)?.status;
+  }
+
+  /** All accepted jobs have ended as they may, and no promise is broken. */
+  async judge(): Promise<void> {
+    await this.jobs.follow(RECOVERY_BOUND_MS);
+    const open = this.jobs.open().map(job => `${job.jobId}`);
+    assert.equal(open, [], 'jobs that have not ended');
+    for (const job of this.jobs.jobs) this.judgeEnd(job.jobId);
+    const records = await this.rig.targets.records();
+    assert.is(records.overcommits, 0, 'overcommits');
+    assert.is(records.slotBreaches, 0, 'executors over their slots');
+    assert.equal(findDoubleRuns(records.tasks), [], 'in two places');
+    assert.equal(findRepeats(records.tasks, this.onceJobs), [], 'run again');
+    const limits = new Map([[TEAM, LIMIT]]);
+    assert.equal(findLimitBreaches(records, limits), [], 'over the limit');
+    const once = new Set(this.loads.flatMap(load => load.requestIds()));
+    const repeated = findRepeatedRequests(records.requests);
+    assert.equal(
+      repeated.filter(id => once.has(id)),
+      [],
+      'requests run again',
+    );
+  }
+
+  private judgeEnd(jobId: string): void {
+    const end = this.statusOf(jobId)?.end;
+    const isOnce = this.onceJobs.has(jobId);
+    const isKept = end === 'succeeded' || end === 'cancelled';
+    assert.ok(
+      isKept || (isOnce && end === 'outcomeUnknown'),
+      `${jobId} ${end}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -0,0 +1,133 @@
+/** Entry VMs are cut from the log, replaced and shut down. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {promiseTest} from '@dragonflyward/common/promise-test';
+import {CallerClient, waitUntil, type TeamKey} from '@dragonflyward/standins';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {countOutcome} from '../src/index.js';
+import {Cell, jobOf, longJob, RECOVERY_BOUND_MS, TEAM} from './cell.js';
+
+/** How soon a withdrawn key must be refused. */
+const WITHDRAWAL_BOUND_MS = 5_000;
+const AFTER_WITHDRAWAL_MS = 1_500;
+const CUT_MS = 6_000;
+
+const entries = suite('entry failure');
+const cell = new Cell();
+
+entries.before(() => cell.start());
+entries.after(() => cell.stop());
+
+/** Whether one gateway takes a key, by a request sent to it alone. */
+async function isTaken(vm: string, key: TeamKey): Promise<boolean> {
+  const caller = new CallerClient(() => cell.rig.gatewayUrl(vm));
+  const call = cell.requestOf({key: key.text, sleepMs: 0});
+  const res = await caller.request({...call, deadlineMs: 1_000});
+  return res.outcome === 'answered';
+}
+
+async function untilTakenEverywhere(key: TeamKey): Promise<void> {
+  for (const {id} of cell.rig.entries) {
+    await waitUntil(`${id} takes the key`, RECOVERY_BOUND_MS, () =>
+      isTaken(id, key),
+    );
+  }
+}
+
+async function expectRefusedEverywhere(key: TeamKey): Promise<void> {
+  await cell.rig.operator.withdraw(key);
+  await sleep(WITHDRAWAL_BOUND_MS);
+  const endMs = performance.now() + AFTER_WITHDRAWAL_MS;
+  while (performance.now() < endMs) {
+    for (const {id} of cell.rig.entries) {
+      assert.is(await isTaken(id, key), false, `${id} takes the key`);
+    }
+  }
+}
+
+promiseTest(
+  entries,
+  'team-key',
+  'a withdrawn key is refused by all gateways within seconds',
+  async () => {
+    const key = await cell.rig.operator.grant(TEAM);
+    await untilTakenEverywhere(key);
+    await expectRefusedEverywhere(key);
+  },
+);
+
+promiseTest(
+  entries,
+  'team-key',
+  'a withdrawn key is refused where the log cannot be read',
+  async () => {
+    const [cut] = cell.rig.entries;
+    assert.ok(cut);
+    const key = await cell.rig.operator.grant(TEAM);
+    await untilTakenEverywhere(key);
+    await cell.rig.switchLog({cutFrom: [cut.ip]});
+    await expectRefusedEverywhere(key);
+    await cell.rig.switchLog({cutFrom: []});
+  },
+);
+
+entries('an entry VM cut from the log keeps serving requests', async () => {
+  const [cut] = cell.rig.entries;
+  assert.ok(cut);
+  const domain = cut.domain;
+  await cell.submit(longJob(CUT_MS, {domain}));
+  await cell.rig.switchLog({cutFrom: [cut.ip]});
+  const load = cell.startLoad(20, {isIdempotent: false});
+  await sleep(CUT_MS);
+  const results = await load.stop();
+  assert.is(countOutcome(results, 'lost'), 0);
+  assert.is(countOutcome(results, 'answered'), results.length);
+  assert.ok(await isTaken(cut.id, cell.key));
+  await cell.submit(jobOf({domain}));
+  await cell.rig.switchLog({cutFrom: []});
+  await cell.judge();
+});
+
+promiseTest(
+  entries,
+  'graceful-stop',
+  'programs are shut down under load and no request is cut off',
+  async () => {
+    const load = cell.startLoad(40, {isIdempotent: false, sleepMs: 300});
+    await cell.submit(longJob(CUT_MS));
+    for (const {id} of cell.rig.entries) {
+      for (const role of ['gateway', 'scheduler'] as const) {
+        assert.is(await cell.rig.terminate(role, id), 0, `${role} ${id}`);
+        cell.rig.startRole(role, id);
+        await cell.rig.untilRoleReady(role, id);
+      }
+    }
+    const results = await load.stop();
+    assert.is(countOutcome(results, 'lost'), 0);
+    assert.is(countOutcome(results, 'unknown'), 0);
+    await cell.judge();
+  },
+);
+
+promiseTest(
+  entries,
+  'one-place',
+  'all entry VMs are replaced one after another',
+  async () => {
+    const load = cell.startLoad(20, {isIdempotent: false});
+    const jobs = [longJob(CUT_MS), longJob(CUT_MS, {isIdempotent: false})];
+    await cell.submitAll(jobs);
+    for (const {id, domain} of cell.rig.entries) {
+      const added = await cell.rig.addEntry(domain);
+      await cell.rig.untilRoleReady('gateway', added.id);
+      await cell.rig.untilRoleReady('scheduler', added.id);
+      await cell.rig.removeEntry(id);
+      await cell.submit(jobOf({domain}));
+    }
+    await load.stop();
+    await cell.untilServing();
+    await cell.judge();
+  },
+);
+
+entries.run();
--- /dev/null
+++ b/packages/demo/test/target-failure.process.test.ts
@@ -0,0 +1,124 @@
+/** Workers fall silent and executors leave or fail. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {promiseTest} from '@dragonflyward/common/promise-test';
+import {waitUntil} from '@dragonflyward/standins';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {countOutcome, type RequestLoad} from '../src/index.js';
+import {Cell, jobOf, longJob, RECOVERY_BOUND_MS} from './cell.js';
+
+const LONG_MS = 8_000;
+/** How soon a leaving target must get nothing new. */
+const LEAVING_BOUND_MS = 5_000;
+const AFTER_LEAVING_MS = 2_000;
+
+const targets = suite('target failure');
+const cell = new Cell();
+
+targets.before(() => cell.start());
+targets.after(() => cell.stop());
+
+async function expectNothingNew(executor: string): Promise<void> {
+  await sleep(LEAVING_BOUND_MS);
+  const before = await cell.rig.targets.requestsOf(executor);
+  await sleep(AFTER_LEAVING_MS);
+  const after = await cell.rig.targets.requestsOf(executor);
+  assert.is(after.length, before.length, 'requests after it left');
+}
+
+async function untilUsed(executor: string): Promise<void> {
+  await waitUntil(`${executor} is used`, RECOVERY_BOUND_MS, async () => {
+    return (await cell.rig.targets.requestsOf(executor)).length > 0;
+  });
+}
+
+async function expectAllAnswered(load: RequestLoad): Promise<void> {
+  const results = await load.stop();
+  assert.is(countOutcome(results, 'answered'), results.length);
+}
+
+promiseTest(
+  targets,
+  'leaving-target',
+  'an executor that the list shows as leaving gets nothing new',
+  async () => {
+    const load = cell.startLoad(60);
+    await untilUsed('executor-1');
+    await cell.rig.switchVms({leaving: ['executor-1']});
+    await expectNothingNew('executor-1');
+    await expectAllAnswered(load);
+    await cell.rig.switchVms({set: [cell.rig.targets.vmOf('executor-1')]});
+  },
+);
+
+promiseTest(
+  targets,
+  'leaving-target',
+  'an executor that says it is draining gets nothing new',
+  async () => {
+    const load = cell.startLoad(60);
+    await untilUsed('executor-2');
+    await cell.rig.targets.switchExecutor('executor-2', {draining: true});
+    await expectNothingNew('executor-2');
+    await expectAllAnswered(load);
+    await cell.rig.targets.switchExecutor('executor-2', {draining: false});
+  },
+);
+
+promiseTest(
+  targets,
+  'at-most-once',
+  'an executor answers nothing, and its requests run no second time',
+  async () => {
+    await cell.rig.targets.switchExecutor('executor-3', {blackhole: true});
+    const load = cell.startLoad(40, {isIdempotent: false, deadlineMs: 2_000});
+    await sleep(LEAVING_BOUND_MS);
+    const results = await load.stop();
+    assert.is(countOutcome(results, 'lost'), 0);
+    await cell.rig.targets.switchExecutor('executor-3', {blackhole: false});
+    await cell.judge();
+  },
+);
+
+promiseTest(
+  targets,
+  'whole-answer',
+  'an executor cuts its answers off and callers get whole ones',
+  async () => {
+    await cell.rig.targets.switchExecutor('executor-4', {cutBody: true});
+    const load = cell.startLoad(40);
+    await sleep(LEAVING_BOUND_MS);
+    const results = await load.stop();
+    assert.is(countOutcome(results, 'lost'), 0);
+    await cell.rig.targets.switchExecutor('executor-4', {cutBody: false});
+  },
+);
+
+promiseTest(
+  targets,
+  'one-place',
+  'a worker falls silent past its leases and comes back',
+  async () => {
+    const jobs = Array.from({length: 12}, () => longJob(LONG_MS));
+    const jobIds = await cell.submitAll(jobs);
+    await cell.untilRunning(jobIds[0] ?? '', 1);
+    await cell.rig.targets.switchWorker('worker-1', {silent: true});
+    await cell.submitAll([jobOf(), jobOf(), jobOf()]);
+    await waitUntil('its leases lapse', RECOVERY_BOUND_MS, async () => {
+      const {tasks} = await cell.rig.targets.records();
+      const own = tasks.filter(run => run.workerId === 'worker-1');
+      return own.every(run => run.endMs !== null);
+    });
+    await cell.rig.targets.switchWorker('worker-1', {silent: false});
+    await cell.judge();
+  },
+);
+
+targets('a worker fails everything it starts and jobs still end', async () => {
+  await cell.rig.targets.switchWorker('worker-2', {failAll: true});
+  await cell.submitAll(Array.from({length: 12}, () => jobOf()));
+  await cell.judge();
+  await cell.rig.targets.switchWorker('worker-2', {failAll: false});
+});
+
+targets.run();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,6 +4,7 @@
 export * from './fleet.js';
 export * from './judge.js';
 export * from './operator.js';
+export * from './owner.js';
 export * from './processes.js';
 export * from './rig.js';
 export * from './targets.js';
