--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,7 +1,10 @@
 /** Small stand-ins for the platform, and the rig that runs them. */
+export * from './balancer.js';
+export * from './caller-client.js';
 export * from './fleet.js';
 export * from './judge.js';
 export * from './operator.js';
+export * from './owner.js';
 export * from './processes.js';
 export * from './rig.js';
 export * from './targets.js';
