--- /dev/null
+++ b/packages/policy/src/adjust.ts
@@ -0,0 +1,142 @@
+/** Fits the reservations of running tasks to what they are seen to use. */
+import {fitsIn, subtractResources, type Resources} from '@dragonflyward/common';
+import {isSameSize} from './amounts.js';
+import type {EngineCore} from './core.js';
+import type {Decision, UsageSample} from './engine.js';
+import {announce} from './make-room.js';
+import {flush} from './place-waiting.js';
+import type {RunningTask} from './state.js';
+
+/** Measurements of a task before its reservation is raised or lowered. */
+const RAISE_SAMPLES = 2;
+const LOWER_SAMPLES = 5;
+/** What is reserved beyond the largest use that was measured. */
+const PEAK_MARGIN = 1.2;
+/** A reservation is lowered only where this part of it would do. */
+const LOWER_PART = 0.7;
+/** Use at this part of the reservation counts as held back by its cap. */
+const CAPPED_PART = 0.95;
+/** How much more a task that is held back may want. */
+const CAPPED_FACTOR = 2;
+/** How long a reservation stays as it was set. */
+const RESIZE_PAUSE_MS = 5_000;
+
+/**
+ * Learns from measurements; what follows from them is decided later.
+ *
+ * @example
+ * learnUsage(core, samples);
+ */
+export function learnUsage(
+  core: EngineCore,
+  samples: readonly UsageSample[],
+): void {
+  for (const sample of samples) {
+    const running = core.cell.tasks.get(sample.taskId);
+    if (running !== undefined) learnSample(core, running, sample);
+  }
+  core.estimates.refresh();
+}
+
+function learnSample(
+  core: EngineCore,
+  running: RunningTask,
+  sample: UsageSample,
+): void {
+  const {job} = running.job;
+  const {size} = running.task;
+  const cpuMilli = uncapped(sample.cpuMilli, size.cpuMilli);
+  const {memMb} = sample;
+  running.peakCpuMilli = Math.max(running.peakCpuMilli, cpuMilli);
+  running.peakMemMb = Math.max(running.peakMemMb, memMb);
+  running.sampleCount += 1;
+  const {queue, team, size: declared} = job;
+  core.estimates.noteUse({queue, team, declared, cpuMilli, memMb});
+  core.toReview.add(running);
+}
+
+/** A task at its cap of processor time may want more than was measured. */
+function uncapped(used: number, reserved: number): number {
+  const isCapped = reserved > 0 && used >= reserved * CAPPED_PART;
+  return isCapped ? used * CAPPED_FACTOR : used;
+}
+
+/**
+ * Changes the reservations of the tasks that were measured.
+ *
+ * @example
+ * yield* adjustReservations(core);
+ */
+export function* adjustReservations(core: EngineCore): Generator<Decision> {
+  for (const running of core.toReview) {
+    core.toReview.delete(running);
+    if (core.cell.tasks.get(running.task.taskId) !== running) continue;
+    if (running.isStopping) continue;
+    adjust(core, running);
+    yield* flush(core);
+  }
+}
+
+function adjust(core: EngineCore, running: RunningTask): void {
+  if (core.nowMs - running.resizedMs < RESIZE_PAUSE_MS) return;
+  if (running.sampleCount < RAISE_SAMPLES) return;
+  const wanted = wantedSize(running);
+  const {size} = running.task;
+  if (isSameSize(wanted, size)) return;
+  if (fitsIn(wanted, size)) {
+    resize(core, running, wanted);
+    return;
+  }
+  if (mayRaise(core, running, wanted)) {
+    resize(core, running, wanted);
+    return;
+  }
+  moveIfTooLarge(core, running);
+}
+
+/** What the task should reserve; unchanged parts stay as they are. */
+function wantedSize(running: RunningTask): Resources {
+  const {size} = running.task;
+  const mayLower = running.sampleCount >= LOWER_SAMPLES;
+  return {
+    ...size,
+    cpuMilli: fitPart(running.peakCpuMilli, size.cpuMilli, mayLower),
+    memMb: fitPart(running.peakMemMb, size.memMb, mayLower),
+  };
+}
+
+function fitPart(peak: number, reserved: number, mayLower: boolean): number {
+  const wanted = Math.ceil(peak * PEAK_MARGIN);
+  if (peak > reserved) return wanted;
+  const isMuchLess = wanted < reserved * LOWER_PART;
+  return mayLower && isMuchLess ? Math.max(1, wanted) : reserved;
+}
+
+function mayRaise(
+  core: EngineCore,
+  running: RunningTask,
+  wanted: Resources,
+): boolean {
+  const more = subtractResources(wanted, running.task.size);
+  const worker = core.cell.getWorker(running.task.workerId);
+  if (!fitsIn(more, subtractResources(worker.free, worker.heldUrgent))) {
+    return false;
+  }
+  return core.teams.isAllowed(running.job.team, more);
+}
+
+function resize(core: EngineCore, running: RunningTask, size: Resources): void {
+  core.cell.resize(running, size);
+  running.resizedMs = core.nowMs;
+  const {taskId, workerId} = running.task;
+  core.outbox.push({kind: 'resize', taskId, workerId, size});
+}
+
+/** Memory cannot be throttled: a task that lacks it starts again elsewhere. */
+function moveIfTooLarge(core: EngineCore, running: RunningTask): void {
+  const {job} = running.job;
+  if (running.peakMemMb <= running.task.size.memMb) return;
+  if (!job.isIdempotent || job.isGang) return;
+  core.cell.markStopping(running);
+  announce(core, running, 'it needs more memory than the worker has free');
+}
--- a/packages/policy/src/amounts.ts
+++ b/packages/policy/src/amounts.ts
@@ -73,3 +73,18 @@
 export function isNothing(amount: Resources): boolean {
   return isSameSize(amount, NO_RESOURCES);
 }
+
+/**
+ * The larger part of each resource.
+ *
+ * @example
+ * largest = mostOf(largest, worker.capacity);
+ */
+export function mostOf(a: Resources, b: Resources): Resources {
+  return {
+    cpuMilli: Math.max(a.cpuMilli, b.cpuMilli),
+    memMb: Math.max(a.memMb, b.memMb),
+    accel: Math.max(a.accel, b.accel),
+    slots: Math.max(a.slots, b.slots),
+  };
+}
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -1,10 +1,12 @@
 /** The workers of a shard and the tasks that have reservations on them. */
 import {
   addResources,
+  fitsIn,
   NO_RESOURCES,
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
+import {dominantShare, mostOf} from './amounts.js';
 import type {PolicyWorker} from './engine.js';
 import {newWorkerState, type RunningTask, type WorkerState} from './state.js';
 import type {TeamTable} from './team-table.js';
@@ -16,6 +18,8 @@
 export class Cell {
   readonly workers = new Map<string, WorkerState>();
   readonly tasks = new Map<string, RunningTask>();
+  /** The most of each resource that any worker has. */
+  private largest: Resources = NO_RESOURCES;
 
   constructor(
     private readonly teams: TeamTable,
@@ -60,6 +64,20 @@
     });
   }
 
+  /** Tells whether some worker could hold that much if it were empty. */
+  canEverHold(size: Resources): boolean {
+    for (const {worker} of this.workers.values()) {
+      if (worker.condition === 'leaving') continue;
+      if (fitsIn(size, worker.capacity)) return true;
+    }
+    return false;
+  }
+
+  /** Tells whether the size takes that part of the largest worker. */
+  isLarge(size: Resources, part: number): boolean {
+    return dominantShare(size, this.largest) >= part;
+  }
+
   /** Reserves what a task needs. */
   charge(running: RunningTask): void {
     const {task, job} = running;
@@ -80,6 +98,7 @@
     worker.tasks.delete(running);
     this.addUse(worker, subtractResources(NO_RESOURCES, task.size));
     this.teams.release(job.team, task.size, running.isUrgent);
+    if (running.isStopping) this.teams.noteStopped(job.team, task.size);
     if (job.running.get(task.taskIndex) === running) {
       job.running.delete(task.taskIndex);
     }
@@ -87,6 +106,20 @@
     this.onRoom(worker);
   }
 
+  /** Notes that a task was told to stop; its room is taken until it ends. */
+  markStopping(running: RunningTask): void {
+    if (running.isStopping) return;
+    running.isStopping = true;
+    this.teams.noteStopping(running.job.team, running.task.size);
+  }
+
+  /** Takes back that a task was told to stop. */
+  unmarkStopping(running: RunningTask): void {
+    if (!running.isStopping) return;
+    running.isStopping = false;
+    this.teams.noteStopped(running.job.team, running.task.size);
+  }
+
   /** Changes what a running task has reserved. */
   resize(running: RunningTask, size: Resources): void {
     const worker = this.getWorker(running.task.workerId);
@@ -112,10 +145,13 @@
 
   private refreshTotal(): void {
     let total = NO_RESOURCES;
+    let largest = NO_RESOURCES;
     for (const {worker} of this.workers.values()) {
       if (worker.condition === 'leaving') continue;
       total = addResources(total, worker.capacity);
+      largest = mostOf(largest, worker.capacity);
     }
+    this.largest = largest;
     this.teams.setTotal(total);
   }
 }
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -15,10 +15,13 @@
   SpreadPolicy,
   type PlacementPolicy,
 } from './placement-policy.js';
+import {Estimates} from './estimates.js';
 import {JobFailures} from './failures.js';
+import {HoldTable} from './holds.js';
 import {RoomMemo} from './room-memo.js';
 import type {JobState, RunningTask, WorkerState} from './state.js';
 import {TeamTable} from './team-table.js';
+import {WorkerHealth} from './worker-health.js';
 
 /** The policy of each kind of work. */
 export interface PolicySet {
@@ -45,6 +48,9 @@
   readonly queues: Map<string, PolicyQueue>;
   readonly jobs: Map<string, JobState>;
   readonly failures: JobFailures;
+  readonly health: WorkerHealth;
+  readonly estimates: Estimates;
+  readonly holds: HoldTable;
   readonly policies: PolicySet;
   /** Decisions that are counted and still have to be yielded. */
   readonly outbox: Decision[];
@@ -52,6 +58,15 @@
   nowMs: number;
   /** When the fair shares were last computed. */
   fairAtMs: number;
+  /** When room was last sought for work that is hard to place. */
+  reservedAtMs: number;
+  /** Running tasks whose use was measured since they were last reviewed. */
+  readonly toReview: Set<RunningTask>;
+}
+
+/** How far a priority is from the most urgent one. */
+export function rankOfPriority(priority: PolicyPriority): number {
+  return PRIORITIES.indexOf(priority);
 }
 
 /** The priorities from the most to the least urgent. */
@@ -77,6 +92,9 @@
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
+    health: new WorkerHealth(),
+    estimates: new Estimates(),
+    holds: new HoldTable(worker => memo.noteRoom(worker)),
     policies: options.policies ?? {
       pack: new PackPolicy(),
       spread: new SpreadPolicy(),
@@ -86,6 +104,8 @@
     nextTask: options.firstTaskNumber ?? 1,
     nowMs: 0,
     fairAtMs: -Infinity,
+    reservedAtMs: -Infinity,
+    toReview: new Set(),
   };
 }
 
@@ -130,6 +150,7 @@
   core.nextTask += 1;
   state.pending.delete(taskIndex);
   state.waitClass?.shrink(state, 1);
+  core.holds.useSlot(jobId, worker);
   const {workerId} = worker.worker;
   return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
 }
@@ -154,6 +175,7 @@
     peakCpuMilli: 0,
     peakMemMb: 0,
     sampleCount: 0,
+    resizedMs: core.nowMs,
   };
   core.cell.charge(running);
   return running;
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,11 +1,16 @@
 /** The stages of a decision, in their order. */
+import {adjustReservations} from './adjust.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {refreshFairShares} from './fair-shares.js';
 import {flush, placeWaiting} from './place-waiting.js';
+import {preemptForUrgent, reclaimShares} from './preempt.js';
+import {placeHeld, reserveForBlocked} from './reserve.js';
 
 /** How old the fair shares may be. */
 const FAIR_SHARES_MS = 500;
+/** How often room is sought for work that is hard to place. */
+const RESERVE_EVERY_MS = 250;
 
 /**
  * Decides all that can be decided now.
@@ -14,11 +19,29 @@
  * for (const decision of decideAll(core)) send(decision);
  */
 export function* decideAll(core: EngineCore): Generator<Decision> {
+  retryWorkers(core);
   yield* flush(core);
   if (core.nowMs - core.fairAtMs >= FAIR_SHARES_MS) {
     refreshFairShares(core.teams);
     core.fairAtMs = core.nowMs;
   }
+  yield* adjustReservations(core);
+  yield* placeHeld(core);
   yield* placeWaiting(core, 'urgent');
+  yield* preemptForUrgent(core);
+  if (core.nowMs - core.reservedAtMs >= RESERVE_EVERY_MS) {
+    core.reservedAtMs = core.nowMs;
+    reserveForBlocked(core);
+    yield* reclaimShares(core);
+  }
   yield* placeWaiting(core, 'all');
 }
+
+function retryWorkers(core: EngineCore): void {
+  for (const state of core.health.retry(core.nowMs)) {
+    const {workerId} = state.worker;
+    const reason = 'it is tried again with one task';
+    core.outbox.push({kind: 'worker', workerId, isSetAside: false, reason});
+    core.memo.noteRoom(state);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/estimates.ts
@@ -0,0 +1,161 @@
+/** What tasks really use and how long they really run, against what is declared. */
+import type {Resources} from '@dragonflyward/common';
+import * as hdr from 'hdr-histogram-js';
+
+/** Ratios are kept in thousandths; declared sizes are off by 0.1 to 10. */
+const PERMILLE = 1_000;
+const HIGHEST_RATIO_PERMILLE = 32_000;
+/** Samples that a histogram needs before it is believed. */
+const MIN_SAMPLES = 16;
+/** Samples after which a histogram starts anew. */
+const WINDOW_SAMPLES = 4_096;
+/** The part of the samples that a reservation has to cover. */
+const SIZE_PERCENTILE = 95;
+const RUN_PERCENTILE = 75;
+/** What is reserved beyond the percentile. */
+const SIZE_MARGIN = 1.15;
+/** Steps of a reservation in each doubling, so that few sizes differ. */
+const STEPS_PER_DOUBLING = 8;
+
+/** One ratio as it is learnt over time. */
+class LearntRatio {
+  private readonly histogram = hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_RATIO_PERMILLE,
+    numberOfSignificantValueDigits: 1,
+    bitBucketSize: 16,
+  });
+  private former = 0;
+
+  constructor(private readonly percentile: number) {}
+
+  /** Adds a measured value over a declared one. */
+  record(ratio: number): void {
+    if (this.histogram.totalCount >= WINDOW_SAMPLES) {
+      this.former = this.current();
+      this.histogram.reset();
+    }
+    const permille = Math.round(ratio * PERMILLE);
+    const bounded = Math.min(HIGHEST_RATIO_PERMILLE, Math.max(1, permille));
+    this.histogram.recordValue(bounded);
+  }
+
+  /** The ratio at the percentile; 0 where too little is known. */
+  read(): number {
+    if (this.histogram.totalCount < MIN_SAMPLES) return this.former;
+    return this.current();
+  }
+
+  private current(): number {
+    return this.histogram.getValueAtPercentile(this.percentile) / PERMILLE;
+  }
+}
+
+interface Estimate {
+  readonly cpu: LearntRatio;
+  readonly mem: LearntRatio;
+  readonly run: LearntRatio;
+  version: number;
+  /** The factors that are in use, by the last state of the ratios. */
+  cpuFactor: number;
+  memFactor: number;
+}
+
+/** What was measured of one task, and what was declared for it. */
+export interface MeasuredUse {
+  readonly queue: string;
+  readonly team: string;
+  readonly declared: Resources;
+  readonly cpuMilli: number;
+  readonly memMb: number;
+}
+
+/** Estimates for each queue and team. */
+export class Estimates {
+  private readonly byKind = new Map<string, Estimate>();
+
+  /** Learns from one measurement of a running task. */
+  noteUse(use: MeasuredUse): void {
+    const estimate = this.get(use.queue, use.team);
+    const {cpuMilli, memMb} = use.declared;
+    if (cpuMilli > 0) estimate.cpu.record(use.cpuMilli / cpuMilli);
+    if (memMb > 0) estimate.mem.record(use.memMb / memMb);
+  }
+
+  /** Learns how long a task ran. */
+  noteRun(
+    queue: string,
+    team: string,
+    declaredMs: number,
+    ranMs: number,
+  ): void {
+    if (declaredMs <= 0) return;
+    this.get(queue, team).run.record(ranMs / declaredMs);
+  }
+
+  /** Takes what was learnt into use; call it once for each batch of samples. */
+  refresh(): void {
+    for (const estimate of this.byKind.values()) refreshFactors(estimate);
+  }
+
+  /** Grows whenever the sizes of this queue and team change. */
+  versionOf(queue: string, team: string): number {
+    return this.byKind.get(kindKey(queue, team))?.version ?? 0;
+  }
+
+  /** What a task should reserve. */
+  sizeOf(queue: string, team: string, declared: Resources): Resources {
+    const estimate = this.byKind.get(kindKey(queue, team));
+    if (estimate === undefined) return declared;
+    return {
+      ...declared,
+      cpuMilli: Math.ceil(declared.cpuMilli * estimate.cpuFactor),
+      memMb: Math.ceil(declared.memMb * estimate.memFactor),
+    };
+  }
+
+  /** How long a task is expected to run; infinite where nothing is known. */
+  runMsOf(queue: string, team: string, declaredMs: number): number {
+    if (declaredMs <= 0) return Infinity;
+    const ratio = this.byKind.get(kindKey(queue, team))?.run.read() ?? 0;
+    return declaredMs * (ratio === 0 ? 1 : ratio);
+  }
+
+  private get(queue: string, team: string): Estimate {
+    const key = kindKey(queue, team);
+    const known = this.byKind.get(key);
+    if (known !== undefined) return known;
+    const estimate: Estimate = {
+      cpu: new LearntRatio(SIZE_PERCENTILE),
+      mem: new LearntRatio(SIZE_PERCENTILE),
+      run: new LearntRatio(RUN_PERCENTILE),
+      version: 0,
+      cpuFactor: 1,
+      memFactor: 1,
+    };
+    this.byKind.set(key, estimate);
+    return estimate;
+  }
+}
+
+function kindKey(queue: string, team: string): string {
+  return `${queue} ${team}`;
+}
+
+function refreshFactors(estimate: Estimate): void {
+  const cpuFactor = factorOf(estimate.cpu.read());
+  const memFactor = factorOf(estimate.mem.read());
+  const isSame =
+    cpuFactor === estimate.cpuFactor && memFactor === estimate.memFactor;
+  if (isSame) return;
+  estimate.cpuFactor = cpuFactor;
+  estimate.memFactor = memFactor;
+  estimate.version += 1;
+}
+
+/** The factor on the declared size, rounded up to the next step. */
+function factorOf(ratio: number): number {
+  if (ratio === 0) return 1;
+  const steps = Math.log2(ratio * SIZE_MARGIN) * STEPS_PER_DOUBLING;
+  return 2 ** (Math.ceil(steps) / STEPS_PER_DOUBLING);
+}
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -7,11 +7,15 @@
   type Resources,
 } from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
+import type {PolicyTeam, TeamDemand} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
-import type {TeamTable} from './team-table.js';
+import {TeamTable} from './team-table.js';
 
 /** Halvings by which the common level of a round is found. */
-const LEVEL_STEPS = 24;
+const LEVEL_STEPS = 20;
+
+/** Parts of the whole, in the order of the names of the resources. */
+type Parts = readonly number[];
 
 interface Claim {
   readonly team: TeamState;
@@ -19,14 +23,12 @@
   /** The dominant share that the team could use. */
   readonly wanted: number;
   /** What one whole dominant share of the team takes of each resource. */
-  readonly profile: Readonly<Record<string, number>>;
-  /** Which resources it needs. */
-  readonly needs: readonly string[];
+  readonly profile: Parts;
   given: number;
   isSettled: boolean;
 }
 
-/** The claims of the teams of one organisation. */
+/** The claims of the teams of one organisation, the soonest sated first. */
 interface Group {
   readonly weight: number;
   readonly claims: readonly Claim[];
@@ -46,19 +48,32 @@
   const claims = groups.flatMap(group => group.claims);
   for (let round = 0; round <= RESOURCE_NAMES.length; round += 1) {
     if (claims.every(claim => claim.isSettled)) break;
-    raise(groups, claims);
+    raiseLevel(groups, claims);
   }
   for (const claim of claims) claim.team.fair = claim.given;
 }
 
 /**
- * What a team could use: what it runs and what waits, up to its limit.
+ * The dominant share that each team is due, computed from its demand alone.
  *
  * @example
- * const wanted = dominantShare(wantedOf(team), teams.total);
+ * const due = fairSharesOf(teams, engine.demand(), total).get('kilns');
  */
-export function wantedOf(team: TeamState): Resources {
-  return addResources(team.used, waitingOf(team));
+export function fairSharesOf(
+  teams: readonly PolicyTeam[],
+  demand: readonly TeamDemand[],
+  total: Resources,
+): ReadonlyMap<string, number> {
+  const table = new TeamTable();
+  table.setTeams(teams);
+  table.setTotal(total);
+  for (const {team, running, waiting} of demand) {
+    table.charge(table.get(team), addResources(running, waiting), false);
+  }
+  refreshFairShares(table);
+  const due = new Map<string, number>();
+  for (const state of table.values()) due.set(state.team.team, state.fair);
+  return due;
 }
 
 /**
@@ -86,60 +101,60 @@
   }
   return [...byOrganisation].map(([organisation, claims]) => ({
     weight: organisation.share,
-    claims,
+    claims: claims.sort((a, b) => a.wanted / a.weight - b.wanted / b.weight),
   }));
 }
 
 function newClaim(team: TeamState, total: Resources): Claim {
-  const wanted = wantedOf(team);
+  const wanted = addResources(team.used, waitingOf(team));
   const dominant = dominantShare(wanted, total);
   const limit = dominantShare(team.team.allowance, total);
-  const profile: Record<string, number> = {};
-  const needs: string[] = [];
-  for (const name of RESOURCE_NAMES) {
-    const part = total[name] > 0 ? wanted[name] / total[name] : 0;
-    profile[name] = dominant > 0 ? part / dominant : 0;
-    if (part > 0) needs.push(name);
-  }
-  const weight = team.team.share;
-  const claimed = Math.min(dominant, limit);
+  const profile = RESOURCE_NAMES.map(name =>
+    total[name] > 0 ? wanted[name] / total[name] / dominant : 0,
+  );
   return {
-    ...{team, weight, wanted: claimed, profile, needs},
-    ...{given: 0, isSettled: false},
+    team,
+    weight: team.team.share,
+    wanted: Math.min(dominant, limit),
+    profile,
+    given: 0,
+    isSettled: false,
   };
 }
 
 /** Raises the level of all open claims until some resource is used up. */
-function raise(groups: readonly Group[], claims: readonly Claim[]): void {
-  const settled = claims.filter(claim => claim.isSettled);
-  const taken = usageOf(settled);
-  const open = claims.filter(claim => !claim.isSettled);
+function raiseLevel(groups: readonly Group[], claims: readonly Claim[]): void {
   let low = 0;
   let high = highestLevel(groups);
   for (let step = 0; step < LEVEL_STEPS; step += 1) {
     const level = (low + high) / 2;
     fill(groups, level);
-    if (isWithinTotal(taken, usageOf(open))) low = level;
+    if (fullParts(claims).length === 0) low = level;
     else high = level;
   }
   fill(groups, high);
-  const full = fullResources(taken, usageOf(open));
+  const full = fullParts(claims);
   fill(groups, low);
-  for (const claim of open) {
+  for (const claim of claims) {
+    if (claim.isSettled) continue;
     const isSated = claim.given >= claim.wanted;
-    const isBound = claim.needs.some(name => full.has(name));
-    claim.isSettled = isSated || isBound || full.size === 0;
+    const isBound = full.some(part => (claim.profile[part] ?? 0) > 0);
+    claim.isSettled = isSated || isBound || full.length === 0;
   }
 }
 
+/** A level at which every claim is sated. */
 function highestLevel(groups: readonly Group[]): number {
   let level = 0;
   for (const {weight, claims} of groups) {
-    const least = Math.min(...claims.map(claim => claim.weight));
-    const wanted = claims.reduce((sum, claim) => sum + claim.wanted, 0);
-    const weights = claims.reduce((sum, claim) => sum + claim.weight, 0);
-    const scale = weights / Math.max(least, Number.MIN_VALUE);
-    level = Math.max(level, (wanted * scale) / Math.max(weight, 1e-9));
+    if (weight <= 0) continue;
+    let weights = 0;
+    let neediest = 0;
+    for (const claim of claims) {
+      weights += claim.weight;
+      neediest = Math.max(neediest, claim.wanted / claim.weight);
+    }
+    level = Math.max(level, (neediest * weights) / weight);
   }
   return level;
 }
@@ -151,45 +166,27 @@
 
 function fillGroup(claims: readonly Claim[], amount: number): void {
   let rest = amount;
-  let open: Claim[] = [];
+  let weights = 0;
   for (const claim of claims) {
     if (claim.isSettled) rest -= claim.given;
-    else open.push(claim);
+    else weights += claim.weight;
   }
   rest = Math.max(0, rest);
-  open = open.sort((a, b) => a.wanted / a.weight - b.wanted / b.weight);
-  let weights = open.reduce((sum, claim) => sum + claim.weight, 0);
-  for (const claim of open) {
+  for (const claim of claims) {
+    if (claim.isSettled) continue;
     claim.given = Math.min(claim.wanted, (rest * claim.weight) / weights);
     rest -= claim.given;
     weights -= claim.weight;
   }
 }
 
-function usageOf(claims: readonly Claim[]): Readonly<Record<string, number>> {
-  const usage: Record<string, number> = {};
-  for (const name of RESOURCE_NAMES) {
-    let sum = 0;
-    for (const {given, profile} of claims) sum += given * (profile[name] ?? 0);
-    usage[name] = sum;
-  }
-  return usage;
-}
-
-function isWithinTotal(
-  taken: Readonly<Record<string, number>>,
-  added: Readonly<Record<string, number>>,
-): boolean {
-  return fullResources(taken, added).size === 0;
-}
-
-function fullResources(
-  taken: Readonly<Record<string, number>>,
-  added: Readonly<Record<string, number>>,
-): ReadonlySet<string> {
-  const full = new Set<string>();
-  for (const name of RESOURCE_NAMES) {
-    if ((taken[name] ?? 0) + (added[name] ?? 0) > 1) full.add(name);
+/** The indexes of the resources of which more than all is given. */
+function fullParts(claims: readonly Claim[]): readonly number[] {
+  const sums = RESOURCE_NAMES.map(() => 0);
+  for (const {given, profile} of claims) {
+    for (let i = 0; i < sums.length; i += 1) {
+      sums[i] = (sums[i] ?? 0) + given * (profile[i] ?? 0);
+    }
   }
-  return full;
+  return sums.flatMap((sum, i) => (sum > 1 ? [i] : []));
 }
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,13 +1,14 @@
 /** Places waiting work, the teams furthest below their share first. */
-import {scaleResources, type Resources} from '@dragonflyward/common';
+import type {Resources} from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
 import {policyOf, startTask, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import type {PlacementAsk} from './placement-policy.js';
+import type {Tier} from './room-memo.js';
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {memoKey, nextClass, type Tier} from './waiting-list.js';
+import {nextClass} from './waiting-list.js';
 
 /** Searches without result after which a pass leaves the rest to the next. */
 const MAX_FAILED_SEARCHES = 512;
@@ -93,14 +94,14 @@
   const state = waitClass.first();
   if (state === undefined) return false;
   const ask = newAsk(core, state, waitClass, tier);
-  if (!core.teams.isAllowed(team, scaleResources(ask.size, ask.count))) {
+  if (!core.teams.canStart(team, ask.size, ask.count)) {
     waitClass.obstacle = 'the team is at its limit here';
     return false;
   }
   const {workers} = core.cell;
   const chosen = policyOf(core, state).choose(workers.values(), ask);
   if (chosen.length === 0) {
-    core.memo.noteFull(memoKey(waitClass, tier), ask.size);
+    core.memo.noteFull(tier, waitClass.roomKey, ask.size);
     waitClass.obstacle = 'no worker has room';
     return false;
   }
--- /dev/null
+++ b/packages/policy/src/replay.ts
@@ -0,0 +1,256 @@
+/** Drives an engine through a trace with a clock of its own. */
+import {DecisionAudit} from './audit.js';
+import type {
+  Decision,
+  PlacedTask,
+  PlacedTaskEnd,
+  PlacementEngine,
+  PolicyJob,
+  UsageSample,
+} from './engine.js';
+import {Heap} from './heap.js';
+import {ReplayRecord} from './replay-record.js';
+import {
+  workersOf,
+  type Trace,
+  type TraceFault,
+  type TraceJobs,
+} from './trace.js';
+
+/** How often the engine decides, and how often use is reported. */
+const TICK_MS = 100;
+const USAGE_EVERY_MS = 2_000;
+/** How long a checkpoint takes, and how soon a broken task fails. */
+const CHECKPOINT_MS = 500;
+const FAIL_AFTER_MS = 300;
+/** How often a task that failed is run again. */
+const MAX_ATTEMPTS = 20;
+
+interface Event {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+interface Running {
+  readonly task: PlacedTask;
+  readonly source: TraceJobs;
+  readonly startedMs: number;
+}
+
+/** One replay of a trace on one engine. */
+export class Replay {
+  readonly audit = new DecisionAudit();
+  readonly record: ReplayRecord;
+  private readonly events = new Heap<Event>(
+    (a, b) => a.atMs - b.atMs || a.order - b.order,
+  );
+  private readonly sources = new Map<string, TraceJobs>();
+  private readonly jobs = new Map<string, PolicyJob>();
+  private readonly running = new Map<string, Running>();
+  private readonly restMs = new Map<string, number>();
+  private readonly attempts = new Map<string, number>();
+  private readonly broken = new Set<string>();
+  private readonly cancelled = new Set<string>();
+  private nextOrder = 0;
+  private nowMs = 0;
+
+  constructor(
+    private readonly engine: PlacementEngine,
+    private readonly trace: Trace,
+  ) {
+    this.record = new ReplayRecord(trace, this.audit);
+  }
+
+  /** Runs to the end of the trace. */
+  run(): ReplayRecord {
+    this.prepare();
+    for (
+      this.nowMs = 0;
+      this.nowMs <= this.trace.endMs;
+      this.nowMs += TICK_MS
+    ) {
+      this.runEvents();
+      if (this.nowMs % USAGE_EVERY_MS === 0) this.reportUsage();
+      for (const decision of this.engine.decide(this.nowMs)) {
+        this.obey(decision);
+      }
+      this.record.sample(this.nowMs, this.engine);
+    }
+    return this.record;
+  }
+
+  private prepare(): void {
+    this.engine.setQueues(this.trace.queues);
+    this.engine.setTeams(this.trace.teams);
+    this.audit.setTeams(this.trace.teams);
+    for (const worker of workersOf(this.trace)) {
+      this.engine.setWorker(worker);
+      this.audit.setWorker(worker);
+    }
+    for (const source of this.trace.jobs) this.prepareJobs(source);
+    for (const fault of this.trace.faults) {
+      this.at(fault.atMs, () => this.cause(fault));
+    }
+  }
+
+  private prepareJobs(source: TraceJobs): void {
+    for (let i = 0; i < source.count; i += 1) {
+      const atMs = source.firstMs + i * source.everyMs;
+      this.at(atMs, () => this.submit(source, i, atMs));
+    }
+  }
+
+  private at(atMs: number, run: () => void): void {
+    this.events.push({atMs, order: this.nextOrder, run});
+    this.nextOrder += 1;
+  }
+
+  private runEvents(): void {
+    for (;;) {
+      const first = this.events.first();
+      if (first === undefined || first.atMs > this.nowMs) return;
+      this.events.pop();
+      first.run();
+    }
+  }
+
+  private submit(source: TraceJobs, index: number, acceptedMs: number): void {
+    const job: PolicyJob = {
+      jobId: `${source.name}-${index}`,
+      team: source.team,
+      queue: source.queue,
+      taskIndexes: Array.from({length: source.tasks}, (_, i) => i),
+      isGang: source.isGang ?? false,
+      isService: source.isService ?? false,
+      isIdempotent: source.isIdempotent ?? true,
+      size: source.size,
+      runMs: source.runMs,
+      acceptedMs,
+    };
+    this.sources.set(job.jobId, source);
+    this.jobs.set(job.jobId, job);
+    this.audit.setJob(job.jobId, job.team);
+    this.record.noteSubmit(source, job);
+    if (this.engine.findObstacle(job) === '') this.engine.submit(job);
+    else this.record.noteSetAside(job.jobId);
+  }
+
+  private obey(decision: Decision): void {
+    this.audit.noteDecision(decision);
+    this.record.noteDecision(decision, this.nowMs);
+    if (decision.kind === 'start') this.start(decision.task);
+    if (decision.kind === 'preempt') this.checkpoint(decision.taskId);
+  }
+
+  private start(task: PlacedTask): void {
+    const source = this.sources.get(task.jobId);
+    if (source === undefined) return;
+    this.running.set(task.taskId, {task, source, startedMs: this.nowMs});
+    const isBad = source.isBroken === true || this.broken.has(task.workerId);
+    const endMs = this.nowMs + (isBad ? FAIL_AFTER_MS : this.restOf(task));
+    if (!Number.isFinite(endMs)) return;
+    const end: PlacedTaskEnd = isBad ? 'failed' : 'succeeded';
+    this.at(endMs, () => this.end(task.taskId, end));
+  }
+
+  private restOf(task: PlacedTask): number {
+    const source = this.sources.get(task.jobId);
+    if (source === undefined || source.isService === true) return Infinity;
+    const runMs = source.runMs * (source.runFactor ?? 1);
+    return this.restMs.get(`${task.jobId}.${task.taskIndex}`) ?? runMs;
+  }
+
+  private checkpoint(taskId: string): void {
+    this.at(this.nowMs + CHECKPOINT_MS, () => {
+      const running = this.running.get(taskId);
+      if (running === undefined) return;
+      const {task, startedMs} = running;
+      const restMs = this.restOf(task) - (this.nowMs - startedMs);
+      const key = `${task.jobId}.${task.taskIndex}`;
+      this.restMs.set(key, Math.max(0, restMs));
+      this.end(taskId, 'notRunning');
+    });
+  }
+
+  private end(taskId: string, end: PlacedTaskEnd): void {
+    const running = this.running.get(taskId);
+    if (running === undefined) return;
+    this.running.delete(taskId);
+    this.audit.noteEnd(taskId);
+    this.engine.ended(taskId, end, this.nowMs);
+    this.record.noteEnd(running.task, end);
+    if (end !== 'succeeded') this.runAgain(running.task, end);
+  }
+
+  private runAgain(task: PlacedTask, end: PlacedTaskEnd): void {
+    const {jobId, taskIndex} = task;
+    const job = this.jobs.get(jobId);
+    if (job === undefined || this.cancelled.has(jobId)) return;
+    const key = `${jobId}.${taskIndex}`;
+    const failures = (this.attempts.get(key) ?? 0) + (end === 'failed' ? 1 : 0);
+    this.attempts.set(key, failures);
+    if (failures >= MAX_ATTEMPTS) return;
+    this.engine.submit({...job, taskIndexes: [taskIndex]});
+  }
+
+  private cause(fault: TraceFault): void {
+    switch (fault.kind) {
+      case 'cancel':
+        this.cancelAll(fault.jobs);
+        return;
+      case 'workerFails':
+        this.broken.add(fault.workerId);
+        return;
+      case 'workerRecovers':
+        this.broken.delete(fault.workerId);
+        return;
+      case 'workerLeaves':
+        this.leave(fault.workerId);
+        return;
+      case 'workerGone':
+        this.lose(fault.workerId);
+    }
+  }
+
+  private cancelAll(name: string): void {
+    for (const [jobId, source] of this.sources) {
+      if (source.name !== name) continue;
+      this.cancelled.add(jobId);
+      const placed = this.engine.cancel(jobId);
+      for (const task of placed) this.end(task.taskId, 'notRunning');
+    }
+    this.record.noteCancelled(name);
+  }
+
+  private leave(workerId: string): void {
+    for (const worker of workersOf(this.trace)) {
+      if (worker.workerId !== workerId) continue;
+      const leaving = {...worker, condition: 'leaving'} as const;
+      this.engine.setWorker(leaving);
+      this.audit.setWorker(leaving);
+    }
+  }
+
+  private lose(workerId: string): void {
+    const lost = [...this.running.values()].filter(
+      ({task}) => task.workerId === workerId,
+    );
+    for (const {task} of lost) this.end(task.taskId, 'notRunning');
+    this.engine.removeWorker(workerId);
+    this.audit.removeWorker(workerId);
+  }
+
+  private reportUsage(): void {
+    const samples: UsageSample[] = [];
+    for (const {task, source, startedMs} of this.running.values()) {
+      if (startedMs > this.nowMs - USAGE_EVERY_MS) continue;
+      const factor = source.useFactor ?? 1;
+      const cap = this.audit.running.get(task.taskId)?.size ?? task.size;
+      const cpuMilli = Math.min(cap.cpuMilli, source.size.cpuMilli * factor);
+      const memMb = source.size.memMb * factor;
+      samples.push({taskId: task.taskId, cpuMilli, memMb});
+    }
+    this.engine.learn(samples, this.nowMs);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/reserve.ts
@@ -0,0 +1,204 @@
+/** Holds room for gangs and large tasks, so that small ones don't starve them. */
+import {
+  addResources,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '@dragonflyward/common';
+import {dominantShare, countFits} from './amounts.js';
+import {policyOf, type EngineCore} from './core.js';
+import type {Decision} from './engine.js';
+import type {Hold} from './holds.js';
+import {flush, newAsk, startAll} from './place-waiting.js';
+import type {PlacementAsk} from './placement-policy.js';
+import {
+  isUsable,
+  type JobState,
+  type RunningTask,
+  type TeamState,
+  type WorkerState,
+} from './state.js';
+import type {WaitClass} from './wait-class.js';
+
+/** Jobs for which room is held at one time, apart from urgent ones. */
+const MAX_RESERVATIONS = 4;
+/** How long a job waits before room is held for it. */
+const RESERVE_AFTER_MS = 3_000;
+/** How long room is held at most, and how long a job then goes without. */
+const MAX_HOLD_MS = 60_000;
+const HOLD_PAUSE_MS = 30_000;
+/** A task is large where it takes this part of the largest worker. */
+const LARGE_PART = 0.25;
+/** How much longer an overdue task is expected to run at least. */
+const SHORTEST_REST_MS = 1_000;
+
+/** When a worker is expected to have room for one more task. */
+interface Opening {
+  readonly worker: WorkerState;
+  readonly atMs: number;
+}
+
+/**
+ * Starts jobs whose held room has become free, and ends overdue holds.
+ *
+ * @example
+ * yield* placeHeld(core);
+ */
+export function* placeHeld(core: EngineCore): Generator<Decision> {
+  for (const hold of [...core.holds.values()]) {
+    placeHold(core, hold);
+    yield* flush(core);
+  }
+}
+
+function placeHold(core: EngineCore, hold: Hold): void {
+  const {state} = hold;
+  const {jobId} = state.job;
+  const {waitClass} = state;
+  if (waitClass === null) {
+    core.holds.remove(jobId);
+    return;
+  }
+  if (core.holds.get(jobId) !== hold) return;
+  while (state.pending.size > 0 && placeOnce(core, hold, waitClass)) {
+    if (state.job.isGang) break;
+  }
+  if (core.nowMs < hold.untilMs) return;
+  if (core.holds.get(jobId) !== hold) return;
+  core.holds.remove(jobId);
+  if (!hold.isUrgent) state.noHoldUntilMs = core.nowMs + HOLD_PAUSE_MS;
+}
+
+function placeOnce(
+  core: EngineCore,
+  hold: Hold,
+  waitClass: WaitClass,
+): boolean {
+  const {state} = hold;
+  const tier = hold.isUrgent ? 'urgent' : 'all';
+  const own = core.holds.roomOf(state.job.jobId);
+  const base = newAsk(core, state, waitClass, tier);
+  const ask: PlacementAsk = {...base, size: hold.size, own};
+  if (!core.teams.canStart(state.team, ask.size, ask.count)) return false;
+  const chosen = policyOf(core, state).choose(hold.slots.keys(), ask);
+  startAll(core, state, chosen, ask.size);
+  return chosen.length > 0;
+}
+
+/**
+ * Holds room for the job that has waited longest of those that small work
+ * would keep from starting.
+ *
+ * @example
+ * reserveForBlocked(core);
+ */
+export function reserveForBlocked(core: EngineCore): void {
+  let free = MAX_RESERVATIONS;
+  for (const hold of core.holds.values()) if (!hold.isUrgent) free -= 1;
+  if (free <= 0) return;
+  const waitClass = oldestHardClass(core);
+  const state = waitClass?.first();
+  if (waitClass === undefined || state === undefined) return;
+  const count = state.job.isGang ? state.pending.size : 1;
+  const openings = soonestOpenings(core, waitClass, count);
+  const last = openings.at(-1);
+  const untilMs = core.nowMs + MAX_HOLD_MS;
+  if (openings.length < count || last === undefined || last.atMs > untilMs) {
+    state.noHoldUntilMs = core.nowMs + HOLD_PAUSE_MS;
+    return;
+  }
+  const slots = new Map<WorkerState, number>();
+  for (const {worker} of openings) {
+    slots.set(worker, (slots.get(worker) ?? 0) + 1);
+  }
+  const {size} = waitClass;
+  const fromMs = last.atMs;
+  core.holds.add({state, size, isUrgent: false, fromMs, untilMs, slots});
+}
+
+function oldestHardClass(core: EngineCore): WaitClass | undefined {
+  let oldest: WaitClass | undefined;
+  let oldestMs = core.nowMs - RESERVE_AFTER_MS;
+  for (const team of core.teams.values()) {
+    for (const waitClass of team.waiting.values()) {
+      const first = waitClass.first();
+      if (first === undefined || first.job.acceptedMs > oldestMs) continue;
+      if (!mayReserve(core, team, waitClass, first)) continue;
+      oldest = waitClass;
+      oldestMs = first.job.acceptedMs;
+    }
+  }
+  return oldest;
+}
+
+function mayReserve(
+  core: EngineCore,
+  team: TeamState,
+  waitClass: WaitClass,
+  state: JobState,
+): boolean {
+  if (state.noHoldUntilMs > core.nowMs) return false;
+  if (core.holds.get(state.job.jobId) !== undefined) return false;
+  const {gangSize} = waitClass.kind;
+  const isHard = gangSize > 1 || core.cell.isLarge(waitClass.size, LARGE_PART);
+  if (!isHard) return false;
+  const count = Math.max(1, gangSize);
+  if (!core.teams.canStart(team, waitClass.size, count)) return false;
+  return dominantShare(team.used, core.teams.total) <= team.fair;
+}
+
+/** Where and when the tasks are expected to find room soonest. */
+function soonestOpenings(
+  core: EngineCore,
+  waitClass: WaitClass,
+  count: number,
+): readonly Opening[] {
+  const openings: Opening[] = [];
+  for (const worker of core.cell.workers.values()) {
+    if (!isUsable(worker)) continue;
+    openings.push(...openingsOf(core, worker, waitClass, count));
+  }
+  openings.sort((a, b) => a.atMs - b.atMs);
+  return openings.slice(0, count);
+}
+
+/** When a worker has room for each further task, as running ones end. */
+function* openingsOf(
+  core: EngineCore,
+  worker: WorkerState,
+  waitClass: WaitClass,
+  most: number,
+): Generator<Opening> {
+  const {size} = waitClass;
+  let room = subtractHeld(worker);
+  let open = 0;
+  const ends = [...worker.tasks].map(running => ({
+    size: running.task.size,
+    atMs: expectedEndMs(core, running),
+  }));
+  ends.sort((a, b) => a.atMs - b.atMs);
+  ends.unshift({size: NO_RESOURCES, atMs: core.nowMs});
+  for (const end of ends) {
+    if (!Number.isFinite(end.atMs)) return;
+    room = addResources(room, end.size);
+    const fits = Math.min(most, countFits(size, room));
+    for (; open < fits; open += 1) yield {worker, atMs: end.atMs};
+  }
+}
+
+function subtractHeld(worker: WorkerState): Resources {
+  return subtractResources(worker.free, worker.held);
+}
+
+/** When a running task is expected to end; overdue ones, after as long. */
+function expectedEndMs(core: EngineCore, running: RunningTask): number {
+  const {job} = running.job;
+  if (running.isStopping) return core.nowMs;
+  if (job.isService) return Infinity;
+  const elapsedMs = core.nowMs - running.startedMs;
+  const runMs = core.estimates.runMsOf(job.queue, job.team, job.runMs);
+  if (elapsedMs < runMs && Number.isFinite(runMs)) {
+    return running.startedMs + runMs;
+  }
+  return core.nowMs + Math.max(SHORTEST_REST_MS, elapsedMs);
+}
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -14,8 +14,10 @@
   type UsageSample,
 } from './engine.js';
 import {waitingOf} from './fair-shares.js';
+import {learnUsage} from './adjust.js';
 import {decideAll} from './decide.js';
 import {newJobState, type JobState} from './state.js';
+import {admit, noteEnd} from './task-ends.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
 /** Decides by weighted max-min shares of the dominant resource. */
@@ -42,6 +44,10 @@
   }
 
   override removeWorker(workerId: string): void {
+    const state = this.core.cell.workers.get(workerId);
+    if (state === undefined) return;
+    this.core.holds.dropWorker(state);
+    this.core.health.forget(state);
     for (const {job} of this.core.cell.removeWorker(workerId)) {
       this.forgetIfIdle(job);
     }
@@ -58,14 +64,14 @@
     for (const index of job.taskIndexes) {
       if (!state.running.has(index)) state.pending.add(index);
     }
-    enqueue(state);
-    this.forgetIfIdle(state);
+    admit(this.core, state);
   }
 
   override cancel(jobId: string): readonly PlacedTask[] {
     const state = this.core.jobs.get(jobId);
     if (state === undefined) return [];
     dequeue(state);
+    this.core.holds.remove(jobId);
     state.pending.clear();
     const placed = [...state.running.values()].map(running => running.task);
     this.forgetIfIdle(state);
@@ -75,9 +81,10 @@
   override adopt(task: PlacedTask): void {
     if (this.core.cell.tasks.has(task.taskId)) return;
     const state = this.core.jobs.get(task.jobId) ?? this.addUnknownJob(task);
+    const isWaiting = state.waitClass !== null;
     dequeue(state);
     state.pending.delete(task.taskIndex);
-    enqueue(state);
+    if (isWaiting) enqueue(this.core, state);
     countTask(this.core, state, task);
   }
 
@@ -86,15 +93,13 @@
     if (running === undefined) return;
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
     this.core.cell.release(running);
-    const {jobId, workerId} = running.task;
-    if (end === 'failed') this.core.failures.note(jobId, workerId);
-    if (end === 'succeeded') this.core.failures.forget(jobId);
+    noteEnd(this.core, running, end);
     this.forgetIfIdle(running.job);
   }
 
   override learn(samples: readonly UsageSample[], nowMs: number): void {
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
-    void samples;
+    learnUsage(this.core, samples);
   }
 
   override *decide(nowMs: number): Generator<Decision> {
@@ -105,9 +110,10 @@
   override explain(jobId: string): string {
     const state = this.core.jobs.get(jobId);
     if (state === undefined) return 'no task of it waits or runs here';
-    const {waitClass, pending, running} = state;
+    const {waitClass, pending, running, setAsideReason} = state;
     const workers = [...running.values()].map(({task}) => task.workerId);
     const runs = `${running.size} placed (${workers.slice(0, 8).join(', ')})`;
+    if (setAsideReason !== '') return `set aside: ${setAsideReason}; ${runs}`;
     if (waitClass === null) return runs;
     const obstacle = obstacleOf(this.core, state.job);
     const reason = obstacle === '' ? waitClass.obstacle : obstacle;
@@ -174,13 +180,15 @@
     const queue = queueOf(this.core, state.job.queue);
     const {priority, policy} = state.queue;
     if (queue.priority === priority && queue.policy === policy) return;
+    const isWaiting = state.waitClass !== null;
     dequeue(state);
     state.queue = queue;
-    enqueue(state);
+    if (isWaiting) enqueue(this.core, state);
   }
 
   private forgetIfIdle(state: JobState): void {
     if (state.pending.size > 0 || state.running.size > 0) return;
+    this.core.holds.remove(state.job.jobId);
     this.core.jobs.delete(state.job.jobId);
   }
 }
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -47,6 +47,8 @@
   /** The dominant share in use, divided by the weight. */
   ratio: number;
   readonly waiting: Map<string, WaitClass>;
+  /** The part of the use whose tasks were told to stop. */
+  stopping: Resources;
   /** The dominant share that the team is due now. */
   fair: number;
 }
@@ -67,6 +69,8 @@
   ticket: number;
   /** Why it was set aside; empty where it was not. */
   setAsideReason: string;
+  /** It gets no new hold before this time. */
+  noHoldUntilMs: number;
 }
 
 /** A task that has a reservation. */
@@ -82,6 +86,8 @@
   peakCpuMilli: number;
   peakMemMb: number;
   sampleCount: number;
+  /** When its reservation was last changed. */
+  resizedMs: number;
 }
 
 /**
@@ -125,6 +131,7 @@
     waitClass: null,
     ticket: 0,
     setAsideReason: '',
+    noHoldUntilMs: 0,
   };
 }
 
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -3,6 +3,7 @@
   addResources,
   fitsIn,
   NO_RESOURCES,
+  scaleResources,
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
@@ -70,6 +71,28 @@
     this.charge(team, subtractResources(NO_RESOURCES, size), isUrgent);
   }
 
+  /** Notes that a part of what a team uses will soon be free. */
+  noteStopping(team: TeamState, size: Resources): void {
+    team.stopping = addResources(team.stopping, size);
+  }
+
+  /** Notes that a task that was told to stop has ended. */
+  noteStopped(team: TeamState, size: Resources): void {
+    team.stopping = subtractResources(team.stopping, size);
+  }
+
+  /** The dominant share that a team will have once told tasks have ended. */
+  shareOf(team: TeamState): number {
+    const kept = subtractResources(team.used, team.stopping);
+    return dominantShare(kept, this.total);
+  }
+
+  /** Tells whether a team may start that many tasks of this size. */
+  canStart(team: TeamState, size: Resources, count: number): boolean {
+    const more = count === 1 ? size : scaleResources(size, count);
+    return this.isAllowed(team, more);
+  }
+
   /** Tells whether a team may use that much more. */
   isAllowed(team: TeamState, more: Resources): boolean {
     return fitsIn(addResources(team.used, more), team.team.allowance);
@@ -96,6 +119,7 @@
       urgentUsed: NO_RESOURCES,
       ratio: 0,
       waiting: new Map(),
+      stopping: NO_RESOURCES,
       fair: 0,
     };
     this.byName.set(team.team, state);
--- a/packages/policy/src/wait-class.ts
+++ b/packages/policy/src/wait-class.ts
@@ -1,5 +1,6 @@
 /** Waiting jobs of one team that are alike to the placement. */
 import type {Resources} from '@dragonflyward/common';
+import {sizeKey} from './amounts.js';
 import type {PolicyPriority} from './engine.js';
 import {Heap} from './heap.js';
 import type {JobState} from './state.js';
@@ -33,15 +34,31 @@
   private nextTicket = 1;
   /** How many tasks wait in this class. */
   taskCount = 0;
-  /** What a task of the class reserves at present. */
-  size: Resources;
+  private reserved: Resources;
+  /** Names the class's need of room; equal for classes with equal needs. */
+  roomKey = '';
   /** The state of the estimates by which the size was set. */
   sizeVersion = 0;
+  /** No room is made for the class before this time. */
+  noRoomUntilMs = 0;
   /** Why the class did not get room when it was last tried. */
   obstacle = 'it has not been its turn yet';
 
   constructor(readonly kind: WaitKind) {
-    this.size = kind.declared;
+    this.reserved = kind.declared;
+    this.setSize(kind.declared);
+  }
+
+  /** What a task of the class reserves at present. */
+  get size(): Resources {
+    return this.reserved;
+  }
+
+  /** Changes what a task of the class reserves. */
+  setSize(size: Resources): void {
+    const {runMs, gangSize} = this.kind;
+    this.reserved = size;
+    this.roomKey = `${runMs} ${gangSize} ${sizeKey(size)}`;
   }
 
   get isEmpty(): boolean {
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -1,6 +1,7 @@
 /** Which jobs wait, and which of a team's jobs is next. */
 import {sizeKey} from './amounts.js';
 import {PRIORITIES, type EngineCore} from './core.js';
+import type {Tier} from './room-memo.js';
 import type {JobState, TeamState} from './state.js';
 import {WaitClass, type WaitKind} from './wait-class.js';
 
@@ -10,22 +11,15 @@
 /** Keeps the ranks of two priorities apart; above any time in ms. */
 const PRIORITY_RANK = 1e14;
 
-/** The work that a pass over the teams places. */
-export type Tier =
-  /** Urgent work of teams that are within their share. */
-  | 'urgent'
-  /** All work. */
-  | 'all';
-
 /**
  * Lets a job's pending tasks wait for their turn.
  *
  * @example
  * enqueue(core, state);
  */
-export function enqueue(state: JobState): void {
+export function enqueue(core: EngineCore, state: JobState): void {
   if (state.pending.size === 0 || state.waitClass !== null) return;
-  const kind = kindOf(state);
+  const kind = kindOf(core, state);
   const key = classKey(kind);
   const {waiting} = state.team;
   let waitClass = waiting.get(key);
@@ -46,13 +40,13 @@
   state.waitClass?.remove(state);
 }
 
-function kindOf(state: JobState): WaitKind {
+function kindOf(core: EngineCore, state: JobState): WaitKind {
   const {job, queue, pending} = state;
   return {
     queue: job.queue,
     priority: queue.priority,
     declared: job.size,
-    runMs: expectedRunMs(state),
+    runMs: expectedRunMs(core, state),
     gangSize: job.isGang ? pending.size : 0,
   };
 }
@@ -62,10 +56,11 @@
   return `${queue} ${priority} ${sizeKey(declared)} ${runMs} ${gangSize}`;
 }
 
-/** How long a task of the job is expected to run. */
-function expectedRunMs(state: JobState): number {
-  const {isService, runMs} = state.job;
-  if (isService || runMs <= 0) return Infinity;
+/** How long a task of the job is expected to run, in powers of two. */
+function expectedRunMs(core: EngineCore, state: JobState): number {
+  const {job} = state;
+  if (job.isService) return Infinity;
+  const runMs = core.estimates.runMsOf(job.queue, job.team, job.runMs);
   return 2 ** Math.ceil(Math.log2(runMs));
 }
 
@@ -92,7 +87,8 @@
       team.waiting.delete(key);
       continue;
     }
-    if (core.memo.isFull(memoKey(waitClass, tier))) continue;
+    refreshSize(core, team, waitClass);
+    if (core.memo.isFull(tier, waitClass.roomKey)) continue;
     const rank = rankOf(waitClass, first.job.acceptedMs, core.nowMs);
     if (rank >= bestRank) continue;
     best = waitClass;
@@ -113,13 +109,18 @@
   return level * PRIORITY_RANK + acceptedMs;
 }
 
-/**
- * The key under which the memo keeps that a class found no room.
- *
- * @example
- * core.memo.noteFull(memoKey(waitClass, tier), size);
- */
-export function memoKey(waitClass: WaitClass, tier: Tier): string {
-  const {runMs, gangSize} = waitClass.kind;
-  return `${tier} ${runMs} ${gangSize} ${sizeKey(waitClass.size)}`;
+/** Takes what was learnt of the class's sizes into use. */
+function refreshSize(
+  core: EngineCore,
+  team: TeamState,
+  waitClass: WaitClass,
+): void {
+  const {queue, declared} = waitClass.kind;
+  const name = team.team.team;
+  const version = core.estimates.versionOf(queue, name);
+  if (version === waitClass.sizeVersion) return;
+  waitClass.sizeVersion = version;
+  const learnt = core.estimates.sizeOf(queue, name, declared);
+  const isHoldable = core.cell.canEverHold(learnt);
+  waitClass.setSize(isHoldable ? learnt : declared);
 }
