--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -49,7 +49,7 @@
 /** The parts of the configuration that tickets depend on. */
 export interface TicketConfig {
   queue(name: string): QueueConfig | undefined;
-  queues(): Iterable<string | readonly [string, QueueConfig]>;
+  queues(): ReadonlyMap<string, QueueConfig>;
   team(name: string): TeamConfig | undefined;
 }
 
@@ -229,9 +229,8 @@
 
   private longestRunByMs(): number {
     let longestMs = 0;
-    for (const item of this.config?.queues() ?? []) {
-      const cfg = typeof item === 'string' ? this.config?.queue(item) : item[1];
-      longestMs = Math.max(longestMs, cfg?.maxDeadlineMs ?? 0);
+    for (const cfg of this.config?.queues().values() ?? []) {
+      longestMs = Math.max(longestMs, cfg.maxDeadlineMs);
     }
     const boundMs = longestMs > 0 ? longestMs : DEFAULT_MAX_DEADLINE_MS;
     return boundMs + RUN_BY_MARGIN_MS;
--- a/packages/scheduler/src/ticket-slots.ts
+++ b/packages/scheduler/src/ticket-slots.ts
@@ -1,8 +1,9 @@
 /** Counts the slots of a shard's executors that tickets use. */
 import type {Clock} from '@dragonflyward/common';
 import type {VmEntry} from '@dragonflyward/vms';
-import {ExecutorHealth} from './ticket-health.js';
-import {BlindUse, gatewayPart} from './ticket-blind.js';
+import type {ExecutorHealth} from './ticket-health.js';
+import type {BlindUse} from './ticket-blind.js';
+import { gatewayPart} from './ticket-blind.js';
 
 /** A ticket that counts against an executor's slots and a team. */
 export interface HeldTicket {
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -1,3 +1,5 @@
 /** Clients of workers and executors. */
 export * from './worker-client.js';
 export * from './http-worker-client.js';
+export * from './executor-client.js';
+export * from './executor-http.js';
