Add the gateway program: callers' HTTP, relay, jobs, drain

Cause: callers need one way in that answers each request once.

Ruled out: kept connections for requests that are not idempotent (one that went silent while idle would make the outcome unknown).

Not measured yet; tests follow.

--- /dev/null
+++ b/packages/caller/src/caller-routes.ts
@@ -0,0 +1,111 @@
+/** Finds the handler of each request of a caller. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  ERRORS,
+  raise,
+  type EventRing,
+  type Failure,
+  type Metrics,
+} from '@dragonflyward/common';
+import PQueue from 'p-queue';
+import {sendError} from './answers.js';
+import {checkHeaderCount} from './caller-server.js';
+import type {JobRoutes} from './job-routes.js';
+import type {RequestRelay} from './request-relay.js';
+
+/** Requests that are worked on at a time; more wait for a short while. */
+const MAX_OPEN_REQUESTS = 2_000;
+const MAX_WAITING_REQUESTS = 1_000;
+const BASE_URL = 'http://gateway';
+
+/** What the routes lead to. */
+export interface RouteParts {
+  readonly relay: RequestRelay;
+  readonly jobs: JobRoutes;
+  readonly metrics: Metrics;
+  readonly events: EventRing;
+}
+
+/** The routes of callers, and a bound on requests open at a time. */
+export class CallerRoutes {
+  private readonly queue = new PQueue({concurrency: MAX_OPEN_REQUESTS});
+
+  constructor(private readonly parts: RouteParts) {}
+
+  /**
+   * Serves one request; an error becomes its answer.
+   *
+   * @example
+   * new CallerServer((req, res) => void routes.serve(req, res), metrics);
+   */
+  async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const startedMs = performance.now();
+    try {
+      checkHeaderCount(req);
+      await this.enqueue(req, res);
+      this.parts.metrics.count('requests_total{outcome="done"}');
+    } catch (err) {
+      this.noteFailure(sendError(req, res, err));
+    }
+    const tookUs = (performance.now() - startedMs) * 1_000;
+    this.parts.metrics.record('request_us', tookUs);
+  }
+
+  private async enqueue(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (this.queue.size >= MAX_WAITING_REQUESTS) {
+      raise('queueFull', 'this gateway has too many requests open');
+    }
+    await this.queue.add(() => this.route(req, res));
+  }
+
+  private route(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {relay, jobs} = this.parts;
+    const url = readUrl(req);
+    const [root, version, kind, name, ...others] = url.pathname.split('/');
+    const isOurs = root === '' && version === 'v1' && others.length === 0;
+    if (isOurs && kind === 'requests' && name && req.method === 'POST') {
+      return relay.serve(req, res, decode(name));
+    }
+    if (!isOurs || kind !== 'jobs') return raise('routeUnknown', url.pathname);
+    if (name === undefined && req.method === 'POST') {
+      return jobs.submit(req, res);
+    }
+    if (name === undefined && req.method === 'GET') {
+      return jobs.list(req, res, url.searchParams);
+    }
+    if (name && req.method === 'GET') {
+      return jobs.status(req, res, decode(name));
+    }
+    if (name && req.method === 'DELETE') {
+      return jobs.cancel(req, res, decode(name));
+    }
+    return raise('routeUnknown', `${req.method} ${url.pathname}`);
+  }
+
+  private noteFailure({kind, detail}: Failure): void {
+    const {metrics, events} = this.parts;
+    const {outcome} = ERRORS[kind];
+    metrics.count(`requests_total{outcome="${outcome}",kind="${kind}"}`);
+    const event = outcome === 'notRun' ? 'requestRefused' : 'requestUnknown';
+    events.add(event, {}, `${kind}: ${detail}`);
+  }
+}
+
+function readUrl(req: IncomingMessage): URL {
+  try {
+    return new URL(req.url ?? '/', BASE_URL);
+  } catch {
+    return raise('badRequest', 'the path is malformed');
+  }
+}
+
+function decode(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return raise('badRequest', 'the path is malformed');
+  }
+}
--- /dev/null
+++ b/packages/caller/src/caller-server.ts
@@ -0,0 +1,156 @@
+/** The HTTP server that callers reach, with bounds on what it takes. */
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import {raise, type Metrics} from '@dragonflyward/common';
+import {errorBody} from './answers.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const MAX_HEADERS = 100;
+const HEADERS_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const CHECK_PERIOD_MS = 500;
+const MAX_CONNECTIONS = 4_096;
+/** Requests that one connection may have open at a time. */
+const MAX_PIPELINED = 8;
+
+/** Bounds that tests make shorter. */
+export interface CallerServerBounds {
+  readonly headersTimeoutMs: number;
+  /** The longest time in which a whole request must have come in. */
+  readonly requestTimeoutMs: number;
+  readonly maxConnections: number;
+}
+
+/** The bounds in use. */
+export const CALLER_SERVER_BOUNDS: CallerServerBounds = {
+  headersTimeoutMs: HEADERS_TIMEOUT_MS,
+  requestTimeoutMs: 300_000,
+  maxConnections: MAX_CONNECTIONS,
+};
+
+type Handler = (req: http.IncomingMessage, res: http.ServerResponse) => void;
+
+/** Takes callers' connections. */
+export class CallerServer {
+  private readonly server: http.Server;
+  private readonly openBySocket = new WeakMap<Socket, number>();
+  private isDraining = false;
+  private open = 0;
+
+  constructor(
+    private readonly handler: Handler,
+    private readonly metrics: Metrics,
+    bounds: CallerServerBounds = CALLER_SERVER_BOUNDS,
+  ) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: bounds.headersTimeoutMs,
+        requestTimeout: bounds.requestTimeoutMs,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_PERIOD_MS,
+        insecureHTTPParser: false,
+      },
+      (req, res) => {
+        this.take(req, res);
+      },
+    );
+    this.server.maxHeadersCount = MAX_HEADERS;
+    this.server.maxConnections = bounds.maxConnections;
+    this.server.on('clientError', (err, socket) => {
+      this.refuse(err, socket as Socket);
+    });
+    this.server.on('drop', () => {
+      this.metrics.count('connections_dropped_total');
+    });
+    metrics.gauge('requests_open', () => this.open);
+  }
+
+  /** Starts to listen; returns the port. */
+  listen(ip: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => {
+        const address = this.server.address();
+        const isBound = typeof address === 'object' && address !== null;
+        resolve(isBound ? address.port : port);
+      });
+    });
+  }
+
+  /** From now on each answer is the last one on its connection. */
+  startDraining(): void {
+    this.isDraining = true;
+  }
+
+  /** Takes no more connections; resolves once all requests are answered. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.closeIdleConnections();
+    });
+  }
+
+  /** How many requests are open. */
+  openRequests(): number {
+    return this.open;
+  }
+
+  private take(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const {socket} = req;
+    const pipelined = (this.openBySocket.get(socket) ?? 0) + 1;
+    this.openBySocket.set(socket, pipelined);
+    this.open += 1;
+    res.once('close', () => {
+      this.open -= 1;
+      this.openBySocket.set(socket, (this.openBySocket.get(socket) ?? 1) - 1);
+    });
+    if (this.isDraining) res.setHeader('connection', 'close');
+    if (pipelined > MAX_PIPELINED) return this.refusePipelined(socket);
+    this.handler(req, res);
+  }
+
+  /** Nothing more is read from a connection that sends without waiting. */
+  private refusePipelined(socket: Socket): void {
+    this.metrics.count('connections_refused_total{reason="pipelined"}');
+    socket.destroy();
+  }
+
+  private refuse(err: NodeJS.ErrnoException, socket: Socket): void {
+    const status = refusalStatus(err);
+    const reason = err.code ?? 'unknown';
+    this.metrics.count(`connections_refused_total{reason="${reason}"}`);
+    if (!socket.writable || socket.bytesWritten > 0) return void socket.destroy();
+    const detail = `the connection does not carry valid HTTP: ${reason}`;
+    const body = JSON.stringify(errorBody({kind: 'badRequest', detail}));
+    const head = [
+      `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      'connection: close',
+    ];
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`, () => {
+      socket.destroy();
+    });
+  }
+}
+
+function refusalStatus(err: NodeJS.ErrnoException): number {
+  if (err.code === 'HPE_HEADER_OVERFLOW') return 431;
+  if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') return 408;
+  return 400;
+}
+
+/**
+ * Refuses a request with more header lines than are kept.
+ *
+ * @throws badRequest
+ * @example
+ * checkHeaderCount(req);
+ */
+export function checkHeaderCount(req: http.IncomingMessage): void {
+  if (req.rawHeaders.length < MAX_HEADERS * 2) return;
+  raise('badRequest', `more than ${MAX_HEADERS} headers`);
+}
--- /dev/null
+++ b/packages/caller/src/gateway.ts
@@ -0,0 +1,204 @@
+/** The gateway program: its parts, its start and its graceful shutdown. */
+import type http from 'node:http';
+import {
+  EventRing,
+  HybridClock,
+  logCounters,
+  makeLogger,
+  Metrics,
+  serveAdmin,
+  SystemClock,
+  type Logger,
+  type ProcessRef,
+  type ProcessSettings,
+} from '@dragonflyward/common';
+import {HttpLogClient} from '@dragonflyward/log';
+import {PeerMesh, type PeerAsk, type PeerReply} from '@dragonflyward/peer';
+import {HttpExecutorClient} from '@dragonflyward/target';
+import {HttpVmListClient} from '@dragonflyward/vms';
+import {CallerRoutes} from './caller-routes.js';
+import {CallerServer} from './caller-server.js';
+import {ConfigFeed} from './config-feed.js';
+import {idleConnections} from './connection-share.js';
+import {GatewayPeers} from './gateway-peers.js';
+import {JobRoutes, ShardAsker} from './job-routes.js';
+import {MeshTickets} from './mesh-tickets.js';
+import {OwnerDirectory} from './owner-directory.js';
+import {RequestRelay} from './request-relay.js';
+import {TicketBook} from './ticket-book.js';
+import {VmView} from './vm-view.js';
+
+/** Forwards the asks of the job API. */
+class MeshAsker extends ShardAsker {
+  constructor(
+    private readonly tickets: MeshTickets,
+    private readonly vms: VmView,
+    override readonly ownDomain: string,
+  ) {
+    super();
+  }
+
+  override ask(
+    shard: string,
+    ask: PeerAsk,
+    timeoutMs: number,
+  ): Promise<PeerReply> {
+    return this.tickets.ask(shard, ask, timeoutMs);
+  }
+
+  override domains(): readonly string[] {
+    return this.vms.domains();
+  }
+}
+
+/** One gateway process. */
+export class Gateway {
+  private readonly clock = new SystemClock();
+  private readonly metrics = new Metrics();
+  private readonly self: ProcessRef;
+  private readonly events: EventRing;
+  private readonly logger: Logger;
+  private readonly owners = new OwnerDirectory();
+  private readonly book = new TicketBook(this.clock);
+  private readonly executors: HttpExecutorClient;
+  private readonly vms: VmView;
+  private readonly mesh: PeerMesh;
+  private readonly config: ConfigFeed;
+  private readonly tickets: MeshTickets;
+  private readonly server: CallerServer;
+  private admin: http.Server | undefined;
+  private isDraining = false;
+
+  constructor(private readonly cfg: ProcessSettings) {
+    const {clock, metrics, owners, book} = this;
+    const {vm, timing} = cfg;
+    this.self = {vm: vm.id, incarnation: Date.now()};
+    const name = `dragonflyward-gateway@${vm.id}`;
+    this.events = new EventRing(name, new HybridClock(clock));
+    this.logger = makeLogger(name, cfg.logLevel);
+    const options = {localAddress: vm.ip};
+    this.executors = new HttpExecutorClient(options);
+    this.mesh = new PeerMesh(this.makePeers(), clock);
+    const list = new HttpVmListClient(cfg.vmListUrl, options);
+    this.vms = new VmView(list, clock, vm, () => {
+      this.noteVms();
+    });
+    this.config = new ConfigFeed({
+      log: new HttpLogClient(cfg.logUrl, options),
+      clock,
+      events: this.events,
+      metrics,
+      mesh: () => this.mesh,
+      vm,
+      maxAgeMs: timing.configMaxAgeMs,
+    });
+    const {mesh, vms, config, executors, events} = this;
+    this.tickets = new MeshTickets({clock, mesh, owners, book, vms});
+    const {tickets} = this;
+    const routes = new CallerRoutes({
+      relay: new RequestRelay({
+        clock,
+        metrics,
+        events,
+        config,
+        tickets,
+        executors,
+      }),
+      jobs: new JobRoutes(config, new MeshAsker(tickets, vms, vm.domain)),
+      metrics,
+      events,
+    });
+    this.server = new CallerServer((req, res) => {
+      void routes.serve(req, res);
+    }, metrics);
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const {vm, ports, timing} = this.cfg;
+    const {metrics, events} = this;
+    this.admin = await serveAdmin(vm.ip, ports.gatewayAdmin, {
+      metrics,
+      events,
+      isReady: () => this.isReady(),
+      status: () => this.status(),
+    });
+    this.config.start();
+    this.vms.start(timing.vmListPeriodMs);
+    await this.server.listen(vm.ip, ports.gateway);
+    logCounters(this.logger, metrics);
+    metrics.gauge('tickets_open', () => this.book.size());
+    metrics.gauge('config_offset', () => this.config.state.nextOffset);
+    events.add('processStarted', {}, 'gateway');
+    this.logger.info('started');
+  }
+
+  /** Whether callers' requests can be served. */
+  isReady(): boolean {
+    if (this.isDraining || this.owners.isEmpty()) return false;
+    return this.config.isApplied() && this.config.isFresh();
+  }
+
+  /**
+   * Fails readiness, serves on through the balancer's delay, finishes what
+   * is open and ends.
+   *
+   * @example
+   * onTermination(() => gateway.drain(), timing.drainBoundMs);
+   */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    this.events.add('processDraining', {}, 'gateway');
+    this.logger.info('draining');
+    this.server.startDraining();
+    await this.clock.sleep(this.cfg.timing.balancerDelayMs);
+    await this.server.close();
+    this.config.stop();
+    this.vms.stop();
+    this.executors.close();
+    this.mesh.close();
+    this.admin?.close();
+    this.events.add('processStopped', {}, 'gateway');
+    this.logger.info('stopped');
+  }
+
+  private makePeers(): GatewayPeers {
+    return new GatewayPeers({
+      self: this.self,
+      events: this.events,
+      owners: this.owners,
+      book: this.book,
+      configOffset: () => this.config.state.nextOffset,
+      isDraining: () => this.isDraining,
+      onOwner: shards => {
+        for (const shard of shards) this.tickets.sendKept(shard);
+      },
+    });
+  }
+
+  private noteVms(): void {
+    const entries = this.vms.entryVms();
+    const port = this.cfg.ports.scheduler;
+    this.mesh.setPeers(entries.map(({id, ip}) => ({vm: id, ip, port})));
+    this.config.setEntryVms(entries);
+    const share = idleConnections(this.vms.executors(), entries.length);
+    this.executors.keepIdle(share);
+  }
+
+  private status(): Readonly<Record<string, unknown>> {
+    return {
+      process: this.self,
+      isReady: this.isReady(),
+      isDraining: this.isDraining,
+      config: {
+        revision: this.config.state.revision,
+        nextOffset: this.config.state.nextOffset,
+        ageMs: this.config.ageMs(),
+        isFresh: this.config.isFresh(),
+      },
+      owners: this.owners.list(),
+      openTickets: this.book.size(),
+      openRequests: this.server.openRequests(),
+    };
+  }
+}
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,2 +1,10 @@
-/** The gateway program: HTTP for callers. */
-export {};
+/** The gateway: HTTP for callers. */
+export * from './caller-routes.js';
+export * from './caller-server.js';
+export * from './config-view.js';
+export * from './gateway.js';
+export * from './job-routes.js';
+export * from './request-relay.js';
+export * from './retry-budget.js';
+export * from './ticket-book.js';
+export * from './ticket-source.js';
--- a/packages/caller/src/ticket-source.ts
+++ b/packages/caller/src/ticket-source.ts
@@ -21,6 +21,9 @@
 /** A claim of a request id at its home. */
 export type ClaimWish = Omit<RequestClaim, 'type' | 'shard'>;
 
+/** Gives a claim back. */
+export type ReleaseWish = Omit<RequestRelease, 'type' | 'shard'>;
+
 /** Gets and gives back tickets, and claims request ids. */
 export abstract class TicketSource {
   /**
@@ -41,5 +44,5 @@
   abstract claim(wish: ClaimWish): Promise<void>;
 
   /** Gives a claim back: the request surely did not run. */
-  abstract release(wish: Omit<RequestRelease, 'type' | 'shard'>): void;
+  abstract release(wish: ReleaseWish): void;
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,4 +14,5 @@
 export * from './admin.js';
 export * from './ids.js';
 export * from './shutdown.js';
+export * from './rendezvous.js';
 export {Ok, Err, type Result} from 'ts-results-es';
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -62,7 +62,7 @@
 }
 
 /** How the use of a ticket went. */
-export type TicketUse = 'done' | 'notSent' | 'failed' | 'unknown';
+export type TicketUse = 'done' | 'notSent' | 'failed' | 'unknown' | 'abandoned';
 
 /** Gives a ticket's slot back. */
 export interface TicketClose {
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -15,6 +15,7 @@
   Ticket,
   TicketAsk,
   TicketClose,
+  TicketUse,
 } from '@dragonflyward/peer';
 import type {QueueConfig, TeamConfig} from '@dragonflyward/state';
 import type {VmEntry} from '@dragonflyward/vms';
@@ -139,7 +140,7 @@
     if (close.isDraining) this.noteDraining(close.executorId);
     if (held === undefined || held.gateway !== from.vm) return;
     this.noteUse(held.service, held.heldSinceMs, close);
-    if (close.use !== 'unknown') this.slots.release(close.ticketId);
+    if (isOver(close.use)) this.slots.release(close.ticketId);
     this.grantWaiting();
   }
 
@@ -342,7 +343,7 @@
       this.estimate.add(service, heldMs);
       return health.addSuccess(executorId);
     }
-    if (use === 'notSent') return;
+    if (use === 'notSent' || use === 'abandoned') return;
     if (!health.addFailure(executorId)) return;
     this.options.events.add('executorLost', {executor: executorId}, use);
   }
@@ -372,6 +373,11 @@
   }
 }
 
+/** Whether the executor surely works on the request no longer. */
+function isOver(use: TicketUse): boolean {
+  return use !== 'unknown' && use !== 'abandoned';
+}
+
 function isAhead(waiter: Waiter, ask: TicketAsk, cfg: QueueConfig): boolean {
   if (waiter.ask.service !== ask.service) return false;
   return priorityRank(waiter.priority) <= priorityRank(cfg.priority);
--- a/packages/scheduler/src/ticket-health.ts
+++ b/packages/scheduler/src/ticket-health.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 
 /** Failures in a row after which an executor is set aside. */
-const FAILURES_TO_SET_ASIDE = 3;
+const FAILURES_TO_SET_ASIDE = 5;
 const SET_ASIDE_MIN_MS = 1_000;
 const SET_ASIDE_MAX_MS = 30_000;
 /** How long an executor's own word that it drains is kept. */
--- a/packages/target/src/executor-client.ts
+++ b/packages/target/src/executor-client.ts
@@ -20,8 +20,11 @@
   readonly body: ExecutorBody;
   /** Whether a kept connection may be used, which may have gone silent. */
   readonly mayReuse: boolean;
-  /** Called immediately before the first byte; throws to send none. */
-  readonly beforeFirstByte: () => void;
+  /**
+   * Called immediately before the first byte; throws to send none, or
+   * returns headers that depend on the time.
+   */
+  readonly beforeFirstByte: () => Readonly<Record<string, string>>;
   /** Gives the request up; its reason is what `send` then throws. */
   readonly signal: AbortSignal;
 }
--- a/packages/target/src/executor-http.ts
+++ b/packages/target/src/executor-http.ts
@@ -51,7 +51,8 @@
     const stopWatching = destroyOnAbort(req, request.signal);
     try {
       const socket = await connected(req, request.signal);
-      request.beforeFirstByte();
+      const last = Object.entries(request.beforeFirstByte());
+      for (const [name, value] of last) req.setHeader(name, value);
       return await exchange(req, socket, request);
     } catch (err) {
       req.destroy();
