--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -74,9 +74,7 @@
   /** Sets the entry VMs whose word on the log counts. */
   setEntryVms(entries: readonly VmEntry[]): void {
     const others = entries.filter(({id}) => id !== this.parts.vm.id);
-    this.freshness.setListed(
-      others.map(({id, domain}) => ({vm: id, domain})),
-    );
+    this.freshness.setListed(others.map(({id, domain}) => ({vm: id, domain})));
   }
 
   override queue(name: string): QueueConfig | undefined {
