--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -122,8 +122,9 @@
     const status = refusalStatus(err);
     const reason = err.code ?? 'unknown';
     this.metrics.count(`connections_refused_total{reason="${reason}"}`);
-    if (!socket.writable || socket.bytesWritten > 0)
+    if (!socket.writable || socket.bytesWritten > 0) {
       return void socket.destroy();
+    }
     const detail = `the connection does not carry valid HTTP: ${reason}`;
     const body = JSON.stringify(errorBody({kind: 'badRequest', detail}));
     const head = [
--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,26 +1,32 @@
-/** Follows the configuration stream, over the log or over a peer's tail. */
-import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
+/** Follows the configuration stream, over the log or over peers. */
+import {
+  raise,
+  type Clock,
+  type EventRing,
+  type Metrics,
+} from '@dragonflyward/common';
 import {
   StreamTail,
   type ApplyResult,
   type LogClient,
   type LogRecord,
 } from '@dragonflyward/log';
-import type {PeerConnection, PeerMesh} from '@dragonflyward/peer';
+import type {PeerMesh} from '@dragonflyward/peer';
 import {
   CONFIG_STREAM,
+  ConfigExchange,
   ConfigFreshness,
+  ConfigPeers,
   ConfigState,
+  type ConfigTail,
+  type ListedPeer,
   type QueueConfig,
 } from '@dragonflyward/state';
-import type {VmEntry} from '@dragonflyward/vms';
 import {ConfigView} from './config-view.js';
+import type {VmView} from './vm-view.js';
 
 const TAIL_WAIT_MS = 500;
-const PEER_ASK_PERIOD_MS = 500;
-const PEER_ASK_TIMEOUT_MS = 500;
-/** Peers are asked once the own newest read is older than this. */
-const OWN_READ_MAX_AGE_MS = 1_500;
+const PEER_TIMEOUT_MS = 500;
 
 /** What the feed works with. */
 export interface ConfigFeedParts {
@@ -28,41 +34,69 @@
   readonly clock: Clock;
   readonly events: EventRing;
   readonly metrics: Metrics;
-  readonly mesh: () => PeerMesh;
-  readonly vm: {readonly id: string; readonly domain: string};
+  readonly peers: ConfigPeers;
+  readonly domain: string;
   readonly maxAgeMs: number;
 }
 
+/** The schedulers on the listed entry VMs. */
+export class MeshConfigPeers extends ConfigPeers {
+  constructor(
+    private readonly mesh: PeerMesh,
+    private readonly vms: VmView,
+    private readonly ownVm: string,
+  ) {
+    super();
+  }
+
+  override listed(): readonly ListedPeer[] | undefined {
+    if (!this.vms.isKnown) return undefined;
+    const others = this.vms.entryVms().filter(({id}) => id !== this.ownVm);
+    return others.map(({id, domain}) => ({vm: id, domain}));
+  }
+
+  override async askTail(vm: string, from: number): Promise<ConfigTail> {
+    const connection = this.mesh.connectionTo(vm);
+    if (connection === undefined) return raise('peerDown', vm);
+    const ask = {type: 'configTailAsk', from} as const;
+    const reply = await connection.ask(ask, PEER_TIMEOUT_MS);
+    return reply.type === 'configTail' ? reply : raise('peerLost', reply.type);
+  }
+}
+
 /** The configuration in force and how recent it is known to be. */
 export class ConfigFeed extends ConfigView {
   readonly state = new ConfigState();
   private readonly tail: StreamTail;
   private readonly freshness: ConfigFreshness;
+  private readonly exchange: ConfigExchange;
   private isRunning = false;
 
   constructor(private readonly parts: ConfigFeedParts) {
     super();
-    const {log, clock, maxAgeMs, vm} = parts;
+    const {log, clock, maxAgeMs, domain, peers} = parts;
+    const fold = this.state;
     this.tail = new StreamTail({
       client: log,
       stream: CONFIG_STREAM,
-      fold: this.state,
+      fold,
       clock,
       waitMs: TAIL_WAIT_MS,
       onApplied: (record, result) => {
         this.noteApplied(record, result);
       },
     });
-    const fold = this.state;
-    const {domain} = vm;
     this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
+    const {tail, freshness} = this;
+    const options = {fold, tail, clock, freshness, peers, maxAgeMs};
+    this.exchange = new ConfigExchange(options);
   }
 
   /** Starts to follow. */
   start(): void {
     this.isRunning = true;
     this.tail.start();
-    void this.askPeers();
+    void this.exchange.run(() => this.isRunning);
   }
 
   /** Stops. */
@@ -71,12 +105,6 @@
     this.tail.stop();
   }
 
-  /** Sets the entry VMs whose word on the log counts. */
-  setEntryVms(entries: readonly VmEntry[]): void {
-    const others = entries.filter(({id}) => id !== this.parts.vm.id);
-    this.freshness.setListed(others.map(({id, domain}) => ({vm: id, domain})));
-  }
-
   override queue(name: string): QueueConfig | undefined {
     return this.state.queue(name);
   }
@@ -86,7 +114,7 @@
   }
 
   override isFresh(): boolean {
-    this.freshness.noteLogRead(this.tail.lastProofMs);
+    this.noteOwnRead();
     return this.freshness.isFresh();
   }
 
@@ -96,36 +124,13 @@
 
   /** How old the newest read is that covers what is applied. */
   ageMs(): number {
-    this.freshness.noteLogRead(this.tail.lastProofMs);
+    this.noteOwnRead();
     return this.freshness.ageMs();
   }
 
-  private async askPeers(): Promise<void> {
-    while (this.isRunning) {
-      await this.parts.clock.sleep(PEER_ASK_PERIOD_MS);
-      const ageMs = this.parts.clock.monotonicMs() - this.tail.lastProofMs;
-      if (ageMs < OWN_READ_MAX_AGE_MS) continue;
-      const connections = [...this.parts.mesh().connections()];
-      await Promise.all(connections.map(peer => this.askPeer(peer)));
-    }
-  }
-
-  private async askPeer(connection: PeerConnection): Promise<void> {
-    const askedMs = this.parts.clock.monotonicMs();
-    const ask = {type: 'configTailAsk', from: this.state.nextOffset} as const;
-    const reply = await connection
-      .ask(ask, PEER_ASK_TIMEOUT_MS)
-      .catch(() => undefined);
-    if (reply?.type !== 'configTail' || connection.info === undefined) return;
-    for (const record of reply.records) this.apply(record as LogRecord);
-    const vm = connection.info.process.vm;
-    const {ageMs, end} = reply;
-    this.freshness.notePeerTail({vm, ageMs, end, askedMs});
-  }
-
-  private apply(record: LogRecord): void {
-    if (record.offset !== this.state.nextOffset) return;
-    this.noteApplied(record, this.state.apply(record));
+  private noteOwnRead(): void {
+    if (!this.state.isComplete) return;
+    this.freshness.noteLogRead(this.tail.lastProofMs);
   }
 
   private noteApplied(record: LogRecord, result: ApplyResult): void {
--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -18,7 +18,7 @@
 import {HttpVmListClient} from '@dragonflyward/vms';
 import {CallerRoutes} from './caller-routes.js';
 import {CallerServer} from './caller-server.js';
-import {ConfigFeed} from './config-feed.js';
+import {ConfigFeed, MeshConfigPeers} from './config-feed.js';
 import {idleConnections} from './connection-share.js';
 import {GatewayPeers} from './gateway-peers.js';
 import {JobRoutes, ShardAsker} from './job-routes.js';
@@ -88,8 +88,8 @@
       clock,
       events: this.events,
       metrics,
-      mesh: () => this.mesh,
-      vm,
+      peers: new MeshConfigPeers(this.mesh, this.vms, vm.id),
+      domain: vm.domain,
       maxAgeMs: timing.configMaxAgeMs,
     });
     const {mesh, vms, config, executors, events} = this;
@@ -180,7 +180,6 @@
     const entries = this.vms.entryVms();
     const port = this.cfg.ports.scheduler;
     this.mesh.setPeers(entries.map(({id, ip}) => ({vm: id, ip, port})));
-    this.config.setEntryVms(entries);
     const share = idleConnections(this.vms.executors(), entries.length);
     this.executors.keepIdle(share);
   }
--- a/packages/caller/src/job-routes.ts
+++ b/packages/caller/src/job-routes.ts
@@ -155,7 +155,8 @@
 function readMax(text: string | null): number {
   if (text === null) return DEFAULT_MAX_JOBS;
   const value = Number(text);
-  if (Number.isSafeInteger(value) && value > 0)
+  if (Number.isSafeInteger(value) && value > 0) {
     return Math.min(value, MAX_JOBS);
+  }
   return raise('badRequest', 'max is not a whole number above 0');
 }
--- a/packages/scheduler/src/ticket-slots.ts
+++ b/packages/scheduler/src/ticket-slots.ts
@@ -3,7 +3,7 @@
 import type {VmEntry} from '@dragonflyward/vms';
 import type {ExecutorHealth} from './ticket-health.js';
 import type {BlindUse} from './ticket-blind.js';
-import { gatewayPart} from './ticket-blind.js';
+import {gatewayPart} from './ticket-blind.js';
 
 /** A ticket that counts against an executor's slots and a team. */
 export interface HeldTicket {
