--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -6,7 +6,6 @@
 } from 'node:http';
 import {
   DragonflywardError,
-  newId,
   toFailure,
   type ErrorKind,
 } from '@dragonflyward/common';
@@ -20,6 +19,7 @@
   RelayAttempt,
   type AttemptParts,
 } from './relay-attempt.js';
+import {IdClaim} from './id-claim.js';
 import {endToEnd} from './relay-headers.js';
 import type {RequestLifetime} from './request-lifetime.js';
 import type {RelayParts} from './request-relay.js';
@@ -49,17 +49,19 @@
 
 /** Relays one request. */
 export class RelayTask {
-  private readonly claimId = newId('c');
+  private readonly claim: IdClaim;
   private readonly avoid: string[] = [];
   private mayHaveRun = false;
-  private isClaimed = false;
   private isRetryPaid = false;
 
   constructor(
     private readonly parts: TaskParts,
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
-  ) {}
+  ) {
+    const {access, spec, tickets} = parts;
+    this.claim = new IdClaim(tickets, access, spec);
+  }
 
   /**
    * Relays the request.
@@ -71,7 +73,7 @@
     try {
       await this.relay();
     } catch (err) {
-      if (this.isClaimed && !this.mayHaveRun) this.release();
+      if (!this.mayHaveRun) this.claim.release();
       throw this.truthful(err);
     }
   }
@@ -80,12 +82,6 @@
     return this.parts.access.queue.service;
   }
 
-  /** Whether the caller may repeat the id, so that its home must know it. */
-  private get needsClaim(): boolean {
-    const {hasOwnId, isIdempotent} = this.parts.spec;
-    return hasOwnId && !isIdempotent;
-  }
-
   private async relay(): Promise<void> {
     const body = await this.readBody();
     let held = await this.firstTicket();
@@ -109,18 +105,17 @@
 
   /** The claim and the first ticket are asked for at the same time. */
   private async firstTicket(): Promise<HeldTicket> {
-    if (!this.needsClaim) return this.takeTicket();
+    if (!this.claim.isNeeded) return this.takeTicket();
     const ticket = this.takeTicket();
-    ticket.catch(() => undefined);
+    ticket.catch(ignore);
     try {
-      await this.claim();
+      await this.claim.take();
     } catch (err) {
       void ticket.then(held => {
         this.giveBack(held);
       }, ignore);
       throw err;
     }
-    this.isClaimed = true;
     return ticket;
   }
 
@@ -132,7 +127,7 @@
       queue: access.queueName,
       service: this.service,
       deadlineMs: lifetime.leftMs(),
-      avoid: this.avoid,
+      avoid: [...this.avoid],
     };
     return tickets.take(wish, lifetime.signal);
   }
@@ -150,23 +145,6 @@
     this.parts.tickets.close(close);
   }
 
-  private claim(): Promise<void> {
-    const {spec, tickets} = this.parts;
-    const {claimId} = this;
-    const {issuedMs} = spec;
-    return tickets.claim({key: this.claimKey(), claimId, issuedMs});
-  }
-
-  private release(): void {
-    const {claimId} = this;
-    this.parts.tickets.release({key: this.claimKey(), claimId});
-  }
-
-  private claimKey(): string {
-    const {access, spec} = this.parts;
-    return JSON.stringify([access.team, access.queueName, spec.requestId]);
-  }
-
   /** Makes one attempt; returns its failure where another may follow. */
   private async tryOnce(
     held: HeldTicket,
@@ -282,8 +260,8 @@
       if (!isNotRun(kind)) return new DragonflywardError(kind, detail);
       return new DragonflywardError('targetLost', why);
     }
-    if (this.needsClaim && !this.isClaimed && kind !== 'duplicateId') {
-      return this.truthfulUnclaimed(kind, detail);
+    if (this.claim.isMissing && kind !== 'duplicateId') {
+      return this.claim.truthful(kind, detail);
     }
     if (kind === 'deadlinePassed') {
       return new DragonflywardError('deadlineUnmet', detail);
@@ -291,14 +269,6 @@
     return new DragonflywardError(kind, detail);
   }
 
-  /** Without a claim it is not known whether an earlier call ran the id. */
-  private truthfulUnclaimed(kind: ErrorKind, detail: string): Error {
-    if (kind === 'bodyTooLarge' || !isNotRun(kind)) {
-      return new DragonflywardError(kind, detail);
-    }
-    return new DragonflywardError('peerLost', `${kind}: ${detail}`);
-  }
-
   private noteRetry(held: HeldTicket): void {
     const {metrics, events, spec} = this.parts;
     const executor = held.ticket.executorId;
--- a/packages/caller/src/request-relay.ts
+++ b/packages/caller/src/request-relay.ts
@@ -23,10 +23,12 @@
 
 /** Relays requests to executors. */
 export class RequestRelay {
-  private readonly budget = new RetryBudget();
   private readonly silence = new SilenceBound();
 
-  constructor(private readonly parts: RelayParts) {}
+  constructor(
+    private readonly parts: RelayParts,
+    private readonly budget = new RetryBudget(),
+  ) {}
 
   /**
    * Serves one request; the answer is written on success only.
--- /dev/null
+++ b/packages/scheduler/test/desk-harness.ts
@@ -0,0 +1,161 @@
+/** A ticket desk with executors, teams and a clock that tests move. */
+import {
+  EventRing,
+  HybridClock,
+  ManualClock,
+  Metrics,
+  NO_RESOURCES,
+  toFailure,
+  type ProcessRef,
+} from '@dragonflyward/common';
+import type {Ticket, TicketAsk, TicketUse} from '@dragonflyward/peer';
+import type {Priority, QueueConfig, TeamConfig} from '@dragonflyward/state';
+import type {VmEntry} from '@dragonflyward/vms';
+import {TicketDesk, type TicketConfig} from '../src/ticket-desk.js';
+
+export const SLOTS = 8;
+export const MAX_DEADLINE_MS = 10_000;
+export const MAX_WAITING = 10;
+const PRIORITIES: Readonly<Record<string, Priority>> = {
+  confirmations: 'urgent',
+  renders: 'batch',
+};
+
+/** Names an executor's entry in the list of VMs. */
+export function executor(id: string, change: Partial<VmEntry> = {}): VmEntry {
+  return {
+    id,
+    kind: 'executor',
+    state: 'live',
+    ip: '127.0.0.1',
+    port: 7_000,
+    region: 'north',
+    domain: 'north-1',
+    rack: 'r-1',
+    capacity: {...NO_RESOURCES, slots: SLOTS},
+    service: 'quote',
+    connections: 64,
+    ...change,
+  };
+}
+
+/** Names a gateway. */
+export function gateway(vm: string): ProcessRef {
+  return {vm, incarnation: 1};
+}
+
+class Config implements TicketConfig {
+  queue(name: string): QueueConfig | undefined {
+    return this.queues().get(name);
+  }
+
+  queues(): ReadonlyMap<string, QueueConfig> {
+    const queues = Object.entries(PRIORITIES).map(
+      ([name, priority]) => [name, queueOf(priority)] as const,
+    );
+    return new Map(queues);
+  }
+
+  team(): TeamConfig {
+    return {organisation: 'o', share: 1, limit: NO_RESOURCES};
+  }
+}
+
+function queueOf(priority: Priority): QueueConfig {
+  return {
+    priority,
+    service: 'quote',
+    isOpen: false,
+    maxBodyBytes: 1_000,
+    maxDeadlineMs: MAX_DEADLINE_MS,
+    maxWaiting: MAX_WAITING,
+    policy: 'spread',
+  };
+}
+
+/** What became of an ask. */
+export interface AskState {
+  readonly team: string;
+  readonly gateway: ProcessRef;
+  ticket: Ticket | undefined;
+  refusal: string | undefined;
+}
+
+/** A desk and what was asked of it. */
+export class DeskHarness {
+  readonly asks: AskState[] = [];
+  readonly desk: TicketDesk;
+
+  constructor(
+    readonly clock = new ManualClock(),
+    readonly term = 1,
+    makeDesk = (options: ConstructorParameters<typeof TicketDesk>[0]) =>
+      new TicketDesk(options),
+  ) {
+    const events = new EventRing('test', new HybridClock(clock));
+    const metrics = new Metrics();
+    this.desk = makeDesk({shard: 'north-1', clock, metrics, events});
+    this.desk.setConfig(new Config());
+  }
+
+  /** Asks for a ticket; the state tells later what became of it. */
+  ask(
+    team: string,
+    from: ProcessRef,
+    change: Partial<TicketAsk> = {},
+  ): AskState {
+    const state: AskState = {
+      team,
+      gateway: from,
+      ticket: undefined,
+      refusal: undefined,
+    };
+    this.asks.push(state);
+    const ask: TicketAsk = {
+      type: 'ticketAsk',
+      shard: 'north-1',
+      requestId: `r-${this.asks.length}`,
+      team,
+      queue: 'confirmations',
+      service: 'quote',
+      deadlineMs: MAX_DEADLINE_MS,
+      avoid: [],
+      ...change,
+    };
+    this.desk.ask(from, ask, this.term).then(
+      ticket => (state.ticket = ticket),
+      (err: unknown) => (state.refusal = toFailure(err).kind),
+    );
+    return state;
+  }
+
+  /** Gives a ticket back. */
+  close(state: AskState, use: TicketUse, isDraining = false): void {
+    const {ticket} = state;
+    if (ticket === undefined) return;
+    const {ticketId, shard, executorId} = ticket;
+    this.desk.close(state.gateway, {
+      type: 'ticketClose',
+      ticketId,
+      shard,
+      executorId,
+      use,
+      isDraining,
+    });
+  }
+
+  /** Moves the time on. */
+  async advance(deltaMs: number): Promise<void> {
+    await this.clock.advance(deltaMs);
+  }
+
+  /** Lets what is due run. */
+  async settle(): Promise<void> {
+    await this.clock.advance(0);
+  }
+
+  /** How many asks have a ticket. */
+  granted(): number {
+    return this.asks.filter(({ticket}) => ticket !== undefined).length;
+  }
+}
