--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -15,6 +15,7 @@
   Ticket,
   TicketAsk,
   TicketClose,
+  TicketUse,
 } from '@dragonflyward/peer';
 import type {QueueConfig, TeamConfig} from '@dragonflyward/state';
 import type {VmEntry} from '@dragonflyward/vms';
@@ -49,7 +50,7 @@
 /** The parts of the configuration that tickets depend on. */
 export interface TicketConfig {
   queue(name: string): QueueConfig | undefined;
-  queues(): Iterable<string | readonly [string, QueueConfig]>;
+  queues(): ReadonlyMap<string, QueueConfig>;
   team(name: string): TeamConfig | undefined;
 }
 
@@ -139,7 +140,7 @@
     if (close.isDraining) this.noteDraining(close.executorId);
     if (held === undefined || held.gateway !== from.vm) return;
     this.noteUse(held.service, held.heldSinceMs, close);
-    if (close.use !== 'unknown') this.slots.release(close.ticketId);
+    if (isOver(close.use)) this.slots.release(close.ticketId);
     this.grantWaiting();
   }
 
@@ -229,9 +230,8 @@
 
   private longestRunByMs(): number {
     let longestMs = 0;
-    for (const item of this.config?.queues() ?? []) {
-      const cfg = typeof item === 'string' ? this.config?.queue(item) : item[1];
-      longestMs = Math.max(longestMs, cfg?.maxDeadlineMs ?? 0);
+    for (const cfg of this.config?.queues().values() ?? []) {
+      longestMs = Math.max(longestMs, cfg.maxDeadlineMs);
     }
     const boundMs = longestMs > 0 ? longestMs : DEFAULT_MAX_DEADLINE_MS;
     return boundMs + RUN_BY_MARGIN_MS;
@@ -343,7 +343,7 @@
       this.estimate.add(service, heldMs);
       return health.addSuccess(executorId);
     }
-    if (use === 'notSent') return;
+    if (use === 'notSent' || use === 'abandoned') return;
     if (!health.addFailure(executorId)) return;
     this.options.events.add('executorLost', {executor: executorId}, use);
   }
@@ -373,6 +373,11 @@
   }
 }
 
+/** Whether the executor surely works on the request no longer. */
+function isOver(use: TicketUse): boolean {
+  return use !== 'unknown' && use !== 'abandoned';
+}
+
 function isAhead(waiter: Waiter, ask: TicketAsk, cfg: QueueConfig): boolean {
   if (waiter.ask.service !== ask.service) return false;
   return priorityRank(waiter.priority) <= priorityRank(cfg.priority);
