--- /dev/null
+++ b/packages/operator/src/ctl-settings.ts
@@ -0,0 +1,39 @@
+/** The settings of dragonflyward-ctl and dragonflyward-timeline. */
+import {
+  PROCESS_SETTINGS_SCHEMA,
+  type PortSettings,
+} from '@dragonflyward/common';
+
+/** The settings of the operators' programs. */
+export interface CtlSettings {
+  readonly logUrl: string;
+  readonly vmListUrl: string;
+  /** The ports of the entry VMs. */
+  readonly ports: PortSettings;
+  /** Who makes a change, as it is written to the log. */
+  readonly author: string;
+  /** Where job commands go; empty for any gateway of the VM list. */
+  readonly gatewayUrl: string;
+  /** How long to wait until a change is in force everywhere. */
+  readonly waitMs: number;
+  /** How long one process may take to answer. */
+  readonly replyTimeoutMs: number;
+}
+
+const {logUrl, vmListUrl, ports} = PROCESS_SETTINGS_SCHEMA.properties;
+
+/** The schema of the operators' settings. */
+export const CTL_SETTINGS_SCHEMA = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['logUrl', 'vmListUrl'],
+  properties: {
+    logUrl,
+    vmListUrl,
+    ports,
+    author: {type: 'string', default: ''},
+    gatewayUrl: {type: 'string', pattern: '^(http://.*)?$', default: ''},
+    waitMs: {type: 'integer', minimum: 0, default: 10_000},
+    replyTimeoutMs: {type: 'integer', minimum: 1, default: 1_500},
+  },
+} as const;
--- /dev/null
+++ b/packages/operator/src/fleet.ts
@@ -0,0 +1,134 @@
+/** Finds the processes on the entry VMs and reads their admin ports. */
+import {
+  callJson,
+  toFailure,
+  type PortSettings,
+  type ProcessRef,
+} from '@dragonflyward/common';
+import type {VmEntry, VmListClient} from '@dragonflyward/vms';
+
+const OK = 200;
+
+/** What a process on an entry VM does. */
+export type ProcessRole = 'gateway' | 'scheduler';
+
+/** One process of the system and its admin port. */
+export interface ProcessAddress {
+  readonly name: string;
+  readonly role: ProcessRole | 'unknown';
+  readonly vm: string;
+  readonly domain: string;
+  readonly ip: string;
+  readonly port: number;
+  readonly isLeaving: boolean;
+}
+
+/** What a process's admin port answered. */
+export interface AdminReply {
+  readonly process: ProcessAddress;
+  /** Undefined where it did not answer. */
+  readonly body: Readonly<Record<string, unknown>> | undefined;
+  /** Why there is no answer; empty where there is one. */
+  readonly failure: string;
+}
+
+/**
+ * Lists the processes that run on the entry VMs of a list.
+ *
+ * @example
+ * const processes = [...listProcesses(await vms.list(), cfg.ports)];
+ */
+export function* listProcesses(
+  vms: readonly VmEntry[],
+  ports: PortSettings,
+): Generator<ProcessAddress> {
+  for (const vm of vms) {
+    if (vm.kind !== 'entry') continue;
+    yield toAddress(vm, 'gateway', ports.gatewayAdmin);
+    yield toAddress(vm, 'scheduler', ports.schedulerAdmin);
+  }
+}
+
+function toAddress(
+  vm: VmEntry,
+  role: ProcessRole,
+  port: number,
+): ProcessAddress {
+  const {id, ip, domain} = vm;
+  const isLeaving = vm.state === 'leaving';
+  return {name: `${role}@${id}`, role, vm: id, domain, ip, port, isLeaving};
+}
+
+/** All processes of the system, found through the list of VMs. */
+export class Fleet {
+  constructor(
+    private readonly vms: VmListClient,
+    private readonly ports: PortSettings,
+    private readonly timeoutMs: number,
+  ) {}
+
+  /**
+   * Lists the processes; the list lags behind.
+   *
+   * @throws vmsDown
+   */
+  async processes(): Promise<readonly ProcessAddress[]> {
+    return [...listProcesses(await this.vms.list(), this.ports)];
+  }
+
+  /**
+   * Reads one path of each process's admin port, all at once.
+   *
+   * @throws vmsDown
+   * @example
+   * const replies = await fleet.readAll('/status');
+   */
+  async readAll(path: string): Promise<readonly AdminReply[]> {
+    const processes = await this.processes();
+    return Promise.all(
+      processes.map(process => readAdmin(process, path, this.timeoutMs)),
+    );
+  }
+}
+
+/**
+ * Reads one path of a process's admin port.
+ *
+ * @example
+ * const {body} = await readAdmin(process, '/events', 1500);
+ */
+export async function readAdmin(
+  process: ProcessAddress,
+  path: string,
+  timeoutMs: number,
+): Promise<AdminReply> {
+  const url = `http://${process.ip}:${process.port}${path}`;
+  try {
+    const res = await callJson({method: 'GET', url, timeoutMs});
+    if (res.status !== OK) {
+      return {process, body: undefined, failure: `status ${res.status}`};
+    }
+    const body = res.body as AdminReply['body'];
+    return {process, body, failure: ''};
+  } catch (err) {
+    return {process, body: undefined, failure: toFailure(err).detail};
+  }
+}
+
+/** A shard and the term of its owner, as a status shows it. */
+export interface StatusShard {
+  readonly shard: string;
+  readonly term: number;
+}
+
+/** The fields of a status that all processes share, where they are there. */
+export interface ProcessStatus {
+  readonly process?: ProcessRef;
+  readonly isReady?: boolean;
+  readonly isDraining?: boolean;
+  /** Offset of the newest configuration record that was applied. */
+  readonly configOffset?: number;
+  /** How long ago the configuration was known to be the newest. */
+  readonly configAgeMs?: number;
+  readonly owns?: readonly StatusShard[];
+}
--- /dev/null
+++ b/packages/operator/src/output.ts
@@ -0,0 +1,72 @@
+/** What the programs print: text for people, or one JSON document. */
+import {ERRORS, toFailure} from '@dragonflyward/common';
+import {exitCodeOf, type ExitCode} from './exit-codes.js';
+
+/** Where text goes. */
+export interface TextSink {
+  readonly out: (text: string) => void;
+  readonly err: (text: string) => void;
+}
+
+/** The standard streams of this process. */
+export const STANDARD_SINK: TextSink = {
+  out: text => void process.stdout.write(text),
+  err: text => void process.stderr.write(text),
+};
+
+/** Prints answers and errors in the chosen form. */
+export class Output {
+  constructor(
+    private readonly isJson: boolean,
+    private readonly sink: TextSink = STANDARD_SINK,
+  ) {}
+
+  /**
+   * Prints an answer: the value as JSON, or the lines as text.
+   *
+   * @example
+   * output.print({revision}, [`revision ${revision}`]);
+   */
+  print(value: unknown, lines: Iterable<string>): void {
+    if (this.isJson) {
+      this.sink.out(`${JSON.stringify(value, null, 2)}\n`);
+      return;
+    }
+    for (const line of lines) this.sink.out(`${line}\n`);
+  }
+
+  /** Prints an error and returns the exit code that belongs to it. */
+  fail(err: unknown): ExitCode {
+    const exitCode = exitCodeOf(err);
+    const {kind, detail} = toFailure(err);
+    const {code, text} = ERRORS[kind];
+    if (this.isJson) {
+      this.print({error: {kind, code, detail, exitCode}}, []);
+    } else {
+      this.sink.err(`error: ${text}: ${detail}\n`);
+    }
+    return exitCode;
+  }
+}
+
+const COLUMN_GAP = '  ';
+
+/**
+ * Lays out rows under a heading, each column as wide as it has to be.
+ *
+ * @example
+ * for (const line of toTable(['vm', 'role'], rows)) console.log(line);
+ */
+export function* toTable(
+  heading: readonly string[],
+  rows: readonly (readonly string[])[],
+): Generator<string> {
+  const all = [heading, ...rows];
+  const widths = heading.map((_, column) =>
+    Math.max(...all.map(row => (row[column] ?? '').length)),
+  );
+  for (const row of all) {
+    const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0));
+    yield cells.join(COLUMN_GAP).trimEnd();
+  }
+}
--- /dev/null
+++ b/packages/operator/src/timeline-groups.ts
@@ -0,0 +1,95 @@
+/** Groups the event kinds, so that a page needs few colours and shapes. */
+import {EVENT_KINDS, type EventKind} from '@dragonflyward/common';
+
+/** How marks of a group are drawn. */
+export type MarkShape =
+  'circle' | 'square' | 'diamond' | 'up' | 'down' | 'bar' | 'cross' | 'ring';
+
+/** A group of event kinds that is drawn alike. */
+export interface KindGroup {
+  readonly id: string;
+  readonly label: string;
+  readonly colour: string;
+  readonly shape: MarkShape;
+  readonly prefixes: readonly string[];
+}
+
+/** All groups, in the order of their rows in a lane. */
+export const KIND_GROUPS: readonly KindGroup[] = [
+  {
+    id: 'process',
+    label: 'process start and stop',
+    colour: '#111827',
+    shape: 'bar',
+    prefixes: ['process'],
+  },
+  {
+    id: 'owner',
+    label: 'shard ownership',
+    colour: '#7c3aed',
+    shape: 'diamond',
+    prefixes: ['owner', 'successors', 'snapshot'],
+  },
+  {
+    id: 'link',
+    label: 'peers and log service',
+    colour: '#b45309',
+    shape: 'up',
+    prefixes: ['peer', 'log', 'record'],
+  },
+  {
+    id: 'config',
+    label: 'configuration, keys, allowances',
+    colour: '#0369a1',
+    shape: 'square',
+    prefixes: ['config', 'key', 'allowance'],
+  },
+  {
+    id: 'job',
+    label: 'jobs',
+    colour: '#15803d',
+    shape: 'circle',
+    prefixes: ['job'],
+  },
+  {
+    id: 'task',
+    label: 'tasks',
+    colour: '#0d9488',
+    shape: 'ring',
+    prefixes: ['task'],
+  },
+  {
+    id: 'target',
+    label: 'workers and executors',
+    colour: '#be185d',
+    shape: 'down',
+    prefixes: ['worker', 'executor'],
+  },
+  {
+    id: 'request',
+    label: 'requests in trouble',
+    colour: '#dc2626',
+    shape: 'cross',
+    prefixes: ['request'],
+  },
+];
+
+function findGroup(kind: EventKind): number {
+  return KIND_GROUPS.findIndex(group =>
+    group.prefixes.some(prefix => kind.startsWith(prefix)),
+  );
+}
+
+const GROUP_OF_KIND = new Map(
+  EVENT_KINDS.map(kind => [kind, Math.max(0, findGroup(kind))]),
+);
+
+/**
+ * The index of the group of a kind.
+ *
+ * @example
+ * const group = KIND_GROUPS[groupIndexOf('taskStarted')];
+ */
+export function groupIndexOf(kind: EventKind): number {
+  return GROUP_OF_KIND.get(kind) ?? 0;
+}
--- /dev/null
+++ b/packages/operator/src/timeline-text.ts
@@ -0,0 +1,59 @@
+/** Writes a time line as text, one line for each event. */
+import type {EventSubject, HybridTime} from '@dragonflyward/common';
+import type {RingSummary, Timeline} from './timeline-events.js';
+
+/**
+ * Writes an event's subject as `part=value` pairs.
+ *
+ * @example
+ * formatSubject({job: 'j-1', term: 4}); // 'job=j-1 term=4'
+ */
+export function formatSubject(subject: EventSubject): string {
+  return Object.entries(subject)
+    .map(([part, value]) => `${part}=${String(value)}`)
+    .join(' ');
+}
+
+/**
+ * Writes a hybrid time; the counter follows where it is not 0.
+ *
+ * @example
+ * formatTime({wallMs: 0, count: 2}); // '1970-01-01T00:00:00.000Z+2'
+ */
+export function formatTime({wallMs, count}: HybridTime): string {
+  const suffix = count === 0 ? '' : `+${count}`;
+  return new Date(wallMs).toISOString() + suffix;
+}
+
+/**
+ * Writes the time line, first what is missing from it.
+ *
+ * @example
+ * for (const line of timelineLines(timeline)) console.log(line);
+ */
+export function* timelineLines(timeline: Timeline): Generator<string> {
+  for (const ring of timeline.rings) {
+    const gap = gapOf(ring);
+    if (gap !== '') yield `# ${ring.process}: ${gap}`;
+  }
+  const {events} = timeline;
+  const width = Math.max(0, ...timeline.rings.map(ring => ring.process.length));
+  for (const {at, process, kind, subject, note} of events) {
+    const parts = [formatSubject(subject), note].filter(part => part !== '');
+    const name = process.padEnd(width);
+    yield `${formatTime(at)} ${name} ${kind} ${parts.join(' — ')}`.trimEnd();
+  }
+}
+
+/**
+ * Says what a time line may lack of one process; empty where nothing.
+ *
+ * @example
+ * const gap = gapOf(ring); // '12 older events were dropped'
+ */
+export function gapOf({dropped, failure}: RingSummary): string {
+  const parts: string[] = [];
+  if (dropped > 0) parts.push(`${dropped} older events were dropped`);
+  if (failure !== '') parts.push(`no answer: ${failure}`);
+  return parts.join('; ');
+}
