--- /dev/null
+++ b/packages/operator/src/config-commands.ts
@@ -0,0 +1,220 @@
+/** The commands `config validate|diff|publish|show|history`. */
+import {readFileSync} from 'node:fs';
+import {parseSettings, raise} from '@dragonflyward/common';
+import {
+  CONFIGURATION_SCHEMA,
+  validateConfiguration,
+  type Configuration,
+  type ConfigState,
+  type Exception,
+  type Publication,
+} from '@dragonflyward/state';
+import type {Command} from 'commander';
+import {
+  awaitForce,
+  describePublication,
+  publish,
+  type ChangeOptions,
+  type PublishResult,
+} from './apply-change.js';
+import {diffValues, formatDifference} from './config-diff.js';
+import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {EXIT, type ExitCode} from './exit-codes.js';
+import {toTable} from './output.js';
+
+/**
+ * Reads and checks a configuration file.
+ *
+ * @throws configInvalid, settingsInvalid, naming file, line and key
+ * @example
+ * const configuration = readConfiguration('fleet.jsonc');
+ */
+export function readConfiguration(file: string): Configuration {
+  const text = readText(file);
+  const value = parseSettings<Configuration>(file, text, CONFIGURATION_SCHEMA);
+  const checked = validateConfiguration(value);
+  if (checked.isOk()) return checked.value;
+  return raise('configInvalid', `${file}: ${checked.error.detail}`);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch {
+    return raise('configInvalid', `${file}: the file cannot be read`);
+  }
+}
+
+/**
+ * Writes the exceptions, each with its reason.
+ *
+ * @example
+ * for (const line of exceptionLines(exceptions)) console.log(line);
+ */
+export function* exceptionLines(
+  exceptions: readonly Exception[],
+): Generator<string> {
+  for (const {id, scope, set, reason} of exceptions) {
+    const where = Object.entries(scope).map(entry => entry.join(' '));
+    yield `exception ${id} for ${where.join(', ')}: ${JSON.stringify(set)}`;
+    yield `  reason: ${reason}`;
+  }
+}
+
+async function validate(
+  {output}: CtlContext,
+  _options: object,
+  file: string,
+): Promise<ExitCode> {
+  const {defaults, exceptions} = readConfiguration(file);
+  const queues = Object.keys(defaults.queues).length;
+  const teams = Object.keys(defaults.teams).length;
+  const counts = {queues, teams, exceptions: exceptions.length};
+  output.print({isValid: true, ...counts}, [
+    `valid: ${queues} queues, ${teams} teams, ${exceptions.length} exceptions`,
+    ...exceptionLines(exceptions),
+  ]);
+  return Promise.resolve(EXIT.ok);
+}
+
+async function diff(
+  context: CtlContext,
+  _options: object,
+  file: string,
+): Promise<ExitCode> {
+  const draft = readConfiguration(file);
+  const {revision, configuration} = await context.configLog.read();
+  const changes = [...diffValues(configuration, draft)];
+  context.output.print({revision, changes}, [
+    `against revision ${revision}: ${changes.length} differences`,
+    ...changes.map(formatDifference),
+  ]);
+  return EXIT.ok;
+}
+
+interface PublishOptions extends ChangeOptions {
+  readonly base: string;
+  readonly reason: string;
+}
+
+async function publishFile(
+  context: CtlContext,
+  options: PublishOptions,
+  file: string,
+): Promise<ExitCode> {
+  const base = Number(options.base);
+  if (!Number.isInteger(base)) raise('badRequest', '--base: want a revision');
+  const {reason} = options;
+  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  const configuration = readConfiguration(file);
+  const result = await publish(context, {base, reason, configuration});
+  return answerPublish(context, result, options);
+}
+
+/**
+ * Answers a publication: the race it lost, or where it is in force.
+ *
+ * @example
+ * return answerPublish(context, await publish(context, draft), options);
+ */
+export async function answerPublish(
+  context: CtlContext,
+  {verdict, lostTo}: PublishResult,
+  options: ChangeOptions,
+): Promise<ExitCode> {
+  const {offset, result} = verdict;
+  if (result !== 'applied') {
+    const winner = lostTo === undefined ? '' : describePublication(lostTo);
+    const value = {accepted: false, offset, lostTo: lostTo ?? null};
+    const what =
+      winner === '' ? 'the base is not in force' : `lost to ${winner}`;
+    context.output.print(value, [
+      `not accepted: ${what}`,
+      'nothing changed; look at "config diff" and publish on the new base',
+    ]);
+    return EXIT.conflict;
+  }
+  const {report, lines, exitCode} = await awaitForce(context, offset, options);
+  const value = {accepted: true, revision: offset, inForce: report ?? null};
+  context.output.print(value, [`accepted: revision ${offset}`, ...lines]);
+  return exitCode;
+}
+
+async function show({configLog, output}: CtlContext): Promise<ExitCode> {
+  const {revision, configuration} = await configLog.read();
+  output.print({revision, configuration}, [
+    `// revision ${revision}; publish a changed copy with --base ${revision}`,
+    JSON.stringify(configuration, null, 2),
+  ]);
+  return EXIT.ok;
+}
+
+async function history({configLog, output}: CtlContext): Promise<ExitCode> {
+  const state = await configLog.read();
+  const publications = [...state.history()].reverse();
+  const heading = ['revision', 'base', 'when', 'author', 'became', 'reason'];
+  const rows = publications.map(publication => [
+    `${publication.revision}`,
+    `${publication.base}`,
+    new Date(publication.timeMs).toISOString(),
+    publication.author,
+    describeVerdict(publication, state),
+    publication.reason,
+  ]);
+  output.print({publications}, toTable(heading, rows));
+  return EXIT.ok;
+}
+
+function describeVerdict(
+  {verdict, by}: Publication,
+  state: ConfigState,
+): string {
+  if (verdict === 'inForce') return 'in force';
+  if (verdict === 'superseded') return `superseded by ${by}`;
+  if (verdict === 'invalid') return 'void: not valid';
+  const winner = state.history().find(({revision}) => revision === by);
+  const author = winner === undefined ? '' : ` (${winner.author})`;
+  return `void: lost to ${by}${author}`;
+}
+
+/**
+ * Adds the command `config` and its subcommands.
+ *
+ * @example
+ * addConfigCommands(program, PROCESS_IO);
+ */
+export function addConfigCommands(program: Command, io: ProgramIo): void {
+  const config = program
+    .command('config')
+    .description('validate, compare, publish and show the configuration');
+  config
+    .command('validate <file>')
+    .description('check a configuration file, without the log')
+    .action(action(io, validate));
+  config
+    .command('diff <file>')
+    .description('compare a file with the configuration in force')
+    .action(action(io, diff));
+  config
+    .command('publish <file>')
+    .description('publish a file on the revision that it was made from')
+    .requiredOption('--base <revision>', 'the revision you edited; -1 for none')
+    .requiredOption('--reason <text>', 'why; it is kept in the history')
+    .option('--no-wait', 'do not wait until it is in force everywhere')
+    .addHelpText('after', PUBLISH_EXAMPLE)
+    .action(action(io, publishFile));
+  config
+    .command('show')
+    .description('show the configuration in force and its revision')
+    .action(action(io, show));
+  config
+    .command('history')
+    .description('list publications and what became of them, newest first')
+    .action(action(io, history));
+}
+
+const PUBLISH_EXAMPLE = `
+Example:
+  dragonflyward-ctl config show > fleet.jsonc    # says the revision, here 41
+  dragonflyward-ctl config diff fleet.jsonc
+  dragonflyward-ctl config publish fleet.jsonc --base 41 --reason "kiln queue"`;
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -83,10 +83,16 @@
    * @example
    * const replies = await fleet.readAll('/status');
    */
-  async readAll(path: string): Promise<readonly AdminReply[]> {
+  async readAll(
+    path: string,
+    role?: ProcessRole,
+  ): Promise<readonly AdminReply[]> {
     const processes = await this.processes();
+    const asked = processes.filter(
+      process => role === undefined || process.role === role,
+    );
     return Promise.all(
-      processes.map(process => readAdmin(process, path, this.timeoutMs)),
+      asked.map(process => readAdmin(process, path, this.timeoutMs)),
     );
   }
 }
@@ -115,20 +121,24 @@
   }
 }
 
-/** A shard and the term of its owner, as a status shows it. */
+/** A shard that a scheduler follows, as its status shows it. */
 export interface StatusShard {
   readonly shard: string;
   readonly term: number;
+  /** Whether this process owns the shard and may act for it. */
+  readonly isActive?: boolean;
+  readonly offset?: number;
+  readonly logAgeMs?: number | null;
 }
 
-/** The fields of a status that all processes share, where they are there. */
+/** The fields of a status that are read here, where they are there. */
 export interface ProcessStatus {
   readonly process?: ProcessRef;
   readonly isReady?: boolean;
   readonly isDraining?: boolean;
-  /** Offset of the newest configuration record that was applied. */
+  /** Offset of the next configuration record to apply. */
   readonly configOffset?: number;
   /** How long ago the configuration was known to be the newest. */
-  readonly configAgeMs?: number;
-  readonly owns?: readonly StatusShard[];
+  readonly configAgeMs?: number | null;
+  readonly shards?: readonly StatusShard[];
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,2 +1,6 @@
 /** The operators' programs: ctl and timeline. */
-export {};
+export * from './exit-codes.js';
+export * from './ctl-settings.js';
+export * from './ctl-context.js';
+export * from './ctl-program.js';
+export * from './timeline-program.js';
--- /dev/null
+++ b/packages/operator/test/timeline.test.ts
@@ -0,0 +1,127 @@
+import {
+  compareHybrid,
+  EventRing,
+  HybridClock,
+  ManualClock,
+  type TimelineEvent,
+} from '@dragonflyward/common';
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {AdminReply} from '../src/fleet.js';
+import {findSpans} from '../src/owner-spans.js';
+import {EventCollector} from '../src/timeline-events.js';
+import {filterTimeline} from '../src/timeline-filter.js';
+import {timelinePage} from '../src/timeline-html.js';
+
+const PROCESSES = ['scheduler@a', 'scheduler@b', 'gateway@a'] as const;
+
+interface Ring {
+  readonly clock: ManualClock;
+  readonly events: EventRing;
+}
+
+function makeRing(name: string, skewMs: number): Ring {
+  const clock = new ManualClock(1_000 + skewMs);
+  return {clock, events: new EventRing(name, new HybridClock(clock))};
+}
+
+function replyOf(events: EventRing): AdminReply {
+  const process = {
+    name: events.process,
+    role: 'unknown' as const,
+    vm: 'a',
+    domain: '',
+    ip: '',
+    port: 1,
+    isLeaving: false,
+  };
+  const body = {dropped: 0, events: [...events.list()]};
+  return {process, body, failure: ''};
+}
+
+const timeline = suite('time line');
+
+timeline('keeps what was sent before what came of it', () => {
+  const step = fc.record({
+    from: fc.nat({max: 2}),
+    to: fc.nat({max: 2}),
+    waitMs: fc.nat({max: 3}),
+  });
+  const skews = fc.array(fc.integer({min: -500, max: 500}), {
+    minLength: 3,
+    maxLength: 3,
+  });
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 40}), skews, (steps, skew) => {
+      const rings = PROCESSES.map((name, i) => makeRing(name, skew[i] ?? 0));
+      steps.forEach(({from, to, waitMs}, i) => {
+        const [sender, receiver] = [rings[from], rings[to]];
+        if (sender === undefined || receiver === undefined) return;
+        void sender.clock.advance(waitMs);
+        sender.events.add('jobAccepted', {job: `${i}`});
+        receiver.events.hybrid.observe(sender.events.hybrid.tick());
+        receiver.events.add('taskStarted', {job: `${i}`});
+      });
+      const collector = new EventCollector();
+      collector.addReplies(rings.map(ring => replyOf(ring.events)));
+      collector.addReplies(rings.map(ring => replyOf(ring.events)));
+      const {events} = collector.timeline();
+      assert.is(events.length, 2 * steps.length);
+      steps.forEach((_, i) => {
+        const [first, second] = events.filter(e => e.subject.job === `${i}`);
+        assert.is(first?.kind, 'jobAccepted');
+        assert.is(second?.kind, 'taskStarted');
+      });
+      const sorted = [...events].sort((a, b) => compareHybrid(a.at, b.at));
+      assert.equal(sorted, events);
+    }),
+  );
+});
+
+function event(
+  process: string,
+  wallMs: number,
+  kind: TimelineEvent['kind'],
+  subject: TimelineEvent['subject'],
+): TimelineEvent {
+  return {at: {wallMs, count: 0}, process, kind, subject, note: '<&"'};
+}
+
+const TAKEOVER: readonly TimelineEvent[] = [
+  event('s@a', 10, 'ownerActive', {shard: 'n', term: 1}),
+  event('s@a', 20, 'taskStarted', {task: 'n:j.0.1', team: 'roofs'}),
+  event('s@b', 90, 'ownerActive', {shard: 'n', term: 2}),
+  event('s@b', 95, 'ownerStopped', {shard: 'n', term: 2}),
+];
+
+timeline('ends a silent owner where another became active', () => {
+  const [first, second] = findSpans(TAKEOVER);
+  assert.is(first?.toMs, 90);
+  assert.is(first?.isEndSeen, false);
+  assert.is(second?.toMs, 95);
+  assert.is(second?.isEndSeen, true);
+});
+
+timeline("picks a job's events by its tasks", () => {
+  const all = {rings: [], events: TAKEOVER};
+  assert.is(filterTimeline(all, {job: 'n:j'}).events.length, 1);
+  assert.is(filterTimeline(all, {job: 'n'}).events.length, 0);
+  assert.is(filterTimeline(all, {shard: 'n', sinceMs: 90}).events.length, 2);
+});
+
+timeline('writes a page without outside resources or raw text', () => {
+  const rings = ['s@a', 's@b'].map(process => ({
+    process,
+    events: 2,
+    dropped: 0,
+    failure: process === 's@a' ? 'connection refused' : '',
+  }));
+  const page = [...timelinePage({rings, events: TAKEOVER}, '<b>')].join('\n');
+  assert.not.match(page, /(src|href)="(?!#)/);
+  assert.not.match(page, /<&"|<b>/);
+  assert.match(page, /connection refused/);
+  assert.is(page.match(/<tr id=/g)?.length, TAKEOVER.length);
+});
+
+timeline.run();
