Show on the time line when a process did not answer

Cause: on a run with a killed scheduler the page showed its lane as merely empty until the restart, and two shards had the same colour. The collector notes when a process stops answering and when it answers again; the lane is shaded for that time. Looked at as rendered by Chromium on a run of six schedulers with one killed and started again.

--- a/packages/operator/src/timeline-events.ts
+++ b/packages/operator/src/timeline-events.ts
@@ -2,6 +2,14 @@
 import {compareHybrid, type TimelineEvent} from '@dragonflyward/common';
 import type {AdminReply} from './fleet.js';
 
+/** A time in which a process did not answer. */
+export interface Silence {
+  /** When it first did not answer, by the collector's clock. */
+  readonly fromMs: number;
+  /** When it answered again; null where it did not. */
+  readonly toMs: number | null;
+}
+
 /** What was collected from one process. */
 export interface RingSummary {
   readonly process: string;
@@ -10,6 +18,7 @@
   readonly dropped: number;
   /** Why the newest attempt to read it failed; empty where it did not. */
   readonly failure: string;
+  readonly silences: readonly Silence[];
 }
 
 /** The events of all processes in one order. */
@@ -32,12 +41,12 @@
    * Takes in what the processes answered.
    *
    * @example
-   * collector.addReplies(await fleet.readAll('/events'));
+   * collector.addReplies(await fleet.readAll('/events'), Date.now());
    */
-  addReplies(replies: readonly AdminReply[]): void {
+  addReplies(replies: readonly AdminReply[], nowMs: number): void {
     for (const {process, body, failure} of replies) {
-      if (isRing(body)) this.addRing(process.name, body);
-      else this.noteFailure(process.name, failure || 'not an event ring');
+      if (isRing(body)) this.addRing(process.name, body, nowMs);
+      else this.addSilence(process.name, failure || 'not a ring', nowMs);
     }
   }
 
@@ -66,17 +75,27 @@
     return {rings: rings.sort(compareRings), events};
   }
 
-  private addRing(name: string, body: RingBody): void {
+  private addRing(name: string, body: RingBody, nowMs: number): void {
     const process = body.events[0]?.process ?? name;
     const {dropped} = body;
-    this.rings.set(process, {process, events: 0, dropped, failure: ''});
+    const known = this.rings.get(process)?.silences ?? [];
+    const silences = known.map(silence => ({
+      ...silence,
+      toMs: silence.toMs ?? nowMs,
+    }));
+    const failure = '';
+    this.rings.set(process, {process, events: 0, dropped, failure, silences});
     for (const event of body.events) this.events.set(keyOf(event), event);
   }
 
-  private noteFailure(process: string, failure: string): void {
+  private addSilence(process: string, failure: string, nowMs: number): void {
     const known = this.rings.get(process);
-    const dropped = known?.dropped ?? 0;
-    this.rings.set(process, {process, events: 0, dropped, failure});
+    const {dropped = 0, silences = []} = known ?? {};
+    const isNew = known === undefined || known.failure === '';
+    const added = isNew ? [{fromMs: nowMs, toMs: null}] : [];
+    const all = [...silences, ...added];
+    const ring = {process, events: 0, dropped, failure, silences: all};
+    this.rings.set(process, ring);
   }
 }
 
--- a/packages/operator/src/timeline-html.ts
+++ b/packages/operator/src/timeline-html.ts
@@ -29,7 +29,7 @@
 table{border-collapse:collapse;font-size:13px;width:100%}
 th,td{text-align:left;padding:3px 10px 3px 0;border-bottom:1px solid #e5e7eb;vertical-align:top}
 td{overflow-wrap:anywhere}td.time,td.at,td.kind,td.process{white-space:nowrap;overflow-wrap:normal}
-th{position:sticky;top:0;background:#fff}td.at{text-align:right;font-variant-numeric:tabular-nums}
+th{position:sticky;top:0;background:#fff;padding-right:24px}td.at{text-align:right;font-variant-numeric:tabular-nums}
 tr:target{background:#fef3c7}td.kind svg{vertical-align:-4px;margin-right:4px}
 `;
 
@@ -56,7 +56,8 @@
   yield* legend(events);
   yield '<p>Hover over a mark for its events; click it to see its row below.';
   yield 'A number beside a mark says how many events stand there. A bar shows';
-  yield 'who owned a shard; one with a dashed edge ended without a word.</p>';
+  yield 'who owned a shard; one with a dashed edge ended without a word. Red';
+  yield 'shading is a time in which the process did not answer.</p>';
   yield '<div class="scroll" tabindex="0">';
   yield* labelSvg(layout);
   yield* laneSvg(layout, rows);
--- a/packages/operator/src/timeline-layout.ts
+++ b/packages/operator/src/timeline-layout.ts
@@ -38,6 +38,14 @@
   readonly toPx: number;
   readonly yPx: number;
   readonly span: OwnerSpan;
+  /** Number of the shard among all that were owned, for its colour. */
+  readonly shardIndex: number;
+}
+
+/** A time in which a process did not answer, as it is drawn. */
+export interface Gap {
+  readonly fromPx: number;
+  readonly toPx: number;
 }
 
 /** All that is drawn for one process. */
@@ -47,8 +55,7 @@
   readonly heightPx: number;
   readonly marks: readonly Mark[];
   readonly bars: readonly Bar[];
-  /** Where its last event stands; undefined where it has none. */
-  readonly lastPx: number | undefined;
+  readonly gaps: readonly Gap[];
 }
 
 /** A whole drawing. */
@@ -86,13 +93,14 @@
   const {events, rings} = timeline;
   const scale = makeScale(events);
   const spans = findSpans(events);
+  const shards = [...new Set(spans.map(({shard}) => shard))].sort();
   const byProcess = indexByProcess(events);
   const lanes: Lane[] = [];
   let topPx = AXIS_PX;
   for (const ring of rings) {
     const own = byProcess.get(ring.process) ?? [];
     const ownSpans = spans.filter(span => span.process === ring.process);
-    const lane = makeLane(ring, own, ownSpans, scale, topPx);
+    const lane = makeLane({ring, own, spans: ownSpans, shards, scale, topPx});
     lanes.push(lane);
     topPx += lane.heightPx;
   }
@@ -119,34 +127,44 @@
   return byProcess;
 }
 
+interface LaneParts {
+  readonly ring: RingSummary;
+  readonly own: readonly IndexedEvent[];
+  readonly spans: readonly OwnerSpan[];
+  /** All shards that any process owned. */
+  readonly shards: readonly string[];
+  readonly scale: TimeScale;
+  readonly topPx: number;
+}
+
 /** A lane has a row for each shard that was owned, then one per group. */
-function makeLane(
-  ring: RingSummary,
-  own: readonly IndexedEvent[],
-  spans: readonly OwnerSpan[],
-  scale: TimeScale,
-  topPx: number,
-): Lane {
-  const shards = [...new Set(spans.map(({shard}) => shard))].sort();
+function makeLane(parts: LaneParts): Lane {
+  const {ring, own, spans, shards, scale, topPx} = parts;
+  const ownShards = shards.filter(name =>
+    spans.some(({shard}) => shard === name),
+  );
   const groups = new Set(own.map(({event}) => groupIndexOf(event.kind)));
   const groupRows = [...groups].sort((a, b) => a - b);
-  const rows = shards.length + groupRows.length;
+  const rows = ownShards.length + groupRows.length;
   const yOf = (row: number): number =>
     topPx + LANE_PADDING_PX + (row + 0.5) * ROW_PX;
   const bars = spans.map(span => ({
     fromPx: toX(scale, span.fromMs),
     toPx: toX(scale, span.toMs ?? scale.endMs),
-    yPx: yOf(shards.indexOf(span.shard)),
+    yPx: yOf(ownShards.indexOf(span.shard)),
     span,
+    shardIndex: shards.indexOf(span.shard),
   }));
   const marks = [...makeMarks(own, scale)].map(mark => ({
     ...mark,
-    yPx: yOf(shards.length + groupRows.indexOf(mark.group)),
+    yPx: yOf(ownShards.length + groupRows.indexOf(mark.group)),
   }));
   const heightPx = Math.max(MIN_LANE_PX, rows * ROW_PX + 2 * LANE_PADDING_PX);
-  const last = own.at(-1)?.event.at.wallMs;
-  const lastPx = last === undefined ? undefined : toX(scale, last);
-  return {ring, topPx, heightPx, marks, bars, lastPx};
+  const gaps = ring.silences.map(({fromMs, toMs}) => ({
+    fromPx: Math.max(0, toX(scale, fromMs)),
+    toPx: Math.min(scale.widthPx, toX(scale, toMs ?? Infinity)),
+  }));
+  return {ring, topPx, heightPx, marks, bars, gaps};
 }
 
 /** Events of one group that would cover each other become one mark. */
--- a/packages/operator/src/timeline-program.ts
+++ b/packages/operator/src/timeline-program.ts
@@ -66,7 +66,8 @@
   if (!(forMs >= 0)) raise('badRequest', '--for: want a number of seconds');
   const endMs = context.clock.monotonicMs() + forMs;
   for (;;) {
-    collector.addReplies(await readRings(context, options.from));
+    const replies = await readRings(context, options.from);
+    collector.addReplies(replies, context.clock.wallMs());
     if (context.clock.monotonicMs() >= endMs) return;
     await context.clock.sleep(COLLECT_PERIOD_MS);
   }
--- a/packages/operator/src/timeline-svg.ts
+++ b/packages/operator/src/timeline-svg.ts
@@ -19,6 +19,7 @@
 const MARK_RADIUS_PX = 5;
 const BAR_HEIGHT_PX = 12;
 const MAX_TITLE_EVENTS = 12;
+const GAP_TEXT_PX = 70;
 const BAR_COLOURS = ['#ddd6fe', '#bfdbfe', '#bbf7d0', '#fde68a', '#fecaca'];
 
 /**
@@ -70,7 +71,7 @@
   for (const lane of lanes) yield laneBackground(lane, widthPx);
   yield* drawAxis(layout);
   for (const lane of lanes) {
-    yield* drawSilence(lane, widthPx);
+    yield* drawGaps(lane);
     for (const bar of lane.bars) yield* drawBar(bar);
     for (const mark of lane.marks) yield drawMark(mark, rows);
   }
@@ -98,16 +99,17 @@
   return `<rect class="bg" ${place}/>`;
 }
 
-/** Shades the time after a lane's last event if its process is silent. */
-function* drawSilence(lane: Lane, widthPx: number): Generator<string> {
-  const {ring, lastPx, topPx, heightPx} = lane;
-  if (ring.failure === '' || lastPx === undefined) return;
-  const x = px(lastPx + MARK_RADIUS_PX);
-  const width = px(Math.max(0, widthPx - lastPx - MARK_RADIUS_PX));
-  const place = `x="${x}" y="${topPx}" width="${width}" height="${heightPx}"`;
-  yield `<rect class="silent" ${place}><title>`;
-  yield `${escapeHtml(gapOf(ring))}</title></rect>`;
-  yield text('silence', lastPx + 14, topPx + heightPx - 6, 'no answer');
+/** Shades the times in which a process did not answer. */
+function* drawGaps(lane: Lane): Generator<string> {
+  const {ring, gaps, topPx, heightPx} = lane;
+  for (const {fromPx, toPx} of gaps) {
+    const width = Math.max(0, toPx - fromPx);
+    const place = `x="${px(fromPx)}" y="${topPx}" width="${px(width)}"`;
+    yield `<rect class="silent" ${place} height="${heightPx}"><title>`;
+    yield `${escapeHtml(gapOf(ring))}</title></rect>`;
+    if (width < GAP_TEXT_PX) continue;
+    yield text('silence', fromPx + 6, topPx + heightPx - 6, 'no answer');
+  }
 }
 
 function* drawAxis({scale, heightPx}: Layout): Generator<string> {
@@ -131,9 +133,15 @@
   return factor * power;
 }
 
-function* drawBar({fromPx, toPx, yPx, span}: Bar): Generator<string> {
+function* drawBar({
+  fromPx,
+  toPx,
+  yPx,
+  span,
+  shardIndex,
+}: Bar): Generator<string> {
   const {shard, term, isEndSeen, toMs, process} = span;
-  const colour = BAR_COLOURS[hashOf(shard) % BAR_COLOURS.length] ?? '';
+  const colour = BAR_COLOURS[shardIndex % BAR_COLOURS.length] ?? '';
   const width = px(Math.max(2, toPx - fromPx));
   const y = px(yPx - BAR_HEIGHT_PX / 2);
   const isCut = toMs !== undefined && !isEndSeen;
@@ -146,10 +154,6 @@
   yield text('own', fromPx + 4, yPx + 4, `${shard} · term ${term}`);
 }
 
-function hashOf(name: string): number {
-  return [...name].reduce((sum, char) => sum + char.charCodeAt(0), 0);
-}
-
 function drawMark(mark: Mark, rows: number): string {
   const {xPx, yPx, events, index} = mark;
   const group = KIND_GROUPS[mark.group];
--- a/packages/operator/src/timeline-text.ts
+++ b/packages/operator/src/timeline-text.ts
@@ -51,9 +51,14 @@
  * @example
  * const gap = gapOf(ring); // '12 older events were dropped'
  */
-export function gapOf({dropped, failure}: RingSummary): string {
+export function gapOf({dropped, failure, silences}: RingSummary): string {
   const parts: string[] = [];
   if (dropped > 0) parts.push(`${dropped} older events were dropped`);
+  for (const {fromMs, toMs} of silences) {
+    if (toMs === null) continue;
+    const from = new Date(fromMs).toISOString();
+    parts.push(`no answer from ${from} for ${toMs - fromMs} ms`);
+  }
   if (failure !== '') parts.push(`no answer: ${failure}`);
   return parts.join('; ');
 }
--- a/packages/operator/test/timeline.test.ts
+++ b/packages/operator/test/timeline.test.ts
@@ -64,8 +64,14 @@
         receiver.events.add('taskStarted', {job: `${i}`});
       });
       const collector = new EventCollector();
-      collector.addReplies(rings.map(ring => replyOf(ring.events)));
-      collector.addReplies(rings.map(ring => replyOf(ring.events)));
+      collector.addReplies(
+        rings.map(({events}) => replyOf(events)),
+        0,
+      );
+      collector.addReplies(
+        rings.map(({events}) => replyOf(events)),
+        0,
+      );
       const {events} = collector.timeline();
       assert.is(events.length, 2 * steps.length);
       steps.forEach((_, i) => {
@@ -110,12 +116,28 @@
   assert.is(filterTimeline(all, {shard: 'n', sinceMs: 90}).events.length, 2);
 });
 
+timeline('notes from when until when a process did not answer', () => {
+  const {events} = makeRing('s@a', 0);
+  events.add('processStarted', {});
+  const reply = replyOf(events);
+  const silent = {...reply, body: undefined, failure: 'refused'};
+  const collector = new EventCollector();
+  const replies = [reply, silent, silent, reply];
+  replies.forEach((each, i) => {
+    collector.addReplies([each], i * 100);
+  });
+  const [ring] = collector.timeline().rings;
+  assert.equal(ring?.silences, [{fromMs: 100, toMs: 300}]);
+  assert.is(ring?.failure, '');
+});
+
 timeline('writes a page without outside resources or raw text', () => {
   const rings = ['s@a', 's@b'].map(process => ({
     process,
     events: 2,
     dropped: 0,
     failure: process === 's@a' ? 'connection refused' : '',
+    silences: [{fromMs: 30, toMs: process === 's@a' ? null : 40}],
   }));
   const page = [...timelinePage({rings, events: TAKEOVER}, '<b>')].join('\n');
   assert.not.match(page, /(src|href)="(?!#)/);
