--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -5,3 +5,4 @@
 export * from './tail.js';
 export * from './writer.js';
 export * from './memory-log.js';
+export * from './http-client.js';
