Let a shard pass on while the log is slow

Cause: a claim asked for a read of the log younger than the owner's lease, so nobody could claim where each read takes 3 s. The age only saves claims that would be void; the order of the log decides. Claims and lists now ask for a read that was answered and is younger than 10 s.

--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -23,6 +23,8 @@
   lostReplies = 0;
   /** How long after the failed reply a lost append takes effect. */
   delayedEffectMs = 0;
+  /** How long each call takes before it has its effect. */
+  slowMs = 0;
   /** How many records of a stream are kept. */
   retainRecords = Number.POSITIVE_INFINITY;
   /** How many appends took effect. */
@@ -110,8 +112,7 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<AppendReply> {
-    await Promise.resolve();
-    this.check();
+    await this.arrive();
     if (this.log.lostReplies === 0) {
       return {offset: this.log.push(stream, records)};
     }
@@ -127,8 +128,8 @@
   ): Promise<LogPage> {
     const {clock} = this.log;
     const untilMs = clock.monotonicMs() + options.waitMs;
+    await this.arrive();
     for (;;) {
-      await Promise.resolve();
       this.check();
       const page = this.log.page(stream, from, options.maxRecords);
       if (page.records.length > 0) return page;
@@ -139,8 +140,7 @@
   }
 
   override async streams(): Promise<readonly StreamInfo[]> {
-    await Promise.resolve();
-    this.check();
+    await this.arrive();
     return this.log.list();
   }
 
@@ -153,6 +153,12 @@
     this.log.push(stream, records);
   }
 
+  private async arrive(): Promise<void> {
+    const {clock, slowMs} = this.log;
+    await (slowMs > 0 ? clock.sleep(slowMs) : Promise.resolve());
+    this.check();
+  }
+
   private check(): void {
     if (this.log.isDown || this.isCut) raise('logDown', 'memory log');
   }
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -5,6 +5,7 @@
 import {chooseSuccessors} from './successors.js';
 import {
   CLOCK_RATE_MARGIN,
+  TAIL_MAX_AGE_MS,
   TICK_MS,
   type OwnershipAsk,
   type OwnershipOptions,
@@ -85,10 +86,11 @@
 
   /** Why this process may claim now, if it may. */
   ground(): ClaimGround | undefined {
-    const {fold, self, tail, timing, clock} = this.options;
+    const {fold, self, tail, clock} = this.options;
     const nowMs = clock.monotonicMs();
     if (!fold.isComplete) return undefined;
-    if (nowMs - tail.lastProofMs > timing.ownerLeaseMs) return undefined;
+    if (!tail.isUp) return undefined;
+    if (nowMs - tail.lastProofMs > TAIL_MAX_AGE_MS) return undefined;
     if (fold.owner === null) return this.groundWhereNeverOwned(nowMs);
     if (fold.owner.vm === self.vm) return this.groundOfRestart(fold.owner);
     if (this.isBoundByPromise(nowMs)) return undefined;
--- a/packages/state/src/owner-duties.ts
+++ b/packages/state/src/owner-duties.ts
@@ -6,6 +6,7 @@
   type ProcessRef,
 } from '@dragonflyward/common';
 import {
+  TAIL_MAX_AGE_MS,
   TICK_MS,
   type OwnershipAsk,
   type OwnershipOptions,
@@ -107,9 +108,10 @@
   }
 
   private wantedList(): readonly ProcessRef[] | undefined {
-    const {clock, fold, peers, tail, timing} = this.options;
+    const {clock, fold, peers, tail} = this.options;
     const ageMs = clock.monotonicMs() - tail.lastProofMs;
-    if (!fold.isComplete || ageMs > timing.ownerLeaseMs) return undefined;
+    if (!fold.isComplete || !tail.isUp) return undefined;
+    if (ageMs > TAIL_MAX_AGE_MS) return undefined;
     const wanted = chooseSuccessors(fold.successors, peers);
     const isSame = isSameList(fold.successors, wanted);
     return isSame && !this.wasRefused ? undefined : wanted;
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -58,3 +58,6 @@
 
 /** By how much monotonic clocks of two VMs may differ in rate. */
 export const CLOCK_RATE_MARGIN = 0.05;
+
+/** A tail whose newest read is older takes no part in claims and lists. */
+export const TAIL_MAX_AGE_MS = 10_000;
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -81,6 +81,18 @@
   cell.end();
 });
 
+ownership('lasts and passes on while the log is slow', async () => {
+  const {cell, owner} = await startCell();
+  cell.log.slowMs = LEASE_MS + 500;
+  await cell.run(60_000);
+  assert.ok(owner.ownership.mayAct());
+  cell.kill(owner);
+  await cell.run(30_000);
+  assert.is(cell.acting().length, 1);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
 ownership(
   'stands still when the owner dies while the log is down',
   async () => {
