Keep appends of one stream 50 ms apart and plan allowances by team

Ruled out: a longer window for each group, which delays a lone accept too. A lone record now goes after 2 ms and appends keep 50 ms apart under load.

--- a/packages/log/src/writer.ts
+++ b/packages/log/src/writer.ts
@@ -12,7 +12,8 @@
 import type {NewRecord} from './types.js';
 
 const DEFAULT_MAX_BATCH = 256;
-const DEFAULT_MAX_DELAY_MS = 10;
+const DEFAULT_MAX_DELAY_MS = 2;
+const DEFAULT_MIN_INTERVAL_MS = 50;
 const READ_BACK_BOUND_MS = 5_000;
 const READ_BACK_STEP_MS = 20;
 const MAX_ATTEMPTS = 3;
@@ -28,6 +29,8 @@
   readonly maxBatch?: number;
   /** How long the first record of a group waits for others. */
   readonly maxDelayMs?: number;
+  /** How far apart appends are at least, unless a group is full. */
+  readonly minIntervalMs?: number;
 }
 
 interface PendingWrite {
@@ -44,6 +47,7 @@
   private readonly unread = new Map<string, PendingWrite>();
   private group: readonly PendingWrite[] = [];
   private isFlushDue = false;
+  private sentMs = -Infinity;
 
   constructor(private readonly options: StreamWriterOptions) {
     options.tail.listen((record, result) => {
@@ -83,8 +87,7 @@
 
   private async flush(): Promise<void> {
     const {clock, maxBatch = DEFAULT_MAX_BATCH} = this.options;
-    const {maxDelayMs = DEFAULT_MAX_DELAY_MS} = this.options;
-    if (this.group.length < maxBatch) await clock.sleep(maxDelayMs);
+    if (this.group.length < maxBatch) await clock.sleep(this.delayMs());
     const batch = this.group.slice(0, maxBatch);
     this.group = this.group.slice(maxBatch);
     this.isFlushDue = false;
@@ -93,6 +96,14 @@
     await this.appendBatch(batch);
   }
 
+  /** A lone record goes soon; under load appends keep their distance. */
+  private delayMs(): number {
+    const {clock, maxDelayMs = DEFAULT_MAX_DELAY_MS} = this.options;
+    const {minIntervalMs = DEFAULT_MIN_INTERVAL_MS} = this.options;
+    const nextMs = this.sentMs + minIntervalMs;
+    return Math.max(maxDelayMs, nextMs - clock.monotonicMs());
+  }
+
   /** Repeats with the same ids, so that readers can tell repeats apart. */
   private async appendBatch(batch: readonly PendingWrite[]): Promise<void> {
     let isUnknown = false;
@@ -112,6 +123,7 @@
   ): Promise<string | undefined> {
     const {client, stream} = this.options;
     this.appends += 1;
+    this.sentMs = this.options.clock.monotonicMs();
     try {
       await client.append(
         stream,
--- a/packages/state/src/allowance-plan.ts
+++ b/packages/state/src/allowance-plan.ts
@@ -46,15 +46,34 @@
  */
 export function planAllowances(input: AllowanceInput): readonly Allowance[] {
   const names = new Set([...input.table.teams(), ...input.limits.keys()]);
-  return [...names].flatMap(team => planTeam(input, team));
+  const wanted = byTeam(input.demands);
+  return [...names].flatMap(team =>
+    planTeam(input, team, wanted.get(team) ?? []),
+  );
+}
+
+function byTeam(
+  demands: readonly ShardDemand[],
+): ReadonlyMap<string, readonly ShardDemand[]> {
+  const teams = new Map<string, ShardDemand[]>();
+  for (const demand of demands) {
+    const known = teams.get(demand.team);
+    if (known === undefined) teams.set(demand.team, [demand]);
+    else known.push(demand);
+  }
+  return teams;
 }
 
-function planTeam(input: AllowanceInput, team: string): readonly Allowance[] {
+function planTeam(
+  input: AllowanceInput,
+  team: string,
+  demands: readonly ShardDemand[],
+): readonly Allowance[] {
   const {table, shards} = input;
   const known = new Set([...table.shardsOf(team), ...shards]);
   const planned = new Map<string, Resources>();
   for (const name of RESOURCE_NAMES) {
-    const row = readRow(input, team, [...known], name);
+    const row = readRow({...input, demands}, team, [...known], name);
     for (const [shard, amount] of planRow(row, new Set(shards))) {
       const others = planned.get(shard) ?? NO_RESOURCES;
       planned.set(shard, {...others, [name]: amount});
@@ -78,7 +97,6 @@
 ): ResourceRow {
   const wants = new Map<string, number>();
   for (const demand of demands) {
-    if (demand.team !== team) continue;
     wants.set(demand.shard, demand.wanted[name]);
   }
   return {
