Run the allowance tasks together over a log with faults

A budget owner and three keepers move a whole limit from one shard to another only after it was given up, go on after lost replies and an outage, and tell a new owner when it has read the table.

--- a/packages/log/src/writer.ts
+++ b/packages/log/src/writer.ts
@@ -72,13 +72,6 @@
     });
   }
 
-  /** Resolves once all that was written has been settled. */
-  async idle(): Promise<void> {
-    while (this.group.length > 0 || this.unread.size > 0) {
-      await this.options.clock.sleep(READ_BACK_STEP_MS);
-    }
-  }
-
   private scheduleFlush(): void {
     if (this.isFlushDue) return;
     this.isFlushDue = true;
--- /dev/null
+++ b/packages/state/test/allowance.test.ts
@@ -0,0 +1,129 @@
+import {
+  EventRing,
+  HybridClock,
+  ManualClock,
+  NO_RESOURCES,
+  type Resources,
+} from '@dragonflyward/common';
+import {
+  MemoryLog,
+  MemoryLogClient,
+  StreamTail,
+  StreamWriter,
+} from '@dragonflyward/log';
+import {
+  ALLOWANCE_STREAM,
+  AllowanceKeeper,
+  AllowanceState,
+  BudgetTask,
+  type AllowanceTaskOptions,
+} from '@dragonflyward/state';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+
+const SHARDS = ['east-1', 'north-1', 'south-1'];
+const TEAM = 'roofs';
+const LIMIT = 30;
+
+function slots(count: number): Resources {
+  return {...NO_RESOURCES, slots: count};
+}
+
+/** A budget owner and a keeper for each shard, as they run in programs. */
+class Fleet {
+  readonly clock = new ManualClock();
+  readonly log = new MemoryLog(this.clock);
+  readonly running = new Map(SHARDS.map(shard => [shard, 0]));
+  readonly keepers: ReadonlyMap<string, AllowanceKeeper>;
+  /** The shard that all work of the team is in. */
+  busyShard = 'north-1';
+  limit = LIMIT;
+  isRunning = true;
+  private readonly tails: StreamTail[] = [];
+
+  constructor() {
+    const isWanted = (): boolean => this.isRunning;
+    const term = (): number => 1;
+    this.keepers = new Map(
+      SHARDS.map(shard => {
+        const running = (): Resources => slots(this.running.get(shard) ?? 0);
+        const options = {...this.partsOf(), shard, term, running};
+        return [shard, new AllowanceKeeper(options)];
+      }),
+    );
+    for (const keeper of this.keepers.values()) void keeper.run(isWanted);
+    const input = () => ({
+      limits: new Map([[TEAM, slots(this.limit)]]),
+      shards: SHARDS,
+      demands: [{team: TEAM, shard: this.busyShard, wanted: slots(LIMIT)}],
+    });
+    void new BudgetTask({...this.partsOf(), term, input}).run(isWanted);
+  }
+
+  amount(shard: string): number {
+    return this.keepers.get(shard)?.amount(TEAM).slots ?? 0;
+  }
+
+  end(): void {
+    this.isRunning = false;
+    for (const tail of this.tails) tail.stop();
+  }
+
+  private partsOf(): AllowanceTaskOptions {
+    const {clock} = this;
+    const table = new AllowanceState();
+    const client = new MemoryLogClient(this.log);
+    const base = {client, stream: ALLOWANCE_STREAM, clock};
+    const tail = new StreamTail({...base, fold: table, waitMs: 100});
+    const writer = new StreamWriter({...base, tail});
+    const events = new EventRing('p', new HybridClock(clock));
+    tail.start();
+    this.tails.push(tail);
+    return {table, tail, writer, clock, events};
+  }
+}
+
+const tasks = suite('allowance tasks');
+
+tasks('move the limit to where the work is, once it is given up', async () => {
+  const fleet = new Fleet();
+  await fleet.clock.advance(5_000);
+  assert.is(fleet.amount('north-1'), LIMIT);
+  fleet.running.set('north-1', LIMIT);
+  fleet.busyShard = 'south-1';
+  await fleet.clock.advance(10_000);
+  assert.is(fleet.amount('south-1'), 0);
+  fleet.running.set('north-1', 0);
+  await fleet.clock.advance(5_000);
+  assert.is(fleet.amount('south-1'), LIMIT);
+  fleet.end();
+});
+
+tasks('go on after lost replies and an outage', async () => {
+  const fleet = new Fleet();
+  fleet.log.lostReplies = 2;
+  fleet.log.delayedEffectMs = 3_000;
+  await fleet.clock.advance(20_000);
+  assert.is(fleet.amount('north-1'), LIMIT);
+  fleet.log.isDown = true;
+  fleet.limit = LIMIT / 2;
+  await fleet.clock.advance(60_000);
+  assert.is(fleet.amount('north-1'), LIMIT);
+  fleet.log.isDown = false;
+  await fleet.clock.advance(10_000);
+  assert.is(fleet.amount('north-1'), LIMIT / 2);
+  fleet.end();
+});
+
+tasks('tell a new owner when it has read the table', async () => {
+  const fleet = new Fleet();
+  await fleet.clock.advance(1_000);
+  const keeper = fleet.keepers.get('north-1');
+  const tookOverMs = fleet.clock.monotonicMs();
+  assert.not(keeper?.isReadSince(tookOverMs));
+  await fleet.clock.advance(1_000);
+  assert.ok(keeper?.isReadSince(tookOverMs));
+  fleet.end();
+});
+
+tasks.run();
