--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -109,6 +109,7 @@
   readonly ref: ProcessRef;
   readonly clock: MemberClock;
   readonly client: MemoryLogClient;
+  readonly log: LogClient;
   readonly fold: ShardState;
   readonly ownership: ShardOwnership;
   readonly tail: StreamTail;
@@ -121,6 +122,8 @@
 export interface CellParts {
   readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
   readonly makeFold?: () => ShardState;
+  /** Jobs count as accepted once the append was answered. */
+  readonly isReadBackOff?: boolean;
 }
 
 class CellPeers extends OwnershipPeers {
@@ -212,7 +215,7 @@
     const {makeOwnership} = this.parts;
     const ownership = makeOwnership?.(options) ?? new ShardOwnership(options);
     const flags = {isCutFromPeers: false, isDead: false};
-    const parts = {ref, clock, client, fold, ownership, tail, writer};
+    const parts = {ref, clock, client, log, fold, ownership, tail, writer};
     const member = {...parts, ...flags};
     this.members = [...this.members, member];
     tail.start();
@@ -264,7 +267,8 @@
     for (const member of this.members) this.kill(member);
   }
 
-  private async acceptJob({writer, ownership, ref}: Member): Promise<void> {
+  private async acceptJob(member: Member): Promise<void> {
+    const {ownership, ref} = member;
     const jobId = `${SHARD}:${this.nextJob}`;
     this.nextJob += 1;
     const record: JobAcceptedRecord = {
@@ -274,8 +278,19 @@
       acceptedMs: 0,
       job: {...jobSpec(jobId), payload: {writer: ref}},
     };
-    const result = await writer.write(record).catch(() => undefined);
-    if (result === 'applied') this.accepted.add(jobId);
+    const isAccepted = await this.write(member, record).catch(() => false);
+    if (isAccepted) this.accepted.add(jobId);
+  }
+
+  private async write(
+    {tail, writer, log}: Member,
+    data: JobAcceptedRecord,
+  ): Promise<boolean> {
+    if (!this.parts.isReadBackOff) {
+      return (await writer.write(data)) === 'applied';
+    }
+    await log.append(tail.stream, [{id: data.job.jobId, data}]);
+    return true;
   }
 
   private beat(): void {
