Hold work back after a takeover; leave silent workers' leases to run out

Cause: played with random faults, a new owner ran tasks twice. Three causes: task numbers began anew in each term, so that a start met an older task of the same id; records of earlier terms were submitted before the inventory; a silent worker's leases were renewed for ever, so its tasks never ran out. A process without the right to act also watched its workers without a pause. Ruled out: the lease arithmetic (its own property holds).

--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -67,8 +67,8 @@
   async run(): Promise<void> {
     while (!this.isStopped) {
       const decided = this.parts.observer.mayAct() ? this.decideOnce() : 0;
-      if (decided >= MAX_DECISIONS_PER_TURN) await yieldThread();
-      else await this.untilWoken();
+      if (decided < MAX_DECISIONS_PER_TURN) await this.untilWoken();
+      await yieldThread();
     }
   }
 
@@ -78,13 +78,10 @@
   }
 
   private untilWoken(): Promise<void> {
-    return new Promise(resolve => {
-      const timer = setTimeout(resolve, IDLE_PERIOD_MS);
-      this.wakeUp = () => {
-        clearTimeout(timer);
-        setImmediate(resolve);
-      };
+    const woken = new Promise<void>(resolve => {
+      this.wakeUp = resolve;
     });
+    return Promise.race([woken, this.parts.clock.sleep(IDLE_PERIOD_MS)]);
   }
 
   private decideOnce(): number {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -4,6 +4,7 @@
 export * from './rendezvous.js';
 export * from './scheduler-process.js';
 export * from './shard-owner.js';
+export {TASK_NUMBERS_PER_TERM} from './shard-task.js';
 export * from './takeover-guard.js';
 export * from './ticket-blind.js';
 export * from './ticket-desk.js';
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -14,6 +14,7 @@
 } from '@dragonflyward/policy';
 import type {
   ConfigState,
+  JobAcceptedRecord,
   ShardRecord,
   ShardState,
   TaskEndedRecord,
@@ -71,8 +72,7 @@
     this.actTerm = term;
     this.book = new JobBook(fold);
     this.records = new JobRecords({...parts, term});
-    const nowMs = clock.monotonicMs();
-    this.guard = new TakeoverGuard(nowMs, timing.taskLeaseMs);
+    this.guard = this.makeGuard(clock.monotonicMs(), timing.taskLeaseMs);
     this.workers = new WorkerSet(parts, this);
     this.dispatcher = new Dispatcher({
       ...parts,
@@ -130,7 +130,7 @@
   applied(record: LogRecord): void {
     if (this.isStopped) return;
     const data = record.data as ShardRecord;
-    if (data.type === 'jobAccepted') return this.jobAccepted(data.job.jobId);
+    if (data.type === 'jobAccepted') return this.jobAccepted(data);
     if (data.type === 'jobEnded') return this.jobEnded(data.jobId);
     if (data.type === 'taskEnded') this.taskRecorded(data);
   }
@@ -194,6 +194,10 @@
     this.engine.learn(samples, this.parts.clock.monotonicMs());
   }
 
+  protected makeGuard(nowMs: number, leaseMs: number): TakeoverGuard {
+    return new TakeoverGuard(nowMs, leaseMs);
+  }
+
   private syncWorkers(): void {
     for (const workerId of this.workers.sync()) {
       this.engine.removeWorker(workerId);
@@ -225,7 +229,10 @@
     this.engine.submit(this.book.toPolicyJob(entry, again));
   }
 
-  private jobAccepted(jobId: string): void {
+  /** Jobs of earlier terms wait until the hold after a takeover ends. */
+  private jobAccepted({term, job}: JobAcceptedRecord): void {
+    const {jobId} = job;
+    if (term !== this.actTerm) return;
     const entry = this.parts.fold.jobs.get(jobId);
     if (entry === undefined) return;
     const subject = {job: jobId, team: entry.spec.team};
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -28,6 +28,8 @@
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
 const HEIR_SILENCE_MS = 2_000;
+/** Keeps the task ids of one term apart from those of all others. */
+export const TASK_NUMBERS_PER_TERM = 2 ** 32;
 
 /** The parts that a shard task needs. */
 export interface ShardTaskParts {
@@ -137,7 +139,8 @@
   private activate(): void {
     const {shard, clock, metrics, events, config, membership} = this.parts;
     this.activeTerm = this.ownership.term;
-    const engine = new ShareEngine();
+    const firstTaskNumber = this.activeTerm * TASK_NUMBERS_PER_TERM;
+    const engine = new ShareEngine({firstTaskNumber});
     this.desk = new TicketDesk({shard, clock, metrics, events});
     this.owner = new ShardOwner({
       ...this.parts,
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -25,6 +25,8 @@
 const USAGE_PERIOD_MS = 5_000;
 const CALLS_AT_ONCE = 4;
 const FAILURES_TO_SILENCE = 2;
+/** Part of a lease for which a silent worker's leases are still renewed. */
+const SILENT_RENEWAL_PART = 0.5;
 /** A start is void on the worker when it arrives later than this. */
 export const START_WITHIN_MS = WORKER_CALL_TIMEOUT_MS;
 
@@ -74,6 +76,7 @@
   private isStopped = false;
   private isSilent = true;
   private failures = 0;
+  private answeredMs = -Infinity;
   private sequence = 0;
   private readonly calls = new PQueue({concurrency: CALLS_AT_ONCE});
 
@@ -244,7 +247,7 @@
     while (!this.isStopped) {
       await clock.sleep(timing.renewPeriodMs);
       if (this.isStopped || !this.mayAct()) continue;
-      const taskIds = this.leases.noteRenewal(clock.monotonicMs());
+      const taskIds = this.renewable(clock.monotonicMs());
       try {
         await client.renew(observer.term(), taskIds, timing.taskLeaseMs);
         this.noteAnswer();
@@ -254,10 +257,21 @@
     }
   }
 
+  /** Leases of a worker that stays silent are left to run out. */
+  private renewable(nowMs: number): readonly string[] {
+    const silentMs = nowMs - this.answeredMs;
+    const boundMs = this.parts.timing.taskLeaseMs * SILENT_RENEWAL_PART;
+    return silentMs > boundMs ? [] : this.leases.noteRenewal(nowMs);
+  }
+
   private async watchLoop(): Promise<void> {
     const {clock, client} = this.parts;
     while (!this.isStopped) {
       const askedMs = clock.monotonicMs();
+      if (!this.mayAct()) {
+        await clock.sleep(INVENTORY_RETRY_MS);
+        continue;
+      }
       try {
         const list = await client.watch(this.sequence, WATCH_WAIT_MS);
         this.applyWatch(list, askedMs);
@@ -319,6 +333,7 @@
   }
 
   private noteAnswer(): void {
+    this.answeredMs = this.parts.clock.monotonicMs();
     this.failures = 0;
     if (!this.isSilent) return;
     this.isSilent = false;
--- /dev/null
+++ b/packages/scheduler/test/shard-cell.ts
@@ -0,0 +1,299 @@
+import {
+  EventRing,
+  HybridClock,
+  ManualClock,
+  Metrics,
+  type Resources,
+} from '@dragonflyward/common';
+import {
+  MemoryLog,
+  MemoryLogClient,
+  StreamTail,
+  StreamWriter,
+} from '@dragonflyward/log';
+import type {JobSubmit} from '@dragonflyward/peer';
+import {ShareEngine} from '@dragonflyward/policy';
+import {
+  Membership,
+  ShardOwner,
+  TASK_NUMBERS_PER_TERM,
+  type RightToAct,
+  type ShardOwnerParts,
+} from '@dragonflyward/scheduler';
+import {
+  ConfigState,
+  RECORD_VERSION,
+  shardStream,
+  ShardState,
+} from '@dragonflyward/state';
+import type {VmEntry} from '@dragonflyward/vms';
+import {FakeWorker, FakeWorkerClient} from './fake-worker.js';
+
+export const SHARD = 'north-1';
+const STREAM = shardStream(SHARD);
+const TEAM = 'roofs';
+const QUEUE = 'cut';
+const STEP_MS = 50;
+const READ_WAIT_MS = 100;
+const READ_STREAM_MS = 500;
+const VM_LIST_MS = 1_000;
+const CAPACITY: Resources = {cpuMilli: 4_000, memMb: 4_000, accel: 0, slots: 0};
+export const TASK_SIZE: Resources = {
+  cpuMilli: 1_000,
+  memMb: 1_000,
+  accel: 0,
+  slots: 0,
+};
+const TIMING = {
+  ownerLeaseMs: 2_500,
+  ownerSilenceMs: 1_500,
+  taskLeaseMs: 20_000,
+  renewPeriodMs: 3_000,
+  configMaxAgeMs: 4_000,
+  vmListPeriodMs: 1_000,
+  balancerDelayMs: 2_000,
+  drainBoundMs: 60_000,
+};
+const CONFIGURATION = {
+  defaults: {
+    queues: {
+      [QUEUE]: {
+        priority: 'normal',
+        service: '',
+        isOpen: false,
+        maxBodyBytes: 1_000,
+        maxDeadlineMs: 60_000,
+        maxWaiting: 1_000,
+        policy: 'pack',
+      },
+    },
+    organisations: {valley: {share: 1}},
+    teams: {
+      [TEAM]: {
+        organisation: 'valley',
+        share: 1,
+        limit: {cpuMilli: 100_000, memMb: 100_000, accel: 0, slots: 0},
+      },
+    },
+  },
+  exceptions: [],
+};
+
+/** Makes an owner; tests switch mechanisms off here. */
+export type OwnerMaker = (parts: ShardOwnerParts) => ShardOwner;
+
+/** A right to act that the test gives and takes. */
+export class TestRight implements RightToAct {
+  isGiven = true;
+
+  constructor(readonly term: number) {}
+
+  mayAct(): boolean {
+    return this.isGiven;
+  }
+}
+
+/** One owner with its own view of the log. */
+export interface Tenant {
+  readonly owner: ShardOwner;
+  readonly right: TestRight;
+}
+
+/** A shard with fake workers and one owner after another. */
+export class ShardCell {
+  readonly clock = new ManualClock(1_000);
+  readonly log = new MemoryLog(this.clock);
+  readonly workers: readonly FakeWorker[];
+  /** Moments with a VM overcommitted. */
+  overcommits = 0;
+  /** Moments with a task in two places. */
+  doubleRuns = 0;
+  private readonly tenants: Tenant[] = [];
+  private nextTerm = 1;
+
+  constructor(
+    workerCount: number,
+    private readonly makeOwner: OwnerMaker = parts => new ShardOwner(parts),
+  ) {
+    this.workers = Array.from(
+      {length: workerCount},
+      (_, i) => new FakeWorker(`w${i}`, CAPACITY, this.clock),
+    );
+  }
+
+  /** Starts an owner under the next term, once it has read the stream. */
+  async takeOver(): Promise<Tenant> {
+    const term = this.nextTerm;
+    this.nextTerm += 1;
+    this.pushClaim(term);
+    const right = new TestRight(term);
+    let tenant: Tenant | undefined;
+    const fold = new ShardState();
+    const client = new MemoryLogClient(this.log);
+    const {clock} = this;
+    const tail = new StreamTail({
+      ...{client, stream: STREAM, fold, clock, waitMs: READ_WAIT_MS},
+      onApplied: (record, result) => {
+        if (result === 'applied') tenant?.owner.applied(record);
+      },
+    });
+    const writer = new StreamWriter({client, stream: STREAM, tail, clock});
+    tail.start();
+    await this.run(READ_STREAM_MS);
+    const owner = this.makeOwner(this.parts(right, fold, writer));
+    tenant = {owner, right};
+    this.tenants.push(tenant);
+    void owner.run();
+    return tenant;
+  }
+
+  /** Moves the time on in small steps and checks what runs. */
+  async run(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+      this.check();
+    }
+  }
+
+  /** Submits a job of one task. */
+  submit(
+    tenant: Tenant,
+    name: string,
+    runMs: number,
+    isIdempotent: boolean,
+  ): Promise<void> {
+    const ask: JobSubmit = {
+      type: 'jobSubmit',
+      shard: SHARD,
+      jobId: `${SHARD}:${name}`,
+      team: TEAM,
+      queue: QUEUE,
+      tasks: 1,
+      isGang: false,
+      isService: false,
+      isIdempotent,
+      size: TASK_SIZE,
+      runMs,
+      payload: {runMs},
+    };
+    return tenant.owner.jobs.submit(ask);
+  }
+
+  /** Starts of one job's task over all workers. */
+  startsOf(name: string): number {
+    const jobId = `${SHARD}:${name}`;
+    let count = 0;
+    for (const worker of this.workers) {
+      for (const task of worker.tasks.values()) {
+        if (task.start.jobId === jobId) count += 1;
+      }
+    }
+    return count;
+  }
+
+  /** Ends all owners. */
+  end(): void {
+    for (const {owner} of this.tenants) owner.stop();
+  }
+
+  private check(): void {
+    const places = new Set<string>();
+    for (const worker of this.workers) {
+      if (worker.isOvercommitted) this.overcommits += 1;
+      for (const {start} of worker.running()) {
+        const place = start.taskId.split('.').slice(0, -1).join('.');
+        if (places.has(place)) this.doubleRuns += 1;
+        places.add(place);
+      }
+    }
+  }
+
+  private pushClaim(term: number): void {
+    const data = {
+      v: RECORD_VERSION,
+      type: 'claim',
+      prevTerm: term - 1,
+      prevListVersion: term - 1,
+      owner: {vm: `e${term}`, incarnation: 1},
+      successors: [],
+    };
+    this.log.push(STREAM, [{id: `claim-${term}`, data}]);
+  }
+
+  private parts(
+    right: RightToAct,
+    fold: ShardState,
+    writer: StreamWriter,
+  ): ShardOwnerParts {
+    const {clock} = this;
+    const firstTaskNumber = right.term * TASK_NUMBERS_PER_TERM;
+    const engine = new ShareEngine({firstTaskNumber});
+    const {teams} = CONFIGURATION.defaults;
+    const {limit, share} = teams[TEAM] ?? {limit: CAPACITY, share: 1};
+    const shares = {share, organisationShare: 1, allowance: limit};
+    engine.setTeams([{team: TEAM, organisation: 'valley', ...shares}]);
+    engine.setQueues([{queue: QUEUE, priority: 'normal', policy: 'pack'}]);
+    return {
+      ...{shard: SHARD, right, fold, writer, engine, clock},
+      config: makeConfig(),
+      membership: this.makeMembership(),
+      timing: TIMING,
+      events: new EventRing('test', new HybridClock(clock)),
+      metrics: new Metrics(),
+      makeWorkerClient: vm => new FakeWorkerClient(this.worker(vm.id), SHARD),
+    };
+  }
+
+  private worker(id: string): FakeWorker {
+    const found = this.workers.find(worker => worker.workerId === id);
+    if (found === undefined) throw new Error(id);
+    return found;
+  }
+
+  private makeMembership(): Membership {
+    const membership = new Membership({vm: 'e', incarnation: 1}, this.clock);
+    const vms = this.workers.map(toVmEntry);
+    void this.keepListed(membership, vms);
+    return membership;
+  }
+
+  private async keepListed(
+    membership: Membership,
+    vms: readonly VmEntry[],
+  ): Promise<void> {
+    for (;;) {
+      membership.setVms(vms, this.clock.monotonicMs());
+      await this.clock.sleep(VM_LIST_MS);
+    }
+  }
+}
+
+function toVmEntry(worker: FakeWorker): VmEntry {
+  return {
+    id: worker.workerId,
+    kind: 'worker',
+    state: 'live',
+    ip: '127.0.0.1',
+    port: 1,
+    region: 'north',
+    domain: SHARD,
+    rack: 'r',
+    capacity: worker.capacity,
+    service: '',
+    connections: 0,
+  };
+}
+
+function makeConfig(): ConfigState {
+  const config = new ConfigState();
+  const data = {
+    v: RECORD_VERSION,
+    type: 'config',
+    base: -1,
+    author: 'test',
+    reason: 'test',
+    configuration: CONFIGURATION,
+  };
+  config.apply({offset: 0, timeMs: 0, id: 'c', data});
+  return config;
+}
