Take a task as missing only by lists asked for after its confirmation

Cause: a list of a worker's tasks that was made before a start reached the worker, and read after the start was confirmed, showed the task missing; it was started again within 15 to 50 ms. Ruled out: takeover (same term, same owner in all traces).

--- a/packages/scheduler/src/lease-book.ts
+++ b/packages/scheduler/src/lease-book.ts
@@ -8,12 +8,9 @@
 /** How far clock rates may differ. */
 const CLOCK_RATE_MARGIN = 0.01;
 
-/** What a placed task's start came to. */
-export type StartState = 'starting' | 'confirmed' | 'unconfirmed';
-
 interface LeaseEntry {
   readonly task: PlacedTask;
-  state: StartState;
+  isConfirmed: boolean;
   /** When the newest start or renewal was sent. */
   sentMs: number;
   /** From then on a list without the task shows that it does not run. */
@@ -42,20 +39,22 @@
   /** Notes a start that is about to be sent. */
   noteStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
     const decidedMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
-    const state: StartState = 'starting';
-    this.entries.set(task.taskId, {task, state, sentMs: nowMs, decidedMs});
+    const sent = {sentMs: nowMs, isConfirmed: false};
+    this.entries.set(task.taskId, {task, ...sent, decidedMs});
   }
 
   /** Notes a task that was found running. */
   noteFound(task: PlacedTask, nowMs: number): void {
-    const entry = {task, state: 'confirmed' as StartState, sentMs: nowMs};
-    this.entries.set(task.taskId, {...entry, decidedMs: nowMs});
+    const found = {sentMs: nowMs, isConfirmed: true, decidedMs: nowMs};
+    this.entries.set(task.taskId, {task, ...found});
   }
 
-  /** Notes that the start was confirmed, or that its reply was lost. */
-  setState(taskId: string, state: StartState): void {
+  /** Notes that the worker confirmed a start; older lists say nothing. */
+  noteConfirmed(taskId: string, nowMs: number): void {
     const entry = this.entries.get(taskId);
-    if (entry !== undefined) entry.state = state;
+    if (entry === undefined || entry.isConfirmed) return;
+    entry.isConfirmed = true;
+    entry.decidedMs = nowMs;
   }
 
   /** Notes a renewal of all tasks that is about to be sent. */
@@ -92,9 +91,9 @@
     listed: ReadonlySet<string>,
     askedMs: number,
   ): Generator<PlacedTask> {
-    for (const {task, state, decidedMs} of this.entries.values()) {
+    for (const {task, decidedMs} of this.entries.values()) {
       if (listed.has(task.taskId)) continue;
-      if (state === 'confirmed' || askedMs >= decidedMs) yield task;
+      if (askedMs >= decidedMs) yield task;
     }
   }
 
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -182,7 +182,8 @@
     this.leases.noteStart(task, nowMs, START_WITHIN_MS);
     try {
       await this.parts.client.start(start);
-      this.leases.setState(task.taskId, 'confirmed');
+      const confirmedMs = this.parts.clock.monotonicMs();
+      this.leases.noteConfirmed(task.taskId, confirmedMs);
       return 'started';
     } catch (err) {
       return this.startFailed(task, toFailure(err).kind);
@@ -195,7 +196,6 @@
       this.leases.remove(task.taskId);
       return 'notRun';
     }
-    this.leases.setState(task.taskId, 'unconfirmed');
     return 'unknown';
   }
 
@@ -290,7 +290,7 @@
     for (const report of list.tasks) {
       listed.add(report.taskId);
       if (report.state === 'ended') this.reportEnd(report);
-      else this.leases.setState(report.taskId, 'confirmed');
+      else this.leases.noteConfirmed(report.taskId, askedMs);
     }
     for (const task of [...this.leases.missing(listed, askedMs)]) {
       this.reportLost(task);
