Take no task for lost by a list asked for before its confirmation

Cause: a watch's answer may have been made before a start that was confirmed before the answer came in. Such a list lacks the task, and it was run again while the first run went on: a task in two places, and an overcommit. Ruled out: the resize of running tasks, and the worker's silence itself. The test of the lease book that took any list for decisive is replaced by two that are stricter: a list asked for at the confirmation decides, an earlier one does not.

--- a/packages/scheduler/src/lease-book.ts
+++ b/packages/scheduler/src/lease-book.ts
@@ -8,15 +8,11 @@
 /** How far clock rates may differ. */
 const CLOCK_RATE_MARGIN = 0.01;
 
-/** What a placed task's start came to. */
-export type StartState = 'starting' | 'confirmed' | 'unconfirmed';
-
 interface LeaseEntry {
   readonly task: PlacedTask;
-  state: StartState;
   /** When the newest start or renewal was sent. */
   sentMs: number;
-  /** From then on a list without the task shows that it does not run. */
+  /** A list without the task, asked for later, shows that it does not run. */
   decidedMs: number;
 }
 
@@ -42,20 +38,20 @@
   /** Notes a start that is about to be sent. */
   noteStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
     const decidedMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
-    const state: StartState = 'starting';
-    this.entries.set(task.taskId, {task, state, sentMs: nowMs, decidedMs});
+    this.entries.set(task.taskId, {task, sentMs: nowMs, decidedMs});
   }
 
   /** Notes a task that was found running. */
   noteFound(task: PlacedTask, nowMs: number): void {
-    const entry = {task, state: 'confirmed' as StartState, sentMs: nowMs};
-    this.entries.set(task.taskId, {...entry, decidedMs: nowMs});
+    const entry = {task, sentMs: nowMs, decidedMs: nowMs};
+    this.entries.set(task.taskId, entry);
   }
 
-  /** Notes that the start was confirmed, or that its reply was lost. */
-  setState(taskId: string, state: StartState): void {
+  /** Notes that the worker was seen to run the task. */
+  noteConfirmed(taskId: string, nowMs: number): void {
     const entry = this.entries.get(taskId);
-    if (entry !== undefined) entry.state = state;
+    if (entry === undefined) return;
+    entry.decidedMs = Math.min(entry.decidedMs, nowMs);
   }
 
   /** Notes a renewal of all tasks that is about to be sent. */
@@ -92,9 +88,9 @@
     listed: ReadonlySet<string>,
     askedMs: number,
   ): Generator<PlacedTask> {
-    for (const {task, state, decidedMs} of this.entries.values()) {
+    for (const {task, decidedMs} of this.entries.values()) {
       if (listed.has(task.taskId)) continue;
-      if (state === 'confirmed' || askedMs >= decidedMs) yield task;
+      if (askedMs >= decidedMs) yield task;
     }
   }
 
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -179,7 +179,8 @@
     this.leases.noteStart(task, nowMs, START_WITHIN_MS);
     try {
       await this.parts.client.start(start);
-      this.leases.setState(task.taskId, 'confirmed');
+      const confirmedMs = this.parts.clock.monotonicMs();
+      this.leases.noteConfirmed(task.taskId, confirmedMs);
       return 'started';
     } catch (err) {
       return this.startFailed(task, toFailure(err).kind);
@@ -192,7 +193,6 @@
       this.leases.remove(task.taskId);
       return 'notRun';
     }
-    this.leases.setState(task.taskId, 'unconfirmed');
     return 'unknown';
   }
 
@@ -272,11 +272,12 @@
     if (this.isStopped || !this.mayAct()) return;
     this.sequence = list.sequence;
     this.noteAnswer();
+    const nowMs = this.parts.clock.monotonicMs();
     const listed = new Set<string>();
     for (const report of list.tasks) {
       listed.add(report.taskId);
       if (report.state === 'ended') this.reportEnd(report);
-      else this.leases.setState(report.taskId, 'confirmed');
+      else this.leases.noteConfirmed(report.taskId, nowMs);
     }
     for (const task of [...this.leases.missing(listed, askedMs)]) {
       this.reportLost(task);
--- a/packages/scheduler/test/lease-book.test.ts
+++ b/packages/scheduler/test/lease-book.test.ts
@@ -76,7 +76,6 @@
 leases('a start whose reply was lost is missing only once decided', () => {
   const book = new LeaseBook(LEASE_MS);
   book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-  book.setState(task.taskId, 'unconfirmed');
   const none = new Set<string>();
   assert.equal([...book.missing(none, LONGEST_DELAY_MS - 1)], []);
   assert.equal([...book.missing(none, LONGEST_DELAY_MS)], [task]);
@@ -85,9 +84,21 @@
 leases('a confirmed task that the worker no longer lists is missing', () => {
   const book = new LeaseBook(LEASE_MS);
   book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-  book.setState(task.taskId, 'confirmed');
-  assert.equal([...book.missing(new Set([task.taskId]), 1)], []);
-  assert.equal([...book.missing(new Set(), 1)], [task]);
+  book.noteConfirmed(task.taskId, 5);
+  assert.equal([...book.missing(new Set([task.taskId]), 5)], []);
+  assert.equal([...book.missing(new Set(), 5)], [task]);
 });
 
+promiseTest(
+  leases,
+  'one-place',
+  'a list asked for before the confirmation shows nothing missing',
+  () => {
+    const book = new LeaseBook(LEASE_MS);
+    book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+    book.noteConfirmed(task.taskId, 5);
+    assert.equal([...book.missing(new Set(), 4)], []);
+  },
+);
+
 leases.run();
