Renew no leases on a silent worker

Cause: renewals were sent to a silent worker for ever, and each put off the time at which its leases must have run out. Its tasks were never run again: in the process tests 4 of 12 jobs had not ended after 30 s (lease 6 s). Now a silent worker gets no renewals until it answers its watch again. Both tests of silent workers pass.

--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -239,11 +239,12 @@
     this.parts.observer.workerChanged(this);
   }
 
+  /** Renews nothing on a silent worker, so that its leases run out. */
   private async renewLoop(): Promise<void> {
     const {clock, timing, client, observer} = this.parts;
     while (!this.isStopped) {
       await clock.sleep(timing.renewPeriodMs);
-      if (this.isStopped || !this.mayAct()) continue;
+      if (this.isSilent || !this.mayAct()) continue;
       const taskIds = this.leases.noteRenewal(clock.monotonicMs());
       try {
         await client.renew(observer.term(), taskIds, timing.taskLeaseMs);
