--- a/packages/scheduler/src/lease-book.ts
+++ b/packages/scheduler/src/lease-book.ts
@@ -10,10 +10,9 @@
 
 interface LeaseEntry {
   readonly task: PlacedTask;
-  isConfirmed: boolean;
   /** When the newest start or renewal was sent. */
   sentMs: number;
-  /** From then on a list without the task shows that it does not run. */
+  /** A list without the task, asked for later, shows that it does not run. */
   decidedMs: number;
 }
 
@@ -39,22 +38,20 @@
   /** Notes a start that is about to be sent. */
   noteStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
     const decidedMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
-    const sent = {sentMs: nowMs, isConfirmed: false};
-    this.entries.set(task.taskId, {task, ...sent, decidedMs});
+    this.entries.set(task.taskId, {task, sentMs: nowMs, decidedMs});
   }
 
   /** Notes a task that was found running. */
   noteFound(task: PlacedTask, nowMs: number): void {
-    const found = {sentMs: nowMs, isConfirmed: true, decidedMs: nowMs};
-    this.entries.set(task.taskId, {task, ...found});
+    const entry = {task, sentMs: nowMs, decidedMs: nowMs};
+    this.entries.set(task.taskId, entry);
   }
 
-  /** Notes that the worker confirmed a start; older lists say nothing. */
+  /** Notes that the worker was seen to run the task. */
   noteConfirmed(taskId: string, nowMs: number): void {
     const entry = this.entries.get(taskId);
-    if (entry === undefined || entry.isConfirmed) return;
-    entry.isConfirmed = true;
-    entry.decidedMs = nowMs;
+    if (entry === undefined) return;
+    entry.decidedMs = Math.min(entry.decidedMs, nowMs);
   }
 
   /** Notes a renewal of all tasks that is about to be sent. */
--- a/packages/scheduler/test/lease-book.test.ts
+++ b/packages/scheduler/test/lease-book.test.ts
@@ -84,20 +84,20 @@
 leases('a confirmed task that the worker no longer lists is missing', () => {
   const book = new LeaseBook(LEASE_MS);
   book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-  book.noteConfirmed(task.taskId, 10);
-  assert.equal([...book.missing(new Set([task.taskId]), 10)], []);
-  assert.equal([...book.missing(new Set(), 10)], [task]);
+  book.noteConfirmed(task.taskId, 5);
+  assert.equal([...book.missing(new Set([task.taskId]), 5)], []);
+  assert.equal([...book.missing(new Set(), 5)], [task]);
 });
 
 promiseTest(
   leases,
   'one-place',
-  'a list asked for before a start was confirmed does not show it missing',
+  'a list asked for before the confirmation shows nothing missing',
   () => {
     const book = new LeaseBook(LEASE_MS);
     book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-    book.noteConfirmed(task.taskId, 10);
-    assert.equal([...book.missing(new Set(), 9)], []);
+    book.noteConfirmed(task.taskId, 5);
+    assert.equal([...book.missing(new Set(), 4)], []);
   },
 );
 
