--- /dev/null
+++ b/packages/bench/src/benches.ts
@@ -0,0 +1,13 @@
+/** The table of all benchmarks. */
+import {benchPolicy} from './policy.js';
+
+/** Figures of a benchmark, as they are printed with `--json`. */
+export type Figures = Readonly<Record<string, unknown>>;
+
+/** Measures, prints lines for a reader, and returns the figures. */
+export type Bench = (print: (line: string) => void) => Promise<Figures>;
+
+/** All benchmarks by name. */
+export const BENCHES: Readonly<Record<string, Bench>> = {
+  policy: benchPolicy,
+};
--- /dev/null
+++ b/packages/bench/src/policy.ts
@@ -0,0 +1,15 @@
+/** Measures the decisions: their rate, their cost, and what they achieve. */
+import type {Figures} from './benches.js';
+import {measureLoad} from './policy-load.js';
+import {TARGET, TODAY} from './shard-load.js';
+
+/**
+ * Runs the benchmark of the policy.
+ *
+ * @example
+ * const figures = await benchPolicy(console.log);
+ */
+export function benchPolicy(print: (line: string) => void): Promise<Figures> {
+  const load = [TODAY, TARGET].map(size => measureLoad(size, print));
+  return Promise.resolve({load});
+}
--- /dev/null
+++ b/packages/bench/src/shard-load.ts
@@ -0,0 +1,124 @@
+/** A shard of a stated size, with running and waiting work. */
+import type {Resources} from '@dragonflyward/common';
+import type {
+  PlacementEngine,
+  PolicyJob,
+  PolicyQueue,
+  PolicyTeam,
+  PolicyWorker,
+} from '@dragonflyward/policy';
+
+/** How large a shard is. */
+export interface ShardSize {
+  readonly name: string;
+  readonly workers: number;
+  readonly teams: number;
+  readonly organisations: number;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** One failure domain of today, and one at the target. */
+export const TODAY: ShardSize = {
+  name: 'today',
+  workers: 11,
+  teams: 24,
+  organisations: 6,
+  running: 240,
+  waiting: 1_000,
+};
+export const TARGET: ShardSize = {
+  name: 'target',
+  workers: 340,
+  teams: 590,
+  organisations: 40,
+  running: 7_500,
+  waiting: 10_000,
+};
+
+export const QUEUES: readonly PolicyQueue[] = [
+  {queue: 'quotes', priority: 'urgent', policy: 'pack'},
+  {queue: 'shops', priority: 'normal', policy: 'spread'},
+  {queue: 'renders', priority: 'batch', policy: 'pack'},
+  {queue: 'kilns', priority: 'batch', policy: 'gang'},
+];
+
+const UNLIMITED: Resources = {cpuMilli: 1e9, memMb: 1e9, accel: 1e6, slots: 0};
+const PLAIN: Resources = {cpuMilli: 16_000, memMb: 65_536, accel: 0, slots: 0};
+const LARGE: Resources = {
+  cpuMilli: 128_000,
+  memMb: 262_144,
+  accel: 8,
+  slots: 0,
+};
+const WORKERS_PER_RACK = 4;
+const LARGE_EVERY = 3;
+
+/** A generator of numbers that is the same in every run. */
+export class Random {
+  constructor(private seed: number) {}
+
+  /** A whole number from 0 up to, and without, the bound. */
+  below(bound: number): number {
+    this.seed = (Math.imul(this.seed, 1_664_525) + 1_013_904_223) >>> 0;
+    return Math.floor((this.seed / 2 ** 32) * bound);
+  }
+}
+
+/** Gives an engine its queues, teams and workers. */
+export function setUp(engine: PlacementEngine, size: ShardSize): void {
+  engine.setQueues(QUEUES);
+  engine.setTeams([...teamsOf(size)]);
+  for (let i = 0; i < size.workers; i += 1) engine.setWorker(workerOf(i));
+}
+
+function* teamsOf(size: ShardSize): Generator<PolicyTeam> {
+  for (let i = 0; i < size.teams; i += 1) {
+    const organisation = i % size.organisations;
+    yield {
+      team: `team-${i}`,
+      organisation: `org-${organisation}`,
+      share: 1 + (i % 5),
+      organisationShare: 1 + (organisation % 4),
+      allowance: UNLIMITED,
+    };
+  }
+}
+
+function workerOf(index: number): PolicyWorker {
+  return {
+    workerId: `worker-${index}`,
+    rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
+    capacity: index % LARGE_EVERY === 0 ? LARGE : PLAIN,
+    condition: 'ready',
+  };
+}
+
+/** A job of one task as they come in a mixed shard. */
+export function newJob(
+  size: ShardSize,
+  random: Random,
+  index: number,
+  nowMs: number,
+): PolicyJob {
+  const kind = random.below(20);
+  const queue = QUEUES[kind === 0 ? 0 : 1 + (kind % 2)]?.queue ?? '';
+  const isGang = kind === 19;
+  return {
+    jobId: `job-${index}`,
+    team: `team-${random.below(size.teams)}`,
+    queue: isGang ? 'kilns' : queue,
+    taskIndexes: isGang ? [0, 1, 2, 3] : [0],
+    isGang,
+    isService: kind === 7,
+    isIdempotent: kind !== 3,
+    size: {
+      cpuMilli: 500 * (1 + random.below(6)),
+      memMb: 1_024 * (1 + random.below(6)),
+      accel: kind > 15 ? 1 : 0,
+      slots: 0,
+    },
+    runMs: 10_000 * (1 + random.below(30)),
+    acceptedMs: nowMs,
+  };
+}
--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -17,7 +17,7 @@
 /** Use at this part of the reservation counts as held back by its cap. */
 const CAPPED_PART = 0.95;
 /** How much more a task that is held back may want. */
-const CAPPED_FACTOR = 2;
+const CAPPED_FACTOR = 1.25;
 /** How long a reservation stays as it was set. */
 const RESIZE_PAUSE_MS = 5_000;
 
@@ -31,6 +31,7 @@
   core: EngineCore,
   samples: readonly UsageSample[],
 ): void {
+  if (!core.features.learns) return;
   for (const sample of samples) {
     const running = core.cell.tasks.get(sample.taskId);
     if (running !== undefined) learnSample(core, running, sample);
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -30,6 +30,18 @@
   readonly gang: PlacementPolicy;
 }
 
+/** Which stages an engine has; all where nothing is said. */
+export interface ShareFeatures {
+  /** Stops lower work for urgent work and for teams below their share. */
+  readonly preempts?: boolean;
+  /** Holds room for gangs and large tasks. */
+  readonly reserves?: boolean;
+  /** Fits reservations to measured use. */
+  readonly learns?: boolean;
+  /** Raises the priority of work with its age. */
+  readonly ages?: boolean;
+}
+
 /** How an engine is set up. */
 export interface ShareOptions {
   /**
@@ -38,6 +50,7 @@
    */
   readonly firstTaskNumber?: number;
   readonly policies?: PolicySet;
+  readonly features?: ShareFeatures;
 }
 
 /** All state of one engine. */
@@ -52,6 +65,7 @@
   readonly estimates: Estimates;
   readonly holds: HoldTable;
   readonly policies: PolicySet;
+  readonly features: Required<ShareFeatures>;
   /** Decisions that are counted and still have to be yielded. */
   readonly outbox: Decision[];
   nextTask: number;
@@ -64,7 +78,12 @@
   readonly toReview: Set<RunningTask>;
 }
 
-/** How far a priority is from the most urgent one. */
+/**
+ * How far a priority is from the most urgent one.
+ *
+ * @example
+ * const isLower = rankOfPriority(a) > rankOfPriority(b);
+ */
 export function rankOfPriority(priority: PolicyPriority): number {
   return PRIORITIES.indexOf(priority);
 }
@@ -76,6 +95,13 @@
   'batch',
 ];
 
+const ALL_FEATURES: Required<ShareFeatures> = {
+  preempts: true,
+  reserves: true,
+  learns: true,
+  ages: true,
+};
+
 /**
  * Makes the state of an engine that knows nothing yet.
  *
@@ -100,6 +126,7 @@
       spread: new SpreadPolicy(),
       gang: new GangPolicy(),
     },
+    features: {...ALL_FEATURES, ...options.features},
     outbox: [],
     nextTask: options.firstTaskNumber ?? 1,
     nowMs: 0,
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -28,11 +28,11 @@
   yield* adjustReservations(core);
   yield* placeHeld(core);
   yield* placeWaiting(core, 'urgent');
-  yield* preemptForUrgent(core);
+  if (core.features.preempts) yield* preemptForUrgent(core);
   if (core.nowMs - core.reservedAtMs >= RESERVE_EVERY_MS) {
     core.reservedAtMs = core.nowMs;
-    reserveForBlocked(core);
-    yield* reclaimShares(core);
+    if (core.features.reserves) reserveForBlocked(core);
+    if (core.features.preempts) yield* reclaimShares(core);
   }
   yield* placeWaiting(core, 'all');
 }
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -8,7 +8,7 @@
 /** Samples that a histogram needs before it is believed. */
 const MIN_SAMPLES = 16;
 /** Samples after which a histogram starts anew. */
-const WINDOW_SAMPLES = 4_096;
+const WINDOW_SAMPLES = 512;
 /** The part of the samples that a reservation has to cover. */
 const SIZE_PERCENTILE = 95;
 const RUN_PERCENTILE = 75;
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -50,10 +50,15 @@
     return sum;
   }
 
-  /** Adds a hold in place of the one that the job has. */
+  /** Adds a hold, or changes the one that the job has; its age is kept. */
   add(hold: Hold): void {
-    this.remove(hold.state.job.jobId);
-    this.byJob.set(hold.state.job.jobId, hold);
+    const {jobId} = hold.state.job;
+    const former = this.byJob.get(jobId);
+    this.byJob.set(jobId, hold);
+    for (const worker of former?.slots.keys() ?? []) {
+      this.refresh(worker);
+      this.onRoom(worker);
+    }
     for (const worker of hold.slots.keys()) this.refresh(worker);
   }
 
@@ -93,6 +98,29 @@
     return room;
   }
 
+  /**
+   * What is held on a job's workers but not against the job: its own hold
+   * and younger ones. Two holds would else keep each other from starting.
+   */
+  claimOf(jobId: string): ReadonlyMap<WorkerState, Resources> {
+    const claim = new Map<WorkerState, Resources>();
+    const own = this.byJob.get(jobId);
+    if (own === undefined) return claim;
+    let isYounger = false;
+    for (const hold of this.byJob.values()) {
+      if (hold === own) isYounger = true;
+      if (!isYounger || (hold.isUrgent && !own.isUrgent)) continue;
+      if (own.isUrgent && !hold.isUrgent) continue;
+      for (const worker of own.slots.keys()) {
+        const count = hold.slots.get(worker) ?? 0;
+        if (count === 0) continue;
+        const room = claim.get(worker) ?? NO_RESOURCES;
+        claim.set(worker, addResources(room, scaleResources(hold.size, count)));
+      }
+    }
+    return claim;
+  }
+
   /** Holds no more slots than there are tasks that wait. */
   private trim(hold: Hold): void {
     const {jobId} = hold.state.job;
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,14 +1,14 @@
 /** Places waiting work, the teams furthest below their share first. */
-import type {Resources} from '@dragonflyward/common';
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
 import {policyOf, startTask, type EngineCore} from './core.js';
-import type {Decision} from './engine.js';
+import type {Decision, PlacedTask} from './engine.js';
 import type {PlacementAsk} from './placement-policy.js';
 import type {Tier} from './room-memo.js';
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {nextClass} from './waiting-list.js';
+import {dequeue, enqueue, nextClass} from './waiting-list.js';
 
 /** Searches without result after which a pass leaves the rest to the next. */
 const MAX_FAILED_SEARCHES = 512;
@@ -54,10 +54,35 @@
   for (;;) {
     const decision = core.outbox.shift();
     if (decision === undefined) return;
-    if (isCurrent(core, decision)) yield decision;
+    if (!isCurrent(core, decision)) continue;
+    if (decision.kind === 'start' && !isStartable(core, decision.task)) {
+      withdraw(core, decision.task);
+      continue;
+    }
+    yield decision;
   }
 }
 
+/** Whether neither the worker nor the limit has changed against a start. */
+function isStartable(core: EngineCore, task: PlacedTask): boolean {
+  const running = core.cell.tasks.get(task.taskId);
+  if (running === undefined) return false;
+  const {worker} = core.cell.getWorker(task.workerId);
+  if (worker.condition !== 'ready') return false;
+  return core.teams.isAllowed(running.job.team, NO_RESOURCES);
+}
+
+/** Takes back a start that was never yielded. */
+function withdraw(core: EngineCore, task: PlacedTask): void {
+  const running = core.cell.tasks.get(task.taskId);
+  if (running === undefined) return;
+  const {job} = running;
+  core.cell.release(running);
+  dequeue(job);
+  job.pending.add(task.taskIndex);
+  if (job.setAsideReason === '') enqueue(core, job);
+}
+
 /** Whether the task of a decision is still counted. */
 function isCurrent(core: EngineCore, decision: Decision): boolean {
   switch (decision.kind) {
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -11,10 +11,13 @@
 /** How long room is held for urgent work; then it is sought elsewhere. */
 const URGENT_HOLD_MS = 3_000;
 /** How long a class for which no room can be made is left alone. */
-const NO_ROOM_PAUSE_MS = 250;
+const URGENT_PAUSE_MS = 250;
+const RECLAIM_PAUSE_MS = 5_000;
 /** Tasks for which one decision makes room at most. */
 const MAX_URGENT_TASKS = 64;
 const MAX_RECLAIMED_TASKS = 16;
+/** Searches without result after which a decision seeks no more room. */
+const MAX_FAILED_SEARCHES = 4;
 /** How long a team below its share waits before it takes room back. */
 const RECLAIM_AFTER_MS = 10_000;
 const RECLAIM_HOLD_MS = 10_000;
@@ -28,15 +31,13 @@
  * yield* preemptForUrgent(core);
  */
 export function* preemptForUrgent(core: EngineCore): Generator<Decision> {
-  let budget = MAX_URGENT_TASKS;
   const order = new TeamOrder(teamsWithUrgent(core));
-  for (;;) {
-    const team = order.first();
-    if (team === undefined || budget <= 0) return;
-    order.dropFirst();
+  const budget = newBudget(MAX_URGENT_TASKS);
+  for (const team of takeInOrder(order)) {
     for (const waitClass of team.waiting.values()) {
+      if (isSpent(budget)) return;
       if (waitClass.kind.priority !== 'urgent') continue;
-      budget -= preemptForClass(core, waitClass, budget, urgentWanted);
+      preemptForClass(core, waitClass, budget, urgentWanted);
       yield* flush(core);
     }
   }
@@ -49,25 +50,57 @@
  * yield* reclaimShares(core);
  */
 export function* reclaimShares(core: EngineCore): Generator<Decision> {
-  let budget = MAX_RECLAIMED_TASKS;
+  if (!isAnyAboveShare(core)) return;
   const order = new TeamOrder(teamsBelowShare(core));
-  for (;;) {
-    const team = order.first();
-    if (team === undefined || budget <= 0) return;
-    order.dropFirst();
+  const budget = newBudget(MAX_RECLAIMED_TASKS);
+  for (const team of takeInOrder(order)) {
     for (const waitClass of team.waiting.values()) {
+      if (isSpent(budget)) return;
       const first = waitClass.first();
       if (first === undefined) continue;
       if (core.nowMs - first.job.acceptedMs < RECLAIM_AFTER_MS) continue;
       const lacking = lackingTasks(core, team, waitClass);
-      const most = Math.min(budget, lacking);
-      if (most <= 0) continue;
-      budget -= preemptForClass(core, waitClass, most, reclaimWanted);
+      if (lacking <= 0) continue;
+      const part = {tasks: Math.min(budget.tasks, lacking), searches: 1};
+      const before = part.tasks;
+      preemptForClass(core, waitClass, part, reclaimWanted);
+      budget.tasks -= before - part.tasks;
+      if (part.searches === 0) budget.searches -= 1;
       yield* flush(core);
     }
   }
 }
 
+/** What one decision may still do to make room. */
+interface Budget {
+  tasks: number;
+  searches: number;
+}
+
+function newBudget(tasks: number): Budget {
+  return {tasks, searches: MAX_FAILED_SEARCHES};
+}
+
+function isSpent(budget: Budget): boolean {
+  return budget.tasks <= 0 || budget.searches <= 0;
+}
+
+function* takeInOrder(order: TeamOrder): Generator<TeamState> {
+  for (;;) {
+    const team = order.first();
+    if (team === undefined) return;
+    order.dropFirst();
+    yield team;
+  }
+}
+
+function isAnyAboveShare(core: EngineCore): boolean {
+  for (const team of core.teams.values()) {
+    if (core.teams.shareOf(team) > team.fair) return true;
+  }
+  return false;
+}
+
 type MakeWanted = (
   core: EngineCore,
   state: JobState,
@@ -75,26 +108,27 @@
   count: number,
 ) => RoomWanted;
 
-/** Makes room for jobs of a class; returns for how many tasks. */
+/** Makes room for jobs of a class, as far as the budget goes. */
 function preemptForClass(
   core: EngineCore,
   waitClass: WaitClass,
-  budget: number,
+  budget: Budget,
   makeWanted: MakeWanted,
-): number {
-  if (core.nowMs < waitClass.noRoomUntilMs) return 0;
-  let spent = 0;
+): void {
+  if (core.nowMs < waitClass.noRoomUntilMs) return;
   for (const state of waitClass.jobs()) {
-    if (spent >= budget) break;
-    const count = missingTasks(core, state, budget - spent);
+    if (budget.tasks <= 0) return;
+    const count = missingTasks(core, state, budget.tasks);
     if (count <= 0) continue;
-    const made = makeRoom(core, makeWanted(core, state, waitClass, count));
-    spent += made;
+    const wanted = makeWanted(core, state, waitClass, count);
+    const made = makeRoom(core, wanted);
+    budget.tasks -= made;
     if (made > 0) continue;
-    waitClass.noRoomUntilMs = core.nowMs + NO_ROOM_PAUSE_MS;
-    break;
+    budget.searches -= 1;
+    const pauseMs = wanted.isUrgent ? URGENT_PAUSE_MS : RECLAIM_PAUSE_MS;
+    waitClass.noRoomUntilMs = core.nowMs + pauseMs;
+    return;
   }
-  return spent;
 }
 
 /** For how many tasks of a job no room is held yet. */
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -24,8 +24,10 @@
 const MAX_RESERVATIONS = 4;
 /** How long a job waits before room is held for it. */
 const RESERVE_AFTER_MS = 3_000;
+/** How long a job of a team above its share waits before that. */
+const OVERDUE_MS = 30_000;
 /** How long room is held at most, and how long a job then goes without. */
-const MAX_HOLD_MS = 60_000;
+export const MAX_HOLD_MS = 60_000;
 const HOLD_PAUSE_MS = 30_000;
 /** A task is large where it takes this part of the largest worker. */
 const LARGE_PART = 0.25;
@@ -76,7 +78,7 @@
 ): boolean {
   const {state} = hold;
   const tier = hold.isUrgent ? 'urgent' : 'all';
-  const own = core.holds.roomOf(state.job.jobId);
+  const own = core.holds.claimOf(state.job.jobId);
   const base = newAsk(core, state, waitClass, tier);
   const ask: PlacementAsk = {...base, size: hold.size, own};
   if (!core.teams.canStart(state.team, ask.size, ask.count)) return false;
@@ -144,6 +146,7 @@
   if (!isHard) return false;
   const count = Math.max(1, gangSize);
   if (!core.teams.canStart(team, waitClass.size, count)) return false;
+  if (core.nowMs - state.job.acceptedMs > OVERDUE_MS) return true;
   return dominantShare(team.used, core.teams.total) <= team.fair;
 }
 
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -89,7 +89,7 @@
     }
     refreshSize(core, team, waitClass);
     if (core.memo.isFull(tier, waitClass.roomKey)) continue;
-    const rank = rankOf(waitClass, first.job.acceptedMs, core.nowMs);
+    const rank = rankOf(core, waitClass, first.job.acceptedMs);
     if (rank >= bestRank) continue;
     best = waitClass;
     bestRank = rank;
@@ -99,11 +99,12 @@
 
 /** Lower ranks are first; the time of acceptance decides within a step. */
 function rankOf(
+  core: EngineCore,
   waitClass: WaitClass,
   acceptedMs: number,
-  nowMs: number,
 ): number {
-  const steps = Math.floor((nowMs - acceptedMs) / AGEING_STEP_MS);
+  const waitedMs = core.features.ages ? core.nowMs - acceptedMs : 0;
+  const steps = Math.floor(waitedMs / AGEING_STEP_MS);
   const priority = PRIORITIES.indexOf(waitClass.kind.priority);
   const level = Math.max(0, priority - Math.max(0, steps));
   return level * PRIORITY_RANK + acceptedMs;
--- a/packages/policy/test/random-shard.ts
+++ b/packages/policy/test/random-shard.ts
@@ -179,6 +179,7 @@
   private terms = 0;
   /** Whether decisions are counted that were not asked for yet. */
   private isCut = false;
+  private readonly taskIds = new Set<string>();
   private readonly resubmitted = new Set<string>();
 
   constructor(
@@ -278,10 +279,20 @@
   }
 
   private noteStart(task: PlacedTask): void {
+    if (this.taskIds.has(task.taskId)) {
+      this.breaches.push(`the id ${task.taskId} is given twice`);
+    }
+    this.taskIds.add(task.taskId);
     if (this.pending.get(task.jobId)?.delete(task.taskIndex) === true) return;
     this.breaches.push(`${task.taskId} starts but does not wait`);
   }
 
+  /** A change between the starts of a gang may keep the rest from starting. */
+  private excuseGangs(): void {
+    if (!this.isCut) return;
+    for (const jobId of this.jobs.keys()) this.resubmitted.add(jobId);
+  }
+
   /** Of a gang's waiting tasks, a whole decision starts all or none. */
   private checkGangs(): void {
     for (const {task} of this.started()) {
@@ -322,6 +333,7 @@
   }
 
   private changeWorker(pick: number, to: number): void {
+    this.excuseGangs();
     const known = this.known[pick % this.known.length];
     if (known === undefined) return;
     const worker = this.workers.get(known.workerId) ?? known;
@@ -349,6 +361,7 @@
   }
 
   private changeLimit(pick: number, part: number): void {
+    this.excuseGangs();
     const changed = pick % this.teams.length;
     this.teams = this.teams.map((team, i) =>
       i === changed ? {...team, allowance: allowance(part)} : team,
@@ -372,6 +385,7 @@
 
   /** A new owner adopts what runs, before or after it knows the jobs. */
   private takeOver(): void {
+    this.excuseGangs();
     this.terms += 1;
     this.engine = this.start(this.terms * TASKS_PER_TERM);
     this.isCut = false;
