--- a/packages/policy/src/amounts.ts
+++ b/packages/policy/src/amounts.ts
@@ -1,9 +1,5 @@
 /** Arithmetic on amounts of resources that the placement needs. */
-import {
-  NO_RESOURCES,
-  RESOURCE_NAMES,
-  type Resources,
-} from '@dragonflyward/common';
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 
 /**
  * The largest part of the total that an amount takes of any one resource.
@@ -12,13 +8,17 @@
  * const share = dominantShare(team.used, cell.total); // 0.25
  */
 export function dominantShare(amount: Resources, total: Resources): number {
-  let share = 0;
-  for (const name of RESOURCE_NAMES) {
-    const part = amount[name];
-    if (part <= 0) continue;
-    share = Math.max(share, total[name] > 0 ? part / total[name] : 1);
-  }
-  return share;
+  return Math.max(
+    partOf(amount.cpuMilli, total.cpuMilli),
+    partOf(amount.memMb, total.memMb),
+    partOf(amount.accel, total.accel),
+    partOf(amount.slots, total.slots),
+  );
+}
+
+function partOf(amount: number, total: number): number {
+  if (amount <= 0) return 0;
+  return total > 0 ? amount / total : 1;
 }
 
 /**
@@ -28,15 +28,17 @@
  * const tasks = countFits(job.size, worker.free);
  */
 export function countFits(size: Resources, room: Resources): number {
-  let count = Infinity;
-  for (const name of RESOURCE_NAMES) {
-    if (size[name] === 0) {
-      if (room[name] < 0) return 0;
-      continue;
-    }
-    count = Math.min(count, Math.floor(room[name] / size[name]));
-  }
-  return Math.max(0, count);
+  return Math.min(
+    countPart(size.cpuMilli, room.cpuMilli),
+    countPart(size.memMb, room.memMb),
+    countPart(size.accel, room.accel),
+    countPart(size.slots, room.slots),
+  );
+}
+
+function countPart(size: number, room: number): number {
+  if (room < size) return 0;
+  return size === 0 ? Infinity : Math.floor(room / size);
 }
 
 /**
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -18,9 +18,11 @@
 import {Estimates} from './estimates.js';
 import {JobFailures} from './failures.js';
 import {HoldTable} from './holds.js';
-import {RoomMemo} from './room-memo.js';
+import {NeedTable} from './needs.js';
 import type {JobState, RunningTask, WorkerState} from './state.js';
 import {TeamTable} from './team-table.js';
+import type {WaitClass} from './wait-class.js';
+import {noteTaskStarted} from './waiting-list.js';
 import {WorkerHealth} from './worker-health.js';
 
 /** The policy of each kind of work. */
@@ -56,7 +58,7 @@
 /** All state of one engine. */
 export interface EngineCore {
   readonly teams: TeamTable;
-  readonly memo: RoomMemo;
+  readonly needs: NeedTable;
   readonly cell: Cell;
   readonly queues: Map<string, PolicyQueue>;
   readonly jobs: Map<string, JobState>;
@@ -70,6 +72,12 @@
   readonly outbox: Decision[];
   nextTask: number;
   nowMs: number;
+  /** The classes of urgent queues in which jobs wait. */
+  readonly urgentClasses: Set<WaitClass>;
+  /** How many tasks wait. */
+  waitingTasks: number;
+  /** The state of the estimates by which sizes were last set. */
+  sizeVersion: number;
   /** When the fair shares were last computed. */
   fairAtMs: number;
   /** When room was last sought for work that is hard to place. */
@@ -78,16 +86,6 @@
   readonly toReview: Set<RunningTask>;
 }
 
-/**
- * How far a priority is from the most urgent one.
- *
- * @example
- * const isLower = rankOfPriority(a) > rankOfPriority(b);
- */
-export function rankOfPriority(priority: PolicyPriority): number {
-  return PRIORITIES.indexOf(priority);
-}
-
 /** The priorities from the most to the least urgent. */
 export const PRIORITIES: readonly PolicyPriority[] = [
   'urgent',
@@ -110,17 +108,17 @@
  */
 export function newCore(options: ShareOptions): EngineCore {
   const teams = new TeamTable();
-  const memo = new RoomMemo();
+  const needs = new NeedTable();
   return {
     teams,
-    memo,
-    cell: new Cell(teams, worker => memo.noteRoom(worker)),
+    needs,
+    cell: new Cell(teams, worker => needs.noteRoom(worker)),
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
     health: new WorkerHealth(),
     estimates: new Estimates(),
-    holds: new HoldTable(worker => memo.noteRoom(worker)),
+    holds: new HoldTable(worker => needs.noteRoom(worker)),
     policies: options.policies ?? {
       pack: new PackPolicy(),
       spread: new SpreadPolicy(),
@@ -130,6 +128,9 @@
     outbox: [],
     nextTask: options.firstTaskNumber ?? 1,
     nowMs: 0,
+    urgentClasses: new Set(),
+    waitingTasks: 0,
+    sizeVersion: 0,
     fairAtMs: -Infinity,
     reservedAtMs: -Infinity,
     toReview: new Set(),
@@ -175,9 +176,9 @@
   const {jobId} = state.job;
   const taskId = `${jobId}.${taskIndex}.${core.nextTask}`;
   core.nextTask += 1;
-  state.pending.delete(taskIndex);
-  state.waitClass?.shrink(state, 1);
+  noteTaskStarted(core, state, taskIndex);
   core.holds.useSlot(jobId, worker);
+  state.team.startedMs = core.nowMs;
   const {workerId} = worker.worker;
   return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
 }
@@ -197,6 +198,7 @@
     task,
     job: state,
     startedMs: core.nowMs,
+    expectedMs: expectedMsOf(core, state),
     isUrgent: state.queue.priority === 'urgent',
     isStopping: false,
     peakCpuMilli: 0,
@@ -208,6 +210,11 @@
   return running;
 }
 
+function expectedMsOf(core: EngineCore, state: JobState): number {
+  const {queue, team, runMs, isService} = state.job;
+  return isService ? Infinity : core.estimates.runMsOf(queue, team, runMs);
+}
+
 /**
  * Tells why no worker of the shard could ever hold a task of the job.
  *
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -6,11 +6,12 @@
 import {flush, placeWaiting} from './place-waiting.js';
 import {preemptForUrgent, reclaimShares} from './preempt.js';
 import {placeHeld, reserveForBlocked} from './reserve.js';
+import {refreshSizes} from './waiting-list.js';
 
 /** How old the fair shares may be. */
 const FAIR_SHARES_MS = 500;
 /** How often room is sought for work that is hard to place. */
-const RESERVE_EVERY_MS = 250;
+const RESERVE_EVERY_MS = 500;
 
 /**
  * Decides all that can be decided now.
@@ -26,6 +27,7 @@
     core.fairAtMs = core.nowMs;
   }
   yield* adjustReservations(core);
+  refreshSizes(core);
   yield* placeHeld(core);
   yield* placeWaiting(core, 'urgent');
   if (core.features.preempts) yield* preemptForUrgent(core);
@@ -42,6 +44,6 @@
     const {workerId} = state.worker;
     const reason = 'it is tried again with one task';
     core.outbox.push({kind: 'worker', workerId, isSetAside: false, reason});
-    core.memo.noteRoom(state);
+    core.needs.noteRoom(state);
   }
 }
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -59,6 +59,7 @@
   /** The factors that are in use, by the last state of the ratios. */
   cpuFactor: number;
   memFactor: number;
+  runFactor: number;
 }
 
 /** What was measured of one task, and what was declared for it. */
@@ -73,6 +74,8 @@
 /** Estimates for each queue and team. */
 export class Estimates {
   private readonly byKind = new Map<string, Estimate>();
+  /** Grows whenever any size changes. */
+  version = 0;
 
   /** Learns from one measurement of a running task. */
   noteUse(use: MeasuredUse): void {
@@ -95,7 +98,9 @@
 
   /** Takes what was learnt into use; call it once for each batch of samples. */
   refresh(): void {
-    for (const estimate of this.byKind.values()) refreshFactors(estimate);
+    for (const estimate of this.byKind.values()) {
+      if (refreshFactors(estimate)) this.version += 1;
+    }
   }
 
   /** Grows whenever the sizes of this queue and team change. */
@@ -117,8 +122,8 @@
   /** How long a task is expected to run; infinite where nothing is known. */
   runMsOf(queue: string, team: string, declaredMs: number): number {
     if (declaredMs <= 0) return Infinity;
-    const ratio = this.byKind.get(kindKey(queue, team))?.run.read() ?? 0;
-    return declaredMs * (ratio === 0 ? 1 : ratio);
+    const estimate = this.byKind.get(kindKey(queue, team));
+    return declaredMs * (estimate?.runFactor ?? 1);
   }
 
   private get(queue: string, team: string): Estimate {
@@ -132,6 +137,7 @@
       version: 0,
       cpuFactor: 1,
       memFactor: 1,
+      runFactor: 1,
     };
     this.byKind.set(key, estimate);
     return estimate;
@@ -142,15 +148,18 @@
   return `${queue} ${team}`;
 }
 
-function refreshFactors(estimate: Estimate): void {
+/** Returns whether the sizes have changed. */
+function refreshFactors(estimate: Estimate): boolean {
+  estimate.runFactor = estimate.run.read() || 1;
   const cpuFactor = factorOf(estimate.cpu.read());
   const memFactor = factorOf(estimate.mem.read());
   const isSame =
     cpuFactor === estimate.cpuFactor && memFactor === estimate.memFactor;
-  if (isSame) return;
+  if (isSame) return false;
   estimate.cpuFactor = cpuFactor;
   estimate.memFactor = memFactor;
   estimate.version += 1;
+  return true;
 }
 
 /** The factor on the declared size, rounded up to the next step. */
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -33,41 +33,60 @@
   mayStop(running: RunningTask): boolean;
 }
 
+/** A way to make room for one task on a worker. */
 interface Offer {
   readonly worker: WorkerState;
   readonly victims: readonly RunningTask[];
   readonly cost: number;
 }
 
+/** Where room may be made for tasks of one size; the cheapest is first. */
+export type RoomSearch = Heap<Offer>;
+
+/**
+ * Looks at all workers for room that can be made for tasks of one size.
+ *
+ * @example
+ * const search = newRoomSearch(core, wanted);
+ */
+export function newRoomSearch(
+  core: EngineCore,
+  wanted: RoomWanted,
+): RoomSearch {
+  const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
+  for (const worker of core.cell.workers.values()) {
+    const offer = offerOf(core, worker, wanted);
+    if (offer !== undefined) offers.push(offer);
+  }
+  return offers;
+}
+
 /**
  * Stops the cheapest tasks that make room for the wanted tasks, and holds
  * that room; the stops are put into the outbox.
  *
  * @example
- * const made = makeRoom(core, wanted);
+ * const made = makeRoom(core, search, wanted);
  *
  * @returns for how many tasks there will be room
  */
-export function makeRoom(core: EngineCore, wanted: RoomWanted): number {
-  const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
-  for (const worker of core.cell.workers.values()) {
-    pushOffer(core, offers, worker, wanted);
-  }
+export function makeRoom(
+  core: EngineCore,
+  search: RoomSearch,
+  wanted: RoomWanted,
+): number {
   const stopped: RunningTask[] = [];
   const slots = new Map(core.holds.get(wanted.state.job.jobId)?.slots);
   let made = 0;
   while (made < wanted.count) {
-    const offer = offers.pop();
+    const offer = takeOffer(core, search, wanted);
     if (offer === undefined) break;
-    if (offer.victims.some(victim => victim.isStopping)) {
-      pushOffer(core, offers, offer.worker, wanted);
-      continue;
-    }
     stopped.push(...stopAll(core, offer.victims));
     slots.set(offer.worker, (slots.get(offer.worker) ?? 0) + 1);
     core.holds.add(newHold(core, wanted, slots));
     made += 1;
-    pushOffer(core, offers, offer.worker, wanted);
+    const next = offerOf(core, offer.worker, wanted);
+    if (next !== undefined) search.push(next);
   }
   if (wanted.isWhole && made < wanted.count) {
     undo(core, wanted, stopped);
@@ -77,6 +96,22 @@
   return made;
 }
 
+/** The cheapest offer that still holds. */
+function takeOffer(
+  core: EngineCore,
+  search: RoomSearch,
+  wanted: RoomWanted,
+): Offer | undefined {
+  for (;;) {
+    const offer = search.pop();
+    if (offer === undefined) return undefined;
+    const fresh = offerOf(core, offer.worker, wanted);
+    if (fresh === undefined) continue;
+    if (fresh.cost <= offer.cost) return fresh;
+    search.push(fresh);
+  }
+}
+
 function newHold(
   core: EngineCore,
   wanted: RoomWanted,
@@ -92,16 +127,6 @@
   };
 }
 
-function pushOffer(
-  core: EngineCore,
-  offers: Heap<Offer>,
-  worker: WorkerState,
-  wanted: RoomWanted,
-): void {
-  const offer = offerOf(core, worker, wanted);
-  if (offer !== undefined) offers.push(offer);
-}
-
 /** The cheapest way to make room for one more task on a worker. */
 function offerOf(
   core: EngineCore,
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -4,11 +4,11 @@
 import {policyOf, startTask, type EngineCore} from './core.js';
 import type {Decision, PlacedTask} from './engine.js';
 import type {PlacementAsk} from './placement-policy.js';
-import type {Tier} from './room-memo.js';
+import type {Tier} from './needs.js';
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {dequeue, enqueue, nextClass} from './waiting-list.js';
+import {dequeue, enqueue, nextClass, openClasses} from './waiting-list.js';
 
 /** Searches without result after which a pass leaves the rest to the next. */
 const MAX_FAILED_SEARCHES = 512;
@@ -25,12 +25,13 @@
   core: EngineCore,
   tier: Tier,
 ): Generator<Decision> {
-  const order = new TeamOrder(teamsWithWork(core, tier));
+  const open = openClasses(core, tier);
+  const order = new TeamOrder(teamsInTier(core, tier, open.keys()));
   const stuck = new Set<WaitClass>();
   while (stuck.size < MAX_FAILED_SEARCHES) {
     const team = order.first();
     if (team === undefined) return;
-    const waitClass = nextClass(core, team, tier, stuck);
+    const waitClass = nextClass(core, open.get(team) ?? [], tier, stuck);
     if (waitClass === undefined) {
       order.dropFirst();
       continue;
@@ -78,7 +79,7 @@
   if (running === undefined) return;
   const {job} = running;
   core.cell.release(running);
-  dequeue(job);
+  dequeue(core, job);
   job.pending.add(task.taskIndex);
   if (job.setAsideReason === '') enqueue(core, job);
 }
@@ -96,11 +97,13 @@
   }
 }
 
-function* teamsWithWork(core: EngineCore, tier: Tier): Generator<TeamState> {
-  for (const team of core.teams.values()) {
-    if (team.waiting.size === 0) continue;
-    if (tier === 'urgent' && !isWithinShare(core, team)) continue;
-    yield team;
+function* teamsInTier(
+  core: EngineCore,
+  tier: Tier,
+  teams: Iterable<TeamState>,
+): Generator<TeamState> {
+  for (const team of teams) {
+    if (tier === 'all' || isWithinShare(core, team)) yield team;
   }
 }
 
@@ -117,16 +120,18 @@
   tier: Tier,
 ): boolean {
   const state = waitClass.first();
-  if (state === undefined) return false;
+  const {need} = waitClass;
+  if (state === undefined || need === null) return false;
   const ask = newAsk(core, state, waitClass, tier);
   if (!core.teams.canStart(team, ask.size, ask.count)) {
     waitClass.obstacle = 'the team is at its limit here';
     return false;
   }
-  const {workers} = core.cell;
-  const chosen = policyOf(core, state).choose(workers.values(), ask);
+  const all = core.cell.workers;
+  const workers = core.needs.candidatesOf(need, tier, all.values());
+  const chosen = policyOf(core, state).choose(workers, ask);
   if (chosen.length === 0) {
-    core.memo.noteFull(tier, waitClass.roomKey, ask.size);
+    core.needs.noteFull(need, tier, all.values());
     waitClass.obstacle = 'no worker has room';
     return false;
   }
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -1,8 +1,13 @@
 /** Makes room for urgent work in a full cell, and gives shares back. */
 import {dominantShare} from './amounts.js';
-import {rankOfPriority, type EngineCore} from './core.js';
+import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
-import {makeRoom, type RoomWanted} from './make-room.js';
+import {
+  makeRoom,
+  newRoomSearch,
+  type RoomSearch,
+  type RoomWanted,
+} from './make-room.js';
 import {flush} from './place-waiting.js';
 import type {JobState, RunningTask, TeamState} from './state.js';
 import {TeamOrder} from './team-order.js';
@@ -34,11 +39,10 @@
   const order = new TeamOrder(teamsWithUrgent(core));
   const budget = newBudget(MAX_URGENT_TASKS);
   for (const team of takeInOrder(order)) {
-    for (const waitClass of team.waiting.values()) {
+    for (const waitClass of [...team.waiting.values()]) {
       if (isSpent(budget)) return;
       if (waitClass.kind.priority !== 'urgent') continue;
-      preemptForClass(core, waitClass, budget, urgentWanted);
-      yield* flush(core);
+      yield* preemptForClass(core, waitClass, budget, urgentWanted);
     }
   }
 }
@@ -54,7 +58,7 @@
   const order = new TeamOrder(teamsBelowShare(core));
   const budget = newBudget(MAX_RECLAIMED_TASKS);
   for (const team of takeInOrder(order)) {
-    for (const waitClass of team.waiting.values()) {
+    for (const waitClass of [...team.waiting.values()]) {
       if (isSpent(budget)) return;
       const first = waitClass.first();
       if (first === undefined) continue;
@@ -63,10 +67,9 @@
       if (lacking <= 0) continue;
       const part = {tasks: Math.min(budget.tasks, lacking), searches: 1};
       const before = part.tasks;
-      preemptForClass(core, waitClass, part, reclaimWanted);
+      yield* preemptForClass(core, waitClass, part, reclaimWanted);
       budget.tasks -= before - part.tasks;
-      if (part.searches === 0) budget.searches -= 1;
-      yield* flush(core);
+      budget.searches -= 1 - part.searches;
     }
   }
 }
@@ -96,7 +99,7 @@
 
 function isAnyAboveShare(core: EngineCore): boolean {
   for (const team of core.teams.values()) {
-    if (core.teams.shareOf(team) > team.fair) return true;
+    if (team.keptShare > team.fair) return true;
   }
   return false;
 }
@@ -109,20 +112,23 @@
 ) => RoomWanted;
 
 /** Makes room for jobs of a class, as far as the budget goes. */
-function preemptForClass(
+function* preemptForClass(
   core: EngineCore,
   waitClass: WaitClass,
   budget: Budget,
   makeWanted: MakeWanted,
-): void {
+): Generator<Decision> {
   if (core.nowMs < waitClass.noRoomUntilMs) return;
-  for (const state of waitClass.jobs()) {
+  let search: RoomSearch | undefined;
+  for (const state of [...waitClass.jobs()]) {
     if (budget.tasks <= 0) return;
     const count = missingTasks(core, state, budget.tasks);
     if (count <= 0) continue;
     const wanted = makeWanted(core, state, waitClass, count);
-    const made = makeRoom(core, wanted);
+    search ??= newRoomSearch(core, wanted);
+    const made = makeRoom(core, search, wanted);
     budget.tasks -= made;
+    yield* flush(core);
     if (made > 0) continue;
     budget.searches -= 1;
     const pauseMs = wanted.isUrgent ? URGENT_PAUSE_MS : RECLAIM_PAUSE_MS;
@@ -157,7 +163,7 @@
     isUrgent: true,
     untilMs: core.nowMs + URGENT_HOLD_MS,
     reason: `urgent work of team ${team} needs the room`,
-    mayStop: running => mayStopForUrgent(core, state, running),
+    mayStop: running => mayStopForUrgent(state, running),
   };
 }
 
@@ -186,14 +192,10 @@
   return job.isIdempotent && queue.priority !== 'urgent';
 }
 
-function mayStopForUrgent(
-  core: EngineCore,
-  state: JobState,
-  running: RunningTask,
-): boolean {
+function mayStopForUrgent(state: JobState, running: RunningTask): boolean {
   if (!isStoppable(running)) return false;
   const {team} = running.job;
-  return team === state.team || core.teams.shareOf(team) > team.fair;
+  return team === state.team || team.keptShare > team.fair;
 }
 
 function mayStopForShare(
@@ -202,29 +204,23 @@
   running: RunningTask,
 ): boolean {
   if (!isStoppable(running)) return false;
-  const {team, queue} = running.job;
+  const {team} = running.job;
   if (team === state.team) return false;
-  const isLower =
-    rankOfPriority(queue.priority) >= rankOfPriority(state.queue.priority);
-  if (!isLower && !running.job.job.isIdempotent) return false;
+  if (team.keptShare <= team.fair) return false;
   const size = dominantShare(running.task.size, core.teams.total);
-  return core.teams.shareOf(team) - size >= team.fair;
+  return team.keptShare - size >= team.fair;
 }
 
-function* teamsWithUrgent(core: EngineCore): Generator<TeamState> {
-  for (const team of core.teams.values()) {
-    for (const waitClass of team.waiting.values()) {
-      if (waitClass.kind.priority !== 'urgent') continue;
-      yield team;
-      break;
-    }
-  }
+function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
+  const teams = new Set<TeamState>();
+  for (const {team} of core.urgentClasses) teams.add(team);
+  return teams;
 }
 
 function* teamsBelowShare(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
-    if (team.waiting.size === 0) continue;
-    if (core.teams.shareOf(team) < team.fair) yield team;
+    if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
+    if (core.nowMs - team.startedMs >= RECLAIM_AFTER_MS) yield team;
   }
 }
 
@@ -234,7 +230,7 @@
   team: TeamState,
   waitClass: WaitClass,
 ): number {
-  const lacking = team.fair - core.teams.shareOf(team);
+  const lacking = team.fair - team.keptShare;
   const size = dominantShare(waitClass.size, core.teams.total);
   if (size === 0) return 0;
   return Math.floor(lacking / size + RECLAIM_TASK_PART);
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -15,7 +15,6 @@
   isUsable,
   type JobState,
   type RunningTask,
-  type TeamState,
   type WorkerState,
 } from './state.js';
 import type {WaitClass} from './wait-class.js';
@@ -121,11 +120,14 @@
 function oldestHardClass(core: EngineCore): WaitClass | undefined {
   let oldest: WaitClass | undefined;
   let oldestMs = core.nowMs - RESERVE_AFTER_MS;
-  for (const team of core.teams.values()) {
-    for (const waitClass of team.waiting.values()) {
+  for (const need of core.needs.values()) {
+    if (need.gangSize <= 1 && !core.cell.isLarge(need.size, LARGE_PART)) {
+      continue;
+    }
+    for (const waitClass of need.classes) {
       const first = waitClass.first();
       if (first === undefined || first.job.acceptedMs > oldestMs) continue;
-      if (!mayReserve(core, team, waitClass, first)) continue;
+      if (!mayReserve(core, waitClass, first)) continue;
       oldest = waitClass;
       oldestMs = first.job.acceptedMs;
     }
@@ -135,16 +137,13 @@
 
 function mayReserve(
   core: EngineCore,
-  team: TeamState,
   waitClass: WaitClass,
   state: JobState,
 ): boolean {
   if (state.noHoldUntilMs > core.nowMs) return false;
   if (core.holds.get(state.job.jobId) !== undefined) return false;
-  const {gangSize} = waitClass.kind;
-  const isHard = gangSize > 1 || core.cell.isLarge(waitClass.size, LARGE_PART);
-  if (!isHard) return false;
-  const count = Math.max(1, gangSize);
+  const {team} = waitClass;
+  const count = Math.max(1, waitClass.kind.gangSize);
   if (!core.teams.canStart(team, waitClass.size, count)) return false;
   if (core.nowMs - state.job.acceptedMs > OVERDUE_MS) return true;
   return dominantShare(team.used, core.teams.total) <= team.fair;
@@ -198,10 +197,8 @@
   const {job} = running.job;
   if (running.isStopping) return core.nowMs;
   if (job.isService) return Infinity;
-  const elapsedMs = core.nowMs - running.startedMs;
-  const runMs = core.estimates.runMsOf(job.queue, job.team, job.runMs);
-  if (elapsedMs < runMs && Number.isFinite(runMs)) {
-    return running.startedMs + runMs;
-  }
-  return core.nowMs + Math.max(SHORTEST_REST_MS, elapsedMs);
+  const {startedMs, expectedMs} = running;
+  const endMs = startedMs + expectedMs;
+  if (Number.isFinite(endMs) && endMs > core.nowMs) return endMs;
+  return core.nowMs + Math.max(SHORTEST_REST_MS, core.nowMs - startedMs);
 }
--- /dev/null
+++ b/packages/policy/src/room-log.ts
@@ -0,0 +1,38 @@
+/** The order in which workers got more room. */
+import type {WorkerState} from './state.js';
+
+/** Entries that are kept at most. */
+const MAX_ENTRIES = 8_192;
+
+/** A log of workers that got room; old entries are dropped. */
+export class RoomLog {
+  private entries: WorkerState[] = [];
+  /** The position of the first entry that is kept. */
+  start = 0;
+
+  /** The position after the last entry. */
+  get end(): number {
+    return this.start + this.entries.length;
+  }
+
+  /** Adds a worker. */
+  add(worker: WorkerState): void {
+    this.entries.push(worker);
+    if (this.entries.length <= MAX_ENTRIES) return;
+    const dropped = MAX_ENTRIES / 2;
+    this.entries = this.entries.slice(dropped);
+    this.start += dropped;
+  }
+
+  /** The worker at a position. */
+  at(position: number): WorkerState | undefined {
+    return this.entries[position - this.start];
+  }
+
+  /** The workers from a position on, each once. */
+  since(position: number): Iterable<WorkerState> {
+    const first = position - this.start;
+    if (first === this.entries.length - 1) return this.entries.slice(first);
+    return new Set(this.entries.slice(first));
+  }
+}
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -59,7 +59,7 @@
 
   override submit(job: PolicyJob): void {
     const state = this.getJob(job);
-    dequeue(state);
+    dequeue(this.core, state);
     this.describe(state, job);
     for (const index of job.taskIndexes) {
       if (!state.running.has(index)) state.pending.add(index);
@@ -70,7 +70,7 @@
   override cancel(jobId: string): readonly PlacedTask[] {
     const state = this.core.jobs.get(jobId);
     if (state === undefined) return [];
-    dequeue(state);
+    dequeue(this.core, state);
     this.core.holds.remove(jobId);
     state.pending.clear();
     const placed = [...state.running.values()].map(running => running.task);
@@ -82,7 +82,7 @@
     if (this.core.cell.tasks.has(task.taskId)) return;
     const state = this.core.jobs.get(task.jobId) ?? this.addUnknownJob(task);
     const isWaiting = state.waitClass !== null;
-    dequeue(state);
+    dequeue(this.core, state);
     state.pending.delete(task.taskIndex);
     if (isWaiting) enqueue(this.core, state);
     countTask(this.core, state, task);
@@ -129,13 +129,7 @@
   }
 
   override waitingCount(): number {
-    let count = 0;
-    for (const team of this.core.teams.values()) {
-      for (const waitClass of team.waiting.values()) {
-        count += waitClass.taskCount;
-      }
-    }
-    return count;
+    return this.core.waitingTasks;
   }
 
   private getJob(job: PolicyJob): JobState {
@@ -181,7 +175,7 @@
     const {priority, policy} = state.queue;
     if (queue.priority === priority && queue.policy === policy) return;
     const isWaiting = state.waitClass !== null;
-    dequeue(state);
+    dequeue(this.core, state);
     state.queue = queue;
     if (isWaiting) enqueue(this.core, state);
   }
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -49,6 +49,10 @@
   readonly waiting: Map<string, WaitClass>;
   /** The part of the use whose tasks were told to stop. */
   stopping: Resources;
+  /** The dominant share that stays once told tasks have ended. */
+  keptShare: number;
+  /** When the team last started a task. */
+  startedMs: number;
   /** The dominant share that the team is due now. */
   fair: number;
 }
@@ -78,6 +82,8 @@
   task: PlacedTask;
   readonly job: JobState;
   readonly startedMs: number;
+  /** How long it was expected to run; infinite where unknown. */
+  readonly expectedMs: number;
   /** Whether it counts as urgent use of its team. */
   readonly isUrgent: boolean;
   /** Whether it was told to stop. */
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -49,7 +49,7 @@
   const end = {isFailure, jobId};
   const decision = core.health.noteEnd(state, end, workers, core.nowMs);
   if (decision !== undefined) core.outbox.push(decision);
-  if (wasOnProbation && !state.isOnProbation) core.memo.noteRoom(state);
+  if (wasOnProbation && !state.isOnProbation) core.needs.noteRoom(state);
 }
 
 /**
@@ -85,7 +85,7 @@
   state: JobState,
   reason: string,
 ): void {
-  dequeue(state);
+  dequeue(core, state);
   core.holds.remove(state.job.jobId);
   state.setAsideReason = reason;
   core.outbox.push({kind: 'setAside', jobId: state.job.jobId, reason});
@@ -103,8 +103,11 @@
   state: JobState,
   taskIndex: number,
 ): string {
-  if (core.health.fleetRate() > MAX_FLEET_RATE) return '';
   const {jobId} = state.job;
+  const isUnblamed =
+    core.failures.workersOf(jobId).size === 0 &&
+    core.failures.workersOfTask(jobId, taskIndex).size === 0;
+  if (isUnblamed || core.health.fleetRate() > MAX_FLEET_RATE) return '';
   const ofJob = countHealthy(core, core.failures.workersOf(jobId));
   const mostWorkers = Math.min(MAX_JOB_WORKERS, countUsable(core));
   if (ofJob >= Math.max(1, mostWorkers)) {
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -74,17 +74,13 @@
   /** Notes that a part of what a team uses will soon be free. */
   noteStopping(team: TeamState, size: Resources): void {
     team.stopping = addResources(team.stopping, size);
+    this.refreshTeam(team);
   }
 
   /** Notes that a task that was told to stop has ended. */
   noteStopped(team: TeamState, size: Resources): void {
     team.stopping = subtractResources(team.stopping, size);
-  }
-
-  /** The dominant share that a team will have once told tasks have ended. */
-  shareOf(team: TeamState): number {
-    const kept = subtractResources(team.used, team.stopping);
-    return dominantShare(kept, this.total);
+    this.refreshTeam(team);
   }
 
   /** Tells whether a team may start that many tasks of this size. */
@@ -120,6 +116,8 @@
       ratio: 0,
       waiting: new Map(),
       stopping: NO_RESOURCES,
+      keptShare: 0,
+      startedMs: -Infinity,
       fair: 0,
     };
     this.byName.set(team.team, state);
@@ -149,6 +147,8 @@
   private refreshTeam(team: TeamState): void {
     const weight = Math.max(team.team.share, LEAST_WEIGHT);
     team.ratio = dominantShare(team.used, this.total) / weight;
+    const kept = subtractResources(team.used, team.stopping);
+    team.keptShare = dominantShare(kept, this.total);
   }
 
   private refreshOrganisation(organisation: OrganisationState): void {
--- a/packages/policy/src/wait-class.ts
+++ b/packages/policy/src/wait-class.ts
@@ -1,9 +1,9 @@
 /** Waiting jobs of one team that are alike to the placement. */
 import type {Resources} from '@dragonflyward/common';
-import {sizeKey} from './amounts.js';
 import type {PolicyPriority} from './engine.js';
 import {Heap} from './heap.js';
-import type {JobState} from './state.js';
+import type {Need} from './needs.js';
+import type {JobState, TeamState} from './state.js';
 
 /** Stale entries that a class may keep beyond those in use. */
 const STALE_SLACK = 64;
@@ -34,9 +34,10 @@
   private nextTicket = 1;
   /** How many tasks wait in this class. */
   taskCount = 0;
-  private reserved: Resources;
-  /** Names the class's need of room; equal for classes with equal needs. */
-  roomKey = '';
+  /** What a task of the class reserves at present. */
+  size: Resources;
+  /** The room that the class waits for; null while no job waits in it. */
+  need: Need | null = null;
   /** The state of the estimates by which the size was set. */
   sizeVersion = 0;
   /** No room is made for the class before this time. */
@@ -44,21 +45,11 @@
   /** Why the class did not get room when it was last tried. */
   obstacle = 'it has not been its turn yet';
 
-  constructor(readonly kind: WaitKind) {
-    this.reserved = kind.declared;
-    this.setSize(kind.declared);
-  }
-
-  /** What a task of the class reserves at present. */
-  get size(): Resources {
-    return this.reserved;
-  }
-
-  /** Changes what a task of the class reserves. */
-  setSize(size: Resources): void {
-    const {runMs, gangSize} = this.kind;
-    this.reserved = size;
-    this.roomKey = `${runMs} ${gangSize} ${sizeKey(size)}`;
+  constructor(
+    readonly team: TeamState,
+    readonly kind: WaitKind,
+  ) {
+    this.size = kind.declared;
   }
 
   get isEmpty(): boolean {
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -1,7 +1,7 @@
 /** Which jobs wait, and which of a team's jobs is next. */
 import {sizeKey} from './amounts.js';
 import {PRIORITIES, type EngineCore} from './core.js';
-import type {Tier} from './room-memo.js';
+import type {Tier} from './needs.js';
 import type {JobState, TeamState} from './state.js';
 import {WaitClass, type WaitKind} from './wait-class.js';
 
@@ -24,20 +24,54 @@
   const {waiting} = state.team;
   let waitClass = waiting.get(key);
   if (waitClass === undefined) {
-    waitClass = new WaitClass(kind);
+    waitClass = new WaitClass(state.team, kind);
     waiting.set(key, waitClass);
   }
+  if (waitClass.isEmpty) {
+    refreshSize(core, waitClass);
+    if (kind.priority === 'urgent') core.urgentClasses.add(waitClass);
+  }
   waitClass.add(state);
+  core.waitingTasks += state.pending.size;
 }
 
 /**
  * Takes a job out of its class; its pending tasks are kept.
  *
  * @example
- * dequeue(state);
+ * dequeue(core, state);
  */
-export function dequeue(state: JobState): void {
-  state.waitClass?.remove(state);
+export function dequeue(core: EngineCore, state: JobState): void {
+  const {waitClass} = state;
+  if (waitClass === null) return;
+  core.waitingTasks -= state.pending.size;
+  waitClass.remove(state);
+  if (waitClass.isEmpty) forgetClass(core, waitClass);
+}
+
+/**
+ * Tells the waiting list that one pending task of a job has started.
+ *
+ * @example
+ * noteTaskStarted(core, state, taskIndex);
+ */
+export function noteTaskStarted(
+  core: EngineCore,
+  state: JobState,
+  taskIndex: number,
+): void {
+  if (!state.pending.delete(taskIndex)) return;
+  const {waitClass} = state;
+  if (waitClass === null) return;
+  core.waitingTasks -= 1;
+  waitClass.shrink(state, 1);
+  if (waitClass.isEmpty) forgetClass(core, waitClass);
+}
+
+function forgetClass(core: EngineCore, waitClass: WaitClass): void {
+  core.needs.remove(waitClass);
+  core.urgentClasses.delete(waitClass);
+  waitClass.team.waiting.delete(classKey(waitClass.kind));
 }
 
 function kindOf(core: EngineCore, state: JobState): WaitKind {
@@ -64,31 +98,49 @@
   return 2 ** Math.ceil(Math.log2(runMs));
 }
 
+/**
+ * The classes for which there may be room, by team.
+ *
+ * @example
+ * for (const [team, classes] of openClasses(core, 'all')) place(team);
+ */
+export function openClasses(
+  core: EngineCore,
+  tier: Tier,
+): ReadonlyMap<TeamState, readonly WaitClass[]> {
+  const byTeam = new Map<TeamState, WaitClass[]>();
+  for (const need of core.needs.values()) {
+    if (!core.needs.isOpen(need, tier)) continue;
+    for (const waitClass of need.classes) {
+      if (tier === 'urgent' && waitClass.kind.priority !== 'urgent') continue;
+      const classes = byTeam.get(waitClass.team);
+      if (classes === undefined) byTeam.set(waitClass.team, [waitClass]);
+      else classes.push(waitClass);
+    }
+  }
+  return byTeam;
+}
+
 /**
  * The class whose turn it is in a team: by priority raised with age, then by
  * the time of acceptance.
  *
  * @example
- * const waitClass = nextClass(core, team, 'all', stuck);
+ * const waitClass = nextClass(core, classes, 'all', stuck);
  */
 export function nextClass(
   core: EngineCore,
-  team: TeamState,
+  classes: readonly WaitClass[],
   tier: Tier,
   stuck: ReadonlySet<WaitClass>,
 ): WaitClass | undefined {
   let best: WaitClass | undefined;
   let bestRank = Infinity;
-  for (const [key, waitClass] of team.waiting) {
-    if (tier === 'urgent' && waitClass.kind.priority !== 'urgent') continue;
-    if (stuck.has(waitClass)) continue;
+  for (const waitClass of classes) {
+    if (waitClass.need === null || stuck.has(waitClass)) continue;
+    if (!core.needs.isOpen(waitClass.need, tier)) continue;
     const first = waitClass.first();
-    if (first === undefined) {
-      team.waiting.delete(key);
-      continue;
-    }
-    refreshSize(core, team, waitClass);
-    if (core.memo.isFull(tier, waitClass.roomKey)) continue;
+    if (first === undefined) continue;
     const rank = rankOf(core, waitClass, first.job.acceptedMs);
     if (rank >= bestRank) continue;
     best = waitClass;
@@ -110,18 +162,28 @@
   return level * PRIORITY_RANK + acceptedMs;
 }
 
-/** Takes what was learnt of the class's sizes into use. */
-function refreshSize(
-  core: EngineCore,
-  team: TeamState,
-  waitClass: WaitClass,
-): void {
+/**
+ * Takes what was learnt of the sizes of waiting work into use.
+ *
+ * @example
+ * refreshSizes(core);
+ */
+export function refreshSizes(core: EngineCore): void {
+  if (core.sizeVersion === core.estimates.version) return;
+  core.sizeVersion = core.estimates.version;
+  for (const team of core.teams.values()) {
+    for (const waitClass of team.waiting.values()) refreshSize(core, waitClass);
+  }
+}
+
+function refreshSize(core: EngineCore, waitClass: WaitClass): void {
   const {queue, declared} = waitClass.kind;
-  const name = team.team.team;
-  const version = core.estimates.versionOf(queue, name);
-  if (version === waitClass.sizeVersion) return;
-  waitClass.sizeVersion = version;
-  const learnt = core.estimates.sizeOf(queue, name, declared);
-  const isHoldable = core.cell.canEverHold(learnt);
-  waitClass.setSize(isHoldable ? learnt : declared);
+  const team = waitClass.team.team.team;
+  const version = core.estimates.versionOf(queue, team);
+  if (version !== waitClass.sizeVersion) {
+    waitClass.sizeVersion = version;
+    const learnt = core.estimates.sizeOf(queue, team, declared);
+    waitClass.size = core.cell.canEverHold(learnt) ? learnt : declared;
+  }
+  core.needs.add(waitClass);
 }
