--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -18,9 +18,11 @@
 import {Estimates} from './estimates.js';
 import {JobFailures} from './failures.js';
 import {HoldTable} from './holds.js';
-import {RoomMemo} from './room-memo.js';
+import {NeedTable} from './needs.js';
 import type {JobState, RunningTask, WorkerState} from './state.js';
 import {TeamTable} from './team-table.js';
+import type {WaitClass} from './wait-class.js';
+import {noteTaskStarted} from './waiting-list.js';
 import {WorkerHealth} from './worker-health.js';
 
 /** The policy of each kind of work. */
@@ -30,6 +32,18 @@
   readonly gang: PlacementPolicy;
 }
 
+/** Which stages an engine has; all where nothing is said. */
+export interface ShareFeatures {
+  /** Stops lower work for urgent work and for teams below their share. */
+  readonly preempts?: boolean;
+  /** Holds room for gangs and large tasks. */
+  readonly reserves?: boolean;
+  /** Fits reservations to measured use. */
+  readonly learns?: boolean;
+  /** Raises the priority of work with its age. */
+  readonly ages?: boolean;
+}
+
 /** How an engine is set up. */
 export interface ShareOptions {
   /**
@@ -38,12 +52,13 @@
    */
   readonly firstTaskNumber?: number;
   readonly policies?: PolicySet;
+  readonly features?: ShareFeatures;
 }
 
 /** All state of one engine. */
 export interface EngineCore {
   readonly teams: TeamTable;
-  readonly memo: RoomMemo;
+  readonly needs: NeedTable;
   readonly cell: Cell;
   readonly queues: Map<string, PolicyQueue>;
   readonly jobs: Map<string, JobState>;
@@ -52,10 +67,19 @@
   readonly estimates: Estimates;
   readonly holds: HoldTable;
   readonly policies: PolicySet;
+  readonly features: Required<ShareFeatures>;
   /** Decisions that are counted and still have to be yielded. */
   readonly outbox: Decision[];
   nextTask: number;
   nowMs: number;
+  /** The classes of urgent queues in which jobs wait. */
+  readonly urgentClasses: Set<WaitClass>;
+  /** The worker at which the next search for room begins. */
+  roomCursor: number;
+  /** How many tasks wait. */
+  waitingTasks: number;
+  /** The state of the estimates by which sizes were last set. */
+  sizeVersion: number;
   /** When the fair shares were last computed. */
   fairAtMs: number;
   /** When room was last sought for work that is hard to place. */
@@ -64,11 +88,6 @@
   readonly toReview: Set<RunningTask>;
 }
 
-/** How far a priority is from the most urgent one. */
-export function rankOfPriority(priority: PolicyPriority): number {
-  return PRIORITIES.indexOf(priority);
-}
-
 /** The priorities from the most to the least urgent. */
 export const PRIORITIES: readonly PolicyPriority[] = [
   'urgent',
@@ -76,6 +95,13 @@
   'batch',
 ];
 
+const ALL_FEATURES: Required<ShareFeatures> = {
+  preempts: true,
+  reserves: true,
+  learns: true,
+  ages: true,
+};
+
 /**
  * Makes the state of an engine that knows nothing yet.
  *
@@ -84,25 +110,31 @@
  */
 export function newCore(options: ShareOptions): EngineCore {
   const teams = new TeamTable();
-  const memo = new RoomMemo();
+  const cell = new Cell(teams, worker => needs.noteRoom(worker));
+  const needs = new NeedTable(cell.workers);
   return {
     teams,
-    memo,
-    cell: new Cell(teams, worker => memo.noteRoom(worker)),
+    needs,
+    cell,
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
     health: new WorkerHealth(),
     estimates: new Estimates(),
-    holds: new HoldTable(worker => memo.noteRoom(worker)),
+    holds: new HoldTable(worker => needs.noteRoom(worker)),
     policies: options.policies ?? {
       pack: new PackPolicy(),
       spread: new SpreadPolicy(),
       gang: new GangPolicy(),
     },
+    features: {...ALL_FEATURES, ...options.features},
     outbox: [],
     nextTask: options.firstTaskNumber ?? 1,
     nowMs: 0,
+    urgentClasses: new Set(),
+    roomCursor: 0,
+    waitingTasks: 0,
+    sizeVersion: 0,
     fairAtMs: -Infinity,
     reservedAtMs: -Infinity,
     toReview: new Set(),
@@ -148,9 +180,9 @@
   const {jobId} = state.job;
   const taskId = `${jobId}.${taskIndex}.${core.nextTask}`;
   core.nextTask += 1;
-  state.pending.delete(taskIndex);
-  state.waitClass?.shrink(state, 1);
+  noteTaskStarted(core, state, taskIndex);
   core.holds.useSlot(jobId, worker);
+  state.team.startedMs = core.nowMs;
   const {workerId} = worker.worker;
   return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
 }
@@ -170,6 +202,7 @@
     task,
     job: state,
     startedMs: core.nowMs,
+    expectedMs: expectedMsOf(core, state),
     isUrgent: state.queue.priority === 'urgent',
     isStopping: false,
     peakCpuMilli: 0,
@@ -181,6 +214,11 @@
   return running;
 }
 
+function expectedMsOf(core: EngineCore, state: JobState): number {
+  const {queue, team, runMs, isService} = state.job;
+  return isService ? Infinity : core.estimates.runMsOf(queue, team, runMs);
+}
+
 /**
  * Tells why no worker of the shard could ever hold a task of the job.
  *
