Bound what callers' connections may hold; end idle ones at a stop

Cause: two faults that the new tests of the port brought about. 1. A connection that sent 500 requests without waiting left 463 of them counted as open for good: a response on a destroyed connection is never closed. Requests now end with their connection. 2. A shutdown waited the full 30 s of the keep-alive bound for a connection whose request had come before the shutdown began.

--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -33,9 +33,13 @@
 /** Takes callers' connections. */
 export class CallerServer {
   private readonly server: http.Server;
-  private readonly openBySocket = new WeakMap<Socket, number>();
+  private readonly openBySocket = new WeakMap<
+    Socket,
+    Set<http.ServerResponse>
+  >();
+  private readonly open = new Set<http.ServerResponse>();
   private isDraining = false;
-  private open = 0;
+  private isClosing = false;
 
   constructor(
     private readonly handler: Handler,
@@ -63,7 +67,7 @@
     this.server.on('drop', () => {
       this.metrics.count('connections_dropped_total');
     });
-    metrics.gauge('requests_open', () => this.open);
+    metrics.gauge('requests_open', () => this.open.size);
   }
 
   /** Starts to listen; returns the port. */
@@ -81,10 +85,12 @@
   /** From now on each answer is the last one on its connection. */
   startDraining(): void {
     this.isDraining = true;
+    for (const res of this.open) endConnectionAfter(res);
   }
 
   /** Takes no more connections; resolves once all requests are answered. */
   close(): Promise<void> {
+    this.isClosing = true;
     return new Promise(resolve => {
       this.server.close(() => {
         resolve();
@@ -95,23 +101,44 @@
 
   /** How many requests are open. */
   openRequests(): number {
-    return this.open;
+    return this.open.size;
   }
 
   private take(req: http.IncomingMessage, res: http.ServerResponse): void {
     const {socket} = req;
-    const pipelined = (this.openBySocket.get(socket) ?? 0) + 1;
-    this.openBySocket.set(socket, pipelined);
-    this.open += 1;
+    const ofSocket = this.openOf(socket);
+    if (socket.destroyed) return;
+    if (ofSocket.size >= MAX_PIPELINED) return this.refusePipelined(socket);
+    this.open.add(res);
+    ofSocket.add(res);
     res.once('close', () => {
-      this.open -= 1;
-      this.openBySocket.set(socket, (this.openBySocket.get(socket) ?? 1) - 1);
+      ofSocket.delete(res);
+      this.release(res);
     });
-    if (this.isDraining) res.setHeader('connection', 'close');
-    if (pipelined > MAX_PIPELINED) return this.refusePipelined(socket);
+    if (this.isDraining) endConnectionAfter(res);
     this.handler(req, res);
   }
 
+  /** The open requests of a connection; they end with it. */
+  private openOf(socket: Socket): Set<http.ServerResponse> {
+    const found = this.openBySocket.get(socket);
+    if (found !== undefined) return found;
+    const made = new Set<http.ServerResponse>();
+    this.openBySocket.set(socket, made);
+    socket.once('close', () => {
+      for (const res of made) this.release(res);
+    });
+    return made;
+  }
+
+  private release(res: http.ServerResponse): void {
+    this.open.delete(res);
+    if (!this.isClosing) return;
+    setImmediate(() => {
+      this.server.closeIdleConnections();
+    });
+  }
+
   /** Nothing more is read from a connection that sends without waiting. */
   private refusePipelined(socket: Socket): void {
     this.metrics.count('connections_refused_total{reason="pipelined"}');
@@ -139,6 +166,11 @@
   }
 }
 
+/** Makes the answer the last one on its connection, where still possible. */
+function endConnectionAfter(res: http.ServerResponse): void {
+  if (!res.headersSent) res.setHeader('connection', 'close');
+}
+
 function refusalStatus(err: NodeJS.ErrnoException): number {
   if (err.code === 'HPE_HEADER_OVERFLOW') return 431;
   if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') return 408;
--- a/packages/caller/src/request-lifetime.ts
+++ b/packages/caller/src/request-lifetime.ts
@@ -1,5 +1,6 @@
 /** How long one request may take, and who ends it early. */
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {DragonflywardError, type Clock} from '@dragonflyward/common';
 
 /** Ends when the deadline passes or the caller has gone. */
@@ -7,6 +8,7 @@
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout;
   private readonly endMs: number;
+  private readonly socket: Socket;
   private isCallerGone = false;
 
   constructor(
@@ -14,11 +16,13 @@
     deadlineMs: number,
     private readonly res: ServerResponse,
   ) {
+    this.socket = res.req.socket;
     this.endMs = clock.monotonicMs() + deadlineMs;
     this.timer = setTimeout(() => {
       this.abort(new DragonflywardError('deadlinePassed', `${deadlineMs} ms`));
     }, deadlineMs);
     res.once('close', this.onClose);
+    this.socket.once('close', this.onClose);
   }
 
   /** Aborted once the request is to be given up; tells why. */
@@ -45,6 +49,7 @@
   end(): void {
     clearTimeout(this.timer);
     this.res.off('close', this.onClose);
+    this.socket.off('close', this.onClose);
   }
 
   private readonly onClose = (): void => {
