Keep each request id at two homes, and hand its claims on

Cause: with one home, each change of a shard's owner made the gateways answer 'outcome unknown' to a third of the orders for two minutes, because the new home could not tell new ids from old ones; also at planned stops.

An id now has the owners of two shards as homes. Both record it, one must vouch that it is new, and a gateway waits for a home without an owner within the caller's deadline. An owner that hands its shard over passes its claims on. Ids that tell their time (UUID version 7) are vouched for by a new home as well.

Ruled out: to skip a home that cannot be reached (a cut between regions would let both sides run one id), and a memory at the gateways (the one on the dead owner's VM dies with it).

In scheduler: ShardTask.inheritClaims, SchedulerProcess.passClaims and the requestClaims case of SchedulerPeers are new.

--- a/packages/caller/src/id-claim.ts
+++ b/packages/caller/src/id-claim.ts
@@ -30,12 +30,12 @@
   /**
    * Claims the id.
    *
-   * @throws duplicateId, and any other where the home gave no answer
+   * @throws duplicateId, or the signal's reason where a home gave no answer
    */
-  async take(): Promise<void> {
+  async take(signal: AbortSignal): Promise<void> {
     const {key, claimId} = this;
     const {issuedMs} = this.spec;
-    await this.tickets.claim({key, claimId, issuedMs});
+    await this.tickets.claim({key, claimId, issuedMs}, signal);
     this.isHeld = true;
   }
 
--- a/packages/caller/src/mesh-tickets.ts
+++ b/packages/caller/src/mesh-tickets.ts
@@ -2,7 +2,6 @@
 import {
   DragonflywardError,
   raise,
-  rankByHash,
   toFailure,
   type Clock,
   type ErrorKind,
@@ -16,6 +15,7 @@
   Ticket,
   TicketClose,
 } from '@dragonflyward/peer';
+import {ClaimHomes} from './claim-homes.js';
 import type {OwnerDirectory} from './owner-directory.js';
 import {orAborted} from './request-lifetime.js';
 import type {TicketBook} from './ticket-book.js';
@@ -30,7 +30,6 @@
 
 /** How much longer than its deadline an ask waits for the owner's word. */
 const REPLY_MARGIN_MS = 500;
-const CLAIM_TIMEOUT_MS = 1_000;
 /** Another region is asked only while at least this much time is left. */
 const MIN_SPILL_MS = 200;
 /** Refusals after which the next shard is asked. */
@@ -53,8 +52,12 @@
 
 /** Tickets over the connections to schedulers. */
 export class MeshTickets extends TicketSource {
+  private readonly homes: ClaimHomes;
+
   constructor(private readonly parts: MeshTicketParts) {
     super();
+    const {clock, vms} = parts;
+    this.homes = new ClaimHomes(this, clock, () => vms.domains());
   }
 
   /**
@@ -90,15 +93,12 @@
     if (!this.notify(close.shard, close)) this.parts.book.keepUnsent(close);
   }
 
-  override async claim(wish: ClaimWish): Promise<void> {
-    const shard = this.homeOf(wish.key);
-    const ask = {type: 'requestClaim', shard, ...wish} as const;
-    await this.ask(shard, ask, CLAIM_TIMEOUT_MS);
+  override claim(wish: ClaimWish, signal: AbortSignal): Promise<void> {
+    return this.homes.claim(wish, signal);
   }
 
   override release(wish: ReleaseWish): void {
-    const shard = this.homeOf(wish.key);
-    this.notify(shard, {type: 'requestRelease', shard, ...wish});
+    this.homes.release(wish);
   }
 
   /** Sends the closes that waited for an owner. */
@@ -123,14 +123,11 @@
     return connection.ask(ask, timeoutMs);
   }
 
-  /**
-   * Names the home shard of a key.
-   *
-   * @throws notOwner while no failure domain is known
-   */
-  homeOf(key: string): string {
-    const [home] = rankByHash(key, this.parts.vms.domains(), name => name);
-    return home ?? raise('notOwner', 'no failure domain is known');
+  /** Tells a shard's owner; returns whether there is one. */
+  notify(shard: string, notice: PeerNotice): boolean {
+    const connection = this.connectionTo(shard);
+    connection?.notify(notice);
+    return connection !== undefined;
   }
 
   private async takeFrom(
@@ -163,12 +160,6 @@
     this.close({ticketId, shard, executorId, use, isDraining: false});
   }
 
-  private notify(shard: string, notice: PeerNotice): boolean {
-    const connection = this.connectionTo(shard);
-    connection?.notify(notice);
-    return connection !== undefined;
-  }
-
   private connectionTo(shard: string): PeerConnection | undefined {
     const owner = this.parts.owners.ownerOf(shard);
     if (owner === undefined) return undefined;
--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -109,7 +109,7 @@
     const ticket = this.takeTicket();
     ticket.catch(ignore);
     try {
-      await this.claim.take();
+      await this.claim.take(this.parts.lifetime.signal);
     } catch (err) {
       void ticket.then(held => {
         this.giveBack(held);
--- a/packages/caller/src/ticket-source.ts
+++ b/packages/caller/src/ticket-source.ts
@@ -37,11 +37,11 @@
   abstract close(close: Omit<TicketClose, 'type'>): void;
 
   /**
-   * Claims a request id at its home.
+   * Claims a request id at its homes.
    *
-   * @throws duplicateId, and any other where the home gave no answer
+   * @throws duplicateId, or the signal's reason where a home gave no answer
    */
-  abstract claim(wish: ClaimWish): Promise<void>;
+  abstract claim(wish: ClaimWish, signal: AbortSignal): Promise<void>;
 
   /** Gives a claim back: the request surely did not run. */
   abstract release(wish: ReleaseWish): void;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -98,6 +98,31 @@
   readonly issuedMs: number;
 }
 
+/** The claim stands at this home. */
+export interface RequestClaimed {
+  readonly type: 'requestClaimed';
+  /** Whether the home surely has not seen the id before. */
+  readonly isVouched: boolean;
+}
+
+/** One claim as a home passes it on. */
+export interface PassedClaim {
+  readonly key: string;
+  readonly claimId: string;
+  readonly ageMs: number;
+}
+
+/** Passes the claims of a shard to its next owner. */
+export interface RequestClaims {
+  readonly type: 'requestClaims';
+  readonly shard: string;
+  /** The term under which they were made. */
+  readonly term: number;
+  readonly claims: readonly PassedClaim[];
+  /** Whether the home vouched for all ids. */
+  readonly isWhole: boolean;
+}
+
 /** Gives a claim back: the request surely did not run. */
 export interface RequestRelease {
   readonly type: 'requestRelease';
@@ -221,6 +246,7 @@
 export type PeerAsk =
   | TicketAsk
   | RequestClaim
+  | RequestClaims
   | OpenTicketsAsk
   | JobSubmit
   | JobAsk
@@ -235,6 +261,7 @@
 /** An answer. */
 export type PeerReply =
   | Ticket
+  | RequestClaimed
   | OpenTicketsReply
   | JobAccepted
   | JobReply
--- a/packages/scheduler/src/scheduler-peers.ts
+++ b/packages/scheduler/src/scheduler-peers.ts
@@ -54,9 +54,11 @@
       }
       case 'requestClaim': {
         const {desk, owner} = this.active(ask.shard);
-        desk.claim(ask, owner.term());
-        return {type: 'done'};
+        return desk.claim(ask, owner.term());
       }
+      case 'requestClaims':
+        await this.parts.shards.get(ask.shard)?.inheritClaims(ask);
+        return {type: 'done'};
       case 'jobSubmit':
         await this.active(ask.shard).owner.jobs.submit(ask);
         return {type: 'jobAccepted', jobId: ask.jobId, shard: ask.shard};
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -20,8 +20,10 @@
 import {Membership} from './membership.js';
 import {SchedulerPeers} from './scheduler-peers.js';
 import {ShardTask} from './shard-task.js';
+import type {TicketDesk} from './ticket-desk.js';
 
 const HANDOVER_BOUND_MS = 10_000;
+const PASS_CLAIMS_TIMEOUT_MS = 3_000;
 const HANDOVER_CHECK_MS = 50;
 
 /** One running scheduler. */
@@ -116,6 +118,7 @@
 
   private async handOver(task: ShardTask): Promise<void> {
     if (!task.isActive) return;
+    const {desk} = task;
     const [heir, ...others] = task.heirs();
     if (heir === undefined) return;
     const endMs = this.clock.monotonicMs() + HANDOVER_BOUND_MS;
@@ -123,6 +126,17 @@
       await task.ownership.handOver(heir, others).catch(() => undefined);
       await this.clock.sleep(HANDOVER_CHECK_MS);
     }
+    if (!task.isActive && desk !== undefined) await this.passClaims(desk, heir);
+  }
+
+  /** The next owner finds repeats of the request ids claimed here. */
+  private async passClaims(desk: TicketDesk, heir: ProcessRef): Promise<void> {
+    const claims = desk.passClaims();
+    if (claims === undefined) return;
+    await this.mesh
+      .connectionTo(heir.vm)
+      ?.ask(claims, PASS_CLAIMS_TIMEOUT_MS)
+      .catch(() => undefined);
   }
 
   private async followVmList(): Promise<void> {
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -7,7 +7,11 @@
   type TimingSettings,
 } from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
-import type {OpenTicketsAsk, PeerMesh} from '@dragonflyward/peer';
+import type {
+  OpenTicketsAsk,
+  PeerMesh,
+  RequestClaims,
+} from '@dragonflyward/peer';
 import {ShareEngine} from '@dragonflyward/policy';
 import {
   shardStream,
@@ -27,6 +31,7 @@
 const CHECK_PERIOD_MS = 50;
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
+const INHERIT_BOUND_MS = 2_000;
 const HEIR_SILENCE_MS = 2_000;
 /** Keeps the task ids of one term apart from those of all others. */
 export const TASK_NUMBERS_PER_TERM = 2 ** 32;
@@ -120,6 +125,16 @@
     }
   }
 
+  /** Waits until this process owns the shard, and takes the claims in. */
+  async inheritClaims(passed: RequestClaims): Promise<void> {
+    const {clock} = this.parts;
+    const endMs = clock.monotonicMs() + INHERIT_BOUND_MS;
+    while (this.desk === undefined && clock.monotonicMs() < endMs) {
+      await clock.sleep(CHECK_PERIOD_MS);
+    }
+    this.desk?.inheritClaims(passed);
+  }
+
   /** Ends all that belongs to the shard. */
   stop(): void {
     this.isStopped = true;
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -11,6 +11,8 @@
 import type {
   OpenTicket,
   RequestClaim,
+  RequestClaimed,
+  RequestClaims,
   RequestRelease,
   Ticket,
   TicketAsk,
@@ -77,6 +79,7 @@
   private readonly estimate = new WaitEstimate();
   private readonly allowances = new Map<string, number>();
   private home: RequestHome | undefined;
+  private inherited: RequestClaims | undefined;
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
@@ -166,13 +169,24 @@
   }
 
   /**
-   * Claims a request id at this shard as its home.
+   * Claims a request id at this shard as one of its homes.
    *
    * @throws duplicateId, queueFull
    */
-  claim(ask: RequestClaim, term: number): void {
-    this.enterTerm(term);
-    this.home?.claim(ask);
+  claim(ask: RequestClaim, term: number): RequestClaimed {
+    const isVouched = this.enterTerm(term).claim(ask);
+    return {type: 'requestClaimed', isVouched};
+  }
+
+  /** Lists the claims for the next owner; undefined where none was made. */
+  passClaims(): RequestClaims | undefined {
+    return this.home?.passOn(this.options.shard);
+  }
+
+  /** Takes in the claims that the owner before has passed on. */
+  inheritClaims(passed: RequestClaims): void {
+    this.inherited = passed;
+    this.home?.inherit(passed);
   }
 
   /** Gives back the claim of a request that surely did not run. */
@@ -219,13 +233,16 @@
     return this.slots.teamUse(team) / Math.max(share, Number.EPSILON);
   }
 
-  private enterTerm(term: number): void {
+  private enterTerm(term: number): RequestHome {
     if (this.isStopped) raise('notOwner', this.options.shard);
-    if (this.term === term) return;
-    if (this.term !== undefined) raise('notOwner', `term ${term}`);
+    if (this.home !== undefined) {
+      return this.term === term ? this.home : raise('notOwner', `term ${term}`);
+    }
     this.term = term;
     this.home = new RequestHome(this.options.clock, term);
+    if (this.inherited !== undefined) this.home.inherit(this.inherited);
     if (term !== FIRST_TERM) this.blind.begin(this.longestRunByMs());
+    return this.home;
   }
 
   private longestRunByMs(): number {
--- a/packages/scheduler/src/ticket-home.ts
+++ b/packages/scheduler/src/ticket-home.ts
@@ -1,13 +1,18 @@
 /**
  * The home of request ids: finds repeats of requests that are not idempotent.
  *
- * An id's home is the owner of one shard, chosen by a hash of the id. The
- * first owner of a shard has seen every claim. A later one has lost the
- * memory of its predecessors: it refuses ids made before its term, and for a
- * while all ids that do not tell when they were made.
+ * The homes of an id are the owners of two shards, chosen by a hash of the
+ * id. The first owner of a shard has seen every claim, and so has one that
+ * was given the claims of such an owner. Another one has lost the memory of
+ * its predecessors: for a while it vouches only for ids that tell that they
+ * were made in its own time.
  */
 import {raise, type Clock} from '@dragonflyward/common';
-import type {RequestClaim, RequestRelease} from '@dragonflyward/peer';
+import type {
+  RequestClaim,
+  RequestClaims,
+  RequestRelease,
+} from '@dragonflyward/peer';
 
 /** How long a claimed id is remembered. */
 export const CLAIM_WINDOW_MS = 120_000;
@@ -19,6 +24,7 @@
 interface Claim {
   readonly claimId: string;
   readonly atMs: number;
+  readonly isVouched: boolean;
 }
 
 /** The claims of one shard under one term. */
@@ -26,6 +32,7 @@
   private readonly claims = new Map<string, Claim>();
   private readonly bornMs: number;
   private readonly bornWallMs: number;
+  private isWhole: boolean;
 
   constructor(
     private readonly clock: Clock,
@@ -33,25 +40,30 @@
   ) {
     this.bornMs = clock.monotonicMs();
     this.bornWallMs = clock.wallMs();
+    this.isWhole = term === FIRST_TERM;
   }
 
   /**
-   * Claims an id for one attempt.
+   * Claims an id for one attempt; a repeat of the same claim changes nothing.
    *
-   * @throws duplicateId where the id was used, or may have been
+   * @returns whether the id surely was not used before
+   * @throws duplicateId where the id was used, or is older than the memory
    * @throws queueFull where too many ids are remembered
    * @example
-   * home.claim({type: 'requestClaim', shard, key, claimId, issuedMs: 0});
+   * const isVouched = home.claim(ask);
    */
-  claim(ask: RequestClaim): void {
+  claim(ask: RequestClaim): boolean {
     this.forgetOld();
-    if (this.claims.has(ask.key)) raise('duplicateId', 'the id was used');
-    this.checkAge(ask.issuedMs);
+    const known = this.claims.get(ask.key);
+    if (known?.claimId === ask.claimId) return known.isVouched;
+    if (known !== undefined) return raise('duplicateId', 'the id was used');
+    const isVouched = this.vouchesFor(ask.issuedMs);
     if (this.claims.size >= MAX_CLAIMS) {
       raise('queueFull', 'too many request ids are remembered');
     }
     const atMs = this.clock.monotonicMs();
-    this.claims.set(ask.key, {claimId: ask.claimId, atMs});
+    this.claims.set(ask.key, {claimId: ask.claimId, atMs, isVouched});
+    return isVouched;
   }
 
   /** Gives a claim back; only the attempt that made it may do so. */
@@ -60,27 +72,53 @@
     if (claim?.claimId === notice.claimId) this.claims.delete(notice.key);
   }
 
+  /** Lists the claims for the next owner. */
+  passOn(shard: string): RequestClaims {
+    const nowMs = this.clock.monotonicMs();
+    const claims = [...this.claims].map(([key, {claimId, atMs}]) => ({
+      key,
+      claimId,
+      ageMs: nowMs - atMs,
+    }));
+    const {term} = this;
+    const isWhole = this.hasSeenAll();
+    return {type: 'requestClaims', shard, term, claims, isWhole};
+  }
+
+  /** Takes in the claims of the owner before. */
+  inherit(passed: RequestClaims): void {
+    if (passed.term !== this.term - 1) return;
+    const nowMs = this.clock.monotonicMs();
+    const own = [...this.claims];
+    this.claims.clear();
+    const oldestFirst = [...passed.claims].sort((a, b) => b.ageMs - a.ageMs);
+    for (const {key, claimId, ageMs} of oldestFirst) {
+      this.claims.set(key, {claimId, atMs: nowMs - ageMs, isVouched: false});
+    }
+    for (const [key, claim] of own) {
+      if (!this.claims.has(key)) this.claims.set(key, claim);
+    }
+    if (passed.isWhole) this.isWhole = true;
+  }
+
   /** How many ids are remembered. */
   size(): number {
     return this.claims.size;
   }
 
-  private checkAge(issuedMs: number): void {
-    if (issuedMs > 0) return this.checkIssued(issuedMs);
-    if (this.term === FIRST_TERM) return;
+  private hasSeenAll(): boolean {
     const ageMs = this.clock.monotonicMs() - this.bornMs;
-    if (ageMs >= CLAIM_WINDOW_MS) return;
-    raise('duplicateId', 'the home is new and the id tells no time of issue');
+    return this.isWhole || ageMs >= CLAIM_WINDOW_MS;
   }
 
-  private checkIssued(issuedMs: number): void {
-    const nowMs = this.clock.wallMs();
-    if (issuedMs < nowMs - CLAIM_WINDOW_MS + WALL_SKEW_MS) {
+  private vouchesFor(issuedMs: number): boolean {
+    if (issuedMs === 0) return this.hasSeenAll();
+    const oldestMs = this.clock.wallMs() - CLAIM_WINDOW_MS + WALL_SKEW_MS;
+    if (issuedMs < oldestMs) {
       raise('duplicateId', 'the id is older than what is remembered');
     }
-    if (this.term === FIRST_TERM) return;
-    if (issuedMs >= this.bornWallMs + WALL_SKEW_MS) return;
-    raise('duplicateId', 'the id may be older than its home');
+    if (this.hasSeenAll()) return true;
+    return issuedMs >= this.bornWallMs + WALL_SKEW_MS;
   }
 
   private forgetOld(): void {
