Set losses apart on the time line and keep marks from covering each other

Cause: on a demo run with a killed scheduler, counts stood under the next mark, long process names ran into the lanes, and lost tasks looked like started ones.

--- a/packages/operator/src/timeline-events.ts
+++ b/packages/operator/src/timeline-events.ts
@@ -36,6 +36,8 @@
 export class EventCollector {
   private readonly events = new Map<string, TimelineEvent>();
   private readonly rings = new Map<string, RingSummary>();
+  /** The name that a process gives itself, by its name in the fleet. */
+  private readonly ownNames = new Map<string, string>();
 
   /**
    * Takes in what the processes answered.
@@ -77,6 +79,7 @@
 
   private addRing(name: string, body: RingBody, nowMs: number): void {
     const process = body.events[0]?.process ?? name;
+    this.ownNames.set(name, process);
     const {dropped} = body;
     const known = this.rings.get(process)?.silences ?? [];
     const silences = known.map(silence => ({
@@ -88,7 +91,8 @@
     for (const event of body.events) this.events.set(keyOf(event), event);
   }
 
-  private addSilence(process: string, failure: string, nowMs: number): void {
+  private addSilence(name: string, failure: string, nowMs: number): void {
+    const process = this.ownNames.get(name) ?? name;
     const known = this.rings.get(process);
     const {dropped = 0, silences = []} = known ?? {};
     const isNew = known === undefined || known.failure === '';
--- a/packages/operator/src/timeline-groups.ts
+++ b/packages/operator/src/timeline-groups.ts
@@ -66,16 +66,25 @@
     prefixes: ['worker', 'executor'],
   },
   {
-    id: 'request',
-    label: 'requests in trouble',
+    id: 'trouble',
+    label: 'losses, refusals, unknown outcomes',
     colour: '#dc2626',
     shape: 'cross',
-    prefixes: ['request'],
+    prefixes: [
+      'request',
+      'taskLost',
+      'jobRefused',
+      'jobSetAside',
+      'workerLost',
+      'workerSetAside',
+      'executorLost',
+    ],
   },
 ];
 
+/** The last group that fits, since the later ones are more particular. */
 function findGroup(kind: EventKind): number {
-  return KIND_GROUPS.findIndex(group =>
+  return KIND_GROUPS.findLastIndex(group =>
     group.prefixes.some(prefix => kind.startsWith(prefix)),
   );
 }
--- a/packages/operator/src/timeline-layout.ts
+++ b/packages/operator/src/timeline-layout.ts
@@ -8,7 +8,8 @@
 const MAX_WIDTH_PX = 8_000;
 const PX_PER_SECOND = 12;
 const EDGE_PX = 24;
-const COLUMN_PX = 8;
+/** Room for a mark and the number beside it. */
+const MARK_SPACE_PX = 28;
 const ROW_PX = 18;
 const LANE_PADDING_PX = 8;
 const MIN_LANE_PX = 44;
@@ -65,6 +66,10 @@
   readonly heightPx: number;
 }
 
+interface OpenMark extends Omit<Mark, 'yPx' | 'events'> {
+  readonly events: TimelineEvent[];
+}
+
 interface IndexedEvent {
   readonly event: TimelineEvent;
   readonly index: number;
@@ -172,23 +177,17 @@
   own: readonly IndexedEvent[],
   scale: TimeScale,
 ): Generator<Omit<Mark, 'yPx'>> {
-  const columns = new Map<string, IndexedEvent[]>();
-  for (const item of own) {
-    const group = groupIndexOf(item.event.kind);
-    const column = Math.floor(toX(scale, item.event.at.wallMs) / COLUMN_PX);
-    const key = `${group} ${column}`;
-    const items = columns.get(key) ?? [];
-    items.push(item);
-    columns.set(key, items);
-  }
-  for (const items of columns.values()) {
-    const [first] = items;
-    if (first === undefined) continue;
-    yield {
-      xPx: toX(scale, first.event.at.wallMs),
-      group: groupIndexOf(first.event.kind),
-      events: items.map(({event}) => event),
-      index: first.index,
-    };
+  const open = new Map<number, OpenMark>();
+  for (const {event, index} of own) {
+    const group = groupIndexOf(event.kind);
+    const xPx = toX(scale, event.at.wallMs);
+    const mark = open.get(group);
+    if (mark !== undefined && xPx < mark.xPx + MARK_SPACE_PX) {
+      mark.events.push(event);
+      continue;
+    }
+    if (mark !== undefined) yield mark;
+    open.set(group, {xPx, group, events: [event], index});
   }
+  yield* open.values();
 }
--- a/packages/operator/src/timeline-svg.ts
+++ b/packages/operator/src/timeline-svg.ts
@@ -11,7 +11,7 @@
 import {formatSubject, formatTime, gapOf} from './timeline-text.js';
 
 /** Width of the column that names the processes. */
-export const LABEL_WIDTH_PX = 220;
+export const LABEL_WIDTH_PX = 250;
 const AXIS_LABEL_Y_PX = 17;
 const MIN_TICK_PX = 90;
 const TICK_FACTORS = [1, 2, 5, 10] as const;
