Count a test file whose hook throws as failed

Cause: uvu ends a suite without a name and with exit code 0 when one of its hooks throws. run-tests.mjs took its red tests from the names alone, so a file with 0 of 5 passed was printed as FAIL and the run still exited 0, with "20 passed, 0 failed". It now adds "(file)" where more tests failed than were named; the same run says 1 failed and exits 1.

--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -46,7 +46,8 @@
   const isBroken = code !== 0 && passed === total;
   const failed = total - passed + (isBroken ? 1 : 0);
   const names = [...output.matchAll(/FAIL {2}(.*)/g)].map(m => m[1].trim());
-  if (isBroken) names.push('(file)');
+  // A hook that throws ends its suite without a name, and with exit code 0.
+  if (failed > names.length) names.push('(file)');
   return {file, passed, failed, skipped, names, output};
 }
 
