--- a/packages/operator/src/apply-change.ts
+++ b/packages/operator/src/apply-change.ts
@@ -11,7 +11,12 @@
 import type {AppendVerdict} from './config-log.js';
 import type {CtlContext} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import {inForceLines, waitInForce, type InForceReport} from './in-force.js';
+import {
+  inForceLines,
+  isEverywhere,
+  waitInForce,
+  type InForceReport,
+} from './in-force.js';
 
 /** How a publication fared. */
 export interface PublishResult {
@@ -128,11 +133,12 @@
   try {
     const read = () => fleet.readAll('/status');
     const report = await waitInForce(offset, read, cfg.waitMs, clock);
-    const isEverywhere = report.notYet.length === 0;
-    const exitCode = isEverywhere ? EXIT.ok : EXIT.notEverywhere;
+    const exitCode = isEverywhere(report) ? EXIT.ok : EXIT.notEverywhere;
     return {report, lines: [...inForceLines(report)], exitCode};
   } catch (err) {
-    const lines = [`where it is in force is unknown: ${toFailure(err).detail}`];
+    const {kind, detail} = toFailure(err);
+    if (kind !== 'vmsDown') throw err;
+    const lines = [`where it is in force is unknown: ${detail}`];
     return {report: undefined, lines, exitCode: EXIT.notEverywhere};
   }
 }
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -140,5 +140,27 @@
   readonly configOffset?: number;
   /** How long ago the configuration was known to be the newest. */
   readonly configAgeMs?: number | null;
+  /** The same two, as a gateway shows them. */
+  readonly config?: {
+    readonly nextOffset?: number;
+    readonly ageMs?: number | null;
+  };
   readonly shards?: readonly StatusShard[];
 }
+
+/**
+ * Offset of the next configuration record that a process would apply.
+ *
+ * @example
+ * const isInForce = (configOffsetOf(body) ?? 0) > revision;
+ */
+export function configOffsetOf(body: AdminReply['body']): number | undefined {
+  const {configOffset, config} = (body ?? {}) as ProcessStatus;
+  return configOffset ?? config?.nextOffset;
+}
+
+/** How long ago a process knew that it had the newest configuration. */
+export function configAgeOf(body: AdminReply['body']): number | undefined {
+  const {configAgeMs, config} = (body ?? {}) as ProcessStatus;
+  return configAgeMs ?? config?.ageMs ?? undefined;
+}
--- a/packages/operator/src/in-force.ts
+++ b/packages/operator/src/in-force.ts
@@ -1,6 +1,6 @@
 /** Watches where a change of configuration is in force and where not yet. */
 import type {Clock} from '@dragonflyward/common';
-import type {AdminReply, ProcessStatus} from './fleet.js';
+import {configOffsetOf, type AdminReply} from './fleet.js';
 
 const POLL_PERIOD_MS = 200;
 
@@ -36,8 +36,7 @@
   const inForce: string[] = [];
   const notYet: Laggard[] = [];
   for (const {process, body, failure} of replies) {
-    const status = body as ProcessStatus | undefined;
-    const reached = status?.configOffset;
+    const reached = configOffsetOf(body);
     if (reached !== undefined && reached > offset) {
       inForce.push(process.name);
       continue;
@@ -48,6 +47,11 @@
   return {offset, inForce, notYet, waitedMs};
 }
 
+/** Whether all processes have it; a fleet that shows none has it nowhere. */
+export function isEverywhere({inForce, notYet}: InForceReport): boolean {
+  return notYet.length === 0 && inForce.length > 0;
+}
+
 /**
  * Waits until a record is in force in all processes, at most for a time.
  *
@@ -65,8 +69,7 @@
     const replies = await read();
     const waitedMs = Math.round(clock.monotonicMs() - startMs);
     const report = checkInForce(offset, replies, waitedMs);
-    const isDone = report.notYet.length === 0 && report.inForce.length > 0;
-    if (isDone || waitedMs >= waitMs) return report;
+    if (isEverywhere(report) || waitedMs >= waitMs) return report;
     await clock.sleep(POLL_PERIOD_MS);
   }
 }
--- a/packages/operator/src/status-command.ts
+++ b/packages/operator/src/status-command.ts
@@ -2,7 +2,13 @@
 import type {Command} from 'commander';
 import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import type {AdminReply, ProcessStatus, StatusShard} from './fleet.js';
+import {
+  configAgeOf,
+  configOffsetOf,
+  type AdminReply,
+  type ProcessStatus,
+  type StatusShard,
+} from './fleet.js';
 import {toTable} from './output.js';
 
 const HEADING = [
@@ -44,8 +50,8 @@
     name,
     domain,
     stateOf(cfg, isLeaving),
-    cfg.configOffset === undefined ? '?' : `${cfg.configOffset}`,
-    ageOf(cfg.configAgeMs),
+    `${configOffsetOf(body) ?? '?'}`,
+    ageOf(configAgeOf(body)),
     owned.map(formatShard).join(' '),
   ];
 }
