--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -259,6 +259,10 @@
     const {clock, client} = this.parts;
     while (!this.isStopped) {
       const askedMs = clock.monotonicMs();
+      if (!this.mayAct()) {
+        await clock.sleep(INVENTORY_RETRY_MS);
+        continue;
+      }
       try {
         const list = await client.watch(this.sequence, WATCH_WAIT_MS);
         this.applyWatch(list, askedMs);
