--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -19,6 +19,10 @@
 const NORMAL_COST_FACTOR = 8;
 const SERVICE_COST_FACTOR = 4;
 
+/** Workers between which a search has the choice. */
+const MIN_OFFERS = 8;
+const OFFERS_PER_TASK = 2;
+
 /** Tasks of a job that need room, and whose room they may have. */
 export interface RoomWanted {
   readonly state: JobState;
@@ -33,41 +37,65 @@
   mayStop(running: RunningTask): boolean;
 }
 
+/** A way to make room for one task on a worker. */
 interface Offer {
   readonly worker: WorkerState;
   readonly victims: readonly RunningTask[];
   readonly cost: number;
 }
 
+/** Where room may be made for tasks of one size; the cheapest is first. */
+export type RoomSearch = Heap<Offer>;
+
+/**
+ * Looks for workers on which room can be made, until there is some choice;
+ * each search begins where the last one ended.
+ *
+ * @example
+ * const search = newRoomSearch(core, wanted);
+ */
+export function newRoomSearch(
+  core: EngineCore,
+  wanted: RoomWanted,
+): RoomSearch {
+  const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
+  const workers = core.cell.workerList;
+  const enough = wanted.count * OFFERS_PER_TASK + MIN_OFFERS;
+  for (let i = 0; i < workers.length && offers.size < enough; i += 1) {
+    const worker = workers[core.roomCursor % workers.length];
+    core.roomCursor = (core.roomCursor + 1) % workers.length;
+    const offer = worker && offerOf(core, worker, wanted);
+    if (offer !== undefined) offers.push(offer);
+  }
+  return offers;
+}
+
 /**
  * Stops the cheapest tasks that make room for the wanted tasks, and holds
  * that room; the stops are put into the outbox.
  *
  * @example
- * const made = makeRoom(core, wanted);
+ * const made = makeRoom(core, search, wanted);
  *
  * @returns for how many tasks there will be room
  */
-export function makeRoom(core: EngineCore, wanted: RoomWanted): number {
-  const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
-  for (const worker of core.cell.workers.values()) {
-    pushOffer(core, offers, worker, wanted);
-  }
+export function makeRoom(
+  core: EngineCore,
+  search: RoomSearch,
+  wanted: RoomWanted,
+): number {
   const stopped: RunningTask[] = [];
   const slots = new Map(core.holds.get(wanted.state.job.jobId)?.slots);
   let made = 0;
   while (made < wanted.count) {
-    const offer = offers.pop();
+    const offer = takeOffer(core, search, wanted);
     if (offer === undefined) break;
-    if (offer.victims.some(victim => victim.isStopping)) {
-      pushOffer(core, offers, offer.worker, wanted);
-      continue;
-    }
     stopped.push(...stopAll(core, offer.victims));
     slots.set(offer.worker, (slots.get(offer.worker) ?? 0) + 1);
     core.holds.add(newHold(core, wanted, slots));
     made += 1;
-    pushOffer(core, offers, offer.worker, wanted);
+    const next = offerOf(core, offer.worker, wanted);
+    if (next !== undefined) search.push(next);
   }
   if (wanted.isWhole && made < wanted.count) {
     undo(core, wanted, stopped);
@@ -77,6 +105,22 @@
   return made;
 }
 
+/** The cheapest offer that still holds. */
+function takeOffer(
+  core: EngineCore,
+  search: RoomSearch,
+  wanted: RoomWanted,
+): Offer | undefined {
+  for (;;) {
+    const offer = search.pop();
+    if (offer === undefined) return undefined;
+    const fresh = offerOf(core, offer.worker, wanted);
+    if (fresh === undefined) continue;
+    if (fresh.cost <= offer.cost) return fresh;
+    search.push(fresh);
+  }
+}
+
 function newHold(
   core: EngineCore,
   wanted: RoomWanted,
@@ -92,16 +136,6 @@
   };
 }
 
-function pushOffer(
-  core: EngineCore,
-  offers: Heap<Offer>,
-  worker: WorkerState,
-  wanted: RoomWanted,
-): void {
-  const offer = offerOf(core, worker, wanted);
-  if (offer !== undefined) offers.push(offer);
-}
-
 /** The cheapest way to make room for one more task on a worker. */
 function offerOf(
   core: EngineCore,
@@ -158,9 +192,10 @@
   worker: WorkerState,
   wanted: RoomWanted,
 ): readonly RunningTask[] {
-  const running = [...worker.tasks].filter(
-    task => !task.isStopping && wanted.mayStop(task),
-  );
+  const running: RunningTask[] = [];
+  for (const task of worker.tasks) {
+    if (!task.isStopping && wanted.mayStop(task)) running.push(task);
+  }
   return running.sort((a, b) => stopCost(a) - stopCost(b));
 }
 
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,17 +1,17 @@
 /** Places waiting work, the teams furthest below their share first. */
-import type {Resources} from '@dragonflyward/common';
+import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
 import {policyOf, startTask, type EngineCore} from './core.js';
-import type {Decision} from './engine.js';
+import type {Decision, PlacedTask} from './engine.js';
 import type {PlacementAsk} from './placement-policy.js';
-import type {Tier} from './room-memo.js';
+import type {Tier} from './needs.js';
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {nextClass} from './waiting-list.js';
+import {dequeue, enqueue, nextClass, openClasses} from './waiting-list.js';
 
-/** Searches without result after which a pass leaves the rest to the next. */
-const MAX_FAILED_SEARCHES = 512;
+/** Workers that are looked at in vain before the rest is left to the next pass. */
+const MAX_VAIN_LOOKS = 30_000;
 
 const NO_HOLD: ReadonlyMap<WorkerState, Resources> = new Map();
 
@@ -25,12 +25,14 @@
   core: EngineCore,
   tier: Tier,
 ): Generator<Decision> {
-  const order = new TeamOrder(teamsWithWork(core, tier));
+  const open = openClasses(core, tier);
+  const order = new TeamOrder(teamsInTier(core, tier, open.keys()));
   const stuck = new Set<WaitClass>();
-  while (stuck.size < MAX_FAILED_SEARCHES) {
+  let looksBefore = core.needs.looks;
+  while (core.needs.looks - looksBefore < MAX_VAIN_LOOKS) {
     const team = order.first();
     if (team === undefined) return;
-    const waitClass = nextClass(core, team, tier, stuck);
+    const waitClass = nextClass(core, open.get(team) ?? [], tier, stuck);
     if (waitClass === undefined) {
       order.dropFirst();
       continue;
@@ -41,6 +43,7 @@
     }
     order.updateFirst();
     yield* flush(core);
+    looksBefore = core.needs.looks;
   }
 }
 
@@ -54,10 +57,35 @@
   for (;;) {
     const decision = core.outbox.shift();
     if (decision === undefined) return;
-    if (isCurrent(core, decision)) yield decision;
+    if (!isCurrent(core, decision)) continue;
+    if (decision.kind === 'start' && !isStartable(core, decision.task)) {
+      withdraw(core, decision.task);
+      continue;
+    }
+    yield decision;
   }
 }
 
+/** Whether neither the worker nor the limit has changed against a start. */
+function isStartable(core: EngineCore, task: PlacedTask): boolean {
+  const running = core.cell.tasks.get(task.taskId);
+  if (running === undefined) return false;
+  const {worker} = core.cell.getWorker(task.workerId);
+  if (worker.condition !== 'ready') return false;
+  return core.teams.isAllowed(running.job.team, NO_RESOURCES);
+}
+
+/** Takes back a start that was never yielded. */
+function withdraw(core: EngineCore, task: PlacedTask): void {
+  const running = core.cell.tasks.get(task.taskId);
+  if (running === undefined) return;
+  const {job} = running;
+  core.cell.release(running);
+  dequeue(core, job);
+  job.pending.add(task.taskIndex);
+  if (job.setAsideReason === '') enqueue(core, job);
+}
+
 /** Whether the task of a decision is still counted. */
 function isCurrent(core: EngineCore, decision: Decision): boolean {
   switch (decision.kind) {
@@ -71,11 +99,13 @@
   }
 }
 
-function* teamsWithWork(core: EngineCore, tier: Tier): Generator<TeamState> {
-  for (const team of core.teams.values()) {
-    if (team.waiting.size === 0) continue;
-    if (tier === 'urgent' && !isWithinShare(core, team)) continue;
-    yield team;
+function* teamsInTier(
+  core: EngineCore,
+  tier: Tier,
+  teams: Iterable<TeamState>,
+): Generator<TeamState> {
+  for (const team of teams) {
+    if (tier === 'all' || isWithinShare(core, team)) yield team;
   }
 }
 
@@ -92,16 +122,17 @@
   tier: Tier,
 ): boolean {
   const state = waitClass.first();
-  if (state === undefined) return false;
+  const {need} = waitClass;
+  if (state === undefined || need === null) return false;
   const ask = newAsk(core, state, waitClass, tier);
   if (!core.teams.canStart(team, ask.size, ask.count)) {
     waitClass.obstacle = 'the team is at its limit here';
     return false;
   }
-  const {workers} = core.cell;
-  const chosen = policyOf(core, state).choose(workers.values(), ask);
+  const workers = core.needs.candidatesOf(need, tier);
+  const chosen = policyOf(core, state).choose(workers, ask);
   if (chosen.length === 0) {
-    core.memo.noteFull(tier, waitClass.roomKey, ask.size);
+    core.needs.noteFull(need, tier);
     waitClass.obstacle = 'no worker has room';
     return false;
   }
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -1,8 +1,13 @@
 /** Makes room for urgent work in a full cell, and gives shares back. */
 import {dominantShare} from './amounts.js';
-import {rankOfPriority, type EngineCore} from './core.js';
+import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
-import {makeRoom, type RoomWanted} from './make-room.js';
+import {
+  makeRoom,
+  newRoomSearch,
+  type RoomSearch,
+  type RoomWanted,
+} from './make-room.js';
 import {flush} from './place-waiting.js';
 import type {JobState, RunningTask, TeamState} from './state.js';
 import {TeamOrder} from './team-order.js';
@@ -11,10 +16,13 @@
 /** How long room is held for urgent work; then it is sought elsewhere. */
 const URGENT_HOLD_MS = 3_000;
 /** How long a class for which no room can be made is left alone. */
-const NO_ROOM_PAUSE_MS = 250;
+const URGENT_PAUSE_MS = 250;
+const RECLAIM_PAUSE_MS = 5_000;
 /** Tasks for which one decision makes room at most. */
 const MAX_URGENT_TASKS = 64;
 const MAX_RECLAIMED_TASKS = 16;
+/** Searches without result after which a decision seeks no more room. */
+const MAX_FAILED_SEARCHES = 4;
 /** How long a team below its share waits before it takes room back. */
 const RECLAIM_AFTER_MS = 10_000;
 const RECLAIM_HOLD_MS = 10_000;
@@ -28,16 +36,13 @@
  * yield* preemptForUrgent(core);
  */
 export function* preemptForUrgent(core: EngineCore): Generator<Decision> {
-  let budget = MAX_URGENT_TASKS;
   const order = new TeamOrder(teamsWithUrgent(core));
-  for (;;) {
-    const team = order.first();
-    if (team === undefined || budget <= 0) return;
-    order.dropFirst();
-    for (const waitClass of team.waiting.values()) {
+  const budget = newBudget(MAX_URGENT_TASKS);
+  for (const team of takeInOrder(order)) {
+    for (const waitClass of [...team.waiting.values()]) {
+      if (isSpent(budget)) return;
       if (waitClass.kind.priority !== 'urgent') continue;
-      budget -= preemptForClass(core, waitClass, budget, urgentWanted);
-      yield* flush(core);
+      yield* preemptForClass(core, waitClass, budget, urgentWanted);
     }
   }
 }
@@ -49,25 +54,56 @@
  * yield* reclaimShares(core);
  */
 export function* reclaimShares(core: EngineCore): Generator<Decision> {
-  let budget = MAX_RECLAIMED_TASKS;
+  if (!isAnyAboveShare(core)) return;
   const order = new TeamOrder(teamsBelowShare(core));
-  for (;;) {
-    const team = order.first();
-    if (team === undefined || budget <= 0) return;
-    order.dropFirst();
-    for (const waitClass of team.waiting.values()) {
+  const budget = newBudget(MAX_RECLAIMED_TASKS);
+  for (const team of takeInOrder(order)) {
+    for (const waitClass of [...team.waiting.values()]) {
+      if (isSpent(budget)) return;
       const first = waitClass.first();
       if (first === undefined) continue;
       if (core.nowMs - first.job.acceptedMs < RECLAIM_AFTER_MS) continue;
       const lacking = lackingTasks(core, team, waitClass);
-      const most = Math.min(budget, lacking);
-      if (most <= 0) continue;
-      budget -= preemptForClass(core, waitClass, most, reclaimWanted);
-      yield* flush(core);
+      if (lacking <= 0) continue;
+      const part = {tasks: Math.min(budget.tasks, lacking), searches: 1};
+      const before = part.tasks;
+      yield* preemptForClass(core, waitClass, part, reclaimWanted);
+      budget.tasks -= before - part.tasks;
+      budget.searches -= 1 - part.searches;
     }
   }
 }
 
+/** What one decision may still do to make room. */
+interface Budget {
+  tasks: number;
+  searches: number;
+}
+
+function newBudget(tasks: number): Budget {
+  return {tasks, searches: MAX_FAILED_SEARCHES};
+}
+
+function isSpent(budget: Budget): boolean {
+  return budget.tasks <= 0 || budget.searches <= 0;
+}
+
+function* takeInOrder(order: TeamOrder): Generator<TeamState> {
+  for (;;) {
+    const team = order.first();
+    if (team === undefined) return;
+    order.dropFirst();
+    yield team;
+  }
+}
+
+function isAnyAboveShare(core: EngineCore): boolean {
+  for (const team of core.teams.values()) {
+    if (team.keptShare > team.fair) return true;
+  }
+  return false;
+}
+
 type MakeWanted = (
   core: EngineCore,
   state: JobState,
@@ -75,26 +111,30 @@
   count: number,
 ) => RoomWanted;
 
-/** Makes room for jobs of a class; returns for how many tasks. */
-function preemptForClass(
+/** Makes room for jobs of a class, as far as the budget goes. */
+function* preemptForClass(
   core: EngineCore,
   waitClass: WaitClass,
-  budget: number,
+  budget: Budget,
   makeWanted: MakeWanted,
-): number {
-  if (core.nowMs < waitClass.noRoomUntilMs) return 0;
-  let spent = 0;
-  for (const state of waitClass.jobs()) {
-    if (spent >= budget) break;
-    const count = missingTasks(core, state, budget - spent);
+): Generator<Decision> {
+  if (core.nowMs < waitClass.noRoomUntilMs) return;
+  let search: RoomSearch | undefined;
+  for (const state of [...waitClass.jobs()]) {
+    if (budget.tasks <= 0) return;
+    const count = missingTasks(core, state, budget.tasks);
     if (count <= 0) continue;
-    const made = makeRoom(core, makeWanted(core, state, waitClass, count));
-    spent += made;
+    const wanted = makeWanted(core, state, waitClass, count);
+    search ??= newRoomSearch(core, wanted);
+    const made = makeRoom(core, search, wanted);
+    budget.tasks -= made;
+    yield* flush(core);
     if (made > 0) continue;
-    waitClass.noRoomUntilMs = core.nowMs + NO_ROOM_PAUSE_MS;
-    break;
+    budget.searches -= 1;
+    const pauseMs = wanted.isUrgent ? URGENT_PAUSE_MS : RECLAIM_PAUSE_MS;
+    waitClass.noRoomUntilMs = core.nowMs + pauseMs;
+    return;
   }
-  return spent;
 }
 
 /** For how many tasks of a job no room is held yet. */
@@ -123,7 +163,7 @@
     isUrgent: true,
     untilMs: core.nowMs + URGENT_HOLD_MS,
     reason: `urgent work of team ${team} needs the room`,
-    mayStop: running => mayStopForUrgent(core, state, running),
+    mayStop: running => mayStopForUrgent(state, running),
   };
 }
 
@@ -152,14 +192,10 @@
   return job.isIdempotent && queue.priority !== 'urgent';
 }
 
-function mayStopForUrgent(
-  core: EngineCore,
-  state: JobState,
-  running: RunningTask,
-): boolean {
+function mayStopForUrgent(state: JobState, running: RunningTask): boolean {
   if (!isStoppable(running)) return false;
   const {team} = running.job;
-  return team === state.team || core.teams.shareOf(team) > team.fair;
+  return team === state.team || team.keptShare > team.fair;
 }
 
 function mayStopForShare(
@@ -168,29 +204,23 @@
   running: RunningTask,
 ): boolean {
   if (!isStoppable(running)) return false;
-  const {team, queue} = running.job;
+  const {team} = running.job;
   if (team === state.team) return false;
-  const isLower =
-    rankOfPriority(queue.priority) >= rankOfPriority(state.queue.priority);
-  if (!isLower && !running.job.job.isIdempotent) return false;
+  if (team.keptShare <= team.fair) return false;
   const size = dominantShare(running.task.size, core.teams.total);
-  return core.teams.shareOf(team) - size >= team.fair;
+  return team.keptShare - size >= team.fair;
 }
 
-function* teamsWithUrgent(core: EngineCore): Generator<TeamState> {
-  for (const team of core.teams.values()) {
-    for (const waitClass of team.waiting.values()) {
-      if (waitClass.kind.priority !== 'urgent') continue;
-      yield team;
-      break;
-    }
-  }
+function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
+  const teams = new Set<TeamState>();
+  for (const {team} of core.urgentClasses) teams.add(team);
+  return teams;
 }
 
 function* teamsBelowShare(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
-    if (team.waiting.size === 0) continue;
-    if (core.teams.shareOf(team) < team.fair) yield team;
+    if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
+    if (core.nowMs - team.startedMs >= RECLAIM_AFTER_MS) yield team;
   }
 }
 
@@ -200,7 +230,7 @@
   team: TeamState,
   waitClass: WaitClass,
 ): number {
-  const lacking = team.fair - core.teams.shareOf(team);
+  const lacking = team.fair - team.keptShare;
   const size = dominantShare(waitClass.size, core.teams.total);
   if (size === 0) return 0;
   return Math.floor(lacking / size + RECLAIM_TASK_PART);
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -7,7 +7,11 @@
   type TimingSettings,
 } from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
-import type {OpenTicketsAsk, PeerMesh} from '@dragonflyward/peer';
+import type {
+  OpenTicketsAsk,
+  PeerMesh,
+  RequestClaims,
+} from '@dragonflyward/peer';
 import {ShareEngine} from '@dragonflyward/policy';
 import {
   shardStream,
@@ -27,7 +31,10 @@
 const CHECK_PERIOD_MS = 50;
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
+const INHERIT_BOUND_MS = 2_000;
 const HEIR_SILENCE_MS = 2_000;
+/** Keeps the task ids of one term apart from those of all others. */
+export const TASK_NUMBERS_PER_TERM = 2 ** 32;
 
 /** The parts that a shard task needs. */
 export interface ShardTaskParts {
@@ -118,6 +125,16 @@
     }
   }
 
+  /** Waits until this process owns the shard, and takes the claims in. */
+  async inheritClaims(passed: RequestClaims): Promise<void> {
+    const {clock} = this.parts;
+    const endMs = clock.monotonicMs() + INHERIT_BOUND_MS;
+    while (this.desk === undefined && clock.monotonicMs() < endMs) {
+      await clock.sleep(CHECK_PERIOD_MS);
+    }
+    this.desk?.inheritClaims(passed);
+  }
+
   /** Ends all that belongs to the shard. */
   stop(): void {
     this.isStopped = true;
@@ -137,7 +154,8 @@
   private activate(): void {
     const {shard, clock, metrics, events, config, membership} = this.parts;
     this.activeTerm = this.ownership.term;
-    const engine = new ShareEngine();
+    const firstTaskNumber = this.activeTerm * TASK_NUMBERS_PER_TERM;
+    const engine = new ShareEngine({firstTaskNumber});
     this.desk = new TicketDesk({shard, clock, metrics, events});
     this.owner = new ShardOwner({
       ...this.parts,
