Let the demo's callers name only the requests that they may repeat

Cause: all non-idempotent requests carried ids that do not tell when they were made, so that for two minutes after a takeover the new home answered each with "outcome unknown": 216 of 1814 in the demo. Callers now name a request only where they mean to repeat it, by a version 7 UUID, and the judge tells requests apart by what their bodies say.

--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -76,7 +76,7 @@
   balancer.stop();
   const nonIdempotent = new Set(
     REQUEST_QUEUES.flatMap(({isIdempotent}, i) =>
-      isIdempotent ? [] : (results[i] ?? []).map(res => res.requestId),
+      isIdempotent ? [] : (results[i] ?? []).map(res => res.label),
     ),
   );
   const requests = results.flat();
--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -43,9 +43,9 @@
     return this.results;
   }
 
-  /** The ids of the requests that have ended. */
-  requestIds(): readonly string[] {
-    return this.results.map(result => result.requestId);
+  /** The labels of the requests that have ended. */
+  labels(): readonly string[] {
+    return this.results.map(result => result.label);
   }
 
   private send(): void {
--- a/packages/demo/src/users.ts
+++ b/packages/demo/src/users.ts
@@ -19,18 +19,23 @@
   readonly service: string;
   readonly team: string;
   readonly isIdempotent: boolean;
+  /** Whether callers name their requests, so that they may repeat them. */
+  readonly hasOwnId: boolean;
   readonly sleepMs: number;
   readonly perSecond: number;
 }
 
 /** What the users' callers ask for, a second. */
 export const REQUEST_QUEUES: readonly RequestQueue[] = [
-  request('quotes', 'counter', 'counters', true, 20, 40),
-  request('orders', 'counter', 'roofers', false, 30, 20),
-  request('cutting', 'planning', 'cutting', true, 80, 15),
-  request('availability', 'calendar', 'shoppers', true, 20, 40),
-  request('bookings', 'calendar', 'stylists', false, 30, 20),
-  request('lookbooks', 'lookbook', 'lookbooks', true, 80, 15),
+  request('quotes', 'counter', 'counters', 20, 40),
+  once(request('orders', 'counter', 'roofers', 30, 20)),
+  request('cutting', 'planning', 'cutting', 80, 15),
+  request('availability', 'calendar', 'shoppers', 20, 40),
+  {
+    ...once(request('bookings', 'calendar', 'stylists', 30, 20)),
+    hasOwnId: true,
+  },
+  request('lookbooks', 'lookbook', 'lookbooks', 80, 15),
 ];
 
 /** The queues for jobs. */
@@ -119,11 +124,15 @@
   queue: string,
   service: string,
   team: string,
-  isIdempotent: boolean,
   sleepMs: number,
   perSecond: number,
 ): RequestQueue {
-  return {queue, service, team, isIdempotent, sleepMs, perSecond};
+  const flags = {isIdempotent: true, hasOwnId: false};
+  return {queue, service, team, ...flags, sleepMs, perSecond};
+}
+
+function once(queue: RequestQueue): RequestQueue {
+  return {...queue, isIdempotent: false};
 }
 
 function jobQueue(
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -218,7 +218,7 @@
     assert.equal(findRepeats(records.tasks, this.onceJobs), [], 'run again');
     const limits = new Map([[TEAM, LIMIT]]);
     assert.equal(findLimitBreaches(records, limits), [], 'over the limit');
-    const once = new Set(this.loads.flatMap(load => load.requestIds()));
+    const once = new Set(this.loads.flatMap(load => load.labels()));
     const repeated = findRepeatedRequests(records.requests);
     assert.equal(
       repeated.filter(id => once.has(id)),
--- a/packages/standins/src/caller-client.ts
+++ b/packages/standins/src/caller-client.ts
@@ -1,9 +1,9 @@
 /** A caller: sends requests and jobs through the balancer. */
+import {randomBytes, randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   ERRORS,
   JsonClient,
-  newId,
   toFailure,
   type ErrorKind,
   type JsonReply,
@@ -32,12 +32,14 @@
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   readonly sleepMs: number;
-  readonly requestId?: string;
+  /** Whether the caller names the request, so that it may repeat it. */
+  readonly hasOwnId?: boolean;
 }
 
 /** What a caller knows after a request. */
 export interface RequestResult {
-  readonly requestId: string;
+  /** What the request's body says; the executors record it. */
+  readonly label: string;
   readonly outcome: Outcome;
   readonly status: number;
   readonly kind: string;
@@ -82,23 +84,24 @@
    * const {outcome} = await caller.request(call);
    */
   async request(call: RequestCall): Promise<RequestResult> {
-    const requestId = call.requestId ?? newId('q');
     const {queue, key, deadlineMs, sleepMs, isIdempotent} = call;
+    const label = timedId();
+    const ownId = call.hasOwnId ? {'x-request-id': label} : {};
     const startMs = performance.now();
-    const body = {sleepMs, echo: requestId};
+    const body = {sleepMs, echo: label};
     const attempt = await this.persist(deadlineMs, leftMs =>
       this.call('POST', `/v1/requests/${queue}`, leftMs, body, {
         ...authorization(key),
-        'x-request-id': requestId,
+        ...ownId,
         'x-deadline-ms': `${Math.floor(leftMs)}`,
         'x-idempotent': `${isIdempotent}`,
       }),
     );
     const {status, kind} = attempt;
-    const isOwn = attempt.outcome !== 'answered' || attempt.body === requestId;
+    const isOwn = attempt.outcome !== 'answered' || attempt.body === label;
     const outcome = isOwn ? attempt.outcome : 'lost';
     const tookMs = performance.now() - startMs;
-    return {requestId, outcome, status, kind, tookMs};
+    return {label, outcome, status, kind, tookMs};
   }
 
   /**
@@ -190,6 +193,14 @@
   }
 }
 
+/** Makes an identifier that tells when it was made: a version 7 UUID. */
+function timedId(): string {
+  const time = Date.now().toString(16).padStart(12, '0');
+  const [, , , variant = '', tail = ''] = randomUUID().split('-');
+  const version = randomBytes(2).toString('hex').slice(1);
+  return `${time.slice(0, 8)}-${time.slice(8)}-7${version}-${variant}-${tail}`;
+}
+
 function authorization(key: string): Readonly<Record<string, string>> {
   return {authorization: `Bearer ${key}`};
 }
--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -35,6 +35,8 @@
 /** The time that a request ran, as the judge reads it. */
 export interface RequestRun {
   readonly requestId: string;
+  /** What the request's body asks to be echoed. */
+  readonly label: string;
   readonly team: string;
   readonly startMs: number;
   endMs: number | null;
@@ -89,18 +91,19 @@
     this.maxBusy = Math.max(this.maxBusy, this.busy);
     if (this.busy > this.slots) this.slotBreaches += 1;
     res.once('close', () => (this.busy -= 1));
-    const run = startRun(req);
+    const work = parseWork(bytes);
+    const run = startRun(req, work);
     this.runs.push(run);
     res.once('close', () => (run.endMs = Date.now()));
-    await this.run(run, res, bytes);
+    await this.run(run, res, work, bytes);
   }
 
   private async run(
     {requestId}: RequestRun,
     res: http.ServerResponse,
+    work: Work,
     bytes: Buffer,
   ): Promise<void> {
-    const work = parseWork(bytes);
     await sleep((work.sleepMs ?? 0) + this.switches.delayMs);
     if (this.switches.blackhole) return;
     if (this.mustFail()) return void sendJson(res, 500, {error: 'failed'});
@@ -150,10 +153,11 @@
   }
 }
 
-function startRun(req: http.IncomingMessage): RequestRun {
+function startRun(req: http.IncomingMessage, work: Work): RequestRun {
   const requestId = String(req.headers['x-request-id'] ?? '');
   const team = String(req.headers['x-team'] ?? '');
-  return {requestId, team, startMs: Date.now(), endMs: null};
+  const label = typeof work.echo === 'string' ? work.echo : requestId;
+  return {requestId, label, team, startMs: Date.now(), endMs: null};
 }
 
 function parseWork(bytes: Buffer): Work {
--- a/packages/standins/src/judge.ts
+++ b/packages/standins/src/judge.ts
@@ -56,7 +56,7 @@
 export function findRepeatedRequests(
   runs: readonly RequestRun[],
 ): readonly string[] {
-  const byId = groupBy(runs, run => run.requestId);
+  const byId = groupBy(runs, run => run.label);
   return [...byId].filter(([, same]) => same.length > 1).map(([id]) => id);
 }
 
