--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -8,14 +8,13 @@
 import {dominantShare, countFits} from './amounts.js';
 import {policyOf, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
-import type {Hold} from './holds.js';
+import {MAX_HOLD_MS, type Hold} from './holds.js';
 import {flush, newAsk, startAll} from './place-waiting.js';
 import type {PlacementAsk} from './placement-policy.js';
 import {
   isUsable,
   type JobState,
   type RunningTask,
-  type TeamState,
   type WorkerState,
 } from './state.js';
 import type {WaitClass} from './wait-class.js';
@@ -24,8 +23,9 @@
 const MAX_RESERVATIONS = 4;
 /** How long a job waits before room is held for it. */
 const RESERVE_AFTER_MS = 3_000;
-/** How long room is held at most, and how long a job then goes without. */
-const MAX_HOLD_MS = 60_000;
+/** How long a job of a team above its share waits before that. */
+const OVERDUE_MS = 30_000;
+/** How long a job goes without a hold after one that was of no use. */
 const HOLD_PAUSE_MS = 30_000;
 /** A task is large where it takes this part of the largest worker. */
 const LARGE_PART = 0.25;
@@ -76,7 +76,7 @@
 ): boolean {
   const {state} = hold;
   const tier = hold.isUrgent ? 'urgent' : 'all';
-  const own = core.holds.roomOf(state.job.jobId);
+  const own = core.holds.claimOf(state.job.jobId);
   const base = newAsk(core, state, waitClass, tier);
   const ask: PlacementAsk = {...base, size: hold.size, own};
   if (!core.teams.canStart(state.team, ask.size, ask.count)) return false;
@@ -119,11 +119,14 @@
 function oldestHardClass(core: EngineCore): WaitClass | undefined {
   let oldest: WaitClass | undefined;
   let oldestMs = core.nowMs - RESERVE_AFTER_MS;
-  for (const team of core.teams.values()) {
-    for (const waitClass of team.waiting.values()) {
+  for (const need of core.needs.values()) {
+    if (need.gangSize <= 1 && !core.cell.isLarge(need.size, LARGE_PART)) {
+      continue;
+    }
+    for (const waitClass of need.classes) {
       const first = waitClass.first();
       if (first === undefined || first.job.acceptedMs > oldestMs) continue;
-      if (!mayReserve(core, team, waitClass, first)) continue;
+      if (!mayReserve(core, waitClass, first)) continue;
       oldest = waitClass;
       oldestMs = first.job.acceptedMs;
     }
@@ -133,17 +136,15 @@
 
 function mayReserve(
   core: EngineCore,
-  team: TeamState,
   waitClass: WaitClass,
   state: JobState,
 ): boolean {
   if (state.noHoldUntilMs > core.nowMs) return false;
   if (core.holds.get(state.job.jobId) !== undefined) return false;
-  const {gangSize} = waitClass.kind;
-  const isHard = gangSize > 1 || core.cell.isLarge(waitClass.size, LARGE_PART);
-  if (!isHard) return false;
-  const count = Math.max(1, gangSize);
+  const {team} = waitClass;
+  const count = Math.max(1, waitClass.kind.gangSize);
   if (!core.teams.canStart(team, waitClass.size, count)) return false;
+  if (core.nowMs - state.job.acceptedMs > OVERDUE_MS) return true;
   return dominantShare(team.used, core.teams.total) <= team.fair;
 }
 
@@ -195,10 +196,8 @@
   const {job} = running.job;
   if (running.isStopping) return core.nowMs;
   if (job.isService) return Infinity;
-  const elapsedMs = core.nowMs - running.startedMs;
-  const runMs = core.estimates.runMsOf(job.queue, job.team, job.runMs);
-  if (elapsedMs < runMs && Number.isFinite(runMs)) {
-    return running.startedMs + runMs;
-  }
-  return core.nowMs + Math.max(SHORTEST_REST_MS, elapsedMs);
+  const {startedMs, expectedMs} = running;
+  const endMs = startedMs + expectedMs;
+  if (Number.isFinite(endMs) && endMs > core.nowMs) return endMs;
+  return core.nowMs + Math.max(SHORTEST_REST_MS, core.nowMs - startedMs);
 }
