--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -4,6 +4,7 @@
 import {
   Balancer,
   CallerClient,
+  readShard,
   Rig,
   type TeamKey,
 } from '@dragonflyward/standins';
@@ -90,9 +91,10 @@
   show: ShowProgress,
 ): Promise<void> {
   await sleep(KILL_AFTER_MS);
-  const [victim] = rig.entries;
-  if (victim !== undefined) await rig.kill('scheduler', victim.id);
-  show(`killed the scheduler on ${victim?.id ?? ''}`);
+  const [domain = ''] = DEMO_FLEET.domains;
+  const {owner} = await readShard(rig.log, domain);
+  if (owner !== null) await rig.kill('scheduler', owner.vm);
+  show(`killed the owner of ${domain}`);
   await sleep(LOAD_MS - KILL_AFTER_MS);
   const sent = loads.reduce((sum, load) => sum + load.sent, 0);
   show(`${sent} requests sent`);
--- a/packages/demo/test/entry-failure.process.test.ts
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -38,6 +38,7 @@
 async function expectRefusedEverywhere(key: TeamKey): Promise<void> {
   await cell.rig.operator.withdraw(key);
   await sleep(WITHDRAWAL_BOUND_MS);
+  assert.ok(await isTaken(cell.rig.entries.at(-1)?.id ?? '', cell.key));
   const endMs = performance.now() + AFTER_WITHDRAWAL_MS;
   while (performance.now() < endMs) {
     for (const {id} of cell.rig.entries) {
