--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {readBytes, sendJson} from '@dragonflyward/common';
+import {Connections, mute, MUTE_PATH} from './service.js';
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -71,8 +72,11 @@
   /** Makes the server of this executor. */
   makeServer(): http.Server {
     const server = http.createServer((req, res) => {
+      if (muted.isMuted(req.socket)) return;
+      if (req.url === MUTE_PATH) return mute(muted, req, res);
       this.route(req, res).catch(() => req.socket.destroy());
     });
+    const muted = new Connections(server);
     server.on('connection', socket => {
       this.connections += 1;
       this.maxConnections = Math.max(this.maxConnections, this.connections);
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -158,6 +158,11 @@
     return postAdmin(`${this.logUrl}/admin`, change);
   }
 
+  /** Silences the open connections of the log service. */
+  muteLog(): Promise<void> {
+    return postAdmin(`${this.logUrl}/admin/mute`, {});
+  }
+
   switchVms(change: VmsSwitches): Promise<void> {
     return postAdmin(`${this.vmsUrl}/admin`, change);
   }
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -1,7 +1,11 @@
 /** Small HTTP servers of which a fault switch decides how they answer. */
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import {raise, readJson, sendJson, toFailure} from '@dragonflyward/common';
 
+/** Silences the open connections of a stand-in. */
+export const MUTE_PATH = '/admin/mute';
+
 /** A call as a stand-in sees it. */
 export interface Call {
   readonly method: string;
@@ -36,6 +40,29 @@
   abstract handle(call: Call): Promise<Reply>;
 }
 
+/** The open connections of a server, some of which have gone silent. */
+export class Connections {
+  private readonly open = new Set<Socket>();
+  private readonly muted = new WeakSet<Socket>();
+
+  constructor(server: http.Server) {
+    server.on('connection', socket => {
+      this.open.add(socket);
+      socket.once('close', () => this.open.delete(socket));
+    });
+  }
+
+  /** Whether nothing that comes on this connection may be heard. */
+  isMuted(socket: Socket): boolean {
+    return this.muted.has(socket);
+  }
+
+  /** Silences all connections but one; later ones work. */
+  muteOthers(than: Socket): void {
+    for (const socket of this.open) if (socket !== than) this.muted.add(socket);
+  }
+}
+
 /**
  * Serves a stand-in.
  *
@@ -48,11 +75,24 @@
   service: Service,
 ): Promise<void> {
   const server = http.createServer((req, res) => {
+    if (connections.isMuted(req.socket)) return;
+    if (req.url === MUTE_PATH) return mute(connections, req, res);
     void answer(service, req, res);
   });
+  const connections = new Connections(server);
   await listen(server, ip, port);
 }
 
+/** Silences the open connections of a server but for the caller's. */
+export function mute(
+  connections: Connections,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): void {
+  connections.muteOthers(req.socket);
+  sendJson(res, 200, {});
+}
+
 /** Waits until a server listens. */
 export function listen(
   server: http.Server,
--- a/packages/standins/src/targets.ts
+++ b/packages/standins/src/targets.ts
@@ -52,6 +52,13 @@
     return postAdmin(adminOf(this.vmOf(id)), change);
   }
 
+  /** Silences the open connections of all targets of a kind. */
+  async muteConnections(kind: TargetKind): Promise<void> {
+    for (const vm of this.vms) {
+      if (vm.kind === kind) await postAdmin(`${adminOf(vm)}/mute`, {});
+    }
+  }
+
   /** Ends all faults. */
   async mend(): Promise<void> {
     for (const vm of this.vms) {
