Replay recorded traces; trust right declarations; hold for teams kept below

Cause, found by the traces: reservations were raised above what was declared rightly (p95 times a margin), which cost packing; small work took each bit of room before a team with larger tasks came to its share; a gang whose tasks were stopped came back in pieces; a broken job in a quiet shard made the whole fleet look bad; a worker's old successes hid its failures.

--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -11,13 +11,16 @@
 const RAISE_SAMPLES = 2;
 const LOWER_SAMPLES = 5;
 /** What is reserved beyond the largest use that was measured. */
-const PEAK_MARGIN = 1.2;
+const CPU_MARGIN = 1.05;
+const MEM_MARGIN = 1.2;
 /** A reservation is lowered only where this part of it would do. */
-const LOWER_PART = 0.7;
-/** Use at this part of the reservation counts as held back by its cap. */
+const LOWER_PART = 0.85;
+/** Use at this part of the reservation may be held back by its cap. */
 const CAPPED_PART = 0.95;
-/** How much more a task that is held back may want. */
-const CAPPED_FACTOR = 1.25;
+/** How much more a task that may be held back gets to try. */
+const PROBE_FACTOR = 1.5;
+/** It tries again only where it used this much more than before. */
+const PROBE_AGAIN_FACTOR = 1.4;
 /** How long a reservation stays as it was set. */
 const RESIZE_PAUSE_MS = 5_000;
 
@@ -45,21 +48,21 @@
   sample: UsageSample,
 ): void {
   const {job} = running.job;
-  const {size} = running.task;
-  const cpuMilli = uncapped(sample.cpuMilli, size.cpuMilli);
-  const {memMb} = sample;
+  const {cpuMilli, memMb} = sample;
   running.peakCpuMilli = Math.max(running.peakCpuMilli, cpuMilli);
   running.peakMemMb = Math.max(running.peakMemMb, memMb);
   running.sampleCount += 1;
   const {queue, team, size: declared} = job;
   core.estimates.noteUse({queue, team, declared, cpuMilli, memMb});
   core.toReview.add(running);
+  if (mayBeCapped(running, cpuMilli)) core.toProbe.add(running);
 }
 
-/** A task at its cap of processor time may want more than was measured. */
-function uncapped(used: number, reserved: number): number {
-  const isCapped = reserved > 0 && used >= reserved * CAPPED_PART;
-  return isCapped ? used * CAPPED_FACTOR : used;
+/** Whether a task uses all processor time that it may use. */
+function mayBeCapped(running: RunningTask, cpuMilli: number): boolean {
+  const reserved = running.task.size.cpuMilli;
+  if (reserved === 0 || cpuMilli < reserved * CAPPED_PART) return false;
+  return reserved >= running.probedCpuMilli * PROBE_AGAIN_FACTOR;
 }
 
 /**
@@ -78,9 +81,36 @@
   }
 }
 
+/**
+ * Lets tasks that may be held back by their cap use more, where room is free
+ * that no waiting work could take.
+ *
+ * @example
+ * yield* probeReservations(core);
+ */
+export function* probeReservations(core: EngineCore): Generator<Decision> {
+  for (const running of core.toProbe) {
+    core.toProbe.delete(running);
+    if (core.cell.tasks.get(running.task.taskId) !== running) continue;
+    if (running.isStopping || isSettled(core, running)) continue;
+    const {size} = running.task;
+    const cpuMilli = Math.ceil(size.cpuMilli * PROBE_FACTOR);
+    const wanted = {...size, cpuMilli};
+    if (!mayRaise(core, running, wanted)) continue;
+    running.probedCpuMilli = size.cpuMilli;
+    resize(core, running, wanted);
+    yield* flush(core);
+  }
+}
+
+/** Whether a reservation was changed too lately, or too little is known. */
+function isSettled(core: EngineCore, running: RunningTask): boolean {
+  if (core.nowMs - running.resizedMs < RESIZE_PAUSE_MS) return true;
+  return running.sampleCount < RAISE_SAMPLES;
+}
+
 function adjust(core: EngineCore, running: RunningTask): void {
-  if (core.nowMs - running.resizedMs < RESIZE_PAUSE_MS) return;
-  if (running.sampleCount < RAISE_SAMPLES) return;
+  if (isSettled(core, running)) return;
   const wanted = wantedSize(running);
   const {size} = running.task;
   if (isSameSize(wanted, size)) return;
@@ -98,17 +128,23 @@
 /** What the task should reserve; unchanged parts stay as they are. */
 function wantedSize(running: RunningTask): Resources {
   const {size} = running.task;
-  const mayLower = running.sampleCount >= LOWER_SAMPLES;
+  const {peakCpuMilli, peakMemMb, sampleCount} = running;
+  const mayLower = sampleCount >= LOWER_SAMPLES;
+  const wantedCpu = Math.ceil(peakCpuMilli * CPU_MARGIN);
+  const wantedMem = Math.ceil(peakMemMb * MEM_MARGIN);
+  const isShort = peakMemMb > size.memMb;
   return {
     ...size,
-    cpuMilli: fitPart(running.peakCpuMilli, size.cpuMilli, mayLower),
-    memMb: fitPart(running.peakMemMb, size.memMb, mayLower),
+    cpuMilli: lowerPart(size.cpuMilli, wantedCpu, mayLower),
+    memMb: isShort ? wantedMem : lowerPart(size.memMb, wantedMem, mayLower),
   };
 }
 
-function fitPart(peak: number, reserved: number, mayLower: boolean): number {
-  const wanted = Math.ceil(peak * PEAK_MARGIN);
-  if (peak > reserved) return wanted;
+function lowerPart(
+  reserved: number,
+  wanted: number,
+  mayLower: boolean,
+): number {
   const isMuchLess = wanted < reserved * LOWER_PART;
   return mayLower && isMuchLess ? Math.max(1, wanted) : reserved;
 }
@@ -129,6 +165,8 @@
 function resize(core: EngineCore, running: RunningTask, size: Resources): void {
   core.cell.resize(running, size);
   running.resizedMs = core.nowMs;
+  running.sampleCount = 0;
+  running.peakCpuMilli = 0;
   const {taskId, workerId} = running.task;
   core.outbox.push({kind: 'resize', taskId, workerId, size});
 }
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -50,6 +50,7 @@
     const lost = [...state.tasks];
     for (const running of lost) this.release(running);
     this.workers.delete(workerId);
+    state.worker = {...state.worker, condition: 'leaving'};
     this.refreshTotal();
     return lost;
   }
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -86,6 +86,8 @@
   reservedAtMs: number;
   /** Running tasks whose use was measured since they were last reviewed. */
   readonly toReview: Set<RunningTask>;
+  /** Running tasks that may be held back by their cap. */
+  readonly toProbe: Set<RunningTask>;
 }
 
 /** The priorities from the most to the least urgent. */
@@ -138,6 +140,7 @@
     fairAtMs: -Infinity,
     reservedAtMs: -Infinity,
     toReview: new Set(),
+    toProbe: new Set(),
   };
 }
 
@@ -208,6 +211,7 @@
     peakCpuMilli: 0,
     peakMemMb: 0,
     sampleCount: 0,
+    probedCpuMilli: 0,
     resizedMs: core.nowMs,
   };
   core.cell.charge(running);
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,5 +1,5 @@
 /** The stages of a decision, in their order. */
-import {adjustReservations} from './adjust.js';
+import {adjustReservations, probeReservations} from './adjust.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {refreshFairShares} from './fair-shares.js';
@@ -37,6 +37,7 @@
     if (core.features.preempts) yield* reclaimShares(core);
   }
   yield* placeWaiting(core, 'all');
+  yield* probeReservations(core);
 }
 
 function retryWorkers(core: EngineCore): void {
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -13,7 +13,11 @@
 const SIZE_PERCENTILE = 95;
 const RUN_PERCENTILE = 75;
 /** What is reserved beyond the percentile. */
-const SIZE_MARGIN = 1.15;
+const CPU_MARGIN = 1.05;
+const MEM_MARGIN = 1.15;
+/** Between these, the declared size is taken as it is. */
+const LOWEST_TRUE_RATIO = 0.85;
+const HIGHEST_TRUE_RATIO = 1.05;
 /** Steps of a reservation in each doubling, so that few sizes differ. */
 const STEPS_PER_DOUBLING = 8;
 
@@ -151,8 +155,8 @@
 /** Returns whether the sizes have changed. */
 function refreshFactors(estimate: Estimate): boolean {
   estimate.runFactor = estimate.run.read() || 1;
-  const cpuFactor = factorOf(estimate.cpu.read());
-  const memFactor = factorOf(estimate.mem.read());
+  const cpuFactor = factorOf(estimate.cpu.read(), CPU_MARGIN);
+  const memFactor = factorOf(estimate.mem.read(), MEM_MARGIN);
   const isSame =
     cpuFactor === estimate.cpuFactor && memFactor === estimate.memFactor;
   if (isSame) return false;
@@ -163,8 +167,9 @@
 }
 
 /** The factor on the declared size, rounded up to the next step. */
-function factorOf(ratio: number): number {
+function factorOf(ratio: number, margin: number): number {
   if (ratio === 0) return 1;
-  const steps = Math.log2(ratio * SIZE_MARGIN) * STEPS_PER_DOUBLING;
+  if (ratio >= LOWEST_TRUE_RATIO && ratio <= HIGHEST_TRUE_RATIO) return 1;
+  const steps = Math.log2(ratio * margin) * STEPS_PER_DOUBLING;
   return 2 ** (Math.ceil(steps) / STEPS_PER_DOUBLING);
 }
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -18,6 +18,7 @@
 /** How much dearer a stop is than that of a plain batch task. */
 const NORMAL_COST_FACTOR = 8;
 const SERVICE_COST_FACTOR = 4;
+const WITHIN_SHARE_COST_FACTOR = 4;
 
 /** Workers between which a search has the choice. */
 const MIN_OFFERS = 8;
@@ -205,8 +206,10 @@
   const tasks = job.isGang ? running.job.running.size : 1;
   const priority = queue.priority === 'batch' ? 1 : NORMAL_COST_FACTOR;
   const service = job.isService ? SERVICE_COST_FACTOR : 1;
+  const {keptShare, fair} = running.job.team;
+  const share = keptShare > fair ? 1 : WITHIN_SHARE_COST_FACTOR;
   const sizeMb = Math.max(1, running.task.size.memMb);
-  return sizeMb * tasks * priority * service;
+  return sizeMb * tasks * priority * service * share;
 }
 
 /** Marks tasks as told to stop, with the rest of their gangs. */
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -26,6 +26,8 @@
 /** How long a team below its share waits before it takes room back. */
 const RECLAIM_AFTER_MS = 10_000;
 const RECLAIM_HOLD_MS = 10_000;
+/** What a team keeps of its share when a gang, which needs all, takes room. */
+const GANG_VICTIM_PART = 0.9;
 /** A team that lacks less of a task than this is at its share. */
 const RECLAIM_TASK_PART = 0.5;
 
@@ -99,7 +101,7 @@
 
 function isAnyAboveShare(core: EngineCore): boolean {
   for (const team of core.teams.values()) {
-    if (team.keptShare > team.fair) return true;
+    if (isBorrowing(team)) return true;
   }
   return false;
 }
@@ -192,10 +194,16 @@
   return job.isIdempotent && queue.priority !== 'urgent';
 }
 
+/** A team within its share may take room from all, else from borrowers. */
 function mayStopForUrgent(state: JobState, running: RunningTask): boolean {
   if (!isStoppable(running)) return false;
   const {team} = running.job;
-  return team === state.team || team.keptShare > team.fair;
+  if (team === state.team || isBorrowing(team)) return true;
+  return !isBorrowing(state.team);
+}
+
+function isBorrowing(team: TeamState): boolean {
+  return team.keptShare > team.fair;
 }
 
 function mayStopForShare(
@@ -206,9 +214,10 @@
   if (!isStoppable(running)) return false;
   const {team} = running.job;
   if (team === state.team) return false;
-  if (team.keptShare <= team.fair) return false;
+  const least = state.job.isGang ? team.fair * GANG_VICTIM_PART : team.fair;
+  if (team.keptShare <= least) return false;
   const size = dominantShare(running.task.size, core.teams.total);
-  return team.keptShare - size >= team.fair;
+  return team.keptShare - size >= least;
 }
 
 function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
--- a/packages/policy/src/replay-record.ts
+++ b/packages/policy/src/replay-record.ts
@@ -42,12 +42,13 @@
   starts = 0;
   preemptions = 0;
   resizes = 0;
+  /** The largest part of a worker's memory that tasks were seen to use. */
+  worstUse = 0;
   private readonly progress = new Map<string, Progress>();
   private readonly submitted = new Map<string, PolicyJob>();
   private readonly names = new Map<string, string>();
   private readonly firstStarts = new Set<string>();
   private readonly attainment = new Map<string, Attainment>();
-  private readonly cancelled = new Set<string>();
   private readonly total: Resources;
   private packingSum = 0;
   private packingCount = 0;
@@ -75,10 +76,6 @@
     this.setAsideJobs.add(this.names.get(jobId) ?? jobId);
   }
 
-  noteCancelled(name: string): void {
-    this.cancelled.add(name);
-  }
-
   noteDecision(decision: Decision, nowMs: number): void {
     if (decision.kind === 'start') this.noteStart(decision.task, nowMs);
     if (decision.kind === 'preempt') this.preemptions += 1;
--- a/packages/policy/src/replay.ts
+++ b/packages/policy/src/replay.ts
@@ -220,7 +220,6 @@
       const placed = this.engine.cancel(jobId);
       for (const task of placed) this.end(task.taskId, 'notRunning');
     }
-    this.record.noteCancelled(name);
   }
 
   private leave(workerId: string): void {
@@ -251,6 +250,20 @@
       const memMb = source.size.memMb * factor;
       samples.push({taskId: task.taskId, cpuMilli, memMb});
     }
+    this.noteUse();
     this.engine.learn(samples, this.nowMs);
   }
+
+  /** Notes how much memory all tasks of a worker use in truth. */
+  private noteUse(): void {
+    const memMb = new Map<string, number>();
+    for (const {task, source} of this.running.values()) {
+      const used = source.size.memMb * (source.useFactor ?? 1);
+      memMb.set(task.workerId, (memMb.get(task.workerId) ?? 0) + used);
+    }
+    for (const {workerId, capacity} of workersOf(this.trace)) {
+      const part = (memMb.get(workerId) ?? 0) / capacity.memMb;
+      this.record.worstUse = Math.max(this.record.worstUse, part);
+    }
+  }
 }
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -15,14 +15,19 @@
   isUsable,
   type JobState,
   type RunningTask,
+  type TeamState,
   type WorkerState,
 } from './state.js';
+import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
+import {rankOf} from './waiting-list.js';
 
 /** Jobs for which room is held at one time, apart from urgent ones. */
 const MAX_RESERVATIONS = 4;
 /** How long a job waits before room is held for it. */
 const RESERVE_AFTER_MS = 3_000;
+/** How long a team below its share starts nothing before room is held. */
+const BELOW_SHARE_MS = 1_000;
 /** How long a job of a team above its share waits before that. */
 const OVERDUE_MS = 30_000;
 /** How long a job goes without a hold after one that was of no use. */
@@ -86,8 +91,8 @@
 }
 
 /**
- * Holds room for the job that has waited longest of those that small work
- * would keep from starting.
+ * Holds room for those that small work would keep from starting: gangs and
+ * large tasks by their age, and the teams furthest below their share.
  *
  * @example
  * reserveForBlocked(core);
@@ -96,16 +101,29 @@
   let free = MAX_RESERVATIONS;
   for (const hold of core.holds.values()) if (!hold.isUrgent) free -= 1;
   if (free <= 0) return;
-  const waitClass = oldestHardClass(core);
-  const state = waitClass?.first();
-  if (waitClass === undefined || state === undefined) return;
+  const hard = oldestHardClass(core);
+  if (hard !== undefined && reserve(core, hard)) free -= 1;
+  const order = new TeamOrder(teamsKeptBelow(core));
+  for (; free > 0; free -= 1) {
+    const team = order.first();
+    if (team === undefined) return;
+    order.dropFirst();
+    const waitClass = dueClassOf(core, team);
+    if (waitClass !== undefined) reserve(core, waitClass);
+  }
+}
+
+/** Holds room for the first job of a class; returns whether it could. */
+function reserve(core: EngineCore, waitClass: WaitClass): boolean {
+  const state = waitClass.first();
+  if (state === undefined) return false;
   const count = state.job.isGang ? state.pending.size : 1;
   const openings = soonestOpenings(core, waitClass, count);
   const last = openings.at(-1);
   const untilMs = core.nowMs + MAX_HOLD_MS;
   if (openings.length < count || last === undefined || last.atMs > untilMs) {
     state.noHoldUntilMs = core.nowMs + HOLD_PAUSE_MS;
-    return;
+    return false;
   }
   const slots = new Map<WorkerState, number>();
   for (const {worker} of openings) {
@@ -114,6 +132,33 @@
   const {size} = waitClass;
   const fromMs = last.atMs;
   core.holds.add({state, size, isUrgent: false, fromMs, untilMs, slots});
+  return true;
+}
+
+/** Teams that lack at least one task, though others start work. */
+function* teamsKeptBelow(core: EngineCore): Generator<TeamState> {
+  for (const team of core.teams.values()) {
+    if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
+    if (core.nowMs - team.startedMs >= BELOW_SHARE_MS) yield team;
+  }
+}
+
+/** The class whose turn it is of those whose next task is due. */
+function dueClassOf(core: EngineCore, team: TeamState): WaitClass | undefined {
+  let next: WaitClass | undefined;
+  let nextRank = Infinity;
+  for (const waitClass of team.waiting.values()) {
+    const first = waitClass.first();
+    if (first === undefined) continue;
+    const rank = rankOf(core, waitClass, first.job.acceptedMs);
+    if (rank >= nextRank) continue;
+    const size = dominantShare(waitClass.size, core.teams.total);
+    if (team.keptShare + size > team.fair) continue;
+    if (!mayReserve(core, waitClass, first)) continue;
+    next = waitClass;
+    nextRank = rank;
+  }
+  return next;
 }
 
 function oldestHardClass(core: EngineCore): WaitClass | undefined {
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -94,6 +94,7 @@
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
     this.core.cell.release(running);
     noteEnd(this.core, running, end);
+    this.readmit(running.job);
     this.forgetIfIdle(running.job);
   }
 
@@ -180,6 +181,12 @@
     if (isWaiting) enqueue(this.core, state);
   }
 
+  /** Lets the rest of a gang wait whose last stopping task has ended. */
+  private readmit(state: JobState): void {
+    if (!state.job.isGang || state.waitClass !== null) return;
+    if (state.setAsideReason === '') admit(this.core, state);
+  }
+
   private forgetIfIdle(state: JobState): void {
     if (state.pending.size > 0 || state.running.size > 0) return;
     this.core.holds.remove(state.job.jobId);
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -92,6 +92,8 @@
   peakCpuMilli: number;
   peakMemMb: number;
   sampleCount: number;
+  /** What it reserved before it last got more to try; 0 where it did not. */
+  probedCpuMilli: number;
   /** When its reservation was last changed. */
   resizedMs: number;
 }
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -7,8 +7,8 @@
 /** Distinct workers on which a job, or one task, fails before it is set aside. */
 const MAX_JOB_WORKERS = 3;
 const MAX_TASK_WORKERS = 5;
-/** Above this failure rate of the fleet, failures don't speak against a job. */
-const MAX_FLEET_RATE = 0.5;
+/** Where more of the other jobs fail, failures don't speak against a job. */
+const MAX_OTHERS_RATE = 0.5;
 
 /**
  * Learns from the end of a task whose room is free again.
@@ -60,12 +60,21 @@
  */
 export function admit(core: EngineCore, state: JobState): void {
   const [first] = state.pending;
-  if (first === undefined) return;
+  if (first === undefined || isGangStopping(state)) return;
   const reason = hopelessReason(core, state, first);
   if (reason === '') enqueue(core, state);
   else setAside(core, state, reason);
 }
 
+/** A gang waits whole: not before all tasks that were told to stop ended. */
+function isGangStopping(state: JobState): boolean {
+  if (!state.job.isGang) return false;
+  for (const running of state.running.values()) {
+    if (running.isStopping) return true;
+  }
+  return false;
+}
+
 /** Sets a job aside that fails wherever it runs. */
 function judgeJob(core: EngineCore, state: JobState, taskIndex: number): void {
   if (state.setAsideReason !== '') return;
@@ -107,7 +116,9 @@
   const isUnblamed =
     core.failures.workersOf(jobId).size === 0 &&
     core.failures.workersOfTask(jobId, taskIndex).size === 0;
-  if (isUnblamed || core.health.fleetRate() > MAX_FLEET_RATE) return '';
+  if (isUnblamed || core.health.jobFailureRate(jobId) > MAX_OTHERS_RATE) {
+    return '';
+  }
   const ofJob = countHealthy(core, core.failures.workersOf(jobId));
   const mostWorkers = Math.min(MAX_JOB_WORKERS, countUsable(core));
   if (ofJob >= Math.max(1, mostWorkers)) {
--- a/packages/policy/src/trace.ts
+++ b/packages/policy/src/trace.ts
@@ -60,6 +60,8 @@
   readonly setAside?: readonly string[];
   /** Workers that have to be set aside. */
   readonly workersSetAside?: readonly string[];
+  /** Whether measured use must stay within the capacity of each worker. */
+  readonly noUseAboveCapacity?: boolean;
   /** The least part of the scarcest resource reserved while work waits. */
   readonly minPacking?: number;
   /** How far below its share a team with demand may be on average. */
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -162,8 +162,14 @@
   return best;
 }
 
-/** Lower ranks are first; the time of acceptance decides within a step. */
-function rankOf(
+/**
+ * The place of a class in its team: lower ranks are first, and the time of
+ * acceptance decides within a step of age.
+ *
+ * @example
+ * const rank = rankOf(core, waitClass, first.job.acceptedMs);
+ */
+export function rankOf(
   core: EngineCore,
   waitClass: WaitClass,
   acceptedMs: number,
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -3,13 +3,15 @@
 import type {WorkerState} from './state.js';
 
 /** Ends of tasks on a worker that are looked at. */
-const WINDOW_ENDS = 16;
+const WINDOW_ENDS = 8;
 /** Failures, and different jobs among them, that speak against a worker. */
 const MIN_FAILURES = 4;
 const MIN_JOBS = 3;
 /** How far a worker's failure rate has to lie above that of the fleet. */
 const RATE_FACTOR = 3;
 const MIN_RATE = 0.5;
+/** Jobs of which it is kept that they have succeeded somewhere. */
+const MAX_GOOD_JOBS = 10_000;
 /** The part of the workers that may be set aside at once. */
 const MAX_ASIDE_PART = 1 / 3;
 /** How long a worker is set aside at first, and at most. */
@@ -30,12 +32,13 @@
 export class WorkerHealth {
   private readonly records = new Map<string, WorkerRecord>();
   private readonly aside = new Set<WorkerState>();
+  private readonly goodJobs = new Set<string>();
 
   /**
    * The mean failure rate of the workers; each counts alike, as one that
    * fails fast ends far more tasks than the others.
    */
-  fleetRate(except?: WorkerRecord): number {
+  private fleetRate(except: WorkerRecord): number {
     let sum = 0;
     let count = 0;
     for (const record of this.records.values()) {
@@ -46,6 +49,20 @@
     return count === 0 ? 0 : sum / count;
   }
 
+  /** The part of the jobs, but for one, of which a task failed of late. */
+  jobFailureRate(exceptJobId: string): number {
+    const failed = new Set<string>();
+    const ended = new Set<string>();
+    for (const {ends} of this.records.values()) {
+      for (const {jobId, isFailure} of ends) {
+        if (jobId === exceptJobId) continue;
+        ended.add(jobId);
+        if (isFailure) failed.add(jobId);
+      }
+    }
+    return ended.size === 0 ? 0 : failed.size / ended.size;
+  }
+
   /** Notes how a task ended; returns a decision where one follows. */
   noteEnd(
     state: WorkerState,
@@ -57,6 +74,7 @@
     record.ends.push(end);
     if (record.ends.length > WINDOW_ENDS) record.ends.shift();
     if (!end.isFailure) {
+      this.noteGoodJob(end.jobId);
       this.noteSuccess(state, record);
       return undefined;
     }
@@ -86,6 +104,14 @@
     this.aside.delete(state);
   }
 
+  private noteGoodJob(jobId: string): void {
+    this.goodJobs.delete(jobId);
+    this.goodJobs.add(jobId);
+    if (this.goodJobs.size <= MAX_GOOD_JOBS) return;
+    const [oldest] = this.goodJobs;
+    if (oldest !== undefined) this.goodJobs.delete(oldest);
+  }
+
   private noteSuccess(state: WorkerState, record: WorkerRecord): void {
     if (!state.isOnProbation) return;
     state.isOnProbation = false;
@@ -119,7 +145,8 @@
     const failures = failuresOf(ends);
     if (failures.length < MIN_FAILURES) return false;
     const jobs = new Set(failures.map(end => end.jobId));
-    if (jobs.size < MIN_JOBS) return false;
+    const hasGoodJob = [...jobs].some(jobId => this.goodJobs.has(jobId));
+    if (jobs.size < MIN_JOBS && !hasGoodJob) return false;
     const rate = failures.length / ends.length;
     return rate >= Math.max(MIN_RATE, this.fleetRate(record) * RATE_FACTOR);
   }
--- /dev/null
+++ b/packages/policy/test/traces.test.ts
@@ -0,0 +1,85 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import {
+  FirstFitEngine,
+  Replay,
+  ShareEngine,
+  type ReplayRecord,
+  type ShareFeatures,
+  type Trace,
+} from '@dragonflyward/policy';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+
+const TRACES = new URL('../../test/traces/', import.meta.url);
+const test = suite('traces');
+
+function readTrace(file: string): Trace {
+  return JSON.parse(readFileSync(new URL(file, TRACES), 'utf8')) as Trace;
+}
+
+/** What a replay did against the stated outcome, one line each. */
+function* misses(trace: Trace, record: ReplayRecord): Generator<string> {
+  const {outcome} = trace;
+  for (const [name, bound] of Object.entries(outcome.maxWaitMs ?? {})) {
+    const waitMs = record.waitMs(name, 100);
+    if (waitMs > bound) yield `${name} waited ${waitMs} ms`;
+    const rest = record.neverStarted(name);
+    if (rest > 0) yield `${rest} tasks of ${name} never started`;
+  }
+  for (const name of outcome.succeed ?? []) {
+    const rest = record.unfinished(name);
+    if (rest > 0) yield `${rest} tasks of ${name} have not succeeded`;
+  }
+  if (record.packing < (outcome.minPacking ?? 0)) {
+    yield `packing was ${record.packing}`;
+  }
+  if (outcome.noUseAboveCapacity === true && record.worstUse > 1) {
+    yield `a worker's tasks used ${record.worstUse} of its memory`;
+  }
+  for (const [team, part] of record.attainments()) {
+    const least = 1 - (outcome.maxShareGap ?? 1);
+    if (part < least) yield `${team} had ${part} of its share`;
+  }
+}
+
+function assertSetAside(trace: Trace, record: ReplayRecord): void {
+  const {setAside, workersSetAside} = trace.outcome;
+  if (setAside) assert.equal([...record.setAsideJobs].sort(), setAside);
+  if (workersSetAside) {
+    assert.equal([...record.setAsideWorkers].sort(), workersSetAside);
+  }
+}
+
+for (const file of readdirSync(TRACES).sort()) {
+  test(`the outcome of ${file} holds`, () => {
+    const trace = readTrace(file);
+    const replay = new Replay(new ShareEngine(), trace);
+    const record = replay.run();
+    assert.equal([...misses(trace, record)], []);
+    assert.equal(replay.audit.breaches, []);
+    assertSetAside(trace, record);
+  });
+}
+
+/** Each outcome is one that an engine without the stage does not reach. */
+const COMPANIONS: readonly (readonly [string, keyof ShareFeatures])[] = [
+  ['valbrenta-day.json', 'preempts'],
+  ['mtindo-day.json', 'preempts'],
+];
+
+for (const [file, feature] of COMPANIONS) {
+  test(`without "${feature}" the outcome of ${file} does not hold`, () => {
+    const trace = readTrace(file);
+    const engine = new ShareEngine({features: {[feature]: false}});
+    const record = new Replay(engine, trace).run();
+    assert.ok([...misses(trace, record)].length > 0);
+  });
+}
+
+test('first come, first served does not keep shares on a full fleet', () => {
+  const trace = readTrace('full-fleet.json');
+  const record = new Replay(new FirstFitEngine(), trace).run();
+  assert.ok([...misses(trace, record)].length > 0);
+});
+
+test.run();
