Measure the relay; refuse what cannot be done in time

Requests were let in up to the very deadline, ran past it, and each then held its slot for one second.

Requests are now refused where less than their mean time is left, or where the estimate leaves less than a quarter of the deadline, and a ticket of unknown outcome counts for 200 ms after its run-by.

--- /dev/null
+++ b/packages/bench/src/relay-load.ts
@@ -0,0 +1,111 @@
+/** Loads for measurements of the relay. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Metrics} from '@dragonflyward/common';
+import type {RelayCall, RelayCell} from './relay-cell.js';
+
+const SECOND_MS = 1_000;
+const US_PER_MS = 1_000;
+const LATENCY = 'latency_us';
+
+/** What a load measured. */
+export interface LoadResult {
+  readonly perSecond: number;
+  readonly failed: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Counts answers and their latency. */
+class Tally {
+  private readonly metrics = new Metrics();
+  private answered = 0;
+  private failed = 0;
+
+  async add(sending: Promise<boolean>): Promise<void> {
+    const startMs = performance.now();
+    if (!(await sending)) {
+      this.failed += 1;
+      return;
+    }
+    this.answered += 1;
+    this.metrics.record(LATENCY, (performance.now() - startMs) * US_PER_MS);
+  }
+
+  result(durationMs: number): LoadResult {
+    const {answered, failed} = this;
+    return {
+      perSecond: round((answered * SECOND_MS) / durationMs),
+      failed,
+      p50Ms: this.quantileMs(50),
+      p99Ms: this.quantileMs(99),
+    };
+  }
+
+  private quantileMs(percent: number): number {
+    return round(this.metrics.quantile(LATENCY, percent) / US_PER_MS);
+  }
+}
+
+/** Chooses the next request of a load. */
+export type NextCall = (nth: number) => RelayCall;
+
+/**
+ * Keeps a number of requests open for a time.
+ *
+ * @example
+ * const peak = await closedLoop(cell, next, 32, 5_000);
+ */
+export async function closedLoop(
+  cell: RelayCell,
+  next: NextCall,
+  open: number,
+  durationMs: number,
+): Promise<LoadResult> {
+  const tally = new Tally();
+  const startMs = performance.now();
+  let sent = 0;
+  const task = async (): Promise<void> => {
+    while (performance.now() - startMs < durationMs) {
+      sent += 1;
+      await tally.add(cell.send(next(sent)));
+    }
+  };
+  await Promise.all(Array.from({length: open}, task));
+  return tally.result(performance.now() - startMs);
+}
+
+/**
+ * Sends several loads at a steady rate each, one after the other in turn, so
+ * that all meet the same state of the machine.
+ *
+ * @example
+ * const [direct, relayed] = await openLoops(cell, [toTarget, toGateway], 500, 5_000);
+ */
+export async function openLoops(
+  cell: RelayCell,
+  loads: readonly NextCall[],
+  perSecond: number,
+  durationMs: number,
+): Promise<readonly LoadResult[]> {
+  const tallies = loads.map(() => new Tally());
+  const sending: Promise<void>[] = [];
+  const startMs = performance.now();
+  const total = Math.floor((perSecond * durationMs) / SECOND_MS);
+  for (let i = 0; i < total; i += 1) {
+    const dueMs = startMs + (i * SECOND_MS) / perSecond;
+    const waitMs = dueMs - performance.now();
+    if (waitMs > 0) await sleep(waitMs);
+    for (const [at, next] of loads.entries()) {
+      const tally = tallies[at];
+      if (tally !== undefined) sending.push(tally.add(cell.send(next(i))));
+    }
+  }
+  const sentMs = performance.now() - startMs;
+  await Promise.all(sending);
+  return tallies.map(tally => tally.result(sentMs));
+}
+
+/** Rounds a figure for print. */
+export function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/packages/bench/src/relay.ts
@@ -0,0 +1,173 @@
+/** Measures the request path: throughput, added latency, overload, traffic. */
+import {RelayCell, type RelayCall} from './relay-cell.js';
+import {
+  closedLoop,
+  openLoops,
+  round,
+  type LoadResult,
+  type NextCall,
+} from './relay-load.js';
+
+const EXECUTORS = 6;
+const SLOTS = 8;
+const WARM_UP_MS = 3_000;
+const PEAK_MS = 5_000;
+const HALF_LOAD_MS = 8_000;
+const OVERLOAD_MS = 8_000;
+const OPEN_REQUESTS = 32;
+const WORK_MS = 50;
+const DEADLINE_MS = 1_000;
+const OVERLOAD_FACTOR = 2;
+const CROSS_REGION_REQUESTS = 500;
+const CROSS_REGION_BODY_BYTES = 1_024;
+const SECOND_MS = 1_000;
+
+type Print = (line: string) => void;
+
+/** Figures of the relay, for one number of gateways. */
+interface RelayFigures {
+  readonly gateways: number;
+  readonly direct: LoadResult;
+  readonly peak: LoadResult;
+  readonly ordersPeak: LoadResult;
+  readonly directHalf: LoadResult;
+  readonly relayedHalf: LoadResult;
+  readonly addedP50Ms: number;
+  readonly addedP99Ms: number;
+}
+
+/** Figures of twice the load that the executors can carry. */
+interface OverloadFigures {
+  readonly peakPerSecond: number;
+  readonly offeredPerSecond: number;
+  readonly goodputPerSecond: number;
+  readonly keptPercent: number;
+  readonly refused: number;
+  readonly p99Ms: number;
+}
+
+/**
+ * Runs the benchmark of the relay with separate processes.
+ *
+ * @example
+ * const figures = await benchRelay(line => console.log(line));
+ */
+export async function benchRelay(
+  print: Print,
+): Promise<Readonly<Record<string, unknown>>> {
+  const one = await withCell(1, cell => measureRelay(cell, 1, print));
+  const three = await withCell(3, cell => measureRelay(cell, 3, print));
+  const overload = await withCell(3, cell => measureOverload(cell, print));
+  const crossRegion = await measureCrossRegion(print);
+  return {one, three, overload, crossRegion};
+}
+
+async function withCell<T>(
+  gateways: number,
+  measure: (cell: RelayCell) => Promise<T>,
+): Promise<T> {
+  const cell = new RelayCell({
+    domains: ['north-1'],
+    entriesPerDomain: gateways,
+    executors: EXECUTORS,
+  });
+  try {
+    await cell.start();
+    return await measure(cell);
+  } finally {
+    await cell.stop();
+  }
+}
+
+function inTurn(
+  urls: readonly string[],
+  rest: Omit<RelayCall, 'url'>,
+): NextCall {
+  return nth => ({...rest, url: urls[nth % urls.length] ?? ''});
+}
+
+async function measureRelay(
+  cell: RelayCell,
+  gateways: number,
+  print: Print,
+): Promise<RelayFigures> {
+  const quote = {body: '{"echo":1}', isIdempotent: true, deadlineMs: 5_000};
+  const order = {...quote, isIdempotent: false};
+  const direct = inTurn(cell.executorUrls(), quote);
+  const relayed = inTurn(cell.gatewayUrls(), quote);
+  const orders = inTurn(cell.gatewayUrls(), order);
+  await closedLoop(cell, relayed, OPEN_REQUESTS, WARM_UP_MS);
+  const directPeak = await closedLoop(cell, direct, OPEN_REQUESTS, PEAK_MS);
+  const peak = await closedLoop(cell, relayed, OPEN_REQUESTS, PEAK_MS);
+  const ordersPeak = await closedLoop(cell, orders, OPEN_REQUESTS, PEAK_MS);
+  const half = peak.perSecond / 2;
+  const loads = [direct, relayed];
+  const halves = await openLoops(cell, loads, half, HALF_LOAD_MS);
+  const [directHalf = directPeak, relayedHalf = peak] = halves;
+  const addedP50Ms = round(relayedHalf.p50Ms - directHalf.p50Ms);
+  const addedP99Ms = round(relayedHalf.p99Ms - directHalf.p99Ms);
+  print(`${gateways} gateway(s): peak ${peak.perSecond} requests/s`);
+  print(`  orders with their own ids: ${ordersPeak.perSecond} requests/s`);
+  print(`  direct to executors: ${directPeak.perSecond} requests/s`);
+  print(`  half load: p50 +${addedP50Ms} ms, p99 +${addedP99Ms} ms`);
+  const latencies = {directHalf, relayedHalf, addedP50Ms, addedP99Ms};
+  return {gateways, direct: directPeak, peak, ordersPeak, ...latencies};
+}
+
+async function measureOverload(
+  cell: RelayCell,
+  print: Print,
+): Promise<OverloadFigures> {
+  const work = {
+    body: JSON.stringify({sleepMs: WORK_MS, echo: 1}),
+    isIdempotent: true,
+    deadlineMs: DEADLINE_MS,
+  };
+  const next = inTurn(cell.gatewayUrls(), work);
+  const slots = EXECUTORS * SLOTS;
+  await closedLoop(cell, next, slots, WARM_UP_MS);
+  const peak = await closedLoop(cell, next, slots + slots / 2, PEAK_MS);
+  const offered = OVERLOAD_FACTOR * peak.perSecond;
+  const [over = peak] = await openLoops(cell, [next], offered, OVERLOAD_MS);
+  const keptPercent = round((100 * over.perSecond) / peak.perSecond);
+  const ceiling = (slots * SECOND_MS) / WORK_MS;
+  print(`overload: peak ${peak.perSecond}/s (slots allow ${ceiling}/s)`);
+  print(`  ${round(offered)}/s offered: ${over.perSecond}/s in time`);
+  print(`  goodput kept: ${keptPercent} %, ${over.failed} refused`);
+  return {
+    peakPerSecond: peak.perSecond,
+    offeredPerSecond: round(offered),
+    goodputPerSecond: over.perSecond,
+    keptPercent,
+    refused: over.failed,
+    p99Ms: over.p99Ms,
+  };
+}
+
+/** The gateway of one region serves by the only executor, in another one. */
+async function measureCrossRegion(
+  print: Print,
+): Promise<Readonly<Record<string, number>>> {
+  const domains = ['north-1', 'south-1'];
+  const cell = new RelayCell({domains, entriesPerDomain: 1, executors: 1});
+  try {
+    await cell.start();
+    const padding = 'x'.repeat(CROSS_REGION_BODY_BYTES);
+    const body = JSON.stringify({echo: padding});
+    const call = {body, isIdempotent: true, deadlineMs: 5_000};
+    const [north, south] = cell.gatewayUrls();
+    const own = await trafficOf(cell, inTurn([north ?? ''], call));
+    const other = await trafficOf(cell, inTurn([south ?? ''], call));
+    print(`bytes across regions per request: ${own} in region, ${other} out`);
+    return {inRegionBytes: own, outOfRegionBytes: other};
+  } finally {
+    await cell.stop();
+  }
+}
+
+async function trafficOf(cell: RelayCell, next: NextCall): Promise<number> {
+  const before = await cell.counter('cross_region_bytes_total');
+  for (let i = 0; i < CROSS_REGION_REQUESTS; i += 1) await cell.send(next(i));
+  const after = await cell.counter('cross_region_bytes_total');
+  return round((after - before) / CROSS_REGION_REQUESTS);
+}
--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -172,21 +172,31 @@
     attempt: number,
   ): Promise<ExecutorAnswer> {
     const {clock, lifetime, silence} = this.parts;
-    const own = new AbortController();
     const boundMs = silence.boundMs(this.service);
-    const silent = new DragonflywardError('targetLost', 'no answer in time');
-    const timer = Number.isFinite(boundMs)
-      ? setTimeout(() => {
-          this.isRetryPaid = this.mayRetry(silent, body, attempt);
-          if (this.isRetryPaid) own.abort(silent);
-        }, boundMs)
-      : undefined;
     const sentMs = clock.monotonicMs();
+    const answer = Number.isFinite(boundMs)
+      ? await this.sendWithin(relay, body, attempt, boundMs)
+      : await relay.send(lifetime.signal);
+    silence.add(this.service, clock.monotonicMs() - sentMs);
+    return answer;
+  }
+
+  /** Gives a silent executor up where another attempt is allowed. */
+  private async sendWithin(
+    relay: RelayAttempt,
+    body: ExecutorBody,
+    attempt: number,
+    boundMs: number,
+  ): Promise<ExecutorAnswer> {
+    const own = new AbortController();
+    const timer = setTimeout(() => {
+      const silent = new DragonflywardError('targetLost', 'no answer in time');
+      this.isRetryPaid = this.mayRetry(silent, body, attempt);
+      if (this.isRetryPaid) own.abort(silent);
+    }, boundMs);
     try {
-      const signal = AbortSignal.any([lifetime.signal, own.signal]);
-      const answer = await relay.send(signal);
-      silence.add(this.service, clock.monotonicMs() - sentMs);
-      return answer;
+      const {lifetime} = this.parts;
+      return await relay.send(AbortSignal.any([lifetime.signal, own.signal]));
     } finally {
       clearTimeout(timer);
     }
@@ -198,11 +208,10 @@
     attempt: number,
   ): Promise<void> {
     const {lifetime, spec} = this.parts;
-    const hasFailed = isExecutorFailure(answer.status);
-    const failure = new DragonflywardError('targetLost', 'executor failure');
-    if (hasFailed && this.mayRetry(failure, body, attempt)) {
-      this.isRetryPaid = true;
-      throw failure;
+    if (isExecutorFailure(answer.status)) {
+      const failure = new DragonflywardError('targetLost', 'executor failure');
+      this.isRetryPaid = this.mayRetry(failure, body, attempt);
+      if (this.isRetryPaid) throw failure;
     }
     await relayAnswer(answer, this.res, spec.requestId, lifetime.signal);
   }
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -39,10 +39,12 @@
 /** How long after its grant the first byte of a request may be sent. */
 export const START_BY_MS = 1_000;
 /** How much later than the gateway the owner takes a ticket as run out. */
-const RUN_BY_MARGIN_MS = 1_000;
+const RUN_BY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
 /** The part of a queue's waiting room that one team may fill. */
 const TEAM_WAITING_PART = 0.5;
+/** The part of its deadline in which a request should be done. */
+const PLANNED_PART = 0.75;
 /** Used while no configuration gives the longest deadline. */
 const DEFAULT_MAX_DEADLINE_MS = 60_000;
 const FIRST_TERM = 1;
@@ -271,7 +273,7 @@
     const slots = this.slots.slotsOf(service);
     const situation = {ahead, free, slots};
     const doneInMs = this.estimate.doneInMs(service, situation);
-    if (doneInMs <= ask.deadlineMs) return;
+    if (doneInMs <= ask.deadlineMs * PLANNED_PART) return;
     raise('deadlineUnmet', `${ahead} requests of ${service} come before`);
   }
 
@@ -369,7 +371,18 @@
     return [...this.order.waiters()].length;
   }
 
+  /** A request that could not be done in time would only take up a slot. */
+  private refuseLate(): void {
+    const needMs = (waiter: Waiter): number =>
+      this.estimate.holdMs(waiter.ask.service);
+    for (const waiter of this.order.takeLate(needMs)) {
+      const {queue} = waiter.ask;
+      waiter.refuse(new DragonflywardError('deadlineUnmet', queue));
+    }
+  }
+
   private grantWaiting(): void {
+    this.refuseLate();
     this.queue.concurrency = Infinity;
   }
 
@@ -382,10 +395,7 @@
 
   private sweep(): void {
     this.slots.dropExpired();
-    for (const waiter of this.order.takeExpired()) {
-      const {queue} = waiter.ask;
-      waiter.refuse(new DragonflywardError('deadlineUnmet', queue));
-    }
+    this.refuseLate();
     this.grantWaiting();
   }
 }
--- a/packages/scheduler/src/ticket-estimate.ts
+++ b/packages/scheduler/src/ticket-estimate.ts
@@ -35,6 +35,13 @@
     this.holdTimes.set(service, {meanMs, samples: before.samples + 1});
   }
 
+  /** How long a ticket is held, as a mean; 0 while too little is known. */
+  holdMs(service: string): number {
+    const hold = this.holdTimes.get(service);
+    if (hold === undefined || hold.samples < MIN_SAMPLES) return 0;
+    return hold.meanMs;
+  }
+
   /**
    * Tells when the request would probably be done, in milliseconds from now;
    * 0 while too little is known.
@@ -43,11 +50,9 @@
    * if (estimate.doneInMs('quote', situation) > ask.deadlineMs) refuse();
    */
   doneInMs(service: string, situation: WaitSituation): number {
-    const hold = this.holdTimes.get(service);
-    if (hold === undefined || hold.samples < MIN_SAMPLES) return 0;
     const {ahead, free, slots} = situation;
     const turns = Math.max(0, ahead + 1 - free) / Math.max(1, slots);
     if (turns === 0) return 0;
-    return (turns + 1) * hold.meanMs;
+    return (turns + 1) * this.holdMs(service);
   }
 }
--- a/packages/scheduler/src/ticket-order.ts
+++ b/packages/scheduler/src/ticket-order.ts
@@ -97,10 +97,10 @@
     return;
   }
 
-  /** Takes out the requests whose time has run out. */
-  takeExpired(): readonly Waiter[] {
+  /** Takes out the requests that have less time left than they need. */
+  takeLate(needMs: (waiter: Waiter) => number): readonly Waiter[] {
     const nowMs = this.clock.monotonicMs();
-    return this.takeWhere(waiter => waiter.untilMs <= nowMs);
+    return this.takeWhere(waiter => waiter.untilMs - nowMs <= needMs(waiter));
   }
 
   /** Takes out all requests. */
