Let gateways and former owners tell a new home of the claims they know

A new owner takes in the claims of all gateways with their open tickets, and vouches at once when every gateway that is listed has answered and has run for 15 s; else after 15 s.

--- a/packages/caller/src/gateway-peers.ts
+++ b/packages/caller/src/gateway-peers.ts
@@ -4,6 +4,7 @@
   PeerHandler,
   type Heartbeat,
   type Hello,
+  type PassedClaim,
   type PeerAsk,
   type PeerConnection,
   type PeerInfo,
@@ -19,6 +20,8 @@
   readonly events: EventRing;
   readonly owners: OwnerDirectory;
   readonly book: TicketBook;
+  readonly claimsAt: (shard: string) => readonly PassedClaim[];
+  readonly upMs: () => number;
   readonly configOffset: () => number;
   readonly isDraining: () => boolean;
   /** Called with the shards of an owner after each of its heartbeats. */
@@ -48,7 +51,9 @@
   override answer(_from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
     if (ask.type !== 'openTicketsAsk') return raise('badRequest', ask.type);
     const tickets = this.parts.book.list(ask);
-    return Promise.resolve({type: 'openTickets', tickets});
+    const claims = this.parts.claimsAt(ask.shard);
+    const upMs = this.parts.upMs();
+    return Promise.resolve({type: 'openTickets', tickets, claims, upMs});
   }
 
   override notice(from: PeerInfo, notice: PeerNotice): void {
--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -54,6 +54,7 @@
 /** One gateway process. */
 export class Gateway {
   private readonly clock = new SystemClock();
+  private readonly startedMs = this.clock.monotonicMs();
   private readonly metrics = new Metrics();
   private readonly self: ProcessRef;
   private readonly events: EventRing;
@@ -168,6 +169,8 @@
       events: this.events,
       owners: this.owners,
       book: this.book,
+      claimsAt: shard => this.tickets.claimsAt(shard),
+      upMs: () => this.clock.monotonicMs() - this.startedMs,
       configOffset: () => this.config.state.nextOffset,
       isDraining: () => this.isDraining,
       onOwner: shards => {
--- a/packages/caller/src/mesh-tickets.ts
+++ b/packages/caller/src/mesh-tickets.ts
@@ -7,6 +7,7 @@
   type ErrorKind,
 } from '@dragonflyward/common';
 import type {
+  PassedClaim,
   PeerAsk,
   PeerConnection,
   PeerMesh,
@@ -101,6 +102,11 @@
     this.homes.release(wish);
   }
 
+  /** Lists the claims made here that have the shard as a home. */
+  claimsAt(shard: string): readonly PassedClaim[] {
+    return this.homes.madeAt(shard);
+  }
+
   /** Sends the closes that waited for an owner. */
   sendKept(shard: string): void {
     for (const close of this.parts.book.takeUnsent(shard)) {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -142,6 +142,10 @@
 export interface OpenTicketsReply {
   readonly type: 'openTickets';
   readonly tickets: readonly OpenTicket[];
+  /** The claims of request ids that the gateway made at this shard. */
+  readonly claims: readonly PassedClaim[];
+  /** For how long the gateway has been running. */
+  readonly upMs: number;
 }
 
 /** Submits a job to the shard's owner. */
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -206,7 +206,9 @@
       try {
         const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
         if (reply.type !== 'openTickets' || !connection.info) continue;
-        desk.adopt(connection.info.process, reply.tickets);
+        const {process} = connection.info;
+        desk.adopt(process, reply.tickets);
+        desk.adoptClaims(process, reply.claims, reply.upMs);
       } catch {
         this.parts.metrics.count('open_tickets_unanswered_total');
       }
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -10,6 +10,7 @@
 } from '@dragonflyward/common';
 import type {
   OpenTicket,
+  PassedClaim,
   RequestClaim,
   RequestClaimed,
   RequestClaims,
@@ -25,7 +26,7 @@
 import {BlindUse, gatewayPart} from './ticket-blind.js';
 import {WaitEstimate} from './ticket-estimate.js';
 import {ExecutorHealth} from './ticket-health.js';
-import {RequestHome} from './ticket-home.js';
+import {RequestHome, UNTIMED_WINDOW_MS} from './ticket-home.js';
 import {
   openTicketQueue,
   priorityRank,
@@ -82,6 +83,8 @@
   private readonly allowances = new Map<string, number>();
   private home: RequestHome | undefined;
   private inherited: RequestClaims | undefined;
+  private readonly gatewayClaims: PassedClaim[] = [];
+  private readonly vouching = new Set<string>();
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
@@ -149,7 +152,7 @@
     this.grantWaiting();
   }
 
-  /** Takes in the tickets that a gateway holds from a former owner. */
+  /** Takes in what a gateway holds from a former owner. */
   adopt(from: ProcessRef, tickets: readonly OpenTicket[]): void {
     const nowMs = this.options.clock.monotonicMs();
     for (const ticket of tickets) {
@@ -170,6 +173,17 @@
     this.grantWaiting();
   }
 
+  /** Takes in the claims that a gateway made at former owners. */
+  adoptClaims(
+    from: ProcessRef,
+    claims: readonly PassedClaim[],
+    upMs: number,
+  ): void {
+    this.gatewayClaims.push(...claims);
+    if (upMs >= UNTIMED_WINDOW_MS) this.vouching.add(from.vm);
+    this.mergeClaims();
+  }
+
   /**
    * Claims a request id at this shard as one of its homes.
    *
@@ -243,10 +257,17 @@
     this.term = term;
     this.home = new RequestHome(this.options.clock, term);
     if (this.inherited !== undefined) this.home.inherit(this.inherited);
+    this.mergeClaims();
     if (term !== FIRST_TERM) this.blind.begin(this.longestRunByMs());
     return this.home;
   }
 
+  private mergeClaims(): void {
+    if (this.home === undefined) return;
+    this.home.merge(this.gatewayClaims.splice(0));
+    if (this.vouching.size >= this.gateways) this.home.noteWhole();
+  }
+
   private longestRunByMs(): number {
     let longestMs = 0;
     for (const cfg of this.config?.queues().values() ?? []) {
--- a/packages/scheduler/src/ticket-home.ts
+++ b/packages/scheduler/src/ticket-home.ts
@@ -3,12 +3,13 @@
  *
  * The homes of an id are the owners of two shards, chosen by a hash of the
  * id. The first owner of a shard has seen every claim, and so has one that
- * was given the claims of such an owner. Another one has lost the memory of
- * its predecessors: for a while it vouches only for ids that tell that they
- * were made in its own time.
+ * was given the claims of such an owner, or those of all gateways. Another
+ * one has lost the memory of its predecessors: for a while it vouches only
+ * for ids that tell that they were made in its own time.
  */
 import {raise, type Clock} from '@dragonflyward/common';
 import type {
+  PassedClaim,
   RequestClaim,
   RequestClaims,
   RequestRelease,
@@ -16,6 +17,11 @@
 
 /** How long a claimed id is remembered. */
 export const CLAIM_WINDOW_MS = 120_000;
+/**
+ * How long after its last use a repeat of an id that does not tell its time
+ * is found also where its homes have lost their memory.
+ */
+export const UNTIMED_WINDOW_MS = 15_000;
 /** By how much the wall clocks of callers and owners may differ. */
 export const WALL_SKEW_MS = 2_000;
 const MAX_CLAIMS = 200_000;
@@ -24,7 +30,6 @@
 interface Claim {
   readonly claimId: string;
   readonly atMs: number;
-  readonly isVouched: boolean;
 }
 
 /** The claims of one shard under one term. */
@@ -55,14 +60,14 @@
   claim(ask: RequestClaim): boolean {
     this.forgetOld();
     const known = this.claims.get(ask.key);
-    if (known?.claimId === ask.claimId) return known.isVouched;
-    if (known !== undefined) return raise('duplicateId', 'the id was used');
     const isVouched = this.vouchesFor(ask.issuedMs);
+    if (known?.claimId === ask.claimId) return isVouched;
+    if (known !== undefined) return raise('duplicateId', 'the id was used');
     if (this.claims.size >= MAX_CLAIMS) {
       raise('queueFull', 'too many request ids are remembered');
     }
     const atMs = this.clock.monotonicMs();
-    this.claims.set(ask.key, {claimId: ask.claimId, atMs, isVouched});
+    this.claims.set(ask.key, {claimId: ask.claimId, atMs});
     return isVouched;
   }
 
@@ -88,17 +93,27 @@
   /** Takes in the claims of the owner before. */
   inherit(passed: RequestClaims): void {
     if (passed.term !== this.term - 1) return;
+    this.merge(passed.claims);
+    if (passed.isWhole) this.isWhole = true;
+  }
+
+  /** Takes in the claims of a gateway; older ones come before own ones. */
+  merge(claims: readonly PassedClaim[]): void {
     const nowMs = this.clock.monotonicMs();
-    const own = [...this.claims];
-    this.claims.clear();
-    const oldestFirst = [...passed.claims].sort((a, b) => b.ageMs - a.ageMs);
-    for (const {key, claimId, ageMs} of oldestFirst) {
-      this.claims.set(key, {claimId, atMs: nowMs - ageMs, isVouched: false});
+    const all = [...this.claims];
+    for (const {key, claimId, ageMs} of claims) {
+      all.push([key, {claimId, atMs: nowMs - ageMs}]);
     }
-    for (const [key, claim] of own) {
+    all.sort(([, a], [, b]) => a.atMs - b.atMs);
+    this.claims.clear();
+    for (const [key, claim] of all) {
       if (!this.claims.has(key)) this.claims.set(key, claim);
     }
-    if (passed.isWhole) this.isWhole = true;
+  }
+
+  /** Takes in that the claims of all gateways are known. */
+  noteWhole(): void {
+    this.isWhole = true;
   }
 
   /** How many ids are remembered. */
@@ -108,7 +123,7 @@
 
   private hasSeenAll(): boolean {
     const ageMs = this.clock.monotonicMs() - this.bornMs;
-    return this.isWhole || ageMs >= CLAIM_WINDOW_MS;
+    return this.isWhole || ageMs >= UNTIMED_WINDOW_MS;
   }
 
   private vouchesFor(issuedMs: number): boolean {
