--- a/packages/scheduler/test/late-list.test.ts
+++ b/packages/scheduler/test/late-list.test.ts
@@ -159,6 +159,8 @@
       observer,
     });
     void task.run();
+    const untilWatched = clock.advance(1);
+    await untilWatched;
     await clock.advance(1);
     assert.is(await task.start(TASK, START), 'started');
     client.answerWatch(EMPTY_LIST);
