--- a/packages/policy/test/engine-properties.test.ts
+++ b/packages/policy/test/engine-properties.test.ts
@@ -10,6 +10,7 @@
   type WorkerState,
 } from '@dragonflyward/policy';
 import fc from 'fast-check';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
@@ -42,13 +43,18 @@
   return found.failed ? String(found.errorInstance) : '';
 }
 
-test('no promise is breached in any random shard', () => {
-  const newEngine: NewEngine = n => new ShareEngine({firstTaskNumber: n});
-  fc.assert(
-    fc.property(shardPlan, plan => play(newEngine, plan)),
-    {seed: FC_SEED, numRuns: RUNS, includeErrorInReport: true},
-  );
-});
+promiseTest(
+  test,
+  'overcommit',
+  'no promise is breached in any random shard',
+  () => {
+    const newEngine: NewEngine = n => new ShareEngine({firstTaskNumber: n});
+    fc.assert(
+      fc.property(shardPlan, plan => play(newEngine, plan)),
+      {seed: FC_SEED, numRuns: RUNS, includeErrorInReport: true},
+    );
+  },
+);
 
 /** Chooses any worker, whether or not it has room. */
 class CarelessPolicy extends PlacementPolicy {
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -19,6 +19,7 @@
   RECORD_VERSION,
   type AllowanceStreamRecord,
 } from '@dragonflyward/state';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -233,11 +234,13 @@
   holds: (ops: readonly Op[]) => boolean,
   shouldHold = true,
 ): void {
-  allowances(name, () => {
+  const body = (): void => {
     const options = {seed: SEED, numRuns: RUNS, endOnFailure: true};
     const run = fc.check(fc.property(ALL_OPS, holds), options);
     assert.is(!run.failed, shouldHold, JSON.stringify(run.counterexample));
-  });
+  };
+  if (shouldHold) promiseTest(allowances, 'team-limit', name, body);
+  else allowances(name, body);
 }
 
 const allowances = suite('allowances');
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -9,6 +9,7 @@
   type ConfigTail,
   type ListedPeer,
 } from '@dragonflyward/state';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -182,12 +183,14 @@
 }
 
 function check(name: string, type: StateClass, shouldHold: boolean): void {
-  configuration(name, async () => {
+  const body = async (): Promise<void> => {
     const holds = (ops: readonly Op[]) => new Fleet(type).play(ops);
     const options = {seed: SEED, numRuns: RUNS, endOnFailure: true};
     const run = await fc.check(fc.asyncProperty(ALL_OPS, holds), options);
     assert.is(!run.failed, shouldHold, JSON.stringify(run.counterexample));
-  });
+  };
+  if (shouldHold) promiseTest(configuration, 'config-in-force', name, body);
+  else configuration(name, body);
 }
 
 const configuration = suite('configuration under random faults');
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -7,6 +7,7 @@
   validateConfiguration,
   type Configuration,
 } from '@dragonflyward/state';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {CONFIGURATION, configRecord, grant, withdraw} from './records.js';
@@ -82,28 +83,38 @@
   });
 }
 
-config('gives a race to the earlier record and tells the later one', () => {
-  const state = fold([
-    configRecord(-1, 'ada'),
-    configRecord(0, 'ben'),
-    configRecord(0, 'cid'),
-  ]);
-  assert.is(state.revision, 1);
-  const verdicts = state.history().map(({verdict, by}) => [verdict, by]);
-  assert.equal(verdicts, [
-    ['superseded', 1],
-    ['inForce', -1],
-    ['lostRace', 1],
-  ]);
-});
+promiseTest(
+  config,
+  'config-in-force',
+  'gives a race to the earlier record and tells the later one',
+  () => {
+    const state = fold([
+      configRecord(-1, 'ada'),
+      configRecord(0, 'ben'),
+      configRecord(0, 'cid'),
+    ]);
+    assert.is(state.revision, 1);
+    const verdicts = state.history().map(({verdict, by}) => [verdict, by]);
+    assert.equal(verdicts, [
+      ['superseded', 1],
+      ['inForce', -1],
+      ['lostRace', 1],
+    ]);
+  },
+);
 
-config('skips a bad configuration and keeps the one in force', () => {
-  const bad = {...CONFIGURATION, exceptions: 1} as unknown as Configuration;
-  const state = fold([configRecord(-1, 'ada'), configRecord(0, 'ben', bad)]);
-  assert.is(state.revision, 0);
-  assert.is(state.history().at(-1)?.verdict, 'invalid');
-  assert.is(state.skippedCount, 1);
-});
+promiseTest(
+  config,
+  'config-in-force',
+  'skips a bad configuration and keeps the one in force',
+  () => {
+    const bad = {...CONFIGURATION, exceptions: 1} as unknown as Configuration;
+    const state = fold([configRecord(-1, 'ada'), configRecord(0, 'ben', bad)]);
+    assert.is(state.revision, 0);
+    assert.is(state.history().at(-1)?.verdict, 'invalid');
+    assert.is(state.skippedCount, 1);
+  },
+);
 
 config('applies exceptions over defaults', () => {
   const state = fold([configRecord(-1, 'ada')]);
@@ -112,17 +123,27 @@
   assert.is(state.queue('toString'), undefined);
 });
 
-config('keeps keys as digests and withdraws them for good', () => {
-  const state = fold([grant('k1', 's1', 'roofs'), grant('k2', 's2', 'huts')]);
-  assert.is(state.teamOfKey('k1.s1'), 'roofs');
-  assert.is(state.teamOfKey('k1.s2'), undefined);
-  assert.is(state.teamOfKey('k1'), undefined);
-  assert.is(state.keys()[0]?.digest, keyDigest('s1'));
-});
+promiseTest(
+  config,
+  'team-key',
+  'keeps keys as digests and withdraws them for good',
+  () => {
+    const state = fold([grant('k1', 's1', 'roofs'), grant('k2', 's2', 'huts')]);
+    assert.is(state.teamOfKey('k1.s1'), 'roofs');
+    assert.is(state.teamOfKey('k1.s2'), undefined);
+    assert.is(state.teamOfKey('k1'), undefined);
+    assert.is(state.keys()[0]?.digest, keyDigest('s1'));
+  },
+);
 
-config('refuses a key whose late grant follows its withdrawal', () => {
-  const state = fold([withdraw('k1'), grant('k1', 's1', 'roofs')]);
-  assert.is(state.teamOfKey('k1.s1'), undefined);
-});
+promiseTest(
+  config,
+  'team-key',
+  'refuses a key whose late grant follows its withdrawal',
+  () => {
+    const state = fold([withdraw('k1'), grant('k1', 's1', 'roofs')]);
+    assert.is(state.teamOfKey('k1.s1'), undefined);
+  },
+);
 
 config.run();
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -9,6 +9,7 @@
   type ConfigTail,
   type ListedPeer,
 } from '@dragonflyward/state';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {configRecord, grant, withdraw} from './records.js';
@@ -144,15 +145,20 @@
   cell.end();
 });
 
-freshness('hears of a withdrawal from a peer when cut off', async () => {
-  const {cell, first} = await start();
-  first.client.isCut = true;
-  cell.publish('w', withdraw('k1'));
-  await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-  assert.is(first.fold.teamOfKey(KEY), undefined);
-  assert.ok(first.freshness.isFresh());
-  cell.end();
-});
+promiseTest(
+  freshness,
+  'team-key',
+  'hears of a withdrawal from a peer when cut off',
+  async () => {
+    const {cell, first} = await start();
+    first.client.isCut = true;
+    cell.publish('w', withdraw('k1'));
+    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+    assert.is(first.fold.teamOfKey(KEY), undefined);
+    assert.ok(first.freshness.isFresh());
+    cell.end();
+  },
+);
 
 freshness('starts from a peer while the log is down', async () => {
   const {cell} = await start();
@@ -181,22 +187,32 @@
 }
 
 for (const cut of [['north-1'], ['north-1', 'south-1']]) {
-  freshness(`refuses when ${cut.length} domains are cut off`, async () => {
-    assert.ok(await refusesWhenCut(ConfigFreshness, cut));
-  });
+  promiseTest(
+    freshness,
+    'team-key',
+    `refuses when ${cut.length} domains are cut off`,
+    async () => {
+      assert.ok(await refusesWhenCut(ConfigFreshness, cut));
+    },
+  );
 
   freshness(`takes withdrawn keys without it, ${cut.length}`, async () => {
     assert.not(await refusesWhenCut(TrustingFreshness, cut));
   });
 }
 
-freshness('refuses when it is cut off from log and all peers', async () => {
-  const {cell, first} = await start();
-  first.client.isCut = true;
-  first.isUnreachable = true;
-  await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-  assert.not(cell.takes(first));
-  cell.end();
-});
+promiseTest(
+  freshness,
+  'team-key',
+  'refuses when it is cut off from log and all peers',
+  async () => {
+    const {cell, first} = await start();
+    first.client.isCut = true;
+    first.isUnreachable = true;
+    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+    assert.not(cell.takes(first));
+    cell.end();
+  },
+);
 
 freshness.run();
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -6,6 +6,7 @@
   ShardState,
   type OwnershipOptions,
 } from '@dragonflyward/state';
+import {promiseTest} from '@dragonflyward/common/promise-test';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -171,13 +172,15 @@
   holds: (value: T) => Promise<boolean>,
   shouldHold = true,
 ): void {
-  property(name, async () => {
+  const body = async (): Promise<void> => {
     const run = fc.asyncProperty(values, holds);
     const numRuns = shouldHold ? RUNS : RUNS * 4;
     const options = {seed: SEED, numRuns, endOnFailure: true};
     const {failed, counterexample} = await fc.check(run, options);
     assert.is(!failed, shouldHold, JSON.stringify(counterexample));
-  });
+  };
+  if (shouldHold) promiseTest(property, 'one-place', name, body);
+  else property(name, body);
 }
 
 /** Checks that the steps lead to a violation with a mechanism off. */
