Divide limits by the allowance table; carry all streams forward

Cause: the scheduler split each limit by the number of listed domains, so a lagging list could push the sum past the limit, and no stream was carried forward before the log forgot it. The owner of the budget shard now plans the table from reported demand; each owner starts nothing before it has read the table since its takeover, counts what may run unseen, and acknowledges only when all of it keeps to the table. Ruled out: counting by listed VMs. Before: even split.

--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -259,8 +259,22 @@
   | PromiseAsk
   | ConfigTailAsk;
 
+/** What one team has running and waiting in a shard. */
+export interface TeamWants {
+  readonly team: string;
+  readonly wanted: Resources;
+}
+
+/** Tells the owner of the budget what a shard's teams want. */
+export interface DemandReport {
+  readonly type: 'demandReport';
+  readonly shard: string;
+  readonly demands: readonly TeamWants[];
+}
+
 /** A message that wants none. */
-export type PeerNotice = Heartbeat | TicketClose | RequestRelease;
+export type PeerNotice =
+  Heartbeat | TicketClose | RequestRelease | DemandReport;
 
 /** An answer. */
 export type PeerReply =
--- a/packages/scheduler/src/allowance-task.ts
+++ b/packages/scheduler/src/allowance-task.ts
@@ -1,53 +1,163 @@
-/** Follows the allowance table; divides limits while this process owns it. */
-import {
-  scaleResources,
-  type Clock,
-  type EventRing,
-  type Metrics,
+/** Follows the allowance table; plans it while this process owns the budget. */
+import type {
+  Clock,
+  EventRing,
+  Metrics,
+  ProcessRef,
+  Resources,
 } from '@dragonflyward/common';
-import type {LogClient} from '@dragonflyward/log';
-import type {Allowance, ConfigState} from '@dragonflyward/state';
+import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
+import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
+import {
+  ALLOWANCE_STREAM,
+  AllowanceState,
+  BudgetTask,
+  budgetShard,
+  SnapshotTask,
+  type Allowance,
+  type AllowanceInput,
+  type ConfigState,
+  type ShardDemand,
+} from '@dragonflyward/state';
 import {AllowanceView} from './allowance-view.js';
 import type {Membership} from './membership.js';
 import type {ShardTask} from './shard-task.js';
 
+const TAIL_WAIT_MS = 500;
+const REPORT_PERIOD_MS = 1_000;
+/** A report that is older says nothing of a shard's demand. */
+const REPORT_KEPT_MS = 10_000;
+
 /** The parts that the task needs. */
 export interface AllowanceTaskParts {
+  readonly self: ProcessRef;
   readonly log: LogClient;
   readonly config: ConfigState;
   readonly membership: Membership;
+  readonly mesh: PeerMesh;
   readonly shards: ReadonlyMap<string, ShardTask>;
   readonly clock: Clock;
   readonly events: EventRing;
   readonly metrics: Metrics;
 }
 
-/** Divides each team's limit evenly among the shards. */
+interface KeptReport {
+  readonly demands: readonly ShardDemand[];
+  readonly atMs: number;
+}
+
+/** The allowances of all teams in all shards. */
 export class AllowanceTask extends AllowanceView {
+  readonly table = new AllowanceState();
+  readonly tail: StreamTail;
+  readonly writer: StreamWriter;
+  private readonly reports = new Map<string, KeptReport>();
+  private isStopped = false;
+
   constructor(private readonly parts: AllowanceTaskParts) {
     super();
+    const {log, clock, metrics} = parts;
+    const {table} = this;
+    const stream = ALLOWANCE_STREAM;
+    this.tail = new StreamTail({
+      ...{client: log, stream, fold: table, clock, waitMs: TAIL_WAIT_MS},
+      onApplied: (_record, result) => {
+        metrics.count(`allowance_records_total{result="${result}"}`);
+      },
+    });
+    const {tail} = this;
+    this.writer = new StreamWriter({client: log, stream, tail, clock});
   }
 
-  /** Starts to follow the table. */
+  /** Starts to follow and, while it falls to this process, to plan. */
   start(): void {
-    this.parts.metrics.gauge('allowance_shards', () => this.shardCount());
+    this.tail.start();
+    const {table, tail, writer} = this;
+    const {clock, events} = this.parts;
+    const common = {table, tail, writer, clock, events};
+    const isWanted = (): boolean => !this.isStopped;
+    const budget = new BudgetTask({
+      ...common,
+      term: () => this.budgetTerm(),
+      input: () => this.input(),
+    });
+    const snapshots = new SnapshotTask({
+      ...{fold: table, tail, writer, clock, events},
+      isAllowed: () => this.budgetTerm() !== undefined,
+    });
+    void budget.run(isWanted);
+    void snapshots.run(isWanted);
+    void this.reportDemands();
   }
 
   /** Ends all loops. */
   stop(): void {
-    // Nothing runs yet.
+    this.isStopped = true;
+    this.tail.stop();
   }
 
   override amountsOf(shard: string): readonly Allowance[] {
-    const share = 1 / Math.max(1, this.shardCount());
-    return [...this.parts.config.teams()].map(([team, {limit}]) => ({
+    return [...this.parts.config.teams().keys()].map(team => ({
       team,
       shard,
-      amount: scaleResources(limit, share),
+      amount: this.table.amount(team, shard),
     }));
   }
 
-  private shardCount(): number {
-    return this.parts.membership.domains().length;
+  override isReadSince(sinceMs: number): boolean {
+    return this.table.isComplete && this.tail.lastProofMs >= sinceMs;
+  }
+
+  /** The term of the budget's owner; undefined while it is another. */
+  budgetTerm(): number | undefined {
+    const shard = this.budgetShard();
+    const task = shard === undefined ? undefined : this.parts.shards.get(shard);
+    return task?.isActive === true ? task.ownership.term : undefined;
+  }
+
+  /** Takes in what another shard's owner wants. */
+  noteReport(report: DemandReport): void {
+    const atMs = this.parts.clock.monotonicMs();
+    const {shard} = report;
+    const demands = report.demands.map(demand => ({shard, ...demand}));
+    this.reports.set(shard, {demands, atMs});
+  }
+
+  private budgetShard(): string | undefined {
+    return budgetShard(this.parts.membership.domains());
+  }
+
+  private input(): Omit<AllowanceInput, 'table'> {
+    const {config, membership, clock} = this.parts;
+    const limits = new Map<string, Resources>();
+    for (const [team, {limit}] of config.teams()) limits.set(team, limit);
+    const oldestMs = clock.monotonicMs() - REPORT_KEPT_MS;
+    const newest = [...this.reports.values()].filter(r => r.atMs >= oldestMs);
+    const demands = newest.flatMap(report => report.demands);
+    return {limits, shards: membership.domains(), demands};
+  }
+
+  /** Tells the budget's owner what the shards owned here want. */
+  private async reportDemands(): Promise<void> {
+    while (!this.isStopped) {
+      for (const report of this.ownReports()) this.send(report);
+      await this.parts.clock.sleep(REPORT_PERIOD_MS);
+    }
+  }
+
+  private *ownReports(): Generator<DemandReport> {
+    for (const [shard, task] of this.parts.shards) {
+      if (!task.isActive) continue;
+      yield {type: 'demandReport', shard, demands: task.demands()};
+    }
+  }
+
+  private send(report: DemandReport): void {
+    const shard = this.budgetShard();
+    if (shard === undefined) return;
+    const vm = this.parts.membership.ownerVm(shard);
+    if (this.budgetTerm() !== undefined) return this.noteReport(report);
+    if (vm === undefined) return;
+    this.parts.mesh.connectionTo(vm)?.notify(report);
   }
 }
--- a/packages/scheduler/src/allowance-view.ts
+++ b/packages/scheduler/src/allowance-view.ts
@@ -1,8 +1,16 @@
 /** What each team may have running in each shard. */
-import type {Allowance} from '@dragonflyward/state';
+import type {StreamTail, StreamWriter} from '@dragonflyward/log';
+import type {Allowance, AllowanceState} from '@dragonflyward/state';
 
 /** The allowances as a shard's owner reads them. */
 export abstract class AllowanceView {
-  /** The amounts that hold in a shard at this instant. */
+  abstract readonly table: AllowanceState;
+  abstract readonly tail: StreamTail;
+  abstract readonly writer: StreamWriter;
+
+  /** The amounts that the newest table gives to a shard. */
   abstract amountsOf(shard: string): readonly Allowance[];
+
+  /** Whether the table was read to its end after the monotonic time. */
+  abstract isReadSince(sinceMs: number): boolean;
 }
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -1,8 +1,13 @@
 /** The configuration stream, and its records kept for peers. */
 import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
-import {StreamTail, type LogClient, type LogRecord} from '@dragonflyward/log';
+import {
+  StreamTail,
+  StreamWriter,
+  type LogClient,
+  type LogRecord,
+} from '@dragonflyward/log';
 import type {ConfigTailReply} from '@dragonflyward/peer';
-import {CONFIG_STREAM, ConfigState} from '@dragonflyward/state';
+import {CONFIG_STREAM, ConfigState, SnapshotTask} from '@dragonflyward/state';
 
 const TAIL_WAIT_MS = 500;
 const MAX_KEPT_RECORDS = 4_096;
@@ -14,10 +19,12 @@
   readonly tail: StreamTail;
   private kept: readonly LogRecord[] = [];
 
+  private isStopped = false;
+
   constructor(
-    log: LogClient,
+    private readonly log: LogClient,
     private readonly clock: Clock,
-    events: EventRing,
+    private readonly events: EventRing,
     metrics: Metrics,
   ) {
     this.tail = new StreamTail({
@@ -36,6 +43,21 @@
     });
   }
 
+  /** Writes snapshots of the configuration while it is allowed to. */
+  keepSnapshots(isAllowed: () => boolean): void {
+    const {log, tail, clock, events, state} = this;
+    const stream = CONFIG_STREAM;
+    const writer = new StreamWriter({client: log, stream, tail, clock});
+    const parts = {fold: state, tail, writer, clock, events, isAllowed};
+    void new SnapshotTask(parts).run(() => !this.isStopped);
+  }
+
+  /** Ends all loops. */
+  stop(): void {
+    this.isStopped = true;
+    this.tail.stop();
+  }
+
   /** Answers a peer that asks for records from an offset on. */
   tailFrom(from: number): ConfigTailReply {
     const isKept = (this.kept[0]?.offset ?? 0) <= from;
--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -1,6 +1,11 @@
 /** Who is there: the list of VMs joined with the peers' heartbeats. */
 import type {Clock, ProcessRef} from '@dragonflyward/common';
-import type {Heartbeat, PeerConnection, PeerInfo} from '@dragonflyward/peer';
+import type {
+  Heartbeat,
+  OwnedShard,
+  PeerConnection,
+  PeerInfo,
+} from '@dragonflyward/peer';
 import type {VmEntry} from '@dragonflyward/vms';
 import {rankByHash} from './rendezvous.js';
 
@@ -11,6 +16,7 @@
   readonly process: ProcessRef;
   readonly atMs: number;
   readonly isDraining: boolean;
+  readonly owns: readonly OwnedShard[];
 }
 
 /** The list of VMs and the schedulers that were heard lately. */
@@ -70,9 +76,20 @@
       process: from.process,
       atMs: this.clock.monotonicMs(),
       isDraining: heartbeat.isDraining,
+      owns: heartbeat.owns,
     });
   }
 
+  /** The VM whose scheduler said last that it owns the shard. */
+  ownerVm(shard: string): string | undefined {
+    let newest: Heard | undefined;
+    for (const heard of this.heard.values()) {
+      if (!heard.owns.some(owned => owned.shard === shard)) continue;
+      if (heard.atMs > (newest?.atMs ?? -Infinity)) newest = heard;
+    }
+    return newest?.process.vm;
+  }
+
   /** Lists the VMs of one kind in one failure domain. */
   *vmsIn(domain: string, kind: VmEntry['kind']): Generator<VmEntry> {
     for (const vm of this.vms.values()) {
--- a/packages/scheduler/src/scheduler-peers.ts
+++ b/packages/scheduler/src/scheduler-peers.ts
@@ -2,6 +2,7 @@
 import {raise, type HybridClock, type ProcessRef} from '@dragonflyward/common';
 import {
   PeerHandler,
+  type DemandReport,
   type Heartbeat,
   type Hello,
   type OwnedShard,
@@ -24,6 +25,8 @@
   readonly config: ConfigFeed;
   readonly shards: ReadonlyMap<string, ShardTask>;
   readonly isDraining: () => boolean;
+  /** Takes in what another shard wants, while this process plans. */
+  readonly noteDemand: (report: DemandReport) => void;
 }
 
 /** Answers asks by the shard that they name. */
@@ -91,6 +94,9 @@
       this.parts.hybrid.observe(notice.at);
       return this.parts.membership.noteHeartbeat(from, notice);
     }
+    if (notice.type === 'demandReport') {
+      return this.parts.noteDemand(notice);
+    }
     const desk = this.parts.shards.get(notice.shard)?.desk;
     if (notice.type === 'requestRelease') return desk?.release(notice);
     desk?.close(from.process, notice);
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -64,9 +64,14 @@
       config: this.config,
       shards: this.shards,
       isDraining: () => this.isDraining,
+      noteDemand: report => {
+        this.allowances.noteReport(report);
+      },
     });
     this.mesh = new PeerMesh(this.handler, clock);
     this.allowances = new AllowanceTask({
+      self: this.self,
+      mesh: this.mesh,
       log: this.log,
       config: this.config.state,
       membership: this.membership,
@@ -82,6 +87,7 @@
     const {vm, ports} = this.cfg;
     this.config.tail.start();
     this.allowances.start();
+    this.config.keepSnapshots(() => this.allowances.budgetTerm() !== undefined);
     await listenPeers(vm.ip, ports.scheduler, this.handler);
     await serveAdmin(vm.ip, ports.schedulerAdmin, {
       metrics: this.metrics,
@@ -107,7 +113,7 @@
     this.isStopped = true;
     for (const task of this.shards.values()) task.stop();
     this.allowances.stop();
-    this.config.tail.stop();
+    this.config.stop();
     this.mesh.close();
     this.events.add('processStopped', {});
   }
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -4,6 +4,7 @@
   EventRing,
   EventSubject,
   Metrics,
+  Resources,
   TimingSettings,
 } from '@dragonflyward/common';
 import type {LogRecord, StreamWriter} from '@dragonflyward/log';
@@ -22,6 +23,7 @@
 import type {TaskReport, TaskUsage, WorkerClient} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
 import {Dispatcher} from './dispatcher.js';
+import {boundHeldWork} from './held-work.js';
 import {JobBook, UNKNOWN_RESULT} from './job-book.js';
 import {JobDesk} from './job-desk.js';
 import {JobRecords} from './job-records.js';
@@ -135,6 +137,17 @@
     if (data.type === 'taskEnded') this.taskRecorded(data);
   }
 
+  /** Whether tasks of earlier terms may run unseen. */
+  get isHolding(): boolean {
+    return !this.guard.isOver;
+  }
+
+  /** What may run unseen after a takeover, by team. */
+  heldWork(): ReadonlyMap<string, Resources> {
+    if (!this.isHolding) return new Map();
+    return boundHeldWork(this.parts.fold, this.book, this.workers.list());
+  }
+
   /** Counts for the status page. */
   summary(): Readonly<Record<string, number>> {
     return {
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -1,9 +1,14 @@
 /** One shard as a scheduler serves it: its stream, ownership and owner. */
 import {
+  addResources,
+  fitsIn,
+  NO_RESOURCES,
+  subtractResources,
   type Clock,
   type EventRing,
   type Metrics,
   type ProcessRef,
+  type Resources,
   type TimingSettings,
 } from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
@@ -11,12 +16,16 @@
   OpenTicketsAsk,
   PeerMesh,
   RequestClaims,
+  TeamWants,
 } from '@dragonflyward/peer';
 import {ShareEngine} from '@dragonflyward/policy';
 import {
+  AllowanceKeeper,
   shardStream,
   ShardOwnership,
   ShardState,
+  SnapshotTask,
+  type Allowance,
   type ConfigState,
 } from '@dragonflyward/state';
 import type {WorkerClient} from '@dragonflyward/target';
@@ -63,6 +72,7 @@
   desk: TicketDesk | undefined;
   private readonly writer: StreamWriter;
   private activeTerm = 0;
+  private activeMs = Infinity;
   private isStopped = false;
   private refreshedMs = -Infinity;
 
@@ -118,6 +128,7 @@
   async run(): Promise<void> {
     this.tail.start();
     void this.ownership.run();
+    void this.keepSnapshots();
     while (!this.isStopped) {
       this.followOwnership();
       this.refresh();
@@ -125,6 +136,22 @@
     }
   }
 
+  /** What each team has running and waiting here. */
+  demands(): readonly TeamWants[] {
+    const wants = new Map<string, Resources>();
+    for (const {team, running, waiting} of this.owner?.engine.demand() ?? []) {
+      wants.set(team, addResources(running, waiting));
+    }
+    const running = this.desk?.running() ?? [];
+    const waiting = this.desk?.waiting() ?? [];
+    for (const {team, slots} of [...running, ...waiting]) {
+      const sum = wants.get(team) ?? NO_RESOURCES;
+      wants.set(team, {...sum, slots: sum.slots + slots});
+    }
+    const known = [...wants].map(([team, wanted]) => ({team, wanted}));
+    return known.filter(({wanted}) => !fitsIn(wanted, NO_RESOURCES));
+  }
+
   /** Waits until this process owns the shard, and takes the claims in. */
   async inheritClaims(passed: RequestClaims): Promise<void> {
     const {clock} = this.parts;
@@ -143,6 +170,16 @@
     this.tail.stop();
   }
 
+  private async keepSnapshots(): Promise<void> {
+    const {fold, tail, writer} = this;
+    const {clock, events} = this.parts;
+    const isAllowed = (): boolean => this.isActive;
+    const task = new SnapshotTask({
+      ...{fold, tail, writer, clock, events, isAllowed},
+    });
+    await task.run(() => !this.isStopped);
+  }
+
   private followOwnership(): void {
     const {ownership} = this;
     const isSuperseded =
@@ -154,6 +191,7 @@
   private activate(): void {
     const {shard, clock, metrics, events, config, membership} = this.parts;
     this.activeTerm = this.ownership.term;
+    this.activeMs = clock.monotonicMs();
     const firstTaskNumber = this.activeTerm * TASK_NUMBERS_PER_TERM;
     const engine = new ShareEngine({firstTaskNumber});
     this.desk = new TicketDesk({shard, clock, metrics, events});
@@ -167,6 +205,7 @@
     this.refreshedMs = -Infinity;
     this.refresh();
     void this.collectTickets(this.desk);
+    void this.keepAllowances(this.owner);
     void this.owner.run();
   }
 
@@ -180,12 +219,12 @@
 
   /** Hands the current configuration and allowances on. */
   private refresh(): void {
-    const {clock, config, allowances, membership, shard} = this.parts;
+    const {clock, config, membership, shard} = this.parts;
     const nowMs = clock.monotonicMs();
     if (this.owner === undefined || this.desk === undefined) return;
     if (nowMs - this.refreshedMs < REFRESH_PERIOD_MS) return;
     this.refreshedMs = nowMs;
-    const amounts = allowances.amountsOf(shard);
+    const amounts = this.usableAmounts();
     applyPolicyConfig(this.owner.engine, config, amounts);
     const executors = [...membership.vmsIn(shard, 'executor')];
     this.desk.setExecutors(executors);
@@ -196,6 +235,43 @@
     }
   }
 
+  /** The allowances, less what may run unseen; none before they are read. */
+  private usableAmounts(): readonly Allowance[] {
+    const {allowances, shard} = this.parts;
+    const {owner} = this;
+    if (owner === undefined) return [];
+    if (!allowances.isReadSince(this.activeMs)) return [];
+    const held = owner.heldWork();
+    return allowances.amountsOf(shard).map(({team, amount}) => {
+      const unseen = held.get(team) ?? NO_RESOURCES;
+      return {team, shard, amount: subtractResources(amount, unseen)};
+    });
+  }
+
+  /** What counts against a team here. */
+  private runningOf(team: string): Resources {
+    const demands = this.owner?.engine.demand() ?? [];
+    const tasks = demands.find(demand => demand.team === team)?.running;
+    const slots = this.desk?.running().find(use => use.team === team)?.slots;
+    return {...(tasks ?? NO_RESOURCES), slots: slots ?? 0};
+  }
+
+  /** Acknowledges the table for as long as this term lasts. */
+  private async keepAllowances(owner: ShardOwner): Promise<void> {
+    const {allowances, shard, clock, events} = this.parts;
+    const {table, tail, writer} = allowances;
+    const isKnown = (): boolean =>
+      owner.mayAct() &&
+      !owner.isHolding &&
+      allowances.isReadSince(this.activeMs);
+    const keeper = new AllowanceKeeper({
+      ...{table, tail, writer, clock, events, shard},
+      term: () => (isKnown() ? owner.term() : undefined),
+      running: team => this.runningOf(team),
+    });
+    await keeper.run(() => this.owner === owner);
+  }
+
   /** Asks all gateways for the tickets that earlier owners gave them. */
   private async collectTickets(desk: TicketDesk): Promise<void> {
     const {shard} = this.parts;
