--- a/packages/caller/src/mesh-tickets.ts
+++ b/packages/caller/src/mesh-tickets.ts
@@ -80,6 +80,7 @@
       try {
         return await this.takeFrom(shard, {...wish, deadlineMs}, signal);
       } catch (err) {
+        if (signal.aborted) throw err;
         if (!SPILL_KINDS.has(toFailure(err).kind)) throw err;
         nearest ??= err;
       }
--- a/packages/caller/test/harness.ts
+++ b/packages/caller/test/harness.ts
@@ -31,6 +31,8 @@
   type TicketWish,
 } from '../src/index.js';
 
+import {FaultyTarget, type Script} from './faulty-target.js';
+
 export const TEAM = 'roofs';
 export const KEY = 'k-1.secret';
 export const QUEUE: QueueConfig = {
@@ -186,6 +188,29 @@
   }
 }
 
+type TargetsBody = (
+  gateway: TestGateway,
+  targets: FaultyTarget[],
+) => Promise<void>;
+
+/** Runs with a gateway and one target for each script. */
+export async function withTargets(
+  scripts: readonly Script[],
+  body: TargetsBody,
+  changes: GatewayChanges = {},
+): Promise<void> {
+  const made = scripts.map((script, i) => new FaultyTarget(`e-${i}`, script));
+  const targets = await Promise.all(made.map(target => target.start()));
+  const addresses = targets.map(({address}) => address);
+  const gateway = await new TestGateway(addresses, changes).start();
+  try {
+    await body(gateway, targets);
+  } finally {
+    await Promise.all(targets.map(target => target.stop()));
+    await gateway.stop();
+  }
+}
+
 /** An answer as a caller sees it. */
 export interface SeenAnswer {
   readonly status: number;
--- a/packages/caller/test/outcomes.test.ts
+++ b/packages/caller/test/outcomes.test.ts
@@ -13,7 +13,7 @@
   answer,
   cutAfterRequest,
   echo,
-  FaultyTarget,
+  type FaultyTarget,
   stayWithoutAnswer,
   writeAndCut,
   type Script,
@@ -22,9 +22,9 @@
   call,
   kindOf,
   outcomeOf,
-  TestGateway,
-  type GatewayChanges,
+  type TestGateway,
   type SeenAnswer,
+  withTargets,
 } from './harness.js';
 
 const outcomes = suite('outcomes');
@@ -39,26 +39,6 @@
   `${LARGE_BYTES.toString(16)}\r\n${'x'.repeat(LARGE_BYTES)}\r\n`;
 const HEADERS_ONLY = 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n';
 
-type Body = (gateway: TestGateway, targets: FaultyTarget[]) => Promise<void>;
-
-/** Runs with a gateway and one target for each script. */
-async function withTargets(
-  scripts: readonly Script[],
-  body: Body,
-  changes: GatewayChanges = {},
-): Promise<void> {
-  const made = scripts.map((script, i) => new FaultyTarget(`e-${i}`, script));
-  const targets = await Promise.all(made.map(target => target.start()));
-  const addresses = targets.map(({address}) => address);
-  const gateway = await new TestGateway(addresses, changes).start();
-  try {
-    await body(gateway, targets);
-  } finally {
-    await Promise.all(targets.map(target => target.stop()));
-    await gateway.stop();
-  }
-}
-
 function countRuns(targets: readonly FaultyTarget[], id: string): number {
   return targets.flatMap(({runs}) => runs).filter(run => run === id).length;
 }
