--- a/packages/policy/src/replay-record.ts
+++ b/packages/policy/src/replay-record.ts
@@ -42,12 +42,13 @@
   starts = 0;
   preemptions = 0;
   resizes = 0;
+  /** The largest part of a worker's memory that tasks were seen to use. */
+  worstUse = 0;
   private readonly progress = new Map<string, Progress>();
   private readonly submitted = new Map<string, PolicyJob>();
   private readonly names = new Map<string, string>();
   private readonly firstStarts = new Set<string>();
   private readonly attainment = new Map<string, Attainment>();
-  private readonly cancelled = new Set<string>();
   private readonly total: Resources;
   private packingSum = 0;
   private packingCount = 0;
@@ -75,10 +76,6 @@
     this.setAsideJobs.add(this.names.get(jobId) ?? jobId);
   }
 
-  noteCancelled(name: string): void {
-    this.cancelled.add(name);
-  }
-
   noteDecision(decision: Decision, nowMs: number): void {
     if (decision.kind === 'start') this.noteStart(decision.task, nowMs);
     if (decision.kind === 'preempt') this.preemptions += 1;
@@ -111,7 +108,7 @@
       if (share === 0) continue;
       const sum = this.attainment.get(team) ?? {due: 0, had: 0};
       sum.due += share;
-      sum.had += Math.min(share, dominantShare(running, this.total));
+      sum.had += dominantShare(running, this.total);
       this.attainment.set(team, sum);
     }
   }
@@ -121,6 +118,17 @@
     return this.progress.get(name)?.waits.getValueAtPercentile(percent) ?? 0;
   }
 
+  /** Counts tasks that never started as having waited until now. */
+  closeWaits(nowMs: number): void {
+    for (const job of this.submitted.values()) {
+      const progress = this.progressOf(job.jobId);
+      for (const index of job.taskIndexes) {
+        if (this.firstStarts.has(`${job.jobId}.${index}`)) continue;
+        progress?.waits.recordValue(Math.max(0, nowMs - job.acceptedMs));
+      }
+    }
+  }
+
   /** How many tasks of these jobs never started. */
   neverStarted(name: string): number {
     const progress = this.progress.get(name);
