--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -86,6 +86,8 @@
   reservedAtMs: number;
   /** Running tasks whose use was measured since they were last reviewed. */
   readonly toReview: Set<RunningTask>;
+  /** Running tasks that may be held back by their cap. */
+  readonly toProbe: Set<RunningTask>;
 }
 
 /** The priorities from the most to the least urgent. */
@@ -102,6 +104,20 @@
   ages: true,
 };
 
+/**
+ * The policies that an engine has where none are given.
+ *
+ * @example
+ * const engine = new ShareEngine({policies: {...newPolicies(), pack}});
+ */
+export function newPolicies(): PolicySet {
+  return {
+    pack: new PackPolicy(),
+    spread: new SpreadPolicy(),
+    gang: new GangPolicy(),
+  };
+}
+
 /**
  * Makes the state of an engine that knows nothing yet.
  *
@@ -122,11 +138,7 @@
     health: new WorkerHealth(),
     estimates: new Estimates(),
     holds: new HoldTable(worker => needs.noteRoom(worker)),
-    policies: options.policies ?? {
-      pack: new PackPolicy(),
-      spread: new SpreadPolicy(),
-      gang: new GangPolicy(),
-    },
+    policies: options.policies ?? newPolicies(),
     features: {...ALL_FEATURES, ...options.features},
     outbox: [],
     nextTask: options.firstTaskNumber ?? 1,
@@ -138,6 +150,7 @@
     fairAtMs: -Infinity,
     reservedAtMs: -Infinity,
     toReview: new Set(),
+    toProbe: new Set(),
   };
 }
 
@@ -183,6 +196,7 @@
   noteTaskStarted(core, state, taskIndex);
   core.holds.useSlot(jobId, worker);
   state.team.startedMs = core.nowMs;
+  core.teams.noteStart(state.team, size);
   const {workerId} = worker.worker;
   return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
 }
@@ -208,6 +222,7 @@
     peakCpuMilli: 0,
     peakMemMb: 0,
     sampleCount: 0,
+    probedCpuMilli: 0,
     resizedMs: core.nowMs,
   };
   core.cell.charge(running);
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,5 +1,5 @@
 /** The stages of a decision, in their order. */
-import {adjustReservations} from './adjust.js';
+import {adjustReservations, probeReservations} from './adjust.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {refreshFairShares} from './fair-shares.js';
@@ -24,6 +24,7 @@
   yield* flush(core);
   if (core.nowMs - core.fairAtMs >= FAIR_SHARES_MS) {
     refreshFairShares(core.teams);
+    core.teams.noteDrift(core.nowMs - core.fairAtMs);
     core.fairAtMs = core.nowMs;
   }
   yield* adjustReservations(core);
@@ -37,6 +38,7 @@
     if (core.features.preempts) yield* reclaimShares(core);
   }
   yield* placeWaiting(core, 'all');
+  yield* probeReservations(core);
 }
 
 function retryWorkers(core: EngineCore): void {
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -10,6 +10,7 @@
 } from '@dragonflyward/common';
 import type {
   OpenTicket,
+  PassedClaim,
   RequestClaim,
   RequestClaimed,
   RequestClaims,
@@ -25,7 +26,7 @@
 import {BlindUse, gatewayPart} from './ticket-blind.js';
 import {WaitEstimate} from './ticket-estimate.js';
 import {ExecutorHealth} from './ticket-health.js';
-import {RequestHome} from './ticket-home.js';
+import {RequestHome, UNTIMED_WINDOW_MS} from './ticket-home.js';
 import {
   openTicketQueue,
   priorityRank,
@@ -39,10 +40,12 @@
 /** How long after its grant the first byte of a request may be sent. */
 export const START_BY_MS = 1_000;
 /** How much later than the gateway the owner takes a ticket as run out. */
-const RUN_BY_MARGIN_MS = 1_000;
+const RUN_BY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
 /** The part of a queue's waiting room that one team may fill. */
 const TEAM_WAITING_PART = 0.5;
+/** The part of its deadline in which a request should be done. */
+const PLANNED_PART = 0.75;
 /** Used while no configuration gives the longest deadline. */
 const DEFAULT_MAX_DEADLINE_MS = 60_000;
 const FIRST_TERM = 1;
@@ -80,6 +83,8 @@
   private readonly allowances = new Map<string, number>();
   private home: RequestHome | undefined;
   private inherited: RequestClaims | undefined;
+  private readonly gatewayClaims: PassedClaim[] = [];
+  private readonly vouching = new Set<string>();
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
@@ -147,7 +152,7 @@
     this.grantWaiting();
   }
 
-  /** Takes in the tickets that a gateway holds from a former owner. */
+  /** Takes in what a gateway holds from a former owner. */
   adopt(from: ProcessRef, tickets: readonly OpenTicket[]): void {
     const nowMs = this.options.clock.monotonicMs();
     for (const ticket of tickets) {
@@ -168,6 +173,17 @@
     this.grantWaiting();
   }
 
+  /** Takes in the claims that a gateway made at former owners. */
+  adoptClaims(
+    from: ProcessRef,
+    claims: readonly PassedClaim[],
+    upMs: number,
+  ): void {
+    this.gatewayClaims.push(...claims);
+    if (upMs >= UNTIMED_WINDOW_MS) this.vouching.add(from.vm);
+    this.mergeClaims();
+  }
+
   /**
    * Claims a request id at this shard as one of its homes.
    *
@@ -241,10 +257,17 @@
     this.term = term;
     this.home = new RequestHome(this.options.clock, term);
     if (this.inherited !== undefined) this.home.inherit(this.inherited);
+    this.mergeClaims();
     if (term !== FIRST_TERM) this.blind.begin(this.longestRunByMs());
     return this.home;
   }
 
+  private mergeClaims(): void {
+    if (this.home === undefined) return;
+    this.home.merge(this.gatewayClaims.splice(0));
+    if (this.vouching.size >= this.gateways) this.home.noteWhole();
+  }
+
   private longestRunByMs(): number {
     let longestMs = 0;
     for (const cfg of this.config?.queues().values() ?? []) {
@@ -271,7 +294,7 @@
     const slots = this.slots.slotsOf(service);
     const situation = {ahead, free, slots};
     const doneInMs = this.estimate.doneInMs(service, situation);
-    if (doneInMs <= ask.deadlineMs) return;
+    if (doneInMs <= ask.deadlineMs * PLANNED_PART) return;
     raise('deadlineUnmet', `${ahead} requests of ${service} come before`);
   }
 
@@ -369,7 +392,18 @@
     return [...this.order.waiters()].length;
   }
 
+  /** A request that could not be done in time would only take up a slot. */
+  private refuseLate(): void {
+    const needMs = (waiter: Waiter): number =>
+      this.estimate.holdMs(waiter.ask.service);
+    for (const waiter of this.order.takeLate(needMs)) {
+      const {queue} = waiter.ask;
+      waiter.refuse(new DragonflywardError('deadlineUnmet', queue));
+    }
+  }
+
   private grantWaiting(): void {
+    this.refuseLate();
     this.queue.concurrency = Infinity;
   }
 
@@ -382,10 +416,7 @@
 
   private sweep(): void {
     this.slots.dropExpired();
-    for (const waiter of this.order.takeExpired()) {
-      const {queue} = waiter.ask;
-      waiter.refuse(new DragonflywardError('deadlineUnmet', queue));
-    }
+    this.refuseLate();
     this.grantWaiting();
   }
 }
