--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The table of all benchmarks. */
+import {benchControl} from './control.js';
 import {benchPolicy} from './policy.js';
 
 /** Figures of a benchmark, as they are printed with `--json`. */
@@ -9,5 +10,6 @@
 
 /** All benchmarks by name. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
+  control: benchControl,
   policy: benchPolicy,
 };
