--- /dev/null
+++ b/packages/operator/test/run-ctl.ts
@@ -0,0 +1,76 @@
+import {NO_RESOURCES} from '@dragonflyward/common';
+import type {Rig} from '@dragonflyward/standins';
+import type {Configuration} from '@dragonflyward/state';
+import type {Command} from 'commander';
+import {runProgram, type ProgramIo} from '../src/ctl-context.js';
+import {ctlProgram} from '../src/ctl-program.js';
+
+/** A configuration of one queue and the team "roofs". */
+export const CONFIGURATION: Configuration = {
+  defaults: {
+    queues: {
+      quotes: {
+        priority: 'urgent',
+        service: 'quotes',
+        isOpen: false,
+        maxBodyBytes: 1_000,
+        maxDeadlineMs: 5_000,
+        maxWaiting: 10,
+        policy: 'spread',
+      },
+    },
+    organisations: {valley: {share: 1}},
+    teams: {
+      roofs: {
+        organisation: 'valley',
+        share: 1,
+        limit: {...NO_RESOURCES, slots: 8},
+      },
+    },
+  },
+  exceptions: [],
+};
+
+/** What a program printed and how it ended. */
+export interface Answer {
+  readonly code: number;
+  readonly text: string;
+  readonly value: Readonly<Record<string, unknown>>;
+}
+
+/** Runs the operators' programs against a rig. */
+export class Operators {
+  constructor(
+    private readonly rig: Rig,
+    private readonly env: Readonly<Record<string, string>>,
+  ) {}
+
+  /** Runs ctl and reads its JSON. */
+  ctl(...args: readonly string[]): Promise<Answer> {
+    return this.run(ctlProgram, '--json', ...args);
+  }
+
+  /** Publishes a file on a base. */
+  publish(file: string, base: number): Promise<Answer> {
+    const flags = ['--base', `${base}`, '--reason', 'test'];
+    return this.ctl('config', 'publish', file, ...flags);
+  }
+
+  async run(
+    program: (io: ProgramIo) => Command,
+    ...args: readonly string[]
+  ): Promise<Answer> {
+    let text = '';
+    const out = (part: string): void => void (text += part);
+    const sink = {out, err: () => undefined};
+    const env = {
+      USER: 'ada',
+      DRAGONFLYWARD_LOG_URL: this.rig.logUrl,
+      DRAGONFLYWARD_VM_LIST_URL: this.rig.vmsUrl,
+      ...this.env,
+    };
+    const code = await runProgram(program({sink, env}), args);
+    const json = text.startsWith('{') ? text : '{}';
+    return {code, text, value: JSON.parse(json) as Answer['value']};
+  }
+}
