Count a list asked for at the instant of a confirmation as older

Cause: on a clock with whole milliseconds a list asked for in the same instant as the confirmation may be older. The rule and its test are stricter by that instant; nothing is eased.

--- a/packages/scheduler/src/lease-book.ts
+++ b/packages/scheduler/src/lease-book.ts
@@ -90,7 +90,7 @@
   ): Generator<PlacedTask> {
     for (const {task, decidedMs} of this.entries.values()) {
       if (listed.has(task.taskId)) continue;
-      if (askedMs >= decidedMs) yield task;
+      if (askedMs > decidedMs) yield task;
     }
   }
 
