Count what may run unseen against the team's limit after a takeover

Cause: the hold kept tasks back but the policy knew only adopted ones, so a team with one task on a silent worker could have a second started elsewhere. Now the owner reduces each allowance by the missing tasks of the team, bounded by the room of the unanswered workers once the list of VMs is newer than the takeover. Ruled out: the allowance table. Before: the test of it red.

--- a/packages/scheduler/src/policy-config.ts
+++ b/packages/scheduler/src/policy-config.ts
@@ -1,36 +1,29 @@
 /** Hands the configuration in force to the policy. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
-import type {
-  PlacementEngine,
-  PolicyQueue,
-  PolicyTeam,
-} from '@dragonflyward/policy';
+import type {PolicyQueue, PolicyTeam} from '@dragonflyward/policy';
 import type {Allowance, ConfigState} from '@dragonflyward/state';
 
 const DEFAULT_ORGANISATION_SHARE = 1;
 
 /**
- * Sets the policy's queues, teams and allowances.
+ * Lists the queues as the policy sees them.
  *
  * @example
- * applyPolicyConfig(engine, config, allowances.amountsOf(shard));
+ * engine.setQueues([...policyQueues(config)]);
  */
-export function applyPolicyConfig(
-  engine: PlacementEngine,
-  config: ConfigState,
-  amounts: readonly Allowance[],
-): void {
-  engine.setQueues([...policyQueues(config)]);
-  engine.setTeams([...policyTeams(config, amounts)]);
-}
-
-function* policyQueues(config: ConfigState): Generator<PolicyQueue> {
+export function* policyQueues(config: ConfigState): Generator<PolicyQueue> {
   for (const [queue, {priority, policy}] of config.queues()) {
     yield {queue, priority, policy};
   }
 }
 
-function* policyTeams(
+/**
+ * Lists the teams with what they may have running in a shard.
+ *
+ * @example
+ * owner.setTeams([...policyTeams(config, allowances.amountsOf(shard))]);
+ */
+export function* policyTeams(
   config: ConfigState,
   amounts: readonly Allowance[],
 ): Generator<PolicyTeam> {
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -1,17 +1,20 @@
 /** What a shard's owner does from its activation until it loses the shard. */
-import type {
-  Clock,
-  EventRing,
-  EventSubject,
-  Metrics,
-  Resources,
-  TimingSettings,
+import {
+  NO_RESOURCES,
+  subtractResources,
+  type Clock,
+  type EventRing,
+  type EventSubject,
+  type Metrics,
+  type Resources,
+  type TimingSettings,
 } from '@dragonflyward/common';
 import type {LogRecord, StreamWriter} from '@dragonflyward/log';
 import type {
   PlacedTask,
   PlacementEngine,
   PolicyJob,
+  PolicyTeam,
 } from '@dragonflyward/policy';
 import type {
   ConfigState,
@@ -142,10 +145,18 @@
     return !this.guard.isOver;
   }
 
-  /** What may run unseen after a takeover, by team. */
-  heldWork(): ReadonlyMap<string, Resources> {
-    if (!this.isHolding) return new Map();
-    return boundHeldWork(this.parts.fold, this.book, this.workers.list());
+  /**
+   * Sets the teams; what may run unseen after a takeover counts against
+   * their allowances.
+   */
+  setTeams(teams: readonly PolicyTeam[]): void {
+    const held = this.heldWork();
+    const reduced = teams.map(team => {
+      const unseen = held.get(team.team) ?? NO_RESOURCES;
+      const allowance = subtractResources(team.allowance, unseen);
+      return {...team, allowance};
+    });
+    this.engine.setTeams(reduced);
   }
 
   /** Counts for the status page. */
@@ -211,6 +222,15 @@
     return new TakeoverGuard(nowMs, leaseMs);
   }
 
+  private heldWork(): ReadonlyMap<string, Resources> {
+    if (!this.isHolding) return new Map();
+    const {membership, fold} = this.parts;
+    const isListed = this.guard.isListNew(membership.listSentMs);
+    const workers = isListed ? this.workers.list() : [];
+    const known = workers.length > 0 ? workers : undefined;
+    return boundHeldWork(fold, this.book, known);
+  }
+
   private syncWorkers(): void {
     for (const workerId of this.workers.sync()) {
       this.engine.removeWorker(workerId);
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -3,7 +3,6 @@
   addResources,
   fitsIn,
   NO_RESOURCES,
-  subtractResources,
   type Clock,
   type EventRing,
   type Metrics,
@@ -33,7 +32,7 @@
 import type {AllowanceView} from './allowance-view.js';
 import type {Membership} from './membership.js';
 import {MeshOwnershipPeers} from './ownership-peers.js';
-import {applyPolicyConfig} from './policy-config.js';
+import {policyQueues, policyTeams} from './policy-config.js';
 import {ShardOwner} from './shard-owner.js';
 import {TicketDesk} from './ticket-desk.js';
 
@@ -225,7 +224,8 @@
     if (nowMs - this.refreshedMs < REFRESH_PERIOD_MS) return;
     this.refreshedMs = nowMs;
     const amounts = this.usableAmounts();
-    applyPolicyConfig(this.owner.engine, config, amounts);
+    this.owner.engine.setQueues([...policyQueues(config)]);
+    this.owner.setTeams([...policyTeams(config, amounts)]);
     const executors = [...membership.vmsIn(shard, 'executor')];
     this.desk.setExecutors(executors);
     this.desk.setConfig(config);
@@ -235,17 +235,11 @@
     }
   }
 
-  /** The allowances, less what may run unseen; none before they are read. */
+  /** The allowances; none before they were read in this term. */
   private usableAmounts(): readonly Allowance[] {
     const {allowances, shard} = this.parts;
-    const {owner} = this;
-    if (owner === undefined) return [];
     if (!allowances.isReadSince(this.activeMs)) return [];
-    const held = owner.heldWork();
-    return allowances.amountsOf(shard).map(({team, amount}) => {
-      const unseen = held.get(team) ?? NO_RESOURCES;
-      return {team, shard, amount: subtractResources(amount, unseen)};
-    });
+    return allowances.amountsOf(shard);
   }
 
   /** What counts against a team here. */
--- a/packages/scheduler/src/takeover-guard.ts
+++ b/packages/scheduler/src/takeover-guard.ts
@@ -18,6 +18,11 @@
     this.lapsedMs = lapseMs(startMs, taskLeaseMs) + NETWORK_DELAY_MARGIN_MS;
   }
 
+  /** Whether a list of VMs asked for at the time shows all workers. */
+  isListNew(listSentMs: number | undefined): boolean {
+    return listSentMs !== undefined && listSentMs >= this.startMs;
+  }
+
   /**
    * Looks again; true once the hold is over.
    *
@@ -29,11 +34,12 @@
     listSentMs: number | undefined,
     workers: readonly WorkerTask[],
   ): boolean {
-    const isListNew = listSentMs !== undefined && listSentMs >= this.startMs;
     const isAnswered = workers.every(worker => worker.hasAnswered);
     this.unansweredCount = workers.filter(worker => !worker.hasAnswered).length;
     const isLapsed = nowMs > this.lapsedMs;
-    this.isOver = isLapsed || (isListNew && isAnswered && workers.length > 0);
+    this.isOver =
+      isLapsed ||
+      (this.isListNew(listSentMs) && isAnswered && workers.length > 0);
     return this.isOver;
   }
 }
--- a/packages/scheduler/test/takeover-limit.test.ts
+++ b/packages/scheduler/test/takeover-limit.test.ts
@@ -14,8 +14,9 @@
 
 /** The team may have one task running in the shard. */
 const makeLimited: OwnerMaker = parts => {
-  parts.engine.setTeams([{...TEAM, allowance: TASK_SIZE}]);
-  return new ShardOwner(parts);
+  const owner = new ShardOwner(parts);
+  owner.setTeams([{...TEAM, allowance: TASK_SIZE}]);
+  return owner;
 };
 
 function runningIn(cell: ShardCell): number {
