Let schedulers exchange the configuration's tail as gateways do

An unreachable successor now counts as not reached rather than as one that refused, so the list is not rewritten in vain. Ruled out: a second protocol. Before: a feed of its own. After: both programs run ConfigExchange.

--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,17 +1,12 @@
 /** Follows the configuration stream, over the log or over peers. */
-import {
-  raise,
-  type Clock,
-  type EventRing,
-  type Metrics,
-} from '@dragonflyward/common';
+import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
 import {
   StreamTail,
   type ApplyResult,
   type LogClient,
   type LogRecord,
 } from '@dragonflyward/log';
-import type {PeerMesh} from '@dragonflyward/peer';
+import {askConfigTail, type PeerMesh} from '@dragonflyward/peer';
 import {
   CONFIG_STREAM,
   ConfigExchange,
@@ -26,7 +21,6 @@
 import type {VmView} from './vm-view.js';
 
 const TAIL_WAIT_MS = 500;
-const PEER_TIMEOUT_MS = 500;
 
 /** What the feed works with. */
 export interface ConfigFeedParts {
@@ -55,12 +49,8 @@
     return others.map(({id, domain}) => ({vm: id, domain}));
   }
 
-  override async askTail(vm: string, from: number): Promise<ConfigTail> {
-    const connection = this.mesh.connectionTo(vm);
-    if (connection === undefined) return raise('peerDown', vm);
-    const ask = {type: 'configTailAsk', from} as const;
-    const reply = await connection.ask(ask, PEER_TIMEOUT_MS);
-    return reply.type === 'configTail' ? reply : raise('peerLost', reply.type);
+  override askTail(vm: string, from: number): Promise<ConfigTail> {
+    return askConfigTail(this.mesh, vm, from);
   }
 }
 
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,3 +3,4 @@
 export * from './framing.js';
 export * from './connection.js';
 export * from './mesh.js';
+export * from './config-tail.js';
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -1,36 +1,71 @@
-/** The configuration stream, and its records kept for peers. */
+/** The configuration stream: followed, passed on to peers, carried forward. */
 import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
+import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import {
-  StreamTail,
-  StreamWriter,
-  type LogClient,
-  type LogRecord,
-} from '@dragonflyward/log';
-import type {ConfigTailReply} from '@dragonflyward/peer';
-import {CONFIG_STREAM, ConfigState, SnapshotTask} from '@dragonflyward/state';
+  askConfigTail,
+  type ConfigTailReply,
+  type PeerMesh,
+} from '@dragonflyward/peer';
+import {
+  CONFIG_STREAM,
+  ConfigExchange,
+  ConfigFreshness,
+  ConfigPeers,
+  ConfigState,
+  SnapshotTask,
+  type ConfigTail,
+  type ListedPeer,
+} from '@dragonflyward/state';
+import type {Membership} from './membership.js';
 
 const TAIL_WAIT_MS = 500;
-const MAX_KEPT_RECORDS = 4_096;
-const MAX_REPLY_RECORDS = 256;
+
+/** What the feed works with. */
+export interface ConfigFeedParts {
+  readonly log: LogClient;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly membership: Membership;
+  readonly mesh: PeerMesh;
+  readonly ownVm: string;
+  readonly domain: string;
+  readonly maxAgeMs: number;
+  /** Whether this process writes the snapshots of the stream now. */
+  readonly isSnapshotAllowed: () => boolean;
+}
+
+class SchedulerConfigPeers extends ConfigPeers {
+  constructor(private readonly parts: ConfigFeedParts) {
+    super();
+  }
+
+  override listed(): readonly ListedPeer[] | undefined {
+    const {membership, ownVm} = this.parts;
+    if (membership.listSentMs === undefined) return undefined;
+    const others = [...membership.entryVms()].filter(vm => vm.id !== ownVm);
+    return others.map(({id, domain}) => ({vm: id, domain}));
+  }
+
+  override askTail(vm: string, from: number): Promise<ConfigTail> {
+    return askConfigTail(this.parts.mesh, vm, from);
+  }
+}
 
 /** Follows the configuration stream and passes it on. */
 export class ConfigFeed {
   readonly state = new ConfigState();
   readonly tail: StreamTail;
-  private kept: readonly LogRecord[] = [];
+  private readonly exchange: ConfigExchange;
+  private isRunning = false;
 
-  private isStopped = false;
-
-  constructor(
-    private readonly log: LogClient,
-    private readonly clock: Clock,
-    private readonly events: EventRing,
-    metrics: Metrics,
-  ) {
+  constructor(private readonly parts: ConfigFeedParts) {
+    const {log, clock, events, metrics, domain, maxAgeMs} = parts;
+    const fold = this.state;
     this.tail = new StreamTail({
       client: log,
       stream: CONFIG_STREAM,
-      fold: this.state,
+      fold,
       clock,
       waitMs: TAIL_WAIT_MS,
       onApplied: (record, result) => {
@@ -38,38 +73,40 @@
         const revision = record.offset;
         if (result === 'skipped') events.add('recordSkipped', {revision});
         if (result === 'applied') events.add('configApplied', {revision});
-        this.keep(record);
       },
     });
+    const {tail} = this;
+    const freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
+    const peers = new SchedulerConfigPeers(parts);
+    const common = {fold, tail, clock, freshness, peers, maxAgeMs};
+    this.exchange = new ConfigExchange(common);
   }
 
-  /** Writes snapshots of the configuration while it is allowed to. */
-  keepSnapshots(isAllowed: () => boolean): void {
-    const {log, tail, clock, events, state} = this;
-    const stream = CONFIG_STREAM;
-    const writer = new StreamWriter({client: log, stream, tail, clock});
-    const parts = {fold: state, tail, writer, clock, events, isAllowed};
-    void new SnapshotTask(parts).run(() => !this.isStopped);
+  /** Starts to follow. */
+  start(): void {
+    const isWanted = (): boolean => this.isRunning;
+    this.isRunning = true;
+    this.tail.start();
+    void this.exchange.run(isWanted);
+    void this.snapshotTask().run(isWanted);
   }
 
   /** Ends all loops. */
   stop(): void {
-    this.isStopped = true;
+    this.isRunning = false;
     this.tail.stop();
   }
 
-  /** Answers a peer that asks for records from an offset on. */
+  /** Answers a peer that has applied all records before the offset. */
   tailFrom(from: number): ConfigTailReply {
-    const isKept = (this.kept[0]?.offset ?? 0) <= from;
-    const newer = this.kept.filter(record => record.offset >= from);
-    const records = isKept ? newer.slice(0, MAX_REPLY_RECORDS) : [];
-    const ageMs = this.clock.monotonicMs() - this.tail.lastProofMs;
-    const end = this.state.nextOffset;
-    return {type: 'configTail', records, ageMs, end};
+    return {type: 'configTail', ...this.exchange.answer(from)};
   }
 
-  private keep(record: LogRecord): void {
-    const all = [...this.kept, record];
-    this.kept = all.slice(-MAX_KEPT_RECORDS);
+  private snapshotTask(): SnapshotTask {
+    const {log, clock, events, isSnapshotAllowed: isAllowed} = this.parts;
+    const {state: fold, tail} = this;
+    const stream = CONFIG_STREAM;
+    const writer = new StreamWriter({client: log, stream, tail, clock});
+    return new SnapshotTask({fold, tail, writer, clock, events, isAllowed});
   }
 }
--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -1,5 +1,5 @@
 /** How ownership reaches the other schedulers. */
-import type {ProcessRef} from '@dragonflyward/common';
+import {raise, type ProcessRef} from '@dragonflyward/common';
 import type {PeerMesh} from '@dragonflyward/peer';
 import {OwnershipPeers, type OwnershipAsk} from '@dragonflyward/state';
 import type {Membership} from './membership.js';
@@ -35,16 +35,13 @@
   ): Promise<boolean> {
     const connection = this.mesh.connectionTo(process.vm);
     const info = connection?.info;
-    if (connection === undefined || info === undefined) return false;
-    if (info.process.incarnation !== process.incarnation) return false;
-    try {
-      const reply = await connection.ask(
-        {type: 'promiseAsk', ...ask},
-        PROMISE_TIMEOUT_MS,
-      );
-      return reply.type === 'promise' && reply.isGiven;
-    } catch {
-      return false;
-    }
+    const isSame = info?.process.incarnation === process.incarnation;
+    if (connection === undefined || !isSame)
+      return raise('peerDown', process.vm);
+    const reply = await connection.ask(
+      {type: 'promiseAsk', ...ask},
+      PROMISE_TIMEOUT_MS,
+    );
+    return reply.type === 'promise' && reply.isGiven;
   }
 }
--- a/packages/scheduler/src/scheduler-peers.ts
+++ b/packages/scheduler/src/scheduler-peers.ts
@@ -22,7 +22,7 @@
   readonly self: ProcessRef;
   readonly hybrid: HybridClock;
   readonly membership: Membership;
-  readonly config: ConfigFeed;
+  readonly config: () => ConfigFeed;
   readonly shards: ReadonlyMap<string, ShardTask>;
   readonly isDraining: () => boolean;
   /** Takes in what another shard wants, while this process plans. */
@@ -44,7 +44,7 @@
       type: 'heartbeat',
       at: this.parts.hybrid.tick(),
       owns: [...this.ownedShards()],
-      configOffset: this.parts.config.state.nextOffset,
+      configOffset: this.parts.config().state.nextOffset,
       isDraining: this.parts.isDraining(),
     };
   }
@@ -83,7 +83,7 @@
         return {type: 'promise', isGiven};
       }
       case 'configTailAsk':
-        return this.parts.config.tailFrom(ask.from);
+        return this.parts.config().tailFrom(ask.from);
       default:
         return raise('badRequest', ask.type);
     }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -59,38 +59,28 @@
     const bind = {localAddress: vm.ip};
     this.log = new HttpLogClient(logUrl, bind);
     this.vmList = new HttpVmListClient(vmListUrl, bind);
-    this.config = new ConfigFeed(this.log, clock, this.events, metrics);
-    this.handler = new SchedulerPeers({
-      self: this.self,
-      hybrid: this.hybrid,
-      membership: this.membership,
-      config: this.config,
-      shards: this.shards,
-      isDraining: () => this.isDraining,
-      noteDemand: report => {
-        this.allowances.noteReport(report);
-      },
-    });
+    this.handler = this.makeHandler();
     this.mesh = new PeerMesh(this.handler, clock);
+    const {log, events, membership, mesh} = this;
+    this.config = new ConfigFeed({
+      ...{log, clock, events, metrics, membership, mesh},
+      ownVm: vm.id,
+      domain: vm.domain,
+      maxAgeMs: cfg.timing.configMaxAgeMs,
+      isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
+    });
     this.allowances = new AllowanceTask({
-      self: this.self,
-      mesh: this.mesh,
-      log: this.log,
+      ...{self: this.self, mesh, log, membership, clock, events, metrics},
       config: this.config.state,
-      membership: this.membership,
       shards: this.shards,
-      clock,
-      events: this.events,
-      metrics,
     });
   }
 
   /** Starts all tasks; returns once the ports are open. */
   async start(): Promise<void> {
     const {vm, ports} = this.cfg;
-    this.config.tail.start();
+    this.config.start();
     this.allowances.start();
-    this.config.keepSnapshots(() => this.allowances.budgetTerm() !== undefined);
     await listenPeers(vm.ip, ports.scheduler, this.handler);
     await serveAdmin(vm.ip, ports.schedulerAdmin, {
       metrics: this.metrics,
@@ -122,6 +112,20 @@
     this.events.add('processStopped', {});
   }
 
+  private makeHandler(): SchedulerPeers {
+    return new SchedulerPeers({
+      self: this.self,
+      hybrid: this.hybrid,
+      membership: this.membership,
+      config: () => this.config,
+      shards: this.shards,
+      isDraining: () => this.isDraining,
+      noteDemand: report => {
+        this.allowances.noteReport(report);
+      },
+    });
+  }
+
   private isReady(): boolean {
     return !this.isDraining && this.config.state.nextOffset > 0;
   }
