Cut what a decision costs; measure memory slopes

Cause: profiles on the target's shard showed the cost in collecting all waiting classes for each pass, in summing what waits for the fair shares, and in looking at all workers for each reservation. Passes now take teams in order and look only at what they come to; sums are kept as work comes and goes; reservations look at a sample of workers.

--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -1,7 +1,9 @@
 /** Measures the decisions: their rate, their cost, and what they achieve. */
+import {setFlagsFromString} from 'node:v8';
 import type {Figures} from './benches.js';
 import {comparePolicies} from './policy-compare.js';
 import {measureLoad} from './policy-load.js';
+import {measureMemory} from './policy-memory.js';
 import {TARGET, TODAY} from './shard-load.js';
 
 /**
@@ -11,7 +13,9 @@
  * const figures = await benchPolicy(console.log);
  */
 export function benchPolicy(print: (line: string) => void): Promise<Figures> {
+  setFlagsFromString('--expose-gc');
   const load = [TODAY, TARGET].map(size => measureLoad(size, print));
+  const memory = measureMemory(print);
   const compared = comparePolicies(print);
-  return Promise.resolve({load, compared});
+  return Promise.resolve({load, memory, compared});
 }
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -8,7 +8,13 @@
 } from '@dragonflyward/common';
 import {dominantShare, mostOf} from './amounts.js';
 import type {PolicyWorker} from './engine.js';
-import {newWorkerState, type RunningTask, type WorkerState} from './state.js';
+import {
+  isSpread,
+  newWorkerState,
+  type JobState,
+  type RunningTask,
+  type WorkerState,
+} from './state.js';
 import type {TeamTable} from './team-table.js';
 
 /** Told of workers that may have got more room. */
@@ -81,6 +87,16 @@
     return dominantShare(size, this.largest) >= part;
   }
 
+  /** Counts anew where a job's tasks run, if they are to be kept apart. */
+  countPlaces(job: JobState): void {
+    const isCounted = job.placeCounts !== null;
+    if (isCounted === isSpread(job.job, job.queue)) return;
+    job.placeCounts = isCounted ? null : new Map();
+    for (const {task} of job.running.values()) {
+      addPlace(job.placeCounts, this.getWorker(task.workerId), 1);
+    }
+  }
+
   /** Reserves what a task needs. */
   charge(running: RunningTask): void {
     const {task, job} = running;
@@ -165,10 +181,11 @@
 }
 
 function addPlace(
-  counts: Map<string, number>,
+  counts: Map<string, number> | null,
   state: WorkerState,
   change: number,
 ): void {
+  if (counts === null) return;
   const {rack, workerId} = state.worker;
   addCount(counts, rackKey(rack), change);
   addCount(counts, workerKey(workerId), change);
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -19,7 +19,12 @@
 import {JobFailures} from './failures.js';
 import {HoldTable} from './holds.js';
 import {NeedTable} from './needs.js';
-import type {JobState, RunningTask, WorkerState} from './state.js';
+import {
+  isSpread,
+  type JobState,
+  type RunningTask,
+  type WorkerState,
+} from './state.js';
 import {TeamTable} from './team-table.js';
 import type {WaitClass} from './wait-class.js';
 import {noteTaskStarted} from './waiting-list.js';
@@ -173,8 +178,8 @@
  */
 export function policyOf(core: EngineCore, state: JobState): PlacementPolicy {
   if (state.job.isGang) return core.policies.gang;
-  const isSpread = state.job.isService || state.queue.policy === 'spread';
-  return isSpread ? core.policies.spread : core.policies.pack;
+  const {pack, spread} = core.policies;
+  return isSpread(state.job, state.queue) ? spread : pack;
 }
 
 /**
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -23,20 +23,16 @@
 
 /** One ratio as it is learnt over time. */
 class LearntRatio {
-  private readonly histogram = hdr.build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_RATIO_PERMILLE,
-    numberOfSignificantValueDigits: 1,
-    bitBucketSize: 16,
-  });
+  private histogram: hdr.Histogram | undefined;
   private former = 0;
 
   constructor(private readonly percentile: number) {}
 
   /** Adds a measured value over a declared one. */
   record(ratio: number): void {
+    this.histogram ??= newHistogram();
     if (this.histogram.totalCount >= WINDOW_SAMPLES) {
-      this.former = this.current();
+      this.former = this.read();
       this.histogram.reset();
     }
     const permille = Math.round(ratio * PERMILLE);
@@ -46,13 +42,20 @@
 
   /** The ratio at the percentile; 0 where too little is known. */
   read(): number {
-    if (this.histogram.totalCount < MIN_SAMPLES) return this.former;
-    return this.current();
+    const {histogram} = this;
+    if (histogram === undefined) return 0;
+    if (histogram.totalCount < MIN_SAMPLES) return this.former;
+    return histogram.getValueAtPercentile(this.percentile) / PERMILLE;
   }
+}
 
-  private current(): number {
-    return this.histogram.getValueAtPercentile(this.percentile) / PERMILLE;
-  }
+function newHistogram(): hdr.Histogram {
+  return hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_RATIO_PERMILLE,
+    numberOfSignificantValueDigits: 1,
+    bitBucketSize: 16,
+  });
 }
 
 interface Estimate {
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -1,9 +1,7 @@
 /** What each team is due: weighted max-min over the dominant resource. */
 import {
   addResources,
-  NO_RESOURCES,
   RESOURCE_NAMES,
-  scaleResources,
   type Resources,
 } from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
@@ -76,20 +74,6 @@
   return due;
 }
 
-/**
- * The sum of what a team's waiting tasks would reserve.
- *
- * @example
- * const waiting = waitingOf(team);
- */
-export function waitingOf(team: TeamState): Resources {
-  let sum = NO_RESOURCES;
-  for (const {size, taskCount} of team.waiting.values()) {
-    sum = addResources(sum, scaleResources(size, taskCount));
-  }
-  return sum;
-}
-
 function groupClaims(teams: TeamTable): readonly Group[] {
   const byOrganisation = new Map<OrganisationState, Claim[]>();
   for (const team of teams.values()) {
@@ -106,7 +90,7 @@
 }
 
 function newClaim(team: TeamState, total: Resources): Claim {
-  const wanted = addResources(team.used, waitingOf(team));
+  const wanted = addResources(team.used, team.waitingSize);
   const dominant = dominantShare(wanted, total);
   const limit = dominantShare(team.team.allowance, total);
   const profile = RESOURCE_NAMES.map(name =>
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -20,6 +20,8 @@
 const SERVICE_COST_FACTOR = 4;
 const WITHIN_SHARE_COST_FACTOR = 4;
 
+/** Workers that a search looks at before it gives up for now. */
+const MAX_WORKERS = 128;
 /** Workers between which a search has the choice. */
 const MIN_OFFERS = 8;
 const OFFERS_PER_TASK = 2;
@@ -62,7 +64,8 @@
   const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
   const workers = core.cell.workerList;
   const enough = wanted.count * OFFERS_PER_TASK + MIN_OFFERS;
-  for (let i = 0; i < workers.length && offers.size < enough; i += 1) {
+  const most = Math.min(workers.length, MAX_WORKERS + enough);
+  for (let i = 0; i < most && offers.size < enough; i += 1) {
     const worker = workers[core.roomCursor % workers.length];
     core.roomCursor = (core.roomCursor + 1) % workers.length;
     const offer = worker && offerOf(core, worker, wanted);
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -8,11 +8,14 @@
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {dequeue, enqueue, nextClass, openClasses} from './waiting-list.js';
+import {dequeue, enqueue, nextClass} from './waiting-list.js';
 
 /** Workers that are looked at in vain before the rest is left to the next pass. */
 const MAX_VAIN_LOOKS = 30_000;
 
+/** After this many teams in vain it is checked whether any need is open. */
+const CHECK_EVERY_TEAMS = 32;
+
 const NO_HOLD: ReadonlyMap<WorkerState, Resources> = new Map();
 
 /**
@@ -25,16 +28,18 @@
   core: EngineCore,
   tier: Tier,
 ): Generator<Decision> {
-  const open = openClasses(core, tier);
-  const order = new TeamOrder(teamsInTier(core, tier, open.keys()));
+  const order = new TeamOrder(teamsInTier(core, tier));
+  let dropped = 0;
   const stuck = new Set<WaitClass>();
   let looksBefore = core.needs.looks;
   while (core.needs.looks - looksBefore < MAX_VAIN_LOOKS) {
     const team = order.first();
     if (team === undefined) return;
-    const waitClass = nextClass(core, open.get(team) ?? [], tier, stuck);
+    const waitClass = nextClass(core, team, tier, stuck);
     if (waitClass === undefined) {
       order.dropFirst();
+      dropped += 1;
+      if (dropped % CHECK_EVERY_TEAMS === 0 && !isAnyOpen(core, tier)) return;
       continue;
     }
     if (!placeFirst(core, team, waitClass, tier)) {
@@ -99,14 +104,35 @@
   }
 }
 
-function* teamsInTier(
-  core: EngineCore,
-  tier: Tier,
-  teams: Iterable<TeamState>,
-): Generator<TeamState> {
-  for (const team of teams) {
-    if (tier === 'all' || isWithinShare(core, team)) yield team;
+function* teamsInTier(core: EngineCore, tier: Tier): Generator<TeamState> {
+  if (tier === 'urgent') {
+    for (const team of teamsWithUrgent(core)) {
+      if (isWithinShare(core, team)) yield team;
+    }
+    return;
+  }
+  for (const team of core.teams.values()) {
+    if (team.waiting.size > 0) yield team;
+  }
+}
+
+/**
+ * The teams of which urgent work waits.
+ *
+ * @example
+ * const order = new TeamOrder(teamsWithUrgent(core));
+ */
+export function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
+  const teams = new Set<TeamState>();
+  for (const {team} of core.urgentClasses) teams.add(team);
+  return teams;
+}
+
+function isAnyOpen(core: EngineCore, tier: Tier): boolean {
+  for (const need of core.needs.values()) {
+    if (core.needs.isOpen(need, tier)) return true;
   }
+  return false;
 }
 
 /** Whether a team's urgent use leaves it the right to go first. */
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -70,8 +70,8 @@
   protected override cost(worker: WorkerState, ask: PlacementAsk): number {
     const {placeCounts} = ask.state;
     const {rack, workerId} = worker.worker;
-    const inRack = placeCounts.get(rackKey(rack)) ?? 0;
-    const onWorker = placeCounts.get(workerKey(workerId)) ?? 0;
+    const inRack = placeCounts?.get(rackKey(rack)) ?? 0;
+    const onWorker = placeCounts?.get(workerKey(workerId)) ?? 0;
     const apart = inRack * SAME_RACK_COST + onWorker * SAME_WORKER_COST;
     return apart + leftover(worker, ask.size);
   }
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -8,7 +8,7 @@
   type RoomSearch,
   type RoomWanted,
 } from './make-room.js';
-import {flush} from './place-waiting.js';
+import {flush, teamsWithUrgent} from './place-waiting.js';
 import type {JobState, RunningTask, TeamState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
@@ -220,12 +220,6 @@
   return team.keptShare - size >= least;
 }
 
-function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
-  const teams = new Set<TeamState>();
-  for (const {team} of core.urgentClasses) teams.add(team);
-  return teams;
-}
-
 function* teamsBelowShare(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
     if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -32,6 +32,9 @@
 const OVERDUE_MS = 30_000;
 /** How long a job goes without a hold after one that was of no use. */
 const HOLD_PAUSE_MS = 30_000;
+/** Workers among which openings are sought. */
+const MAX_WORKERS = 32;
+const WORKERS_PER_TASK = 4;
 /** A task is large where it takes this part of the largest worker. */
 const LARGE_PART = 0.25;
 /** How much longer an overdue task is expected to run at least. */
@@ -200,8 +203,12 @@
   count: number,
 ): readonly Opening[] {
   const openings: Opening[] = [];
-  for (const worker of core.cell.workers.values()) {
-    if (!isUsable(worker)) continue;
+  const workers = core.cell.workerList;
+  const most = Math.min(workers.length, MAX_WORKERS + count * WORKERS_PER_TASK);
+  for (let i = 0; i < most; i += 1) {
+    const worker = workers[core.roomCursor % workers.length];
+    core.roomCursor = (core.roomCursor + 1) % workers.length;
+    if (worker === undefined || !isUsable(worker)) continue;
     openings.push(...openingsOf(core, worker, waitClass, count));
   }
   openings.sort((a, b) => a.atMs - b.atMs);
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -13,7 +13,6 @@
   type TeamDemand,
   type UsageSample,
 } from './engine.js';
-import {waitingOf} from './fair-shares.js';
 import {learnUsage} from './adjust.js';
 import {decideAll} from './decide.js';
 import {newJobState, type JobState} from './state.js';
@@ -125,7 +124,7 @@
     return [...this.core.teams.values()].map(team => ({
       team: team.team.team,
       running: team.used,
-      waiting: waitingOf(team),
+      waiting: team.waitingSize,
     }));
   }
 
@@ -163,6 +162,7 @@
     const team = this.core.teams.get(job.team);
     state.job = job;
     state.queue = queueOf(this.core, job.queue);
+    this.core.cell.countPlaces(state);
     if (state.team === team) return;
     for (const {task, isUrgent} of state.running.values()) {
       this.core.teams.release(state.team, task.size, isUrgent);
@@ -178,6 +178,7 @@
     const isWaiting = state.waitClass !== null;
     dequeue(this.core, state);
     state.queue = queue;
+    this.core.cell.countPlaces(state);
     if (isWaiting) enqueue(this.core, state);
   }
 
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -57,6 +57,8 @@
   /** The dominant share in use, with half a task and the drift, divided by the weight. */
   ratio: number;
   readonly waiting: Map<string, WaitClass>;
+  /** The sum of what its waiting tasks would reserve. */
+  waitingSize: Resources;
   /** The part of the use whose tasks were told to stop. */
   stopping: Resources;
   /** The dominant share that stays once told tasks have ended. */
@@ -75,8 +77,8 @@
   /** Indexes of the tasks that wait. */
   readonly pending: Set<number>;
   readonly running: Map<number, RunningTask>;
-  /** How many tasks run in each rack and on each worker. */
-  readonly placeCounts: Map<string, number>;
+  /** For a job that is spread: how many tasks each place has. */
+  placeCounts: Map<string, number> | null;
   /** The class in which the job waits. */
   waitClass: WaitClass | null;
   /** Tells the job's present entry in its class from older ones. */
@@ -145,7 +147,7 @@
     team,
     pending: new Set(),
     running: new Map(),
-    placeCounts: new Map(),
+    placeCounts: isSpread(job, queue) ? new Map() : null,
     waitClass: null,
     ticket: 0,
     setAsideReason: '',
@@ -164,3 +166,13 @@
   if (state.setAsideUntilMs > 0) return false;
   return !state.isOnProbation || state.tasks.size === 0;
 }
+
+/**
+ * Tells whether the tasks of a job are kept apart.
+ *
+ * @example
+ * const policy = isSpread(job, queue) ? policies.spread : policies.pack;
+ */
+export function isSpread(job: PolicyJob, queue: PolicyQueue): boolean {
+  return !job.isGang && (job.isService || queue.policy === 'spread');
+}
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -151,6 +151,7 @@
       urgentUsed: NO_RESOURCES,
       ratio: 0,
       waiting: new Map(),
+      waitingSize: NO_RESOURCES,
       stopping: NO_RESOURCES,
       halfTask: 0,
       drift: 0,
@@ -207,9 +208,9 @@
   readonly drift: number;
 }
 
-/** The sum of what was had beyond the share, up to two tasks each way. */
+/** The sum of what was had beyond the share, up to four tasks each way. */
 function nextDrift(state: Drifting, used: number, part: number): number {
-  const most = 4 * state.halfTask;
+  const most = 8 * state.halfTask;
   const drift = state.drift + (used - state.fair) * part;
   return Math.max(-most, Math.min(most, drift));
 }
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -1,4 +1,5 @@
 /** Which jobs wait, and which of a team's jobs is next. */
+import {addResources, scaleResources} from '@dragonflyward/common';
 import {sizeKey} from './amounts.js';
 import {PRIORITIES, type EngineCore} from './core.js';
 import type {Tier} from './needs.js';
@@ -33,7 +34,7 @@
     if (kind.priority === 'urgent') core.urgentClasses.add(waitClass);
   }
   waitClass.add(state);
-  core.waitingTasks += state.pending.size;
+  noteWaiting(core, waitClass, state.pending.size);
 }
 
 /**
@@ -45,7 +46,7 @@
 export function dequeue(core: EngineCore, state: JobState): void {
   const {waitClass} = state;
   if (waitClass === null) return;
-  core.waitingTasks -= state.pending.size;
+  noteWaiting(core, waitClass, -state.pending.size);
   waitClass.remove(state);
   if (waitClass.isEmpty) forgetClass(core, waitClass);
 }
@@ -64,11 +65,25 @@
   if (!state.pending.delete(taskIndex)) return;
   const {waitClass} = state;
   if (waitClass === null) return;
-  core.waitingTasks -= 1;
+  noteWaiting(core, waitClass, -1);
   waitClass.shrink(state, 1);
   if (waitClass.isEmpty) forgetClass(core, waitClass);
 }
 
+/** Counts tasks of a class that begin to wait, or cease where negative. */
+function noteWaiting(
+  core: EngineCore,
+  waitClass: WaitClass,
+  count: number,
+): void {
+  const {team, size} = waitClass;
+  core.waitingTasks += count;
+  team.waitingSize = addResources(
+    team.waitingSize,
+    scaleResources(size, count),
+  );
+}
+
 function forgetClass(core: EngineCore, waitClass: WaitClass): void {
   core.needs.remove(waitClass);
   core.urgentClasses.delete(waitClass);
@@ -102,54 +117,23 @@
   return runMs > MAX_HOLD_MS ? Infinity : 4 ** Math.ceil(Math.log2(runMs) / 2);
 }
 
-/**
- * The classes for which there may be room, by team.
- *
- * @example
- * for (const [team, classes] of openClasses(core, 'all')) place(team);
- */
-export function openClasses(
-  core: EngineCore,
-  tier: Tier,
-): ReadonlyMap<TeamState, readonly WaitClass[]> {
-  const byTeam = new Map<TeamState, WaitClass[]>();
-  for (const waitClass of classesOf(core, tier)) {
-    const classes = byTeam.get(waitClass.team);
-    if (classes === undefined) byTeam.set(waitClass.team, [waitClass]);
-    else classes.push(waitClass);
-  }
-  return byTeam;
-}
-
-function* classesOf(core: EngineCore, tier: Tier): Generator<WaitClass> {
-  if (tier === 'urgent') {
-    for (const waitClass of core.urgentClasses) {
-      const {need} = waitClass;
-      if (need !== null && core.needs.isOpen(need, tier)) yield waitClass;
-    }
-    return;
-  }
-  for (const need of core.needs.values()) {
-    if (core.needs.isOpen(need, tier)) yield* need.classes;
-  }
-}
-
 /**
  * The class whose turn it is in a team: by priority raised with age, then by
  * the time of acceptance.
  *
  * @example
- * const waitClass = nextClass(core, classes, 'all', stuck);
+ * const waitClass = nextClass(core, team, 'all', stuck);
  */
 export function nextClass(
   core: EngineCore,
-  classes: readonly WaitClass[],
+  team: TeamState,
   tier: Tier,
   stuck: ReadonlySet<WaitClass>,
 ): WaitClass | undefined {
   let best: WaitClass | undefined;
   let bestRank = Infinity;
-  for (const waitClass of classes) {
+  for (const waitClass of team.waiting.values()) {
+    if (tier === 'urgent' && waitClass.kind.priority !== 'urgent') continue;
     if (waitClass.need === null || stuck.has(waitClass)) continue;
     if (!core.needs.isOpen(waitClass.need, tier)) continue;
     const first = waitClass.first();
@@ -202,7 +186,10 @@
   if (version !== waitClass.sizeVersion) {
     waitClass.sizeVersion = version;
     const learnt = core.estimates.sizeOf(queue, team, declared);
+    const {taskCount} = waitClass;
+    noteWaiting(core, waitClass, -taskCount);
     waitClass.size = core.cell.canEverHold(learnt) ? learnt : declared;
+    noteWaiting(core, waitClass, taskCount);
   }
   core.needs.add(waitClass);
 }
