--- a/packages/caller/test/process-cell.ts
+++ b/packages/caller/test/process-cell.ts
@@ -109,6 +109,7 @@
       isIdempotent: false,
       deadlineMs: DEADLINE_MS,
       sleepMs: REQUEST_MS,
+      hasOwnId: true,
     });
   }
 }
