Give gateway and scheduler the same command line, and explain jobs

Cause: both read only their file, so environment and flags did not override it, and a bad setting ended one with a stack trace and 1, the other with 78. The scheduler's admin port answers /explain?job=ID, which ctl explain asks for.

--- a/packages/caller/src/main.ts
+++ b/packages/caller/src/main.ts
@@ -1,28 +1,10 @@
 #!/usr/bin/env node
-/** Command line of the gateway program. */
-import {
-  loadSettings,
-  onTermination,
-  PROCESS_SETTINGS_SCHEMA,
-  type ProcessSettings,
-} from '@dragonflyward/common';
-import {Command} from 'commander';
+/** The program dragonflyward-gateway. */
+import {runDaemon} from '@dragonflyward/common/daemon';
 import {Gateway} from './gateway.js';
 
-interface Options {
-  readonly settings: string;
-}
-
-const options = new Command('dragonflyward-gateway')
-  .description('Takes the requests and jobs of callers')
-  .requiredOption('--settings <file>', 'settings in JSON with comments')
-  .parse()
-  .opts<Options>();
-
-const cfg = loadSettings<ProcessSettings>(
-  options.settings,
-  PROCESS_SETTINGS_SCHEMA,
-);
-const gateway = new Gateway(cfg);
-onTermination(() => gateway.drain(), cfg.timing.drainBoundMs);
-await gateway.start();
+await runDaemon({
+  name: 'dragonflyward-gateway',
+  description: 'Takes the requests and jobs of callers',
+  make: cfg => new Gateway(cfg),
+});
--- a/packages/common/src/admin.ts
+++ b/packages/common/src/admin.ts
@@ -1,5 +1,6 @@
 /** The operators' HTTP port of a process: health, metrics, events, status. */
 import http from 'node:http';
+import {ERRORS, toFailure} from './errors.js';
 import type {EventRing} from './events.js';
 import {sendJson} from './json-http.js';
 import type {Metrics} from './metrics.js';
@@ -10,10 +11,17 @@
   readonly events: EventRing;
   readonly isReady: () => boolean;
   readonly status: () => Readonly<Record<string, unknown>>;
+  /**
+   * Says why a job waits or runs where it does.
+   *
+   * @throws jobUnknown, notOwner
+   */
+  readonly explain?: (jobId: string) => Readonly<object>;
 }
 
 /**
- * Serves `/healthz`, `/readyz`, `/metrics`, `/events` and `/status`.
+ * Serves `/healthz`, `/readyz`, `/metrics`, `/events`, `/status` and, where
+ * the process knows jobs, `/explain?job=ID`.
  *
  * @returns the server, listening
  * @example
@@ -25,12 +33,13 @@
   source: AdminSource,
 ): Promise<http.Server> {
   const server = http.createServer((req, res) => {
-    const path = (req.url ?? '/').split('?')[0];
+    const [path, query] = (req.url ?? '/').split('?');
     if (path === '/healthz') return sendJson(res, 200, {status: 'alive'});
     if (path === '/readyz') return sendReady(res, source.isReady());
     if (path === '/metrics') return sendText(res, source.metrics.toText());
     if (path === '/events') return sendJson(res, 200, listEvents(source));
     if (path === '/status') return sendJson(res, 200, source.status());
+    if (path === '/explain') return sendExplanation(res, source, query);
     return sendJson(res, 404, {error: 'routeUnknown'});
   });
   return new Promise((resolve, reject) => {
@@ -45,6 +54,22 @@
   sendJson(res, isReady ? 200 : 503, {ready: isReady});
 }
 
+function sendExplanation(
+  res: http.ServerResponse,
+  {explain}: AdminSource,
+  query: string | undefined,
+): void {
+  const jobId = new URLSearchParams(query).get('job') ?? '';
+  try {
+    const answer = explain?.(jobId);
+    if (answer !== undefined) return sendJson(res, 200, answer);
+    return sendJson(res, 404, {error: 'routeUnknown'});
+  } catch (err) {
+    const {kind, detail} = toFailure(err);
+    return sendJson(res, ERRORS[kind].status, {error: kind, detail});
+  }
+}
+
 function sendText(res: http.ServerResponse, text: string): void {
   res.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
   res.end(text);
--- a/packages/operator/src/job-commands.ts
+++ b/packages/operator/src/job-commands.ts
@@ -42,7 +42,7 @@
 ): Promise<ExitCode> {
   const calls = new GatewayCalls(context, options);
   const job = (await calls.call('GET', pathOf(jobId))) as JobStatus;
-  context.output.print(job, jobLines(job));
+  context.output.print(job, [...jobLines(job), ...resultLines(job)]);
   return EXIT.ok;
 }
 
@@ -51,7 +51,10 @@
   yield `shard ${job.shard}: ${job.phase}${job.end ? `, ${job.end}` : ''}`;
   yield `tasks: ${job.tasksRunning} running, ${job.tasksEnded} ended`;
   if (job.reason !== '') yield `reason: ${job.reason}`;
-  for (const [index, result] of job.results.entries()) {
+}
+
+function* resultLines({results}: JobStatus): Generator<string> {
+  for (const [index, result] of results.entries()) {
     if (result !== '') yield `task ${index}: ${result}`;
   }
 }
@@ -82,13 +85,11 @@
   const replies = await fleet.readAll(path, 'scheduler');
   const reply = replies.find(({body}) => body !== undefined);
   if (reply?.body !== undefined) {
-    const {process, body} = reply;
-    const lines = Object.entries(body).map(
-      ([key, value]) => `${key}: ${textOf(value)}`,
-    );
-    output.print({process: process.name, ...body}, [
-      `answered by ${process.name}`,
-      ...lines,
+    const job = reply.body as unknown as JobStatus;
+    const by = reply.process.name;
+    output.print({answeredBy: by, ...job}, [
+      ...jobLines(job),
+      `answered by ${by}`,
     ]);
     return EXIT.ok;
   }
@@ -103,10 +104,6 @@
   );
 }
 
-function textOf(value: unknown): string {
-  return typeof value === 'string' ? value : JSON.stringify(value);
-}
-
 /**
  * Adds the commands `job` and `explain`.
  *
--- a/packages/operator/test/fleet.process.test.ts
+++ b/packages/operator/test/fleet.process.test.ts
@@ -16,6 +16,18 @@
 const ENTRIES_PER_DOMAIN = 2;
 const PROCESSES = 2 * ENTRIES_PER_DOMAIN;
 
+/** More than the team may run, but not more than a worker holds. */
+const JOB = {
+  queue: 'kilns',
+  tasks: 1,
+  isGang: false,
+  isService: false,
+  isIdempotent: true,
+  size: {cpuMilli: 500, memMb: 0, accel: 0},
+  runMs: 0,
+  payload: {},
+};
+
 const fleet = suite('ctl and a fleet');
 const dir = mkdtempSync(join(tmpdir(), 'fleet-'));
 const file = join(dir, 'fleet.json');
@@ -127,6 +139,35 @@
   },
 );
 
+fleet('lists, explains and cancels a job that waits', async () => {
+  const granted = await ctl('key', 'grant', 'roofs');
+  const key = String(granted.value['key']);
+  const [entry] = rig.entries;
+  assert.ok(entry);
+  const submitted = await callJson({
+    method: 'POST',
+    url: `${rig.gatewayUrl(entry.id)}/v1/jobs`,
+    headers: {authorization: `Bearer ${key}`},
+    body: JOB,
+    timeoutMs: REQUEST_TIMEOUT_MS,
+  });
+  const {jobId} = submitted.body as {readonly jobId: string};
+  const explained = await ctl('explain', jobId);
+  assert.is(explained.code, EXIT.ok);
+  assert.is(explained.value['phase'], 'waiting');
+  assert.match(String(explained.value['reason']), /1 waiting: .+/);
+  const keyFile = join(dir, 'roofs.key');
+  writeFileSync(keyFile, `${key}\n`);
+  const listed = await ctl('job', 'list', '--key-file', keyFile);
+  assert.match(listed.text, jobId);
+  const cancelled = await ctl('job', 'cancel', jobId, '--key-file', keyFile);
+  assert.is(cancelled.code, EXIT.ok);
+  const shown = await ctl('job', 'show', jobId, '--key-file', keyFile);
+  assert.is(shown.value['end'], 'cancelled');
+  assert.is((await ctl('job', 'list')).code, EXIT.refused);
+  assert.is((await ctl('explain', 'north-1:none')).code, EXIT.unknownName);
+});
+
 fleet(
   'shows every process, and exits with 6 when one does not answer',
   async () => {
--- a/packages/operator/test/run-ctl.ts
+++ b/packages/operator/test/run-ctl.ts
@@ -1,23 +1,26 @@
 import {NO_RESOURCES} from '@dragonflyward/common';
 import type {Rig} from '@dragonflyward/standins';
-import type {Configuration} from '@dragonflyward/state';
+import type {Configuration, QueueConfig} from '@dragonflyward/state';
 import type {Command} from 'commander';
 import {runProgram, type ProgramIo} from '../src/ctl-context.js';
 import {ctlProgram} from '../src/ctl-program.js';
 
-/** A configuration of one queue and the team "roofs". */
+const QUEUE: QueueConfig = {
+  priority: 'urgent',
+  service: 'quotes',
+  isOpen: false,
+  maxBodyBytes: 1_000,
+  maxDeadlineMs: 5_000,
+  maxWaiting: 10,
+  policy: 'spread',
+};
+
+/** Queues for requests and jobs; the team "roofs" may run requests only. */
 export const CONFIGURATION: Configuration = {
   defaults: {
     queues: {
-      quotes: {
-        priority: 'urgent',
-        service: 'quotes',
-        isOpen: false,
-        maxBodyBytes: 1_000,
-        maxDeadlineMs: 5_000,
-        maxWaiting: 10,
-        policy: 'spread',
-      },
+      quotes: QUEUE,
+      kilns: {...QUEUE, service: '', policy: 'pack'},
     },
     organisations: {valley: {share: 1}},
     teams: {
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -5,6 +5,7 @@
   logCounters,
   makeLogger,
   Metrics,
+  raise,
   serveAdmin,
   SystemClock,
   type Logger,
@@ -13,6 +14,7 @@
 } from '@dragonflyward/common';
 import {HttpLogClient} from '@dragonflyward/log';
 import {listenPeers, PeerMesh, type PeerAddress} from '@dragonflyward/peer';
+import type {JobStatus} from '@dragonflyward/state';
 import {HttpWorkerClient} from '@dragonflyward/target';
 import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
 import {AllowanceTask} from './allowance-task.js';
@@ -94,6 +96,7 @@
       events: this.events,
       isReady: () => this.isReady(),
       status: () => this.status(),
+      explain: jobId => this.explain(jobId),
     });
     logCounters(this.logger, this.metrics);
     this.events.add('processStarted', {});
@@ -202,6 +205,15 @@
     void task.run();
   }
 
+  private explain(jobId: string): JobStatus {
+    for (const {owner, fold} of this.shards.values()) {
+      if (owner !== undefined && fold.jobs.has(jobId)) {
+        return owner.jobs.status(jobId);
+      }
+    }
+    return raise('jobUnknown', jobId);
+  }
+
   private status(): Readonly<Record<string, unknown>> {
     const nowMs = this.clock.monotonicMs();
     return {
