--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -36,8 +36,9 @@
     const connection = this.mesh.connectionTo(process.vm);
     const info = connection?.info;
     const isSame = info?.process.incarnation === process.incarnation;
-    if (connection === undefined || !isSame)
+    if (connection === undefined || !isSame) {
       return raise('peerDown', process.vm);
+    }
     const reply = await connection.ask(
       {type: 'promiseAsk', ...ask},
       PROMISE_TIMEOUT_MS,
