Hand a shard only to a scheduler that can read the log

Cause: a shard given up by an owner that was cut from the log was handed back to that owner by the rule for its own domain, which could not act: a job was refused notOwner. Ruled out: the claim on a stalled owner. Heartbeats now tell how old the sender's newest read of the log is; only a process with a read in the last 2 s is handed a shard.

--- a/packages/caller/src/gateway-peers.ts
+++ b/packages/caller/src/gateway-peers.ts
@@ -23,6 +23,7 @@
   readonly claimsAt: (shard: string) => readonly PassedClaim[];
   readonly upMs: () => number;
   readonly configOffset: () => number;
+  readonly configAgeMs: () => number;
   readonly isDraining: () => boolean;
   /** Called with the shards of an owner after each of its heartbeats. */
   readonly onOwner: (shards: readonly string[]) => void;
@@ -44,6 +45,7 @@
       at: this.parts.events.hybrid.tick(),
       owns: [],
       configOffset: this.parts.configOffset(),
+      configAgeMs: this.parts.configAgeMs(),
       isDraining: this.parts.isDraining(),
     };
   }
--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -172,6 +172,7 @@
       claimsAt: shard => this.tickets.claimsAt(shard),
       upMs: () => this.clock.monotonicMs() - this.startedMs,
       configOffset: () => this.config.state.nextOffset,
+      configAgeMs: () => this.config.ageMs(),
       isDraining: () => this.isDraining,
       onOwner: shards => {
         for (const shard of shards) this.tickets.sendKept(shard);
--- a/packages/caller/test/mesh-tickets.test.ts
+++ b/packages/caller/test/mesh-tickets.test.ts
@@ -62,7 +62,7 @@
   override heartbeat(): Heartbeat {
     const at = {wallMs: 0, count: 0};
     const owns = [{shard: this.shard, term: 1}];
-    const rest = {configOffset: 0, isDraining: false};
+    const rest = {configOffset: 0, configAgeMs: 0, isDraining: false};
     return {type: 'heartbeat', at, owns, ...rest};
   }
 
@@ -147,6 +147,7 @@
     claimsAt: () => [],
     upMs: () => 0,
     configOffset: () => 0,
+    configAgeMs: () => 0,
     isDraining: () => false,
     onOwner: () => undefined,
   });
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -24,6 +24,8 @@
   readonly owns: readonly OwnedShard[];
   /** Highest configuration offset that the sender has applied. */
   readonly configOffset: number;
+  /** How long ago the sender read the end of the configuration stream. */
+  readonly configAgeMs: number;
   readonly isDraining: boolean;
 }
 
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -97,6 +97,11 @@
     this.tail.stop();
   }
 
+  /** How long ago the end of the stream was read from the log itself. */
+  readAgeMs(): number {
+    return this.parts.clock.monotonicMs() - this.tail.lastProofMs;
+  }
+
   /** Answers a peer that has applied all records before the offset. */
   tailFrom(from: number): ConfigTailReply {
     return {type: 'configTail', ...this.exchange.answer(from)};
--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -11,12 +11,15 @@
 
 /** How many schedulers follow a shard: its owner and its successors. */
 const FOLLOWERS_PER_SHARD = 3;
+/** A process whose newest read of the log is older may be cut from it. */
+const LOG_READ_BOUND_MS = 2_000;
 
 interface Heard {
   readonly process: ProcessRef;
   /** When this run of the process was first heard. */
   readonly sinceMs: number;
   readonly atMs: number;
+  readonly canReadLog: boolean;
   readonly isDraining: boolean;
   readonly owns: readonly OwnedShard[];
 }
@@ -80,6 +83,7 @@
       process: from.process,
       sinceMs: isSame ? known.sinceMs : nowMs,
       atMs: nowMs,
+      canReadLog: heartbeat.configAgeMs < LOG_READ_BOUND_MS,
       isDraining: heartbeat.isDraining,
       owns: heartbeat.owns,
     });
@@ -169,10 +173,17 @@
   isSettledIn(shard: string, process: ProcessRef, forMs: number): boolean {
     if (this.vms.get(process.vm)?.domain !== shard) return false;
     const heard = this.heard.get(process.vm);
-    if (heard?.process.incarnation !== process.incarnation) return false;
+    if (heard === undefined || !this.canReadLog(process)) return false;
     return this.clock.monotonicMs() - heard.sinceMs >= forMs;
   }
 
+  /** Whether the process said lately that it can read the log. */
+  canReadLog(process: ProcessRef): boolean {
+    const heard = this.heard.get(process.vm);
+    if (heard?.process.incarnation !== process.incarnation) return false;
+    return heard.canReadLog;
+  }
+
   private schedulerOn(vm: string): ProcessRef | undefined {
     const heard = this.heard.get(vm);
     return heard?.isDraining === true ? undefined : heard?.process;
--- a/packages/scheduler/src/scheduler-peers.ts
+++ b/packages/scheduler/src/scheduler-peers.ts
@@ -45,6 +45,7 @@
       at: this.parts.hybrid.tick(),
       owns: [...this.ownedShards()],
       configOffset: this.parts.config().state.nextOffset,
+      configAgeMs: this.parts.config().readAgeMs(),
       isDraining: this.parts.isDraining(),
     };
   }
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-task.ts
@@ -120,7 +120,8 @@
   /** The running schedulers that could take the shard over, best first. */
   heirs(): readonly ProcessRef[] {
     const {membership, shard} = this.parts;
-    return membership.otherFollowers(shard, HEIR_SILENCE_MS);
+    const others = membership.otherFollowers(shard, HEIR_SILENCE_MS);
+    return others.filter(process => membership.canReadLog(process));
   }
 
   /** Runs until it is stopped. */
