--- a/packages/scheduler/test/shard-cell.ts
+++ b/packages/scheduler/test/shard-cell.ts
@@ -127,7 +127,7 @@
     this.nextTerm += 1;
     this.pushClaim(term);
     const right = new TestRight(term);
-    const tenant: Tenant | undefined;
+    let tenant: Tenant | undefined;
     const fold = new ShardState();
     const client = new MemoryLogClient(this.log);
     const {clock} = this;
