--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -5,6 +5,7 @@
   logCounters,
   makeLogger,
   Metrics,
+  raise,
   serveAdmin,
   SystemClock,
   type Logger,
@@ -13,6 +14,7 @@
 } from '@dragonflyward/common';
 import {HttpLogClient} from '@dragonflyward/log';
 import {listenPeers, PeerMesh, type PeerAddress} from '@dragonflyward/peer';
+import type {JobStatus} from '@dragonflyward/state';
 import {HttpWorkerClient} from '@dragonflyward/target';
 import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
 import {AllowanceTask} from './allowance-task.js';
@@ -25,6 +27,9 @@
 const HANDOVER_BOUND_MS = 10_000;
 const PASS_CLAIMS_TIMEOUT_MS = 3_000;
 const HANDOVER_CHECK_MS = 50;
+const RETURN_CHECK_MS = 1_000;
+/** A scheduler that runs for this long is given its domain's shard. */
+const SETTLED_MS = 3_000;
 
 /** One running scheduler. */
 export class SchedulerProcess {
@@ -56,49 +61,41 @@
     const bind = {localAddress: vm.ip};
     this.log = new HttpLogClient(logUrl, bind);
     this.vmList = new HttpVmListClient(vmListUrl, bind);
-    this.config = new ConfigFeed(this.log, clock, this.events, metrics);
-    this.handler = new SchedulerPeers({
-      self: this.self,
-      hybrid: this.hybrid,
-      membership: this.membership,
-      config: this.config,
-      shards: this.shards,
-      isDraining: () => this.isDraining,
-      noteDemand: report => {
-        this.allowances.noteReport(report);
-      },
-    });
+    this.handler = this.makeHandler();
     this.mesh = new PeerMesh(this.handler, clock);
+    const {log, events, membership, mesh} = this;
+    this.config = new ConfigFeed({
+      ...{log, clock, events, metrics, membership, mesh},
+      ownVm: vm.id,
+      domain: vm.domain,
+      maxAgeMs: cfg.timing.configMaxAgeMs,
+      isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
+    });
     this.allowances = new AllowanceTask({
-      self: this.self,
-      mesh: this.mesh,
-      log: this.log,
+      ...{self: this.self, mesh, log, membership, clock, events, metrics},
       config: this.config.state,
-      membership: this.membership,
       shards: this.shards,
-      clock,
-      events: this.events,
-      metrics,
     });
   }
 
   /** Starts all tasks; returns once the ports are open. */
   async start(): Promise<void> {
     const {vm, ports} = this.cfg;
-    this.config.tail.start();
+    this.config.start();
     this.allowances.start();
-    this.config.keepSnapshots(() => this.allowances.budgetTerm() !== undefined);
     await listenPeers(vm.ip, ports.scheduler, this.handler);
     await serveAdmin(vm.ip, ports.schedulerAdmin, {
       metrics: this.metrics,
       events: this.events,
       isReady: () => this.isReady(),
       status: () => this.status(),
+      explain: jobId => this.explain(jobId),
     });
     logCounters(this.logger, this.metrics);
     this.events.add('processStarted', {});
     this.logger.info({vm: vm.id}, 'started');
     void this.followVmList();
+    void this.returnShards();
   }
 
   /** Hands all shards over, then ends all tasks. */
@@ -118,6 +115,20 @@
     this.events.add('processStopped', {});
   }
 
+  private makeHandler(): SchedulerPeers {
+    return new SchedulerPeers({
+      self: this.self,
+      hybrid: this.hybrid,
+      membership: this.membership,
+      config: () => this.config,
+      shards: this.shards,
+      isDraining: () => this.isDraining,
+      noteDemand: report => {
+        this.allowances.noteReport(report);
+      },
+    });
+  }
+
   private isReady(): boolean {
     return !this.isDraining && this.config.state.nextOffset > 0;
   }
@@ -145,6 +156,23 @@
       .catch(() => undefined);
   }
 
+  /** Gives shards of other failure domains back to schedulers in them. */
+  private async returnShards(): Promise<void> {
+    while (!this.isStopped) {
+      await this.clock.sleep(RETURN_CHECK_MS);
+      for (const [shard, task] of this.shards) {
+        if (this.isReturnDue(shard, task)) await this.handOver(task);
+      }
+    }
+  }
+
+  private isReturnDue(shard: string, task: ShardTask): boolean {
+    if (shard === this.cfg.vm.domain || !task.isActive) return false;
+    const [heir] = task.heirs();
+    if (heir === undefined) return false;
+    return this.membership.isSettledIn(shard, heir, SETTLED_MS);
+  }
+
   private async followVmList(): Promise<void> {
     while (!this.isStopped) {
       const sentMs = this.clock.monotonicMs();
@@ -202,6 +230,15 @@
     void task.run();
   }
 
+  private explain(jobId: string): JobStatus {
+    for (const {owner, fold} of this.shards.values()) {
+      if (owner !== undefined && fold.jobs.has(jobId)) {
+        return owner.jobs.status(jobId);
+      }
+    }
+    return raise('jobUnknown', jobId);
+  }
+
   private status(): Readonly<Record<string, unknown>> {
     const nowMs = this.clock.monotonicMs();
     return {
