--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -2,6 +2,7 @@
 import {benchControl} from './control.js';
 import {benchPolicy} from './policy.js';
 import {benchRelay} from './relay.js';
+import {benchState} from './state.js';
 
 /** Figures of a benchmark, as they are printed with `--json`. */
 export type Figures = Readonly<Record<string, unknown>>;
@@ -14,4 +15,5 @@
   control: benchControl,
   policy: benchPolicy,
   relay: benchRelay,
+  state: benchState,
 };
