Repeat asks that name a job while a shard changes its owner

Cause: a job submitted while a shard was handed over was refused notOwner, true but needless: owners know a repeat by the job's id. Submit, status and cancel are now repeated within the caller's deadline; once a reply was lost, a later refusal is not told as not run. Ruled out: the worker's silent connections, in whose test it was seen.

--- a/packages/caller/src/job-routes.ts
+++ b/packages/caller/src/job-routes.ts
@@ -10,11 +10,14 @@
   rankByHash,
   readJson,
   sendJson,
+  SystemClock,
+  type Clock,
 } from '@dragonflyward/common';
 import type {PeerAsk, PeerReply} from '@dragonflyward/peer';
 import {admit, teamOfHeaders} from './access.js';
 import type {ConfigView} from './config-view.js';
 import {readJob, type JobRequest} from './job-spec.js';
+import {askOwner} from './owner-ask.js';
 import {readDeadline} from './request-spec.js';
 
 const MAX_JOB_BYTES = 1024 * 1024;
@@ -47,6 +50,7 @@
   constructor(
     private readonly config: ConfigView,
     private readonly asker: ShardAsker,
+    private readonly clock: Clock = new SystemClock(),
   ) {}
 
   /**
@@ -67,7 +71,7 @@
     const declared = {size, runMs, payload};
     const type = 'jobSubmit';
     const ask = {type, shard, jobId, team, ...work, ...declared} as const;
-    await this.asker.ask(shard, ask, deadlineMs);
+    await this.ask(ask, deadlineMs);
     sendJson(res, ACCEPTED, {jobId, shard});
   }
 
@@ -90,7 +94,7 @@
     await this.find(req.headers, jobId);
     const shard = this.shardOf(jobId);
     const deadlineMs = readDeadline(req.headers, MAX_JOB_DEADLINE_MS);
-    await this.asker.ask(shard, {type: 'jobCancel', shard, jobId}, deadlineMs);
+    await this.ask({type: 'jobCancel', shard, jobId}, deadlineMs);
     sendJson(res, ACCEPTED, {jobId, shard});
   }
 
@@ -106,13 +110,20 @@
     const lists = await Promise.all(
       this.asker.domains().map(async shard => {
         const ask = {type: 'jobListAsk', shard, team, maxJobs} as const;
-        const reply = await this.asker.ask(shard, ask, deadlineMs);
+        const reply = await this.ask(ask, deadlineMs);
         return reply.type === 'jobs' ? reply.jobs : [];
       }),
     );
     sendJson(res, 200, {jobs: lists.flat().slice(0, maxJobs)});
   }
 
+  private ask(
+    ask: PeerAsk & {readonly shard: string},
+    deadlineMs: number,
+  ): Promise<PeerReply> {
+    return askOwner(this.asker, this.clock, ask, deadlineMs);
+  }
+
   /** Finds a job of the caller's team; others' jobs are as unknown to it. */
   private async find(
     headers: IncomingHttpHeaders,
@@ -123,7 +134,7 @@
     const team = hasKey ? teamOfHeaders(this.config, headers) : '';
     const deadlineMs = readDeadline(headers, MAX_JOB_DEADLINE_MS);
     const ask = {type: 'jobAsk', shard, jobId} as const;
-    const reply = await this.asker.ask(shard, ask, deadlineMs);
+    const reply = await this.ask(ask, deadlineMs);
     if (reply.type !== 'job') return raise('peerLost', reply.type);
     const status = reply.status as TeamOwned;
     if (status.team !== team) raise('jobUnknown', jobId);
--- /dev/null
+++ b/packages/caller/test/owner-ask.test.ts
@@ -0,0 +1,77 @@
+import {
+  DragonflywardError,
+  ManualClock,
+  toFailure,
+  type ErrorKind,
+} from '@dragonflyward/common';
+import {promiseTest} from '@dragonflyward/common/promise-test';
+import type {PeerReply} from '@dragonflyward/peer';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {askOwner} from '../src/owner-ask.js';
+
+const DEADLINE_MS = 10_000;
+const STEP_MS = 100;
+const ASK = {type: 'jobAsk', shard: 'north-1', jobId: 'north-1:j'} as const;
+
+interface Case {
+  readonly name: string;
+  readonly kinds: readonly ErrorKind[];
+  readonly expected: string;
+}
+
+const CASES: readonly Case[] = [
+  {name: 'an answer at once', kinds: [], expected: 'done'},
+  {
+    name: 'a hand-over within the deadline',
+    kinds: ['notOwner', 'peerDown', 'notOwner'],
+    expected: 'done',
+  },
+  {
+    name: 'a reply that was lost',
+    kinds: ['peerLost', 'appendUnknown', 'logDown'],
+    expected: 'done',
+  },
+  {name: 'a refusal', kinds: ['queueFull'], expected: 'queueFull'},
+  {
+    name: 'a refusal after a lost reply is not told as "not run"',
+    kinds: ['peerLost', 'queueFull'],
+    expected: 'peerLost',
+  },
+];
+
+/** Asks a link that fails with the kinds in turn, then answers. */
+async function ask(kinds: readonly ErrorKind[]): Promise<string> {
+  const clock = new ManualClock();
+  const left = [...kinds];
+  const link = {
+    ask(): Promise<PeerReply> {
+      const kind = left.shift();
+      if (kind === undefined) return Promise.resolve({type: 'done'});
+      return Promise.reject(new DragonflywardError(kind, ''));
+    },
+  };
+  const answer = askOwner(link, clock, ASK, DEADLINE_MS).then(
+    reply => reply.type,
+    (err: unknown) => toFailure(err).kind,
+  );
+  for (let passedMs = 0; passedMs < DEADLINE_MS; passedMs += STEP_MS) {
+    await clock.advance(STEP_MS);
+  }
+  return answer;
+}
+
+const owner = suite('ask of an owner');
+
+for (const {name, kinds, expected} of CASES) {
+  promiseTest(owner, 'not-run-true', name, async () => {
+    assert.is(await ask(kinds), expected);
+  });
+}
+
+owner('ends with the last failure when the deadline is near', async () => {
+  const many = Array.from({length: 1_000}, () => 'notOwner' as const);
+  assert.is(await ask(many), 'notOwner');
+});
+
+owner.run();
