Try elsewhere when a stop is not confirmed; set aside what lost its workers

Cause: the room of a task that was told to stop counted as coming for ever, so urgent work whose victim never stopped asked for the same room again each 3 s and could pass 9.4 s; a test of an unconfirmed stop showed it. Such room now counts for 2.5 s. A job that holds room was also kept from it in the pass of the same decision.

--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -176,6 +176,6 @@
   const {job} = running.job;
   if (running.peakMemMb <= running.task.size.memMb) return;
   if (!job.isIdempotent || job.isGang) return;
-  core.cell.markStopping(running);
+  core.cell.markStopping(running, core.nowMs);
   announce(core, running, 'it needs more memory than the worker has free');
 }
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -126,9 +126,10 @@
   }
 
   /** Notes that a task was told to stop; its room is taken until it ends. */
-  markStopping(running: RunningTask): void {
+  markStopping(running: RunningTask, nowMs: number): void {
     if (running.isStopping) return;
     running.isStopping = true;
+    running.stoppingMs = nowMs;
     this.teams.noteStopping(running.job.team, running.task.size);
   }
 
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -224,6 +224,7 @@
     expectedMs: expectedMsOf(core, state),
     isUrgent: state.queue.priority === 'urgent',
     isStopping: false,
+    stoppingMs: 0,
     peakCpuMilli: 0,
     peakMemMb: 0,
     sampleCount: 0,
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -6,6 +6,7 @@
 import {flush, placeWaiting} from './place-waiting.js';
 import {preemptForUrgent, reclaimShares} from './preempt.js';
 import {placeHeld, reserveForBlocked} from './reserve.js';
+import {setAsideUnrunnable} from './unrunnable.js';
 import {refreshSizes} from './waiting-list.js';
 
 /** How old the fair shares may be. */
@@ -36,6 +37,7 @@
     core.reservedAtMs = core.nowMs;
     if (core.features.reserves) reserveForBlocked(core);
     if (core.features.preempts) yield* reclaimShares(core);
+    yield* setAsideUnrunnable(core);
   }
   yield* placeWaiting(core, 'all');
   yield* probeReservations(core);
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -8,6 +8,9 @@
 } from '@dragonflyward/common';
 import type {JobState, WorkerState} from './state.js';
 
+/** How long a stop is expected to take at most. */
+const STOP_MS = 2_500;
+
 /** How long room is held at most. */
 export const MAX_HOLD_MS = 60_000;
 
@@ -159,16 +162,22 @@
 }
 
 /**
- * What a worker will have free once all tasks that were told to stop have
- * ended, less what is held for others.
+ * What a worker will have free once the tasks that were told to stop of late
+ * have ended, less what is held for others. A stop that is not confirmed in
+ * time is not waited for.
  *
  * @example
- * const slots = countFits(size, comingRoom(worker, isUrgent));
+ * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
  */
-export function comingRoom(worker: WorkerState, isUrgent: boolean): Resources {
+export function comingRoom(
+  worker: WorkerState,
+  isUrgent: boolean,
+  nowMs: number,
+): Resources {
   let room = worker.free;
-  for (const running of worker.tasks) {
-    if (running.isStopping) room = addResources(room, running.task.size);
+  for (const {isStopping, stoppingMs, task} of worker.tasks) {
+    const isDue = isStopping && nowMs - stoppingMs < STOP_MS;
+    if (isDue) room = addResources(room, task.size);
   }
   return subtractResources(room, isUrgent ? worker.heldUrgent : worker.held);
 }
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -149,7 +149,7 @@
   if (!isUsable(worker)) return undefined;
   if (!fitsIn(wanted.size, worker.worker.capacity)) return undefined;
   const victims: RunningTask[] = [];
-  let room = comingRoom(worker, wanted.isUrgent);
+  let room = comingRoom(worker, wanted.isUrgent, core.nowMs);
   let teamRoom = teamRoomOf(core, wanted);
   const isEnough = (): boolean =>
     fitsIn(wanted.size, room) && fitsIn(wanted.size, teamRoom);
@@ -226,7 +226,7 @@
     const together = job.isGang ? [...running.values()] : [victim];
     for (const task of together) {
       if (task.isStopping) continue;
-      core.cell.markStopping(task);
+      core.cell.markStopping(task, core.nowMs);
       stopped.push(task);
     }
   }
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -35,6 +35,10 @@
   /** The classes that wait for it. */
   readonly classes: Set<WaitClass>;
   readonly searches: Readonly<Record<Tier, Search>>;
+  /** When it was last checked whether the shard could ever hold it. */
+  checkedMs: number;
+  /** Since when the shard could not hold it; infinite where it could. */
+  obstructedMs: number;
 }
 
 /** All needs of waiting work. */
@@ -142,6 +146,8 @@
     gangSize: waitClass.kind.gangSize,
     classes: new Set(),
     searches: {urgent: newSearch(), all: newSearch()},
+    checkedMs: -Infinity,
+    obstructedMs: Infinity,
   };
 }
 
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -184,11 +184,19 @@
     count: state.job.isGang ? state.pending.size : 1,
     isUrgent: tier === 'urgent',
     endMs: core.nowMs + waitClass.kind.runMs,
-    own: NO_HOLD,
+    own: ownClaim(core, state),
     avoided: core.failures.workersOf(state.job.jobId),
   };
 }
 
+function ownClaim(
+  core: EngineCore,
+  state: JobState,
+): ReadonlyMap<WorkerState, Resources> {
+  const {jobId} = state.job;
+  return core.holds.get(jobId) ? core.holds.claimOf(jobId) : NO_HOLD;
+}
+
 /**
  * Counts and announces one task on each of the chosen workers.
  *
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -100,6 +100,8 @@
   readonly isUrgent: boolean;
   /** Whether it was told to stop. */
   isStopping: boolean;
+  /** When it was told to stop. */
+  stoppingMs: number;
   /** The largest use that was measured. */
   peakCpuMilli: number;
   peakMemMb: number;
