Split what follows from a task's end out of the shard's owner

While reading: a result still being written when the hold after a takeover ended made its task run again; results under way are now left alone.

--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -15,6 +15,7 @@
 import type {TaskStart} from '@dragonflyward/target';
 import type {JobBook} from './job-book.js';
 import type {JobRecords} from './job-records.js';
+import type {TaskOutcomes} from './task-outcomes.js';
 import type {WorkerSet} from './worker-set.js';
 import {
   START_WITHIN_MS,
@@ -41,8 +42,7 @@
   readonly events: EventRing;
   readonly metrics: Metrics;
   readonly observer: WorkerObserver;
-  /** Called with a task that surely does not run and may run again. */
-  readonly runAgain: (task: PlacedTask, why: string) => void;
+  readonly outcomes: TaskOutcomes;
 }
 
 /** Runs the decision loop of one term. */
@@ -161,11 +161,7 @@
   }
 
   private notRun(task: PlacedTask): void {
-    const {book, engine, clock} = this.parts;
-    if (this.isStopped) return;
-    book.noteGone(task);
-    engine.ended(task.taskId, 'notRunning', clock.monotonicMs());
-    this.parts.runAgain(task, 'notRun');
+    if (!this.isStopped) this.parts.outcomes.notRun(task);
   }
 
   private toStart(task: PlacedTask): TaskStart | undefined {
@@ -211,11 +207,7 @@
   }
 
   private afterStop(task: PlacedTask, why: string): void {
-    const {book, engine, clock, events} = this.parts;
-    book.noteGone(task);
-    events.add('taskStopped', {job: task.jobId, task: task.taskId}, why);
-    engine.ended(task.taskId, 'notRunning', clock.monotonicMs());
-    this.parts.runAgain(task, why);
+    this.parts.outcomes.stopped(task, why);
     this.wake();
   }
 }
--- a/packages/scheduler/src/job-records.ts
+++ b/packages/scheduler/src/job-records.ts
@@ -38,6 +38,7 @@
 /** The job records of one term. */
 export class JobRecords {
   private readonly ending = new Set<string>();
+  private readonly recording = new Set<string>();
   private isStopped = false;
 
   constructor(private readonly parts: JobRecordsParts) {}
@@ -72,7 +73,17 @@
 
   /** Writes the result of one task, again and again until it stands. */
   recordResult(jobId: string, taskIndex: number, result: string): void {
-    void this.persist({type: 'taskEnded', jobId, taskIndex, result});
+    if (this.isRecording(jobId, taskIndex)) return;
+    this.recording.add(resultKey(jobId, taskIndex));
+    const body = {type: 'taskEnded', jobId, taskIndex, result} as const;
+    void this.persist(body).finally(() => {
+      this.recording.delete(resultKey(jobId, taskIndex));
+    });
+  }
+
+  /** Whether a task's result is being written. */
+  isRecording(jobId: string, taskIndex: number): boolean {
+    return this.recording.has(resultKey(jobId, taskIndex));
   }
 
   /** Writes the end of a job, again and again until it stands. */
@@ -114,3 +125,7 @@
     }
   }
 }
+
+function resultKey(jobId: string, taskIndex: number): string {
+  return `${jobId}.${taskIndex}`;
+}
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -4,7 +4,6 @@
   subtractResources,
   type Clock,
   type EventRing,
-  type EventSubject,
   type Metrics,
   type Resources,
   type TimingSettings,
@@ -13,7 +12,6 @@
 import type {
   PlacedTask,
   PlacementEngine,
-  PolicyJob,
   PolicyTeam,
 } from '@dragonflyward/policy';
 import type {
@@ -27,11 +25,12 @@
 import type {VmEntry} from '@dragonflyward/vms';
 import {Dispatcher} from './dispatcher.js';
 import {boundHeldWork} from './held-work.js';
-import {JobBook, UNKNOWN_RESULT} from './job-book.js';
+import {JobBook} from './job-book.js';
 import {JobDesk} from './job-desk.js';
 import {JobRecords} from './job-records.js';
 import type {Membership} from './membership.js';
 import {TakeoverGuard} from './takeover-guard.js';
+import {TaskOutcomes} from './task-outcomes.js';
 import {WorkerSet} from './worker-set.js';
 import {WorkerObserver, type WorkerTask} from './worker-task.js';
 
@@ -63,6 +62,7 @@
 export class ShardOwner extends WorkerObserver {
   readonly jobs: JobDesk;
   private readonly dispatcher: Dispatcher;
+  private readonly outcomes: TaskOutcomes;
   private readonly records: JobRecords;
   private readonly book: JobBook;
   private readonly guard: TakeoverGuard;
@@ -79,15 +79,21 @@
     this.records = new JobRecords({...parts, term});
     this.guard = this.makeGuard(clock.monotonicMs(), timing.taskLeaseMs);
     this.workers = new WorkerSet(parts, this);
+    this.outcomes = new TaskOutcomes({
+      ...parts,
+      book: this.book,
+      records: this.records,
+      stopTask: task => {
+        this.dispatcher.stopTask(task);
+      },
+    });
     this.dispatcher = new Dispatcher({
       ...parts,
       book: this.book,
       records: this.records,
       observer: this,
       workers: this.workers,
-      runAgain: (task, why) => {
-        this.runAgain(task, why);
-      },
+      outcomes: this.outcomes,
     });
     this.jobs = new JobDesk({
       ...parts,
@@ -172,39 +178,16 @@
     vm: VmEntry,
     reports: readonly TaskReport[],
   ): readonly PlacedTask[] {
-    const kept: PlacedTask[] = [];
-    for (const report of reports) {
-      if (report.shard !== this.parts.shard) continue;
-      const task = toPlacedTask(vm, report);
-      if (task === undefined) continue;
-      if (report.state === 'ended') this.foundEnded(task, report);
-      else kept.push(this.foundRunning(task, report));
-    }
-    return kept;
+    return this.outcomes.adopt(vm, reports);
   }
 
   override taskEnded(task: PlacedTask, report: TaskReport): void {
-    const end = report.end ?? 'stopped';
-    this.parts.metrics.count(`tasks_ended_total{end="${end}"}`);
-    this.parts.events.add('taskFinished', subjectOf(task), end);
-    if (end === 'succeeded') {
-      this.release(task, 'succeeded');
-      this.succeeded(task, report.result);
-    } else if (end === 'failed') {
-      this.release(task, 'failed');
-      this.failed(task, report.result);
-    } else {
-      this.release(task, 'notRunning');
-      this.runAgain(task, end);
-    }
+    this.outcomes.ended(task, report);
     this.dispatcher.wake();
   }
 
   override taskLost(task: PlacedTask): void {
-    this.parts.metrics.count('tasks_lost_total');
-    this.parts.events.add('taskLost', subjectOf(task));
-    this.release(task, 'notRunning');
-    this.runAgain(task, 'lost');
+    this.outcomes.lost(task);
     this.dispatcher.wake();
   }
 
@@ -245,23 +228,10 @@
     const {listSentMs} = membership;
     const workers = this.workers.list();
     if (!this.guard.update(nowMs, listSentMs, workers)) return;
-    for (const jobId of fold.jobs.keys()) this.resumeJob(jobId);
+    for (const jobId of fold.jobs.keys()) this.outcomes.resume(jobId);
     this.dispatcher.wake();
   }
 
-  private resumeJob(jobId: string): void {
-    const entry = this.parts.fold.jobs.get(jobId);
-    if (entry === undefined || this.records.isEnding(entry)) return;
-    const again: number[] = [];
-    for (const index of this.book.missingIndexes(entry)) {
-      const mayHaveRun = entry.starting.has(index) && !entry.spec.isIdempotent;
-      if (mayHaveRun) this.records.recordResult(jobId, index, UNKNOWN_RESULT);
-      else again.push(index);
-    }
-    if (again.length === 0) return this.records.endIfComplete(jobId);
-    this.engine.submit(this.book.toPolicyJob(entry, again));
-  }
-
   /** Jobs of earlier terms wait until the hold after a takeover ends. */
   private jobAccepted({term, job}: JobAcceptedRecord): void {
     const {jobId} = job;
@@ -297,92 +267,4 @@
     }
     this.records.endIfComplete(data.jobId);
   }
-
-  private foundRunning(task: PlacedTask, report: TaskReport): PlacedTask {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    this.engine.adopt(task);
-    this.engine.submit(this.jobOfFound(task, report));
-    this.book.notePlaced(task);
-    this.parts.events.add('taskAdopted', subjectOf(task));
-    const isNeeded = entry?.end === null && !entry.ended.has(task.taskIndex);
-    if (!isNeeded) this.dispatcher.stopTask(task);
-    return task;
-  }
-
-  /** The job of a found task, so that the policy knows its team. */
-  private jobOfFound(task: PlacedTask, report: TaskReport): PolicyJob {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    if (entry !== undefined) return this.book.toPolicyJob(entry, []);
-    return {
-      jobId: task.jobId,
-      team: report.team,
-      queue: report.queue,
-      taskIndexes: [],
-      isGang: false,
-      isService: false,
-      isIdempotent: false,
-      size: task.size,
-      runMs: 0,
-      acceptedMs: 0,
-    };
-  }
-
-  /** What failed or was stopped is submitted again when the hold ends. */
-  private foundEnded(task: PlacedTask, report: TaskReport): void {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    if (entry === undefined || this.records.isEnding(entry)) return;
-    if (entry.ended.has(task.taskIndex)) return;
-    if (report.end === 'succeeded') this.succeeded(task, report.result);
-    const isFinal = report.end === 'failed' && !entry.spec.isIdempotent;
-    if (isFinal) this.records.recordEnd(task.jobId, 'failed', report.result);
-  }
-
-  private release(
-    task: PlacedTask,
-    end: 'succeeded' | 'failed' | 'notRunning',
-  ): void {
-    this.book.noteGone(task);
-    this.engine.ended(task.taskId, end, this.parts.clock.monotonicMs());
-  }
-
-  private succeeded(task: PlacedTask, result: string): void {
-    const {jobId, taskIndex} = task;
-    const entry = this.parts.fold.jobs.get(jobId);
-    if (entry === undefined || this.records.isEnding(entry)) return;
-    if (entry.spec.isService) return this.runAgain(task, 'ended');
-    this.records.recordResult(jobId, taskIndex, result);
-  }
-
-  private failed(task: PlacedTask, result: string): void {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    if (entry === undefined || this.records.isEnding(entry)) return;
-    const isRetried = entry.spec.isIdempotent && this.book.mayRetry(task);
-    if (isRetried) return this.runAgain(task, 'failed');
-    this.records.recordEnd(task.jobId, 'failed', result);
-  }
-
-  /** Runs a task again where it may; else its outcome is unknown. */
-  private runAgain(task: PlacedTask, why: string): void {
-    const {jobId, taskIndex} = task;
-    const entry = this.parts.fold.jobs.get(jobId);
-    if (entry === undefined || this.records.isEnding(entry)) return;
-    if (entry.ended.has(taskIndex)) return;
-    const mayRun = entry.spec.isIdempotent || why === 'notRun';
-    if (!mayRun) {
-      return this.records.recordResult(jobId, taskIndex, UNKNOWN_RESULT);
-    }
-    this.engine.submit(this.book.toPolicyJob(entry, [taskIndex]));
-  }
-}
-
-function toPlacedTask(vm: VmEntry, report: TaskReport): PlacedTask | undefined {
-  const {taskId, jobId, size} = report;
-  const [indexText] = taskId.slice(jobId.length + 1).split('.');
-  const taskIndex = Number(indexText);
-  if (!Number.isInteger(taskIndex)) return undefined;
-  return {taskId, jobId, taskIndex, workerId: vm.id, size};
-}
-
-function subjectOf(task: PlacedTask): EventSubject {
-  return {job: task.jobId, task: task.taskId, worker: task.workerId};
 }
--- /dev/null
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -0,0 +1,204 @@
+/** What follows from how a task went: its result, another run, or neither. */
+import type {
+  Clock,
+  EventRing,
+  EventSubject,
+  Metrics,
+} from '@dragonflyward/common';
+import type {
+  PlacedTask,
+  PlacedTaskEnd,
+  PlacementEngine,
+  PolicyJob,
+} from '@dragonflyward/policy';
+import type {JobEntry, ShardState} from '@dragonflyward/state';
+import type {TaskReport} from '@dragonflyward/target';
+import type {VmEntry} from '@dragonflyward/vms';
+import {UNKNOWN_RESULT, type JobBook} from './job-book.js';
+import type {JobRecords} from './job-records.js';
+
+/** The parts that outcomes need. */
+export interface TaskOutcomesParts {
+  readonly shard: string;
+  readonly fold: ShardState;
+  readonly engine: PlacementEngine;
+  readonly book: JobBook;
+  readonly records: JobRecords;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly stopTask: (task: PlacedTask) => void;
+}
+
+/** Decides, for one term, what becomes of tasks that ended or were found. */
+export class TaskOutcomes {
+  constructor(private readonly parts: TaskOutcomesParts) {}
+
+  /** A worker says that a task of this term ended. */
+  ended(task: PlacedTask, report: TaskReport): void {
+    const end = report.end ?? 'stopped';
+    this.parts.metrics.count(`tasks_ended_total{end="${end}"}`);
+    this.parts.events.add('taskFinished', subjectOf(task), end);
+    if (end === 'succeeded') {
+      this.release(task, 'succeeded');
+      return this.succeeded(task, report.result);
+    }
+    if (end === 'failed') {
+      this.release(task, 'failed');
+      return this.failed(task, report.result);
+    }
+    this.release(task, 'notRunning');
+    this.runAgain(task);
+  }
+
+  /** A task surely does not run, and nothing is known of its outcome. */
+  lost(task: PlacedTask): void {
+    this.parts.metrics.count('tasks_lost_total');
+    this.parts.events.add('taskLost', subjectOf(task));
+    this.release(task, 'notRunning');
+    this.runAgain(task);
+  }
+
+  /** A task was stopped, and the worker confirmed it. */
+  stopped(task: PlacedTask, why: string): void {
+    this.parts.events.add('taskStopped', subjectOf(task), why);
+    this.release(task, 'notRunning');
+    this.runAgain(task);
+  }
+
+  /** A start was never taken; any task may be placed again. */
+  notRun(task: PlacedTask): void {
+    this.release(task, 'notRunning');
+    const entry = this.openEntry(task);
+    if (entry !== undefined) this.submit(entry, [task.taskIndex]);
+  }
+
+  /**
+   * Takes in what a worker runs and lately ran, after a takeover.
+   *
+   * @returns the tasks that run
+   * @example
+   * const kept = outcomes.adopt(vm, inventory.tasks);
+   */
+  adopt(vm: VmEntry, reports: readonly TaskReport[]): readonly PlacedTask[] {
+    const kept: PlacedTask[] = [];
+    for (const report of reports) {
+      if (report.shard !== this.parts.shard) continue;
+      const task = toPlacedTask(vm, report);
+      if (task === undefined) continue;
+      if (report.state === 'ended') this.foundEnded(task, report);
+      else kept.push(this.foundRunning(task, report));
+    }
+    return kept;
+  }
+
+  /** Goes on with a job of an earlier term, once its hold is over. */
+  resume(jobId: string): void {
+    const {fold, book, records} = this.parts;
+    const entry = fold.jobs.get(jobId);
+    if (entry === undefined || records.isEnding(entry)) return;
+    const again: number[] = [];
+    for (const index of book.missingIndexes(entry)) {
+      if (records.isRecording(jobId, index)) continue;
+      const mayHaveRun = entry.starting.has(index) && !entry.spec.isIdempotent;
+      if (mayHaveRun) records.recordResult(jobId, index, UNKNOWN_RESULT);
+      else again.push(index);
+    }
+    if (again.length > 0) return this.submit(entry, again);
+    records.endIfComplete(jobId);
+  }
+
+  private foundRunning(task: PlacedTask, report: TaskReport): PlacedTask {
+    const {engine, book, events} = this.parts;
+    engine.adopt(task);
+    engine.submit(this.jobOfFound(task, report));
+    book.notePlaced(task);
+    events.add('taskAdopted', subjectOf(task));
+    if (this.openEntry(task) === undefined) this.parts.stopTask(task);
+    return task;
+  }
+
+  /** The job of a found task, so that the policy knows its team. */
+  private jobOfFound(task: PlacedTask, report: TaskReport): PolicyJob {
+    const entry = this.parts.fold.jobs.get(task.jobId);
+    if (entry !== undefined) return this.parts.book.toPolicyJob(entry, []);
+    return {
+      jobId: task.jobId,
+      team: report.team,
+      queue: report.queue,
+      taskIndexes: [],
+      isGang: false,
+      isService: false,
+      isIdempotent: false,
+      size: task.size,
+      runMs: 0,
+      acceptedMs: 0,
+    };
+  }
+
+  /** What failed or was stopped is submitted again when the hold ends. */
+  private foundEnded(task: PlacedTask, report: TaskReport): void {
+    const entry = this.openEntry(task);
+    if (entry === undefined) return;
+    if (report.end === 'succeeded') return this.succeeded(task, report.result);
+    const isFinal = report.end === 'failed' && !entry.spec.isIdempotent;
+    if (!isFinal) return;
+    this.parts.records.recordEnd(task.jobId, 'failed', report.result);
+  }
+
+  private succeeded(task: PlacedTask, result: string): void {
+    const entry = this.openEntry(task);
+    if (entry === undefined) return;
+    if (entry.spec.isService) return this.runAgain(task);
+    this.parts.records.recordResult(task.jobId, task.taskIndex, result);
+  }
+
+  private failed(task: PlacedTask, result: string): void {
+    const entry = this.openEntry(task);
+    if (entry === undefined) return;
+    const {book, records} = this.parts;
+    const isRetried = entry.spec.isIdempotent && book.mayRetry(task);
+    if (isRetried) return this.submit(entry, [task.taskIndex]);
+    records.recordEnd(task.jobId, 'failed', result);
+  }
+
+  /** Runs a task again where it may; else its outcome is unknown. */
+  private runAgain(task: PlacedTask): void {
+    const entry = this.openEntry(task);
+    if (entry === undefined) return;
+    const {jobId, taskIndex} = task;
+    if (entry.spec.isIdempotent) return this.submit(entry, [taskIndex]);
+    this.parts.records.recordResult(jobId, taskIndex, UNKNOWN_RESULT);
+  }
+
+  /** The task's job, while the task has neither a result nor an ended job. */
+  private openEntry(task: PlacedTask): JobEntry | undefined {
+    const {fold, records} = this.parts;
+    const entry = fold.jobs.get(task.jobId);
+    if (entry === undefined || records.isEnding(entry)) return undefined;
+    return entry.ended.has(task.taskIndex) ? undefined : entry;
+  }
+
+  private submit(entry: JobEntry, taskIndexes: readonly number[]): void {
+    const {engine, book} = this.parts;
+    engine.submit(book.toPolicyJob(entry, taskIndexes));
+  }
+
+  private release(task: PlacedTask, end: PlacedTaskEnd): void {
+    this.parts.book.noteGone(task);
+    const nowMs = this.parts.clock.monotonicMs();
+    this.parts.engine.ended(task.taskId, end, nowMs);
+  }
+}
+
+function toPlacedTask(vm: VmEntry, report: TaskReport): PlacedTask | undefined {
+  const {taskId, jobId, size} = report;
+  const [indexText] = taskId.slice(jobId.length + 1).split('.');
+  const taskIndex = Number(indexText);
+  if (!Number.isInteger(taskIndex)) return undefined;
+  return {taskId, jobId, taskIndex, workerId: vm.id, size};
+}
+
+function subjectOf(task: PlacedTask): EventSubject {
+  return {job: task.jobId, task: task.taskId, worker: task.workerId};
+}
