--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -26,7 +26,7 @@
 import {BlindUse, gatewayPart} from './ticket-blind.js';
 import {WaitEstimate} from './ticket-estimate.js';
 import {ExecutorHealth} from './ticket-health.js';
-import {RequestHome, UNTIMED_WINDOW_MS} from './ticket-home.js';
+import {TicketClaims} from './ticket-claims.js';
 import {
   openTicketQueue,
   priorityRank,
@@ -81,10 +81,7 @@
   private readonly queue: PQueue<TicketOrder, TicketOptions>;
   private readonly estimate = new WaitEstimate();
   private readonly allowances = new Map<string, number>();
-  private home: RequestHome | undefined;
-  private inherited: RequestClaims | undefined;
-  private readonly gatewayClaims: PassedClaim[] = [];
-  private readonly vouching = new Set<string>();
+  private readonly claims: TicketClaims;
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
@@ -94,6 +91,7 @@
     super();
     const {clock, metrics, shard} = options;
     this.blind = new BlindUse(clock);
+    this.claims = new TicketClaims(clock);
     this.slots = new TicketSlots(clock, new ExecutorHealth(clock), this.blind);
     const {order, queue} = openTicketQueue(this, clock);
     this.order = order;
@@ -112,6 +110,7 @@
   setGateways(count: number): void {
     this.gateways = Math.max(1, count);
     this.slots.setGateways(this.gateways);
+    this.claims.setGateways(this.gateways);
     this.grantWaiting();
   }
 
@@ -179,9 +178,7 @@
     claims: readonly PassedClaim[],
     upMs: number,
   ): void {
-    this.gatewayClaims.push(...claims);
-    if (upMs >= UNTIMED_WINDOW_MS) this.vouching.add(from.vm);
-    this.mergeClaims();
+    this.claims.adopt(from, claims, upMs);
   }
 
   /**
@@ -190,24 +187,23 @@
    * @throws duplicateId, queueFull
    */
   claim(ask: RequestClaim, term: number): RequestClaimed {
-    const isVouched = this.enterTerm(term).claim(ask);
-    return {type: 'requestClaimed', isVouched};
+    this.enterTerm(term);
+    return this.claims.claim(ask);
   }
 
   /** Lists the claims for the next owner; undefined where none was made. */
   passClaims(): RequestClaims | undefined {
-    return this.home?.passOn(this.options.shard);
+    return this.claims.passOn(this.options.shard);
   }
 
   /** Takes in the claims that the owner before has passed on. */
   inheritClaims(passed: RequestClaims): void {
-    this.inherited = passed;
-    this.home?.inherit(passed);
+    this.claims.inherit(passed);
   }
 
   /** Gives back the claim of a request that surely did not run. */
   release(notice: RequestRelease): void {
-    this.home?.release(notice);
+    this.claims.release(notice);
   }
 
   /** Refuses all that waits; no ticket is given any more. */
@@ -249,23 +245,13 @@
     return this.slots.teamUse(team) / Math.max(share, Number.EPSILON);
   }
 
-  private enterTerm(term: number): RequestHome {
+  private enterTerm(term: number): void {
     if (this.isStopped) raise('notOwner', this.options.shard);
-    if (this.home !== undefined) {
-      return this.term === term ? this.home : raise('notOwner', `term ${term}`);
-    }
+    if (this.term === term) return;
+    if (this.term !== undefined) raise('notOwner', `term ${term}`);
     this.term = term;
-    this.home = new RequestHome(this.options.clock, term);
-    if (this.inherited !== undefined) this.home.inherit(this.inherited);
-    this.mergeClaims();
+    this.claims.begin(term);
     if (term !== FIRST_TERM) this.blind.begin(this.longestRunByMs());
-    return this.home;
-  }
-
-  private mergeClaims(): void {
-    if (this.home === undefined) return;
-    this.home.merge(this.gatewayClaims.splice(0));
-    if (this.vouching.size >= this.gateways) this.home.noteWhole();
   }
 
   private longestRunByMs(): number {
