Ask for the list of VMs only where its version changed

Cause: each process read the whole list once a second, 0.23 KB/s for each listed VM: half of what control reads at the target size. Ruled out: a longer period (a leaving VM must be seen within seconds). A list without a version is read whole as before; an outage is still told as one.

--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -8,6 +8,8 @@
 export interface JsonReply {
   readonly status: number;
   readonly body: unknown;
+  /** The version that the server gave the answer; empty where it gave none. */
+  readonly etag: string;
 }
 
 /** A JSON call. */
@@ -66,7 +68,8 @@
     req.on('response', res => {
       readJson(res)
         .then(body => {
-          resolve({status: res.statusCode ?? 0, body});
+          const etag = res.headers.etag ?? '';
+          resolve({status: res.statusCode ?? 0, body, etag});
         }, reject)
         .finally(finish);
     });
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -1,4 +1,5 @@
 /** Small HTTP servers of which a fault switch decides how they answer. */
+import {createHash} from 'node:crypto';
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {raise, readJson, sendJson, toFailure} from '@dragonflyward/common';
@@ -16,11 +17,18 @@
   readonly clientIp: string;
 }
 
+/** A whole JSON answer. */
+export interface JsonAnswer {
+  readonly kind: 'json';
+  readonly status: number;
+  readonly body: unknown;
+}
+
 /** How a call is answered: fully, never, or by a cut connection. */
 export type Reply =
-  | {readonly kind: 'json'; readonly status: number; readonly body: unknown}
-  | {readonly kind: 'silent'}
-  | {readonly kind: 'cut'};
+  JsonAnswer | {readonly kind: 'silent'} | {readonly kind: 'cut'};
+
+const NOT_MODIFIED = 304;
 
 export const SILENT: Reply = {kind: 'silent'};
 export const CUT: Reply = {kind: 'cut'};
@@ -113,12 +121,26 @@
   try {
     const reply = await service.handle(await readCall(req));
     if (reply.kind === 'cut') return void req.socket.destroy();
-    if (reply.kind === 'json') sendJson(res, reply.status, reply.body);
+    if (reply.kind === 'json') sendVersioned(req, res, reply);
   } catch (err) {
     sendJson(res, 400, {error: toFailure(err).detail});
   }
 }
 
+/** Sends no body where the client has the same version already. */
+function sendVersioned(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  {status, body}: JsonAnswer,
+): void {
+  const text = JSON.stringify(body);
+  const etag = `"${createHash('sha256').update(text).digest('base64url')}"`;
+  res.setHeader('etag', etag);
+  if (req.headers['if-none-match'] !== etag) return sendJson(res, status, body);
+  res.writeHead(NOT_MODIFIED);
+  res.end();
+}
+
 async function readCall(req: http.IncomingMessage): Promise<Call> {
   const url = new URL(req.url ?? '/', 'http://standin');
   return {
--- a/packages/vms/src/http-client.ts
+++ b/packages/vms/src/http-client.ts
@@ -10,14 +10,21 @@
 
 const LIST_TIMEOUT_MS = 2_000;
 const OK = 200;
+const NOT_MODIFIED = 304;
 
 interface VmList {
   readonly vms: readonly VmEntry[];
 }
 
+interface VersionedList extends VmList {
+  readonly etag: string;
+}
+
 /** A client of the list of VMs at one URL. */
 export class HttpVmListClient extends VmListClient {
   private readonly client: JsonClient;
+  /** The newest list; asked for again only where its version changed. */
+  private newest: VersionedList = {etag: '', vms: []};
 
   constructor(url: string, options: JsonClientOptions = {}) {
     super();
@@ -30,14 +37,26 @@
    * const workers = (await vms.list()).filter(vm => vm.kind === 'worker');
    */
   override async list(): Promise<readonly VmEntry[]> {
-    const res = await this.get();
+    const {newest} = this;
+    const res = await this.get(newest.etag);
+    if (res.status === NOT_MODIFIED) return newest.vms;
     if (res.status !== OK) return raise('vmsDown', `status ${res.status}`);
-    return (res.body as VmList).vms;
+    const {vms} = res.body as VmList;
+    this.newest = {etag: res.etag, vms};
+    return vms;
   }
 
-  private async get(): Promise<JsonReply> {
+  private async get(etag: string): Promise<JsonReply> {
+    const headers = etag === '' ? {} : {'if-none-match': etag};
+    const timeoutMs = LIST_TIMEOUT_MS;
     try {
-      return await this.client.call('GET', '/vms', LIST_TIMEOUT_MS);
+      return await this.client.call(
+        'GET',
+        '/vms',
+        timeoutMs,
+        undefined,
+        headers,
+      );
     } catch (err) {
       return raise('vmsDown', toFailure(err).detail);
     }
