--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -23,13 +23,13 @@
 import type {QueueConfig, TeamConfig} from '@dragonflyward/state';
 import type {VmEntry} from '@dragonflyward/vms';
 import type PQueue from 'p-queue';
+import {checkAdmission} from './ticket-admission.js';
 import {BlindUse, gatewayPart} from './ticket-blind.js';
 import {WaitEstimate} from './ticket-estimate.js';
 import {ExecutorHealth} from './ticket-health.js';
 import {TicketClaims} from './ticket-claims.js';
 import {
   openTicketQueue,
-  priorityRank,
   TicketRoom,
   type TicketOrder,
   type TicketOptions,
@@ -42,10 +42,6 @@
 /** How much later than the gateway the owner takes a ticket as run out. */
 const RUN_BY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
-/** The part of a queue's waiting room that one team may fill. */
-const TEAM_WAITING_PART = 0.5;
-/** The part of its deadline in which a request should be done. */
-const PLANNED_PART = 0.75;
 /** Used while no configuration gives the longest deadline. */
 const DEFAULT_MAX_DEADLINE_MS = 60_000;
 const FIRST_TERM = 1;
@@ -264,24 +260,13 @@
   }
 
   private checkAsk(ask: TicketAsk, cfg: QueueConfig): void {
-    const {service, team, queue} = ask;
+    const {service, team} = ask;
     if (!this.slots.isServed(service)) raise('noTarget', service);
     if (team !== NO_TEAM && this.allowanceOf(team) <= 0) {
       raise('teamLimit', `${team} has no slots in ${this.options.shard}`);
     }
-    const waiters = [...this.order.waiters()];
-    const inQueue = waiters.filter(waiter => waiter.ask.queue === queue);
-    const ofTeam = inQueue.filter(waiter => waiter.ask.team === team);
-    const teamBound = Math.ceil(cfg.maxWaiting * TEAM_WAITING_PART);
-    if (inQueue.length >= cfg.maxWaiting) raise('queueFull', queue);
-    if (ofTeam.length >= teamBound) raise('queueFull', `${queue}: ${team}`);
-    const ahead = waiters.filter(waiter => isAhead(waiter, ask, cfg)).length;
-    const free = this.slots.freeOf(service);
-    const slots = this.slots.slotsOf(service);
-    const situation = {ahead, free, slots};
-    const doneInMs = this.estimate.doneInMs(service, situation);
-    if (doneInMs <= ask.deadlineMs * PLANNED_PART) return;
-    raise('deadlineUnmet', `${ahead} requests of ${service} come before`);
+    const {order, slots, estimate} = this;
+    checkAdmission({order, slots, estimate}, ask, cfg);
   }
 
   private waitForTurn(
@@ -411,8 +396,3 @@
 function isOver(use: TicketUse): boolean {
   return use !== 'unknown' && use !== 'abandoned';
 }
-
-function isAhead(waiter: Waiter, ask: TicketAsk, cfg: QueueConfig): boolean {
-  if (waiter.ask.service !== ask.service) return false;
-  return priorityRank(waiter.priority) <= priorityRank(cfg.priority);
-}
