--- a/packages/operator/src/apply-change.ts
+++ b/packages/operator/src/apply-change.ts
@@ -8,6 +8,7 @@
   type ConfigStreamRecord,
   type Publication,
 } from '@dragonflyward/state';
+import type {Command} from 'commander';
 import type {AppendVerdict} from './config-log.js';
 import type {CtlContext} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
@@ -142,3 +143,26 @@
     return {report: undefined, lines, exitCode: EXIT.notEverywhere};
   }
 }
+
+/**
+ * Adds the options of a command that changes something.
+ *
+ * @example
+ * withChangeOptions(exception.command('remove <id>'));
+ */
+export function withChangeOptions(command: Command): Command {
+  return command
+    .requiredOption('--reason <text>', 'why; it is kept and shown')
+    .option('--no-wait', 'do not wait until it is in force everywhere');
+}
+
+/**
+ * Checks that a reason says something.
+ *
+ * @throws badRequest
+ * @example
+ * requireReason(options.reason);
+ */
+export function requireReason(reason: string): void {
+  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+}
--- a/packages/operator/src/config-commands.ts
+++ b/packages/operator/src/config-commands.ts
@@ -14,6 +14,8 @@
   awaitForce,
   describePublication,
   publish,
+  requireReason,
+  withChangeOptions,
   type ChangeOptions,
   type PublishResult,
 } from './apply-change.js';
@@ -105,7 +107,7 @@
   const base = Number(options.base);
   if (!Number.isInteger(base)) raise('badRequest', '--base: want a revision');
   const {reason} = options;
-  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  requireReason(reason);
   const configuration = readConfiguration(file);
   const result = await publish(context, {base, reason, configuration});
   return answerPublish(context, result, options);
@@ -195,12 +197,9 @@
     .command('diff <file>')
     .description('compare a file with the configuration in force')
     .action(action(io, diff));
-  config
-    .command('publish <file>')
+  withChangeOptions(config.command('publish <file>'))
     .description('publish a file on the revision that it was made from')
     .requiredOption('--base <revision>', 'the revision you edited; -1 for none')
-    .requiredOption('--reason <text>', 'why; it is kept in the history')
-    .option('--no-wait', 'do not wait until it is in force everywhere')
     .addHelpText('after', PUBLISH_EXAMPLE)
     .action(action(io, publishFile));
   config
--- a/packages/operator/src/exception-commands.ts
+++ b/packages/operator/src/exception-commands.ts
@@ -7,7 +7,12 @@
   type ExceptionScope,
 } from '@dragonflyward/state';
 import type {Command} from 'commander';
-import {publish, type ChangeOptions} from './apply-change.js';
+import {
+  publish,
+  requireReason,
+  withChangeOptions,
+  type ChangeOptions,
+} from './apply-change.js';
 import {answerPublish, exceptionLines} from './config-commands.js';
 import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
@@ -52,7 +57,7 @@
   ...assignments: readonly string[]
 ): Promise<ExitCode> {
   const {reason} = options;
-  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  requireReason(reason);
   const scope = readScope(options);
   const set = readAssignments(assignments.flat());
   const exception: Exception = {id, scope, set, reason};
@@ -108,7 +113,7 @@
   id: string,
 ): Promise<ExitCode> {
   const {reason} = options;
-  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  requireReason(reason);
   const revise: Revise = configuration => {
     const rest = configuration.exceptions.filter(known => known.id !== id);
     const isKnown = rest.length < configuration.exceptions.length;
@@ -139,24 +144,18 @@
   const exception = program
     .command('exception')
     .description('add, list and remove departures from the defaults');
-  exception
-    .command('add <id> <assignments...>')
+  withChangeOptions(exception.command('add <id> <assignments...>'))
     .description('set values for one queue or team; a reason is required')
     .option('--queue <name>', 'the queue that it applies to')
     .option('--team <name>', 'the team that it applies to')
-    .requiredOption('--reason <text>', 'why; it is shown with the exception')
-    .option('--no-wait', 'do not wait until it is in force everywhere')
     .addHelpText('after', ADD_EXAMPLE)
     .action(action(io, add));
   exception
     .command('list')
     .description('list the exceptions in force, with their reasons')
     .action(action(io, list));
-  exception
-    .command('remove <id>')
+  withChangeOptions(exception.command('remove <id>'))
     .description('go back to the defaults; a reason is required')
-    .requiredOption('--reason <text>', 'why; it is kept in the history')
-    .option('--no-wait', 'do not wait until it is in force everywhere')
     .action(action(io, remove));
 }
 
--- a/packages/operator/src/key-commands.ts
+++ b/packages/operator/src/key-commands.ts
@@ -12,6 +12,8 @@
 import {
   appendKeyChange,
   awaitForce,
+  requireReason,
+  withChangeOptions,
   type ChangeOptions,
 } from './apply-change.js';
 import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
@@ -59,7 +61,7 @@
   keyId: string,
 ): Promise<ExitCode> {
   const {reason} = options;
-  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  requireReason(reason);
   const known = await findKey(context, keyId);
   const offset = known.isWithdrawn
     ? known.offset
@@ -146,11 +148,8 @@
     .option('--no-wait', 'do not wait until it is in force everywhere')
     .addHelpText('after', GRANT_EXAMPLE)
     .action(action(io, grant));
-  key
-    .command('withdraw <keyId>')
+  withChangeOptions(key.command('withdraw <keyId>'))
     .description('make a key invalid for good')
-    .requiredOption('--reason <text>', 'why; it is kept in the log')
-    .option('--no-wait', 'do not wait until it is in force everywhere')
     .action(action(io, withdraw));
   key
     .command('list')
