--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,7 +1,6 @@
 /** The scheduler: ownership of shards, leases, dispatch and tickets. */
 export * from './lease-book.js';
 export * from './membership.js';
-export * from './rendezvous.js';
 export * from './scheduler-process.js';
 export * from './shard-owner.js';
 export {TASK_NUMBERS_PER_TERM} from './shard-task.js';
--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -1,5 +1,5 @@
 /** Who is there: the list of VMs joined with the peers' heartbeats. */
-import type {Clock, ProcessRef} from '@dragonflyward/common';
+import {rankByHash, type Clock, type ProcessRef} from '@dragonflyward/common';
 import type {
   Heartbeat,
   OwnedShard,
@@ -7,7 +7,6 @@
   PeerInfo,
 } from '@dragonflyward/peer';
 import type {VmEntry} from '@dragonflyward/vms';
-import {rankByHash} from './rendezvous.js';
 
 /** How many schedulers follow a shard: its owner and its successors. */
 const FOLLOWERS_PER_SHARD = 3;
