Follow the configuration by one class in both programs

Cause: gateway and scheduler held the same tail, freshness and exchange. After: ConfigFollower in state; both feeds keep only what is their own.

--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,18 +1,10 @@
-/** Follows the configuration stream, over the log or over peers. */
-import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
-import {
-  StreamTail,
-  type ApplyResult,
-  type LogClient,
-  type LogRecord,
-} from '@dragonflyward/log';
+/** The configuration as a gateway follows it. */
 import {askConfigTail, type PeerMesh} from '@dragonflyward/peer';
 import {
-  CONFIG_STREAM,
-  ConfigExchange,
-  ConfigFreshness,
+  ConfigFollower,
   ConfigPeers,
-  ConfigState,
+  type ConfigFollowerParts,
+  type ConfigState,
   type ConfigTail,
   type ListedPeer,
   type QueueConfig,
@@ -20,19 +12,6 @@
 import {ConfigView} from './config-view.js';
 import type {VmView} from './vm-view.js';
 
-const TAIL_WAIT_MS = 500;
-
-/** What the feed works with. */
-export interface ConfigFeedParts {
-  readonly log: LogClient;
-  readonly clock: Clock;
-  readonly events: EventRing;
-  readonly metrics: Metrics;
-  readonly peers: ConfigPeers;
-  readonly domain: string;
-  readonly maxAgeMs: number;
-}
-
 /** The schedulers on the listed entry VMs. */
 export class MeshConfigPeers extends ConfigPeers {
   constructor(
@@ -56,43 +35,25 @@
 
 /** The configuration in force and how recent it is known to be. */
 export class ConfigFeed extends ConfigView {
-  readonly state = new ConfigState();
-  private readonly tail: StreamTail;
-  private readonly freshness: ConfigFreshness;
-  private readonly exchange: ConfigExchange;
-  private isRunning = false;
+  private readonly follower: ConfigFollower;
 
-  constructor(private readonly parts: ConfigFeedParts) {
+  constructor(parts: ConfigFollowerParts) {
     super();
-    const {log, clock, maxAgeMs, domain, peers} = parts;
-    const fold = this.state;
-    this.tail = new StreamTail({
-      client: log,
-      stream: CONFIG_STREAM,
-      fold,
-      clock,
-      waitMs: TAIL_WAIT_MS,
-      onApplied: (record, result) => {
-        this.noteApplied(record, result);
-      },
-    });
-    this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
-    const {tail, freshness} = this;
-    const options = {fold, tail, clock, freshness, peers, maxAgeMs};
-    this.exchange = new ConfigExchange(options);
+    this.follower = new ConfigFollower(parts);
+  }
+
+  get state(): ConfigState {
+    return this.follower.state;
   }
 
   /** Starts to follow. */
   start(): void {
-    this.isRunning = true;
-    this.tail.start();
-    void this.exchange.run(() => this.isRunning);
+    this.follower.start();
   }
 
   /** Stops. */
   stop(): void {
-    this.isRunning = false;
-    this.tail.stop();
+    this.follower.stop();
   }
 
   override queue(name: string): QueueConfig | undefined {
@@ -104,8 +65,7 @@
   }
 
   override isFresh(): boolean {
-    this.noteOwnRead();
-    return this.freshness.isFresh();
+    return this.follower.isFresh();
   }
 
   override isApplied(): boolean {
@@ -114,20 +74,6 @@
 
   /** How old the newest read is that covers what is applied. */
   ageMs(): number {
-    this.noteOwnRead();
-    return this.freshness.ageMs();
-  }
-
-  private noteOwnRead(): void {
-    if (!this.state.isComplete) return;
-    this.freshness.noteLogRead(this.tail.lastProofMs);
-  }
-
-  private noteApplied(record: LogRecord, result: ApplyResult): void {
-    const {metrics, events} = this.parts;
-    const revision = record.offset;
-    metrics.count(`config_records_total{result="${result}"}`);
-    if (result === 'skipped') events.add('recordSkipped', {revision});
-    if (result === 'applied') events.add('configApplied', {revision});
+    return this.follower.ageMs();
   }
 }
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -1,25 +1,21 @@
-/** The configuration stream: followed, passed on to peers, carried forward. */
+/** The configuration as a scheduler follows it and carries it forward. */
 import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
-import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
+import {StreamWriter, type LogClient} from '@dragonflyward/log';
 import {
   askConfigTail,
   type ConfigTailReply,
   type PeerMesh,
 } from '@dragonflyward/peer';
 import {
-  CONFIG_STREAM,
-  ConfigExchange,
-  ConfigFreshness,
+  ConfigFollower,
   ConfigPeers,
-  ConfigState,
   SnapshotTask,
+  type ConfigState,
   type ConfigTail,
   type ListedPeer,
 } from '@dragonflyward/state';
 import type {Membership} from './membership.js';
 
-const TAIL_WAIT_MS = 500;
-
 /** What the feed works with. */
 export interface ConfigFeedParts {
   readonly log: LogClient;
@@ -54,63 +50,45 @@
 
 /** Follows the configuration stream and passes it on. */
 export class ConfigFeed {
-  readonly state = new ConfigState();
-  readonly tail: StreamTail;
-  private readonly exchange: ConfigExchange;
+  private readonly follower: ConfigFollower;
   private isRunning = false;
 
   constructor(private readonly parts: ConfigFeedParts) {
-    const {log, clock, events, metrics, domain, maxAgeMs} = parts;
-    const fold = this.state;
-    this.tail = new StreamTail({
-      client: log,
-      stream: CONFIG_STREAM,
-      fold,
-      clock,
-      waitMs: TAIL_WAIT_MS,
-      onApplied: (record, result) => {
-        metrics.count(`config_records_total{result="${result}"}`);
-        const revision = record.offset;
-        if (result === 'skipped') events.add('recordSkipped', {revision});
-        if (result === 'applied') events.add('configApplied', {revision});
-      },
-    });
-    const {tail} = this;
-    const freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
     const peers = new SchedulerConfigPeers(parts);
-    const common = {fold, tail, clock, freshness, peers, maxAgeMs};
-    this.exchange = new ConfigExchange(common);
+    this.follower = new ConfigFollower({...parts, peers});
+  }
+
+  get state(): ConfigState {
+    return this.follower.state;
   }
 
   /** Starts to follow. */
   start(): void {
-    const isWanted = (): boolean => this.isRunning;
     this.isRunning = true;
-    this.tail.start();
-    void this.exchange.run(isWanted);
-    void this.snapshotTask().run(isWanted);
+    this.follower.start();
+    void this.snapshotTask().run(() => this.isRunning);
   }
 
   /** Ends all loops. */
   stop(): void {
     this.isRunning = false;
-    this.tail.stop();
+    this.follower.stop();
   }
 
   /** How long ago the end of the stream was read from the log itself. */
   readAgeMs(): number {
-    return this.parts.clock.monotonicMs() - this.tail.lastProofMs;
+    return this.follower.readAgeMs();
   }
 
   /** Answers a peer that has applied all records before the offset. */
   tailFrom(from: number): ConfigTailReply {
-    return {type: 'configTail', ...this.exchange.answer(from)};
+    return {type: 'configTail', ...this.follower.answer(from)};
   }
 
   private snapshotTask(): SnapshotTask {
     const {log, clock, events, isSnapshotAllowed: isAllowed} = this.parts;
-    const {state: fold, tail} = this;
-    const stream = CONFIG_STREAM;
+    const {state: fold, tail} = this.follower;
+    const {stream} = tail;
     const writer = new StreamWriter({client: log, stream, tail, clock});
     return new SnapshotTask({fold, tail, writer, clock, events, isAllowed});
   }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -248,7 +248,7 @@
       isDraining: this.isDraining,
       configOffset: this.config.state.nextOffset,
       configRevision: this.config.state.revision,
-      configAgeMs: nowMs - this.config.tail.lastProofMs,
+      configAgeMs: this.config.readAgeMs(),
       shards: [...this.shards].map(([shard, task]) => ({
         shard,
         term: task.fold.term,
--- /dev/null
+++ b/packages/state/src/config-follower.ts
@@ -0,0 +1,112 @@
+/** Follows the configuration stream, over the log or over peers. */
+import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
+import {
+  StreamTail,
+  type ApplyResult,
+  type LogClient,
+  type LogRecord,
+} from '@dragonflyward/log';
+import {
+  ConfigExchange,
+  type ConfigPeers,
+  type ConfigTail,
+} from './config-exchange.js';
+import {ConfigFreshness} from './config-freshness.js';
+import {ConfigState} from './config-state.js';
+import {CONFIG_STREAM} from './records.js';
+
+const TAIL_WAIT_MS = 500;
+
+/** What a follower works with. */
+export interface ConfigFollowerParts {
+  readonly log: LogClient;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly metrics: Metrics;
+  readonly peers: ConfigPeers;
+  /** The failure domain of this process's VM. */
+  readonly domain: string;
+  /** How old the newest read may be while it counts as fresh. */
+  readonly maxAgeMs: number;
+}
+
+/** The configuration in force and how recent it is known to be. */
+export class ConfigFollower {
+  readonly state = new ConfigState();
+  readonly tail: StreamTail;
+  private readonly freshness: ConfigFreshness;
+  private readonly exchange: ConfigExchange;
+  private isRunning = false;
+
+  constructor(private readonly parts: ConfigFollowerParts) {
+    const {log, clock, maxAgeMs, domain, peers} = parts;
+    const fold = this.state;
+    this.tail = new StreamTail({
+      client: log,
+      stream: CONFIG_STREAM,
+      fold,
+      clock,
+      waitMs: TAIL_WAIT_MS,
+      onApplied: (record, result) => {
+        this.noteApplied(record, result);
+      },
+    });
+    this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
+    const {tail, freshness} = this;
+    const options = {fold, tail, clock, freshness, peers, maxAgeMs};
+    this.exchange = new ConfigExchange(options);
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    this.isRunning = true;
+    this.tail.start();
+    void this.exchange.run(() => this.isRunning);
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.isRunning = false;
+    this.tail.stop();
+  }
+
+  /** Whether the configuration is recent enough to act on. */
+  isFresh(): boolean {
+    this.noteOwnRead();
+    return this.freshness.isFresh();
+  }
+
+  /** How old the newest read is that covers what is applied. */
+  ageMs(): number {
+    this.noteOwnRead();
+    return this.freshness.ageMs();
+  }
+
+  /** How long ago this process itself read the end of the stream. */
+  readAgeMs(): number {
+    return this.parts.clock.monotonicMs() - this.tail.lastProofMs;
+  }
+
+  /**
+   * Answers a peer that has applied all records before the offset.
+   *
+   * @example
+   * return {type: 'configTail', ...follower.answer(ask.from)};
+   */
+  answer(from: number): ConfigTail {
+    return this.exchange.answer(from);
+  }
+
+  private noteOwnRead(): void {
+    if (!this.state.isComplete) return;
+    this.freshness.noteLogRead(this.tail.lastProofMs);
+  }
+
+  private noteApplied(record: LogRecord, result: ApplyResult): void {
+    const {metrics, events} = this.parts;
+    const revision = record.offset;
+    metrics.count(`config_records_total{result="${result}"}`);
+    if (result === 'skipped') events.add('recordSkipped', {revision});
+    if (result === 'applied') events.add('configApplied', {revision});
+  }
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -10,6 +10,7 @@
 export * from './config-state.js';
 export * from './config-freshness.js';
 export * from './config-exchange.js';
+export * from './config-follower.js';
 export * from './allowance-state.js';
 export * from './ownership-types.js';
 export * from './claimant.js';
