Use no kept connection for appends; bound silence of unknown services

Cause: after the log's open connections went silent, appends waited on kept connections, and each call that was lost with others doubled the wait for all: jobs were not accepted within 12 s. Idempotent requests to a service with fewer than 50 samples waited their whole deadline on a silent executor: 4 of 102 were not answered. A failed test also left its load running, so that the file ended only at its time limit. Ruled out: ownership (the shards had owners), the retry budget (not empty).

--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -172,11 +172,9 @@
     attempt: number,
   ): Promise<ExecutorAnswer> {
     const {clock, lifetime, silence} = this.parts;
-    const boundMs = silence.boundMs(this.service);
+    const boundMs = silence.boundMs(this.service, lifetime.leftMs());
     const sentMs = clock.monotonicMs();
-    const answer = Number.isFinite(boundMs)
-      ? await this.sendWithin(relay, body, attempt, boundMs)
-      : await relay.send(lifetime.signal);
+    const answer = await this.sendWithin(relay, body, attempt, boundMs);
     silence.add(this.service, clock.monotonicMs() - sentMs);
     return answer;
   }
--- a/packages/caller/src/silence-bound.ts
+++ b/packages/caller/src/silence-bound.ts
@@ -2,6 +2,8 @@
 
 const MIN_BOUND_MS = 1_000;
 const MIN_SAMPLES = 50;
+/** Part of the time left that a service of unknown latency may take. */
+const UNKNOWN_PART = 0.5;
 const SMOOTHING = 0.05;
 /** Deviations above the mean after which an executor counts as silent. */
 const DEVIATIONS = 8;
@@ -31,15 +33,17 @@
   }
 
   /**
-   * How long to wait before another executor is tried; Infinity while too
-   * little is known.
+   * How long to wait before another executor is tried, of the time that is
+   * left; while too little is known of the service, a part of that time.
    *
    * @example
-   * const boundMs = bound.boundMs('quote');
+   * const boundMs = bound.boundMs('quote', lifetime.leftMs());
    */
-  boundMs(service: string): number {
+  boundMs(service: string, leftMs: number): number {
     const latency = this.latencies.get(service);
-    if (latency === undefined || latency.samples < MIN_SAMPLES) return Infinity;
+    if (latency === undefined || latency.samples < MIN_SAMPLES) {
+      return leftMs * UNKNOWN_PART;
+    }
     const {meanMs, deviationMs} = latency;
     return Math.max(MIN_BOUND_MS, meanMs + DEVIATIONS * deviationMs);
   }
--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -9,6 +9,8 @@
 export interface JsonClientOptions {
   /** The IP that connections come from; this process's VM. */
   readonly localAddress?: string;
+  /** Whether connections are used again; they are unless it is false. */
+  readonly keepAlive?: boolean;
 }
 
 /** Sends JSON calls to one server over kept connections. */
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -105,6 +105,7 @@
   readonly caller = new CallerClient(() => this.balancer.pick());
   readonly jobs = new JobLoad(this.caller);
   private readonly loads: RequestLoad[] = [];
+  private readonly running: RequestLoad[] = [];
   private readonly onceJobs = new Set<string>();
   private teamKey: TeamKey | undefined;
 
@@ -125,6 +126,8 @@
 
   /** Ends all faults, so that one test's failure is not the next one's. */
   async mend(): Promise<void> {
+    await Promise.all(this.running.map(load => load.stop()));
+    this.running.length = 0;
     await this.rig.mend();
     await this.rig.untilReady();
   }
@@ -175,6 +178,7 @@
       this.requestOf(change),
       perSecond,
     );
+    this.running.push(load);
     if (change.isIdempotent === false) this.loads.push(load);
     void load.run();
     return load;
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -30,7 +30,8 @@
   constructor(url: string, options: JsonClientOptions = {}) {
     super();
     this.reader = new JsonClient(url, options);
-    this.appender = new JsonClient(url, options);
+    // A kept connection may have gone silent since its last append.
+    this.appender = new JsonClient(url, {...options, keepAlive: false});
   }
 
   /**
@@ -120,12 +121,15 @@
   call: () => Promise<JsonReply>,
 ): Promise<JsonReply> {
   const startMs = performance.now();
+  const boundMs = bound.currentMs;
   try {
     const res = await call();
     bound.replied(performance.now() - startMs - askedMs);
     return res;
   } catch (err) {
-    if (toFailure(err).kind === 'peerLost') bound.timedOut();
+    const isLost = toFailure(err).kind === 'peerLost';
+    // Calls that were lost together count once.
+    if (isLost && bound.currentMs === boundMs) bound.timedOut();
     throw err;
   }
 }
