--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -17,11 +17,8 @@
 import type {JobRecords} from './job-records.js';
 import type {TaskOutcomes} from './task-outcomes.js';
 import type {WorkerSet} from './worker-set.js';
-import {
-  START_WITHIN_MS,
-  type StartOutcome,
-  type WorkerObserver,
-} from './worker-task.js';
+import {START_WITHIN_MS, type StartOutcome} from './worker-calls.js';
+import type {WorkerObserver} from './worker-task.js';
 
 const IDLE_PERIOD_MS = 100;
 const STOP_RETRY_MS = 500;
@@ -132,7 +129,7 @@
       return this.notRun(task);
     }
     if (!(await this.noteStarting(task))) return this.notRun(task);
-    const outcome: StartOutcome = await worker.start(task, start);
+    const outcome: StartOutcome = await worker.calls.start(task, start);
     if (outcome === 'notRun') return this.notRun(task);
     this.parts.metrics.count('tasks_started_total');
     const subject = {job: task.jobId, task: task.taskId};
@@ -186,20 +183,20 @@
     const worker = this.parts.workers.get(workerId);
     const task = worker?.leases.find(taskId);
     if (worker === undefined || task === undefined) return;
-    const isStopped = await worker.checkpoint(taskId);
+    const isStopped = await worker.calls.checkpoint(taskId);
     if (isStopped) this.afterStop(task, 'checkpointed');
   }
 
   private resize(taskId: string, workerId: string, size: Resources): void {
     const worker = this.parts.workers.get(workerId);
-    void worker?.throttle(taskId, size);
+    void worker?.calls.throttle(taskId, size);
   }
 
   private async stopUntilConfirmed(task: PlacedTask): Promise<void> {
     while (!this.isStopped) {
       const worker = this.parts.workers.get(task.workerId);
       if (worker?.leases.find(task.taskId) === undefined) return;
-      if (await worker.stopTask(task.taskId)) {
+      if (await worker.calls.stopTask(task.taskId)) {
         return this.afterStop(task, 'stopped');
       }
       await this.parts.clock.sleep(STOP_RETRY_MS);
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -8,4 +8,5 @@
 export * from './ticket-blind.js';
 export * from './ticket-desk.js';
 export * from './ticket-home.js';
+export * from './worker-calls.js';
 export * from './worker-task.js';
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-desk.ts
@@ -262,7 +262,9 @@
   private checkAsk(ask: TicketAsk, cfg: QueueConfig): void {
     const {service, team} = ask;
     if (!this.slots.isServed(service)) raise('noTarget', service);
-    if (team !== NO_TEAM && this.allowanceOf(team) <= 0) {
+    // A new owner has read no allowances yet: its requests wait for them.
+    const isKnown = this.allowances.size > 0 && team !== NO_TEAM;
+    if (isKnown && this.allowanceOf(team) <= 0) {
       raise('teamLimit', `${team} has no slots in ${this.options.shard}`);
     }
     const {order, slots, estimate} = this;
--- /dev/null
+++ b/packages/scheduler/src/worker-calls.ts
@@ -0,0 +1,124 @@
+/** Starts, stops, checkpoints and caps of single tasks on one worker. */
+import {
+  toFailure,
+  type Clock,
+  type ErrorKind,
+  type Metrics,
+  type Resources,
+} from '@dragonflyward/common';
+import type {PlacedTask} from '@dragonflyward/policy';
+import type {TaskStart, WorkerClient} from '@dragonflyward/target';
+import PQueue from 'p-queue';
+import {WORKER_CALL_TIMEOUT_MS, type LeaseBook} from './lease-book.js';
+
+const CALLS_AT_ONCE = 4;
+/** A start is void on the worker when it arrives later than this. */
+export const START_WITHIN_MS = WORKER_CALL_TIMEOUT_MS;
+
+/** How a start went. */
+export type StartOutcome = 'started' | 'notRun' | 'unknown';
+
+/** The parts that the calls need. */
+export interface WorkerCallsParts {
+  readonly client: WorkerClient;
+  readonly leases: LeaseBook;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly term: () => number;
+  /** Whether this process may act for the shard at this instant. */
+  readonly mayAct: () => boolean;
+  /** Whether the worker may get new tasks at this instant. */
+  readonly mayStart: () => boolean;
+}
+
+/** The calls to one worker, a few at a time. */
+export class WorkerCalls {
+  private readonly queue = new PQueue({concurrency: CALLS_AT_ONCE});
+
+  constructor(private readonly parts: WorkerCallsParts) {}
+
+  /** Drops the calls that wait. */
+  stop(): void {
+    this.queue.clear();
+  }
+
+  /**
+   * Starts a task.
+   *
+   * @example
+   * if ((await calls.start(task, start)) === 'notRun') engine.ended(id);
+   */
+  start(task: PlacedTask, start: TaskStart): Promise<StartOutcome> {
+    return this.queue.add(() => this.startNow(task, start));
+  }
+
+  /** Stops a task; true once it surely does not run. */
+  stopTask(taskId: string): Promise<boolean> {
+    const {client} = this.parts;
+    return this.queue.add(() =>
+      this.endTask(taskId, term => client.stop(term, taskId)),
+    );
+  }
+
+  /** Saves a task's progress and stops it; true once it does not run. */
+  checkpoint(taskId: string): Promise<boolean> {
+    const {client} = this.parts;
+    return this.queue.add(() =>
+      this.endTask(taskId, term => client.checkpoint(term, taskId)),
+    );
+  }
+
+  /** Changes a task's cap; true once the worker has taken it. */
+  throttle(taskId: string, size: Resources): Promise<boolean> {
+    const {client} = this.parts;
+    return this.queue.add(() =>
+      this.tryCall(term => client.throttle(term, taskId, size)),
+    );
+  }
+
+  private async startNow(
+    task: PlacedTask,
+    start: TaskStart,
+  ): Promise<StartOutcome> {
+    const {client, clock, leases, mayAct, mayStart} = this.parts;
+    if (!mayAct() || !mayStart()) return 'notRun';
+    leases.noteStart(task, clock.monotonicMs(), START_WITHIN_MS);
+    try {
+      await client.start(start);
+      leases.noteConfirmed(task.taskId, clock.monotonicMs());
+      return 'started';
+    } catch (err) {
+      return this.startFailed(task, toFailure(err).kind);
+    }
+  }
+
+  private startFailed(task: PlacedTask, kind: ErrorKind): StartOutcome {
+    this.parts.metrics.count('task_starts_failed_total');
+    if (kind !== 'targetRefused' && kind !== 'staleTerm') return 'unknown';
+    this.parts.leases.remove(task.taskId);
+    return 'notRun';
+  }
+
+  private async endTask(
+    taskId: string,
+    call: (term: number) => Promise<void>,
+  ): Promise<boolean> {
+    const isDone = await this.tryCall(call);
+    if (isDone) this.parts.leases.remove(taskId);
+    return isDone;
+  }
+
+  private async tryCall(
+    call: (term: number) => Promise<void>,
+  ): Promise<boolean> {
+    const {mayAct, term, metrics} = this.parts;
+    if (!mayAct()) return false;
+    try {
+      await call(term());
+      return true;
+    } catch {
+      metrics.count('worker_calls_failed_total');
+      return false;
+    }
+  }
+}
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-task.ts
@@ -1,35 +1,26 @@
 /** One worker of a shard: its inventory, renewals, starts and stops. */
-import {
-  toFailure,
-  type Clock,
-  type ErrorKind,
-  type EventRing,
-  type Metrics,
-  type Resources,
-  type TimingSettings,
+import type {
+  Clock,
+  EventRing,
+  Metrics,
+  Resources,
+  TimingSettings,
 } from '@dragonflyward/common';
 import type {PlacedTask, WorkerCondition} from '@dragonflyward/policy';
 import type {
   Inventory,
   TaskReport,
-  TaskStart,
   TaskUsage,
   WorkerClient,
 } from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
-import PQueue from 'p-queue';
-import {LeaseBook, WORKER_CALL_TIMEOUT_MS} from './lease-book.js';
+import {LeaseBook} from './lease-book.js';
+import {WorkerCalls} from './worker-calls.js';
 
 const INVENTORY_RETRY_MS = 500;
 const WATCH_WAIT_MS = 2_000;
 const USAGE_PERIOD_MS = 5_000;
-const CALLS_AT_ONCE = 4;
 const FAILURES_TO_SILENCE = 2;
-/** A start is void on the worker when it arrives later than this. */
-export const START_WITHIN_MS = WORKER_CALL_TIMEOUT_MS;
-
-/** How a start went. */
-export type StartOutcome = 'started' | 'notRun' | 'unknown';
 
 /** What the owner of a worker task is told. */
 export abstract class WorkerObserver {
@@ -75,11 +66,19 @@
   private isSilent = true;
   private failures = 0;
   private sequence = 0;
-  private readonly calls = new PQueue({concurrency: CALLS_AT_ONCE});
+  /** What is sent to the worker for single tasks. */
+  readonly calls: WorkerCalls;
 
   constructor(private readonly parts: WorkerTaskParts) {
     this.vm = parts.vm;
     this.leases = new LeaseBook(parts.timing.taskLeaseMs);
+    const {client, clock, metrics, observer} = parts;
+    this.calls = new WorkerCalls({
+      ...{client, clock, metrics, leases: this.leases},
+      term: () => observer.term(),
+      mayAct: () => this.mayAct(),
+      mayStart: () => this.condition === 'ready',
+    });
   }
 
   get workerId(): string {
@@ -117,7 +116,7 @@
   /** Ends all loops; calls under way end by themselves. */
   stop(): void {
     this.isStopped = true;
-    this.calls.clear();
+    this.calls.stop();
   }
 
   /** Runs until it is stopped: inventory first, then renewals and watching. */
@@ -131,86 +130,6 @@
     ]);
   }
 
-  /**
-   * Starts a task.
-   *
-   * @example
-   * if ((await worker.start(task, start)) === 'notRun') engine.ended(id);
-   */
-  async start(task: PlacedTask, start: TaskStart): Promise<StartOutcome> {
-    return this.calls.add(() => this.startNow(task, start));
-  }
-
-  /** Stops a task; true once it surely does not run. */
-  async stopTask(taskId: string): Promise<boolean> {
-    return this.calls.add(() =>
-      this.callTask(taskId, term => this.parts.client.stop(term, taskId)),
-    );
-  }
-
-  /** Saves a task's progress and stops it; true once it does not run. */
-  async checkpoint(taskId: string): Promise<boolean> {
-    return this.calls.add(() =>
-      this.callTask(taskId, term => this.parts.client.checkpoint(term, taskId)),
-    );
-  }
-
-  /** Changes a task's cap. */
-  async throttle(taskId: string, size: Resources): Promise<boolean> {
-    const {client} = this.parts;
-    return this.calls.add(async () => {
-      if (!this.mayAct()) return false;
-      try {
-        await client.throttle(this.parts.observer.term(), taskId, size);
-        return true;
-      } catch {
-        this.parts.metrics.count('worker_calls_failed_total');
-        return false;
-      }
-    });
-  }
-
-  private async startNow(
-    task: PlacedTask,
-    start: TaskStart,
-  ): Promise<StartOutcome> {
-    if (!this.mayAct() || this.condition !== 'ready') return 'notRun';
-    const nowMs = this.parts.clock.monotonicMs();
-    this.leases.noteStart(task, nowMs, START_WITHIN_MS);
-    try {
-      await this.parts.client.start(start);
-      const confirmedMs = this.parts.clock.monotonicMs();
-      this.leases.noteConfirmed(task.taskId, confirmedMs);
-      return 'started';
-    } catch (err) {
-      return this.startFailed(task, toFailure(err).kind);
-    }
-  }
-
-  private startFailed(task: PlacedTask, kind: ErrorKind): StartOutcome {
-    this.parts.metrics.count('task_starts_failed_total');
-    if (kind === 'targetRefused' || kind === 'staleTerm') {
-      this.leases.remove(task.taskId);
-      return 'notRun';
-    }
-    return 'unknown';
-  }
-
-  private async callTask(
-    taskId: string,
-    call: (term: number) => Promise<void>,
-  ): Promise<boolean> {
-    if (!this.mayAct()) return false;
-    try {
-      await call(this.parts.observer.term());
-      this.leases.remove(taskId);
-      return true;
-    } catch {
-      this.parts.metrics.count('worker_calls_failed_total');
-      return false;
-    }
-  }
-
   private async takeInventory(): Promise<void> {
     const {client, observer, shard, clock} = this.parts;
     while (!this.isStopped && !this.hasAnswered) {
--- a/packages/scheduler/test/ticket-desk.test.ts
+++ b/packages/scheduler/test/ticket-desk.test.ts
@@ -100,6 +100,23 @@
   },
 );
 
+promiseTest(
+  desk,
+  'team-limit',
+  'requests wait until the first allowances are known',
+  async () => {
+    const made = new DeskHarness();
+    made.desk.setExecutors([executor('e-0')]);
+    const early = made.ask('roofs', ONE);
+    await made.settle();
+    assert.not(early.ticket);
+    assert.not(early.refusal);
+    made.desk.setAllowance('roofs', 1);
+    await made.settle();
+    assert.ok(early.ticket);
+  },
+);
+
 desk('bounds what waits, for each team and in all', async () => {
   const made = harness();
   await fill(made);
