--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -22,7 +22,7 @@
   readonly at: HybridTime;
   /** Shards that the sender owns and may act for, with their terms. */
   readonly owns: readonly OwnedShard[];
-  /** Highest configuration offset that the sender has applied. */
+  /** Offset of the next configuration record that the sender will apply. */
   readonly configOffset: number;
   /** How long ago the sender read the end of the configuration stream. */
   readonly configAgeMs: number;
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -156,15 +156,11 @@
   waitClass: WaitClass,
   count: number,
 ): RoomWanted {
-  const team = state.team.team.team;
   return {
-    state,
-    size: waitClass.size,
-    count,
-    isWhole: state.job.isGang,
+    ...roomFor(state, waitClass, count),
     isUrgent: true,
     untilMs: core.nowMs + URGENT_HOLD_MS,
-    reason: `urgent work of team ${team} needs the room`,
+    reason: `urgent work of team ${state.team.team.team} needs the room`,
     mayStop: running => mayStopForUrgent(state, running),
   };
 }
@@ -175,19 +171,23 @@
   waitClass: WaitClass,
   count: number,
 ): RoomWanted {
-  const team = state.team.team.team;
   return {
-    state,
-    size: waitClass.size,
-    count,
-    isWhole: state.job.isGang,
+    ...roomFor(state, waitClass, count),
     isUrgent: false,
     untilMs: core.nowMs + RECLAIM_HOLD_MS,
-    reason: `team ${team} is below its share`,
+    reason: `team ${state.team.team.team} is below its share`,
     mayStop: running => mayStopForShare(core, state, running),
   };
 }
 
+function roomFor(
+  state: JobState,
+  waitClass: WaitClass,
+  count: number,
+): Pick<RoomWanted, 'state' | 'size' | 'count' | 'isWhole'> {
+  return {state, size: waitClass.size, count, isWhole: state.job.isGang};
+}
+
 /** A second start of work that is not idempotent would be a second run. */
 function isStoppable(running: RunningTask): boolean {
   const {job, queue} = running.job;
