--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -191,14 +191,13 @@
   private status(): Readonly<Record<string, unknown>> {
     return {
       process: this.self,
+      role: 'gateway',
       isReady: this.isReady(),
       isDraining: this.isDraining,
-      config: {
-        revision: this.config.state.revision,
-        nextOffset: this.config.state.nextOffset,
-        ageMs: this.config.ageMs(),
-        isFresh: this.config.isFresh(),
-      },
+      configOffset: this.config.state.nextOffset,
+      configRevision: this.config.state.revision,
+      configAgeMs: this.config.ageMs(),
+      isConfigFresh: this.config.isFresh(),
       owners: this.owners.list(),
       openTickets: this.book.size(),
       openRequests: this.server.openRequests(),
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -140,11 +140,6 @@
   readonly configOffset?: number;
   /** How long ago the configuration was known to be the newest. */
   readonly configAgeMs?: number | null;
-  /** The same two, as a gateway shows them. */
-  readonly config?: {
-    readonly nextOffset?: number;
-    readonly ageMs?: number | null;
-  };
   readonly shards?: readonly StatusShard[];
 }
 
@@ -155,12 +150,10 @@
  * const isInForce = (configOffsetOf(body) ?? 0) > revision;
  */
 export function configOffsetOf(body: AdminReply['body']): number | undefined {
-  const {configOffset, config} = (body ?? {}) as ProcessStatus;
-  return configOffset ?? config?.nextOffset;
+  return ((body ?? {}) as ProcessStatus).configOffset;
 }
 
 /** How long ago a process knew that it had the newest configuration. */
 export function configAgeOf(body: AdminReply['body']): number | undefined {
-  const {configAgeMs, config} = (body ?? {}) as ProcessStatus;
-  return configAgeMs ?? config?.ageMs ?? undefined;
+  return ((body ?? {}) as ProcessStatus).configAgeMs ?? undefined;
 }
