--- a/packages/common/src/promise-test.ts
+++ b/packages/common/src/promise-test.ts
@@ -27,7 +27,6 @@
 export interface PromiseSuite<C> {
   (name: string, body: TestBody<C>): void;
   readonly only: AddTest<C>;
-  readonly skip: (name?: string, body?: TestBody<C>) => void;
 }
 
 /**
@@ -55,22 +54,7 @@
   });
 }
 
-/**
- * Adds a test that is not run, and reports it as skipped.
- *
- * @example
- * skipPromiseTest(shard, 'overcommit', 'adopts what runs');
- */
-export function skipPromiseTest<C>(
-  suite: PromiseSuite<C>,
-  promise: PromiseId,
-  name: string,
-): void {
-  suite.skip(name);
-  report(promise, 'skipped', name);
-}
-
-type TestState = 'declared' | 'passed' | 'failed' | 'skipped';
+type TestState = 'declared' | 'passed' | 'failed';
 
 function report(promise: PromiseId, state: TestState, name: string): void {
   process.stdout.write(`\npromise ${promise} ${state} ${name}\n`);
