Give no shard back to a scheduler that has just regained the log

Not shown by a trace. A scheduler that lost the log is now given no shard for 10 s after it reads again.

--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -12,6 +12,8 @@
 const FOLLOWERS_PER_SHARD = 3;
 /** A process whose newest read of the log is older may be cut from it. */
 const LOG_READ_BOUND_MS = 2_000;
+/** A process that lost the log is given no shard back for this long. */
+const LOG_REGAINED_MS = 10_000;
 
 interface Heard {
   readonly process: ProcessRef;
@@ -19,6 +21,8 @@
   readonly sinceMs: number;
   readonly atMs: number;
   readonly canReadLog: boolean;
+  /** When it last said that it could no longer read the log. */
+  readonly lostLogMs: number;
   readonly isDraining: boolean;
   readonly owns: readonly OwnedShard[];
 }
@@ -78,11 +82,15 @@
     if (isOlder) return;
     const nowMs = this.clock.monotonicMs();
     const isSame = known?.process.incarnation === from.process.incarnation;
+    const canReadLog = heartbeat.configAgeMs < LOG_READ_BOUND_MS;
+    const hasLostLog = isSame && known.canReadLog && !canReadLog;
+    const lostBeforeMs = isSame ? known.lostLogMs : -Infinity;
     this.heard.set(from.process.vm, {
       process: from.process,
       sinceMs: isSame ? known.sinceMs : nowMs,
       atMs: nowMs,
-      canReadLog: heartbeat.configAgeMs < LOG_READ_BOUND_MS,
+      canReadLog,
+      lostLogMs: hasLostLog ? nowMs : lostBeforeMs,
       isDraining: heartbeat.isDraining,
       owns: heartbeat.owns,
     });
@@ -173,7 +181,9 @@
     if (this.vms.get(process.vm)?.domain !== shard) return false;
     const heard = this.heard.get(process.vm);
     if (heard === undefined || !this.canReadLog(process)) return false;
-    return this.clock.monotonicMs() - heard.sinceMs >= forMs;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - heard.lostLogMs < LOG_REGAINED_MS) return false;
+    return nowMs - heard.sinceMs >= forMs;
   }
 
   /** Whether the process said lately that it can read the log. */
