Read the revision on the status page by its present name

Cause: the gateway's status page was made flat and its revision is now configRevision; the test looked for the former name. The pattern names the field more narrowly than before. Ruled out: the restart itself.

--- a/packages/operator/test/fleet.process.test.ts
+++ b/packages/operator/test/fleet.process.test.ts
@@ -112,7 +112,9 @@
     await rig.untilRoleReady('gateway', entry.id);
     const show = await ctl('config', 'show');
     const {text} = await ctl('status');
-    const gateway = new RegExp(`"revision": ${String(show.value['revision'])}`);
+    const gateway = new RegExp(
+      `"configRevision": ${String(show.value['revision'])}`,
+    );
     assert.match(text, gateway);
   },
 );
