--- a/packages/scheduler/src/allowance-task.ts
+++ b/packages/scheduler/src/allowance-task.ts
@@ -1,11 +1,5 @@
 /** Follows the allowance table; plans it while this process owns the budget. */
-import type {
-  Clock,
-  EventRing,
-  Metrics,
-  ProcessRef,
-  Resources,
-} from '@dragonflyward/common';
+import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
 import {
@@ -30,7 +24,6 @@
 
 /** The parts that the task needs. */
 export interface AllowanceTaskParts {
-  readonly self: ProcessRef;
   readonly log: LogClient;
   readonly config: ConfigState;
   readonly membership: Membership;
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -72,7 +72,7 @@
       isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
     });
     this.allowances = new AllowanceTask({
-      ...{self: this.self, mesh, log, membership, clock, events, metrics},
+      ...{mesh, log, membership, clock, events, metrics},
       config: this.config.state,
       shards: this.shards,
     });
