--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'target/**']},
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
--- /dev/null
+++ b/packages/cell/src/executor-task.ts
@@ -0,0 +1,376 @@
+/** One task for each executor: holds its lease, reads what runs and ended. */
+import type {Clock} from '@dragonflyward/common';
+import type {CellState} from './cell-state.js';
+import {
+  isInventory,
+  type ExecutorClient,
+  type Inventory,
+  type OrderReply,
+} from './executor-client.js';
+import {
+  clockNow,
+  hasLapsed,
+  noteClock,
+  type ExecutorState,
+} from './executor-state.js';
+import {taskName, type TaskState} from './job-state.js';
+
+/** Time for which runs go on when their owner is lost, in ms. */
+export const LEASE_MS = 6000;
+/** How long an executor may wait for an end before it answers, in ms. */
+const HOLD_WAIT_MS = 1000;
+/** The same where tail latencies have to be watched, in ms. */
+const WATCH_WAIT_MS = 400;
+/** The same while a start has no answer yet, in ms. */
+const SOON_WAIT_MS = 100;
+/** Least pause between two holds, in ms. */
+const HOLD_GAP_MS = 15;
+/** Pause where an answer brought nothing new, in ms. */
+const NO_NEWS_GAP_MS = 60;
+/** Pause after a hold that was not answered, in ms. */
+const MISSED_GAP_MS = 150;
+/** An executor that answers no hold in a row this often counts as gone. */
+const GONE_AFTER_MISSED = 8;
+
+/** What the task needs of its owner. */
+export interface ExecutorHost {
+  readonly state: CellState;
+  readonly clock: Clock;
+  readonly token: number;
+  readonly mayAct: () => boolean;
+  /** A higher token was seen there. */
+  readonly onFenced: () => void;
+  /** An inventory changed something. */
+  readonly onChange: (executor: ExecutorState) => void;
+  readonly onLine: (event: string, fields: Readonly<object>) => void;
+}
+
+/** Talks to one executor. */
+export class ExecutorTask {
+  private isClosed = false;
+  private wake: (() => void) | null = null;
+  private sentAck = 0;
+
+  constructor(
+    readonly executor: ExecutorState,
+    private readonly client: ExecutorClient,
+    private readonly host: ExecutorHost,
+  ) {}
+
+  /** Holds the executor until it is closed. */
+  async run(): Promise<void> {
+    while (!this.isClosed) {
+      if (!this.host.mayAct() || !this.hasReason()) {
+        await this.idle();
+        continue;
+      }
+      await this.holdOnce();
+    }
+  }
+
+  /** Ends the task. */
+  close(): void {
+    this.isClosed = true;
+    this.client.close();
+    this.poke();
+  }
+
+  /** Lets a waiting task look again whether it has a reason to hold. */
+  poke(): void {
+    this.wake?.();
+  }
+
+  /** Sends the start of a task that is counted on this executor. */
+  async start(task: TaskState, ticket: string): Promise<void> {
+    const {executor} = this;
+    const {clock, token, state} = this.host;
+    const {run} = task;
+    const leaseUntilMs = this.extendLease();
+    const {payload} = task.step.occurrence.job.spec;
+    const order = {
+      task: taskName(task),
+      run,
+      payload,
+      leaseUntilMs,
+      token,
+      checkpoint: task.checkpoint,
+      ticket,
+    };
+    const reply = await this.client.start(order);
+    noteClock(executor, reply.clockMs, clock.monotonicMs());
+    if (task.executor !== executor || task.run !== run) return;
+    if (reply.failure === null) this.noteStarted(task);
+    else this.noteNotStarted(task, reply);
+    this.poke();
+    state.openSteps.add(task.step);
+  }
+
+  /** Sends a stop until it is answered; the end comes with an inventory. */
+  async stop(name: string, run: number, task: TaskState | null): Promise<void> {
+    while (!this.isClosed && this.host.mayAct() && this.isThere(name, run, task)) {
+      const reply = await this.client.stop(name, run, this.host.token);
+      if (reply.failure === null) {
+        const isSame = task !== null && task.run === run;
+        if (isSame) task.answeredMs = this.host.clock.monotonicMs();
+        break;
+      }
+      this.noteFailure(reply, `stop ${name}`);
+      await this.host.clock.sleep(MISSED_GAP_MS);
+    }
+    this.poke();
+  }
+
+  /** Sets how much of the processor a run may use. */
+  async pace(task: TaskState, percent: number): Promise<void> {
+    const reply = await this.client.pace(
+      taskName(task),
+      task.run,
+      percent,
+      this.host.token,
+    );
+    if (reply.failure === null) task.percent = percent;
+    else this.noteFailure(reply, `pace ${taskName(task)}`);
+  }
+
+  private isThere(name: string, run: number, task: TaskState | null): boolean {
+    if (this.executor.strays.has(`${name}#${run}`)) return true;
+    return task?.executor === this.executor && task.run === run;
+  }
+
+  private hasReason(): boolean {
+    const {tasks, strays, isReached, missed, ackedThrough} = this.executor;
+    if (tasks.size > 0 || strays.size > 0 || missed > 0) return true;
+    return !isReached || this.sentAck < ackedThrough;
+  }
+
+  private idle(): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, HOLD_WAIT_MS);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  private async holdOnce(): Promise<void> {
+    const {executor, host} = this;
+    const {ackedThrough, bornMs} = executor;
+    const sentMs = host.clock.monotonicMs();
+    const leaseUntilMs = this.extendLease();
+    const reply = await this.client.hold({
+      token: host.token,
+      ackedThrough,
+      waitMs: this.waitMs(),
+      ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
+    });
+    if (this.isClosed) return;
+    if (!isInventory(reply)) {
+      this.noteMissed(reply);
+      return host.clock.sleep(MISSED_GAP_MS);
+    }
+    const hasNews = this.takeInventory(reply, sentMs);
+    if (executor.bornMs === bornMs) this.sentAck = ackedThrough;
+    await host.clock.sleep(hasNews ? HOLD_GAP_MS : NO_NEWS_GAP_MS);
+  }
+
+  private waitMs(): number {
+    const {tasks, isReached} = this.executor;
+    if (!isReached) return 0;
+    let waitMs = HOLD_WAIT_MS;
+    for (const {phase, step} of tasks) {
+      if (phase === 'starting') return SOON_WAIT_MS;
+      if (phase === 'stopping') return SOON_WAIT_MS;
+      if (step.spec.targetMs > 0) waitMs = WATCH_WAIT_MS;
+    }
+    return waitMs;
+  }
+
+  /**
+   * The end of the lease for the next order. It moves on only while the
+   * executor answers: a late order must not keep runs of a lost executor.
+   */
+  private extendLease(): number {
+    const {executor, host} = this;
+    if (Number.isNaN(executor.clockMs)) return Number.NaN;
+    if (executor.missed > 0 && executor.leaseUntilMs > 0) {
+      return executor.leaseUntilMs;
+    }
+    const nowMs = host.clock.monotonicMs();
+    const untilMs = Math.round(clockNow(executor, nowMs) + LEASE_MS);
+    executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
+    return executor.leaseUntilMs;
+  }
+
+  private noteStarted(task: TaskState): void {
+    this.executor.missed = 0;
+    task.answeredMs = this.host.clock.monotonicMs();
+    if (task.phase === 'starting') task.phase = 'running';
+  }
+
+  private noteNotStarted(task: TaskState, reply: OrderReply): void {
+    const {state, clock, onLine} = this.host;
+    const {failure} = reply;
+    const executorId = this.executor.info.id;
+    onLine('startFailed', {task: taskName(task), run: task.run, executorId, failure});
+    if (failure === 'unknown') {
+      // Only a later inventory tells whether the run exists.
+      task.answeredMs = clock.monotonicMs();
+      return;
+    }
+    this.noteFailure(reply, `start ${taskName(task)}`);
+    if (failure === 'badTicket') task.step.tickets.delete(executorId);
+    if (failure === 'unhealthy') {
+      this.executor.avoidUntilMs = clock.monotonicMs() + HOLD_WAIT_MS;
+    }
+    state.requeue(task);
+    this.host.onChange(this.executor);
+  }
+
+  private noteFailure(reply: OrderReply, what: string): void {
+    if (reply.failure === 'fenced') this.host.onFenced();
+    if (reply.failure !== 'otherLife') return;
+    this.host.onLine('executorReplaced', {
+      executorId: this.executor.info.id,
+      what,
+    });
+    this.host.state.startNewLife(this.executor, this.executor.bornMs);
+    this.executor.isListed = false;
+    this.host.onChange(this.executor);
+  }
+
+  private noteMissed(reply: OrderReply): void {
+    const {executor, host} = this;
+    if (reply.failure === 'otherLife' || reply.failure === 'fenced') {
+      return this.noteFailure(reply, 'hold');
+    }
+    executor.missed += 1;
+    if (executor.missed === 1) {
+      host.onLine('executorSilent', {executorId: executor.info.id, failure: reply.failure});
+    }
+    if (!hasLapsed(executor, host.clock.monotonicMs())) return;
+    if (executor.tasks.size > 0 || executor.strays.size > 0) {
+      host.onLine('executorLapsed', {executorId: executor.info.id, tasks: executor.tasks.size});
+      host.state.loseRuns(executor);
+      host.onChange(executor);
+    }
+    if (executor.missed > GONE_AFTER_MISSED && !executor.isListed) {
+      host.onChange(executor);
+    }
+  }
+
+  /** Takes in what runs and what ended; tells whether there was news. */
+  private takeInventory(inventory: Inventory, sentMs: number): boolean {
+    const {executor, host} = this;
+    const nowMs = host.clock.monotonicMs();
+    // An executor that does not say when it started has one life.
+    const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
+    if (bornMs !== executor.bornMs) {
+      host.onLine('executorReborn', {executorId: executor.info.id, bornMs});
+      host.state.startNewLife(executor, bornMs);
+      this.sentAck = 0;
+    }
+    if (executor.missed > 0) {
+      host.onLine('executorBack', {executorId: executor.info.id});
+    }
+    executor.missed = 0;
+    const wasReached = executor.isReached;
+    executor.isReached = true;
+    noteClock(executor, inventory.clockMs, nowMs);
+    const hadEnds = this.takeEnds(inventory, nowMs);
+    this.takeRuns(inventory, sentMs, nowMs);
+    if (hadEnds || !wasReached) host.onChange(executor);
+    return hadEnds || !wasReached;
+  }
+
+  private takeEnds({ended}: Inventory, nowMs: number): boolean {
+    const {executor, host} = this;
+    let hadEnds = false;
+    for (const end of ended) {
+      if (end.number <= executor.processedThrough) continue;
+      executor.processedThrough = end.number;
+      host.state.noteEnd(executor, end, nowMs);
+      host.onLine('runEnded', {
+        task: end.task,
+        run: end.run,
+        how: end.how,
+        executorId: executor.info.id,
+      });
+      hadEnds = true;
+    }
+    return hadEnds;
+  }
+
+  private takeRuns(
+    {running, ended}: Inventory,
+    sentMs: number,
+    nowMs: number,
+  ): void {
+    const {executor, host} = this;
+    const listed = new Set<string>();
+    for (const {task: name, run, checkpoint, percent, usage} of running) {
+      listed.add(`${name}#${run}`);
+      const task = host.state.taskNamed(name);
+      if (task?.executor === executor && task.run === run) {
+        this.noteRunning(task, checkpoint, percent, usage, nowMs);
+      } else if (task !== undefined && mayAdopt(task, run)) {
+        host.state.adoptRun(executor, task, run, nowMs);
+        this.noteRunning(task, checkpoint, percent, usage, nowMs);
+        host.onLine('runAdopted', {task: name, run, executorId: executor.info.id});
+      } else {
+        host.state.noteStray(executor, name, run);
+      }
+    }
+    // A list of ends that is cut off says nothing about what is missing.
+    if (ended.length >= MAX_LISTED_ENDS) return;
+    this.noteMissing(listed, sentMs);
+  }
+
+  private noteRunning(
+    task: TaskState,
+    checkpoint: string,
+    percent: number,
+    usage: number,
+    nowMs: number,
+  ): void {
+    if (task.phase === 'starting') {
+      task.phase = 'running';
+      task.answeredMs = nowMs;
+    }
+    task.percent = percent;
+    task.usage = usage;
+    this.host.state.noteCheckpoint(task, checkpoint);
+  }
+
+  private noteMissing(listed: ReadonlySet<string>, sentMs: number): void {
+    const {executor, host} = this;
+    for (const {task, run} of [...executor.strays.values()]) {
+      if (!listed.has(`${task}#${run}`)) host.state.dropStray(executor, task, run);
+    }
+    for (const task of [...executor.tasks]) {
+      if (listed.has(`${taskName(task)}#${task.run}`)) continue;
+      if (task.answeredMs >= sentMs) continue;
+      if (task.phase === 'starting') {
+        host.state.stopTask(task);
+        continue;
+      }
+      host.onLine('runMissing', {
+        task: taskName(task),
+        run: task.run,
+        phase: task.phase,
+        executorId: executor.info.id,
+      });
+      host.state.requeue(task);
+      host.onChange(executor);
+    }
+  }
+}
+
+/** Ends that one answer lists at most; stated by the platform. */
+const MAX_LISTED_ENDS = 500;
+
+function mayAdopt(task: TaskState, run: number): boolean {
+  const {job} = task.step.occurrence;
+  const isOpen = job.phase === 'queued' || job.phase === 'running';
+  return isOpen && task.phase === 'waiting' && run >= task.run;
+}
--- /dev/null
+++ b/packages/cell/src/follower.ts
@@ -0,0 +1,79 @@
+/** Follows a keyed topic: the newest records first, then what comes. */
+import type {Clock} from '@dragonflyward/common';
+import {StoreError, type PlacedRecord, type Store} from './store.js';
+
+/** How long a failed read is not repeated, in ms. */
+const RETRY_MS = 200;
+
+/** How a topic is followed. */
+export interface FollowerOptions {
+  readonly topic: string;
+  /** Pause between reads that do not wait, in ms; 0 where reads wait. */
+  readonly pauseMs: number;
+  /** How long the store may wait for a record, in ms. */
+  readonly waitMs: number;
+}
+
+/** Reads a topic as long as it is told to. */
+export class Follower {
+  /** When the newest successful read was sent; -Infinity before the first. */
+  freshMs = -Infinity;
+  private nextOffset = -1;
+  private isStopped = false;
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly options: FollowerOptions,
+    private readonly onRecord: (record: PlacedRecord) => void,
+    /** Told of a full reading: keys that are missing were deleted. */
+    private readonly onReload: (keys: ReadonlySet<string>) => void = () => undefined,
+  ) {}
+
+  /**
+   * Reads the newest record of each key.
+   *
+   * @throws StoreError
+   * @example
+   * await follower.load();
+   */
+  async load(): Promise<void> {
+    const sentMs = this.clock.monotonicMs();
+    const page = await this.store.newest(this.options.topic);
+    for (const record of page.records) this.onRecord(record);
+    this.onReload(new Set(page.records.map(({key}) => key)));
+    this.nextOffset = page.endOffset;
+    this.freshMs = sentMs;
+  }
+
+  /** Follows the topic until it is stopped. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      try {
+        if (this.nextOffset < 0) await this.load();
+        else await this.readOn();
+        await this.clock.sleep(this.options.pauseMs);
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err;
+        if (err.failure === 'expired') this.nextOffset = -1;
+        await this.clock.sleep(RETRY_MS);
+      }
+    }
+  }
+
+  /** Ends the following. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async readOn(): Promise<void> {
+    const {topic, waitMs} = this.options;
+    const sentMs = this.clock.monotonicMs();
+    const page = await this.store.read(topic, this.nextOffset, waitMs);
+    if (this.isStopped) return;
+    for (const record of page.records) this.onRecord(record);
+    const last = page.records.at(-1);
+    if (last !== undefined) this.nextOffset = last.offset + 1;
+    this.freshMs = sentMs;
+  }
+}
--- /dev/null
+++ b/packages/cell/src/front.ts
@@ -0,0 +1,183 @@
+/** What a VM does for callers: accepts jobs, cancels them, tells of them. */
+import type {Clock, Metrics} from '@dragonflyward/common';
+import type {JobTable} from './job-table.js';
+import type {JobRow} from './messages.js';
+import type {LogLine} from './platform.js';
+import {cancelKey, encodeJob, jobKey, JOBS_TOPIC} from './records.js';
+import {StoreError, type KeyedRecord, type Store} from './store.js';
+import {isFinal, type JobPhase, type JobSpec, type Queue} from './types.js';
+
+/** How long callers should wait when the store takes nothing, in seconds. */
+const STORE_RETRY_AFTER_S = 1;
+
+/** A job as a caller submits it. */
+export interface Submission {
+  readonly id: string;
+  readonly queue: Queue;
+  readonly organisation: string;
+  readonly spec: JobSpec;
+}
+
+/** Answer to a submission or a cancel. */
+export type FrontAnswer =
+  | {readonly kind: 'done'}
+  | {readonly kind: 'noSuchJob'}
+  /** Surely not done; may be sent again after that time. */
+  | {readonly kind: 'refused'; readonly retryAfterS: number}
+  /** May have been done: the caller should send it again. */
+  | {readonly kind: 'unknown'};
+
+/** Answer to a question for a job's phase. */
+export type PhaseAnswer =
+  | {readonly kind: 'phase'; readonly phase: JobPhase}
+  | {readonly kind: 'noSuchJob'}
+  | {readonly kind: 'unavailable'};
+
+/** What the owner, or the store, says of a job that is not in the table. */
+export interface Lookup {
+  readonly row: JobRow | null;
+  readonly isSure: boolean;
+}
+
+/** What the front needs of its VM. */
+export interface FrontDeps {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly log: LogLine;
+  readonly table: JobTable;
+  readonly lookup: (id: string, timeoutMs: number) => Promise<Lookup>;
+  readonly tellJob: (value: Uint8Array) => void;
+  readonly tellCancel: (id: string) => void;
+}
+
+interface PendingWrite {
+  readonly record: KeyedRecord;
+  readonly resolve: (outcome: WriteOutcome) => void;
+}
+
+type WriteOutcome = 'stored' | 'refused' | 'unknown';
+
+/** Serves the callers of one VM. */
+export class Front {
+  private pending: PendingWrite[] = [];
+  private isWriting = false;
+  private readonly submitting = new Map<string, Promise<FrontAnswer>>();
+
+  constructor(private readonly deps: FrontDeps) {}
+
+  /**
+   * Accepts a job; `done` means that it is stored.
+   *
+   * @example
+   * const answer = await front.submit({id, queue, organisation, spec});
+   */
+  async submit(submission: Submission): Promise<FrontAnswer> {
+    const {id} = submission;
+    if (this.deps.table.get(id) !== undefined) return {kind: 'done'};
+    const underWay = this.submitting.get(id);
+    if (underWay !== undefined) return underWay;
+    const answer = this.storeJob(submission);
+    this.submitting.set(id, answer);
+    try {
+      return await answer;
+    } finally {
+      this.submitting.delete(id);
+    }
+  }
+
+  /** Cancels a job; `done` means that the cancel is stored. */
+  async cancel(id: string, timeoutMs: number): Promise<FrontAnswer> {
+    const {table, log} = this.deps;
+    const known = table.get(id);
+    if (known === undefined) {
+      const {row, isSure} = await this.deps.lookup(id, timeoutMs);
+      if (row === null && isSure) return {kind: 'noSuchJob'};
+      if (row !== null) table.set(row);
+    }
+    const row = table.get(id);
+    if (row !== undefined && isFinal(row.phase)) return {kind: 'done'};
+    const sentMs = this.deps.clock.monotonicMs();
+    const outcome = await this.write({
+      key: cancelKey(id),
+      value: Uint8Array.of(1),
+    });
+    const tookMs = Math.round(this.deps.clock.monotonicMs() - sentMs);
+    log('cancelStored', {job: id, outcome, tookMs});
+    if (outcome !== 'stored') return toAnswer(outcome);
+    this.deps.tellCancel(id);
+    if (row !== undefined) table.set({...row, phase: 'cancelled'});
+    return {kind: 'done'};
+  }
+
+  /** Tells a job's phase. */
+  async phase(id: string, timeoutMs: number): Promise<PhaseAnswer> {
+    const known = this.deps.table.get(id);
+    if (known !== undefined) return {kind: 'phase', phase: known.phase};
+    const {row, isSure} = await this.deps.lookup(id, timeoutMs);
+    if (row !== null) {
+      this.deps.table.set(row);
+      return {kind: 'phase', phase: row.phase};
+    }
+    return {kind: isSure ? 'noSuchJob' : 'unavailable'};
+  }
+
+  private async storeJob(submission: Submission): Promise<FrontAnswer> {
+    const {clock, table, metrics, log} = this.deps;
+    const {id, queue, organisation, spec} = submission;
+    const acceptedMs = clock.wallMs();
+    const value = encodeJob({id, queue, organisation, spec, acceptedMs});
+    const sentMs = clock.monotonicMs();
+    const outcome = await this.write({key: jobKey(id), value});
+    const tookMs = clock.monotonicMs() - sentMs;
+    metrics.record('accept_us', tookMs * 1000);
+    metrics.count(`jobs_total{outcome="${outcome}"}`);
+    log('jobStored', {
+      job: id,
+      queue: queue.name,
+      organisation,
+      outcome,
+      tookMs: Math.round(tookMs),
+    });
+    if (outcome !== 'stored') return toAnswer(outcome);
+    table.set({id, phase: 'queued', queue: queue.name, organisation});
+    this.deps.tellJob(value);
+    return {kind: 'done'};
+  }
+
+  /** Appends a record together with those that come while one is sent. */
+  private write(record: KeyedRecord): Promise<WriteOutcome> {
+    return new Promise(resolve => {
+      this.pending.push({record, resolve});
+      void this.flush();
+    });
+  }
+
+  private async flush(): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    while (this.pending.length > 0) {
+      const batch = this.pending;
+      this.pending = [];
+      const outcome = await this.append(batch.map(({record}) => record));
+      for (const {resolve} of batch) resolve(outcome);
+    }
+    this.isWriting = false;
+  }
+
+  private async append(records: readonly KeyedRecord[]): Promise<WriteOutcome> {
+    try {
+      await this.deps.store.append(JOBS_TOPIC, records);
+      return 'stored';
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err;
+      this.deps.log('storeFailed', {records: records.length, failure: err.failure});
+      return err.failure === 'unknown' ? 'unknown' : 'refused';
+    }
+  }
+}
+
+function toAnswer(outcome: 'refused' | 'unknown'): FrontAnswer {
+  if (outcome === 'unknown') return {kind: 'unknown'};
+  return {kind: 'refused', retryAfterS: STORE_RETRY_AFTER_S};
+}
--- /dev/null
+++ b/packages/cell/src/messages.ts
@@ -0,0 +1,137 @@
+/** The messages between the processes of a cell, one process on each VM. */
+import type {Ticket} from './executor-client.js';
+import type {OwnerAddress} from './ownership.js';
+import type {KeyedRecord, PlacedRecord, Producer, StoreFailure} from './store.js';
+import type {JobPhase} from './types.js';
+
+/** First message on each connection, both ways. */
+export interface CellHello {
+  readonly type: 'hello';
+  readonly self: OwnerAddress;
+  readonly domain: string;
+}
+
+/** Shows that the sender is alive and what it knows. */
+export interface CellHeartbeat {
+  readonly type: 'heartbeat';
+  /** The newest owner that the sender knows; null where it knows none. */
+  readonly owner: OwnerAddress | null;
+  readonly term: number;
+  readonly configVersion: number;
+  /** Whether the sender's newest call to the store succeeded. */
+  readonly isStoreOk: boolean;
+  readonly isDraining: boolean;
+}
+
+/** A job that the sender has stored; the owner need not wait to read it. */
+export interface JobNotice {
+  readonly type: 'job';
+  readonly value: Uint8Array;
+}
+
+/** A cancel that the sender has stored. */
+export interface CancelNotice {
+  readonly type: 'cancel';
+  readonly id: string;
+}
+
+/** What callers may see of a job. */
+export interface JobRow {
+  readonly id: string;
+  readonly phase: JobPhase;
+  readonly queue: string;
+  readonly organisation: string;
+}
+
+/** Jobs whose phase has changed; all jobs where `isFull`. */
+export interface JobsNotice {
+  readonly type: 'jobs';
+  readonly term: number;
+  readonly isFull: boolean;
+  readonly rows: readonly JobRow[];
+}
+
+/** The VMs that are connected to the owner. */
+export interface MembersNotice {
+  readonly type: 'members';
+  readonly members: readonly OwnerAddress[];
+}
+
+/** Asks the owner for a job's phase. */
+export interface PhaseAsk {
+  readonly type: 'phaseAsk';
+  readonly id: string;
+}
+
+/** Answer of the owner; `row` is null where there is no such job. */
+export interface PhaseReply {
+  readonly type: 'phase';
+  readonly row: JobRow | null;
+  /** Whether the owner has read the store recently enough to be sure. */
+  readonly isSure: boolean;
+}
+
+/** Asks a VM to ask the advice service, which serves each VM in turn. */
+export interface AdviceAsk {
+  readonly type: 'adviceAsk';
+  readonly step: string;
+  readonly executorIds: readonly string[];
+  readonly timeoutMs: number;
+}
+
+/** The tickets that the service gave; null where the call failed. */
+export interface AdviceReply {
+  readonly type: 'advice';
+  readonly tickets: readonly Ticket[] | null;
+}
+
+/** Asks for the newest configuration that the peer has. */
+export interface ConfigAsk {
+  readonly type: 'configAsk';
+}
+
+/** The configuration as the store holds it; empty where there is none. */
+export interface ConfigReply {
+  readonly type: 'config';
+  readonly value: Uint8Array;
+}
+
+/** A call to the store that a peer makes for a VM that the store refuses. */
+export type StoreCall =
+  | {
+      readonly op: 'append';
+      readonly topic: string;
+      readonly records: readonly KeyedRecord[];
+      readonly at: number;
+      readonly producer: Producer | null;
+    }
+  | {readonly op: 'read'; readonly topic: string; readonly from: number}
+  | {readonly op: 'newest'; readonly topic: string};
+
+/** Asks a peer to make a call to the store. */
+export interface StoreAsk {
+  readonly type: 'storeAsk';
+  readonly call: StoreCall;
+}
+
+/** How the call went. */
+export interface StoreReply {
+  readonly type: 'store';
+  readonly failure: StoreFailure | null;
+  readonly expectedSequence: number;
+  readonly endOffset: number;
+  readonly records: readonly PlacedRecord[];
+}
+
+/** All messages of the cell. */
+export interface CellProtocol {
+  readonly hello: CellHello;
+  readonly ask: PhaseAsk | AdviceAsk | ConfigAsk | StoreAsk;
+  readonly reply: PhaseReply | AdviceReply | ConfigReply | StoreReply;
+  readonly notice:
+    | CellHeartbeat
+    | JobNotice
+    | CancelNotice
+    | JobsNotice
+    | MembersNotice;
+}
--- /dev/null
+++ b/packages/cell/src/ownership.ts
@@ -0,0 +1,167 @@
+/** Who owns the cell: claims and heartbeats in the store, each with a term. */
+import type {Clock} from '@dragonflyward/common';
+import {decode, encode} from 'cbor-x';
+import PQueue from 'p-queue';
+import {OWNER_TOPIC} from './records.js';
+import {StoreError, type Store} from './store.js';
+
+/** How often an owner writes that it is alive, in ms. */
+export const OWNER_HEARTBEAT_MS = 500;
+/** An owner whose newest heartbeat is older stops acting, in ms. */
+export const RIGHT_TO_ACT_MS = 8000;
+
+const OWNER_KEY = 'cell';
+const PRODUCER_NAME = 'owner';
+const HEARTBEAT_TIMEOUT_MS = 1000;
+
+/** Where the process that owns the cell is. */
+export interface OwnerAddress {
+  readonly vm: string;
+  readonly ip: string;
+  readonly port: number;
+  /** Which run of the process; a new run has a new one. */
+  readonly incarnation: number;
+}
+
+/** The newest record of the owner's topic. */
+export interface OwnerRecord extends OwnerAddress {
+  readonly term: number;
+  /** Gave the cell up and acts no more. */
+  readonly isReleased: boolean;
+}
+
+/** The newest record and the place at which a claim has to be appended. */
+export interface OwnerReading {
+  readonly record: OwnerRecord | null;
+  readonly endOffset: number;
+}
+
+/**
+ * Reads who owns the cell.
+ *
+ * @throws StoreError
+ * @example
+ * const {record} = await readOwner(store);
+ */
+export async function readOwner(store: Store): Promise<OwnerReading> {
+  const {records, endOffset} = await store.newest(OWNER_TOPIC);
+  const newest = records.find(({key}) => key === OWNER_KEY);
+  if (newest === undefined) return {record: null, endOffset};
+  return {record: decode(newest.value as Buffer) as OwnerRecord, endOffset};
+}
+
+/**
+ * Claims the cell if nothing was written since the reading.
+ *
+ * @returns the claimed ownership, or null where another writer was first
+ * @throws StoreError where it is not known whether the claim took effect
+ * @example
+ * const ownership = await claimCell(store, clock, self, reading);
+ */
+export async function claimCell(
+  store: Store,
+  clock: Clock,
+  self: OwnerAddress,
+  reading: OwnerReading,
+): Promise<Ownership | null> {
+  const term = (reading.record?.term ?? 0) + 1;
+  const record: OwnerRecord = {...self, term, isReleased: false};
+  const producer = {name: PRODUCER_NAME, epoch: term, sequence: 0};
+  const sentMs = clock.monotonicMs();
+  try {
+    const value = encode(record);
+    const at = reading.endOffset;
+    await store.append(OWNER_TOPIC, [{key: OWNER_KEY, value}], {at, producer});
+  } catch (err) {
+    if (err instanceof StoreError && err.failure === 'conflict') return null;
+    throw err;
+  }
+  return new Ownership(store, clock, record, sentMs);
+}
+
+/** The right to act for the cell under one term. */
+export class Ownership {
+  private sequence = 1;
+  private provenMs: number;
+  private provenWallMs: number;
+  private isLost = false;
+  /** One write at a time: each has the next sequence number. */
+  private readonly writes = new PQueue({concurrency: 1});
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly record: OwnerRecord,
+    sentMs: number,
+  ) {
+    this.provenMs = sentMs;
+    this.provenWallMs = clock.wallMs();
+  }
+
+  /** The number of the ownership; executors refuse orders of lower ones. */
+  get term(): number {
+    return this.record.term;
+  }
+
+  /** Whether another process owns the cell now. */
+  get isSuperseded(): boolean {
+    return this.isLost;
+  }
+
+  /**
+   * Whether orders may be sent now. The wall clock counts too, since the
+   * steady clock stands still while the machine is suspended.
+   */
+  mayAct(): boolean {
+    if (this.isLost) return false;
+    const steadyMs = this.clock.monotonicMs() - this.provenMs;
+    const wallMs = this.clock.wallMs() - this.provenWallMs;
+    return steadyMs < RIGHT_TO_ACT_MS && wallMs < RIGHT_TO_ACT_MS;
+  }
+
+  /** How old the newest proof of the right is, in ms. */
+  proofAgeMs(): number {
+    return this.clock.monotonicMs() - this.provenMs;
+  }
+
+  /** Ends the right at once, as when an executor has seen a higher token. */
+  lose(): void {
+    this.isLost = true;
+  }
+
+  /** Writes a heartbeat; a failure other than a conflict changes nothing. */
+  async beat(): Promise<void> {
+    await this.writes.add(() => this.write(this.record));
+  }
+
+  /** Gives the cell up; the caller has stopped acting before. */
+  async release(): Promise<void> {
+    this.isLost = true;
+    const record = {...this.record, isReleased: true};
+    await this.writes.add(() => this.write(record));
+  }
+
+  private async write(record: OwnerRecord): Promise<void> {
+    const {term} = record;
+    const sentMs = this.clock.monotonicMs();
+    const sentWallMs = this.clock.wallMs();
+    const producer = {name: PRODUCER_NAME, epoch: term, sequence: this.sequence};
+    try {
+      const records = [{key: OWNER_KEY, value: encode(record)}];
+      const timeoutMs = HEARTBEAT_TIMEOUT_MS;
+      await this.store.append(OWNER_TOPIC, records, {producer, timeoutMs});
+      this.sequence += 1;
+      this.provenMs = sentMs;
+      this.provenWallMs = sentWallMs;
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err;
+      this.noteFailure(err);
+    }
+  }
+
+  private noteFailure(err: StoreError): void {
+    if (err.failure !== 'conflict') return;
+    if (err.expectedSequence >= 0) this.sequence = err.expectedSequence;
+    else this.isLost = true;
+  }
+}
--- /dev/null
+++ b/packages/cell/src/queue-order.ts
@@ -0,0 +1,92 @@
+/** Which of the steps that wait goes first. */
+import type {Estimates} from './estimates.js';
+import type {JobState, StepState} from './job-state.js';
+
+/** A job that is later than this many times its objective earns nothing. */
+const WORTHLESS_FACTOR = 3;
+
+/** How a job stands against its latency objective; lower goes first. */
+type Standing = 0 | 1 | 2;
+
+const IN_TIME: Standing = 0;
+const LATE: Standing = 1;
+const WORTHLESS: Standing = 2;
+
+/** A waiting step and the reasons for its place in the order. */
+export interface RankedStep {
+  readonly step: StepState;
+  readonly priority: number;
+  readonly isExcess: boolean;
+  readonly standing: Standing;
+  /** Time that may still pass before the start without being late. */
+  readonly slackMs: number;
+}
+
+/**
+ * Orders waiting steps: by priority of their queue, then those within their
+ * organisation's weight, then those that can still meet their objective, by
+ * slack. Answers a load of more work than room: work that is late already
+ * does not make other work late too.
+ *
+ * @example
+ * for (const {step} of orderSteps(ready, estimates, Date.now())) place(step);
+ */
+export function orderSteps(
+  steps: Iterable<StepState>,
+  estimates: Estimates,
+  wallMs: number,
+): readonly RankedStep[] {
+  const ranked: RankedStep[] = [];
+  for (const step of steps) ranked.push(rank(step, estimates, wallMs));
+  return ranked.sort(compareRanked);
+}
+
+function rank(
+  step: StepState,
+  estimates: Estimates,
+  wallMs: number,
+): RankedStep {
+  const {job, dueMs} = step.occurrence;
+  const {isExcess} = job;
+  const {priority} = job.queue;
+  const sinceMs = Math.max(job.acceptedMs, dueMs);
+  const chainMs = estimates.chainMs(step);
+  const allowedMs = objectiveMs(job, step, estimates);
+  const slackMs = sinceMs + allowedMs - chainMs - wallMs;
+  return {step, priority, isExcess, slackMs, standing: standingOf(step, sinceMs, allowedMs, slackMs, wallMs)};
+}
+
+function standingOf(
+  step: StepState,
+  sinceMs: number,
+  allowedMs: number,
+  slackMs: number,
+  wallMs: number,
+): Standing {
+  if (step.spec.isService || slackMs >= 0) return IN_TIME;
+  const isWorthless = wallMs - sinceMs > WORTHLESS_FACTOR * allowedMs;
+  return isWorthless ? WORTHLESS : LATE;
+}
+
+function objectiveMs(
+  {queue}: JobState,
+  step: StepState,
+  estimates: Estimates,
+): number {
+  const {steps} = step.occurrence;
+  const finish: number[] = [];
+  for (const each of steps) {
+    const before = each.spec.after.map(i => finish[i] ?? 0);
+    finish.push(Math.max(0, ...before) + estimates.expectedMs(each));
+  }
+  return queue.objectiveMs + queue.stretch * Math.max(0, ...finish);
+}
+
+function compareRanked(a: RankedStep, b: RankedStep): number {
+  return (
+    a.priority - b.priority ||
+    Number(a.isExcess) - Number(b.isExcess) ||
+    a.standing - b.standing ||
+    a.slackMs - b.slackMs
+  );
+}
--- /dev/null
+++ b/packages/cell/src/records.ts
@@ -0,0 +1,157 @@
+/** The records that the cell keeps in the store, and their encoding. */
+import {decode, encode} from 'cbor-x';
+import {
+  findTask,
+  markDone,
+  type JobState,
+  type NewJob,
+  type StepState,
+} from './job-state.js';
+import {isFinal, type JobPhase} from './types.js';
+
+/** Accepted jobs and cancels, written by every VM. */
+export const JOBS_TOPIC = 'keyed.jobs';
+/** Progress of jobs, written by the owner only. */
+export const PROGRESS_TOPIC = 'keyed.progress';
+/** Claims and heartbeats of owners. */
+export const OWNER_TOPIC = 'keyed.owner';
+
+const JOB_PREFIX = 'j/';
+const CANCEL_PREFIX = 'c/';
+
+/** The key of a job's record. */
+export function jobKey(id: string): string {
+  return JOB_PREFIX + id;
+}
+
+/** The key of the record that a job was cancelled. */
+export function cancelKey(id: string): string {
+  return CANCEL_PREFIX + id;
+}
+
+/** What a record of the jobs topic says. */
+export type JobsEntry =
+  | {readonly kind: 'job'; readonly job: NewJob}
+  | {readonly kind: 'cancel'; readonly id: string}
+  | {readonly kind: 'forgotten'; readonly id: string};
+
+/** Encodes an accepted job. */
+export function encodeJob(job: NewJob): Uint8Array {
+  return encode(job);
+}
+
+/** Decodes a job from a record or a message. */
+export function decodeJob(value: Uint8Array): NewJob {
+  return decode(value as Buffer) as NewJob;
+}
+
+/** Decodes a record of the jobs topic; null where it is none of ours. */
+export function decodeJobsEntry(
+  key: string,
+  value: Uint8Array,
+): JobsEntry | null {
+  const id = key.slice(JOB_PREFIX.length);
+  if (key.startsWith(CANCEL_PREFIX)) {
+    return value.length > 0 ? {kind: 'cancel', id} : null;
+  }
+  if (!key.startsWith(JOB_PREFIX)) return null;
+  if (value.length === 0) return {kind: 'forgotten', id};
+  return {kind: 'job', job: decodeJob(value)};
+}
+
+/** Progress of a task that is not done: failures, counted run, checkpoint. */
+type TaskRow = readonly [
+  index: number,
+  failures: number,
+  countedRun: number,
+  checkpoint: string,
+];
+
+/** Progress of a step: what is done, and rows for tasks that have a past. */
+interface StepRow {
+  readonly occurrence: number;
+  readonly step: number;
+  /** One bit for each task; empty where all are done. */
+  readonly done: Uint8Array;
+  readonly isDone: boolean;
+  readonly tasks: readonly TaskRow[];
+  readonly gangFailures: number;
+  readonly gangRun: number;
+}
+
+interface ProgressRecord {
+  readonly phase: JobPhase;
+  readonly steps: readonly StepRow[];
+}
+
+/** Encodes the progress of a job. */
+export function encodeProgress(job: JobState): Uint8Array {
+  const steps = isFinal(job.phase) ? [] : [...stepRows(job)];
+  const record: ProgressRecord = {phase: job.phase, steps};
+  return encode(record);
+}
+
+function* stepRows(job: JobState): Generator<StepRow> {
+  for (const {index, steps} of job.occurrences) {
+    for (const step of steps) {
+      const row = stepRow(index, step);
+      if (row !== null) yield row;
+    }
+  }
+}
+
+function stepRow(occurrence: number, step: StepState): StepRow | null {
+  const isDone = step.doneCount === step.tasks.length;
+  const tasks: TaskRow[] = [];
+  const done = new Uint8Array(isDone ? 0 : Math.ceil(step.tasks.length / 8));
+  for (const task of isDone ? [] : step.tasks) {
+    const {index, failures, countedRun, checkpoint} = task;
+    if (task.phase === 'done') setBit(done, index);
+    else if (failures > 0 || checkpoint !== '') {
+      tasks.push([index, failures, countedRun, checkpoint]);
+    }
+  }
+  const {gangFailures, countedGangRun: gangRun} = step;
+  const isEmpty = step.doneCount === 0 && tasks.length === 0;
+  if (isEmpty && gangFailures === 0) return null;
+  const {index} = step;
+  return {occurrence, step: index, done, isDone, tasks, gangFailures, gangRun};
+}
+
+function setBit(bits: Uint8Array, index: number): void {
+  const at = index >> 3;
+  bits[at] = (bits[at] ?? 0) | (1 << (index & 7));
+}
+
+/** The phase that a progress record carries. */
+export function decodePhase(value: Uint8Array): JobPhase {
+  return (decode(value as Buffer) as ProgressRecord).phase;
+}
+
+/** Takes a stored progress record into a job's state. */
+export function applyProgress(job: JobState, value: Uint8Array): void {
+  const record = decode(value as Buffer) as ProgressRecord;
+  for (const row of record.steps) applyStepRow(job, row);
+  if (record.phase !== 'queued') job.phase = record.phase;
+  job.shownPhase = job.phase;
+}
+
+function applyStepRow(job: JobState, row: StepRow): void {
+  const {occurrence} = row;
+  const step = job.occurrences[occurrence]?.steps[row.step];
+  if (step === undefined) return;
+  step.gangFailures = row.gangFailures;
+  step.countedGangRun = row.gangRun;
+  for (const task of step.tasks) {
+    const bits = row.done[task.index >> 3] ?? 0;
+    if (row.isDone || (bits & (1 << (task.index & 7))) !== 0) markDone(task);
+  }
+  for (const [index, failures, countedRun, checkpoint] of row.tasks) {
+    const address = {jobId: job.id, occurrence, step: row.step, index};
+    const task = findTask(job, address);
+    if (task === undefined) continue;
+    task.failures = failures;
+    task.countedRun = countedRun;
+    task.checkpoint = checkpoint;
+  }
+}
--- /dev/null
+++ b/packages/cell/src/schedule.ts
@@ -0,0 +1,293 @@
+/** One round of decisions: what starts where, what stops, what is asked. */
+import type {CellState} from './cell-state.js';
+import {countedCpu, type ExecutorState} from './executor-state.js';
+import type {StepState, TaskState} from './job-state.js';
+import {
+  chooseExecutor,
+  chooseGang,
+  isAllowed,
+  isSuited,
+  mayTakeWork,
+  type PlaceContext,
+  type Promised,
+} from './place.js';
+import {planRoom, type RoomPlan} from './preempt.js';
+import {orderSteps, type RankedStep} from './queue-order.js';
+import type {Queue} from './types.js';
+
+/** Part of a service's processors that work which can wait leaves free. */
+const URGENT_HEADROOM = 0.08;
+/** Queues of this priority are served from the headroom. */
+const URGENT_PRIORITY = 0;
+/** The most executors that are named when tickets are renewed. */
+const RENEWAL_EXECUTORS = 12;
+/** Waiting tasks of one step that are looked at in one round. */
+const TASKS_PER_ROUND = 200;
+
+/** What the owner has to do; starts and stops are counted already. */
+export type Decision =
+  | {readonly kind: 'start'; readonly tasks: readonly TaskState[]}
+  | {
+      readonly kind: 'advise';
+      readonly step: StepState;
+      readonly executorIds: readonly string[];
+    };
+
+/** Times and doubts under which a round decides. */
+export interface RoundContext {
+  readonly nowMs: number;
+  readonly wallMs: number;
+  /** A former owner may have started tasks of the step unseen. */
+  readonly isUnsure: (step: StepState) => boolean;
+}
+
+interface Round extends RoundContext, PlaceContext {
+  readonly state: CellState;
+  readonly reserved: Set<ExecutorState>;
+  readonly promised: Map<ExecutorState, Promised>;
+  readonly services: ReadonlyMap<string, ServiceRoom>;
+}
+
+interface ServiceRoom {
+  readonly executors: readonly ExecutorState[];
+  readonly hasUrgentQueue: boolean;
+  readonly headroomCpu: number;
+  freeCpu: number;
+}
+
+/**
+ * Decides what happens now; each decision is counted before it is yielded.
+ *
+ * @example
+ * for (const decision of decideRound(state, context)) carryOut(decision);
+ */
+export function* decideRound(
+  state: CellState,
+  context: RoundContext,
+): Generator<Decision> {
+  const ready = [...state.readySteps(context.wallMs)].filter(
+    step => hasWaiting(step, context.nowMs) && !context.isUnsure(step),
+  );
+  if (ready.length === 0) return;
+  const round: Round = {
+    ...context,
+    state,
+    reserved: new Set(),
+    promised: new Map(),
+    services: countServices(state, context.nowMs),
+  };
+  for (const ranked of orderSteps(ready, state.estimates, context.wallMs)) {
+    yield* decideStep(ranked, round);
+  }
+}
+
+function hasWaiting({tasks}: StepState, nowMs: number): boolean {
+  return tasks.some(task => isWaiting(task, nowMs));
+}
+
+function isWaiting({phase, notBeforeMs}: TaskState, nowMs: number): boolean {
+  return phase === 'waiting' && notBeforeMs <= nowMs;
+}
+
+function countServices(
+  state: CellState,
+  nowMs: number,
+): ReadonlyMap<string, ServiceRoom> {
+  const groups = new Map<string, ExecutorState[]>();
+  for (const executor of state.executors.values()) {
+    const {service} = executor.info;
+    const group = groups.get(service);
+    if (group === undefined) groups.set(service, [executor]);
+    else group.push(executor);
+  }
+  const queues = state.config?.queues ?? [];
+  const rooms = new Map<string, ServiceRoom>();
+  for (const [service, executors] of groups) {
+    rooms.set(service, countRoom(service, executors, queues, nowMs));
+  }
+  return rooms;
+}
+
+function countRoom(
+  service: string,
+  executors: readonly ExecutorState[],
+  queues: readonly Queue[],
+  nowMs: number,
+): ServiceRoom {
+  let totalCpu = 0;
+  let freeCpu = 0;
+  for (const executor of executors) {
+    if (!mayTakeWork(executor, nowMs)) continue;
+    totalCpu += executor.info.capacity.cpuMilli;
+    freeCpu += executor.info.capacity.cpuMilli - executor.usedCpu;
+  }
+  const hasUrgentQueue = queues.some(
+    each => each.service === service && each.priority === URGENT_PRIORITY,
+  );
+  const headroomCpu = totalCpu * URGENT_HEADROOM;
+  return {executors, hasUrgentQueue, headroomCpu, freeCpu};
+}
+
+function* decideStep(ranked: RankedStep, round: Round): Generator<Decision> {
+  const {step} = ranked;
+  const room = round.services.get(step.occurrence.job.queue.service);
+  if (room === undefined) return;
+  if (needsTickets(step, room, round)) {
+    yield* askTickets(step, room, round);
+    if (step.tickets.size === 0) return;
+  }
+  if (step.spec.isGang) yield* decideGang(step, room, round);
+  else yield* decideTasks(ranked, room, round);
+}
+
+/** Whether no executor with room may be used for want of a valid ticket. */
+function needsTickets(
+  step: StepState,
+  {executors}: ServiceRoom,
+  {nowMs}: Round,
+): boolean {
+  if (step.occurrence.job.queue.advice === null || step.isAsking) return false;
+  if (step.allowed === null) return true;
+  return !executors.some(
+    each => step.allowed?.has(each.info.id) && isAllowed(step, each, nowMs),
+  );
+}
+
+function* askTickets(
+  step: StepState,
+  {executors}: ServiceRoom,
+  {nowMs}: Round,
+): Generator<Decision> {
+  const suited = executors.filter(
+    each => each.isListed && !each.info.isDraining && isSuited(step, each),
+  );
+  const known = step.allowed;
+  const unknown = known === null ? suited : suited.filter(e => !known.has(e.info.id));
+  const named = known === null || known.size === 0
+    ? unknown
+    : mostRoomFirst(suited.filter(e => known.has(e.info.id)), nowMs);
+  if (named.length === 0) return;
+  yield {kind: 'advise', step, executorIds: named.map(each => each.info.id)};
+}
+
+function mostRoomFirst(
+  executors: readonly ExecutorState[],
+  nowMs: number,
+): readonly ExecutorState[] {
+  const open = executors.filter(each => mayTakeWork(each, nowMs));
+  const sorted = open.sort((a, b) => freeCpuOf(b) - freeCpuOf(a));
+  return sorted.slice(0, RENEWAL_EXECUTORS);
+}
+
+function freeCpuOf({info, usedCpu}: ExecutorState): number {
+  return info.capacity.cpuMilli - usedCpu;
+}
+
+function* decideTasks(
+  ranked: RankedStep,
+  room: ServiceRoom,
+  round: Round,
+): Generator<Decision> {
+  const {step} = ranked;
+  const {spec, occurrence} = step;
+  const {organisations} = round.state;
+  const {organisation} = occurrence.job;
+  const started: TaskState[] = [];
+  let missing = 0;
+  for (const task of step.tasks) {
+    if (started.length + missing >= TASKS_PER_ROUND) break;
+    if (!isWaiting(task, round.nowMs)) continue;
+    if (!organisations.mayRun(organisation, spec.size, 1)) break;
+    if (!isWithinHeadroom(ranked, room)) break;
+    const executor = missing > 0 ? null : chooseExecutor(task, room.executors, round);
+    if (executor === null) {
+      missing += 1;
+      continue;
+    }
+    const run = round.state.nextRun([task]);
+    round.state.startTask(task, executor, run, round.nowMs);
+    room.freeCpu -= countedCpu(spec);
+    started.push(task);
+  }
+  if (started.length > 0) yield {kind: 'start', tasks: started};
+  if (missing > 0) makeRoom(step, missing, room, round);
+}
+
+function isWithinHeadroom({step, priority}: RankedStep, room: ServiceRoom): boolean {
+  if (!room.hasUrgentQueue || priority === URGENT_PRIORITY) return true;
+  if (step.spec.isService) return true;
+  return room.freeCpu - countedCpu(step.spec) >= room.headroomCpu;
+}
+
+function* decideGang(
+  step: StepState,
+  room: ServiceRoom,
+  round: Round,
+): Generator<Decision> {
+  const {tasks, spec, occurrence} = step;
+  if (!tasks.every(task => isWaiting(task, round.nowMs))) return;
+  const {organisations} = round.state;
+  const {organisation} = occurrence.job;
+  if (!organisations.mayRun(organisation, spec.size, tasks.length)) return;
+  const chosen = chooseGang(step, room.executors, round);
+  if (chosen === null) {
+    makeRoom(step, tasks.length, room, round);
+    return;
+  }
+  const run = round.state.nextRun(tasks);
+  tasks.forEach((task, i) => {
+    const executor = chosen[i];
+    if (executor === undefined) return;
+    round.state.startTask(task, executor, run, round.nowMs);
+  });
+  yield {kind: 'start', tasks};
+}
+
+/**
+ * Stops less urgent work for a step that waits, and keeps the room for it.
+ * Where a gang does not fit even so, the executors that it may use are kept
+ * from less urgent work, so that it is not starved by small tasks.
+ */
+function makeRoom(
+  step: StepState,
+  wanted: number,
+  room: ServiceRoom,
+  round: Round,
+): void {
+  for (let count = wanted; count >= 1; count = Math.floor(count / 2)) {
+    const plans = planRoom(step, count, room.executors, round);
+    if (plans !== null) return carryOutPlans(step, plans, round);
+    if (step.spec.isGang) return reserveFor(step, room, round);
+  }
+}
+
+function carryOutPlans(
+  step: StepState,
+  plans: readonly RoomPlan[],
+  {state, promised}: Round,
+): void {
+  for (const {executor, victims, count} of plans) {
+    for (const victim of victims) state.stopTask(victim);
+    const {cpuMilli, memMb, accel} = promised.get(executor) ?? {
+      cpuMilli: 0,
+      memMb: 0,
+      accel: 0,
+    };
+    const {size} = step.spec;
+    promised.set(executor, {
+      cpuMilli: cpuMilli + count * countedCpu(step.spec),
+      memMb: memMb + count * size.memMb,
+      accel: accel + count * size.accel,
+    });
+  }
+}
+
+function reserveFor(step: StepState, room: ServiceRoom, round: Round): void {
+  const usable = room.executors.filter(
+    each => isSuited(step, each) && isAllowed(step, each, round.nowMs),
+  );
+  const soonest = [...usable].sort((a, b) => a.usedAccel - b.usedAccel);
+  for (const each of soonest.slice(0, step.tasks.length)) {
+    round.reserved.add(each);
+  }
+}
--- /dev/null
+++ b/packages/cell/src/stored-jobs.ts
@@ -0,0 +1,92 @@
+/** Reads the jobs from the store while a VM is not connected to an owner. */
+import type {Clock} from '@dragonflyward/common';
+import {Follower} from './follower.js';
+import type {Lookup} from './front.js';
+import type {JobTable} from './job-table.js';
+import {
+  decodeJobsEntry,
+  decodePhase,
+  JOBS_TOPIC,
+  PROGRESS_TOPIC,
+} from './records.js';
+import type {PlacedRecord, Store} from './store.js';
+import {isFinal} from './types.js';
+
+/** Pause between two reads, in ms. */
+const READ_PAUSE_MS = 400;
+/** A reading that is older proves nothing about a job, in ms. */
+const SURE_AGE_MS = 1500;
+const PROGRESS_PREFIX = 'p/';
+
+interface Followers {
+  readonly jobs: Follower;
+  readonly progress: Follower;
+}
+
+/** Fills the table of jobs from the store. */
+export class StoredJobs {
+  private followers: Followers | null = null;
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly table: JobTable,
+  ) {}
+
+  /** Starts to read; does nothing where it reads already. */
+  start(): void {
+    if (this.followers !== null) return;
+    const options = {pauseMs: READ_PAUSE_MS, waitMs: 0};
+    const jobs = new Follower(
+      this.store,
+      this.clock,
+      {...options, topic: JOBS_TOPIC},
+      record => this.takeJob(record),
+    );
+    const progress = new Follower(
+      this.store,
+      this.clock,
+      {...options, topic: PROGRESS_TOPIC},
+      record => this.takeProgress(record),
+    );
+    this.followers = {jobs, progress};
+    void jobs.run();
+    void progress.run();
+  }
+
+  /** Ends the reading. */
+  stop(): void {
+    this.followers?.jobs.stop();
+    this.followers?.progress.stop();
+    this.followers = null;
+  }
+
+  /** What the store says of a job that is not in the table. */
+  lookup(id: string): Lookup {
+    const row = this.table.get(id) ?? null;
+    if (this.followers === null) return {row, isSure: false};
+    const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
+    return {row, isSure: ageMs < SURE_AGE_MS};
+  }
+
+  private takeJob({key, value}: PlacedRecord): void {
+    const entry = decodeJobsEntry(key, value);
+    if (entry?.kind === 'job') {
+      const {id, queue, organisation} = entry.job;
+      this.table.set({id, phase: 'queued', queue: queue.name, organisation});
+    }
+    if (entry?.kind === 'cancel') this.setPhase(entry.id, 'cancelled');
+  }
+
+  private takeProgress({key, value}: PlacedRecord): void {
+    if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
+    const phase = decodePhase(value);
+    const id = key.slice(PROGRESS_PREFIX.length);
+    this.setPhase(id, isFinal(phase) ? phase : 'running');
+  }
+
+  private setPhase(id: string, phase: Parameters<JobTable['set']>[0]['phase']): void {
+    const row = this.table.get(id);
+    if (row !== undefined) this.table.set({...row, phase});
+  }
+}
--- /dev/null
+++ b/packages/cell/src/vm.ts
@@ -0,0 +1,562 @@
+/** One VM of the cell: peers, configuration, election, callers. */
+import type {Clock, Metrics} from '@dragonflyward/common';
+import type {AdviceLane} from './advice-desk.js';
+import {Follower} from './follower.js';
+import {Front, type Lookup} from './front.js';
+import {JobTable} from './job-table.js';
+import {
+  MemberHandler,
+  Members,
+  type CellConnection,
+  type CellPeerInfo,
+} from './members.js';
+import type {
+  CellHeartbeat,
+  CellHello,
+  CellProtocol,
+  JobRow,
+} from './messages.js';
+import {Owner} from './owner.js';
+import {
+  claimCell,
+  OWNER_HEARTBEAT_MS,
+  readOwner,
+  type OwnerAddress,
+  type OwnerReading,
+  type OwnerRecord,
+  type Ownership,
+} from './ownership.js';
+import type {LogLine, Platform} from './platform.js';
+import {makeStoreCall, RelayedStore} from './relayed-store.js';
+import {StoreError, type PlacedRecord} from './store.js';
+import {StoredJobs} from './stored-jobs.js';
+import type {CellConfig} from './types.js';
+
+/** Time between two looks at the owner, in ms. */
+const WATCH_MS = 100;
+/** An owner without a connection for that long is looked for, in ms. */
+const SUSPECT_MS = 400;
+/** Time in which a living owner writes a heartbeat, in ms. */
+const SILENT_OWNER_MS = OWNER_HEARTBEAT_MS * 1.6;
+/** A VM waits this many times its way to the store before it claims. */
+const CLAIM_DELAY_FACTOR = 4;
+/** The most that it waits, in ms. */
+const MAX_CLAIM_DELAY_MS = 400;
+/** An owner that no VM is connected to gives up after that time, in ms. */
+const ALONE_MS = 2000;
+/** Without an owner for that long, a VM reads the jobs itself, in ms. */
+const DETACHED_MS = 1000;
+/** How long the store may wait for a configuration, in ms. */
+const CONFIG_WAIT_MS = 1000;
+/** How long a peer may take to send its configuration, in ms. */
+const CONFIG_ASK_TIMEOUT_MS = 800;
+/** How long the owner may take to tell a job's phase, in ms. */
+const PHASE_ASK_TIMEOUT_MS = 700;
+
+/** What makes a VM. */
+export interface VmDeps {
+  readonly self: OwnerAddress;
+  readonly domain: string;
+  readonly seeds: readonly OwnerAddress[];
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly log: LogLine;
+}
+
+/** One process of the cell. */
+export class Vm extends MemberHandler {
+  readonly front: Front;
+  readonly table = new JobTable();
+  private readonly members: Members;
+  private readonly store: RelayedStore;
+  private readonly configFollower: Follower;
+  private readonly storedJobs: StoredJobs;
+  private config: CellConfig | null = null;
+  private configValue: Uint8Array = new Uint8Array(0);
+  private known: OwnerRecord | null = null;
+  private owner: Owner | null = null;
+  private ownership: Ownership | null = null;
+  private isDraining = false;
+  private isClosed = false;
+  private lastLinkedMs: number;
+  private lastAccompaniedMs: number;
+  private hasBeenAccompanied = false;
+  private isAskingConfig = false;
+
+  constructor(private readonly deps: VmDeps) {
+    super();
+    const {self, seeds, platform, clock, metrics, log} = deps;
+    this.lastLinkedMs = clock.monotonicMs();
+    this.lastAccompaniedMs = clock.monotonicMs();
+    this.members = new Members(self, this, seeds);
+    this.store = new RelayedStore(
+      platform.store,
+      () => this.members.storePeers(),
+      () => clock.monotonicMs(),
+    );
+    this.configFollower = new Follower(
+      this.store,
+      clock,
+      {topic: platform.operatorTopic, pauseMs: 0, waitMs: CONFIG_WAIT_MS},
+      record => this.takeConfigRecord(record),
+    );
+    this.storedJobs = new StoredJobs(this.store, clock, this.table);
+    this.front = new Front({
+      store: this.store,
+      clock,
+      metrics,
+      log,
+      table: this.table,
+      lookup: (id, timeoutMs) => this.lookup(id, timeoutMs),
+      tellJob: value => this.tellJob(value),
+      tellCancel: id => this.tellCancel(id),
+    });
+  }
+
+  /** Starts to listen, to follow and to watch the owner. */
+  async start(): Promise<void> {
+    await this.members.start();
+    void this.configFollower.run();
+    void this.watchLoop();
+    void this.beatLoop();
+  }
+
+  /** The configuration in force here; null before the first. */
+  get currentConfig(): CellConfig | null {
+    return this.config;
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    if (this.isDraining || this.config === null) return false;
+    return this.owner !== null || this.isLinked();
+  }
+
+  /** Takes no part in elections any more and hands the cell over. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    const {owner, ownership} = this;
+    if (owner === null || ownership === null) return;
+    this.deps.log('ownerHandsOver', {term: ownership.term});
+    owner.close();
+    await ownership.release();
+    this.known = {...this.deps.self, term: ownership.term, isReleased: true};
+    this.dropOwner();
+    this.broadcast(this.heartbeat());
+  }
+
+  /** Ends everything. */
+  close(): void {
+    this.isClosed = true;
+    this.owner?.close();
+    this.configFollower.stop();
+    this.storedJobs.stop();
+    this.members.close();
+  }
+
+  override hello(): CellHello {
+    const {self, domain} = this.deps;
+    return {type: 'hello', self, domain};
+  }
+
+  override heartbeat(): CellHeartbeat {
+    const {known, config, isDraining} = this;
+    const owner = known === null || known.isReleased ? null : toAddress(known);
+    return {
+      type: 'heartbeat',
+      owner,
+      term: known?.term ?? 0,
+      configVersion: config?.version ?? -1,
+      isStoreOk: this.store.isDirectOk,
+      isDraining,
+    };
+  }
+
+  override async answer(
+    _from: CellPeerInfo,
+    ask: CellProtocol['ask'],
+  ): Promise<CellProtocol['reply']> {
+    switch (ask.type) {
+      case 'phaseAsk':
+        return {
+          type: 'phase',
+          row: this.owner?.rowOf(ask.id) ?? null,
+          isSure: this.owner?.isSure ?? false,
+        };
+      case 'adviceAsk':
+        return {type: 'advice', tickets: await this.advise(ask)};
+      case 'configAsk':
+        return {type: 'config', value: this.configValue};
+      case 'storeAsk':
+        return makeStoreCall(this.deps.platform.store, ask.call);
+    }
+  }
+
+  override notice(from: CellPeerInfo, notice: CellProtocol['notice']): void {
+    switch (notice.type) {
+      case 'heartbeat':
+        return this.takeHeartbeat(from, notice);
+      case 'job':
+        return this.owner?.addStoredJob(notice.value);
+      case 'cancel':
+        return this.owner?.addStoredCancel(notice.id);
+      case 'jobs':
+        for (const row of notice.rows) this.table.set(row);
+        return;
+      case 'members':
+        return this.members.setKnown(notice.members);
+    }
+  }
+
+  override peerUp(connection: CellConnection): void {
+    this.members.add(connection);
+    connection.notify(this.heartbeat());
+    if (this.owner === null) return;
+    const rows = this.owner.allRows();
+    const term = this.owner.state.term;
+    connection.notify({type: 'jobs', term, isFull: true, rows});
+    this.sendMembers();
+  }
+
+  override peerDown(connection: CellConnection): void {
+    this.members.remove(connection);
+  }
+
+  private async advise(ask: {
+    readonly step: string;
+    readonly executorIds: readonly string[];
+    readonly timeoutMs: number;
+  }): ReturnType<AdviceLane['ask']> {
+    const {advice} = this.deps.platform;
+    if (advice === null) return null;
+    return advice.advise(ask.step, ask.executorIds, ask.timeoutMs);
+  }
+
+  private takeHeartbeat(from: CellPeerInfo, beat: CellHeartbeat): void {
+    this.members.note(from.self.vm, beat.isStoreOk, beat.isDraining);
+    if (beat.owner !== null && beat.term > (this.known?.term ?? 0)) {
+      this.follow({...beat.owner, term: beat.term, isReleased: false});
+    }
+    const isReleased = beat.owner === null && beat.term === this.known?.term;
+    if (isReleased && this.known !== null) {
+      this.known = {...this.known, isReleased: true};
+    }
+    if (beat.configVersion > (this.config?.version ?? -1)) {
+      void this.askConfig(from.self);
+    }
+  }
+
+  private async askConfig(address: OwnerAddress): Promise<void> {
+    const connection = this.members.connectionTo(address);
+    if (connection === undefined || this.isAskingConfig) return;
+    this.isAskingConfig = true;
+    try {
+      const reply = await connection.ask({type: 'configAsk'}, CONFIG_ASK_TIMEOUT_MS);
+      if (reply.type === 'config') this.takeConfigValue(reply.value, 'peer');
+    } catch (err) {
+      this.deps.log('configAskFailed', {vm: address.vm, err: String(err)});
+    } finally {
+      this.isAskingConfig = false;
+    }
+  }
+
+  private takeConfigRecord(record: PlacedRecord): void {
+    const config = this.deps.platform.decodeConfig(record);
+    if (config !== null) this.applyConfig(config, record.value, 'store');
+  }
+
+  private takeConfigValue(value: Uint8Array, source: string): void {
+    if (value.length === 0) return;
+    const record = {key: 'config', value, offset: -1};
+    const config = this.deps.platform.decodeConfig(record);
+    if (config !== null) this.applyConfig(config, value, source);
+  }
+
+  private applyConfig(
+    config: CellConfig,
+    value: Uint8Array,
+    source: string,
+  ): void {
+    if (config.version <= (this.config?.version ?? -1)) return;
+    this.config = config;
+    this.configValue = value;
+    this.deps.log('configApplied', {
+      version: config.version,
+      source,
+      queues: config.queues.length,
+      keys: config.keys.size,
+    });
+    this.owner?.setConfig(config);
+    this.broadcast(this.heartbeat());
+  }
+
+  private broadcast(notice: CellProtocol['notice']): void {
+    for (const {connection} of this.members.connected()) connection.notify(notice);
+  }
+
+  private sendMembers(): void {
+    const members = [this.deps.self, ...this.members.addresses()];
+    this.members.setKnown(members);
+    this.broadcast({type: 'members', members});
+  }
+
+  private tellJob(value: Uint8Array): void {
+    if (this.owner !== null) return this.owner.addStoredJob(value);
+    this.ownerConnection()?.notify({type: 'job', value});
+  }
+
+  private tellCancel(id: string): void {
+    if (this.owner !== null) return this.owner.addStoredCancel(id);
+    this.ownerConnection()?.notify({type: 'cancel', id});
+  }
+
+  private async lookup(id: string, timeoutMs: number): Promise<Lookup> {
+    if (this.owner !== null) {
+      return {row: this.owner.rowOf(id), isSure: this.owner.isSure};
+    }
+    const connection = this.ownerConnection();
+    if (connection === undefined) return this.storedJobs.lookup(id);
+    const boundMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
+    try {
+      const reply = await connection.ask({type: 'phaseAsk', id}, boundMs);
+      if (reply.type === 'phase') return reply;
+    } catch (err) {
+      this.deps.log('phaseAskFailed', {job: id, err: String(err)});
+    }
+    return this.storedJobs.lookup(id);
+  }
+
+  private ownerConnection(): CellConnection | undefined {
+    const {known} = this;
+    if (known === null || known.isReleased) return undefined;
+    return this.members.connectionTo(known);
+  }
+
+  private isLinked(): boolean {
+    return this.ownerConnection() !== undefined;
+  }
+
+  private follow(record: OwnerRecord): void {
+    if (record.term <= (this.known?.term ?? 0)) return;
+    this.deps.log('ownerChanged', {term: record.term, vm: record.vm});
+    this.known = record;
+    if (this.ownership !== null && this.ownership.term < record.term) {
+      this.ownership.lose();
+      this.dropOwner();
+    }
+    this.lastLinkedMs = this.deps.clock.monotonicMs();
+    this.members.setOwner(toAddress(record));
+  }
+
+  private dropOwner(): void {
+    this.owner?.close();
+    this.owner = null;
+    this.ownership = null;
+    this.deps.log('ownerStopped', {});
+  }
+
+  private async beatLoop(): Promise<void> {
+    while (!this.isClosed) {
+      const {ownership} = this;
+      if (ownership !== null && !ownership.isSuperseded) await ownership.beat();
+      await this.deps.clock.sleep(OWNER_HEARTBEAT_MS);
+    }
+  }
+
+  private async watchLoop(): Promise<void> {
+    while (!this.isClosed) {
+      try {
+        await this.watchOnce();
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err;
+        this.deps.log('electionFailed', {failure: err.failure});
+      }
+      await this.deps.clock.sleep(WATCH_MS);
+    }
+  }
+
+  private async watchOnce(): Promise<void> {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (this.ownership !== null) return this.watchSelf(nowMs);
+    if (this.isLinked()) {
+      this.lastLinkedMs = nowMs;
+      this.storedJobs.stop();
+      return;
+    }
+    const aloneMs = nowMs - this.lastLinkedMs;
+    if (aloneMs > DETACHED_MS) this.storedJobs.start();
+    const isReleased = this.known === null || this.known.isReleased;
+    if (isReleased || aloneMs > SUSPECT_MS) await this.seekOwner();
+  }
+
+  private async watchSelf(nowMs: number): Promise<void> {
+    const {ownership} = this;
+    if (ownership === null) return;
+    if (ownership.isSuperseded) {
+      this.dropOwner();
+      this.lastLinkedMs = nowMs;
+      return;
+    }
+    if (this.members.addresses().length > 0) {
+      this.lastAccompaniedMs = nowMs;
+      this.hasBeenAccompanied = true;
+    }
+    const aloneMs = nowMs - this.lastAccompaniedMs;
+    if (!this.hasBeenAccompanied || aloneMs < ALONE_MS) return;
+    this.deps.log('ownerAlone', {term: ownership.term, aloneMs: Math.round(aloneMs)});
+    this.hasBeenAccompanied = false;
+    this.owner?.close();
+    await ownership.release();
+    this.known = {...this.deps.self, term: ownership.term, isReleased: true};
+    this.dropOwner();
+    await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
+  }
+
+  /** Finds the owner, or claims the cell where it has none that lives. */
+  private async seekOwner(): Promise<void> {
+    const {clock} = this.deps;
+    const sentMs = clock.monotonicMs();
+    const reading = await readOwner(this.store);
+    const rttMs = clock.monotonicMs() - sentMs;
+    if (this.isKnownNow(reading)) return;
+    const delayMs = Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_FACTOR);
+    const isFree = reading.record === null || reading.record.isReleased;
+    const isOwnOldRun = reading.record?.vm === this.deps.self.vm;
+    const waitMs = isFree || isOwnOldRun ? 0 : SILENT_OWNER_MS;
+    await clock.sleep(waitMs + delayMs);
+    if (this.isDraining || this.isLinked()) return;
+    const again = waitMs + delayMs > 0 ? await readOwner(this.store) : reading;
+    if (again.endOffset !== reading.endOffset) {
+      this.isKnownNow(again);
+      return;
+    }
+    await this.claim(again);
+  }
+
+  /** Follows the owner that the store names, where it is a newer one. */
+  private isKnownNow({record}: OwnerReading): boolean {
+    if (record === null || record.isReleased) return false;
+    if (record.term <= (this.known?.term ?? 0)) return false;
+    const {vm, incarnation} = this.deps.self;
+    if (record.vm === vm && record.incarnation !== incarnation) return false;
+    this.follow(record);
+    return true;
+  }
+
+  private async claim(reading: OwnerReading): Promise<void> {
+    const {self, clock, log} = this.deps;
+    const {record} = reading;
+    const ownership = await claimCell(this.store, clock, self, reading);
+    if (ownership === null) return;
+    const isFormerStopped =
+      record === null || record.isReleased || record.vm === self.vm;
+    log('ownerClaimed', {
+      term: ownership.term,
+      former: record?.vm ?? '',
+      isFormerStopped,
+    });
+    this.known = {...self, term: ownership.term, isReleased: false};
+    this.ownership = ownership;
+    this.hasBeenAccompanied = false;
+    this.members.setOwner(toAddress(this.known));
+    await this.runOwner(ownership, isFormerStopped);
+  }
+
+  private async runOwner(
+    ownership: Ownership,
+    isFormerStopped: boolean,
+  ): Promise<void> {
+    const {platform, clock, metrics, log} = this.deps;
+    const owner = new Owner({
+      platform,
+      store: this.store,
+      clock,
+      metrics,
+      log,
+      ownership,
+      isFormerStopped,
+      lanes: () => this.lanes(),
+      publish: rows => this.publish(rows, ownership.term),
+    });
+    const isStarted = await startOwner(owner, this.config, clock, ownership);
+    if (!isStarted || ownership.isSuperseded) {
+      owner.close();
+      this.dropOwner();
+      return;
+    }
+    this.owner = owner;
+    if (this.config !== null) owner.setConfig(this.config);
+    this.broadcast(this.heartbeat());
+    this.publish(owner.allRows(), ownership.term);
+    this.sendMembers();
+  }
+
+  private publish(rows: readonly JobRow[], term: number): void {
+    for (const row of rows) this.table.set(row);
+    this.broadcast({type: 'jobs', term, isFull: false, rows});
+  }
+
+  private lanes(): readonly AdviceLane[] {
+    const {self, domain} = this.deps;
+    const own: AdviceLane = {
+      vm: self.vm,
+      isNear: true,
+      ask: (step, executorIds, timeoutMs) =>
+        this.advise({step, executorIds, timeoutMs}),
+    };
+    const lanes = [own];
+    for (const member of this.members.connected()) {
+      if (member.isDraining) continue;
+      lanes.push({
+        vm: member.address.vm,
+        isNear: member.domain === domain,
+        ask: (step, executorIds, timeoutMs) =>
+          askAdvice(member.connection, step, executorIds, timeoutMs),
+      });
+    }
+    return lanes;
+  }
+}
+
+/** Time that an answer of a peer may take on top of the call itself, in ms. */
+const LANE_SLACK_MS = 150;
+
+async function askAdvice(
+  connection: CellConnection,
+  step: string,
+  executorIds: readonly string[],
+  timeoutMs: number,
+): ReturnType<AdviceLane['ask']> {
+  const ask = {type: 'adviceAsk', step, executorIds, timeoutMs} as const;
+  try {
+    const reply = await connection.ask(ask, timeoutMs + LANE_SLACK_MS);
+    return reply.type === 'advice' ? reply.tickets : null;
+  } catch {
+    // The desk asks another VM; the lost connection is logged where it ends.
+    return null;
+  }
+}
+
+/** Loads the owner's state, again where the store fails for a while. */
+async function startOwner(
+  owner: Owner,
+  config: CellConfig | null,
+  clock: Clock,
+  ownership: Ownership,
+): Promise<boolean> {
+  while (!ownership.isSuperseded) {
+    try {
+      return await owner.start(config);
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err;
+      await clock.sleep(WATCH_MS);
+    }
+  }
+  return false;
+}
+
+function toAddress({vm, ip, port, incarnation}: OwnerAddress): OwnerAddress {
+  return {vm, ip, port, incarnation};
+}
+
--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -1,7 +1,13 @@
 /** A JSON client of one server that outlives lost and silent connections. */
 import http from 'node:http';
 import {toFailure} from './errors.js';
-import {callJson, type JsonCall, type JsonReply} from './json-http.js';
+import {
+  callBytes,
+  callJson,
+  type BytesReply,
+  type JsonCall,
+  type JsonReply,
+} from './json-http.js';
 
 const KEEP_ALIVE_MS = 5_000;
 
@@ -40,12 +46,26 @@
   ): Promise<JsonReply> {
     const {agent} = this;
     const url = this.baseUrl + path;
-    try {
-      return await callJson({method, url, timeoutMs, agent, body, headers});
-    } catch (err) {
-      if (toFailure(err).kind === 'peerLost') this.renewAgent(agent);
-      throw err;
-    }
+    const call = {method, url, timeoutMs, agent, body, headers};
+    return this.watch(agent, callJson(call));
+  }
+
+  /**
+   * Sends a call whose body is not JSON, and reads the answer as it comes.
+   *
+   * @throws peerDown when it was not sent, peerLost when it may have been
+   * @example
+   * const res = await client.callBytes('POST', '/append', 1000, records);
+   */
+  async callBytes(
+    method: JsonCall['method'],
+    path: string,
+    timeoutMs: number,
+    body: Buffer,
+  ): Promise<BytesReply> {
+    const {agent} = this;
+    const url = this.baseUrl + path;
+    return this.watch(agent, callBytes({method, url, timeoutMs, agent, body}));
   }
 
   /** Ends the idle connections. */
@@ -53,6 +73,15 @@
     dropIdle(this.agent);
   }
 
+  private async watch<T>(agent: http.Agent, reply: Promise<T>): Promise<T> {
+    try {
+      return await reply;
+    } catch (err) {
+      if (toFailure(err).kind === 'peerLost') this.renewAgent(agent);
+      throw err;
+    }
+  }
+
   /** One silent connection may not be the only one: none is used again. */
   private renewAgent(lost: http.Agent): void {
     if (this.agent !== lost) return;
--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -1,6 +1,6 @@
 /** JSON calls over Node's HTTP client, and helpers for JSON servers. */
 import http from 'node:http';
-import {raise} from './errors.js';
+import {DragonflywardError, raise} from './errors.js';
 
 const MAX_JSON_BYTES = 64 * 1024 * 1024;
 
@@ -24,6 +24,18 @@
   readonly signal?: AbortSignal;
 }
 
+/** A call with a body of any kind. */
+export interface BytesCall extends Omit<JsonCall, 'body'> {
+  readonly body: Buffer;
+}
+
+/** An answer with its body as it came. */
+export interface BytesReply {
+  readonly status: number;
+  readonly body: Buffer;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
 /**
  * Sends a JSON call and reads the whole JSON answer.
  *
@@ -31,17 +43,29 @@
  * @example
  * const res = await callJson({method: 'GET', url, timeoutMs: 1000});
  */
-export function callJson(call: JsonCall): Promise<JsonReply> {
+export async function callJson(call: JsonCall): Promise<JsonReply> {
+  const payload = call.body === undefined ? '' : JSON.stringify(call.body);
+  const headers = {...call.headers, 'content-type': 'application/json'};
+  const body = Buffer.from(payload);
+  const reply = await callBytes({...call, headers, body});
+  const {status} = reply;
+  const etag = reply.headers.etag ?? '';
+  return {status, body: parseJson(reply.body), etag};
+}
+
+/**
+ * Sends a call and reads the whole answer.
+ *
+ * @throws peerDown before a connection stands, peerLost after it
+ * @example
+ * const res = await callBytes({method: 'POST', url, body, timeoutMs: 1000});
+ */
+export function callBytes(call: BytesCall): Promise<BytesReply> {
   return new Promise((resolve, reject) => {
-    const payload = call.body === undefined ? '' : JSON.stringify(call.body);
-    const headers = {
-      ...call.headers,
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(payload).toString(),
-    };
+    const length = call.body.length.toString();
     const req = http.request(call.url, {
       method: call.method,
-      headers,
+      headers: {...call.headers, 'content-length': length},
       agent: call.agent ?? http.globalAgent,
       ...(call.signal === undefined ? {} : {signal: call.signal}),
     });
@@ -59,21 +83,18 @@
     req.on('error', err => {
       finish();
       const kind = isConnected ? 'peerLost' : 'peerDown';
-      try {
-        raise(kind, `${call.method} ${call.url}: ${err.message}`);
-      } catch (failure) {
-        reject(failure as Error);
-      }
+      const detail = `${call.method} ${call.url}: ${err.message}`;
+      reject(new DragonflywardError(kind, detail));
     });
     req.on('response', res => {
-      readJson(res)
+      readBytes(res, MAX_JSON_BYTES)
         .then(body => {
-          const etag = res.headers.etag ?? '';
-          resolve({status: res.statusCode ?? 0, body, etag});
+          const {headers} = res;
+          resolve({status: res.statusCode ?? 0, body, headers});
         }, reject)
         .finally(finish);
     });
-    req.end(payload);
+    req.end(call.body);
   });
 }
 
@@ -88,7 +109,10 @@
   stream: http.IncomingMessage,
   maxBytes = MAX_JSON_BYTES,
 ): Promise<unknown> {
-  const bytes = await readBytes(stream, maxBytes);
+  return parseJson(await readBytes(stream, maxBytes));
+}
+
+function parseJson(bytes: Buffer): unknown {
   if (bytes.length === 0) return undefined;
   try {
     return JSON.parse(bytes.toString('utf8')) as unknown;
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -4,61 +4,59 @@
   raise,
   toFailure,
   DragonflywardError,
-  type ProcessRef,
 } from '@dragonflyward/common';
 import {encodeFrame, FrameReader} from './framing.js';
 import type {
   FailureReply,
   Frame,
-  Heartbeat,
-  Hello,
-  PeerAsk,
-  PeerNotice,
-  PeerReply,
-  PeerRole,
+  GatewayProtocol,
+  PeerProtocol,
 } from './messages.js';
 
-/** A connection that is silent for longer is dropped. */
+/** A connection that is silent for longer is dropped where nothing is said. */
 export const SILENCE_BOUND_MS = 2_000;
 /** How often each side sends a heartbeat. */
 export const HEARTBEAT_PERIOD_MS = 500;
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
-/** The other end of a connection. */
-export interface PeerInfo {
-  readonly role: PeerRole;
-  readonly process: ProcessRef;
-}
+/** The other end of a connection, as its hello describes it. */
+export type PeerInfo<P extends PeerProtocol = GatewayProtocol> = Omit<
+  P['hello'],
+  'type'
+>;
 
 /** What a process does with what its peers send. */
-export abstract class PeerHandler {
+export abstract class PeerHandler<P extends PeerProtocol = GatewayProtocol> {
+  /** A connection that is silent for longer is dropped, in ms. */
+  readonly silenceBoundMs: number = SILENCE_BOUND_MS;
+
   /** Describes this process to its peers. */
-  abstract hello(): Hello;
+  abstract hello(): P['hello'];
   /** The current heartbeat. */
-  abstract heartbeat(): Heartbeat;
+  abstract heartbeat(): P['notice'];
   /** Answers an ask; a thrown error becomes a failure reply. */
-  abstract answer(from: PeerInfo, ask: PeerAsk): Promise<PeerReply>;
+  abstract answer(from: PeerInfo<P>, ask: P['ask']): Promise<P['reply']>;
   /** Takes in a notice; heartbeats come here too. */
-  abstract notice(from: PeerInfo, notice: PeerNotice): void;
+  abstract notice(from: PeerInfo<P>, notice: P['notice']): void;
   /** A connection to the peer stands. */
-  abstract peerUp(connection: PeerConnection): void;
+  abstract peerUp(connection: PeerConnection<P>): void;
   /** The connection to the peer is gone. */
-  abstract peerDown(connection: PeerConnection): void;
+  abstract peerDown(connection: PeerConnection<P>): void;
 }
 
-interface PendingAsk {
-  readonly resolve: (reply: PeerReply) => void;
+interface PendingAsk<P extends PeerProtocol> {
+  readonly resolve: (reply: P['reply']) => void;
   readonly reject: (err: Error) => void;
   readonly timer: NodeJS.Timeout;
 }
 
 /** One open connection to a peer. */
-export class PeerConnection {
+export class PeerConnection<P extends PeerProtocol = GatewayProtocol> {
   /** Set by the peer's hello. */
-  info: PeerInfo | undefined;
-  private readonly reader = new FrameReader();
-  private readonly pending = new Map<number, PendingAsk>();
+  info: PeerInfo<P> | undefined;
+  private readonly reader = new FrameReader<P>();
+  private readonly pending = new Map<number, PendingAsk<P>>();
   private readonly heartbeatTimer: NodeJS.Timeout;
   private nextId = 1;
   private lastHeardMs = performance.now();
@@ -66,7 +64,7 @@
 
   constructor(
     private readonly socket: net.Socket,
-    private readonly handler: PeerHandler,
+    private readonly handler: PeerHandler<P>,
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
@@ -96,7 +94,7 @@
    * @example
    * const ticket = await connection.ask(ticketAsk, 500);
    */
-  ask(ask: PeerAsk, timeoutMs: number): Promise<PeerReply> {
+  ask(ask: P['ask'], timeoutMs: number): Promise<P['reply']> {
     if (this.isClosed) return raiseAsync('peerDown', ask.type);
     const id = this.nextId;
     this.nextId += 1;
@@ -111,7 +109,7 @@
   }
 
   /** Sends a notice; it may be lost. */
-  notify(notice: PeerNotice): void {
+  notify(notice: P['notice']): void {
     if (!this.isClosed) this.send({kind: 'notice', notice});
   }
 
@@ -121,14 +119,14 @@
     this.closed();
   }
 
-  private send(frame: Frame): void {
-    this.socket.write(encodeFrame(frame));
+  private send(frame: Frame<P>): void {
+    this.socket.write(encodeFrame<P>(frame));
     if (this.socket.writableLength > MAX_BUFFERED_BYTES) this.close();
   }
 
   private beat(): void {
     const silentMs = performance.now() - this.lastHeardMs;
-    if (silentMs > SILENCE_BOUND_MS) return this.close();
+    if (silentMs > this.handler.silenceBoundMs) return this.close();
     this.notify(this.handler.heartbeat());
   }
 
@@ -141,7 +139,7 @@
     }
   }
 
-  private dispatch(frame: Frame): void {
+  private dispatch(frame: Frame<P>): void {
     if (frame.kind === 'hello') return this.greet(frame.hello);
     if (frame.kind === 'reply') return this.settle(frame.id, frame.reply);
     if (this.info === undefined) return this.close();
@@ -151,14 +149,18 @@
     void this.reply(frame.id, this.info, frame.ask);
   }
 
-  private greet(hello: Hello): void {
+  private greet(hello: P['hello']): void {
     if (this.info !== undefined) return;
-    this.info = {role: hello.role, process: hello.process};
+    this.info = hello;
     this.handler.peerUp(this);
   }
 
-  private async reply(id: number, from: PeerInfo, ask: PeerAsk): Promise<void> {
-    let reply: PeerReply;
+  private async reply(
+    id: number,
+    from: PeerInfo<P>,
+    ask: P['ask'],
+  ): Promise<void> {
+    let reply: P['reply'] | FailureReply;
     try {
       reply = await this.handler.answer(from, ask);
     } catch (err) {
@@ -167,7 +169,7 @@
     if (!this.isClosed) this.send({kind: 'reply', id, reply});
   }
 
-  private settle(id: number, reply: PeerReply): void {
+  private settle(id: number, reply: P['reply'] | FailureReply): void {
     const pending = this.pending.get(id);
     if (pending === undefined) return;
     this.pending.delete(id);
@@ -192,7 +194,9 @@
   }
 }
 
-function isFailureReply(reply: PeerReply): reply is FailureReply {
+function isFailureReply(reply: {
+  readonly type: string;
+}): reply is FailureReply {
   return reply.type === 'failure';
 }
 
@@ -207,11 +211,11 @@
  * @example
  * const connection = await connectPeer('127.0.0.1', 8090, handler);
  */
-export function connectPeer(
+export function connectPeer<P extends PeerProtocol = GatewayProtocol>(
   ip: string,
   port: number,
-  handler: PeerHandler,
-): Promise<PeerConnection> {
+  handler: PeerHandler<P>,
+): Promise<PeerConnection<P>> {
   return new Promise((resolve, reject) => {
     const socket = net.connect({host: ip, port});
     const refuse = (why: string): void => {
@@ -231,7 +235,7 @@
     });
     socket.once('connect', () => {
       clearTimeout(timer);
-      resolve(new PeerConnection(socket, handler));
+      resolve(new PeerConnection<P>(socket, handler));
     });
   });
 }
@@ -242,13 +246,13 @@
  * @example
  * const server = await listenPeers('127.0.0.1', 8090, handler);
  */
-export function listenPeers(
+export function listenPeers<P extends PeerProtocol = GatewayProtocol>(
   ip: string,
   port: number,
-  handler: PeerHandler,
+  handler: PeerHandler<P>,
 ): Promise<net.Server> {
   const server = net.createServer(socket => {
-    new PeerConnection(socket, handler);
+    new PeerConnection<P>(socket, handler);
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/packages/peer/src/framing.ts
+++ b/packages/peer/src/framing.ts
@@ -1,7 +1,7 @@
 /** Length-prefixed frames of CBOR over a byte stream. */
 import {raise} from '@dragonflyward/common';
 import {Decoder, Encoder} from 'cbor-x';
-import type {Frame} from './messages.js';
+import type {Frame, GatewayProtocol, PeerProtocol} from './messages.js';
 
 const LENGTH_BYTES = 4;
 /** A longer frame ends the connection. */
@@ -16,7 +16,9 @@
  * @example
  * socket.write(encodeFrame({kind: 'notice', notice: heartbeat}));
  */
-export function encodeFrame(frame: Frame): Buffer {
+export function encodeFrame<P extends PeerProtocol = GatewayProtocol>(
+  frame: Frame<P>,
+): Buffer {
   const body = encoder.encode(frame);
   const out = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
   out.writeUInt32BE(body.length, 0);
@@ -25,7 +27,7 @@
 }
 
 /** Splits a byte stream into frames. */
-export class FrameReader {
+export class FrameReader<P extends PeerProtocol = GatewayProtocol> {
   private pending: Buffer = Buffer.alloc(0);
 
   /**
@@ -35,7 +37,7 @@
    * @example
    * for (const frame of reader.push(chunk)) handle(frame);
    */
-  *push(chunk: Buffer): Generator<Frame> {
+  *push(chunk: Buffer): Generator<Frame<P>> {
     this.pending =
       this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     while (this.pending.length >= LENGTH_BYTES) {
@@ -45,14 +47,14 @@
       if (this.pending.length < end) return;
       const body = this.pending.subarray(LENGTH_BYTES, end);
       this.pending = this.pending.subarray(end);
-      yield decodeFrame(body);
+      yield decodeFrame<P>(body);
     }
   }
 }
 
-function decodeFrame(body: Buffer): Frame {
+function decodeFrame<P extends PeerProtocol>(body: Buffer): Frame<P> {
   try {
-    return decoder.decode(body) as Frame;
+    return decoder.decode(body) as Frame<P>;
   } catch {
     return raise('badRequest', `${body.length} bytes are not CBOR`);
   }
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -5,6 +5,7 @@
   type PeerConnection,
   type PeerHandler,
 } from './connection.js';
+import type {GatewayProtocol, PeerProtocol} from './messages.js';
 
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 2_000;
@@ -17,18 +18,18 @@
   readonly port: number;
 }
 
-interface PeerTask {
+interface PeerTask<P extends PeerProtocol> {
   readonly address: PeerAddress;
   isWanted: boolean;
-  connection: PeerConnection | undefined;
+  connection: PeerConnection<P> | undefined;
 }
 
 /** The outgoing connections of this process. */
-export class PeerMesh {
-  private readonly tasks = new Map<string, PeerTask>();
+export class PeerMesh<P extends PeerProtocol = GatewayProtocol> {
+  private readonly tasks = new Map<string, PeerTask<P>>();
 
   constructor(
-    private readonly handler: PeerHandler,
+    private readonly handler: PeerHandler<P>,
     private readonly clock: Clock = new SystemClock(),
   ) {}
 
@@ -47,7 +48,7 @@
   }
 
   /** The open connection to a VM's process, where there is one. */
-  connectionTo(vm: string): PeerConnection | undefined {
+  connectionTo(vm: string): PeerConnection<P> | undefined {
     for (const task of this.tasks.values()) {
       if (task.address.vm !== vm) continue;
       const {connection} = task;
@@ -57,7 +58,7 @@
   }
 
   /** All open connections. */
-  *connections(): Generator<PeerConnection> {
+  *connections(): Generator<PeerConnection<P>> {
     for (const {connection} of this.tasks.values()) {
       if (connection?.isOpen && connection.info) yield connection;
     }
@@ -71,18 +72,18 @@
   private add(address: PeerAddress): void {
     const key = keyOf(address);
     if (this.tasks.has(key)) return;
-    const task: PeerTask = {address, isWanted: true, connection: undefined};
+    const task: PeerTask<P> = {address, isWanted: true, connection: undefined};
     this.tasks.set(key, task);
     void this.keepConnected(task);
   }
 
-  private drop(key: string, task: PeerTask): void {
+  private drop(key: string, task: PeerTask<P>): void {
     task.isWanted = false;
     task.connection?.close();
     this.tasks.delete(key);
   }
 
-  private async keepConnected(task: PeerTask): Promise<void> {
+  private async keepConnected(task: PeerTask<P>): Promise<void> {
     let delayMs = RECONNECT_MIN_MS;
     while (task.isWanted) {
       try {
@@ -97,7 +98,7 @@
     }
   }
 
-  private async whileOpen(task: PeerTask): Promise<void> {
+  private async whileOpen(task: PeerTask<P>): Promise<void> {
     while (task.isWanted && task.connection?.isOpen) {
       await this.clock.sleep(OPEN_CHECK_MS);
     }
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -291,9 +291,29 @@
   | Done
   | FailureReply;
 
+/** The messages that two kinds of processes exchange. */
+export interface PeerProtocol {
+  readonly hello: Readonly<object>;
+  readonly ask: {readonly type: string};
+  readonly reply: {readonly type: string};
+  readonly notice: {readonly type: string};
+}
+
+/** The messages between gateways and schedulers. */
+export interface GatewayProtocol {
+  readonly hello: Hello;
+  readonly ask: PeerAsk;
+  readonly reply: PeerReply;
+  readonly notice: PeerNotice;
+}
+
 /** What one frame holds. */
-export type Frame =
-  | {readonly kind: 'hello'; readonly hello: Hello}
-  | {readonly kind: 'ask'; readonly id: number; readonly ask: PeerAsk}
-  | {readonly kind: 'reply'; readonly id: number; readonly reply: PeerReply}
-  | {readonly kind: 'notice'; readonly notice: PeerNotice};
+export type Frame<P extends PeerProtocol = GatewayProtocol> =
+  | {readonly kind: 'hello'; readonly hello: P['hello']}
+  | {readonly kind: 'ask'; readonly id: number; readonly ask: P['ask']}
+  | {
+      readonly kind: 'reply';
+      readonly id: number;
+      readonly reply: P['reply'] | FailureReply;
+    }
+  | {readonly kind: 'notice'; readonly notice: P['notice']};
