Claim the cell by the offset alone

Cause: a claim carried the producer's epoch and sequence number besides the offset. Ruled out: lost runs by missing inventories, lives and leases of executors (no such line in the logs). Heartbeats are conditional on the offset too.

--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -11,7 +11,6 @@
 export const RIGHT_TO_ACT_MS = 8000;
 
 const OWNER_KEY = 'cell';
-const PRODUCER_NAME = 'owner';
 const HEARTBEAT_TIMEOUT_MS = 1000;
 
 /** Where the process that owns the cell is. */
@@ -66,34 +65,55 @@
 ): Promise<Ownership | null> {
   const term = (reading.record?.term ?? 0) + 1;
   const record: OwnerRecord = {...self, term, isReleased: false};
-  const producer = {name: PRODUCER_NAME, epoch: term, sequence: 0};
   const sentMs = clock.monotonicMs();
   try {
-    const value = encode(record);
-    const at = reading.endOffset;
-    await store.append(OWNER_TOPIC, [{key: OWNER_KEY, value}], {at, producer});
+    const endOffset = await appendOwner(store, record, reading.endOffset);
+    return new Ownership(store, clock, record, {sentMs, endOffset});
   } catch (err) {
-    if (err instanceof StoreError && err.failure === 'conflict') return null;
-    throw err;
+    if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
+    return null;
   }
-  return new Ownership(store, clock, record, sentMs);
+}
+
+/**
+ * Appends only if nobody has written since. A producer's epoch would not do
+ * for a claim: two claimants of one term would send the same sequence number,
+ * and the store would take the second append for a repeat of the first.
+ */
+function appendOwner(
+  store: Store,
+  record: OwnerRecord,
+  at: number,
+): Promise<number> {
+  const records = [{key: OWNER_KEY, value: encode(record)}];
+  const timeoutMs = HEARTBEAT_TIMEOUT_MS;
+  return store.append(OWNER_TOPIC, records, {at, timeoutMs});
+}
+
+/** What an owner's newest write has shown. */
+interface Proof {
+  /** When it was sent, on the owner's steady clock. */
+  readonly sentMs: number;
+  /** Where the owner's topic ends unless another one claims the cell. */
+  readonly endOffset: number;
 }
 
 /** The right to act for the cell under one term. */
 export class Ownership {
-  private sequence = 1;
+  private endOffset: number;
   private provenMs: number;
   private provenWallMs: number;
   private isLost = false;
-  /** One write at a time: each has the next sequence number. */
+  /** One write at a time: each follows the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly record: OwnerRecord,
-    sentMs: number,
+    {sentMs, endOffset}: Proof,
   ) {
+    this.endOffset = endOffset;
     this.provenMs = sentMs;
     this.provenWallMs = clock.wallMs();
   }
@@ -142,26 +162,29 @@
   }
 
   private async write(record: OwnerRecord): Promise<void> {
-    const {term} = record;
     const sentMs = this.clock.monotonicMs();
     const sentWallMs = this.clock.wallMs();
-    const producer = {name: PRODUCER_NAME, epoch: term, sequence: this.sequence};
     try {
-      const records = [{key: OWNER_KEY, value: encode(record)}];
-      const timeoutMs = HEARTBEAT_TIMEOUT_MS;
-      await this.store.append(OWNER_TOPIC, records, {producer, timeoutMs});
-      this.sequence += 1;
+      this.endOffset = await appendOwner(this.store, record, this.endOffset);
       this.provenMs = sentMs;
       this.provenWallMs = sentWallMs;
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
-      this.noteFailure(err);
+      if (err.failure === 'conflict') await this.look();
     }
   }
 
-  private noteFailure(err: StoreError): void {
-    if (err.failure !== 'conflict') return;
-    if (err.expectedSequence >= 0) this.sequence = err.expectedSequence;
-    else this.isLost = true;
+  /** Another claim, or an append of its own whose answer was lost. */
+  private async look(): Promise<void> {
+    try {
+      const {record, endOffset} = await readOwner(this.store);
+      const {term, vm, incarnation} = this.record;
+      const isOwn = record?.vm === vm && record.incarnation === incarnation;
+      if (isOwn && record.term === term) this.endOffset = endOffset;
+      else this.isLost = true;
+    } catch (err) {
+      // The next heartbeat looks again; until then the right runs out.
+      if (!(err instanceof StoreError)) throw err;
+    }
   }
 }
