--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -438,8 +438,8 @@
   private isKnownNow({record}: OwnerReading): boolean {
     if (record === null || record.isReleased) return false;
     if (record.term <= (this.known?.term ?? 0)) return false;
-    const {vm, incarnation} = this.deps.self;
-    if (record.vm === vm && record.incarnation !== incarnation) return false;
+    // An own claim whose answer was lost, or one of an earlier run.
+    if (record.vm === this.deps.self.vm) return false;
     this.follow(record);
     return true;
   }
