--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -330,23 +330,21 @@
   ): void {
     const {step} = task;
     const {job} = step.occurrence;
-    if (end.run <= task.countedRun) return;
-    task.countedRun = end.run;
-    task.failures += 1;
+    if (task.failedRuns.includes(end.run)) return;
+    task.failedRuns = [...task.failedRuns, end.run];
     task.failedOn = executor.info.id;
     this.noteBadExecutor(executor, nowMs);
-    if (step.spec.isGang && end.run > step.countedGangRun) {
-      step.countedGangRun = end.run;
-      step.gangFailures += 1;
+    if (step.spec.isGang && !step.failedGangRuns.includes(end.run)) {
+      step.failedGangRuns = [...step.failedGangRuns, end.run];
     }
     if (step.spec.isService) {
-      const delayMs = SERVICE_BACKOFF_MS * 2 ** Math.min(10, task.failures - 1);
+      const delayMs = SERVICE_BACKOFF_MS * 2 ** Math.min(10, task.failedRuns.length - 1);
       task.notBeforeMs = nowMs + Math.min(MAX_SERVICE_BACKOFF_MS, delayMs);
     }
     if (isFinal(job.phase)) return;
     this.listener.onDirty(job);
-    const failures = step.spec.isGang ? step.gangFailures : task.failures;
-    const isOut = failures >= job.queue.maxAttempts && !step.spec.isService;
+    const failed = step.spec.isGang ? step.failedGangRuns : task.failedRuns;
+    const isOut = failed.length >= job.queue.maxAttempts && !step.spec.isService;
     if (isOut) this.finish(job, 'failed');
   }
 
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -26,10 +26,8 @@
   startedMs: number;
   /** When the newest order for the run was answered; Infinity until then. */
   answeredMs: number;
-  /** Runs that ended `failed`. */
-  failures: number;
-  /** The newest run whose failure was counted. */
-  countedRun: number;
+  /** Runs that ended `failed`; executors may list them in any order. */
+  failedRuns: readonly number[];
   checkpoint: string;
   /** The executor on which the newest failed run was; empty for none. */
   failedOn: string;
@@ -58,10 +56,8 @@
   allowed: ReadonlySet<string> | null;
   readonly tickets: Map<string, HeldTicket>;
   isAsking: boolean;
-  /** Failed runs of the whole gang. */
-  gangFailures: number;
-  /** The newest gang run whose failure was counted. */
-  countedGangRun: number;
+  /** Runs of the whole gang in which a task ended `failed`. */
+  failedGangRuns: readonly number[];
 }
 
 /** One occurrence of a job's steps. */
@@ -158,8 +154,7 @@
     allowed: null,
     tickets: new Map(),
     isAsking: false,
-    gangFailures: 0,
-    countedGangRun: 0,
+    failedGangRuns: [],
   };
   for (let i = 0; i < spec.count; i += 1) tasks.push(newTask(step, i));
   return step;
@@ -174,8 +169,7 @@
     executor: null,
     startedMs: 0,
     answeredMs: Infinity,
-    failures: 0,
-    countedRun: 0,
+    failedRuns: [],
     checkpoint: '',
     failedOn: '',
     notBeforeMs: 0,
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -59,11 +59,10 @@
   return {kind: 'job', job: decodeJob(value)};
 }
 
-/** Progress of a task that is not done: failures, counted run, checkpoint. */
+/** Progress of a task that is not done. */
 type TaskRow = readonly [
   index: number,
-  failures: number,
-  countedRun: number,
+  failedRuns: readonly number[],
   checkpoint: string,
 ];
 
@@ -75,8 +74,7 @@
   readonly done: Uint8Array;
   readonly isDone: boolean;
   readonly tasks: readonly TaskRow[];
-  readonly gangFailures: number;
-  readonly gangRun: number;
+  readonly failedGangRuns: readonly number[];
 }
 
 interface ProgressRecord {
@@ -105,17 +103,16 @@
   const tasks: TaskRow[] = [];
   const done = new Uint8Array(isDone ? 0 : Math.ceil(step.tasks.length / 8));
   for (const task of isDone ? [] : step.tasks) {
-    const {index, failures, countedRun, checkpoint} = task;
+    const {index, failedRuns, checkpoint} = task;
     if (task.phase === 'done') setBit(done, index);
-    else if (failures > 0 || checkpoint !== '') {
-      tasks.push([index, failures, countedRun, checkpoint]);
+    else if (failedRuns.length > 0 || checkpoint !== '') {
+      tasks.push([index, failedRuns, checkpoint]);
     }
   }
-  const {gangFailures, countedGangRun: gangRun} = step;
+  const {index, failedGangRuns} = step;
   const isEmpty = step.doneCount === 0 && tasks.length === 0;
-  if (isEmpty && gangFailures === 0) return null;
-  const {index} = step;
-  return {occurrence, step: index, done, isDone, tasks, gangFailures, gangRun};
+  if (isEmpty && failedGangRuns.length === 0) return null;
+  return {occurrence, step: index, done, isDone, tasks, failedGangRuns};
 }
 
 function setBit(bits: Uint8Array, index: number): void {
@@ -140,18 +137,16 @@
   const {occurrence} = row;
   const step = job.occurrences[occurrence]?.steps[row.step];
   if (step === undefined) return;
-  step.gangFailures = row.gangFailures;
-  step.countedGangRun = row.gangRun;
+  step.failedGangRuns = row.failedGangRuns;
   for (const task of step.tasks) {
     const bits = row.done[task.index >> 3] ?? 0;
     if (row.isDone || (bits & (1 << (task.index & 7))) !== 0) markDone(task);
   }
-  for (const [index, failures, countedRun, checkpoint] of row.tasks) {
+  for (const [index, failedRuns, checkpoint] of row.tasks) {
     const address = {jobId: job.id, occurrence, step: row.step, index};
     const task = findTask(job, address);
     if (task === undefined) continue;
-    task.failures = failures;
-    task.countedRun = countedRun;
+    task.failedRuns = failedRuns;
     task.checkpoint = checkpoint;
   }
 }
