Inherit every executor that a former owner has recorded

Cause: an executor that had started again since its record was taken for one that no former owner had used; a living former owner may have used its new life too, and a task ran twice (found by the property test). Ruled out: leases and tokens, which did their work.

--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-task.ts
@@ -14,6 +14,7 @@
   type ExecutorState,
 } from './executor-state.js';
 import {taskName, type TaskState} from './job-state.js';
+import {Signal} from './signal.js';
 
 /** Time for which runs go on when their owner is lost, in ms. */
 export const LEASE_MS = 6000;
@@ -48,20 +49,22 @@
 /** Talks to one executor. */
 export class ExecutorTask {
   private isClosed = false;
-  private wake: (() => void) | null = null;
   private sentAck = 0;
+  private readonly signal: Signal;
 
   constructor(
     readonly executor: ExecutorState,
     private readonly client: ExecutorClient,
     private readonly host: ExecutorHost,
-  ) {}
+  ) {
+    this.signal = new Signal(host.clock);
+  }
 
   /** Holds the executor until it is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
       if (!this.host.mayAct() || !this.hasReason()) {
-        await this.idle();
+        await this.signal.wait(HOLD_WAIT_MS);
         continue;
       }
       await this.holdOnce();
@@ -77,7 +80,7 @@
 
   /** Lets a waiting task look again whether it has a reason to hold. */
   poke(): void {
-    this.wake?.();
+    this.signal.raise();
   }
 
   /** Sends the start of a task that is counted on this executor. */
@@ -143,16 +146,6 @@
     return !isReached || this.sentAck < ackedThrough;
   }
 
-  private idle(): Promise<void> {
-    return new Promise(resolve => {
-      const timer = setTimeout(resolve, HOLD_WAIT_MS);
-      this.wake = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-  }
-
   private async holdOnce(): Promise<void> {
     const {executor, host} = this;
     const {ackedThrough, bornMs} = executor;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -23,6 +23,7 @@
 } from './records.js';
 import {Review} from './review.js';
 import {decideRound} from './schedule.js';
+import {Signal} from './signal.js';
 import type {KeyedRecord, PlacedRecord, Store} from './store.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
 
@@ -86,13 +87,13 @@
   private readonly claimedMs: number;
   private isActive = false;
   private isClosed = false;
-  private roundTimer: NodeJS.Timeout | null = null;
-  private tickTimer: NodeJS.Timeout | null = null;
-  private wakeCommit: (() => void) | null = null;
+  private isRoundDue = false;
+  private readonly commitSignal: Signal;
 
   constructor(private readonly deps: OwnerDeps) {
     const {clock, store, ownership, platform} = deps;
     this.claimedMs = clock.monotonicMs();
+    this.commitSignal = new Signal(clock);
     this.state = new CellState(ownership.term, {
       onDirty: job => this.noteDirty(job),
       onPhase: job => this.notePhase(job),
@@ -147,7 +148,7 @@
     void this.jobsFollower.run();
     void this.executorsFollower.run();
     void this.commitLoop();
-    this.tickTimer = setInterval(() => this.tick(), TICK_MS);
+    void this.tickLoop();
     this.kick();
     return true;
   }
@@ -156,11 +157,10 @@
   close(): void {
     this.isClosed = true;
     this.isActive = false;
-    if (this.tickTimer !== null) clearInterval(this.tickTimer);
     this.jobsFollower.stop();
     this.executorsFollower.stop();
     for (const task of this.tasks.values()) task.close();
-    this.wakeCommit?.();
+    this.commitSignal.raise();
   }
 
   /** Takes over a configuration. */
@@ -229,10 +229,12 @@
     }
   }
 
-  /** An executor that a former owner has used: it may run tasks. */
+  /**
+   * An executor that a former owner has used: it may run tasks, also where it
+   * has started again since that was recorded.
+   */
   private inheritExecutor(info: ExecutorInfo): void {
     const known = this.state.executors.get(info.id);
-    if (known !== undefined && known.bornMs > info.bornMs) return;
     const executor = known ?? this.state.setExecutor(info);
     if (known === undefined) executor.isListed = false;
     this.inherited.add(executor);
@@ -274,7 +276,7 @@
     if (known === undefined) {
       this.newExecutors.add(executor);
       this.deps.log('executorListed', {executorId: info.id, service: info.service});
-      this.wakeCommit?.();
+      this.commitSignal.raise();
     }
     if (info.isDraining && !wasDraining) {
       this.deps.log('executorDraining', {
@@ -332,7 +334,7 @@
       },
       onChange: executor => {
         this.inherited.delete(executor);
-        this.wakeCommit?.();
+        this.commitSignal.raise();
         this.kick();
       },
       onLine: log,
@@ -351,7 +353,7 @@
 
   private noteDirty(job: JobState): void {
     this.dirtyJobs.add(job);
-    this.wakeCommit?.();
+    this.commitSignal.raise();
   }
 
   private notePhase(job: JobState): void {
@@ -362,11 +364,15 @@
 
   /** Asks for a round of decisions soon. */
   private kick(): void {
-    if (this.roundTimer !== null || !this.isActive) return;
-    this.roundTimer = setTimeout(() => {
-      this.roundTimer = null;
-      this.runRound();
-    }, ROUND_GAP_MS);
+    if (this.isRoundDue || !this.isActive) return;
+    this.isRoundDue = true;
+    void this.roundSoon();
+  }
+
+  private async roundSoon(): Promise<void> {
+    await this.deps.clock.sleep(ROUND_GAP_MS);
+    this.isRoundDue = false;
+    this.runRound();
   }
 
   private runRound(): void {
@@ -423,6 +429,13 @@
     this.deps.publish(rows);
   }
 
+  private async tickLoop(): Promise<void> {
+    while (!this.isClosed) {
+      await this.deps.clock.sleep(TICK_MS);
+      this.tick();
+    }
+  }
+
   private tick(): void {
     if (!this.mayAct()) return;
     this.review.run();
@@ -444,7 +457,7 @@
       this.state.executors.delete(info.id);
       this.newExecutors.delete(executor);
       this.goneExecutors.add(info.id);
-      this.wakeCommit?.();
+      this.commitSignal.raise();
     }
   }
 
@@ -467,21 +480,10 @@
     while (!this.isClosed) {
       const hasWork = await this.commitOnce();
       if (hasWork) await this.deps.clock.sleep(COMMIT_GAP_MS);
-      else await this.commitNeeded();
+      else await this.commitSignal.wait(TICK_MS);
     }
   }
 
-  private commitNeeded(): Promise<void> {
-    return new Promise(resolve => {
-      const timer = setTimeout(resolve, TICK_MS);
-      this.wakeCommit = () => {
-        clearTimeout(timer);
-        this.wakeCommit = null;
-        resolve();
-      };
-    });
-  }
-
   /** Stores what has changed, then acknowledges and shows it. */
   private async commitOnce(): Promise<boolean> {
     const acks = this.readAcks();
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,4 +1,5 @@
 /** The store, also for a VM that it turns away: peers make its calls then. */
+import type {Clock} from '@dragonflyward/common';
 import {
   StoreError,
   Store,
@@ -33,14 +34,14 @@
   constructor(
     private readonly direct: Store,
     private readonly peers: () => readonly StorePeer[],
-    private readonly nowMs: () => number,
+    private readonly clock: Clock,
   ) {
     super();
   }
 
   /** Whether the newest direct call succeeded. */
   get isDirectOk(): boolean {
-    return this.nowMs() - this.directFailedMs > PEERS_FIRST_MS;
+    return this.clock.monotonicMs() - this.directFailedMs > PEERS_FIRST_MS;
   }
 
   override async append(
@@ -92,7 +93,8 @@
     hedgeMs: number,
   ): Promise<LogPage> {
     const first = this.settle(this.callDirect(direct));
-    const early = await Promise.race([first, after(hedgeMs)]);
+    const late = this.clock.sleep(hedgeMs).then(() => null);
+    const early = await Promise.race([first, late]);
     if (early !== null) {
       if ('page' in early) return early.page;
       if (isAnswer(early.err.failure)) throw early.err;
@@ -110,7 +112,7 @@
       return page;
     } catch (err) {
       if (err instanceof StoreError && !isAnswer(err.failure)) {
-        this.directFailedMs = this.nowMs();
+        this.directFailedMs = this.clock.monotonicMs();
       }
       throw err;
     }
@@ -191,10 +193,6 @@
   }
 }
 
-function after(delayMs: number): Promise<null> {
-  return new Promise(resolve => setTimeout(resolve, delayMs, null));
-}
-
 /**
  * Makes a call for a peer.
  *
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -93,7 +93,7 @@
     this.store = new RelayedStore(
       platform.store,
       () => this.members.storePeers(),
-      () => clock.monotonicMs(),
+      clock,
     );
     this.configFollower = new Follower(
       this.store,
--- /dev/null
+++ b/packages/cell/test/fake-executor.ts
@@ -0,0 +1,253 @@
+/** An executor that fences, leases and lists as the platform's pages say. */
+import type {Clock} from '@dragonflyward/common';
+import {
+  ExecutorClient,
+  type ExecutorInfo,
+  type HoldOrder,
+  type Inventory,
+  type ListedEnd,
+  type OrderFailure,
+  type OrderReply,
+  type RunEnd,
+  type StartOrder,
+} from '@dragonflyward/cell';
+
+/** A run as the executor keeps it. */
+export interface FakeRun {
+  readonly task: string;
+  readonly run: number;
+  readonly startedMs: number;
+  endsMs: number;
+  isStopping: boolean;
+}
+
+/** Told of what really happens, for the check of the rules. */
+export interface RunWitness {
+  readonly started: (executor: FakeExecutor, order: StartOrder) => void;
+  readonly ended: (
+    executor: FakeExecutor,
+    task: string,
+    run: number,
+    how: RunEnd | 'lost',
+  ) => void;
+  readonly acked: (task: string, run: number, how: RunEnd) => void;
+}
+
+/** What a task does: how long it runs and how it ends. */
+export type Behaviour = (
+  task: string,
+  run: number,
+) => {readonly ms: number; readonly how: RunEnd};
+
+const STOP_MS = 300;
+/** How exactly ends of runs are timed. */
+const LIVE_STEP_MS = 10;
+const LOST_MS = 700;
+const NO_CLOCK = Number.NaN;
+
+/** One executor over all its lives. */
+export class FakeExecutor {
+  readonly runs = new Map<string, FakeRun>();
+  private ended: ListedEnd[] = [];
+  private readonly stopped = new Map<string, number>();
+  private token = 0;
+  private leaseUntilMs = 0;
+  private lastEnd = 0;
+  private bornAtMs: number;
+  bornMs: number;
+  /** No order arrives and no answer comes back. */
+  isCut = false;
+  /** The executor is down. */
+  isDown = false;
+  /** Orders that are answered with silence and carried out late. */
+  lateOrders = 0;
+  lateMs = 4000;
+  wayMs = 10;
+
+  constructor(
+    readonly id: string,
+    readonly info: ExecutorInfo,
+    private readonly clock: Clock,
+    private readonly behave: Behaviour,
+    private readonly witness: RunWitness,
+  ) {
+    this.bornAtMs = clock.monotonicMs();
+    this.bornMs = clock.wallMs() + 1;
+    void this.live();
+  }
+
+  /** Ends this life and begins the next one. */
+  restart(): void {
+    for (const {task, run} of this.runs.values()) {
+      this.witness.ended(this, task, run, 'lost');
+    }
+    this.runs.clear();
+    this.ended = [];
+    this.stopped.clear();
+    this.token = 0;
+    this.leaseUntilMs = 0;
+    this.lastEnd = 0;
+    this.bornAtMs = this.clock.monotonicMs();
+    this.bornMs = this.clock.wallMs() + 1;
+  }
+
+  clockMs(): number {
+    return Math.floor(this.clock.monotonicMs() - this.bornAtMs) + 1000;
+  }
+
+  start(order: StartOrder): OrderFailure | null {
+    if (order.token < this.token) return 'fenced';
+    this.token = order.token;
+    if (order.leaseUntilMs <= this.clockMs()) return 'late';
+    this.extend(order.leaseUntilMs);
+    const known = this.runs.get(order.task);
+    if (known !== undefined) return known.run === order.run ? null : 'oldRun';
+    if (order.run <= (this.stopped.get(order.task) ?? 0)) return 'oldRun';
+    const startedMs = this.clock.monotonicMs();
+    const {ms} = this.behave(order.task, order.run);
+    this.runs.set(order.task, {
+      task: order.task,
+      run: order.run,
+      startedMs,
+      endsMs: startedMs + ms,
+      isStopping: false,
+    });
+    this.witness.started(this, order);
+    return null;
+  }
+
+  stop(task: string, run: number, token: number): OrderFailure | null {
+    if (token < this.token) return 'fenced';
+    this.token = token;
+    this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0));
+    const known = this.runs.get(task);
+    if (known === undefined || known.run > run || known.isStopping) return null;
+    known.isStopping = true;
+    known.endsMs = this.clock.monotonicMs() + STOP_MS;
+    return null;
+  }
+
+  hold({token, leaseUntilMs, ackedThrough}: HoldOrder): Inventory | OrderFailure {
+    if (token < this.token) return 'fenced';
+    this.token = token;
+    this.expire();
+    if (leaseUntilMs !== undefined) this.extend(leaseUntilMs);
+    for (const end of this.ended) {
+      if (end.number > ackedThrough) continue;
+      this.witness.acked(end.task, end.run, end.how);
+    }
+    this.ended = this.ended.filter(({number}) => number > ackedThrough);
+    return {
+      clockMs: this.clockMs(),
+      bornMs: this.bornMs,
+      running: [...this.runs.values()].map(({task, run}) => ({
+        task,
+        run,
+        checkpoint: '',
+        percent: 100,
+        usage: Number.NaN,
+      })),
+      ended: [...this.ended],
+    };
+  }
+
+  private extend(untilMs: number): void {
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
+  }
+
+  /** Ends runs whose time has come and those whose lease has ended. */
+  private async live(): Promise<void> {
+    for (;;) {
+      await this.clock.sleep(LIVE_STEP_MS);
+      this.expire();
+    }
+  }
+
+  private expire(): void {
+    const nowMs = this.clock.monotonicMs();
+    const hasLapsed = this.clockMs() >= this.leaseUntilMs;
+    for (const run of [...this.runs.values()]) {
+      if (hasLapsed) this.end(run, 'lapsed');
+      else if (nowMs >= run.endsMs) {
+        const {how} = this.behave(run.task, run.run);
+        this.end(run, run.isStopping ? 'stopped' : how);
+      }
+    }
+  }
+
+  private end({task, run}: FakeRun, how: RunEnd): void {
+    this.runs.delete(task);
+    this.lastEnd += 1;
+    this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0));
+    this.ended.push({number: this.lastEnd, task, run, how, checkpoint: ''});
+    this.witness.ended(this, task, run, how);
+  }
+}
+
+/** One caller's connection to a fake executor. */
+export class FakeExecutorClient extends ExecutorClient {
+  constructor(
+    private readonly executor: FakeExecutor,
+    private readonly clock: Clock,
+    /** Whether this caller can reach executors now. */
+    private readonly isReachable: () => boolean,
+  ) {
+    super();
+  }
+
+  override start(order: StartOrder): Promise<OrderReply> {
+    return this.send(() => this.executor.start(order));
+  }
+
+  override stop(task: string, run: number, token: number): Promise<OrderReply> {
+    return this.send(() => this.executor.stop(task, run, token));
+  }
+
+  override pace(): Promise<OrderReply> {
+    return this.send(() => null);
+  }
+
+  override async hold(order: HoldOrder): Promise<Inventory | OrderReply> {
+    let inventory: Inventory | OrderFailure = 'unknown';
+    const reply = await this.send(() => {
+      inventory = this.executor.hold(order);
+      return typeof inventory === 'string' ? inventory : null;
+    });
+    return reply.failure === null && typeof inventory !== 'string'
+      ? (inventory as Inventory)
+      : reply;
+  }
+
+  override close(): void {
+    // A fake has no connection to close.
+  }
+
+  private async send(order: () => OrderFailure | null): Promise<OrderReply> {
+    const {executor, clock} = this;
+    await clock.sleep(executor.wayMs);
+    if (!this.canReach()) return this.lost();
+    if (executor.lateOrders > 0) {
+      executor.lateOrders -= 1;
+      void this.sendLate(order);
+      return this.lost();
+    }
+    const failure = order();
+    const clockMs = executor.clockMs();
+    await clock.sleep(executor.wayMs);
+    return this.canReach() ? {failure, clockMs} : this.lost();
+  }
+
+  private async sendLate(order: () => OrderFailure | null): Promise<void> {
+    await this.clock.sleep(this.executor.lateMs);
+    if (!this.executor.isDown) order();
+  }
+
+  private canReach(): boolean {
+    return !this.executor.isDown && !this.executor.isCut && this.isReachable();
+  }
+
+  private async lost(): Promise<OrderReply> {
+    await this.clock.sleep(LOST_MS);
+    return {failure: 'unknown', clockMs: NO_CLOCK};
+  }
+}
--- /dev/null
+++ b/packages/cell/test/rules.ts
@@ -0,0 +1,95 @@
+/** Watches what executors really run and notes each broken promise. */
+import type {RunEnd, StartOrder} from '@dragonflyward/cell';
+import type {FakeExecutor, RunWitness} from './fake-executor.js';
+
+/** What the check knows of a submitted job. */
+export interface WatchedJob {
+  readonly id: string;
+  readonly counts: readonly number[];
+  readonly after: readonly (readonly number[])[];
+  readonly cpuMilli: number;
+  readonly maxAttempts: number;
+  isCancelled: boolean;
+}
+
+interface Running {
+  readonly executor: FakeExecutor;
+  readonly run: number;
+}
+
+/** The promises that hold at every moment, as executors see them. */
+export class RuleWatch implements RunWitness {
+  readonly broken: string[] = [];
+  readonly jobs = new Map<string, WatchedJob>();
+  readonly doneTasks = new Set<string>();
+  starts = 0;
+  private readonly running = new Map<string, Running[]>();
+  private readonly ackedDone = new Set<string>();
+  private readonly ackedFailed = new Map<string, Set<number>>();
+  private readonly used = new Map<FakeExecutor, number>();
+
+  readonly started = (executor: FakeExecutor, order: StartOrder): void => {
+    this.starts += 1;
+    const {task, run} = order;
+    const job = this.jobs.get(task.split('.')[0] ?? '');
+    if (job === undefined) return this.note(`unasked: ${task}`);
+    if (job.isCancelled) this.note(`cancelled job started: ${task}`);
+    const here = this.running.get(task) ?? [];
+    if (here.length > 0) this.note(`twice: ${task} runs ${here[0]?.run}, ${run}`);
+    if (this.ackedDone.has(task)) this.note(`started after done: ${task}`);
+    const failed = this.ackedFailed.get(task)?.size ?? 0;
+    if (failed >= job.maxAttempts) this.note(`over budget: ${task}`);
+    this.checkOrder(job, task);
+    this.running.set(task, [...here, {executor, run}]);
+    const used = (this.used.get(executor) ?? 0) + job.cpuMilli;
+    this.used.set(executor, used);
+    if (used > executor.info.capacity.cpuMilli) this.note(`over limit: ${task}`);
+  };
+
+  readonly ended = (
+    executor: FakeExecutor,
+    task: string,
+    run: number,
+    how: RunEnd | 'lost',
+  ): void => {
+    const here = this.running.get(task) ?? [];
+    const rest = here.filter(r => r.executor !== executor || r.run !== run);
+    this.running.set(task, rest);
+    const job = this.jobs.get(task.split('.')[0] ?? '');
+    const used = this.used.get(executor) ?? 0;
+    this.used.set(executor, used - (job?.cpuMilli ?? 0));
+    if (how === 'done') this.doneTasks.add(task);
+  };
+
+  readonly acked = (task: string, run: number, how: RunEnd): void => {
+    if (how === 'done') this.ackedDone.add(task);
+    if (how !== 'failed') return;
+    const failed = this.ackedFailed.get(task) ?? new Set<number>();
+    failed.add(run);
+    this.ackedFailed.set(task, failed);
+  };
+
+  /** Whether all tasks of a job have ended done. */
+  isJobDone({id, counts}: WatchedJob): boolean {
+    return counts.every((count, step) =>
+      Array.from({length: count}).every((_, i) =>
+        this.doneTasks.has(`${id}.0.${step}.${i}`),
+      ),
+    );
+  }
+
+  private checkOrder(job: WatchedJob, task: string): void {
+    const step = Number(task.split('.')[2]);
+    for (const before of job.after[step] ?? []) {
+      const count = job.counts[before] ?? 0;
+      for (let i = 0; i < count; i += 1) {
+        const name = `${job.id}.0.${before}.${i}`;
+        if (!this.doneTasks.has(name)) this.note(`out of order: ${task}`);
+      }
+    }
+  }
+
+  private note(what: string): void {
+    this.broken.push(what);
+  }
+}
