--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -3,10 +3,12 @@
 import type {JobTable} from './job-table.js';
 import type {JobRow} from './messages.js';
 import type {LogLine} from './platform.js';
-import {cancelKey, encodeJob, jobKey, JOBS_TOPIC} from './records.js';
+import {cancelKey, encodeJob, jobKey} from './records.js';
 import {StoreError, type KeyedRecord, type Store} from './store.js';
 import {isFinal, type JobPhase, type JobSpec, type Queue} from './types.js';
 
+/** How long the store may take to accept a job, in ms; callers wait 3 s. */
+const APPEND_TIMEOUT_MS = 2200;
 /** How long callers should wait when the store takes nothing, in seconds. */
 const STORE_RETRY_AFTER_S = 1;
 
@@ -42,6 +44,8 @@
 /** What the front needs of its VM. */
 export interface FrontDeps {
   readonly store: Store;
+  /** The topic to which this VM appends. */
+  readonly jobsTopic: string;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: LogLine;
@@ -167,7 +171,9 @@
 
   private async append(records: readonly KeyedRecord[]): Promise<WriteOutcome> {
     try {
-      await this.deps.store.append(JOBS_TOPIC, records);
+      const {store, jobsTopic} = this.deps;
+      const timeoutMs = APPEND_TIMEOUT_MS;
+      await store.append(jobsTopic, records, {timeoutMs});
       return 'stored';
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -25,7 +25,7 @@
 }
 
 /** What is known of a connected VM. */
-interface Member {
+export interface Member {
   readonly connection: CellConnection;
   readonly address: OwnerAddress;
   readonly domain: string;
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -57,6 +57,14 @@
   readonly members: readonly OwnerAddress[];
 }
 
+/** The sender owned the cell and has written the receiver's name. */
+export interface HandoverNotice {
+  readonly type: 'handover';
+  readonly term: number;
+  /** Where the owner's topic ends after that. */
+  readonly endOffset: number;
+}
+
 /** Asks the owner for a job's phase. */
 export interface PhaseAsk {
   readonly type: 'phaseAsk';
@@ -133,5 +141,6 @@
     | JobNotice
     | CancelNotice
     | JobsNotice
-    | MembersNotice;
+    | MembersNotice
+    | HandoverNotice;
 }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -18,7 +18,7 @@
   decodeJobsEntry,
   encodeProgress,
   jobKey,
-  JOBS_TOPIC,
+  JOBS_TOPICS,
   PROGRESS_TOPIC,
 } from './records.js';
 import {Review} from './review.js';
@@ -32,7 +32,7 @@
 /** Key prefix of the records of a job's progress. */
 const PROGRESS_PREFIX = 'p/';
 /** Pause between reads of jobs that no VM has told of, in ms. */
-const JOBS_PAUSE_MS = 500;
+const JOBS_PAUSE_MS = 600;
 /** Pause between reads of what executors say of themselves, in ms. */
 const EXECUTORS_PAUSE_MS = 400;
 /** Pause after an append of progress, in which more is gathered, in ms. */
@@ -72,7 +72,7 @@
   private readonly tasks = new Map<string, ExecutorTask>();
   private readonly desk: AdviceDesk;
   private readonly writer: ProgressWriter;
-  private readonly jobsFollower: Follower;
+  private readonly jobsFollowers: readonly Follower[];
   private readonly executorsFollower: Follower;
   private readonly review: Review;
   private readonly dirtyJobs = new Set<JobState>();
@@ -109,11 +109,14 @@
     );
     const mayWrite = (): boolean => !this.isClosed && !ownership.isSuperseded;
     this.writer = new ProgressWriter(store, clock, ownership.term, mayWrite);
-    this.jobsFollower = new Follower(
-      store,
-      clock,
-      {topic: JOBS_TOPIC, pauseMs: JOBS_PAUSE_MS, waitMs: 0},
-      record => this.takeJobsRecord(record),
+    this.jobsFollowers = JOBS_TOPICS.map(
+      topic =>
+        new Follower(
+          store,
+          clock,
+          {topic, pauseMs: JOBS_PAUSE_MS, waitMs: 0},
+          record => this.takeJobsRecord(record),
+        ),
     );
     this.executorsFollower = new Follower(
       store,
@@ -145,7 +148,7 @@
       executors: this.state.executors.size,
       tookMs: Math.round(this.deps.clock.monotonicMs() - this.claimedMs),
     });
-    void this.jobsFollower.run();
+    for (const follower of this.jobsFollowers) void follower.run();
     void this.executorsFollower.run();
     void this.commitLoop();
     void this.tickLoop();
@@ -157,7 +160,7 @@
   close(): void {
     this.isClosed = true;
     this.isActive = false;
-    this.jobsFollower.stop();
+    for (const follower of this.jobsFollowers) follower.stop();
     this.executorsFollower.stop();
     for (const task of this.tasks.values()) task.close();
     this.commitSignal.raise();
@@ -196,7 +199,8 @@
 
   /** Whether a job that is not known here does not exist. */
   get isSure(): boolean {
-    const ageMs = this.deps.clock.monotonicMs() - this.jobsFollower.freshMs;
+    const readMs = Math.min(...this.jobsFollowers.map(each => each.freshMs));
+    const ageMs = this.deps.clock.monotonicMs() - readMs;
     return this.isActive && ageMs < SURE_AGE_MS;
   }
 
@@ -204,7 +208,7 @@
     const {store} = this.deps;
     const [progress] = await Promise.all([
       store.newest(PROGRESS_TOPIC),
-      this.jobsFollower.load(),
+      ...this.jobsFollowers.map(each => each.load()),
       this.executorsFollower.load(),
     ]);
     for (const record of progress.records) this.takeProgress(record);
@@ -520,7 +524,9 @@
   private async forgetStored(ids: readonly string[]): Promise<void> {
     const keys = ids.flatMap(id => [jobKey(id), cancelKey(id)]);
     try {
-      await this.deps.store.append(JOBS_TOPIC, keys.map(tombstone));
+      for (const topic of JOBS_TOPICS) {
+        await this.deps.store.append(topic, keys.map(tombstone));
+      }
     } catch (err) {
       this.deps.log('forgetFailed', {jobs: ids.length, err: String(err)});
     }
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -154,6 +154,26 @@
     await this.writes.add(() => this.write(this.record));
   }
 
+  /**
+   * Makes another process the owner; the caller has stopped acting before.
+   *
+   * @returns where the owner's topic ends, or -1 where it is not known that
+   *     the handover is stored
+   */
+  async handOver(successor: OwnerAddress): Promise<number> {
+    this.isLost = true;
+    const {vm, ip, port, incarnation} = successor;
+    const term = this.record.term + 1;
+    const record = {vm, ip, port, incarnation, term, isReleased: false};
+    await this.writes.onIdle();
+    try {
+      return await appendOwner(this.store, record, this.endOffset);
+    } catch (err) {
+      if (err instanceof StoreError) return -1;
+      throw err;
+    }
+  }
+
   /** Gives the cell up; the caller has stopped acting before. */
   async release(): Promise<void> {
     this.isLost = true;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -9,16 +9,38 @@
 } from './job-state.js';
 import {isFinal, type JobPhase} from './types.js';
 
-/** Accepted jobs and cancels, written by every VM. */
-export const JOBS_TOPIC = 'keyed.jobs';
+/**
+ * Accepted jobs and cancels, written by every VM. The store appends to one
+ * topic at a time, so that few writers share each one when it is slow.
+ */
+export const JOBS_TOPICS: readonly string[] = [
+  'keyed.jobs-0',
+  'keyed.jobs-1',
+  'keyed.jobs-2',
+  'keyed.jobs-3',
+];
 /** Progress of jobs, written by the owner only. */
 export const PROGRESS_TOPIC = 'keyed.progress';
 /** Claims and heartbeats of owners. */
 export const OWNER_TOPIC = 'keyed.owner';
 
+/** Spreads names that differ in their last character. */
+const HASH_FACTOR = 31;
 const JOB_PREFIX = 'j/';
 const CANCEL_PREFIX = 'c/';
 
+/**
+ * The topic to which a VM appends.
+ *
+ * @example
+ * await store.append(jobsTopicOf('vm-3'), records);
+ */
+export function jobsTopicOf(vm: string): string {
+  let hash = 0;
+  for (const char of vm) hash = (hash * HASH_FACTOR + char.charCodeAt(0)) | 0;
+  return JOBS_TOPICS[Math.abs(hash) % JOBS_TOPICS.length] ?? '';
+}
+
 /** The key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -10,8 +10,13 @@
 } from './store.js';
 import type {StoreCall, StoreReply} from './messages.js';
 
-/** A direct call without an answer for that long is also made by a peer. */
-const HEDGE_AFTER_MS = 300;
+/** A direct call that takes this many times the usual is made by a peer too. */
+const HEDGE_FACTOR = 4;
+/** Bounds of the time after which that happens, in ms. */
+const MIN_HEDGE_MS = 250;
+const MAX_HEDGE_MS = 1500;
+/** Weight of the newest call in the usual time. */
+const LATENCY_WEIGHT = 0.3;
 /** After a failed direct call, peers are asked first for that long, in ms. */
 const PEERS_FIRST_MS = 1000;
 /** How long a peer may take, in ms. */
@@ -30,6 +35,8 @@
 /** Makes each call itself, through a peer, or both. */
 export class RelayedStore extends Store {
   private directFailedMs = -Infinity;
+  /** The usual time of a direct call, without its own waiting. */
+  private latencyMs = 0;
 
   constructor(
     private readonly direct: Store,
@@ -75,14 +82,14 @@
     waitMs = 0,
   ): Promise<LogPage> {
     const peers = this.peers().slice(0, PEERS_PER_CALL);
-    if (peers.length === 0) return this.callDirect(direct);
+    if (peers.length === 0) return this.callDirect(direct, waitMs);
     if (!this.isDirectOk) {
       const relayed = await this.settle(relay(call, peers));
       if ('page' in relayed) return relayed.page;
       if (relayed.err.failure !== 'refused') throw relayed.err;
-      return this.callDirect(direct);
+      return this.callDirect(direct, waitMs);
     }
-    return this.callHedged(call, peers, direct, HEDGE_AFTER_MS + waitMs);
+    return this.callHedged(call, peers, direct, waitMs);
   }
 
   /** Calls directly, and through a peer where that fails or takes long. */
@@ -90,9 +97,12 @@
     call: StoreCall,
     peers: readonly StorePeer[],
     direct: () => Promise<LogPage>,
-    hedgeMs: number,
+    waitMs: number,
   ): Promise<LogPage> {
-    const first = this.settle(this.callDirect(direct));
+    const first = this.settle(this.callDirect(direct, waitMs));
+    const usualMs = HEDGE_FACTOR * this.latencyMs;
+    const hedgeMs =
+      waitMs + Math.max(MIN_HEDGE_MS, Math.min(MAX_HEDGE_MS, usualMs));
     const late = this.clock.sleep(hedgeMs).then(() => null);
     const early = await Promise.race([first, late]);
     if (early !== null) {
@@ -105,9 +115,17 @@
     throw winner.err;
   }
 
-  private async callDirect(direct: () => Promise<LogPage>): Promise<LogPage> {
+  private async callDirect(
+    direct: () => Promise<LogPage>,
+    waitMs: number,
+  ): Promise<LogPage> {
+    const sentMs = this.clock.monotonicMs();
     try {
       const page = await direct();
+      const tookMs = this.clock.monotonicMs() - sentMs;
+      if (waitMs === 0) {
+        this.latencyMs += (tookMs - this.latencyMs) * LATENCY_WEIGHT;
+      }
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -6,7 +6,7 @@
 import {
   decodeJobsEntry,
   decodePhase,
-  JOBS_TOPIC,
+  JOBS_TOPICS,
   PROGRESS_TOPIC,
 } from './records.js';
 import type {PlacedRecord, Store} from './store.js';
@@ -19,7 +19,7 @@
 const PROGRESS_PREFIX = 'p/';
 
 interface Followers {
-  readonly jobs: Follower;
+  readonly jobs: readonly Follower[];
   readonly progress: Follower;
 }
 
@@ -37,11 +37,11 @@
   start(): void {
     if (this.followers !== null) return;
     const options = {pauseMs: READ_PAUSE_MS, waitMs: 0};
-    const jobs = new Follower(
-      this.store,
-      this.clock,
-      {...options, topic: JOBS_TOPIC},
-      record => this.takeJob(record),
+    const jobs = JOBS_TOPICS.map(
+      topic =>
+        new Follower(this.store, this.clock, {...options, topic}, record =>
+          this.takeJob(record),
+        ),
     );
     const progress = new Follower(
       this.store,
@@ -50,13 +50,13 @@
       record => this.takeProgress(record),
     );
     this.followers = {jobs, progress};
-    void jobs.run();
+    for (const follower of jobs) void follower.run();
     void progress.run();
   }
 
   /** Ends the reading. */
   stop(): void {
-    this.followers?.jobs.stop();
+    for (const follower of this.followers?.jobs ?? []) follower.stop();
     this.followers?.progress.stop();
     this.followers = null;
   }
@@ -65,7 +65,8 @@
   lookup(id: string): Lookup {
     const row = this.table.get(id) ?? null;
     if (this.followers === null) return {row, isSure: false};
-    const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
+    const readMs = Math.min(...this.followers.jobs.map(each => each.freshMs));
+    const ageMs = this.clock.monotonicMs() - readMs;
     return {row, isSure: ageMs < SURE_AGE_MS};
   }
 
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -7,6 +7,7 @@
 import {
   MemberHandler,
   Members,
+  type Member,
   type CellConnection,
   type CellPeerInfo,
 } from './members.js';
@@ -19,14 +20,15 @@
 import {Owner} from './owner.js';
 import {
   claimCell,
+  Ownership,
   OWNER_HEARTBEAT_MS,
   readOwner,
   type OwnerAddress,
   type OwnerReading,
   type OwnerRecord,
-  type Ownership,
 } from './ownership.js';
 import type {LogLine, Platform} from './platform.js';
+import {jobsTopicOf} from './records.js';
 import {makeStoreCall, RelayedStore} from './relayed-store.js';
 import {StoreError, type PlacedRecord} from './store.js';
 import {StoredJobs} from './stored-jobs.js';
@@ -44,6 +46,8 @@
 const MAX_CLAIM_DELAY_MS = 400;
 /** An owner that no VM is connected to gives up after that time, in ms. */
 const ALONE_MS = 2000;
+/** A handover may have been written that long before it is heard of, in ms. */
+const HANDOVER_AGE_MS = 2000;
 /** Without an owner for that long, a VM reads the jobs itself, in ms. */
 const DETACHED_MS = 1000;
 /** How long the store may wait for a configuration, in ms. */
@@ -104,6 +108,7 @@
     this.storedJobs = new StoredJobs(this.store, clock, this.table);
     this.front = new Front({
       store: this.store,
+      jobsTopic: jobsTopicOf(self.vm),
       clock,
       metrics,
       log,
@@ -138,14 +143,54 @@
     this.isDraining = true;
     const {owner, ownership} = this;
     if (owner === null || ownership === null) return;
-    this.deps.log('ownerHandsOver', {term: ownership.term});
     owner.close();
-    await ownership.release();
-    this.known = {...this.deps.self, term: ownership.term, isReleased: true};
+    const successor = this.chooseSuccessor();
+    this.deps.log('ownerHandsOver', {
+      term: ownership.term,
+      successor: successor?.address.vm ?? '',
+    });
+    if (successor !== null) await this.handOver(ownership, successor);
+    else await ownership.release();
     this.dropOwner();
     this.broadcast(this.heartbeat());
   }
 
+  /** A VM that can own the cell, in this failure domain if there is one. */
+  private chooseSuccessor(): Member | null {
+    const able = [...this.members.connected()].filter(
+      ({isStoreOk, isDraining}) => isStoreOk && !isDraining,
+    );
+    const isNear = ({domain}: Member): boolean => domain === this.deps.domain;
+    return able.find(isNear) ?? able[0] ?? null;
+  }
+
+  /** Writes the successor's name into the store and tells it. */
+  private async handOver(
+    ownership: Ownership,
+    {address, connection}: Member,
+  ): Promise<void> {
+    const endOffset = await ownership.handOver(address);
+    if (endOffset < 0) return;
+    const term = ownership.term + 1;
+    connection.notify({type: 'handover', term, endOffset});
+    this.follow({...address, term, isReleased: false});
+  }
+
+  /** The former owner has written this VM's name into the store. */
+  private takeOver(term: number, endOffset: number): void {
+    const {self, clock, log} = this.deps;
+    if (this.isDraining || this.ownership !== null) return;
+    if (term <= (this.known?.term ?? 0)) return;
+    log('ownerTakesOver', {term});
+    this.known = {...self, term, isReleased: false};
+    const sentMs = clock.monotonicMs() - HANDOVER_AGE_MS;
+    const proof = {sentMs, endOffset};
+    const ownership = new Ownership(this.store, clock, this.known, proof);
+    this.ownership = ownership;
+    this.members.setOwner(self);
+    void this.runOwner(ownership, true);
+  }
+
   /** Ends everything. */
   close(): void {
     this.isClosed = true;
@@ -206,6 +251,8 @@
         return;
       case 'members':
         return this.members.setKnown(notice.members);
+      case 'handover':
+        return this.takeOver(notice.term, notice.endOffset);
     }
   }
 
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -4,7 +4,7 @@
   claimCell,
   encodeJob,
   jobKey,
-  JOBS_TOPIC,
+  jobsTopicOf,
   cancelKey,
   Owner,
   OWNER_HEARTBEAT_MS,
@@ -216,14 +216,14 @@
       isCancelled: false,
     });
     const value = encodeJob(job);
-    this.memory.append(JOBS_TOPIC, [{key: jobKey(id), value}], {});
+    this.memory.append(jobsTopicOf(id), [{key: jobKey(id), value}], {});
     for (const {owner} of owners) owner?.addStoredJob(value);
   }
 
   /** Stores a cancel as a VM does, and tells the owner. */
   cancel(id: string, owners: readonly Seat[]): void {
     const value = Uint8Array.of(1);
-    this.memory.append(JOBS_TOPIC, [{key: cancelKey(id), value}], {});
+    this.memory.append(jobsTopicOf(id), [{key: cancelKey(id), value}], {});
     for (const {owner} of owners) owner?.addStoredCancel(id);
     void this.expectCancelled(id);
   }
