--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -7,7 +7,12 @@
   type PeerInfo,
 } from '@dragonflyward/peer';
 import type {Server} from 'node:net';
-import type {CellProtocol, StoreCall, StoreReply} from './messages.js';
+import type {
+  CellHeartbeat,
+  CellProtocol,
+  StoreCall,
+  StoreReply,
+} from './messages.js';
 import type {OwnerAddress} from './ownership.js';
 import type {StorePeer} from './relayed-store.js';
 
@@ -31,6 +36,8 @@
   readonly domain: string;
   isStoreOk: boolean;
   isDraining: boolean;
+  /** The term of the owner that the VM is connected to; 0 for none. */
+  seenTerm: number;
 }
 
 /** All connections of one VM. */
@@ -80,7 +87,8 @@
     const {info} = connection;
     if (info === undefined) return;
     const {self: address, domain} = info;
-    const member = {connection, address, domain, isStoreOk: true, isDraining: false};
+    const unknown = {isStoreOk: true, isDraining: false, seenTerm: 0};
+    const member = {connection, address, domain, ...unknown};
     this.open.set(connection, member);
   }
 
@@ -90,14 +98,25 @@
   }
 
   /** Takes in what a peer's heartbeat says of it. */
-  note(vm: string, isStoreOk: boolean, isDraining: boolean): void {
+  note(vm: string, beat: CellHeartbeat): void {
     for (const member of this.open.values()) {
       if (member.address.vm !== vm) continue;
-      member.isStoreOk = isStoreOk;
-      member.isDraining = isDraining;
+      member.isStoreOk = beat.isStoreOk;
+      member.isDraining = beat.isDraining;
+      member.seenTerm = beat.isOwnerSeen ? beat.term : 0;
     }
   }
 
+  /** Whether a connected VM is connected to the owner of that term. */
+  isOwnerSeen(term: number): boolean {
+    return [...this.connected()].some(({seenTerm}) => seenTerm >= term);
+  }
+
+  /** How many VMs are connected. */
+  get count(): number {
+    return this.addresses().length;
+  }
+
   /** The open connection to a VM's newest process, where there is one. */
   connectionTo(address: OwnerAddress): CellConnection | undefined {
     for (const {connection, address: at} of this.open.values()) {
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -21,6 +21,8 @@
   /** Whether the sender's newest call to the store succeeded. */
   readonly isStoreOk: boolean;
   readonly isDraining: boolean;
+  /** Whether the sender is the owner or connected to it. */
+  readonly isOwnerSeen: boolean;
 }
 
 /** A job that the sender has stored; the owner need not wait to read it. */
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -24,7 +24,7 @@
 import {Review} from './review.js';
 import {decideRound} from './schedule.js';
 import {Signal} from './signal.js';
-import type {KeyedRecord, PlacedRecord, Store} from './store.js';
+import type {KeyedRecord, LogPage, PlacedRecord, Store} from './store.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
 
 /** Key prefix of the records that name the executors in use. */
@@ -139,8 +139,7 @@
    */
   async start(config: CellConfig | null): Promise<boolean> {
     if (config !== null) this.state.setConfig(config);
-    if (!(await this.writer.open())) return false;
-    await this.load();
+    if (!(await this.load())) return false;
     this.isActive = true;
     this.deps.log('ownerActive', {
       term: this.state.term,
@@ -204,16 +203,23 @@
     return this.isActive && ageMs < SURE_AGE_MS;
   }
 
-  private async load(): Promise<void> {
-    const {store} = this.deps;
+  private async load(): Promise<boolean> {
     const [progress] = await Promise.all([
-      store.newest(PROGRESS_TOPIC),
+      this.loadProgress(),
       ...this.jobsFollowers.map(each => each.load()),
       this.executorsFollower.load(),
     ]);
+    if (progress === null) return false;
     for (const record of progress.records) this.takeProgress(record);
     for (const id of this.state.jobs.keys()) this.inheritedJobs.add(id);
     this.deps.publish(this.allRows());
+    return true;
+  }
+
+  /** Null where another owner has taken over meanwhile. */
+  private async loadProgress(): Promise<LogPage | null> {
+    if (!(await this.writer.open())) return null;
+    return this.deps.store.newest(PROGRESS_TOPIC);
   }
 
   private takeProgress({key, value}: PlacedRecord): void {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -37,9 +37,11 @@
 /** Time between two looks at the owner, in ms. */
 const WATCH_MS = 100;
 /** An owner without a connection for that long is looked for, in ms. */
-const SUSPECT_MS = 400;
+const SUSPECT_MS = 250;
 /** Time in which a living owner writes a heartbeat, in ms. */
 const SILENT_OWNER_MS = OWNER_HEARTBEAT_MS * 1.6;
+/** The same where other VMs have lost the owner too. */
+const AGREED_MS = 100;
 /** A VM waits this many times its way to the store before it claims. */
 const CLAIM_DELAY_FACTOR = 4;
 /** The most that it waits, in ms. */
@@ -142,8 +144,8 @@
   async drain(): Promise<void> {
     this.isDraining = true;
     const {owner, ownership} = this;
-    if (owner === null || ownership === null) return;
-    owner.close();
+    if (ownership === null) return;
+    owner?.close();
     const successor = this.chooseSuccessor();
     this.deps.log('ownerHandsOver', {
       term: ownership.term,
@@ -215,6 +217,7 @@
       configVersion: config?.version ?? -1,
       isStoreOk: this.store.isDirectOk,
       isDraining,
+      isOwnerSeen: this.ownership !== null || this.isLinked(),
     };
   }
 
@@ -268,6 +271,8 @@
 
   override peerDown(connection: CellConnection): void {
     this.members.remove(connection);
+    const isOwner = connection.info?.self.vm === this.known?.vm;
+    if (isOwner && !this.isLinked()) this.broadcast(this.heartbeat());
   }
 
   private async advise(ask: {
@@ -281,7 +286,7 @@
   }
 
   private takeHeartbeat(from: CellPeerInfo, beat: CellHeartbeat): void {
-    this.members.note(from.self.vm, beat.isStoreOk, beat.isDraining);
+    this.members.note(from.self.vm, beat);
     if (beat.owner !== null && beat.term > (this.known?.term ?? 0)) {
       this.follow({...beat.owner, term: beat.term, isReleased: false});
     }
@@ -467,18 +472,19 @@
     const reading = await readOwner(this.store);
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.isKnownNow(reading)) return;
+    if (reading.record?.vm === this.deps.self.vm) return this.claim(reading);
+    // VMs near the store are first, so that claims do not race.
     const delayMs = Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_FACTOR);
     const isFree = reading.record === null || reading.record.isReleased;
-    const isOwnOldRun = reading.record?.vm === this.deps.self.vm;
-    const waitMs = isFree || isOwnOldRun ? 0 : SILENT_OWNER_MS;
-    await clock.sleep(waitMs + delayMs);
-    if (this.isDraining || this.isLinked()) return;
-    const again = waitMs + delayMs > 0 ? await readOwner(this.store) : reading;
-    if (again.endOffset !== reading.endOffset) {
-      this.isKnownNow(again);
-      return;
-    }
-    await this.claim(again);
+    await clock.sleep(delayMs);
+    if (this.isLinked()) return;
+    if (isFree) return this.claim(reading);
+    if (this.members.isOwnerSeen(reading.record?.term ?? 0)) return;
+    await clock.sleep(this.members.count > 0 ? AGREED_MS : SILENT_OWNER_MS);
+    if (this.isLinked()) return;
+    const again = await readOwner(this.store);
+    if (again.endOffset === reading.endOffset) return this.claim(again);
+    this.isKnownNow(again);
   }
 
   /** Follows the owner that the store names, where it is a newer one. */
@@ -494,8 +500,10 @@
   private async claim(reading: OwnerReading): Promise<void> {
     const {self, clock, log} = this.deps;
     const {record} = reading;
+    if (this.isDraining) return;
     const ownership = await claimCell(this.store, clock, self, reading);
     if (ownership === null) return;
+    if (this.hasToDrain()) return ownership.release();
     const isFormerStopped =
       record === null || record.isReleased || record.vm === self.vm;
     log('ownerClaimed', {
@@ -510,6 +518,11 @@
     await this.runOwner(ownership, isFormerStopped);
   }
 
+  /** Looked at anew after a wait, in which the process may be told to end. */
+  private hasToDrain(): boolean {
+    return this.isDraining;
+  }
+
   private async runOwner(
     ownership: Ownership,
     isFormerStopped: boolean,
