--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -203,6 +203,7 @@
     task.run = run;
     task.startedMs = nowMs;
     task.answeredMs = Infinity;
+    task.isDoubtful = false;
     task.percent = 100;
     this.place(task, executor);
     const {job} = task.step.occurrence;
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -51,6 +51,8 @@
   readonly leaseUntilMs?: number;
   /** How long the executor may wait for an end before it answers. */
   readonly waitMs: number;
+  /** When the order counts as not answered. */
+  readonly timeoutMs: number;
 }
 
 /** Why an executor did not do what it was told. */
--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-task.ts
@@ -21,7 +21,11 @@
 /** The longest lease that executors grant, in ms; stated by the platform. */
 export const MAX_LEASE_MS = 10_000;
 /** How long an executor may wait for an end before it answers, in ms. */
-const HOLD_WAIT_MS = 1000;
+const HOLD_WAIT_MS = 700;
+/** How long the answer may take on top of that, in ms. */
+const HOLD_SLACK_MS = 300;
+/** The same after a hold that was not answered, in ms. */
+const MISSED_SLACK_MS = 900;
 /** The same where tail latencies have to be watched, in ms. */
 const WATCH_WAIT_MS = 400;
 /** The same while a start has no answer yet, in ms. */
@@ -30,8 +34,10 @@
 const HOLD_GAP_MS = 15;
 /** Pause where an answer brought nothing new, in ms. */
 const NO_NEWS_GAP_MS = 60;
-/** Pause after a hold that was not answered, in ms. */
+/** Pause after an order that was not answered, in ms. */
 const MISSED_GAP_MS = 150;
+/** Pause after the first hold that was not answered, in ms. */
+const FIRST_MISSED_GAP_MS = 10;
 /** An executor that answers no hold in a row this often counts as gone. */
 const GONE_AFTER_MISSED = 8;
 
@@ -52,6 +58,8 @@
 export class ExecutorTask {
   private isClosed = false;
   private sentAck = 0;
+  /** When the newest list that was taken in was asked for. */
+  private listedMs = -Infinity;
   private readonly signal: Signal;
 
   constructor(
@@ -106,6 +114,7 @@
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.noteStarted(task);
     else this.noteNotStarted(task, reply);
+    if (task.isDoubtful) await this.look();
     this.poke();
   }
 
@@ -116,6 +125,7 @@
       if (reply.failure === null) {
         const isSame = task !== null && task.run === run;
         if (isSame) task.answeredMs = this.host.clock.monotonicMs();
+        if (isSame && task.isDoubtful) await this.look();
         break;
       }
       this.noteFailure(reply, `stop ${name}`);
@@ -148,31 +158,51 @@
   }
 
   private async holdOnce(): Promise<void> {
+    const {executor, host} = this;
+    const reply = await this.sendHold(this.waitMs());
+    if (this.isClosed || reply === null) return;
+    if (!isInventory(reply)) {
+      this.noteMissed(reply);
+      const isFirst = executor.missed === 1;
+      return host.clock.sleep(isFirst ? FIRST_MISSED_GAP_MS : MISSED_GAP_MS);
+    }
+  }
+
+  /** Reads the list at once, beside the hold that waits for an end. */
+  private async look(): Promise<void> {
+    if (this.isClosed || !this.host.mayAct()) return;
+    await this.sendHold(0);
+  }
+
+  /** Sends a hold and takes in its list; null where a newer one is known. */
+  private async sendHold(waitMs: number): Promise<Inventory | OrderReply | null> {
     const {executor, host} = this;
     const {ackedThrough, bornMs} = executor;
     // Sent once only: a new life that is not noticed yet counts from 1 again.
     const isAckNew = ackedThrough > this.sentAck && executor.missed === 0;
     const sentMs = host.clock.monotonicMs();
     const leaseUntilMs = this.extendLease();
+    const slackMs = executor.missed === 0 ? HOLD_SLACK_MS : MISSED_SLACK_MS;
     const reply = await this.client.hold({
       token: host.token,
       ackedThrough: isAckNew ? ackedThrough : 0,
-      waitMs: this.waitMs(),
+      waitMs,
+      timeoutMs: waitMs + slackMs,
       ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
     });
-    if (this.isClosed) return;
-    if (!isInventory(reply)) {
-      this.noteMissed(reply);
-      return host.clock.sleep(MISSED_GAP_MS);
-    }
+    if (this.isClosed || !isInventory(reply)) return reply;
+    // Answers may overtake each other: an older list would bring runs back.
+    if (sentMs < this.listedMs) return null;
+    this.listedMs = sentMs;
     const hasNews = this.takeInventory(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
     await host.clock.sleep(hasNews ? HOLD_GAP_MS : NO_NEWS_GAP_MS);
+    return reply;
   }
 
   private waitMs(): number {
-    const {tasks, isReached} = this.executor;
-    if (!isReached) return 0;
+    const {tasks, isReached, missed} = this.executor;
+    if (!isReached || missed > 0) return 0;
     let waitMs = HOLD_WAIT_MS;
     for (const {phase, step} of tasks) {
       if (phase === 'starting') return SOON_WAIT_MS;
@@ -212,6 +242,7 @@
     if (failure === 'unknown' || failure === 'oldRun') {
       // Only a later inventory tells whether a run of the task exists there.
       task.answeredMs = clock.monotonicMs();
+      task.isDoubtful = true;
       return;
     }
     this.noteFailure(reply, `start ${taskName(task)}`);
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -31,6 +31,8 @@
   checkpoint: string;
   /** The executor on which the newest failed run was; empty for none. */
   failedOn: string;
+  /** Whether it is not known that the run exists. */
+  isDoubtful: boolean;
   /** Runs that are not this one's and are being stopped. */
   strays: number;
   /** How often a run was stopped because it took too long. */
@@ -179,6 +181,7 @@
     failedRuns: [],
     checkpoint: '',
     failedOn: '',
+    isDoubtful: false,
     strays: 0,
     slowStops: 0,
     notBeforeMs: 0,
