--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -10,6 +10,8 @@
 const FAR_RACK_SLOWNESS = 2;
 /** How much a unit of slowness weighs against the use of a whole executor. */
 const SLOWNESS_WEIGHT = 2;
+/** The same for work that can wait, which is packed rather than spread. */
+const PATIENT_SLOWNESS_WEIGHT = 0.5;
 /** Added for each task with a latency target beside which a task would fill. */
 const BESIDE_SERVICE_PENALTY = 4;
 /** Added where the last run of the task failed. */
@@ -67,6 +69,12 @@
   return ticket !== undefined && ticket.validUntilMs > nowMs;
 }
 
+/** Tells whether the step may run there once it holds a ticket. */
+export function mayUse(step: StepState, executor: ExecutorState): boolean {
+  if (step.occurrence.job.queue.advice === null) return true;
+  return step.allowed.has(executor.info.id);
+}
+
 /** How many tasks of the step are on the executor. */
 export function countHere(step: StepState, executor: ExecutorState): number {
   let count = 0;
@@ -133,7 +141,9 @@
   const {spec} = task.step;
   const {capacity, rack} = executor.info;
   let cost = freeShare(executor);
-  cost += SLOWNESS_WEIGHT * executor.slowness;
+  const isUrgent = task.step.occurrence.job.queue.priority === 0;
+  const weight = isUrgent ? SLOWNESS_WEIGHT : PATIENT_SLOWNESS_WEIGHT;
+  cost += weight * executor.slowness;
   if (spec.rack !== '' && spec.rack !== rack) cost += FAR_RACK_SLOWNESS;
   if (spec.size.accel === 0 && capacity.accel > 0) cost += 1;
   if (spec.isFiller) cost += BESIDE_SERVICE_PENALTY * countTargets(executor);
--- a/packages/cell/src/preempt.ts
+++ b/packages/cell/src/preempt.ts
@@ -3,9 +3,9 @@
 import type {StepState, TaskState} from './job-state.js';
 import {
   countHere,
-  isAllowed,
   isSuited,
   mayTakeWork,
+  mayUse,
   type PlaceContext,
   type Promised,
 } from './place.js';
@@ -56,7 +56,7 @@
     const {nowMs, reserved} = context;
     if (!mayTakeWork(executor, nowMs) || reserved.has(executor)) continue;
     if (!isSuited(step, executor)) continue;
-    if (!isAllowed(step, executor, nowMs)) continue;
+    if (!mayUse(step, executor)) continue;
     const plan = planOn(step, wanted, executor, context);
     if (plan !== null) plans.push(plan);
   }
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -6,11 +6,14 @@
 const WORTHLESS_FACTOR = 3;
 
 /** How a job stands against its latency objective; lower goes first. */
-type Standing = 0 | 1 | 2;
+export type Standing = 0 | 1 | 2;
 
-const IN_TIME: Standing = 0;
-const LATE: Standing = 1;
-const WORTHLESS: Standing = 2;
+/** The job can still meet its objective. */
+export const IN_TIME: Standing = 0;
+/** The job earns a part of its worth. */
+export const LATE: Standing = 1;
+/** The job earns nothing any more. */
+export const WORTHLESS: Standing = 2;
 
 /** A waiting step and the reasons for its place in the order. */
 export interface RankedStep {
@@ -53,19 +56,11 @@
   const chainMs = estimates.chainMs(step);
   const allowedMs = objectiveMs(job, step, estimates);
   const slackMs = sinceMs + allowedMs - chainMs - wallMs;
-  return {step, priority, isExcess, slackMs, standing: standingOf(step, sinceMs, allowedMs, slackMs, wallMs)};
-}
-
-function standingOf(
-  step: StepState,
-  sinceMs: number,
-  allowedMs: number,
-  slackMs: number,
-  wallMs: number,
-): Standing {
-  if (step.spec.isService || slackMs >= 0) return IN_TIME;
+  const isInTime = step.spec.isService || slackMs >= 0;
   const isWorthless = wallMs - sinceMs > WORTHLESS_FACTOR * allowedMs;
-  return isWorthless ? WORTHLESS : LATE;
+  const late = isWorthless ? WORTHLESS : LATE;
+  const standing = isInTime ? IN_TIME : late;
+  return {step, priority, isExcess, slackMs, standing};
 }
 
 function objectiveMs(
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -8,11 +8,17 @@
   isAllowed,
   isSuited,
   mayTakeWork,
+  mayUse,
   type PlaceContext,
   type Promised,
 } from './place.js';
 import {planRoom, type RoomPlan} from './preempt.js';
-import {orderSteps, type RankedStep} from './queue-order.js';
+import {
+  LATE,
+  orderSteps,
+  WORTHLESS,
+  type RankedStep,
+} from './queue-order.js';
 import type {Queue} from './types.js';
 
 /** Part of a service's processors that work which can wait leaves free. */
@@ -135,7 +141,7 @@
   if (room === undefined) return;
   const named = ticketsToGet(step, room, round);
   if (named.length > 0) yield {kind: 'advise', step, executorIds: named};
-  if (step.spec.isGang) yield* decideGang(step, room, round);
+  if (step.spec.isGang) yield* decideGang(ranked, room, round);
   else yield* decideTasks(ranked, room, round);
 }
 
@@ -155,9 +161,13 @@
   const open = executors.filter(
     each => isSuited(step, each) && isWorthAsking(step, each, nowMs, isFirst),
   );
-  const valid = open.filter(each => isAllowed(step, each, nowMs));
+  // A gang needs its tickets all at once: they are renewed before they end.
+  const {decisionMs, perExecutorMs} = queue.advice;
+  const callMs = decisionMs + perExecutorMs * RENEWAL_EXECUTORS;
+  const atMs = step.spec.isGang ? nowMs + callMs : nowMs;
+  const valid = open.filter(each => isAllowed(step, each, atMs));
   if (valid.some(each => hasRoom(each, step.spec))) return [];
-  const missing = open.filter(each => !isAllowed(step, each, nowMs));
+  const missing = open.filter(each => !isAllowed(step, each, atMs));
   if (isFirst) return missing.map(each => each.info.id);
   const roomy = missing.filter(each => hasRoom(each, step.spec));
   const canMakeRoom = step.spec.isGang || queue.priority === URGENT_PRIORITY;
@@ -213,7 +223,7 @@
     started.push(task);
   }
   if (started.length > 0) yield {kind: 'start', tasks: started};
-  if (missing > 0) makeRoom(step, missing, room, round);
+  if (missing > 0) makeRoom(ranked, missing, room, round);
 }
 
 function isWithinHeadroom({step, priority}: RankedStep, room: ServiceRoom): boolean {
@@ -223,10 +233,11 @@
 }
 
 function* decideGang(
-  step: StepState,
+  ranked: RankedStep,
   room: ServiceRoom,
   round: Round,
 ): Generator<Decision> {
+  const {step} = ranked;
   const {tasks, spec, occurrence} = step;
   if (!tasks.every(task => isWaiting(task, round.nowMs))) return;
   const {organisations} = round.state;
@@ -234,7 +245,7 @@
   if (!organisations.mayRun(organisation, spec.size, tasks.length)) return;
   const chosen = chooseGang(step, room.executors, round);
   if (chosen === null) {
-    makeRoom(step, tasks.length, room, round);
+    makeRoom(ranked, tasks.length, room, round);
     return;
   }
   const run = round.state.nextRun(tasks);
@@ -249,14 +260,20 @@
 /**
  * Stops less urgent work for a step that waits, and keeps the room for it.
  * Where a gang does not fit even so, the executors that it may use are kept
- * from less urgent work, so that it is not starved by small tasks.
+ * from less urgent work, so that it is not starved by small tasks. Nothing is
+ * stopped for work that is late already.
  */
 function makeRoom(
-  step: StepState,
+  {step, standing}: RankedStep,
   wanted: number,
   room: ServiceRoom,
   round: Round,
 ): void {
+  if (standing === WORTHLESS) return;
+  if (standing === LATE) {
+    if (step.spec.isGang) reserveFor(step, room, round);
+    return;
+  }
   for (let count = wanted; count >= 1; count = Math.floor(count / 2)) {
     const plans = planRoom(step, count, room.executors, round);
     if (plans !== null) return carryOutPlans(step, plans, round);
@@ -287,7 +304,7 @@
 
 function reserveFor(step: StepState, room: ServiceRoom, round: Round): void {
   const usable = room.executors.filter(
-    each => isSuited(step, each) && isAllowed(step, each, round.nowMs),
+    each => isSuited(step, each) && mayUse(step, each),
   );
   const soonest = [...usable].sort((a, b) => a.usedAccel - b.usedAccel);
   for (const each of soonest.slice(0, step.tasks.length)) {
