--- a/packages/cell/src/advice-desk.ts
+++ b/packages/cell/src/advice-desk.ts
@@ -65,7 +65,10 @@
   dispatch(): void {
     const nowMs = this.nowMs();
     const free = this.lanes().filter(({vm}) => this.isFree(vm, nowMs));
-    const nearFirst = [...free.filter(l => l.isNear), ...free.filter(l => !l.isNear)];
+    const nearFirst = [
+      ...free.filter(l => l.isNear),
+      ...free.filter(l => !l.isNear),
+    ];
     for (const wish of [...this.wishes]) {
       const lane = takeLane(nearFirst, wish.expectedMs <= SHORT_DECISION_MS);
       if (lane === undefined) continue;
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -161,11 +161,7 @@
    *
    * @param askedMs when the list was asked for that shows the new life
    */
-  startNewLife(
-    executor: ExecutorState,
-    bornMs: number,
-    askedMs: number,
-  ): void {
+  startNewLife(executor: ExecutorState, bornMs: number, askedMs: number): void {
     for (const task of [...executor.tasks]) {
       if (task.answeredMs < askedMs) this.requeue(task);
     }
@@ -364,13 +360,15 @@
       step.failedGangRuns = [...step.failedGangRuns, end.run];
     }
     if (step.spec.isService) {
-      const delayMs = SERVICE_BACKOFF_MS * 2 ** Math.min(10, task.failedRuns.length - 1);
+      const delayMs =
+        SERVICE_BACKOFF_MS * 2 ** Math.min(10, task.failedRuns.length - 1);
       task.notBeforeMs = nowMs + Math.min(MAX_SERVICE_BACKOFF_MS, delayMs);
     }
     if (isFinal(job.phase)) return;
     this.listener.onDirty(job);
     const failed = step.spec.isGang ? step.failedGangRuns : task.failedRuns;
-    const isOut = failed.length >= job.queue.maxAttempts && !step.spec.isService;
+    const isOut =
+      failed.length >= job.queue.maxAttempts && !step.spec.isService;
     if (isOut) this.finish(job, 'failed');
   }
 
@@ -382,7 +380,10 @@
     executor.avoidUntilMs = nowMs + pauseMs;
   }
 
-  private finish(job: JobState, phase: 'completed' | 'failed' | 'cancelled'): void {
+  private finish(
+    job: JobState,
+    phase: 'completed' | 'failed' | 'cancelled',
+  ): void {
     job.phase = phase;
     for (const {steps} of job.occurrences) {
       for (const step of steps) this.openSteps.delete(step);
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -115,8 +115,6 @@
 }
 
 /** Tells an inventory from a failed hold. */
-export function isInventory(
-  reply: Inventory | OrderReply,
-): reply is Inventory {
+export function isInventory(reply: Inventory | OrderReply): reply is Inventory {
   return 'running' in reply;
 }
--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-task.ts
@@ -120,7 +120,11 @@
 
   /** Sends a stop until it is answered; the end comes with an inventory. */
   async stop(name: string, run: number, task: TaskState | null): Promise<void> {
-    while (!this.isClosed && this.host.mayAct() && this.isThere(name, run, task)) {
+    while (
+      !this.isClosed &&
+      this.host.mayAct() &&
+      this.isThere(name, run, task)
+    ) {
       const reply = await this.client.stop(name, run, this.host.token);
       if (reply.failure === null) {
         const isSame = task !== null && task.run === run;
@@ -175,7 +179,9 @@
   }
 
   /** Sends a hold and takes in its list; null where a newer one is known. */
-  private async sendHold(waitMs: number): Promise<Inventory | OrderReply | null> {
+  private async sendHold(
+    waitMs: number,
+  ): Promise<Inventory | OrderReply | null> {
     const {executor, host} = this;
     const {ackedThrough, bornMs} = executor;
     // Sent once only: a new life that is not noticed yet counts from 1 again.
@@ -238,7 +244,12 @@
     const {state, clock, onLine} = this.host;
     const {failure} = reply;
     const executorId = this.executor.info.id;
-    onLine('startFailed', {task: taskName(task), run: task.run, executorId, failure});
+    onLine('startFailed', {
+      task: taskName(task),
+      run: task.run,
+      executorId,
+      failure,
+    });
     if (failure === 'unknown' || failure === 'oldRun') {
       // Only a later inventory tells whether a run of the task exists there.
       task.answeredMs = clock.monotonicMs();
@@ -275,11 +286,17 @@
     }
     executor.missed += 1;
     if (executor.missed === 1) {
-      host.onLine('executorSilent', {executorId: executor.info.id, failure: reply.failure});
+      host.onLine('executorSilent', {
+        executorId: executor.info.id,
+        failure: reply.failure,
+      });
     }
     if (!hasLapsed(executor, host.clock.monotonicMs())) return;
     if (executor.tasks.size > 0 || executor.strays.size > 0) {
-      host.onLine('executorLapsed', {executorId: executor.info.id, tasks: executor.tasks.size});
+      host.onLine('executorLapsed', {
+        executorId: executor.info.id,
+        tasks: executor.tasks.size,
+      });
       host.state.loseRuns(executor);
       host.onChange(executor);
     }
@@ -348,7 +365,11 @@
       } else if (task !== undefined && mayAdopt(task, run)) {
         host.state.adoptRun(executor, task, run, nowMs);
         this.noteRunning(task, checkpoint, percent, usage, nowMs);
-        host.onLine('runAdopted', {task: name, run, executorId: executor.info.id});
+        host.onLine('runAdopted', {
+          task: name,
+          run,
+          executorId: executor.info.id,
+        });
       } else {
         host.state.noteStray(executor, name, run);
       }
@@ -377,7 +398,9 @@
   private noteMissing(listed: ReadonlySet<string>, sentMs: number): void {
     const {executor, host} = this;
     for (const {task, run} of [...executor.strays.values()]) {
-      if (!listed.has(`${task}#${run}`)) host.state.dropStray(executor, task, run);
+      if (!listed.has(`${task}#${run}`)) {
+        host.state.dropStray(executor, task, run);
+      }
     }
     for (const task of [...executor.tasks]) {
       if (listed.has(`${taskName(task)}#${task.run}`)) continue;
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -27,7 +27,8 @@
     private readonly options: FollowerOptions,
     private readonly onRecord: (record: PlacedRecord) => void,
     /** Told of a full reading: keys that are missing were deleted. */
-    private readonly onReload: (keys: ReadonlySet<string>) => void = () => undefined,
+    private readonly onReload: (keys: ReadonlySet<string>) => void = () =>
+      undefined,
   ) {}
 
   /**
--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -177,7 +177,10 @@
       return 'stored';
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
-      this.deps.log('storeFailed', {records: records.length, failure: err.failure});
+      this.deps.log('storeFailed', {
+        records: records.length,
+        failure: err.failure,
+      });
       return err.failure === 'unknown' ? 'unknown' : 'refused';
     }
   }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -120,7 +120,8 @@
   /** The open connection to a VM's newest process, where there is one. */
   connectionTo(address: OwnerAddress): CellConnection | undefined {
     for (const {connection, address: at} of this.open.values()) {
-      const isSame = at.vm === address.vm && at.incarnation === address.incarnation;
+      const isSame =
+        at.vm === address.vm && at.incarnation === address.incarnation;
       if (isSame && connection.isOpen) return connection;
     }
     return undefined;
@@ -187,11 +188,13 @@
 
 function toStorePeer(connection: CellConnection): StorePeer {
   return {
-    callStore: async (call: StoreCall, timeoutMs: number): Promise<StoreReply> => {
+    callStore: async (
+      call: StoreCall,
+      timeoutMs: number,
+    ): Promise<StoreReply> => {
       const reply = await connection.ask({type: 'storeAsk', call}, timeoutMs);
       if (reply.type !== 'store') throw new Error(`odd reply ${reply.type}`);
       return reply;
     },
   };
 }
-
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -1,7 +1,12 @@
 /** The messages between the processes of a cell, one process on each VM. */
 import type {Ticket} from './executor-client.js';
 import type {OwnerAddress} from './ownership.js';
-import type {KeyedRecord, PlacedRecord, Producer, StoreFailure} from './store.js';
+import type {
+  KeyedRecord,
+  PlacedRecord,
+  Producer,
+  StoreFailure,
+} from './store.js';
 import type {JobPhase} from './types.js';
 
 /** First message on each connection, both ways. */
--- a/packages/cell/src/organisations.ts
+++ b/packages/cell/src/organisations.ts
@@ -51,7 +51,10 @@
     const usage = this.usageOf(organisation);
     const most = Math.max(1, known.weight * BURST_SECONDS);
     const passedMs = Math.max(0, acceptedMs - usage.tokensAtMs);
-    usage.tokens = Math.min(most, usage.tokens + (passedMs / 1000) * known.weight);
+    usage.tokens = Math.min(
+      most,
+      usage.tokens + (passedMs / 1000) * known.weight,
+    );
     usage.tokensAtMs = Math.max(acceptedMs, usage.tokensAtMs);
     if (usage.tokens < 1) return true;
     usage.tokens -= 1;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -3,7 +3,11 @@
 import {decode, encode} from 'cbor-x';
 import {AdviceDesk, type AdviceLane} from './advice-desk.js';
 import {CellState} from './cell-state.js';
-import {ExecutorTask, MAX_LEASE_MS, type ExecutorHost} from './executor-task.js';
+import {
+  ExecutorTask,
+  MAX_LEASE_MS,
+  type ExecutorHost,
+} from './executor-task.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
@@ -285,7 +289,10 @@
     if (moved) this.reopenTask(executor);
     if (known === undefined) {
       this.newExecutors.add(executor);
-      this.deps.log('executorListed', {executorId: info.id, service: info.service});
+      this.deps.log('executorListed', {
+        executorId: info.id,
+        service: info.service,
+      });
       this.commitSignal.raise();
     }
     if (info.isDraining && !wasDraining) {
@@ -395,8 +402,9 @@
       isUnsure: (step: StepState) => this.isUnsure(step, nowMs),
     };
     for (const decision of decideRound(this.state, context)) {
-      if (decision.kind === 'start') decision.tasks.forEach(t => this.sendStart(t));
-      else this.desk.request(decision.step, decision.executorIds);
+      if (decision.kind === 'start') {
+        decision.tasks.forEach(t => this.sendStart(t));
+      } else this.desk.request(decision.step, decision.executorIds);
     }
     metrics.record('round_us', (clock.monotonicMs() - nowMs) * 1000);
     this.publishPhases();
@@ -407,7 +415,11 @@
     if (executor === null) return;
     const {id} = executor.info;
     const ticket = step.tickets.get(id)?.ticket ?? '';
-    this.deps.log('runStarted', {task: taskName(task), run: task.run, executorId: id});
+    this.deps.log('runStarted', {
+      task: taskName(task),
+      run: task.run,
+      executorId: id,
+    });
     this.deps.metrics.count('starts_total');
     void this.tasks.get(id)?.start(task, ticket);
   }
@@ -420,7 +432,8 @@
   private isUnsure({occurrence}: StepState, nowMs: number): boolean {
     if (this.inherited.size === 0) return false;
     const {isFormerStopped} = this.deps;
-    const actsUntilMs = this.claimedMs + (isFormerStopped ? 0 : RIGHT_TO_ACT_MS);
+    const actsUntilMs =
+      this.claimedMs + (isFormerStopped ? 0 : RIGHT_TO_ACT_MS);
     const leaseMs = MAX_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
     const isOld = this.inheritedJobs.has(occurrence.job.id);
     const boundMs = isOld || !isFormerStopped ? actsUntilMs + leaseMs : 0;
@@ -562,7 +575,13 @@
       job.finalMs = this.deps.clock.monotonicMs();
       const tookMs = this.deps.clock.wallMs() - job.acceptedMs;
       const {queue, organisation, phase} = job;
-      this.deps.log('jobEnded', {job: job.id, phase, queue: queue.name, organisation, tookMs});
+      this.deps.log('jobEnded', {
+        job: job.id,
+        phase,
+        queue: queue.name,
+        organisation,
+        tookMs,
+      });
     }
     this.deps.publish(final.map(toRow));
   }
--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -1,9 +1,5 @@
 /** Where waiting tasks go: one executor for a task, a set for a gang. */
-import {
-  countedCpu,
-  hasRoom,
-  type ExecutorState,
-} from './executor-state.js';
+import {countedCpu, hasRoom, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
 
 /** An executor on another rack than the data counts as this much slower. */
@@ -147,7 +143,9 @@
   if (spec.rack !== '' && spec.rack !== rack) cost += FAR_RACK_SLOWNESS;
   if (spec.size.accel === 0 && capacity.accel > 0) cost += 1;
   if (spec.isFiller) cost += BESIDE_SERVICE_PENALTY * countTargets(executor);
-  if (spec.targetMs > 0) cost += BESIDE_SERVICE_PENALTY * countFillers(executor);
+  if (spec.targetMs > 0) {
+    cost += BESIDE_SERVICE_PENALTY * countFillers(executor);
+  }
   if (task.failedOn === executor.info.id) cost += FAILED_HERE_PENALTY;
   return cost;
 }
@@ -228,7 +226,10 @@
 }
 
 /** How many tasks of the step fit in what is free on an executor. */
-export function copiesThatFit(step: StepState, executor: ExecutorState): number {
+export function copiesThatFit(
+  step: StepState,
+  executor: ExecutorState,
+): number {
   const {spec} = step;
   const {info, usedCpu, usedMem, usedAccel} = executor;
   const {cpuMilli, memMb, accel} = info.capacity;
--- a/packages/cell/src/progress-writer.ts
+++ b/packages/cell/src/progress-writer.ts
@@ -40,7 +40,7 @@
    * const isStored = await writer.write(records);
    */
   async write(records: readonly KeyedRecord[]): Promise<boolean> {
-    for (let delayMs = RETRY_MIN_MS; this.mayWrite(); ) {
+    for (let delayMs = RETRY_MIN_MS; this.mayWrite();) {
       const outcome = await this.tryOnce(records);
       if (outcome === 'stored') return true;
       if (outcome === 'fenced') return false;
--- a/packages/cell/src/review.ts
+++ b/packages/cell/src/review.ts
@@ -58,7 +58,10 @@
       const {isService, savesProgress, isGang} = task.step.spec;
       const isLast = savesProgress && !isGang && leftMs < LEAVE_MARGIN_MS;
       if (!isService && !isLast) continue;
-      this.log('runMoved', {task: taskName(task), executorId: executor.info.id});
+      this.log('runMoved', {
+        task: taskName(task),
+        executorId: executor.info.id,
+      });
       this.state.stopTask(task);
     }
   }
@@ -86,7 +89,8 @@
     if (this.state.estimates.siblingCount(step) === 0) return false;
     const expectedMs = this.state.estimates.expectedMs(step);
     const growth = STRAGGLER_GROWTH ** task.slowStops;
-    const boundMs = growth * (STRAGGLER_FACTOR * expectedMs + STRAGGLER_SLACK_MS);
+    const boundMs =
+      growth * (STRAGGLER_FACTOR * expectedMs + STRAGGLER_SLACK_MS);
     return nowMs - startedMs > boundMs;
   }
 
@@ -101,7 +105,9 @@
     for (const task of executor.tasks) {
       const {phase, step, percent} = task;
       if (phase !== 'running' || !step.spec.isFiller) continue;
-      if (percent !== executor.fillPercent) this.setPace(task, executor.fillPercent);
+      if (percent !== executor.fillPercent) {
+        this.setPace(task, executor.fillPercent);
+      }
     }
   }
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -13,12 +13,7 @@
   type Promised,
 } from './place.js';
 import {planRoom, type RoomPlan} from './preempt.js';
-import {
-  LATE,
-  orderSteps,
-  WORTHLESS,
-  type RankedStep,
-} from './queue-order.js';
+import {LATE, orderSteps, WORTHLESS, type RankedStep} from './queue-order.js';
 import type {Queue} from './types.js';
 
 /** Part of a service's processors that work which can wait leaves free. */
@@ -212,7 +207,8 @@
     if (!isWaiting(task, round.nowMs)) continue;
     if (!organisations.mayRun(organisation, spec.size, 1)) break;
     if (!isWithinHeadroom(ranked, room)) break;
-    const executor = missing > 0 ? null : chooseExecutor(task, room.executors, round);
+    const executor =
+      missing > 0 ? null : chooseExecutor(task, room.executors, round);
     if (executor === null) {
       missing += 1;
       continue;
@@ -226,7 +222,10 @@
   if (missing > 0) makeRoom(ranked, missing, room, round);
 }
 
-function isWithinHeadroom({step, priority}: RankedStep, room: ServiceRoom): boolean {
+function isWithinHeadroom(
+  {step, priority}: RankedStep,
+  room: ServiceRoom,
+): boolean {
   if (!room.hasUrgentQueue || priority === URGENT_PRIORITY) return true;
   if (step.spec.isService) return true;
   return room.freeCpu - countedCpu(step.spec) >= room.headroomCpu;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -86,7 +86,10 @@
     this.setPhase(id, isFinal(phase) ? phase : 'running');
   }
 
-  private setPhase(id: string, phase: Parameters<JobTable['set']>[0]['phase']): void {
+  private setPhase(
+    id: string,
+    phase: Parameters<JobTable['set']>[0]['phase'],
+  ): void {
     const row = this.table.get(id);
     if (row !== undefined) this.table.set({...row, phase});
   }
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -117,20 +117,11 @@
 
 /** What callers see of a job. */
 export type JobPhase =
-  | 'queued'
-  | 'running'
-  | 'completed'
-  | 'failed'
-  | 'cancelled';
+  'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /** How a run of a task ended. */
 export type RunEnd =
-  | 'done'
-  | 'failed'
-  | 'stopped'
-  | 'lapsed'
-  | 'broken'
-  | 'alone';
+  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
 /** Tells whether a phase is final. */
 export function isFinal(phase: JobPhase): boolean {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -304,7 +304,10 @@
     if (connection === undefined || this.isAskingConfig) return;
     this.isAskingConfig = true;
     try {
-      const reply = await connection.ask({type: 'configAsk'}, CONFIG_ASK_TIMEOUT_MS);
+      const reply = await connection.ask(
+        {type: 'configAsk'},
+        CONFIG_ASK_TIMEOUT_MS,
+      );
       if (reply.type === 'config') this.takeConfigValue(reply.value, 'peer');
     } catch (err) {
       this.deps.log('configAskFailed', {vm: address.vm, err: String(err)});
@@ -344,7 +347,9 @@
   }
 
   private broadcast(notice: CellProtocol['notice']): void {
-    for (const {connection} of this.members.connected()) connection.notify(notice);
+    for (const {connection} of this.members.connected()) {
+      connection.notify(notice);
+    }
   }
 
   private sendMembers(): void {
@@ -456,7 +461,10 @@
     }
     const aloneMs = nowMs - this.lastAccompaniedMs;
     if (!this.hasBeenAccompanied || aloneMs < ALONE_MS) return;
-    this.deps.log('ownerAlone', {term: ownership.term, aloneMs: Math.round(aloneMs)});
+    this.deps.log('ownerAlone', {
+      term: ownership.term,
+      aloneMs: Math.round(aloneMs),
+    });
     this.hasBeenAccompanied = false;
     this.owner?.close();
     await ownership.release();
@@ -619,4 +627,3 @@
 function toAddress({vm, ip, port, incarnation}: OwnerAddress): OwnerAddress {
   return {vm, ip, port, incarnation};
 }
-
--- /dev/null
+++ b/packages/cell/test/decisions.test.ts
@@ -0,0 +1,270 @@
+/** The decisions alone: order, placement, preemption, tickets, pace. */
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  CellState,
+  decideRound,
+  Estimates,
+  newJobState,
+  nextFillPercent,
+  orderSteps,
+  type Decision,
+  type ExecutorInfo,
+  type ExecutorState,
+  type JobState,
+  type Queue,
+  type StepSpec,
+} from '@dragonflyward/cell';
+import {CONFIG, QUEUE, STEP} from './rig.js';
+
+const NOW_MS = 100_000;
+const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
+const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
+const GANG: StepSpec = {...STEP, isGang: true, count: 2};
+const ADVICE = {decisionMs: 20, perExecutorMs: 1, validityMs: 2000};
+
+const stopped: string[] = [];
+
+function newState(): CellState {
+  stopped.length = 0;
+  const state = new CellState(1, {
+    onDirty: () => undefined,
+    onPhase: () => undefined,
+    onStop: task => stopped.push(`${task.step.occurrence.job.id}`),
+    onStray: () => undefined,
+  });
+  state.setConfig({...CONFIG, queues: [URGENT, QUEUE, BATCH]});
+  return state;
+}
+
+function addExecutor(
+  state: CellState,
+  id: string,
+  change: Partial<ExecutorInfo> = {},
+): ExecutorState {
+  const executor = state.setExecutor({
+    id,
+    service: QUEUE.service,
+    ip: '',
+    port: 1,
+    domain: 'd',
+    rack: 'r',
+    labels: ['a'],
+    capacity: {cpuMilli: 4000, memMb: 10_000, accel: 8, slots: 0},
+    isDraining: false,
+    drainRemainingMs: 0,
+    bornMs: 1,
+    ...change,
+  });
+  executor.isReached = true;
+  return executor;
+}
+
+function addJob(
+  state: CellState,
+  id: string,
+  queue: Queue,
+  steps: readonly StepSpec[],
+): JobState {
+  return state.addJob({
+    id,
+    queue,
+    organisation: '',
+    spec: {
+      payload: '',
+      steps,
+      repetition: {times: 1, firstMs: 0, intervalMs: 0},
+    },
+    acceptedMs: NOW_MS,
+  });
+}
+
+function decide(state: CellState, nowMs = NOW_MS): readonly Decision[] {
+  const isUnsure = (): boolean => false;
+  return [...decideRound(state, {nowMs, wallMs: NOW_MS, isUnsure})];
+}
+
+/** The executors on which a job's tasks were placed, in order. */
+function placesOf(job: JobState): readonly string[] {
+  const tasks = job.occurrences.flatMap(o => o.steps.flatMap(s => s.tasks));
+  return tasks.map(({executor}) => executor?.info.id ?? '');
+}
+
+function markRunning(job: JobState): void {
+  for (const task of job.occurrences[0]?.steps[0]?.tasks ?? []) {
+    if (task.phase === 'starting') task.phase = 'running';
+  }
+}
+
+const decisions = suite('decisions');
+
+decisions('never fills an executor beyond its capacity', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const job = addJob(state, 'j', URGENT, [{...STEP, count: 9}]);
+  decide(state);
+  assert.is(placesOf(job).filter(id => id === 'x').length, 4);
+  assert.equal(decide(state), []);
+});
+
+decisions('waits for the steps that have to come first', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const job = addJob(state, 'j', QUEUE, [STEP, {...STEP, after: [0]}]);
+  decide(state);
+  assert.equal(placesOf(job), ['x', '']);
+});
+
+decisions('puts a gang on executors all at once or not at all', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const big = {...GANG, size: {...STEP.size, cpuMilli: 3000}};
+  const job = addJob(state, 'j', QUEUE, [big]);
+  decide(state);
+  assert.equal(placesOf(job), ['', '']);
+  addExecutor(state, 'y');
+  decide(state);
+  assert.equal([...placesOf(job)].sort(), ['x', 'y']);
+});
+
+decisions('keeps executors for a gang that waits from less urgent work', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  addExecutor(state, 'y');
+  const first = addJob(state, 'first', QUEUE, [STEP]);
+  decide(state);
+  markRunning(first);
+  const whole = {...GANG, size: {...STEP.size, cpuMilli: 4000}};
+  addJob(state, 'gang', QUEUE, [whole]);
+  const small = addJob(state, 'small', BATCH, [{...STEP, count: 8}]);
+  decide(state);
+  const free = placesOf(small).filter(id => id === '');
+  assert.is(free.length, 8);
+});
+
+decisions('respects labels, drains and the bound for one executor', () => {
+  const state = newState();
+  addExecutor(state, 'x', {isDraining: true});
+  addExecutor(state, 'y', {labels: ['b']});
+  addExecutor(state, 'z');
+  const step = {...STEP, count: 3, requiredLabel: 'a', maxPerExecutor: 2};
+  const job = addJob(state, 'j', QUEUE, [step]);
+  decide(state);
+  assert.equal(placesOf(job), ['z', 'z', '']);
+});
+
+decisions('stops work that keeps its progress for urgent work', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const saving = {...STEP, count: 4, savesProgress: true};
+  const batch = addJob(state, 'batch', {...BATCH, service: 'svc'}, [saving]);
+  batch.queue = {...BATCH, priority: 1};
+  state.setConfig({...CONFIG, queues: [QUEUE]});
+  decide(state);
+  markRunning(batch);
+  const urgent = addJob(state, 'urgent', URGENT, [{...STEP, count: 2}]);
+  decide(state);
+  assert.equal(stopped, ['batch', 'batch']);
+  assert.equal(placesOf(urgent), ['', '']);
+  decide(state);
+  assert.equal(stopped, ['batch', 'batch'], 'the plan is not made twice');
+});
+
+decisions('never stops a service task or one that would lose its work', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const service = {...STEP, count: 2, isService: true, savesProgress: true};
+  const kept = addJob(state, 'service', BATCH, [service]);
+  const losing = addJob(state, 'losing', BATCH, [{...STEP, count: 2}]);
+  decide(state);
+  markRunning(kept);
+  markRunning(losing);
+  addJob(state, 'urgent', URGENT, [{...STEP, count: 4}]);
+  decide(state);
+  assert.equal(stopped, []);
+});
+
+decisions('keeps an organisation within its limit', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const limit = {cpuMilli: 2000, memMb: 0, accel: 0, slots: 0};
+  const organisations = [{name: 'o', weight: 1, limit}];
+  state.setConfig({...CONFIG, organisations});
+  const job = state.addJob({
+    id: 'j',
+    queue: QUEUE,
+    organisation: 'o',
+    spec: {
+      payload: '',
+      steps: [{...STEP, count: 4}],
+      repetition: {times: 1, firstMs: 0, intervalMs: 0},
+    },
+    acceptedMs: NOW_MS,
+  });
+  decide(state);
+  assert.is(placesOf(job).filter(id => id !== '').length, 2);
+});
+
+decisions('asks for tickets first and starts only with them', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  addExecutor(state, 'y');
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  const job = addJob(state, 'j', queue, [STEP]);
+  const [ask] = decide(state);
+  assert.is(ask?.kind, 'advise');
+  assert.equal(placesOf(job), ['']);
+  const step = job.occurrences[0]?.steps[0];
+  step?.asked.add('x').add('y');
+  step?.allowed.add('y');
+  step?.tickets.set('y', {ticket: 't', validUntilMs: NOW_MS + 1000});
+  decide(state);
+  assert.equal(placesOf(job), ['y']);
+});
+
+decisions('asks for an executor that came after the others refused', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  const job = addJob(state, 'j', queue, [STEP]);
+  job.occurrences[0]?.steps[0]?.asked.add('x');
+  assert.equal(decide(state), []);
+  addExecutor(state, 'new');
+  const [ask] = decide(state);
+  assert.equal(ask?.kind === 'advise' ? ask.executorIds : [], ['new']);
+});
+
+decisions('orders by priority, then by what can still be in time', () => {
+  const estimates = new Estimates();
+  const make = (id: string, queue: Queue, acceptedMs: number): JobState =>
+    newJobState({
+      id,
+      queue,
+      organisation: '',
+      spec: {
+        payload: '',
+        steps: [STEP],
+        repetition: {times: 1, firstMs: 0, intervalMs: 0},
+      },
+      acceptedMs,
+    });
+  const jobs = [
+    make('late', QUEUE, NOW_MS - 2000),
+    make('fresh', QUEUE, NOW_MS),
+    make('tight', QUEUE, NOW_MS - 500),
+    make('urgent', URGENT, NOW_MS),
+  ];
+  const steps = jobs.flatMap(job => job.occurrences.flatMap(o => o.steps));
+  const order = orderSteps(steps, estimates, NOW_MS);
+  const ids = order.map(({step}) => step.occurrence.job.id);
+  assert.equal(ids, ['urgent', 'tight', 'fresh', 'late']);
+});
+
+decisions('slows fillers down faster than it speeds them up', () => {
+  assert.is(nextFillPercent(100, 0.9), 50);
+  assert.is(nextFillPercent(100, 1.2), 0);
+  assert.is(nextFillPercent(0, 0.3), 20);
+  assert.is(nextFillPercent(50, 0.7), 50);
+});
+
+decisions.run();
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -127,7 +127,11 @@
     return null;
   }
 
-  hold({token, leaseUntilMs, ackedThrough}: HoldOrder): Inventory | OrderFailure {
+  hold({
+    token,
+    leaseUntilMs,
+    ackedThrough,
+  }: HoldOrder): Inventory | OrderFailure {
     if (token < this.token) return 'fenced';
     this.token = token;
     this.expire();
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -62,7 +62,10 @@
 );
 
 /** A task fails in its first run where its name says so. */
-function behave(task: string, run: number): {ms: number; how: 'done' | 'failed'} {
+function behave(
+  task: string,
+  run: number,
+): {ms: number; how: 'done' | 'failed'} {
   const index = Number(task.split('.')[3]);
   const isBad = index === 2 && run === 1;
   return {ms: 200 + 300 * index, how: isBad ? 'failed' : 'done'};
@@ -72,7 +75,7 @@
 class Play {
   readonly rig = new Rig(EXECUTORS, behave);
   readonly jobs: string[] = [];
-  private seats: Seat[] = [];
+  private readonly seats: Seat[] = [];
 
   async start(): Promise<void> {
     await this.claim();
@@ -141,7 +144,9 @@
 
   private hasActingFormer(): boolean {
     const formers = this.seats.slice(0, -1);
-    return formers.some(({isDead, ownership}) => !isDead && ownership?.mayAct());
+    return formers.some(
+      ({isDead, ownership}) => !isDead && ownership?.mayAct(),
+    );
   }
 
   private newest(): Seat {
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -195,7 +195,11 @@
   }
 
   /** Stores a job as a VM does, and tells the owner. */
-  submit(id: string, steps: readonly StepSpec[], owners: readonly Seat[]): void {
+  submit(
+    id: string,
+    steps: readonly StepSpec[],
+    owners: readonly Seat[],
+  ): void {
     const job = {
       id,
       queue: QUEUE,
--- a/packages/cell/test/rules.ts
+++ b/packages/cell/test/rules.ts
@@ -35,7 +35,9 @@
     if (job === undefined) return this.note(`unasked: ${task}`);
     if (job.isCancelled) this.note(`cancelled job started: ${task}`);
     const here = this.running.get(task) ?? [];
-    if (here.length > 0) this.note(`twice: ${task} runs ${here[0]?.run}, ${run}`);
+    if (here.length > 0) {
+      this.note(`twice: ${task} runs ${here[0]?.run}, ${run}`);
+    }
     if (this.ackedDone.has(task)) this.note(`started after done: ${task}`);
     const failed = this.ackedFailed.get(task)?.size ?? 0;
     if (failed >= job.maxAttempts) this.note(`over budget: ${task}`);
@@ -43,7 +45,9 @@
     this.running.set(task, [...here, {executor, run}]);
     const used = (this.used.get(executor) ?? 0) + job.cpuMilli;
     this.used.set(executor, used);
-    if (used > executor.info.capacity.cpuMilli) this.note(`over limit: ${task}`);
+    if (used > executor.info.capacity.cpuMilli) {
+      this.note(`over limit: ${task}`);
+    }
   };
 
   readonly ended = (
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -1,10 +1,6 @@
 /** One connection between two processes: asks, replies and heartbeats. */
 import net from 'node:net';
-import {
-  raise,
-  toFailure,
-  DragonflywardError,
-} from '@dragonflyward/common';
+import {raise, toFailure, DragonflywardError} from '@dragonflyward/common';
 import {encodeFrame, FrameReader} from './framing.js';
 import type {
   FailureReply,
@@ -194,9 +190,7 @@
   }
 }
 
-function isFailureReply(reply: {
-  readonly type: string;
-}): reply is FailureReply {
+function isFailureReply(reply: {readonly type: string}): reply is FailureReply {
   return reply.type === 'failure';
 }
 
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -10,12 +10,16 @@
 /** Lists the test files below the packages whose path has the filter. */
 export function listTests(filter) {
   const files = [];
-  for (const name of readdirSync('packages').sort()) {
-    const dir = join('packages', name, 'test');
+  const packages = readdirSync('packages').sort();
+  for (const root of [
+    ...packages.map(name => join('packages', name)),
+    'platform',
+  ]) {
+    const dir = join(root, 'test');
     if (!existsSync(dir)) continue;
     for (const entry of readdirSync(dir).sort()) {
       if (!entry.endsWith('.test.ts')) continue;
-      const path = join('packages', name, 'dist/test', entry);
+      const path = join(root, 'dist/test', entry);
       files.push(path.replace(/\.ts$/, '.js'));
     }
   }
