--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -9,8 +9,9 @@
 
 /** How long the store may take to accept a job, in ms; callers wait 3 s. */
 const APPEND_TIMEOUT_MS = 2200;
-/** How long callers should wait when the store takes nothing, in seconds. */
-const STORE_RETRY_AFTER_S = 1;
+/** Bounds of the time that callers should wait for the store, in seconds. */
+const MIN_RETRY_AFTER_S = 1;
+const MAX_RETRY_AFTER_S = 4;
 
 /** A job as a caller submits it. */
 export interface Submission {
@@ -66,6 +67,8 @@
 export class Front {
   private pending: PendingWrite[] = [];
   private isWriting = false;
+  /** Since when the store takes nothing; NaN while it does. */
+  private refusedSinceMs = Number.NaN;
   private readonly submitting = new Map<string, Promise<FrontAnswer>>();
 
   constructor(private readonly deps: FrontDeps) {}
@@ -108,7 +111,7 @@
     });
     const tookMs = Math.round(this.deps.clock.monotonicMs() - sentMs);
     log('cancelStored', {job: id, outcome, tookMs});
-    if (outcome !== 'stored') return toAnswer(outcome);
+    if (outcome !== 'stored') return this.toAnswer(outcome);
     this.deps.tellCancel(id);
     if (row !== undefined) table.set({...row, phase: 'cancelled'});
     return {kind: 'done'};
@@ -143,7 +146,7 @@
       outcome,
       tookMs: Math.round(tookMs),
     });
-    if (outcome !== 'stored') return toAnswer(outcome);
+    if (outcome !== 'stored') return this.toAnswer(outcome);
     table.set({id, phase: 'queued', queue: queue.name, organisation});
     this.deps.tellJob(value);
     return {kind: 'done'};
@@ -174,6 +177,7 @@
       const {store, jobsTopic} = this.deps;
       const timeoutMs = APPEND_TIMEOUT_MS;
       await store.append(jobsTopic, records, {timeoutMs});
+      this.refusedSinceMs = Number.NaN;
       return 'stored';
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
@@ -184,9 +188,14 @@
       return err.failure === 'unknown' ? 'unknown' : 'refused';
     }
   }
-}
 
-function toAnswer(outcome: 'refused' | 'unknown'): FrontAnswer {
-  if (outcome === 'unknown') return {kind: 'unknown'};
-  return {kind: 'refused', retryAfterS: STORE_RETRY_AFTER_S};
+  /** An outage is taken to last as long again as it has lasted so far. */
+  private toAnswer(outcome: 'refused' | 'unknown'): FrontAnswer {
+    if (outcome === 'unknown') return {kind: 'unknown'};
+    const nowMs = this.deps.clock.monotonicMs();
+    if (Number.isNaN(this.refusedSinceMs)) this.refusedSinceMs = nowMs;
+    const seconds = Math.round((nowMs - this.refusedSinceMs) / 1000);
+    const bounded = Math.min(MAX_RETRY_AFTER_S, seconds);
+    return {kind: 'refused', retryAfterS: Math.max(MIN_RETRY_AFTER_S, bounded)};
+  }
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -20,6 +20,8 @@
 const URGENT_HEADROOM = 0.08;
 /** Queues of this priority are served from the headroom. */
 const URGENT_PRIORITY = 0;
+/** The most executors that are named at first; each costs decision time. */
+const FIRST_EXECUTORS = 30;
 /** The most executors that are named when tickets are renewed. */
 const RENEWAL_EXECUTORS = 12;
 /** Waiting tasks of one step that are looked at in one round. */
@@ -163,11 +165,12 @@
   const valid = open.filter(each => isAllowed(step, each, atMs));
   if (valid.some(each => hasRoom(each, step.spec))) return [];
   const missing = open.filter(each => !isAllowed(step, each, atMs));
-  if (isFirst) return missing.map(each => each.info.id);
+  if (isFirst) return mostRoomFirst(missing, FIRST_EXECUTORS);
   const roomy = missing.filter(each => hasRoom(each, step.spec));
   const canMakeRoom = step.spec.isGang || queue.priority === URGENT_PRIORITY;
   const isStuck = valid.length === 0 && canMakeRoom;
-  return mostRoomFirst(roomy.length > 0 || !isStuck ? roomy : missing);
+  const named = roomy.length > 0 || !isStuck ? roomy : missing;
+  return mostRoomFirst(named, RENEWAL_EXECUTORS);
 }
 
 function isWorthAsking(
@@ -182,9 +185,12 @@
   return mayTakeWork(executor, nowMs);
 }
 
-function mostRoomFirst(executors: readonly ExecutorState[]): readonly string[] {
+function mostRoomFirst(
+  executors: readonly ExecutorState[],
+  most: number,
+): readonly string[] {
   const sorted = [...executors].sort((a, b) => freeCpuOf(b) - freeCpuOf(a));
-  return sorted.slice(0, RENEWAL_EXECUTORS).map(each => each.info.id);
+  return sorted.slice(0, most).map(each => each.info.id);
 }
 
 function freeCpuOf({info, usedCpu}: ExecutorState): number {
