--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -17,7 +17,7 @@
 import type {Queue} from './types.js';
 
 /** Part of a service's processors that work which can wait leaves free. */
-const URGENT_HEADROOM = 0.08;
+const URGENT_HEADROOM = 0.14;
 /** Queues of this priority are served from the headroom. */
 const URGENT_PRIORITY = 0;
 /** The most executors that are named at first; each costs decision time. */
