--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -24,6 +24,8 @@
 const FIRST_EXECUTORS = 30;
 /** The most executors that are named when tickets are renewed. */
 const RENEWAL_EXECUTORS = 12;
+/** A task that takes this part of an executor is kept room for. */
+const LARGE_PART = 0.25;
 /** Waiting tasks of one step that are looked at in one round. */
 const TASKS_PER_ROUND = 200;
 
@@ -264,9 +266,9 @@
 
 /**
  * Stops less urgent work for a step that waits, and keeps the room for it.
- * Where a gang does not fit even so, the executors that it may use are kept
- * from less urgent work, so that it is not starved by small tasks. Nothing is
- * stopped for work that is late already.
+ * Where a gang or a large task does not fit even so, executors that it may
+ * use are kept from what comes later, so that it is not starved by small
+ * tasks. Nothing is stopped for work that is late already.
  */
 function makeRoom(
   {step, standing}: RankedStep,
@@ -275,15 +277,24 @@
   round: Round,
 ): void {
   if (standing === WORTHLESS) return;
-  if (standing === LATE) {
-    if (step.spec.isGang) reserveFor(step, room, round);
-    return;
-  }
-  for (let count = wanted; count >= 1; count = Math.floor(count / 2)) {
+  const isInTime = standing !== LATE;
+  for (let count = wanted; isInTime && count >= 1; count = count >> 1) {
     const plans = planRoom(step, count, room.executors, round);
     if (plans !== null) return carryOutPlans(step, plans, round);
-    if (step.spec.isGang) return reserveFor(step, room, round);
+    if (step.spec.isGang) break;
   }
+  if (step.spec.isGang) reserveFor(step, wanted, room, round);
+  else if (isLarge(step, room)) reserveFor(step, 1, room, round);
+}
+
+/** Whether a task takes so much of an executor that small ones keep it out. */
+function isLarge({spec}: StepState, {executors}: ServiceRoom): boolean {
+  return executors.every(({info: {capacity}}) => {
+    const cpu = countedCpu(spec) / Math.max(1, capacity.cpuMilli);
+    const mem = spec.size.memMb / Math.max(1, capacity.memMb);
+    const accel = spec.size.accel / Math.max(1, capacity.accel);
+    return Math.max(cpu, mem, accel) >= LARGE_PART;
+  });
 }
 
 function carryOutPlans(
@@ -307,12 +318,17 @@
   }
 }
 
-function reserveFor(step: StepState, room: ServiceRoom, round: Round): void {
+function reserveFor(
+  step: StepState,
+  count: number,
+  room: ServiceRoom,
+  round: Round,
+): void {
   const usable = room.executors.filter(
     each => isSuited(step, each) && mayUse(step, each),
   );
   const soonest = [...usable].sort((a, b) => a.usedAccel - b.usedAccel);
-  for (const each of soonest.slice(0, step.tasks.length)) {
+  for (const each of soonest.slice(0, count)) {
     round.reserved.add(each);
   }
 }
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -45,7 +45,7 @@
 /** A VM waits this many times its way to the store before it claims. */
 const CLAIM_DELAY_FACTOR = 4;
 /** The most that it waits, in ms. */
-const MAX_CLAIM_DELAY_MS = 400;
+const MAX_CLAIM_DELAY_MS = 250;
 /** An owner that no VM is connected to gives up after that time, in ms. */
 const ALONE_MS = 2000;
 /** A handover may have been written that long before it is heard of, in ms. */
@@ -489,10 +489,8 @@
     if (isFree) return this.claim(reading);
     if (this.members.isOwnerSeen(reading.record?.term ?? 0)) return;
     await clock.sleep(this.members.count > 0 ? AGREED_MS : SILENT_OWNER_MS);
-    if (this.isLinked()) return;
-    const again = await readOwner(this.store);
-    if (again.endOffset === reading.endOffset) return this.claim(again);
-    this.isKnownNow(again);
+    // An owner that lives has written a heartbeat by now: then this fails.
+    if (!this.isLinked()) await this.claim(reading);
   }
 
   /** Follows the owner that the store names, where it is a newer one. */
