Let the largest VM own the cell

Ruled out: the advice service. An owner gives the cell to a VM with half as many cores again, smaller VMs claim later.

--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -38,6 +38,7 @@
   readonly connection: CellConnection;
   readonly address: OwnerAddress;
   readonly domain: string;
+  readonly cores: number;
   isStoreOk: boolean;
   isDraining: boolean;
   /** The term of the owner that the VM is connected to; 0 for none. */
@@ -94,7 +95,7 @@
   add(connection: CellConnection): void {
     const {info} = connection;
     if (info === undefined) return;
-    const {self: address, domain} = info;
+    const {self: address, domain, cores} = info;
     const unknown = {
       isStoreOk: true,
       isDraining: false,
@@ -102,7 +103,7 @@
       heardMs: Date.now(),
     };
     this.recent.set(address.vm, Date.now());
-    const member = {connection, address, domain, ...unknown};
+    const member = {connection, address, domain, cores, ...unknown};
     this.open.set(connection, member);
   }
 
@@ -141,6 +142,11 @@
     return true;
   }
 
+  /** The cores of the largest connected VM. */
+  largestCores(): number {
+    return Math.max(0, ...[...this.connected()].map(({cores}) => cores));
+  }
+
   /** How many VMs are connected. */
   get count(): number {
     return this.addresses().length;
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -14,6 +14,8 @@
   readonly type: 'hello';
   readonly self: OwnerAddress;
   readonly domain: string;
+  /** Cores that the VM may use; a larger one is the better owner. */
+  readonly cores: number;
 }
 
 /** Shows that the sender is alive and what it knows. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -46,10 +46,16 @@
 const CLAIM_DELAY_FACTOR = 4;
 /** The most that it waits, in ms. */
 const MAX_CLAIM_DELAY_MS = 250;
+/** A VM waits longer where it knows a larger one, in ms. */
+const SMALL_DELAY_MS = 200;
 /** An owner that no VM is connected to gives up after that time, in ms. */
 const ALONE_MS = 2000;
 /** A handover may have been written that long before it is heard of, in ms. */
 const HANDOVER_AGE_MS = 2000;
+/** A VM with this many times the cores is the better owner. */
+const LARGER_FACTOR = 1.5;
+/** An owner looks for a larger VM once it has owned for that long, in ms. */
+const SETTLED_MS = 2500;
 /** Without an owner for that long, a VM reads the jobs itself, in ms. */
 const DETACHED_MS = 1000;
 /** How long the store may wait for a configuration, in ms. */
@@ -63,6 +69,8 @@
 export interface VmDeps {
   readonly self: OwnerAddress;
   readonly domain: string;
+  /** Cores that the VM may use. */
+  readonly cores: number;
   readonly seeds: readonly OwnerAddress[];
   readonly platform: Platform;
   readonly clock: Clock;
@@ -88,6 +96,7 @@
   private lastLinkedMs: number;
   private lastAccompaniedMs: number;
   private hasBeenAccompanied = false;
+  private ownedSinceMs = Infinity;
   private isAskingConfig = false;
 
   constructor(private readonly deps: VmDeps) {
@@ -158,13 +167,31 @@
     this.broadcast(this.heartbeat());
   }
 
-  /** A VM that can own the cell, in this failure domain if there is one. */
+  /** The VM that can own the cell best: the largest, then the nearest. */
   private chooseSuccessor(): Member | null {
     const able = [...this.members.connected()].filter(
       ({isStoreOk, isDraining}) => isStoreOk && !isDraining,
     );
-    const isNear = ({domain}: Member): boolean => domain === this.deps.domain;
-    return able.find(isNear) ?? able[0] ?? null;
+    const isFar = ({domain}: Member): number =>
+      Number(domain !== this.deps.domain);
+    able.sort((a, b) => b.cores - a.cores || isFar(a) - isFar(b));
+    return able[0] ?? null;
+  }
+
+  /** Gives the cell to a much larger VM, where this one is small. */
+  private async giveToLarger(): Promise<void> {
+    const {owner, ownership} = this;
+    const successor = this.chooseSuccessor();
+    if (owner === null || ownership === null || successor === null) return;
+    if (successor.cores < this.deps.cores * LARGER_FACTOR) return;
+    this.deps.log('ownerGivesToLarger', {
+      term: ownership.term,
+      successor: successor.address.vm,
+      cores: successor.cores,
+    });
+    owner.close();
+    await this.handOver(ownership, successor);
+    this.dropOwner();
   }
 
   /** Writes the successor's name into the store and tells it. */
@@ -204,8 +231,8 @@
   }
 
   override hello(): CellHello {
-    const {self, domain} = this.deps;
-    return {type: 'hello', self, domain};
+    const {self, domain, cores} = this.deps;
+    return {type: 'hello', self, domain, cores};
   }
 
   override heartbeat(): CellHeartbeat {
@@ -460,6 +487,7 @@
       this.lastAccompaniedMs = nowMs;
       this.hasBeenAccompanied = true;
     }
+    if (nowMs - this.ownedSinceMs > SETTLED_MS) await this.giveToLarger();
     const aloneMs = nowMs - this.lastAccompaniedMs;
     if (!this.hasBeenAccompanied || aloneMs < ALONE_MS) return;
     this.deps.log('ownerAlone', {
@@ -483,7 +511,9 @@
     if (this.isKnownNow(reading)) return;
     if (reading.record?.vm === this.deps.self.vm) return this.claim(reading);
     // VMs near the store are first, so that claims do not race.
-    const delayMs = Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_FACTOR);
+    const nearMs = Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_FACTOR);
+    const isSmall = this.members.largestCores() > this.deps.cores;
+    const delayMs = nearMs + (isSmall ? SMALL_DELAY_MS : 0);
     const isFree = reading.record === null || reading.record.isReleased;
     await clock.sleep(delayMs);
     if (this.isLinked()) return;
@@ -554,6 +584,7 @@
       return;
     }
     this.owner = owner;
+    this.ownedSinceMs = clock.monotonicMs();
     if (this.config !== null) owner.setConfig(this.config);
     this.broadcast(this.heartbeat());
     this.publish(owner.allRows(), ownership.term);
