Spend the advice service on work that can start

Ruled out: limits, doubt after takeovers (no step was unsure). Now three steps of a service renew without room, and work that can wait asks again by the rank that it then has.

--- a/packages/cell/src/advice-desk.ts
+++ b/packages/cell/src/advice-desk.ts
@@ -4,6 +4,8 @@
 
 /** Decisions up to this long go to any VM, longer ones not to the owner's. */
 const SHORT_DECISION_MS = 150;
+/** Steps that wait for each VM; tickets for more would end before use. */
+const WISHES_PER_LANE = 1;
 /** How long a VM whose call failed is not asked again. */
 const LANE_REST_MS = 500;
 /** Added to the stated decision time before a call counts as failed. */
@@ -46,6 +48,9 @@
   request(step: StepState, executorIds: readonly string[]): void {
     const {queue} = step.occurrence.job;
     if (step.isAsking || queue.advice === null) return;
+    // Work that can wait asks again in a later round, in the order of then.
+    const most = WISHES_PER_LANE * this.lanes().length;
+    if (queue.priority > 0 && this.wishes.length >= most) return;
     const {decisionMs, perExecutorMs} = queue.advice;
     const expectedMs = decisionMs + perExecutorMs * executorIds.length;
     step.isAsking = true;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -31,7 +31,8 @@
   PROGRESS_TOPIC,
 } from './records.js';
 import {Review} from './review.js';
-import {decideRound} from './schedule.js';
+import {mayTakeWork} from './place.js';
+import {decideRound, freeCpuOf} from './schedule.js';
 import {Signal} from './signal.js';
 import type {KeyedRecord, LogPage, PlacedRecord, Store} from './store.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
@@ -46,6 +47,8 @@
 const EXECUTORS_PAUSE_MS = 400;
 /** Pause after an append of progress, in which more is gathered, in ms. */
 const COMMIT_GAP_MS = 10;
+/** Time between two lines on the state of the cell, in ms. */
+const STATE_LINE_MS = 5000;
 /** Time between looks at what depends on time alone, in ms. */
 const TICK_MS = 100;
 /** Least time between two rounds of decisions, in ms. */
@@ -96,6 +99,7 @@
   private readonly claimedMs: number;
   private isActive = false;
   private isClosed = false;
+  private stateLoggedMs = 0;
   private isRoundDue = false;
   private readonly commitSignal: Signal;
 
@@ -477,11 +481,33 @@
   private tick(): void {
     if (!this.mayAct()) return;
     this.review.run();
+    this.logState();
     this.dropGone();
     this.forgetOld();
     this.kick();
   }
 
+  /** One line now and then that shows what the cell waits for. */
+  private logState(): void {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (nowMs - this.stateLoggedMs < STATE_LINE_MS) return;
+    this.stateLoggedMs = nowMs;
+    const ready = [...this.state.readySteps(this.deps.clock.wallMs())];
+    const executors = [...this.state.executors.values()];
+    this.deps.log('cellState', {
+      term: this.state.term,
+      jobs: this.state.jobs.size,
+      waitingSteps: ready.filter(hasWaitingTask).length,
+      unsureSteps: ready.filter(step => this.isUnsure(step, nowMs)).length,
+      askingSteps: ready.filter(({isAsking}) => isAsking).length,
+      adviceWaiting: this.desk.waitingCount(),
+      adviceLanes: this.deps.lanes().length,
+      executors: executors.length,
+      open: executors.filter(each => mayTakeWork(each, nowMs)).length,
+      freeCpuMilli: executors.reduce((sum, each) => sum + freeCpuOf(each), 0),
+    });
+  }
+
   private dropGone(): void {
     for (const executor of [...this.state.executors.values()]) {
       const {isListed, isReached, tasks, strays, info} = executor;
@@ -623,3 +649,7 @@
 function tombstone(key: string): KeyedRecord {
   return {key, value: new Uint8Array(0)};
 }
+
+function hasWaitingTask({tasks}: StepState): boolean {
+  return tasks.some(({phase}) => phase === 'waiting');
+}
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -5,6 +5,7 @@
 import {
   chooseExecutor,
   chooseGang,
+  copiesThatFit,
   isAllowed,
   isSuited,
   mayTakeWork,
@@ -24,6 +25,8 @@
 const FIRST_EXECUTORS = 30;
 /** The most executors that are named when tickets are renewed. */
 const RENEWAL_EXECUTORS = 12;
+/** Steps of a service that keep their tickets though there is no room. */
+const STUCK_ASKS = 3;
 /** A task that takes this part of an executor is kept room for. */
 const LARGE_PART = 0.25;
 /** Waiting tasks of one step that are looked at in one round. */
@@ -58,6 +61,8 @@
   readonly hasUrgentQueue: boolean;
   readonly headroomCpu: number;
   freeCpu: number;
+  /** Steps without room that may still renew their tickets in this round. */
+  stuckAsks: number;
 }
 
 /**
@@ -131,7 +136,8 @@
     each => each.service === service && each.priority === URGENT_PRIORITY,
   );
   const headroomCpu = totalCpu * URGENT_HEADROOM;
-  return {executors, hasUrgentQueue, headroomCpu, freeCpu};
+  const stuckAsks = STUCK_ASKS;
+  return {executors, hasUrgentQueue, headroomCpu, freeCpu, stuckAsks};
 }
 
 function* decideStep(ranked: RankedStep, round: Round): Generator<Decision> {
@@ -151,9 +157,10 @@
  */
 function ticketsToGet(
   step: StepState,
-  {executors}: ServiceRoom,
+  room: ServiceRoom,
   {nowMs}: Round,
 ): readonly string[] {
+  const {executors} = room;
   const {queue} = step.occurrence.job;
   if (queue.advice === null || step.isAsking) return [];
   const isFirst = step.asked.size === 0;
@@ -165,14 +172,28 @@
   const callMs = decisionMs + perExecutorMs * RENEWAL_EXECUTORS;
   const atMs = step.spec.isGang ? nowMs + callMs : nowMs;
   const valid = open.filter(each => isAllowed(step, each, atMs));
-  if (valid.some(each => hasRoom(each, step.spec))) return [];
+  if (hasRoomForAll(step, valid)) return [];
   const missing = open.filter(each => !isAllowed(step, each, atMs));
   if (isFirst) return mostRoomFirst(missing, FIRST_EXECUTORS);
   const roomy = missing.filter(each => hasRoom(each, step.spec));
+  if (hasRoomForAll(step, [...roomy, ...valid])) {
+    return mostRoomFirst(roomy, RENEWAL_EXECUTORS);
+  }
   const canMakeRoom = step.spec.isGang || queue.priority === URGENT_PRIORITY;
-  const isStuck = valid.length === 0 && canMakeRoom;
-  const named = roomy.length > 0 || !isStuck ? roomy : missing;
-  return mostRoomFirst(named, RENEWAL_EXECUTORS);
+  if (valid.length > 0 || !canMakeRoom || room.stuckAsks <= 0) return [];
+  room.stuckAsks -= 1;
+  return mostRoomFirst(missing, RENEWAL_EXECUTORS);
+}
+
+/** Whether one task fits, or all tasks of a gang. */
+function hasRoomForAll(
+  step: StepState,
+  executors: readonly ExecutorState[],
+): boolean {
+  const wanted = step.spec.isGang ? step.tasks.length : 1;
+  let fits = 0;
+  for (const each of executors) fits += copiesThatFit(step, each);
+  return fits >= wanted;
 }
 
 function isWorthAsking(
@@ -195,7 +216,8 @@
   return sorted.slice(0, most).map(each => each.info.id);
 }
 
-function freeCpuOf({info, usedCpu}: ExecutorState): number {
+/** What is free of an executor's processors, in thousandths of a core. */
+export function freeCpuOf({info, usedCpu}: ExecutorState): number {
   return info.capacity.cpuMilli - usedCpu;
 }
 
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -234,6 +234,22 @@
   assert.equal(ask?.kind === 'advise' ? ask.executorIds : [], ['new']);
 });
 
+decisions('lets few gangs without room renew their tickets', () => {
+  const state = newState();
+  const x = addExecutor(state, 'x');
+  addExecutor(state, 'y');
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  const whole = {...GANG, size: {...STEP.size, cpuMilli: 4000}};
+  x.usedCpu = 1000;
+  for (let i = 0; i < 9; i += 1) {
+    const job = addJob(state, `gang${i}`, queue, [whole]);
+    const step = job.occurrences[0]?.steps[0];
+    step?.asked.add('x').add('y');
+    step?.allowed.add('x').add('y');
+  }
+  assert.is(decide(state).filter(({kind}) => kind === 'advise').length, 3);
+});
+
 decisions('orders by priority, then by what can still be in time', () => {
   const estimates = new Estimates();
   const make = (id: string, queue: Queue, acceptedMs: number): JobState =>
