--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -338,7 +338,7 @@
       );
       if (reply.type === 'config') this.takeConfigValue(reply.value, 'peer');
     } catch (err) {
-      this.deps.log('configAskFailed', {vm: address.vm, err: String(err)});
+      this.deps.log('configAskFailed', {peer: address.vm, err: String(err)});
     } finally {
       this.isAskingConfig = false;
     }
@@ -424,7 +424,7 @@
 
   private follow(record: OwnerRecord): void {
     if (record.term <= (this.known?.term ?? 0)) return;
-    this.deps.log('ownerChanged', {term: record.term, vm: record.vm});
+    this.deps.log('ownerChanged', {term: record.term, owner: record.vm});
     this.known = record;
     if (this.ownership !== null && this.ownership.term < record.term) {
       this.ownership.lose();
