--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -144,7 +144,9 @@
   const {step} = ranked;
   const room = round.services.get(step.occurrence.job.queue.service);
   if (room === undefined) return;
-  const named = ticketsToGet(step, room, round);
+  // A ticket would end before a step that is held back could use it.
+  const isHeldBack = !mayRunOne(step, round) || !isWithinHeadroom(ranked, room);
+  const named = isHeldBack ? [] : ticketsToGet(step, room, round);
   if (named.length > 0) yield {kind: 'advise', step, executorIds: named};
   if (step.spec.isGang) yield* decideGang(ranked, room, round);
   else yield* decideTasks(ranked, room, round);
@@ -185,6 +187,16 @@
   return mostRoomFirst(missing, RENEWAL_EXECUTORS);
 }
 
+/** Whether the organisation may run one more task, or the whole gang. */
+function mayRunOne(
+  {spec, tasks, occurrence}: StepState,
+  {state}: Round,
+): boolean {
+  const count = spec.isGang ? tasks.length : 1;
+  const {organisation} = occurrence.job;
+  return state.organisations.mayRun(organisation, spec.size, count);
+}
+
 /** Whether one task fits, or all tasks of a gang. */
 function hasRoomForAll(
   step: StepState,
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -234,6 +234,17 @@
   assert.equal(ask?.kind === 'advise' ? ask.executorIds : [], ['new']);
 });
 
+decisions('asks for no tickets for an organisation at its limit', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const limit = {cpuMilli: 500, memMb: 0, accel: 0, slots: 0};
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  const organisations = [{name: '', weight: 1, limit}];
+  state.setConfig({...CONFIG, queues: [queue], organisations});
+  addJob(state, 'j', queue, [STEP]);
+  assert.equal(decide(state), []);
+});
+
 decisions('lets few gangs without room renew their tickets', () => {
   const state = newState();
   const x = addExecutor(state, 'x');
