--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -92,6 +92,8 @@
   private readonly goneExecutors = new Set<string>();
   private readonly forgotten: string[] = [];
   private readonly phaseChanges = new Set<JobState>();
+  /** Progress that was read before the job itself. */
+  private readonly earlyProgress = new Map<string, Uint8Array>();
   /** Executors that a former owner may have used. */
   private readonly inherited = new Set<ExecutorState>();
   /** Jobs of the time before this owner's claim. */
@@ -240,8 +242,14 @@
     if (key.startsWith(EXECUTOR_PREFIX)) {
       return this.inheritExecutor(decode(value as Buffer) as ExecutorInfo);
     }
-    const job = this.state.jobs.get(key.slice(PROGRESS_PREFIX.length));
-    if (job === undefined || isFinal(job.phase)) return;
+    const id = key.slice(PROGRESS_PREFIX.length);
+    const job = this.state.jobs.get(id);
+    if (job === undefined) this.earlyProgress.set(id, value);
+    else this.applyStored(job, value);
+  }
+
+  private applyStored(job: JobState, value: Uint8Array): void {
+    if (isFinal(job.phase)) return;
     applyProgress(job, value);
     if (isFinal(job.phase)) this.dropOpenSteps(job);
   }
@@ -277,6 +285,9 @@
   private addJob(job: Parameters<CellState['addJob']>[0]): void {
     if (this.state.jobs.has(job.id)) return;
     const state = this.state.addJob(job);
+    const progress = this.earlyProgress.get(job.id);
+    if (progress !== undefined) this.applyStored(state, progress);
+    this.earlyProgress.delete(job.id);
     this.deps.metrics.count('jobs_added_total');
     if (!this.isActive) return;
     this.notePhase(state);
--- a/packages/cell/test/owner.test.ts
+++ b/packages/cell/test/owner.test.ts
@@ -1,4 +1,5 @@
 /** Single faults of an owner, each with its outcome. */
+import {jobKey, jobsTopicOf} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Rig, STEP, type Seat} from './rig.js';
@@ -89,6 +90,23 @@
   assert.is(rig.watch.starts > 2, true);
 });
 
+owner('keeps progress of a job that it reads only later', async () => {
+  const {rig, seat} = await started(1);
+  rig.submit('job', [STEP], [seat]);
+  await rig.run(SETTLE_MS);
+  assert.is(rig.rows.get('job')?.phase, 'completed');
+  const {newest} = rig.memory.topic(jobsTopicOf('job'));
+  const record = newest.get(jobKey('job'));
+  newest.clear();
+  rig.kill(seat);
+  const other = rig.newSeat('v1');
+  void rig.own(other);
+  await rig.run(SETTLE_MS);
+  other.owner?.addStoredJob(record?.value ?? new Uint8Array(0));
+  await rig.run(SETTLE_MS);
+  assert.is(rig.watch.starts, 1);
+});
+
 // The new life of the executor has seen no token.
 owner('keeps a superseded owner from an executor that restarts', async () => {
   const {rig, seat} = await started(2, 2000);
