--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -15,7 +15,6 @@
   markDone,
   newJobState,
   parseTaskName,
-  taskName,
   tasksOf,
   type JobState,
   type NewJob,
@@ -415,8 +414,3 @@
     this.organisations.add(occurrence.job.organisation, spec.size, -1);
   }
 }
-
-/** Names a task in a log line. */
-export function describeTask(task: TaskState): string {
-  return `${taskName(task)}#${task.run}`;
-}
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -28,6 +28,7 @@
   encodeProgress,
   jobKey,
   JOBS_TOPICS,
+  PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
 import {Review} from './review.js';
@@ -39,8 +40,6 @@
 
 /** Key prefix of the records that name the executors in use. */
 const EXECUTOR_PREFIX = 'e/';
-/** Key prefix of the records of a job's progress. */
-const PROGRESS_PREFIX = 'p/';
 /** Pause between reads of jobs that no VM has told of, in ms. */
 const JOBS_PAUSE_MS = 600;
 /** Pause between reads of what executors say of themselves, in ms. */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -7,6 +7,7 @@
   decodeJobsEntry,
   decodePhase,
   JOBS_TOPICS,
+  PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
 import type {PlacedRecord, Store} from './store.js';
@@ -16,7 +17,6 @@
 const READ_PAUSE_MS = 400;
 /** A reading that is older proves nothing about a job, in ms. */
 const SURE_AGE_MS = 1500;
-const PROGRESS_PREFIX = 'p/';
 
 interface Followers {
   readonly jobs: readonly Follower[];
