Ask for tickets only where a step could start

Shown by new lines on why steps wait, by queue, and on calls by queue.

Now room is claimed by one step at a time in the order of rank, tickets are asked for only where there is room or room is made, tickets ahead of room only through a third of the VMs that are idle, and work that earns nothing goes behind all that earns something. Ruled out: organisations at their limit, headroom, unlisted executors (the new reasons show none of them).

schedule.ts is split by job: service-room, ticket-needs, make-room, round.

--- /dev/null
+++ b/packages/cell/src/make-room.ts
@@ -0,0 +1,87 @@
+/** Makes room for a step that waits, by stopping or holding back other work. */
+import {countedCpu, type ExecutorState} from './executor-state.js';
+import type {StepState} from './job-state.js';
+import {isSuited, mayUse, promise} from './place.js';
+import {planRoom, type RoomPlan} from './preempt.js';
+import {IN_TIME, WORTHLESS, type RankedStep} from './queue-order.js';
+import type {Round} from './round.js';
+import type {ServiceRoom} from './service-room.js';
+
+/** A task that takes this part of an executor is kept room for. */
+const LARGE_PART = 0.25;
+
+/**
+ * Stops less urgent work for a step that waits, and keeps the room for it.
+ * Nothing is stopped for work that is late already.
+ *
+ * @returns the executors on which there will be room; empty for none
+ */
+export function stopForRoom(
+  {step, standing}: RankedStep,
+  wanted: number,
+  room: ServiceRoom,
+  round: Round,
+): readonly ExecutorState[] {
+  if (standing !== IN_TIME) return [];
+  for (let count = wanted; count >= 1; count = count >> 1) {
+    const plans = planRoom(step, count, room.executors, round);
+    if (plans !== null) {
+      carryOutPlans(step, plans, round);
+      return plans.map(({executor}) => executor);
+    }
+    if (step.spec.isGang) break;
+  }
+  return [];
+}
+
+/**
+ * Keeps executors that the step may use from what comes later, where it is a
+ * gang or a large task, which small tasks would starve.
+ */
+export function holdExecutors(
+  {step, standing}: RankedStep,
+  wanted: number,
+  room: ServiceRoom,
+  round: Round,
+): void {
+  if (standing === WORTHLESS) return;
+  if (step.spec.isGang) reserveFor(step, wanted, room, round);
+  else if (isLarge(step, room)) reserveFor(step, 1, room, round);
+}
+
+/** Whether a task takes so much of an executor that small ones keep it out. */
+export function isLarge({spec}: StepState, {executors}: ServiceRoom): boolean {
+  return executors.every(({info: {capacity}}) => {
+    const cpu = countedCpu(spec) / Math.max(1, capacity.cpuMilli);
+    const mem = spec.size.memMb / Math.max(1, capacity.memMb);
+    const accel = spec.size.accel / Math.max(1, capacity.accel);
+    return Math.max(cpu, mem, accel) >= LARGE_PART;
+  });
+}
+
+function carryOutPlans(
+  step: StepState,
+  plans: readonly RoomPlan[],
+  {state, promised, claimed}: Round,
+): void {
+  for (const {executor, victims, count} of plans) {
+    for (const victim of victims) state.stopTask(victim);
+    promise(promised, executor, step.spec, count);
+    promise(claimed, executor, step.spec, count);
+  }
+}
+
+function reserveFor(
+  step: StepState,
+  count: number,
+  room: ServiceRoom,
+  round: Round,
+): void {
+  const usable = room.executors.filter(
+    each => isSuited(step, each) && mayUse(step, each),
+  );
+  const soonest = [...usable].sort((a, b) => a.usedAccel - b.usedAccel);
+  for (const each of soonest.slice(0, count)) {
+    round.reserved.add(each);
+  }
+}
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -32,9 +32,10 @@
   PROGRESS_TOPIC,
 } from './records.js';
 import {Review} from './review.js';
-import {mayTakeWork} from './place.js';
-import {decideRound, freeCpuOf} from './schedule.js';
+import {decideRound} from './schedule.js';
+import type {RoundContext} from './round.js';
 import {Signal} from './signal.js';
+import {stateLines} from './state-lines.js';
 import type {KeyedRecord, LogPage, PlacedRecord, Store} from './store.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
 
@@ -421,20 +422,26 @@
     const {clock, metrics} = this.deps;
     if (!this.mayStart()) return;
     const nowMs = clock.monotonicMs();
-    const context = {
-      nowMs,
-      wallMs: clock.wallMs(),
-      isUnsure: (step: StepState) => this.isUnsure(step, nowMs),
-    };
+    const context = this.roundContext(nowMs);
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
         decision.tasks.forEach(t => this.sendStart(t));
-      } else this.desk.request(decision.step, decision.executorIds);
+      } else {
+        this.desk.request(decision);
+      }
     }
     metrics.record('round_us', (clock.monotonicMs() - nowMs) * 1000);
     this.publishPhases();
   }
 
+  private roundContext(nowMs: number): RoundContext {
+    return {
+      nowMs,
+      wallMs: this.deps.clock.wallMs(),
+      isUnsure: step => this.isUnsure(step, nowMs),
+    };
+  }
+
   private sendStart(task: TaskState): void {
     const {executor, step} = task;
     if (executor === null) return;
@@ -502,20 +509,13 @@
     const nowMs = this.deps.clock.monotonicMs();
     if (nowMs - this.stateLoggedMs < STATE_LINE_MS) return;
     this.stateLoggedMs = nowMs;
-    const ready = [...this.state.readySteps(this.deps.clock.wallMs())];
-    const executors = [...this.state.executors.values()];
-    this.deps.log('cellState', {
-      term: this.state.term,
-      jobs: this.state.jobs.size,
-      waitingSteps: ready.filter(hasWaitingTask).length,
-      unsureSteps: ready.filter(step => this.isUnsure(step, nowMs)).length,
-      askingSteps: ready.filter(({isAsking}) => isAsking).length,
-      adviceWaiting: this.desk.waitingCount(),
-      adviceLanes: this.deps.lanes().length,
-      executors: executors.length,
-      open: executors.filter(each => mayTakeWork(each, nowMs)).length,
-      freeCpuMilli: executors.reduce((sum, each) => sum + freeCpuOf(each), 0),
-    });
+    const context = this.roundContext(nowMs);
+    for (const {event, fields} of stateLines(this.state, context)) {
+      this.deps.log(event, fields);
+    }
+    for (const row of this.desk.takeReport()) {
+      this.deps.log('adviceState', {...row});
+    }
   }
 
   private dropGone(): void {
@@ -659,7 +659,3 @@
 function tombstone(key: string): KeyedRecord {
   return {key, value: new Uint8Array(0)};
 }
-
-function hasWaitingTask({tasks}: StepState): boolean {
-  return tasks.some(({phase}) => phase === 'waiting');
-}
--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -1,6 +1,7 @@
 /** Where waiting tasks go: one executor for a task, a set for a gang. */
 import {countedCpu, hasRoom, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
+import type {StepSpec} from './types.js';
 
 /** An executor on another rack than the data counts as this much slower. */
 const FAR_RACK_SLOWNESS = 2;
@@ -29,6 +30,24 @@
   readonly accel: number;
 }
 
+/** For an executor on which no room is promised. */
+export const NO_ROOM_PROMISED: Promised = {cpuMilli: 0, memMb: 0, accel: 0};
+
+/** Adds room for some tasks of a step to what is promised on an executor. */
+export function promise(
+  promised: Map<ExecutorState, Promised>,
+  executor: ExecutorState,
+  spec: StepSpec,
+  count: number,
+): void {
+  const {cpuMilli, memMb, accel} = promised.get(executor) ?? NO_ROOM_PROMISED;
+  promised.set(executor, {
+    cpuMilli: cpuMilli + count * countedCpu(spec),
+    memMb: memMb + count * spec.size.memMb,
+    accel: accel + count * spec.size.accel,
+  });
+}
+
 /** Tells whether new work may go to an executor at all. */
 export function mayTakeWork(executor: ExecutorState, nowMs: number): boolean {
   return (
@@ -225,18 +244,19 @@
   return null;
 }
 
-/** How many tasks of the step fit in what is free on an executor. */
+/** How many tasks of the step fit in what is free, and not taken else. */
 export function copiesThatFit(
   step: StepState,
   executor: ExecutorState,
+  taken: Promised = NO_ROOM_PROMISED,
 ): number {
   const {spec} = step;
   const {info, usedCpu, usedMem, usedAccel} = executor;
   const {cpuMilli, memMb, accel} = info.capacity;
   const fits = Math.min(
-    copies(cpuMilli - usedCpu, countedCpu(spec)),
-    copies(memMb - usedMem, spec.size.memMb),
-    copies(accel - usedAccel, spec.size.accel),
+    copies(cpuMilli - usedCpu - taken.cpuMilli, countedCpu(spec)),
+    copies(memMb - usedMem - taken.memMb, spec.size.memMb),
+    copies(accel - usedAccel - taken.accel, spec.size.accel),
   );
   const {maxPerExecutor} = spec;
   if (maxPerExecutor === 0) return fits;
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -15,6 +15,9 @@
 /** The job earns nothing any more. */
 export const WORTHLESS: Standing = 2;
 
+/** Added to the priority of work that earns nothing any more. */
+const WORTHLESS_PRECEDENCE = 1000;
+
 /** A waiting step and the reasons for its place in the order. */
 export interface RankedStep {
   readonly step: StepState;
@@ -25,11 +28,16 @@
   readonly slackMs: number;
 }
 
+/** Which work goes first by its queue; lower goes first. */
+export function precedence({priority, standing}: RankedStep): number {
+  return standing === WORTHLESS ? WORTHLESS_PRECEDENCE + priority : priority;
+}
+
 /**
- * Orders waiting steps: by priority of their queue, then those within their
- * organisation's weight, then those that can still meet their objective, by
- * slack. Answers a load of more work than room: work that is late already
- * does not make other work late too.
+ * Orders waiting steps: those that still earn something, by priority of their
+ * queue, then those within their organisation's weight, then those that can
+ * still meet their objective, by slack. Answers a load of more work than room:
+ * work that is late already does not make other work late too.
  *
  * @example
  * for (const {step} of orderSteps(ready, estimates, Date.now())) place(step);
@@ -79,7 +87,7 @@
 
 function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
-    a.priority - b.priority ||
+    precedence(a) - precedence(b) ||
     Number(a.isExcess) - Number(b.isExcess) ||
     a.standing - b.standing ||
     a.slackMs - b.slackMs
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -84,6 +84,10 @@
   return [...decideRound(state, {nowMs, wallMs: NOW_MS, isUnsure})];
 }
 
+function adviseCount(state: CellState): number {
+  return decide(state).filter(({kind}) => kind === 'advise').length;
+}
+
 /** The executors on which a job's tasks were placed, in order. */
 function placesOf(job: JobState): readonly string[] {
   const tasks = job.occurrences.flatMap(o => o.steps.flatMap(s => s.tasks));
@@ -258,10 +262,26 @@
     step?.asked.add('x').add('y');
     step?.allowed.add('x').add('y');
   }
-  assert.is(decide(state).filter(({kind}) => kind === 'advise').length, 3);
+  assert.is(adviseCount(state), 3);
+  for (const job of state.jobs.values()) {
+    const step = job.occurrences[0]?.steps[0];
+    if (step !== undefined) step.isAsking = true;
+  }
+  assert.is(adviseCount(state), 0);
+});
+
+decisions('lets one step at a time ask for the same room', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  addJob(state, 'first', queue, [{...STEP, count: 3}]);
+  addJob(state, 'second', queue, [{...STEP, count: 3}]);
+  addJob(state, 'third', queue, [{...STEP, count: 3}]);
+  const asks = decide(state).map(d => d.kind === 'advise' && !d.isAhead);
+  assert.equal(asks, [true, true, false]);
 });
 
-decisions('orders by priority, then by what can still be in time', () => {
+decisions('orders by priority, and puts last what earns nothing', () => {
   const estimates = new Estimates();
   const make = (id: string, queue: Queue, acceptedMs: number): JobState =>
     newJobState({
@@ -276,6 +296,7 @@
       acceptedMs,
     });
   const jobs = [
+    make('lost', URGENT, NOW_MS - 4501),
     make('late', QUEUE, NOW_MS - 2000),
     make('fresh', QUEUE, NOW_MS),
     make('tight', QUEUE, NOW_MS - 500),
@@ -284,7 +305,7 @@
   const steps = jobs.flatMap(job => job.occurrences.flatMap(o => o.steps));
   const order = orderSteps(steps, estimates, NOW_MS);
   const ids = order.map(({step}) => step.occurrence.job.id);
-  assert.equal(ids, ['urgent', 'tight', 'fresh', 'late']);
+  assert.equal(ids, ['urgent', 'tight', 'fresh', 'late', 'lost']);
 });
 
 decisions('slows fillers down faster than it speeds them up', () => {
