--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -105,6 +105,13 @@
     }
   }
 
+  /** Takes the steps of a job off the list. */
+  closeJob(job: JobState): void {
+    for (const {steps} of job.occurrences) {
+      for (const step of steps) this.openSteps.delete(step);
+    }
+  }
+
   /** Cancels a job; one that is not known yet is cancelled as it comes. */
   cancelJob(id: string): void {
     const job = this.jobs.get(id);
@@ -384,9 +391,7 @@
     phase: 'completed' | 'failed' | 'cancelled',
   ): void {
     job.phase = phase;
-    for (const {steps} of job.occurrences) {
-      for (const step of steps) this.openSteps.delete(step);
-    }
+    this.closeJob(job);
     for (const task of tasksOf(job)) this.stopTask(task);
     this.listener.onDirty(job);
     this.listener.onPhase(job);
--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-task.ts
@@ -14,13 +14,12 @@
   noteClock,
   type ExecutorState,
 } from './executor-state.js';
+import {InventoryReader} from './inventory-reader.js';
 import {taskName, type TaskState} from './job-state.js';
 import {Signal} from './signal.js';
 
 /** Time for which runs go on when their owner is lost, in ms. */
 export const LEASE_MS = 6000;
-/** The longest lease that executors grant, in ms; stated by the platform. */
-export const MAX_LEASE_MS = 10_000;
 /** How long an executor may wait for an end before it answers, in ms. */
 const HOLD_WAIT_MS = 700;
 /** How long the answer may take on top of that, in ms. */
@@ -67,9 +66,12 @@
 export class ExecutorTask {
   private isClosed = false;
   private sentAck = 0;
+  /** The life of the executor whose ends `sentAck` counts. */
+  private ackedLifeMs = 0;
   /** When the newest list that was taken in was asked for. */
   private listedMs = -Infinity;
   private readonly signal: Signal;
+  private readonly reader: InventoryReader;
 
   constructor(
     readonly executor: ExecutorState,
@@ -77,6 +79,7 @@
     private readonly host: ExecutorHost,
   ) {
     this.signal = new Signal(host.clock);
+    this.reader = new InventoryReader(executor, host);
   }
 
   /** Holds the executor until it is closed. */
@@ -165,11 +168,20 @@
   }
 
   private hasReason(): boolean {
+    this.noteLife();
     const {tasks, strays, isReached, missed, ackedThrough} = this.executor;
     if (tasks.size > 0 || strays.size > 0 || missed > 0) return true;
     return !isReached || this.sentAck < ackedThrough;
   }
 
+  /** A new life of the executor, by its list or its entry, counts from 1. */
+  private noteLife(): void {
+    const {bornMs} = this.executor;
+    if (bornMs === this.ackedLifeMs) return;
+    this.ackedLifeMs = bornMs;
+    this.sentAck = 0;
+  }
+
   private async holdOnce(): Promise<void> {
     const {executor, host} = this;
     const reply = await this.sendHold(this.waitMs());
@@ -192,6 +204,7 @@
     waitMs: number,
   ): Promise<Inventory | OrderReply | null> {
     const {executor, host} = this;
+    this.noteLife();
     const {ackedThrough, bornMs} = executor;
     // Sent once only: a new life that is not noticed yet counts from 1 again.
     const isAckNew = ackedThrough > this.sentAck && executor.missed === 0;
@@ -209,8 +222,9 @@
     // Answers may overtake each other: an older list would bring runs back.
     if (sentMs < this.listedMs) return null;
     this.listedMs = sentMs;
-    const hasNews = this.takeInventory(reply, sentMs);
+    const hasNews = this.reader.take(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
+    this.noteLife();
     await host.clock.sleep(hasNews ? HOLD_GAP_MS : NO_NEWS_GAP_MS);
     return reply;
   }
@@ -314,134 +328,4 @@
       host.onChange(executor);
     }
   }
-
-  /** Takes in what runs and what ended; tells whether there was news. */
-  private takeInventory(inventory: Inventory, sentMs: number): boolean {
-    const {executor, host} = this;
-    const nowMs = host.clock.monotonicMs();
-    // An executor that does not say when it started has one life.
-    const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
-    if (bornMs !== executor.bornMs) {
-      host.onLine('executorReborn', {executorId: executor.info.id, bornMs});
-      host.state.startNewLife(executor, bornMs, sentMs);
-      this.sentAck = 0;
-      // Orders that name the old life's clock are cut to the longest lease.
-      executor.leaseUntilMs = inventory.clockMs + MAX_LEASE_MS;
-    }
-    if (executor.missed > 0) {
-      host.onLine('executorBack', {executorId: executor.info.id});
-    }
-    executor.missed = 0;
-    const wasReached = executor.isReached;
-    executor.isReached = true;
-    noteClock(executor, inventory.clockMs, nowMs);
-    const hadEnds = this.takeEnds(inventory, nowMs);
-    this.takeRuns(inventory, sentMs, nowMs);
-    if (hadEnds || !wasReached) host.onChange(executor);
-    return hadEnds || !wasReached;
-  }
-
-  private takeEnds({ended}: Inventory, nowMs: number): boolean {
-    const {executor, host} = this;
-    let hadEnds = false;
-    for (const end of ended) {
-      if (end.number <= executor.processedThrough) continue;
-      executor.processedThrough = end.number;
-      host.state.noteEnd(executor, end, nowMs);
-      host.onLine('runEnded', {
-        task: end.task,
-        run: end.run,
-        how: end.how,
-        executorId: executor.info.id,
-      });
-      hadEnds = true;
-    }
-    return hadEnds;
-  }
-
-  private takeRuns(
-    {running, ended}: Inventory,
-    sentMs: number,
-    nowMs: number,
-  ): void {
-    const {executor, host} = this;
-    const listed = new Set<string>();
-    for (const {task: name, run, checkpoint, percent, usage} of running) {
-      listed.add(`${name}#${run}`);
-      const task = host.state.taskNamed(name);
-      if (task?.executor === executor && isSameRun(task, run, sentMs)) {
-        task.run = run;
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
-      } else if (task !== undefined && mayAdopt(task, run)) {
-        host.state.adoptRun(executor, task, run, nowMs);
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
-        host.onLine('runAdopted', {
-          task: name,
-          run,
-          executorId: executor.info.id,
-        });
-      } else {
-        host.state.noteStray(executor, name, run);
-      }
-    }
-    // A list of ends that is cut off says nothing about what is missing.
-    if (ended.length >= MAX_LISTED_ENDS) return;
-    this.noteMissing(listed, sentMs);
-  }
-
-  private noteRunning(
-    task: TaskState,
-    checkpoint: string,
-    percent: number,
-    usage: number,
-    nowMs: number,
-  ): void {
-    if (task.phase === 'starting') {
-      task.phase = 'running';
-      task.answeredMs = nowMs;
-    }
-    task.percent = percent;
-    task.usage = usage;
-    this.host.state.noteCheckpoint(task, checkpoint);
-  }
-
-  private noteMissing(listed: ReadonlySet<string>, sentMs: number): void {
-    const {executor, host} = this;
-    for (const {task, run} of [...executor.strays.values()]) {
-      if (!listed.has(`${task}#${run}`)) {
-        host.state.dropStray(executor, task, run);
-      }
-    }
-    for (const task of [...executor.tasks]) {
-      if (listed.has(`${taskName(task)}#${task.run}`)) continue;
-      if (task.answeredMs >= sentMs) continue;
-      if (task.phase === 'starting') {
-        host.state.stopTask(task);
-        continue;
-      }
-      host.onLine('runMissing', {
-        task: taskName(task),
-        run: task.run,
-        phase: task.phase,
-        executorId: executor.info.id,
-      });
-      host.state.requeue(task);
-      host.onChange(executor);
-    }
-  }
-}
-
-/** Ends that one answer lists at most; stated by the platform. */
-const MAX_LISTED_ENDS = 500;
-
-/** The run that is known, or one in whose favour the known was refused. */
-function isSameRun(task: TaskState, run: number, sentMs: number): boolean {
-  if (task.run === run) return true;
-  return task.phase === 'starting' && task.answeredMs < sentMs;
-}
-
-function mayAdopt(task: TaskState, run: number): boolean {
-  const {job} = task.step.occurrence;
-  const isOpen = job.phase === 'queued' || job.phase === 'running';
-  return isOpen && task.phase === 'waiting' && run >= task.run;
 }
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -28,6 +28,12 @@
   readonly incarnation: number;
 }
 
+/** Only the address, of what holds one. */
+export function toAddress(from: OwnerAddress): OwnerAddress {
+  const {vm, ip, port, incarnation} = from;
+  return {vm, ip, port, incarnation};
+}
+
 /** The newest record of the owner's topic. */
 export interface OwnerRecord extends OwnerAddress {
   readonly term: number;
@@ -168,9 +174,8 @@
    */
   async handOver(successor: OwnerAddress): Promise<number> {
     this.isLost = true;
-    const {vm, ip, port, incarnation} = successor;
     const term = this.record.term + 1;
-    const record = {vm, ip, port, incarnation, term, isReleased: false};
+    const record = {...toAddress(successor), term, isReleased: false};
     await this.writes.onIdle();
     try {
       return await appendOwner(this.store, record, this.endOffset);
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -28,6 +28,8 @@
 const HASH_FACTOR = 31;
 const JOB_PREFIX = 'j/';
 const CANCEL_PREFIX = 'c/';
+/** Key prefix of the records that name the executors in use. */
+export const EXECUTOR_PREFIX = 'e/';
 /** Key prefix of the records of a job's progress. */
 export const PROGRESS_PREFIX = 'p/';
 
--- a/packages/cell/test/owner.test.ts
+++ b/packages/cell/test/owner.test.ts
@@ -107,6 +107,24 @@
   assert.is(rig.watch.starts, 1);
 });
 
+// Each life of an executor numbers its ends from 1.
+owner(
+  'acknowledges ends of an executor that restarted while idle',
+  async () => {
+    const {rig, seat} = await started(1);
+    for (const id of ['a', 'b', 'c']) {
+      rig.submit(id, [STEP], [seat]);
+      await rig.run(SETTLE_MS);
+    }
+    rig.executor('x0').restart();
+    await rig.run(SETTLE_MS);
+    rig.submit('job', [STEP], [seat]);
+    await rig.run(SETTLE_MS);
+    assert.is(rig.rows.get('job')?.phase, 'completed');
+    assert.is(rig.watch.isAcked('job.0.0.0'), true);
+  },
+);
+
 // The new life of the executor has seen no token.
 owner('keeps a superseded owner from an executor that restarts', async () => {
   const {rig, seat} = await started(2, 2000);
--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -70,3 +70,21 @@
 ): number {
   return results.filter(result => result.outcome === outcome).length;
 }
+
+/**
+ * Sums up the results that are not of one outcome, for the message of a check.
+ *
+ * @example
+ * assert.is(answered, all, describeOthers(results, 'answered'));
+ */
+export function describeOthers(
+  results: readonly RequestResult[],
+  outcome: Outcome,
+): string {
+  const others = results.filter(result => result.outcome !== outcome);
+  const lines = others.map(
+    ({outcome, status, kind, tookMs}) =>
+      `${outcome} ${status} ${kind} after ${Math.round(tookMs)} ms`,
+  );
+  return [`${others.length} of ${results.length} are not`, ...lines].join('\n');
+}
--- a/packages/demo/test/entry-failure.process.test.ts
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -4,7 +4,7 @@
 import {CallerClient, waitUntil, type TeamKey} from '@dragonflyward/standins';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {countOutcome} from '../src/index.js';
+import {countOutcome, describeOthers} from '../src/index.js';
 import {Cell, jobOf, longJob, RECOVERY_BOUND_MS, TEAM} from './cell.js';
 
 /** How soon a withdrawn key must be refused. */
@@ -86,7 +86,8 @@
   await sleep(CUT_MS);
   const results = await load.stop();
   assert.is(countOutcome(results, 'lost'), 0);
-  assert.is(countOutcome(results, 'answered'), results.length);
+  const others = describeOthers(results, 'answered');
+  assert.is(countOutcome(results, 'answered'), results.length, others);
   assert.ok(await isTaken(cut.id, cell.key));
   await cell.submit(jobOf({domain}));
   await cell.rig.switchLog({cutFrom: []});
