--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -107,6 +107,11 @@
     return this.record;
   }
 
+  /** The highest term that is known here; 0 for none. */
+  get term(): number {
+    return this.record?.term ?? 0;
+  }
+
   /** Whether this VM owns the cell or is about to. */
   get isOwner(): boolean {
     return this.held !== null;
--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -61,8 +61,10 @@
   readonly log: LogLine;
   readonly table: JobTable;
   readonly lookup: (id: string, timeoutMs: number) => Promise<Lookup>;
-  readonly tellJob: (value: Uint8Array) => void;
+  readonly tellJob: (id: string, value: Uint8Array) => void;
   readonly tellCancel: (id: string) => void;
+  /** Whether the table holds all jobs that were accepted a moment ago. */
+  readonly isTableFresh: () => boolean;
 }
 
 interface PendingWrite {
@@ -120,6 +122,12 @@
     return {kind: 'done'};
   }
 
+  /** How many jobs of a queue wait; null while this is not known here. */
+  waitingIn(queue: string): number | null {
+    const {table, isTableFresh} = this.deps;
+    return isTableFresh() ? table.waitingIn(queue) : null;
+  }
+
   /** Tells a job's phase. */
   async phase(id: string, caller: JobCaller): Promise<PhaseAnswer> {
     const {row, isSure} = await this.find(id, caller.timeoutMs);
@@ -156,7 +164,7 @@
     });
     if (outcome !== 'stored') return this.toAnswer(outcome);
     table.set({id, phase: 'queued', queue: queue.name, organisation});
-    this.deps.tellJob(value);
+    this.deps.tellJob(id, value);
     return {kind: 'done'};
   }
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -23,6 +23,8 @@
 export * from './progress-writer.js';
 export * from './follower.js';
 export * from './job-table.js';
+export * from './table-freshness.js';
+export * from './election.js';
 export * from './messages.js';
 export * from './members.js';
 export * from './owner.js';
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -63,11 +63,14 @@
 
   /** What the store says of a job that is not in the table. */
   lookup(id: string): Lookup {
-    const row = this.table.get(id) ?? null;
-    if (this.followers === null) return {row, isSure: false};
+    return {row: this.table.get(id) ?? null, isSure: this.isSure};
+  }
+
+  /** Whether all jobs that are stored have been read a moment ago. */
+  get isSure(): boolean {
+    if (this.followers === null) return false;
     const readMs = Math.min(...this.followers.jobs.map(each => each.freshMs));
-    const ageMs = this.clock.monotonicMs() - readMs;
-    return {row, isSure: ageMs < SURE_AGE_MS};
+    return this.clock.monotonicMs() - readMs < SURE_AGE_MS;
   }
 
   private takeJob({key, value}: PlacedRecord): void {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -18,6 +18,7 @@
   CellHello,
   CellProtocol,
   JobRow,
+  JobsNotice,
 } from './messages.js';
 import {Owner} from './owner.js';
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
@@ -26,6 +27,7 @@
 import {makeStoreCall, RelayedStore} from './relayed-store.js';
 import {StoreError} from './store.js';
 import {StoredJobs} from './stored-jobs.js';
+import {TableFreshness} from './table-freshness.js';
 import type {CellConfig} from './types.js';
 
 /** Pause before an owner whose state could not be read is loaded again, in ms. */
@@ -54,6 +56,7 @@
   private readonly store: RelayedStore;
   private readonly config: ConfigFeed;
   private readonly storedJobs: StoredJobs;
+  private readonly freshness: TableFreshness;
   private readonly election: Election;
   private owner: Owner | null = null;
 
@@ -61,6 +64,7 @@
     super();
     const {self, seeds, platform, clock, metrics, log} = deps;
     this.table = new JobTable(clock);
+    this.freshness = new TableFreshness(clock);
     this.members = new Members(self, this, seeds);
     this.store = new RelayedStore(
       platform.store,
@@ -87,8 +91,9 @@
       log,
       table: this.table,
       lookup: (id, timeoutMs) => this.lookup(id, timeoutMs),
-      tellJob: value => this.tellJob(value),
+      tellJob: (id, value) => this.tellJob(id, value),
       tellCancel: id => this.tellCancel(id),
+      isTableFresh: () => this.isTableFresh(),
     });
     const {store, members} = this;
     this.election = new Election(
@@ -184,8 +189,7 @@
       case 'cancel':
         return this.owner?.addStoredCancel(notice.id);
       case 'jobs':
-        for (const row of notice.rows) this.table.set(row);
-        return;
+        return this.takeRows(notice);
       case 'members':
         return this.members.setKnown(notice.members);
       case 'handover':
@@ -226,6 +230,20 @@
     }
   }
 
+  private takeRows({rows, isFull, term}: JobsNotice): void {
+    for (const row of rows) {
+      this.table.set(row);
+      this.freshness.noteShown(row.id);
+    }
+    if (isFull) this.freshness.noteFull(term);
+  }
+
+  private isTableFresh(): boolean {
+    const linkedTerm = this.election.isLinked() ? this.election.term : 0;
+    const isSureItself = this.owner?.isSure ?? this.storedJobs.isSure;
+    return this.freshness.isFresh({linkedTerm, isSureItself});
+  }
+
   private setDetached(isDetached: boolean): void {
     if (isDetached) this.storedJobs.start();
     else this.storedJobs.stop();
@@ -243,8 +261,9 @@
     this.broadcast({type: 'members', members});
   }
 
-  private tellJob(value: Uint8Array): void {
+  private tellJob(id: string, value: Uint8Array): void {
     if (this.owner !== null) return this.owner.addStoredJob(value);
+    this.freshness.noteTold(id);
     this.election.ownerConnection()?.notify({type: 'job', value});
   }
 
@@ -283,7 +302,7 @@
     const {current} = this.config;
     if (current !== null) owner.setConfig(current);
     this.broadcast(this.heartbeat());
-    this.publish(owner.allRows(), ownership.term);
+    this.publish(owner.allRows(), ownership.term, true);
     this.sendMembers();
     return true;
   }
@@ -324,8 +343,8 @@
     return false;
   }
 
-  private publish(rows: readonly JobRow[], term: number): void {
+  private publish(rows: readonly JobRow[], term: number, isFull = false): void {
     for (const row of rows) this.table.set(row);
-    this.broadcast({type: 'jobs', term, isFull: false, rows});
+    this.broadcast({type: 'jobs', term, isFull, rows});
   }
 }
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -177,6 +177,7 @@
     lookup: () => Promise.resolve({row: null, isSure: true}),
     tellJob: () => undefined,
     tellCancel: () => undefined,
+    isTableFresh: () => true,
   });
 }
 
