Append progress one write at a time

Ruled out: late orders, lost answers, the successor's reading.

Now the writer makes one append at a time, opens once, and a failed load ends before the next. Test: store.test.ts, all that is written at the same time; failed before, passes now.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -79,11 +79,17 @@
    */
   async load(): Promise<boolean> {
     const {state, former} = this.deps;
-    const [progress] = await Promise.all([
-      this.loadProgress(),
+    const progressLoad = this.loadProgress();
+    // A load that failed must have ended before it is tried again.
+    const loads = [
+      progressLoad,
       ...this.jobs.map(each => each.load()),
       this.executors.load(),
-    ]);
+    ];
+    for (const load of await Promise.allSettled(loads)) {
+      if (load.status === 'rejected') throw load.reason;
+    }
+    const progress = await progressLoad;
     if (progress === null) return false;
     for (const record of progress.records) this.takeProgress(record);
     for (const id of state.jobs.keys()) former.addJob(id);
--- a/packages/cell/src/progress-writer.ts
+++ b/packages/cell/src/progress-writer.ts
@@ -1,5 +1,6 @@
 /** Writes progress in groups, each append fenced by the owner's term. */
 import type {Clock} from '@dragonflyward/common';
+import PQueue from 'p-queue';
 import {PROGRESS_TOPIC} from './records.js';
 import {StoreError, type KeyedRecord, type Store} from './store.js';
 
@@ -12,6 +13,9 @@
 /** The only writer of the progress topic under one term. */
 export class ProgressWriter {
   private sequence = 0;
+  /** One append at a time: the store takes an equal number for a repeat. */
+  private readonly writes = new PQueue({concurrency: 1});
+  private opened: Promise<boolean> | null = null;
 
   constructor(
     private readonly store: Store,
@@ -28,7 +32,8 @@
    * if (!(await writer.open())) return;
    */
   open(): Promise<boolean> {
-    return this.write([]);
+    this.opened ??= this.write([]);
+    return this.opened;
   }
 
   /**
@@ -39,7 +44,13 @@
    * @example
    * const isStored = await writer.write(records);
    */
-  async write(records: readonly KeyedRecord[]): Promise<boolean> {
+  write(records: readonly KeyedRecord[]): Promise<boolean> {
+    return this.writes.add(() => this.writeUntilStored(records));
+  }
+
+  private async writeUntilStored(
+    records: readonly KeyedRecord[],
+  ): Promise<boolean> {
     for (let delayMs = RETRY_MIN_MS; this.mayWrite();) {
       const outcome = await this.tryOnce(records);
       if (outcome === 'stored') return true;
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -119,6 +119,23 @@
   assert.is(memory.topic(PROGRESS_TOPIC).log.length, 1);
 });
 
+// Found by the soak, seed 301: loading was tried again while the first try
+// still waited for the store, and the store took a commit for its repeat.
+store('stores all that is written at the same time', async () => {
+  const {clock, memory, client} = newBench();
+  const writer = new ProgressWriter(client(), clock, 1, () => true);
+  const value = Uint8Array.of(1);
+  const written = Promise.all([
+    writer.open(),
+    writer.open(),
+    writer.write([{key: 'p/1', value}]),
+    writer.write([{key: 'p/2', value}]),
+  ]);
+  assert.equal(await settle(clock, written), [true, true, true, true]);
+  const {newest} = memory.topic(PROGRESS_TOPIC);
+  assert.equal([...newest.keys()].sort(), ['p/1', 'p/2']);
+});
+
 store('refuses progress of an owner that was superseded', async () => {
   const {clock, memory, client} = newBench();
   const old = new ProgressWriter(client(), clock, 1, () => true);
