Answer callers in time while the store is silent

Now a caller is answered after 0.4 of its time: 503 where the record was not sent (it is not sent any more), 504 where it was. Test: store.test.ts, silent store; fails with the bound taken out.

--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -9,6 +9,8 @@
 
 /** How long the store may take to accept a job, in ms; callers wait 3 s. */
 const APPEND_TIMEOUT_MS = 2200;
+/** Part of a caller's time after which an answer is given without the store. */
+const GIVE_UP_PART = 0.4;
 /** Bounds of the time that callers should wait for the store, in seconds. */
 const MIN_RETRY_AFTER_S = 1;
 const MAX_RETRY_AFTER_S = 4;
@@ -19,6 +21,8 @@
   readonly queue: Queue;
   readonly organisation: string;
   readonly spec: JobSpec;
+  /** How long the caller will wait. */
+  readonly timeoutMs: number;
 }
 
 /** Who asks for a job. */
@@ -151,7 +155,15 @@
     const acceptedMs = clock.wallMs();
     const value = encodeJob({id, queue, organisation, spec, acceptedMs});
     const sentMs = clock.monotonicMs();
-    const outcome = await this.write({key: jobKey(id), value});
+    const record = {key: jobKey(id), value};
+    const written = this.write(record);
+    void written.then(outcome => {
+      if (outcome !== 'stored') return;
+      table.set({id, phase: 'queued', queue: queue.name, organisation});
+      this.deps.tellJob(id, value);
+    });
+    const boundMs = submission.timeoutMs * GIVE_UP_PART;
+    const outcome = await this.outcomeWithin(record, written, boundMs);
     const tookMs = clock.monotonicMs() - sentMs;
     metrics.record('accept_us', tookMs * 1000);
     metrics.count(`jobs_total{outcome="${outcome}"}`);
@@ -162,10 +174,26 @@
       outcome,
       tookMs: Math.round(tookMs),
     });
-    if (outcome !== 'stored') return this.toAnswer(outcome);
-    table.set({id, phase: 'queued', queue: queue.name, organisation});
-    this.deps.tellJob(id, value);
-    return {kind: 'done'};
+    return outcome === 'stored' ? {kind: 'done'} : this.toAnswer(outcome);
+  }
+
+  /**
+   * The outcome of a write, or what is known of it when the caller has to be
+   * answered: a record that was not sent by then is not sent any more.
+   */
+  private async outcomeWithin(
+    record: KeyedRecord,
+    written: Promise<WriteOutcome>,
+    boundMs: number,
+  ): Promise<WriteOutcome> {
+    const late = this.deps.clock.sleep(boundMs).then(() => null);
+    const outcome = await Promise.race([written, late]);
+    if (outcome !== null) return outcome;
+    const waiting = this.pending.find(each => each.record === record);
+    if (waiting === undefined) return 'unknown';
+    this.pending = this.pending.filter(each => each !== waiting);
+    waiting.resolve('refused');
+    return 'refused';
   }
 
   /** Appends a record together with those that come while one is sent. */
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -202,6 +202,7 @@
   id: 'job',
   queue: QUEUE,
   organisation: 'o',
+  timeoutMs: 3000,
   spec: {
     payload: '',
     steps: [STEP],
@@ -233,6 +234,27 @@
   assert.equal(answer, {kind: 'unknown'});
 });
 
+// A silent store answers nothing for the whole of a caller's time.
+store('answers callers in time while the store is silent', async () => {
+  const bench = newBench();
+  const client = bench.client();
+  client.mood.isSilent = true;
+  const front = newFront(bench, client);
+  const startMs = bench.clock.monotonicMs();
+  const answers: string[] = [];
+  const submit = async (id: string): Promise<void> => {
+    const {kind} = await front.submit({...SUBMISSION, id});
+    const tookMs = bench.clock.monotonicMs() - startMs;
+    assert.ok(tookMs < SUBMISSION.timeoutMs / 2, `${id} took ${tookMs} ms`);
+    answers.push(kind);
+  };
+  await settle(bench.clock, Promise.all([submit('sent'), submit('behind')]));
+  assert.equal(answers, ['unknown', 'refused']);
+  client.mood.isSilent = false;
+  await settle(bench.clock, bench.clock.sleep(5000));
+  assert.is(bench.memory.topic(JOBS_TOPICS[0] ?? '').log.length, 0);
+});
+
 store('shows and cancels no job of another organisation', async () => {
   const bench = newBench();
   const front = newFront(bench, bench.client());
