Refuse at once what would wait behind a stalled append

Jobs that were not sent are refused with 503 and when to come back: at once where the append before them is stalled, else after 0.4 of the caller's time; one that was sent gets 0.8 of it.

--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -9,8 +9,15 @@
 
 /** How long the store may take to accept a job, in ms; callers wait 3 s. */
 const APPEND_TIMEOUT_MS = 2200;
-/** Part of a caller's time after which an answer is given without the store. */
-const GIVE_UP_PART = 0.4;
+/** Part of a caller's time after which a job that was not sent is refused. */
+const UNSENT_PART = 0.4;
+/**
+ * The same for a job that was sent. Callers cannot safely repeat a job whose
+ * outcome is unknown, so the store gets most of their time to answer.
+ */
+const SENT_PART = 0.8;
+/** An append that takes longer holds up those behind it, in ms. */
+const STALLED_MS = 500;
 /** Bounds of the time that callers should wait for the store, in seconds. */
 const MIN_RETRY_AFTER_S = 1;
 const MAX_RETRY_AFTER_S = 4;
@@ -82,6 +89,8 @@
 export class Front {
   private pending: PendingWrite[] = [];
   private isWriting = false;
+  /** When the append that is under way was sent. */
+  private sentMs = 0;
   /** Since when the store takes nothing; NaN while it does. */
   private refusedSinceMs = Number.NaN;
   private readonly submitting = new Map<string, Promise<FrontAnswer>>();
@@ -155,6 +164,10 @@
     const acceptedMs = clock.wallMs();
     const value = encodeJob({id, queue, organisation, spec, acceptedMs});
     const sentMs = clock.monotonicMs();
+    if (this.isStalled()) {
+      log('jobNotStored', {job: id, reason: 'the store does not answer'});
+      return this.toAnswer('refused');
+    }
     const record = {key: jobKey(id), value};
     const written = this.write(record);
     void written.then(outcome => {
@@ -162,8 +175,8 @@
       table.set({id, phase: 'queued', queue: queue.name, organisation});
       this.deps.tellJob(id, value);
     });
-    const boundMs = submission.timeoutMs * GIVE_UP_PART;
-    const outcome = await this.outcomeWithin(record, written, boundMs);
+    const {timeoutMs} = submission;
+    const outcome = await this.outcomeWithin(record, written, timeoutMs);
     const tookMs = clock.monotonicMs() - sentMs;
     metrics.record('accept_us', tookMs * 1000);
     metrics.count(`jobs_total{outcome="${outcome}"}`);
@@ -184,16 +197,26 @@
   private async outcomeWithin(
     record: KeyedRecord,
     written: Promise<WriteOutcome>,
-    boundMs: number,
+    timeoutMs: number,
   ): Promise<WriteOutcome> {
-    const late = this.deps.clock.sleep(boundMs).then(() => null);
-    const outcome = await Promise.race([written, late]);
+    const outcome = await this.within(written, timeoutMs * UNSENT_PART);
     if (outcome !== null) return outcome;
     const waiting = this.pending.find(each => each.record === record);
-    if (waiting === undefined) return 'unknown';
-    this.pending = this.pending.filter(each => each !== waiting);
-    waiting.resolve('refused');
-    return 'refused';
+    if (waiting !== undefined) {
+      this.pending = this.pending.filter(each => each !== waiting);
+      waiting.resolve('refused');
+      return 'refused';
+    }
+    const leftMs = timeoutMs * (SENT_PART - UNSENT_PART);
+    return (await this.within(written, leftMs)) ?? 'unknown';
+  }
+
+  private within(
+    written: Promise<WriteOutcome>,
+    boundMs: number,
+  ): Promise<WriteOutcome | null> {
+    const late = this.deps.clock.sleep(boundMs).then(() => null);
+    return Promise.race([written, late]);
   }
 
   /** Appends a record together with those that come while one is sent. */
@@ -204,12 +227,20 @@
     });
   }
 
+  /** A job that is not sent can be refused, and sent again elsewhere. */
+  private isStalled(): boolean {
+    const takenMs = this.deps.clock.monotonicMs() - this.sentMs;
+    return this.isWriting && takenMs > STALLED_MS;
+  }
+
   private async flush(): Promise<void> {
     if (this.isWriting) return;
     this.isWriting = true;
+    const {clock} = this.deps;
     while (this.pending.length > 0) {
       const batch = this.pending;
       this.pending = [];
+      this.sentMs = clock.monotonicMs();
       const outcome = await this.append(batch.map(({record}) => record));
       for (const {resolve} of batch) resolve(outcome);
     }
