Leave the cell to an owner not met yet; read the store before denying a job

The short wait now needs that this VM was connected to that owner. Test: election.test.ts; the first test failed before.

It now reads the jobs before it says that there is none. Test: owner.test.ts.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -3,7 +3,7 @@
 import {decode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
-import {Follower} from './follower.js';
+import {Follower, haveReadAll} from './follower.js';
 import type {FormerRuns} from './former-runs.js';
 import type {JobState, NewJob} from './job-state.js';
 import type {LogLine, Platform} from './platform.js';
@@ -24,6 +24,9 @@
 /** Pause between reads of what executors say of themselves, in ms. */
 const EXECUTORS_PAUSE_MS = 400;
 
+/** How long a caller's question waits for a reading of the jobs, in ms. */
+const READ_BOUND_MS = 500;
+
 /** What the feed needs of its owner. */
 export interface FeedDeps {
   readonly state: CellState;
@@ -113,6 +116,11 @@
     return Math.min(...this.jobs.map(each => each.freshMs));
   }
 
+  /** Whether all jobs that were stored before the call are known now. */
+  readJobs(): Promise<boolean> {
+    return haveReadAll(this.jobs, this.deps.clock, READ_BOUND_MS);
+  }
+
   /** Takes in an accepted job; a repeat changes nothing. */
   addJob(job: NewJob): void {
     const {state, metrics, onJob} = this.deps;
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -20,7 +20,7 @@
 const SUSPECT_MS = 250;
 /** Time in which a living owner writes a heartbeat, in ms. */
 const SILENT_OWNER_MS = OWNER_HEARTBEAT_MS * 1.6;
-/** The same where other VMs have lost the owner too. */
+/** The same where this VM and others were connected to it, and lost it. */
 const AGREED_MS = 100;
 /** A VM waits this many times its way to the store before it claims. */
 const CLAIM_DELAY_FACTOR = 4;
@@ -79,6 +79,8 @@
   private isLeaving = false;
   private isClosed = false;
   private lastLinkedMs: number;
+  /** The highest term whose owner this VM was connected to. */
+  private linkedTerm = 0;
   private lastAccompaniedMs: number;
   private hasBeenAccompanied = false;
   private ownedSinceMs = Infinity;
@@ -264,6 +266,7 @@
     if (this.held !== null) return this.watchSelf(this.held, nowMs);
     if (this.isLinked()) {
       this.lastLinkedMs = nowMs;
+      this.linkedTerm = this.term;
       this.host.setDetached(false);
       return;
     }
@@ -323,11 +326,17 @@
     if (this.isLinked()) return;
     if (isFree) return this.claim(reading);
     if (members.isOwnerSeen(reading.record?.term ?? 0)) return;
-    await clock.sleep(members.count > 0 ? AGREED_MS : SILENT_OWNER_MS);
+    const isAgreed = members.count > 0 && this.hasMet(reading);
+    await clock.sleep(isAgreed ? AGREED_MS : SILENT_OWNER_MS);
     // An owner that lives has written a heartbeat by now: then this fails.
     if (!this.isLinked()) await this.claim(reading);
   }
 
+  /** An owner that this VM never reached may not have met any VM yet. */
+  private hasMet({record}: OwnerReading): boolean {
+    return this.linkedTerm >= (record?.term ?? 0);
+  }
+
   /** Follows the owner that the store names, where it is a newer one. */
   private isKnownNow({record}: OwnerReading): boolean {
     if (record === null || record.isReleased) return false;
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -1,5 +1,6 @@
 /** Follows a keyed topic: the newest records first, then what comes. */
 import type {Clock} from '@dragonflyward/common';
+import {Signal} from './signal.js';
 import {StoreError, type PlacedRecord, type Store} from './store.js';
 
 /** How long a failed read is not repeated, in ms. */
@@ -20,6 +21,7 @@
   freshMs = -Infinity;
   private nextOffset = -1;
   private isStopped = false;
+  private readonly pause: Signal;
 
   constructor(
     private readonly store: Store,
@@ -29,7 +31,9 @@
     /** Told of a full reading: keys that are missing were deleted. */
     private readonly onReload: (keys: ReadonlySet<string>) => void = () =>
       undefined,
-  ) {}
+  ) {
+    this.pause = new Signal(clock);
+  }
 
   /**
    * Reads the newest record of each key.
@@ -53,7 +57,7 @@
       try {
         if (this.nextOffset < 0) await this.load();
         else await this.readOn();
-        await this.clock.sleep(this.options.pauseMs);
+        await this.pause.wait(this.options.pauseMs);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
         if (err.failure === 'expired') this.nextOffset = -1;
@@ -62,6 +66,11 @@
     }
   }
 
+  /** Reads again without waiting for the pause to end. */
+  readSoon(): void {
+    this.pause.raise();
+  }
+
   /** Ends the following. */
   stop(): void {
     this.isStopped = true;
@@ -78,3 +87,27 @@
     this.freshMs = sentMs;
   }
 }
+
+/** Time between two looks whether all have read, in ms. */
+const LOOK_MS = 10;
+
+/**
+ * Waits until all followers have read what was stored before the call.
+ *
+ * @returns false where that takes longer than the bound
+ * @example
+ * const isSure = await haveReadAll(followers, clock, 500);
+ */
+export async function haveReadAll(
+  followers: readonly Follower[],
+  clock: Clock,
+  boundMs: number,
+): Promise<boolean> {
+  const askedMs = clock.monotonicMs();
+  for (const follower of followers) follower.readSoon();
+  while (followers.some(({freshMs}) => freshMs < askedMs)) {
+    if (clock.monotonicMs() - askedMs >= boundMs) return false;
+    await clock.sleep(LOOK_MS);
+  }
+  return true;
+}
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -5,6 +5,7 @@
 import {CellState} from './cell-state.js';
 import {ExecutorTask, type ExecutorHost} from './executor-task.js';
 import type {ExecutorState} from './executor-state.js';
+import type {Lookup} from './front.js';
 import {FormerRuns} from './former-runs.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
@@ -194,12 +195,20 @@
     return job === undefined ? null : toRow(job);
   }
 
+  /** Looks a job up; reads the store before it says that there is none. */
+  async lookup(id: string): Promise<Lookup> {
+    const known = this.rowOf(id);
+    if (known !== null || !this.isActive) return {row: known, isSure: false};
+    const isSure = await this.feed.readJobs();
+    return {row: this.rowOf(id), isSure};
+  }
+
   /** The rows of all jobs. */
   allRows(): readonly JobRow[] {
     return [...this.state.jobs.values()].map(toRow);
   }
 
-  /** Whether a job that is not known here does not exist. */
+  /** Whether all jobs that were stored a moment ago are known here. */
   get isSure(): boolean {
     const ageMs = this.deps.clock.monotonicMs() - this.feed.jobsFreshMs;
     return this.isActive && ageMs < SURE_AGE_MS;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -1,6 +1,6 @@
 /** Reads the jobs from the store while a VM is not connected to an owner. */
 import type {Clock} from '@dragonflyward/common';
-import {Follower} from './follower.js';
+import {Follower, haveReadAll} from './follower.js';
 import type {Lookup} from './front.js';
 import type {JobTable} from './job-table.js';
 import {
@@ -15,7 +15,9 @@
 
 /** Pause between two reads, in ms. */
 const READ_PAUSE_MS = 400;
-/** A reading that is older proves nothing about a job, in ms. */
+/** How long a caller's question waits for a reading of the jobs, in ms. */
+const READ_BOUND_MS = 500;
+/** A reading that is older does not count the jobs, in ms. */
 const SURE_AGE_MS = 1500;
 
 interface Followers {
@@ -62,8 +64,11 @@
   }
 
   /** What the store says of a job that is not in the table. */
-  lookup(id: string): Lookup {
-    return {row: this.table.get(id) ?? null, isSure: this.isSure};
+  async lookup(id: string): Promise<Lookup> {
+    if (this.followers === null) return {row: null, isSure: false};
+    const {jobs} = this.followers;
+    const isSure = await haveReadAll(jobs, this.clock, READ_BOUND_MS);
+    return {row: this.table.get(id) ?? null, isSure};
   }
 
   /** Whether all jobs that are stored have been read a moment ago. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -166,11 +166,7 @@
   ): Promise<CellProtocol['reply']> {
     switch (ask.type) {
       case 'phaseAsk':
-        return {
-          type: 'phase',
-          row: this.owner?.rowOf(ask.id) ?? null,
-          isSure: this.owner?.isSure ?? false,
-        };
+        return {type: 'phase', ...(await this.lookupAsOwner(ask.id))};
       case 'adviceAsk':
         return {type: 'advice', tickets: await this.advise(ask)};
       case 'configAsk':
@@ -272,10 +268,12 @@
     this.election.ownerConnection()?.notify({type: 'cancel', id});
   }
 
+  private async lookupAsOwner(id: string): Promise<Lookup> {
+    return (await this.owner?.lookup(id)) ?? {row: null, isSure: false};
+  }
+
   private async lookup(id: string, timeoutMs: number): Promise<Lookup> {
-    if (this.owner !== null) {
-      return {row: this.owner.rowOf(id), isSure: this.owner.isSure};
-    }
+    if (this.owner !== null) return this.owner.lookup(id);
     const connection = this.election.ownerConnection();
     if (connection === undefined) return this.storedJobs.lookup(id);
     const boundMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
--- /dev/null
+++ b/packages/cell/test/election.test.ts
@@ -0,0 +1,111 @@
+/** When a VM claims the cell, and when it leaves it to its owner. */
+import {ManualClock} from '@dragonflyward/common';
+import {
+  claimCell,
+  Election,
+  OWNER_HEARTBEAT_MS,
+  readOwner,
+  type Members,
+  type OwnerAddress,
+  type Ownership,
+} from '@dragonflyward/cell';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {MemoryStore, StoreClient} from './memory-store.js';
+
+const LONG_MS = 3000;
+
+function address(vm: string): OwnerAddress {
+  return {vm, ip: '', port: 0, incarnation: 1};
+}
+
+/** Other VMs are connected, and none of them is connected to an owner. */
+const LONELY_MEMBERS = {
+  count: 2,
+  connected: () => [],
+  connectionTo: () => undefined,
+  setOwner: () => undefined,
+  largestCores: () => 0,
+  isOwnerSeen: () => false,
+} as unknown as Members;
+
+class ElectionRig {
+  readonly clock = new ManualClock(1000);
+  readonly owned: Ownership[] = [];
+  private readonly memory = new MemoryStore();
+
+  async claimBy(vm: string): Promise<Ownership> {
+    const store = this.client();
+    const reading = readOwner(store);
+    await this.clock.advance(10);
+    const claim = claimCell(store, this.clock, address(vm), await reading);
+    await this.clock.advance(10);
+    const ownership = await claim;
+    assert.ok(ownership);
+    return ownership;
+  }
+
+  startElection(vm: string): Election {
+    const {clock, owned} = this;
+    const election = new Election(
+      {
+        self: address(vm),
+        domain: 'd',
+        cores: 1,
+        members: LONELY_MEMBERS,
+        store: this.client(),
+        clock,
+        log: () => undefined,
+      },
+      {
+        ownCell: ownership => {
+          owned.push(ownership);
+          return Promise.resolve(true);
+        },
+        stopActing: () => undefined,
+        dropOwner: () => undefined,
+        setDetached: () => undefined,
+        announce: () => undefined,
+      },
+    );
+    election.start();
+    return election;
+  }
+
+  private client(): StoreClient {
+    return new StoreClient(this.memory, this.clock);
+  }
+}
+
+async function beat(rig: ElectionRig, ownership: Ownership): Promise<void> {
+  for (;;) {
+    await rig.clock.sleep(OWNER_HEARTBEAT_MS);
+    await ownership.beat();
+  }
+}
+
+const election = suite('election');
+
+// After all VMs were down, the owner is up first and connected to none yet.
+election('leaves the cell to an owner that it has not met yet', async () => {
+  const rig = new ElectionRig();
+  const owner = await rig.claimBy('a');
+  void beat(rig, owner);
+  rig.startElection('b');
+  await rig.clock.advance(LONG_MS);
+  assert.equal(rig.owned, []);
+  assert.is(owner.isSuperseded, false);
+});
+
+election('claims the cell of an owner that writes no heartbeats', async () => {
+  const rig = new ElectionRig();
+  await rig.claimBy('a');
+  rig.startElection('b');
+  await rig.clock.advance(LONG_MS);
+  assert.equal(
+    rig.owned.map(({term}) => term),
+    [2],
+  );
+});
+
+election.run();
--- a/packages/cell/test/owner.test.ts
+++ b/packages/cell/test/owner.test.ts
@@ -131,6 +131,18 @@
   assert.ok(newest.has(`${EXECUTOR_PREFIX}x0`));
 });
 
+// Found by the soak, seed 1007: a VM that had been paused stored a job and told
+// nobody; a caller who asked another VM right after was told that it is unknown.
+owner('knows a job that was stored and not told of', async () => {
+  const {rig, seat} = await started(1);
+  rig.submit('job', [STEP], []);
+  const known = seat.owner?.lookup('job');
+  const unknown = seat.owner?.lookup('other');
+  await rig.run(500);
+  assert.is((await known)?.row?.id, 'job');
+  assert.equal(await unknown, {row: null, isSure: true});
+});
+
 // Each life of an executor numbers its ends from 1.
 owner(
   'acknowledges ends of an executor that restarted while idle',
