--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -226,6 +226,49 @@
   assert.equal(placesOf(job), ['y']);
 });
 
+decisions('starts nothing with a ticket that has ended', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const queue = {...QUEUE, name: 'advised', advice: ADVICE};
+  const job = addJob(state, 'j', queue, [STEP]);
+  const step = job.occurrences[0]?.steps[0];
+  step?.asked.add('x');
+  step?.allowed.add('x');
+  step?.tickets.set('x', {ticket: 't', validUntilMs: NOW_MS});
+  decide(state);
+  assert.equal(placesOf(job), ['']);
+});
+
+decisions('places work on the executors of its service only', () => {
+  const state = newState();
+  addExecutor(state, 'other', {service: 'other'});
+  const job = addJob(state, 'j', QUEUE, [STEP]);
+  decide(state);
+  assert.equal(placesOf(job), ['']);
+  // A queue may be sent to another service after its tickets were given.
+  const advised = {...QUEUE, name: 'advised', advice: ADVICE};
+  const moved = addJob(state, 'moved', advised, [STEP]);
+  const step = moved.occurrences[0]?.steps[0];
+  step?.asked.add('other');
+  step?.allowed.add('other');
+  step?.tickets.set('other', {ticket: 't', validUntilMs: NOW_MS + 1000});
+  decide(state);
+  assert.equal(placesOf(moved), ['']);
+});
+
+decisions('stops the others of a gang when one of its tasks fails', () => {
+  const state = newState();
+  const x = addExecutor(state, 'x');
+  const job = addJob(state, 'j', QUEUE, [GANG]);
+  decide(state);
+  markRunning(job);
+  const [first] = job.occurrences[0]?.steps[0]?.tasks ?? [];
+  const end = {number: 1, task: 'j.0.0.0', run: 1, checkpoint: ''};
+  state.noteEnd(x, {...end, how: 'failed'}, NOW_MS);
+  assert.is(first?.phase, 'waiting');
+  assert.equal(stopped, ['j']);
+});
+
 decisions('asks for an executor that came after the others refused', () => {
   const state = newState();
   addExecutor(state, 'x');
--- a/packages/cell/test/freshness.test.ts
+++ b/packages/cell/test/freshness.test.ts
@@ -1,6 +1,6 @@
 /** A VM counts waiting jobs only while its table is complete. */
 import {ManualClock} from '@dragonflyward/common';
-import {TableFreshness} from '@dragonflyward/cell';
+import {JobTable, TableFreshness} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -44,4 +44,13 @@
   assert.is(table.isFresh(LINKED), true);
 });
 
+freshness('never takes back a final phase', () => {
+  const table = new JobTable(new ManualClock(1000));
+  const row = {id: 'a', queue: 'q', organisation: 'o'} as const;
+  table.set({...row, phase: 'completed'});
+  table.set({...row, phase: 'running'});
+  table.set({...row, phase: 'failed'});
+  assert.is(table.get('a')?.phase, 'completed');
+});
+
 freshness.run();
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -50,6 +50,8 @@
   return {vm, ip: '', port: 0, incarnation: 1};
 }
 
+const VALUE = Uint8Array.of(1);
+
 const store = suite('store');
 
 store('gives a term to one of two claimants only', async () => {
@@ -183,6 +185,18 @@
   assert.is(unknown.failure, 'unknown');
 });
 
+// A peer that gives no answer may have made the call.
+store('says unknown where a peer gives no answer', async () => {
+  const {clock, client} = newBench();
+  const own = client();
+  own.mood.isRefusing = true;
+  const lost: StorePeer = {callStore: () => Promise.reject(new Error('cut'))};
+  const relayed = new RelayedStore(own, () => [lost], clock);
+  const append = relayed.append('keyed.t', [{key: 'k', value: VALUE}]);
+  const err = (await settle(clock, append)) as StoreError;
+  assert.is(err.failure, 'unknown');
+});
+
 function newFront(bench: Bench, client: StoreClient): Front {
   return new Front({
     store: client,
