--- a/packages/cell/test/owner.test.ts
+++ b/packages/cell/test/owner.test.ts
@@ -143,6 +143,23 @@
   assert.equal(await unknown, {row: null, isSure: true});
 });
 
+owner('says why steps wait', async () => {
+  const {rig, seat} = await started(1, 60_000);
+  const whole = {...STEP, size: {...STEP.size, cpuMilli: 3000}};
+  const tooLarge = {...STEP, size: {...STEP.size, cpuMilli: 90_000}};
+  for (const [id, step] of [
+    ['runs', whole],
+    ['full', whole],
+    ['never', tooLarge],
+  ] as const) {
+    rig.submit(id, [step], [seat]);
+  }
+  await rig.run(6000);
+  const lines = rig.lines.filter(line => line.includes(' queueState '));
+  const reasons = {room: 1, unsuited: 1};
+  assert.ok(lines.at(-1)?.includes(JSON.stringify(reasons)), lines.at(-1));
+});
+
 // Each life of an executor numbers its ends from 1.
 owner(
   'acknowledges ends of an executor that restarted while idle',
