--- a/packages/cell/src/advice-lanes.ts
+++ b/packages/cell/src/advice-lanes.ts
@@ -1,7 +1,6 @@
 /** The VMs through which the owner asks the advice service. */
 import type {AdviceLane} from './advice-desk.js';
 import type {CellConnection, Members} from './members.js';
-import type {AdviceClient} from './executor-client.js';
 
 /** Time that an answer of a peer may take on top of the call itself, in ms. */
 const LANE_SLACK_MS = 150;
@@ -11,7 +10,8 @@
   readonly vm: string;
   readonly domain: string;
   readonly members: Members;
-  readonly advice: AdviceClient | null;
+  /** Asks the service from the owner's own VM. */
+  readonly ask: AdviceLane['ask'];
 }
 
 /** The owner's own VM and those that are connected to it. */
@@ -19,14 +19,9 @@
   vm,
   domain,
   members,
-  advice,
+  ask,
 }: LaneDeps): Generator<AdviceLane> {
-  yield {
-    vm,
-    isNear: true,
-    ask: async (step, executorIds, timeoutMs) =>
-      advice === null ? null : advice.advise(step, executorIds, timeoutMs),
-  };
+  yield {vm, isNear: true, ask};
   for (const member of members.connected()) {
     if (member.isDraining) continue;
     yield {
--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -3,16 +3,16 @@
 import {decode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
-import {Follower, haveReadAll} from './follower.js';
+import {Follower} from './follower.js';
 import type {FormerRuns} from './former-runs.js';
 import type {JobState, NewJob} from './job-state.js';
+import {JobsFollower} from './jobs-follower.js';
 import type {LogLine, Platform} from './platform.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
   applyProgress,
   decodeJobsEntry,
   EXECUTOR_PREFIX,
-  JOBS_TOPICS,
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
@@ -24,9 +24,6 @@
 /** Pause between reads of what executors say of themselves, in ms. */
 const EXECUTORS_PAUSE_MS = 400;
 
-/** How long a caller's question waits for a reading of the jobs, in ms. */
-const READ_BOUND_MS = 500;
-
 /** What the feed needs of its owner. */
 export interface FeedDeps {
   readonly state: CellState;
@@ -50,17 +47,16 @@
 
 /** Loads the state of a new owner and follows what changes. */
 export class CellFeed {
-  private readonly jobs: readonly Follower[];
+  private readonly jobs: JobsFollower;
   private readonly executors: Follower;
   /** Progress that was read before the job itself. */
   private readonly earlyProgress = new Map<string, Uint8Array>();
 
   constructor(private readonly deps: FeedDeps) {
     const {store, clock, platform} = deps;
-    this.jobs = JOBS_TOPICS.map(topic => {
-      const options = {topic, pauseMs: JOBS_PAUSE_MS, waitMs: 0};
-      return new Follower(store, clock, options, r => this.takeJobsRecord(r));
-    });
+    this.jobs = new JobsFollower(store, clock, JOBS_PAUSE_MS, record =>
+      this.takeJobsRecord(record),
+    );
     this.executors = new Follower(
       store,
       clock,
@@ -84,11 +80,7 @@
     const {state, former} = this.deps;
     const progressLoad = this.loadProgress();
     // A load that failed must have ended before it is tried again.
-    const loads = [
-      progressLoad,
-      ...this.jobs.map(each => each.load()),
-      this.executors.load(),
-    ];
+    const loads = [progressLoad, ...this.jobs.loads(), this.executors.load()];
     for (const load of await Promise.allSettled(loads)) {
       if (load.status === 'rejected') throw load.reason;
     }
@@ -101,24 +93,24 @@
 
   /** Follows what changes. */
   start(): void {
-    for (const follower of this.jobs) void follower.run();
+    this.jobs.run();
     void this.executors.run();
   }
 
   /** Follows no longer. */
   stop(): void {
-    for (const follower of this.jobs) follower.stop();
+    this.jobs.stop();
     this.executors.stop();
   }
 
   /** Up to when the jobs are surely known, on the steady clock in ms. */
   get jobsFreshMs(): number {
-    return Math.min(...this.jobs.map(each => each.freshMs));
+    return this.jobs.freshMs;
   }
 
   /** Whether all jobs that were stored before the call are known now. */
   readJobs(): Promise<boolean> {
-    return haveReadAll(this.jobs, this.deps.clock, READ_BOUND_MS);
+    return this.jobs.readNow();
   }
 
   /** Takes in an accepted job; a repeat changes nothing. */
--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-task.ts
@@ -224,7 +224,6 @@
     this.listedMs = sentMs;
     const hasNews = this.reader.take(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
-    this.noteLife();
     await host.clock.sleep(hasNews ? HOLD_GAP_MS : NO_NEWS_GAP_MS);
     return reply;
   }
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -87,27 +87,3 @@
     this.freshMs = sentMs;
   }
 }
-
-/** Time between two looks whether all have read, in ms. */
-const LOOK_MS = 10;
-
-/**
- * Waits until all followers have read what was stored before the call.
- *
- * @returns false where that takes longer than the bound
- * @example
- * const isSure = await haveReadAll(followers, clock, 500);
- */
-export async function haveReadAll(
-  followers: readonly Follower[],
-  clock: Clock,
-  boundMs: number,
-): Promise<boolean> {
-  const askedMs = clock.monotonicMs();
-  for (const follower of followers) follower.readSoon();
-  while (followers.some(({freshMs}) => freshMs < askedMs)) {
-    if (clock.monotonicMs() - askedMs >= boundMs) return false;
-    await clock.sleep(LOOK_MS);
-  }
-  return true;
-}
--- a/packages/cell/src/make-room.ts
+++ b/packages/cell/src/make-room.ts
@@ -3,7 +3,7 @@
 import type {StepState} from './job-state.js';
 import {isSuited, mayUse, promise} from './place.js';
 import {planRoom, type RoomPlan} from './preempt.js';
-import {IN_TIME, WORTHLESS, type RankedStep} from './queue-order.js';
+import {IN_TIME, type RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
 import type {ServiceRoom} from './service-room.js';
 
@@ -32,20 +32,23 @@
 }
 
 /**
- * Keeps executors that the step may use from what comes later, where it is a
- * gang or a large task, which small tasks would starve.
+ * Keeps executors that the step may use from what comes later: one for each
+ * task of a gang, else one.
  */
 export function holdExecutors(
-  {step, standing}: RankedStep,
+  step: StepState,
   wanted: number,
   room: ServiceRoom,
-  round: Round,
+  {reserved}: Round,
 ): void {
-  if (standing === WORTHLESS) return;
-  const held = room.executors.filter(each => round.reserved.has(each)).length;
+  const held = room.executors.filter(each => reserved.has(each)).length;
   if (held >= room.executors.length * HELD_PART) return;
-  if (step.spec.isGang) reserveFor(step, wanted, room, round);
-  else if (isLarge(step, room)) reserveFor(step, 1, room, round);
+  const usable = room.executors.filter(
+    each => isSuited(step, each) && mayUse(step, each),
+  );
+  const soonest = usable.sort((a, b) => a.usedAccel - b.usedAccel);
+  const count = step.spec.isGang ? wanted : 1;
+  for (const each of soonest.slice(0, count)) reserved.add(each);
 }
 
 /** Whether a task takes so much of an executor that small ones keep it out. */
@@ -69,18 +72,3 @@
     promise(claimed, executor, step.spec, count);
   }
 }
-
-function reserveFor(
-  step: StepState,
-  count: number,
-  room: ServiceRoom,
-  round: Round,
-): void {
-  const usable = room.executors.filter(
-    each => isSuited(step, each) && mayUse(step, each),
-  );
-  const soonest = [...usable].sort((a, b) => a.usedAccel - b.usedAccel);
-  for (const each of soonest.slice(0, count)) {
-    round.reserved.add(each);
-  }
-}
--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -251,18 +251,34 @@
   taken: Promised = NO_ROOM_PROMISED,
 ): number {
   const {spec} = step;
-  const {info, usedCpu, usedMem, usedAccel} = executor;
-  const {cpuMilli, memMb, accel} = info.capacity;
-  const fits = Math.min(
-    copies(cpuMilli - usedCpu - taken.cpuMilli, countedCpu(spec)),
-    copies(memMb - usedMem - taken.memMb, spec.size.memMb),
-    copies(accel - usedAccel - taken.accel, spec.size.accel),
-  );
+  const fits = copiesIn(spec, freeRoom(executor, taken));
   const {maxPerExecutor} = spec;
   if (maxPerExecutor === 0) return fits;
   return Math.min(fits, maxPerExecutor - countHere(step, executor));
 }
 
+/** What is free on an executor, and not taken else. */
+export function freeRoom(
+  {info, usedCpu, usedMem, usedAccel}: ExecutorState,
+  taken: Promised,
+): Promised {
+  const {cpuMilli, memMb, accel} = info.capacity;
+  return {
+    cpuMilli: cpuMilli - usedCpu - taken.cpuMilli,
+    memMb: memMb - usedMem - taken.memMb,
+    accel: accel - usedAccel - taken.accel,
+  };
+}
+
+/** How many tasks of a step fit in a room. */
+export function copiesIn(spec: StepSpec, room: Promised): number {
+  return Math.min(
+    copies(room.cpuMilli, countedCpu(spec)),
+    copies(room.memMb, spec.size.memMb),
+    copies(room.accel, spec.size.accel),
+  );
+}
+
 function copies(free: number, each: number): number {
   return each === 0 ? Infinity : Math.max(0, Math.floor(free / each));
 }
--- a/packages/cell/src/preempt.ts
+++ b/packages/cell/src/preempt.ts
@@ -2,10 +2,13 @@
 import {countedCpu, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
 import {
+  copiesIn,
   countHere,
+  freeRoom,
   isSuited,
   mayTakeWork,
   mayUse,
+  NO_ROOM_PROMISED,
   type PlaceContext,
   type Promised,
 } from './place.js';
@@ -66,11 +69,7 @@
   );
 }
 
-interface Room {
-  cpu: number;
-  mem: number;
-  accel: number;
-}
+type Room = {-readonly [Part in keyof Promised]: number};
 
 function planOn(
   step: StepState,
@@ -81,12 +80,12 @@
   const room = roomAfterStops(executor, promised.get(executor));
   const bound = boundHere(step, wanted, executor);
   const victims: TaskState[] = [];
-  let count = Math.min(bound, copiesIn(step, room));
+  let count = Math.min(bound, copiesIn(step.spec, room));
   for (const victim of victimsOn(step, executor)) {
     if (count >= bound) break;
     addSize(room, victim);
     victims.push(victim);
-    count = Math.min(bound, copiesIn(step, room));
+    count = Math.min(bound, copiesIn(step.spec, room));
   }
   return count > 0 ? {executor, victims, count} : null;
 }
@@ -105,12 +104,7 @@
   executor: ExecutorState,
   promised: Promised | undefined,
 ): Room {
-  const {capacity} = executor.info;
-  const room = {
-    cpu: capacity.cpuMilli - executor.usedCpu - (promised?.cpuMilli ?? 0),
-    mem: capacity.memMb - executor.usedMem - (promised?.memMb ?? 0),
-    accel: capacity.accel - executor.usedAccel - (promised?.accel ?? 0),
-  };
+  const room: Room = {...freeRoom(executor, promised ?? NO_ROOM_PROMISED)};
   for (const task of executor.tasks) {
     if (task.phase === 'stopping') addSize(room, task);
   }
@@ -118,22 +112,11 @@
 }
 
 function addSize(room: Room, {step}: TaskState): void {
-  room.cpu += countedCpu(step.spec);
-  room.mem += step.spec.size.memMb;
+  room.cpuMilli += countedCpu(step.spec);
+  room.memMb += step.spec.size.memMb;
   room.accel += step.spec.size.accel;
 }
 
-function copiesIn({spec}: StepState, room: Room): number {
-  const cpu = countedCpu(spec);
-  const {memMb, accel} = spec.size;
-  const fits = Math.min(
-    cpu === 0 ? Infinity : Math.floor(room.cpu / cpu),
-    memMb === 0 ? Infinity : Math.floor(room.mem / memMb),
-    accel === 0 ? Infinity : Math.floor(room.accel / accel),
-  );
-  return Math.max(0, fits);
-}
-
 /** Tasks that may be stopped for the step, the least urgent first. */
 function victimsOn(
   step: StepState,
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -61,7 +61,7 @@
 }
 
 /** Whether a task of the step could be started now. */
-export function hasWaiting({tasks}: StepState, nowMs: number): boolean {
+function hasWaiting({tasks}: StepState, nowMs: number): boolean {
   return tasks.some(task => isWaiting(task, nowMs));
 }
 
@@ -95,18 +95,22 @@
   const {step, standing} = ranked;
   const made = stopForRoom(ranked, wanted, room, round);
   if (made.length > 0) return made;
-  const isLargeStep = step.spec.isGang || isLarge(step, room);
-  const isUrgent = ranked.priority === URGENT_PRIORITY;
-  const isHeld = (isLargeStep || isUrgent) && standing !== WORTHLESS;
+  const earns = standing !== WORTHLESS;
+  // Small tasks would starve a gang or a task that needs much of an executor.
+  const isLargeStep = earns && (step.spec.isGang || isLarge(step, room));
+  const isUrgent = earns && ranked.priority === URGENT_PRIORITY;
+  const isHeld = isLargeStep || isUrgent;
   const claims = claimRoom(step, wanted, room, isHeld, round);
-  if (claims.length === 0) holdExecutors(ranked, wanted, room, round);
+  if (claims.length === 0 && isLargeStep) {
+    holdExecutors(step, wanted, room, round);
+  }
   return claims;
 }
 
 /**
  * Starts what has room and tickets.
  *
- * @returns how many tasks could start with room and tickets for them
+ * @returns how many more tasks wait for room or tickets
  */
 function* decideTasks(
   ranked: RankedStep,
@@ -118,13 +122,14 @@
   const {organisations} = round.state;
   const {organisation} = occurrence.job;
   const started: TaskState[] = [];
+  const isPossible = mayFit(step, room);
   let missing = 0;
   for (const task of step.tasks) {
     if (started.length + missing >= TASKS_PER_ROUND) break;
     if (!isWaiting(task, round.nowMs)) continue;
     if (!organisations.mayRun(organisation, spec.size, 1)) break;
     if (!isWithinHeadroom(ranked, room)) break;
-    const mayStart = missing === 0 && mayFit(step, room);
+    const mayStart = isPossible && missing === 0;
     const executor = mayStart ? chooseExecutor(task, room.open, round) : null;
     if (executor === null) {
       missing += 1;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -1,12 +1,12 @@
 /** Reads the jobs from the store while a VM is not connected to an owner. */
 import type {Clock} from '@dragonflyward/common';
-import {Follower, haveReadAll} from './follower.js';
+import {Follower} from './follower.js';
 import type {Lookup} from './front.js';
 import type {JobTable} from './job-table.js';
+import {JobsFollower} from './jobs-follower.js';
 import {
   decodeJobsEntry,
   decodePhase,
-  JOBS_TOPICS,
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
@@ -15,13 +15,11 @@
 
 /** Pause between two reads, in ms. */
 const READ_PAUSE_MS = 400;
-/** How long a caller's question waits for a reading of the jobs, in ms. */
-const READ_BOUND_MS = 500;
 /** A reading that is older does not count the jobs, in ms. */
 const SURE_AGE_MS = 1500;
 
 interface Followers {
-  readonly jobs: readonly Follower[];
+  readonly jobs: JobsFollower;
   readonly progress: Follower;
 }
 
@@ -38,27 +36,24 @@
   /** Starts to read; does nothing where it reads already. */
   start(): void {
     if (this.followers !== null) return;
-    const options = {pauseMs: READ_PAUSE_MS, waitMs: 0};
-    const jobs = JOBS_TOPICS.map(
-      topic =>
-        new Follower(this.store, this.clock, {...options, topic}, record =>
-          this.takeJob(record),
-        ),
+    const {store, clock} = this;
+    const jobs = new JobsFollower(store, clock, READ_PAUSE_MS, record =>
+      this.takeJob(record),
     );
     const progress = new Follower(
-      this.store,
-      this.clock,
-      {...options, topic: PROGRESS_TOPIC},
+      store,
+      clock,
+      {topic: PROGRESS_TOPIC, pauseMs: READ_PAUSE_MS, waitMs: 0},
       record => this.takeProgress(record),
     );
     this.followers = {jobs, progress};
-    for (const follower of jobs) void follower.run();
+    jobs.run();
     void progress.run();
   }
 
   /** Ends the reading. */
   stop(): void {
-    for (const follower of this.followers?.jobs ?? []) follower.stop();
+    this.followers?.jobs.stop();
     this.followers?.progress.stop();
     this.followers = null;
   }
@@ -66,16 +61,15 @@
   /** What the store says of a job that is not in the table. */
   async lookup(id: string): Promise<Lookup> {
     if (this.followers === null) return {row: null, isSure: false};
-    const {jobs} = this.followers;
-    const isSure = await haveReadAll(jobs, this.clock, READ_BOUND_MS);
+    const isSure = await this.followers.jobs.readNow();
     return {row: this.table.get(id) ?? null, isSure};
   }
 
   /** Whether all jobs that are stored have been read a moment ago. */
   get isSure(): boolean {
     if (this.followers === null) return false;
-    const readMs = Math.min(...this.followers.jobs.map(each => each.freshMs));
-    return this.clock.monotonicMs() - readMs < SURE_AGE_MS;
+    const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
+    return ageMs < SURE_AGE_MS;
   }
 
   private takeJob({key, value}: PlacedRecord): void {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -1,5 +1,6 @@
 /** One VM of the cell: joins peers, configuration, election and callers. */
 import type {Clock, Metrics} from '@dragonflyward/common';
+import type {AdviceLane} from './advice-desk.js';
 import {adviceLanes} from './advice-lanes.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
@@ -51,7 +52,7 @@
 /** One process of the cell. */
 export class Vm extends MemberHandler {
   readonly front: Front;
-  readonly table: JobTable;
+  private readonly table: JobTable;
   private readonly members: Members;
   private readonly store: RelayedStore;
   private readonly config: ConfigFeed;
@@ -209,7 +210,9 @@
     if (isOwner && !this.election.isLinked()) this.broadcast(this.heartbeat());
   }
 
-  private async advise(ask: AdviceAsk): Promise<readonly Ticket[] | null> {
+  private async advise(
+    ask: Omit<AdviceAsk, 'type'>,
+  ): Promise<readonly Ticket[] | null> {
     const {advice} = this.deps.platform;
     if (advice === null) return null;
     return advice.advise(ask.step, ask.executorIds, ask.timeoutMs);
@@ -308,8 +311,9 @@
   private newOwner(ownership: Ownership, isFormerStopped: boolean): Owner {
     const {platform, clock, metrics, log, self, domain} = this.deps;
     const {store, members} = this;
-    const {advice} = platform;
-    const lanes = {vm: self.vm, domain, members, advice};
+    const ask: AdviceLane['ask'] = (step, executorIds, timeoutMs) =>
+      this.advise({step, executorIds, timeoutMs});
+    const lanes = {vm: self.vm, domain, members, ask};
     return new Owner({
       platform,
       store,
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,7 +1,7 @@
 /** Why a step that could be started does not start. */
 import {hasRoom} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isAllowed, isSuited, mayTakeWork, mayUse} from './place.js';
+import {isAllowed, isSuited, mayUse} from './place.js';
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
 import {isWithinHeadroom, type ServiceRoom} from './service-room.js';
@@ -51,14 +51,12 @@
 
 function placeReason(
   step: StepState,
-  {executors}: ServiceRoom,
+  {open}: ServiceRoom,
   nowMs: number,
 ): WaitReason {
-  const usable = executors.filter(
+  const usable = open.filter(
     each =>
-      mayTakeWork(each, nowMs) &&
-      isSuited(step, each) &&
-      (step.asked.size === 0 || mayUse(step, each)),
+      isSuited(step, each) && (step.asked.size === 0 || mayUse(step, each)),
   );
   if (usable.length === 0) return 'unsuited';
   const roomy = usable.filter(each => hasRoom(each, step.spec));
