--- a/packages/bench/src/control-cell.ts
+++ b/packages/bench/src/control-cell.ts
@@ -9,17 +9,17 @@
   type TeamKey,
 } from '@dragonflyward/standins';
 import type {Configuration} from '@dragonflyward/state';
-import {readUse, type ProcessUse} from './process-meter.js';
+import {readUsage, type ProcessUsage} from './process-meter.js';
 
 const DOMAIN = 'north-1';
 const TEAM = 'team';
 const QUEUE = 'jobs';
-const ENTRIES = 2;
-const MANY = 1_000_000;
-const START_BOUND_MS = 60_000;
+const ENTRY_VMS = 2;
+const UNLIMITED = 1_000_000;
+const START_TIMEOUT_MS = 60_000;
 const SETTLE_MS = 8_000;
 const TASK_MS = 600_000;
-const SUBMIT_MS = 10_000;
+const SUBMIT_DEADLINE_MS = 10_000;
 const CAPACITY = {...NO_RESOURCES, cpuMilli: 16_000, memMb: 32_768};
 const TASK_SIZE = {...NO_RESOURCES, cpuMilli: 500, memMb: 512};
 
@@ -33,9 +33,9 @@
         priority: 'normal',
         service: '',
         isOpen: false,
-        maxBodyBytes: MANY,
+        maxBodyBytes: UNLIMITED,
         maxDeadlineMs: TASK_MS,
-        maxWaiting: MANY,
+        maxWaiting: UNLIMITED,
         policy: 'pack',
       },
     },
@@ -44,7 +44,7 @@
       [TEAM]: {
         organisation: TEAM,
         share: 1,
-        limit: {cpuMilli: MANY, memMb: MANY, accel: 0, slots: 0},
+        limit: {cpuMilli: UNLIMITED, memMb: UNLIMITED, accel: 0, slots: 0},
       },
     },
   },
@@ -59,7 +59,7 @@
   constructor(private readonly workers: number) {
     this.rig = new Rig({
       domains: [DOMAIN],
-      entriesPerDomain: ENTRIES,
+      entriesPerDomain: ENTRY_VMS,
       workers: [{count: workers, capacity: CAPACITY}],
       executors: [],
     });
@@ -70,7 +70,7 @@
     await this.rig.operator.publish(CONFIGURATION, -1);
     this.key = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
-    await this.rig.untilReady(START_BOUND_MS);
+    await this.rig.untilReady(START_TIMEOUT_MS);
     await sleep(SETTLE_MS);
   }
 
@@ -95,8 +95,8 @@
       runMs: TASK_MS,
       payload: {runMs: TASK_MS},
     };
-    await caller.submit(this.key?.text ?? '', job, SUBMIT_MS);
-    await waitUntil('all tasks run', START_BOUND_MS, async () => {
+    await caller.submit(this.key?.text ?? '', job, SUBMIT_DEADLINE_MS);
+    await waitUntil('all tasks run', START_TIMEOUT_MS, async () => {
       const records = await this.rig.targets.records();
       return records.tasks.length >= tasks;
     });
@@ -104,20 +104,20 @@
   }
 
   /** What one process of each role has used so far. */
-  async uses(): Promise<ReadonlyMap<MeteredRole, ProcessUse>> {
+  async usageByRole(): Promise<ReadonlyMap<MeteredRole, ProcessUsage>> {
     const {owner} = await readShard(this.rig.log, DOMAIN);
     const other = this.rig.entries.find(({id}) => id !== owner?.vm);
     if (owner === null || other === undefined) {
       return raise('notOwner', DOMAIN);
     }
-    return new Map<MeteredRole, ProcessUse>([
-      ['owner', this.useOf(`scheduler@${owner.vm}`)],
-      ['follower', this.useOf(`scheduler@${other.id}`)],
-      ['gateway', this.useOf(`gateway@${other.id}`)],
+    return new Map<MeteredRole, ProcessUsage>([
+      ['owner', this.usageOf(`scheduler@${owner.vm}`)],
+      ['follower', this.usageOf(`scheduler@${other.id}`)],
+      ['gateway', this.usageOf(`gateway@${other.id}`)],
     ]);
   }
 
-  private useOf(name: string): ProcessUse {
-    return readUse(this.rig.processes.pid(name));
+  private usageOf(name: string): ProcessUsage {
+    return readUsage(this.rig.processes.pid(name));
   }
 }
--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Figures} from './benches.js';
 import {ControlCell, type MeteredRole} from './control-cell.js';
-import type {ProcessUse} from './process-meter.js';
+import type {ProcessUsage} from './process-meter.js';
 
 const FEW_WORKERS = 4;
 const MANY_WORKERS = 60;
@@ -59,18 +59,18 @@
   workers: number,
   tasks: number,
 ): Promise<readonly Row[]> {
-  const before = await cell.uses();
+  const before = await cell.usageByRole();
   await sleep(WINDOW_MS);
-  const after = await cell.uses();
+  const after = await cell.usageByRole();
   return [...after].map(([role, use]) => {
     const start = before.get(role) ?? use;
-    return {workers, tasks, role, ...rateOf(start, use)};
+    return {workers, tasks, role, ...ratesOf(start, use)};
   });
 }
 
-function rateOf(
-  before: ProcessUse,
-  after: ProcessUse,
+function ratesOf(
+  before: ProcessUsage,
+  after: ProcessUsage,
 ): Omit<Row, 'workers' | 'tasks' | 'role'> {
   const seconds = WINDOW_MS / MS_PER_SECOND;
   const kbPerSecond = (bytes: number): number => bytes / BYTES_PER_KB / seconds;
--- a/packages/bench/src/paper-policies.ts
+++ b/packages/bench/src/paper-policies.ts
@@ -36,15 +36,15 @@
 
 /** Takes as used what was last reported, not what was placed since. */
 export class ReportedUsePolicy extends PlacementPolicy {
-  private readonly known = new Set<WorkerState>();
-  private readonly reported = new Map<WorkerState, Resources>();
+  private readonly seenWorkers = new Set<WorkerState>();
+  private readonly reportedUse = new Map<WorkerState, Resources>();
 
   /** Takes over what all workers use at the time of a report. */
-  noteReport(): void {
-    for (const worker of this.known) {
+  recordReport(): void {
+    for (const worker of this.seenWorkers) {
       let used = NO_RESOURCES;
       for (const {task} of worker.tasks) used = addResources(used, task.size);
-      this.reported.set(worker, used);
+      this.reportedUse.set(worker, used);
     }
   }
 
@@ -53,9 +53,9 @@
     ask: PlacementAsk,
   ): readonly WorkerState[] {
     for (const worker of workers) {
-      this.known.add(worker);
+      this.seenWorkers.add(worker);
       if (worker.worker.condition !== 'ready') continue;
-      const used = this.reported.get(worker) ?? NO_RESOURCES;
+      const used = this.reportedUse.get(worker) ?? NO_RESOURCES;
       const room = subtractResources(worker.worker.capacity, used);
       if (fitsIn(ask.size, room)) return [worker];
     }
--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -11,7 +11,7 @@
 import {fullFleetTrace, mixedDayTrace} from './policy-traces.js';
 import {ShareOnlyEngine} from './share-only-engine.js';
 
-interface Contender {
+interface Candidate {
   readonly name: string;
   newEngine(): PlacementEngine;
 }
@@ -33,7 +33,7 @@
 
 const PERMILLE = 1_000;
 
-const CONTENDERS: readonly Contender[] = [
+const CANDIDATES: readonly Candidate[] = [
   {name: 'first fit', newEngine: () => new FirstFitEngine()},
   {name: 'shares only', newEngine: () => new ShareOnlyEngine()},
   {name: 'previous', newEngine: () => newPreviousEngine()},
@@ -65,7 +65,7 @@
 
   override learn(...args: Parameters<ShareEngine['learn']>): void {
     super.learn(...args);
-    this.policy.noteReport();
+    this.policy.recordReport();
   }
 }
 
@@ -80,21 +80,21 @@
 ): readonly CompareFigures[] {
   const all: CompareFigures[] = [];
   for (const trace of [mixedDayTrace(), fullFleetTrace()]) {
-    for (const contender of CONTENDERS) {
-      const figures = compareOne(trace, contender);
+    for (const candidate of CANDIDATES) {
+      const figures = compareOne(trace, candidate);
       all.push(figures);
-      print(toLine(figures));
+      print(formatFigures(figures));
     }
   }
   return all;
 }
 
-function compareOne(trace: Trace, contender: Contender): CompareFigures {
-  const replay = new Replay(contender.newEngine(), trace);
+function compareOne(trace: Trace, candidate: Candidate): CompareFigures {
+  const replay = new Replay(candidate.newEngine(), trace);
   const record = replay.run();
   record.closeWaits(trace.endMs);
-  const parts = [...record.attainments().values()];
-  const sum = parts.reduce((a, b) => a + b, 0);
+  const attainments = [...record.attainments().values()];
+  const sum = attainments.reduce((a, b) => a + b, 0);
   const waitP50Ms: Record<string, number> = {};
   const waitP99Ms: Record<string, number> = {};
   for (const {name} of trace.jobs) {
@@ -103,13 +103,13 @@
   }
   return {
     trace: trace.name,
-    engine: contender.name,
+    engine: candidate.name,
     waitP50Ms,
     waitP99Ms,
     packing: round(record.packing),
-    worstAttainment: round(Math.min(...parts)),
-    mostAttainment: round(Math.max(...parts)),
-    meanAttainment: round(sum / parts.length),
+    worstAttainment: round(Math.min(...attainments)),
+    mostAttainment: round(Math.max(...attainments)),
+    meanAttainment: round(sum / attainments.length),
     starts: record.starts,
     preemptions: record.preemptions,
     breaches: replay.audit.breaches.length,
@@ -120,7 +120,7 @@
   return Math.round(value * PERMILLE) / PERMILLE;
 }
 
-function toLine(figures: CompareFigures): string {
+function formatFigures(figures: CompareFigures): string {
   const {trace, engine, waitP50Ms, waitP99Ms} = figures;
   const waits = Object.keys(waitP99Ms).map(
     name => `${name} ${waitP50Ms[name]}/${waitP99Ms[name]} ms`,
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -1,11 +1,16 @@
 /** Measures the rate and the cost of decisions on a full shard. */
 import {ShareEngine, type PlacedTask} from '@dragonflyward/policy';
 import * as hdr from 'hdr-histogram-js';
-import {newJob, Random, setUp, type ShardSize} from './shard-load.js';
+import {
+  newJob,
+  SeededRandom,
+  initEngine,
+  type ShardSize,
+} from './shard-load.js';
 
 const SEED = 20_261_204;
 const ROUNDS = 400;
-const ROUND_MS = 100;
+const ROUND_PERIOD_MS = 100;
 const CANCELLED_JOBS = 10_000;
 const US_PER_MS = 1_000;
 
@@ -26,7 +31,7 @@
 interface Load {
   readonly engine: ShareEngine;
   readonly size: ShardSize;
-  readonly random: Random;
+  readonly random: SeededRandom;
   readonly running: PlacedTask[];
   readonly times: hdr.Histogram;
   nextJob: number;
@@ -45,18 +50,18 @@
   print: (line: string) => void,
 ): LoadFigures {
   const load = newLoad(size);
-  fill(load);
+  fillShard(load);
   load.times.reset();
   load.placements = 0;
   const heapBefore = process.memoryUsage().heapUsed;
   const cpuBefore = process.cpuUsage();
   const startMs = performance.now();
-  for (let round = 0; round < ROUNDS; round += 1) turnOver(load);
+  for (let round = 0; round < ROUNDS; round += 1) runRound(load);
   const tookMs = performance.now() - startMs;
   const cpu = process.cpuUsage(cpuBefore);
   const heap = process.memoryUsage().heapUsed - heapBefore;
   const {times, placements} = load;
-  const wave = cancelWave(load);
+  const wave = measureCancelWave(load);
   const figures: LoadFigures = {
     size: size.name,
     placements,
@@ -76,9 +81,9 @@
 
 function newLoad(size: ShardSize): Load {
   const engine = new ShareEngine();
-  setUp(engine, size);
+  initEngine(engine, size);
   const times = hdr.build({highestTrackableValue: 60_000_000});
-  const random = new Random(SEED);
+  const random = new SeededRandom(SEED);
   const running: PlacedTask[] = [];
   return {
     ...{engine, size, random, running, times},
@@ -87,11 +92,11 @@
 }
 
 /** Submits work until the stated number of tasks runs and waits. */
-function fill(load: Load): void {
+function fillShard(load: Load): void {
   const wanted = load.size.running + load.size.waiting;
   while (load.running.length + load.engine.waitingCount() < wanted) {
     for (let i = 0; i < load.size.teams; i += 1) submit(load);
-    decide(load);
+    runDecisions(load);
   }
 }
 
@@ -102,26 +107,26 @@
 }
 
 /** Ends some tasks, submits as many, and decides. */
-function turnOver(load: Load): void {
-  load.nowMs += ROUND_MS;
+function runRound(load: Load): void {
+  load.nowMs += ROUND_PERIOD_MS;
   const ends = Math.ceil(load.size.running / 100);
-  for (let i = 0; i < ends; i += 1) endOne(load);
+  for (let i = 0; i < ends; i += 1) endRandomTask(load);
   while (load.engine.waitingCount() < load.size.waiting) submit(load);
-  decide(load);
+  runDecisions(load);
 }
 
-function endOne(load: Load): void {
+function endRandomTask(load: Load): void {
   const {running, random, engine, nowMs} = load;
-  const at = random.below(running.length);
-  const task = running[at];
+  const index = random.nextBelow(running.length);
+  const task = running[index];
   const last = running.pop();
   if (task === undefined || last === undefined) return;
-  if (at < running.length) running[at] = last;
+  if (index < running.length) running[index] = last;
   engine.ended(task.taskId, 'succeeded', nowMs);
 }
 
 /** Times each step to the next decision, also the last one to the end. */
-function decide(load: Load): number {
+function runDecisions(load: Load): number {
   let longestUs = 0;
   const decisions = load.engine.decide(load.nowMs);
   for (;;) {
@@ -132,7 +137,7 @@
     longestUs = Math.max(longestUs, tookUs);
     if (next.done === true) return Math.round(longestUs);
     const decision = next.value;
-    if (decision.kind === 'preempt') stop(load, decision.taskId);
+    if (decision.kind === 'preempt') endPreempted(load, decision.taskId);
     if (decision.kind !== 'start') continue;
     load.running.push(decision.task);
     load.placements += 1;
@@ -140,20 +145,20 @@
 }
 
 /** A stopped task ends at once and is not run again here. */
-function stop(load: Load, taskId: string): void {
-  const at = load.running.findIndex(task => task.taskId === taskId);
-  if (at >= 0) load.running.splice(at, 1);
+function endPreempted(load: Load, taskId: string): void {
+  const index = load.running.findIndex(task => task.taskId === taskId);
+  if (index >= 0) load.running.splice(index, 1);
   load.engine.ended(taskId, 'notRunning', load.nowMs);
 }
 
 /** Cancels many waiting jobs at once; times each and the next decision. */
-function cancelWave(load: Load): {
+function measureCancelWave(load: Load): {
   readonly cancelWaveMaxUs: number;
   readonly decisionAfterWaveMaxUs: number;
 } {
   const first = load.nextJob;
   for (let i = 0; i < CANCELLED_JOBS; i += 1) submit(load);
-  decide(load);
+  runDecisions(load);
   let longestUs = 0;
   for (let i = 0; i < CANCELLED_JOBS; i += 1) {
     const startMs = performance.now();
@@ -161,9 +166,9 @@
     const tookUs = (performance.now() - startMs) * US_PER_MS;
     longestUs = Math.max(longestUs, tookUs);
   }
-  load.nowMs += ROUND_MS;
+  load.nowMs += ROUND_PERIOD_MS;
   return {
     cancelWaveMaxUs: Math.round(longestUs),
-    decisionAfterWaveMaxUs: decide(load),
+    decisionAfterWaveMaxUs: runDecisions(load),
   };
 }
--- a/packages/bench/src/policy-memory.ts
+++ b/packages/bench/src/policy-memory.ts
@@ -1,11 +1,17 @@
 /** Measures how the memory of an engine grows with what it keeps. */
 import {runInNewContext} from 'node:vm';
 import {ShareEngine} from '@dragonflyward/policy';
-import {newJob, Random, setUp, TARGET, type ShardSize} from './shard-load.js';
+import {
+  newJob,
+  SeededRandom,
+  initEngine,
+  TARGET_SIZE,
+  type ShardSize,
+} from './shard-load.js';
 
 const SEED = 20_261_204;
 const NOW_MS = 1_000_000;
-const KB = 1_024;
+const BYTES_PER_KB = 1_024;
 
 /** Growth of the heap for one more of each, and what the process takes. */
 export interface MemoryFigures {
@@ -24,16 +30,18 @@
  * const figures = measureMemory(console.log);
  */
 export function measureMemory(print: (line: string) => void): MemoryFigures {
-  const emptyProcessRssKb = Math.round(process.memoryUsage().rss / KB);
-  const base = {...TARGET, workers: 1, teams: 1, organisations: 1};
-  const bytesPerWorker = slope(base, {...base, workers: 3_401}, 3_400);
-  const bytesPerTeam = slope(base, {...base, teams: 5_901}, 5_900);
-  const bytesPerWaitingJob = jobSlope({...TARGET, workers: 0});
-  const bytesPerRunningTask = jobSlope({
-    ...TARGET,
-    workers: 4 * TARGET.workers,
+  const emptyProcessRssKb = Math.round(
+    process.memoryUsage().rss / BYTES_PER_KB,
+  );
+  const base = {...TARGET_SIZE, workers: 1, teams: 1, organisations: 1};
+  const bytesPerWorker = heapPerItem(base, {...base, workers: 3_401}, 3_400);
+  const bytesPerTeam = heapPerItem(base, {...base, teams: 5_901}, 5_900);
+  const bytesPerWaitingJob = heapPerJob({...TARGET_SIZE, workers: 0});
+  const bytesPerRunningTask = heapPerJob({
+    ...TARGET_SIZE,
+    workers: 4 * TARGET_SIZE.workers,
   });
-  const fullShardRssKb = Math.round(process.memoryUsage().rss / KB);
+  const fullShardRssKb = Math.round(process.memoryUsage().rss / BYTES_PER_KB);
   const figures = {
     ...{bytesPerWorker, bytesPerTeam, bytesPerWaitingJob},
     ...{bytesPerRunningTask, emptyProcessRssKb, fullShardRssKb},
@@ -44,28 +52,32 @@
   return figures;
 }
 
-function slope(small: ShardSize, large: ShardSize, more: number): number {
-  const less = heapOf(() => newEngine(small));
-  const most = heapOf(() => newEngine(large));
-  return Math.round((most - less) / more);
+function heapPerItem(
+  small: ShardSize,
+  large: ShardSize,
+  addedItems: number,
+): number {
+  const smallHeap = retainedHeap(() => newEngine(small));
+  const largeHeap = retainedHeap(() => newEngine(large));
+  return Math.round((largeHeap - smallHeap) / addedItems);
 }
 
 /** The heap for each of many jobs, which all wait or all run. */
-function jobSlope(size: ShardSize): number {
-  const without = heapOf(() => newEngine(size));
-  const withJobs = heapOf(() => newLoadedEngine(size));
+function heapPerJob(size: ShardSize): number {
+  const without = retainedHeap(() => newEngine(size));
+  const withJobs = retainedHeap(() => newLoadedEngine(size));
   return Math.round((withJobs - without) / size.waiting);
 }
 
 function newEngine(size: ShardSize): ShareEngine {
   const engine = new ShareEngine();
-  setUp(engine, size);
+  initEngine(engine, size);
   return engine;
 }
 
 function newLoadedEngine(size: ShardSize): ShareEngine {
   const engine = newEngine(size);
-  const random = new Random(SEED);
+  const random = new SeededRandom(SEED);
   for (let i = 0; i < size.waiting; i += 1) {
     engine.submit({...newJob(size, random, i, NOW_MS), isGang: false});
   }
@@ -73,11 +85,11 @@
   return engine;
 }
 
-function heapOf(make: () => ShareEngine): number {
-  collect();
+function retainedHeap(make: () => ShareEngine): number {
+  collectGarbage();
   const before = process.memoryUsage().heapUsed;
   const engine = make();
-  collect();
+  collectGarbage();
   const after = process.memoryUsage().heapUsed;
   // Keeps the engine reachable until the heap was read.
   engine.waitingCount();
@@ -85,6 +97,6 @@
 }
 
 /** Collects what is unused, where the process may ask for that. */
-function collect(): void {
+function collectGarbage(): void {
   runInNewContext('typeof gc === "function" && gc()');
 }
--- a/packages/bench/src/policy-traces.ts
+++ b/packages/bench/src/policy-traces.ts
@@ -5,7 +5,7 @@
 
 const MINUTE_MS = 60_000;
 
-function size(cores: number, memMb: number, accel = 0): Resources {
+function resources(cores: number, memMb: number, accel = 0): Resources {
   return {cpuMilli: cores * 1_000, memMb, accel, slots: 0};
 }
 
@@ -18,8 +18,8 @@
 }
 
 const WORKERS = [
-  {name: 'plain', count: 8, perRack: 4, capacity: size(16, 65_536)},
-  {name: 'large', count: 3, perRack: 3, capacity: size(64, 131_072, 8)},
+  {name: 'plain', count: 8, perRack: 4, capacity: resources(16, 65_536)},
+  {name: 'large', count: 3, perRack: 3, capacity: resources(64, 131_072, 8)},
 ];
 
 /** Quick requests, services, batch and gangs; more work than room. */
@@ -28,27 +28,27 @@
     {
       ...{name: 'quick', team: 'counter', queue: 'quotes', count: 800},
       ...{firstMs: 30_000, everyMs: 600, tasks: 1},
-      ...{size: size(2, 1_024), runMs: 3_000, isIdempotent: false},
+      ...{size: resources(2, 1_024), runMs: 3_000, isIdempotent: false},
     },
     {
       ...{name: 'service', team: 'site', queue: 'shops', count: 6},
       ...{firstMs: 60_000, everyMs: MINUTE_MS, tasks: 2, isService: true},
-      ...{size: size(2, 4_096), runMs: 0},
+      ...{size: resources(2, 4_096), runMs: 0},
     },
     {
       ...{name: 'batch', team: 'planning', queue: 'renders', count: 2_200},
       ...{firstMs: 0, everyMs: 200, tasks: 1},
-      ...{size: size(2, 4_096), runMs: 30_000, runFactor: 1.5},
+      ...{size: resources(2, 4_096), runMs: 30_000, runFactor: 1.5},
     },
     {
       ...{name: 'render', team: 'studio', queue: 'renders', count: 700},
       ...{firstMs: 0, everyMs: 800, tasks: 1},
-      ...{size: size(4, 8_192, 1), runMs: 60_000, useFactor: 0.6},
+      ...{size: resources(4, 8_192, 1), runMs: 60_000, useFactor: 0.6},
     },
     {
       ...{name: 'gang', team: 'kilns', queue: 'kilns', count: 8},
       ...{firstMs: 45_000, everyMs: MINUTE_MS, tasks: 8, isGang: true},
-      ...{size: size(4, 8_192, 1), runMs: 20_000},
+      ...{size: resources(4, 8_192, 1), runMs: 20_000},
     },
   ];
   return {
@@ -85,7 +85,7 @@
     jobs: names.map((name, i) => ({
       ...{name, team: name, queue: 'renders', count: 1_200},
       ...{firstMs: 0, everyMs: 350, tasks: 1},
-      ...{size: size(1 + (i % 3), 2_048), runMs: 20_000},
+      ...{size: resources(1 + (i % 3), 2_048), runMs: 20_000},
     })),
     faults: [],
     outcome: {},
--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -4,7 +4,7 @@
 import {comparePolicies} from './policy-compare.js';
 import {measureLoad} from './policy-load.js';
 import {measureMemory} from './policy-memory.js';
-import {TARGET, TODAY} from './shard-load.js';
+import {TARGET_SIZE, CURRENT_SIZE} from './shard-load.js';
 
 /**
  * Runs the benchmark of the policy.
@@ -15,8 +15,10 @@
 export function benchPolicy(print: (line: string) => void): Promise<Figures> {
   setFlagsFromString('--expose-gc');
   const memory = measureMemory(print);
-  measureLoad(TODAY, () => undefined);
-  const load = [TODAY, TARGET].map(size => measureLoad(size, print));
+  measureLoad(CURRENT_SIZE, () => undefined);
+  const load = [CURRENT_SIZE, TARGET_SIZE].map(size =>
+    measureLoad(size, print),
+  );
   const compared = comparePolicies(print);
   return Promise.resolve({load, memory, compared});
 }
--- a/packages/bench/src/process-meter.ts
+++ b/packages/bench/src/process-meter.ts
@@ -8,7 +8,7 @@
 const SYSTEM_TICKS_FIELD = 12;
 
 /** What a process has used since its start, and its memory now. */
-export interface ProcessUse {
+export interface ProcessUsage {
   readonly cpuMs: number;
   readonly rssMb: number;
   /** Bytes read and written, by sockets too. */
@@ -22,21 +22,21 @@
  * @example
  * const {rssMb} = readUse(process.pid);
  */
-export function readUse(pid: number): ProcessUse {
-  const stat = read(pid, 'stat');
+export function readUsage(pid: number): ProcessUsage {
+  const stat = readProcFile(pid, 'stat');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const userTicks = Number(fields[USER_TICKS_FIELD]);
   const systemTicks = Number(fields[SYSTEM_TICKS_FIELD]);
-  const io = read(pid, 'io');
+  const io = readProcFile(pid, 'io');
   return {
     cpuMs: (userTicks + systemTicks) * MS_PER_TICK,
-    rssMb: numberAfter(read(pid, 'status'), 'VmRSS:') / KB_PER_MB,
+    rssMb: numberAfter(readProcFile(pid, 'status'), 'VmRSS:') / KB_PER_MB,
     readBytes: numberAfter(io, 'rchar:'),
     writtenBytes: numberAfter(io, 'wchar:'),
   };
 }
 
-function read(pid: number, file: string): string {
+function readProcFile(pid: number, file: string): string {
   return readFileSync(`/proc/${pid}/${file}`, 'utf8');
 }
 
--- a/packages/bench/src/relay-cell.ts
+++ b/packages/bench/src/relay-cell.ts
@@ -4,7 +4,7 @@
 import {Rig, waitUntil} from '@dragonflyward/standins';
 import type {Configuration, QueueConfig} from '@dragonflyward/state';
 
-const READY_BOUND_MS = 30_000;
+const READY_TIMEOUT_MS = 30_000;
 const SERVICE = 'quote';
 const TEAM = 'roofs';
 const QUEUE_NAME = 'quotes';
@@ -68,7 +68,7 @@
     await this.rig.startEntries();
     await this.rig.untilReady();
     for (const url of this.gatewayUrls()) {
-      await waitUntil('a request served', READY_BOUND_MS, () =>
+      await waitUntil('a request served', READY_TIMEOUT_MS, () =>
         this.send({url, body: '{}', isIdempotent: true, deadlineMs: 1_000}),
       );
     }
--- a/packages/bench/src/relay-load.ts
+++ b/packages/bench/src/relay-load.ts
@@ -3,10 +3,10 @@
 import {Metrics} from '@dragonflyward/common';
 import type {RelayCall, RelayCell} from './relay-cell.js';
 
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 const TICK_MS = 1;
 const US_PER_MS = 1_000;
-const LATENCY = 'latency_us';
+const LATENCY_METRIC = 'latency_us';
 
 /** What a load measured. */
 export interface LoadResult {
@@ -29,13 +29,16 @@
       return;
     }
     this.answered += 1;
-    this.metrics.record(LATENCY, (performance.now() - startMs) * US_PER_MS);
+    this.metrics.record(
+      LATENCY_METRIC,
+      (performance.now() - startMs) * US_PER_MS,
+    );
   }
 
   result(durationMs: number): LoadResult {
     const {answered, failed} = this;
     return {
-      perSecond: round((answered * SECOND_MS) / durationMs),
+      perSecond: round((answered * MS_PER_SECOND) / durationMs),
       failed,
       p50Ms: this.quantileMs(50),
       p99Ms: this.quantileMs(99),
@@ -43,7 +46,7 @@
   }
 
   private quantileMs(percent: number): number {
-    return round(this.metrics.quantile(LATENCY, percent) / US_PER_MS);
+    return round(this.metrics.quantile(LATENCY_METRIC, percent) / US_PER_MS);
   }
 }
 
@@ -56,22 +59,22 @@
  * @example
  * const peak = await closedLoop(cell, next, 32, 5_000);
  */
-export async function closedLoop(
+export async function runClosedLoop(
   cell: RelayCell,
   next: NextCall,
-  open: number,
+  concurrency: number,
   durationMs: number,
 ): Promise<LoadResult> {
   const tally = new Tally();
   const startMs = performance.now();
   let sent = 0;
-  const task = async (): Promise<void> => {
+  const sendInLoop = async (): Promise<void> => {
     while (performance.now() - startMs < durationMs) {
       sent += 1;
       await tally.add(cell.send(next(sent)));
     }
   };
-  await Promise.all(Array.from({length: open}, task));
+  await Promise.all(Array.from({length: concurrency}, sendInLoop));
   return tally.result(performance.now() - startMs);
 }
 
@@ -82,7 +85,7 @@
  * @example
  * const [direct, relayed] = await openLoops(cell, [toTarget, toGateway], 500, 5_000);
  */
-export async function openLoops(
+export async function runOpenLoops(
   cell: RelayCell,
   loads: readonly NextCall[],
   perSecond: number,
@@ -91,15 +94,15 @@
   const tallies = loads.map(() => new Tally());
   const sending: Promise<void>[] = [];
   const startMs = performance.now();
-  const total = Math.floor((perSecond * durationMs) / SECOND_MS);
+  const total = Math.floor((perSecond * durationMs) / MS_PER_SECOND);
   let sent = 0;
   while (sent < total) {
     await sleep(TICK_MS);
     const elapsedMs = performance.now() - startMs;
-    const due = Math.min(total, (elapsedMs * perSecond) / SECOND_MS);
+    const due = Math.min(total, (elapsedMs * perSecond) / MS_PER_SECOND);
     for (; sent < due; sent += 1) {
-      for (const [at, next] of loads.entries()) {
-        const tally = tallies[at];
+      for (const [index, next] of loads.entries()) {
+        const tally = tallies[index];
         if (tally !== undefined) sending.push(tally.add(cell.send(next(sent))));
       }
     }
--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -1,8 +1,8 @@
 /** Measures the request path: throughput, added latency, overload, traffic. */
 import {RelayCell, type RelayCall} from './relay-cell.js';
 import {
-  closedLoop,
-  openLoops,
+  runClosedLoop,
+  runOpenLoops,
   round,
   type LoadResult,
   type NextCall,
@@ -14,13 +14,13 @@
 const PEAK_MS = 5_000;
 const HALF_LOAD_MS = 8_000;
 const OVERLOAD_MS = 8_000;
-const OPEN_REQUESTS = 32;
+const CONCURRENT_REQUESTS = 32;
 const WORK_MS = 50;
 const DEADLINE_MS = 1_000;
 const OVERLOAD_FACTOR = 2;
 const CROSS_REGION_REQUESTS = 500;
 const CROSS_REGION_BODY_BYTES = 1_024;
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 type Print = (line: string) => void;
 
@@ -79,7 +79,7 @@
   }
 }
 
-function inTurn(
+function roundRobin(
   urls: readonly string[],
   rest: Omit<RelayCall, 'url'>,
 ): NextCall {
@@ -93,17 +93,27 @@
 ): Promise<RelayFigures> {
   const quote = {body: '{"echo":1}', isIdempotent: true, deadlineMs: 5_000};
   const order = {...quote, isIdempotent: false};
-  const direct = inTurn(cell.executorUrls(), quote);
-  const relayed = inTurn(cell.gatewayUrls(), quote);
-  const orders = inTurn(cell.gatewayUrls(), order);
-  await closedLoop(cell, relayed, OPEN_REQUESTS, WARM_UP_MS);
-  const directPeak = await closedLoop(cell, direct, OPEN_REQUESTS, PEAK_MS);
-  const peak = await closedLoop(cell, relayed, OPEN_REQUESTS, PEAK_MS);
-  const ordersPeak = await closedLoop(cell, orders, OPEN_REQUESTS, PEAK_MS);
+  const direct = roundRobin(cell.executorUrls(), quote);
+  const relayed = roundRobin(cell.gatewayUrls(), quote);
+  const orders = roundRobin(cell.gatewayUrls(), order);
+  await runClosedLoop(cell, relayed, CONCURRENT_REQUESTS, WARM_UP_MS);
+  const directPeak = await runClosedLoop(
+    cell,
+    direct,
+    CONCURRENT_REQUESTS,
+    PEAK_MS,
+  );
+  const peak = await runClosedLoop(cell, relayed, CONCURRENT_REQUESTS, PEAK_MS);
+  const ordersPeak = await runClosedLoop(
+    cell,
+    orders,
+    CONCURRENT_REQUESTS,
+    PEAK_MS,
+  );
   const half = peak.perSecond / 2;
   const loads = [direct, relayed];
-  const halves = await openLoops(cell, loads, half, HALF_LOAD_MS);
-  const [directHalf = directPeak, relayedHalf = peak] = halves;
+  const halfLoads = await runOpenLoops(cell, loads, half, HALF_LOAD_MS);
+  const [directHalf = directPeak, relayedHalf = peak] = halfLoads;
   const addedP50Ms = round(relayedHalf.p50Ms - directHalf.p50Ms);
   const addedP99Ms = round(relayedHalf.p99Ms - directHalf.p99Ms);
   print(`${gateways} gateway(s): peak ${peak.perSecond} requests/s`);
@@ -123,24 +133,29 @@
     isIdempotent: true,
     deadlineMs: DEADLINE_MS,
   };
-  const next = inTurn(cell.gatewayUrls(), work);
+  const next = roundRobin(cell.gatewayUrls(), work);
   const slots = EXECUTORS * SLOTS;
-  await closedLoop(cell, next, slots, WARM_UP_MS);
-  const peak = await closedLoop(cell, next, 3 * slots, PEAK_MS);
+  await runClosedLoop(cell, next, slots, WARM_UP_MS);
+  const peak = await runClosedLoop(cell, next, 3 * slots, PEAK_MS);
   const offered = OVERLOAD_FACTOR * peak.perSecond;
-  const [over = peak] = await openLoops(cell, [next], offered, OVERLOAD_MS);
-  const keptPercent = round((100 * over.perSecond) / peak.perSecond);
-  const ceiling = (slots * SECOND_MS) / WORK_MS;
+  const [overload = peak] = await runOpenLoops(
+    cell,
+    [next],
+    offered,
+    OVERLOAD_MS,
+  );
+  const keptPercent = round((100 * overload.perSecond) / peak.perSecond);
+  const ceiling = (slots * MS_PER_SECOND) / WORK_MS;
   print(`overload: peak ${peak.perSecond}/s (slots allow ${ceiling}/s)`);
-  print(`  ${round(offered)}/s offered: ${over.perSecond}/s in time`);
-  print(`  goodput kept: ${keptPercent} %, ${over.failed} refused`);
+  print(`  ${round(offered)}/s offered: ${overload.perSecond}/s in time`);
+  print(`  goodput kept: ${keptPercent} %, ${overload.failed} refused`);
   return {
     peakPerSecond: peak.perSecond,
     offeredPerSecond: round(offered),
-    goodputPerSecond: over.perSecond,
+    goodputPerSecond: overload.perSecond,
     keptPercent,
-    refused: over.failed,
-    p99Ms: over.p99Ms,
+    refused: overload.failed,
+    p99Ms: overload.p99Ms,
   };
 }
 
@@ -156,8 +171,8 @@
     const body = JSON.stringify({echo: padding});
     const call = {body, isIdempotent: true, deadlineMs: 5_000};
     const [north, south] = cell.gatewayUrls();
-    const own = await trafficOf(cell, inTurn([north ?? ''], call));
-    const other = await trafficOf(cell, inTurn([south ?? ''], call));
+    const own = await crossRegionBytes(cell, roundRobin([north ?? ''], call));
+    const other = await crossRegionBytes(cell, roundRobin([south ?? ''], call));
     print(`bytes across regions per request: ${own} in region, ${other} out`);
     return {inRegionBytes: own, outOfRegionBytes: other};
   } finally {
@@ -165,7 +180,10 @@
   }
 }
 
-async function trafficOf(cell: RelayCell, next: NextCall): Promise<number> {
+async function crossRegionBytes(
+  cell: RelayCell,
+  next: NextCall,
+): Promise<number> {
   const before = await cell.counter('cross_region_bytes_total');
   for (let i = 0; i < CROSS_REGION_REQUESTS; i += 1) await cell.send(next(i));
   const after = await cell.counter('cross_region_bytes_total');
--- a/packages/bench/src/shard-load.ts
+++ b/packages/bench/src/shard-load.ts
@@ -19,7 +19,7 @@
 }
 
 /** One failure domain of today, and one at the target. */
-export const TODAY: ShardSize = {
+export const CURRENT_SIZE: ShardSize = {
   name: 'today',
   workers: 11,
   teams: 24,
@@ -27,7 +27,7 @@
   running: 240,
   waiting: 1_000,
 };
-export const TARGET: ShardSize = {
+export const TARGET_SIZE: ShardSize = {
   name: 'target',
   workers: 340,
   teams: 590,
@@ -49,29 +49,34 @@
   accel: 1e6,
   slots: 0,
 };
-const PLAIN: Resources = {cpuMilli: 16_000, memMb: 65_536, accel: 0, slots: 0};
-const LARGE: Resources = {
+const SMALL_WORKER: Resources = {
+  cpuMilli: 16_000,
+  memMb: 65_536,
+  accel: 0,
+  slots: 0,
+};
+const LARGE_WORKER: Resources = {
   cpuMilli: 128_000,
   memMb: 262_144,
   accel: 8,
   slots: 0,
 };
 const WORKERS_PER_RACK = 4;
-const LARGE_EVERY = 3;
+const LARGE_WORKER_INTERVAL = 3;
 
 /** A generator of numbers that is the same in every run. */
-export class Random {
+export class SeededRandom {
   constructor(private seed: number) {}
 
   /** A whole number from 0 up to, and without, the bound. */
-  below(bound: number): number {
+  nextBelow(bound: number): number {
     this.seed = (Math.imul(this.seed, 1_664_525) + 1_013_904_223) >>> 0;
     return Math.floor((this.seed / 2 ** 32) * bound);
   }
 }
 
 /** Gives an engine its queues, teams and workers. */
-export function setUp(engine: PlacementEngine, size: ShardSize): void {
+export function initEngine(engine: PlacementEngine, size: ShardSize): void {
   engine.setQueues(QUEUES);
   engine.setTeams([...teamsOf(size)]);
   for (let i = 0; i < size.workers; i += 1) engine.setWorker(workerOf(i));
@@ -94,7 +99,7 @@
   return {
     workerId: `worker-${index}`,
     rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
-    capacity: index % LARGE_EVERY === 0 ? LARGE : PLAIN,
+    capacity: index % LARGE_WORKER_INTERVAL === 0 ? LARGE_WORKER : SMALL_WORKER,
     condition: 'ready',
   };
 }
@@ -102,28 +107,28 @@
 /** A job of one task as they come in a mixed shard. */
 export function newJob(
   size: ShardSize,
-  random: Random,
+  random: SeededRandom,
   index: number,
   nowMs: number,
 ): PolicyJob {
-  const kind = random.below(20);
+  const kind = random.nextBelow(20);
   const queue = QUEUES[kind === 0 ? 0 : 1 + (kind % 2)]?.queue ?? '';
   const isGang = kind === 19;
   return {
     jobId: `job-${index}`,
-    team: `team-${random.below(size.teams)}`,
+    team: `team-${random.nextBelow(size.teams)}`,
     queue: isGang ? 'kilns' : queue,
     taskIndexes: isGang ? [0, 1, 2, 3] : [0],
     isGang,
     isService: kind === 7,
     isIdempotent: kind !== 3,
     size: {
-      cpuMilli: 500 * (1 + random.below(6)),
-      memMb: 1_024 * (1 + random.below(6)),
+      cpuMilli: 500 * (1 + random.nextBelow(6)),
+      memMb: 1_024 * (1 + random.nextBelow(6)),
       accel: kind === 18 ? 1 : 0,
       slots: 0,
     },
-    runMs: 10_000 * (1 + random.below(30)),
+    runMs: 10_000 * (1 + random.nextBelow(30)),
     acceptedMs: nowMs,
   };
 }
--- a/packages/bench/src/share-only-engine.ts
+++ b/packages/bench/src/share-only-engine.ts
@@ -58,7 +58,7 @@
         continue;
       }
       super.cancel(job.jobId);
-      this.keepRest(team, job, started);
+      this.requeueRemainder(team, job, started);
       return;
     }
   }
@@ -84,10 +84,14 @@
     return count;
   }
 
-  private keepRest(team: string, job: PolicyJob, started: number): void {
+  private requeueRemainder(
+    team: string,
+    job: PolicyJob,
+    started: number,
+  ): void {
     const taskIndexes = job.taskIndexes.slice(started);
-    const rest = {...job, taskIndexes};
-    this.queues.get(team)?.splice(0, 1, rest);
+    const remainder = {...job, taskIndexes};
+    this.queues.get(team)?.splice(0, 1, remainder);
   }
 
   private nextTeam(): string | undefined {
--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -22,16 +22,16 @@
 const SHARD = 'north-1';
 const STREAM = shardStream(SHARD);
 /** How long accepts are offered at each rate. */
-const OFFER_S = 4;
+const OFFER_DURATION_S = 4;
 const ACCEPT_RATES = [10, 50, 370, 2_000];
 /** How long one append takes at the log service. */
-const APPEND_MS = [1, 30];
+const APPEND_LATENCIES_MS = [1, 30];
 const JOB_COUNTS = [1_000, 10_000, 50_000];
 const TEAMS = 590;
 const SHARDS = 16;
-const TICK_MS = 5;
+const OFFER_TICK_MS = 5;
 const SETTLE_MS = 500;
-const MS_PER_S = 1_000;
+const MS_PER_SECOND = 1_000;
 
 type Print = (line: string) => void;
 
@@ -75,21 +75,21 @@
  */
 export async function benchState(print: Print): Promise<StateFigures> {
   const commits: CommitFigures[] = [];
-  for (const appendMs of APPEND_MS) {
+  for (const appendMs of APPEND_LATENCIES_MS) {
     for (const rate of ACCEPT_RATES) {
       const figures = await measureCommit(rate, appendMs);
       commits.push(figures);
-      print(lineOf('commit', figures));
+      print(formatFigures('commit', figures));
     }
   }
   const jobs = JOB_COUNTS.map(measureJobs);
-  for (const figures of jobs) print(lineOf('jobs', figures));
+  for (const figures of jobs) print(formatFigures('jobs', figures));
   const plan = measurePlan();
-  print(lineOf('plan', plan));
+  print(formatFigures('plan', plan));
   return {commits, jobs, plan};
 }
 
-function lineOf(name: string, figures: object): string {
+function formatFigures(name: string, figures: object): string {
   const parts = Object.entries(figures).map(([key, value]) => {
     const number = value as number;
     return `${key}=${Number(number.toFixed(2))}`;
@@ -103,7 +103,7 @@
 ): Promise<CommitFigures> {
   const clock = new SystemClock();
   const log = new MemoryLog(clock);
-  log.push(STREAM, [{id: 'claim', data: claim()}]);
+  log.push(STREAM, [{id: 'claim', data: claimRecord()}]);
   const claims = log.appends;
   log.slowMs = appendMs;
   const base = {client: new MemoryLogClient(log), stream: STREAM, clock};
@@ -111,7 +111,7 @@
   const writer = new StreamWriter({...base, tail});
   tail.start();
   const startMs = clock.monotonicMs();
-  const waits = await offer(writer, clock, ratePerS);
+  const waits = await offerAccepts(writer, clock, ratePerS);
   const tookMs = clock.monotonicMs() - startMs;
   tail.stop();
   await clock.sleep(SETTLE_MS);
@@ -120,25 +120,25 @@
     ratePerS,
     appendMs,
     appendsPer1000Accepts: (appends / waits.length) * 1_000,
-    appendsPerS: (appends / tookMs) * MS_PER_S,
+    appendsPerS: (appends / tookMs) * MS_PER_SECOND,
     medianMs: median(waits),
   };
 }
 
 /** Writes accepts at a steady rate and returns how long each one took. */
-async function offer(
+async function offerAccepts(
   writer: StreamWriter,
   clock: SystemClock,
   ratePerS: number,
 ): Promise<readonly number[]> {
   const startMs = clock.monotonicMs();
   const waits: Promise<number>[] = [];
-  const accepts = ratePerS * OFFER_S;
+  const accepts = ratePerS * OFFER_DURATION_S;
   while (waits.length < accepts) {
     const passedMs = clock.monotonicMs() - startMs;
-    const due = Math.min(accepts, (passedMs * ratePerS) / MS_PER_S);
+    const due = Math.min(accepts, (passedMs * ratePerS) / MS_PER_SECOND);
     while (waits.length < due) waits.push(accept(writer, clock, waits.length));
-    await clock.sleep(TICK_MS);
+    await clock.sleep(OFFER_TICK_MS);
   }
   return Promise.all(waits);
 }
@@ -149,23 +149,23 @@
   index: number,
 ): Promise<number> {
   const startMs = clock.monotonicMs();
-  await writer.write(accepted(index));
+  await writer.write(jobAcceptedRecord(index));
   return clock.monotonicMs() - startMs;
 }
 
 function measureJobs(jobs: number): JobFigures {
-  const records = [...streamOf(jobs)];
-  const foldMs = timeMs(() => foldOf(records));
-  const heapBefore = heapBytes();
-  const state = foldOf(streamOf(jobs));
-  const heapBytesPerJob = (heapBytes() - heapBefore) / jobs;
+  const records = [...shardRecords(jobs)];
+  const foldMs = timeMs(() => replayRecords(records));
+  const heapBefore = heapBytesAfterGc();
+  const state = replayRecords(shardRecords(jobs));
+  const heapBytesPerJob = (heapBytesAfterGc() - heapBefore) / jobs;
   let parts = state.snapshot('warm');
   const snapshotMs = timeMs(() => (parts = state.snapshot('bench')));
   const size = parts.reduce((sum, {body}) => sum + body.length, 0);
   const restoreMs = timeMs(() => new ShardState().adopt(parts));
   return {
     jobs,
-    foldRecordsPerS: (records.length / foldMs) * MS_PER_S,
+    foldRecordsPerS: (records.length / foldMs) * MS_PER_SECOND,
     heapBytesPerJob,
     snapshotBytesPerJob: size / jobs,
     snapshotParts: parts.length,
@@ -174,7 +174,7 @@
   };
 }
 
-function foldOf(records: Iterable<LogRecord>): ShardState {
+function replayRecords(records: Iterable<LogRecord>): ShardState {
   const state = new ShardState();
   for (const record of records) state.apply(record);
   return state;
@@ -184,11 +184,11 @@
   const table = new AllowanceState();
   const shards = Array.from({length: SHARDS}, (_, i) => `domain-${i}`);
   const teams = Array.from({length: TEAMS}, (_, i) => `team-${i}`);
-  const limits = new Map(teams.map(team => [team, amountOf(1_000)]));
+  const limits = new Map(teams.map(team => [team, resourcesOf(1_000)]));
   const plan = (seed: number): ReturnType<typeof planAllowances> => {
     const demands = teams.flatMap((team, t) =>
       shards.map((shard, s) => {
-        const wanted = amountOf((t * 31 + s * 17 * seed) % 200);
+        const wanted = resourcesOf((t * 31 + s * 17 * seed) % 200);
         return {team, shard, wanted};
       }),
     );
@@ -212,28 +212,28 @@
   };
 }
 
-function* streamOf(jobs: number): Generator<LogRecord> {
-  yield {offset: 0, timeMs: 0, id: 'claim', data: claim()};
+function* shardRecords(jobs: number): Generator<LogRecord> {
+  yield {offset: 0, timeMs: 0, id: 'claim', data: claimRecord()};
   for (let i = 0; i < jobs; i += 1) {
-    const data = structuredClone(accepted(i));
+    const data = structuredClone(jobAcceptedRecord(i));
     yield {offset: i + 1, timeMs: i, id: `r${i}`, data};
   }
 }
 
-function claim(): ShardRecord {
+function claimRecord(): ShardRecord {
   const owner = {vm: 'a', incarnation: 1};
-  const citations = {prevTerm: 0, prevListVersion: 0};
+  const previousVersions = {prevTerm: 0, prevListVersion: 0};
   const v = RECORD_VERSION;
-  return {v, type: 'claim', ...citations, owner, successors: []};
+  return {v, type: 'claim', ...previousVersions, owner, successors: []};
 }
 
-function accepted(index: number): ShardRecord {
-  const job = jobOf(index);
+function jobAcceptedRecord(index: number): ShardRecord {
+  const job = newJobSpec(index);
   const v = RECORD_VERSION;
   return {v, type: 'jobAccepted', term: 1, acceptedMs: 1e12, job};
 }
 
-function jobOf(index: number): JobSpec {
+function newJobSpec(index: number): JobSpec {
   return {
     jobId: `${SHARD}:render-${index}`,
     team: `team-${index % TEAMS}`,
@@ -248,7 +248,7 @@
   };
 }
 
-function amountOf(count: number): Resources {
+function resourcesOf(count: number): Resources {
   return {...NO_RESOURCES, cpuMilli: count * 1_000, slots: count};
 }
 
@@ -263,7 +263,7 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
-function heapBytes(): number {
+function heapBytesAfterGc(): number {
   setFlagsFromString('--expose-gc');
   const collect = runInNewContext('gc') as () => void;
   collect();
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -9,16 +9,16 @@
   type TeamKey,
 } from '@dragonflyward/standins';
 import {JobLoad} from './job-load.js';
-import {jobOrders} from './job-orders.js';
+import {demoJobs} from './job-orders.js';
 import {makeReport, type DemoReport} from './report.js';
 import {RequestLoad} from './request-load.js';
 import {demoConfiguration, DEMO_FLEET, REQUEST_QUEUES, TEAMS} from './users.js';
 
 const REQUEST_DEADLINE_MS = 8_000;
-const LOAD_MS = 12_000;
+const LOAD_DURATION_MS = 12_000;
 const KILL_AFTER_MS = 4_000;
-const FOLLOW_BOUND_MS = 8_000;
-const NO_REVISION = -1;
+const JOBS_TIMEOUT_MS = 8_000;
+const FIRST_BASE_REVISION = -1;
 
 /** Tells how far the run is. */
 export type ShowProgress = (text: string) => void;
@@ -34,7 +34,7 @@
   try {
     show('starting the stand-ins');
     await rig.startPlatform();
-    await rig.operator.publish(demoConfiguration(), NO_REVISION);
+    await rig.operator.publish(demoConfiguration(), FIRST_BASE_REVISION);
     const keys = await grantKeys(rig);
     show('starting three entry VMs');
     await rig.startEntries();
@@ -66,14 +66,14 @@
   const jobs = new JobLoad(caller);
   show('sending requests and jobs');
   for (const load of loads) void load.run();
-  const submissions = [...jobOrders(newId('demo'), keys)].map(order =>
+  const submissions = [...demoJobs(newId('demo'), keys)].map(order =>
     jobs.submit(order),
   );
-  await killOne(rig, loads, show);
+  await killShardOwner(rig, loads, show);
   const results = await Promise.all(loads.map(load => load.stop()));
   show('waiting for the jobs');
   await Promise.all(submissions);
-  await jobs.follow(FOLLOW_BOUND_MS);
+  await jobs.pollUntilEnded(JOBS_TIMEOUT_MS);
   balancer.stop();
   const nonIdempotent = new Set(
     REQUEST_QUEUES.flatMap(({isIdempotent}, i) =>
@@ -85,7 +85,7 @@
   return makeReport({requests, nonIdempotent, jobs, records});
 }
 
-async function killOne(
+async function killShardOwner(
   rig: Rig,
   loads: readonly RequestLoad[],
   show: ShowProgress,
@@ -95,7 +95,7 @@
   const {owner} = await readShard(rig.log, domain);
   if (owner !== null) await rig.kill('scheduler', owner.vm);
   show(`killed the owner of ${domain}`);
-  await sleep(LOAD_MS - KILL_AFTER_MS);
+  await sleep(LOAD_DURATION_MS - KILL_AFTER_MS);
   const sent = loads.reduce((sum, load) => sum + load.sent, 0);
   show(`${sent} requests sent`);
 }
--- a/packages/demo/src/job-load.ts
+++ b/packages/demo/src/job-load.ts
@@ -7,36 +7,40 @@
 const SUBMIT_DEADLINE_MS = 12_000;
 
 /** A job with the key that it is submitted with. */
-export interface JobOrder {
+export interface JobSubmission {
   readonly key: TeamKey;
   readonly job: JobCall;
 }
 
 /** An accepted job and the newest that was read of it. */
-export interface FollowedJob {
+export interface TrackedJob {
   readonly jobId: string;
-  readonly order: JobOrder;
+  readonly submission: JobSubmission;
   readonly status: JobStatus | undefined;
 }
 
 /** A set of jobs of one caller. */
 export class JobLoad {
-  private readonly followed = new Map<string, FollowedJob>();
+  private readonly tracked = new Map<string, TrackedJob>();
   readonly refused: string[] = [];
 
   constructor(private readonly caller: CallerClient) {}
 
-  get jobs(): readonly FollowedJob[] {
-    return [...this.followed.values()];
+  get jobs(): readonly TrackedJob[] {
+    return [...this.tracked.values()];
   }
 
   /** Submits a job until it is accepted or its deadline has passed. */
-  async submit(order: JobOrder): Promise<string> {
-    const {key, job} = order;
+  async submit(submission: JobSubmission): Promise<string> {
+    const {key, job} = submission;
     const res = await this.caller.submit(key.text, job, SUBMIT_DEADLINE_MS);
     if (res.outcome === 'answered') {
       const {jobId} = res;
-      this.followed.set(jobId, {jobId, order, status: undefined});
+      this.tracked.set(jobId, {
+        jobId,
+        submission: submission,
+        status: undefined,
+      });
       return jobId;
     }
     this.refused.push(`${job.id}: ${res.outcome} ${res.kind}`);
@@ -44,16 +48,16 @@
   }
 
   /** Reads the jobs until all have ended or the time has run out. */
-  async follow(boundMs: number): Promise<void> {
-    const endMs = performance.now() + boundMs;
-    while (performance.now() < endMs && this.open().length > 0) {
-      await Promise.all(this.open().map(job => this.read(job)));
+  async pollUntilEnded(timeoutMs: number): Promise<void> {
+    const endMs = performance.now() + timeoutMs;
+    while (performance.now() < endMs && this.openJobs().length > 0) {
+      await Promise.all(this.openJobs().map(job => this.refreshStatus(job)));
       await sleep(POLL_PERIOD_MS);
     }
   }
 
   /** The accepted jobs that have not ended. */
-  open(): readonly FollowedJob[] {
+  openJobs(): readonly TrackedJob[] {
     return this.jobs.filter(job => job.status?.phase !== 'ended');
   }
 
@@ -61,10 +65,10 @@
     return this.jobs.filter(job => job.status?.end === end).length;
   }
 
-  private async read(job: FollowedJob): Promise<void> {
-    const {key} = job.order;
+  private async refreshStatus(job: TrackedJob): Promise<void> {
+    const {key} = job.submission;
     const status = await this.caller.status(key.text, job.jobId);
     if (status === undefined) return;
-    this.followed.set(job.jobId, {...job, status});
+    this.tracked.set(job.jobId, {...job, status});
   }
 }
--- a/packages/demo/src/job-orders.ts
+++ b/packages/demo/src/job-orders.ts
@@ -1,7 +1,7 @@
 /** The jobs of both users' mixes. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {JobCall, TeamKey} from '@dragonflyward/standins';
-import type {JobOrder} from './job-load.js';
+import type {JobSubmission} from './job-load.js';
 
 const BATCH_JOBS = 24;
 const BATCH_RUN_MS = 1_500;
@@ -21,28 +21,31 @@
 };
 
 /** Lists the jobs: batch work of both users and one all-at-once job. */
-export function* jobOrders(
-  run: string,
+export function* demoJobs(
+  runId: string,
   keys: ReadonlyMap<string, TeamKey>,
-): Generator<JobOrder> {
-  const order = (team: string, job: JobCall): JobOrder => {
+): Generator<JobSubmission> {
+  const submission = (team: string, job: JobCall): JobSubmission => {
     const key = keys.get(team);
     if (key === undefined) throw new Error(`no key of ${team}`);
     return {key, job};
   };
-  yield order('renders', {
-    ...batch(`${run}-training`, 'training', 4, TRAINING),
+  yield submission('renders', {
+    ...batchJob(`${runId}-training`, 'training', 4, TRAINING),
     isGang: true,
     runMs: GANG_RUN_MS,
     payload: {runMs: GANG_RUN_MS},
   });
   for (let i = 0; i < BATCH_JOBS; i += 1) {
-    yield order('kilns', batch(`${run}-kiln-${i}`, 'kilns', 3, KILN));
-    yield order('renders', batch(`${run}-render-${i}`, 'renders', 2, RENDER));
+    yield submission('kilns', batchJob(`${runId}-kiln-${i}`, 'kilns', 3, KILN));
+    yield submission(
+      'renders',
+      batchJob(`${runId}-render-${i}`, 'renders', 2, RENDER),
+    );
   }
 }
 
-function batch(
+function batchJob(
   id: string,
   queue: string,
   tasks: number,
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,7 +1,7 @@
 /** Runs the demonstration and prints a table of what it came to. */
 import {Command} from 'commander';
 import {runDemo} from './demo.js';
-import {isGood, tableLines} from './report.js';
+import {hasPassed, formatTable} from './report.js';
 
 interface Options {
   readonly json?: boolean;
@@ -18,6 +18,6 @@
   const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
   process.stderr.write(`${seconds.padStart(5)} s  ${text}\n`);
 });
-for (const line of tableLines(report)) process.stdout.write(`${line}\n`);
+for (const line of formatTable(report)) process.stdout.write(`${line}\n`);
 if (json) process.stdout.write(`${JSON.stringify(report)}\n`);
-process.exitCode = isGood(report) ? 0 : 1;
+process.exitCode = hasPassed(report) ? 0 : 1;
--- a/packages/demo/src/report.ts
+++ b/packages/demo/src/report.ts
@@ -1,6 +1,6 @@
 /** What the demonstration run came to. */
 import {
-  findDoubleRuns,
+  findOverlappingRuns,
   findLimitBreaches,
   findRepeatedRequests,
   type RequestResult,
@@ -51,7 +51,8 @@
   const {requests, jobs, records} = results;
   const limits = new Map(TEAMS.map(team => [team, limitOf(team)]));
   const repeated = findRepeatedRequests(records.requests);
-  const isOnce = (id: string): boolean => results.nonIdempotent.has(id);
+  const isNonIdempotent = (id: string): boolean =>
+    results.nonIdempotent.has(id);
   const finished = jobs.count('succeeded');
   return {
     requests: {
@@ -60,7 +61,7 @@
       refused: countOutcome(requests, 'refused'),
       unknown: countOutcome(requests, 'unknown'),
       lost: countOutcome(requests, 'lost'),
-      doubled: repeated.filter(isOnce).length,
+      doubled: repeated.filter(isNonIdempotent).length,
       medianMs: quantileMs(requests, 50),
       p99Ms: quantileMs(requests, 99),
     },
@@ -69,7 +70,7 @@
       finished,
       refused: jobs.refused.length,
       lost: jobs.jobs.length - finished,
-      doubled: findDoubleRuns(records.tasks).length,
+      doubled: findOverlappingRuns(records.tasks).length,
     },
     overcommits: records.overcommits.length,
     slotBreaches: records.slotBreaches,
@@ -78,7 +79,7 @@
 }
 
 /** Whether the run kept every promise that it looks at. */
-export function isGood(report: DemoReport): boolean {
+export function hasPassed(report: DemoReport): boolean {
   const {requests, jobs} = report;
   const faults = [
     requests.lost,
@@ -93,14 +94,14 @@
 }
 
 /** Writes the report as a table. */
-export function* tableLines(report: DemoReport): Generator<string> {
-  yield* sectionLines('requests', report.requests);
-  yield* sectionLines('jobs', report.jobs);
+export function* formatTable(report: DemoReport): Generator<string> {
+  yield* formatSection('requests', report.requests);
+  yield* formatSection('jobs', report.jobs);
   const {overcommits, slotBreaches, limitBreaches} = report;
-  yield* sectionLines('fleet', {overcommits, slotBreaches, limitBreaches});
+  yield* formatSection('fleet', {overcommits, slotBreaches, limitBreaches});
 }
 
-function* sectionLines(
+function* formatSection(
   name: string,
   values: Readonly<Record<string, number>>,
 ): Generator<string> {
--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -7,12 +7,12 @@
   RequestResult,
 } from '@dragonflyward/standins';
 
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 /** An open-loop load of one sort of request. */
 export class RequestLoad {
   readonly results: RequestResult[] = [];
-  private readonly open = new Set<Promise<void>>();
+  private readonly pending = new Set<Promise<void>>();
   private isStopped = false;
   private sentCount = 0;
 
@@ -30,7 +30,7 @@
   async run(): Promise<void> {
     const startMs = performance.now();
     while (!this.isStopped) {
-      const dueMs = startMs + (this.sentCount * SECOND_MS) / this.perSecond;
+      const dueMs = startMs + (this.sentCount * MS_PER_SECOND) / this.perSecond;
       await sleep(Math.max(0, dueMs - performance.now()));
       this.send();
     }
@@ -39,7 +39,7 @@
   /** Stops sending and waits for what is open. */
   async stop(): Promise<readonly RequestResult[]> {
     this.isStopped = true;
-    await Promise.all(this.open);
+    await Promise.all(this.pending);
     return this.results;
   }
 
@@ -50,11 +50,11 @@
 
   private send(): void {
     this.sentCount += 1;
-    const one = this.caller.request(this.call).then(result => {
+    const sending = this.caller.request(this.call).then(result => {
       this.results.push(result);
-      this.open.delete(one);
+      this.pending.delete(sending);
     });
-    this.open.add(one);
+    this.pending.add(sending);
   }
 }
 
--- a/packages/demo/src/users.ts
+++ b/packages/demo/src/users.ts
@@ -11,7 +11,7 @@
 const DOMAINS = ['north-1', 'south-1', 'east-1'];
 const GB = 1_024;
 const KB = 1_024;
-const MANY = 1_000_000;
+const AMPLE_AMOUNT = 1_000_000;
 
 /** One of the users' queues for requests. */
 export interface RequestQueue {
@@ -27,15 +27,15 @@
 
 /** What the users' callers ask for, a second. */
 export const REQUEST_QUEUES: readonly RequestQueue[] = [
-  request('quotes', 'counter', 'counters', 20, 40),
-  once(request('orders', 'counter', 'roofers', 30, 20)),
-  request('cutting', 'planning', 'cutting', 80, 15),
-  request('availability', 'calendar', 'shoppers', 20, 40),
+  requestQueue('quotes', 'counter', 'counters', 20, 40),
+  nonIdempotent(requestQueue('orders', 'counter', 'roofers', 30, 20)),
+  requestQueue('cutting', 'planning', 'cutting', 80, 15),
+  requestQueue('availability', 'calendar', 'shoppers', 20, 40),
   {
-    ...once(request('bookings', 'calendar', 'stylists', 30, 20)),
+    ...nonIdempotent(requestQueue('bookings', 'calendar', 'stylists', 30, 20)),
     hasOwnId: true,
   },
-  request('lookbooks', 'lookbook', 'lookbooks', 80, 15),
+  requestQueue('lookbooks', 'lookbook', 'lookbooks', 80, 15),
 ];
 
 /** The queues for jobs. */
@@ -45,7 +45,7 @@
   training: jobQueue('normal', 'gang'),
 } as const;
 
-const SHARES: Readonly<Record<string, number>> = {
+const TEAM_SHARES: Readonly<Record<string, number>> = {
   counters: 3,
   roofers: 3,
   cutting: 2,
@@ -62,32 +62,32 @@
 
 /** The team whose batch work wants more than its limit lets it run. */
 export const LIMITED_TEAM = 'kilns';
-const LIMITED: Resources = {
+const LOW_LIMIT: Resources = {
   cpuMilli: 48_000,
   memMb: 96 * GB,
   accel: 0,
   slots: 8,
 };
-const WIDE: Resources = {
-  cpuMilli: MANY,
-  memMb: 4 * MANY,
+const DEFAULT_LIMIT: Resources = {
+  cpuMilli: AMPLE_AMOUNT,
+  memMb: 4 * AMPLE_AMOUNT,
   accel: 160,
   slots: 512,
 };
 
 /** The limit of a team. */
 export function limitOf(team: string): Resources {
-  return team === LIMITED_TEAM ? LIMITED : WIDE;
+  return team === LIMITED_TEAM ? LOW_LIMIT : DEFAULT_LIMIT;
 }
 
 /** The names of all teams; each is the one of its organisation. */
-export const TEAMS: readonly string[] = Object.keys(SHARES);
+export const TEAMS: readonly string[] = Object.keys(TEAM_SHARES);
 
 /** The defaults that govern the demonstration's fleet. */
 export function demoConfiguration(): Configuration {
   const organisations: Record<string, OrganisationConfig> = {};
   const teams: Record<string, TeamConfig> = {};
-  for (const [team, share] of Object.entries(SHARES)) {
+  for (const [team, share] of Object.entries(TEAM_SHARES)) {
     organisations[team] = {share};
     teams[team] = {organisation: team, share, limit: limitOf(team)};
   }
@@ -103,10 +103,10 @@
   domains: DOMAINS,
   entriesPerDomain: 1,
   workers: [
-    {count: 24, capacity: machine(16, 32, 0)},
-    {count: 10, capacity: machine(32, 64, 8)},
-    {count: 24, capacity: machine(16, 64, 0)},
-    {count: 10, capacity: machine(128, 256, 8)},
+    {count: 24, capacity: capacityOf(16, 32, 0)},
+    {count: 10, capacity: capacityOf(32, 64, 8)},
+    {count: 24, capacity: capacityOf(16, 64, 0)},
+    {count: 10, capacity: capacityOf(128, 256, 8)},
   ],
   executors: [
     {count: 24, service: 'counter'},
@@ -116,11 +116,11 @@
   ],
 };
 
-function machine(cores: number, memGb: number, accel: number): Resources {
+function capacityOf(cores: number, memGb: number, accel: number): Resources {
   return {...NO_RESOURCES, cpuMilli: cores * 1_000, memMb: memGb * GB, accel};
 }
 
-function request(
+function requestQueue(
   queue: string,
   service: string,
   team: string,
@@ -131,7 +131,7 @@
   return {queue, service, team, ...flags, sleepMs, perSecond};
 }
 
-function once(queue: RequestQueue): RequestQueue {
+function nonIdempotent(queue: RequestQueue): RequestQueue {
   return {...queue, isIdempotent: false};
 }
 
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -9,10 +9,10 @@
 import {
   Balancer,
   CallerClient,
-  findDoubleRuns,
+  findOverlappingRuns,
   findLimitBreaches,
   findRepeatedRequests,
-  findRepeats,
+  findRepeatedTasks,
   readShard,
   Rig,
   waitUntil,
@@ -27,7 +27,7 @@
 export const TEAM = 'roofers';
 export const REQUEST_DEADLINE_MS = 10_000;
 /** How long a cell may take to be whole again after one failure. */
-export const RECOVERY_BOUND_MS = 30_000;
+export const RECOVERY_TIMEOUT_MS = 30_000;
 export const DOMAINS = ['north-1', 'south-1', 'east-1'];
 
 const CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
@@ -38,7 +38,7 @@
   slots: 64,
 };
 const WORKER: Resources = {...NO_RESOURCES, cpuMilli: 8_000, memMb: 16_384};
-const NO_REVISION = -1;
+const FIRST_BASE_REVISION = -1;
 
 /** Short leases, so that their lapse is seen soon. */
 const TIMING: Partial<TimingSettings> = {
@@ -78,7 +78,7 @@
 };
 
 /** A job of short tasks. */
-export function jobOf(change: Partial<JobCall> = {}): JobCall {
+export function shortJob(change: Partial<JobCall> = {}): JobCall {
   return {
     id: newId('job'),
     queue: 'kilns',
@@ -95,7 +95,7 @@
 
 /** A job whose tasks run for this long. */
 export function longJob(runMs: number, change: Partial<JobCall> = {}): JobCall {
-  return jobOf({runMs, payload: {runMs}, ...change});
+  return shortJob({runMs, payload: {runMs}, ...change});
 }
 
 /** Three entry VMs, six workers and six executors with one team. */
@@ -104,19 +104,19 @@
   readonly balancer = new Balancer(this.rig);
   readonly caller = new CallerClient(() => this.balancer.pick());
   readonly jobs = new JobLoad(this.caller);
-  private readonly loads: RequestLoad[] = [];
-  private readonly running: RequestLoad[] = [];
-  private readonly onceJobs = new Set<string>();
+  private readonly nonIdempotentLoads: RequestLoad[] = [];
+  private readonly runningLoads: RequestLoad[] = [];
+  private readonly nonIdempotentJobs = new Set<string>();
   private teamKey: TeamKey | undefined;
 
   /** Starts all and waits until the cell serves. */
   async start(): Promise<void> {
     await this.rig.startPlatform();
-    await this.rig.operator.publish(CONFIGURATION, NO_REVISION);
+    await this.rig.operator.publish(CONFIGURATION, FIRST_BASE_REVISION);
     this.teamKey = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
     await this.rig.untilReady();
-    await this.untilServing();
+    await this.waitUntilServing();
   }
 
   async stop(): Promise<void> {
@@ -125,10 +125,10 @@
   }
 
   /** Ends all faults, so that one test's failure is not the next one's. */
-  async mend(): Promise<void> {
-    await Promise.all(this.running.map(load => load.stop()));
-    this.running.length = 0;
-    await this.rig.mend();
+  async clearFaults(): Promise<void> {
+    await Promise.all(this.runningLoads.map(load => load.stop()));
+    this.runningLoads.length = 0;
+    await this.rig.clearFaults();
     await this.rig.untilReady();
   }
 
@@ -138,14 +138,14 @@
   }
 
   /** Waits until each shard has an owner and requests are answered. */
-  async untilServing(): Promise<void> {
+  async waitUntilServing(): Promise<void> {
     for (const domain of DOMAINS) {
-      await waitUntil(`${domain} has an owner`, RECOVERY_BOUND_MS, () =>
+      await waitUntil(`${domain} has an owner`, RECOVERY_TIMEOUT_MS, () =>
         this.ownerOf(domain),
       );
     }
-    await waitUntil('a request is answered', RECOVERY_BOUND_MS, async () => {
-      const {outcome} = await this.caller.request(this.requestOf());
+    await waitUntil('a request is answered', RECOVERY_TIMEOUT_MS, async () => {
+      const {outcome} = await this.caller.request(this.newRequest());
       return outcome === 'answered';
     });
   }
@@ -160,7 +160,7 @@
     return (await readShard(this.rig.log, domain)).term;
   }
 
-  requestOf(change: Partial<RequestCall> = {}): RequestCall {
+  newRequest(change: Partial<RequestCall> = {}): RequestCall {
     return {
       queue: 'quotes',
       key: this.key.text,
@@ -175,11 +175,11 @@
   startLoad(perSecond: number, change: Partial<RequestCall> = {}): RequestLoad {
     const load = new RequestLoad(
       this.caller,
-      this.requestOf(change),
+      this.newRequest(change),
       perSecond,
     );
-    this.running.push(load);
-    if (change.isIdempotent === false) this.loads.push(load);
+    this.runningLoads.push(load);
+    if (change.isIdempotent === false) this.nonIdempotentLoads.push(load);
     void load.run();
     return load;
   }
@@ -188,7 +188,7 @@
   async submit(job: JobCall): Promise<string> {
     const jobId = await this.jobs.submit({key: this.key, job});
     assert.ok(jobId, this.jobs.refused.at(-1));
-    if (!job.isIdempotent) this.onceJobs.add(jobId);
+    if (!job.isIdempotent) this.nonIdempotentJobs.add(jobId);
     return jobId;
   }
 
@@ -197,8 +197,8 @@
   }
 
   /** Waits until a job has this many tasks running on workers. */
-  async untilRunning(jobId: string, tasks: number): Promise<void> {
-    await waitUntil(`${jobId} runs`, RECOVERY_BOUND_MS, async () => {
+  async waitUntilRunning(jobId: string, tasks: number): Promise<void> {
+    await waitUntil(`${jobId} runs`, RECOVERY_TIMEOUT_MS, async () => {
       const records = await this.rig.targets.records();
       const runs = records.tasks.filter(run => run.jobId === jobId);
       return runs.filter(run => run.endMs === null).length >= tasks;
@@ -210,33 +210,39 @@
   }
 
   /** All accepted jobs have ended as they may, and no promise is broken. */
-  async judge(): Promise<void> {
-    await this.jobs.follow(RECOVERY_BOUND_MS);
-    const open = this.jobs.open().map(job => `${job.jobId}`);
+  async checkPromises(): Promise<void> {
+    await this.jobs.pollUntilEnded(RECOVERY_TIMEOUT_MS);
+    const open = this.jobs.openJobs().map(job => `${job.jobId}`);
     assert.equal(open, [], 'jobs that have not ended');
-    for (const job of this.jobs.jobs) this.judgeEnd(job.jobId);
+    for (const job of this.jobs.jobs) this.checkJobEnd(job.jobId);
     const records = await this.rig.targets.records();
     assert.equal(records.overcommits, [], 'overcommits');
     assert.is(records.slotBreaches, 0, 'executors over their slots');
-    assert.equal(findDoubleRuns(records.tasks), [], 'in two places');
-    assert.equal(findRepeats(records.tasks, this.onceJobs), [], 'run again');
+    assert.equal(findOverlappingRuns(records.tasks), [], 'in two places');
+    assert.equal(
+      findRepeatedTasks(records.tasks, this.nonIdempotentJobs),
+      [],
+      'run again',
+    );
     const limits = new Map([[TEAM, LIMIT]]);
     assert.equal(findLimitBreaches(records, limits), [], 'over the limit');
-    const once = new Set(this.loads.flatMap(load => load.labels()));
-    const repeated = findRepeatedRequests(records.requests);
+    const nonIdempotentLabels = new Set(
+      this.nonIdempotentLoads.flatMap(load => load.labels()),
+    );
+    const repeatedLabels = findRepeatedRequests(records.requests);
     assert.equal(
-      repeated.filter(id => once.has(id)),
+      repeatedLabels.filter(id => nonIdempotentLabels.has(id)),
       [],
       'requests run again',
     );
   }
 
-  private judgeEnd(jobId: string): void {
+  private checkJobEnd(jobId: string): void {
     const end = this.statusOf(jobId)?.end;
-    const isOnce = this.onceJobs.has(jobId);
-    const isKept = end === 'succeeded' || end === 'cancelled';
+    const isNonIdempotent = this.nonIdempotentJobs.has(jobId);
+    const hasCleanEnd = end === 'succeeded' || end === 'cancelled';
     assert.ok(
-      isKept || (isOnce && end === 'outcomeUnknown'),
+      hasCleanEnd || (isNonIdempotent && end === 'outcomeUnknown'),
       `${jobId} ${end}`,
     );
   }
--- a/packages/demo/test/entry-failure.process.test.ts
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -5,47 +5,47 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {countOutcome, describeOthers} from '../src/index.js';
-import {Cell, jobOf, longJob, RECOVERY_BOUND_MS, TEAM} from './cell.js';
+import {Cell, shortJob, longJob, RECOVERY_TIMEOUT_MS, TEAM} from './cell.js';
 
 /** How soon a withdrawn key must be refused. */
-const WITHDRAWAL_BOUND_MS = 5_000;
+const WITHDRAWAL_TIMEOUT_MS = 5_000;
 const AFTER_WITHDRAWAL_MS = 1_500;
-const CUT_MS = 6_000;
+const CUT_DURATION_MS = 6_000;
 
 const entries = suite('entry failure');
 const cell = new Cell();
 
 entries.before(() => cell.start());
-entries.after.each(() => cell.mend());
+entries.after.each(() => cell.clearFaults());
 entries.after(() => cell.stop());
 
 /** Whether one gateway takes a key, by a request sent to it alone. */
-async function isTaken(vm: string, key: TeamKey): Promise<boolean> {
+async function isKeyAccepted(vm: string, key: TeamKey): Promise<boolean> {
   const caller = new CallerClient(() => cell.rig.gatewayUrl(vm));
-  const call = cell.requestOf({key: key.text, sleepMs: 0});
+  const call = cell.newRequest({key: key.text, sleepMs: 0});
   const res = await caller.request({...call, deadlineMs: 1_000});
   return res.outcome === 'answered';
 }
 
-async function untilTakenEverywhere(key: TeamKey): Promise<void> {
+async function waitUntilAcceptedEverywhere(key: TeamKey): Promise<void> {
   for (const {id} of cell.rig.entries) {
-    await waitUntil(`${id} takes the key`, RECOVERY_BOUND_MS, () =>
-      isTaken(id, key),
+    await waitUntil(`${id} takes the key`, RECOVERY_TIMEOUT_MS, () =>
+      isKeyAccepted(id, key),
     );
   }
 }
 
 async function expectRefusedEverywhere(key: TeamKey): Promise<void> {
   await cell.rig.operator.withdraw(key);
-  await waitUntil('all refuse it', WITHDRAWAL_BOUND_MS, async () => {
-    const taken = cell.rig.entries.map(({id}) => isTaken(id, key));
+  await waitUntil('all refuse it', WITHDRAWAL_TIMEOUT_MS, async () => {
+    const taken = cell.rig.entries.map(({id}) => isKeyAccepted(id, key));
     return !(await Promise.all(taken)).includes(true);
   });
-  assert.ok(await isTaken(cell.rig.entries.at(-1)?.id ?? '', cell.key));
+  assert.ok(await isKeyAccepted(cell.rig.entries.at(-1)?.id ?? '', cell.key));
   const endMs = performance.now() + AFTER_WITHDRAWAL_MS;
   while (performance.now() < endMs) {
     for (const {id} of cell.rig.entries) {
-      assert.is(await isTaken(id, key), false, `${id} takes the key`);
+      assert.is(await isKeyAccepted(id, key), false, `${id} takes the key`);
     }
   }
 }
@@ -56,7 +56,7 @@
   'a withdrawn key is refused by all gateways within seconds',
   async () => {
     const key = await cell.rig.operator.grant(TEAM);
-    await untilTakenEverywhere(key);
+    await waitUntilAcceptedEverywhere(key);
     await expectRefusedEverywhere(key);
   },
 );
@@ -69,7 +69,7 @@
     const [cut] = cell.rig.entries;
     assert.ok(cut);
     const key = await cell.rig.operator.grant(TEAM);
-    await untilTakenEverywhere(key);
+    await waitUntilAcceptedEverywhere(key);
     await cell.rig.switchLog({cutFrom: [cut.ip]});
     await expectRefusedEverywhere(key);
     await cell.rig.switchLog({cutFrom: []});
@@ -80,18 +80,18 @@
   const [cut] = cell.rig.entries;
   assert.ok(cut);
   const domain = cut.domain;
-  await cell.submit(longJob(CUT_MS, {domain}));
+  await cell.submit(longJob(CUT_DURATION_MS, {domain}));
   await cell.rig.switchLog({cutFrom: [cut.ip]});
   const load = cell.startLoad(20, {isIdempotent: false});
-  await sleep(CUT_MS);
+  await sleep(CUT_DURATION_MS);
   const results = await load.stop();
   assert.is(countOutcome(results, 'lost'), 0);
   const others = describeOthers(results, 'answered');
   assert.is(countOutcome(results, 'answered'), results.length, others);
-  assert.ok(await isTaken(cut.id, cell.key));
-  await cell.submit(jobOf({domain}));
+  assert.ok(await isKeyAccepted(cut.id, cell.key));
+  await cell.submit(shortJob({domain}));
   await cell.rig.switchLog({cutFrom: []});
-  await cell.judge();
+  await cell.checkPromises();
 });
 
 promiseTest(
@@ -100,7 +100,7 @@
   'programs are shut down under load and no request is cut off',
   async () => {
     const load = cell.startLoad(40, {isIdempotent: false, sleepMs: 300});
-    await cell.submit(longJob(CUT_MS));
+    await cell.submit(longJob(CUT_DURATION_MS));
     for (const {id} of cell.rig.entries) {
       for (const role of ['gateway', 'scheduler'] as const) {
         assert.is(await cell.rig.terminate(role, id), 0, `${role} ${id}`);
@@ -111,7 +111,7 @@
     const results = await load.stop();
     assert.is(countOutcome(results, 'lost'), 0);
     assert.is(countOutcome(results, 'unknown'), 0);
-    await cell.judge();
+    await cell.checkPromises();
   },
 );
 
@@ -121,18 +121,21 @@
   'all entry VMs are replaced one after another',
   async () => {
     const load = cell.startLoad(20, {isIdempotent: false});
-    const jobs = [longJob(CUT_MS), longJob(CUT_MS, {isIdempotent: false})];
+    const jobs = [
+      longJob(CUT_DURATION_MS),
+      longJob(CUT_DURATION_MS, {isIdempotent: false}),
+    ];
     await cell.submitAll(jobs);
     for (const {id, domain} of cell.rig.entries) {
       const added = await cell.rig.addEntry(domain);
       await cell.rig.untilRoleReady('gateway', added.id);
       await cell.rig.untilRoleReady('scheduler', added.id);
       await cell.rig.removeEntry(id);
-      await cell.submit(jobOf({domain}));
+      await cell.submit(shortJob({domain}));
     }
     await load.stop();
-    await cell.untilServing();
-    await cell.judge();
+    await cell.waitUntilServing();
+    await cell.checkPromises();
   },
 );
 
--- a/packages/demo/test/owner-failure.process.test.ts
+++ b/packages/demo/test/owner-failure.process.test.ts
@@ -6,10 +6,10 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {countOutcome} from '../src/index.js';
-import {Cell, jobOf, longJob, RECOVERY_BOUND_MS} from './cell.js';
+import {Cell, shortJob, longJob, RECOVERY_TIMEOUT_MS} from './cell.js';
 
 const SHARD = 'north-1';
-const LONG_MS = 9_000;
+const LONG_TASK_MS = 9_000;
 const OUTAGE_MS = 4_000;
 /** Longer than every lease and the oldest configuration in use. */
 const LONG_OUTAGE_MS = 8_000;
@@ -18,15 +18,15 @@
 const cell = new Cell();
 
 owners.before(() => cell.start());
-owners.after.each(() => cell.mend());
+owners.after.each(() => cell.clearFaults());
 owners.after(() => cell.stop());
 
 async function ownerOfShard(): Promise<string> {
-  return waitUntil('an owner', RECOVERY_BOUND_MS, () => cell.ownerOf(SHARD));
+  return waitUntil('an owner', RECOVERY_TIMEOUT_MS, () => cell.ownerOf(SHARD));
 }
 
-async function untilTermAfter(term: number): Promise<void> {
-  await waitUntil(`a term after ${term}`, RECOVERY_BOUND_MS, async () => {
+async function waitUntilTermAfter(term: number): Promise<void> {
+  await waitUntil(`a term after ${term}`, RECOVERY_TIMEOUT_MS, async () => {
     return (await cell.termOf(SHARD)) > term;
   });
 }
@@ -45,21 +45,21 @@
 
 promiseTest(owners, 'one-place', 'the owner is killed', async () => {
   const domain = SHARD;
-  const long = await cell.submit(longJob(LONG_MS, {domain}));
+  const long = await cell.submit(longJob(LONG_TASK_MS, {domain}));
   const once = await cell.submit(
-    longJob(LONG_MS, {domain, isIdempotent: false}),
+    longJob(LONG_TASK_MS, {domain, isIdempotent: false}),
   );
-  await cell.untilRunning(long, 2);
-  await cell.untilRunning(once, 2);
+  await cell.waitUntilRunning(long, 2);
+  await cell.waitUntilRunning(once, 2);
   const load = cell.startLoad(20, {isIdempotent: false});
   const owner = await ownerOfShard();
   const term = await cell.termOf(SHARD);
   await cell.rig.kill('scheduler', owner);
-  await untilTermAfter(term);
-  await cell.submit(jobOf({domain}));
+  await waitUntilTermAfter(term);
+  await cell.submit(shortJob({domain}));
   const results = await load.stop();
   assert.is(countOutcome(results, 'lost'), 0);
-  await cell.judge();
+  await cell.checkPromises();
   await restart(owner);
 });
 
@@ -69,18 +69,18 @@
   'the owner and its first successor die together',
   async () => {
     const domain = SHARD;
-    const long = await cell.submit(longJob(LONG_MS, {domain}));
-    await cell.untilRunning(long, 2);
-    const shard = await waitUntil('two successors', RECOVERY_BOUND_MS, () =>
+    const long = await cell.submit(longJob(LONG_TASK_MS, {domain}));
+    await cell.waitUntilRunning(long, 2);
+    const shard = await waitUntil('two successors', RECOVERY_TIMEOUT_MS, () =>
       shardWithSuccessors(2),
     );
     const {owner, successors, term} = shard;
     assert.ok(owner && successors[0]);
     const dead = [owner.vm, successors[0].vm];
     await Promise.all(dead.map(vm => cell.rig.kill('scheduler', vm)));
-    await untilTermAfter(term);
-    await cell.submit(jobOf({domain}));
-    await cell.judge();
+    await waitUntilTermAfter(term);
+    await cell.submit(shortJob({domain}));
+    await cell.checkPromises();
     for (const vm of dead) await restart(vm);
   },
 );
@@ -92,36 +92,36 @@
   async () => {
     const workers = cell.rig.targets.vms.filter(vm => vm.kind === 'worker');
     for (const {id} of workers) {
-      await cell.rig.targets.switchWorker(id, {fencing: false});
+      await cell.rig.targets.setWorkerFaults(id, {fencing: false});
     }
     const domain = SHARD;
-    const jobs = Array.from({length: 8}, () => longJob(LONG_MS, {domain}));
+    const jobs = Array.from({length: 8}, () => longJob(LONG_TASK_MS, {domain}));
     const jobIds = await cell.submitAll(jobs);
-    await cell.untilRunning(jobIds[0] ?? '', 2);
+    await cell.waitUntilRunning(jobIds[0] ?? '', 2);
     const owner = await ownerOfShard();
     const term = await cell.termOf(SHARD);
     cell.rig.pause('scheduler', owner);
-    await untilTermAfter(term);
-    await cell.submit(jobOf({domain}));
+    await waitUntilTermAfter(term);
+    await cell.submit(shortJob({domain}));
     cell.rig.resume('scheduler', owner);
-    await cell.submit(jobOf({domain}));
-    await cell.judge();
+    await cell.submit(shortJob({domain}));
+    await cell.checkPromises();
     for (const {id} of workers) {
-      await cell.rig.targets.switchWorker(id, {fencing: true});
+      await cell.rig.targets.setWorkerFaults(id, {fencing: true});
     }
   },
 );
 
 owners('a log outage alone stops no requests and no tasks', async () => {
-  const long = await cell.submit(longJob(LONG_MS));
-  await cell.untilRunning(long, 2);
+  const long = await cell.submit(longJob(LONG_TASK_MS));
+  await cell.waitUntilRunning(long, 2);
   await cell.rig.switchLog({outage: true});
   const load = cell.startLoad(20);
   await sleep(LONG_OUTAGE_MS);
   const results = await load.stop();
   await cell.rig.switchLog({outage: false});
   assert.is(countOutcome(results, 'answered'), results.length);
-  await cell.judge();
+  await cell.checkPromises();
 });
 
 promiseTest(
@@ -130,12 +130,12 @@
   'the owner dies in a log outage and nothing accepted is lost',
   async () => {
     const domain = SHARD;
-    const long = await cell.submit(longJob(LONG_MS, {domain}));
+    const long = await cell.submit(longJob(LONG_TASK_MS, {domain}));
     const once = await cell.submit(
-      longJob(LONG_MS, {domain, isIdempotent: false}),
+      longJob(LONG_TASK_MS, {domain, isIdempotent: false}),
     );
-    await cell.untilRunning(long, 2);
-    await cell.untilRunning(once, 2);
+    await cell.waitUntilRunning(long, 2);
+    await cell.waitUntilRunning(once, 2);
     const owner = await ownerOfShard();
     await cell.rig.switchLog({outage: true});
     await cell.rig.kill('scheduler', owner);
@@ -144,9 +144,9 @@
     await cell.rig.switchLog({outage: false});
     const results = await load.stop();
     assert.is(countOutcome(results, 'lost'), 0);
-    await cell.submit(jobOf({domain}));
-    await cell.untilServing();
-    await cell.judge();
+    await cell.submit(shortJob({domain}));
+    await cell.waitUntilServing();
+    await cell.checkPromises();
     await restart(owner);
   },
 );
@@ -158,14 +158,14 @@
   async () => {
     await cell.rig.switchLog({loseReplies: 10});
     const jobs = Array.from({length: 20}, (_, i) =>
-      jobOf({isIdempotent: i % 2 === 0}),
+      shortJob({isIdempotent: i % 2 === 0}),
     );
     await cell.submitAll(jobs);
-    await cell.judge();
+    await cell.checkPromises();
     const {tasks} = await cell.rig.targets.records();
     const done = tasks.filter(run => run.end === 'succeeded');
-    const slots = done.map(run => run.taskId.replace(/\.[^.]*$/, ''));
-    assert.is(new Set(slots).size, slots.length, 'tasks that ended twice');
+    const taskIds = done.map(run => run.taskId.replace(/\.[^.]*$/, ''));
+    assert.is(new Set(taskIds).size, taskIds.length, 'tasks that ended twice');
   },
 );
 
@@ -175,12 +175,12 @@
   'a job refused in a log outage never runs',
   async () => {
     await cell.rig.switchLog({outage: true});
-    const job = jobOf();
+    const job = shortJob();
     const res = await cell.caller.submit(cell.key.text, job, OUTAGE_MS);
     assert.is.not(res.outcome, 'answered');
     await cell.rig.switchLog({outage: false});
-    const marker = await cell.submit(jobOf());
-    await cell.judge();
+    const marker = await cell.submit(shortJob());
+    await cell.checkPromises();
     const {tasks} = await cell.rig.targets.records();
     assert.ok(tasks.some(run => run.jobId === marker));
     const isRun = tasks.some(run => run.jobId.endsWith(`:${job.id}`));
--- a/packages/demo/test/silent-connection.process.test.ts
+++ b/packages/demo/test/silent-connection.process.test.ts
@@ -4,7 +4,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {countOutcome} from '../src/index.js';
-import {Cell, jobOf, longJob} from './cell.js';
+import {Cell, shortJob, longJob} from './cell.js';
 
 const BEFORE_MS = 1_000;
 const AFTER_MS = 4_000;
@@ -13,18 +13,18 @@
 const cell = new Cell();
 
 silence.before(() => cell.start());
-silence.after.each(() => cell.mend());
+silence.after.each(() => cell.clearFaults());
 silence.after(() => cell.stop());
 
 silence('to the log service: requests and jobs go on', async () => {
   const load = cell.startLoad(20);
   await sleep(BEFORE_MS);
-  await cell.rig.muteLog();
-  await cell.submitAll([jobOf(), jobOf(), jobOf()]);
+  await cell.rig.muteLogConnections();
+  await cell.submitAll([shortJob(), shortJob(), shortJob()]);
   await sleep(AFTER_MS);
   const results = await load.stop();
   assert.is(countOutcome(results, 'answered'), results.length);
-  await cell.judge();
+  await cell.checkPromises();
 });
 
 promiseTest(
@@ -34,10 +34,10 @@
   async () => {
     const jobs = Array.from({length: 6}, () => longJob(AFTER_MS));
     const [first = ''] = await cell.submitAll(jobs);
-    await cell.untilRunning(first, 1);
+    await cell.waitUntilRunning(first, 1);
     await cell.rig.targets.muteConnections('worker');
-    await cell.submitAll(Array.from({length: 6}, () => jobOf()));
-    await cell.judge();
+    await cell.submitAll(Array.from({length: 6}, () => shortJob()));
+    await cell.checkPromises();
   },
 );
 
@@ -54,7 +54,7 @@
     const results = await load.stop();
     assert.is(countOutcome(results, 'answered'), results.length);
     assert.is(countOutcome(await once.stop(), 'lost'), 0);
-    await cell.judge();
+    await cell.checkPromises();
   },
 );
 
--- a/packages/standins/src/balancer.ts
+++ b/packages/standins/src/balancer.ts
@@ -8,11 +8,11 @@
 /** Chooses gateways in turn among those that were ready at the last probe. */
 export class Balancer {
   private ready: readonly string[] = [];
-  private next = 0;
+  private turn = 0;
   private isStopped = false;
 
   constructor(private readonly rig: Rig) {
-    void this.run();
+    void this.probeGateways();
   }
 
   /**
@@ -21,8 +21,8 @@
    * @throws peerDown when none is ready
    */
   pick(): string {
-    this.next += 1;
-    const url = this.ready[this.next % Math.max(1, this.ready.length)];
+    this.turn += 1;
+    const url = this.ready[this.turn % Math.max(1, this.ready.length)];
     return url ?? raise('peerDown', 'no gateway is ready');
   }
 
@@ -30,7 +30,7 @@
     this.isStopped = true;
   }
 
-  private async run(): Promise<void> {
+  private async probeGateways(): Promise<void> {
     while (!this.isStopped) {
       const probes = this.rig.entries.map(async ({id}) => {
         const isReady = await this.rig.isReady('gateway', id);
--- a/packages/standins/src/caller-client.ts
+++ b/packages/standins/src/caller-client.ts
@@ -85,21 +85,22 @@
    */
   async request(call: RequestCall): Promise<RequestResult> {
     const {queue, key, deadlineMs, sleepMs, isIdempotent} = call;
-    const label = timedId();
-    const ownId = call.hasOwnId ? {'x-request-id': label} : {};
+    const label = newUuidV7();
+    const idHeader = call.hasOwnId ? {'x-request-id': label} : {};
     const startMs = performance.now();
     const body = {sleepMs, echo: label};
-    const attempt = await this.persist(deadlineMs, leftMs =>
+    const attempt = await this.retryUntilDeadline(deadlineMs, leftMs =>
       this.call('POST', `/v1/requests/${queue}`, leftMs, body, {
         ...authorization(key),
-        ...ownId,
+        ...idHeader,
         'x-deadline-ms': `${Math.floor(leftMs)}`,
         'x-idempotent': `${isIdempotent}`,
       }),
     );
     const {status, kind} = attempt;
-    const isOwn = attempt.outcome !== 'answered' || attempt.body === label;
-    const outcome = isOwn ? attempt.outcome : 'lost';
+    const isOwnAnswer =
+      attempt.outcome !== 'answered' || attempt.body === label;
+    const outcome = isOwnAnswer ? attempt.outcome : 'lost';
     const tookMs = performance.now() - startMs;
     return {label, outcome, status, kind, tookMs};
   }
@@ -115,11 +116,12 @@
     job: JobCall,
     deadlineMs: number,
   ): Promise<SubmitResult> {
-    const attempt = await this.persist(deadlineMs, async leftMs => {
+    const attempt = await this.retryUntilDeadline(deadlineMs, async leftMs => {
       const headers = authorization(key);
-      const made = await this.call('POST', '/v1/jobs', leftMs, job, headers);
-      const isOpen = made.outcome === 'lost' || made.outcome === 'unknown';
-      return isOpen ? {...made, isRetryable: true} : made;
+      const reply = await this.call('POST', '/v1/jobs', leftMs, job, headers);
+      const isUndecided =
+        reply.outcome === 'lost' || reply.outcome === 'unknown';
+      return isUndecided ? {...reply, isRetryable: true} : reply;
     });
     const {outcome, kind} = attempt;
     const {jobId = ''} = (attempt.body ?? {}) as {readonly jobId?: string};
@@ -132,8 +134,8 @@
     const headers = authorization(key);
     const timeoutMs = STATUS_TIMEOUT_MS;
     const attempt = await this.call('GET', path, timeoutMs, undefined, headers);
-    const isTold = attempt.outcome === 'answered';
-    return isTold ? (attempt.body as JobStatus) : undefined;
+    const isAnswered = attempt.outcome === 'answered';
+    return isAnswered ? (attempt.body as JobStatus) : undefined;
   }
 
   /** Cancels a job. */
@@ -151,7 +153,7 @@
     return attempt.outcome;
   }
 
-  private async persist(
+  private async retryUntilDeadline(
     deadlineMs: number,
     send: (leftMs: number) => Promise<Attempt>,
   ): Promise<Attempt> {
@@ -173,8 +175,10 @@
   ): Promise<Attempt> {
     const timeoutMs = leftMs + REPLY_MARGIN_MS;
     try {
-      const client = this.clientOf(this.pick());
-      return judge(await client.call(method, path, timeoutMs, body, headers));
+      const client = this.clientFor(this.pick());
+      return classifyReply(
+        await client.call(method, path, timeoutMs, body, headers),
+      );
     } catch (err) {
       const {kind, detail} = toFailure(err);
       const isUnsent = kind === 'peerDown';
@@ -184,7 +188,7 @@
     }
   }
 
-  private clientOf(url: string): JsonClient {
+  private clientFor(url: string): JsonClient {
     const known = this.clients.get(url);
     if (known !== undefined) return known;
     const client = new JsonClient(url);
@@ -194,7 +198,7 @@
 }
 
 /** Makes an identifier that tells when it was made: a version 7 UUID. */
-function timedId(): string {
+function newUuidV7(): string {
   const time = Date.now().toString(16).padStart(12, '0');
   const [, , , variant = '', tail = ''] = randomUUID().split('-');
   const version = randomBytes(2).toString('hex').slice(1);
@@ -205,13 +209,13 @@
   return {authorization: `Bearer ${key}`};
 }
 
-function judge({status, body}: JsonReply): Attempt {
-  const made = {status, body, kind: '', isRetryable: false};
-  if (status === 200 || status === 202) return {...made, outcome: 'answered'};
+function classifyReply({status, body}: JsonReply): Attempt {
+  const base = {status, body, kind: '', isRetryable: false};
+  if (status === 200 || status === 202) return {...base, outcome: 'answered'};
   const {error} = (body ?? {}) as ErrorBody;
-  if (error === undefined) return {...made, outcome: 'lost'};
+  if (error === undefined) return {...base, outcome: 'lost'};
   const {kind} = error;
-  if (error.outcome !== 'not run') return {...made, kind, outcome: 'unknown'};
+  if (error.outcome !== 'not run') return {...base, kind, outcome: 'unknown'};
   const {isRetryable} = ERRORS[kind];
-  return {...made, kind, isRetryable, outcome: 'refused'};
+  return {...base, kind, isRetryable, outcome: 'refused'};
 }
--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -2,12 +2,12 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {readBytes, sendJson} from '@dragonflyward/common';
-import {Connections, mute, MUTE_PATH} from './service.js';
+import {Connections, handleMute, MUTE_PATH} from './service.js';
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
 /** The fault switches of an executor. */
-export interface ExecutorSwitches {
+export interface ExecutorFaults {
   /** Part of the requests, in order, that get status 500. */
   readonly failRate: number;
   /** Sends half of each body and cuts the connection. */
@@ -23,7 +23,7 @@
 }
 
 /** How an executor starts. */
-export const NO_EXECUTOR_FAULTS: ExecutorSwitches = {
+export const NO_EXECUTOR_FAULTS: ExecutorFaults = {
   failRate: 0,
   cutBody: false,
   headersOnly: false,
@@ -43,13 +43,13 @@
   endMs: number | null;
 }
 
-interface Work {
+interface RequestWork {
   readonly sleepMs?: number;
   readonly size?: number;
   readonly echo?: unknown;
 }
 
-interface Answer {
+interface ExecutorAnswer {
   readonly requestId: string;
   readonly body: Buffer;
 }
@@ -57,26 +57,26 @@
 /** An executor with slots and a bound on connections. */
 export class ExecutorService {
   private readonly runs: RequestRun[] = [];
-  private held: ((answer: Answer) => void) | undefined;
-  private heldAnswer: Answer | undefined;
-  private handled = 0;
-  private busy = 0;
+  private resolveHeld: ((answer: ExecutorAnswer) => void) | undefined;
+  private heldAnswer: ExecutorAnswer | undefined;
+  private handledRequests = 0;
+  private busySlots = 0;
   private connections = 0;
   private maxBusy = 0;
   private maxConnections = 0;
   private slotBreaches = 0;
-  private switches = NO_EXECUTOR_FAULTS;
+  private faults = NO_EXECUTOR_FAULTS;
 
   constructor(private readonly slots: number) {}
 
   /** Makes the server of this executor. */
   makeServer(): http.Server {
     const server = http.createServer((req, res) => {
-      if (muted.isMuted(req.socket)) return;
-      if (req.url === MUTE_PATH) return mute(muted, req, res);
-      this.route(req, res).catch(() => req.socket.destroy());
+      if (openConnections.isMuted(req.socket)) return;
+      if (req.url === MUTE_PATH) return handleMute(openConnections, req, res);
+      this.handle(req, res).catch(() => req.socket.destroy());
     });
-    const muted = new Connections(server);
+    const openConnections = new Connections(server);
     server.on('connection', socket => {
       this.connections += 1;
       this.maxConnections = Math.max(this.maxConnections, this.connections);
@@ -85,95 +85,95 @@
     return server;
   }
 
-  private async route(
+  private async handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
     const bytes = await readBytes(req, MAX_BODY_BYTES);
-    if (req.url === '/admin') return this.admin(bytes, res);
-    this.busy += 1;
-    this.maxBusy = Math.max(this.maxBusy, this.busy);
-    if (this.busy > this.slots) this.slotBreaches += 1;
-    res.once('close', () => (this.busy -= 1));
+    if (req.url === '/admin') return this.handleAdmin(bytes, res);
+    this.busySlots += 1;
+    this.maxBusy = Math.max(this.maxBusy, this.busySlots);
+    if (this.busySlots > this.slots) this.slotBreaches += 1;
+    res.once('close', () => (this.busySlots -= 1));
     const work = parseWork(bytes);
-    const run = startRun(req, work);
-    this.runs.push(run);
-    res.once('close', () => (run.endMs = Date.now()));
-    await this.run(run, res, work, bytes);
+    const serveRequest = newRun(req, work);
+    this.runs.push(serveRequest);
+    res.once('close', () => (serveRequest.endMs = Date.now()));
+    await this.run(serveRequest, res, work, bytes);
   }
 
   private async run(
     {requestId}: RequestRun,
     res: http.ServerResponse,
-    work: Work,
+    work: RequestWork,
     bytes: Buffer,
   ): Promise<void> {
-    await sleep((work.sleepMs ?? 0) + this.switches.delayMs);
-    if (this.switches.blackhole) return;
-    if (this.mustFail()) return void sendJson(res, 500, {error: 'failed'});
-    const answer = {requestId, body: bodyOf(work, bytes)};
-    const sent = this.switches.swap ? await this.exchange(answer) : answer;
+    await sleep((work.sleepMs ?? 0) + this.faults.delayMs);
+    if (this.faults.blackhole) return;
+    if (this.shouldFail()) return void sendJson(res, 500, {error: 'failed'});
+    const answer = {requestId, body: replyBody(work, bytes)};
+    const sent = this.faults.swap ? await this.swapAnswers(answer) : answer;
     this.send(res, sent);
   }
 
-  private mustFail(): boolean {
-    const {failRate} = this.switches;
-    this.handled += 1;
-    const failedBefore = Math.floor((this.handled - 1) * failRate);
-    return Math.floor(this.handled * failRate) > failedBefore;
+  private shouldFail(): boolean {
+    const {failRate} = this.faults;
+    this.handledRequests += 1;
+    const failedBefore = Math.floor((this.handledRequests - 1) * failRate);
+    return Math.floor(this.handledRequests * failRate) > failedBefore;
   }
 
   /** The first of a pair waits for the second; each gets the other's. */
-  private exchange(answer: Answer): Promise<Answer> {
-    const {held, heldAnswer} = this;
+  private swapAnswers(answer: ExecutorAnswer): Promise<ExecutorAnswer> {
+    const {resolveHeld: held, heldAnswer} = this;
     if (held !== undefined && heldAnswer !== undefined) {
-      this.held = undefined;
+      this.resolveHeld = undefined;
       held(answer);
       return Promise.resolve(heldAnswer);
     }
     this.heldAnswer = answer;
-    return new Promise(resolve => (this.held = resolve));
+    return new Promise(resolve => (this.resolveHeld = resolve));
   }
 
-  private send(res: http.ServerResponse, answer: Answer): void {
+  private send(res: http.ServerResponse, answer: ExecutorAnswer): void {
     res.writeHead(200, {
       'content-length': answer.body.length,
       'x-request-id': answer.requestId,
-      ...(this.switches.draining ? {'x-draining': '1'} : {}),
+      ...(this.faults.draining ? {'x-draining': '1'} : {}),
     });
-    if (this.switches.headersOnly) return res.flushHeaders();
-    if (!this.switches.cutBody) return void res.end(answer.body);
+    if (this.faults.headersOnly) return res.flushHeaders();
+    if (!this.faults.cutBody) return void res.end(answer.body);
     const half = answer.body.subarray(0, answer.body.length / 2);
     res.write(half, () => res.destroy());
   }
 
-  private admin(bytes: Buffer, res: http.ServerResponse): void {
+  private handleAdmin(bytes: Buffer, res: http.ServerResponse): void {
     if (bytes.length > 0) {
-      const change = JSON.parse(bytes.toString()) as Partial<ExecutorSwitches>;
-      this.switches = {...this.switches, ...change};
+      const change = JSON.parse(bytes.toString()) as Partial<ExecutorFaults>;
+      this.faults = {...this.faults, ...change};
     }
     const {maxBusy, maxConnections, slotBreaches, runs} = this;
     sendJson(res, 200, {maxBusy, maxConnections, slotBreaches, runs});
   }
 }
 
-function startRun(req: http.IncomingMessage, work: Work): RequestRun {
+function newRun(req: http.IncomingMessage, work: RequestWork): RequestRun {
   const requestId = String(req.headers['x-request-id'] ?? '');
   const team = String(req.headers['x-team'] ?? '');
   const label = typeof work.echo === 'string' ? work.echo : requestId;
   return {requestId, label, team, startMs: Date.now(), endMs: null};
 }
 
-function parseWork(bytes: Buffer): Work {
+function parseWork(bytes: Buffer): RequestWork {
   try {
-    const work = JSON.parse(bytes.toString()) as Work | null;
+    const work = JSON.parse(bytes.toString()) as RequestWork | null;
     return work ?? {};
   } catch {
     return {};
   }
 }
 
-function bodyOf(work: Work, bytes: Buffer): Buffer {
+function replyBody(work: RequestWork, bytes: Buffer): Buffer {
   if (work.size !== undefined) return Buffer.alloc(work.size, 'x');
   if (work.echo !== undefined) return Buffer.from(JSON.stringify(work.echo));
   return bytes;
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -95,13 +95,13 @@
   }
 }
 
-function placeOf(
+function locationOf(
   plan: FleetPlan,
   index: number,
 ): Pick<VmEntry, 'region' | 'domain' | 'rack'> {
   const domain = plan.domains[index % plan.domains.length] ?? '';
-  const inDomain = Math.floor(index / plan.domains.length);
-  const rack = `${domain}-r${Math.floor(inDomain / WORKERS_PER_RACK)}`;
+  const indexInDomain = Math.floor(index / plan.domains.length);
+  const rack = `${domain}-r${Math.floor(indexInDomain / WORKERS_PER_RACK)}`;
   return {region: regionOf(domain), domain, rack};
 }
 
@@ -112,7 +112,7 @@
   capacity: Resources,
 ): VmEntry {
   return {
-    ...placeOf(plan, index),
+    ...locationOf(plan, index),
     id: `worker-${index + 1}`,
     kind: 'worker',
     state: 'live',
@@ -131,7 +131,7 @@
   service: string,
 ): VmEntry {
   return {
-    ...placeOf(plan, index),
+    ...locationOf(plan, index),
     id: `executor-${index + 1}`,
     kind: 'executor',
     state: 'live',
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,8 +9,11 @@
 export * from './rig.js';
 export * from './targets.js';
 export * from './wait.js';
-export type {ExecutorSwitches, RequestRun} from './executor-service.js';
-export type {LogSwitches} from './log-service.js';
-export type {VmsSwitches} from './vms-service.js';
-export type {WorkerSwitches} from './worker-service.js';
+export type {
+  ExecutorFaults as ExecutorSwitches,
+  RequestRun,
+} from './executor-service.js';
+export type {LogFaults as LogSwitches} from './log-service.js';
+export type {VmListChange as VmsSwitches} from './vms-service.js';
+export type {WorkerFaults as WorkerSwitches} from './worker-service.js';
 export type {TaskPayload, TaskRun} from './worker-task.js';
--- a/packages/standins/src/judge.ts
+++ b/packages/standins/src/judge.ts
@@ -18,14 +18,14 @@
   readonly requests: readonly RequestRun[];
 }
 
-interface Change {
+interface UsageChange {
   readonly atMs: number;
   readonly size: Resources;
-  readonly isGain: boolean;
+  readonly isAdded: boolean;
 }
 
 /** The job and index of a task; its runs share it. */
-export function slotOf(taskId: string): string {
+export function logicalTaskId(taskId: string): string {
   return taskId.slice(0, taskId.lastIndexOf('.'));
 }
 
@@ -35,29 +35,37 @@
  * @example
  * assert.equal(findDoubleRuns(records.tasks), []);
  */
-export function findDoubleRuns(runs: readonly TaskRun[]): readonly string[] {
-  const bySlot = groupBy(runs, run => slotOf(run.taskId));
-  const isDouble = ([, same]: readonly [string, readonly TaskRun[]]): boolean =>
-    hasOverlap(same);
-  return [...bySlot].filter(isDouble).map(([slot]) => slot);
+export function findOverlappingRuns(
+  runs: readonly TaskRun[],
+): readonly string[] {
+  const runsByTask = groupBy(runs, run => logicalTaskId(run.taskId));
+  const isOverlapping = ([, same]: readonly [
+    string,
+    readonly TaskRun[],
+  ]): boolean => hasOverlap(same);
+  return [...runsByTask].filter(isOverlapping).map(([taskId]) => taskId);
 }
 
 /** Finds the tasks, of those given jobs, that were started more than once. */
-export function findRepeats(
+export function findRepeatedTasks(
   runs: readonly TaskRun[],
   jobIds: ReadonlySet<string>,
 ): readonly string[] {
-  const once = runs.filter(run => jobIds.has(run.jobId));
-  const bySlot = groupBy(once, run => slotOf(run.taskId));
-  return [...bySlot].filter(([, same]) => same.length > 1).map(([id]) => id);
+  const jobRuns = runs.filter(run => jobIds.has(run.jobId));
+  const runsByTask = groupBy(jobRuns, run => logicalTaskId(run.taskId));
+  return [...runsByTask]
+    .filter(([, same]) => same.length > 1)
+    .map(([id]) => id);
 }
 
 /** Finds the requests that ran more than once. */
 export function findRepeatedRequests(
   runs: readonly RequestRun[],
 ): readonly string[] {
-  const byId = groupBy(runs, run => run.label);
-  return [...byId].filter(([, same]) => same.length > 1).map(([id]) => id);
+  const runsByLabel = groupBy(runs, run => run.label);
+  return [...runsByLabel]
+    .filter(([, same]) => same.length > 1)
+    .map(([label]) => label);
 }
 
 /**
@@ -78,38 +86,41 @@
         ...tasks.flatMap(run => [...taskChanges(run)]),
         ...requests.flatMap(run => [...requestChanges(run)]),
       ];
-      return exceeds(changes, limit);
+      return exceedsLimit(changes, limit);
     })
     .map(([team]) => team);
 }
 
-function exceeds(changes: readonly Change[], limit: Resources): boolean {
+function exceedsLimit(
+  changes: readonly UsageChange[],
+  limit: Resources,
+): boolean {
   const ordered = [...changes].sort(
-    (a, b) => a.atMs - b.atMs || Number(a.isGain) - Number(b.isGain),
+    (a, b) => a.atMs - b.atMs || Number(a.isAdded) - Number(b.isAdded),
   );
   let used = NO_RESOURCES;
-  for (const {size, isGain} of ordered) {
-    used = isGain ? addResources(used, size) : subtractResources(used, size);
-    if (isGain && !fitsIn(used, limit)) return true;
+  for (const {size, isAdded} of ordered) {
+    used = isAdded ? addResources(used, size) : subtractResources(used, size);
+    if (isAdded && !fitsIn(used, limit)) return true;
   }
   return false;
 }
 
-function* taskChanges(run: TaskRun): Generator<Change> {
-  let held: Resources | undefined;
+function* taskChanges(run: TaskRun): Generator<UsageChange> {
+  let old: Resources | undefined;
   for (const {sinceMs, size} of run.holdings) {
-    if (held !== undefined) yield {atMs: sinceMs, size: held, isGain: false};
-    yield {atMs: sinceMs, size, isGain: true};
-    held = size;
+    if (old !== undefined) yield {atMs: sinceMs, size: old, isAdded: false};
+    yield {atMs: sinceMs, size, isAdded: true};
+    old = size;
   }
-  if (run.endMs === null || held === undefined) return;
-  yield {atMs: run.endMs, size: held, isGain: false};
+  if (run.endMs === null || old === undefined) return;
+  yield {atMs: run.endMs, size: old, isAdded: false};
 }
 
-function* requestChanges(run: RequestRun): Generator<Change> {
+function* requestChanges(run: RequestRun): Generator<UsageChange> {
   const size = {...NO_RESOURCES, slots: 1};
-  yield {atMs: run.startMs, size, isGain: true};
-  if (run.endMs !== null) yield {atMs: run.endMs, size, isGain: false};
+  yield {atMs: run.startMs, size, isAdded: true};
+  if (run.endMs !== null) yield {atMs: run.endMs, size, isAdded: false};
 }
 
 function hasOverlap(runs: readonly TaskRun[]): boolean {
--- a/packages/standins/src/log-service.ts
+++ b/packages/standins/src/log-service.ts
@@ -2,19 +2,19 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogRecord, NewRecord} from '@dragonflyward/log';
 import {
-  CUT,
-  json,
-  numberOf,
+  CUT_REPLY,
+  jsonReply,
+  numberParam,
   Service,
   type Call,
   type Reply,
 } from './service.js';
 import {Waiters} from './waiters.js';
 
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 /** The fault switches and limits of the log service. */
-export interface LogSwitches {
+export interface LogFaults {
   readonly outage: boolean;
   readonly slowMs: number;
   /** The next appends that take effect without a reply. */
@@ -28,7 +28,7 @@
 }
 
 /** How the service starts. */
-export const NO_LOG_FAULTS: LogSwitches = {
+export const NO_LOG_FAULTS: LogFaults = {
   outage: false,
   slowMs: 0,
   loseReplies: 0,
@@ -48,10 +48,10 @@
     return this.first + this.records.length;
   }
 
-  append(added: readonly NewRecord[]): number {
+  append(newRecords: readonly NewRecord[]): number {
     const offset = this.end;
     const timeMs = Date.now();
-    for (const {id, data} of added) {
+    for (const {id, data} of newRecords) {
       this.records.push({offset: this.end, timeMs, id, data});
     }
     this.waiters.wake();
@@ -63,7 +63,7 @@
     return this.records.slice(start, start + max);
   }
 
-  retain(maxRecords: number, maxAgeMs: number): void {
+  applyRetention(maxRecords: number, maxAgeMs: number): void {
     const oldestMs = Date.now() - maxAgeMs;
     let drop = Math.max(0, this.records.length - maxRecords);
     while ((this.records[drop]?.timeMs ?? Infinity) < oldestMs) drop += 1;
@@ -76,83 +76,83 @@
 /** An append-only log in memory with fault switches. */
 export class LogService extends Service {
   private readonly streams = new Map<string, Stream>();
-  private switches = NO_LOG_FAULTS;
-  private second = 0;
+  private faults = NO_LOG_FAULTS;
+  private currentSecond = 0;
   private appendsThisSecond = 0;
   private appends = 0;
   private refused = 0;
   private bytes = 0;
 
   override async handle(call: Call): Promise<Reply> {
-    if (call.path === '/admin') return this.admin(call);
-    if (this.isCut(call)) return CUT;
-    if (this.switches.outage) return refusal(503);
+    if (call.path === '/admin') return this.handleAdmin(call);
+    if (this.isCutOff(call)) return CUT_REPLY;
+    if (this.faults.outage) return refusedReply(503);
     const reply = await this.serveStream(call);
-    if (this.switches.slowMs > 0) await sleep(this.switches.slowMs);
-    if (this.isCut(call)) return CUT;
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
+    if (this.isCutOff(call)) return CUT_REPLY;
     return reply;
   }
 
   private async serveStream(call: Call): Promise<Reply> {
     const [, name] = call.parts;
-    if (name === undefined) return json({streams: [...this.list()]});
-    const stream = this.streamOf(name);
+    if (name === undefined) return jsonReply({streams: [...this.list()]});
+    const stream = this.findOrCreateStream(name);
     if (call.method === 'POST') return this.append(stream, call);
     return this.read(stream, call);
   }
 
   private append(stream: Stream, call: Call): Reply {
     const {records} = call.body as {readonly records: readonly NewRecord[]};
-    if (this.switches.refuseAppends || !this.takeTurn()) {
+    if (this.faults.refuseAppends || !this.tryTakeQuota()) {
       this.refused += 1;
-      return refusal(429);
+      return refusedReply(429);
     }
     const offset = stream.append(records);
     this.appends += 1;
     this.bytes += JSON.stringify(records).length;
-    stream.retain(this.switches.retainRecords, this.switches.retainMs);
-    if (this.switches.loseReplies === 0) return json({offset});
-    const loseReplies = this.switches.loseReplies - 1;
-    this.switches = {...this.switches, loseReplies};
-    return CUT;
+    stream.applyRetention(this.faults.retainRecords, this.faults.retainMs);
+    if (this.faults.loseReplies === 0) return jsonReply({offset});
+    const loseReplies = this.faults.loseReplies - 1;
+    this.faults = {...this.faults, loseReplies};
+    return CUT_REPLY;
   }
 
-  private takeTurn(): boolean {
-    const second = Math.floor(Date.now() / SECOND_MS);
-    if (second !== this.second) this.appendsThisSecond = 0;
-    this.second = second;
+  private tryTakeQuota(): boolean {
+    const second = Math.floor(Date.now() / MS_PER_SECOND);
+    if (second !== this.currentSecond) this.appendsThisSecond = 0;
+    this.currentSecond = second;
     this.appendsThisSecond += 1;
-    return this.appendsThisSecond <= this.switches.appendsPerSecond;
+    return this.appendsThisSecond <= this.faults.appendsPerSecond;
   }
 
   private async read(stream: Stream, call: Call): Promise<Reply> {
-    const from = numberOf(call.query, 'from', 0);
-    const max = numberOf(call.query, 'max', 1_000);
-    const waitMs = numberOf(call.query, 'waitMs', 0);
-    stream.retain(this.switches.retainRecords, this.switches.retainMs);
+    const from = numberParam(call.query, 'from', 0);
+    const max = numberParam(call.query, 'max', 1_000);
+    const waitMs = numberParam(call.query, 'waitMs', 0);
+    stream.applyRetention(this.faults.retainRecords, this.faults.retainMs);
     if (from >= stream.end && waitMs > 0) await stream.waiters.wait(waitMs);
-    if (this.switches.outage) return refusal(503);
+    if (this.faults.outage) return refusedReply(503);
     const records = stream.read(from, max);
-    return json({first: stream.first, end: stream.end, records});
+    return jsonReply({first: stream.first, end: stream.end, records});
   }
 
-  private admin(call: Call): Reply {
-    if (call.method === 'POST') this.switch(call.body as Partial<LogSwitches>);
+  private handleAdmin(call: Call): Reply {
+    if (call.method === 'POST') this.setFaults(call.body as Partial<LogFaults>);
     const {appends, refused, bytes} = this;
     const records = [...this.list()].reduce((sum, s) => sum + s.end, 0);
-    return json({appends, records, refused, bytes});
+    return jsonReply({appends, records, refused, bytes});
   }
 
-  private switch(change: Partial<LogSwitches>): void {
-    this.switches = {...this.switches, ...change};
+  private setFaults(change: Partial<LogFaults>): void {
+    this.faults = {...this.faults, ...change};
     for (const stream of this.streams.values()) stream.waiters.wake();
   }
 
-  private isCut(call: Call): boolean {
-    return this.switches.cutFrom.includes(call.clientIp);
+  private isCutOff(call: Call): boolean {
+    return this.faults.cutFrom.includes(call.clientIp);
   }
 
-  private streamOf(name: string): Stream {
+  private findOrCreateStream(name: string): Stream {
     const known = this.streams.get(name);
     if (known !== undefined) return known;
     const stream = new Stream();
@@ -160,19 +160,19 @@
     return stream;
   }
 
-  private *list(): Generator<StreamLine> {
+  private *list(): Generator<StreamEntry> {
     for (const [stream, {first, end}] of this.streams) {
       yield {stream, first, end};
     }
   }
 }
 
-interface StreamLine {
+interface StreamEntry {
   readonly stream: string;
   readonly first: number;
   readonly end: number;
 }
 
-function refusal(status: number): Reply {
-  return json({error: 'refused'}, status);
+function refusedReply(status: number): Reply {
+  return jsonReply({error: 'refused'}, status);
 }
--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -3,18 +3,18 @@
 import {once} from 'node:events';
 import {raise} from '@dragonflyward/common';
 
-const KEPT_OUTPUT_CHARS = 20_000;
+const MAX_OUTPUT_CHARS = 20_000;
 
 class Child {
   output = '';
 
   constructor(readonly process: ChildProcess) {
-    const keep = (chunk: Buffer): void => {
+    const appendOutput = (chunk: Buffer): void => {
       const text = this.output + chunk.toString();
-      this.output = text.slice(-KEPT_OUTPUT_CHARS);
+      this.output = text.slice(-MAX_OUTPUT_CHARS);
     };
-    process.stdout?.on('data', keep);
-    process.stderr?.on('data', keep);
+    process.stdout?.on('data', appendOutput);
+    process.stderr?.on('data', appendOutput);
   }
 
   get isRunning(): boolean {
@@ -25,12 +25,12 @@
 /** Child processes by name; all are ended when this process exits. */
 export class ProcessSet {
   private readonly children = new Map<string, Child>();
-  private readonly atExit = (): void => {
+  private readonly killAllAtExit = (): void => {
     this.killAll();
   };
 
   constructor() {
-    process.once('exit', this.atExit);
+    process.once('exit', this.killAllAtExit);
   }
 
   /**
@@ -53,22 +53,22 @@
 
   /** The newest output of a program, for reports of failures. */
   output(name: string): string {
-    return this.childOf(name).output;
+    return this.findChild(name).output;
   }
 
   pid(name: string): number {
-    return this.childOf(name).process.pid ?? 0;
+    return this.findChild(name).process.pid ?? 0;
   }
 
   signal(name: string, signal: NodeJS.Signals): void {
-    const child = this.childOf(name);
+    const child = this.findChild(name);
     if (child.isRunning) child.process.kill(signal);
   }
 
   /** Ends a program at once and waits until it is gone. */
   async kill(name: string): Promise<void> {
     this.signal(name, 'SIGKILL');
-    await this.exit(name);
+    await this.waitForExit(name);
   }
 
   /**
@@ -76,17 +76,19 @@
    *
    * @returns its exit code, or -1 after a signal
    */
-  async exit(name: string): Promise<number> {
-    const child = this.childOf(name);
+  async waitForExit(name: string): Promise<number> {
+    const child = this.findChild(name);
     if (child.isRunning) await once(child.process, 'exit');
     return child.process.exitCode ?? -1;
   }
 
   /** Ends all programs and waits until they are gone. */
-  async stop(): Promise<void> {
+  async stopAll(): Promise<void> {
     this.killAll();
-    await Promise.all([...this.children.keys()].map(name => this.exit(name)));
-    process.off('exit', this.atExit);
+    await Promise.all(
+      [...this.children.keys()].map(name => this.waitForExit(name)),
+    );
+    process.off('exit', this.killAllAtExit);
   }
 
   private killAll(): void {
@@ -95,7 +97,7 @@
     }
   }
 
-  private childOf(name: string): Child {
+  private findChild(name: string): Child {
     return this.children.get(name) ?? raise('badRequest', `no ${name}`);
   }
 }
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -6,13 +6,18 @@
 import {raise, type TimingSettings} from '@dragonflyward/common';
 import {HttpLogClient} from '@dragonflyward/log';
 import type {VmEntry} from '@dragonflyward/vms';
-import {getJson, postAdmin, standinOf, untilAnswers} from './calls.js';
+import {
+  getJson,
+  postAdmin,
+  standinProgramPath,
+  waitUntilReachable,
+} from './calls.js';
 import {entryVm, Subnet, targetVms, type FleetPlan} from './fleet.js';
-import {NO_LOG_FAULTS, type LogSwitches} from './log-service.js';
+import {NO_LOG_FAULTS, type LogFaults} from './log-service.js';
 import {RigOperator} from './operator.js';
 import {ProcessSet} from './processes.js';
 import {TargetSet} from './targets.js';
-import type {VmsSwitches} from './vms-service.js';
+import type {VmListChange} from './vms-service.js';
 import {waitUntil} from './wait.js';
 
 const LOG_HOST = 250;
@@ -24,7 +29,7 @@
   scheduler: 8_090,
   schedulerAdmin: 8_091,
 } as const;
-const START_BOUND_MS = 20_000;
+const START_TIMEOUT_MS = 20_000;
 
 /** The product's program of a role on an entry VM. */
 export type Role = 'gateway' | 'scheduler';
@@ -67,12 +72,12 @@
 
   /** Starts the stand-ins and fills the list of VMs. */
   async startPlatform(): Promise<void> {
-    this.startService('log', LOG_HOST);
-    this.startService('vms', VMS_HOST);
+    this.startStandin('log', LOG_HOST);
+    this.startStandin('vms', VMS_HOST);
     this.targets.start();
-    await untilAnswers(`${this.logUrl}/admin`);
-    await untilAnswers(`${this.vmsUrl}/admin`);
-    await this.targets.untilAnswers();
+    await waitUntilReachable(`${this.logUrl}/admin`);
+    await waitUntilReachable(`${this.vmsUrl}/admin`);
+    await this.targets.waitUntilReachable();
     await this.switchVms({set: this.targets.vms});
   }
 
@@ -84,21 +89,21 @@
   }
 
   /** Waits until all programs on the entry VMs are ready. */
-  async untilReady(boundMs = START_BOUND_MS): Promise<void> {
+  async untilReady(timeoutMs = START_TIMEOUT_MS): Promise<void> {
     for (const {id} of this.entries) {
-      await this.untilRoleReady('gateway', id, boundMs);
-      await this.untilRoleReady('scheduler', id, boundMs);
+      await this.untilRoleReady('gateway', id, timeoutMs);
+      await this.untilRoleReady('scheduler', id, timeoutMs);
     }
   }
 
   async untilRoleReady(
     role: Role,
     id: string,
-    boundMs = START_BOUND_MS,
+    timeoutMs = START_TIMEOUT_MS,
   ): Promise<void> {
-    const name = nameOf(role, id);
+    const name = processName(role, id);
     try {
-      await waitUntil(`${name} ready`, boundMs, () => this.isReady(role, id));
+      await waitUntil(`${name} ready`, timeoutMs, () => this.isReady(role, id));
     } catch {
       raise('deadlinePassed', `${name}: ${this.processes.output(name)}`);
     }
@@ -132,48 +137,48 @@
   startRole(role: Role, id: string): void {
     const file = join(this.dir, `${id}.json`);
     writeFileSync(file, JSON.stringify(this.settingsOf(id)));
-    const script = programOf(role === 'gateway' ? 'caller' : 'scheduler');
-    this.processes.start(nameOf(role, id), script, ['--settings', file]);
+    const script = programPath(role === 'gateway' ? 'caller' : 'scheduler');
+    this.processes.start(processName(role, id), script, ['--settings', file]);
   }
 
   kill(role: Role, id: string): Promise<void> {
-    return this.processes.kill(nameOf(role, id));
+    return this.processes.kill(processName(role, id));
   }
 
   pause(role: Role, id: string): void {
-    this.processes.signal(nameOf(role, id), 'SIGSTOP');
+    this.processes.signal(processName(role, id), 'SIGSTOP');
   }
 
   resume(role: Role, id: string): void {
-    this.processes.signal(nameOf(role, id), 'SIGCONT');
+    this.processes.signal(processName(role, id), 'SIGCONT');
   }
 
   /** Asks for a graceful shutdown and returns the exit code. */
   terminate(role: Role, id: string): Promise<number> {
-    this.processes.signal(nameOf(role, id), 'SIGTERM');
-    return this.processes.exit(nameOf(role, id));
+    this.processes.signal(processName(role, id), 'SIGTERM');
+    return this.processes.waitForExit(processName(role, id));
   }
 
-  switchLog(change: Partial<LogSwitches>): Promise<void> {
+  switchLog(change: Partial<LogFaults>): Promise<void> {
     return postAdmin(`${this.logUrl}/admin`, change);
   }
 
   /** Silences the open connections of the log service. */
-  muteLog(): Promise<void> {
+  muteLogConnections(): Promise<void> {
     return postAdmin(`${this.logUrl}/admin/mute`, {});
   }
 
-  switchVms(change: VmsSwitches): Promise<void> {
+  switchVms(change: VmListChange): Promise<void> {
     return postAdmin(`${this.vmsUrl}/admin`, change);
   }
 
   gatewayUrl(id: string): string {
-    return `http://${this.entryOf(id).ip}:${PORTS.gateway}`;
+    return `http://${this.findEntry(id).ip}:${PORTS.gateway}`;
   }
 
   adminUrl(role: Role, id: string): string {
     const port = role === 'gateway' ? PORTS.gatewayAdmin : PORTS.schedulerAdmin;
-    return `http://${this.entryOf(id).ip}:${port}`;
+    return `http://${this.findEntry(id).ip}:${port}`;
   }
 
   /** The status page of a program. */
@@ -183,34 +188,34 @@
   }
 
   /** Ends all faults, and starts the programs that have died. */
-  async mend(): Promise<void> {
+  async clearFaults(): Promise<void> {
     await this.switchLog(NO_LOG_FAULTS);
     await this.switchVms({lagMs: 0, outage: false});
     for (const {id} of this.entries) {
-      this.mendRole('scheduler', id);
-      this.mendRole('gateway', id);
+      this.recoverRole('scheduler', id);
+      this.recoverRole('gateway', id);
     }
-    await this.targets.mend();
+    await this.targets.clearFaults();
   }
 
   /** Ends all that this rig started. */
   async stop(): Promise<void> {
-    await this.processes.stop();
+    await this.processes.stopAll();
     rmSync(this.dir, {recursive: true, force: true});
   }
 
-  private mendRole(role: Role, id: string): void {
-    if (this.processes.isRunning(nameOf(role, id))) this.resume(role, id);
+  private recoverRole(role: Role, id: string): void {
+    if (this.processes.isRunning(processName(role, id))) this.resume(role, id);
     else this.startRole(role, id);
   }
 
-  private startService(name: 'log' | 'vms', host: number): void {
+  private startStandin(name: 'log' | 'vms', host: number): void {
     const args = ['--ip', this.subnet.ip(host), '--port', `${SERVICE_PORT}`];
-    this.processes.start(name, standinOf(name), args);
+    this.processes.start(name, standinProgramPath(name), args);
   }
 
   private settingsOf(id: string): Readonly<object> {
-    const {ip, region, domain, rack} = this.entryOf(id);
+    const {ip, region, domain, rack} = this.findEntry(id);
     return {
       vm: {id, ip, region, domain, rack},
       logUrl: this.logUrl,
@@ -220,16 +225,16 @@
     };
   }
 
-  private entryOf(id: string): VmEntry {
+  private findEntry(id: string): VmEntry {
     return this.entriesById.get(id) ?? raise('badRequest', `no VM ${id}`);
   }
 }
 
-function nameOf(role: Role, id: string): string {
+function processName(role: Role, id: string): string {
   return `${role}@${id}`;
 }
 
-function programOf(pkg: string): string {
+function programPath(pkg: string): string {
   const path = `../../../${pkg}/dist/src/main.js`;
   return fileURLToPath(new URL(path, import.meta.url));
 }
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -30,8 +30,8 @@
 
 const NOT_MODIFIED = 304;
 
-export const SILENT: Reply = {kind: 'silent'};
-export const CUT: Reply = {kind: 'cut'};
+export const SILENT_REPLY: Reply = {kind: 'silent'};
+export const CUT_REPLY: Reply = {kind: 'cut'};
 
 /**
  * Makes a whole JSON reply.
@@ -39,7 +39,7 @@
  * @example
  * return json({offset: 17});
  */
-export function json(body: unknown, status = 200): Reply {
+export function jsonReply(body: unknown, status = 200): Reply {
   return {kind: 'json', status, body};
 }
 
@@ -66,8 +66,8 @@
   }
 
   /** Silences all connections but one; later ones work. */
-  muteOthers(than: Socket): void {
-    for (const socket of this.open) if (socket !== than) this.muted.add(socket);
+  muteAllExcept(kept: Socket): void {
+    for (const socket of this.open) if (socket !== kept) this.muted.add(socket);
   }
 }
 
@@ -84,20 +84,20 @@
 ): Promise<void> {
   const server = http.createServer((req, res) => {
     if (connections.isMuted(req.socket)) return;
-    if (req.url === MUTE_PATH) return mute(connections, req, res);
-    void answer(service, req, res);
+    if (req.url === MUTE_PATH) return handleMute(connections, req, res);
+    void respond(service, req, res);
   });
   const connections = new Connections(server);
   await listen(server, ip, port);
 }
 
 /** Silences the open connections of a server but for the caller's. */
-export function mute(
+export function handleMute(
   connections: Connections,
   req: http.IncomingMessage,
   res: http.ServerResponse,
 ): void {
-  connections.muteOthers(req.socket);
+  connections.muteAllExcept(req.socket);
   sendJson(res, 200, {});
 }
 
@@ -113,7 +113,7 @@
   });
 }
 
-async function answer(
+async function respond(
   service: Service,
   req: http.IncomingMessage,
   res: http.ServerResponse,
@@ -121,14 +121,14 @@
   try {
     const reply = await service.handle(await readCall(req));
     if (reply.kind === 'cut') return void req.socket.destroy();
-    if (reply.kind === 'json') sendVersioned(req, res, reply);
+    if (reply.kind === 'json') sendWithEtag(req, res, reply);
   } catch (err) {
     sendJson(res, 400, {error: toFailure(err).detail});
   }
 }
 
 /** Sends no body where the client has the same version already. */
-function sendVersioned(
+function sendWithEtag(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   {status, body}: JsonAnswer,
@@ -159,7 +159,7 @@
  * @example
  * const from = numberOf(call.query, 'from', 0);
  */
-export function numberOf(
+export function numberParam(
   query: URLSearchParams,
   name: string,
   fallback: number,
--- a/packages/standins/src/targets.ts
+++ b/packages/standins/src/targets.ts
@@ -1,15 +1,20 @@
 /** The workers and executors of a rig. */
 import {raise} from '@dragonflyward/common';
 import type {VmEntry} from '@dragonflyward/vms';
-import {getJson, postAdmin, standinOf, untilAnswers} from './calls.js';
+import {
+  getJson,
+  postAdmin,
+  standinProgramPath,
+  waitUntilReachable,
+} from './calls.js';
 import {
   NO_EXECUTOR_FAULTS,
-  type ExecutorSwitches,
+  type ExecutorFaults,
   type RequestRun,
 } from './executor-service.js';
 import type {TargetRecords} from './judge.js';
 import type {ProcessSet} from './processes.js';
-import {NO_WORKER_FAULTS, type WorkerSwitches} from './worker-service.js';
+import {NO_WORKER_FAULTS, type WorkerFaults} from './worker-service.js';
 import type {TaskRun} from './worker-task.js';
 
 type TargetKind = 'worker' | 'executor';
@@ -34,37 +39,40 @@
   /** Starts the stand-ins. */
   start(): void {
     for (const domain of new Set(this.vms.map(vm => vm.domain))) {
-      this.startIn(domain, 'worker', workerSpec);
-      this.startIn(domain, 'executor', executorSpec);
+      this.startDomain(domain, 'worker', workerSpec);
+      this.startDomain(domain, 'executor', executorSpec);
     }
   }
 
   /** Waits until all stand-ins answer. */
-  async untilAnswers(): Promise<void> {
-    for (const vm of this.vms) await untilAnswers(adminOf(vm));
+  async waitUntilReachable(): Promise<void> {
+    for (const vm of this.vms) await waitUntilReachable(adminUrl(vm));
   }
 
-  switchWorker(id: string, change: Partial<WorkerSwitches>): Promise<void> {
-    return postAdmin(adminOf(this.vmOf(id)), change);
+  setWorkerFaults(id: string, change: Partial<WorkerFaults>): Promise<void> {
+    return postAdmin(adminUrl(this.findVm(id)), change);
   }
 
-  switchExecutor(id: string, change: Partial<ExecutorSwitches>): Promise<void> {
-    return postAdmin(adminOf(this.vmOf(id)), change);
+  setExecutorFaults(
+    id: string,
+    change: Partial<ExecutorFaults>,
+  ): Promise<void> {
+    return postAdmin(adminUrl(this.findVm(id)), change);
   }
 
   /** Silences the open connections of all targets of a kind. */
   async muteConnections(kind: TargetKind): Promise<void> {
     for (const vm of this.vms) {
-      if (vm.kind === kind) await postAdmin(`${adminOf(vm)}/mute`, {});
+      if (vm.kind === kind) await postAdmin(`${adminUrl(vm)}/mute`, {});
     }
   }
 
   /** Ends all faults. */
-  async mend(): Promise<void> {
+  async clearFaults(): Promise<void> {
     for (const vm of this.vms) {
       const isWorker = vm.kind === 'worker';
       await postAdmin(
-        adminOf(vm),
+        adminUrl(vm),
         isWorker ? NO_WORKER_FAULTS : NO_EXECUTOR_FAULTS,
       );
     }
@@ -84,22 +92,22 @@
 
   /** The requests that one executor ran. */
   async requestsOf(id: string): Promise<readonly RequestRun[]> {
-    const {body} = await getJson(adminOf(this.vmOf(id)));
+    const {body} = await getJson(adminUrl(this.findVm(id)));
     return (body as ExecutorRecords).runs;
   }
 
-  vmOf(id: string): VmEntry {
+  findVm(id: string): VmEntry {
     const vm = this.vms.find(target => target.id === id);
     return vm ?? raise('badRequest', `no VM ${id}`);
   }
 
   private async readAll<T>(kind: TargetKind): Promise<readonly T[]> {
     const targets = this.vms.filter(vm => vm.kind === kind);
-    const replies = await Promise.all(targets.map(vm => getJson(adminOf(vm))));
+    const replies = await Promise.all(targets.map(vm => getJson(adminUrl(vm))));
     return replies.map(res => res.body as T);
   }
 
-  private startIn(
+  private startDomain(
     domain: string,
     kind: TargetKind,
     specOf: (vm: VmEntry) => string,
@@ -108,11 +116,11 @@
       .filter(vm => vm.domain === domain && vm.kind === kind)
       .map(specOf);
     if (specs.length === 0) return;
-    this.processes.start(`${kind}s-${domain}`, standinOf(kind), specs);
+    this.processes.start(`${kind}s-${domain}`, standinProgramPath(kind), specs);
   }
 }
 
-function adminOf(vm: VmEntry): string {
+function adminUrl(vm: VmEntry): string {
   return `http://${vm.ip}:${vm.port}/admin`;
 }
 
--- a/packages/standins/src/vms-service.ts
+++ b/packages/standins/src/vms-service.ts
@@ -1,9 +1,9 @@
 /** The stand-in of the platform's list of VMs. */
 import type {VmEntry} from '@dragonflyward/vms';
-import {json, Service, type Call, type Reply} from './service.js';
+import {jsonReply, Service, type Call, type Reply} from './service.js';
 
 /** Changes of the list and its faults. */
-export interface VmsSwitches {
+export interface VmListChange {
   readonly lagMs?: number;
   readonly outage?: boolean;
   readonly set?: readonly VmEntry[];
@@ -11,38 +11,38 @@
   readonly leaving?: readonly string[];
 }
 
-interface Version {
+interface ListVersion {
   readonly sinceMs: number;
   readonly vms: readonly VmEntry[];
 }
 
 /** A list of VMs that shows its changes late. */
 export class VmsService extends Service {
-  private versions: readonly Version[] = [{sinceMs: 0, vms: []}];
+  private versions: readonly ListVersion[] = [{sinceMs: 0, vms: []}];
   private lagMs = 0;
-  private isOut = false;
+  private isDown = false;
 
   override handle(call: Call): Promise<Reply> {
-    if (call.path === '/admin') return Promise.resolve(this.admin(call));
-    if (this.isOut) return Promise.resolve(json({error: 'outage'}, 503));
-    return Promise.resolve(json({vms: this.seen()}));
+    if (call.path === '/admin') return Promise.resolve(this.handleAdmin(call));
+    if (this.isDown) return Promise.resolve(jsonReply({error: 'outage'}, 503));
+    return Promise.resolve(jsonReply({vms: this.visibleVms()}));
   }
 
-  private admin(call: Call): Reply {
-    const change = (call.body ?? {}) as VmsSwitches;
+  private handleAdmin(call: Call): Reply {
+    const change = (call.body ?? {}) as VmListChange;
     this.lagMs = change.lagMs ?? this.lagMs;
-    this.isOut = change.outage ?? this.isOut;
+    this.isDown = change.outage ?? this.isDown;
     const isListChange = change.set ?? change.remove ?? change.leaving;
     if (isListChange) {
-      const version = {sinceMs: Date.now(), vms: this.changed(change)};
+      const version = {sinceMs: Date.now(), vms: this.applyChange(change)};
       this.versions = [...this.versions, version];
     }
-    return json({versions: this.versions.length});
+    return jsonReply({versions: this.versions.length});
   }
 
   /** `set` replaces entries of the same id and adds the others. */
-  private changed(change: VmsSwitches): readonly VmEntry[] {
-    const byId = new Map(this.newest().map(vm => [vm.id, vm]));
+  private applyChange(change: VmListChange): readonly VmEntry[] {
+    const byId = new Map(this.latestVms().map(vm => [vm.id, vm]));
     for (const vm of change.set ?? []) byId.set(vm.id, vm);
     for (const id of change.remove ?? []) byId.delete(id);
     for (const id of change.leaving ?? []) {
@@ -52,11 +52,11 @@
     return [...byId.values()];
   }
 
-  private newest(): readonly VmEntry[] {
+  private latestVms(): readonly VmEntry[] {
     return this.versions.at(-1)?.vms ?? [];
   }
 
-  private seen(): readonly VmEntry[] {
+  private visibleVms(): readonly VmEntry[] {
     const atMs = Date.now() - this.lagMs;
     return this.versions.findLast(v => v.sinceMs <= atMs)?.vms ?? [];
   }
--- a/packages/standins/src/wait.ts
+++ b/packages/standins/src/wait.ts
@@ -5,7 +5,7 @@
 const CHECK_PERIOD_MS = 50;
 
 /** What a check returns once it is met. */
-export type Met<T> = Exclude<T, false | null | undefined>;
+export type ConditionResult<T> = Exclude<T, false | null | undefined>;
 
 /**
  * Waits until the check returns a value that is neither false nor undefined;
@@ -16,20 +16,23 @@
  * await waitUntil('two workers', 5_000, () => workers.size === 2);
  */
 export async function waitUntil<T>(
-  what: string,
-  boundMs: number,
-  check: () => T | Promise<T>,
-): Promise<Met<T>> {
-  const endMs = performance.now() + boundMs;
-  let last = '';
+  description: string,
+  timeoutMs: number,
+  condition: () => T | Promise<T>,
+): Promise<ConditionResult<T>> {
+  const endMs = performance.now() + timeoutMs;
+  let lastError = '';
   while (performance.now() < endMs) {
     try {
-      const value = await check();
-      if (value !== false && value != null) return value as Met<T>;
+      const value = await condition();
+      if (value !== false && value != null) return value as ConditionResult<T>;
     } catch (err) {
-      last = String(err);
+      lastError = String(err);
     }
     await sleep(CHECK_PERIOD_MS);
   }
-  return raise('deadlinePassed', `${what} within ${boundMs} ms ${last}`);
+  return raise(
+    'deadlinePassed',
+    `${description} within ${timeoutMs} ms ${lastError}`,
+  );
 }
--- a/packages/standins/src/waiters.ts
+++ b/packages/standins/src/waiters.ts
@@ -2,13 +2,13 @@
 
 /** A set of long polls that wait for the same change. */
 export class Waiters {
-  private waiting: (() => void)[] = [];
+  private callbacks: (() => void)[] = [];
 
   /** Waits for the next change, at most this long. */
-  wait(boundMs: number): Promise<void> {
+  wait(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
-      const timer = setTimeout(resolve, boundMs);
-      this.waiting.push(() => {
+      const timer = setTimeout(resolve, timeoutMs);
+      this.callbacks.push(() => {
         clearTimeout(timer);
         resolve();
       });
@@ -17,8 +17,8 @@
 
   /** Wakes all that wait. */
   wake(): void {
-    const waiting = this.waiting;
-    this.waiting = [];
-    for (const resolve of waiting) resolve();
+    const callbacks = this.callbacks;
+    this.callbacks = [];
+    for (const callback of callbacks) callback();
   }
 }
--- a/packages/standins/src/worker-service.ts
+++ b/packages/standins/src/worker-service.ts
@@ -7,22 +7,22 @@
 } from '@dragonflyward/common';
 import type {Inventory, TaskStart, TaskUsage} from '@dragonflyward/target';
 import {
-  json,
-  numberOf,
+  jsonReply,
+  numberParam,
   Service,
-  SILENT,
+  SILENT_REPLY,
   type Call,
   type Reply,
 } from './service.js';
 import {Waiters} from './waiters.js';
 import {WorkerTask} from './worker-task.js';
 
-const KEEP_ENDED_MS = 300_000;
-const STALE_TERM = json({error: 'staleTerm'}, 409);
-const TOO_LATE = json({error: 'tooLate'}, 409);
+const ENDED_TASK_RETENTION_MS = 300_000;
+const STALE_TERM_REPLY = jsonReply({error: 'staleTerm'}, 409);
+const TOO_LATE_REPLY = jsonReply({error: 'tooLate'}, 409);
 
 /** The fault switches of a worker. */
-export interface WorkerSwitches {
+export interface WorkerFaults {
   readonly fencing: boolean;
   readonly failAll: boolean;
   /** Takes calls and carries out none. */
@@ -32,7 +32,7 @@
 }
 
 /** How a worker starts. */
-export const NO_WORKER_FAULTS: WorkerSwitches = {
+export const NO_WORKER_FAULTS: WorkerFaults = {
   fencing: true,
   failAll: false,
   silent: false,
@@ -40,12 +40,12 @@
   usageLagMs: 2_000,
 };
 
-interface Owned {
+interface ShardTerm {
   readonly shard: string;
   readonly term: number;
 }
 
-interface Renewal extends Owned {
+interface LeaseRenewal extends ShardTerm {
   readonly taskIds: readonly string[];
   readonly leaseMs: number;
 }
@@ -55,20 +55,20 @@
 }
 
 /** Run time that checkpoints saved, by job and task index. */
-const savedRunMs = new Map<string, number>();
+const savedRunMsByTask = new Map<string, number>();
 
-function slotOf(taskId: string): string {
+function logicalTaskId(taskId: string): string {
   return taskId.slice(0, taskId.lastIndexOf('.'));
 }
 
 /** A worker that runs tasks as timers. */
 export class WorkerService extends Service {
   private readonly tasks = new Map<string, WorkerTask>();
-  private readonly terms = new Map<string, number>();
+  private readonly highestTerms = new Map<string, number>();
   private readonly waiters = new Waiters();
   private sequence = 0;
   private readonly overcommits: string[] = [];
-  private switches = NO_WORKER_FAULTS;
+  private faults = NO_WORKER_FAULTS;
 
   constructor(
     private readonly id: string,
@@ -78,51 +78,51 @@
   }
 
   override async handle(call: Call): Promise<Reply> {
-    if (call.path === '/admin') return this.admin(call);
-    if (this.switches.silent) return SILENT;
+    if (call.path === '/admin') return this.handleAdmin(call);
+    if (this.faults.silent) return SILENT_REPLY;
     if (call.path === '/watch') return this.watch(call);
-    if (call.path === '/usage') return json({tasks: [...this.usage()]});
-    if (this.isStale(call.body as Owned)) return STALE_TERM;
-    if (call.path === '/tasks') return this.start(call.body as TimedStart);
-    if (call.path === '/renew') return this.renew(call.body as Renewal);
-    if (call.path === '/inventory') return json(this.inventory());
+    if (call.path === '/usage') return jsonReply({tasks: [...this.usage()]});
+    if (this.hasStaleTerm(call.body as ShardTerm)) return STALE_TERM_REPLY;
+    if (call.path === '/tasks') return this.startTask(call.body as TimedStart);
+    if (call.path === '/renew') return this.renew(call.body as LeaseRenewal);
+    if (call.path === '/inventory') return jsonReply(this.inventory());
     const [, taskId = '', action] = call.parts;
-    return this.change(taskId, action, call.body);
+    return this.applyAction(taskId, action, call.body);
   }
 
-  private isStale({shard, term}: Owned): boolean {
-    const known = this.terms.get(shard) ?? 0;
-    this.terms.set(shard, Math.max(known, term));
-    return this.switches.fencing && term < known;
+  private hasStaleTerm({shard, term}: ShardTerm): boolean {
+    const known = this.highestTerms.get(shard) ?? 0;
+    this.highestTerms.set(shard, Math.max(known, term));
+    return this.faults.fencing && term < known;
   }
 
-  private start(start: TimedStart): Reply {
-    if (this.tasks.has(start.taskId)) return json({});
-    if (this.switches.refuseStarts) return json({error: 'refused'}, 503);
+  private startTask(start: TimedStart): Reply {
+    if (this.tasks.has(start.taskId)) return jsonReply({});
+    if (this.faults.refuseStarts) return jsonReply({error: 'refused'}, 503);
     const ageMs = Date.now() - start.sentAtMs;
-    if (ageMs > start.startWithinMs) return TOO_LATE;
-    const savedMs = savedRunMs.get(slotOf(start.taskId)) ?? 0;
-    const willFail = this.switches.failAll;
+    if (ageMs > start.startWithinMs) return TOO_LATE_REPLY;
+    const savedMs = savedRunMsByTask.get(logicalTaskId(start.taskId)) ?? 0;
+    const willFail = this.faults.failAll;
     const task = new WorkerTask(start, savedMs, willFail, () => {
-      this.changed();
-      this.forgetLater(start.taskId);
+      this.notifyWatchers();
+      this.scheduleRemoval(start.taskId);
     });
     this.tasks.set(start.taskId, task);
-    this.checkCapacity();
-    this.changed();
-    return json({});
+    this.recordOvercommit();
+    this.notifyWatchers();
+    return jsonReply({});
   }
 
-  private renew({taskIds, leaseMs}: Renewal): Reply {
+  private renew({taskIds, leaseMs}: LeaseRenewal): Reply {
     const unknown = taskIds.filter(id => !this.tasks.get(id)?.isRunning);
     for (const id of taskIds) {
       const task = this.tasks.get(id);
       if (task?.isRunning) task.renew(leaseMs);
     }
-    return json({unknown});
+    return jsonReply({unknown});
   }
 
-  private change(
+  private applyAction(
     taskId: string,
     action: string | undefined,
     body: unknown,
@@ -132,22 +132,22 @@
     if (action === 'checkpoint') this.checkpoint(task);
     if (action === 'throttle' && task !== undefined) {
       task.throttle((body as {readonly size: Resources}).size);
-      this.checkCapacity();
-      this.changed();
+      this.recordOvercommit();
+      this.notifyWatchers();
     }
-    return json({});
+    return jsonReply({});
   }
 
   private checkpoint(task: WorkerTask | undefined): void {
     if (!task?.isRunning) return;
-    const slot = slotOf(task.start.taskId);
+    const taskKey = logicalTaskId(task.start.taskId);
     const ranMs = Date.now() - task.startMs;
-    savedRunMs.set(slot, (savedRunMs.get(slot) ?? 0) + ranMs);
+    savedRunMsByTask.set(taskKey, (savedRunMsByTask.get(taskKey) ?? 0) + ranMs);
     task.finish('checkpointed');
   }
 
-  private checkCapacity(): void {
-    const running = this.running();
+  private recordOvercommit(): void {
+    const running = this.runningTasks();
     const used = running
       .map(task => task.size)
       .reduce(addResources, NO_RESOURCES);
@@ -156,49 +156,52 @@
     this.overcommits.push(`${this.id} at ${Date.now()}: ${names}`);
   }
 
-  private running(): readonly WorkerTask[] {
+  private runningTasks(): readonly WorkerTask[] {
     return [...this.tasks.values()].filter(task => task.isRunning);
   }
 
-  private changed(): void {
+  private notifyWatchers(): void {
     this.sequence += 1;
     this.waiters.wake();
   }
 
-  private forgetLater(taskId: string): void {
-    setTimeout(() => this.tasks.delete(taskId), KEEP_ENDED_MS).unref();
+  private scheduleRemoval(taskId: string): void {
+    setTimeout(
+      () => this.tasks.delete(taskId),
+      ENDED_TASK_RETENTION_MS,
+    ).unref();
   }
 
   private async watch(call: Call): Promise<Reply> {
-    const seen = numberOf(call.query, 'sequence', 0);
-    const waitMs = numberOf(call.query, 'waitMs', 0);
-    if (seen >= this.sequence) await this.waiters.wait(waitMs);
-    return this.switches.silent ? SILENT : json(this.inventory());
+    const knownSequence = numberParam(call.query, 'sequence', 0);
+    const waitMs = numberParam(call.query, 'waitMs', 0);
+    if (knownSequence >= this.sequence) await this.waiters.wait(waitMs);
+    return this.faults.silent ? SILENT_REPLY : jsonReply(this.inventory());
   }
 
   private inventory(): Inventory {
-    const tasks = [...this.tasks.values()].map(task => task.report());
+    const tasks = [...this.tasks.values()].map(task => task.toReport());
     const {id: workerId, capacity, sequence} = this;
     return {workerId, capacity, sequence, tasks};
   }
 
   private *usage(): Generator<TaskUsage> {
-    const ageMs = this.switches.usageLagMs;
-    for (const task of this.running()) {
+    const ageMs = this.faults.usageLagMs;
+    for (const task of this.runningTasks()) {
       if (Date.now() - task.startMs < ageMs) continue;
       const {cpuMilli, memMb} = task.payload.usage ?? task.size;
       yield {taskId: task.start.taskId, cpuMilli, memMb, ageMs};
     }
   }
 
-  private admin(call: Call): Reply {
+  private handleAdmin(call: Call): Reply {
     if (call.method === 'POST') {
-      const change = call.body as Partial<WorkerSwitches>;
-      this.switches = {...this.switches, ...change};
+      const change = call.body as Partial<WorkerFaults>;
+      this.faults = {...this.faults, ...change};
       this.waiters.wake();
     }
     const {overcommits} = this;
-    const runs = [...this.tasks.values()].map(task => task.run(this.id));
-    return json({overcommits, started: runs.length, runs});
+    const runs = [...this.tasks.values()].map(task => task.toRun(this.id));
+    return jsonReply({overcommits, started: runs.length, runs});
   }
 }
--- a/packages/standins/src/worker-task.ts
+++ b/packages/standins/src/worker-task.ts
@@ -43,7 +43,7 @@
     readonly start: TaskStart,
     savedMs: number,
     willFail: boolean,
-    private readonly ended: () => void,
+    private readonly onEnd: () => void,
   ) {
     this.payload = (start.payload ?? {runMs: 0}) as TaskPayload;
     this.holdings = [{sinceMs: this.startMs, size: start.size}];
@@ -82,10 +82,10 @@
     clearTimeout(this.leaseTimer);
     this.end = end;
     this.endMs = Date.now();
-    this.ended();
+    this.onEnd();
   }
 
-  report(): TaskReport {
+  toReport(): TaskReport {
     const {taskId, jobId, shard, team, queue} = this.start;
     const {size, end} = this;
     const isDone = end === 'succeeded';
@@ -112,7 +112,7 @@
     return `${this.start.taskId} (${sizes.join('; ')})`;
   }
 
-  run(workerId: string): TaskRun {
+  toRun(workerId: string): TaskRun {
     const {taskId, jobId, team} = this.start;
     const {startMs, endMs, end, holdings} = this;
     return {workerId, taskId, jobId, team, holdings, startMs, endMs, end};
--- a/packages/standins/test/standins.process.test.ts
+++ b/packages/standins/test/standins.process.test.ts
@@ -10,11 +10,11 @@
 import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {findDoubleRuns, Rig, waitUntil} from '../src/index.js';
+import {findOverlappingRuns, Rig, waitUntil} from '../src/index.js';
 
 const SIZE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
 const LEASE_MS = 300;
-const BOUND_MS = 10_000;
+const TIMEOUT_MS = 10_000;
 
 const standins = suite('stand-ins');
 const rig = new Rig({
@@ -24,7 +24,7 @@
   executors: [],
 });
 
-async function kindOf(call: Promise<unknown>): Promise<string> {
+async function errorKindOf(call: Promise<unknown>): Promise<string> {
   try {
     await call;
     return 'ok';
@@ -33,16 +33,16 @@
   }
 }
 
-function record(): {readonly id: string; readonly data: string} {
+function newRecord(): {readonly id: string; readonly data: string} {
   return {id: newId('r'), data: 'x'};
 }
 
-function workerOf(index: number): HttpWorkerClient {
+function workerClient(index: number): HttpWorkerClient {
   const {ip, port} = rig.targets.vms[index] as VmEntry;
   return new HttpWorkerClient(ip, port, 'north-1');
 }
 
-function startOf(taskId: string, term: number, runMs: number): TaskStart {
+function newTaskStart(taskId: string, term: number, runMs: number): TaskStart {
   return {
     taskId,
     jobId: taskId.split('.')[0] ?? '',
@@ -57,7 +57,7 @@
   };
 }
 
-async function readCount(stream: string): Promise<number> {
+async function countRecords(stream: string): Promise<number> {
   const page = await rig.log.read(stream, 0, {maxRecords: 100, waitMs: 0});
   return page.records.length;
 }
@@ -67,30 +67,30 @@
 
 standins('an append without reply is unknown and took effect', async () => {
   await rig.switchLog({loseReplies: 1});
-  const call = rig.log.append('lost', [record()]);
-  assert.is(await kindOf(call), 'appendUnknown');
-  assert.is(await readCount('lost'), 1);
+  const call = rig.log.append('lost', [newRecord()]);
+  assert.is(await errorKindOf(call), 'appendUnknown');
+  assert.is(await countRecords('lost'), 1);
 });
 
 standins('an append that is refused surely had no effect', async () => {
   await rig.switchLog({outage: true});
-  assert.is(await kindOf(rig.log.append('out', [record()])), 'logDown');
+  assert.is(await errorKindOf(rig.log.append('out', [newRecord()])), 'logDown');
   await rig.switchLog({outage: false, refuseAppends: true});
-  assert.is(await kindOf(rig.log.append('out', [record()])), 'logDown');
+  assert.is(await errorKindOf(rig.log.append('out', [newRecord()])), 'logDown');
   await rig.switchLog({refuseAppends: false});
-  assert.is(await readCount('out'), 0);
+  assert.is(await countRecords('out'), 0);
 });
 
 standins('a silent log service fails a call in bounded time', async () => {
   rig.processes.signal('log', 'SIGSTOP');
-  const call = rig.log.append('silent', [record()]);
-  assert.is(await kindOf(call), 'appendUnknown');
+  const call = rig.log.append('silent', [newRecord()]);
+  assert.is(await errorKindOf(call), 'appendUnknown');
   rig.processes.signal('log', 'SIGCONT');
 });
 
 standins('old records are dropped and a read starts at the first', async () => {
   await rig.switchLog({retainRecords: 2});
-  for (let i = 0; i < 5; i += 1) await rig.log.append('short', [record()]);
+  for (let i = 0; i < 5; i += 1) await rig.log.append('short', [newRecord()]);
   const page = await rig.log.read('short', 0, {maxRecords: 9, waitMs: 0});
   assert.equal([page.first, page.end, page.records.length], [3, 5, 2]);
   await rig.switchLog({retainRecords: 1_000});
@@ -100,8 +100,8 @@
   const {ip} = rig.targets.vms[0] as VmEntry;
   const cut = new HttpLogClient(rig.logUrl, {localAddress: ip});
   await rig.switchLog({cutFrom: [ip]});
-  assert.is(await kindOf(cut.streams()), 'logDown');
-  assert.is(await kindOf(rig.log.streams()), 'ok');
+  assert.is(await errorKindOf(cut.streams()), 'logDown');
+  assert.is(await errorKindOf(rig.log.streams()), 'ok');
   await rig.switchLog({cutFrom: []});
 });
 
@@ -114,48 +114,51 @@
 });
 
 standins('a worker refuses an old term, but for the switch', async () => {
-  const worker = workerOf(0);
+  const worker = workerClient(0);
   await worker.inventory('north-1', 5);
-  const stale = worker.start(startOf('fence.0.0', 4, 10));
-  assert.is(await kindOf(stale), 'staleTerm');
-  await rig.targets.switchWorker('worker-1', {fencing: false});
-  assert.is(await kindOf(worker.start(startOf('fence.0.0', 4, 10))), 'ok');
-  await rig.targets.switchWorker('worker-1', {fencing: true});
+  const stale = worker.start(newTaskStart('fence.0.0', 4, 10));
+  assert.is(await errorKindOf(stale), 'staleTerm');
+  await rig.targets.setWorkerFaults('worker-1', {fencing: false});
+  assert.is(
+    await errorKindOf(worker.start(newTaskStart('fence.0.0', 4, 10))),
+    'ok',
+  );
+  await rig.targets.setWorkerFaults('worker-1', {fencing: true});
 });
 
 standins(
   'a task ends with its lease, and the judge sees both runs',
   async () => {
-    await workerOf(0).start(startOf('twice.0.0', 9, 60_000));
-    await workerOf(1).start(startOf('twice.0.1', 9, 60_000));
-    const tasks = await waitUntil('both lapsed', BOUND_MS, async () => {
+    await workerClient(0).start(newTaskStart('twice.0.0', 9, 60_000));
+    await workerClient(1).start(newTaskStart('twice.0.1', 9, 60_000));
+    const tasks = await waitUntil('both lapsed', TIMEOUT_MS, async () => {
       const {tasks: runs} = await rig.targets.records();
       const mine = runs.filter(run => run.jobId === 'twice');
       return mine.every(run => run.end === 'leaseLapsed') && mine;
     });
-    assert.equal(findDoubleRuns(tasks), ['twice.0']);
+    assert.equal(findOverlappingRuns(tasks), ['twice.0']);
   },
 );
 
 standins('a worker records overcommit', async () => {
   const before = (await rig.targets.records()).overcommits.length;
-  await workerOf(0).start(startOf('over.0.0', 9, 5_000));
-  await workerOf(0).start(startOf('over.1.0', 9, 5_000));
+  await workerClient(0).start(newTaskStart('over.0.0', 9, 5_000));
+  await workerClient(0).start(newTaskStart('over.1.0', 9, 5_000));
   assert.is((await rig.targets.records()).overcommits.length, before + 1);
 });
 
 standins('a silent worker neither starts nor answers', async () => {
-  await rig.targets.switchWorker('worker-2', {silent: true});
-  const call = workerOf(1).start(startOf('quiet.0.0', 9, 10));
-  assert.is(await kindOf(call), 'targetLost');
+  await rig.targets.setWorkerFaults('worker-2', {silent: true});
+  const call = workerClient(1).start(newTaskStart('quiet.0.0', 9, 10));
+  assert.is(await errorKindOf(call), 'targetLost');
   const {tasks} = await rig.targets.records();
   assert.not.ok(tasks.some(run => run.jobId === 'quiet'));
 });
 
 standins('a connection refused is surely not run', async () => {
   const nobody = new HttpWorkerClient('127.0.0.1', 1, 'north-1');
-  const call = nobody.start(startOf('gone.0.0', 1, 10));
-  assert.is(await kindOf(call), 'targetRefused');
+  const call = nobody.start(newTaskStart('gone.0.0', 1, 10));
+  assert.is(await errorKindOf(call), 'targetRefused');
 });
 
 standins.run();
