--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -9,7 +9,7 @@
   type TeamKey,
 } from '@dragonflyward/standins';
 import {JobLoad} from './job-load.js';
-import {demoJobs} from './job-orders.js';
+import {demoJobs} from './demo-jobs.js';
 import {makeReport, type DemoReport} from './report.js';
 import {RequestLoad} from './request-load.js';
 import {demoConfiguration, DEMO_FLEET, REQUEST_QUEUES, TEAMS} from './users.js';
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -11,7 +11,7 @@
   postAdmin,
   standinProgramPath,
   waitUntilReachable,
-} from './calls.js';
+} from './admin-calls.js';
 import {entryVm, Subnet, targetVms, type FleetPlan} from './fleet.js';
 import {NO_LOG_FAULTS, type LogFaults} from './log-service.js';
 import {RigOperator} from './operator.js';
--- a/packages/standins/src/targets.ts
+++ b/packages/standins/src/targets.ts
@@ -6,13 +6,13 @@
   postAdmin,
   standinProgramPath,
   waitUntilReachable,
-} from './calls.js';
+} from './admin-calls.js';
 import {
   NO_EXECUTOR_FAULTS,
   type ExecutorFaults,
   type RequestRun,
 } from './executor-service.js';
-import type {TargetRecords} from './judge.js';
+import type {TargetRecords} from './record-checks.js';
 import type {ProcessSet} from './processes.js';
 import {NO_WORKER_FAULTS, type WorkerFaults} from './worker-service.js';
 import type {TaskRun} from './worker-task.js';
