--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,13 +1,13 @@
-/** The table of all benchmarks. */
+/** Lists all benchmarks. */
 import {benchControl} from './control.js';
 import {benchPolicy} from './policy.js';
 import {benchRelay} from './relay.js';
 import {benchState} from './state.js';
 
-/** Figures of a benchmark, as they are printed with `--json`. */
+/** The results of a benchmark, as printed with `--json`. */
 export type Figures = Readonly<Record<string, unknown>>;
 
-/** Measures, prints lines for a reader, and returns the figures. */
+/** Runs a benchmark, prints readable lines and returns the results. */
 export type Bench = (print: (line: string) => void) => Promise<Figures>;
 
 /** All benchmarks by name. */
--- a/packages/bench/src/control-cell.ts
+++ b/packages/bench/src/control-cell.ts
@@ -1,4 +1,4 @@
-/** A cell of one failure domain whose processes are metered. */
+/** A cell of one failure domain whose processes are measured. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {newId, NO_RESOURCES, raise} from '@dragonflyward/common';
 import {
@@ -23,7 +23,7 @@
 const CAPACITY = {...NO_RESOURCES, cpuMilli: 16_000, memMb: 32_768};
 const TASK_SIZE = {...NO_RESOURCES, cpuMilli: 500, memMb: 512};
 
-/** What a metered process does in the cell. */
+/** The role of a measured process. */
 export type MeteredRole = 'owner' | 'follower' | 'gateway';
 
 const CONFIGURATION: Configuration = {
@@ -51,7 +51,7 @@
   exceptions: [],
 };
 
-/** Two entry VMs and some workers, without load but for their tasks. */
+/** Two entry VMs and some workers, with no load except tasks. */
 export class ControlCell {
   private readonly rig: Rig;
   private key: TeamKey | undefined;
@@ -103,7 +103,7 @@
     await sleep(SETTLE_MS);
   }
 
-  /** What one process of each role has used so far. */
+  /** Reads the usage so far of one process of each role. */
   async usageByRole(): Promise<ReadonlyMap<MeteredRole, ProcessUsage>> {
     const {owner} = await readShard(this.rig.log, DOMAIN);
     const other = this.rig.entries.find(({id}) => id !== owner?.vm);
--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -1,4 +1,4 @@
-/** Measures what control costs: processor time, memory and bytes. */
+/** Measures the CPU time, memory and I/O of the control processes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Figures} from './benches.js';
 import {ControlCell, type MeteredRole} from './control-cell.js';
@@ -23,7 +23,7 @@
 }
 
 /**
- * Runs the benchmark of control: two sizes, each idle and with tasks.
+ * Runs the control benchmark: two fleet sizes, each idle and with tasks.
  *
  * @example
  * const figures = await benchControl(console.log);
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -9,7 +9,7 @@
   .option('--json', 'print the figures as one last line of JSON', false)
   .action(async (name: string, options: {readonly json: boolean}) => {
     const bench = BENCHES[name];
-    if (bench === undefined) return program.error(`unknown: ${name}`);
+    if (bench === undefined) return program.error(`unknown benchmark: ${name}`);
     const figures = await bench(line => process.stdout.write(`${line}\n`));
     if (options.json) process.stdout.write(`${JSON.stringify(figures)}\n`);
   });
--- a/packages/bench/src/paper-policies.ts
+++ b/packages/bench/src/paper-policies.ts
@@ -1,4 +1,4 @@
-/** Placement after the ideas of the related paper, to be weighed. */
+/** Placement policies after the related paper, for comparison only. */
 import {
   addResources,
   fitsIn,
@@ -14,8 +14,8 @@
   type WorkerState,
 } from '@dragonflyward/policy';
 
-/** Ranks workers by how full they are, the emptiest first. */
-export class EmptiestPolicy extends PlacementPolicy {
+/** Chooses the least loaded worker by its dominant share. */
+export class LeastLoadedPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
     ask: PlacementAsk,
@@ -34,12 +34,12 @@
   }
 }
 
-/** Takes as used what was last reported, not what was placed since. */
+/** Ignores what was placed since a worker's last usage report. */
 export class ReportedUsePolicy extends PlacementPolicy {
   private readonly seenWorkers = new Set<WorkerState>();
   private readonly reportedUse = new Map<WorkerState, Resources>();
 
-  /** Takes over what all workers use at the time of a report. */
+  /** Records the current use of all known workers as reported. */
   recordReport(): void {
     for (const worker of this.seenWorkers) {
       let used = NO_RESOURCES;
--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -1,4 +1,4 @@
-/** Compares engines side by side on the same traces. */
+/** Compares placement engines on the same traces. */
 import {
   FirstFitEngine,
   newPolicies,
@@ -7,7 +7,7 @@
   type PlacementEngine,
   type Trace,
 } from '@dragonflyward/policy';
-import {EmptiestPolicy, ReportedUsePolicy} from './paper-policies.js';
+import {LeastLoadedPolicy, ReportedUsePolicy} from './paper-policies.js';
 import {fullFleetTrace, mixedDayTrace} from './policy-traces.js';
 import {ShareOnlyEngine} from './share-only-engine.js';
 
@@ -16,7 +16,7 @@
   newEngine(): PlacementEngine;
 }
 
-/** What one engine reached on one trace. */
+/** The results of one engine on one trace. */
 export interface CompareFigures {
   readonly trace: string;
   readonly engine: string;
@@ -42,18 +42,18 @@
   {name: 'reported use', newEngine: () => new ReportedUseEngine()},
 ];
 
-/** The first version of the share engine: without its later stages. */
+/** The first version of the share engine, without its later features. */
 function newPreviousEngine(): PlacementEngine {
   const features = {preempts: false, reserves: false, learns: false};
   return new ShareEngine({features});
 }
 
 function newEmptiestEngine(): PlacementEngine {
-  const emptiest = new EmptiestPolicy();
+  const emptiest = new LeastLoadedPolicy();
   return new ShareEngine({policies: {...newPolicies(), pack: emptiest}});
 }
 
-/** Places by what workers last reported in place of own counts. */
+/** Places by the use that workers last reported, not by its own counts. */
 class ReportedUseEngine extends ShareEngine {
   private readonly policy: ReportedUsePolicy;
 
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -1,4 +1,4 @@
-/** Measures the rate and the cost of decisions on a full shard. */
+/** Measures the rate and cost of placement decisions on a full shard. */
 import {ShareEngine, type PlacedTask} from '@dragonflyward/policy';
 import * as hdr from 'hdr-histogram-js';
 import {
@@ -14,7 +14,7 @@
 const CANCELLED_JOBS = 10_000;
 const US_PER_MS = 1_000;
 
-/** What was measured at one size. */
+/** The results for one shard size. */
 export interface LoadFigures {
   readonly size: string;
   readonly placements: number;
@@ -40,7 +40,7 @@
 }
 
 /**
- * Fills a shard, then ends and submits work for many rounds.
+ * Fills a shard, then ends and submits tasks for many rounds.
  *
  * @example
  * const figures = measureLoad(TARGET, console.log);
@@ -91,7 +91,7 @@
   };
 }
 
-/** Submits work until the stated number of tasks runs and waits. */
+/** Submits jobs until the size's numbers of tasks are running and waiting. */
 function fillShard(load: Load): void {
   const wanted = load.size.running + load.size.waiting;
   while (load.running.length + load.engine.waitingCount() < wanted) {
@@ -106,7 +106,7 @@
   load.nextJob += 1;
 }
 
-/** Ends some tasks, submits as many, and decides. */
+/** Ends some tasks, refills the queue and decides. */
 function runRound(load: Load): void {
   load.nowMs += ROUND_PERIOD_MS;
   const ends = Math.ceil(load.size.running / 100);
@@ -119,13 +119,13 @@
   const {running, random, engine, nowMs} = load;
   const index = random.nextBelow(running.length);
   const task = running[index];
-  const last = running.pop();
-  if (task === undefined || last === undefined) return;
-  if (index < running.length) running[index] = last;
+  const lastTask = running.pop();
+  if (task === undefined || lastTask === undefined) return;
+  if (index < running.length) running[index] = lastTask;
   engine.ended(task.taskId, 'succeeded', nowMs);
 }
 
-/** Times each step to the next decision, also the last one to the end. */
+/** Times each step of the decision generator, including the last one. */
 function runDecisions(load: Load): number {
   let longestUs = 0;
   const decisions = load.engine.decide(load.nowMs);
@@ -144,14 +144,14 @@
   }
 }
 
-/** A stopped task ends at once and is not run again here. */
+/** Ends a preempted task at once; it isn't requeued. */
 function endPreempted(load: Load, taskId: string): void {
   const index = load.running.findIndex(task => task.taskId === taskId);
   if (index >= 0) load.running.splice(index, 1);
   load.engine.ended(taskId, 'notRunning', load.nowMs);
 }
 
-/** Cancels many waiting jobs at once; times each and the next decision. */
+/** Cancels many waiting jobs; times each and the decisions afterwards. */
 function measureCancelWave(load: Load): {
   readonly cancelWaveMaxUs: number;
   readonly decisionAfterWaveMaxUs: number;
--- a/packages/bench/src/policy-memory.ts
+++ b/packages/bench/src/policy-memory.ts
@@ -1,4 +1,4 @@
-/** Measures how the memory of an engine grows with what it keeps. */
+/** Measures how an engine's memory grows with its workers, teams and jobs. */
 import {runInNewContext} from 'node:vm';
 import {ShareEngine} from '@dragonflyward/policy';
 import {
@@ -13,7 +13,7 @@
 const NOW_MS = 1_000_000;
 const BYTES_PER_KB = 1_024;
 
-/** Growth of the heap for one more of each, and what the process takes. */
+/** Heap growth per item, and the memory of the whole process. */
 export interface MemoryFigures {
   readonly bytesPerWorker: number;
   readonly bytesPerTeam: number;
@@ -24,7 +24,8 @@
 }
 
 /**
- * Compares engines of different sizes; the process has to allow it to ask for collections.
+ * Compares engines of different sizes. Needs `--expose-gc`, so that garbage is
+ * collected before each reading.
  *
  * @example
  * const figures = measureMemory(console.log);
@@ -62,11 +63,11 @@
   return Math.round((largeHeap - smallHeap) / addedItems);
 }
 
-/** The heap for each of many jobs, which all wait or all run. */
+/** Returns the heap per job; without workers all wait, else all run. */
 function heapPerJob(size: ShardSize): number {
-  const without = retainedHeap(() => newEngine(size));
-  const withJobs = retainedHeap(() => newLoadedEngine(size));
-  return Math.round((withJobs - without) / size.waiting);
+  const heapWithoutJobs = retainedHeap(() => newEngine(size));
+  const heapWithJobs = retainedHeap(() => newLoadedEngine(size));
+  return Math.round((heapWithJobs - heapWithoutJobs) / size.waiting);
 }
 
 function newEngine(size: ShardSize): ShareEngine {
@@ -91,12 +92,12 @@
   const engine = make();
   collectGarbage();
   const after = process.memoryUsage().heapUsed;
-  // Keeps the engine reachable until the heap was read.
+  // Keeps the engine reachable until the heap has been read.
   engine.waitingCount();
   return after - before;
 }
 
-/** Collects what is unused, where the process may ask for that. */
+/** Collects garbage if the process exposes `gc`. */
 function collectGarbage(): void {
   runInNewContext('typeof gc === "function" && gc()');
 }
--- a/packages/bench/src/policy-traces.ts
+++ b/packages/bench/src/policy-traces.ts
@@ -1,4 +1,4 @@
-/** The traces on which engines are compared: a shard of today. */
+/** The traces on which engines are compared, at the size of a shard today. */
 import type {Resources} from '@dragonflyward/common';
 import type {PolicyTeam, Trace, TraceJobs} from '@dragonflyward/policy';
 import {QUEUES, UNLIMITED} from './shard-load.js';
@@ -22,7 +22,7 @@
   {name: 'large', count: 3, perRack: 3, capacity: resources(64, 131_072, 8)},
 ];
 
-/** Quick requests, services, batch and gangs; more work than room. */
+/** Short tasks, services, batch jobs and gangs that exceed the capacity. */
 export function mixedDayTrace(): Trace {
   const jobs: readonly TraceJobs[] = [
     {
@@ -72,7 +72,7 @@
 
 const FLEET_TEAMS = 8;
 
-/** Every team always has more work than its share. */
+/** Overload: every team always has more work than its share. */
 export function fullFleetTrace(): Trace {
   const names = Array.from({length: FLEET_TEAMS}, (_, i) => `team-${i}`);
   return {
--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -1,4 +1,4 @@
-/** Measures the decisions: their rate, their cost, and what they achieve. */
+/** Measures placement decisions: their rate, cost and quality. */
 import {setFlagsFromString} from 'node:v8';
 import type {Figures} from './benches.js';
 import {comparePolicies} from './policy-compare.js';
@@ -7,7 +7,7 @@
 import {TARGET_SIZE, CURRENT_SIZE} from './shard-load.js';
 
 /**
- * Runs the benchmark of the policy.
+ * Runs the benchmark of placement policies.
  *
  * @example
  * const figures = await benchPolicy(console.log);
--- a/packages/bench/src/process-meter.ts
+++ b/packages/bench/src/process-meter.ts
@@ -1,26 +1,26 @@
-/** Reads what a process has used, from the kernel's view of it. */
+/** Reads a process's resource usage from /proc. */
 import {readFileSync} from 'node:fs';
 
 const MS_PER_TICK = 10;
 const KB_PER_MB = 1_024;
-/** Fields of /proc/PID/stat after the name, from 0. */
+/** Zero-based fields of /proc/PID/stat, counted after the process name. */
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
 
-/** What a process has used since its start, and its memory now. */
+/** A process's usage since its start, and its current memory. */
 export interface ProcessUsage {
   readonly cpuMs: number;
   readonly rssMb: number;
-  /** Bytes read and written, by sockets too. */
+  /** Bytes read and written, including sockets. */
   readonly readBytes: number;
   readonly writtenBytes: number;
 }
 
 /**
- * Reads a process's use.
+ * Reads a process's resource usage.
  *
  * @example
- * const {rssMb} = readUse(process.pid);
+ * const {rssMb} = readUsage(process.pid);
  */
 export function readUsage(pid: number): ProcessUsage {
   const stat = readProcFile(pid, 'stat');
--- a/packages/bench/src/relay-cell.ts
+++ b/packages/bench/src/relay-cell.ts
@@ -1,4 +1,4 @@
-/** A small cell of separate processes for measurements of the relay. */
+/** A small cell of separate processes for measuring the request path. */
 import http from 'node:http';
 import {newId, NO_RESOURCES} from '@dragonflyward/common';
 import {Rig, waitUntil} from '@dragonflyward/standins';
@@ -27,14 +27,14 @@
   exceptions: [],
 };
 
-/** What a cell consists of. */
+/** The size of a cell. */
 export interface RelayCellPlan {
   readonly domains: readonly string[];
   readonly entriesPerDomain: number;
   readonly executors: number;
 }
 
-/** One request of a measurement. */
+/** A request of a measurement. */
 export interface RelayCall {
   /** The URL to post to. */
   readonly url: string;
@@ -60,7 +60,7 @@
     });
   }
 
-  /** Starts all and waits until requests are served. */
+  /** Starts all processes and waits until every gateway serves requests. */
   async start(): Promise<void> {
     await this.rig.startPlatform();
     await this.rig.operator.publish(CONFIGURATION, -1);
@@ -91,7 +91,7 @@
       .map(({ip, port}) => `http://${ip}:${port}/`);
   }
 
-  /** Reads one counter, summed over all gateways. */
+  /** Sums a counter over all gateways. */
   async counter(name: string): Promise<number> {
     let sum = 0;
     for (const {id} of this.rig.entries) {
@@ -103,7 +103,7 @@
     return sum;
   }
 
-  /** Posts a request; resolves to whether it was answered whole. */
+  /** Posts a request; resolves to whether the whole answer arrived. */
   send(call: RelayCall): Promise<boolean> {
     this.sent += 1;
     const headers = {
--- a/packages/bench/src/relay-load.ts
+++ b/packages/bench/src/relay-load.ts
@@ -1,4 +1,4 @@
-/** Loads for measurements of the relay. */
+/** Load generators for the request path. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Metrics} from '@dragonflyward/common';
 import type {RelayCall, RelayCell} from './relay-cell.js';
@@ -8,7 +8,7 @@
 const US_PER_MS = 1_000;
 const LATENCY_METRIC = 'latency_us';
 
-/** What a load measured. */
+/** The results of a load. */
 export interface LoadResult {
   readonly perSecond: number;
   readonly failed: number;
@@ -16,7 +16,7 @@
   readonly p99Ms: number;
 }
 
-/** Counts answers and their latency. */
+/** Counts answers and failures and records latencies. */
 class Tally {
   private readonly metrics = new Metrics();
   private answered = 0;
@@ -50,14 +50,14 @@
   }
 }
 
-/** Chooses the next request of a load. */
+/** Returns the nth request of a load. */
 export type NextCall = (nth: number) => RelayCall;
 
 /**
- * Keeps a number of requests open for a time.
+ * Runs a closed loop: keeps a number of requests open for a time.
  *
  * @example
- * const peak = await closedLoop(cell, next, 32, 5_000);
+ * const peak = await runClosedLoop(cell, next, 32, 5_000);
  */
 export async function runClosedLoop(
   cell: RelayCell,
@@ -79,11 +79,12 @@
 }
 
 /**
- * Sends several loads at a steady rate each, one after the other in turn, so
- * that all meet the same state of the machine.
+ * Sends several loads at a steady rate each. Their requests are interleaved, so
+ * that all loads meet the same state of the machine.
  *
  * @example
- * const [direct, relayed] = await openLoops(cell, [toTarget, toGateway], 500, 5_000);
+ * const loads = [toTarget, toGateway];
+ * const [direct, relayed] = await runOpenLoops(cell, loads, 500, 5_000);
  */
 export async function runOpenLoops(
   cell: RelayCell,
@@ -112,7 +113,7 @@
   return tallies.map(tally => tally.result(sentMs));
 }
 
-/** Rounds a figure for print. */
+/** Rounds a figure to two decimals. */
 export function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -1,4 +1,7 @@
-/** Measures the request path: throughput, added latency, overload, traffic. */
+/**
+ * Measures the request path: throughput, added latency, goodput under overload
+ * and traffic between regions.
+ */
 import {RelayCell, type RelayCall} from './relay-cell.js';
 import {
   runClosedLoop,
@@ -24,7 +27,7 @@
 
 type Print = (line: string) => void;
 
-/** Figures of the relay, for one number of gateways. */
+/** Results of the request path with one number of gateways. */
 interface RelayFigures {
   readonly gateways: number;
   readonly direct: LoadResult;
@@ -36,7 +39,7 @@
   readonly addedP99Ms: number;
 }
 
-/** Figures of twice the load that the executors can carry. */
+/** Results at twice the peak rate that the executors reached. */
 interface OverloadFigures {
   readonly peakPerSecond: number;
   readonly offeredPerSecond: number;
@@ -47,7 +50,7 @@
 }
 
 /**
- * Runs the benchmark of the relay with separate processes.
+ * Runs the benchmark of the request path with separate processes.
  *
  * @example
  * const figures = await benchRelay(line => console.log(line));
@@ -110,9 +113,9 @@
     CONCURRENT_REQUESTS,
     PEAK_MS,
   );
-  const half = peak.perSecond / 2;
+  const halfPeak = peak.perSecond / 2;
   const loads = [direct, relayed];
-  const halfLoads = await runOpenLoops(cell, loads, half, HALF_LOAD_MS);
+  const halfLoads = await runOpenLoops(cell, loads, halfPeak, HALF_LOAD_MS);
   const [directHalf = directPeak, relayedHalf = peak] = halfLoads;
   const addedP50Ms = round(relayedHalf.p50Ms - directHalf.p50Ms);
   const addedP99Ms = round(relayedHalf.p99Ms - directHalf.p99Ms);
@@ -159,7 +162,7 @@
   };
 }
 
-/** The gateway of one region serves by the only executor, in another one. */
+/** Compares a gateway in the only executor's region with one outside. */
 async function measureCrossRegion(
   print: Print,
 ): Promise<Readonly<Record<string, number>>> {
@@ -173,7 +176,9 @@
     const [north, south] = cell.gatewayUrls();
     const own = await crossRegionBytes(cell, roundRobin([north ?? ''], call));
     const other = await crossRegionBytes(cell, roundRobin([south ?? ''], call));
-    print(`bytes across regions per request: ${own} in region, ${other} out`);
+    print(
+      `cross-region bytes per request: ${own} in region, ${other} out of region`,
+    );
     return {inRegionBytes: own, outOfRegionBytes: other};
   } finally {
     await cell.stop();
--- a/packages/bench/src/shard-load.ts
+++ b/packages/bench/src/shard-load.ts
@@ -1,4 +1,4 @@
-/** A shard of a stated size, with running and waiting work. */
+/** Synthetic load for a shard of a given size. */
 import type {Resources} from '@dragonflyward/common';
 import type {
   PlacementEngine,
@@ -8,7 +8,7 @@
   PolicyWorker,
 } from '@dragonflyward/policy';
 
-/** How large a shard is. */
+/** The size of a shard and of its load. */
 export interface ShardSize {
   readonly name: string;
   readonly workers: number;
@@ -18,7 +18,7 @@
   readonly waiting: number;
 }
 
-/** One failure domain of today, and one at the target. */
+/** The size of one failure domain today, and at the target scale. */
 export const CURRENT_SIZE: ShardSize = {
   name: 'today',
   workers: 11,
@@ -64,18 +64,18 @@
 const WORKERS_PER_RACK = 4;
 const LARGE_WORKER_INTERVAL = 3;
 
-/** A generator of numbers that is the same in every run. */
+/** A seeded random number generator, so that every run is the same. */
 export class SeededRandom {
   constructor(private seed: number) {}
 
-  /** A whole number from 0 up to, and without, the bound. */
+  /** Returns an integer from 0 to the bound, exclusive. */
   nextBelow(bound: number): number {
     this.seed = (Math.imul(this.seed, 1_664_525) + 1_013_904_223) >>> 0;
     return Math.floor((this.seed / 2 ** 32) * bound);
   }
 }
 
-/** Gives an engine its queues, teams and workers. */
+/** Sets the queues, teams and workers of an engine. */
 export function initEngine(engine: PlacementEngine, size: ShardSize): void {
   engine.setQueues(QUEUES);
   engine.setTeams([...teamsOf(size)]);
@@ -104,7 +104,7 @@
   };
 }
 
-/** A job of one task as they come in a mixed shard. */
+/** Makes a job of a mixed load: mostly one task, some gangs of four. */
 export function newJob(
   size: ShardSize,
   random: SeededRandom,
--- a/packages/bench/src/share-only-engine.ts
+++ b/packages/bench/src/share-only-engine.ts
@@ -1,4 +1,4 @@
-/** A baseline: shares, but nothing runs ahead of the team whose turn it is. */
+/** A baseline engine: fair shares without backfill. */
 import {
   FirstFitEngine,
   type Decision,
@@ -8,7 +8,10 @@
   type TeamDemand,
 } from '@dragonflyward/policy';
 
-/** Lets the team furthest below its share go first and wait for room. */
+/**
+ * Serves the team furthest below its share first. While that team's next job
+ * finds no room, no other job starts.
+ */
 export class ShareOnlyEngine extends FirstFitEngine {
   private readonly queues = new Map<string, PolicyJob[]>();
   private readonly shares = new Map<string, number>();
@@ -41,7 +44,7 @@
     void end;
   }
 
-  /** Offers one job at a time to first fit, until one finds no room. */
+  /** Submits one job at a time to first fit, until one finds no room. */
   override *decide(): Generator<Decision> {
     for (;;) {
       const team = this.nextTeam();
--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -1,4 +1,4 @@
-/** Measures the state: group commit, folds, snapshots, memory, allowances. */
+/** Measures group commit, replay, snapshots, memory and allowance planning. */
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {NO_RESOURCES, SystemClock, type Resources} from '@dragonflyward/common';
@@ -21,10 +21,10 @@
 
 const SHARD = 'north-1';
 const STREAM = shardStream(SHARD);
-/** How long accepts are offered at each rate. */
+/** How long jobs are accepted at each rate. */
 const OFFER_DURATION_S = 4;
 const ACCEPT_RATES = [10, 50, 370, 2_000];
-/** How long one append takes at the log service. */
+/** Simulated latencies of an append at the log service. */
 const APPEND_LATENCIES_MS = [1, 30];
 const JOB_COUNTS = [1_000, 10_000, 50_000];
 const TEAMS = 590;
@@ -35,7 +35,7 @@
 
 type Print = (line: string) => void;
 
-/** Appends that a number of accepts took. */
+/** Group commit: how many appends the accepted jobs took. */
 export interface CommitFigures {
   readonly ratePerS: number;
   readonly appendMs: number;
@@ -44,7 +44,7 @@
   readonly medianMs: number;
 }
 
-/** What one number of live jobs costs. */
+/** The cost of a shard state with a number of live jobs. */
 export interface JobFigures {
   readonly jobs: number;
   readonly foldRecordsPerS: number;
@@ -55,7 +55,7 @@
   readonly restoreMs: number;
 }
 
-/** What planning the whole table costs. */
+/** The cost of planning the allowances of all teams and shards. */
 export interface PlanFigures {
   readonly teams: number;
   readonly shards: number;
@@ -64,11 +64,11 @@
   readonly changes: number;
 }
 
-/** All figures of this benchmark. */
+/** All results of this benchmark. */
 export type StateFigures = Readonly<Record<string, unknown>>;
 
 /**
- * Runs the benchmark of the state.
+ * Runs the benchmark of the replicated state.
  *
  * @example
  * const figures = await benchState(console.log);
@@ -125,7 +125,7 @@
   };
 }
 
-/** Writes accepts at a steady rate and returns how long each one took. */
+/** Writes jobs at a steady rate and returns the latency of each write. */
 async function offerAccepts(
   writer: StreamWriter,
   clock: SystemClock,
--- a/packages/demo/src/demo-jobs.ts
+++ b/packages/demo/src/demo-jobs.ts
@@ -1,4 +1,4 @@
-/** The jobs of both users' mixes. */
+/** The jobs of both users' workloads. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {JobCall, TeamKey} from '@dragonflyward/standins';
 import type {JobSubmission} from './job-load.js';
@@ -20,14 +20,14 @@
   accel: 8,
 };
 
-/** Lists the jobs: batch work of both users and one all-at-once job. */
+/** Lists the jobs: batch jobs of both users and one gang job. */
 export function* demoJobs(
   runId: string,
   keys: ReadonlyMap<string, TeamKey>,
 ): Generator<JobSubmission> {
   const submission = (team: string, job: JobCall): JobSubmission => {
     const key = keys.get(team);
-    if (key === undefined) throw new Error(`no key of ${team}`);
+    if (key === undefined) throw new Error(`no key for team ${team}`);
     return {key, job};
   };
   yield submission('renders', {
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -1,4 +1,4 @@
-/** The demonstration: both users' mixes while one scheduler dies. */
+/** The demonstration: both users' workloads while one scheduler is killed. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {newId} from '@dragonflyward/common';
 import {
@@ -20,7 +20,7 @@
 const JOBS_TIMEOUT_MS = 8_000;
 const FIRST_BASE_REVISION = -1;
 
-/** Tells how far the run is. */
+/** Reports the progress of a run. */
 export type ShowProgress = (text: string) => void;
 
 /**
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,4 +1,4 @@
-/** The demonstration run, and the loads that tests share with it. */
+/** The demonstration, and the load generators that tests share with it. */
 export * from './demo.js';
 export * from './job-load.js';
 export * from './report.js';
--- a/packages/demo/src/job-load.ts
+++ b/packages/demo/src/job-load.ts
@@ -1,4 +1,4 @@
-/** Submits jobs and follows them to their ends. */
+/** Submits jobs and polls their status until they end. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {JobEnd, JobStatus} from '@dragonflyward/state';
 import type {CallerClient, JobCall, TeamKey} from '@dragonflyward/standins';
@@ -6,20 +6,20 @@
 const POLL_PERIOD_MS = 250;
 const SUBMIT_DEADLINE_MS = 12_000;
 
-/** A job with the key that it is submitted with. */
+/** A job and the team key to submit it with. */
 export interface JobSubmission {
   readonly key: TeamKey;
   readonly job: JobCall;
 }
 
-/** An accepted job and the newest that was read of it. */
+/** An accepted job and its last known status. */
 export interface TrackedJob {
   readonly jobId: string;
   readonly submission: JobSubmission;
   readonly status: JobStatus | undefined;
 }
 
-/** A set of jobs of one caller. */
+/** The jobs of one caller. */
 export class JobLoad {
   private readonly tracked = new Map<string, TrackedJob>();
   readonly refused: string[] = [];
@@ -30,7 +30,7 @@
     return [...this.tracked.values()];
   }
 
-  /** Submits a job until it is accepted or its deadline has passed. */
+  /** Submits a job with retries; returns its id, or '' if not accepted. */
   async submit(submission: JobSubmission): Promise<string> {
     const {key, job} = submission;
     const res = await this.caller.submit(key.text, job, SUBMIT_DEADLINE_MS);
@@ -47,7 +47,7 @@
     return '';
   }
 
-  /** Reads the jobs until all have ended or the time has run out. */
+  /** Polls until all accepted jobs have ended or the timeout has passed. */
   async pollUntilEnded(timeoutMs: number): Promise<void> {
     const endMs = performance.now() + timeoutMs;
     while (performance.now() < endMs && this.openJobs().length > 0) {
@@ -56,7 +56,7 @@
     }
   }
 
-  /** The accepted jobs that have not ended. */
+  /** Returns the accepted jobs that have not ended. */
   openJobs(): readonly TrackedJob[] {
     return this.jobs.filter(job => job.status?.phase !== 'ended');
   }
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,4 +1,4 @@
-/** Runs the demonstration and prints a table of what it came to. */
+/** Runs the demonstration and prints a table of its results. */
 import {Command} from 'commander';
 import {runDemo} from './demo.js';
 import {hasPassed, formatTable} from './report.js';
@@ -8,7 +8,7 @@
 }
 
 const command = new Command('dragonflyward-demo')
-  .description("runs both users' mixes on one machine for under 30 s")
+  .description("runs both users' workloads on one machine in under 30 s")
   .option('--json', 'print one JSON line at the end')
   .parse();
 const {json} = command.opts<Options>();
--- a/packages/demo/src/report.ts
+++ b/packages/demo/src/report.ts
@@ -1,4 +1,4 @@
-/** What the demonstration run came to. */
+/** The results of a demonstration run. */
 import {
   findOverlappingRuns,
   findLimitBreaches,
@@ -12,7 +12,7 @@
 
 const PERCENT = 100;
 
-/** The outcomes of a run. */
+/** Counts of outcomes and broken promises of a run. */
 export interface DemoReport {
   readonly requests: {
     readonly sent: number;
@@ -30,7 +30,7 @@
     readonly finished: number;
     readonly refused: number;
     readonly lost: number;
-    /** Tasks that ran in two places at one time. */
+    /** Tasks that ran in two places at the same time. */
     readonly doubled: number;
   };
   readonly overcommits: number;
@@ -38,7 +38,7 @@
   readonly limitBreaches: number;
 }
 
-/** What was sent, and what the targets recorded. */
+/** The results as callers saw them, and the targets' records. */
 export interface DemoResults {
   readonly requests: readonly RequestResult[];
   readonly nonIdempotent: ReadonlySet<string>;
@@ -46,7 +46,7 @@
   readonly records: TargetRecords;
 }
 
-/** Judges a run. */
+/** Evaluates a run. */
 export function makeReport(results: DemoResults): DemoReport {
   const {requests, jobs, records} = results;
   const limits = new Map(TEAMS.map(team => [team, limitOf(team)]));
@@ -78,7 +78,7 @@
   };
 }
 
-/** Whether the run kept every promise that it looks at. */
+/** Whether the run broke none of the promises that it checks. */
 export function hasPassed(report: DemoReport): boolean {
   const {requests, jobs} = report;
   const faults = [
@@ -93,7 +93,7 @@
   return faults.every(count => count === 0) && jobs.accepted > 0;
 }
 
-/** Writes the report as a table. */
+/** Formats the report as lines of a table. */
 export function* formatTable(report: DemoReport): Generator<string> {
   yield* formatSection('requests', report.requests);
   yield* formatSection('jobs', report.jobs);
--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -1,4 +1,4 @@
-/** Sends requests at a steady rate, whatever becomes of earlier ones. */
+/** Sends requests at a steady rate, independent of earlier replies. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {
   CallerClient,
@@ -9,7 +9,7 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** An open-loop load of one sort of request. */
+/** An open-loop load of one kind of request. */
 export class RequestLoad {
   readonly results: RequestResult[] = [];
   private readonly pending = new Set<Promise<void>>();
@@ -26,7 +26,7 @@
     return this.sentCount;
   }
 
-  /** Sends until it is stopped. */
+  /** Sends requests until the load is stopped. */
   async run(): Promise<void> {
     const startMs = performance.now();
     while (!this.isStopped) {
@@ -36,7 +36,7 @@
     }
   }
 
-  /** Stops sending and waits for what is open. */
+  /** Stops sending and waits for the open requests. */
   async stop(): Promise<readonly RequestResult[]> {
     this.isStopped = true;
     await Promise.all(this.pending);
@@ -59,7 +59,7 @@
 }
 
 /**
- * Counts the results of one outcome.
+ * Counts the results with one outcome.
  *
  * @example
  * assert.is(countOutcome(await load.stop(), 'lost'), 0);
@@ -72,7 +72,7 @@
 }
 
 /**
- * Sums up the results that are not of one outcome, for the message of a check.
+ * Lists the results with any other outcome, for an assertion message.
  *
  * @example
  * assert.is(answered, all, describeOthers(results, 'answered'));
--- a/packages/demo/src/users.ts
+++ b/packages/demo/src/users.ts
@@ -1,4 +1,4 @@
-/** The two users: their teams, queues, services and machines. */
+/** The demonstration's two users: their teams, queues and machines. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {
   Configuration,
@@ -13,19 +13,19 @@
 const KB = 1_024;
 const AMPLE_AMOUNT = 1_000_000;
 
-/** One of the users' queues for requests. */
+/** A queue for requests and the load on it. */
 export interface RequestQueue {
   readonly queue: string;
   readonly service: string;
   readonly team: string;
   readonly isIdempotent: boolean;
-  /** Whether callers name their requests, so that they may repeat them. */
+  /** Whether callers set request ids, which lets them retry safely. */
   readonly hasOwnId: boolean;
   readonly sleepMs: number;
   readonly perSecond: number;
 }
 
-/** What the users' callers ask for, a second. */
+/** The queues for requests, with their rates per second. */
 export const REQUEST_QUEUES: readonly RequestQueue[] = [
   requestQueue('quotes', 'counter', 'counters', 20, 40),
   nonIdempotent(requestQueue('orders', 'counter', 'roofers', 30, 20)),
@@ -60,7 +60,7 @@
   arusha: 1,
 };
 
-/** The team whose batch work wants more than its limit lets it run. */
+/** The team whose batch jobs need more than its limit. */
 export const LIMITED_TEAM = 'kilns';
 const LOW_LIMIT: Resources = {
   cpuMilli: 48_000,
@@ -75,15 +75,15 @@
   slots: 512,
 };
 
-/** The limit of a team. */
+/** Returns the limit of a team. */
 export function limitOf(team: string): Resources {
   return team === LIMITED_TEAM ? LOW_LIMIT : DEFAULT_LIMIT;
 }
 
-/** The names of all teams; each is the one of its organisation. */
+/** The names of all teams; each is the only team of its organisation. */
 export const TEAMS: readonly string[] = Object.keys(TEAM_SHARES);
 
-/** The defaults that govern the demonstration's fleet. */
+/** Returns the configuration of the demonstration's fleet. */
 export function demoConfiguration(): Configuration {
   const organisations: Record<string, OrganisationConfig> = {};
   const teams: Record<string, TeamConfig> = {};
@@ -98,7 +98,7 @@
   return {defaults: {queues, organisations, teams}, exceptions: []};
 }
 
-/** Both users' machines of today, over three regions. */
+/** Both users' current machines, spread over three regions. */
 export const DEMO_FLEET: FleetPlan = {
   domains: DOMAINS,
   entriesPerDomain: 1,
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -1,4 +1,4 @@
-/** A small cell under load, and the verdict on what it did. */
+/** A small cell under load, and checks of the promises it must keep. */
 import {
   newId,
   NO_RESOURCES,
@@ -26,11 +26,11 @@
 
 export const TEAM = 'roofers';
 export const REQUEST_DEADLINE_MS = 10_000;
-/** How long a cell may take to be whole again after one failure. */
+/** How long a cell may take to recover from one failure. */
 export const RECOVERY_TIMEOUT_MS = 30_000;
 export const DOMAINS = ['north-1', 'south-1', 'east-1'];
 
-const CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
+const ONE_CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
 const LIMIT: Resources = {
   cpuMilli: 40_000,
   memMb: 40_960,
@@ -40,7 +40,7 @@
 const WORKER: Resources = {...NO_RESOURCES, cpuMilli: 8_000, memMb: 16_384};
 const FIRST_BASE_REVISION = -1;
 
-/** Short leases, so that their lapse is seen soon. */
+/** Short leases, so that tests needn't wait long for them to expire. */
 const TIMING: Partial<TimingSettings> = {
   taskLeaseMs: 6_000,
   renewPeriodMs: 1_000,
@@ -77,7 +77,7 @@
   exceptions: [],
 };
 
-/** A job of short tasks. */
+/** Makes a job of short tasks. */
 export function shortJob(change: Partial<JobCall> = {}): JobCall {
   return {
     id: newId('job'),
@@ -86,19 +86,19 @@
     isGang: false,
     isService: false,
     isIdempotent: true,
-    size: CORE,
+    size: ONE_CORE,
     runMs: 500,
     payload: {runMs: 500},
     ...change,
   };
 }
 
-/** A job whose tasks run for this long. */
+/** Makes a job whose tasks run for the given time. */
 export function longJob(runMs: number, change: Partial<JobCall> = {}): JobCall {
   return shortJob({runMs, payload: {runMs}, ...change});
 }
 
-/** Three entry VMs, six workers and six executors with one team. */
+/** Three entry VMs, six workers, six executors and one team. */
 export class Cell {
   readonly rig = new Rig({...FLEET, timing: TIMING});
   readonly balancer = new Balancer(this.rig);
@@ -109,7 +109,7 @@
   private readonly nonIdempotentJobs = new Set<string>();
   private teamKey: TeamKey | undefined;
 
-  /** Starts all and waits until the cell serves. */
+  /** Starts all processes and waits until the cell serves requests. */
   async start(): Promise<void> {
     await this.rig.startPlatform();
     await this.rig.operator.publish(CONFIGURATION, FIRST_BASE_REVISION);
@@ -124,7 +124,7 @@
     await this.rig.stop();
   }
 
-  /** Ends all faults, so that one test's failure is not the next one's. */
+  /** Ends all faults and loads, so that a failed test doesn't fail the next. */
   async clearFaults(): Promise<void> {
     await Promise.all(this.runningLoads.map(load => load.stop()));
     this.runningLoads.length = 0;
@@ -150,7 +150,7 @@
     });
   }
 
-  /** The VM whose scheduler owns a domain's shard by the log. */
+  /** Reads from the log which VM's scheduler owns a domain's shard. */
   async ownerOf(domain: string): Promise<string | undefined> {
     const {owner} = await readShard(this.rig.log, domain);
     return owner?.vm;
@@ -171,7 +171,7 @@
     };
   }
 
-  /** Sends requests at a steady rate until the load is stopped. */
+  /** Starts sending requests at a steady rate until the load is stopped. */
   startLoad(perSecond: number, change: Partial<RequestCall> = {}): RequestLoad {
     const load = new RequestLoad(
       this.caller,
@@ -196,7 +196,7 @@
     return Promise.all(jobs.map(job => this.submit(job)));
   }
 
-  /** Waits until a job has this many tasks running on workers. */
+  /** Waits until the given number of a job's tasks run on workers. */
   async waitUntilRunning(jobId: string, tasks: number): Promise<void> {
     await waitUntil(`${jobId} runs`, RECOVERY_TIMEOUT_MS, async () => {
       const records = await this.rig.targets.records();
@@ -209,7 +209,7 @@
     return this.jobs.jobs.find(job => job.jobId === jobId)?.status;
   }
 
-  /** All accepted jobs have ended as they may, and no promise is broken. */
+  /** Asserts that accepted jobs have ended properly and promises were kept. */
   async checkPromises(): Promise<void> {
     await this.jobs.pollUntilEnded(RECOVERY_TIMEOUT_MS);
     const open = this.jobs.openJobs().map(job => `${job.jobId}`);
@@ -218,14 +218,22 @@
     const records = await this.rig.targets.records();
     assert.equal(records.overcommits, [], 'overcommits');
     assert.is(records.slotBreaches, 0, 'executors over their slots');
-    assert.equal(findOverlappingRuns(records.tasks), [], 'in two places');
+    assert.equal(
+      findOverlappingRuns(records.tasks),
+      [],
+      'tasks run in two places',
+    );
     assert.equal(
       findRepeatedTasks(records.tasks, this.nonIdempotentJobs),
       [],
-      'run again',
+      'non-idempotent jobs run again',
     );
     const limits = new Map([[TEAM, LIMIT]]);
-    assert.equal(findLimitBreaches(records, limits), [], 'over the limit');
+    assert.equal(
+      findLimitBreaches(records, limits),
+      [],
+      'teams over their limit',
+    );
     const nonIdempotentLabels = new Set(
       this.nonIdempotentLoads.flatMap(load => load.labels()),
     );
@@ -233,7 +241,7 @@
     assert.equal(
       repeatedLabels.filter(id => nonIdempotentLabels.has(id)),
       [],
-      'requests run again',
+      'non-idempotent requests run again',
     );
   }
 
--- a/packages/demo/test/demo.process.test.ts
+++ b/packages/demo/test/demo.process.test.ts
@@ -1,4 +1,4 @@
-/** The demonstration run keeps every promise that it looks at. */
+/** The demonstration breaks none of the promises that it checks. */
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {hasPassed, runDemo} from '../src/index.js';
--- a/packages/demo/test/entry-failure.process.test.ts
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -1,4 +1,4 @@
-/** Entry VMs are cut from the log, replaced and shut down. */
+/** Entry VMs are cut off from the log, replaced and shut down. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {promiseTest} from '@dragonflyward/common/promise-test';
 import {CallerClient, waitUntil, type TeamKey} from '@dragonflyward/standins';
@@ -7,7 +7,7 @@
 import {countOutcome, describeOthers} from '../src/index.js';
 import {Cell, shortJob, longJob, RECOVERY_TIMEOUT_MS, TEAM} from './cell.js';
 
-/** How soon a withdrawn key must be refused. */
+/** How soon all gateways must refuse a withdrawn key. */
 const WITHDRAWAL_TIMEOUT_MS = 5_000;
 const AFTER_WITHDRAWAL_MS = 1_500;
 const CUT_DURATION_MS = 6_000;
@@ -19,7 +19,7 @@
 entries.after.each(() => cell.clearFaults());
 entries.after(() => cell.stop());
 
-/** Whether one gateway takes a key, by a request sent to it alone. */
+/** Sends a request to one gateway to learn whether it accepts the key. */
 async function isKeyAccepted(vm: string, key: TeamKey): Promise<boolean> {
   const caller = new CallerClient(() => cell.rig.gatewayUrl(vm));
   const call = cell.newRequest({key: key.text, sleepMs: 0});
--- a/packages/demo/test/owner-failure.process.test.ts
+++ b/packages/demo/test/owner-failure.process.test.ts
@@ -1,4 +1,4 @@
-/** A shard's owner dies or pauses, also while the log fails. */
+/** A shard's owner is killed or paused, and the log service fails. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {promiseTest} from '@dragonflyward/common/promise-test';
 import type {ShardState} from '@dragonflyward/state';
@@ -11,7 +11,7 @@
 const SHARD = 'north-1';
 const LONG_TASK_MS = 9_000;
 const OUTAGE_MS = 4_000;
-/** Longer than every lease and the oldest configuration in use. */
+/** Longer than all leases and the maximum age of the configuration. */
 const LONG_OUTAGE_MS = 8_000;
 
 const owners = suite('owner failure');
@@ -46,11 +46,11 @@
 promiseTest(owners, 'one-place', 'the owner is killed', async () => {
   const domain = SHARD;
   const long = await cell.submit(longJob(LONG_TASK_MS, {domain}));
-  const once = await cell.submit(
+  const nonIdempotent = await cell.submit(
     longJob(LONG_TASK_MS, {domain, isIdempotent: false}),
   );
   await cell.waitUntilRunning(long, 2);
-  await cell.waitUntilRunning(once, 2);
+  await cell.waitUntilRunning(nonIdempotent, 2);
   const load = cell.startLoad(20, {isIdempotent: false});
   const owner = await ownerOfShard();
   const term = await cell.termOf(SHARD);
@@ -131,11 +131,11 @@
   async () => {
     const domain = SHARD;
     const long = await cell.submit(longJob(LONG_TASK_MS, {domain}));
-    const once = await cell.submit(
+    const nonIdempotent = await cell.submit(
       longJob(LONG_TASK_MS, {domain, isIdempotent: false}),
     );
     await cell.waitUntilRunning(long, 2);
-    await cell.waitUntilRunning(once, 2);
+    await cell.waitUntilRunning(nonIdempotent, 2);
     const owner = await ownerOfShard();
     await cell.rig.switchLog({outage: true});
     await cell.rig.kill('scheduler', owner);
--- a/packages/demo/test/silent-connection.process.test.ts
+++ b/packages/demo/test/silent-connection.process.test.ts
@@ -1,4 +1,4 @@
-/** Open connections go silent for good while new ones work. */
+/** Open connections stop responding without closing; new ones work. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {promiseTest} from '@dragonflyward/common/promise-test';
 import {suite} from 'uvu';
@@ -47,13 +47,13 @@
   'to the executors: each request is answered, and no order twice',
   async () => {
     const load = cell.startLoad(20);
-    const once = cell.startLoad(20, {isIdempotent: false});
+    const nonIdempotent = cell.startLoad(20, {isIdempotent: false});
     await sleep(BEFORE_MS);
     await cell.rig.targets.muteConnections('executor');
     await sleep(AFTER_MS);
     const results = await load.stop();
     assert.is(countOutcome(results, 'answered'), results.length);
-    assert.is(countOutcome(await once.stop(), 'lost'), 0);
+    assert.is(countOutcome(await nonIdempotent.stop(), 'lost'), 0);
     await cell.checkPromises();
   },
 );
--- a/packages/demo/test/target-failure.process.test.ts
+++ b/packages/demo/test/target-failure.process.test.ts
@@ -1,4 +1,4 @@
-/** Workers fall silent and executors leave or fail. */
+/** Workers stop responding; executors leave or fail. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {promiseTest} from '@dragonflyward/common/promise-test';
 import {waitUntil} from '@dragonflyward/standins';
@@ -10,7 +10,7 @@
 const LONG_TASK_MS = 6_000;
 /** How long requests are sent while an executor fails. */
 const LOAD_DURATION_MS = 3_000;
-/** How soon a leaving target must get nothing new. */
+/** How long a leaving target may still get new requests. */
 const LEAVING_GRACE_MS = 5_000;
 const AFTER_LEAVING_MS = 2_000;
 const SHORT_SILENCE_MS = 300;
@@ -27,7 +27,7 @@
   const before = await cell.rig.targets.requestsOf(executor);
   await sleep(AFTER_LEAVING_MS);
   const after = await cell.rig.targets.requestsOf(executor);
-  assert.is(after.length, before.length, 'requests after it left');
+  assert.is(after.length, before.length, 'new requests to a leaving executor');
 }
 
 async function waitUntilUsed(executor: string): Promise<void> {
--- a/packages/standins/src/balancer.ts
+++ b/packages/standins/src/balancer.ts
@@ -1,11 +1,11 @@
-/** The platform's balancer: hands callers the gateways that are ready. */
+/** A stand-in for the platform's load balancer. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {raise} from '@dragonflyward/common';
 import type {Rig} from './rig.js';
 
 const PROBE_PERIOD_MS = 200;
 
-/** Chooses gateways in turn among those that were ready at the last probe. */
+/** Picks among the gateways that were ready at the last probe, round robin. */
 export class Balancer {
   private ready: readonly string[] = [];
   private turn = 0;
@@ -16,7 +16,7 @@
   }
 
   /**
-   * The URL of the next ready gateway.
+   * Returns the URL of the next ready gateway.
    *
    * @throws peerDown when none is ready
    */
--- a/packages/standins/src/caller-client.ts
+++ b/packages/standins/src/caller-client.ts
@@ -1,4 +1,4 @@
-/** A caller: sends requests and jobs through the balancer. */
+/** An HTTP client that sends requests and jobs as a caller does. */
 import {randomBytes, randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -14,15 +14,15 @@
 const REPLY_MARGIN_MS = 2_000;
 const STATUS_TIMEOUT_MS = 3_000;
 
-/** How a request or a submission ended, as its caller saw it. */
+/** The outcome of a request or job submission, as its caller sees it. */
 export type Outcome =
-  /** Answered whole, with the answer to this request. */
+  /** A complete answer to this request. */
   | 'answered'
-  /** Refused with "not run" until the deadline, or for good. */
+  /** Refused with "not run", finally or until the deadline passed. */
   | 'refused'
   /** Answered with "outcome unknown". */
   | 'unknown'
-  /** No answer, a cut one, or another request's. */
+  /** No answer, a truncated one, or the answer to another request. */
   | 'lost';
 
 /** One request. */
@@ -32,13 +32,13 @@
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   readonly sleepMs: number;
-  /** Whether the caller names the request, so that it may repeat it. */
+  /** Whether the caller sets the request id, which lets it retry safely. */
   readonly hasOwnId?: boolean;
 }
 
-/** What a caller knows after a request. */
+/** The result of a request, as its caller sees it. */
 export interface RequestResult {
-  /** What the request's body says; the executors record it. */
+  /** Sent in the request's body and recorded by the executors. */
   readonly label: string;
   readonly outcome: Outcome;
   readonly status: number;
@@ -46,13 +46,13 @@
   readonly tookMs: number;
 }
 
-/** One job as its caller submits it. */
+/** A job as its caller submits it. */
 export type JobCall = Omit<JobSpec, 'jobId' | 'team'> & {
   readonly id: string;
   readonly domain?: string;
 };
 
-/** What a caller knows after a submission. */
+/** The result of a job submission, as its caller sees it. */
 export interface SubmitResult {
   readonly outcome: Outcome;
   readonly jobId: string;
@@ -71,14 +71,14 @@
   readonly body: unknown;
 }
 
-/** Sends through whichever gateway the balancer gives it. */
+/** Sends each call to the gateway that `pick` returns. */
 export class CallerClient {
   private readonly clients = new Map<string, JsonClient>();
 
   constructor(private readonly pick: () => string) {}
 
   /**
-   * Sends a request; a refusal that says "not run" is sent again.
+   * Sends a request; retries retryable "not run" refusals until the deadline.
    *
    * @example
    * const {outcome} = await caller.request(call);
@@ -106,7 +106,7 @@
   }
 
   /**
-   * Submits a job; its id makes it safe to send it again.
+   * Submits a job. Retries also unknown outcomes: the job id makes this safe.
    *
    * @example
    * const {jobId} = await caller.submit(key, job, 10_000);
@@ -128,7 +128,7 @@
     return {outcome, jobId, kind};
   }
 
-  /** Reads a job's status; undefined when no gateway told it. */
+  /** Reads a job's status; undefined if the gateway didn't return it. */
   async status(key: string, jobId: string): Promise<JobStatus | undefined> {
     const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
     const headers = authorization(key);
@@ -138,7 +138,6 @@
     return isAnswered ? (attempt.body as JobStatus) : undefined;
   }
 
-  /** Cancels a job. */
   async cancel(key: string, jobId: string): Promise<Outcome> {
     const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
     const headers = authorization(key);
@@ -197,7 +196,7 @@
   }
 }
 
-/** Makes an identifier that tells when it was made: a version 7 UUID. */
+/** Makes a version 7 UUID, which contains the time of its creation. */
 function newUuidV7(): string {
   const time = Date.now().toString(16).padStart(12, '0');
   const [, , , variant = '', tail = ''] = randomUUID().split('-');
--- a/packages/standins/src/executor-main.ts
+++ b/packages/standins/src/executor-main.ts
@@ -1,4 +1,4 @@
-/** Runs stand-ins of executors, each at its own address, in one process. */
+/** Runs simulated executors, each at its own address, in one process. */
 import {Command} from 'commander';
 import {ExecutorService} from './executor-service.js';
 import {listen} from './service.js';
--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -1,4 +1,4 @@
-/** The stand-in of an executor: it answers callers' requests over HTTP. */
+/** A simulated executor that answers callers' requests over HTTP. */
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {readBytes, sendJson} from '@dragonflyward/common';
@@ -6,23 +6,23 @@
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-/** The fault switches of an executor. */
+/** Faults that can be injected into an executor. */
 export interface ExecutorFaults {
-  /** Part of the requests, in order, that get status 500. */
+  /** Fraction of requests that get status 500, evenly spread. */
   readonly failRate: number;
-  /** Sends half of each body and cuts the connection. */
+  /** Sends half of each body and closes the connection. */
   readonly cutBody: boolean;
-  /** Sends headers and then nothing. */
+  /** Sends the headers and no body. */
   readonly headersOnly: boolean;
   /** Runs requests and never answers. */
   readonly blackhole: boolean;
   readonly draining: boolean;
   readonly delayMs: number;
-  /** Answers pairs of requests with each other's answers. */
+  /** Swaps the answers of each pair of requests. */
   readonly swap: boolean;
 }
 
-/** How an executor starts. */
+/** The state in which an executor starts: no faults. */
 export const NO_EXECUTOR_FAULTS: ExecutorFaults = {
   failRate: 0,
   cutBody: false,
@@ -33,10 +33,10 @@
   swap: false,
 };
 
-/** The time that a request ran, as the judge reads it. */
+/** The record of one run of a request, which tests check. */
 export interface RequestRun {
   readonly requestId: string;
-  /** What the request's body asks to be echoed. */
+  /** The string that the body asks to be echoed, else the request id. */
   readonly label: string;
   readonly team: string;
   readonly startMs: number;
@@ -54,7 +54,7 @@
   readonly body: Buffer;
 }
 
-/** An executor with slots and a bound on connections. */
+/** An executor that records use beyond its slots and counts connections. */
 export class ExecutorService {
   private readonly runs: RequestRun[] = [];
   private resolveHeld: ((answer: ExecutorAnswer) => void) | undefined;
@@ -69,7 +69,7 @@
 
   constructor(private readonly slots: number) {}
 
-  /** Makes the server of this executor. */
+  /** Creates the HTTP server of this executor. */
   makeServer(): http.Server {
     const server = http.createServer((req, res) => {
       if (openConnections.isMuted(req.socket)) return;
@@ -123,7 +123,7 @@
     return Math.floor(this.handledRequests * failRate) > failedBefore;
   }
 
-  /** The first of a pair waits for the second; each gets the other's. */
+  /** The first request of a pair waits for the second; their answers swap. */
   private swapAnswers(answer: ExecutorAnswer): Promise<ExecutorAnswer> {
     const {resolveHeld: held, heldAnswer} = this;
     if (held !== undefined && heldAnswer !== undefined) {
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -1,4 +1,4 @@
-/** The machines of a rig: which there are and where they stand. */
+/** The VMs of a rig and their addresses, domains and racks. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {VmEntry} from '@dragonflyward/vms';
 
@@ -9,7 +9,7 @@
 const EXECUTOR_SLOTS = 8;
 const EXECUTOR_CONNECTIONS = 64;
 
-/** Workers of one size. */
+/** Workers with the same capacity. */
 export interface WorkerGroup {
   readonly count: number;
   readonly capacity: Resources;
@@ -21,7 +21,7 @@
   readonly service: string;
 }
 
-/** What a rig consists of; counts are fleet-wide, spread over the domains. */
+/** The VMs of a rig. Counts of targets are fleet-wide, spread over domains. */
 export interface FleetPlan {
   readonly domains: readonly string[];
   readonly entriesPerDomain: number;
@@ -29,7 +29,7 @@
   readonly executors: readonly ExecutorGroup[];
 }
 
-/** A network of loopback addresses that belongs to one process. */
+/** A /24 loopback network, chosen by process id to keep test runs apart. */
 export class Subnet {
   private readonly prefix: string;
 
@@ -42,13 +42,13 @@
   }
 }
 
-/** The region of a domain: the part of its name before the dash. */
+/** Returns the region of a domain: the part of its name before the dash. */
 function regionOf(domain: string): string {
   return domain.split('-')[0] ?? domain;
 }
 
 /**
- * Makes the list entry of an entry VM.
+ * Makes the VM list entry of an entry VM.
  *
  * @example
  * const vm = entryVm('entry-1', subnet.ip(1), 'north-1');
@@ -70,7 +70,7 @@
 }
 
 /**
- * Lists the workers and executors of a plan, domain by domain in turn.
+ * Lists the workers and executors of a plan, assigned to domains round robin.
  *
  * @example
  * const targets = [...targetVms(plan, new Subnet(process.pid))];
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,4 @@
-/** Small stand-ins for the platform, and the rig that runs them. */
+/** Simulated platform services and targets, and the rig that runs them. */
 export * from './balancer.js';
 export * from './caller-client.js';
 export * from './fleet.js';
--- a/packages/standins/src/log-main.ts
+++ b/packages/standins/src/log-main.ts
@@ -1,4 +1,4 @@
-/** Runs the stand-in of the log service. */
+/** Runs the stand-in for the log service. */
 import {Command} from 'commander';
 import {LogService} from './log-service.js';
 import {serve} from './service.js';
--- a/packages/standins/src/log-service.ts
+++ b/packages/standins/src/log-service.ts
@@ -1,4 +1,4 @@
-/** The stand-in of the platform's log service. */
+/** The stand-in for the platform's log service. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogRecord, NewRecord} from '@dragonflyward/log';
 import {
@@ -13,21 +13,21 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** The fault switches and limits of the log service. */
+/** Faults that can be injected into the log service, and its limits. */
 export interface LogFaults {
   readonly outage: boolean;
   readonly slowMs: number;
-  /** The next appends that take effect without a reply. */
+  /** How many of the next appends take effect without a reply. */
   readonly loseReplies: number;
   readonly refuseAppends: boolean;
   readonly retainRecords: number;
   readonly retainMs: number;
   readonly appendsPerSecond: number;
-  /** Clients that get no service. */
+  /** IP addresses of clients whose connections are closed. */
   readonly cutFrom: readonly string[];
 }
 
-/** How the service starts. */
+/** The state in which the service starts: no faults. */
 export const NO_LOG_FAULTS: LogFaults = {
   outage: false,
   slowMs: 0,
@@ -73,7 +73,7 @@
   }
 }
 
-/** An append-only log in memory with fault switches. */
+/** An append-only log in memory with injectable faults. */
 export class LogService extends Service {
   private readonly streams = new Map<string, Stream>();
   private faults = NO_LOG_FAULTS;
--- a/packages/standins/src/operator.ts
+++ b/packages/standins/src/operator.ts
@@ -1,4 +1,4 @@
-/** Publishes configuration and keys straight to the log. */
+/** Publishes configuration and team keys directly to the log. */
 import {createHash, randomBytes} from 'node:crypto';
 import {newId} from '@dragonflyward/common';
 import type {LogClient} from '@dragonflyward/log';
@@ -12,20 +12,20 @@
 const AUTHOR = 'rig';
 const SECRET_BYTES = 16;
 
-/** A key as its team holds it. */
+/** A team key with its secret. */
 export interface TeamKey {
   readonly keyId: string;
   readonly team: string;
-  /** What goes into the authorization header. */
+  /** The bearer token for the authorization header. */
   readonly text: string;
 }
 
-/** An operator without a command line. */
+/** Makes operators' changes for a rig, without the command line. */
 export class RigOperator {
   constructor(private readonly log: LogClient) {}
 
   /**
-   * Publishes a configuration on a base.
+   * Publishes a configuration that replaces the base revision.
    *
    * @returns its revision
    * @example
@@ -42,7 +42,7 @@
     });
   }
 
-  /** Makes a key for a team and grants it. */
+  /** Creates a team key and grants it. */
   async grant(team: string): Promise<TeamKey> {
     const keyId = newId('k');
     const secret = randomBytes(SECRET_BYTES).toString('hex');
@@ -53,7 +53,6 @@
     return {keyId, team, text: `${keyId}.${secret}`};
   }
 
-  /** Withdraws a key. */
   async withdraw({keyId}: TeamKey): Promise<void> {
     const type = 'keyWithdrawn';
     const reason = 'rig';
--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -1,4 +1,4 @@
-/** The child processes of a rig; only these are ever signalled. */
+/** Starts and ends the child processes of a rig; signals no others. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {raise} from '@dragonflyward/common';
@@ -22,7 +22,7 @@
   }
 }
 
-/** Child processes by name; all are ended when this process exits. */
+/** Child processes by name; all are killed when this process exits. */
 export class ProcessSet {
   private readonly children = new Map<string, Child>();
   private readonly killAllAtExit = (): void => {
@@ -34,13 +34,13 @@
   }
 
   /**
-   * Starts a Node.js program under a name that is free.
+   * Starts a Node.js program under a name that no running process has.
    *
    * @example
    * processes.start('log', 'dist/src/log-main.js', ['--port', '7000']);
    */
   start(name: string, script: string, args: readonly string[]): void {
-    if (this.isRunning(name)) raise('badRequest', `${name} runs already`);
+    if (this.isRunning(name)) raise('badRequest', `${name} already runs`);
     const child = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -51,7 +51,7 @@
     return this.children.get(name)?.isRunning ?? false;
   }
 
-  /** The newest output of a program, for reports of failures. */
+  /** The last output of a process, for failure reports. */
   output(name: string): string {
     return this.findChild(name).output;
   }
@@ -65,16 +65,16 @@
     if (child.isRunning) child.process.kill(signal);
   }
 
-  /** Ends a program at once and waits until it is gone. */
+  /** Kills a process and waits until it has exited. */
   async kill(name: string): Promise<void> {
     this.signal(name, 'SIGKILL');
     await this.waitForExit(name);
   }
 
   /**
-   * Waits until a program is gone.
+   * Waits until a process has exited.
    *
-   * @returns its exit code, or -1 after a signal
+   * @returns its exit code, or -1 if a signal ended it
    */
   async waitForExit(name: string): Promise<number> {
     const child = this.findChild(name);
@@ -82,7 +82,7 @@
     return child.process.exitCode ?? -1;
   }
 
-  /** Ends all programs and waits until they are gone. */
+  /** Kills all processes and waits until they have exited. */
   async stopAll(): Promise<void> {
     this.killAll();
     await Promise.all(
@@ -98,6 +98,6 @@
   }
 
   private findChild(name: string): Child {
-    return this.children.get(name) ?? raise('badRequest', `no ${name}`);
+    return this.children.get(name) ?? raise('badRequest', `no process ${name}`);
   }
 }
--- a/packages/standins/src/read-shard.ts
+++ b/packages/standins/src/read-shard.ts
@@ -1,11 +1,11 @@
-/** Reads from the log who owns a shard. */
+/** Reads a shard's state, including its owner, from the log. */
 import type {LogClient} from '@dragonflyward/log';
 import {ShardState, shardStream} from '@dragonflyward/state';
 
 const PAGE_RECORDS = 1_000;
 
 /**
- * Folds a shard's whole stream.
+ * Replays a shard's whole stream.
  *
  * @example
  * const {owner, term} = await readShard(rig.log, 'north-1');
--- a/packages/standins/src/record-checks.ts
+++ b/packages/standins/src/record-checks.ts
@@ -1,4 +1,4 @@
-/** Judges from the targets' own records whether a promise was broken. */
+/** Checks the targets' own records for broken promises to users. */
 import {
   addResources,
   fitsIn,
@@ -9,9 +9,9 @@
 import type {RequestRun} from './executor-service.js';
 import type {TaskRun} from './worker-task.js';
 
-/** All that the targets recorded. */
+/** The records of all targets. */
 export interface TargetRecords {
-  /** Where and when a worker held more than it has, and by what tasks. */
+  /** Worker, time and tasks of each use beyond a worker's capacity. */
   readonly overcommits: readonly string[];
   readonly slotBreaches: number;
   readonly tasks: readonly TaskRun[];
@@ -24,16 +24,16 @@
   readonly isAdded: boolean;
 }
 
-/** The job and index of a task; its runs share it. */
+/** Returns job and index of a task id, without the number of the run. */
 export function logicalTaskId(taskId: string): string {
   return taskId.slice(0, taskId.lastIndexOf('.'));
 }
 
 /**
- * Finds tasks that ran in two places at one time.
+ * Finds tasks of which two runs overlapped in time.
  *
  * @example
- * assert.equal(findDoubleRuns(records.tasks), []);
+ * assert.equal(findOverlappingRuns(records.tasks), []);
  */
 export function findOverlappingRuns(
   runs: readonly TaskRun[],
@@ -46,7 +46,7 @@
   return [...runsByTask].filter(isOverlapping).map(([taskId]) => taskId);
 }
 
-/** Finds the tasks, of those given jobs, that were started more than once. */
+/** Finds the tasks of the given jobs that were started more than once. */
 export function findRepeatedTasks(
   runs: readonly TaskRun[],
   jobIds: ReadonlySet<string>,
@@ -69,7 +69,7 @@
 }
 
 /**
- * Finds the teams that had more running than their limit at some time.
+ * Finds the teams whose running work exceeded their limit at some time.
  *
  * @example
  * const teams = findLimitBreaches(records, new Map([['roofs', limit]]));
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -1,4 +1,4 @@
-/** Stand-ins and the product's programs as processes, for tests. */
+/** A test rig: runs stand-ins and the real programs as processes. */
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -31,22 +31,22 @@
 } as const;
 const START_TIMEOUT_MS = 20_000;
 
-/** The product's program of a role on an entry VM. */
+/** A program that runs on each entry VM. */
 export type Role = 'gateway' | 'scheduler';
 
-/** What a rig consists of and how its programs are set. */
+/** The VMs of a rig and the timing settings of its programs. */
 export interface RigPlan extends FleetPlan {
   readonly timing?: Partial<TimingSettings>;
 }
 
-/** A fleet in small; ends all that it started at its stop. */
+/** A small fleet on one machine; `stop` ends all that it started. */
 export class Rig {
   readonly processes = new ProcessSet();
   readonly targets: TargetSet;
   readonly log: HttpLogClient;
   readonly operator: RigOperator;
   private readonly subnet = new Subnet(process.pid);
-  private readonly dir = mkdtempSync(join(tmpdir(), 'dragonflyward-'));
+  private readonly settingsDir = mkdtempSync(join(tmpdir(), 'dragonflyward-'));
   private readonly entriesById = new Map<string, VmEntry>();
   private nextEntry = 1;
 
@@ -81,7 +81,7 @@
     await this.switchVms({set: this.targets.vms});
   }
 
-  /** Starts the entry VMs of the plan with their programs. */
+  /** Adds the entry VMs of the plan and starts their programs. */
   async startEntries(): Promise<void> {
     for (let i = 0; i < this.plan.entriesPerDomain; i += 1) {
       for (const domain of this.plan.domains) await this.addEntry(domain);
@@ -105,7 +105,10 @@
     try {
       await waitUntil(`${name} ready`, timeoutMs, () => this.isReady(role, id));
     } catch {
-      raise('deadlinePassed', `${name}: ${this.processes.output(name)}`);
+      raise(
+        'deadlinePassed',
+        `${name} is not ready: ${this.processes.output(name)}`,
+      );
     }
   }
 
@@ -113,7 +116,7 @@
     return (await getJson(`${this.adminUrl(role, id)}/readyz`)).status === 200;
   }
 
-  /** Adds an entry VM, as the platform does, and starts its programs. */
+  /** Adds an entry VM to the list of VMs and starts its programs. */
   async addEntry(domain: string): Promise<VmEntry> {
     const host = this.nextEntry;
     this.nextEntry += 1;
@@ -125,7 +128,7 @@
     return vm;
   }
 
-  /** Takes an entry VM away: its programs die and it leaves the list. */
+  /** Kills an entry VM's programs and removes it from the list of VMs. */
   async removeEntry(id: string): Promise<void> {
     await this.kill('gateway', id);
     await this.kill('scheduler', id);
@@ -133,9 +136,9 @@
     await this.switchVms({remove: [id]});
   }
 
-  /** Starts a program on an entry VM; also again after it ended. */
+  /** Starts a program on an entry VM, or restarts it after it ended. */
   startRole(role: Role, id: string): void {
-    const file = join(this.dir, `${id}.json`);
+    const file = join(this.settingsDir, `${id}.json`);
     writeFileSync(file, JSON.stringify(this.settingsOf(id)));
     const script = programPath(role === 'gateway' ? 'caller' : 'scheduler');
     this.processes.start(processName(role, id), script, ['--settings', file]);
@@ -153,7 +156,7 @@
     this.processes.signal(processName(role, id), 'SIGCONT');
   }
 
-  /** Asks for a graceful shutdown and returns the exit code. */
+  /** Requests a graceful shutdown and returns the exit code. */
   terminate(role: Role, id: string): Promise<number> {
     this.processes.signal(processName(role, id), 'SIGTERM');
     return this.processes.waitForExit(processName(role, id));
@@ -163,7 +166,7 @@
     return postAdmin(`${this.logUrl}/admin`, change);
   }
 
-  /** Silences the open connections of the log service. */
+  /** Mutes the open connections of the log service. */
   muteLogConnections(): Promise<void> {
     return postAdmin(`${this.logUrl}/admin/mute`, {});
   }
@@ -181,13 +184,13 @@
     return `http://${this.findEntry(id).ip}:${port}`;
   }
 
-  /** The status page of a program. */
+  /** Reads the status of a program. */
   async status(role: Role, id: string): Promise<Readonly<object>> {
     const res = await getJson(`${this.adminUrl(role, id)}/status`);
     return res.body as Readonly<object>;
   }
 
-  /** Ends all faults, and starts the programs that have died. */
+  /** Ends all faults, resumes paused programs and restarts dead ones. */
   async clearFaults(): Promise<void> {
     await this.switchLog(NO_LOG_FAULTS);
     await this.switchVms({lagMs: 0, outage: false});
@@ -198,10 +201,10 @@
     await this.targets.clearFaults();
   }
 
-  /** Ends all that this rig started. */
+  /** Kills all processes of this rig and deletes its files. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
-    rmSync(this.dir, {recursive: true, force: true});
+    rmSync(this.settingsDir, {recursive: true, force: true});
   }
 
   private recoverRole(role: Role, id: string): void {
@@ -226,7 +229,7 @@
   }
 
   private findEntry(id: string): VmEntry {
-    return this.entriesById.get(id) ?? raise('badRequest', `no VM ${id}`);
+    return this.entriesById.get(id) ?? raise('badRequest', `no entry VM ${id}`);
   }
 }
 
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -1,13 +1,13 @@
-/** Small HTTP servers of which a fault switch decides how they answer. */
+/** HTTP servers of the stand-ins, whose replies and connections can fail. */
 import {createHash} from 'node:crypto';
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {raise, readJson, sendJson, toFailure} from '@dragonflyward/common';
 
-/** Silences the open connections of a stand-in. */
+/** The admin path that mutes the open connections of a stand-in. */
 export const MUTE_PATH = '/admin/mute';
 
-/** A call as a stand-in sees it. */
+/** A parsed HTTP request to a stand-in. */
 export interface Call {
   readonly method: string;
   readonly path: string;
@@ -17,14 +17,14 @@
   readonly clientIp: string;
 }
 
-/** A whole JSON answer. */
+/** A complete JSON answer. */
 export interface JsonAnswer {
   readonly kind: 'json';
   readonly status: number;
   readonly body: unknown;
 }
 
-/** How a call is answered: fully, never, or by a cut connection. */
+/** A complete answer, no answer, or a closed connection. */
 export type Reply =
   JsonAnswer | {readonly kind: 'silent'} | {readonly kind: 'cut'};
 
@@ -34,21 +34,21 @@
 export const CUT_REPLY: Reply = {kind: 'cut'};
 
 /**
- * Makes a whole JSON reply.
+ * Makes a complete JSON reply.
  *
  * @example
- * return json({offset: 17});
+ * return jsonReply({offset: 17});
  */
 export function jsonReply(body: unknown, status = 200): Reply {
   return {kind: 'json', status, body};
 }
 
-/** Answers the calls of one stand-in. */
+/** Handles the calls to one stand-in. */
 export abstract class Service {
   abstract handle(call: Call): Promise<Reply>;
 }
 
-/** The open connections of a server, some of which have gone silent. */
+/** Tracks the open connections of a server, some of which may be muted. */
 export class Connections {
   private readonly open = new Set<Socket>();
   private readonly muted = new WeakSet<Socket>();
@@ -60,19 +60,19 @@
     });
   }
 
-  /** Whether nothing that comes on this connection may be heard. */
+  /** Whether requests on this connection must be ignored. */
   isMuted(socket: Socket): boolean {
     return this.muted.has(socket);
   }
 
-  /** Silences all connections but one; later ones work. */
+  /** Mutes all open connections but one; new connections work. */
   muteAllExcept(kept: Socket): void {
     for (const socket of this.open) if (socket !== kept) this.muted.add(socket);
   }
 }
 
 /**
- * Serves a stand-in.
+ * Starts the HTTP server of a stand-in.
  *
  * @example
  * await serve('127.0.0.1', 7000, new LogService());
@@ -91,7 +91,7 @@
   await listen(server, ip, port);
 }
 
-/** Silences the open connections of a server but for the caller's. */
+/** Mutes the open connections of a server except the caller's. */
 export function handleMute(
   connections: Connections,
   req: http.IncomingMessage,
@@ -101,7 +101,7 @@
   sendJson(res, 200, {});
 }
 
-/** Waits until a server listens. */
+/** Starts listening and waits until the server does. */
 export function listen(
   server: http.Server,
   ip: string,
@@ -127,7 +127,7 @@
   }
 }
 
-/** Sends no body where the client has the same version already. */
+/** Sends status 304 without a body if the client's ETag still matches. */
 function sendWithEtag(
   req: http.IncomingMessage,
   res: http.ServerResponse,
@@ -154,10 +154,11 @@
 }
 
 /**
- * Reads a number of a query.
+ * Reads a number from the query string.
  *
+ * @throws badRequest if the value is not a finite number
  * @example
- * const from = numberOf(call.query, 'from', 0);
+ * const from = numberParam(call.query, 'from', 0);
  */
 export function numberParam(
   query: URLSearchParams,
--- a/packages/standins/src/targets.ts
+++ b/packages/standins/src/targets.ts
@@ -1,4 +1,4 @@
-/** The workers and executors of a rig. */
+/** The simulated workers and executors of a rig. */
 import {raise} from '@dragonflyward/common';
 import type {VmEntry} from '@dragonflyward/vms';
 import {
@@ -29,14 +29,14 @@
   readonly runs: readonly RequestRun[];
 }
 
-/** The targets; those of one kind and domain share a process. */
+/** All targets of a rig; those of one kind and domain share a process. */
 export class TargetSet {
   constructor(
     private readonly processes: ProcessSet,
     readonly vms: readonly VmEntry[],
   ) {}
 
-  /** Starts the stand-ins. */
+  /** Starts the processes of the targets. */
   start(): void {
     for (const domain of new Set(this.vms.map(vm => vm.domain))) {
       this.startDomain(domain, 'worker', workerSpec);
@@ -44,7 +44,7 @@
     }
   }
 
-  /** Waits until all stand-ins answer. */
+  /** Waits until all targets answer. */
   async waitUntilReachable(): Promise<void> {
     for (const vm of this.vms) await waitUntilReachable(adminUrl(vm));
   }
@@ -60,14 +60,14 @@
     return postAdmin(adminUrl(this.findVm(id)), change);
   }
 
-  /** Silences the open connections of all targets of a kind. */
+  /** Mutes the open connections of all targets of a kind. */
   async muteConnections(kind: TargetKind): Promise<void> {
     for (const vm of this.vms) {
       if (vm.kind === kind) await postAdmin(`${adminUrl(vm)}/mute`, {});
     }
   }
 
-  /** Ends all faults. */
+  /** Ends all injected faults except muted connections. */
   async clearFaults(): Promise<void> {
     for (const vm of this.vms) {
       const isWorker = vm.kind === 'worker';
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Reads what all workers and executors recorded. */
+  /** Reads the records of all workers and executors. */
   async records(): Promise<TargetRecords> {
     const workers = await this.readAll<WorkerRecords>('worker');
     const executors = await this.readAll<ExecutorRecords>('executor');
@@ -98,7 +98,7 @@
 
   findVm(id: string): VmEntry {
     const vm = this.vms.find(target => target.id === id);
-    return vm ?? raise('badRequest', `no VM ${id}`);
+    return vm ?? raise('badRequest', `no target VM ${id}`);
   }
 
   private async readAll<T>(kind: TargetKind): Promise<readonly T[]> {
--- a/packages/standins/src/vms-main.ts
+++ b/packages/standins/src/vms-main.ts
@@ -1,6 +1,6 @@
-/** Runs the stand-in of the list of VMs. */
+/** Runs the stand-in for the platform's list of VMs. */
 import {Command} from 'commander';
-import {VmsService} from './vms-service.js';
+import {VmListService} from './vms-service.js';
 import {serve} from './service.js';
 
 interface Options {
@@ -13,4 +13,4 @@
   .requiredOption('--port <port>', 'port to listen on')
   .parse();
 const {ip, port} = command.opts<Options>();
-await serve(ip, Number(port), new VmsService());
+await serve(ip, Number(port), new VmListService());
--- a/packages/standins/src/vms-service.ts
+++ b/packages/standins/src/vms-service.ts
@@ -1,8 +1,8 @@
-/** The stand-in of the platform's list of VMs. */
+/** The stand-in for the platform's list of VMs. */
 import type {VmEntry} from '@dragonflyward/vms';
 import {jsonReply, Service, type Call, type Reply} from './service.js';
 
-/** Changes of the list and its faults. */
+/** Changes to the list of VMs and to the faults of its service. */
 export interface VmListChange {
   readonly lagMs?: number;
   readonly outage?: boolean;
@@ -16,8 +16,8 @@
   readonly vms: readonly VmEntry[];
 }
 
-/** A list of VMs that shows its changes late. */
-export class VmsService extends Service {
+/** A list of VMs that can show its changes after a lag. */
+export class VmListService extends Service {
   private versions: readonly ListVersion[] = [{sinceMs: 0, vms: []}];
   private lagMs = 0;
   private isDown = false;
@@ -40,7 +40,7 @@
     return jsonReply({versions: this.versions.length});
   }
 
-  /** `set` replaces entries of the same id and adds the others. */
+  /** `set` replaces entries with the same id and adds the others. */
   private applyChange(change: VmListChange): readonly VmEntry[] {
     const byId = new Map(this.latestVms().map(vm => [vm.id, vm]));
     for (const vm of change.set ?? []) byId.set(vm.id, vm);
--- a/packages/standins/src/wait.ts
+++ b/packages/standins/src/wait.ts
@@ -1,17 +1,17 @@
-/** Waiting on conditions within a bound. */
+/** Waits for conditions with a timeout. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {raise} from '@dragonflyward/common';
 
 const CHECK_PERIOD_MS = 50;
 
-/** What a check returns once it is met. */
+/** The value of a condition that is met. */
 export type ConditionResult<T> = Exclude<T, false | null | undefined>;
 
 /**
- * Waits until the check returns a value that is neither false nor undefined;
- * a check that throws counts as not yet met.
+ * Polls until the condition returns neither false, null nor undefined. A
+ * condition that throws counts as not yet met.
  *
- * @throws deadlinePassed, with what was waited for
+ * @throws deadlinePassed, with the description and the last error
  * @example
  * await waitUntil('two workers', 5_000, () => workers.size === 2);
  */
@@ -33,6 +33,6 @@
   }
   return raise(
     'deadlinePassed',
-    `${description} within ${timeoutMs} ms ${lastError}`,
+    `${description}: not met within ${timeoutMs} ms ${lastError}`,
   );
 }
--- a/packages/standins/src/waiters.ts
+++ b/packages/standins/src/waiters.ts
@@ -1,10 +1,10 @@
-/** Wakes long polls when something changed. */
+/** Wakes long polls when their data changes. */
 
-/** A set of long polls that wait for the same change. */
+/** Long polls that wait for the same change. */
 export class Waiters {
   private callbacks: (() => void)[] = [];
 
-  /** Waits for the next change, at most this long. */
+  /** Waits for the next change or the timeout. */
   wait(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
       const timer = setTimeout(resolve, timeoutMs);
@@ -15,7 +15,7 @@
     });
   }
 
-  /** Wakes all that wait. */
+  /** Resolves all pending waits. */
   wake(): void {
     const callbacks = this.callbacks;
     this.callbacks = [];
--- a/packages/standins/src/worker-main.ts
+++ b/packages/standins/src/worker-main.ts
@@ -1,4 +1,4 @@
-/** Runs stand-ins of workers, each at its own address, in one process. */
+/** Runs simulated workers, each at its own address, in one process. */
 import {Command} from 'commander';
 import {serve} from './service.js';
 import {WorkerService} from './worker-service.js';
--- a/packages/standins/src/worker-service.ts
+++ b/packages/standins/src/worker-service.ts
@@ -1,4 +1,7 @@
-/** The stand-in of a worker: it records breaches and prevents none. */
+/**
+ * A simulated worker. It records overcommits and doesn't prevent them, so that
+ * tests can find them in its records.
+ */
 import {
   addResources,
   fitsIn,
@@ -21,17 +24,18 @@
 const STALE_TERM_REPLY = jsonReply({error: 'staleTerm'}, 409);
 const TOO_LATE_REPLY = jsonReply({error: 'tooLate'}, 409);
 
-/** The fault switches of a worker. */
+/** Faults that can be injected into a worker. */
 export interface WorkerFaults {
+  /** Whether calls with an older term than the highest seen are refused. */
   readonly fencing: boolean;
   readonly failAll: boolean;
-  /** Takes calls and carries out none. */
+  /** Accepts calls, but neither executes nor answers them. */
   readonly silent: boolean;
   readonly refuseStarts: boolean;
   readonly usageLagMs: number;
 }
 
-/** How a worker starts. */
+/** The state in which a worker starts: no faults. */
 export const NO_WORKER_FAULTS: WorkerFaults = {
   fencing: true,
   failAll: false,
@@ -54,14 +58,17 @@
   readonly sentAtMs: number;
 }
 
-/** Run time that checkpoints saved, by job and task index. */
+/**
+ * Run time that checkpoints saved, by job and task index. All workers of the
+ * process share it.
+ */
 const savedRunMsByTask = new Map<string, number>();
 
 function logicalTaskId(taskId: string): string {
   return taskId.slice(0, taskId.lastIndexOf('.'));
 }
 
-/** A worker that runs tasks as timers. */
+/** A simulated worker whose tasks are timers. */
 export class WorkerService extends Service {
   private readonly tasks = new Map<string, WorkerTask>();
   private readonly highestTerms = new Map<string, number>();
--- a/packages/standins/src/worker-task.ts
+++ b/packages/standins/src/worker-task.ts
@@ -1,8 +1,8 @@
-/** One task on a stand-in worker: its run time, lease and end. */
+/** One task on a simulated worker: its run time, lease and end. */
 import type {Resources} from '@dragonflyward/common';
 import type {TaskEnd, TaskReport, TaskStart} from '@dragonflyward/target';
 
-/** What a stand-in worker does for a task. */
+/** The task payload that a simulated worker understands. */
 export interface TaskPayload {
   readonly runMs: number;
   readonly fail?: boolean;
@@ -10,13 +10,13 @@
   readonly result?: string;
 }
 
-/** What a task held from a time on. */
+/** The resources that a task held from a point in time. */
 export interface Holding {
   readonly sinceMs: number;
   readonly size: Resources;
 }
 
-/** The time that a task ran, as the judge reads it. */
+/** The record of one run of a task, which tests check. */
 export interface TaskRun {
   readonly workerId: string;
   readonly taskId: string;
@@ -28,7 +28,7 @@
   readonly end: TaskEnd | null;
 }
 
-/** A task that runs or lately ran. */
+/** A running or recently ended task. */
 export class WorkerTask {
   readonly payload: TaskPayload;
   readonly startMs = Date.now();
@@ -59,7 +59,7 @@
     return this.end === null;
   }
 
-  /** The cap that holds now. */
+  /** The current resource cap. */
   get size(): Resources {
     return this.holdings.at(-1)?.size ?? this.start.size;
   }
@@ -104,7 +104,7 @@
     };
   }
 
-  /** Names the task and its sizes in one line. */
+  /** Describes the task and its sizes over time in one line. */
   describe(): string {
     const sizes = this.holdings.map(({sinceMs, size}) => {
       return `${size.cpuMilli} m ${size.memMb} MB since ${sinceMs}`;
--- a/packages/standins/test/record-checks.test.ts
+++ b/packages/standins/test/record-checks.test.ts
@@ -1,4 +1,4 @@
-/** The judge finds the breaches that it is meant to find. */
+/** The checks of target records find each kind of breach. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -9,8 +9,8 @@
   type TaskRun,
 } from '../src/index.js';
 
-const CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000};
-const recordChecks = suite('judge');
+const ONE_CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000};
+const recordChecks = suite('record checks');
 
 function newRun(
   taskId: string,
@@ -18,7 +18,7 @@
   endMs: number | null,
 ): TaskRun {
   const jobId = taskId.split('.')[0] ?? '';
-  const holdings = [{sinceMs: startMs, size: CORE}];
+  const holdings = [{sinceMs: startMs, size: ONE_CORE}];
   return {
     workerId: 'worker-1',
     taskId,
@@ -45,7 +45,7 @@
   assert.equal(findOverlappingRuns(runs), ['j.0']);
 });
 
-recordChecks('takes a task that never ended for running', () => {
+recordChecks('counts a task without an end as running', () => {
   assert.equal(
     findOverlappingRuns([newRun('j.0.0', 0, null), newRun('j.0.1', 5, 6)]),
     ['j.0'],
@@ -60,13 +60,13 @@
 
 recordChecks('finds a team over its limit, also after a resize', () => {
   const both = [newRun('j.0.0', 0, 10), newRun('j.1.0', 5, 20)];
-  assert.is(countBreaches(both, CORE), 1);
+  assert.is(countBreaches(both, ONE_CORE), 1);
   const apart = [newRun('j.0.0', 0, 10), newRun('j.1.0', 10, 20)];
-  assert.is(countBreaches(apart, CORE), 0);
+  assert.is(countBreaches(apart, ONE_CORE), 0);
   const grown = {...newRun('j.0.0', 0, 10)};
-  const size = {...CORE, cpuMilli: 1_500};
+  const size = {...ONE_CORE, cpuMilli: 1_500};
   const holdings = [...grown.holdings, {sinceMs: 5, size}];
-  assert.is(countBreaches([{...grown, holdings}], CORE), 1);
+  assert.is(countBreaches([{...grown, holdings}], ONE_CORE), 1);
 });
 
 recordChecks.run();
--- a/packages/standins/test/standins.process.test.ts
+++ b/packages/standins/test/standins.process.test.ts
@@ -1,4 +1,4 @@
-/** The stand-ins' fault switches, seen through the product's own clients. */
+/** The stand-ins' injected faults, seen through the real clients. */
 import {
   newId,
   NO_RESOURCES,
@@ -113,7 +113,7 @@
   assert.is((await vms.list()).length, 1);
 });
 
-standins('a worker refuses an old term, but for the switch', async () => {
+standins('a worker refuses an old term unless fencing is off', async () => {
   const worker = workerClient(0);
   await worker.inventory('north-1', 5);
   const stale = worker.start(newTaskStart('fence.0.0', 4, 10));
@@ -127,7 +127,7 @@
 });
 
 standins(
-  'a task ends with its lease, and the judge sees both runs',
+  'a task ends with its lease, and overlapping runs are found',
   async () => {
     await workerClient(0).start(newTaskStart('twice.0.0', 9, 60_000));
     await workerClient(1).start(newTaskStart('twice.0.1', 9, 60_000));
@@ -155,7 +155,7 @@
   assert.not.ok(tasks.some(run => run.jobId === 'quiet'));
 });
 
-standins('a connection refused is surely not run', async () => {
+standins('a task whose connection is refused surely did not run', async () => {
   const nobody = new HttpWorkerClient('127.0.0.1', 1, 'north-1');
   const call = nobody.start(newTaskStart('gone.0.0', 1, 10));
   assert.is(await errorKindOf(call), 'targetRefused');
--- a/tools/check.mjs
+++ b/tools/check.mjs
@@ -1,4 +1,4 @@
-// Runs formatter, linter, type check and tests; prints what failed last.
+// Runs formatter, type check, linter and tests, then lists the failed steps.
 import {spawnSync} from 'node:child_process';
 
 const STEPS = [
--- a/tools/prove.mjs
+++ b/tools/prove.mjs
@@ -1,4 +1,4 @@
-// Runs only the promise tests and sums them up, promise by promise.
+// Runs only the promise tests and prints their counts by promise.
 // With --json, the last line is {"promises":[{name,passed,failed,skipped}]}.
 import {existsSync, readFileSync} from 'node:fs';
 import {PROMISE_IDS, PROVE_VARIABLE} from '@dragonflyward/common/promise-test';
@@ -14,7 +14,7 @@
   return readFileSync(source, 'utf8').includes('/promise-test');
 }
 
-/** Reads which promise tests one run declared and how they ended. */
+/** Parses the lines on declared promise tests and their ends. */
 function readReports(output) {
   return [...output.matchAll(REPORT_LINE)].map(match => {
     const [, promise, state, name] = match;
@@ -26,7 +26,7 @@
   return {declared: 0, passed: 0, failed: 0, skipped: 0};
 }
 
-/** Counts the reports of one file by promise. */
+/** Counts the reports of one test file by promise. */
 function countReports(reports) {
   const counts = new Map();
   for (const {promise, state} of reports) {
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -1,4 +1,4 @@
-// Runs the compiled test files, several at a time, and sums up their results.
+// Runs the compiled test files, several at a time, and prints the totals.
 // Files named *.process.test.js start processes and run one after another.
 import {spawn} from 'node:child_process';
 import {existsSync, readFileSync, readdirSync} from 'node:fs';
@@ -7,7 +7,7 @@
 const PARALLEL_FILES = 4;
 const FILE_TIMEOUT_MS = 300_000;
 
-/** Lists the test files below the packages whose path has the filter. */
+/** Lists the compiled test files whose path contains the filter. */
 export function listTests(filter) {
   const files = [];
   const packages = readdirSync('packages').sort();
@@ -26,7 +26,7 @@
   return files.filter(file => file.includes(filter));
 }
 
-/** Runs one test file and returns its counts and output. */
+/** Runs one test file; returns its counts, failed tests and output. */
 export function runFile(file) {
   return new Promise(resolve => {
     const child = spawn(process.execPath, ['--enable-source-maps', file], {
@@ -47,10 +47,10 @@
   const passed = sumOf(output, /Passed:\s+(\d+)/g);
   const total = sumOf(output, /Total:\s+(\d+)/g);
   const skipped = sumOf(output, /Skipped:\s+(\d+)/g);
-  const isBroken = code !== 0 && passed === total;
-  const failed = total - passed + (isBroken ? 1 : 0);
+  const isFileBroken = code !== 0 && passed === total;
+  const failed = total - passed + (isFileBroken ? 1 : 0);
   const names = [...output.matchAll(/FAIL {2}(.*)/g)].map(m => m[1].trim());
-  // A hook that throws ends its suite without a name, and with exit code 0.
+  // If a hook throws, uvu names no test and still exits with code 0.
   if (failed > names.length) names.push('(file)');
   return {file, passed, failed, skipped, names, output};
 }
@@ -59,8 +59,8 @@
   return [...text.matchAll(pattern)].reduce((sum, m) => sum + Number(m[1]), 0);
 }
 
-/** Reads the tests that are known to fail: "test: FILE | NAME" lines. */
-function readKnownRed() {
+/** Reads the known failures: "test: FILE | NAME" lines of KNOWN-RED.txt. */
+function readKnownFailures() {
   if (!existsSync('KNOWN-RED.txt')) return [];
   return readFileSync('KNOWN-RED.txt', 'utf8')
     .split('\n')
@@ -89,21 +89,21 @@
   const plain = files.filter(file => !isProcessTest(file));
   await runAll(plain, PARALLEL_FILES, results);
   await runAll(files.filter(isProcessTest), 1, results);
-  const known = readKnownRed();
-  const red = results.flatMap(res =>
+  const knownFailures = readKnownFailures();
+  const failedTests = results.flatMap(res =>
     res.names.map(name => `${res.file} | ${name}`),
   );
-  const unexpected = red.filter(id => !known.includes(id));
-  for (const id of red) {
-    console.log(`${known.includes(id) ? 'known red' : 'red'}: ${id}`);
+  const unexpected = failedTests.filter(id => !knownFailures.includes(id));
+  for (const id of failedTests) {
+    console.log(`${knownFailures.includes(id) ? 'known red' : 'red'}: ${id}`);
   }
   const passed = results.reduce((sum, res) => sum + res.passed, 0);
   const skipped = results.reduce((sum, res) => sum + res.skipped, 0);
   console.log(
     `${passed} passed, ${unexpected.length} failed, ${skipped} skipped`,
   );
-  const isEmpty = passed === 0;
-  process.exit(unexpected.length > 0 || isEmpty ? 1 : 0);
+  const hasNoPasses = passed === 0;
+  process.exit(unexpected.length > 0 || hasNoPasses ? 1 : 0);
 }
 
 if (process.argv[1].endsWith('run-tests.mjs')) await main();
--- a/tools/setup.mjs
+++ b/tools/setup.mjs
@@ -2,13 +2,13 @@
 import {spawnSync} from 'node:child_process';
 import {existsSync, statSync} from 'node:fs';
 
-const INSTALLED_MARK = 'node_modules/.package-lock.json';
+const INSTALL_MARKER = 'node_modules/.package-lock.json';
 
 /** Tells whether node_modules is older than the lock file. */
 function isInstallNeeded() {
-  if (!existsSync(INSTALLED_MARK)) return true;
+  if (!existsSync(INSTALL_MARKER)) return true;
   return (
-    statSync(INSTALLED_MARK).mtimeMs < statSync('package-lock.json').mtimeMs
+    statSync(INSTALL_MARKER).mtimeMs < statSync('package-lock.json').mtimeMs
   );
 }
 
