--- a/packages/bench/src/control-cell.ts
+++ b/packages/bench/src/control-cell.ts
@@ -24,7 +24,7 @@
 const TASK_SIZE = {...NO_RESOURCES, cpuMilli: 500, memMb: 512};
 
 /** The role of a measured process. */
-export type MeteredRole = 'owner' | 'follower' | 'gateway';
+export type MeasuredRole = 'owner' | 'follower' | 'gateway';
 
 const CONFIGURATION: Configuration = {
   defaults: {
@@ -104,13 +104,13 @@
   }
 
   /** Reads the usage so far of one process of each role. */
-  async usageByRole(): Promise<ReadonlyMap<MeteredRole, ProcessUsage>> {
+  async usageByRole(): Promise<ReadonlyMap<MeasuredRole, ProcessUsage>> {
     const {owner} = await readShard(this.rig.log, DOMAIN);
     const other = this.rig.entries.find(({id}) => id !== owner?.vm);
     if (owner === null || other === undefined) {
       return raise('notOwner', DOMAIN);
     }
-    return new Map<MeteredRole, ProcessUsage>([
+    return new Map<MeasuredRole, ProcessUsage>([
       ['owner', this.usageOf(`scheduler@${owner.vm}`)],
       ['follower', this.usageOf(`scheduler@${other.id}`)],
       ['gateway', this.usageOf(`gateway@${other.id}`)],
--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -1,7 +1,7 @@
 /** Measures the CPU time, memory and I/O of the control processes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Figures} from './benches.js';
-import {ControlCell, type MeteredRole} from './control-cell.js';
+import {ControlCell, type MeasuredRole} from './control-cell.js';
 import type {ProcessUsage} from './process-meter.js';
 
 const FEW_WORKERS = 4;
@@ -12,10 +12,10 @@
 const BYTES_PER_KB = 1_000;
 const PERCENT = 100;
 
-interface Row {
+interface UsageRow {
   readonly workers: number;
   readonly tasks: number;
-  readonly role: MeteredRole;
+  readonly role: MeasuredRole;
   readonly cpuPercent: number;
   readonly rssMb: number;
   readonly readKbPerSecond: number;
@@ -31,7 +31,7 @@
 export async function benchControl(
   print: (line: string) => void,
 ): Promise<Figures> {
-  const rows: Row[] = [];
+  const rows: UsageRow[] = [];
   for (const workers of [FEW_WORKERS, MANY_WORKERS]) {
     for (const row of await measureSize(workers)) {
       rows.push(row);
@@ -41,7 +41,7 @@
   return {rows};
 }
 
-async function measureSize(workers: number): Promise<readonly Row[]> {
+async function measureSize(workers: number): Promise<readonly UsageRow[]> {
   const cell = new ControlCell(workers);
   try {
     await cell.start();
@@ -58,7 +58,7 @@
   cell: ControlCell,
   workers: number,
   tasks: number,
-): Promise<readonly Row[]> {
+): Promise<readonly UsageRow[]> {
   const before = await cell.usageByRole();
   await sleep(WINDOW_MS);
   const after = await cell.usageByRole();
@@ -71,7 +71,7 @@
 function ratesOf(
   before: ProcessUsage,
   after: ProcessUsage,
-): Omit<Row, 'workers' | 'tasks' | 'role'> {
+): Omit<UsageRow, 'workers' | 'tasks' | 'role'> {
   const seconds = WINDOW_MS / MS_PER_SECOND;
   const kbPerSecond = (bytes: number): number => bytes / BYTES_PER_KB / seconds;
   return {
@@ -82,7 +82,7 @@
   };
 }
 
-function formatRow(row: Row): string {
+function formatRow(row: UsageRow): string {
   const size = `${row.workers} workers, ${row.tasks} tasks, ${row.role}:`;
   const cpu = `${row.cpuPercent.toFixed(2)} % of a core`;
   const memory = `${row.rssMb.toFixed(0)} MB`;
--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -106,17 +106,17 @@
     engine: candidate.name,
     waitP50Ms,
     waitP99Ms,
-    packing: round(record.packing),
-    worstAttainment: round(Math.min(...attainments)),
-    mostAttainment: round(Math.max(...attainments)),
-    meanAttainment: round(sum / attainments.length),
+    packing: roundToPermille(record.packing),
+    worstAttainment: roundToPermille(Math.min(...attainments)),
+    mostAttainment: roundToPermille(Math.max(...attainments)),
+    meanAttainment: roundToPermille(sum / attainments.length),
     starts: record.starts,
     preemptions: record.preemptions,
     breaches: replay.audit.breaches.length,
   };
 }
 
-function round(value: number): number {
+function roundToPermille(value: number): number {
   return Math.round(value * PERMILLE) / PERMILLE;
 }
 
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -28,7 +28,7 @@
   readonly decisionAfterWaveMaxUs: number;
 }
 
-interface Load {
+interface LoadState {
   readonly engine: ShareEngine;
   readonly size: ShardSize;
   readonly random: SeededRandom;
@@ -43,7 +43,7 @@
  * Fills a shard, then ends and submits tasks for many rounds.
  *
  * @example
- * const figures = measureLoad(TARGET, console.log);
+ * const figures = measureLoad(TARGET_SIZE, console.log);
  */
 export function measureLoad(
   size: ShardSize,
@@ -79,7 +79,7 @@
   return figures;
 }
 
-function newLoad(size: ShardSize): Load {
+function newLoad(size: ShardSize): LoadState {
   const engine = new ShareEngine();
   initEngine(engine, size);
   const times = hdr.build({highestTrackableValue: 60_000_000});
@@ -92,7 +92,7 @@
 }
 
 /** Submits jobs until the size's numbers of tasks are running and waiting. */
-function fillShard(load: Load): void {
+function fillShard(load: LoadState): void {
   const wanted = load.size.running + load.size.waiting;
   while (load.running.length + load.engine.waitingCount() < wanted) {
     for (let i = 0; i < load.size.teams; i += 1) submit(load);
@@ -100,14 +100,14 @@
   }
 }
 
-function submit(load: Load): void {
+function submit(load: LoadState): void {
   const {engine, size, random, nextJob, nowMs} = load;
   engine.submit(newJob(size, random, nextJob, nowMs));
   load.nextJob += 1;
 }
 
 /** Ends some tasks, refills the queue and decides. */
-function runRound(load: Load): void {
+function runRound(load: LoadState): void {
   load.nowMs += ROUND_PERIOD_MS;
   const ends = Math.ceil(load.size.running / 100);
   for (let i = 0; i < ends; i += 1) endRandomTask(load);
@@ -115,7 +115,7 @@
   runDecisions(load);
 }
 
-function endRandomTask(load: Load): void {
+function endRandomTask(load: LoadState): void {
   const {running, random, engine, nowMs} = load;
   const index = random.nextBelow(running.length);
   const task = running[index];
@@ -126,7 +126,7 @@
 }
 
 /** Times each step of the decision generator, including the last one. */
-function runDecisions(load: Load): number {
+function runDecisions(load: LoadState): number {
   let longestUs = 0;
   const decisions = load.engine.decide(load.nowMs);
   for (;;) {
@@ -145,14 +145,14 @@
 }
 
 /** Ends a preempted task at once; it isn't requeued. */
-function endPreempted(load: Load, taskId: string): void {
+function endPreempted(load: LoadState, taskId: string): void {
   const index = load.running.findIndex(task => task.taskId === taskId);
   if (index >= 0) load.running.splice(index, 1);
   load.engine.ended(taskId, 'notRunning', load.nowMs);
 }
 
 /** Cancels many waiting jobs; times each and the decisions afterwards. */
-function measureCancelWave(load: Load): {
+function measureCancelWave(load: LoadState): {
   readonly cancelWaveMaxUs: number;
   readonly decisionAfterWaveMaxUs: number;
 } {
--- a/packages/bench/src/relay-load.ts
+++ b/packages/bench/src/relay-load.ts
@@ -38,7 +38,7 @@
   result(durationMs: number): LoadResult {
     const {answered, failed} = this;
     return {
-      perSecond: round((answered * MS_PER_SECOND) / durationMs),
+      perSecond: roundToHundredths((answered * MS_PER_SECOND) / durationMs),
       failed,
       p50Ms: this.quantileMs(50),
       p99Ms: this.quantileMs(99),
@@ -46,7 +46,9 @@
   }
 
   private quantileMs(percent: number): number {
-    return round(this.metrics.quantile(LATENCY_METRIC, percent) / US_PER_MS);
+    return roundToHundredths(
+      this.metrics.quantile(LATENCY_METRIC, percent) / US_PER_MS,
+    );
   }
 }
 
@@ -114,6 +116,6 @@
 }
 
 /** Rounds a figure to two decimals. */
-export function round(value: number): number {
+export function roundToHundredths(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -6,7 +6,7 @@
 import {
   runClosedLoop,
   runOpenLoops,
-  round,
+  roundToHundredths,
   type LoadResult,
   type NextCall,
 } from './relay-load.js';
@@ -117,8 +117,8 @@
   const loads = [direct, relayed];
   const halfLoads = await runOpenLoops(cell, loads, halfPeak, HALF_LOAD_MS);
   const [directHalf = directPeak, relayedHalf = peak] = halfLoads;
-  const addedP50Ms = round(relayedHalf.p50Ms - directHalf.p50Ms);
-  const addedP99Ms = round(relayedHalf.p99Ms - directHalf.p99Ms);
+  const addedP50Ms = roundToHundredths(relayedHalf.p50Ms - directHalf.p50Ms);
+  const addedP99Ms = roundToHundredths(relayedHalf.p99Ms - directHalf.p99Ms);
   print(`${gateways} gateway(s): peak ${peak.perSecond} requests/s`);
   print(`  orders with their own ids: ${ordersPeak.perSecond} requests/s`);
   print(`  direct to executors: ${directPeak.perSecond} requests/s`);
@@ -147,14 +147,18 @@
     offered,
     OVERLOAD_MS,
   );
-  const keptPercent = round((100 * overload.perSecond) / peak.perSecond);
+  const keptPercent = roundToHundredths(
+    (100 * overload.perSecond) / peak.perSecond,
+  );
   const ceiling = (slots * MS_PER_SECOND) / WORK_MS;
   print(`overload: peak ${peak.perSecond}/s (slots allow ${ceiling}/s)`);
-  print(`  ${round(offered)}/s offered: ${overload.perSecond}/s in time`);
+  print(
+    `  ${roundToHundredths(offered)}/s offered: ${overload.perSecond}/s in time`,
+  );
   print(`  goodput kept: ${keptPercent} %, ${overload.failed} refused`);
   return {
     peakPerSecond: peak.perSecond,
-    offeredPerSecond: round(offered),
+    offeredPerSecond: roundToHundredths(offered),
     goodputPerSecond: overload.perSecond,
     keptPercent,
     refused: overload.failed,
@@ -192,5 +196,5 @@
   const before = await cell.counter('cross_region_bytes_total');
   for (let i = 0; i < CROSS_REGION_REQUESTS; i += 1) await cell.send(next(i));
   const after = await cell.counter('cross_region_bytes_total');
-  return round((after - before) / CROSS_REGION_REQUESTS);
+  return roundToHundredths((after - before) / CROSS_REGION_REQUESTS);
 }
--- a/packages/demo/src/job-load.ts
+++ b/packages/demo/src/job-load.ts
@@ -38,7 +38,7 @@
       const {jobId} = res;
       this.tracked.set(jobId, {
         jobId,
-        submission: submission,
+        submission,
         status: undefined,
       });
       return jobId;
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -105,7 +105,7 @@
   readonly caller = new CallerClient(() => this.balancer.pick());
   readonly jobs = new JobLoad(this.caller);
   private readonly nonIdempotentLoads: RequestLoad[] = [];
-  private readonly runningLoads: RequestLoad[] = [];
+  private readonly running: RequestLoad[] = [];
   private readonly nonIdempotentJobs = new Set<string>();
   private teamKey: TeamKey | undefined;
 
@@ -126,8 +126,8 @@
 
   /** Ends all faults and loads, so that a failed test doesn't fail the next. */
   async clearFaults(): Promise<void> {
-    await Promise.all(this.runningLoads.map(load => load.stop()));
-    this.runningLoads.length = 0;
+    await Promise.all(this.running.map(load => load.stop()));
+    this.running.length = 0;
     await this.rig.clearFaults();
     await this.rig.untilReady();
   }
@@ -178,7 +178,7 @@
       this.newRequest(change),
       perSecond,
     );
-    this.runningLoads.push(load);
+    this.running.push(load);
     if (change.isIdempotent === false) this.nonIdempotentLoads.push(load);
     void load.run();
     return load;
--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -125,10 +125,10 @@
 
   /** The first request of a pair waits for the second; their answers swap. */
   private swapAnswers(answer: ExecutorAnswer): Promise<ExecutorAnswer> {
-    const {resolveHeld: held, heldAnswer} = this;
-    if (held !== undefined && heldAnswer !== undefined) {
+    const {resolveHeld, heldAnswer} = this;
+    if (resolveHeld !== undefined && heldAnswer !== undefined) {
       this.resolveHeld = undefined;
-      held(answer);
+      resolveHeld(answer);
       return Promise.resolve(heldAnswer);
     }
     this.heldAnswer = answer;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,11 +9,8 @@
 export * from './rig.js';
 export * from './targets.js';
 export * from './wait.js';
-export type {
-  ExecutorFaults as ExecutorSwitches,
-  RequestRun,
-} from './executor-service.js';
-export type {LogFaults as LogSwitches} from './log-service.js';
-export type {VmListChange as VmsSwitches} from './vms-service.js';
-export type {WorkerFaults as WorkerSwitches} from './worker-service.js';
+export type {ExecutorFaults, RequestRun} from './executor-service.js';
+export type {LogFaults} from './log-service.js';
+export type {VmListChange} from './vms-service.js';
+export type {WorkerFaults} from './worker-service.js';
 export type {TaskPayload, TaskRun} from './worker-task.js';
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -46,7 +46,7 @@
   readonly log: HttpLogClient;
   readonly operator: RigOperator;
   private readonly subnet = new Subnet(process.pid);
-  private readonly settingsDir = mkdtempSync(join(tmpdir(), 'dragonflyward-'));
+  private readonly dir = mkdtempSync(join(tmpdir(), 'dragonflyward-'));
   private readonly entriesById = new Map<string, VmEntry>();
   private nextEntry = 1;
 
@@ -138,7 +138,7 @@
 
   /** Starts a program on an entry VM, or restarts it after it ended. */
   startRole(role: Role, id: string): void {
-    const file = join(this.settingsDir, `${id}.json`);
+    const file = join(this.dir, `${id}.json`);
     writeFileSync(file, JSON.stringify(this.settingsOf(id)));
     const script = programPath(role === 'gateway' ? 'caller' : 'scheduler');
     this.processes.start(processName(role, id), script, ['--settings', file]);
@@ -204,7 +204,7 @@
   /** Kills all processes of this rig and deletes its files. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
-    rmSync(this.settingsDir, {recursive: true, force: true});
+    rmSync(this.dir, {recursive: true, force: true});
   }
 
   private recoverRole(role: Role, id: string): void {
--- a/packages/standins/src/waiters.ts
+++ b/packages/standins/src/waiters.ts
@@ -2,13 +2,13 @@
 
 /** Long polls that wait for the same change. */
 export class Waiters {
-  private callbacks: (() => void)[] = [];
+  private waiting: (() => void)[] = [];
 
   /** Waits for the next change or the timeout. */
   wait(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
       const timer = setTimeout(resolve, timeoutMs);
-      this.callbacks.push(() => {
+      this.waiting.push(() => {
         clearTimeout(timer);
         resolve();
       });
@@ -17,8 +17,8 @@
 
   /** Resolves all pending waits. */
   wake(): void {
-    const callbacks = this.callbacks;
-    this.callbacks = [];
+    const callbacks = this.waiting;
+    this.waiting = [];
     for (const callback of callbacks) callback();
   }
 }
--- a/packages/standins/test/record-checks.test.ts
+++ b/packages/standins/test/record-checks.test.ts
@@ -12,11 +12,7 @@
 const ONE_CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000};
 const recordChecks = suite('record checks');
 
-function newRun(
-  taskId: string,
-  startMs: number,
-  endMs: number | null,
-): TaskRun {
+function run(taskId: string, startMs: number, endMs: number | null): TaskRun {
   const jobId = taskId.split('.')[0] ?? '';
   const holdings = [{sinceMs: startMs, size: ONE_CORE}];
   return {
@@ -37,33 +33,29 @@
 }
 
 recordChecks('finds a task that runs in two places', () => {
-  const runs = [
-    newRun('j.0.0', 0, 10),
-    newRun('j.0.1', 9, 20),
-    newRun('j.1.0', 0, 9),
-  ];
+  const runs = [run('j.0.0', 0, 10), run('j.0.1', 9, 20), run('j.1.0', 0, 9)];
   assert.equal(findOverlappingRuns(runs), ['j.0']);
 });
 
 recordChecks('counts a task without an end as running', () => {
   assert.equal(
-    findOverlappingRuns([newRun('j.0.0', 0, null), newRun('j.0.1', 5, 6)]),
+    findOverlappingRuns([run('j.0.0', 0, null), run('j.0.1', 5, 6)]),
     ['j.0'],
   );
 });
 
 recordChecks('lets a task run again after its end', () => {
-  const runs = [newRun('j.0.0', 0, 10), newRun('j.0.1', 10, 20)];
+  const runs = [run('j.0.0', 0, 10), run('j.0.1', 10, 20)];
   assert.equal(findOverlappingRuns(runs), []);
   assert.equal(findRepeatedTasks(runs, new Set(['j'])), ['j.0']);
 });
 
 recordChecks('finds a team over its limit, also after a resize', () => {
-  const both = [newRun('j.0.0', 0, 10), newRun('j.1.0', 5, 20)];
+  const both = [run('j.0.0', 0, 10), run('j.1.0', 5, 20)];
   assert.is(countBreaches(both, ONE_CORE), 1);
-  const apart = [newRun('j.0.0', 0, 10), newRun('j.1.0', 10, 20)];
+  const apart = [run('j.0.0', 0, 10), run('j.1.0', 10, 20)];
   assert.is(countBreaches(apart, ONE_CORE), 0);
-  const grown = {...newRun('j.0.0', 0, 10)};
+  const grown = {...run('j.0.0', 0, 10)};
   const size = {...ONE_CORE, cpuMilli: 1_500};
   const holdings = [...grown.holdings, {sinceMs: 5, size}];
   assert.is(countBreaches([{...grown, holdings}], ONE_CORE), 1);
