--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -178,12 +178,18 @@
     const body = JSON.stringify({echo: padding});
     const call = {body, isIdempotent: true, deadlineMs: 5_000};
     const [north, south] = cell.gatewayUrls();
-    const own = await crossRegionBytes(cell, roundRobin([north ?? ''], call));
-    const other = await crossRegionBytes(cell, roundRobin([south ?? ''], call));
+    const inside = await crossRegionBytes(
+      cell,
+      roundRobin([north ?? ''], call),
+    );
+    const outside = await crossRegionBytes(
+      cell,
+      roundRobin([south ?? ''], call),
+    );
     print(
-      `cross-region bytes per request: ${own} in region, ${other} out of region`,
+      `cross-region bytes per request: ${inside} in region, ${outside} outside`,
     );
-    return {inRegionBytes: own, outOfRegionBytes: other};
+    return {inRegionBytes: inside, outOfRegionBytes: outside};
   } finally {
     await cell.stop();
   }
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -18,7 +18,7 @@
 const LOAD_DURATION_MS = 12_000;
 const KILL_AFTER_MS = 4_000;
 const JOBS_TIMEOUT_MS = 8_000;
-const FIRST_BASE_REVISION = -1;
+const BASE_OF_FIRST_REVISION = -1;
 
 /** Reports the progress of a run. */
 export type ShowProgress = (text: string) => void;
@@ -34,7 +34,7 @@
   try {
     show('starting the stand-ins');
     await rig.startPlatform();
-    await rig.operator.publish(demoConfiguration(), FIRST_BASE_REVISION);
+    await rig.operator.publish(demoConfiguration(), BASE_OF_FIRST_REVISION);
     const keys = await grantKeys(rig);
     show('starting three entry VMs');
     await rig.startEntries();
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -38,7 +38,7 @@
   slots: 64,
 };
 const WORKER: Resources = {...NO_RESOURCES, cpuMilli: 8_000, memMb: 16_384};
-const FIRST_BASE_REVISION = -1;
+const BASE_OF_FIRST_REVISION = -1;
 
 /** Short leases, so that tests needn't wait long for them to expire. */
 const TIMING: Partial<TimingSettings> = {
@@ -112,7 +112,7 @@
   /** Starts all processes and waits until the cell serves requests. */
   async start(): Promise<void> {
     await this.rig.startPlatform();
-    await this.rig.operator.publish(CONFIGURATION, FIRST_BASE_REVISION);
+    await this.rig.operator.publish(CONFIGURATION, BASE_OF_FIRST_REVISION);
     this.teamKey = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
     await this.rig.untilReady();
--- a/packages/standins/src/record-checks.ts
+++ b/packages/standins/src/record-checks.ts
@@ -39,10 +39,10 @@
   runs: readonly TaskRun[],
 ): readonly string[] {
   const runsByTask = groupBy(runs, run => logicalTaskId(run.taskId));
-  const isOverlapping = ([, same]: readonly [
+  const isOverlapping = ([, group]: readonly [
     string,
     readonly TaskRun[],
-  ]): boolean => hasOverlap(same);
+  ]): boolean => hasOverlap(group);
   return [...runsByTask].filter(isOverlapping).map(([taskId]) => taskId);
 }
 
@@ -54,7 +54,7 @@
   const jobRuns = runs.filter(run => jobIds.has(run.jobId));
   const runsByTask = groupBy(jobRuns, run => logicalTaskId(run.taskId));
   return [...runsByTask]
-    .filter(([, same]) => same.length > 1)
+    .filter(([, group]) => group.length > 1)
     .map(([id]) => id);
 }
 
@@ -64,7 +64,7 @@
 ): readonly string[] {
   const runsByLabel = groupBy(runs, run => run.label);
   return [...runsByLabel]
-    .filter(([, same]) => same.length > 1)
+    .filter(([, group]) => group.length > 1)
     .map(([label]) => label);
 }
 
--- a/packages/standins/src/worker-service.ts
+++ b/packages/standins/src/worker-service.ts
@@ -98,9 +98,9 @@
   }
 
   private hasStaleTerm({shard, term}: ShardTerm): boolean {
-    const known = this.highestTerms.get(shard) ?? 0;
-    this.highestTerms.set(shard, Math.max(known, term));
-    return this.faults.fencing && term < known;
+    const highestTerm = this.highestTerms.get(shard) ?? 0;
+    this.highestTerms.set(shard, Math.max(highestTerm, term));
+    return this.faults.fencing && term < highestTerm;
   }
 
   private startTask(start: TimedStart): Reply {
--- a/packages/standins/test/standins.process.test.ts
+++ b/packages/standins/test/standins.process.test.ts
@@ -156,8 +156,8 @@
 });
 
 standins('a task whose connection is refused surely did not run', async () => {
-  const nobody = new HttpWorkerClient('127.0.0.1', 1, 'north-1');
-  const call = nobody.start(newTaskStart('gone.0.0', 1, 10));
+  const unreachable = new HttpWorkerClient('127.0.0.1', 1, 'north-1');
+  const call = unreachable.start(newTaskStart('gone.0.0', 1, 10));
   assert.is(await errorKindOf(call), 'targetRefused');
 });
 
