--- a/packages/standins/src/balancer.ts
+++ b/packages/standins/src/balancer.ts
@@ -7,7 +7,7 @@
 
 /** Picks among the gateways that were ready at the last probe, round robin. */
 export class Balancer {
-  private readyUrls: readonly string[] = [];
+  private ready: readonly string[] = [];
   private turn = 0;
   private isStopped = false;
 
@@ -22,7 +22,7 @@
    */
   pick(): string {
     this.turn += 1;
-    const url = this.readyUrls[this.turn % Math.max(1, this.readyUrls.length)];
+    const url = this.ready[this.turn % Math.max(1, this.ready.length)];
     return url ?? raise('peerDown', 'no gateway is ready');
   }
 
@@ -40,7 +40,7 @@
       const urls = results.map(res =>
         res.status === 'fulfilled' ? res.value : undefined,
       );
-      this.readyUrls = urls.filter(url => url !== undefined);
+      this.ready = urls.filter(url => url !== undefined);
       await sleep(PROBE_PERIOD_MS);
     }
   }
