--- a/packages/standins/src/executor-service.ts
+++ b/packages/standins/src/executor-service.ts
@@ -96,13 +96,13 @@
     if (this.busySlots > this.slots) this.slotBreaches += 1;
     res.once('close', () => (this.busySlots -= 1));
     const work = parseWork(bytes);
-    const serveRequest = newRun(req, work);
-    this.runs.push(serveRequest);
-    res.once('close', () => (serveRequest.endMs = Date.now()));
-    await this.run(serveRequest, res, work, bytes);
+    const run = newRun(req, work);
+    this.runs.push(run);
+    res.once('close', () => (run.endMs = Date.now()));
+    await this.serveRequest(run, res, work, bytes);
   }
 
-  private async run(
+  private async serveRequest(
     {requestId}: RequestRun,
     res: http.ServerResponse,
     work: RequestWork,
