--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -91,7 +91,7 @@
   };
 }
 
-/** Submits jobs until the size's numbers of tasks are running and waiting. */
+/** Submits jobs until as many tasks run or wait as the size states. */
 function fillShard(load: LoadState): void {
   const wanted = load.size.running + load.size.waiting;
   while (load.running.length + load.engine.waitingCount() < wanted) {
--- a/packages/demo/src/demo-jobs.ts
+++ b/packages/demo/src/demo-jobs.ts
@@ -25,20 +25,23 @@
   runId: string,
   keys: ReadonlyMap<string, TeamKey>,
 ): Generator<JobSubmission> {
-  const submission = (team: string, job: JobCall): JobSubmission => {
+  const newSubmission = (team: string, job: JobCall): JobSubmission => {
     const key = keys.get(team);
     if (key === undefined) throw new Error(`no key for team ${team}`);
     return {key, job};
   };
-  yield submission('renders', {
+  yield newSubmission('renders', {
     ...batchJob(`${runId}-training`, 'training', 4, TRAINING),
     isGang: true,
     runMs: GANG_RUN_MS,
     payload: {runMs: GANG_RUN_MS},
   });
   for (let i = 0; i < BATCH_JOBS; i += 1) {
-    yield submission('kilns', batchJob(`${runId}-kiln-${i}`, 'kilns', 3, KILN));
-    yield submission(
+    yield newSubmission(
+      'kilns',
+      batchJob(`${runId}-kiln-${i}`, 'kilns', 3, KILN),
+    );
+    yield newSubmission(
       'renders',
       batchJob(`${runId}-render-${i}`, 'renders', 2, RENDER),
     );
