--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -1,4 +1,4 @@
-/** Reads jobs, progress and executors of the store into the owner's state. */
+/** Reads jobs, progress and executors from the store into the owner's state. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {decode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
@@ -11,7 +11,7 @@
 import type {ProgressWriter} from './progress-writer.js';
 import {
   applyProgress,
-  decodeJobsEntry,
+  decodeJobsRecord,
   EXECUTOR_PREFIX,
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
@@ -19,150 +19,154 @@
 import type {LogPage, PlacedRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
-/** Pause between reads of jobs that no VM has told of, in ms. */
-const JOBS_PAUSE_MS = 600;
-/** Pause between reads of what executors say of themselves, in ms. */
-const EXECUTORS_PAUSE_MS = 400;
+/** Interval of reads for jobs whose notice was lost, in ms. */
+const JOBS_READ_INTERVAL_MS = 600;
+/** Interval of reads of the executors' records, in ms. */
+const EXECUTORS_READ_INTERVAL_MS = 400;
 
-/** What the feed needs of its owner. */
-export interface FeedDeps {
+/** Dependencies of the feed. */
+export interface CellFeedDeps {
   readonly state: CellState;
   readonly store: Store;
   readonly platform: Platform;
   readonly writer: ProgressWriter;
-  readonly former: FormerRuns;
+  readonly formerRuns: FormerRuns;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: LogLine;
   readonly onJob: (job: JobState) => void;
   readonly onCancel: () => void;
-  /** An executor that no owner has used yet is listed. */
+  /** Called for a listed executor that no owner has used yet. */
   readonly onNewExecutor: (executor: ExecutorState) => void;
-  /** A former owner has used the executor. */
+  /** Called for an executor that a former owner has used. */
   readonly onFormerExecutor: (executor: ExecutorState) => void;
-  /** The executor listens at another address. */
-  readonly onMoved: (executor: ExecutorState) => void;
+  /** Called when an executor listens at another address. */
+  readonly onAddressChanged: (executor: ExecutorState) => void;
   readonly onDraining: (executor: ExecutorState) => void;
 }
 
-/** Loads the state of a new owner and follows what changes. */
+/** Loads the state of a new owner and follows its changes. */
 export class CellFeed {
   private readonly jobs: JobsFollower;
   private readonly executors: Follower;
   /** Progress that was read before the job itself. */
   private readonly earlyProgress = new Map<string, Uint8Array>();
 
-  constructor(private readonly deps: FeedDeps) {
+  constructor(private readonly deps: CellFeedDeps) {
     const {store, clock, platform} = deps;
-    this.jobs = new JobsFollower(store, clock, JOBS_PAUSE_MS, record =>
-      this.takeJobsRecord(record),
+    this.jobs = new JobsFollower(store, clock, JOBS_READ_INTERVAL_MS, record =>
+      this.applyJobsRecord(record),
     );
     this.executors = new Follower(
       store,
       clock,
       {
         topic: platform.executorsTopic,
-        pauseMs: EXECUTORS_PAUSE_MS,
+        pauseMs: EXECUTORS_READ_INTERVAL_MS,
         waitMs: 0,
       },
-      record => this.takeExecutorRecord(record),
-      ids => this.noteListed(ids),
+      record => this.applyExecutorRecord(record),
+      ids => this.markUnlistedExcept(ids),
     );
   }
 
   /**
-   * Loads what is stored.
+   * Loads the stored state.
    *
-   * @returns false where another owner has taken over meanwhile
+   * @returns false if another owner has taken over in the meantime
    * @throws StoreError
    */
   async load(): Promise<boolean> {
-    const {state, former} = this.deps;
+    const {state, formerRuns} = this.deps;
     const progressLoad = this.loadProgress();
-    // A load that failed must have ended before it is tried again.
-    const loads = [progressLoad, ...this.jobs.loads(), this.executors.load()];
+    // All loads must have ended before a failed one is retried.
+    const loads = [
+      progressLoad,
+      ...this.jobs.startLoads(),
+      this.executors.load(),
+    ];
     for (const load of await Promise.allSettled(loads)) {
       if (load.status === 'rejected') throw load.reason;
     }
     const progress = await progressLoad;
     if (progress === null) return false;
-    for (const record of progress.records) this.takeProgress(record);
-    for (const id of state.jobs.keys()) former.addJob(id);
+    for (const record of progress.records) this.applyProgressRecord(record);
+    for (const id of state.jobs.keys()) formerRuns.addJob(id);
     return true;
   }
 
-  /** Follows what changes. */
+  /** Starts to follow changes. */
   start(): void {
     this.jobs.run();
     void this.executors.run();
   }
 
-  /** Follows no longer. */
+  /** Stops following. */
   stop(): void {
     this.jobs.stop();
     this.executors.stop();
   }
 
-  /** Up to when the jobs are surely known, on the steady clock in ms. */
+  /** All jobs stored before this time are known; monotonic clock, in ms. */
   get jobsFreshMs(): number {
     return this.jobs.freshMs;
   }
 
-  /** Whether all jobs that were stored before the call are known now. */
+  /** Reads the jobs; resolves to whether all stored before are known. */
   readJobs(): Promise<boolean> {
-    return this.jobs.readNow();
+    return this.jobs.waitUntilRead();
   }
 
-  /** Takes in an accepted job; a repeat changes nothing. */
+  /** Adds an accepted job; does nothing if it is known. */
   addJob(job: NewJob): void {
     const {state, metrics, onJob} = this.deps;
     if (state.jobs.has(job.id)) return;
     const added = state.addJob(job);
     const progress = this.earlyProgress.get(job.id);
-    if (progress !== undefined) this.applyStored(added, progress);
+    if (progress !== undefined) this.applyStoredProgress(added, progress);
     this.earlyProgress.delete(job.id);
     metrics.count('jobs_added_total');
     onJob(added);
   }
 
-  /** Null where another owner has taken over meanwhile. */
+  /** Returns null if another owner has taken over in the meantime. */
   private async loadProgress(): Promise<LogPage | null> {
     if (!(await this.deps.writer.open())) return null;
     return this.deps.store.newest(PROGRESS_TOPIC);
   }
 
-  private takeProgress({key, value}: PlacedRecord): void {
+  private applyProgressRecord({key, value}: PlacedRecord): void {
     if (value.length === 0) return;
     if (key.startsWith(EXECUTOR_PREFIX)) {
-      return this.takeFormer(decode(value as Buffer) as ExecutorInfo);
+      return this.addFormerExecutor(decode(value as Buffer) as ExecutorInfo);
     }
     const id = key.slice(PROGRESS_PREFIX.length);
     const job = this.deps.state.jobs.get(id);
     if (job === undefined) this.earlyProgress.set(id, value);
-    else this.applyStored(job, value);
+    else this.applyStoredProgress(job, value);
   }
 
-  private applyStored(job: JobState, value: Uint8Array): void {
+  private applyStoredProgress(job: JobState, value: Uint8Array): void {
     if (isFinal(job.phase)) return;
     applyProgress(job, value);
     if (isFinal(job.phase)) this.deps.state.closeJob(job);
   }
 
   /**
-   * An executor that a former owner has used: it may run tasks, also where it
-   * has started again since that was recorded.
+   * Adds an executor that a former owner has used. It may run tasks even if it
+   * has restarted since that was recorded.
    */
-  private takeFormer(info: ExecutorInfo): void {
-    const {state, former, onFormerExecutor} = this.deps;
+  private addFormerExecutor(info: ExecutorInfo): void {
+    const {state, formerRuns, onFormerExecutor} = this.deps;
     const known = state.executors.get(info.id);
     const executor = known ?? state.setExecutor(info);
     if (known === undefined) executor.isListed = false;
-    former.addExecutor(executor);
+    formerRuns.addExecutor(executor);
     onFormerExecutor(executor);
   }
 
-  private takeJobsRecord({key, value}: PlacedRecord): void {
-    const entry = decodeJobsEntry(key, value);
+  private applyJobsRecord({key, value}: PlacedRecord): void {
+    const entry = decodeJobsRecord(key, value);
     if (entry === null) return;
     if (entry.kind === 'job') return this.addJob(entry.job);
     if (entry.kind === 'forgotten') return this.deps.state.forgetJob(entry.id);
@@ -170,44 +174,44 @@
     this.deps.onCancel();
   }
 
-  private takeExecutorRecord(record: PlacedRecord): void {
+  private applyExecutorRecord(record: PlacedRecord): void {
     const {state, platform} = this.deps;
     if (record.value.length === 0) {
       const executor = state.executors.get(record.key);
-      if (executor !== undefined) this.noteUnlisted(executor);
+      if (executor !== undefined) this.markUnlisted(executor);
       return;
     }
     const info = platform.decodeExecutor(record);
     if (info === null) return;
     const known = state.executors.get(info.id);
     const wasDraining = known?.info.isDraining ?? false;
-    const hasMoved = known !== undefined && known.info.port !== info.port;
+    const hasNewPort = known !== undefined && known.info.port !== info.port;
     const executor = state.setExecutor(info);
-    if (hasMoved) this.deps.onMoved(executor);
-    if (known === undefined) this.noteNew(executor);
-    if (info.isDraining && !wasDraining) this.noteDraining(executor);
+    if (hasNewPort) this.deps.onAddressChanged(executor);
+    if (known === undefined) this.reportNewExecutor(executor);
+    if (info.isDraining && !wasDraining) this.reportDraining(executor);
   }
 
-  private noteNew(executor: ExecutorState): void {
+  private reportNewExecutor(executor: ExecutorState): void {
     const {id, service} = executor.info;
     this.deps.log('executorListed', {executorId: id, service});
     this.deps.onNewExecutor(executor);
   }
 
-  private noteDraining(executor: ExecutorState): void {
+  private reportDraining(executor: ExecutorState): void {
     const {id, drainRemainingMs} = executor.info;
     const fields = {executorId: id, remainingMs: drainRemainingMs};
     this.deps.log('executorDraining', fields);
     this.deps.onDraining(executor);
   }
 
-  private noteListed(ids: ReadonlySet<string>): void {
+  private markUnlistedExcept(ids: ReadonlySet<string>): void {
     for (const executor of this.deps.state.executors.values()) {
-      if (!ids.has(executor.info.id)) this.noteUnlisted(executor);
+      if (!ids.has(executor.info.id)) this.markUnlisted(executor);
     }
   }
 
-  private noteUnlisted(executor: ExecutorState): void {
+  private markUnlisted(executor: ExecutorState): void {
     if (!executor.isListed) return;
     executor.isListed = false;
     this.deps.log('executorUnlisted', {
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,4 +1,4 @@
-/** Who owns the cell: watches the owner, claims the cell, hands it over. */
+/** Owner election: watches the owner, claims the cell and hands it over. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellConnection, Member, Members} from './members.js';
 import {
@@ -8,59 +8,59 @@
   readOwner,
   toAddress,
   type OwnerAddress,
-  type OwnerReading,
+  type OwnerSnapshot,
   type OwnerRecord,
 } from './ownership.js';
 import type {LogLine} from './platform.js';
 import {StoreError, type Store} from './store.js';
 
-/** Time between two looks at the owner, in ms. */
-const WATCH_MS = 100;
-/** An owner without a connection for that long is looked for, in ms. */
-const SUSPECT_MS = 250;
-/** Time in which a living owner writes a heartbeat, in ms. */
-const SILENT_OWNER_MS = OWNER_HEARTBEAT_MS * 1.6;
-/** The same where this VM and others were connected to it, and lost it. */
-const AGREED_MS = 100;
-/** A VM waits this many times its way to the store before it claims. */
-const CLAIM_DELAY_FACTOR = 4;
-/** The most that it waits, in ms. */
+/** Time between two checks of the owner, in ms. */
+const WATCH_INTERVAL_MS = 100;
+/** Time without a connection to the owner before a VM looks for one, in ms. */
+const SUSPECT_AFTER_MS = 250;
+/** Time within which a running owner writes its next heartbeat, in ms. */
+const HEARTBEAT_WAIT_MS = OWNER_HEARTBEAT_MS * 1.6;
+/** The same if this VM and its peers lost their connections to it, in ms. */
+const CONFIRMED_LOSS_WAIT_MS = 100;
+/** A VM waits this multiple of its store round trip before it claims. */
+const CLAIM_DELAY_RTT_FACTOR = 4;
+/** Upper bound of that delay, in ms. */
 const MAX_CLAIM_DELAY_MS = 250;
-/** A VM waits longer where it knows a larger one, in ms. */
-const SMALL_DELAY_MS = 200;
-/** An owner that no VM is connected to gives up after that time, in ms. */
-const ALONE_MS = 2000;
-/** A handover may have been written that long before it is heard of, in ms. */
-const HANDOVER_AGE_MS = 2000;
-/** A VM with this many times the cores is the better owner. */
-const LARGER_FACTOR = 1.5;
-/** An owner looks for a larger VM once it has owned for that long, in ms. */
-const SETTLED_MS = 2500;
-/** Without an owner for that long, a VM counts as detached, in ms. */
-const DETACHED_MS = 1000;
+/** Extra delay of a VM that knows a VM with more cores, in ms. */
+const SMALL_VM_DELAY_MS = 200;
+/** An owner to which no VM is connected releases the cell after this, in ms. */
+const ISOLATION_TIMEOUT_MS = 2000;
+/** Assumed delay between writing a handover and receiving its notice, in ms. */
+const MAX_HANDOVER_AGE_MS = 2000;
+/** The cell moves to a VM that has this multiple of the owner's cores. */
+const LARGER_VM_FACTOR = 1.5;
+/** Time as the owner before a larger VM is looked for, in ms. */
+const MIN_OWNED_MS = 2500;
+/** Time without an owner after which a VM counts as detached, in ms. */
+const DETACHED_AFTER_MS = 1000;
 
-/** What a VM does as it becomes the owner, or loses the owner. */
+/** Callbacks of the VM for changes of the owner. */
 export interface ElectionHost {
   /**
-   * Acts as the owner from now on.
+   * Starts to act as the owner.
    *
-   * @returns whether it does; false where the ownership was lost meanwhile
+   * @returns false if the ownership was lost in the meantime
    */
-  readonly ownCell: (
+  readonly becomeOwner: (
     ownership: Ownership,
     isFormerStopped: boolean,
   ) => Promise<boolean>;
-  /** Sends no more orders; nothing where it does not act. */
+  /** Stops sending orders; does nothing on a VM that is not the owner. */
   readonly stopActing: () => void;
-  /** Forgets all that it knows as the owner. */
-  readonly dropOwner: () => void;
-  /** The VM has had no owner for a while, or has one again. */
+  /** Discards the owner's state. */
+  readonly discardOwner: () => void;
+  /** Called when the VM has had no owner for a while, or has one again. */
   readonly setDetached: (isDetached: boolean) => void;
-  /** Tells the other VMs what this one knows of the owner. */
+  /** Sends the owner known here to the other VMs. */
   readonly announce: () => void;
 }
 
-/** What an election needs of its VM. */
+/** Dependencies of an election. */
 export interface ElectionDeps {
   readonly self: OwnerAddress;
   readonly domain: string;
@@ -72,59 +72,59 @@
   readonly log: LogLine;
 }
 
-/** One VM's part in the choice of the owner. */
+/** Takes part in the owner election for one VM. */
 export class Election {
   private record: OwnerRecord | null = null;
-  private held: Ownership | null = null;
-  private isLeaving = false;
+  private ownership: Ownership | null = null;
+  private isDrainStarted = false;
   private isClosed = false;
-  private lastLinkedMs: number;
+  private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
-  private linkedTerm = 0;
-  private lastAccompaniedMs: number;
-  private hasBeenAccompanied = false;
+  private connectedTerm = 0;
+  private lastPeerMs: number;
+  private hasHadPeers = false;
   private ownedSinceMs = Infinity;
 
   constructor(
     private readonly deps: ElectionDeps,
     private readonly host: ElectionHost,
   ) {
-    this.lastLinkedMs = deps.clock.monotonicMs();
-    this.lastAccompaniedMs = deps.clock.monotonicMs();
+    this.lastConnectedMs = deps.clock.monotonicMs();
+    this.lastPeerMs = deps.clock.monotonicMs();
   }
 
   /** Starts to watch the owner. */
   start(): void {
     void this.watchLoop();
-    void this.beatLoop();
+    void this.heartbeatLoop();
   }
 
-  /** Stops to watch. */
+  /** Stops watching the owner. */
   close(): void {
     this.isClosed = true;
   }
 
-  /** The newest owner that is known here; null for none. */
-  get known(): OwnerRecord | null {
+  /** The newest known owner, or null. */
+  get knownOwner(): OwnerRecord | null {
     return this.record;
   }
 
-  /** The highest term that is known here; 0 for none. */
+  /** The highest known term, or 0. */
   get term(): number {
     return this.record?.term ?? 0;
   }
 
-  /** Whether this VM owns the cell or is about to. */
+  /** Whether this VM owns the cell or is becoming its owner. */
   get isOwner(): boolean {
-    return this.held !== null;
+    return this.ownership !== null;
   }
 
   /** Whether the VM is being shut down. */
   get isDraining(): boolean {
-    return this.isLeaving;
+    return this.isDrainStarted;
   }
 
-  /** The connection to the owner, where there is one. */
+  /** Returns the connection to the owner, if there is one. */
   ownerConnection(): CellConnection | undefined {
     const {record} = this;
     if (record === null || record.isReleased) return undefined;
@@ -132,104 +132,104 @@
   }
 
   /** Whether this VM is connected to the owner. */
-  isLinked(): boolean {
+  hasOwner(): boolean {
     return this.ownerConnection() !== undefined;
   }
 
-  /** Follows an owner of a higher term than the one that is known. */
+  /** Follows an owner whose term is higher than the known one. */
   follow(record: OwnerRecord): void {
     if (record.term <= (this.record?.term ?? 0)) return;
     this.deps.log('ownerChanged', {term: record.term, owner: record.vm});
     this.record = record;
-    if (this.held !== null && this.held.term < record.term) {
-      this.held.lose();
-      this.drop();
+    if (this.ownership !== null && this.ownership.term < record.term) {
+      this.ownership.revoke();
+      this.stopOwning();
     }
-    this.lastLinkedMs = this.deps.clock.monotonicMs();
+    this.lastConnectedMs = this.deps.clock.monotonicMs();
     this.deps.members.setOwner(toAddress(record));
   }
 
-  /** The owner of that term has given the cell up. */
-  noteReleased(term: number): void {
+  /** Records that the owner of a term has released the cell. */
+  markReleased(term: number): void {
     if (this.record === null || this.record.term !== term) return;
     this.record = {...this.record, isReleased: true};
   }
 
-  /** Takes no part in elections any more and hands the cell over. */
+  /** Leaves the elections and hands the cell over. */
   async drain(): Promise<void> {
-    this.isLeaving = true;
-    const {held} = this;
-    if (held === null) return;
+    this.isDrainStarted = true;
+    const {ownership} = this;
+    if (ownership === null) return;
     this.host.stopActing();
     const successor = this.chooseSuccessor();
     this.deps.log('ownerHandsOver', {
-      term: held.term,
+      term: ownership.term,
       successor: successor?.address.vm ?? '',
     });
-    if (successor !== null) await this.handOver(held, successor);
-    else await held.release();
-    this.drop();
+    if (successor !== null) await this.handOver(ownership, successor);
+    else await ownership.release();
+    this.stopOwning();
     this.host.announce();
   }
 
-  /** The former owner has written this VM's name into the store. */
-  takeOver(term: number, endOffset: number): void {
+  /** Becomes the owner after the former one wrote this VM into the store. */
+  acceptHandover(term: number, endOffset: number): void {
     const {self, clock, log, store, members} = this.deps;
-    if (this.isLeaving || this.held !== null) return;
+    if (this.isDrainStarted || this.ownership !== null) return;
     if (term <= (this.record?.term ?? 0)) return;
     log('ownerTakesOver', {term});
     this.record = {...self, term, isReleased: false};
-    const sentMs = clock.monotonicMs() - HANDOVER_AGE_MS;
-    const proof = {sentMs, endOffset};
-    const ownership = new Ownership(store, clock, this.record, proof);
-    this.held = ownership;
+    const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
+    const lastWrite = {sentMs, endOffset};
+    const ownership = new Ownership(store, clock, this.record, lastWrite);
+    this.ownership = ownership;
     members.setOwner(self);
-    void this.own(ownership, true);
+    void this.activate(ownership, true);
   }
 
-  private async own(
+  private async activate(
     ownership: Ownership,
     isFormerStopped: boolean,
   ): Promise<void> {
-    const isOwning = await this.host.ownCell(ownership, isFormerStopped);
-    if (isOwning) this.ownedSinceMs = this.deps.clock.monotonicMs();
-    else if (this.held === ownership) this.drop();
+    const isActive = await this.host.becomeOwner(ownership, isFormerStopped);
+    if (isActive) this.ownedSinceMs = this.deps.clock.monotonicMs();
+    else if (this.ownership === ownership) this.stopOwning();
   }
 
-  private drop(): void {
+  private stopOwning(): void {
     this.host.stopActing();
-    this.host.dropOwner();
-    this.held = null;
+    this.host.discardOwner();
+    this.ownership = null;
     this.deps.log('ownerStopped', {});
   }
 
-  /** The VM that can own the cell best: the largest, then the nearest. */
+  /** The best successor: the VM with most cores, then one in this domain. */
   private chooseSuccessor(): Member | null {
-    const able = [...this.deps.members.connected()].filter(
+    const candidates = [...this.deps.members.connected()].filter(
       ({isStoreOk, isDraining}) => isStoreOk && !isDraining,
     );
-    const isFar = ({domain}: Member): number =>
+    const isRemote = ({domain}: Member): number =>
       Number(domain !== this.deps.domain);
-    able.sort((a, b) => b.cores - a.cores || isFar(a) - isFar(b));
-    return able[0] ?? null;
+    candidates.sort((a, b) => b.cores - a.cores || isRemote(a) - isRemote(b));
+    return candidates[0] ?? null;
   }
 
-  /** Gives the cell to a much larger VM, where this one is small. */
-  private async giveToLarger(ownership: Ownership): Promise<void> {
+  /** Hands the cell over to a VM that is much larger than this one. */
+  private async handOverToLarger(ownership: Ownership): Promise<void> {
     const successor = this.chooseSuccessor();
     if (successor === null) return;
-    if (successor.cores < this.deps.cores * LARGER_FACTOR) return;
-    this.deps.log('ownerGivesToLarger', {
+    if (successor.cores < this.deps.cores * LARGER_VM_FACTOR) return;
+    this.deps.log('ownerHandsToLarger', {
       term: ownership.term,
       successor: successor.address.vm,
       cores: successor.cores,
     });
     this.host.stopActing();
     await this.handOver(ownership, successor);
-    this.drop();
+    this.stopOwning();
   }
 
-  /** Writes the successor's name into the store and tells it. */
+  /** Writes the successor into the store and notifies it. */
   private async handOver(
     ownership: Ownership,
     {address, connection}: Member,
@@ -241,10 +241,10 @@
     this.follow({...address, term, isReleased: false});
   }
 
-  private async beatLoop(): Promise<void> {
+  private async heartbeatLoop(): Promise<void> {
     while (!this.isClosed) {
-      const {held} = this;
-      if (held !== null && !held.isSuperseded) await held.beat();
+      const {ownership} = this;
+      if (ownership !== null && !ownership.isRevoked) await ownership.renew();
       await this.deps.clock.sleep(OWNER_HEARTBEAT_MS);
     }
   }
@@ -257,101 +257,112 @@
         if (!(err instanceof StoreError)) throw err;
         this.deps.log('electionFailed', {failure: err.failure});
       }
-      await this.deps.clock.sleep(WATCH_MS);
+      await this.deps.clock.sleep(WATCH_INTERVAL_MS);
     }
   }
 
   private async watchOnce(): Promise<void> {
     const nowMs = this.deps.clock.monotonicMs();
-    if (this.held !== null) return this.watchSelf(this.held, nowMs);
-    if (this.isLinked()) {
-      this.lastLinkedMs = nowMs;
-      this.linkedTerm = this.term;
+    if (this.ownership !== null) return this.tickAsOwner(this.ownership, nowMs);
+    if (this.hasOwner()) {
+      this.lastConnectedMs = nowMs;
+      this.connectedTerm = this.term;
       this.host.setDetached(false);
       return;
     }
-    const aloneMs = nowMs - this.lastLinkedMs;
-    if (aloneMs > DETACHED_MS) this.host.setDetached(true);
+    const disconnectedMs = nowMs - this.lastConnectedMs;
+    if (disconnectedMs > DETACHED_AFTER_MS) this.host.setDetached(true);
     const isReleased = this.record === null || this.record.isReleased;
-    if (isReleased || aloneMs > SUSPECT_MS) await this.seekOwner();
+    if (isReleased || disconnectedMs > SUSPECT_AFTER_MS) await this.findOwner();
   }
 
-  private async watchSelf(ownership: Ownership, nowMs: number): Promise<void> {
-    if (ownership.isSuperseded) {
-      this.drop();
-      this.lastLinkedMs = nowMs;
+  private async tickAsOwner(
+    ownership: Ownership,
+    nowMs: number,
+  ): Promise<void> {
+    if (ownership.isRevoked) {
+      this.stopOwning();
+      this.lastConnectedMs = nowMs;
       return;
     }
     if (this.deps.members.count > 0) {
-      this.lastAccompaniedMs = nowMs;
-      this.hasBeenAccompanied = true;
+      this.lastPeerMs = nowMs;
+      this.hasHadPeers = true;
     }
-    if (nowMs - this.ownedSinceMs > SETTLED_MS) {
-      await this.giveToLarger(ownership);
+    if (nowMs - this.ownedSinceMs > MIN_OWNED_MS) {
+      await this.handOverToLarger(ownership);
     }
-    const aloneMs = nowMs - this.lastAccompaniedMs;
-    if (this.hasBeenAccompanied && aloneMs >= ALONE_MS) {
-      await this.giveUpAlone(ownership, aloneMs);
+    const isolatedMs = nowMs - this.lastPeerMs;
+    if (this.hasHadPeers && isolatedMs >= ISOLATION_TIMEOUT_MS) {
+      await this.releaseIsolated(ownership, isolatedMs);
     }
   }
 
-  /** No VM is connected: one that callers reach may own the cell instead. */
-  private async giveUpAlone(
+  /** Releases the cell while isolated, so that a reachable VM can own it. */
+  private async releaseIsolated(
     ownership: Ownership,
-    aloneMs: number,
+    isolatedMs: number,
   ): Promise<void> {
     const {term} = ownership;
-    this.deps.log('ownerAlone', {term, aloneMs: Math.round(aloneMs)});
-    this.hasBeenAccompanied = false;
+    this.deps.log('ownerIsolated', {term, aloneMs: Math.round(isolatedMs)});
+    this.hasHadPeers = false;
     this.host.stopActing();
     await ownership.release();
     this.record = {...this.deps.self, term, isReleased: true};
-    this.drop();
+    this.stopOwning();
     await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
   }
 
-  /** Finds the owner, or claims the cell where it has none that lives. */
-  private async seekOwner(): Promise<void> {
+  /** Finds the owner, or claims the cell if it has no running owner. */
+  private async findOwner(): Promise<void> {
     const {clock, store, members, self, cores} = this.deps;
     const sentMs = clock.monotonicMs();
-    const reading = await readOwner(store);
+    const snapshot = await readOwner(store);
     const rttMs = clock.monotonicMs() - sentMs;
-    if (this.isKnownNow(reading)) return;
-    if (reading.record?.vm === self.vm) return this.claim(reading);
-    // VMs near the store are first, so that claims do not race.
-    const nearMs = Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_FACTOR);
-    const isSmall = members.largestCores() > cores;
-    const isFree = reading.record === null || reading.record.isReleased;
-    await clock.sleep(nearMs + (isSmall ? SMALL_DELAY_MS : 0));
-    if (this.isLinked()) return;
-    if (isFree) return this.claim(reading);
-    if (members.isOwnerSeen(reading.record?.term ?? 0)) return;
-    const isAgreed = members.count > 0 && this.hasMet(reading);
-    await clock.sleep(isAgreed ? AGREED_MS : SILENT_OWNER_MS);
-    // An owner that lives has written a heartbeat by now: then this fails.
-    if (!this.isLinked()) await this.claim(reading);
+    if (this.followIfNewer(snapshot)) return;
+    if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
+    // VMs with a short round trip claim first, so that claims do not race.
+    const rttDelayMs = Math.min(
+      MAX_CLAIM_DELAY_MS,
+      rttMs * CLAIM_DELAY_RTT_FACTOR,
+    );
+    const isSmall = members.maxPeerCores() > cores;
+    const isUnowned = snapshot.record === null || snapshot.record.isReleased;
+    await clock.sleep(rttDelayMs + (isSmall ? SMALL_VM_DELAY_MS : 0));
+    if (this.hasOwner()) return;
+    if (isUnowned) return this.claim(snapshot);
+    if (members.isOwnerSeen(snapshot.record?.term ?? 0)) return;
+    const isLossConfirmed = members.count > 0 && this.wasConnectedTo(snapshot);
+    await clock.sleep(
+      isLossConfirmed ? CONFIRMED_LOSS_WAIT_MS : HEARTBEAT_WAIT_MS,
+    );
+    // If the owner runs, it has written a heartbeat by now and this fails.
+    if (!this.hasOwner()) await this.claim(snapshot);
   }
 
-  /** An owner that this VM never reached may not have met any VM yet. */
-  private hasMet({record}: OwnerReading): boolean {
-    return this.linkedTerm >= (record?.term ?? 0);
+  /**
+   * Whether this VM was connected to the owner. An owner that it never reached
+   * may have just started and not be connected to any VM yet.
+   */
+  private wasConnectedTo({record}: OwnerSnapshot): boolean {
+    return this.connectedTerm >= (record?.term ?? 0);
   }
 
-  /** Follows the owner that the store names, where it is a newer one. */
-  private isKnownNow({record}: OwnerReading): boolean {
+  /** Follows the owner in the store if it is newer than the known one. */
+  private followIfNewer({record}: OwnerSnapshot): boolean {
     if (record === null || record.isReleased) return false;
     if (record.term <= (this.record?.term ?? 0)) return false;
-    // An own claim whose answer was lost, or one of an earlier run.
+    // This VM's claim: its answer was lost, or an earlier process made it.
     if (record.vm === this.deps.self.vm) return false;
     this.follow(record);
     return true;
   }
 
-  private async claim(reading: OwnerReading): Promise<void> {
+  private async claim(snapshot: OwnerSnapshot): Promise<void> {
     const {self, clock, log, store, members} = this.deps;
-    const {record} = reading;
-    if (this.isLeaving) return;
-    const ownership = await claimCell(store, clock, self, reading);
+    const {record} = snapshot;
+    if (this.isDrainStarted) return;
+    const ownership = await claimCell(store, clock, self, snapshot);
     if (ownership === null) return;
     if (this.isDraining) return ownership.release();
     const isFormerStopped =
@@ -362,9 +373,9 @@
       isFormerStopped,
     });
     this.record = {...self, term: ownership.term, isReleased: false};
-    this.held = ownership;
-    this.hasBeenAccompanied = false;
+    this.ownership = ownership;
+    this.hasHadPeers = false;
     members.setOwner(toAddress(this.record));
-    await this.own(ownership, isFormerStopped);
+    await this.activate(ownership, isFormerStopped);
   }
 }
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -1,21 +1,21 @@
-/** What the cell orders of an executor. */
+/** Orders to executors and their answers. */
 import type {RunEnd} from './types.js';
 
-/** A run as the executor lists it. */
+/** A run in an executor's inventory. */
 export interface ListedRun {
   readonly task: string;
   readonly run: number;
-  /** The newest checkpoint; empty where there is none. */
+  /** The newest checkpoint; empty if there is none. */
   readonly checkpoint: string;
-  /** The share of the processor that the run may use, 0 to 100. */
+  /** The processor share that the run may use, 0 to 100. */
   readonly percent: number;
-  /** Tail latency in ms of a service task, else processor use in milli. */
+  /** Tail latency of a service task in ms, else processor use in milli-CPU. */
   readonly usage: number;
 }
 
-/** An end as the executor lists it until it is acknowledged. */
+/** The end of a run; an executor lists it until it is acknowledged. */
 export interface ListedEnd {
-  /** Grows by one with each end in one life of the executor. */
+  /** Counts the ends since the executor started. */
   readonly number: number;
   readonly task: string;
   readonly run: number;
@@ -23,7 +23,7 @@
   readonly checkpoint: string;
 }
 
-/** All that an executor answers to a hold. */
+/** An executor's answer to a hold: its running and ended runs. */
 export interface Inventory {
   readonly clockMs: number;
   readonly bornMs: number;
@@ -36,51 +36,51 @@
   readonly task: string;
   readonly run: number;
   readonly payload: string;
-  /** When all runs there end unless extended, on the executor's clock. */
+  /** When all runs on the executor end unless extended, on its clock. */
   readonly leaseUntilMs: number;
   readonly token: number;
   readonly checkpoint: string;
   readonly ticket: string;
 }
 
-/** An order to extend the lease and list everything. */
+/** An order to extend the lease and return the inventory. */
 export interface HoldOrder {
   readonly token: number;
   readonly ackedThrough: number;
-  /** Missing where the executor's clock is not known yet. */
+  /** Missing if the executor's clock is not yet known. */
   readonly leaseUntilMs?: number;
-  /** How long the executor may wait for an end before it answers. */
+  /** How long the executor may wait for a run to end before it answers. */
   readonly waitMs: number;
-  /** When the order counts as not answered. */
+  /** Time after which the order counts as not answered. */
   readonly timeoutMs: number;
 }
 
-/** Why an executor did not do what it was told. */
+/** Why an order was not carried out. */
 export type OrderFailure =
-  /** A higher token was seen there. */
+  /** The executor has seen a higher token. */
   | 'fenced'
-  /** A run that is not lower was stopped or ended there. */
+  /** A run with the same or a higher number was stopped or has ended there. */
   | 'oldRun'
-  /** The lease had ended before the order arrived. */
+  /** The lease expired before the order arrived. */
   | 'late'
   | 'noRoom'
   | 'badTicket'
   /** The executor is unhealthy and did nothing. */
   | 'unhealthy'
   | 'badOrder'
-  /** Another life of the executor, or another one, answered. */
+  /** The executor has restarted, or another executor answered. */
   | 'otherLife'
-  /** No answer: the order may be carried out, even later. */
+  /** No answer: the order may have been or may yet be carried out. */
   | 'unknown';
 
 /** Answer to an order. */
 export interface OrderReply {
   readonly failure: OrderFailure | null;
-  /** The executor's clock; NaN where it gave none. */
+  /** The executor's clock; NaN if it sent none. */
   readonly clockMs: number;
 }
 
-/** A connection to one life of an executor. */
+/** A client of one executor process. */
 export abstract class ExecutorClient {
   abstract start(order: StartOrder): Promise<OrderReply>;
   abstract stop(task: string, run: number, token: number): Promise<OrderReply>;
@@ -105,7 +105,7 @@
   /**
    * Asks which of the executors may run the step.
    *
-   * @returns a ticket for each that may, or null where the call failed
+   * @returns a ticket for each executor that may, or null if the call failed
    */
   abstract advise(
     step: string,
@@ -114,7 +114,7 @@
   ): Promise<readonly Ticket[] | null>;
 }
 
-/** Tells an inventory from a failed hold. */
+/** Whether the answer to a hold is an inventory. */
 export function isInventory(reply: Inventory | OrderReply): reply is Inventory {
   return 'running' in reply;
 }
--- a/packages/cell/src/executor-task.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,4 +1,4 @@
-/** One task for each executor: holds its lease, reads what runs and ended. */
+/** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
 import {
@@ -18,58 +18,58 @@
 import {taskName, type TaskState} from './job-state.js';
 import {Signal} from './signal.js';
 
-/** Time for which runs go on when their owner is lost, in ms. */
+/** Lease of an executor, in ms; runs continue that long without an owner. */
 export const LEASE_MS = 6000;
-/** How long an executor may wait for an end before it answers, in ms. */
+/** How long an executor may wait for a run to end before it answers, in ms. */
 const HOLD_WAIT_MS = 700;
-/** How long the answer may take on top of that, in ms. */
+/** Timeout of the answer in addition to that wait, in ms. */
 const HOLD_SLACK_MS = 300;
-/** The same after a hold that was not answered, in ms. */
+/** The same timeout after a hold that was not answered, in ms. */
 const MISSED_SLACK_MS = 900;
-/** The same where tail latencies have to be watched, in ms. */
+/** Wait of a hold if tail latencies must be watched, in ms. */
 const WATCH_WAIT_MS = 400;
-/** The same while a start has no answer yet, in ms. */
-const SOON_WAIT_MS = 100;
-/** Least pause between two holds, in ms. */
-const HOLD_GAP_MS = 15;
-/** Pause where an answer brought nothing new, in ms. */
-const NO_NEWS_GAP_MS = 60;
-/** Pause after an order that was not answered, in ms. */
-const MISSED_GAP_MS = 150;
-/** Pause after the first hold that was not answered, in ms. */
-const FIRST_MISSED_GAP_MS = 10;
-/** An executor that answers no hold in a row this often counts as gone. */
-const GONE_AFTER_MISSED = 8;
+/** Wait of a hold while a run is starting or stopping, in ms. */
+const STARTING_WAIT_MS = 100;
+/** Minimum pause between two holds, in ms. */
+const MIN_HOLD_INTERVAL_MS = 15;
+/** Pause after an inventory without changes, in ms. */
+const UNCHANGED_HOLD_INTERVAL_MS = 60;
+/** Delay before an unanswered order is retried, in ms. */
+const MISSED_RETRY_DELAY_MS = 150;
+/** Delay after the first unanswered hold, in ms. */
+const FIRST_MISSED_RETRY_DELAY_MS = 10;
+/** An executor counts as gone after more unanswered holds in a row. */
+const MAX_MISSED_HOLDS = 8;
 
-/** How long an executor that refused a start gets no new work, in ms. */
-const REFUSAL_PAUSES_MS: ReadonlyMap<OrderFailure, number> = new Map([
+/** How long an executor gets no new work after it refused a start, in ms. */
+const REFUSAL_BACKOFF_MS: ReadonlyMap<OrderFailure, number> = new Map([
   ['unhealthy', 1000],
   ['noRoom', 200],
   ['late', 100],
   ['badOrder', 500],
 ]);
 
-/** What the task needs of its owner. */
+/** Dependencies of the loop. */
 export interface ExecutorHost {
   readonly state: CellState;
   readonly clock: Clock;
   readonly token: number;
   readonly mayAct: () => boolean;
-  /** A higher token was seen there. */
+  /** Called when the executor has seen a higher token. */
   readonly onFenced: () => void;
-  /** An inventory changed something. */
+  /** Called when the executor's state has changed. */
   readonly onChange: (executor: ExecutorState) => void;
-  readonly onLine: (event: string, fields: Readonly<object>) => void;
+  readonly writeLog: (event: string, fields: Readonly<object>) => void;
 }
 
-/** Talks to one executor. */
-export class ExecutorTask {
+/** Sends orders to one executor and applies its answers. */
+export class ExecutorLoop {
   private isClosed = false;
   private sentAck = 0;
-  /** The life of the executor whose ends `sentAck` counts. */
-  private ackedLifeMs = 0;
-  /** When the newest list that was taken in was asked for. */
-  private listedMs = -Infinity;
+  /** Start time of the executor process that `sentAck` refers to. */
+  private ackedBornMs = 0;
+  /** When the newest applied inventory was requested. */
+  private inventorySentMs = -Infinity;
   private readonly signal: Signal;
   private readonly reader: InventoryReader;
 
@@ -82,10 +82,10 @@
     this.reader = new InventoryReader(executor, host);
   }
 
-  /** Holds the executor until it is closed. */
+  /** Sends holds to the executor until the loop is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
-      if (!this.host.mayAct() || !this.hasReason()) {
+      if (!this.host.mayAct() || !this.needsHold()) {
         await this.signal.wait(HOLD_WAIT_MS);
         continue;
       }
@@ -93,19 +93,19 @@
     }
   }
 
-  /** Ends the task. */
+  /** Ends the loop. */
   close(): void {
     this.isClosed = true;
     this.client.close();
-    this.poke();
+    this.wake();
   }
 
-  /** Lets a waiting task look again whether it has a reason to hold. */
-  poke(): void {
+  /** Wakes the loop to check again whether a hold is needed. */
+  wake(): void {
     this.signal.raise();
   }
 
-  /** Sends the start of a task that is counted on this executor. */
+  /** Sends the start order of a task that is assigned to this executor. */
   async start(task: TaskState, ticket: string): Promise<void> {
     const {executor} = this;
     const {clock, token} = this.host;
@@ -124,33 +124,33 @@
     const reply = await this.client.start(order);
     noteClock(executor, reply.clockMs, clock.monotonicMs());
     if (task.executor !== executor || task.run !== run) return;
-    if (reply.failure === null) this.noteStarted(task);
-    else this.noteNotStarted(task, reply);
-    if (task.isDoubtful) await this.look();
-    this.poke();
+    if (reply.failure === null) this.handleStarted(task);
+    else this.handleStartFailure(task, reply);
+    if (task.isDoubtful) await this.refreshInventory();
+    this.wake();
   }
 
-  /** Sends a stop until it is answered; the end comes with an inventory. */
+  /** Sends a stop until it is answered; an inventory reports the end later. */
   async stop(name: string, run: number, task: TaskState | null): Promise<void> {
     while (
       !this.isClosed &&
       this.host.mayAct() &&
-      this.isThere(name, run, task)
+      this.isRunOnExecutor(name, run, task)
     ) {
       const reply = await this.client.stop(name, run, this.host.token);
       if (reply.failure === null) {
         const isSame = task !== null && task.run === run;
         if (isSame) task.answeredMs = this.host.clock.monotonicMs();
-        if (isSame && task.isDoubtful) await this.look();
+        if (isSame && task.isDoubtful) await this.refreshInventory();
         break;
       }
-      this.noteFailure(reply, `stop ${name}`);
-      await this.host.clock.sleep(MISSED_GAP_MS);
+      this.handleFailure(reply, `stop ${name}`);
+      await this.host.clock.sleep(MISSED_RETRY_DELAY_MS);
     }
-    this.poke();
+    this.wake();
   }
 
-  /** Sets how much of the processor a run may use. */
+  /** Sets the processor share that a run may use. */
   async pace(task: TaskState, percent: number): Promise<void> {
     const reply = await this.client.pace(
       taskName(task),
@@ -159,54 +159,61 @@
       this.host.token,
     );
     if (reply.failure === null) task.percent = percent;
-    else this.noteFailure(reply, `pace ${taskName(task)}`);
+    else this.handleFailure(reply, `pace ${taskName(task)}`);
   }
 
-  private isThere(name: string, run: number, task: TaskState | null): boolean {
+  private isRunOnExecutor(
+    name: string,
+    run: number,
+    task: TaskState | null,
+  ): boolean {
     if (this.executor.strays.has(`${name}#${run}`)) return true;
     return task?.executor === this.executor && task.run === run;
   }
 
-  private hasReason(): boolean {
-    this.noteLife();
+  private needsHold(): boolean {
+    this.resetAckOnRestart();
     const {tasks, strays, isReached, missed, ackedThrough} = this.executor;
     if (tasks.size > 0 || strays.size > 0 || missed > 0) return true;
     return !isReached || this.sentAck < ackedThrough;
   }
 
-  /** A new life of the executor, by its list or its entry, counts from 1. */
-  private noteLife(): void {
+  /** A restarted executor numbers its ends from 1 again. */
+  private resetAckOnRestart(): void {
     const {bornMs} = this.executor;
-    if (bornMs === this.ackedLifeMs) return;
-    this.ackedLifeMs = bornMs;
+    if (bornMs === this.ackedBornMs) return;
+    this.ackedBornMs = bornMs;
     this.sentAck = 0;
   }
 
   private async holdOnce(): Promise<void> {
     const {executor, host} = this;
-    const reply = await this.sendHold(this.waitMs());
+    const reply = await this.sendHold(this.chooseWaitMs());
     if (this.isClosed || reply === null) return;
     if (!isInventory(reply)) {
-      this.noteMissed(reply);
+      this.handleMissedHold(reply);
       const isFirst = executor.missed === 1;
-      return host.clock.sleep(isFirst ? FIRST_MISSED_GAP_MS : MISSED_GAP_MS);
+      return host.clock.sleep(
+        isFirst ? FIRST_MISSED_RETRY_DELAY_MS : MISSED_RETRY_DELAY_MS,
+      );
     }
   }
 
-  /** Reads the list at once, beside the hold that waits for an end. */
-  private async look(): Promise<void> {
+  /** Reads the inventory at once, in parallel to a waiting hold. */
+  private async refreshInventory(): Promise<void> {
     if (this.isClosed || !this.host.mayAct()) return;
     await this.sendHold(0);
   }
 
-  /** Sends a hold and takes in its list; null where a newer one is known. */
+  /** Sends a hold and applies its inventory, unless a newer one was applied. */
   private async sendHold(
     waitMs: number,
   ): Promise<Inventory | OrderReply | null> {
     const {executor, host} = this;
-    this.noteLife();
+    this.resetAckOnRestart();
     const {ackedThrough, bornMs} = executor;
-    // Sent once only: a new life that is not noticed yet counts from 1 again.
+    // Each acknowledgement is sent once: an executor whose restart is not yet
+    // known numbers its ends from 1 again.
     const isAckNew = ackedThrough > this.sentAck && executor.missed === 0;
     const sentMs = host.clock.monotonicMs();
     const leaseUntilMs = this.extendLease();
@@ -219,30 +226,34 @@
       ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
     });
     if (this.isClosed || !isInventory(reply)) return reply;
-    // Answers may overtake each other: an older list would bring runs back.
-    if (sentMs < this.listedMs) return null;
-    this.listedMs = sentMs;
-    const hasNews = this.reader.take(reply, sentMs);
+    // Answers may arrive out of order: an older inventory would list runs that
+    // have ended since.
+    if (sentMs < this.inventorySentMs) return null;
+    this.inventorySentMs = sentMs;
+    const hasChanges = this.reader.apply(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
-    await host.clock.sleep(hasNews ? HOLD_GAP_MS : NO_NEWS_GAP_MS);
+    await host.clock.sleep(
+      hasChanges ? MIN_HOLD_INTERVAL_MS : UNCHANGED_HOLD_INTERVAL_MS,
+    );
     return reply;
   }
 
-  private waitMs(): number {
+  private chooseWaitMs(): number {
     const {tasks, isReached, missed} = this.executor;
     if (!isReached || missed > 0) return 0;
     let waitMs = HOLD_WAIT_MS;
     for (const {phase, step} of tasks) {
-      if (phase === 'starting') return SOON_WAIT_MS;
-      if (phase === 'stopping') return SOON_WAIT_MS;
+      if (phase === 'starting') return STARTING_WAIT_MS;
+      if (phase === 'stopping') return STARTING_WAIT_MS;
       if (step.spec.targetMs > 0) waitMs = WATCH_WAIT_MS;
     }
     return waitMs;
   }
 
   /**
-   * The end of the lease for the next order. It moves on only while the
-   * executor answers: a late order must not keep runs of a lost executor.
+   * Returns the end of the lease for the next order. The lease is extended only
+   * while the executor answers: a delayed order must not keep runs alive on an
+   * executor that counts as lost.
    */
   private extendLease(): number {
     const {executor, host} = this;
@@ -256,31 +267,31 @@
     return executor.leaseUntilMs;
   }
 
-  private noteStarted(task: TaskState): void {
+  private handleStarted(task: TaskState): void {
     this.executor.missed = 0;
     task.answeredMs = this.host.clock.monotonicMs();
     if (task.phase === 'starting') task.phase = 'running';
   }
 
-  private noteNotStarted(task: TaskState, reply: OrderReply): void {
-    const {state, clock, onLine} = this.host;
+  private handleStartFailure(task: TaskState, reply: OrderReply): void {
+    const {state, clock, writeLog} = this.host;
     const {failure} = reply;
     const executorId = this.executor.info.id;
-    onLine('startFailed', {
+    writeLog('startFailed', {
       task: taskName(task),
       run: task.run,
       executorId,
       failure,
     });
     if (failure === 'unknown' || failure === 'oldRun') {
-      // Only a later inventory tells whether a run of the task exists there.
+      // Only a later inventory shows whether the executor runs the task.
       task.answeredMs = clock.monotonicMs();
       task.isDoubtful = true;
       return;
     }
-    this.noteFailure(reply, `start ${taskName(task)}`);
+    this.handleFailure(reply, `start ${taskName(task)}`);
     if (failure === 'badTicket') task.step.tickets.delete(executorId);
-    const pauseMs = REFUSAL_PAUSES_MS.get(failure ?? 'badOrder') ?? 0;
+    const pauseMs = REFUSAL_BACKOFF_MS.get(failure ?? 'badOrder') ?? 0;
     const {executor} = this;
     const untilMs = clock.monotonicMs() + pauseMs;
     executor.avoidUntilMs = Math.max(executor.avoidUntilMs, untilMs);
@@ -288,10 +299,10 @@
     this.host.onChange(this.executor);
   }
 
-  private noteFailure(reply: OrderReply, what: string): void {
+  private handleFailure(reply: OrderReply, what: string): void {
     if (reply.failure === 'fenced') this.host.onFenced();
     if (reply.failure !== 'otherLife') return;
-    this.host.onLine('executorReplaced', {
+    this.host.writeLog('executorReplaced', {
       executorId: this.executor.info.id,
       what,
     });
@@ -302,28 +313,28 @@
     this.host.onChange(this.executor);
   }
 
-  private noteMissed(reply: OrderReply): void {
+  private handleMissedHold(reply: OrderReply): void {
     const {executor, host} = this;
     if (reply.failure === 'otherLife' || reply.failure === 'fenced') {
-      return this.noteFailure(reply, 'hold');
+      return this.handleFailure(reply, 'hold');
     }
     executor.missed += 1;
     if (executor.missed === 1) {
-      host.onLine('executorSilent', {
+      host.writeLog('executorSilent', {
         executorId: executor.info.id,
         failure: reply.failure,
       });
     }
     if (!hasLapsed(executor, host.clock.monotonicMs())) return;
     if (executor.tasks.size > 0 || executor.strays.size > 0) {
-      host.onLine('executorLapsed', {
+      host.writeLog('executorLeaseExpired', {
         executorId: executor.info.id,
         tasks: executor.tasks.size,
       });
       host.state.loseRuns(executor);
       host.onChange(executor);
     }
-    if (executor.missed > GONE_AFTER_MISSED && !executor.isListed) {
+    if (executor.missed > MAX_MISSED_HOLDS && !executor.isListed) {
       host.onChange(executor);
     }
   }
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -1,21 +1,21 @@
-/** Follows a keyed topic: the newest records first, then what comes. */
+/** Follows a keyed topic: the newest record of each key, then new records. */
 import type {Clock} from '@dragonflyward/common';
 import {Signal} from './signal.js';
 import {StoreError, type PlacedRecord, type Store} from './store.js';
 
-/** How long a failed read is not repeated, in ms. */
-const RETRY_MS = 200;
+/** Delay before a failed read is retried, in ms. */
+const RETRY_DELAY_MS = 200;
 
-/** How a topic is followed. */
+/** Options for following a topic. */
 export interface FollowerOptions {
   readonly topic: string;
-  /** Pause between reads that do not wait, in ms; 0 where reads wait. */
+  /** Pause between reads that do not wait, in ms; 0 if reads wait. */
   readonly pauseMs: number;
   /** How long the store may wait for a record, in ms. */
   readonly waitMs: number;
 }
 
-/** Reads a topic as long as it is told to. */
+/** Follows one topic until it is stopped. */
 export class Follower {
   /** When the newest successful read was sent; -Infinity before the first. */
   freshMs = -Infinity;
@@ -28,7 +28,7 @@
     private readonly clock: Clock,
     private readonly options: FollowerOptions,
     private readonly onRecord: (record: PlacedRecord) => void,
-    /** Told of a full reading: keys that are missing were deleted. */
+    /** Called after a full read: keys that are missing were deleted. */
     private readonly onReload: (keys: ReadonlySet<string>) => void = () =>
       undefined,
   ) {
@@ -56,27 +56,27 @@
     while (!this.isStopped) {
       try {
         if (this.nextOffset < 0) await this.load();
-        else await this.readOn();
+        else await this.readNext();
         await this.pause.wait(this.options.pauseMs);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
         if (err.failure === 'expired') this.nextOffset = -1;
-        await this.clock.sleep(RETRY_MS);
+        await this.clock.sleep(RETRY_DELAY_MS);
       }
     }
   }
 
-  /** Reads again without waiting for the pause to end. */
-  readSoon(): void {
+  /** Ends the current pause so that the next read starts at once. */
+  requestRead(): void {
     this.pause.raise();
   }
 
-  /** Ends the following. */
+  /** Stops following. */
   stop(): void {
     this.isStopped = true;
   }
 
-  private async readOn(): Promise<void> {
+  private async readNext(): Promise<void> {
     const {topic, waitMs} = this.options;
     const sentMs = this.clock.monotonicMs();
     const page = await this.store.read(topic, this.nextOffset, waitMs);
--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -1,4 +1,4 @@
-/** What a VM does for callers: accepts jobs, cancels them, tells of them. */
+/** The API of a VM for callers: submits, cancels and looks up jobs. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import type {JobTable} from './job-table.js';
 import type {JobRow} from './messages.js';
@@ -7,37 +7,37 @@
 import {StoreError, type KeyedRecord, type Store} from './store.js';
 import {isFinal, type JobPhase, type JobSpec, type Queue} from './types.js';
 
-/** How long the store may take to accept a job, in ms; callers wait 3 s. */
+/** Timeout of an append to the store, in ms; callers wait 3 s. */
 const APPEND_TIMEOUT_MS = 2200;
-/** Part of a caller's time after which a job that was not sent is refused. */
-const UNSENT_PART = 0.4;
+/** Fraction of the caller's timeout after which an unsent job is refused. */
+const UNSENT_TIMEOUT_FRACTION = 0.4;
 /**
- * The same for a job that was sent. Callers cannot safely repeat a job whose
- * outcome is unknown, so the store gets most of their time to answer.
+ * The same for a job that was sent. Callers cannot safely retry a job whose
+ * outcome is unknown, so the store gets most of their timeout to answer.
  */
-const SENT_PART = 0.8;
-/** An append that takes longer holds up those behind it, in ms. */
-const STALLED_MS = 500;
-/** Bounds of the time that callers should wait for the store, in seconds. */
+const SENT_TIMEOUT_FRACTION = 0.8;
+/** An append that takes longer delays those queued behind it, in ms. */
+const STALL_THRESHOLD_MS = 500;
+/** Bounds of the retry delay that refused callers are given, in seconds. */
 const MIN_RETRY_AFTER_S = 1;
 const MAX_RETRY_AFTER_S = 4;
 
-/** A job as a caller submits it. */
+/** A job submitted by a caller. */
 export interface Submission {
   readonly id: string;
   readonly queue: Queue;
   readonly organisation: string;
   readonly spec: JobSpec;
-  /** How long the caller will wait. */
+  /** How long the caller waits for the answer. */
   readonly timeoutMs: number;
 }
 
-/** Who asks for a job. */
+/** The caller that cancels or looks up a job. */
 export interface JobCaller {
   readonly organisation: string;
-  /** The queue is open to all: its jobs belong to nobody. */
+  /** Whether the queue is public: its jobs belong to no organisation. */
   readonly isPublic: boolean;
-  /** How long the caller will wait. */
+  /** How long the caller waits for the answer. */
   readonly timeoutMs: number;
 }
 
@@ -45,36 +45,36 @@
 export type FrontAnswer =
   | {readonly kind: 'done'}
   | {readonly kind: 'noSuchJob'}
-  /** Surely not done; may be sent again after that time. */
+  /** Certainly not done; may be retried after that time. */
   | {readonly kind: 'refused'; readonly retryAfterS: number}
-  /** May have been done: the caller should send it again. */
+  /** May have been done; the caller should retry. */
   | {readonly kind: 'unknown'};
 
-/** Answer to a question for a job's phase. */
+/** Answer to a lookup of a job's phase. */
 export type PhaseAnswer =
   | {readonly kind: 'phase'; readonly phase: JobPhase}
   | {readonly kind: 'noSuchJob'}
   | {readonly kind: 'unavailable'};
 
-/** What the owner, or the store, says of a job that is not in the table. */
+/** The owner's or the store's answer for a job that is not in the table. */
 export interface Lookup {
   readonly row: JobRow | null;
   readonly isSure: boolean;
 }
 
-/** What the front needs of its VM. */
-export interface FrontDeps {
+/** Dependencies of the frontend. */
+export interface JobFrontendDeps {
   readonly store: Store;
-  /** The topic to which this VM appends. */
+  /** The topic to which this VM appends jobs. */
   readonly jobsTopic: string;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: LogLine;
   readonly table: JobTable;
   readonly lookup: (id: string, timeoutMs: number) => Promise<Lookup>;
-  readonly tellJob: (id: string, value: Uint8Array) => void;
-  readonly tellCancel: (id: string) => void;
-  /** Whether the table holds all jobs that were accepted a moment ago. */
+  readonly notifyJob: (id: string, value: Uint8Array) => void;
+  readonly notifyCancel: (id: string) => void;
+  /** Whether the table holds all jobs accepted until a moment ago. */
   readonly isTableFresh: () => boolean;
 }
 
@@ -89,31 +89,34 @@
 export class Front {
   private pending: PendingWrite[] = [];
   private isWriting = false;
-  /** When the append that is under way was sent. */
+  /** When the append in flight was sent. */
   private sentMs = 0;
-  /** Since when the store takes nothing; NaN while it does. */
-  private refusedSinceMs = Number.NaN;
-  private readonly submitting = new Map<string, Promise<FrontAnswer>>();
+  /** Start of the current store outage; NaN while there is none. */
+  private outageStartMs = Number.NaN;
+  private readonly inFlightSubmissions = new Map<
+    string,
+    Promise<FrontAnswer>
+  >();
 
-  constructor(private readonly deps: FrontDeps) {}
+  constructor(private readonly deps: JobFrontendDeps) {}
 
   /**
-   * Accepts a job; `done` means that it is stored.
+   * Submits a job; `done` means that it is stored.
    *
    * @example
-   * const answer = await front.submit({id, queue, organisation, spec});
+   * const answer = await front.submit({...job, timeoutMs});
    */
   async submit(submission: Submission): Promise<FrontAnswer> {
     const {id} = submission;
     if (this.deps.table.get(id) !== undefined) return {kind: 'done'};
-    const underWay = this.submitting.get(id);
-    if (underWay !== undefined) return underWay;
+    const inFlight = this.inFlightSubmissions.get(id);
+    if (inFlight !== undefined) return inFlight;
     const answer = this.storeJob(submission);
-    this.submitting.set(id, answer);
+    this.inFlightSubmissions.set(id, answer);
     try {
       return await answer;
     } finally {
-      this.submitting.delete(id);
+      this.inFlightSubmissions.delete(id);
     }
   }
 
@@ -122,7 +125,7 @@
     const {table, log, clock} = this.deps;
     const {row, isSure} = await this.find(id, caller.timeoutMs);
     if (row === null && isSure) return {kind: 'noSuchJob'};
-    if (row !== null && !mayAsk(row, caller)) return {kind: 'noSuchJob'};
+    if (row !== null && !mayAccess(row, caller)) return {kind: 'noSuchJob'};
     if (row !== null && isFinal(row.phase)) return {kind: 'done'};
     const sentMs = clock.monotonicMs();
     const record = {key: cancelKey(id), value: Uint8Array.of(1)};
@@ -130,26 +133,26 @@
     const tookMs = Math.round(clock.monotonicMs() - sentMs);
     log('cancelStored', {job: id, outcome, tookMs});
     if (outcome !== 'stored') return this.toAnswer(outcome);
-    this.deps.tellCancel(id);
+    this.deps.notifyCancel(id);
     if (row !== null) table.set({...row, phase: 'cancelled'});
     return {kind: 'done'};
   }
 
-  /** How many jobs of a queue wait; null while this is not known here. */
+  /** Returns how many jobs of a queue wait, or null while this is unknown. */
   waitingIn(queue: string): number | null {
     const {table, isTableFresh} = this.deps;
     return isTableFresh() ? table.waitingIn(queue) : null;
   }
 
-  /** Tells a job's phase. */
+  /** Looks up a job's phase. */
   async phase(id: string, caller: JobCaller): Promise<PhaseAnswer> {
     const {row, isSure} = await this.find(id, caller.timeoutMs);
     if (row === null) return {kind: isSure ? 'noSuchJob' : 'unavailable'};
-    if (!mayAsk(row, caller)) return {kind: 'noSuchJob'};
+    if (!mayAccess(row, caller)) return {kind: 'noSuchJob'};
     return {kind: 'phase', phase: row.phase};
   }
 
-  /** Looks a job up in the table, then elsewhere. */
+  /** Looks up a job in the table, then at the owner or in the store. */
   private async find(id: string, timeoutMs: number): Promise<Lookup> {
     const known = this.deps.table.get(id);
     if (known !== undefined) return {row: known, isSure: true};
@@ -173,10 +176,10 @@
     void written.then(outcome => {
       if (outcome !== 'stored') return;
       table.set({id, phase: 'queued', queue: queue.name, organisation});
-      this.deps.tellJob(id, value);
+      this.deps.notifyJob(id, value);
     });
     const {timeoutMs} = submission;
-    const outcome = await this.outcomeWithin(record, written, timeoutMs);
+    const outcome = await this.awaitOutcome(record, written, timeoutMs);
     const tookMs = clock.monotonicMs() - sentMs;
     metrics.record('accept_us', tookMs * 1000);
     metrics.count(`jobs_total{outcome="${outcome}"}`);
@@ -191,15 +194,18 @@
   }
 
   /**
-   * The outcome of a write, or what is known of it when the caller has to be
-   * answered: a record that was not sent by then is not sent any more.
+   * Returns the outcome of a write, or what is known of it when the caller must
+   * be answered. A record that was not sent by then is dropped.
    */
-  private async outcomeWithin(
+  private async awaitOutcome(
     record: KeyedRecord,
     written: Promise<WriteOutcome>,
     timeoutMs: number,
   ): Promise<WriteOutcome> {
-    const outcome = await this.within(written, timeoutMs * UNSENT_PART);
+    const outcome = await this.withTimeout(
+      written,
+      timeoutMs * UNSENT_TIMEOUT_FRACTION,
+    );
     if (outcome !== null) return outcome;
     const waiting = this.pending.find(each => each.record === record);
     if (waiting !== undefined) {
@@ -207,19 +213,20 @@
       waiting.resolve('refused');
       return 'refused';
     }
-    const leftMs = timeoutMs * (SENT_PART - UNSENT_PART);
-    return (await this.within(written, leftMs)) ?? 'unknown';
+    const remainingMs =
+      timeoutMs * (SENT_TIMEOUT_FRACTION - UNSENT_TIMEOUT_FRACTION);
+    return (await this.withTimeout(written, remainingMs)) ?? 'unknown';
   }
 
-  private within(
+  private withTimeout(
     written: Promise<WriteOutcome>,
-    boundMs: number,
+    timeoutMs: number,
   ): Promise<WriteOutcome | null> {
-    const late = this.deps.clock.sleep(boundMs).then(() => null);
-    return Promise.race([written, late]);
+    const timeout = this.deps.clock.sleep(timeoutMs).then(() => null);
+    return Promise.race([written, timeout]);
   }
 
-  /** Appends a record together with those that come while one is sent. */
+  /** Appends a record, batched with others that arrive during an append. */
   private write(record: KeyedRecord): Promise<WriteOutcome> {
     return new Promise(resolve => {
       this.pending.push({record, resolve});
@@ -227,10 +234,10 @@
     });
   }
 
-  /** A job that is not sent can be refused, and sent again elsewhere. */
+  /** While stalled, unsent jobs are refused so that callers retry elsewhere. */
   private isStalled(): boolean {
-    const takenMs = this.deps.clock.monotonicMs() - this.sentMs;
-    return this.isWriting && takenMs > STALLED_MS;
+    const elapsedMs = this.deps.clock.monotonicMs() - this.sentMs;
+    return this.isWriting && elapsedMs > STALL_THRESHOLD_MS;
   }
 
   private async flush(): Promise<void> {
@@ -252,7 +259,7 @@
       const {store, jobsTopic} = this.deps;
       const timeoutMs = APPEND_TIMEOUT_MS;
       await store.append(jobsTopic, records, {timeoutMs});
-      this.refusedSinceMs = Number.NaN;
+      this.outageStartMs = Number.NaN;
       return 'stored';
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
@@ -264,18 +271,18 @@
     }
   }
 
-  /** An outage is taken to last as long again as it has lasted so far. */
+  /** Estimates that an outage lasts as long again as it has lasted so far. */
   private toAnswer(outcome: 'refused' | 'unknown'): FrontAnswer {
     if (outcome === 'unknown') return {kind: 'unknown'};
     const nowMs = this.deps.clock.monotonicMs();
-    if (Number.isNaN(this.refusedSinceMs)) this.refusedSinceMs = nowMs;
-    const seconds = Math.round((nowMs - this.refusedSinceMs) / 1000);
+    if (Number.isNaN(this.outageStartMs)) this.outageStartMs = nowMs;
+    const seconds = Math.round((nowMs - this.outageStartMs) / 1000);
     const bounded = Math.min(MAX_RETRY_AFTER_S, seconds);
     return {kind: 'refused', retryAfterS: Math.max(MIN_RETRY_AFTER_S, bounded)};
   }
 }
 
-/** Jobs are shown to their own organisation only. */
-function mayAsk({organisation}: JobRow, caller: JobCaller): boolean {
+/** Only its own organisation may see a job, unless the queue is public. */
+function mayAccess({organisation}: JobRow, caller: JobCaller): boolean {
   return caller.isPublic || organisation === caller.organisation;
 }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -28,4 +28,4 @@
 export * from './messages.js';
 export * from './members.js';
 export * from './owner.js';
-export * from './executor-task.js';
+export * from './executor-loop.js';
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,15 +1,15 @@
-/** Takes the lists of an executor into the owner's state. */
+/** Applies an executor's inventories to the owner's state. */
 import type {Inventory} from './executor-client.js';
 import {noteClock, type ExecutorState} from './executor-state.js';
-import type {ExecutorHost} from './executor-task.js';
+import type {ExecutorHost} from './executor-loop.js';
 import {taskName, type TaskState} from './job-state.js';
 
-/** The longest lease that executors grant, in ms; stated by the platform. */
+/** Longest lease that executors grant, in ms; set by the platform. */
 export const MAX_LEASE_MS = 10_000;
-/** Ends that one answer lists at most; stated by the platform. */
+/** Maximum number of ends in one inventory; set by the platform. */
 const MAX_LISTED_ENDS = 500;
 
-/** Reads the lists of one executor. */
+/** Applies the inventories of one executor. */
 export class InventoryReader {
   constructor(
     private readonly executor: ExecutorState,
@@ -17,54 +17,59 @@
   ) {}
 
   /**
-   * Takes in what runs and what ended.
+   * Applies the running and ended runs of an inventory.
    *
-   * @param sentMs when the list was asked for
-   * @returns whether there was news
+   * @param sentMs when the inventory was requested
+   * @returns whether a run ended, or this is the executor's first inventory
    */
-  take(inventory: Inventory, sentMs: number): boolean {
+  apply(inventory: Inventory, sentMs: number): boolean {
     const {executor, host} = this;
     const nowMs = host.clock.monotonicMs();
-    // An executor that does not say when it started has one life.
+    // An executor that does not report its start time counts as never
+    // restarted.
     const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
     if (bornMs !== executor.bornMs) {
-      host.onLine('executorReborn', {executorId: executor.info.id, bornMs});
+      host.writeLog('executorRestarted', {
+        executorId: executor.info.id,
+        bornMs,
+      });
       host.state.startNewLife(executor, bornMs, sentMs);
-      // Orders that name the old life's clock are cut to the longest lease.
+      // Orders with times on the clock before the restart may last for the
+      // longest lease, to which the executor limits them.
       executor.leaseUntilMs = inventory.clockMs + MAX_LEASE_MS;
     }
     if (executor.missed > 0) {
-      host.onLine('executorBack', {executorId: executor.info.id});
+      host.writeLog('executorReachable', {executorId: executor.info.id});
     }
     executor.missed = 0;
     const wasReached = executor.isReached;
     executor.isReached = true;
     noteClock(executor, inventory.clockMs, nowMs);
-    const hadEnds = this.takeEnds(inventory, nowMs);
-    this.takeRuns(inventory, sentMs, nowMs);
-    if (hadEnds || !wasReached) host.onChange(executor);
-    return hadEnds || !wasReached;
+    const hasNewEnds = this.applyEnds(inventory, nowMs);
+    this.applyRuns(inventory, sentMs, nowMs);
+    if (hasNewEnds || !wasReached) host.onChange(executor);
+    return hasNewEnds || !wasReached;
   }
 
-  private takeEnds({ended}: Inventory, nowMs: number): boolean {
+  private applyEnds({ended}: Inventory, nowMs: number): boolean {
     const {executor, host} = this;
-    let hadEnds = false;
+    let hasNewEnds = false;
     for (const end of ended) {
       if (end.number <= executor.processedThrough) continue;
       executor.processedThrough = end.number;
       host.state.noteEnd(executor, end, nowMs);
-      host.onLine('runEnded', {
+      host.writeLog('runEnded', {
         task: end.task,
         run: end.run,
         how: end.how,
         executorId: executor.info.id,
       });
-      hadEnds = true;
+      hasNewEnds = true;
     }
-    return hadEnds;
+    return hasNewEnds;
   }
 
-  private takeRuns(
+  private applyRuns(
     {running, ended}: Inventory,
     sentMs: number,
     nowMs: number,
@@ -76,11 +81,11 @@
       const task = host.state.taskNamed(name);
       if (task?.executor === executor && isSameRun(task, run, sentMs)) {
         task.run = run;
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
+        this.updateRun(task, checkpoint, percent, usage, nowMs);
       } else if (task !== undefined && mayAdopt(task, run)) {
         host.state.adoptRun(executor, task, run, nowMs);
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
-        host.onLine('runAdopted', {
+        this.updateRun(task, checkpoint, percent, usage, nowMs);
+        host.writeLog('runAdopted', {
           task: name,
           run,
           executorId: executor.info.id,
@@ -89,12 +94,12 @@
         host.state.noteStray(executor, name, run);
       }
     }
-    // A list of ends that is cut off says nothing about what is missing.
+    // If the list of ends is truncated, a missing run may have ended.
     if (ended.length >= MAX_LISTED_ENDS) return;
-    this.noteMissing(listed, sentMs);
+    this.handleMissingRuns(listed, sentMs);
   }
 
-  private noteRunning(
+  private updateRun(
     task: TaskState,
     checkpoint: string,
     percent: number,
@@ -110,7 +115,7 @@
     this.host.state.noteCheckpoint(task, checkpoint);
   }
 
-  private noteMissing(listed: ReadonlySet<string>, sentMs: number): void {
+  private handleMissingRuns(listed: ReadonlySet<string>, sentMs: number): void {
     const {executor, host} = this;
     for (const {task, run} of [...executor.strays.values()]) {
       if (!listed.has(`${task}#${run}`)) {
@@ -124,7 +129,7 @@
         host.state.stopTask(task);
         continue;
       }
-      host.onLine('runMissing', {
+      host.writeLog('runMissing', {
         task: taskName(task),
         run: task.run,
         phase: task.phase,
@@ -136,7 +141,7 @@
   }
 }
 
-/** The run that is known, or one in whose favour the known was refused. */
+/** Whether the run is the known one, or made the executor refuse that one. */
 function isSameRun(task: TaskState, run: number, sentMs: number): boolean {
   if (task.run === run) return true;
   return task.phase === 'starting' && task.answeredMs < sentMs;
--- a/packages/cell/src/job-table.ts
+++ b/packages/cell/src/job-table.ts
@@ -1,31 +1,31 @@
-/** What a VM knows of the jobs' phases, to answer callers at once. */
+/** A VM's table of job phases, from which it answers callers at once. */
 import type {Clock} from '@dragonflyward/common';
 import type {JobRow} from './messages.js';
 import {isFinal} from './types.js';
 
-/** Final phases are kept that long, in ms; callers may ask for two minutes. */
-export const KEEP_FINAL_MS = 180_000;
+/** How long final phases are kept, in ms; callers may ask for two minutes. */
+export const FINAL_TTL_MS = 180_000;
 
 interface FinalRow {
   readonly id: string;
   readonly atMs: number;
 }
 
-/** The rows of all jobs; a final phase is never replaced. */
+/** The rows of all known jobs; a final phase is never replaced. */
 export class JobTable {
   private readonly rows = new Map<string, JobRow>();
   private readonly waiting = new Map<string, number>();
-  /** Final rows, the oldest first. */
+  /** Final rows, oldest first. */
   private readonly final: FinalRow[] = [];
 
   constructor(private readonly clock: Clock) {}
 
-  /** The job's row; undefined where the job is not known here. */
+  /** Returns a job's row, or undefined if the job is not known. */
   get(id: string): JobRow | undefined {
     return this.rows.get(id);
   }
 
-  /** Takes in a row; what is final or has begun never goes back. */
+  /** Updates a row; a final phase never changes, nor running to queued. */
   set(row: JobRow): void {
     const known = this.rows.get(row.id);
     if (known !== undefined) {
@@ -38,21 +38,21 @@
     if (!isFinal(row.phase)) return;
     const nowMs = this.clock.monotonicMs();
     this.final.push({id: row.id, atMs: nowMs});
-    this.dropOld(nowMs);
+    this.removeExpired(nowMs);
   }
 
-  /** How many accepted jobs of a queue have not begun. */
+  /** Returns how many accepted jobs of a queue have not started. */
   waitingIn(queue: string): number {
     return this.waiting.get(queue) ?? 0;
   }
 
-  /** How many jobs are known. */
+  /** The number of known jobs. */
   get size(): number {
     return this.rows.size;
   }
 
-  private dropOld(nowMs: number): void {
-    while (nowMs - (this.final[0]?.atMs ?? nowMs) > KEEP_FINAL_MS) {
+  private removeExpired(nowMs: number): void {
+    while (nowMs - (this.final[0]?.atMs ?? nowMs) > FINAL_TTL_MS) {
       const oldest = this.final.shift();
       if (oldest !== undefined) this.rows.delete(oldest.id);
     }
--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -4,12 +4,12 @@
 import {JOBS_TOPICS} from './records.js';
 import type {PlacedRecord, Store} from './store.js';
 
-/** How long a caller's question waits for a reading of the jobs, in ms. */
-const READ_BOUND_MS = 500;
-/** Time between two looks whether all topics were read, in ms. */
-const LOOK_MS = 10;
+/** How long a caller's lookup waits until the jobs are read, in ms. */
+const READ_TIMEOUT_MS = 500;
+/** Interval at which it is checked whether all topics were read, in ms. */
+const POLL_INTERVAL_MS = 10;
 
-/** One follower for each topic of jobs. */
+/** Runs one follower for each jobs topic. */
 export class JobsFollower {
   private readonly followers: readonly Follower[];
 
@@ -26,8 +26,8 @@
     );
   }
 
-  /** One reading of each topic; each may fail with a StoreError. */
-  loads(): readonly Promise<void>[] {
+  /** Loads each topic once; each load may fail with a StoreError. */
+  startLoads(): readonly Promise<void>[] {
     return this.followers.map(each => each.load());
   }
 
@@ -36,12 +36,12 @@
     for (const follower of this.followers) void follower.run();
   }
 
-  /** Ends the following. */
+  /** Stops following. */
   stop(): void {
     for (const follower of this.followers) follower.stop();
   }
 
-  /** Up to when the jobs are surely known, on the steady clock in ms. */
+  /** All jobs stored before this time are known; monotonic clock, in ms. */
   get freshMs(): number {
     return Math.min(...this.followers.map(each => each.freshMs));
   }
@@ -49,16 +49,16 @@
   /**
    * Waits until all jobs that were stored before the call have been read.
    *
-   * @returns false where that takes too long
+   * @returns false if that takes too long
    * @example
-   * const isSure = await jobs.readNow();
+   * const isSure = await jobs.waitUntilRead();
    */
-  async readNow(): Promise<boolean> {
-    const askedMs = this.clock.monotonicMs();
-    for (const follower of this.followers) follower.readSoon();
-    while (this.freshMs < askedMs) {
-      if (this.clock.monotonicMs() - askedMs >= READ_BOUND_MS) return false;
-      await this.clock.sleep(LOOK_MS);
+  async waitUntilRead(): Promise<boolean> {
+    const startMs = this.clock.monotonicMs();
+    for (const follower of this.followers) follower.requestRead();
+    while (this.freshMs < startMs) {
+      if (this.clock.monotonicMs() - startMs >= READ_TIMEOUT_MS) return false;
+      await this.clock.sleep(POLL_INTERVAL_MS);
     }
     return true;
   }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -1,4 +1,4 @@
-/** The connections of a VM to the owner, to neighbours and from others. */
+/** A VM's connections to the owner, to its neighbours and from other VMs. */
 import {
   listenPeers,
   PeerHandler,
@@ -16,24 +16,24 @@
 import type {OwnerAddress} from './ownership.js';
 import type {StorePeer} from './relayed-store.js';
 
-/** A connection that is silent for longer is dropped, in ms. */
+/** A connection is closed after this time without a message, in ms. */
 const SILENCE_BOUND_MS = 1500;
-/** A VM that was heard that lately is connected, in ms. */
-const HEARD_MS = 1200;
-/** A VM that was heard that lately may still be there, in ms. */
-const REMEMBER_MS = 60_000;
-/** Other VMs to which each VM keeps a connection besides the owner. */
-const NEIGHBOURS = 2;
+/** Maximum age of the last heartbeat of a connected VM, in ms. */
+const MAX_HEARTBEAT_AGE_MS = 1200;
+/** How long a VM without heartbeats is taken to be possibly alive, in ms. */
+const MEMBER_RETENTION_MS = 60_000;
+/** Number of VMs besides the owner to which each VM keeps a connection. */
+const NEIGHBOUR_COUNT = 2;
 
 export type CellConnection = PeerConnection<CellProtocol>;
 export type CellPeerInfo = PeerInfo<CellProtocol>;
 
-/** What a VM does with what others send. */
+/** Handles the messages of other VMs. */
 export abstract class MemberHandler extends PeerHandler<CellProtocol> {
   override readonly silenceBoundMs = SILENCE_BOUND_MS;
 }
 
-/** What is known of a connected VM. */
+/** State of a connected VM. */
 export interface Member {
   readonly connection: CellConnection;
   readonly address: OwnerAddress;
@@ -41,19 +41,19 @@
   readonly cores: number;
   isStoreOk: boolean;
   isDraining: boolean;
-  /** The term of the owner that the VM is connected to; 0 for none. */
-  seenTerm: number;
-  /** Wall-clock time of the newest heartbeat. */
-  heardMs: number;
+  /** The term of the owner that the VM is connected to, or 0. */
+  connectedOwnerTerm: number;
+  /** When the last heartbeat arrived, on the wall clock. */
+  heartbeatMs: number;
 }
 
 /** All connections of one VM. */
 export class Members {
   private readonly mesh: PeerMesh<CellProtocol>;
-  private readonly open = new Map<CellConnection, Member>();
-  /** When each VM was last heard, on the wall clock. */
-  private readonly recent = new Map<string, number>();
-  private known: readonly OwnerAddress[] = [];
+  private readonly members = new Map<CellConnection, Member>();
+  /** When each VM last sent a heartbeat, on the wall clock. */
+  private readonly lastSeenMs = new Map<string, number>();
+  private knownMembers: readonly OwnerAddress[] = [];
   private owner: OwnerAddress | null = null;
   private server: Server | null = null;
 
@@ -65,96 +65,98 @@
     this.mesh = new PeerMesh(handler);
   }
 
-  /** Listens for other VMs and connects to those that are known. */
+  /** Listens for other VMs and connects to the known ones. */
   async start(): Promise<void> {
     const {ip, port} = this.self;
     this.server = await listenPeers<CellProtocol>(ip, port, this.handler);
     this.connect();
   }
 
-  /** Ends all connections. */
+  /** Closes all connections. */
   close(): void {
     this.mesh.close();
     this.server?.close();
-    for (const connection of [...this.open.keys()]) connection.close();
+    for (const connection of [...this.members.keys()]) connection.close();
   }
 
-  /** Follows another owner. */
+  /** Sets the owner to connect to. */
   setOwner(owner: OwnerAddress | null): void {
     this.owner = owner;
     this.connect();
   }
 
-  /** Takes over the list of VMs that the owner has sent. */
-  setKnown(known: readonly OwnerAddress[]): void {
-    this.known = known;
+  /** Sets the list of VMs that the owner has sent. */
+  setKnownMembers(members: readonly OwnerAddress[]): void {
+    this.knownMembers = members;
     this.connect();
   }
 
-  /** A connection to a peer stands. */
+  /** Adds an established connection to a peer. */
   add(connection: CellConnection): void {
     const {info} = connection;
     if (info === undefined) return;
     const {self: address, domain, cores} = info;
-    const unknown = {
+    const defaults = {
       isStoreOk: true,
       isDraining: false,
-      seenTerm: 0,
-      heardMs: Date.now(),
+      connectedOwnerTerm: 0,
+      heartbeatMs: Date.now(),
     };
-    this.recent.set(address.vm, Date.now());
-    const member = {connection, address, domain, cores, ...unknown};
-    this.open.set(connection, member);
+    this.lastSeenMs.set(address.vm, Date.now());
+    const member = {connection, address, domain, cores, ...defaults};
+    this.members.set(connection, member);
   }
 
-  /** A connection is gone. */
+  /** Removes a closed connection. */
   remove(connection: CellConnection): void {
-    this.open.delete(connection);
+    this.members.delete(connection);
   }
 
-  /** Takes in what a peer's heartbeat says of it. */
-  note(vm: string, beat: CellHeartbeat): void {
-    for (const member of this.open.values()) {
+  /** Updates a peer's state from its heartbeat. */
+  recordHeartbeat(vm: string, heartbeat: CellHeartbeat): void {
+    for (const member of this.members.values()) {
       if (member.address.vm !== vm) continue;
-      member.isStoreOk = beat.isStoreOk;
-      member.isDraining = beat.isDraining;
-      member.seenTerm = beat.isOwnerSeen ? beat.term : 0;
-      member.heardMs = Date.now();
-      this.recent.set(vm, member.heardMs);
+      member.isStoreOk = heartbeat.isStoreOk;
+      member.isDraining = heartbeat.isDraining;
+      member.connectedOwnerTerm = heartbeat.isOwnerSeen ? heartbeat.term : 0;
+      member.heartbeatMs = Date.now();
+      this.lastSeenMs.set(vm, member.heartbeatMs);
     }
   }
 
-  /** Whether a connected VM is connected to the owner of that term. */
+  /** Whether a connected VM is connected to the owner of a term. */
   isOwnerSeen(term: number): boolean {
-    return [...this.connected()].some(({seenTerm}) => seenTerm >= term);
+    return [...this.connected()].some(
+      ({connectedOwnerTerm}) => connectedOwnerTerm >= term,
+    );
   }
 
-  /** Whether every VM that was heard lately is connected and heard now. */
-  isLinkedToAll(): boolean {
+  /** Whether every VM that may be alive is connected and sends heartbeats. */
+  isConnectedToAll(): boolean {
     const nowMs = Date.now();
     const heard = new Set<string>();
-    for (const {address, heardMs} of this.open.values()) {
-      if (nowMs - heardMs < HEARD_MS) heard.add(address.vm);
+    for (const {address, heartbeatMs} of this.members.values()) {
+      if (nowMs - heartbeatMs < MAX_HEARTBEAT_AGE_MS) heard.add(address.vm);
     }
-    for (const [vm, atMs] of this.recent) {
-      if (nowMs - atMs < REMEMBER_MS && !heard.has(vm)) return false;
+    for (const [vm, atMs] of this.lastSeenMs) {
+      if (nowMs - atMs < MEMBER_RETENTION_MS && !heard.has(vm)) return false;
     }
     return true;
   }
 
-  /** The cores of the largest connected VM. */
-  largestCores(): number {
+  /** Returns the highest number of cores of a connected VM. */
+  maxPeerCores(): number {
     return Math.max(0, ...[...this.connected()].map(({cores}) => cores));
   }
 
-  /** How many VMs are connected. */
+  /** The number of connected VMs. */
   get count(): number {
     return this.addresses().length;
   }
 
-  /** The open connection to a VM's newest process, where there is one. */
+  /** Returns the open connection to a process of a VM, if there is one. */
   connectionTo(address: OwnerAddress): CellConnection | undefined {
-    for (const {connection, address: at} of this.open.values()) {
+    for (const {connection, address: at} of this.members.values()) {
       const isSame =
         at.vm === address.vm && at.incarnation === address.incarnation;
       if (isSame && connection.isOpen) return connection;
@@ -162,10 +164,10 @@
     return undefined;
   }
 
-  /** One open connection to each connected VM. */
+  /** Yields one open connection for each connected VM. */
   *connected(): Generator<Member> {
     const seen = new Set<string>();
-    for (const member of this.open.values()) {
+    for (const member of this.members.values()) {
       const {vm} = member.address;
       if (seen.has(vm) || !member.connection.isOpen) continue;
       seen.add(vm);
@@ -173,20 +175,20 @@
     }
   }
 
-  /** The addresses of the connected VMs. */
+  /** Returns the addresses of the connected VMs. */
   addresses(): readonly OwnerAddress[] {
     return [...this.connected()].map(({address}) => address);
   }
 
-  /** Peers that can call the store, the owner first. */
+  /** Returns the peers that can call the store, the owner first. */
   storePeers(): readonly StorePeer[] {
-    const able = [...this.connected()].filter(({isStoreOk}) => isStoreOk);
+    const usable = [...this.connected()].filter(({isStoreOk}) => isStoreOk);
     const ownerVm = this.owner?.vm;
-    able.sort(
+    usable.sort(
       (a, b) =>
         Number(b.address.vm === ownerVm) - Number(a.address.vm === ownerVm),
     );
-    return able.map(({connection}) => toStorePeer(connection));
+    return usable.map(({connection}) => toStorePeer(connection));
   }
 
   private connect(): void {
@@ -195,18 +197,20 @@
       each.ip !== this.self.ip || each.port !== this.self.port;
     const wanted = [...this.neighbours()];
     if (this.owner !== null) wanted.push(this.owner);
-    if (this.known.length === 0) wanted.push(...this.seeds);
+    if (this.knownMembers.length === 0) wanted.push(...this.seeds);
     for (const each of wanted) {
       if (isOther(each)) targets.set(`${each.ip}:${each.port}`, each);
     }
     this.mesh.setPeers([...targets.values()].map(toPeerAddress));
   }
 
-  /** The next VMs in the order of names, so that all are linked in a ring. */
+  /** Yields the next VMs in name order, which connects all in a ring. */
   private *neighbours(): Generator<OwnerAddress> {
-    const sorted = [...this.known].sort((a, b) => a.vm.localeCompare(b.vm));
+    const sorted = [...this.knownMembers].sort((a, b) =>
+      a.vm.localeCompare(b.vm),
+    );
     const at = sorted.findIndex(({vm}) => vm === this.self.vm);
-    for (let i = 1; i <= NEIGHBOURS && i < sorted.length; i += 1) {
+    for (let i = 1; i <= NEIGHBOUR_COUNT && i < sorted.length; i += 1) {
       const next = sorted[(at + i) % sorted.length];
       if (next !== undefined) yield next;
     }
@@ -228,7 +232,7 @@
       timeoutMs: number,
     ): Promise<StoreReply> => {
       const reply = await connection.ask({type: 'storeAsk', call}, timeoutMs);
-      if (reply.type !== 'store') throw new Error(`odd reply ${reply.type}`);
+      if (reply.type !== 'store') throw new Error(`wrong type ${reply.type}`);
       return reply;
     },
   };
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -1,4 +1,4 @@
-/** The messages between the processes of a cell, one process on each VM. */
+/** Messages between the processes of a cell, of which each VM runs one. */
 import type {Ticket} from './executor-client.js';
 import type {OwnerAddress} from './ownership.js';
 import type {
@@ -9,19 +9,19 @@
 } from './store.js';
 import type {JobPhase} from './types.js';
 
-/** First message on each connection, both ways. */
+/** First message on each connection, in both directions. */
 export interface CellHello {
   readonly type: 'hello';
   readonly self: OwnerAddress;
   readonly domain: string;
-  /** Cores that the VM may use; a larger one is the better owner. */
+  /** Number of cores of the VM; a VM with more is preferred as the owner. */
   readonly cores: number;
 }
 
-/** Shows that the sender is alive and what it knows. */
+/** Shows that the sender is alive and reports its state. */
 export interface CellHeartbeat {
   readonly type: 'heartbeat';
-  /** The newest owner that the sender knows; null where it knows none. */
+  /** The newest owner that the sender knows, or null. */
   readonly owner: OwnerAddress | null;
   readonly term: number;
   readonly configVersion: number;
@@ -32,7 +32,7 @@
   readonly isOwnerSeen: boolean;
 }
 
-/** A job that the sender has stored; the owner need not wait to read it. */
+/** A job that the sender has stored; saves the owner the wait for a read. */
 export interface JobNotice {
   readonly type: 'job';
   readonly value: Uint8Array;
@@ -44,7 +44,7 @@
   readonly id: string;
 }
 
-/** What callers may see of a job. */
+/** The part of a job's state that callers may see. */
 export interface JobRow {
   readonly id: string;
   readonly phase: JobPhase;
@@ -52,7 +52,7 @@
   readonly organisation: string;
 }
 
-/** Jobs whose phase has changed; all jobs where `isFull`. */
+/** Jobs whose phase has changed; all jobs if `isFull`. */
 export interface JobsNotice {
   readonly type: 'jobs';
   readonly term: number;
@@ -66,11 +66,11 @@
   readonly members: readonly OwnerAddress[];
 }
 
-/** The sender owned the cell and has written the receiver's name. */
+/** The sender owned the cell and has stored the receiver as its owner. */
 export interface HandoverNotice {
   readonly type: 'handover';
   readonly term: number;
-  /** Where the owner's topic ends after that. */
+  /** The end of the owner topic after that write. */
   readonly endOffset: number;
 }
 
@@ -80,7 +80,7 @@
   readonly id: string;
 }
 
-/** Answer of the owner; `row` is null where there is no such job. */
+/** Answer of the owner; `row` is null if there is no such job. */
 export interface PhaseReply {
   readonly type: 'phase';
   readonly row: JobRow | null;
@@ -88,7 +88,7 @@
   readonly isSure: boolean;
 }
 
-/** Asks a VM to ask the advice service, which serves each VM in turn. */
+/** Asks a VM to call the advice service, which serves each VM in turn. */
 export interface AdviceAsk {
   readonly type: 'adviceAsk';
   readonly step: string;
@@ -96,24 +96,24 @@
   readonly timeoutMs: number;
 }
 
-/** The tickets that the service gave; null where the call failed. */
+/** The tickets that the service issued, or null if the call failed. */
 export interface AdviceReply {
   readonly type: 'advice';
   readonly tickets: readonly Ticket[] | null;
 }
 
-/** Asks for the newest configuration that the peer has. */
+/** Requests the newest configuration that the peer has. */
 export interface ConfigAsk {
   readonly type: 'configAsk';
 }
 
-/** The configuration as the store holds it; empty where there is none. */
+/** The configuration as stored; empty if there is none. */
 export interface ConfigReply {
   readonly type: 'config';
   readonly value: Uint8Array;
 }
 
-/** A call to the store that a peer makes for a VM that the store refuses. */
+/** A store call that a peer makes for a VM that the store refuses. */
 export type StoreCall =
   | {
       readonly op: 'append';
@@ -125,13 +125,13 @@
   | {readonly op: 'read'; readonly topic: string; readonly from: number}
   | {readonly op: 'newest'; readonly topic: string};
 
-/** Asks a peer to make a call to the store. */
+/** Asks a peer to make a store call. */
 export interface StoreAsk {
   readonly type: 'storeAsk';
   readonly call: StoreCall;
 }
 
-/** How the call went. */
+/** Result of the store call. */
 export interface StoreReply {
   readonly type: 'store';
   readonly failure: StoreFailure | null;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,21 +1,21 @@
-/** The owner of the cell: decides, orders, and keeps progress in the store. */
+/** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {AdviceDesk, type AdviceLane} from './advice-desk.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
-import {ExecutorTask, type ExecutorHost} from './executor-task.js';
+import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './front.js';
 import {FormerRuns} from './former-runs.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
-import {KEEP_FINAL_MS} from './job-table.js';
+import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
 import {RIGHT_TO_START_MS, type Ownership} from './ownership.js';
 import type {LogLine, Platform} from './platform.js';
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
-import {decodeJobsEntry, jobKey} from './records.js';
+import {decodeJobsRecord, jobKey} from './records.js';
 import {Review} from './review.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
@@ -23,123 +23,123 @@
 import type {Store} from './store.js';
 import {isFinal, type CellConfig} from './types.js';
 
-/** Time between two lines on the state of the cell, in ms. */
-const STATE_LINE_MS = 5000;
-/** Time between looks at what depends on time alone, in ms. */
-const TICK_MS = 100;
-/** Least time between two rounds of decisions, in ms. */
-const ROUND_GAP_MS = 3;
-/** A reading of the jobs that is older proves nothing about a job, in ms. */
-const SURE_AGE_MS = 2000;
+/** Time between two log entries on the state of the cell, in ms. */
+const STATE_LOG_INTERVAL_MS = 5000;
+/** Time between checks of what changes with time alone, in ms. */
+const TICK_INTERVAL_MS = 100;
+/** Minimum delay before a scheduling round, in ms. */
+const MIN_ROUND_DELAY_MS = 3;
+/** An older read of the jobs does not show that a job does not exist, in ms. */
+const MAX_READ_AGE_MS = 2000;
 
-/** What an owner needs of its VM. */
+/** Dependencies of an owner. */
 export interface OwnerDeps {
   readonly platform: Platform;
-  /** The store, with the help of peers. */
+  /** The store, called through peers where direct calls fail. */
   readonly store: Store;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: LogLine;
   readonly ownership: Ownership;
-  /** Whether the former owner has surely stopped. */
+  /** Whether the former owner is known to have stopped. */
   readonly isFormerStopped: boolean;
-  /** Whether every VM of the cell is connected and knows no newer owner. */
-  readonly isLinkedToAll: () => boolean;
+  /** Whether every VM of the cell is connected and none knows a newer owner. */
+  readonly isConnectedToAll: () => boolean;
   readonly lanes: () => readonly AdviceLane[];
-  /** Tells callers' VMs of changed phases. */
+  /** Sends changed phases to the VMs that serve callers. */
   readonly publish: (rows: readonly JobRow[]) => void;
 }
 
-/** Runs the cell under one term. */
+/** Schedules the cell's jobs under one term. */
 export class Owner {
   readonly state: CellState;
-  private readonly tasks = new Map<string, ExecutorTask>();
+  private readonly loops = new Map<string, ExecutorLoop>();
   private readonly desk: AdviceDesk;
   private readonly writer: ProgressWriter;
   private readonly feed: CellFeed;
   private readonly commit: ProgressCommit;
-  private readonly former: FormerRuns;
+  private readonly formerRuns: FormerRuns;
   private readonly review: Review;
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private isActive = false;
   private isClosed = false;
-  private stateLoggedMs = 0;
+  private lastStateLogMs = 0;
   private isRoundDue = false;
-  /** How long the newest round of decisions took, in ms. */
+  /** Duration of the last scheduling round, in ms. */
   private roundMs = 0;
 
   constructor(private readonly deps: OwnerDeps) {
     const {clock, store, ownership, isFormerStopped} = deps;
     this.claimedMs = clock.monotonicMs();
-    this.former = new FormerRuns(this.claimedMs, isFormerStopped);
-    this.state = this.newState();
+    this.formerRuns = new FormerRuns(this.claimedMs, isFormerStopped);
+    this.state = this.createState();
     this.desk = new AdviceDesk(
       deps.lanes,
       () => clock.monotonicMs(),
-      () => this.kick(),
+      () => this.requestRound(),
     );
-    const mayWrite = (): boolean => !this.isClosed && !ownership.isSuperseded;
+    const mayWrite = (): boolean => !this.isClosed && !ownership.isRevoked;
     this.writer = new ProgressWriter(store, clock, ownership.term, mayWrite);
-    this.commit = this.newCommit();
-    this.feed = this.newFeed();
+    this.commit = this.createCommit();
+    this.feed = this.createFeed();
     this.review = new Review(this.state, clock, deps.log, (task, percent) => {
       const executorId = task.executor?.info.id ?? '';
-      void this.tasks.get(executorId)?.pace(task, percent);
+      void this.loops.get(executorId)?.pace(task, percent);
     });
   }
 
-  private newState(): CellState {
+  private createState(): CellState {
     return new CellState(this.deps.ownership.term, {
       onDirty: job => this.commit.addJob(job),
-      onPhase: job => this.notePhase(job),
+      onPhase: job => this.recordPhaseChange(job),
       onStop: task => this.sendStop(task),
       onStray: (executor, name, run) => {
-        void this.tasks.get(executor.info.id)?.stop(name, run, null);
+        void this.loops.get(executor.info.id)?.stop(name, run, null);
       },
     });
   }
 
-  private newCommit(): ProgressCommit {
+  private createCommit(): ProgressCommit {
     const {state, writer, deps} = this;
     return new ProgressCommit({
       ...deps,
       state,
       writer,
-      onStoredExecutor: executor => this.openTask(executor),
-      onAck: executor => this.tasks.get(executor.info.id)?.poke(),
+      onExecutorStored: executor => this.startExecutorLoop(executor),
+      onAck: executor => this.loops.get(executor.info.id)?.wake(),
       onFinal: jobs => deps.publish(jobs.map(toRow)),
     });
   }
 
-  private newFeed(): CellFeed {
-    const {state, writer, former, deps} = this;
+  private createFeed(): CellFeed {
+    const {state, writer, formerRuns, deps} = this;
     return new CellFeed({
       ...deps,
       state,
       writer,
-      former,
+      formerRuns,
       onJob: job => {
-        if (this.isActive) this.notePhase(job);
+        if (this.isActive) this.recordPhaseChange(job);
       },
-      onCancel: () => this.kick(),
+      onCancel: () => this.requestRound(),
       onNewExecutor: executor => {
         this.commit.addExecutor(executor);
-        this.kick();
+        this.requestRound();
       },
       onFormerExecutor: executor => {
         this.commit.dropExecutor(executor);
-        this.openTask(executor);
+        this.startExecutorLoop(executor);
       },
-      onMoved: executor => this.reopenTask(executor),
+      onAddressChanged: executor => this.restartExecutorLoop(executor),
       onDraining: executor => this.review.leave(executor),
     });
   }
 
   /**
-   * Loads what is stored and starts to act.
+   * Loads the stored state and starts to schedule.
    *
-   * @returns false where another owner has taken over meanwhile
+   * @returns false if another owner has taken over in the meantime
    * @throws StoreError
    */
   async start(config: CellConfig | null): Promise<boolean> {
@@ -156,83 +156,83 @@
     this.feed.start();
     void this.commit.run();
     void this.tickLoop();
-    this.kick();
+    this.requestRound();
     return true;
   }
 
-  /** Stops acting; orders that are under way are not awaited. */
+  /** Stops scheduling; does not wait for orders in flight. */
   close(): void {
     this.isClosed = true;
     this.isActive = false;
     this.feed.stop();
-    for (const task of this.tasks.values()) task.close();
+    for (const loop of this.loops.values()) loop.close();
     this.commit.close();
   }
 
-  /** Takes over a configuration. */
+  /** Applies a configuration. */
   setConfig(config: CellConfig): void {
     this.state.setConfig(config);
-    this.kick();
+    this.requestRound();
   }
 
-  /** Takes in an accepted job that a VM has stored. */
+  /** Adds an accepted job that a VM has stored. */
   addStoredJob(value: Uint8Array): void {
-    const entry = decodeJobsEntry(jobKey(''), value);
+    const entry = decodeJobsRecord(jobKey(''), value);
     if (entry?.kind !== 'job') return;
     this.feed.addJob(entry.job);
   }
 
-  /** Takes in a cancel that a VM has stored. */
+  /** Applies a cancel that a VM has stored. */
   addStoredCancel(id: string): void {
     this.deps.log('jobCancelled', {job: id, by: 'notice'});
     this.state.cancelJob(id);
-    this.kick();
+    this.requestRound();
   }
 
-  /** The row of one job; null where there is none. */
-  rowOf(id: string): JobRow | null {
+  /** Returns the row of a job, or null if the job is not known. */
+  findRow(id: string): JobRow | null {
     const job = this.state.jobs.get(id);
     return job === undefined ? null : toRow(job);
   }
 
-  /** Looks a job up; reads the store before it says that there is none. */
+  /** Looks up a job; reads the store before it reports the job as missing. */
   async lookup(id: string): Promise<Lookup> {
-    const known = this.rowOf(id);
+    const known = this.findRow(id);
     if (known !== null || !this.isActive) return {row: known, isSure: false};
     const isSure = await this.feed.readJobs();
-    return {row: this.rowOf(id), isSure};
+    return {row: this.findRow(id), isSure};
   }
 
-  /** The rows of all jobs. */
+  /** Returns the rows of all jobs. */
   allRows(): readonly JobRow[] {
     return [...this.state.jobs.values()].map(toRow);
   }
 
-  /** Whether all jobs that were stored a moment ago are known here. */
-  get isSure(): boolean {
+  /** Whether the stored jobs were read recently enough to be complete. */
+  get isJobListFresh(): boolean {
     const ageMs = this.deps.clock.monotonicMs() - this.feed.jobsFreshMs;
-    return this.isActive && ageMs < SURE_AGE_MS;
+    return this.isActive && ageMs < MAX_READ_AGE_MS;
   }
 
-  private openTask(executor: ExecutorState): void {
+  private startExecutorLoop(executor: ExecutorState): void {
     const {id} = executor.info;
-    if (this.tasks.has(id)) return;
+    if (this.loops.has(id)) return;
     const client = this.deps.platform.connect(executor.info);
-    const task = new ExecutorTask(executor, client, this.host());
-    this.tasks.set(id, task);
-    void task.run();
+    const loop = new ExecutorLoop(executor, client, this.executorHost());
+    this.loops.set(id, loop);
+    void loop.run();
   }
 
-  private reopenTask(executor: ExecutorState): void {
+  private restartExecutorLoop(executor: ExecutorState): void {
     const {id} = executor.info;
-    const old = this.tasks.get(id);
+    const old = this.loops.get(id);
     if (old === undefined) return;
     old.close();
-    this.tasks.delete(id);
-    this.openTask(executor);
+    this.loops.delete(id);
+    this.startExecutorLoop(executor);
   }
 
-  private host(): ExecutorHost {
+  private executorHost(): ExecutorHost {
     const {clock, ownership, log} = this.deps;
     return {
       state: this.state,
@@ -240,15 +240,15 @@
       token: ownership.term,
       mayAct: () => this.mayAct(),
       onFenced: () => {
-        if (!ownership.isSuperseded) log('ownerFenced', {term: ownership.term});
-        ownership.lose();
+        if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
+        ownership.revoke();
       },
       onChange: executor => {
-        this.former.dropExecutor(executor);
-        this.commit.poke();
-        this.kick();
+        this.formerRuns.dropExecutor(executor);
+        this.commit.wake();
+        this.requestRound();
       },
-      onLine: log,
+      writeLog: log,
     };
   }
 
@@ -257,33 +257,34 @@
   }
 
   private mayStart(): boolean {
-    const {ownership, isLinkedToAll} = this.deps;
-    const isProven = ownership.isProvenWithin(RIGHT_TO_START_MS);
-    return this.mayAct() && (isProven || isLinkedToAll());
+    const {ownership, isConnectedToAll} = this.deps;
+    const hasRecentHeartbeat = ownership.isConfirmedWithin(RIGHT_TO_START_MS);
+    return this.mayAct() && (hasRecentHeartbeat || isConnectedToAll());
   }
 
   private sendStop(task: TaskState): void {
     const executorId = task.executor?.info.id;
     if (executorId === undefined) return;
-    void this.tasks.get(executorId)?.stop(taskName(task), task.run, task);
+    void this.loops.get(executorId)?.stop(taskName(task), task.run, task);
   }
 
-  private notePhase(job: JobState): void {
+  private recordPhaseChange(job: JobState): void {
     if (isFinal(job.phase)) this.commit.addJob(job);
     else this.phaseChanges.add(job);
-    this.kick();
+    this.requestRound();
   }
 
-  /** Asks for a round of decisions soon. */
-  private kick(): void {
+  /** Schedules a round unless one is already due. */
+  private requestRound(): void {
     if (this.isRoundDue || !this.isActive) return;
     this.isRoundDue = true;
-    void this.roundSoon();
+    void this.runRoundAfterDelay();
   }
 
-  private async roundSoon(): Promise<void> {
-    // Rounds take half of a slow processor at most.
-    await this.deps.clock.sleep(Math.max(ROUND_GAP_MS, this.roundMs));
+  private async runRoundAfterDelay(): Promise<void> {
+    // Waiting as long as the last round took limits rounds to half of a
+    // processor, also on a slow one.
+    await this.deps.clock.sleep(Math.max(MIN_ROUND_DELAY_MS, this.roundMs));
     this.isRoundDue = false;
     this.runRound();
   }
@@ -309,7 +310,7 @@
     return {
       nowMs,
       wallMs: this.deps.clock.wallMs(),
-      isUnsure: step => this.former.mayRun(step, nowMs),
+      isUnsure: step => this.formerRuns.mayRun(step, nowMs),
     };
   }
 
@@ -324,7 +325,7 @@
       executorId: id,
     });
     this.deps.metrics.count('starts_total');
-    void this.tasks.get(id)?.start(task, ticket);
+    void this.loops.get(id)?.start(task, ticket);
   }
 
   private publishPhases(): void {
@@ -336,7 +337,7 @@
 
   private async tickLoop(): Promise<void> {
     while (!this.isClosed) {
-      await this.deps.clock.sleep(TICK_MS);
+      await this.deps.clock.sleep(TICK_INTERVAL_MS);
       this.tick();
     }
   }
@@ -345,16 +346,16 @@
     if (!this.mayAct()) return;
     this.review.run();
     this.logState();
-    this.dropGone();
-    this.forgetOld();
-    this.kick();
+    this.removeGoneExecutors();
+    this.forgetExpiredJobs();
+    this.requestRound();
   }
 
-  /** One line now and then that shows what the cell waits for. */
+  /** Logs at intervals what the cell waits for. */
   private logState(): void {
     const nowMs = this.deps.clock.monotonicMs();
-    if (nowMs - this.stateLoggedMs < STATE_LINE_MS) return;
-    this.stateLoggedMs = nowMs;
+    if (nowMs - this.lastStateLogMs < STATE_LOG_INTERVAL_MS) return;
+    this.lastStateLogMs = nowMs;
     const context = this.roundContext(nowMs);
     for (const {event, fields} of stateLines(this.state, context)) {
       this.deps.log(event, fields);
@@ -364,27 +365,27 @@
     }
   }
 
-  private dropGone(): void {
+  private removeGoneExecutors(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const executor of [...this.state.executors.values()]) {
       const {isListed, tasks, strays, info} = executor;
       if (isListed || tasks.size > 0 || strays.size > 0) continue;
-      if (this.former.mayHold(executor, nowMs)) continue;
+      if (this.formerRuns.mayHold(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
-      this.former.dropExecutor(executor);
-      this.tasks.get(info.id)?.close();
-      this.tasks.delete(info.id);
+      this.formerRuns.dropExecutor(executor);
+      this.loops.get(info.id)?.close();
+      this.loops.delete(info.id);
       this.state.executors.delete(info.id);
-      this.commit.addGone(executor);
+      this.commit.addGoneExecutor(executor);
     }
   }
 
-  private forgetOld(): void {
+  private forgetExpiredJobs(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const job of this.state.jobs.values()) {
-      if (job.finalMs === 0 || nowMs - job.finalMs < KEEP_FINAL_MS) continue;
+      if (job.finalMs === 0 || nowMs - job.finalMs < FINAL_TTL_MS) continue;
       this.state.forgetJob(job.id);
-      if (!this.state.jobs.has(job.id)) this.commit.addForgotten(job.id);
+      if (!this.state.jobs.has(job.id)) this.commit.addForgottenJob(job.id);
     }
   }
 }
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -1,48 +1,48 @@
-/** Who owns the cell: claims and heartbeats in the store, each with a term. */
+/** Cell ownership: claims and heartbeats in the store, each with a term. */
 import type {Clock} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import PQueue from 'p-queue';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
-/** How often an owner writes that it is alive, in ms. */
+/** Interval of an owner's heartbeats in the store, in ms. */
 export const OWNER_HEARTBEAT_MS = 500;
 /** An owner whose newest heartbeat is older stops acting, in ms. */
 export const RIGHT_TO_ACT_MS = 8000;
 
 /**
  * An owner whose newest heartbeat is older starts nothing, unless every VM is
- * connected to it: a VM that claims the cell would have told it. In ms.
+ * connected to it: a VM that claims the cell would have notified it. In ms.
  */
 export const RIGHT_TO_START_MS = 800;
 
 const OWNER_KEY = 'cell';
 const HEARTBEAT_TIMEOUT_MS = 1000;
 
-/** Where the process that owns the cell is. */
+/** Address of the process that owns the cell. */
 export interface OwnerAddress {
   readonly vm: string;
   readonly ip: string;
   readonly port: number;
-  /** Which run of the process; a new run has a new one. */
+  /** Identifies one run of the process; changes when it restarts. */
   readonly incarnation: number;
 }
 
-/** Only the address, of what holds one. */
+/** Copies the address fields only. */
 export function toAddress(from: OwnerAddress): OwnerAddress {
   const {vm, ip, port, incarnation} = from;
   return {vm, ip, port, incarnation};
 }
 
-/** The newest record of the owner's topic. */
+/** A record of the owner topic. */
 export interface OwnerRecord extends OwnerAddress {
   readonly term: number;
-  /** Gave the cell up and acts no more. */
+  /** Whether the owner has released the cell and stopped acting. */
   readonly isReleased: boolean;
 }
 
-/** The newest record and the place at which a claim has to be appended. */
-export interface OwnerReading {
+/** The newest record and the offset at which a claim must be appended. */
+export interface OwnerSnapshot {
   readonly record: OwnerRecord | null;
   readonly endOffset: number;
 }
@@ -54,7 +54,7 @@
  * @example
  * const {record} = await readOwner(store);
  */
-export async function readOwner(store: Store): Promise<OwnerReading> {
+export async function readOwner(store: Store): Promise<OwnerSnapshot> {
   const {records, endOffset} = await store.newest(OWNER_TOPIC);
   const newest = records.find(({key}) => key === OWNER_KEY);
   if (newest === undefined) return {record: null, endOffset};
@@ -62,24 +62,28 @@
 }
 
 /**
- * Claims the cell if nothing was written since the reading.
+ * Claims the cell if nothing was written since the snapshot.
  *
- * @returns the claimed ownership, or null where another writer was first
- * @throws StoreError where it is not known whether the claim took effect
+ * @returns the claimed ownership, or null if another writer was first
+ * @throws StoreError if it is unknown whether the claim took effect
  * @example
- * const ownership = await claimCell(store, clock, self, reading);
+ * const ownership = await claimCell(store, clock, self, snapshot);
  */
 export async function claimCell(
   store: Store,
   clock: Clock,
   self: OwnerAddress,
-  reading: OwnerReading,
+  snapshot: OwnerSnapshot,
 ): Promise<Ownership | null> {
-  const term = (reading.record?.term ?? 0) + 1;
+  const term = (snapshot.record?.term ?? 0) + 1;
   const record: OwnerRecord = {...self, term, isReleased: false};
   const sentMs = clock.monotonicMs();
   try {
-    const endOffset = await appendOwner(store, record, reading.endOffset);
+    const endOffset = await appendOwnerRecord(
+      store,
+      record,
+      snapshot.endOffset,
+    );
     return new Ownership(store, clock, record, {sentMs, endOffset});
   } catch (err) {
     if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
@@ -88,11 +92,12 @@
 }
 
 /**
- * Appends only if nobody has written since. A producer's epoch would not do
- * for a claim: two claimants of one term would send the same sequence number,
- * and the store would take the second append for a repeat of the first.
+ * Appends only if the topic still ends at the given offset. A producer epoch
+ * would not be enough for a claim: two claimants of one term would send the
+ * same sequence number, and the store would treat the second append as a retry
+ * of the first.
  */
-function appendOwner(
+function appendOwnerRecord(
   store: Store,
   record: OwnerRecord,
   at: number,
@@ -102,75 +107,75 @@
   return store.append(OWNER_TOPIC, records, {at, timeoutMs});
 }
 
-/** What an owner's newest write has shown. */
-interface Proof {
-  /** When it was sent, on the owner's steady clock. */
+/** The owner's last successful write. */
+interface LastWrite {
+  /** When it was sent, on the owner's monotonic clock. */
   readonly sentMs: number;
-  /** Where the owner's topic ends unless another one claims the cell. */
+  /** End of the owner topic unless another process claims the cell. */
   readonly endOffset: number;
 }
 
 /** The right to act for the cell under one term. */
 export class Ownership {
   private endOffset: number;
-  private provenMs: number;
-  private provenWallMs: number;
+  private confirmedMs: number;
+  private confirmedWallMs: number;
   private isLost = false;
-  /** One write at a time: each follows the one before. */
+  /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly record: OwnerRecord,
-    {sentMs, endOffset}: Proof,
+    {sentMs, endOffset}: LastWrite,
   ) {
     this.endOffset = endOffset;
-    this.provenMs = sentMs;
-    this.provenWallMs = clock.wallMs();
+    this.confirmedMs = sentMs;
+    this.confirmedWallMs = clock.wallMs();
   }
 
-  /** The number of the ownership; executors refuse orders of lower ones. */
+  /** Fencing token; executors refuse orders with a lower one. */
   get term(): number {
     return this.record.term;
   }
 
-  /** Whether another process owns the cell now. */
-  get isSuperseded(): boolean {
+  /** Whether the ownership has ended: released, handed over or superseded. */
+  get isRevoked(): boolean {
     return this.isLost;
   }
 
   /**
-   * Whether orders may be sent now. The wall clock counts too, since the
-   * steady clock stands still while the machine is suspended.
+   * Whether orders may be sent now. The wall clock is checked too, since the
+   * monotonic clock stops while the machine is suspended.
    */
   mayAct(): boolean {
-    return this.isProvenWithin(RIGHT_TO_ACT_MS);
+    return this.isConfirmedWithin(RIGHT_TO_ACT_MS);
   }
 
-  /** Whether the newest proof of the right is not older, in ms. */
-  isProvenWithin(boundMs: number): boolean {
+  /** Whether the newest confirmed write was sent within the given time. */
+  isConfirmedWithin(boundMs: number): boolean {
     if (this.isLost) return false;
-    const steadyMs = this.clock.monotonicMs() - this.provenMs;
-    const wallMs = this.clock.wallMs() - this.provenWallMs;
-    return steadyMs < boundMs && wallMs < boundMs;
+    const monotonicMs = this.clock.monotonicMs() - this.confirmedMs;
+    const wallMs = this.clock.wallMs() - this.confirmedWallMs;
+    return monotonicMs < boundMs && wallMs < boundMs;
   }
 
-  /** Ends the right at once, as when an executor has seen a higher token. */
-  lose(): void {
+  /** Ends the ownership at once, as when an executor saw a higher token. */
+  revoke(): void {
     this.isLost = true;
   }
 
-  /** Writes a heartbeat; a failure other than a conflict changes nothing. */
-  async beat(): Promise<void> {
+  /** Writes a heartbeat; failures other than a conflict have no effect. */
+  async renew(): Promise<void> {
     await this.writes.add(() => this.write(this.record));
   }
 
   /**
-   * Makes another process the owner; the caller has stopped acting before.
+   * Makes another process the owner; the caller must have stopped acting.
    *
-   * @returns where the owner's topic ends, or -1 where it is not known that
-   *     the handover is stored
+   * @returns the end of the owner topic, or -1 if it is not certain that the
+   *     handover is stored
    */
   async handOver(successor: OwnerAddress): Promise<number> {
     this.isLost = true;
@@ -178,14 +183,14 @@
     const record = {...toAddress(successor), term, isReleased: false};
     await this.writes.onIdle();
     try {
-      return await appendOwner(this.store, record, this.endOffset);
+      return await appendOwnerRecord(this.store, record, this.endOffset);
     } catch (err) {
       if (err instanceof StoreError) return -1;
       throw err;
     }
   }
 
-  /** Gives the cell up; the caller has stopped acting before. */
+  /** Releases the cell; the caller must have stopped acting. */
   async release(): Promise<void> {
     this.isLost = true;
     const record = {...this.record, isReleased: true};
@@ -196,17 +201,24 @@
     const sentMs = this.clock.monotonicMs();
     const sentWallMs = this.clock.wallMs();
     try {
-      this.endOffset = await appendOwner(this.store, record, this.endOffset);
-      this.provenMs = sentMs;
-      this.provenWallMs = sentWallMs;
+      this.endOffset = await appendOwnerRecord(
+        this.store,
+        record,
+        this.endOffset,
+      );
+      this.confirmedMs = sentMs;
+      this.confirmedWallMs = sentWallMs;
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
-      if (err.failure === 'conflict') await this.look();
+      if (err.failure === 'conflict') await this.resolveConflict();
     }
   }
 
-  /** Another claim, or an append of its own whose answer was lost. */
-  private async look(): Promise<void> {
+  /**
+   * Finds out whether a conflict is due to another claim or to an append of
+   * this owner whose answer was lost.
+   */
+  private async resolveConflict(): Promise<void> {
     try {
       const {record, endOffset} = await readOwner(this.store);
       const {term, vm, incarnation} = this.record;
@@ -214,7 +226,7 @@
       if (isOwn && record.term === term) this.endOffset = endOffset;
       else this.isLost = true;
     } catch (err) {
-      // The next heartbeat looks again; until then the right runs out.
+      // The next heartbeat reads again; without one the lease expires.
       if (!(err instanceof StoreError)) throw err;
     }
   }
--- a/packages/cell/src/platform.ts
+++ b/packages/cell/src/platform.ts
@@ -1,26 +1,26 @@
-/** What the cell is told of the platform that it runs on. */
+/** Interface between the cell and the platform that it runs on. */
 import type {AdviceClient, ExecutorClient} from './executor-client.js';
 import type {PlacedRecord, Store} from './store.js';
 import type {CellConfig, ExecutorInfo} from './types.js';
 
-/** The platform, decoded; one object for each process. */
+/** Access to the platform; one instance per process. */
 export abstract class Platform {
   /** The store, called directly. */
   abstract readonly store: Store;
-  /** Missing where no queue needs advice. */
+  /** The advice service; null if no queue needs advice. */
   abstract readonly advice: AdviceClient | null;
-  /** The topic in which executors describe themselves. */
+  /** The topic of the executors' own records. */
   abstract readonly executorsTopic: string;
-  /** The topic in which operators publish. */
+  /** The topic to which operators publish the configuration. */
   abstract readonly operatorTopic: string;
 
-  /** Decodes a record of the executors; null where it names none to use. */
+  /** Decodes an executor's record; null if the executor may not be used. */
   abstract decodeExecutor(record: PlacedRecord): ExecutorInfo | null;
-  /** The configuration in an operator's record; null where it holds none. */
+  /** Decodes an operator's record; null if it holds no configuration. */
   abstract decodeConfig(record: PlacedRecord): CellConfig | null;
-  /** Opens a client of one life of an executor. */
+  /** Opens a client of one executor process. */
   abstract connect(info: ExecutorInfo): ExecutorClient;
 }
 
-/** Writes one structured line; bounded, and never waited for. */
+/** Writes a structured log entry; bounded in size, and never blocks. */
 export type LogLine = (event: string, fields: Readonly<object>) => void;
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -1,4 +1,4 @@
-/** Stores what has changed, then acknowledges ends and shows final phases. */
+/** Stores changes, then acknowledges ends and publishes final phases. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {encode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
@@ -19,13 +19,13 @@
 import type {KeyedRecord, Store} from './store.js';
 import {isFinal} from './types.js';
 
-/** Pause after an append of progress, in which more is gathered, in ms. */
-const COMMIT_GAP_MS = 10;
-/** Time after which acknowledgements are looked for without a signal, in ms. */
-const IDLE_MS = 100;
+/** Delay after an append in which further changes are batched, in ms. */
+const COMMIT_INTERVAL_MS = 10;
+/** Interval at which acknowledgements are checked without a signal, in ms. */
+const IDLE_WAIT_MS = 100;
 
-/** What the commits need of their owner. */
-export interface CommitDeps {
+/** Dependencies of the progress commit. */
+export interface ProgressCommitDeps {
   readonly state: CellState;
   readonly store: Store;
   readonly writer: ProgressWriter;
@@ -33,84 +33,84 @@
   readonly metrics: Metrics;
   readonly log: LogLine;
   readonly ownership: Ownership;
-  /** An executor's name is stored: it may be given work. */
-  readonly onStoredExecutor: (executor: ExecutorState) => void;
-  /** Ends of an executor are stored: it may forget them. */
+  /** Called when an executor's record is stored: it may be given work. */
+  readonly onExecutorStored: (executor: ExecutorState) => void;
+  /** Called when ends of an executor are stored: it may forget them. */
   readonly onAck: (executor: ExecutorState) => void;
-  /** The final phases of jobs are stored. */
+  /** Called when the final phases of jobs are stored. */
   readonly onFinal: (jobs: readonly JobState[]) => void;
 }
 
-/** Gathers changes and stores them in groups. */
+/** Collects changes and stores them in batches. */
 export class ProgressCommit {
   private readonly dirtyJobs = new Set<JobState>();
   private readonly newExecutors = new Set<ExecutorState>();
   private readonly goneExecutors = new Set<string>();
-  private readonly forgotten: string[] = [];
+  private readonly forgottenJobs: string[] = [];
   private readonly signal: Signal;
   private isClosed = false;
 
-  constructor(private readonly deps: CommitDeps) {
+  constructor(private readonly deps: ProgressCommitDeps) {
     this.signal = new Signal(deps.clock);
   }
 
-  /** Stores until it is closed. */
+  /** Commits until it is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
       const hasWork = await this.commitOnce();
-      if (hasWork) await this.deps.clock.sleep(COMMIT_GAP_MS);
-      else await this.signal.wait(IDLE_MS);
+      if (hasWork) await this.deps.clock.sleep(COMMIT_INTERVAL_MS);
+      else await this.signal.wait(IDLE_WAIT_MS);
     }
   }
 
-  /** Stores nothing more. */
+  /** Stops committing. */
   close(): void {
     this.isClosed = true;
     this.signal.raise();
   }
 
-  /** Looks soon for what has to be stored or acknowledged. */
-  poke(): void {
+  /** Checks at once for changes to store or ends to acknowledge. */
+  wake(): void {
     this.signal.raise();
   }
 
-  /** The progress of a job has to be stored. */
+  /** Marks the progress of a job to be stored. */
   addJob(job: JobState): void {
     this.dirtyJobs.add(job);
     this.signal.raise();
   }
 
-  /** The name of an executor has to be stored before it gets work. */
+  /** Marks an executor whose record must be stored before it gets work. */
   addExecutor(executor: ExecutorState): void {
     this.goneExecutors.delete(executor.info.id);
     this.newExecutors.add(executor);
     this.signal.raise();
   }
 
-  /** The name of an executor is stored already. */
+  /** Unmarks an executor whose record is stored already. */
   dropExecutor(executor: ExecutorState): void {
     this.newExecutors.delete(executor);
   }
 
-  /** An executor is gone: a later owner need not look for its runs. */
-  addGone(executor: ExecutorState): void {
+  /** Marks a gone executor: later owners need not look for its runs. */
+  addGoneExecutor(executor: ExecutorState): void {
     this.newExecutors.delete(executor);
     this.goneExecutors.add(executor.info.id);
     this.signal.raise();
   }
 
-  /** A job that ended long ago is dropped from the store. */
-  addForgotten(jobId: string): void {
-    this.forgotten.push(jobId);
+  /** Marks a job that ended long ago to be deleted from the store. */
+  addForgottenJob(jobId: string): void {
+    this.forgottenJobs.push(jobId);
   }
 
-  /** Stores what has changed, then acknowledges and shows it. */
+  /** Stores all changes, then acknowledges ends and publishes final phases. */
   private async commitOnce(): Promise<boolean> {
-    const acks = this.readAcks();
+    const acks = this.collectAcks();
     const jobs = [...this.dirtyJobs];
     const executors = [...this.newExecutors];
     const gone = [...this.goneExecutors];
-    const forgotten = this.forgotten.splice(0);
+    const forgotten = this.forgottenJobs.splice(0);
     this.dirtyJobs.clear();
     this.newExecutors.clear();
     this.goneExecutors.clear();
@@ -121,10 +121,10 @@
       ...forgotten.map(id => tombstone(PROGRESS_PREFIX + id)),
     ];
     if (records.length > 0 && !(await this.store(records))) return false;
-    if (forgotten.length > 0) void this.forgetStored(forgotten);
-    for (const executor of executors) this.deps.onStoredExecutor(executor);
+    if (forgotten.length > 0) void this.deleteStoredJobs(forgotten);
+    for (const executor of executors) this.deps.onExecutorStored(executor);
     for (const ack of acks) this.acknowledge(ack);
-    this.showFinal(jobs);
+    this.publishFinal(jobs);
     return records.length > 0 || acks.length > 0;
   }
 
@@ -133,11 +133,11 @@
     const sentMs = clock.monotonicMs();
     const isStored = await writer.write(records);
     metrics.record('commit_us', (clock.monotonicMs() - sentMs) * 1000);
-    if (!isStored) ownership.lose();
+    if (!isStored) ownership.revoke();
     return isStored;
   }
 
-  private async forgetStored(ids: readonly string[]): Promise<void> {
+  private async deleteStoredJobs(ids: readonly string[]): Promise<void> {
     const keys = ids.flatMap(id => [jobKey(id), cancelKey(id)]);
     try {
       for (const topic of JOBS_TOPICS) {
@@ -148,7 +148,7 @@
     }
   }
 
-  private readAcks(): readonly Ack[] {
+  private collectAcks(): readonly Ack[] {
     const acks: Ack[] = [];
     for (const executor of this.deps.state.executors.values()) {
       const {processedThrough, ackedThrough, bornMs} = executor;
@@ -164,7 +164,7 @@
     this.deps.onAck(executor);
   }
 
-  private showFinal(jobs: readonly JobState[]): void {
+  private publishFinal(jobs: readonly JobState[]): void {
     const final = jobs.filter(job => isFinal(job.phase) && job.finalMs === 0);
     if (final.length === 0) return;
     for (const job of final) {
--- a/packages/cell/src/progress-writer.ts
+++ b/packages/cell/src/progress-writer.ts
@@ -1,21 +1,21 @@
-/** Writes progress in groups, each append fenced by the owner's term. */
+/** Writes progress in batches, each append fenced by the owner's term. */
 import type {Clock} from '@dragonflyward/common';
 import PQueue from 'p-queue';
 import {PROGRESS_TOPIC} from './records.js';
 import {StoreError, type KeyedRecord, type Store} from './store.js';
 
 const PRODUCER_NAME = 'progress';
-/** First pause before an append is repeated, in ms. */
-const RETRY_MIN_MS = 50;
-/** Longest pause before an append is repeated, in ms. */
-const RETRY_MAX_MS = 400;
+/** Initial delay before an append is retried, in ms. */
+const MIN_RETRY_DELAY_MS = 50;
+/** Longest delay before an append is retried, in ms. */
+const MAX_RETRY_DELAY_MS = 400;
 
 /** The only writer of the progress topic under one term. */
 export class ProgressWriter {
   private sequence = 0;
-  /** One append at a time: the store takes an equal number for a repeat. */
+  /** Serializes appends: the store treats an equal sequence as a retry. */
   private readonly writes = new PQueue({concurrency: 1});
-  private opened: Promise<boolean> | null = null;
+  private opening: Promise<boolean> | null = null;
 
   constructor(
     private readonly store: Store,
@@ -25,22 +25,21 @@
   ) {}
 
   /**
-   * Makes the store refuse what earlier owners still have under way.
+   * Makes the store refuse appends of earlier owners that are still in flight.
    *
-   * @returns whether this owner may go on
+   * @returns false if another owner has taken over
    * @example
    * if (!(await writer.open())) return;
    */
   open(): Promise<boolean> {
-    this.opened ??= this.write([]);
-    return this.opened;
+    this.opening ??= this.write([]);
+    return this.opening;
   }
 
   /**
-   * Appends the records, again and again until it is known that they are
-   * stored.
+   * Appends the records and retries until they are known to be stored.
    *
-   * @returns false where another owner has taken over
+   * @returns false if another owner has taken over
    * @example
    * const isStored = await writer.write(records);
    */
@@ -51,18 +50,18 @@
   private async writeUntilStored(
     records: readonly KeyedRecord[],
   ): Promise<boolean> {
-    for (let delayMs = RETRY_MIN_MS; this.mayWrite();) {
-      const outcome = await this.tryOnce(records);
+    for (let delayMs = MIN_RETRY_DELAY_MS; this.mayWrite();) {
+      const outcome = await this.appendOnce(records);
       if (outcome === 'stored') return true;
       if (outcome === 'fenced') return false;
       if (outcome === 'sequence') continue;
       await this.clock.sleep(delayMs);
-      delayMs = Math.min(RETRY_MAX_MS, delayMs * 2);
+      delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
     }
     return false;
   }
 
-  private async tryOnce(
+  private async appendOnce(
     records: readonly KeyedRecord[],
   ): Promise<'stored' | 'fenced' | 'sequence' | 'failed'> {
     const {term, sequence} = this;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -1,4 +1,4 @@
-/** The records that the cell keeps in the store, and their encoding. */
+/** The records of the cell in the store, and their encoding. */
 import {decode, encode} from 'cbor-x';
 import {
   findTask,
@@ -10,8 +10,9 @@
 import {isFinal, type JobPhase} from './types.js';
 
 /**
- * Accepted jobs and cancels, written by every VM. The store appends to one
- * topic at a time, so that few writers share each one when it is slow.
+ * Accepted jobs and cancels, written by every VM. The store handles one append
+ * to a topic at a time, so several topics keep few writers waiting for each
+ * other when it is slow.
  */
 export const JOBS_TOPICS: readonly string[] = [
   'keyed.jobs-0',
@@ -24,39 +25,39 @@
 /** Claims and heartbeats of owners. */
 export const OWNER_TOPIC = 'keyed.owner';
 
-/** Spreads names that differ in their last character. */
+/** Multiplier of the hash; spreads names that differ in the last character. */
 const HASH_FACTOR = 31;
 const JOB_PREFIX = 'j/';
 const CANCEL_PREFIX = 'c/';
-/** Key prefix of the records that name the executors in use. */
+/** Key prefix of the records of executors in use. */
 export const EXECUTOR_PREFIX = 'e/';
-/** Key prefix of the records of a job's progress. */
+/** Key prefix of progress records. */
 export const PROGRESS_PREFIX = 'p/';
 
 /**
- * The topic to which a VM appends.
+ * Returns the topic to which a VM appends jobs and cancels.
  *
  * @example
- * await store.append(jobsTopicOf('vm-3'), records);
+ * await store.append(jobsTopicFor('vm-3'), records);
  */
-export function jobsTopicOf(vm: string): string {
+export function jobsTopicFor(vm: string): string {
   let hash = 0;
   for (const char of vm) hash = (hash * HASH_FACTOR + char.charCodeAt(0)) | 0;
   return JOBS_TOPICS[Math.abs(hash) % JOBS_TOPICS.length] ?? '';
 }
 
-/** The key of a job's record. */
+/** Returns the key of a job's record. */
 export function jobKey(id: string): string {
   return JOB_PREFIX + id;
 }
 
-/** The key of the record that a job was cancelled. */
+/** Returns the key of a job's cancel record. */
 export function cancelKey(id: string): string {
   return CANCEL_PREFIX + id;
 }
 
-/** What a record of the jobs topic says. */
-export type JobsEntry =
+/** A decoded record of a jobs topic. */
+export type JobsRecord =
   | {readonly kind: 'job'; readonly job: NewJob}
   | {readonly kind: 'cancel'; readonly id: string}
   | {readonly kind: 'forgotten'; readonly id: string};
@@ -71,11 +72,11 @@
   return decode(value as Buffer) as NewJob;
 }
 
-/** Decodes a record of the jobs topic; null where it is none of ours. */
-export function decodeJobsEntry(
+/** Decodes a record of a jobs topic; returns null for unknown keys. */
+export function decodeJobsRecord(
   key: string,
   value: Uint8Array,
-): JobsEntry | null {
+): JobsRecord | null {
   const id = key.slice(JOB_PREFIX.length);
   if (key.startsWith(CANCEL_PREFIX)) {
     return value.length > 0 ? {kind: 'cancel', id} : null;
@@ -92,11 +93,11 @@
   checkpoint: string,
 ];
 
-/** Progress of a step: what is done, and rows for tasks that have a past. */
+/** Progress of a step: done tasks, and rows for tasks with other progress. */
 interface StepRow {
   readonly occurrence: number;
   readonly step: number;
-  /** One bit for each task; empty where all are done. */
+  /** One bit for each task; empty if all are done. */
   readonly done: Uint8Array;
   readonly isDone: boolean;
   readonly tasks: readonly TaskRow[];
@@ -146,12 +147,12 @@
   bits[at] = (bits[at] ?? 0) | (1 << (index & 7));
 }
 
-/** The phase that a progress record carries. */
+/** Decodes the phase of a progress record. */
 export function decodePhase(value: Uint8Array): JobPhase {
   return (decode(value as Buffer) as ProgressRecord).phase;
 }
 
-/** Takes a stored progress record into a job's state. */
+/** Applies a stored progress record to a job's state. */
 export function applyProgress(job: JobState, value: Uint8Array): void {
   const record = decode(value as Buffer) as ProgressRecord;
   for (const row of record.steps) applyStepRow(job, row);
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,4 +1,4 @@
-/** The store, also for a VM that it turns away: peers make its calls then. */
+/** A store client that calls through peers when direct calls fail. */
 import type {Clock} from '@dragonflyward/common';
 import {
   StoreError,
@@ -10,21 +10,21 @@
 } from './store.js';
 import type {StoreCall, StoreReply} from './messages.js';
 
-/** A direct call that takes this many times the usual is made by a peer too. */
-const HEDGE_FACTOR = 4;
-/** Bounds of the time after which that happens, in ms. */
+/** A peer repeats a direct call that takes this multiple of the latency. */
+const HEDGE_LATENCY_FACTOR = 4;
+/** Bounds of the delay before such a hedged call, in ms. */
 const MIN_HEDGE_MS = 250;
 const MAX_HEDGE_MS = 1500;
-/** Weight of the newest call in the usual time. */
+/** Weight of the newest call in the moving average of the latency. */
 const LATENCY_WEIGHT = 0.3;
-/** After a failed direct call, peers are asked first for that long, in ms. */
-const PEERS_FIRST_MS = 1000;
-/** How long a peer may take, in ms. */
+/** How long peers are called first after a failed direct call, in ms. */
+const PEER_PREFERENCE_MS = 1000;
+/** Timeout of a call through a peer, in ms. */
 const RELAY_TIMEOUT_MS = 900;
-/** How many peers are tried for one call. */
-const PEERS_PER_CALL = 2;
+/** Maximum number of peers that are tried for one call. */
+const MAX_PEERS_PER_CALL = 2;
 
-/** A peer that can make calls to the store. */
+/** A peer that can call the store. */
 export interface StorePeer {
   readonly callStore: (
     call: StoreCall,
@@ -32,10 +32,10 @@
   ) => Promise<StoreReply>;
 }
 
-/** Makes each call itself, through a peer, or both. */
+/** Makes each call directly, through a peer, or both. */
 export class RelayedStore extends Store {
   private directFailedMs = -Infinity;
-  /** The usual time of a direct call, without its own waiting. */
+  /** Average latency of direct calls that do not wait for records. */
   private latencyMs = 0;
 
   constructor(
@@ -46,9 +46,9 @@
     super();
   }
 
-  /** Whether the newest direct call succeeded. */
-  get isDirectOk(): boolean {
-    return this.clock.monotonicMs() - this.directFailedMs > PEERS_FIRST_MS;
+  /** Whether no direct call has failed recently without a later success. */
+  get isDirectAvailable(): boolean {
+    return this.clock.monotonicMs() - this.directFailedMs > PEER_PREFERENCE_MS;
   }
 
   override async append(
@@ -58,7 +58,7 @@
   ): Promise<number> {
     const {at = -1, producer = null} = options;
     const call = {op: 'append', topic, records, at, producer} as const;
-    const page = await this.make(call, async () => ({
+    const page = await this.execute(call, async () => ({
       endOffset: await this.direct.append(topic, records, options),
       records: [],
     }));
@@ -68,23 +68,23 @@
   override read(topic: string, from: number, waitMs: number): Promise<LogPage> {
     const call = {op: 'read', topic, from} as const;
     const direct = () => this.direct.read(topic, from, waitMs);
-    return this.make(call, direct, waitMs);
+    return this.execute(call, direct, waitMs);
   }
 
   override newest(topic: string): Promise<LogPage> {
     const call = {op: 'newest', topic} as const;
-    return this.make(call, () => this.direct.newest(topic));
+    return this.execute(call, () => this.direct.newest(topic));
   }
 
-  private async make(
+  private async execute(
     call: StoreCall,
     direct: () => Promise<LogPage>,
     waitMs = 0,
   ): Promise<LogPage> {
-    const peers = this.peers().slice(0, PEERS_PER_CALL);
+    const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
     if (peers.length === 0) return this.callDirect(direct, waitMs);
-    if (!this.isDirectOk) {
-      const relayed = await this.settle(relay(call, peers));
+    if (!this.isDirectAvailable) {
+      const relayed = await this.settle(callThroughPeers(call, peers));
       if ('page' in relayed) return relayed.page;
       if (relayed.err.failure !== 'refused') throw relayed.err;
       return this.callDirect(direct, waitMs);
@@ -92,7 +92,7 @@
     return this.callHedged(call, peers, direct, waitMs);
   }
 
-  /** Calls directly, and through a peer where that fails or takes long. */
+  /** Calls directly, and through a peer if that fails or takes long. */
   private async callHedged(
     call: StoreCall,
     peers: readonly StorePeer[],
@@ -100,17 +100,17 @@
     waitMs: number,
   ): Promise<LogPage> {
     const first = this.settle(this.callDirect(direct, waitMs));
-    const usualMs = HEDGE_FACTOR * this.latencyMs;
+    const scaledMs = HEDGE_LATENCY_FACTOR * this.latencyMs;
     const hedgeMs =
-      waitMs + Math.max(MIN_HEDGE_MS, Math.min(MAX_HEDGE_MS, usualMs));
-    const late = this.clock.sleep(hedgeMs).then(() => null);
-    const early = await Promise.race([first, late]);
-    if (early !== null) {
-      if ('page' in early) return early.page;
-      if (isAnswer(early.err.failure)) throw early.err;
+      waitMs + Math.max(MIN_HEDGE_MS, Math.min(MAX_HEDGE_MS, scaledMs));
+    const timeout = this.clock.sleep(hedgeMs).then(() => null);
+    const result = await Promise.race([first, timeout]);
+    if (result !== null) {
+      if ('page' in result) return result.page;
+      if (isDefinitive(result.err.failure)) throw result.err;
     }
-    const second = this.settle(relay(call, peers));
-    const winner = await firstPage(first, second);
+    const second = this.settle(callThroughPeers(call, peers));
+    const winner = await firstSuccess(first, second);
     if ('page' in winner) return winner.page;
     throw winner.err;
   }
@@ -129,7 +129,7 @@
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
-      if (err instanceof StoreError && !isAnswer(err.failure)) {
+      if (err instanceof StoreError && !isDefinitive(err.failure)) {
         this.directFailedMs = this.clock.monotonicMs();
       }
       throw err;
@@ -148,12 +148,12 @@
 
 type Settled = {readonly page: LogPage} | {readonly err: StoreError};
 
-/** Whether the store itself has answered, so that no other path helps. */
-function isAnswer(failure: StoreFailure): boolean {
+/** Whether the store itself answered, so that a retry elsewhere is useless. */
+function isDefinitive(failure: StoreFailure): boolean {
   return failure === 'conflict' || failure === 'expired';
 }
 
-async function firstPage(
+async function firstSuccess(
   a: Promise<Settled>,
   b: Promise<Settled>,
 ): Promise<Settled> {
@@ -164,60 +164,64 @@
   if ('page' in first.settled) return first.settled;
   const other = await first.other;
   if ('page' in other) return other;
-  return worse(first.settled, other);
+  return moreInformative(first.settled, other);
 }
 
-/** Of two failures the one that says more, or leaves more open. */
-function worse(
+/** Prefers a definitive failure, then one with an unknown outcome. */
+function moreInformative(
   a: {readonly err: StoreError},
   b: {readonly err: StoreError},
 ): Settled {
-  if (isAnswer(a.err.failure)) return a;
-  if (isAnswer(b.err.failure)) return b;
+  if (isDefinitive(a.err.failure)) return a;
+  if (isDefinitive(b.err.failure)) return b;
   return a.err.failure === 'unknown' ? a : b;
 }
 
-async function relay(
+async function callThroughPeers(
   call: StoreCall,
   peers: readonly StorePeer[],
 ): Promise<LogPage> {
   let failure: StoreFailure = 'refused';
   for (const peer of peers) {
-    const reply = await askPeer(peer, call);
+    const reply = await requestFromPeer(peer, call);
     if (reply === null) {
       if (call.op === 'append') failure = 'unknown';
       continue;
     }
     const {endOffset, records, expectedSequence} = reply;
     if (reply.failure === null) return {endOffset, records};
-    if (isAnswer(reply.failure)) {
-      throw new StoreError(reply.failure, 'by a peer', expectedSequence);
+    if (isDefinitive(reply.failure)) {
+      throw new StoreError(
+        reply.failure,
+        'reported through a peer',
+        expectedSequence,
+      );
     }
     if (reply.failure === 'unknown') failure = 'unknown';
   }
   throw new StoreError(failure, 'no peer could make the call');
 }
 
-/** Null where the peer gave no answer: the call may have been made. */
-async function askPeer(
+/** Returns null if the peer gave no answer: the call may have been made. */
+async function requestFromPeer(
   peer: StorePeer,
   call: StoreCall,
 ): Promise<StoreReply | null> {
   try {
     return await peer.callStore(call, RELAY_TIMEOUT_MS);
   } catch {
-    // The connection is logged where it ends; the outcome counts as unknown.
+    // The end of the connection is logged elsewhere; the outcome is unknown.
     return null;
   }
 }
 
 /**
- * Makes a call for a peer.
+ * Executes a store call on behalf of a peer.
  *
  * @example
- * return makeStoreCall(directStore, ask.call);
+ * return executeStoreCall(directStore, ask.call);
  */
-export async function makeStoreCall(
+export async function executeStoreCall(
   store: Store,
   call: StoreCall,
 ): Promise<StoreReply> {
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -1,22 +1,22 @@
-/** What the cell needs of the platform's store, a log with keyed topics. */
+/** Interface of the platform's store, a log with keyed topics. */
 
-/** Outcome of a call that was not answered with success. */
+/** Why a store call failed. */
 export type StoreFailure =
-  /** The store did nothing. */
+  /** The store did not execute the call. */
   | 'refused'
-  /** The call may have been executed, or may be executed later. */
+  /** The call may have been executed, or may yet be executed. */
   | 'unknown'
   /** Another writer was first, or this writer was superseded. */
   | 'conflict'
-  /** The records asked for were deleted. */
+  /** The requested records were deleted. */
   | 'expired';
 
-/** Thrown by every store call that did not succeed. */
+/** Thrown by every failed store call. */
 export class StoreError extends Error {
   constructor(
     readonly failure: StoreFailure,
     detail: string,
-    /** The sequence number that the store expects; -1 where not said. */
+    /** The sequence number that the store expects, or -1 if unknown. */
     readonly expectedSequence = -1,
   ) {
     super(`store ${failure}: ${detail}`);
@@ -30,7 +30,7 @@
   readonly value: Uint8Array;
 }
 
-/** A record with its place in the partition. */
+/** A record with its offset in the partition. */
 export interface PlacedRecord extends KeyedRecord {
   readonly offset: number;
 }
@@ -41,16 +41,16 @@
   readonly records: readonly PlacedRecord[];
 }
 
-/** Fencing of one writer of a partition. */
+/** Identifies a writer of a partition, for fencing and deduplication. */
 export interface Producer {
   readonly name: string;
   readonly epoch: number;
   readonly sequence: number;
 }
 
-/** Conditions and bounds of an append. */
+/** Conditions and timeout of an append. */
 export interface AppendOptions {
-  /** Appends only if the partition ends here. */
+  /** Appends only if the partition ends at this offset. */
   readonly at?: number;
   readonly producer?: Producer;
   readonly timeoutMs?: number;
@@ -61,10 +61,10 @@
   /**
    * Appends records, all or none.
    *
-   * @returns the offset after the last one
+   * @returns the offset after the last record
    * @throws StoreError
    * @example
-   * await store.append('keyed.jobs', [{key: 'j/1', value}]);
+   * await store.append('keyed.jobs-0', [{key: 'j/1', value}]);
    */
   abstract append(
     topic: string,
@@ -73,15 +73,15 @@
   ): Promise<number>;
 
   /**
-   * Reads records from an offset on; waits for one where there is none yet.
+   * Reads records from an offset on; waits for one if there is none yet.
    *
    * @throws StoreError
    */
   abstract read(topic: string, from: number, waitMs: number): Promise<LogPage>;
 
   /**
-   * Reads the newest record of each key. Later records may be missing or
-   * present; reading on from `endOffset` gives them.
+   * Reads the newest record of each key. Records that are appended during the
+   * call may be missing; read on from `endOffset` to get them.
    *
    * @throws StoreError
    */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -5,7 +5,7 @@
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
 import {
-  decodeJobsEntry,
+  decodeJobsRecord,
   decodePhase,
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
@@ -14,9 +14,9 @@
 import {isFinal} from './types.js';
 
 /** Pause between two reads, in ms. */
-const READ_PAUSE_MS = 400;
-/** A reading that is older does not count the jobs, in ms. */
-const SURE_AGE_MS = 1500;
+const READ_INTERVAL_MS = 400;
+/** After an older read the table may not be used to count jobs, in ms. */
+const MAX_READ_AGE_MS = 1500;
 
 interface Followers {
   readonly jobs: JobsFollower;
@@ -33,47 +33,47 @@
     private readonly table: JobTable,
   ) {}
 
-  /** Starts to read; does nothing where it reads already. */
+  /** Starts to read; does nothing if it has started already. */
   start(): void {
     if (this.followers !== null) return;
     const {store, clock} = this;
-    const jobs = new JobsFollower(store, clock, READ_PAUSE_MS, record =>
-      this.takeJob(record),
+    const jobs = new JobsFollower(store, clock, READ_INTERVAL_MS, record =>
+      this.applyJobRecord(record),
     );
     const progress = new Follower(
       store,
       clock,
-      {topic: PROGRESS_TOPIC, pauseMs: READ_PAUSE_MS, waitMs: 0},
-      record => this.takeProgress(record),
+      {topic: PROGRESS_TOPIC, pauseMs: READ_INTERVAL_MS, waitMs: 0},
+      record => this.applyProgressRecord(record),
     );
     this.followers = {jobs, progress};
     jobs.run();
     void progress.run();
   }
 
-  /** Ends the reading. */
+  /** Stops reading. */
   stop(): void {
     this.followers?.jobs.stop();
     this.followers?.progress.stop();
     this.followers = null;
   }
 
-  /** What the store says of a job that is not in the table. */
+  /** Looks up a job in the store that is not in the table. */
   async lookup(id: string): Promise<Lookup> {
     if (this.followers === null) return {row: null, isSure: false};
-    const isSure = await this.followers.jobs.readNow();
+    const isSure = await this.followers.jobs.waitUntilRead();
     return {row: this.table.get(id) ?? null, isSure};
   }
 
-  /** Whether all jobs that are stored have been read a moment ago. */
-  get isSure(): boolean {
+  /** Whether all stored jobs were read a moment ago. */
+  get isFresh(): boolean {
     if (this.followers === null) return false;
     const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
-    return ageMs < SURE_AGE_MS;
+    return ageMs < MAX_READ_AGE_MS;
   }
 
-  private takeJob({key, value}: PlacedRecord): void {
-    const entry = decodeJobsEntry(key, value);
+  private applyJobRecord({key, value}: PlacedRecord): void {
+    const entry = decodeJobsRecord(key, value);
     if (entry?.kind === 'job') {
       const {id, queue, organisation} = entry.job;
       this.table.set({id, phase: 'queued', queue: queue.name, organisation});
@@ -81,7 +81,7 @@
     if (entry?.kind === 'cancel') this.setPhase(entry.id, 'cancelled');
   }
 
-  private takeProgress({key, value}: PlacedRecord): void {
+  private applyProgressRecord({key, value}: PlacedRecord): void {
     if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
     const phase = decodePhase(value);
     const id = key.slice(PROGRESS_PREFIX.length);
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -1,57 +1,58 @@
-/** Whether a VM's table of jobs is complete enough to count what waits. */
+/** Tracks whether a VM's job table is complete enough to count waiting jobs. */
 import type {Clock} from '@dragonflyward/common';
 
 /**
- * A table that was complete within this time is good enough, in ms: less than
- * the time that the platform allows for a job to be visible.
+ * A table that was complete within this time is fresh, in ms: less than the
+ * time that the platform allows until a job has to be visible.
  */
 const FRESH_MS = 2000;
 
-/** What is known of the owner as the question is asked. */
+/** The VM's state when the freshness is checked. */
 export interface TableSource {
-  /** The term of the owner that the VM is connected to; 0 for none. */
+  /** The term of the owner that the VM is connected to, or 0. */
   readonly linkedTerm: number;
-  /** The VM itself knows all jobs: as the owner, or from the store. */
+  /** Whether the VM itself knows all jobs, as the owner or from the store. */
   readonly isSureItself: boolean;
 }
 
-/** Follows what the owner has told, and what it was told. */
+/** Tracks the owner's updates and the jobs that it was notified of. */
 export class TableFreshness {
-  private fullTerm = 0;
+  private fullUpdateTerm = 0;
   private freshMs = -Infinity;
-  /** When the owner was told of jobs that it has not shown yet. */
-  private readonly told = new Map<string, number>();
+  /** When the owner was notified of jobs that it has not yet shown. */
+  private readonly notifiedMs = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** All rows of the owner of that term are in the table. */
+  /** Records that the table holds all rows of the owner of a term. */
   noteFull(term: number): void {
-    this.fullTerm = term;
-    this.told.clear();
+    this.fullUpdateTerm = term;
+    this.notifiedMs.clear();
   }
 
-  /** The owner was told of a job that is stored. */
+  /** Records that the owner was notified of a stored job. */
   noteTold(jobId: string): void {
-    this.told.set(jobId, this.clock.monotonicMs());
+    this.notifiedMs.set(jobId, this.clock.monotonicMs());
   }
 
-  /** The owner has shown a job, or the job has ended. */
+  /** Records that the owner has shown a job, or that the job has ended. */
   noteShown(jobId: string): void {
-    this.told.delete(jobId);
+    this.notifiedMs.delete(jobId);
   }
 
-  /** Whether the table may be counted now. */
+  /** Whether the table is fresh enough to count jobs. */
   isFresh(source: TableSource): boolean {
     const nowMs = this.clock.monotonicMs();
     if (this.isComplete(source, nowMs)) this.freshMs = nowMs;
     return nowMs - this.freshMs < FRESH_MS;
   }
 
-  /** An owner that does not show what it is told lags behind. */
+  /** An owner that does not show jobs it was notified of lags behind. */
   private isComplete(source: TableSource, nowMs: number): boolean {
     if (source.isSureItself) return true;
-    const isFull = source.linkedTerm > 0 && source.linkedTerm === this.fullTerm;
-    const [oldestMs = nowMs] = this.told.values();
+    const isFull =
+      source.linkedTerm > 0 && source.linkedTerm === this.fullUpdateTerm;
+    const [oldestMs = nowMs] = this.notifiedMs.values();
     return isFull && nowMs - oldestMs < FRESH_MS;
   }
 }
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -1,4 +1,4 @@
-/** One VM of the cell: joins peers, configuration, election and callers. */
+/** One VM of the cell: wires up peers, configuration, election and callers. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import type {AdviceLane} from './advice-desk.js';
 import {adviceLanes} from './advice-lanes.js';
@@ -24,23 +24,23 @@
 import {Owner} from './owner.js';
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
 import type {LogLine, Platform} from './platform.js';
-import {jobsTopicOf} from './records.js';
-import {makeStoreCall, RelayedStore} from './relayed-store.js';
+import {jobsTopicFor} from './records.js';
+import {executeStoreCall, RelayedStore} from './relayed-store.js';
 import {StoreError} from './store.js';
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
 import type {CellConfig} from './types.js';
 
-/** Pause before an owner whose state could not be read is loaded again, in ms. */
-const LOAD_RETRY_MS = 100;
-/** How long the owner may take to tell a job's phase, in ms. */
+/** Delay before a failed load of the owner's state is retried, in ms. */
+const LOAD_RETRY_DELAY_MS = 100;
+/** Timeout of a request to the owner for a job's phase, in ms. */
 const PHASE_ASK_TIMEOUT_MS = 700;
 
-/** What makes a VM. */
+/** Dependencies of a VM. */
 export interface VmDeps {
   readonly self: OwnerAddress;
   readonly domain: string;
-  /** Cores that the VM may use. */
+  /** Number of cores that the VM may use. */
   readonly cores: number;
   readonly seeds: readonly OwnerAddress[];
   readonly platform: Platform;
@@ -49,7 +49,7 @@
   readonly log: LogLine;
 }
 
-/** One process of the cell. */
+/** The process of the cell on one VM. */
 export class Vm extends MemberHandler {
   readonly front: Front;
   private readonly table: JobTable;
@@ -86,23 +86,24 @@
     this.storedJobs = new StoredJobs(this.store, clock, this.table);
     this.front = new Front({
       store: this.store,
-      jobsTopic: jobsTopicOf(self.vm),
+      jobsTopic: jobsTopicFor(self.vm),
       clock,
       metrics,
       log,
       table: this.table,
       lookup: (id, timeoutMs) => this.lookup(id, timeoutMs),
-      tellJob: (id, value) => this.tellJob(id, value),
-      tellCancel: id => this.tellCancel(id),
+      notifyJob: (id, value) => this.notifyJob(id, value),
+      notifyCancel: id => this.notifyCancel(id),
       isTableFresh: () => this.isTableFresh(),
     });
     const {store, members} = this;
     this.election = new Election(
       {...deps, store, members},
       {
-        ownCell: (ownership, isStopped) => this.ownCell(ownership, isStopped),
+        becomeOwner: (ownership, isStopped) =>
+          this.becomeOwner(ownership, isStopped),
         stopActing: () => this.owner?.close(),
-        dropOwner: () => {
+        discardOwner: () => {
           this.owner = null;
         },
         setDetached: isDetached => this.setDetached(isDetached),
@@ -111,30 +112,30 @@
     );
   }
 
-  /** Starts to listen, to follow and to watch the owner. */
+  /** Starts to listen, to follow the configuration and to watch the owner. */
   async start(): Promise<void> {
     await this.members.start();
     this.config.start();
     this.election.start();
   }
 
-  /** Takes no part in elections any more and hands the cell over. */
+  /** Leaves the elections and hands the cell over. */
   drain(): Promise<void> {
     return this.election.drain();
   }
 
-  /** The configuration in force here; null before the first. */
+  /** The configuration in force, or null before the first. */
   get currentConfig(): CellConfig | null {
     return this.config.current;
   }
 
-  /** Whether callers should be sent here. */
+  /** Whether this VM is ready to serve callers. */
   get isReady(): boolean {
     if (this.election.isDraining || this.config.current === null) return false;
-    return this.owner !== null || this.election.isLinked();
+    return this.owner !== null || this.election.hasOwner();
   }
 
-  /** Ends everything. */
+  /** Stops everything that the VM runs. */
   close(): void {
     this.election.close();
     this.owner?.close();
@@ -149,15 +150,18 @@
   }
 
   override heartbeat(): CellHeartbeat {
-    const {known, isDraining, isOwner} = this.election;
+    const {knownOwner, isDraining, isOwner} = this.election;
     return {
       type: 'heartbeat',
-      owner: known === null || known.isReleased ? null : toAddress(known),
-      term: known?.term ?? 0,
+      owner:
+        knownOwner === null || knownOwner.isReleased
+          ? null
+          : toAddress(knownOwner),
+      term: knownOwner?.term ?? 0,
       configVersion: this.config.version,
-      isStoreOk: this.store.isDirectOk,
+      isStoreOk: this.store.isDirectAvailable,
       isDraining,
-      isOwnerSeen: isOwner || this.election.isLinked(),
+      isOwnerSeen: isOwner || this.election.hasOwner(),
     };
   }
 
@@ -173,24 +177,24 @@
       case 'configAsk':
         return {type: 'config', value: this.config.stored};
       case 'storeAsk':
-        return makeStoreCall(this.deps.platform.store, ask.call);
+        return executeStoreCall(this.deps.platform.store, ask.call);
     }
   }
 
   override notice(from: CellPeerInfo, notice: CellProtocol['notice']): void {
     switch (notice.type) {
       case 'heartbeat':
-        return this.takeHeartbeat(from, notice);
+        return this.handleHeartbeat(from, notice);
       case 'job':
         return this.owner?.addStoredJob(notice.value);
       case 'cancel':
         return this.owner?.addStoredCancel(notice.id);
       case 'jobs':
-        return this.takeRows(notice);
+        return this.handleJobRows(notice);
       case 'members':
-        return this.members.setKnown(notice.members);
+        return this.members.setKnownMembers(notice.members);
       case 'handover':
-        return this.election.takeOver(notice.term, notice.endOffset);
+        return this.election.acceptHandover(notice.term, notice.endOffset);
     }
   }
 
@@ -206,8 +210,8 @@
 
   override peerDown(connection: CellConnection): void {
     this.members.remove(connection);
-    const isOwner = connection.info?.self.vm === this.election.known?.vm;
-    if (isOwner && !this.election.isLinked()) this.broadcast(this.heartbeat());
+    const isOwner = connection.info?.self.vm === this.election.knownOwner?.vm;
+    if (isOwner && !this.election.hasOwner()) this.broadcast(this.heartbeat());
   }
 
   private async advise(
@@ -218,18 +222,22 @@
     return advice.advise(ask.step, ask.executorIds, ask.timeoutMs);
   }
 
-  private takeHeartbeat(from: CellPeerInfo, beat: CellHeartbeat): void {
-    this.members.note(from.self.vm, beat);
-    if (beat.owner === null) this.election.noteReleased(beat.term);
+  private handleHeartbeat(from: CellPeerInfo, heartbeat: CellHeartbeat): void {
+    this.members.recordHeartbeat(from.self.vm, heartbeat);
+    if (heartbeat.owner === null) this.election.markReleased(heartbeat.term);
     else {
-      this.election.follow({...beat.owner, term: beat.term, isReleased: false});
+      this.election.follow({
+        ...heartbeat.owner,
+        term: heartbeat.term,
+        isReleased: false,
+      });
     }
-    if (beat.configVersion > this.config.version) {
-      void this.config.askPeer(from.self);
+    if (heartbeat.configVersion > this.config.version) {
+      void this.config.requestFromPeer(from.self);
     }
   }
 
-  private takeRows({rows, isFull, term}: JobsNotice): void {
+  private handleJobRows({rows, isFull, term}: JobsNotice): void {
     for (const row of rows) {
       this.table.set(row);
       this.freshness.noteShown(row.id);
@@ -238,8 +246,8 @@
   }
 
   private isTableFresh(): boolean {
-    const linkedTerm = this.election.isLinked() ? this.election.term : 0;
-    const isSureItself = this.owner?.isSure ?? this.storedJobs.isSure;
+    const linkedTerm = this.election.hasOwner() ? this.election.term : 0;
+    const isSureItself = this.owner?.isJobListFresh ?? this.storedJobs.isFresh;
     return this.freshness.isFresh({linkedTerm, isSureItself});
   }
 
@@ -256,17 +264,17 @@
 
   private sendMembers(): void {
     const members = [this.deps.self, ...this.members.addresses()];
-    this.members.setKnown(members);
+    this.members.setKnownMembers(members);
     this.broadcast({type: 'members', members});
   }
 
-  private tellJob(id: string, value: Uint8Array): void {
+  private notifyJob(id: string, value: Uint8Array): void {
     if (this.owner !== null) return this.owner.addStoredJob(value);
     this.freshness.noteTold(id);
     this.election.ownerConnection()?.notify({type: 'job', value});
   }
 
-  private tellCancel(id: string): void {
+  private notifyCancel(id: string): void {
     if (this.owner !== null) return this.owner.addStoredCancel(id);
     this.election.ownerConnection()?.notify({type: 'cancel', id});
   }
@@ -279,9 +287,9 @@
     if (this.owner !== null) return this.owner.lookup(id);
     const connection = this.election.ownerConnection();
     if (connection === undefined) return this.storedJobs.lookup(id);
-    const boundMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
+    const askTimeoutMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
     try {
-      const reply = await connection.ask({type: 'phaseAsk', id}, boundMs);
+      const reply = await connection.ask({type: 'phaseAsk', id}, askTimeoutMs);
       if (reply.type === 'phase') return reply;
     } catch (err) {
       this.deps.log('phaseAskFailed', {job: id, err: String(err)});
@@ -289,13 +297,13 @@
     return this.storedJobs.lookup(id);
   }
 
-  private async ownCell(
+  private async becomeOwner(
     ownership: Ownership,
     isFormerStopped: boolean,
   ): Promise<boolean> {
-    const owner = this.newOwner(ownership, isFormerStopped);
+    const owner = this.createOwner(ownership, isFormerStopped);
     const isStarted = await this.loadOwner(owner, ownership);
-    if (!isStarted || ownership.isSuperseded) {
+    if (!isStarted || ownership.isRevoked) {
       owner.close();
       return false;
     }
@@ -308,7 +316,7 @@
     return true;
   }
 
-  private newOwner(ownership: Ownership, isFormerStopped: boolean): Owner {
+  private createOwner(ownership: Ownership, isFormerStopped: boolean): Owner {
     const {platform, clock, metrics, log, self, domain} = this.deps;
     const {store, members} = this;
     const ask: AdviceLane['ask'] = (step, executorIds, timeoutMs) =>
@@ -322,24 +330,24 @@
       log,
       ownership,
       isFormerStopped,
-      isLinkedToAll: () => members.isLinkedToAll(),
+      isConnectedToAll: () => members.isConnectedToAll(),
       lanes: () => [...adviceLanes(lanes)],
       publish: rows => this.publish(rows, ownership.term),
     });
   }
 
-  /** Loads the owner's state, again where the store fails for a while. */
+  /** Loads the owner's state; retries while the store fails. */
   private async loadOwner(
     owner: Owner,
     ownership: Ownership,
   ): Promise<boolean> {
-    while (!ownership.isSuperseded) {
+    while (!ownership.isRevoked) {
       try {
         return await owner.start(this.config.current);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
         this.deps.log('ownerLoadFailed', {failure: err.failure});
-        await this.deps.clock.sleep(LOAD_RETRY_MS);
+        await this.deps.clock.sleep(LOAD_RETRY_DELAY_MS);
       }
     }
     return false;
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -1,4 +1,4 @@
-/** When a VM claims the cell, and when it leaves it to its owner. */
+/** When a VM claims the cell, and when it leaves it to the current owner. */
 import {ManualClock} from '@dragonflyward/common';
 import {
   claimCell,
@@ -19,13 +19,13 @@
   return {vm, ip: '', port: 0, incarnation: 1};
 }
 
-/** Other VMs are connected, and none of them is connected to an owner. */
-const LONELY_MEMBERS = {
+/** Two other VMs are connected, none of which is connected to an owner. */
+const DISCONNECTED_MEMBERS = {
   count: 2,
   connected: () => [],
   connectionTo: () => undefined,
   setOwner: () => undefined,
-  largestCores: () => 0,
+  maxPeerCores: () => 0,
   isOwnerSeen: () => false,
 } as unknown as Members;
 
@@ -52,18 +52,18 @@
         self: address(vm),
         domain: 'd',
         cores: 1,
-        members: LONELY_MEMBERS,
+        members: DISCONNECTED_MEMBERS,
         store: this.client(),
         clock,
         log: () => undefined,
       },
       {
-        ownCell: ownership => {
+        becomeOwner: ownership => {
           owned.push(ownership);
           return Promise.resolve(true);
         },
         stopActing: () => undefined,
-        dropOwner: () => undefined,
+        discardOwner: () => undefined,
         setDetached: () => undefined,
         announce: () => undefined,
       },
@@ -77,24 +77,28 @@
   }
 }
 
-async function beat(rig: ElectionRig, ownership: Ownership): Promise<void> {
+async function keepAlive(
+  rig: ElectionRig,
+  ownership: Ownership,
+): Promise<void> {
   for (;;) {
     await rig.clock.sleep(OWNER_HEARTBEAT_MS);
-    await ownership.beat();
+    await ownership.renew();
   }
 }
 
 const election = suite('election');
 
-// After all VMs were down, the owner is up first and connected to none yet.
-election('leaves the cell to an owner that it has not met yet', async () => {
+// After all VMs were down, the owner may be the first to start and have no
+// connections yet.
+election('leaves the cell to an owner that it never reached', async () => {
   const rig = new ElectionRig();
   const owner = await rig.claimBy('a');
-  void beat(rig, owner);
+  void keepAlive(rig, owner);
   rig.startElection('b');
   await rig.clock.advance(LONG_MS);
   assert.equal(rig.owned, []);
-  assert.is(owner.isSuperseded, false);
+  assert.is(owner.isRevoked, false);
 });
 
 election('claims the cell of an owner that writes no heartbeats', async () => {
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -1,4 +1,4 @@
-/** An executor that fences, leases and lists as the platform's pages say. */
+/** A fake executor with the platform's rules for fencing, leases and lists. */
 import type {Clock} from '@dragonflyward/common';
 import {
   ExecutorClient,
@@ -12,7 +12,7 @@
   type StartOrder,
 } from '@dragonflyward/cell';
 
-/** A run as the executor keeps it. */
+/** A run on the fake executor. */
 export interface FakeRun {
   readonly task: string;
   readonly run: number;
@@ -21,7 +21,7 @@
   isStopping: boolean;
 }
 
-/** Told of what really happens, for the check of the rules. */
+/** Observes the actual runs, to check the scheduling rules. */
 export interface RunWitness {
   readonly started: (executor: FakeExecutor, order: StartOrder) => void;
   readonly ended: (
@@ -33,19 +33,19 @@
   readonly acked: (task: string, run: number, how: RunEnd) => void;
 }
 
-/** What a task does: how long it runs and how it ends. */
+/** Decides how long a run takes and how it ends. */
 export type Behaviour = (
   task: string,
   run: number,
 ) => {readonly ms: number; readonly how: RunEnd};
 
 const STOP_MS = 300;
-/** How exactly ends of runs are timed. */
-const LIVE_STEP_MS = 10;
-const LOST_MS = 700;
+/** Interval at which ends of runs are checked, in ms. */
+const TIMER_RESOLUTION_MS = 10;
+const LOST_REPLY_TIMEOUT_MS = 700;
 const NO_CLOCK = Number.NaN;
 
-/** One executor over all its lives. */
+/** One executor across restarts. */
 export class FakeExecutor {
   readonly runs = new Map<string, FakeRun>();
   private ended: ListedEnd[] = [];
@@ -55,33 +55,33 @@
   private lastEnd = 0;
   private bornAtMs: number;
   bornMs: number;
-  /** No order arrives and no answer comes back. */
-  isCut = false;
-  /** Says of itself that it will leave. */
+  /** Whether orders and answers are lost. */
+  isDisconnected = false;
+  /** Whether the executor announces that it will shut down. */
   isDraining = false;
-  /** The executor is down. */
+  /** Whether the executor is down. */
   isDown = false;
-  /** Orders that are answered with silence and carried out late. */
-  lateOrders = 0;
+  /** Number of next orders that get no answer and are carried out late. */
+  delayedOrders = 0;
   lateMs = 4000;
-  wayMs = 10;
+  latencyMs = 10;
 
   constructor(
     readonly id: string,
     readonly info: ExecutorInfo,
     private readonly clock: Clock,
     private readonly behave: Behaviour,
-    private readonly witness: RunWitness,
+    private readonly observer: RunWitness,
   ) {
     this.bornAtMs = clock.monotonicMs();
     this.bornMs = clock.wallMs() + 1;
-    void this.live();
+    void this.runTimers();
   }
 
-  /** Ends this life and begins the next one. */
+  /** Restarts the executor, which loses all runs. */
   restart(): void {
     for (const {task, run} of this.runs.values()) {
-      this.witness.ended(this, task, run, 'lost');
+      this.observer.ended(this, task, run, 'lost');
     }
     this.runs.clear();
     this.ended = [];
@@ -114,7 +114,7 @@
       endsMs: startedMs + ms,
       isStopping: false,
     });
-    this.witness.started(this, order);
+    this.observer.started(this, order);
     return null;
   }
 
@@ -140,7 +140,7 @@
     if (leaseUntilMs !== undefined) this.extend(leaseUntilMs);
     for (const end of this.ended) {
       if (end.number > ackedThrough) continue;
-      this.witness.acked(end.task, end.run, end.how);
+      this.observer.acked(end.task, end.run, end.how);
     }
     this.ended = this.ended.filter(({number}) => number > ackedThrough);
     return {
@@ -161,10 +161,10 @@
     this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
   }
 
-  /** Ends runs whose time has come and those whose lease has ended. */
-  private async live(): Promise<void> {
+  /** Ends runs that are finished and those whose lease has expired. */
+  private async runTimers(): Promise<void> {
     for (;;) {
-      await this.clock.sleep(LIVE_STEP_MS);
+      await this.clock.sleep(TIMER_RESOLUTION_MS);
       this.expire();
     }
   }
@@ -186,16 +186,16 @@
     this.lastEnd += 1;
     this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0));
     this.ended.push({number: this.lastEnd, task, run, how, checkpoint: ''});
-    this.witness.ended(this, task, run, how);
+    this.observer.ended(this, task, run, how);
   }
 }
 
-/** One caller's connection to a fake executor. */
+/** One owner's client of a fake executor. */
 export class FakeExecutorClient extends ExecutorClient {
   constructor(
     private readonly executor: FakeExecutor,
     private readonly clock: Clock,
-    /** Whether this caller can reach executors now. */
+    /** Whether the owner can reach executors now. */
     private readonly isReachable: () => boolean,
   ) {
     super();
@@ -230,32 +230,37 @@
 
   private async send(order: () => OrderFailure | null): Promise<OrderReply> {
     const {executor, clock} = this;
-    await clock.sleep(executor.wayMs);
+    await clock.sleep(executor.latencyMs);
     if (!this.canReach()) return this.lost();
-    if (executor.lateOrders > 0) {
-      executor.lateOrders -= 1;
+    if (executor.delayedOrders > 0) {
+      executor.delayedOrders -= 1;
       void this.sendLate(order);
       return this.lost();
     }
     const failure = order();
     const clockMs = executor.clockMs();
-    await clock.sleep(executor.wayMs);
+    await clock.sleep(executor.latencyMs);
     return this.canReach() ? {failure, clockMs} : this.lost();
   }
 
   private async sendLate(order: () => OrderFailure | null): Promise<void> {
     const {bornMs, lateMs} = this.executor;
     await this.clock.sleep(lateMs);
-    // Nothing could keep a late order from a new life that knows no token.
+    // A restarted executor knows no token and could not refuse a late order, so
+    // the order is dropped.
     if (!this.executor.isDown && this.executor.bornMs === bornMs) order();
   }
 
   private canReach(): boolean {
-    return !this.executor.isDown && !this.executor.isCut && this.isReachable();
+    return (
+      !this.executor.isDown &&
+      !this.executor.isDisconnected &&
+      this.isReachable()
+    );
   }
 
   private async lost(): Promise<OrderReply> {
-    await this.clock.sleep(LOST_MS);
+    await this.clock.sleep(LOST_REPLY_TIMEOUT_MS);
     return {failure: 'unknown', clockMs: NO_CLOCK};
   }
 }
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -1,4 +1,4 @@
-/** A store in memory that is as unkind as the platform's may be. */
+/** An in-memory store with the faults that the platform's store may have. */
 import type {Clock} from '@dragonflyward/common';
 import {
   Store,
@@ -23,10 +23,10 @@
   readonly producers: Map<string, LastAppend>;
 }
 
-/** The contents of the store, shared by all that call it. */
+/** The contents of the store, shared by all clients. */
 export class MemoryStore {
   private readonly topics = new Map<string, Topic>();
-  /** Appends that took effect. */
+  /** Number of appends that took effect. */
   appends = 0;
 
   topic(name: string): Topic {
@@ -46,7 +46,7 @@
     return topic.first + topic.log.length;
   }
 
-  /** Carries out an append, as the platform's pages describe it. */
+  /** Executes an append with the semantics of the platform's store. */
   append(
     name: string,
     records: readonly KeyedRecord[],
@@ -63,11 +63,11 @@
     for (const record of records) this.put(topic, record);
     this.appends += 1;
     const end = this.endOf(topic);
-    if (producer !== undefined) this.noteProducer(topic, producer, end);
+    if (producer !== undefined) this.recordProducer(topic, producer, end);
     return end;
   }
 
-  /** Drops the history of a topic; the newest record of each key stays. */
+  /** Compacts a topic: only the newest record of each key stays. */
   compact(name: string): void {
     const topic = this.topic(name);
     topic.first += topic.log.length;
@@ -82,7 +82,7 @@
     else topic.newest.set(key, placed);
   }
 
-  /** The first answer of a repeated append; null where it is a new one. */
+  /** Returns the first answer of a retried append, or null for a new one. */
   private checkProducer(
     topic: Topic,
     {name, epoch, sequence}: NonNullable<AppendOptions['producer']>,
@@ -96,7 +96,7 @@
     throw new StoreError('conflict', 'sequence', last.next);
   }
 
-  private noteProducer(
+  private recordProducer(
     topic: Topic,
     {name, epoch, sequence}: NonNullable<AppendOptions['producer']>,
     end: number,
@@ -109,26 +109,26 @@
   }
 }
 
-/** How a store treats one caller. */
-export interface StoreMood {
+/** Faults of the store for one client. */
+export interface StoreFaults {
   /** Refuses all calls. */
   isRefusing: boolean;
-  /** Gives no answer to any call, and does nothing. */
+  /** Gives no answer to any call and executes none. */
   isSilent: boolean;
-  /** How many of the next appends take effect and lose their answer. */
+  /** Number of next appends that take effect but lose their answer. */
   lostAnswers: number;
-  /** How long such appends take to have their effect, in ms. */
+  /** Delay until such appends take effect, in ms. */
   lateMs: number;
   /** How long each call takes, in ms. */
   delayMs: number;
 }
 
-/** How long a silent store is waited for, in ms. */
-const SILENCE_MS = 1500;
+/** Time after which a call to a silent store fails, in ms. */
+const CALL_TIMEOUT_MS = 1500;
 
-/** One caller's way to the store. */
+/** One client of the store. */
 export class StoreClient extends Store {
-  readonly mood: StoreMood = {
+  readonly faults: StoreFaults = {
     isRefusing: false,
     isSilent: false,
     lostAnswers: 0,
@@ -148,19 +148,19 @@
     records: readonly KeyedRecord[],
     options: AppendOptions = {},
   ): Promise<number> {
-    await this.reach();
-    const {mood, memory} = this;
-    if (mood.lostAnswers > 0) {
-      mood.lostAnswers -= 1;
-      void this.appendLater(topic, records, options, mood.lateMs);
-      await this.clock.sleep(SILENCE_MS);
+    await this.simulateCall();
+    const {faults, memory} = this;
+    if (faults.lostAnswers > 0) {
+      faults.lostAnswers -= 1;
+      void this.appendLater(topic, records, options, faults.lateMs);
+      await this.clock.sleep(CALL_TIMEOUT_MS);
       throw new StoreError('unknown', 'the answer was lost');
     }
     return memory.append(topic, records, options);
   }
 
   override async read(topic: string, from: number): Promise<LogPage> {
-    await this.reach();
+    await this.simulateCall();
     const {log, first} = this.memory.topic(topic);
     if (from < first) throw new StoreError('expired', topic);
     const records = log.slice(from - first);
@@ -168,7 +168,7 @@
   }
 
   override async newest(topic: string): Promise<LogPage> {
-    await this.reach();
+    await this.simulateCall();
     const kept = this.memory.topic(topic);
     const records = [...kept.newest.values()];
     return {endOffset: this.memory.endOf(kept), records};
@@ -184,16 +184,16 @@
     try {
       this.memory.append(topic, records, options);
     } catch (err) {
-      // Its condition holds no more: the append has no effect.
+      // The condition of the append no longer holds: it has no effect.
       if (!(err instanceof StoreError)) throw err;
     }
   }
 
-  private async reach(): Promise<void> {
-    await this.clock.sleep(this.mood.delayMs);
-    if (this.mood.isRefusing) throw new StoreError('refused', 'turned away');
-    if (!this.mood.isSilent) return;
-    await this.clock.sleep(SILENCE_MS);
+  private async simulateCall(): Promise<void> {
+    await this.clock.sleep(this.faults.delayMs);
+    if (this.faults.isRefusing) throw new StoreError('refused', 'all calls');
+    if (!this.faults.isSilent) return;
+    await this.clock.sleep(CALL_TIMEOUT_MS);
     throw new StoreError('unknown', 'no answer');
   }
 }
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -1,33 +1,44 @@
-/** Owners die, are cut and superseded; executors fail and act late. */
+/**
+ * Owners crash, lose connections and are superseded; executors crash, lose
+ * connections and carry out orders late.
+ */
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {ignoringStore, Rig, STEP, type Seat} from './rig.js';
+import {ignoringStore, Rig, STEP, type CellNode} from './rig.js';
 
-/** Another seed and number of plays can be given for a longer search. */
+/** Seed of the search; CELL_SEED and CELL_RUNS allow a longer one. */
 const SEED = Number(process.env['CELL_SEED'] ?? 20261204);
 const EXECUTORS = 4;
 const RUNS = Number(process.env['CELL_RUNS'] ?? 40);
-/** Time without a heartbeat after which others claim, in ms. */
-const SILENT_OWNER_MS = 800;
-/** Long enough for every lease, right and retry to have run out. */
-const HEAL_MS = 40_000;
+/** Time without a heartbeat after which other VMs claim the cell, in ms. */
+const HEARTBEAT_WAIT_MS = 800;
+/** Long enough for all leases and retries to end, in ms. */
+const RECOVERY_MS = 40_000;
 
 type Fault =
   | {readonly kind: 'submit'; readonly tasks: number; readonly steps: number}
   | {readonly kind: 'cancel'; readonly job: number}
   | {readonly kind: 'kill'}
-  | {readonly kind: 'usurp'}
-  | {readonly kind: 'cutOwner'; readonly isCut: boolean}
+  | {readonly kind: 'supersede'}
+  | {readonly kind: 'disconnectOwner'; readonly isDisconnected: boolean}
   | {readonly kind: 'store'; readonly isRefusing: boolean}
   | {readonly kind: 'loseAnswers'; readonly count: number}
-  | {readonly kind: 'cut'; readonly executor: number; readonly isCut: boolean}
+  | {
+      readonly kind: 'disconnect';
+      readonly executor: number;
+      readonly isDisconnected: boolean;
+    }
   | {readonly kind: 'crash'; readonly executor: number}
-  | {readonly kind: 'late'; readonly executor: number; readonly count: number}
+  | {
+      readonly kind: 'delayOrders';
+      readonly executor: number;
+      readonly count: number;
+    }
   | {readonly kind: 'wait'; readonly ms: number};
 
 const executor = fc.nat({max: EXECUTORS - 1});
-const fault: fc.Arbitrary<Fault> = fc.oneof(
+const anyFault: fc.Arbitrary<Fault> = fc.oneof(
   {
     weight: 5,
     arbitrary: fc.record({
@@ -45,113 +56,121 @@
   },
   fc.record({kind: fc.constant('cancel' as const), job: fc.nat({max: 8})}),
   fc.record({kind: fc.constant('kill' as const)}),
-  fc.record({kind: fc.constant('usurp' as const)}),
-  fc.record({kind: fc.constant('cutOwner' as const), isCut: fc.boolean()}),
+  fc.record({kind: fc.constant('supersede' as const)}),
+  fc.record({
+    kind: fc.constant('disconnectOwner' as const),
+    isDisconnected: fc.boolean(),
+  }),
   fc.record({kind: fc.constant('store' as const), isRefusing: fc.boolean()}),
   fc.record({
     kind: fc.constant('loseAnswers' as const),
     count: fc.integer({min: 1, max: 3}),
   }),
-  fc.record({kind: fc.constant('cut' as const), executor, isCut: fc.boolean()}),
+  fc.record({
+    kind: fc.constant('disconnect' as const),
+    executor,
+    isDisconnected: fc.boolean(),
+  }),
   fc.record({kind: fc.constant('crash' as const), executor}),
   fc.record({
-    kind: fc.constant('late' as const),
+    kind: fc.constant('delayOrders' as const),
     executor,
     count: fc.integer({min: 1, max: 3}),
   }),
 );
 
-/** A task fails in its first run where its name says so. */
+/** The task with index 2 fails in its first run. */
 function behave(
   task: string,
   run: number,
 ): {ms: number; how: 'done' | 'failed'} {
   const index = Number(task.split('.')[3]);
-  const isBad = index === 2 && run === 1;
-  return {ms: 200 + 300 * index, how: isBad ? 'failed' : 'done'};
+  const isFailing = index === 2 && run === 1;
+  return {ms: 200 + 300 * index, how: isFailing ? 'failed' : 'done'};
 }
 
-/** Plays faults against one cell. */
-class Play {
+/** Applies faults to one cell. */
+class Scenario {
   readonly rig = new Rig(EXECUTORS, behave);
   readonly jobs: string[] = [];
-  private readonly seats: Seat[] = [];
+  private readonly nodes: CellNode[] = [];
 
   async start(): Promise<void> {
     await this.claim();
     await this.rig.run(800);
   }
 
-  async play(each: Fault): Promise<void> {
+  async apply(fault: Fault): Promise<void> {
     const {rig} = this;
-    switch (each.kind) {
+    switch (fault.kind) {
       case 'submit':
-        return this.submit(each.tasks, each.steps);
+        return this.submit(fault.tasks, fault.steps);
       case 'cancel':
-        return this.cancel(each.job);
+        return this.cancel(fault.job);
       case 'wait':
-        return rig.run(each.ms);
+        return rig.run(fault.ms);
       case 'kill':
         rig.kill(this.newest());
         await this.claim();
         return;
-      case 'usurp':
-        return this.usurp();
-      case 'cutOwner':
-        this.newest().isCut = each.isCut;
+      case 'supersede':
+        return this.supersede();
+      case 'disconnectOwner':
+        this.newest().isDisconnected = fault.isDisconnected;
         return;
       case 'store':
-        this.newest().store.mood.isRefusing = each.isRefusing;
+        this.newest().store.faults.isRefusing = fault.isRefusing;
         return;
       case 'loseAnswers':
-        this.newest().store.mood.lostAnswers = each.count;
-        this.newest().store.mood.lateMs = 700;
+        this.newest().store.faults.lostAnswers = fault.count;
+        this.newest().store.faults.lateMs = 700;
         return;
-      case 'cut':
-        rig.executor(`x${each.executor}`).isCut = each.isCut;
+      case 'disconnect':
+        rig.executor(`x${fault.executor}`).isDisconnected =
+          fault.isDisconnected;
         return;
       case 'crash':
-        rig.executor(`x${each.executor}`).restart();
+        rig.executor(`x${fault.executor}`).restart();
         return;
-      case 'late':
-        rig.executor(`x${each.executor}`).lateOrders = each.count;
+      case 'delayOrders':
+        rig.executor(`x${fault.executor}`).delayedOrders = fault.count;
     }
   }
 
-  /** Ends all trouble and lets the work finish under a new owner. */
-  async heal(): Promise<void> {
+  /** Ends all faults and lets the jobs finish under a new owner. */
+  async recover(): Promise<void> {
     for (const each of this.rig.executors) {
-      each.isCut = false;
-      each.lateOrders = 0;
+      each.isDisconnected = false;
+      each.delayedOrders = 0;
     }
-    for (const seat of this.seats) {
-      seat.store.mood.isRefusing = seat.isDead;
-      seat.store.mood.lostAnswers = 0;
-      seat.isCut = false;
+    for (const node of this.nodes) {
+      node.store.faults.isRefusing = node.isKilled;
+      node.store.faults.lostAnswers = 0;
+      node.isDisconnected = false;
     }
     await this.claim();
-    await this.rig.run(HEAL_MS);
+    await this.rig.run(RECOVERY_MS);
   }
 
-  /** The owner loses the store and goes on; another one claims the cell. */
-  private async usurp(): Promise<void> {
-    this.newest().store.mood.isRefusing = true;
-    await this.rig.run(SILENT_OWNER_MS);
+  /** The owner loses the store and continues; another one claims the cell. */
+  private async supersede(): Promise<void> {
+    this.newest().store.faults.isRefusing = true;
+    await this.rig.run(HEARTBEAT_WAIT_MS);
     await this.claim();
   }
 
-  private newest(): Seat {
-    const seat = this.seats.at(-1);
-    if (seat === undefined) throw new Error('no seat');
-    return seat;
+  private newest(): CellNode {
+    const node = this.nodes.at(-1);
+    if (node === undefined) throw new Error('no node');
+    return node;
   }
 
   private async claim(): Promise<void> {
-    const seat = this.rig.newSeat(`v${this.seats.length}`);
-    this.seats.push(seat);
-    const owning = ignoringStore(this.rig.own(seat));
+    const node = this.rig.newNode(`v${this.nodes.length}`);
+    this.nodes.push(node);
+    const claimed = ignoringStore(this.rig.claim(node));
     await this.rig.run(100);
-    void owning;
+    void claimed;
   }
 
   private submit(tasks: number, steps: number): void {
@@ -162,36 +181,36 @@
       after: i === 0 ? [] : [i - 1],
     }));
     this.jobs.push(id);
-    this.rig.submit(id, specs, this.seats);
+    this.rig.submit(id, specs, this.nodes);
   }
 
   private cancel(at: number): void {
     const id = this.jobs[at];
-    if (id !== undefined) this.rig.cancel(id, this.seats);
+    if (id !== undefined) this.rig.cancel(id, this.nodes);
   }
 }
 
-export async function playAll(faults: readonly Fault[]): Promise<Play> {
-  const play = new Play();
-  await play.start();
-  for (const each of faults) await play.play(each);
-  await play.heal();
-  return play;
+export async function runScenario(faults: readonly Fault[]): Promise<Scenario> {
+  const scenario = new Scenario();
+  await scenario.start();
+  for (const fault of faults) await scenario.apply(fault);
+  await scenario.recover();
+  return scenario;
 }
 
 const owner = suite('owner under faults');
 
 owner('breaks no rule and finishes every job', async () => {
-  const faults = fc.array(fault, {minLength: 5, maxLength: 40});
+  const faults = fc.array(anyFault, {minLength: 5, maxLength: 40});
   const property = fc.asyncProperty(faults, async list => {
-    const {rig, jobs} = await playAll(list);
-    assert.equal(rig.watch.broken, []);
+    const {rig, jobs} = await runScenario(list);
+    assert.equal(rig.checker.broken, []);
     for (const id of jobs) {
       const phase = rig.rows.get(id)?.phase;
-      const job = rig.watch.jobs.get(id);
+      const job = rig.checker.jobs.get(id);
       const isShown = phase === 'completed' || phase === 'cancelled';
       assert.ok(isShown, `${id} is ${phase ?? 'not shown'}`);
-      const isDone = job !== undefined && rig.watch.isJobDone(job);
+      const isDone = job !== undefined && rig.checker.isJobDone(job);
       if (phase === 'completed') assert.ok(isDone, `${id} is not done`);
     }
   });
