--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -1,10 +1,10 @@
-/** Owners, executors and a store on one clock that the test moves. */
+/** Owners, executors and a store on one clock that the test advances. */
 import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   claimCell,
   encodeJob,
   jobKey,
-  jobsTopicOf,
+  jobsTopicFor,
   cancelKey,
   Owner,
   OWNER_HEARTBEAT_MS,
@@ -33,10 +33,10 @@
 export const EXECUTORS_TOPIC = 'keyed.executors';
 const SERVICE = 'svc';
 const START_MS = 1_000_000;
-/** After that time no task of a cancelled job may be started. */
+/** Time after which no task of a cancelled job may be started, in ms. */
 const CANCEL_MS = 3000;
 
-/** A queue that needs no advice. */
+/** A queue without advice. */
 export const QUEUE: Queue = {
   name: 'q',
   host: 'h',
@@ -50,7 +50,7 @@
   advice: null,
 };
 
-/** A step of plain tasks. */
+/** A step with one plain task. */
 export const STEP: StepSpec = {
   count: 1,
   size: {cpuMilli: 1000, memMb: 100, accel: 0, slots: 0},
@@ -87,7 +87,7 @@
   constructor(
     override readonly store: StoreClient,
     private readonly rig: Rig,
-    private readonly seat: Seat,
+    private readonly node: CellNode,
   ) {
     super();
   }
@@ -102,32 +102,33 @@
 
   override connect(info: ExecutorInfo): ExecutorClient {
     const executor = this.rig.executor(info.id);
-    const isReachable = (): boolean => !this.seat.isDead && !this.seat.isCut;
+    const isReachable = (): boolean =>
+      !this.node.isKilled && !this.node.isDisconnected;
     return new FakeExecutorClient(executor, this.rig.clock, isReachable);
   }
 }
 
 /** One process that may own the cell. */
-export interface Seat {
+export interface CellNode {
   readonly vm: string;
   readonly incarnation: number;
   readonly store: StoreClient;
   owner: Owner | null;
   ownership: Ownership | null;
-  /** The process is gone; nothing that it still does has an effect. */
-  isDead: boolean;
-  /** Executors cannot be reached. */
-  isCut: boolean;
+  /** The process has ended; nothing that it still does has an effect. */
+  isKilled: boolean;
+  /** Whether the process cannot reach executors. */
+  isDisconnected: boolean;
 }
 
 /** A small cell. */
 export class Rig {
   readonly clock = new ManualClock(START_MS);
   readonly memory = new MemoryStore();
-  readonly watch = new RuleWatch();
+  readonly checker = new RuleWatch();
   readonly rows = new Map<string, JobRow>();
   readonly executors: FakeExecutor[] = [];
-  readonly lines: string[] = [];
+  readonly logLines: string[] = [];
   private nextIncarnation = 1;
 
   constructor(
@@ -144,8 +145,8 @@
     return found;
   }
 
-  /** A new process with its own way to the store. */
-  newSeat(vm: string): Seat {
+  /** Creates a process with its own store client. */
+  newNode(vm: string): CellNode {
     const incarnation = this.nextIncarnation;
     this.nextIncarnation += 1;
     return {
@@ -154,52 +155,52 @@
       store: new StoreClient(this.memory, this.clock),
       owner: null,
       ownership: null,
-      isDead: false,
-      isCut: false,
+      isKilled: false,
+      isDisconnected: false,
     };
   }
 
-  /** Lets a process claim the cell and act; false where it was not first. */
-  async own(seat: Seat): Promise<boolean> {
-    const {store, vm, incarnation} = seat;
-    const reading = await readOwner(store);
+  /** Lets a process claim the cell and act; false if it was not first. */
+  async claim(node: CellNode): Promise<boolean> {
+    const {store, vm, incarnation} = node;
+    const snapshot = await readOwner(store);
     const self = {vm, ip: '', port: 0, incarnation};
-    const ownership = await claimCell(store, this.clock, self, reading);
-    if (ownership === null || seat.isDead) return false;
-    const {record} = reading;
+    const ownership = await claimCell(store, this.clock, self, snapshot);
+    if (ownership === null || node.isKilled) return false;
+    const {record} = snapshot;
     const isFormerStopped =
       record === null || record.isReleased || record.vm === vm;
-    seat.ownership = ownership;
+    node.ownership = ownership;
     const owner = new Owner({
-      platform: new RigPlatform(store, this, seat),
+      platform: new RigPlatform(store, this, node),
       store: new RelayedStore(store, () => [], this.clock),
       clock: this.clock,
       metrics: new Metrics(),
-      log: (event, fields) => this.line(seat, event, fields),
+      log: (event, fields) => this.writeLog(node, event, fields),
       ownership,
       isFormerStopped,
-      isLinkedToAll: () => false,
+      isConnectedToAll: () => false,
       lanes: () => [],
-      publish: rows => this.publish(seat, rows),
+      publish: rows => this.publish(node, rows),
     });
-    seat.owner = owner;
-    void this.beat(seat, ownership);
+    node.owner = owner;
+    void this.keepAlive(node, ownership);
     return owner.start(CONFIG);
   }
 
-  /** Ends a process at once; what it has sent may still have an effect. */
-  kill(seat: Seat): void {
-    seat.isDead = true;
-    seat.store.mood.isRefusing = true;
-    seat.owner?.close();
-    seat.ownership?.lose();
+  /** Ends a process at once; calls that it has sent may still take effect. */
+  kill(node: CellNode): void {
+    node.isKilled = true;
+    node.store.faults.isRefusing = true;
+    node.owner?.close();
+    node.ownership?.revoke();
   }
 
-  /** Stores a job as a VM does, and tells the owner. */
+  /** Stores a job as a VM does, and notifies the owners. */
   submit(
     id: string,
     steps: readonly StepSpec[],
-    owners: readonly Seat[],
+    owners: readonly CellNode[],
   ): void {
     const job = {
       id,
@@ -212,7 +213,7 @@
       },
       acceptedMs: this.clock.wallMs(),
     };
-    this.watch.jobs.set(id, {
+    this.checker.jobs.set(id, {
       id,
       counts: steps.map(({count}) => count),
       after: steps.map(({after}) => after),
@@ -221,27 +222,27 @@
       isCancelled: false,
     });
     const value = encodeJob(job);
-    this.memory.append(jobsTopicOf(id), [{key: jobKey(id), value}], {});
+    this.memory.append(jobsTopicFor(id), [{key: jobKey(id), value}], {});
     for (const {owner} of owners) owner?.addStoredJob(value);
   }
 
-  /** Stores a cancel as a VM does, and tells the owner. */
-  cancel(id: string, owners: readonly Seat[]): void {
+  /** Stores a cancel as a VM does, and notifies the owners. */
+  cancel(id: string, owners: readonly CellNode[]): void {
     const value = Uint8Array.of(1);
-    this.memory.append(jobsTopicOf(id), [{key: cancelKey(id), value}], {});
+    this.memory.append(jobsTopicFor(id), [{key: cancelKey(id), value}], {});
     for (const {owner} of owners) owner?.addStoredCancel(id);
     void this.expectCancelled(id);
   }
 
-  /** From now on no task of the job may be started. */
+  /** Makes the start of a task of the job a violation after CANCEL_MS. */
   private async expectCancelled(id: string): Promise<void> {
     await this.clock.sleep(CANCEL_MS);
-    const job = this.watch.jobs.get(id);
+    const job = this.checker.jobs.get(id);
     const isFinal = this.rows.get(id)?.phase === 'completed';
     if (job !== undefined && !isFinal) job.isCancelled = true;
   }
 
-  /** Moves the time on in small steps. */
+  /** Advances the clock in small steps. */
   async run(ms: number): Promise<void> {
     await this.clock.advance(ms);
   }
@@ -265,12 +266,12 @@
       info,
       this.clock,
       this.behave,
-      this.watch,
+      this.checker,
     );
     this.executors.push(executor);
   }
 
-  /** Executors describe themselves in the store; silent ones lapse. */
+  /** Writes the executors' own records; those that are down are deleted. */
   private async listExecutors(): Promise<void> {
     for (;;) {
       for (const executor of this.executors) {
@@ -284,26 +285,30 @@
     }
   }
 
-  private async beat(seat: Seat, ownership: Ownership): Promise<void> {
-    while (!ownership.isSuperseded && !seat.isDead) {
-      await ownership.beat();
+  private async keepAlive(node: CellNode, ownership: Ownership): Promise<void> {
+    while (!ownership.isRevoked && !node.isKilled) {
+      await ownership.renew();
       await this.clock.sleep(OWNER_HEARTBEAT_MS);
     }
-    if (seat.ownership === ownership) seat.owner?.close();
+    if (node.ownership === ownership) node.owner?.close();
   }
 
-  private publish(seat: Seat, rows: readonly JobRow[]): void {
-    if (seat.isDead) return;
+  private publish(node: CellNode, rows: readonly JobRow[]): void {
+    if (node.isKilled) return;
     for (const row of rows) this.rows.set(row.id, row);
   }
 
-  private line(seat: Seat, event: string, fields: Readonly<object>): void {
+  private writeLog(
+    node: CellNode,
+    event: string,
+    fields: Readonly<object>,
+  ): void {
     const atMs = this.clock.monotonicMs() - START_MS;
-    this.lines.push(`${atMs} ${seat.vm} ${event} ${JSON.stringify(fields)}`);
+    this.logLines.push(`${atMs} ${node.vm} ${event} ${JSON.stringify(fields)}`);
   }
 }
 
-/** Runs a step that may fail because the store is away. */
+/** Runs a step that may fail because the store is unavailable. */
 export async function ignoringStore<T>(step: Promise<T>): Promise<T | null> {
   try {
     return await step;
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -1,4 +1,4 @@
-/** Claims, heartbeats, progress and relayed calls against an unkind store. */
+/** Claims, heartbeats, progress and relayed calls against a faulty store. */
 import {ManualClock, Metrics} from '@dragonflyward/common';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -7,7 +7,7 @@
   Front,
   JobTable,
   JOBS_TOPICS,
-  makeStoreCall,
+  executeStoreCall,
   ProgressWriter,
   PROGRESS_TOPIC,
   readOwner,
@@ -21,19 +21,19 @@
 
 const LONG_MS = 5000;
 
-interface Bench {
+interface StoreFixture {
   readonly clock: ManualClock;
   readonly memory: MemoryStore;
   readonly client: () => StoreClient;
 }
 
-function newBench(): Bench {
+function newFixture(): StoreFixture {
   const clock = new ManualClock(1000);
   const memory = new MemoryStore();
   return {clock, memory, client: () => new StoreClient(memory, clock)};
 }
 
-/** Lets a promise settle while the time moves on. */
+/** Advances the clock until a promise has settled. */
 async function settle<T>(
   clock: ManualClock,
   promise: Promise<T>,
@@ -55,7 +55,7 @@
 const store = suite('store');
 
 store('gives a term to one of two claimants only', async () => {
-  const {clock, client} = newBench();
+  const {clock, client} = newFixture();
   const [a, b] = [client(), client()];
   const both = Promise.all([readOwner(a), readOwner(b)]).then(([ra, rb]) =>
     Promise.all([
@@ -67,8 +67,8 @@
   assert.is(claims.filter(claim => claim !== null).length, 1);
 });
 
-store('ends the right of an owner that was superseded', async () => {
-  const {clock, client} = newBench();
+store('revokes the ownership of an owner that was superseded', async () => {
+  const {clock, client} = newFixture();
   const [a, b] = [client(), client()];
   const claim = async (
     each: StoreClient,
@@ -77,54 +77,54 @@
     claimCell(each, clock, self(vm), await readOwner(each));
   const first = (await settle(clock, claim(a, 'a'))) as Ownership;
   const second = (await settle(clock, claim(b, 'b'))) as Ownership;
-  await settle(clock, first.beat());
-  assert.is(first.isSuperseded, true);
+  await settle(clock, first.renew());
+  assert.is(first.isRevoked, true);
   assert.is(second.term, first.term + 1);
-  await settle(clock, second.beat());
+  await settle(clock, second.renew());
   assert.is(second.mayAct(), true);
 });
 
-store('keeps the right where the answer to a heartbeat is lost', async () => {
-  const {clock, client} = newBench();
+store('keeps the ownership if the answer to a heartbeat is lost', async () => {
+  const {clock, client} = newFixture();
   const a = client();
   const claim = readOwner(a).then(r => claimCell(a, clock, self('a'), r));
   const owner = (await settle(clock, claim)) as Ownership;
-  a.mood.lostAnswers = 1;
-  await settle(clock, owner.beat());
-  await settle(clock, owner.beat());
-  await settle(clock, owner.beat());
-  assert.is(owner.isSuperseded, false);
+  a.faults.lostAnswers = 1;
+  await settle(clock, owner.renew());
+  await settle(clock, owner.renew());
+  await settle(clock, owner.renew());
+  assert.is(owner.isRevoked, false);
   assert.is(owner.mayAct(), true);
 });
 
-store('ends the right of an owner that cannot prove it', async () => {
-  const {clock, client} = newBench();
+store('stops an owner whose heartbeats are not answered', async () => {
+  const {clock, client} = newFixture();
   const a = client();
   const claim = readOwner(a).then(r => claimCell(a, clock, self('a'), r));
   const owner = (await settle(clock, claim)) as Ownership;
-  a.mood.isSilent = true;
-  await settle(clock, owner.beat());
-  await settle(clock, owner.beat());
+  a.faults.isSilent = true;
+  await settle(clock, owner.renew());
+  await settle(clock, owner.renew());
   assert.is(owner.mayAct(), false);
-  assert.is(owner.isSuperseded, false);
+  assert.is(owner.isRevoked, false);
 });
 
 store('writes progress once though answers are lost', async () => {
-  const {clock, memory, client} = newBench();
+  const {clock, memory, client} = newFixture();
   const a = client();
   const writer = new ProgressWriter(a, clock, 1, () => true);
   await settle(clock, writer.open());
-  a.mood.lostAnswers = 2;
+  a.faults.lostAnswers = 2;
   const value = Uint8Array.of(1);
   const isStored = await settle(clock, writer.write([{key: 'p/1', value}]));
   assert.is(isStored, true);
   assert.is(memory.topic(PROGRESS_TOPIC).log.length, 1);
 });
 
-// Found by the soak, seed 301: loading was tried again while the first try
-// still waited for the store, and the store took a commit for its repeat.
+// Found by soak seed 301: a load was retried while the first attempt still
+// waited for the store, and the store took a commit for a retry of it.
 store('stores all that is written at the same time', async () => {
-  const {clock, memory, client} = newBench();
+  const {clock, memory, client} = newFixture();
   const writer = new ProgressWriter(client(), clock, 1, () => true);
   const value = Uint8Array.of(1);
   const written = Promise.all([
@@ -139,11 +139,11 @@
 });
 
 store('refuses progress of an owner that was superseded', async () => {
-  const {clock, memory, client} = newBench();
+  const {clock, memory, client} = newFixture();
   const old = new ProgressWriter(client(), clock, 1, () => true);
   await settle(clock, old.open());
-  const young = new ProgressWriter(client(), clock, 2, () => true);
-  await settle(clock, young.open());
+  const successor = new ProgressWriter(client(), clock, 2, () => true);
+  await settle(clock, successor.open());
   const value = Uint8Array.of(1);
   const isStored = await settle(clock, old.write([{key: 'p/1', value}]));
   assert.is(isStored, false);
@@ -151,13 +151,13 @@
 });
 
 function peerOf(client: StoreClient): StorePeer {
-  return {callStore: call => makeStoreCall(client, call)};
+  return {callStore: call => executeStoreCall(client, call)};
 }
 
-store('works through a peer where the store turns the VM away', async () => {
-  const {clock, memory, client} = newBench();
+store('calls through a peer if the store refuses the VM', async () => {
+  const {clock, memory, client} = newFixture();
   const own = client();
-  own.mood.isRefusing = true;
+  own.faults.isRefusing = true;
   const relayed = new RelayedStore(own, () => [peerOf(client())], clock);
   const value = Uint8Array.of(1);
   const done = await settle(
@@ -168,28 +168,28 @@
   assert.is(memory.topic('keyed.t').log.length, 1);
 });
 
-store('says refused only where no path can have stored anything', async () => {
-  const {clock, client} = newBench();
+store('reports refused only if nothing can have been stored', async () => {
+  const {clock, client} = newFixture();
   const [own, other] = [client(), client()];
-  own.mood.isRefusing = true;
-  other.mood.isRefusing = true;
+  own.faults.isRefusing = true;
+  other.faults.isRefusing = true;
   const relayed = new RelayedStore(own, () => [peerOf(other)], clock);
   const value = Uint8Array.of(1);
   const append = (): Promise<number> =>
     relayed.append('keyed.t', [{key: 'k', value}]);
   const refused = (await settle(clock, append())) as StoreError;
   assert.is(refused.failure, 'refused');
-  other.mood.isRefusing = false;
-  other.mood.lostAnswers = 1;
+  other.faults.isRefusing = false;
+  other.faults.lostAnswers = 1;
   const unknown = (await settle(clock, append())) as StoreError;
   assert.is(unknown.failure, 'unknown');
 });
 
 // A peer that gives no answer may have made the call.
-store('says unknown where a peer gives no answer', async () => {
-  const {clock, client} = newBench();
+store('reports unknown if a peer gives no answer', async () => {
+  const {clock, client} = newFixture();
   const own = client();
-  own.mood.isRefusing = true;
+  own.faults.isRefusing = true;
   const lost: StorePeer = {callStore: () => Promise.reject(new Error('cut'))};
   const relayed = new RelayedStore(own, () => [lost], clock);
   const append = relayed.append('keyed.t', [{key: 'k', value: VALUE}]);
@@ -197,17 +197,17 @@
   assert.is(err.failure, 'unknown');
 });
 
-function newFront(bench: Bench, client: StoreClient): Front {
+function newFront(fixture: StoreFixture, client: StoreClient): Front {
   return new Front({
     store: client,
     jobsTopic: JOBS_TOPICS[0] ?? '',
-    clock: bench.clock,
+    clock: fixture.clock,
     metrics: new Metrics(),
     log: () => undefined,
-    table: new JobTable(bench.clock),
+    table: new JobTable(fixture.clock),
     lookup: () => Promise.resolve({row: null, isSure: true}),
-    tellJob: () => undefined,
-    tellCancel: () => undefined,
+    notifyJob: () => undefined,
+    notifyCancel: () => undefined,
     isTableFresh: () => true,
   });
 }
@@ -227,75 +227,75 @@
 store(
   'stores a job once that is submitted twice at the same time',
   async () => {
-    const bench = newBench();
-    const front = newFront(bench, bench.client());
+    const fixture = newFixture();
+    const front = newFront(fixture, fixture.client());
     const both = Promise.all([
       front.submit(SUBMISSION),
       front.submit(SUBMISSION),
     ]);
-    const answers = await settle(bench.clock, both);
+    const answers = await settle(fixture.clock, both);
     assert.equal(answers, [{kind: 'done'}, {kind: 'done'}]);
-    assert.is(bench.memory.topic(JOBS_TOPICS[0] ?? '').log.length, 1);
+    assert.is(fixture.memory.topic(JOBS_TOPICS[0] ?? '').log.length, 1);
   },
 );
 
-store('never says refused of a job that may be stored', async () => {
-  const bench = newBench();
-  const client = bench.client();
-  client.mood.lostAnswers = 1;
-  const front = newFront(bench, client);
-  const answer = await settle(bench.clock, front.submit(SUBMISSION));
+store('never reports refused for a job that may be stored', async () => {
+  const fixture = newFixture();
+  const client = fixture.client();
+  client.faults.lostAnswers = 1;
+  const front = newFront(fixture, client);
+  const answer = await settle(fixture.clock, front.submit(SUBMISSION));
   assert.equal(answer, {kind: 'unknown'});
 });
 
-// A silent store answers nothing for the whole of a caller's time.
+// A silent store does not answer within the caller's timeout.
 store('answers callers in time while the store is silent', async () => {
-  const bench = newBench();
-  const client = bench.client();
-  client.mood.isSilent = true;
-  const front = newFront(bench, client);
+  const fixture = newFixture();
+  const client = fixture.client();
+  client.faults.isSilent = true;
+  const front = newFront(fixture, client);
   const answers: string[] = [];
   const submit = async (id: string, part: number): Promise<void> => {
-    const startMs = bench.clock.monotonicMs();
+    const startMs = fixture.clock.monotonicMs();
     const {kind} = await front.submit({...SUBMISSION, id});
-    const tookMs = bench.clock.monotonicMs() - startMs;
+    const tookMs = fixture.clock.monotonicMs() - startMs;
     const boundMs = SUBMISSION.timeoutMs * part;
     assert.ok(tookMs <= boundMs, `${id} took ${tookMs} ms`);
     answers.push(`${id} ${kind}`);
   };
-  const late = bench.clock.sleep(800).then(() => submit('late', 0));
+  const late = fixture.clock.sleep(800).then(() => submit('late', 0));
   const early = [submit('sent', 0.8), submit('behind', 0.4), late];
-  await settle(bench.clock, Promise.all(early));
+  await settle(fixture.clock, Promise.all(early));
   assert.equal(answers, ['late refused', 'behind refused', 'sent unknown']);
-  client.mood.isSilent = false;
-  await settle(bench.clock, bench.clock.sleep(5000));
-  assert.is(bench.memory.topic(JOBS_TOPICS[0] ?? '').log.length, 0);
+  client.faults.isSilent = false;
+  await settle(fixture.clock, fixture.clock.sleep(5000));
+  assert.is(fixture.memory.topic(JOBS_TOPICS[0] ?? '').log.length, 0);
 });
 
 store('shows and cancels no job of another organisation', async () => {
-  const bench = newBench();
-  const front = newFront(bench, bench.client());
-  await settle(bench.clock, front.submit(SUBMISSION));
+  const fixture = newFixture();
+  const front = newFront(fixture, fixture.client());
+  await settle(fixture.clock, front.submit(SUBMISSION));
   const caller = {organisation: 'other', isPublic: false, timeoutMs: 100};
-  const phase = await settle(bench.clock, front.phase('job', caller));
+  const phase = await settle(fixture.clock, front.phase('job', caller));
   assert.equal(phase, {kind: 'noSuchJob'});
-  const cancel = await settle(bench.clock, front.cancel('job', caller));
+  const cancel = await settle(fixture.clock, front.cancel('job', caller));
   assert.equal(cancel, {kind: 'noSuchJob'});
   const own = {...caller, organisation: 'o'};
-  const shown = await settle(bench.clock, front.phase('job', own));
+  const shown = await settle(fixture.clock, front.phase('job', own));
   assert.equal(shown, {kind: 'phase', phase: 'queued'});
 });
 
 store(
   'tells callers to come back later the longer an outage lasts',
   async () => {
-    const bench = newBench();
-    const client = bench.client();
-    client.mood.isRefusing = true;
-    const front = newFront(bench, client);
-    const first = await settle(bench.clock, front.submit(SUBMISSION));
+    const fixture = newFixture();
+    const client = fixture.client();
+    client.faults.isRefusing = true;
+    const front = newFront(fixture, client);
+    const first = await settle(fixture.clock, front.submit(SUBMISSION));
     assert.equal(first, {kind: 'refused', retryAfterS: 1});
-    const later = await settle(bench.clock, front.submit(SUBMISSION));
+    const later = await settle(fixture.clock, front.submit(SUBMISSION));
     assert.equal(later, {kind: 'refused', retryAfterS: 4});
   },
 );
