Name timeouts and delays of the cell and its test fakes after their use

Renames only: timeouts of holds, the latency watch, silence of a connection, freshness of the job table, progress of jobs not yet read, and delays of the fakes. No reason or number has left a comment.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -50,7 +50,7 @@
   private readonly jobs: JobsFollower;
   private readonly executors: Follower;
   /** Progress that was read before the job itself. */
-  private readonly earlyProgress = new Map<string, Uint8Array>();
+  private readonly pendingProgress = new Map<string, Uint8Array>();
 
   constructor(private readonly deps: CellFeedDeps) {
     const {store, clock, platform} = deps;
@@ -122,9 +122,9 @@
     const {state, metrics, onJob} = this.deps;
     if (state.jobs.has(job.id)) return;
     const added = state.addJob(job);
-    const progress = this.earlyProgress.get(job.id);
+    const progress = this.pendingProgress.get(job.id);
     if (progress !== undefined) this.applyStoredProgress(added, progress);
-    this.earlyProgress.delete(job.id);
+    this.pendingProgress.delete(job.id);
     metrics.count('jobs_added_total');
     onJob(added);
   }
@@ -142,7 +142,7 @@
     }
     const id = key.slice(PROGRESS_PREFIX.length);
     const job = this.deps.state.jobs.get(id);
-    if (job === undefined) this.earlyProgress.set(id, value);
+    if (job === undefined) this.pendingProgress.set(id, value);
     else this.applyStoredProgress(job, value);
   }
 
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -23,11 +23,11 @@
 /** How long an executor may wait for a run to end before it answers, in ms. */
 const HOLD_WAIT_MS = 700;
 /** Timeout of the answer in addition to that wait, in ms. */
-const HOLD_SLACK_MS = 300;
+const HOLD_TIMEOUT_MS = 300;
 /** The same timeout after a hold that was not answered, in ms. */
-const MISSED_SLACK_MS = 900;
+const MISSED_HOLD_TIMEOUT_MS = 900;
 /** Wait of a hold if tail latencies must be watched, in ms. */
-const WATCH_WAIT_MS = 400;
+const LATENCY_WATCH_WAIT_MS = 400;
 /** Wait of a hold while a run is starting or stopping, in ms. */
 const STARTING_WAIT_MS = 100;
 /** Minimum pause between two holds, in ms. */
@@ -217,12 +217,13 @@
     const isAckNew = ackedThrough > this.sentAck && executor.missed === 0;
     const sentMs = host.clock.monotonicMs();
     const leaseUntilMs = this.extendLease();
-    const slackMs = executor.missed === 0 ? HOLD_SLACK_MS : MISSED_SLACK_MS;
+    const answerTimeoutMs =
+      executor.missed === 0 ? HOLD_TIMEOUT_MS : MISSED_HOLD_TIMEOUT_MS;
     const reply = await this.client.hold({
       token: host.token,
       ackedThrough: isAckNew ? ackedThrough : 0,
       waitMs,
-      timeoutMs: waitMs + slackMs,
+      timeoutMs: waitMs + answerTimeoutMs,
       ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
     });
     if (this.isClosed || !isInventory(reply)) return reply;
@@ -245,7 +246,7 @@
     for (const {phase, step} of tasks) {
       if (phase === 'starting') return STARTING_WAIT_MS;
       if (phase === 'stopping') return STARTING_WAIT_MS;
-      if (step.spec.targetMs > 0) waitMs = WATCH_WAIT_MS;
+      if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
     }
     return waitMs;
   }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -17,7 +17,7 @@
 import type {StorePeer} from './relayed-store.js';
 
 /** A connection is closed after this time without a message, in ms. */
-const SILENCE_BOUND_MS = 1500;
+const SILENCE_TIMEOUT_MS = 1500;
 /** Maximum age of the last heartbeat of a connected VM, in ms. */
 const MAX_HEARTBEAT_AGE_MS = 1200;
 /** How long a VM without heartbeats is taken to be possibly alive, in ms. */
@@ -30,7 +30,7 @@
 
 /** Handles the messages of other VMs. */
 export abstract class MemberHandler extends PeerHandler<CellProtocol> {
-  override readonly silenceBoundMs = SILENCE_BOUND_MS;
+  override readonly silenceBoundMs = SILENCE_TIMEOUT_MS;
 }
 
 /** State of a connected VM. */
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -5,7 +5,7 @@
  * A table that was complete within this time is fresh, in ms: less than the
  * time that the platform allows until a job has to be visible.
  */
-const FRESH_MS = 2000;
+const FRESHNESS_MS = 2000;
 
 /** The VM's state when the freshness is checked. */
 export interface TableSource {
@@ -44,7 +44,7 @@
   isFresh(source: TableSource): boolean {
     const nowMs = this.clock.monotonicMs();
     if (this.isComplete(source, nowMs)) this.freshMs = nowMs;
-    return nowMs - this.freshMs < FRESH_MS;
+    return nowMs - this.freshMs < FRESHNESS_MS;
   }
 
   /** An owner that does not show jobs it was notified of lags behind. */
@@ -53,6 +53,6 @@
     const isFull =
       source.linkedTerm > 0 && source.linkedTerm === this.fullUpdateTerm;
     const [oldestMs = nowMs] = this.notifiedMs.values();
-    return isFull && nowMs - oldestMs < FRESH_MS;
+    return isFull && nowMs - oldestMs < FRESHNESS_MS;
   }
 }
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -231,19 +231,19 @@
   private async send(order: () => OrderFailure | null): Promise<OrderReply> {
     const {executor, clock} = this;
     await clock.sleep(executor.latencyMs);
-    if (!this.canReach()) return this.lost();
+    if (!this.canReach()) return this.loseAnswer();
     if (executor.delayedOrders > 0) {
       executor.delayedOrders -= 1;
-      void this.sendLate(order);
-      return this.lost();
+      void this.sendDelayed(order);
+      return this.loseAnswer();
     }
     const failure = order();
     const clockMs = executor.clockMs();
     await clock.sleep(executor.latencyMs);
-    return this.canReach() ? {failure, clockMs} : this.lost();
+    return this.canReach() ? {failure, clockMs} : this.loseAnswer();
   }
 
-  private async sendLate(order: () => OrderFailure | null): Promise<void> {
+  private async sendDelayed(order: () => OrderFailure | null): Promise<void> {
     const {bornMs, lateMs} = this.executor;
     await this.clock.sleep(lateMs);
     // A restarted executor knows no token and could not refuse a late order, so
@@ -259,7 +259,7 @@
     );
   }
 
-  private async lost(): Promise<OrderReply> {
+  private async loseAnswer(): Promise<OrderReply> {
     await this.clock.sleep(LOST_REPLY_TIMEOUT_MS);
     return {failure: 'unknown', clockMs: NO_CLOCK};
   }
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -118,7 +118,7 @@
   /** Number of next appends that take effect but lose their answer. */
   lostAnswers: number;
   /** Delay until such appends take effect, in ms. */
-  lateMs: number;
+  lostAppendDelayMs: number;
   /** How long each call takes, in ms. */
   delayMs: number;
 }
@@ -132,7 +132,7 @@
     isRefusing: false,
     isSilent: false,
     lostAnswers: 0,
-    lateMs: 0,
+    lostAppendDelayMs: 0,
     delayMs: 4,
   };
 
@@ -152,7 +152,7 @@
     const {faults, memory} = this;
     if (faults.lostAnswers > 0) {
       faults.lostAnswers -= 1;
-      void this.appendLater(topic, records, options, faults.lateMs);
+      void this.appendLater(topic, records, options, faults.lostAppendDelayMs);
       await this.clock.sleep(CALL_TIMEOUT_MS);
       throw new StoreError('unknown', 'the answer was lost');
     }
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -123,7 +123,7 @@
         return;
       case 'loseAnswers':
         this.newest().store.faults.lostAnswers = fault.count;
-        this.newest().store.faults.lateMs = 700;
+        this.newest().store.faults.lostAppendDelayMs = 700;
         return;
       case 'disconnect':
         rig.executor(`x${fault.executor}`).isDisconnected =
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -34,7 +34,7 @@
 const SERVICE = 'svc';
 const START_MS = 1_000_000;
 /** Time after which no task of a cancelled job may be started, in ms. */
-const CANCEL_MS = 3000;
+const CANCEL_TIMEOUT_MS = 3000;
 
 /** A queue without advice. */
 export const QUEUE: Queue = {
@@ -234,9 +234,9 @@
     void this.expectCancelled(id);
   }
 
-  /** Makes the start of a task of the job a violation after CANCEL_MS. */
+  /** Makes the start of a task of the job a violation after a timeout. */
   private async expectCancelled(id: string): Promise<void> {
-    await this.clock.sleep(CANCEL_MS);
+    await this.clock.sleep(CANCEL_TIMEOUT_MS);
     const job = this.checker.jobs.get(id);
     const isFinal = this.rows.get(id)?.phase === 'completed';
     if (job !== undefined && !isFinal) job.isCancelled = true;
