--- a/packages/cell/src/advice-desk.ts
+++ b/packages/cell/src/advice-desk.ts
@@ -1,27 +1,30 @@
-/** Gets tickets from the advice service through the VMs of the cell. */
+/** Requests tickets from the advice service through the VMs of the cell. */
 import type {Ticket} from './executor-client.js';
 import {URGENT_PRIORITY} from './service-room.js';
 import type {TicketNeed} from './ticket-needs.js';
-import {noteTickets, stepName, type StepState} from './job-state.js';
+import {recordTickets, stepName, type StepState} from './job-state.js';
 
-/** Decisions up to this long go to any VM, longer ones not to the owner's. */
+/**
+ * Requests expected to take longer than this avoid the owner's VM and its
+ * failure domain where possible, and never take the last idle VM there.
+ */
 const SHORT_DECISION_MS = 150;
-/** Steps that wait for each VM; tickets for more would end before use. */
-const WISHES_PER_LANE = 1;
-/** Part of the VMs that may ask for work which has no room yet. */
-const AHEAD_PART = 0.34;
-/** How long a VM whose call failed is not asked again. */
-const LANE_REST_MS = 500;
-/** Added to the stated decision time before a call counts as failed. */
+/** Queue bound per VM; tickets of more requests would expire before use. */
+const MAX_QUEUED_PER_VM = 1;
+/** Share of the VMs that may request tickets for steps without room. */
+const SPECULATIVE_VM_SHARE = 0.34;
+/** How long a VM is not used after a failed call, in ms. */
+const VM_BACKOFF_MS = 500;
+/** Added to the expected time before a call counts as failed, in ms. */
 const CALL_SLACK_MS = 600;
-/** Taken off a ticket's life for its way to the executor, in ms. */
+/** Subtracted from a ticket's validity for its way to the executor, in ms. */
 const TICKET_MARGIN_MS = 250;
 
-/** One VM through which the service is asked, one call at a time. */
+/** A VM through which the advice service is called, one call at a time. */
 export interface AdviceLane {
   readonly vm: string;
-  /** Whether it is the owner's own VM or one in its failure domain. */
-  readonly isNear: boolean;
+  /** Whether the VM is the owner's own or in the same failure domain. */
+  readonly isInOwnerDomain: boolean;
   readonly ask: (
     step: string,
     executorIds: readonly string[],
@@ -29,153 +32,168 @@
   ) => Promise<readonly Ticket[] | null>;
 }
 
-/** What a step asks for. */
+/** A request for tickets of one step. */
 export interface TicketRequest extends TicketNeed {
   readonly step: StepState;
   /** Lower goes first. */
   readonly precedence: number;
 }
 
-interface Wish extends TicketRequest {
+interface QueuedRequest extends TicketRequest {
   readonly expectedMs: number;
 }
 
-/** Calls for one queue since the last report. */
-export interface AdviceRow {
+/** Statistics of the calls for one queue since the last report. */
+export interface AdviceStats {
   readonly queue: string;
   calls: number;
   failed: number;
   tickets: number;
-  /** Time for which VMs were taken by these calls, in ms. */
+  /** Sum of the durations of these calls, in ms. */
   busyMs: number;
 }
 
-/** Spreads the calls over the VMs, the most urgent first. */
+/** Distributes ticket requests over the VMs, the most urgent first. */
 export class AdviceDesk {
-  private readonly wishes: Wish[] = [];
+  private readonly queued: QueuedRequest[] = [];
   private readonly busy = new Set<string>();
-  private readonly restsUntil = new Map<string, number>();
-  private rows = new Map<string, AdviceRow>();
-  private aheadCount = 0;
+  private readonly backoffUntilMs = new Map<string, number>();
+  private rows = new Map<string, AdviceStats>();
+  private speculativeCalls = 0;
 
   constructor(
-    private readonly lanes: () => readonly AdviceLane[],
+    private readonly channels: () => readonly AdviceLane[],
     private readonly nowMs: () => number,
     private readonly onTickets: (step: StepState) => void,
   ) {}
 
   /**
-   * Asks for tickets of a step; the answer comes by `onTickets`. Work that can
-   * wait is not queued beyond what the VMs take next, and work without room
-   * not at all: it asks again in a later round, in the order of then.
+   * Requests tickets for a step; `onTickets` reports the answer. Non-urgent
+   * requests are not queued beyond what the VMs take next, and speculative ones
+   * not at all: a later round repeats them in its own order.
    */
-  request({step, executorIds, precedence, isAhead}: TicketRequest): void {
+  request({step, executorIds, precedence, isSpeculative}: TicketRequest): void {
     const {queue} = step.occurrence.job;
-    if (step.isAsking || queue.advice === null) return;
-    if (isAhead && !this.mayAskAhead()) return;
+    if (step.isRequestingTickets || queue.advice === null) return;
+    if (isSpeculative && !this.mayRequestSpeculatively()) return;
     const {decisionMs, perExecutorMs} = queue.advice;
     const expectedMs = decisionMs + perExecutorMs * executorIds.length;
-    step.isAsking = true;
-    this.wishes.push({step, executorIds, expectedMs, precedence, isAhead});
-    this.wishes.sort(
+    step.isRequestingTickets = true;
+    this.queued.push({
+      step,
+      executorIds,
+      expectedMs,
+      precedence,
+      isSpeculative,
+    });
+    this.queued.sort(
       (a, b) => a.precedence - b.precedence || a.expectedMs - b.expectedMs,
     );
     this.dispatch();
-    this.dropBeyond(WISHES_PER_LANE * this.lanes().length);
+    this.dropExcess(MAX_QUEUED_PER_VM * this.channels().length);
   }
 
-  /** Whether few enough VMs ask for work that has no room yet. */
-  private mayAskAhead(): boolean {
-    if (this.wishes.length > 0) return false;
-    return this.aheadCount < Math.floor(this.lanes().length * AHEAD_PART);
+  /** Whether few enough speculative calls are in progress. */
+  private mayRequestSpeculatively(): boolean {
+    if (this.queued.length > 0) return false;
+    return (
+      this.speculativeCalls <
+      Math.floor(this.channels().length * SPECULATIVE_VM_SHARE)
+    );
   }
 
-  private dropBeyond(most: number): void {
-    while (this.wishes.length > most) {
-      const last = this.wishes.at(-1);
+  private dropExcess(maxCount: number): void {
+    while (this.queued.length > maxCount) {
+      const last = this.queued.at(-1);
       if (last === undefined || last.precedence <= URGENT_PRIORITY) return;
-      last.step.isAsking = false;
-      this.wishes.pop();
+      last.step.isRequestingTickets = false;
+      this.queued.pop();
     }
   }
 
-  /** The calls of each queue since the last report. */
-  takeReport(): readonly AdviceRow[] {
-    const rows = [...this.rows.values()];
+  /** Returns and resets the statistics of each queue. */
+  takeReport(): readonly AdviceStats[] {
+    const stats = [...this.rows.values()];
     this.rows = new Map();
-    return rows;
+    return stats;
   }
 
-  /** Hands wishes to VMs that are free. */
+  /** Sends queued requests through idle VMs. */
   dispatch(): void {
     const nowMs = this.nowMs();
-    const free = this.lanes().filter(({vm}) => this.isFree(vm, nowMs));
-    const nearFirst = [
-      ...free.filter(l => l.isNear),
-      ...free.filter(l => !l.isNear),
+    const free = this.channels().filter(({vm}) => this.isFree(vm, nowMs));
+    const ownDomainFirst = [
+      ...free.filter(each => each.isInOwnerDomain),
+      ...free.filter(each => !each.isInOwnerDomain),
     ];
-    for (const wish of [...this.wishes]) {
-      const lane = takeLane(nearFirst, wish.expectedMs <= SHORT_DECISION_MS);
-      if (lane === undefined) continue;
-      this.wishes.splice(this.wishes.indexOf(wish), 1);
-      this.busy.add(lane.vm);
-      void this.ask(lane, wish);
+    for (const request of [...this.queued]) {
+      const channel = takeChannel(
+        ownDomainFirst,
+        request.expectedMs <= SHORT_DECISION_MS,
+      );
+      if (channel === undefined) continue;
+      this.queued.splice(this.queued.indexOf(request), 1);
+      this.busy.add(channel.vm);
+      void this.ask(channel, request);
     }
   }
 
   private isFree(vm: string, nowMs: number): boolean {
-    return !this.busy.has(vm) && (this.restsUntil.get(vm) ?? 0) <= nowMs;
+    return !this.busy.has(vm) && (this.backoffUntilMs.get(vm) ?? 0) <= nowMs;
   }
 
-  private async ask(lane: AdviceLane, wish: Wish): Promise<void> {
-    const {step, executorIds, expectedMs, isAhead} = wish;
-    if (isAhead) this.aheadCount += 1;
+  private async ask(
+    channel: AdviceLane,
+    request: QueuedRequest,
+  ): Promise<void> {
+    const {step, executorIds, expectedMs, isSpeculative} = request;
+    if (isSpeculative) this.speculativeCalls += 1;
     const timeoutMs = expectedMs + CALL_SLACK_MS;
     const name = stepName(step);
     const sentMs = this.nowMs();
-    const tickets = await lane.ask(name, executorIds, timeoutMs);
-    this.busy.delete(lane.vm);
-    step.isAsking = false;
-    if (isAhead) this.aheadCount -= 1;
-    this.noteCall(step.occurrence.job.queue.name, tickets, sentMs);
+    const tickets = await channel.ask(name, executorIds, timeoutMs);
+    this.busy.delete(channel.vm);
+    step.isRequestingTickets = false;
+    if (isSpeculative) this.speculativeCalls -= 1;
+    this.recordCall(step.occurrence.job.queue.name, tickets, sentMs);
     if (tickets === null) {
-      this.restsUntil.set(lane.vm, this.nowMs() + LANE_REST_MS);
+      this.backoffUntilMs.set(channel.vm, this.nowMs() + VM_BACKOFF_MS);
     } else {
       const {advice} = step.occurrence.job.queue;
       const lifeMs = (advice?.validityMs ?? 0) - TICKET_MARGIN_MS;
       const issuedMs = Math.min(this.nowMs(), sentMs + expectedMs);
       const validUntilMs = issuedMs + lifeMs;
-      noteTickets(step, tickets, validUntilMs, executorIds);
+      recordTickets(step, tickets, validUntilMs, executorIds);
     }
     this.onTickets(step);
     this.dispatch();
   }
 
-  private noteCall(
+  private recordCall(
     queue: string,
     tickets: readonly Ticket[] | null,
     sentMs: number,
   ): void {
-    const row = this.rows.get(queue) ?? newRow(queue);
-    this.rows.set(queue, row);
-    row.calls += 1;
-    row.busyMs += Math.round(this.nowMs() - sentMs);
-    if (tickets === null) row.failed += 1;
-    else row.tickets += tickets.length;
+    const stats = this.rows.get(queue) ?? newStats(queue);
+    this.rows.set(queue, stats);
+    stats.calls += 1;
+    stats.busyMs += Math.round(this.nowMs() - sentMs);
+    if (tickets === null) stats.failed += 1;
+    else stats.tickets += tickets.length;
   }
 }
 
-function newRow(queue: string): AdviceRow {
+function newStats(queue: string): AdviceStats {
   return {queue, calls: 0, failed: 0, tickets: 0, busyMs: 0};
 }
 
-function takeLane(
-  lanes: AdviceLane[],
+function takeChannel(
+  channels: AdviceLane[],
   isShort: boolean,
 ): AdviceLane | undefined {
-  if (isShort) return lanes.shift();
-  const last = lanes.at(-1);
+  if (isShort) return channels.shift();
+  const last = channels.at(-1);
   if (last === undefined) return undefined;
-  if (last.isNear && lanes.length === 1) return undefined;
-  return lanes.pop();
+  if (last.isInOwnerDomain && channels.length === 1) return undefined;
+  return channels.pop();
 }
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,4 +1,4 @@
-/** All that the owner knows, and how it changes; nothing here does I/O. */
+/** The owner's in-memory state and its transitions; does no I/O. */
 import type {ListedEnd} from './executor-client.js';
 import {
   addStray,
@@ -8,7 +8,7 @@
   removeTask,
   type ExecutorState,
 } from './executor-state.js';
-import {Estimates} from './estimates.js';
+import {RunTimeEstimates} from './estimates.js';
 import {
   findTask,
   isStepReady,
@@ -24,28 +24,28 @@
 import {OrganisationTable} from './organisations.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
 
-/** Run numbers that one term may use for a task. */
+/** Run numbers reserved for each term of ownership, per task. */
 const RUNS_PER_TERM = 1000;
-/** Failures in a row after which an executor is left alone for a while. */
-const BAD_EXECUTOR_FAILURES = 3;
-/** First pause of an executor that fails what it starts, in ms. */
-const BAD_EXECUTOR_PAUSE_MS = 2000;
-/** First pause before a service task is started again, in ms. */
+/** Consecutive failures after which an executor is avoided for a while. */
+const MAX_CONSECUTIVE_FAILURES = 3;
+/** First time for which a failing executor is avoided, in ms. */
+const FAILING_EXECUTOR_AVOID_MS = 2000;
+/** First delay before a failed service task is restarted, in ms. */
 const SERVICE_BACKOFF_MS = 100;
-/** Longest pause before a service task is started again, in ms. */
+/** Longest delay before a failed service task is restarted, in ms. */
 const MAX_SERVICE_BACKOFF_MS = 1600;
-/** Weight of the newest run in an executor's slowness. */
+/** Weight of the newest run in the moving average of slowness. */
 const SLOWNESS_WEIGHT = 0.3;
 
-/** Told of changes that others have to hear of. */
+/** Receives changes that have to be stored, published or sent. */
 export interface CellListener {
-  /** Progress that has to be stored. */
+  /** The job's progress has to be stored. */
   readonly onDirty: (job: JobState) => void;
-  /** The phase that callers see has changed, or has to be stored first. */
+  /** The job's visible phase changed, or changes once a final one is stored. */
   readonly onPhase: (job: JobState) => void;
   /** A run has to be stopped. */
   readonly onStop: (task: TaskState) => void;
-  /** A run that belongs to no placed task has to be stopped. */
+  /** A stray run, one that belongs to no placed task, has to be stopped. */
   readonly onStray: (
     executor: ExecutorState,
     task: string,
@@ -53,16 +53,16 @@
   ) => void;
 }
 
-/** Jobs, executors and what the organisations use. */
+/** Jobs, executors and the resource usage of organisations. */
 export class CellState {
   readonly jobs = new Map<string, JobState>();
   readonly executors = new Map<string, ExecutorState>();
   readonly organisations = new OrganisationTable();
-  readonly estimates = new Estimates();
-  /** Steps that may have tasks to place. */
-  readonly openSteps = new Set<StepState>();
+  readonly estimates = new RunTimeEstimates();
+  /** Steps that may have waiting tasks. */
+  readonly pendingSteps = new Set<StepState>();
   config: CellConfig | null = null;
-  /** Cancels of jobs that are not known yet. */
+  /** Ids of jobs that were cancelled before they were added. */
   private readonly earlyCancels = new Set<string>();
 
   constructor(
@@ -70,7 +70,7 @@
     private readonly listener: CellListener,
   ) {}
 
-  /** Takes over a configuration; jobs follow their queue by its name. */
+  /** Applies a configuration; each job gets the new queue of the same name. */
   setConfig(config: CellConfig): void {
     this.config = config;
     this.organisations.setConfig(config);
@@ -80,7 +80,7 @@
     }
   }
 
-  /** Adds an accepted job; a repeat changes nothing. */
+  /** Adds an accepted job; idempotent by job id. */
   addJob(job: NewJob): JobState {
     const known = this.jobs.get(job.id);
     if (known !== undefined) return known;
@@ -88,31 +88,31 @@
     const {queues} = this.config ?? {queues: []};
     const queue = queues.find(({name}) => name === job.queue.name);
     if (queue !== undefined) state.queue = queue;
-    state.isExcess = this.organisations.noteJob(state);
+    state.isOverRate = this.organisations.countJob(state);
     this.jobs.set(job.id, state);
     if (this.earlyCancels.delete(job.id)) this.cancelJob(job.id);
-    else this.openJob(state);
+    else this.addPendingSteps(state);
     return state;
   }
 
-  /** Puts the steps of a job whose turn may have come on the list. */
-  openJob(job: JobState): void {
+  /** Adds the unfinished steps of a job to the pending steps. */
+  addPendingSteps(job: JobState): void {
     if (isFinal(job.phase)) return;
     for (const {steps} of job.occurrences) {
       for (const step of steps) {
-        if (step.doneCount < step.tasks.length) this.openSteps.add(step);
+        if (step.doneCount < step.tasks.length) this.pendingSteps.add(step);
       }
     }
   }
 
-  /** Takes the steps of a job off the list. */
+  /** Removes the steps of a job from the pending steps. */
   closeJob(job: JobState): void {
     for (const {steps} of job.occurrences) {
-      for (const step of steps) this.openSteps.delete(step);
+      for (const step of steps) this.pendingSteps.delete(step);
     }
   }
 
-  /** Cancels a job; one that is not known yet is cancelled as it comes. */
+  /** Cancels a job; one that is not known yet is cancelled when it is added. */
   cancelJob(id: string): void {
     const job = this.jobs.get(id);
     if (job === undefined) {
@@ -122,7 +122,7 @@
     if (!isFinal(job.phase)) this.finish(job, 'cancelled');
   }
 
-  /** Drops a job that ended long ago. */
+  /** Removes a job that has ended and has no placed tasks. */
   forgetJob(id: string): void {
     const job = this.jobs.get(id);
     if (job === undefined || !isFinal(job.phase)) return;
@@ -130,18 +130,18 @@
     this.jobs.delete(id);
   }
 
-  /** The steps of which tasks may be placed now. */
+  /** Yields the steps whose dependencies and start time allow a start. */
   *readySteps(wallMs: number): Generator<StepState> {
-    for (const step of this.openSteps) {
-      if (step.doneCount === step.tasks.length) this.openSteps.delete(step);
+    for (const step of this.pendingSteps) {
+      if (step.doneCount === step.tasks.length) this.pendingSteps.delete(step);
       else if (isStepReady(step, wallMs)) yield step;
     }
   }
 
   /**
-   * Adds an executor or takes in its newest description. That it has started
-   * again is noted only where no task of it is known: with tasks, only its
-   * own list tells which life they are in.
+   * Adds an executor or updates its description. A restart is applied here
+   * only where the executor has no tasks; otherwise only its own inventory
+   * tells whether they run in the old process or in the new one.
    */
   setExecutor(info: ExecutorInfo): ExecutorState {
     const known = this.executors.get(info.id);
@@ -161,11 +161,11 @@
   }
 
   /**
-   * An executor started again: it holds and knows nothing of before. Starts
-   * that were not answered before its list was asked for may belong to the
-   * new life and stay until a later list tells.
+   * Resets the state of an executor that has restarted and lost all its runs.
+   * Starts that were not answered before its inventory was requested may
+   * belong to the new process; they stay until a later inventory tells.
    *
-   * @param askedMs when the list was asked for that shows the new life
+   * @param askedMs when the inventory that showed the restart was requested
    */
   startNewLife(executor: ExecutorState, bornMs: number, askedMs: number): void {
     for (const task of [...executor.tasks]) {
@@ -177,12 +177,12 @@
     executor.leaseUntilMs = 0;
     executor.processedThrough = 0;
     executor.ackedThrough = 0;
-    executor.fillPercent = 100;
+    executor.fillerPercent = 100;
     executor.missed = 0;
-    for (const step of this.openSteps) step.tickets.delete(executor.info.id);
+    for (const step of this.pendingSteps) step.tickets.delete(executor.info.id);
   }
 
-  /** Nothing runs on the executor any more: its tasks wait again. */
+  /** Requeues all tasks of an executor on which nothing runs any more. */
   loseRuns(executor: ExecutorState): void {
     for (const task of [...executor.tasks]) this.requeue(task);
     this.dropStrays(executor);
@@ -194,7 +194,7 @@
     }
   }
 
-  /** Counts a task on an executor under its next run number. */
+  /** Marks a task as starting on an executor under a new run number. */
   startTask(
     task: TaskState,
     executor: ExecutorState,
@@ -215,13 +215,13 @@
     this.listener.onPhase(job);
   }
 
-  /** The next run number of a task or gang: above all that were used. */
+  /** Computes a run number above all that the tasks have used so far. */
   nextRun(tasks: readonly TaskState[]): number {
     const first = (this.term - 1) * RUNS_PER_TERM + 1;
     return Math.max(first, ...tasks.map(({run}) => run + 1));
   }
 
-  /** Takes in a run that an executor lists and that was not known here. */
+  /** Adopts a run that an executor lists and that was not known here. */
   adoptRun(
     executor: ExecutorState,
     task: TaskState,
@@ -241,7 +241,7 @@
     }
   }
 
-  /** Finds a task by the name under which executors know it. */
+  /** Finds a task by the name that executors use for it. */
   taskNamed(name: string): TaskState | undefined {
     const address = parseTaskName(name);
     if (address === null) return undefined;
@@ -249,7 +249,7 @@
     return job === undefined ? undefined : findTask(job, address);
   }
 
-  /** Counts a run that has to go and belongs to no placed task. */
+  /** Records a stray run: it must be stopped and uses resources until then. */
   noteStray(executor: ExecutorState, name: string, run: number): void {
     if (executor.strays.has(`${name}#${run}`)) return;
     const task = this.taskNamed(name);
@@ -259,12 +259,12 @@
     const cpuMilli = isFiller ? 0 : (size?.cpuMilli ?? 0);
     const {memMb, accel} = size ?? {memMb: 0, accel: 0};
     addStray(executor, {task: name, run, cpuMilli, memMb, accel, organisation});
-    if (size !== undefined) this.organisations.add(organisation, size, 1);
+    if (size !== undefined) this.organisations.addUsage(organisation, size, 1);
     if (task !== undefined) task.strays += 1;
     this.listener.onStray(executor, name, run);
   }
 
-  /** Frees a stray run that is gone. */
+  /** Removes a stray run that has ended and frees its resources. */
   dropStray(executor: ExecutorState, name: string, run: number): void {
     if (!executor.strays.has(`${name}#${run}`)) return;
     removeStray(executor, name, run);
@@ -272,10 +272,10 @@
     if (task === undefined) return;
     task.strays -= 1;
     const {spec, occurrence} = task.step;
-    this.organisations.add(occurrence.job.organisation, spec.size, -1);
+    this.organisations.addUsage(occurrence.job.organisation, spec.size, -1);
   }
 
-  /** Tells a running task to stop. */
+  /** Stops a task that is starting or running. */
   stopTask(task: TaskState): void {
     if (task.phase !== 'running' && task.phase !== 'starting') return;
     task.phase = 'stopping';
@@ -283,37 +283,37 @@
     this.listener.onStop(task);
   }
 
-  /** Takes in an end that an executor lists. */
+  /** Applies the end of a run that an executor lists. */
   noteEnd(executor: ExecutorState, end: ListedEnd, nowMs: number): void {
     this.dropStray(executor, end.task, end.run);
     const task = this.taskNamed(end.task);
     if (task === undefined) return;
-    const isHere = task.executor === executor && task.run === end.run;
-    if (isHere) this.unplace(task);
+    const isCurrent = task.executor === executor && task.run === end.run;
+    if (isCurrent) this.unplace(task);
     if (task.phase === 'done') return;
     task.run = Math.max(task.run, end.run);
     if (end.how === 'done') {
-      if (isHere) this.noteSpeed(executor, task, nowMs - task.startedMs);
-      return this.noteDone(task);
+      if (isCurrent) this.recordRunTime(executor, task, nowMs - task.startedMs);
+      return this.recordCompletion(task);
     }
     this.noteCheckpoint(task, end.checkpoint);
-    if (end.how === 'failed') this.noteFailure(executor, task, end, nowMs);
-    if (!isHere) return;
+    if (end.how === 'failed') this.recordFailure(executor, task, end, nowMs);
+    if (!isCurrent) return;
     task.phase = 'waiting';
-    this.reopen(task);
+    this.markPending(task);
     if (task.step.spec.isGang) this.stopGang(task.step);
   }
 
-  /** A run is known to be gone without an end that was listed. */
+  /** Requeues a task whose run is gone without a listed end. */
   requeue(task: TaskState): void {
     this.unplace(task);
     if (task.phase === 'done') return;
     task.phase = 'waiting';
-    this.reopen(task);
+    this.markPending(task);
     if (task.step.spec.isGang) this.stopGang(task.step);
   }
 
-  /** Keeps the newest checkpoint; that of a gang's member is good for all. */
+  /** Keeps the newest checkpoint; in a gang, one applies to all tasks. */
   noteCheckpoint(task: TaskState, checkpoint: string): void {
     if (checkpoint === '' || task.checkpoint === checkpoint) return;
     const {step} = task;
@@ -321,7 +321,7 @@
     else for (const each of step.tasks) each.checkpoint = checkpoint;
   }
 
-  private noteDone(task: TaskState): void {
+  private recordCompletion(task: TaskState): void {
     const {step} = task;
     const {job} = step.occurrence;
     let isCompleted = false;
@@ -333,24 +333,24 @@
     if (isCompleted) this.finish(job, 'completed');
   }
 
-  /** Compares a run with its siblings, to find slow executors. */
-  private noteSpeed(
+  /** Compares a run with completed tasks of its step to find slow executors. */
+  private recordRunTime(
     executor: ExecutorState,
     task: TaskState,
     ranMs: number,
   ): void {
     const {step, percent, checkpoint} = task;
-    executor.failuresInRow = 0;
+    executor.consecutiveFailures = 0;
     if (Number.isNaN(ranMs) || step.spec.isService) return;
     if (percent < 100 || checkpoint !== '') return;
-    if (this.estimates.siblingCount(step) > 0) {
+    if (this.estimates.completedCount(step) > 0) {
       const ratio = ranMs / Math.max(1, this.estimates.expectedMs(step));
       executor.slowness += (ratio - executor.slowness) * SLOWNESS_WEIGHT;
     }
-    this.estimates.learn(step, ranMs);
+    this.estimates.record(step, ranMs);
   }
 
-  private noteFailure(
+  private recordFailure(
     executor: ExecutorState,
     task: TaskState,
     end: ListedEnd,
@@ -360,8 +360,8 @@
     const {job} = step.occurrence;
     if (task.failedRuns.includes(end.run)) return;
     task.failedRuns = [...task.failedRuns, end.run];
-    task.failedOn = executor.info.id;
-    this.noteBadExecutor(executor, nowMs);
+    task.lastFailedOn = executor.info.id;
+    this.recordExecutorFailure(executor, nowMs);
     if (step.spec.isGang && !step.failedGangRuns.includes(end.run)) {
       step.failedGangRuns = [...step.failedGangRuns, end.run];
     }
@@ -373,16 +373,18 @@
     if (isFinal(job.phase)) return;
     this.listener.onDirty(job);
     const failed = step.spec.isGang ? step.failedGangRuns : task.failedRuns;
-    const isOut =
+    const isOutOfAttempts =
       failed.length >= job.queue.maxAttempts && !step.spec.isService;
-    if (isOut) this.finish(job, 'failed');
+    if (isOutOfAttempts) this.finish(job, 'failed');
   }
 
-  private noteBadExecutor(executor: ExecutorState, nowMs: number): void {
-    executor.failuresInRow += 1;
-    const over = executor.failuresInRow - BAD_EXECUTOR_FAILURES;
-    if (over < 0) return;
-    const pauseMs = BAD_EXECUTOR_PAUSE_MS * 2 ** Math.min(2, over);
+  private recordExecutorFailure(executor: ExecutorState, nowMs: number): void {
+    executor.consecutiveFailures += 1;
+    const excessFailures =
+      executor.consecutiveFailures - MAX_CONSECUTIVE_FAILURES;
+    if (excessFailures < 0) return;
+    const pauseMs =
+      FAILING_EXECUTOR_AVOID_MS * 2 ** Math.min(2, excessFailures);
     executor.avoidUntilMs = nowMs + pauseMs;
   }
 
@@ -402,20 +404,20 @@
     for (const task of step.tasks) this.stopTask(task);
   }
 
-  private reopen({step}: TaskState): void {
-    if (!isFinal(step.occurrence.job.phase)) this.openSteps.add(step);
+  private markPending({step}: TaskState): void {
+    if (!isFinal(step.occurrence.job.phase)) this.pendingSteps.add(step);
   }
 
   private place(task: TaskState, executor: ExecutorState): void {
     placeTask(executor, task);
     const {spec, occurrence} = task.step;
-    this.organisations.add(occurrence.job.organisation, spec.size, 1);
+    this.organisations.addUsage(occurrence.job.organisation, spec.size, 1);
   }
 
   private unplace(task: TaskState): void {
     if (task.executor === null) return;
     removeTask(task);
     const {spec, occurrence} = task.step;
-    this.organisations.add(occurrence.job.organisation, spec.size, -1);
+    this.organisations.addUsage(occurrence.job.organisation, spec.size, -1);
   }
 }
--- a/packages/cell/src/estimates.ts
+++ b/packages/cell/src/estimates.ts
@@ -1,9 +1,9 @@
-/** Learns how long tasks run, since declared times are far off. */
+/** Estimates run times from completed runs; declared times are far off. */
 import type {StepState} from './job-state.js';
 
 /** Weight of the newest run in the moving average of an image. */
 const NEW_RUN_WEIGHT = 0.3;
-/** The most images that are remembered. */
+/** The most images with a stored average. */
 const MAX_IMAGES = 4096;
 
 interface RunTime {
@@ -11,14 +11,14 @@
   readonly count: number;
 }
 
-/** Run times by step, else by image and queue, else as declared. */
-export class Estimates {
+/** Average run times by step, else by queue and image, else as declared. */
+export class RunTimeEstimates {
   private readonly byImage = new Map<string, RunTime>();
-  private readonly bySteps = new WeakMap<StepState, RunTime>();
+  private readonly byStep = new WeakMap<StepState, RunTime>();
 
-  /** Takes in the run time of a task that ended well. */
-  learn(step: StepState, ranMs: number): void {
-    this.bySteps.set(step, average(this.bySteps.get(step), ranMs));
+  /** Records the run time of a task that completed. */
+  record(step: StepState, ranMs: number): void {
+    this.byStep.set(step, average(this.byStep.get(step), ranMs));
     const key = imageKey(step);
     const known = this.byImage.get(key);
     if (known === undefined && this.byImage.size >= MAX_IMAGES) return;
@@ -27,26 +27,26 @@
 
   /** The expected run time of a task of the step. */
   expectedMs(step: StepState): number {
-    const known = this.bySteps.get(step) ?? this.byImage.get(imageKey(step));
+    const known = this.byStep.get(step) ?? this.byImage.get(imageKey(step));
     return known?.meanMs ?? step.spec.estimatedMs;
   }
 
-  /** How many ended siblings the expectation rests on. */
-  siblingCount(step: StepState): number {
-    return this.bySteps.get(step)?.count ?? 0;
+  /** How many completed tasks of the step the estimate is based on. */
+  completedCount(step: StepState): number {
+    return this.byStep.get(step)?.count ?? 0;
   }
 
-  /** Expected time of the longest chain of steps that are not done yet. */
-  chainMs(step: StepState): number {
+  /** Expected time of the longest chain of unfinished steps. */
+  criticalPathMs(step: StepState): number {
     const {steps} = step.occurrence;
-    const finish: number[] = [];
+    const finishMs: number[] = [];
     for (const each of steps) {
       const isDone = each.doneCount === each.tasks.length;
-      const before = each.spec.after.map(i => finish[i] ?? 0);
-      const startMs = Math.max(0, ...before);
-      finish.push(startMs + (isDone ? 0 : this.expectedMs(each)));
+      const dependencyMs = each.spec.after.map(i => finishMs[i] ?? 0);
+      const startMs = Math.max(0, ...dependencyMs);
+      finishMs.push(startMs + (isDone ? 0 : this.expectedMs(each)));
     }
-    return Math.max(0, ...finish);
+    return Math.max(0, ...finishMs);
   }
 }
 
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,13 +1,13 @@
-/** What the owner knows of each executor: room, clock, lease, health. */
+/** The owner's state of each executor: resources, clock, lease and health. */
 import type {TaskState} from './job-state.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
 
-/** Executors' clocks may be this much slow; stated by the platform. */
+/** The most by which an executor's clock runs slow, as the platform states. */
 const MAX_CLOCK_DRIFT = 0.02;
-/** Added to the end of a lease before its runs count as ended, in ms. */
+/** Safety margin after the end of a lease before its runs count as ended. */
 const LEASE_END_SLACK_MS = 100;
 
-/** A run on an executor that belongs to no task that is known to be there. */
+/** A run on an executor that belongs to no task placed there. */
 export interface StrayRun {
   readonly task: string;
   readonly run: number;
@@ -17,43 +17,43 @@
   readonly organisation: string;
 }
 
-/** An executor as its owner sees it. */
+/** The owner's state of an executor. */
 export interface ExecutorState {
   info: ExecutorInfo;
-  /** Whether the store lists it now. */
+  /** Whether the platform's store lists it now. */
   isListed: boolean;
-  /** Whether it has answered under this owner's token. */
+  /** Whether it has answered a call with this owner's fencing token. */
   isReached: boolean;
-  /** Unix milliseconds of its start, as it says itself. */
+  /** Unix milliseconds of its start, as it reports it. */
   bornMs: number;
-  usedCpu: number;
-  usedMem: number;
+  usedCpuMilli: number;
+  usedMemMb: number;
   usedAccel: number;
   readonly tasks: Set<TaskState>;
   readonly strays: Map<string, StrayRun>;
-  /** The executor's clock, and when it was read on the owner's clock. */
+  /** The last reading of the executor's clock, and the owner's time of it. */
   clockMs: number;
   clockReadMs: number;
-  /** The latest end of the lease that was sent, on the executor's clock. */
+  /** The latest lease end that was sent, on the executor's clock. */
   leaseUntilMs: number;
-  /** Ends through this number are taken into the owner's state. */
+  /** Ends of runs through this number are applied to the owner's state. */
   processedThrough: number;
-  /** Ends through this number are stored. */
+  /** Ends of runs through this number are stored. */
   ackedThrough: number;
-  /** Calls in a row that had no answer. */
+  /** Consecutive calls without an answer. */
   missed: number;
-  /** No new work before this time, on the owner's clock. */
+  /** No new tasks before this time, on the owner's monotonic clock. */
   avoidUntilMs: number;
-  /** Ends in a row that were failures. */
-  failuresInRow: number;
-  /** Run time against what was expected; above 1 is slow. */
+  /** Failed runs since the last completed one. */
+  consecutiveFailures: number;
+  /** Moving average of run time over expected run time; above 1 is slow. */
   slowness: number;
-  /** How much of the processor tasks that fill may use, 0 to 100. */
-  fillPercent: number;
+  /** Percentage of the processor that filler tasks may use. */
+  fillerPercent: number;
 }
 
 /**
- * Makes the state of an executor that has not been reached.
+ * Creates the state of an executor that has not answered yet.
  *
  * @example
  * const executor = newExecutorState(info);
@@ -64,8 +64,8 @@
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
-    usedCpu: 0,
-    usedMem: 0,
+    usedCpuMilli: 0,
+    usedMemMb: 0,
     usedAccel: 0,
     tasks: new Set(),
     strays: new Map(),
@@ -76,49 +76,49 @@
     ackedThrough: 0,
     missed: 0,
     avoidUntilMs: 0,
-    failuresInRow: 0,
+    consecutiveFailures: 0,
     slowness: 1,
-    fillPercent: 100,
+    fillerPercent: 100,
   };
 }
 
-/** What a task of the step takes of the processor that is shared out. */
-export function countedCpu(spec: StepSpec): number {
+/** CPU that a task of the step takes of the capacity; none for fillers. */
+export function allocatedCpuMilli(spec: StepSpec): number {
   return spec.isFiller ? 0 : spec.size.cpuMilli;
 }
 
-/** Counts a task on an executor. */
+/** Places a task on an executor and adds up its resources. */
 export function placeTask(executor: ExecutorState, task: TaskState): void {
   const {spec} = task.step;
   task.executor = executor;
   executor.tasks.add(task);
-  executor.usedCpu += countedCpu(spec);
-  executor.usedMem += spec.size.memMb;
+  executor.usedCpuMilli += allocatedCpuMilli(spec);
+  executor.usedMemMb += spec.size.memMb;
   executor.usedAccel += spec.size.accel;
 }
 
-/** Frees what a task takes. */
+/** Removes a task from its executor and frees its resources. */
 export function removeTask(task: TaskState): void {
   const {executor} = task;
   if (executor === null || !executor.tasks.delete(task)) return;
   const {spec} = task.step;
-  executor.usedCpu -= countedCpu(spec);
-  executor.usedMem -= spec.size.memMb;
+  executor.usedCpuMilli -= allocatedCpuMilli(spec);
+  executor.usedMemMb -= spec.size.memMb;
   executor.usedAccel -= spec.size.accel;
   task.executor = null;
 }
 
-/** Counts a run that has to be stopped and belongs to no placed task. */
+/** Adds a stray run, which uses resources until it has ended. */
 export function addStray(executor: ExecutorState, stray: StrayRun): void {
   const key = `${stray.task}#${stray.run}`;
   if (executor.strays.has(key)) return;
   executor.strays.set(key, stray);
-  executor.usedCpu += stray.cpuMilli;
-  executor.usedMem += stray.memMb;
+  executor.usedCpuMilli += stray.cpuMilli;
+  executor.usedMemMb += stray.memMb;
   executor.usedAccel += stray.accel;
 }
 
-/** Frees what a stray run takes. */
+/** Removes a stray run and frees its resources. */
 export function removeStray(
   executor: ExecutorState,
   task: string,
@@ -128,22 +128,22 @@
   const stray = executor.strays.get(key);
   if (stray === undefined) return;
   executor.strays.delete(key);
-  executor.usedCpu -= stray.cpuMilli;
-  executor.usedMem -= stray.memMb;
+  executor.usedCpuMilli -= stray.cpuMilli;
+  executor.usedMemMb -= stray.memMb;
   executor.usedAccel -= stray.accel;
 }
 
-/** Tells whether one more task of the step fits. */
+/** Whether the free resources hold one more task of the step. */
 export function hasRoom(executor: ExecutorState, spec: StepSpec): boolean {
   const {capacity} = executor.info;
   return (
-    executor.usedCpu + countedCpu(spec) <= capacity.cpuMilli &&
-    executor.usedMem + spec.size.memMb <= capacity.memMb &&
+    executor.usedCpuMilli + allocatedCpuMilli(spec) <= capacity.cpuMilli &&
+    executor.usedMemMb + spec.size.memMb <= capacity.memMb &&
     executor.usedAccel + spec.size.accel <= capacity.accel
   );
 }
 
-/** Takes in a reading of the executor's clock. */
+/** Records a reading of the executor's clock. */
 export function noteClock(
   executor: ExecutorState,
   clockMs: number,
@@ -155,13 +155,13 @@
   executor.clockReadMs = nowMs;
 }
 
-/** The least that the executor's clock shows now. */
+/** The earliest time that the executor's clock can show now. */
 export function clockNow(executor: ExecutorState, nowMs: number): number {
   const passedMs = (nowMs - executor.clockReadMs) * (1 - MAX_CLOCK_DRIFT);
   return executor.clockMs + passedMs;
 }
 
-/** Tells whether no run can still hold a lease there. */
+/** Whether all leases of runs on the executor have surely expired. */
 export function hasLapsed(executor: ExecutorState, nowMs: number): boolean {
   if (Number.isNaN(executor.clockMs)) return false;
   const slackMs = LEASE_END_SLACK_MS;
--- a/packages/cell/src/former-runs.ts
+++ b/packages/cell/src/former-runs.ts
@@ -1,51 +1,51 @@
-/** What a former owner may have started that this owner has not seen. */
+/** Runs that a former owner may have started and that are not known here. */
 import {MAX_LEASE_MS} from './inventory-reader.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
 import {RIGHT_TO_ACT_MS, RIGHT_TO_START_MS} from './ownership.js';
 
-/** Executors' clocks may be this much slower; stated by the platform. */
+/** The most by which an executor's clock is slower, as the platform states. */
 const SLOW_CLOCK_FACTOR = 1.03;
-/** Added to the time after which a former owner's leases have ended, in ms. */
+/** Safety margin after the end of a former owner's leases, in ms. */
 const FORMER_LEASE_SLACK_MS = 300;
-/** The longest time for which a lease can hold, on this owner's clock. */
+/** The longest validity of a lease, on this owner's clock. */
 const LEASE_BOUND_MS = MAX_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
 
-/** Executors and jobs of the time before this owner's claim. */
+/** Tracks executors and jobs from before this owner claimed the cell. */
 export class FormerRuns {
-  /** Executors that a former owner may have used, not yet reached. */
+  /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
   private readonly jobs = new Set<string>();
 
   /**
    * @param claimedMs when this owner claimed the cell
-   * @param isFormerStopped whether the former owner has surely stopped
+   * @param isFormerStopped whether the former owner is known to have stopped
    */
   constructor(
     private readonly claimedMs: number,
     private readonly isFormerStopped: boolean,
   ) {}
 
-  /** A former owner has used the executor. */
+  /** Adds an executor that a former owner has used. */
   addExecutor(executor: ExecutorState): void {
     this.executors.add(executor);
   }
 
-  /** The executor has told what it runs, or is gone. */
+  /** Removes an executor that has listed its runs or is gone. */
   dropExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
   }
 
-  /** The job was accepted before this owner's claim. */
+  /** Adds a job that was accepted before this owner's claim. */
   addJob(id: string): void {
     this.jobs.add(id);
   }
 
   /**
-   * Whether tasks of the step may run unseen: on executors not yet reached,
-   * until the leases there that a former owner can have given have ended.
-   * While it may still start tasks, any task may run on an executor that has
-   * started again and seen no token.
+   * Whether unknown runs of the step's tasks may exist: on executors that have
+   * not answered yet, until all leases that a former owner can have granted
+   * there have expired. While the former owner may still start tasks, any task
+   * may run on an executor that has restarted and thus knows no fencing token.
    */
   mayRun({occurrence}: StepState, nowMs: number): boolean {
     const {isFormerStopped} = this;
@@ -55,10 +55,10 @@
     if (this.executors.size === 0) return false;
     const actsUntilMs =
       this.claimedMs + (isFormerStopped ? 0 : RIGHT_TO_ACT_MS);
-    const isOld = this.jobs.has(occurrence.job.id);
-    const boundMs =
-      isOld || !isFormerStopped ? actsUntilMs + LEASE_BOUND_MS : 0;
-    if (nowMs > boundMs) return false;
+    const wasAcceptedEarlier = this.jobs.has(occurrence.job.id);
+    const untilMs =
+      wasAcceptedEarlier || !isFormerStopped ? actsUntilMs + LEASE_BOUND_MS : 0;
+    if (nowMs > untilMs) return false;
     const {service} = occurrence.job.queue;
     for (const executor of this.executors) {
       if (!executor.isReached && executor.info.service === service) return true;
@@ -66,7 +66,7 @@
     return false;
   }
 
-  /** Whether runs on the executor may go on that were never listed here. */
+  /** Whether the executor may have runs that it has not listed yet. */
   mayHold(executor: ExecutorState, nowMs: number): boolean {
     if (executor.isReached || !this.executors.has(executor)) return false;
     return nowMs - this.claimedMs <= RIGHT_TO_ACT_MS + LEASE_BOUND_MS;
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -1,16 +1,16 @@
-/** What the owner knows of each job, step and task. */
+/** The owner's state of each job, step and task. */
 import type {Ticket} from './executor-client.js';
 import type {ExecutorState} from './executor-state.js';
 import type {JobPhase, JobSpec, Queue, StepSpec} from './types.js';
 
-/** Where a task is on its way. */
+/** The life cycle of a task. */
 export type TaskPhase =
-  /** Has to run, and no run of it is known. */
+  /** Not done, and no run of it is known. */
   | 'waiting'
-  /** A start was sent and not answered yet. */
+  /** A start was decided and not confirmed yet. */
   | 'starting'
   | 'running'
-  /** Told to stop; its room is taken until its end is listed. */
+  /** Being stopped; its resources stay in use until its end is listed. */
   | 'stopping'
   | 'done';
 
@@ -24,28 +24,28 @@
   executor: ExecutorState | null;
   /** When the run was started; NaN where another owner started it. */
   startedMs: number;
-  /** When the newest order for the run was answered; Infinity until then. */
+  /** When the newest start or stop was answered; Infinity until then. */
   answeredMs: number;
-  /** Runs that ended `failed`; executors may list them in any order. */
+  /** Numbers of runs that ended `failed`; executors may list them unordered. */
   failedRuns: readonly number[];
   checkpoint: string;
-  /** The executor on which the newest failed run was; empty for none. */
-  failedOn: string;
-  /** Whether it is not known that the run exists. */
+  /** The executor of the newest failed run; empty for none. */
+  lastFailedOn: string;
+  /** Whether it is unknown if the run was ever started. */
   isDoubtful: boolean;
-  /** Runs that are not this one's and are being stopped. */
+  /** How many stray runs of the task are being stopped. */
   strays: number;
-  /** How often a run was stopped because it took too long. */
-  slowStops: number;
-  /** Not started again before this time, on the owner's steady clock. */
+  /** How many runs were stopped as stragglers. */
+  stragglerStops: number;
+  /** Earliest time of the next start, on the owner's monotonic clock. */
   notBeforeMs: number;
-  /** Share of the processor that the run may use, 0 to 100. */
+  /** Percentage of the processor that the run may use. */
   percent: number;
-  /** Tail latency in ms of a service task, else processor use in milli. */
+  /** Tail latency in ms of a service task, else CPU use in millicores. */
   usage: number;
 }
 
-/** A permission to start a step on an executor. */
+/** A ticket of the advice service to start a step on one executor. */
 export interface HeldTicket {
   readonly ticket: string;
   readonly validUntilMs: number;
@@ -58,17 +58,17 @@
   readonly spec: StepSpec;
   readonly tasks: readonly TaskState[];
   doneCount: number;
-  /** Executors that may run the step; this never changes. */
+  /** Executors that the advice service permits; a permission never changes. */
   readonly allowed: Set<string>;
-  /** Executors of which it is known whether they may run the step. */
-  readonly asked: Set<string>;
+  /** Executors for which the advice service has answered. */
+  readonly checkedExecutors: Set<string>;
   readonly tickets: Map<string, HeldTicket>;
-  isAsking: boolean;
-  /** Runs of the whole gang in which a task ended `failed`. */
+  isRequestingTickets: boolean;
+  /** Numbers of runs of the gang in which a task ended `failed`. */
   failedGangRuns: readonly number[];
 }
 
-/** One occurrence of a job's steps. */
+/** One repetition of a job's steps. */
 export interface OccurrenceState {
   readonly job: JobState;
   readonly index: number;
@@ -78,28 +78,28 @@
   doneSteps: number;
 }
 
-/** A job as its owner sees it. */
+/** The owner's state of a job. */
 export interface JobState {
   readonly id: string;
   readonly spec: JobSpec;
   readonly organisation: string;
-  /** The queue as it was when the job was accepted, or newer. */
+  /** The queue as configured when the job was accepted, or later. */
   queue: Queue;
   readonly acceptedMs: number;
   readonly occurrences: readonly OccurrenceState[];
   doneOccurrences: number;
   phase: JobPhase;
-  /** The phase that callers see: final phases only once they are stored. */
+  /** The phase shown to callers: final phases only once they are stored. */
   shownPhase: JobPhase;
-  /** When the phase became final, on the owner's steady clock. */
+  /** When the phase became final, on the owner's monotonic clock. */
   finalMs: number;
-  /** A former owner may have started tasks that this one has not seen. */
-  isUnsure: boolean;
-  /** More than the organisation's weight of jobs a second was submitted. */
-  isExcess: boolean;
+  /** Whether a former owner may have started tasks that are not known here. */
+  mayHaveUnknownRuns: boolean;
+  /** Whether the job exceeded the submission rate of its organisation. */
+  isOverRate: boolean;
 }
 
-/** What makes a job's state. */
+/** What a job's state is created from. */
 export interface NewJob {
   readonly id: string;
   readonly spec: JobSpec;
@@ -109,7 +109,7 @@
 }
 
 /**
- * Makes the state of a job of which nothing has run.
+ * Creates the state of a job that has not run yet.
  *
  * @example
  * const job = newJobState({id, spec, organisation, queue, acceptedMs});
@@ -123,8 +123,8 @@
     phase: 'queued',
     shownPhase: 'queued',
     finalMs: 0,
-    isUnsure: false,
-    isExcess: false,
+    mayHaveUnknownRuns: false,
+    isOverRate: false,
   };
   const {times, firstMs, intervalMs} = job.spec.repetition;
   for (let k = 0; k < times; k += 1) {
@@ -160,9 +160,9 @@
     tasks,
     doneCount: 0,
     allowed: new Set(),
-    asked: new Set(),
+    checkedExecutors: new Set(),
     tickets: new Map(),
-    isAsking: false,
+    isRequestingTickets: false,
     failedGangRuns: [],
   };
   for (let i = 0; i < spec.count; i += 1) tasks.push(newTask(step, i));
@@ -180,10 +180,10 @@
     answeredMs: Infinity,
     failedRuns: [],
     checkpoint: '',
-    failedOn: '',
+    lastFailedOn: '',
     isDoubtful: false,
     strays: 0,
-    slowStops: 0,
+    stragglerStops: 0,
     notBeforeMs: 0,
     percent: 100,
     usage: Number.NaN,
@@ -191,7 +191,7 @@
 }
 
 /**
- * The name under which executors know a step.
+ * Formats the name that executors use for a step.
  *
  * @example
  * stepName(step); // '5c0e7a21d94b36f8.0.1'
@@ -201,7 +201,7 @@
 }
 
 /**
- * The name under which executors know a task.
+ * Formats the name that executors use for a task.
  *
  * @example
  * taskName(task); // '5c0e7a21d94b36f8.0.1.17'
@@ -218,7 +218,7 @@
   readonly index: number;
 }
 
-/** Reads a task's name; null where it is not one. */
+/** Parses the name of a task; null where it is invalid. */
 export function parseTaskName(name: string): TaskAddress | null {
   const [jobId, ...parts] = name.split('.');
   const [occurrence, step, index] = parts.map(Number);
@@ -237,7 +237,7 @@
   return job.occurrences[occurrence]?.steps[step]?.tasks[index];
 }
 
-/** Tells whether all that has to come before the step is done. */
+/** Whether an unfinished step is due and its dependencies are done. */
 export function isStepReady(step: StepState, wallMs: number): boolean {
   const {occurrence} = step;
   if (step.doneCount === step.tasks.length) return false;
@@ -248,7 +248,11 @@
   });
 }
 
-/** Notes that a task is done; tells whether the job is completed by it. */
+/**
+ * Marks a task as done.
+ *
+ * @returns whether this completes the job
+ */
 export function markDone(task: TaskState): boolean {
   if (task.phase === 'done') return false;
   const {step} = task;
@@ -269,14 +273,14 @@
   }
 }
 
-/** Takes in the answer of the advice service. */
-export function noteTickets(
+/** Records an answer of the advice service. */
+export function recordTickets(
   step: StepState,
   tickets: readonly Ticket[],
   validUntilMs: number,
-  asked: readonly string[],
+  checkedExecutors: readonly string[],
 ): void {
-  for (const id of asked) step.asked.add(id);
+  for (const id of checkedExecutors) step.checkedExecutors.add(id);
   for (const {executorId, ticket} of tickets) {
     step.allowed.add(executorId);
     step.tickets.set(executorId, {ticket, validUntilMs});
--- a/packages/cell/src/make-room.ts
+++ b/packages/cell/src/make-room.ts
@@ -1,74 +1,79 @@
-/** Makes room for a step that waits, by stopping or holding back other work. */
-import {countedCpu, type ExecutorState} from './executor-state.js';
+/** Gets capacity for a waiting step, by preemption or by withholding it. */
+import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isSuited, mayUse, promise} from './place.js';
-import {planRoom, type RoomPlan} from './preempt.js';
-import {IN_TIME, type RankedStep} from './queue-order.js';
+import {isCompatible, isPermitted, reserve} from './place.js';
+import {planPreemption, type PreemptionPlan} from './preempt.js';
+import {ON_TIME, type RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
-import type {ServiceRoom} from './service-room.js';
+import type {ServiceCapacity} from './service-room.js';
 
-/** A task that takes this part of an executor is kept room for. */
-const LARGE_PART = 0.25;
-/** Part of a service's executors that are held for gangs and large tasks. */
-const HELD_PART = 0.5;
+/** A task that takes this share of any executor counts as large. */
+const LARGE_TASK_SHARE = 0.25;
+/** Largest share of a service's executors to withhold for waiting steps. */
+const MAX_WITHHELD_SHARE = 0.5;
 
 /**
- * Stops less urgent work for a step that waits, and keeps the room for it.
- * Nothing is stopped for work that is late already.
+ * Preempts less urgent tasks for a waiting step and reserves the capacity.
+ * Nothing is preempted for work that already misses its objective.
  *
- * @returns the executors on which there will be room; empty for none
+ * @returns the executors that will have room; empty for none
  */
-export function stopForRoom(
-  {step, standing}: RankedStep,
+export function preemptFor(
+  {step, lateness}: RankedStep,
   wanted: number,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   round: Round,
 ): readonly ExecutorState[] {
   const {priority} = step.occurrence.job.queue;
-  if (standing !== IN_TIME || room.stoppablePriority <= priority) return [];
-  const plans = planRoom(step, wanted, room.open, round);
-  carryOutPlans(step, plans, round);
+  if (lateness !== ON_TIME || capacity.victimPriority <= priority) return [];
+  const plans = planPreemption(step, wanted, capacity.schedulable, round);
+  applyPlans(step, plans, round);
   return plans.map(({executor}) => executor);
 }
 
 /**
- * Keeps executors that the step may use from what comes later: one for each
- * task of a gang, else one.
+ * Withholds executors that the step may use from the steps behind it: one for
+ * each task of a gang, else one.
  */
-export function holdExecutors(
+export function withholdExecutors(
   step: StepState,
   wanted: number,
-  room: ServiceRoom,
-  {reserved}: Round,
+  capacity: ServiceCapacity,
+  {withheld}: Round,
 ): void {
-  const held = room.executors.filter(each => reserved.has(each)).length;
-  if (held >= room.executors.length * HELD_PART) return;
-  const usable = room.executors.filter(
-    each => isSuited(step, each) && mayUse(step, each),
+  const withheldCount = capacity.executors.filter(each =>
+    withheld.has(each),
+  ).length;
+  if (withheldCount >= capacity.executors.length * MAX_WITHHELD_SHARE) return;
+  const usable = capacity.executors.filter(
+    each => isCompatible(step, each) && isPermitted(step, each),
   );
-  const soonest = usable.sort((a, b) => a.usedAccel - b.usedAccel);
+  const leastUsed = usable.sort((a, b) => a.usedAccel - b.usedAccel);
   const count = step.spec.isGang ? wanted : 1;
-  for (const each of soonest.slice(0, count)) reserved.add(each);
+  for (const each of leastUsed.slice(0, count)) withheld.add(each);
 }
 
-/** Whether a task takes so much of an executor that small ones keep it out. */
-export function isLarge({spec}: StepState, {executors}: ServiceRoom): boolean {
+/** Whether a task is so large that small tasks could starve it. */
+export function isLargeTask(
+  {spec}: StepState,
+  {executors}: ServiceCapacity,
+): boolean {
   return executors.every(({info: {capacity}}) => {
-    const cpu = countedCpu(spec) / Math.max(1, capacity.cpuMilli);
+    const cpu = allocatedCpuMilli(spec) / Math.max(1, capacity.cpuMilli);
     const mem = spec.size.memMb / Math.max(1, capacity.memMb);
     const accel = spec.size.accel / Math.max(1, capacity.accel);
-    return Math.max(cpu, mem, accel) >= LARGE_PART;
+    return Math.max(cpu, mem, accel) >= LARGE_TASK_SHARE;
   });
 }
 
-function carryOutPlans(
+function applyPlans(
   step: StepState,
-  plans: readonly RoomPlan[],
-  {state, promised, claimed}: Round,
+  plans: readonly PreemptionPlan[],
+  {state, reserved, softReserved}: Round,
 ): void {
   for (const {executor, victims, count} of plans) {
     for (const victim of victims) state.stopTask(victim);
-    promise(promised, executor, step.spec, count);
-    promise(claimed, executor, step.spec, count);
+    reserve(reserved, executor, step.spec, count);
+    reserve(softReserved, executor, step.spec, count);
   }
 }
--- a/packages/cell/src/pacing.ts
+++ b/packages/cell/src/pacing.ts
@@ -1,26 +1,27 @@
-/** How much the tasks that fill may work beside tasks with a target. */
+/** Throttling of filler tasks that share an executor with service tasks. */
 
-/** Above this part of the target, tasks that fill are slowed down. */
-const SLOW_DOWN_RATIO = 0.8;
-/** Above this part of the target, tasks that fill stand still. */
-const STAND_STILL_RATIO = 1;
-/** Below this part of the target, tasks that fill get more. */
-const SPEED_UP_RATIO = 0.6;
-/** What tasks that fill get back at once, in percent. */
-const SPEED_UP_STEP = 20;
+/** Fillers are throttled above this ratio of tail latency to target. */
+const THROTTLE_RATIO = 0.8;
+/** Fillers are paused above this ratio. */
+const PAUSE_RATIO = 1;
+/** Fillers are given more processor time below this ratio. */
+const INCREASE_RATIO = 0.6;
+/** Size of one increase, in percentage points. */
+const INCREASE_STEP = 20;
 
 /**
- * The percentage at which tasks that fill may go on. Halves it near the
- * target and raises it in steps, so that a disturbance that follows the load
- * of the service is undone faster than it is caused.
+ * Computes the processor percentage that filler tasks may use next. It is
+ * halved near the latency target and raised in small steps, so that
+ * interference with a service under changing load ends faster than it builds
+ * up.
  *
- * @param ratio the worst tail latency on the executor against its target
+ * @param ratio the highest ratio of tail latency to target on the executor
  * @example
- * nextFillPercent(100, 0.9); // 50
+ * nextFillerPercent(100, 0.9); // 50
  */
-export function nextFillPercent(percent: number, ratio: number): number {
-  if (ratio > STAND_STILL_RATIO) return 0;
-  if (ratio > SLOW_DOWN_RATIO) return Math.floor(percent / 2);
-  if (ratio < SPEED_UP_RATIO) return Math.min(100, percent + SPEED_UP_STEP);
+export function nextFillerPercent(percent: number, ratio: number): number {
+  if (ratio > PAUSE_RATIO) return 0;
+  if (ratio > THROTTLE_RATIO) return Math.floor(percent / 2);
+  if (ratio < INCREASE_RATIO) return Math.min(100, percent + INCREASE_STEP);
   return percent;
 }
--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -1,55 +1,62 @@
-/** Where waiting tasks go: one executor for a task, a set for a gang. */
-import {countedCpu, hasRoom, type ExecutorState} from './executor-state.js';
+/** Placement: one executor for a task, a set of executors for a gang. */
+import {
+  allocatedCpuMilli,
+  hasRoom,
+  type ExecutorState,
+} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
 import type {StepSpec} from './types.js';
 
-/** An executor on another rack than the data counts as this much slower. */
-const FAR_RACK_SLOWNESS = 2;
-/** How much a unit of slowness weighs against the use of a whole executor. */
+/** Cost of an executor that is not on the rack that holds the data. */
+const REMOTE_RACK_COST = 2;
+/** Cost of one unit of slowness; an entirely free executor costs 1. */
 const SLOWNESS_WEIGHT = 2;
-/** The same for work that can wait, which is packed rather than spread. */
-const PATIENT_SLOWNESS_WEIGHT = 0.5;
-/** Added for each task with a latency target beside which a task would fill. */
-const BESIDE_SERVICE_PENALTY = 4;
-/** Added where the last run of the task failed. */
-const FAILED_HERE_PENALTY = 8;
+/** The same for non-urgent work, which is packed rather than spread. */
+const NON_URGENT_SLOWNESS_WEIGHT = 0.5;
+/** Cost per filler beside a task with a latency target, or the reverse. */
+const INTERFERENCE_COST = 4;
+/** Cost of the executor on which the last failed run of the task was. */
+const PRIOR_FAILURE_COST = 8;
 
-/** What the choice of an executor depends on besides the executors. */
+/** What placement depends on besides the executors and the task. */
 export interface PlaceContext {
   readonly nowMs: number;
-  /** Executors that are held for work that comes first. */
-  readonly reserved: ReadonlySet<ExecutorState>;
-  /** Rooms promised in this round, on top of what is used. */
-  readonly promised: ReadonlyMap<ExecutorState, Promised>;
+  /** Executors kept for work that goes first. */
+  readonly withheld: ReadonlySet<ExecutorState>;
+  /** Resources reserved in this round, on top of those in use. */
+  readonly reserved: ReadonlyMap<ExecutorState, ResourceAmounts>;
 }
 
-/** Room on an executor that is promised to a step that waits for it. */
-export interface Promised {
+/** Amounts of an executor's resources. */
+export interface ResourceAmounts {
   readonly cpuMilli: number;
   readonly memMb: number;
   readonly accel: number;
 }
 
-/** For an executor on which no room is promised. */
-export const NO_ROOM_PROMISED: Promised = {cpuMilli: 0, memMb: 0, accel: 0};
+export const NOTHING_RESERVED: ResourceAmounts = {
+  cpuMilli: 0,
+  memMb: 0,
+  accel: 0,
+};
 
-/** Adds room for some tasks of a step to what is promised on an executor. */
-export function promise(
-  promised: Map<ExecutorState, Promised>,
+/** Reserves resources for `count` tasks of a step on an executor. */
+export function reserve(
+  reserved: Map<ExecutorState, ResourceAmounts>,
   executor: ExecutorState,
   spec: StepSpec,
   count: number,
 ): void {
-  const {cpuMilli, memMb, accel} = promised.get(executor) ?? NO_ROOM_PROMISED;
-  promised.set(executor, {
-    cpuMilli: cpuMilli + count * countedCpu(spec),
+  const {cpuMilli, memMb, accel} = reserved.get(executor) ?? NOTHING_RESERVED;
+  reserved.set(executor, {
+    cpuMilli: cpuMilli + count * allocatedCpuMilli(spec),
     memMb: memMb + count * spec.size.memMb,
     accel: accel + count * spec.size.accel,
   });
 }
 
-/** Tells whether new work may go to an executor at all. */
-export function mayTakeWork(executor: ExecutorState, nowMs: number): boolean {
+/** Whether new tasks may be placed on the executor at all. */
+export function isSchedulable(executor: ExecutorState, nowMs: number): boolean {
   return (
     executor.isListed &&
     executor.isReached &&
@@ -59,22 +66,25 @@
   );
 }
 
-/** Tells whether the step may ever run there. */
-export function isSuited(step: StepState, executor: ExecutorState): boolean {
+/** Whether service, label and total capacity allow the step to run there. */
+export function isCompatible(
+  step: StepState,
+  executor: ExecutorState,
+): boolean {
   const {spec, occurrence} = step;
   const {info} = executor;
   if (info.service !== occurrence.job.queue.service) return false;
   const label = spec.requiredLabel;
   if (label !== '' && !info.labels.includes(label)) return false;
   return (
-    countedCpu(spec) <= info.capacity.cpuMilli &&
+    allocatedCpuMilli(spec) <= info.capacity.cpuMilli &&
     spec.size.memMb <= info.capacity.memMb &&
     spec.size.accel <= info.capacity.accel
   );
 }
 
-/** Tells whether the step holds what it needs to be started there. */
-export function isAllowed(
+/** Whether the step needs no ticket to start there, or holds a valid one. */
+export function holdsRequiredTicket(
   step: StepState,
   executor: ExecutorState,
   nowMs: number,
@@ -84,14 +94,14 @@
   return ticket !== undefined && ticket.validUntilMs > nowMs;
 }
 
-/** Tells whether the step may run there once it holds a ticket. */
-export function mayUse(step: StepState, executor: ExecutorState): boolean {
+/** Whether the step may run there as far as the advice service decides. */
+export function isPermitted(step: StepState, executor: ExecutorState): boolean {
   if (step.occurrence.job.queue.advice === null) return true;
   return step.allowed.has(executor.info.id);
 }
 
-/** How many tasks of the step are on the executor. */
-export function countHere(step: StepState, executor: ExecutorState): number {
+/** Counts the tasks of the step that are placed on the executor. */
+export function countTasksOn(step: StepState, executor: ExecutorState): number {
   let count = 0;
   for (const task of executor.tasks) if (task.step === step) count += 1;
   return count;
@@ -113,7 +123,7 @@
   let bestCost = Infinity;
   for (const executor of executors) {
     if (!canStart(task.step, executor, context)) continue;
-    const cost = costOf(task, executor);
+    const cost = placementCost(task, executor);
     if (cost >= bestCost) continue;
     best = executor;
     bestCost = cost;
@@ -121,64 +131,72 @@
   return best;
 }
 
-/** Tells whether a task of the step can be started there now. */
+/** Whether a task of the step can be started there now. */
 export function canStart(
   step: StepState,
   executor: ExecutorState,
   context: PlaceContext,
 ): boolean {
-  const {nowMs, reserved, promised} = context;
-  if (!mayTakeWork(executor, nowMs) || reserved.has(executor)) return false;
+  const {nowMs, withheld, reserved} = context;
+  if (!isSchedulable(executor, nowMs) || withheld.has(executor)) return false;
   if (!hasRoom(executor, step.spec)) return false;
-  if (!isSuited(step, executor)) return false;
-  if (!isAllowed(step, executor, nowMs)) return false;
-  const room = promised.get(executor);
-  if (room !== undefined && !fitsBeside(step, executor, room)) return false;
+  if (!isCompatible(step, executor)) return false;
+  if (!holdsRequiredTicket(step, executor, nowMs)) return false;
+  const held = reserved.get(executor);
+  if (held !== undefined && !fitsBeside(step, executor, held)) return false;
   const {maxPerExecutor} = step.spec;
-  return maxPerExecutor === 0 || countHere(step, executor) < maxPerExecutor;
+  return maxPerExecutor === 0 || countTasksOn(step, executor) < maxPerExecutor;
 }
 
 function fitsBeside(
   {spec}: StepState,
   executor: ExecutorState,
-  room: Promised,
+  held: ResourceAmounts,
 ): boolean {
   const {capacity} = executor.info;
-  const {usedCpu, usedMem, usedAccel} = executor;
+  const {usedCpuMilli, usedMemMb, usedAccel} = executor;
   return (
-    usedCpu + room.cpuMilli + countedCpu(spec) <= capacity.cpuMilli &&
-    usedMem + room.memMb + spec.size.memMb <= capacity.memMb &&
-    usedAccel + room.accel + spec.size.accel <= capacity.accel
+    usedCpuMilli + held.cpuMilli + allocatedCpuMilli(spec) <=
+      capacity.cpuMilli &&
+    usedMemMb + held.memMb + spec.size.memMb <= capacity.memMb &&
+    usedAccel + held.accel + spec.size.accel <= capacity.accel
   );
 }
 
-function costOf(task: TaskState, executor: ExecutorState): number {
+function placementCost(task: TaskState, executor: ExecutorState): number {
   const {spec} = task.step;
   const {capacity, rack} = executor.info;
   let cost = freeShare(executor);
   const isUrgent = task.step.occurrence.job.queue.priority === 0;
-  const weight = isUrgent ? SLOWNESS_WEIGHT : PATIENT_SLOWNESS_WEIGHT;
-  cost += weight * executor.slowness;
-  if (spec.rack !== '' && spec.rack !== rack) cost += FAR_RACK_SLOWNESS;
+  const slownessWeight = isUrgent
+    ? SLOWNESS_WEIGHT
+    : NON_URGENT_SLOWNESS_WEIGHT;
+  cost += slownessWeight * executor.slowness;
+  if (spec.rack !== '' && spec.rack !== rack) cost += REMOTE_RACK_COST;
   if (spec.size.accel === 0 && capacity.accel > 0) cost += 1;
-  if (spec.isFiller) cost += BESIDE_SERVICE_PENALTY * countTargets(executor);
+  if (spec.isFiller) cost += INTERFERENCE_COST * countLatencyTasks(executor);
   if (spec.targetMs > 0) {
-    cost += BESIDE_SERVICE_PENALTY * countFillers(executor);
+    cost += INTERFERENCE_COST * countFillers(executor);
   }
-  if (task.failedOn === executor.info.id) cost += FAILED_HERE_PENALTY;
+  if (task.lastFailedOn === executor.info.id) cost += PRIOR_FAILURE_COST;
   return cost;
 }
 
-/** The part of an executor that is free, by its scarcest resource. */
-function freeShare({info, usedCpu, usedMem, usedAccel}: ExecutorState): number {
+/** The free share of an executor's scarcest resource, 0 to 1. */
+function freeShare({
+  info,
+  usedCpuMilli,
+  usedMemMb,
+  usedAccel,
+}: ExecutorState): number {
   const {cpuMilli, memMb, accel} = info.capacity;
-  const cpu = 1 - usedCpu / Math.max(1, cpuMilli);
-  const mem = 1 - usedMem / Math.max(1, memMb);
+  const cpu = 1 - usedCpuMilli / Math.max(1, cpuMilli);
+  const mem = 1 - usedMemMb / Math.max(1, memMb);
   const free = Math.min(cpu, mem);
   return accel === 0 ? free : Math.min(free, 1 - usedAccel / accel);
 }
 
-function countTargets({tasks}: ExecutorState): number {
+function countLatencyTasks({tasks}: ExecutorState): number {
   let count = 0;
   for (const {step} of tasks) if (step.spec.targetMs > 0) count += 1;
   return count;
@@ -202,14 +220,16 @@
   executors: Iterable<ExecutorState>,
   context: PlaceContext,
 ): readonly ExecutorState[] | null {
-  const open = [...executors].filter(each => canStart(step, each, context));
+  const candidates = [...executors].filter(each =>
+    canStart(step, each, context),
+  );
   if (step.spec.isRackSensitive) {
-    for (const group of groupByRack(open)) {
-      const chosen = fillGang(step, group);
+    for (const group of groupByRack(candidates)) {
+      const chosen = placeGang(step, group);
       if (chosen !== null) return chosen;
     }
   }
-  return fillGang(step, open);
+  return placeGang(step, candidates);
 }
 
 function groupByRack(
@@ -225,17 +245,17 @@
   return [...groups.values()];
 }
 
-function fillGang(
+function placeGang(
   step: StepState,
-  open: readonly ExecutorState[],
+  candidates: readonly ExecutorState[],
 ): readonly ExecutorState[] | null {
   const chosen: ExecutorState[] = [];
-  const sorted = [...open].sort(
+  const sorted = [...candidates].sort(
     (a, b) => a.slowness - b.slowness || freeShare(a) - freeShare(b),
   );
   for (const executor of sorted) {
     const fits = Math.min(
-      copiesThatFit(step, executor),
+      countFittingTasks(step, executor),
       step.tasks.length - chosen.length,
     );
     for (let i = 0; i < fits; i += 1) chosen.push(executor);
@@ -244,41 +264,44 @@
   return null;
 }
 
-/** How many tasks of the step fit in what is free, and not taken else. */
-export function copiesThatFit(
+/** Counts the tasks of the step that fit in what is free and not reserved. */
+export function countFittingTasks(
   step: StepState,
   executor: ExecutorState,
-  taken: Promised = NO_ROOM_PROMISED,
+  reserved: ResourceAmounts = NOTHING_RESERVED,
 ): number {
   const {spec} = step;
-  const fits = copiesIn(spec, freeRoom(executor, taken));
+  const fits = countFittingIn(spec, freeResources(executor, reserved));
   const {maxPerExecutor} = spec;
   if (maxPerExecutor === 0) return fits;
-  return Math.min(fits, maxPerExecutor - countHere(step, executor));
+  return Math.min(fits, maxPerExecutor - countTasksOn(step, executor));
 }
 
-/** What is free on an executor, and not taken else. */
-export function freeRoom(
-  {info, usedCpu, usedMem, usedAccel}: ExecutorState,
-  taken: Promised,
-): Promised {
+/** The resources of an executor that are neither in use nor reserved. */
+export function freeResources(
+  {info, usedCpuMilli, usedMemMb, usedAccel}: ExecutorState,
+  reserved: ResourceAmounts,
+): ResourceAmounts {
   const {cpuMilli, memMb, accel} = info.capacity;
   return {
-    cpuMilli: cpuMilli - usedCpu - taken.cpuMilli,
-    memMb: memMb - usedMem - taken.memMb,
-    accel: accel - usedAccel - taken.accel,
+    cpuMilli: cpuMilli - usedCpuMilli - reserved.cpuMilli,
+    memMb: memMb - usedMemMb - reserved.memMb,
+    accel: accel - usedAccel - reserved.accel,
   };
 }
 
-/** How many tasks of a step fit in a room. */
-export function copiesIn(spec: StepSpec, room: Promised): number {
+/** Counts the tasks of a step that fit in the given amounts. */
+export function countFittingIn(
+  spec: StepSpec,
+  amounts: ResourceAmounts,
+): number {
   return Math.min(
-    copies(room.cpuMilli, countedCpu(spec)),
-    copies(room.memMb, spec.size.memMb),
-    copies(room.accel, spec.size.accel),
+    countFittingUnits(amounts.cpuMilli, allocatedCpuMilli(spec)),
+    countFittingUnits(amounts.memMb, spec.size.memMb),
+    countFittingUnits(amounts.accel, spec.size.accel),
   );
 }
 
-function copies(free: number, each: number): number {
-  return each === 0 ? Infinity : Math.max(0, Math.floor(free / each));
+function countFittingUnits(free: number, perTask: number): number {
+  return perTask === 0 ? Infinity : Math.max(0, Math.floor(free / perTask));
 }
--- a/packages/cell/src/preempt.ts
+++ b/packages/cell/src/preempt.ts
@@ -1,46 +1,46 @@
-/** Which running tasks make room for work that comes first. */
-import {countedCpu, type ExecutorState} from './executor-state.js';
+/** Preemption: which running tasks to stop for more urgent work. */
+import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
 import {
-  copiesIn,
-  countHere,
-  freeRoom,
-  isSuited,
-  mayTakeWork,
-  mayUse,
-  NO_ROOM_PROMISED,
+  countFittingIn,
+  countTasksOn,
+  freeResources,
+  isCompatible,
+  isSchedulable,
+  isPermitted,
+  NOTHING_RESERVED,
   type PlaceContext,
-  type Promised,
+  type ResourceAmounts,
 } from './place.js';
 
-/** Room on one executor for some tasks of a step. */
-export interface RoomPlan {
+/** Room on one executor for some tasks of a step, partly by preemption. */
+export interface PreemptionPlan {
   readonly executor: ExecutorState;
-  /** Tasks to stop; empty where stopping ones make enough room. */
+  /** Tasks to stop; empty where tasks that already stop free enough. */
   readonly victims: readonly TaskState[];
-  /** How many tasks of the step will fit. */
+  /** How many tasks of the step fit afterwards. */
   readonly count: number;
 }
 
 /**
- * Plans room for tasks of a step by stopping less urgent ones that keep their
- * progress. Room that stopping tasks will free is counted first, so that a
- * plan that is under way is not made twice.
+ * Plans room for tasks of a step by preempting less urgent ones that save
+ * their progress. Resources of tasks that are already stopping count as free,
+ * so that repeated rounds don't preempt again for the same step.
  *
- * @returns room for that many or fewer; empty where there is none, and for a
- *     gang that does not fit whole
+ * @returns plans for up to `wanted` tasks; empty where there is no room, and
+ *     for a gang that does not fit as a whole
  * @example
- * const plans = planRoom(step, step.tasks.length, executors, context);
+ * const plans = planPreemption(step, step.tasks.length, executors, context);
  */
-export function planRoom(
+export function planPreemption(
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
   context: PlaceContext,
-): readonly RoomPlan[] {
-  const plans: RoomPlan[] = [];
+): readonly PreemptionPlan[] {
+  const plans: PreemptionPlan[] = [];
   let missing = wanted;
-  for (const plan of candidates(step, wanted, executors, context)) {
+  for (const plan of candidatePlans(step, wanted, executors, context)) {
     if (missing === 0) break;
     const count = Math.min(plan.count, missing);
     plans.push({...plan, count});
@@ -49,19 +49,19 @@
   return step.spec.isGang && missing > 0 ? [] : plans;
 }
 
-function candidates(
+function candidatePlans(
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
   context: PlaceContext,
-): readonly RoomPlan[] {
-  const plans: RoomPlan[] = [];
+): readonly PreemptionPlan[] {
+  const plans: PreemptionPlan[] = [];
   for (const executor of executors) {
-    const {nowMs, reserved} = context;
-    if (!mayTakeWork(executor, nowMs) || reserved.has(executor)) continue;
-    if (!isSuited(step, executor)) continue;
-    if (!mayUse(step, executor)) continue;
-    const plan = planOn(step, wanted, executor, context);
+    const {nowMs, withheld} = context;
+    if (!isSchedulable(executor, nowMs) || withheld.has(executor)) continue;
+    if (!isCompatible(step, executor)) continue;
+    if (!isPermitted(step, executor)) continue;
+    const plan = planOnExecutor(step, wanted, executor, context);
     if (plan !== null) plans.push(plan);
   }
   return plans.sort(
@@ -69,70 +69,72 @@
   );
 }
 
-type Room = {-readonly [Part in keyof Promised]: number};
+type MutableAmounts = {-readonly [Part in keyof ResourceAmounts]: number};
 
-function planOn(
+function planOnExecutor(
   step: StepState,
   wanted: number,
   executor: ExecutorState,
-  {promised}: PlaceContext,
-): RoomPlan | null {
-  const room = roomAfterStops(executor, promised.get(executor));
-  const bound = boundHere(step, wanted, executor);
+  {reserved}: PlaceContext,
+): PreemptionPlan | null {
+  const free = freeAfterStops(executor, reserved.get(executor));
+  const maxCount = maxNewTasks(step, wanted, executor);
   const victims: TaskState[] = [];
-  let count = Math.min(bound, copiesIn(step.spec, room));
-  for (const victim of victimsOn(step, executor)) {
-    if (count >= bound) break;
-    addSize(room, victim);
+  let count = Math.min(maxCount, countFittingIn(step.spec, free));
+  for (const victim of findVictims(step, executor)) {
+    if (count >= maxCount) break;
+    addTaskSize(free, victim);
     victims.push(victim);
-    count = Math.min(bound, copiesIn(step.spec, room));
+    count = Math.min(maxCount, countFittingIn(step.spec, free));
   }
   return count > 0 ? {executor, victims, count} : null;
 }
 
-function boundHere(
+function maxNewTasks(
   step: StepState,
   wanted: number,
   executor: ExecutorState,
 ): number {
   const {maxPerExecutor} = step.spec;
   if (maxPerExecutor === 0) return wanted;
-  return Math.min(wanted, maxPerExecutor - countHere(step, executor));
+  return Math.min(wanted, maxPerExecutor - countTasksOn(step, executor));
 }
 
-function roomAfterStops(
+function freeAfterStops(
   executor: ExecutorState,
-  promised: Promised | undefined,
-): Room {
-  const room: Room = {...freeRoom(executor, promised ?? NO_ROOM_PROMISED)};
+  reserved: ResourceAmounts | undefined,
+): MutableAmounts {
+  const free: MutableAmounts = {
+    ...freeResources(executor, reserved ?? NOTHING_RESERVED),
+  };
   for (const task of executor.tasks) {
-    if (task.phase === 'stopping') addSize(room, task);
+    if (task.phase === 'stopping') addTaskSize(free, task);
   }
-  return room;
+  return free;
 }
 
-function addSize(room: Room, {step}: TaskState): void {
-  room.cpuMilli += countedCpu(step.spec);
-  room.memMb += step.spec.size.memMb;
-  room.accel += step.spec.size.accel;
+function addTaskSize(free: MutableAmounts, {step}: TaskState): void {
+  free.cpuMilli += allocatedCpuMilli(step.spec);
+  free.memMb += step.spec.size.memMb;
+  free.accel += step.spec.size.accel;
 }
 
-/** Tasks that may be stopped for the step, the least urgent first. */
-function victimsOn(
+/** Tasks that may be preempted for the step, the least urgent first. */
+function findVictims(
   step: StepState,
   executor: ExecutorState,
 ): readonly TaskState[] {
   const {priority} = step.occurrence.job.queue;
   const victims = [...executor.tasks].filter(
-    task => isStoppable(task) && priorityOf(task) > priority,
+    task => isPreemptible(task) && priorityOf(task) > priority,
   );
   return victims.sort(
     (a, b) => priorityOf(b) - priorityOf(a) || b.startedMs - a.startedMs,
   );
 }
 
-/** Whether a running task may be stopped: it loses no work by that. */
-export function isStoppable({phase, step}: TaskState): boolean {
+/** Whether a running task may be preempted without losing work. */
+export function isPreemptible({phase, step}: TaskState): boolean {
   const {savesProgress, isService, isGang} = step.spec;
   return phase === 'running' && savesProgress && !isService && !isGang;
 }
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -1,95 +1,95 @@
-/** Which of the steps that wait goes first. */
-import type {Estimates} from './estimates.js';
+/** The order in which waiting steps are considered. */
+import type {RunTimeEstimates} from './estimates.js';
 import type {JobState, StepState} from './job-state.js';
 
-/** A job that is later than this many times its objective earns nothing. */
-const WORTHLESS_FACTOR = 3;
+/** A job is too late after this many times its latency objective. */
+const TOO_LATE_FACTOR = 3;
 
-/** How a job stands against its latency objective; lower goes first. */
-export type Standing = 0 | 1 | 2;
+/** How late a job is against its latency objective; lower goes first. */
+export type Lateness = 0 | 1 | 2;
 
 /** The job can still meet its objective. */
-export const IN_TIME: Standing = 0;
-/** The job earns a part of its worth. */
-export const LATE: Standing = 1;
-/** The job earns nothing any more. */
-export const WORTHLESS: Standing = 2;
+export const ON_TIME: Lateness = 0;
+/** The job misses its objective, but its result still has some value. */
+export const LATE: Lateness = 1;
+/** The job's result has no value any more. */
+export const TOO_LATE: Lateness = 2;
 
-/** Added to the priority of work that earns nothing any more. */
-const WORTHLESS_PRECEDENCE = 1000;
+/** Added to the priority of work that is too late. */
+const TOO_LATE_PRECEDENCE = 1000;
 
-/** A waiting step and the reasons for its place in the order. */
+/** A waiting step and the keys by which it is ordered. */
 export interface RankedStep {
   readonly step: StepState;
   readonly priority: number;
-  readonly isExcess: boolean;
-  readonly standing: Standing;
-  /** Time that may still pass before the start without being late. */
+  readonly isOverRate: boolean;
+  readonly lateness: Lateness;
+  /** How long the start may still be delayed without missing the objective. */
   readonly slackMs: number;
 }
 
-/** Which work goes first by its queue; lower goes first. */
-export function precedence({priority, standing}: RankedStep): number {
-  return standing === WORTHLESS ? WORTHLESS_PRECEDENCE + priority : priority;
+/** The queue's priority, with work that is too late last; lower goes first. */
+export function precedence({priority, lateness}: RankedStep): number {
+  return lateness === TOO_LATE ? TOO_LATE_PRECEDENCE + priority : priority;
 }
 
 /**
- * Orders waiting steps: those that still earn something, by priority of their
- * queue, then those within their organisation's weight, then those that can
- * still meet their objective, by slack. Answers a load of more work than room:
- * work that is late already does not make other work late too.
+ * Orders waiting steps by precedence (priority of the queue, work that is too
+ * late last), then steps of organisations within their submission rate, then
+ * by lateness, then by slack. Under overload, work that is already late thus
+ * does not make other work late too.
  *
  * @example
  * for (const {step} of orderSteps(ready, estimates, Date.now())) place(step);
  */
 export function orderSteps(
   steps: Iterable<StepState>,
-  estimates: Estimates,
+  estimates: RunTimeEstimates,
   wallMs: number,
 ): readonly RankedStep[] {
   const ranked: RankedStep[] = [];
-  for (const step of steps) ranked.push(rank(step, estimates, wallMs));
+  for (const step of steps) ranked.push(rankStep(step, estimates, wallMs));
   return ranked.sort(compareRanked);
 }
 
-function rank(
+function rankStep(
   step: StepState,
-  estimates: Estimates,
+  estimates: RunTimeEstimates,
   wallMs: number,
 ): RankedStep {
   const {job, dueMs} = step.occurrence;
-  const {isExcess} = job;
+  const {isOverRate} = job;
   const {priority} = job.queue;
   const sinceMs = Math.max(job.acceptedMs, dueMs);
-  const chainMs = estimates.chainMs(step);
-  const allowedMs = objectiveMs(job, step, estimates);
-  const slackMs = sinceMs + allowedMs - chainMs - wallMs;
-  const isInTime = step.spec.isService || slackMs >= 0;
-  const isWorthless = wallMs - sinceMs > WORTHLESS_FACTOR * allowedMs;
-  const late = isWorthless ? WORTHLESS : LATE;
-  const standing = isInTime ? IN_TIME : late;
-  return {step, priority, isExcess, slackMs, standing};
+  const criticalPathMs = estimates.criticalPathMs(step);
+  const allowedMs = allowedLatencyMs(job, step, estimates);
+  const slackMs = sinceMs + allowedMs - criticalPathMs - wallMs;
+  const isOnTime = step.spec.isService || slackMs >= 0;
+  const isTooLate = wallMs - sinceMs > TOO_LATE_FACTOR * allowedMs;
+  const latenessIfMissed = isTooLate ? TOO_LATE : LATE;
+  const lateness = isOnTime ? ON_TIME : latenessIfMissed;
+  return {step, priority, isOverRate, slackMs, lateness};
 }
 
-function objectiveMs(
+function allowedLatencyMs(
   {queue}: JobState,
   step: StepState,
-  estimates: Estimates,
+  estimates: RunTimeEstimates,
 ): number {
   const {steps} = step.occurrence;
-  const finish: number[] = [];
+  const finishMs: number[] = [];
   for (const each of steps) {
-    const before = each.spec.after.map(i => finish[i] ?? 0);
-    finish.push(Math.max(0, ...before) + estimates.expectedMs(each));
+    const dependencyMs = each.spec.after.map(i => finishMs[i] ?? 0);
+    finishMs.push(Math.max(0, ...dependencyMs) + estimates.expectedMs(each));
   }
-  return queue.objectiveMs + queue.stretch * Math.max(0, ...finish);
+  return queue.objectiveMs + queue.stretch * Math.max(0, ...finishMs);
 }
 
 function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
     precedence(a) - precedence(b) ||
-    Number(a.isExcess) - Number(b.isExcess) ||
-    a.standing - b.standing ||
+    Number(a.isOverRate) - Number(b.isOverRate) ||
+    a.lateness - b.lateness ||
     a.slackMs - b.slackMs
   );
 }
--- a/packages/cell/src/review.ts
+++ b/packages/cell/src/review.ts
@@ -1,28 +1,28 @@
-/** What the owner looks at now and then: stragglers, leaving, disturbance. */
+/** Periodic checks of running work: stragglers, drains and interference. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import {taskName, type TaskState} from './job-state.js';
-import {nextFillPercent} from './pacing.js';
+import {nextFillerPercent} from './pacing.js';
 import type {LogLine} from './platform.js';
 
-/** A run that takes this many times what was expected stands still. */
+/** A run that takes this many times its expected time is a straggler. */
 const STRAGGLER_FACTOR = 2.5;
-/** Added to that, in ms, for short tasks. */
+/** Added to that bound, in ms, for the sake of short tasks. */
 const STRAGGLER_SLACK_MS = 600;
-/** Each stop lets the next run take this many times longer. */
+/** Factor by which the bound grows after each straggler stop of a task. */
 const STRAGGLER_GROWTH = 3;
-/** Pause of an executor on which a run stood still, in ms. */
-const STRAGGLER_PAUSE_MS = 2000;
-/** Least time between two changes of the pace on an executor, in ms. */
-const PACE_GAP_MS = 400;
-/** Time that a task needs to stop before its executor leaves, in ms. */
-const LEAVE_MARGIN_MS = 1200;
+/** How long an executor gets no new tasks after a straggler, in ms. */
+const STRAGGLER_AVOID_MS = 2000;
+/** Least time between two changes of an executor's filler percentage, in ms. */
+const PACE_CHANGE_INTERVAL_MS = 400;
+/** Time allowed for stopping a task before its executor shuts down, in ms. */
+const SHUTDOWN_MARGIN_MS = 1200;
 
-/** Looks over running work; called every tick. */
+/** Checks running work and stops or throttles tasks where needed. */
 export class Review {
-  private readonly pacedMs = new WeakMap<ExecutorState, number>();
-  private readonly leaveMs = new WeakMap<ExecutorState, number>();
+  private readonly lastPaceChangeMs = new WeakMap<ExecutorState, number>();
+  private readonly shutdownAtMs = new WeakMap<ExecutorState, number>();
 
   constructor(
     private readonly state: CellState,
@@ -31,33 +31,37 @@
     private readonly setPace: (task: TaskState, percent: number) => void,
   ) {}
 
-  /** One look at all executors. */
+  /** Checks all executors; called on every tick. */
   run(): void {
     const nowMs = this.clock.monotonicMs();
     for (const executor of this.state.executors.values()) {
       if (executor.tasks.size === 0 || executor.missed > 0) continue;
-      this.findStragglers(executor, nowMs);
-      this.adjustPace(executor, nowMs);
-      if (executor.info.isDraining) this.empty(executor, nowMs);
+      this.stopStragglers(executor, nowMs);
+      this.adjustFillerPercent(executor, nowMs);
+      if (executor.info.isDraining) this.evacuate(executor, nowMs);
     }
   }
 
-  /** An executor has said that it will leave. */
+  /** Notes that an executor is draining and moves its tasks away. */
   leave(executor: ExecutorState): void {
     const nowMs = this.clock.monotonicMs();
     const remainingMs = Math.max(0, executor.info.drainRemainingMs);
-    this.leaveMs.set(executor, nowMs + remainingMs);
-    this.empty(executor, nowMs);
+    this.shutdownAtMs.set(executor, nowMs + remainingMs);
+    this.evacuate(executor, nowMs);
   }
 
-  /** Stops what would be lost with the executor and can go on elsewhere. */
-  private empty(executor: ExecutorState, nowMs: number): void {
-    const leftMs = (this.leaveMs.get(executor) ?? Infinity) - nowMs;
+  /**
+   * Stops tasks that can go on elsewhere: service tasks at once, tasks that
+   * save their progress shortly before the executor shuts down.
+   */
+  private evacuate(executor: ExecutorState, nowMs: number): void {
+    const leftMs = (this.shutdownAtMs.get(executor) ?? Infinity) - nowMs;
     for (const task of [...executor.tasks]) {
       if (task.phase !== 'running') continue;
       const {isService, savesProgress, isGang} = task.step.spec;
-      const isLast = savesProgress && !isGang && leftMs < LEAVE_MARGIN_MS;
-      if (!isService && !isLast) continue;
+      const isDueToStop =
+        savesProgress && !isGang && leftMs < SHUTDOWN_MARGIN_MS;
+      if (!isService && !isDueToStop) continue;
       this.log('runMoved', {
         task: taskName(task),
         executorId: executor.info.id,
@@ -66,7 +70,7 @@
     }
   }
 
-  private findStragglers(executor: ExecutorState, nowMs: number): void {
+  private stopStragglers(executor: ExecutorState, nowMs: number): void {
     for (const task of [...executor.tasks]) {
       if (!this.isStraggler(task, nowMs)) continue;
       this.log('runTooLong', {
@@ -75,8 +79,8 @@
         ranMs: Math.round(nowMs - task.startedMs),
         expectedMs: Math.round(this.state.estimates.expectedMs(task.step)),
       });
-      executor.avoidUntilMs = nowMs + STRAGGLER_PAUSE_MS;
-      task.slowStops += 1;
+      executor.avoidUntilMs = nowMs + STRAGGLER_AVOID_MS;
+      task.stragglerStops += 1;
       this.state.stopTask(task);
     }
   }
@@ -86,34 +90,37 @@
     const {isService, isGang, isFiller} = step.spec;
     if (phase !== 'running' || isService || isGang || isFiller) return false;
     if (percent < 100 || task.checkpoint !== '') return false;
-    if (this.state.estimates.siblingCount(step) === 0) return false;
+    if (this.state.estimates.completedCount(step) === 0) return false;
     const expectedMs = this.state.estimates.expectedMs(step);
-    const growth = STRAGGLER_GROWTH ** task.slowStops;
+    const growth = STRAGGLER_GROWTH ** task.stragglerStops;
     const boundMs =
       growth * (STRAGGLER_FACTOR * expectedMs + STRAGGLER_SLACK_MS);
     return nowMs - startedMs > boundMs;
   }
 
-  private adjustPace(executor: ExecutorState, nowMs: number): void {
-    const ratio = worstRatio(executor);
-    if (ratio === null && executor.fillPercent === 100) return;
-    const lastMs = this.pacedMs.get(executor) ?? -Infinity;
-    if (nowMs - lastMs >= PACE_GAP_MS) {
-      this.pacedMs.set(executor, nowMs);
-      executor.fillPercent = nextFillPercent(executor.fillPercent, ratio ?? 0);
+  private adjustFillerPercent(executor: ExecutorState, nowMs: number): void {
+    const latencyRatio = worstLatencyRatio(executor);
+    if (latencyRatio === null && executor.fillerPercent === 100) return;
+    const lastMs = this.lastPaceChangeMs.get(executor) ?? -Infinity;
+    if (nowMs - lastMs >= PACE_CHANGE_INTERVAL_MS) {
+      this.lastPaceChangeMs.set(executor, nowMs);
+      executor.fillerPercent = nextFillerPercent(
+        executor.fillerPercent,
+        latencyRatio ?? 0,
+      );
     }
     for (const task of executor.tasks) {
       const {phase, step, percent} = task;
       if (phase !== 'running' || !step.spec.isFiller) continue;
-      if (percent !== executor.fillPercent) {
-        this.setPace(task, executor.fillPercent);
+      if (percent !== executor.fillerPercent) {
+        this.setPace(task, executor.fillerPercent);
       }
     }
   }
 }
 
-/** The worst tail latency against its target; null without such tasks. */
-function worstRatio({tasks}: ExecutorState): number | null {
+/** The highest ratio of tail latency to target; null without such tasks. */
+function worstLatencyRatio({tasks}: ExecutorState): number | null {
   let worst: number | null = null;
   for (const {step, usage, phase} of tasks) {
     const {targetMs, isService} = step.spec;
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -1,24 +1,32 @@
-/** What one round of decisions works with. */
+/** The inputs and working state of one scheduling round. */
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import type {PlaceContext, Promised} from './place.js';
-import type {ServiceRoom} from './service-room.js';
+import type {PlaceContext, ResourceAmounts} from './place.js';
+import type {ServiceCapacity} from './service-room.js';
 
-/** Times and doubts under which a round decides. */
+/** What a round is given by the owner. */
 export interface RoundContext {
   readonly nowMs: number;
   readonly wallMs: number;
-  /** A former owner may have started tasks of the step unseen. */
+  /**
+   * Whether a former owner may have started tasks of the step that this owner
+   * does not know of.
+   */
   readonly isUnsure: (step: StepState) => boolean;
 }
 
-/** One round of decisions under way. */
+/** A scheduling round in progress. */
 export interface Round extends RoundContext, PlaceContext {
   readonly state: CellState;
-  readonly reserved: Set<ExecutorState>;
-  readonly promised: Map<ExecutorState, Promised>;
-  /** Room that steps ahead will take once they have tickets for it. */
-  readonly claimed: Map<ExecutorState, Promised>;
-  readonly services: ReadonlyMap<string, ServiceRoom>;
+  /** Executors kept for a step that goes first and has no room yet. */
+  readonly withheld: Set<ExecutorState>;
+  /** Resources that only the step they are reserved for may use. */
+  readonly reserved: Map<ExecutorState, ResourceAmounts>;
+  /**
+   * Resources for which a step that goes first requests tickets. Later steps
+   * request no tickets for them, but may still start tasks there.
+   */
+  readonly softReserved: Map<ExecutorState, ResourceAmounts>;
+  readonly services: ReadonlyMap<string, ServiceCapacity>;
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -1,40 +1,45 @@
-/** One round of decisions: what starts where, what stops, what is asked. */
+/** One scheduling round: starts, preemptions and ticket requests. */
 import type {CellState} from './cell-state.js';
-import {countedCpu, type ExecutorState} from './executor-state.js';
+import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
-import {holdExecutors, isLarge, stopForRoom} from './make-room.js';
+import {withholdExecutors, isLargeTask, preemptFor} from './make-room.js';
 import {chooseExecutor, chooseGang} from './place.js';
 import {
   orderSteps,
   precedence,
-  WORTHLESS,
+  TOO_LATE,
   type RankedStep,
 } from './queue-order.js';
 import type {Round, RoundContext} from './round.js';
 import {
-  countServices,
-  isWithinHeadroom,
+  summarizeServices,
+  leavesHeadroom,
   mayFit,
   URGENT_PRIORITY,
-  type ServiceRoom,
+  type ServiceCapacity,
 } from './service-room.js';
-import {claimRoom, ticketsToGet, type TicketNeed} from './ticket-needs.js';
+import {
+  claimCapacity,
+  findNeededTickets,
+  type TicketNeed,
+} from './ticket-needs.js';
 
-/** Waiting tasks of one step that are looked at in one round. */
+/** The most waiting tasks of one step that one round considers. */
 const TASKS_PER_ROUND = 200;
 
-/** What the owner has to do; starts and stops are counted already. */
+/** What the owner has to carry out; the state already reflects it. */
 export type Decision =
   | {readonly kind: 'start'; readonly tasks: readonly TaskState[]}
   | ({
       readonly kind: 'advise';
       readonly step: StepState;
-      /** Lower goes first. */
+      /** Lower values go first. */
       readonly precedence: number;
     } & TicketNeed);
 
 /**
- * Decides what happens now; each decision is counted before it is yielded.
+ * Runs one scheduling round. Each decision is applied to the state before it
+ * is yielded.
  *
  * @example
  * for (const decision of decideRound(state, context)) carryOut(decision);
@@ -44,77 +49,81 @@
   context: RoundContext,
 ): Generator<Decision> {
   const ready = [...state.readySteps(context.wallMs)].filter(
-    step => hasWaiting(step, context.nowMs) && !context.isUnsure(step),
+    step => hasStartableTask(step, context.nowMs) && !context.isUnsure(step),
   );
   if (ready.length === 0) return;
   const round: Round = {
     ...context,
     state,
-    reserved: new Set(),
-    promised: new Map(),
-    claimed: new Map(),
-    services: countServices(state, context.nowMs),
+    withheld: new Set(),
+    reserved: new Map(),
+    softReserved: new Map(),
+    services: summarizeServices(state, context.nowMs),
   };
   for (const ranked of orderSteps(ready, state.estimates, context.wallMs)) {
-    yield* decideStep(ranked, round);
+    yield* scheduleStep(ranked, round);
   }
 }
 
-/** Whether a task of the step could be started now. */
-function hasWaiting({tasks}: StepState, nowMs: number): boolean {
-  return tasks.some(task => isWaiting(task, nowMs));
+function hasStartableTask({tasks}: StepState, nowMs: number): boolean {
+  return tasks.some(task => isStartable(task, nowMs));
 }
 
-function isWaiting(task: TaskState, nowMs: number): boolean {
+function isStartable(task: TaskState, nowMs: number): boolean {
   const {phase, notBeforeMs, strays} = task;
   return phase === 'waiting' && notBeforeMs <= nowMs && strays === 0;
 }
 
-function* decideStep(ranked: RankedStep, round: Round): Generator<Decision> {
+function* scheduleStep(ranked: RankedStep, round: Round): Generator<Decision> {
   const {step} = ranked;
-  const room = round.services.get(step.occurrence.job.queue.service);
-  if (room === undefined) return;
+  const capacity = round.services.get(step.occurrence.job.queue.service);
+  if (capacity === undefined) return;
   const missing = step.spec.isGang
-    ? yield* decideGang(step, room, round)
-    : yield* decideTasks(ranked, room, round);
-  // A ticket would end before a step that is held back could use it.
-  if (missing === 0 || !isWithinHeadroom(ranked, room)) return;
-  const targets = findRoom(ranked, missing, room, round);
-  const need = ticketsToGet(step, targets, room, round);
+    ? yield* scheduleGang(step, capacity, round)
+    : yield* scheduleTasks(ranked, capacity, round);
+  // A ticket would expire before the headroom rule lets the step start.
+  if (missing === 0 || !leavesHeadroom(ranked, capacity)) return;
+  const executorsWithRoom = findCapacity(ranked, missing, capacity, round);
+  const need = findNeededTickets(step, executorsWithRoom, capacity, round);
   if (need === null) return;
   yield {kind: 'advise', step, precedence: precedence(ranked), ...need};
 }
 
-/** Where there is room for the step, or will be; else room is kept for it. */
-function findRoom(
+/**
+ * Finds executors that have or will have room for the step: by preemption,
+ * else in free capacity. Without either, withholds executors from less urgent
+ * work where the step is a gang or its tasks are large.
+ */
+function findCapacity(
   ranked: RankedStep,
   wanted: number,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   round: Round,
 ): readonly ExecutorState[] {
-  const {step, standing} = ranked;
-  const made = stopForRoom(ranked, wanted, room, round);
-  if (made.length > 0) return made;
-  const earns = standing !== WORTHLESS;
-  // Small tasks would starve a gang or a task that needs much of an executor.
-  const isLargeStep = earns && (step.spec.isGang || isLarge(step, room));
-  const isUrgent = earns && ranked.priority === URGENT_PRIORITY;
-  const isHeld = isLargeStep || isUrgent;
-  const claims = claimRoom(step, wanted, room, isHeld, round);
+  const {step, lateness} = ranked;
+  const preempted = preemptFor(ranked, wanted, capacity, round);
+  if (preempted.length > 0) return preempted;
+  const isStillUseful = lateness !== TOO_LATE;
+  // Without a reservation, small tasks would starve gangs and large tasks.
+  const isLargeStep =
+    isStillUseful && (step.spec.isGang || isLargeTask(step, capacity));
+  const isUrgent = isStillUseful && ranked.priority === URGENT_PRIORITY;
+  const isHard = isLargeStep || isUrgent;
+  const claims = claimCapacity(step, wanted, capacity, isHard, round);
   if (claims.length === 0 && isLargeStep) {
-    holdExecutors(step, wanted, room, round);
+    withholdExecutors(step, wanted, capacity, round);
   }
   return claims;
 }
 
 /**
- * Starts what has room and tickets.
+ * Starts the tasks that have room and tickets.
  *
  * @returns how many more tasks wait for room or tickets
  */
-function* decideTasks(
+function* scheduleTasks(
   ranked: RankedStep,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   round: Round,
 ): Generator<Decision, number> {
   const {step} = ranked;
@@ -122,39 +131,43 @@
   const {organisations} = round.state;
   const {organisation} = occurrence.job;
   const started: TaskState[] = [];
-  const isPossible = mayFit(step, room);
+  const isPossible = mayFit(step, capacity);
   let missing = 0;
   for (const task of step.tasks) {
     if (started.length + missing >= TASKS_PER_ROUND) break;
-    if (!isWaiting(task, round.nowMs)) continue;
+    if (!isStartable(task, round.nowMs)) continue;
     if (!organisations.mayRun(organisation, spec.size, 1)) break;
-    if (!isWithinHeadroom(ranked, room)) break;
+    if (!leavesHeadroom(ranked, capacity)) break;
     const mayStart = isPossible && missing === 0;
-    const executor = mayStart ? chooseExecutor(task, room.open, round) : null;
+    const executor = mayStart
+      ? chooseExecutor(task, capacity.schedulable, round)
+      : null;
     if (executor === null) {
       missing += 1;
       continue;
     }
     const run = round.state.nextRun([task]);
     round.state.startTask(task, executor, run, round.nowMs);
-    room.freeCpu -= countedCpu(spec);
+    capacity.freeCpuMilli -= allocatedCpuMilli(spec);
     started.push(task);
   }
   if (started.length > 0) yield {kind: 'start', tasks: started};
   return missing;
 }
 
-function* decideGang(
+function* scheduleGang(
   step: StepState,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   round: Round,
 ): Generator<Decision, number> {
   const {tasks, spec, occurrence} = step;
-  if (!tasks.every(task => isWaiting(task, round.nowMs))) return 0;
+  if (!tasks.every(task => isStartable(task, round.nowMs))) return 0;
   const {organisations} = round.state;
   const {organisation} = occurrence.job;
   if (!organisations.mayRun(organisation, spec.size, tasks.length)) return 0;
-  const chosen = mayFit(step, room) ? chooseGang(step, room.open, round) : null;
+  const chosen = mayFit(step, capacity)
+    ? chooseGang(step, capacity.schedulable, round)
+    : null;
   if (chosen === null) return tasks.length;
   const run = round.state.nextRun(tasks);
   tasks.forEach((task, i) => {
--- a/packages/cell/src/service-room.ts
+++ b/packages/cell/src/service-room.ts
@@ -1,40 +1,40 @@
-/** What is free in each service, and how much of it is kept for urgent work. */
+/** Free capacity of each service, and the headroom for urgent work. */
 import type {CellState} from './cell-state.js';
-import {countedCpu, type ExecutorState} from './executor-state.js';
+import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {mayTakeWork, type Promised} from './place.js';
-import {isStoppable} from './preempt.js';
+import {isSchedulable, type ResourceAmounts} from './place.js';
+import {isPreemptible} from './preempt.js';
 import type {RankedStep} from './queue-order.js';
 import type {Queue} from './types.js';
 
-/** Part of a service's processors that work which can wait leaves free. */
-const URGENT_HEADROOM = 0.14;
-/** Queues of this priority are served from the headroom. */
+/** Share of a service's processors that non-urgent work leaves free. */
+const URGENT_HEADROOM_SHARE = 0.14;
+/** Queues of this priority may use the headroom. */
 export const URGENT_PRIORITY = 0;
-/** Steps of a service that keep their tickets though there is no room. */
-const STUCK_ASKS = 3;
+/** Steps of a service that may renew their tickets without room per round. */
+const MAX_BLOCKED_RENEWALS = 3;
 
-/** The executors of a service and what is free on them in one round. */
-export interface ServiceRoom {
+/** The executors of a service and their free capacity in one round. */
+export interface ServiceCapacity {
   readonly executors: readonly ExecutorState[];
-  /** Those that may be given work now. */
-  readonly open: readonly ExecutorState[];
-  /** The most that is free on any of them as the round begins. */
-  readonly mostFree: Promised;
-  /** Priority of the least urgent task that may be stopped; -1 for none. */
-  readonly stoppablePriority: number;
+  /** Executors on which new tasks may be placed. */
+  readonly schedulable: readonly ExecutorState[];
+  /** Per resource, the most free on any of them when the round starts. */
+  readonly maxFree: ResourceAmounts;
+  /** Priority of the least urgent preemptible task; -1 for none. */
+  readonly victimPriority: number;
   readonly hasUrgentQueue: boolean;
-  readonly headroomCpu: number;
-  freeCpu: number;
-  /** Steps without room that may still renew their tickets in this round. */
-  stuckAsks: number;
+  readonly headroomCpuMilli: number;
+  freeCpuMilli: number;
+  /** How many more steps without room may renew tickets in this round. */
+  renewalsLeft: number;
 }
 
-/** Counts what is free in each service. */
-export function countServices(
+/** Summarizes the free capacity of each service. */
+export function summarizeServices(
   state: CellState,
   nowMs: number,
-): ReadonlyMap<string, ServiceRoom> {
+): ReadonlyMap<string, ServiceCapacity> {
   const groups = new Map<string, ExecutorState[]>();
   for (const executor of state.executors.values()) {
     const {service} = executor.info;
@@ -43,74 +43,83 @@
     else group.push(executor);
   }
   const queues = state.config?.queues ?? [];
-  const rooms = new Map<string, ServiceRoom>();
+  const capacities = new Map<string, ServiceCapacity>();
   for (const [service, executors] of groups) {
-    rooms.set(service, countRoom(service, executors, queues, nowMs));
+    capacities.set(
+      service,
+      summarizeService(service, executors, queues, nowMs),
+    );
   }
-  return rooms;
+  return capacities;
 }
 
-function countRoom(
+function summarizeService(
   service: string,
   executors: readonly ExecutorState[],
   queues: readonly Queue[],
   nowMs: number,
-): ServiceRoom {
-  const open = executors.filter(each => mayTakeWork(each, nowMs));
-  let totalCpu = 0;
-  let freeCpu = 0;
-  let stoppablePriority = -1;
-  const mostFree = {cpuMilli: 0, memMb: 0, accel: 0};
-  for (const {info, usedCpu, usedMem, usedAccel, tasks} of open) {
+): ServiceCapacity {
+  const schedulable = executors.filter(each => isSchedulable(each, nowMs));
+  let totalCpuMilli = 0;
+  let freeCpuMilli = 0;
+  let victimPriority = -1;
+  const maxFree = {cpuMilli: 0, memMb: 0, accel: 0};
+  for (const {info, usedCpuMilli, usedMemMb, usedAccel, tasks} of schedulable) {
     const {cpuMilli, memMb, accel} = info.capacity;
-    totalCpu += cpuMilli;
-    freeCpu += cpuMilli - usedCpu;
-    mostFree.cpuMilli = Math.max(mostFree.cpuMilli, cpuMilli - usedCpu);
-    mostFree.memMb = Math.max(mostFree.memMb, memMb - usedMem);
-    mostFree.accel = Math.max(mostFree.accel, accel - usedAccel);
+    totalCpuMilli += cpuMilli;
+    freeCpuMilli += cpuMilli - usedCpuMilli;
+    maxFree.cpuMilli = Math.max(maxFree.cpuMilli, cpuMilli - usedCpuMilli);
+    maxFree.memMb = Math.max(maxFree.memMb, memMb - usedMemMb);
+    maxFree.accel = Math.max(maxFree.accel, accel - usedAccel);
     for (const task of tasks) {
-      if (!isStoppable(task)) continue;
+      if (!isPreemptible(task)) continue;
       const {priority} = task.step.occurrence.job.queue;
-      stoppablePriority = Math.max(stoppablePriority, priority);
+      victimPriority = Math.max(victimPriority, priority);
     }
   }
   const hasUrgentQueue = queues.some(
     each => each.service === service && each.priority === URGENT_PRIORITY,
   );
-  const headroomCpu = totalCpu * URGENT_HEADROOM;
-  const stuckAsks = STUCK_ASKS;
+  const headroomCpuMilli = totalCpuMilli * URGENT_HEADROOM_SHARE;
+  const renewalsLeft = MAX_BLOCKED_RENEWALS;
   return {
     executors,
-    open,
-    mostFree,
-    stoppablePriority,
+    schedulable,
+    maxFree,
+    victimPriority,
     hasUrgentQueue,
-    headroomCpu,
-    freeCpu,
-    stuckAsks,
+    headroomCpuMilli,
+    freeCpuMilli,
+    renewalsLeft,
   };
 }
 
-/** Whether some executor may have room for a task of the step. */
-export function mayFit({spec}: StepState, {mostFree}: ServiceRoom): boolean {
+/**
+ * Whether some executor may have room for a task of the step. A cheap upper
+ * bound: the free resources may be on different executors.
+ */
+export function mayFit({spec}: StepState, {maxFree}: ServiceCapacity): boolean {
   return (
-    countedCpu(spec) <= mostFree.cpuMilli &&
-    spec.size.memMb <= mostFree.memMb &&
-    spec.size.accel <= mostFree.accel
+    allocatedCpuMilli(spec) <= maxFree.cpuMilli &&
+    spec.size.memMb <= maxFree.memMb &&
+    spec.size.accel <= maxFree.accel
   );
 }
 
-/** Whether the step may take room that is not kept for urgent work. */
-export function isWithinHeadroom(
+/** Whether a task of the step would leave the headroom for urgent work. */
+export function leavesHeadroom(
   {step, priority}: RankedStep,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
 ): boolean {
-  if (!room.hasUrgentQueue || priority === URGENT_PRIORITY) return true;
+  if (!capacity.hasUrgentQueue || priority === URGENT_PRIORITY) return true;
   if (step.spec.isService) return true;
-  return room.freeCpu - countedCpu(step.spec) >= room.headroomCpu;
+  return (
+    capacity.freeCpuMilli - allocatedCpuMilli(step.spec) >=
+    capacity.headroomCpuMilli
+  );
 }
 
-/** What is free of an executor's processors, in thousandths of a core. */
-export function freeCpuOf({info, usedCpu}: ExecutorState): number {
-  return info.capacity.cpuMilli - usedCpu;
+/** The free processor time of an executor, in thousandths of a core. */
+export function freeCpuMilliOf({info, usedCpuMilli}: ExecutorState): number {
+  return info.capacity.cpuMilli - usedCpuMilli;
 }
--- a/packages/cell/src/state-lines.ts
+++ b/packages/cell/src/state-lines.ts
@@ -1,9 +1,13 @@
-/** Lines that show now and then what the cell has and what it waits for. */
+/** Periodic log lines on the state of the cell and of its queues. */
 import type {CellState} from './cell-state.js';
 import {orderSteps, type RankedStep} from './queue-order.js';
 import type {Round, RoundContext} from './round.js';
-import {countServices, freeCpuOf, type ServiceRoom} from './service-room.js';
-import {mayTakeWork} from './place.js';
+import {
+  summarizeServices,
+  freeCpuMilliOf,
+  type ServiceCapacity,
+} from './service-room.js';
+import {isSchedulable} from './place.js';
 import {waitReason, type WaitReason} from './wait-reason.js';
 
 /** One line of the log. */
@@ -12,17 +16,22 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** The lines on all executors and on each queue that has steps waiting. */
+/** Yields a line for the cell and one for each queue with waiting steps. */
 export function* stateLines(
   state: CellState,
   context: RoundContext,
 ): Generator<StateLine> {
-  const services = countServices(state, context.nowMs);
+  const services = summarizeServices(state, context.nowMs);
   yield cellLine(state, services, context.nowMs);
-  const reserved = new Set<never>();
-  const promised = new Map<never, never>();
-  const rooms = {services, reserved, promised, claimed: promised};
-  const round = {...context, ...rooms, state};
+  const withheld = new Set<never>();
+  const reserved = new Map<never, never>();
+  const overrides = {
+    services,
+    withheld,
+    reserved,
+    softReserved: reserved,
+  };
+  const round = {...context, ...overrides, state};
   const ready = [...state.readySteps(context.wallMs)].filter(({tasks}) =>
     tasks.some(({phase}) => phase === 'waiting'),
   );
@@ -39,19 +48,22 @@
 
 function cellLine(
   state: CellState,
-  services: ReadonlyMap<string, ServiceRoom>,
+  services: ReadonlyMap<string, ServiceCapacity>,
   nowMs: number,
 ): StateLine {
   const executors = [...state.executors.values()];
-  const freeCpu = [...services].map(([service, room]) => ({
+  const freeCpu = [...services].map(([service, capacity]) => ({
     service,
-    cpuMilli: room.executors.reduce((sum, each) => sum + freeCpuOf(each), 0),
+    cpuMilli: capacity.executors.reduce(
+      (sum, each) => sum + freeCpuMilliOf(each),
+      0,
+    ),
   }));
   const fields = {
     term: state.term,
     jobs: state.jobs.size,
     executors: executors.length,
-    open: executors.filter(each => mayTakeWork(each, nowMs)).length,
+    open: executors.filter(each => isSchedulable(each, nowMs)).length,
     freeCpu,
   };
   return {event: 'cellState', fields};
@@ -64,12 +76,12 @@
 ): StateLine {
   const reasons: Partial<Record<WaitReason, number>> = {};
   for (const each of steps) {
-    const room = round.services.get(each.step.occurrence.job.queue.service);
-    if (room === undefined) continue;
-    const reason = waitReason(each, room, round);
+    const capacity = round.services.get(each.step.occurrence.job.queue.service);
+    if (capacity === undefined) continue;
+    const reason = waitReason(each, capacity, round);
     reasons[reason] = (reasons[reason] ?? 0) + 1;
   }
-  const asking = steps.filter(({step}) => step.isAsking).length;
+  const asking = steps.filter(({step}) => step.isRequestingTickets).length;
   const oldest = Math.min(...steps.map(s => s.step.occurrence.job.acceptedMs));
   const oldestMs = round.wallMs - oldest;
   const fields = {queue, steps: steps.length, asking, oldestMs, reasons};
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -1,88 +1,104 @@
 /**
- * For which executors a step needs tickets of the advice service now. Answers
- * a load under which the service is the bound: tickets are asked for only
- * where the step could start, and by one step at a time for the same room, so
- * that they do not end unused.
+ * Selects the executors for which a step needs tickets of the advice service.
+ * The advice service may be the bottleneck, so tickets are requested only where
+ * the step could start, and by one step at a time for the same capacity;
+ * otherwise tickets would expire unused.
  */
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
 import {
-  copiesThatFit,
-  isAllowed,
-  isSuited,
-  mayUse,
-  NO_ROOM_PROMISED,
-  promise,
+  countFittingTasks,
+  holdsRequiredTicket,
+  isCompatible,
+  isPermitted,
+  NOTHING_RESERVED,
+  reserve,
 } from './place.js';
 import type {Round} from './round.js';
-import {freeCpuOf, mayFit, type ServiceRoom} from './service-room.js';
+import {freeCpuMilliOf, mayFit, type ServiceCapacity} from './service-room.js';
 
-/** The most executors that are named at first; each costs decision time. */
-const FIRST_EXECUTORS = 30;
-/** The most executors that are named when tickets are renewed. */
-const RENEWAL_EXECUTORS = 12;
+/** The most executors in a first request; each adds decision time. */
+const MAX_FIRST_EXECUTORS = 30;
+/** The most executors in a request that renews tickets. */
+const MAX_RENEWAL_EXECUTORS = 12;
 
-/** Tickets that a step needs. */
+/** The tickets that a step needs. */
 export interface TicketNeed {
   readonly executorIds: readonly string[];
-  /** There is no room yet in which the tickets could be used. */
-  readonly isAhead: boolean;
+  /** Whether there is no room yet in which the tickets could be used. */
+  readonly isSpeculative: boolean;
 }
 
 /**
- * The tickets that are needed now; null for none.
+ * Finds the tickets that the step needs now; null for none.
  *
- * @param targets where there is room for the step, or will be
+ * @param executorsWithRoom executors that have or will have room for the step
  */
-export function ticketsToGet(
+export function findNeededTickets(
   step: StepState,
-  targets: readonly ExecutorState[],
-  room: ServiceRoom,
+  executorsWithRoom: readonly ExecutorState[],
+  capacity: ServiceCapacity,
   round: Round,
 ): TicketNeed | null {
   const {queue} = step.occurrence.job;
   if (queue.advice === null) return null;
-  const isAhead = targets.length === 0;
-  if (isAhead && !mayAskAhead(step, room)) return null;
-  if (step.isAsking) return null;
-  // A gang needs its tickets all at once: they are renewed before they end.
+  const isSpeculative = executorsWithRoom.length === 0;
+  if (isSpeculative && !mayRequestSpeculatively(step, capacity)) return null;
+  if (step.isRequestingTickets) return null;
+  // A gang needs all its tickets at once, so they are renewed before expiry.
   const {decisionMs, perExecutorMs} = queue.advice;
-  const callMs = decisionMs + perExecutorMs * RENEWAL_EXECUTORS;
+  const callMs = decisionMs + perExecutorMs * MAX_RENEWAL_EXECUTORS;
   const atMs = step.spec.isGang ? round.nowMs + callMs : round.nowMs;
-  const open = room.open.filter(each => isOpen(step, each));
-  const missing = open.filter(each => !isAllowed(step, each, atMs));
-  if (isAhead && missing.length < open.length) return null;
-  const first = targets.filter(each => missing.includes(each));
-  if (!isAhead && first.length === 0) return null;
-  const others = mostRoomFirst(missing.filter(each => !first.includes(each)));
-  const most = step.asked.size === 0 ? FIRST_EXECUTORS : RENEWAL_EXECUTORS;
-  const executorIds = idsOf([...first, ...others], most);
-  return executorIds.length === 0 ? null : {executorIds, isAhead};
+  const candidates = capacity.schedulable.filter(each =>
+    mayBePermitted(step, each),
+  );
+  const withoutTicket = candidates.filter(
+    each => !holdsRequiredTicket(step, each, atMs),
+  );
+  if (isSpeculative && withoutTicket.length < candidates.length) return null;
+  const withRoom = executorsWithRoom.filter(each =>
+    withoutTicket.includes(each),
+  );
+  if (!isSpeculative && withRoom.length === 0) return null;
+  const others = sortByFreeCpu(
+    withoutTicket.filter(each => !withRoom.includes(each)),
+  );
+  const maxCount =
+    step.checkedExecutors.size === 0
+      ? MAX_FIRST_EXECUTORS
+      : MAX_RENEWAL_EXECUTORS;
+  const executorIds = firstIds([...withRoom, ...others], maxCount);
+  return executorIds.length === 0 ? null : {executorIds, isSpeculative};
 }
 
 /**
- * Claims free room for the step, so that steps behind it do not ask for it
- * too, and do not take it either where the step needs much of an executor.
+ * Claims free capacity for the step, so that the steps behind it don't request
+ * tickets for it too.
  *
- * @returns the executors; empty where there is no room, or not for a gang
+ * @param isHard whether the steps behind it may not start tasks there either
+ * @returns the executors; empty where there is no room, or not enough for the
+ *     whole gang
  */
-export function claimRoom(
+export function claimCapacity(
   step: StepState,
   wanted: number,
-  room: ServiceRoom,
-  isHeld: boolean,
+  capacity: ServiceCapacity,
+  isHard: boolean,
   round: Round,
 ): readonly ExecutorState[] {
-  if (!mayFit(step, room)) return [];
+  if (!mayFit(step, capacity)) return [];
   const claims: ExecutorState[] = [];
   const counts: number[] = [];
   let missing = wanted;
-  for (const executor of room.open) {
+  for (const executor of capacity.schedulable) {
     if (missing === 0) break;
-    if (round.reserved.has(executor)) continue;
-    if (!isOpen(step, executor)) continue;
-    const taken = round.claimed.get(executor) ?? NO_ROOM_PROMISED;
-    const count = Math.min(missing, copiesThatFit(step, executor, taken));
+    if (round.withheld.has(executor)) continue;
+    if (!mayBePermitted(step, executor)) continue;
+    const reserved = round.softReserved.get(executor) ?? NOTHING_RESERVED;
+    const count = Math.min(
+      missing,
+      countFittingTasks(step, executor, reserved),
+    );
     if (count <= 0) continue;
     claims.push(executor);
     counts.push(count);
@@ -90,38 +106,44 @@
   }
   if (step.spec.isGang && missing > 0) return [];
   claims.forEach((executor, i) => {
-    promise(round.claimed, executor, step.spec, counts[i] ?? 0);
-    if (isHeld) promise(round.promised, executor, step.spec, counts[i] ?? 0);
+    reserve(round.softReserved, executor, step.spec, counts[i] ?? 0);
+    if (isHard) reserve(round.reserved, executor, step.spec, counts[i] ?? 0);
   });
   return claims;
 }
 
-/** Whether the step may run there, or it is not known that it may not. */
-function isOpen(step: StepState, executor: ExecutorState): boolean {
-  if (!isSuited(step, executor)) return false;
-  return !step.asked.has(executor.info.id) || mayUse(step, executor);
+/** Whether the step is permitted there or the advice service was not asked. */
+function mayBePermitted(step: StepState, executor: ExecutorState): boolean {
+  if (!isCompatible(step, executor)) return false;
+  return (
+    !step.checkedExecutors.has(executor.info.id) || isPermitted(step, executor)
+  );
 }
 
 /**
- * A step learns early where it may run; those that go first keep their tickets
- * though they have no room yet.
+ * Whether a step without room may request tickets. Its first request tells
+ * early where it may run; after that, only the first steps in the order renew
+ * their tickets without room.
  */
-function mayAskAhead({asked}: StepState, room: ServiceRoom): boolean {
-  if (asked.size === 0) return true;
-  if (room.stuckAsks <= 0) return false;
-  room.stuckAsks -= 1;
+function mayRequestSpeculatively(
+  {checkedExecutors}: StepState,
+  capacity: ServiceCapacity,
+): boolean {
+  if (checkedExecutors.size === 0) return true;
+  if (capacity.renewalsLeft <= 0) return false;
+  capacity.renewalsLeft -= 1;
   return true;
 }
 
-function mostRoomFirst(
+function sortByFreeCpu(
   executors: readonly ExecutorState[],
 ): readonly ExecutorState[] {
-  return [...executors].sort((a, b) => freeCpuOf(b) - freeCpuOf(a));
+  return [...executors].sort((a, b) => freeCpuMilliOf(b) - freeCpuMilliOf(a));
 }
 
-function idsOf(
+function firstIds(
   executors: readonly ExecutorState[],
-  most: number,
+  maxCount: number,
 ): readonly string[] {
-  return executors.slice(0, most).map(each => each.info.id);
+  return executors.slice(0, maxCount).map(each => each.info.id);
 }
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -5,38 +5,38 @@
 export interface StepSpec {
   /** How many tasks the step has. */
   readonly count: number;
-  /** What each task needs; `cpuMilli` is what it asks for, also if it fills. */
+  /** What each task needs; `cpuMilli` is set for fillers too. */
   readonly size: Resources;
   /** The caller's rough estimate of a task's run time. */
   readonly estimatedMs: number;
-  /** Indexes of the steps that have to be done first. */
+  /** Indexes of the steps that this one depends on. */
   readonly after: readonly number[];
   readonly savesProgress: boolean;
-  /** All tasks start together and end together. */
+  /** Whether all tasks start and end together. */
   readonly isGang: boolean;
-  /** The tasks of a gang are slow when they run on more than one rack. */
+  /** Whether the gang runs slowly on more than one rack. */
   readonly isRackSensitive: boolean;
-  /** A label that the executor must have; empty where none is asked for. */
+  /** A label that the executor must have; empty for none. */
   readonly requiredLabel: string;
   /** The rack that holds the data; empty where it does not matter. */
   readonly rack: string;
-  /** The most tasks of the step on one executor; 0 for no bound. */
+  /** The most tasks of the step on one executor; 0 for no limit. */
   readonly maxPerExecutor: number;
-  /** Copies of a task may run at the same time. */
+  /** Whether copies of a task may run at the same time. */
   readonly mayDuplicate: boolean;
-  /** The tasks run until the job is cancelled. */
+  /** Whether the tasks run until the job is cancelled. */
   readonly isService: boolean;
-  /** Tasks of the same image behave alike. */
+  /** Identifies the program; tasks of one image have similar run times. */
   readonly image: string;
-  /** Bound on the tail latency of a service task; 0 for none. */
+  /** Target for the tail latency of a service task; 0 for none. */
   readonly targetMs: number;
-  /** The task's processor need does not count against the capacity. */
+  /** Whether the CPU of a task does not count against the capacity. */
   readonly isFiller: boolean;
-  /** How many tasks of a service may be away through the system's doing. */
+  /** How many tasks of a service may be down on account of the system. */
   readonly missAllowed: number;
 }
 
-/** When the steps of a job are repeated; `times` is 1 for a plain job. */
+/** How often and when a job's steps run; `times` is 1 for a plain job. */
 export interface Repetition {
   readonly times: number;
   /** Wall-clock milliseconds of the first occurrence; 0 for at once. */
@@ -44,7 +44,7 @@
   readonly intervalMs: number;
 }
 
-/** What a caller submitted. */
+/** A job as its caller submitted it. */
 export interface JobSpec {
   /** Opaque to the system; handed to the executor with each task. */
   readonly payload: string;
@@ -52,7 +52,7 @@
   readonly repetition: Repetition;
 }
 
-/** How queues ask the advice service which executors may run a step. */
+/** The advice service that decides which executors may run a step. */
 export interface AdvicePolicy {
   readonly decisionMs: number;
   readonly perExecutorMs: number;
@@ -70,30 +70,30 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly maxAttempts: number;
-  /** Latency objective: this times the chain of work, plus `objectiveMs`. */
+  /** Latency objective: this times the critical path, plus `objectiveMs`. */
   readonly stretch: number;
   readonly objectiveMs: number;
-  /** No key is needed. */
+  /** Whether submissions need no API key. */
   readonly isPublic: boolean;
   readonly advice: AdvicePolicy | null;
 }
 
-/** A tenant's share and limit. */
+/** A tenant with its submission rate and resource limit. */
 export interface Organisation {
   readonly name: string;
   readonly weight: number;
-  /** The most it may have running; 0 in a part for no limit. */
+  /** The most resources its tasks may use; 0 for no limit of that resource. */
   readonly limit: Resources;
 }
 
-/** A configuration, decoded. */
+/** A decoded configuration. */
 export interface CellConfig {
   readonly version: number;
   readonly queues: readonly Queue[];
   readonly organisations: readonly Organisation[];
   /** Organisation by API key. */
   readonly keys: ReadonlyMap<string, string>;
-  /** Services whose executors refuse what does not fit. */
+  /** Services whose executors reject tasks that exceed their capacity. */
   readonly guardedServices: ReadonlySet<string>;
   readonly maxBodyBytes: number;
 }
@@ -109,13 +109,13 @@
   readonly labels: readonly string[];
   readonly capacity: Resources;
   readonly isDraining: boolean;
-  /** Least time that a draining executor still has. */
+  /** The least time until a draining executor shuts down. */
   readonly drainRemainingMs: number;
-  /** Unix milliseconds of the start of this life of the executor. */
+  /** Unix milliseconds at which this incarnation of the executor started. */
   readonly bornMs: number;
 }
 
-/** What callers see of a job. */
+/** The phase of a job, as shown to callers. */
 export type JobPhase =
   'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
@@ -123,7 +123,7 @@
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
-/** Tells whether a phase is final. */
+/** Whether a phase is final. */
 export function isFinal(phase: JobPhase): boolean {
   return phase !== 'queued' && phase !== 'running';
 }
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,39 +1,39 @@
-/** Why a step that could be started does not start. */
+/** Why a ready step has not been started. */
 import {hasRoom} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isAllowed, isSuited, mayUse} from './place.js';
+import {holdsRequiredTicket, isCompatible, isPermitted} from './place.js';
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
-import {isWithinHeadroom, type ServiceRoom} from './service-room.js';
+import {leavesHeadroom, type ServiceCapacity} from './service-room.js';
 
-/** The first thing that keeps a step from starting. */
+/** The first condition that keeps a step from starting. */
 export type WaitReason =
-  /** A former owner may have started its tasks. */
+  /** A former owner may have started tasks of it that are not known here. */
   | 'unsure'
-  /** The last run failed a moment ago. */
+  /** All its tasks are in a retry delay after a failure. */
   | 'pausing'
-  /** Its organisation is at its limit. */
+  /** Its organisation has reached its limit. */
   | 'limit'
-  /** What is free is kept for urgent work. */
+  /** The free capacity is headroom for urgent work. */
   | 'headroom'
-  /** No executor of the service may run it. */
+  /** No schedulable executor is compatible with it and permitted for it. */
   | 'unsuited'
-  /** Executors that may run it have no room. */
+  /** The executors that may run it have no room. */
   | 'room'
-  /** There is room where it may run, and no valid ticket for it. */
+  /** There is room, but the step holds no valid ticket for it. */
   | 'ticket'
-  /** There is room with a ticket, held for work that goes first. */
+  /** There is room with a ticket, reserved for work that goes first. */
   | 'held';
 
 /**
- * Names the first thing that keeps a step from starting.
+ * Finds the first condition that keeps a step from starting.
  *
  * @example
- * waitReason(ranked, room, round); // 'ticket'
+ * waitReason(ranked, capacity, round); // 'ticket'
  */
 export function waitReason(
   ranked: RankedStep,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   round: Round,
 ): WaitReason {
   const {step} = ranked;
@@ -45,22 +45,25 @@
   if (!round.state.organisations.mayRun(organisation, spec.size, count)) {
     return 'limit';
   }
-  if (!isWithinHeadroom(ranked, room)) return 'headroom';
-  return placeReason(step, room, round.nowMs);
+  if (!leavesHeadroom(ranked, capacity)) return 'headroom';
+  return placementWaitReason(step, capacity, round.nowMs);
 }
 
-function placeReason(
+function placementWaitReason(
   step: StepState,
-  {open}: ServiceRoom,
+  {schedulable}: ServiceCapacity,
   nowMs: number,
 ): WaitReason {
-  const usable = open.filter(
+  const usable = schedulable.filter(
     each =>
-      isSuited(step, each) && (step.asked.size === 0 || mayUse(step, each)),
+      isCompatible(step, each) &&
+      (step.checkedExecutors.size === 0 || isPermitted(step, each)),
   );
   if (usable.length === 0) return 'unsuited';
-  const roomy = usable.filter(each => hasRoom(each, step.spec));
-  if (roomy.length === 0) return 'room';
-  const ticketed = roomy.filter(each => isAllowed(step, each, nowMs));
-  return ticketed.length === 0 ? 'ticket' : 'held';
+  const withRoom = usable.filter(each => hasRoom(each, step.spec));
+  if (withRoom.length === 0) return 'room';
+  const withTicket = withRoom.filter(each =>
+    holdsRequiredTicket(step, each, nowMs),
+  );
+  return withTicket.length === 0 ? 'ticket' : 'held';
 }
--- a/packages/cell/test/advice-load.test.ts
+++ b/packages/cell/test/advice-load.test.ts
@@ -1,6 +1,7 @@
 /**
- * Replays a load under which the advice service is the bound: gangs that wait
- * for room in one service, and work of another service that has room.
+ * Simulates a load under which the advice service is the bottleneck: gangs that
+ * wait for room in one service, and work of another service that has room.
+ * Without a limit, ticket requests of the gangs would starve the other work.
  */
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -16,11 +17,11 @@
 } from '@dragonflyward/cell';
 import {CONFIG, QUEUE, STEP} from './rig.js';
 
-/** Time between two rounds of decisions, in ms. */
+/** Time between two scheduling rounds, in ms. */
 const ROUND_MS = 10;
-/** VMs through which the advice service is asked. */
-const LANES = 9;
-/** One executor of three may run a step of gangs, one of two a batch step. */
+/** Number of VMs through which the advice service is called. */
+const VM_COUNT = 9;
+/** One executor in three may run a gang step, one in two a batch step. */
 const GANG_ALLOWED_OF = 3;
 const BATCH_ALLOWED_OF = 2;
 
@@ -57,18 +58,21 @@
   size: {cpuMilli: 3300, memMb: 9400, accel: 0, slots: 0},
 };
 
-interface Ending {
+interface ScheduledEnd {
   readonly atMs: number;
   readonly task: TaskState;
 }
 
-/** The decisions and the desk on a clock that the test moves. */
-class LoadRig {
+/** Scheduling rounds and ticket requests on a manual clock. */
+class LoadSimulation {
   nowMs = 1000;
   readonly state: CellState;
   private readonly desk: AdviceDesk;
-  private endings: Ending[] = [];
-  private answers: {readonly atMs: number; readonly answer: () => void}[] = [];
+  private scheduledEnds: ScheduledEnd[] = [];
+  private pendingAnswers: {
+    readonly atMs: number;
+    readonly answer: () => void;
+  }[] = [];
   private endNumber = 0;
 
   constructor() {
@@ -79,9 +83,9 @@
       onStray: () => undefined,
     });
     this.state.setConfig({...CONFIG, queues: [GANGS, BATCH]});
-    const lanes = [...Array(LANES).keys()].map(i => this.lane(i));
+    const channels = [...Array(VM_COUNT).keys()].map(i => this.newChannel(i));
     this.desk = new AdviceDesk(
-      () => lanes,
+      () => channels,
       () => this.nowMs,
       () => undefined,
     );
@@ -121,9 +125,9 @@
   async runUntil(endMs: number): Promise<void> {
     while (this.nowMs < endMs) {
       this.nowMs += ROUND_MS;
-      this.endDue();
-      this.answerDue();
-      // Answers are taken in by promises.
+      this.endDueTasks();
+      this.sendDueAnswers();
+      // Answers are processed in promise callbacks.
       await Promise.resolve();
       await Promise.resolve();
       this.decide();
@@ -137,10 +141,10 @@
     ).length;
   }
 
-  private lane(index: number): AdviceLane {
+  private newChannel(index: number): AdviceLane {
     return {
       vm: `vm-${index}`,
-      isNear: index === 0,
+      isInOwnerDomain: index === 0,
       ask: (step, executorIds) =>
         new Promise(resolve => {
           const isGang = step.startsWith('gang');
@@ -148,24 +152,28 @@
             ? GANG_ADVICE
             : BATCH_ADVICE;
           const of = isGang ? GANG_ALLOWED_OF : BATCH_ALLOWED_OF;
-          const allowed = executorIds.filter(id => isAllowed(step, id, of));
+          const allowed = executorIds.filter(id => isPermitted(step, id, of));
           const tookMs = decisionMs + perExecutorMs * executorIds.length;
           const answer = (): void =>
             resolve(allowed.map(executorId => ({executorId, ticket: 't'})));
-          this.answers.push({atMs: this.nowMs + tookMs, answer});
+          this.pendingAnswers.push({atMs: this.nowMs + tookMs, answer});
         }),
     };
   }
 
-  private answerDue(): void {
-    const due = this.answers.filter(({atMs}) => atMs <= this.nowMs);
-    this.answers = this.answers.filter(({atMs}) => atMs > this.nowMs);
+  private sendDueAnswers(): void {
+    const due = this.pendingAnswers.filter(({atMs}) => atMs <= this.nowMs);
+    this.pendingAnswers = this.pendingAnswers.filter(
+      ({atMs}) => atMs > this.nowMs,
+    );
     for (const {answer} of due) answer();
   }
 
-  private endDue(): void {
-    const due = this.endings.filter(({atMs}) => atMs <= this.nowMs);
-    this.endings = this.endings.filter(({atMs}) => atMs > this.nowMs);
+  private endDueTasks(): void {
+    const due = this.scheduledEnds.filter(({atMs}) => atMs <= this.nowMs);
+    this.scheduledEnds = this.scheduledEnds.filter(
+      ({atMs}) => atMs > this.nowMs,
+    );
     for (const {task} of due) {
       if (task.executor === null) continue;
       this.endNumber += 1;
@@ -196,14 +204,14 @@
       for (const task of decision.tasks) {
         task.phase = 'running';
         const atMs = this.nowMs + task.step.spec.estimatedMs;
-        this.endings.push({atMs, task});
+        this.scheduledEnds.push({atMs, task});
       }
     }
   }
 }
 
-/** Which executors may run a step never changes. */
-function isAllowed(step: string, executorId: string, of: number): boolean {
+/** Whether a step may run on an executor; the answer never changes. */
+function isPermitted(step: string, executorId: string, of: number): boolean {
   let hash = 7;
   for (const char of step + executorId) {
     hash = (hash * 31 + char.charCodeAt(0)) % 1_000_003;
@@ -214,16 +222,16 @@
 const load = suite('advice load');
 
 load('gangs without room do not keep other work from its tickets', async () => {
-  const rig = new LoadRig();
+  const rig = new LoadSimulation();
   rig.addExecutors('large', 10, 128);
   rig.addExecutors('small', 24, 16);
   for (let i = 0; i < 40; i += 1) rig.addJob(`gang${i}`, GANGS, GANG);
   for (let i = 0; i < 30; i += 1) rig.addJob(`batch${i}`, BATCH, WIDE);
   await rig.runUntil(31_000);
-  // Room for about 96 of the 300 batch tasks: four waves of 3.6 s.
+  // There is room for about 96 of the 300 batch tasks: four waves of 3.6 s.
   assert.is(rig.completed('batch'), 30);
-  // Room for five gangs at a time, and a third of the executors for each:
-  // two at a time are 12 in 30 s.
+  // There is room for five gangs at a time, each on a third of the executors:
+  // two at a time give 12 in 30 s.
   assert.ok(rig.completed('gang') >= 12, `${rig.completed('gang')} gangs`);
 });
 
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -1,12 +1,12 @@
-/** The decisions alone: order, placement, preemption, tickets, pace. */
+/** Scheduling rounds without I/O: order, placement, preemption, tickets. */
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
   CellState,
   decideRound,
-  Estimates,
+  RunTimeEstimates,
   newJobState,
-  nextFillPercent,
+  nextFillerPercent,
   orderSteps,
   type Decision,
   type ExecutorInfo,
@@ -84,12 +84,12 @@
   return [...decideRound(state, {nowMs, wallMs: NOW_MS, isUnsure})];
 }
 
-function adviseCount(state: CellState): number {
+function countTicketRequests(state: CellState): number {
   return decide(state).filter(({kind}) => kind === 'advise').length;
 }
 
 /** The executors on which a job's tasks were placed, in order. */
-function placesOf(job: JobState): readonly string[] {
+function executorIdsOf(job: JobState): readonly string[] {
   const tasks = job.occurrences.flatMap(o => o.steps.flatMap(s => s.tasks));
   return tasks.map(({executor}) => executor?.info.id ?? '');
 }
@@ -107,16 +107,16 @@
   addExecutor(state, 'x');
   const job = addJob(state, 'j', URGENT, [{...STEP, count: 9}]);
   decide(state);
-  assert.is(placesOf(job).filter(id => id === 'x').length, 4);
+  assert.is(executorIdsOf(job).filter(id => id === 'x').length, 4);
   assert.equal(decide(state), []);
 });
 
-decisions('waits for the steps that have to come first', () => {
+decisions('starts a step only after its dependencies', () => {
   const state = newState();
   addExecutor(state, 'x');
   const job = addJob(state, 'j', QUEUE, [STEP, {...STEP, after: [0]}]);
   decide(state);
-  assert.equal(placesOf(job), ['x', '']);
+  assert.equal(executorIdsOf(job), ['x', '']);
 });
 
 decisions('puts a gang on executors all at once or not at all', () => {
@@ -125,13 +125,13 @@
   const big = {...GANG, size: {...STEP.size, cpuMilli: 3000}};
   const job = addJob(state, 'j', QUEUE, [big]);
   decide(state);
-  assert.equal(placesOf(job), ['', '']);
+  assert.equal(executorIdsOf(job), ['', '']);
   addExecutor(state, 'y');
   decide(state);
-  assert.equal([...placesOf(job)].sort(), ['x', 'y']);
+  assert.equal([...executorIdsOf(job)].sort(), ['x', 'y']);
 });
 
-decisions('keeps executors for a gang that waits from less urgent work', () => {
+decisions('withholds executors from less urgent work for a gang', () => {
   const state = newState();
   addExecutor(state, 'x');
   addExecutor(state, 'y');
@@ -142,11 +142,11 @@
   addJob(state, 'gang', QUEUE, [whole]);
   const small = addJob(state, 'small', BATCH, [{...STEP, count: 8}]);
   decide(state);
-  const free = placesOf(small).filter(id => id === '');
+  const free = executorIdsOf(small).filter(id => id === '');
   assert.is(free.length, 8);
 });
 
-decisions('respects labels, drains and the bound for one executor', () => {
+decisions('respects labels, drains and the limit per executor', () => {
   const state = newState();
   addExecutor(state, 'x', {isDraining: true});
   addExecutor(state, 'y', {labels: ['b']});
@@ -154,10 +154,10 @@
   const step = {...STEP, count: 3, requiredLabel: 'a', maxPerExecutor: 2};
   const job = addJob(state, 'j', QUEUE, [step]);
   decide(state);
-  assert.equal(placesOf(job), ['z', 'z', '']);
+  assert.equal(executorIdsOf(job), ['z', 'z', '']);
 });
 
-decisions('stops work that keeps its progress for urgent work', () => {
+decisions('preempts work that saves its progress for urgent work', () => {
   const state = newState();
   addExecutor(state, 'x');
   const saving = {...STEP, count: 4, savesProgress: true};
@@ -169,9 +169,9 @@
   const urgent = addJob(state, 'urgent', URGENT, [{...STEP, count: 2}]);
   decide(state);
   assert.equal(stopped, ['batch', 'batch']);
-  assert.equal(placesOf(urgent), ['', '']);
+  assert.equal(executorIdsOf(urgent), ['', '']);
   decide(state);
-  assert.equal(stopped, ['batch', 'batch'], 'the plan is not made twice');
+  assert.equal(stopped, ['batch', 'batch'], 'preempts only once');
 });
 
 decisions('never stops a service task or one that would lose its work', () => {
@@ -206,10 +206,10 @@
     acceptedMs: NOW_MS,
   });
   decide(state);
-  assert.is(placesOf(job).filter(id => id !== '').length, 2);
+  assert.is(executorIdsOf(job).filter(id => id !== '').length, 2);
 });
 
-decisions('asks for tickets first and starts only with them', () => {
+decisions('requests tickets first and starts only with them', () => {
   const state = newState();
   addExecutor(state, 'x');
   addExecutor(state, 'y');
@@ -217,26 +217,26 @@
   const job = addJob(state, 'j', queue, [STEP]);
   const [ask] = decide(state);
   assert.is(ask?.kind, 'advise');
-  assert.equal(placesOf(job), ['']);
+  assert.equal(executorIdsOf(job), ['']);
   const step = job.occurrences[0]?.steps[0];
-  step?.asked.add('x').add('y');
+  step?.checkedExecutors.add('x').add('y');
   step?.allowed.add('y');
   step?.tickets.set('y', {ticket: 't', validUntilMs: NOW_MS + 1000});
   decide(state);
-  assert.equal(placesOf(job), ['y']);
+  assert.equal(executorIdsOf(job), ['y']);
 });
 
-decisions('starts nothing with a ticket that has ended', () => {
+decisions('starts nothing with an expired ticket', () => {
   const state = newState();
   addExecutor(state, 'x');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   const job = addJob(state, 'j', queue, [STEP]);
   const step = job.occurrences[0]?.steps[0];
-  step?.asked.add('x');
+  step?.checkedExecutors.add('x');
   step?.allowed.add('x');
   step?.tickets.set('x', {ticket: 't', validUntilMs: NOW_MS});
   decide(state);
-  assert.equal(placesOf(job), ['']);
+  assert.equal(executorIdsOf(job), ['']);
 });
 
 decisions('places work on the executors of its service only', () => {
@@ -244,19 +244,19 @@
   addExecutor(state, 'other', {service: 'other'});
   const job = addJob(state, 'j', QUEUE, [STEP]);
   decide(state);
-  assert.equal(placesOf(job), ['']);
-  // A queue may be sent to another service after its tickets were given.
+  assert.equal(executorIdsOf(job), ['']);
+  // A queue may move to another service after its tickets were issued.
   const advised = {...QUEUE, name: 'advised', advice: ADVICE};
   const moved = addJob(state, 'moved', advised, [STEP]);
   const step = moved.occurrences[0]?.steps[0];
-  step?.asked.add('other');
+  step?.checkedExecutors.add('other');
   step?.allowed.add('other');
   step?.tickets.set('other', {ticket: 't', validUntilMs: NOW_MS + 1000});
   decide(state);
-  assert.equal(placesOf(moved), ['']);
+  assert.equal(executorIdsOf(moved), ['']);
 });
 
-decisions('stops the others of a gang when one of its tasks fails', () => {
+decisions('stops the rest of a gang when one of its tasks fails', () => {
   const state = newState();
   const x = addExecutor(state, 'x');
   const job = addJob(state, 'j', QUEUE, [GANG]);
@@ -269,19 +269,19 @@
   assert.equal(stopped, ['j']);
 });
 
-decisions('asks for an executor that came after the others refused', () => {
+decisions('requests tickets for an executor added after a refusal', () => {
   const state = newState();
   addExecutor(state, 'x');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   const job = addJob(state, 'j', queue, [STEP]);
-  job.occurrences[0]?.steps[0]?.asked.add('x');
+  job.occurrences[0]?.steps[0]?.checkedExecutors.add('x');
   assert.equal(decide(state), []);
   addExecutor(state, 'new');
   const [ask] = decide(state);
   assert.equal(ask?.kind === 'advise' ? ask.executorIds : [], ['new']);
 });
 
-decisions('asks for no tickets for an organisation at its limit', () => {
+decisions('requests no tickets for an organisation at its limit', () => {
   const state = newState();
   addExecutor(state, 'x');
   const limit = {cpuMilli: 500, memMb: 0, accel: 0, slots: 0};
@@ -292,40 +292,40 @@
   assert.equal(decide(state), []);
 });
 
-decisions('lets few gangs without room renew their tickets', () => {
+decisions('limits ticket renewals of gangs without room', () => {
   const state = newState();
   const x = addExecutor(state, 'x');
   addExecutor(state, 'y');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   const whole = {...GANG, size: {...STEP.size, cpuMilli: 4000}};
-  x.usedCpu = 1000;
+  x.usedCpuMilli = 1000;
   for (let i = 0; i < 9; i += 1) {
     const job = addJob(state, `gang${i}`, queue, [whole]);
     const step = job.occurrences[0]?.steps[0];
-    step?.asked.add('x').add('y');
+    step?.checkedExecutors.add('x').add('y');
     step?.allowed.add('x').add('y');
   }
-  assert.is(adviseCount(state), 3);
+  assert.is(countTicketRequests(state), 3);
   for (const job of state.jobs.values()) {
     const step = job.occurrences[0]?.steps[0];
-    if (step !== undefined) step.isAsking = true;
+    if (step !== undefined) step.isRequestingTickets = true;
   }
-  assert.is(adviseCount(state), 0);
+  assert.is(countTicketRequests(state), 0);
 });
 
-decisions('lets one step at a time ask for the same room', () => {
+decisions('requests tickets for the same room for one step at a time', () => {
   const state = newState();
   addExecutor(state, 'x');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   addJob(state, 'first', queue, [{...STEP, count: 3}]);
   addJob(state, 'second', queue, [{...STEP, count: 3}]);
   addJob(state, 'third', queue, [{...STEP, count: 3}]);
-  const asks = decide(state).map(d => d.kind === 'advise' && !d.isAhead);
+  const asks = decide(state).map(d => d.kind === 'advise' && !d.isSpeculative);
   assert.equal(asks, [true, true, false]);
 });
 
-decisions('orders by priority, and puts last what earns nothing', () => {
-  const estimates = new Estimates();
+decisions('orders by priority, with work that is too late last', () => {
+  const estimates = new RunTimeEstimates();
   const make = (id: string, queue: Queue, acceptedMs: number): JobState =>
     newJobState({
       id,
@@ -352,10 +352,10 @@
 });
 
 decisions('slows fillers down faster than it speeds them up', () => {
-  assert.is(nextFillPercent(100, 0.9), 50);
-  assert.is(nextFillPercent(100, 1.2), 0);
-  assert.is(nextFillPercent(0, 0.3), 20);
-  assert.is(nextFillPercent(50, 0.7), 50);
+  assert.is(nextFillerPercent(100, 0.9), 50);
+  assert.is(nextFillerPercent(100, 1.2), 0);
+  assert.is(nextFillerPercent(0, 0.3), 20);
+  assert.is(nextFillerPercent(50, 0.7), 50);
 });
 
 decisions.run();
--- a/packages/cell/test/freshness.test.ts
+++ b/packages/cell/test/freshness.test.ts
@@ -1,4 +1,4 @@
-/** A VM counts waiting jobs only while its table is complete. */
+/** A VM counts waiting jobs only while its job table is complete. */
 import {ManualClock} from '@dragonflyward/common';
 import {JobTable, TableFreshness} from '@dragonflyward/cell';
 import {suite} from 'uvu';
@@ -31,7 +31,7 @@
   assert.is(table.isFresh({...ALONE, isSureItself: true}), true);
 });
 
-// An owner short of processor time shows jobs seconds after it is told.
+// An owner short of processor time publishes jobs seconds late.
 freshness('is not fresh where the owner lags behind', async () => {
   const clock = new ManualClock(1000);
   const table = new TableFreshness(clock);
--- a/packages/cell/test/rules.ts
+++ b/packages/cell/test/rules.ts
@@ -1,8 +1,8 @@
-/** Watches what executors really run and notes each broken promise. */
+/** Checks scheduling invariants against what executors actually run. */
 import type {RunEnd, StartOrder} from '@dragonflyward/cell';
 import type {FakeExecutor, RunWitness} from './fake-executor.js';
 
-/** What the check knows of a submitted job. */
+/** A submitted job, as the checker knows it. */
 export interface WatchedJob {
   readonly id: string;
   readonly counts: readonly number[];
@@ -17,13 +17,13 @@
   readonly run: number;
 }
 
-/** The promises that hold at every moment, as executors see them. */
+/** Checks the invariants on each start and end that executors report. */
 export class RuleWatch implements RunWitness {
   readonly broken: string[] = [];
   readonly jobs = new Map<string, WatchedJob>();
   readonly doneTasks = new Set<string>();
   starts = 0;
-  /** Jobs of which a task was started. */
+  /** Ids of jobs of which a task was started. */
   readonly startedJobs = new Set<string>();
   private readonly running = new Map<string, Running[]>();
   private readonly ackedDone = new Set<string>();
@@ -36,21 +36,21 @@
     const [jobId = ''] = task.split('.');
     this.startedJobs.add(jobId);
     const job = this.jobs.get(jobId);
-    if (job === undefined) return this.note(`unasked: ${task}`);
-    if (job.isCancelled) this.note(`cancelled job started: ${task}`);
-    const here = this.running.get(task) ?? [];
-    if (here.length > 0) {
-      this.note(`twice: ${task} runs ${here[0]?.run}, ${run}`);
+    if (job === undefined) return this.report(`unknown job: ${task}`);
+    if (job.isCancelled) this.report(`cancelled job started: ${task}`);
+    const activeRuns = this.running.get(task) ?? [];
+    if (activeRuns.length > 0) {
+      this.report(`concurrent: ${task} runs ${activeRuns[0]?.run}, ${run}`);
     }
-    if (this.ackedDone.has(task)) this.note(`started after done: ${task}`);
+    if (this.ackedDone.has(task)) this.report(`started after done: ${task}`);
     const failed = this.ackedFailed.get(task)?.size ?? 0;
-    if (failed >= job.maxAttempts) this.note(`over budget: ${task}`);
+    if (failed >= job.maxAttempts) this.report(`over max attempts: ${task}`);
     this.checkOrder(job, task);
-    this.running.set(task, [...here, {executor, run}]);
+    this.running.set(task, [...activeRuns, {executor, run}]);
     const used = (this.used.get(executor) ?? 0) + job.cpuMilli;
     this.used.set(executor, used);
     if (used > executor.info.capacity.cpuMilli) {
-      this.note(`over limit: ${task}`);
+      this.report(`over executor capacity: ${task}`);
     }
   };
 
@@ -60,9 +60,11 @@
     run: number,
     how: RunEnd | 'lost',
   ): void => {
-    const here = this.running.get(task) ?? [];
-    const rest = here.filter(r => r.executor !== executor || r.run !== run);
-    this.running.set(task, rest);
+    const activeRuns = this.running.get(task) ?? [];
+    const remaining = activeRuns.filter(
+      r => r.executor !== executor || r.run !== run,
+    );
+    this.running.set(task, remaining);
     const job = this.jobs.get(task.split('.')[0] ?? '');
     const used = this.used.get(executor) ?? 0;
     this.used.set(executor, used - (job?.cpuMilli ?? 0));
@@ -77,12 +79,12 @@
     this.ackedFailed.set(task, failed);
   };
 
-  /** Whether the end of a task that was done is acknowledged. */
+  /** Whether the `done` end of a task was acknowledged. */
   isAcked(task: string): boolean {
     return this.ackedDone.has(task);
   }
 
-  /** Whether all tasks of a job have ended done. */
+  /** Whether all tasks of a job ended `done`. */
   isJobDone({id, counts}: WatchedJob): boolean {
     return counts.every((count, step) =>
       Array.from({length: count}).every((_, i) =>
@@ -97,12 +99,12 @@
       const count = job.counts[before] ?? 0;
       for (let i = 0; i < count; i += 1) {
         const name = `${job.id}.0.${before}.${i}`;
-        if (!this.doneTasks.has(name)) this.note(`out of order: ${task}`);
+        if (!this.doneTasks.has(name)) this.report(`out of order: ${task}`);
       }
     }
   }
 
-  private note(what: string): void {
-    this.broken.push(what);
+  private report(violation: string): void {
+    this.broken.push(violation);
   }
 }
