--- a/packages/policy/src/amounts.ts
+++ b/packages/policy/src/amounts.ts
@@ -1,48 +1,49 @@
-/** Arithmetic on amounts of resources that the placement needs. */
+/** Arithmetic on resource amounts. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 
 /**
- * The largest part of the total that an amount takes of any one resource.
+ * Returns the dominant share: the largest fraction of the total that an amount
+ * takes of any one resource.
  *
  * @example
  * const share = dominantShare(team.used, cell.total); // 0.25
  */
 export function dominantShare(amount: Resources, total: Resources): number {
   return Math.max(
-    partOf(amount.cpuMilli, total.cpuMilli),
-    partOf(amount.memMb, total.memMb),
-    partOf(amount.accel, total.accel),
-    partOf(amount.slots, total.slots),
+    fractionOf(amount.cpuMilli, total.cpuMilli),
+    fractionOf(amount.memMb, total.memMb),
+    fractionOf(amount.accel, total.accel),
+    fractionOf(amount.slots, total.slots),
   );
 }
 
-function partOf(amount: number, total: number): number {
+function fractionOf(amount: number, total: number): number {
   if (amount <= 0) return 0;
   return total > 0 ? amount / total : 1;
 }
 
 /**
- * How many amounts of one size fit in the room.
+ * Returns how many amounts of this size fit in the room.
  *
  * @example
  * const tasks = countFits(job.size, worker.free);
  */
 export function countFits(size: Resources, room: Resources): number {
   return Math.min(
-    countPart(size.cpuMilli, room.cpuMilli),
-    countPart(size.memMb, room.memMb),
-    countPart(size.accel, room.accel),
-    countPart(size.slots, room.slots),
+    countFitsOfOne(size.cpuMilli, room.cpuMilli),
+    countFitsOfOne(size.memMb, room.memMb),
+    countFitsOfOne(size.accel, room.accel),
+    countFitsOfOne(size.slots, room.slots),
   );
 }
 
-function countPart(size: number, room: number): number {
+function countFitsOfOne(size: number, room: number): number {
   if (room < size) return 0;
   return size === 0 ? Infinity : Math.floor(room / size);
 }
 
 /**
- * A text that is equal for equal amounts.
+ * Returns a map key that is equal for equal amounts.
  *
  * @example
  * blocked.add(sizeKey(job.size));
@@ -52,7 +53,7 @@
 }
 
 /**
- * Tells whether two amounts are equal.
+ * Returns whether two amounts are equal.
  *
  * @example
  * if (isSameSize(task.size, wanted)) return;
@@ -67,7 +68,7 @@
 }
 
 /**
- * Tells whether an amount is nothing.
+ * Returns whether an amount is zero for every resource.
  *
  * @example
  * if (isNothing(worker.held)) return worker.free;
@@ -77,7 +78,7 @@
 }
 
 /**
- * The larger part of each resource.
+ * Returns the maximum of two amounts, resource by resource.
  *
  * @example
  * largest = mostOf(largest, worker.capacity);
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -1,4 +1,4 @@
-/** The state that the stages of a decision share. */
+/** The state of an engine, which the stages of a decision share. */
 import type {Resources} from '@dragonflyward/common';
 import {countFits} from './amounts.js';
 import {Cell} from './cell.js';
@@ -30,37 +30,37 @@
 import {noteTaskStarted} from './waiting-list.js';
 import {WorkerHealth} from './worker-health.js';
 
-/** The policy of each kind of work. */
-export interface PolicySet {
+/** The placement policy of each kind of job. */
+export interface PlacementPolicies {
   readonly pack: PlacementPolicy;
   readonly spread: PlacementPolicy;
   readonly gang: PlacementPolicy;
 }
 
-/** Which stages an engine has; all where nothing is said. */
+/** The optional stages of an engine, all enabled by default. */
 export interface ShareFeatures {
-  /** Stops lower work for urgent work and for teams below their share. */
+  /** Preempts tasks for urgent jobs and for teams below their fair share. */
   readonly preempts?: boolean;
-  /** Holds room for gangs and large tasks. */
+  /** Holds resources for gangs and large tasks, so that they don't starve. */
   readonly reserves?: boolean;
-  /** Fits reservations to measured use. */
+  /** Adjusts reservations to measured usage. */
   readonly learns?: boolean;
-  /** Raises the priority of work with its age. */
+  /** Raises the priority of jobs with their waiting time. */
   readonly ages?: boolean;
 }
 
-/** How an engine is set up. */
+/** The options of an engine. */
 export interface ShareOptions {
   /**
-   * The number of the first task id; an owner of a later term starts above
-   * all that an earlier one may have given.
+   * The number in the first task id; the owner of a later term has to start
+   * above all numbers that an earlier owner may have used.
    */
   readonly firstTaskNumber?: number;
-  readonly policies?: PolicySet;
+  readonly policies?: PlacementPolicies;
   readonly features?: ShareFeatures;
 }
 
-/** All state of one engine. */
+/** The state of one engine. */
 export interface EngineCore {
   readonly teams: TeamTable;
   readonly needs: NeedTable;
@@ -71,31 +71,31 @@
   readonly health: WorkerHealth;
   readonly estimates: Estimates;
   readonly holds: HoldTable;
-  readonly policies: PolicySet;
+  readonly policies: PlacementPolicies;
   readonly features: Required<ShareFeatures>;
-  /** Decisions that are counted and still have to be yielded. */
+  /** Decisions that are accounted for but not yielded yet. */
   readonly outbox: Decision[];
-  nextTask: number;
+  nextTaskNumber: number;
   nowMs: number;
-  /** The classes of urgent queues in which jobs wait. */
-  readonly urgentClasses: Set<WaitClass>;
-  /** The worker at which the next search for room begins. */
+  /** The classes of urgent queues that have waiting jobs. */
+  readonly urgentWaitClasses: Set<WaitClass>;
+  /** The index of the worker at which the next search for capacity starts. */
   roomCursor: number;
-  /** How many tasks wait. */
+  /** The number of waiting tasks. */
   waitingTasks: number;
-  /** The state of the estimates by which sizes were last set. */
-  sizeVersion: number;
+  /** The version of the estimates that the sizes of the classes reflect. */
+  appliedEstimatesVersion: number;
   /** When the fair shares were last computed. */
-  fairAtMs: number;
-  /** When room was last sought for work that is hard to place. */
-  reservedAtMs: number;
-  /** Running tasks whose use was measured since they were last reviewed. */
+  fairSharesUpdatedMs: number;
+  /** When resources were last held or reclaimed for jobs without room. */
+  lastReservePassMs: number;
+  /** Running tasks that were measured since their last review. */
   readonly toReview: Set<RunningTask>;
-  /** Running tasks that may be held back by their cap. */
+  /** Running tasks that may be throttled by their CPU limit. */
   readonly toProbe: Set<RunningTask>;
 }
 
-/** The priorities from the most to the least urgent. */
+/** The priorities, the most urgent first. */
 export const PRIORITIES: readonly PolicyPriority[] = [
   'urgent',
   'normal',
@@ -110,12 +110,12 @@
 };
 
 /**
- * The policies that an engine has where none are given.
+ * Creates the default placement policies of an engine.
  *
  * @example
  * const engine = new ShareEngine({policies: {...newPolicies(), pack}});
  */
-export function newPolicies(): PolicySet {
+export function newPolicies(): PlacementPolicies {
   return {
     pack: new PackPolicy(),
     spread: new SpreadPolicy(),
@@ -124,7 +124,7 @@
 }
 
 /**
- * Makes the state of an engine that knows nothing yet.
+ * Creates the state of an engine without queues, teams, workers and jobs.
  *
  * @example
  * const core = newCore({firstTaskNumber: term * TASKS_PER_TERM});
@@ -146,32 +146,32 @@
     policies: options.policies ?? newPolicies(),
     features: {...ALL_FEATURES, ...options.features},
     outbox: [],
-    nextTask: options.firstTaskNumber ?? 1,
+    nextTaskNumber: options.firstTaskNumber ?? 1,
     nowMs: 0,
-    urgentClasses: new Set(),
+    urgentWaitClasses: new Set(),
     roomCursor: 0,
     waitingTasks: 0,
-    sizeVersion: 0,
-    fairAtMs: -Infinity,
-    reservedAtMs: -Infinity,
+    appliedEstimatesVersion: 0,
+    fairSharesUpdatedMs: -Infinity,
+    lastReservePassMs: -Infinity,
     toReview: new Set(),
     toProbe: new Set(),
   };
 }
 
 /**
- * The queue of this name; an unknown one acts as a batch queue.
+ * Returns the queue of this name; an unknown queue has the priority `batch`.
  *
  * @example
- * const {priority} = queueOf(core, job.queue);
+ * const {priority} = getQueue(core, job.queue);
  */
-export function queueOf(core: EngineCore, queue: string): PolicyQueue {
+export function getQueue(core: EngineCore, queue: string): PolicyQueue {
   const known = core.queues.get(queue);
   return known ?? {queue, priority: 'batch', policy: 'pack'};
 }
 
 /**
- * The policy that places a job's tasks.
+ * Returns the policy that places the tasks of a job.
  *
  * @example
  * const workers = policyOf(core, state).choose(core.cell.workers, ask);
@@ -183,7 +183,7 @@
 }
 
 /**
- * Reserves room for one waiting task of a job.
+ * Reserves resources on a worker for one waiting task of a job.
  *
  * @example
  * const running = startTask(core, state, taskIndex, worker, size);
@@ -196,23 +196,29 @@
   size: Resources,
 ): RunningTask {
   const {jobId} = state.job;
-  const taskId = `${jobId}.${taskIndex}.${core.nextTask}`;
-  core.nextTask += 1;
+  const taskId = `${jobId}.${taskIndex}.${core.nextTaskNumber}`;
+  core.nextTaskNumber += 1;
   noteTaskStarted(core, state, taskIndex);
-  core.holds.useSlot(jobId, worker);
+  core.holds.consumeSlot(jobId, worker);
   state.team.startedMs = core.nowMs;
-  core.teams.noteStart(state.team, size);
+  core.teams.noteTaskStart(state.team, size);
   const {workerId} = worker.worker;
-  return countTask(core, state, {taskId, jobId, taskIndex, workerId, size});
+  return addRunningTask(core, state, {
+    taskId,
+    jobId,
+    taskIndex,
+    workerId,
+    size,
+  });
 }
 
 /**
- * Counts a task that has, or may have, room on a worker.
+ * Adds a task that runs, or may be running, with its reservation.
  *
  * @example
- * countTask(core, state, adopted);
+ * addRunningTask(core, state, adopted);
  */
-export function countTask(
+export function addRunningTask(
   core: EngineCore,
   state: JobState,
   task: PlacedTask,
@@ -221,7 +227,7 @@
     task,
     job: state,
     startedMs: core.nowMs,
-    expectedMs: expectedMsOf(core, state),
+    expectedMs: estimateRunMs(core, state),
     isUrgent: state.queue.priority === 'urgent',
     isStopping: false,
     stoppingMs: 0,
@@ -235,25 +241,28 @@
   return running;
 }
 
-function expectedMsOf(core: EngineCore, state: JobState): number {
+function estimateRunMs(core: EngineCore, state: JobState): number {
   const {queue, team, runMs, isService} = state.job;
-  return isService ? Infinity : core.estimates.runMsOf(queue, team, runMs);
+  return isService
+    ? Infinity
+    : core.estimates.estimateRunMs(queue, team, runMs);
 }
 
 /**
- * Tells why no worker of the shard could ever hold a task of the job.
+ * Returns why the tasks of the job could not be placed even if the shard were
+ * empty; empty if they could. A gang needs room for all its tasks at once.
  *
  * @example
  * const reason = obstacleOf(core, job);
  */
 export function obstacleOf(core: EngineCore, job: PolicyJob): string {
-  const wanted = job.isGang ? job.taskIndexes.length : 1;
+  const tasksNeeded = job.isGang ? job.taskIndexes.length : 1;
   let slots = 0;
   for (const {worker} of core.cell.workers.values()) {
     if (worker.condition === 'leaving') continue;
-    slots += Math.min(wanted, countFits(job.size, worker.capacity));
-    if (slots >= wanted) return '';
+    slots += Math.min(tasksNeeded, countFits(job.size, worker.capacity));
+    if (slots >= tasksNeeded) return '';
   }
   if (slots === 0) return 'no worker is large enough for one task';
-  return `only ${slots} of ${wanted} tasks fit at once`;
+  return `only ${slots} of ${tasksNeeded} tasks fit at once`;
 }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,4 +1,4 @@
-/** The stages of a decision, in their order. */
+/** Runs the stages of a decision in their order. */
 import {adjustReservations, probeReservations} from './adjust.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
@@ -9,13 +9,13 @@
 import {setAsideUnrunnable} from './unrunnable.js';
 import {refreshSizes} from './waiting-list.js';
 
-/** How old the fair shares may be. */
-const FAIR_SHARES_MS = 500;
-/** How often room is sought for work that is hard to place. */
-const RESERVE_EVERY_MS = 500;
+/** The minimum time between two computations of the fair shares. */
+const FAIR_SHARES_INTERVAL_MS = 500;
+/** The minimum time between two passes for jobs that find no room. */
+const RESERVE_INTERVAL_MS = 500;
 
 /**
- * Decides all that can be decided now.
+ * Yields all decisions that can be made now.
  *
  * @example
  * for (const decision of decideAll(core)) send(decision);
@@ -23,18 +23,18 @@
 export function* decideAll(core: EngineCore): Generator<Decision> {
   retryWorkers(core);
   yield* flush(core);
-  if (core.nowMs - core.fairAtMs >= FAIR_SHARES_MS) {
+  if (core.nowMs - core.fairSharesUpdatedMs >= FAIR_SHARES_INTERVAL_MS) {
     refreshFairShares(core.teams);
-    core.teams.noteDrift(core.nowMs - core.fairAtMs);
-    core.fairAtMs = core.nowMs;
+    core.teams.updateShareExcess(core.nowMs - core.fairSharesUpdatedMs);
+    core.fairSharesUpdatedMs = core.nowMs;
   }
   yield* adjustReservations(core);
   refreshSizes(core);
   yield* placeHeld(core);
   yield* placeWaiting(core, 'urgent');
   if (core.features.preempts) yield* preemptForUrgent(core);
-  if (core.nowMs - core.reservedAtMs >= RESERVE_EVERY_MS) {
-    core.reservedAtMs = core.nowMs;
+  if (core.nowMs - core.lastReservePassMs >= RESERVE_INTERVAL_MS) {
+    core.lastReservePassMs = core.nowMs;
     if (core.features.reserves) reserveForBlocked(core);
     if (core.features.preempts) yield* reclaimShares(core);
     yield* setAsideUnrunnable(core);
@@ -43,10 +43,11 @@
   yield* probeReservations(core);
 }
 
+/** Lets workers whose quarantine has ended take one task on probation. */
 function retryWorkers(core: EngineCore): void {
   for (const state of core.health.retry(core.nowMs)) {
     const {workerId} = state.worker;
-    const reason = 'it is tried again with one task';
+    const reason = 'quarantine ended; retrying with one task at a time';
     core.outbox.push({kind: 'worker', workerId, isSetAside: false, reason});
     core.needs.noteRoom(state);
   }
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -1,16 +1,19 @@
-/** What a shard's owner asks of the policy, and what the policy decides. */
+/** The interface between the owner of a shard and its placement engine. */
 import type {Resources} from '@dragonflyward/common';
 
-/** How urgent a job's queue is. */
+/** The priority of a queue, which applies to all of its jobs. */
 export type PolicyPriority = 'urgent' | 'normal' | 'batch';
 
-/** Whether a worker may get new tasks. */
+/** The availability of a worker for new tasks. */
 export type WorkerCondition =
-  /** Answers and may get new tasks. */
+  /** Responds, and accepts new tasks. */
   | 'ready'
-  /** Does not answer, or is not yet listed: its tasks still count. */
+  /**
+   * Does not respond, or is not listed yet. It gets no new tasks; its tasks
+   * keep their reservations.
+   */
   | 'silent'
-  /** Leaves: its tasks run on, but it gets no new ones. */
+  /** Is being drained: its tasks keep running, but it gets no new ones. */
   | 'leaving';
 
 /** A worker of the shard. */
@@ -21,17 +24,17 @@
   readonly condition: WorkerCondition;
 }
 
-/** A team as the shares see it. */
+/** A team with its weights and its limit in this shard. */
 export interface PolicyTeam {
   readonly team: string;
   readonly organisation: string;
   readonly share: number;
   readonly organisationShare: number;
-  /** What the team may have running in this shard at any instant. */
+  /** The most that the team may have reserved in this shard at any time. */
   readonly allowance: Resources;
 }
 
-/** A queue as the placement sees it. */
+/** A queue with its priority and the policy that places its tasks. */
 export interface PolicyQueue {
   readonly queue: string;
   readonly priority: PolicyPriority;
@@ -43,7 +46,7 @@
   readonly jobId: string;
   readonly team: string;
   readonly queue: string;
-  /** Indexes of the tasks that still have to run. */
+  /** The indexes of the tasks that still have to run. */
   readonly taskIndexes: readonly number[];
   readonly isGang: boolean;
   readonly isService: boolean;
@@ -55,39 +58,42 @@
   readonly acceptedMs: number;
 }
 
-/** A task that runs, or may run, on a worker. */
+/** A task that runs on a worker, or may be running there. */
 export interface PlacedTask {
   readonly taskId: string;
   readonly jobId: string;
   readonly taskIndex: number;
   readonly workerId: string;
-  /** What is reserved for it on the worker. */
+  /** The resources that are reserved for it on the worker. */
   readonly size: Resources;
 }
 
-/** How a placed task went, as far as the policy needs to know. */
+/** How a placed task ended, as far as the policy needs to know. */
 export type PlacedTaskEnd =
-  /** It ended well; it needs no further run. */
+  /** It succeeded and needs no further run. */
   | 'succeeded'
-  /** It ran and failed; the owner says by `resubmit` whether it runs again. */
+  /** It ran and failed; the owner calls `submit` if it has to run again. */
   | 'failed'
-  /** It was never started, or was stopped, and surely does not run. */
+  /** It was never started or was stopped, and is known not to be running. */
   | 'notRunning';
 
-/** Usage of one task, as measured a while ago. */
+/** A measurement of the usage of one task; it may lag behind. */
 export interface UsageSample {
   readonly taskId: string;
   readonly cpuMilli: number;
   readonly memMb: number;
 }
 
-/** Start this task; its reservation is already counted. */
+/** Start this task; its reservation is already accounted for. */
 export interface StartDecision {
   readonly kind: 'start';
   readonly task: PlacedTask;
 }
 
-/** Checkpoint and stop this task to make room; then call `ended`. */
+/**
+ * Checkpoint and stop this task to free its resources, and call `ended` when
+ * it has stopped.
+ */
 export interface PreemptDecision {
   readonly kind: 'preempt';
   readonly taskId: string;
@@ -95,7 +101,10 @@
   readonly reason: string;
 }
 
-/** Change the cap of a running task; the room is already counted. */
+/**
+ * Change the resource limit of a running task; its new reservation is already
+ * accounted for.
+ */
 export interface ResizeDecision {
   readonly kind: 'resize';
   readonly taskId: string;
@@ -103,14 +112,17 @@
   readonly size: Resources;
 }
 
-/** Nothing can run this job now; it blocks no other. */
+/** Set a job aside that cannot run at present, so that it blocks no other. */
 export interface SetAsideDecision {
   readonly kind: 'setAside';
   readonly jobId: string;
   readonly reason: string;
 }
 
-/** A worker that fails all it starts was set aside, or is tried again. */
+/**
+ * A worker was quarantined because its tasks keep failing, or left quarantine
+ * and gets tasks again.
+ */
 export interface WorkerDecision {
   readonly kind: 'worker';
   readonly workerId: string;
@@ -126,51 +138,55 @@
   | SetAsideDecision
   | WorkerDecision;
 
-/** What a team wants and has in this shard, for dividing its limit. */
+/**
+ * The running and the waiting resources of a team in this shard; its overall
+ * limit is divided among the shards by them.
+ */
 export interface TeamDemand {
   readonly team: string;
   readonly running: Resources;
   readonly waiting: Resources;
 }
 
-/** Decides all placements of one shard; used by one task at a time. */
+/** Decides all placements of one shard; not safe for concurrent use. */
 export abstract class PlacementEngine {
-  /** Replaces the queues; unknown queues of known jobs act as `batch`. */
+  /** Replaces the queues; jobs of unknown queues have the priority `batch`. */
   abstract setQueues(queues: readonly PolicyQueue[]): void;
   /** Replaces the teams with their shares and allowances. */
   abstract setTeams(teams: readonly PolicyTeam[]): void;
   /** Adds a worker or changes its condition or capacity. */
   abstract setWorker(worker: PolicyWorker): void;
-  /** Removes a worker whose tasks surely run no more. */
+  /** Removes a worker whose tasks are known to run no longer. */
   abstract removeWorker(workerId: string): void;
 
   /**
-   * Tells why no worker of this shard could ever hold a task of the job;
-   * empty where one could.
+   * Returns why the tasks of the job could not be placed even in an empty
+   * shard; empty if they could.
    */
   abstract findObstacle(job: PolicyJob): string;
-  /** Adds a job, or again those of its tasks that have to run again. */
+  /** Adds a job, or the tasks of a known job that have to run again. */
   abstract submit(job: PolicyJob): void;
   /**
-   * Forgets the waiting tasks of a job; running ones stay until `ended`.
+   * Removes the waiting tasks of a job; placed ones keep their reservations
+   * until `ended`.
    *
-   * @returns the tasks that are placed
+   * @returns the tasks of the job that are placed
    */
   abstract cancel(jobId: string): readonly PlacedTask[];
-  /** Counts a task that was found running, after a takeover. */
+  /** Adds a task of an earlier owner that was found running. */
   abstract adopt(task: PlacedTask): void;
-  /** Frees a placed task's reservation. */
+  /** Releases the reservation of a placed task. */
   abstract ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void;
-  /** Learns from lagging usage. */
+  /** Updates the usage estimates from measurements, which may lag behind. */
   abstract learn(samples: readonly UsageSample[], nowMs: number): void;
 
-  /** Decides what to do now; each decision is counted before it is yielded. */
+  /** Yields what to do now; each decision is accounted for before its yield. */
   abstract decide(nowMs: number): Generator<Decision>;
 
-  /** Says in one line why a job waits or where it was placed. */
+  /** Describes in one line why a job waits or where it was placed. */
   abstract explain(jobId: string): string;
-  /** What each team has and wants here. */
+  /** The running and the waiting resources of each team in this shard. */
   abstract demand(): readonly TeamDemand[];
-  /** How many tasks wait. */
+  /** The number of waiting tasks. */
   abstract waitingCount(): number;
 }
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -1,34 +1,37 @@
-/** What tasks really use and how long they really run, against what is declared. */
+/** Estimates the actual usage and run time of tasks from the declared ones. */
 import type {Resources} from '@dragonflyward/common';
 import * as hdr from 'hdr-histogram-js';
 
-/** Ratios are kept in thousandths; declared sizes are off by 0.1 to 10. */
+/**
+ * Ratios of actual to declared values are kept in thousandths. Declared sizes
+ * are off by a factor of 0.1 to 10.
+ */
 const PERMILLE = 1_000;
-const HIGHEST_RATIO_PERMILLE = 32_000;
-/** Samples that a histogram needs before it is believed. */
+const MAX_RATIO_PERMILLE = 32_000;
+/** Samples that a histogram needs before it is used. */
 const MIN_SAMPLES = 16;
-/** Samples after which a histogram starts anew. */
+/** Samples after which a histogram is reset. */
 const WINDOW_SAMPLES = 512;
-/** The part of the samples that a reservation has to cover. */
+/** The percentage of the samples that a reservation has to cover. */
 const SIZE_PERCENTILE = 95;
-const RUN_PERCENTILE = 75;
-/** What is reserved beyond the percentile. */
-const CPU_MARGIN = 1.05;
-const MEM_MARGIN = 1.15;
-/** Between these, the declared size is taken as it is. */
-const LOWEST_TRUE_RATIO = 0.85;
-const HIGHEST_TRUE_RATIO = 1.05;
-/** Steps of a reservation in each doubling, so that few sizes differ. */
+const RUN_TIME_PERCENTILE = 75;
+/** The factors by which reservations exceed the percentile. */
+const CPU_MARGIN_FACTOR = 1.05;
+const MEM_MARGIN_FACTOR = 1.15;
+/** Between these ratios, the declared size is used as it is. */
+const MIN_ACCURATE_RATIO = 0.85;
+const MAX_ACCURATE_RATIO = 1.05;
+/** Steps of the factor in each doubling, so that there are few sizes. */
 const STEPS_PER_DOUBLING = 8;
 
-/** One ratio as it is learnt over time. */
-class LearntRatio {
+/** Estimates a percentile of the ratio of measured to declared values. */
+class RatioEstimator {
   private histogram: hdr.Histogram | undefined;
   private former = 0;
 
   constructor(private readonly percentile: number) {}
 
-  /** Adds a measured value over a declared one. */
+  /** Adds the ratio of a measured to a declared value. */
   record(ratio: number): void {
     this.histogram ??= newHistogram();
     if (this.histogram.totalCount >= WINDOW_SAMPLES) {
@@ -36,11 +39,11 @@
       this.histogram.reset();
     }
     const permille = Math.round(ratio * PERMILLE);
-    const bounded = Math.min(HIGHEST_RATIO_PERMILLE, Math.max(1, permille));
+    const bounded = Math.min(MAX_RATIO_PERMILLE, Math.max(1, permille));
     this.histogram.recordValue(bounded);
   }
 
-  /** The ratio at the percentile; 0 where too little is known. */
+  /** The ratio at the percentile; 0 with too few samples. */
   read(): number {
     const {histogram} = this;
     if (histogram === undefined) return 0;
@@ -52,24 +55,24 @@
 function newHistogram(): hdr.Histogram {
   return hdr.build({
     lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_RATIO_PERMILLE,
+    highestTrackableValue: MAX_RATIO_PERMILLE,
     numberOfSignificantValueDigits: 1,
     bitBucketSize: 16,
   });
 }
 
-interface Estimate {
-  readonly cpu: LearntRatio;
-  readonly mem: LearntRatio;
-  readonly run: LearntRatio;
+interface UsageEstimate {
+  readonly cpu: RatioEstimator;
+  readonly mem: RatioEstimator;
+  readonly run: RatioEstimator;
   version: number;
-  /** The factors that are in use, by the last state of the ratios. */
+  /** The factors on the declared values, as of the last refresh. */
   cpuFactor: number;
   memFactor: number;
   runFactor: number;
 }
 
-/** What was measured of one task, and what was declared for it. */
+/** A measurement of a task, with its declared size. */
 export interface MeasuredUse {
   readonly queue: string;
   readonly team: string;
@@ -78,21 +81,21 @@
   readonly memMb: number;
 }
 
-/** Estimates for each queue and team. */
+/** The estimates of each queue and team. */
 export class Estimates {
-  private readonly byKind = new Map<string, Estimate>();
-  /** Grows whenever any size changes. */
+  private readonly byQueueAndTeam = new Map<string, UsageEstimate>();
+  /** Grows whenever an estimated size changes. */
   version = 0;
 
-  /** Learns from one measurement of a running task. */
+  /** Records a measurement of a running task. */
   noteUse(use: MeasuredUse): void {
-    const estimate = this.get(use.queue, use.team);
+    const estimate = this.getOrAdd(use.queue, use.team);
     const {cpuMilli, memMb} = use.declared;
     if (cpuMilli > 0) estimate.cpu.record(use.cpuMilli / cpuMilli);
     if (memMb > 0) estimate.mem.record(use.memMb / memMb);
   }
 
-  /** Learns how long a task ran. */
+  /** Records the run time of a task. */
   noteRun(
     queue: string,
     team: string,
@@ -100,24 +103,24 @@
     ranMs: number,
   ): void {
     if (declaredMs <= 0) return;
-    this.get(queue, team).run.record(ranMs / declaredMs);
+    this.getOrAdd(queue, team).run.record(ranMs / declaredMs);
   }
 
-  /** Takes what was learnt into use; call it once for each batch of samples. */
+  /** Updates the factors; call it once for each batch of samples. */
   refresh(): void {
-    for (const estimate of this.byKind.values()) {
-      if (refreshFactors(estimate)) this.version += 1;
+    for (const estimate of this.byQueueAndTeam.values()) {
+      if (updateFactors(estimate)) this.version += 1;
     }
   }
 
-  /** Grows whenever the sizes of this queue and team change. */
-  versionOf(queue: string, team: string): number {
-    return this.byKind.get(kindKey(queue, team))?.version ?? 0;
+  /** A version that grows when the sizes of this queue and team change. */
+  getVersion(queue: string, team: string): number {
+    return this.byQueueAndTeam.get(estimateKey(queue, team))?.version ?? 0;
   }
 
-  /** What a task should reserve. */
-  sizeOf(queue: string, team: string, declared: Resources): Resources {
-    const estimate = this.byKind.get(kindKey(queue, team));
+  /** Returns the resources that a task should reserve. */
+  estimateSize(queue: string, team: string, declared: Resources): Resources {
+    const estimate = this.byQueueAndTeam.get(estimateKey(queue, team));
     if (estimate === undefined) return declared;
     return {
       ...declared,
@@ -126,40 +129,40 @@
     };
   }
 
-  /** How long a task is expected to run; infinite where nothing is known. */
-  runMsOf(queue: string, team: string, declaredMs: number): number {
+  /** Returns the estimated run time; infinite if none was declared. */
+  estimateRunMs(queue: string, team: string, declaredMs: number): number {
     if (declaredMs <= 0) return Infinity;
-    const estimate = this.byKind.get(kindKey(queue, team));
+    const estimate = this.byQueueAndTeam.get(estimateKey(queue, team));
     return declaredMs * (estimate?.runFactor ?? 1);
   }
 
-  private get(queue: string, team: string): Estimate {
-    const key = kindKey(queue, team);
-    const known = this.byKind.get(key);
+  private getOrAdd(queue: string, team: string): UsageEstimate {
+    const key = estimateKey(queue, team);
+    const known = this.byQueueAndTeam.get(key);
     if (known !== undefined) return known;
-    const estimate: Estimate = {
-      cpu: new LearntRatio(SIZE_PERCENTILE),
-      mem: new LearntRatio(SIZE_PERCENTILE),
-      run: new LearntRatio(RUN_PERCENTILE),
+    const estimate: UsageEstimate = {
+      cpu: new RatioEstimator(SIZE_PERCENTILE),
+      mem: new RatioEstimator(SIZE_PERCENTILE),
+      run: new RatioEstimator(RUN_TIME_PERCENTILE),
       version: 0,
       cpuFactor: 1,
       memFactor: 1,
       runFactor: 1,
     };
-    this.byKind.set(key, estimate);
+    this.byQueueAndTeam.set(key, estimate);
     return estimate;
   }
 }
 
-function kindKey(queue: string, team: string): string {
+function estimateKey(queue: string, team: string): string {
   return `${queue} ${team}`;
 }
 
-/** Returns whether the sizes have changed. */
-function refreshFactors(estimate: Estimate): boolean {
+/** Updates the factors of an estimate; returns whether sizes changed. */
+function updateFactors(estimate: UsageEstimate): boolean {
   estimate.runFactor = estimate.run.read() || 1;
-  const cpuFactor = factorOf(estimate.cpu.read(), CPU_MARGIN);
-  const memFactor = factorOf(estimate.mem.read(), MEM_MARGIN);
+  const cpuFactor = computeFactor(estimate.cpu.read(), CPU_MARGIN_FACTOR);
+  const memFactor = computeFactor(estimate.mem.read(), MEM_MARGIN_FACTOR);
   const isSame =
     cpuFactor === estimate.cpuFactor && memFactor === estimate.memFactor;
   if (isSame) return false;
@@ -169,10 +172,10 @@
   return true;
 }
 
-/** The factor on the declared size, rounded up to the next step. */
-function factorOf(ratio: number, margin: number): number {
+/** Returns the factor on the declared size, rounded up to the next step. */
+function computeFactor(ratio: number, margin: number): number {
   if (ratio === 0) return 1;
-  if (ratio >= LOWEST_TRUE_RATIO && ratio <= HIGHEST_TRUE_RATIO) return 1;
+  if (ratio >= MIN_ACCURATE_RATIO && ratio <= MAX_ACCURATE_RATIO) return 1;
   const steps = Math.log2(ratio * margin) * STEPS_PER_DOUBLING;
   return 2 ** (Math.ceil(steps) / STEPS_PER_DOUBLING);
 }
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -1,4 +1,4 @@
-/** What each team is due: weighted max-min over the dominant resource. */
+/** Computes fair shares by weighted dominant resource fairness. */
 import {
   addResources,
   RESOURCE_NAMES,
@@ -9,53 +9,54 @@
 import type {OrganisationState, TeamState} from './state.js';
 import {TeamTable} from './team-table.js';
 
-/** Halvings by which the common level of a round is found. */
-const LEVEL_STEPS = 20;
+/** Bisection steps that find the common level of a round. */
+const BISECTION_STEPS = 20;
 
-/** Parts of the whole, in the order of the names of the resources. */
-type Parts = readonly number[];
+/** Fractions of the total of each resource, in the order of RESOURCE_NAMES. */
+type ResourceFractions = readonly number[];
 
+/** The demand of a team and the share that it has been allocated. */
 interface Claim {
   readonly team: TeamState;
   readonly weight: number;
-  /** The dominant share that the team could use. */
+  /** The dominant share that the team demands, up to its allowance. */
   readonly wanted: number;
-  /** What one whole dominant share of the team takes of each resource. */
-  readonly profile: Parts;
-  given: number;
+  /** The fractions that the team would take at a dominant share of 1. */
+  readonly resourceProfile: ResourceFractions;
+  allocated: number;
   isSettled: boolean;
 }
 
-/** The claims of the teams of one organisation, the soonest sated first. */
-interface Group {
+/** The claims of an organisation's teams, the first to be satisfied first. */
+interface OrganisationClaims {
   readonly weight: number;
   readonly claims: readonly Claim[];
 }
 
 /**
- * Sets the dominant share that each team is due by its demand: the level
- * rises for all alike until a resource is used up; those that do not need
- * that resource rise on.
+ * Sets the fair dominant share of each team by progressive filling: the level
+ * rises for all teams alike until a resource is exhausted; then it rises on
+ * for the teams that don't need that resource.
  *
  * @example
  * refreshFairShares(core.teams);
  */
 export function refreshFairShares(teams: TeamTable): void {
   for (const team of teams.values()) team.fair = 0;
-  const groups = groupClaims(teams);
+  const groups = groupByOrganisation(teams);
   const claims = groups.flatMap(group => group.claims);
   for (let round = 0; round <= RESOURCE_NAMES.length; round += 1) {
     if (claims.every(claim => claim.isSettled)) break;
     raiseLevel(groups, claims);
   }
-  for (const claim of claims) claim.team.fair = claim.given;
+  for (const claim of claims) claim.team.fair = claim.allocated;
 }
 
 /**
- * The dominant share that each team is due, computed from its demand alone.
+ * Returns the fair dominant share of each team by its demand.
  *
  * @example
- * const due = fairSharesOf(teams, engine.demand(), total).get('kilns');
+ * const share = fairSharesOf(teams, engine.demand(), total).get('kilns');
  */
 export function fairSharesOf(
   teams: readonly PolicyTeam[],
@@ -69,12 +70,12 @@
     table.charge(table.get(team), addResources(running, waiting), false);
   }
   refreshFairShares(table);
-  const due = new Map<string, number>();
-  for (const state of table.values()) due.set(state.team.team, state.fair);
-  return due;
+  const shares = new Map<string, number>();
+  for (const state of table.values()) shares.set(state.team.team, state.fair);
+  return shares;
 }
 
-function groupClaims(teams: TeamTable): readonly Group[] {
+function groupByOrganisation(teams: TeamTable): readonly OrganisationClaims[] {
   const byOrganisation = new Map<OrganisationState, Claim[]>();
   for (const team of teams.values()) {
     const claim = newClaim(team, teams.total);
@@ -90,86 +91,94 @@
 }
 
 function newClaim(team: TeamState, total: Resources): Claim {
-  const wanted = addResources(team.used, team.waitingSize);
+  const wanted = addResources(team.used, team.waitingResources);
   const dominant = dominantShare(wanted, total);
   const limit = dominantShare(team.team.allowance, total);
-  const profile = RESOURCE_NAMES.map(name =>
+  const resourceProfile = RESOURCE_NAMES.map(name =>
     total[name] > 0 ? wanted[name] / total[name] / dominant : 0,
   );
   return {
     team,
     weight: team.team.share,
     wanted: Math.min(dominant, limit),
-    profile,
-    given: 0,
+    resourceProfile,
+    allocated: 0,
     isSettled: false,
   };
 }
 
-/** Raises the level of all open claims until some resource is used up. */
-function raiseLevel(groups: readonly Group[], claims: readonly Claim[]): void {
+/** Raises the level of the unsettled claims until a resource is exhausted. */
+function raiseLevel(
+  groups: readonly OrganisationClaims[],
+  claims: readonly Claim[],
+): void {
   let low = 0;
-  let high = highestLevel(groups);
-  for (let step = 0; step < LEVEL_STEPS; step += 1) {
+  let high = findSatisfyingLevel(groups);
+  for (let step = 0; step < BISECTION_STEPS; step += 1) {
     const level = (low + high) / 2;
-    fill(groups, level);
-    if (fullParts(claims).length === 0) low = level;
+    allocate(groups, level);
+    if (findExhaustedResources(claims).length === 0) low = level;
     else high = level;
   }
-  fill(groups, high);
-  const full = fullParts(claims);
-  fill(groups, low);
+  allocate(groups, high);
+  const exhausted = findExhaustedResources(claims);
+  allocate(groups, low);
   for (const claim of claims) {
     if (claim.isSettled) continue;
-    const isSated = claim.given >= claim.wanted;
-    const isBound = full.some(part => (claim.profile[part] ?? 0) > 0);
-    claim.isSettled = isSated || isBound || full.length === 0;
+    const isSatisfied = claim.allocated >= claim.wanted;
+    const needsExhausted = exhausted.some(
+      resource => (claim.resourceProfile[resource] ?? 0) > 0,
+    );
+    claim.isSettled = isSatisfied || needsExhausted || exhausted.length === 0;
   }
 }
 
-/** A level at which every claim is sated. */
-function highestLevel(groups: readonly Group[]): number {
+/** Returns a level at which every claim is satisfied. */
+function findSatisfyingLevel(groups: readonly OrganisationClaims[]): number {
   let level = 0;
   for (const {weight, claims} of groups) {
     if (weight <= 0) continue;
-    let weights = 0;
-    let neediest = 0;
+    let totalWeight = 0;
+    let largestDemand = 0;
     for (const claim of claims) {
-      weights += claim.weight;
-      neediest = Math.max(neediest, claim.wanted / claim.weight);
+      totalWeight += claim.weight;
+      largestDemand = Math.max(largestDemand, claim.wanted / claim.weight);
     }
-    level = Math.max(level, (neediest * weights) / weight);
+    level = Math.max(level, (largestDemand * totalWeight) / weight);
   }
   return level;
 }
 
-/** Gives each organisation its part of the level, and its teams theirs. */
-function fill(groups: readonly Group[], level: number): void {
-  for (const {weight, claims} of groups) fillGroup(claims, weight * level);
+/** Allocates to each organisation by its weight, and then to its teams. */
+function allocate(groups: readonly OrganisationClaims[], level: number): void {
+  for (const {weight, claims} of groups) distribute(claims, weight * level);
 }
 
-function fillGroup(claims: readonly Claim[], amount: number): void {
-  let rest = amount;
-  let weights = 0;
+function distribute(claims: readonly Claim[], amount: number): void {
+  let remaining = amount;
+  let remainingWeight = 0;
   for (const claim of claims) {
-    if (claim.isSettled) rest -= claim.given;
-    else weights += claim.weight;
+    if (claim.isSettled) remaining -= claim.allocated;
+    else remainingWeight += claim.weight;
   }
-  rest = Math.max(0, rest);
+  remaining = Math.max(0, remaining);
   for (const claim of claims) {
     if (claim.isSettled) continue;
-    claim.given = Math.min(claim.wanted, (rest * claim.weight) / weights);
-    rest -= claim.given;
-    weights -= claim.weight;
+    claim.allocated = Math.min(
+      claim.wanted,
+      (remaining * claim.weight) / remainingWeight,
+    );
+    remaining -= claim.allocated;
+    remainingWeight -= claim.weight;
   }
 }
 
-/** The indexes of the resources of which more than all is given. */
-function fullParts(claims: readonly Claim[]): readonly number[] {
+/** Returns the indexes of the resources that are allocated beyond the total. */
+function findExhaustedResources(claims: readonly Claim[]): readonly number[] {
   const sums = RESOURCE_NAMES.map(() => 0);
-  for (const {given, profile} of claims) {
+  for (const {allocated, resourceProfile} of claims) {
     for (let i = 0; i < sums.length; i += 1) {
-      sums[i] = (sums[i] ?? 0) + given * (profile[i] ?? 0);
+      sums[i] = (sums[i] ?? 0) + allocated * (resourceProfile[i] ?? 0);
     }
   }
   return sums.flatMap((sum, i) => (sum > 1 ? [i] : []));
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -1,4 +1,4 @@
-/** Room that is kept for jobs that were promised it, for a bounded time. */
+/** Holds: resources that are kept for waiting jobs for a limited time. */
 import {
   addResources,
   NO_RESOURCES,
@@ -8,26 +8,26 @@
 } from '@dragonflyward/common';
 import type {JobState, WorkerState} from './state.js';
 
-/** How long a stop is expected to take at most. */
-const STOP_MS = 2_500;
+/** The time after which an unconfirmed stop is no longer expected to end. */
+const STOP_TIMEOUT_MS = 2_500;
 
-/** How long room is held at most. */
+/** The longest time for which resources are held. */
 export const MAX_HOLD_MS = 60_000;
 
-/** Room for some tasks of a job. */
+/** The resources that are held for some tasks of a job. */
 export interface Hold {
   readonly state: JobState;
   readonly size: Resources;
   readonly isUrgent: boolean;
-  /** When the room is expected to be free. */
+  /** When the resources are expected to be free. */
   readonly fromMs: number;
-  /** When the hold ends, used or not. */
+  /** When the hold expires, used or not. */
   readonly untilMs: number;
-  /** For how many tasks there is room on each worker. */
+  /** The number of tasks for which each worker keeps resources. */
   readonly slots: Map<WorkerState, number>;
 }
 
-/** All holds, at most one for a job. */
+/** All holds, at most one for each job. */
 export class HoldTable {
   private readonly byJob = new Map<string, Hold>();
 
@@ -42,12 +42,12 @@
     return this.byJob.values();
   }
 
-  /** The hold of a job. */
+  /** Returns the hold of a job. */
   get(jobId: string): Hold | undefined {
     return this.byJob.get(jobId);
   }
 
-  /** For how many tasks of a job room is held. */
+  /** Returns the number of tasks of a job for which resources are held. */
   slotsOf(jobId: string): number {
     let sum = 0;
     for (const slots of this.byJob.get(jobId)?.slots.values() ?? []) {
@@ -56,44 +56,44 @@
     return sum;
   }
 
-  /** Adds a hold, or changes the one that the job has; its age is kept. */
+  /** Adds a hold, or replaces that of the job, which keeps its age. */
   add(hold: Hold): void {
     const {jobId} = hold.state.job;
     const former = this.byJob.get(jobId);
     this.byJob.set(jobId, hold);
     for (const worker of former?.slots.keys() ?? []) {
-      this.refresh(worker);
+      this.refreshWorker(worker);
       this.onRoom(worker);
     }
-    for (const worker of hold.slots.keys()) this.refresh(worker);
+    for (const worker of hold.slots.keys()) this.refreshWorker(worker);
   }
 
-  /** Ends the hold of a job. */
+  /** Removes the hold of a job. */
   remove(jobId: string): void {
     const hold = this.byJob.get(jobId);
     if (hold === undefined) return;
     this.byJob.delete(jobId);
     for (const worker of hold.slots.keys()) {
-      this.refresh(worker);
+      this.refreshWorker(worker);
       this.onRoom(worker);
     }
   }
 
-  /** Gives up one slot of a job, on this worker where it has one there. */
-  useSlot(jobId: string, worker: WorkerState): void {
+  /** Uses a slot of a job on this worker, or drops an excess one elsewhere. */
+  consumeSlot(jobId: string, worker: WorkerState): void {
     const hold = this.byJob.get(jobId);
     if (hold === undefined) return;
     const count = hold.slots.get(worker) ?? 0;
     if (count > 0) this.setSlots(hold, worker, count - 1);
-    else this.trim(hold);
+    else this.dropExcessSlot(hold);
   }
 
-  /** Forgets what is held on a worker that is gone. */
-  dropWorker(worker: WorkerState): void {
+  /** Removes what is held on a worker that is gone. */
+  removeWorker(worker: WorkerState): void {
     for (const hold of this.byJob.values()) hold.slots.delete(worker);
   }
 
-  /** What a hold keeps, by worker. */
+  /** Returns the resources that the hold of a job keeps, by worker. */
   roomOf(jobId: string): ReadonlyMap<WorkerState, Resources> {
     const room = new Map<WorkerState, Resources>();
     const hold = this.byJob.get(jobId);
@@ -105,8 +105,9 @@
   }
 
   /**
-   * What is held on a job's workers but not against the job: its own hold
-   * and younger ones. Two holds would else keep each other from starting.
+   * Returns the held resources that the job may use on the workers of its hold:
+   * those of its own hold and of younger ones. Otherwise two holds could keep
+   * each other's jobs from starting.
    */
   claimOf(jobId: string): ReadonlyMap<WorkerState, Resources> {
     const claim = new Map<WorkerState, Resources>();
@@ -127,8 +128,8 @@
     return claim;
   }
 
-  /** Holds no more slots than there are tasks that wait. */
-  private trim(hold: Hold): void {
+  /** Drops a slot if the hold has more slots than the job has waiting tasks. */
+  private dropExcessSlot(hold: Hold): void {
     const {jobId} = hold.state.job;
     if (this.slotsOf(jobId) <= hold.state.pending.size) return;
     for (const [worker, count] of hold.slots) {
@@ -140,12 +141,12 @@
   private setSlots(hold: Hold, worker: WorkerState, count: number): void {
     if (count > 0) hold.slots.set(worker, count);
     else hold.slots.delete(worker);
-    this.refresh(worker);
+    this.refreshWorker(worker);
     this.onRoom(worker);
     if (hold.slots.size === 0) this.byJob.delete(hold.state.job.jobId);
   }
 
-  private refresh(worker: WorkerState): void {
+  private refreshWorker(worker: WorkerState): void {
     worker.held = NO_RESOURCES;
     worker.heldUrgent = NO_RESOURCES;
     worker.heldFromMs = Infinity;
@@ -162,9 +163,9 @@
 }
 
 /**
- * What a worker will have free once the tasks that were told to stop of late
- * have ended, less what is held for others. A stop that is not confirmed in
- * time is not waited for.
+ * Returns what a worker will have free once the tasks that were recently told
+ * to stop have ended, minus what is held for jobs. A stop that is not
+ * confirmed in time is not counted.
  *
  * @example
  * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
@@ -176,7 +177,7 @@
 ): Resources {
   let room = worker.free;
   for (const {isStopping, stoppingMs, task} of worker.tasks) {
-    const isDue = isStopping && nowMs - stoppingMs < STOP_MS;
+    const isDue = isStopping && nowMs - stoppingMs < STOP_TIMEOUT_MS;
     if (isDue) room = addResources(room, task.size);
   }
   return subtractResources(room, isUrgent ? worker.heldUrgent : worker.held);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,9 +1,9 @@
-/** The decisions: placement, shares, limits, gangs and estimates. */
+/** Placement decisions: fair shares, limits, gangs and usage estimates. */
 export * from './engine.js';
 export * from './first-fit-engine.js';
 export * from './placement-policy.js';
 export * from './share-engine.js';
-export type {PolicySet, ShareFeatures, ShareOptions} from './core.js';
+export type {PlacementPolicies, ShareFeatures, ShareOptions} from './core.js';
 export * from './audit.js';
 export * from './trace.js';
 export * from './replay.js';
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -1,4 +1,4 @@
-/** Needs of room that waiting work has, and where there may be room for them. */
+/** Resource needs of waiting jobs, and the workers on which they may fit. */
 import {
   fitsIn,
   NO_RESOURCES,
@@ -10,52 +10,52 @@
 import {isUsable, type WorkerState} from './state.js';
 import type {WaitClass} from './wait-class.js';
 
-/** The work that a pass over the teams places. */
+/** The jobs that a pass over the teams places. */
 export type Tier =
-  /** Urgent work of teams that are within their share. */
+  /** Urgent jobs of teams that are within their fair share. */
   | 'urgent'
-  /** All work. */
+  /** All jobs. */
   | 'all';
 
-/** What is known of the room for a need. */
-interface Search {
-  /** The entries of the log that were looked at; -1 where none were. */
-  seenUpTo: number;
-  /** For a gang: how many tasks each worker had room for, and their sum. */
+/** The progress of the search for workers on which a need fits. */
+interface SearchState {
+  /** The first log position that was not examined yet; -1 before any search. */
+  nextPosition: number;
+  /** For a gang: the number of tasks that fit on each worker, and their sum. */
   readonly slots: Map<WorkerState, number>;
-  slotSum: number;
+  totalSlots: number;
 }
 
-/** What the waiting classes with the same size and kind need. */
+/** The need of the waiting classes with equal size, run time and gang size. */
 export interface Need {
   readonly key: string;
   readonly size: Resources;
-  /** How many tasks need room at once; 0 where they need not. */
+  /** The number of tasks of a gang, which start together; otherwise 0. */
   readonly gangSize: number;
-  /** The classes that wait for it. */
+  /** The waiting classes that share the need. */
   readonly classes: Set<WaitClass>;
-  readonly searches: Readonly<Record<Tier, Search>>;
-  /** When it was last checked whether the shard could ever hold it. */
+  readonly searches: Readonly<Record<Tier, SearchState>>;
+  /** When it was last checked whether it would fit in an empty shard. */
   checkedMs: number;
-  /** Since when the shard could not hold it; infinite where it could. */
+  /** Since when it would not fit in an empty shard; infinite if it would. */
   obstructedMs: number;
 }
 
-/** All needs of waiting work. */
+/** The needs of all waiting jobs. */
 export class NeedTable {
   private readonly byKey = new Map<string, Need>();
   private readonly log = new RoomLog();
-  /** How many workers were looked at in all searches. */
-  looks = 0;
+  /** The number of workers that all searches have examined. */
+  examinedWorkers = 0;
 
   constructor(private readonly workers: ReadonlyMap<string, WorkerState>) {}
 
-  /** The needs in no stated order. */
+  /** The needs, in no particular order. */
   values(): IterableIterator<Need> {
     return this.byKey.values();
   }
 
-  /** Lets a class wait for room of its size. */
+  /** Adds a class, or moves it to the need of its present size. */
   add(waitClass: WaitClass): void {
     const {runMs, gangSize} = waitClass.kind;
     const key = `${runMs} ${gangSize} ${sizeKey(waitClass.size)}`;
@@ -67,7 +67,7 @@
     waitClass.need = need;
   }
 
-  /** Takes out a class of which no job waits, or whose size changes. */
+  /** Removes a class without waiting jobs, or one whose size changes. */
   remove(waitClass: WaitClass): void {
     const {need} = waitClass;
     if (need === null) return;
@@ -76,66 +76,67 @@
     if (need.classes.size === 0) this.byKey.delete(need.key);
   }
 
-  /** Notes that a worker may have got room. */
+  /** Records that a worker may have more free resources. */
   noteRoom(worker: WorkerState): void {
     this.log.add(worker);
   }
 
-  /** Tells whether there may be room for a need. */
-  isOpen(need: Need, tier: Tier): boolean {
+  /** Returns whether a need may fit, by what changed since it last did not. */
+  mayFit(need: Need, tier: Tier): boolean {
     const search = need.searches[tier];
-    if (need.gangSize > 0) return this.isGangOpen(need, tier);
-    if (search.seenUpTo < this.log.start) return true;
-    for (; search.seenUpTo < this.log.end; search.seenUpTo += 1) {
-      const worker = this.log.at(search.seenUpTo);
+    if (need.gangSize > 0) return this.mayGangFit(need, tier);
+    if (search.nextPosition < this.log.start) return true;
+    for (; search.nextPosition < this.log.end; search.nextPosition += 1) {
+      const worker = this.log.at(search.nextPosition);
       if (worker !== undefined && fitsIn(need.size, worker.free)) return true;
     }
     return false;
   }
 
-  /** Notes that no worker has room for a need. */
-  noteFull(need: Need, tier: Tier): void {
+  /** Records that a need fits on no worker at present. */
+  noteNoFit(need: Need, tier: Tier): void {
     const search = need.searches[tier];
-    search.seenUpTo = this.log.end;
-    if (need.gangSize > 0) this.countSlots(need, tier);
+    search.nextPosition = this.log.end;
+    if (need.gangSize > 0) this.recountSlots(need, tier);
   }
 
   /**
-   * The workers on which a need may have room; a gang needs the room of
-   * several workers, also of those that had some before.
+   * Returns the workers on which a need may fit: those that changed since it
+   * last did not. For a gang, all workers with room for a task, since it needs
+   * several workers at once.
    */
-  candidatesOf(need: Need, tier: Tier): Iterable<WorkerState> {
+  getCandidates(need: Need, tier: Tier): Iterable<WorkerState> {
     const search = need.searches[tier];
     if (need.gangSize > 0) {
-      this.looks += search.slots.size;
+      this.examinedWorkers += search.slots.size;
       return search.slots.keys();
     }
-    if (search.seenUpTo >= this.log.start) {
-      this.looks += this.log.end - search.seenUpTo;
-      return this.log.since(search.seenUpTo);
+    if (search.nextPosition >= this.log.start) {
+      this.examinedWorkers += this.log.end - search.nextPosition;
+      return this.log.since(search.nextPosition);
     }
-    this.looks += this.workers.size;
+    this.examinedWorkers += this.workers.size;
     return this.workers.values();
   }
 
-  private isGangOpen(need: Need, tier: Tier): boolean {
+  private mayGangFit(need: Need, tier: Tier): boolean {
     const search = need.searches[tier];
-    if (search.seenUpTo < this.log.start) this.countSlots(need, tier);
-    for (; search.seenUpTo < this.log.end; search.seenUpTo += 1) {
-      const worker = this.log.at(search.seenUpTo);
-      if (worker !== undefined) setSlots(need, tier, worker);
+    if (search.nextPosition < this.log.start) this.recountSlots(need, tier);
+    for (; search.nextPosition < this.log.end; search.nextPosition += 1) {
+      const worker = this.log.at(search.nextPosition);
+      if (worker !== undefined) updateSlots(need, tier, worker);
     }
-    return search.slotSum >= need.gangSize;
+    return search.totalSlots >= need.gangSize;
   }
 
-  /** Counts the room on all workers for the tasks of a gang. */
-  private countSlots(need: Need, tier: Tier): void {
+  /** Recounts the tasks of a gang that fit on each of all workers. */
+  private recountSlots(need: Need, tier: Tier): void {
     const search = need.searches[tier];
-    search.seenUpTo = this.log.end;
+    search.nextPosition = this.log.end;
     search.slots.clear();
-    search.slotSum = 0;
-    this.looks += this.workers.size;
-    for (const worker of this.workers.values()) setSlots(need, tier, worker);
+    search.totalSlots = 0;
+    this.examinedWorkers += this.workers.size;
+    for (const worker of this.workers.values()) updateSlots(need, tier, worker);
   }
 }
 
@@ -145,18 +146,18 @@
     size: waitClass.size,
     gangSize: waitClass.kind.gangSize,
     classes: new Set(),
-    searches: {urgent: newSearch(), all: newSearch()},
+    searches: {urgent: newSearchState(), all: newSearchState()},
     checkedMs: -Infinity,
     obstructedMs: Infinity,
   };
 }
 
-function newSearch(): Search {
-  return {seenUpTo: -1, slots: new Map(), slotSum: 0};
+function newSearchState(): SearchState {
+  return {nextPosition: -1, slots: new Map(), totalSlots: 0};
 }
 
-/** Counts anew for how many tasks of a gang a worker has room. */
-function setSlots(need: Need, tier: Tier, worker: WorkerState): void {
+/** Updates the number of tasks of a gang that fit on a worker. */
+function updateSlots(need: Need, tier: Tier, worker: WorkerState): void {
   const search = need.searches[tier];
   const held = tier === 'urgent' ? worker.heldUrgent : worker.held;
   const {free} = worker;
@@ -165,7 +166,7 @@
   const fits = isReady
     ? Math.min(need.gangSize, countFits(need.size, room))
     : 0;
-  search.slotSum += fits - (search.slots.get(worker) ?? 0);
+  search.totalSlots += fits - (search.slots.get(worker) ?? 0);
   if (fits > 0) search.slots.set(worker, fits);
   else search.slots.delete(worker);
 }
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,4 +1,4 @@
-/** Places waiting work, the teams furthest below their share first. */
+/** Places waiting jobs, those of the teams furthest below their share first. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
 import {policyOf, startTask, type EngineCore} from './core.js';
@@ -8,18 +8,21 @@
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {dequeue, enqueue, nextClass} from './waiting-list.js';
+import {dequeue, enqueue, selectNextClass} from './waiting-list.js';
 
-/** Workers that are looked at in vain before the rest is left to the next pass. */
-const MAX_VAIN_LOOKS = 30_000;
+/**
+ * Workers that a pass examines without starting anything before it leaves the
+ * rest to the next pass.
+ */
+const MAX_EXAMINED_WORKERS = 30_000;
 
-/** After this many teams in vain it is checked whether any need is open. */
-const CHECK_EVERY_TEAMS = 32;
+/** After this many teams without a start, a pass checks if any need may fit. */
+const TEAMS_PER_CHECK = 32;
 
-const NO_HOLD: ReadonlyMap<WorkerState, Resources> = new Map();
+const NO_HELD_RESOURCES: ReadonlyMap<WorkerState, Resources> = new Map();
 
 /**
- * Places what fits, one task or gang at a time.
+ * Starts waiting jobs that fit, one task or gang at a time.
  *
  * @example
  * yield* placeWaiting(core, 'all');
@@ -30,30 +33,30 @@
 ): Generator<Decision> {
   const order = new TeamOrder(teamsInTier(core, tier));
   let dropped = 0;
-  const stuck = new Set<WaitClass>();
-  let looksBefore = core.needs.looks;
-  while (core.needs.looks - looksBefore < MAX_VAIN_LOOKS) {
+  const blocked = new Set<WaitClass>();
+  let examinedBefore = core.needs.examinedWorkers;
+  while (core.needs.examinedWorkers - examinedBefore < MAX_EXAMINED_WORKERS) {
     const team = order.first();
     if (team === undefined) return;
-    const waitClass = nextClass(core, team, tier, stuck);
+    const waitClass = selectNextClass(core, team, tier, blocked);
     if (waitClass === undefined) {
       order.dropFirst();
       dropped += 1;
-      if (dropped % CHECK_EVERY_TEAMS === 0 && !isAnyOpen(core, tier)) return;
+      if (dropped % TEAMS_PER_CHECK === 0 && !mayAnyFit(core, tier)) return;
       continue;
     }
-    if (!placeFirst(core, team, waitClass, tier)) {
-      stuck.add(waitClass);
+    if (!placeNext(core, team, waitClass, tier)) {
+      blocked.add(waitClass);
       continue;
     }
     order.updateFirst();
     yield* flush(core);
-    looksBefore = core.needs.looks;
+    examinedBefore = core.needs.examinedWorkers;
   }
 }
 
 /**
- * Yields the decisions that are counted already.
+ * Yields the pending decisions that still apply.
  *
  * @example
  * yield* flush(core);
@@ -64,14 +67,14 @@
     if (decision === undefined) return;
     if (!isCurrent(core, decision)) continue;
     if (decision.kind === 'start' && !isStartable(core, decision.task)) {
-      withdraw(core, decision.task);
+      rollBackStart(core, decision.task);
       continue;
     }
     yield decision;
   }
 }
 
-/** Whether neither the worker nor the limit has changed against a start. */
+/** Whether the worker and the limit of the team still allow a start. */
 function isStartable(core: EngineCore, task: PlacedTask): boolean {
   const running = core.cell.tasks.get(task.taskId);
   if (running === undefined) return false;
@@ -80,8 +83,8 @@
   return core.teams.isAllowed(running.job.team, NO_RESOURCES);
 }
 
-/** Takes back a start that was never yielded. */
-function withdraw(core: EngineCore, task: PlacedTask): void {
+/** Undoes a start that was not yielded: the task waits again. */
+function rollBackStart(core: EngineCore, task: PlacedTask): void {
   const running = core.cell.tasks.get(task.taskId);
   if (running === undefined) return;
   const {job} = running;
@@ -91,7 +94,7 @@
   if (job.setAsideReason === '') enqueue(core, job);
 }
 
-/** Whether the task of a decision is still counted. */
+/** Whether the task of a decision still has a reservation. */
 function isCurrent(core: EngineCore, decision: Decision): boolean {
   switch (decision.kind) {
     case 'start':
@@ -117,31 +120,34 @@
 }
 
 /**
- * The teams of which urgent work waits.
+ * Returns the teams with waiting urgent jobs.
  *
  * @example
  * const order = new TeamOrder(teamsWithUrgent(core));
  */
 export function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
   const teams = new Set<TeamState>();
-  for (const {team} of core.urgentClasses) teams.add(team);
+  for (const {team} of core.urgentWaitClasses) teams.add(team);
   return teams;
 }
 
-function isAnyOpen(core: EngineCore, tier: Tier): boolean {
+function mayAnyFit(core: EngineCore, tier: Tier): boolean {
   for (const need of core.needs.values()) {
-    if (core.needs.isOpen(need, tier)) return true;
+    if (core.needs.mayFit(need, tier)) return true;
   }
   return false;
 }
 
-/** Whether a team's urgent use leaves it the right to go first. */
+/**
+ * Whether a team is within its fair share with its urgent usage alone, so that
+ * its urgent jobs go first.
+ */
 function isWithinShare(core: EngineCore, team: TeamState): boolean {
   const urgent = dominantShare(team.urgentUsed, core.teams.total);
   return urgent === 0 || urgent < team.fair;
 }
 
-function placeFirst(
+function placeNext(
   core: EngineCore,
   team: TeamState,
   waitClass: WaitClass,
@@ -152,14 +158,14 @@
   if (state === undefined || need === null) return false;
   const ask = newAsk(core, state, waitClass, tier);
   if (!core.teams.canStart(team, ask.size, ask.count)) {
-    waitClass.obstacle = 'the team is at its limit here';
+    waitClass.waitReason = 'the team has reached its limit in this shard';
     return false;
   }
-  const workers = core.needs.candidatesOf(need, tier);
+  const workers = core.needs.getCandidates(need, tier);
   const chosen = policyOf(core, state).choose(workers, ask);
   if (chosen.length === 0) {
-    core.needs.noteFull(need, tier);
-    waitClass.obstacle = 'no worker has room';
+    core.needs.noteNoFit(need, tier);
+    waitClass.waitReason = 'no worker has enough free resources';
     return false;
   }
   startAll(core, state, chosen, ask.size);
@@ -167,7 +173,7 @@
 }
 
 /**
- * Describes what a job's next tasks need.
+ * Builds the placement request for the next tasks of a job.
  *
  * @example
  * const ask = newAsk(core, state, waitClass, 'all');
@@ -184,21 +190,22 @@
     count: state.job.isGang ? state.pending.size : 1,
     isUrgent: tier === 'urgent',
     endMs: core.nowMs + waitClass.kind.runMs,
-    own: ownClaim(core, state),
+    own: usableHeldResources(core, state),
     avoided: core.failures.workersOf(state.job.jobId),
   };
 }
 
-function ownClaim(
+function usableHeldResources(
   core: EngineCore,
   state: JobState,
 ): ReadonlyMap<WorkerState, Resources> {
   const {jobId} = state.job;
-  return core.holds.get(jobId) ? core.holds.claimOf(jobId) : NO_HOLD;
+  return core.holds.get(jobId) ? core.holds.claimOf(jobId) : NO_HELD_RESOURCES;
 }
 
 /**
- * Counts and announces one task on each of the chosen workers.
+ * Starts one task on each of the chosen workers: reserves the resources and
+ * queues the decisions.
  *
  * @example
  * startAll(core, state, chosen, ask.size);
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -1,5 +1,5 @@
-/** The engine of the project: shares, priorities, gangs and limits. */
-import {newCore, obstacleOf, queueOf, countTask} from './core.js';
+/** The default engine: fair shares, priorities, gangs and team limits. */
+import {newCore, obstacleOf, getQueue, addRunningTask} from './core.js';
 import type {EngineCore, ShareOptions} from './core.js';
 import {
   PlacementEngine,
@@ -19,7 +19,7 @@
 import {admit, noteEnd} from './task-ends.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
-/** Decides by weighted max-min shares of the dominant resource. */
+/** Places jobs by weighted dominant resource fairness. */
 export class ShareEngine extends PlacementEngine {
   private readonly core: EngineCore;
 
@@ -45,10 +45,10 @@
   override removeWorker(workerId: string): void {
     const state = this.core.cell.workers.get(workerId);
     if (state === undefined) return;
-    this.core.holds.dropWorker(state);
+    this.core.holds.removeWorker(state);
     this.core.health.forget(state);
     for (const {job} of this.core.cell.removeWorker(workerId)) {
-      this.forgetIfIdle(job);
+      this.removeIfIdle(job);
     }
   }
 
@@ -57,9 +57,9 @@
   }
 
   override submit(job: PolicyJob): void {
-    const state = this.getJob(job);
+    const state = this.getOrAddJob(job);
     dequeue(this.core, state);
-    this.describe(state, job);
+    this.updateJob(state, job);
     for (const index of job.taskIndexes) {
       if (!state.running.has(index)) state.pending.add(index);
     }
@@ -73,18 +73,19 @@
     this.core.holds.remove(jobId);
     state.pending.clear();
     const placed = [...state.running.values()].map(running => running.task);
-    this.forgetIfIdle(state);
+    this.removeIfIdle(state);
     return placed;
   }
 
   override adopt(task: PlacedTask): void {
     if (this.core.cell.tasks.has(task.taskId)) return;
-    const state = this.core.jobs.get(task.jobId) ?? this.addUnknownJob(task);
+    const state =
+      this.core.jobs.get(task.jobId) ?? this.addPlaceholderJob(task);
     const isWaiting = state.waitClass !== null;
     dequeue(this.core, state);
     state.pending.delete(task.taskIndex);
     if (isWaiting) enqueue(this.core, state);
-    countTask(this.core, state, task);
+    addRunningTask(this.core, state, task);
   }
 
   override ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void {
@@ -93,8 +94,8 @@
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
     this.core.cell.release(running);
     noteEnd(this.core, running, end);
-    this.readmit(running.job);
-    this.forgetIfIdle(running.job);
+    this.requeueGang(running.job);
+    this.removeIfIdle(running.job);
   }
 
   override learn(samples: readonly UsageSample[], nowMs: number): void {
@@ -116,7 +117,7 @@
     if (setAsideReason !== '') return `set aside: ${setAsideReason}; ${runs}`;
     if (waitClass === null) return runs;
     const obstacle = obstacleOf(this.core, state.job);
-    const reason = obstacle === '' ? waitClass.obstacle : obstacle;
+    const reason = obstacle === '' ? waitClass.waitReason : obstacle;
     return `${pending.size} waiting: ${reason}; ${runs}`;
   }
 
@@ -124,7 +125,7 @@
     return [...this.core.teams.values()].map(team => ({
       team: team.team.team,
       running: team.used,
-      waiting: team.waitingSize,
+      waiting: team.waitingResources,
     }));
   }
 
@@ -132,18 +133,18 @@
     return this.core.waitingTasks;
   }
 
-  private getJob(job: PolicyJob): JobState {
+  private getOrAddJob(job: PolicyJob): JobState {
     const known = this.core.jobs.get(job.jobId);
     if (known !== undefined) return known;
     const team = this.core.teams.get(job.team);
-    const state = newJobState(job, queueOf(this.core, job.queue), team);
+    const state = newJobState(job, getQueue(this.core, job.queue), team);
     this.core.jobs.set(job.jobId, state);
     return state;
   }
 
-  /** Stands for a job of which only a running task is known yet. */
-  private addUnknownJob(task: PlacedTask): JobState {
-    return this.getJob({
+  /** Adds a placeholder for a job of which only a running task is known. */
+  private addPlaceholderJob(task: PlacedTask): JobState {
+    return this.getOrAddJob({
       jobId: task.jobId,
       team: '',
       queue: '',
@@ -157,11 +158,11 @@
     });
   }
 
-  /** Takes over what a later submission says of a job. */
-  private describe(state: JobState, job: PolicyJob): void {
+  /** Replaces the description of a job by that of a later submission. */
+  private updateJob(state: JobState, job: PolicyJob): void {
     const team = this.core.teams.get(job.team);
     state.job = job;
-    state.queue = queueOf(this.core, job.queue);
+    state.queue = getQueue(this.core, job.queue);
     this.core.cell.countPlaces(state);
     if (state.team === team) return;
     for (const {task, isUrgent} of state.running.values()) {
@@ -172,7 +173,7 @@
   }
 
   private refreshQueue(state: JobState): void {
-    const queue = queueOf(this.core, state.job.queue);
+    const queue = getQueue(this.core, state.job.queue);
     const {priority, policy} = state.queue;
     if (queue.priority === priority && queue.policy === policy) return;
     const isWaiting = state.waitClass !== null;
@@ -182,13 +183,13 @@
     if (isWaiting) enqueue(this.core, state);
   }
 
-  /** Lets the rest of a gang wait whose last stopping task has ended. */
-  private readmit(state: JobState): void {
+  /** Queues the rest of a gang once its last stopping task has ended. */
+  private requeueGang(state: JobState): void {
     if (!state.job.isGang || state.waitClass !== null) return;
     if (state.setAsideReason === '') admit(this.core, state);
   }
 
-  private forgetIfIdle(state: JobState): void {
+  private removeIfIdle(state: JobState): void {
     if (state.pending.size > 0 || state.running.size > 0) return;
     this.core.holds.remove(state.job.jobId);
     this.core.jobs.delete(state.job.jobId);
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -1,4 +1,4 @@
-/** What the engine keeps for each worker, team, job and running task. */
+/** The state of each worker, organisation, team, job and running task. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {
   PlacedTask,
@@ -9,63 +9,66 @@
 } from './engine.js';
 import type {WaitClass} from './wait-class.js';
 
-/** A worker with what is reserved and held on it. */
+/** A worker with the resources that are reserved and held on it. */
 export interface WorkerState {
   worker: PolicyWorker;
   used: Resources;
-  /** Capacity minus what is used; parts may be negative. */
+  /** Capacity minus usage; amounts may be negative. */
   free: Resources;
-  /** Kept for tasks that have been promised this room. */
+  /** The resources that holds keep for waiting jobs. */
   held: Resources;
-  /** The part of what is held that belongs to urgent tasks. */
+  /** The part of the held resources that is kept for urgent jobs. */
   heldUrgent: Resources;
-  /** When the room that is held is expected to be taken. */
+  /**
+   * When the first hold is expected to be used; tasks that are expected to end
+   * before may use the held resources.
+   */
   heldFromMs: number;
   readonly tasks: Set<RunningTask>;
-  /** Set aside for its failures until this time; 0 where it is not. */
+  /** The end of its quarantine for failures; 0 if it is not quarantined. */
   setAsideUntilMs: number;
-  /** Gets one task at a time until one succeeds. */
+  /** After a quarantine: gets one task at a time until one succeeds. */
   isOnProbation: boolean;
 }
 
-/** An organisation with the sum of its teams' use. */
+/** An organisation with the total usage of its teams. */
 export interface OrganisationState {
   readonly organisation: string;
   share: number;
   used: Resources;
-  /** The dominant share that its teams are due now. */
+  /** The sum of the fair shares of its teams. */
   fair: number;
   /** Half of the dominant share of the task that was started last. */
-  halfTask: number;
-  /** What it has had beyond its share of late; negative for less. */
-  drift: number;
-  /** The dominant share in use, with half a task and the drift, divided by the weight. */
-  ratio: number;
+  halfTaskShare: number;
+  /** The usage beyond the fair share, added up over recent time. */
+  shareExcess: number;
+  /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
+  weightedShare: number;
 }
 
-/** A team with its use and its waiting jobs. */
+/** A team with its usage and its waiting jobs. */
 export interface TeamState {
   team: PolicyTeam;
   organisation: OrganisationState;
   used: Resources;
-  /** The part of the use that belongs to urgent queues. */
+  /** The part of the usage that belongs to urgent queues. */
   urgentUsed: Resources;
   /** Half of the dominant share of the task that was started last. */
-  halfTask: number;
-  /** What it has had beyond its share of late; negative for less. */
-  drift: number;
-  /** The dominant share in use, with half a task and the drift, divided by the weight. */
-  ratio: number;
+  halfTaskShare: number;
+  /** The usage beyond the fair share, added up over recent time. */
+  shareExcess: number;
+  /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
+  weightedShare: number;
   readonly waiting: Map<string, WaitClass>;
-  /** The sum of what its waiting tasks would reserve. */
-  waitingSize: Resources;
-  /** The part of the use whose tasks were told to stop. */
+  /** The total size of its waiting tasks. */
+  waitingResources: Resources;
+  /** The part of the usage whose tasks were told to stop. */
   stopping: Resources;
-  /** The dominant share that stays once told tasks have ended. */
+  /** The dominant share without the tasks that were told to stop. */
   keptShare: number;
   /** When the team last started a task. */
   startedMs: number;
-  /** The dominant share that the team is due now. */
+  /** The fair dominant share by the present demand. */
   fair: number;
 }
 
@@ -74,18 +77,18 @@
   job: PolicyJob;
   queue: PolicyQueue;
   team: TeamState;
-  /** Indexes of the tasks that wait. */
+  /** The indexes of the waiting tasks. */
   readonly pending: Set<number>;
   readonly running: Map<number, RunningTask>;
-  /** For a job that is spread: how many tasks each place has. */
+  /** For a spread job: the number of its tasks in each rack and worker. */
   placeCounts: Map<string, number> | null;
   /** The class in which the job waits. */
   waitClass: WaitClass | null;
-  /** Tells the job's present entry in its class from older ones. */
+  /** The number of the job's current entry in its class; older ones differ. */
   ticket: number;
-  /** Why it was set aside; empty where it was not. */
+  /** Why the job was set aside; empty if it was not. */
   setAsideReason: string;
-  /** It gets no new hold before this time. */
+  /** The time before which the job gets no new hold. */
   noHoldUntilMs: number;
 }
 
@@ -94,26 +97,28 @@
   task: PlacedTask;
   readonly job: JobState;
   readonly startedMs: number;
-  /** How long it was expected to run; infinite where unknown. */
+  /** The estimated run time; infinite if unknown. */
   readonly expectedMs: number;
-  /** Whether it counts as urgent use of its team. */
+  /** Whether it counts towards the urgent usage of its team. */
   readonly isUrgent: boolean;
   /** Whether it was told to stop. */
   isStopping: boolean;
   /** When it was told to stop. */
   stoppingMs: number;
-  /** The largest use that was measured. */
+  /** The largest measured CPU usage since the last resize. */
   peakCpuMilli: number;
+  /** The largest measured memory usage. */
   peakMemMb: number;
+  /** The number of measurements since the last resize. */
   sampleCount: number;
-  /** What it reserved before it last got more to try; 0 where it did not. */
+  /** The CPU reservation before the last probe with more; 0 without probe. */
   probedCpuMilli: number;
   /** When its reservation was last changed. */
   resizedMs: number;
 }
 
 /**
- * Makes the state of a worker that holds nothing.
+ * Creates the state of a worker without tasks.
  *
  * @example
  * workers.set(worker.workerId, newWorkerState(worker));
@@ -133,7 +138,7 @@
 }
 
 /**
- * Makes the state of a job of which no task waits or runs.
+ * Creates the state of a job without waiting or running tasks.
  *
  * @example
  * jobs.set(job.jobId, newJobState(job, queue, team));
@@ -158,7 +163,8 @@
 }
 
 /**
- * Tells whether a worker may get new tasks.
+ * Returns whether a worker may get new tasks: it is ready, not quarantined,
+ * and has no task yet if it is on probation.
  *
  * @example
  * if (!isUsable(state)) continue;
@@ -170,7 +176,7 @@
 }
 
 /**
- * Tells whether the tasks of a job are kept apart.
+ * Returns whether the tasks of a job are spread over racks and workers.
  *
  * @example
  * const policy = isSpread(job, queue) ? policies.spread : policies.pack;
--- a/packages/policy/src/team-order.ts
+++ b/packages/policy/src/team-order.ts
@@ -1,4 +1,4 @@
-/** The order in which teams get room: furthest below their share first. */
+/** Orders teams for placement, those furthest below their share first. */
 import {Heap} from './heap.js';
 import type {OrganisationState, TeamState} from './state.js';
 
@@ -7,10 +7,10 @@
   readonly teams: Heap<TeamState>;
 }
 
-/** Teams by the ratio of their organisation and then by their own. */
+/** Teams by the weighted share of their organisation, then by their own. */
 export class TeamOrder {
   private readonly entries = new Heap<OrganisationEntry>(
-    (a, b) => a.organisation.ratio - b.organisation.ratio,
+    (a, b) => a.organisation.weightedShare - b.organisation.weightedShare,
   );
 
   constructor(teams: Iterable<TeamState>) {
@@ -25,18 +25,18 @@
     }
   }
 
-  /** The team whose turn it is. */
+  /** The next team; undefined if none is left. */
   first(): TeamState | undefined {
     return this.entries.first()?.teams.first();
   }
 
-  /** Restores the order after the first team's use grew. */
+  /** Restores the order after the usage of the first team has grown. */
   updateFirst(): void {
     this.entries.first()?.teams.updateFirst();
     this.entries.updateFirst();
   }
 
-  /** Takes the first team out. */
+  /** Removes the first team. */
   dropFirst(): void {
     const entry = this.entries.first();
     entry?.teams.pop();
@@ -45,5 +45,5 @@
 }
 
 function newTeamHeap(): Heap<TeamState> {
-  return new Heap<TeamState>((a, b) => a.ratio - b.ratio);
+  return new Heap<TeamState>((a, b) => a.weightedShare - b.weightedShare);
 }
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -1,4 +1,4 @@
-/** Teams and organisations with their use and their weights. */
+/** Usage and weights of teams and organisations. */
 import {
   addResources,
   fitsIn,
@@ -11,20 +11,20 @@
 import type {PolicyTeam} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
 
-/** The weight of a team or organisation whose share is not positive. */
-const LEAST_WEIGHT = 1e-9;
+/** The weight of a team or organisation whose share is 0 or negative. */
+const MIN_WEIGHT = 1e-9;
 
-/** How long a team is off its share by a task until that counts as a task. */
-const DRIFT_MS = 40_000;
+/** The time after which a constant excess of one task counts as one task. */
+const SHARE_EXCESS_TIME_MS = 40_000;
 
-/** All teams of a shard, and what they use there. */
+/** All teams of a shard, with their usage there. */
 export class TeamTable {
   private readonly byName = new Map<string, TeamState>();
   private readonly organisations = new Map<string, OrganisationState>();
-  /** What the dominant shares are parts of. */
+  /** The capacity of the shard, of which dominant shares are fractions. */
   total: Resources = NO_RESOURCES;
 
-  /** Replaces the teams; those that are gone may run nothing new. */
+  /** Replaces the teams; teams that are gone may start nothing new. */
   setTeams(teams: readonly PolicyTeam[]): void {
     const names = new Set(teams.map(team => team.team));
     for (const [name, state] of this.byName) {
@@ -32,20 +32,20 @@
       state.team = {...state.team, allowance: NO_RESOURCES};
     }
     for (const team of teams) this.setTeam(team);
-    this.refreshRatios();
+    this.refreshWeightedShares();
   }
 
-  /** Sets what the dominant shares are parts of. */
+  /** Sets the capacity of the shard. */
   setTotal(total: Resources): void {
     this.total = total;
-    this.refreshRatios();
+    this.refreshWeightedShares();
   }
 
-  /** The team of this name; an unknown one may run nothing. */
+  /** Returns the team of this name; an unknown team has no allowance. */
   get(name: string): TeamState {
     const known = this.byName.get(name);
     if (known !== undefined) return known;
-    return this.add({
+    return this.addTeam({
       team: name,
       organisation: '',
       share: 0,
@@ -54,12 +54,12 @@
     });
   }
 
-  /** All teams, also those without work. */
+  /** All teams, including those without jobs. */
   values(): IterableIterator<TeamState> {
     return this.byName.values();
   }
 
-  /** Adds to what a team uses, or takes away where the size is negative. */
+  /** Adds to the usage of a team; the size may be negative. */
   charge(team: TeamState, size: Resources, isUrgent: boolean): void {
     team.used = addResources(team.used, size);
     if (isUrgent) team.urgentUsed = addResources(team.urgentUsed, size);
@@ -70,22 +70,23 @@
   }
 
   /**
-   * Notes the size of a task that a team starts. Half of it counts in the
-   * order of the teams: by the use before a start alone, teams with a small
-   * share or small tasks get more than their due, by the use after it, less.
+   * Records the size of the task that a team starts. Half of it is added to
+   * the usage by which teams are ordered: with the usage before a start, teams
+   * with a small share or small tasks would get more than their fair share,
+   * and with the usage after it, less.
    */
-  noteStart(team: TeamState, size: Resources): void {
+  noteTaskStart(team: TeamState, size: Resources): void {
     const half = dominantShare(size, this.total) / 2;
-    team.halfTask = half;
-    team.organisation.halfTask = half;
+    team.halfTaskShare = half;
+    team.organisation.halfTaskShare = half;
   }
 
   /**
-   * Counts for how long teams have been off their share: whole tasks can't
-   * match it at any one time, but by turns they can.
+   * Updates how far teams have been above or below their fair share over time.
+   * Whole tasks cannot match a share at every moment, but they can on average.
    */
-  noteDrift(elapsedMs: number): void {
-    const part = Math.min(1, elapsedMs / DRIFT_MS);
+  updateShareExcess(elapsedMs: number): void {
+    const fraction = Math.min(1, elapsedMs / SHARE_EXCESS_TIME_MS);
     for (const organisation of this.organisations.values()) {
       organisation.fair = 0;
     }
@@ -93,45 +94,45 @@
       team.organisation.fair += team.fair;
       const isBusy = team.waiting.size > 0;
       const used = dominantShare(team.used, this.total);
-      team.drift = isBusy ? nextDrift(team, used, part) : 0;
+      team.shareExcess = isBusy ? nextShareExcess(team, used, fraction) : 0;
     }
     for (const organisation of this.organisations.values()) {
       const used = dominantShare(organisation.used, this.total);
-      organisation.drift = nextDrift(organisation, used, part);
+      organisation.shareExcess = nextShareExcess(organisation, used, fraction);
     }
-    this.refreshRatios();
+    this.refreshWeightedShares();
   }
 
-  /** Takes away from what a team uses. */
+  /** Subtracts from the usage of a team. */
   release(team: TeamState, size: Resources, isUrgent: boolean): void {
     this.charge(team, subtractResources(NO_RESOURCES, size), isUrgent);
   }
 
-  /** Notes that a part of what a team uses will soon be free. */
+  /** Records that a task was told to stop, which will free its size. */
   noteStopping(team: TeamState, size: Resources): void {
     team.stopping = addResources(team.stopping, size);
     this.refreshTeam(team);
   }
 
-  /** Notes that a task that was told to stop has ended. */
+  /** Removes a task from those that were told to stop. */
   noteStopped(team: TeamState, size: Resources): void {
     team.stopping = subtractResources(team.stopping, size);
     this.refreshTeam(team);
   }
 
-  /** Tells whether a team may start that many tasks of this size. */
+  /** Returns whether its limit lets a team start `count` tasks of this size. */
   canStart(team: TeamState, size: Resources, count: number): boolean {
     const more = count === 1 ? size : scaleResources(size, count);
     return this.isAllowed(team, more);
   }
 
-  /** Tells whether a team may use that much more. */
+  /** Returns whether the usage of a team may grow by this much. */
   isAllowed(team: TeamState, more: Resources): boolean {
     return fitsIn(addResources(team.used, more), team.team.allowance);
   }
 
   private setTeam(team: PolicyTeam): void {
-    const state = this.byName.get(team.team) ?? this.add(team);
+    const state = this.byName.get(team.team) ?? this.addTeam(team);
     state.team = team;
     const organisation = this.getOrganisation(team.organisation);
     organisation.share = team.organisationShare;
@@ -142,19 +143,19 @@
     state.organisation = organisation;
   }
 
-  private add(team: PolicyTeam): TeamState {
+  private addTeam(team: PolicyTeam): TeamState {
     const organisation = this.getOrganisation(team.organisation);
     const state: TeamState = {
       team,
       organisation,
       used: NO_RESOURCES,
       urgentUsed: NO_RESOURCES,
-      ratio: 0,
+      weightedShare: 0,
       waiting: new Map(),
-      waitingSize: NO_RESOURCES,
+      waitingResources: NO_RESOURCES,
       stopping: NO_RESOURCES,
-      halfTask: 0,
-      drift: 0,
+      halfTaskShare: 0,
+      shareExcess: 0,
       keptShare: 0,
       startedMs: -Infinity,
       fair: 0,
@@ -170,16 +171,16 @@
       organisation: name,
       share: 0,
       used: NO_RESOURCES,
-      halfTask: 0,
-      drift: 0,
+      halfTaskShare: 0,
+      shareExcess: 0,
       fair: 0,
-      ratio: 0,
+      weightedShare: 0,
     };
     this.organisations.set(name, organisation);
     return organisation;
   }
 
-  private refreshRatios(): void {
+  private refreshWeightedShares(): void {
     for (const team of this.byName.values()) this.refreshTeam(team);
     for (const organisation of this.organisations.values()) {
       this.refreshOrganisation(organisation);
@@ -187,30 +188,39 @@
   }
 
   private refreshTeam(team: TeamState): void {
-    const weight = Math.max(team.team.share, LEAST_WEIGHT);
+    const weight = Math.max(team.team.share, MIN_WEIGHT);
     const used = dominantShare(team.used, this.total);
-    team.ratio = (used + team.halfTask + team.drift) / weight;
+    team.weightedShare =
+      (used + team.halfTaskShare + team.shareExcess) / weight;
     const kept = subtractResources(team.used, team.stopping);
     team.keptShare = dominantShare(kept, this.total);
   }
 
   private refreshOrganisation(organisation: OrganisationState): void {
-    const weight = Math.max(organisation.share, LEAST_WEIGHT);
+    const weight = Math.max(organisation.share, MIN_WEIGHT);
     const used = dominantShare(organisation.used, this.total);
-    organisation.ratio =
-      (used + organisation.halfTask + organisation.drift) / weight;
+    organisation.weightedShare =
+      (used + organisation.halfTaskShare + organisation.shareExcess) / weight;
   }
 }
 
-interface Drifting {
+/** A team or organisation with its fair share and its excess so far. */
+interface ShareHistory {
   readonly fair: number;
-  readonly halfTask: number;
-  readonly drift: number;
+  readonly halfTaskShare: number;
+  readonly shareExcess: number;
 }
 
-/** The sum of what was had beyond the share, up to four tasks each way. */
-function nextDrift(state: Drifting, used: number, part: number): number {
-  const most = 8 * state.halfTask;
-  const drift = state.drift + (used - state.fair) * part;
-  return Math.max(-most, Math.min(most, drift));
+/**
+ * Adds the usage beyond the fair share to the excess so far, which is limited
+ * to four tasks in either direction.
+ */
+function nextShareExcess(
+  state: ShareHistory,
+  used: number,
+  fraction: number,
+): number {
+  const limit = 8 * state.halfTaskShare;
+  const excess = state.shareExcess + (used - state.fair) * fraction;
+  return Math.max(-limit, Math.min(limit, excess));
 }
--- a/packages/policy/src/wait-class.ts
+++ b/packages/policy/src/wait-class.ts
@@ -1,62 +1,63 @@
-/** Waiting jobs of one team that are alike to the placement. */
+/** Equivalence classes of waiting jobs that the placement treats alike. */
 import type {Resources} from '@dragonflyward/common';
 import type {PolicyPriority} from './engine.js';
 import {Heap} from './heap.js';
 import type {Need} from './needs.js';
 import type {JobState, TeamState} from './state.js';
 
-/** Stale entries that a class may keep beyond those in use. */
-const STALE_SLACK = 64;
+/** Removed entries that a heap may keep beyond the number of current ones. */
+const MAX_EXTRA_STALE_ENTRIES = 64;
 
+/** A heap entry; it is stale once the ticket of its job has changed. */
 interface Entry {
   readonly state: JobState;
   readonly ticket: number;
   readonly acceptedMs: number;
 }
 
-/** What the jobs of a class have in common. */
+/** The attributes that all jobs of a class share. */
 export interface WaitKind {
   readonly queue: string;
   readonly priority: PolicyPriority;
-  readonly declared: Resources;
-  /** How long a task is expected to run; infinite where unknown. */
+  readonly declaredSize: Resources;
+  /** The estimated run time of a task; infinite if unknown or too long. */
   readonly runMs: number;
-  /** How many tasks need room at once; 0 where they need not. */
+  /** The number of tasks of a gang, which start together; otherwise 0. */
   readonly gangSize: number;
 }
 
-/** Waiting jobs of one team and kind; the oldest is first. */
+/** The waiting jobs of one team that share a kind, the oldest first. */
 export class WaitClass {
   private readonly entries = new Heap<Entry>(
     (a, b) => a.acceptedMs - b.acceptedMs || a.ticket - b.ticket,
   );
   private jobCount = 0;
   private nextTicket = 1;
-  /** How many tasks wait in this class. */
+  /** The number of waiting tasks. */
   taskCount = 0;
-  /** What a task of the class reserves at present. */
+  /** The resources that a task of the class reserves at present. */
   size: Resources;
-  /** The room that the class waits for; null while no job waits in it. */
+  /** The need that the class waits for; null while it has no jobs. */
   need: Need | null = null;
-  /** The state of the estimates by which the size was set. */
-  sizeVersion = 0;
-  /** No room is made for the class before this time. */
+  /** The version of the estimate that the size reflects. */
+  estimateVersion = 0;
+  /** The time before which no tasks are preempted for the class. */
   noRoomUntilMs = 0;
-  /** Why the class did not get room when it was last tried. */
-  obstacle = 'it has not been its turn yet';
+  /** Why the class was not placed when it was last tried. */
+  waitReason = 'placement has not been tried yet';
 
   constructor(
     readonly team: TeamState,
     readonly kind: WaitKind,
   ) {
-    this.size = kind.declared;
+    this.size = kind.declaredSize;
   }
 
   get isEmpty(): boolean {
     return this.jobCount === 0;
   }
 
-  /** Adds a job that waits in no class. */
+  /** Adds a job that is in no class. */
   add(state: JobState): void {
     state.waitClass = this;
     state.ticket = this.nextTicket;
@@ -67,24 +68,24 @@
     this.entries.push({state, ticket, acceptedMs: state.job.acceptedMs});
   }
 
-  /** Takes a job out; its entry is dropped later. */
+  /** Removes a job; its stale entry is dropped later. */
   remove(state: JobState): void {
     if (state.waitClass !== this) return;
     state.waitClass = null;
     state.ticket = 0;
     this.jobCount -= 1;
     this.taskCount -= state.pending.size;
-    this.dropStale();
+    this.removeStaleEntries();
   }
 
-  /** Tells that some of a job's tasks wait no more. */
-  shrink(state: JobState, count: number): void {
+  /** Removes some tasks of a job, and the job after its last one. */
+  removeTasks(state: JobState, count: number): void {
     this.taskCount -= count;
     if (state.pending.size > 0) return;
     this.remove(state);
   }
 
-  /** The job that has waited longest. */
+  /** The oldest job. */
   first(): JobState | undefined {
     for (;;) {
       const entry = this.entries.first();
@@ -94,7 +95,7 @@
     }
   }
 
-  /** The jobs of the class in no stated order. */
+  /** The jobs of the class, in no particular order. */
   *jobs(): Generator<JobState> {
     for (const entry of this.entries) {
       if (this.isCurrent(entry)) yield entry.state;
@@ -106,13 +107,13 @@
     return state.waitClass === this && state.ticket === ticket;
   }
 
-  private dropStale(): void {
+  private removeStaleEntries(): void {
     if (this.jobCount === 0) {
       this.entries.clear();
       return;
     }
     const stale = this.entries.size - this.jobCount;
-    if (stale <= this.jobCount + STALE_SLACK) return;
+    if (stale <= this.jobCount + MAX_EXTRA_STALE_ENTRIES) return;
     this.entries.retain(entry => this.isCurrent(entry));
   }
 }
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -1,4 +1,4 @@
-/** Which jobs wait, and which of a team's jobs is next. */
+/** Queues waiting jobs and selects the next job of a team. */
 import {addResources, scaleResources} from '@dragonflyward/common';
 import {sizeKey} from './amounts.js';
 import {PRIORITIES, type EngineCore} from './core.js';
@@ -7,21 +7,21 @@
 import type {JobState, TeamState} from './state.js';
 import {WaitClass, type WaitKind} from './wait-class.js';
 
-/** A job that has waited this long counts as one priority higher. */
+/** The waiting time that raises a job by one priority. */
 export const AGEING_STEP_MS = 60_000;
 
-/** Keeps the ranks of two priorities apart; above any time in ms. */
-const PRIORITY_RANK = 1e14;
+/** The distance between the ranks of two priorities; above any time in ms. */
+const RANKS_PER_PRIORITY = 1e14;
 
 /**
- * Lets a job's pending tasks wait for their turn.
+ * Adds a job with pending tasks to its class.
  *
  * @example
  * enqueue(core, state);
  */
 export function enqueue(core: EngineCore, state: JobState): void {
   if (state.pending.size === 0 || state.waitClass !== null) return;
-  const kind = kindOf(core, state);
+  const kind = getWaitKind(core, state);
   const key = classKey(kind);
   const {waiting} = state.team;
   let waitClass = waiting.get(key);
@@ -31,14 +31,14 @@
   }
   if (waitClass.isEmpty) {
     refreshSize(core, waitClass);
-    if (kind.priority === 'urgent') core.urgentClasses.add(waitClass);
+    if (kind.priority === 'urgent') core.urgentWaitClasses.add(waitClass);
   }
   waitClass.add(state);
-  noteWaiting(core, waitClass, state.pending.size);
+  adjustWaitingTotals(core, waitClass, state.pending.size);
 }
 
 /**
- * Takes a job out of its class; its pending tasks are kept.
+ * Removes a job from its class; its pending tasks are kept.
  *
  * @example
  * dequeue(core, state);
@@ -46,13 +46,13 @@
 export function dequeue(core: EngineCore, state: JobState): void {
   const {waitClass} = state;
   if (waitClass === null) return;
-  noteWaiting(core, waitClass, -state.pending.size);
+  adjustWaitingTotals(core, waitClass, -state.pending.size);
   waitClass.remove(state);
-  if (waitClass.isEmpty) forgetClass(core, waitClass);
+  if (waitClass.isEmpty) removeClass(core, waitClass);
 }
 
 /**
- * Tells the waiting list that one pending task of a job has started.
+ * Removes a pending task that has started.
  *
  * @example
  * noteTaskStarted(core, state, taskIndex);
@@ -65,77 +65,77 @@
   if (!state.pending.delete(taskIndex)) return;
   const {waitClass} = state;
   if (waitClass === null) return;
-  noteWaiting(core, waitClass, -1);
-  waitClass.shrink(state, 1);
-  if (waitClass.isEmpty) forgetClass(core, waitClass);
+  adjustWaitingTotals(core, waitClass, -1);
+  waitClass.removeTasks(state, 1);
+  if (waitClass.isEmpty) removeClass(core, waitClass);
 }
 
-/** Counts tasks of a class that begin to wait, or cease where negative. */
-function noteWaiting(
+/** Adds a number of tasks, which may be negative, to the waiting totals. */
+function adjustWaitingTotals(
   core: EngineCore,
   waitClass: WaitClass,
   count: number,
 ): void {
   const {team, size} = waitClass;
   core.waitingTasks += count;
-  team.waitingSize = addResources(
-    team.waitingSize,
+  team.waitingResources = addResources(
+    team.waitingResources,
     scaleResources(size, count),
   );
 }
 
-function forgetClass(core: EngineCore, waitClass: WaitClass): void {
+function removeClass(core: EngineCore, waitClass: WaitClass): void {
   core.needs.remove(waitClass);
-  core.urgentClasses.delete(waitClass);
+  core.urgentWaitClasses.delete(waitClass);
   waitClass.team.waiting.delete(classKey(waitClass.kind));
 }
 
-function kindOf(core: EngineCore, state: JobState): WaitKind {
+function getWaitKind(core: EngineCore, state: JobState): WaitKind {
   const {job, queue, pending} = state;
   return {
     queue: job.queue,
     priority: queue.priority,
-    declared: job.size,
-    runMs: expectedRunMs(core, state),
+    declaredSize: job.size,
+    runMs: roundedRunMs(core, state),
     gangSize: job.isGang ? pending.size : 0,
   };
 }
 
 function classKey(kind: WaitKind): string {
-  const {queue, priority, declared, runMs, gangSize} = kind;
-  return `${queue} ${priority} ${sizeKey(declared)} ${runMs} ${gangSize}`;
+  const {queue, priority, declaredSize, runMs, gangSize} = kind;
+  return `${queue} ${priority} ${sizeKey(declaredSize)} ${runMs} ${gangSize}`;
 }
 
 /**
- * How long a task of the job is expected to run, in powers of four; infinite
- * where it is too long to end before any held room is needed.
+ * The estimated run time of a task, rounded up to a power of four to have few
+ * classes; infinite if it is too long to end before any held room is needed.
  */
-function expectedRunMs(core: EngineCore, state: JobState): number {
+function roundedRunMs(core: EngineCore, state: JobState): number {
   const {job} = state;
   if (job.isService || job.isGang) return Infinity;
-  const runMs = core.estimates.runMsOf(job.queue, job.team, job.runMs);
+  const runMs = core.estimates.estimateRunMs(job.queue, job.team, job.runMs);
   return runMs > MAX_HOLD_MS ? Infinity : 4 ** Math.ceil(Math.log2(runMs) / 2);
 }
 
 /**
- * The class whose turn it is in a team: by priority raised with age, then by
- * the time of acceptance.
+ * Selects the next class of a team: by priority, which rises with the waiting
+ * time, and then by the time of acceptance.
  *
  * @example
- * const waitClass = nextClass(core, team, 'all', stuck);
+ * const waitClass = selectNextClass(core, team, 'all', blocked);
  */
-export function nextClass(
+export function selectNextClass(
   core: EngineCore,
   team: TeamState,
   tier: Tier,
-  stuck: ReadonlySet<WaitClass>,
+  blocked: ReadonlySet<WaitClass>,
 ): WaitClass | undefined {
   let best: WaitClass | undefined;
   let bestRank = Infinity;
   for (const waitClass of team.waiting.values()) {
     if (tier === 'urgent' && waitClass.kind.priority !== 'urgent') continue;
-    if (waitClass.need === null || stuck.has(waitClass)) continue;
-    if (!core.needs.isOpen(waitClass.need, tier)) continue;
+    if (waitClass.need === null || blocked.has(waitClass)) continue;
+    if (!core.needs.mayFit(waitClass.need, tier)) continue;
     const first = waitClass.first();
     if (first === undefined) continue;
     const rank = rankOf(core, waitClass, first.job.acceptedMs);
@@ -147,8 +147,9 @@
 }
 
 /**
- * The place of a class in its team: lower ranks are first, and the time of
- * acceptance decides within a step of age.
+ * Returns the rank of a class in its team, the lowest being first. It is the
+ * priority, raised by one for each ageing step, and then the time of
+ * acceptance.
  *
  * @example
  * const rank = rankOf(core, waitClass, first.job.acceptedMs);
@@ -162,34 +163,36 @@
   const steps = Math.floor(waitedMs / AGEING_STEP_MS);
   const priority = PRIORITIES.indexOf(waitClass.kind.priority);
   const level = Math.max(0, priority - Math.max(0, steps));
-  return level * PRIORITY_RANK + acceptedMs;
+  return level * RANKS_PER_PRIORITY + acceptedMs;
 }
 
 /**
- * Takes what was learnt of the sizes of waiting work into use.
+ * Applies the current estimates to the sizes of the waiting classes.
  *
  * @example
  * refreshSizes(core);
  */
 export function refreshSizes(core: EngineCore): void {
-  if (core.sizeVersion === core.estimates.version) return;
-  core.sizeVersion = core.estimates.version;
+  if (core.appliedEstimatesVersion === core.estimates.version) return;
+  core.appliedEstimatesVersion = core.estimates.version;
   for (const team of core.teams.values()) {
     for (const waitClass of team.waiting.values()) refreshSize(core, waitClass);
   }
 }
 
 function refreshSize(core: EngineCore, waitClass: WaitClass): void {
-  const {queue, declared} = waitClass.kind;
+  const {queue, declaredSize} = waitClass.kind;
   const team = waitClass.team.team.team;
-  const version = core.estimates.versionOf(queue, team);
-  if (version !== waitClass.sizeVersion) {
-    waitClass.sizeVersion = version;
-    const learnt = core.estimates.sizeOf(queue, team, declared);
+  const version = core.estimates.getVersion(queue, team);
+  if (version !== waitClass.estimateVersion) {
+    waitClass.estimateVersion = version;
+    const estimated = core.estimates.estimateSize(queue, team, declaredSize);
     const {taskCount} = waitClass;
-    noteWaiting(core, waitClass, -taskCount);
-    waitClass.size = core.cell.canEverHold(learnt) ? learnt : declared;
-    noteWaiting(core, waitClass, taskCount);
+    adjustWaitingTotals(core, waitClass, -taskCount);
+    waitClass.size = core.cell.canEverHold(estimated)
+      ? estimated
+      : declaredSize;
+    adjustWaitingTotals(core, waitClass, taskCount);
   }
   core.needs.add(waitClass);
 }
