Reword the tests of the placement engine

Comments, private names and three titles of the engine cases. The checks, the random plans and their seeds stay the same.

--- a/packages/policy/test/engine-cases.test.ts
+++ b/packages/policy/test/engine-cases.test.ts
@@ -8,17 +8,17 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
-const URGENT_BOUND_MS = 9_400;
+const URGENT_WAIT_LIMIT_MS = 9_400;
 const test = suite('engine cases');
 
 const SMALL = {cpuMilli: 1_000, memMb: 1_024, accel: 0, slots: 0};
-const FOUR = {cpuMilli: 4_000, memMb: 4_096, accel: 0, slots: 0};
+const LARGE = {cpuMilli: 4_000, memMb: 4_096, accel: 0, slots: 0};
 
-function worker(workerId: string, capacity = FOUR): PolicyWorker {
+function worker(workerId: string, capacity = LARGE): PolicyWorker {
   return {workerId, rack: 'r', capacity, condition: 'ready'};
 }
 
-function team(name: string, allowance = FOUR): PolicyTeam {
+function team(name: string, allowance = LARGE): PolicyTeam {
   const shares = {share: 1, organisationShare: 1};
   return {team: name, organisation: name, allowance, ...shares};
 }
@@ -46,9 +46,9 @@
   return [...engine.decide(nowMs)];
 }
 
-test('a job is set aside when its only large worker stays away', () => {
+test('a job is set aside when the only worker it fits on is gone', () => {
   const engine = newEngine(worker('w1'), worker('w2', SMALL));
-  engine.submit(job('j', {size: FOUR}));
+  engine.submit(job('j', {size: LARGE}));
   engine.removeWorker('w1');
   assert.equal(decide(engine, 0), []);
   assert.match(engine.explain('j'), 'no worker is large enough');
@@ -59,7 +59,7 @@
 
 test('a job whose worker comes back in time is not set aside', () => {
   const engine = newEngine(worker('w1'), worker('w2', SMALL));
-  engine.submit(job('j', {size: FOUR}));
+  engine.submit(job('j', {size: LARGE}));
   engine.removeWorker('w1');
   decide(engine, 0);
   engine.setWorker(worker('w1'));
@@ -67,7 +67,7 @@
   assert.is(decision?.kind, 'start');
 });
 
-test('urgent work of a team at its limit takes the place of its own', () => {
+test('urgent work of a team at its limit preempts its own batch work', () => {
   const engine = newEngine(worker('w1'), worker('w2'));
   engine.submit(job('batch', {taskIndexes: [0, 1, 2, 3]}));
   assert.is(decide(engine, 0).length, 4);
@@ -86,7 +86,7 @@
   decide(engine, 0);
   engine.submit(job('quote', {queue: 'quotes', acceptedMs: 0}));
   const stopped = new Set<string>();
-  for (let nowMs = 100; nowMs < URGENT_BOUND_MS; nowMs += 100) {
+  for (let nowMs = 100; nowMs < URGENT_WAIT_LIMIT_MS; nowMs += 100) {
     for (const decision of decide(engine, nowMs)) {
       if (decision.kind === 'preempt') stopped.add(decision.taskId);
     }
@@ -102,7 +102,7 @@
   assert.equal(decide(engine, 60_000), []);
 });
 
-test('a worker that fails all is tried again, later after each failure', () => {
+test('a worker that fails every task is retried after growing delays', () => {
   const engine = newEngine(worker('bad'));
   const asideMs: number[] = [];
   let next = 0;
--- a/packages/policy/test/engine-properties.test.ts
+++ b/packages/policy/test/engine-properties.test.ts
@@ -25,17 +25,20 @@
 
 type NewEngine = (firstTaskNumber: number) => PlacementEngine;
 
-function play(newEngine: NewEngine, plan: ShardPlan): void {
+function runPlan(newEngine: NewEngine, plan: ShardPlan): void {
   const shard = new RandomShard(newEngine, plan);
-  shard.play();
+  shard.run();
   const breaches = [...shard.audit.breaches, ...shard.breaches];
   if (breaches.length > 0) throw new Error(breaches.join('; '));
 }
 
-/** The breach that random shards find in an engine without a guard. */
+/**
+ * Returns the first breach that random shards find in an engine that lacks a
+ * check; empty if they find none.
+ */
 function findBreach(newEngine: NewEngine): string {
-  const plays = fc.property(shardPlan, plan => play(newEngine, plan));
-  const found = fc.check(plays, {
+  const property = fc.property(shardPlan, plan => runPlan(newEngine, plan));
+  const found = fc.check(property, {
     seed: FC_SEED,
     numRuns: RUNS,
     endOnFailure: true,
@@ -50,14 +53,14 @@
   () => {
     const newEngine: NewEngine = n => new ShareEngine({firstTaskNumber: n});
     fc.assert(
-      fc.property(shardPlan, plan => play(newEngine, plan)),
+      fc.property(shardPlan, plan => runPlan(newEngine, plan)),
       {seed: FC_SEED, numRuns: RUNS, includeErrorInReport: true},
     );
   },
 );
 
-/** Chooses any worker, whether or not it has room. */
-class CarelessPolicy extends PlacementPolicy {
+/** Chooses the first ready worker, whether or not it has room. */
+class FirstWorkerPolicy extends PlacementPolicy {
   override choose(workers: Iterable<WorkerState>, ask: PlacementAsk) {
     const [first] = [...workers].filter(
       ({worker}) => worker.condition === 'ready',
@@ -67,8 +70,8 @@
 }
 
 test('without a check of room, capacity is passed', () => {
-  const careless = new CarelessPolicy();
-  const policies = {pack: careless, spread: careless, gang: careless};
+  const firstWorker = new FirstWorkerPolicy();
+  const policies = {pack: firstWorker, spread: firstWorker, gang: firstWorker};
   const breach = findBreach(
     n => new ShareEngine({firstTaskNumber: n, policies}),
   );
@@ -88,18 +91,18 @@
   assert.match(breach, 'passes the limit');
 });
 
-class PiecemealEngine extends ShareEngine {
+class NoGangEngine extends ShareEngine {
   override submit(job: PolicyJob): void {
     super.submit({...job, isGang: false});
   }
 }
 
 test('without gangs, some tasks of a gang run alone', () => {
-  const breach = findBreach(n => new PiecemealEngine({firstTaskNumber: n}));
+  const breach = findBreach(n => new NoGangEngine({firstTaskNumber: n}));
   assert.match(breach, 'runs without');
 });
 
-/** Takes one worker at a time, also for a gang. */
+// The policies for single tasks choose one worker at a time, also for a gang.
 test('with a policy for single tasks, some tasks of a gang run alone', () => {
   const pack = new PackPolicy();
   const policies = {pack, spread: pack, gang: pack};
@@ -109,18 +112,18 @@
   assert.match(breach, 'runs without');
 });
 
-class ForgetfulEngine extends ShareEngine {
+class NoAdoptionEngine extends ShareEngine {
   override adopt(): void {
-    // What an earlier owner started is not counted.
+    // Ignores the tasks that an earlier owner started.
   }
 }
 
 test('without adoption, use is miscounted after a takeover', () => {
-  const breach = findBreach(n => new ForgetfulEngine({firstTaskNumber: n}));
+  const breach = findBreach(n => new NoAdoptionEngine({firstTaskNumber: n}));
   assert.match(breach, 'miscounted');
 });
 
-class RepeatingEngine extends ShareEngine {
+class FixedTaskNumberEngine extends ShareEngine {
   constructor() {
     super({firstTaskNumber: 1});
   }
@@ -128,19 +131,19 @@
 
 test('without own task numbers for each owner, an id is given twice', () => {
   assert.match(
-    findBreach(() => new RepeatingEngine()),
+    findBreach(() => new FixedTaskNumberEngine()),
     'given twice',
   );
 });
 
-class TrustingEngine extends ShareEngine {
+class AlwaysReadyEngine extends ShareEngine {
   override setWorker(worker: PolicyWorker): void {
     super.setWorker({...worker, condition: 'ready'});
   }
 }
 
 test('without a check of conditions, a leaving worker gets new tasks', () => {
-  const breach = findBreach(n => new TrustingEngine({firstTaskNumber: n}));
+  const breach = findBreach(n => new AlwaysReadyEngine({firstTaskNumber: n}));
   assert.match(breach, /starts on a (silent|leaving|unknown) worker/);
 });
 
--- a/packages/policy/test/random-shard.ts
+++ b/packages/policy/test/random-shard.ts
@@ -1,4 +1,4 @@
-/** Random shards for the property tests, and the steps that befall them. */
+/** Random shards and steps for the property tests of the placement engines. */
 import type {Resources} from '@dragonflyward/common';
 import {
   DecisionAudit,
@@ -14,7 +14,7 @@
 
 export const FC_SEED = 20261204;
 
-const TASKS_PER_TERM = 1_000_000;
+const TASK_NUMBERS_PER_TERM = 1_000_000;
 
 const QUEUES = [
   {queue: 'quotes', priority: 'urgent', policy: 'pack'},
@@ -37,11 +37,19 @@
 export type Step =
   | {readonly kind: 'submit'; readonly job: JobPlan}
   | {readonly kind: 'wait'; readonly ms: number}
-  | {readonly kind: 'decide'; readonly most: number}
-  | {readonly kind: 'end'; readonly pick: number; readonly end: PlacedTaskEnd}
-  | {readonly kind: 'cancel'; readonly pick: number}
-  | {readonly kind: 'worker'; readonly pick: number; readonly to: number}
-  | {readonly kind: 'limit'; readonly pick: number; readonly part: number}
+  | {readonly kind: 'decide'; readonly maxDecisions: number}
+  | {
+      readonly kind: 'end';
+      readonly selector: number;
+      readonly end: PlacedTaskEnd;
+    }
+  | {readonly kind: 'cancel'; readonly selector: number}
+  | {
+      readonly kind: 'worker';
+      readonly selector: number;
+      readonly conditionIndex: number;
+    }
+  | {readonly kind: 'limit'; readonly selector: number; readonly part: number}
   | {readonly kind: 'learn'; readonly factor: number}
   | {readonly kind: 'takeOver'};
 
@@ -53,11 +61,11 @@
 
 const CONDITIONS: readonly WorkerCondition[] = ['ready', 'silent', 'leaving'];
 
-function sizes(cpu: number, mem: number, accel: number) {
+function arbitrarySize(maxCpu: number, maxMem: number, maxAccel: number) {
   return fc.record({
-    cpuMilli: fc.integer({min: 1, max: cpu}).map(n => n * 500),
-    memMb: fc.integer({min: 1, max: mem}).map(n => n * 512),
-    accel: fc.integer({min: 0, max: accel}),
+    cpuMilli: fc.integer({min: 1, max: maxCpu}).map(n => n * 500),
+    memMb: fc.integer({min: 1, max: maxMem}).map(n => n * 512),
+    accel: fc.integer({min: 0, max: maxAccel}),
     slots: fc.constant(0),
   });
 }
@@ -69,7 +77,7 @@
   isGang: fc.boolean(),
   isService: fc.boolean(),
   isIdempotent: fc.boolean(),
-  size: sizes(8, 8, 1),
+  size: arbitrarySize(8, 8, 1),
   runMs: fc.constantFrom(0, 500, 5_000, 60_000),
 });
 
@@ -89,14 +97,14 @@
     weight: 5,
     arbitrary: fc.record({
       kind: fc.constant('decide' as const),
-      most: fc.constantFrom(1, 1_000),
+      maxDecisions: fc.constantFrom(1, 1_000),
     }),
   },
   {
     weight: 5,
     arbitrary: fc.record({
       kind: fc.constant('end' as const),
-      pick: fc.nat(),
+      selector: fc.nat(),
       end: fc.constantFrom<PlacedTaskEnd>('succeeded', 'failed', 'notRunning'),
     }),
   },
@@ -104,22 +112,22 @@
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant('cancel' as const),
-      pick: fc.nat(),
+      selector: fc.nat(),
     }),
   },
   {
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant('worker' as const),
-      pick: fc.nat(),
-      to: fc.nat(3),
+      selector: fc.nat(),
+      conditionIndex: fc.nat(3),
     }),
   },
   {
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant('limit' as const),
-      pick: fc.nat(),
+      selector: fc.nat(),
       part: fc.integer({min: 0, max: 8}),
     }),
   },
@@ -160,12 +168,12 @@
   );
 
 export const shardPlan: fc.Arbitrary<ShardPlan> = fc.record({
-  capacities: fc.array(sizes(16, 16, 2), {minLength: 1, maxLength: 5}),
+  capacities: fc.array(arbitrarySize(16, 16, 2), {minLength: 1, maxLength: 5}),
   teams,
   steps: fc.array(step, {minLength: 5, maxLength: 80, size: 'max'}),
 });
 
-/** Plays a plan on an engine and notes what is breached. */
+/** Applies a plan to an engine and records the rules that it breaches. */
 export class RandomShard {
   readonly audit = new DecisionAudit();
   readonly breaches: string[] = [];
@@ -173,14 +181,18 @@
   private readonly jobs = new Map<string, PolicyJob>();
   private readonly pending = new Map<string, Set<number>>();
   private readonly workers = new Map<string, PolicyWorker>();
-  private readonly known: readonly PolicyWorker[];
+  private readonly initialWorkers: readonly PolicyWorker[];
   private teams: readonly PolicyTeam[];
   private nowMs = 0;
   private terms = 0;
-  /** Whether decisions are counted that were not asked for yet. */
-  private isCut = false;
+  /**
+   * Whether the last decision was left before its end, so that the engine may
+   * have accounted for decisions that it has not yielded.
+   */
+  private isInterrupted = false;
   private readonly taskIds = new Set<string>();
-  private readonly resubmitted = new Set<string>();
+  /** Jobs with resubmitted tasks or with an interrupted decision. */
+  private readonly gangCheckExempt = new Set<string>();
 
   constructor(
     private readonly newEngine: (firstTaskNumber: number) => PlacementEngine,
@@ -197,21 +209,21 @@
         condition: 'ready',
       });
     });
-    this.known = [...this.workers.values()];
-    this.engine = this.start(1);
+    this.initialWorkers = [...this.workers.values()];
+    this.engine = this.startEngine(1);
     this.audit.setTeams(this.teams);
     for (const worker of this.workers.values()) this.audit.setWorker(worker);
   }
 
-  play(): void {
+  run(): void {
     for (const next of this.plan.steps) {
-      this.take(next);
-      this.compareUse();
+      this.apply(next);
+      this.checkUsage();
     }
     this.endAll();
   }
 
-  private start(firstTaskNumber: number): PlacementEngine {
+  private startEngine(firstTaskNumber: number): PlacementEngine {
     const engine = this.newEngine(firstTaskNumber);
     engine.setQueues(QUEUES);
     engine.setTeams(this.teams);
@@ -219,7 +231,7 @@
     return engine;
   }
 
-  private take(next: Step): void {
+  private apply(next: Step): void {
     switch (next.kind) {
       case 'submit':
         return this.submit(next.job);
@@ -227,15 +239,15 @@
         this.nowMs += next.ms;
         return;
       case 'decide':
-        return this.decide(next.most);
+        return this.decide(next.maxDecisions);
       case 'end':
-        return this.end(next.pick, next.end);
+        return this.end(next.selector, next.end);
       case 'cancel':
-        return this.cancel(next.pick);
+        return this.cancel(next.selector);
       case 'worker':
-        return this.changeWorker(next.pick, next.to);
+        return this.changeWorker(next.selector, next.conditionIndex);
       case 'limit':
-        return this.changeLimit(next.pick, next.part);
+        return this.changeAllowance(next.selector, next.part);
       case 'learn':
         return this.learn(next.factor);
       case 'takeOver':
@@ -264,17 +276,17 @@
     this.engine.explain(jobId);
   }
 
-  private decide(most: number): void {
+  private decide(maxDecisions: number): void {
     let count = 0;
     for (const decision of this.engine.decide(this.nowMs)) {
       this.audit.noteDecision(decision);
       if (decision.kind === 'start') this.noteStart(decision.task);
       count += 1;
-      if (count < most) continue;
-      this.isCut = true;
+      if (count < maxDecisions) continue;
+      this.isInterrupted = true;
       return;
     }
-    this.isCut = false;
+    this.isInterrupted = false;
     this.checkGangs();
   }
 
@@ -287,43 +299,46 @@
     this.breaches.push(`${task.taskId} starts but does not wait`);
   }
 
-  /** A change between the starts of a gang may keep the rest from starting. */
-  private excuseGangs(): void {
-    if (!this.isCut) return;
-    for (const jobId of this.jobs.keys()) this.resubmitted.add(jobId);
+  /**
+   * Exempts gangs from the check if a decision was interrupted: a change
+   * between the starts of a gang may keep its remaining tasks from starting.
+   */
+  private exemptInterruptedGangs(): void {
+    if (!this.isInterrupted) return;
+    for (const jobId of this.jobs.keys()) this.gangCheckExempt.add(jobId);
   }
 
-  /** Of a gang's waiting tasks, a whole decision starts all or none. */
+  /** Checks that a complete decision starts all tasks of a gang or none. */
   private checkGangs(): void {
-    for (const {task} of this.started()) {
+    for (const {task} of this.runningTasks()) {
       const job = this.jobs.get(task.jobId);
-      const rest = this.pending.get(task.jobId)?.size ?? 0;
-      if (job?.isGang !== true || rest === 0) continue;
-      if (this.resubmitted.has(task.jobId)) continue;
-      this.breaches.push(`gang ${task.jobId} runs without ${rest} tasks`);
+      const waiting = this.pending.get(task.jobId)?.size ?? 0;
+      if (job?.isGang !== true || waiting === 0) continue;
+      if (this.gangCheckExempt.has(task.jobId)) continue;
+      this.breaches.push(`gang ${task.jobId} runs without ${waiting} tasks`);
     }
   }
 
-  private *started(): Generator<{readonly task: PlacedTask}> {
+  private *runningTasks(): Generator<{readonly task: PlacedTask}> {
     for (const task of this.audit.running.values()) yield {task};
   }
 
-  private end(pick: number, end: PlacedTaskEnd): void {
+  private end(selector: number, end: PlacedTaskEnd): void {
     const tasks = [...this.audit.running.values()];
-    const task = tasks[pick % Math.max(1, tasks.length)];
+    const task = tasks[selector % Math.max(1, tasks.length)];
     if (task === undefined) return;
     this.audit.noteEnd(task.taskId);
     this.engine.ended(task.taskId, end, this.nowMs);
     const job = this.jobs.get(task.jobId);
     if (end === 'succeeded' || job === undefined) return;
-    this.resubmitted.add(task.jobId);
+    this.gangCheckExempt.add(task.jobId);
     this.pending.get(task.jobId)?.add(task.taskIndex);
     this.engine.submit({...job, taskIndexes: [task.taskIndex]});
   }
 
-  private cancel(pick: number): void {
+  private cancel(selector: number): void {
     const ids = [...this.jobs.keys()];
-    const jobId = ids[pick % Math.max(1, ids.length)];
+    const jobId = ids[selector % Math.max(1, ids.length)];
     if (jobId === undefined) return;
     this.pending.get(jobId)?.clear();
     for (const {taskId} of this.engine.cancel(jobId)) {
@@ -332,14 +347,14 @@
     }
   }
 
-  private changeWorker(pick: number, to: number): void {
-    this.excuseGangs();
-    const known = this.known[pick % this.known.length];
-    if (known === undefined) return;
-    const worker = this.workers.get(known.workerId) ?? known;
-    const condition = CONDITIONS[to];
+  private changeWorker(selector: number, conditionIndex: number): void {
+    this.exemptInterruptedGangs();
+    const initial = this.initialWorkers[selector % this.initialWorkers.length];
+    if (initial === undefined) return;
+    const worker = this.workers.get(initial.workerId) ?? initial;
+    const condition = CONDITIONS[conditionIndex];
     if (condition === undefined) {
-      this.dropTasks(worker.workerId);
+      this.endTasksOn(worker.workerId);
       this.workers.delete(worker.workerId);
       this.engine.removeWorker(worker.workerId);
       this.audit.removeWorker(worker.workerId);
@@ -351,8 +366,8 @@
     this.audit.setWorker(changed);
   }
 
-  /** The owner resubmits what ran on a worker that is gone. */
-  private dropTasks(workerId: string): void {
+  /** Ends the tasks on a worker that is gone, as its owner does. */
+  private endTasksOn(workerId: string): void {
     for (const task of [...this.audit.running.values()]) {
       if (task.workerId !== workerId) continue;
       this.audit.noteEnd(task.taskId);
@@ -360,9 +375,9 @@
     }
   }
 
-  private changeLimit(pick: number, part: number): void {
-    this.excuseGangs();
-    const changed = pick % this.teams.length;
+  private changeAllowance(selector: number, part: number): void {
+    this.exemptInterruptedGangs();
+    const changed = selector % this.teams.length;
     this.teams = this.teams.map((team, i) =>
       i === changed ? {...team, allowance: allowance(part)} : team,
     );
@@ -383,28 +398,32 @@
     this.engine.learn(samples, this.nowMs);
   }
 
-  /** A new owner adopts what runs, before or after it knows the jobs. */
+  /**
+   * Replaces the engine as a new owner does. Running tasks are adopted before
+   * or after the jobs are known.
+   */
   private takeOver(): void {
-    this.excuseGangs();
+    this.exemptInterruptedGangs();
     this.terms += 1;
-    this.engine = this.start(this.terms * TASKS_PER_TERM);
-    this.isCut = false;
+    this.engine = this.startEngine(this.terms * TASK_NUMBERS_PER_TERM);
+    this.isInterrupted = false;
     const tasks = [...this.audit.running.values()];
-    const early = tasks.filter((_, i) => i % 2 === 0);
-    for (const task of early) this.engine.adopt(task);
+    const adoptedFirst = tasks.filter((_, i) => i % 2 === 0);
+    for (const task of adoptedFirst) this.engine.adopt(task);
     for (const job of this.jobs.values()) {
-      const rest = [...(this.pending.get(job.jobId) ?? [])];
-      this.engine.submit({...job, taskIndexes: rest});
+      const waiting = [...(this.pending.get(job.jobId) ?? [])];
+      this.engine.submit({...job, taskIndexes: waiting});
     }
     for (const task of tasks) this.engine.adopt(task);
   }
 
-  private compareUse(): void {
-    if (this.isCut) return;
+  private checkUsage(): void {
+    if (this.isInterrupted) return;
     for (const {team, running} of this.engine.demand()) {
-      const own = this.audit.useOf(team);
+      const audited = this.audit.useOf(team);
       const isSame =
-        running.cpuMilli === own.cpuMilli && running.memMb === own.memMb;
+        running.cpuMilli === audited.cpuMilli &&
+        running.memMb === audited.memMb;
       if (!isSame) this.breaches.push(`the use of ${team} is miscounted`);
     }
   }
@@ -415,6 +434,6 @@
       this.engine.ended(taskId, 'succeeded', this.nowMs);
     }
     this.decide(Infinity);
-    this.compareUse();
+    this.checkUsage();
   }
 }
--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -15,19 +15,25 @@
 
 const RUNS = 24;
 const LONGEST_RUN_MS = 8_000;
-const STREAM_MS = 300_000;
+const TRACE_MS = 300_000;
 /**
- * Work waits until it has aged to the top, then at most for one hold that
- * fails and one that holds, and for what runs then.
+ * A job waits until ageing has raised it to the highest priority, then at most
+ * for one hold that expires and one that succeeds, and for the tasks that are
+ * running by then.
  */
-const BOUND_MS = 2 * AGEING_STEP_MS + 2 * MAX_HOLD_MS + LONGEST_RUN_MS;
+const MAX_WAIT_MS = 2 * AGEING_STEP_MS + 2 * MAX_HOLD_MS + LONGEST_RUN_MS;
 
 const test = suite('starvation');
-const WORKER: Resources = {cpuMilli: 8_000, memMb: 16_384, accel: 0, slots: 0};
+const WORKER_CAPACITY: Resources = {
+  cpuMilli: 8_000,
+  memMb: 16_384,
+  accel: 0,
+  slots: 0,
+};
 const UNLIMITED = {cpuMilli: 1e9, memMb: 1e9, accel: 1e9, slots: 1e9};
 
-/** Small work that fills the shard over and over. */
-function stream(
+/** Small jobs that keep the shard full. */
+function backgroundJobs(
   team: string,
   queue: string,
   everyMs: number,
@@ -37,7 +43,7 @@
     name: `stream of ${team} in ${queue}`,
     team,
     queue,
-    count: Math.floor(STREAM_MS / everyMs),
+    count: Math.floor(TRACE_MS / everyMs),
     firstMs: 0,
     everyMs,
     tasks: 1,
@@ -53,14 +59,22 @@
     isGang: fc.boolean(),
     hardCpu: fc.constantFrom(1, 1, 4, 8),
     hardTeam: fc.constantFrom('a', 'b'),
-    rivalRunMs: fc.integer({min: 2_000, max: LONGEST_RUN_MS}),
+    backgroundRunMs: fc.integer({min: 2_000, max: LONGEST_RUN_MS}),
     runFactor: fc.constantFrom(0.1, 1, 10),
     shareOfA: fc.integer({min: 1, max: 9}),
   })
   .map(
-    ({workers, isGang, hardCpu, hardTeam, rivalRunMs, runFactor, shareOfA}) => {
-      const everyMs = Math.floor(rivalRunMs / (workers * 8 * 1.3));
-      const truth = {runFactor, runMs: Math.ceil(rivalRunMs / runFactor)};
+    ({
+      workers,
+      isGang,
+      hardCpu,
+      hardTeam,
+      backgroundRunMs,
+      runFactor,
+      shareOfA,
+    }) => {
+      const everyMs = Math.floor(backgroundRunMs / (workers * 8 * 1.3));
+      const actual = {runFactor, runMs: Math.ceil(backgroundRunMs / runFactor)};
       const hard: TraceJobs = {
         name: 'hard',
         team: hardTeam,
@@ -75,9 +89,11 @@
       };
       return {
         name: 'starvation',
-        endMs: STREAM_MS,
+        endMs: TRACE_MS,
         measureFromMs: 0,
-        workers: [{name: 'w', count: workers, perRack: 2, capacity: WORKER}],
+        workers: [
+          {name: 'w', count: workers, perRack: 2, capacity: WORKER_CAPACITY},
+        ],
         queues: [
           {queue: 'shops', priority: 'normal', policy: 'pack'},
           {queue: 'renders', priority: 'batch', policy: 'pack'},
@@ -90,8 +106,14 @@
           allowance: UNLIMITED,
         })),
         jobs: [
-          {...stream('a', 'shops', everyMs * 2, rivalRunMs), ...truth},
-          {...stream('b', 'shops', everyMs * 2, rivalRunMs), ...truth},
+          {
+            ...backgroundJobs('a', 'shops', everyMs * 2, backgroundRunMs),
+            ...actual,
+          },
+          {
+            ...backgroundJobs('b', 'shops', everyMs * 2, backgroundRunMs),
+            ...actual,
+          },
           hard,
         ],
         faults: [],
@@ -103,7 +125,7 @@
 function waitsTooLong(plan: Trace, features: ShareFeatures): boolean {
   const record = new Replay(new ShareEngine({features}), plan).run();
   if (record.neverStarted('hard') > 0) return true;
-  return record.waitMs('hard', 100) > BOUND_MS;
+  return record.waitMs('hard', 100) > MAX_WAIT_MS;
 }
 
 test('no job waits longer than the bound', () => {
@@ -115,11 +137,11 @@
 
 for (const feature of ['ages', 'reserves'] as const) {
   test(`without the stage "${feature}" some job waits too long`, () => {
-    const plays = fc.property(
+    const property = fc.property(
       trace,
       plan => !waitsTooLong(plan, {[feature]: false}),
     );
-    const found = fc.check(plays, {
+    const found = fc.check(property, {
       seed: FC_SEED,
       numRuns: RUNS,
       endOnFailure: true,
