--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -71,7 +71,7 @@
   }
   refreshFairShares(table);
   const shares = new Map<string, number>();
-  for (const state of table.values()) shares.set(state.team.team, state.fair);
+  for (const team of table.values()) shares.set(team.team.team, team.fair);
   return shares;
 }
 
