--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -1,31 +1,31 @@
-/** Fits the reservations of running tasks to what they are seen to use. */
+/** Resizes the reservations of running tasks to their measured use. */
 import {fitsIn, subtractResources, type Resources} from '@dragonflyward/common';
 import {isSameSize} from './amounts.js';
 import type {EngineCore} from './core.js';
 import type {Decision, UsageSample} from './engine.js';
-import {announce} from './make-room.js';
+import {queuePreemption} from './make-room.js';
 import {flush} from './place-waiting.js';
 import type {RunningTask} from './state.js';
 
-/** Measurements of a task before its reservation is raised or lowered. */
-const RAISE_SAMPLES = 2;
-const LOWER_SAMPLES = 5;
-/** What is reserved beyond the largest use that was measured. */
-const CPU_MARGIN = 1.05;
-const MEM_MARGIN = 1.2;
-/** A reservation is lowered only where this part of it would do. */
-const LOWER_PART = 0.85;
-/** Use at this part of the reservation may be held back by its cap. */
-const CAPPED_PART = 0.95;
-/** How much more a task that may be held back gets to try. */
+/** Measurements needed to resize a reservation at all, and to lower it. */
+const MIN_SAMPLES = 2;
+const MIN_SAMPLES_TO_LOWER = 5;
+/** Headroom over the peak use that was measured. */
+const CPU_MARGIN_FACTOR = 1.05;
+const MEM_MARGIN_FACTOR = 1.2;
+/** A reservation is lowered only if less than this fraction is needed. */
+const LOWER_BELOW_FRACTION = 0.85;
+/** A task that uses this fraction of its CPU cap may be throttled by it. */
+const THROTTLED_FRACTION = 0.95;
+/** How much the CPU cap of such a task is raised to probe its need. */
 const PROBE_FACTOR = 1.5;
-/** It tries again only where it used this much more than before. */
-const PROBE_AGAIN_FACTOR = 1.4;
-/** How long a reservation stays as it was set. */
-const RESIZE_PAUSE_MS = 5_000;
+/** A task is probed again only if its reservation grew this much since. */
+const REPROBE_FACTOR = 1.4;
+/** Minimum time between two resizes of a reservation. */
+const RESIZE_COOLDOWN_MS = 5_000;
 
 /**
- * Learns from measurements; what follows from them is decided later.
+ * Records measured use; reservations are resized by later stages.
  *
  * @example
  * learnUsage(core, samples);
@@ -37,12 +37,12 @@
   if (!core.features.learns) return;
   for (const sample of samples) {
     const running = core.cell.tasks.get(sample.taskId);
-    if (running !== undefined) learnSample(core, running, sample);
+    if (running !== undefined) recordSample(core, running, sample);
   }
   core.estimates.refresh();
 }
 
-function learnSample(
+function recordSample(
   core: EngineCore,
   running: RunningTask,
   sample: UsageSample,
@@ -55,18 +55,18 @@
   const {queue, team, size: declared} = job;
   core.estimates.noteUse({queue, team, declared, cpuMilli, memMb});
   core.toReview.add(running);
-  if (mayBeCapped(running, cpuMilli)) core.toProbe.add(running);
+  if (mayBeThrottled(running, cpuMilli)) core.toProbe.add(running);
 }
 
-/** Whether a task uses all processor time that it may use. */
-function mayBeCapped(running: RunningTask, cpuMilli: number): boolean {
+/** Whether a task may be throttled by its CPU cap and may be probed. */
+function mayBeThrottled(running: RunningTask, cpuMilli: number): boolean {
   const reserved = running.task.size.cpuMilli;
-  if (reserved === 0 || cpuMilli < reserved * CAPPED_PART) return false;
-  return reserved >= running.probedCpuMilli * PROBE_AGAIN_FACTOR;
+  if (reserved === 0 || cpuMilli < reserved * THROTTLED_FRACTION) return false;
+  return reserved >= running.probedCpuMilli * REPROBE_FACTOR;
 }
 
 /**
- * Changes the reservations of the tasks that were measured.
+ * Resizes the reservations of tasks that were measured since the last pass.
  *
  * @example
  * yield* adjustReservations(core);
@@ -76,14 +76,14 @@
     core.toReview.delete(running);
     if (core.cell.tasks.get(running.task.taskId) !== running) continue;
     if (running.isStopping) continue;
-    adjust(core, running);
+    adjustReservation(core, running);
     yield* flush(core);
   }
 }
 
 /**
- * Lets tasks that may be held back by their cap use more, where room is free
- * that no waiting work could take.
+ * Raises the CPU cap of tasks that may be throttled by it, where room is left
+ * after the placement of waiting work.
  *
  * @example
  * yield* probeReservations(core);
@@ -92,7 +92,7 @@
   for (const running of core.toProbe) {
     core.toProbe.delete(running);
     if (core.cell.tasks.get(running.task.taskId) !== running) continue;
-    if (running.isStopping || isSettled(core, running)) continue;
+    if (running.isStopping || isTooEarlyToResize(core, running)) continue;
     const {size} = running.task;
     const cpuMilli = Math.ceil(size.cpuMilli * PROBE_FACTOR);
     const wanted = {...size, cpuMilli};
@@ -103,14 +103,14 @@
   }
 }
 
-/** Whether a reservation was changed too lately, or too little is known. */
-function isSettled(core: EngineCore, running: RunningTask): boolean {
-  if (core.nowMs - running.resizedMs < RESIZE_PAUSE_MS) return true;
-  return running.sampleCount < RAISE_SAMPLES;
+/** Whether the last resize is too recent or there are too few samples. */
+function isTooEarlyToResize(core: EngineCore, running: RunningTask): boolean {
+  if (core.nowMs - running.resizedMs < RESIZE_COOLDOWN_MS) return true;
+  return running.sampleCount < MIN_SAMPLES;
 }
 
-function adjust(core: EngineCore, running: RunningTask): void {
-  if (isSettled(core, running)) return;
+function adjustReservation(core: EngineCore, running: RunningTask): void {
+  if (isTooEarlyToResize(core, running)) return;
   const wanted = wantedSize(running);
   const {size} = running.task;
   if (isSameSize(wanted, size)) return;
@@ -122,30 +122,32 @@
     resize(core, running, wanted);
     return;
   }
-  moveIfTooLarge(core, running);
+  preemptIfShortOfMemory(core, running);
 }
 
-/** What the task should reserve; unchanged parts stay as they are. */
+/** What the task should reserve. */
 function wantedSize(running: RunningTask): Resources {
   const {size} = running.task;
   const {peakCpuMilli, peakMemMb, sampleCount} = running;
-  const mayLower = sampleCount >= LOWER_SAMPLES;
-  const wantedCpu = Math.ceil(peakCpuMilli * CPU_MARGIN);
-  const wantedMem = Math.ceil(peakMemMb * MEM_MARGIN);
-  const isShort = peakMemMb > size.memMb;
+  const mayLower = sampleCount >= MIN_SAMPLES_TO_LOWER;
+  const wantedCpu = Math.ceil(peakCpuMilli * CPU_MARGIN_FACTOR);
+  const wantedMem = Math.ceil(peakMemMb * MEM_MARGIN_FACTOR);
+  const isShortOfMemory = peakMemMb > size.memMb;
   return {
     ...size,
-    cpuMilli: lowerPart(size.cpuMilli, wantedCpu, mayLower),
-    memMb: isShort ? wantedMem : lowerPart(size.memMb, wantedMem, mayLower),
+    cpuMilli: lowerIfMuchLess(size.cpuMilli, wantedCpu, mayLower),
+    memMb: isShortOfMemory
+      ? wantedMem
+      : lowerIfMuchLess(size.memMb, wantedMem, mayLower),
   };
 }
 
-function lowerPart(
+function lowerIfMuchLess(
   reserved: number,
   wanted: number,
   mayLower: boolean,
 ): number {
-  const isMuchLess = wanted < reserved * LOWER_PART;
+  const isMuchLess = wanted < reserved * LOWER_BELOW_FRACTION;
   return mayLower && isMuchLess ? Math.max(1, wanted) : reserved;
 }
 
@@ -154,12 +156,12 @@
   running: RunningTask,
   wanted: Resources,
 ): boolean {
-  const more = subtractResources(wanted, running.task.size);
+  const increase = subtractResources(wanted, running.task.size);
   const worker = core.cell.getWorker(running.task.workerId);
-  if (!fitsIn(more, subtractResources(worker.free, worker.heldUrgent))) {
+  if (!fitsIn(increase, subtractResources(worker.free, worker.heldUrgent))) {
     return false;
   }
-  return core.teams.isAllowed(running.job.team, more);
+  return core.teams.isAllowed(running.job.team, increase);
 }
 
 function resize(core: EngineCore, running: RunningTask, size: Resources): void {
@@ -171,11 +173,15 @@
   core.outbox.push({kind: 'resize', taskId, workerId, size});
 }
 
-/** Memory cannot be throttled: a task that lacks it starts again elsewhere. */
-function moveIfTooLarge(core: EngineCore, running: RunningTask): void {
+/** Memory cannot be throttled, so a task that lacks it restarts elsewhere. */
+function preemptIfShortOfMemory(core: EngineCore, running: RunningTask): void {
   const {job} = running.job;
   if (running.peakMemMb <= running.task.size.memMb) return;
   if (!job.isIdempotent || job.isGang) return;
   core.cell.markStopping(running, core.nowMs);
-  announce(core, running, 'it needs more memory than the worker has free');
+  queuePreemption(
+    core,
+    running,
+    'it needs more memory than the worker has free',
+  );
 }
--- a/packages/policy/src/audit.ts
+++ b/packages/policy/src/audit.ts
@@ -1,4 +1,4 @@
-/** Recounts what an engine decides, and notes each breach of a promise. */
+/** Checks the decisions of an engine against its invariants. */
 import {
   addResources,
   fitsIn,
@@ -8,17 +8,17 @@
 } from '@dragonflyward/common';
 import type {Decision, PlacedTask, PolicyTeam, PolicyWorker} from './engine.js';
 
-/** A second account of all reservations, kept apart from the engine's own. */
+/** Tracks all reservations independently of the engine. */
 export class DecisionAudit {
-  /** What was breached, one line each. */
+  /** One line for each broken invariant. */
   readonly breaches: string[] = [];
   readonly running = new Map<string, PlacedTask>();
   private readonly teamOfJob = new Map<string, string>();
   private readonly workers = new Map<string, PolicyWorker>();
   private readonly teams = new Map<string, PolicyTeam>();
-  private readonly workerUse = new Map<string, Resources>();
-  private readonly teamUse = new Map<string, Resources>();
-  private readonly places = new Map<string, string>();
+  private readonly usageByWorker = new Map<string, Resources>();
+  private readonly usageByTeam = new Map<string, Resources>();
+  private readonly taskIdByKey = new Map<string, string>();
 
   setWorker(worker: PolicyWorker): void {
     this.workers.set(worker.workerId, worker);
@@ -36,57 +36,57 @@
     for (const team of teams) this.teams.set(team.team, team);
   }
 
-  /** Tells which team's limit a job counts against. */
+  /** Sets the team whose limit a job counts against. */
   setJob(jobId: string, team: string): void {
     this.teamOfJob.set(jobId, team);
   }
 
-  /** What a team has running. */
+  /** What the running tasks of a team reserve. */
   useOf(team: string): Resources {
-    return this.teamUse.get(team) ?? NO_RESOURCES;
+    return this.usageByTeam.get(team) ?? NO_RESOURCES;
   }
 
   /** What is reserved on a worker. */
-  useOn(workerId: string): Resources {
-    return this.workerUse.get(workerId) ?? NO_RESOURCES;
+  usageOfWorker(workerId: string): Resources {
+    return this.usageByWorker.get(workerId) ?? NO_RESOURCES;
   }
 
-  /** Counts a task that was found running. */
-  noteAdopted(task: PlacedTask): void {
+  /** Adds a task that was found running. */
+  recordAdopted(task: PlacedTask): void {
     this.add(task);
   }
 
-  /** Counts a decision and checks what it leads to. */
+  /** Applies a decision and checks its result. */
   noteDecision(decision: Decision): void {
-    if (decision.kind === 'start') this.noteStart(decision.task);
+    if (decision.kind === 'start') this.recordStart(decision.task);
     if (decision.kind === 'resize') {
-      this.noteResize(decision.taskId, decision.size);
+      this.recordResize(decision.taskId, decision.size);
     }
   }
 
-  /** Counts that a task runs no more. */
+  /** Releases the reservation of a task that no longer runs. */
   noteEnd(taskId: string): void {
     const task = this.running.get(taskId);
     if (task === undefined) return;
     this.running.delete(taskId);
-    this.places.delete(placeOf(task));
-    this.addUse(task, subtractResources(NO_RESOURCES, task.size));
+    this.taskIdByKey.delete(taskKey(task));
+    this.addUsage(task, subtractResources(NO_RESOURCES, task.size));
   }
 
-  private noteStart(task: PlacedTask): void {
-    const former = this.places.get(placeOf(task));
-    if (former !== undefined) {
-      this.breaches.push(`${task.taskId} starts while ${former} runs`);
+  private recordStart(task: PlacedTask): void {
+    const runningTaskId = this.taskIdByKey.get(taskKey(task));
+    if (runningTaskId !== undefined) {
+      this.breaches.push(`${task.taskId} starts while ${runningTaskId} runs`);
     }
     const condition = this.workers.get(task.workerId)?.condition ?? 'unknown';
     if (condition !== 'ready') {
       this.breaches.push(`${task.taskId} starts on a ${condition} worker`);
     }
     this.add(task);
-    this.check(task);
+    this.checkLimits(task);
   }
 
-  private noteResize(taskId: string, size: Resources): void {
+  private recordResize(taskId: string, size: Resources): void {
     const task = this.running.get(taskId);
     if (task === undefined) {
       this.breaches.push(`${taskId} is resized but does not run`);
@@ -94,26 +94,29 @@
     }
     const change = subtractResources(size, task.size);
     this.running.set(taskId, {...task, size});
-    this.addUse(task, change);
-    if (!fitsIn(change, NO_RESOURCES)) this.check(task);
+    this.addUsage(task, change);
+    if (!fitsIn(change, NO_RESOURCES)) this.checkLimits(task);
   }
 
   private add(task: PlacedTask): void {
     this.running.set(task.taskId, task);
-    this.places.set(placeOf(task), task.taskId);
-    this.addUse(task, task.size);
+    this.taskIdByKey.set(taskKey(task), task.taskId);
+    this.addUsage(task, task.size);
   }
 
-  private addUse(task: PlacedTask, change: Resources): void {
+  private addUsage(task: PlacedTask, change: Resources): void {
     const {workerId} = task;
     const team = this.teamOfJob.get(task.jobId) ?? '';
-    this.workerUse.set(workerId, addResources(this.useOn(workerId), change));
-    this.teamUse.set(team, addResources(this.useOf(team), change));
+    this.usageByWorker.set(
+      workerId,
+      addResources(this.usageOfWorker(workerId), change),
+    );
+    this.usageByTeam.set(team, addResources(this.useOf(team), change));
   }
 
-  private check(task: PlacedTask): void {
+  private checkLimits(task: PlacedTask): void {
     const capacity = this.workers.get(task.workerId)?.capacity ?? NO_RESOURCES;
-    if (!fitsIn(this.useOn(task.workerId), capacity)) {
+    if (!fitsIn(this.usageOfWorker(task.workerId), capacity)) {
       this.breaches.push(`${task.taskId} passes capacity: ${task.workerId}`);
     }
     const team = this.teamOfJob.get(task.jobId) ?? '';
@@ -124,6 +127,7 @@
   }
 }
 
-function placeOf(task: PlacedTask): string {
+/** Identifies a task of a job across its attempts. */
+function taskKey(task: PlacedTask): string {
   return `${task.jobId}.${task.taskIndex}`;
 }
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -1,4 +1,4 @@
-/** The workers of a shard and the tasks that have reservations on them. */
+/** The workers of a shard and the tasks with reservations on them. */
 import {
   addResources,
   fitsIn,
@@ -17,17 +17,17 @@
 } from './state.js';
 import type {TeamTable} from './team-table.js';
 
-/** Told of workers that may have got more room. */
+/** Called with each worker that may have got more room. */
 export type RoomListener = (worker: WorkerState) => void;
 
-/** Counts what is reserved on each worker and for each team. */
+/** Tracks what is reserved on each worker and for each team. */
 export class Cell {
   readonly workers = new Map<string, WorkerState>();
   readonly tasks = new Map<string, RunningTask>();
-  /** All workers, in the order in which they were added. */
+  /** All workers in the order in which they were added. */
   workerList: readonly WorkerState[] = [];
-  /** The most of each resource that any worker has. */
-  private largest: Resources = NO_RESOURCES;
+  /** For each resource, the largest capacity of any worker. */
+  private maxCapacity: Resources = NO_RESOURCES;
 
   constructor(
     private readonly teams: TeamTable,
@@ -41,27 +41,27 @@
       this.addWorker(worker);
       return;
     }
-    const former = state.worker;
+    const previous = state.worker;
     state.worker = worker;
     state.free = subtractResources(worker.capacity, state.used);
-    if (isSameOffer(former, worker)) return;
-    this.refreshTotal();
+    if (hasSameCapacity(previous, worker)) return;
+    this.refreshCapacity();
     this.onRoom(state);
   }
 
-  /** Removes a worker and the tasks that were counted on it. */
+  /** Removes a worker and returns the tasks that had reservations on it. */
   removeWorker(workerId: string): readonly RunningTask[] {
     const state = this.workers.get(workerId);
     if (state === undefined) return [];
-    const lost = [...state.tasks];
-    for (const running of lost) this.release(running);
+    const lostTasks = [...state.tasks];
+    for (const running of lostTasks) this.release(running);
     this.workers.delete(workerId);
     state.worker = {...state.worker, condition: 'leaving'};
-    this.refreshTotal();
-    return lost;
+    this.refreshCapacity();
+    return lostTasks;
   }
 
-  /** The worker of this name; an unknown one has no capacity. */
+  /** Returns a worker; an unknown one is added without capacity. */
   getWorker(workerId: string): WorkerState {
     const known = this.workers.get(workerId);
     if (known !== undefined) return known;
@@ -73,7 +73,7 @@
     });
   }
 
-  /** Tells whether some worker could hold that much if it were empty. */
+  /** Tells whether the size would fit on some worker if it were empty. */
   canEverHold(size: Resources): boolean {
     for (const {worker} of this.workers.values()) {
       if (worker.condition === 'leaving') continue;
@@ -82,18 +82,18 @@
     return false;
   }
 
-  /** Tells whether the size takes that part of the largest worker. */
-  isLarge(size: Resources, part: number): boolean {
-    return dominantShare(size, this.largest) >= part;
+  /** Tells whether the size needs this fraction of the largest capacity. */
+  isLarge(size: Resources, fraction: number): boolean {
+    return dominantShare(size, this.maxCapacity) >= fraction;
   }
 
-  /** Counts anew where a job's tasks run, if they are to be kept apart. */
+  /** Counts tasks by rack and worker if the job is spread, else drops counts. */
   countPlaces(job: JobState): void {
     const isCounted = job.placeCounts !== null;
     if (isCounted === isSpread(job.job, job.queue)) return;
     job.placeCounts = isCounted ? null : new Map();
     for (const {task} of job.running.values()) {
-      addPlace(job.placeCounts, this.getWorker(task.workerId), 1);
+      addToPlaceCounts(job.placeCounts, this.getWorker(task.workerId), 1);
     }
   }
 
@@ -103,29 +103,29 @@
     const worker = this.getWorker(task.workerId);
     this.tasks.set(task.taskId, running);
     worker.tasks.add(running);
-    this.addUse(worker, task.size);
+    this.addUsage(worker, task.size);
     this.teams.charge(job.team, task.size, running.isUrgent);
     job.running.set(task.taskIndex, running);
-    addPlace(job.placeCounts, worker, 1);
+    addToPlaceCounts(job.placeCounts, worker, 1);
   }
 
-  /** Frees what a task has reserved. */
+  /** Frees a task's reservation. */
   release(running: RunningTask): void {
     const {task, job} = running;
     const worker = this.getWorker(task.workerId);
     this.tasks.delete(task.taskId);
     worker.tasks.delete(running);
-    this.addUse(worker, subtractResources(NO_RESOURCES, task.size));
+    this.addUsage(worker, subtractResources(NO_RESOURCES, task.size));
     this.teams.release(job.team, task.size, running.isUrgent);
     if (running.isStopping) this.teams.noteStopped(job.team, task.size);
     if (job.running.get(task.taskIndex) === running) {
       job.running.delete(task.taskIndex);
     }
-    addPlace(job.placeCounts, worker, -1);
+    addToPlaceCounts(job.placeCounts, worker, -1);
     this.onRoom(worker);
   }
 
-  /** Notes that a task was told to stop; its room is taken until it ends. */
+  /** Marks a task as stopping; its reservation stays until it ends. */
   markStopping(running: RunningTask, nowMs: number): void {
     if (running.isStopping) return;
     running.isStopping = true;
@@ -133,19 +133,19 @@
     this.teams.noteStopping(running.job.team, running.task.size);
   }
 
-  /** Takes back that a task was told to stop. */
+  /** Reverts `markStopping`. */
   unmarkStopping(running: RunningTask): void {
     if (!running.isStopping) return;
     running.isStopping = false;
     this.teams.noteStopped(running.job.team, running.task.size);
   }
 
-  /** Changes what a running task has reserved. */
+  /** Changes the reservation of a running task. */
   resize(running: RunningTask, size: Resources): void {
     const worker = this.getWorker(running.task.workerId);
     const change = subtractResources(size, running.task.size);
     running.task = {...running.task, size};
-    this.addUse(worker, change);
+    this.addUsage(worker, change);
     this.teams.charge(running.job.team, change, running.isUrgent);
     this.onRoom(worker);
   }
@@ -153,35 +153,35 @@
   private addWorker(worker: PolicyWorker): WorkerState {
     const state = newWorkerState(worker);
     this.workers.set(worker.workerId, state);
-    this.refreshTotal();
+    this.refreshCapacity();
     this.onRoom(state);
     return state;
   }
 
-  private addUse(worker: WorkerState, change: Resources): void {
+  private addUsage(worker: WorkerState, change: Resources): void {
     worker.used = addResources(worker.used, change);
     worker.free = subtractResources(worker.worker.capacity, worker.used);
   }
 
-  private refreshTotal(): void {
+  private refreshCapacity(): void {
     let total = NO_RESOURCES;
-    let largest = NO_RESOURCES;
+    let maxCapacity = NO_RESOURCES;
     for (const {worker} of this.workers.values()) {
       if (worker.condition === 'leaving') continue;
       total = addResources(total, worker.capacity);
-      largest = mostOf(largest, worker.capacity);
+      maxCapacity = mostOf(maxCapacity, worker.capacity);
     }
-    this.largest = largest;
+    this.maxCapacity = maxCapacity;
     this.workerList = [...this.workers.values()];
     this.teams.setTotal(total);
   }
 }
 
-function isSameOffer(a: PolicyWorker, b: PolicyWorker): boolean {
+function hasSameCapacity(a: PolicyWorker, b: PolicyWorker): boolean {
   return a.condition === b.condition && a.capacity === b.capacity;
 }
 
-function addPlace(
+function addToPlaceCounts(
   counts: Map<string, number> | null,
   state: WorkerState,
   change: number,
--- a/packages/policy/src/first-fit-engine.ts
+++ b/packages/policy/src/first-fit-engine.ts
@@ -1,4 +1,4 @@
-/** The plainest engine: first come, first served, on the first that fits. */
+/** A baseline engine: first come, first served, first fit. */
 import {
   addResources,
   fitsIn,
@@ -22,7 +22,7 @@
   readonly taskIndexes: number[];
 }
 
-/** First come, first served; kept as a baseline. */
+/** Places jobs first come, first served; serves as a baseline. */
 export class FirstFitEngine extends PlacementEngine {
   private readonly workers = new Map<string, PolicyWorker>();
   private readonly used = new Map<string, Resources>();
@@ -34,7 +34,7 @@
   private nextTask = 1;
 
   override setQueues(): void {
-    // All queues are alike to this engine.
+    // This engine ignores queues.
   }
 
   override setTeams(teams: readonly PolicyTeam[]): void {
@@ -85,7 +85,7 @@
   }
 
   override learn(): void {
-    // This engine believes what was declared.
+    // This engine reserves the declared size.
   }
 
   override *decide(): Generator<Decision> {
--- a/packages/policy/src/heap.ts
+++ b/packages/policy/src/heap.ts
@@ -1,13 +1,13 @@
 /** A binary heap whose first item is the smallest. */
 
-/** Compares two items; negative where the first comes before. */
-export type Order<T> = (a: T, b: T) => number;
+/** Compares two items; negative if the first sorts before the second. */
+export type Comparator<T> = (a: T, b: T) => number;
 
 /** A binary min-heap. */
 export class Heap<T> {
   private items: T[] = [];
 
-  constructor(private readonly order: Order<T>) {}
+  constructor(private readonly compare: Comparator<T>) {}
 
   get size(): number {
     return this.items.length;
@@ -35,7 +35,7 @@
     return first;
   }
 
-  /** Restores the order after the key of the first item grew. */
+  /** Restores the heap order after the key of the first item grew. */
   updateFirst(): void {
     if (this.items.length > 1) this.siftDown(0);
   }
@@ -53,41 +53,41 @@
     this.items = [];
   }
 
-  /** The items in no stated order. */
+  /** Iterates over the items in no particular order. */
   [Symbol.iterator](): IterableIterator<T> {
     return this.items.values();
   }
 
   private siftUp(start: number): void {
-    let at = start;
-    while (at > 0) {
-      const parent = (at - 1) >> 1;
-      if (!this.isBefore(at, parent)) return;
-      this.swap(at, parent);
-      at = parent;
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.isBefore(index, parent)) return;
+      this.swap(index, parent);
+      index = parent;
     }
   }
 
   private siftDown(start: number): void {
-    let at = start;
+    let index = start;
     for (;;) {
-      const left = 2 * at + 1;
+      const left = 2 * index + 1;
       const right = left + 1;
-      let least = at;
+      let least = index;
       if (left < this.items.length && this.isBefore(left, least)) least = left;
       if (right < this.items.length && this.isBefore(right, least)) {
         least = right;
       }
-      if (least === at) return;
-      this.swap(at, least);
-      at = least;
+      if (least === index) return;
+      this.swap(index, least);
+      index = least;
     }
   }
 
   private isBefore(a: number, b: number): boolean {
     const [first, second] = [this.items[a], this.items[b]];
     if (first === undefined || second === undefined) return false;
-    return this.order(first, second) < 0;
+    return this.compare(first, second) < 0;
   }
 
   private swap(a: number, b: number): void {
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -1,4 +1,4 @@
-/** Chooses which running tasks to stop so that others get their room. */
+/** Chooses which running tasks to preempt to make room for others. */
 import {
   addResources,
   fitsIn,
@@ -15,169 +15,182 @@
   type WorkerState,
 } from './state.js';
 
-/** How much dearer a stop is than that of a plain batch task. */
+/** Cost of preempting a task relative to a batch task of a borrowing team. */
 const NORMAL_COST_FACTOR = 8;
 const SERVICE_COST_FACTOR = 4;
 const WITHIN_SHARE_COST_FACTOR = 4;
 
-/** Workers that a search looks at before it gives up for now. */
-const MAX_WORKERS = 128;
-/** Workers between which a search has the choice. */
-const MIN_OFFERS = 8;
-const OFFERS_PER_TASK = 2;
+/** Workers that a search looks at, plus one for each wanted candidate. */
+const BASE_SEARCH_LIMIT = 128;
+/** Candidates that a search collects, plus some for each task. */
+const MIN_CANDIDATES = 8;
+const CANDIDATES_PER_TASK = 2;
 
-/** Tasks of a job that need room, and whose room they may have. */
-export interface RoomWanted {
+/** Tasks of a job that need room, and which tasks they may preempt. */
+export interface RoomRequest {
   readonly state: JobState;
   readonly size: Resources;
   /** How many tasks need room. */
   readonly count: number;
-  /** Whether room for only some of the tasks is of no use. */
+  /** Whether the tasks need room all at once, as those of a gang do. */
   readonly isWhole: boolean;
   readonly isUrgent: boolean;
   readonly untilMs: number;
   readonly reason: string;
-  mayStop(running: RunningTask): boolean;
+  mayPreempt(running: RunningTask): boolean;
 }
 
-/** A way to make room for one task on a worker. */
-interface Offer {
+/** Tasks to preempt on a worker to make room for one task. */
+interface PreemptionCandidate {
   readonly worker: WorkerState;
   readonly victims: readonly RunningTask[];
   readonly cost: number;
 }
 
-/** Where room may be made for tasks of one size; the cheapest is first. */
-export type RoomSearch = Heap<Offer>;
+/** Candidates for tasks of one size, the cheapest first. */
+export type CandidateHeap = Heap<PreemptionCandidate>;
 
 /**
- * Looks for workers on which room can be made, until there is some choice;
- * each search begins where the last one ended.
+ * Collects workers on which room can be made, until there are enough to choose
+ * from. Each search starts at the worker where the last one ended.
  *
  * @example
- * const search = newRoomSearch(core, wanted);
+ * const candidates = findCandidates(core, request);
  */
-export function newRoomSearch(
+export function findCandidates(
   core: EngineCore,
-  wanted: RoomWanted,
-): RoomSearch {
-  const offers = new Heap<Offer>((a, b) => a.cost - b.cost);
+  request: RoomRequest,
+): CandidateHeap {
+  const candidates = new Heap<PreemptionCandidate>((a, b) => a.cost - b.cost);
   const workers = core.cell.workerList;
-  const enough = wanted.count * OFFERS_PER_TASK + MIN_OFFERS;
-  const most = Math.min(workers.length, MAX_WORKERS + enough);
-  for (let i = 0; i < most && offers.size < enough; i += 1) {
+  const wantedCandidates = request.count * CANDIDATES_PER_TASK + MIN_CANDIDATES;
+  const maxSearched = Math.min(
+    workers.length,
+    BASE_SEARCH_LIMIT + wantedCandidates,
+  );
+  for (
+    let i = 0;
+    i < maxSearched && candidates.size < wantedCandidates;
+    i += 1
+  ) {
     const worker = workers[core.roomCursor % workers.length];
     core.roomCursor = (core.roomCursor + 1) % workers.length;
-    const offer = worker && offerOf(core, worker, wanted);
-    if (offer !== undefined) offers.push(offer);
+    const candidate = worker && candidateOn(core, worker, request);
+    if (candidate !== undefined) candidates.push(candidate);
   }
-  return offers;
+  return candidates;
 }
 
 /**
- * Stops the cheapest tasks that make room for the wanted tasks, and holds
- * that room; the stops are put into the outbox.
+ * Preempts the cheapest tasks that make room for a request, and holds that
+ * room. The preemptions are added to the outbox.
  *
  * @example
- * const made = makeRoom(core, search, wanted);
+ * const made = makeRoom(core, candidates, request);
  *
  * @returns for how many tasks there will be room
  */
 export function makeRoom(
   core: EngineCore,
-  search: RoomSearch,
-  wanted: RoomWanted,
+  candidates: CandidateHeap,
+  request: RoomRequest,
 ): number {
   const stopped: RunningTask[] = [];
-  const slots = new Map(core.holds.get(wanted.state.job.jobId)?.slots);
+  const slots = new Map(core.holds.get(request.state.job.jobId)?.slots);
   let made = 0;
-  while (made < wanted.count) {
-    const offer = takeOffer(core, search, wanted);
-    if (offer === undefined) break;
-    stopped.push(...stopAll(core, offer.victims));
-    slots.set(offer.worker, (slots.get(offer.worker) ?? 0) + 1);
-    core.holds.add(newHold(core, wanted, slots));
+  while (made < request.count) {
+    const candidate = takeCheapest(core, candidates, request);
+    if (candidate === undefined) break;
+    stopped.push(...markVictimsStopping(core, candidate.victims));
+    slots.set(candidate.worker, (slots.get(candidate.worker) ?? 0) + 1);
+    core.holds.add(newHold(core, request, slots));
     made += 1;
-    const next = offerOf(core, offer.worker, wanted);
-    if (next !== undefined) search.push(next);
+    const next = candidateOn(core, candidate.worker, request);
+    if (next !== undefined) candidates.push(next);
   }
-  if (wanted.isWhole && made < wanted.count) {
-    undo(core, wanted, stopped);
+  if (request.isWhole && made < request.count) {
+    revertPreemptions(core, request, stopped);
     return 0;
   }
-  for (const running of stopped) announce(core, running, wanted.reason);
+  for (const running of stopped) queuePreemption(core, running, request.reason);
   return made;
 }
 
-/** The cheapest offer that still holds. */
-function takeOffer(
+/** The cheapest candidate, computed again as it may be out of date. */
+function takeCheapest(
   core: EngineCore,
-  search: RoomSearch,
-  wanted: RoomWanted,
-): Offer | undefined {
+  candidates: CandidateHeap,
+  request: RoomRequest,
+): PreemptionCandidate | undefined {
   for (;;) {
-    const offer = search.pop();
-    if (offer === undefined) return undefined;
-    const fresh = offerOf(core, offer.worker, wanted);
+    const candidate = candidates.pop();
+    if (candidate === undefined) return undefined;
+    const fresh = candidateOn(core, candidate.worker, request);
     if (fresh === undefined) continue;
-    if (fresh.cost <= offer.cost) return fresh;
-    search.push(fresh);
+    if (fresh.cost <= candidate.cost) return fresh;
+    candidates.push(fresh);
   }
 }
 
 function newHold(
   core: EngineCore,
-  wanted: RoomWanted,
+  request: RoomRequest,
   slots: ReadonlyMap<WorkerState, number>,
 ): Hold {
   return {
-    state: wanted.state,
-    size: wanted.size,
-    isUrgent: wanted.isUrgent,
+    state: request.state,
+    size: request.size,
+    isUrgent: request.isUrgent,
     fromMs: core.nowMs,
-    untilMs: wanted.untilMs,
+    untilMs: request.untilMs,
     slots: new Map(slots),
   };
 }
 
 /** The cheapest way to make room for one more task on a worker. */
-function offerOf(
+function candidateOn(
   core: EngineCore,
   worker: WorkerState,
-  wanted: RoomWanted,
-): Offer | undefined {
+  request: RoomRequest,
+): PreemptionCandidate | undefined {
   if (!isUsable(worker)) return undefined;
-  if (!fitsIn(wanted.size, worker.worker.capacity)) return undefined;
+  if (!fitsIn(request.size, worker.worker.capacity)) return undefined;
   const victims: RunningTask[] = [];
-  let room = comingRoom(worker, wanted.isUrgent, core.nowMs);
-  let teamRoom = teamRoomOf(core, wanted);
+  let room = comingRoom(worker, request.isUrgent, core.nowMs);
+  let teamRoom = teamRoomOf(core, request);
   const isEnough = (): boolean =>
-    fitsIn(wanted.size, room) && fitsIn(wanted.size, teamRoom);
+    fitsIn(request.size, room) && fitsIn(request.size, teamRoom);
   if (!isEnough()) {
-    for (const running of cheapestFirst(worker, wanted)) {
+    for (const running of preemptibleByCost(worker, request)) {
       victims.push(running);
       room = addResources(room, running.task.size);
-      teamRoom = addResources(teamRoom, ownSize(running, wanted));
+      teamRoom = addResources(teamRoom, teamRoomFreedBy(running, request));
       if (isEnough()) break;
     }
   }
   if (!isEnough()) return undefined;
   for (const running of [...victims].reverse()) {
-    const lessRoom = subtractResources(room, running.task.size);
-    const lessTeam = subtractResources(teamRoom, ownSize(running, wanted));
-    if (!fitsIn(wanted.size, lessRoom)) continue;
-    if (!fitsIn(wanted.size, lessTeam)) continue;
+    const roomWithout = subtractResources(room, running.task.size);
+    const teamRoomWithout = subtractResources(
+      teamRoom,
+      teamRoomFreedBy(running, request),
+    );
+    if (!fitsIn(request.size, roomWithout)) continue;
+    if (!fitsIn(request.size, teamRoomWithout)) continue;
     victims.splice(victims.indexOf(running), 1);
-    room = lessRoom;
-    teamRoom = lessTeam;
+    room = roomWithout;
+    teamRoom = teamRoomWithout;
   }
-  const cost = victims.reduce((sum, running) => sum + stopCost(running), 0);
+  const cost = victims.reduce(
+    (sum, running) => sum + preemptionCost(running),
+    0,
+  );
   return {worker, victims, cost};
 }
 
-/** What the team may still start once told tasks of it have ended. */
-function teamRoomOf(core: EngineCore, wanted: RoomWanted): Resources {
-  const {team, job} = wanted.state;
+/** The team's allowance left once its stopping tasks have ended. */
+function teamRoomOf(core: EngineCore, request: RoomRequest): Resources {
+  const {team, job} = request.state;
   const kept = subtractResources(team.used, team.stopping);
   const held = core.holds.roomOf(job.jobId);
   let room = subtractResources(team.team.allowance, kept);
@@ -185,46 +198,50 @@
   return room;
 }
 
-function ownSize(running: RunningTask, wanted: RoomWanted): Resources {
-  const isOwn = running.job.team === wanted.state.team;
+/** What a task's end frees of the allowance of the requesting team. */
+function teamRoomFreedBy(
+  running: RunningTask,
+  request: RoomRequest,
+): Resources {
+  const isOwn = running.job.team === request.state.team;
   return isOwn
     ? running.task.size
-    : subtractResources(wanted.size, wanted.size);
+    : subtractResources(request.size, request.size);
 }
 
-function cheapestFirst(
+function preemptibleByCost(
   worker: WorkerState,
-  wanted: RoomWanted,
+  request: RoomRequest,
 ): readonly RunningTask[] {
-  const running: RunningTask[] = [];
+  const preemptible: RunningTask[] = [];
   for (const task of worker.tasks) {
-    if (!task.isStopping && wanted.mayStop(task)) running.push(task);
+    if (!task.isStopping && request.mayPreempt(task)) preemptible.push(task);
   }
-  return running.sort((a, b) => stopCost(a) - stopCost(b));
+  return preemptible.sort((a, b) => preemptionCost(a) - preemptionCost(b));
 }
 
-/** What a stop costs: what has to be checkpointed, for all of a gang. */
-function stopCost(running: RunningTask): number {
+/** The memory to checkpoint, for the whole gang, weighted by importance. */
+function preemptionCost(running: RunningTask): number {
   const {job, queue} = running.job;
   const tasks = job.isGang ? running.job.running.size : 1;
-  const priority = queue.priority === 'batch' ? 1 : NORMAL_COST_FACTOR;
-  const service = job.isService ? SERVICE_COST_FACTOR : 1;
+  const priorityFactor = queue.priority === 'batch' ? 1 : NORMAL_COST_FACTOR;
+  const serviceFactor = job.isService ? SERVICE_COST_FACTOR : 1;
   const {keptShare, fair} = running.job.team;
-  const share = keptShare > fair ? 1 : WITHIN_SHARE_COST_FACTOR;
+  const shareFactor = keptShare > fair ? 1 : WITHIN_SHARE_COST_FACTOR;
   const sizeMb = Math.max(1, running.task.size.memMb);
-  return sizeMb * tasks * priority * service * share;
+  return sizeMb * tasks * priorityFactor * serviceFactor * shareFactor;
 }
 
-/** Marks tasks as told to stop, with the rest of their gangs. */
-function stopAll(
+/** Marks tasks as stopping, together with the rest of their gangs. */
+function markVictimsStopping(
   core: EngineCore,
   victims: readonly RunningTask[],
 ): readonly RunningTask[] {
   const stopped: RunningTask[] = [];
   for (const victim of victims) {
     const {job, running} = victim.job;
-    const together = job.isGang ? [...running.values()] : [victim];
-    for (const task of together) {
+    const gangOrVictim = job.isGang ? [...running.values()] : [victim];
+    for (const task of gangOrVictim) {
       if (task.isStopping) continue;
       core.cell.markStopping(task, core.nowMs);
       stopped.push(task);
@@ -233,22 +250,22 @@
   return stopped;
 }
 
-function undo(
+function revertPreemptions(
   core: EngineCore,
-  wanted: RoomWanted,
+  request: RoomRequest,
   stopped: readonly RunningTask[],
 ): void {
-  core.holds.remove(wanted.state.job.jobId);
+  core.holds.remove(request.state.job.jobId);
   for (const running of stopped) core.cell.unmarkStopping(running);
 }
 
 /**
- * Announces that a task has to stop.
+ * Adds the preemption of a task to the outbox.
  *
  * @example
- * announce(core, running, 'urgent work of team a needs the room');
+ * queuePreemption(core, running, 'urgent work of team a needs the room');
  */
-export function announce(
+export function queuePreemption(
   core: EngineCore,
   running: RunningTask,
   reason: string,
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -1,45 +1,45 @@
-/** How a task's workers are chosen; each kind of work has its own way. */
+/** Policies that choose workers for tasks: pack, spread and gang. */
 import {fitsIn, NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {countFits, isNothing} from './amounts.js';
 import {rackKey, workerKey} from './cell.js';
 import {isUsable, type JobState, type WorkerState} from './state.js';
 
-/** Tasks of one job that look for room. */
+/** A request to place tasks of one job. */
 export interface PlacementAsk {
   readonly state: JobState;
   /** What each task reserves. */
   readonly size: Resources;
-  /** How many tasks need room at once. */
+  /** How many tasks have to be placed together. */
   readonly count: number;
   readonly isUrgent: boolean;
   /** When the tasks are expected to have ended. */
   readonly endMs: number;
-  /** What is held for this job, by worker. */
+  /** Held room that this job may use, by worker. */
   readonly own: ReadonlyMap<WorkerState, Resources>;
   /** Workers on which the job failed before. */
   readonly avoided: ReadonlySet<string>;
 }
 
-/** Chooses a worker for each task that is asked for. */
+/** Chooses a worker for each task of a request. */
 export abstract class PlacementPolicy {
-  /** A worker for each task, or none where they do not all fit. */
+  /** Returns a worker for each task, or none if they don't all fit. */
   abstract choose(
     workers: Iterable<WorkerState>,
-    ask: PlacementAsk,
+    request: PlacementAsk,
   ): readonly WorkerState[];
 }
 
-/** Chooses one worker at a time by the least cost. */
+/** Chooses the one worker with the lowest cost. */
 abstract class ScoredPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
-    ask: PlacementAsk,
+    request: PlacementAsk,
   ): readonly WorkerState[] {
     let best: WorkerState | undefined;
     let bestCost = Infinity;
     for (const worker of workers) {
-      if (!isUsable(worker) || !hasRoom(worker, ask)) continue;
-      const cost = this.cost(worker, ask) + commonCost(worker, ask);
+      if (!isUsable(worker) || !hasRoom(worker, request)) continue;
+      const cost = this.cost(worker, request) + commonCost(worker, request);
       if (cost >= bestCost) continue;
       best = worker;
       bestCost = cost;
@@ -47,78 +47,89 @@
     return best === undefined ? [] : [best];
   }
 
-  protected abstract cost(worker: WorkerState, ask: PlacementAsk): number;
+  protected abstract cost(worker: WorkerState, request: PlacementAsk): number;
 }
 
-/** What it costs to use a worker with accelerators for other work. */
-const STRANDED_COST = 10;
-/** What it costs to use a worker on which the job failed before. */
-const AVOIDED_COST = 1_000;
-/** What it costs to add to a rack or worker that has tasks of the job. */
+/** Cost of using a worker with accelerators for a task that needs none. */
+const STRANDED_ACCELERATOR_COST = 10;
+/** Cost of using a worker on which the job failed before. */
+const AVOIDED_WORKER_COST = 1_000;
+/** Cost for each task of the job that is on the same rack or worker. */
 const SAME_RACK_COST = 100;
 const SAME_WORKER_COST = 50;
 
-/** Fills the fullest worker that still has room. */
+/** Best fit: chooses the fullest worker that still has room. */
 export class PackPolicy extends ScoredPolicy {
-  protected override cost(worker: WorkerState, ask: PlacementAsk): number {
-    return leftover(worker, ask.size);
+  protected override cost(worker: WorkerState, request: PlacementAsk): number {
+    return freeFractionAfter(worker, request.size);
   }
 }
 
-/** Keeps the tasks of a job apart: over racks first, then over workers. */
+/** Spreads the tasks of a job over racks first, then over workers. */
 export class SpreadPolicy extends ScoredPolicy {
-  protected override cost(worker: WorkerState, ask: PlacementAsk): number {
-    const {placeCounts} = ask.state;
+  protected override cost(worker: WorkerState, request: PlacementAsk): number {
+    const {placeCounts} = request.state;
     const {rack, workerId} = worker.worker;
     const inRack = placeCounts?.get(rackKey(rack)) ?? 0;
     const onWorker = placeCounts?.get(workerKey(workerId)) ?? 0;
-    const apart = inRack * SAME_RACK_COST + onWorker * SAME_WORKER_COST;
-    return apart + leftover(worker, ask.size);
+    const colocationCost =
+      inRack * SAME_RACK_COST + onWorker * SAME_WORKER_COST;
+    return colocationCost + freeFractionAfter(worker, request.size);
   }
 }
 
-interface Room {
+/** How many tasks of a request fit on a worker. */
+interface WorkerSlots {
   readonly worker: WorkerState;
   readonly slots: number;
 }
 
-/** Places all tasks of a job at once, on as few racks as it can. */
+/** Places all tasks of a job at once, on as few racks as possible. */
 export class GangPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
-    ask: PlacementAsk,
+    request: PlacementAsk,
   ): readonly WorkerState[] {
-    const racks = new Map<string, Room[]>();
+    const racks = new Map<string, WorkerSlots[]>();
     for (const worker of workers) {
-      const slots = countSlots(worker, ask);
+      const slots = countSlots(worker, request);
       if (slots === 0) continue;
-      const rooms = racks.get(worker.worker.rack) ?? [];
-      rooms.push({worker, slots});
-      racks.set(worker.worker.rack, rooms);
+      const rackSlots = racks.get(worker.worker.rack) ?? [];
+      rackSlots.push({worker, slots});
+      racks.set(worker.worker.rack, rackSlots);
     }
-    return takeRooms(orderRacks([...racks.values()], ask.count), ask.count);
+    return takeSlots(
+      orderRacks([...racks.values()], request.count),
+      request.count,
+    );
   }
 }
 
-/** The smallest rack that holds all, or else the largest racks first. */
-function orderRacks(racks: Room[][], count: number): readonly Room[] {
-  const sized = racks.map(rooms => ({rooms, slots: sumSlots(rooms)}));
+/** The smallest rack that fits all tasks, or else the largest racks first. */
+function orderRacks(
+  racks: WorkerSlots[][],
+  count: number,
+): readonly WorkerSlots[] {
+  const sized = racks.map(workers => ({
+    workers,
+    slots: sumSlots(workers),
+  }));
   sized.sort((a, b) => a.slots - b.slots);
-  const whole = sized.find(rack => rack.slots >= count);
-  const order = whole === undefined ? sized.reverse() : [whole];
-  return order.flatMap(rack => rack.rooms);
+  const smallestFit = sized.find(rack => rack.slots >= count);
+  const order = smallestFit === undefined ? sized.reverse() : [smallestFit];
+  return order.flatMap(rack => rack.workers);
 }
 
-function sumSlots(rooms: readonly Room[]): number {
-  return rooms.reduce((sum, room) => sum + room.slots, 0);
+function sumSlots(workers: readonly WorkerSlots[]): number {
+  return workers.reduce((sum, worker) => sum + worker.slots, 0);
 }
 
-function takeRooms(
-  rooms: readonly Room[],
+function takeSlots(
+  workers: readonly WorkerSlots[],
   count: number,
 ): readonly WorkerState[] {
   const chosen: WorkerState[] = [];
-  for (const {worker, slots} of rooms) {
+  for (const {worker, slots} of workers) {
     const taken = Math.min(slots, count - chosen.length);
     for (let i = 0; i < taken; i += 1) chosen.push(worker);
     if (chosen.length === count) return chosen;
@@ -126,60 +137,67 @@
   return [];
 }
 
-/** How many tasks of the ask the worker can take now. */
-function countSlots(worker: WorkerState, ask: PlacementAsk): number {
+/** Counts the tasks of a request that a worker can take now. */
+function countSlots(worker: WorkerState, request: PlacementAsk): number {
   if (!isUsable(worker)) return 0;
-  const slots = countFits(ask.size, roomOn(worker, ask));
+  const slots = countFits(request.size, roomOn(worker, request));
   return worker.isOnProbation ? Math.min(1, slots) : slots;
 }
 
-function hasRoom(worker: WorkerState, ask: PlacementAsk): boolean {
-  if (!fitsIn(ask.size, worker.free)) return false;
+function hasRoom(worker: WorkerState, request: PlacementAsk): boolean {
+  if (!fitsIn(request.size, worker.free)) return false;
   if (isNothing(worker.held)) return true;
-  return fitsIn(ask.size, roomOn(worker, ask));
+  return fitsIn(request.size, roomOn(worker, request));
 }
 
 /**
- * What a worker has free for an ask: without what is held for others, unless
- * the ask is urgent or ends before the held room is needed.
+ * What a worker has free for a request, without room that is held for others.
+ * An urgent request, or one that ends before the held room is needed, may also
+ * use room held for work that is not urgent.
  *
  * @example
- * const slots = countFits(ask.size, roomOn(worker, ask));
+ * const slots = countFits(request.size, roomOn(worker, request));
  */
-export function roomOn(worker: WorkerState, ask: PlacementAsk): Resources {
-  const passesHolds = ask.isUrgent || ask.endMs <= worker.heldFromMs;
-  const held = passesHolds ? worker.heldUrgent : worker.held;
-  const own = ask.own.get(worker) ?? NO_RESOURCES;
+export function roomOn(worker: WorkerState, request: PlacementAsk): Resources {
+  const ignoresHolds = request.isUrgent || request.endMs <= worker.heldFromMs;
+  const held = ignoresHolds ? worker.heldUrgent : worker.held;
+  const usableHeld = request.own.get(worker) ?? NO_RESOURCES;
   return {
-    cpuMilli: without(worker.free.cpuMilli, held.cpuMilli - own.cpuMilli),
-    memMb: without(worker.free.memMb, held.memMb - own.memMb),
-    accel: without(worker.free.accel, held.accel - own.accel),
-    slots: without(worker.free.slots, held.slots - own.slots),
+    cpuMilli: subtractHeldAmount(
+      worker.free.cpuMilli,
+      held.cpuMilli - usableHeld.cpuMilli,
+    ),
+    memMb: subtractHeldAmount(worker.free.memMb, held.memMb - usableHeld.memMb),
+    accel: subtractHeldAmount(worker.free.accel, held.accel - usableHeld.accel),
+    slots: subtractHeldAmount(worker.free.slots, held.slots - usableHeld.slots),
   };
 }
 
-/** The free part less what is held; a hold never makes it negative. */
-function without(free: number, held: number): number {
+/** Subtracts held room; the result is negative only if `free` was. */
+function subtractHeldAmount(free: number, held: number): number {
   if (held <= 0 || free <= 0) return free;
   return Math.max(0, free - held);
 }
 
-function commonCost(worker: WorkerState, ask: PlacementAsk): number {
+function commonCost(worker: WorkerState, request: PlacementAsk): number {
   const {capacity, workerId} = worker.worker;
-  const isStranding = ask.size.accel === 0 && capacity.accel > 0;
-  const isAvoided = ask.avoided.has(workerId);
-  return (isStranding ? STRANDED_COST : 0) + (isAvoided ? AVOIDED_COST : 0);
+  const isStranding = request.size.accel === 0 && capacity.accel > 0;
+  const isAvoided = request.avoided.has(workerId);
+  return (
+    (isStranding ? STRANDED_ACCELERATOR_COST : 0) +
+    (isAvoided ? AVOIDED_WORKER_COST : 0)
+  );
 }
 
-/** The part of the worker that stays free, summed over its resources. */
-function leftover(worker: WorkerState, size: Resources): number {
+/** The fraction of the worker left free, summed over its resources. */
+function freeFractionAfter(worker: WorkerState, size: Resources): number {
   const {capacity} = worker.worker;
   const {free} = worker;
-  let rest = 0;
+  let sum = 0;
   if (capacity.cpuMilli > 0) {
-    rest += (free.cpuMilli - size.cpuMilli) / capacity.cpuMilli;
+    sum += (free.cpuMilli - size.cpuMilli) / capacity.cpuMilli;
   }
-  if (capacity.memMb > 0) rest += (free.memMb - size.memMb) / capacity.memMb;
-  if (capacity.accel > 0) rest += (free.accel - size.accel) / capacity.accel;
-  return rest;
+  if (capacity.memMb > 0) sum += (free.memMb - size.memMb) / capacity.memMb;
+  if (capacity.accel > 0) sum += (free.accel - size.accel) / capacity.accel;
+  return sum;
 }
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -1,38 +1,44 @@
-/** Makes room for urgent work in a full cell, and gives shares back. */
+/** Preempts tasks for urgent work and for teams below their share. */
 import {dominantShare} from './amounts.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {
   makeRoom,
-  newRoomSearch,
-  type RoomSearch,
-  type RoomWanted,
+  findCandidates,
+  type CandidateHeap,
+  type RoomRequest,
 } from './make-room.js';
 import {flush, teamsWithUrgent} from './place-waiting.js';
 import type {JobState, RunningTask, TeamState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
 
-/** How long room is held for urgent work; then it is sought elsewhere. */
+/** How long room is held for urgent work before it is sought elsewhere. */
 const URGENT_HOLD_MS = 3_000;
-/** How long a class for which no room can be made is left alone. */
-const URGENT_PAUSE_MS = 250;
-const RECLAIM_PAUSE_MS = 5_000;
-/** Tasks for which one decision makes room at most. */
+/** How long a class is skipped after no room could be made for it. */
+const URGENT_BACKOFF_MS = 250;
+const RECLAIM_BACKOFF_MS = 5_000;
+/** Most tasks for which one pass makes room. */
 const MAX_URGENT_TASKS = 64;
 const MAX_RECLAIMED_TASKS = 16;
-/** Searches without result after which a decision seeks no more room. */
+/** Failed searches after which a pass stops looking for room. */
 const MAX_FAILED_SEARCHES = 4;
-/** How long a team below its share waits before it takes room back. */
+/** How long a team below its share, and its job, wait to reclaim room. */
 const RECLAIM_AFTER_MS = 10_000;
 const RECLAIM_HOLD_MS = 10_000;
-/** What a team keeps of its share when a gang, which needs all, takes room. */
-const GANG_VICTIM_PART = 0.9;
-/** A team that lacks less of a task than this is at its share. */
-const RECLAIM_TASK_PART = 0.5;
+/**
+ * Fraction of its share down to which a team may be preempted for a gang. A
+ * gang needs room for all its tasks at once, so it may take a little more.
+ */
+const GANG_VICTIM_SHARE_FRACTION = 0.9;
+/**
+ * Added before rounding down: a team that lacks less than half a task counts
+ * as being at its share.
+ */
+const RECLAIM_ROUNDING = 0.5;
 
 /**
- * Stops lower work where urgent work has no room.
+ * Preempts lower-priority tasks where urgent work has no room.
  *
  * @example
  * yield* preemptForUrgent(core);
@@ -40,17 +46,17 @@
 export function* preemptForUrgent(core: EngineCore): Generator<Decision> {
   const order = new TeamOrder(teamsWithUrgent(core));
   const budget = newBudget(MAX_URGENT_TASKS);
-  for (const team of takeInOrder(order)) {
+  for (const team of drainInOrder(order)) {
     for (const waitClass of [...team.waiting.values()]) {
-      if (isSpent(budget)) return;
+      if (isExhausted(budget)) return;
       if (waitClass.kind.priority !== 'urgent') continue;
-      yield* preemptForClass(core, waitClass, budget, urgentWanted);
+      yield* preemptForClass(core, waitClass, budget, newUrgentRequest);
     }
   }
 }
 
 /**
- * Takes room back for teams below their share from those above it.
+ * Reclaims room for teams below their share from teams above it.
  *
  * @example
  * yield* reclaimShares(core);
@@ -59,24 +65,24 @@
   if (!isAnyAboveShare(core)) return;
   const order = new TeamOrder(teamsBelowShare(core));
   const budget = newBudget(MAX_RECLAIMED_TASKS);
-  for (const team of takeInOrder(order)) {
+  for (const team of drainInOrder(order)) {
     for (const waitClass of [...team.waiting.values()]) {
-      if (isSpent(budget)) return;
+      if (isExhausted(budget)) return;
       const first = waitClass.first();
       if (first === undefined) continue;
       if (core.nowMs - first.job.acceptedMs < RECLAIM_AFTER_MS) continue;
-      const lacking = lackingTasks(core, team, waitClass);
+      const lacking = countTasksBelowShare(core, team, waitClass);
       if (lacking <= 0) continue;
-      const part = {tasks: Math.min(budget.tasks, lacking), searches: 1};
-      const before = part.tasks;
-      yield* preemptForClass(core, waitClass, part, reclaimWanted);
-      budget.tasks -= before - part.tasks;
-      budget.searches -= 1 - part.searches;
+      const classBudget = {tasks: Math.min(budget.tasks, lacking), searches: 1};
+      const tasksBefore = classBudget.tasks;
+      yield* preemptForClass(core, waitClass, classBudget, newReclaimRequest);
+      budget.tasks -= tasksBefore - classBudget.tasks;
+      budget.searches -= 1 - classBudget.searches;
     }
   }
 }
 
-/** What one decision may still do to make room. */
+/** How many tasks and failed searches a pass has left. */
 interface Budget {
   tasks: number;
   searches: number;
@@ -86,11 +92,11 @@
   return {tasks, searches: MAX_FAILED_SEARCHES};
 }
 
-function isSpent(budget: Budget): boolean {
+function isExhausted(budget: Budget): boolean {
   return budget.tasks <= 0 || budget.searches <= 0;
 }
 
-function* takeInOrder(order: TeamOrder): Generator<TeamState> {
+function* drainInOrder(order: TeamOrder): Generator<TeamState> {
   for (;;) {
     const team = order.first();
     if (team === undefined) return;
@@ -106,41 +112,41 @@
   return false;
 }
 
-type MakeWanted = (
+type NewRoomRequest = (
   core: EngineCore,
   state: JobState,
   waitClass: WaitClass,
   count: number,
-) => RoomWanted;
+) => RoomRequest;
 
-/** Makes room for jobs of a class, as far as the budget goes. */
+/** Makes room for jobs of a class until the budget is used up. */
 function* preemptForClass(
   core: EngineCore,
   waitClass: WaitClass,
   budget: Budget,
-  makeWanted: MakeWanted,
+  newRequest: NewRoomRequest,
 ): Generator<Decision> {
   if (core.nowMs < waitClass.noRoomUntilMs) return;
-  let search: RoomSearch | undefined;
+  let candidates: CandidateHeap | undefined;
   for (const state of [...waitClass.jobs()]) {
     if (budget.tasks <= 0) return;
-    const count = missingTasks(core, state, budget.tasks);
+    const count = countTasksWithoutRoom(core, state, budget.tasks);
     if (count <= 0) continue;
-    const wanted = makeWanted(core, state, waitClass, count);
-    search ??= newRoomSearch(core, wanted);
-    const made = makeRoom(core, search, wanted);
+    const request = newRequest(core, state, waitClass, count);
+    candidates ??= findCandidates(core, request);
+    const made = makeRoom(core, candidates, request);
     budget.tasks -= made;
     yield* flush(core);
     if (made > 0) continue;
     budget.searches -= 1;
-    const pauseMs = wanted.isUrgent ? URGENT_PAUSE_MS : RECLAIM_PAUSE_MS;
-    waitClass.noRoomUntilMs = core.nowMs + pauseMs;
+    const backoffMs = request.isUrgent ? URGENT_BACKOFF_MS : RECLAIM_BACKOFF_MS;
+    waitClass.noRoomUntilMs = core.nowMs + backoffMs;
     return;
   }
 }
 
-/** For how many tasks of a job no room is held yet. */
-function missingTasks(
+/** Counts the tasks of a job for which no room is held yet. */
+function countTasksWithoutRoom(
   core: EngineCore,
   state: JobState,
   budget: number,
@@ -150,53 +156,56 @@
   return Math.min(budget, state.pending.size - held);
 }
 
-function urgentWanted(
+function newUrgentRequest(
   core: EngineCore,
   state: JobState,
   waitClass: WaitClass,
   count: number,
-): RoomWanted {
+): RoomRequest {
   return {
-    ...roomFor(state, waitClass, count),
+    ...baseRequest(state, waitClass, count),
     isUrgent: true,
     untilMs: core.nowMs + URGENT_HOLD_MS,
     reason: `urgent work of team ${state.team.team.team} needs the room`,
-    mayStop: running => mayStopForUrgent(state, running),
+    mayPreempt: running => mayPreemptForUrgent(state, running),
   };
 }
 
-function reclaimWanted(
+function newReclaimRequest(
   core: EngineCore,
   state: JobState,
   waitClass: WaitClass,
   count: number,
-): RoomWanted {
+): RoomRequest {
   return {
-    ...roomFor(state, waitClass, count),
+    ...baseRequest(state, waitClass, count),
     isUrgent: false,
     untilMs: core.nowMs + RECLAIM_HOLD_MS,
     reason: `team ${state.team.team.team} is below its share`,
-    mayStop: running => mayStopForShare(core, state, running),
+    mayPreempt: running => mayPreemptForShare(core, state, running),
   };
 }
 
-function roomFor(
+function baseRequest(
   state: JobState,
   waitClass: WaitClass,
   count: number,
-): Pick<RoomWanted, 'state' | 'size' | 'count' | 'isWhole'> {
+): Pick<RoomRequest, 'state' | 'size' | 'count' | 'isWhole'> {
   return {state, size: waitClass.size, count, isWhole: state.job.isGang};
 }
 
-/** A second start of work that is not idempotent would be a second run. */
-function isStoppable(running: RunningTask): boolean {
+/** Work that is not idempotent must not run twice, so it is not preempted. */
+function isPreemptible(running: RunningTask): boolean {
   const {job, queue} = running.job;
   return job.isIdempotent && queue.priority !== 'urgent';
 }
 
-/** A team within its share may take room from all, else from borrowers. */
-function mayStopForUrgent(state: JobState, running: RunningTask): boolean {
-  if (!isStoppable(running)) return false;
+/**
+ * A team within its share may preempt any team; a borrowing team only itself
+ * and other borrowing teams.
+ */
+function mayPreemptForUrgent(state: JobState, running: RunningTask): boolean {
+  if (!isPreemptible(running)) return false;
   const {team} = running.job;
   if (team === state.team || isBorrowing(team)) return true;
   return !isBorrowing(state.team);
@@ -206,18 +215,20 @@
   return team.keptShare > team.fair;
 }
 
-function mayStopForShare(
+function mayPreemptForShare(
   core: EngineCore,
   state: JobState,
   running: RunningTask,
 ): boolean {
-  if (!isStoppable(running)) return false;
+  if (!isPreemptible(running)) return false;
   const {team} = running.job;
   if (team === state.team) return false;
-  const least = state.job.isGang ? team.fair * GANG_VICTIM_PART : team.fair;
-  if (team.keptShare <= least) return false;
+  const minShare = state.job.isGang
+    ? team.fair * GANG_VICTIM_SHARE_FRACTION
+    : team.fair;
+  if (team.keptShare <= minShare) return false;
   const size = dominantShare(running.task.size, core.teams.total);
-  return team.keptShare - size >= least;
+  return team.keptShare - size >= minShare;
 }
 
 function* teamsBelowShare(core: EngineCore): Generator<TeamState> {
@@ -227,14 +238,14 @@
   }
 }
 
-/** How many tasks a team has to start to come to its share. */
-function lackingTasks(
+/** Counts the tasks that a team has to start to reach its share. */
+function countTasksBelowShare(
   core: EngineCore,
   team: TeamState,
   waitClass: WaitClass,
 ): number {
-  const lacking = team.fair - team.keptShare;
+  const shareGap = team.fair - team.keptShare;
   const size = dominantShare(waitClass.size, core.teams.total);
   if (size === 0) return 0;
-  return Math.floor(lacking / size + RECLAIM_TASK_PART);
+  return Math.floor(shareGap / size + RECLAIM_ROUNDING);
 }
--- a/packages/policy/src/replay.ts
+++ b/packages/policy/src/replay.ts
@@ -1,4 +1,4 @@
-/** Drives an engine through a trace with a clock of its own. */
+/** Simulates a trace on an engine with a virtual clock. */
 import {DecisionAudit} from './audit.js';
 import type {
   Decision,
@@ -19,40 +19,40 @@
 
 /** How often the engine decides, and how often use is reported. */
 const TICK_MS = 100;
-const USAGE_EVERY_MS = 2_000;
-/** How long a checkpoint takes, and how soon a broken task fails. */
-const CHECKPOINT_MS = 500;
+const USAGE_INTERVAL_MS = 2_000;
+/** How long a checkpoint takes, and how soon a failing task ends. */
+const CHECKPOINT_DURATION_MS = 500;
 const FAIL_AFTER_MS = 300;
-/** How often a task that failed is run again. */
-const MAX_ATTEMPTS = 20;
+/** Failures of a task after which it is not retried. */
+const MAX_FAILURES = 20;
 
-interface Event {
+interface ScheduledEvent {
   readonly atMs: number;
-  readonly order: number;
+  readonly sequence: number;
   readonly run: () => void;
 }
 
-interface Running {
+interface RunningEntry {
   readonly task: PlacedTask;
   readonly source: TraceJobs;
   readonly startedMs: number;
 }
 
-/** One replay of a trace on one engine. */
+/** A replay of one trace on one engine. */
 export class Replay {
   readonly audit = new DecisionAudit();
   readonly record: ReplayRecord;
-  private readonly events = new Heap<Event>(
-    (a, b) => a.atMs - b.atMs || a.order - b.order,
+  private readonly events = new Heap<ScheduledEvent>(
+    (a, b) => a.atMs - b.atMs || a.sequence - b.sequence,
   );
   private readonly sources = new Map<string, TraceJobs>();
   private readonly jobs = new Map<string, PolicyJob>();
-  private readonly running = new Map<string, Running>();
-  private readonly restMs = new Map<string, number>();
-  private readonly attempts = new Map<string, number>();
-  private readonly broken = new Set<string>();
+  private readonly running = new Map<string, RunningEntry>();
+  private readonly remainingMs = new Map<string, number>();
+  private readonly failureCounts = new Map<string, number>();
+  private readonly failingWorkers = new Set<string>();
   private readonly cancelled = new Set<string>();
-  private nextOrder = 0;
+  private nextSequence = 0;
   private nowMs = 0;
 
   constructor(
@@ -62,7 +62,7 @@
     this.record = new ReplayRecord(trace, this.audit);
   }
 
-  /** Runs to the end of the trace. */
+  /** Replays the trace to its end. */
   run(): ReplayRecord {
     this.prepare();
     for (
@@ -71,9 +71,9 @@
       this.nowMs += TICK_MS
     ) {
       this.runEvents();
-      if (this.nowMs % USAGE_EVERY_MS === 0) this.reportUsage();
+      if (this.nowMs % USAGE_INTERVAL_MS === 0) this.reportUsage();
       for (const decision of this.engine.decide(this.nowMs)) {
-        this.obey(decision);
+        this.applyDecision(decision);
       }
       this.record.sample(this.nowMs, this.engine);
     }
@@ -88,22 +88,22 @@
       this.engine.setWorker(worker);
       this.audit.setWorker(worker);
     }
-    for (const source of this.trace.jobs) this.prepareJobs(source);
+    for (const source of this.trace.jobs) this.scheduleJobs(source);
     for (const fault of this.trace.faults) {
-      this.at(fault.atMs, () => this.cause(fault));
+      this.schedule(fault.atMs, () => this.injectFault(fault));
     }
   }
 
-  private prepareJobs(source: TraceJobs): void {
+  private scheduleJobs(source: TraceJobs): void {
     for (let i = 0; i < source.count; i += 1) {
       const atMs = source.firstMs + i * source.everyMs;
-      this.at(atMs, () => this.submit(source, i, atMs));
+      this.schedule(atMs, () => this.submit(source, i, atMs));
     }
   }
 
-  private at(atMs: number, run: () => void): void {
-    this.events.push({atMs, order: this.nextOrder, run});
-    this.nextOrder += 1;
+  private schedule(atMs: number, run: () => void): void {
+    this.events.push({atMs, sequence: this.nextSequence, run});
+    this.nextSequence += 1;
   }
 
   private runEvents(): void {
@@ -131,14 +131,14 @@
     this.sources.set(job.jobId, source);
     this.jobs.set(job.jobId, job);
     this.audit.setJob(job.jobId, job.team);
-    this.record.noteSubmit(source, job);
+    this.record.recordSubmit(source, job);
     if (this.engine.findObstacle(job) === '') this.engine.submit(job);
-    else this.record.noteSetAside(job.jobId);
+    else this.record.recordSetAside(job.jobId);
   }
 
-  private obey(decision: Decision): void {
+  private applyDecision(decision: Decision): void {
     this.audit.noteDecision(decision);
-    this.record.noteDecision(decision, this.nowMs);
+    this.record.recordDecision(decision, this.nowMs);
     if (decision.kind === 'start') this.start(decision.task);
     if (decision.kind === 'preempt') this.checkpoint(decision.taskId);
   }
@@ -147,28 +147,30 @@
     const source = this.sources.get(task.jobId);
     if (source === undefined) return;
     this.running.set(task.taskId, {task, source, startedMs: this.nowMs});
-    const isBad = source.isBroken === true || this.broken.has(task.workerId);
-    const endMs = this.nowMs + (isBad ? FAIL_AFTER_MS : this.restOf(task));
+    const willFail =
+      source.isBroken === true || this.failingWorkers.has(task.workerId);
+    const endMs =
+      this.nowMs + (willFail ? FAIL_AFTER_MS : this.remainingMsOf(task));
     if (!Number.isFinite(endMs)) return;
-    const end: PlacedTaskEnd = isBad ? 'failed' : 'succeeded';
-    this.at(endMs, () => this.end(task.taskId, end));
+    const end: PlacedTaskEnd = willFail ? 'failed' : 'succeeded';
+    this.schedule(endMs, () => this.end(task.taskId, end));
   }
 
-  private restOf(task: PlacedTask): number {
+  private remainingMsOf(task: PlacedTask): number {
     const source = this.sources.get(task.jobId);
     if (source === undefined || source.isService === true) return Infinity;
     const runMs = source.runMs * (source.runFactor ?? 1);
-    return this.restMs.get(`${task.jobId}.${task.taskIndex}`) ?? runMs;
+    return this.remainingMs.get(`${task.jobId}.${task.taskIndex}`) ?? runMs;
   }
 
   private checkpoint(taskId: string): void {
-    this.at(this.nowMs + CHECKPOINT_MS, () => {
+    this.schedule(this.nowMs + CHECKPOINT_DURATION_MS, () => {
       const running = this.running.get(taskId);
       if (running === undefined) return;
       const {task, startedMs} = running;
-      const restMs = this.restOf(task) - (this.nowMs - startedMs);
+      const remainingMs = this.remainingMsOf(task) - (this.nowMs - startedMs);
       const key = `${task.jobId}.${task.taskIndex}`;
-      this.restMs.set(key, Math.max(0, restMs));
+      this.remainingMs.set(key, Math.max(0, remainingMs));
       this.end(taskId, 'notRunning');
     });
   }
@@ -179,41 +181,42 @@
     this.running.delete(taskId);
     this.audit.noteEnd(taskId);
     this.engine.ended(taskId, end, this.nowMs);
-    this.record.noteEnd(running.task, end);
-    if (end !== 'succeeded') this.runAgain(running.task, end);
+    this.record.recordEnd(running.task, end);
+    if (end !== 'succeeded') this.retry(running.task, end);
   }
 
-  private runAgain(task: PlacedTask, end: PlacedTaskEnd): void {
+  private retry(task: PlacedTask, end: PlacedTaskEnd): void {
     const {jobId, taskIndex} = task;
     const job = this.jobs.get(jobId);
     if (job === undefined || this.cancelled.has(jobId)) return;
     const key = `${jobId}.${taskIndex}`;
-    const failures = (this.attempts.get(key) ?? 0) + (end === 'failed' ? 1 : 0);
-    this.attempts.set(key, failures);
-    if (failures >= MAX_ATTEMPTS) return;
+    const failures =
+      (this.failureCounts.get(key) ?? 0) + (end === 'failed' ? 1 : 0);
+    this.failureCounts.set(key, failures);
+    if (failures >= MAX_FAILURES) return;
     this.engine.submit({...job, taskIndexes: [taskIndex]});
   }
 
-  private cause(fault: TraceFault): void {
+  private injectFault(fault: TraceFault): void {
     switch (fault.kind) {
       case 'cancel':
-        this.cancelAll(fault.jobs);
+        this.cancelJobs(fault.jobs);
         return;
       case 'workerFails':
-        this.broken.add(fault.workerId);
+        this.failingWorkers.add(fault.workerId);
         return;
       case 'workerRecovers':
-        this.broken.delete(fault.workerId);
+        this.failingWorkers.delete(fault.workerId);
         return;
       case 'workerLeaves':
-        this.leave(fault.workerId);
+        this.markLeaving(fault.workerId);
         return;
       case 'workerGone':
-        this.lose(fault.workerId);
+        this.removeWorker(fault.workerId);
     }
   }
 
-  private cancelAll(name: string): void {
+  private cancelJobs(name: string): void {
     for (const [jobId, source] of this.sources) {
       if (source.name !== name) continue;
       this.cancelled.add(jobId);
@@ -222,7 +225,7 @@
     }
   }
 
-  private leave(workerId: string): void {
+  private markLeaving(workerId: string): void {
     for (const worker of workersOf(this.trace)) {
       if (worker.workerId !== workerId) continue;
       const leaving = {...worker, condition: 'leaving'} as const;
@@ -231,7 +234,7 @@
     }
   }
 
-  private lose(workerId: string): void {
+  private removeWorker(workerId: string): void {
     const lost = [...this.running.values()].filter(
       ({task}) => task.workerId === workerId,
     );
@@ -243,27 +246,27 @@
   private reportUsage(): void {
     const samples: UsageSample[] = [];
     for (const {task, source, startedMs} of this.running.values()) {
-      if (startedMs > this.nowMs - USAGE_EVERY_MS) continue;
+      if (startedMs > this.nowMs - USAGE_INTERVAL_MS) continue;
       const factor = source.useFactor ?? 1;
       const cap = this.audit.running.get(task.taskId)?.size ?? task.size;
       const cpuMilli = Math.min(cap.cpuMilli, source.size.cpuMilli * factor);
       const memMb = source.size.memMb * factor;
       samples.push({taskId: task.taskId, cpuMilli, memMb});
     }
-    this.noteUse();
+    this.recordMemoryUse();
     this.engine.learn(samples, this.nowMs);
   }
 
-  /** Notes how much memory all tasks of a worker use in truth. */
-  private noteUse(): void {
+  /** Records the largest fraction of a worker's memory in actual use. */
+  private recordMemoryUse(): void {
     const memMb = new Map<string, number>();
     for (const {task, source} of this.running.values()) {
       const used = source.size.memMb * (source.useFactor ?? 1);
       memMb.set(task.workerId, (memMb.get(task.workerId) ?? 0) + used);
     }
     for (const {workerId, capacity} of workersOf(this.trace)) {
-      const part = (memMb.get(workerId) ?? 0) / capacity.memMb;
-      this.record.worstUse = Math.max(this.record.worstUse, part);
+      const fraction = (memMb.get(workerId) ?? 0) / capacity.memMb;
+      this.record.maxMemoryUse = Math.max(this.record.maxMemoryUse, fraction);
     }
   }
 }
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -1,4 +1,4 @@
-/** Holds room for gangs and large tasks, so that small ones don't starve them. */
+/** Reserves room for gangs and large tasks that small tasks would starve. */
 import {
   addResources,
   NO_RESOURCES,
@@ -22,44 +22,47 @@
 import type {WaitClass} from './wait-class.js';
 import {rankOf} from './waiting-list.js';
 
-/** Jobs for which room is held at one time, apart from urgent ones. */
+/** Non-urgent jobs that may have a hold at the same time. */
 const MAX_RESERVATIONS = 4;
-/** How long a job waits before room is held for it. */
-const RESERVE_AFTER_MS = 3_000;
-/** How long a team below its share starts nothing before room is held. */
-const BELOW_SHARE_MS = 1_000;
-/** How long a job of a team above its share waits before that. */
-const OVERDUE_MS = 30_000;
-/** How long a job goes without a hold after one that was of no use. */
-const HOLD_PAUSE_MS = 30_000;
-/** Workers among which openings are sought. */
-const MAX_WORKERS = 32;
-const WORKERS_PER_TASK = 4;
-/** A task is large where it takes this part of the largest worker. */
-const LARGE_PART = 0.25;
-/** How much longer an overdue task is expected to run at least. */
-const SHORTEST_REST_MS = 1_000;
+/** How long a gang or large task waits before room is held for it. */
+const HARD_TO_PLACE_WAIT_MS = 3_000;
+/** How long a team below its share starts nothing before it gets a hold. */
+const BELOW_SHARE_WAIT_MS = 1_000;
+/** How long a job of a team above its share waits before it gets a hold. */
+const ABOVE_SHARE_WAIT_MS = 30_000;
+/**
+ * How long a job gets no new hold after its hold expired, or after no room was
+ * expected within the longest hold.
+ */
+const HOLD_BACKOFF_MS = 30_000;
+/** Workers that a search for room looks at, plus some for each task. */
+const BASE_SEARCH_LIMIT = 32;
+const EXTRA_WORKERS_PER_TASK = 4;
+/** A task is large if it needs this fraction of the largest worker. */
+const LARGE_TASK_FRACTION = 0.25;
+/** Shortest remaining run time that is assumed for an overdue task. */
+const MIN_REMAINING_MS = 1_000;
 
-/** When a worker is expected to have room for one more task. */
-interface Opening {
+/** Room for one more task on a worker, and when it is expected to be free. */
+interface ExpectedSlot {
   readonly worker: WorkerState;
   readonly atMs: number;
 }
 
 /**
- * Starts jobs whose held room has become free, and ends overdue holds.
+ * Starts jobs whose held room has become free, and ends expired holds.
  *
  * @example
  * yield* placeHeld(core);
  */
 export function* placeHeld(core: EngineCore): Generator<Decision> {
   for (const hold of [...core.holds.values()]) {
-    placeHold(core, hold);
+    placeFromHold(core, hold);
     yield* flush(core);
   }
 }
 
-function placeHold(core: EngineCore, hold: Hold): void {
+function placeFromHold(core: EngineCore, hold: Hold): void {
   const {state} = hold;
   const {jobId} = state.job;
   const {waitClass} = state;
@@ -68,86 +71,100 @@
     return;
   }
   if (core.holds.get(jobId) !== hold) return;
-  while (state.pending.size > 0 && placeOnce(core, hold, waitClass)) {
+  while (state.pending.size > 0 && placeNextTasks(core, hold, waitClass)) {
     if (state.job.isGang) break;
   }
   if (core.nowMs < hold.untilMs) return;
   if (core.holds.get(jobId) !== hold) return;
   core.holds.remove(jobId);
-  if (!hold.isUrgent) state.noHoldUntilMs = core.nowMs + HOLD_PAUSE_MS;
+  if (!hold.isUrgent) state.noHoldUntilMs = core.nowMs + HOLD_BACKOFF_MS;
 }
 
-function placeOnce(
+function placeNextTasks(
   core: EngineCore,
   hold: Hold,
   waitClass: WaitClass,
 ): boolean {
   const {state} = hold;
   const tier = hold.isUrgent ? 'urgent' : 'all';
-  const own = core.holds.claimOf(state.job.jobId);
+  const usableHeld = core.holds.claimOf(state.job.jobId);
   const base = newAsk(core, state, waitClass, tier);
-  const ask: PlacementAsk = {...base, size: hold.size, own};
-  if (!core.teams.canStart(state.team, ask.size, ask.count)) return false;
-  const chosen = policyOf(core, state).choose(hold.slots.keys(), ask);
-  startAll(core, state, chosen, ask.size);
+  const wanted: PlacementAsk = {
+    ...base,
+    size: hold.size,
+    own: usableHeld,
+  };
+  if (!core.teams.canStart(state.team, wanted.size, wanted.count)) return false;
+  const chosen = policyOf(core, state).choose(hold.slots.keys(), wanted);
+  startAll(core, state, chosen, wanted.size);
   return chosen.length > 0;
 }
 
 /**
- * Holds room for those that small work would keep from starting: gangs and
- * large tasks by their age, and the teams furthest below their share.
+ * Holds room for work that small tasks would starve: the oldest gang or large
+ * task first, then the teams furthest below their share.
  *
  * @example
  * reserveForBlocked(core);
  */
 export function reserveForBlocked(core: EngineCore): void {
-  let free = MAX_RESERVATIONS;
-  for (const hold of core.holds.values()) if (!hold.isUrgent) free -= 1;
-  if (free <= 0) return;
-  const hard = oldestHardClass(core);
-  if (hard !== undefined && reserve(core, hard)) free -= 1;
-  const order = new TeamOrder(teamsKeptBelow(core));
-  for (; free > 0; free -= 1) {
+  let holdsLeft = MAX_RESERVATIONS;
+  for (const hold of core.holds.values()) if (!hold.isUrgent) holdsLeft -= 1;
+  if (holdsLeft <= 0) return;
+  const hardClass = oldestHardToPlaceClass(core);
+  if (hardClass !== undefined && reserveFirst(core, hardClass)) holdsLeft -= 1;
+  const order = new TeamOrder(starvedTeams(core));
+  for (; holdsLeft > 0; holdsLeft -= 1) {
     const team = order.first();
     if (team === undefined) return;
     order.dropFirst();
-    const waitClass = dueClassOf(core, team);
-    if (waitClass !== undefined) reserve(core, waitClass);
+    const waitClass = nextReservableClass(core, team);
+    if (waitClass !== undefined) reserveFirst(core, waitClass);
   }
 }
 
-/** Holds room for the first job of a class; returns whether it could. */
-function reserve(core: EngineCore, waitClass: WaitClass): boolean {
+/** Holds room for the first job of a class; returns whether it did. */
+function reserveFirst(core: EngineCore, waitClass: WaitClass): boolean {
   const state = waitClass.first();
   if (state === undefined) return false;
   const count = state.job.isGang ? state.pending.size : 1;
-  const openings = soonestOpenings(core, waitClass, count);
-  const last = openings.at(-1);
+  const expectedSlots = earliestSlots(core, waitClass, count);
+  const latestSlot = expectedSlots.at(-1);
   const untilMs = core.nowMs + MAX_HOLD_MS;
-  if (openings.length < count || last === undefined || last.atMs > untilMs) {
-    state.noHoldUntilMs = core.nowMs + HOLD_PAUSE_MS;
+  if (
+    expectedSlots.length < count ||
+    latestSlot === undefined ||
+    latestSlot.atMs > untilMs
+  ) {
+    state.noHoldUntilMs = core.nowMs + HOLD_BACKOFF_MS;
     return false;
   }
   const slots = new Map<WorkerState, number>();
-  for (const {worker} of openings) {
+  for (const {worker} of expectedSlots) {
     slots.set(worker, (slots.get(worker) ?? 0) + 1);
   }
   const {size} = waitClass;
-  const fromMs = last.atMs;
+  const fromMs = latestSlot.atMs;
   core.holds.add({state, size, isUrgent: false, fromMs, untilMs, slots});
   return true;
 }
 
-/** Teams that lack at least one task, though others start work. */
-function* teamsKeptBelow(core: EngineCore): Generator<TeamState> {
+/** Teams below their share that have waiting work but start none. */
+function* starvedTeams(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
     if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
-    if (core.nowMs - team.startedMs >= BELOW_SHARE_MS) yield team;
+    if (core.nowMs - team.startedMs >= BELOW_SHARE_WAIT_MS) yield team;
   }
 }
 
-/** The class whose turn it is of those whose next task is due. */
-function dueClassOf(core: EngineCore, team: TeamState): WaitClass | undefined {
+/**
+ * The class of best rank whose next task stays within the team's share and
+ * that may get a hold.
+ */
+function nextReservableClass(
+  core: EngineCore,
+  team: TeamState,
+): WaitClass | undefined {
   let next: WaitClass | undefined;
   let nextRank = Infinity;
   for (const waitClass of team.waiting.values()) {
@@ -164,11 +181,15 @@
   return next;
 }
 
-function oldestHardClass(core: EngineCore): WaitClass | undefined {
+/** The class of the oldest gang or large task that may get a hold. */
+function oldestHardToPlaceClass(core: EngineCore): WaitClass | undefined {
   let oldest: WaitClass | undefined;
-  let oldestMs = core.nowMs - RESERVE_AFTER_MS;
+  let oldestMs = core.nowMs - HARD_TO_PLACE_WAIT_MS;
   for (const need of core.needs.values()) {
-    if (need.gangSize <= 1 && !core.cell.isLarge(need.size, LARGE_PART)) {
+    if (
+      need.gangSize <= 1 &&
+      !core.cell.isLarge(need.size, LARGE_TASK_FRACTION)
+    ) {
       continue;
     }
     for (const waitClass of need.classes) {
@@ -192,58 +213,64 @@
   const {team} = waitClass;
   const count = Math.max(1, waitClass.kind.gangSize);
   if (!core.teams.canStart(team, waitClass.size, count)) return false;
-  if (core.nowMs - state.job.acceptedMs > OVERDUE_MS) return true;
+  if (core.nowMs - state.job.acceptedMs > ABOVE_SHARE_WAIT_MS) return true;
   return dominantShare(team.used, core.teams.total) <= team.fair;
 }
 
-/** Where and when the tasks are expected to find room soonest. */
-function soonestOpenings(
+/** The earliest slots that are expected to become free for the tasks. */
+function earliestSlots(
   core: EngineCore,
   waitClass: WaitClass,
   count: number,
-): readonly Opening[] {
-  const openings: Opening[] = [];
+): readonly ExpectedSlot[] {
+  const expectedSlots: ExpectedSlot[] = [];
   const workers = core.cell.workerList;
-  const most = Math.min(workers.length, MAX_WORKERS + count * WORKERS_PER_TASK);
-  for (let i = 0; i < most; i += 1) {
+  const maxSearched = Math.min(
+    workers.length,
+    BASE_SEARCH_LIMIT + count * EXTRA_WORKERS_PER_TASK,
+  );
+  for (let i = 0; i < maxSearched; i += 1) {
     const worker = workers[core.roomCursor % workers.length];
     core.roomCursor = (core.roomCursor + 1) % workers.length;
     if (worker === undefined || !isUsable(worker)) continue;
-    openings.push(...openingsOf(core, worker, waitClass, count));
+    expectedSlots.push(...expectedSlotsOn(core, worker, waitClass, count));
   }
-  openings.sort((a, b) => a.atMs - b.atMs);
-  return openings.slice(0, count);
+  expectedSlots.sort((a, b) => a.atMs - b.atMs);
+  return expectedSlots.slice(0, count);
 }
 
-/** When a worker has room for each further task, as running ones end. */
-function* openingsOf(
+/** When a worker gets room for each further task, as running tasks end. */
+function* expectedSlotsOn(
   core: EngineCore,
   worker: WorkerState,
   waitClass: WaitClass,
-  most: number,
-): Generator<Opening> {
+  maxSlots: number,
+): Generator<ExpectedSlot> {
   const {size} = waitClass;
-  let room = subtractHeld(worker);
-  let open = 0;
-  const ends = [...worker.tasks].map(running => ({
+  let room = unheldRoom(worker);
+  let slotCount = 0;
+  const taskEnds = [...worker.tasks].map(running => ({
     size: running.task.size,
     atMs: expectedEndMs(core, running),
   }));
-  ends.sort((a, b) => a.atMs - b.atMs);
-  ends.unshift({size: NO_RESOURCES, atMs: core.nowMs});
-  for (const end of ends) {
-    if (!Number.isFinite(end.atMs)) return;
-    room = addResources(room, end.size);
-    const fits = Math.min(most, countFits(size, room));
-    for (; open < fits; open += 1) yield {worker, atMs: end.atMs};
+  taskEnds.sort((a, b) => a.atMs - b.atMs);
+  taskEnds.unshift({size: NO_RESOURCES, atMs: core.nowMs});
+  for (const taskEnd of taskEnds) {
+    if (!Number.isFinite(taskEnd.atMs)) return;
+    room = addResources(room, taskEnd.size);
+    const fits = Math.min(maxSlots, countFits(size, room));
+    for (; slotCount < fits; slotCount += 1) yield {worker, atMs: taskEnd.atMs};
   }
 }
 
-function subtractHeld(worker: WorkerState): Resources {
+function unheldRoom(worker: WorkerState): Resources {
   return subtractResources(worker.free, worker.held);
 }
 
-/** When a running task is expected to end; overdue ones, after as long. */
+/**
+ * When a running task is expected to end. An overdue task is expected to run
+ * as long again as it has run.
+ */
 function expectedEndMs(core: EngineCore, running: RunningTask): number {
   const {job} = running.job;
   if (running.isStopping) return core.nowMs;
@@ -251,5 +278,5 @@
   const {startedMs, expectedMs} = running;
   const endMs = startedMs + expectedMs;
   if (Number.isFinite(endMs) && endMs > core.nowMs) return endMs;
-  return core.nowMs + Math.max(SHORTEST_REST_MS, core.nowMs - startedMs);
+  return core.nowMs + Math.max(MIN_REMAINING_MS, core.nowMs - startedMs);
 }
--- a/packages/policy/src/room-log.ts
+++ b/packages/policy/src/room-log.ts
@@ -1,13 +1,12 @@
-/** The order in which workers got more room. */
+/** A bounded log of the workers that got more room. */
 import type {WorkerState} from './state.js';
 
-/** Entries that are kept at most. */
 const MAX_ENTRIES = 8_192;
 
-/** A log of workers that got room; old entries are dropped. */
+/** Workers in the order in which they got room; old entries are dropped. */
 export class RoomLog {
   private entries: WorkerState[] = [];
-  /** The position of the first entry that is kept. */
+  /** The position of the first entry that is still kept. */
   start = 0;
 
   /** The position after the last entry. */
@@ -19,9 +18,9 @@
   add(worker: WorkerState): void {
     this.entries.push(worker);
     if (this.entries.length <= MAX_ENTRIES) return;
-    const dropped = MAX_ENTRIES / 2;
-    this.entries = this.entries.slice(dropped);
-    this.start += dropped;
+    const droppedCount = MAX_ENTRIES / 2;
+    this.entries = this.entries.slice(droppedCount);
+    this.start += droppedCount;
   }
 
   /** The worker at a position. */
@@ -29,7 +28,7 @@
     return this.entries[position - this.start];
   }
 
-  /** The workers from a position on, each once. */
+  /** The distinct workers from a position on. */
   since(position: number): Iterable<WorkerState> {
     const first = position - this.start;
     if (first === this.entries.length - 1) return this.entries.slice(first);
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -1,17 +1,17 @@
-/** What follows from how tasks end: learning, bad workers, hopeless jobs. */
+/** Handles task ends: run-time estimates, worker health, failing jobs. */
 import type {EngineCore} from './core.js';
 import type {PlacedTaskEnd} from './engine.js';
 import type {JobState, RunningTask} from './state.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
-/** Distinct workers on which a job, or one task, fails before it is set aside. */
-const MAX_JOB_WORKERS = 3;
-const MAX_TASK_WORKERS = 5;
-/** Where more of the other jobs fail, failures don't speak against a job. */
-const MAX_OTHERS_RATE = 0.5;
+/** Distinct workers on which a job, or a task, must fail to be set aside. */
+const JOB_FAILURE_WORKERS = 3;
+const TASK_FAILURE_WORKERS = 5;
+/** Above this failure rate of other jobs, failures aren't the job's fault. */
+const MAX_OTHER_JOBS_FAILURE_RATE = 0.5;
 
 /**
- * Learns from the end of a task whose room is free again.
+ * Records how a task ended after its room was released.
  *
  * @example
  * noteEnd(core, running, 'failed');
@@ -24,19 +24,19 @@
   if (end === 'notRunning') return;
   const {jobId, taskIndex, workerId} = running.task;
   const isFailure = end === 'failed';
-  noteWorker(core, running, isFailure);
+  recordOnWorker(core, running, isFailure);
   if (isFailure) {
-    core.failures.note(jobId, taskIndex, workerId);
-    judgeJob(core, running.job, taskIndex);
+    core.failures.recordFailure(jobId, taskIndex, workerId);
+    setAsideIfFailing(core, running.job, taskIndex);
     return;
   }
   const {queue, team, runMs} = running.job.job;
   core.estimates.noteRun(queue, team, runMs, core.nowMs - running.startedMs);
-  core.failures.noteSuccess(jobId, taskIndex);
-  takeBack(core, running.job);
+  core.failures.clearFailures(jobId, taskIndex);
+  resumeIfSetAside(core, running.job);
 }
 
-function noteWorker(
+function recordOnWorker(
   core: EngineCore,
   running: RunningTask,
   isFailure: boolean,
@@ -44,16 +44,16 @@
   const {jobId, workerId} = running.task;
   const state = core.cell.workers.get(workerId);
   if (state === undefined) return;
-  const workers = core.cell.workers.size;
+  const workerCount = core.cell.workers.size;
   const wasOnProbation = state.isOnProbation;
   const end = {isFailure, jobId};
-  const decision = core.health.noteEnd(state, end, workers, core.nowMs);
+  const decision = core.health.recordEnd(state, end, workerCount, core.nowMs);
   if (decision !== undefined) core.outbox.push(decision);
   if (wasOnProbation && !state.isOnProbation) core.needs.noteRoom(state);
 }
 
 /**
- * Lets a job's pending tasks wait, unless they have failed too often.
+ * Queues a job's pending tasks, or sets the job aside if it failed too often.
  *
  * @example
  * admit(core, state);
@@ -61,12 +61,12 @@
 export function admit(core: EngineCore, state: JobState): void {
   const [first] = state.pending;
   if (first === undefined || isGangStopping(state)) return;
-  const reason = hopelessReason(core, state, first);
+  const reason = findFailureReason(core, state, first);
   if (reason === '') enqueue(core, state);
   else setAside(core, state, reason);
 }
 
-/** A gang waits whole: not before all tasks that were told to stop ended. */
+/** A gang is queued only after all of its stopping tasks have ended. */
 function isGangStopping(state: JobState): boolean {
   if (!state.job.isGang) return false;
   for (const running of state.running.values()) {
@@ -75,16 +75,20 @@
   return false;
 }
 
-/** Sets a job aside that fails wherever it runs. */
-function judgeJob(core: EngineCore, state: JobState, taskIndex: number): void {
+/** Sets a job aside that has failed on too many workers. */
+function setAsideIfFailing(
+  core: EngineCore,
+  state: JobState,
+  taskIndex: number,
+): void {
   if (state.setAsideReason !== '') return;
-  const reason = hopelessReason(core, state, taskIndex);
+  const reason = findFailureReason(core, state, taskIndex);
   if (reason === '') return;
   setAside(core, state, reason);
 }
 
 /**
- * Lets a job wait no more, and says why.
+ * Removes a job from the queue and reports why.
  *
  * @example
  * setAside(core, state, 'no worker is large enough for one task');
@@ -100,37 +104,41 @@
   core.outbox.push({kind: 'setAside', jobId: state.job.jobId, reason});
 }
 
-/** Lets a job wait again of which a task succeeded after all. */
-function takeBack(core: EngineCore, state: JobState): void {
+/** Queues a job again that was set aside, after one of its tasks succeeded. */
+function resumeIfSetAside(core: EngineCore, state: JobState): void {
   if (state.setAsideReason === '') return;
   state.setAsideReason = '';
   enqueue(core, state);
 }
 
-function hopelessReason(
+/** Why a job should be set aside; empty if it should not. */
+function findFailureReason(
   core: EngineCore,
   state: JobState,
   taskIndex: number,
 ): string {
   const {jobId} = state.job;
-  const isUnblamed =
+  const hasNoFailures =
     core.failures.workersOf(jobId).size === 0 &&
     core.failures.workersOfTask(jobId, taskIndex).size === 0;
-  if (isUnblamed || core.health.jobFailureRate(jobId) > MAX_OTHERS_RATE) {
+  if (
+    hasNoFailures ||
+    core.health.jobFailureRate(jobId) > MAX_OTHER_JOBS_FAILURE_RATE
+  ) {
     return '';
   }
-  const ofJob = countHealthy(core, core.failures.workersOf(jobId));
-  const mostWorkers = Math.min(MAX_JOB_WORKERS, countUsable(core));
-  if (ofJob >= Math.max(1, mostWorkers)) {
-    return `its tasks failed on ${ofJob} workers and succeeded on none`;
+  const jobFailedOn = countHealthy(core, core.failures.workersOf(jobId));
+  const maxWorkers = Math.min(JOB_FAILURE_WORKERS, countUsable(core));
+  if (jobFailedOn >= Math.max(1, maxWorkers)) {
+    return `its tasks failed on ${jobFailedOn} workers and succeeded on none`;
   }
-  const failedOn = core.failures.workersOfTask(jobId, taskIndex);
-  const ofTask = countHealthy(core, failedOn);
-  if (ofTask < MAX_TASK_WORKERS) return '';
-  return `task ${taskIndex} failed on ${ofTask} workers`;
+  const taskWorkers = core.failures.workersOfTask(jobId, taskIndex);
+  const taskFailedOn = countHealthy(core, taskWorkers);
+  if (taskFailedOn < TASK_FAILURE_WORKERS) return '';
+  return `task ${taskIndex} failed on ${taskFailedOn} workers`;
 }
 
-/** Failures on workers that are set aside don't speak against a job. */
+/** Counts workers without those whose failures say nothing about a job. */
 function countHealthy(core: EngineCore, workers: ReadonlySet<string>): number {
   let count = 0;
   for (const workerId of workers) {
--- a/packages/policy/src/trace.ts
+++ b/packages/policy/src/trace.ts
@@ -1,8 +1,8 @@
-/** Recorded traces: what a shard had, what was asked of it, what failed. */
+/** Traces: workers, jobs and faults of a shard, with the expected outcome. */
 import type {Resources} from '@dragonflyward/common';
 import type {PolicyQueue, PolicyTeam, PolicyWorker} from './engine.js';
 
-/** Workers that are alike. */
+/** A group of identical workers. */
 export interface TraceWorkers {
   readonly name: string;
   readonly count: number;
@@ -10,7 +10,7 @@
   readonly capacity: Resources;
 }
 
-/** Jobs that are alike, at even distances. */
+/** A group of identical jobs, submitted at a fixed interval. */
 export interface TraceJobs {
   readonly name: string;
   readonly team: string;
@@ -22,17 +22,17 @@
   readonly isGang?: boolean;
   readonly isService?: boolean;
   readonly isIdempotent?: boolean;
-  /** What the caller declares. */
+  /** The size that the caller declares for each task. */
   readonly size: Resources;
   readonly runMs: number;
-  /** What is true: the declared value times this; 1 where absent. */
+  /** The actual use and run time as multiples of the declared; default 1. */
   readonly useFactor?: number;
   readonly runFactor?: number;
-  /** Every task of it fails, wherever it runs. */
+  /** Whether every task fails on every worker. */
   readonly isBroken?: boolean;
 }
 
-/** Something that happens to the shard. */
+/** A cancellation or a fault of a worker. */
 export type TraceFault =
   | {
       readonly kind: 'cancel';
@@ -50,29 +50,29 @@
       readonly workerId: string;
     };
 
-/** The bounds that a replay has to keep. */
+/** The outcome that a replay must reach. */
 export interface TraceOutcome {
-  /** The longest wait for a first start, by name of the jobs. */
+  /** The longest wait for the first start of a task, by job group. */
   readonly maxWaitMs?: Readonly<Record<string, number>>;
-  /** Jobs of which every task has to succeed, by name. */
+  /** Job groups of which every task must succeed. */
   readonly succeed?: readonly string[];
-  /** Jobs that have to be set aside, by name. */
+  /** Job groups that must be set aside. */
   readonly setAside?: readonly string[];
-  /** Workers that have to be set aside. */
+  /** Workers that must be set aside. */
   readonly workersSetAside?: readonly string[];
   /** Whether measured use must stay within the capacity of each worker. */
   readonly noUseAboveCapacity?: boolean;
-  /** The least part of the scarcest resource reserved while work waits. */
+  /** Minimum fraction of the scarcest resource reserved while work waits. */
   readonly minPacking?: number;
-  /** How far below its share a team with demand may be on average. */
+  /** How far a team's mean use may be from its share, as a fraction of it. */
   readonly maxShareGap?: number;
 }
 
-/** One recorded trace with its stated outcome. */
+/** A trace with its expected outcome. */
 export interface Trace {
   readonly name: string;
   readonly endMs: number;
-  /** The time from which packing and shares are measured. */
+  /** When the measurement of packing and shares begins. */
   readonly measureFromMs: number;
   readonly workers: readonly TraceWorkers[];
   readonly queues: readonly PolicyQueue[];
--- a/packages/policy/src/unrunnable.ts
+++ b/packages/policy/src/unrunnable.ts
@@ -1,18 +1,18 @@
-/** Sets jobs aside that the shard has not been able to hold for long. */
+/** Sets jobs aside that the shard has long had no workers for. */
 import {obstacleOf, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import type {Need} from './needs.js';
 import {flush} from './place-waiting.js';
 import {setAside} from './task-ends.js';
 
-/** How long workers may be away before jobs that need them are set aside. */
-const OBSTRUCTED_AFTER_MS = 600_000;
-/** How often a need is checked, and how many at one time. */
-const CHECK_EVERY_MS = 10_000;
-const MAX_CHECKS = 8;
+/** How long workers may be missing before jobs that need them are set aside. */
+const SET_ASIDE_AFTER_MS = 600_000;
+/** How often a need is checked, and how many needs one pass checks. */
+const CHECK_INTERVAL_MS = 10_000;
+const MAX_CHECKS_PER_PASS = 8;
 
 /**
- * Sets jobs aside whose workers have left for good.
+ * Sets jobs aside that no worker of the shard could run for a long time.
  *
  * @example
  * yield* setAsideUnrunnable(core);
@@ -20,23 +20,23 @@
 export function* setAsideUnrunnable(core: EngineCore): Generator<Decision> {
   let checks = 0;
   for (const need of core.needs.values()) {
-    if (core.nowMs - need.checkedMs < CHECK_EVERY_MS) continue;
-    if (checks === MAX_CHECKS) return;
+    if (core.nowMs - need.checkedMs < CHECK_INTERVAL_MS) continue;
+    if (checks === MAX_CHECKS_PER_PASS) return;
     checks += 1;
     need.checkedMs = core.nowMs;
-    noteObstacle(core, need);
-    if (core.nowMs - need.obstructedMs < OBSTRUCTED_AFTER_MS) continue;
+    updateObstruction(core, need);
+    if (core.nowMs - need.obstructedMs < SET_ASIDE_AFTER_MS) continue;
     yield* setAsideAll(core, need);
   }
 }
 
-function noteObstacle(core: EngineCore, need: Need): void {
+function updateObstruction(core: EngineCore, need: Need): void {
   const [waitClass] = need.classes;
   const state = waitClass?.first();
   if (state === undefined) return;
   const taskIndexes = [...state.pending];
-  const isHeld = obstacleOf(core, {...state.job, taskIndexes}) === '';
-  if (isHeld) need.obstructedMs = Infinity;
+  const canFit = obstacleOf(core, {...state.job, taskIndexes}) === '';
+  if (canFit) need.obstructedMs = Infinity;
   else if (need.obstructedMs === Infinity) need.obstructedMs = core.nowMs;
 }
 
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -1,60 +1,60 @@
-/** Sets workers aside that fail what they start, and tries them again. */
+/** Sets aside workers on which tasks keep failing, and retries them later. */
 import type {Decision} from './engine.js';
 import type {WorkerState} from './state.js';
 
-/** Ends of tasks on a worker that are looked at. */
-const WINDOW_ENDS = 8;
-/** Failures, and different jobs among them, that speak against a worker. */
+/** Most recent task ends that are kept for each worker. */
+const MAX_RECENT_ENDS = 8;
+/** Recent failures, and distinct jobs among them, that set a worker aside. */
 const MIN_FAILURES = 4;
-const MIN_JOBS = 3;
-/** How far a worker's failure rate has to lie above that of the fleet. */
-const RATE_FACTOR = 3;
-const MIN_RATE = 0.5;
-/** Jobs of which it is kept that they have succeeded somewhere. */
-const MAX_GOOD_JOBS = 10_000;
-/** The part of the workers that may be set aside at once. */
-const MAX_ASIDE_PART = 1 / 3;
-/** How long a worker is set aside at first, and at most. */
-const FIRST_ASIDE_MS = 30_000;
-const LONGEST_ASIDE_MS = 960_000;
+const MIN_FAILED_JOBS = 3;
+/** A failing worker has this multiple of the other workers' mean rate. */
+const FLEET_RATE_FACTOR = 3;
+const MIN_FAILURE_RATE = 0.5;
+/** Jobs remembered as having succeeded on some worker. */
+const MAX_SUCCEEDED_JOBS = 10_000;
+/** Fraction of the workers that may be set aside at once. */
+const MAX_SET_ASIDE_FRACTION = 1 / 3;
+/** How long a worker is set aside at first, and at most; doubles each time. */
+const FIRST_SET_ASIDE_MS = 30_000;
+const MAX_SET_ASIDE_MS = 960_000;
 
-interface End {
+interface TaskOutcome {
   readonly isFailure: boolean;
   readonly jobId: string;
 }
 
-interface WorkerRecord {
-  readonly ends: End[];
-  asideMs: number;
+interface WorkerHistory {
+  readonly recentEnds: TaskOutcome[];
+  setAsideMs: number;
 }
 
-/** What has become of the tasks on each worker. */
+/** Tracks how tasks end on each worker and sets failing workers aside. */
 export class WorkerHealth {
-  private readonly records = new Map<string, WorkerRecord>();
-  private readonly aside = new Set<WorkerState>();
-  private readonly goodJobs = new Set<string>();
+  private readonly histories = new Map<string, WorkerHistory>();
+  private readonly setAsideWorkers = new Set<WorkerState>();
+  private readonly succeededJobs = new Set<string>();
 
   /**
-   * The mean failure rate of the workers; each counts alike, as one that
-   * fails fast ends far more tasks than the others.
+   * The mean failure rate of the other workers. Each worker has the same
+   * weight, as one that fails fast ends far more tasks than the others.
    */
-  private fleetRate(except: WorkerRecord): number {
+  private meanFailureRate(except: WorkerHistory): number {
     let sum = 0;
     let count = 0;
-    for (const record of this.records.values()) {
-      if (record === except || record.ends.length === 0) continue;
-      sum += failuresOf(record.ends).length / record.ends.length;
+    for (const history of this.histories.values()) {
+      if (history === except || history.recentEnds.length === 0) continue;
+      sum += failuresOf(history.recentEnds).length / history.recentEnds.length;
       count += 1;
     }
     return count === 0 ? 0 : sum / count;
   }
 
-  /** The part of the jobs, but for one, of which a task failed of late. */
+  /** The fraction of the other jobs of which a task failed recently. */
   jobFailureRate(exceptJobId: string): number {
     const failed = new Set<string>();
     const ended = new Set<string>();
-    for (const {ends} of this.records.values()) {
-      for (const {jobId, isFailure} of ends) {
+    for (const {recentEnds} of this.histories.values()) {
+      for (const {jobId, isFailure} of recentEnds) {
         if (jobId === exceptJobId) continue;
         ended.add(jobId);
         if (isFailure) failed.add(jobId);
@@ -63,32 +63,32 @@
     return ended.size === 0 ? 0 : failed.size / ended.size;
   }
 
-  /** Notes how a task ended; returns a decision where one follows. */
-  noteEnd(
+  /** Records a task's end; returns a decision if it sets the worker aside. */
+  recordEnd(
     state: WorkerState,
-    end: End,
+    end: TaskOutcome,
     workerCount: number,
     nowMs: number,
   ): Decision | undefined {
-    const record = this.getRecord(state.worker.workerId);
-    record.ends.push(end);
-    if (record.ends.length > WINDOW_ENDS) record.ends.shift();
+    const history = this.getHistory(state.worker.workerId);
+    history.recentEnds.push(end);
+    if (history.recentEnds.length > MAX_RECENT_ENDS) history.recentEnds.shift();
     if (!end.isFailure) {
-      this.noteGoodJob(end.jobId);
-      this.noteSuccess(state, record);
+      this.addSucceededJob(end.jobId);
+      this.endProbation(state, history);
       return undefined;
     }
     if (state.setAsideUntilMs > 0) return undefined;
-    if (state.isOnProbation) return this.setAside(state, record, nowMs);
-    const mostAside = Math.max(1, workerCount * MAX_ASIDE_PART);
-    if (this.aside.size + 1 > mostAside) return undefined;
-    if (!this.isBad(record)) return undefined;
-    return this.setAside(state, record, nowMs);
+    if (state.isOnProbation) return this.setAside(state, history, nowMs);
+    const maxSetAside = Math.max(1, workerCount * MAX_SET_ASIDE_FRACTION);
+    if (this.setAsideWorkers.size + 1 > maxSetAside) return undefined;
+    if (!this.isFailingTooOften(history)) return undefined;
+    return this.setAside(state, history, nowMs);
   }
 
-  /** Gives workers another try whose time has come. */
+  /** Puts workers on probation whose time set aside is over. */
   *retry(nowMs: number): Generator<WorkerState> {
-    for (const state of this.aside) {
+    for (const state of this.setAsideWorkers) {
       if (state.setAsideUntilMs === 0 || state.setAsideUntilMs > nowMs) {
         continue;
       }
@@ -98,68 +98,76 @@
     }
   }
 
-  /** Forgets a worker that is gone. */
+  /** Drops the state of a removed worker. */
   forget(state: WorkerState): void {
-    this.records.delete(state.worker.workerId);
-    this.aside.delete(state);
+    this.histories.delete(state.worker.workerId);
+    this.setAsideWorkers.delete(state);
   }
 
-  private noteGoodJob(jobId: string): void {
-    this.goodJobs.delete(jobId);
-    this.goodJobs.add(jobId);
-    if (this.goodJobs.size <= MAX_GOOD_JOBS) return;
-    const [oldest] = this.goodJobs;
-    if (oldest !== undefined) this.goodJobs.delete(oldest);
+  private addSucceededJob(jobId: string): void {
+    this.succeededJobs.delete(jobId);
+    this.succeededJobs.add(jobId);
+    if (this.succeededJobs.size <= MAX_SUCCEEDED_JOBS) return;
+    const [oldest] = this.succeededJobs;
+    if (oldest !== undefined) this.succeededJobs.delete(oldest);
   }
 
-  private noteSuccess(state: WorkerState, record: WorkerRecord): void {
+  private endProbation(state: WorkerState, history: WorkerHistory): void {
     if (!state.isOnProbation) return;
     state.isOnProbation = false;
-    this.aside.delete(state);
-    record.asideMs = 0;
-    record.ends.length = 0;
+    this.setAsideWorkers.delete(state);
+    history.setAsideMs = 0;
+    history.recentEnds.length = 0;
   }
 
   private setAside(
     state: WorkerState,
-    record: WorkerRecord,
+    history: WorkerHistory,
     nowMs: number,
   ): Decision {
-    const longer = Math.max(FIRST_ASIDE_MS, record.asideMs * 2);
-    record.asideMs = Math.min(LONGEST_ASIDE_MS, longer);
-    state.setAsideUntilMs = nowMs + record.asideMs;
+    const doubledMs = Math.max(FIRST_SET_ASIDE_MS, history.setAsideMs * 2);
+    history.setAsideMs = Math.min(MAX_SET_ASIDE_MS, doubledMs);
+    state.setAsideUntilMs = nowMs + history.setAsideMs;
     state.isOnProbation = false;
-    this.aside.add(state);
-    const failures = failuresOf(record.ends).length;
-    const rate = this.fleetRate(record).toFixed(2);
+    this.setAsideWorkers.add(state);
+    const failures = failuresOf(history.recentEnds).length;
+    const rate = this.meanFailureRate(history).toFixed(2);
     return {
       kind: 'worker',
       workerId: state.worker.workerId,
       isSetAside: true,
-      reason: `${failures} of ${record.ends.length} failed; fleet ${rate}`,
+      reason: `${failures} of ${history.recentEnds.length} tasks failed; mean rate of other workers ${rate}`,
     };
   }
 
-  private isBad(record: WorkerRecord): boolean {
-    const {ends} = record;
-    const failures = failuresOf(ends);
+  private isFailingTooOften(history: WorkerHistory): boolean {
+    const {recentEnds} = history;
+    const failures = failuresOf(recentEnds);
     if (failures.length < MIN_FAILURES) return false;
     const jobs = new Set(failures.map(end => end.jobId));
-    const hasGoodJob = [...jobs].some(jobId => this.goodJobs.has(jobId));
-    if (jobs.size < MIN_JOBS && !hasGoodJob) return false;
-    const rate = failures.length / ends.length;
-    return rate >= Math.max(MIN_RATE, this.fleetRate(record) * RATE_FACTOR);
+    const hasSucceededJob = [...jobs].some(jobId =>
+      this.succeededJobs.has(jobId),
+    );
+    if (jobs.size < MIN_FAILED_JOBS && !hasSucceededJob) return false;
+    const rate = failures.length / recentEnds.length;
+    return (
+      rate >=
+      Math.max(
+        MIN_FAILURE_RATE,
+        this.meanFailureRate(history) * FLEET_RATE_FACTOR,
+      )
+    );
   }
 
-  private getRecord(workerId: string): WorkerRecord {
-    const known = this.records.get(workerId);
+  private getHistory(workerId: string): WorkerHistory {
+    const known = this.histories.get(workerId);
     if (known !== undefined) return known;
-    const record: WorkerRecord = {ends: [], asideMs: 0};
-    this.records.set(workerId, record);
-    return record;
+    const history: WorkerHistory = {recentEnds: [], setAsideMs: 0};
+    this.histories.set(workerId, history);
+    return history;
   }
 }
 
-function failuresOf(ends: readonly End[]): readonly End[] {
+function failuresOf(ends: readonly TaskOutcome[]): readonly TaskOutcome[] {
   return ends.filter(end => end.isFailure);
 }
--- a/packages/policy/test/traces.test.ts
+++ b/packages/policy/test/traces.test.ts
@@ -17,14 +17,14 @@
   return JSON.parse(readFileSync(new URL(file, TRACES), 'utf8')) as Trace;
 }
 
-/** What a replay did against the stated outcome, one line each. */
-function* misses(trace: Trace, record: ReplayRecord): Generator<string> {
+/** Yields a line for each deviation of a replay from the expected outcome. */
+function* findMisses(trace: Trace, record: ReplayRecord): Generator<string> {
   const {outcome} = trace;
   for (const [name, bound] of Object.entries(outcome.maxWaitMs ?? {})) {
     const waitMs = record.waitMs(name, 100);
     if (waitMs > bound) yield `${name} waited ${waitMs} ms`;
-    const rest = record.neverStarted(name);
-    if (rest > 0) yield `${rest} tasks of ${name} never started`;
+    const count = record.neverStarted(name);
+    if (count > 0) yield `${count} tasks of ${name} never started`;
   }
   for (const name of outcome.succeed ?? []) {
     const rest = record.unfinished(name);
@@ -33,13 +33,13 @@
   if (record.packing < (outcome.minPacking ?? 0)) {
     yield `packing was ${record.packing}`;
   }
-  if (outcome.noUseAboveCapacity === true && record.worstUse > 1) {
-    yield `a worker's tasks used ${record.worstUse} of its memory`;
+  if (outcome.noUseAboveCapacity === true && record.maxMemoryUse > 1) {
+    yield `a worker's tasks used ${record.maxMemoryUse} of its memory`;
   }
-  for (const [team, part] of record.attainments()) {
-    const gap = Math.abs(1 - part);
+  for (const [team, ratio] of record.attainments()) {
+    const gap = Math.abs(1 - ratio);
     if (gap > (outcome.maxShareGap ?? Infinity)) {
-      yield `${team} had ${part} of its share`;
+      yield `${team} had ${ratio} of its share`;
     }
   }
 }
@@ -57,31 +57,31 @@
     const trace = readTrace(file);
     const replay = new Replay(new ShareEngine(), trace);
     const record = replay.run();
-    assert.equal([...misses(trace, record)], []);
+    assert.equal([...findMisses(trace, record)], []);
     assert.equal(replay.audit.breaches, []);
     assertSetAside(trace, record);
   });
 }
 
-/** Each outcome is one that an engine without the stage does not reach. */
-const COMPANIONS: readonly (readonly [string, keyof ShareFeatures])[] = [
+/** Traces whose outcome must not hold for an engine without a feature. */
+const NEGATIVE_CONTROLS: readonly (readonly [string, keyof ShareFeatures])[] = [
   ['valbrenta-day.json', 'preempts'],
   ['mtindo-day.json', 'preempts'],
 ];
 
-for (const [file, feature] of COMPANIONS) {
+for (const [file, feature] of NEGATIVE_CONTROLS) {
   test(`without "${feature}" the outcome of ${file} does not hold`, () => {
     const trace = readTrace(file);
     const engine = new ShareEngine({features: {[feature]: false}});
     const record = new Replay(engine, trace).run();
-    assert.ok([...misses(trace, record)].length > 0);
+    assert.ok([...findMisses(trace, record)].length > 0);
   });
 }
 
 test('first come, first served does not keep shares on a full fleet', () => {
   const trace = readTrace('full-fleet.json');
   const record = new Replay(new FirstFitEngine(), trace).run();
-  assert.ok([...misses(trace, record)].length > 0);
+  assert.ok([...findMisses(trace, record)].length > 0);
 });
 
 test.run();
