--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -17,9 +17,9 @@
 const LOWER_BELOW_FRACTION = 0.85;
 /** A task that uses this fraction of its CPU cap may be throttled by it. */
 const THROTTLED_FRACTION = 0.95;
-/** How much the CPU cap of such a task is raised to probe its need. */
+/** Factor by which the CPU cap of such a task is raised to probe its need. */
 const PROBE_FACTOR = 1.5;
-/** A task is probed again only if its reservation grew this much since. */
+/** A task is probed again only if the last probe grew it by this much. */
 const REPROBE_FACTOR = 1.4;
 /** Minimum time between two resizes of a reservation. */
 const RESIZE_COOLDOWN_MS = 5_000;
@@ -125,7 +125,7 @@
   preemptIfShortOfMemory(core, running);
 }
 
-/** What the task should reserve. */
+/** What the task should reserve; parts that fit well enough stay the same. */
 function wantedSize(running: RunningTask): Resources {
   const {size} = running.task;
   const {peakCpuMilli, peakMemMb, sampleCount} = running;
--- a/packages/policy/src/replay-record.ts
+++ b/packages/policy/src/replay-record.ts
@@ -137,7 +137,7 @@
   }
 
   /** Counts the tasks of a job group that have not succeeded. */
-  unfinished(name: string): number {
+  countUnfinished(name: string): number {
     const progress = this.progress.get(name);
     return progress === undefined ? 0 : progress.tasks - progress.succeeded;
   }
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -4,7 +4,7 @@
 import type {JobState, RunningTask} from './state.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
-/** Distinct workers on which a job, or a task, must fail to be set aside. */
+/** Distinct workers that a job, or one task, must fail on to set it aside. */
 const JOB_FAILURE_WORKERS = 3;
 const TASK_FAILURE_WORKERS = 5;
 /** Above this failure rate of other jobs, failures aren't the job's fault. */
--- a/packages/policy/src/trace.ts
+++ b/packages/policy/src/trace.ts
@@ -3,7 +3,7 @@
 import type {PolicyQueue, PolicyTeam, PolicyWorker} from './engine.js';
 
 /** A group of identical workers. */
-export interface TraceWorkers {
+export interface TraceWorkerGroup {
   readonly name: string;
   readonly count: number;
   readonly perRack: number;
@@ -74,7 +74,7 @@
   readonly endMs: number;
   /** When the measurement of packing and shares begins. */
   readonly measureFromMs: number;
-  readonly workers: readonly TraceWorkers[];
+  readonly workers: readonly TraceWorkerGroup[];
   readonly queues: readonly PolicyQueue[];
   readonly teams: readonly PolicyTeam[];
   readonly jobs: readonly TraceJobs[];
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -7,7 +7,7 @@
 /** Recent failures, and distinct jobs among them, that set a worker aside. */
 const MIN_FAILURES = 4;
 const MIN_FAILED_JOBS = 3;
-/** A failing worker has this multiple of the other workers' mean rate. */
+/** A failing worker has this multiple of the others' mean failure rate. */
 const FLEET_RATE_FACTOR = 3;
 const MIN_FAILURE_RATE = 0.5;
 /** Jobs remembered as having succeeded on some worker. */
@@ -75,7 +75,7 @@
     if (history.recentEnds.length > MAX_RECENT_ENDS) history.recentEnds.shift();
     if (!end.isFailure) {
       this.addSucceededJob(end.jobId);
-      this.endProbation(state, history);
+      this.endProbationIfAny(state, history);
       return undefined;
     }
     if (state.setAsideUntilMs > 0) return undefined;
@@ -112,7 +112,7 @@
     if (oldest !== undefined) this.succeededJobs.delete(oldest);
   }
 
-  private endProbation(state: WorkerState, history: WorkerHistory): void {
+  private endProbationIfAny(state: WorkerState, history: WorkerHistory): void {
     if (!state.isOnProbation) return;
     state.isOnProbation = false;
     this.setAsideWorkers.delete(state);
