--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -44,7 +44,7 @@
     const previous = state.worker;
     state.worker = worker;
     state.free = subtractResources(worker.capacity, state.used);
-    if (hasSameCapacity(previous, worker)) return;
+    if (hasSameAvailability(previous, worker)) return;
     this.refreshCapacity();
     this.onRoom(state);
   }
@@ -87,7 +87,7 @@
     return dominantShare(size, this.maxCapacity) >= fraction;
   }
 
-  /** Counts tasks by rack and worker if the job is spread, else drops counts. */
+  /** Counts the tasks by rack and worker if the job is spread. */
   countPlaces(job: JobState): void {
     const isCounted = job.placeCounts !== null;
     if (isCounted === isSpread(job.job, job.queue)) return;
@@ -177,7 +177,7 @@
   }
 }
 
-function hasSameCapacity(a: PolicyWorker, b: PolicyWorker): boolean {
+function hasSameAvailability(a: PolicyWorker, b: PolicyWorker): boolean {
   return a.condition === b.condition && a.capacity === b.capacity;
 }
 
--- a/packages/policy/test/traces.test.ts
+++ b/packages/policy/test/traces.test.ts
@@ -27,8 +27,8 @@
     if (count > 0) yield `${count} tasks of ${name} never started`;
   }
   for (const name of outcome.succeed ?? []) {
-    const rest = record.countUnfinished(name);
-    if (rest > 0) yield `${rest} tasks of ${name} have not succeeded`;
+    const count = record.countUnfinished(name);
+    if (count > 0) yield `${count} tasks of ${name} have not succeeded`;
   }
   if (record.packing < (outcome.minPacking ?? 0)) {
     yield `packing was ${record.packing}`;
