--- a/packages/policy/src/replay.ts
+++ b/packages/policy/src/replay.ts
@@ -50,7 +50,8 @@
   private readonly running = new Map<string, RunningEntry>();
   private readonly remainingMs = new Map<string, number>();
   private readonly failureCounts = new Map<string, number>();
-  private readonly failingWorkers = new Set<string>();
+  /** Workers on which every task fails. */
+  private readonly broken = new Set<string>();
   private readonly cancelled = new Set<string>();
   private nextSequence = 0;
   private nowMs = 0;
@@ -147,8 +148,7 @@
     const source = this.sources.get(task.jobId);
     if (source === undefined) return;
     this.running.set(task.taskId, {task, source, startedMs: this.nowMs});
-    const willFail =
-      source.isBroken === true || this.failingWorkers.has(task.workerId);
+    const willFail = source.isBroken === true || this.broken.has(task.workerId);
     const endMs =
       this.nowMs + (willFail ? FAIL_AFTER_MS : this.remainingMsOf(task));
     if (!Number.isFinite(endMs)) return;
@@ -203,10 +203,10 @@
         this.cancelJobs(fault.jobs);
         return;
       case 'workerFails':
-        this.failingWorkers.add(fault.workerId);
+        this.broken.add(fault.workerId);
         return;
       case 'workerRecovers':
-        this.failingWorkers.delete(fault.workerId);
+        this.broken.delete(fault.workerId);
         return;
       case 'workerLeaves':
         this.markLeaving(fault.workerId);
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -30,7 +30,7 @@
 
 /** Tracks how tasks end on each worker and sets failing workers aside. */
 export class WorkerHealth {
-  private readonly histories = new Map<string, WorkerHistory>();
+  private readonly records = new Map<string, WorkerHistory>();
   private readonly setAsideWorkers = new Set<WorkerState>();
   private readonly succeededJobs = new Set<string>();
 
@@ -41,7 +41,7 @@
   private meanFailureRate(except: WorkerHistory): number {
     let sum = 0;
     let count = 0;
-    for (const history of this.histories.values()) {
+    for (const history of this.records.values()) {
       if (history === except || history.recentEnds.length === 0) continue;
       sum += failuresOf(history.recentEnds).length / history.recentEnds.length;
       count += 1;
@@ -53,7 +53,7 @@
   jobFailureRate(exceptJobId: string): number {
     const failed = new Set<string>();
     const ended = new Set<string>();
-    for (const {recentEnds} of this.histories.values()) {
+    for (const {recentEnds} of this.records.values()) {
       for (const {jobId, isFailure} of recentEnds) {
         if (jobId === exceptJobId) continue;
         ended.add(jobId);
@@ -100,7 +100,7 @@
 
   /** Drops the state of a removed worker. */
   forget(state: WorkerState): void {
-    this.histories.delete(state.worker.workerId);
+    this.records.delete(state.worker.workerId);
     this.setAsideWorkers.delete(state);
   }
 
@@ -160,10 +160,10 @@
   }
 
   private getHistory(workerId: string): WorkerHistory {
-    const known = this.histories.get(workerId);
+    const known = this.records.get(workerId);
     if (known !== undefined) return known;
     const history: WorkerHistory = {recentEnds: [], setAsideMs: 0};
-    this.histories.set(workerId, history);
+    this.records.set(workerId, history);
     return history;
   }
 }
