Rename files of the caller package after what they hold

File names only: the ticket registry, the mesh ticket source, the claim client, requests to shard owners, the adaptive timeout, idle connections, the gateway's peer handler and error answers, with their tests.

--- a/packages/caller/src/caller-routes.ts
+++ b/packages/caller/src/caller-routes.ts
@@ -8,7 +8,7 @@
   type Metrics,
 } from '@dragonflyward/common';
 import PQueue from 'p-queue';
-import {sendError} from './answers.js';
+import {sendError} from './error-answers.js';
 import {checkHeaderCount} from './caller-server.js';
 import type {JobRoutes} from './job-routes.js';
 import type {RequestRelay} from './request-relay.js';
--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {raise, type Metrics} from '@dragonflyward/common';
-import {errorBody} from './answers.js';
+import {errorBody} from './error-answers.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const MAX_HEADERS = 100;
--- a/packages/caller/src/gateway-peers.ts
+++ b/packages/caller/src/gateway-peer-handler.ts
@@ -12,7 +12,7 @@
   type PeerReply,
 } from '@dragonflyward/peer';
 import type {OwnerDirectory} from './owner-directory.js';
-import type {TicketBook} from './ticket-book.js';
+import type {TicketBook} from './ticket-registry.js';
 
 /** What the handler works with. */
 export interface GatewayPeersParts {
--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -19,13 +19,13 @@
 import {CallerRoutes} from './caller-routes.js';
 import {CallerServer} from './caller-server.js';
 import {ConfigFeed, MeshConfigPeers} from './config-feed.js';
-import {idleConnections} from './connection-share.js';
-import {GatewayPeers} from './gateway-peers.js';
+import {idleConnections} from './idle-connections.js';
+import {GatewayPeers} from './gateway-peer-handler.js';
 import {JobRoutes, ShardAsker} from './job-routes.js';
-import {MeshTickets} from './mesh-tickets.js';
+import {MeshTickets} from './mesh-ticket-source.js';
 import {OwnerDirectory} from './owner-directory.js';
 import {RequestRelay} from './request-relay.js';
-import {TicketBook} from './ticket-book.js';
+import {TicketBook} from './ticket-registry.js';
 import {VmView} from './vm-view.js';
 
 /** Forwards the asks of the job API. */
--- a/packages/caller/src/id-claim.ts
+++ b/packages/caller/src/id-claim.ts
@@ -1,7 +1,7 @@
 /** The claim of one request's id at its home. */
 import {DragonflywardError, newId, type ErrorKind} from '@dragonflyward/common';
 import type {Access} from './access.js';
-import {isNotRun} from './answers.js';
+import {isNotRun} from './error-answers.js';
 import type {RequestSpec} from './request-spec.js';
 import type {TicketSource} from './ticket-source.js';
 
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -6,5 +6,5 @@
 export * from './job-routes.js';
 export * from './request-relay.js';
 export * from './retry-budget.js';
-export * from './ticket-book.js';
+export * from './ticket-registry.js';
 export * from './ticket-source.js';
--- a/packages/caller/src/job-routes.ts
+++ b/packages/caller/src/job-routes.ts
@@ -17,7 +17,7 @@
 import {admit, teamOfHeaders} from './access.js';
 import type {ConfigView} from './config-view.js';
 import {readJob, type JobRequest} from './job-spec.js';
-import {askOwner} from './owner-ask.js';
+import {askOwner} from './owner-request.js';
 import {readDeadline} from './request-spec.js';
 
 const MAX_JOB_BYTES = 1024 * 1024;
--- a/packages/caller/src/mesh-tickets.ts
+++ b/packages/caller/src/mesh-ticket-source.ts
@@ -16,10 +16,10 @@
   Ticket,
   TicketClose,
 } from '@dragonflyward/peer';
-import {ClaimHomes} from './claim-homes.js';
+import {ClaimHomes} from './claim-client.js';
 import type {OwnerDirectory} from './owner-directory.js';
 import {orAborted} from './request-lifetime.js';
-import type {TicketBook} from './ticket-book.js';
+import type {TicketBook} from './ticket-registry.js';
 import {
   TicketSource,
   type ClaimWish,
--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -12,7 +12,7 @@
 import type {ExecutorAnswer, ExecutorBody} from '@dragonflyward/target';
 import type {Access} from './access.js';
 import {relayAnswer} from './answer-relay.js';
-import {isNotRun} from './answers.js';
+import {isNotRun} from './error-answers.js';
 import {readCallerBody, readStart, restOf} from './body-reader.js';
 import {
   isExecutorFailure,
@@ -25,7 +25,7 @@
 import type {RelayParts} from './request-relay.js';
 import type {RequestSpec} from './request-spec.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {SilenceBound} from './silence-bound.js';
+import type {SilenceBound} from './adaptive-timeout.js';
 import type {HeldTicket} from './ticket-source.js';
 
 /** A body up to this size can be sent again. */
--- a/packages/caller/src/request-relay.ts
+++ b/packages/caller/src/request-relay.ts
@@ -8,7 +8,7 @@
 import {RequestLifetime} from './request-lifetime.js';
 import {readSpec} from './request-spec.js';
 import {RetryBudget} from './retry-budget.js';
-import {SilenceBound} from './silence-bound.js';
+import {SilenceBound} from './adaptive-timeout.js';
 import type {TicketSource} from './ticket-source.js';
 
 /** What requests are relayed with. */
--- a/packages/caller/test/silence-bound.test.ts
+++ b/packages/caller/test/adaptive-timeout.test.ts
@@ -1,6 +1,6 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {SilenceBound} from '../src/silence-bound.js';
+import {SilenceBound} from '../src/adaptive-timeout.js';
 
 const LEFT_MS = 8_000;
 const KNOWN_SAMPLES = 50;
--- a/packages/caller/test/mesh-tickets.test.ts
+++ b/packages/caller/test/mesh-ticket-source.test.ts
@@ -26,10 +26,10 @@
 import {VmListClient, type VmEntry} from '@dragonflyward/vms';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {GatewayPeers} from '../src/gateway-peers.js';
-import {MeshTickets} from '../src/mesh-tickets.js';
+import {GatewayPeers} from '../src/gateway-peer-handler.js';
+import {MeshTickets} from '../src/mesh-ticket-source.js';
 import {OwnerDirectory} from '../src/owner-directory.js';
-import {TicketBook} from '../src/ticket-book.js';
+import {TicketBook} from '../src/ticket-registry.js';
 import {VmView} from '../src/vm-view.js';
 
 const mesh = suite('tickets from owners');
--- a/packages/caller/test/owner-ask.test.ts
+++ b/packages/caller/test/owner-request.test.ts
@@ -8,7 +8,7 @@
 import type {PeerReply} from '@dragonflyward/peer';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {askOwner} from '../src/owner-ask.js';
+import {askOwner} from '../src/owner-request.js';
 
 const DEADLINE_MS = 10_000;
 const STEP_MS = 100;
