--- a/packages/caller/src/claim-client.ts
+++ b/packages/caller/src/claim-client.ts
@@ -1,6 +1,6 @@
 /**
- * Claims request ids at the owners of two shards, so that the repetition of an
- * id is detected.
+ * Claims request ids at the owners of two shards, the replicas of the id, so
+ * that a repetition of the id is detected.
  */
 import {
   DragonflywardError,
@@ -41,7 +41,7 @@
   readonly atMs: number;
 }
 
-/** How one replica responded to a claim. */
+/** How one replica responded; `vouched` confirms that the id is new. */
 type ClaimResult = 'vouched' | 'recorded' | 'duplicate' | 'noReply';
 
 /** Claims request ids at their replicas, and retains the claims made. */
--- a/packages/caller/src/ticket-source.ts
+++ b/packages/caller/src/ticket-source.ts
@@ -36,11 +36,11 @@
     signal: AbortSignal,
   ): Promise<TicketGrant>;
 
-  /** Closes a ticket, which frees the executor's slot. */
+  /** Closes a ticket and reports how it was used. */
   abstract close(close: Omit<TicketClose, 'type'>): void;
 
   /**
-   * Claims a request id at its replicas.
+   * Claims a request id at its replicas, the shards that record its claims.
    *
    * @throws duplicateId, or the signal's reason if a replica did not answer
    */
--- a/packages/caller/test/harness.ts
+++ b/packages/caller/test/harness.ts
@@ -45,7 +45,7 @@
   policy: 'spread',
 };
 
-/** Two queues and one key; tests can make the key or the data invalid. */
+/** Two queues and one key; tests can withdraw the key or age the data. */
 export class FakeConfig extends ConfigView {
   isKeyValid = true;
   isRecent = true;
