--- a/packages/caller/src/ticket-registry.ts
+++ b/packages/caller/src/ticket-registry.ts
@@ -13,7 +13,7 @@
 interface RegisteredTicket {
   readonly ticket: Ticket;
   readonly team: string;
-  readonly expiresMs: number;
+  readonly untilMs: number;
 }
 
 /** Open tickets, and the closes that could not be sent to an owner yet. */
@@ -33,8 +33,8 @@
     if (ticket.term < this.termOf(ticket.shard)) {
       raise('notOwner', `term ${ticket.term} of ${ticket.shard} is over`);
     }
-    const expiresMs = requestedMs + ticket.runByMs;
-    this.open.set(ticket.ticketId, {ticket, team, expiresMs});
+    const untilMs = requestedMs + ticket.runByMs;
+    this.open.set(ticket.ticketId, {ticket, team, untilMs});
   }
 
   /**
@@ -84,18 +84,18 @@
   /** Removes the tickets that have expired. */
   removeExpired(): void {
     const nowMs = this.clock.monotonicMs();
-    for (const [id, {expiresMs}] of this.open) {
-      if (expiresMs <= nowMs) this.open.delete(id);
+    for (const [id, {untilMs}] of this.open) {
+      if (untilMs <= nowMs) this.open.delete(id);
     }
   }
 
   private *listOpen(shard: string): Generator<OpenTicket> {
     this.removeExpired();
     const nowMs = this.clock.monotonicMs();
-    for (const {ticket, team, expiresMs} of this.open.values()) {
+    for (const {ticket, team, untilMs} of this.open.values()) {
       if (ticket.shard !== shard) continue;
       const {ticketId, executorId} = ticket;
-      yield {ticketId, executorId, team, runByMs: expiresMs - nowMs};
+      yield {ticketId, executorId, team, runByMs: untilMs - nowMs};
     }
   }
 
