--- a/packages/caller/src/relay-attempt.ts
+++ b/packages/caller/src/relay-attempt.ts
@@ -100,8 +100,8 @@
     const {clock, access, lifetime} = this.parts;
     const {ticket, requestedMs} = this.grant;
     const ageMs = clock.monotonicMs() - requestedMs;
-    if (ageMs >= ticket.startByMs) raise('deadlineUnmet', 'startByMs passed');
-    if (ageMs >= ticket.runByMs) raise('deadlineUnmet', 'runByMs passed');
+    if (ageMs >= ticket.startByMs) raise('deadlineUnmet', 'too late to start');
+    if (ageMs >= ticket.runByMs) raise('deadlineUnmet', 'the ticket expired');
     const remainingMs = lifetime.remainingMs();
     if (remainingMs <= 0) raise('deadlineUnmet', 'no time is left');
     access.check();
