--- a/packages/cell/src/advice-desk.ts
+++ b/packages/cell/src/advice-desk.ts
@@ -21,7 +21,7 @@
 const TICKET_MARGIN_MS = 250;
 
 /** A VM through which the advice service is called, one call at a time. */
-export interface AdviceLane {
+export interface AdviceChannel {
   readonly vm: string;
   /** Whether the VM is the owner's own or in the same failure domain. */
   readonly isInOwnerDomain: boolean;
@@ -54,7 +54,7 @@
 }
 
 /** Distributes ticket requests over the VMs, the most urgent first. */
-export class AdviceDesk {
+export class TicketRequester {
   private readonly queued: QueuedRequest[] = [];
   private readonly busy = new Set<string>();
   private readonly backoffUntilMs = new Map<string, number>();
@@ -62,7 +62,7 @@
   private speculativeCalls = 0;
 
   constructor(
-    private readonly channels: () => readonly AdviceLane[],
+    private readonly channels: () => readonly AdviceChannel[],
     private readonly nowMs: () => number,
     private readonly onTickets: (step: StepState) => void,
   ) {}
@@ -143,7 +143,7 @@
   }
 
   private async ask(
-    channel: AdviceLane,
+    channel: AdviceChannel,
     request: QueuedRequest,
   ): Promise<void> {
     const {step, executorIds, expectedMs, isSpeculative} = request;
@@ -188,9 +188,9 @@
 }
 
 function takeChannel(
-  channels: AdviceLane[],
+  channels: AdviceChannel[],
   isShort: boolean,
-): AdviceLane | undefined {
+): AdviceChannel | undefined {
   if (isShort) return channels.shift();
   const last = channels.at(-1);
   if (last === undefined) return undefined;
--- a/packages/cell/src/advice-lanes.ts
+++ b/packages/cell/src/advice-lanes.ts
@@ -1,26 +1,26 @@
 /** The VMs through which the owner calls the advice service. */
-import type {AdviceLane} from './advice-desk.js';
+import type {AdviceChannel} from './advice-desk.js';
 import type {CellConnection, Members} from './members.js';
 
 /** Time allowed for the way through a peer, on top of the call, in ms. */
 const RELAY_SLACK_MS = 150;
 
-/** What {@link adviceLanes} needs of the owner's VM. */
+/** What {@link adviceChannels} needs of the owner's VM. */
 export interface AdviceChannelDeps {
   readonly vm: string;
   readonly domain: string;
   readonly members: Members;
   /** Calls the service from the owner's own VM. */
-  readonly ask: AdviceLane['ask'];
+  readonly ask: AdviceChannel['ask'];
 }
 
 /** Yields the owner's own VM and the connected VMs that are not draining. */
-export function* adviceLanes({
+export function* adviceChannels({
   vm,
   domain,
   members,
   ask,
-}: AdviceChannelDeps): Generator<AdviceLane> {
+}: AdviceChannelDeps): Generator<AdviceChannel> {
   yield {vm, isInOwnerDomain: true, ask};
   for (const member of members.connected()) {
     if (member.isDraining) continue;
@@ -38,7 +38,7 @@
   step: string,
   executorIds: readonly string[],
   timeoutMs: number,
-): ReturnType<AdviceLane['ask']> {
+): ReturnType<AdviceChannel['ask']> {
   const ask = {type: 'adviceAsk', step, executorIds, timeoutMs} as const;
   try {
     const reply = await connection.ask(ask, timeoutMs + RELAY_SLACK_MS);
--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -4,10 +4,10 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
-import type {FormerRuns} from './former-runs.js';
+import type {FormerOwnerRuns} from './former-runs.js';
 import type {JobState, NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
-import type {LogLine, Platform} from './platform.js';
+import type {LogFunction, Platform} from './platform.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
   applyProgress,
@@ -16,7 +16,7 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
-import type {LogPage, PlacedRecord, Store} from './store.js';
+import type {LogPage, StoredRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
 /** Interval of reads for jobs whose notice was lost, in ms. */
@@ -30,10 +30,10 @@
   readonly store: Store;
   readonly platform: Platform;
   readonly writer: ProgressWriter;
-  readonly formerRuns: FormerRuns;
+  readonly formerOwnerRuns: FormerOwnerRuns;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: LogLine;
+  readonly log: LogFunction;
   readonly onJob: (job: JobState) => void;
   readonly onCancel: () => void;
   /** Called for a listed executor that no owner has used yet. */
@@ -77,7 +77,7 @@
    * @throws StoreError
    */
   async load(): Promise<boolean> {
-    const {state, formerRuns} = this.deps;
+    const {state, formerOwnerRuns} = this.deps;
     const progressLoad = this.loadProgress();
     // All loads must have ended before a failed one is retried.
     const loads = [
@@ -91,7 +91,7 @@
     const progress = await progressLoad;
     if (progress === null) return false;
     for (const record of progress.records) this.applyProgressRecord(record);
-    for (const id of state.jobs.keys()) formerRuns.addJob(id);
+    for (const id of state.jobs.keys()) formerOwnerRuns.addJob(id);
     return true;
   }
 
@@ -135,7 +135,7 @@
     return this.deps.store.newest(PROGRESS_TOPIC);
   }
 
-  private applyProgressRecord({key, value}: PlacedRecord): void {
+  private applyProgressRecord({key, value}: StoredRecord): void {
     if (value.length === 0) return;
     if (key.startsWith(EXECUTOR_PREFIX)) {
       return this.addFormerExecutor(decode(value as Buffer) as ExecutorInfo);
@@ -149,7 +149,7 @@
   private applyStoredProgress(job: JobState, value: Uint8Array): void {
     if (isFinal(job.phase)) return;
     applyProgress(job, value);
-    if (isFinal(job.phase)) this.deps.state.closeJob(job);
+    if (isFinal(job.phase)) this.deps.state.removePendingSteps(job);
   }
 
   /**
@@ -157,24 +157,24 @@
    * has restarted since that was recorded.
    */
   private addFormerExecutor(info: ExecutorInfo): void {
-    const {state, formerRuns, onFormerExecutor} = this.deps;
+    const {state, formerOwnerRuns, onFormerExecutor} = this.deps;
     const known = state.executors.get(info.id);
     const executor = known ?? state.setExecutor(info);
     if (known === undefined) executor.isListed = false;
-    formerRuns.addExecutor(executor);
+    formerOwnerRuns.addExecutor(executor);
     onFormerExecutor(executor);
   }
 
-  private applyJobsRecord({key, value}: PlacedRecord): void {
+  private applyJobsRecord({key, value}: StoredRecord): void {
     const entry = decodeJobsRecord(key, value);
     if (entry === null) return;
     if (entry.kind === 'job') return this.addJob(entry.job);
-    if (entry.kind === 'forgotten') return this.deps.state.forgetJob(entry.id);
+    if (entry.kind === 'forgotten') return this.deps.state.removeJob(entry.id);
     this.deps.state.cancelJob(entry.id);
     this.deps.onCancel();
   }
 
-  private applyExecutorRecord(record: PlacedRecord): void {
+  private applyExecutorRecord(record: StoredRecord): void {
     const {state, platform} = this.deps;
     if (record.value.length === 0) {
       const executor = state.executors.get(record.key);
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,10 +1,10 @@
 /** The owner's in-memory state and its transitions; does no I/O. */
-import type {ListedEnd} from './executor-client.js';
+import type {EndedRun} from './executor-client.js';
 import {
-  addStray,
+  addOrphan,
   newExecutorState,
   placeTask,
-  removeStray,
+  removeOrphan,
   removeTask,
   type ExecutorState,
 } from './executor-state.js';
@@ -40,13 +40,13 @@
 /** Receives changes that have to be stored, published or sent. */
 export interface CellListener {
   /** The job's progress has to be stored. */
-  readonly onDirty: (job: JobState) => void;
+  readonly onProgress: (job: JobState) => void;
   /** The job's visible phase changed, or changes once a final one is stored. */
-  readonly onPhase: (job: JobState) => void;
+  readonly onPhaseChange: (job: JobState) => void;
   /** A run has to be stopped. */
   readonly onStop: (task: TaskState) => void;
   /** A stray run, one that belongs to no placed task, has to be stopped. */
-  readonly onStray: (
+  readonly onOrphan: (
     executor: ExecutorState,
     task: string,
     run: number,
@@ -106,7 +106,7 @@
   }
 
   /** Removes the steps of a job from the pending steps. */
-  closeJob(job: JobState): void {
+  removePendingSteps(job: JobState): void {
     for (const {steps} of job.occurrences) {
       for (const step of steps) this.pendingSteps.delete(step);
     }
@@ -123,7 +123,7 @@
   }
 
   /** Removes a job that has ended and has no placed tasks. */
-  forgetJob(id: string): void {
+  removeJob(id: string): void {
     const job = this.jobs.get(id);
     if (job === undefined || !isFinal(job.phase)) return;
     for (const task of tasksOf(job)) if (task.executor !== null) return;
@@ -153,9 +153,9 @@
     if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
     known.info = info;
     known.isListed = true;
-    const isIdle = known.tasks.size === 0 && known.strays.size === 0;
+    const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
     if (isIdle && info.bornMs > known.bornMs) {
-      this.startNewLife(known, info.bornMs, Infinity);
+      this.recordRestart(known, info.bornMs, Infinity);
     }
     return known;
   }
@@ -165,32 +165,36 @@
    * Starts that were not answered before its inventory was requested may
    * belong to the new process; they stay until a later inventory tells.
    *
-   * @param askedMs when the inventory that showed the restart was requested
+   * @param requestedMs when the inventory that showed the restart was requested
    */
-  startNewLife(executor: ExecutorState, bornMs: number, askedMs: number): void {
+  recordRestart(
+    executor: ExecutorState,
+    bornMs: number,
+    requestedMs: number,
+  ): void {
     for (const task of [...executor.tasks]) {
-      if (task.answeredMs < askedMs) this.requeue(task);
+      if (task.answeredMs < requestedMs) this.requeue(task);
     }
-    this.dropStrays(executor);
+    this.dropOrphans(executor);
     executor.bornMs = bornMs;
     executor.clockMs = Number.NaN;
     executor.leaseUntilMs = 0;
     executor.processedThrough = 0;
     executor.ackedThrough = 0;
     executor.fillerPercent = 100;
-    executor.missed = 0;
+    executor.missedRenewals = 0;
     for (const step of this.pendingSteps) step.tickets.delete(executor.info.id);
   }
 
   /** Requeues all tasks of an executor on which nothing runs any more. */
-  loseRuns(executor: ExecutorState): void {
+  requeueAll(executor: ExecutorState): void {
     for (const task of [...executor.tasks]) this.requeue(task);
-    this.dropStrays(executor);
+    this.dropOrphans(executor);
   }
 
-  private dropStrays(executor: ExecutorState): void {
-    for (const {task, run} of [...executor.strays.values()]) {
-      this.dropStray(executor, task, run);
+  private dropOrphans(executor: ExecutorState): void {
+    for (const {task, run} of [...executor.orphans.values()]) {
+      this.dropOrphan(executor, task, run);
     }
   }
 
@@ -205,14 +209,14 @@
     task.run = run;
     task.startedMs = nowMs;
     task.answeredMs = Infinity;
-    task.isDoubtful = false;
+    task.isStartUnconfirmed = false;
     task.percent = 100;
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase !== 'queued') return;
     job.phase = 'running';
-    job.shownPhase = 'running';
-    this.listener.onPhase(job);
+    job.visiblePhase = 'running';
+    this.listener.onPhaseChange(job);
   }
 
   /** Computes a run number above all that the tasks have used so far. */
@@ -236,13 +240,13 @@
     const {job} = task.step.occurrence;
     if (job.phase === 'queued') {
       job.phase = 'running';
-      job.shownPhase = 'running';
-      this.listener.onPhase(job);
+      job.visiblePhase = 'running';
+      this.listener.onPhaseChange(job);
     }
   }
 
   /** Finds a task by the name that executors use for it. */
-  taskNamed(name: string): TaskState | undefined {
+  findTaskByName(name: string): TaskState | undefined {
     const address = parseTaskName(name);
     if (address === null) return undefined;
     const job = this.jobs.get(address.jobId);
@@ -250,27 +254,34 @@
   }
 
   /** Records a stray run: it must be stopped and uses resources until then. */
-  noteStray(executor: ExecutorState, name: string, run: number): void {
-    if (executor.strays.has(`${name}#${run}`)) return;
-    const task = this.taskNamed(name);
+  recordOrphan(executor: ExecutorState, name: string, run: number): void {
+    if (executor.orphans.has(`${name}#${run}`)) return;
+    const task = this.findTaskByName(name);
     const size = task?.step.spec.size;
     const isFiller = task?.step.spec.isFiller ?? false;
     const organisation = task?.step.occurrence.job.organisation ?? '';
     const cpuMilli = isFiller ? 0 : (size?.cpuMilli ?? 0);
     const {memMb, accel} = size ?? {memMb: 0, accel: 0};
-    addStray(executor, {task: name, run, cpuMilli, memMb, accel, organisation});
+    addOrphan(executor, {
+      task: name,
+      run,
+      cpuMilli,
+      memMb,
+      accel,
+      organisation,
+    });
     if (size !== undefined) this.organisations.addUsage(organisation, size, 1);
-    if (task !== undefined) task.strays += 1;
-    this.listener.onStray(executor, name, run);
+    if (task !== undefined) task.orphanCount += 1;
+    this.listener.onOrphan(executor, name, run);
   }
 
   /** Removes a stray run that has ended and frees its resources. */
-  dropStray(executor: ExecutorState, name: string, run: number): void {
-    if (!executor.strays.has(`${name}#${run}`)) return;
-    removeStray(executor, name, run);
-    const task = this.taskNamed(name);
+  dropOrphan(executor: ExecutorState, name: string, run: number): void {
+    if (!executor.orphans.has(`${name}#${run}`)) return;
+    removeOrphan(executor, name, run);
+    const task = this.findTaskByName(name);
     if (task === undefined) return;
-    task.strays -= 1;
+    task.orphanCount -= 1;
     const {spec, occurrence} = task.step;
     this.organisations.addUsage(occurrence.job.organisation, spec.size, -1);
   }
@@ -284,9 +295,9 @@
   }
 
   /** Applies the end of a run that an executor lists. */
-  noteEnd(executor: ExecutorState, end: ListedEnd, nowMs: number): void {
-    this.dropStray(executor, end.task, end.run);
-    const task = this.taskNamed(end.task);
+  recordEnd(executor: ExecutorState, end: EndedRun, nowMs: number): void {
+    this.dropOrphan(executor, end.task, end.run);
+    const task = this.findTaskByName(end.task);
     if (task === undefined) return;
     const isCurrent = task.executor === executor && task.run === end.run;
     if (isCurrent) this.unplace(task);
@@ -296,7 +307,7 @@
       if (isCurrent) this.recordRunTime(executor, task, nowMs - task.startedMs);
       return this.recordCompletion(task);
     }
-    this.noteCheckpoint(task, end.checkpoint);
+    this.recordCheckpoint(task, end.checkpoint);
     if (end.how === 'failed') this.recordFailure(executor, task, end, nowMs);
     if (!isCurrent) return;
     task.phase = 'waiting';
@@ -314,7 +325,7 @@
   }
 
   /** Keeps the newest checkpoint; in a gang, one applies to all tasks. */
-  noteCheckpoint(task: TaskState, checkpoint: string): void {
+  recordCheckpoint(task: TaskState, checkpoint: string): void {
     if (checkpoint === '' || task.checkpoint === checkpoint) return;
     const {step} = task;
     if (!step.spec.isGang) task.checkpoint = checkpoint;
@@ -329,7 +340,7 @@
     for (const each of members) isCompleted = markDone(each) || isCompleted;
     if (task.executor !== null) this.listener.onStop(task);
     if (isFinal(job.phase)) return;
-    this.listener.onDirty(job);
+    this.listener.onProgress(job);
     if (isCompleted) this.finish(job, 'completed');
   }
 
@@ -353,7 +364,7 @@
   private recordFailure(
     executor: ExecutorState,
     task: TaskState,
-    end: ListedEnd,
+    end: EndedRun,
     nowMs: number,
   ): void {
     const {step} = task;
@@ -371,7 +382,7 @@
       task.notBeforeMs = nowMs + Math.min(MAX_SERVICE_BACKOFF_MS, delayMs);
     }
     if (isFinal(job.phase)) return;
-    this.listener.onDirty(job);
+    this.listener.onProgress(job);
     const failed = step.spec.isGang ? step.failedGangRuns : task.failedRuns;
     const isOutOfAttempts =
       failed.length >= job.queue.maxAttempts && !step.spec.isService;
@@ -393,10 +404,10 @@
     phase: 'completed' | 'failed' | 'cancelled',
   ): void {
     job.phase = phase;
-    this.closeJob(job);
+    this.removePendingSteps(job);
     for (const task of tasksOf(job)) this.stopTask(task);
-    this.listener.onDirty(job);
-    this.listener.onPhase(job);
+    this.listener.onProgress(job);
+    this.listener.onPhaseChange(job);
   }
 
   private stopGang(step: StepState): void {
--- a/packages/cell/src/config-feed.ts
+++ b/packages/cell/src/config-feed.ts
@@ -3,8 +3,8 @@
 import {Follower} from './follower.js';
 import type {Members} from './members.js';
 import type {OwnerAddress} from './ownership.js';
-import type {LogLine, Platform} from './platform.js';
-import type {PlacedRecord, Store} from './store.js';
+import type {LogFunction, Platform} from './platform.js';
+import type {StoredRecord, Store} from './store.js';
 import type {CellConfig} from './types.js';
 
 /** How long a read waits in the store for a new configuration, in ms. */
@@ -21,7 +21,7 @@
   readonly store: Store;
   readonly members: Members;
   readonly clock: Clock;
-  readonly log: LogLine;
+  readonly log: LogFunction;
   /** Called when a newer configuration takes effect. */
   readonly onConfig: (config: CellConfig) => void;
 }
@@ -86,7 +86,7 @@
     }
   }
 
-  private applyRecord(record: PlacedRecord, source: ConfigSource): void {
+  private applyRecord(record: StoredRecord, source: ConfigSource): void {
     const config = this.deps.platform.decodeConfig(record);
     if (config === null || config.version <= this.version) return;
     this.config = config;
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -11,7 +11,7 @@
   type OwnerSnapshot,
   type OwnerRecord,
 } from './ownership.js';
-import type {LogLine} from './platform.js';
+import type {LogFunction} from './platform.js';
 import {StoreError, type Store} from './store.js';
 
 /** Time between two checks of the owner, in ms. */
@@ -69,7 +69,7 @@
   readonly members: Members;
   readonly store: Store;
   readonly clock: Clock;
-  readonly log: LogLine;
+  readonly log: LogFunction;
 }
 
 /** Takes part in the owner election for one VM. */
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -1,8 +1,8 @@
 /** Orders to executors and their answers. */
-import type {RunEnd} from './types.js';
+import type {RunOutcome} from './types.js';
 
 /** A run in an executor's inventory. */
-export interface ListedRun {
+export interface ReportedRun {
   readonly task: string;
   readonly run: number;
   /** The newest checkpoint; empty if there is none. */
@@ -14,12 +14,12 @@
 }
 
 /** The end of a run; an executor lists it until it is acknowledged. */
-export interface ListedEnd {
+export interface EndedRun {
   /** Counts the ends since the executor started. */
   readonly number: number;
   readonly task: string;
   readonly run: number;
-  readonly how: RunEnd;
+  readonly how: RunOutcome;
   readonly checkpoint: string;
 }
 
@@ -27,8 +27,8 @@
 export interface Inventory {
   readonly clockMs: number;
   readonly bornMs: number;
-  readonly running: readonly ListedRun[];
-  readonly ended: readonly ListedEnd[];
+  readonly running: readonly ReportedRun[];
+  readonly ended: readonly EndedRun[];
 }
 
 /** An order to start a run. */
@@ -44,7 +44,7 @@
 }
 
 /** An order to extend the lease and return the inventory. */
-export interface HoldOrder {
+export interface RenewLeaseOrder {
   readonly token: number;
   readonly ackedThrough: number;
   /** Missing if the executor's clock is not yet known. */
@@ -84,13 +84,13 @@
 export abstract class ExecutorClient {
   abstract start(order: StartOrder): Promise<OrderReply>;
   abstract stop(task: string, run: number, token: number): Promise<OrderReply>;
-  abstract pace(
+  abstract limitCpu(
     task: string,
     run: number,
     percent: number,
     token: number,
   ): Promise<OrderReply>;
-  abstract hold(order: HoldOrder): Promise<Inventory | OrderReply>;
+  abstract renewLease(order: RenewLeaseOrder): Promise<Inventory | OrderReply>;
   abstract close(): void;
 }
 
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -9,9 +9,9 @@
   type OrderReply,
 } from './executor-client.js';
 import {
-  clockNow,
-  hasLapsed,
-  noteClock,
+  earliestClockMs,
+  haveLeasesExpired,
+  recordClock,
   type ExecutorState,
 } from './executor-state.js';
 import {InventoryReader} from './inventory-reader.js';
@@ -19,27 +19,27 @@
 import {Signal} from './signal.js';
 
 /** Lease of an executor, in ms; runs continue that long without an owner. */
-export const LEASE_MS = 6000;
+export const EXECUTOR_LEASE_MS = 6000;
 /** How long an executor may wait for a run to end before it answers, in ms. */
-const HOLD_WAIT_MS = 700;
+const RENEWAL_WAIT_MS = 700;
 /** Timeout of the answer in addition to that wait, in ms. */
-const HOLD_TIMEOUT_MS = 300;
+const RENEWAL_TIMEOUT_MS = 300;
 /** The same timeout after a hold that was not answered, in ms. */
-const MISSED_HOLD_TIMEOUT_MS = 900;
+const MISSED_RENEWAL_TIMEOUT_MS = 900;
 /** Wait of a hold if tail latencies must be watched, in ms. */
 const LATENCY_WATCH_WAIT_MS = 400;
 /** Wait of a hold while a run is starting or stopping, in ms. */
 const STARTING_WAIT_MS = 100;
 /** Minimum pause between two holds, in ms. */
-const MIN_HOLD_INTERVAL_MS = 15;
+const MIN_RENEWAL_INTERVAL_MS = 15;
 /** Pause after an inventory without changes, in ms. */
-const UNCHANGED_HOLD_INTERVAL_MS = 60;
+const UNCHANGED_RENEWAL_INTERVAL_MS = 60;
 /** Delay before an unanswered order is retried, in ms. */
 const MISSED_RETRY_DELAY_MS = 150;
 /** Delay after the first unanswered hold, in ms. */
 const FIRST_MISSED_RETRY_DELAY_MS = 10;
 /** An executor counts as gone after more unanswered holds in a row. */
-const MAX_MISSED_HOLDS = 8;
+const MAX_MISSED_RENEWALS = 8;
 
 /** How long an executor gets no new work after it refused a start, in ms. */
 const REFUSAL_BACKOFF_MS: ReadonlyMap<OrderFailure, number> = new Map([
@@ -85,11 +85,11 @@
   /** Sends holds to the executor until the loop is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
-      if (!this.host.mayAct() || !this.needsHold()) {
-        await this.signal.wait(HOLD_WAIT_MS);
+      if (!this.host.mayAct() || !this.needsRenewal()) {
+        await this.signal.wait(RENEWAL_WAIT_MS);
         continue;
       }
-      await this.holdOnce();
+      await this.renewOnce();
     }
   }
 
@@ -122,11 +122,11 @@
       ticket,
     };
     const reply = await this.client.start(order);
-    noteClock(executor, reply.clockMs, clock.monotonicMs());
+    recordClock(executor, reply.clockMs, clock.monotonicMs());
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.handleStarted(task);
     else this.handleStartFailure(task, reply);
-    if (task.isDoubtful) await this.refreshInventory();
+    if (task.isStartUnconfirmed) await this.refreshInventory();
     this.wake();
   }
 
@@ -141,7 +141,7 @@
       if (reply.failure === null) {
         const isSame = task !== null && task.run === run;
         if (isSame) task.answeredMs = this.host.clock.monotonicMs();
-        if (isSame && task.isDoubtful) await this.refreshInventory();
+        if (isSame && task.isStartUnconfirmed) await this.refreshInventory();
         break;
       }
       this.handleFailure(reply, `stop ${name}`);
@@ -151,8 +151,8 @@
   }
 
   /** Sets the processor share that a run may use. */
-  async pace(task: TaskState, percent: number): Promise<void> {
-    const reply = await this.client.pace(
+  async limitCpu(task: TaskState, percent: number): Promise<void> {
+    const reply = await this.client.limitCpu(
       taskName(task),
       task.run,
       percent,
@@ -167,14 +167,15 @@
     run: number,
     task: TaskState | null,
   ): boolean {
-    if (this.executor.strays.has(`${name}#${run}`)) return true;
+    if (this.executor.orphans.has(`${name}#${run}`)) return true;
     return task?.executor === this.executor && task.run === run;
   }
 
-  private needsHold(): boolean {
+  private needsRenewal(): boolean {
     this.resetAckOnRestart();
-    const {tasks, strays, isReached, missed, ackedThrough} = this.executor;
-    if (tasks.size > 0 || strays.size > 0 || missed > 0) return true;
+    const {tasks, orphans, isReached, missedRenewals, ackedThrough} =
+      this.executor;
+    if (tasks.size > 0 || orphans.size > 0 || missedRenewals > 0) return true;
     return !isReached || this.sentAck < ackedThrough;
   }
 
@@ -186,13 +187,13 @@
     this.sentAck = 0;
   }
 
-  private async holdOnce(): Promise<void> {
+  private async renewOnce(): Promise<void> {
     const {executor, host} = this;
-    const reply = await this.sendHold(this.chooseWaitMs());
+    const reply = await this.sendRenewal(this.chooseWaitMs());
     if (this.isClosed || reply === null) return;
     if (!isInventory(reply)) {
-      this.handleMissedHold(reply);
-      const isFirst = executor.missed === 1;
+      this.handleMissedRenewal(reply);
+      const isFirst = executor.missedRenewals === 1;
       return host.clock.sleep(
         isFirst ? FIRST_MISSED_RETRY_DELAY_MS : MISSED_RETRY_DELAY_MS,
       );
@@ -202,11 +203,11 @@
   /** Reads the inventory at once, in parallel to a waiting hold. */
   private async refreshInventory(): Promise<void> {
     if (this.isClosed || !this.host.mayAct()) return;
-    await this.sendHold(0);
+    await this.sendRenewal(0);
   }
 
   /** Sends a hold and applies its inventory, unless a newer one was applied. */
-  private async sendHold(
+  private async sendRenewal(
     waitMs: number,
   ): Promise<Inventory | OrderReply | null> {
     const {executor, host} = this;
@@ -214,12 +215,15 @@
     const {ackedThrough, bornMs} = executor;
     // Each acknowledgement is sent once: an executor whose restart is not yet
     // known numbers its ends from 1 again.
-    const isAckNew = ackedThrough > this.sentAck && executor.missed === 0;
+    const isAckNew =
+      ackedThrough > this.sentAck && executor.missedRenewals === 0;
     const sentMs = host.clock.monotonicMs();
     const leaseUntilMs = this.extendLease();
     const answerTimeoutMs =
-      executor.missed === 0 ? HOLD_TIMEOUT_MS : MISSED_HOLD_TIMEOUT_MS;
-    const reply = await this.client.hold({
+      executor.missedRenewals === 0
+        ? RENEWAL_TIMEOUT_MS
+        : MISSED_RENEWAL_TIMEOUT_MS;
+    const reply = await this.client.renewLease({
       token: host.token,
       ackedThrough: isAckNew ? ackedThrough : 0,
       waitMs,
@@ -234,15 +238,15 @@
     const hasChanges = this.reader.apply(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
     await host.clock.sleep(
-      hasChanges ? MIN_HOLD_INTERVAL_MS : UNCHANGED_HOLD_INTERVAL_MS,
+      hasChanges ? MIN_RENEWAL_INTERVAL_MS : UNCHANGED_RENEWAL_INTERVAL_MS,
     );
     return reply;
   }
 
   private chooseWaitMs(): number {
-    const {tasks, isReached, missed} = this.executor;
-    if (!isReached || missed > 0) return 0;
-    let waitMs = HOLD_WAIT_MS;
+    const {tasks, isReached, missedRenewals} = this.executor;
+    if (!isReached || missedRenewals > 0) return 0;
+    let waitMs = RENEWAL_WAIT_MS;
     for (const {phase, step} of tasks) {
       if (phase === 'starting') return STARTING_WAIT_MS;
       if (phase === 'stopping') return STARTING_WAIT_MS;
@@ -259,17 +263,19 @@
   private extendLease(): number {
     const {executor, host} = this;
     if (Number.isNaN(executor.clockMs)) return Number.NaN;
-    if (executor.missed > 0 && executor.leaseUntilMs > 0) {
+    if (executor.missedRenewals > 0 && executor.leaseUntilMs > 0) {
       return executor.leaseUntilMs;
     }
     const nowMs = host.clock.monotonicMs();
-    const untilMs = Math.round(clockNow(executor, nowMs) + LEASE_MS);
+    const untilMs = Math.round(
+      earliestClockMs(executor, nowMs) + EXECUTOR_LEASE_MS,
+    );
     executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
     return executor.leaseUntilMs;
   }
 
   private handleStarted(task: TaskState): void {
-    this.executor.missed = 0;
+    this.executor.missedRenewals = 0;
     task.answeredMs = this.host.clock.monotonicMs();
     if (task.phase === 'starting') task.phase = 'running';
   }
@@ -287,7 +293,7 @@
     if (failure === 'unknown' || failure === 'oldRun') {
       // Only a later inventory shows whether the executor runs the task.
       task.answeredMs = clock.monotonicMs();
-      task.isDoubtful = true;
+      task.isStartUnconfirmed = true;
       return;
     }
     this.handleFailure(reply, `start ${taskName(task)}`);
@@ -308,34 +314,34 @@
       what,
     });
     const {executor, host} = this;
-    host.state.startNewLife(executor, executor.bornMs, Infinity);
-    host.state.loseRuns(executor);
+    host.state.recordRestart(executor, executor.bornMs, Infinity);
+    host.state.requeueAll(executor);
     this.executor.isListed = false;
     this.host.onChange(this.executor);
   }
 
-  private handleMissedHold(reply: OrderReply): void {
+  private handleMissedRenewal(reply: OrderReply): void {
     const {executor, host} = this;
     if (reply.failure === 'otherLife' || reply.failure === 'fenced') {
       return this.handleFailure(reply, 'hold');
     }
-    executor.missed += 1;
-    if (executor.missed === 1) {
+    executor.missedRenewals += 1;
+    if (executor.missedRenewals === 1) {
       host.writeLog('executorSilent', {
         executorId: executor.info.id,
         failure: reply.failure,
       });
     }
-    if (!hasLapsed(executor, host.clock.monotonicMs())) return;
-    if (executor.tasks.size > 0 || executor.strays.size > 0) {
+    if (!haveLeasesExpired(executor, host.clock.monotonicMs())) return;
+    if (executor.tasks.size > 0 || executor.orphans.size > 0) {
       host.writeLog('executorLeaseExpired', {
         executorId: executor.info.id,
         tasks: executor.tasks.size,
       });
-      host.state.loseRuns(executor);
+      host.state.requeueAll(executor);
       host.onChange(executor);
     }
-    if (executor.missed > MAX_MISSED_HOLDS && !executor.isListed) {
+    if (executor.missedRenewals > MAX_MISSED_RENEWALS && !executor.isListed) {
       host.onChange(executor);
     }
   }
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -8,7 +8,7 @@
 const LEASE_END_SLACK_MS = 100;
 
 /** A run on an executor that belongs to no task placed there. */
-export interface StrayRun {
+export interface OrphanRun {
   readonly task: string;
   readonly run: number;
   readonly cpuMilli: number;
@@ -30,7 +30,7 @@
   usedMemMb: number;
   usedAccel: number;
   readonly tasks: Set<TaskState>;
-  readonly strays: Map<string, StrayRun>;
+  readonly orphans: Map<string, OrphanRun>;
   /** The last reading of the executor's clock, and the owner's time of it. */
   clockMs: number;
   clockReadMs: number;
@@ -41,7 +41,7 @@
   /** Ends of runs through this number are stored. */
   ackedThrough: number;
   /** Consecutive calls without an answer. */
-  missed: number;
+  missedRenewals: number;
   /** No new tasks before this time, on the owner's monotonic clock. */
   avoidUntilMs: number;
   /** Failed runs since the last completed one. */
@@ -68,13 +68,13 @@
     usedMemMb: 0,
     usedAccel: 0,
     tasks: new Set(),
-    strays: new Map(),
+    orphans: new Map(),
     clockMs: Number.NaN,
     clockReadMs: 0,
     leaseUntilMs: 0,
     processedThrough: 0,
     ackedThrough: 0,
-    missed: 0,
+    missedRenewals: 0,
     avoidUntilMs: 0,
     consecutiveFailures: 0,
     slowness: 1,
@@ -109,28 +109,28 @@
 }
 
 /** Adds a stray run, which uses resources until it has ended. */
-export function addStray(executor: ExecutorState, stray: StrayRun): void {
-  const key = `${stray.task}#${stray.run}`;
-  if (executor.strays.has(key)) return;
-  executor.strays.set(key, stray);
-  executor.usedCpuMilli += stray.cpuMilli;
-  executor.usedMemMb += stray.memMb;
-  executor.usedAccel += stray.accel;
+export function addOrphan(executor: ExecutorState, orphan: OrphanRun): void {
+  const key = `${orphan.task}#${orphan.run}`;
+  if (executor.orphans.has(key)) return;
+  executor.orphans.set(key, orphan);
+  executor.usedCpuMilli += orphan.cpuMilli;
+  executor.usedMemMb += orphan.memMb;
+  executor.usedAccel += orphan.accel;
 }
 
 /** Removes a stray run and frees its resources. */
-export function removeStray(
+export function removeOrphan(
   executor: ExecutorState,
   task: string,
   run: number,
 ): void {
   const key = `${task}#${run}`;
-  const stray = executor.strays.get(key);
-  if (stray === undefined) return;
-  executor.strays.delete(key);
-  executor.usedCpuMilli -= stray.cpuMilli;
-  executor.usedMemMb -= stray.memMb;
-  executor.usedAccel -= stray.accel;
+  const orphan = executor.orphans.get(key);
+  if (orphan === undefined) return;
+  executor.orphans.delete(key);
+  executor.usedCpuMilli -= orphan.cpuMilli;
+  executor.usedMemMb -= orphan.memMb;
+  executor.usedAccel -= orphan.accel;
 }
 
 /** Whether the free resources hold one more task of the step. */
@@ -144,7 +144,7 @@
 }
 
 /** Records a reading of the executor's clock. */
-export function noteClock(
+export function recordClock(
   executor: ExecutorState,
   clockMs: number,
   nowMs: number,
@@ -156,14 +156,20 @@
 }
 
 /** The earliest time that the executor's clock can show now. */
-export function clockNow(executor: ExecutorState, nowMs: number): number {
+export function earliestClockMs(
+  executor: ExecutorState,
+  nowMs: number,
+): number {
   const passedMs = (nowMs - executor.clockReadMs) * (1 - MAX_CLOCK_DRIFT);
   return executor.clockMs + passedMs;
 }
 
 /** Whether all leases of runs on the executor have surely expired. */
-export function hasLapsed(executor: ExecutorState, nowMs: number): boolean {
+export function haveLeasesExpired(
+  executor: ExecutorState,
+  nowMs: number,
+): boolean {
   if (Number.isNaN(executor.clockMs)) return false;
   const slackMs = LEASE_END_SLACK_MS;
-  return clockNow(executor, nowMs) > executor.leaseUntilMs + slackMs;
+  return earliestClockMs(executor, nowMs) > executor.leaseUntilMs + slackMs;
 }
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -1,7 +1,7 @@
 /** Follows a keyed topic: the newest record of each key, then new records. */
 import type {Clock} from '@dragonflyward/common';
 import {Signal} from './signal.js';
-import {StoreError, type PlacedRecord, type Store} from './store.js';
+import {StoreError, type StoredRecord, type Store} from './store.js';
 
 /** Delay before a failed read is retried, in ms. */
 const RETRY_DELAY_MS = 200;
@@ -27,7 +27,7 @@
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly options: FollowerOptions,
-    private readonly onRecord: (record: PlacedRecord) => void,
+    private readonly onRecord: (record: StoredRecord) => void,
     /** Called after a full read: keys that are missing were deleted. */
     private readonly onReload: (keys: ReadonlySet<string>) => void = () =>
       undefined,
--- a/packages/cell/src/former-runs.ts
+++ b/packages/cell/src/former-runs.ts
@@ -1,18 +1,19 @@
 /** Runs that a former owner may have started and that are not known here. */
-import {MAX_LEASE_MS} from './inventory-reader.js';
+import {MAX_EXECUTOR_LEASE_MS} from './inventory-reader.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {RIGHT_TO_ACT_MS, RIGHT_TO_START_MS} from './ownership.js';
+import {OWNER_LEASE_MS, START_LEASE_MS} from './ownership.js';
 
 /** The most by which an executor's clock is slower, as the platform states. */
 const SLOW_CLOCK_FACTOR = 1.03;
 /** Safety margin after the end of a former owner's leases, in ms. */
 const FORMER_LEASE_SLACK_MS = 300;
 /** The longest validity of a lease, on this owner's clock. */
-const LEASE_BOUND_MS = MAX_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
+const MAX_LOCAL_LEASE_MS =
+  MAX_EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
 
 /** Tracks executors and jobs from before this owner claimed the cell. */
-export class FormerRuns {
+export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
   private readonly jobs = new Set<string>();
@@ -32,7 +33,7 @@
   }
 
   /** Removes an executor that has listed its runs or is gone. */
-  dropExecutor(executor: ExecutorState): void {
+  removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
   }
 
@@ -47,17 +48,17 @@
    * there have expired. While the former owner may still start tasks, any task
    * may run on an executor that has restarted and thus knows no fencing token.
    */
-  mayRun({occurrence}: StepState, nowMs: number): boolean {
+  mayHaveUnknownRuns({occurrence}: StepState, nowMs: number): boolean {
     const {isFormerStopped} = this;
-    const startsUntilMs =
-      this.claimedMs + RIGHT_TO_START_MS * SLOW_CLOCK_FACTOR;
+    const startsUntilMs = this.claimedMs + START_LEASE_MS * SLOW_CLOCK_FACTOR;
     if (!isFormerStopped && nowMs < startsUntilMs) return true;
     if (this.executors.size === 0) return false;
-    const actsUntilMs =
-      this.claimedMs + (isFormerStopped ? 0 : RIGHT_TO_ACT_MS);
+    const actsUntilMs = this.claimedMs + (isFormerStopped ? 0 : OWNER_LEASE_MS);
     const wasAcceptedEarlier = this.jobs.has(occurrence.job.id);
     const untilMs =
-      wasAcceptedEarlier || !isFormerStopped ? actsUntilMs + LEASE_BOUND_MS : 0;
+      wasAcceptedEarlier || !isFormerStopped
+        ? actsUntilMs + MAX_LOCAL_LEASE_MS
+        : 0;
     if (nowMs > untilMs) return false;
     const {service} = occurrence.job.queue;
     for (const executor of this.executors) {
@@ -67,8 +68,8 @@
   }
 
   /** Whether the executor may have runs that it has not listed yet. */
-  mayHold(executor: ExecutorState, nowMs: number): boolean {
+  mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
     if (executor.isReached || !this.executors.has(executor)) return false;
-    return nowMs - this.claimedMs <= RIGHT_TO_ACT_MS + LEASE_BOUND_MS;
+    return nowMs - this.claimedMs <= OWNER_LEASE_MS + MAX_LOCAL_LEASE_MS;
   }
 }
--- a/packages/cell/src/front.ts
+++ b/packages/cell/src/front.ts
@@ -2,7 +2,7 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import type {JobTable} from './job-table.js';
 import type {JobRow} from './messages.js';
-import type {LogLine} from './platform.js';
+import type {LogFunction} from './platform.js';
 import {cancelKey, encodeJob, jobKey} from './records.js';
 import {StoreError, type KeyedRecord, type Store} from './store.js';
 import {isFinal, type JobPhase, type JobSpec, type Queue} from './types.js';
@@ -42,7 +42,7 @@
 }
 
 /** Answer to a submission or a cancel. */
-export type FrontAnswer =
+export type WriteAnswer =
   | {readonly kind: 'done'}
   | {readonly kind: 'noSuchJob'}
   /** Certainly not done; may be retried after that time. */
@@ -69,7 +69,7 @@
   readonly jobsTopic: string;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: LogLine;
+  readonly log: LogFunction;
   readonly table: JobTable;
   readonly lookup: (id: string, timeoutMs: number) => Promise<Lookup>;
   readonly notifyJob: (id: string, value: Uint8Array) => void;
@@ -86,7 +86,7 @@
 type WriteOutcome = 'stored' | 'refused' | 'unknown';
 
 /** Serves the callers of one VM. */
-export class Front {
+export class JobFrontend {
   private pending: PendingWrite[] = [];
   private isWriting = false;
   /** When the append in flight was sent. */
@@ -95,7 +95,7 @@
   private outageStartMs = Number.NaN;
   private readonly inFlightSubmissions = new Map<
     string,
-    Promise<FrontAnswer>
+    Promise<WriteAnswer>
   >();
 
   constructor(private readonly deps: JobFrontendDeps) {}
@@ -104,9 +104,9 @@
    * Submits a job; `done` means that it is stored.
    *
    * @example
-   * const answer = await front.submit({...job, timeoutMs});
+   * const answer = await frontend.submit({...job, timeoutMs});
    */
-  async submit(submission: Submission): Promise<FrontAnswer> {
+  async submit(submission: Submission): Promise<WriteAnswer> {
     const {id} = submission;
     if (this.deps.table.get(id) !== undefined) return {kind: 'done'};
     const inFlight = this.inFlightSubmissions.get(id);
@@ -121,7 +121,7 @@
   }
 
   /** Cancels a job; `done` means that the cancel is stored. */
-  async cancel(id: string, caller: JobCaller): Promise<FrontAnswer> {
+  async cancel(id: string, caller: JobCaller): Promise<WriteAnswer> {
     const {table, log, clock} = this.deps;
     const {row, isSure} = await this.find(id, caller.timeoutMs);
     if (row === null && isSure) return {kind: 'noSuchJob'};
@@ -139,9 +139,9 @@
   }
 
   /** Returns how many jobs of a queue wait, or null while this is unknown. */
-  waitingIn(queue: string): number | null {
+  countWaiting(queue: string): number | null {
     const {table, isTableFresh} = this.deps;
-    return isTableFresh() ? table.waitingIn(queue) : null;
+    return isTableFresh() ? table.countWaiting(queue) : null;
   }
 
   /** Looks up a job's phase. */
@@ -161,7 +161,7 @@
     return lookup;
   }
 
-  private async storeJob(submission: Submission): Promise<FrontAnswer> {
+  private async storeJob(submission: Submission): Promise<WriteAnswer> {
     const {clock, table, metrics, log} = this.deps;
     const {id, queue, organisation, spec} = submission;
     const acceptedMs = clock.wallMs();
@@ -272,7 +272,7 @@
   }
 
   /** Estimates that an outage lasts as long again as it has lasted so far. */
-  private toAnswer(outcome: 'refused' | 'unknown'): FrontAnswer {
+  private toAnswer(outcome: 'refused' | 'unknown'): WriteAnswer {
     if (outcome === 'unknown') return {kind: 'unknown'};
     const nowMs = this.deps.clock.monotonicMs();
     if (Number.isNaN(this.outageStartMs)) this.outageStartMs = nowMs;
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,11 +1,11 @@
 /** Applies an executor's inventories to the owner's state. */
 import type {Inventory} from './executor-client.js';
-import {noteClock, type ExecutorState} from './executor-state.js';
+import {recordClock, type ExecutorState} from './executor-state.js';
 import type {ExecutorHost} from './executor-loop.js';
 import {taskName, type TaskState} from './job-state.js';
 
 /** Longest lease that executors grant, in ms; set by the platform. */
-export const MAX_LEASE_MS = 10_000;
+export const MAX_EXECUTOR_LEASE_MS = 10_000;
 /** Maximum number of ends in one inventory; set by the platform. */
 const MAX_LISTED_ENDS = 500;
 
@@ -33,18 +33,18 @@
         executorId: executor.info.id,
         bornMs,
       });
-      host.state.startNewLife(executor, bornMs, sentMs);
+      host.state.recordRestart(executor, bornMs, sentMs);
       // Orders with times on the clock before the restart may last for the
       // longest lease, to which the executor limits them.
-      executor.leaseUntilMs = inventory.clockMs + MAX_LEASE_MS;
+      executor.leaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
     }
-    if (executor.missed > 0) {
+    if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
     }
-    executor.missed = 0;
+    executor.missedRenewals = 0;
     const wasReached = executor.isReached;
     executor.isReached = true;
-    noteClock(executor, inventory.clockMs, nowMs);
+    recordClock(executor, inventory.clockMs, nowMs);
     const hasNewEnds = this.applyEnds(inventory, nowMs);
     this.applyRuns(inventory, sentMs, nowMs);
     if (hasNewEnds || !wasReached) host.onChange(executor);
@@ -57,7 +57,7 @@
     for (const end of ended) {
       if (end.number <= executor.processedThrough) continue;
       executor.processedThrough = end.number;
-      host.state.noteEnd(executor, end, nowMs);
+      host.state.recordEnd(executor, end, nowMs);
       host.writeLog('runEnded', {
         task: end.task,
         run: end.run,
@@ -78,7 +78,7 @@
     const listed = new Set<string>();
     for (const {task: name, run, checkpoint, percent, usage} of running) {
       listed.add(`${name}#${run}`);
-      const task = host.state.taskNamed(name);
+      const task = host.state.findTaskByName(name);
       if (task?.executor === executor && isSameRun(task, run, sentMs)) {
         task.run = run;
         this.updateRun(task, checkpoint, percent, usage, nowMs);
@@ -91,7 +91,7 @@
           executorId: executor.info.id,
         });
       } else {
-        host.state.noteStray(executor, name, run);
+        host.state.recordOrphan(executor, name, run);
       }
     }
     // If the list of ends is truncated, a missing run may have ended.
@@ -112,14 +112,14 @@
     }
     task.percent = percent;
     task.usage = usage;
-    this.host.state.noteCheckpoint(task, checkpoint);
+    this.host.state.recordCheckpoint(task, checkpoint);
   }
 
   private handleMissingRuns(listed: ReadonlySet<string>, sentMs: number): void {
     const {executor, host} = this;
-    for (const {task, run} of [...executor.strays.values()]) {
+    for (const {task, run} of [...executor.orphans.values()]) {
       if (!listed.has(`${task}#${run}`)) {
-        host.state.dropStray(executor, task, run);
+        host.state.dropOrphan(executor, task, run);
       }
     }
     for (const task of [...executor.tasks]) {
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -32,9 +32,9 @@
   /** The executor of the newest failed run; empty for none. */
   lastFailedOn: string;
   /** Whether it is unknown if the run was ever started. */
-  isDoubtful: boolean;
+  isStartUnconfirmed: boolean;
   /** How many stray runs of the task are being stopped. */
-  strays: number;
+  orphanCount: number;
   /** How many runs were stopped as stragglers. */
   stragglerStops: number;
   /** Earliest time of the next start, on the owner's monotonic clock. */
@@ -90,7 +90,7 @@
   doneOccurrences: number;
   phase: JobPhase;
   /** The phase shown to callers: final phases only once they are stored. */
-  shownPhase: JobPhase;
+  visiblePhase: JobPhase;
   /** When the phase became final, on the owner's monotonic clock. */
   finalMs: number;
   /** Whether a former owner may have started tasks that are not known here. */
@@ -121,7 +121,7 @@
     occurrences,
     doneOccurrences: 0,
     phase: 'queued',
-    shownPhase: 'queued',
+    visiblePhase: 'queued',
     finalMs: 0,
     mayHaveUnknownRuns: false,
     isOverRate: false,
@@ -181,8 +181,8 @@
     failedRuns: [],
     checkpoint: '',
     lastFailedOn: '',
-    isDoubtful: false,
-    strays: 0,
+    isStartUnconfirmed: false,
+    orphanCount: 0,
     stragglerStops: 0,
     notBeforeMs: 0,
     percent: 100,
--- a/packages/cell/src/job-table.ts
+++ b/packages/cell/src/job-table.ts
@@ -42,7 +42,7 @@
   }
 
   /** Returns how many accepted jobs of a queue have not started. */
-  waitingIn(queue: string): number {
+  countWaiting(queue: string): number {
     return this.waiting.get(queue) ?? 0;
   }
 
@@ -60,6 +60,6 @@
 
   private count({phase, queue}: JobRow, change: number): void {
     if (phase !== 'queued') return;
-    this.waiting.set(queue, this.waitingIn(queue) + change);
+    this.waiting.set(queue, this.countWaiting(queue) + change);
   }
 }
--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 import {Follower} from './follower.js';
 import {JOBS_TOPICS} from './records.js';
-import type {PlacedRecord, Store} from './store.js';
+import type {StoredRecord, Store} from './store.js';
 
 /** How long a caller's lookup waits until the jobs are read, in ms. */
 const READ_TIMEOUT_MS = 500;
@@ -18,7 +18,7 @@
     store: Store,
     private readonly clock: Clock,
     pauseMs: number,
-    onRecord: (record: PlacedRecord) => void,
+    onRecord: (record: StoredRecord) => void,
   ) {
     this.followers = JOBS_TOPICS.map(
       topic =>
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -3,7 +3,7 @@
 import type {OwnerAddress} from './ownership.js';
 import type {
   KeyedRecord,
-  PlacedRecord,
+  StoredRecord,
   Producer,
   StoreFailure,
 } from './store.js';
@@ -137,7 +137,7 @@
   readonly failure: StoreFailure | null;
   readonly expectedSequence: number;
   readonly endOffset: number;
-  readonly records: readonly PlacedRecord[];
+  readonly records: readonly StoredRecord[];
 }
 
 /** All messages of the cell. */
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,22 +1,22 @@
 /** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import {AdviceDesk, type AdviceLane} from './advice-desk.js';
+import {TicketRequester, type AdviceChannel} from './advice-desk.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './front.js';
-import {FormerRuns} from './former-runs.js';
+import {FormerOwnerRuns} from './former-runs.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
-import {RIGHT_TO_START_MS, type Ownership} from './ownership.js';
-import type {LogLine, Platform} from './platform.js';
+import {START_LEASE_MS, type Ownership} from './ownership.js';
+import type {LogFunction, Platform} from './platform.js';
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
 import {decodeJobsRecord, jobKey} from './records.js';
-import {Review} from './review.js';
+import {RuntimeMonitor} from './review.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
 import {stateLines} from './state-lines.js';
@@ -39,13 +39,13 @@
   readonly store: Store;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: LogLine;
+  readonly log: LogFunction;
   readonly ownership: Ownership;
   /** Whether the former owner is known to have stopped. */
   readonly isFormerStopped: boolean;
   /** Whether every VM of the cell is connected and none knows a newer owner. */
   readonly isConnectedToAll: () => boolean;
-  readonly lanes: () => readonly AdviceLane[];
+  readonly adviceChannels: () => readonly AdviceChannel[];
   /** Sends changed phases to the VMs that serve callers. */
   readonly publish: (rows: readonly JobRow[]) => void;
 }
@@ -54,12 +54,12 @@
 export class Owner {
   readonly state: CellState;
   private readonly loops = new Map<string, ExecutorLoop>();
-  private readonly desk: AdviceDesk;
+  private readonly ticketRequester: TicketRequester;
   private readonly writer: ProgressWriter;
   private readonly feed: CellFeed;
   private readonly commit: ProgressCommit;
-  private readonly formerRuns: FormerRuns;
-  private readonly review: Review;
+  private readonly formerOwnerRuns: FormerOwnerRuns;
+  private readonly runtimeMonitor: RuntimeMonitor;
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private isActive = false;
@@ -72,10 +72,10 @@
   constructor(private readonly deps: OwnerDeps) {
     const {clock, store, ownership, isFormerStopped} = deps;
     this.claimedMs = clock.monotonicMs();
-    this.formerRuns = new FormerRuns(this.claimedMs, isFormerStopped);
+    this.formerOwnerRuns = new FormerOwnerRuns(this.claimedMs, isFormerStopped);
     this.state = this.createState();
-    this.desk = new AdviceDesk(
-      deps.lanes,
+    this.ticketRequester = new TicketRequester(
+      deps.adviceChannels,
       () => clock.monotonicMs(),
       () => this.requestRound(),
     );
@@ -83,18 +83,23 @@
     this.writer = new ProgressWriter(store, clock, ownership.term, mayWrite);
     this.commit = this.createCommit();
     this.feed = this.createFeed();
-    this.review = new Review(this.state, clock, deps.log, (task, percent) => {
-      const executorId = task.executor?.info.id ?? '';
-      void this.loops.get(executorId)?.pace(task, percent);
-    });
+    this.runtimeMonitor = new RuntimeMonitor(
+      this.state,
+      clock,
+      deps.log,
+      (task, percent) => {
+        const executorId = task.executor?.info.id ?? '';
+        void this.loops.get(executorId)?.limitCpu(task, percent);
+      },
+    );
   }
 
   private createState(): CellState {
     return new CellState(this.deps.ownership.term, {
-      onDirty: job => this.commit.addJob(job),
-      onPhase: job => this.recordPhaseChange(job),
+      onProgress: job => this.commit.addJob(job),
+      onPhaseChange: job => this.recordPhaseChange(job),
       onStop: task => this.sendStop(task),
-      onStray: (executor, name, run) => {
+      onOrphan: (executor, name, run) => {
         void this.loops.get(executor.info.id)?.stop(name, run, null);
       },
     });
@@ -113,12 +118,12 @@
   }
 
   private createFeed(): CellFeed {
-    const {state, writer, formerRuns, deps} = this;
+    const {state, writer, formerOwnerRuns, deps} = this;
     return new CellFeed({
       ...deps,
       state,
       writer,
-      formerRuns,
+      formerOwnerRuns,
       onJob: job => {
         if (this.isActive) this.recordPhaseChange(job);
       },
@@ -128,11 +133,11 @@
         this.requestRound();
       },
       onFormerExecutor: executor => {
-        this.commit.dropExecutor(executor);
+        this.commit.removeExecutor(executor);
         this.startExecutorLoop(executor);
       },
       onAddressChanged: executor => this.restartExecutorLoop(executor),
-      onDraining: executor => this.review.leave(executor),
+      onDraining: executor => this.runtimeMonitor.drainExecutor(executor),
     });
   }
 
@@ -244,7 +249,7 @@
         ownership.revoke();
       },
       onChange: executor => {
-        this.formerRuns.dropExecutor(executor);
+        this.formerOwnerRuns.removeExecutor(executor);
         this.commit.wake();
         this.requestRound();
       },
@@ -258,7 +263,7 @@
 
   private mayStart(): boolean {
     const {ownership, isConnectedToAll} = this.deps;
-    const hasRecentHeartbeat = ownership.isConfirmedWithin(RIGHT_TO_START_MS);
+    const hasRecentHeartbeat = ownership.isConfirmedWithin(START_LEASE_MS);
     return this.mayAct() && (hasRecentHeartbeat || isConnectedToAll());
   }
 
@@ -298,7 +303,7 @@
       if (decision.kind === 'start') {
         decision.tasks.forEach(t => this.sendStart(t));
       } else {
-        this.desk.request(decision);
+        this.ticketRequester.request(decision);
       }
     }
     this.roundMs = clock.monotonicMs() - nowMs;
@@ -310,7 +315,8 @@
     return {
       nowMs,
       wallMs: this.deps.clock.wallMs(),
-      isUnsure: step => this.formerRuns.mayRun(step, nowMs),
+      mayHaveUnknownRuns: step =>
+        this.formerOwnerRuns.mayHaveUnknownRuns(step, nowMs),
     };
   }
 
@@ -344,10 +350,10 @@
 
   private tick(): void {
     if (!this.mayAct()) return;
-    this.review.run();
+    this.runtimeMonitor.checkExecutors();
     this.logState();
     this.removeGoneExecutors();
-    this.forgetExpiredJobs();
+    this.removeExpiredJobs();
     this.requestRound();
   }
 
@@ -360,7 +366,7 @@
     for (const {event, fields} of stateLines(this.state, context)) {
       this.deps.log(event, fields);
     }
-    for (const row of this.desk.takeReport()) {
+    for (const row of this.ticketRequester.takeReport()) {
       this.deps.log('adviceState', {...row});
     }
   }
@@ -368,11 +374,11 @@
   private removeGoneExecutors(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const executor of [...this.state.executors.values()]) {
-      const {isListed, tasks, strays, info} = executor;
-      if (isListed || tasks.size > 0 || strays.size > 0) continue;
-      if (this.formerRuns.mayHold(executor, nowMs)) continue;
+      const {isListed, tasks, orphans, info} = executor;
+      if (isListed || tasks.size > 0 || orphans.size > 0) continue;
+      if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
-      this.formerRuns.dropExecutor(executor);
+      this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
       this.state.executors.delete(info.id);
@@ -380,16 +386,16 @@
     }
   }
 
-  private forgetExpiredJobs(): void {
+  private removeExpiredJobs(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const job of this.state.jobs.values()) {
       if (job.finalMs === 0 || nowMs - job.finalMs < FINAL_TTL_MS) continue;
-      this.state.forgetJob(job.id);
-      if (!this.state.jobs.has(job.id)) this.commit.addForgottenJob(job.id);
+      this.state.removeJob(job.id);
+      if (!this.state.jobs.has(job.id)) this.commit.addExpiredJob(job.id);
     }
   }
 }
 
-function toRow({id, shownPhase, queue, organisation}: JobState): JobRow {
-  return {id, phase: shownPhase, queue: queue.name, organisation};
+function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
+  return {id, phase: visiblePhase, queue: queue.name, organisation};
 }
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -8,13 +8,13 @@
 /** Interval of an owner's heartbeats in the store, in ms. */
 export const OWNER_HEARTBEAT_MS = 500;
 /** An owner whose newest heartbeat is older stops acting, in ms. */
-export const RIGHT_TO_ACT_MS = 8000;
+export const OWNER_LEASE_MS = 8000;
 
 /**
  * An owner whose newest heartbeat is older starts nothing, unless every VM is
  * connected to it: a VM that claims the cell would have notified it. In ms.
  */
-export const RIGHT_TO_START_MS = 800;
+export const START_LEASE_MS = 800;
 
 const OWNER_KEY = 'cell';
 const HEARTBEAT_TIMEOUT_MS = 1000;
@@ -150,7 +150,7 @@
    * monotonic clock stops while the machine is suspended.
    */
   mayAct(): boolean {
-    return this.isConfirmedWithin(RIGHT_TO_ACT_MS);
+    return this.isConfirmedWithin(OWNER_LEASE_MS);
   }
 
   /** Whether the newest confirmed write was sent within the given time. */
--- a/packages/cell/src/place.ts
+++ b/packages/cell/src/place.ts
@@ -60,7 +60,7 @@
   return (
     executor.isListed &&
     executor.isReached &&
-    executor.missed === 0 &&
+    executor.missedRenewals === 0 &&
     !executor.info.isDraining &&
     executor.avoidUntilMs <= nowMs
   );
--- a/packages/cell/src/platform.ts
+++ b/packages/cell/src/platform.ts
@@ -1,6 +1,6 @@
 /** Interface between the cell and the platform that it runs on. */
 import type {AdviceClient, ExecutorClient} from './executor-client.js';
-import type {PlacedRecord, Store} from './store.js';
+import type {StoredRecord, Store} from './store.js';
 import type {CellConfig, ExecutorInfo} from './types.js';
 
 /** Access to the platform; one instance per process. */
@@ -15,12 +15,12 @@
   abstract readonly operatorTopic: string;
 
   /** Decodes an executor's record; null if the executor may not be used. */
-  abstract decodeExecutor(record: PlacedRecord): ExecutorInfo | null;
+  abstract decodeExecutor(record: StoredRecord): ExecutorInfo | null;
   /** Decodes an operator's record; null if it holds no configuration. */
-  abstract decodeConfig(record: PlacedRecord): CellConfig | null;
+  abstract decodeConfig(record: StoredRecord): CellConfig | null;
   /** Opens a client of one executor process. */
   abstract connect(info: ExecutorInfo): ExecutorClient;
 }
 
 /** Writes a structured log entry; bounded in size, and never blocks. */
-export type LogLine = (event: string, fields: Readonly<object>) => void;
+export type LogFunction = (event: string, fields: Readonly<object>) => void;
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -5,7 +5,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {JobState} from './job-state.js';
 import type {Ownership} from './ownership.js';
-import type {LogLine} from './platform.js';
+import type {LogFunction} from './platform.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
   cancelKey,
@@ -31,7 +31,7 @@
   readonly writer: ProgressWriter;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: LogLine;
+  readonly log: LogFunction;
   readonly ownership: Ownership;
   /** Called when an executor's record is stored: it may be given work. */
   readonly onExecutorStored: (executor: ExecutorState) => void;
@@ -46,7 +46,7 @@
   private readonly dirtyJobs = new Set<JobState>();
   private readonly newExecutors = new Set<ExecutorState>();
   private readonly goneExecutors = new Set<string>();
-  private readonly forgottenJobs: string[] = [];
+  private readonly expiredJobs: string[] = [];
   private readonly signal: Signal;
   private isClosed = false;
 
@@ -88,7 +88,7 @@
   }
 
   /** Unmarks an executor whose record is stored already. */
-  dropExecutor(executor: ExecutorState): void {
+  removeExecutor(executor: ExecutorState): void {
     this.newExecutors.delete(executor);
   }
 
@@ -100,8 +100,8 @@
   }
 
   /** Marks a job that ended long ago to be deleted from the store. */
-  addForgottenJob(jobId: string): void {
-    this.forgottenJobs.push(jobId);
+  addExpiredJob(jobId: string): void {
+    this.expiredJobs.push(jobId);
   }
 
   /** Stores all changes, then acknowledges ends and publishes final phases. */
@@ -110,7 +110,7 @@
     const jobs = [...this.dirtyJobs];
     const executors = [...this.newExecutors];
     const gone = [...this.goneExecutors];
-    const forgotten = this.forgottenJobs.splice(0);
+    const expired = this.expiredJobs.splice(0);
     this.dirtyJobs.clear();
     this.newExecutors.clear();
     this.goneExecutors.clear();
@@ -118,10 +118,10 @@
       ...jobs.map(progressRecord),
       ...executors.map(executorRecord),
       ...gone.map(id => tombstone(EXECUTOR_PREFIX + id)),
-      ...forgotten.map(id => tombstone(PROGRESS_PREFIX + id)),
+      ...expired.map(id => tombstone(PROGRESS_PREFIX + id)),
     ];
     if (records.length > 0 && !(await this.store(records))) return false;
-    if (forgotten.length > 0) void this.deleteStoredJobs(forgotten);
+    if (expired.length > 0) void this.deleteStoredJobs(expired);
     for (const executor of executors) this.deps.onExecutorStored(executor);
     for (const ack of acks) this.acknowledge(ack);
     this.publishFinal(jobs);
@@ -168,7 +168,7 @@
     const final = jobs.filter(job => isFinal(job.phase) && job.finalMs === 0);
     if (final.length === 0) return;
     for (const job of final) {
-      job.shownPhase = job.phase;
+      job.visiblePhase = job.phase;
       job.finalMs = this.deps.clock.monotonicMs();
       const tookMs = this.deps.clock.wallMs() - job.acceptedMs;
       const {queue, organisation, phase} = job;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -157,7 +157,7 @@
   const record = decode(value as Buffer) as ProgressRecord;
   for (const row of record.steps) applyStepRow(job, row);
   if (record.phase !== 'queued') job.phase = record.phase;
-  job.shownPhase = job.phase;
+  job.visiblePhase = job.phase;
 }
 
 function applyStepRow(job: JobState, row: StepRow): void {
--- a/packages/cell/src/review.ts
+++ b/packages/cell/src/review.ts
@@ -4,7 +4,7 @@
 import type {ExecutorState} from './executor-state.js';
 import {taskName, type TaskState} from './job-state.js';
 import {nextFillerPercent} from './pacing.js';
-import type {LogLine} from './platform.js';
+import type {LogFunction} from './platform.js';
 
 /** A run that takes this many times its expected time is a straggler. */
 const STRAGGLER_FACTOR = 2.5;
@@ -15,27 +15,27 @@
 /** How long an executor gets no new tasks after a straggler, in ms. */
 const STRAGGLER_AVOID_MS = 2000;
 /** Least time between two changes of an executor's filler percentage, in ms. */
-const PACE_CHANGE_INTERVAL_MS = 400;
+const THROTTLE_CHANGE_INTERVAL_MS = 400;
 /** Time allowed for stopping a task before its executor shuts down, in ms. */
 const SHUTDOWN_MARGIN_MS = 1200;
 
 /** Checks running work and stops or throttles tasks where needed. */
-export class Review {
-  private readonly lastPaceChangeMs = new WeakMap<ExecutorState, number>();
+export class RuntimeMonitor {
+  private readonly lastThrottleChangeMs = new WeakMap<ExecutorState, number>();
   private readonly shutdownAtMs = new WeakMap<ExecutorState, number>();
 
   constructor(
     private readonly state: CellState,
     private readonly clock: Clock,
-    private readonly log: LogLine,
-    private readonly setPace: (task: TaskState, percent: number) => void,
+    private readonly log: LogFunction,
+    private readonly limitCpu: (task: TaskState, percent: number) => void,
   ) {}
 
   /** Checks all executors; called on every tick. */
-  run(): void {
+  checkExecutors(): void {
     const nowMs = this.clock.monotonicMs();
     for (const executor of this.state.executors.values()) {
-      if (executor.tasks.size === 0 || executor.missed > 0) continue;
+      if (executor.tasks.size === 0 || executor.missedRenewals > 0) continue;
       this.stopStragglers(executor, nowMs);
       this.adjustFillerPercent(executor, nowMs);
       if (executor.info.isDraining) this.evacuate(executor, nowMs);
@@ -43,7 +43,7 @@
   }
 
   /** Notes that an executor is draining and moves its tasks away. */
-  leave(executor: ExecutorState): void {
+  drainExecutor(executor: ExecutorState): void {
     const nowMs = this.clock.monotonicMs();
     const remainingMs = Math.max(0, executor.info.drainRemainingMs);
     this.shutdownAtMs.set(executor, nowMs + remainingMs);
@@ -101,9 +101,9 @@
   private adjustFillerPercent(executor: ExecutorState, nowMs: number): void {
     const latencyRatio = worstLatencyRatio(executor);
     if (latencyRatio === null && executor.fillerPercent === 100) return;
-    const lastMs = this.lastPaceChangeMs.get(executor) ?? -Infinity;
-    if (nowMs - lastMs >= PACE_CHANGE_INTERVAL_MS) {
-      this.lastPaceChangeMs.set(executor, nowMs);
+    const lastMs = this.lastThrottleChangeMs.get(executor) ?? -Infinity;
+    if (nowMs - lastMs >= THROTTLE_CHANGE_INTERVAL_MS) {
+      this.lastThrottleChangeMs.set(executor, nowMs);
       executor.fillerPercent = nextFillerPercent(
         executor.fillerPercent,
         latencyRatio ?? 0,
@@ -113,7 +113,7 @@
       const {phase, step, percent} = task;
       if (phase !== 'running' || !step.spec.isFiller) continue;
       if (percent !== executor.fillerPercent) {
-        this.setPace(task, executor.fillerPercent);
+        this.limitCpu(task, executor.fillerPercent);
       }
     }
   }
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -13,7 +13,7 @@
    * Whether a former owner may have started tasks of the step that this owner
    * does not know of.
    */
-  readonly isUnsure: (step: StepState) => boolean;
+  readonly mayHaveUnknownRuns: (step: StepState) => boolean;
 }
 
 /** A scheduling round in progress. */
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -49,7 +49,9 @@
   context: RoundContext,
 ): Generator<Decision> {
   const ready = [...state.readySteps(context.wallMs)].filter(
-    step => hasStartableTask(step, context.nowMs) && !context.isUnsure(step),
+    step =>
+      hasStartableTask(step, context.nowMs) &&
+      !context.mayHaveUnknownRuns(step),
   );
   if (ready.length === 0) return;
   const round: Round = {
@@ -70,8 +72,8 @@
 }
 
 function isStartable(task: TaskState, nowMs: number): boolean {
-  const {phase, notBeforeMs, strays} = task;
-  return phase === 'waiting' && notBeforeMs <= nowMs && strays === 0;
+  const {phase, notBeforeMs, orphanCount} = task;
+  return phase === 'waiting' && notBeforeMs <= nowMs && orphanCount === 0;
 }
 
 function* scheduleStep(ranked: RankedStep, round: Round): Generator<Decision> {
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -31,14 +31,14 @@
 }
 
 /** A record with its offset in the partition. */
-export interface PlacedRecord extends KeyedRecord {
+export interface StoredRecord extends KeyedRecord {
   readonly offset: number;
 }
 
 /** A page of a partition. */
 export interface LogPage {
   readonly endOffset: number;
-  readonly records: readonly PlacedRecord[];
+  readonly records: readonly StoredRecord[];
 }
 
 /** Identifies a writer of a partition, for fencing and deduplication. */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -10,7 +10,7 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
-import type {PlacedRecord, Store} from './store.js';
+import type {StoredRecord, Store} from './store.js';
 import {isFinal} from './types.js';
 
 /** Pause between two reads, in ms. */
@@ -72,7 +72,7 @@
     return ageMs < MAX_READ_AGE_MS;
   }
 
-  private applyJobRecord({key, value}: PlacedRecord): void {
+  private applyJobRecord({key, value}: StoredRecord): void {
     const entry = decodeJobsRecord(key, value);
     if (entry?.kind === 'job') {
       const {id, queue, organisation} = entry.job;
@@ -81,7 +81,7 @@
     if (entry?.kind === 'cancel') this.setPhase(entry.id, 'cancelled');
   }
 
-  private applyProgressRecord({key, value}: PlacedRecord): void {
+  private applyProgressRecord({key, value}: StoredRecord): void {
     if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
     const phase = decodePhase(value);
     const id = key.slice(PROGRESS_PREFIX.length);
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -10,9 +10,9 @@
 /** The VM's state when the freshness is checked. */
 export interface TableSource {
   /** The term of the owner that the VM is connected to, or 0. */
-  readonly linkedTerm: number;
+  readonly connectedTerm: number;
   /** Whether the VM itself knows all jobs, as the owner or from the store. */
-  readonly isSureItself: boolean;
+  readonly knowsAllJobs: boolean;
 }
 
 /** Tracks the owner's updates and the jobs that it was notified of. */
@@ -25,18 +25,18 @@
   constructor(private readonly clock: Clock) {}
 
   /** Records that the table holds all rows of the owner of a term. */
-  noteFull(term: number): void {
+  recordFullUpdate(term: number): void {
     this.fullUpdateTerm = term;
     this.notifiedMs.clear();
   }
 
   /** Records that the owner was notified of a stored job. */
-  noteTold(jobId: string): void {
+  recordNotified(jobId: string): void {
     this.notifiedMs.set(jobId, this.clock.monotonicMs());
   }
 
   /** Records that the owner has shown a job, or that the job has ended. */
-  noteShown(jobId: string): void {
+  recordShown(jobId: string): void {
     this.notifiedMs.delete(jobId);
   }
 
@@ -49,9 +49,9 @@
 
   /** An owner that does not show jobs it was notified of lags behind. */
   private isComplete(source: TableSource, nowMs: number): boolean {
-    if (source.isSureItself) return true;
+    if (source.knowsAllJobs) return true;
     const isFull =
-      source.linkedTerm > 0 && source.linkedTerm === this.fullUpdateTerm;
+      source.connectedTerm > 0 && source.connectedTerm === this.fullUpdateTerm;
     const [oldestMs = nowMs] = this.notifiedMs.values();
     return isFull && nowMs - oldestMs < FRESHNESS_MS;
   }
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -94,7 +94,7 @@
   /** Organisation by API key. */
   readonly keys: ReadonlyMap<string, string>;
   /** Services whose executors reject tasks that exceed their capacity. */
-  readonly guardedServices: ReadonlySet<string>;
+  readonly overloadRejectingServices: ReadonlySet<string>;
   readonly maxBodyBytes: number;
 }
 
@@ -120,7 +120,7 @@
   'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /** How a run of a task ended. */
-export type RunEnd =
+export type RunOutcome =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
 /** Whether a phase is final. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -1,10 +1,10 @@
 /** One VM of the cell: wires up peers, configuration, election and callers. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import type {AdviceLane} from './advice-desk.js';
-import {adviceLanes} from './advice-lanes.js';
+import type {AdviceChannel} from './advice-desk.js';
+import {adviceChannels} from './advice-lanes.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
-import {Front, type Lookup} from './front.js';
+import {JobFrontend, type Lookup} from './front.js';
 import {JobTable} from './job-table.js';
 import {
   MemberHandler,
@@ -23,7 +23,7 @@
 } from './messages.js';
 import {Owner} from './owner.js';
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
-import type {LogLine, Platform} from './platform.js';
+import type {LogFunction, Platform} from './platform.js';
 import {jobsTopicFor} from './records.js';
 import {executeStoreCall, RelayedStore} from './relayed-store.js';
 import {StoreError} from './store.js';
@@ -46,12 +46,12 @@
   readonly platform: Platform;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: LogLine;
+  readonly log: LogFunction;
 }
 
 /** The process of the cell on one VM. */
 export class Vm extends MemberHandler {
-  readonly front: Front;
+  readonly frontend: JobFrontend;
   private readonly table: JobTable;
   private readonly members: Members;
   private readonly store: RelayedStore;
@@ -84,7 +84,7 @@
       },
     });
     this.storedJobs = new StoredJobs(this.store, clock, this.table);
-    this.front = new Front({
+    this.frontend = new JobFrontend({
       store: this.store,
       jobsTopic: jobsTopicFor(self.vm),
       clock,
@@ -240,15 +240,18 @@
   private handleJobRows({rows, isFull, term}: JobsNotice): void {
     for (const row of rows) {
       this.table.set(row);
-      this.freshness.noteShown(row.id);
+      this.freshness.recordShown(row.id);
     }
-    if (isFull) this.freshness.noteFull(term);
+    if (isFull) this.freshness.recordFullUpdate(term);
   }
 
   private isTableFresh(): boolean {
-    const linkedTerm = this.election.hasOwner() ? this.election.term : 0;
-    const isSureItself = this.owner?.isJobListFresh ?? this.storedJobs.isFresh;
-    return this.freshness.isFresh({linkedTerm, isSureItself});
+    const connectedTerm = this.election.hasOwner() ? this.election.term : 0;
+    const knowsAllJobs = this.owner?.isJobListFresh ?? this.storedJobs.isFresh;
+    return this.freshness.isFresh({
+      connectedTerm,
+      knowsAllJobs,
+    });
   }
 
   private setDetached(isDetached: boolean): void {
@@ -270,7 +273,7 @@
 
   private notifyJob(id: string, value: Uint8Array): void {
     if (this.owner !== null) return this.owner.addStoredJob(value);
-    this.freshness.noteTold(id);
+    this.freshness.recordNotified(id);
     this.election.ownerConnection()?.notify({type: 'job', value});
   }
 
@@ -319,9 +322,9 @@
   private createOwner(ownership: Ownership, isFormerStopped: boolean): Owner {
     const {platform, clock, metrics, log, self, domain} = this.deps;
     const {store, members} = this;
-    const ask: AdviceLane['ask'] = (step, executorIds, timeoutMs) =>
+    const ask: AdviceChannel['ask'] = (step, executorIds, timeoutMs) =>
       this.advise({step, executorIds, timeoutMs});
-    const lanes = {vm: self.vm, domain, members, ask};
+    const channelDeps = {vm: self.vm, domain, members, ask};
     return new Owner({
       platform,
       store,
@@ -331,7 +334,7 @@
       ownership,
       isFormerStopped,
       isConnectedToAll: () => members.isConnectedToAll(),
-      lanes: () => [...adviceLanes(lanes)],
+      adviceChannels: () => [...adviceChannels(channelDeps)],
       publish: rows => this.publish(rows, ownership.term),
     });
   }
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -38,7 +38,7 @@
 ): WaitReason {
   const {step} = ranked;
   const {spec, occurrence, tasks} = step;
-  if (round.isUnsure(step)) return 'unsure';
+  if (round.mayHaveUnknownRuns(step)) return 'unsure';
   if (!tasks.some(each => each.notBeforeMs <= round.nowMs)) return 'pausing';
   const {organisation} = occurrence.job;
   const count = spec.isGang ? tasks.length : 1;
--- a/packages/cell/test/advice-load.test.ts
+++ b/packages/cell/test/advice-load.test.ts
@@ -6,10 +6,10 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-  AdviceDesk,
+  TicketRequester,
   CellState,
   decideRound,
-  type AdviceLane,
+  type AdviceChannel,
   type ExecutorInfo,
   type Queue,
   type StepSpec,
@@ -67,7 +67,7 @@
 class LoadSimulation {
   nowMs = 1000;
   readonly state: CellState;
-  private readonly desk: AdviceDesk;
+  private readonly ticketRequester: TicketRequester;
   private scheduledEnds: ScheduledEnd[] = [];
   private pendingAnswers: {
     readonly atMs: number;
@@ -77,14 +77,14 @@
 
   constructor() {
     this.state = new CellState(1, {
-      onDirty: () => undefined,
-      onPhase: () => undefined,
+      onProgress: () => undefined,
+      onPhaseChange: () => undefined,
       onStop: () => undefined,
-      onStray: () => undefined,
+      onOrphan: () => undefined,
     });
     this.state.setConfig({...CONFIG, queues: [GANGS, BATCH]});
     const channels = [...Array(VM_COUNT).keys()].map(i => this.newChannel(i));
-    this.desk = new AdviceDesk(
+    this.ticketRequester = new TicketRequester(
       () => channels,
       () => this.nowMs,
       () => undefined,
@@ -141,7 +141,7 @@
     ).length;
   }
 
-  private newChannel(index: number): AdviceLane {
+  private newChannel(index: number): AdviceChannel {
     return {
       vm: `vm-${index}`,
       isInOwnerDomain: index === 0,
@@ -186,7 +186,7 @@
         how: 'done' as const,
         checkpoint: '',
       };
-      this.state.noteEnd(task.executor, end, this.nowMs);
+      this.state.recordEnd(task.executor, end, this.nowMs);
     }
   }
 
@@ -194,11 +194,11 @@
     const context = {
       nowMs: this.nowMs,
       wallMs: this.nowMs,
-      isUnsure: () => false,
+      mayHaveUnknownRuns: () => false,
     };
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'advise') {
-        this.desk.request(decision);
+        this.ticketRequester.request(decision);
         continue;
       }
       for (const task of decision.tasks) {
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -28,10 +28,10 @@
 function newState(): CellState {
   stopped.length = 0;
   const state = new CellState(1, {
-    onDirty: () => undefined,
-    onPhase: () => undefined,
+    onProgress: () => undefined,
+    onPhaseChange: () => undefined,
     onStop: task => stopped.push(`${task.step.occurrence.job.id}`),
-    onStray: () => undefined,
+    onOrphan: () => undefined,
   });
   state.setConfig({...CONFIG, queues: [URGENT, QUEUE, BATCH]});
   return state;
@@ -80,8 +80,14 @@
 }
 
 function decide(state: CellState, nowMs = NOW_MS): readonly Decision[] {
-  const isUnsure = (): boolean => false;
-  return [...decideRound(state, {nowMs, wallMs: NOW_MS, isUnsure})];
+  const mayHaveUnknownRuns = (): boolean => false;
+  return [
+    ...decideRound(state, {
+      nowMs,
+      wallMs: NOW_MS,
+      mayHaveUnknownRuns,
+    }),
+  ];
 }
 
 function countTicketRequests(state: CellState): number {
@@ -264,7 +270,7 @@
   markRunning(job);
   const [first] = job.occurrences[0]?.steps[0]?.tasks ?? [];
   const end = {number: 1, task: 'j.0.0.0', run: 1, checkpoint: ''};
-  state.noteEnd(x, {...end, how: 'failed'}, NOW_MS);
+  state.recordEnd(x, {...end, how: 'failed'}, NOW_MS);
   assert.is(first?.phase, 'waiting');
   assert.equal(stopped, ['j']);
 });
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -3,12 +3,12 @@
 import {
   ExecutorClient,
   type ExecutorInfo,
-  type HoldOrder,
+  type RenewLeaseOrder,
   type Inventory,
-  type ListedEnd,
+  type EndedRun,
   type OrderFailure,
   type OrderReply,
-  type RunEnd,
+  type RunOutcome,
   type StartOrder,
 } from '@dragonflyward/cell';
 
@@ -22,22 +22,22 @@
 }
 
 /** Observes the actual runs, to check the scheduling rules. */
-export interface RunWitness {
+export interface RunObserver {
   readonly started: (executor: FakeExecutor, order: StartOrder) => void;
   readonly ended: (
     executor: FakeExecutor,
     task: string,
     run: number,
-    how: RunEnd | 'lost',
+    how: RunOutcome | 'lost',
   ) => void;
-  readonly acked: (task: string, run: number, how: RunEnd) => void;
+  readonly acked: (task: string, run: number, how: RunOutcome) => void;
 }
 
 /** Decides how long a run takes and how it ends. */
 export type Behaviour = (
   task: string,
   run: number,
-) => {readonly ms: number; readonly how: RunEnd};
+) => {readonly ms: number; readonly how: RunOutcome};
 
 const STOP_MS = 300;
 /** Interval at which ends of runs are checked, in ms. */
@@ -48,7 +48,7 @@
 /** One executor across restarts. */
 export class FakeExecutor {
   readonly runs = new Map<string, FakeRun>();
-  private ended: ListedEnd[] = [];
+  private ended: EndedRun[] = [];
   private readonly stopped = new Map<string, number>();
   private token = 0;
   private leaseUntilMs = 0;
@@ -63,7 +63,7 @@
   isDown = false;
   /** Number of next orders that get no answer and are carried out late. */
   delayedOrders = 0;
-  lateMs = 4000;
+  orderDelayMs = 4000;
   latencyMs = 10;
 
   constructor(
@@ -71,7 +71,7 @@
     readonly info: ExecutorInfo,
     private readonly clock: Clock,
     private readonly behave: Behaviour,
-    private readonly observer: RunWitness,
+    private readonly observer: RunObserver,
   ) {
     this.bornAtMs = clock.monotonicMs();
     this.bornMs = clock.wallMs() + 1;
@@ -129,11 +129,11 @@
     return null;
   }
 
-  hold({
+  renewLease({
     token,
     leaseUntilMs,
     ackedThrough,
-  }: HoldOrder): Inventory | OrderFailure {
+  }: RenewLeaseOrder): Inventory | OrderFailure {
     if (token < this.token) return 'fenced';
     this.token = token;
     this.expire();
@@ -171,9 +171,9 @@
 
   private expire(): void {
     const nowMs = this.clock.monotonicMs();
-    const hasLapsed = this.clockMs() >= this.leaseUntilMs;
+    const hasLeaseExpired = this.clockMs() >= this.leaseUntilMs;
     for (const run of [...this.runs.values()]) {
-      if (hasLapsed) this.end(run, 'lapsed');
+      if (hasLeaseExpired) this.end(run, 'lapsed');
       else if (nowMs >= run.endsMs) {
         const {how} = this.behave(run.task, run.run);
         this.end(run, run.isStopping ? 'stopped' : how);
@@ -181,7 +181,7 @@
     }
   }
 
-  private end({task, run}: FakeRun, how: RunEnd): void {
+  private end({task, run}: FakeRun, how: RunOutcome): void {
     this.runs.delete(task);
     this.lastEnd += 1;
     this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0));
@@ -209,14 +209,16 @@
     return this.send(() => this.executor.stop(task, run, token));
   }
 
-  override pace(): Promise<OrderReply> {
+  override limitCpu(): Promise<OrderReply> {
     return this.send(() => null);
   }
 
-  override async hold(order: HoldOrder): Promise<Inventory | OrderReply> {
+  override async renewLease(
+    order: RenewLeaseOrder,
+  ): Promise<Inventory | OrderReply> {
     let inventory: Inventory | OrderFailure = 'unknown';
     const reply = await this.send(() => {
-      inventory = this.executor.hold(order);
+      inventory = this.executor.renewLease(order);
       return typeof inventory === 'string' ? inventory : null;
     });
     return reply.failure === null && typeof inventory !== 'string'
@@ -244,8 +246,8 @@
   }
 
   private async sendDelayed(order: () => OrderFailure | null): Promise<void> {
-    const {bornMs, lateMs} = this.executor;
-    await this.clock.sleep(lateMs);
+    const {bornMs, orderDelayMs} = this.executor;
+    await this.clock.sleep(orderDelayMs);
     // A restarted executor knows no token and could not refuse a late order, so
     // the order is dropped.
     if (!this.executor.isDown && this.executor.bornMs === bornMs) order();
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -6,7 +6,7 @@
   type AppendOptions,
   type KeyedRecord,
   type LogPage,
-  type PlacedRecord,
+  type StoredRecord,
 } from '@dragonflyward/cell';
 
 interface LastAppend {
@@ -18,8 +18,8 @@
 
 interface Topic {
   first: number;
-  readonly log: PlacedRecord[];
-  readonly newest: Map<string, PlacedRecord>;
+  readonly log: StoredRecord[];
+  readonly newest: Map<string, StoredRecord>;
   readonly producers: Map<string, LastAppend>;
 }
 
@@ -42,7 +42,7 @@
     return topic;
   }
 
-  endOf(topic: Topic): number {
+  endOffset(topic: Topic): number {
     return topic.first + topic.log.length;
   }
 
@@ -57,12 +57,12 @@
       const repeated = this.checkProducer(topic, producer);
       if (repeated !== null) return repeated;
     }
-    if (at !== undefined && at !== this.endOf(topic)) {
+    if (at !== undefined && at !== this.endOffset(topic)) {
       throw new StoreError('conflict', 'the partition ends elsewhere');
     }
     for (const record of records) this.put(topic, record);
     this.appends += 1;
-    const end = this.endOf(topic);
+    const end = this.endOffset(topic);
     if (producer !== undefined) this.recordProducer(topic, producer, end);
     return end;
   }
@@ -76,7 +76,7 @@
 
   private put(topic: Topic, {key, value}: KeyedRecord): void {
     const copy = Uint8Array.from(value);
-    const placed = {key, value: copy, offset: this.endOf(topic)};
+    const placed = {key, value: copy, offset: this.endOffset(topic)};
     topic.log.push(placed);
     if (value.length === 0) topic.newest.delete(key);
     else topic.newest.set(key, placed);
@@ -171,7 +171,7 @@
     await this.simulateCall();
     const kept = this.memory.topic(topic);
     const records = [...kept.newest.values()];
-    return {endOffset: this.memory.endOf(kept), records};
+    return {endOffset: this.memory.endOffset(kept), records};
   }
 
   private async appendLater(
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -204,7 +204,7 @@
   const faults = fc.array(anyFault, {minLength: 5, maxLength: 40});
   const property = fc.asyncProperty(faults, async list => {
     const {rig, jobs} = await runScenario(list);
-    assert.equal(rig.checker.broken, []);
+    assert.equal(rig.checker.violations, []);
     for (const id of jobs) {
       const phase = rig.rows.get(id)?.phase;
       const job = rig.checker.jobs.get(id);
--- a/packages/cell/test/owner.test.ts
+++ b/packages/cell/test/owner.test.ts
@@ -66,7 +66,7 @@
   void rig.claim(second);
   rig.executor('x0').latencyMs = 80;
   await rig.run(SETTLE_MS);
-  assert.equal(rig.checker.broken, []);
+  assert.equal(rig.checker.violations, []);
   assert.is(rig.rows.get('job')?.phase, 'failed');
 });
 
@@ -91,7 +91,7 @@
   const other = rig.newNode('v1');
   void rig.claim(other);
   await rig.run(25_000);
-  assert.equal(rig.checker.broken, []);
+  assert.equal(rig.checker.violations, []);
   assert.is(rig.checker.starts > 2, true);
 });
 
@@ -191,7 +191,7 @@
   rig.executor('x0').restart();
   rig.submit('job', [STEP], [node, other]);
   await rig.run(SETTLE_MS);
-  assert.equal(rig.checker.broken, []);
+  assert.equal(rig.checker.violations, []);
 });
 
 owner.run();
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -17,7 +17,7 @@
   type ExecutorInfo,
   type JobRow,
   type Ownership,
-  type PlacedRecord,
+  type StoredRecord,
   type Queue,
   type StepSpec,
 } from '@dragonflyward/cell';
@@ -28,7 +28,7 @@
   type Behaviour,
 } from './fake-executor.js';
 import {MemoryStore, StoreClient} from './memory-store.js';
-import {RuleWatch} from './rules.js';
+import {InvariantChecker} from './rules.js';
 
 export const EXECUTORS_TOPIC = 'keyed.executors';
 const SERVICE = 'svc';
@@ -75,7 +75,7 @@
   queues: [QUEUE],
   organisations: [],
   keys: new Map(),
-  guardedServices: new Set(),
+  overloadRejectingServices: new Set(),
   maxBodyBytes: 0,
 };
 
@@ -92,7 +92,7 @@
     super();
   }
 
-  override decodeExecutor({value}: PlacedRecord): ExecutorInfo {
+  override decodeExecutor({value}: StoredRecord): ExecutorInfo {
     return decode(value as Buffer) as ExecutorInfo;
   }
 
@@ -125,7 +125,7 @@
 export class Rig {
   readonly clock = new ManualClock(START_MS);
   readonly memory = new MemoryStore();
-  readonly checker = new RuleWatch();
+  readonly checker = new InvariantChecker();
   readonly rows = new Map<string, JobRow>();
   readonly executors: FakeExecutor[] = [];
   readonly logLines: string[] = [];
@@ -180,7 +180,7 @@
       ownership,
       isFormerStopped,
       isConnectedToAll: () => false,
-      lanes: () => [],
+      adviceChannels: () => [],
       publish: rows => this.publish(node, rows),
     });
     node.owner = owner;
--- a/packages/cell/test/rules.ts
+++ b/packages/cell/test/rules.ts
@@ -1,9 +1,9 @@
 /** Checks scheduling invariants against what executors actually run. */
-import type {RunEnd, StartOrder} from '@dragonflyward/cell';
-import type {FakeExecutor, RunWitness} from './fake-executor.js';
+import type {RunOutcome, StartOrder} from '@dragonflyward/cell';
+import type {FakeExecutor, RunObserver} from './fake-executor.js';
 
 /** A submitted job, as the checker knows it. */
-export interface WatchedJob {
+export interface CheckedJob {
   readonly id: string;
   readonly counts: readonly number[];
   readonly after: readonly (readonly number[])[];
@@ -18,9 +18,9 @@
 }
 
 /** Checks the invariants on each start and end that executors report. */
-export class RuleWatch implements RunWitness {
-  readonly broken: string[] = [];
-  readonly jobs = new Map<string, WatchedJob>();
+export class InvariantChecker implements RunObserver {
+  readonly violations: string[] = [];
+  readonly jobs = new Map<string, CheckedJob>();
   readonly doneTasks = new Set<string>();
   starts = 0;
   /** Ids of jobs of which a task was started. */
@@ -58,7 +58,7 @@
     executor: FakeExecutor,
     task: string,
     run: number,
-    how: RunEnd | 'lost',
+    how: RunOutcome | 'lost',
   ): void => {
     const activeRuns = this.running.get(task) ?? [];
     const remaining = activeRuns.filter(
@@ -71,7 +71,7 @@
     if (how === 'done') this.doneTasks.add(task);
   };
 
-  readonly acked = (task: string, run: number, how: RunEnd): void => {
+  readonly acked = (task: string, run: number, how: RunOutcome): void => {
     if (how === 'done') this.ackedDone.add(task);
     if (how !== 'failed') return;
     const failed = this.ackedFailed.get(task) ?? new Set<number>();
@@ -85,7 +85,7 @@
   }
 
   /** Whether all tasks of a job ended `done`. */
-  isJobDone({id, counts}: WatchedJob): boolean {
+  isJobDone({id, counts}: CheckedJob): boolean {
     return counts.every((count, step) =>
       Array.from({length: count}).every((_, i) =>
         this.doneTasks.has(`${id}.0.${step}.${i}`),
@@ -93,7 +93,7 @@
     );
   }
 
-  private checkOrder(job: WatchedJob, task: string): void {
+  private checkOrder(job: CheckedJob, task: string): void {
     const step = Number(task.split('.')[2]);
     for (const before of job.after[step] ?? []) {
       const count = job.counts[before] ?? 0;
@@ -105,6 +105,6 @@
   }
 
   private report(violation: string): void {
-    this.broken.push(violation);
+    this.violations.push(violation);
   }
 }
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert';
 import {
   claimCell,
-  Front,
+  JobFrontend,
   JobTable,
   JOBS_TOPICS,
   executeStoreCall,
@@ -197,8 +197,8 @@
   assert.is(err.failure, 'unknown');
 });
 
-function newFront(fixture: StoreFixture, client: StoreClient): Front {
-  return new Front({
+function newFrontend(fixture: StoreFixture, client: StoreClient): JobFrontend {
+  return new JobFrontend({
     store: client,
     jobsTopic: JOBS_TOPICS[0] ?? '',
     clock: fixture.clock,
@@ -228,10 +228,10 @@
   'stores a job once that is submitted twice at the same time',
   async () => {
     const fixture = newFixture();
-    const front = newFront(fixture, fixture.client());
+    const frontend = newFrontend(fixture, fixture.client());
     const both = Promise.all([
-      front.submit(SUBMISSION),
-      front.submit(SUBMISSION),
+      frontend.submit(SUBMISSION),
+      frontend.submit(SUBMISSION),
     ]);
     const answers = await settle(fixture.clock, both);
     assert.equal(answers, [{kind: 'done'}, {kind: 'done'}]);
@@ -243,8 +243,8 @@
   const fixture = newFixture();
   const client = fixture.client();
   client.faults.lostAnswers = 1;
-  const front = newFront(fixture, client);
-  const answer = await settle(fixture.clock, front.submit(SUBMISSION));
+  const frontend = newFrontend(fixture, client);
+  const answer = await settle(fixture.clock, frontend.submit(SUBMISSION));
   assert.equal(answer, {kind: 'unknown'});
 });
 
@@ -253,11 +253,11 @@
   const fixture = newFixture();
   const client = fixture.client();
   client.faults.isSilent = true;
-  const front = newFront(fixture, client);
+  const frontend = newFrontend(fixture, client);
   const answers: string[] = [];
   const submit = async (id: string, part: number): Promise<void> => {
     const startMs = fixture.clock.monotonicMs();
-    const {kind} = await front.submit({...SUBMISSION, id});
+    const {kind} = await frontend.submit({...SUBMISSION, id});
     const tookMs = fixture.clock.monotonicMs() - startMs;
     const boundMs = SUBMISSION.timeoutMs * part;
     assert.ok(tookMs <= boundMs, `${id} took ${tookMs} ms`);
@@ -274,15 +274,15 @@
 
 store('shows and cancels no job of another organisation', async () => {
   const fixture = newFixture();
-  const front = newFront(fixture, fixture.client());
-  await settle(fixture.clock, front.submit(SUBMISSION));
+  const frontend = newFrontend(fixture, fixture.client());
+  await settle(fixture.clock, frontend.submit(SUBMISSION));
   const caller = {organisation: 'other', isPublic: false, timeoutMs: 100};
-  const phase = await settle(fixture.clock, front.phase('job', caller));
+  const phase = await settle(fixture.clock, frontend.phase('job', caller));
   assert.equal(phase, {kind: 'noSuchJob'});
-  const cancel = await settle(fixture.clock, front.cancel('job', caller));
+  const cancel = await settle(fixture.clock, frontend.cancel('job', caller));
   assert.equal(cancel, {kind: 'noSuchJob'});
   const own = {...caller, organisation: 'o'};
-  const shown = await settle(fixture.clock, front.phase('job', own));
+  const shown = await settle(fixture.clock, frontend.phase('job', own));
   assert.equal(shown, {kind: 'phase', phase: 'queued'});
 });
 
@@ -292,10 +292,10 @@
     const fixture = newFixture();
     const client = fixture.client();
     client.faults.isRefusing = true;
-    const front = newFront(fixture, client);
-    const first = await settle(fixture.clock, front.submit(SUBMISSION));
+    const frontend = newFrontend(fixture, client);
+    const first = await settle(fixture.clock, frontend.submit(SUBMISSION));
     assert.equal(first, {kind: 'refused', retryAfterS: 1});
-    const later = await settle(fixture.clock, front.submit(SUBMISSION));
+    const later = await settle(fixture.clock, frontend.submit(SUBMISSION));
     assert.equal(later, {kind: 'refused', retryAfterS: 4});
   },
 );
