Rename files of the cell after what they hold

reserve-capacity, service-capacity, placement, preemption, runtime-monitor, filler-throttle, run-time-estimates, ticket-requester, advice-channels, former-owner-runs, job-frontend, and invariants of the tests. Only imports change.

--- a/packages/cell/src/advice-lanes.ts
+++ b/packages/cell/src/advice-channels.ts
@@ -1,5 +1,5 @@
 /** The VMs through which the owner calls the advice service. */
-import type {AdviceChannel} from './advice-desk.js';
+import type {AdviceChannel} from './ticket-requester.js';
 import type {CellConnection, Members} from './members.js';
 
 /** Time allowed for the way through a peer, on top of the call, in ms. */
--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -4,7 +4,7 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
-import type {FormerOwnerRuns} from './former-runs.js';
+import type {FormerOwnerRuns} from './former-owner-runs.js';
 import type {JobState, NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -8,7 +8,7 @@
   removeTask,
   type ExecutorState,
 } from './executor-state.js';
-import {RunTimeEstimates} from './estimates.js';
+import {RunTimeEstimates} from './run-time-estimates.js';
 import {
   findTask,
   isStepReady,
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,12 +1,12 @@
 /** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import {TicketRequester, type AdviceChannel} from './advice-desk.js';
+import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
 import type {ExecutorState} from './executor-state.js';
-import type {Lookup} from './front.js';
-import {FormerOwnerRuns} from './former-runs.js';
+import type {Lookup} from './job-frontend.js';
+import {FormerOwnerRuns} from './former-owner-runs.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -16,7 +16,7 @@
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
 import {decodeJobsRecord, jobKey} from './records.js';
-import {RuntimeMonitor} from './review.js';
+import {RuntimeMonitor} from './runtime-monitor.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
 import {stateLines} from './state-lines.js';
--- a/packages/cell/src/preempt.ts
+++ b/packages/cell/src/preemption.ts
@@ -11,7 +11,7 @@
   NOTHING_RESERVED,
   type PlaceContext,
   type ResourceAmounts,
-} from './place.js';
+} from './placement.js';
 
 /** Room on one executor for some tasks of a step, partly by preemption. */
 export interface PreemptionPlan {
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -1,5 +1,5 @@
 /** The order in which waiting steps are considered. */
-import type {RunTimeEstimates} from './estimates.js';
+import type {RunTimeEstimates} from './run-time-estimates.js';
 import type {JobState, StepState} from './job-state.js';
 
 /** A job is too late after this many times its latency objective. */
--- a/packages/cell/src/make-room.ts
+++ b/packages/cell/src/reserve-capacity.ts
@@ -1,11 +1,11 @@
 /** Gets capacity for a waiting step, by preemption or by withholding it. */
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isCompatible, isPermitted, reserve} from './place.js';
-import {planPreemption, type PreemptionPlan} from './preempt.js';
+import {isCompatible, isPermitted, reserve} from './placement.js';
+import {planPreemption, type PreemptionPlan} from './preemption.js';
 import {ON_TIME, type RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
-import type {ServiceCapacity} from './service-room.js';
+import type {ServiceCapacity} from './service-capacity.js';
 
 /** A task that takes this share of any executor counts as large. */
 const LARGE_TASK_SHARE = 0.25;
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -2,8 +2,8 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import type {PlaceContext, ResourceAmounts} from './place.js';
-import type {ServiceCapacity} from './service-room.js';
+import type {PlaceContext, ResourceAmounts} from './placement.js';
+import type {ServiceCapacity} from './service-capacity.js';
 
 /** What a round is given by the owner. */
 export interface RoundContext {
--- a/packages/cell/src/review.ts
+++ b/packages/cell/src/runtime-monitor.ts
@@ -3,7 +3,7 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import {taskName, type TaskState} from './job-state.js';
-import {nextFillerPercent} from './pacing.js';
+import {nextFillerPercent} from './filler-throttle.js';
 import type {LogFunction} from './platform.js';
 
 /** A run that takes this many times its expected time is a straggler. */
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -2,8 +2,12 @@
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
-import {withholdExecutors, isLargeTask, preemptFor} from './make-room.js';
-import {chooseExecutor, chooseGang} from './place.js';
+import {
+  withholdExecutors,
+  isLargeTask,
+  preemptFor,
+} from './reserve-capacity.js';
+import {chooseExecutor, chooseGang} from './placement.js';
 import {
   orderSteps,
   precedence,
@@ -17,7 +21,7 @@
   mayFit,
   URGENT_PRIORITY,
   type ServiceCapacity,
-} from './service-room.js';
+} from './service-capacity.js';
 import {
   claimCapacity,
   findNeededTickets,
--- a/packages/cell/src/service-room.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -2,8 +2,8 @@
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isSchedulable, type ResourceAmounts} from './place.js';
-import {isPreemptible} from './preempt.js';
+import {isSchedulable, type ResourceAmounts} from './placement.js';
+import {isPreemptible} from './preemption.js';
 import type {RankedStep} from './queue-order.js';
 import type {Queue} from './types.js';
 
--- a/packages/cell/src/state-lines.ts
+++ b/packages/cell/src/state-lines.ts
@@ -6,8 +6,8 @@
   summarizeServices,
   freeCpuMilliOf,
   type ServiceCapacity,
-} from './service-room.js';
-import {isSchedulable} from './place.js';
+} from './service-capacity.js';
+import {isSchedulable} from './placement.js';
 import {waitReason, type WaitReason} from './wait-reason.js';
 
 /** One line of the log. */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -1,7 +1,7 @@
 /** Reads the jobs from the store while a VM is not connected to an owner. */
 import type {Clock} from '@dragonflyward/common';
 import {Follower} from './follower.js';
-import type {Lookup} from './front.js';
+import type {Lookup} from './job-frontend.js';
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
 import {
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -13,9 +13,13 @@
   isPermitted,
   NOTHING_RESERVED,
   reserve,
-} from './place.js';
+} from './placement.js';
 import type {Round} from './round.js';
-import {freeCpuMilliOf, mayFit, type ServiceCapacity} from './service-room.js';
+import {
+  freeCpuMilliOf,
+  mayFit,
+  type ServiceCapacity,
+} from './service-capacity.js';
 
 /** The most executors in a first request; each adds decision time. */
 const MAX_FIRST_EXECUTORS = 30;
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -1,10 +1,10 @@
 /** One VM of the cell: wires up peers, configuration, election and callers. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import type {AdviceChannel} from './advice-desk.js';
-import {adviceChannels} from './advice-lanes.js';
+import type {AdviceChannel} from './ticket-requester.js';
+import {adviceChannels} from './advice-channels.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
-import {JobFrontend, type Lookup} from './front.js';
+import {JobFrontend, type Lookup} from './job-frontend.js';
 import {JobTable} from './job-table.js';
 import {
   MemberHandler,
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,10 +1,10 @@
 /** Why a ready step has not been started. */
 import {hasRoom} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {holdsRequiredTicket, isCompatible, isPermitted} from './place.js';
+import {holdsRequiredTicket, isCompatible, isPermitted} from './placement.js';
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
-import {leavesHeadroom, type ServiceCapacity} from './service-room.js';
+import {leavesHeadroom, type ServiceCapacity} from './service-capacity.js';
 
 /** The first condition that keeps a step from starting. */
 export type WaitReason =
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -28,7 +28,7 @@
   type Behaviour,
 } from './fake-executor.js';
 import {MemoryStore, StoreClient} from './memory-store.js';
-import {InvariantChecker} from './rules.js';
+import {InvariantChecker} from './invariants.js';
 
 export const EXECUTORS_TOPIC = 'keyed.executors';
 const SERVICE = 'svc';
