--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -45,7 +45,7 @@
   readonly onPhaseChange: (job: JobState) => void;
   /** A run has to be stopped. */
   readonly onStop: (task: TaskState) => void;
-  /** A stray run, one that belongs to no placed task, has to be stopped. */
+  /** An orphan run, one that belongs to no placed task, has to be stopped. */
   readonly onOrphan: (
     executor: ExecutorState,
     task: string,
@@ -253,7 +253,7 @@
     return job === undefined ? undefined : findTask(job, address);
   }
 
-  /** Records a stray run: it must be stopped and uses resources until then. */
+  /** Records an orphan run, which must be stopped and uses resources. */
   recordOrphan(executor: ExecutorState, name: string, run: number): void {
     if (executor.orphans.has(`${name}#${run}`)) return;
     const task = this.findTaskByName(name);
@@ -275,7 +275,7 @@
     this.listener.onOrphan(executor, name, run);
   }
 
-  /** Removes a stray run that has ended and frees its resources. */
+  /** Removes an orphan run that has ended and frees its resources. */
   dropOrphan(executor: ExecutorState, name: string, run: number): void {
     if (!executor.orphans.has(`${name}#${run}`)) return;
     removeOrphan(executor, name, run);
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -13,7 +13,7 @@
   readonly usage: number;
 }
 
-/** The end of a run; an executor lists it until it is acknowledged. */
+/** A run that has ended; reported until its end is acknowledged. */
 export interface EndedRun {
   /** Counts the ends since the executor started. */
   readonly number: number;
@@ -23,7 +23,7 @@
   readonly checkpoint: string;
 }
 
-/** An executor's answer to a hold: its running and ended runs. */
+/** An executor's answer to a lease renewal: its running and ended runs. */
 export interface Inventory {
   readonly clockMs: number;
   readonly bornMs: number;
@@ -114,7 +114,7 @@
   ): Promise<readonly Ticket[] | null>;
 }
 
-/** Whether the answer to a hold is an inventory. */
+/** Whether the answer to a lease renewal is an inventory. */
 export function isInventory(reply: Inventory | OrderReply): reply is Inventory {
   return 'running' in reply;
 }
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -24,21 +24,21 @@
 const RENEWAL_WAIT_MS = 700;
 /** Timeout of the answer in addition to that wait, in ms. */
 const RENEWAL_TIMEOUT_MS = 300;
-/** The same timeout after a hold that was not answered, in ms. */
+/** The same timeout after an unanswered renewal, in ms. */
 const MISSED_RENEWAL_TIMEOUT_MS = 900;
-/** Wait of a hold if tail latencies must be watched, in ms. */
+/** Wait of a renewal while tail latencies are monitored, in ms. */
 const LATENCY_WATCH_WAIT_MS = 400;
-/** Wait of a hold while a run is starting or stopping, in ms. */
+/** Wait of a renewal while a run is starting or stopping, in ms. */
 const STARTING_WAIT_MS = 100;
-/** Minimum pause between two holds, in ms. */
+/** Minimum pause between two lease renewals, in ms. */
 const MIN_RENEWAL_INTERVAL_MS = 15;
 /** Pause after an inventory without changes, in ms. */
 const UNCHANGED_RENEWAL_INTERVAL_MS = 60;
 /** Delay before an unanswered order is retried, in ms. */
 const MISSED_RETRY_DELAY_MS = 150;
-/** Delay after the first unanswered hold, in ms. */
+/** Delay after the first unanswered renewal, in ms. */
 const FIRST_MISSED_RETRY_DELAY_MS = 10;
-/** An executor counts as gone after more unanswered holds in a row. */
+/** An executor counts as gone after more unanswered renewals in a row. */
 const MAX_MISSED_RENEWALS = 8;
 
 /** How long an executor gets no new work after it refused a start, in ms. */
@@ -82,7 +82,7 @@
     this.reader = new InventoryReader(executor, host);
   }
 
-  /** Sends holds to the executor until the loop is closed. */
+  /** Renews the executor's lease until the loop is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
       if (!this.host.mayAct() || !this.needsRenewal()) {
@@ -100,7 +100,7 @@
     this.wake();
   }
 
-  /** Wakes the loop to check again whether a hold is needed. */
+  /** Wakes the loop to check again whether a renewal is needed. */
   wake(): void {
     this.signal.raise();
   }
@@ -200,13 +200,13 @@
     }
   }
 
-  /** Reads the inventory at once, in parallel to a waiting hold. */
+  /** Reads the inventory at once, in parallel to a waiting renewal. */
   private async refreshInventory(): Promise<void> {
     if (this.isClosed || !this.host.mayAct()) return;
     await this.sendRenewal(0);
   }
 
-  /** Sends a hold and applies its inventory, unless a newer one was applied. */
+  /** Renews the lease and applies the inventory unless it is outdated. */
   private async sendRenewal(
     waitMs: number,
   ): Promise<Inventory | OrderReply | null> {
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -40,7 +40,7 @@
   processedThrough: number;
   /** Ends of runs through this number are stored. */
   ackedThrough: number;
-  /** Consecutive calls without an answer. */
+  /** Consecutive lease renewals without an answer. */
   missedRenewals: number;
   /** No new tasks before this time, on the owner's monotonic clock. */
   avoidUntilMs: number;
@@ -108,7 +108,7 @@
   task.executor = null;
 }
 
-/** Adds a stray run, which uses resources until it has ended. */
+/** Adds an orphan run, which uses resources until it has ended. */
 export function addOrphan(executor: ExecutorState, orphan: OrphanRun): void {
   const key = `${orphan.task}#${orphan.run}`;
   if (executor.orphans.has(key)) return;
@@ -118,7 +118,7 @@
   executor.usedAccel += orphan.accel;
 }
 
-/** Removes a stray run and frees its resources. */
+/** Removes an orphan run and frees its resources. */
 export function removeOrphan(
   executor: ExecutorState,
   task: string,
@@ -164,7 +164,7 @@
   return executor.clockMs + passedMs;
 }
 
-/** Whether all leases of runs on the executor have surely expired. */
+/** Whether all leases of runs on the executor must have expired. */
 export function haveLeasesExpired(
   executor: ExecutorState,
   nowMs: number,
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -8,7 +8,7 @@
 const SLOW_CLOCK_FACTOR = 1.03;
 /** Safety margin after the end of a former owner's leases, in ms. */
 const FORMER_LEASE_SLACK_MS = 300;
-/** The longest validity of a lease, on this owner's clock. */
+/** The longest executor lease, measured on this owner's clock. */
 const MAX_LOCAL_LEASE_MS =
   MAX_EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
 
@@ -32,7 +32,7 @@
     this.executors.add(executor);
   }
 
-  /** Removes an executor that has listed its runs or is gone. */
+  /** Removes an executor that has reported its runs or is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
   }
@@ -67,7 +67,7 @@
     return false;
   }
 
-  /** Whether the executor may have runs that it has not listed yet. */
+  /** Whether the executor may have runs that it has not reported yet. */
   mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
     if (executor.isReached || !this.executors.has(executor)) return false;
     return nowMs - this.claimedMs <= OWNER_LEASE_MS + MAX_LOCAL_LEASE_MS;
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -31,9 +31,9 @@
   checkpoint: string;
   /** The executor of the newest failed run; empty for none. */
   lastFailedOn: string;
-  /** Whether it is unknown if the run was ever started. */
+  /** Whether it is unknown if the run was started. */
   isStartUnconfirmed: boolean;
-  /** How many stray runs of the task are being stopped. */
+  /** How many orphan runs of the task are being stopped. */
   orphanCount: number;
   /** How many runs were stopped as stragglers. */
   stragglerStops: number;
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -7,12 +7,13 @@
 
 /** Interval of an owner's heartbeats in the store, in ms. */
 export const OWNER_HEARTBEAT_MS = 500;
-/** An owner whose newest heartbeat is older stops acting, in ms. */
+/** The owner's lease on the cell: with an older heartbeat it stops acting. */
 export const OWNER_LEASE_MS = 8000;
 
 /**
- * An owner whose newest heartbeat is older starts nothing, unless every VM is
- * connected to it: a VM that claims the cell would have notified it. In ms.
+ * The owner's lease for starting tasks. With an older heartbeat it starts
+ * nothing unless every VM is connected to it: a VM that claims the cell would
+ * have notified it.
  */
 export const START_LEASE_MS = 800;
 
@@ -115,7 +116,7 @@
   readonly endOffset: number;
 }
 
-/** The right to act for the cell under one term. */
+/** The owner's lease on the cell under one term. */
 export class Ownership {
   private endOffset: number;
   private confirmedMs: number;
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -19,9 +19,9 @@
 const PRIOR_FAILURE_COST = 8;
 
 /** What placement depends on besides the executors and the task. */
-export interface PlaceContext {
+export interface PlacementContext {
   readonly nowMs: number;
-  /** Executors kept for work that goes first. */
+  /** Executors withheld for work that goes first. */
   readonly withheld: ReadonlySet<ExecutorState>;
   /** Resources reserved in this round, on top of those in use. */
   readonly reserved: ReadonlyMap<ExecutorState, ResourceAmounts>;
@@ -117,7 +117,7 @@
 export function chooseExecutor(
   task: TaskState,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): ExecutorState | null {
   let best: ExecutorState | null = null;
   let bestCost = Infinity;
@@ -135,7 +135,7 @@
 export function canStart(
   step: StepState,
   executor: ExecutorState,
-  context: PlaceContext,
+  context: PlacementContext,
 ): boolean {
   const {nowMs, withheld, reserved} = context;
   if (!isSchedulable(executor, nowMs) || withheld.has(executor)) return false;
@@ -218,7 +218,7 @@
 export function chooseGang(
   step: StepState,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): readonly ExecutorState[] | null {
   const candidates = [...executors].filter(each =>
     canStart(step, each, context),
--- a/packages/cell/src/preemption.ts
+++ b/packages/cell/src/preemption.ts
@@ -9,7 +9,7 @@
   isSchedulable,
   isPermitted,
   NOTHING_RESERVED,
-  type PlaceContext,
+  type PlacementContext,
   type ResourceAmounts,
 } from './placement.js';
 
@@ -36,7 +36,7 @@
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): readonly PreemptionPlan[] {
   const plans: PreemptionPlan[] = [];
   let missing = wanted;
@@ -53,7 +53,7 @@
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): readonly PreemptionPlan[] {
   const plans: PreemptionPlan[] = [];
   for (const executor of executors) {
@@ -75,7 +75,7 @@
   step: StepState,
   wanted: number,
   executor: ExecutorState,
-  {reserved}: PlaceContext,
+  {reserved}: PlacementContext,
 ): PreemptionPlan | null {
   const free = freeAfterStops(executor, reserved.get(executor));
   const maxCount = maxNewTasks(step, wanted, executor);
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -43,7 +43,7 @@
 
 /** Collects changes and stores them in batches. */
 export class ProgressCommit {
-  private readonly dirtyJobs = new Set<JobState>();
+  private readonly changedJobs = new Set<JobState>();
   private readonly newExecutors = new Set<ExecutorState>();
   private readonly goneExecutors = new Set<string>();
   private readonly expiredJobs: string[] = [];
@@ -76,7 +76,7 @@
 
   /** Marks the progress of a job to be stored. */
   addJob(job: JobState): void {
-    this.dirtyJobs.add(job);
+    this.changedJobs.add(job);
     this.signal.raise();
   }
 
@@ -99,7 +99,7 @@
     this.signal.raise();
   }
 
-  /** Marks a job that ended long ago to be deleted from the store. */
+  /** Marks a job that ended long ago for deletion from the store. */
   addExpiredJob(jobId: string): void {
     this.expiredJobs.push(jobId);
   }
@@ -107,11 +107,11 @@
   /** Stores all changes, then acknowledges ends and publishes final phases. */
   private async commitOnce(): Promise<boolean> {
     const acks = this.collectAcks();
-    const jobs = [...this.dirtyJobs];
+    const jobs = [...this.changedJobs];
     const executors = [...this.newExecutors];
     const gone = [...this.goneExecutors];
     const expired = this.expiredJobs.splice(0);
-    this.dirtyJobs.clear();
+    this.changedJobs.clear();
     this.newExecutors.clear();
     this.goneExecutors.clear();
     const records = [
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -2,7 +2,7 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import type {PlaceContext, ResourceAmounts} from './placement.js';
+import type {PlacementContext, ResourceAmounts} from './placement.js';
 import type {ServiceCapacity} from './service-capacity.js';
 
 /** What a round is given by the owner. */
@@ -17,9 +17,9 @@
 }
 
 /** A scheduling round in progress. */
-export interface Round extends RoundContext, PlaceContext {
+export interface Round extends RoundContext, PlacementContext {
   readonly state: CellState;
-  /** Executors kept for a step that goes first and has no room yet. */
+  /** Executors withheld for a step that goes first and has no room yet. */
   readonly withheld: Set<ExecutorState>;
   /** Resources that only the step they are reserved for may use. */
   readonly reserved: Map<ExecutorState, ResourceAmounts>;
--- a/packages/cell/src/runtime-monitor.ts
+++ b/packages/cell/src/runtime-monitor.ts
@@ -14,7 +14,7 @@
 const STRAGGLER_GROWTH = 3;
 /** How long an executor gets no new tasks after a straggler, in ms. */
 const STRAGGLER_AVOID_MS = 2000;
-/** Least time between two changes of an executor's filler percentage, in ms. */
+/** Minimum time between two changes of the filler percentage, in ms. */
 const THROTTLE_CHANGE_INTERVAL_MS = 400;
 /** Time allowed for stopping a task before its executor shuts down, in ms. */
 const SHUTDOWN_MARGIN_MS = 1200;
@@ -42,7 +42,7 @@
     }
   }
 
-  /** Notes that an executor is draining and moves its tasks away. */
+  /** Records that an executor is draining and moves its tasks away. */
   drainExecutor(executor: ExecutorState): void {
     const nowMs = this.clock.monotonicMs();
     const remainingMs = Math.max(0, executor.info.drainRemainingMs);
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -11,7 +11,7 @@
 export interface TableSource {
   /** The term of the owner that the VM is connected to, or 0. */
   readonly connectedTerm: number;
-  /** Whether the VM itself knows all jobs, as the owner or from the store. */
+  /** Whether the VM knows all jobs itself, as the owner or from the store. */
   readonly knowsAllJobs: boolean;
 }
 
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -1,4 +1,4 @@
-/** A fake executor with the platform's rules for fencing, leases and lists. */
+/** A fake executor with the platform's rules for fencing and leases. */
 import type {Clock} from '@dragonflyward/common';
 import {
   ExecutorClient,
@@ -21,7 +21,7 @@
   isStopping: boolean;
 }
 
-/** Observes the actual runs, to check the scheduling rules. */
+/** Observes the actual runs, to check the scheduling invariants. */
 export interface RunObserver {
   readonly started: (executor: FakeExecutor, order: StartOrder) => void;
   readonly ended: (
--- a/packages/cell/test/testing.ts
+++ b/packages/cell/test/testing.ts
@@ -1,4 +1,4 @@
-/** Fakes and checks for tests of other packages. */
+/** Fakes and the invariant checker for tests of other packages. */
 export * from './fake-executor.js';
 export * from './memory-store.js';
 export * from './invariants.js';
