Say plainly which steps and VMs the comments of the cell mean

Steps behind or ahead are earlier or later steps of the round; an owner publishes jobs rather than shows them, so noting that is recordPublished. No reason or number left a comment.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -141,7 +141,7 @@
   /**
    * Adds an executor or updates its description. A restart is applied here
    * only where the executor has no tasks; otherwise only its own inventory
-   * tells whether they run in the old process or in the new one.
+   * shows whether they run in the old process or in the new one.
    */
   setExecutor(info: ExecutorInfo): ExecutorState {
     const known = this.executors.get(info.id);
@@ -163,7 +163,7 @@
   /**
    * Resets the state of an executor that has restarted and lost all its runs.
    * Starts that were not answered before its inventory was requested may
-   * belong to the new process; they stay until a later inventory tells.
+   * belong to the new process; they stay until a later inventory shows it.
    *
    * @param requestedMs when the inventory that showed the restart was requested
    */
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,4 +1,4 @@
-/** The scheduler of one cell over a log with keyed topics. */
+/** The scheduler of one cell, which stores its state in a keyed log. */
 export * from './types.js';
 export * from './store.js';
 export * from './executor-client.js';
--- a/packages/cell/src/job-frontend.ts
+++ b/packages/cell/src/job-frontend.ts
@@ -74,7 +74,7 @@
   readonly lookup: (id: string, timeoutMs: number) => Promise<Lookup>;
   readonly notifyJob: (id: string, value: Uint8Array) => void;
   readonly notifyCancel: (id: string) => void;
-  /** Whether the table holds all jobs accepted until a moment ago. */
+  /** Whether the table is complete enough to count waiting jobs. */
   readonly isTableFresh: () => boolean;
 }
 
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -20,7 +20,7 @@
 const SILENCE_TIMEOUT_MS = 1500;
 /** Maximum age of the last heartbeat of a connected VM, in ms. */
 const MAX_HEARTBEAT_AGE_MS = 1200;
-/** How long a VM without heartbeats is taken to be possibly alive, in ms. */
+/** How long a VM without heartbeats is assumed to be running, in ms. */
 const MEMBER_RETENTION_MS = 60_000;
 /** Number of VMs besides the owner to which each VM keeps a connection. */
 const NEIGHBOUR_COUNT = 2;
@@ -131,7 +131,7 @@
     );
   }
 
-  /** Whether every VM that may be alive is connected and sends heartbeats. */
+  /** Whether every VM that may be running is connected and sends heartbeats. */
   isConnectedToAll(): boolean {
     const nowMs = Date.now();
     const heard = new Set<string>();
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -29,7 +29,7 @@
 const TICK_INTERVAL_MS = 100;
 /** Minimum delay before a scheduling round, in ms. */
 const MIN_ROUND_DELAY_MS = 3;
-/** An older read of the jobs does not show that a job does not exist, in ms. */
+/** Maximum age of a read that shows that a job does not exist, in ms. */
 const MAX_READ_AGE_MS = 2000;
 
 /** Dependencies of an owner. */
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -21,7 +21,7 @@
 /** What placement depends on besides the executors and the task. */
 export interface PlacementContext {
   readonly nowMs: number;
-  /** Executors withheld for work that goes first. */
+  /** Executors withheld for earlier steps of the round. */
   readonly withheld: ReadonlySet<ExecutorState>;
   /** Resources reserved in this round, on top of those in use. */
   readonly reserved: ReadonlyMap<ExecutorState, ResourceAmounts>;
--- a/packages/cell/src/reserve-capacity.ts
+++ b/packages/cell/src/reserve-capacity.ts
@@ -32,8 +32,8 @@
 }
 
 /**
- * Withholds executors that the step may use from the steps behind it: one for
- * each task of a gang, else one.
+ * Withholds executors that the step may use from later steps of the round: one
+ * for each task of a gang, else one.
  */
 export function withholdExecutors(
   step: StepState,
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -19,13 +19,13 @@
 /** A scheduling round in progress. */
 export interface Round extends RoundContext, PlacementContext {
   readonly state: CellState;
-  /** Executors withheld for a step that goes first and has no room yet. */
+  /** Executors withheld for an earlier step that has no room yet. */
   readonly withheld: Set<ExecutorState>;
   /** Resources that only the step they are reserved for may use. */
   readonly reserved: Map<ExecutorState, ResourceAmounts>;
   /**
-   * Resources for which a step that goes first requests tickets. Later steps
-   * request no tickets for them, but may still start tasks there.
+   * Resources for which an earlier step requests tickets. Later steps request
+   * no tickets for them, but may still start tasks there.
    */
   readonly softReserved: Map<ExecutorState, ResourceAmounts>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -65,7 +65,7 @@
     return {row: this.table.get(id) ?? null, isSure};
   }
 
-  /** Whether all stored jobs were read a moment ago. */
+  /** Whether all stored jobs were read recently enough to count them. */
   get isFresh(): boolean {
     if (this.followers === null) return false;
     const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -19,7 +19,7 @@
 export class TableFreshness {
   private fullUpdateTerm = 0;
   private freshMs = -Infinity;
-  /** When the owner was notified of jobs that it has not yet shown. */
+  /** When the owner was notified of jobs that it has not yet published. */
   private readonly notifiedMs = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
@@ -35,8 +35,8 @@
     this.notifiedMs.set(jobId, this.clock.monotonicMs());
   }
 
-  /** Records that the owner has shown a job, or that the job has ended. */
-  recordShown(jobId: string): void {
+  /** Records that the owner has published a job, or that the job has ended. */
+  recordPublished(jobId: string): void {
     this.notifiedMs.delete(jobId);
   }
 
@@ -47,7 +47,7 @@
     return nowMs - this.freshMs < FRESHNESS_MS;
   }
 
-  /** An owner that does not show jobs it was notified of lags behind. */
+  /** An owner lags behind if it does not publish jobs it was notified of. */
   private isComplete(source: TableSource, nowMs: number): boolean {
     if (source.knowsAllJobs) return true;
     const isFull =
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -76,10 +76,10 @@
 }
 
 /**
- * Claims free capacity for the step, so that the steps behind it don't request
- * tickets for it too.
+ * Claims free capacity for the step, so that later steps of the round don't
+ * request tickets for it too.
  *
- * @param isHard whether the steps behind it may not start tasks there either
+ * @param isHard whether later steps may not start tasks there either
  * @returns the executors; empty where there is no room, or not enough for the
  *     whole gang
  */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -240,7 +240,7 @@
   private handleJobRows({rows, isFull, term}: JobsNotice): void {
     for (const row of rows) {
       this.table.set(row);
-      this.freshness.recordShown(row.id);
+      this.freshness.recordPublished(row.id);
     }
     if (isFull) this.freshness.recordFullUpdate(term);
   }
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -22,7 +22,7 @@
   | 'room'
   /** There is room, but the step holds no valid ticket for it. */
   | 'ticket'
-  /** There is room with a ticket, reserved for work that goes first. */
+  /** There is room with a ticket, but it is reserved for earlier steps. */
   | 'held';
 
 /**
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -63,6 +63,7 @@
   isDown = false;
   /** Number of next orders that get no answer and are carried out late. */
   delayedOrders = 0;
+  /** Delay of such orders. */
   orderDelayMs = 4000;
   latencyMs = 10;
 
--- a/packages/cell/test/freshness.test.ts
+++ b/packages/cell/test/freshness.test.ts
@@ -40,7 +40,7 @@
   assert.is(table.isFresh(CONNECTED), true);
   await clock.advance(2 * LONG_MS);
   assert.is(table.isFresh(CONNECTED), false);
-  table.recordShown('a');
+  table.recordPublished('a');
   assert.is(table.isFresh(CONNECTED), true);
 });
 
