--- a/packages/cell/src/preempt.ts
+++ b/packages/cell/src/preemption.ts
@@ -9,9 +9,9 @@
   isSchedulable,
   isPermitted,
   NOTHING_RESERVED,
-  type PlaceContext,
+  type PlacementContext,
   type ResourceAmounts,
-} from './place.js';
+} from './placement.js';
 
 /** Room on one executor for some tasks of a step, partly by preemption. */
 export interface PreemptionPlan {
@@ -36,7 +36,7 @@
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): readonly PreemptionPlan[] {
   const plans: PreemptionPlan[] = [];
   let missing = wanted;
@@ -53,7 +53,7 @@
   step: StepState,
   wanted: number,
   executors: Iterable<ExecutorState>,
-  context: PlaceContext,
+  context: PlacementContext,
 ): readonly PreemptionPlan[] {
   const plans: PreemptionPlan[] = [];
   for (const executor of executors) {
@@ -75,7 +75,7 @@
   step: StepState,
   wanted: number,
   executor: ExecutorState,
-  {reserved}: PlaceContext,
+  {reserved}: PlacementContext,
 ): PreemptionPlan | null {
   const free = freeAfterStops(executor, reserved.get(executor));
   const maxCount = maxNewTasks(step, wanted, executor);
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -2,8 +2,8 @@
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import type {PlaceContext, ResourceAmounts} from './place.js';
-import type {ServiceCapacity} from './service-room.js';
+import type {PlacementContext, ResourceAmounts} from './placement.js';
+import type {ServiceCapacity} from './service-capacity.js';
 
 /** What a round is given by the owner. */
 export interface RoundContext {
@@ -13,19 +13,19 @@
    * Whether a former owner may have started tasks of the step that this owner
    * does not know of.
    */
-  readonly isUnsure: (step: StepState) => boolean;
+  readonly mayHaveUnknownRuns: (step: StepState) => boolean;
 }
 
 /** A scheduling round in progress. */
-export interface Round extends RoundContext, PlaceContext {
+export interface Round extends RoundContext, PlacementContext {
   readonly state: CellState;
-  /** Executors kept for a step that goes first and has no room yet. */
+  /** Executors withheld for an earlier step that has no room yet. */
   readonly withheld: Set<ExecutorState>;
   /** Resources that only the step they are reserved for may use. */
   readonly reserved: Map<ExecutorState, ResourceAmounts>;
   /**
-   * Resources for which a step that goes first requests tickets. Later steps
-   * request no tickets for them, but may still start tasks there.
+   * Resources for which an earlier step requests tickets. Later steps request
+   * no tickets for them, but may still start tasks there.
    */
   readonly softReserved: Map<ExecutorState, ResourceAmounts>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -2,8 +2,12 @@
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
-import {withholdExecutors, isLargeTask, preemptFor} from './make-room.js';
-import {chooseExecutor, chooseGang} from './place.js';
+import {
+  withholdExecutors,
+  isLargeTask,
+  preemptFor,
+} from './reserve-capacity.js';
+import {chooseExecutor, chooseGang} from './placement.js';
 import {
   orderSteps,
   precedence,
@@ -17,7 +21,7 @@
   mayFit,
   URGENT_PRIORITY,
   type ServiceCapacity,
-} from './service-room.js';
+} from './service-capacity.js';
 import {
   claimCapacity,
   findNeededTickets,
@@ -49,7 +53,9 @@
   context: RoundContext,
 ): Generator<Decision> {
   const ready = [...state.readySteps(context.wallMs)].filter(
-    step => hasStartableTask(step, context.nowMs) && !context.isUnsure(step),
+    step =>
+      hasStartableTask(step, context.nowMs) &&
+      !context.mayHaveUnknownRuns(step),
   );
   if (ready.length === 0) return;
   const round: Round = {
@@ -70,8 +76,8 @@
 }
 
 function isStartable(task: TaskState, nowMs: number): boolean {
-  const {phase, notBeforeMs, strays} = task;
-  return phase === 'waiting' && notBeforeMs <= nowMs && strays === 0;
+  const {phase, notBeforeMs, orphanCount} = task;
+  return phase === 'waiting' && notBeforeMs <= nowMs && orphanCount === 0;
 }
 
 function* scheduleStep(ranked: RankedStep, round: Round): Generator<Decision> {
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -1,7 +1,7 @@
 /** Reads the jobs from the store while a VM is not connected to an owner. */
 import type {Clock} from '@dragonflyward/common';
 import {Follower} from './follower.js';
-import type {Lookup} from './front.js';
+import type {Lookup} from './job-frontend.js';
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
 import {
@@ -10,7 +10,7 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
-import type {PlacedRecord, Store} from './store.js';
+import type {StoredRecord, Store} from './store.js';
 import {isFinal} from './types.js';
 
 /** Pause between two reads, in ms. */
@@ -65,14 +65,14 @@
     return {row: this.table.get(id) ?? null, isSure};
   }
 
-  /** Whether all stored jobs were read a moment ago. */
+  /** Whether all stored jobs were read recently enough to count them. */
   get isFresh(): boolean {
     if (this.followers === null) return false;
     const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
     return ageMs < MAX_READ_AGE_MS;
   }
 
-  private applyJobRecord({key, value}: PlacedRecord): void {
+  private applyJobRecord({key, value}: StoredRecord): void {
     const entry = decodeJobsRecord(key, value);
     if (entry?.kind === 'job') {
       const {id, queue, organisation} = entry.job;
@@ -81,7 +81,7 @@
     if (entry?.kind === 'cancel') this.setPhase(entry.id, 'cancelled');
   }
 
-  private applyProgressRecord({key, value}: PlacedRecord): void {
+  private applyProgressRecord({key, value}: StoredRecord): void {
     if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
     const phase = decodePhase(value);
     const id = key.slice(PROGRESS_PREFIX.length);
--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -10,33 +10,33 @@
 /** The VM's state when the freshness is checked. */
 export interface TableSource {
   /** The term of the owner that the VM is connected to, or 0. */
-  readonly linkedTerm: number;
-  /** Whether the VM itself knows all jobs, as the owner or from the store. */
-  readonly isSureItself: boolean;
+  readonly connectedTerm: number;
+  /** Whether the VM knows all jobs itself, as the owner or from the store. */
+  readonly knowsAllJobs: boolean;
 }
 
 /** Tracks the owner's updates and the jobs that it was notified of. */
 export class TableFreshness {
   private fullUpdateTerm = 0;
   private freshMs = -Infinity;
-  /** When the owner was notified of jobs that it has not yet shown. */
+  /** When the owner was notified of jobs that it has not yet published. */
   private readonly notifiedMs = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
   /** Records that the table holds all rows of the owner of a term. */
-  noteFull(term: number): void {
+  recordFullUpdate(term: number): void {
     this.fullUpdateTerm = term;
     this.notifiedMs.clear();
   }
 
   /** Records that the owner was notified of a stored job. */
-  noteTold(jobId: string): void {
+  recordNotified(jobId: string): void {
     this.notifiedMs.set(jobId, this.clock.monotonicMs());
   }
 
-  /** Records that the owner has shown a job, or that the job has ended. */
-  noteShown(jobId: string): void {
+  /** Records that the owner has published a job, or that the job has ended. */
+  recordPublished(jobId: string): void {
     this.notifiedMs.delete(jobId);
   }
 
@@ -47,11 +47,11 @@
     return nowMs - this.freshMs < FRESHNESS_MS;
   }
 
-  /** An owner that does not show jobs it was notified of lags behind. */
+  /** An owner lags behind if it does not publish jobs it was notified of. */
   private isComplete(source: TableSource, nowMs: number): boolean {
-    if (source.isSureItself) return true;
+    if (source.knowsAllJobs) return true;
     const isFull =
-      source.linkedTerm > 0 && source.linkedTerm === this.fullUpdateTerm;
+      source.connectedTerm > 0 && source.connectedTerm === this.fullUpdateTerm;
     const [oldestMs = nowMs] = this.notifiedMs.values();
     return isFull && nowMs - oldestMs < FRESHNESS_MS;
   }
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,10 +1,10 @@
 /** Why a ready step has not been started. */
 import {hasRoom} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {holdsRequiredTicket, isCompatible, isPermitted} from './place.js';
+import {holdsRequiredTicket, isCompatible, isPermitted} from './placement.js';
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
-import {leavesHeadroom, type ServiceCapacity} from './service-room.js';
+import {leavesHeadroom, type ServiceCapacity} from './service-capacity.js';
 
 /** The first condition that keeps a step from starting. */
 export type WaitReason =
@@ -22,7 +22,7 @@
   | 'room'
   /** There is room, but the step holds no valid ticket for it. */
   | 'ticket'
-  /** There is room with a ticket, reserved for work that goes first. */
+  /** There is room with a ticket, but it is reserved for earlier steps. */
   | 'held';
 
 /**
@@ -38,7 +38,7 @@
 ): WaitReason {
   const {step} = ranked;
   const {spec, occurrence, tasks} = step;
-  if (round.isUnsure(step)) return 'unsure';
+  if (round.mayHaveUnknownRuns(step)) return 'unsure';
   if (!tasks.some(each => each.notBeforeMs <= round.nowMs)) return 'pausing';
   const {organisation} = occurrence.job;
   const count = spec.isGang ? tasks.length : 1;
