--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -1,7 +1,7 @@
 /** A process's side of a shard that it does not own: promises and claims. */
 import {isSameProcess, newId, toFailure} from '@dragonflyward/common';
 import type {ProcessRef} from '@dragonflyward/common';
-import {StallWatch} from './stall-watch.js';
+import {StallWatch} from './stall-detector.js';
 import {chooseSuccessors} from './successors.js';
 import {
   CLOCK_RATE_MARGIN,
--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import type {ApplyResult, LogRecord} from '@dragonflyward/log';
 import {Claimant} from './claimant.js';
-import {OwnerDuties} from './owner-duties.js';
+import {OwnerDuties} from './owner-tasks.js';
 import {
   CLOCK_RATE_MARGIN,
   TICK_MS,
