--- a/packages/state/src/allowance-plan.ts
+++ b/packages/state/src/allowance-plan.ts
@@ -23,16 +23,16 @@
   readonly demands: readonly ShardDemand[];
 }
 
-type Row = ReadonlyMap<string, number>;
+type AmountsByShard = ReadonlyMap<string, number>;
 
 /** What one team may have and wants of one resource, by shard. */
-interface ResourceRow {
+interface TeamResource {
   readonly limit: number;
   /** What the newest table allows. */
-  readonly amounts: Row;
+  readonly amounts: AmountsByShard;
   /** What the shards may yet hold to. */
-  readonly charges: Row;
-  readonly wants: Row;
+  readonly charges: AmountsByShard;
+  readonly wants: AmountsByShard;
 }
 
 /**
@@ -45,21 +45,21 @@
  * if (changes.length > 0) await writer.write(toRecord(changes));
  */
 export function planAllowances(input: AllowanceInput): readonly Allowance[] {
-  const names = new Set([...input.table.teams(), ...input.limits.keys()]);
-  const wanted = byTeam(input.demands);
-  return [...names].flatMap(team =>
-    planTeam(input, team, wanted.get(team) ?? []),
+  const teams = new Set([...input.table.teams(), ...input.limits.keys()]);
+  const demandsByTeam = groupByTeam(input.demands);
+  return [...teams].flatMap(team =>
+    planTeam(input, team, demandsByTeam.get(team) ?? []),
   );
 }
 
-function byTeam(
+function groupByTeam(
   demands: readonly ShardDemand[],
 ): ReadonlyMap<string, readonly ShardDemand[]> {
   const teams = new Map<string, ShardDemand[]>();
   for (const demand of demands) {
-    const known = teams.get(demand.team);
-    if (known === undefined) teams.set(demand.team, [demand]);
-    else known.push(demand);
+    const teamDemands = teams.get(demand.team);
+    if (teamDemands === undefined) teams.set(demand.team, [demand]);
+    else teamDemands.push(demand);
   }
   return teams;
 }
@@ -70,13 +70,18 @@
   demands: readonly ShardDemand[],
 ): readonly Allowance[] {
   const {table, shards} = input;
-  const known = new Set([...table.shardsOf(team), ...shards]);
+  const knownShards = new Set([...table.shardsOf(team), ...shards]);
   const planned = new Map<string, Resources>();
   for (const name of RESOURCE_NAMES) {
-    const row = readRow({...input, demands}, team, [...known], name);
-    for (const [shard, amount] of planRow(row, new Set(shards))) {
-      const others = planned.get(shard) ?? NO_RESOURCES;
-      planned.set(shard, {...others, [name]: amount});
+    const resource = readTeamResource(
+      {...input, demands},
+      team,
+      [...knownShards],
+      name,
+    );
+    for (const [shard, amount] of planResource(resource, new Set(shards))) {
+      const plannedSoFar = planned.get(shard) ?? NO_RESOURCES;
+      planned.set(shard, {...plannedSoFar, [name]: amount});
     }
   }
   const changes = [...planned].map(([shard, amount]) => ({
@@ -85,16 +90,16 @@
     amount,
   }));
   return changes.filter(
-    ({shard, amount}) => !isSame(amount, table.amount(team, shard)),
+    ({shard, amount}) => !isSameAmount(amount, table.amount(team, shard)),
   );
 }
 
-function readRow(
+function readTeamResource(
   {table, limits, demands}: AllowanceInput,
   team: string,
   shards: readonly string[],
   name: (typeof RESOURCE_NAMES)[number],
-): ResourceRow {
+): TeamResource {
   const wants = new Map<string, number>();
   for (const demand of demands) {
     wants.set(demand.shard, demand.wanted[name]);
@@ -107,64 +112,82 @@
   };
 }
 
-function planRow(row: ResourceRow, active: ReadonlySet<string>): Row {
-  const targets = targetsOf(row, active);
-  const isShort = isAnyShort(row, targets);
-  const next = new Map(row.amounts);
-  for (const [shard, amount] of row.amounts) {
+function planResource(
+  resource: TeamResource,
+  active: ReadonlySet<string>,
+): AmountsByShard {
+  const targets = computeTargets(resource, active);
+  const shouldReclaim = isReclaimNeeded(resource, targets);
+  const next = new Map(resource.amounts);
+  for (const [shard, amount] of resource.amounts) {
     const target = targets.get(shard) ?? 0;
-    if (amount > target && isShort) next.set(shard, target);
+    if (amount > target && shouldReclaim) next.set(shard, target);
   }
-  grow(row, targets, next);
+  distributeFree(resource, targets, next);
   return next;
 }
 
 /** Whether a shard wants more than it has, or the limit is passed. */
-function isAnyShort(row: ResourceRow, targets: Row): boolean {
-  if (sum(row.amounts.values()) > row.limit) return true;
-  for (const [shard, amount] of row.amounts) {
-    const wanted = Math.min(row.wants.get(shard) ?? 0, targets.get(shard) ?? 0);
+function isReclaimNeeded(
+  resource: TeamResource,
+  targets: AmountsByShard,
+): boolean {
+  if (sum(resource.amounts.values()) > resource.limit) return true;
+  for (const [shard, amount] of resource.amounts) {
+    const wanted = Math.min(
+      resource.wants.get(shard) ?? 0,
+      targets.get(shard) ?? 0,
+    );
     if (wanted > amount) return true;
   }
   return false;
 }
 
 /** Hands out what no shard holds or may yet hold to. */
-function grow(row: ResourceRow, targets: Row, next: Map<string, number>): void {
-  let free = row.limit - sum(row.charges.values());
+function distributeFree(
+  resource: TeamResource,
+  targets: AmountsByShard,
+  next: Map<string, number>,
+): void {
+  let free = resource.limit - sum(resource.charges.values());
   for (const [shard, amount] of next) {
     if (free <= 0) return;
-    const charge = row.charges.get(shard) ?? 0;
+    const charge = resource.charges.get(shard) ?? 0;
     const target = targets.get(shard) ?? 0;
     if (target <= amount) continue;
-    const grown = Math.min(target, Math.max(amount, charge + free));
-    free -= Math.max(0, grown - charge);
-    next.set(shard, grown);
+    const newAmount = Math.min(target, Math.max(amount, charge + free));
+    free -= Math.max(0, newAmount - charge);
+    next.set(shard, newAmount);
   }
 }
 
 /** Max-min by demand; what nobody wants is divided evenly. */
-function targetsOf(row: ResourceRow, active: ReadonlySet<string>): Row {
-  const shards = [...row.amounts.keys()].filter(s => active.has(s)).sort();
+function computeTargets(
+  resource: TeamResource,
+  active: ReadonlySet<string>,
+): AmountsByShard {
+  const shards = [...resource.amounts.keys()].filter(s => active.has(s)).sort();
   const targets = new Map<string, number>();
-  const byWant = [...shards].sort((a, b) => wantOf(row, a) - wantOf(row, b));
-  let left = row.limit;
-  for (const [i, shard] of byWant.entries()) {
-    const part = Math.floor(left / (byWant.length - i));
-    const given = Math.min(part, wantOf(row, shard));
-    targets.set(shard, given);
-    left -= given;
+  const byDemand = [...shards].sort(
+    (a, b) => demandOf(resource, a) - demandOf(resource, b),
+  );
+  let remaining = resource.limit;
+  for (const [i, shard] of byDemand.entries()) {
+    const part = Math.floor(remaining / (byDemand.length - i));
+    const granted = Math.min(part, demandOf(resource, shard));
+    targets.set(shard, granted);
+    remaining -= granted;
   }
   for (const [i, shard] of shards.entries()) {
-    const part = Math.floor(left / (shards.length - i));
+    const part = Math.floor(remaining / (shards.length - i));
     targets.set(shard, (targets.get(shard) ?? 0) + part);
-    left -= part;
+    remaining -= part;
   }
   return targets;
 }
 
-function wantOf(row: ResourceRow, shard: string): number {
-  return row.wants.get(shard) ?? 0;
+function demandOf(resource: TeamResource, shard: string): number {
+  return resource.wants.get(shard) ?? 0;
 }
 
 function sum(values: Iterable<number>): number {
@@ -173,6 +196,6 @@
   return total;
 }
 
-function isSame(a: Resources, b: Resources): boolean {
+function isSameAmount(a: Resources, b: Resources): boolean {
   return RESOURCE_NAMES.every(name => a[name] === b[name]);
 }
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -21,7 +21,7 @@
   readonly version: number;
 }
 
-interface DumpEntry {
+interface SnapshotEntry {
   readonly head?: {readonly version: number; readonly term: number};
   readonly ack?: ShardAck & {readonly shard: string};
   readonly cell?: {
@@ -40,7 +40,7 @@
   /** The highest term of a budget owner that changed the table. */
   term = 0;
   private readonly rows = new Map<string, TeamRow>();
-  private readonly ackMap = new Map<string, ShardAck>();
+  private readonly acksByShard = new Map<string, ShardAck>();
 
   constructor() {
     super(ALLOWANCE_RECORDS);
@@ -48,7 +48,7 @@
 
   /** The newest acknowledgement of each shard. */
   get acks(): ReadonlyMap<string, ShardAck> {
-    return this.ackMap;
+    return this.acksByShard;
   }
 
   /**
@@ -82,13 +82,13 @@
     change: ChangeOf<AllowanceStreamRecord>,
   ): ApplyResult {
     return change.type === 'allowances'
-      ? this.changeTable(change)
-      : this.acknowledge(change);
+      ? this.applyAllowances(change)
+      : this.applyAck(change);
   }
 
-  protected override *entries(): Generator<DumpEntry> {
+  protected override *entries(): Generator<SnapshotEntry> {
     yield {head: {version: this.version, term: this.term}};
-    for (const [shard, ack] of this.ackMap) yield {ack: {shard, ...ack}};
+    for (const [shard, ack] of this.acksByShard) yield {ack: {shard, ...ack}};
     for (const [team, row] of this.rows) {
       for (const [shard, amounts] of row) yield {cell: {team, shard, amounts}};
     }
@@ -96,11 +96,11 @@
 
   protected override restore(entries: readonly unknown[]): void {
     this.rows.clear();
-    this.ackMap.clear();
-    for (const {head, ack, cell} of entries as readonly DumpEntry[]) {
+    this.acksByShard.clear();
+    for (const {head, ack, cell} of entries as readonly SnapshotEntry[]) {
       if (head !== undefined) this.version = head.version;
       if (head !== undefined) this.term = head.term;
-      if (ack !== undefined) this.ackMap.set(ack.shard, toAck(ack));
+      if (ack !== undefined) this.acksByShard.set(ack.shard, toAck(ack));
       if (cell === undefined) continue;
       this.rowOf(cell.team).set(cell.shard, cell.amounts);
     }
@@ -111,7 +111,7 @@
     return change.prevVersion === this.version && change.term >= this.term;
   }
 
-  private changeTable(change: AllowanceRecord): ApplyResult {
+  private applyAllowances(change: AllowanceRecord): ApplyResult {
     if (!this.isCurrent(change)) return 'void';
     this.version += 1;
     this.term = change.term;
@@ -123,21 +123,21 @@
     return 'applied';
   }
 
-  private acknowledge(change: AllowanceAckRecord): ApplyResult {
+  private applyAck(change: AllowanceAckRecord): ApplyResult {
     const {shard, term, version} = change;
-    const known = this.ackMap.get(shard);
-    if (version > this.version || version <= (known?.version ?? 0)) {
+    const previous = this.acksByShard.get(shard);
+    if (version > this.version || version <= (previous?.version ?? 0)) {
       return 'void';
     }
-    if (term < (known?.term ?? 0)) return 'void';
-    this.ackMap.set(shard, {term, version});
-    for (const row of this.rows.values()) dropAcknowledged(row, shard, version);
+    if (term < (previous?.term ?? 0)) return 'void';
+    this.acksByShard.set(shard, {term, version});
+    for (const row of this.rows.values()) dropSuperseded(row, shard, version);
     return 'applied';
   }
 
   private rowOf(team: string): TeamRow {
-    const known = this.rows.get(team);
-    if (known !== undefined) return known;
+    const existing = this.rows.get(team);
+    if (existing !== undefined) return existing;
     const added: TeamRow = new Map();
     this.rows.set(team, added);
     return added;
@@ -149,11 +149,11 @@
 }
 
 /** Drops the amounts that the shard has left behind. */
-function dropAcknowledged(row: TeamRow, shard: string, version: number): void {
+function dropSuperseded(row: TeamRow, shard: string, version: number): void {
   const amounts = row.get(shard);
   if (amounts === undefined) return;
-  const inForce = amounts.findLastIndex(entry => entry.version <= version);
-  if (inForce > 0) row.set(shard, amounts.slice(inForce));
+  const inForceIndex = amounts.findLastIndex(entry => entry.version <= version);
+  if (inForceIndex > 0) row.set(shard, amounts.slice(inForceIndex));
 }
 
 /**
--- a/packages/state/src/allowance-tasks.ts
+++ b/packages/state/src/allowance-tasks.ts
@@ -14,8 +14,8 @@
   type AllowanceRecord,
 } from './records.js';
 
-const PLAN_PERIOD_MS = 1_000;
-const ACK_PERIOD_MS = 200;
+const PLAN_INTERVAL_MS = 1_000;
+const ACK_CHECK_INTERVAL_MS = 200;
 const MAX_CHANGES_PER_RECORD = 2_000;
 
 /**
@@ -51,17 +51,24 @@
   constructor(private readonly options: BudgetOptions) {}
 
   /** Plans once a second, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
-    while (isWanted()) {
+  async run(shouldRun: () => boolean): Promise<void> {
+    while (shouldRun()) {
       await this.plan();
-      await this.options.clock.sleep(PLAN_PERIOD_MS);
+      await this.options.clock.sleep(PLAN_INTERVAL_MS);
     }
   }
 
   /** Plans and writes one change of the table, where one is due. */
   async plan(): Promise<void> {
-    const {table, term: termOf, input, writer, events, tail} = this.options;
-    const term = termOf();
+    const {
+      table,
+      term: currentTerm,
+      input,
+      writer,
+      events,
+      tail,
+    } = this.options;
+    const term = currentTerm();
     if (term === undefined || !table.isComplete || !tail.isUp) return;
     const changes = planAllowances({...input(), table});
     if (changes.length === 0) return;
@@ -110,25 +117,25 @@
   }
 
   /** Acknowledges when it can, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
-    while (isWanted()) {
+  async run(shouldRun: () => boolean): Promise<void> {
+    while (shouldRun()) {
       const ack = this.dueAck();
-      if (ack !== undefined) await this.write(ack);
-      await this.options.clock.sleep(ACK_PERIOD_MS);
+      if (ack !== undefined) await this.tryWrite(ack);
+      await this.options.clock.sleep(ACK_CHECK_INTERVAL_MS);
     }
   }
 
   /** The acknowledgement that is due, if all that runs keeps to the table. */
   dueAck(): AllowanceAckRecord | undefined {
-    const {table, shard, term: termOf} = this.options;
-    const term = termOf();
+    const {table, shard, term: currentTerm} = this.options;
+    const term = currentTerm();
     if (term === undefined || !table.isComplete) return undefined;
-    if (!this.isAckWanted() || !this.isWithin()) return undefined;
+    if (!this.isAckNeeded() || !this.isWithinAllowances()) return undefined;
     const {version} = table;
     return {v: RECORD_VERSION, type: 'allowanceAck', shard, term, version};
   }
 
-  private isAckWanted(): boolean {
+  private isAckNeeded(): boolean {
     const {table, shard} = this.options;
     return table.teams().some(team => {
       const charge = table.charge(team, shard);
@@ -136,12 +143,12 @@
     });
   }
 
-  private isWithin(): boolean {
+  private isWithinAllowances(): boolean {
     const {table, running} = this.options;
     return table.teams().every(t => fitsIn(running(t), this.amount(t)));
   }
 
-  private async write(ack: AllowanceAckRecord): Promise<void> {
+  private async tryWrite(ack: AllowanceAckRecord): Promise<void> {
     try {
       await this.options.writer.write(ack);
     } catch {
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -1,25 +1,25 @@
-/** A process's side of a shard that it does not own: promises and claims. */
+/** Promises to the owner of a shard, and claims to replace it. */
 import {isSameProcess, newId, toFailure} from '@dragonflyward/common';
 import type {ProcessRef} from '@dragonflyward/common';
-import {StallWatch} from './stall-detector.js';
+import {StallDetector} from './stall-detector.js';
 import {chooseSuccessors} from './successors.js';
 import {
-  CLOCK_RATE_MARGIN,
+  CLOCK_DRIFT_MARGIN,
   TAIL_MAX_AGE_MS,
-  TICK_MS,
+  POLL_INTERVAL_MS,
   type OwnershipAsk,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type ClaimRecord} from './records.js';
 
-/** How much longer each further claimant waits than the one before it. */
+/** Delay between successive claimants, so that they do not claim at once. */
 export const CLAIM_STAGGER_MS = 500;
-/** A live VM is in the list of VMs within this time of its start. */
+/** A running VM appears in the list of VMs within this time of its start. */
 export const VM_LIST_LAG_MS = 10_000;
 const CLAIM_RETRY_MS = 1_000;
 
 /** Why a process may claim a shard. */
-export type ClaimGround =
+export type ClaimReason =
   | 'neverOwned'
   | 'ownRestart'
   | 'ownerSilent'
@@ -32,79 +32,84 @@
   readonly untilMs: number;
 }
 
-/** The citations of a claim whose fate may be unknown. */
+/** Preconditions of a claim that was sent; it may not have been applied yet. */
 interface SentClaim {
   readonly term: number;
   readonly listVersion: number;
 }
 
-/** Gives promises to the owner, and claims when it has grounds to. */
+/**
+ * Gives promises to the owner, and claims the shard when it has a reason to.
+ */
 export class Claimant {
   private promise: GivenPromise = {term: 0, untilMs: -Infinity};
   private sentClaims: readonly SentClaim[] = [];
   private readonly startMs: number;
-  /** VMs that the list of VMs has shown. */
+  /** VMs that were in the list of VMs at some time. */
   private readonly seenVms = new Set<string>();
-  private readonly stall: StallWatch;
-  /** The owner that was read last, and when it was first read. */
-  private ownerTerm = 0;
+  private readonly stallDetector: StallDetector;
+  /** Term of the owner read last, and when that owner was first read. */
+  private knownTerm = 0;
   private ownerSinceMs: number;
 
   constructor(private readonly options: OwnershipOptions) {
     this.startMs = options.clock.monotonicMs();
     this.ownerSinceMs = this.startMs;
-    this.stall = new StallWatch(options);
+    this.stallDetector = new StallDetector(options);
   }
 
-  /** Claims whenever there are grounds, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
+  /** Claims the shard whenever there is a reason, until told to stop. */
+  async run(shouldRun: () => boolean): Promise<void> {
     const {clock} = this.options;
-    while (isWanted()) {
-      this.noteSeen();
-      this.stall.update();
-      const ground = this.ground();
-      if (ground !== undefined) await this.claim(ground);
-      await clock.sleep(ground === undefined ? TICK_MS : CLAIM_RETRY_MS);
+    while (shouldRun()) {
+      this.updateObservations();
+      this.stallDetector.updateLogStatus();
+      const claimReason = this.reason();
+      if (claimReason !== undefined) await this.claim(claimReason);
+      await clock.sleep(
+        claimReason === undefined ? POLL_INTERVAL_MS : CLAIM_RETRY_MS,
+      );
     }
   }
 
-  /** Promises not to claim, unless it may have done so already. */
-  answerPromise(ask: OwnershipAsk, from: ProcessRef): boolean {
+  /** Promises not to claim, unless a claim of this process may be pending. */
+  answerPromise(request: OwnershipAsk, from: ProcessRef): boolean {
     const {fold, self, clock} = this.options;
     if (!fold.isComplete || fold.owner === null) return false;
     if (!isSameProcess(fold.owner, from)) return false;
-    if (ask.term !== fold.term) return false;
-    if (ask.listVersion !== fold.listVersion) return false;
+    if (request.term !== fold.term) return false;
+    if (request.listVersion !== fold.listVersion) return false;
     if (!fold.successors.some(p => isSameProcess(p, self))) return false;
-    if (this.mayHaveClaimed()) return false;
-    this.stall.noteAsk();
-    if (this.stall.isStalled()) return false;
-    const untilMs = clock.monotonicMs() + ask.forMs * (1 + CLOCK_RATE_MARGIN);
-    this.promise = {term: ask.term, untilMs};
+    if (this.isClaimPending()) return false;
+    this.stallDetector.recordPromiseRequest();
+    if (this.stallDetector.isStalled()) return false;
+    const untilMs =
+      clock.monotonicMs() + request.forMs * (1 + CLOCK_DRIFT_MARGIN);
+    this.promise = {term: request.term, untilMs};
     return true;
   }
 
-  /** Why this process may claim now, if it may. */
-  ground(): ClaimGround | undefined {
+  /** The reason for which this process may claim now, if there is one. */
+  reason(): ClaimReason | undefined {
     const {fold, self, tail, clock} = this.options;
     const nowMs = clock.monotonicMs();
     if (!fold.isComplete) return undefined;
     if (!tail.isUp) return undefined;
     if (nowMs - tail.lastProofMs > TAIL_MAX_AGE_MS) return undefined;
-    if (fold.owner === null) return this.groundWhereNeverOwned(nowMs);
-    if (fold.owner.vm === self.vm) return this.groundOfRestart(fold.owner);
+    if (fold.owner === null) return this.reasonWithoutOwner(nowMs);
+    if (fold.owner.vm === self.vm) return this.reasonAfterRestart(fold.owner);
     if (this.isBoundByPromise(nowMs)) return undefined;
-    return this.groundAgainst(fold.owner);
+    return this.reasonToReplace(fold.owner);
   }
 
-  /** Whether a promise of this process to the owner still runs. */
+  /** Whether a promise of this process to the owner is still in force. */
   protected isBoundByPromise(nowMs: number): boolean {
     const {term, untilMs} = this.promise;
     return term === this.options.fold.term && nowMs < untilMs;
   }
 
-  /** Whether a claim of this process may yet take effect. */
-  protected mayHaveClaimed(): boolean {
+  /** Whether a claim that this process sent may still take effect. */
+  protected isClaimPending(): boolean {
     const {fold} = this.options;
     this.sentClaims = this.sentClaims.filter(
       ({term, listVersion}) =>
@@ -113,57 +118,60 @@
     return this.sentClaims.length > 0;
   }
 
-  private groundWhereNeverOwned(nowMs: number): ClaimGround | undefined {
+  private reasonWithoutOwner(nowMs: number): ClaimReason | undefined {
     const delayMs = this.options.rank * CLAIM_STAGGER_MS;
     return nowMs - this.startMs >= delayMs ? 'neverOwned' : undefined;
   }
 
-  private groundOfRestart(owner: ProcessRef): ClaimGround | undefined {
+  private reasonAfterRestart(owner: ProcessRef): ClaimReason | undefined {
     const {self} = this.options;
     return owner.incarnation < self.incarnation ? 'ownRestart' : undefined;
   }
 
-  private groundAgainst(owner: ProcessRef): ClaimGround | undefined {
+  private reasonToReplace(owner: ProcessRef): ClaimReason | undefined {
     const {fold, self, rank, timing} = this.options;
-    const place = fold.successors.findIndex(p => p.vm === self.vm);
-    const isSuccessor = place >= 0;
-    const turn = isSuccessor ? place : fold.successors.length + rank;
-    const boundMs = timing.ownerSilenceMs + turn * CLAIM_STAGGER_MS;
-    if (isSuccessor && this.stall.isStalled()) return 'ownerStalled';
-    if (this.silentMs(owner) < boundMs) return undefined;
+    const position = fold.successors.findIndex(p => p.vm === self.vm);
+    const isSuccessor = position >= 0;
+    const claimOrder = isSuccessor ? position : fold.successors.length + rank;
+    const silenceTimeoutMs =
+      timing.ownerSilenceMs + claimOrder * CLAIM_STAGGER_MS;
+    if (isSuccessor && this.stallDetector.isStalled()) return 'ownerStalled';
+    if (this.observedSilenceMs(owner) < silenceTimeoutMs) return undefined;
     if (isSuccessor) return 'ownerSilent';
-    if (this.isGone(owner)) return 'ownerGone';
+    if (this.isVmGone(owner)) return 'ownerGone';
     if (fold.successors.length === 0) return undefined;
-    const areGone = fold.successors.every(p => this.isGone(p));
-    return areGone ? 'successorsGone' : undefined;
+    const areAllGone = fold.successors.every(p => this.isVmGone(p));
+    return areAllGone ? 'successorsGone' : undefined;
   }
 
-  /** Nobody is silent for longer than this process has listened for it. */
-  private silentMs(owner: ProcessRef): number {
+  /**
+   * Silence of the owner, at most the time since this process first read of it.
+   */
+  private observedSilenceMs(owner: ProcessRef): number {
     const {peers, clock} = this.options;
     const listenedMs = clock.monotonicMs() - this.ownerSinceMs;
     return Math.min(peers.silentMs(owner), listenedMs);
   }
 
-  /** Whether the list of VMs has dropped the VM, or never had it. */
-  private isGone(process: ProcessRef): boolean {
+  /** Whether the VM left the list of VMs, or never appeared in it. */
+  private isVmGone(process: ProcessRef): boolean {
     const {peers, clock} = this.options;
     if (peers.isListed(process)) return false;
     if (this.seenVms.has(process.vm)) return true;
     return clock.monotonicMs() - this.startMs >= VM_LIST_LAG_MS;
   }
 
-  private noteSeen(): void {
+  private updateObservations(): void {
     const {clock, fold, peers} = this.options;
-    if (fold.term !== this.ownerTerm) this.ownerSinceMs = clock.monotonicMs();
-    this.ownerTerm = fold.term;
-    const named = fold.owner === null ? [] : [fold.owner];
-    for (const process of [...named, ...fold.successors]) {
+    if (fold.term !== this.knownTerm) this.ownerSinceMs = clock.monotonicMs();
+    this.knownTerm = fold.term;
+    const owners = fold.owner === null ? [] : [fold.owner];
+    for (const process of [...owners, ...fold.successors]) {
       if (peers.isListed(process)) this.seenVms.add(process.vm);
     }
   }
 
-  private async claim(ground: ClaimGround): Promise<void> {
+  private async claim(reason: ClaimReason): Promise<void> {
     const {fold, self, log, peers, shard, events} = this.options;
     const {term, listVersion} = fold;
     const record: ClaimRecord = {
@@ -176,7 +184,7 @@
     };
     const sent = {term, listVersion};
     this.sentClaims = [...this.sentClaims, sent];
-    events.add('ownerClaimed', {shard, term: term + 1}, ground);
+    events.add('ownerClaimed', {shard, term: term + 1}, reason);
     try {
       const stream = shardStream(shard);
       await log.append(stream, [{id: newId('claim'), data: record}]);
--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -5,10 +5,10 @@
 import type {ConfigState} from './config-state.js';
 import type {SnapshotRecord} from './records.js';
 
-const DEFAULT_KEPT_RECORDS = 1_000;
-const ASK_PERIOD_MS = 500;
+const DEFAULT_MAX_RECENT_RECORDS = 1_000;
+const PEER_POLL_INTERVAL_MS = 500;
 /** Peers are asked once the newest read is this part of its maximum age. */
-const ASK_AT_AGE_PART = 0.4;
+const PEER_POLL_AGE_FRACTION = 0.4;
 
 /** What a peer passes on. */
 export interface ConfigTail {
@@ -39,17 +39,19 @@
   readonly peers: ConfigPeers;
   readonly maxAgeMs: number;
   /** How many records are kept to be passed on one by one. */
-  readonly keptRecords?: number;
+  readonly maxRecentRecords?: number;
 }
 
 /** Answers peers' asks, and asks them while the log is not read. */
 export class ConfigExchange {
-  private kept: readonly LogRecord[] = [];
+  private recentRecords: readonly LogRecord[] = [];
 
   constructor(private readonly options: ConfigExchangeOptions) {
-    const {tail, keptRecords = DEFAULT_KEPT_RECORDS} = options;
+    const {tail, maxRecentRecords = DEFAULT_MAX_RECENT_RECORDS} = options;
     tail.listen(record => {
-      this.kept = [...this.kept, record].slice(-keptRecords);
+      this.recentRecords = [...this.recentRecords, record].slice(
+        -maxRecentRecords,
+      );
     });
   }
 
@@ -61,7 +63,7 @@
    */
   answer(from: number): ConfigTail {
     const {fold, freshness} = this.options;
-    this.noteOwnRead();
+    this.recordOwnRead();
     const ageMs = freshness.ageMs();
     const end = fold.nextOffset;
     if (!fold.isComplete) return {records: [], ageMs: Infinity, end: 0};
@@ -69,45 +71,45 @@
   }
 
   /** Keeps the freshness up to date, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
+  async run(shouldRun: () => boolean): Promise<void> {
     const {clock, peers, freshness} = this.options;
-    while (isWanted()) {
-      this.noteOwnRead();
+    while (shouldRun()) {
+      this.recordOwnRead();
       const listed = peers.listed();
       if (listed !== undefined) freshness.setListed(listed);
-      if (this.isAskDue()) await this.askAll(listed ?? []);
-      await clock.sleep(ASK_PERIOD_MS);
+      if (this.isPollDue()) await this.pollPeers(listed ?? []);
+      await clock.sleep(PEER_POLL_INTERVAL_MS);
     }
   }
 
-  private noteOwnRead(): void {
+  private recordOwnRead(): void {
     const {fold, tail, freshness} = this.options;
-    if (fold.isComplete) freshness.noteLogRead(tail.lastProofMs);
+    if (fold.isComplete) freshness.recordLogRead(tail.lastProofMs);
   }
 
-  private isAskDue(): boolean {
+  private isPollDue(): boolean {
     const {freshness, maxAgeMs} = this.options;
-    return freshness.ageMs() > maxAgeMs * ASK_AT_AGE_PART;
+    return freshness.ageMs() > maxAgeMs * PEER_POLL_AGE_FRACTION;
   }
 
-  private async askAll(listed: readonly ListedPeer[]): Promise<void> {
-    await Promise.all(listed.map(({vm}) => this.askOne(vm)));
+  private async pollPeers(listed: readonly ListedPeer[]): Promise<void> {
+    await Promise.all(listed.map(({vm}) => this.pollPeer(vm)));
   }
 
-  private async askOne(vm: string): Promise<void> {
+  private async pollPeer(vm: string): Promise<void> {
     const {clock, fold, freshness, peers} = this.options;
-    const askedMs = clock.monotonicMs();
+    const requestedMs = clock.monotonicMs();
     try {
       const from = fold.isComplete ? fold.nextOffset : 0;
       const {records, ageMs, end} = await peers.askTail(vm, from);
-      this.take(records);
-      freshness.notePeerTail({vm, ageMs, end, askedMs});
+      this.applyPeerRecords(records);
+      freshness.recordPeerTail({vm, ageMs, end, requestedMs});
     } catch {
       // A silent peer counts as one that did not answer.
     }
   }
 
-  private take(records: readonly unknown[]): void {
+  private applyPeerRecords(records: readonly unknown[]): void {
     const {fold, tail} = this.options;
     const [first] = records;
     if (first === undefined) return;
@@ -117,11 +119,11 @@
 
   private recordsFrom(from: number): readonly unknown[] {
     const {fold} = this.options;
-    const missing = fold.nextOffset - from;
-    if (missing <= 0) return [];
-    const records = this.kept.filter(({offset}) => offset >= from);
-    const isWhole = records.length === missing;
-    return isWhole ? records : fold.snapshot(newId('snapshot'));
+    const missingCount = fold.nextOffset - from;
+    if (missingCount <= 0) return [];
+    const records = this.recentRecords.filter(({offset}) => offset >= from);
+    const areAllRecent = records.length === missingCount;
+    return areAllRecent ? records : fold.snapshot(newId('snapshot'));
   }
 }
 
--- a/packages/state/src/config-follower.ts
+++ b/packages/state/src/config-follower.ts
@@ -15,7 +15,7 @@
 import {ConfigState} from './config-state.js';
 import {CONFIG_STREAM} from './records.js';
 
-const TAIL_WAIT_MS = 500;
+const TAIL_READ_WAIT_MS = 500;
 
 /** What a follower works with. */
 export interface ConfigFollowerParts {
@@ -46,9 +46,9 @@
       stream: CONFIG_STREAM,
       fold,
       clock,
-      waitMs: TAIL_WAIT_MS,
+      waitMs: TAIL_READ_WAIT_MS,
       onApplied: (record, result) => {
-        this.noteApplied(record, result);
+        this.reportResult(record, result);
       },
     });
     this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
@@ -72,13 +72,13 @@
 
   /** Whether the configuration is recent enough to act on. */
   isFresh(): boolean {
-    this.noteOwnRead();
+    this.recordOwnRead();
     return this.freshness.isFresh();
   }
 
   /** How old the newest read is that covers what is applied. */
   ageMs(): number {
-    this.noteOwnRead();
+    this.recordOwnRead();
     return this.freshness.ageMs();
   }
 
@@ -97,12 +97,12 @@
     return this.exchange.answer(from);
   }
 
-  private noteOwnRead(): void {
+  private recordOwnRead(): void {
     if (!this.state.isComplete) return;
-    this.freshness.noteLogRead(this.tail.lastProofMs);
+    this.freshness.recordLogRead(this.tail.lastProofMs);
   }
 
-  private noteApplied(record: LogRecord, result: ApplyResult): void {
+  private reportResult(record: LogRecord, result: ApplyResult): void {
     const {metrics, events} = this.parts;
     const revision = record.offset;
     metrics.count(`config_records_total{result="${result}"}`);
--- a/packages/state/src/config-freshness.ts
+++ b/packages/state/src/config-freshness.ts
@@ -26,7 +26,7 @@
   /** Offset of the next record that the peer would apply. */
   readonly end: number;
   /** Monotonic time at which this process sent its ask. */
-  readonly askedMs: number;
+  readonly requestedMs: number;
 }
 
 /**
@@ -36,37 +36,37 @@
  * answered lately and none of them has read it.
  */
 export class ConfigFreshness {
-  private readMs = -Infinity;
+  private newestReadMs = -Infinity;
   private listed: readonly ListedPeer[] | undefined;
-  private readonly tails = new Map<string, PeerTail>();
+  private readonly peerTails = new Map<string, PeerTail>();
 
   constructor(private readonly options: ConfigFreshnessOptions) {}
 
   /** A read that was sent at this monotonic time reached the end. */
-  noteLogRead(sentMs: number): void {
-    this.readMs = Math.max(this.readMs, sentMs);
+  recordLogRead(sentMs: number): void {
+    this.newestReadMs = Math.max(this.newestReadMs, sentMs);
   }
 
   /** A peer answered with its own age and end. */
-  notePeerTail(tail: PeerTail): void {
-    const known = this.tails.get(tail.vm);
-    if (known !== undefined && known.askedMs > tail.askedMs) return;
-    this.tails.set(tail.vm, tail);
+  recordPeerTail(tail: PeerTail): void {
+    const last = this.peerTails.get(tail.vm);
+    if (last !== undefined && last.requestedMs > tail.requestedMs) return;
+    this.peerTails.set(tail.vm, tail);
   }
 
   /** Replaces the entry VMs of the list of VMs, this process's left out. */
   setListed(peers: readonly ListedPeer[]): void {
     this.listed = peers;
-    const names = new Set(peers.map(({vm}) => vm));
-    for (const vm of this.tails.keys()) {
-      if (!names.has(vm)) this.tails.delete(vm);
+    const vms = new Set(peers.map(({vm}) => vm));
+    for (const vm of this.peerTails.keys()) {
+      if (!vms.has(vm)) this.peerTails.delete(vm);
     }
   }
 
   /** How old the newest read is that covers what this process applied. */
   ageMs(): number {
-    this.adoptReads();
-    return this.options.clock.monotonicMs() - this.readMs;
+    this.countPeerReads();
+    return this.options.clock.monotonicMs() - this.newestReadMs;
   }
 
   /**
@@ -78,45 +78,51 @@
   isFresh(): boolean {
     if (!this.options.fold.isComplete) return false;
     if (this.ageMs() <= this.options.maxAgeMs) return true;
-    return this.isOutageForAll();
+    return this.isGlobalLogOutage();
   }
 
   /** Whether the log is down for all, as far as enough peers say. */
-  protected isOutageForAll(): boolean {
+  protected isGlobalLogOutage(): boolean {
     if (this.listed === undefined) return false;
-    const answered = this.answeredLately();
-    if (answered.some(tail => this.knowsMore(tail))) return false;
-    const vms = new Set(answered.map(({vm}) => vm));
+    const recentTails = this.recentPeerTails();
+    if (recentTails.some(tail => this.isReadingOrAhead(tail))) return false;
+    const answeredVms = new Set(recentTails.map(({vm}) => vm));
     const domains = new Set(this.listed.map(({domain}) => domain));
-    return [...domains].every(domain => this.hasMajority(domain, vms));
+    return [...domains].every(domain => this.hasMajority(domain, answeredVms));
   }
 
-  private hasMajority(domain: string, answered: ReadonlySet<string>): boolean {
+  private hasMajority(
+    domain: string,
+    answeredVms: ReadonlySet<string>,
+  ): boolean {
     const peers = this.listed?.filter(peer => peer.domain === domain) ?? [];
     const selfCount = domain === this.options.domain ? 1 : 0;
-    const heard = peers.filter(({vm}) => answered.has(vm)).length + selfCount;
-    return heard * 2 > peers.length + selfCount;
+    const answeredCount =
+      peers.filter(({vm}) => answeredVms.has(vm)).length + selfCount;
+    return answeredCount * 2 > peers.length + selfCount;
   }
 
-  private answeredLately(): readonly PeerTail[] {
+  private recentPeerTails(): readonly PeerTail[] {
     const {clock, maxAgeMs} = this.options;
     const sinceMs = clock.monotonicMs() - maxAgeMs;
-    return [...this.tails.values()].filter(tail => tail.askedMs >= sinceMs);
+    return [...this.peerTails.values()].filter(
+      tail => tail.requestedMs >= sinceMs,
+    );
   }
 
   /** Whether the peer reads the log, or has records that are missing here. */
-  private knowsMore({askedMs, ageMs, end}: PeerTail): boolean {
+  private isReadingOrAhead({requestedMs, ageMs, end}: PeerTail): boolean {
     const {clock, maxAgeMs, fold} = this.options;
-    const isReading = askedMs - ageMs >= clock.monotonicMs() - maxAgeMs;
+    const isReading = requestedMs - ageMs >= clock.monotonicMs() - maxAgeMs;
     return isReading || end > fold.nextOffset;
   }
 
   /** Counts peers' reads as own, as far as their records were applied. */
-  private adoptReads(): void {
+  private countPeerReads(): void {
     const {nextOffset, isComplete} = this.options.fold;
     if (!isComplete) return;
-    for (const {askedMs, ageMs, end} of this.tails.values()) {
-      if (end <= nextOffset) this.noteLogRead(askedMs - ageMs);
+    for (const {requestedMs, ageMs, end} of this.peerTails.values()) {
+      if (end <= nextOffset) this.recordLogRead(requestedMs - ageMs);
     }
   }
 }
--- a/packages/state/src/config-schema.ts
+++ b/packages/state/src/config-schema.ts
@@ -32,25 +32,30 @@
 const TEAM_PROPERTIES = {
   organisation: NAME,
   share: SHARE,
-  limit: closed({cpuMilli: COUNT, memMb: COUNT, accel: COUNT, slots: COUNT}),
+  limit: strictObject({
+    cpuMilli: COUNT,
+    memMb: COUNT,
+    accel: COUNT,
+    slots: COUNT,
+  }),
 } as const;
 
 /** The schema of a configuration. */
-export const CONFIGURATION_SCHEMA = closed({
-  defaults: closed({
-    queues: named(closed(QUEUE_PROPERTIES)),
-    organisations: named(closed({share: SHARE})),
-    teams: named(closed(TEAM_PROPERTIES)),
+export const CONFIGURATION_SCHEMA = strictObject({
+  defaults: strictObject({
+    queues: mapOf(strictObject(QUEUE_PROPERTIES)),
+    organisations: mapOf(strictObject({share: SHARE})),
+    teams: mapOf(strictObject(TEAM_PROPERTIES)),
   }),
   exceptions: {type: 'array', items: exceptionSchema()},
 });
 
-function closed(properties: Properties): object {
+function strictObject(properties: Properties): object {
   const required = Object.keys(properties);
   return {type: 'object', additionalProperties: false, required, properties};
 }
 
-function partly(properties: Properties): object {
+function partialObject(properties: Properties): object {
   return {
     type: 'object',
     additionalProperties: false,
@@ -59,21 +64,21 @@
   };
 }
 
-function named(values: object): object {
+function mapOf(values: object): object {
   return {type: 'object', propertyNames: NAME, additionalProperties: values};
 }
 
 function exceptionSchema(): object {
-  const set = partly({...QUEUE_PROPERTIES, ...TEAM_PROPERTIES});
-  return closed({
+  const set = partialObject({...QUEUE_PROPERTIES, ...TEAM_PROPERTIES});
+  return strictObject({
     id: NAME,
-    scope: {...partly({queue: NAME, team: NAME}), maxProperties: 1},
+    scope: {...partialObject({queue: NAME, team: NAME}), maxProperties: 1},
     set,
     reason: {type: 'string', pattern: '\\S'},
   });
 }
 
-const isWellFormed = new Ajv().compile<Configuration>(CONFIGURATION_SCHEMA);
+const matchesSchema = new Ajv().compile<Configuration>(CONFIGURATION_SCHEMA);
 
 /**
  * Checks the shape of a configuration and what its parts refer to.
@@ -83,8 +88,11 @@
  * if (checked.isErr()) console.error(checked.error.detail);
  */
 export function validateConfiguration(value: unknown): Fallible<Configuration> {
-  if (!isWellFormed(value)) {
-    return fail('configInvalid', describe(isWellFormed.errors?.[0]));
+  if (!matchesSchema(value)) {
+    return fail(
+      'configInvalid',
+      describeSchemaError(matchesSchema.errors?.[0]),
+    );
   }
   const [problem] = findProblems(value);
   if (problem !== undefined) return fail('configInvalid', problem);
@@ -112,30 +120,32 @@
 ): Generator<string> {
   const {id, scope, set} = exception;
   const {defaults} = cfg;
-  const at = `exception "${id}"`;
+  const subject = `exception "${id}"`;
   const isQueue = scope.queue !== undefined;
   const name = scope.queue ?? scope.team ?? '';
   const known = isQueue ? defaults.queues : defaults.teams;
   const kind = isQueue ? 'queue' : 'team';
-  if (!Object.hasOwn(known, name)) yield `${at}: no ${kind} "${name}"`;
+  if (!Object.hasOwn(known, name)) yield `${subject}: no ${kind} "${name}"`;
   const allowed = isQueue ? QUEUE_PROPERTIES : TEAM_PROPERTIES;
   for (const key of Object.keys(set)) {
     if (Object.hasOwn(allowed, key)) continue;
-    yield `${at}: "${key}" cannot be set for a ${kind}`;
+    yield `${subject}: "${key}" cannot be set for a ${kind}`;
   }
   const {organisation} = set;
   if (organisation === undefined) return;
   if (Object.hasOwn(defaults.organisations, organisation)) return;
-  yield `${at}: no organisation "${organisation}"`;
+  yield `${subject}: no organisation "${organisation}"`;
 }
 
-function describe(err: ErrorObject | undefined): string {
+function describeSchemaError(err: ErrorObject | undefined): string {
   if (err === undefined) return 'unknown error';
   const path = err.instancePath.slice(1).replaceAll('/', '.');
   const params = err.params as Readonly<Record<string, unknown>>;
-  const extra = params['additionalProperty'];
-  const name = typeof extra === 'string' ? ` ("${extra}")` : '';
-  const values = params['allowedValues'];
-  const allowed = Array.isArray(values) ? ` (${values.join(', ')})` : '';
+  const extraProperty = params['additionalProperty'];
+  const name = typeof extraProperty === 'string' ? ` ("${extraProperty}")` : '';
+  const allowedValues = params['allowedValues'];
+  const allowed = Array.isArray(allowedValues)
+    ? ` (${allowedValues.join(', ')})`
+    : '';
   return `${path || '(top level)'}: ${err.message ?? ''}${name}${allowed}`;
 }
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -20,7 +20,7 @@
 
 /** The revision of a cell that was never configured. */
 export const NO_REVISION = -1;
-const HISTORY_SIZE = 200;
+const MAX_PUBLICATIONS = 200;
 const KEY_SEPARATOR = '.';
 
 const EMPTY_CONFIGURATION: Configuration = {
@@ -58,7 +58,7 @@
   readonly configuration: Configuration;
 }
 
-interface DumpEntry {
+interface SnapshotEntry {
   readonly head?: HeadEntry;
   readonly publication?: Publication;
   readonly key?: KeyStatus;
@@ -79,11 +79,11 @@
   /** Offset of the configuration record in force. */
   revision = NO_REVISION;
   configuration: Configuration = EMPTY_CONFIGURATION;
-  private queueMap: ReadonlyMap<string, QueueConfig> = new Map();
-  private teamMap: ReadonlyMap<string, TeamConfig> = new Map();
+  private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
+  private teamsByName: ReadonlyMap<string, TeamConfig> = new Map();
   private recordId = '';
   private publications: readonly Publication[] = [];
-  private readonly keyMap = new Map<string, KeyStatus>();
+  private readonly keysById = new Map<string, KeyStatus>();
 
   constructor() {
     super(CONFIG_RECORDS);
@@ -96,12 +96,12 @@
    * const queue = config.queue('quotes');
    */
   queue(name: string): QueueConfig | undefined {
-    return this.queueMap.get(name);
+    return this.queuesByName.get(name);
   }
 
   /** A team as it is in force, exceptions applied. */
   team(name: string): TeamConfig | undefined {
-    return this.teamMap.get(name);
+    return this.teamsByName.get(name);
   }
 
   /** An organisation as it is in force. */
@@ -112,12 +112,12 @@
 
   /** All queues as they are in force. */
   queues(): ReadonlyMap<string, QueueConfig> {
-    return this.queueMap;
+    return this.queuesByName;
   }
 
   /** All teams as they are in force. */
   teams(): ReadonlyMap<string, TeamConfig> {
-    return this.teamMap;
+    return this.teamsByName;
   }
 
   /**
@@ -128,12 +128,13 @@
    * if (team === undefined) raise('keyUnknown', keyId);
    */
   teamOfKey(key: string): string | undefined {
-    const at = key.indexOf(KEY_SEPARATOR);
-    if (at < 0) return undefined;
-    const entry = this.keyMap.get(key.slice(0, at));
+    const separatorIndex = key.indexOf(KEY_SEPARATOR);
+    if (separatorIndex < 0) return undefined;
+    const entry = this.keysById.get(key.slice(0, separatorIndex));
     if (entry === undefined || entry.isWithdrawn) return undefined;
-    const isRight = entry.digest === keyDigest(key.slice(at + 1));
-    return isRight ? entry.team : undefined;
+    const isSecretCorrect =
+      entry.digest === keyDigest(key.slice(separatorIndex + 1));
+    return isSecretCorrect ? entry.team : undefined;
   }
 
   /** The newest publications, oldest first. */
@@ -143,18 +144,18 @@
 
   /** All keys, withdrawn ones as well. */
   keys(): readonly KeyStatus[] {
-    return [...this.keyMap.values()];
+    return [...this.keysById.values()];
   }
 
   protected override applyChange(
     change: ChangeOf<ConfigStreamRecord>,
     record: LogRecord,
   ): ApplyResult {
-    if (change.type === 'config') return this.publish(change, record);
+    if (change.type === 'config') return this.applyConfig(change, record);
     if (change.type === 'keyGranted') {
-      return this.grant(change, record.offset);
+      return this.applyKeyGranted(change, record.offset);
     }
-    return this.withdraw(change.keyId, change.author, record.offset);
+    return this.applyKeyWithdrawn(change.keyId, change.author, record.offset);
   }
 
   /** Whether a publication's base is the revision in force. */
@@ -162,51 +163,57 @@
     return change.base === this.revision;
   }
 
-  protected override *entries(): Generator<DumpEntry> {
+  protected override *entries(): Generator<SnapshotEntry> {
     const {revision, recordId, configuration} = this;
     yield {head: {revision, recordId, configuration}};
     for (const publication of this.publications) yield {publication};
-    for (const key of this.keyMap.values()) yield {key};
+    for (const key of this.keysById.values()) yield {key};
   }
 
   protected override restore(entries: readonly unknown[]): void {
-    const dumps = entries as readonly DumpEntry[];
-    this.keyMap.clear();
-    this.publications = dumps.flatMap(({publication}) => publication ?? []);
-    for (const {head, key} of dumps) {
-      if (head !== undefined) this.setHead(head);
-      if (key !== undefined) this.keyMap.set(key.keyId, key);
+    const snapshotEntries = entries as readonly SnapshotEntry[];
+    this.keysById.clear();
+    this.publications = snapshotEntries.flatMap(
+      ({publication}) => publication ?? [],
+    );
+    for (const {head, key} of snapshotEntries) {
+      if (head !== undefined) this.setConfiguration(head);
+      if (key !== undefined) this.keysById.set(key.keyId, key);
     }
   }
 
-  private setHead({revision, recordId, configuration}: HeadEntry): void {
+  private setConfiguration({
+    revision,
+    recordId,
+    configuration,
+  }: HeadEntry): void {
     this.revision = revision;
     this.recordId = recordId;
     this.configuration = configuration;
     const {defaults, exceptions} = configuration;
-    this.queueMap = resolve(defaults.queues, 'queue', exceptions);
-    this.teamMap = resolve(defaults.teams, 'team', exceptions);
+    this.queuesByName = applyExceptions(defaults.queues, 'queue', exceptions);
+    this.teamsByName = applyExceptions(defaults.teams, 'team', exceptions);
   }
 
-  private publish(change: ConfigRecord, record: LogRecord): ApplyResult {
+  private applyConfig(change: ConfigRecord, record: LogRecord): ApplyResult {
     if (record.id === this.recordId) return 'void';
     if (validateConfiguration(change.configuration).isErr()) {
-      this.note(change, record, 'invalid', NO_REVISION);
+      this.addPublication(change, record, 'invalid', NO_REVISION);
       return 'skipped';
     }
     if (!this.isCurrent(change)) {
-      this.note(change, record, 'lostRace', this.revision);
+      this.addPublication(change, record, 'lostRace', this.revision);
       return 'void';
     }
     const {offset, id} = record;
     const {configuration} = change;
-    this.supersede(offset);
-    this.note(change, record, 'inForce', NO_REVISION);
-    this.setHead({revision: offset, recordId: id, configuration});
+    this.markSuperseded(offset);
+    this.addPublication(change, record, 'inForce', NO_REVISION);
+    this.setConfiguration({revision: offset, recordId: id, configuration});
     return 'applied';
   }
 
-  private supersede(by: number): void {
+  private markSuperseded(by: number): void {
     this.publications = this.publications.map(publication =>
       publication.revision === this.revision
         ? {...publication, verdict: 'superseded', by}
@@ -214,7 +221,7 @@
     );
   }
 
-  private note(
+  private addPublication(
     change: ConfigRecord,
     record: LogRecord,
     verdict: PublicationVerdict,
@@ -223,31 +230,34 @@
     const {base, author, reason} = change;
     const {offset: revision, timeMs} = record;
     const added = {revision, base, author, reason, timeMs, verdict, by};
-    this.publications = [...this.publications, added].slice(-HISTORY_SIZE);
+    this.publications = [...this.publications, added].slice(-MAX_PUBLICATIONS);
   }
 
-  private grant(change: KeyGrantedRecord, offset: number): ApplyResult {
+  private applyKeyGranted(
+    change: KeyGrantedRecord,
+    offset: number,
+  ): ApplyResult {
     const {key, author} = change;
-    if (this.keyMap.has(key.keyId)) return 'void';
-    this.keyMap.set(key.keyId, {...key, isWithdrawn: false, author, offset});
+    if (this.keysById.has(key.keyId)) return 'void';
+    this.keysById.set(key.keyId, {...key, isWithdrawn: false, author, offset});
     return 'applied';
   }
 
   /** A withdrawn key stays known, so that no later grant revives it. */
-  protected withdraw(
+  protected applyKeyWithdrawn(
     keyId: string,
     author: string,
     offset: number,
   ): ApplyResult {
-    const key = this.keyMap.get(keyId) ?? {keyId, team: '', digest: ''};
+    const key = this.keysById.get(keyId) ?? {keyId, team: '', digest: ''};
     if ('isWithdrawn' in key && key.isWithdrawn) return 'void';
-    this.keyMap.set(keyId, {...key, isWithdrawn: true, author, offset});
+    this.keysById.set(keyId, {...key, isWithdrawn: true, author, offset});
     return 'applied';
   }
 }
 
 /** Applies the exceptions of each value, in their order. */
-function resolve<T extends object>(
+function applyExceptions<T extends object>(
   defaults: Readonly<Record<string, T>>,
   kind: 'queue' | 'team',
   exceptions: readonly Exception[],
--- a/packages/state/src/owner-tasks.ts
+++ b/packages/state/src/owner-tasks.ts
@@ -1,4 +1,7 @@
-/** What the owner of a shard does to keep it: promises and successors. */
+/**
+ * Tasks of the owner of a shard: collecting promises and maintaining the list
+ * of successors.
+ */
 import {
   isSameProcess,
   newId,
@@ -7,64 +10,78 @@
 } from '@dragonflyward/common';
 import {
   TAIL_MAX_AGE_MS,
-  TICK_MS,
+  POLL_INTERVAL_MS,
   type OwnershipAsk,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type SuccessorsRecord} from './records.js';
 import {chooseSuccessors, isSameList} from './successors.js';
 
-const LIST_RETRY_MS = 1_000;
-/** Promises are asked for once the newest log read is this old. */
-const ASK_AT_LEASE_PART = 0.5;
+const SUCCESSOR_LIST_RETRY_MS = 1_000;
+/**
+ * Promises are requested once the newest read of the log is older than this
+ * fraction of the lease.
+ */
+const PROMISE_REQUEST_LEASE_FRACTION = 0.5;
 
-interface PromiseProof {
+interface PromiseRound {
   readonly term: number;
-  /** Monotonic time of sending the asks. */
+  /** Monotonic time at which the requests were sent. */
   readonly sentMs: number;
 }
 
-/** A list that may yet come into force. */
-interface SentList {
+/** A successor list that was sent; it may not have been applied yet. */
+interface SentSuccessorList {
   readonly term: number;
   readonly listVersion: number;
   readonly successors: readonly ProcessRef[];
 }
 
 /** Collects promises and keeps the list of successors up to date. */
-export class OwnerDuties {
-  private proof: PromiseProof = {term: 0, sentMs: -Infinity};
-  private sentLists: readonly SentList[] = [];
-  /** A successor may have a claim under way that a new list makes void. */
-  private wasRefused = false;
+export class OwnerTasks {
+  private lastRound: PromiseRound = {term: 0, sentMs: -Infinity};
+  private sentLists: readonly SentSuccessorList[] = [];
+  /**
+   * Whether a successor refused a promise. It may have a claim pending, which a
+   * new list makes void.
+   */
+  private wasPromiseRefused = false;
 
   constructor(private readonly options: OwnershipOptions) {}
 
-  /** When the newest complete set of promises was asked for. */
-  promisedMs(term: number): number {
-    return this.proof.term === term ? this.proof.sentMs : -Infinity;
+  /** When the newest complete round of promises in this term was requested. */
+  lastPromiseRoundMs(term: number): number {
+    return this.lastRound.term === term ? this.lastRound.sentMs : -Infinity;
   }
 
-  /** Asks for promises while the log is not read, while it is wanted. */
+  /**
+   * Requests promises while the log cannot be read, as long as this process is
+   * the owner.
+   */
   async collectPromises(isOwner: () => boolean): Promise<void> {
     const {clock} = this.options;
     while (isOwner()) {
-      if (this.arePromisesNeeded()) await this.askAll();
-      await clock.sleep(TICK_MS);
+      if (this.arePromisesNeeded()) await this.requestPromises();
+      await clock.sleep(POLL_INTERVAL_MS);
     }
   }
 
-  /** Writes a new list when a successor died or appeared. */
-  async keepSuccessors(isOwner: () => boolean): Promise<void> {
+  /** Writes a new successor list when a successor died or joined. */
+  async maintainSuccessors(isOwner: () => boolean): Promise<void> {
     const {clock} = this.options;
     while (isOwner()) {
-      const wanted = this.wantedList();
-      if (wanted !== undefined) await this.writeList(wanted);
-      await clock.sleep(wanted === undefined ? TICK_MS : LIST_RETRY_MS);
+      const successors = this.dueSuccessorList();
+      if (successors !== undefined) await this.writeSuccessorList(successors);
+      await clock.sleep(
+        successors === undefined ? POLL_INTERVAL_MS : SUCCESSOR_LIST_RETRY_MS,
+      );
     }
   }
 
-  /** All who may be a successor in the log's newest list. */
+  /**
+   * All processes that may be in the newest successor list of the log,
+   * including lists that were sent but not read back yet.
+   */
   protected possibleSuccessors(): readonly ProcessRef[] {
     const {fold} = this.options;
     this.sentLists = this.sentLists.filter(
@@ -72,52 +89,56 @@
         term === fold.term && listVersion === fold.listVersion,
     );
     const sent = this.sentLists.flatMap(({successors}) => successors);
-    return [...fold.successors, ...sent].filter(isFirst);
+    return [...fold.successors, ...sent].filter(isFirstOccurrence);
   }
 
   private arePromisesNeeded(): boolean {
     const {clock, tail, timing, fold} = this.options;
     if (!fold.isComplete) return false;
     const ageMs = clock.monotonicMs() - tail.lastProofMs;
-    return ageMs > timing.ownerLeaseMs * ASK_AT_LEASE_PART;
+    return ageMs > timing.ownerLeaseMs * PROMISE_REQUEST_LEASE_FRACTION;
   }
 
-  private async askAll(): Promise<void> {
+  private async requestPromises(): Promise<void> {
     const {clock, fold, shard, timing} = this.options;
     const {term, listVersion} = fold;
     const forMs = timing.ownerLeaseMs;
     const sentMs = clock.monotonicMs();
-    const ask = {shard, term, listVersion, forMs};
-    const asked = this.possibleSuccessors();
-    const given = await Promise.all(asked.map(p => this.askOne(p, ask)));
-    if (given.includes(false)) return;
-    this.proof = {term, sentMs};
+    const request = {shard, term, listVersion, forMs};
+    const processes = this.possibleSuccessors();
+    const answers = await Promise.all(
+      processes.map(p => this.tryRequestPromise(p, request)),
+    );
+    if (answers.includes(false)) return;
+    this.lastRound = {term, sentMs};
   }
 
-  private async askOne(
+  private async tryRequestPromise(
     process: ProcessRef,
-    ask: OwnershipAsk,
+    request: OwnershipAsk,
   ): Promise<boolean> {
     try {
-      const isGiven = await this.options.peers.askPromise(process, ask);
-      this.wasRefused ||= !isGiven;
+      const isGiven = await this.options.peers.askPromise(process, request);
+      this.wasPromiseRefused ||= !isGiven;
       return isGiven;
     } catch {
       return false;
     }
   }
 
-  private wantedList(): readonly ProcessRef[] | undefined {
+  private dueSuccessorList(): readonly ProcessRef[] | undefined {
     const {clock, fold, peers, tail} = this.options;
     const ageMs = clock.monotonicMs() - tail.lastProofMs;
     if (!fold.isComplete || !tail.isUp) return undefined;
     if (ageMs > TAIL_MAX_AGE_MS) return undefined;
-    const wanted = chooseSuccessors(fold.successors, peers);
-    const isSame = isSameList(fold.successors, wanted);
-    return isSame && !this.wasRefused ? undefined : wanted;
+    const successors = chooseSuccessors(fold.successors, peers);
+    const isSame = isSameList(fold.successors, successors);
+    return isSame && !this.wasPromiseRefused ? undefined : successors;
   }
 
-  private async writeList(successors: readonly ProcessRef[]): Promise<void> {
+  private async writeSuccessorList(
+    successors: readonly ProcessRef[],
+  ): Promise<void> {
     const {events, fold, log, shard} = this.options;
     const {term, listVersion} = fold;
     const record: SuccessorsRecord = {
@@ -129,12 +150,12 @@
     };
     const sent = {term, listVersion, successors};
     this.sentLists = [...this.sentLists, sent];
-    this.wasRefused = false;
+    this.wasPromiseRefused = false;
     try {
       const stream = shardStream(shard);
       await log.append(stream, [{id: newId('successors'), data: record}]);
-      const names = successors.map(({vm}) => vm).join(' ');
-      events.add('successorsChanged', {shard, term}, names);
+      const vmNames = successors.map(({vm}) => vm).join(' ');
+      events.add('successorsChanged', {shard, term}, vmNames);
     } catch (err) {
       if (toFailure(err).kind !== 'logDown') return;
       this.sentLists = this.sentLists.filter(list => list !== sent);
@@ -142,7 +163,7 @@
   }
 }
 
-function isFirst(
+function isFirstOccurrence(
   process: ProcessRef,
   index: number,
   list: readonly ProcessRef[],
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -1,63 +1,70 @@
-/** What the owner of a shard and its successors need of each other. */
+/** Types and timing shared by the owner of a shard and its successors. */
 import type {Clock, EventRing, ProcessRef} from '@dragonflyward/common';
 import type {LogClient, StreamTail} from '@dragonflyward/log';
 import type {ShardState} from './shard-state.js';
 
-/** What an owner asks of each listed successor. */
+/** Request of the owner to a successor: promise not to claim the shard. */
 export interface OwnershipAsk {
   readonly shard: string;
   readonly term: number;
   readonly listVersion: number;
-  /** The successor is not to claim for this long. */
+  /** How long the successor must not claim the shard. */
   readonly forMs: number;
 }
 
-/** The other processes, as far as ownership depends on them. */
+/** Access to the other processes that may own the shard. */
 export abstract class OwnershipPeers {
-  /** Those who may own the shard, best first; without this process. */
+  /**
+   * Processes that may own the shard, in order of preference, without this one.
+   */
   abstract candidates(): readonly ProcessRef[];
-  /** How long this run of the process was not heard. */
+  /** Time since the last heartbeat of this incarnation of the process. */
   abstract silentMs(process: ProcessRef): number;
   /**
-   * Whether the newest list of VMs that was read holds the process's VM;
-   * true while no list was read.
+   * Whether the process's VM is in the newest list of VMs; true until the first
+   * list was read.
    */
   abstract isListed(process: ProcessRef): boolean;
   /**
-   * Asks this very run of the process for a promise.
+   * Requests a promise from exactly this incarnation of the process.
    *
    * @throws peerDown, peerLost
    */
   abstract askPromise(process: ProcessRef, ask: OwnershipAsk): Promise<boolean>;
 }
 
-/** How long proofs and silences last. */
+/** Lease duration and silence timeout of an owner. */
 export interface OwnershipTiming {
   readonly ownerLeaseMs: number;
   readonly ownerSilenceMs: number;
 }
 
-/** What the ownership of one shard needs. */
+/** Options of the ownership of one shard. */
 export interface OwnershipOptions {
   readonly shard: string;
   readonly self: ProcessRef;
   readonly clock: Clock;
-  /** Follows the shard's stream into `fold`. */
+  /** Reads the shard's stream and applies its records to `fold`. */
   readonly tail: StreamTail;
   readonly fold: ShardState;
   readonly log: LogClient;
   readonly peers: OwnershipPeers;
   readonly timing: OwnershipTiming;
   readonly events: EventRing;
-  /** This process's place among those that may claim; 0 goes first. */
+  /** Position of this process in the order of claiming; 0 claims first. */
   readonly rank: number;
 }
 
-/** How often conditions are looked at again. */
-export const TICK_MS = 100;
+/** Interval at which conditions are checked again. */
+export const POLL_INTERVAL_MS = 100;
 
-/** By how much monotonic clocks of two VMs may differ in rate. */
-export const CLOCK_RATE_MARGIN = 0.05;
+/**
+ * Largest assumed difference in rate between the monotonic clocks of two VMs.
+ */
+export const CLOCK_DRIFT_MARGIN = 0.05;
 
-/** A tail whose newest read is older takes no part in claims and lists. */
+/**
+ * A process whose newest read of the stream is older than this neither claims
+ * the shard nor writes successor lists.
+ */
 export const TAIL_MAX_AGE_MS = 10_000;
--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -1,4 +1,4 @@
-/** The right to act for one shard, from claim to hand-over. */
+/** Ownership of one shard: the owner's lease, from claim to handover. */
 import {
   isSameProcess,
   newId,
@@ -7,96 +7,104 @@
 } from '@dragonflyward/common';
 import type {ApplyResult, LogRecord} from '@dragonflyward/log';
 import {Claimant} from './claimant.js';
-import {OwnerDuties} from './owner-tasks.js';
+import {OwnerTasks} from './owner-tasks.js';
 import {
-  CLOCK_RATE_MARGIN,
-  TICK_MS,
+  CLOCK_DRIFT_MARGIN,
+  POLL_INTERVAL_MS,
   type OwnershipAsk,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type HandoverRecord} from './records.js';
 
-const HANDOVER_BOUND_MS = 5_000;
+const HANDOVER_TIMEOUT_MS = 5_000;
 
-/** The term in which this process owns the shard, and from when. */
-interface Tenure {
+/**
+ * The term in which this process owns the shard, and when it may start to act.
+ */
+interface OwnedTerm {
   readonly term: number;
-  readonly fromMs: number;
+  readonly activeFromMs: number;
 }
 
-/** Takes part in the ownership of one shard for as long as it runs. */
+/** Takes part in electing the owner of one shard, and owns it when elected. */
 export class ShardOwnership {
   protected readonly claimant: Claimant;
-  protected readonly duties: OwnerDuties;
-  private tenure: Tenure = {term: 0, fromMs: Infinity};
+  protected readonly ownerTasks: OwnerTasks;
+  private ownedTerm: OwnedTerm = {term: 0, activeFromMs: Infinity};
   private handedOverTerm = 0;
   private isStopped = false;
-  private wasActive = false;
-  private readonly stopListening: () => void;
+  private wasReportedActive = false;
+  private readonly unsubscribe: () => void;
 
   constructor(protected readonly options: OwnershipOptions) {
     this.claimant = this.makeClaimant();
-    this.duties = this.makeDuties();
-    this.stopListening = options.tail.listen((record, result) => {
-      this.noteRecord(record, result);
+    this.ownerTasks = this.makeOwnerTasks();
+    this.unsubscribe = options.tail.listen((record, result) => {
+      this.updateOwnedTerm(record, result);
     });
   }
 
-  /** The shard's current term as far as it was read. */
+  /** The shard's current term, as of the newest record read. */
   get term(): number {
     return this.options.fold.term;
   }
 
-  /** Whether this process is the owner in the log; it may yet not act. */
+  /**
+   * Whether the log names this process as the owner. It may still have to wait
+   * for the lease of the former owner to expire before it may act.
+   */
   get isOwner(): boolean {
     const {fold, self} = this.options;
     if (!fold.isComplete || fold.owner === null) return false;
     return isSameProcess(fold.owner, self);
   }
 
-  /** Claims, keeps and reports the shard until it is stopped. */
+  /**
+   * Claims the shard when possible, keeps its ownership and reports changes
+   * until `stop` is called.
+   */
   async run(): Promise<void> {
-    const isWanted = (): boolean => !this.isStopped;
+    const shouldRun = (): boolean => !this.isStopped;
     await Promise.all([
-      this.claimant.run(isWanted),
-      this.runDuties(isWanted),
-      this.report(isWanted),
+      this.claimant.run(shouldRun),
+      this.runOwnerTasks(shouldRun),
+      this.reportChanges(shouldRun),
     ]);
   }
 
-  /** Ends `run` and gives up the right to act. */
+  /** Ends `run` and gives up the lease. */
   stop(): void {
     this.isStopped = true;
-    this.stopListening();
+    this.unsubscribe();
   }
 
   /**
-   * Whether this process may act for the shard now. Checked right before
-   * each send, since the right runs out by itself.
+   * Whether this process holds the lease of the shard now. Check this right
+   * before each send, since the lease expires on its own.
    *
    * @example
    * if (!ownership.mayAct()) raise('notOwner', shard);
    */
   mayAct(): boolean {
     if (this.isStopped || !this.isOwner) return false;
-    if (this.tenure.term !== this.term) return false;
+    if (this.ownedTerm.term !== this.term) return false;
     if (this.handedOverTerm === this.term) return false;
     const nowMs = this.options.clock.monotonicMs();
-    return nowMs >= this.tenure.fromMs && nowMs < this.rightEndMs();
+    return nowMs >= this.ownedTerm.activeFromMs && nowMs < this.leaseEndMs();
   }
 
   /**
-   * Answers the owner's ask not to claim the shard for a while.
+   * Answers the owner's request not to claim the shard for a while.
    *
    * @example
    * return {type: 'promise', isGiven: ownership.answerPromise(ask, from)};
    */
-  answerPromise(ask: OwnershipAsk, from: ProcessRef): boolean {
-    return this.claimant.answerPromise(ask, from);
+  answerPromise(request: OwnershipAsk, from: ProcessRef): boolean {
+    return this.claimant.answerPromise(request, from);
   }
 
   /**
-   * Stops acting and gives the shard to a prepared process.
+   * Stops acting for the shard and hands it over to a process that is ready.
    *
    * @returns whether the log shows the new owner
    * @example
@@ -116,8 +124,8 @@
       owner: to,
       successors,
     };
-    const isSent = await this.appendHandover(data);
-    if (isSent) return this.awaitNextTerm(term);
+    const mayBeAppended = await this.appendHandover(data);
+    if (mayBeAppended) return this.awaitNextTerm(term);
     this.handedOverTerm = 0;
     return false;
   }
@@ -126,66 +134,72 @@
     return new Claimant(this.options);
   }
 
-  protected makeDuties(): OwnerDuties {
-    return new OwnerDuties(this.options);
+  protected makeOwnerTasks(): OwnerTasks {
+    return new OwnerTasks(this.options);
   }
 
-  /** When the right to act runs out, unless it is proven anew. */
-  protected rightEndMs(): number {
+  /**
+   * When the lease expires unless it is renewed by a read of the log or by a
+   * complete round of promises.
+   */
+  protected leaseEndMs(): number {
     const {tail, timing} = this.options;
-    const promisedMs = this.duties.promisedMs(this.term);
-    const proofMs = Math.max(tail.lastProofMs, promisedMs);
-    return proofMs + timing.ownerLeaseMs;
+    const promiseRoundMs = this.ownerTasks.lastPromiseRoundMs(this.term);
+    const renewedMs = Math.max(tail.lastProofMs, promiseRoundMs);
+    return renewedMs + timing.ownerLeaseMs;
   }
 
-  /** How long a claimant waits until the former owner's right ran out. */
+  /** How long a new owner waits until the former owner's lease has expired. */
   protected claimWaitMs(): number {
-    return this.options.timing.ownerLeaseMs * (1 + CLOCK_RATE_MARGIN);
+    return this.options.timing.ownerLeaseMs * (1 + CLOCK_DRIFT_MARGIN);
   }
 
-  private noteRecord(record: LogRecord, result: ApplyResult): void {
+  private updateOwnedTerm(record: LogRecord, result: ApplyResult): void {
     if (result !== 'applied' || !this.isOwner) return;
-    if (this.tenure.term === this.term) return;
-    const waitMs = this.isUncontested(record) ? 0 : this.claimWaitMs();
-    const fromMs = this.options.clock.monotonicMs() + waitMs;
-    this.tenure = {term: this.term, fromMs};
+    if (this.ownedTerm.term === this.term) return;
+    const waitMs = this.isFormerLeaseOver(record) ? 0 : this.claimWaitMs();
+    const activeFromMs = this.options.clock.monotonicMs() + waitMs;
+    this.ownedTerm = {term: this.term, activeFromMs};
   }
 
-  /** Whether nobody else can have the right to act from before. */
-  private isUncontested(record: LogRecord): boolean {
+  /**
+   * Whether no former owner can still hold a lease: it stopped acting before
+   * the handover, or the shard had no owner before.
+   */
+  private isFormerLeaseOver(record: LogRecord): boolean {
     const {type} = record.data as {readonly type: string};
     return type === 'handover' || this.term === 1;
   }
 
-  private async runDuties(isWanted: () => boolean): Promise<void> {
-    const isOwner = (): boolean => isWanted() && this.isOwner;
-    while (isWanted()) {
+  private async runOwnerTasks(shouldRun: () => boolean): Promise<void> {
+    const isOwner = (): boolean => shouldRun() && this.isOwner;
+    while (shouldRun()) {
       await Promise.all([
-        this.duties.collectPromises(isOwner),
-        this.duties.keepSuccessors(isOwner),
+        this.ownerTasks.collectPromises(isOwner),
+        this.ownerTasks.maintainSuccessors(isOwner),
       ]);
-      await this.options.clock.sleep(TICK_MS);
+      await this.options.clock.sleep(POLL_INTERVAL_MS);
     }
   }
 
-  private async report(isWanted: () => boolean): Promise<void> {
+  private async reportChanges(shouldRun: () => boolean): Promise<void> {
     const {clock} = this.options;
-    while (isWanted()) {
+    while (shouldRun()) {
       this.reportChange();
-      await clock.sleep(TICK_MS);
+      await clock.sleep(POLL_INTERVAL_MS);
     }
   }
 
   private reportChange(): void {
     const isActive = this.mayAct();
-    if (isActive === this.wasActive) return;
-    this.wasActive = isActive;
+    if (isActive === this.wasReportedActive) return;
+    this.wasReportedActive = isActive;
     const {events, shard} = this.options;
     const kind = isActive ? 'ownerActive' : 'ownerStopped';
     events.add(kind, {shard, term: this.term});
   }
 
-  /** Whether the record was, or may have been, appended. */
+  /** Returns whether the record was, or may have been, appended. */
   private async appendHandover(data: HandoverRecord): Promise<boolean> {
     const {log, shard, events} = this.options;
     const stream = shardStream(shard);
@@ -200,10 +214,10 @@
 
   private async awaitNextTerm(term: number): Promise<boolean> {
     const {clock} = this.options;
-    const untilMs = clock.monotonicMs() + HANDOVER_BOUND_MS;
+    const deadlineMs = clock.monotonicMs() + HANDOVER_TIMEOUT_MS;
     while (this.term === term) {
-      if (clock.monotonicMs() >= untilMs) return false;
-      await clock.sleep(TICK_MS);
+      if (clock.monotonicMs() >= deadlineMs) return false;
+      await clock.sleep(POLL_INTERVAL_MS);
     }
     return true;
   }
--- a/packages/state/src/record-schema.ts
+++ b/packages/state/src/record-schema.ts
@@ -15,29 +15,29 @@
 const FLAG = {type: 'boolean'} as const;
 const ANY = {} as const;
 
-function object(properties: Properties): object {
+function objectSchema(properties: Properties): object {
   return {type: 'object', required: Object.keys(properties), properties};
 }
 
-function record(type: string, properties: Properties): object {
-  return object({
+function recordSchema(type: string, properties: Properties): object {
+  return objectSchema({
     v: {const: RECORD_VERSION},
     type: {const: type},
     ...properties,
   });
 }
 
-const PROCESS = object({vm: NAME, incarnation: COUNT});
+const PROCESS = objectSchema({vm: NAME, incarnation: COUNT});
 const PROCESSES = {type: 'array', items: PROCESS} as const;
 
-const RESOURCES = object({
+const RESOURCES = objectSchema({
   cpuMilli: COUNT,
   memMb: COUNT,
   accel: COUNT,
   slots: COUNT,
 });
 
-const JOB = object({
+const JOB = objectSchema({
   jobId: NAME,
   team: TEXT,
   queue: NAME,
@@ -54,7 +54,7 @@
   enum: ['succeeded', 'failed', 'cancelled', 'neverRunnable', 'outcomeUnknown'],
 } as const;
 
-const SNAPSHOT = record('snapshot', {
+const SNAPSHOT = recordSchema('snapshot', {
   snapshotId: NAME,
   covers: COUNT,
   part: COUNT,
@@ -63,60 +63,73 @@
 });
 
 const SHARD_RECORD_SCHEMAS = [
-  record('claim', {
+  recordSchema('claim', {
     prevTerm: COUNT,
     prevListVersion: COUNT,
     owner: PROCESS,
     successors: PROCESSES,
   }),
-  record('successors', {
+  recordSchema('successors', {
     term: COUNT,
     prevListVersion: COUNT,
     successors: PROCESSES,
   }),
-  record('handover', {term: COUNT, owner: PROCESS, successors: PROCESSES}),
-  record('jobAccepted', {term: COUNT, acceptedMs: {type: 'number'}, job: JOB}),
-  record('taskStarting', {
+  recordSchema('handover', {
+    term: COUNT,
+    owner: PROCESS,
+    successors: PROCESSES,
+  }),
+  recordSchema('jobAccepted', {
+    term: COUNT,
+    acceptedMs: {type: 'number'},
+    job: JOB,
+  }),
+  recordSchema('taskStarting', {
     term: COUNT,
     jobId: NAME,
     taskIndex: COUNT,
     taskId: NAME,
     workerId: NAME,
   }),
-  record('taskEnded', {
+  recordSchema('taskEnded', {
     term: COUNT,
     jobId: NAME,
     taskIndex: COUNT,
     result: TEXT,
   }),
-  record('jobEnded', {term: COUNT, jobId: NAME, end: JOB_END, reason: TEXT}),
+  recordSchema('jobEnded', {
+    term: COUNT,
+    jobId: NAME,
+    end: JOB_END,
+    reason: TEXT,
+  }),
   SNAPSHOT,
 ];
 
 const CONFIG_RECORD_SCHEMAS = [
-  record('config', {
+  recordSchema('config', {
     base: {type: 'integer', minimum: -1},
     author: TEXT,
     reason: TEXT,
     configuration: {type: 'object'},
   }),
-  record('keyGranted', {
+  recordSchema('keyGranted', {
     author: TEXT,
-    key: object({keyId: NAME, team: NAME, digest: NAME}),
+    key: objectSchema({keyId: NAME, team: NAME, digest: NAME}),
   }),
-  record('keyWithdrawn', {author: TEXT, keyId: NAME, reason: TEXT}),
+  recordSchema('keyWithdrawn', {author: TEXT, keyId: NAME, reason: TEXT}),
   SNAPSHOT,
 ];
 
-const ALLOWANCE = object({team: NAME, shard: NAME, amount: RESOURCES});
+const ALLOWANCE = objectSchema({team: NAME, shard: NAME, amount: RESOURCES});
 
 const ALLOWANCE_RECORD_SCHEMAS = [
-  record('allowances', {
+  recordSchema('allowances', {
     prevVersion: COUNT,
     term: COUNT,
     changes: {type: 'array', items: ALLOWANCE},
   }),
-  record('allowanceAck', {shard: NAME, term: COUNT, version: COUNT}),
+  recordSchema('allowanceAck', {shard: NAME, term: COUNT, version: COUNT}),
   SNAPSHOT,
 ];
 
@@ -145,8 +158,8 @@
    */
   check(data: unknown): T | undefined {
     if (!isTyped(data)) return undefined;
-    const isValid = this.validators.get(data.type);
-    return isValid?.(data) ? (data as T) : undefined;
+    const validate = this.validators.get(data.type);
+    return validate?.(data) ? (data as T) : undefined;
   }
 }
 
--- a/packages/state/src/shard-state.ts
+++ b/packages/state/src/shard-state.ts
@@ -1,4 +1,4 @@
-/** The state of one shard: who owns it, and its jobs. */
+/** The state of one shard: its ownership and its jobs. */
 import type {ProcessRef} from '@dragonflyward/common';
 import type {ApplyResult} from '@dragonflyward/log';
 import type {JobEnd, JobSpec} from './job-types.js';
@@ -15,10 +15,10 @@
 } from './records.js';
 import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
 
-/** How long an ended job is kept, in the log's time. */
-export const ENDED_JOB_KEPT_MS = 15 * 60_000;
+/** How long an ended job is kept, by the timestamps of the log. */
+export const ENDED_JOB_RETENTION_MS = 15 * 60_000;
 
-/** Where a non-idempotent task was about to be started. */
+/** The worker on which a non-idempotent task was about to be started. */
 export interface StartingTask {
   readonly taskId: string;
   readonly workerId: string;
@@ -34,7 +34,7 @@
   readonly starting: ReadonlyMap<number, StartingTask>;
   /** How the job ended; null while it is live. */
   readonly end: JobEnd | null;
-  /** The log's time at which it ended. */
+  /** Log timestamp at which it ended. */
   readonly endedMs: number;
   readonly reason: string;
 }
@@ -56,61 +56,61 @@
   reason: string;
 }
 
-type JobDump = Omit<JobEntry, 'ended' | 'starting'> & {
+type StoredJob = Omit<JobEntry, 'ended' | 'starting'> & {
   readonly ended: readonly (readonly [number, string])[];
   readonly starting: readonly (readonly [number, StartingTask])[];
 };
 
 type TermRecord = Exclude<ChangeOf<ShardRecord>, ClaimRecord>;
 
-/** Ownership and jobs of one shard, folded from its stream. */
+/** Ownership and jobs of one shard, computed from its stream. */
 export class ShardState extends SnapshotFold<ShardRecord> {
   /** The current term; 0 where the shard never had an owner. */
   term = 0;
   owner: ProcessRef | null = null;
-  /** Grows with each change of the owner or of the successors. */
+  /** Incremented by each change of the owner or of the successors. */
   listVersion = 0;
   successors: readonly ProcessRef[] = [];
-  private readonly jobMap = new Map<string, MutableJob>();
-  /** Ended jobs in the order in which they ended. */
-  private readonly endedIds = new Set<string>();
+  private readonly jobsById = new Map<string, MutableJob>();
+  /** IDs of ended jobs in the order in which they ended. */
+  private readonly endedJobIds = new Set<string>();
 
-  constructor(private readonly keptMs = ENDED_JOB_KEPT_MS) {
+  constructor(private readonly retentionMs = ENDED_JOB_RETENTION_MS) {
     super(SHARD_RECORDS);
   }
 
-  /** All jobs that are live or ended not long ago. */
+  /** All live jobs, and those that ended within the retention time. */
   get jobs(): ReadonlyMap<string, JobEntry> {
-    return this.jobMap;
+    return this.jobsById;
   }
 
-  protected override applyChange(change: ChangeOf<ShardRecord>): ApplyResult {
-    this.forgetEnded();
-    if (change.type === 'claim') return this.claim(change);
-    if (!this.isCurrent(change)) return 'void';
-    return this.applyUnderTerm(change);
+  protected override applyChange(record: ChangeOf<ShardRecord>): ApplyResult {
+    this.dropExpiredJobs();
+    if (record.type === 'claim') return this.applyClaim(record);
+    if (!this.isCurrent(record)) return 'void';
+    return this.applyTermRecord(record);
   }
 
   /** Whether the record was written under the current term. */
-  protected isCurrent(change: TermRecord): boolean {
-    return this.owner !== null && change.term === this.term;
+  protected isCurrent(record: TermRecord): boolean {
+    return this.owner !== null && record.term === this.term;
   }
 
-  /** Whether a claim cites the current term and list. */
+  /** Whether the claim is based on the current term and successor list. */
   protected isClaimCurrent(claim: ClaimRecord): boolean {
     if (claim.prevTerm !== this.term) return false;
     return claim.prevListVersion === this.listVersion;
   }
 
-  protected override *entries(): Generator<OwnershipEntry | JobDump> {
+  protected override *entries(): Generator<OwnershipEntry | StoredJob> {
     const {term, owner, listVersion, successors} = this;
     yield {term, owner, listVersion, successors};
-    for (const job of this.jobMap.values()) {
-      if (job.end === null) yield dumpJob(job);
+    for (const job of this.jobsById.values()) {
+      if (job.end === null) yield serializeJob(job);
     }
-    for (const jobId of this.endedIds) {
-      const job = this.jobMap.get(jobId);
-      if (job !== undefined) yield dumpJob(job);
+    for (const jobId of this.endedJobIds) {
+      const job = this.jobsById.get(jobId);
+      if (job !== undefined) yield serializeJob(job);
     }
   }
 
@@ -118,43 +118,43 @@
     const [ownership, ...jobs] = entries;
     const {term, owner, listVersion, successors} = ownership as OwnershipEntry;
     this.setOwner(term, owner, listVersion, successors);
-    this.jobMap.clear();
-    this.endedIds.clear();
-    for (const dump of jobs as readonly JobDump[]) this.restoreJob(dump);
+    this.jobsById.clear();
+    this.endedJobIds.clear();
+    for (const entry of jobs as readonly StoredJob[]) this.restoreJob(entry);
   }
 
-  private applyUnderTerm(change: TermRecord): ApplyResult {
-    switch (change.type) {
+  private applyTermRecord(record: TermRecord): ApplyResult {
+    switch (record.type) {
       case 'successors':
-        return this.replaceSuccessors(change);
+        return this.applySuccessors(record);
       case 'handover':
-        return this.handOver(change);
+        return this.applyHandover(record);
       case 'jobAccepted':
-        return this.acceptJob(change);
+        return this.applyJobAccepted(record);
       case 'taskStarting':
-        return this.noteStarting(change);
+        return this.applyTaskStarting(record);
       case 'taskEnded':
-        return this.noteTaskEnded(change);
+        return this.applyTaskEnded(record);
       case 'jobEnded':
-        return this.noteJobEnded(change);
+        return this.applyJobEnded(record);
     }
   }
 
-  private claim(claim: ClaimRecord): ApplyResult {
+  private applyClaim(claim: ClaimRecord): ApplyResult {
     if (!this.isClaimCurrent(claim)) return 'void';
     const {owner, successors} = claim;
     this.setOwner(this.term + 1, owner, this.listVersion + 1, successors);
     return 'applied';
   }
 
-  private replaceSuccessors(change: SuccessorsRecord): ApplyResult {
-    if (change.prevListVersion !== this.listVersion) return 'void';
+  private applySuccessors(record: SuccessorsRecord): ApplyResult {
+    if (record.prevListVersion !== this.listVersion) return 'void';
     this.listVersion += 1;
-    this.successors = change.successors;
+    this.successors = record.successors;
     return 'applied';
   }
 
-  private handOver({owner, successors}: HandoverRecord): ApplyResult {
+  private applyHandover({owner, successors}: HandoverRecord): ApplyResult {
     this.setOwner(this.term + 1, owner, this.listVersion + 1, successors);
     return 'applied';
   }
@@ -171,9 +171,9 @@
     this.successors = successors;
   }
 
-  private acceptJob({job, acceptedMs}: JobAcceptedRecord): ApplyResult {
-    if (this.jobMap.has(job.jobId)) return 'void';
-    this.jobMap.set(job.jobId, {
+  private applyJobAccepted({job, acceptedMs}: JobAcceptedRecord): ApplyResult {
+    if (this.jobsById.has(job.jobId)) return 'void';
+    this.jobsById.set(job.jobId, {
       spec: job,
       acceptedMs,
       ended: new Map(),
@@ -185,36 +185,39 @@
     return 'applied';
   }
 
-  private noteStarting(change: TaskStartingRecord): ApplyResult {
-    const {taskIndex, taskId, workerId} = change;
-    const job = this.liveJob(change.jobId, taskIndex);
+  private applyTaskStarting(record: TaskStartingRecord): ApplyResult {
+    const {taskIndex, taskId, workerId} = record;
+    const job = this.jobWithLiveTask(record.jobId, taskIndex);
     if (job === undefined || job.starting.has(taskIndex)) return 'void';
     job.starting.set(taskIndex, {taskId, workerId});
     return 'applied';
   }
 
-  private noteTaskEnded(change: TaskEndedRecord): ApplyResult {
-    const {taskIndex, result} = change;
-    const job = this.liveJob(change.jobId, taskIndex);
+  private applyTaskEnded(record: TaskEndedRecord): ApplyResult {
+    const {taskIndex, result} = record;
+    const job = this.jobWithLiveTask(record.jobId, taskIndex);
     if (job === undefined) return 'void';
     job.ended.set(taskIndex, result);
     job.starting.delete(taskIndex);
     return 'applied';
   }
 
-  private noteJobEnded({jobId, end, reason}: JobEndedRecord): ApplyResult {
-    const job = this.jobMap.get(jobId);
+  private applyJobEnded({jobId, end, reason}: JobEndedRecord): ApplyResult {
+    const job = this.jobsById.get(jobId);
     if (job === undefined || job.end !== null) return 'void';
     job.end = end;
     job.endedMs = this.logMs;
     job.reason = reason;
-    this.endedIds.add(jobId);
+    this.endedJobIds.add(jobId);
     return 'applied';
   }
 
-  /** The job, if it is live and this task of it has not ended. */
-  private liveJob(jobId: string, taskIndex: number): MutableJob | undefined {
-    const job = this.jobMap.get(jobId);
+  /** Returns the job if it is live and this task of it has not ended. */
+  private jobWithLiveTask(
+    jobId: string,
+    taskIndex: number,
+  ): MutableJob | undefined {
+    const job = this.jobsById.get(jobId);
     if (job === undefined || job.end !== null) return undefined;
     if (taskIndex >= job.spec.tasks || job.ended.has(taskIndex)) {
       return undefined;
@@ -222,27 +225,27 @@
     return job;
   }
 
-  private forgetEnded(): void {
-    for (const jobId of this.endedIds) {
-      const endedMs = this.jobMap.get(jobId)?.endedMs ?? 0;
-      if (endedMs + this.keptMs > this.logMs) return;
-      this.endedIds.delete(jobId);
-      this.jobMap.delete(jobId);
+  private dropExpiredJobs(): void {
+    for (const jobId of this.endedJobIds) {
+      const endedMs = this.jobsById.get(jobId)?.endedMs ?? 0;
+      if (endedMs + this.retentionMs > this.logMs) return;
+      this.endedJobIds.delete(jobId);
+      this.jobsById.delete(jobId);
     }
   }
 
-  private restoreJob(dump: JobDump): void {
-    const {jobId} = dump.spec;
-    this.jobMap.set(jobId, {
-      ...dump,
-      ended: new Map(dump.ended),
-      starting: new Map(dump.starting),
+  private restoreJob(entry: StoredJob): void {
+    const {jobId} = entry.spec;
+    this.jobsById.set(jobId, {
+      ...entry,
+      ended: new Map(entry.ended),
+      starting: new Map(entry.starting),
     });
-    if (dump.end !== null) this.endedIds.add(jobId);
+    if (entry.end !== null) this.endedJobIds.add(jobId);
   }
 }
 
-function dumpJob(job: JobEntry): JobDump {
+function serializeJob(job: JobEntry): StoredJob {
   return {
     ...job,
     ended: [...job.ended],
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -9,15 +9,15 @@
 } from './records.js';
 import type {RecordChecker} from './record-schema.js';
 
-const PART_BYTES = 128 * 1024;
+const MAX_PART_LENGTH = 128 * 1024;
 
-type StateRecord = ShardRecord | ConfigStreamRecord | AllowanceStreamRecord;
+type StreamRecord = ShardRecord | ConfigStreamRecord | AllowanceStreamRecord;
 
 /** A record that carries state, not a snapshot of it. */
-export type ChangeOf<R extends StateRecord> = Exclude<R, SnapshotRecord>;
+export type ChangeOf<R extends StreamRecord> = Exclude<R, SnapshotRecord>;
 
 /** Folds one stream; a reader that starts late begins at a snapshot. */
-export abstract class SnapshotFold<R extends StateRecord> extends StreamFold {
+export abstract class SnapshotFold<R extends StreamRecord> extends StreamFold {
   override nextOffset = 0;
   override isComplete = true;
   /** How many records were malformed or of an unknown version. */
@@ -30,7 +30,7 @@
   logMs = 0;
   private readonly parts = new Map<string, Map<number, SnapshotRecord>>();
   /** Records that a snapshot yet to be read may not cover. */
-  private held: LogRecord[] = [];
+  private deferred: LogRecord[] = [];
   private startOffset = 0;
 
   constructor(private readonly checker: RecordChecker<R>) {
@@ -40,14 +40,14 @@
   override apply(record: LogRecord): ApplyResult {
     if (record.offset !== this.nextOffset) return 'void';
     this.nextOffset += 1;
-    const known = this.checker.check(record.data);
-    if (known === undefined) this.skippedCount += 1;
-    if (known !== undefined && isSnapshot(known)) {
-      return this.collect(known, record.offset);
+    const checked = this.checker.check(record.data);
+    if (checked === undefined) this.skippedCount += 1;
+    if (checked !== undefined && isSnapshot(checked)) {
+      return this.addSnapshotPart(checked, record.offset);
     }
-    if (!this.isComplete) this.held.push(record);
-    if (!this.isComplete) return known === undefined ? 'skipped' : 'void';
-    return this.applyKnown(record, known);
+    if (!this.isComplete) this.deferred.push(record);
+    if (!this.isComplete) return checked === undefined ? 'skipped' : 'void';
+    return this.applyChecked(record, checked);
   }
 
   override skipTo(offset: number): void {
@@ -55,7 +55,7 @@
     this.nextOffset = offset;
     this.isComplete = false;
     this.startOffset = offset;
-    this.held = [];
+    this.deferred = [];
     this.parts.clear();
   }
 
@@ -66,7 +66,7 @@
    * for (const record of fold.snapshot(newId('s'))) await writer.write(record);
    */
   snapshot(snapshotId: string): readonly SnapshotRecord[] {
-    const bodies = [...toBodies(this.logMs, this.entries())];
+    const bodies = [...packEntries(this.logMs, this.entries())];
     return bodies.map((body, part) => ({
       v: RECORD_VERSION,
       type: 'snapshot',
@@ -89,16 +89,16 @@
   adopt(parts: readonly SnapshotRecord[]): boolean {
     const [first] = parts;
     if (first === undefined || parts.length !== first.parts) return false;
-    if (!this.isAhead(first.covers)) return false;
-    const state = readState(new Map(parts.map(part => [part.part, part])));
+    if (!this.isNewer(first.covers)) return false;
+    const state = parseSnapshot(new Map(parts.map(part => [part.part, part])));
     if (state === undefined) return false;
     this.nextOffset = first.covers;
-    this.takeUp(state);
+    this.replaceState(state);
     return true;
   }
 
   /** Whether a state that covers this much is newer than the present one. */
-  protected isAhead(covers: number): boolean {
+  protected isNewer(covers: number): boolean {
     if (covers > this.nextOffset) return true;
     return !this.isComplete && covers === this.nextOffset;
   }
@@ -113,92 +113,96 @@
   /** Replaces the state by that of the entries. */
   protected abstract restore(entries: readonly unknown[]): void;
 
-  private applyKnown(record: LogRecord, known: R | undefined): ApplyResult {
+  private applyChecked(record: LogRecord, checked: R | undefined): ApplyResult {
     this.logMs = Math.max(this.logMs, record.timeMs);
-    if (known === undefined) return 'skipped';
-    const result = this.applyChange(known as ChangeOf<R>, record);
+    if (checked === undefined) return 'skipped';
+    const result = this.applyChange(checked as ChangeOf<R>, record);
     if (result === 'void') this.voidCount += 1;
     if (result === 'skipped') this.skippedCount += 1;
     return result;
   }
 
-  private takeUp({logMs, entries}: FoldedState): void {
+  private replaceState({logMs, entries}: SnapshotState): void {
     this.logMs = logMs;
     this.restore(entries);
     this.isComplete = true;
-    this.held = [];
+    this.deferred = [];
     this.parts.clear();
   }
 
-  private collect(snapshot: SnapshotRecord, offset: number): ApplyResult {
+  private addSnapshotPart(
+    snapshot: SnapshotRecord,
+    offset: number,
+  ): ApplyResult {
     const {snapshotId, part, parts, covers} = snapshot;
     if (part >= parts || covers > offset) {
       this.skippedCount += 1;
       return 'skipped';
     }
-    const got = this.parts.get(snapshotId) ?? new Map<number, SnapshotRecord>();
-    this.parts.set(snapshotId, got);
-    got.set(part, this.isComplete ? {...snapshot, body: ''} : snapshot);
-    if (got.size < parts) return 'applied';
+    const received =
+      this.parts.get(snapshotId) ?? new Map<number, SnapshotRecord>();
+    this.parts.set(snapshotId, received);
+    received.set(part, this.isComplete ? {...snapshot, body: ''} : snapshot);
+    if (received.size < parts) return 'applied';
     this.parts.delete(snapshotId);
     this.snapshotCovers = Math.max(this.snapshotCovers, covers);
-    if (!this.isComplete) this.startFrom(got, covers);
+    if (!this.isComplete) this.startFromSnapshot(received, covers);
     return 'applied';
   }
 
   /** Takes a snapshot up, unless records after it are no longer there. */
-  private startFrom(
+  private startFromSnapshot(
     parts: ReadonlyMap<number, SnapshotRecord>,
     covers: number,
   ): void {
     if (covers < this.startOffset) return;
-    const state = readState(parts);
+    const state = parseSnapshot(parts);
     if (state === undefined) return;
-    const {held} = this;
-    this.takeUp(state);
-    for (const record of held) {
+    const {deferred} = this;
+    this.replaceState(state);
+    for (const record of deferred) {
       if (record.offset < covers) continue;
-      this.applyKnown(record, this.checker.check(record.data));
+      this.applyChecked(record, this.checker.check(record.data));
     }
   }
 }
 
-interface FoldedState {
+interface SnapshotState {
   readonly logMs: number;
   readonly entries: readonly unknown[];
 }
 
-function isSnapshot(record: StateRecord): record is SnapshotRecord {
+function isSnapshot(record: StreamRecord): record is SnapshotRecord {
   return record.type === 'snapshot';
 }
 
 /** Packs entries into JSON arrays of bounded size; the time goes first. */
-function* toBodies(
+function* packEntries(
   logMs: number,
   entries: Iterable<unknown>,
 ): Generator<string> {
   let texts = [JSON.stringify(logMs)];
-  let size = 0;
+  let length = 0;
   for (const entry of entries) {
     const text = JSON.stringify(entry);
-    if (size > 0 && size + text.length > PART_BYTES) {
+    if (length > 0 && length + text.length > MAX_PART_LENGTH) {
       yield `[${texts.join(',')}]`;
       texts = [];
-      size = 0;
+      length = 0;
     }
     texts.push(text);
-    size += text.length;
+    length += text.length;
   }
   yield `[${texts.join(',')}]`;
 }
 
-function readState(
+function parseSnapshot(
   parts: ReadonlyMap<number, SnapshotRecord>,
-): FoldedState | undefined {
+): SnapshotState | undefined {
   const ordered = [...parts.values()].sort((a, b) => a.part - b.part);
   try {
-    const all = ordered.flatMap(({body}) => JSON.parse(body) as unknown[]);
-    const [logMs, ...entries] = all;
+    const values = ordered.flatMap(({body}) => JSON.parse(body) as unknown[]);
+    const [logMs, ...entries] = values;
     return typeof logMs === 'number' ? {logMs, entries} : undefined;
   } catch {
     return undefined;
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -4,10 +4,10 @@
 import type {SnapshotRecord} from './records.js';
 
 /** A snapshot is written at least this often. */
-export const SNAPSHOT_PERIOD_MS = 10 * 60_000;
+export const SNAPSHOT_INTERVAL_MS = 10 * 60_000;
 /** A reader that starts empty has at most about this much to read. */
-export const SNAPSHOT_MAX_RECORDS = 20_000;
-const CHECK_PERIOD_MS = 1_000;
+export const MAX_RECORDS_AFTER_SNAPSHOT = 20_000;
+const CHECK_INTERVAL_MS = 1_000;
 
 /** What snapshots need of a fold. */
 export interface SnapshotSource {
@@ -50,26 +50,26 @@
   const {firstKept, covers, nextOffset, ageMs, periodMs} = age;
   if (nextOffset === 0) return false;
   if (ageMs >= periodMs) return true;
-  if (nextOffset - covers >= SNAPSHOT_MAX_RECORDS) return true;
-  const isForgetting = firstKept > 0;
-  return isForgetting && covers - firstKept < (nextOffset - firstKept) / 2;
+  if (nextOffset - covers >= MAX_RECORDS_AFTER_SNAPSHOT) return true;
+  const isLogTruncated = firstKept > 0;
+  return isLogTruncated && covers - firstKept < (nextOffset - firstKept) / 2;
 }
 
 /** Writes the snapshots of one stream. */
 export class SnapshotTask {
-  private covers = 0;
-  private sinceMs: number;
+  private lastCovers = 0;
+  private lastSnapshotMs: number;
 
   constructor(private readonly options: SnapshotTaskOptions) {
-    this.sinceMs = options.clock.monotonicMs();
+    this.lastSnapshotMs = options.clock.monotonicMs();
   }
 
   /** Writes snapshots when they are due, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
+  async run(shouldRun: () => boolean): Promise<void> {
     const {clock} = this.options;
-    while (isWanted()) {
+    while (shouldRun()) {
       if (this.isDue()) await this.tryWrite();
-      await clock.sleep(CHECK_PERIOD_MS);
+      await clock.sleep(CHECK_INTERVAL_MS);
     }
   }
 
@@ -84,24 +84,24 @@
     const {fold, writer, events, tail} = this.options;
     const parts = fold.snapshot(newId('snapshot'));
     for (const part of parts) await writer.write(part);
-    const note = `${tail.stream}: ${parts.length} parts`;
-    events.add('snapshotWritten', {}, note);
+    const detail = `${tail.stream}: ${parts.length} parts`;
+    events.add('snapshotWritten', {}, detail);
   }
 
   private isDue(): boolean {
     const {fold, tail, clock, isAllowed} = this.options;
     const {nextOffset, snapshotCovers: covers} = fold;
-    if (covers !== this.covers) this.noteSnapshot(covers);
+    if (covers !== this.lastCovers) this.recordSnapshot(covers);
     if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
     const {firstKept} = tail;
-    const ageMs = clock.monotonicMs() - this.sinceMs;
-    const {periodMs = SNAPSHOT_PERIOD_MS} = this.options;
+    const ageMs = clock.monotonicMs() - this.lastSnapshotMs;
+    const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
     return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
   }
 
-  private noteSnapshot(covers: number): void {
-    this.covers = covers;
-    this.sinceMs = this.options.clock.monotonicMs();
+  private recordSnapshot(covers: number): void {
+    this.lastCovers = covers;
+    this.lastSnapshotMs = this.options.clock.monotonicMs();
   }
 
   private async tryWrite(): Promise<void> {
--- a/packages/state/src/stall-detector.ts
+++ b/packages/state/src/stall-detector.ts
@@ -1,21 +1,27 @@
-/** Notices an owner that cannot read a log which its successors can read. */
+/** Detects an owner that cannot read the log while its successors can. */
 import type {OwnershipOptions} from './ownership-types.js';
 
-/** How long an owner may depend on promises while the log can be read. */
-export const STALL_GRACE_MS = 10_000;
+/**
+ * How long an owner may depend on promises while its successors can read the
+ * log.
+ */
+export const OWNER_STALL_TIMEOUT_MS = 10_000;
 
-type StallWatchOptions = Pick<OwnershipOptions, 'clock' | 'tail' | 'timing'>;
+type StallDetectorOptions = Pick<OwnershipOptions, 'clock' | 'tail' | 'timing'>;
 
-/** Compares the owner's asks for promises with this process's own reads. */
-export class StallWatch {
+/**
+ * Compares the owner's requests for promises with this process's own reads of
+ * the log.
+ */
+export class StallDetector {
   private logUpSinceMs = Infinity;
-  private askedSinceMs = Infinity;
-  private askedMs = -Infinity;
+  private requestingSinceMs = Infinity;
+  private lastRequestMs = -Infinity;
 
-  constructor(private readonly options: StallWatchOptions) {}
+  constructor(private readonly options: StallDetectorOptions) {}
 
-  /** Looks at the own tail; called often. */
-  update(): void {
+  /** Updates since when this process can read the log. Must be called often. */
+  updateLogStatus(): void {
     const {clock, tail, timing} = this.options;
     const nowMs = clock.monotonicMs();
     const isUp = nowMs - tail.lastProofMs <= timing.ownerLeaseMs;
@@ -23,22 +29,25 @@
     else if (this.logUpSinceMs === Infinity) this.logUpSinceMs = nowMs;
   }
 
-  /** The owner asked for a promise, as it has no new read of the log. */
-  noteAsk(): void {
+  /**
+   * Records that the owner requested a promise, which it does without a recent
+   * read of the log.
+   */
+  recordPromiseRequest(): void {
     const nowMs = this.options.clock.monotonicMs();
-    if (!this.isAsking(nowMs)) this.askedSinceMs = nowMs;
-    this.askedMs = nowMs;
+    if (!this.isOwnerRequesting(nowMs)) this.requestingSinceMs = nowMs;
+    this.lastRequestMs = nowMs;
   }
 
-  /** Whether the owner has been without the log for too long. */
+  /** Whether the owner has not read the log for too long. */
   isStalled(): boolean {
     const nowMs = this.options.clock.monotonicMs();
-    if (!this.isAsking(nowMs)) return false;
-    const sinceMs = Math.max(this.logUpSinceMs, this.askedSinceMs);
-    return nowMs - sinceMs > STALL_GRACE_MS;
+    if (!this.isOwnerRequesting(nowMs)) return false;
+    const sinceMs = Math.max(this.logUpSinceMs, this.requestingSinceMs);
+    return nowMs - sinceMs > OWNER_STALL_TIMEOUT_MS;
   }
 
-  private isAsking(nowMs: number): boolean {
-    return nowMs - this.askedMs <= this.options.timing.ownerLeaseMs;
+  private isOwnerRequesting(nowMs: number): boolean {
+    return nowMs - this.lastRequestMs <= this.options.timing.ownerLeaseMs;
   }
 }
--- a/packages/state/src/successors.ts
+++ b/packages/state/src/successors.ts
@@ -1,25 +1,29 @@
-/** Chooses the processes that may take a shard over. */
+/** Chooses the successors of the owner of a shard. */
 import {isSameProcess, type ProcessRef} from '@dragonflyward/common';
 import type {OwnershipPeers} from './ownership-types.js';
 
-/** How many successors an owner lists; each has to promise in an outage. */
+/**
+ * How many successors an owner lists. All of them have to give promises while
+ * the log is down, so a longer list is easier to lose the lease by.
+ */
 export const MAX_SUCCESSORS = 2;
-/** A process silent for longer is replaced as a successor. */
-const SUCCESSOR_SILENCE_MS = 3_000;
+/** A successor that was silent for longer is replaced. */
+const SUCCESSOR_SILENCE_TIMEOUT_MS = 3_000;
 
 /**
- * Keeps the successors that are alive and fills the list up.
+ * Keeps the current successors that are alive and adds others up to the
+ * maximum.
  *
  * @example
  * const successors = chooseSuccessors(fold.successors, peers);
  */
 export function chooseSuccessors(
-  present: readonly ProcessRef[],
+  current: readonly ProcessRef[],
   peers: OwnershipPeers,
 ): readonly ProcessRef[] {
   const candidates = peers.candidates();
-  const alive = candidates.filter(process => isAlive(process, peers));
-  const kept = present.filter(process => includes(alive, process));
+  const alive = candidates.filter(process => isListedAndHeard(process, peers));
+  const kept = current.filter(process => includes(alive, process));
   const added = alive.filter(process => !includes(kept, process));
   return [...kept, ...added].slice(0, MAX_SUCCESSORS);
 }
@@ -41,9 +45,9 @@
   });
 }
 
-function isAlive(process: ProcessRef, peers: OwnershipPeers): boolean {
+function isListedAndHeard(process: ProcessRef, peers: OwnershipPeers): boolean {
   if (!peers.isListed(process)) return false;
-  return peers.silentMs(process) < SUCCESSOR_SILENCE_MS;
+  return peers.silentMs(process) < SUCCESSOR_SILENCE_TIMEOUT_MS;
 }
 
 function includes(list: readonly ProcessRef[], process: ProcessRef): boolean {
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -43,14 +43,14 @@
 
 interface Op {
   readonly op: (typeof OPS)[number];
-  readonly which: number;
+  readonly index: number;
   readonly value: number;
 }
 
 const ALL_OPS: fc.Arbitrary<readonly Op[]> = fc.array(
   fc.record({
     op: fc.constantFrom(...OPS),
-    which: fc.nat(2),
+    index: fc.nat(2),
     value: fc.nat(MAX_LIMIT),
   }),
   {minLength: 20, maxLength: 120},
@@ -82,21 +82,21 @@
     return this.running.reduce((a, b) => a + b, 0);
   }
 
-  play({op, which, value}: Op): void {
+  play({op, index, value}: Op): void {
     switch (op) {
       case 'plan':
-        return this.plan(which % 2, value);
+        return this.plan(index % 2, value);
       case 'read':
-        return this.read(which, value);
+        return this.read(index, value);
       case 'start':
-        return this.start(which, value);
+        return this.start(index, value);
       case 'end':
-        this.running[which] = Math.min(this.running[which] ?? 0, value);
+        this.running[index] = Math.min(this.running[index] ?? 0, value);
         return;
       case 'ack':
-        return this.ack(which);
+        return this.ack(index);
       case 'takeOver':
-        return this.takeOver(which);
+        return this.takeOver(index);
       case 'limit':
         this.limit = value;
     }
@@ -144,8 +144,8 @@
     this.nextId += 1;
   }
 
-  private plan(which: number, seed: number, isFresh = seed % 2 === 0): void {
-    const table = this.budgets[which];
+  private plan(index: number, seed: number, isFresh = seed % 2 === 0): void {
+    const table = this.budgets[index];
     if (table === undefined) return;
     if (isFresh) this.catchUp(table, Infinity);
     const demands = SHARDS.map((shard, i) => ({
@@ -156,36 +156,41 @@
     const limits = new Map([[TEAM, slots(this.limit)]]);
     const input = {table, limits, shards: SHARDS, demands};
     const changes = planAllowances(input);
-    const cited = {prevVersion: table.version, term: 1};
-    this.push({v: RECORD_VERSION, type: 'allowances', ...cited, changes});
+    const preconditions = {prevVersion: table.version, term: 1};
+    this.push({
+      v: RECORD_VERSION,
+      type: 'allowances',
+      ...preconditions,
+      changes,
+    });
   }
 
-  private read(which: number, count: number): void {
-    const view = this.views[which];
+  private read(index: number, count: number): void {
+    const view = this.views[index];
     if (view !== undefined) this.catchUp(view, count);
   }
 
-  private start(which: number, count: number): void {
-    const shard = SHARDS[which] ?? '';
-    const allowed = this.views[which]?.amount(TEAM, shard).slots ?? 0;
-    const running = this.running[which] ?? 0;
-    this.running[which] = Math.max(running, Math.min(allowed, count));
+  private start(index: number, count: number): void {
+    const shard = SHARDS[index] ?? '';
+    const allowed = this.views[index]?.amount(TEAM, shard).slots ?? 0;
+    const running = this.running[index] ?? 0;
+    this.running[index] = Math.max(running, Math.min(allowed, count));
   }
 
-  private ack(which: number): void {
-    const ack = this.keeper(which).dueAck();
+  private ack(index: number): void {
+    const ack = this.keeper(index).dueAck();
     if (ack !== undefined) this.push(ack);
   }
 
-  private takeOver(which: number): void {
-    this.terms[which] = (this.terms[which] ?? 0) + 1;
+  private takeOver(index: number): void {
+    this.terms[index] = (this.terms[index] ?? 0) + 1;
     const view = new this.tableClass();
-    this.views[which] = view;
+    this.views[index] = view;
     this.catchUp(view, Infinity);
   }
 
-  private keeper(which: number): AllowanceKeeper {
-    const table = this.views[which] ?? new this.tableClass();
+  private keeper(index: number): AllowanceKeeper {
+    const table = this.views[index] ?? new this.tableClass();
     const {clock} = this;
     const client = new MemoryLogClient(this.log);
     const base = {client, stream: ALLOWANCE_STREAM, clock};
@@ -196,15 +201,15 @@
       writer: new StreamWriter({...base, tail}),
       clock,
       events: new EventRing('p', new HybridClock(clock)),
-      shard: SHARDS[which] ?? '',
-      term: () => this.terms[which],
-      running: () => slots(this.running[which] ?? 0),
+      shard: SHARDS[index] ?? '',
+      term: () => this.terms[index],
+      running: () => slots(this.running[index] ?? 0),
     });
   }
 }
 
 /** Whether the sum keeps to the limit, or falls while a new one is lower. */
-function keepsToLimit(ops: readonly Op[], tableClass: TableClass): boolean {
+function staysWithinLimit(ops: readonly Op[], tableClass: TableClass): boolean {
   const fleet = new Fleet(tableClass);
   let bound = fleet.limit;
   for (const op of ops) {
@@ -216,14 +221,14 @@
 }
 
 /** Counts only the newest amounts, acknowledged or not. */
-class UnchargedState extends AllowanceState {
+class NewestAmountState extends AllowanceState {
   override charge(team: string, shard: string): Resources {
     return this.amount(team, shard);
   }
 }
 
 /** Takes changes that were planned on an older table. */
-class UncitedState extends AllowanceState {
+class UncheckedVersionState extends AllowanceState {
   protected override isCurrent(): boolean {
     return true;
   }
@@ -245,17 +250,17 @@
 
 const allowances = suite('allowances');
 
-check('never pass the limit', ops => keepsToLimit(ops, AllowanceState));
+check('never pass the limit', ops => staysWithinLimit(ops, AllowanceState));
 
 check(
   'pass the limit where only the newest amount is counted',
-  ops => keepsToLimit(ops, UnchargedState),
+  ops => staysWithinLimit(ops, NewestAmountState),
   false,
 );
 
 check(
   'pass the limit where changes cite nothing',
-  ops => keepsToLimit(ops, UncitedState),
+  ops => staysWithinLimit(ops, UncheckedVersionState),
   false,
 );
 
--- a/packages/state/test/allowance.test.ts
+++ b/packages/state/test/allowance.test.ts
@@ -47,7 +47,7 @@
     this.keepers = new Map(
       SHARDS.map(shard => {
         const running = (): Resources => slots(this.running.get(shard) ?? 0);
-        const options = {...this.partsOf(), shard, term, running};
+        const options = {...this.makeTaskOptions(), shard, term, running};
         return [shard, new AllowanceKeeper(options)];
       }),
     );
@@ -57,7 +57,7 @@
       shards: SHARDS,
       demands: [{team: TEAM, shard: this.busyShard, wanted: slots(LIMIT)}],
     });
-    void new BudgetTask({...this.partsOf(), term, input}).run(isWanted);
+    void new BudgetTask({...this.makeTaskOptions(), term, input}).run(isWanted);
   }
 
   amount(shard: string): number {
@@ -69,7 +69,7 @@
     for (const tail of this.tails) tail.stop();
   }
 
-  private partsOf(): AllowanceTaskOptions {
+  private makeTaskOptions(): AllowanceTaskOptions {
     const {clock} = this;
     const table = new AllowanceState();
     const client = new MemoryLogClient(this.log);
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -37,12 +37,12 @@
 export const SILENCE_MS = 1_500;
 const READ_WAIT_MS = 200;
 const PEER_DELAY_MS = 30;
-const STEP_MS = 25;
+const CLOCK_STEP_MS = 25;
 const HEARTBEAT_MS = 500;
-const CANDIDATE_SILENCE_MS = 2_500;
+const CANDIDATE_SILENCE_TIMEOUT_MS = 2_500;
 const PAUSE_CHECK_MS = 25;
 /** Monotonic clocks differ by at most 4 % in rate between two VMs. */
-const RATES = [1, 0.98, 1.02];
+const CLOCK_RATES = [1, 0.98, 1.02];
 
 /** The clock of one process; its tasks stand still while it is paused. */
 class MemberClock extends Clock {
@@ -65,10 +65,10 @@
 
   override async sleep(delayMs: number): Promise<void> {
     await this.base.sleep(delayMs / this.rate);
-    await this.resumed();
+    await this.waitWhilePaused();
   }
 
-  async resumed(): Promise<void> {
+  async waitWhilePaused(): Promise<void> {
     while (this.isPaused) await this.base.sleep(PAUSE_CHECK_MS);
   }
 }
@@ -86,7 +86,7 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<AppendReply> {
-    return this.inner.append(stream, records).finally(this.resumed);
+    return this.inner.append(stream, records).finally(this.waitWhilePaused);
   }
 
   override read(
@@ -94,14 +94,15 @@
     from: number,
     options: ReadOptions,
   ): Promise<LogPage> {
-    return this.inner.read(stream, from, options).finally(this.resumed);
+    return this.inner.read(stream, from, options).finally(this.waitWhilePaused);
   }
 
   override streams(): ReturnType<LogClient['streams']> {
     return this.inner.streams();
   }
 
-  private readonly resumed = (): Promise<void> => this.clock.resumed();
+  private readonly waitWhilePaused = (): Promise<void> =>
+    this.clock.waitWhilePaused();
 }
 
 /** One process of the cell. */
@@ -119,11 +120,11 @@
 }
 
 /** What tests replace to switch a mechanism off. */
-export interface CellParts {
+export interface CellOptions {
   readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
   readonly makeFold?: () => ShardState;
   /** Jobs count as accepted once the append was answered. */
-  readonly isReadBackOff?: boolean;
+  readonly skipsReadBack?: boolean;
 }
 
 class CellPeers extends OwnershipPeers {
@@ -140,11 +141,11 @@
     );
     return others
       .map(m => m.ref)
-      .filter(ref => this.silentMs(ref) < CANDIDATE_SILENCE_MS);
+      .filter(ref => this.silentMs(ref) < CANDIDATE_SILENCE_TIMEOUT_MS);
   }
 
   override silentMs(process: ProcessRef): number {
-    const heardMs = this.cell.heardMs(process, this.self);
+    const heardMs = this.cell.lastHeardMs(process, this.self);
     return this.cell.clock.monotonicMs() - heardMs;
   }
 
@@ -183,16 +184,16 @@
   violations = 0;
   /** Jobs that their writer was told stand in the log. */
   readonly accepted = new Set<string>();
-  private readonly lastHeardMs = new Map<string, number>();
+  private readonly heartbeatMs = new Map<string, number>();
   private nextJob = 1;
 
-  constructor(private readonly parts: CellParts = {}) {}
+  constructor(private readonly parts: CellOptions = {}) {}
 
   /** Starts a process; a higher incarnation is a restart on the same VM. */
   start(vm: string, incarnation = 1): Member {
     const ref = {vm, incarnation};
     const rank = this.members.length;
-    const rate = RATES[rank % RATES.length] ?? 1;
+    const rate = CLOCK_RATES[rank % CLOCK_RATES.length] ?? 1;
     const clock = new MemberClock(this.clock, rate);
     const client = new MemoryLogClient(this.log);
     const fold = this.parts.makeFold?.() ?? new ShardState();
@@ -233,9 +234,9 @@
 
   /** Moves the time on in small steps and checks who may act. */
   async run(durationMs: number): Promise<void> {
-    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
-      if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.beat();
-      await this.clock.advance(STEP_MS);
+    for (let passedMs = 0; passedMs < durationMs; passedMs += CLOCK_STEP_MS) {
+      if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.sendHeartbeats();
+      await this.clock.advance(CLOCK_STEP_MS);
       if (this.acting().length > 1) this.violations += 1;
     }
   }
@@ -258,8 +259,8 @@
   }
 
   /** When one process last heard another. */
-  heardMs(from: ProcessRef, by: ProcessRef): number {
-    return this.lastHeardMs.get(`${keyOf(from)}>${keyOf(by)}`) ?? -Infinity;
+  lastHeardMs(from: ProcessRef, to: ProcessRef): number {
+    return this.heartbeatMs.get(`${keyOf(from)}>${keyOf(to)}`) ?? -Infinity;
   }
 
   /** Stops all tasks. */
@@ -286,19 +287,19 @@
     {tail, writer, log}: Member,
     data: JobAcceptedRecord,
   ): Promise<boolean> {
-    if (!this.parts.isReadBackOff) {
+    if (!this.parts.skipsReadBack) {
       return (await writer.write(data)) === 'applied';
     }
     await log.append(tail.stream, [{id: data.job.jobId, data}]);
     return true;
   }
 
-  private beat(): void {
+  private sendHeartbeats(): void {
     const reachable = this.members.filter(isReachable);
     for (const from of reachable) {
-      for (const by of reachable) {
-        const key = `${keyOf(from.ref)}>${keyOf(by.ref)}`;
-        this.lastHeardMs.set(key, this.clock.monotonicMs());
+      for (const to of reachable) {
+        const key = `${keyOf(from.ref)}>${keyOf(to.ref)}`;
+        this.heartbeatMs.set(key, this.clock.monotonicMs());
       }
     }
   }
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -33,15 +33,15 @@
 
 interface Op {
   readonly op: (typeof OPS)[number];
-  readonly which: number;
-  readonly thenMs: number;
+  readonly readerIndex: number;
+  readonly durationMs: number;
 }
 
 const ALL_OPS = fc.array(
   fc.record({
     op: fc.constantFrom(...OPS),
-    which: fc.nat(READERS - 1),
-    thenMs: fc.integer({min: 50, max: 4_000}),
+    readerIndex: fc.nat(READERS - 1),
+    durationMs: fc.integer({min: 50, max: 4_000}),
   }),
   {minLength: 4, maxLength: 40},
 );
@@ -53,7 +53,7 @@
   readonly fold: ConfigState;
   readonly exchange: ConfigExchange;
   readonly tail: StreamTail;
-  readonly seenWithdrawn: Set<string>;
+  readonly withdrawnKeyIds: Set<string>;
   lastRevision: number;
   isRunning: boolean;
 }
@@ -90,48 +90,48 @@
   }
 
   async play(ops: readonly Op[]): Promise<boolean> {
-    for (const {op, which, thenMs} of ops) {
-      this.inject(op, which);
-      for (let passedMs = 0; passedMs < thenMs; passedMs += 100) {
+    for (const {op, readerIndex, durationMs} of ops) {
+      this.inject(op, readerIndex);
+      for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
         await this.clock.advance(100);
-        for (const reader of this.readers) this.watch(reader);
+        for (const reader of this.readers) this.checkReader(reader);
       }
     }
     for (const reader of this.readers) this.stop(reader);
     return !this.hasReverted;
   }
 
-  private inject(op: Op['op'], which: number): void {
-    const reader = this.readers[which];
+  private inject(op: Op['op'], readerIndex: number): void {
+    const reader = this.readers[readerIndex];
     if (op === 'publish') this.revision = this.publish(this.revision);
     if (op === 'publishStale') this.publish(this.revision - 1);
-    if (op === 'grant') this.push(grant(`k${which}`, 's', 'roofs'));
-    if (op === 'withdraw') this.push(withdraw(`k${which}`));
+    if (op === 'grant') this.push(grant(`k${readerIndex}`, 's', 'roofs'));
+    if (op === 'withdraw') this.push(withdraw(`k${readerIndex}`));
     if (op === 'outage') this.log.isDown = true;
     if (op === 'outageEnds') this.log.isDown = false;
-    if (op === 'forget') this.forget();
+    if (op === 'forget') this.truncateLog();
     if (reader === undefined) return;
     if (op === 'cut') reader.client.isCut = true;
     if (op === 'heal') reader.client.isCut = false;
     if (op !== 'replace') return;
     this.stop(reader);
-    this.readers[which] = this.start();
+    this.readers[readerIndex] = this.start();
   }
 
-  private watch(reader: Reader): void {
-    const {fold, seenWithdrawn} = reader;
+  private checkReader(reader: Reader): void {
+    const {fold, withdrawnKeyIds} = reader;
     if (fold.revision < reader.lastRevision) this.hasReverted = true;
     reader.lastRevision = fold.revision;
     for (const {keyId, isWithdrawn} of fold.keys()) {
-      if (isWithdrawn) seenWithdrawn.add(keyId);
+      if (isWithdrawn) withdrawnKeyIds.add(keyId);
     }
-    for (const keyId of seenWithdrawn) {
+    for (const keyId of withdrawnKeyIds) {
       if (fold.teamOfKey(`${keyId}.s`) !== undefined) this.hasReverted = true;
     }
   }
 
   /** Drops what the newest snapshot covers, after writing one. */
-  private forget(): void {
+  private truncateLog(): void {
     const whole = new ConfigState();
     const {first} = this.log.page(CONFIG_STREAM, 0, 1);
     if (first > 0) whole.skipTo(first);
@@ -164,11 +164,11 @@
     const base = {clock, fold, maxAgeMs: 1_000};
     const freshness = new ConfigFreshness({...base, domain: 'north-1'});
     const peers = new SlowPeers(this);
-    const parts = {tail, freshness, peers, keptRecords: 1};
+    const parts = {tail, freshness, peers, maxRecentRecords: 1};
     const exchange = new ConfigExchange({...base, ...parts});
     const flags = {lastRevision: -1, isRunning: true};
-    const seenWithdrawn = new Set<string>();
-    const reader = {client, fold, exchange, tail, seenWithdrawn, ...flags};
+    const withdrawnKeyIds = new Set<string>();
+    const reader = {client, fold, exchange, tail, withdrawnKeyIds, ...flags};
     tail.start();
     void exchange.run(() => reader.isRunning);
     return reader;
@@ -176,8 +176,8 @@
 }
 
 /** Takes up any peer's state, also an older one. */
-class RevertingState extends ConfigState {
-  protected override isAhead(): boolean {
+class OlderSnapshotState extends ConfigState {
+  protected override isNewer(): boolean {
     return true;
   }
 }
@@ -196,6 +196,6 @@
 const configuration = suite('configuration under random faults');
 
 check('never reverts, nor does a withdrawal', ConfigState, true);
-check('reverts where older states are taken up', RevertingState, false);
+check('reverts where older states are taken up', OlderSnapshotState, false);
 
 configuration.run();
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -12,7 +12,7 @@
 import * as assert from 'uvu/assert';
 import {CONFIGURATION, configRecord, grant, withdraw} from './records.js';
 
-interface BadCase {
+interface InvalidCase {
   readonly name: string;
   readonly value: unknown;
   readonly message: string;
@@ -24,7 +24,7 @@
   return {...CONFIGURATION, exceptions: [{...EXCEPTION, ...change}]};
 }
 
-const BAD: readonly BadCase[] = [
+const INVALID_CASES: readonly InvalidCase[] = [
   {
     name: 'an exception without a reason',
     value: withException({reason: '  '}),
@@ -75,7 +75,7 @@
   assert.ok(validateConfiguration(CONFIGURATION).isOk());
 });
 
-for (const {name, value, message} of BAD) {
+for (const {name, value, message} of INVALID_CASES) {
   config(`refuses ${name} and says where`, () => {
     const checked = validateConfiguration(value);
     assert.ok(checked.isErr());
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -23,8 +23,8 @@
 const KEY = 'k1.s1';
 
 /** Takes every silence for an outage: the mechanism switched off. */
-class TrustingFreshness extends ConfigFreshness {
-  protected override isOutageForAll(): boolean {
+class AssumedOutageFreshness extends ConfigFreshness {
+  protected override isGlobalLogOutage(): boolean {
     return true;
   }
 }
@@ -40,7 +40,7 @@
   isRunning: boolean;
 }
 
-class Net extends ConfigPeers {
+class GatewayPeers extends ConfigPeers {
   constructor(
     private readonly cell: Gateways,
     private readonly vm: string,
@@ -78,7 +78,7 @@
     this.log.push(CONFIG_STREAM, [{id, data}]);
   }
 
-  takes(gateway: Gateway): boolean {
+  acceptsKey(gateway: Gateway): boolean {
     const isKnown = gateway.fold.teamOfKey(KEY) !== undefined;
     return isKnown && gateway.freshness.isFresh();
   }
@@ -96,7 +96,7 @@
     const tail = new StreamTail({client, stream, fold, clock, waitMs: 500});
     const base = {clock, maxAgeMs: MAX_AGE_MS, fold};
     const freshness = new this.freshnessClass({...base, domain});
-    const peers = new Net(this, vm);
+    const peers = new GatewayPeers(this, vm);
     const exchange = new ConfigExchange({...base, tail, freshness, peers});
     const flags = {isUnreachable: false, isRunning: true};
     const parts = {client, fold, freshness, exchange};
@@ -113,11 +113,11 @@
   await cell.clock.advance(3_000);
   const [first, ...others] = cell.gateways;
   assert.ok(first);
-  assert.ok(cell.takes(first));
+  assert.ok(cell.acceptsKey(first));
   return {cell, first, others};
 }
 
-function domainOf(cell: Gateways, domain: string): readonly Gateway[] {
+function gatewaysIn(cell: Gateways, domain: string): readonly Gateway[] {
   return cell.gateways.filter(g => g.domain === domain);
 }
 
@@ -128,7 +128,7 @@
   cell.log.isDown = true;
   for (let i = 0; i < 20; i += 1) {
     await cell.clock.advance(OUTAGE_MS / 20);
-    assert.ok(cell.gateways.every(g => cell.takes(g)));
+    assert.ok(cell.gateways.every(g => cell.acceptsKey(g)));
   }
   cell.end();
 });
@@ -137,11 +137,11 @@
   const {cell, first} = await start();
   cell.log.isDown = true;
   for (const domain of DOMAINS) {
-    const last = domainOf(cell, domain).at(-1);
+    const last = gatewaysIn(cell, domain).at(-1);
     if (last !== undefined) last.isUnreachable = true;
   }
   await cell.clock.advance(OUTAGE_MS);
-  assert.ok(cell.takes(first));
+  assert.ok(cell.acceptsKey(first));
   cell.end();
 });
 
@@ -165,7 +165,7 @@
   cell.log.isDown = true;
   const added = cell.add('north-1', VMS_PER_DOMAIN);
   await cell.clock.advance(3_000);
-  assert.ok(cell.takes(added));
+  assert.ok(cell.acceptsKey(added));
   cell.end();
 });
 
@@ -181,7 +181,7 @@
   }
   cell.publish('w', withdraw('k1'));
   await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-  const isTaken = cell.takes(first);
+  const isTaken = cell.acceptsKey(first);
   cell.end();
   return !isTaken;
 }
@@ -197,7 +197,7 @@
   );
 
   freshness(`takes withdrawn keys without it, ${cut.length}`, async () => {
-    assert.not(await refusesWhenCut(TrustingFreshness, cut));
+    assert.not(await refusesWhenCut(AssumedOutageFreshness, cut));
   });
 }
 
@@ -210,7 +210,7 @@
     first.client.isCut = true;
     first.isUnreachable = true;
     await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-    assert.not(cell.takes(first));
+    assert.not(cell.acceptsKey(first));
     cell.end();
   },
 );
--- a/packages/state/test/late-write.test.ts
+++ b/packages/state/test/late-write.test.ts
@@ -2,27 +2,27 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {Cell, STREAM, type CellParts} from './cell.js';
+import {Cell, STREAM, type CellOptions} from './cell.js';
 
 const SEED = 20261204;
 const RUNS = 20;
 
 /** An owner stands still with an append under way and is superseded. */
-async function areAcceptedKept(
-  landsAfterMs: number,
-  parts: CellParts = {},
+async function areAcceptedJobsKept(
+  appendDelayMs: number,
+  options: CellOptions = {},
 ): Promise<boolean> {
-  const cell = new Cell(parts);
+  const cell = new Cell(options);
   for (const vm of ['a', 'b', 'c']) cell.start(vm);
   await cell.run(5_000);
   const [owner] = cell.acting();
   assert.ok(owner);
-  cell.log.slowMs = landsAfterMs;
+  cell.log.slowMs = appendDelayMs;
   cell.acceptJobs();
   await cell.run(100);
   cell.log.slowMs = 0;
   owner.clock.isPaused = true;
-  await cell.run(landsAfterMs + 1_000);
+  await cell.run(appendDelayMs + 1_000);
   owner.clock.isPaused = false;
   await cell.run(8_000);
   cell.end();
@@ -31,12 +31,14 @@
   return [...cell.accepted].every(jobId => state.jobs.has(jobId));
 }
 
-function check(name: string, parts: CellParts, shouldHold: boolean): void {
+function check(name: string, options: CellOptions, shouldHold: boolean): void {
   lateWrites(name, async () => {
     const delays = fc.integer({min: 500, max: 10_000});
-    const run = fc.asyncProperty(delays, ms => areAcceptedKept(ms, parts));
-    const options = {seed: SEED, numRuns: RUNS, endOnFailure: true};
-    const {failed, counterexample} = await fc.check(run, options);
+    const run = fc.asyncProperty(delays, ms =>
+      areAcceptedJobsKept(ms, options),
+    );
+    const runOptions = {seed: SEED, numRuns: RUNS, endOnFailure: true};
+    const {failed, counterexample} = await fc.check(run, runOptions);
     assert.is(!failed, shouldHold, JSON.stringify(counterexample));
   });
 }
@@ -44,6 +46,6 @@
 const lateWrites = suite('late writes');
 
 check('no void record is acknowledged', {}, true);
-check('one is where it is not read back', {isReadBackOff: true}, false);
+check('one is where it is not read back', {skipsReadBack: true}, false);
 
 lateWrites.run();
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -1,6 +1,6 @@
 import {isSameProcess, type ProcessRef} from '@dragonflyward/common';
 import {
-  OwnerDuties,
+  OwnerTasks,
   RECORD_VERSION,
   ShardOwnership,
   ShardState,
@@ -10,7 +10,7 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {Cell, STREAM, type CellParts, type Member} from './cell.js';
+import {Cell, STREAM, type CellOptions, type Member} from './cell.js';
 
 const SEED = 20261204;
 const RUNS = 60;
@@ -39,14 +39,14 @@
   readonly fault: Fault;
   /** One bit for each process that it hits, or the number of one. */
   readonly target: number;
-  readonly thenMs: number;
+  readonly durationMs: number;
 }
 
 function stepOf(faults: readonly Fault[]): fc.Arbitrary<Step> {
   return fc.record({
     fault: fc.constantFrom(...faults),
     target: fc.nat(15),
-    thenMs: fc.integer({min: 100, max: 6_000}),
+    durationMs: fc.integer({min: 100, max: 6_000}),
   });
 }
 
@@ -58,9 +58,9 @@
 /** Some are cut from the log, and those that are not from their peers. */
 const PARTITION_STEPS = fc
   .tuple(fc.nat(15), fc.integer({min: 100, max: 12_000}))
-  .map(([target, thenMs]): readonly Step[] => [
-    {fault: 'cutFromLog', target, thenMs: 100},
-    {fault: 'cutFromPeers', target: 15 - target, thenMs},
+  .map(([target, durationMs]): readonly Step[] => [
+    {fault: 'cutFromLog', target, durationMs: 100},
+    {fault: 'cutFromPeers', target: 15 - target, durationMs},
   ]);
 
 /** A write under way while its writer is dead or stands still. */
@@ -76,17 +76,17 @@
   LATE_WRITE_STEPS,
 );
 
-function inject(cell: Cell, {fault, target, thenMs}: Step): void {
+function inject(cell: Cell, {fault, target, durationMs}: Step): void {
   const alive = cell.members.filter(m => !m.isDead);
   const [owner] = cell.acting();
-  const one = target === 0 ? owner : alive[target % alive.length];
+  const single = target === 0 ? owner : alive[target % alive.length];
   const several = alive.filter((_, i) => (target >> (i % 4)) % 2 === 1);
-  if (one !== undefined) injectInto(cell, one, fault);
-  for (const member of several) cut(member, fault);
+  if (single !== undefined) injectInto(cell, single, fault);
+  for (const member of several) isolate(member, fault);
   injectForAll(cell, fault);
   if (fault !== 'loseReplies') return;
   cell.log.lostReplies = 1 + (target % 4);
-  cell.log.delayedEffectMs = thenMs * 4;
+  cell.log.delayedEffectMs = durationMs * 4;
 }
 
 function injectForAll({log, members}: Cell, fault: Fault): void {
@@ -99,7 +99,7 @@
   }
 }
 
-function cut(member: Member, fault: Fault): void {
+function isolate(member: Member, fault: Fault): void {
   if (fault === 'pause') member.clock.isPaused = true;
   if (fault === 'cutFromLog') member.client.isCut = true;
   if (fault === 'cutFromPeers') member.isCutFromPeers = true;
@@ -139,21 +139,21 @@
 
 async function play(
   steps: readonly Step[],
-  parts: CellParts = {},
+  options: CellOptions = {},
 ): Promise<Cell> {
-  const cell = new Cell(parts);
+  const cell = new Cell(options);
   for (const vm of ['a', 'b', 'c', 'd']) cell.start(vm);
   await cell.run(4_000);
   for (const step of steps) {
     inject(cell, step);
     if (step.target % 2 === 0) cell.acceptJobs();
-    await cell.run(step.thenMs);
+    await cell.run(step.durationMs);
   }
   return cell;
 }
 
 /** Replays the whole log and checks who wrote each applied job record. */
-function hasForeignJob(cell: Cell, state: ShardState): boolean {
+function hasJobOfNonOwner(cell: Cell, state: ShardState): boolean {
   let isForeign = false;
   for (const record of cell.log.records(STREAM)) {
     const isApplied = state.apply(record) === 'applied';
@@ -187,10 +187,10 @@
 function checkFails(
   name: string,
   steps: fc.Arbitrary<readonly Step[]>,
-  parts: CellParts,
+  options: CellOptions,
 ): void {
   const holds = async (value: readonly Step[]): Promise<boolean> => {
-    const cell = await play(value, parts);
+    const cell = await play(value, options);
     cell.end();
     return cell.violations === 0;
   };
@@ -199,10 +199,10 @@
 
 /** A dropped successor's claim lands while all others are cut off. */
 async function playLateClaim(
-  landsAfterMs: number,
-  parts: CellParts = {},
+  appendDelayMs: number,
+  options: CellOptions = {},
 ): Promise<boolean> {
-  const cell = await play([], parts);
+  const cell = await play([], options);
   const [owner, dropped, ...others] = cell.members;
   assert.ok(owner && dropped);
   const {term: prevTerm, listVersion: prevListVersion} = dropped.fold;
@@ -210,9 +210,9 @@
   dropped.isCutFromPeers = true;
   await cell.run(6_000);
   for (const member of [owner, ...others]) member.client.isCut = true;
-  await cell.run(landsAfterMs);
-  const citations = {prevTerm, prevListVersion};
-  const claim = {v: RECORD_VERSION, type: 'claim', ...citations};
+  await cell.run(appendDelayMs);
+  const preconditions = {prevTerm, prevListVersion};
+  const claim = {v: RECORD_VERSION, type: 'claim', ...preconditions};
   const data = {...claim, owner: dropped.ref, successors: []};
   cell.log.push(STREAM, [{id: 'late', data}]);
   dropped.client.isCut = false;
@@ -221,7 +221,7 @@
   return cell.violations === 0;
 }
 
-const LANDS_AFTER_MS = fc.integer({min: 0, max: 8_000});
+const APPEND_DELAY_MS = fc.integer({min: 0, max: 8_000});
 
 const property = suite('ownership under random faults');
 
@@ -238,43 +238,43 @@
   await heal(cell);
   cell.end();
   const state = new ShardState();
-  if (hasForeignJob(cell, state)) return false;
+  if (hasJobOfNonOwner(cell, state)) return false;
   return [...cell.accepted].every(jobId => state.jobs.has(jobId));
 });
 
-check('a dropped successor cannot win', LANDS_AFTER_MS, ms =>
+check('a dropped successor cannot win', APPEND_DELAY_MS, ms =>
   playLateClaim(ms),
 );
 
 /** Acts as soon as it reads its claim back. */
-class HastyOwnership extends ShardOwnership {
+class NoClaimWaitOwnership extends ShardOwnership {
   protected override claimWaitMs(): number {
     return 0;
   }
 }
 
 /** Acts until it reads of another owner. */
-class EndlessOwnership extends ShardOwnership {
-  protected override rightEndMs(): number {
+class UnexpiringOwnership extends ShardOwnership {
+  protected override leaseEndMs(): number {
     return Infinity;
   }
 }
 
 /** Is content with the promise of the first successor. */
-class EasyDuties extends OwnerDuties {
+class OnePromiseTasks extends OwnerTasks {
   protected override possibleSuccessors(): readonly ProcessRef[] {
     return super.possibleSuccessors().slice(0, 1);
   }
 }
 
-class EasyOwnership extends ShardOwnership {
-  protected override makeDuties(): OwnerDuties {
-    return new EasyDuties(this.options);
+class OnePromiseOwnership extends ShardOwnership {
+  protected override makeOwnerTasks(): OwnerTasks {
+    return new OnePromiseTasks(this.options);
   }
 }
 
 /** Lets a claim win whatever it cites. */
-class UncitedShardState extends ShardState {
+class UncheckedClaimState extends ShardState {
   protected override isClaimCurrent(): boolean {
     return true;
   }
@@ -289,32 +289,32 @@
 
 type OwnershipClass = new (options: OwnershipOptions) => ShardOwnership;
 
-function withOwnership(type: OwnershipClass): CellParts {
+function withOwnership(type: OwnershipClass): CellOptions {
   return {makeOwnership: options => new type(options)};
 }
 
 checkFails(
   'fails without the wait after a claim',
   STEPS,
-  withOwnership(HastyOwnership),
+  withOwnership(NoClaimWaitOwnership),
 );
 
 checkFails(
   'fails without an end of the right to act',
   STEPS,
-  withOwnership(EndlessOwnership),
+  withOwnership(UnexpiringOwnership),
 );
 
 checkFails(
   'fails with the promise of one successor',
   PARTITION_STEPS,
-  withOwnership(EasyOwnership),
+  withOwnership(OnePromiseOwnership),
 );
 
 check(
   'a dropped successor wins where claims cite nothing',
-  LANDS_AFTER_MS,
-  ms => playLateClaim(ms, {makeFold: () => new UncitedShardState()}),
+  APPEND_DELAY_MS,
+  ms => playLateClaim(ms, {makeFold: () => new UncheckedClaimState()}),
   false,
 );
 
@@ -324,7 +324,7 @@
   async steps => {
     const cell = await play(steps, {makeFold: () => new UnfencedShardState()});
     cell.end();
-    return !hasForeignJob(cell, new UnfencedShardState());
+    return !hasJobOfNonOwner(cell, new UnfencedShardState());
   },
   false,
 );
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -1,4 +1,4 @@
-import {STALL_GRACE_MS} from '@dragonflyward/state';
+import {OWNER_STALL_TIMEOUT_MS} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
@@ -57,7 +57,7 @@
 ownership('passes on when only the owner cannot read the log', async () => {
   const {cell, owner} = await startCell();
   owner.client.isCut = true;
-  await cell.run(STALL_GRACE_MS + TAKEOVER_BOUND_MS);
+  await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_BOUND_MS);
   assert.is(cell.acting().length, 1);
   assert.is.not(cell.acting()[0], owner);
   assert.is(cell.violations, 0);
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -13,7 +13,7 @@
   type LogRecord,
 } from '@dragonflyward/log';
 import {
-  ENDED_JOB_KEPT_MS,
+  ENDED_JOB_RETENTION_MS,
   isSnapshotDue,
   RECORD_VERSION,
   ShardState,
@@ -38,7 +38,7 @@
 const TASK = fc.nat(2);
 
 /** Records of all types, well formed, with citations of any state. */
-const SOUND = fc.oneof(
+const VALID_RECORDS = fc.oneof(
   fc.record({
     type: fc.constant('claim'),
     prevTerm: TERM,
@@ -77,24 +77,24 @@
 );
 
 /** Anything at all, and sound records spoilt in one place. */
-const UNSOUND = fc.oneof(
+const INVALID_DATA = fc.oneof(
   fc.anything(),
-  SOUND.map(record => ({...record, v: 99})),
-  SOUND.map(record => ({...record, v: V, type: 'unheardOf'})),
-  SOUND.map(record => ({...record, v: V, term: 'x', prevTerm: null})),
+  VALID_RECORDS.map(record => ({...record, v: 99})),
+  VALID_RECORDS.map(record => ({...record, v: V, type: 'unheardOf'})),
+  VALID_RECORDS.map(record => ({...record, v: V, term: 'x', prevTerm: null})),
   fc.constant({v: V, type: 'snapshot', snapshotId: 's', covers: 1e9, body: ''}),
 );
 
 const DATA = fc.oneof(
-  {weight: 4, arbitrary: SOUND.map(record => ({...record, v: V}))},
-  {weight: 1, arbitrary: UNSOUND},
+  {weight: 4, arbitrary: VALID_RECORDS.map(record => ({...record, v: V}))},
+  {weight: 1, arbitrary: INVALID_DATA},
 );
 
 /** Puts the records into a stream, minutes apart so that jobs are forgotten. */
 function toStream(data: readonly unknown[]): LogRecord[] {
   return data.map((value, offset) => ({
     offset,
-    timeMs: offset * (ENDED_JOB_KEPT_MS / 10),
+    timeMs: offset * (ENDED_JOB_RETENTION_MS / 10),
     id: `r${offset}`,
     data: value,
   }));
@@ -105,7 +105,7 @@
   return bodies.join('\n');
 }
 
-interface Carried {
+interface SnapshotRun {
   readonly full: ShardState;
   readonly records: readonly LogRecord[];
   /** Offset from which a late reader reads. */
@@ -113,12 +113,12 @@
 }
 
 /** Writes a snapshot in the middle and forgets what came before it. */
-function carry(
+function writeWithSnapshot(
   data: readonly unknown[],
   at: number,
   between: number,
   makeFold: () => ShardState,
-): Carried {
+): SnapshotRun {
   const full = makeFold();
   const before = toStream(data);
   const covers = Math.min(at, before.length);
@@ -131,14 +131,17 @@
   return {full, records, first: covers};
 }
 
-function readLate({records, first}: Carried, fold: ShardState): ShardState {
+function readFromSnapshot(
+  {records, first}: SnapshotRun,
+  fold: ShardState,
+): ShardState {
   fold.skipTo(first);
   for (const record of records.slice(first)) fold.apply(record);
   return fold;
 }
 
 /** Starts from a snapshot but leaves out what it does not cover. */
-class ForgetfulState extends ShardState {
+class DroppedRecordsState extends ShardState {
   override apply(record: LogRecord): ApplyResult {
     const wasComplete = this.isComplete;
     const result = super.apply(record);
@@ -161,7 +164,7 @@
   successors: [],
 };
 
-const CARRIED = fc.tuple(
+const SNAPSHOT_RUN_INPUTS = fc.tuple(
   fc.array(DATA, {maxLength: 60}).map(data => [FIRST_CLAIM, ...data]),
   fc.nat(60),
   fc.nat(8),
@@ -170,10 +173,15 @@
 const snapshots = suite('snapshots');
 
 snapshots('a late start equals a full replay', () => {
-  const holds = fc.property(CARRIED, ([data, at, between]) => {
-    const carried = carry(data, at, between, () => new ShardState());
+  const holds = fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
+    const carried = writeWithSnapshot(
+      data,
+      at,
+      between,
+      () => new ShardState(),
+    );
     if (carried.first === 0) return;
-    const late = readLate(carried, new ShardState());
+    const late = readFromSnapshot(carried, new ShardState());
     assert.ok(late.isComplete);
     assert.is(stateOf(late), stateOf(carried.full));
   });
@@ -182,10 +190,15 @@
 
 snapshots('it does not where later records are left out', () => {
   const run = fc.check(
-    fc.property(CARRIED, ([data, at, between]) => {
-      const carried = carry(data, at, between, () => new ShardState());
+    fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
+      const carried = writeWithSnapshot(
+        data,
+        at,
+        between,
+        () => new ShardState(),
+      );
       if (carried.first === 0) return;
-      const late = readLate(carried, new ForgetfulState());
+      const late = readFromSnapshot(carried, new DroppedRecordsState());
       assert.is(stateOf(late), stateOf(carried.full));
     }),
     {seed: SEED, numRuns: RUNS, endOnFailure: true},
@@ -223,7 +236,7 @@
   assert.ok(last);
   for (const record of records.slice(0, -1)) state.apply(record);
   assert.is(state.jobs.size, 2);
-  state.apply({...last, timeMs: last.timeMs + ENDED_JOB_KEPT_MS});
+  state.apply({...last, timeMs: last.timeMs + ENDED_JOB_RETENTION_MS});
   assert.equal([...state.jobs.keys()], ['north-1:2']);
 });
 
--- a/packages/state/test/traces.test.ts
+++ b/packages/state/test/traces.test.ts
@@ -18,7 +18,7 @@
   readonly outcome: Readonly<Record<string, unknown>>;
 }
 
-function outcomeOf(fold: ShardState | ConfigState): Trace['outcome'] {
+function summarize(fold: ShardState | ConfigState): Trace['outcome'] {
   if (fold instanceof ShardState) {
     const {term, owner, jobs} = fold;
     return {term, owner: owner?.vm, jobs: [...jobs.keys()]};
@@ -55,7 +55,7 @@
       verdicts,
       trace.steps.map(({verdict}) => verdict),
     );
-    assert.equal(outcomeOf(fold), trace.outcome);
+    assert.equal(summarize(fold), trace.outcome);
   });
 }
 
