--- a/packages/state/src/allowance-plan.ts
+++ b/packages/state/src/allowance-plan.ts
@@ -1,4 +1,4 @@
-/** Divides the teams' limits among the shards. */
+/** Divides the limits of the teams among the shards. */
 import {
   NO_RESOURCES,
   RESOURCE_NAMES,
@@ -7,17 +7,17 @@
 import type {AllowanceState} from './allowance-state.js';
 import type {Allowance} from './records.js';
 
-/** What a team has running and waiting in one shard. */
+/** What a team wants in one shard: its running and its waiting work. */
 export interface ShardDemand {
   readonly team: string;
   readonly shard: string;
   readonly wanted: Resources;
 }
 
-/** What a plan is made from. */
+/** Input of a plan. */
 export interface AllowanceInput {
   readonly table: AllowanceState;
-  /** The teams' limits that are in force; others have none. */
+  /** Limits of the teams. A team without an entry is allowed nothing. */
   readonly limits: ReadonlyMap<string, Resources>;
   readonly shards: readonly string[];
   readonly demands: readonly ShardDemand[];
@@ -25,20 +25,21 @@
 
 type AmountsByShard = ReadonlyMap<string, number>;
 
-/** What one team may have and wants of one resource, by shard. */
+/** One team's limit, allowances and demand for one resource. */
 interface TeamResource {
   readonly limit: number;
-  /** What the newest table allows. */
+  /** Allowances of the newest table. */
   readonly amounts: AmountsByShard;
-  /** What the shards may yet hold to. */
+  /** The largest allowance that each shard may still act on. */
   readonly charges: AmountsByShard;
   readonly wants: AmountsByShard;
 }
 
 /**
- * Plans the next change of the table. A shard that is to have less is told
- * at once; what it gives up is handed on only after it has acknowledged, as
- * until then the larger amount is counted against the limit.
+ * Plans the next change of the table. A lower allowance takes effect in the
+ * table at once, but the freed amount is granted to other shards only after the
+ * shard has acknowledged the reduction. Until then the larger amount counts
+ * against the limit.
  *
  * @example
  * const changes = planAllowances({table, limits, shards, demands});
@@ -127,7 +128,7 @@
   return next;
 }
 
-/** Whether a shard wants more than it has, or the limit is passed. */
+/** Whether a shard needs more than its allowance, or the limit is exceeded. */
 function isReclaimNeeded(
   resource: TeamResource,
   targets: AmountsByShard,
@@ -143,7 +144,7 @@
   return false;
 }
 
-/** Hands out what no shard holds or may yet hold to. */
+/** Distributes what is left of the limit after all that shards may act on. */
 function distributeFree(
   resource: TeamResource,
   targets: AmountsByShard,
@@ -161,7 +162,7 @@
   }
 }
 
-/** Max-min by demand; what nobody wants is divided evenly. */
+/** Max-min fair targets by demand; what nobody wants is divided evenly. */
 function computeTargets(
   resource: TeamResource,
   active: ReadonlySet<string>,
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -1,4 +1,4 @@
-/** The table of what each team may have running in each shard. */
+/** The table of allowances: what each team may have running in each shard. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {ApplyResult} from '@dragonflyward/log';
 import {ALLOWANCE_RECORDS} from './record-schema.js';
@@ -9,7 +9,7 @@
 } from './records.js';
 import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
 
-/** An amount and the version of the table that set it. */
+/** An allowance and the version of the table that set it. */
 interface VersionedAmount {
   readonly version: number;
   readonly amount: Resources;
@@ -33,11 +33,11 @@
 
 type TeamRow = Map<string, readonly VersionedAmount[]>;
 
-/** Allowances, folded from their stream. */
+/** Allowances, computed from their stream. */
 export class AllowanceState extends SnapshotFold<AllowanceStreamRecord> {
-  /** Grows by one with each change of the table. */
+  /** Incremented by each change of the table. */
   version = 0;
-  /** The highest term of a budget owner that changed the table. */
+  /** The highest term in which the planner changed the table. */
   term = 0;
   private readonly rows = new Map<string, TeamRow>();
   private readonly acksByShard = new Map<string, ShardAck>();
@@ -52,7 +52,7 @@
   }
 
   /**
-   * What the team may have running in the shard.
+   * Returns what the team may have running in the shard.
    *
    * @example
    * engine.setTeams(teams.map(t => toPolicyTeam(t, table.amount(t, shard))));
@@ -62,18 +62,21 @@
     return newest?.amount ?? NO_RESOURCES;
   }
 
-  /** The most that the shard may hold to, as far as it has acknowledged. */
+  /**
+   * Returns the maximum of all allowances that the shard may still act on: the
+   * one it has acknowledged, and the later ones.
+   */
   charge(team: string, shard: string): Resources {
     const amounts = this.rows.get(team)?.get(shard) ?? [];
     return amounts.map(({amount}) => amount).reduce(maxResources, NO_RESOURCES);
   }
 
-  /** The shards that have or had an allowance of the team. */
+  /** Returns the shards that have or had an allowance of the team. */
   shardsOf(team: string): readonly string[] {
     return [...(this.rows.get(team)?.keys() ?? [])];
   }
 
-  /** All teams of the table. */
+  /** Returns all teams of the table. */
   teams(): readonly string[] {
     return [...this.rows.keys()];
   }
@@ -106,7 +109,10 @@
     }
   }
 
-  /** Whether a change of the table cites its present version and term. */
+  /**
+   * Whether a change is based on the current version of the table and comes
+   * from no earlier term.
+   */
   protected isCurrent(change: AllowanceRecord): boolean {
     return change.prevVersion === this.version && change.term >= this.term;
   }
@@ -148,7 +154,7 @@
   return {term, version};
 }
 
-/** Drops the amounts that the shard has left behind. */
+/** Drops amounts older than the one that the shard has acknowledged. */
 function dropSuperseded(row: TeamRow, shard: string, version: number): void {
   const amounts = row.get(shard);
   if (amounts === undefined) return;
@@ -157,7 +163,7 @@
 }
 
 /**
- * The larger of each part of two amounts.
+ * Returns the maximum of two amounts for each resource.
  *
  * @example
  * const charge = maxResources(before, after);
--- a/packages/state/src/allowance-tasks.ts
+++ b/packages/state/src/allowance-tasks.ts
@@ -1,4 +1,6 @@
-/** The tasks that keep the table of allowances: one plans, one per shard. */
+/**
+ * Tasks for the table of allowances: one plans it, one per shard applies it.
+ */
 import {
   fitsIn,
   type Clock,
@@ -19,16 +21,16 @@
 const MAX_CHANGES_PER_RECORD = 2_000;
 
 /**
- * Names the shard whose owner keeps the table of allowances.
+ * Returns the shard whose owner plans the table of allowances.
  *
  * @example
- * if (budgetShard(domains) === shard) void budget.run(isWanted);
+ * if (budgetShard(domains) === shard) void planner.run(shouldRun);
  */
 export function budgetShard(shards: readonly string[]): string | undefined {
   return [...shards].sort()[0];
 }
 
-/** What both tasks need. */
+/** Options of both tasks. */
 export interface AllowanceTaskOptions {
   readonly table: AllowanceState;
   /** Follows the allowance stream into `table`. */
@@ -38,19 +40,22 @@
   readonly events: EventRing;
 }
 
-/** What the planning task needs. */
-export interface BudgetOptions extends AllowanceTaskOptions {
-  /** The term in the budget shard; undefined while it may not act. */
+/** Options of the planning task. */
+export interface AllowancePlannerOptions extends AllowanceTaskOptions {
+  /**
+   * The term of the planner's shard; undefined while this process may not act
+   * for it.
+   */
   readonly term: () => number | undefined;
-  /** Limits, shards and demands as they are known now. */
+  /** Returns the current limits, shards and demands. */
   readonly input: () => Omit<AllowanceInput, 'table'>;
 }
 
-/** Plans the table; run by the owner of the budget shard. */
+/** Plans the table; run by the owner of the planner's shard. */
 export class BudgetTask {
-  constructor(private readonly options: BudgetOptions) {}
+  constructor(private readonly options: AllowancePlannerOptions) {}
 
-  /** Plans once a second, for as long as it is wanted. */
+  /** Plans once a second until told to stop. */
   async run(shouldRun: () => boolean): Promise<void> {
     while (shouldRun()) {
       await this.plan();
@@ -58,7 +63,7 @@
     }
   }
 
-  /** Plans and writes one change of the table, where one is due. */
+  /** Plans and writes one change of the table, if there is one to make. */
   async plan(): Promise<void> {
     const {
       table,
@@ -85,26 +90,29 @@
   }
 }
 
-/** What a shard's task needs. */
-export interface KeeperOptions extends AllowanceTaskOptions {
+/** Options of a shard's task. */
+export interface ShardAllowancesOptions extends AllowanceTaskOptions {
   readonly shard: string;
   /** The shard's term; undefined while this process may not act for it. */
   readonly term: () => number | undefined;
-  /** All that counts against the team here, unconfirmed stops included. */
+  /**
+   * Everything that counts against the team here, including tasks whose stop is
+   * not confirmed.
+   */
   readonly running: (team: string) => Resources;
 }
 
-/** Keeps a shard to the table and acknowledges what it was made to give up. */
+/** Provides the allowances of a shard and acknowledges reductions of them. */
 export class AllowanceKeeper {
-  constructor(private readonly options: KeeperOptions) {}
+  constructor(private readonly options: ShardAllowancesOptions) {}
 
   /**
-   * Whether the table was read to its end after the given monotonic time. A
-   * new owner starts nothing before, as its predecessor may have
-   * acknowledged what it has not read yet.
+   * Whether the table was read to its end after the given monotonic time. A new
+   * owner starts nothing before that, because its predecessor may have
+   * acknowledged a reduction that it has not read yet.
    *
    * @example
-   * if (!keeper.isReadSince(tookOverMs)) return;
+   * if (!allowances.isReadSince(tookOverMs)) return;
    */
   isReadSince(sinceMs: number): boolean {
     const {table, tail} = this.options;
@@ -116,7 +124,7 @@
     return this.options.table.amount(team, this.options.shard);
   }
 
-  /** Acknowledges when it can, for as long as it is wanted. */
+  /** Writes acknowledgements that are due until told to stop. */
   async run(shouldRun: () => boolean): Promise<void> {
     while (shouldRun()) {
       const ack = this.dueAck();
@@ -125,7 +133,10 @@
     }
   }
 
-  /** The acknowledgement that is due, if all that runs keeps to the table. */
+  /**
+   * Returns the acknowledgement that is due, provided that all running work
+   * fits the table.
+   */
   dueAck(): AllowanceAckRecord | undefined {
     const {table, shard, term: currentTerm} = this.options;
     const term = currentTerm();
@@ -152,7 +163,7 @@
     try {
       await this.options.writer.write(ack);
     } catch {
-      // The next round finds the acknowledgement still due.
+      // The acknowledgement is still due at the next check, which retries it.
     }
   }
 }
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -32,7 +32,7 @@
   readonly untilMs: number;
 }
 
-/** Preconditions of a claim that was sent; it may not have been applied yet. */
+/** Preconditions of a sent claim whose outcome may be unknown. */
 interface SentClaim {
   readonly term: number;
   readonly listVersion: number;
--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -1,4 +1,4 @@
-/** Passes the tail of the configuration stream between peers. */
+/** Exchanges the newest records of the configuration stream between peers. */
 import {newId, type Clock} from '@dragonflyward/common';
 import type {LogRecord, StreamTail} from '@dragonflyward/log';
 import type {ConfigFreshness, ListedPeer} from './config-freshness.js';
@@ -7,30 +7,36 @@
 
 const DEFAULT_MAX_RECENT_RECORDS = 1_000;
 const PEER_POLL_INTERVAL_MS = 500;
-/** Peers are asked once the newest read is this part of its maximum age. */
+/**
+ * Peers are polled once the newest read is older than this fraction of its
+ * maximum age.
+ */
 const PEER_POLL_AGE_FRACTION = 0.4;
 
-/** What a peer passes on. */
+/** A peer's answer: records, and how recent they are. */
 export interface ConfigTail {
-  /** The records from the asked offset on, or parts of a snapshot. */
+  /** The records from the requested offset on, or the parts of a snapshot. */
   readonly records: readonly unknown[];
   readonly ageMs: number;
   readonly end: number;
 }
 
-/** The peers that may know more of the configuration. */
+/** Access to peers that may have newer records of the configuration. */
 export abstract class ConfigPeers {
-  /** The listed entry VMs but this one; undefined while no list was read. */
+  /**
+   * The entry VMs of the list of VMs without this one; undefined until the
+   * first list was read.
+   */
   abstract listed(): readonly ListedPeer[] | undefined;
   /**
-   * Asks the peer for its records from the offset on.
+   * Requests the records of the peer from the offset on.
    *
    * @throws peerDown, peerLost
    */
   abstract askTail(vm: string, from: number): Promise<ConfigTail>;
 }
 
-/** What the exchange needs. */
+/** Options of the exchange. */
 export interface ConfigExchangeOptions {
   readonly fold: ConfigState;
   readonly tail: StreamTail;
@@ -38,11 +44,14 @@
   readonly freshness: ConfigFreshness;
   readonly peers: ConfigPeers;
   readonly maxAgeMs: number;
-  /** How many records are kept to be passed on one by one. */
+  /**
+   * How many records are kept for peers. A peer that lacks more gets a
+   * snapshot.
+   */
   readonly maxRecentRecords?: number;
 }
 
-/** Answers peers' asks, and asks them while the log is not read. */
+/** Answers requests of peers, and polls them while the log cannot be read. */
 export class ConfigExchange {
   private recentRecords: readonly LogRecord[] = [];
 
@@ -59,7 +68,7 @@
    * Answers a peer that has applied all records before the offset.
    *
    * @example
-   * return {type: 'configTail', ...exchange.answer(ask.from)};
+   * return {type: 'configTail', ...exchange.answer(request.from)};
    */
   answer(from: number): ConfigTail {
     const {fold, freshness} = this.options;
@@ -70,7 +79,7 @@
     return {records: this.recordsFrom(from), ageMs, end};
   }
 
-  /** Keeps the freshness up to date, for as long as it is wanted. */
+  /** Keeps the freshness up to date until told to stop. */
   async run(shouldRun: () => boolean): Promise<void> {
     const {clock, peers, freshness} = this.options;
     while (shouldRun()) {
@@ -105,7 +114,7 @@
       this.applyPeerRecords(records);
       freshness.recordPeerTail({vm, ageMs, end, requestedMs});
     } catch {
-      // A silent peer counts as one that did not answer.
+      // A failed request counts as no answer of this peer.
     }
   }
 
--- a/packages/state/src/config-follower.ts
+++ b/packages/state/src/config-follower.ts
@@ -1,4 +1,4 @@
-/** Follows the configuration stream, over the log or over peers. */
+/** Follows the configuration stream through the log or through peers. */
 import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
 import {
   StreamTail,
@@ -17,7 +17,7 @@
 
 const TAIL_READ_WAIT_MS = 500;
 
-/** What a follower works with. */
+/** Options of a follower. */
 export interface ConfigFollowerParts {
   readonly log: LogClient;
   readonly clock: Clock;
@@ -26,11 +26,11 @@
   readonly peers: ConfigPeers;
   /** The failure domain of this process's VM. */
   readonly domain: string;
-  /** How old the newest read may be while it counts as fresh. */
+  /** Maximum age of the newest read for the configuration to be fresh. */
   readonly maxAgeMs: number;
 }
 
-/** The configuration in force and how recent it is known to be. */
+/** Keeps the configuration in force and tracks how recent it is. */
 export class ConfigFollower {
   readonly state = new ConfigState();
   readonly tail: StreamTail;
@@ -38,8 +38,8 @@
   private readonly exchange: ConfigExchange;
   private isRunning = false;
 
-  constructor(private readonly parts: ConfigFollowerParts) {
-    const {log, clock, maxAgeMs, domain, peers} = parts;
+  constructor(private readonly options: ConfigFollowerParts) {
+    const {log, clock, maxAgeMs, domain, peers} = options;
     const fold = this.state;
     this.tail = new StreamTail({
       client: log,
@@ -53,18 +53,18 @@
     });
     this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
     const {tail, freshness} = this;
-    const options = {fold, tail, clock, freshness, peers, maxAgeMs};
-    this.exchange = new ConfigExchange(options);
+    const exchangeOptions = {fold, tail, clock, freshness, peers, maxAgeMs};
+    this.exchange = new ConfigExchange(exchangeOptions);
   }
 
-  /** Starts to follow. */
+  /** Starts following the stream. */
   start(): void {
     this.isRunning = true;
     this.tail.start();
     void this.exchange.run(() => this.isRunning);
   }
 
-  /** Stops. */
+  /** Stops following the stream. */
   stop(): void {
     this.isRunning = false;
     this.tail.stop();
@@ -76,22 +76,25 @@
     return this.freshness.isFresh();
   }
 
-  /** How old the newest read is that covers what is applied. */
+  /**
+   * Age of the newest read of the log, by this process or a peer, that covers
+   * the applied records.
+   */
   ageMs(): number {
     this.recordOwnRead();
     return this.freshness.ageMs();
   }
 
-  /** How long ago this process itself read the end of the stream. */
+  /** Time since this process itself last read the end of the stream. */
   readAgeMs(): number {
-    return this.parts.clock.monotonicMs() - this.tail.lastProofMs;
+    return this.options.clock.monotonicMs() - this.tail.lastProofMs;
   }
 
   /**
    * Answers a peer that has applied all records before the offset.
    *
    * @example
-   * return {type: 'configTail', ...follower.answer(ask.from)};
+   * return {type: 'configTail', ...follower.answer(request.from)};
    */
   answer(from: number): ConfigTail {
     return this.exchange.answer(from);
@@ -103,7 +106,7 @@
   }
 
   private reportResult(record: LogRecord, result: ApplyResult): void {
-    const {metrics, events} = this.parts;
+    const {metrics, events} = this.options;
     const revision = record.offset;
     metrics.count(`config_records_total{result="${result}"}`);
     if (result === 'skipped') events.add('recordSkipped', {revision});
--- a/packages/state/src/config-freshness.ts
+++ b/packages/state/src/config-freshness.ts
@@ -1,39 +1,40 @@
 /** Decides whether the applied configuration is fresh enough to act on. */
 import type {Clock} from '@dragonflyward/common';
 
-/** What a freshness decision needs. */
+/** Options of a freshness decision. */
 export interface ConfigFreshnessOptions {
   readonly clock: Clock;
-  /** How old the newest read of the stream's end may be. */
+  /** Maximum age of the newest read of the stream's end. */
   readonly maxAgeMs: number;
   /** The failure domain of this process's VM. */
   readonly domain: string;
-  /** What this process has applied. */
+  /** Progress of this process in the stream. */
   readonly fold: {readonly nextOffset: number; readonly isComplete: boolean};
 }
 
-/** An entry VM of the list of VMs other than this process's own. */
+/** An entry VM of the list of VMs, other than this process's own. */
 export interface ListedPeer {
   readonly vm: string;
   readonly domain: string;
 }
 
-/** What one peer said of its own reading of the configuration stream. */
+/** A peer's answer on its own reading of the configuration stream. */
 export interface PeerTail {
   readonly vm: string;
-  /** How old the peer's newest read of the end was when it answered. */
+  /** Age of the peer's newest read of the end when it answered. */
   readonly ageMs: number;
-  /** Offset of the next record that the peer would apply. */
+  /** Offset of the next record that the peer will apply. */
   readonly end: number;
-  /** Monotonic time at which this process sent its ask. */
+  /** Monotonic time at which this process sent its request. */
   readonly requestedMs: number;
 }
 
 /**
- * Fresh is what was read from the log lately, by this process or by a peer
- * whose records it has applied. Where nobody could read, the log is taken to
- * be down for all, if more than half of the listed VMs of each failure domain
- * answered lately and none of them has read it.
+ * The configuration is fresh if the log was read recently by this process, or
+ * by a peer whose records it has applied. If nobody could read the log, it is
+ * taken to be down for all: this requires that more than half of the listed VMs
+ * of each failure domain answered recently, and that none of them has read it
+ * or has newer records.
  */
 export class ConfigFreshness {
   private newestReadMs = -Infinity;
@@ -42,19 +43,21 @@
 
   constructor(private readonly options: ConfigFreshnessOptions) {}
 
-  /** A read that was sent at this monotonic time reached the end. */
+  /**
+   * Records a read that was sent at this monotonic time and reached the end.
+   */
   recordLogRead(sentMs: number): void {
     this.newestReadMs = Math.max(this.newestReadMs, sentMs);
   }
 
-  /** A peer answered with its own age and end. */
+  /** Records a peer's answer, unless one to a later request is known. */
   recordPeerTail(tail: PeerTail): void {
     const last = this.peerTails.get(tail.vm);
     if (last !== undefined && last.requestedMs > tail.requestedMs) return;
     this.peerTails.set(tail.vm, tail);
   }
 
-  /** Replaces the entry VMs of the list of VMs, this process's left out. */
+  /** Replaces the listed entry VMs, without this process's own. */
   setListed(peers: readonly ListedPeer[]): void {
     this.listed = peers;
     const vms = new Set(peers.map(({vm}) => vm));
@@ -63,14 +66,14 @@
     }
   }
 
-  /** How old the newest read is that covers what this process applied. */
+  /** Age of the newest read that covers the records this process applied. */
   ageMs(): number {
     this.countPeerReads();
     return this.options.clock.monotonicMs() - this.newestReadMs;
   }
 
   /**
-   * Whether keys and limits may be judged by the applied configuration.
+   * Whether the applied configuration may be used to check keys and limits.
    *
    * @example
    * if (!freshness.isFresh()) raise('configStale', 'no read of the log');
@@ -81,7 +84,7 @@
     return this.isGlobalLogOutage();
   }
 
-  /** Whether the log is down for all, as far as enough peers say. */
+  /** Whether enough peers answered, and none of them could read the log. */
   protected isGlobalLogOutage(): boolean {
     if (this.listed === undefined) return false;
     const recentTails = this.recentPeerTails();
@@ -110,14 +113,14 @@
     );
   }
 
-  /** Whether the peer reads the log, or has records that are missing here. */
+  /** Whether the peer reads the log, or has records that this process lacks. */
   private isReadingOrAhead({requestedMs, ageMs, end}: PeerTail): boolean {
     const {clock, maxAgeMs, fold} = this.options;
     const isReading = requestedMs - ageMs >= clock.monotonicMs() - maxAgeMs;
     return isReading || end > fold.nextOffset;
   }
 
-  /** Counts peers' reads as own, as far as their records were applied. */
+  /** Counts the reads of peers whose records were all applied here. */
   private countPeerReads(): void {
     const {nextOffset, isComplete} = this.options.fold;
     if (!isComplete) return;
--- a/packages/state/src/config-schema.ts
+++ b/packages/state/src/config-schema.ts
@@ -1,4 +1,4 @@
-/** Checks a whole configuration before it is published or applied. */
+/** Validates a complete configuration before it is published or applied. */
 import {fail, Ok, type Fallible} from '@dragonflyward/common';
 import {Ajv, type ErrorObject} from 'ajv';
 import type {Configuration, Exception} from './config-types.js';
@@ -40,7 +40,7 @@
   }),
 } as const;
 
-/** The schema of a configuration. */
+/** JSON schema of a configuration. */
 export const CONFIGURATION_SCHEMA = strictObject({
   defaults: strictObject({
     queues: mapOf(strictObject(QUEUE_PROPERTIES)),
@@ -81,7 +81,7 @@
 const matchesSchema = new Ajv().compile<Configuration>(CONFIGURATION_SCHEMA);
 
 /**
- * Checks the shape of a configuration and what its parts refer to.
+ * Validates a configuration against the schema and checks its references.
  *
  * @example
  * const checked = validateConfiguration(JSON.parse(text));
@@ -108,7 +108,7 @@
   const ids = new Set<string>();
   for (const exception of cfg.exceptions) {
     const {id} = exception;
-    if (ids.has(id)) yield `exceptions: the id "${id}" is there twice`;
+    if (ids.has(id)) yield `exceptions: duplicate id "${id}"`;
     ids.add(id);
     yield* findExceptionProblems(cfg, exception);
   }
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -1,4 +1,4 @@
-/** The configuration and the keys in force. */
+/** State of the configuration stream: configuration and keys in force. */
 import {createHash} from 'node:crypto';
 import type {ApplyResult, LogRecord} from '@dragonflyward/log';
 import {validateConfiguration} from './config-schema.js';
@@ -18,7 +18,7 @@
 } from './records.js';
 import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
 
-/** The revision of a cell that was never configured. */
+/** The revision of a cell without any published configuration. */
 export const NO_REVISION = -1;
 const MAX_PUBLICATIONS = 200;
 const KEY_SEPARATOR = '.';
@@ -28,11 +28,11 @@
   exceptions: [],
 };
 
-/** What became of a publication. */
+/** Result of a publication. */
 export type PublicationVerdict =
   'inForce' | 'superseded' | 'lostRace' | 'invalid';
 
-/** One publication of a configuration and what became of it. */
+/** One publication of a configuration, with its result. */
 export interface Publication {
   readonly revision: number;
   readonly base: number;
@@ -40,7 +40,7 @@
   readonly reason: string;
   readonly timeMs: number;
   readonly verdict: PublicationVerdict;
-  /** The revision that took its place or won the race; -1 for none. */
+  /** The revision that replaced it or won the race against it; -1 for none. */
   readonly by: number;
 }
 
@@ -65,7 +65,7 @@
 }
 
 /**
- * Makes the digest under which a key's secret is kept.
+ * Returns the digest that is stored in place of a key's secret.
  *
  * @example
  * const digest = keyDigest(secret);
@@ -74,7 +74,7 @@
   return createHash('sha256').update(secret).digest('hex');
 }
 
-/** Configuration and keys, folded from the configuration stream. */
+/** Configuration and keys, computed from the configuration stream. */
 export class ConfigState extends SnapshotFold<ConfigStreamRecord> {
   /** Offset of the configuration record in force. */
   revision = NO_REVISION;
@@ -90,7 +90,7 @@
   }
 
   /**
-   * A queue as it is in force, exceptions applied.
+   * Returns a queue with the exceptions applied.
    *
    * @example
    * const queue = config.queue('quotes');
@@ -99,29 +99,29 @@
     return this.queuesByName.get(name);
   }
 
-  /** A team as it is in force, exceptions applied. */
+  /** Returns a team with the exceptions applied. */
   team(name: string): TeamConfig | undefined {
     return this.teamsByName.get(name);
   }
 
-  /** An organisation as it is in force. */
+  /** Returns an organisation. */
   organisation(name: string): OrganisationConfig | undefined {
     const {organisations} = this.configuration.defaults;
     return Object.hasOwn(organisations, name) ? organisations[name] : undefined;
   }
 
-  /** All queues as they are in force. */
+  /** Returns all queues with the exceptions applied. */
   queues(): ReadonlyMap<string, QueueConfig> {
     return this.queuesByName;
   }
 
-  /** All teams as they are in force. */
+  /** Returns all teams with the exceptions applied. */
   teams(): ReadonlyMap<string, TeamConfig> {
     return this.teamsByName;
   }
 
   /**
-   * The team of a valid key, given as `keyId.secret`.
+   * Returns the team of a key of the form `keyId.secret`, if the key is valid.
    *
    * @example
    * const team = config.teamOfKey(bearer);
@@ -137,12 +137,12 @@
     return isSecretCorrect ? entry.team : undefined;
   }
 
-  /** The newest publications, oldest first. */
+  /** Returns the newest publications, oldest first. */
   history(): readonly Publication[] {
     return this.publications;
   }
 
-  /** All keys, withdrawn ones as well. */
+  /** Returns all keys, including withdrawn ones. */
   keys(): readonly KeyStatus[] {
     return [...this.keysById.values()];
   }
@@ -158,7 +158,7 @@
     return this.applyKeyWithdrawn(change.keyId, change.author, record.offset);
   }
 
-  /** Whether a publication's base is the revision in force. */
+  /** Whether the publication is based on the revision in force. */
   protected isCurrent(change: ConfigRecord): boolean {
     return change.base === this.revision;
   }
@@ -243,7 +243,9 @@
     return 'applied';
   }
 
-  /** A withdrawn key stays known, so that no later grant revives it. */
+  /**
+   * Keeps the withdrawn key, so that a later grant cannot make it valid again.
+   */
   protected applyKeyWithdrawn(
     keyId: string,
     author: string,
@@ -256,7 +258,7 @@
   }
 }
 
-/** Applies the exceptions of each value, in their order. */
+/** Applies the exceptions to the values in the order of the list. */
 function applyExceptions<T extends object>(
   defaults: Readonly<Record<string, T>>,
   kind: 'queue' | 'team',
--- a/packages/state/src/config-types.ts
+++ b/packages/state/src/config-types.ts
@@ -1,22 +1,22 @@
-/** What operators publish: defaults, exceptions and keys. */
+/** Configuration that operators publish: defaults, exceptions and keys. */
 import type {Resources} from '@dragonflyward/common';
 
-/** How a queue's work ranks against other work. */
+/** Priority of a queue's work. */
 export type Priority = 'urgent' | 'normal' | 'batch';
 
-/** A queue: where requests or jobs of one sort wait. */
+/** A queue of requests or jobs. */
 export interface QueueConfig {
   readonly priority: Priority;
   /** The service whose executors serve requests; empty for job queues. */
   readonly service: string;
-  /** Whether work is taken without a key. */
+  /** Whether work is accepted without a key. */
   readonly isOpen: boolean;
   readonly maxBodyBytes: number;
-  /** The longest deadline that a request may ask for. */
+  /** The longest deadline that a request may set. */
   readonly maxDeadlineMs: number;
   /** How many requests or jobs may wait in one shard. */
   readonly maxWaiting: number;
-  /** Name of the placement policy of this queue. */
+  /** The placement policy of this queue. */
   readonly policy: 'pack' | 'spread' | 'gang';
 }
 
@@ -25,7 +25,7 @@
   readonly share: number;
 }
 
-/** A team: its share when the fleet is full and its upper limit. */
+/** A team: its share of a fully used fleet, and its upper limit. */
 export interface TeamConfig {
   readonly organisation: string;
   readonly share: number;
@@ -40,13 +40,13 @@
   readonly teams: Readonly<Record<string, TeamConfig>>;
 }
 
-/** What an exception applies to; one of the parts is set. */
+/** What an exception applies to; exactly one member is set. */
 export interface ExceptionScope {
   readonly queue?: string;
   readonly team?: string;
 }
 
-/** A departure from the defaults with its written reason. */
+/** An override of defaults, with the reason for it. */
 export interface Exception {
   readonly id: string;
   readonly scope: ExceptionScope;
@@ -54,16 +54,16 @@
   readonly reason: string;
 }
 
-/** All of the configuration that one revision holds. */
+/** The complete configuration of one revision. */
 export interface Configuration {
   readonly defaults: Defaults;
   readonly exceptions: readonly Exception[];
 }
 
-/** A key as it is kept: never the key itself. */
+/** A key as it is stored: its digest, never the secret. */
 export interface KeyEntry {
   readonly keyId: string;
   readonly team: string;
-  /** SHA-256 of the key, in hex. */
+  /** SHA-256 of the key's secret, in hex. */
   readonly digest: string;
 }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,4 @@
-/** State folded from log records. */
+/** State computed from log records. */
 export * from './config-types.js';
 export * from './job-types.js';
 export * from './records.js';
--- a/packages/state/src/job-types.ts
+++ b/packages/state/src/job-types.ts
@@ -1,4 +1,4 @@
-/** Jobs as they are submitted, kept and reported. */
+/** Types of jobs as they are submitted, stored and reported. */
 import type {Resources} from '@dragonflyward/common';
 
 /** A job as its caller submitted it. */
@@ -6,13 +6,13 @@
   readonly jobId: string;
   readonly team: string;
   readonly queue: string;
-  /** How many tasks of the same size it has. */
+  /** Number of tasks, all of the same size. */
   readonly tasks: number;
   /** Whether all tasks must run at the same time. */
   readonly isGang: boolean;
-  /** Whether it runs until it is cancelled; ended tasks are started again. */
+  /** Whether it runs until cancelled; ended tasks are then started again. */
   readonly isService: boolean;
-  /** Whether a task may be run again after it may have run. */
+  /** Whether a task that may have run already may be run again. */
   readonly isIdempotent: boolean;
   /** The declared size of each task. */
   readonly size: Resources;
@@ -25,10 +25,10 @@
 export type JobEnd =
   'succeeded' | 'failed' | 'cancelled' | 'neverRunnable' | 'outcomeUnknown';
 
-/** Where a job stands. */
+/** Phase of a job. */
 export type JobPhase = 'waiting' | 'running' | 'setAside' | 'ended';
 
-/** What a caller is told of a job. */
+/** Status of a job as it is reported to a caller. */
 export interface JobStatus {
   readonly jobId: string;
   readonly team: string;
@@ -41,6 +41,6 @@
   readonly tasksEnded: number;
   /** One entry for each ended task, by task index. */
   readonly results: readonly string[];
-  /** Why it waits, or was set aside, in one line. */
+  /** Why the job waits or was set aside, in one line. */
   readonly reason: string;
 }
--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -97,7 +97,8 @@
    * Answers the owner's request not to claim the shard for a while.
    *
    * @example
-   * return {type: 'promise', isGiven: ownership.answerPromise(ask, from)};
+   * const isGiven = ownership.answerPromise(request, from);
+   * return {type: 'promise', isGiven};
    */
   answerPromise(request: OwnershipAsk, from: ProcessRef): boolean {
     return this.claimant.answerPromise(request, from);
--- a/packages/state/src/record-schema.ts
+++ b/packages/state/src/record-schema.ts
@@ -1,4 +1,4 @@
-/** Checks the shape of records, so that all readers skip the same ones. */
+/** Validates records, so that all readers skip the same ones. */
 import {Ajv, type ValidateFunction} from 'ajv';
 import {
   RECORD_VERSION,
@@ -137,7 +137,7 @@
   readonly properties: {readonly type: {readonly const: string}};
 }
 
-/** Tells well-formed records of one stream from others. */
+/** Validates the records of one stream. */
 export class RecordChecker<T extends {readonly type: string}> {
   private readonly validators = new Map<string, ValidateFunction>();
 
@@ -150,7 +150,7 @@
   }
 
   /**
-   * Returns the record if it is well formed and of a known version.
+   * Returns the record if it is valid and of a known version.
    *
    * @example
    * const record = checker.check(logRecord.data);
@@ -168,17 +168,17 @@
   return 'type' in data && typeof data.type === 'string';
 }
 
-/** Checks the records of a shard's stream. */
+/** Validates the records of a shard's stream. */
 export const SHARD_RECORDS = new RecordChecker<ShardRecord>(
   SHARD_RECORD_SCHEMAS,
 );
 
-/** Checks the records of the configuration stream. */
+/** Validates the records of the configuration stream. */
 export const CONFIG_RECORDS = new RecordChecker<ConfigStreamRecord>(
   CONFIG_RECORD_SCHEMAS,
 );
 
-/** Checks the records of the allowance stream. */
+/** Validates the records of the allowance stream. */
 export const ALLOWANCE_RECORDS = new RecordChecker<AllowanceStreamRecord>(
   ALLOWANCE_RECORD_SCHEMAS,
 );
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -1,21 +1,21 @@
-/** The records that the system keeps in log streams. */
+/** Records of the log streams. */
 import type {ProcessRef, Resources} from '@dragonflyward/common';
 import type {Configuration, KeyEntry} from './config-types.js';
 import type {JobEnd, JobSpec} from './job-types.js';
 
-/** The version that every record carries. */
+/** Format version of every record. */
 export const RECORD_VERSION = 1;
 
 /** The stream of configuration and keys. */
 export const CONFIG_STREAM = 'config';
 
-/** The stream of the teams' allowances per shard. */
+/** The stream of the teams' allowances in each shard. */
 export const ALLOWANCE_STREAM = 'allowances';
 
 const SHARD_STREAM_PREFIX = 'shard-';
 
 /**
- * Names the stream that holds a shard's ownership and jobs.
+ * Returns the name of the stream of a shard's ownership and jobs.
  *
  * @example
  * shardStream('north-1'); // 'shard-north-1'
@@ -29,11 +29,11 @@
 }
 
 interface UnderTerm extends Versioned {
-  /** Void unless it is the shard's term at this point of the stream. */
+  /** The record is void unless this is the shard's term at its offset. */
   readonly term: number;
 }
 
-/** Takes a shard; void unless both citations are current. */
+/** Claims a shard. Void unless `prevTerm` and `prevListVersion` are current. */
 export interface ClaimRecord extends Versioned {
   readonly type: 'claim';
   readonly prevTerm: number;
@@ -49,7 +49,7 @@
   readonly successors: readonly ProcessRef[];
 }
 
-/** Gives the shard to a prepared successor. */
+/** Hands the shard over to a process that is ready. */
 export interface HandoverRecord extends UnderTerm {
   readonly type: 'handover';
   readonly owner: ProcessRef;
@@ -63,7 +63,7 @@
   readonly job: JobSpec;
 }
 
-/** Says that a non-idempotent task is about to be started. */
+/** States that a non-idempotent task is about to be started. */
 export interface TaskStartingRecord extends UnderTerm {
   readonly type: 'taskStarting';
   readonly jobId: string;
@@ -72,7 +72,7 @@
   readonly workerId: string;
 }
 
-/** Says how one task of a job ended. */
+/** States the result of one ended task of a job. */
 export interface TaskEndedRecord extends UnderTerm {
   readonly type: 'taskEnded';
   readonly jobId: string;
@@ -88,11 +88,11 @@
   readonly reason: string;
 }
 
-/** One part of the carried-forward state of any of the streams. */
+/** One part of a snapshot of the state of any stream. */
 export interface SnapshotRecord extends Versioned {
   readonly type: 'snapshot';
   readonly snapshotId: string;
-  /** The state covers all records before this offset. */
+  /** The snapshot covers all records before this offset. */
   readonly covers: number;
   readonly part: number;
   readonly parts: number;
@@ -111,10 +111,13 @@
   | JobEndedRecord
   | SnapshotRecord;
 
-/** Publishes a whole configuration on a stated base. */
+/** Publishes a complete configuration that is based on a given revision. */
 export interface ConfigRecord extends Versioned {
   readonly type: 'config';
-  /** Revision that the author had seen; void unless it is the current one. */
+  /**
+   * The revision that the change is based on. The record is void unless it is
+   * the current one.
+   */
   readonly base: number;
   readonly author: string;
   readonly reason: string;
@@ -128,7 +131,7 @@
   readonly key: KeyEntry;
 }
 
-/** Makes a key invalid for good. */
+/** Makes a key permanently invalid. */
 export interface KeyWithdrawnRecord extends Versioned {
   readonly type: 'keyWithdrawn';
   readonly author: string;
@@ -147,16 +150,16 @@
   readonly amount: Resources;
 }
 
-/** Changes allowances; void unless the version is the current one. */
+/** Changes allowances. Void unless `prevVersion` is the current version. */
 export interface AllowanceRecord extends Versioned {
   readonly type: 'allowances';
   readonly prevVersion: number;
-  /** The budget owner's term in its own shard. */
+  /** The planner's term in its own shard. */
   readonly term: number;
   readonly changes: readonly Allowance[];
 }
 
-/** Confirms that a shard keeps to the table up to this version. */
+/** Confirms that a shard complies with the table up to this version. */
 export interface AllowanceAckRecord extends Versioned {
   readonly type: 'allowanceAck';
   readonly shard: string;
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -1,4 +1,4 @@
-/** A fold whose state is carried forward by snapshot records. */
+/** Base of the states that are computed from a stream with snapshots. */
 import {StreamFold, type ApplyResult, type LogRecord} from '@dragonflyward/log';
 import {
   RECORD_VERSION,
@@ -13,23 +13,30 @@
 
 type StreamRecord = ShardRecord | ConfigStreamRecord | AllowanceStreamRecord;
 
-/** A record that carries state, not a snapshot of it. */
+/** A record that changes the state, as opposed to a snapshot. */
 export type ChangeOf<R extends StreamRecord> = Exclude<R, SnapshotRecord>;
 
-/** Folds one stream; a reader that starts late begins at a snapshot. */
+/**
+ * Computes a state from one stream. A reader that starts after the log was
+ * truncated begins at a snapshot.
+ */
 export abstract class SnapshotFold<R extends StreamRecord> extends StreamFold {
   override nextOffset = 0;
   override isComplete = true;
   /** How many records were malformed or of an unknown version. */
   skippedCount = 0;
-  /** How many records cited a state that was not current. */
+  /**
+   * How many records had no effect, since they were based on an outdated state.
+   */
   voidCount = 0;
-  /** What the newest complete snapshot covers; 0 where there is none. */
+  /**
+   * Offset up to which the newest complete snapshot covers; 0 if there is none.
+   */
   snapshotCovers = 0;
-  /** The log's time of the newest record; never goes back. */
+  /** Highest log timestamp of the records so far. */
   logMs = 0;
   private readonly parts = new Map<string, Map<number, SnapshotRecord>>();
-  /** Records that a snapshot yet to be read may not cover. */
+  /** Records read before a complete snapshot, to be applied after it. */
   private deferred: LogRecord[] = [];
   private startOffset = 0;
 
@@ -60,7 +67,7 @@
   }
 
   /**
-   * Makes the records that carry the present state forward.
+   * Returns the records of a snapshot of the current state.
    *
    * @example
    * for (const record of fold.snapshot(newId('s'))) await writer.write(record);
@@ -79,8 +86,7 @@
   }
 
   /**
-   * Takes up a snapshot that a peer made; an older one than the present
-   * state is left alone.
+   * Replaces the state by a snapshot made by a peer, unless it is older.
    *
    * @returns whether it was taken up
    * @example
@@ -97,20 +103,27 @@
     return true;
   }
 
-  /** Whether a state that covers this much is newer than the present one. */
+  /**
+   * Whether a snapshot that covers up to this offset is newer than the state.
+   */
   protected isNewer(covers: number): boolean {
     if (covers > this.nextOffset) return true;
     return !this.isComplete && covers === this.nextOffset;
   }
 
-  /** Applies a well-formed change; its result is a function of the prefix. */
+  /**
+   * Applies a valid change. The result must depend only on the records up to
+   * this one, so that all readers agree on it.
+   */
   protected abstract applyChange(
     change: ChangeOf<R>,
     record: LogRecord,
   ): ApplyResult;
-  /** The state as entries that JSON can hold, in a fixed order. */
+  /**
+   * Returns the state as entries that can be encoded as JSON, in a fixed order.
+   */
   protected abstract entries(): Iterable<unknown>;
-  /** Replaces the state by that of the entries. */
+  /** Replaces the state by the one that the entries describe. */
   protected abstract restore(entries: readonly unknown[]): void;
 
   private applyChecked(record: LogRecord, checked: R | undefined): ApplyResult {
@@ -150,7 +163,7 @@
     return 'applied';
   }
 
-  /** Takes a snapshot up, unless records after it are no longer there. */
+  /** Restores a snapshot, unless records after it were already truncated. */
   private startFromSnapshot(
     parts: ReadonlyMap<number, SnapshotRecord>,
     covers: number,
@@ -176,7 +189,9 @@
   return record.type === 'snapshot';
 }
 
-/** Packs entries into JSON arrays of bounded size; the time goes first. */
+/**
+ * Packs the timestamp and then the entries into JSON arrays of bounded length.
+ */
 function* packEntries(
   logMs: number,
   entries: Iterable<unknown>,
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -1,15 +1,18 @@
-/** Carries the state of a stream forward before the log forgets it. */
+/** Writes snapshots of a stream before the log truncates its records. */
 import {newId, type Clock, type EventRing} from '@dragonflyward/common';
 import type {StreamTail, StreamWriter} from '@dragonflyward/log';
 import type {SnapshotRecord} from './records.js';
 
-/** A snapshot is written at least this often. */
+/** Maximum time between two snapshots. */
 export const SNAPSHOT_INTERVAL_MS = 10 * 60_000;
-/** A reader that starts empty has at most about this much to read. */
+/**
+ * A snapshot is written after this many records, which bounds what a new reader
+ * has to read.
+ */
 export const MAX_RECORDS_AFTER_SNAPSHOT = 20_000;
 const CHECK_INTERVAL_MS = 1_000;
 
-/** What snapshots need of a fold. */
+/** The state that snapshots are made of. */
 export interface SnapshotSource {
   readonly isComplete: boolean;
   readonly nextOffset: number;
@@ -17,31 +20,31 @@
   snapshot(snapshotId: string): readonly SnapshotRecord[];
 }
 
-/** What a snapshot task needs. */
+/** Options of a snapshot task. */
 export interface SnapshotTaskOptions {
   readonly fold: SnapshotSource;
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
   readonly clock: Clock;
   readonly events: EventRing;
-  /** Whether this process is the one to write snapshots now. */
+  /** Whether this process is responsible for writing snapshots now. */
   readonly isAllowed: () => boolean;
   readonly periodMs?: number;
 }
 
-/** What decides whether a snapshot is due. */
+/** Input of the decision whether a snapshot is due. */
 export interface SnapshotAge {
   readonly firstKept: number;
   readonly covers: number;
   readonly nextOffset: number;
-  /** How long ago the newest snapshot was written or first read. */
+  /** Time since the newest snapshot was written or first read. */
   readonly ageMs: number;
   readonly periodMs: number;
 }
 
 /**
- * Tells whether a snapshot is due: the newest one stands in the older half
- * of what the log keeps, or is old, or much was written since.
+ * Returns whether a snapshot is due: the newest one is in the older half of
+ * what the log retains, is too old, or too many records follow it.
  *
  * @example
  * if (isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs})) write();
@@ -64,7 +67,7 @@
     this.lastSnapshotMs = options.clock.monotonicMs();
   }
 
-  /** Writes snapshots when they are due, for as long as it is wanted. */
+  /** Writes snapshots when they are due until told to stop. */
   async run(shouldRun: () => boolean): Promise<void> {
     const {clock} = this.options;
     while (shouldRun()) {
@@ -74,7 +77,7 @@
   }
 
   /**
-   * Writes one snapshot now, part by part.
+   * Writes one snapshot now, one record per part.
    *
    * @throws logDown, appendUnknown
    * @example
@@ -108,7 +111,7 @@
     try {
       await this.write();
     } catch {
-      // The next check finds the snapshot still due.
+      // The snapshot is still due at the next check, which retries it.
     }
   }
 }
--- a/packages/state/src/successors.ts
+++ b/packages/state/src/successors.ts
@@ -3,8 +3,8 @@
 import type {OwnershipPeers} from './ownership-types.js';
 
 /**
- * How many successors an owner lists. All of them have to give promises while
- * the log is down, so a longer list is easier to lose the lease by.
+ * How many successors an owner lists. Each of them has to give a promise while
+ * the log is down.
  */
 export const MAX_SUCCESSORS = 2;
 /** A successor that was silent for longer is replaced. */
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -62,20 +62,20 @@
   return {cpuMilli: 0, memMb: 0, accel: 0, slots: count};
 }
 
-/** Shards and two budget owners, each with a view that lags on its own. */
+/** Shards and two planners, each with its own outdated view of the table. */
 class Fleet {
   readonly running: number[] = SHARDS.map(() => 0);
   limit = MAX_LIMIT;
   private readonly clock = new ManualClock();
   private readonly log = new MemoryLog(this.clock);
   private readonly views: AllowanceState[];
-  private readonly budgets: AllowanceState[];
+  private readonly plannerTables: AllowanceState[];
   private readonly terms = SHARDS.map(() => 1);
   private nextId = 1;
 
   constructor(private readonly tableClass: TableClass) {
     this.views = SHARDS.map(() => new tableClass());
-    this.budgets = [new tableClass(), new tableClass()];
+    this.plannerTables = [new tableClass(), new tableClass()];
   }
 
   total(): number {
@@ -102,7 +102,7 @@
     }
   }
 
-  /** Shrinks, reads, acknowledges and plans until nothing changes. */
+  /** Reads, stops excess work, acknowledges and plans until nothing changes. */
   settle(): void {
     for (let round = 0; round < 10; round += 1) {
       for (const i of SHARDS.keys()) {
@@ -145,7 +145,7 @@
   }
 
   private plan(index: number, seed: number, isFresh = seed % 2 === 0): void {
-    const table = this.budgets[index];
+    const table = this.plannerTables[index];
     if (table === undefined) return;
     if (isFresh) this.catchUp(table, Infinity);
     const demands = SHARDS.map((shard, i) => ({
@@ -178,7 +178,7 @@
   }
 
   private ack(index: number): void {
-    const ack = this.keeper(index).dueAck();
+    const ack = this.shardAllowances(index).dueAck();
     if (ack !== undefined) this.push(ack);
   }
 
@@ -189,7 +189,7 @@
     this.catchUp(view, Infinity);
   }
 
-  private keeper(index: number): AllowanceKeeper {
+  private shardAllowances(index: number): AllowanceKeeper {
     const table = this.views[index] ?? new this.tableClass();
     const {clock} = this;
     const client = new MemoryLogClient(this.log);
@@ -208,7 +208,10 @@
   }
 }
 
-/** Whether the sum keeps to the limit, or falls while a new one is lower. */
+/**
+ * Whether the sum stays within the limit, or only falls while above a lowered
+ * one.
+ */
 function staysWithinLimit(ops: readonly Op[], tableClass: TableClass): boolean {
   const fleet = new Fleet(tableClass);
   let bound = fleet.limit;
@@ -227,7 +230,7 @@
   }
 }
 
-/** Takes changes that were planned on an older table. */
+/** Applies changes that were planned on an older table. */
 class UncheckedVersionState extends AllowanceState {
   protected override isCurrent(): boolean {
     return true;
--- a/packages/state/test/allowance.test.ts
+++ b/packages/state/test/allowance.test.ts
@@ -29,13 +29,15 @@
   return {...NO_RESOURCES, slots: count};
 }
 
-/** A budget owner and a keeper for each shard, as they run in programs. */
+/**
+ * A planner, and the allowance task of each shard, as they run in production.
+ */
 class Fleet {
   readonly clock = new ManualClock();
   readonly log = new MemoryLog(this.clock);
   readonly running = new Map(SHARDS.map(shard => [shard, 0]));
-  readonly keepers: ReadonlyMap<string, AllowanceKeeper>;
-  /** The shard that all work of the team is in. */
+  readonly allowances: ReadonlyMap<string, AllowanceKeeper>;
+  /** The shard with all work of the team. */
   busyShard = 'north-1';
   limit = LIMIT;
   isRunning = true;
@@ -44,14 +46,14 @@
   constructor() {
     const isWanted = (): boolean => this.isRunning;
     const term = (): number => 1;
-    this.keepers = new Map(
+    this.allowances = new Map(
       SHARDS.map(shard => {
         const running = (): Resources => slots(this.running.get(shard) ?? 0);
         const options = {...this.makeTaskOptions(), shard, term, running};
         return [shard, new AllowanceKeeper(options)];
       }),
     );
-    for (const keeper of this.keepers.values()) void keeper.run(isWanted);
+    for (const task of this.allowances.values()) void task.run(isWanted);
     const input = () => ({
       limits: new Map([[TEAM, slots(this.limit)]]),
       shards: SHARDS,
@@ -61,7 +63,7 @@
   }
 
   amount(shard: string): number {
-    return this.keepers.get(shard)?.amount(TEAM).slots ?? 0;
+    return this.allowances.get(shard)?.amount(TEAM).slots ?? 0;
   }
 
   end(): void {
@@ -118,11 +120,11 @@
 tasks('tell a new owner when it has read the table', async () => {
   const fleet = new Fleet();
   await fleet.clock.advance(1_000);
-  const keeper = fleet.keepers.get('north-1');
+  const task = fleet.allowances.get('north-1');
   const tookOverMs = fleet.clock.monotonicMs();
-  assert.not(keeper?.isReadSince(tookOverMs));
+  assert.not(task?.isReadSince(tookOverMs));
   await fleet.clock.advance(1_000);
-  assert.ok(keeper?.isReadSince(tookOverMs));
+  assert.ok(task?.isReadSince(tookOverMs));
   fleet.end();
 });
 
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -1,4 +1,6 @@
-/** Several processes around one log in memory, on a clock set by the test. */
+/**
+ * Simulates several processes that share one log in memory and a manual clock.
+ */
 import {
   Clock,
   EventRing,
@@ -41,10 +43,10 @@
 const HEARTBEAT_MS = 500;
 const CANDIDATE_SILENCE_TIMEOUT_MS = 2_500;
 const PAUSE_CHECK_MS = 25;
-/** Monotonic clocks differ by at most 4 % in rate between two VMs. */
+/** Rates of the monotonic clocks; those of two VMs differ by at most 4 %. */
 const CLOCK_RATES = [1, 0.98, 1.02];
 
-/** The clock of one process; its tasks stand still while it is paused. */
+/** The clock of one process; its tasks do not run while it is paused. */
 class MemberClock extends Clock {
   isPaused = false;
 
@@ -73,7 +75,7 @@
   }
 }
 
-/** A client whose replies are seen only once the process is resumed. */
+/** A log client whose replies reach a paused process only after it resumes. */
 class MemberLogClient extends LogClient {
   constructor(
     private readonly inner: MemoryLogClient,
@@ -119,11 +121,14 @@
   isDead: boolean;
 }
 
-/** What tests replace to switch a mechanism off. */
+/** Replacements with which tests disable a mechanism. */
 export interface CellOptions {
   readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
   readonly makeFold?: () => ShardState;
-  /** Jobs count as accepted once the append was answered. */
+  /**
+   * Jobs count as accepted once the append was answered, without reading the
+   * record back.
+   */
   readonly skipsReadBack?: boolean;
 }
 
@@ -174,20 +179,20 @@
   return !member.isCutFromPeers && !member.clock.isPaused;
 }
 
-/** All processes that may own one shard. */
+/** The processes that may own one shard. */
 export class Cell {
   readonly clock = new ManualClock(1_000);
   readonly log = new MemoryLog(this.clock);
   readonly droppedVms = new Set<string>();
   members: readonly Member[] = [];
-  /** Moments at which more than one process might act. */
+  /** Number of steps after which more than one process might act. */
   violations = 0;
-  /** Jobs that their writer was told stand in the log. */
+  /** Jobs whose writer was told that they are in the log. */
   readonly accepted = new Set<string>();
   private readonly heartbeatMs = new Map<string, number>();
   private nextJob = 1;
 
-  constructor(private readonly parts: CellOptions = {}) {}
+  constructor(private readonly options: CellOptions = {}) {}
 
   /** Starts a process; a higher incarnation is a restart on the same VM. */
   start(vm: string, incarnation = 1): Member {
@@ -196,7 +201,7 @@
     const rate = CLOCK_RATES[rank % CLOCK_RATES.length] ?? 1;
     const clock = new MemberClock(this.clock, rate);
     const client = new MemoryLogClient(this.log);
-    const fold = this.parts.makeFold?.() ?? new ShardState();
+    const fold = this.options.makeFold?.() ?? new ShardState();
     const log = new MemberLogClient(client, clock);
     const base = {client: log, stream: STREAM, clock};
     const tail = new StreamTail({...base, fold, waitMs: READ_WAIT_MS});
@@ -213,7 +218,7 @@
       events: new EventRing(vm, new HybridClock(clock)),
       rank,
     };
-    const {makeOwnership} = this.parts;
+    const {makeOwnership} = this.options;
     const ownership = makeOwnership?.(options) ?? new ShardOwnership(options);
     const flags = {isCutFromPeers: false, isDead: false};
     const parts = {ref, clock, client, log, fold, ownership, tail, writer};
@@ -224,7 +229,7 @@
     return member;
   }
 
-  /** Ends a process at once. */
+  /** Kills a process immediately. */
   kill(member: Member): void {
     member.isDead = true;
     member.client.isCut = true;
@@ -232,7 +237,7 @@
     member.tail.stop();
   }
 
-  /** Moves the time on in small steps and checks who may act. */
+  /** Advances the time in small steps and checks who may act after each. */
   async run(durationMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += CLOCK_STEP_MS) {
       if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.sendHeartbeats();
@@ -241,24 +246,24 @@
     }
   }
 
-  /** Has each process that may act accept a job. */
+  /** Makes each process that may act accept a job. */
   acceptJobs(): void {
     for (const member of this.acting()) {
       if (!member.clock.isPaused) void this.acceptJob(member);
     }
   }
 
-  /** The processes that may act now. */
+  /** Returns the processes that may act now. */
   acting(): readonly Member[] {
     return this.members.filter(m => m.ownership.mayAct());
   }
 
-  /** The process of this reference. */
+  /** Returns the process of this reference. */
   find(ref: ProcessRef): Member | undefined {
     return this.members.find(m => isSameProcess(m.ref, ref));
   }
 
-  /** When one process last heard another. */
+  /** Returns when a process last received another's heartbeat. */
   lastHeardMs(from: ProcessRef, to: ProcessRef): number {
     return this.heartbeatMs.get(`${keyOf(from)}>${keyOf(to)}`) ?? -Infinity;
   }
@@ -287,7 +292,7 @@
     {tail, writer, log}: Member,
     data: JobAcceptedRecord,
   ): Promise<boolean> {
-    if (!this.parts.skipsReadBack) {
+    if (!this.options.skipsReadBack) {
       return (await writer.write(data)) === 'applied';
     }
     await log.append(tail.stream, [{id: data.job.jobId, data}]);
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -58,7 +58,9 @@
   isRunning: boolean;
 }
 
-/** Any peer answers any ask, also late and out of order. */
+/**
+ * Peers answer with different delays, so answers come late and out of order.
+ */
 class SlowPeers extends ConfigPeers {
   constructor(private readonly fleet: Fleet) {
     super();
@@ -130,7 +132,7 @@
     }
   }
 
-  /** Drops what the newest snapshot covers, after writing one. */
+  /** Writes a snapshot and drops the records that it covers. */
   private truncateLog(): void {
     const whole = new ConfigState();
     const {first} = this.log.page(CONFIG_STREAM, 0, 1);
@@ -175,7 +177,7 @@
   }
 }
 
-/** Takes up any peer's state, also an older one. */
+/** Adopts any peer's snapshot, also an older one. */
 class OlderSnapshotState extends ConfigState {
   protected override isNewer(): boolean {
     return true;
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -15,14 +15,14 @@
 import {configRecord, grant, withdraw} from './records.js';
 
 const MAX_AGE_MS = 4_000;
-/** A withdrawn key stops working within this time. */
+/** A withdrawn key must stop working within this time. */
 const WITHDRAWAL_BOUND_MS = 5_000;
 const OUTAGE_MS = 120_000;
 const DOMAINS = ['north-1', 'south-1', 'east-1'];
 const VMS_PER_DOMAIN = 3;
 const KEY = 'k1.s1';
 
-/** Takes every silence for an outage: the mechanism switched off. */
+/** Treats any lack of answers as an outage, which disables the mechanism. */
 class AssumedOutageFreshness extends ConfigFreshness {
   protected override isGlobalLogOutage(): boolean {
     return true;
@@ -169,7 +169,7 @@
   cell.end();
 });
 
-/** Cuts a domain, alone or with another, off from the log and the rest. */
+/** Cuts the domains off from the log and from all other domains. */
 async function refusesWhenCut(
   freshnessClass: FreshnessClass,
   cutDomains: readonly string[],
--- a/packages/state/test/late-write.test.ts
+++ b/packages/state/test/late-write.test.ts
@@ -7,7 +7,10 @@
 const SEED = 20261204;
 const RUNS = 20;
 
-/** An owner stands still with an append under way and is superseded. */
+/**
+ * Pauses an owner with an append in flight until another process takes over.
+ * Returns whether all jobs that were reported as accepted are in the log.
+ */
 async function areAcceptedJobsKept(
   appendDelayMs: number,
   options: CellOptions = {},
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -37,7 +37,7 @@
 
 interface Step {
   readonly fault: Fault;
-  /** One bit for each process that it hits, or the number of one. */
+  /** Bit mask of the affected processes, or the index of a single one. */
   readonly target: number;
   readonly durationMs: number;
 }
@@ -55,7 +55,7 @@
   maxLength: MAX_STEPS,
 });
 
-/** Some are cut from the log, and those that are not from their peers. */
+/** Cuts some processes off from the log, and all others from their peers. */
 const PARTITION_STEPS = fc
   .tuple(fc.nat(15), fc.integer({min: 100, max: 12_000}))
   .map(([target, durationMs]): readonly Step[] => [
@@ -63,7 +63,7 @@
     {fault: 'cutFromPeers', target: 15 - target, durationMs},
   ]);
 
-/** A write under way while its writer is dead or stands still. */
+/** Leaves a write in flight while its writer is dead, paused or cut off. */
 const LATE_WRITE_STEPS = fc.tuple(
   stepOf(['loseReplies']),
   stepOf(['kill', 'pause', 'cutFromLog']),
@@ -152,7 +152,10 @@
   return cell;
 }
 
-/** Replays the whole log and checks who wrote each applied job record. */
+/**
+ * Replays the log; returns whether a job record was applied that the owner at
+ * that point did not write.
+ */
 function hasJobOfNonOwner(cell: Cell, state: ShardState): boolean {
   let isForeign = false;
   for (const record of cell.log.records(STREAM)) {
@@ -183,7 +186,7 @@
   else property(name, body);
 }
 
-/** Checks that the steps lead to a violation with a mechanism off. */
+/** Checks that the steps lead to a violation with a mechanism disabled. */
 function checkFails(
   name: string,
   steps: fc.Arbitrary<readonly Step[]>,
@@ -197,7 +200,10 @@
   check(name, steps, holds, false);
 }
 
-/** A dropped successor's claim lands while all others are cut off. */
+/**
+ * Delivers the claim of a dropped successor late, while all other processes are
+ * cut off from the log.
+ */
 async function playLateClaim(
   appendDelayMs: number,
   options: CellOptions = {},
@@ -260,7 +266,7 @@
   }
 }
 
-/** Is content with the promise of the first successor. */
+/** Requires only the promise of the first successor. */
 class OnePromiseTasks extends OwnerTasks {
   protected override possibleSuccessors(): readonly ProcessRef[] {
     return super.possibleSuccessors().slice(0, 1);
@@ -273,14 +279,14 @@
   }
 }
 
-/** Lets a claim win whatever it cites. */
+/** Applies claims without checking their preconditions. */
 class UncheckedClaimState extends ShardState {
   protected override isClaimCurrent(): boolean {
     return true;
   }
 }
 
-/** Takes records of former owners. */
+/** Applies records of former owners. */
 class UnfencedShardState extends ShardState {
   protected override isCurrent(): boolean {
     return true;
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -3,7 +3,9 @@
 import * as assert from 'uvu/assert';
 import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
 
-/** From the owner's death until urgent work starts again in its shard. */
+/**
+ * Maximum time from the owner's death until its shard starts urgent work again.
+ */
 const TAKEOVER_BOUND_MS = 9_400;
 const BETWEEN_HEARTBEATS_MS = 100;
 
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -37,7 +37,7 @@
 const JOB_ID = fc.nat(6).map(n => `north-1:${n}`);
 const TASK = fc.nat(2);
 
-/** Records of all types, well formed, with citations of any state. */
+/** Valid records of all types, based on any state. */
 const VALID_RECORDS = fc.oneof(
   fc.record({
     type: fc.constant('claim'),
@@ -76,7 +76,7 @@
   }),
 );
 
-/** Anything at all, and sound records spoilt in one place. */
+/** Arbitrary values, and valid records with one member made invalid. */
 const INVALID_DATA = fc.oneof(
   fc.anything(),
   VALID_RECORDS.map(record => ({...record, v: 99})),
@@ -90,7 +90,7 @@
   {weight: 1, arbitrary: INVALID_DATA},
 );
 
-/** Puts the records into a stream, minutes apart so that jobs are forgotten. */
+/** Puts the records into a stream, minutes apart so that ended jobs expire. */
 function toStream(data: readonly unknown[]): LogRecord[] {
   return data.map((value, offset) => ({
     offset,
@@ -108,11 +108,14 @@
 interface SnapshotRun {
   readonly full: ShardState;
   readonly records: readonly LogRecord[];
-  /** Offset from which a late reader reads. */
+  /** Offset at which a late reader starts. */
   readonly first: number;
 }
 
-/** Writes a snapshot in the middle and forgets what came before it. */
+/**
+ * Writes a snapshot in the middle; a late reader starts at the first record it
+ * does not cover.
+ */
 function writeWithSnapshot(
   data: readonly unknown[],
   at: number,
@@ -140,7 +143,7 @@
   return fold;
 }
 
-/** Starts from a snapshot but leaves out what it does not cover. */
+/** Starts from a snapshot but drops the records after it. */
 class DroppedRecordsState extends ShardState {
   override apply(record: LogRecord): ApplyResult {
     const wasComplete = this.isComplete;
@@ -248,7 +251,7 @@
   assert.ok(isSnapshotDue({...age, firstKept: 0, ageMs: 1_000}));
 });
 
-/** Runs one writer for a while against a log that forgets quickly. */
+/** Runs one writer against a log that retains few records. */
 async function runWriter(log: MemoryLog, clock: ManualClock): Promise<string> {
   const fold = new ShardState();
   const client = new MemoryLogClient(log);
