Reword test titles and names in the tests of the state package

Renames the claim reason, time bounds and locals of the planner, and rewords seven titles of tests that switch a mechanism off; what they check stays.

--- a/packages/state/src/allowance-plan.ts
+++ b/packages/state/src/allowance-plan.ts
@@ -144,7 +144,7 @@
   return false;
 }
 
-/** Distributes what is left of the limit after all that shards may act on. */
+/** Distributes the part of the limit that no shard may act on yet. */
 function distributeFree(
   resource: TeamResource,
   targets: AmountsByShard,
@@ -174,15 +174,15 @@
   );
   let remaining = resource.limit;
   for (const [i, shard] of byDemand.entries()) {
-    const part = Math.floor(remaining / (byDemand.length - i));
-    const granted = Math.min(part, demandOf(resource, shard));
+    const evenPart = Math.floor(remaining / (byDemand.length - i));
+    const granted = Math.min(evenPart, demandOf(resource, shard));
     targets.set(shard, granted);
     remaining -= granted;
   }
   for (const [i, shard] of shards.entries()) {
-    const part = Math.floor(remaining / (shards.length - i));
-    targets.set(shard, (targets.get(shard) ?? 0) + part);
-    remaining -= part;
+    const evenPart = Math.floor(remaining / (shards.length - i));
+    targets.set(shard, (targets.get(shard) ?? 0) + evenPart);
+    remaining -= evenPart;
   }
   return targets;
 }
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -64,10 +64,10 @@
     while (shouldRun()) {
       this.updateObservations();
       this.stallDetector.updateLogStatus();
-      const claimReason = this.reason();
-      if (claimReason !== undefined) await this.claim(claimReason);
+      const reason = this.claimReason();
+      if (reason !== undefined) await this.claim(reason);
       await clock.sleep(
-        claimReason === undefined ? POLL_INTERVAL_MS : CLAIM_RETRY_MS,
+        reason === undefined ? POLL_INTERVAL_MS : CLAIM_RETRY_MS,
       );
     }
   }
@@ -90,7 +90,7 @@
   }
 
   /** The reason for which this process may claim now, if there is one. */
-  reason(): ClaimReason | undefined {
+  claimReason(): ClaimReason | undefined {
     const {fold, self, tail, clock} = this.options;
     const nowMs = clock.monotonicMs();
     if (!fold.isComplete) return undefined;
--- a/packages/state/src/owner-tasks.ts
+++ b/packages/state/src/owner-tasks.ts
@@ -30,7 +30,7 @@
   readonly sentMs: number;
 }
 
-/** A successor list that was sent; it may not have been applied yet. */
+/** A successor list that was sent and may still take effect. */
 interface SentSuccessorList {
   readonly term: number;
   readonly listVersion: number;
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -30,7 +30,10 @@
    *
    * @throws peerDown, peerLost
    */
-  abstract askPromise(process: ProcessRef, ask: OwnershipAsk): Promise<boolean>;
+  abstract askPromise(
+    process: ProcessRef,
+    request: OwnershipAsk,
+  ): Promise<boolean>;
 }
 
 /** Lease duration and silence timeout of an owner. */
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -26,7 +26,8 @@
   /** How many records were malformed or of an unknown version. */
   skippedCount = 0;
   /**
-   * How many records had no effect, since they were based on an outdated state.
+   * How many valid records had no effect, for example because they were based
+   * on an outdated state.
    */
   voidCount = 0;
   /**
@@ -88,7 +89,7 @@
   /**
    * Replaces the state by a snapshot made by a peer, unless it is older.
    *
-   * @returns whether it was taken up
+   * @returns whether it was adopted
    * @example
    * if (fold.adopt(parts)) events.add('configApplied', {});
    */
--- a/packages/state/src/stall-detector.ts
+++ b/packages/state/src/stall-detector.ts
@@ -20,7 +20,10 @@
 
   constructor(private readonly options: StallDetectorOptions) {}
 
-  /** Updates since when this process can read the log. Must be called often. */
+  /**
+   * Updates the time since which this process can read the log. Must be called
+   * often.
+   */
   updateLogStatus(): void {
     const {clock, tail, timing} = this.options;
     const nowMs = clock.monotonicMs();
--- a/packages/state/src/successors.ts
+++ b/packages/state/src/successors.ts
@@ -32,7 +32,7 @@
  * Tells whether two lists name the same processes in the same order.
  *
  * @example
- * if (isSameList(fold.successors, wanted)) return;
+ * if (isSameList(fold.successors, successors)) return;
  */
 export function isSameList(
   a: readonly ProcessRef[],
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -262,7 +262,7 @@
 );
 
 check(
-  'pass the limit where changes cite nothing',
+  'pass the limit where the version of changes is not checked',
   ops => staysWithinLimit(ops, UncheckedVersionState),
   false,
 );
--- a/packages/state/test/allowance.test.ts
+++ b/packages/state/test/allowance.test.ts
@@ -44,7 +44,7 @@
   private readonly tails: StreamTail[] = [];
 
   constructor() {
-    const isWanted = (): boolean => this.isRunning;
+    const shouldRun = (): boolean => this.isRunning;
     const term = (): number => 1;
     this.allowances = new Map(
       SHARDS.map(shard => {
@@ -53,13 +53,15 @@
         return [shard, new AllowanceKeeper(options)];
       }),
     );
-    for (const task of this.allowances.values()) void task.run(isWanted);
+    for (const task of this.allowances.values()) void task.run(shouldRun);
     const input = () => ({
       limits: new Map([[TEAM, slots(this.limit)]]),
       shards: SHARDS,
       demands: [{team: TEAM, shard: this.busyShard, wanted: slots(LIMIT)}],
     });
-    void new BudgetTask({...this.makeTaskOptions(), term, input}).run(isWanted);
+    void new BudgetTask({...this.makeTaskOptions(), term, input}).run(
+      shouldRun,
+    );
   }
 
   amount(shard: string): number {
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -160,7 +160,7 @@
 
   override async askPromise(
     process: ProcessRef,
-    ask: OwnershipAsk,
+    request: OwnershipAsk,
   ): Promise<boolean> {
     const self = this.cell.find(this.self);
     await self?.clock.sleep(PEER_DELAY_MS);
@@ -168,7 +168,7 @@
     if (!isReachable(peer) || !isReachable(self)) {
       return raise('peerDown', process.vm);
     }
-    const isGiven = peer.ownership.answerPromise(ask, this.self);
+    const isGiven = peer.ownership.answerPromise(request, this.self);
     await self.clock.sleep(PEER_DELAY_MS);
     return isGiven;
   }
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -198,6 +198,6 @@
 const configuration = suite('configuration under random faults');
 
 check('never reverts, nor does a withdrawal', ConfigState, true);
-check('reverts where older states are taken up', OlderSnapshotState, false);
+check('reverts where older snapshots are adopted', OlderSnapshotState, false);
 
 configuration.run();
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -16,7 +16,7 @@
 
 const MAX_AGE_MS = 4_000;
 /** A withdrawn key must stop working within this time. */
-const WITHDRAWAL_BOUND_MS = 5_000;
+const WITHDRAWAL_TIMEOUT_MS = 5_000;
 const OUTAGE_MS = 120_000;
 const DOMAINS = ['north-1', 'south-1', 'east-1'];
 const VMS_PER_DOMAIN = 3;
@@ -153,7 +153,7 @@
     const {cell, first} = await start();
     first.client.isCut = true;
     cell.publish('w', withdraw('k1'));
-    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+    await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
     assert.is(first.fold.teamOfKey(KEY), undefined);
     assert.ok(first.freshness.isFresh());
     cell.end();
@@ -180,7 +180,7 @@
     else gateway.isUnreachable = true;
   }
   cell.publish('w', withdraw('k1'));
-  await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+  await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
   const isTaken = cell.acceptsKey(first);
   cell.end();
   return !isTaken;
@@ -196,9 +196,12 @@
     },
   );
 
-  freshness(`takes withdrawn keys without it, ${cut.length}`, async () => {
-    assert.not(await refusesWhenCut(AssumedOutageFreshness, cut));
-  });
+  freshness(
+    `accepts withdrawn keys without the outage check, ${cut.length} cut off`,
+    async () => {
+      assert.not(await refusesWhenCut(AssumedOutageFreshness, cut));
+    },
+  );
 }
 
 promiseTest(
@@ -209,7 +212,7 @@
     const {cell, first} = await start();
     first.client.isCut = true;
     first.isUnreachable = true;
-    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+    await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
     assert.not(cell.acceptsKey(first));
     cell.end();
   },
--- a/packages/state/test/late-write.test.ts
+++ b/packages/state/test/late-write.test.ts
@@ -49,6 +49,10 @@
 const lateWrites = suite('late writes');
 
 check('no void record is acknowledged', {}, true);
-check('one is where it is not read back', {skipsReadBack: true}, false);
+check(
+  'a void record is acknowledged when it is not read back',
+  {skipsReadBack: true},
+  false,
+);
 
 lateWrites.run();
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -318,14 +318,14 @@
 );
 
 check(
-  'a dropped successor wins where claims cite nothing',
+  'a dropped successor wins where claims are not checked',
   APPEND_DELAY_MS,
   ms => playLateClaim(ms, {makeFold: () => new UncheckedClaimState()}),
   false,
 );
 
 check(
-  'fails without the fence of terms',
+  'fails without fencing by terms',
   STEPS,
   async steps => {
     const cell = await play(steps, {makeFold: () => new UnfencedShardState()});
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -6,7 +6,7 @@
 /**
  * Maximum time from the owner's death until its shard starts urgent work again.
  */
-const TAKEOVER_BOUND_MS = 9_400;
+const TAKEOVER_TIMEOUT_MS = 9_400;
 const BETWEEN_HEARTBEATS_MS = 100;
 
 const ownership = suite('ownership');
@@ -30,7 +30,7 @@
 ownership('passes to a successor when the owner dies', async () => {
   const {cell, owner} = await startCell();
   cell.kill(owner);
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is(cell.violations, 0);
   cell.end();
@@ -50,7 +50,7 @@
   owner.isCutFromPeers = true;
   await cell.run(LEASE_MS + SILENCE_MS);
   assert.not(owner.ownership.mayAct());
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is(cell.violations, 0);
   cell.end();
@@ -59,7 +59,7 @@
 ownership('passes on when only the owner cannot read the log', async () => {
   const {cell, owner} = await startCell();
   owner.client.isCut = true;
-  await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_BOUND_MS);
+  await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is.not(cell.acting()[0], owner);
   assert.is(cell.violations, 0);
@@ -104,7 +104,7 @@
     await cell.run(180_000);
     assert.is(cell.acting().length, 0);
     cell.log.isDown = false;
-    await cell.run(TAKEOVER_BOUND_MS);
+    await cell.run(TAKEOVER_TIMEOUT_MS);
     assert.is(cell.acting().length, 1);
     cell.end();
   },
@@ -130,7 +130,7 @@
   for (const member of cell.members) cell.kill(member);
   await cell.run(2_000);
   const restarted = cell.start(owner.ref.vm, 2);
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.ok(restarted.ownership.mayAct());
   cell.end();
 });
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -76,7 +76,7 @@
   }),
 );
 
-/** Arbitrary values, and valid records with one member made invalid. */
+/** Arbitrary values, and valid records with invalid members. */
 const INVALID_DATA = fc.oneof(
   fc.anything(),
   VALID_RECORDS.map(record => ({...record, v: 99})),
@@ -191,23 +191,26 @@
   fc.assert(holds, {seed: SEED, numRuns: RUNS});
 });
 
-snapshots('it does not where later records are left out', () => {
-  const run = fc.check(
-    fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
-      const carried = writeWithSnapshot(
-        data,
-        at,
-        between,
-        () => new ShardState(),
-      );
-      if (carried.first === 0) return;
-      const late = readFromSnapshot(carried, new DroppedRecordsState());
-      assert.is(stateOf(late), stateOf(carried.full));
-    }),
-    {seed: SEED, numRuns: RUNS, endOnFailure: true},
-  );
-  assert.ok(run.failed);
-});
+snapshots(
+  'a late start that drops later records differs from a full replay',
+  () => {
+    const run = fc.check(
+      fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
+        const carried = writeWithSnapshot(
+          data,
+          at,
+          between,
+          () => new ShardState(),
+        );
+        if (carried.first === 0) return;
+        const late = readFromSnapshot(carried, new DroppedRecordsState());
+        assert.is(stateOf(late), stateOf(carried.full));
+      }),
+      {seed: SEED, numRuns: RUNS, endOnFailure: true},
+    );
+    assert.ok(run.failed);
+  },
+);
 
 snapshots('all readers skip the same records and none stops', () => {
   const holds = fc.property(fc.array(DATA), data => {
