--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -23,14 +23,14 @@
  */
 interface OwnedTerm {
   readonly term: number;
-  readonly activeFromMs: number;
+  readonly fromMs: number;
 }
 
 /** Takes part in electing the owner of one shard, and owns it when elected. */
 export class ShardOwnership {
   protected readonly claimant: Claimant;
   protected readonly ownerTasks: OwnerTasks;
-  private ownedTerm: OwnedTerm = {term: 0, activeFromMs: Infinity};
+  private ownedTerm: OwnedTerm = {term: 0, fromMs: Infinity};
   private handedOverTerm = 0;
   private isStopped = false;
   private wasReportedActive = false;
@@ -90,7 +90,7 @@
     if (this.ownedTerm.term !== this.term) return false;
     if (this.handedOverTerm === this.term) return false;
     const nowMs = this.options.clock.monotonicMs();
-    return nowMs >= this.ownedTerm.activeFromMs && nowMs < this.leaseEndMs();
+    return nowMs >= this.ownedTerm.fromMs && nowMs < this.leaseEndMs();
   }
 
   /**
@@ -159,8 +159,8 @@
     if (result !== 'applied' || !this.isOwner) return;
     if (this.ownedTerm.term === this.term) return;
     const waitMs = this.isFormerLeaseOver(record) ? 0 : this.claimWaitMs();
-    const activeFromMs = this.options.clock.monotonicMs() + waitMs;
-    this.ownedTerm = {term: this.term, activeFromMs};
+    const fromMs = this.options.clock.monotonicMs() + waitMs;
+    this.ownedTerm = {term: this.term, fromMs};
   }
 
   /**
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -60,11 +60,12 @@
 
 /** Writes the snapshots of one stream. */
 export class SnapshotTask {
-  private lastCovers = 0;
-  private lastSnapshotMs: number;
+  /** What the newest snapshot covers, and since when it is known. */
+  private covers = 0;
+  private sinceMs: number;
 
   constructor(private readonly options: SnapshotTaskOptions) {
-    this.lastSnapshotMs = options.clock.monotonicMs();
+    this.sinceMs = options.clock.monotonicMs();
   }
 
   /** Writes snapshots when they are due until told to stop. */
@@ -94,17 +95,17 @@
   private isDue(): boolean {
     const {fold, tail, clock, isAllowed} = this.options;
     const {nextOffset, snapshotCovers: covers} = fold;
-    if (covers !== this.lastCovers) this.recordSnapshot(covers);
+    if (covers !== this.covers) this.recordSnapshot(covers);
     if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
     const {firstKept} = tail;
-    const ageMs = clock.monotonicMs() - this.lastSnapshotMs;
+    const ageMs = clock.monotonicMs() - this.sinceMs;
     const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
     return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
   }
 
   private recordSnapshot(covers: number): void {
-    this.lastCovers = covers;
-    this.lastSnapshotMs = this.options.clock.monotonicMs();
+    this.covers = covers;
+    this.sinceMs = this.options.clock.monotonicMs();
   }
 
   private async tryWrite(): Promise<void> {
