Name four source files after what they declare

adaptive-timeout.ts, topology.ts, executor-response.ts and http-executor-client.ts (in line with http-worker-client.ts). File names and imports only.

--- a/packages/common/src/process-settings.ts
+++ b/packages/common/src/process-settings.ts
@@ -1,5 +1,5 @@
 /** The settings that all programs on an entry VM share. */
-import type {Place} from './places.js';
+import type {Place} from './topology.js';
 
 /** The ports that each entry VM uses; the same on all of them. */
 export interface PortSettings {
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -7,7 +7,7 @@
   type JsonReply,
 } from '@dragonflyward/common';
 import {LogClient} from './client.js';
-import {ReplyBound} from './reply-bound.js';
+import {ReplyBound} from './adaptive-timeout.js';
 import type {
   AppendReply,
   LogPage,
--- a/packages/target/src/executor-http.ts
+++ b/packages/target/src/http-executor-client.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {DragonflywardError, raise} from '@dragonflyward/common';
-import {readAnswer} from './executor-answer.js';
+import {readAnswer} from './executor-response.js';
 import {
   ExecutorClient,
   type ExecutorAddress,
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -2,4 +2,4 @@
 export * from './worker-client.js';
 export * from './http-worker-client.js';
 export * from './executor-client.js';
-export * from './executor-http.js';
+export * from './http-executor-client.js';
