Reword the shared package in plain terms

Comments, doc comments, local names and error texts. Kinds, numbers and statuses of the errors stay, and so do all event kinds and settings.

--- a/packages/common/src/admin.ts
+++ b/packages/common/src/admin.ts
@@ -1,18 +1,18 @@
-/** The operators' HTTP port of a process: health, metrics, events, status. */
+/** The admin HTTP server: health, metrics, events and status. */
 import http from 'node:http';
 import {ERRORS, toFailure} from './errors.js';
 import type {EventRing} from './events.js';
 import {sendJson} from './json-http.js';
 import type {Metrics} from './metrics.js';
 
-/** What the admin port of a process shows. */
+/** The data that the admin server of a process exposes. */
 export interface AdminSource {
   readonly metrics: Metrics;
   readonly events: EventRing;
   readonly isReady: () => boolean;
   readonly status: () => Readonly<Record<string, unknown>>;
   /**
-   * Says why a job waits or runs where it does.
+   * Explains why a job is waiting, or why it runs where it runs.
    *
    * @throws jobUnknown, notOwner
    */
@@ -20,10 +20,10 @@
 }
 
 /**
- * Serves `/healthz`, `/readyz`, `/metrics`, `/events`, `/status` and, where
- * the process knows jobs, `/explain?job=ID`.
+ * Serves `/healthz`, `/readyz`, `/metrics`, `/events`, `/status` and, if the
+ * process tracks jobs, `/explain?job=ID`.
  *
- * @returns the server, listening
+ * @returns the server, already listening
  * @example
  * const admin = await serveAdmin('127.0.0.1', 8081, source);
  */
@@ -35,7 +35,7 @@
   const server = http.createServer((req, res) => {
     const [path, query] = (req.url ?? '/').split('?');
     if (path === '/healthz') return sendJson(res, 200, {status: 'alive'});
-    if (path === '/readyz') return sendReady(res, source.isReady());
+    if (path === '/readyz') return sendReadiness(res, source.isReady());
     if (path === '/metrics') return sendText(res, source.metrics.toText());
     if (path === '/events') return sendJson(res, 200, listEvents(source));
     if (path === '/status') return sendJson(res, 200, source.status());
@@ -50,7 +50,7 @@
   });
 }
 
-function sendReady(res: http.ServerResponse, isReady: boolean): void {
+function sendReadiness(res: http.ServerResponse, isReady: boolean): void {
   sendJson(res, isReady ? 200 : 503, {ready: isReady});
 }
 
@@ -61,8 +61,8 @@
 ): void {
   const jobId = new URLSearchParams(query).get('job') ?? '';
   try {
-    const answer = explain?.(jobId);
-    if (answer !== undefined) return sendJson(res, 200, answer);
+    const explanation = explain?.(jobId);
+    if (explanation !== undefined) return sendJson(res, 200, explanation);
     return sendJson(res, 404, {error: 'routeUnknown'});
   } catch (err) {
     const {kind, detail} = toFailure(err);
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,16 +1,16 @@
-/** Time sources; protocols take one so that tests can control time. */
+/** Clocks; code that depends on time takes one, so that tests control it. */
 
 /** A source of time and delays. */
 export abstract class Clock {
-  /** Milliseconds that never go back; the origin is arbitrary. */
+  /** Monotonic time in milliseconds, from an arbitrary origin. */
   abstract monotonicMs(): number;
-  /** Milliseconds since the epoch; may jump. */
+  /** Wall time in milliseconds since the Unix epoch; may jump. */
   abstract wallMs(): number;
-  /** Resolves after the delay. */
+  /** Resolves after the given delay. */
   abstract sleep(delayMs: number): Promise<void>;
 }
 
-/** The clock of this machine. */
+/** The system clock. */
 export class SystemClock extends Clock {
   override monotonicMs(): number {
     return performance.now();
@@ -25,15 +25,15 @@
   }
 }
 
-interface Sleeper {
+interface PendingSleep {
   readonly atMs: number;
   readonly wake: () => void;
 }
 
-/** A clock that moves only when it is told to. */
+/** A clock for tests that moves only when `advance` is called. */
 export class ManualClock extends Clock {
   private nowMs: number;
-  private sleepers: readonly Sleeper[] = [];
+  private pendingSleeps: readonly PendingSleep[] = [];
 
   constructor(startMs = 0) {
     super();
@@ -51,13 +51,13 @@
   override sleep(delayMs: number): Promise<void> {
     const atMs = this.nowMs + delayMs;
     return new Promise(resolve => {
-      const next = [...this.sleepers, {atMs, wake: resolve}];
-      this.sleepers = next.sort((a, b) => a.atMs - b.atMs);
+      const next = [...this.pendingSleeps, {atMs, wake: resolve}];
+      this.pendingSleeps = next.sort((a, b) => a.atMs - b.atMs);
     });
   }
 
   /**
-   * Moves the time on and wakes those whose delay has run out, in order.
+   * Advances the time and resolves the sleeps that end by then, in order.
    *
    * @example
    * await clock.advance(500);
@@ -65,19 +65,19 @@
   async advance(deltaMs: number): Promise<void> {
     const endMs = this.nowMs + deltaMs;
     for (;;) {
-      const [first, ...rest] = this.sleepers;
+      const [first, ...rest] = this.pendingSleeps;
       if (first === undefined || first.atMs > endMs) break;
-      this.sleepers = rest;
+      this.pendingSleeps = rest;
       this.nowMs = Math.max(this.nowMs, first.atMs);
       first.wake();
-      await settle();
+      await flushPromises();
     }
     this.nowMs = endMs;
-    await settle();
+    await flushPromises();
   }
 }
 
-/** Lets all promise callbacks that are due run. */
-function settle(): Promise<void> {
+/** Runs all pending promise callbacks. */
+function flushPromises(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
--- a/packages/common/src/daemon.ts
+++ b/packages/common/src/daemon.ts
@@ -1,4 +1,4 @@
-/** The command line that the gateway and the scheduler share. */
+/** Command line and start-up code shared by the gateway and the scheduler. */
 import {Command} from 'commander';
 import {toFailure} from './errors.js';
 import {
@@ -8,19 +8,19 @@
 import {loadProgramSettings, type SettingsSources} from './settings.js';
 import {onTermination} from './shutdown.js';
 
-/** Exit code of a program whose settings are not valid. */
+/** Exit code of a program whose settings are invalid. */
 export const SETTINGS_EXIT_CODE = 78;
 const FAILED_EXIT_CODE = 1;
 
-/** A program that runs until it is told to stop. */
+/** A long-running process that shuts down on a termination signal. */
 export abstract class Daemon {
-  /** Starts; returns once the ports are open. */
+  /** Starts the daemon; resolves once its ports are open. */
   abstract start(): Promise<void>;
-  /** Shuts down gracefully. */
+  /** Shuts the daemon down gracefully. */
   abstract drain(): Promise<void>;
 }
 
-/** What a daemon is and how it is made. */
+/** The name of a daemon, its help text and its factory. */
 export interface DaemonProgram {
   readonly name: string;
   readonly description: string;
@@ -46,7 +46,7 @@
   ];
   const command = new Command(name)
     .description(description)
-    .requiredOption('--settings <file>', 'settings in JSON with comments')
+    .requiredOption('--settings <file>', 'settings file, JSON with comments')
     .option('--set <key=value>', 'override one setting', collect, []);
   const {settings, set} = command.parse().opts<Flags>();
   try {
--- a/packages/common/src/events.ts
+++ b/packages/common/src/events.ts
@@ -1,7 +1,7 @@
-/** The bounded ring of events that each process keeps for the time line. */
+/** Ring buffer of recent events, from which the timeline is built. */
 import type {Clock} from './clock.js';
 
-/** What an event is about; each part is there where it applies. */
+/** The entities that an event refers to; only those that apply are set. */
 export interface EventSubject {
   readonly request?: string;
   readonly job?: string;
@@ -14,7 +14,7 @@
   readonly revision?: number;
 }
 
-/** The closed list of event kinds. */
+/** All event kinds. */
 export const EVENT_KINDS = [
   'processStarted',
   'processDraining',
@@ -56,16 +56,16 @@
   'snapshotWritten',
 ] as const;
 
-/** One of the closed list of event kinds. */
+/** The kind of an event. */
 export type EventKind = (typeof EVENT_KINDS)[number];
 
-/** A hybrid logical time: wall time, then a counter that breaks ties. */
+/** Hybrid logical timestamp: wall time, and a counter that breaks ties. */
 export interface HybridTime {
   readonly wallMs: number;
   readonly count: number;
 }
 
-/** One event of one process. */
+/** An event recorded by a process. */
 export interface TimelineEvent {
   readonly at: HybridTime;
   readonly process: string;
@@ -75,7 +75,7 @@
 }
 
 /**
- * Orders two hybrid times.
+ * Compares two hybrid logical timestamps, for sorting.
  *
  * @example
  * events.sort((a, b) => compareHybrid(a.at, b.at));
@@ -84,13 +84,13 @@
   return a.wallMs - b.wallMs || a.count - b.count;
 }
 
-/** A hybrid logical clock; it never goes back and follows its peers. */
+/** Hybrid logical clock: monotonic, and ahead of all timestamps received. */
 export class HybridClock {
   private last: HybridTime = {wallMs: 0, count: 0};
 
   constructor(private readonly clock: Clock) {}
 
-  /** Returns a time later than every one given or seen before. */
+  /** Returns a timestamp later than all that were issued or observed. */
   tick(): HybridTime {
     const wallMs = Math.floor(this.clock.wallMs());
     this.last =
@@ -100,54 +100,54 @@
     return this.last;
   }
 
-  /** Takes in a time that came with a message. */
-  observe(seen: HybridTime): void {
-    if (compareHybrid(seen, this.last) > 0) this.last = seen;
+  /** Advances the clock to a timestamp received from a peer. */
+  observe(remote: HybridTime): void {
+    if (compareHybrid(remote, this.last) > 0) this.last = remote;
   }
 }
 
-const DEFAULT_RING_SIZE = 8192;
+const DEFAULT_RING_CAPACITY = 8192;
 
-/** A ring that keeps the newest events of this process. */
+/** Keeps the most recent events of this process. */
 export class EventRing {
   private readonly ring: TimelineEvent[] = [];
-  private next = 0;
+  private addedCount = 0;
 
   constructor(
     readonly process: string,
     readonly hybrid: HybridClock,
-    private readonly size = DEFAULT_RING_SIZE,
+    private readonly capacity = DEFAULT_RING_CAPACITY,
   ) {}
 
   /**
-   * Adds an event with the current hybrid time.
+   * Adds an event with a new hybrid timestamp.
    *
    * @example
    * events.add('jobAccepted', {job: 'j-1', team: 'roofs'});
    */
   add(kind: EventKind, subject: EventSubject, note = ''): void {
     const at = this.hybrid.tick();
-    this.ring[this.next % this.size] = {
+    this.ring[this.addedCount % this.capacity] = {
       at,
       process: this.process,
       kind,
       subject,
       note,
     };
-    this.next += 1;
+    this.addedCount += 1;
   }
 
-  /** Lists the kept events, oldest first. */
+  /** Lists the retained events, oldest first. */
   *list(): Generator<TimelineEvent> {
-    const start = Math.max(0, this.next - this.size);
-    for (let i = start; i < this.next; i += 1) {
-      const event = this.ring[i % this.size];
+    const start = Math.max(0, this.addedCount - this.capacity);
+    for (let i = start; i < this.addedCount; i += 1) {
+      const event = this.ring[i % this.capacity];
       if (event !== undefined) yield event;
     }
   }
 
-  /** How many events the ring has dropped to make room. */
+  /** Number of events that newer ones have overwritten. */
   droppedCount(): number {
-    return Math.max(0, this.next - this.size);
+    return Math.max(0, this.addedCount - this.capacity);
   }
 }
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -4,7 +4,7 @@
 const ID_BYTES = 12;
 
 /**
- * Makes an identifier that is unique for all practical purposes.
+ * Creates a random 96-bit identifier with the given prefix.
  *
  * @example
  * const jobId = newId('j'); // 'j-5c1f…'
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,4 @@
-/** Shared ground of all packages: errors, settings, events and metrics. */
+/** Code shared by all packages: errors, settings, events and metrics. */
 export * from './errors.js';
 export * from './resources.js';
 export * from './clock.js';
--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -1,4 +1,4 @@
-/** A JSON client of one server that outlives lost and silent connections. */
+/** HTTP client of one server that recovers from dead connections. */
 import http from 'node:http';
 import {toFailure} from './errors.js';
 import {
@@ -11,15 +11,15 @@
 
 const KEEP_ALIVE_MS = 5_000;
 
-/** How a client reaches its server. */
+/** Connection options of a client. */
 export interface JsonClientOptions {
-  /** The IP that connections come from; this process's VM. */
+  /** Source IP of the connections: that of this process's VM. */
   readonly localAddress?: string;
-  /** Whether connections are used again; they are unless it is false. */
+  /** Whether connections are reused; true by default. */
   readonly keepAlive?: boolean;
 }
 
-/** Sends JSON calls to one server over kept connections. */
+/** Sends JSON requests to one server over keep-alive connections. */
 export class JsonClient {
   private agent: http.Agent;
 
@@ -31,7 +31,7 @@
   }
 
   /**
-   * Sends a call and reads the whole answer within the time.
+   * Sends a request and reads the whole response within the timeout.
    *
    * @throws peerDown when it was not sent, peerLost when it may have been
    * @example
@@ -47,11 +47,11 @@
     const {agent} = this;
     const url = this.baseUrl + path;
     const call = {method, url, timeoutMs, agent, body, headers};
-    return this.watch(agent, callJson(call));
+    return this.replaceAgentOnLoss(agent, callJson(call));
   }
 
   /**
-   * Sends a call whose body is not JSON, and reads the answer as it comes.
+   * Sends a request with a raw body and returns the raw response body.
    *
    * @throws peerDown when it was not sent, peerLost when it may have been
    * @example
@@ -65,28 +65,37 @@
   ): Promise<BytesReply> {
     const {agent} = this;
     const url = this.baseUrl + path;
-    return this.watch(agent, callBytes({method, url, timeoutMs, agent, body}));
+    return this.replaceAgentOnLoss(
+      agent,
+      callBytes({method, url, timeoutMs, agent, body}),
+    );
   }
 
-  /** Ends the idle connections. */
+  /** Closes the idle connections. */
   close(): void {
-    dropIdle(this.agent);
+    destroyIdleSockets(this.agent);
   }
 
-  private async watch<T>(agent: http.Agent, reply: Promise<T>): Promise<T> {
+  private async replaceAgentOnLoss<T>(
+    agent: http.Agent,
+    reply: Promise<T>,
+  ): Promise<T> {
     try {
       return await reply;
     } catch (err) {
-      if (toFailure(err).kind === 'peerLost') this.renewAgent(agent);
+      if (toFailure(err).kind === 'peerLost') this.replaceAgent(agent);
       throw err;
     }
   }
 
-  /** One silent connection may not be the only one: none is used again. */
-  private renewAgent(lost: http.Agent): void {
-    if (this.agent !== lost) return;
+  /**
+   * After one connection was lost, other idle ones may be dead too, so none
+   * of them is reused.
+   */
+  private replaceAgent(lostAgent: http.Agent): void {
+    if (this.agent !== lostAgent) return;
     this.agent = this.makeAgent();
-    dropIdle(lost);
+    destroyIdleSockets(lostAgent);
   }
 
   private makeAgent(): http.Agent {
@@ -98,7 +107,7 @@
   }
 }
 
-function dropIdle(agent: http.Agent): void {
+function destroyIdleSockets(agent: http.Agent): void {
   for (const sockets of Object.values(agent.freeSockets)) {
     for (const socket of sockets ?? []) socket.destroy();
   }
--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -1,18 +1,18 @@
-/** JSON calls over Node's HTTP client, and helpers for JSON servers. */
+/** JSON requests over Node's HTTP client, and helpers for JSON servers. */
 import http from 'node:http';
 import {DragonflywardError, raise} from './errors.js';
 
-const MAX_JSON_BYTES = 64 * 1024 * 1024;
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-/** An answer with its parsed JSON body. */
+/** A response with its parsed JSON body. */
 export interface JsonReply {
   readonly status: number;
   readonly body: unknown;
-  /** The version that the server gave the answer; empty where it gave none. */
+  /** The ETag header; empty if the response has none. */
   readonly etag: string;
 }
 
-/** A JSON call. */
+/** A request with a JSON body. */
 export interface JsonCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly url: string;
@@ -20,16 +20,16 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
   readonly agent?: http.Agent;
-  /** Ends the call early; it then fails as if the connection were lost. */
+  /** Aborts the call, which then fails like a lost connection. */
   readonly signal?: AbortSignal;
 }
 
-/** A call with a body of any kind. */
+/** A request with a raw body. */
 export interface BytesCall extends Omit<JsonCall, 'body'> {
   readonly body: Buffer;
 }
 
-/** An answer with its body as it came. */
+/** A response with its raw body. */
 export interface BytesReply {
   readonly status: number;
   readonly body: Buffer;
@@ -37,9 +37,9 @@
 }
 
 /**
- * Sends a JSON call and reads the whole JSON answer.
+ * Sends a JSON request and reads the whole JSON response.
  *
- * @throws peerDown before a connection stands, peerLost after it
+ * @throws peerDown before a connection is established, peerLost afterwards
  * @example
  * const res = await callJson({method: 'GET', url, timeoutMs: 1000});
  */
@@ -54,9 +54,9 @@
 }
 
 /**
- * Sends a call and reads the whole answer.
+ * Sends a request and reads the whole response.
  *
- * @throws peerDown before a connection stands, peerLost after it
+ * @throws peerDown before a connection is established, peerLost afterwards
  * @example
  * const res = await callBytes({method: 'POST', url, body, timeoutMs: 1000});
  */
@@ -71,9 +71,9 @@
     });
     let isConnected = false;
     const timer = setTimeout(() => {
-      req.destroy(new Error(`no answer in ${call.timeoutMs} ms`));
+      req.destroy(new Error(`no response within ${call.timeoutMs} ms`));
     }, call.timeoutMs);
-    const finish = (): void => {
+    const stopTimer = (): void => {
       clearTimeout(timer);
     };
     req.on('socket', socket => {
@@ -81,33 +81,33 @@
       else socket.once('connect', () => (isConnected = true));
     });
     req.on('error', err => {
-      finish();
+      stopTimer();
       const kind = isConnected ? 'peerLost' : 'peerDown';
       const detail = `${call.method} ${call.url}: ${err.message}`;
       reject(new DragonflywardError(kind, detail));
     });
     req.on('response', res => {
-      readBytes(res, MAX_JSON_BYTES)
+      readBytes(res, MAX_BODY_BYTES)
         .then(body => {
           const {headers} = res;
           resolve({status: res.statusCode ?? 0, body, headers});
         }, reject)
-        .finally(finish);
+        .finally(stopTimer);
     });
     req.end(call.body);
   });
 }
 
 /**
- * Reads a whole stream as JSON; an empty one reads as undefined.
+ * Reads a whole body as JSON; an empty body yields undefined.
  *
- * @throws badJson, bodyTooLarge, peerLost when it is cut short
+ * @throws badJson, bodyTooLarge, peerLost when the body is truncated
  * @example
  * const body = await readJson(req, 65536);
  */
 export async function readJson(
   stream: http.IncomingMessage,
-  maxBytes = MAX_JSON_BYTES,
+  maxBytes = MAX_BODY_BYTES,
 ): Promise<unknown> {
   return parseJson(await readBytes(stream, maxBytes));
 }
@@ -122,9 +122,9 @@
 }
 
 /**
- * Reads a whole stream within a bound.
+ * Reads a whole body of at most the given size.
  *
- * @throws bodyTooLarge, peerLost when it is cut short
+ * @throws bodyTooLarge, peerLost when the body is truncated
  * @example
  * const bytes = await readBytes(req, 65536);
  */
@@ -142,14 +142,14 @@
     }
   } catch (err) {
     if (size > maxBytes) throw err;
-    return raise('peerLost', 'the body was cut short');
+    return raise('peerLost', 'the body was truncated');
   }
-  if (!stream.complete) return raise('peerLost', 'the body was cut short');
+  if (!stream.complete) return raise('peerLost', 'the body was truncated');
   return Buffer.concat(chunks);
 }
 
 /**
- * Writes a JSON answer.
+ * Sends a JSON response.
  *
  * @example
  * sendJson(res, 200, {status: 'ready'});
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,4 +1,4 @@
-/** The log of a process: a periodic counter line, and changes of state. */
+/** The logger of a process, and its periodic line of counters. */
 import {pino, type Logger} from 'pino';
 import type {Metrics} from './metrics.js';
 
@@ -8,7 +8,7 @@
 export type {Logger};
 
 /**
- * Makes the logger of a process; it writes JSON lines to standard error.
+ * Creates the logger of a process; it writes JSON lines to standard error.
  *
  * @example
  * const logger = makeLogger('dragonflyward-gateway@vm-1', 'info');
@@ -19,9 +19,9 @@
 }
 
 /**
- * Writes all counters as one line at a fixed period.
+ * Logs all counters as one line every 10 seconds.
  *
- * @returns a function that ends it
+ * @returns a function that stops the logging
  * @example
  * const stop = logCounters(logger, metrics);
  */
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -1,4 +1,4 @@
-/** Counters and histograms of one process, readable as text. */
+/** Counters, gauges and histograms, exported in the Prometheus text format. */
 import * as hdr from 'hdr-histogram-js';
 
 const HIGHEST_TRACKED_US = 600_000_000;
@@ -12,7 +12,7 @@
   private readonly histograms = new Map<string, hdr.Histogram>();
 
   /**
-   * Adds to a counter; the name may carry labels in the usual text form.
+   * Increments a counter; the name may include labels, as in the example.
    *
    * @example
    * metrics.count('requests_total{outcome="done"}');
@@ -21,13 +21,13 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + delta);
   }
 
-  /** Registers a value that is read when the metrics are printed. */
+  /** Registers a gauge, whose value is read when the metrics are exported. */
   gauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
   }
 
   /**
-   * Records a duration.
+   * Records a duration in the named histogram.
    *
    * @example
    * metrics.record('decision_us', 184);
@@ -41,26 +41,26 @@
       });
       this.histograms.set(name, histogram);
     }
-    const bounded = Math.min(HIGHEST_TRACKED_US, Math.max(0, valueUs));
-    histogram.recordValue(Math.round(bounded));
+    const clampedUs = Math.min(HIGHEST_TRACKED_US, Math.max(0, valueUs));
+    histogram.recordValue(Math.round(clampedUs));
   }
 
-  /** Reads one counter; 0 where it was never counted. */
+  /** Returns a counter's value; 0 if it was never incremented. */
   read(name: string): number {
     return this.counters.get(name) ?? 0;
   }
 
-  /** Reads one quantile, in percent, of a histogram. */
+  /** Returns a percentile of a histogram; 0 if nothing was recorded. */
   quantile(name: string, percent: number): number {
     return this.histograms.get(name)?.getValueAtPercentile(percent) ?? 0;
   }
 
-  /** The counters as one flat object, for the periodic log line. */
+  /** Returns all counters by name, for the periodic log line. */
   snapshot(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.counters);
   }
 
-  /** All metrics in the usual text format, one line each. */
+  /** Returns all metrics in the Prometheus text format. */
   toText(): string {
     return [...this.lines()].join('\n') + '\n';
   }
--- a/packages/common/src/process-settings.ts
+++ b/packages/common/src/process-settings.ts
@@ -1,33 +1,33 @@
-/** The settings that all programs on an entry VM share. */
+/** The settings shared by all programs on an entry VM. */
 import type {Place} from './topology.js';
 
-/** The ports that each entry VM uses; the same on all of them. */
+/** Ports of the programs on an entry VM; the same on all entry VMs. */
 export interface PortSettings {
-  /** Where gateways take callers' requests. */
+  /** Gateways accept callers' requests here. */
   readonly gateway: number;
   readonly gatewayAdmin: number;
-  /** Where schedulers take peers. */
+  /** Schedulers accept peer connections here. */
   readonly scheduler: number;
   readonly schedulerAdmin: number;
 }
 
-/** How long things may take, in milliseconds. */
+/** Leases, timeouts and periods. */
 export interface TimingSettings {
-  /** How long a proof of the right to act lasts. */
+  /** How long an owner may act after the last proof that its term is valid. */
   readonly ownerLeaseMs: number;
-  /** Owner silence after which a successor may claim. */
+  /** How long an owner may be silent before a successor may claim its shard. */
   readonly ownerSilenceMs: number;
-  /** How long a task runs on without a renewal. */
+  /** How long a task keeps running without a lease renewal. */
   readonly taskLeaseMs: number;
   /** How often leases are renewed. */
   readonly renewPeriodMs: number;
-  /** How old the applied configuration may be before a gateway refuses. */
+  /** Age of the applied configuration above which a gateway refuses work. */
   readonly configMaxAgeMs: number;
-  /** How often the list of VMs is read. */
+  /** How often the list of VMs is fetched. */
   readonly vmListPeriodMs: number;
-  /** How long the balancer may go on sending after readiness fails. */
+  /** How long the load balancer may keep sending after readiness fails. */
   readonly balancerDelayMs: number;
-  /** The longest that a graceful shutdown may take. */
+  /** Maximum duration of a graceful shutdown. */
   readonly drainBoundMs: number;
 }
 
@@ -55,7 +55,7 @@
   return {...PORT, default: port};
 }
 
-function duration(defaultMs: number): object {
+function durationWithDefault(defaultMs: number): object {
   return {type: 'integer', minimum: 1, default: defaultMs};
 }
 
@@ -95,14 +95,14 @@
       schedulerAdmin: portWithDefault(8091),
     }),
     timing: section({
-      ownerLeaseMs: duration(2_500),
-      ownerSilenceMs: duration(1_500),
-      taskLeaseMs: duration(20_000),
-      renewPeriodMs: duration(3_000),
-      configMaxAgeMs: duration(4_000),
-      vmListPeriodMs: duration(1_000),
-      balancerDelayMs: duration(2_000),
-      drainBoundMs: duration(60_000),
+      ownerLeaseMs: durationWithDefault(2_500),
+      ownerSilenceMs: durationWithDefault(1_500),
+      taskLeaseMs: durationWithDefault(20_000),
+      renewPeriodMs: durationWithDefault(3_000),
+      configMaxAgeMs: durationWithDefault(4_000),
+      vmListPeriodMs: durationWithDefault(1_000),
+      balancerDelayMs: durationWithDefault(2_000),
+      drainBoundMs: durationWithDefault(60_000),
     }),
     logLevel: {enum: ['debug', 'info', 'warn', 'error'], default: 'info'},
   },
--- a/packages/common/src/promise-test.ts
+++ b/packages/common/src/promise-test.ts
@@ -1,6 +1,6 @@
-/** Ties a test to the promise to users that it proves, for `npm run prove`. */
+/** Registers the tests of the guarantees to users, for `npm run prove`. */
 
-/** The ten promises to users, by a short id each. */
+/** The guarantees that the project promises its users, each with a short id. */
 export const PROMISE_IDS = [
   'overcommit',
   'one-place',
@@ -14,23 +14,23 @@
   'config-in-force',
 ] as const;
 
-/** The id of one promise. */
+/** The id of one guarantee. */
 export type PromiseId = (typeof PROMISE_IDS)[number];
 
-/** Set while only the promise tests are to run. */
+/** Environment variable that limits a run to the tests of guarantees. */
 export const PROVE_VARIABLE = 'DRAGONFLYWARD_PROVE';
 
 type TestBody<C> = (context: C) => Promise<void> | void;
 type AddTest<C> = (name: string, body: TestBody<C>) => void;
 
-/** The part of a uvu suite that is used here. */
+/** The subset of uvu's suite interface that is used here. */
 export interface PromiseSuite<C> {
   (name: string, body: TestBody<C>): void;
   readonly only: AddTest<C>;
 }
 
 /**
- * Adds a test to a uvu suite and reports how it ended, for each promise.
+ * Adds a test of a guarantee to a uvu suite and prints its result.
  *
  * @example
  * promiseTest(shard, 'overcommit', 'adopts what runs', async () => {…});
--- a/packages/common/src/rendezvous.ts
+++ b/packages/common/src/rendezvous.ts
@@ -1,10 +1,10 @@
-/** Rendezvous hashing: a stable order of members for each key. */
+/** Rendezvous hashing: a stable ranking of members for each key. */
 import {createHash} from 'node:crypto';
 
 const WEIGHT_BYTES = 6;
 
 /**
- * Orders the members by their weight for the key, highest first.
+ * Ranks the members by their hash weight for the key, highest first.
  *
  * @example
  * const [home] = rankByHash(requestId, domains, name => name);
--- a/packages/common/src/resources.ts
+++ b/packages/common/src/resources.ts
@@ -1,6 +1,6 @@
-/** Amounts of what workers and executors offer. */
+/** Resource amounts of workers, executors and tasks. */
 
-/** An amount of each resource; all are whole numbers. */
+/** An amount of each resource, in whole numbers. */
 export interface Resources {
   /** Thousandths of a processor core. */
   readonly cpuMilli: number;
@@ -12,10 +12,10 @@
   readonly slots: number;
 }
 
-/** The names of the resources, in a fixed order. */
+/** All resource names, in a fixed order. */
 export const RESOURCE_NAMES = ['cpuMilli', 'memMb', 'accel', 'slots'] as const;
 
-/** No resources at all. */
+/** Zero of every resource. */
 export const NO_RESOURCES: Resources = {
   cpuMilli: 0,
   memMb: 0,
@@ -39,7 +39,7 @@
 }
 
 /**
- * Subtracts the second amount from the first; parts may become negative.
+ * Subtracts the second amount from the first; the result may be negative.
  *
  * @example
  * const free = subtractResources(capacity, used);
@@ -54,7 +54,7 @@
 }
 
 /**
- * Multiplies each part of an amount and rounds down.
+ * Multiplies each resource of an amount by a factor and rounds down.
  *
  * @example
  * const half = scaleResources(capacity, 0.5);
@@ -69,16 +69,16 @@
 }
 
 /**
- * Tells whether the need fits in the room.
+ * Tells whether the available resources cover the required ones.
  *
  * @example
  * if (!fitsIn(task.size, free)) continue;
  */
-export function fitsIn(need: Resources, room: Resources): boolean {
+export function fitsIn(required: Resources, available: Resources): boolean {
   return (
-    need.cpuMilli <= room.cpuMilli &&
-    need.memMb <= room.memMb &&
-    need.accel <= room.accel &&
-    need.slots <= room.slots
+    required.cpuMilli <= available.cpuMilli &&
+    required.memMb <= available.memMb &&
+    required.accel <= available.accel &&
+    required.slots <= available.slots
   );
 }
--- a/packages/common/src/settings-overrides.ts
+++ b/packages/common/src/settings-overrides.ts
@@ -1,15 +1,15 @@
-/** Values that replace those of a settings file: environment, then flags. */
+/** Overrides of a settings file by environment variables and flags. */
 import {raise} from './errors.js';
 
-/** The prefix of all environment variables that override settings. */
+/** Prefix of the environment variables that override settings. */
 export const ENVIRONMENT_PREFIX = 'DRAGONFLYWARD_';
 
-/** One value that replaces what the settings file says. */
+/** A value that replaces the one in the settings file. */
 export interface SettingsOverride {
-  /** Path of the key, outermost first. */
+  /** Path of the key, outermost segment first. */
   readonly path: readonly string[];
   readonly value: unknown;
-  /** Where it comes from, as an error names it. */
+  /** Source of the value, for error messages. */
   readonly origin: string;
 }
 
@@ -24,7 +24,7 @@
 }
 
 /**
- * Lists the overrides that the environment holds for a schema's keys.
+ * Yields the overrides that the environment sets for keys of the schema.
  *
  * `timing.taskLeaseMs` is read from `DRAGONFLYWARD_TIMING_TASK_LEASE_MS`.
  *
@@ -35,42 +35,45 @@
   schema: Readonly<object>,
   env: Readonly<NodeJS.ProcessEnv>,
 ): Generator<SettingsOverride> {
-  for (const leaf of leavesOf(schema as SchemaNode, [])) {
+  for (const leaf of listLeaves(schema as SchemaNode, [])) {
     const name = variableName(leaf.path);
     const text = env[name];
     if (text === undefined) continue;
-    const value = readValue(text, leaf.type);
+    const value = parseValue(text, leaf.type);
     yield {path: leaf.path, value, origin: `environment variable ${name}`};
   }
 }
 
 /**
- * Reads flags of the form `key.path=value`.
+ * Parses flags of the form `key.path=value`.
  *
- * @throws settingsInvalid where the text has another form or an unknown key
+ * @throws settingsInvalid for a malformed flag or an unknown key
  * @example
  * const overrides = [...flagOverrides(SCHEMA, ['logLevel=debug'])];
  */
 export function* flagOverrides(
   schema: Readonly<object>,
-  texts: readonly string[],
+  flags: readonly string[],
 ): Generator<SettingsOverride> {
-  const leaves = [...leavesOf(schema as SchemaNode, [])];
-  for (const text of texts) {
-    const split = text.indexOf('=');
-    const key = text.slice(0, Math.max(0, split));
+  const leaves = [...listLeaves(schema as SchemaNode, [])];
+  for (const flag of flags) {
+    const separatorIndex = flag.indexOf('=');
+    const key = flag.slice(0, Math.max(0, separatorIndex));
     const leaf = leaves.find(({path}) => path.join('.') === key);
     const origin = `flag --set ${key}`;
     if (leaf === undefined) {
-      raise('settingsInvalid', `--set ${text}: want KEY=VALUE of a known key`);
+      raise(
+        'settingsInvalid',
+        `--set ${flag}: expected KEY=VALUE with a known key`,
+      );
     }
-    const value = readValue(text.slice(split + 1), leaf.type);
+    const value = parseValue(flag.slice(separatorIndex + 1), leaf.type);
     yield {path: leaf.path, value, origin};
   }
 }
 
 /**
- * Returns a copy of the settings with the overrides put in, in order.
+ * Returns a copy of the settings with the overrides applied, in order.
  *
  * @example
  * const value = applyOverrides(parsed, overrides);
@@ -80,12 +83,12 @@
   overrides: readonly SettingsOverride[],
 ): unknown {
   return overrides.reduce(
-    (value, {path, value: leaf}) => withLeaf(value, path, leaf),
+    (value, {path, value: leaf}) => setAtPath(value, path, leaf),
     settings,
   );
 }
 
-function withLeaf(
+function setAtPath(
   value: unknown,
   path: readonly string[],
   leaf: unknown,
@@ -93,14 +96,14 @@
   const [key, ...rest] = path;
   if (key === undefined) return leaf;
   const section = isSection(value) ? value : {};
-  return {...section, [key]: withLeaf(section[key], rest, leaf)};
+  return {...section, [key]: setAtPath(section[key], rest, leaf)};
 }
 
 function isSection(value: unknown): value is Readonly<Record<string, unknown>> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-function* leavesOf(
+function* listLeaves(
   node: SchemaNode,
   path: readonly string[],
 ): Generator<SchemaLeaf> {
@@ -109,7 +112,7 @@
     return;
   }
   for (const [key, child] of Object.entries(node.properties)) {
-    yield* leavesOf(child, [...path, key]);
+    yield* listLeaves(child, [...path, key]);
   }
 }
 
@@ -118,8 +121,8 @@
   return ENVIRONMENT_PREFIX + words.join('_').toUpperCase();
 }
 
-/** Text that does not read as the type is left for the schema to refuse. */
-function readValue(text: string, type: string): unknown {
+/** Text that is not valid JSON stays a string, for the schema to reject. */
+function parseValue(text: string, type: string): unknown {
   if (type === 'string') return text;
   try {
     return JSON.parse(text) as unknown;
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -1,4 +1,4 @@
-/** Reads settings in JSON with comments and checks them by a schema. */
+/** Loads settings in JSON with comments and validates them by a schema. */
 import {readFileSync} from 'node:fs';
 import {Ajv, type ErrorObject, type JSONSchemaType} from 'ajv';
 import {
@@ -17,13 +17,13 @@
   type SettingsOverride,
 } from './settings-overrides.js';
 
-/** The schema of a program's settings. */
+/** JSON Schema of a program's settings. */
 export type SettingsSchema<T> = JSONSchemaType<T> | Readonly<object>;
 
 /**
- * Reads and checks a settings file.
+ * Loads and validates a settings file.
  *
- * @throws settingsInvalid, naming file, line, key and what is allowed
+ * @throws settingsInvalid, with the file, line, key and allowed values
  * @example
  * const cfg = loadSettings<GatewaySettings>('gateway.jsonc', SCHEMA);
  */
@@ -32,9 +32,9 @@
   return parseSettings<T>(file, text, schema);
 }
 
-/** Where a program's settings come from besides its file. */
+/** The sources of a program's settings. */
 export interface SettingsSources {
-  /** The settings file; empty where none is given. */
+  /** Path of the settings file; empty if there is none. */
   readonly file: string;
   /** Flags of the form `key.path=value`. */
   readonly flags: readonly string[];
@@ -42,10 +42,10 @@
 }
 
 /**
- * Reads a program's settings: file, then environment, then flags; each
- * replaces the values of those before it.
+ * Loads a program's settings. Environment variables override the file, and
+ * flags override both.
  *
- * @throws settingsInvalid, naming the source, the key and what is allowed
+ * @throws settingsInvalid, with the source, the key and the allowed values
  * @example
  * const sources = {file, flags: ['logLevel=debug'], env: process.env};
  * const cfg = loadProgramSettings<ProcessSettings>(sources, SCHEMA);
@@ -72,9 +72,9 @@
 }
 
 /**
- * Checks the text of a settings file.
+ * Parses and validates the text of a settings file.
  *
- * @throws settingsInvalid, naming file, line, key and what is allowed
+ * @throws settingsInvalid, with the file, line, key and allowed values
  * @example
  * parseSettings('inline', '{"port": 1} // why', SCHEMA);
  */
@@ -89,8 +89,8 @@
   const [parseError] = parseErrors;
   if (parseError !== undefined) {
     const line = lineAt(text, parseError.offset);
-    const what = printParseErrorCode(parseError.error);
-    return raise('settingsInvalid', `${file}:${line}: ${what}`);
+    const reason = printParseErrorCode(parseError.error);
+    return raise('settingsInvalid', `${file}:${line}: ${reason}`);
   }
   if (root === undefined) return raise('settingsInvalid', `${file}: empty`);
   const parsed: unknown = parse(text, [], {allowTrailingComma: true});
@@ -105,7 +105,7 @@
   );
 }
 
-interface SettingsSource {
+interface SettingsDocument {
   readonly file: string;
   readonly text: string;
   readonly root: Node;
@@ -113,25 +113,25 @@
 }
 
 function describeError(
-  source: SettingsSource,
+  document: SettingsDocument,
   err: ErrorObject | undefined,
 ): string {
-  if (err === undefined) return `${source.file}: unknown error`;
-  const path = toPath(err.instancePath);
+  if (err === undefined) return `${document.file}: unknown error`;
+  const path = parseJsonPointer(err.instancePath);
   const params = err.params as Readonly<Record<string, unknown>>;
-  const extra = params['additionalProperty'];
-  const full = typeof extra === 'string' ? [...path, extra] : path;
-  const key = full.length === 0 ? '(top level)' : full.join('.');
-  const where = originOf(source, full);
-  return `${where}: key "${key}" ${err.message ?? ''}${allowed(params)}`;
+  const unknownKey = params['additionalProperty'];
+  const keyPath = typeof unknownKey === 'string' ? [...path, unknownKey] : path;
+  const key = keyPath.length === 0 ? '(top level)' : keyPath.join('.');
+  const origin = originOf(document, keyPath);
+  return `${origin}: key "${key}" ${err.message ?? ''}${formatAllowed(params)}`;
 }
 
-/** Names the file's line or the override that a value came from. */
+/** Returns the file and line, or the override, that set a value. */
 function originOf(
-  source: SettingsSource,
+  document: SettingsDocument,
   path: readonly (string | number)[],
 ): string {
-  const {file, text, root, overrides} = source;
+  const {file, text, root, overrides} = document;
   const key = path.join('.');
   const override = overrides.findLast(({path: p}) => p.join('.') === key);
   if (override !== undefined) return override.origin;
@@ -139,12 +139,12 @@
   return `${file}:${lineAt(text, node.offset)}`;
 }
 
-function allowed(params: Readonly<Record<string, unknown>>): string {
+function formatAllowed(params: Readonly<Record<string, unknown>>): string {
   const values = params['allowedValues'];
   return Array.isArray(values) ? ` (${values.join(', ')})` : '';
 }
 
-function toPath(pointer: string): (string | number)[] {
+function parseJsonPointer(pointer: string): (string | number)[] {
   return pointer
     .split('/')
     .slice(1)
--- a/packages/common/src/shutdown.ts
+++ b/packages/common/src/shutdown.ts
@@ -1,24 +1,25 @@
-/** Runs a process until a termination signal, then its graceful shutdown. */
+/** Graceful shutdown on termination signals. */
 
-/** Exit code when a shutdown was cut short by a second signal or its bound. */
+/** Exit code of a shutdown that failed, timed out or was interrupted. */
 export const FORCED_EXIT_CODE = 70;
 
 /**
- * Calls the given shutdown once at the first SIGTERM or SIGINT and exits 0
- * after it; a second signal, or the bound in milliseconds, exits at once.
+ * Runs the shutdown on the first SIGTERM or SIGINT and then exits with 0. A
+ * second signal, a failed shutdown or the timeout exits at once with
+ * `FORCED_EXIT_CODE`.
  *
  * @example
  * onTermination(async () => gateway.drain(), 30_000);
  */
 export function onTermination(
   shutdown: () => Promise<void>,
-  boundMs: number,
+  timeoutMs: number,
 ): void {
   let isStopping = false;
   const stop = (): void => {
     if (isStopping) process.exit(FORCED_EXIT_CODE);
     isStopping = true;
-    setTimeout(() => process.exit(FORCED_EXIT_CODE), boundMs).unref();
+    setTimeout(() => process.exit(FORCED_EXIT_CODE), timeoutMs).unref();
     shutdown().then(
       () => process.exit(0),
       () => process.exit(FORCED_EXIT_CODE),
--- a/packages/common/src/topology.ts
+++ b/packages/common/src/topology.ts
@@ -1,25 +1,25 @@
-/** The names of machines and places, as given by settings and the VM list. */
+/** VM kinds, VM locations and process identities. */
 
-/** What a VM is for. */
+/** The purpose of a VM. */
 export type VmKind = 'entry' | 'worker' | 'executor';
 
-/** Where a VM stands. */
+/** The region, failure domain and rack of a VM. */
 export interface Place {
   readonly region: string;
   readonly domain: string;
   readonly rack: string;
 }
 
-/** One process of the system; the incarnation tells restarts apart. */
+/** Identifies one run of a process: its VM and its incarnation. */
 export interface ProcessRef {
-  /** The VM's id; one process of each role runs on a VM. */
+  /** The VM's id; each VM runs at most one process of each role. */
   readonly vm: string;
-  /** Grows with each start on the same VM. */
+  /** Increases with each start on the same VM. */
   readonly incarnation: number;
 }
 
 /**
- * Tells whether two references name the same run of a process.
+ * Tells whether two references identify the same run of a process.
  *
  * @example
  * if (isSameProcess(owner, self)) renew();
--- a/packages/common/test/settings.test.ts
+++ b/packages/common/test/settings.test.ts
@@ -22,7 +22,7 @@
   readonly message: string;
 }
 
-const REFUSED: readonly Case[] = [
+const INVALID_SETTINGS: readonly Case[] = [
   {
     name: 'an unknown key',
     text: '{"port": 1,\n "prot": 2}',
@@ -50,7 +50,7 @@
   assert.equal(cfg, {port: 1, level: 'info'});
 });
 
-for (const {name, text, message} of REFUSED) {
+for (const {name, text, message} of INVALID_SETTINGS) {
   settings(`names file, line and key of ${name}`, () => {
     try {
       parseSettings('f.jsonc', text, SCHEMA);
