Reword the peer protocol package in plain terms

Comments and private names; the messages keep their names and members. One test title: 'decodes the frames however the bytes are chunked'.

--- a/packages/peer/src/config-tail.ts
+++ b/packages/peer/src/config-tail.ts
@@ -1,4 +1,4 @@
-/** Asks a peer for its tail of the configuration stream. */
+/** Fetches configuration records from a peer instead of the log. */
 import {raise} from '@dragonflyward/common';
 import type {PeerMesh} from './mesh.js';
 import type {ConfigTailReply} from './messages.js';
@@ -6,7 +6,7 @@
 const CONFIG_TAIL_TIMEOUT_MS = 500;
 
 /**
- * Asks the process on a VM for its records from the offset on.
+ * Asks the process on a VM for its configuration records from an offset.
  *
  * @throws peerDown, peerLost
  * @example
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -1,4 +1,4 @@
-/** One connection between two processes: asks, replies and heartbeats. */
+/** A connection between two processes: asks, replies, notices, heartbeats. */
 import net from 'node:net';
 import {raise, toFailure, DragonflywardError} from '@dragonflyward/common';
 import {encodeFrame, FrameReader} from './framing.js';
@@ -9,35 +9,35 @@
   PeerProtocol,
 } from './messages.js';
 
-/** A connection that is silent for longer is dropped where nothing is said. */
+/** Default time without received data after which a connection is closed. */
 export const SILENCE_BOUND_MS = 2_000;
 /** How often each side sends a heartbeat. */
 export const HEARTBEAT_PERIOD_MS = 500;
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
-/** The other end of a connection, as its hello describes it. */
+/** The peer of a connection, as described by its hello. */
 export type PeerInfo<P extends PeerProtocol = GatewayProtocol> = Omit<
   P['hello'],
   'type'
 >;
 
-/** What a process does with what its peers send. */
+/** Handles the messages and connection changes of peers. */
 export abstract class PeerHandler<P extends PeerProtocol = GatewayProtocol> {
-  /** A connection that is silent for longer is dropped, in ms. */
+  /** Time without received data after which a connection is closed. */
   readonly silenceBoundMs: number = SILENCE_BOUND_MS;
 
-  /** Describes this process to its peers. */
+  /** Returns the hello that describes this process to its peers. */
   abstract hello(): P['hello'];
-  /** The current heartbeat. */
+  /** Returns the heartbeat to send now. */
   abstract heartbeat(): P['notice'];
   /** Answers an ask; a thrown error becomes a failure reply. */
   abstract answer(from: PeerInfo<P>, ask: P['ask']): Promise<P['reply']>;
-  /** Takes in a notice; heartbeats come here too. */
+  /** Handles a notice; heartbeats are notices too. */
   abstract notice(from: PeerInfo<P>, notice: P['notice']): void;
-  /** A connection to the peer stands. */
+  /** Called when the peer's hello has arrived. */
   abstract peerUp(connection: PeerConnection<P>): void;
-  /** The connection to the peer is gone. */
+  /** Called when a connection that was up has closed. */
   abstract peerDown(connection: PeerConnection<P>): void;
 }
 
@@ -49,13 +49,13 @@
 
 /** One open connection to a peer. */
 export class PeerConnection<P extends PeerProtocol = GatewayProtocol> {
-  /** Set by the peer's hello. */
+  /** The peer; undefined until its hello has arrived. */
   info: PeerInfo<P> | undefined;
   private readonly reader = new FrameReader<P>();
   private readonly pending = new Map<number, PendingAsk<P>>();
   private readonly heartbeatTimer: NodeJS.Timeout;
   private nextId = 1;
-  private lastHeardMs = performance.now();
+  private lastReceivedMs = performance.now();
   private isClosed = false;
 
   constructor(
@@ -68,16 +68,16 @@
     });
     socket.on('error', () => undefined);
     socket.on('close', () => {
-      this.closed();
+      this.handleClose();
     });
     this.send({kind: 'hello', hello: handler.hello()});
     this.heartbeatTimer = setInterval(() => {
-      this.beat();
+      this.onHeartbeatTimer();
     }, HEARTBEAT_PERIOD_MS);
     this.heartbeatTimer.unref();
   }
 
-  /** Whether the connection can still be used. */
+  /** Whether the connection has not been closed. */
   get isOpen(): boolean {
     return !this.isClosed;
   }
@@ -85,13 +85,13 @@
   /**
    * Sends an ask and waits for its reply.
    *
-   * @throws peerDown when it was not sent, peerLost when no reply came,
+   * @throws peerDown when the ask was not sent, peerLost when no reply came,
    *     or the failure that the peer replied with
    * @example
    * const ticket = await connection.ask(ticketAsk, 500);
    */
   ask(ask: P['ask'], timeoutMs: number): Promise<P['reply']> {
-    if (this.isClosed) return raiseAsync('peerDown', ask.type);
+    if (this.isClosed) return rejectedWith('peerDown', ask.type);
     const id = this.nextId;
     this.nextId += 1;
     return new Promise((resolve, reject) => {
@@ -104,15 +104,15 @@
     });
   }
 
-  /** Sends a notice; it may be lost. */
+  /** Sends a notice, without confirmation that it arrives. */
   notify(notice: P['notice']): void {
     if (!this.isClosed) this.send({kind: 'notice', notice});
   }
 
-  /** Ends the connection; open asks fail. */
+  /** Closes the connection; pending asks fail with `peerLost`. */
   close(): void {
     this.socket.destroy();
-    this.closed();
+    this.handleClose();
   }
 
   private send(frame: Frame<P>): void {
@@ -120,14 +120,14 @@
     if (this.socket.writableLength > MAX_BUFFERED_BYTES) this.close();
   }
 
-  private beat(): void {
-    const silentMs = performance.now() - this.lastHeardMs;
+  private onHeartbeatTimer(): void {
+    const silentMs = performance.now() - this.lastReceivedMs;
     if (silentMs > this.handler.silenceBoundMs) return this.close();
     this.notify(this.handler.heartbeat());
   }
 
   private receive(chunk: Buffer): void {
-    this.lastHeardMs = performance.now();
+    this.lastReceivedMs = performance.now();
     try {
       for (const frame of this.reader.push(chunk)) this.dispatch(frame);
     } catch {
@@ -136,22 +136,22 @@
   }
 
   private dispatch(frame: Frame<P>): void {
-    if (frame.kind === 'hello') return this.greet(frame.hello);
-    if (frame.kind === 'reply') return this.settle(frame.id, frame.reply);
+    if (frame.kind === 'hello') return this.handleHello(frame.hello);
+    if (frame.kind === 'reply') return this.settleAsk(frame.id, frame.reply);
     if (this.info === undefined) return this.close();
     if (frame.kind === 'notice') {
       return this.handler.notice(this.info, frame.notice);
     }
-    void this.reply(frame.id, this.info, frame.ask);
+    void this.answerAsk(frame.id, this.info, frame.ask);
   }
 
-  private greet(hello: P['hello']): void {
+  private handleHello(hello: P['hello']): void {
     if (this.info !== undefined) return;
     this.info = hello;
     this.handler.peerUp(this);
   }
 
-  private async reply(
+  private async answerAsk(
     id: number,
     from: PeerInfo<P>,
     ask: P['ask'],
@@ -165,7 +165,7 @@
     if (!this.isClosed) this.send({kind: 'reply', id, reply});
   }
 
-  private settle(id: number, reply: P['reply'] | FailureReply): void {
+  private settleAsk(id: number, reply: P['reply'] | FailureReply): void {
     const pending = this.pending.get(id);
     if (pending === undefined) return;
     this.pending.delete(id);
@@ -177,7 +177,7 @@
     pending.resolve(reply);
   }
 
-  private closed(): void {
+  private handleClose(): void {
     if (this.isClosed) return;
     this.isClosed = true;
     clearInterval(this.heartbeatTimer);
@@ -194,7 +194,7 @@
   return reply.type === 'failure';
 }
 
-function raiseAsync(kind: 'peerDown', detail: string): Promise<never> {
+function rejectedWith(kind: 'peerDown', detail: string): Promise<never> {
   return Promise.reject(new DragonflywardError(kind, detail));
 }
 
@@ -212,20 +212,20 @@
 ): Promise<PeerConnection<P>> {
   return new Promise((resolve, reject) => {
     const socket = net.connect({host: ip, port});
-    const refuse = (why: string): void => {
+    const rejectWith = (reason: string): void => {
       socket.destroy();
       try {
-        raise('peerDown', `${ip}:${port}: ${why}`);
+        raise('peerDown', `${ip}:${port}: ${reason}`);
       } catch (err) {
         reject(err as Error);
       }
     };
     const timer = setTimeout(() => {
-      refuse('no connection in time');
+      rejectWith('connect timed out');
     }, CONNECT_TIMEOUT_MS);
     socket.once('error', err => {
       clearTimeout(timer);
-      refuse(err.message);
+      rejectWith(err.message);
     });
     socket.once('connect', () => {
       clearTimeout(timer);
@@ -235,7 +235,7 @@
 }
 
 /**
- * Listens for peers.
+ * Accepts connections from peers.
  *
  * @example
  * const server = await listenPeers('127.0.0.1', 8090, handler);
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -1,4 +1,4 @@
-/** Keeps one connection to each peer, one task for each. */
+/** Maintains one outgoing connection to each peer. */
 import {SystemClock, type Clock} from '@dragonflyward/common';
 import {
   connectPeer,
@@ -9,24 +9,24 @@
 
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 2_000;
-const OPEN_CHECK_MS = 200;
+const OPEN_POLL_MS = 200;
 
-/** Where a peer listens. */
+/** The address at which a peer listens. */
 export interface PeerAddress {
   readonly vm: string;
   readonly ip: string;
   readonly port: number;
 }
 
-interface PeerTask<P extends PeerProtocol> {
+interface ManagedPeer<P extends PeerProtocol> {
   readonly address: PeerAddress;
   isWanted: boolean;
   connection: PeerConnection<P> | undefined;
 }
 
-/** The outgoing connections of this process. */
+/** The outgoing connections of this process; reconnects lost ones. */
 export class PeerMesh<P extends PeerProtocol = GatewayProtocol> {
-  private readonly tasks = new Map<string, PeerTask<P>>();
+  private readonly peers = new Map<string, ManagedPeer<P>>();
 
   constructor(
     private readonly handler: PeerHandler<P>,
@@ -34,75 +34,79 @@
   ) {}
 
   /**
-   * Sets the peers to be connected to; starts and ends tasks as needed.
+   * Sets the peers to connect to; connects new and disconnects removed ones.
    *
    * @example
    * mesh.setPeers(entries.map(toAddress));
    */
   setPeers(addresses: readonly PeerAddress[]): void {
     const wanted = new Set(addresses.map(keyOf));
-    for (const [key, task] of this.tasks) {
-      if (!wanted.has(key)) this.drop(key, task);
+    for (const [key, peer] of this.peers) {
+      if (!wanted.has(key)) this.removePeer(key, peer);
     }
-    for (const address of addresses) this.add(address);
+    for (const address of addresses) this.addPeer(address);
   }
 
-  /** The open connection to a VM's process, where there is one. */
+  /** Returns the open connection to a VM's process, if there is one. */
   connectionTo(vm: string): PeerConnection<P> | undefined {
-    for (const task of this.tasks.values()) {
-      if (task.address.vm !== vm) continue;
-      const {connection} = task;
+    for (const peer of this.peers.values()) {
+      if (peer.address.vm !== vm) continue;
+      const {connection} = peer;
       if (connection?.isOpen && connection.info) return connection;
     }
     return undefined;
   }
 
-  /** All open connections. */
+  /** Yields all open connections. */
   *connections(): Generator<PeerConnection<P>> {
-    for (const {connection} of this.tasks.values()) {
+    for (const {connection} of this.peers.values()) {
       if (connection?.isOpen && connection.info) yield connection;
     }
   }
 
-  /** Ends all connections. */
+  /** Closes all connections. */
   close(): void {
     this.setPeers([]);
   }
 
-  private add(address: PeerAddress): void {
+  private addPeer(address: PeerAddress): void {
     const key = keyOf(address);
-    if (this.tasks.has(key)) return;
-    const task: PeerTask<P> = {address, isWanted: true, connection: undefined};
-    this.tasks.set(key, task);
-    void this.keepConnected(task);
+    if (this.peers.has(key)) return;
+    const peer: ManagedPeer<P> = {
+      address,
+      isWanted: true,
+      connection: undefined,
+    };
+    this.peers.set(key, peer);
+    void this.keepConnected(peer);
   }
 
-  private drop(key: string, task: PeerTask<P>): void {
-    task.isWanted = false;
-    task.connection?.close();
-    this.tasks.delete(key);
+  private removePeer(key: string, peer: ManagedPeer<P>): void {
+    peer.isWanted = false;
+    peer.connection?.close();
+    this.peers.delete(key);
   }
 
-  private async keepConnected(task: PeerTask<P>): Promise<void> {
+  private async keepConnected(peer: ManagedPeer<P>): Promise<void> {
     let delayMs = RECONNECT_MIN_MS;
-    while (task.isWanted) {
+    while (peer.isWanted) {
       try {
-        const {ip, port} = task.address;
-        task.connection = await connectPeer(ip, port, this.handler);
+        const {ip, port} = peer.address;
+        peer.connection = await connectPeer(ip, port, this.handler);
         delayMs = RECONNECT_MIN_MS;
-        await this.whileOpen(task);
+        await this.waitUntilClosed(peer);
       } catch {
         delayMs = Math.min(RECONNECT_MAX_MS, delayMs * 2);
       }
-      if (task.isWanted) await this.clock.sleep(delayMs);
+      if (peer.isWanted) await this.clock.sleep(delayMs);
     }
   }
 
-  private async whileOpen(task: PeerTask<P>): Promise<void> {
-    while (task.isWanted && task.connection?.isOpen) {
-      await this.clock.sleep(OPEN_CHECK_MS);
+  private async waitUntilClosed(peer: ManagedPeer<P>): Promise<void> {
+    while (peer.isWanted && peer.connection?.isOpen) {
+      await this.clock.sleep(OPEN_POLL_MS);
     }
-    task.connection?.close();
+    peer.connection?.close();
   }
 }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -6,30 +6,30 @@
   Resources,
 } from '@dragonflyward/common';
 
-/** What a process does. */
+/** The role of a process. */
 export type PeerRole = 'gateway' | 'scheduler';
 
-/** First message on each connection, both ways. */
+/** First message on each connection, in both directions. */
 export interface Hello {
   readonly type: 'hello';
   readonly role: PeerRole;
   readonly process: ProcessRef;
 }
 
-/** Shows that the sender is alive. */
+/** Periodic message that shows that the sender is alive. */
 export interface Heartbeat {
   readonly type: 'heartbeat';
   readonly at: HybridTime;
-  /** Shards that the sender owns and may act for, with their terms. */
+  /** Shards that the sender currently owns, with their terms. */
   readonly owns: readonly OwnedShard[];
   /** Offset of the next configuration record that the sender will apply. */
   readonly configOffset: number;
-  /** How long ago the sender read the end of the configuration stream. */
+  /** Time since the sender last read the end of the configuration stream. */
   readonly configAgeMs: number;
   readonly isDraining: boolean;
 }
 
-/** A shard and the term of its owner. */
+/** A shard and its owner's term. */
 export interface OwnedShard {
   readonly shard: string;
   readonly term: number;
@@ -44,11 +44,11 @@
   readonly queue: string;
   readonly service: string;
   readonly deadlineMs: number;
-  /** Executors that failed this request before. */
+  /** Executors on which this request has already failed. */
   readonly avoid: readonly string[];
 }
 
-/** Lets the gateway send one request to one executor. */
+/** Permits the gateway to send one request to one executor. */
 export interface Ticket {
   readonly type: 'ticket';
   readonly ticketId: string;
@@ -57,27 +57,27 @@
   readonly executorId: string;
   readonly ip: string;
   readonly port: number;
-  /** Send the first byte within this time from the ask, or not at all. */
+  /** Time after the ask within which the first byte must be sent. */
   readonly startByMs: number;
-  /** Close the connection within this time from the ask. */
+  /** Time after the ask within which the connection must be closed. */
   readonly runByMs: number;
 }
 
-/** How the use of a ticket went. */
+/** How the request of a ticket ended. */
 export type TicketUse = 'done' | 'notSent' | 'failed' | 'unknown' | 'abandoned';
 
-/** Gives a ticket's slot back. */
+/** Releases a ticket's slot. */
 export interface TicketClose {
   readonly type: 'ticketClose';
   readonly ticketId: string;
   readonly shard: string;
   readonly executorId: string;
   readonly use: TicketUse;
-  /** Whether the executor said that it is draining. */
+  /** Whether the executor reported that it is draining. */
   readonly isDraining: boolean;
 }
 
-/** A ticket that a gateway still holds. */
+/** A ticket that a gateway has not closed yet. */
 export interface OpenTicket {
   readonly ticketId: string;
   readonly executorId: string;
@@ -86,46 +86,46 @@
 }
 
 /**
- * Claims a request id at its home shard before a request that is not
- * idempotent is sent, so that a repeat of the id is found.
+ * Claims a request id at its home shard before a non-idempotent request is
+ * sent, so that a duplicate id is detected.
  */
 export interface RequestClaim {
   readonly type: 'requestClaim';
   readonly shard: string;
-  /** Team, queue and the caller's request id as one text. */
+  /** Team, queue and the caller's request id in one string. */
   readonly key: string;
-  /** Names this attempt; only its own claim may be given back. */
+  /** Identifies this attempt; a release must carry the same id. */
   readonly claimId: string;
-  /** Wall time at which the id was made, where the id tells it; else 0. */
+  /** Wall time encoded in the request id; 0 if the id has none. */
   readonly issuedMs: number;
 }
 
-/** The claim stands at this home. */
+/** The home shard has recorded the claim. */
 export interface RequestClaimed {
   readonly type: 'requestClaimed';
-  /** Whether the home surely has not seen the id before. */
+  /** Whether the home shard can rule out that the id was used before. */
   readonly isVouched: boolean;
 }
 
-/** One claim as a home passes it on. */
+/** A claim as it is sent to the next owner of its home shard. */
 export interface PassedClaim {
   readonly key: string;
   readonly claimId: string;
   readonly ageMs: number;
 }
 
-/** Passes the claims of a shard to its next owner. */
+/** Hands the claims of a shard over to its next owner. */
 export interface RequestClaims {
   readonly type: 'requestClaims';
   readonly shard: string;
-  /** The term under which they were made. */
+  /** The term under which the claims were made. */
   readonly term: number;
   readonly claims: readonly PassedClaim[];
-  /** Whether the home vouched for all ids. */
+  /** Whether the claims are complete: the sender knew of all used ids. */
   readonly isWhole: boolean;
 }
 
-/** Gives a claim back: the request surely did not run. */
+/** Releases a claim because the request certainly did not run. */
 export interface RequestRelease {
   readonly type: 'requestRelease';
   readonly shard: string;
@@ -133,20 +133,20 @@
   readonly claimId: string;
 }
 
-/** Asks a gateway for its open tickets of a shard, at a takeover. */
+/** Asks a gateway for its open tickets of a shard, after a takeover. */
 export interface OpenTicketsAsk {
   readonly type: 'openTicketsAsk';
   readonly shard: string;
   readonly term: number;
 }
 
-/** The open tickets; older terms' tickets are refused from now on. */
+/** The open tickets; the gateway refuses tickets of older terms from now on. */
 export interface OpenTicketsReply {
   readonly type: 'openTickets';
   readonly tickets: readonly OpenTicket[];
-  /** The claims of request ids that the gateway made at this shard. */
+  /** The request ids that the gateway has claimed at this shard. */
   readonly claims: readonly PassedClaim[];
-  /** For how long the gateway has been running. */
+  /** Uptime of the gateway. */
   readonly upMs: number;
 }
 
@@ -166,7 +166,7 @@
   readonly payload: unknown;
 }
 
-/** The job stands in the log. */
+/** The job is stored in the log. */
 export interface JobAccepted {
   readonly type: 'jobAccepted';
   readonly jobId: string;
@@ -180,7 +180,7 @@
   readonly jobId: string;
 }
 
-/** Asks for the jobs of a team, or of all with an empty name. */
+/** Asks for the jobs of a team, or of all teams if the name is empty. */
 export interface JobListAsk {
   readonly type: 'jobListAsk';
   readonly shard: string;
@@ -195,13 +195,13 @@
   readonly jobId: string;
 }
 
-/** A job's status, shaped as state's JobStatus. */
+/** A job's status, with the members of JobStatus of the state package. */
 export interface JobReply<S = unknown> {
   readonly type: 'job';
   readonly status: S;
 }
 
-/** Several jobs' status. */
+/** The status of several jobs. */
 export interface JobListReply<S = unknown> {
   readonly type: 'jobs';
   readonly jobs: readonly S[];
@@ -216,39 +216,39 @@
   readonly forMs: number;
 }
 
-/** The successor will not claim before the asked time has run out. */
+/** Whether the successor promises not to claim within the given time. */
 export interface PromiseReply {
   readonly type: 'promise';
   readonly isGiven: boolean;
 }
 
-/** Asks a peer for its configuration tail. */
+/** Asks a peer for configuration records from an offset on. */
 export interface ConfigTailAsk {
   readonly type: 'configTailAsk';
   readonly from: number;
 }
 
-/** Log records of the configuration stream, as read by the sender. */
+/** Records of the configuration stream, as read by the sender. */
 export interface ConfigTailReply {
   readonly type: 'configTail';
   readonly records: readonly unknown[];
-  /** How long ago the sender last read the end of the stream. */
+  /** Time since the sender last read the end of the stream. */
   readonly ageMs: number;
   readonly end: number;
 }
 
-/** Answers where nothing else is to be said. */
+/** Reply that carries no data. */
 export interface Done {
   readonly type: 'done';
 }
 
-/** Answers that the ask failed. */
+/** Reply that the ask failed. */
 export interface FailureReply {
   readonly type: 'failure';
   readonly failure: Failure;
 }
 
-/** A message that wants an answer. */
+/** A message that expects a reply. */
 export type PeerAsk =
   | TicketAsk
   | RequestClaim
@@ -261,24 +261,24 @@
   | PromiseAsk
   | ConfigTailAsk;
 
-/** What one team has running and waiting in a shard. */
+/** The resources that one team's running and waiting work in a shard needs. */
 export interface TeamWants {
   readonly team: string;
   readonly wanted: Resources;
 }
 
-/** Tells the owner of the budget what a shard's teams want. */
+/** Reports the demand of a shard's teams to the owner of the budget. */
 export interface DemandReport {
   readonly type: 'demandReport';
   readonly shard: string;
   readonly demands: readonly TeamWants[];
 }
 
-/** A message that wants none. */
+/** A message that expects no reply. */
 export type PeerNotice =
   Heartbeat | TicketClose | RequestRelease | DemandReport;
 
-/** An answer. */
+/** A reply to an ask. */
 export type PeerReply =
   | Ticket
   | RequestClaimed
@@ -291,7 +291,7 @@
   | Done
   | FailureReply;
 
-/** The messages that two kinds of processes exchange. */
+/** The message types of a protocol between peers. */
 export interface PeerProtocol {
   readonly hello: Readonly<object>;
   readonly ask: {readonly type: string};
@@ -307,7 +307,7 @@
   readonly notice: PeerNotice;
 }
 
-/** What one frame holds. */
+/** The content of one frame. */
 export type Frame<P extends PeerProtocol = GatewayProtocol> =
   | {readonly kind: 'hello'; readonly hello: P['hello']}
   | {readonly kind: 'ask'; readonly id: number; readonly ask: P['ask']}
--- a/packages/peer/test/framing.test.ts
+++ b/packages/peer/test/framing.test.ts
@@ -11,7 +11,7 @@
 
 const framing = suite('framing');
 
-framing('gives back the frames whatever the chunks', () => {
+framing('decodes the frames however the bytes are chunked', () => {
   fc.assert(
     fc.property(
       fc.array(fc.nat(), {minLength: 1, maxLength: 10}),
