--- a/packages/log/src/adaptive-timeout.ts
+++ b/packages/log/src/adaptive-timeout.ts
@@ -1,29 +1,29 @@
-/** How long a call waits for its reply; follows a service that got slow. */
+/** Reply timeout that adapts to the observed speed of a service. */
 
-const MIN_BOUND_MS = 2_000;
-const MAX_BOUND_MS = 20_000;
-const SLOWNESS_FACTOR = 4;
+const MIN_TIMEOUT_MS = 2_000;
+const MAX_TIMEOUT_MS = 20_000;
+const REPLY_TIME_FACTOR = 4;
 
-/** Bounds the wait for replies by the slowness that was seen last. */
-export class ReplyBound {
-  private boundMs = MIN_BOUND_MS;
+/** Derives the reply timeout from the most recent reply time. */
+export class AdaptiveTimeout {
+  private timeoutMs = MIN_TIMEOUT_MS;
 
-  /** The wait to allow now, beyond what the call itself asks for. */
+  /** The current timeout, to be added to the wait that a call requests. */
   get currentMs(): number {
-    return this.boundMs;
+    return this.timeoutMs;
   }
 
-  /** Takes in how long a reply took, beyond what its call asked for. */
-  replied(tookMs: number): void {
-    this.boundMs = clamp(tookMs * SLOWNESS_FACTOR);
+  /** Records a reply time, without the wait that the call requested. */
+  recordReply(tookMs: number): void {
+    this.timeoutMs = clamp(tookMs * REPLY_TIME_FACTOR);
   }
 
-  /** Takes in that no reply came in time. */
-  timedOut(): void {
-    this.boundMs = clamp(this.boundMs * 2);
+  /** Records that no reply came in time; doubles the timeout. */
+  recordTimeout(): void {
+    this.timeoutMs = clamp(this.timeoutMs * 2);
   }
 }
 
 function clamp(valueMs: number): number {
-  return Math.min(MAX_BOUND_MS, Math.max(MIN_BOUND_MS, valueMs));
+  return Math.min(MAX_TIMEOUT_MS, Math.max(MIN_TIMEOUT_MS, valueMs));
 }
--- a/packages/log/src/client.ts
+++ b/packages/log/src/client.ts
@@ -1,4 +1,4 @@
-/** The platform log service as the rest of the system sees it. */
+/** Interface of the platform log service. */
 import type {
   AppendReply,
   LogPage,
@@ -10,9 +10,9 @@
 /** A client of the append-only log service. */
 export abstract class LogClient {
   /**
-   * Appends the records as one unit, in order.
+   * Appends the records atomically and in order.
    *
-   * @throws logDown when it certainly had no effect
+   * @throws logDown when the append certainly had no effect
    * @throws appendUnknown when it may have had an effect
    */
   abstract append(
@@ -21,7 +21,7 @@
   ): Promise<AppendReply>;
 
   /**
-   * Reads records from the offset on; waits for the first if there is none.
+   * Reads records from an offset on; waits for one if there are none yet.
    *
    * @throws logDown
    */
--- a/packages/log/src/fold.ts
+++ b/packages/log/src/fold.ts
@@ -1,26 +1,26 @@
-/** A state that is folded from the records of one log stream. */
+/** State that is computed from the records of one log stream. */
 import type {LogRecord} from './types.js';
 
-/** What became of a record. */
+/** The effect of a record on the state. */
 export type ApplyResult =
   /** It took effect. */
   | 'applied'
-  /** It cites a state that is not the current one; void for every reader. */
+  /** It refers to an outdated state; every reader ignores it. */
   | 'void'
-  /** It is malformed or of an unknown version; skipped by every reader. */
+  /** It is malformed or of an unknown version; every reader skips it. */
   | 'skipped';
 
-/** A deterministic function of a stream's prefix. */
+/** State that depends only on the records of a stream up to an offset. */
 export abstract class StreamFold {
   /** Offset of the next record to apply. */
   abstract readonly nextOffset: number;
-  /** Takes in the next record; earlier offsets are ignored. */
+  /** Applies the next record; records at earlier offsets are ignored. */
   abstract apply(record: LogRecord): ApplyResult;
   /**
-   * Starts at the oldest kept record, where earlier ones were dropped. The
-   * fold is complete only once it has read a snapshot, or from offset 0.
+   * Continues at the oldest retained record after earlier ones were dropped.
+   * The state is complete only after a snapshot or when read from offset 0.
    */
   abstract skipTo(offset: number): void;
-  /** Whether all that came before is known. */
+  /** Whether the state includes all records before `nextOffset`. */
   abstract readonly isComplete: boolean;
 }
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -1,4 +1,4 @@
-/** The log service over HTTP. */
+/** HTTP client of the log service. */
 import {
   JsonClient,
   raise,
@@ -7,7 +7,7 @@
   type JsonReply,
 } from '@dragonflyward/common';
 import {LogClient} from './client.js';
-import {ReplyBound} from './adaptive-timeout.js';
+import {AdaptiveTimeout} from './adaptive-timeout.js';
 import type {
   AppendReply,
   LogPage,
@@ -24,18 +24,19 @@
 export class HttpLogClient extends LogClient {
   private readonly reader: JsonClient;
   private readonly appender: JsonClient;
-  private readonly readBound = new ReplyBound();
-  private readonly appendBound = new ReplyBound();
+  private readonly readTimeout = new AdaptiveTimeout();
+  private readonly appendTimeout = new AdaptiveTimeout();
 
   constructor(url: string, options: JsonClientOptions = {}) {
     super();
     this.reader = new JsonClient(url, options);
-    // A kept connection may have gone silent since its last append.
+    // A kept-alive connection may have died since its last use, which would
+    // leave the outcome of an append unknown.
     this.appender = new JsonClient(url, {...options, keepAlive: false});
   }
 
   /**
-   * @throws logDown when it certainly had no effect
+   * @throws logDown when the append certainly had no effect
    * @throws appendUnknown when it may have had an effect
    * @example
    * const {offset} = await log.append('config', [{id: newId('c'), data}]);
@@ -78,10 +79,10 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<JsonReply> {
-    const timeoutMs = this.appendBound.currentMs;
+    const timeoutMs = this.appendTimeout.currentMs;
     const path = pathOf(stream);
     try {
-      return await timed(this.appendBound, 0, () =>
+      return await callTimed(this.appendTimeout, 0, () =>
         this.appender.call('POST', path, timeoutMs, {records}),
       );
     } catch (err) {
@@ -92,10 +93,10 @@
   }
 
   private async get(path: string, waitMs: number): Promise<unknown> {
-    const timeoutMs = waitMs + this.readBound.currentMs;
+    const timeoutMs = waitMs + this.readTimeout.currentMs;
     let res: JsonReply;
     try {
-      res = await timed(this.readBound, waitMs, () =>
+      res = await callTimed(this.readTimeout, waitMs, () =>
         this.reader.call('GET', path, timeoutMs),
       );
     } catch (err) {
@@ -114,22 +115,22 @@
   return `/streams/${encodeURIComponent(stream)}/records`;
 }
 
-/** Makes a call and lets the bound learn how long its reply took. */
-async function timed(
-  bound: ReplyBound,
-  askedMs: number,
+/** Makes a call and adapts the timeout to its reply time. */
+async function callTimed(
+  timeout: AdaptiveTimeout,
+  requestedWaitMs: number,
   call: () => Promise<JsonReply>,
 ): Promise<JsonReply> {
   const startMs = performance.now();
-  const boundMs = bound.currentMs;
+  const usedTimeoutMs = timeout.currentMs;
   try {
     const res = await call();
-    bound.replied(performance.now() - startMs - askedMs);
+    timeout.recordReply(performance.now() - startMs - requestedWaitMs);
     return res;
   } catch (err) {
     const isLost = toFailure(err).kind === 'peerLost';
-    // Calls that were lost together count once.
-    if (isLost && bound.currentMs === boundMs) bound.timedOut();
+    // Concurrent calls that time out together extend the timeout only once.
+    if (isLost && timeout.currentMs === usedTimeoutMs) timeout.recordTimeout();
     throw err;
   }
 }
--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -1,4 +1,4 @@
-/** A log service in memory with switchable faults, for tests. */
+/** In-memory log service with fault injection, for tests. */
 import {raise, type Clock} from '@dragonflyward/common';
 import {LogClient} from './client.js';
 import type {
@@ -15,26 +15,26 @@
   records: LogRecord[];
 }
 
-/** The streams and the faults of one log service. */
+/** The streams and the injected faults of one log service. */
 export class MemoryLog {
-  /** All clients are refused, as in an outage. */
+  /** Whether all calls fail, as in an outage. */
   isDown = false;
-  /** How many of the next appends take effect but lose their reply. */
+  /** How many of the next appends lose their reply but take effect. */
   lostReplies = 0;
-  /** How long after the failed reply a lost append takes effect. */
+  /** Delay after which an append with a lost reply takes effect. */
   delayedEffectMs = 0;
-  /** How long each call takes before it has its effect. */
+  /** Delay of each call before it takes effect. */
   slowMs = 0;
-  /** How many records of a stream are kept. */
+  /** Maximum number of records that a stream retains. */
   retainRecords = Number.POSITIVE_INFINITY;
-  /** How many appends took effect. */
+  /** Number of appends that took effect. */
   appends = 0;
   private readonly streams = new Map<string, MemoryStream>();
-  private readonly readers: (() => void)[] = [];
+  private readonly appendWaiters: (() => void)[] = [];
 
   constructor(readonly clock: Clock) {}
 
-  /** Takes records in at once. */
+  /** Appends records immediately; returns the offset of the first. */
   push(stream: string, records: readonly NewRecord[]): number {
     const kept = this.stream(stream);
     const offset = endOf(kept);
@@ -45,7 +45,7 @@
       timeMs,
     }));
     this.appends += 1;
-    for (const wake of this.readers.splice(0)) wake();
+    for (const wake of this.appendWaiters.splice(0)) wake();
     kept.records.push(...added);
     const excess = kept.records.length - this.retainRecords;
     if (excess > 0) this.drop(stream, kept.first + excess);
@@ -53,8 +53,8 @@
   }
 
   /** Resolves at the next append to any stream. */
-  pushed(): Promise<void> {
-    return new Promise(resolve => this.readers.push(resolve));
+  nextAppend(): Promise<void> {
+    return new Promise(resolve => this.appendWaiters.push(resolve));
   }
 
   /** Drops all records before the offset. */
@@ -64,12 +64,12 @@
     kept.first = Math.max(kept.first, first);
   }
 
-  /** All kept records of a stream. */
+  /** Returns all retained records of a stream. */
   records(stream: string): readonly LogRecord[] {
     return this.stream(stream).records;
   }
 
-  /** One page of a stream as it stands now. */
+  /** Reads one page of a stream without waiting. */
   page(stream: string, from: number, maxRecords: number): LogPage {
     const kept = this.stream(stream);
     const start = Math.max(0, from - kept.first);
@@ -99,9 +99,9 @@
   return stream.first + stream.records.length;
 }
 
-/** One process's client of a log in memory. */
+/** The client of one process for an in-memory log. */
 export class MemoryLogClient extends LogClient {
-  /** Whether this client alone is cut off. */
+  /** Whether this client is partitioned from the log. */
   isCut = false;
 
   constructor(private readonly log: MemoryLog) {
@@ -112,12 +112,12 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<AppendReply> {
-    await this.arrive();
+    await this.simulateTransit();
     if (this.log.lostReplies === 0) {
       return {offset: this.log.push(stream, records)};
     }
     this.log.lostReplies -= 1;
-    void this.pushLater(stream, records);
+    void this.appendAfterDelay(stream, records);
     return raise('appendUnknown', stream);
   }
 
@@ -128,23 +128,23 @@
   ): Promise<LogPage> {
     const {clock} = this.log;
     const untilMs = clock.monotonicMs() + options.waitMs;
-    await this.arrive();
+    await this.simulateTransit();
     for (;;) {
-      this.check();
+      this.checkReachable();
       const page = this.log.page(stream, from, options.maxRecords);
       if (page.records.length > 0) return page;
       const leftMs = untilMs - clock.monotonicMs();
       if (leftMs <= 0) return page;
-      await Promise.race([clock.sleep(leftMs), this.log.pushed()]);
+      await Promise.race([clock.sleep(leftMs), this.log.nextAppend()]);
     }
   }
 
   override async streams(): Promise<readonly StreamInfo[]> {
-    await this.arrive();
+    await this.simulateTransit();
     return this.log.list();
   }
 
-  private async pushLater(
+  private async appendAfterDelay(
     stream: string,
     records: readonly NewRecord[],
   ): Promise<void> {
@@ -153,13 +153,13 @@
     this.log.push(stream, records);
   }
 
-  private async arrive(): Promise<void> {
+  private async simulateTransit(): Promise<void> {
     const {clock, slowMs} = this.log;
     await (slowMs > 0 ? clock.sleep(slowMs) : Promise.resolve());
-    this.check();
+    this.checkReachable();
   }
 
-  private check(): void {
+  private checkReachable(): void {
     if (this.log.isDown || this.isCut) raise('logDown', 'memory log');
   }
 }
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -1,23 +1,23 @@
-/** Follows one log stream and folds its records into a state. */
+/** Follows one log stream and applies its records to a state. */
 import {DragonflywardError, type Clock} from '@dragonflyward/common';
 import type {LogClient} from './client.js';
 import type {ApplyResult, StreamFold} from './fold.js';
 import type {LogPage, LogRecord} from './types.js';
 
-const RETRY_MIN_MS = 50;
-const RETRY_MAX_MS = 1_000;
+const RETRY_MIN_DELAY_MS = 50;
+const RETRY_MAX_DELAY_MS = 1_000;
 const MAX_RECORDS_PER_READ = 1_000;
 
-/** Is told of each record in the order of the log. */
+/** Called for each applied record, in log order. */
 export type AppliedListener = (record: LogRecord, result: ApplyResult) => void;
 
-/** What a tail needs. */
+/** Options of a tail. */
 export interface StreamTailOptions {
   readonly client: LogClient;
   readonly stream: string;
   readonly fold: StreamFold;
   readonly clock: Clock;
-  /** How long one read may wait for a record; above 0. */
+  /** How long one read may wait for a new record; above 0. */
   readonly waitMs: number;
   readonly onApplied?: AppliedListener;
 }
@@ -28,18 +28,21 @@
   readonly reject: (err: Error) => void;
 }
 
-/** Reads one stream for as long as it runs. */
+/** Reads one stream continuously. */
 export class StreamTail {
-  /** Monotonic time of sending the newest read that reached the end. */
+  /**
+   * Monotonic time at which the latest read that reached the end of the
+   * stream was sent: all records appended before then are applied.
+   */
   lastProofMs = Number.NEGATIVE_INFINITY;
-  /** Whether the newest read was answered. */
+  /** Whether the latest read succeeded. */
   isUp = false;
-  /** Offset of the oldest record that the log still keeps. */
+  /** Offset of the oldest record that the log retains. */
   firstKept = 0;
   private readonly listeners = new Set<AppliedListener>();
   private waiters: readonly OffsetWaiter[] = [];
   private isRunning = false;
-  private retryMs = RETRY_MIN_MS;
+  private retryDelayMs = RETRY_MIN_DELAY_MS;
 
   constructor(private readonly options: StreamTailOptions) {
     if (options.onApplied !== undefined) this.listeners.add(options.onApplied);
@@ -50,14 +53,14 @@
     return this.options.stream;
   }
 
-  /** Starts to follow the stream. */
+  /** Starts following the stream. */
   start(): void {
     if (this.isRunning) return;
     this.isRunning = true;
-    void this.run();
+    void this.readUntilStopped();
   }
 
-  /** Stops; those who wait for an offset fail with `logDown`. */
+  /** Stops following; pending `waitFor` calls fail with `logDown`. */
   stop(): void {
     this.isRunning = false;
     this.isUp = false;
@@ -79,9 +82,9 @@
   }
 
   /**
-   * Resolves once the record at the offset was applied.
+   * Resolves once the record at the offset has been applied.
    *
-   * @throws logDown when the tail is stopped before
+   * @throws logDown when the tail is stopped before that
    * @example
    * await tail.waitFor(reply.offset);
    */
@@ -93,7 +96,7 @@
   }
 
   /**
-   * Reads once and applies what came.
+   * Reads once and applies the records.
    *
    * @throws logDown
    * @example
@@ -123,15 +126,15 @@
     this.wakeWaiters();
   }
 
-  private async run(): Promise<void> {
+  private async readUntilStopped(): Promise<void> {
     while (this.isRunning) {
       try {
         await this.readOnce();
-        this.retryMs = RETRY_MIN_MS;
+        this.retryDelayMs = RETRY_MIN_DELAY_MS;
       } catch {
         this.isUp = false;
-        await this.options.clock.sleep(this.retryMs);
-        this.retryMs = Math.min(RETRY_MAX_MS, this.retryMs * 2);
+        await this.options.clock.sleep(this.retryDelayMs);
+        this.retryDelayMs = Math.min(RETRY_MAX_DELAY_MS, this.retryDelayMs * 2);
       }
     }
   }
--- a/packages/log/src/types.ts
+++ b/packages/log/src/types.ts
@@ -1,40 +1,40 @@
-/** The shapes of the platform log service's records and answers. */
+/** Records, requests and responses of the platform log service. */
 
-/** A record to append; the id tells repeats of one append apart. */
+/** A record to append; the id identifies it when an append is retried. */
 export interface NewRecord {
   readonly id: string;
   readonly data: unknown;
 }
 
-/** A record as it stands in a stream. */
+/** A record in a stream. */
 export interface LogRecord extends NewRecord {
   readonly offset: number;
-  /** The log service's wall time at the append. */
+  /** Wall time of the log service at the append. */
   readonly timeMs: number;
 }
 
-/** What a read returned. */
+/** The result of a read. */
 export interface LogPage {
-  /** Offset of the oldest record that is still kept. */
+  /** Offset of the oldest retained record. */
   readonly first: number;
-  /** Offset that the next append will get. */
+  /** Offset of the next record to be appended. */
   readonly end: number;
   readonly records: readonly LogRecord[];
 }
 
-/** Bounds of one read. */
+/** Limits of one read. */
 export interface ReadOptions {
   readonly maxRecords: number;
-  /** How long the service may wait for a record when there is none. */
+  /** How long the service may wait for a record if there is none. */
   readonly waitMs: number;
 }
 
-/** What an append returned: the offset of the first of its records. */
+/** The result of an append: the offset of its first record. */
 export interface AppendReply {
   readonly offset: number;
 }
 
-/** One stream and what it keeps. */
+/** A stream and the range of its retained offsets. */
 export interface StreamInfo {
   readonly stream: string;
   readonly first: number;
--- a/packages/log/src/writer.ts
+++ b/packages/log/src/writer.ts
@@ -1,4 +1,4 @@
-/** Appends records to one stream in groups and reads them back. */
+/** Appends records to one stream in batches and confirms them by reading. */
 import {
   DragonflywardError,
   newId,
@@ -14,22 +14,22 @@
 const DEFAULT_MAX_BATCH = 256;
 const DEFAULT_MAX_DELAY_MS = 2;
 const DEFAULT_MIN_INTERVAL_MS = 50;
-const READ_BACK_BOUND_MS = 5_000;
-const READ_BACK_STEP_MS = 20;
+const READ_BACK_TIMEOUT_MS = 5_000;
+const READ_BACK_POLL_MS = 20;
 const MAX_ATTEMPTS = 3;
 
-/** What a writer needs. */
+/** Options of a writer. */
 export interface StreamWriterOptions {
   readonly client: LogClient;
   readonly stream: string;
-  /** Reads the records back. */
+  /** Reads the appended records back. */
   readonly tail: StreamTail;
   readonly clock: Clock;
-  /** How many records one append may hold. */
+  /** Maximum number of records in one append. */
   readonly maxBatch?: number;
-  /** How long the first record of a group waits for others. */
+  /** How long the first record of a batch waits for others. */
   readonly maxDelayMs?: number;
-  /** How far apart appends are at least, unless a group is full. */
+  /** Minimum time between appends, unless a batch is full. */
   readonly minIntervalMs?: number;
 }
 
@@ -39,26 +39,26 @@
   readonly reject: (err: Error) => void;
 }
 
-/** Group commit: many records to an append, one append at a time. */
+/** Group commit: batches records, with one append in flight at a time. */
 export class StreamWriter {
-  /** How many appends were sent. */
+  /** Number of appends sent. */
   appends = 0;
-  private readonly queue = new PQueue({concurrency: 1});
-  private readonly unread = new Map<string, PendingWrite>();
-  private group: readonly PendingWrite[] = [];
-  private isFlushDue = false;
-  private sentMs = -Infinity;
+  private readonly flushQueue = new PQueue({concurrency: 1});
+  private readonly inFlight = new Map<string, PendingWrite>();
+  private queue: readonly PendingWrite[] = [];
+  private isFlushScheduled = false;
+  private lastAppendMs = -Infinity;
 
   constructor(private readonly options: StreamWriterOptions) {
     options.tail.listen((record, result) => {
-      this.settle(record.id, result);
+      this.confirm(record.id, result);
     });
   }
 
   /**
-   * Appends a record and resolves once it was read back.
+   * Appends a record and resolves once it has been read back.
    *
-   * @throws logDown when it certainly had no effect
+   * @throws logDown when the append certainly had no effect
    * @throws appendUnknown when it may have had an effect
    * @example
    * const result = await writer.write(record);
@@ -67,46 +67,49 @@
   write(data: unknown): Promise<ApplyResult> {
     const record = {id: newId('r'), data};
     return new Promise((resolve, reject) => {
-      this.group = [...this.group, {record, resolve, reject}];
+      this.queue = [...this.queue, {record, resolve, reject}];
       this.scheduleFlush();
     });
   }
 
   private scheduleFlush(): void {
-    if (this.isFlushDue) return;
-    this.isFlushDue = true;
-    void this.queue.add(() => this.flush());
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    void this.flushQueue.add(() => this.flush());
   }
 
   private async flush(): Promise<void> {
     const {clock, maxBatch = DEFAULT_MAX_BATCH} = this.options;
-    if (this.group.length < maxBatch) await clock.sleep(this.delayMs());
-    const batch = this.group.slice(0, maxBatch);
-    this.group = this.group.slice(maxBatch);
-    this.isFlushDue = false;
-    if (this.group.length > 0) this.scheduleFlush();
-    for (const pending of batch) this.unread.set(pending.record.id, pending);
+    if (this.queue.length < maxBatch) await clock.sleep(this.flushDelayMs());
+    const batch = this.queue.slice(0, maxBatch);
+    this.queue = this.queue.slice(maxBatch);
+    this.isFlushScheduled = false;
+    if (this.queue.length > 0) this.scheduleFlush();
+    for (const pending of batch) this.inFlight.set(pending.record.id, pending);
     await this.appendBatch(batch);
   }
 
-  /** A lone record goes soon; under load appends keep their distance. */
-  private delayMs(): number {
+  /**
+   * A single record is sent after a short delay; under load, appends keep the
+   * minimum interval.
+   */
+  private flushDelayMs(): number {
     const {clock, maxDelayMs = DEFAULT_MAX_DELAY_MS} = this.options;
     const {minIntervalMs = DEFAULT_MIN_INTERVAL_MS} = this.options;
-    const nextMs = this.sentMs + minIntervalMs;
-    return Math.max(maxDelayMs, nextMs - clock.monotonicMs());
+    const earliestMs = this.lastAppendMs + minIntervalMs;
+    return Math.max(maxDelayMs, earliestMs - clock.monotonicMs());
   }
 
-  /** Repeats with the same ids, so that readers can tell repeats apart. */
+  /** Retries with the same record ids, so that readers detect duplicates. */
   private async appendBatch(batch: readonly PendingWrite[]): Promise<void> {
-    let isUnknown = false;
+    let isOutcomeUnknown = false;
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
       const failure = await this.tryAppend(batch);
-      if (failure === undefined) return void this.boundReadBack(batch);
-      isUnknown ||= failure !== 'logDown';
-      if (!isUnknown) return this.rejectAll(batch, 'logDown');
-      await this.readToEnd();
-      if (!this.isUnread(batch)) return;
+      if (failure === undefined) return void this.rejectAfterTimeout(batch);
+      isOutcomeUnknown ||= failure !== 'logDown';
+      if (!isOutcomeUnknown) return this.rejectAll(batch, 'logDown');
+      await this.waitForFreshRead();
+      if (!this.isInFlight(batch)) return;
     }
     this.rejectAll(batch, 'appendUnknown');
   }
@@ -116,7 +119,7 @@
   ): Promise<string | undefined> {
     const {client, stream} = this.options;
     this.appends += 1;
-    this.sentMs = this.options.clock.monotonicMs();
+    this.lastAppendMs = this.options.clock.monotonicMs();
     try {
       await client.append(
         stream,
@@ -128,29 +131,31 @@
     }
   }
 
-  /** Waits, within a bound, for a read that was sent after now. */
-  private async readToEnd(): Promise<void> {
+  /** Waits for a read sent from now on to reach the end, or a timeout. */
+  private async waitForFreshRead(): Promise<void> {
     const {clock, tail} = this.options;
     const fromMs = clock.monotonicMs();
-    const untilMs = fromMs + READ_BACK_BOUND_MS / MAX_ATTEMPTS;
+    const untilMs = fromMs + READ_BACK_TIMEOUT_MS / MAX_ATTEMPTS;
     while (tail.lastProofMs < fromMs && clock.monotonicMs() < untilMs) {
-      await clock.sleep(READ_BACK_STEP_MS);
+      await clock.sleep(READ_BACK_POLL_MS);
     }
   }
 
-  private async boundReadBack(batch: readonly PendingWrite[]): Promise<void> {
-    await this.options.clock.sleep(READ_BACK_BOUND_MS);
+  private async rejectAfterTimeout(
+    batch: readonly PendingWrite[],
+  ): Promise<void> {
+    await this.options.clock.sleep(READ_BACK_TIMEOUT_MS);
     this.rejectAll(batch, 'appendUnknown');
   }
 
-  private isUnread(batch: readonly PendingWrite[]): boolean {
-    return batch.some(({record}) => this.unread.has(record.id));
+  private isInFlight(batch: readonly PendingWrite[]): boolean {
+    return batch.some(({record}) => this.inFlight.has(record.id));
   }
 
-  private settle(id: string, result: ApplyResult): void {
-    const pending = this.unread.get(id);
+  private confirm(id: string, result: ApplyResult): void {
+    const pending = this.inFlight.get(id);
     if (pending === undefined) return;
-    this.unread.delete(id);
+    this.inFlight.delete(id);
     pending.resolve(result);
   }
 
@@ -159,7 +164,7 @@
     kind: 'logDown' | 'appendUnknown',
   ): void {
     for (const {record, reject} of batch) {
-      if (!this.unread.delete(record.id)) continue;
+      if (!this.inFlight.delete(record.id)) continue;
       reject(new DragonflywardError(kind, this.options.stream));
     }
   }
--- a/packages/log/test/writer.test.ts
+++ b/packages/log/test/writer.test.ts
@@ -17,7 +17,7 @@
 
 const STREAM = 's';
 
-/** Applies each value once; repeats are void. */
+/** Applies each value once; duplicates are void. */
 class SetFold extends StreamFold {
   override nextOffset = 0;
   override readonly isComplete = true;
