Reword the target and VM list clients in plain terms

Comments, private names and error details (connect timeout, truncated response, response without length, rejected term). Two test titles of the VM list: 'reuses the list while its ETag is unchanged' and 'fails during an outage instead of returning the old list'.

--- a/packages/target/src/executor-client.ts
+++ b/packages/target/src/executor-client.ts
@@ -1,64 +1,64 @@
-/** Executors as the rest of the system sees them. */
+/** Interface for sending requests to executors. */
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 
-/** Where an executor listens. */
+/** The address at which an executor listens. */
 export interface ExecutorAddress {
   readonly executorId: string;
   readonly ip: string;
   readonly port: number;
 }
 
-/** The body of a request: its start, and the rest where it is longer. */
+/** A request body: the part read so far, and the rest if there is more. */
 export interface ExecutorBody {
   readonly prefix: Buffer;
   readonly rest: AsyncIterable<Buffer> | null;
 }
 
-/** One request to one executor. */
+/** A request to an executor. */
 export interface ExecutorRequest {
   readonly headers: OutgoingHttpHeaders;
   readonly body: ExecutorBody;
-  /** Whether a kept connection may be used, which may have gone silent. */
+  /** Whether an idle connection, which may be dead, may be reused. */
   readonly mayReuse: boolean;
   /**
-   * Called immediately before the first byte; throws to send none, or
-   * returns headers that depend on the time.
+   * Called immediately before the first byte is sent. It may throw to send
+   * nothing; it returns the headers that depend on the time.
    */
   readonly beforeFirstByte: () => Readonly<Record<string, string>>;
-  /** Gives the request up; its reason is what `send` then throws. */
+  /** Aborts the request; `send` then throws the signal's reason. */
   readonly signal: AbortSignal;
 }
 
-/** The head of an executor's answer, and its body as it comes in. */
+/** The head of an executor's response, and its body as a stream. */
 export interface ExecutorAnswer {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
-  /** Whether the executor said that it takes no new work. */
+  /** Whether the executor reported that it accepts no new work. */
   readonly isDraining: boolean;
-  /** Yields the body; throws targetLost where it is cut short. */
+  /** Yields the body; throws targetLost if it is truncated. */
   readonly body: AsyncIterator<Buffer>;
-  /** Bytes sent and received so far for this request. */
+  /** Returns the bytes sent and received so far for this request. */
   readonly trafficBytes: () => number;
-  /** Drops the answer and its connection. */
+  /** Discards the response and closes its connection. */
   readonly drop: () => void;
 }
 
 /** Sends requests to executors. */
 export abstract class ExecutorClient {
   /**
-   * Sends a request and waits for the head of its answer.
+   * Sends a request and waits for the head of its response.
    *
-   * @throws targetRefused when no byte was sent, targetLost when the first
-   *     byte may have been, or what `beforeFirstByte` or the signal give
+   * @throws targetRefused when nothing was sent, targetLost when a byte may
+   *     have been sent, or the error of `beforeFirstByte` or of the signal
    */
   abstract send(
     address: ExecutorAddress,
     req: ExecutorRequest,
   ): Promise<ExecutorAnswer>;
 
-  /** Sets how many idle connections to one executor may be kept. */
+  /** Sets the maximum number of idle connections to each executor. */
   abstract keepIdle(connections: number): void;
 
-  /** Ends all idle connections. */
+  /** Closes all idle connections. */
   abstract close(): void;
 }
--- a/packages/target/src/executor-response.ts
+++ b/packages/target/src/executor-response.ts
@@ -1,4 +1,4 @@
-/** Reads the answers of executors and tells whole ones from cut ones. */
+/** Reads the responses of executors and detects truncated ones. */
 import type http from 'node:http';
 import {raise} from '@dragonflyward/common';
 import type {ExecutorAnswer} from './executor-client.js';
@@ -7,25 +7,26 @@
 const NOT_MODIFIED = 304;
 
 /**
- * Wraps an answer whose head has come in.
+ * Wraps a response whose head has been received.
  *
- * @throws targetLost where the end of the body could not be told from a cut
+ * @throws targetLost if a truncated body could not be detected, because the
+ *     response has neither a length nor chunked encoding
  * @example
- * const answer = readAnswer(res, req.socket);
+ * const response = readResponse(res, () => socket.bytesRead);
  */
-export function readAnswer(
+export function readResponse(
   res: http.IncomingMessage,
   trafficBytes: () => number,
 ): ExecutorAnswer {
   if (!isDelimited(res)) {
     res.destroy();
-    return raise('targetLost', 'the answer has no length');
+    return raise('targetLost', 'the response has no length');
   }
   return {
     status: res.statusCode ?? 0,
     headers: res.headers,
     isDraining: res.headers['x-draining'] === '1',
-    body: readWhole(res),
+    body: readBody(res),
     trafficBytes,
     drop: () => {
       res.destroy();
@@ -33,7 +34,7 @@
   };
 }
 
-/** Whether the message itself tells where its body ends. */
+/** Whether the end of the body is marked by more than a closed connection. */
 function isDelimited(res: http.IncomingMessage): boolean {
   if (res.statusCode === NO_CONTENT) return true;
   if (res.statusCode === NOT_MODIFIED) return true;
@@ -41,12 +42,12 @@
   return /\bchunked\b/i.test(res.headers['transfer-encoding'] ?? '');
 }
 
-async function* readWhole(res: http.IncomingMessage): AsyncGenerator<Buffer> {
+async function* readBody(res: http.IncomingMessage): AsyncGenerator<Buffer> {
   try {
     for await (const chunk of res as AsyncIterable<Buffer>) yield chunk;
   } catch (err) {
-    const why = err instanceof Error ? err.message : 'unknown';
-    return raise('targetLost', `the answer was cut short: ${why}`);
+    const reason = err instanceof Error ? err.message : 'unknown';
+    return raise('targetLost', `the response was truncated: ${reason}`);
   }
-  if (!res.complete) raise('targetLost', 'the answer was cut short');
+  if (!res.complete) raise('targetLost', 'the response was truncated');
 }
--- a/packages/target/src/http-executor-client.ts
+++ b/packages/target/src/http-executor-client.ts
@@ -1,9 +1,9 @@
-/** Executors over HTTP, with kept connections. */
+/** HTTP client of executors, with keep-alive connections. */
 import {once} from 'node:events';
 import http from 'node:http';
 import type net from 'node:net';
 import {DragonflywardError, raise} from '@dragonflyward/common';
-import {readAnswer} from './executor-response.js';
+import {readResponse} from './executor-response.js';
 import {
   ExecutorClient,
   type ExecutorAddress,
@@ -13,87 +13,87 @@
 } from './executor-client.js';
 
 const CONNECT_TIMEOUT_MS = 500;
-/** A connection that was idle for longer is not used again. */
+/** A connection that has been idle for longer is not reused. */
 const MAX_IDLE_MS = 2_000;
 const DEFAULT_IDLE_CONNECTIONS = 4;
 
-/** How executors are reached. */
+/** Connection options of the client. */
 export interface HttpExecutorOptions {
-  /** The IP that connections come from; this process's VM. */
+  /** Source IP of the connections: that of this process's VM. */
   readonly localAddress?: string;
 }
 
 /** Sends requests to executors over HTTP. */
 export class HttpExecutorClient extends ExecutorClient {
-  private readonly kept = new http.Agent({
+  private readonly pool = new http.Agent({
     keepAlive: true,
     scheduling: 'lifo',
     maxFreeSockets: DEFAULT_IDLE_CONNECTIONS,
     timeout: MAX_IDLE_MS,
   });
-  private readonly fresh = new http.Agent({keepAlive: false});
+  private readonly singleUseAgent = new http.Agent({keepAlive: false});
 
   constructor(private readonly options: HttpExecutorOptions = {}) {
     super();
   }
 
   /**
-   * @throws targetRefused when no byte was sent, targetLost when the first
-   *     byte may have been, or what `beforeFirstByte` or the signal give
+   * @throws targetRefused when nothing was sent, targetLost when a byte may
+   *     have been sent, or the error of `beforeFirstByte` or of the signal
    * @example
-   * const answer = await executors.send(ticket, request);
+   * const response = await executors.send(ticket, request);
    */
   override async send(
     address: ExecutorAddress,
     request: ExecutorRequest,
   ): Promise<ExecutorAnswer> {
-    const req = this.open(address, request);
-    const stopWatching = destroyOnAbort(req, request.signal);
+    const req = this.createRequest(address, request);
+    const removeAbortListener = destroyOnAbort(req, request.signal);
     try {
-      const socket = await connected(req, request.signal);
-      const last = Object.entries(request.beforeFirstByte());
-      for (const [name, value] of last) req.setHeader(name, value);
+      const socket = await waitForConnection(req, request.signal);
+      const lateHeaders = Object.entries(request.beforeFirstByte());
+      for (const [name, value] of lateHeaders) req.setHeader(name, value);
       return await exchange(req, socket, request);
     } catch (err) {
       req.destroy();
-      if (isSilent(err)) this.dropIdle(address);
+      if (isUnanswered(err)) this.destroyIdleSockets(address);
       throw err;
     } finally {
-      if (req.destroyed) stopWatching();
-      else req.once('close', stopWatching);
+      if (req.destroyed) removeAbortListener();
+      else req.once('close', removeAbortListener);
     }
   }
 
   override keepIdle(connections: number): void {
-    this.kept.maxFreeSockets = connections;
+    this.pool.maxFreeSockets = connections;
   }
 
   override close(): void {
-    this.kept.destroy();
+    this.pool.destroy();
   }
 
-  private open(
+  private createRequest(
     address: ExecutorAddress,
     request: ExecutorRequest,
   ): http.ClientRequest {
     const req = http.request({
-      ...this.target(address),
+      ...this.targetOptions(address),
       method: 'POST',
       path: '/',
       headers: request.headers,
-      agent: request.mayReuse ? this.kept : this.fresh,
+      agent: request.mayReuse ? this.pool : this.singleUseAgent,
     });
     req.on('error', () => undefined);
     return req;
   }
 
-  /** One silent connection to an executor may not be the only one. */
-  private dropIdle(address: ExecutorAddress): void {
-    const name = this.kept.getName(this.target(address));
-    for (const socket of this.kept.freeSockets[name] ?? []) socket.destroy();
+  /** If one connection to an executor is dead, its idle ones may be too. */
+  private destroyIdleSockets(address: ExecutorAddress): void {
+    const name = this.pool.getName(this.targetOptions(address));
+    for (const socket of this.pool.freeSockets[name] ?? []) socket.destroy();
   }
 
-  private target(address: ExecutorAddress): TargetOptions {
+  private targetOptions(address: ExecutorAddress): TargetOptions {
     const {ip, port} = address;
     const {localAddress} = this.options;
     return localAddress === undefined
@@ -112,22 +112,22 @@
   req: http.ClientRequest,
   signal: AbortSignal,
 ): () => void {
-  const giveUp = (): void => {
+  const destroy = (): void => {
     req.destroy(signal.reason as Error);
   };
-  signal.addEventListener('abort', giveUp, {once: true});
+  signal.addEventListener('abort', destroy, {once: true});
   return () => {
-    signal.removeEventListener('abort', giveUp);
+    signal.removeEventListener('abort', destroy);
   };
 }
 
-/** Waits until the request has an open connection; nothing is sent before. */
-async function connected(
+/** Waits until the request has an open connection; sends nothing yet. */
+async function waitForConnection(
   req: http.ClientRequest,
   signal: AbortSignal,
 ): Promise<net.Socket> {
   const timer = setTimeout(() => {
-    req.destroy(new Error('no connection in time'));
+    req.destroy(new Error('connect timed out'));
   }, CONNECT_TIMEOUT_MS);
   try {
     const socket = await socketOf(req);
@@ -152,20 +152,20 @@
   socket: net.Socket,
   request: ExecutorRequest,
 ): Promise<ExecutorAnswer> {
-  const before = socket.bytesRead + socket.bytesWritten;
-  const head = once(req, 'response');
+  const bytesBefore = socket.bytesRead + socket.bytesWritten;
+  const responseEvent = once(req, 'response');
   const writing = writeBody(req, request.body);
   writing.catch((err: unknown) => {
     req.destroy(err instanceof Error ? err : undefined);
   });
   try {
-    const [res] = (await head) as [http.IncomingMessage];
+    const [res] = (await responseEvent) as [http.IncomingMessage];
     res.once('end', () => {
       if (!req.writableEnded) req.destroy();
     });
-    return readAnswer(
+    return readResponse(
       res,
-      () => socket.bytesRead + socket.bytesWritten - before,
+      () => socket.bytesRead + socket.bytesWritten - bytesBefore,
     );
   } catch (err) {
     request.signal.throwIfAborted();
@@ -185,19 +185,19 @@
   req.write(body.prefix);
   for await (const chunk of body.rest) {
     if (req.destroyed) return;
-    if (!req.write(chunk)) await drained(req);
+    if (!req.write(chunk)) await waitForDrain(req);
   }
   req.end();
 }
 
-/** Waits until more can be written, or until nothing more ever can. */
-async function drained(req: http.ClientRequest): Promise<void> {
+/** Waits until more can be written or the request is closed. */
+async function waitForDrain(req: http.ClientRequest): Promise<void> {
   if (req.destroyed) return;
   await Promise.race([once(req, 'drain'), once(req, 'close')]);
 }
 
-/** Whether the request ended with no word from the executor. */
-function isSilent(err: unknown): boolean {
+/** Whether the request was sent but the executor did not respond. */
+function isUnanswered(err: unknown): boolean {
   if (!(err instanceof DragonflywardError)) return false;
   return err.kind === 'targetLost' || err.kind === 'deadlinePassed';
 }
--- a/packages/target/src/http-worker-client.ts
+++ b/packages/target/src/http-worker-client.ts
@@ -1,4 +1,4 @@
-/** One worker over HTTP. */
+/** HTTP client of a worker. */
 import {
   JsonClient,
   raise,
@@ -28,10 +28,10 @@
   readonly error?: string;
 }
 
-/** A worker at one address, reached for one shard. */
+/** Calls the worker at one address on behalf of one shard. */
 export class HttpWorkerClient extends WorkerClient {
   private readonly client: JsonClient;
-  private readonly watcher: JsonClient;
+  private readonly watchClient: JsonClient;
 
   constructor(
     ip: string,
@@ -42,7 +42,7 @@
     super();
     const url = `http://${ip}:${port}`;
     this.client = new JsonClient(url, options);
-    this.watcher = new JsonClient(url, options);
+    this.watchClient = new JsonClient(url, options);
   }
 
   /**
@@ -100,7 +100,7 @@
   override async watch(sequence: number, waitMs: number): Promise<Inventory> {
     const path = `/watch?sequence=${sequence}&waitMs=${waitMs}`;
     const timeoutMs = waitMs + CALL_TIMEOUT_MS;
-    const call = this.watcher.call('GET', path, timeoutMs);
+    const call = this.watchClient.call('GET', path, timeoutMs);
     return (await readReply(call)) as Inventory;
   }
 
@@ -110,10 +110,10 @@
     return ((await readReply(call)) as UsageList).tasks;
   }
 
-  /** Ends the idle connections. */
+  /** Closes the idle connections. */
   close(): void {
     this.client.close();
-    this.watcher.close();
+    this.watchClient.close();
   }
 
   private post(path: string, body: unknown): Promise<unknown> {
@@ -150,7 +150,7 @@
   } catch (err) {
     return raise('targetLost', toFailure(err).detail);
   }
-  if (isStaleTerm(res)) return raise('staleTerm', 'the worker refused it');
+  if (isStaleTerm(res)) return raise('staleTerm', 'the term was rejected');
   if (res.status === OK) return res.body;
   return raise('targetLost', `status ${res.status}`);
 }
--- a/packages/target/src/worker-client.ts
+++ b/packages/target/src/worker-client.ts
@@ -1,7 +1,7 @@
-/** Workers as the rest of the system sees them. */
+/** Interface for calling workers. */
 import type {Resources} from '@dragonflyward/common';
 
-/** What to run and for how long without a renewal. */
+/** A task to start, with its reservation and its lease. */
 export interface TaskStart {
   readonly taskId: string;
   readonly jobId: string;
@@ -9,10 +9,10 @@
   readonly queue: string;
   readonly shard: string;
   readonly term: number;
-  /** The reservation; the worker caps the task at it. */
+  /** The reservation; the worker limits the task to it. */
   readonly size: Resources;
   readonly leaseMs: number;
-  /** The start is void when it reaches the worker later than this. */
+  /** The worker rejects the start if it arrives later than this. */
   readonly startWithinMs: number;
   /** The program and its arguments, opaque to the system. */
   readonly payload: unknown;
@@ -22,7 +22,7 @@
 export type TaskEnd =
   'succeeded' | 'failed' | 'stopped' | 'leaseLapsed' | 'checkpointed';
 
-/** One task on a worker. */
+/** The state of a task on a worker. */
 export interface TaskReport {
   readonly taskId: string;
   readonly jobId: string;
@@ -38,22 +38,22 @@
   readonly runMs: number;
 }
 
-/** All that a worker runs or lately ran. */
+/** The running and the recently ended tasks of a worker. */
 export interface Inventory {
   readonly workerId: string;
   readonly capacity: Resources;
   readonly tasks: readonly TaskReport[];
-  /** Grows with each change; for watching. */
+  /** Increases with each change; passed to `watch`. */
   readonly sequence: number;
 }
 
-/** What became of a renewal. */
+/** The result of a lease renewal. */
 export interface RenewReply {
-  /** Tasks that the worker does not run. */
+  /** Tasks that the worker is not running. */
   readonly unknown: readonly string[];
 }
 
-/** Usage of one task, as the platform measured it a while ago. */
+/** Resource usage of a task, as the platform measured it `ageMs` ago. */
 export interface TaskUsage {
   readonly taskId: string;
   readonly cpuMilli: number;
@@ -61,17 +61,17 @@
   readonly ageMs: number;
 }
 
-/** One worker, reached under a shard's term. */
+/** A client of one worker; calls carry the term of a shard. */
 export abstract class WorkerClient {
   /**
-   * Starts a task; a repeat of the same task id has no further effect.
+   * Starts a task; repeating the call with the same task id has no effect.
    *
    * @throws staleTerm, targetRefused (not run), targetLost (unknown)
    */
   abstract start(task: TaskStart): Promise<void>;
 
   /**
-   * Extends leases.
+   * Renews the leases of tasks.
    *
    * @throws staleTerm, targetLost
    */
@@ -82,21 +82,21 @@
   ): Promise<RenewReply>;
 
   /**
-   * Stops a task; when it returns, the task does not run.
+   * Stops a task; once this resolves, the task is not running.
    *
    * @throws staleTerm, targetLost
    */
   abstract stop(term: number, taskId: string): Promise<void>;
 
   /**
-   * Saves a task's progress and stops it; a restart goes on from there.
+   * Saves a task's progress and stops it; a restart resumes from there.
    *
    * @throws staleTerm, targetLost
    */
   abstract checkpoint(term: number, taskId: string): Promise<void>;
 
   /**
-   * Caps a running task.
+   * Limits the resources of a running task.
    *
    * @throws staleTerm, targetLost
    */
@@ -114,14 +114,14 @@
   abstract inventory(shard: string, term: number): Promise<Inventory>;
 
   /**
-   * Waits until something changed after the sequence number, then lists.
+   * Waits for a change after the sequence number, then lists the tasks.
    *
    * @throws targetLost
    */
   abstract watch(sequence: number, waitMs: number): Promise<Inventory>;
 
   /**
-   * Reads the lagging usage.
+   * Reads the usage of the tasks; it lags behind, see `ageMs`.
    *
    * @throws targetLost
    */
--- a/packages/vms/src/client.ts
+++ b/packages/vms/src/client.ts
@@ -1,28 +1,28 @@
-/** The platform's lagging list of VMs as the rest of the system sees it. */
+/** Interface of the platform's list of VMs, which lags behind. */
 import type {Place, Resources, VmKind} from '@dragonflyward/common';
 
-/** Whether a VM stays or is about to be taken away. */
+/** Whether a VM stays or is about to be removed. */
 export type VmState = 'live' | 'leaving';
 
-/** One VM of the list. */
+/** A VM in the list. */
 export interface VmEntry extends Place {
   readonly id: string;
   readonly kind: VmKind;
   readonly state: VmState;
   readonly ip: string;
   readonly port: number;
-  /** What a worker offers, or an executor's slots. */
+  /** Resources of a worker, or slots of an executor. */
   readonly capacity: Resources;
   /** The service that an executor serves; empty for other kinds. */
   readonly service: string;
-  /** Connections that an executor takes; 0 for other kinds. */
+  /** Connections that an executor accepts; 0 for other kinds. */
   readonly connections: number;
 }
 
 /** A client of the list of VMs. */
 export abstract class VmListClient {
   /**
-   * Reads the whole list; it lags behind.
+   * Fetches the whole list, which lags behind the actual VMs.
    *
    * @throws vmsDown
    */
--- a/packages/vms/src/http-client.ts
+++ b/packages/vms/src/http-client.ts
@@ -1,4 +1,4 @@
-/** The list of VMs over HTTP. */
+/** HTTP client of the list of VMs. */
 import {
   JsonClient,
   raise,
@@ -23,7 +23,7 @@
 /** A client of the list of VMs at one URL. */
 export class HttpVmListClient extends VmListClient {
   private readonly client: JsonClient;
-  /** The newest list; asked for again only where its version changed. */
+  /** The latest list; its ETag lets the server answer "not modified". */
   private newest: VersionedList = {etag: '', vms: []};
 
   constructor(url: string, options: JsonClientOptions = {}) {
--- a/packages/vms/test/http-client.test.ts
+++ b/packages/vms/test/http-client.test.ts
@@ -5,26 +5,26 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
-interface Answer {
+interface ScriptedResponse {
   readonly status: number;
   readonly etag: string;
   readonly vms: readonly object[];
 }
 
-/** A list of VMs that answers as told and notes what it was asked. */
-class ScriptedList {
-  readonly asked: (string | undefined)[] = [];
+/** VM list server with scripted responses; records the received ETags. */
+class ScriptedVmListServer {
+  readonly receivedEtags: (string | undefined)[] = [];
   private readonly server = http.createServer((req, res) => {
-    this.asked.push(req.headers['if-none-match']);
-    const answer = this.answers.shift() ?? {status: 503, etag: '', vms: []};
-    res.setHeader('etag', answer.etag);
-    if (answer.status !== 304) {
-      return sendJson(res, answer.status, {vms: answer.vms});
+    this.receivedEtags.push(req.headers['if-none-match']);
+    const response = this.responses.shift() ?? {status: 503, etag: '', vms: []};
+    res.setHeader('etag', response.etag);
+    if (response.status !== 304) {
+      return sendJson(res, response.status, {vms: response.vms});
     }
-    res.writeHead(answer.status).end();
+    res.writeHead(response.status).end();
   });
 
-  constructor(private readonly answers: Answer[]) {}
+  constructor(private readonly responses: ScriptedResponse[]) {}
 
   async start(): Promise<string> {
     await new Promise<void>(resolve => {
@@ -42,24 +42,26 @@
 
 const list = suite('list of VMs over HTTP');
 
-list('keeps the list while its version stays', async () => {
+list('reuses the list while its ETag is unchanged', async () => {
   const old = [{id: 'a'}];
-  const scripted = new ScriptedList([
+  const server = new ScriptedVmListServer([
     {status: 200, etag: '"1"', vms: old},
     {status: 304, etag: '"1"', vms: []},
     {status: 200, etag: '"2"', vms: []},
   ]);
-  const client = new HttpVmListClient(await scripted.start());
+  const client = new HttpVmListClient(await server.start());
   assert.equal(await client.list(), old);
   assert.equal(await client.list(), old);
   assert.equal(await client.list(), []);
-  assert.equal(scripted.asked, [undefined, '"1"', '"1"']);
-  scripted.stop();
+  assert.equal(server.receivedEtags, [undefined, '"1"', '"1"']);
+  server.stop();
 });
 
-list('fails in an outage and does not pass the old list off', async () => {
-  const scripted = new ScriptedList([{status: 200, etag: '"1"', vms: []}]);
-  const client = new HttpVmListClient(await scripted.start());
+list('fails during an outage instead of returning the old list', async () => {
+  const server = new ScriptedVmListServer([
+    {status: 200, etag: '"1"', vms: []},
+  ]);
+  const client = new HttpVmListClient(await server.start());
   await client.list();
   try {
     await client.list();
@@ -67,7 +69,7 @@
   } catch (err) {
     assert.match(String(err), 'status 503');
   }
-  scripted.stop();
+  server.stop();
 });
 
 list.run();
