--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -57,7 +57,7 @@
   readonly executorId: string;
   readonly ip: string;
   readonly port: number;
-  /** Time after the ask within which the first byte must be sent. */
+  /** Time after the ask within which the first byte is sent, or none at all. */
   readonly startByMs: number;
   /** Time after the ask within which the connection must be closed. */
   readonly runByMs: number;
