--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,8 +1,8 @@
-/** Shared ground of all packages: errors, settings, events and metrics. */
+/** Code shared by all packages: errors, settings, events and metrics. */
 export * from './errors.js';
 export * from './resources.js';
 export * from './clock.js';
-export * from './places.js';
+export * from './topology.js';
 export * from './events.js';
 export * from './metrics.js';
 export * from './logger.js';
