--- a/packages/scheduler/src/allowance-task.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -15,39 +15,39 @@
 } from '@dragonflyward/state';
 import {AllowanceView} from './allowance-view.js';
 import type {Membership} from './membership.js';
-import type {ShardTask} from './shard-task.js';
+import type {ShardReplica} from './shard-replica.js';
 
 const TAIL_WAIT_MS = 500;
 const REPORT_PERIOD_MS = 1_000;
 /** A report that is older says nothing of a shard's demand. */
-const REPORT_KEPT_MS = 10_000;
+const REPORT_TTL_MS = 10_000;
 
 /** The parts that the task needs. */
-export interface AllowanceTaskParts {
+export interface AllowanceServiceParts {
   readonly log: LogClient;
   readonly config: ConfigState;
   readonly membership: Membership;
   readonly mesh: PeerMesh;
-  readonly shards: ReadonlyMap<string, ShardTask>;
+  readonly shards: ReadonlyMap<string, ShardReplica>;
   readonly clock: Clock;
   readonly events: EventRing;
   readonly metrics: Metrics;
 }
 
-interface KeptReport {
+interface ReceivedReport {
   readonly demands: readonly ShardDemand[];
   readonly atMs: number;
 }
 
 /** The allowances of all teams in all shards. */
-export class AllowanceTask extends AllowanceView {
+export class AllowanceService extends AllowanceView {
   readonly table = new AllowanceState();
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
-  private readonly reports = new Map<string, KeptReport>();
+  private readonly reports = new Map<string, ReceivedReport>();
   private isStopped = false;
 
-  constructor(private readonly parts: AllowanceTaskParts) {
+  constructor(private readonly parts: AllowanceServiceParts) {
     super();
     const {log, clock, metrics} = parts;
     const {table} = this;
@@ -124,7 +124,7 @@
     const {config, membership, clock} = this.parts;
     const limits = new Map<string, Resources>();
     for (const [team, {limit}] of config.teams()) limits.set(team, limit);
-    const oldestMs = clock.monotonicMs() - REPORT_KEPT_MS;
+    const oldestMs = clock.monotonicMs() - REPORT_TTL_MS;
     const newest = [...this.reports.values()].filter(r => r.atMs >= oldestMs);
     const demands = newest.flatMap(report => report.demands);
     return {limits, shards: membership.domains(), demands};
--- /dev/null
+++ b/packages/scheduler/src/claim-registry.ts
@@ -0,0 +1,76 @@
+/** Brings together what a new owner learns of claimed request ids. */
+import type {Clock, ProcessRef} from '@dragonflyward/common';
+import type {
+  PassedClaim,
+  RequestClaim,
+  RequestClaimed,
+  RequestClaims,
+  RequestRelease,
+} from '@dragonflyward/peer';
+import {DuplicateDetector, UNTIMED_ID_WINDOW_MS} from './duplicate-detector.js';
+
+/** The home of one shard's request ids, once the term is known. */
+export class ClaimRegistry {
+  private detector: DuplicateDetector | undefined;
+  private imported: RequestClaims | undefined;
+  private readonly pending: PassedClaim[] = [];
+  private readonly reporters = new Set<string>();
+  private gateways = 1;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Starts the home of a term with what was learned before. */
+  startTerm(term: number): void {
+    this.detector = new DuplicateDetector(this.clock, term);
+    if (this.imported !== undefined) this.detector.importClaims(this.imported);
+    this.merge();
+  }
+
+  /** Sets how many gateways may have made claims. */
+  setGatewayCount(count: number): void {
+    this.gateways = count;
+  }
+
+  /** Takes in the claims that a gateway made at former owners. */
+  addGatewayClaims(
+    from: ProcessRef,
+    claims: readonly PassedClaim[],
+    upMs: number,
+  ): void {
+    this.pending.push(...claims);
+    if (upMs >= UNTIMED_ID_WINDOW_MS) this.reporters.add(from.vm);
+    this.merge();
+  }
+
+  /** Takes in the claims that the owner before has passed on. */
+  importClaims(passed: RequestClaims): void {
+    this.imported = passed;
+    this.detector?.importClaims(passed);
+  }
+
+  /**
+   * Claims an id; to be called once the term is known.
+   *
+   * @throws duplicateId, queueFull
+   */
+  claim(ask: RequestClaim): RequestClaimed {
+    const isVouched = this.detector?.claim(ask) ?? false;
+    return {type: 'requestClaimed', isVouched};
+  }
+
+  /** Gives a claim back. */
+  release(notice: RequestRelease): void {
+    this.detector?.release(notice);
+  }
+
+  /** Lists the claims for the next owner; undefined before the term. */
+  exportClaims(shard: string): RequestClaims | undefined {
+    return this.detector?.exportClaims(shard);
+  }
+
+  private merge(): void {
+    if (this.detector === undefined) return;
+    this.detector.merge(this.pending.splice(0));
+    if (this.reporters.size >= this.gateways) this.detector.markComplete();
+  }
+}
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -13,12 +13,12 @@
 } from '@dragonflyward/policy';
 import type {ShardState} from '@dragonflyward/state';
 import type {TaskStart} from '@dragonflyward/target';
-import type {JobBook} from './job-book.js';
+import type {JobTracker} from './job-tracker.js';
 import type {JobRecords} from './job-records.js';
 import type {TaskOutcomes} from './task-outcomes.js';
 import type {WorkerSet} from './worker-set.js';
 import {START_WITHIN_MS, type StartOutcome} from './worker-calls.js';
-import type {WorkerObserver} from './worker-task.js';
+import type {WorkerObserver} from './worker-session.js';
 
 const IDLE_PERIOD_MS = 100;
 const STOP_RETRY_MS = 500;
@@ -30,8 +30,8 @@
 export interface DispatcherParts {
   readonly shard: string;
   readonly engine: PlacementEngine;
-  readonly fold: ShardState;
-  readonly book: JobBook;
+  readonly shardState: ShardState;
+  readonly tracker: JobTracker;
   readonly records: JobRecords;
   readonly workers: WorkerSet;
   readonly clock: Clock;
@@ -64,8 +64,8 @@
   async run(): Promise<void> {
     while (!this.isStopped) {
       const decided = this.parts.observer.mayAct() ? this.decideOnce() : 0;
-      if (decided < MAX_DECISIONS_PER_TURN) await this.untilWoken();
-      await yieldThread();
+      if (decided < MAX_DECISIONS_PER_TURN) await this.waitForWake();
+      await yieldToEventLoop();
     }
   }
 
@@ -74,7 +74,7 @@
     void this.stopUntilConfirmed(task);
   }
 
-  private untilWoken(): Promise<void> {
+  private waitForWake(): Promise<void> {
     const woken = new Promise<void>(resolve => {
       this.wakeUp = resolve;
     });
@@ -100,14 +100,14 @@
   private perform(decision: Decision): void {
     switch (decision.kind) {
       case 'start':
-        this.parts.book.notePlaced(decision.task);
+        this.parts.tracker.notePlaced(decision.task);
         return void this.start(decision.task);
       case 'preempt':
         return void this.preempt(decision.taskId, decision.workerId);
       case 'resize':
         return this.resize(decision.taskId, decision.workerId, decision.size);
       case 'setAside':
-        this.parts.book.noteAside(decision.jobId, decision.reason);
+        this.parts.tracker.noteSetAside(decision.jobId, decision.reason);
         return this.event('jobSetAside', decision.jobId, decision.reason);
       case 'worker':
         return this.parts.events.add(
@@ -128,33 +128,33 @@
     if (worker === undefined || start === undefined) {
       return this.notRun(task);
     }
-    if (!(await this.noteStarting(task))) return this.notRun(task);
+    if (!(await this.recordStart(task))) return this.notRun(task);
     const outcome: StartOutcome = await worker.calls.start(task, start);
     if (outcome === 'notRun') return this.notRun(task);
     this.parts.metrics.count('tasks_started_total');
     const subject = {job: task.jobId, task: task.taskId};
     this.parts.events.add('taskStarted', {...subject, worker: task.workerId});
-    if (this.isUnwanted(task)) this.stopTask(task);
+    if (this.isObsolete(task)) this.stopTask(task);
   }
 
   /** A non-idempotent task's start stands in the log before it is sent. */
-  private async noteStarting(task: PlacedTask): Promise<boolean> {
-    const {fold, records} = this.parts;
-    const entry = fold.jobs.get(task.jobId);
+  private async recordStart(task: PlacedTask): Promise<boolean> {
+    const {shardState, records} = this.parts;
+    const entry = shardState.jobs.get(task.jobId);
     if (entry === undefined || records.isEnding(entry)) return false;
     if (entry.spec.isIdempotent) return true;
     const {jobId, taskIndex, taskId, workerId} = task;
     try {
       const ids = {jobId, taskIndex, taskId, workerId};
       await records.write({type: 'taskStarting', ...ids});
-      return !this.isUnwanted(task);
+      return !this.isObsolete(task);
     } catch {
       return false;
     }
   }
 
-  private isUnwanted(task: PlacedTask): boolean {
-    return this.parts.fold.jobs.get(task.jobId)?.end !== null;
+  private isObsolete(task: PlacedTask): boolean {
+    return this.parts.shardState.jobs.get(task.jobId)?.end !== null;
   }
 
   private notRun(task: PlacedTask): void {
@@ -162,8 +162,8 @@
   }
 
   private toStart(task: PlacedTask): TaskStart | undefined {
-    const {fold, shard, observer, timing} = this.parts;
-    const spec = fold.jobs.get(task.jobId)?.spec;
+    const {shardState, shard, observer, timing} = this.parts;
+    const spec = shardState.jobs.get(task.jobId)?.spec;
     if (spec === undefined) return undefined;
     return {
       taskId: task.taskId,
@@ -203,12 +203,12 @@
     }
   }
 
-  private afterStop(task: PlacedTask, why: string): void {
-    this.parts.outcomes.stopped(task, why);
+  private afterStop(task: PlacedTask, reason: string): void {
+    this.parts.outcomes.stopped(task, reason);
     this.wake();
   }
 }
 
-function yieldThread(): Promise<void> {
+function yieldToEventLoop(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
--- a/packages/scheduler/src/ticket-home.ts
+++ b/packages/scheduler/src/duplicate-detector.ts
@@ -21,9 +21,9 @@
  * How long after its last use a repeat of an id that does not tell its time
  * is found also where its homes have lost their memory.
  */
-export const UNTIMED_WINDOW_MS = 15_000;
+export const UNTIMED_ID_WINDOW_MS = 15_000;
 /** By how much the wall clocks of callers and owners may differ. */
-export const WALL_SKEW_MS = 2_000;
+export const MAX_CLOCK_SKEW_MS = 2_000;
 const MAX_CLAIMS = 200_000;
 const FIRST_TERM = 1;
 
@@ -33,7 +33,7 @@
 }
 
 /** The claims of one shard under one term. */
-export class RequestHome {
+export class DuplicateDetector {
   private readonly claims = new Map<string, Claim>();
   private readonly bornMs: number;
   private readonly bornWallMs: number;
@@ -58,9 +58,9 @@
    * const isVouched = home.claim(ask);
    */
   claim(ask: RequestClaim): boolean {
-    this.forgetOld();
+    this.dropExpired();
     const known = this.claims.get(ask.key);
-    const isVouched = this.vouchesFor(ask.issuedMs);
+    const isVouched = this.canRuleOutReuse(ask.issuedMs);
     if (known?.claimId === ask.claimId) return isVouched;
     if (known !== undefined) return raise('duplicateId', 'the id was used');
     if (this.claims.size >= MAX_CLAIMS) {
@@ -78,7 +78,7 @@
   }
 
   /** Lists the claims for the next owner. */
-  passOn(shard: string): RequestClaims {
+  exportClaims(shard: string): RequestClaims {
     const nowMs = this.clock.monotonicMs();
     const claims = [...this.claims].map(([key, {claimId, atMs}]) => ({
       key,
@@ -86,12 +86,12 @@
       ageMs: nowMs - atMs,
     }));
     const {term} = this;
-    const isWhole = this.hasSeenAll();
+    const isWhole = this.hasCompleteHistory();
     return {type: 'requestClaims', shard, term, claims, isWhole};
   }
 
   /** Takes in the claims of the owner before. */
-  inherit(passed: RequestClaims): void {
+  importClaims(passed: RequestClaims): void {
     if (passed.term !== this.term - 1) return;
     this.merge(passed.claims);
     if (passed.isWhole) this.isWhole = true;
@@ -112,7 +112,7 @@
   }
 
   /** Takes in that the claims of all gateways are known. */
-  noteWhole(): void {
+  markComplete(): void {
     this.isWhole = true;
   }
 
@@ -121,22 +121,22 @@
     return this.claims.size;
   }
 
-  private hasSeenAll(): boolean {
+  private hasCompleteHistory(): boolean {
     const ageMs = this.clock.monotonicMs() - this.bornMs;
-    return this.isWhole || ageMs >= UNTIMED_WINDOW_MS;
+    return this.isWhole || ageMs >= UNTIMED_ID_WINDOW_MS;
   }
 
-  private vouchesFor(issuedMs: number): boolean {
-    if (issuedMs === 0) return this.hasSeenAll();
-    const oldestMs = this.clock.wallMs() - CLAIM_WINDOW_MS + WALL_SKEW_MS;
+  private canRuleOutReuse(issuedMs: number): boolean {
+    if (issuedMs === 0) return this.hasCompleteHistory();
+    const oldestMs = this.clock.wallMs() - CLAIM_WINDOW_MS + MAX_CLOCK_SKEW_MS;
     if (issuedMs < oldestMs) {
       raise('duplicateId', 'the id is older than what is remembered');
     }
-    if (this.hasSeenAll()) return true;
-    return issuedMs >= this.bornWallMs + WALL_SKEW_MS;
+    if (this.hasCompleteHistory()) return true;
+    return issuedMs >= this.bornWallMs + MAX_CLOCK_SKEW_MS;
   }
 
-  private forgetOld(): void {
+  private dropExpired(): void {
     const beforeMs = this.clock.monotonicMs() - CLAIM_WINDOW_MS;
     for (const [key, claim] of this.claims) {
       if (claim.atMs > beforeMs) return;
--- a/packages/scheduler/src/ticket-order.ts
+++ b/packages/scheduler/src/fair-queue.ts
@@ -31,11 +31,11 @@
 }
 
 /** Decides whether a waiting request could have a ticket now. */
-export abstract class TicketRoom {
+export abstract class GrantPolicy {
   /** The executor for the request, or undefined while there is none. */
-  abstract executorFor(waiter: Waiter): VmEntry | undefined;
+  abstract findExecutor(waiter: Waiter): VmEntry | undefined;
   /** How far a team is served, in relation to its share. */
-  abstract serviceLevel(team: string): number;
+  abstract weightedUsage(team: string): number;
 }
 
 interface Lane {
@@ -59,12 +59,12 @@
  * Urgent before normal before batch; within one priority the team that is
  * served least; within a team in order of arrival.
  */
-export class TicketOrder implements Queue<RunFunction, TicketOptions> {
+export class FairQueue implements Queue<RunFunction, TicketOptions> {
   private readonly lanes = new Map<string, Lane>();
-  private granted = 0;
+  private grantedCount = 0;
 
   constructor(
-    private readonly room: TicketRoom,
+    private readonly grantPolicy: GrantPolicy,
     private readonly clock: Clock,
   ) {}
 
@@ -83,8 +83,8 @@
   dequeue(): RunFunction | undefined {
     const choice = this.choose();
     if (choice === undefined) return undefined;
-    this.granted += 1;
-    this.take(choice.lane, choice.entry);
+    this.grantedCount += 1;
+    this.removeEntry(choice.lane, choice.entry);
     choice.entry.waiter.grant(choice.executor);
     return choice.entry.run;
   }
@@ -98,14 +98,16 @@
   }
 
   /** Takes out the requests that have less time left than they need. */
-  takeLate(needMs: (waiter: Waiter) => number): readonly Waiter[] {
+  removeLate(neededMs: (waiter: Waiter) => number): readonly Waiter[] {
     const nowMs = this.clock.monotonicMs();
-    return this.takeWhere(waiter => waiter.untilMs - nowMs <= needMs(waiter));
+    return this.removeWhere(
+      waiter => waiter.untilMs - nowMs <= neededMs(waiter),
+    );
   }
 
   /** Takes out all requests. */
-  takeAll(): readonly Waiter[] {
-    return this.takeWhere(() => true);
+  removeAll(): readonly Waiter[] {
+    return this.removeWhere(() => true);
   }
 
   /** All waiting requests. */
@@ -113,13 +115,15 @@
     for (const entry of this.entries()) yield entry.waiter;
   }
 
-  private takeWhere(isTaken: (waiter: Waiter) => boolean): readonly Waiter[] {
+  private removeWhere(
+    isRemoved: (waiter: Waiter) => boolean,
+  ): readonly Waiter[] {
     const taken = [...this.lanes.values()].flatMap(lane =>
       lane.entries
-        .filter(entry => isTaken(entry.waiter))
+        .filter(entry => isRemoved(entry.waiter))
         .map(entry => ({lane, entry})),
     );
-    for (const {lane, entry} of taken) this.take(lane, entry);
+    for (const {lane, entry} of taken) this.removeEntry(lane, entry);
     return taken.map(({entry}) => entry.waiter);
   }
 
@@ -128,7 +132,8 @@
   }
 
   private choose(): Choice | undefined {
-    const isAgeingTurn = this.granted % AGEING_PERIOD === AGEING_PERIOD - 1;
+    const isAgeingTurn =
+      this.grantedCount % AGEING_PERIOD === AGEING_PERIOD - 1;
     const oldest = isAgeingTurn ? this.chooseOldest() : undefined;
     if (oldest !== undefined) return oldest;
     for (const priority of PRIORITIES) {
@@ -139,12 +144,12 @@
   }
 
   private chooseOldest(): Choice | undefined {
-    const bornBeforeMs = this.clock.monotonicMs() - AGEING_MIN_WAIT_MS;
-    const heads = [...this.lanes.values()]
+    const latestSinceMs = this.clock.monotonicMs() - AGEING_MIN_WAIT_MS;
+    const sinceTimes = [...this.lanes.values()]
       .map(lane => lane.entries[0]?.waiter.sinceMs ?? Infinity)
-      .filter(sinceMs => sinceMs <= bornBeforeMs)
+      .filter(sinceMs => sinceMs <= latestSinceMs)
       .sort((a, b) => a - b);
-    for (const sinceMs of heads) {
+    for (const sinceMs of sinceTimes) {
       const choice = this.chooseFrom(
         lane => lane.entries[0]?.waiter.sinceMs === sinceMs,
       );
@@ -157,15 +162,15 @@
     return this.chooseFrom(lane => lane.priority === priority);
   }
 
-  private chooseFrom(isMeant: (lane: Lane) => boolean): Choice | undefined {
+  private chooseFrom(isEligible: (lane: Lane) => boolean): Choice | undefined {
     const lanes = [...this.lanes.values()]
-      .filter(isMeant)
-      .map(lane => ({lane, level: this.room.serviceLevel(lane.team)}))
+      .filter(isEligible)
+      .map(lane => ({lane, level: this.grantPolicy.weightedUsage(lane.team)}))
       .sort((a, b) => a.level - b.level);
     for (const {lane} of lanes) {
       const [entry] = lane.entries;
       if (entry === undefined) continue;
-      const executor = this.room.executorFor(entry.waiter);
+      const executor = this.grantPolicy.findExecutor(entry.waiter);
       if (executor !== undefined) return {lane, entry, executor};
     }
     return undefined;
@@ -181,9 +186,9 @@
     return lane;
   }
 
-  private take(lane: Lane, entry: Entry): void {
-    const at = lane.entries.indexOf(entry);
-    if (at >= 0) lane.entries.splice(at, 1);
+  private removeEntry(lane: Lane, entry: Entry): void {
+    const index = lane.entries.indexOf(entry);
+    if (index >= 0) lane.entries.splice(index, 1);
     if (lane.entries.length > 0) return;
     for (const [key, value] of this.lanes) {
       if (value === lane) this.lanes.delete(key);
@@ -193,29 +198,32 @@
 
 /** A p-queue of waiting requests and the order that it follows. */
 export interface TicketQueue {
-  readonly queue: PQueue<TicketOrder, TicketOptions>;
-  readonly order: TicketOrder;
+  readonly queue: PQueue<FairQueue, TicketOptions>;
+  readonly fairQueue: FairQueue;
 }
 
 /**
  * Makes the p-queue of waiting requests.
  *
  * @example
- * const {queue, order} = openTicketQueue(room, clock);
+ * const {queue, order} = makeTicketQueue(room, clock);
  */
-export function openTicketQueue(room: TicketRoom, clock: Clock): TicketQueue {
-  const orders: TicketOrder[] = [];
-  const queue = new PQueue<TicketOrder, TicketOptions>({
-    queueClass: class extends TicketOrder {
+export function makeTicketQueue(
+  grantPolicy: GrantPolicy,
+  clock: Clock,
+): TicketQueue {
+  const created: FairQueue[] = [];
+  const queue = new PQueue<FairQueue, TicketOptions>({
+    queueClass: class extends FairQueue {
       constructor() {
-        super(room, clock);
-        orders.push(this);
+        super(grantPolicy, clock);
+        created.push(this);
       }
     },
   });
-  const [order] = orders;
-  if (order === undefined) return raise('internal', 'no queue was made');
-  return {queue, order};
+  const [fairQueue] = created;
+  if (fairQueue === undefined) return raise('internal', 'no queue was made');
+  return {queue, fairQueue};
 }
 
 /**
--- a/packages/scheduler/src/job-records.ts
+++ b/packages/scheduler/src/job-records.ts
@@ -13,23 +13,23 @@
   type ShardRecord,
   type ShardState,
 } from '@dragonflyward/state';
-import {UNKNOWN_RESULT} from './job-book.js';
+import {UNKNOWN_RESULT} from './job-tracker.js';
 
 const RETRY_PERIOD_MS = 500;
 
-type WithoutHead<T> = T extends unknown ? Omit<T, 'v' | 'term'> : never;
+type WithoutEnvelope<T> = T extends unknown ? Omit<T, 'v' | 'term'> : never;
 type JobRecord = Extract<
   ShardRecord,
   {type: 'jobAccepted' | 'taskEnded' | 'jobEnded' | 'taskStarting'}
 >;
 
 /** A job record without its version and term. */
-export type JobRecordBody = WithoutHead<JobRecord>;
+export type JobRecordBody = WithoutEnvelope<JobRecord>;
 
 /** The parts that the records need. */
 export interface JobRecordsParts {
   readonly term: number;
-  readonly fold: ShardState;
+  readonly shardState: ShardState;
   readonly writer: StreamWriter;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -37,8 +37,8 @@
 
 /** The job records of one term. */
 export class JobRecords {
-  private readonly ending = new Set<string>();
-  private readonly recording = new Set<string>();
+  private readonly pendingEnds = new Set<string>();
+  private readonly pendingResults = new Set<string>();
   private isStopped = false;
 
   constructor(private readonly parts: JobRecordsParts) {}
@@ -63,34 +63,34 @@
 
   /** Whether a job's end is being written, or stands in the log. */
   isEnding(entry: JobEntry): boolean {
-    return entry.end !== null || this.ending.has(entry.spec.jobId);
+    return entry.end !== null || this.pendingEnds.has(entry.spec.jobId);
   }
 
   /** Notes that a job's end was read back. */
   noteEnded(jobId: string): void {
-    this.ending.delete(jobId);
+    this.pendingEnds.delete(jobId);
   }
 
   /** Writes the result of one task, again and again until it stands. */
   recordResult(jobId: string, taskIndex: number, result: string): void {
-    if (this.isRecording(jobId, taskIndex)) return;
-    this.recording.add(resultKey(jobId, taskIndex));
+    if (this.isResultPending(jobId, taskIndex)) return;
+    this.pendingResults.add(resultKey(jobId, taskIndex));
     const body = {type: 'taskEnded', jobId, taskIndex, result} as const;
-    void this.persist(body).finally(() => {
-      this.recording.delete(resultKey(jobId, taskIndex));
+    void this.writeUntilStored(body).finally(() => {
+      this.pendingResults.delete(resultKey(jobId, taskIndex));
     });
   }
 
   /** Whether a task's result is being written. */
-  isRecording(jobId: string, taskIndex: number): boolean {
-    return this.recording.has(resultKey(jobId, taskIndex));
+  isResultPending(jobId: string, taskIndex: number): boolean {
+    return this.pendingResults.has(resultKey(jobId, taskIndex));
   }
 
   /** Writes the end of a job, again and again until it stands. */
   recordEnd(jobId: string, end: JobEnd, reason: string): void {
-    if (this.ending.has(jobId)) return;
-    this.ending.add(jobId);
-    void this.persist({type: 'jobEnded', jobId, end, reason});
+    if (this.pendingEnds.has(jobId)) return;
+    this.pendingEnds.add(jobId);
+    void this.writeUntilStored({type: 'jobEnded', jobId, end, reason});
   }
 
   /**
@@ -105,14 +105,14 @@
 
   /** Ends a job once all its tasks have ended. */
   endIfComplete(jobId: string): void {
-    const entry = this.parts.fold.jobs.get(jobId);
+    const entry = this.parts.shardState.jobs.get(jobId);
     if (entry === undefined || this.isEnding(entry)) return;
     if (entry.ended.size < entry.spec.tasks) return;
     const isUnknown = [...entry.ended.values()].includes(UNKNOWN_RESULT);
     this.recordEnd(jobId, isUnknown ? 'outcomeUnknown' : 'succeeded', '');
   }
 
-  private async persist(body: JobRecordBody): Promise<void> {
+  private async writeUntilStored(body: JobRecordBody): Promise<void> {
     while (!this.isStopped) {
       try {
         return await this.write(body);
--- a/packages/scheduler/src/job-desk.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -8,19 +8,19 @@
   JobStatus,
   ShardState,
 } from '@dragonflyward/state';
-import type {JobBook} from './job-book.js';
+import type {JobTracker} from './job-tracker.js';
 import type {JobRecords} from './job-records.js';
 import type {TakeoverGuard} from './takeover-guard.js';
 
-const HELD_REASON = 'waits for workers to answer after a takeover';
+const TAKEOVER_REASON = 'waits for workers to answer after a takeover';
 
 /** The parts that the desk needs. */
-export interface JobDeskParts {
+export interface JobServiceParts {
   readonly shard: string;
-  readonly fold: ShardState;
+  readonly shardState: ShardState;
   readonly config: ConfigState;
   readonly engine: PlacementEngine;
-  readonly book: JobBook;
+  readonly tracker: JobTracker;
   readonly records: JobRecords;
   readonly guard: TakeoverGuard;
   readonly clock: Clock;
@@ -29,8 +29,8 @@
 }
 
 /** Answers for the jobs of one shard during one term. */
-export class JobDesk {
-  constructor(private readonly parts: JobDeskParts) {}
+export class JobService {
+  constructor(private readonly parts: JobServiceParts) {}
 
   /**
    * Accepts a job; it stands in the log when this returns.
@@ -41,12 +41,12 @@
    * await desk.submit(ask);
    */
   async submit(ask: JobSubmit): Promise<void> {
-    this.requireRight();
+    this.requireOwnership();
     if (this.isRepeat(ask)) return;
     const job = toJobSpec(ask);
     const acceptedMs = this.parts.clock.wallMs();
     this.requireRunnable(job, acceptedMs);
-    this.requireRoom(job);
+    this.requireQueueCapacity(job);
     const body = {type: 'jobAccepted', acceptedMs, job} as const;
     await this.parts.records.write(body);
     this.parts.metrics.count('jobs_accepted_total');
@@ -58,8 +58,8 @@
    * @throws jobUnknown, notOwner, logDown, appendUnknown
    */
   async cancel(jobId: string): Promise<void> {
-    this.requireRight();
-    const entry = this.parts.fold.jobs.get(jobId);
+    this.requireOwnership();
+    const entry = this.parts.shardState.jobs.get(jobId);
     if (entry === undefined) return raise('jobUnknown', jobId);
     if (entry.end !== null) return;
     await this.parts.records.cancel(jobId);
@@ -71,18 +71,18 @@
    * @throws jobUnknown, notOwner
    */
   status(jobId: string): JobStatus {
-    this.requireRight();
-    const {shard, engine, guard, book} = this.parts;
-    const reason = guard.isOver ? engine.explain(jobId) : HELD_REASON;
-    const status = book.status(shard, jobId, reason);
+    this.requireOwnership();
+    const {shard, engine, guard, tracker} = this.parts;
+    const reason = guard.isHoldOver ? engine.explain(jobId) : TAKEOVER_REASON;
+    const status = tracker.status(shard, jobId, reason);
     return status ?? raise('jobUnknown', jobId);
   }
 
   /** Lists the newest jobs of a team, or of all with an empty name. */
   list(ask: JobListAsk): readonly JobStatus[] {
-    this.requireRight();
+    this.requireOwnership();
     const ids: string[] = [];
-    for (const [jobId, {spec}] of this.parts.fold.jobs) {
+    for (const [jobId, {spec}] of this.parts.shardState.jobs) {
       if (ask.team === '' || spec.team === ask.team) ids.push(jobId);
     }
     const newest = ids.slice(-ask.maxJobs);
@@ -90,14 +90,14 @@
   }
 
   private isRepeat(ask: JobSubmit): boolean {
-    const known = this.parts.fold.jobs.get(ask.jobId);
+    const known = this.parts.shardState.jobs.get(ask.jobId);
     if (known === undefined) return false;
     const {team, queue} = known.spec;
     const isSame = team === ask.team && queue === ask.queue;
     return isSame || raise('duplicateId', ask.jobId);
   }
 
-  private requireRight(): void {
+  private requireOwnership(): void {
     if (!this.parts.mayAct()) raise('notOwner', this.parts.shard);
   }
 
@@ -111,7 +111,7 @@
     if (obstacle !== '') raise('neverRunnable', obstacle);
   }
 
-  private requireRoom(job: JobSpec): void {
+  private requireQueueCapacity(job: JobSpec): void {
     const queue = this.parts.config.queue(job.queue);
     if (queue === undefined) return raise('queueUnknown', job.queue);
     if (this.parts.engine.waitingCount() >= queue.maxWaiting) {
--- a/packages/scheduler/src/job-book.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -9,30 +9,30 @@
 export const UNKNOWN_RESULT = 'outcome unknown';
 
 /** The live jobs of a shard. */
-export class JobBook {
+export class JobTracker {
   private readonly placed = new Map<string, Map<string, PlacedTask>>();
   private readonly attempts = new Map<string, number>();
-  private readonly asideReasons = new Map<string, string>();
+  private readonly setAsideReasons = new Map<string, string>();
 
-  constructor(private readonly fold: ShardState) {}
+  constructor(private readonly shardState: ShardState) {}
 
   /** Notes that a task was placed. */
   notePlaced(task: PlacedTask): void {
     const tasks = this.placed.get(task.jobId) ?? new Map<string, PlacedTask>();
     tasks.set(task.taskId, task);
     this.placed.set(task.jobId, tasks);
-    this.asideReasons.delete(task.jobId);
+    this.setAsideReasons.delete(task.jobId);
   }
 
   /** Notes that a task runs no more. */
-  noteGone(task: PlacedTask): void {
+  noteNotRunning(task: PlacedTask): void {
     const tasks = this.placed.get(task.jobId);
     tasks?.delete(task.taskId);
     if (tasks?.size === 0) this.placed.delete(task.jobId);
   }
 
   /** Counts a failed attempt; true where the task may be tried again. */
-  mayRetry(task: PlacedTask): boolean {
+  countFailedAttempt(task: PlacedTask): boolean {
     const key = `${task.jobId}.${task.taskIndex}`;
     const count = (this.attempts.get(key) ?? 0) + 1;
     this.attempts.set(key, count);
@@ -40,8 +40,8 @@
   }
 
   /** Notes why a job was set aside. */
-  noteAside(jobId: string, reason: string): void {
-    this.asideReasons.set(jobId, reason);
+  noteSetAside(jobId: string, reason: string): void {
+    this.setAsideReasons.set(jobId, reason);
   }
 
   /** The placed tasks of a job. */
@@ -51,14 +51,14 @@
 
   /** Forgets a job that has ended. */
   forget(entry: JobEntry): void {
-    this.asideReasons.delete(entry.spec.jobId);
+    this.setAsideReasons.delete(entry.spec.jobId);
     for (let index = 0; index < entry.spec.tasks; index += 1) {
       this.attempts.delete(`${entry.spec.jobId}.${index}`);
     }
   }
 
   /** Indexes of the tasks that have neither ended nor been placed. */
-  missingIndexes(entry: JobEntry): readonly number[] {
+  unplacedIndexes(entry: JobEntry): readonly number[] {
     const running = new Set<number>();
     for (const task of this.tasksOf(entry.spec.jobId)) {
       running.add(task.taskIndex);
@@ -89,22 +89,23 @@
 
   /** A job as its caller sees it. */
   status(shard: string, jobId: string, waitReason: string): JobStatus | null {
-    const entry = this.fold.jobs.get(jobId);
+    const entry = this.shardState.jobs.get(jobId);
     if (entry === undefined) return null;
     const running = this.placed.get(jobId)?.size ?? 0;
-    const aside = this.asideReasons.get(jobId);
+    const setAsideReason = this.setAsideReasons.get(jobId);
     const {spec} = entry;
     return {
       jobId,
       team: spec.team,
       queue: spec.queue,
       shard,
-      phase: phaseOf(entry, running, aside),
+      phase: phaseOf(entry, running, setAsideReason),
       end: entry.end,
       tasksRunning: running,
       tasksEnded: entry.ended.size,
       results: listResults(entry),
-      reason: entry.end === null ? (aside ?? waitReason) : entry.reason,
+      reason:
+        entry.end === null ? (setAsideReason ?? waitReason) : entry.reason,
     };
   }
 }
@@ -112,11 +113,11 @@
 function phaseOf(
   entry: JobEntry,
   running: number,
-  aside: string | undefined,
+  setAsideReason: string | undefined,
 ): JobStatus['phase'] {
   if (entry.end !== null) return 'ended';
   if (running > 0) return 'running';
-  return aside === undefined ? 'waiting' : 'setAside';
+  return setAsideReason === undefined ? 'waiting' : 'setAside';
 }
 
 function listResults(entry: JobEntry): readonly string[] {
--- a/packages/scheduler/src/lease-book.ts
+++ b/packages/scheduler/src/lease-table.ts
@@ -6,7 +6,7 @@
 /** Longest delay of bytes in the network, beyond a call's time-out. */
 export const NETWORK_DELAY_MARGIN_MS = 3_000;
 /** How far clock rates may differ. */
-const CLOCK_RATE_MARGIN = 0.01;
+const MAX_CLOCK_RATE_ERROR = 0.01;
 
 interface LeaseEntry {
   readonly task: PlacedTask;
@@ -21,16 +21,16 @@
  * newest renewal had.
  *
  * @example
- * if (nowMs > lapseMs(sentMs, 20_000)) free(task);
+ * if (nowMs > leaseExpiryMs(sentMs, 20_000)) free(task);
  */
-export function lapseMs(sentMs: number, leaseMs: number): number {
-  const slowest = leaseMs * (1 + CLOCK_RATE_MARGIN);
-  const delay = WORKER_CALL_TIMEOUT_MS + NETWORK_DELAY_MARGIN_MS;
-  return sentMs + slowest + delay;
+export function leaseExpiryMs(sentMs: number, leaseMs: number): number {
+  const maxLeaseMs = leaseMs * (1 + MAX_CLOCK_RATE_ERROR);
+  const maxDelayMs = WORKER_CALL_TIMEOUT_MS + NETWORK_DELAY_MARGIN_MS;
+  return sentMs + maxLeaseMs + maxDelayMs;
 }
 
 /** The leases on one worker. */
-export class LeaseBook {
+export class LeaseTable {
   private readonly entries = new Map<string, LeaseEntry>();
 
   constructor(private readonly leaseMs: number) {}
@@ -42,7 +42,7 @@
   }
 
   /** Notes a task that was found running. */
-  noteFound(task: PlacedTask, nowMs: number): void {
+  noteAdopted(task: PlacedTask, nowMs: number): void {
     const entry = {task, sentMs: nowMs, decidedMs: nowMs};
     this.entries.set(task.taskId, entry);
   }
@@ -84,10 +84,7 @@
    * Lists the tasks that a list without them, asked for at the given time,
    * shows not to run.
    */
-  *missing(
-    listed: ReadonlySet<string>,
-    askedMs: number,
-  ): Generator<PlacedTask> {
+  *absent(listed: ReadonlySet<string>, askedMs: number): Generator<PlacedTask> {
     for (const {task, decidedMs} of this.entries.values()) {
       if (listed.has(task.taskId)) continue;
       if (askedMs > decidedMs) yield task;
@@ -95,9 +92,9 @@
   }
 
   /** Lists the tasks whose leases must have run out. */
-  *lapsed(nowMs: number): Generator<PlacedTask> {
+  *expired(nowMs: number): Generator<PlacedTask> {
     for (const {task, sentMs} of this.entries.values()) {
-      if (nowMs > lapseMs(sentMs, this.leaseMs)) yield task;
+      if (nowMs > leaseExpiryMs(sentMs, this.leaseMs)) yield task;
     }
   }
 }
--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -11,18 +11,18 @@
 /** How many schedulers follow a shard: its owner and its successors. */
 const FOLLOWERS_PER_SHARD = 3;
 /** A process whose newest read of the log is older may be cut from it. */
-const LOG_READ_BOUND_MS = 2_000;
+const MAX_LOG_READ_AGE_MS = 2_000;
 /** A process that lost the log is given no shard back for this long. */
-const LOG_REGAINED_MS = 10_000;
+const LOG_RECOVERY_MS = 10_000;
 
-interface Heard {
+interface SchedulerPresence {
   readonly process: ProcessRef;
   /** When this run of the process was first heard. */
   readonly sinceMs: number;
   readonly atMs: number;
   readonly canReadLog: boolean;
   /** When it last said that it could no longer read the log. */
-  readonly lostLogMs: number;
+  readonly logLostMs: number;
   readonly isDraining: boolean;
   readonly owns: readonly OwnedShard[];
 }
@@ -31,7 +31,7 @@
 export class Membership {
   private vms: ReadonlyMap<string, VmEntry> = new Map();
   private readonly connections = new Set<PeerConnection>();
-  private readonly heard = new Map<string, Heard>();
+  private readonly schedulers = new Map<string, SchedulerPresence>();
   /** When the newest list was asked for; undefined before the first. */
   listSentMs: number | undefined;
 
@@ -75,22 +75,22 @@
   /** Takes in a scheduler's heartbeat. */
   noteHeartbeat(from: PeerInfo, heartbeat: Heartbeat): void {
     if (from.role !== 'scheduler') return;
-    const known = this.heard.get(from.process.vm);
+    const known = this.schedulers.get(from.process.vm);
     const isOlder =
       known !== undefined &&
       known.process.incarnation > from.process.incarnation;
     if (isOlder) return;
     const nowMs = this.clock.monotonicMs();
     const isSame = known?.process.incarnation === from.process.incarnation;
-    const canReadLog = heartbeat.configAgeMs < LOG_READ_BOUND_MS;
-    const hasLostLog = isSame && known.canReadLog && !canReadLog;
-    const lostBeforeMs = isSame ? known.lostLogMs : -Infinity;
-    this.heard.set(from.process.vm, {
+    const canReadLog = heartbeat.configAgeMs < MAX_LOG_READ_AGE_MS;
+    const hasJustLostLog = isSame && known.canReadLog && !canReadLog;
+    const knownLogLostMs = isSame ? known.logLostMs : -Infinity;
+    this.schedulers.set(from.process.vm, {
       process: from.process,
       sinceMs: isSame ? known.sinceMs : nowMs,
       atMs: nowMs,
       canReadLog,
-      lostLogMs: hasLostLog ? nowMs : lostBeforeMs,
+      logLostMs: hasJustLostLog ? nowMs : knownLogLostMs,
       isDraining: heartbeat.isDraining,
       owns: heartbeat.owns,
     });
@@ -98,10 +98,10 @@
 
   /** The VM whose scheduler said last that it owns the shard. */
   ownerVm(shard: string): string | undefined {
-    let newest: Heard | undefined;
-    for (const heard of this.heard.values()) {
-      if (!heard.owns.some(owned => owned.shard === shard)) continue;
-      if (heard.atMs > (newest?.atMs ?? -Infinity)) newest = heard;
+    let newest: SchedulerPresence | undefined;
+    for (const presence of this.schedulers.values()) {
+      if (!presence.owns.some(owned => owned.shard === shard)) continue;
+      if (presence.atMs > (newest?.atMs ?? -Infinity)) newest = presence;
     }
     return newest?.process.vm;
   }
@@ -137,9 +137,9 @@
     if (process.vm === this.self.vm) {
       return process.incarnation === this.self.incarnation ? 0 : Infinity;
     }
-    const heard = this.heard.get(process.vm);
-    if (heard?.process.incarnation !== process.incarnation) return Infinity;
-    return this.clock.monotonicMs() - heard.atMs;
+    const presence = this.schedulers.get(process.vm);
+    if (presence?.process.incarnation !== process.incarnation) return Infinity;
+    return this.clock.monotonicMs() - presence.atMs;
   }
 
   /**
@@ -179,23 +179,23 @@
    */
   isSettledIn(shard: string, process: ProcessRef, forMs: number): boolean {
     if (this.vms.get(process.vm)?.domain !== shard) return false;
-    const heard = this.heard.get(process.vm);
-    if (heard === undefined || !this.canReadLog(process)) return false;
+    const presence = this.schedulers.get(process.vm);
+    if (presence === undefined || !this.canReadLog(process)) return false;
     const nowMs = this.clock.monotonicMs();
-    if (nowMs - heard.lostLogMs < LOG_REGAINED_MS) return false;
-    return nowMs - heard.sinceMs >= forMs;
+    if (nowMs - presence.logLostMs < LOG_RECOVERY_MS) return false;
+    return nowMs - presence.sinceMs >= forMs;
   }
 
   /** Whether the process said lately that it can read the log. */
   canReadLog(process: ProcessRef): boolean {
-    const heard = this.heard.get(process.vm);
-    if (heard?.process.incarnation !== process.incarnation) return false;
-    return heard.canReadLog;
+    const presence = this.schedulers.get(process.vm);
+    if (presence?.process.incarnation !== process.incarnation) return false;
+    return presence.canReadLog;
   }
 
   private schedulerOn(vm: string): ProcessRef | undefined {
-    const heard = this.heard.get(vm);
-    return heard?.isDraining === true ? undefined : heard?.process;
+    const presence = this.schedulers.get(vm);
+    return presence?.isDraining === true ? undefined : presence?.process;
   }
 
   private regionOf(domain: string): string {
--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -5,7 +5,7 @@
 import type {Membership} from './membership.js';
 
 const PROMISE_TIMEOUT_MS = 800;
-const CANDIDATE_SILENCE_MS = 2_500;
+const MAX_CANDIDATE_SILENCE_MS = 2_500;
 
 /** Ownership's view of the peers, over the mesh. */
 export class MeshOwnershipPeers extends OwnershipPeers {
@@ -18,7 +18,7 @@
   }
 
   override candidates(): readonly ProcessRef[] {
-    return this.membership.otherFollowers(this.shard, CANDIDATE_SILENCE_MS);
+    return this.membership.otherFollowers(this.shard, MAX_CANDIDATE_SILENCE_MS);
   }
 
   override silentMs(process: ProcessRef): number {
--- a/packages/scheduler/src/scheduler-peers.ts
+++ b/packages/scheduler/src/scheduler-peer-handler.ts
@@ -15,23 +15,23 @@
 import type {ConfigFeed} from './config-feed.js';
 import type {Membership} from './membership.js';
 import type {ShardOwner} from './shard-owner.js';
-import type {ShardTask} from './shard-task.js';
+import type {ShardReplica} from './shard-replica.js';
 
 /** The parts that the handler needs. */
-export interface SchedulerPeersParts {
+export interface SchedulerPeerHandlerParts {
   readonly self: ProcessRef;
-  readonly hybrid: HybridClock;
+  readonly hybridClock: HybridClock;
   readonly membership: Membership;
   readonly config: () => ConfigFeed;
-  readonly shards: ReadonlyMap<string, ShardTask>;
+  readonly shards: ReadonlyMap<string, ShardReplica>;
   readonly isDraining: () => boolean;
   /** Takes in what another shard wants, while this process plans. */
   readonly noteDemand: (report: DemandReport) => void;
 }
 
 /** Answers asks by the shard that they name. */
-export class SchedulerPeers extends PeerHandler {
-  constructor(private readonly parts: SchedulerPeersParts) {
+export class SchedulerPeerHandler extends PeerHandler {
+  constructor(private readonly parts: SchedulerPeerHandlerParts) {
     super();
   }
 
@@ -42,7 +42,7 @@
   override heartbeat(): Heartbeat {
     return {
       type: 'heartbeat',
-      at: this.parts.hybrid.tick(),
+      at: this.parts.hybridClock.tick(),
       owns: [...this.ownedShards()],
       configOffset: this.parts.config().state.nextOffset,
       configAgeMs: this.parts.config().readAgeMs(),
@@ -53,29 +53,29 @@
   override async answer(from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
     switch (ask.type) {
       case 'ticketAsk': {
-        const {desk, owner} = this.active(ask.shard);
-        return desk.ask(from.process, ask, owner.term());
+        const {issuer, owner} = this.requireActive(ask.shard);
+        return issuer.ask(from.process, ask, owner.term());
       }
       case 'requestClaim': {
-        const {desk, owner} = this.active(ask.shard);
-        return desk.claim(ask, owner.term());
+        const {issuer, owner} = this.requireActive(ask.shard);
+        return issuer.claim(ask, owner.term());
       }
       case 'requestClaims':
-        await this.parts.shards.get(ask.shard)?.inheritClaims(ask);
+        await this.parts.shards.get(ask.shard)?.importClaims(ask);
         return {type: 'done'};
       case 'jobSubmit':
-        await this.active(ask.shard).owner.jobs.submit(ask);
+        await this.requireActive(ask.shard).owner.jobs.submit(ask);
         return {type: 'jobAccepted', jobId: ask.jobId, shard: ask.shard};
       case 'jobAsk': {
-        const {owner} = this.active(ask.shard);
+        const {owner} = this.requireActive(ask.shard);
         return {type: 'job', status: owner.jobs.status(ask.jobId)};
       }
       case 'jobListAsk': {
-        const {owner} = this.active(ask.shard);
+        const {owner} = this.requireActive(ask.shard);
         return {type: 'jobs', jobs: owner.jobs.list(ask)};
       }
       case 'jobCancel':
-        await this.active(ask.shard).owner.jobs.cancel(ask.jobId);
+        await this.requireActive(ask.shard).owner.jobs.cancel(ask.jobId);
         return {type: 'done'};
       case 'promiseAsk': {
         const task = this.parts.shards.get(ask.shard);
@@ -92,15 +92,15 @@
 
   override notice(from: PeerInfo, notice: PeerNotice): void {
     if (notice.type === 'heartbeat') {
-      this.parts.hybrid.observe(notice.at);
+      this.parts.hybridClock.observe(notice.at);
       return this.parts.membership.noteHeartbeat(from, notice);
     }
     if (notice.type === 'demandReport') {
       return this.parts.noteDemand(notice);
     }
-    const desk = this.parts.shards.get(notice.shard)?.desk;
-    if (notice.type === 'requestRelease') return desk?.release(notice);
-    desk?.close(from.process, notice);
+    const issuer = this.parts.shards.get(notice.shard)?.issuer;
+    if (notice.type === 'requestRelease') return issuer?.release(notice);
+    issuer?.close(from.process, notice);
   }
 
   override peerUp(connection: PeerConnection): void {
@@ -117,15 +117,15 @@
     }
   }
 
-  private active(shard: string): ActiveShard {
+  private requireActive(shard: string): ActiveShard {
     const task = this.parts.shards.get(shard);
-    const {owner, desk} = task ?? {};
-    if (!task?.isActive || !owner || !desk) return raise('notOwner', shard);
-    return {owner, desk};
+    const {owner, issuer} = task ?? {};
+    if (!task?.isActive || !owner || !issuer) return raise('notOwner', shard);
+    return {owner, issuer};
   }
 }
 
 interface ActiveShard {
   readonly owner: ShardOwner;
-  readonly desk: NonNullable<ShardTask['desk']>;
+  readonly issuer: NonNullable<ShardReplica['issuer']>;
 }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -17,15 +17,15 @@
 import type {JobStatus} from '@dragonflyward/state';
 import {HttpWorkerClient} from '@dragonflyward/target';
 import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
-import {AllowanceTask} from './allowance-task.js';
+import {AllowanceService} from './allowance-service.js';
 import {ConfigFeed} from './config-feed.js';
 import {Membership} from './membership.js';
-import {SchedulerPeers} from './scheduler-peers.js';
-import {ShardTask} from './shard-task.js';
-import type {TicketDesk} from './ticket-desk.js';
+import {SchedulerPeerHandler} from './scheduler-peer-handler.js';
+import {ShardReplica} from './shard-replica.js';
+import type {TicketIssuer} from './ticket-issuer.js';
 
-const HANDOVER_BOUND_MS = 10_000;
-const PASS_CLAIMS_TIMEOUT_MS = 3_000;
+const HANDOVER_TIMEOUT_MS = 10_000;
+const EXPORT_CLAIMS_TIMEOUT_MS = 3_000;
 const HANDOVER_CHECK_MS = 50;
 const RETURN_CHECK_MS = 1_000;
 /** A scheduler that runs for this long is given its domain's shard. */
@@ -37,16 +37,16 @@
   readonly metrics = new Metrics();
   readonly events: EventRing;
   private readonly clock = new SystemClock();
-  private readonly hybrid = new HybridClock(this.clock);
+  private readonly hybridClock = new HybridClock(this.clock);
   private readonly logger: Logger;
   private readonly membership: Membership;
   private readonly log: HttpLogClient;
   private readonly vmList: HttpVmListClient;
   private readonly config: ConfigFeed;
-  private readonly shards = new Map<string, ShardTask>();
-  private readonly handler: SchedulerPeers;
+  private readonly shards = new Map<string, ShardReplica>();
+  private readonly handler: SchedulerPeerHandler;
   private readonly mesh: PeerMesh;
-  private readonly allowances: AllowanceTask;
+  private readonly allowances: AllowanceService;
   private isDraining = false;
   private isStopped = false;
 
@@ -55,7 +55,7 @@
     const name = `scheduler@${vm.id}`;
     const {clock, metrics} = this;
     this.self = {vm: vm.id, incarnation: Date.now()};
-    this.events = new EventRing(name, this.hybrid);
+    this.events = new EventRing(name, this.hybridClock);
     this.logger = makeLogger(name, logLevel);
     this.membership = new Membership(this.self, clock);
     const bind = {localAddress: vm.ip};
@@ -71,7 +71,7 @@
       maxAgeMs: cfg.timing.configMaxAgeMs,
       isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
     });
-    this.allowances = new AllowanceTask({
+    this.allowances = new AllowanceService({
       ...{mesh, log, membership, clock, events, metrics},
       config: this.config.state,
       shards: this.shards,
@@ -115,10 +115,10 @@
     this.events.add('processStopped', {});
   }
 
-  private makeHandler(): SchedulerPeers {
-    return new SchedulerPeers({
+  private makeHandler(): SchedulerPeerHandler {
+    return new SchedulerPeerHandler({
       self: this.self,
-      hybrid: this.hybrid,
+      hybridClock: this.hybridClock,
       membership: this.membership,
       config: () => this.config,
       shards: this.shards,
@@ -133,26 +133,29 @@
     return !this.isDraining && this.config.state.nextOffset > 0;
   }
 
-  private async handOver(task: ShardTask): Promise<void> {
+  private async handOver(task: ShardReplica): Promise<void> {
     if (!task.isActive) return;
-    const {desk} = task;
-    const [heir, ...others] = task.heirs();
-    if (heir === undefined) return;
-    const endMs = this.clock.monotonicMs() + HANDOVER_BOUND_MS;
+    const {issuer: from} = task;
+    const [next, ...others] = task.handoverCandidates();
+    if (next === undefined) return;
+    const endMs = this.clock.monotonicMs() + HANDOVER_TIMEOUT_MS;
     while (task.isActive && this.clock.monotonicMs() < endMs) {
-      await task.ownership.handOver(heir, others).catch(() => undefined);
+      await task.ownership.handOver(next, others).catch(() => undefined);
       await this.clock.sleep(HANDOVER_CHECK_MS);
     }
-    if (!task.isActive && desk !== undefined) await this.passClaims(desk, heir);
+    if (!task.isActive && from !== undefined) await this.sendClaims(from, next);
   }
 
   /** The next owner finds repeats of the request ids claimed here. */
-  private async passClaims(desk: TicketDesk, heir: ProcessRef): Promise<void> {
-    const claims = desk.passClaims();
+  private async sendClaims(
+    issuer: TicketIssuer,
+    successor: ProcessRef,
+  ): Promise<void> {
+    const claims = issuer.exportClaims();
     if (claims === undefined) return;
     await this.mesh
-      .connectionTo(heir.vm)
-      ?.ask(claims, PASS_CLAIMS_TIMEOUT_MS)
+      .connectionTo(successor.vm)
+      ?.ask(claims, EXPORT_CLAIMS_TIMEOUT_MS)
       .catch(() => undefined);
   }
 
@@ -166,11 +169,11 @@
     }
   }
 
-  private isReturnDue(shard: string, task: ShardTask): boolean {
+  private isReturnDue(shard: string, task: ShardReplica): boolean {
     if (shard === this.cfg.vm.domain || !task.isActive) return false;
-    const [heir] = task.heirs();
-    if (heir === undefined) return false;
-    return this.membership.isSettledIn(shard, heir, SETTLED_MS);
+    const [successor] = task.handoverCandidates();
+    if (successor === undefined) return false;
+    return this.membership.isSettledIn(shard, successor, SETTLED_MS);
   }
 
   private async followVmList(): Promise<void> {
@@ -178,7 +181,7 @@
       const sentMs = this.clock.monotonicMs();
       try {
         this.membership.setVms(await this.vmList.list(), sentMs);
-        this.followMembers();
+        this.updatePeers();
       } catch {
         this.metrics.count('vm_list_failures_total');
       }
@@ -186,7 +189,7 @@
     }
   }
 
-  private followMembers(): void {
+  private updatePeers(): void {
     const {ports} = this.cfg;
     const addresses: PeerAddress[] = [];
     for (const entry of this.membership.entryVms()) {
@@ -194,16 +197,16 @@
       addresses.push({vm: entry.id, ip: entry.ip, port: ports.scheduler});
     }
     this.mesh.setPeers(addresses);
-    this.followShards();
+    this.updateShards();
   }
 
-  private followShards(): void {
+  private updateShards(): void {
     if (this.isDraining) return;
     for (const shard of this.membership.domains()) {
       const rank = this.rankIn(shard);
       const task = this.shards.get(shard);
       if (rank >= 0 && task === undefined) this.addShard(shard, rank);
-      if (rank < 0 && task !== undefined && !task.isBound) {
+      if (rank < 0 && task !== undefined && !task.isOwnerOrSuccessor) {
         task.stop();
         this.shards.delete(shard);
       }
@@ -218,7 +221,7 @@
   private addShard(shard: string, rank: number): void {
     const {self, log, membership, mesh, clock, events, metrics} = this;
     const bind = {localAddress: this.cfg.vm.ip};
-    const task = new ShardTask({
+    const task = new ShardReplica({
       ...{shard, rank, self, log, membership, mesh, clock, events, metrics},
       config: this.config.state,
       allowances: this.allowances,
@@ -231,8 +234,8 @@
   }
 
   private explain(jobId: string): JobStatus {
-    for (const {owner, fold} of this.shards.values()) {
-      if (owner !== undefined && fold.jobs.has(jobId)) {
+    for (const {owner, shardState} of this.shards.values()) {
+      if (owner !== undefined && shardState.jobs.has(jobId)) {
         return owner.jobs.status(jobId);
       }
     }
@@ -251,11 +254,11 @@
       configAgeMs: this.config.readAgeMs(),
       shards: [...this.shards].map(([shard, task]) => ({
         shard,
-        term: task.fold.term,
-        owner: task.fold.owner,
-        successors: task.fold.successors,
+        term: task.shardState.term,
+        owner: task.shardState.owner,
+        successors: task.shardState.successors,
         isActive: task.isActive,
-        offset: task.fold.nextOffset,
+        offset: task.shardState.nextOffset,
         logAgeMs: nowMs - task.tail.lastProofMs,
         ...task.owner?.summary(),
       })),
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -24,20 +24,20 @@
 import type {TaskReport, TaskUsage, WorkerClient} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
 import {Dispatcher} from './dispatcher.js';
-import {boundHeldWork} from './held-work.js';
-import {JobBook} from './job-book.js';
-import {JobDesk} from './job-desk.js';
+import {boundUnconfirmedWork} from './unconfirmed-work.js';
+import {JobTracker} from './job-tracker.js';
+import {JobService} from './job-service.js';
 import {JobRecords} from './job-records.js';
 import type {Membership} from './membership.js';
 import {TakeoverGuard} from './takeover-guard.js';
 import {TaskOutcomes} from './task-outcomes.js';
 import {WorkerSet} from './worker-set.js';
-import {WorkerObserver, type WorkerTask} from './worker-task.js';
+import {WorkerObserver, type WorkerSession} from './worker-session.js';
 
 const WORKER_SYNC_MS = 500;
 
-/** The right to act, checked before each send. */
-export interface RightToAct {
+/** The ownership to act, checked before each send. */
+export interface Ownership {
   readonly term: number;
   mayAct(): boolean;
 }
@@ -45,8 +45,8 @@
 /** The parts that an owner needs. */
 export interface ShardOwnerParts {
   readonly shard: string;
-  readonly right: RightToAct;
-  readonly fold: ShardState;
+  readonly ownership: Ownership;
+  readonly shardState: ShardState;
   readonly writer: StreamWriter;
   readonly config: ConfigState;
   readonly engine: PlacementEngine;
@@ -60,28 +60,28 @@
 
 /** One term of ownership of one shard. */
 export class ShardOwner extends WorkerObserver {
-  readonly jobs: JobDesk;
+  readonly jobs: JobService;
   private readonly dispatcher: Dispatcher;
   private readonly outcomes: TaskOutcomes;
   private readonly records: JobRecords;
-  private readonly book: JobBook;
+  private readonly tracker: JobTracker;
   private readonly guard: TakeoverGuard;
   private readonly workers: WorkerSet;
-  private readonly actTerm: number;
+  private readonly ownedTerm: number;
   private isStopped = false;
 
   constructor(private readonly parts: ShardOwnerParts) {
     super();
-    const {clock, timing, fold} = parts;
-    const term = parts.right.term;
-    this.actTerm = term;
-    this.book = new JobBook(fold);
+    const {clock, timing, shardState} = parts;
+    const term = parts.ownership.term;
+    this.ownedTerm = term;
+    this.tracker = new JobTracker(shardState);
     this.records = new JobRecords({...parts, term});
     this.guard = this.makeGuard(clock.monotonicMs(), timing.taskLeaseMs);
     this.workers = new WorkerSet(parts, this);
     this.outcomes = new TaskOutcomes({
       ...parts,
-      book: this.book,
+      tracker: this.tracker,
       records: this.records,
       stopTask: task => {
         this.dispatcher.stopTask(task);
@@ -89,15 +89,15 @@
     });
     this.dispatcher = new Dispatcher({
       ...parts,
-      book: this.book,
+      tracker: this.tracker,
       records: this.records,
       observer: this,
       workers: this.workers,
       outcomes: this.outcomes,
     });
-    this.jobs = new JobDesk({
+    this.jobs = new JobService({
       ...parts,
-      book: this.book,
+      tracker: this.tracker,
       records: this.records,
       guard: this.guard,
       mayAct: () => this.mayAct(),
@@ -110,13 +110,13 @@
   }
 
   override mayAct(): boolean {
-    const {right} = this.parts;
-    if (this.isStopped || right.term !== this.actTerm) return false;
-    return right.mayAct();
+    const {ownership} = this.parts;
+    if (this.isStopped || ownership.term !== this.ownedTerm) return false;
+    return ownership.mayAct();
   }
 
   override term(): number {
-    return this.actTerm;
+    return this.ownedTerm;
   }
 
   /** Runs until it is stopped. */
@@ -147,8 +147,8 @@
   }
 
   /** Whether tasks of earlier terms may run unseen. */
-  get isHolding(): boolean {
-    return !this.guard.isOver;
+  get isHoldActive(): boolean {
+    return !this.guard.isHoldOver;
   }
 
   /**
@@ -156,10 +156,10 @@
    * their allowances.
    */
   setTeams(teams: readonly PolicyTeam[]): void {
-    const held = this.heldWork();
+    const unconfirmed = this.unconfirmedWork();
     const reduced = teams.map(team => {
-      const unseen = held.get(team.team) ?? NO_RESOURCES;
-      const allowance = subtractResources(team.allowance, unseen);
+      const reserved = unconfirmed.get(team.team) ?? NO_RESOURCES;
+      const allowance = subtractResources(team.allowance, reserved);
       return {...team, allowance};
     });
     this.engine.setTeams(reduced);
@@ -191,7 +191,7 @@
     this.dispatcher.wake();
   }
 
-  override workerChanged(worker: WorkerTask): void {
+  override workerChanged(worker: WorkerSession): void {
     const {workerId, rack, capacity, condition} = worker;
     this.engine.setWorker({workerId, rack, capacity, condition});
     this.dispatcher.wake();
@@ -205,64 +205,64 @@
     return new TakeoverGuard(nowMs, leaseMs);
   }
 
-  private heldWork(): ReadonlyMap<string, Resources> {
-    if (!this.isHolding) return new Map();
-    const {membership, fold} = this.parts;
-    const isListed = this.guard.isListNew(membership.listSentMs);
+  private unconfirmedWork(): ReadonlyMap<string, Resources> {
+    if (!this.isHoldActive) return new Map();
+    const {membership, shardState} = this.parts;
+    const isListed = this.guard.isListFresh(membership.listSentMs);
     const workers = isListed ? this.workers.list() : [];
     const known = workers.length > 0 ? workers : undefined;
-    return boundHeldWork(fold, this.book, known);
+    return boundUnconfirmedWork(shardState, this.tracker, known);
   }
 
   private syncWorkers(): void {
     for (const workerId of this.workers.sync()) {
       this.engine.removeWorker(workerId);
     }
-    if (!this.guard.isOver) this.tryEndHold();
+    if (!this.guard.isHoldOver) this.tryEndHold();
   }
 
   /** After a takeover: goes on with what surely runs nowhere. */
   private tryEndHold(): void {
-    const {membership, clock, fold} = this.parts;
+    const {membership, clock, shardState} = this.parts;
     const nowMs = clock.monotonicMs();
     const {listSentMs} = membership;
     const workers = this.workers.list();
     if (!this.guard.update(nowMs, listSentMs, workers)) return;
-    for (const jobId of fold.jobs.keys()) this.outcomes.resume(jobId);
+    for (const jobId of shardState.jobs.keys()) this.outcomes.resume(jobId);
     this.dispatcher.wake();
   }
 
   /** Jobs of earlier terms wait until the hold after a takeover ends. */
   private jobAccepted({term, job}: JobAcceptedRecord): void {
     const {jobId} = job;
-    if (term !== this.actTerm) return;
-    const entry = this.parts.fold.jobs.get(jobId);
+    if (term !== this.ownedTerm) return;
+    const entry = this.parts.shardState.jobs.get(jobId);
     if (entry === undefined) return;
     const subject = {job: jobId, team: entry.spec.team};
     this.parts.events.add('jobAccepted', subject);
-    const all = this.book.missingIndexes(entry);
-    this.engine.submit(this.book.toPolicyJob(entry, all));
+    const all = this.tracker.unplacedIndexes(entry);
+    this.engine.submit(this.tracker.toPolicyJob(entry, all));
     this.dispatcher.wake();
   }
 
   private jobEnded(jobId: string): void {
-    const entry = this.parts.fold.jobs.get(jobId);
+    const entry = this.parts.shardState.jobs.get(jobId);
     if (entry === undefined || entry.end === null) return;
     const {end, spec} = entry;
     const kind = end === 'cancelled' ? 'jobCancelled' : 'jobFinished';
     this.parts.events.add(kind, {job: jobId, team: spec.team}, end);
     this.parts.metrics.count(`jobs_ended_total{end="${end}"}`);
     this.engine.cancel(jobId);
-    for (const task of [...this.book.tasksOf(jobId)]) {
+    for (const task of [...this.tracker.tasksOf(jobId)]) {
       this.dispatcher.stopTask(task);
     }
-    this.book.forget(entry);
+    this.tracker.forget(entry);
     this.records.noteEnded(jobId);
     this.dispatcher.wake();
   }
 
   private taskRecorded(data: TaskEndedRecord): void {
-    for (const task of [...this.book.tasksOf(data.jobId)]) {
+    for (const task of [...this.tracker.tasksOf(data.jobId)]) {
       if (task.taskIndex === data.taskIndex) this.dispatcher.stopTask(task);
     }
     this.records.endIfComplete(data.jobId);
--- a/packages/scheduler/src/shard-task.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -34,18 +34,18 @@
 import {MeshOwnershipPeers} from './ownership-peers.js';
 import {policyQueues, policyTeams} from './policy-config.js';
 import {ShardOwner} from './shard-owner.js';
-import {TicketDesk} from './ticket-desk.js';
+import {TicketIssuer} from './ticket-issuer.js';
 
 const CHECK_PERIOD_MS = 50;
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
-const INHERIT_BOUND_MS = 2_000;
-const HEIR_SILENCE_MS = 2_000;
+const IMPORT_TIMEOUT_MS = 2_000;
+const MAX_SUCCESSOR_SILENCE_MS = 2_000;
 /** Keeps the task ids of one term apart from those of all others. */
 export const TASK_NUMBERS_PER_TERM = 2 ** 32;
 
 /** The parts that a shard task needs. */
-export interface ShardTaskParts {
+export interface ShardReplicaParts {
   readonly shard: string;
   readonly self: ProcessRef;
   /** This VM's place among the shard's followers; 0 is the best. */
@@ -63,25 +63,25 @@
 }
 
 /** Serves one shard, as its owner or as a successor. */
-export class ShardTask {
-  readonly fold: ShardState;
+export class ShardReplica {
+  readonly shardState: ShardState;
   readonly ownership: ShardOwnership;
   readonly tail: StreamTail;
   owner: ShardOwner | undefined;
-  desk: TicketDesk | undefined;
+  issuer: TicketIssuer | undefined;
   private readonly writer: StreamWriter;
   private activeTerm = 0;
-  private activeMs = Infinity;
+  private activeSinceMs = Infinity;
   private isStopped = false;
   private refreshedMs = -Infinity;
 
-  constructor(private readonly parts: ShardTaskParts) {
+  constructor(private readonly parts: ShardReplicaParts) {
     const {shard, log, clock, metrics, events, self, timing} = parts;
-    this.fold = new ShardState();
+    this.shardState = new ShardState();
     this.tail = new StreamTail({
       client: log,
       stream: shardStream(shard),
-      fold: this.fold,
+      fold: this.shardState,
       clock,
       waitMs: TAIL_WAIT_MS,
       onApplied: (record, result) => {
@@ -100,7 +100,7 @@
     this.ownership = new ShardOwnership({
       ...{shard, self, clock, log, peers, timing, events},
       tail: this.tail,
-      fold: this.fold,
+      fold: this.shardState,
       rank: parts.rank,
     });
   }
@@ -111,16 +111,16 @@
   }
 
   /** Whether this process must go on reading the shard's stream. */
-  get isBound(): boolean {
+  get isOwnerOrSuccessor(): boolean {
     const {vm} = this.parts.self;
-    if (this.fold.owner?.vm === vm) return true;
-    return this.fold.successors.some(process => process.vm === vm);
+    if (this.shardState.owner?.vm === vm) return true;
+    return this.shardState.successors.some(process => process.vm === vm);
   }
 
   /** The running schedulers that could take the shard over, best first. */
-  heirs(): readonly ProcessRef[] {
+  handoverCandidates(): readonly ProcessRef[] {
     const {membership, shard} = this.parts;
-    const others = membership.otherFollowers(shard, HEIR_SILENCE_MS);
+    const others = membership.otherFollowers(shard, MAX_SUCCESSOR_SILENCE_MS);
     return others.filter(process => membership.canReadLog(process));
   }
 
@@ -128,7 +128,7 @@
   async run(): Promise<void> {
     this.tail.start();
     void this.ownership.run();
-    void this.keepSnapshots();
+    void this.snapshotLoop();
     while (!this.isStopped) {
       this.followOwnership();
       this.refresh();
@@ -142,8 +142,8 @@
     for (const {team, running, waiting} of this.owner?.engine.demand() ?? []) {
       wants.set(team, addResources(running, waiting));
     }
-    const running = this.desk?.running() ?? [];
-    const waiting = this.desk?.waiting() ?? [];
+    const running = this.issuer?.running() ?? [];
+    const waiting = this.issuer?.waiting() ?? [];
     for (const {team, slots} of [...running, ...waiting]) {
       const sum = wants.get(team) ?? NO_RESOURCES;
       wants.set(team, {...sum, slots: sum.slots + slots});
@@ -153,13 +153,13 @@
   }
 
   /** Waits until this process owns the shard, and takes the claims in. */
-  async inheritClaims(passed: RequestClaims): Promise<void> {
+  async importClaims(passed: RequestClaims): Promise<void> {
     const {clock} = this.parts;
-    const endMs = clock.monotonicMs() + INHERIT_BOUND_MS;
-    while (this.desk === undefined && clock.monotonicMs() < endMs) {
+    const endMs = clock.monotonicMs() + IMPORT_TIMEOUT_MS;
+    while (this.issuer === undefined && clock.monotonicMs() < endMs) {
       await clock.sleep(CHECK_PERIOD_MS);
     }
-    this.desk?.inheritClaims(passed);
+    this.issuer?.importClaims(passed);
   }
 
   /** Ends all that belongs to the shard. */
@@ -170,12 +170,12 @@
     this.tail.stop();
   }
 
-  private async keepSnapshots(): Promise<void> {
-    const {fold, tail, writer} = this;
+  private async snapshotLoop(): Promise<void> {
+    const {shardState, tail, writer} = this;
     const {clock, events} = this.parts;
     const isAllowed = (): boolean => this.isActive;
     const task = new SnapshotTask({
-      ...{fold, tail, writer, clock, events, isAllowed},
+      ...{fold: shardState, tail, writer, clock, events, isAllowed},
     });
     await task.run(() => !this.isStopped);
   }
@@ -191,84 +191,84 @@
   private activate(): void {
     const {shard, clock, metrics, events, config, membership} = this.parts;
     this.activeTerm = this.ownership.term;
-    this.activeMs = clock.monotonicMs();
+    this.activeSinceMs = clock.monotonicMs();
     const firstTaskNumber = this.activeTerm * TASK_NUMBERS_PER_TERM;
     const engine = new ShareEngine({firstTaskNumber});
-    this.desk = new TicketDesk({shard, clock, metrics, events});
+    this.issuer = new TicketIssuer({shard, clock, metrics, events});
     this.owner = new ShardOwner({
       ...this.parts,
       ...{engine, config, membership},
-      right: this.ownership,
-      fold: this.fold,
+      ownership: this.ownership,
+      shardState: this.shardState,
       writer: this.writer,
     });
     this.refreshedMs = -Infinity;
     this.refresh();
-    void this.collectTickets(this.desk);
-    void this.keepAllowances(this.owner);
+    void this.collectTickets(this.issuer);
+    void this.acknowledgeAllowances(this.owner);
     void this.owner.run();
   }
 
   private deactivate(): void {
     if (this.owner === undefined) return;
     this.owner.stop();
-    this.desk?.stop();
+    this.issuer?.stop();
     this.owner = undefined;
-    this.desk = undefined;
+    this.issuer = undefined;
   }
 
   /** Hands the current configuration and allowances on. */
   private refresh(): void {
     const {clock, config, membership, shard} = this.parts;
     const nowMs = clock.monotonicMs();
-    if (this.owner === undefined || this.desk === undefined) return;
+    if (this.owner === undefined || this.issuer === undefined) return;
     if (nowMs - this.refreshedMs < REFRESH_PERIOD_MS) return;
     this.refreshedMs = nowMs;
-    const amounts = this.usableAmounts();
+    const amounts = this.currentAllowances();
     this.owner.engine.setQueues([...policyQueues(config)]);
     this.owner.setTeams([...policyTeams(config, amounts)]);
     const executors = [...membership.vmsIn(shard, 'executor')];
-    this.desk.setExecutors(executors);
-    this.desk.setConfig(config);
-    this.desk.setGateways([...membership.entryVms()].length);
+    this.issuer.setExecutors(executors);
+    this.issuer.setConfig(config);
+    this.issuer.setGatewayCount([...membership.entryVms()].length);
     for (const {team, amount} of amounts) {
-      this.desk.setAllowance(team, amount.slots);
+      this.issuer.setAllowance(team, amount.slots);
     }
   }
 
   /** The allowances; none before they were read in this term. */
-  private usableAmounts(): readonly Allowance[] {
+  private currentAllowances(): readonly Allowance[] {
     const {allowances, shard} = this.parts;
-    if (!allowances.isReadSince(this.activeMs)) return [];
+    if (!allowances.isReadSince(this.activeSinceMs)) return [];
     return allowances.amountsOf(shard);
   }
 
   /** What counts against a team here. */
-  private runningOf(team: string): Resources {
+  private teamUsage(team: string): Resources {
     const demands = this.owner?.engine.demand() ?? [];
     const tasks = demands.find(demand => demand.team === team)?.running;
-    const slots = this.desk?.running().find(use => use.team === team)?.slots;
+    const slots = this.issuer?.running().find(use => use.team === team)?.slots;
     return {...(tasks ?? NO_RESOURCES), slots: slots ?? 0};
   }
 
   /** Acknowledges the table for as long as this term lasts. */
-  private async keepAllowances(owner: ShardOwner): Promise<void> {
+  private async acknowledgeAllowances(owner: ShardOwner): Promise<void> {
     const {allowances, shard, clock, events} = this.parts;
     const {table, tail, writer} = allowances;
-    const isKnown = (): boolean =>
+    const mayAcknowledge = (): boolean =>
       owner.mayAct() &&
-      !owner.isHolding &&
-      allowances.isReadSince(this.activeMs);
+      !owner.isHoldActive &&
+      allowances.isReadSince(this.activeSinceMs);
     const keeper = new AllowanceKeeper({
       ...{table, tail, writer, clock, events, shard},
-      term: () => (isKnown() ? owner.term() : undefined),
-      running: team => this.runningOf(team),
+      term: () => (mayAcknowledge() ? owner.term() : undefined),
+      running: team => this.teamUsage(team),
     });
     await keeper.run(() => this.owner === owner);
   }
 
   /** Asks all gateways for the tickets that earlier owners gave them. */
-  private async collectTickets(desk: TicketDesk): Promise<void> {
+  private async collectTickets(issuer: TicketIssuer): Promise<void> {
     const {shard} = this.parts;
     const term = this.activeTerm;
     const ask: OpenTicketsAsk = {type: 'openTicketsAsk', shard, term};
@@ -278,8 +278,8 @@
         const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
         if (reply.type !== 'openTickets' || !connection.info) continue;
         const {process} = connection.info;
-        desk.adopt(process, reply.tickets);
-        desk.adoptClaims(process, reply.claims, reply.upMs);
+        issuer.adoptTickets(process, reply.tickets);
+        issuer.addGatewayClaims(process, reply.claims, reply.upMs);
       } catch {
         this.parts.metrics.count('open_tickets_unanswered_total');
       }
--- a/packages/scheduler/src/ticket-slots.ts
+++ b/packages/scheduler/src/slot-table.ts
@@ -1,9 +1,9 @@
 /** Counts the slots of a shard's executors that tickets use. */
 import type {Clock} from '@dragonflyward/common';
 import type {VmEntry} from '@dragonflyward/vms';
-import type {ExecutorHealth} from './ticket-health.js';
-import type {BlindUse} from './ticket-blind.js';
-import {gatewayPart} from './ticket-blind.js';
+import type {ExecutorHealth} from './executor-health.js';
+import type {UnreportedUsage} from './unreported-usage.js';
+import {gatewayLimit} from './unreported-usage.js';
 
 /** A ticket that counts against an executor's slots and a team. */
 export interface HeldTicket {
@@ -18,7 +18,7 @@
 }
 
 /** Which executor a ticket is wanted for. */
-export interface SlotWish {
+export interface SlotRequest {
   readonly service: string;
   readonly gateway: string;
   /** Executors that failed the request before. */
@@ -26,7 +26,7 @@
 }
 
 /** The executors of one shard and the tickets that they serve. */
-export class TicketSlots {
+export class SlotTable {
   private readonly executors = new Map<string, VmEntry>();
   private readonly held = new Map<string, HeldTicket>();
   private readonly usedByExecutor = new Map<string, number>();
@@ -37,38 +37,38 @@
   constructor(
     private readonly clock: Clock,
     readonly health: ExecutorHealth,
-    readonly blind: BlindUse,
+    readonly unreported: UnreportedUsage,
   ) {}
 
   /** Sets the executors that the list of VMs shows. */
   setExecutors(entries: readonly VmEntry[]): void {
     this.executors.clear();
     for (const entry of entries) this.executors.set(entry.id, entry);
-    this.health.keepOnly(this.executors);
+    this.health.retainOnly(this.executors);
   }
 
   /** Sets how many gateways may hold tickets. */
-  setGateways(count: number): void {
+  setGatewayCount(count: number): void {
     this.gateways = Math.max(1, count);
-    this.blind.setGateways(this.gateways);
+    this.unreported.setGatewayCount(this.gateways);
   }
 
   /** Whether any executor of the service may take new work. */
-  isServed(service: string): boolean {
-    return this.slotsOf(service) > 0;
+  hasLiveExecutors(service: string): boolean {
+    return this.totalSlots(service) > 0;
   }
 
   /** The slots of all executors of the service that take new work. */
-  slotsOf(service: string): number {
+  totalSlots(service: string): number {
     let sum = 0;
-    for (const entry of this.live(service)) sum += entry.capacity.slots;
+    for (const entry of this.available(service)) sum += entry.capacity.slots;
     return sum;
   }
 
   /** The slots of the service that a ticket could use now. */
-  freeOf(service: string): number {
+  freeSlots(service: string): number {
     let sum = 0;
-    for (const entry of this.live(service)) sum += this.free(entry);
+    for (const entry of this.available(service)) sum += this.freeSlotsOn(entry);
     return sum;
   }
 
@@ -79,12 +79,15 @@
    * @example
    * const entry = slots.choose({service: 'quote', gateway: 'vm-1', avoid: []});
    */
-  choose(wish: SlotWish): VmEntry | undefined {
-    const usable = this.usable(wish);
+  chooseExecutor(request: SlotRequest): VmEntry | undefined {
+    const candidates = this.candidates(request);
     let best: VmEntry | undefined;
-    for (const entry of usable) {
-      if (!this.hasRoom(entry, wish.gateway)) continue;
-      if (best === undefined || this.free(entry) > this.free(best)) {
+    for (const entry of candidates) {
+      if (!this.hasFreeSlot(entry, request.gateway)) continue;
+      if (
+        best === undefined ||
+        this.freeSlotsOn(entry) > this.freeSlotsOn(best)
+      ) {
         best = entry;
       }
     }
@@ -92,10 +95,10 @@
   }
 
   /** Counts a ticket. */
-  hold(ticket: HeldTicket): void {
+  add(ticket: HeldTicket): void {
     if (this.held.has(ticket.ticketId)) return;
     this.held.set(ticket.ticketId, ticket);
-    this.countUse(ticket, 1);
+    this.addUse(ticket, 1);
   }
 
   /** Counts a ticket no longer. */
@@ -103,12 +106,12 @@
     const ticket = this.held.get(ticketId);
     if (ticket === undefined) return undefined;
     this.held.delete(ticketId);
-    this.countUse(ticket, -1);
+    this.addUse(ticket, -1);
     return ticket;
   }
 
   /** Drops the tickets whose time has run out. */
-  dropExpired(): number {
+  releaseExpired(): number {
     const nowMs = this.clock.monotonicMs();
     let dropped = 0;
     for (const ticket of this.held.values()) {
@@ -120,22 +123,22 @@
   }
 
   /** Looks up a ticket that counts. */
-  find(ticketId: string): HeldTicket | undefined {
+  get(ticketId: string): HeldTicket | undefined {
     return this.held.get(ticketId);
   }
 
   /** Slots in use by a team. */
-  teamUse(team: string): number {
+  slotsUsedByTeam(team: string): number {
     return this.usedByTeam.get(team) ?? 0;
   }
 
   /** Slots in use by a team through one gateway. */
-  teamUseThrough(gateway: string, team: string): number {
+  slotsUsedByTeamVia(gateway: string, team: string): number {
     return this.usedByGateway.get(teamKey(gateway, team)) ?? 0;
   }
 
   /** Slots in use on an executor. */
-  executorUse(executorId: string): number {
+  slotsUsedOn(executorId: string): number {
     return this.usedByExecutor.get(executorId) ?? 0;
   }
 
@@ -144,38 +147,40 @@
     yield* this.usedByTeam;
   }
 
-  private *usable(wish: SlotWish): Generator<VmEntry> {
-    const live = [...this.live(wish.service)];
-    const healthy = live.filter(entry => !this.health.isSetAside(entry.id));
+  private *candidates(request: SlotRequest): Generator<VmEntry> {
+    const live = [...this.available(request.service)];
+    const healthy = live.filter(entry => !this.health.isSuspended(entry.id));
     const base = healthy.length > 0 ? healthy : live;
-    const others = base.filter(entry => !wish.avoid.includes(entry.id));
+    const others = base.filter(entry => !request.avoid.includes(entry.id));
     yield* others.length > 0 ? others : base;
   }
 
-  private *live(service: string): Generator<VmEntry> {
+  private *available(service: string): Generator<VmEntry> {
     for (const entry of this.executors.values()) {
       if (entry.service !== service || entry.state !== 'live') continue;
       if (!this.health.isDraining(entry.id)) yield entry;
     }
   }
 
-  private free(entry: VmEntry): number {
+  private freeSlotsOn(entry: VmEntry): number {
     const {slots} = entry.capacity;
-    return slots - this.executorUse(entry.id) - this.blind.slots(slots);
+    return (
+      slots - this.slotsUsedOn(entry.id) - this.unreported.executorSlots(slots)
+    );
   }
 
-  private hasRoom(entry: VmEntry, gateway: string): boolean {
-    if (this.free(entry) <= 0) return false;
+  private hasFreeSlot(entry: VmEntry, gateway: string): boolean {
+    if (this.freeSlotsOn(entry) <= 0) return false;
     const used = this.usedByGateway.get(executorKey(gateway, entry.id)) ?? 0;
-    return used < gatewayPart(entry.capacity.slots, this.gateways);
+    return used < gatewayLimit(entry.capacity.slots, this.gateways);
   }
 
-  private countUse(ticket: HeldTicket, delta: number): void {
+  private addUse(ticket: HeldTicket, delta: number): void {
     const {executorId, gateway, team} = ticket;
-    addTo(this.usedByExecutor, executorId, delta);
-    addTo(this.usedByTeam, team, delta);
-    addTo(this.usedByGateway, executorKey(gateway, executorId), delta);
-    addTo(this.usedByGateway, teamKey(gateway, team), delta);
+    addToCount(this.usedByExecutor, executorId, delta);
+    addToCount(this.usedByTeam, team, delta);
+    addToCount(this.usedByGateway, executorKey(gateway, executorId), delta);
+    addToCount(this.usedByGateway, teamKey(gateway, team), delta);
   }
 }
 
@@ -187,7 +192,11 @@
   return `${gateway} team ${team}`;
 }
 
-function addTo(counts: Map<string, number>, key: string, delta: number): void {
+function addToCount(
+  counts: Map<string, number>,
+  key: string,
+  delta: number,
+): void {
   const sum = (counts.get(key) ?? 0) + delta;
   if (sum === 0) counts.delete(key);
   else counts.set(key, sum);
--- a/packages/scheduler/src/takeover-guard.ts
+++ b/packages/scheduler/src/takeover-guard.ts
@@ -1,25 +1,26 @@
 /** Holds back, after a takeover, the tasks that may run unseen. */
-import {lapseMs, NETWORK_DELAY_MARGIN_MS} from './lease-book.js';
-import type {WorkerTask} from './worker-task.js';
+import {leaseExpiryMs, NETWORK_DELAY_MARGIN_MS} from './lease-table.js';
+import type {WorkerSession} from './worker-session.js';
 
 /**
  * Knows when a task that no worker has shown surely runs nowhere: once all
  * listed workers have answered, or all leases of earlier terms have run out.
  */
 export class TakeoverGuard {
-  isOver = false;
+  isHoldOver = false;
   unansweredCount = 0;
-  private readonly lapsedMs: number;
+  private readonly leasesExpiredMs: number;
 
   constructor(
     private readonly startMs: number,
     taskLeaseMs: number,
   ) {
-    this.lapsedMs = lapseMs(startMs, taskLeaseMs) + NETWORK_DELAY_MARGIN_MS;
+    this.leasesExpiredMs =
+      leaseExpiryMs(startMs, taskLeaseMs) + NETWORK_DELAY_MARGIN_MS;
   }
 
   /** Whether a list of VMs asked for at the time shows all workers. */
-  isListNew(listSentMs: number | undefined): boolean {
+  isListFresh(listSentMs: number | undefined): boolean {
     return listSentMs !== undefined && listSentMs >= this.startMs;
   }
 
@@ -32,14 +33,14 @@
   update(
     nowMs: number,
     listSentMs: number | undefined,
-    workers: readonly WorkerTask[],
+    workers: readonly WorkerSession[],
   ): boolean {
-    const isAnswered = workers.every(worker => worker.hasAnswered);
+    const haveAllAnswered = workers.every(worker => worker.hasAnswered);
     this.unansweredCount = workers.filter(worker => !worker.hasAnswered).length;
-    const isLapsed = nowMs > this.lapsedMs;
-    this.isOver =
-      isLapsed ||
-      (this.isListNew(listSentMs) && isAnswered && workers.length > 0);
-    return this.isOver;
+    const areLeasesExpired = nowMs > this.leasesExpiredMs;
+    this.isHoldOver =
+      areLeasesExpired ||
+      (this.isListFresh(listSentMs) && haveAllAnswered && workers.length > 0);
+    return this.isHoldOver;
   }
 }
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -14,15 +14,15 @@
 import type {JobEntry, ShardState} from '@dragonflyward/state';
 import type {TaskReport} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
-import {UNKNOWN_RESULT, type JobBook} from './job-book.js';
+import {UNKNOWN_RESULT, type JobTracker} from './job-tracker.js';
 import type {JobRecords} from './job-records.js';
 
 /** The parts that outcomes need. */
 export interface TaskOutcomesParts {
   readonly shard: string;
-  readonly fold: ShardState;
+  readonly shardState: ShardState;
   readonly engine: PlacementEngine;
-  readonly book: JobBook;
+  readonly tracker: JobTracker;
   readonly records: JobRecords;
   readonly clock: Clock;
   readonly events: EventRing;
@@ -48,7 +48,7 @@
       return this.failed(task, report.result);
     }
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
   /** A task surely does not run, and nothing is known of its outcome. */
@@ -56,20 +56,20 @@
     this.parts.metrics.count('tasks_lost_total');
     this.parts.events.add('taskLost', subjectOf(task));
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
   /** A task was stopped, and the worker confirmed it. */
-  stopped(task: PlacedTask, why: string): void {
-    this.parts.events.add('taskStopped', subjectOf(task), why);
+  stopped(task: PlacedTask, reason: string): void {
+    this.parts.events.add('taskStopped', subjectOf(task), reason);
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
   /** A start was never taken; any task may be placed again. */
   notRun(task: PlacedTask): void {
     this.release(task, 'notRunning');
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry !== undefined) this.submit(entry, [task.taskIndex]);
   }
 
@@ -81,25 +81,25 @@
    * const kept = outcomes.adopt(vm, inventory.tasks);
    */
   adopt(vm: VmEntry, reports: readonly TaskReport[]): readonly PlacedTask[] {
-    const kept: PlacedTask[] = [];
+    const runningTasks: PlacedTask[] = [];
     for (const report of reports) {
       if (report.shard !== this.parts.shard) continue;
       const task = toPlacedTask(vm, report);
       if (task === undefined) continue;
-      if (report.state === 'ended') this.foundEnded(task, report);
-      else kept.push(this.foundRunning(task, report));
+      if (report.state === 'ended') this.adoptEnded(task, report);
+      else runningTasks.push(this.adoptRunning(task, report));
     }
-    return kept;
+    return runningTasks;
   }
 
   /** Goes on with a job of an earlier term, once its hold is over. */
   resume(jobId: string): void {
-    const {fold, book, records} = this.parts;
-    const entry = fold.jobs.get(jobId);
+    const {shardState, tracker, records} = this.parts;
+    const entry = shardState.jobs.get(jobId);
     if (entry === undefined || records.isEnding(entry)) return;
     const again: number[] = [];
-    for (const index of book.missingIndexes(entry)) {
-      if (records.isRecording(jobId, index)) continue;
+    for (const index of tracker.unplacedIndexes(entry)) {
+      if (records.isResultPending(jobId, index)) continue;
       const mayHaveRun = entry.starting.has(index) && !entry.spec.isIdempotent;
       if (mayHaveRun) records.recordResult(jobId, index, UNKNOWN_RESULT);
       else again.push(index);
@@ -108,20 +108,20 @@
     records.endIfComplete(jobId);
   }
 
-  private foundRunning(task: PlacedTask, report: TaskReport): PlacedTask {
-    const {engine, book, events} = this.parts;
+  private adoptRunning(task: PlacedTask, report: TaskReport): PlacedTask {
+    const {engine, tracker, events} = this.parts;
     engine.adopt(task);
-    engine.submit(this.jobOfFound(task, report));
-    book.notePlaced(task);
+    engine.submit(this.policyJobOf(task, report));
+    tracker.notePlaced(task);
     events.add('taskAdopted', subjectOf(task));
-    if (this.openEntry(task) === undefined) this.parts.stopTask(task);
+    if (this.unfinishedEntry(task) === undefined) this.parts.stopTask(task);
     return task;
   }
 
   /** The job of a found task, so that the policy knows its team. */
-  private jobOfFound(task: PlacedTask, report: TaskReport): PolicyJob {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    if (entry !== undefined) return this.parts.book.toPolicyJob(entry, []);
+  private policyJobOf(task: PlacedTask, report: TaskReport): PolicyJob {
+    const entry = this.parts.shardState.jobs.get(task.jobId);
+    if (entry !== undefined) return this.parts.tracker.toPolicyJob(entry, []);
     return {
       jobId: task.jobId,
       team: report.team,
@@ -137,8 +137,8 @@
   }
 
   /** What failed or was stopped is submitted again when the hold ends. */
-  private foundEnded(task: PlacedTask, report: TaskReport): void {
-    const entry = this.openEntry(task);
+  private adoptEnded(task: PlacedTask, report: TaskReport): void {
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
     if (report.end === 'succeeded') return this.succeeded(task, report.result);
     const isFinal = report.end === 'failed' && !entry.spec.isIdempotent;
@@ -147,24 +147,25 @@
   }
 
   private succeeded(task: PlacedTask, result: string): void {
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
-    if (entry.spec.isService) return this.runAgain(task);
+    if (entry.spec.isService) return this.rerunIfSafe(task);
     this.parts.records.recordResult(task.jobId, task.taskIndex, result);
   }
 
   private failed(task: PlacedTask, result: string): void {
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
-    const {book, records} = this.parts;
-    const isRetried = entry.spec.isIdempotent && book.mayRetry(task);
+    const {tracker, records} = this.parts;
+    const isRetried =
+      entry.spec.isIdempotent && tracker.countFailedAttempt(task);
     if (isRetried) return this.submit(entry, [task.taskIndex]);
     records.recordEnd(task.jobId, 'failed', result);
   }
 
   /** Runs a task again where it may; else its outcome is unknown. */
-  private runAgain(task: PlacedTask): void {
-    const entry = this.openEntry(task);
+  private rerunIfSafe(task: PlacedTask): void {
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
     const {jobId, taskIndex} = task;
     if (entry.spec.isIdempotent) return this.submit(entry, [taskIndex]);
@@ -172,20 +173,20 @@
   }
 
   /** The task's job, while the task has neither a result nor an ended job. */
-  private openEntry(task: PlacedTask): JobEntry | undefined {
-    const {fold, records} = this.parts;
-    const entry = fold.jobs.get(task.jobId);
+  private unfinishedEntry(task: PlacedTask): JobEntry | undefined {
+    const {shardState, records} = this.parts;
+    const entry = shardState.jobs.get(task.jobId);
     if (entry === undefined || records.isEnding(entry)) return undefined;
     return entry.ended.has(task.taskIndex) ? undefined : entry;
   }
 
   private submit(entry: JobEntry, taskIndexes: readonly number[]): void {
-    const {engine, book} = this.parts;
-    engine.submit(book.toPolicyJob(entry, taskIndexes));
+    const {engine, tracker} = this.parts;
+    engine.submit(tracker.toPolicyJob(entry, taskIndexes));
   }
 
   private release(task: PlacedTask, end: PlacedTaskEnd): void {
-    this.parts.book.noteGone(task);
+    this.parts.tracker.noteNotRunning(task);
     const nowMs = this.parts.clock.monotonicMs();
     this.parts.engine.ended(task.taskId, end, nowMs);
   }
--- a/packages/scheduler/src/ticket-admission.ts
+++ b/packages/scheduler/src/ticket-admission.ts
@@ -2,20 +2,20 @@
 import {raise} from '@dragonflyward/common';
 import type {TicketAsk} from '@dragonflyward/peer';
 import type {QueueConfig} from '@dragonflyward/state';
-import type {WaitEstimate} from './ticket-estimate.js';
-import {priorityRank, type TicketOrder, type Waiter} from './ticket-order.js';
-import type {TicketSlots} from './ticket-slots.js';
+import type {CompletionEstimator} from './completion-estimator.js';
+import {priorityRank, type FairQueue, type Waiter} from './fair-queue.js';
+import type {SlotTable} from './slot-table.js';
 
 /** The part of a queue's waiting room that one team may fill. */
-const TEAM_WAITING_PART = 0.5;
+const MAX_TEAM_QUEUE_FRACTION = 0.5;
 /** The part of its deadline in which a request should be done. */
-const PLANNED_PART = 0.75;
+const PLANNED_DEADLINE_FRACTION = 0.75;
 
 /** What a decision depends on. */
 export interface AdmissionParts {
-  readonly order: TicketOrder;
-  readonly slots: TicketSlots;
-  readonly estimate: WaitEstimate;
+  readonly fairQueue: FairQueue;
+  readonly slots: SlotTable;
+  readonly estimate: CompletionEstimator;
 }
 
 /**
@@ -30,24 +30,24 @@
   ask: TicketAsk,
   cfg: QueueConfig,
 ): void {
-  const waiters = [...parts.order.waiters()];
-  checkRoom(waiters, ask, cfg);
-  checkTime(parts, waiters, ask, cfg);
+  const waiters = [...parts.fairQueue.waiters()];
+  checkQueueLimits(waiters, ask, cfg);
+  checkDeadline(parts, waiters, ask, cfg);
 }
 
-function checkRoom(
+function checkQueueLimits(
   waiters: readonly Waiter[],
   {queue, team}: TicketAsk,
   cfg: QueueConfig,
 ): void {
-  const inQueue = waiters.filter(waiter => waiter.ask.queue === queue);
-  const ofTeam = inQueue.filter(waiter => waiter.ask.team === team);
-  const teamBound = Math.ceil(cfg.maxWaiting * TEAM_WAITING_PART);
-  if (inQueue.length >= cfg.maxWaiting) raise('queueFull', queue);
-  if (ofTeam.length >= teamBound) raise('queueFull', `${queue}: ${team}`);
+  const queueWaiters = waiters.filter(waiter => waiter.ask.queue === queue);
+  const teamWaiters = queueWaiters.filter(waiter => waiter.ask.team === team);
+  const teamMax = Math.ceil(cfg.maxWaiting * MAX_TEAM_QUEUE_FRACTION);
+  if (queueWaiters.length >= cfg.maxWaiting) raise('queueFull', queue);
+  if (teamWaiters.length >= teamMax) raise('queueFull', `${queue}: ${team}`);
 }
 
-function checkTime(
+function checkDeadline(
   {slots, estimate}: AdmissionParts,
   waiters: readonly Waiter[],
   ask: TicketAsk,
@@ -55,10 +55,10 @@
 ): void {
   const {service, deadlineMs} = ask;
   const ahead = waiters.filter(waiter => isAhead(waiter, ask, cfg)).length;
-  const free = slots.freeOf(service);
-  const situation = {ahead, free, slots: slots.slotsOf(service)};
-  const doneInMs = estimate.doneInMs(service, situation);
-  if (doneInMs <= deadlineMs * PLANNED_PART) return;
+  const free = slots.freeSlots(service);
+  const load = {ahead, free, slots: slots.totalSlots(service)};
+  const completionMs = estimate.timeToCompletionMs(service, load);
+  if (completionMs <= deadlineMs * PLANNED_DEADLINE_FRACTION) return;
   raise('deadlineUnmet', `${ahead} requests of ${service} come before`);
 }
 
--- a/packages/scheduler/src/ticket-desk.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -24,23 +24,23 @@
 import type {VmEntry} from '@dragonflyward/vms';
 import type PQueue from 'p-queue';
 import {checkAdmission} from './ticket-admission.js';
-import {BlindUse, gatewayPart} from './ticket-blind.js';
-import {WaitEstimate} from './ticket-estimate.js';
-import {ExecutorHealth} from './ticket-health.js';
-import {TicketClaims} from './ticket-claims.js';
+import {UnreportedUsage, gatewayLimit} from './unreported-usage.js';
+import {CompletionEstimator} from './completion-estimator.js';
+import {ExecutorHealth} from './executor-health.js';
+import {ClaimRegistry} from './claim-registry.js';
 import {
-  openTicketQueue,
-  TicketRoom,
-  type TicketOrder,
+  makeTicketQueue,
+  GrantPolicy,
+  type FairQueue,
   type TicketOptions,
   type Waiter,
-} from './ticket-order.js';
-import {TicketSlots} from './ticket-slots.js';
+} from './fair-queue.js';
+import {SlotTable} from './slot-table.js';
 
 /** How long after its grant the first byte of a request may be sent. */
-export const START_BY_MS = 1_000;
+export const START_WINDOW_MS = 1_000;
 /** How much later than the gateway the owner takes a ticket as run out. */
-const RUN_BY_MARGIN_MS = 200;
+const EXPIRY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
 /** Used while no configuration gives the longest deadline. */
 const DEFAULT_MAX_DEADLINE_MS = 60_000;
@@ -56,7 +56,7 @@
 }
 
 /** What a ticket desk works with. */
-export interface TicketDeskOptions {
+export interface TicketIssuerOptions {
   readonly shard: string;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -70,30 +70,36 @@
 }
 
 /** The tickets of one shard under one term; a new term needs a new desk. */
-export class TicketDesk extends TicketRoom {
-  private readonly slots: TicketSlots;
-  private readonly blind: BlindUse;
-  private readonly order: TicketOrder;
-  private readonly queue: PQueue<TicketOrder, TicketOptions>;
-  private readonly estimate = new WaitEstimate();
+export class TicketIssuer extends GrantPolicy {
+  private readonly slots: SlotTable;
+  private readonly unreported: UnreportedUsage;
+  private readonly fairQueue: FairQueue;
+  private readonly queue: PQueue<FairQueue, TicketOptions>;
+  private readonly estimate = new CompletionEstimator();
   private readonly allowances = new Map<string, number>();
-  private readonly claims: TicketClaims;
+  private readonly claims: ClaimRegistry;
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
   private isStopped = false;
 
-  constructor(private readonly options: TicketDeskOptions) {
+  constructor(private readonly options: TicketIssuerOptions) {
     super();
     const {clock, metrics, shard} = options;
-    this.blind = new BlindUse(clock);
-    this.claims = new TicketClaims(clock);
-    this.slots = new TicketSlots(clock, new ExecutorHealth(clock), this.blind);
-    const {order, queue} = openTicketQueue(this, clock);
-    this.order = order;
+    this.unreported = new UnreportedUsage(clock);
+    this.claims = new ClaimRegistry(clock);
+    this.slots = new SlotTable(
+      clock,
+      new ExecutorHealth(clock),
+      this.unreported,
+    );
+    const {fairQueue, queue} = makeTicketQueue(this, clock);
+    this.fairQueue = fairQueue;
     this.queue = queue;
-    metrics.gauge(`tickets_waiting{shard="${shard}"}`, () => this.countAll());
-    void this.keepSweeping();
+    metrics.gauge(`tickets_waiting{shard="${shard}"}`, () =>
+      this.waitingCount(),
+    );
+    void this.sweepLoop();
   }
 
   /** Sets the shard's executors, as the list of VMs shows them. */
@@ -103,10 +109,10 @@
   }
 
   /** Sets how many gateways there are. */
-  setGateways(count: number): void {
+  setGatewayCount(count: number): void {
     this.gateways = Math.max(1, count);
-    this.slots.setGateways(this.gateways);
-    this.claims.setGateways(this.gateways);
+    this.slots.setGatewayCount(this.gateways);
+    this.claims.setGatewayCount(this.gateways);
     this.grantWaiting();
   }
 
@@ -130,38 +136,38 @@
    * const ticket = await desk.ask(from.process, ask, ownership.term);
    */
   async ask(from: ProcessRef, ask: TicketAsk, term: number): Promise<Ticket> {
-    this.enterTerm(term);
+    this.bindTerm(term);
     const cfg = this.config?.queue(ask.queue);
     if (cfg === undefined) return raise('queueUnknown', ask.queue);
-    this.checkAsk(ask, cfg);
+    this.checkRequest(ask, cfg);
     return this.waitForTurn(from, ask, cfg, term);
   }
 
   /** Takes a ticket back. */
   close(from: ProcessRef, close: TicketClose): void {
-    const held = this.slots.find(close.ticketId);
+    const held = this.slots.get(close.ticketId);
     if (close.isDraining) this.noteDraining(close.executorId);
     if (held === undefined || held.gateway !== from.vm) return;
-    this.noteUse(held.service, held.heldSinceMs, close);
-    if (isOver(close.use)) this.slots.release(close.ticketId);
+    this.recordUse(held.service, held.heldSinceMs, close);
+    if (freesSlot(close.use)) this.slots.release(close.ticketId);
     this.grantWaiting();
   }
 
   /** Takes in what a gateway holds from a former owner. */
-  adopt(from: ProcessRef, tickets: readonly OpenTicket[]): void {
+  adoptTickets(from: ProcessRef, tickets: readonly OpenTicket[]): void {
     const nowMs = this.options.clock.monotonicMs();
     for (const ticket of tickets) {
-      this.slots.hold({
+      this.slots.add({
         ticketId: ticket.ticketId,
         executorId: ticket.executorId,
         team: ticket.team,
         gateway: from.vm,
         service: '',
         heldSinceMs: nowMs,
-        untilMs: nowMs + ticket.runByMs + RUN_BY_MARGIN_MS,
+        untilMs: nowMs + ticket.runByMs + EXPIRY_MARGIN_MS,
       });
     }
-    this.blind.addListed(
+    this.unreported.addReported(
       from.vm,
       tickets.map(ticket => ticket.team),
     );
@@ -169,12 +175,12 @@
   }
 
   /** Takes in the claims that a gateway made at former owners. */
-  adoptClaims(
+  addGatewayClaims(
     from: ProcessRef,
     claims: readonly PassedClaim[],
     upMs: number,
   ): void {
-    this.claims.adopt(from, claims, upMs);
+    this.claims.addGatewayClaims(from, claims, upMs);
   }
 
   /**
@@ -183,18 +189,18 @@
    * @throws duplicateId, queueFull
    */
   claim(ask: RequestClaim, term: number): RequestClaimed {
-    this.enterTerm(term);
+    this.bindTerm(term);
     return this.claims.claim(ask);
   }
 
   /** Lists the claims for the next owner; undefined where none was made. */
-  passClaims(): RequestClaims | undefined {
-    return this.claims.passOn(this.options.shard);
+  exportClaims(): RequestClaims | undefined {
+    return this.claims.exportClaims(this.options.shard);
   }
 
   /** Takes in the claims that the owner before has passed on. */
-  inheritClaims(passed: RequestClaims): void {
-    this.claims.inherit(passed);
+  importClaims(passed: RequestClaims): void {
+    this.claims.importClaims(passed);
   }
 
   /** Gives back the claim of a request that surely did not run. */
@@ -205,7 +211,7 @@
   /** Refuses all that waits; no ticket is given any more. */
   stop(): void {
     this.isStopped = true;
-    for (const waiter of this.order.takeAll()) {
+    for (const waiter of this.fairQueue.removeAll()) {
       waiter.refuse(new DragonflywardError('notOwner', this.options.shard));
     }
   }
@@ -218,57 +224,58 @@
   /** Requests that wait, by team. */
   waiting(): readonly TeamSlots[] {
     const counts = new Map<string, number>();
-    for (const {ask} of this.order.waiters()) {
+    for (const {ask} of this.fairQueue.waiters()) {
       counts.set(ask.team, (counts.get(ask.team) ?? 0) + 1);
     }
     return [...counts].map(([team, slots]) => ({team, slots}));
   }
 
   /** Slots of an executor in use by tickets that this desk knows. */
-  executorUse(executorId: string): number {
-    return this.slots.executorUse(executorId);
+  slotsUsedOn(executorId: string): number {
+    return this.slots.slotsUsedOn(executorId);
   }
 
-  override executorFor(waiter: Waiter): VmEntry | undefined {
+  override findExecutor(waiter: Waiter): VmEntry | undefined {
     const {ask, gateway} = waiter;
-    if (!this.hasTeamRoom(gateway, ask.team)) return undefined;
+    if (!this.hasTeamCapacity(gateway, ask.team)) return undefined;
     const {service, avoid} = ask;
-    return this.slots.choose({service, gateway, avoid});
+    return this.slots.chooseExecutor({service, gateway, avoid});
   }
 
-  override serviceLevel(team: string): number {
+  override weightedUsage(team: string): number {
     const share = this.config?.team(team)?.share ?? 1;
-    return this.slots.teamUse(team) / Math.max(share, Number.EPSILON);
+    return this.slots.slotsUsedByTeam(team) / Math.max(share, Number.EPSILON);
   }
 
-  private enterTerm(term: number): void {
+  private bindTerm(term: number): void {
     if (this.isStopped) raise('notOwner', this.options.shard);
     if (this.term === term) return;
     if (this.term !== undefined) raise('notOwner', `term ${term}`);
     this.term = term;
-    this.claims.begin(term);
-    if (term !== FIRST_TERM) this.blind.begin(this.longestRunByMs());
+    this.claims.startTerm(term);
+    if (term !== FIRST_TERM) this.unreported.start(this.maxLifetimeMs());
   }
 
-  private longestRunByMs(): number {
-    let longestMs = 0;
+  private maxLifetimeMs(): number {
+    let longestDeadlineMs = 0;
     for (const cfg of this.config?.queues().values() ?? []) {
-      longestMs = Math.max(longestMs, cfg.maxDeadlineMs);
+      longestDeadlineMs = Math.max(longestDeadlineMs, cfg.maxDeadlineMs);
     }
-    const boundMs = longestMs > 0 ? longestMs : DEFAULT_MAX_DEADLINE_MS;
-    return boundMs + RUN_BY_MARGIN_MS;
+    const boundMs =
+      longestDeadlineMs > 0 ? longestDeadlineMs : DEFAULT_MAX_DEADLINE_MS;
+    return boundMs + EXPIRY_MARGIN_MS;
   }
 
-  private checkAsk(ask: TicketAsk, cfg: QueueConfig): void {
+  private checkRequest(ask: TicketAsk, cfg: QueueConfig): void {
     const {service, team} = ask;
-    if (!this.slots.isServed(service)) raise('noTarget', service);
+    if (!this.slots.hasLiveExecutors(service)) raise('noTarget', service);
     // A new owner has read no allowances yet: its requests wait for them.
-    const isKnown = this.allowances.size > 0 && team !== NO_TEAM;
-    if (isKnown && this.allowanceOf(team) <= 0) {
+    const isLimited = this.allowances.size > 0 && team !== NO_TEAM;
+    if (isLimited && this.allowanceOf(team) <= 0) {
       raise('teamLimit', `${team} has no slots in ${this.options.shard}`);
     }
-    const {order, slots, estimate} = this;
-    checkAdmission({order, slots, estimate}, ask, cfg);
+    const {fairQueue, slots, estimate} = this;
+    checkAdmission({fairQueue, slots, estimate}, ask, cfg);
   }
 
   private waitForTurn(
@@ -299,14 +306,14 @@
     const {ask, sinceMs, untilMs, gateway} = waiter;
     const nowMs = clock.monotonicMs();
     const ticketId = newId('t');
-    this.slots.hold({
+    this.slots.add({
       ticketId,
       executorId: executor.id,
       team: ask.team,
       gateway,
       service: ask.service,
       heldSinceMs: nowMs,
-      untilMs: untilMs + RUN_BY_MARGIN_MS,
+      untilMs: untilMs + EXPIRY_MARGIN_MS,
     });
     const waitedMs = nowMs - sinceMs;
     metrics.count('tickets_total');
@@ -319,7 +326,7 @@
       executorId: executor.id,
       ip: executor.ip,
       port: executor.port,
-      startByMs: waitedMs + START_BY_MS,
+      startByMs: waitedMs + START_WINDOW_MS,
       runByMs: untilMs - sinceMs,
     };
   }
@@ -328,23 +335,23 @@
     return this.allowances.get(team) ?? 0;
   }
 
-  private hasTeamRoom(gateway: string, team: string): boolean {
+  private hasTeamCapacity(gateway: string, team: string): boolean {
     if (team === NO_TEAM) return true;
     const allowance = this.allowanceOf(team);
-    const unseen = this.blind.teamSlots(team, allowance);
-    if (this.slots.teamUse(team) + unseen >= allowance) return false;
-    const part = gatewayPart(allowance, this.gateways);
-    return this.slots.teamUseThrough(gateway, team) < part;
+    const reserved = this.unreported.teamSlots(team, allowance);
+    if (this.slots.slotsUsedByTeam(team) + reserved >= allowance) return false;
+    const limit = gatewayLimit(allowance, this.gateways);
+    return this.slots.slotsUsedByTeamVia(gateway, team) < limit;
   }
 
   private noteDraining(executorId: string): void {
     const {health} = this.slots;
     if (health.isDraining(executorId)) return;
-    health.addDraining(executorId);
+    health.recordDraining(executorId);
     this.options.events.add('executorLeaving', {executor: executorId});
   }
 
-  private noteUse(
+  private recordUse(
     service: string,
     heldSinceMs: number,
     close: TicketClose,
@@ -353,23 +360,23 @@
     const {health} = this.slots;
     if (use === 'done') {
       const heldMs = this.options.clock.monotonicMs() - heldSinceMs;
-      this.estimate.add(service, heldMs);
-      return health.addSuccess(executorId);
+      this.estimate.addSample(service, heldMs);
+      return health.recordSuccess(executorId);
     }
     if (use === 'notSent' || use === 'abandoned') return;
-    if (!health.addFailure(executorId)) return;
+    if (!health.recordFailure(executorId)) return;
     this.options.events.add('executorLost', {executor: executorId}, use);
   }
 
-  private countAll(): number {
-    return [...this.order.waiters()].length;
+  private waitingCount(): number {
+    return [...this.fairQueue.waiters()].length;
   }
 
   /** A request that could not be done in time would only take up a slot. */
   private refuseLate(): void {
-    const needMs = (waiter: Waiter): number =>
-      this.estimate.holdMs(waiter.ask.service);
-    for (const waiter of this.order.takeLate(needMs)) {
+    const neededMs = (waiter: Waiter): number =>
+      this.estimate.meanHoldMs(waiter.ask.service);
+    for (const waiter of this.fairQueue.removeLate(neededMs)) {
       const {queue} = waiter.ask;
       waiter.refuse(new DragonflywardError('deadlineUnmet', queue));
     }
@@ -380,7 +387,7 @@
     this.queue.concurrency = Infinity;
   }
 
-  private async keepSweeping(): Promise<void> {
+  private async sweepLoop(): Promise<void> {
     while (!this.isStopped) {
       await this.options.clock.sleep(SWEEP_PERIOD_MS);
       this.sweep();
@@ -388,13 +395,13 @@
   }
 
   private sweep(): void {
-    this.slots.dropExpired();
+    this.slots.releaseExpired();
     this.refuseLate();
     this.grantWaiting();
   }
 }
 
 /** Whether the executor surely works on the request no longer. */
-function isOver(use: TicketUse): boolean {
+function freesSlot(use: TicketUse): boolean {
   return use !== 'unknown' && use !== 'abandoned';
 }
--- a/packages/scheduler/src/worker-calls.ts
+++ b/packages/scheduler/src/worker-calls.ts
@@ -9,9 +9,9 @@
 import type {PlacedTask} from '@dragonflyward/policy';
 import type {TaskStart, WorkerClient} from '@dragonflyward/target';
 import PQueue from 'p-queue';
-import {WORKER_CALL_TIMEOUT_MS, type LeaseBook} from './lease-book.js';
+import {WORKER_CALL_TIMEOUT_MS, type LeaseTable} from './lease-table.js';
 
-const CALLS_AT_ONCE = 4;
+const MAX_CONCURRENT_CALLS = 4;
 /** A start is void on the worker when it arrives later than this. */
 export const START_WITHIN_MS = WORKER_CALL_TIMEOUT_MS;
 
@@ -21,7 +21,7 @@
 /** The parts that the calls need. */
 export interface WorkerCallsParts {
   readonly client: WorkerClient;
-  readonly leases: LeaseBook;
+  readonly leases: LeaseTable;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly term: () => number;
@@ -33,7 +33,7 @@
 
 /** The calls to one worker, a few at a time. */
 export class WorkerCalls {
-  private readonly queue = new PQueue({concurrency: CALLS_AT_ONCE});
+  private readonly queue = new PQueue({concurrency: MAX_CONCURRENT_CALLS});
 
   constructor(private readonly parts: WorkerCallsParts) {}
 
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-session.ts
@@ -14,13 +14,13 @@
   WorkerClient,
 } from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
-import {LeaseBook} from './lease-book.js';
+import {LeaseTable} from './lease-table.js';
 import {WorkerCalls} from './worker-calls.js';
 
 const INVENTORY_RETRY_MS = 500;
 const WATCH_WAIT_MS = 2_000;
 const USAGE_PERIOD_MS = 5_000;
-const FAILURES_TO_SILENCE = 2;
+const FAILURES_UNTIL_SILENT = 2;
 
 /** What the owner of a worker task is told. */
 export abstract class WorkerObserver {
@@ -38,13 +38,13 @@
   /** A task surely does not run, and nothing is known of its outcome. */
   abstract taskLost(task: PlacedTask): void;
   /** The worker's condition or capacity changed. */
-  abstract workerChanged(worker: WorkerTask): void;
+  abstract workerChanged(worker: WorkerSession): void;
   /** Usage came in. */
   abstract usage(samples: readonly TaskUsage[]): void;
 }
 
 /** The parts that a worker task needs. */
-export interface WorkerTaskParts {
+export interface WorkerSessionParts {
   readonly vm: VmEntry;
   readonly client: WorkerClient;
   readonly shard: string;
@@ -56,8 +56,8 @@
 }
 
 /** Everything that goes to one worker; runs until it is stopped. */
-export class WorkerTask {
-  readonly leases: LeaseBook;
+export class WorkerSession {
+  readonly leases: LeaseTable;
   /** Whether the worker answered an inventory under this term. */
   hasAnswered = false;
   private vm: VmEntry;
@@ -69,9 +69,9 @@
   /** What is sent to the worker for single tasks. */
   readonly calls: WorkerCalls;
 
-  constructor(private readonly parts: WorkerTaskParts) {
+  constructor(private readonly parts: WorkerSessionParts) {
     this.vm = parts.vm;
-    this.leases = new LeaseBook(parts.timing.taskLeaseMs);
+    this.leases = new LeaseTable(parts.timing.taskLeaseMs);
     const {client, clock, metrics, observer} = parts;
     this.calls = new WorkerCalls({
       ...{client, clock, metrics, leases: this.leases},
@@ -109,7 +109,7 @@
   }
 
   /** Whether the worker was dropped from the list and nothing is left. */
-  get isGone(): boolean {
+  get isRemovable(): boolean {
     return !this.isListed && this.isSilent && this.leases.size === 0;
   }
 
@@ -126,7 +126,7 @@
       this.renewLoop(),
       this.watchLoop(),
       this.usageLoop(),
-      this.lapseLoop(),
+      this.expiryLoop(),
     ]);
   }
 
@@ -151,7 +151,7 @@
     if (this.isStopped) return;
     const nowMs = this.parts.clock.monotonicMs();
     const kept = this.parts.observer.adopt(this.vm, list.tasks);
-    for (const task of kept) this.leases.noteFound(task, nowMs);
+    for (const task of kept) this.leases.noteAdopted(task, nowMs);
     this.hasAnswered = true;
     this.sequence = list.sequence;
     this.noteAnswer();
@@ -203,7 +203,7 @@
       if (report.state === 'ended') this.reportEnd(report);
       else this.leases.noteConfirmed(report.taskId, nowMs);
     }
-    for (const task of [...this.leases.missing(listed, askedMs)]) {
+    for (const task of [...this.leases.absent(listed, askedMs)]) {
       this.reportLost(task);
     }
   }
@@ -233,13 +233,13 @@
     }
   }
 
-  private async lapseLoop(): Promise<void> {
+  private async expiryLoop(): Promise<void> {
     const {clock} = this.parts;
     while (!this.isStopped) {
       await clock.sleep(INVENTORY_RETRY_MS);
       if (this.isStopped || !this.mayAct()) continue;
       const nowMs = clock.monotonicMs();
-      for (const task of [...this.leases.lapsed(nowMs)]) this.reportLost(task);
+      for (const task of [...this.leases.expired(nowMs)]) this.reportLost(task);
     }
   }
 
@@ -253,7 +253,7 @@
 
   private noteFailure(): void {
     this.failures += 1;
-    if (this.isSilent || this.failures < FAILURES_TO_SILENCE) return;
+    if (this.isSilent || this.failures < FAILURES_UNTIL_SILENT) return;
     this.isSilent = true;
     this.parts.events.add('workerLost', {worker: this.workerId});
     this.parts.observer.workerChanged(this);
--- a/packages/scheduler/src/worker-set.ts
+++ b/packages/scheduler/src/worker-set.ts
@@ -8,7 +8,7 @@
 import type {WorkerClient} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
 import type {Membership} from './membership.js';
-import {WorkerTask, type WorkerObserver} from './worker-task.js';
+import {WorkerSession, type WorkerObserver} from './worker-session.js';
 
 /** The parts that a set of workers needs. */
 export interface WorkerSetParts {
@@ -30,7 +30,7 @@
 
 /** One task for each worker of the shard. */
 export class WorkerSet {
-  private readonly workers = new Map<string, WorkerTask>();
+  private readonly workers = new Map<string, WorkerSession>();
 
   constructor(
     private readonly parts: WorkerSetParts,
@@ -52,16 +52,16 @@
       if (!this.workers.has(id)) this.add(vm);
     }
     for (const [id, worker] of this.workers) worker.setVm(listed.get(id));
-    return this.dropGone();
+    return this.removeFinished();
   }
 
   /** The task of one worker. */
-  get(workerId: string): WorkerTask | undefined {
+  get(workerId: string): WorkerSession | undefined {
     return this.workers.get(workerId);
   }
 
   /** All worker tasks. */
-  list(): readonly WorkerTask[] {
+  list(): readonly WorkerSession[] {
     return [...this.workers.values()];
   }
 
@@ -87,20 +87,20 @@
     const {observer} = this;
     const client = this.parts.makeWorkerClient(vm, shard);
     const common = {shard, clock, timing, events, metrics};
-    const worker = new WorkerTask({vm, client, observer, ...common});
+    const worker = new WorkerSession({vm, client, observer, ...common});
     this.workers.set(vm.id, worker);
     observer.workerChanged(worker);
     void worker.run();
   }
 
-  private dropGone(): readonly string[] {
-    const gone: string[] = [];
+  private removeFinished(): readonly string[] {
+    const removed: string[] = [];
     for (const [id, worker] of this.workers) {
-      if (!worker.isGone) continue;
+      if (!worker.isRemovable) continue;
       worker.stop();
       this.workers.delete(id);
-      gone.push(id);
+      removed.push(id);
     }
-    return gone;
+    return removed;
   }
 }
--- a/packages/scheduler/test/desk-harness.ts
+++ b/packages/scheduler/test/issuer-harness.ts
@@ -11,7 +11,7 @@
 import type {Ticket, TicketAsk, TicketUse} from '@dragonflyward/peer';
 import type {Priority, QueueConfig, TeamConfig} from '@dragonflyward/state';
 import type {VmEntry} from '@dragonflyward/vms';
-import {TicketDesk, type TicketConfig} from '../src/ticket-desk.js';
+import {TicketIssuer, type TicketConfig} from '../src/ticket-issuer.js';
 
 export const SLOTS = 8;
 export const MAX_DEADLINE_MS = 10_000;
@@ -82,20 +82,20 @@
 }
 
 /** A desk and what was asked of it. */
-export class DeskHarness {
+export class IssuerHarness {
   readonly asks: AskState[] = [];
-  readonly desk: TicketDesk;
+  readonly issuer: TicketIssuer;
 
   constructor(
     readonly clock = new ManualClock(),
     readonly term = 1,
-    makeDesk = (options: ConstructorParameters<typeof TicketDesk>[0]) =>
-      new TicketDesk(options),
+    makeIssuer = (options: ConstructorParameters<typeof TicketIssuer>[0]) =>
+      new TicketIssuer(options),
   ) {
     const events = new EventRing('test', new HybridClock(clock));
     const metrics = new Metrics();
-    this.desk = makeDesk({shard: 'north-1', clock, metrics, events});
-    this.desk.setConfig(new Config());
+    this.issuer = makeIssuer({shard: 'north-1', clock, metrics, events});
+    this.issuer.setConfig(new Config());
   }
 
   /** Asks for a ticket; the state tells later what became of it. */
@@ -122,7 +122,7 @@
       avoid: [],
       ...change,
     };
-    this.desk.ask(from, ask, this.term).then(
+    this.issuer.ask(from, ask, this.term).then(
       ticket => (state.ticket = ticket),
       (err: unknown) => (state.refusal = toFailure(err).kind),
     );
@@ -134,7 +134,7 @@
     const {ticket} = state;
     if (ticket === undefined) return;
     const {ticketId, shard, executorId} = ticket;
-    this.desk.close(state.gateway, {
+    this.issuer.close(state.gateway, {
       type: 'ticketClose',
       ticketId,
       shard,
--- a/packages/scheduler/test/lease-book.test.ts
+++ b/packages/scheduler/test/lease-table.test.ts
@@ -1,7 +1,7 @@
 import {promiseTest} from '@dragonflyward/common/promise-test';
 import {
-  lapseMs,
-  LeaseBook,
+  leaseExpiryMs,
+  LeaseTable,
   NETWORK_DELAY_MARGIN_MS,
   WORKER_CALL_TIMEOUT_MS,
 } from '@dragonflyward/scheduler';
@@ -43,11 +43,11 @@
 const clockRateArb = fc.double({min: 0.99, max: 1.01, noNaN: true});
 
 /** Checks that a lapse computed by the given rule is never too early. */
-function checkLapse(lapseOf: (sentMs: number) => number): void {
+function checkExpiry(expiryOf: (sentMs: number) => number): void {
   fc.assert(
     fc.property(renewalsArb, clockRateArb, (renewals, clockRate) => {
       const lastSentMs = renewals.reduce((sum, r) => sum + r.gapMs, 0);
-      return lapseOf(lastSentMs) >= workerEndMs(renewals, clockRate);
+      return expiryOf(lastSentMs) >= workerEndMs(renewals, clockRate);
     }),
     {seed: SEED},
   );
@@ -61,32 +61,32 @@
   size: {cpuMilli: 1, memMb: 1, accel: 0, slots: 0},
 };
 
-const leases = suite('lease book');
+const leases = suite('lease table');
 
 promiseTest(leases, 'one-place', 'a lapse is never before the end', () => {
-  checkLapse(sentMs => lapseMs(sentMs, LEASE_MS));
+  checkExpiry(sentMs => leaseExpiryMs(sentMs, LEASE_MS));
 });
 
 promiseTest(leases, 'one-place', 'without its margin it may be', () => {
   assert.throws(() => {
-    checkLapse(sentMs => sentMs + LEASE_MS);
+    checkExpiry(sentMs => sentMs + LEASE_MS);
   });
 });
 
 leases('a start whose reply was lost is missing only once decided', () => {
-  const book = new LeaseBook(LEASE_MS);
-  book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  const table = new LeaseTable(LEASE_MS);
+  table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
   const none = new Set<string>();
-  assert.equal([...book.missing(none, LONGEST_DELAY_MS)], []);
-  assert.equal([...book.missing(none, LONGEST_DELAY_MS + 1)], [task]);
+  assert.equal([...table.absent(none, LONGEST_DELAY_MS)], []);
+  assert.equal([...table.absent(none, LONGEST_DELAY_MS + 1)], [task]);
 });
 
 leases('a confirmed task that the worker no longer lists is missing', () => {
-  const book = new LeaseBook(LEASE_MS);
-  book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-  book.noteConfirmed(task.taskId, 5);
-  assert.equal([...book.missing(new Set([task.taskId]), 6)], []);
-  assert.equal([...book.missing(new Set(), 6)], [task]);
+  const table = new LeaseTable(LEASE_MS);
+  table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  table.noteConfirmed(task.taskId, 5);
+  assert.equal([...table.absent(new Set([task.taskId]), 6)], []);
+  assert.equal([...table.absent(new Set(), 6)], [task]);
 });
 
 promiseTest(
@@ -94,10 +94,10 @@
   'one-place',
   'a list asked for before the confirmation shows nothing missing',
   () => {
-    const book = new LeaseBook(LEASE_MS);
-    book.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-    book.noteConfirmed(task.taskId, 5);
-    assert.equal([...book.missing(new Set(), 5)], []);
+    const table = new LeaseTable(LEASE_MS);
+    table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+    table.noteConfirmed(task.taskId, 5);
+    assert.equal([...table.absent(new Set(), 5)], []);
   },
 );
 
--- a/packages/scheduler/test/membership.test.ts
+++ b/packages/scheduler/test/membership.test.ts
@@ -5,10 +5,10 @@
 
 const SHARD = 'north-1';
 const SETTLED_MS = 3_000;
-const HEIR = {vm: 'vm-2', incarnation: 1};
+const SUCCESSOR = {vm: 'vm-2', incarnation: 1};
 
 const ENTRY = {
-  id: HEIR.vm,
+  id: SUCCESSOR.vm,
   kind: 'entry',
   state: 'live',
   ip: '127.0.0.1',
@@ -22,18 +22,21 @@
 } as const;
 
 /** A member that hears its heir once a second. */
-class Listener {
+class HeartbeatReceiver {
   readonly clock = new ManualClock();
-  readonly members = new Membership({vm: 'vm-1', incarnation: 1}, this.clock);
+  readonly membership = new Membership(
+    {vm: 'vm-1', incarnation: 1},
+    this.clock,
+  );
 
   constructor() {
-    this.members.setVms([ENTRY], 0);
+    this.membership.setVms([ENTRY], 0);
   }
 
-  async hear(seconds: number, configAgeMs: number): Promise<void> {
+  async receive(seconds: number, configAgeMs: number): Promise<void> {
     for (let i = 0; i < seconds; i += 1) {
-      this.members.noteHeartbeat(
-        {role: 'scheduler', process: HEIR},
+      this.membership.noteHeartbeat(
+        {role: 'scheduler', process: SUCCESSOR},
         {
           type: 'heartbeat',
           at: {wallMs: 0, count: 0},
@@ -48,34 +51,34 @@
   }
 
   get isSettled(): boolean {
-    return this.members.isSettledIn(SHARD, HEIR, SETTLED_MS);
+    return this.membership.isSettledIn(SHARD, SUCCESSOR, SETTLED_MS);
   }
 }
 
-const membership = suite('membership');
+const members = suite('membership');
 
-membership('a new scheduler is settled after a while', async () => {
-  const listener = new Listener();
-  await listener.hear(2, 100);
-  assert.not(listener.isSettled);
-  await listener.hear(1, 100);
-  assert.ok(listener.isSettled);
+members('a new scheduler is settled after a while', async () => {
+  const receiver = new HeartbeatReceiver();
+  await receiver.receive(2, 100);
+  assert.not(receiver.isSettled);
+  await receiver.receive(1, 100);
+  assert.ok(receiver.isSettled);
 });
 
-membership('one that cannot read the log is not settled', async () => {
-  const listener = new Listener();
-  await listener.hear(5, Infinity);
-  assert.not(listener.isSettled);
+members('one that cannot read the log is not settled', async () => {
+  const receiver = new HeartbeatReceiver();
+  await receiver.receive(5, Infinity);
+  assert.not(receiver.isSettled);
 });
 
-membership('one that lost the log and reads it again must wait', async () => {
-  const listener = new Listener();
-  await listener.hear(5, 100);
-  await listener.hear(1, 5_000);
-  await listener.hear(8, 100);
-  assert.not(listener.isSettled);
-  await listener.hear(2, 100);
-  assert.ok(listener.isSettled);
+members('one that lost the log and reads it again must wait', async () => {
+  const receiver = new HeartbeatReceiver();
+  await receiver.receive(5, 100);
+  await receiver.receive(1, 5_000);
+  await receiver.receive(8, 100);
+  assert.not(receiver.isSettled);
+  await receiver.receive(2, 100);
+  assert.ok(receiver.isSettled);
 });
 
-membership.run();
+members.run();
--- a/packages/scheduler/test/shard-cell.ts
+++ b/packages/scheduler/test/simulated-shard.ts
@@ -17,7 +17,7 @@
   Membership,
   ShardOwner,
   TASK_NUMBERS_PER_TERM,
-  type RightToAct,
+  type Ownership,
   type ShardOwnerParts,
 } from '@dragonflyward/scheduler';
 import {
@@ -82,8 +82,8 @@
 /** Makes an owner; tests switch mechanisms off here. */
 export type OwnerMaker = (parts: ShardOwnerParts) => ShardOwner;
 
-/** A right to act that the test gives and takes. */
-export class TestRight implements RightToAct {
+/** A ownership to act that the test gives and takes. */
+export class ControlledOwnership implements Ownership {
   isGiven = true;
 
   constructor(readonly term: number) {}
@@ -94,13 +94,13 @@
 }
 
 /** One owner with its own view of the log. */
-export interface Tenant {
+export interface TestOwner {
   readonly owner: ShardOwner;
-  readonly right: TestRight;
+  readonly ownership: ControlledOwnership;
 }
 
 /** A shard with fake workers and one owner after another. */
-export class ShardCell {
+export class SimulatedShard {
   readonly clock = new ManualClock(1_000);
   readonly log = new MemoryLog(this.clock);
   readonly workers: readonly FakeWorker[];
@@ -108,7 +108,7 @@
   overcommits = 0;
   /** Moments with a task in two places. */
   doubleRuns = 0;
-  private readonly tenants: Tenant[] = [];
+  private readonly testOwners: TestOwner[] = [];
   private nextTerm = 1;
 
   constructor(
@@ -122,30 +122,36 @@
   }
 
   /** Starts an owner under the next term, once it has read the stream. */
-  async takeOver(): Promise<Tenant> {
+  async takeOver(): Promise<TestOwner> {
     const term = this.nextTerm;
     this.nextTerm += 1;
     this.pushClaim(term);
-    const right = new TestRight(term);
-    const seat: {tenant?: Tenant} = {};
-    const fold = new ShardState();
+    const ownership = new ControlledOwnership(term);
+    const started: {testOwner?: TestOwner} = {};
+    const shardState = new ShardState();
     const client = new MemoryLogClient(this.log);
     const {clock} = this;
     const tail = new StreamTail({
-      ...{client, stream: STREAM, fold, clock, waitMs: READ_WAIT_MS},
+      ...{
+        client,
+        stream: STREAM,
+        fold: shardState,
+        clock,
+        waitMs: READ_WAIT_MS,
+      },
       onApplied: (record, result) => {
-        if (result === 'applied') seat.tenant?.owner.applied(record);
+        if (result === 'applied') started.testOwner?.owner.applied(record);
       },
     });
     const writer = new StreamWriter({client, stream: STREAM, tail, clock});
     tail.start();
     await this.run(READ_STREAM_MS);
-    const owner = this.makeOwner(this.parts(right, fold, writer));
-    const tenant: Tenant = {owner, right};
-    seat.tenant = tenant;
-    this.tenants.push(tenant);
+    const owner = this.makeOwner(this.parts(ownership, shardState, writer));
+    const testOwner: TestOwner = {owner, ownership};
+    started.testOwner = testOwner;
+    this.testOwners.push(testOwner);
     void owner.run();
-    return tenant;
+    return testOwner;
   }
 
   /** Moves the time on in small steps and checks what runs. */
@@ -158,7 +164,7 @@
 
   /** Submits a job of one task. */
   submit(
-    tenant: Tenant,
+    testOwner: TestOwner,
     name: string,
     runMs: number,
     isIdempotent: boolean,
@@ -177,11 +183,11 @@
       runMs,
       payload: {runMs},
     };
-    return tenant.owner.jobs.submit(ask);
+    return testOwner.owner.jobs.submit(ask);
   }
 
   /** Starts of one job's task over all workers. */
-  startsOf(name: string): number {
+  startCountOf(name: string): number {
     const jobId = `${SHARD}:${name}`;
     let count = 0;
     for (const worker of this.workers) {
@@ -194,7 +200,7 @@
 
   /** Ends all owners. */
   end(): void {
-    for (const {owner} of this.tenants) owner.stop();
+    for (const {owner} of this.testOwners) owner.stop();
   }
 
   private check(): void {
@@ -222,12 +228,12 @@
   }
 
   private parts(
-    right: RightToAct,
-    fold: ShardState,
+    ownership: Ownership,
+    shardState: ShardState,
     writer: StreamWriter,
   ): ShardOwnerParts {
     const {clock} = this;
-    const firstTaskNumber = right.term * TASK_NUMBERS_PER_TERM;
+    const firstTaskNumber = ownership.term * TASK_NUMBERS_PER_TERM;
     const engine = new ShareEngine({firstTaskNumber});
     const {teams} = CONFIGURATION.defaults;
     const {limit, share} = teams[TEAM] ?? {limit: CAPACITY, share: 1};
@@ -235,7 +241,7 @@
     engine.setTeams([{team: TEAM, organisation: 'valley', ...shares}]);
     engine.setQueues([{queue: QUEUE, priority: 'normal', policy: 'pack'}]);
     return {
-      ...{shard: SHARD, right, fold, writer, engine, clock},
+      ...{shard: SHARD, ownership, shardState, writer, engine, clock},
       config: makeConfig(),
       membership: this.makeMembership(),
       timing: TIMING,
--- a/packages/scheduler/test/late-list.test.ts
+++ b/packages/scheduler/test/stale-watch.test.ts
@@ -15,7 +15,7 @@
 import type {VmEntry} from '@dragonflyward/vms';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {WorkerObserver, WorkerTask} from '../src/worker-task.js';
+import {WorkerObserver, WorkerSession} from '../src/worker-session.js';
 
 const WORKER: VmEntry = {
   id: 'worker-1',
@@ -58,7 +58,7 @@
 };
 
 /** A worker whose answers to `watch` arrive when the test says so. */
-class SlowListWorker extends WorkerClient {
+class SlowWatchClient extends WorkerClient {
   answerWatch: (list: Inventory) => void = () => undefined;
 
   override start(): Promise<void> {
@@ -136,7 +136,7 @@
   'a list from before a start does not show the task as lost',
   async () => {
     const clock = new ManualClock();
-    const client = new SlowListWorker();
+    const client = new SlowWatchClient();
     const observer = new CountingObserver();
     const timing = {
       ownerLeaseMs: 2_500,
@@ -148,7 +148,7 @@
       balancerDelayMs: 2_000,
       drainBoundMs: 60_000,
     };
-    const task = new WorkerTask({
+    const task = new WorkerSession({
       vm: WORKER,
       client,
       shard: 'north-1',
--- a/packages/scheduler/test/takeover-limit.test.ts
+++ b/packages/scheduler/test/takeover-limit.test.ts
@@ -2,7 +2,7 @@
 import {ShardOwner} from '@dragonflyward/scheduler';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {ShardCell, TASK_SIZE, type OwnerMaker} from './shard-cell.js';
+import {SimulatedShard, TASK_SIZE, type OwnerMaker} from './simulated-shard.js';
 
 const RUN_MS = 60_000;
 const TEAM = {
@@ -19,8 +19,8 @@
   return owner;
 };
 
-function runningIn(cell: ShardCell): number {
-  return cell.workers.flatMap(worker => [...worker.running()]).length;
+function runningIn(shard: SimulatedShard): number {
+  return shard.workers.flatMap(worker => [...worker.running()]).length;
 }
 
 const limits = suite('limits after a takeover');
@@ -30,24 +30,24 @@
   'team-limit',
   'what may run on a silent worker counts against the limit',
   async () => {
-    const cell = new ShardCell(2, makeLimited);
-    const first = await cell.takeOver();
-    await cell.run(1_000);
-    const accepted = cell.submit(first, 'j0', RUN_MS, true);
-    await cell.run(500);
+    const shard = new SimulatedShard(2, makeLimited);
+    const first = await shard.takeOver();
+    await shard.run(1_000);
+    const accepted = shard.submit(first, 'j0', RUN_MS, true);
+    await shard.run(500);
     await accepted;
-    assert.is(runningIn(cell), 1);
-    for (const worker of cell.workers) {
+    assert.is(runningIn(shard), 1);
+    for (const worker of shard.workers) {
       worker.isSilent = [...worker.running()].length > 0;
     }
-    first.right.isGiven = false;
-    const second = await cell.takeOver();
-    await cell.run(1_000);
-    const later = cell.submit(second, 'j1', RUN_MS, true);
-    await cell.run(2_000);
+    first.ownership.isGiven = false;
+    const second = await shard.takeOver();
+    await shard.run(1_000);
+    const later = shard.submit(second, 'j1', RUN_MS, true);
+    await shard.run(2_000);
     await later;
-    assert.is(runningIn(cell), 1);
-    cell.end();
+    assert.is(runningIn(shard), 1);
+    shard.end();
   },
 );
 
--- a/packages/scheduler/test/takeover.test.ts
+++ b/packages/scheduler/test/takeover.test.ts
@@ -3,7 +3,11 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {ShardCell, type OwnerMaker, type Tenant} from './shard-cell.js';
+import {
+  SimulatedShard,
+  type OwnerMaker,
+  type TestOwner,
+} from './simulated-shard.js';
 
 const SEED = 20261204;
 const RUNS = 25;
@@ -18,7 +22,10 @@
 }
 
 interface History {
-  readonly jobs: readonly {readonly runMs: number; readonly isSafe: boolean}[];
+  readonly jobs: readonly {
+    readonly runMs: number;
+    readonly isIdempotent: boolean;
+  }[];
   readonly faults: readonly Fault[];
 }
 
@@ -31,7 +38,7 @@
   jobs: fc.array(
     fc.record({
       runMs: fc.integer({min: 100, max: 30_000}),
-      isSafe: fc.boolean(),
+      isIdempotent: fc.boolean(),
     }),
     {minLength: 1, maxLength: 16},
   ),
@@ -39,89 +46,89 @@
 });
 
 /** What became of a history. */
-interface Verdict {
+interface HistoryResult {
   readonly overcommits: number;
   readonly doubleRuns: number;
   readonly unfinished: number;
-  readonly repeatedUnsafe: number;
+  readonly repeatedNonIdempotent: number;
 }
 
 async function applyFault(
-  cell: ShardCell,
-  tenant: Tenant,
+  shard: SimulatedShard,
+  testOwner: TestOwner,
   fault: Fault,
-): Promise<Tenant> {
-  const worker = cell.workers[fault.worker];
+): Promise<TestOwner> {
+  const worker = shard.workers[fault.worker];
   if (fault.kind === 'takeOver') {
-    tenant.right.isGiven = false;
-    return cell.takeOver();
+    testOwner.ownership.isGiven = false;
+    return shard.takeOver();
   }
-  if (worker === undefined) return tenant;
+  if (worker === undefined) return testOwner;
   if (fault.kind === 'silent') worker.isSilent = true;
   if (fault.kind === 'loseReplies') worker.isReplyLost = true;
   if (fault.kind === 'delay') worker.delayMs = 1_500;
-  if (fault.kind === 'back') heal(cell);
-  return tenant;
+  if (fault.kind === 'back') heal(shard);
+  return testOwner;
 }
 
-function heal(cell: ShardCell): void {
-  for (const worker of cell.workers) {
+function heal(shard: SimulatedShard): void {
+  for (const worker of shard.workers) {
     worker.isSilent = false;
     worker.isReplyLost = false;
     worker.delayMs = 0;
   }
 }
 
-export async function play(
+export async function runHistory(
   history: History,
   make?: OwnerMaker,
-): Promise<Verdict> {
-  const cell = new ShardCell(WORKERS, make);
-  let tenant = await cell.takeOver();
-  await cell.run(1_000);
-  const submits = history.jobs.map(({runMs, isSafe}, i) =>
-    cell.submit(tenant, `j${i}`, runMs, isSafe),
+): Promise<HistoryResult> {
+  const shard = new SimulatedShard(WORKERS, make);
+  let testOwner = await shard.takeOver();
+  await shard.run(1_000);
+  const submits = history.jobs.map(({runMs, isIdempotent}, i) =>
+    shard.submit(testOwner, `j${i}`, runMs, isIdempotent),
   );
-  await cell.run(500);
+  await shard.run(500);
   await Promise.all(submits);
   for (const fault of history.faults) {
-    tenant = await applyFault(cell, tenant, fault);
-    await cell.run(fault.afterMs);
+    testOwner = await applyFault(shard, testOwner, fault);
+    await shard.run(fault.afterMs);
   }
-  heal(cell);
-  await cell.run(SETTLE_MS);
-  const ends = history.jobs.map((_, i) => tenant.owner.jobs.status(idOf(i)));
+  heal(shard);
+  await shard.run(SETTLE_MS);
+  const ends = history.jobs.map((_, i) => testOwner.owner.jobs.status(idOf(i)));
   const unfinished = ends.filter(status => status.end === null).length;
-  const repeatedUnsafe = history.jobs.filter(
-    ({isSafe}, i) => !isSafe && cell.startsOf(`j${i}`) > 1,
+  const repeatedNonIdempotent = history.jobs.filter(
+    ({isIdempotent}, i) => !isIdempotent && shard.startCountOf(`j${i}`) > 1,
   ).length;
-  cell.end();
-  const {overcommits, doubleRuns} = cell;
-  return {overcommits, doubleRuns, unfinished, repeatedUnsafe};
+  shard.end();
+  const {overcommits, doubleRuns} = shard;
+  return {overcommits, doubleRuns, unfinished, repeatedNonIdempotent};
 }
 
 function idOf(index: number): string {
   return `north-1:j${index}`;
 }
 
-const GOOD: Verdict = {
+const NO_VIOLATIONS: HistoryResult = {
   overcommits: 0,
   doubleRuns: 0,
   unfinished: 0,
-  repeatedUnsafe: 0,
+  repeatedNonIdempotent: 0,
 };
 
 /** Holds nothing back after a takeover. */
-class NoHoldGuard extends TakeoverGuard {
+class GuardWithoutHold extends TakeoverGuard {
   override update(): boolean {
-    this.isOver = true;
+    this.isHoldOver = true;
     return true;
   }
 }
 
-class HastyOwner extends ShardOwner {
+class OwnerWithoutHold extends ShardOwner {
   protected override makeGuard(nowMs: number, leaseMs: number): TakeoverGuard {
-    return new NoHoldGuard(nowMs, leaseMs);
+    return new GuardWithoutHold(nowMs, leaseMs);
   }
 }
 
@@ -130,7 +137,7 @@
 promiseTest(takeover, 'one-place', 'no task runs twice', async () => {
   await fc.assert(
     fc.asyncProperty(historyArb, async history => {
-      assert.equal(await play(history), GOOD);
+      assert.equal(await runHistory(history), NO_VIOLATIONS);
     }),
     {seed: SEED, numRuns: RUNS, endOnFailure: true},
   );
@@ -142,21 +149,24 @@
   'a task on a silent worker is held back until its lease ran out',
   async () => {
     const history: History = {
-      jobs: [{runMs: 60_000, isSafe: true}],
+      jobs: [{runMs: 60_000, isIdempotent: true}],
       faults: [
         ...[0, 1, 2].map(worker => ({kind: 'silent', worker, afterMs: 50})),
         {kind: 'takeOver', worker: 0, afterMs: 1_000},
       ] as readonly Fault[],
     };
-    const partly = {...history, faults: withOneBack(history.faults)};
-    assert.equal(await play(partly), GOOD);
-    const hasty = await play(partly, parts => new HastyOwner(parts));
-    assert.ok(hasty.doubleRuns > 0, 'without the hold it runs twice');
+    const oneSilent = {...history, faults: keepFirstSilent(history.faults)};
+    assert.equal(await runHistory(oneSilent), NO_VIOLATIONS);
+    const withoutHold = await runHistory(
+      oneSilent,
+      parts => new OwnerWithoutHold(parts),
+    );
+    assert.ok(withoutHold.doubleRuns > 0, 'without the hold it runs twice');
   },
 );
 
 /** Leaves silent only the worker that runs the task: the first one. */
-function withOneBack(faults: readonly Fault[]): readonly Fault[] {
+function keepFirstSilent(faults: readonly Fault[]): readonly Fault[] {
   return faults.filter(({kind, worker}) => kind !== 'silent' || worker === 0);
 }
 
--- a/packages/scheduler/test/ticket-desk.property.test.ts
+++ b/packages/scheduler/test/ticket-issuer.property.test.ts
@@ -8,14 +8,14 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {TicketDesk} from '../src/ticket-desk.js';
+import {TicketIssuer} from '../src/ticket-issuer.js';
 import {
-  DeskHarness,
+  IssuerHarness,
   executor,
   gateway,
   MAX_WAITING,
   SLOTS,
-} from './desk-harness.js';
+} from './issuer-harness.js';
 
 const SEED = 20261204;
 const RUNS = 60;
@@ -82,25 +82,27 @@
 );
 
 /** A desk that forgets at a takeover what silent gateways may hold. */
-class ForgetfulDesk extends TicketDesk {
-  override ask(...[from, ask]: Parameters<TicketDesk['ask']>): Promise<Ticket> {
+class ForgetfulIssuer extends TicketIssuer {
+  override ask(
+    ...[from, ask]: Parameters<TicketIssuer['ask']>
+  ): Promise<Ticket> {
     return super.ask(from, ask, 1);
   }
 }
 
-type DeskMaker = ConstructorParameters<typeof DeskHarness>[2];
+type IssuerMaker = ConstructorParameters<typeof IssuerHarness>[2];
 
 /** The fleet around the desk: what gateways hold and executors run. */
-class Fleet {
-  private harness: DeskHarness;
+class SimulatedGateways {
+  private harness: IssuerHarness;
   private term = 1;
   private running: Running[] = [];
-  private readonly cut = new Set<number>();
+  private readonly disconnected = new Set<number>();
   private readonly seen = new Set<string>();
 
   constructor(
     private readonly clock: ManualClock,
-    private readonly makeDesk: DeskMaker,
+    private readonly makeIssuer: IssuerMaker,
   ) {
     this.harness = this.newDesk();
   }
@@ -109,8 +111,8 @@
     if (step.kind === 'ask') this.ask(step.from, step.team, step.count);
     if (step.kind === 'close') this.close(step.at, step.use);
     if (step.kind === 'wait') await this.clock.advance(step.ms);
-    if (step.kind === 'cut') this.cut.add(step.from);
-    if (step.kind === 'join') this.join(step.from);
+    if (step.kind === 'cut') this.disconnected.add(step.from);
+    if (step.kind === 'join') this.reconnect(step.from);
     if (step.kind === 'takeover') this.takeOver();
     await this.harness.settle();
     this.collect();
@@ -125,21 +127,21 @@
       const used = this.running.filter(run => run.team === team);
       assert.ok(used.length <= ALLOWANCE, `${team} runs ${used.length}`);
     }
-    const waiting = this.harness.desk.waiting();
+    const waiting = this.harness.issuer.waiting();
     const sum = waiting.reduce((all, {slots}) => all + slots, 0);
     assert.ok(sum <= MAX_WAITING, `${sum} wait`);
   }
 
-  private newDesk(): DeskHarness {
-    const made = new DeskHarness(this.clock, this.term, this.makeDesk);
-    made.desk.setExecutors(EXECUTORS.map(id => executor(id)));
-    made.desk.setGateways(GATEWAYS);
-    for (const team of TEAMS) made.desk.setAllowance(team, ALLOWANCE);
+  private newDesk(): IssuerHarness {
+    const made = new IssuerHarness(this.clock, this.term, this.makeIssuer);
+    made.issuer.setExecutors(EXECUTORS.map(id => executor(id)));
+    made.issuer.setGatewayCount(GATEWAYS);
+    for (const team of TEAMS) made.issuer.setAllowance(team, ALLOWANCE);
     return made;
   }
 
   private ask(from: number, team: number, count: number): void {
-    if (this.cut.has(from)) return;
+    if (this.disconnected.has(from)) return;
     for (let i = 0; i < count; i += 1) {
       this.harness.ask(TEAMS[team] ?? '', gateway(`vm-${from}`));
     }
@@ -161,32 +163,32 @@
   }
 
   private close(at: number, use: TicketUse): void {
-    const open = this.running.filter(({from}) => !this.cut.has(from));
+    const open = this.running.filter(({from}) => !this.disconnected.has(from));
     const run = open[at % Math.max(1, open.length)];
     if (run === undefined) return;
     const {ticketId, shard, executorId} = run.ticket;
     const from = gateway(`vm-${run.from}`);
     const isDraining = false;
     const close = {ticketId, shard, executorId, use, isDraining};
-    this.harness.desk.close(from, {type: 'ticketClose', ...close});
+    this.harness.issuer.close(from, {type: 'ticketClose', ...close});
     if (use === 'unknown' || use === 'abandoned') return;
     this.running = this.running.filter(other => other !== run);
   }
 
   private takeOver(): void {
-    this.harness.desk.stop();
+    this.harness.issuer.stop();
     this.term += 1;
     this.harness = this.newDesk();
-    for (let from = 0; from < GATEWAYS; from += 1) this.list(from);
+    for (let from = 0; from < GATEWAYS; from += 1) this.reportTickets(from);
   }
 
-  private join(from: number): void {
-    if (!this.cut.delete(from)) return;
-    this.list(from);
+  private reconnect(from: number): void {
+    if (!this.disconnected.delete(from)) return;
+    this.reportTickets(from);
   }
 
-  private list(from: number): void {
-    if (this.cut.has(from)) return;
+  private reportTickets(from: number): void {
+    if (this.disconnected.has(from)) return;
     const nowMs = this.clock.monotonicMs();
     const tickets: OpenTicket[] = this.running
       .filter(run => run.from === from)
@@ -196,17 +198,17 @@
         team,
         runByMs: endMs - nowMs,
       }));
-    this.harness.desk.adopt(gateway(`vm-${from}`), tickets);
+    this.harness.issuer.adoptTickets(gateway(`vm-${from}`), tickets);
   }
 }
 
-function checkSteps(makeDesk?: DeskMaker): Promise<void> {
+function checkSteps(makeIssuer?: IssuerMaker): Promise<void> {
   const steps = fc.array(anyStep, {minLength: 20, maxLength: 120});
   const property = fc.asyncProperty(steps, async list => {
-    const fleet = new Fleet(new ManualClock(), makeDesk);
+    const gateways = new SimulatedGateways(new ManualClock(), makeIssuer);
     for (const step of list) {
-      await fleet.step(step);
-      fleet.check();
+      await gateways.step(step);
+      gateways.check();
     }
   });
   return fc.assert(property, {
@@ -223,7 +225,7 @@
 });
 
 limits('break where silent gateways are not counted', async () => {
-  const forgetful: DeskMaker = options => new ForgetfulDesk(options);
+  const forgetful: IssuerMaker = options => new ForgetfulIssuer(options);
   let message = '';
   await checkSteps(forgetful).catch((err: unknown) => (message = String(err)));
   assert.match(message, / runs /);
--- a/packages/scheduler/test/ticket-desk.test.ts
+++ b/packages/scheduler/test/ticket-issuer.test.ts
@@ -6,36 +6,36 @@
 import * as assert from 'uvu/assert';
 import {
   CLAIM_WINDOW_MS,
-  RequestHome,
-  UNTIMED_WINDOW_MS,
-} from '../src/ticket-home.js';
+  DuplicateDetector,
+  UNTIMED_ID_WINDOW_MS,
+} from '../src/duplicate-detector.js';
 import {
-  DeskHarness,
+  IssuerHarness,
   executor,
   gateway,
   MAX_DEADLINE_MS,
   MAX_WAITING,
   SLOTS,
-} from './desk-harness.js';
+} from './issuer-harness.js';
 
-const desk = suite('ticket desk');
+const tickets = suite('ticket issuer');
 const ONE = gateway('vm-1');
 const TWO = gateway('vm-2');
 
-function harness(executors = 1, allowance = 100): DeskHarness {
-  const made = new DeskHarness();
+function harness(executors = 1, slots = 100): IssuerHarness {
+  const made = new IssuerHarness();
   const ids = Array.from({length: executors}, (_, i) => `e-${i}`);
-  made.desk.setExecutors(ids.map(id => executor(id)));
-  for (const team of ['roofs', 'huts']) made.desk.setAllowance(team, allowance);
+  made.issuer.setExecutors(ids.map(id => executor(id)));
+  for (const team of ['roofs', 'huts']) made.issuer.setAllowance(team, slots);
   return made;
 }
 
-async function fill(made: DeskHarness, count = SLOTS): Promise<void> {
+async function fill(made: IssuerHarness, count = SLOTS): Promise<void> {
   for (let i = 0; i < count; i += 1) made.ask('huts', ONE);
   await made.settle();
 }
 
-desk('gives each slot once and the next when one is free', async () => {
+tickets('gives each slot once and the next when one is free', async () => {
   const made = harness();
   await fill(made, SLOTS + 1);
   assert.is(made.granted(), SLOTS);
@@ -45,7 +45,7 @@
   assert.is(made.granted(), SLOTS + 1);
 });
 
-desk('serves urgent work before batch work that came earlier', async () => {
+tickets('serves urgent work before batch work that came earlier', async () => {
   const made = harness();
   await fill(made);
   const render = made.ask('roofs', ONE, {queue: 'renders'});
@@ -57,7 +57,7 @@
   assert.not(render.ticket);
 });
 
-desk('serves the team with less in use first', async () => {
+tickets('serves the team with less in use first', async () => {
   const made = harness();
   await fill(made);
   const again = made.ask('huts', ONE);
@@ -69,7 +69,7 @@
   assert.not(again.ticket);
 });
 
-desk('lets batch work that waits long have a turn', async () => {
+tickets('lets batch work that waits long have a turn', async () => {
   const made = harness();
   await fill(made);
   const render = made.ask('huts', ONE, {queue: 'renders'});
@@ -86,14 +86,14 @@
 });
 
 promiseTest(
-  desk,
+  tickets,
   'team-limit',
   'a team gets no slot past its allowance',
   async () => {
     const made = harness(2, 3);
     await fill(made, 5);
     assert.is(made.granted(), 3);
-    assert.equal(made.desk.running(), [{team: 'huts', slots: 3}]);
+    assert.equal(made.issuer.running(), [{team: 'huts', slots: 3}]);
     const none = made.ask('strangers', ONE);
     await made.settle();
     assert.is(none.refusal, 'teamLimit');
@@ -101,27 +101,27 @@
 );
 
 promiseTest(
-  desk,
+  tickets,
   'team-limit',
   'requests wait until the first allowances are known',
   async () => {
-    const made = new DeskHarness();
-    made.desk.setExecutors([executor('e-0')]);
+    const made = new IssuerHarness();
+    made.issuer.setExecutors([executor('e-0')]);
     const early = made.ask('roofs', ONE);
     await made.settle();
     assert.not(early.ticket);
     assert.not(early.refusal);
-    made.desk.setAllowance('roofs', 1);
+    made.issuer.setAllowance('roofs', 1);
     await made.settle();
     assert.ok(early.ticket);
   },
 );
 
-desk('bounds what waits, for each team and in all', async () => {
+tickets('bounds what waits, for each team and in all', async () => {
   const made = harness();
   await fill(made);
   const teams = ['huts', 'roofs', 'third'];
-  made.desk.setAllowance('third', 10);
+  made.issuer.setAllowance('third', 10);
   const waiting = teams.flatMap(team =>
     Array.from({length: MAX_WAITING}, () => made.ask(team, ONE)),
   );
@@ -133,26 +133,29 @@
   assert.is(firstRefused.length, MAX_WAITING / 2);
 });
 
-desk('refuses at the deadline, and early where it cannot be met', async () => {
-  const made = harness();
-  for (let i = 0; i < 30; i += 1) {
-    const state = made.ask('huts', ONE);
-    await made.advance(1_000);
-    made.close(state, 'done');
-    state.ticket = undefined;
-  }
-  await fill(made);
-  const early = made.ask('roofs', ONE, {deadlineMs: 900});
-  const late = made.ask('roofs', ONE, {deadlineMs: 2_000});
-  await made.settle();
-  assert.is(early.refusal, 'deadlineUnmet');
-  assert.not(late.refusal);
-  await made.advance(2_100);
-  assert.is(late.refusal, 'deadlineUnmet');
-});
+tickets(
+  'refuses at the deadline, and early where it cannot be met',
+  async () => {
+    const made = harness();
+    for (let i = 0; i < 30; i += 1) {
+      const state = made.ask('huts', ONE);
+      await made.advance(1_000);
+      made.close(state, 'done');
+      state.ticket = undefined;
+    }
+    await fill(made);
+    const early = made.ask('roofs', ONE, {deadlineMs: 900});
+    const late = made.ask('roofs', ONE, {deadlineMs: 2_000});
+    await made.settle();
+    assert.is(early.refusal, 'deadlineUnmet');
+    assert.not(late.refusal);
+    await made.advance(2_100);
+    assert.is(late.refusal, 'deadlineUnmet');
+  },
+);
 
 promiseTest(
-  desk,
+  tickets,
   'leaving-target',
   'an executor that leaves or drains gets nothing new',
   async () => {
@@ -165,18 +168,18 @@
     await fill(made, SLOTS + 1);
     const used = made.asks.slice(1).map(({ticket}) => ticket?.executorId);
     assert.equal(new Set(used), new Set([rest, undefined]));
-    made.desk.setExecutors([executor('e-0'), executor('e-1')]);
+    made.issuer.setExecutors([executor('e-0'), executor('e-1')]);
     await made.settle();
     assert.is(made.granted(), SLOTS + 1);
     const leaving = ['e-0', 'e-1'].map(id => executor(id, {state: 'leaving'}));
-    made.desk.setExecutors(leaving);
+    made.issuer.setExecutors(leaving);
     const none = made.ask('roofs', ONE);
     await made.settle();
     assert.is(none.refusal, 'noTarget');
   },
 );
 
-desk('retries go to another executor while there is one', async () => {
+tickets('retries go to another executor while there is one', async () => {
   const made = harness(2);
   for (let i = 0; i < SLOTS; i += 1) {
     made.ask('huts', ONE, {avoid: ['e-0']});
@@ -190,7 +193,7 @@
   assert.is(all.ticket?.executorId, 'e-0');
 });
 
-desk('sets an executor aside that fails all it gets', async () => {
+tickets('sets an executor aside that fails all it gets', async () => {
   const made = harness(2);
   for (let i = 0; i < 40; i += 1) {
     const state = made.ask('huts', ONE);
@@ -207,7 +210,7 @@
   assert.ok(after.includes('e-0'));
 });
 
-desk('counts a ticket of unknown outcome until its time is up', async () => {
+tickets('counts a ticket of unknown outcome until its time is up', async () => {
   const made = harness();
   await fill(made);
   for (const state of made.asks) made.close(state, 'unknown');
@@ -219,9 +222,9 @@
   assert.ok(later.ticket);
 });
 
-desk('one gateway may use a part of an executor among many', async () => {
+tickets('one gateway may use a part of an executor among many', async () => {
   const made = harness();
-  made.desk.setGateways(9);
+  made.issuer.setGatewayCount(9);
   await fill(made);
   assert.is(made.granted(), 3);
   for (let i = 0; i < SLOTS; i += 1) made.ask('roofs', TWO);
@@ -230,18 +233,18 @@
 });
 
 promiseTest(
-  desk,
+  tickets,
   'team-limit',
   'a new owner counts what a silent gateway may hold',
   async () => {
-    const made = new DeskHarness(new ManualClock(), 2);
-    made.desk.setExecutors([executor('e-0')]);
-    made.desk.setGateways(9);
-    made.desk.setAllowance('huts', 100);
+    const made = new IssuerHarness(new ManualClock(), 2);
+    made.issuer.setExecutors([executor('e-0')]);
+    made.issuer.setGatewayCount(9);
+    made.issuer.setAllowance('huts', 100);
     const names = Array.from({length: 8}, (_, i) => gateway(`vm-${i}`));
     const tickets = [openTicket('t-1'), openTicket('t-2')];
     for (const from of names) {
-      made.desk.adopt(from, from.vm === 'vm-0' ? tickets : []);
+      made.issuer.adoptTickets(from, from.vm === 'vm-0' ? tickets : []);
     }
     for (const from of names) made.ask('huts', from, {deadlineMs: 9_000});
     await made.settle();
@@ -249,7 +252,7 @@
     await made.advance(MAX_DEADLINE_MS + 2_000);
     for (const from of names) made.ask('huts', from);
     await made.settle();
-    assert.is(made.desk.executorUse('e-0'), SLOTS, 'all after the run-by');
+    assert.is(made.issuer.slotsUsedOn('e-0'), SLOTS, 'all after the run-by');
   },
 );
 
@@ -257,11 +260,11 @@
   return {ticketId, executorId: 'e-0', team: 'huts', runByMs: 5_000};
 }
 
-desk('serves one term only', async () => {
+tickets('serves one term only', async () => {
   const made = harness();
   await fill(made, 1);
   const ask = {deadlineMs: 100};
-  const other = new DeskHarness(made.clock, 2, () => made.desk);
+  const other = new IssuerHarness(made.clock, 2, () => made.issuer);
   const refused = other.ask('huts', ONE, ask);
   await made.settle();
   assert.is(refused.refusal, 'notOwner');
@@ -272,7 +275,7 @@
   return {type: 'requestClaim', shard: 'north-1', key, claimId, issuedMs};
 }
 
-function claimResult(home: RequestHome, claim: RequestClaim): string {
+function claimResult(home: DuplicateDetector, claim: RequestClaim): string {
   try {
     return home.claim(claim) ? 'vouched' : 'recorded';
   } catch (err) {
@@ -281,12 +284,12 @@
 }
 
 promiseTest(
-  desk,
+  tickets,
   'at-most-once',
   'a home finds repeats for as long as it says',
   async () => {
     const clock = new ManualClock(1_000_000);
-    const home = new RequestHome(clock, 1);
+    const home = new DuplicateDetector(clock, 1);
     assert.is(claimResult(home, claimOf('a')), 'vouched');
     await clock.advance(CLAIM_WINDOW_MS - 1);
     const repeat = {...claimOf('a'), claimId: 'c-2'};
@@ -301,72 +304,81 @@
 );
 
 promiseTest(
-  desk,
+  tickets,
   'at-most-once',
   'a home without its predecessor’s memory refuses what may be older',
   async () => {
     const clock = new ManualClock(1_000_000);
-    const later = new RequestHome(clock, 2);
+    const later = new DuplicateDetector(clock, 2);
     const before = clock.wallMs() - 1;
     await clock.advance(10_000);
     assert.is(claimResult(later, claimOf('a')), 'recorded');
     assert.is(claimResult(later, claimOf('b', before)), 'recorded');
     assert.is(claimResult(later, claimOf('c', clock.wallMs())), 'vouched');
-    await clock.advance(UNTIMED_WINDOW_MS);
+    await clock.advance(UNTIMED_ID_WINDOW_MS);
     assert.is(claimResult(later, claimOf('d')), 'vouched');
   },
 );
 
 promiseTest(
-  desk,
+  tickets,
   'at-most-once',
   'a home that was given the claims before it finds their repeats',
   async () => {
     const clock = new ManualClock(1_000_000);
-    const first = new RequestHome(clock, 1);
+    const first = new DuplicateDetector(clock, 1);
     assert.is(claimResult(first, claimOf('a')), 'vouched');
     await clock.advance(1_000);
-    const second = new RequestHome(clock, 2);
-    second.inherit(first.passOn('north-1'));
+    const second = new DuplicateDetector(clock, 2);
+    second.importClaims(first.exportClaims('north-1'));
     assert.is(claimResult(second, claimOf('b')), 'vouched');
     const repeat = {...claimOf('a'), claimId: 'c-2'};
     assert.is(claimResult(second, repeat), 'duplicateId');
-    const fourth = new RequestHome(clock, 4);
-    fourth.inherit(second.passOn('north-1'));
+    const fourth = new DuplicateDetector(clock, 4);
+    fourth.importClaims(second.exportClaims('north-1'));
     assert.is(claimResult(fourth, repeat), 'recorded');
   },
 );
 
 promiseTest(
-  desk,
+  tickets,
   'at-most-once',
   'a home vouches once all gateways that are not new listed their claims',
   async () => {
-    const made = new DeskHarness(new ManualClock(1_000_000), 2);
-    made.desk.setGateways(2);
+    const made = new IssuerHarness(new ManualClock(1_000_000), 2);
+    made.issuer.setGatewayCount(2);
     const claimAt = (key: string, claimId: string): boolean | string => {
       try {
-        return made.desk.claim({...claimOf(key), claimId}, 2).isVouched;
+        return made.issuer.claim({...claimOf(key), claimId}, 2).isVouched;
       } catch (err) {
         return toFailure(err).kind;
       }
     };
     const passed = {key: 'a', claimId: 'c-1', ageMs: 5_000};
-    made.desk.adoptClaims(ONE, [passed], UNTIMED_WINDOW_MS);
+    made.issuer.addGatewayClaims(ONE, [passed], UNTIMED_ID_WINDOW_MS);
     assert.is(claimAt('b', 'c-2'), false);
-    made.desk.adoptClaims(TWO, [], UNTIMED_WINDOW_MS - 1);
+    made.issuer.addGatewayClaims(TWO, [], UNTIMED_ID_WINDOW_MS - 1);
     assert.is(claimAt('b', 'c-2'), false);
-    made.desk.adoptClaims(TWO, [], UNTIMED_WINDOW_MS);
+    made.issuer.addGatewayClaims(TWO, [], UNTIMED_ID_WINDOW_MS);
     assert.is(claimAt('b', 'c-2'), true);
     assert.is(claimAt('a', 'c-3'), 'duplicateId');
     await made.settle();
   },
 );
 
-desk('a home that takes itself for the first lets a repeat run', async () => {
-  const clock = new ManualClock(1_000_000);
-  assert.is(claimResult(new RequestHome(clock, 1), claimOf('a')), 'vouched');
-  assert.is(claimResult(new RequestHome(clock, 1), claimOf('a')), 'vouched');
-});
+tickets(
+  'a home that takes itself for the first lets a repeat run',
+  async () => {
+    const clock = new ManualClock(1_000_000);
+    assert.is(
+      claimResult(new DuplicateDetector(clock, 1), claimOf('a')),
+      'vouched',
+    );
+    assert.is(
+      claimResult(new DuplicateDetector(clock, 1), claimOf('a')),
+      'vouched',
+    );
+  },
+);
 
-desk.run();
+tickets.run();
