--- a/packages/scheduler/src/allowance-task.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -1,4 +1,4 @@
-/** Follows the allowance table; plans it while this process owns the budget. */
+/** Follows the allowance table; plans it if this process owns the budget. */
 import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
@@ -15,39 +15,39 @@
 } from '@dragonflyward/state';
 import {AllowanceView} from './allowance-view.js';
 import type {Membership} from './membership.js';
-import type {ShardTask} from './shard-task.js';
+import type {ShardReplica} from './shard-replica.js';
 
 const TAIL_WAIT_MS = 500;
 const REPORT_PERIOD_MS = 1_000;
-/** A report that is older says nothing of a shard's demand. */
-const REPORT_KEPT_MS = 10_000;
+/** Older demand reports are ignored. */
+const REPORT_TTL_MS = 10_000;
 
-/** The parts that the task needs. */
-export interface AllowanceTaskParts {
+/** Dependencies of the allowance service. */
+export interface AllowanceServiceParts {
   readonly log: LogClient;
   readonly config: ConfigState;
   readonly membership: Membership;
   readonly mesh: PeerMesh;
-  readonly shards: ReadonlyMap<string, ShardTask>;
+  readonly shards: ReadonlyMap<string, ShardReplica>;
   readonly clock: Clock;
   readonly events: EventRing;
   readonly metrics: Metrics;
 }
 
-interface KeptReport {
+interface ReceivedReport {
   readonly demands: readonly ShardDemand[];
   readonly atMs: number;
 }
 
 /** The allowances of all teams in all shards. */
-export class AllowanceTask extends AllowanceView {
+export class AllowanceService extends AllowanceView {
   readonly table = new AllowanceState();
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
-  private readonly reports = new Map<string, KeptReport>();
+  private readonly reports = new Map<string, ReceivedReport>();
   private isStopped = false;
 
-  constructor(private readonly parts: AllowanceTaskParts) {
+  constructor(private readonly parts: AllowanceServiceParts) {
     super();
     const {log, clock, metrics} = parts;
     const {table} = this;
@@ -62,7 +62,7 @@
     this.writer = new StreamWriter({client: log, stream, tail, clock});
   }
 
-  /** Starts to follow and, while it falls to this process, to plan. */
+  /** Starts to follow the table, and to plan it while this is the owner. */
   start(): void {
     this.tail.start();
     const {table, tail, writer} = this;
@@ -101,14 +101,15 @@
     return this.table.isComplete && this.tail.lastProofMs >= sinceMs;
   }
 
-  /** The term of the budget's owner; undefined while it is another. */
+  /** The budget owner's term; undefined if another process is the owner. */
   budgetTerm(): number | undefined {
     const shard = this.budgetShard();
-    const task = shard === undefined ? undefined : this.parts.shards.get(shard);
-    return task?.isActive === true ? task.ownership.term : undefined;
+    const replica =
+      shard === undefined ? undefined : this.parts.shards.get(shard);
+    return replica?.isActive === true ? replica.ownership.term : undefined;
   }
 
-  /** Takes in what another shard's owner wants. */
+  /** Records the demand that a shard's owner reported. */
   noteReport(report: DemandReport): void {
     const atMs = this.parts.clock.monotonicMs();
     const {shard} = report;
@@ -124,13 +125,13 @@
     const {config, membership, clock} = this.parts;
     const limits = new Map<string, Resources>();
     for (const [team, {limit}] of config.teams()) limits.set(team, limit);
-    const oldestMs = clock.monotonicMs() - REPORT_KEPT_MS;
+    const oldestMs = clock.monotonicMs() - REPORT_TTL_MS;
     const newest = [...this.reports.values()].filter(r => r.atMs >= oldestMs);
     const demands = newest.flatMap(report => report.demands);
     return {limits, shards: membership.domains(), demands};
   }
 
-  /** Tells the budget's owner what the shards owned here want. */
+  /** Reports the demand of the shards owned here to the budget's owner. */
   private async reportDemands(): Promise<void> {
     while (!this.isStopped) {
       for (const report of this.ownReports()) this.send(report);
@@ -139,9 +140,9 @@
   }
 
   private *ownReports(): Generator<DemandReport> {
-    for (const [shard, task] of this.parts.shards) {
-      if (!task.isActive) continue;
-      yield {type: 'demandReport', shard, demands: task.demands()};
+    for (const [shard, replica] of this.parts.shards) {
+      if (!replica.isActive) continue;
+      yield {type: 'demandReport', shard, demands: replica.demands()};
     }
   }
 
--- a/packages/scheduler/src/ticket-order.ts
+++ b/packages/scheduler/src/fair-queue.ts
@@ -1,4 +1,4 @@
-/** The order in which waiting requests get tickets, as a p-queue queue. */
+/** The queue of requests that wait for a ticket, as a p-queue queue. */
 import {raise, type Clock} from '@dragonflyward/common';
 import type {TicketAsk} from '@dragonflyward/peer';
 import type {Priority} from '@dragonflyward/state';
@@ -7,9 +7,9 @@
 
 type RunFunction = () => Promise<unknown>;
 
-/** Every so many tickets the request that waits longest comes first. */
+/** One ticket in this many goes to the request that waits longest. */
 const AGEING_PERIOD = 16;
-/** A request that waits less is not moved forward by its age. */
+/** Minimum wait before a request is served out of order by its age. */
 const AGEING_MIN_WAIT_MS = 5_000;
 const PRIORITIES: readonly Priority[] = ['urgent', 'normal', 'batch'];
 
@@ -30,14 +30,15 @@
   readonly waiter?: Waiter;
 }
 
-/** Decides whether a waiting request could have a ticket now. */
-export abstract class TicketRoom {
-  /** The executor for the request, or undefined while there is none. */
-  abstract executorFor(waiter: Waiter): VmEntry | undefined;
-  /** How far a team is served, in relation to its share. */
-  abstract serviceLevel(team: string): number;
+/** Decides which waiting requests can have a ticket. */
+export abstract class GrantPolicy {
+  /** Finds an executor for the request; undefined while there is none. */
+  abstract findExecutor(waiter: Waiter): VmEntry | undefined;
+  /** A team's slots in use, divided by its share. */
+  abstract weightedUsage(team: string): number;
 }
 
+/** The waiting requests of one team for one service and priority. */
 interface Lane {
   readonly priority: Priority;
   readonly team: string;
@@ -56,19 +57,20 @@
 }
 
 /**
- * Urgent before normal before batch; within one priority the team that is
- * served least; within a team in order of arrival.
+ * Serves urgent before normal before batch requests; within one priority
+ * the team with the lowest weighted usage first; within a team in order of
+ * arrival.
  */
-export class TicketOrder implements Queue<RunFunction, TicketOptions> {
+export class FairQueue implements Queue<RunFunction, TicketOptions> {
   private readonly lanes = new Map<string, Lane>();
-  private granted = 0;
+  private grantedCount = 0;
 
   constructor(
-    private readonly room: TicketRoom,
+    private readonly grantPolicy: GrantPolicy,
     private readonly clock: Clock,
   ) {}
 
-  /** Entries that could run now; p-queue takes entries while there are any. */
+  /** 1 if an entry can run now, else 0; p-queue dequeues while it is 1. */
   get size(): number {
     return this.choose() === undefined ? 0 : 1;
   }
@@ -83,8 +85,8 @@
   dequeue(): RunFunction | undefined {
     const choice = this.choose();
     if (choice === undefined) return undefined;
-    this.granted += 1;
-    this.take(choice.lane, choice.entry);
+    this.grantedCount += 1;
+    this.removeEntry(choice.lane, choice.entry);
     choice.entry.waiter.grant(choice.executor);
     return choice.entry.run;
   }
@@ -97,15 +99,17 @@
     return;
   }
 
-  /** Takes out the requests that have less time left than they need. */
-  takeLate(needMs: (waiter: Waiter) => number): readonly Waiter[] {
+  /** Removes the requests that have less time left than they need. */
+  removeLate(neededMs: (waiter: Waiter) => number): readonly Waiter[] {
     const nowMs = this.clock.monotonicMs();
-    return this.takeWhere(waiter => waiter.untilMs - nowMs <= needMs(waiter));
+    return this.removeWhere(
+      waiter => waiter.untilMs - nowMs <= neededMs(waiter),
+    );
   }
 
-  /** Takes out all requests. */
-  takeAll(): readonly Waiter[] {
-    return this.takeWhere(() => true);
+  /** Removes all requests. */
+  removeAll(): readonly Waiter[] {
+    return this.removeWhere(() => true);
   }
 
   /** All waiting requests. */
@@ -113,14 +117,16 @@
     for (const entry of this.entries()) yield entry.waiter;
   }
 
-  private takeWhere(isTaken: (waiter: Waiter) => boolean): readonly Waiter[] {
-    const taken = [...this.lanes.values()].flatMap(lane =>
+  private removeWhere(
+    shouldRemove: (waiter: Waiter) => boolean,
+  ): readonly Waiter[] {
+    const removed = [...this.lanes.values()].flatMap(lane =>
       lane.entries
-        .filter(entry => isTaken(entry.waiter))
+        .filter(entry => shouldRemove(entry.waiter))
         .map(entry => ({lane, entry})),
     );
-    for (const {lane, entry} of taken) this.take(lane, entry);
-    return taken.map(({entry}) => entry.waiter);
+    for (const {lane, entry} of removed) this.removeEntry(lane, entry);
+    return removed.map(({entry}) => entry.waiter);
   }
 
   private *entries(): Generator<Entry> {
@@ -128,7 +134,8 @@
   }
 
   private choose(): Choice | undefined {
-    const isAgeingTurn = this.granted % AGEING_PERIOD === AGEING_PERIOD - 1;
+    const isAgeingTurn =
+      this.grantedCount % AGEING_PERIOD === AGEING_PERIOD - 1;
     const oldest = isAgeingTurn ? this.chooseOldest() : undefined;
     if (oldest !== undefined) return oldest;
     for (const priority of PRIORITIES) {
@@ -139,12 +146,12 @@
   }
 
   private chooseOldest(): Choice | undefined {
-    const bornBeforeMs = this.clock.monotonicMs() - AGEING_MIN_WAIT_MS;
-    const heads = [...this.lanes.values()]
+    const latestSinceMs = this.clock.monotonicMs() - AGEING_MIN_WAIT_MS;
+    const sinceTimes = [...this.lanes.values()]
       .map(lane => lane.entries[0]?.waiter.sinceMs ?? Infinity)
-      .filter(sinceMs => sinceMs <= bornBeforeMs)
+      .filter(sinceMs => sinceMs <= latestSinceMs)
       .sort((a, b) => a - b);
-    for (const sinceMs of heads) {
+    for (const sinceMs of sinceTimes) {
       const choice = this.chooseFrom(
         lane => lane.entries[0]?.waiter.sinceMs === sinceMs,
       );
@@ -157,15 +164,15 @@
     return this.chooseFrom(lane => lane.priority === priority);
   }
 
-  private chooseFrom(isMeant: (lane: Lane) => boolean): Choice | undefined {
+  private chooseFrom(isEligible: (lane: Lane) => boolean): Choice | undefined {
     const lanes = [...this.lanes.values()]
-      .filter(isMeant)
-      .map(lane => ({lane, level: this.room.serviceLevel(lane.team)}))
+      .filter(isEligible)
+      .map(lane => ({lane, level: this.grantPolicy.weightedUsage(lane.team)}))
       .sort((a, b) => a.level - b.level);
     for (const {lane} of lanes) {
       const [entry] = lane.entries;
       if (entry === undefined) continue;
-      const executor = this.room.executorFor(entry.waiter);
+      const executor = this.grantPolicy.findExecutor(entry.waiter);
       if (executor !== undefined) return {lane, entry, executor};
     }
     return undefined;
@@ -181,9 +188,9 @@
     return lane;
   }
 
-  private take(lane: Lane, entry: Entry): void {
-    const at = lane.entries.indexOf(entry);
-    if (at >= 0) lane.entries.splice(at, 1);
+  private removeEntry(lane: Lane, entry: Entry): void {
+    const index = lane.entries.indexOf(entry);
+    if (index >= 0) lane.entries.splice(index, 1);
     if (lane.entries.length > 0) return;
     for (const [key, value] of this.lanes) {
       if (value === lane) this.lanes.delete(key);
@@ -191,35 +198,38 @@
   }
 }
 
-/** A p-queue of waiting requests and the order that it follows. */
+/** A p-queue with the fair queue that holds its entries. */
 export interface TicketQueue {
-  readonly queue: PQueue<TicketOrder, TicketOptions>;
-  readonly order: TicketOrder;
+  readonly queue: PQueue<FairQueue, TicketOptions>;
+  readonly fairQueue: FairQueue;
 }
 
 /**
  * Makes the p-queue of waiting requests.
  *
  * @example
- * const {queue, order} = openTicketQueue(room, clock);
+ * const {queue, fairQueue} = makeTicketQueue(grantPolicy, clock);
  */
-export function openTicketQueue(room: TicketRoom, clock: Clock): TicketQueue {
-  const orders: TicketOrder[] = [];
-  const queue = new PQueue<TicketOrder, TicketOptions>({
-    queueClass: class extends TicketOrder {
+export function makeTicketQueue(
+  grantPolicy: GrantPolicy,
+  clock: Clock,
+): TicketQueue {
+  const created: FairQueue[] = [];
+  const queue = new PQueue<FairQueue, TicketOptions>({
+    queueClass: class extends FairQueue {
       constructor() {
-        super(room, clock);
-        orders.push(this);
+        super(grantPolicy, clock);
+        created.push(this);
       }
     },
   });
-  const [order] = orders;
-  if (order === undefined) return raise('internal', 'no queue was made');
-  return {queue, order};
+  const [fairQueue] = created;
+  if (fairQueue === undefined) return raise('internal', 'no queue created');
+  return {queue, fairQueue};
 }
 
 /**
- * Ranks a priority; lower comes first.
+ * Ranks a priority; lower ranks are served first.
  *
  * @example
  * if (priorityRank(a) < priorityRank(b)) serveFirst(a);
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -1,4 +1,4 @@
-/** What follows from how a task went: its result, another run, or neither. */
+/** Handles task outcomes: records a result, runs the task again, or fails. */
 import type {
   Clock,
   EventRing,
@@ -14,15 +14,15 @@
 import type {JobEntry, ShardState} from '@dragonflyward/state';
 import type {TaskReport} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
-import {UNKNOWN_RESULT, type JobBook} from './job-book.js';
+import {UNKNOWN_RESULT, type JobTracker} from './job-tracker.js';
 import type {JobRecords} from './job-records.js';
 
-/** The parts that outcomes need. */
+/** Dependencies of the task outcomes. */
 export interface TaskOutcomesParts {
   readonly shard: string;
-  readonly fold: ShardState;
+  readonly shardState: ShardState;
   readonly engine: PlacementEngine;
-  readonly book: JobBook;
+  readonly tracker: JobTracker;
   readonly records: JobRecords;
   readonly clock: Clock;
   readonly events: EventRing;
@@ -30,11 +30,11 @@
   readonly stopTask: (task: PlacedTask) => void;
 }
 
-/** Decides, for one term, what becomes of tasks that ended or were found. */
+/** Handles the tasks of one term that ended, were lost or were adopted. */
 export class TaskOutcomes {
   constructor(private readonly parts: TaskOutcomesParts) {}
 
-  /** A worker says that a task of this term ended. */
+  /** Handles a worker's report that a task of this term ended. */
   ended(task: PlacedTask, report: TaskReport): void {
     const end = report.end ?? 'stopped';
     this.parts.metrics.count(`tasks_ended_total{end="${end}"}`);
@@ -48,58 +48,62 @@
       return this.failed(task, report.result);
     }
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
-  /** A task surely does not run, and nothing is known of its outcome. */
+  /** Handles a task that no longer runs and whose outcome is unknown. */
   lost(task: PlacedTask): void {
     this.parts.metrics.count('tasks_lost_total');
     this.parts.events.add('taskLost', subjectOf(task));
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
-  /** A task was stopped, and the worker confirmed it. */
-  stopped(task: PlacedTask, why: string): void {
-    this.parts.events.add('taskStopped', subjectOf(task), why);
+  /** Handles a task whose stop the worker has confirmed. */
+  stopped(task: PlacedTask, reason: string): void {
+    this.parts.events.add('taskStopped', subjectOf(task), reason);
     this.release(task, 'notRunning');
-    this.runAgain(task);
+    this.rerunIfSafe(task);
   }
 
-  /** A start was never taken; any task may be placed again. */
+  /** Handles a start that never took effect: the task is placed again. */
   notRun(task: PlacedTask): void {
     this.release(task, 'notRunning');
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry !== undefined) this.submit(entry, [task.taskIndex]);
   }
 
   /**
-   * Takes in what a worker runs and lately ran, after a takeover.
+   * Adopts, after a takeover, the tasks that a worker runs or recently ran.
    *
    * @returns the tasks that run
    * @example
    * const kept = outcomes.adopt(vm, inventory.tasks);
    */
   adopt(vm: VmEntry, reports: readonly TaskReport[]): readonly PlacedTask[] {
-    const kept: PlacedTask[] = [];
+    const runningTasks: PlacedTask[] = [];
     for (const report of reports) {
       if (report.shard !== this.parts.shard) continue;
       const task = toPlacedTask(vm, report);
       if (task === undefined) continue;
-      if (report.state === 'ended') this.foundEnded(task, report);
-      else kept.push(this.foundRunning(task, report));
+      if (report.state === 'ended') this.adoptEnded(task, report);
+      else runningTasks.push(this.adoptRunning(task, report));
     }
-    return kept;
+    return runningTasks;
   }
 
-  /** Goes on with a job of an earlier term, once its hold is over. */
+  /**
+   * Resumes a job of an earlier term after the takeover hold. A task that is
+   * not idempotent and whose start was recorded may have run, so that its
+   * result is unknown; the other unplaced tasks are submitted again.
+   */
   resume(jobId: string): void {
-    const {fold, book, records} = this.parts;
-    const entry = fold.jobs.get(jobId);
+    const {shardState, tracker, records} = this.parts;
+    const entry = shardState.jobs.get(jobId);
     if (entry === undefined || records.isEnding(entry)) return;
     const again: number[] = [];
-    for (const index of book.missingIndexes(entry)) {
-      if (records.isRecording(jobId, index)) continue;
+    for (const index of tracker.unplacedIndexes(entry)) {
+      if (records.isResultPending(jobId, index)) continue;
       const mayHaveRun = entry.starting.has(index) && !entry.spec.isIdempotent;
       if (mayHaveRun) records.recordResult(jobId, index, UNKNOWN_RESULT);
       else again.push(index);
@@ -108,20 +112,20 @@
     records.endIfComplete(jobId);
   }
 
-  private foundRunning(task: PlacedTask, report: TaskReport): PlacedTask {
-    const {engine, book, events} = this.parts;
+  private adoptRunning(task: PlacedTask, report: TaskReport): PlacedTask {
+    const {engine, tracker, events} = this.parts;
     engine.adopt(task);
-    engine.submit(this.jobOfFound(task, report));
-    book.notePlaced(task);
+    engine.submit(this.policyJobOf(task, report));
+    tracker.notePlaced(task);
     events.add('taskAdopted', subjectOf(task));
-    if (this.openEntry(task) === undefined) this.parts.stopTask(task);
+    if (this.unfinishedEntry(task) === undefined) this.parts.stopTask(task);
     return task;
   }
 
-  /** The job of a found task, so that the policy knows its team. */
-  private jobOfFound(task: PlacedTask, report: TaskReport): PolicyJob {
-    const entry = this.parts.fold.jobs.get(task.jobId);
-    if (entry !== undefined) return this.parts.book.toPolicyJob(entry, []);
+  /** The job of an adopted task; the policy needs its team. */
+  private policyJobOf(task: PlacedTask, report: TaskReport): PolicyJob {
+    const entry = this.parts.shardState.jobs.get(task.jobId);
+    if (entry !== undefined) return this.parts.tracker.toPolicyJob(entry, []);
     return {
       jobId: task.jobId,
       team: report.team,
@@ -136,9 +140,9 @@
     };
   }
 
-  /** What failed or was stopped is submitted again when the hold ends. */
-  private foundEnded(task: PlacedTask, report: TaskReport): void {
-    const entry = this.openEntry(task);
+  /** Other failed and stopped tasks are submitted again after the hold. */
+  private adoptEnded(task: PlacedTask, report: TaskReport): void {
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
     if (report.end === 'succeeded') return this.succeeded(task, report.result);
     const isFinal = report.end === 'failed' && !entry.spec.isIdempotent;
@@ -147,45 +151,46 @@
   }
 
   private succeeded(task: PlacedTask, result: string): void {
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
-    if (entry.spec.isService) return this.runAgain(task);
+    if (entry.spec.isService) return this.rerunIfSafe(task);
     this.parts.records.recordResult(task.jobId, task.taskIndex, result);
   }
 
   private failed(task: PlacedTask, result: string): void {
-    const entry = this.openEntry(task);
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
-    const {book, records} = this.parts;
-    const isRetried = entry.spec.isIdempotent && book.mayRetry(task);
+    const {tracker, records} = this.parts;
+    const isRetried =
+      entry.spec.isIdempotent && tracker.countFailedAttempt(task);
     if (isRetried) return this.submit(entry, [task.taskIndex]);
     records.recordEnd(task.jobId, 'failed', result);
   }
 
-  /** Runs a task again where it may; else its outcome is unknown. */
-  private runAgain(task: PlacedTask): void {
-    const entry = this.openEntry(task);
+  /** Runs an idempotent task again; otherwise its outcome is unknown. */
+  private rerunIfSafe(task: PlacedTask): void {
+    const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
     const {jobId, taskIndex} = task;
     if (entry.spec.isIdempotent) return this.submit(entry, [taskIndex]);
     this.parts.records.recordResult(jobId, taskIndex, UNKNOWN_RESULT);
   }
 
-  /** The task's job, while the task has neither a result nor an ended job. */
-  private openEntry(task: PlacedTask): JobEntry | undefined {
-    const {fold, records} = this.parts;
-    const entry = fold.jobs.get(task.jobId);
+  /** The task's job; undefined if the task has a result or the job ended. */
+  private unfinishedEntry(task: PlacedTask): JobEntry | undefined {
+    const {shardState, records} = this.parts;
+    const entry = shardState.jobs.get(task.jobId);
     if (entry === undefined || records.isEnding(entry)) return undefined;
     return entry.ended.has(task.taskIndex) ? undefined : entry;
   }
 
   private submit(entry: JobEntry, taskIndexes: readonly number[]): void {
-    const {engine, book} = this.parts;
-    engine.submit(book.toPolicyJob(entry, taskIndexes));
+    const {engine, tracker} = this.parts;
+    engine.submit(tracker.toPolicyJob(entry, taskIndexes));
   }
 
   private release(task: PlacedTask, end: PlacedTaskEnd): void {
-    this.parts.book.noteGone(task);
+    this.parts.tracker.noteNotRunning(task);
     const nowMs = this.parts.clock.monotonicMs();
     this.parts.engine.ended(task.taskId, end, nowMs);
   }
--- a/packages/scheduler/src/worker-set.ts
+++ b/packages/scheduler/src/worker-set.ts
@@ -1,4 +1,4 @@
-/** The worker tasks of one shard, kept in step with the list of VMs. */
+/** The worker sessions of one shard, kept in sync with the list of VMs. */
 import type {
   Clock,
   EventRing,
@@ -8,9 +8,9 @@
 import type {WorkerClient} from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
 import type {Membership} from './membership.js';
-import {WorkerTask, type WorkerObserver} from './worker-task.js';
+import {WorkerSession, type WorkerObserver} from './worker-session.js';
 
-/** The parts that a set of workers needs. */
+/** Dependencies of a set of workers. */
 export interface WorkerSetParts {
   readonly shard: string;
   readonly membership: Membership;
@@ -28,9 +28,9 @@
   readonly tasksRunning: number;
 }
 
-/** One task for each worker of the shard. */
+/** One session for each worker of the shard. */
 export class WorkerSet {
-  private readonly workers = new Map<string, WorkerTask>();
+  private readonly workers = new Map<string, WorkerSession>();
 
   constructor(
     private readonly parts: WorkerSetParts,
@@ -38,9 +38,9 @@
   ) {}
 
   /**
-   * Starts and ends worker tasks as the list of VMs says.
+   * Starts and ends worker sessions according to the list of VMs.
    *
-   * @returns the workers that are gone
+   * @returns the workers that were removed
    * @example
    * for (const id of workers.sync()) engine.removeWorker(id);
    */
@@ -52,16 +52,16 @@
       if (!this.workers.has(id)) this.add(vm);
     }
     for (const [id, worker] of this.workers) worker.setVm(listed.get(id));
-    return this.dropGone();
+    return this.removeFinished();
   }
 
-  /** The task of one worker. */
-  get(workerId: string): WorkerTask | undefined {
+  /** The session of one worker. */
+  get(workerId: string): WorkerSession | undefined {
     return this.workers.get(workerId);
   }
 
-  /** All worker tasks. */
-  list(): readonly WorkerTask[] {
+  /** All worker sessions. */
+  list(): readonly WorkerSession[] {
     return [...this.workers.values()];
   }
 
@@ -77,7 +77,7 @@
     };
   }
 
-  /** Ends all worker tasks. */
+  /** Ends all worker sessions. */
   stop(): void {
     for (const worker of this.workers.values()) worker.stop();
   }
@@ -87,20 +87,20 @@
     const {observer} = this;
     const client = this.parts.makeWorkerClient(vm, shard);
     const common = {shard, clock, timing, events, metrics};
-    const worker = new WorkerTask({vm, client, observer, ...common});
+    const worker = new WorkerSession({vm, client, observer, ...common});
     this.workers.set(vm.id, worker);
     observer.workerChanged(worker);
     void worker.run();
   }
 
-  private dropGone(): readonly string[] {
-    const gone: string[] = [];
+  private removeFinished(): readonly string[] {
+    const removed: string[] = [];
     for (const [id, worker] of this.workers) {
-      if (!worker.isGone) continue;
+      if (!worker.isRemovable) continue;
       worker.stop();
       this.workers.delete(id);
-      gone.push(id);
+      removed.push(id);
     }
-    return gone;
+    return removed;
   }
 }
