--- a/packages/operator/src/job-commands.ts
+++ b/packages/operator/src/job-commands.ts
@@ -4,7 +4,7 @@
 import type {Command} from 'commander';
 import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import {GatewayCalls, type KeyOptions} from './gateway-calls.js';
+import {GatewayCalls, type KeyOptions} from './gateway-client.js';
 import {toTable} from './output.js';
 
 interface ListOptions extends KeyOptions {
--- a/packages/operator/src/timeline-layout.ts
+++ b/packages/operator/src/timeline-layout.ts
@@ -1,6 +1,6 @@
 /** Places a time line's events on a page: lanes, rows, marks and spans. */
 import type {TimelineEvent} from '@dragonflyward/common';
-import {findSpans, type OwnerSpan} from './owner-spans.js';
+import {findSpans, type OwnerSpan} from './ownership-spans.js';
 import type {RingSummary, Timeline} from './timeline-events.js';
 import {groupIndexOf} from './timeline-groups.js';
 
--- a/packages/operator/test/timeline.test.ts
+++ b/packages/operator/test/timeline.test.ts
@@ -9,7 +9,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {AdminReply} from '../src/fleet.js';
-import {findSpans} from '../src/owner-spans.js';
+import {findSpans} from '../src/ownership-spans.js';
 import {EventCollector} from '../src/timeline-events.js';
 import {filterTimeline} from '../src/timeline-filter.js';
 import {timelinePage} from '../src/timeline-html.js';
