--- a/packages/operator/src/apply-change.ts
+++ b/packages/operator/src/apply-change.ts
@@ -1,4 +1,4 @@
-/** Appends a change and says whether it won and where it is in force. */
+/** Appends a change and reports its result and where it is in force. */
 import {raise, toFailure} from '@dragonflyward/common';
 import {
   RECORD_VERSION,
@@ -13,20 +13,20 @@
 import type {CtlContext} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {
-  inForceLines,
-  isEverywhere,
-  waitInForce,
+  formatInForceReport,
+  isInForceEverywhere,
+  pollUntilInForce,
   type InForceReport,
 } from './in-force.js';
 
-/** How a publication fared. */
+/** The result of a publication. */
 export interface PublishResult {
   readonly verdict: AppendVerdict;
-  /** The publication that took the base first; undefined where this one won. */
+  /** The publication accepted on the same base; undefined if this one was. */
   readonly lostTo: Publication | undefined;
 }
 
-/** A configuration to be published on a base. */
+/** A configuration to publish, and the revision that it was made from. */
 export interface Draft {
   readonly base: number;
   readonly reason: string;
@@ -34,7 +34,7 @@
 }
 
 /**
- * Appends a configuration and reads back whether it is in force.
+ * Appends a configuration and reads back whether it was accepted.
  *
  * @throws logDown, appendUnknown, configInvalid
  * @example
@@ -55,7 +55,7 @@
   await configLog.read();
   const verdict = await configLog.append(record);
   if (verdict.result === 'skipped') {
-    return raise('configInvalid', 'readers skip the record');
+    return raise('configInvalid', 'readers reject the record as invalid');
   }
   if (verdict.result === 'applied') return {verdict, lostTo: undefined};
   return {verdict, lostTo: findWinner(configLog.state, draft.base)};
@@ -85,7 +85,7 @@
 }
 
 /**
- * Appends a change of keys.
+ * Appends a record that grants or withdraws a key.
  *
  * @throws logDown, appendUnknown, configInvalid
  * @example
@@ -102,67 +102,70 @@
   return raise('configConflict', `the record is ${verdict.result}`);
 }
 
-/** Options of commands that change something. */
+/** Options of the commands that make a change. */
 export interface ChangeOptions {
-  /** Whether to wait until the change is in force; commander's --no-wait. */
+  /** Whether to wait until the change is in force; false with --no-wait. */
   readonly wait: boolean;
 }
 
-/** What became of an accepted change in the processes. */
-export interface InForceAnswer {
+/** Where an accepted change is in force, as the command reports it. */
+export interface InForceResult {
   readonly report: InForceReport | undefined;
   readonly lines: readonly string[];
   readonly exitCode: ExitCode;
 }
 
 /**
- * Waits until an accepted change is in force and makes the answer of it.
+ * Waits until an accepted change is in force and reports where it is.
  *
  * @example
- * const {report, lines, exitCode} = await awaitForce(context, 17, options);
+ * const result = await waitUntilInForce(context, 17, options);
  */
-export async function awaitForce(
+export async function waitUntilInForce(
   context: CtlContext,
   offset: number,
   {wait}: ChangeOptions,
-): Promise<InForceAnswer> {
+): Promise<InForceResult> {
   if (!wait) {
-    const lines = ['not waited for: see status'];
+    const lines = ['did not wait until it is in force; run "status" to see'];
     return {report: undefined, lines, exitCode: EXIT.ok};
   }
-  const {fleet, clock, cfg} = context;
+  const {fleet, clock, settings} = context;
   try {
     const read = () => fleet.readAll('/status');
-    const report = await waitInForce(offset, read, cfg.waitMs, clock);
-    const exitCode = isEverywhere(report) ? EXIT.ok : EXIT.notEverywhere;
-    return {report, lines: [...inForceLines(report)], exitCode};
+    const report = await pollUntilInForce(offset, read, settings.waitMs, clock);
+    const exitCode = isInForceEverywhere(report) ? EXIT.ok : EXIT.notEverywhere;
+    return {report, lines: [...formatInForceReport(report)], exitCode};
   } catch (err) {
     const {kind, detail} = toFailure(err);
     if (kind !== 'vmsDown') throw err;
-    const lines = [`where it is in force is unknown: ${detail}`];
+    const lines = [`unknown where it is in force: ${detail}`];
     return {report: undefined, lines, exitCode: EXIT.notEverywhere};
   }
 }
 
 /**
- * Adds the options of a command that changes something.
+ * Adds the options of a command that makes a change.
  *
  * @example
- * withChangeOptions(exception.command('remove <id>'));
+ * addChangeOptions(exception.command('remove <id>'));
  */
-export function withChangeOptions(command: Command): Command {
+export function addChangeOptions(command: Command): Command {
   return command
-    .requiredOption('--reason <text>', 'why; it is kept and shown')
+    .requiredOption(
+      '--reason <text>',
+      'reason for the change; recorded in the log',
+    )
     .option('--no-wait', 'do not wait until it is in force everywhere');
 }
 
 /**
- * Checks that a reason says something.
+ * Checks that a reason is not blank.
  *
  * @throws badRequest
  * @example
  * requireReason(options.reason);
  */
 export function requireReason(reason: string): void {
-  if (reason.trim() === '') raise('badRequest', '--reason: it is empty');
+  if (reason.trim() === '') raise('badRequest', '--reason is empty');
 }
--- a/packages/operator/src/config-commands.ts
+++ b/packages/operator/src/config-commands.ts
@@ -11,54 +11,54 @@
 } from '@dragonflyward/state';
 import type {Command} from 'commander';
 import {
-  awaitForce,
+  waitUntilInForce,
   describePublication,
   publish,
   requireReason,
-  withChangeOptions,
+  addChangeOptions,
   type ChangeOptions,
   type PublishResult,
 } from './apply-change.js';
 import {diffValues, formatDifference} from './config-diff.js';
-import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {toTable} from './output.js';
 
 /**
- * Reads and checks a configuration file.
+ * Loads and validates a configuration file.
  *
  * @throws configInvalid, settingsInvalid, naming file, line and key
  * @example
- * const configuration = readConfiguration('fleet.jsonc');
+ * const configuration = loadConfiguration('fleet.jsonc');
  */
-export function readConfiguration(file: string): Configuration {
+export function loadConfiguration(file: string): Configuration {
   const text = readText(file);
   const value = parseSettings<Configuration>(file, text, CONFIGURATION_SCHEMA);
-  const checked = validateConfiguration(value);
-  if (checked.isOk()) return checked.value;
-  return raise('configInvalid', `${file}: ${checked.error.detail}`);
+  const validated = validateConfiguration(value);
+  if (validated.isOk()) return validated.value;
+  return raise('configInvalid', `${file}: ${validated.error.detail}`);
 }
 
 function readText(file: string): string {
   try {
     return readFileSync(file, 'utf8');
   } catch {
-    return raise('configInvalid', `${file}: the file cannot be read`);
+    return raise('configInvalid', `${file}: cannot read the file`);
   }
 }
 
 /**
- * Writes the exceptions, each with its reason.
+ * Formats the exceptions as lines, each with its reason.
  *
  * @example
- * for (const line of exceptionLines(exceptions)) console.log(line);
+ * for (const line of formatExceptions(exceptions)) console.log(line);
  */
-export function* exceptionLines(
+export function* formatExceptions(
   exceptions: readonly Exception[],
 ): Generator<string> {
   for (const {id, scope, set, reason} of exceptions) {
-    const where = Object.entries(scope).map(entry => entry.join(' '));
-    yield `exception ${id} for ${where.join(', ')}: ${JSON.stringify(set)}`;
+    const scopes = Object.entries(scope).map(entry => entry.join(' '));
+    yield `exception ${id} for ${scopes.join(', ')}: ${JSON.stringify(set)}`;
     yield `  reason: ${reason}`;
   }
 }
@@ -68,13 +68,13 @@
   _options: object,
   file: string,
 ): Promise<ExitCode> {
-  const {defaults, exceptions} = readConfiguration(file);
+  const {defaults, exceptions} = loadConfiguration(file);
   const queues = Object.keys(defaults.queues).length;
   const teams = Object.keys(defaults.teams).length;
   const counts = {queues, teams, exceptions: exceptions.length};
   output.print({isValid: true, ...counts}, [
     `valid: ${queues} queues, ${teams} teams, ${exceptions.length} exceptions`,
-    ...exceptionLines(exceptions),
+    ...formatExceptions(exceptions),
   ]);
   return Promise.resolve(EXIT.ok);
 }
@@ -84,7 +84,7 @@
   _options: object,
   file: string,
 ): Promise<ExitCode> {
-  const draft = readConfiguration(file);
+  const draft = loadConfiguration(file);
   const {revision, configuration} = await context.configLog.read();
   const changes = [...diffValues(configuration, draft)];
   context.output.print({revision, changes}, [
@@ -105,21 +105,21 @@
   file: string,
 ): Promise<ExitCode> {
   const base = Number(options.base);
-  if (!Number.isInteger(base)) raise('badRequest', '--base: want a revision');
+  if (!Number.isInteger(base)) raise('badRequest', '--base: not a revision');
   const {reason} = options;
   requireReason(reason);
-  const configuration = readConfiguration(file);
+  const configuration = loadConfiguration(file);
   const result = await publish(context, {base, reason, configuration});
-  return answerPublish(context, result, options);
+  return reportPublish(context, result, options);
 }
 
 /**
- * Answers a publication: the race it lost, or where it is in force.
+ * Reports a publication: the one it lost to, or where it is in force.
  *
  * @example
- * return answerPublish(context, await publish(context, draft), options);
+ * return reportPublish(context, await publish(context, draft), options);
  */
-export async function answerPublish(
+export async function reportPublish(
   context: CtlContext,
   {verdict, lostTo}: PublishResult,
   options: ChangeOptions,
@@ -128,15 +128,21 @@
   if (result !== 'applied') {
     const winner = lostTo === undefined ? '' : describePublication(lostTo);
     const value = {accepted: false, offset, lostTo: lostTo ?? null};
-    const what =
-      winner === '' ? 'the base is not in force' : `lost to ${winner}`;
+    const cause =
+      winner === ''
+        ? 'the base is not the revision in force'
+        : `lost to ${winner}`;
     context.output.print(value, [
-      `not accepted: ${what}`,
-      'nothing changed; look at "config diff" and publish on the new base',
+      `not accepted: ${cause}`,
+      'nothing changed; run "config diff" and publish on the new base',
     ]);
     return EXIT.conflict;
   }
-  const {report, lines, exitCode} = await awaitForce(context, offset, options);
+  const {report, lines, exitCode} = await waitUntilInForce(
+    context,
+    offset,
+    options,
+  );
   const value = {accepted: true, revision: offset, inForce: report ?? null};
   context.output.print(value, [`accepted: revision ${offset}`, ...lines]);
   return exitCode;
@@ -191,29 +197,32 @@
     .description('validate, compare, publish and show the configuration');
   config
     .command('validate <file>')
-    .description('check a configuration file, without the log')
-    .action(action(io, validate));
+    .description('check a configuration file without reading the log')
+    .action(makeAction(io, validate));
   config
     .command('diff <file>')
     .description('compare a file with the configuration in force')
-    .action(action(io, diff));
-  withChangeOptions(config.command('publish <file>'))
+    .action(makeAction(io, diff));
+  addChangeOptions(config.command('publish <file>'))
     .description('publish a file on the revision that it was made from')
-    .requiredOption('--base <revision>', 'the revision you edited; -1 for none')
+    .requiredOption(
+      '--base <revision>',
+      'the revision the file was made from; -1 for none',
+    )
     .addHelpText('after', PUBLISH_EXAMPLE)
-    .action(action(io, publishFile));
+    .action(makeAction(io, publishFile));
   config
     .command('show')
     .description('show the configuration in force and its revision')
-    .action(action(io, show));
+    .action(makeAction(io, show));
   config
     .command('history')
-    .description('list publications and what became of them, newest first')
-    .action(action(io, history));
+    .description('list publications and their outcomes, newest first')
+    .action(makeAction(io, history));
 }
 
 const PUBLISH_EXAMPLE = `
 Example:
-  dragonflyward-ctl config show > fleet.jsonc    # says the revision, here 41
+  dragonflyward-ctl config show > fleet.jsonc    # prints the revision, here 41
   dragonflyward-ctl config diff fleet.jsonc
   dragonflyward-ctl config publish fleet.jsonc --base 41 --reason "kiln queue"`;
--- a/packages/operator/src/config-diff.ts
+++ b/packages/operator/src/config-diff.ts
@@ -1,7 +1,7 @@
-/** Lists what differs between two configurations. */
+/** Computes the differences between two configurations. */
 import {isDeepStrictEqual} from 'node:util';
 
-/** One value that differs; undefined stands for none. */
+/** One value that differs; undefined on the side that lacks it. */
 export interface Difference {
   readonly path: string;
   readonly before: unknown;
@@ -9,7 +9,7 @@
 }
 
 /**
- * Lists the differing values, in the order of their paths.
+ * Lists the differing values, sorted by path.
  *
  * @example
  * for (const change of diffValues(inForce, draft)) print(change.path);
@@ -26,13 +26,13 @@
   }
   const keys = [...new Set([...Object.keys(before), ...Object.keys(after)])];
   for (const key of keys.sort()) {
-    const inner = path === '' ? key : `${path}.${key}`;
-    yield* diffValues(before[key], after[key], inner);
+    const childPath = path === '' ? key : `${path}.${key}`;
+    yield* diffValues(before[key], after[key], childPath);
   }
 }
 
 /**
- * Writes a difference as one line.
+ * Formats a difference as one line.
  *
  * @example
  * formatDifference({path: 'a', before: 1, after: 2}); // 'a: 1 -> 2'
--- a/packages/operator/src/config-log.ts
+++ b/packages/operator/src/config-log.ts
@@ -7,16 +7,16 @@
   type ConfigStreamRecord,
 } from '@dragonflyward/state';
 
-const READ_BACK_BOUND_MS = 5_000;
-const READ_BACK_STEP_MS = 100;
+const READ_BACK_TIMEOUT_MS = 5_000;
+const READ_BACK_INTERVAL_MS = 100;
 
-/** Where an appended record stands and what became of it. */
+/** The offset of an appended record and the result of applying it. */
 export interface AppendVerdict {
   readonly offset: number;
   readonly result: ApplyResult;
 }
 
-/** The configuration stream as the log has it now. */
+/** The state folded from the configuration stream. */
 export class ConfigLog {
   readonly state = new ConfigState();
   private readonly tail: StreamTail;
@@ -41,7 +41,8 @@
   /**
    * Reads up to the end of the stream.
    *
-   * @throws logDown, configStale where the kept records do not suffice
+   * @throws logDown
+   * @throws configStale if the retained records do not give a complete state
    * @example
    * const state = await configLog.read();
    */
@@ -50,15 +51,15 @@
     do await this.tail.readOnce(0);
     while (this.tail.lastProofMs < startMs);
     if (this.state.isComplete) return this.state;
-    return raise('configStale', 'the log keeps no whole snapshot');
+    return raise('configStale', 'the log retains no complete snapshot');
   }
 
   /**
-   * Appends one record and reads it back. It is sent once only: where the
-   * reply is lost, the log itself says whether the record is there.
+   * Appends one record and reads it back. It is never sent again: if the
+   * reply is lost, the stream is read to find out whether it was appended.
    *
-   * @throws logDown when it certainly had no effect
-   * @throws appendUnknown when it may yet have an effect
+   * @throws logDown if the record was certainly not appended
+   * @throws appendUnknown if the record may still take effect
    * @example
    * const {offset, result} = await configLog.append(record);
    */
@@ -74,15 +75,18 @@
   }
 
   private async readBack(id: string): Promise<AppendVerdict> {
-    const endMs = this.clock.monotonicMs() + READ_BACK_BOUND_MS;
+    const deadlineMs = this.clock.monotonicMs() + READ_BACK_TIMEOUT_MS;
     for (;;) {
       await this.tryRead();
       const verdict = this.verdicts.get(id);
       if (verdict !== undefined) return verdict;
-      if (this.clock.monotonicMs() >= endMs) break;
-      await this.clock.sleep(READ_BACK_STEP_MS);
+      if (this.clock.monotonicMs() >= deadlineMs) break;
+      await this.clock.sleep(READ_BACK_INTERVAL_MS);
     }
-    return raise('appendUnknown', `record ${id} was not found in the log`);
+    return raise(
+      'appendUnknown',
+      `record ${id} was not found in the log in time`,
+    );
   }
 
   private async tryRead(): Promise<void> {
--- a/packages/operator/src/ctl-context.ts
+++ b/packages/operator/src/ctl-context.ts
@@ -1,4 +1,4 @@
-/** What the commands share: settings, clients and the form of output. */
+/** What the commands share: settings, clients and output. */
 import {
   loadProgramSettings,
   raise,
@@ -24,20 +24,20 @@
   readonly json?: boolean;
 }
 
-/** Where a program's input and output come from and go to. */
+/** A program's environment and output. */
 export interface ProgramIo {
   readonly sink: TextSink;
   readonly env: Readonly<NodeJS.ProcessEnv>;
 }
 
-/** The input and output of this process. */
+/** The environment and output of this process. */
 export const PROCESS_IO: ProgramIo = {sink: STANDARD_SINK, env: process.env};
 
-/** What a command works with. */
+/** Settings, clients and output for one command. */
 export class CtlContext {
   readonly clock: Clock = new SystemClock();
   readonly output: Output;
-  private loaded: CtlSettings | undefined;
+  private loadedSettings: CtlSettings | undefined;
 
   constructor(
     private readonly options: GlobalOptions,
@@ -51,29 +51,29 @@
    *
    * @throws settingsInvalid
    */
-  get cfg(): CtlSettings {
+  get settings(): CtlSettings {
     const {env} = this.io;
     const file = this.options.settings ?? env[SETTINGS_VARIABLE] ?? '';
     const sources = {file, flags: this.options.set, env};
-    this.loaded ??= loadProgramSettings<CtlSettings>(
+    this.loadedSettings ??= loadProgramSettings<CtlSettings>(
       sources,
       CTL_SETTINGS_SCHEMA,
     );
-    return this.loaded;
+    return this.loadedSettings;
   }
 
-  /** Who makes a change; it stands in the log beside it. */
+  /** The author that is recorded in the log with a change. */
   get author(): string {
-    const author = this.cfg.author || (this.io.env['USER'] ?? '');
+    const author = this.settings.author || (this.io.env['USER'] ?? '');
     return author || raise('settingsInvalid', 'key "author" is empty');
   }
 
   get log(): LogClient {
-    return new HttpLogClient(this.cfg.logUrl);
+    return new HttpLogClient(this.settings.logUrl);
   }
 
   get vms(): VmListClient {
-    return new HttpVmListClient(this.cfg.vmListUrl);
+    return new HttpVmListClient(this.settings.vmListUrl);
   }
 
   get configLog(): ConfigLog {
@@ -81,26 +81,30 @@
   }
 
   get fleet(): Fleet {
-    return new Fleet(this.vms, this.cfg.ports, this.cfg.replyTimeoutMs);
+    return new Fleet(
+      this.vms,
+      this.settings.ports,
+      this.settings.replyTimeoutMs,
+    );
   }
 }
 
-/** Does a command's work and returns its exit code. */
-export type CommandBody<O, A extends readonly string[]> = (
+/** Runs a command and returns its exit code. */
+export type CommandHandler<O, A extends readonly string[]> = (
   context: CtlContext,
   options: O,
   ...args: A
 ) => Promise<ExitCode>;
 
 /**
- * Makes the action of a command: it runs the body, then ends the program.
+ * Wraps a handler as the action of a command, which then ends the program.
  *
  * @example
- * config.command('show').action(action(io, showConfig));
+ * config.command('show').action(makeAction(io, showConfig));
  */
-export function action<O, A extends readonly string[]>(
+export function makeAction<O, A extends readonly string[]>(
   io: ProgramIo,
-  body: CommandBody<O, A>,
+  handler: CommandHandler<O, A>,
 ): (...params: unknown[]) => Promise<void> {
   return async (...params) => {
     const command = params.at(-1);
@@ -108,26 +112,26 @@
     const options: O & GlobalOptions = command.optsWithGlobals();
     const args = params.slice(0, -2) as unknown as A;
     const context = new CtlContext(options, io);
-    const run = (): Promise<ExitCode> => body(context, options, ...args);
-    throw new ProgramExit(await runBody(context, run));
+    const run = (): Promise<ExitCode> => handler(context, options, ...args);
+    throw new ProgramExit(await runHandler(context, run));
   };
 }
 
-/** Carries a command's exit code to where the program ends. */
+/** Carries a command's exit code to `runProgram`. */
 class ProgramExit extends Error {
   constructor(readonly exitCode: ExitCode) {
     super(`exit code ${exitCode}`);
   }
 }
 
-async function runBody(
+async function runHandler(
   context: CtlContext,
-  body: () => Promise<ExitCode>,
+  handler: () => Promise<ExitCode>,
 ): Promise<ExitCode> {
   try {
-    return await body();
+    return await handler();
   } catch (err) {
-    return context.output.fail(err);
+    return context.output.printError(err);
   }
 }
 
@@ -135,16 +139,16 @@
  * Adds the options that all commands take.
  *
  * @example
- * const program = withGlobalOptions(new Command('dragonflyward-ctl'));
+ * const program = addGlobalOptions(new Command('dragonflyward-ctl'));
  */
-export function withGlobalOptions(program: Command): Command {
-  const collect = (value: string, all: readonly string[]): string[] => [
+export function addGlobalOptions(program: Command): Command {
+  const appendValue = (value: string, all: readonly string[]): string[] => [
     ...all,
     value,
   ];
   return program
-    .option('--settings <file>', 'settings in JSON with comments')
-    .option('--set <key=value>', 'override one setting', collect, [])
+    .option('--settings <file>', 'settings file, JSON with comments')
+    .option('--set <key=value>', 'override one setting', appendValue, [])
     .option('--json', 'print one JSON document')
     .showHelpAfterError('(add --help for usage)');
 }
@@ -164,11 +168,11 @@
     return EXIT.ok;
   } catch (err) {
     if (err instanceof ProgramExit) return err.exitCode;
-    return isHelp(err) ? EXIT.ok : EXIT.usage;
+    return isHelpExit(err) ? EXIT.ok : EXIT.usage;
   }
 }
 
-/** Commander ends with exit code 0 after it has shown help. */
-function isHelp(err: unknown): boolean {
+/** Commander throws an error with exit code 0 after it has shown help. */
+function isHelpExit(err: unknown): boolean {
   return err instanceof CommanderError && err.exitCode === 0;
 }
--- a/packages/operator/src/ctl-settings.ts
+++ b/packages/operator/src/ctl-settings.ts
@@ -4,25 +4,25 @@
   type PortSettings,
 } from '@dragonflyward/common';
 
-/** The settings of the operators' programs. */
+/** The settings that both programs share. */
 export interface CtlSettings {
   readonly logUrl: string;
   readonly vmListUrl: string;
   /** The ports of the entry VMs. */
   readonly ports: PortSettings;
-  /** Who makes a change, as it is written to the log. */
+  /** The author that is recorded with a change. */
   readonly author: string;
-  /** Where job commands go; empty for any gateway of the VM list. */
+  /** The gateway for job commands; empty for any gateway in the VM list. */
   readonly gatewayUrl: string;
   /** How long to wait until a change is in force everywhere. */
   readonly waitMs: number;
-  /** How long one process may take to answer. */
+  /** Timeout of a request to one process. */
   readonly replyTimeoutMs: number;
 }
 
 const {logUrl, vmListUrl, ports} = PROCESS_SETTINGS_SCHEMA.properties;
 
-/** The schema of the operators' settings. */
+/** The schema of `CtlSettings`. */
 export const CTL_SETTINGS_SCHEMA = {
   type: 'object',
   additionalProperties: false,
--- a/packages/operator/src/exception-commands.ts
+++ b/packages/operator/src/exception-commands.ts
@@ -10,37 +10,40 @@
 import {
   publish,
   requireReason,
-  withChangeOptions,
+  addChangeOptions,
   type ChangeOptions,
 } from './apply-change.js';
-import {answerPublish, exceptionLines} from './config-commands.js';
-import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {reportPublish, formatExceptions} from './config-commands.js';
+import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 
-/** A lost race had no effect, so that a change may be made again on top. */
+/** A publication that lost a race had no effect, so a retry is safe. */
 const MAX_ATTEMPTS = 5;
 
-/** Changes a configuration into another. */
-export type Revise = (configuration: Configuration) => Configuration;
+/** Returns an edited copy of a configuration. */
+export type ConfigurationEdit = (configuration: Configuration) => Configuration;
 
-/** Revises what is in force, and again on top of a change that came first. */
-async function publishRevision(
+/**
+ * Edits and publishes the configuration in force. If another change is
+ * accepted first, applies the edit again on top of it.
+ */
+async function editAndPublish(
   context: CtlContext,
-  revise: Revise,
+  edit: ConfigurationEdit,
   reason: string,
   options: ChangeOptions,
 ): Promise<ExitCode> {
   for (let attempt = 1; ; attempt += 1) {
     const {configLog} = context;
     const {revision, configuration} = await configLog.read();
-    const revised = revise(configuration);
-    const checked = validateConfiguration(revised);
-    if (checked.isErr()) raise('configInvalid', checked.error.detail);
-    const draft = {base: revision, reason, configuration: revised};
+    const edited = edit(configuration);
+    const validated = validateConfiguration(edited);
+    if (validated.isErr()) raise('configInvalid', validated.error.detail);
+    const draft = {base: revision, reason, configuration: edited};
     const result = await publish(context, draft, configLog);
-    const isLost = result.verdict.result !== 'applied';
-    if (isLost && attempt < MAX_ATTEMPTS) continue;
-    return answerPublish(context, result, options);
+    const isRaceLost = result.verdict.result !== 'applied';
+    if (isRaceLost && attempt < MAX_ATTEMPTS) continue;
+    return reportPublish(context, result, options);
   }
 }
 
@@ -58,44 +61,47 @@
 ): Promise<ExitCode> {
   const {reason} = options;
   requireReason(reason);
-  const scope = readScope(options);
-  const set = readAssignments(assignments.flat());
+  const scope = parseScope(options);
+  const set = parseAssignments(assignments.flat());
   const exception: Exception = {id, scope, set, reason};
-  const revise: Revise = configuration => {
+  const edit: ConfigurationEdit = configuration => {
     const {exceptions} = configuration;
-    const isKnown = exceptions.some(known => known.id === id);
-    if (isKnown) raise('badRequest', `exception "${id}" is there already`);
+    const isKnown = exceptions.some(existing => existing.id === id);
+    if (isKnown) raise('badRequest', `exception "${id}" already exists`);
     return {...configuration, exceptions: [...exceptions, exception]};
   };
-  const why = `exception ${id}: ${reason}`;
-  return publishRevision(context, revise, why, options);
+  const recordedReason = `exception ${id}: ${reason}`;
+  return editAndPublish(context, edit, recordedReason, options);
 }
 
-function readScope({queue, team}: AddOptions): ExceptionScope {
+function parseScope({queue, team}: AddOptions): ExceptionScope {
   if (queue !== undefined && team === undefined) return {queue};
   if (team !== undefined && queue === undefined) return {team};
-  return raise('badRequest', 'want one of --queue and --team');
+  return raise('badRequest', 'expected either --queue or --team');
 }
 
 /**
- * Reads `key=value` texts; a value is JSON, or else a plain text.
+ * Parses `key=value` texts; a value that is not JSON is taken as a string.
  *
  * @throws badRequest
  * @example
- * readAssignments(['maxWaiting=50']); // {maxWaiting: 50}
+ * parseAssignments(['maxWaiting=50']); // {maxWaiting: 50}
  */
-export function readAssignments(
+export function parseAssignments(
   texts: readonly string[],
 ): Readonly<Record<string, unknown>> {
   const entries = texts.map(text => {
-    const split = text.indexOf('=');
-    if (split < 1) raise('badRequest', `"${text}": want key=value`);
-    return [text.slice(0, split), readValue(text.slice(split + 1))] as const;
+    const equalsIndex = text.indexOf('=');
+    if (equalsIndex < 1) raise('badRequest', `"${text}": expected key=value`);
+    return [
+      text.slice(0, equalsIndex),
+      parseValue(text.slice(equalsIndex + 1)),
+    ] as const;
   });
   return Object.fromEntries(entries);
 }
 
-function readValue(text: string): unknown {
+function parseValue(text: string): unknown {
   try {
     return JSON.parse(text) as unknown;
   } catch {
@@ -114,14 +120,16 @@
 ): Promise<ExitCode> {
   const {reason} = options;
   requireReason(reason);
-  const revise: Revise = configuration => {
-    const rest = configuration.exceptions.filter(known => known.id !== id);
+  const edit: ConfigurationEdit = configuration => {
+    const rest = configuration.exceptions.filter(
+      existing => existing.id !== id,
+    );
     const isKnown = rest.length < configuration.exceptions.length;
     if (!isKnown) raise('routeUnknown', `no exception "${id}"`);
     return {...configuration, exceptions: rest};
   };
-  const why = `remove exception ${id}: ${reason}`;
-  return publishRevision(context, revise, why, options);
+  const recordedReason = `remove exception ${id}: ${reason}`;
+  return editAndPublish(context, edit, recordedReason, options);
 }
 
 async function list({configLog, output}: CtlContext): Promise<ExitCode> {
@@ -129,7 +137,7 @@
   const {exceptions} = configuration;
   output.print({revision, exceptions}, [
     `revision ${revision}: ${exceptions.length} exceptions`,
-    ...exceptionLines(exceptions),
+    ...formatExceptions(exceptions),
   ]);
   return EXIT.ok;
 }
@@ -143,20 +151,20 @@
 export function addExceptionCommands(program: Command, io: ProgramIo): void {
   const exception = program
     .command('exception')
-    .description('add, list and remove departures from the defaults');
-  withChangeOptions(exception.command('add <id> <assignments...>'))
-    .description('set values for one queue or team; a reason is required')
-    .option('--queue <name>', 'the queue that it applies to')
-    .option('--team <name>', 'the team that it applies to')
+    .description('add, list and remove overrides of the defaults');
+  addChangeOptions(exception.command('add <id> <assignments...>'))
+    .description('override values for one queue or team; a reason is required')
+    .option('--queue <name>', 'the queue that the values apply to')
+    .option('--team <name>', 'the team that the values apply to')
     .addHelpText('after', ADD_EXAMPLE)
-    .action(action(io, add));
+    .action(makeAction(io, add));
   exception
     .command('list')
     .description('list the exceptions in force, with their reasons')
-    .action(action(io, list));
-  withChangeOptions(exception.command('remove <id>'))
+    .action(makeAction(io, list));
+  addChangeOptions(exception.command('remove <id>'))
     .description('go back to the defaults; a reason is required')
-    .action(action(io, remove));
+    .action(makeAction(io, remove));
 }
 
 const ADD_EXAMPLE = `
--- a/packages/operator/src/exit-codes.ts
+++ b/packages/operator/src/exit-codes.ts
@@ -1,17 +1,17 @@
 /** The exit codes of dragonflyward-ctl and dragonflyward-timeline. */
 import {toFailure, type ErrorKind} from '@dragonflyward/common';
 
-/** What an exit code says; the numbers are stable. */
+/** The exit codes; the numbers are stable. */
 export const EXIT = {
   /** Done; a change is in force everywhere that answered. */
   ok: 0,
-  /** A fault of the program itself. */
+  /** An internal error. */
   internal: 1,
   /** The command line is wrong. */
   usage: 2,
   /** A file, a setting or a configuration is not valid; nothing changed. */
   invalid: 3,
-  /** A racing change came first; nothing changed. */
+  /** A concurrent change was accepted first; nothing changed. */
   conflict: 4,
   /** The named key, job, queue, team or exception is not known. */
   unknownName: 5,
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import type {VmEntry, VmListClient} from '@dragonflyward/vms';
 
-const OK = 200;
+const HTTP_OK = 200;
 
 /** What a process on an entry VM does. */
 export type ProcessRole = 'gateway' | 'scheduler';
@@ -26,9 +26,9 @@
 /** What a process's admin port answered. */
 export interface AdminReply {
   readonly process: ProcessAddress;
-  /** Undefined where it did not answer. */
+  /** Undefined if the read failed. */
   readonly body: Readonly<Record<string, unknown>> | undefined;
-  /** Why there is no answer; empty where there is one. */
+  /** Why the read failed; empty if it did not. */
   readonly failure: string;
 }
 
@@ -36,7 +36,7 @@
  * Lists the processes that run on the entry VMs of a list.
  *
  * @example
- * const processes = [...listProcesses(await vms.list(), cfg.ports)];
+ * const processes = [...listProcesses(await vms.list(), settings.ports)];
  */
 export function* listProcesses(
   vms: readonly VmEntry[],
@@ -68,7 +68,7 @@
   ) {}
 
   /**
-   * Lists the processes; the list lags behind.
+   * Lists the processes. The VM list may lag behind the actual VMs.
    *
    * @throws vmsDown
    */
@@ -77,7 +77,7 @@
   }
 
   /**
-   * Reads one path of each process's admin port, all at once.
+   * Reads one path of each process's admin port, in parallel.
    *
    * @throws vmsDown
    * @example
@@ -88,11 +88,11 @@
     role?: ProcessRole,
   ): Promise<readonly AdminReply[]> {
     const processes = await this.processes();
-    const asked = processes.filter(
+    const selected = processes.filter(
       process => role === undefined || process.role === role,
     );
     return Promise.all(
-      asked.map(process => readAdmin(process, path, this.timeoutMs)),
+      selected.map(process => readAdmin(process, path, this.timeoutMs)),
     );
   }
 }
@@ -111,7 +111,7 @@
   const url = `http://${process.ip}:${process.port}${path}`;
   try {
     const res = await callJson({method: 'GET', url, timeoutMs});
-    if (res.status !== OK) {
+    if (res.status !== HTTP_OK) {
       return {process, body: undefined, failure: `status ${res.status}`};
     }
     const body = res.body as AdminReply['body'];
@@ -121,7 +121,7 @@
   }
 }
 
-/** A shard that a scheduler follows, as its status shows it. */
+/** A shard that a scheduler follows, as reported by its status. */
 export interface StatusShard {
   readonly shard: string;
   readonly term: number;
@@ -131,14 +131,14 @@
   readonly logAgeMs?: number | null;
 }
 
-/** The fields of a status that are read here, where they are there. */
+/** The fields of a status that the programs read, where present. */
 export interface ProcessStatus {
   readonly process?: ProcessRef;
   readonly isReady?: boolean;
   readonly isDraining?: boolean;
   /** Offset of the next configuration record to apply. */
   readonly configOffset?: number;
-  /** How long ago the configuration was known to be the newest. */
+  /** Time since the configuration was last known to be the newest. */
   readonly configAgeMs?: number | null;
   readonly shards?: readonly StatusShard[];
 }
@@ -153,7 +153,7 @@
   return ((body ?? {}) as ProcessStatus).configOffset;
 }
 
-/** How long ago a process knew that it had the newest configuration. */
+/** Time since a process last knew that it had the newest configuration. */
 export function configAgeOf(body: AdminReply['body']): number | undefined {
   return ((body ?? {}) as ProcessStatus).configAgeMs ?? undefined;
 }
--- a/packages/operator/src/gateway-client.ts
+++ b/packages/operator/src/gateway-client.ts
@@ -20,8 +20,8 @@
   readonly keyFile?: string;
 }
 
-/** Calls the job API of one gateway after another until one answers. */
-export class GatewayCalls {
+/** Calls the job API, trying one gateway after another until one answers. */
+export class GatewayClient {
   constructor(
     private readonly context: CtlContext,
     private readonly options: KeyOptions,
@@ -30,19 +30,19 @@
   /**
    * Makes a call and returns the answer's body.
    *
-   * @throws the kind that the gateway answered; peerDown where none answers
+   * @throws the error kind in the reply; peerDown if no gateway answers
    * @example
-   * const body = await gateway.call('GET', '/v1/jobs?max=50');
+   * const body = await client.call('GET', '/v1/jobs?max=50');
    */
   async call(method: JsonCall['method'], path: string): Promise<unknown> {
     const headers = {authorization: `Bearer ${this.readKey()}`};
-    const {replyTimeoutMs: timeoutMs} = this.context.cfg;
+    const {replyTimeoutMs: timeoutMs} = this.context.settings;
     for (const base of await this.gatewayUrls()) {
       const call = {method, url: base + path, headers, timeoutMs};
       const res = await tryCall(call);
-      if (res !== undefined) return bodyOf(res);
+      if (res !== undefined) return unwrapReply(res);
     }
-    return raise('peerDown', 'no gateway answers');
+    return raise('peerDown', 'no gateway answered');
   }
 
   private readKey(): string {
@@ -56,7 +56,7 @@
   }
 
   private async gatewayUrls(): Promise<readonly string[]> {
-    const {gatewayUrl, ports} = this.context.cfg;
+    const {gatewayUrl, ports} = this.context.settings;
     if (gatewayUrl !== '') return [gatewayUrl];
     const vms = await this.context.vms.list();
     return vms
@@ -73,7 +73,7 @@
   }
 }
 
-/** Undefined where no connection stood, so that another may be tried. */
+/** Returns undefined if the connection failed, so the next can be tried. */
 async function tryCall(call: JsonCall): Promise<JsonReply | undefined> {
   try {
     return await callJson(call);
@@ -87,7 +87,7 @@
   readonly error?: {readonly kind?: string; readonly detail?: string};
 }
 
-function bodyOf({status, body}: JsonReply): unknown {
+function unwrapReply({status, body}: JsonReply): unknown {
   if (status < FIRST_ERROR_STATUS) return body;
   const {kind, detail} = (body as ErrorBody | undefined)?.error ?? {};
   if (!isErrorKind(kind)) return raise('internal', `status ${status}`);
--- a/packages/operator/src/in-force.ts
+++ b/packages/operator/src/in-force.ts
@@ -1,11 +1,11 @@
-/** Watches where a change of configuration is in force and where not yet. */
+/** Polls the processes for whether they have applied a change. */
 import type {Clock} from '@dragonflyward/common';
 import {configOffsetOf, type AdminReply} from './fleet.js';
 
 const POLL_PERIOD_MS = 200;
 
 /** A process in which a change is not known to be in force. */
-export interface Laggard {
+export interface PendingProcess {
   readonly process: string;
   readonly reason: string;
 }
@@ -14,16 +14,16 @@
 export interface InForceReport {
   readonly offset: number;
   readonly inForce: readonly string[];
-  readonly notYet: readonly Laggard[];
-  /** How long it took, or how long was waited. */
+  readonly notYet: readonly PendingProcess[];
+  /** Time until it was in force everywhere, or until the wait ended. */
   readonly waitedMs: number;
 }
 
 /** Reads the status of each process. */
-export type ReadStatuses = () => Promise<readonly AdminReply[]>;
+export type StatusReader = () => Promise<readonly AdminReply[]>;
 
 /**
- * Sorts the processes by whether they have applied the record at an offset.
+ * Splits the processes by whether they have applied the record at an offset.
  *
  * @example
  * const report = checkInForce(17, await fleet.readAll('/status'), 0);
@@ -34,33 +34,33 @@
   waitedMs: number,
 ): InForceReport {
   const inForce: string[] = [];
-  const notYet: Laggard[] = [];
+  const notYet: PendingProcess[] = [];
   for (const {process, body, failure} of replies) {
-    const reached = configOffsetOf(body);
-    if (reached !== undefined && reached > offset) {
+    const nextOffset = configOffsetOf(body);
+    if (nextOffset !== undefined && nextOffset > offset) {
       inForce.push(process.name);
       continue;
     }
-    const lag = `has applied the records before ${reached ?? 'an unknown one'}`;
-    notYet.push({process: process.name, reason: failure || lag});
+    const pendingReason = `next offset to apply: ${nextOffset ?? 'unknown'}`;
+    notYet.push({process: process.name, reason: failure || pendingReason});
   }
   return {offset, inForce, notYet, waitedMs};
 }
 
-/** Whether all processes have it; a fleet that shows none has it nowhere. */
-export function isEverywhere({inForce, notYet}: InForceReport): boolean {
+/** Whether all processes have applied it; false if none is listed. */
+export function isInForceEverywhere({inForce, notYet}: InForceReport): boolean {
   return notYet.length === 0 && inForce.length > 0;
 }
 
 /**
- * Waits until a record is in force in all processes, at most for a time.
+ * Waits until a record is in force in all processes, or until a timeout.
  *
  * @example
- * const report = await waitInForce(17, read, 10_000, clock);
+ * const report = await pollUntilInForce(17, read, 10_000, clock);
  */
-export async function waitInForce(
+export async function pollUntilInForce(
   offset: number,
-  read: ReadStatuses,
+  read: StatusReader,
   waitMs: number,
   clock: Clock,
 ): Promise<InForceReport> {
@@ -69,21 +69,21 @@
     const replies = await read();
     const waitedMs = Math.round(clock.monotonicMs() - startMs);
     const report = checkInForce(offset, replies, waitedMs);
-    if (isEverywhere(report) || waitedMs >= waitMs) return report;
+    if (isInForceEverywhere(report) || waitedMs >= waitMs) return report;
     await clock.sleep(POLL_PERIOD_MS);
   }
 }
 
 /**
- * Says in a few lines where a change is in force.
+ * Formats a report as lines.
  *
  * @example
- * output.print(report, inForceLines(report));
+ * output.print(report, formatInForceReport(report));
  */
-export function* inForceLines(report: InForceReport): Generator<string> {
+export function* formatInForceReport(report: InForceReport): Generator<string> {
   const {inForce, notYet, waitedMs} = report;
-  const all = inForce.length + notYet.length;
-  yield `in force in ${inForce.length} of ${all} processes after ${waitedMs} ms`;
+  const total = inForce.length + notYet.length;
+  yield `in force in ${inForce.length} of ${total} processes after ${waitedMs} ms`;
   for (const {process, reason} of notYet) {
     yield `not yet known to be in force: ${process} (${reason})`;
   }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,4 +1,4 @@
-/** The operators' programs: ctl and timeline. */
+/** The programs for operators: ctl and timeline. */
 export * from './exit-codes.js';
 export * from './ctl-settings.js';
 export * from './ctl-context.js';
--- a/packages/operator/src/job-commands.ts
+++ b/packages/operator/src/job-commands.ts
@@ -2,9 +2,9 @@
 import type {JobStatus} from '@dragonflyward/state';
 import {raise} from '@dragonflyward/common';
 import type {Command} from 'commander';
-import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import {GatewayCalls, type KeyOptions} from './gateway-client.js';
+import {GatewayClient, type KeyOptions} from './gateway-client.js';
 import {toTable} from './output.js';
 
 interface ListOptions extends KeyOptions {
@@ -19,9 +19,9 @@
   context: CtlContext,
   options: ListOptions,
 ): Promise<ExitCode> {
-  const calls = new GatewayCalls(context, options);
+  const client = new GatewayClient(context, options);
   const max = encodeURIComponent(options.max);
-  const {jobs} = (await calls.call('GET', `/v1/jobs?max=${max}`)) as JobList;
+  const {jobs} = (await client.call('GET', `/v1/jobs?max=${max}`)) as JobList;
   const heading = ['job', 'queue', 'phase', 'running', 'ended', 'reason'];
   const rows = jobs.map(job => [
     job.jobId,
@@ -40,20 +40,20 @@
   options: KeyOptions,
   jobId: string,
 ): Promise<ExitCode> {
-  const calls = new GatewayCalls(context, options);
-  const job = (await calls.call('GET', pathOf(jobId))) as JobStatus;
-  context.output.print(job, [...jobLines(job), ...resultLines(job)]);
+  const client = new GatewayClient(context, options);
+  const job = (await client.call('GET', jobPath(jobId))) as JobStatus;
+  context.output.print(job, [...formatJob(job), ...formatTaskResults(job)]);
   return EXIT.ok;
 }
 
-function* jobLines(job: JobStatus): Generator<string> {
+function* formatJob(job: JobStatus): Generator<string> {
   yield `job ${job.jobId} of team ${job.team}, queue ${job.queue}`;
   yield `shard ${job.shard}: ${job.phase}${job.end ? `, ${job.end}` : ''}`;
   yield `tasks: ${job.tasksRunning} running, ${job.tasksEnded} ended`;
   if (job.reason !== '') yield `reason: ${job.reason}`;
 }
 
-function* resultLines({results}: JobStatus): Generator<string> {
+function* formatTaskResults({results}: JobStatus): Generator<string> {
   for (const [index, result] of results.entries()) {
     if (result !== '') yield `task ${index}: ${result}`;
   }
@@ -64,18 +64,18 @@
   options: KeyOptions,
   jobId: string,
 ): Promise<ExitCode> {
-  const calls = new GatewayCalls(context, options);
-  await calls.call('DELETE', pathOf(jobId));
+  const client = new GatewayClient(context, options);
+  await client.call('DELETE', jobPath(jobId));
   const value = {jobId, cancelled: true};
   context.output.print(value, [`cancelled: ${jobId}`]);
   return EXIT.ok;
 }
 
-function pathOf(jobId: string): string {
+function jobPath(jobId: string): string {
   return `/v1/jobs/${encodeURIComponent(jobId)}`;
 }
 
-/** Asks all schedulers; only the owner of the job's shard can explain it. */
+/** Asks all schedulers, as only the owner of the job's shard can explain it. */
 async function explain(
   {fleet, output}: CtlContext,
   _options: object,
@@ -86,21 +86,23 @@
   const reply = replies.find(({body}) => body !== undefined);
   if (reply?.body !== undefined) {
     const job = reply.body as unknown as JobStatus;
-    const by = reply.process.name;
-    output.print({answeredBy: by, ...job}, [
-      ...jobLines(job),
-      `answered by ${by}`,
+    const schedulerName = reply.process.name;
+    output.print({answeredBy: schedulerName, ...job}, [
+      ...formatJob(job),
+      `answered by ${schedulerName}`,
     ]);
     return EXIT.ok;
   }
-  const hasAll = replies.every(({failure}) => failure.startsWith('status 404'));
-  if (hasAll) return raise('jobUnknown', jobId);
-  const silent = replies.map(({process, failure}) => {
+  const isUnknownToAll = replies.every(({failure}) =>
+    failure.startsWith('status 404'),
+  );
+  if (isUnknownToAll) return raise('jobUnknown', jobId);
+  const failures = replies.map(({process, failure}) => {
     return `${process.name}: ${failure}`;
   });
   return raise(
     'notOwner',
-    `no scheduler explains ${jobId}: ${silent.join('; ')}`,
+    `no scheduler can explain ${jobId}: ${failures.join('; ')}`,
   );
 }
 
@@ -120,26 +122,27 @@
     .command('list')
     .description("list the team's jobs")
     .option(...keyFile)
-    .option('--max <count>', 'how many at most', '100')
-    .action(action(io, list));
+    .option('--max <count>', 'maximum number of jobs', '100')
+    .action(makeAction(io, list));
   job
     .command('show <job>')
     .description('show one job and the results of its tasks')
     .option(...keyFile)
-    .action(action(io, show));
+    .action(makeAction(io, show));
   job
     .command('cancel <job>')
     .description('cancel one job')
     .option(...keyFile)
-    .action(action(io, cancel));
+    .action(makeAction(io, cancel));
   program
     .command('explain <job>')
-    .description('say why a job waits, or why its tasks run where they do')
-    .action(action(io, explain));
+    .description('explain why a job waits, or why its tasks run where they do')
+    .action(makeAction(io, explain));
 }
 
 const KEY_NOTE = `
-The key is read from DRAGONFLYWARD_KEY or --key-file, never from a flag.
+The key is read from DRAGONFLYWARD_KEY or the file of --key-file. No flag takes
+the key itself.
 
 Example:
   dragonflyward-ctl job list --key-file roofs.key`;
--- a/packages/operator/src/key-commands.ts
+++ b/packages/operator/src/key-commands.ts
@@ -11,18 +11,18 @@
 import type {Command} from 'commander';
 import {
   appendKeyChange,
-  awaitForce,
+  waitUntilInForce,
   requireReason,
-  withChangeOptions,
+  addChangeOptions,
   type ChangeOptions,
 } from './apply-change.js';
-import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {toTable} from './output.js';
 
 const SECRET_BYTES = 32;
 
-/** The key is printed only once the log has its digest. */
+/** Prints the key only after its digest has been appended to the log. */
 async function grant(
   context: CtlContext,
   options: ChangeOptions,
@@ -40,12 +40,16 @@
     key: {keyId, team, digest: keyDigest(secret)},
   };
   const {offset} = await appendKeyChange(context, record);
-  const {report, lines, exitCode} = await awaitForce(context, offset, options);
+  const {report, lines, exitCode} = await waitUntilInForce(
+    context,
+    offset,
+    options,
+  );
   const key = `${keyId}.${secret}`;
   const value = {keyId, team, key, offset, inForce: report ?? null};
   context.output.print(value, [
     `granted: key ${keyId} of team ${team}`,
-    `the key, shown this once: ${key}`,
+    `the key, shown only once: ${key}`,
     ...lines,
   ]);
   return exitCode;
@@ -62,15 +66,19 @@
 ): Promise<ExitCode> {
   const {reason} = options;
   requireReason(reason);
-  const known = await findKey(context, keyId);
-  const offset = known.isWithdrawn
-    ? known.offset
+  const current = await findKey(context, keyId);
+  const offset = current.isWithdrawn
+    ? current.offset
     : await appendWithdrawal(context, keyId, reason);
-  const {report, lines, exitCode} = await awaitForce(context, offset, options);
-  const value = {keyId, team: known.team, offset, inForce: report ?? null};
-  const note = known.isWithdrawn ? ' (it was before)' : '';
+  const {report, lines, exitCode} = await waitUntilInForce(
+    context,
+    offset,
+    options,
+  );
+  const value = {keyId, team: current.team, offset, inForce: report ?? null};
+  const note = current.isWithdrawn ? ' (it already was)' : '';
   context.output.print(value, [
-    `withdrawn: key ${keyId} of team ${known.team}${note}`,
+    `withdrawn: key ${keyId} of team ${current.team}${note}`,
     ...lines,
   ]);
   return exitCode;
@@ -81,7 +89,7 @@
   keyId: string,
 ): Promise<KeyStatus> {
   const state = await configLog.read();
-  const key = state.keys().find(known => known.keyId === keyId);
+  const key = state.keys().find(candidate => candidate.keyId === keyId);
   return key ?? raise('routeUnknown', `no key "${keyId}"`);
 }
 
@@ -144,18 +152,18 @@
     .description('grant, withdraw and list the keys of teams');
   key
     .command('grant <team>')
-    .description('make a key; it is shown once and kept only as a digest')
+    .description('create a key; it is shown once and stored only as a digest')
     .option('--no-wait', 'do not wait until it is in force everywhere')
     .addHelpText('after', GRANT_EXAMPLE)
-    .action(action(io, grant));
-  withChangeOptions(key.command('withdraw <keyId>'))
-    .description('make a key invalid for good')
-    .action(action(io, withdraw));
+    .action(makeAction(io, grant));
+  addChangeOptions(key.command('withdraw <keyId>'))
+    .description('invalidate a key permanently')
+    .action(makeAction(io, withdraw));
   key
     .command('list')
     .description('list keys, without their secrets')
-    .option('--team <name>', 'only those of one team')
-    .action(action(io, list));
+    .option('--team <name>', 'only the keys of this team')
+    .action(makeAction(io, list));
 }
 
 const GRANT_EXAMPLE = `
--- a/packages/operator/src/output.ts
+++ b/packages/operator/src/output.ts
@@ -1,8 +1,8 @@
-/** What the programs print: text for people, or one JSON document. */
+/** Prints results and errors as text or as one JSON document. */
 import {ERRORS, toFailure} from '@dragonflyward/common';
 import {exitCodeOf, type ExitCode} from './exit-codes.js';
 
-/** Where text goes. */
+/** Receives the text for standard output and standard error. */
 export interface TextSink {
   readonly out: (text: string) => void;
   readonly err: (text: string) => void;
@@ -14,7 +14,7 @@
   err: text => void process.stderr.write(text),
 };
 
-/** Prints answers and errors in the chosen form. */
+/** Prints results and errors as text or JSON. */
 export class Output {
   constructor(
     private readonly isJson: boolean,
@@ -22,7 +22,7 @@
   ) {}
 
   /**
-   * Prints an answer: the value as JSON, or the lines as text.
+   * Prints a result: the value as JSON, or the lines as text.
    *
    * @example
    * output.print({revision}, [`revision ${revision}`]);
@@ -36,7 +36,7 @@
   }
 
   /** Prints an error and returns the exit code that belongs to it. */
-  fail(err: unknown): ExitCode {
+  printError(err: unknown): ExitCode {
     const exitCode = exitCodeOf(err);
     const {kind, detail} = toFailure(err);
     const {code, text} = ERRORS[kind];
@@ -52,7 +52,7 @@
 const COLUMN_GAP = '  ';
 
 /**
- * Lays out rows under a heading, each column as wide as it has to be.
+ * Formats rows under a heading, each column as wide as its longest cell.
  *
  * @example
  * for (const line of toTable(['vm', 'role'], rows)) console.log(line);
@@ -61,11 +61,11 @@
   heading: readonly string[],
   rows: readonly (readonly string[])[],
 ): Generator<string> {
-  const all = [heading, ...rows];
+  const allRows = [heading, ...rows];
   const widths = heading.map((_, column) =>
-    Math.max(...all.map(row => (row[column] ?? '').length)),
+    Math.max(...allRows.map(row => (row[column] ?? '').length)),
   );
-  for (const row of all) {
+  for (const row of allRows) {
     const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0));
     yield cells.join(COLUMN_GAP).trimEnd();
   }
--- a/packages/operator/src/ownership-spans.ts
+++ b/packages/operator/src/ownership-spans.ts
@@ -1,16 +1,16 @@
-/** Finds from when until when each process owned a shard. */
+/** Finds the time spans in which each process owned a shard. */
 import type {EventKind, TimelineEvent} from '@dragonflyward/common';
 
-/** The time in which one process owned one shard under one term. */
-export interface OwnerSpan {
+/** A time span in which one process owned one shard under one term. */
+export interface OwnershipSpan {
   readonly process: string;
   readonly shard: string;
   readonly term: number;
   readonly fromMs: number;
-  /** Undefined where no end was seen. */
+  /** Undefined if no event ends the span. */
   readonly toMs: number | undefined;
-  /** Whether the process itself said that it ended. */
-  readonly isEndSeen: boolean;
+  /** Whether an event of the process itself ended the span. */
+  readonly isEndReported: boolean;
 }
 
 const END_KINDS: readonly EventKind[] = [
@@ -21,37 +21,41 @@
 ];
 
 /**
- * Finds the spans; one whose process fell silent ends where another process
- * became the shard's owner.
+ * Finds the spans. If a process reports no end, its span ends when another
+ * process becomes the owner of the shard.
  *
  * @example
- * for (const span of findSpans(events)) draw(span);
+ * for (const span of findOwnershipSpans(events)) draw(span);
  */
-export function findSpans(
+export function findOwnershipSpans(
   events: readonly TimelineEvent[],
-): readonly OwnerSpan[] {
-  const spans: OwnerSpan[] = [];
-  const open = new Map<string, OwnerSpan>();
-  const close = (shard: string, toMs: number, isEndSeen: boolean): void => {
-    const span = open.get(shard);
+): readonly OwnershipSpan[] {
+  const spans: OwnershipSpan[] = [];
+  const openSpans = new Map<string, OwnershipSpan>();
+  const endSpan = (
+    shard: string,
+    toMs: number,
+    isEndReported: boolean,
+  ): void => {
+    const span = openSpans.get(shard);
     if (span === undefined) return;
-    open.delete(shard);
-    spans.push({...span, toMs, isEndSeen});
+    openSpans.delete(shard);
+    spans.push({...span, toMs, isEndReported});
   };
   for (const {at, process, kind, subject} of events) {
     const {shard} = subject;
     if (kind === 'ownerActive' && shard !== undefined) {
-      close(shard, at.wallMs, false);
-      open.set(shard, startSpan(process, shard, subject.term, at.wallMs));
+      endSpan(shard, at.wallMs, false);
+      openSpans.set(shard, startSpan(process, shard, subject.term, at.wallMs));
     }
     if (!END_KINDS.includes(kind)) continue;
-    for (const span of [...open.values()]) {
-      const isMeant = shard === undefined || span.shard === shard;
-      if (!isMeant || span.process !== process) continue;
-      close(span.shard, at.wallMs, true);
+    for (const span of [...openSpans.values()]) {
+      const isShardAffected = shard === undefined || span.shard === shard;
+      if (!isShardAffected || span.process !== process) continue;
+      endSpan(span.shard, at.wallMs, true);
     }
   }
-  return [...spans, ...open.values()];
+  return [...spans, ...openSpans.values()];
 }
 
 function startSpan(
@@ -59,13 +63,13 @@
   shard: string,
   term: number | undefined,
   fromMs: number,
-): OwnerSpan {
+): OwnershipSpan {
   return {
     process,
     shard,
     term: term ?? 0,
     fromMs,
     toMs: undefined,
-    isEndSeen: false,
+    isEndReported: false,
   };
 }
--- a/packages/operator/src/status-command.ts
+++ b/packages/operator/src/status-command.ts
@@ -1,6 +1,6 @@
-/** The command `status`: every process, its shards, terms and ages. */
+/** The command `status`: lists every process with its shards and ages. */
 import type {Command} from 'commander';
-import {action, type CtlContext, type ProgramIo} from './ctl-context.js';
+import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {
   configAgeOf,
@@ -27,12 +27,12 @@
     status: body ?? null,
     failure,
   }));
-  const silent = replies.filter(({body}) => body === undefined);
+  const unanswered = replies.filter(({body}) => body === undefined);
   output.print({processes}, [
     ...toTable(HEADING, replies.map(statusRow)),
-    ...silent.map(({process, failure}) => `${process.name}: ${failure}`),
+    ...unanswered.map(({process, failure}) => `${process.name}: ${failure}`),
   ]);
-  return silent.length === 0 ? EXIT.ok : EXIT.unavailable;
+  return unanswered.length === 0 ? EXIT.ok : EXIT.unavailable;
 }
 
 /**
@@ -44,30 +44,30 @@
 export function statusRow({process, body}: AdminReply): readonly string[] {
   const {name, domain, isLeaving} = process;
   if (body === undefined) return [name, domain, 'no answer', '', '', ''];
-  const cfg = body as ProcessStatus;
-  const owned = (cfg.shards ?? []).filter(shard => shard.isActive);
+  const processStatus = body as ProcessStatus;
+  const owned = (processStatus.shards ?? []).filter(shard => shard.isActive);
   return [
     name,
     domain,
-    stateOf(cfg, isLeaving),
+    formatState(processStatus, isLeaving),
     `${configOffsetOf(body) ?? '?'}`,
-    ageOf(configAgeOf(body)),
+    formatAge(configAgeOf(body)),
     owned.map(formatShard).join(' '),
   ];
 }
 
-function stateOf(cfg: ProcessStatus, isLeaving: boolean): string {
-  if (cfg.isDraining === true) return 'draining';
-  const state = cfg.isReady === false ? 'not ready' : 'ready';
+function formatState(processStatus: ProcessStatus, isLeaving: boolean): string {
+  if (processStatus.isDraining === true) return 'draining';
+  const state = processStatus.isReady === false ? 'not ready' : 'ready';
   return isLeaving ? `${state}, leaving` : state;
 }
 
 function formatShard({shard, term, offset, logAgeMs}: StatusShard): string {
-  return `${shard}/${term}/${offset ?? '?'}/${ageOf(logAgeMs)}`;
+  return `${shard}/${term}/${offset ?? '?'}/${formatAge(logAgeMs)}`;
 }
 
-/** JSON has no infinity: an age that was never known reads as null. */
-function ageOf(ageMs: number | null | undefined): string {
+/** JSON has no infinity, so an age that was never known is null. */
+function formatAge(ageMs: number | null | undefined): string {
   return ageMs == null ? '?' : `${Math.round(ageMs)}`;
 }
 
@@ -82,10 +82,10 @@
     .command('status')
     .description('show every process: state, configuration, shards and ages')
     .addHelpText('after', STATUS_NOTE)
-    .action(action(io, status));
+    .action(makeAction(io, status));
 }
 
 const STATUS_NOTE = `
 "config" is the offset up to which a process has applied the configuration
-stream; "age" is how long ago it knew that there was nothing newer. The exit
-code is 6 where a listed process did not answer.`;
+stream; "age" is the time since it last knew that it had the newest records.
+The exit code is 6 if a listed process did not answer.`;
--- a/packages/operator/src/timeline-events.ts
+++ b/packages/operator/src/timeline-events.ts
@@ -1,12 +1,12 @@
-/** Collects the event rings of all processes into one causal order. */
+/** Merges the event rings of all processes into one causal order. */
 import {compareHybrid, type TimelineEvent} from '@dragonflyward/common';
 import type {AdminReply} from './fleet.js';
 
-/** A time in which a process did not answer. */
-export interface Silence {
-  /** When it first did not answer, by the collector's clock. */
+/** A period in which a process did not answer. */
+export interface UnresponsivePeriod {
+  /** Time of the first failed read, by the collector's clock. */
   readonly fromMs: number;
-  /** When it answered again; null where it did not. */
+  /** Time of the next successful read; null if there was none. */
   readonly toMs: number | null;
 }
 
@@ -14,11 +14,11 @@
 export interface RingSummary {
   readonly process: string;
   readonly events: number;
-  /** How many older events the process no longer kept. */
+  /** Number of older events that the process had discarded. */
   readonly dropped: number;
-  /** Why the newest attempt to read it failed; empty where it did not. */
+  /** Why the last read failed; empty if it succeeded. */
   readonly failure: string;
-  readonly silences: readonly Silence[];
+  readonly silences: readonly UnresponsivePeriod[];
 }
 
 /** The events of all processes in one order. */
@@ -32,34 +32,34 @@
   readonly events: readonly TimelineEvent[];
 }
 
-/** Gathers events, each of them once, also over several readings. */
+/** Collects events and removes duplicates from repeated reads. */
 export class EventCollector {
   private readonly events = new Map<string, TimelineEvent>();
   private readonly rings = new Map<string, RingSummary>();
-  /** The name that a process gives itself, by its name in the fleet. */
-  private readonly ownNames = new Map<string, string>();
+  /** The name that a process reports, by its name in the fleet. */
+  private readonly reportedNames = new Map<string, string>();
 
   /**
-   * Takes in what the processes answered.
+   * Adds the replies of the processes.
    *
    * @example
    * collector.addReplies(await fleet.readAll('/events'), Date.now());
    */
   addReplies(replies: readonly AdminReply[], nowMs: number): void {
     for (const {process, body, failure} of replies) {
-      if (isRing(body)) this.addRing(process.name, body, nowMs);
-      else this.addSilence(process.name, failure || 'not a ring', nowMs);
+      if (isRingBody(body)) this.addRing(process.name, body, nowMs);
+      else this.addFailure(process.name, failure || 'not an event ring', nowMs);
     }
   }
 
-  /** Takes in a time line that was collected before. */
+  /** Adds a timeline that was collected earlier. */
   addTimeline(timeline: Timeline): void {
     for (const ring of timeline.rings) this.rings.set(ring.process, ring);
     for (const event of timeline.events) this.events.set(keyOf(event), event);
   }
 
   /**
-   * The time line of all that was collected.
+   * Returns the timeline of everything collected so far.
    *
    * @example
    * const {events} = collector.timeline();
@@ -79,10 +79,10 @@
 
   private addRing(name: string, body: RingBody, nowMs: number): void {
     const process = body.events[0]?.process ?? name;
-    this.ownNames.set(name, process);
+    this.reportedNames.set(name, process);
     const {dropped} = body;
-    const known = this.rings.get(process)?.silences ?? [];
-    const silences = known.map(silence => ({
+    const previous = this.rings.get(process)?.silences ?? [];
+    const silences = previous.map(silence => ({
       ...silence,
       toMs: silence.toMs ?? nowMs,
     }));
@@ -91,19 +91,19 @@
     for (const event of body.events) this.events.set(keyOf(event), event);
   }
 
-  private addSilence(name: string, failure: string, nowMs: number): void {
-    const process = this.ownNames.get(name) ?? name;
-    const known = this.rings.get(process);
-    const {dropped = 0, silences = []} = known ?? {};
-    const isNew = known === undefined || known.failure === '';
-    const added = isNew ? [{fromMs: nowMs, toMs: null}] : [];
+  private addFailure(name: string, failure: string, nowMs: number): void {
+    const process = this.reportedNames.get(name) ?? name;
+    const previous = this.rings.get(process);
+    const {dropped = 0, silences = []} = previous ?? {};
+    const isFirstFailure = previous === undefined || previous.failure === '';
+    const added = isFirstFailure ? [{fromMs: nowMs, toMs: null}] : [];
     const all = [...silences, ...added];
     const ring = {process, events: 0, dropped, failure, silences: all};
     this.rings.set(process, ring);
   }
 }
 
-/** Orders events by hybrid time; a process's own events keep their order. */
+/** Orders events by hybrid time, which keeps the order within a process. */
 function compareEvents(a: TimelineEvent, b: TimelineEvent): number {
   return compareHybrid(a.at, b.at) || compareText(a.process, b.process);
 }
@@ -117,12 +117,12 @@
   return a < b ? -1 : 1;
 }
 
-/** A process gives each hybrid time only once. */
+/** Process and time identify an event: a process uses a hybrid time once. */
 function keyOf({process, at}: TimelineEvent): string {
   return `${process} ${at.wallMs} ${at.count}`;
 }
 
-function isRing(body: unknown): body is RingBody {
+function isRingBody(body: unknown): body is RingBody {
   if (typeof body !== 'object' || body === null) return false;
   return 'events' in body && Array.isArray(body.events);
 }
--- a/packages/operator/src/timeline-filter.ts
+++ b/packages/operator/src/timeline-filter.ts
@@ -1,8 +1,8 @@
-/** Picks the events that are about one request, job, team and so on. */
+/** Filters events by request, job, team and so on. */
 import type {EventSubject, TimelineEvent} from '@dragonflyward/common';
 import type {Timeline} from './timeline-events.js';
 
-/** What to pick; an absent part picks all. */
+/** Conditions that an event must meet; an absent one matches any event. */
 export interface EventFilter {
   readonly request?: string;
   readonly job?: string;
@@ -16,28 +16,31 @@
   readonly untilMs?: number;
 }
 
-const SUBJECT_PARTS = ['request', 'team', 'worker', 'shard'] as const;
+const SUBJECT_KEYS = ['request', 'team', 'worker', 'shard'] as const;
 
 /**
- * Tells whether an event is picked.
+ * Returns whether an event matches a filter.
  *
  * @example
- * const own = events.filter(event => isPicked(event, {job: 'north:j-1'}));
+ * const own = events.filter(event => matchesFilter(event, {job: 'north:j-1'}));
  */
-export function isPicked(event: TimelineEvent, filter: EventFilter): boolean {
+export function matchesFilter(
+  event: TimelineEvent,
+  filter: EventFilter,
+): boolean {
   const {at, kind, process, subject} = event;
   if (at.wallMs < (filter.sinceMs ?? 0)) return false;
   if (at.wallMs > (filter.untilMs ?? Number.POSITIVE_INFINITY)) return false;
   if (filter.kind !== undefined && !filter.kind.includes(kind)) return false;
   if (filter.process !== undefined && filter.process !== process) return false;
   if (filter.job !== undefined && !isOfJob(subject, filter.job)) return false;
-  return SUBJECT_PARTS.every(
-    part => filter[part] === undefined || filter[part] === subject[part],
+  return SUBJECT_KEYS.every(
+    key => filter[key] === undefined || filter[key] === subject[key],
   );
 }
 
 /**
- * Returns the time line with only the events that are picked.
+ * Returns the timeline with only the events that match a filter.
  *
  * @example
  * const own = filterTimeline(timeline, {team: 'roofs'});
@@ -46,7 +49,7 @@
   timeline: Timeline,
   filter: EventFilter,
 ): Timeline {
-  const events = timeline.events.filter(event => isPicked(event, filter));
+  const events = timeline.events.filter(event => matchesFilter(event, filter));
   return {...timeline, events};
 }
 
--- a/packages/operator/src/timeline-groups.ts
+++ b/packages/operator/src/timeline-groups.ts
@@ -1,11 +1,11 @@
-/** Groups the event kinds, so that a page needs few colours and shapes. */
+/** Groups the event kinds to limit the number of colours and shapes. */
 import {EVENT_KINDS, type EventKind} from '@dragonflyward/common';
 
-/** How marks of a group are drawn. */
+/** The shape of the marks of a group. */
 export type MarkShape =
   'circle' | 'square' | 'diamond' | 'up' | 'down' | 'bar' | 'cross' | 'ring';
 
-/** A group of event kinds that is drawn alike. */
+/** A group of event kinds that share a colour and a shape. */
 export interface KindGroup {
   readonly id: string;
   readonly label: string;
@@ -82,7 +82,7 @@
   },
 ];
 
-/** The last group that fits, since the later ones are more particular. */
+/** Finds the last matching group, as later groups are more specific. */
 function findGroup(kind: EventKind): number {
   return KIND_GROUPS.findLastIndex(group =>
     group.prefixes.some(prefix => kind.startsWith(prefix)),
@@ -94,7 +94,7 @@
 );
 
 /**
- * The index of the group of a kind.
+ * Returns the index of the group of an event kind.
  *
  * @example
  * const group = KIND_GROUPS[groupIndexOf('taskStarted')];
--- a/packages/operator/src/timeline-html.ts
+++ b/packages/operator/src/timeline-html.ts
@@ -1,14 +1,14 @@
-/** Writes a time line as one HTML page that needs nothing else. */
+/** Renders a timeline as a self-contained HTML page. */
 import type {TimelineEvent} from '@dragonflyward/common';
 import {groupIndexOf, KIND_GROUPS} from './timeline-groups.js';
 import type {RingSummary, Timeline} from './timeline-events.js';
-import {layOut} from './timeline-layout.js';
-import {drawShape, escapeHtml, labelSvg, laneSvg} from './timeline-svg.js';
-import {formatSubject, gapOf} from './timeline-text.js';
+import {computeLayout} from './timeline-layout.js';
+import {drawShape, escapeHtml, drawLabels, drawLanes} from './timeline-svg.js';
+import {formatSubject, describeGaps} from './timeline-text.js';
 
 const MAX_TABLE_ROWS = 5_000;
 const MS_PER_SECOND = 1_000;
-const LEGEND_MARK_PX = 20;
+const LEGEND_MARK_SIZE_PX = 20;
 
 const STYLE = `
 body{font:14px/1.45 system-ui,sans-serif;margin:16px;color:#111827;background:#fff}
@@ -34,39 +34,39 @@
 `;
 
 /**
- * Writes the page, part by part.
+ * Renders the page as a sequence of HTML fragments.
  *
- * @param caption says what was collected and which filter was used
+ * @param caption describes the filter that was used
  * @example
- * writeFileSync(file, [...timelinePage(timeline, 'job j-1')].join('\n'));
+ * writeFileSync(file, [...renderTimelinePage(timeline, 'job j-1')].join('\n'));
  */
-export function* timelinePage(
+export function* renderTimelinePage(
   timeline: Timeline,
   caption: string,
 ): Generator<string> {
   const {events, rings} = timeline;
-  const layout = layOut(timeline);
-  const rows = Math.min(events.length, MAX_TABLE_ROWS);
+  const layout = computeLayout(timeline);
+  const rowCount = Math.min(events.length, MAX_TABLE_ROWS);
   yield '<!doctype html><html lang="en"><head><meta charset="utf-8">';
   yield '<meta name="viewport" content="width=device-width">';
-  yield `<title>dragonflyward time line</title><style>${STYLE}</style></head>`;
-  yield '<body><h1>dragonflyward time line</h1>';
-  yield `<p>${escapeHtml(summaryOf(timeline, caption))}</p>`;
-  yield* gapList(rings);
-  yield* legend(events);
+  yield `<title>dragonflyward timeline</title><style>${STYLE}</style></head>`;
+  yield '<body><h1>dragonflyward timeline</h1>';
+  yield `<p>${escapeHtml(formatSummary(timeline, caption))}</p>`;
+  yield* renderGapList(rings);
+  yield* renderLegend(events);
   yield '<p>Hover over a mark for its events; click it to see its row below.';
-  yield 'A number beside a mark says how many events stand there. A bar shows';
-  yield 'who owned a shard; one with a dashed edge ended without a word. Red';
-  yield 'shading is a time in which the process did not answer.</p>';
+  yield 'The number beside a mark is its count of events. A bar shows which';
+  yield 'process owned a shard; a dashed edge means it reported no end. Red';
+  yield 'shading marks a period in which the process did not answer.</p>';
   yield '<div class="scroll" tabindex="0">';
-  yield* labelSvg(layout);
-  yield* laneSvg(layout, rows);
+  yield* drawLabels(layout);
+  yield* drawLanes(layout, rowCount);
   yield '</div><h2>Events in causal order</h2>';
-  yield* eventTable(events, rows);
+  yield* renderEventTable(events, rowCount);
   yield '</body></html>';
 }
 
-function summaryOf({events, rings}: Timeline, caption: string): string {
+function formatSummary({events, rings}: Timeline, caption: string): string {
   const first = events[0]?.at.wallMs;
   const last = events.at(-1)?.at.wallMs;
   if (first === undefined || last === undefined) return `No events. ${caption}`;
@@ -76,17 +76,17 @@
   return `${size}, ${seconds} s from ${start}. ${caption}`;
 }
 
-function* gapList(rings: readonly RingSummary[]): Generator<string> {
-  const gaps = rings.filter(ring => gapOf(ring) !== '');
+function* renderGapList(rings: readonly RingSummary[]): Generator<string> {
+  const gaps = rings.filter(ring => describeGaps(ring) !== '');
   if (gaps.length === 0) return;
-  yield '<p>What may be missing:</p><ul>';
+  yield '<p>Events that may be missing:</p><ul>';
   for (const ring of gaps) {
-    yield `<li>${escapeHtml(`${ring.process}: ${gapOf(ring)}`)}</li>`;
+    yield `<li>${escapeHtml(`${ring.process}: ${describeGaps(ring)}`)}</li>`;
   }
   yield '</ul>';
 }
 
-function* legend(events: readonly TimelineEvent[]): Generator<string> {
+function* renderLegend(events: readonly TimelineEvent[]): Generator<string> {
   const counts = new Map<number, number>();
   for (const {kind} of events) {
     const group = groupIndexOf(kind);
@@ -95,41 +95,41 @@
   yield '<ul class="legend">';
   for (const [index, {label}] of KIND_GROUPS.entries()) {
     const count = counts.get(index) ?? 0;
-    yield `<li>${markIcon(index)}${escapeHtml(label)} (${count})</li>`;
+    yield `<li>${drawMarkIcon(index)}${escapeHtml(label)} (${count})</li>`;
   }
   yield '</ul>';
 }
 
-function markIcon(group: number): string {
+function drawMarkIcon(group: number): string {
   const kinds = KIND_GROUPS[group];
   if (kinds === undefined) return '';
   const {shape, colour} = kinds;
-  const size = `width="${LEGEND_MARK_PX}" height="${LEGEND_MARK_PX}"`;
-  const middle = LEGEND_MARK_PX / 2;
+  const size = `width="${LEGEND_MARK_SIZE_PX}" height="${LEGEND_MARK_SIZE_PX}"`;
+  const middle = LEGEND_MARK_SIZE_PX / 2;
   const mark = drawShape(shape, middle, middle, colour);
   return `<svg ${size} aria-hidden="true">${mark}</svg>`;
 }
 
-function* eventTable(
+function* renderEventTable(
   events: readonly TimelineEvent[],
-  rows: number,
+  rowCount: number,
 ): Generator<string> {
-  if (rows < events.length) {
-    yield `<p>The table has the first ${rows} of ${events.length} events;`;
-    yield 'narrow the time line by a filter to see the others.</p>';
+  if (rowCount < events.length) {
+    yield `<p>The table shows the first ${rowCount} of ${events.length} events;`;
+    yield 'filter the timeline to see the others.</p>';
   }
   const startMs = events[0]?.at.wallMs ?? 0;
   yield '<table><thead><tr><th scope="col">after</th><th scope="col">time';
   yield '</th><th scope="col">process</th><th scope="col">event</th>';
   yield '<th scope="col">about</th><th scope="col">note</th></tr></thead>';
   yield '<tbody>';
-  for (const [index, event] of events.slice(0, rows).entries()) {
-    yield eventRow(event, index, startMs);
+  for (const [index, event] of events.slice(0, rowCount).entries()) {
+    yield renderEventRow(event, index, startMs);
   }
   yield '</tbody></table>';
 }
 
-function eventRow(
+function renderEventRow(
   event: TimelineEvent,
   index: number,
   startMs: number,
@@ -137,7 +137,7 @@
   const {at, process, kind, subject, note} = event;
   const after = ((at.wallMs - startMs) / MS_PER_SECOND).toFixed(3);
   const time = new Date(at.wallMs).toISOString().slice(11, 23);
-  const icon = markIcon(groupIndexOf(kind));
+  const icon = drawMarkIcon(groupIndexOf(kind));
   const cells = [
     `<td class="at">+${after} s</td><td class="time">${time}</td>`,
     `<td class="process">${escapeHtml(process)}</td>`,
--- a/packages/operator/src/timeline-layout.ts
+++ b/packages/operator/src/timeline-layout.ts
@@ -1,55 +1,55 @@
-/** Places a time line's events on a page: lanes, rows, marks and spans. */
+/** Computes the positions of a timeline's lanes, rows, marks and bars. */
 import type {TimelineEvent} from '@dragonflyward/common';
-import {findSpans, type OwnerSpan} from './ownership-spans.js';
+import {findOwnershipSpans, type OwnershipSpan} from './ownership-spans.js';
 import type {RingSummary, Timeline} from './timeline-events.js';
 import {groupIndexOf} from './timeline-groups.js';
 
 const MIN_WIDTH_PX = 1_100;
 const MAX_WIDTH_PX = 8_000;
 const PX_PER_SECOND = 12;
-const EDGE_PX = 24;
-/** Room for a mark and the number beside it. */
-const MARK_SPACE_PX = 28;
-const ROW_PX = 18;
+const EDGE_MARGIN_PX = 24;
+/** Width of a mark and the number beside it. */
+const MARK_SPACING_PX = 28;
+const ROW_HEIGHT_PX = 18;
 const LANE_PADDING_PX = 8;
-const MIN_LANE_PX = 44;
-const AXIS_PX = 28;
+const MIN_LANE_HEIGHT_PX = 44;
+const AXIS_HEIGHT_PX = 28;
 const MS_PER_SECOND = 1_000;
 
-/** Turns times into positions. */
+/** The linear mapping from times to x positions. */
 export interface TimeScale {
   readonly startMs: number;
   readonly endMs: number;
   readonly widthPx: number;
 }
 
-/** One or more events of one group that stand at the same place. */
+/** One or more events of one group that are drawn as one mark. */
 export interface Mark {
   readonly xPx: number;
   readonly yPx: number;
   readonly group: number;
   readonly events: readonly TimelineEvent[];
-  /** Index of the first of them in the time line. */
+  /** Index of the first event in the timeline. */
   readonly index: number;
 }
 
-/** The time in which a process owned a shard, as a bar. */
+/** The bar of a time span in which a process owned a shard. */
 export interface Bar {
   readonly fromPx: number;
   readonly toPx: number;
   readonly yPx: number;
-  readonly span: OwnerSpan;
-  /** Number of the shard among all that were owned, for its colour. */
+  readonly span: OwnershipSpan;
+  /** Index of the shard among all owned shards; selects the colour. */
   readonly shardIndex: number;
 }
 
-/** A time in which a process did not answer, as it is drawn. */
+/** The shaded area of a period in which a process did not answer. */
 export interface Gap {
   readonly fromPx: number;
   readonly toPx: number;
 }
 
-/** All that is drawn for one process. */
+/** Everything that is drawn for one process. */
 export interface Lane {
   readonly ring: RingSummary;
   readonly topPx: number;
@@ -59,7 +59,7 @@
   readonly gaps: readonly Gap[];
 }
 
-/** A whole drawing. */
+/** The positions of everything in a timeline. */
 export interface Layout {
   readonly scale: TimeScale;
   readonly lanes: readonly Lane[];
@@ -76,47 +76,57 @@
 }
 
 /**
- * Finds the position of a time.
+ * Converts a time to an x position.
  *
  * @example
- * const x = toX(scale, event.at.wallMs);
+ * const x = timeToX(scale, event.at.wallMs);
  */
-export function toX(scale: TimeScale, atMs: number): number {
+export function timeToX(scale: TimeScale, atMs: number): number {
   const {startMs, endMs, widthPx} = scale;
   const lengthMs = Math.max(1, endMs - startMs);
-  const part = (atMs - startMs) / lengthMs;
-  return EDGE_PX + part * (widthPx - 2 * EDGE_PX);
+  const fraction = (atMs - startMs) / lengthMs;
+  return EDGE_MARGIN_PX + fraction * (widthPx - 2 * EDGE_MARGIN_PX);
 }
 
 /**
- * Places a whole time line.
+ * Computes the layout of a timeline.
  *
  * @example
- * const layout = layOut(timeline);
+ * const layout = computeLayout(timeline);
  */
-export function layOut(timeline: Timeline): Layout {
+export function computeLayout(timeline: Timeline): Layout {
   const {events, rings} = timeline;
   const scale = makeScale(events);
-  const spans = findSpans(events);
+  const spans = findOwnershipSpans(events);
   const shards = [...new Set(spans.map(({shard}) => shard))].sort();
   const byProcess = indexByProcess(events);
   const lanes: Lane[] = [];
-  let topPx = AXIS_PX;
+  let topPx = AXIS_HEIGHT_PX;
   for (const ring of rings) {
-    const own = byProcess.get(ring.process) ?? [];
-    const ownSpans = spans.filter(span => span.process === ring.process);
-    const lane = makeLane({ring, own, spans: ownSpans, shards, scale, topPx});
+    const processEvents = byProcess.get(ring.process) ?? [];
+    const processSpans = spans.filter(span => span.process === ring.process);
+    const lane = makeLane({
+      ring,
+      processEvents,
+      spans: processSpans,
+      shards,
+      scale,
+      topPx,
+    });
     lanes.push(lane);
     topPx += lane.heightPx;
   }
-  return {scale, lanes, heightPx: topPx + AXIS_PX};
+  return {scale, lanes, heightPx: topPx + AXIS_HEIGHT_PX};
 }
 
 function makeScale(events: readonly TimelineEvent[]): TimeScale {
   const startMs = events[0]?.at.wallMs ?? 0;
   const endMs = events.at(-1)?.at.wallMs ?? startMs;
-  const wantedPx = ((endMs - startMs) / MS_PER_SECOND) * PX_PER_SECOND;
-  const widthPx = Math.min(MAX_WIDTH_PX, Math.max(MIN_WIDTH_PX, wantedPx));
+  const unclampedWidthPx = ((endMs - startMs) / MS_PER_SECOND) * PX_PER_SECOND;
+  const widthPx = Math.min(
+    MAX_WIDTH_PX,
+    Math.max(MIN_WIDTH_PX, unclampedWidthPx),
+  );
   return {startMs, endMs, widthPx};
 }
 
@@ -125,69 +135,74 @@
 ): ReadonlyMap<string, readonly IndexedEvent[]> {
   const byProcess = new Map<string, IndexedEvent[]>();
   events.forEach((event, index) => {
-    const own = byProcess.get(event.process) ?? [];
-    own.push({event, index});
-    byProcess.set(event.process, own);
+    const processEvents = byProcess.get(event.process) ?? [];
+    processEvents.push({event, index});
+    byProcess.set(event.process, processEvents);
   });
   return byProcess;
 }
 
-interface LaneParts {
+interface LaneInput {
   readonly ring: RingSummary;
-  readonly own: readonly IndexedEvent[];
-  readonly spans: readonly OwnerSpan[];
-  /** All shards that any process owned. */
+  readonly processEvents: readonly IndexedEvent[];
+  readonly spans: readonly OwnershipSpan[];
+  /** The shards owned by any process. */
   readonly shards: readonly string[];
   readonly scale: TimeScale;
   readonly topPx: number;
 }
 
-/** A lane has a row for each shard that was owned, then one per group. */
-function makeLane(parts: LaneParts): Lane {
-  const {ring, own, spans, shards, scale, topPx} = parts;
-  const ownShards = shards.filter(name =>
+/** Makes a lane with one row per owned shard, then one per event group. */
+function makeLane(input: LaneInput): Lane {
+  const {ring, processEvents, spans, shards, scale, topPx} = input;
+  const ownedShards = shards.filter(name =>
     spans.some(({shard}) => shard === name),
   );
-  const groups = new Set(own.map(({event}) => groupIndexOf(event.kind)));
+  const groups = new Set(
+    processEvents.map(({event}) => groupIndexOf(event.kind)),
+  );
   const groupRows = [...groups].sort((a, b) => a - b);
-  const rows = ownShards.length + groupRows.length;
-  const yOf = (row: number): number =>
-    topPx + LANE_PADDING_PX + (row + 0.5) * ROW_PX;
+  const rows = ownedShards.length + groupRows.length;
+  const rowCenterPx = (row: number): number =>
+    topPx + LANE_PADDING_PX + (row + 0.5) * ROW_HEIGHT_PX;
   const bars = spans.map(span => ({
-    fromPx: toX(scale, span.fromMs),
-    toPx: toX(scale, span.toMs ?? scale.endMs),
-    yPx: yOf(ownShards.indexOf(span.shard)),
+    fromPx: timeToX(scale, span.fromMs),
+    toPx: timeToX(scale, span.toMs ?? scale.endMs),
+    yPx: rowCenterPx(ownedShards.indexOf(span.shard)),
     span,
     shardIndex: shards.indexOf(span.shard),
   }));
-  const marks = [...makeMarks(own, scale)].map(mark => ({
+  const marks = [...makeMarks(processEvents, scale)].map(mark => ({
     ...mark,
-    yPx: yOf(ownShards.length + groupRows.indexOf(mark.group)),
+    yPx: rowCenterPx(ownedShards.length + groupRows.indexOf(mark.group)),
   }));
-  const heightPx = Math.max(MIN_LANE_PX, rows * ROW_PX + 2 * LANE_PADDING_PX);
+  const heightPx = Math.max(
+    MIN_LANE_HEIGHT_PX,
+    rows * ROW_HEIGHT_PX + 2 * LANE_PADDING_PX,
+  );
   const gaps = ring.silences.map(({fromMs, toMs}) => ({
-    fromPx: Math.max(0, toX(scale, fromMs)),
-    toPx: Math.min(scale.widthPx, toX(scale, toMs ?? Infinity)),
+    fromPx: Math.max(0, timeToX(scale, fromMs)),
+    toPx: Math.min(scale.widthPx, timeToX(scale, toMs ?? Infinity)),
   }));
   return {ring, topPx, heightPx, marks, bars, gaps};
 }
 
-/** Events of one group that would cover each other become one mark. */
+/** Merges events of one group into one mark where they would overlap. */
 function* makeMarks(
-  own: readonly IndexedEvent[],
+  processEvents: readonly IndexedEvent[],
   scale: TimeScale,
 ): Generator<Omit<Mark, 'yPx'>> {
-  const open = new Map<number, OpenMark>();
-  for (const {event, index} of own) {
+  const openMarks = new Map<number, OpenMark>();
+  for (const {event, index} of processEvents) {
     const group = groupIndexOf(event.kind);
-    const xPx = toX(scale, event.at.wallMs);
-    const mark = open.get(group);
-    if (mark !== undefined && xPx < mark.xPx + MARK_SPACE_PX) {
+    const xPx = timeToX(scale, event.at.wallMs);
+    const mark = openMarks.get(group);
+    if (mark !== undefined && xPx < mark.xPx + MARK_SPACING_PX) {
       mark.events.push(event);
       continue;
     }
     if (mark !== undefined) yield mark;
-    open.set(group, {xPx, group, events: [event], index});
+    openMarks.set(group, {xPx, group, events: [event], index});
   }
-  yield* open.values();
+  yield* openMarks.values();
 }
--- a/packages/operator/src/timeline-program.ts
+++ b/packages/operator/src/timeline-program.ts
@@ -3,8 +3,8 @@
 import {EVENT_KINDS, raise} from '@dragonflyward/common';
 import {Command, Option} from 'commander';
 import {
-  action,
-  withGlobalOptions,
+  makeAction,
+  addGlobalOptions,
   type CtlContext,
   type ProgramIo,
 } from './ctl-context.js';
@@ -12,8 +12,8 @@
 import {readAdmin, type AdminReply, type ProcessAddress} from './fleet.js';
 import {EventCollector, type Timeline} from './timeline-events.js';
 import {filterTimeline, type EventFilter} from './timeline-filter.js';
-import {timelinePage} from './timeline-html.js';
-import {timelineLines} from './timeline-text.js';
+import {renderTimelinePage} from './timeline-html.js';
+import {formatTimeline} from './timeline-text.js';
 
 const EVENTS_PATH = '/events';
 const COLLECT_PERIOD_MS = 500;
@@ -43,32 +43,32 @@
   context: CtlContext,
   options: TimelineOptions,
 ): Promise<ExitCode> {
-  const filter = readFilter(options);
+  const filter = parseFilter(options);
   const collector = new EventCollector();
-  for (const file of options.input) collector.addTimeline(readTimeline(file));
+  for (const file of options.input) collector.addTimeline(loadTimeline(file));
   await collect(context, options, collector);
-  const picked = filterTimeline(collector.timeline(), filter);
-  const text = render(picked, options.format, captionOf(filter));
+  const filtered = filterTimeline(collector.timeline(), filter);
+  const text = render(filtered, options.format, formatCaption(filter));
   if (options.output === undefined) context.io.sink.out(text);
   else writeFileSync(options.output, text);
   return EXIT.ok;
 }
 
-/** Reads the rings, again and again for as long as was asked. */
+/** Reads the event rings once, or repeatedly for the duration of --for. */
 async function collect(
   context: CtlContext,
   options: TimelineOptions,
   collector: EventCollector,
 ): Promise<void> {
-  const isSavedOnly = options.input.length > 0 && options.for === '0';
-  if (isSavedOnly && options.from.length === 0) return;
+  const isInputOnly = options.input.length > 0 && options.for === '0';
+  if (isInputOnly && options.from.length === 0) return;
   const forMs = Number(options.for) * MS_PER_SECOND;
-  if (!(forMs >= 0)) raise('badRequest', '--for: want a number of seconds');
-  const endMs = context.clock.monotonicMs() + forMs;
+  if (!(forMs >= 0)) raise('badRequest', '--for: expected a number of seconds');
+  const deadlineMs = context.clock.monotonicMs() + forMs;
   for (;;) {
     const replies = await readRings(context, options.from);
     collector.addReplies(replies, context.clock.wallMs());
-    if (context.clock.monotonicMs() >= endMs) return;
+    if (context.clock.monotonicMs() >= deadlineMs) return;
     await context.clock.sleep(COLLECT_PERIOD_MS);
   }
 }
@@ -80,41 +80,46 @@
   if (from.length === 0) return context.fleet.readAll(EVENTS_PATH);
   return Promise.all(
     from.map(text =>
-      readAdmin(toAddress(text), EVENTS_PATH, DEFAULT_REPLY_TIMEOUT_MS),
+      readAdmin(parseAddress(text), EVENTS_PATH, DEFAULT_REPLY_TIMEOUT_MS),
     ),
   );
 }
 
-function toAddress(text: string): ProcessAddress {
-  const split = text.lastIndexOf(':');
-  const port = Number(text.slice(split + 1));
-  if (split < 1 || !Number.isInteger(port)) {
-    raise('badRequest', `--from ${text}: want IP:PORT`);
+function parseAddress(text: string): ProcessAddress {
+  const colonIndex = text.lastIndexOf(':');
+  const port = Number(text.slice(colonIndex + 1));
+  if (colonIndex < 1 || !Number.isInteger(port)) {
+    raise('badRequest', `--from ${text}: expected IP:PORT`);
   }
-  const ip = text.slice(0, split);
-  const names = {name: text, role: 'unknown', vm: text, domain: ''} as const;
-  return {...names, ip, port, isLeaving: false};
+  const ip = text.slice(0, colonIndex);
+  const unknownProcess = {
+    name: text,
+    role: 'unknown',
+    vm: text,
+    domain: '',
+  } as const;
+  return {...unknownProcess, ip, port, isLeaving: false};
 }
 
-function readTimeline(file: string): Timeline {
+function loadTimeline(file: string): Timeline {
   try {
     return JSON.parse(readFileSync(file, 'utf8')) as Timeline;
   } catch {
-    return raise('badJson', `${file}: want the output of --format json`);
+    return raise('badJson', `${file}: expected the output of --format json`);
   }
 }
 
-function readFilter(options: TimelineOptions): EventFilter {
+function parseFilter(options: TimelineOptions): EventFilter {
   const {kind, since, until} = options;
   return {
-    ...pickTexts(options),
+    ...pickTextOptions(options),
     ...(kind.length === 0 ? {} : {kind}),
-    ...(since === undefined ? {} : {sinceMs: readTime('--since', since)}),
-    ...(until === undefined ? {} : {untilMs: readTime('--until', until)}),
+    ...(since === undefined ? {} : {sinceMs: parseTime('--since', since)}),
+    ...(until === undefined ? {} : {untilMs: parseTime('--until', until)}),
   };
 }
 
-function pickTexts(options: TimelineOptions): EventFilter {
+function pickTextOptions(options: TimelineOptions): EventFilter {
   const names = [
     'request',
     'job',
@@ -129,27 +134,29 @@
   ) as EventFilter;
 }
 
-function readTime(flag: string, text: string): number {
+function parseTime(flag: string, text: string): number {
   const timeMs = Date.parse(text);
   if (!Number.isNaN(timeMs)) return timeMs;
-  return raise('badRequest', `${flag} ${text}: want ISO 8601`);
+  return raise('badRequest', `${flag} ${text}: expected an ISO 8601 time`);
 }
 
-function captionOf(filter: EventFilter): string {
+function formatCaption(filter: EventFilter): string {
   const parts = Object.entries(filter).map(entry => entry.join(' '));
   return parts.length === 0 ? '' : `Only ${parts.join(', ')}.`;
 }
 
-function render(picked: Timeline, format: Format, caption: string): string {
-  if (format === 'json') return `${JSON.stringify(picked, null, 1)}\n`;
+function render(filtered: Timeline, format: Format, caption: string): string {
+  if (format === 'json') return `${JSON.stringify(filtered, null, 1)}\n`;
   const lines =
-    format === 'html' ? timelinePage(picked, caption) : timelineLines(picked);
+    format === 'html'
+      ? renderTimelinePage(filtered, caption)
+      : formatTimeline(filtered);
   return [...lines].map(line => `${line}\n`).join('');
 }
 
 const EXAMPLES = `
-Without --from, the processes are found through the list of VMs of the
-settings. A process that died has lost its events: collect while it runs.
+Without --from, the processes are found through the VM list of the settings.
+Events are lost when their process ends, so collect them while it runs.
 
 Examples:
   dragonflyward-timeline --settings ctl.jsonc --job north-1:j-17
@@ -164,23 +171,28 @@
  * await runProgram(timelineProgram(PROCESS_IO), ['--format', 'html']);
  */
 export function timelineProgram(io: ProgramIo): Command {
-  const collectAll = (value: string, all: readonly string[]): string[] => [
+  const appendValue = (value: string, all: readonly string[]): string[] => [
     ...all,
     value,
   ];
-  const format = new Option('--format <form>', 'form of the output')
+  const format = new Option('--format <form>', 'output format')
     .choices(['text', 'json', 'html'])
     .default('text');
   const kind = new Option('--kind <kind...>', 'only these kinds of event')
     .choices([...EVENT_KINDS])
     .default([]);
-  return withGlobalOptions(new Command('dragonflyward-timeline'))
+  return addGlobalOptions(new Command('dragonflyward-timeline'))
     .description('Merges the events of all processes into one causal order')
-    .option('--from <ip:port>', 'read this admin port; repeat', collectAll, [])
-    .option('--input <file>', 'add a saved JSON time line', collectAll, [])
-    .option('--for <seconds>', 'collect for this long', '0')
+    .option(
+      '--from <ip:port>',
+      'read this admin port; repeatable',
+      appendValue,
+      [],
+    )
+    .option('--input <file>', 'add a saved JSON timeline', appendValue, [])
+    .option('--for <seconds>', 'collect for this many seconds', '0')
     .addOption(format)
-    .option('-o, --output <file>', 'write to a file')
+    .option('-o, --output <file>', 'write to this file')
     .option('--request <id>', 'only events about this request')
     .option('--job <id>', 'only events about this job and its tasks')
     .option('--team <name>', 'only events about this team')
@@ -193,5 +205,5 @@
     .addHelpText('after', EXAMPLES)
     .exitOverride()
     .configureOutput({writeOut: io.sink.out, writeErr: io.sink.err})
-    .action(action(io, timeline));
+    .action(makeAction(io, timeline));
 }
--- a/packages/operator/src/timeline-text.ts
+++ b/packages/operator/src/timeline-text.ts
@@ -1,9 +1,9 @@
-/** Writes a time line as text, one line for each event. */
+/** Formats a timeline as text, one line per event. */
 import type {EventSubject, HybridTime} from '@dragonflyward/common';
 import type {RingSummary, Timeline} from './timeline-events.js';
 
 /**
- * Writes an event's subject as `part=value` pairs.
+ * Formats an event's subject as `key=value` pairs.
  *
  * @example
  * formatSubject({job: 'j-1', term: 4}); // 'job=j-1 term=4'
@@ -15,7 +15,7 @@
 }
 
 /**
- * Writes a hybrid time; the counter follows where it is not 0.
+ * Formats a hybrid time, followed by the counter if it is not 0.
  *
  * @example
  * formatTime({wallMs: 0, count: 2}); // '1970-01-01T00:00:00.000Z+2'
@@ -26,14 +26,14 @@
 }
 
 /**
- * Writes the time line, first what is missing from it.
+ * Formats the timeline, starting with the events that may be missing.
  *
  * @example
- * for (const line of timelineLines(timeline)) console.log(line);
+ * for (const line of formatTimeline(timeline)) console.log(line);
  */
-export function* timelineLines(timeline: Timeline): Generator<string> {
+export function* formatTimeline(timeline: Timeline): Generator<string> {
   for (const ring of timeline.rings) {
-    const gap = gapOf(ring);
+    const gap = describeGaps(ring);
     if (gap !== '') yield `# ${ring.process}: ${gap}`;
   }
   const {events} = timeline;
@@ -46,14 +46,18 @@
 }
 
 /**
- * Says what a time line may lack of one process; empty where nothing.
+ * Describes the events of a process that may be missing; empty if none.
  *
  * @example
- * const gap = gapOf(ring); // '12 older events were dropped'
+ * const gap = describeGaps(ring); // '12 older events were discarded'
  */
-export function gapOf({dropped, failure, silences}: RingSummary): string {
+export function describeGaps({
+  dropped,
+  failure,
+  silences,
+}: RingSummary): string {
   const parts: string[] = [];
-  if (dropped > 0) parts.push(`${dropped} older events were dropped`);
+  if (dropped > 0) parts.push(`${dropped} older events were discarded`);
   for (const {fromMs, toMs} of silences) {
     if (toMs === null) continue;
     const from = new Date(fromMs).toISOString();
--- a/packages/operator/test/config-log.test.ts
+++ b/packages/operator/test/config-log.test.ts
@@ -19,7 +19,7 @@
 
 const configLog = suite('config log');
 
-/** Moves the clock on until the work has ended. */
+/** Advances the clock until the work has settled. */
 async function finish<T>(clock: ManualClock, work: Promise<T>): Promise<T> {
   let isDone = false;
   const ended = work.finally(() => (isDone = true));
@@ -44,7 +44,7 @@
 );
 
 configLog(
-  'does not claim to know a lost append that is not there',
+  'reports an unknown outcome if a lost append is not found',
   async () => {
     const clock = new ManualClock();
     const log = new MemoryLog(clock);
--- a/packages/operator/test/ctl.process.test.ts
+++ b/packages/operator/test/ctl.process.test.ts
@@ -13,7 +13,11 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {EXIT} from '../src/exit-codes.js';
-import {CONFIGURATION, Operators, type Answer} from './run-ctl.js';
+import {
+  CONFIGURATION,
+  OperatorPrograms,
+  type ProgramResult,
+} from './run-ctl.js';
 
 const ENTRY_IP = '127.0.0.1';
 const GATEWAY_ADMIN_PORT = 18_081;
@@ -31,18 +35,18 @@
 const servers: http.Server[] = [];
 let configOffset = 0;
 
-const operators = new Operators(rig, {
+const programs = new OperatorPrograms(rig, {
   DRAGONFLYWARD_PORTS_GATEWAY_ADMIN: `${GATEWAY_ADMIN_PORT}`,
   DRAGONFLYWARD_PORTS_SCHEDULER_ADMIN: `${SCHEDULER_ADMIN_PORT}`,
   DRAGONFLYWARD_WAIT_MS: '300',
 });
 
-function run(...args: readonly string[]): Promise<Answer> {
-  return operators.ctl(...args);
+function run(...args: readonly string[]): Promise<ProgramResult> {
+  return programs.ctl(...args);
 }
 
-function publish(base: number): Promise<Answer> {
-  return operators.publish(file, base);
+function publish(base: number): Promise<ProgramResult> {
+  return programs.publish(file, base);
 }
 
 ctl.before(async () => {
@@ -113,7 +117,7 @@
 ctl(
   'keeps exceptions with their reasons, of racing operators too',
   async () => {
-    const add = (id: string): Promise<Answer> =>
+    const add = (id: string): Promise<ProgramResult> =>
       run('exception', 'add', id, 'share=4', '--team', 'roofs', '--reason', id);
     const answers = await Promise.all([add('storm'), add('snow')]);
     assert.equal(
--- a/packages/operator/test/examples.test.ts
+++ b/packages/operator/test/examples.test.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {readConfiguration} from '../src/config-commands.js';
+import {loadConfiguration} from '../src/config-commands.js';
 import {CTL_SETTINGS_SCHEMA} from '../src/ctl-settings.js';
 
 const SCHEMAS = {
@@ -29,10 +29,10 @@
 /** Lists the keys of a schema that a value does not have. */
 function* missingKeys(schema: SchemaNode, value: unknown): Generator<string> {
   const entries = Object.entries(schema.properties ?? {});
-  for (const [key, inner] of entries) {
-    const held = (value as Readonly<Record<string, unknown>>)[key];
-    if (held === undefined) yield key;
-    else yield* missingKeys(inner, held);
+  for (const [key, child] of entries) {
+    const actual = (value as Readonly<Record<string, unknown>>)[key];
+    if (actual === undefined) yield key;
+    else yield* missingKeys(child, actual);
   }
 }
 
@@ -48,7 +48,7 @@
 }
 
 examples('configuration.jsonc is valid', () => {
-  const {exceptions} = readConfiguration(fileOf('configuration'));
+  const {exceptions} = loadConfiguration(fileOf('configuration'));
   assert.ok(exceptions.length > 0);
 });
 
--- a/packages/operator/test/fleet.process.test.ts
+++ b/packages/operator/test/fleet.process.test.ts
@@ -8,15 +8,19 @@
 import * as assert from 'uvu/assert';
 import {EXIT} from '../src/exit-codes.js';
 import {timelineProgram} from '../src/timeline-program.js';
-import {CONFIGURATION, Operators, type Answer} from './run-ctl.js';
+import {
+  CONFIGURATION,
+  OperatorPrograms,
+  type ProgramResult,
+} from './run-ctl.js';
 
-/** A withdrawn key and a changed configuration hold within this time. */
+/** Bound for a configuration change or a key withdrawal to be in force. */
 const IN_FORCE_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 8_000;
 const ENTRIES_PER_DOMAIN = 2;
 const PROCESSES = 2 * ENTRIES_PER_DOMAIN;
 
-/** More than the team may run, but not more than a worker holds. */
+/** A job that exceeds the team's limit but fits a worker, so it waits. */
 const JOB = {
   queue: 'kilns',
   tasks: 1,
@@ -38,16 +42,16 @@
   executors: [{count: 2, service: 'quotes'}],
 });
 
-const operators = new Operators(rig, {
+const programs = new OperatorPrograms(rig, {
   DRAGONFLYWARD_WAIT_MS: `${IN_FORCE_MS}`,
 });
 
-function ctl(...args: readonly string[]): Promise<Answer> {
-  return operators.ctl(...args);
+function ctl(...args: readonly string[]): Promise<ProgramResult> {
+  return programs.ctl(...args);
 }
 
-function publish(base: number): Promise<Answer> {
-  return operators.publish(file, base);
+function publish(base: number): Promise<ProgramResult> {
+  return programs.publish(file, base);
 }
 
 /** Sends a request to each gateway and returns the statuses. */
@@ -189,7 +193,7 @@
 fleet('merges the events of all processes into a page', async () => {
   const page = join(dir, 'run.html');
   const flags = ['--format', 'html', '-o', page];
-  const {code} = await operators.run(timelineProgram, ...flags);
+  const {code} = await programs.run(timelineProgram, ...flags);
   assert.is(code, EXIT.ok);
   const text = readFileSync(page, 'utf8');
   for (const {id} of rig.entries) assert.match(text, `gateway@${id}`);
--- a/packages/operator/test/run-ctl.ts
+++ b/packages/operator/test/run-ctl.ts
@@ -15,7 +15,7 @@
   policy: 'spread',
 };
 
-/** Queues for requests and jobs; the team "roofs" may run requests only. */
+/** Queues for requests and jobs; the team "roofs" can run requests only. */
 export const CONFIGURATION: Configuration = {
   defaults: {
     queues: {
@@ -34,27 +34,27 @@
   exceptions: [],
 };
 
-/** What a program printed and how it ended. */
-export interface Answer {
+/** A program's output and exit code. */
+export interface ProgramResult {
   readonly code: number;
   readonly text: string;
   readonly value: Readonly<Record<string, unknown>>;
 }
 
-/** Runs the operators' programs against a rig. */
-export class Operators {
+/** Runs ctl and timeline against a rig. */
+export class OperatorPrograms {
   constructor(
     private readonly rig: Rig,
     private readonly env: Readonly<Record<string, string>>,
   ) {}
 
-  /** Runs ctl and reads its JSON. */
-  ctl(...args: readonly string[]): Promise<Answer> {
+  /** Runs ctl and parses its JSON output. */
+  ctl(...args: readonly string[]): Promise<ProgramResult> {
     return this.run(ctlProgram, '--json', ...args);
   }
 
   /** Publishes a file on a base. */
-  publish(file: string, base: number): Promise<Answer> {
+  publish(file: string, base: number): Promise<ProgramResult> {
     const flags = ['--base', `${base}`, '--reason', 'test'];
     return this.ctl('config', 'publish', file, ...flags);
   }
@@ -62,7 +62,7 @@
   async run(
     program: (io: ProgramIo) => Command,
     ...args: readonly string[]
-  ): Promise<Answer> {
+  ): Promise<ProgramResult> {
     let text = '';
     const out = (part: string): void => void (text += part);
     const sink = {out, err: () => undefined};
@@ -74,6 +74,6 @@
     };
     const code = await runProgram(program({sink, env}), args);
     const json = text.startsWith('{') ? text : '{}';
-    return {code, text, value: JSON.parse(json) as Answer['value']};
+    return {code, text, value: JSON.parse(json) as ProgramResult['value']};
   }
 }
--- a/packages/operator/test/timeline.test.ts
+++ b/packages/operator/test/timeline.test.ts
@@ -9,10 +9,10 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {AdminReply} from '../src/fleet.js';
-import {findSpans} from '../src/ownership-spans.js';
+import {findOwnershipSpans} from '../src/ownership-spans.js';
 import {EventCollector} from '../src/timeline-events.js';
 import {filterTimeline} from '../src/timeline-filter.js';
-import {timelinePage} from '../src/timeline-html.js';
+import {renderTimelinePage} from '../src/timeline-html.js';
 
 const PROCESSES = ['scheduler@a', 'scheduler@b', 'gateway@a'] as const;
 
@@ -42,7 +42,7 @@
 
 const timeline = suite('time line');
 
-timeline('keeps what was sent before what came of it', () => {
+timeline('orders an event before the events that it causes', () => {
   const step = fc.record({
     from: fc.nat({max: 2}),
     to: fc.nat({max: 2}),
@@ -101,13 +101,16 @@
   event('s@b', 95, 'ownerStopped', {shard: 'n', term: 2}),
 ];
 
-timeline('ends a silent owner where another became active', () => {
-  const [first, second] = findSpans(TAKEOVER);
-  assert.is(first?.toMs, 90);
-  assert.is(first?.isEndSeen, false);
-  assert.is(second?.toMs, 95);
-  assert.is(second?.isEndSeen, true);
-});
+timeline(
+  'ends the span of an unresponsive owner when another becomes active',
+  () => {
+    const [first, second] = findOwnershipSpans(TAKEOVER);
+    assert.is(first?.toMs, 90);
+    assert.is(first?.isEndReported, false);
+    assert.is(second?.toMs, 95);
+    assert.is(second?.isEndReported, true);
+  },
+);
 
 timeline("picks a job's events by its tasks", () => {
   const all = {rings: [], events: TAKEOVER};
@@ -116,13 +119,13 @@
   assert.is(filterTimeline(all, {shard: 'n', sinceMs: 90}).events.length, 2);
 });
 
-timeline('notes from when until when a process did not answer', () => {
+timeline('records the period in which a process did not answer', () => {
   const {events} = makeRing('s@a', 0);
   events.add('processStarted', {});
   const reply = replyOf(events);
-  const silent = {...reply, body: undefined, failure: 'refused'};
+  const unanswered = {...reply, body: undefined, failure: 'refused'};
   const collector = new EventCollector();
-  const replies = [reply, silent, silent, reply];
+  const replies = [reply, unanswered, unanswered, reply];
   replies.forEach((each, i) => {
     collector.addReplies([each], i * 100);
   });
@@ -139,7 +142,9 @@
     failure: process === 's@a' ? 'connection refused' : '',
     silences: [{fromMs: 30, toMs: process === 's@a' ? null : 40}],
   }));
-  const page = [...timelinePage({rings, events: TAKEOVER}, '<b>')].join('\n');
+  const page = [...renderTimelinePage({rings, events: TAKEOVER}, '<b>')].join(
+    '\n',
+  );
   assert.not.match(page, /(src|href)="(?!#)/);
   assert.not.match(page, /<&"|<b>/);
   assert.match(page, /connection refused/);
