--- a/packages/operator/src/apply-change.ts
+++ b/packages/operator/src/apply-change.ts
@@ -61,7 +61,7 @@
   return {verdict, lostTo: findWinner(configLog.state, draft.base)};
 }
 
-/** The publication that was accepted on a base. */
+/** Finds the publication that was accepted on a base. */
 function findWinner(state: ConfigState, base: number): Publication | undefined {
   return state
     .history()
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -9,7 +9,7 @@
 
 const HTTP_OK = 200;
 
-/** What a process on an entry VM does. */
+/** The role of a process on an entry VM. */
 export type ProcessRole = 'gateway' | 'scheduler';
 
 /** One process of the system and its admin port. */
@@ -23,7 +23,7 @@
   readonly isLeaving: boolean;
 }
 
-/** What a process's admin port answered. */
+/** The reply of a process's admin port. */
 export interface AdminReply {
   readonly process: ProcessAddress;
   /** Undefined if the read failed. */
@@ -33,7 +33,7 @@
 }
 
 /**
- * Lists the processes that run on the entry VMs of a list.
+ * Lists the processes on the entry VMs in a VM list.
  *
  * @example
  * const processes = [...listProcesses(await vms.list(), settings.ports)];
@@ -59,7 +59,7 @@
   return {name: `${role}@${id}`, role, vm: id, domain, ip, port, isLeaving};
 }
 
-/** All processes of the system, found through the list of VMs. */
+/** Finds all processes of the system through the VM list. */
 export class Fleet {
   constructor(
     private readonly vms: VmListClient,
@@ -144,7 +144,7 @@
 }
 
 /**
- * Offset of the next configuration record that a process would apply.
+ * Returns the offset of the next configuration record to apply.
  *
  * @example
  * const isInForce = (configOffsetOf(body) ?? 0) > revision;
@@ -153,7 +153,7 @@
   return ((body ?? {}) as ProcessStatus).configOffset;
 }
 
-/** Time since a process last knew that it had the newest configuration. */
+/** Returns the time since the configuration was last known to be newest. */
 export function configAgeOf(body: AdminReply['body']): number | undefined {
   return ((body ?? {}) as ProcessStatus).configAgeMs ?? undefined;
 }
--- a/packages/operator/src/gateway-client.ts
+++ b/packages/operator/src/gateway-client.ts
@@ -28,7 +28,7 @@
   ) {}
 
   /**
-   * Makes a call and returns the answer's body.
+   * Sends a request and returns the body of the reply.
    *
    * @throws the error kind in the reply; peerDown if no gateway answers
    * @example
