--- a/packages/bench/src/paper-policies.ts
+++ b/packages/bench/src/paper-policies.ts
@@ -10,7 +10,7 @@
   PlacementPolicy,
   dominantShare,
   roomOn,
-  type PlacementAsk,
+  type PlacementRequest,
   type WorkerState,
 } from '@dragonflyward/policy';
 
@@ -18,7 +18,7 @@
 export class EmptiestPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
-    ask: PlacementAsk,
+    ask: PlacementRequest,
   ): readonly WorkerState[] {
     let best: WorkerState | undefined;
     let bestFill = Infinity;
@@ -50,7 +50,7 @@
 
   override choose(
     workers: Iterable<WorkerState>,
-    ask: PlacementAsk,
+    ask: PlacementRequest,
   ): readonly WorkerState[] {
     for (const worker of workers) {
       this.known.add(worker);
--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -3,7 +3,7 @@
   FirstFitEngine,
   newPolicies,
   Replay,
-  ShareEngine,
+  FairShareEngine,
   type PlacementEngine,
   type Trace,
 } from '@dragonflyward/policy';
@@ -37,7 +37,7 @@
   {name: 'first fit', newEngine: () => new FirstFitEngine()},
   {name: 'shares only', newEngine: () => new ShareOnlyEngine()},
   {name: 'previous', newEngine: () => newPreviousEngine()},
-  {name: 'current', newEngine: () => new ShareEngine()},
+  {name: 'current', newEngine: () => new FairShareEngine()},
   {name: 'emptiest first', newEngine: () => newEmptiestEngine()},
   {name: 'reported use', newEngine: () => new ReportedUseEngine()},
 ];
@@ -45,16 +45,16 @@
 /** The first version of the share engine: without its later stages. */
 function newPreviousEngine(): PlacementEngine {
   const features = {preempts: false, reserves: false, learns: false};
-  return new ShareEngine({features});
+  return new FairShareEngine({features});
 }
 
 function newEmptiestEngine(): PlacementEngine {
   const emptiest = new EmptiestPolicy();
-  return new ShareEngine({policies: {...newPolicies(), pack: emptiest}});
+  return new FairShareEngine({policies: {...newPolicies(), pack: emptiest}});
 }
 
 /** Places by what workers last reported in place of own counts. */
-class ReportedUseEngine extends ShareEngine {
+class ReportedUseEngine extends FairShareEngine {
   private readonly policy: ReportedUsePolicy;
 
   constructor() {
@@ -63,8 +63,10 @@
     this.policy = policy;
   }
 
-  override learn(...args: Parameters<ShareEngine['learn']>): void {
-    super.learn(...args);
+  override recordUsage(
+    ...args: Parameters<FairShareEngine['recordUsage']>
+  ): void {
+    super.recordUsage(...args);
     this.policy.noteReport();
   }
 }
@@ -92,7 +94,7 @@
 function compareOne(trace: Trace, contender: Contender): CompareFigures {
   const replay = new Replay(contender.newEngine(), trace);
   const record = replay.run();
-  record.closeWaits(trace.endMs);
+  record.recordUnstartedWaits(trace.endMs);
   const parts = [...record.attainments().values()];
   const sum = parts.reduce((a, b) => a + b, 0);
   const waitP50Ms: Record<string, number> = {};
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -1,5 +1,5 @@
 /** Measures the rate and the cost of decisions on a full shard. */
-import {ShareEngine, type PlacedTask} from '@dragonflyward/policy';
+import {FairShareEngine, type PlacedTask} from '@dragonflyward/policy';
 import * as hdr from 'hdr-histogram-js';
 import {newJob, Random, setUp, type ShardSize} from './shard-load.js';
 
@@ -24,7 +24,7 @@
 }
 
 interface Load {
-  readonly engine: ShareEngine;
+  readonly engine: FairShareEngine;
   readonly size: ShardSize;
   readonly random: Random;
   readonly running: PlacedTask[];
@@ -75,7 +75,7 @@
 }
 
 function newLoad(size: ShardSize): Load {
-  const engine = new ShareEngine();
+  const engine = new FairShareEngine();
   setUp(engine, size);
   const times = hdr.build({highestTrackableValue: 60_000_000});
   const random = new Random(SEED);
@@ -89,7 +89,7 @@
 /** Submits work until the stated number of tasks runs and waits. */
 function fill(load: Load): void {
   const wanted = load.size.running + load.size.waiting;
-  while (load.running.length + load.engine.waitingCount() < wanted) {
+  while (load.running.length + load.engine.countWaitingTasks() < wanted) {
     for (let i = 0; i < load.size.teams; i += 1) submit(load);
     decide(load);
   }
@@ -106,7 +106,7 @@
   load.nowMs += ROUND_MS;
   const ends = Math.ceil(load.size.running / 100);
   for (let i = 0; i < ends; i += 1) endOne(load);
-  while (load.engine.waitingCount() < load.size.waiting) submit(load);
+  while (load.engine.countWaitingTasks() < load.size.waiting) submit(load);
   decide(load);
 }
 
--- a/packages/bench/src/policy-memory.ts
+++ b/packages/bench/src/policy-memory.ts
@@ -1,6 +1,6 @@
 /** Measures how the memory of an engine grows with what it keeps. */
 import {runInNewContext} from 'node:vm';
-import {ShareEngine} from '@dragonflyward/policy';
+import {FairShareEngine} from '@dragonflyward/policy';
 import {newJob, Random, setUp, TARGET, type ShardSize} from './shard-load.js';
 
 const SEED = 20_261_204;
@@ -57,13 +57,13 @@
   return Math.round((withJobs - without) / size.waiting);
 }
 
-function newEngine(size: ShardSize): ShareEngine {
-  const engine = new ShareEngine();
+function newEngine(size: ShardSize): FairShareEngine {
+  const engine = new FairShareEngine();
   setUp(engine, size);
   return engine;
 }
 
-function newLoadedEngine(size: ShardSize): ShareEngine {
+function newLoadedEngine(size: ShardSize): FairShareEngine {
   const engine = newEngine(size);
   const random = new Random(SEED);
   for (let i = 0; i < size.waiting; i += 1) {
@@ -73,14 +73,14 @@
   return engine;
 }
 
-function heapOf(make: () => ShareEngine): number {
+function heapOf(make: () => FairShareEngine): number {
   collect();
   const before = process.memoryUsage().heapUsed;
   const engine = make();
   collect();
   const after = process.memoryUsage().heapUsed;
   // Keeps the engine reachable until the heap was read.
-  engine.waitingCount();
+  engine.countWaitingTasks();
   return after - before;
 }
 
--- a/packages/bench/src/policy-traces.ts
+++ b/packages/bench/src/policy-traces.ts
@@ -1,6 +1,6 @@
 /** The traces on which engines are compared: a shard of today. */
 import type {Resources} from '@dragonflyward/common';
-import type {PolicyTeam, Trace, TraceJobs} from '@dragonflyward/policy';
+import type {PolicyTeam, Trace, TraceJobGroup} from '@dragonflyward/policy';
 import {QUEUES, UNLIMITED} from './shard-load.js';
 
 const MINUTE_MS = 60_000;
@@ -24,7 +24,7 @@
 
 /** Quick requests, services, batch and gangs; more work than room. */
 export function mixedDayTrace(): Trace {
-  const jobs: readonly TraceJobs[] = [
+  const jobs: readonly TraceJobGroup[] = [
     {
       ...{name: 'quick', team: 'counter', queue: 'quotes', count: 800},
       ...{firstMs: 30_000, everyMs: 600, tasks: 1},
--- a/packages/bench/src/share-only-engine.ts
+++ b/packages/bench/src/share-only-engine.ts
@@ -53,7 +53,7 @@
         started += 1;
         yield decision;
       }
-      if (super.waitingCount() === 0) {
+      if (super.countWaitingTasks() === 0) {
         this.queues.get(team)?.shift();
         continue;
       }
@@ -63,8 +63,8 @@
     }
   }
 
-  override demand(): readonly TeamDemand[] {
-    return super.demand().map(({team, running}) => {
+  override getDemand(): readonly TeamDemand[] {
+    return super.getDemand().map(({team, running}) => {
       let [cpuMilli, memMb, accel, slots] = [0, 0, 0, 0];
       for (const {size, taskIndexes} of this.queues.get(team) ?? []) {
         cpuMilli += size.cpuMilli * taskIndexes.length;
@@ -76,7 +76,7 @@
     });
   }
 
-  override waitingCount(): number {
+  override countWaitingTasks(): number {
     let count = 0;
     for (const queue of this.queues.values()) {
       for (const job of queue) count += job.taskIndexes.length;
@@ -93,7 +93,7 @@
   private nextTeam(): string | undefined {
     let best: string | undefined;
     let bestRatio = Infinity;
-    for (const {team, running} of super.demand()) {
+    for (const {team, running} of super.getDemand()) {
       if ((this.queues.get(team)?.length ?? 0) === 0) continue;
       const ratio = running.cpuMilli / (this.shares.get(team) ?? 1);
       if (ratio >= bestRatio) continue;
--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -103,9 +103,9 @@
 ): Promise<CommitFigures> {
   const clock = new SystemClock();
   const log = new MemoryLog(clock);
-  log.push(STREAM, [{id: 'claim', data: claim()}]);
+  log.appendNow(STREAM, [{id: 'claim', data: claim()}]);
   const claims = log.appends;
-  log.slowMs = appendMs;
+  log.latencyMs = appendMs;
   const base = {client: new MemoryLogClient(log), stream: STREAM, clock};
   const tail = new StreamTail({...base, fold: new ShardState(), waitMs: 500});
   const writer = new StreamWriter({...base, tail});
--- a/packages/caller/src/adaptive-timeout.ts
+++ b/packages/caller/src/adaptive-timeout.ts
@@ -18,7 +18,7 @@
 }
 
 /** Tracks the smoothed latency of each service and its deviation. */
-export class AdaptiveTimeout {
+export class ServiceTimeouts {
   private readonly latencies = new Map<string, Latency>();
 
   /** Records the time until the headers of an answer arrived. */
--- a/packages/caller/src/answer-relay.ts
+++ b/packages/caller/src/answer-relay.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {raise} from '@dragonflyward/common';
-import type {ExecutorAnswer} from '@dragonflyward/target';
+import type {ExecutorResponse} from '@dragonflyward/target';
 import {readPrefix, readRest} from './body-reader.js';
 import {selectEndToEndHeaders} from './relay-headers.js';
 
@@ -19,12 +19,12 @@
  * checkRequestId(answer, 'r-17');
  */
 export function checkRequestId(
-  answer: ExecutorAnswer,
+  answer: ExecutorResponse,
   requestId: string,
 ): void {
   const echoedId = answer.headers['x-request-id'];
   if (echoedId === undefined || echoedId === requestId) return;
-  answer.drop();
+  answer.discard();
   raise('targetLost', 'the answer belongs to another request');
 }
 
@@ -37,7 +37,7 @@
  * await relayAnswer(answer, res, 'r-17', lifetime.signal);
  */
 export async function relayAnswer(
-  answer: ExecutorAnswer,
+  answer: ExecutorResponse,
   res: ServerResponse,
   requestId: string,
   signal: AbortSignal,
@@ -64,7 +64,7 @@
 }
 
 function makeHeaders(
-  answer: ExecutorAnswer,
+  answer: ExecutorResponse,
   requestId: string,
 ): OutgoingHttpHeaders {
   return {
@@ -74,7 +74,7 @@
   };
 }
 
-function hasBody({status}: ExecutorAnswer): boolean {
+function hasBody({status}: ExecutorResponse): boolean {
   return status !== NO_CONTENT && status !== NOT_MODIFIED;
 }
 
--- a/packages/caller/src/claim-client.ts
+++ b/packages/caller/src/claim-client.ts
@@ -45,7 +45,7 @@
 type ClaimResult = 'vouched' | 'recorded' | 'duplicate' | 'noReply';
 
 /** Claims request ids at their replicas, and retains the claims made. */
-export class ClaimClient {
+export class RequestClaimClient {
   private readonly claims = new Map<string, RecordedClaim>();
 
   constructor(
--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,9 +1,9 @@
 /** The configuration that the gateway follows in the log. */
-import {askConfigTail, type PeerMesh} from '@dragonflyward/peer';
+import {fetchConfigTail, type PeerMesh} from '@dragonflyward/peer';
 import {
   ConfigFollower,
   ConfigPeers,
-  type ConfigFollowerParts,
+  type ConfigFollowerOptions,
   type ConfigState,
   type ConfigTail,
   type ListedPeer,
@@ -22,14 +22,14 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] | undefined {
+  override listedPeers(): readonly ListedPeer[] | undefined {
     if (!this.vms.isLoaded) return undefined;
     const others = this.vms.entryVms().filter(({id}) => id !== this.ownVm);
     return others.map(({id, domain}) => ({vm: id, domain}));
   }
 
-  override askTail(vm: string, from: number): Promise<ConfigTail> {
-    return askConfigTail(this.mesh, vm, from);
+  override requestTail(vm: string, from: number): Promise<ConfigTail> {
+    return fetchConfigTail(this.mesh, vm, from);
   }
 }
 
@@ -37,7 +37,7 @@
 export class ConfigFeed extends ConfigView {
   private readonly follower: ConfigFollower;
 
-  constructor(parts: ConfigFollowerParts) {
+  constructor(parts: ConfigFollowerOptions) {
     super();
     this.follower = new ConfigFollower(parts);
   }
--- a/packages/caller/src/gateway-peer-handler.ts
+++ b/packages/caller/src/gateway-peer-handler.ts
@@ -42,7 +42,7 @@
   override heartbeat(): Heartbeat {
     return {
       type: 'heartbeat',
-      at: this.parts.events.hybrid.tick(),
+      at: this.parts.events.hybridClock.tick(),
       owns: [],
       configOffset: this.parts.configOffset(),
       configAgeMs: this.parts.configAgeMs(),
@@ -50,7 +50,7 @@
     };
   }
 
-  override answer(_from: PeerInfo, req: PeerAsk): Promise<PeerReply> {
+  override handleAsk(_from: PeerInfo, req: PeerAsk): Promise<PeerReply> {
     if (req.type !== 'openTicketsAsk') return raise('badRequest', req.type);
     const tickets = this.parts.registry.list(req);
     const claims = this.parts.listClaims(req.shard);
@@ -58,18 +58,18 @@
     return Promise.resolve({type: 'openTickets', tickets, claims, upMs});
   }
 
-  override notice(from: PeerInfo, notice: PeerNotice): void {
+  override handleNotice(from: PeerInfo, notice: PeerNotice): void {
     if (notice.type !== 'heartbeat') return;
-    this.parts.events.hybrid.observe(notice.at);
+    this.parts.events.hybridClock.observe(notice.at);
     this.parts.owners.update(from.process.vm, notice.owns);
     this.parts.onOwnerHeartbeat(notice.owns.map(({shard}) => shard));
   }
 
-  override peerUp({info}: PeerConnection): void {
+  override onPeerUp({info}: PeerConnection): void {
     this.parts.events.add('peerUp', {}, info?.process.vm);
   }
 
-  override peerDown({info}: PeerConnection): void {
+  override onPeerDown({info}: PeerConnection): void {
     if (info === undefined) return;
     this.parts.owners.remove(info.process.vm);
     this.parts.events.add('peerDown', {}, info.process.vm);
--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -188,7 +188,7 @@
       this.vms.executors(),
       entries.length,
     );
-    this.executors.keepIdle(maxIdle);
+    this.executors.setMaxIdleConnections(maxIdle);
   }
 
   private status(): Readonly<Record<string, unknown>> {
--- a/packages/caller/src/mesh-ticket-source.ts
+++ b/packages/caller/src/mesh-ticket-source.ts
@@ -16,7 +16,7 @@
   Ticket,
   TicketClose,
 } from '@dragonflyward/peer';
-import {ClaimClient} from './claim-client.js';
+import {RequestClaimClient} from './claim-client.js';
 import type {OwnerDirectory} from './owner-directory.js';
 import {rejectOnAbort} from './request-lifetime.js';
 import type {TicketRegistry} from './ticket-registry.js';
@@ -53,12 +53,12 @@
 
 /** Gets tickets from, and claims request ids at, the connected schedulers. */
 export class MeshTicketSource extends TicketSource {
-  private readonly claimClient: ClaimClient;
+  private readonly claimClient: RequestClaimClient;
 
   constructor(private readonly parts: MeshTicketSourceParts) {
     super();
     const {clock, vms} = parts;
-    this.claimClient = new ClaimClient(this, clock, () => vms.domains());
+    this.claimClient = new RequestClaimClient(this, clock, () => vms.domains());
   }
 
   /**
--- a/packages/caller/src/owner-directory.ts
+++ b/packages/caller/src/owner-directory.ts
@@ -2,14 +2,14 @@
 import type {OwnedShard} from '@dragonflyward/peer';
 
 /** The owner of a shard. */
-export interface ShardOwner {
+export interface OwnerInfo {
   readonly vm: string;
   readonly term: number;
 }
 
 /** The current owner of each shard. */
 export class OwnerDirectory {
-  private readonly owners = new Map<string, ShardOwner>();
+  private readonly owners = new Map<string, OwnerInfo>();
 
   /** Replaces the shards that a scheduler owns; the higher term wins. */
   update(vm: string, owns: readonly OwnedShard[]): void {
@@ -30,7 +30,7 @@
   }
 
   /** The owner of a shard, if known. */
-  ownerOf(shard: string): ShardOwner | undefined {
+  ownerOf(shard: string): OwnerInfo | undefined {
     return this.owners.get(shard);
   }
 
@@ -40,7 +40,7 @@
   }
 
   /** All owners, for the status page. */
-  list(): Readonly<Record<string, ShardOwner>> {
+  list(): Readonly<Record<string, OwnerInfo>> {
     return Object.fromEntries(this.owners);
   }
 }
--- a/packages/caller/src/relay-attempt.ts
+++ b/packages/caller/src/relay-attempt.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import type {TicketUse} from '@dragonflyward/peer';
 import type {
-  ExecutorAnswer,
+  ExecutorResponse,
   ExecutorBody,
   ExecutorClient,
 } from '@dragonflyward/target';
@@ -38,7 +38,7 @@
 export class RelayAttempt {
   private isSent = false;
   private isDraining = false;
-  private answer: ExecutorAnswer | undefined;
+  private answer: ExecutorResponse | undefined;
 
   constructor(
     private readonly parts: AttemptParts,
@@ -51,7 +51,7 @@
    * @throws a kind with the outcome "not run" if no byte was sent, otherwise
    *     targetLost or deadlinePassed
    */
-  async send(signal: AbortSignal): Promise<ExecutorAnswer> {
+  async send(signal: AbortSignal): Promise<ExecutorResponse> {
     const {executors, headers, body, mayReuse} = this.parts;
     const {executorId, ip, port} = this.grant.ticket;
     const address = {executorId, ip, port};
@@ -80,7 +80,7 @@
 
   /** Closes the ticket after an error. */
   fail(err: unknown): void {
-    this.answer?.drop();
+    this.answer?.discard();
     this.close(this.ticketUseAfter(toFailure(err)));
   }
 
--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -9,7 +9,7 @@
   toFailure,
   type ErrorKind,
 } from '@dragonflyward/common';
-import type {ExecutorAnswer, ExecutorBody} from '@dragonflyward/target';
+import type {ExecutorResponse, ExecutorBody} from '@dragonflyward/target';
 import type {Access} from './access.js';
 import {relayAnswer} from './answer-relay.js';
 import {isNotRun} from './error-answers.js';
@@ -25,7 +25,7 @@
 import type {RelayParts} from './request-relay.js';
 import type {RequestSpec} from './request-spec.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {AdaptiveTimeout} from './adaptive-timeout.js';
+import type {ServiceTimeouts} from './adaptive-timeout.js';
 import type {TicketGrant} from './ticket-source.js';
 
 /** A body up to this size is kept in memory, so that it can be resent. */
@@ -41,7 +41,7 @@
 /** The dependencies of a `RelayTask` and the request that it relays. */
 export interface TaskParts extends RelayParts {
   readonly budget: RetryBudget;
-  readonly timeouts: AdaptiveTimeout;
+  readonly timeouts: ServiceTimeouts;
   readonly access: Access;
   readonly spec: RequestSpec;
   readonly lifetime: RequestLifetime;
@@ -171,7 +171,7 @@
     relay: RelayAttempt,
     body: ExecutorBody,
     attempt: number,
-  ): Promise<ExecutorAnswer> {
+  ): Promise<ExecutorResponse> {
     const {clock, lifetime, timeouts} = this.parts;
     const timeoutMs = timeouts.timeoutMs(this.service, lifetime.remainingMs());
     const sentMs = clock.monotonicMs();
@@ -186,7 +186,7 @@
     body: ExecutorBody,
     attempt: number,
     timeoutMs: number,
-  ): Promise<ExecutorAnswer> {
+  ): Promise<ExecutorResponse> {
     const timeoutController = new AbortController();
     const timer = setTimeout(() => {
       const timeoutError = new DragonflywardError(
@@ -207,7 +207,7 @@
   }
 
   private async handleAnswer(
-    answer: ExecutorAnswer,
+    answer: ExecutorResponse,
     body: ExecutorBody,
     attempt: number,
   ): Promise<void> {
--- a/packages/caller/src/request-relay.ts
+++ b/packages/caller/src/request-relay.ts
@@ -8,7 +8,7 @@
 import {RequestLifetime} from './request-lifetime.js';
 import {readRequestSpec} from './request-spec.js';
 import {RetryBudget} from './retry-budget.js';
-import {AdaptiveTimeout} from './adaptive-timeout.js';
+import {ServiceTimeouts} from './adaptive-timeout.js';
 import type {TicketSource} from './ticket-source.js';
 
 /** The dependencies of a `RequestRelay`. */
@@ -23,7 +23,7 @@
 
 /** Relays requests to executors. */
 export class RequestRelay {
-  private readonly timeouts = new AdaptiveTimeout();
+  private readonly timeouts = new ServiceTimeouts();
 
   constructor(
     private readonly parts: RelayParts,
--- a/packages/caller/src/vm-view.ts
+++ b/packages/caller/src/vm-view.ts
@@ -1,5 +1,5 @@
 /** The list of VMs, as last read by the gateway. */
-import type {Clock, Place} from '@dragonflyward/common';
+import type {Clock, VmLocation} from '@dragonflyward/common';
 import {rankByHash} from '@dragonflyward/common';
 import type {VmEntry, VmListClient} from '@dragonflyward/vms';
 
@@ -18,7 +18,7 @@
   constructor(
     private readonly client: VmListClient,
     private readonly clock: Clock,
-    private readonly self: Place & {readonly id: string},
+    private readonly self: VmLocation & {readonly id: string},
     private readonly onUpdate: (view: VmView) => void,
   ) {}
 
--- a/packages/caller/test/mesh-ticket-source.test.ts
+++ b/packages/caller/test/mesh-ticket-source.test.ts
@@ -66,20 +66,20 @@
     return {type: 'heartbeat', at, owns, ...status};
   }
 
-  override async answer(_from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
+  override async handleAsk(_from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
     this.asks.push(ask);
     return this.script(ask);
   }
 
-  override notice(_from: PeerInfo, notice: PeerNotice): void {
+  override handleNotice(_from: PeerInfo, notice: PeerNotice): void {
     if (notice.type !== 'heartbeat') this.notices.push(notice);
   }
 
-  override peerUp(): void {
+  override onPeerUp(): void {
     return;
   }
 
-  override peerDown(): void {
+  override onPeerDown(): void {
     return;
   }
 }
--- a/packages/caller/test/outcomes.test.ts
+++ b/packages/caller/test/outcomes.test.ts
@@ -4,7 +4,7 @@
 import {
   HttpExecutorClient,
   type ExecutorAddress,
-  type ExecutorAnswer,
+  type ExecutorResponse,
   type ExecutorRequest,
 } from '@dragonflyward/target';
 import {suite} from 'uvu';
@@ -48,7 +48,7 @@
   override async send(
     address: ExecutorAddress,
     req: ExecutorRequest,
-  ): Promise<ExecutorAnswer> {
+  ): Promise<ExecutorResponse> {
     const answered = await super.send(address, req);
     return {...answered, headers: {}, body: endOnError(answered.body)};
   }
@@ -73,7 +73,7 @@
   override send(
     address: ExecutorAddress,
     req: ExecutorRequest,
-  ): Promise<ExecutorAnswer> {
+  ): Promise<ExecutorResponse> {
     return super.send(address, {...req, mayReuse: true});
   }
 }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -30,7 +30,7 @@
 
 /** Handles the messages of other VMs. */
 export abstract class MemberHandler extends PeerHandler<CellProtocol> {
-  override readonly silenceBoundMs = SILENCE_TIMEOUT_MS;
+  override readonly heartbeatTimeoutMs = SILENCE_TIMEOUT_MS;
 }
 
 /** State of a connected VM. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -165,7 +165,7 @@
     };
   }
 
-  override async answer(
+  override async handleAsk(
     _from: CellPeerInfo,
     ask: CellProtocol['ask'],
   ): Promise<CellProtocol['reply']> {
@@ -181,7 +181,10 @@
     }
   }
 
-  override notice(from: CellPeerInfo, notice: CellProtocol['notice']): void {
+  override handleNotice(
+    from: CellPeerInfo,
+    notice: CellProtocol['notice'],
+  ): void {
     switch (notice.type) {
       case 'heartbeat':
         return this.handleHeartbeat(from, notice);
@@ -198,7 +201,7 @@
     }
   }
 
-  override peerUp(connection: CellConnection): void {
+  override onPeerUp(connection: CellConnection): void {
     this.members.add(connection);
     connection.notify(this.heartbeat());
     if (this.owner === null) return;
@@ -208,7 +211,7 @@
     this.sendMembers();
   }
 
-  override peerDown(connection: CellConnection): void {
+  override onPeerDown(connection: CellConnection): void {
     this.members.remove(connection);
     const isOwner = connection.info?.self.vm === this.election.knownOwner?.vm;
     if (isOwner && !this.election.hasOwner()) this.broadcast(this.heartbeat());
--- a/packages/common/src/events.ts
+++ b/packages/common/src/events.ts
@@ -80,7 +80,7 @@
  * @example
  * events.sort((a, b) => compareHybrid(a.at, b.at));
  */
-export function compareHybrid(a: HybridTime, b: HybridTime): number {
+export function compareHybridTimes(a: HybridTime, b: HybridTime): number {
   return a.wallMs - b.wallMs || a.count - b.count;
 }
 
@@ -102,7 +102,7 @@
 
   /** Advances the clock to a timestamp received from a peer. */
   observe(remote: HybridTime): void {
-    if (compareHybrid(remote, this.last) > 0) this.last = remote;
+    if (compareHybridTimes(remote, this.last) > 0) this.last = remote;
   }
 }
 
@@ -115,7 +115,7 @@
 
   constructor(
     readonly process: string,
-    readonly hybrid: HybridClock,
+    readonly hybridClock: HybridClock,
     private readonly capacity = DEFAULT_RING_CAPACITY,
   ) {}
 
@@ -126,7 +126,7 @@
    * events.add('jobAccepted', {job: 'j-1', team: 'roofs'});
    */
   add(kind: EventKind, subject: EventSubject, note = ''): void {
-    const at = this.hybrid.tick();
+    const at = this.hybridClock.tick();
     this.ring[this.addedCount % this.capacity] = {
       at,
       process: this.process,
--- a/packages/common/src/process-settings.ts
+++ b/packages/common/src/process-settings.ts
@@ -1,5 +1,5 @@
 /** The settings shared by all programs on an entry VM. */
-import type {Place} from './topology.js';
+import type {VmLocation} from './topology.js';
 
 /** Ports of the programs on an entry VM; the same on all entry VMs. */
 export interface PortSettings {
@@ -32,7 +32,7 @@
 }
 
 /** This process's VM. */
-export interface VmSettings extends Place {
+export interface VmSettings extends VmLocation {
   readonly id: string;
   readonly ip: string;
 }
--- a/packages/common/src/topology.ts
+++ b/packages/common/src/topology.ts
@@ -4,7 +4,7 @@
 export type VmKind = 'entry' | 'worker' | 'executor';
 
 /** The region, failure domain and rack of a VM. */
-export interface Place {
+export interface VmLocation {
   readonly region: string;
   readonly domain: string;
   readonly rack: string;
--- a/packages/log/src/fold.ts
+++ b/packages/log/src/fold.ts
@@ -11,7 +11,7 @@
   | 'skipped';
 
 /** State that depends only on the records of a stream up to an offset. */
-export abstract class StreamFold {
+export abstract class StreamState {
   /** Offset of the next record to apply. */
   abstract readonly nextOffset: number;
   /** Applies the next record; records at earlier offsets are ignored. */
--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -24,9 +24,9 @@
   /** Delay after which an append with a lost reply takes effect. */
   delayedEffectMs = 0;
   /** Delay of each call before it takes effect. */
-  slowMs = 0;
+  latencyMs = 0;
   /** Maximum number of records that a stream retains. */
-  retainRecords = Number.POSITIVE_INFINITY;
+  maxRetainedRecords = Number.POSITIVE_INFINITY;
   /** Number of appends that took effect. */
   appends = 0;
   private readonly streams = new Map<string, MemoryStream>();
@@ -35,7 +35,7 @@
   constructor(readonly clock: Clock) {}
 
   /** Appends records immediately; returns the offset of the first. */
-  push(stream: string, records: readonly NewRecord[]): number {
+  appendNow(stream: string, records: readonly NewRecord[]): number {
     const kept = this.stream(stream);
     const offset = endOf(kept);
     const timeMs = this.clock.wallMs();
@@ -47,8 +47,8 @@
     this.appends += 1;
     for (const wake of this.appendWaiters.splice(0)) wake();
     kept.records.push(...added);
-    const excess = kept.records.length - this.retainRecords;
-    if (excess > 0) this.drop(stream, kept.first + excess);
+    const excess = kept.records.length - this.maxRetainedRecords;
+    if (excess > 0) this.dropBefore(stream, kept.first + excess);
     return offset;
   }
 
@@ -58,7 +58,7 @@
   }
 
   /** Drops all records before the offset. */
-  drop(stream: string, first: number): void {
+  dropBefore(stream: string, first: number): void {
     const kept = this.stream(stream);
     kept.records = kept.records.filter(({offset}) => offset >= first);
     kept.first = Math.max(kept.first, first);
@@ -102,7 +102,7 @@
 /** The client of one process for an in-memory log. */
 export class MemoryLogClient extends LogClient {
   /** Whether this client is partitioned from the log. */
-  isCut = false;
+  isOffline = false;
 
   constructor(private readonly log: MemoryLog) {
     super();
@@ -114,7 +114,7 @@
   ): Promise<AppendReply> {
     await this.simulateTransit();
     if (this.log.lostReplies === 0) {
-      return {offset: this.log.push(stream, records)};
+      return {offset: this.log.appendNow(stream, records)};
     }
     this.log.lostReplies -= 1;
     void this.appendAfterDelay(stream, records);
@@ -150,16 +150,16 @@
   ): Promise<void> {
     const {delayedEffectMs, clock} = this.log;
     if (delayedEffectMs > 0) await clock.sleep(delayedEffectMs);
-    this.log.push(stream, records);
+    this.log.appendNow(stream, records);
   }
 
   private async simulateTransit(): Promise<void> {
-    const {clock, slowMs} = this.log;
+    const {clock, latencyMs: slowMs} = this.log;
     await (slowMs > 0 ? clock.sleep(slowMs) : Promise.resolve());
     this.checkReachable();
   }
 
   private checkReachable(): void {
-    if (this.log.isDown || this.isCut) raise('logDown', 'memory log');
+    if (this.log.isDown || this.isOffline) raise('logDown', 'memory log');
   }
 }
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -1,7 +1,7 @@
 /** Follows one log stream and applies its records to a state. */
 import {DragonflywardError, type Clock} from '@dragonflyward/common';
 import type {LogClient} from './client.js';
-import type {ApplyResult, StreamFold} from './fold.js';
+import type {ApplyResult, StreamState} from './fold.js';
 import type {LogPage, LogRecord} from './types.js';
 
 const RETRY_MIN_DELAY_MS = 50;
@@ -15,7 +15,7 @@
 export interface StreamTailOptions {
   readonly client: LogClient;
   readonly stream: string;
-  readonly fold: StreamFold;
+  readonly fold: StreamState;
   readonly clock: Clock;
   /** How long one read may wait for a new record; above 0. */
   readonly waitMs: number;
@@ -34,11 +34,11 @@
    * Monotonic time at which the latest read that reached the end of the
    * stream was sent: all records appended before then are applied.
    */
-  lastProofMs = Number.NEGATIVE_INFINITY;
+  lastCaughtUpMs = Number.NEGATIVE_INFINITY;
   /** Whether the latest read succeeded. */
   isUp = false;
   /** Offset of the oldest record that the log retains. */
-  firstKept = 0;
+  oldestOffset = 0;
   private readonly listeners = new Set<AppliedListener>();
   private waiters: readonly OffsetWaiter[] = [];
   private isRunning = false;
@@ -112,7 +112,7 @@
     this.isUp = true;
     this.applyPage(page);
     if (fold.nextOffset !== page.end) return;
-    this.lastProofMs = Math.max(this.lastProofMs, sentMs);
+    this.lastCaughtUpMs = Math.max(this.lastCaughtUpMs, sentMs);
   }
 
   /**
@@ -141,7 +141,7 @@
 
   private applyPage(page: LogPage): void {
     const {fold} = this.options;
-    this.firstKept = page.first;
+    this.oldestOffset = page.first;
     if (page.first > fold.nextOffset) fold.skipTo(page.first);
     for (const record of page.records) this.applyRecord(record);
     this.wakeWaiters();
--- a/packages/log/src/writer.ts
+++ b/packages/log/src/writer.ts
@@ -136,7 +136,7 @@
     const {clock, tail} = this.options;
     const fromMs = clock.monotonicMs();
     const untilMs = fromMs + READ_BACK_TIMEOUT_MS / MAX_ATTEMPTS;
-    while (tail.lastProofMs < fromMs && clock.monotonicMs() < untilMs) {
+    while (tail.lastCaughtUpMs < fromMs && clock.monotonicMs() < untilMs) {
       await clock.sleep(READ_BACK_POLL_MS);
     }
   }
--- a/packages/log/test/writer.test.ts
+++ b/packages/log/test/writer.test.ts
@@ -6,7 +6,7 @@
 import {
   MemoryLog,
   MemoryLogClient,
-  StreamFold,
+  StreamState,
   StreamTail,
   StreamWriter,
   type ApplyResult,
@@ -18,7 +18,7 @@
 const STREAM = 's';
 
 /** Applies each value once; duplicates are void. */
-class SetFold extends StreamFold {
+class SetFold extends StreamState {
   override nextOffset = 0;
   override readonly isComplete = true;
   readonly values = new Set<unknown>();
@@ -107,10 +107,10 @@
 writer('dates its proof by the sending of the read', async () => {
   const {clock, log, tail} = setUp();
   await clock.advance(200);
-  assert.ok(tail.lastProofMs <= clock.monotonicMs());
+  assert.ok(tail.lastCaughtUpMs <= clock.monotonicMs());
   log.isDown = true;
   await clock.advance(5_000);
-  assert.ok(tail.lastProofMs <= 200);
+  assert.ok(tail.lastCaughtUpMs <= 200);
   assert.not(tail.isUp);
   tail.stop();
 });
--- a/packages/operator/src/config-log.ts
+++ b/packages/operator/src/config-log.ts
@@ -49,7 +49,7 @@
   async read(): Promise<ConfigState> {
     const startMs = this.clock.monotonicMs();
     do await this.tail.readOnce(0);
-    while (this.tail.lastProofMs < startMs);
+    while (this.tail.lastCaughtUpMs < startMs);
     if (this.state.isComplete) return this.state;
     return raise('configStale', 'the log retains no complete snapshot');
   }
--- a/packages/operator/src/timeline-events.ts
+++ b/packages/operator/src/timeline-events.ts
@@ -1,5 +1,5 @@
 /** Merges the event rings of all processes into one causal order. */
-import {compareHybrid, type TimelineEvent} from '@dragonflyward/common';
+import {compareHybridTimes, type TimelineEvent} from '@dragonflyward/common';
 import type {AdminReply} from './fleet.js';
 
 /** A period in which a process did not answer. */
@@ -105,7 +105,7 @@
 
 /** Orders events by hybrid time, which keeps the order within a process. */
 function compareEvents(a: TimelineEvent, b: TimelineEvent): number {
-  return compareHybrid(a.at, b.at) || compareText(a.process, b.process);
+  return compareHybridTimes(a.at, b.at) || compareText(a.process, b.process);
 }
 
 function compareRings(a: RingSummary, b: RingSummary): number {
--- a/packages/operator/test/timeline.test.ts
+++ b/packages/operator/test/timeline.test.ts
@@ -1,5 +1,5 @@
 import {
-  compareHybrid,
+  compareHybridTimes,
   EventRing,
   HybridClock,
   ManualClock,
@@ -60,7 +60,7 @@
         if (sender === undefined || receiver === undefined) return;
         void sender.clock.advance(waitMs);
         sender.events.add('jobAccepted', {job: `${i}`});
-        receiver.events.hybrid.observe(sender.events.hybrid.tick());
+        receiver.events.hybridClock.observe(sender.events.hybridClock.tick());
         receiver.events.add('taskStarted', {job: `${i}`});
       });
       const collector = new EventCollector();
@@ -79,7 +79,7 @@
         assert.is(first?.kind, 'jobAccepted');
         assert.is(second?.kind, 'taskStarted');
       });
-      const sorted = [...events].sort((a, b) => compareHybrid(a.at, b.at));
+      const sorted = [...events].sort((a, b) => compareHybridTimes(a.at, b.at));
       assert.equal(sorted, events);
     }),
   );
--- a/packages/peer/src/config-tail.ts
+++ b/packages/peer/src/config-tail.ts
@@ -12,7 +12,7 @@
  * @example
  * const {records, ageMs, end} = await askConfigTail(mesh, 'vm-2', 17);
  */
-export async function askConfigTail(
+export async function fetchConfigTail(
   mesh: PeerMesh,
   vm: string,
   from: number,
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -10,7 +10,7 @@
 } from './messages.js';
 
 /** Default time without received data after which a connection is closed. */
-export const SILENCE_BOUND_MS = 2_000;
+export const HEARTBEAT_TIMEOUT_MS = 2_000;
 /** How often each side sends a heartbeat. */
 export const HEARTBEAT_PERIOD_MS = 500;
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -25,20 +25,20 @@
 /** Handles the messages and connection changes of peers. */
 export abstract class PeerHandler<P extends PeerProtocol = GatewayProtocol> {
   /** Time without received data after which a connection is closed. */
-  readonly silenceBoundMs: number = SILENCE_BOUND_MS;
+  readonly heartbeatTimeoutMs: number = HEARTBEAT_TIMEOUT_MS;
 
   /** Returns the hello that describes this process to its peers. */
   abstract hello(): P['hello'];
   /** Returns the heartbeat to send now. */
   abstract heartbeat(): P['notice'];
   /** Answers an ask; a thrown error becomes a failure reply. */
-  abstract answer(from: PeerInfo<P>, ask: P['ask']): Promise<P['reply']>;
+  abstract handleAsk(from: PeerInfo<P>, ask: P['ask']): Promise<P['reply']>;
   /** Handles a notice; heartbeats are notices too. */
-  abstract notice(from: PeerInfo<P>, notice: P['notice']): void;
+  abstract handleNotice(from: PeerInfo<P>, notice: P['notice']): void;
   /** Called when the peer's hello has arrived. */
-  abstract peerUp(connection: PeerConnection<P>): void;
+  abstract onPeerUp(connection: PeerConnection<P>): void;
   /** Called when a connection that was up has closed. */
-  abstract peerDown(connection: PeerConnection<P>): void;
+  abstract onPeerDown(connection: PeerConnection<P>): void;
 }
 
 interface PendingAsk<P extends PeerProtocol> {
@@ -122,7 +122,7 @@
 
   private onHeartbeatTimer(): void {
     const silentMs = performance.now() - this.lastReceivedMs;
-    if (silentMs > this.handler.silenceBoundMs) return this.close();
+    if (silentMs > this.handler.heartbeatTimeoutMs) return this.close();
     this.notify(this.handler.heartbeat());
   }
 
@@ -140,7 +140,7 @@
     if (frame.kind === 'reply') return this.settleAsk(frame.id, frame.reply);
     if (this.info === undefined) return this.close();
     if (frame.kind === 'notice') {
-      return this.handler.notice(this.info, frame.notice);
+      return this.handler.handleNotice(this.info, frame.notice);
     }
     void this.answerAsk(frame.id, this.info, frame.ask);
   }
@@ -148,7 +148,7 @@
   private handleHello(hello: P['hello']): void {
     if (this.info !== undefined) return;
     this.info = hello;
-    this.handler.peerUp(this);
+    this.handler.onPeerUp(this);
   }
 
   private async answerAsk(
@@ -158,7 +158,7 @@
   ): Promise<void> {
     let reply: P['reply'] | FailureReply;
     try {
-      reply = await this.handler.answer(from, ask);
+      reply = await this.handler.handleAsk(from, ask);
     } catch (err) {
       reply = {type: 'failure', failure: toFailure(err)};
     }
@@ -186,7 +186,7 @@
       pending.reject(new DragonflywardError('peerLost', 'connection closed'));
     }
     this.pending.clear();
-    if (this.info !== undefined) this.handler.peerDown(this);
+    if (this.info !== undefined) this.handler.onPeerDown(this);
   }
 }
 
--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/adjust.ts
@@ -1,10 +1,10 @@
 /** Resizes the reservations of running tasks to their measured use. */
 import {fitsIn, subtractResources, type Resources} from '@dragonflyward/common';
-import {isSameSize} from './amounts.js';
+import {isSameAmount} from './amounts.js';
 import type {EngineCore} from './core.js';
 import type {Decision, UsageSample} from './engine.js';
 import {queuePreemption} from './make-room.js';
-import {flush} from './place-waiting.js';
+import {flushDecisions} from './place-waiting.js';
 import type {RunningTask} from './state.js';
 
 /** Measurements needed to resize a reservation at all, and to lower it. */
@@ -30,13 +30,13 @@
  * @example
  * learnUsage(core, samples);
  */
-export function learnUsage(
+export function recordUsage(
   core: EngineCore,
   samples: readonly UsageSample[],
 ): void {
-  if (!core.features.learns) return;
+  if (!core.features.estimatesUsage) return;
   for (const sample of samples) {
-    const running = core.cell.tasks.get(sample.taskId);
+    const running = core.workerTable.tasks.get(sample.taskId);
     if (running !== undefined) recordSample(core, running, sample);
   }
   core.estimates.refresh();
@@ -53,16 +53,16 @@
   running.peakMemMb = Math.max(running.peakMemMb, memMb);
   running.sampleCount += 1;
   const {queue, team, size: declared} = job;
-  core.estimates.noteUse({queue, team, declared, cpuMilli, memMb});
-  core.toReview.add(running);
-  if (mayBeThrottled(running, cpuMilli)) core.toProbe.add(running);
+  core.estimates.recordUsage({queue, team, declared, cpuMilli, memMb});
+  core.tasksToReview.add(running);
+  if (mayBeThrottled(running, cpuMilli)) core.tasksToProbe.add(running);
 }
 
 /** Whether a task may be throttled by its CPU cap and may be probed. */
 function mayBeThrottled(running: RunningTask, cpuMilli: number): boolean {
   const reserved = running.task.size.cpuMilli;
   if (reserved === 0 || cpuMilli < reserved * THROTTLED_FRACTION) return false;
-  return reserved >= running.probedCpuMilli * REPROBE_FACTOR;
+  return reserved >= running.cpuMilliBeforeProbe * REPROBE_FACTOR;
 }
 
 /**
@@ -72,12 +72,12 @@
  * yield* adjustReservations(core);
  */
 export function* adjustReservations(core: EngineCore): Generator<Decision> {
-  for (const running of core.toReview) {
-    core.toReview.delete(running);
-    if (core.cell.tasks.get(running.task.taskId) !== running) continue;
+  for (const running of core.tasksToReview) {
+    core.tasksToReview.delete(running);
+    if (core.workerTable.tasks.get(running.task.taskId) !== running) continue;
     if (running.isStopping) continue;
     adjustReservation(core, running);
-    yield* flush(core);
+    yield* flushDecisions(core);
   }
 }
 
@@ -89,23 +89,23 @@
  * yield* probeReservations(core);
  */
 export function* probeReservations(core: EngineCore): Generator<Decision> {
-  for (const running of core.toProbe) {
-    core.toProbe.delete(running);
-    if (core.cell.tasks.get(running.task.taskId) !== running) continue;
+  for (const running of core.tasksToProbe) {
+    core.tasksToProbe.delete(running);
+    if (core.workerTable.tasks.get(running.task.taskId) !== running) continue;
     if (running.isStopping || isTooEarlyToResize(core, running)) continue;
     const {size} = running.task;
     const cpuMilli = Math.ceil(size.cpuMilli * PROBE_FACTOR);
     const wanted = {...size, cpuMilli};
     if (!mayRaise(core, running, wanted)) continue;
-    running.probedCpuMilli = size.cpuMilli;
+    running.cpuMilliBeforeProbe = size.cpuMilli;
     resize(core, running, wanted);
-    yield* flush(core);
+    yield* flushDecisions(core);
   }
 }
 
 /** Whether the last resize is too recent or there are too few samples. */
 function isTooEarlyToResize(core: EngineCore, running: RunningTask): boolean {
-  if (core.nowMs - running.resizedMs < RESIZE_COOLDOWN_MS) return true;
+  if (core.nowMs - running.lastResizeMs < RESIZE_COOLDOWN_MS) return true;
   return running.sampleCount < MIN_SAMPLES;
 }
 
@@ -113,7 +113,7 @@
   if (isTooEarlyToResize(core, running)) return;
   const wanted = wantedSize(running);
   const {size} = running.task;
-  if (isSameSize(wanted, size)) return;
+  if (isSameAmount(wanted, size)) return;
   if (fitsIn(wanted, size)) {
     resize(core, running, wanted);
     return;
@@ -157,20 +157,20 @@
   wanted: Resources,
 ): boolean {
   const increase = subtractResources(wanted, running.task.size);
-  const worker = core.cell.getWorker(running.task.workerId);
+  const worker = core.workerTable.getWorker(running.task.workerId);
   if (!fitsIn(increase, subtractResources(worker.free, worker.heldUrgent))) {
     return false;
   }
-  return core.teams.isAllowed(running.job.team, increase);
+  return core.teams.isWithinAllowance(running.job.team, increase);
 }
 
 function resize(core: EngineCore, running: RunningTask, size: Resources): void {
-  core.cell.resize(running, size);
-  running.resizedMs = core.nowMs;
+  core.workerTable.resize(running, size);
+  running.lastResizeMs = core.nowMs;
   running.sampleCount = 0;
   running.peakCpuMilli = 0;
   const {taskId, workerId} = running.task;
-  core.outbox.push({kind: 'resize', taskId, workerId, size});
+  core.pendingDecisions.push({kind: 'resize', taskId, workerId, size});
 }
 
 /** Memory cannot be throttled, so a task that lacks it restarts elsewhere. */
@@ -178,7 +178,7 @@
   const {job} = running.job;
   if (running.peakMemMb <= running.task.size.memMb) return;
   if (!job.isIdempotent || job.isGang) return;
-  core.cell.markStopping(running, core.nowMs);
+  core.workerTable.markStopping(running, core.nowMs);
   queuePreemption(
     core,
     running,
--- a/packages/policy/src/amounts.ts
+++ b/packages/policy/src/amounts.ts
@@ -58,7 +58,7 @@
  * @example
  * if (isSameSize(task.size, wanted)) return;
  */
-export function isSameSize(a: Resources, b: Resources): boolean {
+export function isSameAmount(a: Resources, b: Resources): boolean {
   return (
     a.cpuMilli === b.cpuMilli &&
     a.memMb === b.memMb &&
@@ -73,8 +73,8 @@
  * @example
  * if (isNothing(worker.held)) return worker.free;
  */
-export function isNothing(amount: Resources): boolean {
-  return isSameSize(amount, NO_RESOURCES);
+export function isZeroAmount(amount: Resources): boolean {
+  return isSameAmount(amount, NO_RESOURCES);
 }
 
 /**
@@ -83,7 +83,7 @@
  * @example
  * largest = mostOf(largest, worker.capacity);
  */
-export function mostOf(a: Resources, b: Resources): Resources {
+export function maxAmount(a: Resources, b: Resources): Resources {
   return {
     cpuMilli: Math.max(a.cpuMilli, b.cpuMilli),
     memMb: Math.max(a.memMb, b.memMb),
--- a/packages/policy/src/audit.ts
+++ b/packages/policy/src/audit.ts
@@ -27,7 +27,7 @@
   removeWorker(workerId: string): void {
     this.workers.delete(workerId);
     for (const task of [...this.running.values()]) {
-      if (task.workerId === workerId) this.noteEnd(task.taskId);
+      if (task.workerId === workerId) this.recordEnd(task.taskId);
     }
   }
 
@@ -42,7 +42,7 @@
   }
 
   /** What the running tasks of a team reserve. */
-  useOf(team: string): Resources {
+  getTeamUsage(team: string): Resources {
     return this.usageByTeam.get(team) ?? NO_RESOURCES;
   }
 
@@ -57,7 +57,7 @@
   }
 
   /** Applies a decision and checks its result. */
-  noteDecision(decision: Decision): void {
+  recordDecision(decision: Decision): void {
     if (decision.kind === 'start') this.recordStart(decision.task);
     if (decision.kind === 'resize') {
       this.recordResize(decision.taskId, decision.size);
@@ -65,7 +65,7 @@
   }
 
   /** Releases the reservation of a task that no longer runs. */
-  noteEnd(taskId: string): void {
+  recordEnd(taskId: string): void {
     const task = this.running.get(taskId);
     if (task === undefined) return;
     this.running.delete(taskId);
@@ -111,7 +111,7 @@
       workerId,
       addResources(this.usageOfWorker(workerId), change),
     );
-    this.usageByTeam.set(team, addResources(this.useOf(team), change));
+    this.usageByTeam.set(team, addResources(this.getTeamUsage(team), change));
   }
 
   private checkLimits(task: PlacedTask): void {
@@ -121,7 +121,7 @@
     }
     const team = this.teamOfJob.get(task.jobId) ?? '';
     const allowance = this.teams.get(team)?.allowance ?? NO_RESOURCES;
-    if (!fitsIn(this.useOf(team), allowance)) {
+    if (!fitsIn(this.getTeamUsage(team), allowance)) {
       this.breaches.push(`${task.taskId} passes the limit of team ${team}`);
     }
   }
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/cell.ts
@@ -6,7 +6,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare, mostOf} from './amounts.js';
+import {dominantShare, maxAmount} from './amounts.js';
 import type {PolicyWorker} from './engine.js';
 import {
   isSpread,
@@ -21,7 +21,7 @@
 export type RoomListener = (worker: WorkerState) => void;
 
 /** Tracks what is reserved on each worker and for each team. */
-export class Cell {
+export class WorkerTable {
   readonly workers = new Map<string, WorkerState>();
   readonly tasks = new Map<string, RunningTask>();
   /** All workers in the order in which they were added. */
@@ -89,11 +89,15 @@
 
   /** Counts the tasks by rack and worker if the job is spread. */
   countPlaces(job: JobState): void {
-    const isCounted = job.placeCounts !== null;
+    const isCounted = job.taskCountByLocation !== null;
     if (isCounted === isSpread(job.job, job.queue)) return;
-    job.placeCounts = isCounted ? null : new Map();
+    job.taskCountByLocation = isCounted ? null : new Map();
     for (const {task} of job.running.values()) {
-      addToPlaceCounts(job.placeCounts, this.getWorker(task.workerId), 1);
+      addToPlaceCounts(
+        job.taskCountByLocation,
+        this.getWorker(task.workerId),
+        1,
+      );
     }
   }
 
@@ -106,7 +110,7 @@
     this.addUsage(worker, task.size);
     this.teams.charge(job.team, task.size, running.isUrgent);
     job.running.set(task.taskIndex, running);
-    addToPlaceCounts(job.placeCounts, worker, 1);
+    addToPlaceCounts(job.taskCountByLocation, worker, 1);
   }
 
   /** Frees a task's reservation. */
@@ -121,7 +125,7 @@
     if (job.running.get(task.taskIndex) === running) {
       job.running.delete(task.taskIndex);
     }
-    addToPlaceCounts(job.placeCounts, worker, -1);
+    addToPlaceCounts(job.taskCountByLocation, worker, -1);
     this.onRoom(worker);
   }
 
@@ -129,7 +133,7 @@
   markStopping(running: RunningTask, nowMs: number): void {
     if (running.isStopping) return;
     running.isStopping = true;
-    running.stoppingMs = nowMs;
+    running.stopRequestedMs = nowMs;
     this.teams.noteStopping(running.job.team, running.task.size);
   }
 
@@ -169,11 +173,11 @@
     for (const {worker} of this.workers.values()) {
       if (worker.condition === 'leaving') continue;
       total = addResources(total, worker.capacity);
-      maxCapacity = mostOf(maxCapacity, worker.capacity);
+      maxCapacity = maxAmount(maxCapacity, worker.capacity);
     }
     this.maxCapacity = maxCapacity;
     this.workerList = [...this.workers.values()];
-    this.teams.setTotal(total);
+    this.teams.setCapacity(total);
   }
 }
 
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -1,7 +1,7 @@
 /** The state of an engine, which the stages of a decision share. */
 import type {Resources} from '@dragonflyward/common';
 import {countFits} from './amounts.js';
-import {Cell} from './cell.js';
+import {WorkerTable} from './cell.js';
 import type {
   Decision,
   PlacedTask,
@@ -38,33 +38,33 @@
 }
 
 /** The optional stages of an engine, all enabled by default. */
-export interface ShareFeatures {
+export interface FairShareFeatures {
   /** Preempts tasks for urgent jobs and for teams below their fair share. */
   readonly preempts?: boolean;
   /** Holds resources for gangs and large tasks, so that they don't starve. */
   readonly reserves?: boolean;
   /** Adjusts reservations to measured usage. */
-  readonly learns?: boolean;
+  readonly estimatesUsage?: boolean;
   /** Raises the priority of jobs with their waiting time. */
   readonly ages?: boolean;
 }
 
 /** The options of an engine. */
-export interface ShareOptions {
+export interface FairShareOptions {
   /**
    * The number in the first task id; the owner of a later term has to start
    * above all numbers that an earlier owner may have used.
    */
   readonly firstTaskNumber?: number;
   readonly policies?: PlacementPolicies;
-  readonly features?: ShareFeatures;
+  readonly features?: FairShareFeatures;
 }
 
 /** The state of one engine. */
 export interface EngineCore {
   readonly teams: TeamTable;
   readonly needs: NeedTable;
-  readonly cell: Cell;
+  readonly workerTable: WorkerTable;
   readonly queues: Map<string, PolicyQueue>;
   readonly jobs: Map<string, JobState>;
   readonly failures: JobFailures;
@@ -72,15 +72,15 @@
   readonly estimates: Estimates;
   readonly holds: HoldTable;
   readonly policies: PlacementPolicies;
-  readonly features: Required<ShareFeatures>;
+  readonly features: Required<FairShareFeatures>;
   /** Decisions that are accounted for but not yielded yet. */
-  readonly outbox: Decision[];
+  readonly pendingDecisions: Decision[];
   nextTaskNumber: number;
   nowMs: number;
   /** The classes of urgent queues that have waiting jobs. */
   readonly urgentWaitClasses: Set<WaitClass>;
   /** The index of the worker at which the next search for capacity starts. */
-  roomCursor: number;
+  nextWorkerIndex: number;
   /** The number of waiting tasks. */
   waitingTasks: number;
   /** The version of the estimates that the sizes of the classes reflect. */
@@ -90,9 +90,9 @@
   /** When resources were last held or reclaimed for jobs without room. */
   lastReservePassMs: number;
   /** Running tasks that were measured since their last review. */
-  readonly toReview: Set<RunningTask>;
+  readonly tasksToReview: Set<RunningTask>;
   /** Running tasks that may be throttled by their CPU limit. */
-  readonly toProbe: Set<RunningTask>;
+  readonly tasksToProbe: Set<RunningTask>;
 }
 
 /** The priorities, the most urgent first. */
@@ -102,10 +102,10 @@
   'batch',
 ];
 
-const ALL_FEATURES: Required<ShareFeatures> = {
+const ALL_FEATURES: Required<FairShareFeatures> = {
   preempts: true,
   reserves: true,
-  learns: true,
+  estimatesUsage: true,
   ages: true,
 };
 
@@ -129,33 +129,33 @@
  * @example
  * const core = newCore({firstTaskNumber: term * TASKS_PER_TERM});
  */
-export function newCore(options: ShareOptions): EngineCore {
+export function newCore(options: FairShareOptions): EngineCore {
   const teams = new TeamTable();
-  const cell = new Cell(teams, worker => needs.noteRoom(worker));
+  const cell = new WorkerTable(teams, worker => needs.noteFreed(worker));
   const needs = new NeedTable(cell.workers);
   return {
     teams,
     needs,
-    cell,
+    workerTable: cell,
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
     health: new WorkerHealth(),
     estimates: new Estimates(),
-    holds: new HoldTable(worker => needs.noteRoom(worker)),
+    holds: new HoldTable(worker => needs.noteFreed(worker)),
     policies: options.policies ?? newPolicies(),
     features: {...ALL_FEATURES, ...options.features},
-    outbox: [],
+    pendingDecisions: [],
     nextTaskNumber: options.firstTaskNumber ?? 1,
     nowMs: 0,
     urgentWaitClasses: new Set(),
-    roomCursor: 0,
+    nextWorkerIndex: 0,
     waitingTasks: 0,
     appliedEstimatesVersion: 0,
     fairSharesUpdatedMs: -Infinity,
     lastReservePassMs: -Infinity,
-    toReview: new Set(),
-    toProbe: new Set(),
+    tasksToReview: new Set(),
+    tasksToProbe: new Set(),
   };
 }
 
@@ -176,7 +176,10 @@
  * @example
  * const workers = policyOf(core, state).choose(core.cell.workers, ask);
  */
-export function policyOf(core: EngineCore, state: JobState): PlacementPolicy {
+export function getPlacementPolicy(
+  core: EngineCore,
+  state: JobState,
+): PlacementPolicy {
   if (state.job.isGang) return core.policies.gang;
   const {pack, spread} = core.policies;
   return isSpread(state.job, state.queue) ? spread : pack;
@@ -200,7 +203,7 @@
   core.nextTaskNumber += 1;
   noteTaskStarted(core, state, taskIndex);
   core.holds.consumeSlot(jobId, worker);
-  state.team.startedMs = core.nowMs;
+  state.team.lastStartMs = core.nowMs;
   core.teams.noteTaskStart(state.team, size);
   const {workerId} = worker.worker;
   return addRunningTask(core, state, {
@@ -230,14 +233,14 @@
     expectedMs: estimateRunMs(core, state),
     isUrgent: state.queue.priority === 'urgent',
     isStopping: false,
-    stoppingMs: 0,
+    stopRequestedMs: 0,
     peakCpuMilli: 0,
     peakMemMb: 0,
     sampleCount: 0,
-    probedCpuMilli: 0,
-    resizedMs: core.nowMs,
+    cpuMilliBeforeProbe: 0,
+    lastResizeMs: core.nowMs,
   };
-  core.cell.charge(running);
+  core.workerTable.charge(running);
   return running;
 }
 
@@ -255,10 +258,13 @@
  * @example
  * const reason = obstacleOf(core, job);
  */
-export function obstacleOf(core: EngineCore, job: PolicyJob): string {
+export function findUnplaceableReason(
+  core: EngineCore,
+  job: PolicyJob,
+): string {
   const tasksNeeded = job.isGang ? job.taskIndexes.length : 1;
   let slots = 0;
-  for (const {worker} of core.cell.workers.values()) {
+  for (const {worker} of core.workerTable.workers.values()) {
     if (worker.condition === 'leaving') continue;
     slots += Math.min(tasksNeeded, countFits(job.size, worker.capacity));
     if (slots >= tasksNeeded) return '';
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -3,9 +3,9 @@
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {refreshFairShares} from './fair-shares.js';
-import {flush, placeWaiting} from './place-waiting.js';
+import {flushDecisions, placeWaiting} from './place-waiting.js';
 import {preemptForUrgent, reclaimShares} from './preempt.js';
-import {placeHeld, reserveForBlocked} from './reserve.js';
+import {placeHeldJobs, reserveForStarved} from './reserve.js';
 import {setAsideUnrunnable} from './unrunnable.js';
 import {refreshSizes} from './waiting-list.js';
 
@@ -22,7 +22,7 @@
  */
 export function* decideAll(core: EngineCore): Generator<Decision> {
   retryWorkers(core);
-  yield* flush(core);
+  yield* flushDecisions(core);
   if (core.nowMs - core.fairSharesUpdatedMs >= FAIR_SHARES_INTERVAL_MS) {
     refreshFairShares(core.teams);
     core.teams.updateShareExcess(core.nowMs - core.fairSharesUpdatedMs);
@@ -30,12 +30,12 @@
   }
   yield* adjustReservations(core);
   refreshSizes(core);
-  yield* placeHeld(core);
+  yield* placeHeldJobs(core);
   yield* placeWaiting(core, 'urgent');
   if (core.features.preempts) yield* preemptForUrgent(core);
   if (core.nowMs - core.lastReservePassMs >= RESERVE_INTERVAL_MS) {
     core.lastReservePassMs = core.nowMs;
-    if (core.features.reserves) reserveForBlocked(core);
+    if (core.features.reserves) reserveForStarved(core);
     if (core.features.preempts) yield* reclaimShares(core);
     yield* setAsideUnrunnable(core);
   }
@@ -45,10 +45,15 @@
 
 /** Lets workers whose quarantine has ended take one task on probation. */
 function retryWorkers(core: EngineCore): void {
-  for (const state of core.health.retry(core.nowMs)) {
+  for (const state of core.health.startDueProbations(core.nowMs)) {
     const {workerId} = state.worker;
     const reason = 'quarantine ended; retrying with one task at a time';
-    core.outbox.push({kind: 'worker', workerId, isSetAside: false, reason});
-    core.needs.noteRoom(state);
+    core.pendingDecisions.push({
+      kind: 'worker',
+      workerId,
+      isQuarantined: false,
+      reason,
+    });
+    core.needs.noteFreed(state);
   }
 }
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -126,7 +126,7 @@
 export interface WorkerDecision {
   readonly kind: 'worker';
   readonly workerId: string;
-  readonly isSetAside: boolean;
+  readonly isQuarantined: boolean;
   readonly reason: string;
 }
 
@@ -163,7 +163,7 @@
    * Returns why the tasks of the job could not be placed even in an empty
    * shard; empty if they could.
    */
-  abstract findObstacle(job: PolicyJob): string;
+  abstract findUnplaceableReason(job: PolicyJob): string;
   /** Adds a job, or the tasks of a known job that have to run again. */
   abstract submit(job: PolicyJob): void;
   /**
@@ -178,7 +178,7 @@
   /** Releases the reservation of a placed task. */
   abstract ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void;
   /** Updates the usage estimates from measurements, which may lag behind. */
-  abstract learn(samples: readonly UsageSample[], nowMs: number): void;
+  abstract recordUsage(samples: readonly UsageSample[], nowMs: number): void;
 
   /** Yields what to do now; each decision is accounted for before its yield. */
   abstract decide(nowMs: number): Generator<Decision>;
@@ -186,7 +186,7 @@
   /** Describes in one line why a job waits or where it was placed. */
   abstract explain(jobId: string): string;
   /** The running and the waiting resources of each team in this shard. */
-  abstract demand(): readonly TeamDemand[];
+  abstract getDemand(): readonly TeamDemand[];
   /** The number of waiting tasks. */
-  abstract waitingCount(): number;
+  abstract countWaitingTasks(): number;
 }
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -73,7 +73,7 @@
 }
 
 /** A measurement of a task, with its declared size. */
-export interface MeasuredUse {
+export interface MeasuredUsage {
   readonly queue: string;
   readonly team: string;
   readonly declared: Resources;
@@ -88,7 +88,7 @@
   version = 0;
 
   /** Records a measurement of a running task. */
-  noteUse(use: MeasuredUse): void {
+  recordUsage(use: MeasuredUsage): void {
     const estimate = this.getOrAdd(use.queue, use.team);
     const {cpuMilli, memMb} = use.declared;
     if (cpuMilli > 0) estimate.cpu.record(use.cpuMilli / cpuMilli);
@@ -96,7 +96,7 @@
   }
 
   /** Records the run time of a task. */
-  noteRun(
+  recordRunTime(
     queue: string,
     team: string,
     declaredMs: number,
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -42,14 +42,14 @@
  * refreshFairShares(core.teams);
  */
 export function refreshFairShares(teams: TeamTable): void {
-  for (const team of teams.values()) team.fair = 0;
+  for (const team of teams.values()) team.fairShare = 0;
   const groups = groupByOrganisation(teams);
   const claims = groups.flatMap(group => group.claims);
   for (let round = 0; round <= RESOURCE_NAMES.length; round += 1) {
     if (claims.every(claim => claim.isSettled)) break;
     raiseLevel(groups, claims);
   }
-  for (const claim of claims) claim.team.fair = claim.allocated;
+  for (const claim of claims) claim.team.fairShare = claim.allocated;
 }
 
 /**
@@ -58,27 +58,27 @@
  * @example
  * const share = fairSharesOf(teams, engine.demand(), total).get('kilns');
  */
-export function fairSharesOf(
+export function computeFairShares(
   teams: readonly PolicyTeam[],
   demand: readonly TeamDemand[],
   total: Resources,
 ): ReadonlyMap<string, number> {
   const table = new TeamTable();
   table.setTeams(teams);
-  table.setTotal(total);
+  table.setCapacity(total);
   for (const {team, running, waiting} of demand) {
     table.charge(table.get(team), addResources(running, waiting), false);
   }
   refreshFairShares(table);
   const shares = new Map<string, number>();
-  for (const team of table.values()) shares.set(team.team.team, team.fair);
+  for (const team of table.values()) shares.set(team.team.team, team.fairShare);
   return shares;
 }
 
 function groupByOrganisation(teams: TeamTable): readonly OrganisationClaims[] {
   const byOrganisation = new Map<OrganisationState, Claim[]>();
   for (const team of teams.values()) {
-    const claim = newClaim(team, teams.total);
+    const claim = newClaim(team, teams.capacity);
     if (claim.wanted <= 0 || claim.weight <= 0) continue;
     const claims = byOrganisation.get(team.organisation) ?? [];
     claims.push(claim);
--- a/packages/policy/src/first-fit-engine.ts
+++ b/packages/policy/src/first-fit-engine.ts
@@ -50,7 +50,7 @@
     this.workers.delete(workerId);
   }
 
-  override findObstacle(job: PolicyJob): string {
+  override findUnplaceableReason(job: PolicyJob): string {
     for (const worker of this.workers.values()) {
       if (fitsIn(job.size, worker.capacity)) return '';
     }
@@ -84,7 +84,7 @@
     this.teamUsed.set(team, subtractResources(teamUsed, task.size));
   }
 
-  override learn(): void {
+  override recordUsage(): void {
     // This engine reserves the declared size.
   }
 
@@ -106,7 +106,7 @@
     return 'all tasks are placed';
   }
 
-  override demand(): readonly TeamDemand[] {
+  override getDemand(): readonly TeamDemand[] {
     return [...this.teams.keys()].map(team => ({
       team,
       running: this.teamUsed.get(team) ?? NO_RESOURCES,
@@ -114,7 +114,7 @@
     }));
   }
 
-  override waitingCount(): number {
+  override countWaitingTasks(): number {
     let count = 0;
     for (const entry of this.waiting.values()) {
       count += entry.taskIndexes.length;
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -48,7 +48,7 @@
   }
 
   /** Returns the number of tasks of a job for which resources are held. */
-  slotsOf(jobId: string): number {
+  countSlots(jobId: string): number {
     let sum = 0;
     for (const slots of this.byJob.get(jobId)?.slots.values() ?? []) {
       sum += slots;
@@ -94,7 +94,7 @@
   }
 
   /** Returns the resources that the hold of a job keeps, by worker. */
-  roomOf(jobId: string): ReadonlyMap<WorkerState, Resources> {
+  getHeldResources(jobId: string): ReadonlyMap<WorkerState, Resources> {
     const room = new Map<WorkerState, Resources>();
     const hold = this.byJob.get(jobId);
     if (hold === undefined) return room;
@@ -109,7 +109,7 @@
    * those of its own hold and of younger ones. Otherwise two holds could keep
    * each other's jobs from starting.
    */
-  claimOf(jobId: string): ReadonlyMap<WorkerState, Resources> {
+  getUsableResources(jobId: string): ReadonlyMap<WorkerState, Resources> {
     const claim = new Map<WorkerState, Resources>();
     const own = this.byJob.get(jobId);
     if (own === undefined) return claim;
@@ -131,7 +131,7 @@
   /** Drops a slot if the hold has more slots than the job has waiting tasks. */
   private dropExcessSlot(hold: Hold): void {
     const {jobId} = hold.state.job;
-    if (this.slotsOf(jobId) <= hold.state.pending.size) return;
+    if (this.countSlots(jobId) <= hold.state.pending.size) return;
     for (const [worker, count] of hold.slots) {
       this.setSlots(hold, worker, count - 1);
       return;
@@ -149,13 +149,13 @@
   private refreshWorker(worker: WorkerState): void {
     worker.held = NO_RESOURCES;
     worker.heldUrgent = NO_RESOURCES;
-    worker.heldFromMs = Infinity;
+    worker.firstHoldMs = Infinity;
     for (const hold of this.byJob.values()) {
       const count = hold.slots.get(worker);
       if (count === undefined) continue;
       const room = scaleResources(hold.size, count);
       worker.held = addResources(worker.held, room);
-      worker.heldFromMs = Math.min(worker.heldFromMs, hold.fromMs);
+      worker.firstHoldMs = Math.min(worker.firstHoldMs, hold.fromMs);
       if (!hold.isUrgent) continue;
       worker.heldUrgent = addResources(worker.heldUrgent, room);
     }
@@ -170,13 +170,13 @@
  * @example
  * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
  */
-export function comingRoom(
+export function estimateFreeResources(
   worker: WorkerState,
   isUrgent: boolean,
   nowMs: number,
 ): Resources {
   let room = worker.free;
-  for (const {isStopping, stoppingMs, task} of worker.tasks) {
+  for (const {isStopping, stopRequestedMs: stoppingMs, task} of worker.tasks) {
     const isDue = isStopping && nowMs - stoppingMs < STOP_TIMEOUT_MS;
     if (isDue) room = addResources(room, task.size);
   }
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -7,9 +7,9 @@
 } from '@dragonflyward/common';
 import type {EngineCore} from './core.js';
 import {Heap} from './heap.js';
-import {comingRoom, type Hold} from './holds.js';
+import {estimateFreeResources, type Hold} from './holds.js';
 import {
-  isUsable,
+  isSchedulable,
   type JobState,
   type RunningTask,
   type WorkerState,
@@ -62,7 +62,7 @@
   request: RoomRequest,
 ): CandidateHeap {
   const candidates = new Heap<PreemptionCandidate>((a, b) => a.cost - b.cost);
-  const workers = core.cell.workerList;
+  const workers = core.workerTable.workerList;
   const wantedCandidates = request.count * CANDIDATES_PER_TASK + MIN_CANDIDATES;
   const maxSearched = Math.min(
     workers.length,
@@ -73,8 +73,8 @@
     i < maxSearched && candidates.size < wantedCandidates;
     i += 1
   ) {
-    const worker = workers[core.roomCursor % workers.length];
-    core.roomCursor = (core.roomCursor + 1) % workers.length;
+    const worker = workers[core.nextWorkerIndex % workers.length];
+    core.nextWorkerIndex = (core.nextWorkerIndex + 1) % workers.length;
     const candidate = worker && candidateOn(core, worker, request);
     if (candidate !== undefined) candidates.push(candidate);
   }
@@ -153,10 +153,10 @@
   worker: WorkerState,
   request: RoomRequest,
 ): PreemptionCandidate | undefined {
-  if (!isUsable(worker)) return undefined;
+  if (!isSchedulable(worker)) return undefined;
   if (!fitsIn(request.size, worker.worker.capacity)) return undefined;
   const victims: RunningTask[] = [];
-  let room = comingRoom(worker, request.isUrgent, core.nowMs);
+  let room = estimateFreeResources(worker, request.isUrgent, core.nowMs);
   let teamRoom = teamRoomOf(core, request);
   const isEnough = (): boolean =>
     fitsIn(request.size, room) && fitsIn(request.size, teamRoom);
@@ -191,8 +191,8 @@
 /** The team's allowance left once its stopping tasks have ended. */
 function teamRoomOf(core: EngineCore, request: RoomRequest): Resources {
   const {team, job} = request.state;
-  const kept = subtractResources(team.used, team.stopping);
-  const held = core.holds.roomOf(job.jobId);
+  const kept = subtractResources(team.used, team.stoppingResources);
+  const held = core.holds.getHeldResources(job.jobId);
   let room = subtractResources(team.team.allowance, kept);
   for (const amount of held.values()) room = subtractResources(room, amount);
   return room;
@@ -226,7 +226,7 @@
   const tasks = job.isGang ? running.job.running.size : 1;
   const priorityFactor = queue.priority === 'batch' ? 1 : NORMAL_COST_FACTOR;
   const serviceFactor = job.isService ? SERVICE_COST_FACTOR : 1;
-  const {keptShare, fair} = running.job.team;
+  const {netShare: keptShare, fairShare: fair} = running.job.team;
   const shareFactor = keptShare > fair ? 1 : WITHIN_SHARE_COST_FACTOR;
   const sizeMb = Math.max(1, running.task.size.memMb);
   return sizeMb * tasks * priorityFactor * serviceFactor * shareFactor;
@@ -243,7 +243,7 @@
     const gangOrVictim = job.isGang ? [...running.values()] : [victim];
     for (const task of gangOrVictim) {
       if (task.isStopping) continue;
-      core.cell.markStopping(task, core.nowMs);
+      core.workerTable.markStopping(task, core.nowMs);
       stopped.push(task);
     }
   }
@@ -256,7 +256,7 @@
   stopped: readonly RunningTask[],
 ): void {
   core.holds.remove(request.state.job.jobId);
-  for (const running of stopped) core.cell.unmarkStopping(running);
+  for (const running of stopped) core.workerTable.unmarkStopping(running);
 }
 
 /**
@@ -271,5 +271,5 @@
   reason: string,
 ): void {
   const {taskId, workerId} = running.task;
-  core.outbox.push({kind: 'preempt', taskId, workerId, reason});
+  core.pendingDecisions.push({kind: 'preempt', taskId, workerId, reason});
 }
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import {countFits, sizeKey} from './amounts.js';
 import {RoomLog} from './room-log.js';
-import {isUsable, type WorkerState} from './state.js';
+import {isSchedulable, type WorkerState} from './state.js';
 import type {WaitClass} from './wait-class.js';
 
 /** The jobs that a pass over the teams places. */
@@ -36,9 +36,9 @@
   readonly classes: Set<WaitClass>;
   readonly searches: Readonly<Record<Tier, SearchState>>;
   /** When it was last checked whether it would fit in an empty shard. */
-  checkedMs: number;
+  lastCheckedMs: number;
   /** Since when it would not fit in an empty shard; infinite if it would. */
-  obstructedMs: number;
+  noFitSinceMs: number;
 }
 
 /** The needs of all waiting jobs. */
@@ -77,7 +77,7 @@
   }
 
   /** Records that a worker may have more free resources. */
-  noteRoom(worker: WorkerState): void {
+  noteFreed(worker: WorkerState): void {
     this.log.add(worker);
   }
 
@@ -147,8 +147,8 @@
     gangSize: waitClass.kind.gangSize,
     classes: new Set(),
     searches: {urgent: newSearchState(), all: newSearchState()},
-    checkedMs: -Infinity,
-    obstructedMs: Infinity,
+    lastCheckedMs: -Infinity,
+    noFitSinceMs: Infinity,
   };
 }
 
@@ -162,7 +162,7 @@
   const held = tier === 'urgent' ? worker.heldUrgent : worker.held;
   const {free} = worker;
   const room = held === NO_RESOURCES ? free : subtractResources(free, held);
-  const isReady = isUsable(worker);
+  const isReady = isSchedulable(worker);
   const fits = isReady
     ? Math.min(need.gangSize, countFits(need.size, room))
     : 0;
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,9 +1,9 @@
 /** Places waiting jobs, those of the teams furthest below their share first. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import {dominantShare} from './amounts.js';
-import {policyOf, startTask, type EngineCore} from './core.js';
+import {getPlacementPolicy, startTask, type EngineCore} from './core.js';
 import type {Decision, PlacedTask} from './engine.js';
-import type {PlacementAsk} from './placement-policy.js';
+import type {PlacementRequest} from './placement-policy.js';
 import type {Tier} from './needs.js';
 import type {JobState, TeamState, WorkerState} from './state.js';
 import {TeamOrder} from './team-order.js';
@@ -50,7 +50,7 @@
       continue;
     }
     order.updateFirst();
-    yield* flush(core);
+    yield* flushDecisions(core);
     examinedBefore = core.needs.examinedWorkers;
   }
 }
@@ -61,9 +61,9 @@
  * @example
  * yield* flush(core);
  */
-export function* flush(core: EngineCore): Generator<Decision> {
+export function* flushDecisions(core: EngineCore): Generator<Decision> {
   for (;;) {
-    const decision = core.outbox.shift();
+    const decision = core.pendingDecisions.shift();
     if (decision === undefined) return;
     if (!isCurrent(core, decision)) continue;
     if (decision.kind === 'start' && !isStartable(core, decision.task)) {
@@ -76,19 +76,19 @@
 
 /** Whether the worker and the limit of the team still allow a start. */
 function isStartable(core: EngineCore, task: PlacedTask): boolean {
-  const running = core.cell.tasks.get(task.taskId);
+  const running = core.workerTable.tasks.get(task.taskId);
   if (running === undefined) return false;
-  const {worker} = core.cell.getWorker(task.workerId);
+  const {worker} = core.workerTable.getWorker(task.workerId);
   if (worker.condition !== 'ready') return false;
-  return core.teams.isAllowed(running.job.team, NO_RESOURCES);
+  return core.teams.isWithinAllowance(running.job.team, NO_RESOURCES);
 }
 
 /** Undoes a start that was not yielded: the task waits again. */
 function rollBackStart(core: EngineCore, task: PlacedTask): void {
-  const running = core.cell.tasks.get(task.taskId);
+  const running = core.workerTable.tasks.get(task.taskId);
   if (running === undefined) return;
   const {job} = running;
-  core.cell.release(running);
+  core.workerTable.release(running);
   dequeue(core, job);
   job.pending.add(task.taskIndex);
   if (job.setAsideReason === '') enqueue(core, job);
@@ -98,10 +98,10 @@
 function isCurrent(core: EngineCore, decision: Decision): boolean {
   switch (decision.kind) {
     case 'start':
-      return core.cell.tasks.has(decision.task.taskId);
+      return core.workerTable.tasks.has(decision.task.taskId);
     case 'preempt':
     case 'resize':
-      return core.cell.tasks.has(decision.taskId);
+      return core.workerTable.tasks.has(decision.taskId);
     default:
       return true;
   }
@@ -109,7 +109,7 @@
 
 function* teamsInTier(core: EngineCore, tier: Tier): Generator<TeamState> {
   if (tier === 'urgent') {
-    for (const team of teamsWithUrgent(core)) {
+    for (const team of findTeamsWithUrgentJobs(core)) {
       if (isWithinShare(core, team)) yield team;
     }
     return;
@@ -125,7 +125,9 @@
  * @example
  * const order = new TeamOrder(teamsWithUrgent(core));
  */
-export function teamsWithUrgent(core: EngineCore): ReadonlySet<TeamState> {
+export function findTeamsWithUrgentJobs(
+  core: EngineCore,
+): ReadonlySet<TeamState> {
   const teams = new Set<TeamState>();
   for (const {team} of core.urgentWaitClasses) teams.add(team);
   return teams;
@@ -143,8 +145,8 @@
  * its urgent jobs go first.
  */
 function isWithinShare(core: EngineCore, team: TeamState): boolean {
-  const urgent = dominantShare(team.urgentUsed, core.teams.total);
-  return urgent === 0 || urgent < team.fair;
+  const urgent = dominantShare(team.urgentUsed, core.teams.capacity);
+  return urgent === 0 || urgent < team.fairShare;
 }
 
 function placeNext(
@@ -156,19 +158,19 @@
   const state = waitClass.first();
   const {need} = waitClass;
   if (state === undefined || need === null) return false;
-  const ask = newAsk(core, state, waitClass, tier);
+  const ask = newPlacementRequest(core, state, waitClass, tier);
   if (!core.teams.canStart(team, ask.size, ask.count)) {
     waitClass.waitReason = 'the team has reached its limit in this shard';
     return false;
   }
   const workers = core.needs.getCandidates(need, tier);
-  const chosen = policyOf(core, state).choose(workers, ask);
+  const chosen = getPlacementPolicy(core, state).choose(workers, ask);
   if (chosen.length === 0) {
     core.needs.noteNoFit(need, tier);
     waitClass.waitReason = 'no worker has enough free resources';
     return false;
   }
-  startAll(core, state, chosen, ask.size);
+  startTasks(core, state, chosen, ask.size);
   return true;
 }
 
@@ -178,20 +180,20 @@
  * @example
  * const ask = newAsk(core, state, waitClass, 'all');
  */
-export function newAsk(
+export function newPlacementRequest(
   core: EngineCore,
   state: JobState,
   waitClass: WaitClass,
   tier: Tier,
-): PlacementAsk {
+): PlacementRequest {
   return {
     state,
     size: waitClass.size,
     count: state.job.isGang ? state.pending.size : 1,
     isUrgent: tier === 'urgent',
     endMs: core.nowMs + waitClass.kind.runMs,
-    own: usableHeldResources(core, state),
-    avoided: core.failures.workersOf(state.job.jobId),
+    usableHeld: usableHeldResources(core, state),
+    avoidedWorkers: core.failures.workersOf(state.job.jobId),
   };
 }
 
@@ -200,7 +202,9 @@
   state: JobState,
 ): ReadonlyMap<WorkerState, Resources> {
   const {jobId} = state.job;
-  return core.holds.get(jobId) ? core.holds.claimOf(jobId) : NO_HELD_RESOURCES;
+  return core.holds.get(jobId)
+    ? core.holds.getUsableResources(jobId)
+    : NO_HELD_RESOURCES;
 }
 
 /**
@@ -210,7 +214,7 @@
  * @example
  * startAll(core, state, chosen, ask.size);
  */
-export function startAll(
+export function startTasks(
   core: EngineCore,
   state: JobState,
   chosen: readonly WorkerState[],
@@ -221,6 +225,6 @@
     const next = indexes.next();
     if (next.done === true) return;
     const {task} = startTask(core, state, next.value, worker, size);
-    core.outbox.push({kind: 'start', task});
+    core.pendingDecisions.push({kind: 'start', task});
   }
 }
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -1,11 +1,11 @@
 /** Policies that choose workers for tasks: pack, spread and gang. */
 import {fitsIn, NO_RESOURCES, type Resources} from '@dragonflyward/common';
-import {countFits, isNothing} from './amounts.js';
+import {countFits, isZeroAmount} from './amounts.js';
 import {rackKey, workerKey} from './cell.js';
-import {isUsable, type JobState, type WorkerState} from './state.js';
+import {isSchedulable, type JobState, type WorkerState} from './state.js';
 
 /** A request to place tasks of one job. */
-export interface PlacementAsk {
+export interface PlacementRequest {
   readonly state: JobState;
   /** What each task reserves. */
   readonly size: Resources;
@@ -15,9 +15,9 @@
   /** When the tasks are expected to have ended. */
   readonly endMs: number;
   /** Held room that this job may use, by worker. */
-  readonly own: ReadonlyMap<WorkerState, Resources>;
+  readonly usableHeld: ReadonlyMap<WorkerState, Resources>;
   /** Workers on which the job failed before. */
-  readonly avoided: ReadonlySet<string>;
+  readonly avoidedWorkers: ReadonlySet<string>;
 }
 
 /** Chooses a worker for each task of a request. */
@@ -25,7 +25,7 @@
   /** Returns a worker for each task, or none if they don't all fit. */
   abstract choose(
     workers: Iterable<WorkerState>,
-    request: PlacementAsk,
+    request: PlacementRequest,
   ): readonly WorkerState[];
 }
 
@@ -33,12 +33,12 @@
 abstract class ScoredPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
-    request: PlacementAsk,
+    request: PlacementRequest,
   ): readonly WorkerState[] {
     let best: WorkerState | undefined;
     let bestCost = Infinity;
     for (const worker of workers) {
-      if (!isUsable(worker) || !hasRoom(worker, request)) continue;
+      if (!isSchedulable(worker) || !hasRoom(worker, request)) continue;
       const cost = this.cost(worker, request) + commonCost(worker, request);
       if (cost >= bestCost) continue;
       best = worker;
@@ -47,7 +47,10 @@
     return best === undefined ? [] : [best];
   }
 
-  protected abstract cost(worker: WorkerState, request: PlacementAsk): number;
+  protected abstract cost(
+    worker: WorkerState,
+    request: PlacementRequest,
+  ): number;
 }
 
 /** Cost of using a worker with accelerators for a task that needs none. */
@@ -60,15 +63,21 @@
 
 /** Best fit: chooses the fullest worker that still has room. */
 export class PackPolicy extends ScoredPolicy {
-  protected override cost(worker: WorkerState, request: PlacementAsk): number {
+  protected override cost(
+    worker: WorkerState,
+    request: PlacementRequest,
+  ): number {
     return freeFractionAfter(worker, request.size);
   }
 }
 
 /** Spreads the tasks of a job over racks first, then over workers. */
 export class SpreadPolicy extends ScoredPolicy {
-  protected override cost(worker: WorkerState, request: PlacementAsk): number {
-    const {placeCounts} = request.state;
+  protected override cost(
+    worker: WorkerState,
+    request: PlacementRequest,
+  ): number {
+    const {taskCountByLocation: placeCounts} = request.state;
     const {rack, workerId} = worker.worker;
     const inRack = placeCounts?.get(rackKey(rack)) ?? 0;
     const onWorker = placeCounts?.get(workerKey(workerId)) ?? 0;
@@ -88,7 +97,7 @@
 export class GangPolicy extends PlacementPolicy {
   override choose(
     workers: Iterable<WorkerState>,
-    request: PlacementAsk,
+    request: PlacementRequest,
   ): readonly WorkerState[] {
     const racks = new Map<string, WorkerSlots[]>();
     for (const worker of workers) {
@@ -138,15 +147,15 @@
 }
 
 /** Counts the tasks of a request that a worker can take now. */
-function countSlots(worker: WorkerState, request: PlacementAsk): number {
-  if (!isUsable(worker)) return 0;
+function countSlots(worker: WorkerState, request: PlacementRequest): number {
+  if (!isSchedulable(worker)) return 0;
   const slots = countFits(request.size, roomOn(worker, request));
   return worker.isOnProbation ? Math.min(1, slots) : slots;
 }
 
-function hasRoom(worker: WorkerState, request: PlacementAsk): boolean {
+function hasRoom(worker: WorkerState, request: PlacementRequest): boolean {
   if (!fitsIn(request.size, worker.free)) return false;
-  if (isNothing(worker.held)) return true;
+  if (isZeroAmount(worker.held)) return true;
   return fitsIn(request.size, roomOn(worker, request));
 }
 
@@ -158,10 +167,13 @@
  * @example
  * const slots = countFits(request.size, roomOn(worker, request));
  */
-export function roomOn(worker: WorkerState, request: PlacementAsk): Resources {
-  const ignoresHolds = request.isUrgent || request.endMs <= worker.heldFromMs;
+export function roomOn(
+  worker: WorkerState,
+  request: PlacementRequest,
+): Resources {
+  const ignoresHolds = request.isUrgent || request.endMs <= worker.firstHoldMs;
   const held = ignoresHolds ? worker.heldUrgent : worker.held;
-  const usableHeld = request.own.get(worker) ?? NO_RESOURCES;
+  const usableHeld = request.usableHeld.get(worker) ?? NO_RESOURCES;
   return {
     cpuMilli: subtractHeldAmount(
       worker.free.cpuMilli,
@@ -179,10 +191,10 @@
   return Math.max(0, free - held);
 }
 
-function commonCost(worker: WorkerState, request: PlacementAsk): number {
+function commonCost(worker: WorkerState, request: PlacementRequest): number {
   const {capacity, workerId} = worker.worker;
   const isStranding = request.size.accel === 0 && capacity.accel > 0;
-  const isAvoided = request.avoided.has(workerId);
+  const isAvoided = request.avoidedWorkers.has(workerId);
   return (
     (isStranding ? STRANDED_ACCELERATOR_COST : 0) +
     (isAvoided ? AVOIDED_WORKER_COST : 0)
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -8,7 +8,7 @@
   type CandidateHeap,
   type RoomRequest,
 } from './make-room.js';
-import {flush, teamsWithUrgent} from './place-waiting.js';
+import {flushDecisions, findTeamsWithUrgentJobs} from './place-waiting.js';
 import type {JobState, RunningTask, TeamState} from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
@@ -44,7 +44,7 @@
  * yield* preemptForUrgent(core);
  */
 export function* preemptForUrgent(core: EngineCore): Generator<Decision> {
-  const order = new TeamOrder(teamsWithUrgent(core));
+  const order = new TeamOrder(findTeamsWithUrgentJobs(core));
   const budget = newBudget(MAX_URGENT_TASKS);
   for (const team of drainInOrder(order)) {
     for (const waitClass of [...team.waiting.values()]) {
@@ -126,7 +126,7 @@
   budget: Budget,
   newRequest: NewRoomRequest,
 ): Generator<Decision> {
-  if (core.nowMs < waitClass.noRoomUntilMs) return;
+  if (core.nowMs < waitClass.preemptionBackoffUntilMs) return;
   let candidates: CandidateHeap | undefined;
   for (const state of [...waitClass.jobs()]) {
     if (budget.tasks <= 0) return;
@@ -136,11 +136,11 @@
     candidates ??= findCandidates(core, request);
     const made = makeRoom(core, candidates, request);
     budget.tasks -= made;
-    yield* flush(core);
+    yield* flushDecisions(core);
     if (made > 0) continue;
     budget.searches -= 1;
     const backoffMs = request.isUrgent ? URGENT_BACKOFF_MS : RECLAIM_BACKOFF_MS;
-    waitClass.noRoomUntilMs = core.nowMs + backoffMs;
+    waitClass.preemptionBackoffUntilMs = core.nowMs + backoffMs;
     return;
   }
 }
@@ -151,7 +151,7 @@
   state: JobState,
   budget: number,
 ): number {
-  const held = core.holds.slotsOf(state.job.jobId);
+  const held = core.holds.countSlots(state.job.jobId);
   if (state.job.isGang) return held > 0 ? 0 : state.pending.size;
   return Math.min(budget, state.pending.size - held);
 }
@@ -212,7 +212,7 @@
 }
 
 function isBorrowing(team: TeamState): boolean {
-  return team.keptShare > team.fair;
+  return team.netShare > team.fairShare;
 }
 
 function mayPreemptForShare(
@@ -224,17 +224,17 @@
   const {team} = running.job;
   if (team === state.team) return false;
   const minShare = state.job.isGang
-    ? team.fair * GANG_VICTIM_SHARE_FRACTION
-    : team.fair;
-  if (team.keptShare <= minShare) return false;
-  const size = dominantShare(running.task.size, core.teams.total);
-  return team.keptShare - size >= minShare;
+    ? team.fairShare * GANG_VICTIM_SHARE_FRACTION
+    : team.fairShare;
+  if (team.netShare <= minShare) return false;
+  const size = dominantShare(running.task.size, core.teams.capacity);
+  return team.netShare - size >= minShare;
 }
 
 function* teamsBelowShare(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
-    if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
-    if (core.nowMs - team.startedMs >= RECLAIM_AFTER_MS) yield team;
+    if (team.waiting.size === 0 || team.netShare >= team.fairShare) continue;
+    if (core.nowMs - team.lastStartMs >= RECLAIM_AFTER_MS) yield team;
   }
 }
 
@@ -244,8 +244,8 @@
   team: TeamState,
   waitClass: WaitClass,
 ): number {
-  const shareGap = team.fair - team.keptShare;
-  const size = dominantShare(waitClass.size, core.teams.total);
+  const shareGap = team.fairShare - team.netShare;
+  const size = dominantShare(waitClass.size, core.teams.capacity);
   if (size === 0) return 0;
   return Math.floor(shareGap / size + RECLAIM_ROUNDING);
 }
--- a/packages/policy/src/replay-record.ts
+++ b/packages/policy/src/replay-record.ts
@@ -15,15 +15,15 @@
   PlacementEngine,
   PolicyJob,
 } from './engine.js';
-import {fairSharesOf} from './fair-shares.js';
-import {workersOf, type Trace, type TraceJobs} from './trace.js';
+import {computeFairShares} from './fair-shares.js';
+import {workersOf, type Trace, type TraceJobGroup} from './trace.js';
 
 const MAX_RECORDED_WAIT_MS = 86_400_000;
 const SAMPLE_INTERVAL_MS = 1_000;
 
 /** The progress of the tasks of one job group. */
 interface Progress {
-  readonly source: TraceJobs;
+  readonly source: TraceJobGroup;
   readonly waits: hdr.Histogram;
   tasks: number;
   started: number;
@@ -65,7 +65,7 @@
     this.total = total;
   }
 
-  recordSubmit(source: TraceJobs, job: PolicyJob): void {
+  recordSubmit(source: TraceJobGroup, job: PolicyJob): void {
     const progress = this.progress.get(source.name) ?? newProgress(source);
     progress.tasks += job.taskIndexes.length;
     this.progress.set(source.name, progress);
@@ -82,7 +82,7 @@
     if (decision.kind === 'preempt') this.preemptions += 1;
     if (decision.kind === 'resize') this.resizes += 1;
     if (decision.kind === 'setAside') this.recordSetAside(decision.jobId);
-    if (decision.kind === 'worker' && decision.isSetAside) {
+    if (decision.kind === 'worker' && decision.isQuarantined) {
       this.setAsideWorkers.add(decision.workerId);
     }
   }
@@ -98,12 +98,12 @@
     if (nowMs < this.trace.measureFromMs || nowMs % SAMPLE_INTERVAL_MS !== 0) {
       return;
     }
-    const demand = engine.demand();
+    const demand = engine.getDemand();
     let waiting = NO_RESOURCES;
     for (const team of demand) waiting = addResources(waiting, team.waiting);
     if (dominantShare(waiting, this.total) === 0) return;
     this.samplePacking();
-    const fairShares = fairSharesOf(this.trace.teams, demand, this.total);
+    const fairShares = computeFairShares(this.trace.teams, demand, this.total);
     for (const {team, running} of demand) {
       const share = fairShares.get(team) ?? 0;
       if (share === 0) continue;
@@ -120,7 +120,7 @@
   }
 
   /** Records tasks that never started as having waited until now. */
-  closeWaits(nowMs: number): void {
+  recordUnstartedWaits(nowMs: number): void {
     for (const job of this.jobsById.values()) {
       const progress = this.progressOf(job.jobId);
       for (const index of job.taskIndexes) {
@@ -131,7 +131,7 @@
   }
 
   /** Counts the tasks of a job group that never started. */
-  neverStarted(name: string): number {
+  countNeverStarted(name: string): number {
     const progress = this.progress.get(name);
     return progress === undefined ? 0 : progress.tasks - progress.started;
   }
@@ -188,7 +188,7 @@
   }
 }
 
-function newProgress(source: TraceJobs): Progress {
+function newProgress(source: TraceJobGroup): Progress {
   const waits = hdr.build({
     highestTrackableValue: MAX_RECORDED_WAIT_MS,
     numberOfSignificantValueDigits: 3,
--- a/packages/policy/src/replay.ts
+++ b/packages/policy/src/replay.ts
@@ -14,7 +14,7 @@
   workersOf,
   type Trace,
   type TraceFault,
-  type TraceJobs,
+  type TraceJobGroup,
 } from './trace.js';
 
 /** How often the engine decides, and how often use is reported. */
@@ -34,7 +34,7 @@
 
 interface RunningEntry {
   readonly task: PlacedTask;
-  readonly source: TraceJobs;
+  readonly source: TraceJobGroup;
   readonly startedMs: number;
 }
 
@@ -45,7 +45,7 @@
   private readonly events = new Heap<ScheduledEvent>(
     (a, b) => a.atMs - b.atMs || a.sequence - b.sequence,
   );
-  private readonly sources = new Map<string, TraceJobs>();
+  private readonly sources = new Map<string, TraceJobGroup>();
   private readonly jobs = new Map<string, PolicyJob>();
   private readonly running = new Map<string, RunningEntry>();
   private readonly remainingMs = new Map<string, number>();
@@ -95,7 +95,7 @@
     }
   }
 
-  private scheduleJobs(source: TraceJobs): void {
+  private scheduleJobs(source: TraceJobGroup): void {
     for (let i = 0; i < source.count; i += 1) {
       const atMs = source.firstMs + i * source.everyMs;
       this.schedule(atMs, () => this.submit(source, i, atMs));
@@ -116,7 +116,11 @@
     }
   }
 
-  private submit(source: TraceJobs, index: number, acceptedMs: number): void {
+  private submit(
+    source: TraceJobGroup,
+    index: number,
+    acceptedMs: number,
+  ): void {
     const job: PolicyJob = {
       jobId: `${source.name}-${index}`,
       team: source.team,
@@ -133,12 +137,12 @@
     this.jobs.set(job.jobId, job);
     this.audit.setJob(job.jobId, job.team);
     this.record.recordSubmit(source, job);
-    if (this.engine.findObstacle(job) === '') this.engine.submit(job);
+    if (this.engine.findUnplaceableReason(job) === '') this.engine.submit(job);
     else this.record.recordSetAside(job.jobId);
   }
 
   private applyDecision(decision: Decision): void {
-    this.audit.noteDecision(decision);
+    this.audit.recordDecision(decision);
     this.record.recordDecision(decision, this.nowMs);
     if (decision.kind === 'start') this.start(decision.task);
     if (decision.kind === 'preempt') this.checkpoint(decision.taskId);
@@ -179,7 +183,7 @@
     const running = this.running.get(taskId);
     if (running === undefined) return;
     this.running.delete(taskId);
-    this.audit.noteEnd(taskId);
+    this.audit.recordEnd(taskId);
     this.engine.ended(taskId, end, this.nowMs);
     this.record.recordEnd(running.task, end);
     if (end !== 'succeeded') this.retry(running.task, end);
@@ -254,7 +258,7 @@
       samples.push({taskId: task.taskId, cpuMilli, memMb});
     }
     this.recordMemoryUse();
-    this.engine.learn(samples, this.nowMs);
+    this.engine.recordUsage(samples, this.nowMs);
   }
 
   /** Records the largest fraction of a worker's memory in actual use. */
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -6,13 +6,17 @@
   type Resources,
 } from '@dragonflyward/common';
 import {dominantShare, countFits} from './amounts.js';
-import {policyOf, type EngineCore} from './core.js';
+import {getPlacementPolicy, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {MAX_HOLD_MS, type Hold} from './holds.js';
-import {flush, newAsk, startAll} from './place-waiting.js';
-import type {PlacementAsk} from './placement-policy.js';
 import {
-  isUsable,
+  flushDecisions,
+  newPlacementRequest,
+  startTasks,
+} from './place-waiting.js';
+import type {PlacementRequest} from './placement-policy.js';
+import {
+  isSchedulable,
   type JobState,
   type RunningTask,
   type TeamState,
@@ -20,7 +24,7 @@
 } from './state.js';
 import {TeamOrder} from './team-order.js';
 import type {WaitClass} from './wait-class.js';
-import {rankOf} from './waiting-list.js';
+import {computeRank} from './waiting-list.js';
 
 /** Non-urgent jobs that may have a hold at the same time. */
 const MAX_RESERVATIONS = 4;
@@ -55,10 +59,10 @@
  * @example
  * yield* placeHeld(core);
  */
-export function* placeHeld(core: EngineCore): Generator<Decision> {
+export function* placeHeldJobs(core: EngineCore): Generator<Decision> {
   for (const hold of [...core.holds.values()]) {
     placeFromHold(core, hold);
-    yield* flush(core);
+    yield* flushDecisions(core);
   }
 }
 
@@ -77,7 +81,7 @@
   if (core.nowMs < hold.untilMs) return;
   if (core.holds.get(jobId) !== hold) return;
   core.holds.remove(jobId);
-  if (!hold.isUrgent) state.noHoldUntilMs = core.nowMs + HOLD_BACKOFF_MS;
+  if (!hold.isUrgent) state.holdBackoffUntilMs = core.nowMs + HOLD_BACKOFF_MS;
 }
 
 function placeNextTasks(
@@ -87,16 +91,19 @@
 ): boolean {
   const {state} = hold;
   const tier = hold.isUrgent ? 'urgent' : 'all';
-  const usableHeld = core.holds.claimOf(state.job.jobId);
-  const base = newAsk(core, state, waitClass, tier);
-  const wanted: PlacementAsk = {
+  const usableHeld = core.holds.getUsableResources(state.job.jobId);
+  const base = newPlacementRequest(core, state, waitClass, tier);
+  const wanted: PlacementRequest = {
     ...base,
     size: hold.size,
-    own: usableHeld,
+    usableHeld: usableHeld,
   };
   if (!core.teams.canStart(state.team, wanted.size, wanted.count)) return false;
-  const chosen = policyOf(core, state).choose(hold.slots.keys(), wanted);
-  startAll(core, state, chosen, wanted.size);
+  const chosen = getPlacementPolicy(core, state).choose(
+    hold.slots.keys(),
+    wanted,
+  );
+  startTasks(core, state, chosen, wanted.size);
   return chosen.length > 0;
 }
 
@@ -107,7 +114,7 @@
  * @example
  * reserveForBlocked(core);
  */
-export function reserveForBlocked(core: EngineCore): void {
+export function reserveForStarved(core: EngineCore): void {
   let holdsLeft = MAX_RESERVATIONS;
   for (const hold of core.holds.values()) if (!hold.isUrgent) holdsLeft -= 1;
   if (holdsLeft <= 0) return;
@@ -136,7 +143,7 @@
     latestSlot === undefined ||
     latestSlot.atMs > untilMs
   ) {
-    state.noHoldUntilMs = core.nowMs + HOLD_BACKOFF_MS;
+    state.holdBackoffUntilMs = core.nowMs + HOLD_BACKOFF_MS;
     return false;
   }
   const slots = new Map<WorkerState, number>();
@@ -152,8 +159,8 @@
 /** Teams below their share that have waiting work but start none. */
 function* starvedTeams(core: EngineCore): Generator<TeamState> {
   for (const team of core.teams.values()) {
-    if (team.waiting.size === 0 || team.keptShare >= team.fair) continue;
-    if (core.nowMs - team.startedMs >= BELOW_SHARE_WAIT_MS) yield team;
+    if (team.waiting.size === 0 || team.netShare >= team.fairShare) continue;
+    if (core.nowMs - team.lastStartMs >= BELOW_SHARE_WAIT_MS) yield team;
   }
 }
 
@@ -170,10 +177,10 @@
   for (const waitClass of team.waiting.values()) {
     const first = waitClass.first();
     if (first === undefined) continue;
-    const rank = rankOf(core, waitClass, first.job.acceptedMs);
+    const rank = computeRank(core, waitClass, first.job.acceptedMs);
     if (rank >= nextRank) continue;
-    const size = dominantShare(waitClass.size, core.teams.total);
-    if (team.keptShare + size > team.fair) continue;
+    const size = dominantShare(waitClass.size, core.teams.capacity);
+    if (team.netShare + size > team.fairShare) continue;
     if (!mayReserve(core, waitClass, first)) continue;
     next = waitClass;
     nextRank = rank;
@@ -188,7 +195,7 @@
   for (const need of core.needs.values()) {
     if (
       need.gangSize <= 1 &&
-      !core.cell.isLarge(need.size, LARGE_TASK_FRACTION)
+      !core.workerTable.isLarge(need.size, LARGE_TASK_FRACTION)
     ) {
       continue;
     }
@@ -208,13 +215,13 @@
   waitClass: WaitClass,
   state: JobState,
 ): boolean {
-  if (state.noHoldUntilMs > core.nowMs) return false;
+  if (state.holdBackoffUntilMs > core.nowMs) return false;
   if (core.holds.get(state.job.jobId) !== undefined) return false;
   const {team} = waitClass;
   const count = Math.max(1, waitClass.kind.gangSize);
   if (!core.teams.canStart(team, waitClass.size, count)) return false;
   if (core.nowMs - state.job.acceptedMs > ABOVE_SHARE_WAIT_MS) return true;
-  return dominantShare(team.used, core.teams.total) <= team.fair;
+  return dominantShare(team.used, core.teams.capacity) <= team.fairShare;
 }
 
 /** The earliest slots that are expected to become free for the tasks. */
@@ -224,15 +231,15 @@
   count: number,
 ): readonly ExpectedSlot[] {
   const expectedSlots: ExpectedSlot[] = [];
-  const workers = core.cell.workerList;
+  const workers = core.workerTable.workerList;
   const maxSearched = Math.min(
     workers.length,
     BASE_SEARCH_LIMIT + count * EXTRA_WORKERS_PER_TASK,
   );
   for (let i = 0; i < maxSearched; i += 1) {
-    const worker = workers[core.roomCursor % workers.length];
-    core.roomCursor = (core.roomCursor + 1) % workers.length;
-    if (worker === undefined || !isUsable(worker)) continue;
+    const worker = workers[core.nextWorkerIndex % workers.length];
+    core.nextWorkerIndex = (core.nextWorkerIndex + 1) % workers.length;
+    if (worker === undefined || !isSchedulable(worker)) continue;
     expectedSlots.push(...expectedSlotsOn(core, worker, waitClass, count));
   }
   expectedSlots.sort((a, b) => a.atMs - b.atMs);
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -1,6 +1,11 @@
 /** The default engine: fair shares, priorities, gangs and team limits. */
-import {newCore, obstacleOf, getQueue, addRunningTask} from './core.js';
-import type {EngineCore, ShareOptions} from './core.js';
+import {
+  newCore,
+  findUnplaceableReason,
+  getQueue,
+  addRunningTask,
+} from './core.js';
+import type {EngineCore, FairShareOptions} from './core.js';
 import {
   PlacementEngine,
   type Decision,
@@ -13,17 +18,17 @@
   type TeamDemand,
   type UsageSample,
 } from './engine.js';
-import {learnUsage} from './adjust.js';
+import {recordUsage} from './adjust.js';
 import {decideAll} from './decide.js';
 import {newJobState, type JobState} from './state.js';
-import {admit, noteEnd} from './task-ends.js';
+import {enqueueOrSetAside, recordTaskEnd} from './task-ends.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
 /** Places jobs by weighted dominant resource fairness. */
-export class ShareEngine extends PlacementEngine {
+export class FairShareEngine extends PlacementEngine {
   private readonly core: EngineCore;
 
-  constructor(options: ShareOptions = {}) {
+  constructor(options: FairShareOptions = {}) {
     super();
     this.core = newCore(options);
   }
@@ -39,21 +44,21 @@
   }
 
   override setWorker(worker: PolicyWorker): void {
-    this.core.cell.setWorker(worker);
+    this.core.workerTable.setWorker(worker);
   }
 
   override removeWorker(workerId: string): void {
-    const state = this.core.cell.workers.get(workerId);
+    const state = this.core.workerTable.workers.get(workerId);
     if (state === undefined) return;
     this.core.holds.removeWorker(state);
-    this.core.health.forget(state);
-    for (const {job} of this.core.cell.removeWorker(workerId)) {
+    this.core.health.removeWorker(state);
+    for (const {job} of this.core.workerTable.removeWorker(workerId)) {
       this.removeIfIdle(job);
     }
   }
 
-  override findObstacle(job: PolicyJob): string {
-    return obstacleOf(this.core, job);
+  override findUnplaceableReason(job: PolicyJob): string {
+    return findUnplaceableReason(this.core, job);
   }
 
   override submit(job: PolicyJob): void {
@@ -63,7 +68,7 @@
     for (const index of job.taskIndexes) {
       if (!state.running.has(index)) state.pending.add(index);
     }
-    admit(this.core, state);
+    enqueueOrSetAside(this.core, state);
   }
 
   override cancel(jobId: string): readonly PlacedTask[] {
@@ -78,7 +83,7 @@
   }
 
   override adopt(task: PlacedTask): void {
-    if (this.core.cell.tasks.has(task.taskId)) return;
+    if (this.core.workerTable.tasks.has(task.taskId)) return;
     const state =
       this.core.jobs.get(task.jobId) ?? this.addPlaceholderJob(task);
     const isWaiting = state.waitClass !== null;
@@ -89,18 +94,18 @@
   }
 
   override ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void {
-    const running = this.core.cell.tasks.get(taskId);
+    const running = this.core.workerTable.tasks.get(taskId);
     if (running === undefined) return;
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
-    this.core.cell.release(running);
-    noteEnd(this.core, running, end);
+    this.core.workerTable.release(running);
+    recordTaskEnd(this.core, running, end);
     this.requeueGang(running.job);
     this.removeIfIdle(running.job);
   }
 
-  override learn(samples: readonly UsageSample[], nowMs: number): void {
+  override recordUsage(samples: readonly UsageSample[], nowMs: number): void {
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
-    learnUsage(this.core, samples);
+    recordUsage(this.core, samples);
   }
 
   override *decide(nowMs: number): Generator<Decision> {
@@ -116,12 +121,12 @@
     const runs = `${running.size} placed (${workers.slice(0, 8).join(', ')})`;
     if (setAsideReason !== '') return `set aside: ${setAsideReason}; ${runs}`;
     if (waitClass === null) return runs;
-    const obstacle = obstacleOf(this.core, state.job);
+    const obstacle = findUnplaceableReason(this.core, state.job);
     const reason = obstacle === '' ? waitClass.waitReason : obstacle;
     return `${pending.size} waiting: ${reason}; ${runs}`;
   }
 
-  override demand(): readonly TeamDemand[] {
+  override getDemand(): readonly TeamDemand[] {
     return [...this.core.teams.values()].map(team => ({
       team: team.team.team,
       running: team.used,
@@ -129,7 +134,7 @@
     }));
   }
 
-  override waitingCount(): number {
+  override countWaitingTasks(): number {
     return this.core.waitingTasks;
   }
 
@@ -163,7 +168,7 @@
     const team = this.core.teams.get(job.team);
     state.job = job;
     state.queue = getQueue(this.core, job.queue);
-    this.core.cell.countPlaces(state);
+    this.core.workerTable.countPlaces(state);
     if (state.team === team) return;
     for (const {task, isUrgent} of state.running.values()) {
       this.core.teams.release(state.team, task.size, isUrgent);
@@ -179,14 +184,14 @@
     const isWaiting = state.waitClass !== null;
     dequeue(this.core, state);
     state.queue = queue;
-    this.core.cell.countPlaces(state);
+    this.core.workerTable.countPlaces(state);
     if (isWaiting) enqueue(this.core, state);
   }
 
   /** Queues the rest of a gang once its last stopping task has ended. */
   private requeueGang(state: JobState): void {
     if (!state.job.isGang || state.waitClass !== null) return;
-    if (state.setAsideReason === '') admit(this.core, state);
+    if (state.setAsideReason === '') enqueueOrSetAside(this.core, state);
   }
 
   private removeIfIdle(state: JobState): void {
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -23,10 +23,10 @@
    * When the first hold is expected to be used; tasks that are expected to end
    * before may use the held resources.
    */
-  heldFromMs: number;
+  firstHoldMs: number;
   readonly tasks: Set<RunningTask>;
   /** The end of its quarantine for failures; 0 if it is not quarantined. */
-  setAsideUntilMs: number;
+  quarantinedUntilMs: number;
   /** After a quarantine: gets one task at a time until one succeeds. */
   isOnProbation: boolean;
 }
@@ -37,7 +37,7 @@
   share: number;
   used: Resources;
   /** The sum of the fair shares of its teams. */
-  fair: number;
+  fairShare: number;
   /** Half of the dominant share of the task that was started last. */
   halfTaskShare: number;
   /** The usage beyond the fair share, added up over recent time. */
@@ -63,13 +63,13 @@
   /** The total size of its waiting tasks. */
   waitingResources: Resources;
   /** The part of the usage whose tasks were told to stop. */
-  stopping: Resources;
+  stoppingResources: Resources;
   /** The dominant share without the tasks that were told to stop. */
-  keptShare: number;
+  netShare: number;
   /** When the team last started a task. */
-  startedMs: number;
+  lastStartMs: number;
   /** The fair dominant share by the present demand. */
-  fair: number;
+  fairShare: number;
 }
 
 /** A job with its waiting and running tasks. */
@@ -81,7 +81,7 @@
   readonly pending: Set<number>;
   readonly running: Map<number, RunningTask>;
   /** For a spread job: the number of its tasks in each rack and worker. */
-  placeCounts: Map<string, number> | null;
+  taskCountByLocation: Map<string, number> | null;
   /** The class in which the job waits. */
   waitClass: WaitClass | null;
   /** The number of the job's current entry in its class; older ones differ. */
@@ -89,7 +89,7 @@
   /** Why the job was set aside; empty if it was not. */
   setAsideReason: string;
   /** The time before which the job gets no new hold. */
-  noHoldUntilMs: number;
+  holdBackoffUntilMs: number;
 }
 
 /** A task that has a reservation. */
@@ -104,7 +104,7 @@
   /** Whether it was told to stop. */
   isStopping: boolean;
   /** When it was told to stop. */
-  stoppingMs: number;
+  stopRequestedMs: number;
   /** The largest measured CPU usage since the last resize. */
   peakCpuMilli: number;
   /** The largest measured memory usage. */
@@ -112,9 +112,9 @@
   /** The number of measurements since the last resize. */
   sampleCount: number;
   /** The CPU reservation before the last probe with more; 0 without probe. */
-  probedCpuMilli: number;
+  cpuMilliBeforeProbe: number;
   /** When its reservation was last changed. */
-  resizedMs: number;
+  lastResizeMs: number;
 }
 
 /**
@@ -130,9 +130,9 @@
     free: worker.capacity,
     held: NO_RESOURCES,
     heldUrgent: NO_RESOURCES,
-    heldFromMs: 0,
+    firstHoldMs: 0,
     tasks: new Set(),
-    setAsideUntilMs: 0,
+    quarantinedUntilMs: 0,
     isOnProbation: false,
   };
 }
@@ -154,11 +154,11 @@
     team,
     pending: new Set(),
     running: new Map(),
-    placeCounts: isSpread(job, queue) ? new Map() : null,
+    taskCountByLocation: isSpread(job, queue) ? new Map() : null,
     waitClass: null,
     ticket: 0,
     setAsideReason: '',
-    noHoldUntilMs: 0,
+    holdBackoffUntilMs: 0,
   };
 }
 
@@ -169,9 +169,9 @@
  * @example
  * if (!isUsable(state)) continue;
  */
-export function isUsable(state: WorkerState): boolean {
+export function isSchedulable(state: WorkerState): boolean {
   if (state.worker.condition !== 'ready') return false;
-  if (state.setAsideUntilMs > 0) return false;
+  if (state.quarantinedUntilMs > 0) return false;
   return !state.isOnProbation || state.tasks.size === 0;
 }
 
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -16,7 +16,7 @@
  * @example
  * noteEnd(core, running, 'failed');
  */
-export function noteEnd(
+export function recordTaskEnd(
   core: EngineCore,
   running: RunningTask,
   end: PlacedTaskEnd,
@@ -31,7 +31,12 @@
     return;
   }
   const {queue, team, runMs} = running.job.job;
-  core.estimates.noteRun(queue, team, runMs, core.nowMs - running.startedMs);
+  core.estimates.recordRunTime(
+    queue,
+    team,
+    runMs,
+    core.nowMs - running.startedMs,
+  );
   core.failures.clearFailures(jobId, taskIndex);
   resumeIfSetAside(core, running.job);
 }
@@ -42,14 +47,14 @@
   isFailure: boolean,
 ): void {
   const {jobId, workerId} = running.task;
-  const state = core.cell.workers.get(workerId);
+  const state = core.workerTable.workers.get(workerId);
   if (state === undefined) return;
-  const workerCount = core.cell.workers.size;
+  const workerCount = core.workerTable.workers.size;
   const wasOnProbation = state.isOnProbation;
   const end = {isFailure, jobId};
   const decision = core.health.recordEnd(state, end, workerCount, core.nowMs);
-  if (decision !== undefined) core.outbox.push(decision);
-  if (wasOnProbation && !state.isOnProbation) core.needs.noteRoom(state);
+  if (decision !== undefined) core.pendingDecisions.push(decision);
+  if (wasOnProbation && !state.isOnProbation) core.needs.noteFreed(state);
 }
 
 /**
@@ -58,7 +63,7 @@
  * @example
  * admit(core, state);
  */
-export function admit(core: EngineCore, state: JobState): void {
+export function enqueueOrSetAside(core: EngineCore, state: JobState): void {
   const [first] = state.pending;
   if (first === undefined || isGangStopping(state)) return;
   const reason = findFailureReason(core, state, first);
@@ -101,7 +106,11 @@
   dequeue(core, state);
   core.holds.remove(state.job.jobId);
   state.setAsideReason = reason;
-  core.outbox.push({kind: 'setAside', jobId: state.job.jobId, reason});
+  core.pendingDecisions.push({
+    kind: 'setAside',
+    jobId: state.job.jobId,
+    reason,
+  });
 }
 
 /** Queues a job again that was set aside, after one of its tasks succeeded. */
@@ -142,16 +151,19 @@
 function countHealthy(core: EngineCore, workers: ReadonlySet<string>): number {
   let count = 0;
   for (const workerId of workers) {
-    const state = core.cell.workers.get(workerId);
+    const state = core.workerTable.workers.get(workerId);
     if (state === undefined) continue;
-    if (state.setAsideUntilMs === 0 && !state.isOnProbation) count += 1;
+    if (state.quarantinedUntilMs === 0 && !state.isOnProbation) count += 1;
   }
   return count;
 }
 
 function countUsable(core: EngineCore): number {
   let count = 0;
-  for (const {worker, setAsideUntilMs} of core.cell.workers.values()) {
+  for (const {
+    worker,
+    quarantinedUntilMs: setAsideUntilMs,
+  } of core.workerTable.workers.values()) {
     if (worker.condition === 'ready' && setAsideUntilMs === 0) count += 1;
   }
   return count;
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -22,7 +22,7 @@
   private readonly byName = new Map<string, TeamState>();
   private readonly organisations = new Map<string, OrganisationState>();
   /** The capacity of the shard, of which dominant shares are fractions. */
-  total: Resources = NO_RESOURCES;
+  capacity: Resources = NO_RESOURCES;
 
   /** Replaces the teams; teams that are gone may start nothing new. */
   setTeams(teams: readonly PolicyTeam[]): void {
@@ -36,8 +36,8 @@
   }
 
   /** Sets the capacity of the shard. */
-  setTotal(total: Resources): void {
-    this.total = total;
+  setCapacity(total: Resources): void {
+    this.capacity = total;
     this.refreshWeightedShares();
   }
 
@@ -76,7 +76,7 @@
    * and with the usage after it, less.
    */
   noteTaskStart(team: TeamState, size: Resources): void {
-    const half = dominantShare(size, this.total) / 2;
+    const half = dominantShare(size, this.capacity) / 2;
     team.halfTaskShare = half;
     team.organisation.halfTaskShare = half;
   }
@@ -88,16 +88,16 @@
   updateShareExcess(elapsedMs: number): void {
     const fraction = Math.min(1, elapsedMs / SHARE_EXCESS_TIME_MS);
     for (const organisation of this.organisations.values()) {
-      organisation.fair = 0;
+      organisation.fairShare = 0;
     }
     for (const team of this.byName.values()) {
-      team.organisation.fair += team.fair;
+      team.organisation.fairShare += team.fairShare;
       const isBusy = team.waiting.size > 0;
-      const used = dominantShare(team.used, this.total);
+      const used = dominantShare(team.used, this.capacity);
       team.shareExcess = isBusy ? nextShareExcess(team, used, fraction) : 0;
     }
     for (const organisation of this.organisations.values()) {
-      const used = dominantShare(organisation.used, this.total);
+      const used = dominantShare(organisation.used, this.capacity);
       organisation.shareExcess = nextShareExcess(organisation, used, fraction);
     }
     this.refreshWeightedShares();
@@ -110,24 +110,24 @@
 
   /** Records that a task was told to stop, which will free its size. */
   noteStopping(team: TeamState, size: Resources): void {
-    team.stopping = addResources(team.stopping, size);
+    team.stoppingResources = addResources(team.stoppingResources, size);
     this.refreshTeam(team);
   }
 
   /** Removes a task from those that were told to stop. */
   noteStopped(team: TeamState, size: Resources): void {
-    team.stopping = subtractResources(team.stopping, size);
+    team.stoppingResources = subtractResources(team.stoppingResources, size);
     this.refreshTeam(team);
   }
 
   /** Returns whether its limit lets a team start `count` tasks of this size. */
   canStart(team: TeamState, size: Resources, count: number): boolean {
     const more = count === 1 ? size : scaleResources(size, count);
-    return this.isAllowed(team, more);
+    return this.isWithinAllowance(team, more);
   }
 
   /** Returns whether the usage of a team may grow by this much. */
-  isAllowed(team: TeamState, more: Resources): boolean {
+  isWithinAllowance(team: TeamState, more: Resources): boolean {
     return fitsIn(addResources(team.used, more), team.team.allowance);
   }
 
@@ -153,12 +153,12 @@
       weightedShare: 0,
       waiting: new Map(),
       waitingResources: NO_RESOURCES,
-      stopping: NO_RESOURCES,
+      stoppingResources: NO_RESOURCES,
       halfTaskShare: 0,
       shareExcess: 0,
-      keptShare: 0,
-      startedMs: -Infinity,
-      fair: 0,
+      netShare: 0,
+      lastStartMs: -Infinity,
+      fairShare: 0,
     };
     this.byName.set(team.team, state);
     return state;
@@ -173,7 +173,7 @@
       used: NO_RESOURCES,
       halfTaskShare: 0,
       shareExcess: 0,
-      fair: 0,
+      fairShare: 0,
       weightedShare: 0,
     };
     this.organisations.set(name, organisation);
@@ -189,16 +189,16 @@
 
   private refreshTeam(team: TeamState): void {
     const weight = Math.max(team.team.share, MIN_WEIGHT);
-    const used = dominantShare(team.used, this.total);
+    const used = dominantShare(team.used, this.capacity);
     team.weightedShare =
       (used + team.halfTaskShare + team.shareExcess) / weight;
-    const kept = subtractResources(team.used, team.stopping);
-    team.keptShare = dominantShare(kept, this.total);
+    const kept = subtractResources(team.used, team.stoppingResources);
+    team.netShare = dominantShare(kept, this.capacity);
   }
 
   private refreshOrganisation(organisation: OrganisationState): void {
     const weight = Math.max(organisation.share, MIN_WEIGHT);
-    const used = dominantShare(organisation.used, this.total);
+    const used = dominantShare(organisation.used, this.capacity);
     organisation.weightedShare =
       (used + organisation.halfTaskShare + organisation.shareExcess) / weight;
   }
@@ -206,7 +206,7 @@
 
 /** A team or organisation with its fair share and its excess so far. */
 interface ShareHistory {
-  readonly fair: number;
+  readonly fairShare: number;
   readonly halfTaskShare: number;
   readonly shareExcess: number;
 }
@@ -221,6 +221,6 @@
   fraction: number,
 ): number {
   const limit = 8 * state.halfTaskShare;
-  const excess = state.shareExcess + (used - state.fair) * fraction;
+  const excess = state.shareExcess + (used - state.fairShare) * fraction;
   return Math.max(-limit, Math.min(limit, excess));
 }
--- a/packages/policy/src/trace.ts
+++ b/packages/policy/src/trace.ts
@@ -11,7 +11,7 @@
 }
 
 /** A group of identical jobs, submitted at a fixed interval. */
-export interface TraceJobs {
+export interface TraceJobGroup {
   readonly name: string;
   readonly team: string;
   readonly queue: string;
@@ -77,7 +77,7 @@
   readonly workers: readonly TraceWorkerGroup[];
   readonly queues: readonly PolicyQueue[];
   readonly teams: readonly PolicyTeam[];
-  readonly jobs: readonly TraceJobs[];
+  readonly jobs: readonly TraceJobGroup[];
   readonly faults: readonly TraceFault[];
   readonly outcome: TraceOutcome;
 }
--- a/packages/policy/src/unrunnable.ts
+++ b/packages/policy/src/unrunnable.ts
@@ -1,8 +1,8 @@
 /** Sets jobs aside that the shard has long had no workers for. */
-import {obstacleOf, type EngineCore} from './core.js';
+import {findUnplaceableReason, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import type {Need} from './needs.js';
-import {flush} from './place-waiting.js';
+import {flushDecisions} from './place-waiting.js';
 import {setAside} from './task-ends.js';
 
 /** How long workers may be missing before jobs that need them are set aside. */
@@ -20,12 +20,12 @@
 export function* setAsideUnrunnable(core: EngineCore): Generator<Decision> {
   let checks = 0;
   for (const need of core.needs.values()) {
-    if (core.nowMs - need.checkedMs < CHECK_INTERVAL_MS) continue;
+    if (core.nowMs - need.lastCheckedMs < CHECK_INTERVAL_MS) continue;
     if (checks === MAX_CHECKS_PER_PASS) return;
     checks += 1;
-    need.checkedMs = core.nowMs;
+    need.lastCheckedMs = core.nowMs;
     updateObstruction(core, need);
-    if (core.nowMs - need.obstructedMs < SET_ASIDE_AFTER_MS) continue;
+    if (core.nowMs - need.noFitSinceMs < SET_ASIDE_AFTER_MS) continue;
     yield* setAsideAll(core, need);
   }
 }
@@ -35,19 +35,20 @@
   const state = waitClass?.first();
   if (state === undefined) return;
   const taskIndexes = [...state.pending];
-  const canFit = obstacleOf(core, {...state.job, taskIndexes}) === '';
-  if (canFit) need.obstructedMs = Infinity;
-  else if (need.obstructedMs === Infinity) need.obstructedMs = core.nowMs;
+  const canFit =
+    findUnplaceableReason(core, {...state.job, taskIndexes}) === '';
+  if (canFit) need.noFitSinceMs = Infinity;
+  else if (need.noFitSinceMs === Infinity) need.noFitSinceMs = core.nowMs;
 }
 
 function* setAsideAll(core: EngineCore, need: Need): Generator<Decision> {
   for (const waitClass of [...need.classes]) {
     for (const state of [...waitClass.jobs()]) {
       const taskIndexes = [...state.pending];
-      const reason = obstacleOf(core, {...state.job, taskIndexes});
+      const reason = findUnplaceableReason(core, {...state.job, taskIndexes});
       if (reason === '') continue;
       setAside(core, state, reason);
-      yield* flush(core);
+      yield* flushDecisions(core);
     }
   }
 }
--- a/packages/policy/src/wait-class.ts
+++ b/packages/policy/src/wait-class.ts
@@ -42,7 +42,7 @@
   /** The version of the estimate that the size reflects. */
   estimateVersion = 0;
   /** The time before which no tasks are preempted for the class. */
-  noRoomUntilMs = 0;
+  preemptionBackoffUntilMs = 0;
   /** Why the class was not placed when it was last tried. */
   waitReason = 'placement has not been tried yet';
 
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -138,7 +138,7 @@
     if (!core.needs.mayFit(waitClass.need, tier)) continue;
     const first = waitClass.first();
     if (first === undefined) continue;
-    const rank = rankOf(core, waitClass, first.job.acceptedMs);
+    const rank = computeRank(core, waitClass, first.job.acceptedMs);
     if (rank >= bestRank) continue;
     best = waitClass;
     bestRank = rank;
@@ -154,7 +154,7 @@
  * @example
  * const rank = rankOf(core, waitClass, first.job.acceptedMs);
  */
-export function rankOf(
+export function computeRank(
   core: EngineCore,
   waitClass: WaitClass,
   acceptedMs: number,
@@ -189,7 +189,7 @@
     const estimated = core.estimates.estimateSize(queue, team, declaredSize);
     const {taskCount} = waitClass;
     adjustWaitingTotals(core, waitClass, -taskCount);
-    waitClass.size = core.cell.canEverHold(estimated)
+    waitClass.size = core.workerTable.canEverHold(estimated)
       ? estimated
       : declaredSize;
     adjustWaitingTotals(core, waitClass, taskCount);
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -78,7 +78,7 @@
       this.endProbationIfAny(state, history);
       return undefined;
     }
-    if (state.setAsideUntilMs > 0) return undefined;
+    if (state.quarantinedUntilMs > 0) return undefined;
     if (state.isOnProbation) return this.setAside(state, history, nowMs);
     const maxSetAside = Math.max(1, workerCount * MAX_SET_ASIDE_FRACTION);
     if (this.setAsideWorkers.size + 1 > maxSetAside) return undefined;
@@ -87,19 +87,19 @@
   }
 
   /** Puts workers on probation whose time set aside is over. */
-  *retry(nowMs: number): Generator<WorkerState> {
+  *startDueProbations(nowMs: number): Generator<WorkerState> {
     for (const state of this.setAsideWorkers) {
-      if (state.setAsideUntilMs === 0 || state.setAsideUntilMs > nowMs) {
+      if (state.quarantinedUntilMs === 0 || state.quarantinedUntilMs > nowMs) {
         continue;
       }
-      state.setAsideUntilMs = 0;
+      state.quarantinedUntilMs = 0;
       state.isOnProbation = true;
       yield state;
     }
   }
 
   /** Drops the state of a removed worker. */
-  forget(state: WorkerState): void {
+  removeWorker(state: WorkerState): void {
     this.records.delete(state.worker.workerId);
     this.setAsideWorkers.delete(state);
   }
@@ -127,7 +127,7 @@
   ): Decision {
     const doubledMs = Math.max(FIRST_SET_ASIDE_MS, history.setAsideMs * 2);
     history.setAsideMs = Math.min(MAX_SET_ASIDE_MS, doubledMs);
-    state.setAsideUntilMs = nowMs + history.setAsideMs;
+    state.quarantinedUntilMs = nowMs + history.setAsideMs;
     state.isOnProbation = false;
     this.setAsideWorkers.add(state);
     const failures = failuresOf(history.recentEnds).length;
@@ -135,7 +135,7 @@
     return {
       kind: 'worker',
       workerId: state.worker.workerId,
-      isSetAside: true,
+      isQuarantined: true,
       reason: `${failures} of ${history.recentEnds.length} tasks failed; mean rate of other workers ${rate}`,
     };
   }
--- a/packages/policy/test/engine-cases.test.ts
+++ b/packages/policy/test/engine-cases.test.ts
@@ -1,5 +1,5 @@
 import {
-  ShareEngine,
+  FairShareEngine,
   type Decision,
   type PolicyJob,
   type PolicyTeam,
@@ -31,8 +31,8 @@
   };
 }
 
-function newEngine(...workers: readonly PolicyWorker[]): ShareEngine {
-  const engine = new ShareEngine();
+function newEngine(...workers: readonly PolicyWorker[]): FairShareEngine {
+  const engine = new FairShareEngine();
   engine.setQueues([
     {queue: 'quotes', priority: 'urgent', policy: 'pack'},
     {queue: 'renders', priority: 'batch', policy: 'pack'},
@@ -42,7 +42,7 @@
   return engine;
 }
 
-function decide(engine: ShareEngine, nowMs: number): readonly Decision[] {
+function decide(engine: FairShareEngine, nowMs: number): readonly Decision[] {
   return [...engine.decide(nowMs)];
 }
 
@@ -54,7 +54,7 @@
   assert.match(engine.explain('j'), 'no worker is large enough');
   const [decision] = decide(engine, 700_000);
   assert.is(decision?.kind, 'setAside');
-  assert.is(engine.waitingCount(), 0);
+  assert.is(engine.countWaitingTasks(), 0);
 });
 
 test('a job whose worker comes back in time is not set aside', () => {
@@ -108,7 +108,7 @@
   let next = 0;
   let sinceMs = 0;
   for (let nowMs = 0; nowMs < 400_000; nowMs += 1_000) {
-    if (engine.waitingCount() === 0) {
+    if (engine.countWaitingTasks() === 0) {
       engine.submit(job(`j${next}`, {acceptedMs: nowMs}));
       next += 1;
     }
@@ -117,7 +117,7 @@
         engine.ended(decision.task.taskId, 'failed', nowMs);
       }
       if (decision.kind !== 'worker') continue;
-      if (decision.isSetAside) sinceMs = nowMs;
+      if (decision.isQuarantined) sinceMs = nowMs;
       else asideMs.push(nowMs - sinceMs);
     }
   }
--- a/packages/policy/test/engine-properties.test.ts
+++ b/packages/policy/test/engine-properties.test.ts
@@ -1,8 +1,8 @@
 import {
   PackPolicy,
   PlacementPolicy,
-  ShareEngine,
-  type PlacementAsk,
+  FairShareEngine,
+  type PlacementRequest,
   type PlacementEngine,
   type PolicyJob,
   type PolicyTeam,
@@ -51,7 +51,7 @@
   'overcommit',
   'no promise is breached in any random shard',
   () => {
-    const newEngine: NewEngine = n => new ShareEngine({firstTaskNumber: n});
+    const newEngine: NewEngine = n => new FairShareEngine({firstTaskNumber: n});
     fc.assert(
       fc.property(shardPlan, plan => runPlan(newEngine, plan)),
       {seed: FC_SEED, numRuns: RUNS, includeErrorInReport: true},
@@ -61,7 +61,7 @@
 
 /** Chooses the first ready worker, whether or not it has room. */
 class FirstWorkerPolicy extends PlacementPolicy {
-  override choose(workers: Iterable<WorkerState>, ask: PlacementAsk) {
+  override choose(workers: Iterable<WorkerState>, ask: PlacementRequest) {
     const [first] = [...workers].filter(
       ({worker}) => worker.condition === 'ready',
     );
@@ -73,12 +73,12 @@
   const firstWorker = new FirstWorkerPolicy();
   const policies = {pack: firstWorker, spread: firstWorker, gang: firstWorker};
   const breach = findBreach(
-    n => new ShareEngine({firstTaskNumber: n, policies}),
+    n => new FairShareEngine({firstTaskNumber: n, policies}),
   );
   assert.match(breach, 'passes capacity');
 });
 
-class UnlimitedEngine extends ShareEngine {
+class UnlimitedEngine extends FairShareEngine {
   override setTeams(teams: readonly PolicyTeam[]): void {
     const most = Number.MAX_SAFE_INTEGER;
     const allowance = {cpuMilli: most, memMb: most, accel: most, slots: most};
@@ -91,7 +91,7 @@
   assert.match(breach, 'passes the limit');
 });
 
-class NoGangEngine extends ShareEngine {
+class NoGangEngine extends FairShareEngine {
   override submit(job: PolicyJob): void {
     super.submit({...job, isGang: false});
   }
@@ -107,12 +107,12 @@
   const pack = new PackPolicy();
   const policies = {pack, spread: pack, gang: pack};
   const breach = findBreach(
-    n => new ShareEngine({firstTaskNumber: n, policies}),
+    n => new FairShareEngine({firstTaskNumber: n, policies}),
   );
   assert.match(breach, 'runs without');
 });
 
-class NoAdoptionEngine extends ShareEngine {
+class NoAdoptionEngine extends FairShareEngine {
   override adopt(): void {
     // Ignores the tasks that an earlier owner started.
   }
@@ -123,7 +123,7 @@
   assert.match(breach, 'miscounted');
 });
 
-class FixedTaskNumberEngine extends ShareEngine {
+class FixedTaskNumberEngine extends FairShareEngine {
   constructor() {
     super({firstTaskNumber: 1});
   }
@@ -136,7 +136,7 @@
   );
 });
 
-class AlwaysReadyEngine extends ShareEngine {
+class AlwaysReadyEngine extends FairShareEngine {
   override setWorker(worker: PolicyWorker): void {
     super.setWorker({...worker, condition: 'ready'});
   }
--- a/packages/policy/test/random-shard.ts
+++ b/packages/policy/test/random-shard.ts
@@ -271,7 +271,7 @@
     this.jobs.set(jobId, job);
     this.pending.set(jobId, new Set(taskIndexes));
     this.audit.setJob(jobId, team);
-    this.engine.findObstacle(job);
+    this.engine.findUnplaceableReason(job);
     this.engine.submit(job);
     this.engine.explain(jobId);
   }
@@ -279,7 +279,7 @@
   private decide(maxDecisions: number): void {
     let count = 0;
     for (const decision of this.engine.decide(this.nowMs)) {
-      this.audit.noteDecision(decision);
+      this.audit.recordDecision(decision);
       if (decision.kind === 'start') this.noteStart(decision.task);
       count += 1;
       if (count < maxDecisions) continue;
@@ -327,7 +327,7 @@
     const tasks = [...this.audit.running.values()];
     const task = tasks[selector % Math.max(1, tasks.length)];
     if (task === undefined) return;
-    this.audit.noteEnd(task.taskId);
+    this.audit.recordEnd(task.taskId);
     this.engine.ended(task.taskId, end, this.nowMs);
     const job = this.jobs.get(task.jobId);
     if (end === 'succeeded' || job === undefined) return;
@@ -342,7 +342,7 @@
     if (jobId === undefined) return;
     this.pending.get(jobId)?.clear();
     for (const {taskId} of this.engine.cancel(jobId)) {
-      this.audit.noteEnd(taskId);
+      this.audit.recordEnd(taskId);
       this.engine.ended(taskId, 'notRunning', this.nowMs);
     }
   }
@@ -370,7 +370,7 @@
   private endTasksOn(workerId: string): void {
     for (const task of [...this.audit.running.values()]) {
       if (task.workerId !== workerId) continue;
-      this.audit.noteEnd(task.taskId);
+      this.audit.recordEnd(task.taskId);
       this.engine.ended(task.taskId, 'notRunning', this.nowMs);
     }
   }
@@ -395,7 +395,7 @@
         memMb: memMb * factor,
       };
     });
-    this.engine.learn(samples, this.nowMs);
+    this.engine.recordUsage(samples, this.nowMs);
   }
 
   /**
@@ -419,8 +419,8 @@
 
   private checkUsage(): void {
     if (this.isInterrupted) return;
-    for (const {team, running} of this.engine.demand()) {
-      const audited = this.audit.useOf(team);
+    for (const {team, running} of this.engine.getDemand()) {
+      const audited = this.audit.getTeamUsage(team);
       const isSame =
         running.cpuMilli === audited.cpuMilli &&
         running.memMb === audited.memMb;
@@ -430,7 +430,7 @@
 
   private endAll(): void {
     for (const {taskId} of [...this.audit.running.values()]) {
-      this.audit.noteEnd(taskId);
+      this.audit.recordEnd(taskId);
       this.engine.ended(taskId, 'succeeded', this.nowMs);
     }
     this.decide(Infinity);
--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -2,10 +2,10 @@
   AGEING_STEP_MS,
   MAX_HOLD_MS,
   Replay,
-  ShareEngine,
+  FairShareEngine,
   type ShareFeatures,
   type Trace,
-  type TraceJobs,
+  type TraceJobGroup,
 } from '@dragonflyward/policy';
 import type {Resources} from '@dragonflyward/common';
 import fc from 'fast-check';
@@ -38,7 +38,7 @@
   queue: string,
   everyMs: number,
   runMs: number,
-): TraceJobs {
+): TraceJobGroup {
   return {
     name: `stream of ${team} in ${queue}`,
     team,
@@ -75,7 +75,7 @@
     }) => {
       const everyMs = Math.floor(backgroundRunMs / (workers * 8 * 1.3));
       const actual = {runFactor, runMs: Math.ceil(backgroundRunMs / runFactor)};
-      const hard: TraceJobs = {
+      const hard: TraceJobGroup = {
         name: 'hard',
         team: hardTeam,
         queue: 'renders',
@@ -123,8 +123,8 @@
   );
 
 function waitsTooLong(plan: Trace, features: ShareFeatures): boolean {
-  const record = new Replay(new ShareEngine({features}), plan).run();
-  if (record.neverStarted('hard') > 0) return true;
+  const record = new Replay(new FairShareEngine({features}), plan).run();
+  if (record.countNeverStarted('hard') > 0) return true;
   return record.waitMs('hard', 100) > MAX_WAIT_MS;
 }
 
--- a/packages/policy/test/traces.test.ts
+++ b/packages/policy/test/traces.test.ts
@@ -2,7 +2,7 @@
 import {
   FirstFitEngine,
   Replay,
-  ShareEngine,
+  FairShareEngine,
   type ReplayRecord,
   type ShareFeatures,
   type Trace,
@@ -23,7 +23,7 @@
   for (const [name, bound] of Object.entries(outcome.maxWaitMs ?? {})) {
     const waitMs = record.waitMs(name, 100);
     if (waitMs > bound) yield `${name} waited ${waitMs} ms`;
-    const count = record.neverStarted(name);
+    const count = record.countNeverStarted(name);
     if (count > 0) yield `${count} tasks of ${name} never started`;
   }
   for (const name of outcome.succeed ?? []) {
@@ -55,7 +55,7 @@
 for (const file of readdirSync(TRACES).sort()) {
   test(`the outcome of ${file} holds`, () => {
     const trace = readTrace(file);
-    const replay = new Replay(new ShareEngine(), trace);
+    const replay = new Replay(new FairShareEngine(), trace);
     const record = replay.run();
     assert.equal([...findMisses(trace, record)], []);
     assert.equal(replay.audit.breaches, []);
@@ -72,7 +72,7 @@
 for (const [file, feature] of NEGATIVE_CONTROLS) {
   test(`without "${feature}" the outcome of ${file} does not hold`, () => {
     const trace = readTrace(file);
-    const engine = new ShareEngine({features: {[feature]: false}});
+    const engine = new FairShareEngine({features: {[feature]: false}});
     const record = new Replay(engine, trace).run();
     assert.ok([...findMisses(trace, record)].length > 0);
   });
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -5,11 +5,11 @@
 import {
   ALLOWANCE_STREAM,
   AllowanceState,
-  BudgetTask,
-  budgetShard,
+  AllowancePlanner,
+  plannerShard,
   SnapshotTask,
   type Allowance,
-  type AllowanceInput,
+  type AllowancePlanInput,
   type ConfigState,
   type ShardDemand,
 } from '@dragonflyward/state';
@@ -69,7 +69,7 @@
     const {clock, events} = this.parts;
     const common = {table, tail, writer, clock, events};
     const isWanted = (): boolean => !this.isStopped;
-    const budget = new BudgetTask({
+    const budget = new AllowancePlanner({
       ...common,
       term: () => this.budgetTerm(),
       input: () => this.input(),
@@ -98,7 +98,7 @@
   }
 
   override isReadSince(sinceMs: number): boolean {
-    return this.table.isComplete && this.tail.lastProofMs >= sinceMs;
+    return this.table.isComplete && this.tail.lastCaughtUpMs >= sinceMs;
   }
 
   /** The budget owner's term; undefined if another process is the owner. */
@@ -118,10 +118,10 @@
   }
 
   private budgetShard(): string | undefined {
-    return budgetShard(this.parts.membership.domains());
+    return plannerShard(this.parts.membership.domains());
   }
 
-  private input(): Omit<AllowanceInput, 'table'> {
+  private input(): Omit<AllowancePlanInput, 'table'> {
     const {config, membership, clock} = this.parts;
     const limits = new Map<string, Resources>();
     for (const [team, {limit}] of config.teams()) limits.set(team, limit);
--- a/packages/scheduler/src/claim-registry.ts
+++ b/packages/scheduler/src/claim-registry.ts
@@ -13,7 +13,7 @@
 import {DuplicateDetector, UNTIMED_ID_WINDOW_MS} from './duplicate-detector.js';
 
 /** The claimed request ids of one shard; accepts claims once in a term. */
-export class ClaimRegistry {
+export class RequestClaimRegistry {
   private detector: DuplicateDetector | undefined;
   private imported: RequestClaims | undefined;
   private readonly pending: PassedClaim[] = [];
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -2,7 +2,7 @@
 import type {Clock, EventRing, Metrics} from '@dragonflyward/common';
 import {StreamWriter, type LogClient} from '@dragonflyward/log';
 import {
-  askConfigTail,
+  fetchConfigTail,
   type ConfigTailReply,
   type PeerMesh,
 } from '@dragonflyward/peer';
@@ -36,15 +36,15 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] | undefined {
+  override listedPeers(): readonly ListedPeer[] | undefined {
     const {membership, ownVm} = this.parts;
     if (membership.listSentMs === undefined) return undefined;
     const others = [...membership.entryVms()].filter(vm => vm.id !== ownVm);
     return others.map(({id, domain}) => ({vm: id, domain}));
   }
 
-  override askTail(vm: string, from: number): Promise<ConfigTail> {
-    return askConfigTail(this.parts.mesh, vm, from);
+  override requestTail(vm: string, from: number): Promise<ConfigTail> {
+    return fetchConfigTail(this.parts.mesh, vm, from);
   }
 }
 
--- a/packages/scheduler/src/duplicate-detector.ts
+++ b/packages/scheduler/src/duplicate-detector.ts
@@ -17,7 +17,7 @@
 } from '@dragonflyward/peer';
 
 /** How long a claimed id is remembered. */
-export const CLAIM_WINDOW_MS = 120_000;
+export const REQUEST_CLAIM_WINDOW_MS = 120_000;
 /**
  * How long after its last use a duplicate of an id without a timestamp is
  * still detected if the owners have lost the claims of their predecessors.
@@ -130,7 +130,8 @@
 
   private canRuleOutReuse(issuedMs: number): boolean {
     if (issuedMs === 0) return this.hasCompleteHistory();
-    const oldestMs = this.clock.wallMs() - CLAIM_WINDOW_MS + MAX_CLOCK_SKEW_MS;
+    const oldestMs =
+      this.clock.wallMs() - REQUEST_CLAIM_WINDOW_MS + MAX_CLOCK_SKEW_MS;
     if (issuedMs < oldestMs) {
       raise('duplicateId', 'the id is older than what is remembered');
     }
@@ -139,7 +140,7 @@
   }
 
   private dropExpired(): void {
-    const beforeMs = this.clock.monotonicMs() - CLAIM_WINDOW_MS;
+    const beforeMs = this.clock.monotonicMs() - REQUEST_CLAIM_WINDOW_MS;
     for (const [key, claim] of this.claims) {
       if (claim.atMs > beforeMs) return;
       this.claims.delete(key);
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -107,14 +107,14 @@
       acceptedMs,
       taskIndexes: Array.from({length: spec.tasks}, (_, index) => index),
     };
-    const obstacle = this.parts.engine.findObstacle(job);
+    const obstacle = this.parts.engine.findUnplaceableReason(job);
     if (obstacle !== '') raise('neverRunnable', obstacle);
   }
 
   private requireQueueCapacity(job: JobSpec): void {
     const queue = this.parts.config.queue(job.queue);
     if (queue === undefined) return raise('queueUnknown', job.queue);
-    if (this.parts.engine.waitingCount() >= queue.maxWaiting) {
+    if (this.parts.engine.countWaitingTasks() >= queue.maxWaiting) {
       raise('queueFull', job.queue);
     }
   }
--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -1,7 +1,7 @@
 /** The connection of shard ownership to the other schedulers. */
 import {raise, type ProcessRef} from '@dragonflyward/common';
 import type {PeerMesh} from '@dragonflyward/peer';
-import {OwnershipPeers, type OwnershipAsk} from '@dragonflyward/state';
+import {OwnershipPeers, type PromiseRequest} from '@dragonflyward/state';
 import type {Membership} from './membership.js';
 
 const PROMISE_TIMEOUT_MS = 800;
@@ -29,9 +29,9 @@
     return this.membership.isListed(process);
   }
 
-  override async askPromise(
+  override async requestPromise(
     process: ProcessRef,
-    ask: OwnershipAsk,
+    ask: PromiseRequest,
   ): Promise<boolean> {
     const connection = this.mesh.connectionTo(process.vm);
     const info = connection?.info;
--- a/packages/scheduler/src/scheduler-peer-handler.ts
+++ b/packages/scheduler/src/scheduler-peer-handler.ts
@@ -50,7 +50,7 @@
     };
   }
 
-  override async answer(from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
+  override async handleAsk(from: PeerInfo, ask: PeerAsk): Promise<PeerReply> {
     switch (ask.type) {
       case 'ticketAsk': {
         const {issuer, owner} = this.requireActive(ask.shard);
@@ -90,7 +90,7 @@
     }
   }
 
-  override notice(from: PeerInfo, notice: PeerNotice): void {
+  override handleNotice(from: PeerInfo, notice: PeerNotice): void {
     if (notice.type === 'heartbeat') {
       this.parts.hybridClock.observe(notice.at);
       return this.parts.membership.noteHeartbeat(from, notice);
@@ -103,11 +103,11 @@
     issuer?.close(from.process, notice);
   }
 
-  override peerUp(connection: PeerConnection): void {
+  override onPeerUp(connection: PeerConnection): void {
     this.parts.membership.addConnection(connection);
   }
 
-  override peerDown(connection: PeerConnection): void {
+  override onPeerDown(connection: PeerConnection): void {
     this.parts.membership.removeConnection(connection);
   }
 
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -259,7 +259,7 @@
         successors: replica.shardState.successors,
         isActive: replica.isActive,
         offset: replica.shardState.nextOffset,
-        logAgeMs: nowMs - replica.tail.lastProofMs,
+        logAgeMs: nowMs - replica.tail.lastCaughtUpMs,
         ...replica.owner?.summary(),
       })),
     };
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -169,7 +169,7 @@
   summary(): Readonly<Record<string, number>> {
     return {
       ...this.workers.counts(),
-      tasksWaiting: this.engine.waitingCount(),
+      tasksWaiting: this.engine.countWaitingTasks(),
       workersUnanswered: this.guard.unansweredCount,
     };
   }
@@ -198,7 +198,7 @@
   }
 
   override usage(samples: readonly TaskUsage[]): void {
-    this.engine.learn(samples, this.parts.clock.monotonicMs());
+    this.engine.recordUsage(samples, this.parts.clock.monotonicMs());
   }
 
   protected makeGuard(nowMs: number, leaseMs: number): TakeoverGuard {
--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -17,9 +17,9 @@
   RequestClaims,
   TeamWants,
 } from '@dragonflyward/peer';
-import {ShareEngine} from '@dragonflyward/policy';
+import {FairShareEngine} from '@dragonflyward/policy';
 import {
-  AllowanceKeeper,
+  ShardAllowances,
   shardStream,
   ShardOwnership,
   ShardState,
@@ -139,7 +139,8 @@
   /** The resources of each team's running and waiting work in this shard. */
   demands(): readonly TeamWants[] {
     const wants = new Map<string, Resources>();
-    for (const {team, running, waiting} of this.owner?.engine.demand() ?? []) {
+    for (const {team, running, waiting} of this.owner?.engine.getDemand() ??
+      []) {
       wants.set(team, addResources(running, waiting));
     }
     const running = this.issuer?.running() ?? [];
@@ -193,7 +194,7 @@
     this.activeTerm = this.ownership.term;
     this.activeSinceMs = clock.monotonicMs();
     const firstTaskNumber = this.activeTerm * TASK_NUMBERS_PER_TERM;
-    const engine = new ShareEngine({firstTaskNumber});
+    const engine = new FairShareEngine({firstTaskNumber});
     this.issuer = new TicketIssuer({shard, clock, metrics, events});
     this.owner = new ShardOwner({
       ...this.parts,
@@ -245,7 +246,7 @@
 
   /** The team's usage in this shard that counts against its allowance. */
   private teamUsage(team: string): Resources {
-    const demands = this.owner?.engine.demand() ?? [];
+    const demands = this.owner?.engine.getDemand() ?? [];
     const tasks = demands.find(demand => demand.team === team)?.running;
     const slots = this.issuer?.running().find(use => use.team === team)?.slots;
     return {...(tasks ?? NO_RESOURCES), slots: slots ?? 0};
@@ -259,7 +260,7 @@
       owner.mayAct() &&
       !owner.isHoldActive &&
       allowances.isReadSince(this.activeSinceMs);
-    const keeper = new AllowanceKeeper({
+    const keeper = new ShardAllowances({
       ...{table, tail, writer, clock, events, shard},
       term: () => (mayAcknowledge() ? owner.term() : undefined),
       running: team => this.teamUsage(team),
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -27,7 +27,7 @@
 import {UnreportedUsage, gatewayLimit} from './unreported-usage.js';
 import {CompletionEstimator} from './completion-estimator.js';
 import {ExecutorHealth} from './executor-health.js';
-import {ClaimRegistry} from './claim-registry.js';
+import {RequestClaimRegistry} from './claim-registry.js';
 import {
   makeTicketQueue,
   GrantPolicy,
@@ -77,7 +77,7 @@
   private readonly queue: PQueue<FairQueue, TicketOptions>;
   private readonly estimator = new CompletionEstimator();
   private readonly allowances = new Map<string, number>();
-  private readonly claims: ClaimRegistry;
+  private readonly claims: RequestClaimRegistry;
   private config: TicketConfig | undefined;
   private gateways = 1;
   private term: number | undefined;
@@ -87,7 +87,7 @@
     super();
     const {clock, metrics, shard} = options;
     this.unreported = new UnreportedUsage(clock);
-    this.claims = new ClaimRegistry(clock);
+    this.claims = new RequestClaimRegistry(clock);
     this.slots = new SlotTable(
       clock,
       new ExecutorHealth(clock),
--- a/packages/scheduler/test/simulated-shard.ts
+++ b/packages/scheduler/test/simulated-shard.ts
@@ -12,7 +12,7 @@
   StreamWriter,
 } from '@dragonflyward/log';
 import type {JobSubmit} from '@dragonflyward/peer';
-import {ShareEngine} from '@dragonflyward/policy';
+import {FairShareEngine} from '@dragonflyward/policy';
 import {
   Membership,
   ShardOwner,
@@ -224,7 +224,7 @@
       owner: {vm: `e${term}`, incarnation: 1},
       successors: [],
     };
-    this.log.push(STREAM, [{id: `claim-${term}`, data}]);
+    this.log.appendNow(STREAM, [{id: `claim-${term}`, data}]);
   }
 
   private parts(
@@ -234,7 +234,7 @@
   ): ShardOwnerParts {
     const {clock} = this;
     const firstTaskNumber = ownership.term * TASK_NUMBERS_PER_TERM;
-    const engine = new ShareEngine({firstTaskNumber});
+    const engine = new FairShareEngine({firstTaskNumber});
     const {teams} = CONFIGURATION.defaults;
     const {limit, share} = teams[TEAM] ?? {limit: CAPACITY, share: 1};
     const shares = {share, organisationShare: 1, allowance: limit};
--- a/packages/scheduler/test/ticket-issuer.test.ts
+++ b/packages/scheduler/test/ticket-issuer.test.ts
@@ -5,7 +5,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-  CLAIM_WINDOW_MS,
+  REQUEST_CLAIM_WINDOW_MS,
   DuplicateDetector,
   UNTIMED_ID_WINDOW_MS,
 } from '../src/duplicate-detector.js';
@@ -291,14 +291,14 @@
     const clock = new ManualClock(1_000_000);
     const detector = new DuplicateDetector(clock, 1);
     assert.is(claimResult(detector, claimOf('a')), 'new');
-    await clock.advance(CLAIM_WINDOW_MS - 1);
+    await clock.advance(REQUEST_CLAIM_WINDOW_MS - 1);
     const repeat = {...claimOf('a'), claimId: 'c-2'};
     assert.is(claimResult(detector, repeat), 'duplicateId');
     detector.release({...repeat, type: 'requestRelease'});
     assert.is(claimResult(detector, repeat), 'duplicateId');
     detector.release({...claimOf('a'), type: 'requestRelease'});
     assert.is(claimResult(detector, claimOf('a')), 'new');
-    const issuedMs = clock.wallMs() - CLAIM_WINDOW_MS;
+    const issuedMs = clock.wallMs() - REQUEST_CLAIM_WINDOW_MS;
     assert.is(claimResult(detector, claimOf('old', issuedMs)), 'duplicateId');
   },
 );
--- a/packages/state/src/allowance-plan.ts
+++ b/packages/state/src/allowance-plan.ts
@@ -15,7 +15,7 @@
 }
 
 /** Input of a plan. */
-export interface AllowanceInput {
+export interface AllowancePlanInput {
   readonly table: AllowanceState;
   /** Limits of the teams. A team without an entry is allowed nothing. */
   readonly limits: ReadonlyMap<string, Resources>;
@@ -45,7 +45,9 @@
  * const changes = planAllowances({table, limits, shards, demands});
  * if (changes.length > 0) await writer.write(toRecord(changes));
  */
-export function planAllowances(input: AllowanceInput): readonly Allowance[] {
+export function planAllowances(
+  input: AllowancePlanInput,
+): readonly Allowance[] {
   const teams = new Set([...input.table.teams(), ...input.limits.keys()]);
   const demandsByTeam = groupByTeam(input.demands);
   return [...teams].flatMap(team =>
@@ -66,7 +68,7 @@
 }
 
 function planTeam(
-  input: AllowanceInput,
+  input: AllowancePlanInput,
   team: string,
   demands: readonly ShardDemand[],
 ): readonly Allowance[] {
@@ -96,7 +98,7 @@
 }
 
 function readTeamResource(
-  {table, limits, demands}: AllowanceInput,
+  {table, limits, demands}: AllowancePlanInput,
   team: string,
   shards: readonly string[],
   name: (typeof RESOURCE_NAMES)[number],
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -7,7 +7,7 @@
   AllowanceRecord,
   AllowanceStreamRecord,
 } from './records.js';
-import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
 
 /** An allowance and the version of the table that set it. */
 interface VersionedAmount {
@@ -34,7 +34,7 @@
 type TeamRow = Map<string, readonly VersionedAmount[]>;
 
 /** Allowances, computed from their stream. */
-export class AllowanceState extends SnapshotFold<AllowanceStreamRecord> {
+export class AllowanceState extends SnapshottedState<AllowanceStreamRecord> {
   /** Incremented by each change of the table. */
   version = 0;
   /** The highest term in which the planner changed the table. */
--- a/packages/state/src/allowance-tasks.ts
+++ b/packages/state/src/allowance-tasks.ts
@@ -8,7 +8,7 @@
   type Resources,
 } from '@dragonflyward/common';
 import type {StreamTail, StreamWriter} from '@dragonflyward/log';
-import {planAllowances, type AllowanceInput} from './allowance-plan.js';
+import {planAllowances, type AllowancePlanInput} from './allowance-plan.js';
 import type {AllowanceState} from './allowance-state.js';
 import {
   RECORD_VERSION,
@@ -26,7 +26,7 @@
  * @example
  * if (budgetShard(domains) === shard) void planner.run(shouldRun);
  */
-export function budgetShard(shards: readonly string[]): string | undefined {
+export function plannerShard(shards: readonly string[]): string | undefined {
   return [...shards].sort()[0];
 }
 
@@ -48,11 +48,11 @@
    */
   readonly term: () => number | undefined;
   /** Returns the current limits, shards and demands. */
-  readonly input: () => Omit<AllowanceInput, 'table'>;
+  readonly input: () => Omit<AllowancePlanInput, 'table'>;
 }
 
 /** Plans the table; run by the owner of the planner's shard. */
-export class BudgetTask {
+export class AllowancePlanner {
   constructor(private readonly options: AllowancePlannerOptions) {}
 
   /** Plans once a second until told to stop. */
@@ -103,7 +103,7 @@
 }
 
 /** Provides the allowances of a shard and acknowledges reductions of them. */
-export class AllowanceKeeper {
+export class ShardAllowances {
   constructor(private readonly options: ShardAllowancesOptions) {}
 
   /**
@@ -116,7 +116,7 @@
    */
   isReadSince(sinceMs: number): boolean {
     const {table, tail} = this.options;
-    return table.isComplete && tail.lastProofMs >= sinceMs;
+    return table.isComplete && tail.lastCaughtUpMs >= sinceMs;
   }
 
   /** What the team may have running in this shard. */
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -7,7 +7,7 @@
   CLOCK_DRIFT_MARGIN,
   TAIL_MAX_AGE_MS,
   POLL_INTERVAL_MS,
-  type OwnershipAsk,
+  type PromiseRequest,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type ClaimRecord} from './records.js';
@@ -73,7 +73,7 @@
   }
 
   /** Promises not to claim, unless a claim of this process may be pending. */
-  answerPromise(request: OwnershipAsk, from: ProcessRef): boolean {
+  answerPromise(request: PromiseRequest, from: ProcessRef): boolean {
     const {fold, self, clock} = this.options;
     if (!fold.isComplete || fold.owner === null) return false;
     if (!isSameProcess(fold.owner, from)) return false;
@@ -95,7 +95,7 @@
     const nowMs = clock.monotonicMs();
     if (!fold.isComplete) return undefined;
     if (!tail.isUp) return undefined;
-    if (nowMs - tail.lastProofMs > TAIL_MAX_AGE_MS) return undefined;
+    if (nowMs - tail.lastCaughtUpMs > TAIL_MAX_AGE_MS) return undefined;
     if (fold.owner === null) return this.reasonWithoutOwner(nowMs);
     if (fold.owner.vm === self.vm) return this.reasonAfterRestart(fold.owner);
     if (this.isBoundByPromise(nowMs)) return undefined;
--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -27,13 +27,13 @@
    * The entry VMs of the list of VMs without this one; undefined until the
    * first list was read.
    */
-  abstract listed(): readonly ListedPeer[] | undefined;
+  abstract listedPeers(): readonly ListedPeer[] | undefined;
   /**
    * Requests the records of the peer from the offset on.
    *
    * @throws peerDown, peerLost
    */
-  abstract askTail(vm: string, from: number): Promise<ConfigTail>;
+  abstract requestTail(vm: string, from: number): Promise<ConfigTail>;
 }
 
 /** Options of the exchange. */
@@ -84,7 +84,7 @@
     const {clock, peers, freshness} = this.options;
     while (shouldRun()) {
       this.recordOwnRead();
-      const listed = peers.listed();
+      const listed = peers.listedPeers();
       if (listed !== undefined) freshness.setListed(listed);
       if (this.isPollDue()) await this.pollPeers(listed ?? []);
       await clock.sleep(PEER_POLL_INTERVAL_MS);
@@ -93,7 +93,7 @@
 
   private recordOwnRead(): void {
     const {fold, tail, freshness} = this.options;
-    if (fold.isComplete) freshness.recordLogRead(tail.lastProofMs);
+    if (fold.isComplete) freshness.recordLogRead(tail.lastCaughtUpMs);
   }
 
   private isPollDue(): boolean {
@@ -110,7 +110,7 @@
     const requestedMs = clock.monotonicMs();
     try {
       const from = fold.isComplete ? fold.nextOffset : 0;
-      const {records, ageMs, end} = await peers.askTail(vm, from);
+      const {records, ageMs, end} = await peers.requestTail(vm, from);
       this.applyPeerRecords(records);
       freshness.recordPeerTail({vm, ageMs, end, requestedMs});
     } catch {
--- a/packages/state/src/config-follower.ts
+++ b/packages/state/src/config-follower.ts
@@ -18,7 +18,7 @@
 const TAIL_READ_WAIT_MS = 500;
 
 /** Options of a follower. */
-export interface ConfigFollowerParts {
+export interface ConfigFollowerOptions {
   readonly log: LogClient;
   readonly clock: Clock;
   readonly events: EventRing;
@@ -38,7 +38,7 @@
   private readonly exchange: ConfigExchange;
   private isRunning = false;
 
-  constructor(private readonly options: ConfigFollowerParts) {
+  constructor(private readonly options: ConfigFollowerOptions) {
     const {log, clock, maxAgeMs, domain, peers} = options;
     const fold = this.state;
     this.tail = new StreamTail({
@@ -87,7 +87,7 @@
 
   /** Time since this process itself last read the end of the stream. */
   readAgeMs(): number {
-    return this.options.clock.monotonicMs() - this.tail.lastProofMs;
+    return this.options.clock.monotonicMs() - this.tail.lastCaughtUpMs;
   }
 
   /**
@@ -102,7 +102,7 @@
 
   private recordOwnRead(): void {
     if (!this.state.isComplete) return;
-    this.freshness.recordLogRead(this.tail.lastProofMs);
+    this.freshness.recordLogRead(this.tail.lastCaughtUpMs);
   }
 
   private reportResult(record: LogRecord, result: ApplyResult): void {
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -16,7 +16,7 @@
   ConfigStreamRecord,
   KeyGrantedRecord,
 } from './records.js';
-import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
 
 /** The revision of a cell without any published configuration. */
 export const NO_REVISION = -1;
@@ -75,7 +75,7 @@
 }
 
 /** Configuration and keys, computed from the configuration stream. */
-export class ConfigState extends SnapshotFold<ConfigStreamRecord> {
+export class ConfigState extends SnapshottedState<ConfigStreamRecord> {
   /** Offset of the configuration record in force. */
   revision = NO_REVISION;
   configuration: Configuration = EMPTY_CONFIGURATION;
--- a/packages/state/src/owner-tasks.ts
+++ b/packages/state/src/owner-tasks.ts
@@ -11,7 +11,7 @@
 import {
   TAIL_MAX_AGE_MS,
   POLL_INTERVAL_MS,
-  type OwnershipAsk,
+  type PromiseRequest,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type SuccessorsRecord} from './records.js';
@@ -95,7 +95,7 @@
   private arePromisesNeeded(): boolean {
     const {clock, tail, timing, fold} = this.options;
     if (!fold.isComplete) return false;
-    const ageMs = clock.monotonicMs() - tail.lastProofMs;
+    const ageMs = clock.monotonicMs() - tail.lastCaughtUpMs;
     return ageMs > timing.ownerLeaseMs * PROMISE_REQUEST_LEASE_FRACTION;
   }
 
@@ -115,10 +115,10 @@
 
   private async tryRequestPromise(
     process: ProcessRef,
-    request: OwnershipAsk,
+    request: PromiseRequest,
   ): Promise<boolean> {
     try {
-      const isGiven = await this.options.peers.askPromise(process, request);
+      const isGiven = await this.options.peers.requestPromise(process, request);
       this.wasPromiseRefused ||= !isGiven;
       return isGiven;
     } catch {
@@ -128,7 +128,7 @@
 
   private dueSuccessorList(): readonly ProcessRef[] | undefined {
     const {clock, fold, peers, tail} = this.options;
-    const ageMs = clock.monotonicMs() - tail.lastProofMs;
+    const ageMs = clock.monotonicMs() - tail.lastCaughtUpMs;
     if (!fold.isComplete || !tail.isUp) return undefined;
     if (ageMs > TAIL_MAX_AGE_MS) return undefined;
     const successors = chooseSuccessors(fold.successors, peers);
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -4,7 +4,7 @@
 import type {ShardState} from './shard-state.js';
 
 /** Request of the owner to a successor: promise not to claim the shard. */
-export interface OwnershipAsk {
+export interface PromiseRequest {
   readonly shard: string;
   readonly term: number;
   readonly listVersion: number;
@@ -30,9 +30,9 @@
    *
    * @throws peerDown, peerLost
    */
-  abstract askPromise(
+  abstract requestPromise(
     process: ProcessRef,
-    request: OwnershipAsk,
+    request: PromiseRequest,
   ): Promise<boolean>;
 }
 
--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -11,7 +11,7 @@
 import {
   CLOCK_DRIFT_MARGIN,
   POLL_INTERVAL_MS,
-  type OwnershipAsk,
+  type PromiseRequest,
   type OwnershipOptions,
 } from './ownership-types.js';
 import {RECORD_VERSION, shardStream, type HandoverRecord} from './records.js';
@@ -100,7 +100,7 @@
    * const isGiven = ownership.answerPromise(request, from);
    * return {type: 'promise', isGiven};
    */
-  answerPromise(request: OwnershipAsk, from: ProcessRef): boolean {
+  answerPromise(request: PromiseRequest, from: ProcessRef): boolean {
     return this.claimant.answerPromise(request, from);
   }
 
@@ -146,7 +146,7 @@
   protected leaseEndMs(): number {
     const {tail, timing} = this.options;
     const promiseRoundMs = this.ownerTasks.lastPromiseRoundMs(this.term);
-    const renewedMs = Math.max(tail.lastProofMs, promiseRoundMs);
+    const renewedMs = Math.max(tail.lastCaughtUpMs, promiseRoundMs);
     return renewedMs + timing.ownerLeaseMs;
   }
 
--- a/packages/state/src/shard-state.ts
+++ b/packages/state/src/shard-state.ts
@@ -13,7 +13,7 @@
   TaskEndedRecord,
   TaskStartingRecord,
 } from './records.js';
-import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
 
 /** How long an ended job is kept, by the timestamps of the log. */
 export const ENDED_JOB_RETENTION_MS = 15 * 60_000;
@@ -64,7 +64,7 @@
 type TermRecord = Exclude<ChangeOf<ShardRecord>, ClaimRecord>;
 
 /** Ownership and jobs of one shard, computed from its stream. */
-export class ShardState extends SnapshotFold<ShardRecord> {
+export class ShardState extends SnapshottedState<ShardRecord> {
   /** The current term; 0 where the shard never had an owner. */
   term = 0;
   owner: ProcessRef | null = null;
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -1,5 +1,9 @@
 /** Base of the states that are computed from a stream with snapshots. */
-import {StreamFold, type ApplyResult, type LogRecord} from '@dragonflyward/log';
+import {
+  StreamState,
+  type ApplyResult,
+  type LogRecord,
+} from '@dragonflyward/log';
 import {
   RECORD_VERSION,
   type ConfigStreamRecord,
@@ -20,7 +24,9 @@
  * Computes a state from one stream. A reader that starts after the log was
  * truncated begins at a snapshot.
  */
-export abstract class SnapshotFold<R extends StreamRecord> extends StreamFold {
+export abstract class SnapshottedState<
+  R extends StreamRecord,
+> extends StreamState {
   override nextOffset = 0;
   override isComplete = true;
   /** How many records were malformed or of an unknown version. */
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -97,7 +97,7 @@
     const {nextOffset, snapshotCovers: covers} = fold;
     if (covers !== this.covers) this.recordSnapshot(covers);
     if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
-    const {firstKept} = tail;
+    const {oldestOffset: firstKept} = tail;
     const ageMs = clock.monotonicMs() - this.sinceMs;
     const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
     return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
--- a/packages/state/src/stall-detector.ts
+++ b/packages/state/src/stall-detector.ts
@@ -27,7 +27,7 @@
   updateLogStatus(): void {
     const {clock, tail, timing} = this.options;
     const nowMs = clock.monotonicMs();
-    const isUp = nowMs - tail.lastProofMs <= timing.ownerLeaseMs;
+    const isUp = nowMs - tail.lastCaughtUpMs <= timing.ownerLeaseMs;
     if (!isUp) this.logUpSinceMs = Infinity;
     else if (this.logUpSinceMs === Infinity) this.logUpSinceMs = nowMs;
   }
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -13,7 +13,7 @@
 } from '@dragonflyward/log';
 import {
   ALLOWANCE_STREAM,
-  AllowanceKeeper,
+  ShardAllowances,
   AllowanceState,
   planAllowances,
   RECORD_VERSION,
@@ -140,7 +140,7 @@
   }
 
   private push(data: AllowanceStreamRecord): void {
-    this.log.push(ALLOWANCE_STREAM, [{id: `r${this.nextId}`, data}]);
+    this.log.appendNow(ALLOWANCE_STREAM, [{id: `r${this.nextId}`, data}]);
     this.nextId += 1;
   }
 
@@ -189,13 +189,13 @@
     this.catchUp(view, Infinity);
   }
 
-  private shardAllowances(index: number): AllowanceKeeper {
+  private shardAllowances(index: number): ShardAllowances {
     const table = this.views[index] ?? new this.tableClass();
     const {clock} = this;
     const client = new MemoryLogClient(this.log);
     const base = {client, stream: ALLOWANCE_STREAM, clock};
     const tail = new StreamTail({...base, fold: table, waitMs: 1});
-    return new AllowanceKeeper({
+    return new ShardAllowances({
       table,
       tail,
       writer: new StreamWriter({...base, tail}),
--- a/packages/state/test/allowance.test.ts
+++ b/packages/state/test/allowance.test.ts
@@ -13,9 +13,9 @@
 } from '@dragonflyward/log';
 import {
   ALLOWANCE_STREAM,
-  AllowanceKeeper,
+  ShardAllowances,
   AllowanceState,
-  BudgetTask,
+  AllowancePlanner,
   type AllowanceTaskOptions,
 } from '@dragonflyward/state';
 import {suite} from 'uvu';
@@ -36,7 +36,7 @@
   readonly clock = new ManualClock();
   readonly log = new MemoryLog(this.clock);
   readonly running = new Map(SHARDS.map(shard => [shard, 0]));
-  readonly allowances: ReadonlyMap<string, AllowanceKeeper>;
+  readonly allowances: ReadonlyMap<string, ShardAllowances>;
   /** The shard with all work of the team. */
   busyShard = 'north-1';
   limit = LIMIT;
@@ -50,7 +50,7 @@
       SHARDS.map(shard => {
         const running = (): Resources => slots(this.running.get(shard) ?? 0);
         const options = {...this.makeTaskOptions(), shard, term, running};
-        return [shard, new AllowanceKeeper(options)];
+        return [shard, new ShardAllowances(options)];
       }),
     );
     for (const task of this.allowances.values()) void task.run(shouldRun);
@@ -59,7 +59,7 @@
       shards: SHARDS,
       demands: [{team: TEAM, shard: this.busyShard, wanted: slots(LIMIT)}],
     });
-    void new BudgetTask({...this.makeTaskOptions(), term, input}).run(
+    void new AllowancePlanner({...this.makeTaskOptions(), term, input}).run(
       shouldRun,
     );
   }
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -28,7 +28,7 @@
   shardStream,
   ShardState,
   type JobAcceptedRecord,
-  type OwnershipAsk,
+  type PromiseRequest,
   type OwnershipOptions,
 } from '@dragonflyward/state';
 import {jobSpec} from './records.js';
@@ -158,9 +158,9 @@
     return !this.cell.droppedVms.has(process.vm);
   }
 
-  override async askPromise(
+  override async requestPromise(
     process: ProcessRef,
-    request: OwnershipAsk,
+    request: PromiseRequest,
   ): Promise<boolean> {
     const self = this.cell.find(this.self);
     await self?.clock.sleep(PEER_DELAY_MS);
@@ -232,7 +232,7 @@
   /** Kills a process immediately. */
   kill(member: Member): void {
     member.isDead = true;
-    member.client.isCut = true;
+    member.client.isOffline = true;
     member.ownership.stop();
     member.tail.stop();
   }
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -66,12 +66,12 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] {
+  override listedPeers(): readonly ListedPeer[] {
     const names = [...this.fleet.readers.keys()];
     return names.map(i => ({vm: String(i), domain: 'north-1'}));
   }
 
-  override async askTail(vm: string, from: number): Promise<ConfigTail> {
+  override async requestTail(vm: string, from: number): Promise<ConfigTail> {
     const peer = this.fleet.readers[Number(vm)];
     if (peer === undefined) throw new Error();
     const answer = peer.exchange.answer(from);
@@ -113,8 +113,8 @@
     if (op === 'outageEnds') this.log.isDown = false;
     if (op === 'forget') this.truncateLog();
     if (reader === undefined) return;
-    if (op === 'cut') reader.client.isCut = true;
-    if (op === 'heal') reader.client.isCut = false;
+    if (op === 'cut') reader.client.isOffline = true;
+    if (op === 'heal') reader.client.isOffline = false;
     if (op !== 'replace') return;
     this.stop(reader);
     this.readers[readerIndex] = this.start();
@@ -140,7 +140,7 @@
     for (const record of this.log.records(CONFIG_STREAM)) whole.apply(record);
     const covers = whole.nextOffset;
     for (const part of whole.snapshot(`s${covers}`)) this.push(part);
-    this.log.drop(CONFIG_STREAM, covers);
+    this.log.dropBefore(CONFIG_STREAM, covers);
   }
 
   private publish(base: number): number {
@@ -149,7 +149,7 @@
 
   private push(data: unknown): number {
     const id = `r${this.log.appends}`;
-    return this.log.push(CONFIG_STREAM, [{id, data}]);
+    return this.log.appendNow(CONFIG_STREAM, [{id, data}]);
   }
 
   private stop(reader: Reader): void {
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -63,7 +63,7 @@
   const log = new MemoryLog(new ManualClock());
   const state = new ConfigState();
   for (const [i, data] of records.entries()) {
-    log.push(CONFIG_STREAM, [{id: `r${i}`, data}]);
+    log.appendNow(CONFIG_STREAM, [{id: `r${i}`, data}]);
   }
   for (const record of log.records(CONFIG_STREAM)) state.apply(record);
   return state;
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -48,11 +48,11 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] {
+  override listedPeers(): readonly ListedPeer[] {
     return this.cell.gateways.filter(({vm}) => vm !== this.vm);
   }
 
-  override async askTail(vm: string, from: number): Promise<ConfigTail> {
+  override async requestTail(vm: string, from: number): Promise<ConfigTail> {
     await this.cell.clock.sleep(60);
     const peer = this.cell.gateways.find(g => g.vm === vm);
     const self = this.cell.gateways.find(g => g.vm === this.vm);
@@ -75,7 +75,7 @@
   }
 
   publish(id: string, data: unknown): void {
-    this.log.push(CONFIG_STREAM, [{id, data}]);
+    this.log.appendNow(CONFIG_STREAM, [{id, data}]);
   }
 
   acceptsKey(gateway: Gateway): boolean {
@@ -151,7 +151,7 @@
   'hears of a withdrawal from a peer when cut off',
   async () => {
     const {cell, first} = await start();
-    first.client.isCut = true;
+    first.client.isOffline = true;
     cell.publish('w', withdraw('k1'));
     await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
     assert.is(first.fold.teamOfKey(KEY), undefined);
@@ -176,7 +176,7 @@
 ): Promise<boolean> {
   const {cell, first} = await start(freshnessClass);
   for (const gateway of cell.gateways) {
-    if (cutDomains.includes(gateway.domain)) gateway.client.isCut = true;
+    if (cutDomains.includes(gateway.domain)) gateway.client.isOffline = true;
     else gateway.isUnreachable = true;
   }
   cell.publish('w', withdraw('k1'));
@@ -210,7 +210,7 @@
   'refuses when it is cut off from log and all peers',
   async () => {
     const {cell, first} = await start();
-    first.client.isCut = true;
+    first.client.isOffline = true;
     first.isUnreachable = true;
     await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
     assert.not(cell.acceptsKey(first));
--- a/packages/state/test/late-write.test.ts
+++ b/packages/state/test/late-write.test.ts
@@ -20,10 +20,10 @@
   await cell.run(5_000);
   const [owner] = cell.acting();
   assert.ok(owner);
-  cell.log.slowMs = appendDelayMs;
+  cell.log.latencyMs = appendDelayMs;
   cell.acceptJobs();
   await cell.run(100);
-  cell.log.slowMs = 0;
+  cell.log.latencyMs = 0;
   owner.clock.isPaused = true;
   await cell.run(appendDelayMs + 1_000);
   owner.clock.isPaused = false;
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -94,14 +94,14 @@
   if (fault === 'outageEnds') log.isDown = false;
   for (const member of members) {
     if (fault === 'resume') member.clock.isPaused = false;
-    if (fault === 'healLog') member.client.isCut = member.isDead;
+    if (fault === 'healLog') member.client.isOffline = member.isDead;
     if (fault === 'healPeers') member.isCutFromPeers = false;
   }
 }
 
 function isolate(member: Member, fault: Fault): void {
   if (fault === 'pause') member.clock.isPaused = true;
-  if (fault === 'cutFromLog') member.client.isCut = true;
+  if (fault === 'cutFromLog') member.client.isOffline = true;
   if (fault === 'cutFromPeers') member.isCutFromPeers = true;
 }
 
@@ -127,7 +127,7 @@
   for (const member of cell.members) {
     member.isCutFromPeers = false;
     member.clock.isPaused = false;
-    member.client.isCut = member.isDead;
+    member.client.isOffline = member.isDead;
   }
   const aliveVms = cell.members.filter(m => !m.isDead).map(m => m.ref.vm);
   for (const {ref} of cell.members) {
@@ -212,16 +212,16 @@
   const [owner, dropped, ...others] = cell.members;
   assert.ok(owner && dropped);
   const {term: prevTerm, listVersion: prevListVersion} = dropped.fold;
-  dropped.client.isCut = true;
+  dropped.client.isOffline = true;
   dropped.isCutFromPeers = true;
   await cell.run(6_000);
-  for (const member of [owner, ...others]) member.client.isCut = true;
+  for (const member of [owner, ...others]) member.client.isOffline = true;
   await cell.run(appendDelayMs);
   const preconditions = {prevTerm, prevListVersion};
   const claim = {v: RECORD_VERSION, type: 'claim', ...preconditions};
   const data = {...claim, owner: dropped.ref, successors: []};
-  cell.log.push(STREAM, [{id: 'late', data}]);
-  dropped.client.isCut = false;
+  cell.log.appendNow(STREAM, [{id: 'late', data}]);
+  dropped.client.isOffline = false;
   await cell.run(8_000);
   cell.end();
   return cell.violations === 0;
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -46,7 +46,7 @@
 
 ownership('ends when the owner is cut off from log and peers', async () => {
   const {cell, owner} = await startCell();
-  owner.client.isCut = true;
+  owner.client.isOffline = true;
   owner.isCutFromPeers = true;
   await cell.run(LEASE_MS + SILENCE_MS);
   assert.not(owner.ownership.mayAct());
@@ -58,7 +58,7 @@
 
 ownership('passes on when only the owner cannot read the log', async () => {
   const {cell, owner} = await startCell();
-  owner.client.isCut = true;
+  owner.client.isOffline = true;
   await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is.not(cell.acting()[0], owner);
@@ -85,7 +85,7 @@
 
 ownership('lasts and passes on while the log is slow', async () => {
   const {cell, owner} = await startCell();
-  cell.log.slowMs = LEASE_MS + 500;
+  cell.log.latencyMs = LEASE_MS + 500;
   await cell.run(60_000);
   assert.ok(owner.ownership.mayAct());
   cell.kill(owner);
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -287,7 +287,7 @@
 snapshots('a whole fleet starts again from what the log keeps', async () => {
   const clock = new ManualClock();
   const log = new MemoryLog(clock);
-  log.retainRecords = 80;
+  log.maxRetainedRecords = 80;
   const before = await runWriter(log, clock);
   assert.ok(log.page(STREAM, 0, 1).first > 0);
   const fold = new ShardState();
--- a/packages/state/test/traces.test.ts
+++ b/packages/state/test/traces.test.ts
@@ -1,7 +1,11 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {ManualClock} from '@dragonflyward/common';
 import {MemoryLog, type ApplyResult} from '@dragonflyward/log';
-import {ConfigState, ShardState, type SnapshotFold} from '@dragonflyward/state';
+import {
+  ConfigState,
+  ShardState,
+  type SnapshottedState,
+} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -33,11 +37,11 @@
 
 function replay(
   {stream, steps}: Trace,
-  fold: Pick<SnapshotFold<never>, 'apply'>,
+  fold: Pick<SnapshottedState<never>, 'apply'>,
 ): readonly ApplyResult[] {
   const log = new MemoryLog(new ManualClock());
   for (const [i, {by, record}] of steps.entries()) {
-    log.push(stream, [{id: `${by}-${i}`, data: record}]);
+    log.appendNow(stream, [{id: `${by}-${i}`, data: record}]);
   }
   return log.records(stream).map(record => fold.apply(record));
 }
--- a/packages/target/src/executor-client.ts
+++ b/packages/target/src/executor-client.ts
@@ -30,7 +30,7 @@
 }
 
 /** The head of an executor's response, and its body as a stream. */
-export interface ExecutorAnswer {
+export interface ExecutorResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   /** Whether the executor reported that it accepts no new work. */
@@ -40,7 +40,7 @@
   /** Returns the bytes sent and received so far for this request. */
   readonly trafficBytes: () => number;
   /** Discards the response and closes its connection. */
-  readonly drop: () => void;
+  readonly discard: () => void;
 }
 
 /** Sends requests to executors. */
@@ -54,10 +54,10 @@
   abstract send(
     address: ExecutorAddress,
     req: ExecutorRequest,
-  ): Promise<ExecutorAnswer>;
+  ): Promise<ExecutorResponse>;
 
   /** Sets the maximum number of idle connections to each executor. */
-  abstract keepIdle(connections: number): void;
+  abstract setMaxIdleConnections(connections: number): void;
 
   /** Closes all idle connections. */
   abstract close(): void;
--- a/packages/target/src/executor-response.ts
+++ b/packages/target/src/executor-response.ts
@@ -1,7 +1,7 @@
 /** Reads the responses of executors and detects truncated ones. */
 import type http from 'node:http';
 import {raise} from '@dragonflyward/common';
-import type {ExecutorAnswer} from './executor-client.js';
+import type {ExecutorResponse} from './executor-client.js';
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -17,7 +17,7 @@
 export function readResponse(
   res: http.IncomingMessage,
   trafficBytes: () => number,
-): ExecutorAnswer {
+): ExecutorResponse {
   if (!isDelimited(res)) {
     res.destroy();
     return raise('targetLost', 'the response has no length');
@@ -28,7 +28,7 @@
     isDraining: res.headers['x-draining'] === '1',
     body: readBody(res),
     trafficBytes,
-    drop: () => {
+    discard: () => {
       res.destroy();
     },
   };
--- a/packages/target/src/http-executor-client.ts
+++ b/packages/target/src/http-executor-client.ts
@@ -7,7 +7,7 @@
 import {
   ExecutorClient,
   type ExecutorAddress,
-  type ExecutorAnswer,
+  type ExecutorResponse,
   type ExecutorBody,
   type ExecutorRequest,
 } from './executor-client.js';
@@ -46,7 +46,7 @@
   override async send(
     address: ExecutorAddress,
     request: ExecutorRequest,
-  ): Promise<ExecutorAnswer> {
+  ): Promise<ExecutorResponse> {
     const req = this.createRequest(address, request);
     const removeAbortListener = destroyOnAbort(req, request.signal);
     try {
@@ -64,7 +64,7 @@
     }
   }
 
-  override keepIdle(connections: number): void {
+  override setMaxIdleConnections(connections: number): void {
     this.pool.maxFreeSockets = connections;
   }
 
@@ -151,7 +151,7 @@
   req: http.ClientRequest,
   socket: net.Socket,
   request: ExecutorRequest,
-): Promise<ExecutorAnswer> {
+): Promise<ExecutorResponse> {
   const bytesBefore = socket.bytesRead + socket.bytesWritten;
   const responseEvent = once(req, 'response');
   const writing = writeBody(req, request.body);
--- a/packages/vms/src/client.ts
+++ b/packages/vms/src/client.ts
@@ -1,11 +1,11 @@
 /** Interface of the platform's list of VMs, which lags behind. */
-import type {Place, Resources, VmKind} from '@dragonflyward/common';
+import type {VmLocation, Resources, VmKind} from '@dragonflyward/common';
 
 /** Whether a VM stays or is about to be removed. */
 export type VmState = 'live' | 'leaving';
 
 /** A VM in the list. */
-export interface VmEntry extends Place {
+export interface VmEntry extends VmLocation {
   readonly id: string;
   readonly kind: VmKind;
   readonly state: VmState;
