Mend comments of the cell, policy and platform

Comments that lost a condition or a reason, or that said something else than the code: when an executor counts as gone, why an acknowledgement is sent once, which tasks are large, what the estimates rest on, which held resources are subtracted, which failures don't count against a job, and when a worker is set aside. "Set aside" is used throughout in place of "quarantine". Two texts are reworded: the error of an unexpected reply to a store call and the reason of a worker's retry.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -112,7 +112,7 @@
     return this.jobs.freshMs;
   }
 
-  /** Reads the jobs; resolves to whether all stored before are known. */
+  /** Reads all jobs stored before the call; resolves to false on a timeout. */
   readJobs(): Promise<boolean> {
     return this.jobs.waitUntilRead();
   }
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -28,7 +28,7 @@
 const RUNS_PER_TERM = 1000;
 /** Consecutive failures after which an executor is avoided for a while. */
 const MAX_CONSECUTIVE_FAILURES = 3;
-/** First time for which a failing executor is avoided, in ms. */
+/** Initial time for which a failing executor is avoided, in ms. */
 const FAILING_EXECUTOR_AVOID_MS = 2000;
 /** First delay before a failed service task is restarted, in ms. */
 const SERVICE_BACKOFF_MS = 100;
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -38,7 +38,10 @@
 const MISSED_RETRY_DELAY_MS = 150;
 /** Delay after the first unanswered renewal, in ms. */
 const FIRST_MISSED_RETRY_DELAY_MS = 10;
-/** An executor counts as gone after more unanswered renewals in a row. */
+/**
+ * An executor that the store does not list counts as gone after more than this
+ * many unanswered renewals in a row.
+ */
 const MAX_MISSED_RENEWALS = 8;
 
 /** How long an executor gets no new work after it refused a start, in ms. */
@@ -214,7 +217,8 @@
     this.resetAckOnRestart();
     const {ackedThrough, bornMs} = executor;
     // Each acknowledgement is sent once: an executor whose restart is not yet
-    // known numbers its ends from 1 again.
+    // known numbers its ends from 1 again, and a repeated acknowledgement would
+    // make it forget ends that this owner has not seen.
     const isAckNew =
       ackedThrough > this.sentAck && executor.missedRenewals === 0;
     const sentMs = host.clock.monotonicMs();
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -124,7 +124,7 @@
     }
   }
 
-  /** Whether a connected VM is connected to the owner of a term. */
+  /** Whether a connected VM is connected to an owner of this term or later. */
   isOwnerSeen(term: number): boolean {
     return [...this.connected()].some(
       ({connectedOwnerTerm}) => connectedOwnerTerm >= term,
@@ -232,7 +232,7 @@
       timeoutMs: number,
     ): Promise<StoreReply> => {
       const reply = await connection.ask({type: 'storeAsk', call}, timeoutMs);
-      if (reply.type !== 'store') throw new Error(`wrong type ${reply.type}`);
+      if (reply.type !== 'store') throw new Error(`unexpected ${reply.type}`);
       return reply;
     },
   };
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -11,8 +11,8 @@
 
 /**
  * Accepted jobs and cancels, written by every VM. The store handles one append
- * to a topic at a time, so several topics keep few writers waiting for each
- * other when it is slow.
+ * to a topic at a time. With several topics, only few writers share each one
+ * and wait for each other when the store is slow.
  */
 export const JOBS_TOPICS: readonly string[] = [
   'keyed.jobs-0',
--- a/packages/cell/src/reserve-capacity.ts
+++ b/packages/cell/src/reserve-capacity.ts
@@ -7,7 +7,7 @@
 import type {Round} from './round.js';
 import type {ServiceCapacity} from './service-capacity.js';
 
-/** A task that takes this share of any executor counts as large. */
+/** A task that takes this share of every executor of its service is large. */
 const LARGE_TASK_SHARE = 0.25;
 /** Largest share of a service's executors to withhold for waiting steps. */
 const MAX_WITHHELD_SHARE = 0.5;
--- a/packages/cell/src/service-capacity.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -11,7 +11,7 @@
 const URGENT_HEADROOM_SHARE = 0.14;
 /** Queues of this priority may use the headroom. */
 export const URGENT_PRIORITY = 0;
-/** Steps of a service that may renew their tickets without room per round. */
+/** Steps of a service that may renew tickets without room in one round. */
 const MAX_BLOCKED_RENEWALS = 3;
 
 /** The executors of a service and their free capacity in one round. */
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -7,7 +7,7 @@
 import * as assert from 'uvu/assert';
 import {ignoringStore, Rig, STEP, type CellNode} from './rig.js';
 
-/** Seed of the search; CELL_SEED and CELL_RUNS allow a longer one. */
+/** CELL_SEED and CELL_RUNS set another seed and more runs for a long search. */
 const SEED = Number(process.env['CELL_SEED'] ?? 20261204);
 const EXECUTORS = 4;
 const RUNS = Number(process.env['CELL_RUNS'] ?? 40);
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -43,11 +43,11 @@
   yield* probeReservations(core);
 }
 
-/** Lets workers whose quarantine has ended take one task on probation. */
+/** Lets workers whose time set aside is over take one task on probation. */
 function retryWorkers(core: EngineCore): void {
   for (const state of core.health.retry(core.nowMs)) {
     const {workerId} = state.worker;
-    const reason = 'quarantine ended; retrying with one task at a time';
+    const reason = 'time set aside is over; retrying with one task at a time';
     core.outbox.push({kind: 'worker', workerId, isSetAside: false, reason});
     core.needs.noteRoom(state);
   }
--- a/packages/policy/src/estimates.ts
+++ b/packages/policy/src/estimates.ts
@@ -1,4 +1,7 @@
-/** Estimates the actual usage and run time of tasks from the declared ones. */
+/**
+ * Estimates the usage and run time of tasks: the declared values times the
+ * ratios that were measured for earlier tasks of the same queue and team.
+ */
 import type {Resources} from '@dragonflyward/common';
 import * as hdr from 'hdr-histogram-js';
 
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -8,7 +8,7 @@
 } from '@dragonflyward/common';
 import type {JobState, WorkerState} from './state.js';
 
-/** The time after which an unconfirmed stop is no longer expected to end. */
+/** The longest time that a task is expected to take to stop. */
 const STOP_TIMEOUT_MS = 2_500;
 
 /** The longest time for which resources are held. */
@@ -164,8 +164,9 @@
 
 /**
  * Returns what a worker will have free once the tasks that were recently told
- * to stop have ended, minus what is held for jobs. A stop that is not
- * confirmed in time is not counted.
+ * to stop have ended, minus what is held: for urgent jobs only if the room is
+ * for an urgent job, else for all jobs. A stop that is not confirmed in time is
+ * not counted.
  *
  * @example
  * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -81,7 +81,10 @@
     this.log.add(worker);
   }
 
-  /** Returns whether a need may fit, by what changed since it last did not. */
+  /**
+   * Returns whether a need may fit, judging by the workers that got room since
+   * it last did not.
+   */
   mayFit(need: Need, tier: Tier): boolean {
     const search = need.searches[tier];
     if (need.gangSize > 0) return this.mayGangFit(need, tier);
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -16,7 +16,10 @@
  */
 const MAX_EXAMINED_WORKERS = 30_000;
 
-/** After this many teams without a start, a pass checks if any need may fit. */
+/**
+ * Each time this many teams have nothing left to start, a pass checks whether
+ * any need may fit.
+ */
 const TEAMS_PER_CHECK = 32;
 
 const NO_HELD_RESOURCES: ReadonlyMap<WorkerState, Resources> = new Map();
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -25,9 +25,9 @@
    */
   heldFromMs: number;
   readonly tasks: Set<RunningTask>;
-  /** The end of its quarantine for failures; 0 if it is not quarantined. */
+  /** The end of its time set aside for failures; 0 if it is not set aside. */
   setAsideUntilMs: number;
-  /** After a quarantine: gets one task at a time until one succeeds. */
+  /** After being set aside: gets one task at a time until one succeeds. */
   isOnProbation: boolean;
 }
 
@@ -40,7 +40,7 @@
   fair: number;
   /** Half of the dominant share of the task that was started last. */
   halfTaskShare: number;
-  /** The usage beyond the fair share, added up over recent time. */
+  /** Usage beyond the fair share, summed over time; negative if below. */
   shareExcess: number;
   /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
   weightedShare: number;
@@ -55,7 +55,7 @@
   urgentUsed: Resources;
   /** Half of the dominant share of the task that was started last. */
   halfTaskShare: number;
-  /** The usage beyond the fair share, added up over recent time. */
+  /** Usage beyond the fair share, summed over time; negative if below. */
   shareExcess: number;
   /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
   weightedShare: number;
@@ -107,11 +107,11 @@
   stoppingMs: number;
   /** The largest measured CPU usage since the last resize. */
   peakCpuMilli: number;
-  /** The largest measured memory usage. */
+  /** The largest measured memory usage since the last resize. */
   peakMemMb: number;
   /** The number of measurements since the last resize. */
   sampleCount: number;
-  /** The CPU reservation before the last probe with more; 0 without probe. */
+  /** The CPU reservation before it was last raised by a probe; 0 if never. */
   probedCpuMilli: number;
   /** When its reservation was last changed. */
   resizedMs: number;
@@ -163,7 +163,7 @@
 }
 
 /**
- * Returns whether a worker may get new tasks: it is ready, not quarantined,
+ * Returns whether a worker may get new tasks: it is ready, not set aside,
  * and has no task yet if it is on probation.
  *
  * @example
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -138,7 +138,10 @@
   return `task ${taskIndex} failed on ${taskFailedOn} workers`;
 }
 
-/** Counts workers without those whose failures say nothing about a job. */
+/**
+ * Counts the workers that are neither set aside nor on probation. Failures on
+ * the others may be due to the worker and do not count against a job.
+ */
 function countHealthy(core: EngineCore, workers: ReadonlySet<string>): number {
   let count = 0;
   for (const workerId of workers) {
--- a/packages/policy/src/unrunnable.ts
+++ b/packages/policy/src/unrunnable.ts
@@ -12,7 +12,8 @@
 const MAX_CHECKS_PER_PASS = 8;
 
 /**
- * Sets jobs aside that no worker of the shard could run for a long time.
+ * Sets jobs aside that for a long time would not have fit in the shard even if
+ * it had been empty, as workers that they need have left.
  *
  * @example
  * yield* setAsideUnrunnable(core);
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -7,7 +7,10 @@
 /** Recent failures, and distinct jobs among them, that set a worker aside. */
 const MIN_FAILURES = 4;
 const MIN_FAILED_JOBS = 3;
-/** A failing worker has this multiple of the others' mean failure rate. */
+/**
+ * A worker that is not on probation is set aside only if its failure rate is at
+ * least this multiple of the mean of the other workers and reaches the minimum.
+ */
 const FLEET_RATE_FACTOR = 3;
 const MIN_FAILURE_RATE = 0.5;
 /** Jobs remembered as having succeeded on some worker. */
--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -74,7 +74,10 @@
       shareOfA,
     }) => {
       const everyMs = Math.floor(backgroundRunMs / (workers * 8 * 1.3));
-      const actual = {runFactor, runMs: Math.ceil(backgroundRunMs / runFactor)};
+      const runTimes = {
+        runFactor,
+        runMs: Math.ceil(backgroundRunMs / runFactor),
+      };
       const hard: TraceJobs = {
         name: 'hard',
         team: hardTeam,
@@ -108,11 +111,11 @@
         jobs: [
           {
             ...backgroundJobs('a', 'shops', everyMs * 2, backgroundRunMs),
-            ...actual,
+            ...runTimes,
           },
           {
             ...backgroundJobs('b', 'shops', everyMs * 2, backgroundRunMs),
-            ...actual,
+            ...runTimes,
           },
           hard,
         ],
