--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -40,7 +40,7 @@
   fairShare: number;
   /** Half of the dominant share of the task that was started last. */
   halfTaskShare: number;
-  /** The usage beyond the fair share, added up over recent time. */
+  /** Usage beyond the fair share, summed over time; negative if below. */
   shareExcess: number;
   /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
   weightedShare: number;
@@ -55,7 +55,7 @@
   urgentUsed: Resources;
   /** Half of the dominant share of the task that was started last. */
   halfTaskShare: number;
-  /** The usage beyond the fair share, added up over recent time. */
+  /** Usage beyond the fair share, summed over time; negative if below. */
   shareExcess: number;
   /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
   weightedShare: number;
@@ -107,7 +107,7 @@
   stopRequestedMs: number;
   /** The largest measured CPU usage since the last resize. */
   peakCpuMilli: number;
-  /** The largest measured memory usage. */
+  /** The largest measured memory usage since the last resize. */
   peakMemMb: number;
   /** The number of measurements since the last resize. */
   sampleCount: number;
@@ -163,7 +163,7 @@
 }
 
 /**
- * Returns whether a worker may get new tasks: it is ready, not quarantined,
+ * Returns whether a worker may get new tasks: it is ready, not set aside,
  * and has no task yet if it is on probation.
  *
  * @example
--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -108,11 +108,11 @@
         jobs: [
           {
             ...backgroundJobs('a', 'shops', everyMs * 2, backgroundRunMs),
-            ...actual,
+            ...runTimes,
           },
           {
             ...backgroundJobs('b', 'shops', everyMs * 2, backgroundRunMs),
-            ...actual,
+            ...runTimes,
           },
           hard,
         ],
