--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -74,7 +74,10 @@
       shareOfA,
     }) => {
       const everyMs = Math.floor(backgroundRunMs / (workers * 8 * 1.3));
-      const actual = {runFactor, runMs: Math.ceil(backgroundRunMs / runFactor)};
+      const runTimes = {
+        runFactor,
+        runMs: Math.ceil(backgroundRunMs / runFactor),
+      };
       const hard: TraceJobGroup = {
         name: 'hard',
         team: hardTeam,
