Restore reasons in comments of scheduler, state, caller and peer

Says again that one gateway may get an uneven part of a shard's load, that a start without effect is repeated even if the task is not idempotent, that only idempotent requests are retried after a timeout, and that a connection with too many pipelined requests is read no further. Corrects comments that named only the log as the source of the gateway's configuration, and names the incomplete body as the caller's.

--- a/packages/caller/src/adaptive-timeout.ts
+++ b/packages/caller/src/adaptive-timeout.ts
@@ -1,6 +1,6 @@
 /**
- * Timeouts after which a request is retried at another executor, derived from
- * the latency of its service.
+ * Timeouts after which an idempotent request is retried at another executor,
+ * derived from the latency of its service.
  */
 
 const MIN_TIMEOUT_MS = 1_000;
--- a/packages/caller/src/body-reader.ts
+++ b/packages/caller/src/body-reader.ts
@@ -70,8 +70,8 @@
       yield chunk;
     }
   } catch {
-    return raise('peerLost', 'the body is incomplete');
+    return raise('peerLost', 'the caller sent an incomplete body');
   }
   if (size > maxBytes) raise('bodyTooLarge', `over ${maxBytes} bytes`);
-  if (!req.complete) raise('peerLost', 'the body is incomplete');
+  if (!req.complete) raise('peerLost', 'the caller sent an incomplete body');
 }
--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -139,7 +139,10 @@
     });
   }
 
-  /** Destroys a connection that has too many pipelined requests. */
+  /**
+   * Destroys a connection with too many pipelined requests, so that nothing
+   * more is read from it.
+   */
   private destroyPipelined(socket: Socket): void {
     this.metrics.count('connections_refused_total{reason="pipelined"}');
     socket.destroy();
--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,4 +1,4 @@
-/** The configuration that the gateway follows in the log. */
+/** The configuration stream, as the gateway follows it. */
 import {askConfigTail, type PeerMesh} from '@dragonflyward/peer';
 import {
   ConfigFollower,
@@ -46,12 +46,12 @@
     return this.follower.state;
   }
 
-  /** Starts to follow the log. */
+  /** Starts following the stream, in the log or through peers. */
   start(): void {
     this.follower.start();
   }
 
-  /** Stops following the log. */
+  /** Stops following the stream. */
   stop(): void {
     this.follower.stop();
   }
--- a/packages/caller/src/mesh-ticket-source.ts
+++ b/packages/caller/src/mesh-ticket-source.ts
@@ -31,7 +31,7 @@
 
 /** Extra time beyond the deadline to wait for the owner's reply. */
 const REPLY_MARGIN_MS = 500;
-/** Least time left for a request to another region. */
+/** Another region is tried only while at least this much time is left. */
 const MIN_CROSS_REGION_MS = 200;
 /** Errors after which the next shard is tried. */
 const FALLBACK_KINDS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
--- a/packages/caller/src/relay-attempt.ts
+++ b/packages/caller/src/relay-attempt.ts
@@ -127,7 +127,7 @@
   }
 }
 
-/** Whether the status is a server error (5xx). */
+/** Whether the status (5xx) shows that the executor failed the request. */
 export function isExecutorFailure(status: number): boolean {
   return status >= MIN_SERVER_ERROR_STATUS;
 }
--- a/packages/caller/src/vm-view.ts
+++ b/packages/caller/src/vm-view.ts
@@ -3,7 +3,7 @@
 import {rankByHash} from '@dragonflyward/common';
 import type {VmEntry, VmListClient} from '@dragonflyward/vms';
 
-/** A shard with executors of a service. */
+/** A shard with executors of a service, and whether it is in another region. */
 export interface ServingShard {
   readonly shard: string;
   readonly isCrossRegion: boolean;
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -4,7 +4,8 @@
 const ID_BYTES = 12;
 
 /**
- * Creates a random 96-bit identifier with the given prefix.
+ * Creates a random 96-bit identifier with the given prefix; it is unique for
+ * all practical purposes.
  *
  * @example
  * const jobId = newId('j'); // 'j-5c1f…'
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -19,7 +19,7 @@
 }
 
 /**
- * Logs all counters as one line every 10 seconds.
+ * Logs all counters as one line at a fixed interval.
  *
  * @returns a function that stops the logging
  * @example
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -57,9 +57,9 @@
   readonly executorId: string;
   readonly ip: string;
   readonly port: number;
-  /** Time after the ask within which the first byte is sent, or none at all. */
+  /** The first byte must be sent within this time of the ask, or not at all. */
   readonly startByMs: number;
-  /** Time after the ask within which the connection must be closed. */
+  /** The connection must be closed within this time of the ask. */
   readonly runByMs: number;
 }
 
@@ -86,8 +86,8 @@
 }
 
 /**
- * Claims a request id at its home shard before a non-idempotent request is
- * sent, so that a duplicate id is detected.
+ * Claims a request id at one of the two shards that record it, before a
+ * non-idempotent request is sent, so that a duplicate id is detected.
  */
 export interface RequestClaim {
   readonly type: 'requestClaim';
@@ -100,14 +100,14 @@
   readonly issuedMs: number;
 }
 
-/** The home shard has recorded the claim. */
+/** The shard has recorded the claim. */
 export interface RequestClaimed {
   readonly type: 'requestClaimed';
-  /** Whether the home shard can rule out that the id was used before. */
+  /** Whether the shard can rule out that the id was used before. */
   readonly isVouched: boolean;
 }
 
-/** A claim as it is sent to the next owner of its home shard. */
+/** A claim as it is sent to the next owner of a shard that records it. */
 export interface PassedClaim {
   readonly key: string;
   readonly claimId: string;
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -1,4 +1,7 @@
-/** Follows the allowance table; plans it if this process owns the budget. */
+/**
+ * Follows the allowance table; plans it if this process owns the planner's
+ * shard.
+ */
 import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
@@ -19,7 +22,7 @@
 
 const TAIL_WAIT_MS = 500;
 const REPORT_PERIOD_MS = 1_000;
-/** Older demand reports are ignored. */
+/** A demand report that is older no longer shows what a shard wants. */
 const REPORT_TTL_MS = 10_000;
 
 /** Dependencies of the allowance service. */
@@ -62,7 +65,7 @@
     this.writer = new StreamWriter({client: log, stream, tail, clock});
   }
 
-  /** Starts to follow the table, and to plan it while this is the owner. */
+  /** Starts to follow the table, and to plan it while this is the planner. */
   start(): void {
     this.tail.start();
     const {table, tail, writer} = this;
@@ -101,7 +104,7 @@
     return this.table.isComplete && this.tail.lastProofMs >= sinceMs;
   }
 
-  /** The budget owner's term; undefined if another process is the owner. */
+  /** The planner's term; undefined if another process is the planner. */
   budgetTerm(): number | undefined {
     const shard = this.budgetShard();
     const replica =
@@ -131,7 +134,7 @@
     return {limits, shards: membership.domains(), demands};
   }
 
-  /** Reports the demand of the shards owned here to the budget's owner. */
+  /** Reports the demand of the shards owned here to the planner. */
   private async reportDemands(): Promise<void> {
     while (!this.isStopped) {
       for (const report of this.ownReports()) this.send(report);
--- a/packages/scheduler/src/claim-registry.ts
+++ b/packages/scheduler/src/claim-registry.ts
@@ -12,7 +12,7 @@
 } from '@dragonflyward/peer';
 import {DuplicateDetector, UNTIMED_ID_WINDOW_MS} from './duplicate-detector.js';
 
-/** The claimed request ids of one shard; accepts claims once in a term. */
+/** The claimed request ids of one shard; confirms none before a term starts. */
 export class ClaimRegistry {
   private detector: DuplicateDetector | undefined;
   private imported: RequestClaims | undefined;
@@ -67,7 +67,7 @@
     this.detector?.release(notice);
   }
 
-  /** Lists the claims for the next owner; undefined before the term. */
+  /** Lists the claims for the next owner; undefined before a term started. */
   exportClaims(shard: string): RequestClaims | undefined {
     return this.detector?.exportClaims(shard);
   }
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -137,7 +137,7 @@
     if (this.isObsolete(task)) this.stopTask(task);
   }
 
-  /** Records the start of a non-idempotent task before it is sent. */
+  /** Stores the start of a non-idempotent task in the log before it is sent. */
   private async recordStart(task: PlacedTask): Promise<boolean> {
     const {shardState, records} = this.parts;
     const entry = shardState.jobs.get(task.jobId);
--- a/packages/scheduler/src/duplicate-detector.ts
+++ b/packages/scheduler/src/duplicate-detector.ts
@@ -92,7 +92,7 @@
     return {type: 'requestClaims', shard, term, claims, isWhole};
   }
 
-  /** Adds the claims of the previous owner, if it had the term before. */
+  /** Adds the claims of the owner of the previous term; ignores all others. */
   importClaims(passed: RequestClaims): void {
     if (passed.term !== this.term - 1) return;
     this.merge(passed.claims);
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -1,4 +1,7 @@
-/** Handles task outcomes: records a result, runs the task again, or fails. */
+/**
+ * Handles task outcomes: records a result, runs the task again, or ends its
+ * job as failed.
+ */
 import type {
   Clock,
   EventRing,
@@ -66,7 +69,10 @@
     this.rerunIfSafe(task);
   }
 
-  /** Handles a start that never took effect: the task is placed again. */
+  /**
+   * Handles a start that never took effect. Since the task did not run, it is
+   * placed again even if it is not idempotent.
+   */
   notRun(task: PlacedTask): void {
     this.release(task, 'notRunning');
     const entry = this.unfinishedEntry(task);
@@ -140,7 +146,11 @@
     };
   }
 
-  /** Other failed and stopped tasks are submitted again after the hold. */
+  /**
+   * Handles a task that had ended before the takeover. Records a success, and
+   * the failure of a task that is not idempotent; `resume` handles all others
+   * after the takeover hold.
+   */
   private adoptEnded(task: PlacedTask, report: TaskReport): void {
     const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -193,7 +193,7 @@
     return this.claims.claim(ask);
   }
 
-  /** Lists the claims for the next owner; undefined before the term. */
+  /** Lists the claims for the next owner; undefined before a term started. */
   exportClaims(): RequestClaims | undefined {
     return this.claims.exportClaims(this.options.shard);
   }
--- a/packages/scheduler/src/unreported-usage.ts
+++ b/packages/scheduler/src/unreported-usage.ts
@@ -9,7 +9,10 @@
  */
 import type {Clock} from '@dragonflyward/common';
 
-/** One gateway may use up to this many times its even share of a total. */
+/**
+ * One gateway may use up to this many times its even share of a total, as the
+ * load of a shard may be spread unevenly over the gateways.
+ */
 const LOAD_SKEW_FACTOR = 3;
 /** By how many the former owner may have undercounted the gateways. */
 const GATEWAY_COUNT_MARGIN = 2;
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -145,7 +145,8 @@
   }
 
   /**
-   * Silence of the owner, at most the time since this process first read of it.
+   * How long the owner was silent. Counts at most from when this process first
+   * read of this owner, as it did not listen for it before.
    */
   private observedSilenceMs(owner: ProcessRef): number {
     const {peers, clock} = this.options;
--- a/packages/state/src/config-freshness.ts
+++ b/packages/state/src/config-freshness.ts
@@ -84,7 +84,10 @@
     return this.isGlobalLogOutage();
   }
 
-  /** Whether enough peers answered, and none of them could read the log. */
+  /**
+   * Whether the log is down for all: enough peers answered, and none of them
+   * could read it or has newer records.
+   */
   protected isGlobalLogOutage(): boolean {
     if (this.listed === undefined) return false;
     const recentTails = this.recentPeerTails();
--- a/packages/state/src/snapshot-fold.ts
+++ b/packages/state/src/snapshot-fold.ts
@@ -31,7 +31,8 @@
    */
   voidCount = 0;
   /**
-   * Offset up to which the newest complete snapshot covers; 0 if there is none.
+   * The newest complete snapshot covers all records before this offset; 0 if
+   * there is none.
    */
   snapshotCovers = 0;
   /** Highest log timestamp of the records so far. */
@@ -105,7 +106,8 @@
   }
 
   /**
-   * Whether a snapshot that covers up to this offset is newer than the state.
+   * Whether a snapshot of all records before this offset is newer than the
+   * state.
    */
   protected isNewer(covers: number): boolean {
     if (covers > this.nextOffset) return true;
