Reword test titles and two limits in plain terms

Six test titles used private words for the lease, for idle connections and for truncated answers; what they check is unchanged. The unit of the timing settings and the word maximum for pipelined requests are back in comments.

--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -10,7 +10,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const CONNECTION_CHECK_PERIOD_MS = 500;
 const MAX_CONNECTIONS = 4_096;
-/** Open requests per connection. */
+/** Maximum number of open requests per connection. */
 const MAX_PIPELINED = 8;
 
 /** Limits that tests can lower. */
--- a/packages/caller/test/outcomes.test.ts
+++ b/packages/caller/test/outcomes.test.ts
@@ -148,7 +148,7 @@
 }
 
 outcomes(
-  'a client that trusts each end passes a cut answer as whole',
+  'a client that treats every end as complete relays a truncated answer',
   async () => {
     const executors = new UncheckedClient();
     await withTargets(
@@ -289,7 +289,7 @@
 );
 
 outcomes(
-  'with kept connections for orders, the outcome is unknown',
+  'reusing idle connections for all requests leaves the outcome unknown',
   async () => {
     const executors = new ReusingClient();
     await withTargets(
@@ -398,7 +398,7 @@
 promiseTest(
   outcomes,
   'leaving-target',
-  'an executor’s own word that it drains is passed on',
+  'an executor’s report that it is draining is passed on with the close',
   async () => {
     const drainingAnswer = writeAndClose(
       'HTTP/1.1 200 OK\r\nx-draining: 1\r\ncontent-length: 2\r\n\r\nok',
--- a/packages/common/src/process-settings.ts
+++ b/packages/common/src/process-settings.ts
@@ -11,7 +11,7 @@
   readonly schedulerAdmin: number;
 }
 
-/** Leases, timeouts and periods. */
+/** Leases, timeouts and periods, in milliseconds. */
 export interface TimingSettings {
   /** How long an owner may act after the last proof that its term is valid. */
   readonly ownerLeaseMs: number;
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -86,7 +86,7 @@
 promiseTest(
   config,
   'config-in-force',
-  'gives a race to the earlier record and tells the later one',
+  'the earlier of two racing records wins and the later one is reported',
   () => {
     const state = fold([
       configRecord(-1, 'ada'),
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -306,7 +306,7 @@
 );
 
 checkFails(
-  'fails without an end of the right to act',
+  'fails when the lease never expires',
   STEPS,
   withOwnership(UnexpiringOwnership),
 );
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -96,7 +96,7 @@
 });
 
 ownership(
-  'stands still when the owner dies while the log is down',
+  'nobody may act after the owner dies while the log is down',
   async () => {
     const {cell, owner} = await startCell();
     cell.log.isDown = true;
