--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -3,7 +3,7 @@
   FirstFitEngine,
   newPolicies,
   Replay,
-  ShareEngine,
+  FairShareEngine,
   type PlacementEngine,
   type Trace,
 } from '@dragonflyward/policy';
@@ -37,7 +37,7 @@
   {name: 'first fit', newEngine: () => new FirstFitEngine()},
   {name: 'shares only', newEngine: () => new ShareOnlyEngine()},
   {name: 'previous', newEngine: () => newPreviousEngine()},
-  {name: 'current', newEngine: () => new ShareEngine()},
+  {name: 'current', newEngine: () => new FairShareEngine()},
   {name: 'emptiest first', newEngine: () => newEmptiestEngine()},
   {name: 'reported use', newEngine: () => new ReportedUseEngine()},
 ];
@@ -45,16 +45,16 @@
 /** The first version of the share engine, without its later features. */
 function newPreviousEngine(): PlacementEngine {
   const features = {preempts: false, reserves: false, learns: false};
-  return new ShareEngine({features});
+  return new FairShareEngine({features});
 }
 
 function newEmptiestEngine(): PlacementEngine {
   const emptiest = new LeastLoadedPolicy();
-  return new ShareEngine({policies: {...newPolicies(), pack: emptiest}});
+  return new FairShareEngine({policies: {...newPolicies(), pack: emptiest}});
 }
 
 /** Places by the use that workers last reported, not by its own counts. */
-class ReportedUseEngine extends ShareEngine {
+class ReportedUseEngine extends FairShareEngine {
   private readonly policy: ReportedUsePolicy;
 
   constructor() {
@@ -63,8 +63,10 @@
     this.policy = policy;
   }
 
-  override learn(...args: Parameters<ShareEngine['learn']>): void {
-    super.learn(...args);
+  override recordUsage(
+    ...args: Parameters<FairShareEngine['recordUsage']>
+  ): void {
+    super.recordUsage(...args);
     this.policy.recordReport();
   }
 }
@@ -92,7 +94,7 @@
 function compareOne(trace: Trace, candidate: Candidate): CompareFigures {
   const replay = new Replay(candidate.newEngine(), trace);
   const record = replay.run();
-  record.closeWaits(trace.endMs);
+  record.recordUnstartedWaits(trace.endMs);
   const attainments = [...record.attainments().values()];
   const sum = attainments.reduce((a, b) => a + b, 0);
   const waitP50Ms: Record<string, number> = {};
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -1,5 +1,5 @@
 /** Measures the rate and cost of placement decisions on a full shard. */
-import {ShareEngine, type PlacedTask} from '@dragonflyward/policy';
+import {FairShareEngine, type PlacedTask} from '@dragonflyward/policy';
 import * as hdr from 'hdr-histogram-js';
 import {
   newJob,
@@ -29,7 +29,7 @@
 }
 
 interface LoadState {
-  readonly engine: ShareEngine;
+  readonly engine: FairShareEngine;
   readonly size: ShardSize;
   readonly random: SeededRandom;
   readonly running: PlacedTask[];
@@ -80,7 +80,7 @@
 }
 
 function newLoad(size: ShardSize): LoadState {
-  const engine = new ShareEngine();
+  const engine = new FairShareEngine();
   initEngine(engine, size);
   const times = hdr.build({highestTrackableValue: 60_000_000});
   const random = new SeededRandom(SEED);
@@ -94,7 +94,7 @@
 /** Submits jobs until as many tasks run or wait as the size states. */
 function fillShard(load: LoadState): void {
   const wanted = load.size.running + load.size.waiting;
-  while (load.running.length + load.engine.waitingCount() < wanted) {
+  while (load.running.length + load.engine.countWaitingTasks() < wanted) {
     for (let i = 0; i < load.size.teams; i += 1) submit(load);
     runDecisions(load);
   }
@@ -111,7 +111,7 @@
   load.nowMs += ROUND_PERIOD_MS;
   const ends = Math.ceil(load.size.running / 100);
   for (let i = 0; i < ends; i += 1) endRandomTask(load);
-  while (load.engine.waitingCount() < load.size.waiting) submit(load);
+  while (load.engine.countWaitingTasks() < load.size.waiting) submit(load);
   runDecisions(load);
 }
 
--- a/packages/bench/src/policy-memory.ts
+++ b/packages/bench/src/policy-memory.ts
@@ -1,6 +1,6 @@
 /** Measures how an engine's memory grows with its workers, teams and jobs. */
 import {runInNewContext} from 'node:vm';
-import {ShareEngine} from '@dragonflyward/policy';
+import {FairShareEngine} from '@dragonflyward/policy';
 import {
   newJob,
   SeededRandom,
@@ -70,13 +70,13 @@
   return Math.round((heapWithJobs - heapWithoutJobs) / size.waiting);
 }
 
-function newEngine(size: ShardSize): ShareEngine {
-  const engine = new ShareEngine();
+function newEngine(size: ShardSize): FairShareEngine {
+  const engine = new FairShareEngine();
   initEngine(engine, size);
   return engine;
 }
 
-function newLoadedEngine(size: ShardSize): ShareEngine {
+function newLoadedEngine(size: ShardSize): FairShareEngine {
   const engine = newEngine(size);
   const random = new SeededRandom(SEED);
   for (let i = 0; i < size.waiting; i += 1) {
@@ -86,14 +86,14 @@
   return engine;
 }
 
-function retainedHeap(make: () => ShareEngine): number {
+function retainedHeap(make: () => FairShareEngine): number {
   collectGarbage();
   const before = process.memoryUsage().heapUsed;
   const engine = make();
   collectGarbage();
   const after = process.memoryUsage().heapUsed;
   // Keeps the engine reachable until the heap has been read.
-  engine.waitingCount();
+  engine.countWaitingTasks();
   return after - before;
 }
 
--- a/packages/caller/src/config-feed.ts
+++ b/packages/caller/src/config-feed.ts
@@ -1,9 +1,9 @@
-/** The configuration as a gateway follows it. */
-import {askConfigTail, type PeerMesh} from '@dragonflyward/peer';
+/** The configuration stream, as the gateway follows it. */
+import {fetchConfigTail, type PeerMesh} from '@dragonflyward/peer';
 import {
   ConfigFollower,
   ConfigPeers,
-  type ConfigFollowerParts,
+  type ConfigFollowerOptions,
   type ConfigState,
   type ConfigTail,
   type ListedPeer,
@@ -12,7 +12,7 @@
 import {ConfigView} from './config-view.js';
 import type {VmView} from './vm-view.js';
 
-/** The schedulers on the listed entry VMs. */
+/** The schedulers on the other entry VMs, as sources of configuration. */
 export class MeshConfigPeers extends ConfigPeers {
   constructor(
     private readonly mesh: PeerMesh,
@@ -22,22 +22,22 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] | undefined {
-    if (!this.vms.isKnown) return undefined;
+  override listedPeers(): readonly ListedPeer[] | undefined {
+    if (!this.vms.isLoaded) return undefined;
     const others = this.vms.entryVms().filter(({id}) => id !== this.ownVm);
     return others.map(({id, domain}) => ({vm: id, domain}));
   }
 
-  override askTail(vm: string, from: number): Promise<ConfigTail> {
-    return askConfigTail(this.mesh, vm, from);
+  override requestTail(vm: string, from: number): Promise<ConfigTail> {
+    return fetchConfigTail(this.mesh, vm, from);
   }
 }
 
-/** The configuration in force and how recent it is known to be. */
+/** The current configuration, and its age. */
 export class ConfigFeed extends ConfigView {
   private readonly follower: ConfigFollower;
 
-  constructor(parts: ConfigFollowerParts) {
+  constructor(parts: ConfigFollowerOptions) {
     super();
     this.follower = new ConfigFollower(parts);
   }
@@ -46,12 +46,12 @@
     return this.follower.state;
   }
 
-  /** Starts to follow. */
+  /** Starts following the stream, in the log or through peers. */
   start(): void {
     this.follower.start();
   }
 
-  /** Stops. */
+  /** Stops following the stream. */
   stop(): void {
     this.follower.stop();
   }
@@ -72,7 +72,7 @@
     return this.state.revision >= 0;
   }
 
-  /** How old the newest read is that covers what is applied. */
+  /** The age of the newest read that covers the applied configuration. */
   ageMs(): number {
     return this.follower.ageMs();
   }
--- /dev/null
+++ b/packages/cell/src/executor-loop.ts
@@ -0,0 +1,352 @@
+/** Control loop of one executor: extends its lease and reads its inventory. */
+import type {Clock} from '@dragonflyward/common';
+import type {CellState} from './cell-state.js';
+import {
+  isInventory,
+  type ExecutorClient,
+  type Inventory,
+  type OrderFailure,
+  type OrderReply,
+} from './executor-client.js';
+import {
+  earliestClockMs,
+  haveLeasesExpired,
+  recordClock,
+  type ExecutorState,
+} from './executor-state.js';
+import {InventoryReader} from './inventory-reader.js';
+import {taskName, type TaskState} from './job-state.js';
+import {Signal} from './signal.js';
+
+/** Lease of an executor, in ms; runs continue that long without an owner. */
+export const EXECUTOR_LEASE_MS = 6000;
+/** How long an executor may wait for a run to end before it answers, in ms. */
+const RENEWAL_WAIT_MS = 700;
+/** Timeout of the answer in addition to that wait, in ms. */
+const RENEWAL_TIMEOUT_MS = 300;
+/** The same timeout after an unanswered renewal, in ms. */
+const MISSED_RENEWAL_TIMEOUT_MS = 900;
+/** Wait of a renewal while tail latencies are monitored, in ms. */
+const LATENCY_WATCH_WAIT_MS = 400;
+/** Wait of a renewal while a run is starting or stopping, in ms. */
+const STARTING_WAIT_MS = 100;
+/** Minimum pause between two lease renewals, in ms. */
+const MIN_RENEWAL_INTERVAL_MS = 15;
+/** Pause after an inventory without changes, in ms. */
+const UNCHANGED_RENEWAL_INTERVAL_MS = 60;
+/** Delay before an unanswered order is retried, in ms. */
+const MISSED_RETRY_DELAY_MS = 150;
+/** Delay after the first unanswered renewal, in ms. */
+const FIRST_MISSED_RETRY_DELAY_MS = 10;
+/**
+ * An executor that the store does not list counts as gone after more than this
+ * many unanswered renewals in a row.
+ */
+const MAX_MISSED_RENEWALS = 8;
+
+/** How long an executor gets no new work after it refused a start, in ms. */
+const REFUSAL_BACKOFF_MS: ReadonlyMap<OrderFailure, number> = new Map([
+  ['unhealthy', 1000],
+  ['noRoom', 200],
+  ['late', 100],
+  ['badOrder', 500],
+]);
+
+/** Dependencies of the loop. */
+export interface ExecutorHost {
+  readonly state: CellState;
+  readonly clock: Clock;
+  readonly token: number;
+  readonly mayAct: () => boolean;
+  /** Called when the executor has seen a higher token. */
+  readonly onFenced: () => void;
+  /** Called when the executor's state has changed. */
+  readonly onChange: (executor: ExecutorState) => void;
+  readonly writeLog: (event: string, fields: Readonly<object>) => void;
+}
+
+/** Sends orders to one executor and applies its answers. */
+export class ExecutorLoop {
+  private isClosed = false;
+  private sentAck = 0;
+  /** Start time of the executor process that `sentAck` refers to. */
+  private ackedBornMs = 0;
+  /** When the newest applied inventory was requested. */
+  private inventorySentMs = -Infinity;
+  private readonly signal: Signal;
+  private readonly reader: InventoryReader;
+
+  constructor(
+    readonly executor: ExecutorState,
+    private readonly client: ExecutorClient,
+    private readonly host: ExecutorHost,
+  ) {
+    this.signal = new Signal(host.clock);
+    this.reader = new InventoryReader(executor, host);
+  }
+
+  /** Renews the executor's lease until the loop is closed. */
+  async run(): Promise<void> {
+    while (!this.isClosed) {
+      if (!this.host.mayAct() || !this.needsRenewal()) {
+        await this.signal.wait(RENEWAL_WAIT_MS);
+        continue;
+      }
+      await this.renewOnce();
+    }
+  }
+
+  /** Ends the loop. */
+  close(): void {
+    this.isClosed = true;
+    this.client.close();
+    this.wake();
+  }
+
+  /** Wakes the loop to check again whether a renewal is needed. */
+  wake(): void {
+    this.signal.raise();
+  }
+
+  /** Sends the start order of a task that is assigned to this executor. */
+  async start(task: TaskState, ticket: string): Promise<void> {
+    const {executor} = this;
+    const {clock, token} = this.host;
+    const {run} = task;
+    const leaseUntilMs = this.extendLease();
+    const {payload} = task.step.occurrence.job.spec;
+    const order = {
+      task: taskName(task),
+      run,
+      payload,
+      leaseUntilMs,
+      token,
+      checkpoint: task.checkpoint,
+      ticket,
+    };
+    const reply = await this.client.start(order);
+    recordClock(executor, reply.clockMs, clock.monotonicMs());
+    if (task.executor !== executor || task.run !== run) return;
+    if (reply.failure === null) this.handleStarted(task);
+    else this.handleStartFailure(task, reply);
+    if (task.isStartUnconfirmed) await this.refreshInventory();
+    this.wake();
+  }
+
+  /** Sends a stop until it is answered; an inventory reports the end later. */
+  async stop(name: string, run: number, task: TaskState | null): Promise<void> {
+    while (
+      !this.isClosed &&
+      this.host.mayAct() &&
+      this.isRunOnExecutor(name, run, task)
+    ) {
+      const reply = await this.client.stop(name, run, this.host.token);
+      if (reply.failure === null) {
+        const isSame = task !== null && task.run === run;
+        if (isSame) task.answeredMs = this.host.clock.monotonicMs();
+        if (isSame && task.isStartUnconfirmed) await this.refreshInventory();
+        break;
+      }
+      this.handleFailure(reply, `stop ${name}`);
+      await this.host.clock.sleep(MISSED_RETRY_DELAY_MS);
+    }
+    this.wake();
+  }
+
+  /** Sets the processor share that a run may use. */
+  async limitCpu(task: TaskState, percent: number): Promise<void> {
+    const reply = await this.client.limitCpu(
+      taskName(task),
+      task.run,
+      percent,
+      this.host.token,
+    );
+    if (reply.failure === null) task.percent = percent;
+    else this.handleFailure(reply, `pace ${taskName(task)}`);
+  }
+
+  private isRunOnExecutor(
+    name: string,
+    run: number,
+    task: TaskState | null,
+  ): boolean {
+    if (this.executor.orphans.has(`${name}#${run}`)) return true;
+    return task?.executor === this.executor && task.run === run;
+  }
+
+  private needsRenewal(): boolean {
+    this.resetAckOnRestart();
+    const {tasks, orphans, isReached, missedRenewals, ackedThrough} =
+      this.executor;
+    if (tasks.size > 0 || orphans.size > 0 || missedRenewals > 0) return true;
+    return !isReached || this.sentAck < ackedThrough;
+  }
+
+  /** A restarted executor numbers its ends from 1 again. */
+  private resetAckOnRestart(): void {
+    const {bornMs} = this.executor;
+    if (bornMs === this.ackedBornMs) return;
+    this.ackedBornMs = bornMs;
+    this.sentAck = 0;
+  }
+
+  private async renewOnce(): Promise<void> {
+    const {executor, host} = this;
+    const reply = await this.sendRenewal(this.chooseWaitMs());
+    if (this.isClosed || reply === null) return;
+    if (!isInventory(reply)) {
+      this.handleMissedRenewal(reply);
+      const isFirst = executor.missedRenewals === 1;
+      return host.clock.sleep(
+        isFirst ? FIRST_MISSED_RETRY_DELAY_MS : MISSED_RETRY_DELAY_MS,
+      );
+    }
+  }
+
+  /** Reads the inventory at once, in parallel to a waiting renewal. */
+  private async refreshInventory(): Promise<void> {
+    if (this.isClosed || !this.host.mayAct()) return;
+    await this.sendRenewal(0);
+  }
+
+  /** Renews the lease and applies the inventory unless it is outdated. */
+  private async sendRenewal(
+    waitMs: number,
+  ): Promise<Inventory | OrderReply | null> {
+    const {executor, host} = this;
+    this.resetAckOnRestart();
+    const {ackedThrough, bornMs} = executor;
+    // Each acknowledgement is sent once: an executor whose restart is not yet
+    // known numbers its ends from 1 again, and a repeated acknowledgement would
+    // make it forget ends that this owner has not seen.
+    const isAckNew =
+      ackedThrough > this.sentAck && executor.missedRenewals === 0;
+    const sentMs = host.clock.monotonicMs();
+    const leaseUntilMs = this.extendLease();
+    const answerTimeoutMs =
+      executor.missedRenewals === 0
+        ? RENEWAL_TIMEOUT_MS
+        : MISSED_RENEWAL_TIMEOUT_MS;
+    const reply = await this.client.renewLease({
+      token: host.token,
+      ackedThrough: isAckNew ? ackedThrough : 0,
+      waitMs,
+      timeoutMs: waitMs + answerTimeoutMs,
+      ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
+    });
+    if (this.isClosed || !isInventory(reply)) return reply;
+    // Answers may arrive out of order: an older inventory would list runs that
+    // have ended since.
+    if (sentMs < this.inventorySentMs) return null;
+    this.inventorySentMs = sentMs;
+    const hasChanges = this.reader.apply(reply, sentMs);
+    if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
+    await host.clock.sleep(
+      hasChanges ? MIN_RENEWAL_INTERVAL_MS : UNCHANGED_RENEWAL_INTERVAL_MS,
+    );
+    return reply;
+  }
+
+  private chooseWaitMs(): number {
+    const {tasks, isReached, missedRenewals} = this.executor;
+    if (!isReached || missedRenewals > 0) return 0;
+    let waitMs = RENEWAL_WAIT_MS;
+    for (const {phase, step} of tasks) {
+      if (phase === 'starting') return STARTING_WAIT_MS;
+      if (phase === 'stopping') return STARTING_WAIT_MS;
+      if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
+    }
+    return waitMs;
+  }
+
+  /**
+   * Returns the end of the lease for the next order. The lease is extended only
+   * while the executor answers: a delayed order must not keep runs alive on an
+   * executor that counts as lost.
+   */
+  private extendLease(): number {
+    const {executor, host} = this;
+    if (Number.isNaN(executor.clockMs)) return Number.NaN;
+    if (executor.missedRenewals > 0 && executor.leaseUntilMs > 0) {
+      return executor.leaseUntilMs;
+    }
+    const nowMs = host.clock.monotonicMs();
+    const untilMs = Math.round(
+      earliestClockMs(executor, nowMs) + EXECUTOR_LEASE_MS,
+    );
+    executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
+    return executor.leaseUntilMs;
+  }
+
+  private handleStarted(task: TaskState): void {
+    this.executor.missedRenewals = 0;
+    task.answeredMs = this.host.clock.monotonicMs();
+    if (task.phase === 'starting') task.phase = 'running';
+  }
+
+  private handleStartFailure(task: TaskState, reply: OrderReply): void {
+    const {state, clock, writeLog} = this.host;
+    const {failure} = reply;
+    const executorId = this.executor.info.id;
+    writeLog('startFailed', {
+      task: taskName(task),
+      run: task.run,
+      executorId,
+      failure,
+    });
+    if (failure === 'unknown' || failure === 'oldRun') {
+      // Only a later inventory shows whether the executor runs the task.
+      task.answeredMs = clock.monotonicMs();
+      task.isStartUnconfirmed = true;
+      return;
+    }
+    this.handleFailure(reply, `start ${taskName(task)}`);
+    if (failure === 'badTicket') task.step.tickets.delete(executorId);
+    const pauseMs = REFUSAL_BACKOFF_MS.get(failure ?? 'badOrder') ?? 0;
+    const {executor} = this;
+    const untilMs = clock.monotonicMs() + pauseMs;
+    executor.avoidUntilMs = Math.max(executor.avoidUntilMs, untilMs);
+    state.requeue(task);
+    this.host.onChange(this.executor);
+  }
+
+  private handleFailure(reply: OrderReply, what: string): void {
+    if (reply.failure === 'fenced') this.host.onFenced();
+    if (reply.failure !== 'otherLife') return;
+    this.host.writeLog('executorReplaced', {
+      executorId: this.executor.info.id,
+      what,
+    });
+    const {executor, host} = this;
+    host.state.recordRestart(executor, executor.bornMs, Infinity);
+    host.state.requeueAll(executor);
+    this.executor.isListed = false;
+    this.host.onChange(this.executor);
+  }
+
+  private handleMissedRenewal(reply: OrderReply): void {
+    const {executor, host} = this;
+    if (reply.failure === 'otherLife' || reply.failure === 'fenced') {
+      return this.handleFailure(reply, 'hold');
+    }
+    executor.missedRenewals += 1;
+    if (executor.missedRenewals === 1) {
+      host.writeLog('executorSilent', {
+        executorId: executor.info.id,
+        failure: reply.failure,
+      });
+    }
+    if (!haveLeasesExpired(executor, host.clock.monotonicMs())) return;
+    if (executor.tasks.size > 0 || executor.orphans.size > 0) {
+      host.writeLog('executorLeaseExpired', {
+        executorId: executor.info.id,
+        tasks: executor.tasks.size,
+      });
+      host.state.requeueAll(executor);
+      host.onChange(executor);
+    }
+    if (executor.missedRenewals > MAX_MISSED_RENEWALS && !executor.isListed) {
+      host.onChange(executor);
+    }
+  }
+}
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,15 +1,15 @@
-/** Takes the lists of an executor into the owner's state. */
+/** Applies an executor's inventories to the owner's state. */
 import type {Inventory} from './executor-client.js';
-import {noteClock, type ExecutorState} from './executor-state.js';
-import type {ExecutorHost} from './executor-task.js';
+import {recordClock, type ExecutorState} from './executor-state.js';
+import type {ExecutorHost} from './executor-loop.js';
 import {taskName, type TaskState} from './job-state.js';
 
-/** The longest lease that executors grant, in ms; stated by the platform. */
-export const MAX_LEASE_MS = 10_000;
-/** Ends that one answer lists at most; stated by the platform. */
+/** Longest lease that executors grant, in ms; set by the platform. */
+export const MAX_EXECUTOR_LEASE_MS = 10_000;
+/** Maximum number of ends in one inventory; set by the platform. */
 const MAX_LISTED_ENDS = 500;
 
-/** Reads the lists of one executor. */
+/** Applies the inventories of one executor. */
 export class InventoryReader {
   constructor(
     private readonly executor: ExecutorState,
@@ -17,54 +17,59 @@
   ) {}
 
   /**
-   * Takes in what runs and what ended.
+   * Applies the running and ended runs of an inventory.
    *
-   * @param sentMs when the list was asked for
-   * @returns whether there was news
+   * @param sentMs when the inventory was requested
+   * @returns whether a run ended, or this is the executor's first inventory
    */
-  take(inventory: Inventory, sentMs: number): boolean {
+  apply(inventory: Inventory, sentMs: number): boolean {
     const {executor, host} = this;
     const nowMs = host.clock.monotonicMs();
-    // An executor that does not say when it started has one life.
+    // An executor that does not report its start time counts as never
+    // restarted.
     const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
     if (bornMs !== executor.bornMs) {
-      host.onLine('executorReborn', {executorId: executor.info.id, bornMs});
-      host.state.startNewLife(executor, bornMs, sentMs);
-      // Orders that name the old life's clock are cut to the longest lease.
-      executor.leaseUntilMs = inventory.clockMs + MAX_LEASE_MS;
+      host.writeLog('executorRestarted', {
+        executorId: executor.info.id,
+        bornMs,
+      });
+      host.state.recordRestart(executor, bornMs, sentMs);
+      // Orders with times on the clock before the restart may last for the
+      // longest lease, to which the executor limits them.
+      executor.leaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
     }
-    if (executor.missed > 0) {
-      host.onLine('executorBack', {executorId: executor.info.id});
+    if (executor.missedRenewals > 0) {
+      host.writeLog('executorReachable', {executorId: executor.info.id});
     }
-    executor.missed = 0;
+    executor.missedRenewals = 0;
     const wasReached = executor.isReached;
     executor.isReached = true;
-    noteClock(executor, inventory.clockMs, nowMs);
-    const hadEnds = this.takeEnds(inventory, nowMs);
-    this.takeRuns(inventory, sentMs, nowMs);
-    if (hadEnds || !wasReached) host.onChange(executor);
-    return hadEnds || !wasReached;
+    recordClock(executor, inventory.clockMs, nowMs);
+    const hasNewEnds = this.applyEnds(inventory, nowMs);
+    this.applyRuns(inventory, sentMs, nowMs);
+    if (hasNewEnds || !wasReached) host.onChange(executor);
+    return hasNewEnds || !wasReached;
   }
 
-  private takeEnds({ended}: Inventory, nowMs: number): boolean {
+  private applyEnds({ended}: Inventory, nowMs: number): boolean {
     const {executor, host} = this;
-    let hadEnds = false;
+    let hasNewEnds = false;
     for (const end of ended) {
       if (end.number <= executor.processedThrough) continue;
       executor.processedThrough = end.number;
-      host.state.noteEnd(executor, end, nowMs);
-      host.onLine('runEnded', {
+      host.state.recordEnd(executor, end, nowMs);
+      host.writeLog('runEnded', {
         task: end.task,
         run: end.run,
         how: end.how,
         executorId: executor.info.id,
       });
-      hadEnds = true;
+      hasNewEnds = true;
     }
-    return hadEnds;
+    return hasNewEnds;
   }
 
-  private takeRuns(
+  private applyRuns(
     {running, ended}: Inventory,
     sentMs: number,
     nowMs: number,
@@ -73,28 +78,28 @@
     const listed = new Set<string>();
     for (const {task: name, run, checkpoint, percent, usage} of running) {
       listed.add(`${name}#${run}`);
-      const task = host.state.taskNamed(name);
+      const task = host.state.findTaskByName(name);
       if (task?.executor === executor && isSameRun(task, run, sentMs)) {
         task.run = run;
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
+        this.updateRun(task, checkpoint, percent, usage, nowMs);
       } else if (task !== undefined && mayAdopt(task, run)) {
         host.state.adoptRun(executor, task, run, nowMs);
-        this.noteRunning(task, checkpoint, percent, usage, nowMs);
-        host.onLine('runAdopted', {
+        this.updateRun(task, checkpoint, percent, usage, nowMs);
+        host.writeLog('runAdopted', {
           task: name,
           run,
           executorId: executor.info.id,
         });
       } else {
-        host.state.noteStray(executor, name, run);
+        host.state.recordOrphan(executor, name, run);
       }
     }
-    // A list of ends that is cut off says nothing about what is missing.
+    // If the list of ends is truncated, a missing run may have ended.
     if (ended.length >= MAX_LISTED_ENDS) return;
-    this.noteMissing(listed, sentMs);
+    this.handleMissingRuns(listed, sentMs);
   }
 
-  private noteRunning(
+  private updateRun(
     task: TaskState,
     checkpoint: string,
     percent: number,
@@ -107,14 +112,14 @@
     }
     task.percent = percent;
     task.usage = usage;
-    this.host.state.noteCheckpoint(task, checkpoint);
+    this.host.state.recordCheckpoint(task, checkpoint);
   }
 
-  private noteMissing(listed: ReadonlySet<string>, sentMs: number): void {
+  private handleMissingRuns(listed: ReadonlySet<string>, sentMs: number): void {
     const {executor, host} = this;
-    for (const {task, run} of [...executor.strays.values()]) {
+    for (const {task, run} of [...executor.orphans.values()]) {
       if (!listed.has(`${task}#${run}`)) {
-        host.state.dropStray(executor, task, run);
+        host.state.dropOrphan(executor, task, run);
       }
     }
     for (const task of [...executor.tasks]) {
@@ -124,7 +129,7 @@
         host.state.stopTask(task);
         continue;
       }
-      host.onLine('runMissing', {
+      host.writeLog('runMissing', {
         task: taskName(task),
         run: task.run,
         phase: task.phase,
@@ -136,7 +141,7 @@
   }
 }
 
-/** The run that is known, or one in whose favour the known was refused. */
+/** Whether the run is the known one, or made the executor refuse that one. */
 function isSameRun(task: TaskState, run: number, sentMs: number): boolean {
   if (task.run === run) return true;
   return task.phase === 'starting' && task.answeredMs < sentMs;
--- /dev/null
+++ b/packages/cell/src/service-capacity.ts
@@ -0,0 +1,125 @@
+/** Free capacity of each service, and the headroom for urgent work. */
+import type {CellState} from './cell-state.js';
+import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
+import type {StepState} from './job-state.js';
+import {isSchedulable, type ResourceAmounts} from './placement.js';
+import {isPreemptible} from './preemption.js';
+import type {RankedStep} from './queue-order.js';
+import type {Queue} from './types.js';
+
+/** Share of a service's processors that non-urgent work leaves free. */
+const URGENT_HEADROOM_SHARE = 0.14;
+/** Queues of this priority may use the headroom. */
+export const URGENT_PRIORITY = 0;
+/** Steps of a service that may renew tickets without room in one round. */
+const MAX_BLOCKED_RENEWALS = 3;
+
+/** The executors of a service and their free capacity in one round. */
+export interface ServiceCapacity {
+  readonly executors: readonly ExecutorState[];
+  /** Executors on which new tasks may be placed. */
+  readonly schedulable: readonly ExecutorState[];
+  /** Per resource, the most free on any of them when the round starts. */
+  readonly maxFree: ResourceAmounts;
+  /** Priority of the least urgent preemptible task; -1 for none. */
+  readonly victimPriority: number;
+  readonly hasUrgentQueue: boolean;
+  readonly headroomCpuMilli: number;
+  freeCpuMilli: number;
+  /** How many more steps without room may renew tickets in this round. */
+  renewalsLeft: number;
+}
+
+/** Summarizes the free capacity of each service. */
+export function summarizeServices(
+  state: CellState,
+  nowMs: number,
+): ReadonlyMap<string, ServiceCapacity> {
+  const groups = new Map<string, ExecutorState[]>();
+  for (const executor of state.executors.values()) {
+    const {service} = executor.info;
+    const group = groups.get(service);
+    if (group === undefined) groups.set(service, [executor]);
+    else group.push(executor);
+  }
+  const queues = state.config?.queues ?? [];
+  const capacities = new Map<string, ServiceCapacity>();
+  for (const [service, executors] of groups) {
+    capacities.set(
+      service,
+      summarizeService(service, executors, queues, nowMs),
+    );
+  }
+  return capacities;
+}
+
+function summarizeService(
+  service: string,
+  executors: readonly ExecutorState[],
+  queues: readonly Queue[],
+  nowMs: number,
+): ServiceCapacity {
+  const schedulable = executors.filter(each => isSchedulable(each, nowMs));
+  let totalCpuMilli = 0;
+  let freeCpuMilli = 0;
+  let victimPriority = -1;
+  const maxFree = {cpuMilli: 0, memMb: 0, accel: 0};
+  for (const {info, usedCpuMilli, usedMemMb, usedAccel, tasks} of schedulable) {
+    const {cpuMilli, memMb, accel} = info.capacity;
+    totalCpuMilli += cpuMilli;
+    freeCpuMilli += cpuMilli - usedCpuMilli;
+    maxFree.cpuMilli = Math.max(maxFree.cpuMilli, cpuMilli - usedCpuMilli);
+    maxFree.memMb = Math.max(maxFree.memMb, memMb - usedMemMb);
+    maxFree.accel = Math.max(maxFree.accel, accel - usedAccel);
+    for (const task of tasks) {
+      if (!isPreemptible(task)) continue;
+      const {priority} = task.step.occurrence.job.queue;
+      victimPriority = Math.max(victimPriority, priority);
+    }
+  }
+  const hasUrgentQueue = queues.some(
+    each => each.service === service && each.priority === URGENT_PRIORITY,
+  );
+  const headroomCpuMilli = totalCpuMilli * URGENT_HEADROOM_SHARE;
+  const renewalsLeft = MAX_BLOCKED_RENEWALS;
+  return {
+    executors,
+    schedulable,
+    maxFree,
+    victimPriority,
+    hasUrgentQueue,
+    headroomCpuMilli,
+    freeCpuMilli,
+    renewalsLeft,
+  };
+}
+
+/**
+ * Whether some executor may have room for a task of the step. A cheap upper
+ * bound: the free resources may be on different executors.
+ */
+export function mayFit({spec}: StepState, {maxFree}: ServiceCapacity): boolean {
+  return (
+    allocatedCpuMilli(spec) <= maxFree.cpuMilli &&
+    spec.size.memMb <= maxFree.memMb &&
+    spec.size.accel <= maxFree.accel
+  );
+}
+
+/** Whether a task of the step would leave the headroom for urgent work. */
+export function leavesHeadroom(
+  {step, priority}: RankedStep,
+  capacity: ServiceCapacity,
+): boolean {
+  if (!capacity.hasUrgentQueue || priority === URGENT_PRIORITY) return true;
+  if (step.spec.isService) return true;
+  return (
+    capacity.freeCpuMilli - allocatedCpuMilli(step.spec) >=
+    capacity.headroomCpuMilli
+  );
+}
+
+/** The free processor time of an executor, in thousandths of a core. */
+export function freeCpuMilliOf({info, usedCpuMilli}: ExecutorState): number {
+  return info.capacity.cpuMilli - usedCpuMilli;
+}
--- /dev/null
+++ b/packages/cell/src/ticket-requester.ts
@@ -0,0 +1,199 @@
+/** Requests tickets from the advice service through the VMs of the cell. */
+import type {Ticket} from './executor-client.js';
+import {URGENT_PRIORITY} from './service-capacity.js';
+import type {TicketNeed} from './ticket-needs.js';
+import {recordTickets, stepName, type StepState} from './job-state.js';
+
+/**
+ * Requests expected to take longer than this avoid the owner's VM and its
+ * failure domain where possible, and never take the last idle VM there.
+ */
+const SHORT_DECISION_MS = 150;
+/** Queue bound per VM; tickets of more requests would expire before use. */
+const MAX_QUEUED_PER_VM = 1;
+/** Share of the VMs that may request tickets for steps without room. */
+const SPECULATIVE_VM_SHARE = 0.34;
+/** How long a VM is not used after a failed call, in ms. */
+const VM_BACKOFF_MS = 500;
+/** Added to the expected time before a call counts as failed, in ms. */
+const CALL_SLACK_MS = 600;
+/** Subtracted from a ticket's validity for its way to the executor, in ms. */
+const TICKET_MARGIN_MS = 250;
+
+/** A VM through which the advice service is called, one call at a time. */
+export interface AdviceChannel {
+  readonly vm: string;
+  /** Whether the VM is the owner's own or in the same failure domain. */
+  readonly isInOwnerDomain: boolean;
+  readonly ask: (
+    step: string,
+    executorIds: readonly string[],
+    timeoutMs: number,
+  ) => Promise<readonly Ticket[] | null>;
+}
+
+/** A request for tickets of one step. */
+export interface TicketRequest extends TicketNeed {
+  readonly step: StepState;
+  /** Lower goes first. */
+  readonly precedence: number;
+}
+
+interface QueuedRequest extends TicketRequest {
+  readonly expectedMs: number;
+}
+
+/** Statistics of the calls for one queue since the last report. */
+export interface AdviceStats {
+  readonly queue: string;
+  calls: number;
+  failed: number;
+  tickets: number;
+  /** Sum of the durations of these calls, in ms. */
+  busyMs: number;
+}
+
+/** Distributes ticket requests over the VMs, the most urgent first. */
+export class TicketRequester {
+  private readonly queued: QueuedRequest[] = [];
+  private readonly busy = new Set<string>();
+  private readonly backoffUntilMs = new Map<string, number>();
+  private rows = new Map<string, AdviceStats>();
+  private speculativeCalls = 0;
+
+  constructor(
+    private readonly channels: () => readonly AdviceChannel[],
+    private readonly nowMs: () => number,
+    private readonly onTickets: (step: StepState) => void,
+  ) {}
+
+  /**
+   * Requests tickets for a step; `onTickets` reports the answer. Non-urgent
+   * requests are not queued beyond what the VMs take next, and speculative ones
+   * not at all: a later round repeats them in its own order.
+   */
+  request({step, executorIds, precedence, isSpeculative}: TicketRequest): void {
+    const {queue} = step.occurrence.job;
+    if (step.isRequestingTickets || queue.advice === null) return;
+    if (isSpeculative && !this.mayRequestSpeculatively()) return;
+    const {decisionMs, perExecutorMs} = queue.advice;
+    const expectedMs = decisionMs + perExecutorMs * executorIds.length;
+    step.isRequestingTickets = true;
+    this.queued.push({
+      step,
+      executorIds,
+      expectedMs,
+      precedence,
+      isSpeculative,
+    });
+    this.queued.sort(
+      (a, b) => a.precedence - b.precedence || a.expectedMs - b.expectedMs,
+    );
+    this.dispatch();
+    this.dropExcess(MAX_QUEUED_PER_VM * this.channels().length);
+  }
+
+  /** Whether few enough speculative calls are in progress. */
+  private mayRequestSpeculatively(): boolean {
+    if (this.queued.length > 0) return false;
+    return (
+      this.speculativeCalls <
+      Math.floor(this.channels().length * SPECULATIVE_VM_SHARE)
+    );
+  }
+
+  private dropExcess(maxCount: number): void {
+    while (this.queued.length > maxCount) {
+      const last = this.queued.at(-1);
+      if (last === undefined || last.precedence <= URGENT_PRIORITY) return;
+      last.step.isRequestingTickets = false;
+      this.queued.pop();
+    }
+  }
+
+  /** Returns and resets the statistics of each queue. */
+  takeReport(): readonly AdviceStats[] {
+    const stats = [...this.rows.values()];
+    this.rows = new Map();
+    return stats;
+  }
+
+  /** Sends queued requests through idle VMs. */
+  dispatch(): void {
+    const nowMs = this.nowMs();
+    const free = this.channels().filter(({vm}) => this.isFree(vm, nowMs));
+    const ownDomainFirst = [
+      ...free.filter(each => each.isInOwnerDomain),
+      ...free.filter(each => !each.isInOwnerDomain),
+    ];
+    for (const request of [...this.queued]) {
+      const channel = takeChannel(
+        ownDomainFirst,
+        request.expectedMs <= SHORT_DECISION_MS,
+      );
+      if (channel === undefined) continue;
+      this.queued.splice(this.queued.indexOf(request), 1);
+      this.busy.add(channel.vm);
+      void this.ask(channel, request);
+    }
+  }
+
+  private isFree(vm: string, nowMs: number): boolean {
+    return !this.busy.has(vm) && (this.backoffUntilMs.get(vm) ?? 0) <= nowMs;
+  }
+
+  private async ask(
+    channel: AdviceChannel,
+    request: QueuedRequest,
+  ): Promise<void> {
+    const {step, executorIds, expectedMs, isSpeculative} = request;
+    if (isSpeculative) this.speculativeCalls += 1;
+    const timeoutMs = expectedMs + CALL_SLACK_MS;
+    const name = stepName(step);
+    const sentMs = this.nowMs();
+    const tickets = await channel.ask(name, executorIds, timeoutMs);
+    this.busy.delete(channel.vm);
+    step.isRequestingTickets = false;
+    if (isSpeculative) this.speculativeCalls -= 1;
+    this.recordCall(step.occurrence.job.queue.name, tickets, sentMs);
+    if (tickets === null) {
+      this.backoffUntilMs.set(channel.vm, this.nowMs() + VM_BACKOFF_MS);
+    } else {
+      const {advice} = step.occurrence.job.queue;
+      const lifeMs = (advice?.validityMs ?? 0) - TICKET_MARGIN_MS;
+      const issuedMs = Math.min(this.nowMs(), sentMs + expectedMs);
+      const validUntilMs = issuedMs + lifeMs;
+      recordTickets(step, tickets, validUntilMs, executorIds);
+    }
+    this.onTickets(step);
+    this.dispatch();
+  }
+
+  private recordCall(
+    queue: string,
+    tickets: readonly Ticket[] | null,
+    sentMs: number,
+  ): void {
+    const stats = this.rows.get(queue) ?? newStats(queue);
+    this.rows.set(queue, stats);
+    stats.calls += 1;
+    stats.busyMs += Math.round(this.nowMs() - sentMs);
+    if (tickets === null) stats.failed += 1;
+    else stats.tickets += tickets.length;
+  }
+}
+
+function newStats(queue: string): AdviceStats {
+  return {queue, calls: 0, failed: 0, tickets: 0, busyMs: 0};
+}
+
+function takeChannel(
+  channels: AdviceChannel[],
+  isShort: boolean,
+): AdviceChannel | undefined {
+  if (isShort) return channels.shift();
+  const last = channels.at(-1);
+  if (last === undefined) return undefined;
+  if (last.isInOwnerDomain && channels.length === 1) return undefined;
+  return channels.pop();
+}
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -1,4 +1,4 @@
-/** A store in memory that is as unkind as the platform's may be. */
+/** An in-memory store with the faults that the platform's store may have. */
 import type {Clock} from '@dragonflyward/common';
 import {
   Store,
@@ -6,7 +6,7 @@
   type AppendOptions,
   type KeyedRecord,
   type LogPage,
-  type PlacedRecord,
+  type StoredRecord,
 } from '@dragonflyward/cell';
 
 interface LastAppend {
@@ -18,15 +18,15 @@
 
 interface Topic {
   first: number;
-  readonly log: PlacedRecord[];
-  readonly newest: Map<string, PlacedRecord>;
+  readonly log: StoredRecord[];
+  readonly newest: Map<string, StoredRecord>;
   readonly producers: Map<string, LastAppend>;
 }
 
-/** The contents of the store, shared by all that call it. */
+/** The contents of the store, shared by all clients. */
 export class MemoryStore {
   private readonly topics = new Map<string, Topic>();
-  /** Appends that took effect. */
+  /** Number of appends that took effect. */
   appends = 0;
 
   topic(name: string): Topic {
@@ -42,11 +42,11 @@
     return topic;
   }
 
-  endOf(topic: Topic): number {
+  endOffset(topic: Topic): number {
     return topic.first + topic.log.length;
   }
 
-  /** Carries out an append, as the platform's pages describe it. */
+  /** Executes an append with the semantics of the platform's store. */
   append(
     name: string,
     records: readonly KeyedRecord[],
@@ -57,17 +57,17 @@
       const repeated = this.checkProducer(topic, producer);
       if (repeated !== null) return repeated;
     }
-    if (at !== undefined && at !== this.endOf(topic)) {
+    if (at !== undefined && at !== this.endOffset(topic)) {
       throw new StoreError('conflict', 'the partition ends elsewhere');
     }
     for (const record of records) this.put(topic, record);
     this.appends += 1;
-    const end = this.endOf(topic);
-    if (producer !== undefined) this.noteProducer(topic, producer, end);
+    const end = this.endOffset(topic);
+    if (producer !== undefined) this.recordProducer(topic, producer, end);
     return end;
   }
 
-  /** Drops the history of a topic; the newest record of each key stays. */
+  /** Compacts a topic: only the newest record of each key stays. */
   compact(name: string): void {
     const topic = this.topic(name);
     topic.first += topic.log.length;
@@ -76,13 +76,13 @@
 
   private put(topic: Topic, {key, value}: KeyedRecord): void {
     const copy = Uint8Array.from(value);
-    const placed = {key, value: copy, offset: this.endOf(topic)};
+    const placed = {key, value: copy, offset: this.endOffset(topic)};
     topic.log.push(placed);
     if (value.length === 0) topic.newest.delete(key);
     else topic.newest.set(key, placed);
   }
 
-  /** The first answer of a repeated append; null where it is a new one. */
+  /** Returns the first answer of a retried append, or null for a new one. */
   private checkProducer(
     topic: Topic,
     {name, epoch, sequence}: NonNullable<AppendOptions['producer']>,
@@ -96,7 +96,7 @@
     throw new StoreError('conflict', 'sequence', last.next);
   }
 
-  private noteProducer(
+  private recordProducer(
     topic: Topic,
     {name, epoch, sequence}: NonNullable<AppendOptions['producer']>,
     end: number,
@@ -109,30 +109,30 @@
   }
 }
 
-/** How a store treats one caller. */
-export interface StoreMood {
+/** Faults of the store for one client. */
+export interface StoreFaults {
   /** Refuses all calls. */
   isRefusing: boolean;
-  /** Gives no answer to any call, and does nothing. */
+  /** Gives no answer to any call and executes none. */
   isSilent: boolean;
-  /** How many of the next appends take effect and lose their answer. */
+  /** Number of next appends that take effect but lose their answer. */
   lostAnswers: number;
-  /** How long such appends take to have their effect, in ms. */
-  lateMs: number;
+  /** Delay until such appends take effect, in ms. */
+  lostAppendDelayMs: number;
   /** How long each call takes, in ms. */
   delayMs: number;
 }
 
-/** How long a silent store is waited for, in ms. */
-const SILENCE_MS = 1500;
+/** Time after which a call to a silent store fails, in ms. */
+const CALL_TIMEOUT_MS = 1500;
 
-/** One caller's way to the store. */
+/** One client of the store. */
 export class StoreClient extends Store {
-  readonly mood: StoreMood = {
+  readonly faults: StoreFaults = {
     isRefusing: false,
     isSilent: false,
     lostAnswers: 0,
-    lateMs: 0,
+    lostAppendDelayMs: 0,
     delayMs: 4,
   };
 
@@ -148,19 +148,19 @@
     records: readonly KeyedRecord[],
     options: AppendOptions = {},
   ): Promise<number> {
-    await this.reach();
-    const {mood, memory} = this;
-    if (mood.lostAnswers > 0) {
-      mood.lostAnswers -= 1;
-      void this.appendLater(topic, records, options, mood.lateMs);
-      await this.clock.sleep(SILENCE_MS);
+    await this.simulateCall();
+    const {faults, memory} = this;
+    if (faults.lostAnswers > 0) {
+      faults.lostAnswers -= 1;
+      void this.appendLater(topic, records, options, faults.lostAppendDelayMs);
+      await this.clock.sleep(CALL_TIMEOUT_MS);
       throw new StoreError('unknown', 'the answer was lost');
     }
     return memory.append(topic, records, options);
   }
 
   override async read(topic: string, from: number): Promise<LogPage> {
-    await this.reach();
+    await this.simulateCall();
     const {log, first} = this.memory.topic(topic);
     if (from < first) throw new StoreError('expired', topic);
     const records = log.slice(from - first);
@@ -168,10 +168,10 @@
   }
 
   override async newest(topic: string): Promise<LogPage> {
-    await this.reach();
+    await this.simulateCall();
     const kept = this.memory.topic(topic);
     const records = [...kept.newest.values()];
-    return {endOffset: this.memory.endOf(kept), records};
+    return {endOffset: this.memory.endOffset(kept), records};
   }
 
   private async appendLater(
@@ -184,16 +184,16 @@
     try {
       this.memory.append(topic, records, options);
     } catch (err) {
-      // Its condition holds no more: the append has no effect.
+      // The condition of the append no longer holds: it has no effect.
       if (!(err instanceof StoreError)) throw err;
     }
   }
 
-  private async reach(): Promise<void> {
-    await this.clock.sleep(this.mood.delayMs);
-    if (this.mood.isRefusing) throw new StoreError('refused', 'turned away');
-    if (!this.mood.isSilent) return;
-    await this.clock.sleep(SILENCE_MS);
+  private async simulateCall(): Promise<void> {
+    await this.clock.sleep(this.faults.delayMs);
+    if (this.faults.isRefusing) throw new StoreError('refused', 'all calls');
+    if (!this.faults.isSilent) return;
+    await this.clock.sleep(CALL_TIMEOUT_MS);
     throw new StoreError('unknown', 'no answer');
   }
 }
--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -1,4 +1,4 @@
-/** A log service in memory with switchable faults, for tests. */
+/** In-memory log service with fault injection, for tests. */
 import {raise, type Clock} from '@dragonflyward/common';
 import {LogClient} from './client.js';
 import type {
@@ -15,27 +15,27 @@
   records: LogRecord[];
 }
 
-/** The streams and the faults of one log service. */
+/** The streams and the injected faults of one log service. */
 export class MemoryLog {
-  /** All clients are refused, as in an outage. */
+  /** Whether all calls fail, as in an outage. */
   isDown = false;
-  /** How many of the next appends take effect but lose their reply. */
+  /** How many of the next appends lose their reply but take effect. */
   lostReplies = 0;
-  /** How long after the failed reply a lost append takes effect. */
+  /** Delay after which an append with a lost reply takes effect. */
   delayedEffectMs = 0;
-  /** How long each call takes before it has its effect. */
-  slowMs = 0;
-  /** How many records of a stream are kept. */
-  retainRecords = Number.POSITIVE_INFINITY;
-  /** How many appends took effect. */
+  /** Delay of each call before it takes effect. */
+  latencyMs = 0;
+  /** Maximum number of records that a stream retains. */
+  maxRetainedRecords = Number.POSITIVE_INFINITY;
+  /** Number of appends that took effect. */
   appends = 0;
   private readonly streams = new Map<string, MemoryStream>();
-  private readonly readers: (() => void)[] = [];
+  private readonly appendWaiters: (() => void)[] = [];
 
   constructor(readonly clock: Clock) {}
 
-  /** Takes records in at once. */
-  push(stream: string, records: readonly NewRecord[]): number {
+  /** Appends records immediately; returns the offset of the first. */
+  appendNow(stream: string, records: readonly NewRecord[]): number {
     const kept = this.stream(stream);
     const offset = endOf(kept);
     const timeMs = this.clock.wallMs();
@@ -45,31 +45,31 @@
       timeMs,
     }));
     this.appends += 1;
-    for (const wake of this.readers.splice(0)) wake();
+    for (const wake of this.appendWaiters.splice(0)) wake();
     kept.records.push(...added);
-    const excess = kept.records.length - this.retainRecords;
-    if (excess > 0) this.drop(stream, kept.first + excess);
+    const excess = kept.records.length - this.maxRetainedRecords;
+    if (excess > 0) this.dropBefore(stream, kept.first + excess);
     return offset;
   }
 
   /** Resolves at the next append to any stream. */
-  pushed(): Promise<void> {
-    return new Promise(resolve => this.readers.push(resolve));
+  nextAppend(): Promise<void> {
+    return new Promise(resolve => this.appendWaiters.push(resolve));
   }
 
   /** Drops all records before the offset. */
-  drop(stream: string, first: number): void {
+  dropBefore(stream: string, first: number): void {
     const kept = this.stream(stream);
     kept.records = kept.records.filter(({offset}) => offset >= first);
     kept.first = Math.max(kept.first, first);
   }
 
-  /** All kept records of a stream. */
+  /** Returns all retained records of a stream. */
   records(stream: string): readonly LogRecord[] {
     return this.stream(stream).records;
   }
 
-  /** One page of a stream as it stands now. */
+  /** Reads one page of a stream without waiting. */
   page(stream: string, from: number, maxRecords: number): LogPage {
     const kept = this.stream(stream);
     const start = Math.max(0, from - kept.first);
@@ -99,10 +99,10 @@
   return stream.first + stream.records.length;
 }
 
-/** One process's client of a log in memory. */
+/** The client of one process for an in-memory log. */
 export class MemoryLogClient extends LogClient {
-  /** Whether this client alone is cut off. */
-  isCut = false;
+  /** Whether this client is partitioned from the log. */
+  isOffline = false;
 
   constructor(private readonly log: MemoryLog) {
     super();
@@ -112,12 +112,12 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<AppendReply> {
-    await this.arrive();
+    await this.simulateTransit();
     if (this.log.lostReplies === 0) {
-      return {offset: this.log.push(stream, records)};
+      return {offset: this.log.appendNow(stream, records)};
     }
     this.log.lostReplies -= 1;
-    void this.pushLater(stream, records);
+    void this.appendAfterDelay(stream, records);
     return raise('appendUnknown', stream);
   }
 
@@ -128,38 +128,38 @@
   ): Promise<LogPage> {
     const {clock} = this.log;
     const untilMs = clock.monotonicMs() + options.waitMs;
-    await this.arrive();
+    await this.simulateTransit();
     for (;;) {
-      this.check();
+      this.checkReachable();
       const page = this.log.page(stream, from, options.maxRecords);
       if (page.records.length > 0) return page;
       const leftMs = untilMs - clock.monotonicMs();
       if (leftMs <= 0) return page;
-      await Promise.race([clock.sleep(leftMs), this.log.pushed()]);
+      await Promise.race([clock.sleep(leftMs), this.log.nextAppend()]);
     }
   }
 
   override async streams(): Promise<readonly StreamInfo[]> {
-    await this.arrive();
+    await this.simulateTransit();
     return this.log.list();
   }
 
-  private async pushLater(
+  private async appendAfterDelay(
     stream: string,
     records: readonly NewRecord[],
   ): Promise<void> {
     const {delayedEffectMs, clock} = this.log;
     if (delayedEffectMs > 0) await clock.sleep(delayedEffectMs);
-    this.log.push(stream, records);
+    this.log.appendNow(stream, records);
   }
 
-  private async arrive(): Promise<void> {
-    const {clock, slowMs} = this.log;
+  private async simulateTransit(): Promise<void> {
+    const {clock, latencyMs: slowMs} = this.log;
     await (slowMs > 0 ? clock.sleep(slowMs) : Promise.resolve());
-    this.check();
+    this.checkReachable();
   }
 
-  private check(): void {
-    if (this.log.isDown || this.isCut) raise('logDown', 'memory log');
+  private checkReachable(): void {
+    if (this.log.isDown || this.isOffline) raise('logDown', 'memory log');
   }
 }
--- a/packages/policy/src/first-fit-engine.ts
+++ b/packages/policy/src/first-fit-engine.ts
@@ -1,4 +1,4 @@
-/** The plainest engine: first come, first served, on the first that fits. */
+/** A baseline engine: first come, first served, first fit. */
 import {
   addResources,
   fitsIn,
@@ -22,7 +22,7 @@
   readonly taskIndexes: number[];
 }
 
-/** First come, first served; kept as a baseline. */
+/** Places jobs first come, first served; serves as a baseline. */
 export class FirstFitEngine extends PlacementEngine {
   private readonly workers = new Map<string, PolicyWorker>();
   private readonly used = new Map<string, Resources>();
@@ -34,7 +34,7 @@
   private nextTask = 1;
 
   override setQueues(): void {
-    // All queues are alike to this engine.
+    // This engine ignores queues.
   }
 
   override setTeams(teams: readonly PolicyTeam[]): void {
@@ -50,7 +50,7 @@
     this.workers.delete(workerId);
   }
 
-  override findObstacle(job: PolicyJob): string {
+  override findUnplaceableReason(job: PolicyJob): string {
     for (const worker of this.workers.values()) {
       if (fitsIn(job.size, worker.capacity)) return '';
     }
@@ -84,8 +84,8 @@
     this.teamUsed.set(team, subtractResources(teamUsed, task.size));
   }
 
-  override learn(): void {
-    // This engine believes what was declared.
+  override recordUsage(): void {
+    // This engine reserves the declared size.
   }
 
   override *decide(): Generator<Decision> {
@@ -106,7 +106,7 @@
     return 'all tasks are placed';
   }
 
-  override demand(): readonly TeamDemand[] {
+  override getDemand(): readonly TeamDemand[] {
     return [...this.teams.keys()].map(team => ({
       team,
       running: this.teamUsed.get(team) ?? NO_RESOURCES,
@@ -114,7 +114,7 @@
     }));
   }
 
-  override waitingCount(): number {
+  override countWaitingTasks(): number {
     let count = 0;
     for (const entry of this.waiting.values()) {
       count += entry.taskIndexes.length;
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/share-engine.ts
@@ -1,6 +1,11 @@
-/** The engine of the project: shares, priorities, gangs and limits. */
-import {newCore, obstacleOf, queueOf, countTask} from './core.js';
-import type {EngineCore, ShareOptions} from './core.js';
+/** The default engine: fair shares, priorities, gangs and team limits. */
+import {
+  newCore,
+  findUnplaceableReason,
+  getQueue,
+  addRunningTask,
+} from './core.js';
+import type {EngineCore, FairShareOptions} from './core.js';
 import {
   PlacementEngine,
   type Decision,
@@ -13,17 +18,17 @@
   type TeamDemand,
   type UsageSample,
 } from './engine.js';
-import {learnUsage} from './adjust.js';
+import {recordUsage} from './adjust.js';
 import {decideAll} from './decide.js';
 import {newJobState, type JobState} from './state.js';
-import {admit, noteEnd} from './task-ends.js';
+import {enqueueOrSetAside, recordTaskEnd} from './task-ends.js';
 import {dequeue, enqueue} from './waiting-list.js';
 
-/** Decides by weighted max-min shares of the dominant resource. */
-export class ShareEngine extends PlacementEngine {
+/** Places jobs by weighted dominant resource fairness. */
+export class FairShareEngine extends PlacementEngine {
   private readonly core: EngineCore;
 
-  constructor(options: ShareOptions = {}) {
+  constructor(options: FairShareOptions = {}) {
     super();
     this.core = newCore(options);
   }
@@ -39,31 +44,31 @@
   }
 
   override setWorker(worker: PolicyWorker): void {
-    this.core.cell.setWorker(worker);
+    this.core.workerTable.setWorker(worker);
   }
 
   override removeWorker(workerId: string): void {
-    const state = this.core.cell.workers.get(workerId);
+    const state = this.core.workerTable.workers.get(workerId);
     if (state === undefined) return;
-    this.core.holds.dropWorker(state);
-    this.core.health.forget(state);
-    for (const {job} of this.core.cell.removeWorker(workerId)) {
-      this.forgetIfIdle(job);
+    this.core.holds.removeWorker(state);
+    this.core.health.removeWorker(state);
+    for (const {job} of this.core.workerTable.removeWorker(workerId)) {
+      this.removeIfIdle(job);
     }
   }
 
-  override findObstacle(job: PolicyJob): string {
-    return obstacleOf(this.core, job);
+  override findUnplaceableReason(job: PolicyJob): string {
+    return findUnplaceableReason(this.core, job);
   }
 
   override submit(job: PolicyJob): void {
-    const state = this.getJob(job);
+    const state = this.getOrAddJob(job);
     dequeue(this.core, state);
-    this.describe(state, job);
+    this.updateJob(state, job);
     for (const index of job.taskIndexes) {
       if (!state.running.has(index)) state.pending.add(index);
     }
-    admit(this.core, state);
+    enqueueOrSetAside(this.core, state);
   }
 
   override cancel(jobId: string): readonly PlacedTask[] {
@@ -73,33 +78,34 @@
     this.core.holds.remove(jobId);
     state.pending.clear();
     const placed = [...state.running.values()].map(running => running.task);
-    this.forgetIfIdle(state);
+    this.removeIfIdle(state);
     return placed;
   }
 
   override adopt(task: PlacedTask): void {
-    if (this.core.cell.tasks.has(task.taskId)) return;
-    const state = this.core.jobs.get(task.jobId) ?? this.addUnknownJob(task);
+    if (this.core.workerTable.tasks.has(task.taskId)) return;
+    const state =
+      this.core.jobs.get(task.jobId) ?? this.addPlaceholderJob(task);
     const isWaiting = state.waitClass !== null;
     dequeue(this.core, state);
     state.pending.delete(task.taskIndex);
     if (isWaiting) enqueue(this.core, state);
-    countTask(this.core, state, task);
+    addRunningTask(this.core, state, task);
   }
 
   override ended(taskId: string, end: PlacedTaskEnd, nowMs: number): void {
-    const running = this.core.cell.tasks.get(taskId);
+    const running = this.core.workerTable.tasks.get(taskId);
     if (running === undefined) return;
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
-    this.core.cell.release(running);
-    noteEnd(this.core, running, end);
-    this.readmit(running.job);
-    this.forgetIfIdle(running.job);
+    this.core.workerTable.release(running);
+    recordTaskEnd(this.core, running, end);
+    this.requeueGang(running.job);
+    this.removeIfIdle(running.job);
   }
 
-  override learn(samples: readonly UsageSample[], nowMs: number): void {
+  override recordUsage(samples: readonly UsageSample[], nowMs: number): void {
     this.core.nowMs = Math.max(this.core.nowMs, nowMs);
-    learnUsage(this.core, samples);
+    recordUsage(this.core, samples);
   }
 
   override *decide(nowMs: number): Generator<Decision> {
@@ -115,35 +121,35 @@
     const runs = `${running.size} placed (${workers.slice(0, 8).join(', ')})`;
     if (setAsideReason !== '') return `set aside: ${setAsideReason}; ${runs}`;
     if (waitClass === null) return runs;
-    const obstacle = obstacleOf(this.core, state.job);
-    const reason = obstacle === '' ? waitClass.obstacle : obstacle;
+    const obstacle = findUnplaceableReason(this.core, state.job);
+    const reason = obstacle === '' ? waitClass.waitReason : obstacle;
     return `${pending.size} waiting: ${reason}; ${runs}`;
   }
 
-  override demand(): readonly TeamDemand[] {
+  override getDemand(): readonly TeamDemand[] {
     return [...this.core.teams.values()].map(team => ({
       team: team.team.team,
       running: team.used,
-      waiting: team.waitingSize,
+      waiting: team.waitingResources,
     }));
   }
 
-  override waitingCount(): number {
+  override countWaitingTasks(): number {
     return this.core.waitingTasks;
   }
 
-  private getJob(job: PolicyJob): JobState {
+  private getOrAddJob(job: PolicyJob): JobState {
     const known = this.core.jobs.get(job.jobId);
     if (known !== undefined) return known;
     const team = this.core.teams.get(job.team);
-    const state = newJobState(job, queueOf(this.core, job.queue), team);
+    const state = newJobState(job, getQueue(this.core, job.queue), team);
     this.core.jobs.set(job.jobId, state);
     return state;
   }
 
-  /** Stands for a job of which only a running task is known yet. */
-  private addUnknownJob(task: PlacedTask): JobState {
-    return this.getJob({
+  /** Adds a placeholder for a job of which only a running task is known. */
+  private addPlaceholderJob(task: PlacedTask): JobState {
+    return this.getOrAddJob({
       jobId: task.jobId,
       team: '',
       queue: '',
@@ -157,12 +163,12 @@
     });
   }
 
-  /** Takes over what a later submission says of a job. */
-  private describe(state: JobState, job: PolicyJob): void {
+  /** Replaces the description of a job by that of a later submission. */
+  private updateJob(state: JobState, job: PolicyJob): void {
     const team = this.core.teams.get(job.team);
     state.job = job;
-    state.queue = queueOf(this.core, job.queue);
-    this.core.cell.countPlaces(state);
+    state.queue = getQueue(this.core, job.queue);
+    this.core.workerTable.countPlaces(state);
     if (state.team === team) return;
     for (const {task, isUrgent} of state.running.values()) {
       this.core.teams.release(state.team, task.size, isUrgent);
@@ -172,23 +178,23 @@
   }
 
   private refreshQueue(state: JobState): void {
-    const queue = queueOf(this.core, state.job.queue);
+    const queue = getQueue(this.core, state.job.queue);
     const {priority, policy} = state.queue;
     if (queue.priority === priority && queue.policy === policy) return;
     const isWaiting = state.waitClass !== null;
     dequeue(this.core, state);
     state.queue = queue;
-    this.core.cell.countPlaces(state);
+    this.core.workerTable.countPlaces(state);
     if (isWaiting) enqueue(this.core, state);
   }
 
-  /** Lets the rest of a gang wait whose last stopping task has ended. */
-  private readmit(state: JobState): void {
+  /** Queues the rest of a gang once its last stopping task has ended. */
+  private requeueGang(state: JobState): void {
     if (!state.job.isGang || state.waitClass !== null) return;
-    if (state.setAsideReason === '') admit(this.core, state);
+    if (state.setAsideReason === '') enqueueOrSetAside(this.core, state);
   }
 
-  private forgetIfIdle(state: JobState): void {
+  private removeIfIdle(state: JobState): void {
     if (state.pending.size > 0 || state.running.size > 0) return;
     this.core.holds.remove(state.job.jobId);
     this.core.jobs.delete(state.job.jobId);
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -1,4 +1,4 @@
-/** What the engine keeps for each worker, team, job and running task. */
+/** The state of each worker, organisation, team, job and running task. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {
   PlacedTask,
@@ -9,64 +9,67 @@
 } from './engine.js';
 import type {WaitClass} from './wait-class.js';
 
-/** A worker with what is reserved and held on it. */
+/** A worker with the resources that are reserved and held on it. */
 export interface WorkerState {
   worker: PolicyWorker;
   used: Resources;
-  /** Capacity minus what is used; parts may be negative. */
+  /** Capacity minus usage; amounts may be negative. */
   free: Resources;
-  /** Kept for tasks that have been promised this room. */
+  /** The resources that holds keep for waiting jobs. */
   held: Resources;
-  /** The part of what is held that belongs to urgent tasks. */
+  /** The part of the held resources that is kept for urgent jobs. */
   heldUrgent: Resources;
-  /** When the room that is held is expected to be taken. */
-  heldFromMs: number;
+  /**
+   * When the first hold is expected to be used; tasks that are expected to end
+   * before may use the held resources.
+   */
+  firstHoldMs: number;
   readonly tasks: Set<RunningTask>;
-  /** Set aside for its failures until this time; 0 where it is not. */
-  setAsideUntilMs: number;
-  /** Gets one task at a time until one succeeds. */
+  /** The end of its quarantine for failures; 0 if it is not quarantined. */
+  quarantinedUntilMs: number;
+  /** After a quarantine: gets one task at a time until one succeeds. */
   isOnProbation: boolean;
 }
 
-/** An organisation with the sum of its teams' use. */
+/** An organisation with the total usage of its teams. */
 export interface OrganisationState {
   readonly organisation: string;
   share: number;
   used: Resources;
-  /** The dominant share that its teams are due now. */
-  fair: number;
+  /** The sum of the fair shares of its teams. */
+  fairShare: number;
   /** Half of the dominant share of the task that was started last. */
-  halfTask: number;
-  /** What it has had beyond its share of late; negative for less. */
-  drift: number;
-  /** The dominant share in use, with half a task and the drift, divided by the weight. */
-  ratio: number;
+  halfTaskShare: number;
+  /** Usage beyond the fair share, summed over time; negative if below. */
+  shareExcess: number;
+  /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
+  weightedShare: number;
 }
 
-/** A team with its use and its waiting jobs. */
+/** A team with its usage and its waiting jobs. */
 export interface TeamState {
   team: PolicyTeam;
   organisation: OrganisationState;
   used: Resources;
-  /** The part of the use that belongs to urgent queues. */
+  /** The part of the usage that belongs to urgent queues. */
   urgentUsed: Resources;
   /** Half of the dominant share of the task that was started last. */
-  halfTask: number;
-  /** What it has had beyond its share of late; negative for less. */
-  drift: number;
-  /** The dominant share in use, with half a task and the drift, divided by the weight. */
-  ratio: number;
+  halfTaskShare: number;
+  /** Usage beyond the fair share, summed over time; negative if below. */
+  shareExcess: number;
+  /** Dominant share plus halfTaskShare and shareExcess, over the weight. */
+  weightedShare: number;
   readonly waiting: Map<string, WaitClass>;
-  /** The sum of what its waiting tasks would reserve. */
-  waitingSize: Resources;
-  /** The part of the use whose tasks were told to stop. */
-  stopping: Resources;
-  /** The dominant share that stays once told tasks have ended. */
-  keptShare: number;
+  /** The total size of its waiting tasks. */
+  waitingResources: Resources;
+  /** The part of the usage whose tasks were told to stop. */
+  stoppingResources: Resources;
+  /** The dominant share without the tasks that were told to stop. */
+  netShare: number;
   /** When the team last started a task. */
-  startedMs: number;
-  /** The dominant share that the team is due now. */
-  fair: number;
+  lastStartMs: number;
+  /** The fair dominant share by the present demand. */
+  fairShare: number;
 }
 
 /** A job with its waiting and running tasks. */
@@ -74,19 +77,19 @@
   job: PolicyJob;
   queue: PolicyQueue;
   team: TeamState;
-  /** Indexes of the tasks that wait. */
+  /** The indexes of the waiting tasks. */
   readonly pending: Set<number>;
   readonly running: Map<number, RunningTask>;
-  /** For a job that is spread: how many tasks each place has. */
-  placeCounts: Map<string, number> | null;
+  /** For a spread job: the number of its tasks in each rack and worker. */
+  taskCountByLocation: Map<string, number> | null;
   /** The class in which the job waits. */
   waitClass: WaitClass | null;
-  /** Tells the job's present entry in its class from older ones. */
+  /** The number of the job's current entry in its class; older ones differ. */
   ticket: number;
-  /** Why it was set aside; empty where it was not. */
+  /** Why the job was set aside; empty if it was not. */
   setAsideReason: string;
-  /** It gets no new hold before this time. */
-  noHoldUntilMs: number;
+  /** The time before which the job gets no new hold. */
+  holdBackoffUntilMs: number;
 }
 
 /** A task that has a reservation. */
@@ -94,26 +97,28 @@
   task: PlacedTask;
   readonly job: JobState;
   readonly startedMs: number;
-  /** How long it was expected to run; infinite where unknown. */
+  /** The estimated run time; infinite if unknown. */
   readonly expectedMs: number;
-  /** Whether it counts as urgent use of its team. */
+  /** Whether it counts towards the urgent usage of its team. */
   readonly isUrgent: boolean;
   /** Whether it was told to stop. */
   isStopping: boolean;
   /** When it was told to stop. */
-  stoppingMs: number;
-  /** The largest use that was measured. */
+  stopRequestedMs: number;
+  /** The largest measured CPU usage since the last resize. */
   peakCpuMilli: number;
+  /** The largest measured memory usage since the last resize. */
   peakMemMb: number;
+  /** The number of measurements since the last resize. */
   sampleCount: number;
-  /** What it reserved before it last got more to try; 0 where it did not. */
-  probedCpuMilli: number;
+  /** The CPU reservation before the last probe with more; 0 without probe. */
+  cpuMilliBeforeProbe: number;
   /** When its reservation was last changed. */
-  resizedMs: number;
+  lastResizeMs: number;
 }
 
 /**
- * Makes the state of a worker that holds nothing.
+ * Creates the state of a worker without tasks.
  *
  * @example
  * workers.set(worker.workerId, newWorkerState(worker));
@@ -125,15 +130,15 @@
     free: worker.capacity,
     held: NO_RESOURCES,
     heldUrgent: NO_RESOURCES,
-    heldFromMs: 0,
+    firstHoldMs: 0,
     tasks: new Set(),
-    setAsideUntilMs: 0,
+    quarantinedUntilMs: 0,
     isOnProbation: false,
   };
 }
 
 /**
- * Makes the state of a job of which no task waits or runs.
+ * Creates the state of a job without waiting or running tasks.
  *
  * @example
  * jobs.set(job.jobId, newJobState(job, queue, team));
@@ -149,28 +154,29 @@
     team,
     pending: new Set(),
     running: new Map(),
-    placeCounts: isSpread(job, queue) ? new Map() : null,
+    taskCountByLocation: isSpread(job, queue) ? new Map() : null,
     waitClass: null,
     ticket: 0,
     setAsideReason: '',
-    noHoldUntilMs: 0,
+    holdBackoffUntilMs: 0,
   };
 }
 
 /**
- * Tells whether a worker may get new tasks.
+ * Returns whether a worker may get new tasks: it is ready, not set aside,
+ * and has no task yet if it is on probation.
  *
  * @example
  * if (!isUsable(state)) continue;
  */
-export function isUsable(state: WorkerState): boolean {
+export function isSchedulable(state: WorkerState): boolean {
   if (state.worker.condition !== 'ready') return false;
-  if (state.setAsideUntilMs > 0) return false;
+  if (state.quarantinedUntilMs > 0) return false;
   return !state.isOnProbation || state.tasks.size === 0;
 }
 
 /**
- * Tells whether the tasks of a job are kept apart.
+ * Returns whether the tasks of a job are spread over racks and workers.
  *
  * @example
  * const policy = isSpread(job, queue) ? policies.spread : policies.pack;
--- a/packages/policy/test/engine-cases.test.ts
+++ b/packages/policy/test/engine-cases.test.ts
@@ -1,5 +1,5 @@
 import {
-  ShareEngine,
+  FairShareEngine,
   type Decision,
   type PolicyJob,
   type PolicyTeam,
@@ -8,17 +8,17 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
-const URGENT_BOUND_MS = 9_400;
+const URGENT_WAIT_LIMIT_MS = 9_400;
 const test = suite('engine cases');
 
 const SMALL = {cpuMilli: 1_000, memMb: 1_024, accel: 0, slots: 0};
-const FOUR = {cpuMilli: 4_000, memMb: 4_096, accel: 0, slots: 0};
+const LARGE = {cpuMilli: 4_000, memMb: 4_096, accel: 0, slots: 0};
 
-function worker(workerId: string, capacity = FOUR): PolicyWorker {
+function worker(workerId: string, capacity = LARGE): PolicyWorker {
   return {workerId, rack: 'r', capacity, condition: 'ready'};
 }
 
-function team(name: string, allowance = FOUR): PolicyTeam {
+function team(name: string, allowance = LARGE): PolicyTeam {
   const shares = {share: 1, organisationShare: 1};
   return {team: name, organisation: name, allowance, ...shares};
 }
@@ -31,8 +31,8 @@
   };
 }
 
-function newEngine(...workers: readonly PolicyWorker[]): ShareEngine {
-  const engine = new ShareEngine();
+function newEngine(...workers: readonly PolicyWorker[]): FairShareEngine {
+  const engine = new FairShareEngine();
   engine.setQueues([
     {queue: 'quotes', priority: 'urgent', policy: 'pack'},
     {queue: 'renders', priority: 'batch', policy: 'pack'},
@@ -42,24 +42,24 @@
   return engine;
 }
 
-function decide(engine: ShareEngine, nowMs: number): readonly Decision[] {
+function decide(engine: FairShareEngine, nowMs: number): readonly Decision[] {
   return [...engine.decide(nowMs)];
 }
 
-test('a job is set aside when its only large worker stays away', () => {
+test('a job is set aside when the only worker it fits on is gone', () => {
   const engine = newEngine(worker('w1'), worker('w2', SMALL));
-  engine.submit(job('j', {size: FOUR}));
+  engine.submit(job('j', {size: LARGE}));
   engine.removeWorker('w1');
   assert.equal(decide(engine, 0), []);
   assert.match(engine.explain('j'), 'no worker is large enough');
   const [decision] = decide(engine, 700_000);
   assert.is(decision?.kind, 'setAside');
-  assert.is(engine.waitingCount(), 0);
+  assert.is(engine.countWaitingTasks(), 0);
 });
 
 test('a job whose worker comes back in time is not set aside', () => {
   const engine = newEngine(worker('w1'), worker('w2', SMALL));
-  engine.submit(job('j', {size: FOUR}));
+  engine.submit(job('j', {size: LARGE}));
   engine.removeWorker('w1');
   decide(engine, 0);
   engine.setWorker(worker('w1'));
@@ -67,7 +67,7 @@
   assert.is(decision?.kind, 'start');
 });
 
-test('urgent work of a team at its limit takes the place of its own', () => {
+test('urgent work of a team at its limit preempts its own batch work', () => {
   const engine = newEngine(worker('w1'), worker('w2'));
   engine.submit(job('batch', {taskIndexes: [0, 1, 2, 3]}));
   assert.is(decide(engine, 0).length, 4);
@@ -86,7 +86,7 @@
   decide(engine, 0);
   engine.submit(job('quote', {queue: 'quotes', acceptedMs: 0}));
   const stopped = new Set<string>();
-  for (let nowMs = 100; nowMs < URGENT_BOUND_MS; nowMs += 100) {
+  for (let nowMs = 100; nowMs < URGENT_WAIT_LIMIT_MS; nowMs += 100) {
     for (const decision of decide(engine, nowMs)) {
       if (decision.kind === 'preempt') stopped.add(decision.taskId);
     }
@@ -102,13 +102,13 @@
   assert.equal(decide(engine, 60_000), []);
 });
 
-test('a worker that fails all is tried again, later after each failure', () => {
+test('a worker that fails every task is retried after growing delays', () => {
   const engine = newEngine(worker('bad'));
   const asideMs: number[] = [];
   let next = 0;
   let sinceMs = 0;
   for (let nowMs = 0; nowMs < 400_000; nowMs += 1_000) {
-    if (engine.waitingCount() === 0) {
+    if (engine.countWaitingTasks() === 0) {
       engine.submit(job(`j${next}`, {acceptedMs: nowMs}));
       next += 1;
     }
@@ -117,7 +117,7 @@
         engine.ended(decision.task.taskId, 'failed', nowMs);
       }
       if (decision.kind !== 'worker') continue;
-      if (decision.isSetAside) sinceMs = nowMs;
+      if (decision.isQuarantined) sinceMs = nowMs;
       else asideMs.push(nowMs - sinceMs);
     }
   }
--- a/packages/scheduler/src/allowance-task.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -1,53 +1,56 @@
-/** Follows the allowance table; plans it while this process owns the budget. */
+/**
+ * Follows the allowance table; plans it if this process owns the planner's
+ * shard.
+ */
 import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
 import {
   ALLOWANCE_STREAM,
   AllowanceState,
-  BudgetTask,
-  budgetShard,
+  AllowancePlanner,
+  plannerShard,
   SnapshotTask,
   type Allowance,
-  type AllowanceInput,
+  type AllowancePlanInput,
   type ConfigState,
   type ShardDemand,
 } from '@dragonflyward/state';
 import {AllowanceView} from './allowance-view.js';
 import type {Membership} from './membership.js';
-import type {ShardTask} from './shard-task.js';
+import type {ShardReplica} from './shard-replica.js';
 
 const TAIL_WAIT_MS = 500;
 const REPORT_PERIOD_MS = 1_000;
-/** A report that is older says nothing of a shard's demand. */
-const REPORT_KEPT_MS = 10_000;
+/** A demand report that is older no longer shows what a shard wants. */
+const REPORT_TTL_MS = 10_000;
 
-/** The parts that the task needs. */
-export interface AllowanceTaskParts {
+/** Dependencies of the allowance service. */
+export interface AllowanceServiceParts {
   readonly log: LogClient;
   readonly config: ConfigState;
   readonly membership: Membership;
   readonly mesh: PeerMesh;
-  readonly shards: ReadonlyMap<string, ShardTask>;
+  readonly shards: ReadonlyMap<string, ShardReplica>;
   readonly clock: Clock;
   readonly events: EventRing;
   readonly metrics: Metrics;
 }
 
-interface KeptReport {
+interface ReceivedReport {
   readonly demands: readonly ShardDemand[];
   readonly atMs: number;
 }
 
 /** The allowances of all teams in all shards. */
-export class AllowanceTask extends AllowanceView {
+export class AllowanceService extends AllowanceView {
   readonly table = new AllowanceState();
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
-  private readonly reports = new Map<string, KeptReport>();
+  private readonly reports = new Map<string, ReceivedReport>();
   private isStopped = false;
 
-  constructor(private readonly parts: AllowanceTaskParts) {
+  constructor(private readonly parts: AllowanceServiceParts) {
     super();
     const {log, clock, metrics} = parts;
     const {table} = this;
@@ -62,14 +65,14 @@
     this.writer = new StreamWriter({client: log, stream, tail, clock});
   }
 
-  /** Starts to follow and, while it falls to this process, to plan. */
+  /** Starts to follow the table, and to plan it while this is the planner. */
   start(): void {
     this.tail.start();
     const {table, tail, writer} = this;
     const {clock, events} = this.parts;
     const common = {table, tail, writer, clock, events};
     const isWanted = (): boolean => !this.isStopped;
-    const budget = new BudgetTask({
+    const budget = new AllowancePlanner({
       ...common,
       term: () => this.budgetTerm(),
       input: () => this.input(),
@@ -98,17 +101,18 @@
   }
 
   override isReadSince(sinceMs: number): boolean {
-    return this.table.isComplete && this.tail.lastProofMs >= sinceMs;
+    return this.table.isComplete && this.tail.lastCaughtUpMs >= sinceMs;
   }
 
-  /** The term of the budget's owner; undefined while it is another. */
+  /** The planner's term; undefined if another process is the planner. */
   budgetTerm(): number | undefined {
     const shard = this.budgetShard();
-    const task = shard === undefined ? undefined : this.parts.shards.get(shard);
-    return task?.isActive === true ? task.ownership.term : undefined;
+    const replica =
+      shard === undefined ? undefined : this.parts.shards.get(shard);
+    return replica?.isActive === true ? replica.ownership.term : undefined;
   }
 
-  /** Takes in what another shard's owner wants. */
+  /** Records the demand that a shard's owner reported. */
   noteReport(report: DemandReport): void {
     const atMs = this.parts.clock.monotonicMs();
     const {shard} = report;
@@ -117,20 +121,20 @@
   }
 
   private budgetShard(): string | undefined {
-    return budgetShard(this.parts.membership.domains());
+    return plannerShard(this.parts.membership.domains());
   }
 
-  private input(): Omit<AllowanceInput, 'table'> {
+  private input(): Omit<AllowancePlanInput, 'table'> {
     const {config, membership, clock} = this.parts;
     const limits = new Map<string, Resources>();
     for (const [team, {limit}] of config.teams()) limits.set(team, limit);
-    const oldestMs = clock.monotonicMs() - REPORT_KEPT_MS;
+    const oldestMs = clock.monotonicMs() - REPORT_TTL_MS;
     const newest = [...this.reports.values()].filter(r => r.atMs >= oldestMs);
     const demands = newest.flatMap(report => report.demands);
     return {limits, shards: membership.domains(), demands};
   }
 
-  /** Tells the budget's owner what the shards owned here want. */
+  /** Reports the demand of the shards owned here to the planner. */
   private async reportDemands(): Promise<void> {
     while (!this.isStopped) {
       for (const report of this.ownReports()) this.send(report);
@@ -139,9 +143,9 @@
   }
 
   private *ownReports(): Generator<DemandReport> {
-    for (const [shard, task] of this.parts.shards) {
-      if (!task.isActive) continue;
-      yield {type: 'demandReport', shard, demands: task.demands()};
+    for (const [shard, replica] of this.parts.shards) {
+      if (!replica.isActive) continue;
+      yield {type: 'demandReport', shard, demands: replica.demands()};
     }
   }
 
--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -1,13 +1,13 @@
-/** How ownership reaches the other schedulers. */
+/** The connection of shard ownership to the other schedulers. */
 import {raise, type ProcessRef} from '@dragonflyward/common';
 import type {PeerMesh} from '@dragonflyward/peer';
-import {OwnershipPeers, type OwnershipAsk} from '@dragonflyward/state';
+import {OwnershipPeers, type PromiseRequest} from '@dragonflyward/state';
 import type {Membership} from './membership.js';
 
 const PROMISE_TIMEOUT_MS = 800;
-const CANDIDATE_SILENCE_MS = 2_500;
+const MAX_CANDIDATE_SILENCE_MS = 2_500;
 
-/** Ownership's view of the peers, over the mesh. */
+/** Implements the peers of shard ownership on the peer mesh. */
 export class MeshOwnershipPeers extends OwnershipPeers {
   constructor(
     private readonly shard: string,
@@ -18,7 +18,7 @@
   }
 
   override candidates(): readonly ProcessRef[] {
-    return this.membership.otherFollowers(this.shard, CANDIDATE_SILENCE_MS);
+    return this.membership.otherFollowers(this.shard, MAX_CANDIDATE_SILENCE_MS);
   }
 
   override silentMs(process: ProcessRef): number {
@@ -29,9 +29,9 @@
     return this.membership.isListed(process);
   }
 
-  override async askPromise(
+  override async requestPromise(
     process: ProcessRef,
-    ask: OwnershipAsk,
+    ask: PromiseRequest,
   ): Promise<boolean> {
     const connection = this.mesh.connectionTo(process.vm);
     const info = connection?.info;
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -1,4 +1,4 @@
-/** The scheduler program: wires log, list of VMs, peers and shards. */
+/** The scheduler process: connects the log, VM list, peers and shards. */
 import {
   EventRing,
   HybridClock,
@@ -17,18 +17,18 @@
 import type {JobStatus} from '@dragonflyward/state';
 import {HttpWorkerClient} from '@dragonflyward/target';
 import {HttpVmListClient, type VmEntry} from '@dragonflyward/vms';
-import {AllowanceTask} from './allowance-task.js';
+import {AllowanceService} from './allowance-service.js';
 import {ConfigFeed} from './config-feed.js';
 import {Membership} from './membership.js';
-import {SchedulerPeers} from './scheduler-peers.js';
-import {ShardTask} from './shard-task.js';
-import type {TicketDesk} from './ticket-desk.js';
+import {SchedulerPeerHandler} from './scheduler-peer-handler.js';
+import {ShardReplica} from './shard-replica.js';
+import type {TicketIssuer} from './ticket-issuer.js';
 
-const HANDOVER_BOUND_MS = 10_000;
-const PASS_CLAIMS_TIMEOUT_MS = 3_000;
+const HANDOVER_TIMEOUT_MS = 10_000;
+const EXPORT_CLAIMS_TIMEOUT_MS = 3_000;
 const HANDOVER_CHECK_MS = 50;
 const RETURN_CHECK_MS = 1_000;
-/** A scheduler that runs for this long is given its domain's shard. */
+/** A scheduler must run this long before it gets its domain's shard. */
 const SETTLED_MS = 3_000;
 
 /** One running scheduler. */
@@ -37,16 +37,16 @@
   readonly metrics = new Metrics();
   readonly events: EventRing;
   private readonly clock = new SystemClock();
-  private readonly hybrid = new HybridClock(this.clock);
+  private readonly hybridClock = new HybridClock(this.clock);
   private readonly logger: Logger;
   private readonly membership: Membership;
   private readonly log: HttpLogClient;
   private readonly vmList: HttpVmListClient;
   private readonly config: ConfigFeed;
-  private readonly shards = new Map<string, ShardTask>();
-  private readonly handler: SchedulerPeers;
+  private readonly shards = new Map<string, ShardReplica>();
+  private readonly handler: SchedulerPeerHandler;
   private readonly mesh: PeerMesh;
-  private readonly allowances: AllowanceTask;
+  private readonly allowances: AllowanceService;
   private isDraining = false;
   private isStopped = false;
 
@@ -55,7 +55,7 @@
     const name = `scheduler@${vm.id}`;
     const {clock, metrics} = this;
     this.self = {vm: vm.id, incarnation: Date.now()};
-    this.events = new EventRing(name, this.hybrid);
+    this.events = new EventRing(name, this.hybridClock);
     this.logger = makeLogger(name, logLevel);
     this.membership = new Membership(this.self, clock);
     const bind = {localAddress: vm.ip};
@@ -71,14 +71,14 @@
       maxAgeMs: cfg.timing.configMaxAgeMs,
       isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
     });
-    this.allowances = new AllowanceTask({
+    this.allowances = new AllowanceService({
       ...{mesh, log, membership, clock, events, metrics},
       config: this.config.state,
       shards: this.shards,
     });
   }
 
-  /** Starts all tasks; returns once the ports are open. */
+  /** Starts the process; returns once the ports are open. */
   async start(): Promise<void> {
     const {vm, ports} = this.cfg;
     this.config.start();
@@ -98,27 +98,27 @@
     void this.returnShards();
   }
 
-  /** Hands all shards over, then ends all tasks. */
+  /** Hands over all shards, then stops. */
   async drain(): Promise<void> {
     this.isDraining = true;
     this.events.add('processDraining', {});
     this.logger.info('draining');
-    const handovers = [...this.shards.values()].map(task =>
-      this.handOver(task),
+    const handovers = [...this.shards.values()].map(replica =>
+      this.handOver(replica),
     );
     await Promise.all(handovers);
     this.isStopped = true;
-    for (const task of this.shards.values()) task.stop();
+    for (const replica of this.shards.values()) replica.stop();
     this.allowances.stop();
     this.config.stop();
     this.mesh.close();
     this.events.add('processStopped', {});
   }
 
-  private makeHandler(): SchedulerPeers {
-    return new SchedulerPeers({
+  private makeHandler(): SchedulerPeerHandler {
+    return new SchedulerPeerHandler({
       self: this.self,
-      hybrid: this.hybrid,
+      hybridClock: this.hybridClock,
       membership: this.membership,
       config: () => this.config,
       shards: this.shards,
@@ -133,44 +133,47 @@
     return !this.isDraining && this.config.state.nextOffset > 0;
   }
 
-  private async handOver(task: ShardTask): Promise<void> {
-    if (!task.isActive) return;
-    const {desk} = task;
-    const [heir, ...others] = task.heirs();
-    if (heir === undefined) return;
-    const endMs = this.clock.monotonicMs() + HANDOVER_BOUND_MS;
-    while (task.isActive && this.clock.monotonicMs() < endMs) {
-      await task.ownership.handOver(heir, others).catch(() => undefined);
+  private async handOver(shard: ShardReplica): Promise<void> {
+    if (!shard.isActive) return;
+    const {issuer: old} = shard;
+    const [next, ...others] = shard.handoverCandidates();
+    if (next === undefined) return;
+    const endMs = this.clock.monotonicMs() + HANDOVER_TIMEOUT_MS;
+    while (shard.isActive && this.clock.monotonicMs() < endMs) {
+      await shard.ownership.handOver(next, others).catch(() => undefined);
       await this.clock.sleep(HANDOVER_CHECK_MS);
     }
-    if (!task.isActive && desk !== undefined) await this.passClaims(desk, heir);
+    if (!shard.isActive && old !== undefined) await this.sendClaims(old, next);
   }
 
-  /** The next owner finds repeats of the request ids claimed here. */
-  private async passClaims(desk: TicketDesk, heir: ProcessRef): Promise<void> {
-    const claims = desk.passClaims();
+  /** Sends the claims to the next owner, so that it detects duplicates. */
+  private async sendClaims(
+    issuer: TicketIssuer,
+    successor: ProcessRef,
+  ): Promise<void> {
+    const claims = issuer.exportClaims();
     if (claims === undefined) return;
     await this.mesh
-      .connectionTo(heir.vm)
-      ?.ask(claims, PASS_CLAIMS_TIMEOUT_MS)
+      .connectionTo(successor.vm)
+      ?.ask(claims, EXPORT_CLAIMS_TIMEOUT_MS)
       .catch(() => undefined);
   }
 
-  /** Gives shards of other failure domains back to schedulers in them. */
+  /** Returns shards of other failure domains to schedulers in them. */
   private async returnShards(): Promise<void> {
     while (!this.isStopped) {
       await this.clock.sleep(RETURN_CHECK_MS);
-      for (const [shard, task] of this.shards) {
-        if (this.isReturnDue(shard, task)) await this.handOver(task);
+      for (const [shard, replica] of this.shards) {
+        if (this.isReturnDue(shard, replica)) await this.handOver(replica);
       }
     }
   }
 
-  private isReturnDue(shard: string, task: ShardTask): boolean {
-    if (shard === this.cfg.vm.domain || !task.isActive) return false;
-    const [heir] = task.heirs();
-    if (heir === undefined) return false;
-    return this.membership.isSettledIn(shard, heir, SETTLED_MS);
+  private isReturnDue(shard: string, replica: ShardReplica): boolean {
+    if (shard === this.cfg.vm.domain || !replica.isActive) return false;
+    const [successor] = replica.handoverCandidates();
+    if (successor === undefined) return false;
+    return this.membership.isSettledIn(shard, successor, SETTLED_MS);
   }
 
   private async followVmList(): Promise<void> {
@@ -178,7 +181,7 @@
       const sentMs = this.clock.monotonicMs();
       try {
         this.membership.setVms(await this.vmList.list(), sentMs);
-        this.followMembers();
+        this.updatePeers();
       } catch {
         this.metrics.count('vm_list_failures_total');
       }
@@ -186,7 +189,7 @@
     }
   }
 
-  private followMembers(): void {
+  private updatePeers(): void {
     const {ports} = this.cfg;
     const addresses: PeerAddress[] = [];
     for (const entry of this.membership.entryVms()) {
@@ -194,17 +197,17 @@
       addresses.push({vm: entry.id, ip: entry.ip, port: ports.scheduler});
     }
     this.mesh.setPeers(addresses);
-    this.followShards();
+    this.updateShards();
   }
 
-  private followShards(): void {
+  private updateShards(): void {
     if (this.isDraining) return;
     for (const shard of this.membership.domains()) {
       const rank = this.rankIn(shard);
-      const task = this.shards.get(shard);
-      if (rank >= 0 && task === undefined) this.addShard(shard, rank);
-      if (rank < 0 && task !== undefined && !task.isBound) {
-        task.stop();
+      const replica = this.shards.get(shard);
+      if (rank >= 0 && replica === undefined) this.addShard(shard, rank);
+      if (rank < 0 && replica !== undefined && !replica.isOwnerOrSuccessor) {
+        replica.stop();
         this.shards.delete(shard);
       }
     }
@@ -218,7 +221,7 @@
   private addShard(shard: string, rank: number): void {
     const {self, log, membership, mesh, clock, events, metrics} = this;
     const bind = {localAddress: this.cfg.vm.ip};
-    const task = new ShardTask({
+    const replica = new ShardReplica({
       ...{shard, rank, self, log, membership, mesh, clock, events, metrics},
       config: this.config.state,
       allowances: this.allowances,
@@ -226,13 +229,13 @@
       makeWorkerClient: (vm: VmEntry, name: string) =>
         new HttpWorkerClient(vm.ip, vm.port, name, bind),
     });
-    this.shards.set(shard, task);
-    void task.run();
+    this.shards.set(shard, replica);
+    void replica.run();
   }
 
   private explain(jobId: string): JobStatus {
-    for (const {owner, fold} of this.shards.values()) {
-      if (owner !== undefined && fold.jobs.has(jobId)) {
+    for (const {owner, shardState} of this.shards.values()) {
+      if (owner !== undefined && shardState.jobs.has(jobId)) {
         return owner.jobs.status(jobId);
       }
     }
@@ -249,15 +252,15 @@
       configOffset: this.config.state.nextOffset,
       configRevision: this.config.state.revision,
       configAgeMs: this.config.readAgeMs(),
-      shards: [...this.shards].map(([shard, task]) => ({
+      shards: [...this.shards].map(([shard, replica]) => ({
         shard,
-        term: task.fold.term,
-        owner: task.fold.owner,
-        successors: task.fold.successors,
-        isActive: task.isActive,
-        offset: task.fold.nextOffset,
-        logAgeMs: nowMs - task.tail.lastProofMs,
-        ...task.owner?.summary(),
+        term: replica.shardState.term,
+        owner: replica.shardState.owner,
+        successors: replica.shardState.successors,
+        isActive: replica.isActive,
+        offset: replica.shardState.nextOffset,
+        logAgeMs: nowMs - replica.tail.lastCaughtUpMs,
+        ...replica.owner?.summary(),
       })),
     };
   }
--- a/packages/scheduler/src/worker-task.ts
+++ b/packages/scheduler/src/worker-session.ts
@@ -1,4 +1,4 @@
-/** One worker of a shard: its inventory, renewals, starts and stops. */
+/** The session with one worker: inventory, renewals, starts and stops. */
 import type {
   Clock,
   EventRing,
@@ -14,37 +14,37 @@
   WorkerClient,
 } from '@dragonflyward/target';
 import type {VmEntry} from '@dragonflyward/vms';
-import {LeaseBook} from './lease-book.js';
+import {LeaseTable} from './lease-table.js';
 import {WorkerCalls} from './worker-calls.js';
 
 const INVENTORY_RETRY_MS = 500;
 const WATCH_WAIT_MS = 2_000;
 const USAGE_PERIOD_MS = 5_000;
-const FAILURES_TO_SILENCE = 2;
+const FAILURES_UNTIL_SILENT = 2;
 
-/** What the owner of a worker task is told. */
+/** Receives what worker sessions report. */
 export abstract class WorkerObserver {
   /** Whether this process may act for the shard at this instant. */
   abstract mayAct(): boolean;
   /** The term under which this process acts. */
   abstract term(): number;
-  /** The first inventory under this term; returns the tasks to keep. */
+  /** Handles the first inventory in this term; returns the tasks to keep. */
   abstract adopt(
     vm: VmEntry,
     reports: readonly TaskReport[],
   ): readonly PlacedTask[];
-  /** A task ended, as the worker reports it. */
+  /** Handles the worker's report that a task ended. */
   abstract taskEnded(task: PlacedTask, report: TaskReport): void;
-  /** A task surely does not run, and nothing is known of its outcome. */
+  /** Handles a task that no longer runs and whose outcome is unknown. */
   abstract taskLost(task: PlacedTask): void;
-  /** The worker's condition or capacity changed. */
-  abstract workerChanged(worker: WorkerTask): void;
-  /** Usage came in. */
+  /** Handles a change of the worker's condition or capacity. */
+  abstract workerChanged(worker: WorkerSession): void;
+  /** Handles samples of resource usage. */
   abstract usage(samples: readonly TaskUsage[]): void;
 }
 
-/** The parts that a worker task needs. */
-export interface WorkerTaskParts {
+/** Dependencies of a worker session. */
+export interface WorkerSessionParts {
   readonly vm: VmEntry;
   readonly client: WorkerClient;
   readonly shard: string;
@@ -55,10 +55,10 @@
   readonly observer: WorkerObserver;
 }
 
-/** Everything that goes to one worker; runs until it is stopped. */
-export class WorkerTask {
-  readonly leases: LeaseBook;
-  /** Whether the worker answered an inventory under this term. */
+/** Communicates with one worker until it is stopped. */
+export class WorkerSession {
+  readonly leases: LeaseTable;
+  /** Whether the worker answered an inventory request in this term. */
   hasAnswered = false;
   private vm: VmEntry;
   private isListed = true;
@@ -66,12 +66,12 @@
   private isSilent = true;
   private failures = 0;
   private sequence = 0;
-  /** What is sent to the worker for single tasks. */
+  /** Sends the calls for single tasks. */
   readonly calls: WorkerCalls;
 
-  constructor(private readonly parts: WorkerTaskParts) {
+  constructor(private readonly parts: WorkerSessionParts) {
     this.vm = parts.vm;
-    this.leases = new LeaseBook(parts.timing.taskLeaseMs);
+    this.leases = new LeaseTable(parts.timing.taskLeaseMs);
     const {client, clock, metrics, observer} = parts;
     this.calls = new WorkerCalls({
       ...{client, clock, metrics, leases: this.leases},
@@ -93,14 +93,14 @@
     return this.vm.capacity;
   }
 
-  /** Whether the worker may get new tasks. */
+  /** Only a ready worker gets new tasks. */
   get condition(): WorkerCondition {
     if (this.isSilent) return 'silent';
     if (!this.isListed || this.vm.state === 'leaving') return 'leaving';
     return 'ready';
   }
 
-  /** Takes in what the list of VMs says; undefined where it was dropped. */
+  /** Sets the worker's entry in the list of VMs; undefined if removed. */
   setVm(vm: VmEntry | undefined): void {
     const before = this.condition;
     this.isListed = vm !== undefined;
@@ -108,25 +108,25 @@
     if (this.condition !== before) this.parts.observer.workerChanged(this);
   }
 
-  /** Whether the worker was dropped from the list and nothing is left. */
-  get isGone(): boolean {
+  /** Whether the worker is unlisted, silent and has no leases left. */
+  get isRemovable(): boolean {
     return !this.isListed && this.isSilent && this.leases.size === 0;
   }
 
-  /** Ends all loops; calls under way end by themselves. */
+  /** Ends all loops; calls in progress are not aborted. */
   stop(): void {
     this.isStopped = true;
     this.calls.stop();
   }
 
-  /** Runs until it is stopped: inventory first, then renewals and watching. */
+  /** Runs until it is stopped: first the inventory, then all other loops. */
   async run(): Promise<void> {
     await this.takeInventory();
     await Promise.all([
       this.renewLoop(),
       this.watchLoop(),
       this.usageLoop(),
-      this.lapseLoop(),
+      this.expiryLoop(),
     ]);
   }
 
@@ -151,14 +151,14 @@
     if (this.isStopped) return;
     const nowMs = this.parts.clock.monotonicMs();
     const kept = this.parts.observer.adopt(this.vm, list.tasks);
-    for (const task of kept) this.leases.noteFound(task, nowMs);
+    for (const task of kept) this.leases.noteAdopted(task, nowMs);
     this.hasAnswered = true;
     this.sequence = list.sequence;
     this.noteAnswer();
     this.parts.observer.workerChanged(this);
   }
 
-  /** Renews nothing on a silent worker, so that its leases run out. */
+  /** Skips silent workers, so that their leases expire. */
   private async renewLoop(): Promise<void> {
     const {clock, timing, client, observer} = this.parts;
     while (!this.isStopped) {
@@ -203,7 +203,7 @@
       if (report.state === 'ended') this.reportEnd(report);
       else this.leases.noteConfirmed(report.taskId, nowMs);
     }
-    for (const task of [...this.leases.missing(listed, askedMs)]) {
+    for (const task of [...this.leases.absent(listed, askedMs)]) {
       this.reportLost(task);
     }
   }
@@ -233,13 +233,13 @@
     }
   }
 
-  private async lapseLoop(): Promise<void> {
+  private async expiryLoop(): Promise<void> {
     const {clock} = this.parts;
     while (!this.isStopped) {
       await clock.sleep(INVENTORY_RETRY_MS);
       if (this.isStopped || !this.mayAct()) continue;
       const nowMs = clock.monotonicMs();
-      for (const task of [...this.leases.lapsed(nowMs)]) this.reportLost(task);
+      for (const task of [...this.leases.expired(nowMs)]) this.reportLost(task);
     }
   }
 
@@ -253,7 +253,7 @@
 
   private noteFailure(): void {
     this.failures += 1;
-    if (this.isSilent || this.failures < FAILURES_TO_SILENCE) return;
+    if (this.isSilent || this.failures < FAILURES_UNTIL_SILENT) return;
     this.isSilent = true;
     this.parts.events.add('workerLost', {worker: this.workerId});
     this.parts.observer.workerChanged(this);
--- a/packages/scheduler/test/desk-harness.ts
+++ b/packages/scheduler/test/issuer-harness.ts
@@ -1,4 +1,4 @@
-/** A ticket desk with executors, teams and a clock that tests move. */
+/** A ticket issuer with executors, teams and a manual clock. */
 import {
   EventRing,
   HybridClock,
@@ -11,7 +11,7 @@
 import type {Ticket, TicketAsk, TicketUse} from '@dragonflyward/peer';
 import type {Priority, QueueConfig, TeamConfig} from '@dragonflyward/state';
 import type {VmEntry} from '@dragonflyward/vms';
-import {TicketDesk, type TicketConfig} from '../src/ticket-desk.js';
+import {TicketIssuer, type TicketConfig} from '../src/ticket-issuer.js';
 
 export const SLOTS = 8;
 export const MAX_DEADLINE_MS = 10_000;
@@ -21,7 +21,7 @@
   renders: 'batch',
 };
 
-/** Names an executor's entry in the list of VMs. */
+/** Makes an executor's entry in the list of VMs. */
 export function executor(id: string, change: Partial<VmEntry> = {}): VmEntry {
   return {
     id,
@@ -39,7 +39,7 @@
   };
 }
 
-/** Names a gateway. */
+/** Makes the process reference of a gateway. */
 export function gateway(vm: string): ProcessRef {
   return {vm, incarnation: 1};
 }
@@ -73,7 +73,7 @@
   };
 }
 
-/** What became of an ask. */
+/** The state of a ticket request. */
 export interface AskState {
   readonly team: string;
   readonly gateway: ProcessRef;
@@ -81,24 +81,24 @@
   refusal: string | undefined;
 }
 
-/** A desk and what was asked of it. */
-export class DeskHarness {
+/** A ticket issuer and the requests made to it. */
+export class IssuerHarness {
   readonly asks: AskState[] = [];
-  readonly desk: TicketDesk;
+  readonly issuer: TicketIssuer;
 
   constructor(
     readonly clock = new ManualClock(),
     readonly term = 1,
-    makeDesk = (options: ConstructorParameters<typeof TicketDesk>[0]) =>
-      new TicketDesk(options),
+    makeIssuer = (options: ConstructorParameters<typeof TicketIssuer>[0]) =>
+      new TicketIssuer(options),
   ) {
     const events = new EventRing('test', new HybridClock(clock));
     const metrics = new Metrics();
-    this.desk = makeDesk({shard: 'north-1', clock, metrics, events});
-    this.desk.setConfig(new Config());
+    this.issuer = makeIssuer({shard: 'north-1', clock, metrics, events});
+    this.issuer.setConfig(new Config());
   }
 
-  /** Asks for a ticket; the state tells later what became of it. */
+  /** Requests a ticket; the returned state is updated with the result. */
   ask(
     team: string,
     from: ProcessRef,
@@ -122,19 +122,19 @@
       avoid: [],
       ...change,
     };
-    this.desk.ask(from, ask, this.term).then(
+    this.issuer.ask(from, ask, this.term).then(
       ticket => (state.ticket = ticket),
       (err: unknown) => (state.refusal = toFailure(err).kind),
     );
     return state;
   }
 
-  /** Gives a ticket back. */
+  /** Closes a ticket. */
   close(state: AskState, use: TicketUse, isDraining = false): void {
     const {ticket} = state;
     if (ticket === undefined) return;
     const {ticketId, shard, executorId} = ticket;
-    this.desk.close(state.gateway, {
+    this.issuer.close(state.gateway, {
       type: 'ticketClose',
       ticketId,
       shard,
@@ -144,17 +144,17 @@
     });
   }
 
-  /** Moves the time on. */
+  /** Advances the clock. */
   async advance(deltaMs: number): Promise<void> {
     await this.clock.advance(deltaMs);
   }
 
-  /** Lets what is due run. */
+  /** Runs everything that is due now. */
   async settle(): Promise<void> {
     await this.clock.advance(0);
   }
 
-  /** How many asks have a ticket. */
+  /** Number of requests that have a ticket. */
   granted(): number {
     return this.asks.filter(({ticket}) => ticket !== undefined).length;
   }
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -1,4 +1,4 @@
-/** The table of what each team may have running in each shard. */
+/** The table of allowances: what each team may have running in each shard. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
 import type {ApplyResult} from '@dragonflyward/log';
 import {ALLOWANCE_RECORDS} from './record-schema.js';
@@ -7,9 +7,9 @@
   AllowanceRecord,
   AllowanceStreamRecord,
 } from './records.js';
-import {SnapshotFold, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
 
-/** An amount and the version of the table that set it. */
+/** An allowance and the version of the table that set it. */
 interface VersionedAmount {
   readonly version: number;
   readonly amount: Resources;
@@ -21,7 +21,7 @@
   readonly version: number;
 }
 
-interface DumpEntry {
+interface SnapshotEntry {
   readonly head?: {readonly version: number; readonly term: number};
   readonly ack?: ShardAck & {readonly shard: string};
   readonly cell?: {
@@ -33,14 +33,14 @@
 
 type TeamRow = Map<string, readonly VersionedAmount[]>;
 
-/** Allowances, folded from their stream. */
-export class AllowanceState extends SnapshotFold<AllowanceStreamRecord> {
-  /** Grows by one with each change of the table. */
+/** Allowances, computed from their stream. */
+export class AllowanceState extends SnapshottedState<AllowanceStreamRecord> {
+  /** Incremented by each change of the table. */
   version = 0;
-  /** The highest term of a budget owner that changed the table. */
+  /** The highest term in which the planner changed the table. */
   term = 0;
   private readonly rows = new Map<string, TeamRow>();
-  private readonly ackMap = new Map<string, ShardAck>();
+  private readonly acksByShard = new Map<string, ShardAck>();
 
   constructor() {
     super(ALLOWANCE_RECORDS);
@@ -48,11 +48,11 @@
 
   /** The newest acknowledgement of each shard. */
   get acks(): ReadonlyMap<string, ShardAck> {
-    return this.ackMap;
+    return this.acksByShard;
   }
 
   /**
-   * What the team may have running in the shard.
+   * Returns what the team may have running in the shard.
    *
    * @example
    * engine.setTeams(teams.map(t => toPolicyTeam(t, table.amount(t, shard))));
@@ -62,18 +62,21 @@
     return newest?.amount ?? NO_RESOURCES;
   }
 
-  /** The most that the shard may hold to, as far as it has acknowledged. */
+  /**
+   * Returns the maximum of all allowances that the shard may still act on: the
+   * one it has acknowledged, and the later ones.
+   */
   charge(team: string, shard: string): Resources {
     const amounts = this.rows.get(team)?.get(shard) ?? [];
     return amounts.map(({amount}) => amount).reduce(maxResources, NO_RESOURCES);
   }
 
-  /** The shards that have or had an allowance of the team. */
+  /** Returns the shards that have or had an allowance of the team. */
   shardsOf(team: string): readonly string[] {
     return [...(this.rows.get(team)?.keys() ?? [])];
   }
 
-  /** All teams of the table. */
+  /** Returns all teams of the table. */
   teams(): readonly string[] {
     return [...this.rows.keys()];
   }
@@ -82,13 +85,13 @@
     change: ChangeOf<AllowanceStreamRecord>,
   ): ApplyResult {
     return change.type === 'allowances'
-      ? this.changeTable(change)
-      : this.acknowledge(change);
+      ? this.applyAllowances(change)
+      : this.applyAck(change);
   }
 
-  protected override *entries(): Generator<DumpEntry> {
+  protected override *entries(): Generator<SnapshotEntry> {
     yield {head: {version: this.version, term: this.term}};
-    for (const [shard, ack] of this.ackMap) yield {ack: {shard, ...ack}};
+    for (const [shard, ack] of this.acksByShard) yield {ack: {shard, ...ack}};
     for (const [team, row] of this.rows) {
       for (const [shard, amounts] of row) yield {cell: {team, shard, amounts}};
     }
@@ -96,22 +99,25 @@
 
   protected override restore(entries: readonly unknown[]): void {
     this.rows.clear();
-    this.ackMap.clear();
-    for (const {head, ack, cell} of entries as readonly DumpEntry[]) {
+    this.acksByShard.clear();
+    for (const {head, ack, cell} of entries as readonly SnapshotEntry[]) {
       if (head !== undefined) this.version = head.version;
       if (head !== undefined) this.term = head.term;
-      if (ack !== undefined) this.ackMap.set(ack.shard, toAck(ack));
+      if (ack !== undefined) this.acksByShard.set(ack.shard, toAck(ack));
       if (cell === undefined) continue;
       this.rowOf(cell.team).set(cell.shard, cell.amounts);
     }
   }
 
-  /** Whether a change of the table cites its present version and term. */
+  /**
+   * Whether a change is based on the current version of the table and comes
+   * from no earlier term.
+   */
   protected isCurrent(change: AllowanceRecord): boolean {
     return change.prevVersion === this.version && change.term >= this.term;
   }
 
-  private changeTable(change: AllowanceRecord): ApplyResult {
+  private applyAllowances(change: AllowanceRecord): ApplyResult {
     if (!this.isCurrent(change)) return 'void';
     this.version += 1;
     this.term = change.term;
@@ -123,21 +129,21 @@
     return 'applied';
   }
 
-  private acknowledge(change: AllowanceAckRecord): ApplyResult {
+  private applyAck(change: AllowanceAckRecord): ApplyResult {
     const {shard, term, version} = change;
-    const known = this.ackMap.get(shard);
-    if (version > this.version || version <= (known?.version ?? 0)) {
+    const previous = this.acksByShard.get(shard);
+    if (version > this.version || version <= (previous?.version ?? 0)) {
       return 'void';
     }
-    if (term < (known?.term ?? 0)) return 'void';
-    this.ackMap.set(shard, {term, version});
-    for (const row of this.rows.values()) dropAcknowledged(row, shard, version);
+    if (term < (previous?.term ?? 0)) return 'void';
+    this.acksByShard.set(shard, {term, version});
+    for (const row of this.rows.values()) dropSuperseded(row, shard, version);
     return 'applied';
   }
 
   private rowOf(team: string): TeamRow {
-    const known = this.rows.get(team);
-    if (known !== undefined) return known;
+    const existing = this.rows.get(team);
+    if (existing !== undefined) return existing;
     const added: TeamRow = new Map();
     this.rows.set(team, added);
     return added;
@@ -148,16 +154,16 @@
   return {term, version};
 }
 
-/** Drops the amounts that the shard has left behind. */
-function dropAcknowledged(row: TeamRow, shard: string, version: number): void {
+/** Drops amounts older than the one that the shard has acknowledged. */
+function dropSuperseded(row: TeamRow, shard: string, version: number): void {
   const amounts = row.get(shard);
   if (amounts === undefined) return;
-  const inForce = amounts.findLastIndex(entry => entry.version <= version);
-  if (inForce > 0) row.set(shard, amounts.slice(inForce));
+  const inForceIndex = amounts.findLastIndex(entry => entry.version <= version);
+  if (inForceIndex > 0) row.set(shard, amounts.slice(inForceIndex));
 }
 
 /**
- * The larger of each part of two amounts.
+ * Returns the maximum of two amounts for each resource.
  *
  * @example
  * const charge = maxResources(before, after);
--- a/packages/state/src/allowance-tasks.ts
+++ b/packages/state/src/allowance-tasks.ts
@@ -1,4 +1,6 @@
-/** The tasks that keep the table of allowances: one plans, one per shard. */
+/**
+ * Tasks for the table of allowances: one plans it, one per shard applies it.
+ */
 import {
   fitsIn,
   type Clock,
@@ -6,7 +8,7 @@
   type Resources,
 } from '@dragonflyward/common';
 import type {StreamTail, StreamWriter} from '@dragonflyward/log';
-import {planAllowances, type AllowanceInput} from './allowance-plan.js';
+import {planAllowances, type AllowancePlanInput} from './allowance-plan.js';
 import type {AllowanceState} from './allowance-state.js';
 import {
   RECORD_VERSION,
@@ -14,21 +16,21 @@
   type AllowanceRecord,
 } from './records.js';
 
-const PLAN_PERIOD_MS = 1_000;
-const ACK_PERIOD_MS = 200;
+const PLAN_INTERVAL_MS = 1_000;
+const ACK_CHECK_INTERVAL_MS = 200;
 const MAX_CHANGES_PER_RECORD = 2_000;
 
 /**
- * Names the shard whose owner keeps the table of allowances.
+ * Returns the shard whose owner plans the table of allowances.
  *
  * @example
- * if (budgetShard(domains) === shard) void budget.run(isWanted);
+ * if (budgetShard(domains) === shard) void planner.run(shouldRun);
  */
-export function budgetShard(shards: readonly string[]): string | undefined {
+export function plannerShard(shards: readonly string[]): string | undefined {
   return [...shards].sort()[0];
 }
 
-/** What both tasks need. */
+/** Options of both tasks. */
 export interface AllowanceTaskOptions {
   readonly table: AllowanceState;
   /** Follows the allowance stream into `table`. */
@@ -38,30 +40,40 @@
   readonly events: EventRing;
 }
 
-/** What the planning task needs. */
-export interface BudgetOptions extends AllowanceTaskOptions {
-  /** The term in the budget shard; undefined while it may not act. */
+/** Options of the planning task. */
+export interface AllowancePlannerOptions extends AllowanceTaskOptions {
+  /**
+   * The term of the planner's shard; undefined while this process may not act
+   * for it.
+   */
   readonly term: () => number | undefined;
-  /** Limits, shards and demands as they are known now. */
-  readonly input: () => Omit<AllowanceInput, 'table'>;
+  /** Returns the current limits, shards and demands. */
+  readonly input: () => Omit<AllowancePlanInput, 'table'>;
 }
 
-/** Plans the table; run by the owner of the budget shard. */
-export class BudgetTask {
-  constructor(private readonly options: BudgetOptions) {}
+/** Plans the table; run by the owner of the planner's shard. */
+export class AllowancePlanner {
+  constructor(private readonly options: AllowancePlannerOptions) {}
 
-  /** Plans once a second, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
-    while (isWanted()) {
+  /** Plans once a second until told to stop. */
+  async run(shouldRun: () => boolean): Promise<void> {
+    while (shouldRun()) {
       await this.plan();
-      await this.options.clock.sleep(PLAN_PERIOD_MS);
+      await this.options.clock.sleep(PLAN_INTERVAL_MS);
     }
   }
 
-  /** Plans and writes one change of the table, where one is due. */
+  /** Plans and writes one change of the table, if there is one to make. */
   async plan(): Promise<void> {
-    const {table, term: termOf, input, writer, events, tail} = this.options;
-    const term = termOf();
+    const {
+      table,
+      term: currentTerm,
+      input,
+      writer,
+      events,
+      tail,
+    } = this.options;
+    const term = currentTerm();
     if (term === undefined || !table.isComplete || !tail.isUp) return;
     const changes = planAllowances({...input(), table});
     if (changes.length === 0) return;
@@ -78,30 +90,33 @@
   }
 }
 
-/** What a shard's task needs. */
-export interface KeeperOptions extends AllowanceTaskOptions {
+/** Options of a shard's task. */
+export interface ShardAllowancesOptions extends AllowanceTaskOptions {
   readonly shard: string;
   /** The shard's term; undefined while this process may not act for it. */
   readonly term: () => number | undefined;
-  /** All that counts against the team here, unconfirmed stops included. */
+  /**
+   * Everything that counts against the team here, including tasks whose stop is
+   * not confirmed.
+   */
   readonly running: (team: string) => Resources;
 }
 
-/** Keeps a shard to the table and acknowledges what it was made to give up. */
-export class AllowanceKeeper {
-  constructor(private readonly options: KeeperOptions) {}
+/** Provides the allowances of a shard and acknowledges reductions of them. */
+export class ShardAllowances {
+  constructor(private readonly options: ShardAllowancesOptions) {}
 
   /**
-   * Whether the table was read to its end after the given monotonic time. A
-   * new owner starts nothing before, as its predecessor may have
-   * acknowledged what it has not read yet.
+   * Whether the table was read to its end after the given monotonic time. A new
+   * owner starts nothing before that, because its predecessor may have
+   * acknowledged a reduction that it has not read yet.
    *
    * @example
-   * if (!keeper.isReadSince(tookOverMs)) return;
+   * if (!allowances.isReadSince(tookOverMs)) return;
    */
   isReadSince(sinceMs: number): boolean {
     const {table, tail} = this.options;
-    return table.isComplete && tail.lastProofMs >= sinceMs;
+    return table.isComplete && tail.lastCaughtUpMs >= sinceMs;
   }
 
   /** What the team may have running in this shard. */
@@ -109,26 +124,29 @@
     return this.options.table.amount(team, this.options.shard);
   }
 
-  /** Acknowledges when it can, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
-    while (isWanted()) {
+  /** Writes acknowledgements that are due until told to stop. */
+  async run(shouldRun: () => boolean): Promise<void> {
+    while (shouldRun()) {
       const ack = this.dueAck();
-      if (ack !== undefined) await this.write(ack);
-      await this.options.clock.sleep(ACK_PERIOD_MS);
+      if (ack !== undefined) await this.tryWrite(ack);
+      await this.options.clock.sleep(ACK_CHECK_INTERVAL_MS);
     }
   }
 
-  /** The acknowledgement that is due, if all that runs keeps to the table. */
+  /**
+   * Returns the acknowledgement that is due, provided that all running work
+   * fits the table.
+   */
   dueAck(): AllowanceAckRecord | undefined {
-    const {table, shard, term: termOf} = this.options;
-    const term = termOf();
+    const {table, shard, term: currentTerm} = this.options;
+    const term = currentTerm();
     if (term === undefined || !table.isComplete) return undefined;
-    if (!this.isAckWanted() || !this.isWithin()) return undefined;
+    if (!this.isAckNeeded() || !this.isWithinAllowances()) return undefined;
     const {version} = table;
     return {v: RECORD_VERSION, type: 'allowanceAck', shard, term, version};
   }
 
-  private isAckWanted(): boolean {
+  private isAckNeeded(): boolean {
     const {table, shard} = this.options;
     return table.teams().some(team => {
       const charge = table.charge(team, shard);
@@ -136,16 +154,16 @@
     });
   }
 
-  private isWithin(): boolean {
+  private isWithinAllowances(): boolean {
     const {table, running} = this.options;
     return table.teams().every(t => fitsIn(running(t), this.amount(t)));
   }
 
-  private async write(ack: AllowanceAckRecord): Promise<void> {
+  private async tryWrite(ack: AllowanceAckRecord): Promise<void> {
     try {
       await this.options.writer.write(ack);
     } catch {
-      // The next round finds the acknowledgement still due.
+      // The acknowledgement is still due at the next check, which retries it.
     }
   }
 }
--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -1,36 +1,42 @@
-/** Passes the tail of the configuration stream between peers. */
+/** Exchanges the newest records of the configuration stream between peers. */
 import {newId, type Clock} from '@dragonflyward/common';
 import type {LogRecord, StreamTail} from '@dragonflyward/log';
 import type {ConfigFreshness, ListedPeer} from './config-freshness.js';
 import type {ConfigState} from './config-state.js';
 import type {SnapshotRecord} from './records.js';
 
-const DEFAULT_KEPT_RECORDS = 1_000;
-const ASK_PERIOD_MS = 500;
-/** Peers are asked once the newest read is this part of its maximum age. */
-const ASK_AT_AGE_PART = 0.4;
+const DEFAULT_MAX_RECENT_RECORDS = 1_000;
+const PEER_POLL_INTERVAL_MS = 500;
+/**
+ * Peers are polled once the newest read is older than this fraction of its
+ * maximum age.
+ */
+const PEER_POLL_AGE_FRACTION = 0.4;
 
-/** What a peer passes on. */
+/** A peer's answer: records, and how recent they are. */
 export interface ConfigTail {
-  /** The records from the asked offset on, or parts of a snapshot. */
+  /** The records from the requested offset on, or the parts of a snapshot. */
   readonly records: readonly unknown[];
   readonly ageMs: number;
   readonly end: number;
 }
 
-/** The peers that may know more of the configuration. */
+/** Access to peers that may have newer records of the configuration. */
 export abstract class ConfigPeers {
-  /** The listed entry VMs but this one; undefined while no list was read. */
-  abstract listed(): readonly ListedPeer[] | undefined;
   /**
-   * Asks the peer for its records from the offset on.
+   * The entry VMs of the list of VMs without this one; undefined until the
+   * first list was read.
+   */
+  abstract listedPeers(): readonly ListedPeer[] | undefined;
+  /**
+   * Requests the records of the peer from the offset on.
    *
    * @throws peerDown, peerLost
    */
-  abstract askTail(vm: string, from: number): Promise<ConfigTail>;
+  abstract requestTail(vm: string, from: number): Promise<ConfigTail>;
 }
 
-/** What the exchange needs. */
+/** Options of the exchange. */
 export interface ConfigExchangeOptions {
   readonly fold: ConfigState;
   readonly tail: StreamTail;
@@ -38,18 +44,23 @@
   readonly freshness: ConfigFreshness;
   readonly peers: ConfigPeers;
   readonly maxAgeMs: number;
-  /** How many records are kept to be passed on one by one. */
-  readonly keptRecords?: number;
+  /**
+   * How many records are kept for peers. A peer that lacks more gets a
+   * snapshot.
+   */
+  readonly maxRecentRecords?: number;
 }
 
-/** Answers peers' asks, and asks them while the log is not read. */
+/** Answers requests of peers, and polls them while the log cannot be read. */
 export class ConfigExchange {
-  private kept: readonly LogRecord[] = [];
+  private recentRecords: readonly LogRecord[] = [];
 
   constructor(private readonly options: ConfigExchangeOptions) {
-    const {tail, keptRecords = DEFAULT_KEPT_RECORDS} = options;
+    const {tail, maxRecentRecords = DEFAULT_MAX_RECENT_RECORDS} = options;
     tail.listen(record => {
-      this.kept = [...this.kept, record].slice(-keptRecords);
+      this.recentRecords = [...this.recentRecords, record].slice(
+        -maxRecentRecords,
+      );
     });
   }
 
@@ -57,57 +68,57 @@
    * Answers a peer that has applied all records before the offset.
    *
    * @example
-   * return {type: 'configTail', ...exchange.answer(ask.from)};
+   * return {type: 'configTail', ...exchange.answer(request.from)};
    */
   answer(from: number): ConfigTail {
     const {fold, freshness} = this.options;
-    this.noteOwnRead();
+    this.recordOwnRead();
     const ageMs = freshness.ageMs();
     const end = fold.nextOffset;
     if (!fold.isComplete) return {records: [], ageMs: Infinity, end: 0};
     return {records: this.recordsFrom(from), ageMs, end};
   }
 
-  /** Keeps the freshness up to date, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
+  /** Keeps the freshness up to date until told to stop. */
+  async run(shouldRun: () => boolean): Promise<void> {
     const {clock, peers, freshness} = this.options;
-    while (isWanted()) {
-      this.noteOwnRead();
-      const listed = peers.listed();
+    while (shouldRun()) {
+      this.recordOwnRead();
+      const listed = peers.listedPeers();
       if (listed !== undefined) freshness.setListed(listed);
-      if (this.isAskDue()) await this.askAll(listed ?? []);
-      await clock.sleep(ASK_PERIOD_MS);
+      if (this.isPollDue()) await this.pollPeers(listed ?? []);
+      await clock.sleep(PEER_POLL_INTERVAL_MS);
     }
   }
 
-  private noteOwnRead(): void {
+  private recordOwnRead(): void {
     const {fold, tail, freshness} = this.options;
-    if (fold.isComplete) freshness.noteLogRead(tail.lastProofMs);
+    if (fold.isComplete) freshness.recordLogRead(tail.lastCaughtUpMs);
   }
 
-  private isAskDue(): boolean {
+  private isPollDue(): boolean {
     const {freshness, maxAgeMs} = this.options;
-    return freshness.ageMs() > maxAgeMs * ASK_AT_AGE_PART;
+    return freshness.ageMs() > maxAgeMs * PEER_POLL_AGE_FRACTION;
   }
 
-  private async askAll(listed: readonly ListedPeer[]): Promise<void> {
-    await Promise.all(listed.map(({vm}) => this.askOne(vm)));
+  private async pollPeers(listed: readonly ListedPeer[]): Promise<void> {
+    await Promise.all(listed.map(({vm}) => this.pollPeer(vm)));
   }
 
-  private async askOne(vm: string): Promise<void> {
+  private async pollPeer(vm: string): Promise<void> {
     const {clock, fold, freshness, peers} = this.options;
-    const askedMs = clock.monotonicMs();
+    const requestedMs = clock.monotonicMs();
     try {
       const from = fold.isComplete ? fold.nextOffset : 0;
-      const {records, ageMs, end} = await peers.askTail(vm, from);
-      this.take(records);
-      freshness.notePeerTail({vm, ageMs, end, askedMs});
+      const {records, ageMs, end} = await peers.requestTail(vm, from);
+      this.applyPeerRecords(records);
+      freshness.recordPeerTail({vm, ageMs, end, requestedMs});
     } catch {
-      // A silent peer counts as one that did not answer.
+      // A failed request counts as no answer of this peer.
     }
   }
 
-  private take(records: readonly unknown[]): void {
+  private applyPeerRecords(records: readonly unknown[]): void {
     const {fold, tail} = this.options;
     const [first] = records;
     if (first === undefined) return;
@@ -117,11 +128,11 @@
 
   private recordsFrom(from: number): readonly unknown[] {
     const {fold} = this.options;
-    const missing = fold.nextOffset - from;
-    if (missing <= 0) return [];
-    const records = this.kept.filter(({offset}) => offset >= from);
-    const isWhole = records.length === missing;
-    return isWhole ? records : fold.snapshot(newId('snapshot'));
+    const missingCount = fold.nextOffset - from;
+    if (missingCount <= 0) return [];
+    const records = this.recentRecords.filter(({offset}) => offset >= from);
+    const areAllRecent = records.length === missingCount;
+    return areAllRecent ? records : fold.snapshot(newId('snapshot'));
   }
 }
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,4 @@
-/** State folded from log records. */
+/** State computed from log records. */
 export * from './config-types.js';
 export * from './job-types.js';
 export * from './records.js';
@@ -14,8 +14,8 @@
 export * from './allowance-state.js';
 export * from './ownership-types.js';
 export * from './claimant.js';
-export * from './stall-watch.js';
-export * from './owner-duties.js';
+export * from './stall-detector.js';
+export * from './owner-tasks.js';
 export * from './ownership.js';
 export * from './allowance-plan.js';
 export * from './allowance-tasks.js';
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -1,15 +1,18 @@
-/** Carries the state of a stream forward before the log forgets it. */
+/** Writes snapshots of a stream before the log truncates its records. */
 import {newId, type Clock, type EventRing} from '@dragonflyward/common';
 import type {StreamTail, StreamWriter} from '@dragonflyward/log';
 import type {SnapshotRecord} from './records.js';
 
-/** A snapshot is written at least this often. */
-export const SNAPSHOT_PERIOD_MS = 10 * 60_000;
-/** A reader that starts empty has at most about this much to read. */
-export const SNAPSHOT_MAX_RECORDS = 20_000;
-const CHECK_PERIOD_MS = 1_000;
+/** Maximum time between two snapshots. */
+export const SNAPSHOT_INTERVAL_MS = 10 * 60_000;
+/**
+ * A snapshot is written after this many records, which bounds what a new reader
+ * has to read.
+ */
+export const MAX_RECORDS_AFTER_SNAPSHOT = 20_000;
+const CHECK_INTERVAL_MS = 1_000;
 
-/** What snapshots need of a fold. */
+/** The state that snapshots are made of. */
 export interface SnapshotSource {
   readonly isComplete: boolean;
   readonly nextOffset: number;
@@ -17,31 +20,31 @@
   snapshot(snapshotId: string): readonly SnapshotRecord[];
 }
 
-/** What a snapshot task needs. */
+/** Options of a snapshot task. */
 export interface SnapshotTaskOptions {
   readonly fold: SnapshotSource;
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
   readonly clock: Clock;
   readonly events: EventRing;
-  /** Whether this process is the one to write snapshots now. */
+  /** Whether this process is responsible for writing snapshots now. */
   readonly isAllowed: () => boolean;
   readonly periodMs?: number;
 }
 
-/** What decides whether a snapshot is due. */
+/** Input of the decision whether a snapshot is due. */
 export interface SnapshotAge {
   readonly firstKept: number;
   readonly covers: number;
   readonly nextOffset: number;
-  /** How long ago the newest snapshot was written or first read. */
+  /** Time since the newest snapshot was written or first read. */
   readonly ageMs: number;
   readonly periodMs: number;
 }
 
 /**
- * Tells whether a snapshot is due: the newest one stands in the older half
- * of what the log keeps, or is old, or much was written since.
+ * Returns whether a snapshot is due: the newest one is in the older half of
+ * what the log retains, is too old, or too many records follow it.
  *
  * @example
  * if (isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs})) write();
@@ -50,13 +53,14 @@
   const {firstKept, covers, nextOffset, ageMs, periodMs} = age;
   if (nextOffset === 0) return false;
   if (ageMs >= periodMs) return true;
-  if (nextOffset - covers >= SNAPSHOT_MAX_RECORDS) return true;
-  const isForgetting = firstKept > 0;
-  return isForgetting && covers - firstKept < (nextOffset - firstKept) / 2;
+  if (nextOffset - covers >= MAX_RECORDS_AFTER_SNAPSHOT) return true;
+  const isLogTruncated = firstKept > 0;
+  return isLogTruncated && covers - firstKept < (nextOffset - firstKept) / 2;
 }
 
 /** Writes the snapshots of one stream. */
 export class SnapshotTask {
+  /** What the newest snapshot covers, and since when it is known. */
   private covers = 0;
   private sinceMs: number;
 
@@ -64,17 +68,17 @@
     this.sinceMs = options.clock.monotonicMs();
   }
 
-  /** Writes snapshots when they are due, for as long as it is wanted. */
-  async run(isWanted: () => boolean): Promise<void> {
+  /** Writes snapshots when they are due until told to stop. */
+  async run(shouldRun: () => boolean): Promise<void> {
     const {clock} = this.options;
-    while (isWanted()) {
+    while (shouldRun()) {
       if (this.isDue()) await this.tryWrite();
-      await clock.sleep(CHECK_PERIOD_MS);
+      await clock.sleep(CHECK_INTERVAL_MS);
     }
   }
 
   /**
-   * Writes one snapshot now, part by part.
+   * Writes one snapshot now, one record per part.
    *
    * @throws logDown, appendUnknown
    * @example
@@ -84,22 +88,22 @@
     const {fold, writer, events, tail} = this.options;
     const parts = fold.snapshot(newId('snapshot'));
     for (const part of parts) await writer.write(part);
-    const note = `${tail.stream}: ${parts.length} parts`;
-    events.add('snapshotWritten', {}, note);
+    const detail = `${tail.stream}: ${parts.length} parts`;
+    events.add('snapshotWritten', {}, detail);
   }
 
   private isDue(): boolean {
     const {fold, tail, clock, isAllowed} = this.options;
     const {nextOffset, snapshotCovers: covers} = fold;
-    if (covers !== this.covers) this.noteSnapshot(covers);
+    if (covers !== this.covers) this.recordSnapshot(covers);
     if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
-    const {firstKept} = tail;
+    const {oldestOffset: firstKept} = tail;
     const ageMs = clock.monotonicMs() - this.sinceMs;
-    const {periodMs = SNAPSHOT_PERIOD_MS} = this.options;
+    const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
     return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
   }
 
-  private noteSnapshot(covers: number): void {
+  private recordSnapshot(covers: number): void {
     this.covers = covers;
     this.sinceMs = this.options.clock.monotonicMs();
   }
@@ -108,7 +112,7 @@
     try {
       await this.write();
     } catch {
-      // The next check finds the snapshot still due.
+      // The snapshot is still due at the next check, which retries it.
     }
   }
 }
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -13,7 +13,7 @@
 } from '@dragonflyward/log';
 import {
   ALLOWANCE_STREAM,
-  AllowanceKeeper,
+  ShardAllowances,
   AllowanceState,
   planAllowances,
   RECORD_VERSION,
@@ -43,14 +43,14 @@
 
 interface Op {
   readonly op: (typeof OPS)[number];
-  readonly which: number;
+  readonly index: number;
   readonly value: number;
 }
 
 const ALL_OPS: fc.Arbitrary<readonly Op[]> = fc.array(
   fc.record({
     op: fc.constantFrom(...OPS),
-    which: fc.nat(2),
+    index: fc.nat(2),
     value: fc.nat(MAX_LIMIT),
   }),
   {minLength: 20, maxLength: 120},
@@ -62,47 +62,47 @@
   return {cpuMilli: 0, memMb: 0, accel: 0, slots: count};
 }
 
-/** Shards and two budget owners, each with a view that lags on its own. */
+/** Shards and two planners, each with its own outdated view of the table. */
 class Fleet {
   readonly running: number[] = SHARDS.map(() => 0);
   limit = MAX_LIMIT;
   private readonly clock = new ManualClock();
   private readonly log = new MemoryLog(this.clock);
   private readonly views: AllowanceState[];
-  private readonly budgets: AllowanceState[];
+  private readonly plannerTables: AllowanceState[];
   private readonly terms = SHARDS.map(() => 1);
   private nextId = 1;
 
   constructor(private readonly tableClass: TableClass) {
     this.views = SHARDS.map(() => new tableClass());
-    this.budgets = [new tableClass(), new tableClass()];
+    this.plannerTables = [new tableClass(), new tableClass()];
   }
 
   total(): number {
     return this.running.reduce((a, b) => a + b, 0);
   }
 
-  play({op, which, value}: Op): void {
+  play({op, index, value}: Op): void {
     switch (op) {
       case 'plan':
-        return this.plan(which % 2, value);
+        return this.plan(index % 2, value);
       case 'read':
-        return this.read(which, value);
+        return this.read(index, value);
       case 'start':
-        return this.start(which, value);
+        return this.start(index, value);
       case 'end':
-        this.running[which] = Math.min(this.running[which] ?? 0, value);
+        this.running[index] = Math.min(this.running[index] ?? 0, value);
         return;
       case 'ack':
-        return this.ack(which);
+        return this.ack(index);
       case 'takeOver':
-        return this.takeOver(which);
+        return this.takeOver(index);
       case 'limit':
         this.limit = value;
     }
   }
 
-  /** Shrinks, reads, acknowledges and plans until nothing changes. */
+  /** Reads, stops excess work, acknowledges and plans until nothing changes. */
   settle(): void {
     for (let round = 0; round < 10; round += 1) {
       for (const i of SHARDS.keys()) {
@@ -140,12 +140,12 @@
   }
 
   private push(data: AllowanceStreamRecord): void {
-    this.log.push(ALLOWANCE_STREAM, [{id: `r${this.nextId}`, data}]);
+    this.log.appendNow(ALLOWANCE_STREAM, [{id: `r${this.nextId}`, data}]);
     this.nextId += 1;
   }
 
-  private plan(which: number, seed: number, isFresh = seed % 2 === 0): void {
-    const table = this.budgets[which];
+  private plan(index: number, seed: number, isFresh = seed % 2 === 0): void {
+    const table = this.plannerTables[index];
     if (table === undefined) return;
     if (isFresh) this.catchUp(table, Infinity);
     const demands = SHARDS.map((shard, i) => ({
@@ -156,55 +156,63 @@
     const limits = new Map([[TEAM, slots(this.limit)]]);
     const input = {table, limits, shards: SHARDS, demands};
     const changes = planAllowances(input);
-    const cited = {prevVersion: table.version, term: 1};
-    this.push({v: RECORD_VERSION, type: 'allowances', ...cited, changes});
+    const preconditions = {prevVersion: table.version, term: 1};
+    this.push({
+      v: RECORD_VERSION,
+      type: 'allowances',
+      ...preconditions,
+      changes,
+    });
   }
 
-  private read(which: number, count: number): void {
-    const view = this.views[which];
+  private read(index: number, count: number): void {
+    const view = this.views[index];
     if (view !== undefined) this.catchUp(view, count);
   }
 
-  private start(which: number, count: number): void {
-    const shard = SHARDS[which] ?? '';
-    const allowed = this.views[which]?.amount(TEAM, shard).slots ?? 0;
-    const running = this.running[which] ?? 0;
-    this.running[which] = Math.max(running, Math.min(allowed, count));
+  private start(index: number, count: number): void {
+    const shard = SHARDS[index] ?? '';
+    const allowed = this.views[index]?.amount(TEAM, shard).slots ?? 0;
+    const running = this.running[index] ?? 0;
+    this.running[index] = Math.max(running, Math.min(allowed, count));
   }
 
-  private ack(which: number): void {
-    const ack = this.keeper(which).dueAck();
+  private ack(index: number): void {
+    const ack = this.shardAllowances(index).dueAck();
     if (ack !== undefined) this.push(ack);
   }
 
-  private takeOver(which: number): void {
-    this.terms[which] = (this.terms[which] ?? 0) + 1;
+  private takeOver(index: number): void {
+    this.terms[index] = (this.terms[index] ?? 0) + 1;
     const view = new this.tableClass();
-    this.views[which] = view;
+    this.views[index] = view;
     this.catchUp(view, Infinity);
   }
 
-  private keeper(which: number): AllowanceKeeper {
-    const table = this.views[which] ?? new this.tableClass();
+  private shardAllowances(index: number): ShardAllowances {
+    const table = this.views[index] ?? new this.tableClass();
     const {clock} = this;
     const client = new MemoryLogClient(this.log);
     const base = {client, stream: ALLOWANCE_STREAM, clock};
     const tail = new StreamTail({...base, fold: table, waitMs: 1});
-    return new AllowanceKeeper({
+    return new ShardAllowances({
       table,
       tail,
       writer: new StreamWriter({...base, tail}),
       clock,
       events: new EventRing('p', new HybridClock(clock)),
-      shard: SHARDS[which] ?? '',
-      term: () => this.terms[which],
-      running: () => slots(this.running[which] ?? 0),
+      shard: SHARDS[index] ?? '',
+      term: () => this.terms[index],
+      running: () => slots(this.running[index] ?? 0),
     });
   }
 }
 
-/** Whether the sum keeps to the limit, or falls while a new one is lower. */
-function keepsToLimit(ops: readonly Op[], tableClass: TableClass): boolean {
+/**
+ * Whether the sum stays within the limit, or only falls while above a lowered
+ * one.
+ */
+function staysWithinLimit(ops: readonly Op[], tableClass: TableClass): boolean {
   const fleet = new Fleet(tableClass);
   let bound = fleet.limit;
   for (const op of ops) {
@@ -216,14 +224,14 @@
 }
 
 /** Counts only the newest amounts, acknowledged or not. */
-class UnchargedState extends AllowanceState {
+class NewestAmountState extends AllowanceState {
   override charge(team: string, shard: string): Resources {
     return this.amount(team, shard);
   }
 }
 
-/** Takes changes that were planned on an older table. */
-class UncitedState extends AllowanceState {
+/** Applies changes that were planned on an older table. */
+class UncheckedVersionState extends AllowanceState {
   protected override isCurrent(): boolean {
     return true;
   }
@@ -245,17 +253,17 @@
 
 const allowances = suite('allowances');
 
-check('never pass the limit', ops => keepsToLimit(ops, AllowanceState));
+check('never pass the limit', ops => staysWithinLimit(ops, AllowanceState));
 
 check(
   'pass the limit where only the newest amount is counted',
-  ops => keepsToLimit(ops, UnchargedState),
+  ops => staysWithinLimit(ops, NewestAmountState),
   false,
 );
 
 check(
-  'pass the limit where changes cite nothing',
-  ops => keepsToLimit(ops, UncitedState),
+  'pass the limit where the version of changes is not checked',
+  ops => staysWithinLimit(ops, UncheckedVersionState),
   false,
 );
 
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -1,4 +1,6 @@
-/** Several processes around one log in memory, on a clock set by the test. */
+/**
+ * Simulates several processes that share one log in memory and a manual clock.
+ */
 import {
   Clock,
   EventRing,
@@ -26,7 +28,7 @@
   shardStream,
   ShardState,
   type JobAcceptedRecord,
-  type OwnershipAsk,
+  type PromiseRequest,
   type OwnershipOptions,
 } from '@dragonflyward/state';
 import {jobSpec} from './records.js';
@@ -37,14 +39,14 @@
 export const SILENCE_MS = 1_500;
 const READ_WAIT_MS = 200;
 const PEER_DELAY_MS = 30;
-const STEP_MS = 25;
+const CLOCK_STEP_MS = 25;
 const HEARTBEAT_MS = 500;
-const CANDIDATE_SILENCE_MS = 2_500;
+const CANDIDATE_SILENCE_TIMEOUT_MS = 2_500;
 const PAUSE_CHECK_MS = 25;
-/** Monotonic clocks differ by at most 4 % in rate between two VMs. */
-const RATES = [1, 0.98, 1.02];
+/** Rates of the monotonic clocks; those of two VMs differ by at most 4 %. */
+const CLOCK_RATES = [1, 0.98, 1.02];
 
-/** The clock of one process; its tasks stand still while it is paused. */
+/** The clock of one process; its tasks do not run while it is paused. */
 class MemberClock extends Clock {
   isPaused = false;
 
@@ -65,15 +67,15 @@
 
   override async sleep(delayMs: number): Promise<void> {
     await this.base.sleep(delayMs / this.rate);
-    await this.resumed();
+    await this.waitWhilePaused();
   }
 
-  async resumed(): Promise<void> {
+  async waitWhilePaused(): Promise<void> {
     while (this.isPaused) await this.base.sleep(PAUSE_CHECK_MS);
   }
 }
 
-/** A client whose replies are seen only once the process is resumed. */
+/** A log client whose replies reach a paused process only after it resumes. */
 class MemberLogClient extends LogClient {
   constructor(
     private readonly inner: MemoryLogClient,
@@ -86,7 +88,7 @@
     stream: string,
     records: readonly NewRecord[],
   ): Promise<AppendReply> {
-    return this.inner.append(stream, records).finally(this.resumed);
+    return this.inner.append(stream, records).finally(this.waitWhilePaused);
   }
 
   override read(
@@ -94,14 +96,15 @@
     from: number,
     options: ReadOptions,
   ): Promise<LogPage> {
-    return this.inner.read(stream, from, options).finally(this.resumed);
+    return this.inner.read(stream, from, options).finally(this.waitWhilePaused);
   }
 
   override streams(): ReturnType<LogClient['streams']> {
     return this.inner.streams();
   }
 
-  private readonly resumed = (): Promise<void> => this.clock.resumed();
+  private readonly waitWhilePaused = (): Promise<void> =>
+    this.clock.waitWhilePaused();
 }
 
 /** One process of the cell. */
@@ -118,12 +121,15 @@
   isDead: boolean;
 }
 
-/** What tests replace to switch a mechanism off. */
-export interface CellParts {
+/** Replacements with which tests disable a mechanism. */
+export interface CellOptions {
   readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
   readonly makeFold?: () => ShardState;
-  /** Jobs count as accepted once the append was answered. */
-  readonly isReadBackOff?: boolean;
+  /**
+   * Jobs count as accepted once the append was answered, without reading the
+   * record back.
+   */
+  readonly skipsReadBack?: boolean;
 }
 
 class CellPeers extends OwnershipPeers {
@@ -140,11 +146,11 @@
     );
     return others
       .map(m => m.ref)
-      .filter(ref => this.silentMs(ref) < CANDIDATE_SILENCE_MS);
+      .filter(ref => this.silentMs(ref) < CANDIDATE_SILENCE_TIMEOUT_MS);
   }
 
   override silentMs(process: ProcessRef): number {
-    const heardMs = this.cell.heardMs(process, this.self);
+    const heardMs = this.cell.lastHeardMs(process, this.self);
     return this.cell.clock.monotonicMs() - heardMs;
   }
 
@@ -152,9 +158,9 @@
     return !this.cell.droppedVms.has(process.vm);
   }
 
-  override async askPromise(
+  override async requestPromise(
     process: ProcessRef,
-    ask: OwnershipAsk,
+    request: PromiseRequest,
   ): Promise<boolean> {
     const self = this.cell.find(this.self);
     await self?.clock.sleep(PEER_DELAY_MS);
@@ -162,7 +168,7 @@
     if (!isReachable(peer) || !isReachable(self)) {
       return raise('peerDown', process.vm);
     }
-    const isGiven = peer.ownership.answerPromise(ask, this.self);
+    const isGiven = peer.ownership.answerPromise(request, this.self);
     await self.clock.sleep(PEER_DELAY_MS);
     return isGiven;
   }
@@ -173,29 +179,29 @@
   return !member.isCutFromPeers && !member.clock.isPaused;
 }
 
-/** All processes that may own one shard. */
+/** The processes that may own one shard. */
 export class Cell {
   readonly clock = new ManualClock(1_000);
   readonly log = new MemoryLog(this.clock);
   readonly droppedVms = new Set<string>();
   members: readonly Member[] = [];
-  /** Moments at which more than one process might act. */
+  /** Number of steps after which more than one process might act. */
   violations = 0;
-  /** Jobs that their writer was told stand in the log. */
+  /** Jobs whose writer was told that they are in the log. */
   readonly accepted = new Set<string>();
-  private readonly lastHeardMs = new Map<string, number>();
+  private readonly heartbeatMs = new Map<string, number>();
   private nextJob = 1;
 
-  constructor(private readonly parts: CellParts = {}) {}
+  constructor(private readonly options: CellOptions = {}) {}
 
   /** Starts a process; a higher incarnation is a restart on the same VM. */
   start(vm: string, incarnation = 1): Member {
     const ref = {vm, incarnation};
     const rank = this.members.length;
-    const rate = RATES[rank % RATES.length] ?? 1;
+    const rate = CLOCK_RATES[rank % CLOCK_RATES.length] ?? 1;
     const clock = new MemberClock(this.clock, rate);
     const client = new MemoryLogClient(this.log);
-    const fold = this.parts.makeFold?.() ?? new ShardState();
+    const fold = this.options.makeFold?.() ?? new ShardState();
     const log = new MemberLogClient(client, clock);
     const base = {client: log, stream: STREAM, clock};
     const tail = new StreamTail({...base, fold, waitMs: READ_WAIT_MS});
@@ -212,7 +218,7 @@
       events: new EventRing(vm, new HybridClock(clock)),
       rank,
     };
-    const {makeOwnership} = this.parts;
+    const {makeOwnership} = this.options;
     const ownership = makeOwnership?.(options) ?? new ShardOwnership(options);
     const flags = {isCutFromPeers: false, isDead: false};
     const parts = {ref, clock, client, log, fold, ownership, tail, writer};
@@ -223,43 +229,43 @@
     return member;
   }
 
-  /** Ends a process at once. */
+  /** Kills a process immediately. */
   kill(member: Member): void {
     member.isDead = true;
-    member.client.isCut = true;
+    member.client.isOffline = true;
     member.ownership.stop();
     member.tail.stop();
   }
 
-  /** Moves the time on in small steps and checks who may act. */
+  /** Advances the time in small steps and checks who may act after each. */
   async run(durationMs: number): Promise<void> {
-    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
-      if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.beat();
-      await this.clock.advance(STEP_MS);
+    for (let passedMs = 0; passedMs < durationMs; passedMs += CLOCK_STEP_MS) {
+      if (this.clock.monotonicMs() % HEARTBEAT_MS === 0) this.sendHeartbeats();
+      await this.clock.advance(CLOCK_STEP_MS);
       if (this.acting().length > 1) this.violations += 1;
     }
   }
 
-  /** Has each process that may act accept a job. */
+  /** Makes each process that may act accept a job. */
   acceptJobs(): void {
     for (const member of this.acting()) {
       if (!member.clock.isPaused) void this.acceptJob(member);
     }
   }
 
-  /** The processes that may act now. */
+  /** Returns the processes that may act now. */
   acting(): readonly Member[] {
     return this.members.filter(m => m.ownership.mayAct());
   }
 
-  /** The process of this reference. */
+  /** Returns the process of this reference. */
   find(ref: ProcessRef): Member | undefined {
     return this.members.find(m => isSameProcess(m.ref, ref));
   }
 
-  /** When one process last heard another. */
-  heardMs(from: ProcessRef, by: ProcessRef): number {
-    return this.lastHeardMs.get(`${keyOf(from)}>${keyOf(by)}`) ?? -Infinity;
+  /** Returns when a process last received another's heartbeat. */
+  lastHeardMs(from: ProcessRef, to: ProcessRef): number {
+    return this.heartbeatMs.get(`${keyOf(from)}>${keyOf(to)}`) ?? -Infinity;
   }
 
   /** Stops all tasks. */
@@ -286,19 +292,19 @@
     {tail, writer, log}: Member,
     data: JobAcceptedRecord,
   ): Promise<boolean> {
-    if (!this.parts.isReadBackOff) {
+    if (!this.options.skipsReadBack) {
       return (await writer.write(data)) === 'applied';
     }
     await log.append(tail.stream, [{id: data.job.jobId, data}]);
     return true;
   }
 
-  private beat(): void {
+  private sendHeartbeats(): void {
     const reachable = this.members.filter(isReachable);
     for (const from of reachable) {
-      for (const by of reachable) {
-        const key = `${keyOf(from.ref)}>${keyOf(by.ref)}`;
-        this.lastHeardMs.set(key, this.clock.monotonicMs());
+      for (const to of reachable) {
+        const key = `${keyOf(from.ref)}>${keyOf(to.ref)}`;
+        this.heartbeatMs.set(key, this.clock.monotonicMs());
       }
     }
   }
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -12,7 +12,7 @@
 import * as assert from 'uvu/assert';
 import {CONFIGURATION, configRecord, grant, withdraw} from './records.js';
 
-interface BadCase {
+interface InvalidCase {
   readonly name: string;
   readonly value: unknown;
   readonly message: string;
@@ -24,7 +24,7 @@
   return {...CONFIGURATION, exceptions: [{...EXCEPTION, ...change}]};
 }
 
-const BAD: readonly BadCase[] = [
+const INVALID_CASES: readonly InvalidCase[] = [
   {
     name: 'an exception without a reason',
     value: withException({reason: '  '}),
@@ -63,7 +63,7 @@
   const log = new MemoryLog(new ManualClock());
   const state = new ConfigState();
   for (const [i, data] of records.entries()) {
-    log.push(CONFIG_STREAM, [{id: `r${i}`, data}]);
+    log.appendNow(CONFIG_STREAM, [{id: `r${i}`, data}]);
   }
   for (const record of log.records(CONFIG_STREAM)) state.apply(record);
   return state;
@@ -75,7 +75,7 @@
   assert.ok(validateConfiguration(CONFIGURATION).isOk());
 });
 
-for (const {name, value, message} of BAD) {
+for (const {name, value, message} of INVALID_CASES) {
   config(`refuses ${name} and says where`, () => {
     const checked = validateConfiguration(value);
     assert.ok(checked.isErr());
@@ -86,7 +86,7 @@
 promiseTest(
   config,
   'config-in-force',
-  'gives a race to the earlier record and tells the later one',
+  'the earlier of two racing records wins and the later one is reported',
   () => {
     const state = fold([
       configRecord(-1, 'ada'),
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -15,16 +15,16 @@
 import {configRecord, grant, withdraw} from './records.js';
 
 const MAX_AGE_MS = 4_000;
-/** A withdrawn key stops working within this time. */
-const WITHDRAWAL_BOUND_MS = 5_000;
+/** A withdrawn key must stop working within this time. */
+const WITHDRAWAL_TIMEOUT_MS = 5_000;
 const OUTAGE_MS = 120_000;
 const DOMAINS = ['north-1', 'south-1', 'east-1'];
 const VMS_PER_DOMAIN = 3;
 const KEY = 'k1.s1';
 
-/** Takes every silence for an outage: the mechanism switched off. */
-class TrustingFreshness extends ConfigFreshness {
-  protected override isOutageForAll(): boolean {
+/** Treats any lack of answers as an outage, which disables the mechanism. */
+class AssumedOutageFreshness extends ConfigFreshness {
+  protected override isGlobalLogOutage(): boolean {
     return true;
   }
 }
@@ -40,7 +40,7 @@
   isRunning: boolean;
 }
 
-class Net extends ConfigPeers {
+class GatewayPeers extends ConfigPeers {
   constructor(
     private readonly cell: Gateways,
     private readonly vm: string,
@@ -48,11 +48,11 @@
     super();
   }
 
-  override listed(): readonly ListedPeer[] {
+  override listedPeers(): readonly ListedPeer[] {
     return this.cell.gateways.filter(({vm}) => vm !== this.vm);
   }
 
-  override async askTail(vm: string, from: number): Promise<ConfigTail> {
+  override async requestTail(vm: string, from: number): Promise<ConfigTail> {
     await this.cell.clock.sleep(60);
     const peer = this.cell.gateways.find(g => g.vm === vm);
     const self = this.cell.gateways.find(g => g.vm === this.vm);
@@ -75,10 +75,10 @@
   }
 
   publish(id: string, data: unknown): void {
-    this.log.push(CONFIG_STREAM, [{id, data}]);
+    this.log.appendNow(CONFIG_STREAM, [{id, data}]);
   }
 
-  takes(gateway: Gateway): boolean {
+  acceptsKey(gateway: Gateway): boolean {
     const isKnown = gateway.fold.teamOfKey(KEY) !== undefined;
     return isKnown && gateway.freshness.isFresh();
   }
@@ -96,7 +96,7 @@
     const tail = new StreamTail({client, stream, fold, clock, waitMs: 500});
     const base = {clock, maxAgeMs: MAX_AGE_MS, fold};
     const freshness = new this.freshnessClass({...base, domain});
-    const peers = new Net(this, vm);
+    const peers = new GatewayPeers(this, vm);
     const exchange = new ConfigExchange({...base, tail, freshness, peers});
     const flags = {isUnreachable: false, isRunning: true};
     const parts = {client, fold, freshness, exchange};
@@ -113,11 +113,11 @@
   await cell.clock.advance(3_000);
   const [first, ...others] = cell.gateways;
   assert.ok(first);
-  assert.ok(cell.takes(first));
+  assert.ok(cell.acceptsKey(first));
   return {cell, first, others};
 }
 
-function domainOf(cell: Gateways, domain: string): readonly Gateway[] {
+function gatewaysIn(cell: Gateways, domain: string): readonly Gateway[] {
   return cell.gateways.filter(g => g.domain === domain);
 }
 
@@ -128,7 +128,7 @@
   cell.log.isDown = true;
   for (let i = 0; i < 20; i += 1) {
     await cell.clock.advance(OUTAGE_MS / 20);
-    assert.ok(cell.gateways.every(g => cell.takes(g)));
+    assert.ok(cell.gateways.every(g => cell.acceptsKey(g)));
   }
   cell.end();
 });
@@ -137,11 +137,11 @@
   const {cell, first} = await start();
   cell.log.isDown = true;
   for (const domain of DOMAINS) {
-    const last = domainOf(cell, domain).at(-1);
+    const last = gatewaysIn(cell, domain).at(-1);
     if (last !== undefined) last.isUnreachable = true;
   }
   await cell.clock.advance(OUTAGE_MS);
-  assert.ok(cell.takes(first));
+  assert.ok(cell.acceptsKey(first));
   cell.end();
 });
 
@@ -151,9 +151,9 @@
   'hears of a withdrawal from a peer when cut off',
   async () => {
     const {cell, first} = await start();
-    first.client.isCut = true;
+    first.client.isOffline = true;
     cell.publish('w', withdraw('k1'));
-    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
+    await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
     assert.is(first.fold.teamOfKey(KEY), undefined);
     assert.ok(first.freshness.isFresh());
     cell.end();
@@ -165,23 +165,23 @@
   cell.log.isDown = true;
   const added = cell.add('north-1', VMS_PER_DOMAIN);
   await cell.clock.advance(3_000);
-  assert.ok(cell.takes(added));
+  assert.ok(cell.acceptsKey(added));
   cell.end();
 });
 
-/** Cuts a domain, alone or with another, off from the log and the rest. */
+/** Cuts the domains off from the log and from all other domains. */
 async function refusesWhenCut(
   freshnessClass: FreshnessClass,
   cutDomains: readonly string[],
 ): Promise<boolean> {
   const {cell, first} = await start(freshnessClass);
   for (const gateway of cell.gateways) {
-    if (cutDomains.includes(gateway.domain)) gateway.client.isCut = true;
+    if (cutDomains.includes(gateway.domain)) gateway.client.isOffline = true;
     else gateway.isUnreachable = true;
   }
   cell.publish('w', withdraw('k1'));
-  await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-  const isTaken = cell.takes(first);
+  await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
+  const isTaken = cell.acceptsKey(first);
   cell.end();
   return !isTaken;
 }
@@ -196,9 +196,12 @@
     },
   );
 
-  freshness(`takes withdrawn keys without it, ${cut.length}`, async () => {
-    assert.not(await refusesWhenCut(TrustingFreshness, cut));
-  });
+  freshness(
+    `accepts withdrawn keys without the outage check, ${cut.length} cut off`,
+    async () => {
+      assert.not(await refusesWhenCut(AssumedOutageFreshness, cut));
+    },
+  );
 }
 
 promiseTest(
@@ -207,10 +210,10 @@
   'refuses when it is cut off from log and all peers',
   async () => {
     const {cell, first} = await start();
-    first.client.isCut = true;
+    first.client.isOffline = true;
     first.isUnreachable = true;
-    await cell.clock.advance(WITHDRAWAL_BOUND_MS);
-    assert.not(cell.takes(first));
+    await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
+    assert.not(cell.acceptsKey(first));
     cell.end();
   },
 );
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -1,10 +1,12 @@
-import {STALL_GRACE_MS} from '@dragonflyward/state';
+import {OWNER_STALL_TIMEOUT_MS} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
 
-/** From the owner's death until urgent work starts again in its shard. */
-const TAKEOVER_BOUND_MS = 9_400;
+/**
+ * Maximum time from the owner's death until its shard starts urgent work again.
+ */
+const TAKEOVER_TIMEOUT_MS = 9_400;
 const BETWEEN_HEARTBEATS_MS = 100;
 
 const ownership = suite('ownership');
@@ -28,7 +30,7 @@
 ownership('passes to a successor when the owner dies', async () => {
   const {cell, owner} = await startCell();
   cell.kill(owner);
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is(cell.violations, 0);
   cell.end();
@@ -44,11 +46,11 @@
 
 ownership('ends when the owner is cut off from log and peers', async () => {
   const {cell, owner} = await startCell();
-  owner.client.isCut = true;
+  owner.client.isOffline = true;
   owner.isCutFromPeers = true;
   await cell.run(LEASE_MS + SILENCE_MS);
   assert.not(owner.ownership.mayAct());
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is(cell.violations, 0);
   cell.end();
@@ -56,8 +58,8 @@
 
 ownership('passes on when only the owner cannot read the log', async () => {
   const {cell, owner} = await startCell();
-  owner.client.isCut = true;
-  await cell.run(STALL_GRACE_MS + TAKEOVER_BOUND_MS);
+  owner.client.isOffline = true;
+  await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is.not(cell.acting()[0], owner);
   assert.is(cell.violations, 0);
@@ -83,7 +85,7 @@
 
 ownership('lasts and passes on while the log is slow', async () => {
   const {cell, owner} = await startCell();
-  cell.log.slowMs = LEASE_MS + 500;
+  cell.log.latencyMs = LEASE_MS + 500;
   await cell.run(60_000);
   assert.ok(owner.ownership.mayAct());
   cell.kill(owner);
@@ -94,7 +96,7 @@
 });
 
 ownership(
-  'stands still when the owner dies while the log is down',
+  'nobody may act after the owner dies while the log is down',
   async () => {
     const {cell, owner} = await startCell();
     cell.log.isDown = true;
@@ -102,7 +104,7 @@
     await cell.run(180_000);
     assert.is(cell.acting().length, 0);
     cell.log.isDown = false;
-    await cell.run(TAKEOVER_BOUND_MS);
+    await cell.run(TAKEOVER_TIMEOUT_MS);
     assert.is(cell.acting().length, 1);
     cell.end();
   },
@@ -128,7 +130,7 @@
   for (const member of cell.members) cell.kill(member);
   await cell.run(2_000);
   const restarted = cell.start(owner.ref.vm, 2);
-  await cell.run(TAKEOVER_BOUND_MS);
+  await cell.run(TAKEOVER_TIMEOUT_MS);
   assert.ok(restarted.ownership.mayAct());
   cell.end();
 });
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -13,7 +13,7 @@
   type LogRecord,
 } from '@dragonflyward/log';
 import {
-  ENDED_JOB_KEPT_MS,
+  ENDED_JOB_RETENTION_MS,
   isSnapshotDue,
   RECORD_VERSION,
   ShardState,
@@ -37,8 +37,8 @@
 const JOB_ID = fc.nat(6).map(n => `north-1:${n}`);
 const TASK = fc.nat(2);
 
-/** Records of all types, well formed, with citations of any state. */
-const SOUND = fc.oneof(
+/** Valid records of all types, based on any state. */
+const VALID_RECORDS = fc.oneof(
   fc.record({
     type: fc.constant('claim'),
     prevTerm: TERM,
@@ -76,25 +76,25 @@
   }),
 );
 
-/** Anything at all, and sound records spoilt in one place. */
-const UNSOUND = fc.oneof(
+/** Arbitrary values, and valid records with invalid members. */
+const INVALID_DATA = fc.oneof(
   fc.anything(),
-  SOUND.map(record => ({...record, v: 99})),
-  SOUND.map(record => ({...record, v: V, type: 'unheardOf'})),
-  SOUND.map(record => ({...record, v: V, term: 'x', prevTerm: null})),
+  VALID_RECORDS.map(record => ({...record, v: 99})),
+  VALID_RECORDS.map(record => ({...record, v: V, type: 'unheardOf'})),
+  VALID_RECORDS.map(record => ({...record, v: V, term: 'x', prevTerm: null})),
   fc.constant({v: V, type: 'snapshot', snapshotId: 's', covers: 1e9, body: ''}),
 );
 
 const DATA = fc.oneof(
-  {weight: 4, arbitrary: SOUND.map(record => ({...record, v: V}))},
-  {weight: 1, arbitrary: UNSOUND},
+  {weight: 4, arbitrary: VALID_RECORDS.map(record => ({...record, v: V}))},
+  {weight: 1, arbitrary: INVALID_DATA},
 );
 
-/** Puts the records into a stream, minutes apart so that jobs are forgotten. */
+/** Puts the records into a stream, minutes apart so that ended jobs expire. */
 function toStream(data: readonly unknown[]): LogRecord[] {
   return data.map((value, offset) => ({
     offset,
-    timeMs: offset * (ENDED_JOB_KEPT_MS / 10),
+    timeMs: offset * (ENDED_JOB_RETENTION_MS / 10),
     id: `r${offset}`,
     data: value,
   }));
@@ -105,20 +105,23 @@
   return bodies.join('\n');
 }
 
-interface Carried {
+interface SnapshotRun {
   readonly full: ShardState;
   readonly records: readonly LogRecord[];
-  /** Offset from which a late reader reads. */
+  /** Offset at which a late reader starts. */
   readonly first: number;
 }
 
-/** Writes a snapshot in the middle and forgets what came before it. */
-function carry(
+/**
+ * Writes a snapshot in the middle; a late reader starts at the first record it
+ * does not cover.
+ */
+function writeWithSnapshot(
   data: readonly unknown[],
   at: number,
   between: number,
   makeFold: () => ShardState,
-): Carried {
+): SnapshotRun {
   const full = makeFold();
   const before = toStream(data);
   const covers = Math.min(at, before.length);
@@ -131,14 +134,17 @@
   return {full, records, first: covers};
 }
 
-function readLate({records, first}: Carried, fold: ShardState): ShardState {
+function readFromSnapshot(
+  {records, first}: SnapshotRun,
+  fold: ShardState,
+): ShardState {
   fold.skipTo(first);
   for (const record of records.slice(first)) fold.apply(record);
   return fold;
 }
 
-/** Starts from a snapshot but leaves out what it does not cover. */
-class ForgetfulState extends ShardState {
+/** Starts from a snapshot but drops the records after it. */
+class DroppedRecordsState extends ShardState {
   override apply(record: LogRecord): ApplyResult {
     const wasComplete = this.isComplete;
     const result = super.apply(record);
@@ -161,7 +167,7 @@
   successors: [],
 };
 
-const CARRIED = fc.tuple(
+const SNAPSHOT_RUN_INPUTS = fc.tuple(
   fc.array(DATA, {maxLength: 60}).map(data => [FIRST_CLAIM, ...data]),
   fc.nat(60),
   fc.nat(8),
@@ -170,28 +176,41 @@
 const snapshots = suite('snapshots');
 
 snapshots('a late start equals a full replay', () => {
-  const holds = fc.property(CARRIED, ([data, at, between]) => {
-    const carried = carry(data, at, between, () => new ShardState());
+  const holds = fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
+    const carried = writeWithSnapshot(
+      data,
+      at,
+      between,
+      () => new ShardState(),
+    );
     if (carried.first === 0) return;
-    const late = readLate(carried, new ShardState());
+    const late = readFromSnapshot(carried, new ShardState());
     assert.ok(late.isComplete);
     assert.is(stateOf(late), stateOf(carried.full));
   });
   fc.assert(holds, {seed: SEED, numRuns: RUNS});
 });
 
-snapshots('it does not where later records are left out', () => {
-  const run = fc.check(
-    fc.property(CARRIED, ([data, at, between]) => {
-      const carried = carry(data, at, between, () => new ShardState());
-      if (carried.first === 0) return;
-      const late = readLate(carried, new ForgetfulState());
-      assert.is(stateOf(late), stateOf(carried.full));
-    }),
-    {seed: SEED, numRuns: RUNS, endOnFailure: true},
-  );
-  assert.ok(run.failed);
-});
+snapshots(
+  'a late start that drops later records differs from a full replay',
+  () => {
+    const run = fc.check(
+      fc.property(SNAPSHOT_RUN_INPUTS, ([data, at, between]) => {
+        const carried = writeWithSnapshot(
+          data,
+          at,
+          between,
+          () => new ShardState(),
+        );
+        if (carried.first === 0) return;
+        const late = readFromSnapshot(carried, new DroppedRecordsState());
+        assert.is(stateOf(late), stateOf(carried.full));
+      }),
+      {seed: SEED, numRuns: RUNS, endOnFailure: true},
+    );
+    assert.ok(run.failed);
+  },
+);
 
 snapshots('all readers skip the same records and none stops', () => {
   const holds = fc.property(fc.array(DATA), data => {
@@ -223,7 +242,7 @@
   assert.ok(last);
   for (const record of records.slice(0, -1)) state.apply(record);
   assert.is(state.jobs.size, 2);
-  state.apply({...last, timeMs: last.timeMs + ENDED_JOB_KEPT_MS});
+  state.apply({...last, timeMs: last.timeMs + ENDED_JOB_RETENTION_MS});
   assert.equal([...state.jobs.keys()], ['north-1:2']);
 });
 
@@ -235,7 +254,7 @@
   assert.ok(isSnapshotDue({...age, firstKept: 0, ageMs: 1_000}));
 });
 
-/** Runs one writer for a while against a log that forgets quickly. */
+/** Runs one writer against a log that retains few records. */
 async function runWriter(log: MemoryLog, clock: ManualClock): Promise<string> {
   const fold = new ShardState();
   const client = new MemoryLogClient(log);
@@ -268,7 +287,7 @@
 snapshots('a whole fleet starts again from what the log keeps', async () => {
   const clock = new ManualClock();
   const log = new MemoryLog(clock);
-  log.retainRecords = 80;
+  log.maxRetainedRecords = 80;
   const before = await runWriter(log, clock);
   assert.ok(log.page(STREAM, 0, 1).first > 0);
   const fold = new ShardState();
--- a/packages/state/test/traces.test.ts
+++ b/packages/state/test/traces.test.ts
@@ -1,7 +1,11 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {ManualClock} from '@dragonflyward/common';
 import {MemoryLog, type ApplyResult} from '@dragonflyward/log';
-import {ConfigState, ShardState, type SnapshotFold} from '@dragonflyward/state';
+import {
+  ConfigState,
+  ShardState,
+  type SnapshottedState,
+} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -18,7 +22,7 @@
   readonly outcome: Readonly<Record<string, unknown>>;
 }
 
-function outcomeOf(fold: ShardState | ConfigState): Trace['outcome'] {
+function summarize(fold: ShardState | ConfigState): Trace['outcome'] {
   if (fold instanceof ShardState) {
     const {term, owner, jobs} = fold;
     return {term, owner: owner?.vm, jobs: [...jobs.keys()]};
@@ -33,11 +37,11 @@
 
 function replay(
   {stream, steps}: Trace,
-  fold: Pick<SnapshotFold<never>, 'apply'>,
+  fold: Pick<SnapshottedState<never>, 'apply'>,
 ): readonly ApplyResult[] {
   const log = new MemoryLog(new ManualClock());
   for (const [i, {by, record}] of steps.entries()) {
-    log.push(stream, [{id: `${by}-${i}`, data: record}]);
+    log.appendNow(stream, [{id: `${by}-${i}`, data: record}]);
   }
   return log.records(stream).map(record => fold.apply(record));
 }
@@ -55,7 +59,7 @@
       verdicts,
       trace.steps.map(({verdict}) => verdict),
     );
-    assert.equal(outcomeOf(fold), trace.outcome);
+    assert.equal(summarize(fold), trace.outcome);
   });
 }
 
