--- a/packages/bench/src/policy-compare.ts
+++ b/packages/bench/src/policy-compare.ts
@@ -1,4 +1,4 @@
-/** Compares engines side by side on the same traces. */
+/** Compares placement engines on the same traces. */
 import {
   FirstFitEngine,
   newPolicies,
@@ -7,16 +7,16 @@
   type PlacementEngine,
   type Trace,
 } from '@dragonflyward/policy';
-import {EmptiestPolicy, ReportedUsePolicy} from './paper-policies.js';
+import {LeastLoadedPolicy, ReportedUsePolicy} from './paper-policies.js';
 import {fullFleetTrace, mixedDayTrace} from './policy-traces.js';
 import {ShareOnlyEngine} from './share-only-engine.js';
 
-interface Contender {
+interface Candidate {
   readonly name: string;
   newEngine(): PlacementEngine;
 }
 
-/** What one engine reached on one trace. */
+/** The results of one engine on one trace. */
 export interface CompareFigures {
   readonly trace: string;
   readonly engine: string;
@@ -33,7 +33,7 @@
 
 const PERMILLE = 1_000;
 
-const CONTENDERS: readonly Contender[] = [
+const CANDIDATES: readonly Candidate[] = [
   {name: 'first fit', newEngine: () => new FirstFitEngine()},
   {name: 'shares only', newEngine: () => new ShareOnlyEngine()},
   {name: 'previous', newEngine: () => newPreviousEngine()},
@@ -42,18 +42,18 @@
   {name: 'reported use', newEngine: () => new ReportedUseEngine()},
 ];
 
-/** The first version of the share engine: without its later stages. */
+/** The first version of the share engine, without its later features. */
 function newPreviousEngine(): PlacementEngine {
   const features = {preempts: false, reserves: false, learns: false};
   return new FairShareEngine({features});
 }
 
 function newEmptiestEngine(): PlacementEngine {
-  const emptiest = new EmptiestPolicy();
+  const emptiest = new LeastLoadedPolicy();
   return new FairShareEngine({policies: {...newPolicies(), pack: emptiest}});
 }
 
-/** Places by what workers last reported in place of own counts. */
+/** Places by the use that workers last reported, not by its own counts. */
 class ReportedUseEngine extends FairShareEngine {
   private readonly policy: ReportedUsePolicy;
 
@@ -67,7 +67,7 @@
     ...args: Parameters<FairShareEngine['recordUsage']>
   ): void {
     super.recordUsage(...args);
-    this.policy.noteReport();
+    this.policy.recordReport();
   }
 }
 
@@ -82,21 +82,21 @@
 ): readonly CompareFigures[] {
   const all: CompareFigures[] = [];
   for (const trace of [mixedDayTrace(), fullFleetTrace()]) {
-    for (const contender of CONTENDERS) {
-      const figures = compareOne(trace, contender);
+    for (const candidate of CANDIDATES) {
+      const figures = compareOne(trace, candidate);
       all.push(figures);
-      print(toLine(figures));
+      print(formatFigures(figures));
     }
   }
   return all;
 }
 
-function compareOne(trace: Trace, contender: Contender): CompareFigures {
-  const replay = new Replay(contender.newEngine(), trace);
+function compareOne(trace: Trace, candidate: Candidate): CompareFigures {
+  const replay = new Replay(candidate.newEngine(), trace);
   const record = replay.run();
   record.recordUnstartedWaits(trace.endMs);
-  const parts = [...record.attainments().values()];
-  const sum = parts.reduce((a, b) => a + b, 0);
+  const attainments = [...record.attainments().values()];
+  const sum = attainments.reduce((a, b) => a + b, 0);
   const waitP50Ms: Record<string, number> = {};
   const waitP99Ms: Record<string, number> = {};
   for (const {name} of trace.jobs) {
@@ -105,24 +105,24 @@
   }
   return {
     trace: trace.name,
-    engine: contender.name,
+    engine: candidate.name,
     waitP50Ms,
     waitP99Ms,
-    packing: round(record.packing),
-    worstAttainment: round(Math.min(...parts)),
-    mostAttainment: round(Math.max(...parts)),
-    meanAttainment: round(sum / parts.length),
+    packing: roundToPermille(record.packing),
+    worstAttainment: roundToPermille(Math.min(...attainments)),
+    mostAttainment: roundToPermille(Math.max(...attainments)),
+    meanAttainment: roundToPermille(sum / attainments.length),
     starts: record.starts,
     preemptions: record.preemptions,
     breaches: replay.audit.breaches.length,
   };
 }
 
-function round(value: number): number {
+function roundToPermille(value: number): number {
   return Math.round(value * PERMILLE) / PERMILLE;
 }
 
-function toLine(figures: CompareFigures): string {
+function formatFigures(figures: CompareFigures): string {
   const {trace, engine, waitP50Ms, waitP99Ms} = figures;
   const waits = Object.keys(waitP99Ms).map(
     name => `${name} ${waitP50Ms[name]}/${waitP99Ms[name]} ms`,
--- a/packages/bench/src/policy-load.ts
+++ b/packages/bench/src/policy-load.ts
@@ -1,15 +1,20 @@
-/** Measures the rate and the cost of decisions on a full shard. */
+/** Measures the rate and cost of placement decisions on a full shard. */
 import {FairShareEngine, type PlacedTask} from '@dragonflyward/policy';
 import * as hdr from 'hdr-histogram-js';
-import {newJob, Random, setUp, type ShardSize} from './shard-load.js';
+import {
+  newJob,
+  SeededRandom,
+  initEngine,
+  type ShardSize,
+} from './shard-load.js';
 
 const SEED = 20_261_204;
 const ROUNDS = 400;
-const ROUND_MS = 100;
+const ROUND_PERIOD_MS = 100;
 const CANCELLED_JOBS = 10_000;
 const US_PER_MS = 1_000;
 
-/** What was measured at one size. */
+/** The results for one shard size. */
 export interface LoadFigures {
   readonly size: string;
   readonly placements: number;
@@ -23,10 +28,10 @@
   readonly decisionAfterWaveMaxUs: number;
 }
 
-interface Load {
+interface LoadState {
   readonly engine: FairShareEngine;
   readonly size: ShardSize;
-  readonly random: Random;
+  readonly random: SeededRandom;
   readonly running: PlacedTask[];
   readonly times: hdr.Histogram;
   nextJob: number;
@@ -35,28 +40,28 @@
 }
 
 /**
- * Fills a shard, then ends and submits work for many rounds.
+ * Fills a shard, then ends and submits tasks for many rounds.
  *
  * @example
- * const figures = measureLoad(TARGET, console.log);
+ * const figures = measureLoad(TARGET_SIZE, console.log);
  */
 export function measureLoad(
   size: ShardSize,
   print: (line: string) => void,
 ): LoadFigures {
   const load = newLoad(size);
-  fill(load);
+  fillShard(load);
   load.times.reset();
   load.placements = 0;
   const heapBefore = process.memoryUsage().heapUsed;
   const cpuBefore = process.cpuUsage();
   const startMs = performance.now();
-  for (let round = 0; round < ROUNDS; round += 1) turnOver(load);
+  for (let round = 0; round < ROUNDS; round += 1) runRound(load);
   const tookMs = performance.now() - startMs;
   const cpu = process.cpuUsage(cpuBefore);
   const heap = process.memoryUsage().heapUsed - heapBefore;
   const {times, placements} = load;
-  const wave = cancelWave(load);
+  const wave = measureCancelWave(load);
   const figures: LoadFigures = {
     size: size.name,
     placements,
@@ -74,11 +79,11 @@
   return figures;
 }
 
-function newLoad(size: ShardSize): Load {
+function newLoad(size: ShardSize): LoadState {
   const engine = new FairShareEngine();
-  setUp(engine, size);
+  initEngine(engine, size);
   const times = hdr.build({highestTrackableValue: 60_000_000});
-  const random = new Random(SEED);
+  const random = new SeededRandom(SEED);
   const running: PlacedTask[] = [];
   return {
     ...{engine, size, random, running, times},
@@ -86,42 +91,42 @@
   };
 }
 
-/** Submits work until the stated number of tasks runs and waits. */
-function fill(load: Load): void {
+/** Submits jobs until as many tasks run or wait as the size states. */
+function fillShard(load: LoadState): void {
   const wanted = load.size.running + load.size.waiting;
   while (load.running.length + load.engine.countWaitingTasks() < wanted) {
     for (let i = 0; i < load.size.teams; i += 1) submit(load);
-    decide(load);
+    runDecisions(load);
   }
 }
 
-function submit(load: Load): void {
+function submit(load: LoadState): void {
   const {engine, size, random, nextJob, nowMs} = load;
   engine.submit(newJob(size, random, nextJob, nowMs));
   load.nextJob += 1;
 }
 
-/** Ends some tasks, submits as many, and decides. */
-function turnOver(load: Load): void {
-  load.nowMs += ROUND_MS;
+/** Ends some tasks, refills the queue and decides. */
+function runRound(load: LoadState): void {
+  load.nowMs += ROUND_PERIOD_MS;
   const ends = Math.ceil(load.size.running / 100);
-  for (let i = 0; i < ends; i += 1) endOne(load);
+  for (let i = 0; i < ends; i += 1) endRandomTask(load);
   while (load.engine.countWaitingTasks() < load.size.waiting) submit(load);
-  decide(load);
+  runDecisions(load);
 }
 
-function endOne(load: Load): void {
+function endRandomTask(load: LoadState): void {
   const {running, random, engine, nowMs} = load;
-  const at = random.below(running.length);
-  const task = running[at];
-  const last = running.pop();
-  if (task === undefined || last === undefined) return;
-  if (at < running.length) running[at] = last;
+  const index = random.nextBelow(running.length);
+  const task = running[index];
+  const lastTask = running.pop();
+  if (task === undefined || lastTask === undefined) return;
+  if (index < running.length) running[index] = lastTask;
   engine.ended(task.taskId, 'succeeded', nowMs);
 }
 
-/** Times each step to the next decision, also the last one to the end. */
-function decide(load: Load): number {
+/** Times each step of the decision generator, including the last one. */
+function runDecisions(load: LoadState): number {
   let longestUs = 0;
   const decisions = load.engine.decide(load.nowMs);
   for (;;) {
@@ -132,28 +137,28 @@
     longestUs = Math.max(longestUs, tookUs);
     if (next.done === true) return Math.round(longestUs);
     const decision = next.value;
-    if (decision.kind === 'preempt') stop(load, decision.taskId);
+    if (decision.kind === 'preempt') endPreempted(load, decision.taskId);
     if (decision.kind !== 'start') continue;
     load.running.push(decision.task);
     load.placements += 1;
   }
 }
 
-/** A stopped task ends at once and is not run again here. */
-function stop(load: Load, taskId: string): void {
-  const at = load.running.findIndex(task => task.taskId === taskId);
-  if (at >= 0) load.running.splice(at, 1);
+/** Ends a preempted task at once; it isn't requeued. */
+function endPreempted(load: LoadState, taskId: string): void {
+  const index = load.running.findIndex(task => task.taskId === taskId);
+  if (index >= 0) load.running.splice(index, 1);
   load.engine.ended(taskId, 'notRunning', load.nowMs);
 }
 
-/** Cancels many waiting jobs at once; times each and the next decision. */
-function cancelWave(load: Load): {
+/** Cancels many waiting jobs; times each and the decisions afterwards. */
+function measureCancelWave(load: LoadState): {
   readonly cancelWaveMaxUs: number;
   readonly decisionAfterWaveMaxUs: number;
 } {
   const first = load.nextJob;
   for (let i = 0; i < CANCELLED_JOBS; i += 1) submit(load);
-  decide(load);
+  runDecisions(load);
   let longestUs = 0;
   for (let i = 0; i < CANCELLED_JOBS; i += 1) {
     const startMs = performance.now();
@@ -161,9 +166,9 @@
     const tookUs = (performance.now() - startMs) * US_PER_MS;
     longestUs = Math.max(longestUs, tookUs);
   }
-  load.nowMs += ROUND_MS;
+  load.nowMs += ROUND_PERIOD_MS;
   return {
     cancelWaveMaxUs: Math.round(longestUs),
-    decisionAfterWaveMaxUs: decide(load),
+    decisionAfterWaveMaxUs: runDecisions(load),
   };
 }
--- a/packages/bench/src/process-meter.ts
+++ b/packages/bench/src/process-meter.ts
@@ -1,42 +1,42 @@
-/** Reads what a process has used, from the kernel's view of it. */
+/** Reads a process's resource usage from /proc. */
 import {readFileSync} from 'node:fs';
 
 const MS_PER_TICK = 10;
 const KB_PER_MB = 1_024;
-/** Fields of /proc/PID/stat after the name, from 0. */
+/** Zero-based fields of /proc/PID/stat, counted after the process name. */
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
 
-/** What a process has used since its start, and its memory now. */
-export interface ProcessUse {
+/** A process's usage since its start, and its current memory. */
+export interface ProcessUsage {
   readonly cpuMs: number;
   readonly rssMb: number;
-  /** Bytes read and written, by sockets too. */
+  /** Bytes read and written, including sockets. */
   readonly readBytes: number;
   readonly writtenBytes: number;
 }
 
 /**
- * Reads a process's use.
+ * Reads a process's resource usage.
  *
  * @example
- * const {rssMb} = readUse(process.pid);
+ * const {rssMb} = readUsage(process.pid);
  */
-export function readUse(pid: number): ProcessUse {
-  const stat = read(pid, 'stat');
+export function readUsage(pid: number): ProcessUsage {
+  const stat = readProcFile(pid, 'stat');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const userTicks = Number(fields[USER_TICKS_FIELD]);
   const systemTicks = Number(fields[SYSTEM_TICKS_FIELD]);
-  const io = read(pid, 'io');
+  const io = readProcFile(pid, 'io');
   return {
     cpuMs: (userTicks + systemTicks) * MS_PER_TICK,
-    rssMb: numberAfter(read(pid, 'status'), 'VmRSS:') / KB_PER_MB,
+    rssMb: numberAfter(readProcFile(pid, 'status'), 'VmRSS:') / KB_PER_MB,
     readBytes: numberAfter(io, 'rchar:'),
     writtenBytes: numberAfter(io, 'wchar:'),
   };
 }
 
-function read(pid: number, file: string): string {
+function readProcFile(pid: number, file: string): string {
   return readFileSync(`/proc/${pid}/${file}`, 'utf8');
 }
 
--- a/packages/bench/src/relay-load.ts
+++ b/packages/bench/src/relay-load.ts
@@ -1,14 +1,14 @@
-/** Loads for measurements of the relay. */
+/** Load generators for the request path. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Metrics} from '@dragonflyward/common';
 import type {RelayCall, RelayCell} from './relay-cell.js';
 
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 const TICK_MS = 1;
 const US_PER_MS = 1_000;
-const LATENCY = 'latency_us';
+const LATENCY_METRIC = 'latency_us';
 
-/** What a load measured. */
+/** The results of a load. */
 export interface LoadResult {
   readonly perSecond: number;
   readonly failed: number;
@@ -16,7 +16,7 @@
   readonly p99Ms: number;
 }
 
-/** Counts answers and their latency. */
+/** Counts answers and failures and records latencies. */
 class Tally {
   private readonly metrics = new Metrics();
   private answered = 0;
@@ -29,13 +29,16 @@
       return;
     }
     this.answered += 1;
-    this.metrics.record(LATENCY, (performance.now() - startMs) * US_PER_MS);
+    this.metrics.record(
+      LATENCY_METRIC,
+      (performance.now() - startMs) * US_PER_MS,
+    );
   }
 
   result(durationMs: number): LoadResult {
     const {answered, failed} = this;
     return {
-      perSecond: round((answered * SECOND_MS) / durationMs),
+      perSecond: roundToHundredths((answered * MS_PER_SECOND) / durationMs),
       failed,
       p50Ms: this.quantileMs(50),
       p99Ms: this.quantileMs(99),
@@ -43,46 +46,49 @@
   }
 
   private quantileMs(percent: number): number {
-    return round(this.metrics.quantile(LATENCY, percent) / US_PER_MS);
+    return roundToHundredths(
+      this.metrics.quantile(LATENCY_METRIC, percent) / US_PER_MS,
+    );
   }
 }
 
-/** Chooses the next request of a load. */
+/** Returns the nth request of a load. */
 export type NextCall = (nth: number) => RelayCall;
 
 /**
- * Keeps a number of requests open for a time.
+ * Runs a closed loop: keeps a number of requests open for a time.
  *
  * @example
- * const peak = await closedLoop(cell, next, 32, 5_000);
+ * const peak = await runClosedLoop(cell, next, 32, 5_000);
  */
-export async function closedLoop(
+export async function runClosedLoop(
   cell: RelayCell,
   next: NextCall,
-  open: number,
+  concurrency: number,
   durationMs: number,
 ): Promise<LoadResult> {
   const tally = new Tally();
   const startMs = performance.now();
   let sent = 0;
-  const task = async (): Promise<void> => {
+  const sendInLoop = async (): Promise<void> => {
     while (performance.now() - startMs < durationMs) {
       sent += 1;
       await tally.add(cell.send(next(sent)));
     }
   };
-  await Promise.all(Array.from({length: open}, task));
+  await Promise.all(Array.from({length: concurrency}, sendInLoop));
   return tally.result(performance.now() - startMs);
 }
 
 /**
- * Sends several loads at a steady rate each, one after the other in turn, so
- * that all meet the same state of the machine.
+ * Sends several loads at a steady rate each. Their requests are interleaved, so
+ * that all loads meet the same state of the machine.
  *
  * @example
- * const [direct, relayed] = await openLoops(cell, [toTarget, toGateway], 500, 5_000);
+ * const loads = [toTarget, toGateway];
+ * const [direct, relayed] = await runOpenLoops(cell, loads, 500, 5_000);
  */
-export async function openLoops(
+export async function runOpenLoops(
   cell: RelayCell,
   loads: readonly NextCall[],
   perSecond: number,
@@ -91,15 +97,15 @@
   const tallies = loads.map(() => new Tally());
   const sending: Promise<void>[] = [];
   const startMs = performance.now();
-  const total = Math.floor((perSecond * durationMs) / SECOND_MS);
+  const total = Math.floor((perSecond * durationMs) / MS_PER_SECOND);
   let sent = 0;
   while (sent < total) {
     await sleep(TICK_MS);
     const elapsedMs = performance.now() - startMs;
-    const due = Math.min(total, (elapsedMs * perSecond) / SECOND_MS);
+    const due = Math.min(total, (elapsedMs * perSecond) / MS_PER_SECOND);
     for (; sent < due; sent += 1) {
-      for (const [at, next] of loads.entries()) {
-        const tally = tallies[at];
+      for (const [index, next] of loads.entries()) {
+        const tally = tallies[index];
         if (tally !== undefined) sending.push(tally.add(cell.send(next(sent))));
       }
     }
@@ -109,7 +115,7 @@
   return tallies.map(tally => tally.result(sentMs));
 }
 
-/** Rounds a figure for print. */
-export function round(value: number): number {
+/** Rounds a figure to two decimals. */
+export function roundToHundredths(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -1,9 +1,12 @@
-/** Measures the request path: throughput, added latency, overload, traffic. */
+/**
+ * Measures the request path: throughput, added latency, goodput under overload
+ * and traffic between regions.
+ */
 import {RelayCell, type RelayCall} from './relay-cell.js';
 import {
-  closedLoop,
-  openLoops,
-  round,
+  runClosedLoop,
+  runOpenLoops,
+  roundToHundredths,
   type LoadResult,
   type NextCall,
 } from './relay-load.js';
@@ -14,17 +17,17 @@
 const PEAK_MS = 5_000;
 const HALF_LOAD_MS = 8_000;
 const OVERLOAD_MS = 8_000;
-const OPEN_REQUESTS = 32;
+const CONCURRENT_REQUESTS = 32;
 const WORK_MS = 50;
 const DEADLINE_MS = 1_000;
 const OVERLOAD_FACTOR = 2;
 const CROSS_REGION_REQUESTS = 500;
 const CROSS_REGION_BODY_BYTES = 1_024;
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 type Print = (line: string) => void;
 
-/** Figures of the relay, for one number of gateways. */
+/** Results of the request path with one number of gateways. */
 interface RelayFigures {
   readonly gateways: number;
   readonly direct: LoadResult;
@@ -36,7 +39,7 @@
   readonly addedP99Ms: number;
 }
 
-/** Figures of twice the load that the executors can carry. */
+/** Results at twice the peak rate that the executors reached. */
 interface OverloadFigures {
   readonly peakPerSecond: number;
   readonly offeredPerSecond: number;
@@ -47,7 +50,7 @@
 }
 
 /**
- * Runs the benchmark of the relay with separate processes.
+ * Runs the benchmark of the request path with separate processes.
  *
  * @example
  * const figures = await benchRelay(line => console.log(line));
@@ -79,7 +82,7 @@
   }
 }
 
-function inTurn(
+function roundRobin(
   urls: readonly string[],
   rest: Omit<RelayCall, 'url'>,
 ): NextCall {
@@ -93,19 +96,29 @@
 ): Promise<RelayFigures> {
   const quote = {body: '{"echo":1}', isIdempotent: true, deadlineMs: 5_000};
   const order = {...quote, isIdempotent: false};
-  const direct = inTurn(cell.executorUrls(), quote);
-  const relayed = inTurn(cell.gatewayUrls(), quote);
-  const orders = inTurn(cell.gatewayUrls(), order);
-  await closedLoop(cell, relayed, OPEN_REQUESTS, WARM_UP_MS);
-  const directPeak = await closedLoop(cell, direct, OPEN_REQUESTS, PEAK_MS);
-  const peak = await closedLoop(cell, relayed, OPEN_REQUESTS, PEAK_MS);
-  const ordersPeak = await closedLoop(cell, orders, OPEN_REQUESTS, PEAK_MS);
-  const half = peak.perSecond / 2;
+  const direct = roundRobin(cell.executorUrls(), quote);
+  const relayed = roundRobin(cell.gatewayUrls(), quote);
+  const orders = roundRobin(cell.gatewayUrls(), order);
+  await runClosedLoop(cell, relayed, CONCURRENT_REQUESTS, WARM_UP_MS);
+  const directPeak = await runClosedLoop(
+    cell,
+    direct,
+    CONCURRENT_REQUESTS,
+    PEAK_MS,
+  );
+  const peak = await runClosedLoop(cell, relayed, CONCURRENT_REQUESTS, PEAK_MS);
+  const ordersPeak = await runClosedLoop(
+    cell,
+    orders,
+    CONCURRENT_REQUESTS,
+    PEAK_MS,
+  );
+  const halfPeak = peak.perSecond / 2;
   const loads = [direct, relayed];
-  const halves = await openLoops(cell, loads, half, HALF_LOAD_MS);
-  const [directHalf = directPeak, relayedHalf = peak] = halves;
-  const addedP50Ms = round(relayedHalf.p50Ms - directHalf.p50Ms);
-  const addedP99Ms = round(relayedHalf.p99Ms - directHalf.p99Ms);
+  const halfLoads = await runOpenLoops(cell, loads, halfPeak, HALF_LOAD_MS);
+  const [directHalf = directPeak, relayedHalf = peak] = halfLoads;
+  const addedP50Ms = roundToHundredths(relayedHalf.p50Ms - directHalf.p50Ms);
+  const addedP99Ms = roundToHundredths(relayedHalf.p99Ms - directHalf.p99Ms);
   print(`${gateways} gateway(s): peak ${peak.perSecond} requests/s`);
   print(`  orders with their own ids: ${ordersPeak.perSecond} requests/s`);
   print(`  direct to executors: ${directPeak.perSecond} requests/s`);
@@ -123,28 +136,37 @@
     isIdempotent: true,
     deadlineMs: DEADLINE_MS,
   };
-  const next = inTurn(cell.gatewayUrls(), work);
+  const next = roundRobin(cell.gatewayUrls(), work);
   const slots = EXECUTORS * SLOTS;
-  await closedLoop(cell, next, slots, WARM_UP_MS);
-  const peak = await closedLoop(cell, next, 3 * slots, PEAK_MS);
+  await runClosedLoop(cell, next, slots, WARM_UP_MS);
+  const peak = await runClosedLoop(cell, next, 3 * slots, PEAK_MS);
   const offered = OVERLOAD_FACTOR * peak.perSecond;
-  const [over = peak] = await openLoops(cell, [next], offered, OVERLOAD_MS);
-  const keptPercent = round((100 * over.perSecond) / peak.perSecond);
-  const ceiling = (slots * SECOND_MS) / WORK_MS;
+  const [overload = peak] = await runOpenLoops(
+    cell,
+    [next],
+    offered,
+    OVERLOAD_MS,
+  );
+  const keptPercent = roundToHundredths(
+    (100 * overload.perSecond) / peak.perSecond,
+  );
+  const ceiling = (slots * MS_PER_SECOND) / WORK_MS;
   print(`overload: peak ${peak.perSecond}/s (slots allow ${ceiling}/s)`);
-  print(`  ${round(offered)}/s offered: ${over.perSecond}/s in time`);
-  print(`  goodput kept: ${keptPercent} %, ${over.failed} refused`);
+  print(
+    `  ${roundToHundredths(offered)}/s offered: ${overload.perSecond}/s in time`,
+  );
+  print(`  goodput kept: ${keptPercent} %, ${overload.failed} refused`);
   return {
     peakPerSecond: peak.perSecond,
-    offeredPerSecond: round(offered),
-    goodputPerSecond: over.perSecond,
+    offeredPerSecond: roundToHundredths(offered),
+    goodputPerSecond: overload.perSecond,
     keptPercent,
-    refused: over.failed,
-    p99Ms: over.p99Ms,
+    refused: overload.failed,
+    p99Ms: overload.p99Ms,
   };
 }
 
-/** The gateway of one region serves by the only executor, in another one. */
+/** Compares a gateway in the only executor's region with one outside. */
 async function measureCrossRegion(
   print: Print,
 ): Promise<Readonly<Record<string, number>>> {
@@ -156,18 +178,29 @@
     const body = JSON.stringify({echo: padding});
     const call = {body, isIdempotent: true, deadlineMs: 5_000};
     const [north, south] = cell.gatewayUrls();
-    const own = await trafficOf(cell, inTurn([north ?? ''], call));
-    const other = await trafficOf(cell, inTurn([south ?? ''], call));
-    print(`bytes across regions per request: ${own} in region, ${other} out`);
-    return {inRegionBytes: own, outOfRegionBytes: other};
+    const inside = await crossRegionBytes(
+      cell,
+      roundRobin([north ?? ''], call),
+    );
+    const outside = await crossRegionBytes(
+      cell,
+      roundRobin([south ?? ''], call),
+    );
+    print(
+      `cross-region bytes per request: ${inside} in region, ${outside} outside`,
+    );
+    return {inRegionBytes: inside, outOfRegionBytes: outside};
   } finally {
     await cell.stop();
   }
 }
 
-async function trafficOf(cell: RelayCell, next: NextCall): Promise<number> {
+async function crossRegionBytes(
+  cell: RelayCell,
+  next: NextCall,
+): Promise<number> {
   const before = await cell.counter('cross_region_bytes_total');
   for (let i = 0; i < CROSS_REGION_REQUESTS; i += 1) await cell.send(next(i));
   const after = await cell.counter('cross_region_bytes_total');
-  return round((after - before) / CROSS_REGION_REQUESTS);
+  return roundToHundredths((after - before) / CROSS_REGION_REQUESTS);
 }
--- a/packages/bench/src/share-only-engine.ts
+++ b/packages/bench/src/share-only-engine.ts
@@ -1,4 +1,4 @@
-/** A baseline: shares, but nothing runs ahead of the team whose turn it is. */
+/** A baseline engine: fair shares without backfill. */
 import {
   FirstFitEngine,
   type Decision,
@@ -8,7 +8,10 @@
   type TeamDemand,
 } from '@dragonflyward/policy';
 
-/** Lets the team furthest below its share go first and wait for room. */
+/**
+ * Serves the team furthest below its share first. While that team's next job
+ * finds no room, no other job starts.
+ */
 export class ShareOnlyEngine extends FirstFitEngine {
   private readonly queues = new Map<string, PolicyJob[]>();
   private readonly shares = new Map<string, number>();
@@ -41,7 +44,7 @@
     void end;
   }
 
-  /** Offers one job at a time to first fit, until one finds no room. */
+  /** Submits one job at a time to first fit, until one finds no room. */
   override *decide(): Generator<Decision> {
     for (;;) {
       const team = this.nextTeam();
@@ -58,7 +61,7 @@
         continue;
       }
       super.cancel(job.jobId);
-      this.keepRest(team, job, started);
+      this.requeueRemainder(team, job, started);
       return;
     }
   }
@@ -84,10 +87,14 @@
     return count;
   }
 
-  private keepRest(team: string, job: PolicyJob, started: number): void {
+  private requeueRemainder(
+    team: string,
+    job: PolicyJob,
+    started: number,
+  ): void {
     const taskIndexes = job.taskIndexes.slice(started);
-    const rest = {...job, taskIndexes};
-    this.queues.get(team)?.splice(0, 1, rest);
+    const remainder = {...job, taskIndexes};
+    this.queues.get(team)?.splice(0, 1, remainder);
   }
 
   private nextTeam(): string | undefined {
--- a/packages/demo/src/report.ts
+++ b/packages/demo/src/report.ts
@@ -1,6 +1,6 @@
-/** What the demonstration run came to. */
+/** The results of a demonstration run. */
 import {
-  findDoubleRuns,
+  findOverlappingRuns,
   findLimitBreaches,
   findRepeatedRequests,
   type RequestResult,
@@ -12,7 +12,7 @@
 
 const PERCENT = 100;
 
-/** The outcomes of a run. */
+/** Counts of outcomes and broken promises of a run. */
 export interface DemoReport {
   readonly requests: {
     readonly sent: number;
@@ -30,7 +30,7 @@
     readonly finished: number;
     readonly refused: number;
     readonly lost: number;
-    /** Tasks that ran in two places at one time. */
+    /** Tasks that ran in two places at the same time. */
     readonly doubled: number;
   };
   readonly overcommits: number;
@@ -38,7 +38,7 @@
   readonly limitBreaches: number;
 }
 
-/** What was sent, and what the targets recorded. */
+/** The results as callers saw them, and the targets' records. */
 export interface DemoResults {
   readonly requests: readonly RequestResult[];
   readonly nonIdempotent: ReadonlySet<string>;
@@ -46,12 +46,13 @@
   readonly records: TargetRecords;
 }
 
-/** Judges a run. */
+/** Evaluates a run. */
 export function makeReport(results: DemoResults): DemoReport {
   const {requests, jobs, records} = results;
   const limits = new Map(TEAMS.map(team => [team, limitOf(team)]));
   const repeated = findRepeatedRequests(records.requests);
-  const isOnce = (id: string): boolean => results.nonIdempotent.has(id);
+  const isNonIdempotent = (id: string): boolean =>
+    results.nonIdempotent.has(id);
   const finished = jobs.count('succeeded');
   return {
     requests: {
@@ -60,7 +61,7 @@
       refused: countOutcome(requests, 'refused'),
       unknown: countOutcome(requests, 'unknown'),
       lost: countOutcome(requests, 'lost'),
-      doubled: repeated.filter(isOnce).length,
+      doubled: repeated.filter(isNonIdempotent).length,
       medianMs: quantileMs(requests, 50),
       p99Ms: quantileMs(requests, 99),
     },
@@ -69,7 +70,7 @@
       finished,
       refused: jobs.refused.length,
       lost: jobs.jobs.length - finished,
-      doubled: findDoubleRuns(records.tasks).length,
+      doubled: findOverlappingRuns(records.tasks).length,
     },
     overcommits: records.overcommits.length,
     slotBreaches: records.slotBreaches,
@@ -77,8 +78,8 @@
   };
 }
 
-/** Whether the run kept every promise that it looks at. */
-export function isGood(report: DemoReport): boolean {
+/** Whether the run broke none of the promises that it checks. */
+export function hasPassed(report: DemoReport): boolean {
   const {requests, jobs} = report;
   const faults = [
     requests.lost,
@@ -92,15 +93,15 @@
   return faults.every(count => count === 0) && jobs.accepted > 0;
 }
 
-/** Writes the report as a table. */
-export function* tableLines(report: DemoReport): Generator<string> {
-  yield* sectionLines('requests', report.requests);
-  yield* sectionLines('jobs', report.jobs);
+/** Formats the report as lines of a table. */
+export function* formatTable(report: DemoReport): Generator<string> {
+  yield* formatSection('requests', report.requests);
+  yield* formatSection('jobs', report.jobs);
   const {overcommits, slotBreaches, limitBreaches} = report;
-  yield* sectionLines('fleet', {overcommits, slotBreaches, limitBreaches});
+  yield* formatSection('fleet', {overcommits, slotBreaches, limitBreaches});
 }
 
-function* sectionLines(
+function* formatSection(
   name: string,
   values: Readonly<Record<string, number>>,
 ): Generator<string> {
--- a/packages/demo/src/request-load.ts
+++ b/packages/demo/src/request-load.ts
@@ -1,4 +1,4 @@
-/** Sends requests at a steady rate, whatever becomes of earlier ones. */
+/** Sends requests at a steady rate, independent of earlier replies. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {
   CallerClient,
@@ -7,12 +7,12 @@
   RequestResult,
 } from '@dragonflyward/standins';
 
-const SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
-/** An open-loop load of one sort of request. */
+/** An open-loop load of one kind of request. */
 export class RequestLoad {
   readonly results: RequestResult[] = [];
-  private readonly open = new Set<Promise<void>>();
+  private readonly pending = new Set<Promise<void>>();
   private isStopped = false;
   private sentCount = 0;
 
@@ -26,20 +26,20 @@
     return this.sentCount;
   }
 
-  /** Sends until it is stopped. */
+  /** Sends requests until the load is stopped. */
   async run(): Promise<void> {
     const startMs = performance.now();
     while (!this.isStopped) {
-      const dueMs = startMs + (this.sentCount * SECOND_MS) / this.perSecond;
+      const dueMs = startMs + (this.sentCount * MS_PER_SECOND) / this.perSecond;
       await sleep(Math.max(0, dueMs - performance.now()));
       this.send();
     }
   }
 
-  /** Stops sending and waits for what is open. */
+  /** Stops sending and waits for the open requests. */
   async stop(): Promise<readonly RequestResult[]> {
     this.isStopped = true;
-    await Promise.all(this.open);
+    await Promise.all(this.pending);
     return this.results;
   }
 
@@ -50,16 +50,16 @@
 
   private send(): void {
     this.sentCount += 1;
-    const one = this.caller.request(this.call).then(result => {
+    const sending = this.caller.request(this.call).then(result => {
       this.results.push(result);
-      this.open.delete(one);
+      this.pending.delete(sending);
     });
-    this.open.add(one);
+    this.pending.add(sending);
   }
 }
 
 /**
- * Counts the results of one outcome.
+ * Counts the results with one outcome.
  *
  * @example
  * assert.is(countOutcome(await load.stop(), 'lost'), 0);
@@ -72,7 +72,7 @@
 }
 
 /**
- * Sums up the results that are not of one outcome, for the message of a check.
+ * Lists the results with any other outcome, for an assertion message.
  *
  * @example
  * assert.is(answered, all, describeOthers(results, 'answered'));
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -1,4 +1,4 @@
-/** A small cell under load, and the verdict on what it did. */
+/** A small cell under load, and checks of the promises it must keep. */
 import {
   newId,
   NO_RESOURCES,
@@ -9,10 +9,10 @@
 import {
   Balancer,
   CallerClient,
-  findDoubleRuns,
+  findOverlappingRuns,
   findLimitBreaches,
   findRepeatedRequests,
-  findRepeats,
+  findRepeatedTasks,
   readShard,
   Rig,
   waitUntil,
@@ -26,11 +26,11 @@
 
 export const TEAM = 'roofers';
 export const REQUEST_DEADLINE_MS = 10_000;
-/** How long a cell may take to be whole again after one failure. */
-export const RECOVERY_BOUND_MS = 30_000;
+/** How long a cell may take to recover from one failure. */
+export const RECOVERY_TIMEOUT_MS = 30_000;
 export const DOMAINS = ['north-1', 'south-1', 'east-1'];
 
-const CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
+const ONE_CORE: Resources = {...NO_RESOURCES, cpuMilli: 1_000, memMb: 1_024};
 const LIMIT: Resources = {
   cpuMilli: 40_000,
   memMb: 40_960,
@@ -38,9 +38,9 @@
   slots: 64,
 };
 const WORKER: Resources = {...NO_RESOURCES, cpuMilli: 8_000, memMb: 16_384};
-const NO_REVISION = -1;
+const BASE_OF_FIRST_REVISION = -1;
 
-/** Short leases, so that their lapse is seen soon. */
+/** Short leases, so that tests needn't wait long for them to expire. */
 const TIMING: Partial<TimingSettings> = {
   taskLeaseMs: 6_000,
   renewPeriodMs: 1_000,
@@ -77,8 +77,8 @@
   exceptions: [],
 };
 
-/** A job of short tasks. */
-export function jobOf(change: Partial<JobCall> = {}): JobCall {
+/** Makes a job of short tasks. */
+export function shortJob(change: Partial<JobCall> = {}): JobCall {
   return {
     id: newId('job'),
     queue: 'kilns',
@@ -86,37 +86,37 @@
     isGang: false,
     isService: false,
     isIdempotent: true,
-    size: CORE,
+    size: ONE_CORE,
     runMs: 500,
     payload: {runMs: 500},
     ...change,
   };
 }
 
-/** A job whose tasks run for this long. */
+/** Makes a job whose tasks run for the given time. */
 export function longJob(runMs: number, change: Partial<JobCall> = {}): JobCall {
-  return jobOf({runMs, payload: {runMs}, ...change});
+  return shortJob({runMs, payload: {runMs}, ...change});
 }
 
-/** Three entry VMs, six workers and six executors with one team. */
+/** Three entry VMs, six workers, six executors and one team. */
 export class Cell {
   readonly rig = new Rig({...FLEET, timing: TIMING});
   readonly balancer = new Balancer(this.rig);
   readonly caller = new CallerClient(() => this.balancer.pick());
   readonly jobs = new JobLoad(this.caller);
-  private readonly loads: RequestLoad[] = [];
+  private readonly nonIdempotentLoads: RequestLoad[] = [];
   private readonly running: RequestLoad[] = [];
-  private readonly onceJobs = new Set<string>();
+  private readonly nonIdempotentJobs = new Set<string>();
   private teamKey: TeamKey | undefined;
 
-  /** Starts all and waits until the cell serves. */
+  /** Starts all processes and waits until the cell serves requests. */
   async start(): Promise<void> {
     await this.rig.startPlatform();
-    await this.rig.operator.publish(CONFIGURATION, NO_REVISION);
+    await this.rig.operator.publish(CONFIGURATION, BASE_OF_FIRST_REVISION);
     this.teamKey = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
     await this.rig.untilReady();
-    await this.untilServing();
+    await this.waitUntilServing();
   }
 
   async stop(): Promise<void> {
@@ -124,11 +124,11 @@
     await this.rig.stop();
   }
 
-  /** Ends all faults, so that one test's failure is not the next one's. */
-  async mend(): Promise<void> {
+  /** Ends all faults and loads, so that a failed test doesn't fail the next. */
+  async clearFaults(): Promise<void> {
     await Promise.all(this.running.map(load => load.stop()));
     this.running.length = 0;
-    await this.rig.mend();
+    await this.rig.clearFaults();
     await this.rig.untilReady();
   }
 
@@ -138,19 +138,19 @@
   }
 
   /** Waits until each shard has an owner and requests are answered. */
-  async untilServing(): Promise<void> {
+  async waitUntilServing(): Promise<void> {
     for (const domain of DOMAINS) {
-      await waitUntil(`${domain} has an owner`, RECOVERY_BOUND_MS, () =>
+      await waitUntil(`${domain} has an owner`, RECOVERY_TIMEOUT_MS, () =>
         this.ownerOf(domain),
       );
     }
-    await waitUntil('a request is answered', RECOVERY_BOUND_MS, async () => {
-      const {outcome} = await this.caller.request(this.requestOf());
+    await waitUntil('a request is answered', RECOVERY_TIMEOUT_MS, async () => {
+      const {outcome} = await this.caller.request(this.newRequest());
       return outcome === 'answered';
     });
   }
 
-  /** The VM whose scheduler owns a domain's shard by the log. */
+  /** Reads from the log which VM's scheduler owns a domain's shard. */
   async ownerOf(domain: string): Promise<string | undefined> {
     const {owner} = await readShard(this.rig.log, domain);
     return owner?.vm;
@@ -160,7 +160,7 @@
     return (await readShard(this.rig.log, domain)).term;
   }
 
-  requestOf(change: Partial<RequestCall> = {}): RequestCall {
+  newRequest(change: Partial<RequestCall> = {}): RequestCall {
     return {
       queue: 'quotes',
       key: this.key.text,
@@ -171,15 +171,15 @@
     };
   }
 
-  /** Sends requests at a steady rate until the load is stopped. */
+  /** Starts sending requests at a steady rate until the load is stopped. */
   startLoad(perSecond: number, change: Partial<RequestCall> = {}): RequestLoad {
     const load = new RequestLoad(
       this.caller,
-      this.requestOf(change),
+      this.newRequest(change),
       perSecond,
     );
     this.running.push(load);
-    if (change.isIdempotent === false) this.loads.push(load);
+    if (change.isIdempotent === false) this.nonIdempotentLoads.push(load);
     void load.run();
     return load;
   }
@@ -188,7 +188,7 @@
   async submit(job: JobCall): Promise<string> {
     const jobId = await this.jobs.submit({key: this.key, job});
     assert.ok(jobId, this.jobs.refused.at(-1));
-    if (!job.isIdempotent) this.onceJobs.add(jobId);
+    if (!job.isIdempotent) this.nonIdempotentJobs.add(jobId);
     return jobId;
   }
 
@@ -196,9 +196,9 @@
     return Promise.all(jobs.map(job => this.submit(job)));
   }
 
-  /** Waits until a job has this many tasks running on workers. */
-  async untilRunning(jobId: string, tasks: number): Promise<void> {
-    await waitUntil(`${jobId} runs`, RECOVERY_BOUND_MS, async () => {
+  /** Waits until the given number of a job's tasks run on workers. */
+  async waitUntilRunning(jobId: string, tasks: number): Promise<void> {
+    await waitUntil(`${jobId} runs`, RECOVERY_TIMEOUT_MS, async () => {
       const records = await this.rig.targets.records();
       const runs = records.tasks.filter(run => run.jobId === jobId);
       return runs.filter(run => run.endMs === null).length >= tasks;
@@ -209,34 +209,48 @@
     return this.jobs.jobs.find(job => job.jobId === jobId)?.status;
   }
 
-  /** All accepted jobs have ended as they may, and no promise is broken. */
-  async judge(): Promise<void> {
-    await this.jobs.follow(RECOVERY_BOUND_MS);
-    const open = this.jobs.open().map(job => `${job.jobId}`);
+  /** Asserts that accepted jobs have ended properly and promises were kept. */
+  async checkPromises(): Promise<void> {
+    await this.jobs.pollUntilEnded(RECOVERY_TIMEOUT_MS);
+    const open = this.jobs.openJobs().map(job => `${job.jobId}`);
     assert.equal(open, [], 'jobs that have not ended');
-    for (const job of this.jobs.jobs) this.judgeEnd(job.jobId);
+    for (const job of this.jobs.jobs) this.checkJobEnd(job.jobId);
     const records = await this.rig.targets.records();
     assert.equal(records.overcommits, [], 'overcommits');
     assert.is(records.slotBreaches, 0, 'executors over their slots');
-    assert.equal(findDoubleRuns(records.tasks), [], 'in two places');
-    assert.equal(findRepeats(records.tasks, this.onceJobs), [], 'run again');
+    assert.equal(
+      findOverlappingRuns(records.tasks),
+      [],
+      'tasks run in two places',
+    );
+    assert.equal(
+      findRepeatedTasks(records.tasks, this.nonIdempotentJobs),
+      [],
+      'non-idempotent jobs run again',
+    );
     const limits = new Map([[TEAM, LIMIT]]);
-    assert.equal(findLimitBreaches(records, limits), [], 'over the limit');
-    const once = new Set(this.loads.flatMap(load => load.labels()));
-    const repeated = findRepeatedRequests(records.requests);
     assert.equal(
-      repeated.filter(id => once.has(id)),
+      findLimitBreaches(records, limits),
+      [],
+      'teams over their limit',
+    );
+    const nonIdempotentLabels = new Set(
+      this.nonIdempotentLoads.flatMap(load => load.labels()),
+    );
+    const repeatedLabels = findRepeatedRequests(records.requests);
+    assert.equal(
+      repeatedLabels.filter(id => nonIdempotentLabels.has(id)),
       [],
-      'requests run again',
+      'non-idempotent requests run again',
     );
   }
 
-  private judgeEnd(jobId: string): void {
+  private checkJobEnd(jobId: string): void {
     const end = this.statusOf(jobId)?.end;
-    const isOnce = this.onceJobs.has(jobId);
-    const isKept = end === 'succeeded' || end === 'cancelled';
+    const isNonIdempotent = this.nonIdempotentJobs.has(jobId);
+    const hasCleanEnd = end === 'succeeded' || end === 'cancelled';
     assert.ok(
-      isKept || (isOnce && end === 'outcomeUnknown'),
+      hasCleanEnd || (isNonIdempotent && end === 'outcomeUnknown'),
       `${jobId} ${end}`,
     );
   }
--- a/packages/standins/src/balancer.ts
+++ b/packages/standins/src/balancer.ts
@@ -1,28 +1,28 @@
-/** The platform's balancer: hands callers the gateways that are ready. */
+/** A stand-in for the platform's load balancer. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {raise} from '@dragonflyward/common';
 import type {Rig} from './rig.js';
 
 const PROBE_PERIOD_MS = 200;
 
-/** Chooses gateways in turn among those that were ready at the last probe. */
+/** Picks among the gateways that were ready at the last probe, round robin. */
 export class Balancer {
   private ready: readonly string[] = [];
-  private next = 0;
+  private turn = 0;
   private isStopped = false;
 
   constructor(private readonly rig: Rig) {
-    void this.run();
+    void this.probeGateways();
   }
 
   /**
-   * The URL of the next ready gateway.
+   * Returns the URL of the next ready gateway.
    *
    * @throws peerDown when none is ready
    */
   pick(): string {
-    this.next += 1;
-    const url = this.ready[this.next % Math.max(1, this.ready.length)];
+    this.turn += 1;
+    const url = this.ready[this.turn % Math.max(1, this.ready.length)];
     return url ?? raise('peerDown', 'no gateway is ready');
   }
 
@@ -30,7 +30,7 @@
     this.isStopped = true;
   }
 
-  private async run(): Promise<void> {
+  private async probeGateways(): Promise<void> {
     while (!this.isStopped) {
       const probes = this.rig.entries.map(async ({id}) => {
         const isReady = await this.rig.isReady('gateway', id);
--- a/packages/standins/src/caller-client.ts
+++ b/packages/standins/src/caller-client.ts
@@ -1,4 +1,4 @@
-/** A caller: sends requests and jobs through the balancer. */
+/** An HTTP client that sends requests and jobs as a caller does. */
 import {randomBytes, randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -14,15 +14,15 @@
 const REPLY_MARGIN_MS = 2_000;
 const STATUS_TIMEOUT_MS = 3_000;
 
-/** How a request or a submission ended, as its caller saw it. */
+/** The outcome of a request or job submission, as its caller sees it. */
 export type Outcome =
-  /** Answered whole, with the answer to this request. */
+  /** A complete answer to this request. */
   | 'answered'
-  /** Refused with "not run" until the deadline, or for good. */
+  /** Refused with "not run", finally or until the deadline passed. */
   | 'refused'
   /** Answered with "outcome unknown". */
   | 'unknown'
-  /** No answer, a cut one, or another request's. */
+  /** No answer, a truncated one, or the answer to another request. */
   | 'lost';
 
 /** One request. */
@@ -32,13 +32,13 @@
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   readonly sleepMs: number;
-  /** Whether the caller names the request, so that it may repeat it. */
+  /** Whether the caller sets the request id, which lets it retry safely. */
   readonly hasOwnId?: boolean;
 }
 
-/** What a caller knows after a request. */
+/** The result of a request, as its caller sees it. */
 export interface RequestResult {
-  /** What the request's body says; the executors record it. */
+  /** Sent in the request's body and recorded by the executors. */
   readonly label: string;
   readonly outcome: Outcome;
   readonly status: number;
@@ -46,13 +46,13 @@
   readonly tookMs: number;
 }
 
-/** One job as its caller submits it. */
+/** A job as its caller submits it. */
 export type JobCall = Omit<JobSpec, 'jobId' | 'team'> & {
   readonly id: string;
   readonly domain?: string;
 };
 
-/** What a caller knows after a submission. */
+/** The result of a job submission, as its caller sees it. */
 export interface SubmitResult {
   readonly outcome: Outcome;
   readonly jobId: string;
@@ -71,41 +71,42 @@
   readonly body: unknown;
 }
 
-/** Sends through whichever gateway the balancer gives it. */
+/** Sends each call to the gateway that `pick` returns. */
 export class CallerClient {
   private readonly clients = new Map<string, JsonClient>();
 
   constructor(private readonly pick: () => string) {}
 
   /**
-   * Sends a request; a refusal that says "not run" is sent again.
+   * Sends a request; retries retryable "not run" refusals until the deadline.
    *
    * @example
    * const {outcome} = await caller.request(call);
    */
   async request(call: RequestCall): Promise<RequestResult> {
     const {queue, key, deadlineMs, sleepMs, isIdempotent} = call;
-    const label = timedId();
-    const ownId = call.hasOwnId ? {'x-request-id': label} : {};
+    const label = newUuidV7();
+    const idHeader = call.hasOwnId ? {'x-request-id': label} : {};
     const startMs = performance.now();
     const body = {sleepMs, echo: label};
-    const attempt = await this.persist(deadlineMs, leftMs =>
+    const attempt = await this.retryUntilDeadline(deadlineMs, leftMs =>
       this.call('POST', `/v1/requests/${queue}`, leftMs, body, {
         ...authorization(key),
-        ...ownId,
+        ...idHeader,
         'x-deadline-ms': `${Math.floor(leftMs)}`,
         'x-idempotent': `${isIdempotent}`,
       }),
     );
     const {status, kind} = attempt;
-    const isOwn = attempt.outcome !== 'answered' || attempt.body === label;
-    const outcome = isOwn ? attempt.outcome : 'lost';
+    const isOwnAnswer =
+      attempt.outcome !== 'answered' || attempt.body === label;
+    const outcome = isOwnAnswer ? attempt.outcome : 'lost';
     const tookMs = performance.now() - startMs;
     return {label, outcome, status, kind, tookMs};
   }
 
   /**
-   * Submits a job; its id makes it safe to send it again.
+   * Submits a job. Retries also unknown outcomes: the job id makes this safe.
    *
    * @example
    * const {jobId} = await caller.submit(key, job, 10_000);
@@ -115,28 +116,28 @@
     job: JobCall,
     deadlineMs: number,
   ): Promise<SubmitResult> {
-    const attempt = await this.persist(deadlineMs, async leftMs => {
+    const attempt = await this.retryUntilDeadline(deadlineMs, async leftMs => {
       const headers = authorization(key);
-      const made = await this.call('POST', '/v1/jobs', leftMs, job, headers);
-      const isOpen = made.outcome === 'lost' || made.outcome === 'unknown';
-      return isOpen ? {...made, isRetryable: true} : made;
+      const reply = await this.call('POST', '/v1/jobs', leftMs, job, headers);
+      const isUndecided =
+        reply.outcome === 'lost' || reply.outcome === 'unknown';
+      return isUndecided ? {...reply, isRetryable: true} : reply;
     });
     const {outcome, kind} = attempt;
     const {jobId = ''} = (attempt.body ?? {}) as {readonly jobId?: string};
     return {outcome, jobId, kind};
   }
 
-  /** Reads a job's status; undefined when no gateway told it. */
+  /** Reads a job's status; undefined if the gateway didn't return it. */
   async status(key: string, jobId: string): Promise<JobStatus | undefined> {
     const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
     const headers = authorization(key);
     const timeoutMs = STATUS_TIMEOUT_MS;
     const attempt = await this.call('GET', path, timeoutMs, undefined, headers);
-    const isTold = attempt.outcome === 'answered';
-    return isTold ? (attempt.body as JobStatus) : undefined;
+    const isAnswered = attempt.outcome === 'answered';
+    return isAnswered ? (attempt.body as JobStatus) : undefined;
   }
 
-  /** Cancels a job. */
   async cancel(key: string, jobId: string): Promise<Outcome> {
     const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
     const headers = authorization(key);
@@ -151,7 +152,7 @@
     return attempt.outcome;
   }
 
-  private async persist(
+  private async retryUntilDeadline(
     deadlineMs: number,
     send: (leftMs: number) => Promise<Attempt>,
   ): Promise<Attempt> {
@@ -173,8 +174,10 @@
   ): Promise<Attempt> {
     const timeoutMs = leftMs + REPLY_MARGIN_MS;
     try {
-      const client = this.clientOf(this.pick());
-      return judge(await client.call(method, path, timeoutMs, body, headers));
+      const client = this.clientFor(this.pick());
+      return classifyReply(
+        await client.call(method, path, timeoutMs, body, headers),
+      );
     } catch (err) {
       const {kind, detail} = toFailure(err);
       const isUnsent = kind === 'peerDown';
@@ -184,7 +187,7 @@
     }
   }
 
-  private clientOf(url: string): JsonClient {
+  private clientFor(url: string): JsonClient {
     const known = this.clients.get(url);
     if (known !== undefined) return known;
     const client = new JsonClient(url);
@@ -193,8 +196,8 @@
   }
 }
 
-/** Makes an identifier that tells when it was made: a version 7 UUID. */
-function timedId(): string {
+/** Makes a version 7 UUID, which contains the time of its creation. */
+function newUuidV7(): string {
   const time = Date.now().toString(16).padStart(12, '0');
   const [, , , variant = '', tail = ''] = randomUUID().split('-');
   const version = randomBytes(2).toString('hex').slice(1);
@@ -205,13 +208,13 @@
   return {authorization: `Bearer ${key}`};
 }
 
-function judge({status, body}: JsonReply): Attempt {
-  const made = {status, body, kind: '', isRetryable: false};
-  if (status === 200 || status === 202) return {...made, outcome: 'answered'};
+function classifyReply({status, body}: JsonReply): Attempt {
+  const base = {status, body, kind: '', isRetryable: false};
+  if (status === 200 || status === 202) return {...base, outcome: 'answered'};
   const {error} = (body ?? {}) as ErrorBody;
-  if (error === undefined) return {...made, outcome: 'lost'};
+  if (error === undefined) return {...base, outcome: 'lost'};
   const {kind} = error;
-  if (error.outcome !== 'not run') return {...made, kind, outcome: 'unknown'};
+  if (error.outcome !== 'not run') return {...base, kind, outcome: 'unknown'};
   const {isRetryable} = ERRORS[kind];
-  return {...made, kind, isRetryable, outcome: 'refused'};
+  return {...base, kind, isRetryable, outcome: 'refused'};
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,16 +1,16 @@
-/** Small stand-ins for the platform, and the rig that runs them. */
+/** Simulated platform services and targets, and the rig that runs them. */
 export * from './balancer.js';
 export * from './caller-client.js';
 export * from './fleet.js';
-export * from './judge.js';
+export * from './record-checks.js';
 export * from './operator.js';
-export * from './owner.js';
+export * from './read-shard.js';
 export * from './processes.js';
 export * from './rig.js';
 export * from './targets.js';
 export * from './wait.js';
-export type {ExecutorSwitches, RequestRun} from './executor-service.js';
-export type {LogSwitches} from './log-service.js';
-export type {VmsSwitches} from './vms-service.js';
-export type {WorkerSwitches} from './worker-service.js';
+export type {ExecutorFaults, RequestRun} from './executor-service.js';
+export type {LogFaults} from './log-service.js';
+export type {VmListChange} from './vms-service.js';
+export type {WorkerFaults} from './worker-service.js';
 export type {TaskPayload, TaskRun} from './worker-task.js';
--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -1,20 +1,20 @@
-/** The child processes of a rig; only these are ever signalled. */
+/** Starts and ends the child processes of a rig; signals no others. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {raise} from '@dragonflyward/common';
 
-const KEPT_OUTPUT_CHARS = 20_000;
+const MAX_OUTPUT_CHARS = 20_000;
 
 class Child {
   output = '';
 
   constructor(readonly process: ChildProcess) {
-    const keep = (chunk: Buffer): void => {
+    const appendOutput = (chunk: Buffer): void => {
       const text = this.output + chunk.toString();
-      this.output = text.slice(-KEPT_OUTPUT_CHARS);
+      this.output = text.slice(-MAX_OUTPUT_CHARS);
     };
-    process.stdout?.on('data', keep);
-    process.stderr?.on('data', keep);
+    process.stdout?.on('data', appendOutput);
+    process.stderr?.on('data', appendOutput);
   }
 
   get isRunning(): boolean {
@@ -22,25 +22,25 @@
   }
 }
 
-/** Child processes by name; all are ended when this process exits. */
+/** Child processes by name; all are killed when this process exits. */
 export class ProcessSet {
   private readonly children = new Map<string, Child>();
-  private readonly atExit = (): void => {
+  private readonly killAllAtExit = (): void => {
     this.killAll();
   };
 
   constructor() {
-    process.once('exit', this.atExit);
+    process.once('exit', this.killAllAtExit);
   }
 
   /**
-   * Starts a Node.js program under a name that is free.
+   * Starts a Node.js program under a name that no running process has.
    *
    * @example
    * processes.start('log', 'dist/src/log-main.js', ['--port', '7000']);
    */
   start(name: string, script: string, args: readonly string[]): void {
-    if (this.isRunning(name)) raise('badRequest', `${name} runs already`);
+    if (this.isRunning(name)) raise('badRequest', `${name} already runs`);
     const child = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -51,42 +51,44 @@
     return this.children.get(name)?.isRunning ?? false;
   }
 
-  /** The newest output of a program, for reports of failures. */
+  /** The last output of a process, for failure reports. */
   output(name: string): string {
-    return this.childOf(name).output;
+    return this.findChild(name).output;
   }
 
   pid(name: string): number {
-    return this.childOf(name).process.pid ?? 0;
+    return this.findChild(name).process.pid ?? 0;
   }
 
   signal(name: string, signal: NodeJS.Signals): void {
-    const child = this.childOf(name);
+    const child = this.findChild(name);
     if (child.isRunning) child.process.kill(signal);
   }
 
-  /** Ends a program at once and waits until it is gone. */
+  /** Kills a process and waits until it has exited. */
   async kill(name: string): Promise<void> {
     this.signal(name, 'SIGKILL');
-    await this.exit(name);
+    await this.waitForExit(name);
   }
 
   /**
-   * Waits until a program is gone.
+   * Waits until a process has exited.
    *
-   * @returns its exit code, or -1 after a signal
+   * @returns its exit code, or -1 if a signal ended it
    */
-  async exit(name: string): Promise<number> {
-    const child = this.childOf(name);
+  async waitForExit(name: string): Promise<number> {
+    const child = this.findChild(name);
     if (child.isRunning) await once(child.process, 'exit');
     return child.process.exitCode ?? -1;
   }
 
-  /** Ends all programs and waits until they are gone. */
-  async stop(): Promise<void> {
+  /** Kills all processes and waits until they have exited. */
+  async stopAll(): Promise<void> {
     this.killAll();
-    await Promise.all([...this.children.keys()].map(name => this.exit(name)));
-    process.off('exit', this.atExit);
+    await Promise.all(
+      [...this.children.keys()].map(name => this.waitForExit(name)),
+    );
+    process.off('exit', this.killAllAtExit);
   }
 
   private killAll(): void {
@@ -95,7 +97,7 @@
     }
   }
 
-  private childOf(name: string): Child {
-    return this.children.get(name) ?? raise('badRequest', `no ${name}`);
+  private findChild(name: string): Child {
+    return this.children.get(name) ?? raise('badRequest', `no process ${name}`);
   }
 }
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -1,4 +1,4 @@
-/** Stand-ins and the product's programs as processes, for tests. */
+/** A test rig: runs stand-ins and the real programs as processes. */
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -6,13 +6,18 @@
 import {raise, type TimingSettings} from '@dragonflyward/common';
 import {HttpLogClient} from '@dragonflyward/log';
 import type {VmEntry} from '@dragonflyward/vms';
-import {getJson, postAdmin, standinOf, untilAnswers} from './calls.js';
+import {
+  getJson,
+  postAdmin,
+  standinProgramPath,
+  waitUntilReachable,
+} from './admin-calls.js';
 import {entryVm, Subnet, targetVms, type FleetPlan} from './fleet.js';
-import {NO_LOG_FAULTS, type LogSwitches} from './log-service.js';
+import {NO_LOG_FAULTS, type LogFaults} from './log-service.js';
 import {RigOperator} from './operator.js';
 import {ProcessSet} from './processes.js';
 import {TargetSet} from './targets.js';
-import type {VmsSwitches} from './vms-service.js';
+import type {VmListChange} from './vms-service.js';
 import {waitUntil} from './wait.js';
 
 const LOG_HOST = 250;
@@ -24,17 +29,17 @@
   scheduler: 8_090,
   schedulerAdmin: 8_091,
 } as const;
-const START_BOUND_MS = 20_000;
+const START_TIMEOUT_MS = 20_000;
 
-/** The product's program of a role on an entry VM. */
+/** A program that runs on each entry VM. */
 export type Role = 'gateway' | 'scheduler';
 
-/** What a rig consists of and how its programs are set. */
+/** The VMs of a rig and the timing settings of its programs. */
 export interface RigPlan extends FleetPlan {
   readonly timing?: Partial<TimingSettings>;
 }
 
-/** A fleet in small; ends all that it started at its stop. */
+/** A small fleet on one machine; `stop` ends all that it started. */
 export class Rig {
   readonly processes = new ProcessSet();
   readonly targets: TargetSet;
@@ -67,16 +72,16 @@
 
   /** Starts the stand-ins and fills the list of VMs. */
   async startPlatform(): Promise<void> {
-    this.startService('log', LOG_HOST);
-    this.startService('vms', VMS_HOST);
+    this.startStandin('log', LOG_HOST);
+    this.startStandin('vms', VMS_HOST);
     this.targets.start();
-    await untilAnswers(`${this.logUrl}/admin`);
-    await untilAnswers(`${this.vmsUrl}/admin`);
-    await this.targets.untilAnswers();
+    await waitUntilReachable(`${this.logUrl}/admin`);
+    await waitUntilReachable(`${this.vmsUrl}/admin`);
+    await this.targets.waitUntilReachable();
     await this.switchVms({set: this.targets.vms});
   }
 
-  /** Starts the entry VMs of the plan with their programs. */
+  /** Adds the entry VMs of the plan and starts their programs. */
   async startEntries(): Promise<void> {
     for (let i = 0; i < this.plan.entriesPerDomain; i += 1) {
       for (const domain of this.plan.domains) await this.addEntry(domain);
@@ -84,23 +89,26 @@
   }
 
   /** Waits until all programs on the entry VMs are ready. */
-  async untilReady(boundMs = START_BOUND_MS): Promise<void> {
+  async untilReady(timeoutMs = START_TIMEOUT_MS): Promise<void> {
     for (const {id} of this.entries) {
-      await this.untilRoleReady('gateway', id, boundMs);
-      await this.untilRoleReady('scheduler', id, boundMs);
+      await this.untilRoleReady('gateway', id, timeoutMs);
+      await this.untilRoleReady('scheduler', id, timeoutMs);
     }
   }
 
   async untilRoleReady(
     role: Role,
     id: string,
-    boundMs = START_BOUND_MS,
+    timeoutMs = START_TIMEOUT_MS,
   ): Promise<void> {
-    const name = nameOf(role, id);
+    const name = processName(role, id);
     try {
-      await waitUntil(`${name} ready`, boundMs, () => this.isReady(role, id));
+      await waitUntil(`${name} ready`, timeoutMs, () => this.isReady(role, id));
     } catch {
-      raise('deadlinePassed', `${name}: ${this.processes.output(name)}`);
+      raise(
+        'deadlinePassed',
+        `${name} is not ready: ${this.processes.output(name)}`,
+      );
     }
   }
 
@@ -108,7 +116,7 @@
     return (await getJson(`${this.adminUrl(role, id)}/readyz`)).status === 200;
   }
 
-  /** Adds an entry VM, as the platform does, and starts its programs. */
+  /** Adds an entry VM to the list of VMs and starts its programs. */
   async addEntry(domain: string): Promise<VmEntry> {
     const host = this.nextEntry;
     this.nextEntry += 1;
@@ -120,7 +128,7 @@
     return vm;
   }
 
-  /** Takes an entry VM away: its programs die and it leaves the list. */
+  /** Kills an entry VM's programs and removes it from the list of VMs. */
   async removeEntry(id: string): Promise<void> {
     await this.kill('gateway', id);
     await this.kill('scheduler', id);
@@ -128,89 +136,89 @@
     await this.switchVms({remove: [id]});
   }
 
-  /** Starts a program on an entry VM; also again after it ended. */
+  /** Starts a program on an entry VM, or restarts it after it ended. */
   startRole(role: Role, id: string): void {
     const file = join(this.dir, `${id}.json`);
     writeFileSync(file, JSON.stringify(this.settingsOf(id)));
-    const script = programOf(role === 'gateway' ? 'caller' : 'scheduler');
-    this.processes.start(nameOf(role, id), script, ['--settings', file]);
+    const script = programPath(role === 'gateway' ? 'caller' : 'scheduler');
+    this.processes.start(processName(role, id), script, ['--settings', file]);
   }
 
   kill(role: Role, id: string): Promise<void> {
-    return this.processes.kill(nameOf(role, id));
+    return this.processes.kill(processName(role, id));
   }
 
   pause(role: Role, id: string): void {
-    this.processes.signal(nameOf(role, id), 'SIGSTOP');
+    this.processes.signal(processName(role, id), 'SIGSTOP');
   }
 
   resume(role: Role, id: string): void {
-    this.processes.signal(nameOf(role, id), 'SIGCONT');
+    this.processes.signal(processName(role, id), 'SIGCONT');
   }
 
-  /** Asks for a graceful shutdown and returns the exit code. */
+  /** Requests a graceful shutdown and returns the exit code. */
   terminate(role: Role, id: string): Promise<number> {
-    this.processes.signal(nameOf(role, id), 'SIGTERM');
-    return this.processes.exit(nameOf(role, id));
+    this.processes.signal(processName(role, id), 'SIGTERM');
+    return this.processes.waitForExit(processName(role, id));
   }
 
-  switchLog(change: Partial<LogSwitches>): Promise<void> {
+  switchLog(change: Partial<LogFaults>): Promise<void> {
     return postAdmin(`${this.logUrl}/admin`, change);
   }
 
-  /** Silences the open connections of the log service. */
-  muteLog(): Promise<void> {
+  /** Mutes the open connections of the log service. */
+  muteLogConnections(): Promise<void> {
     return postAdmin(`${this.logUrl}/admin/mute`, {});
   }
 
-  switchVms(change: VmsSwitches): Promise<void> {
+  switchVms(change: VmListChange): Promise<void> {
     return postAdmin(`${this.vmsUrl}/admin`, change);
   }
 
   gatewayUrl(id: string): string {
-    return `http://${this.entryOf(id).ip}:${PORTS.gateway}`;
+    return `http://${this.findEntry(id).ip}:${PORTS.gateway}`;
   }
 
   adminUrl(role: Role, id: string): string {
     const port = role === 'gateway' ? PORTS.gatewayAdmin : PORTS.schedulerAdmin;
-    return `http://${this.entryOf(id).ip}:${port}`;
+    return `http://${this.findEntry(id).ip}:${port}`;
   }
 
-  /** The status page of a program. */
+  /** Reads the status of a program. */
   async status(role: Role, id: string): Promise<Readonly<object>> {
     const res = await getJson(`${this.adminUrl(role, id)}/status`);
     return res.body as Readonly<object>;
   }
 
-  /** Ends all faults, and starts the programs that have died. */
-  async mend(): Promise<void> {
+  /** Ends all faults, resumes paused programs and restarts dead ones. */
+  async clearFaults(): Promise<void> {
     await this.switchLog(NO_LOG_FAULTS);
     await this.switchVms({lagMs: 0, outage: false});
     for (const {id} of this.entries) {
-      this.mendRole('scheduler', id);
-      this.mendRole('gateway', id);
+      this.recoverRole('scheduler', id);
+      this.recoverRole('gateway', id);
     }
-    await this.targets.mend();
+    await this.targets.clearFaults();
   }
 
-  /** Ends all that this rig started. */
+  /** Kills all processes of this rig and deletes its files. */
   async stop(): Promise<void> {
-    await this.processes.stop();
+    await this.processes.stopAll();
     rmSync(this.dir, {recursive: true, force: true});
   }
 
-  private mendRole(role: Role, id: string): void {
-    if (this.processes.isRunning(nameOf(role, id))) this.resume(role, id);
+  private recoverRole(role: Role, id: string): void {
+    if (this.processes.isRunning(processName(role, id))) this.resume(role, id);
     else this.startRole(role, id);
   }
 
-  private startService(name: 'log' | 'vms', host: number): void {
+  private startStandin(name: 'log' | 'vms', host: number): void {
     const args = ['--ip', this.subnet.ip(host), '--port', `${SERVICE_PORT}`];
-    this.processes.start(name, standinOf(name), args);
+    this.processes.start(name, standinProgramPath(name), args);
   }
 
   private settingsOf(id: string): Readonly<object> {
-    const {ip, region, domain, rack} = this.entryOf(id);
+    const {ip, region, domain, rack} = this.findEntry(id);
     return {
       vm: {id, ip, region, domain, rack},
       logUrl: this.logUrl,
@@ -220,16 +228,16 @@
     };
   }
 
-  private entryOf(id: string): VmEntry {
-    return this.entriesById.get(id) ?? raise('badRequest', `no VM ${id}`);
+  private findEntry(id: string): VmEntry {
+    return this.entriesById.get(id) ?? raise('badRequest', `no entry VM ${id}`);
   }
 }
 
-function nameOf(role: Role, id: string): string {
+function processName(role: Role, id: string): string {
   return `${role}@${id}`;
 }
 
-function programOf(pkg: string): string {
+function programPath(pkg: string): string {
   const path = `../../../${pkg}/dist/src/main.js`;
   return fileURLToPath(new URL(path, import.meta.url));
 }
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -1,13 +1,13 @@
-/** Small HTTP servers of which a fault switch decides how they answer. */
+/** HTTP servers of the stand-ins, whose replies and connections can fail. */
 import {createHash} from 'node:crypto';
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {raise, readJson, sendJson, toFailure} from '@dragonflyward/common';
 
-/** Silences the open connections of a stand-in. */
+/** The admin path that mutes the open connections of a stand-in. */
 export const MUTE_PATH = '/admin/mute';
 
-/** A call as a stand-in sees it. */
+/** A parsed HTTP request to a stand-in. */
 export interface Call {
   readonly method: string;
   readonly path: string;
@@ -17,38 +17,38 @@
   readonly clientIp: string;
 }
 
-/** A whole JSON answer. */
+/** A complete JSON answer. */
 export interface JsonAnswer {
   readonly kind: 'json';
   readonly status: number;
   readonly body: unknown;
 }
 
-/** How a call is answered: fully, never, or by a cut connection. */
+/** A complete answer, no answer, or a closed connection. */
 export type Reply =
   JsonAnswer | {readonly kind: 'silent'} | {readonly kind: 'cut'};
 
 const NOT_MODIFIED = 304;
 
-export const SILENT: Reply = {kind: 'silent'};
-export const CUT: Reply = {kind: 'cut'};
+export const SILENT_REPLY: Reply = {kind: 'silent'};
+export const CUT_REPLY: Reply = {kind: 'cut'};
 
 /**
- * Makes a whole JSON reply.
+ * Makes a complete JSON reply.
  *
  * @example
- * return json({offset: 17});
+ * return jsonReply({offset: 17});
  */
-export function json(body: unknown, status = 200): Reply {
+export function jsonReply(body: unknown, status = 200): Reply {
   return {kind: 'json', status, body};
 }
 
-/** Answers the calls of one stand-in. */
+/** Handles the calls to one stand-in. */
 export abstract class Service {
   abstract handle(call: Call): Promise<Reply>;
 }
 
-/** The open connections of a server, some of which have gone silent. */
+/** Tracks the open connections of a server, some of which may be muted. */
 export class Connections {
   private readonly open = new Set<Socket>();
   private readonly muted = new WeakSet<Socket>();
@@ -60,19 +60,19 @@
     });
   }
 
-  /** Whether nothing that comes on this connection may be heard. */
+  /** Whether requests on this connection must be ignored. */
   isMuted(socket: Socket): boolean {
     return this.muted.has(socket);
   }
 
-  /** Silences all connections but one; later ones work. */
-  muteOthers(than: Socket): void {
-    for (const socket of this.open) if (socket !== than) this.muted.add(socket);
+  /** Mutes all open connections but one; new connections work. */
+  muteAllExcept(kept: Socket): void {
+    for (const socket of this.open) if (socket !== kept) this.muted.add(socket);
   }
 }
 
 /**
- * Serves a stand-in.
+ * Starts the HTTP server of a stand-in.
  *
  * @example
  * await serve('127.0.0.1', 7000, new LogService());
@@ -84,24 +84,24 @@
 ): Promise<void> {
   const server = http.createServer((req, res) => {
     if (connections.isMuted(req.socket)) return;
-    if (req.url === MUTE_PATH) return mute(connections, req, res);
-    void answer(service, req, res);
+    if (req.url === MUTE_PATH) return handleMute(connections, req, res);
+    void respond(service, req, res);
   });
   const connections = new Connections(server);
   await listen(server, ip, port);
 }
 
-/** Silences the open connections of a server but for the caller's. */
-export function mute(
+/** Mutes the open connections of a server except the caller's. */
+export function handleMute(
   connections: Connections,
   req: http.IncomingMessage,
   res: http.ServerResponse,
 ): void {
-  connections.muteOthers(req.socket);
+  connections.muteAllExcept(req.socket);
   sendJson(res, 200, {});
 }
 
-/** Waits until a server listens. */
+/** Starts listening and waits until the server does. */
 export function listen(
   server: http.Server,
   ip: string,
@@ -113,7 +113,7 @@
   });
 }
 
-async function answer(
+async function respond(
   service: Service,
   req: http.IncomingMessage,
   res: http.ServerResponse,
@@ -121,14 +121,14 @@
   try {
     const reply = await service.handle(await readCall(req));
     if (reply.kind === 'cut') return void req.socket.destroy();
-    if (reply.kind === 'json') sendVersioned(req, res, reply);
+    if (reply.kind === 'json') sendWithEtag(req, res, reply);
   } catch (err) {
     sendJson(res, 400, {error: toFailure(err).detail});
   }
 }
 
-/** Sends no body where the client has the same version already. */
-function sendVersioned(
+/** Sends status 304 without a body if the client's ETag still matches. */
+function sendWithEtag(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   {status, body}: JsonAnswer,
@@ -154,12 +154,13 @@
 }
 
 /**
- * Reads a number of a query.
+ * Reads a number from the query string.
  *
+ * @throws badRequest if the value is not a finite number
  * @example
- * const from = numberOf(call.query, 'from', 0);
+ * const from = numberParam(call.query, 'from', 0);
  */
-export function numberOf(
+export function numberParam(
   query: URLSearchParams,
   name: string,
   fallback: number,
--- a/packages/standins/src/wait.ts
+++ b/packages/standins/src/wait.ts
@@ -1,35 +1,38 @@
-/** Waiting on conditions within a bound. */
+/** Waits for conditions with a timeout. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {raise} from '@dragonflyward/common';
 
 const CHECK_PERIOD_MS = 50;
 
-/** What a check returns once it is met. */
-export type Met<T> = Exclude<T, false | null | undefined>;
+/** The value of a condition that is met. */
+export type ConditionResult<T> = Exclude<T, false | null | undefined>;
 
 /**
- * Waits until the check returns a value that is neither false nor undefined;
- * a check that throws counts as not yet met.
+ * Polls until the condition returns neither false, null nor undefined. A
+ * condition that throws counts as not yet met.
  *
- * @throws deadlinePassed, with what was waited for
+ * @throws deadlinePassed, with the description and the last error
  * @example
  * await waitUntil('two workers', 5_000, () => workers.size === 2);
  */
 export async function waitUntil<T>(
-  what: string,
-  boundMs: number,
-  check: () => T | Promise<T>,
-): Promise<Met<T>> {
-  const endMs = performance.now() + boundMs;
-  let last = '';
+  description: string,
+  timeoutMs: number,
+  condition: () => T | Promise<T>,
+): Promise<ConditionResult<T>> {
+  const endMs = performance.now() + timeoutMs;
+  let lastError = '';
   while (performance.now() < endMs) {
     try {
-      const value = await check();
-      if (value !== false && value != null) return value as Met<T>;
+      const value = await condition();
+      if (value !== false && value != null) return value as ConditionResult<T>;
     } catch (err) {
-      last = String(err);
+      lastError = String(err);
     }
     await sleep(CHECK_PERIOD_MS);
   }
-  return raise('deadlinePassed', `${what} within ${boundMs} ms ${last}`);
+  return raise(
+    'deadlinePassed',
+    `${description}: not met within ${timeoutMs} ms ${lastError}`,
+  );
 }
--- a/packages/standins/src/waiters.ts
+++ b/packages/standins/src/waiters.ts
@@ -1,13 +1,13 @@
-/** Wakes long polls when something changed. */
+/** Wakes long polls when their data changes. */
 
-/** A set of long polls that wait for the same change. */
+/** Long polls that wait for the same change. */
 export class Waiters {
   private waiting: (() => void)[] = [];
 
-  /** Waits for the next change, at most this long. */
-  wait(boundMs: number): Promise<void> {
+  /** Waits for the next change or the timeout. */
+  wait(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
-      const timer = setTimeout(resolve, boundMs);
+      const timer = setTimeout(resolve, timeoutMs);
       this.waiting.push(() => {
         clearTimeout(timer);
         resolve();
@@ -15,10 +15,10 @@
     });
   }
 
-  /** Wakes all that wait. */
+  /** Resolves all pending waits. */
   wake(): void {
-    const waiting = this.waiting;
+    const callbacks = this.waiting;
     this.waiting = [];
-    for (const resolve of waiting) resolve();
+    for (const callback of callbacks) callback();
   }
 }
