Rename the last unclear identifiers of cell, scheduler and the test rigs

Renames only; no moved code. The cell's Round.softReserved becomes ticketReserved, claimCapacity reserveCapacity and findCapacity findExecutorsWithRoom, as "claim" also means the claim of ownership. In the scheduler, methods that record something begin with record..., numbers of gateways are gatewayCount, and AGEING_PERIOD, which counts tickets, is AGEING_GRANT_INTERVAL. JobRecords.noteEnded becomes confirmEnd, since recordEnd already writes the end; its doc comment says so. LeaseEntry.decidedMs becomes absentAfterMs; it never leaves the process. The caller's second OwnerClient becomes OwnerRequester. The test rig's methods say what they wait for, start or change.

--- a/packages/bench/src/control-cell.ts
+++ b/packages/bench/src/control-cell.ts
@@ -66,11 +66,11 @@
   }
 
   async start(): Promise<void> {
-    await this.rig.startPlatform();
+    await this.rig.startStandins();
     await this.rig.operator.publish(CONFIGURATION, -1);
     this.key = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
-    await this.rig.untilReady(START_TIMEOUT_MS);
+    await this.rig.waitUntilReady(START_TIMEOUT_MS);
     await sleep(SETTLE_MS);
   }
 
--- a/packages/bench/src/relay-cell.ts
+++ b/packages/bench/src/relay-cell.ts
@@ -62,11 +62,11 @@
 
   /** Starts all processes and waits until every gateway serves requests. */
   async start(): Promise<void> {
-    await this.rig.startPlatform();
+    await this.rig.startStandins();
     await this.rig.operator.publish(CONFIGURATION, -1);
     this.key = (await this.rig.operator.grant(TEAM)).text;
     await this.rig.startEntries();
-    await this.rig.untilReady();
+    await this.rig.waitUntilReady();
     for (const url of this.gatewayUrls()) {
       await waitUntil('a request served', READY_TIMEOUT_MS, () =>
         this.send({url, body: '{}', isIdempotent: true, deadlineMs: 1_000}),
--- a/packages/caller/src/owner-request.ts
+++ b/packages/caller/src/owner-request.ts
@@ -19,7 +19,7 @@
 ]);
 
 /** Sends requests to shard owners. */
-export interface OwnerClient {
+export interface OwnerRequester {
   request(
     shard: string,
     request: PeerAsk,
@@ -38,7 +38,7 @@
  * await requestFromOwner(client, clock, request, 10_000);
  */
 export async function requestFromOwner(
-  client: OwnerClient,
+  client: OwnerRequester,
   clock: Clock,
   request: PeerAsk & {readonly shard: string},
   deadlineMs: number,
--- a/packages/caller/test/gateway.process.test.ts
+++ b/packages/caller/test/gateway.process.test.ts
@@ -43,7 +43,7 @@
       for (const {id} of cell.rig.entries) {
         assert.is(await cell.rig.terminate('gateway', id), 0);
         cell.rig.startRole('gateway', id);
-        await cell.rig.untilRoleReady('gateway', id);
+        await cell.rig.waitUntilRoleReady('gateway', id);
       }
     });
     assert.equal(listUnresolved(results), []);
@@ -63,7 +63,7 @@
       await cell.rig.kill('gateway', entry.id);
       await sleep(LOAD_MS);
       cell.rig.startRole('gateway', entry.id);
-      await cell.rig.untilRoleReady('gateway', entry.id);
+      await cell.rig.waitUntilRoleReady('gateway', entry.id);
     });
     await checkRuns(results);
     const answered = results.filter(({outcome}) => outcome === 'answered');
@@ -100,7 +100,7 @@
       for (const {id} of cell.rig.entries) {
         assert.is(await cell.rig.terminate('scheduler', id), 0);
         cell.rig.startRole('scheduler', id);
-        await cell.rig.untilRoleReady('scheduler', id);
+        await cell.rig.waitUntilRoleReady('scheduler', id);
       }
     });
     assert.equal(listUnresolved(results), []);
--- a/packages/caller/test/process-cell.ts
+++ b/packages/caller/test/process-cell.ts
@@ -51,11 +51,11 @@
   private key = '';
 
   async start(): Promise<void> {
-    await this.rig.startPlatform();
+    await this.rig.startStandins();
     await this.rig.operator.publish(CONFIGURATION, -1);
     this.key = (await this.rig.operator.grant(TEAM)).text;
     await this.rig.startEntries();
-    await this.rig.untilReady();
+    await this.rig.waitUntilReady();
     const caller = new CallerClient(() => this.balancer.pick());
     await waitUntil('a request served', FIRST_ANSWER_TIMEOUT_MS, async () => {
       const {outcome} = await this.send(caller);
--- a/packages/cell/src/reserve-capacity.ts
+++ b/packages/cell/src/reserve-capacity.ts
@@ -69,11 +69,11 @@
 function applyPlans(
   step: StepState,
   plans: readonly PreemptionPlan[],
-  {state, reserved, softReserved}: Round,
+  {state, reserved, ticketReserved}: Round,
 ): void {
   for (const {executor, victims, count} of plans) {
     for (const victim of victims) state.stopTask(victim);
     reserve(reserved, executor, step.spec, count);
-    reserve(softReserved, executor, step.spec, count);
+    reserve(ticketReserved, executor, step.spec, count);
   }
 }
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -27,6 +27,6 @@
    * Resources for which an earlier step requests tickets. Later steps request
    * no tickets for them, but may still start tasks there.
    */
-  readonly softReserved: Map<ExecutorState, ResourceAmounts>;
+  readonly ticketReserved: Map<ExecutorState, ResourceAmounts>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -23,7 +23,7 @@
   type ServiceCapacity,
 } from './service-capacity.js';
 import {
-  claimCapacity,
+  reserveCapacity,
   findNeededTickets,
   type TicketNeed,
 } from './ticket-needs.js';
@@ -63,7 +63,7 @@
     state,
     withheld: new Set(),
     reserved: new Map(),
-    softReserved: new Map(),
+    ticketReserved: new Map(),
     services: summarizeServices(state, context.nowMs),
   };
   for (const ranked of orderSteps(ready, state.estimates, context.wallMs)) {
@@ -89,7 +89,12 @@
     : yield* scheduleTasks(ranked, capacity, round);
   // A ticket would expire before the headroom rule lets the step start.
   if (missing === 0 || !leavesHeadroom(ranked, capacity)) return;
-  const executorsWithRoom = findCapacity(ranked, missing, capacity, round);
+  const executorsWithRoom = findExecutorsWithRoom(
+    ranked,
+    missing,
+    capacity,
+    round,
+  );
   const need = findNeededTickets(step, executorsWithRoom, capacity, round);
   if (need === null) return;
   yield {kind: 'advise', step, precedence: precedence(ranked), ...need};
@@ -100,7 +105,7 @@
  * else in free capacity. Without either, withholds executors from less urgent
  * work where the step is a gang or its tasks are large.
  */
-function findCapacity(
+function findExecutorsWithRoom(
   ranked: RankedStep,
   wanted: number,
   capacity: ServiceCapacity,
@@ -115,11 +120,11 @@
     isStillUseful && (step.spec.isGang || isLargeTask(step, capacity));
   const isUrgent = isStillUseful && ranked.priority === URGENT_PRIORITY;
   const isHard = isLargeStep || isUrgent;
-  const claims = claimCapacity(step, wanted, capacity, isHard, round);
-  if (claims.length === 0 && isLargeStep) {
+  const executors = reserveCapacity(step, wanted, capacity, isHard, round);
+  if (executors.length === 0 && isLargeStep) {
     withholdExecutors(step, wanted, capacity, round);
   }
-  return claims;
+  return executors;
 }
 
 /**
--- a/packages/cell/src/state-lines.ts
+++ b/packages/cell/src/state-lines.ts
@@ -29,7 +29,7 @@
     services,
     withheld,
     reserved,
-    softReserved: reserved,
+    ticketReserved: reserved,
   };
   const round = {...context, ...overrides, state};
   const ready = [...state.readySteps(context.wallMs)].filter(({tasks}) =>
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -76,14 +76,14 @@
 }
 
 /**
- * Claims free capacity for the step, so that later steps of the round don't
+ * Reserves free capacity for the step, so that later steps of the round don't
  * request tickets for it too.
  *
  * @param isHard whether later steps may not start tasks there either
  * @returns the executors; empty where there is no room, or not enough for the
  *     whole gang
  */
-export function claimCapacity(
+export function reserveCapacity(
   step: StepState,
   wanted: number,
   capacity: ServiceCapacity,
@@ -91,29 +91,29 @@
   round: Round,
 ): readonly ExecutorState[] {
   if (!mayFit(step, capacity)) return [];
-  const claims: ExecutorState[] = [];
+  const executors: ExecutorState[] = [];
   const counts: number[] = [];
   let missing = wanted;
   for (const executor of capacity.schedulable) {
     if (missing === 0) break;
     if (round.withheld.has(executor)) continue;
     if (!mayBePermitted(step, executor)) continue;
-    const reserved = round.softReserved.get(executor) ?? NOTHING_RESERVED;
+    const reserved = round.ticketReserved.get(executor) ?? NOTHING_RESERVED;
     const count = Math.min(
       missing,
       countFittingTasks(step, executor, reserved),
     );
     if (count <= 0) continue;
-    claims.push(executor);
+    executors.push(executor);
     counts.push(count);
     missing -= count;
   }
   if (step.spec.isGang && missing > 0) return [];
-  claims.forEach((executor, i) => {
-    reserve(round.softReserved, executor, step.spec, counts[i] ?? 0);
+  executors.forEach((executor, i) => {
+    reserve(round.ticketReserved, executor, step.spec, counts[i] ?? 0);
     if (isHard) reserve(round.reserved, executor, step.spec, counts[i] ?? 0);
   });
-  return claims;
+  return executors;
 }
 
 /** Whether the step is permitted there or the advice service was not asked. */
--- a/packages/cell/src/ticket-requester.ts
+++ b/packages/cell/src/ticket-requester.ts
@@ -58,7 +58,7 @@
   private readonly queued: QueuedRequest[] = [];
   private readonly busy = new Set<string>();
   private readonly backoffUntilMs = new Map<string, number>();
-  private rows = new Map<string, AdviceStats>();
+  private statsByQueue = new Map<string, AdviceStats>();
   private speculativeCalls = 0;
 
   constructor(
@@ -113,8 +113,8 @@
 
   /** Returns and resets the statistics of each queue. */
   takeReport(): readonly AdviceStats[] {
-    const stats = [...this.rows.values()];
-    this.rows = new Map();
+    const stats = [...this.statsByQueue.values()];
+    this.statsByQueue = new Map();
     return stats;
   }
 
@@ -174,8 +174,8 @@
     tickets: readonly Ticket[] | null,
     sentMs: number,
   ): void {
-    const stats = this.rows.get(queue) ?? newStats(queue);
-    this.rows.set(queue, stats);
+    const stats = this.statsByQueue.get(queue) ?? newStats(queue);
+    this.statsByQueue.set(queue, stats);
     stats.calls += 1;
     stats.busyMs += Math.round(this.nowMs() - sentMs);
     if (tickets === null) stats.failed += 1;
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -33,12 +33,12 @@
   const rig = new Rig(DEMO_FLEET);
   try {
     show('starting the stand-ins');
-    await rig.startPlatform();
+    await rig.startStandins();
     await rig.operator.publish(demoConfiguration(), BASE_OF_FIRST_REVISION);
     const keys = await grantKeys(rig);
     show('starting three entry VMs');
     await rig.startEntries();
-    await rig.untilReady();
+    await rig.waitUntilReady();
     return await runLoads(rig, keys, show);
   } finally {
     await rig.stop();
--- a/packages/demo/test/cell.ts
+++ b/packages/demo/test/cell.ts
@@ -111,11 +111,11 @@
 
   /** Starts all processes and waits until the cell serves requests. */
   async start(): Promise<void> {
-    await this.rig.startPlatform();
+    await this.rig.startStandins();
     await this.rig.operator.publish(CONFIGURATION, BASE_OF_FIRST_REVISION);
     this.teamKey = await this.rig.operator.grant(TEAM);
     await this.rig.startEntries();
-    await this.rig.untilReady();
+    await this.rig.waitUntilReady();
     await this.waitUntilServing();
   }
 
@@ -129,7 +129,7 @@
     await Promise.all(this.running.map(load => load.stop()));
     this.running.length = 0;
     await this.rig.clearFaults();
-    await this.rig.untilReady();
+    await this.rig.waitUntilReady();
   }
 
   get key(): TeamKey {
--- a/packages/demo/test/entry-failure.process.test.ts
+++ b/packages/demo/test/entry-failure.process.test.ts
@@ -70,9 +70,9 @@
     assert.ok(cut);
     const key = await cell.rig.operator.grant(TEAM);
     await waitUntilAcceptedEverywhere(key);
-    await cell.rig.switchLog({cutFrom: [cut.ip]});
+    await cell.rig.setLogFaults({cutFrom: [cut.ip]});
     await expectRefusedEverywhere(key);
-    await cell.rig.switchLog({cutFrom: []});
+    await cell.rig.setLogFaults({cutFrom: []});
   },
 );
 
@@ -81,7 +81,7 @@
   assert.ok(cut);
   const domain = cut.domain;
   await cell.submit(longJob(CUT_DURATION_MS, {domain}));
-  await cell.rig.switchLog({cutFrom: [cut.ip]});
+  await cell.rig.setLogFaults({cutFrom: [cut.ip]});
   const load = cell.startLoad(20, {isIdempotent: false});
   await sleep(CUT_DURATION_MS);
   const results = await load.stop();
@@ -90,7 +90,7 @@
   assert.is(countOutcome(results, 'answered'), results.length, others);
   assert.ok(await isKeyAccepted(cut.id, cell.key));
   await cell.submit(shortJob({domain}));
-  await cell.rig.switchLog({cutFrom: []});
+  await cell.rig.setLogFaults({cutFrom: []});
   await cell.checkPromises();
 });
 
@@ -105,7 +105,7 @@
       for (const role of ['gateway', 'scheduler'] as const) {
         assert.is(await cell.rig.terminate(role, id), 0, `${role} ${id}`);
         cell.rig.startRole(role, id);
-        await cell.rig.untilRoleReady(role, id);
+        await cell.rig.waitUntilRoleReady(role, id);
       }
     }
     const results = await load.stop();
@@ -128,8 +128,8 @@
     await cell.submitAll(jobs);
     for (const {id, domain} of cell.rig.entries) {
       const added = await cell.rig.addEntry(domain);
-      await cell.rig.untilRoleReady('gateway', added.id);
-      await cell.rig.untilRoleReady('scheduler', added.id);
+      await cell.rig.waitUntilRoleReady('gateway', added.id);
+      await cell.rig.waitUntilRoleReady('scheduler', added.id);
       await cell.rig.removeEntry(id);
       await cell.submit(shortJob({domain}));
     }
--- a/packages/demo/test/owner-failure.process.test.ts
+++ b/packages/demo/test/owner-failure.process.test.ts
@@ -40,7 +40,7 @@
 
 async function restart(vm: string): Promise<void> {
   cell.rig.startRole('scheduler', vm);
-  await cell.rig.untilRoleReady('scheduler', vm);
+  await cell.rig.waitUntilRoleReady('scheduler', vm);
 }
 
 promiseTest(owners, 'one-place', 'the owner is killed', async () => {
@@ -115,11 +115,11 @@
 owners('a log outage alone stops no requests and no tasks', async () => {
   const long = await cell.submit(longJob(LONG_TASK_MS));
   await cell.waitUntilRunning(long, 2);
-  await cell.rig.switchLog({outage: true});
+  await cell.rig.setLogFaults({outage: true});
   const load = cell.startLoad(20);
   await sleep(LONG_OUTAGE_MS);
   const results = await load.stop();
-  await cell.rig.switchLog({outage: false});
+  await cell.rig.setLogFaults({outage: false});
   assert.is(countOutcome(results, 'answered'), results.length);
   await cell.checkPromises();
 });
@@ -137,11 +137,11 @@
     await cell.waitUntilRunning(long, 2);
     await cell.waitUntilRunning(nonIdempotent, 2);
     const owner = await ownerOfShard();
-    await cell.rig.switchLog({outage: true});
+    await cell.rig.setLogFaults({outage: true});
     await cell.rig.kill('scheduler', owner);
     const load = cell.startLoad(20, {isIdempotent: false});
     await sleep(OUTAGE_MS);
-    await cell.rig.switchLog({outage: false});
+    await cell.rig.setLogFaults({outage: false});
     const results = await load.stop();
     assert.is(countOutcome(results, 'lost'), 0);
     await cell.submit(shortJob({domain}));
@@ -156,7 +156,7 @@
   'not-run-true',
   'replies of the log are lost and a job still runs once',
   async () => {
-    await cell.rig.switchLog({loseReplies: 10});
+    await cell.rig.setLogFaults({loseReplies: 10});
     const jobs = Array.from({length: 20}, (_, i) =>
       shortJob({isIdempotent: i % 2 === 0}),
     );
@@ -174,11 +174,11 @@
   'not-run-true',
   'a job refused in a log outage never runs',
   async () => {
-    await cell.rig.switchLog({outage: true});
+    await cell.rig.setLogFaults({outage: true});
     const job = shortJob();
     const res = await cell.caller.submit(cell.key.text, job, OUTAGE_MS);
     assert.is.not(res.outcome, 'answered');
-    await cell.rig.switchLog({outage: false});
+    await cell.rig.setLogFaults({outage: false});
     const marker = await cell.submit(shortJob());
     await cell.checkPromises();
     const {tasks} = await cell.rig.targets.records();
--- a/packages/demo/test/target-failure.process.test.ts
+++ b/packages/demo/test/target-failure.process.test.ts
@@ -48,10 +48,10 @@
   async () => {
     const load = cell.startLoad(60);
     await waitUntilUsed('executor-1');
-    await cell.rig.switchVms({leaving: ['executor-1']});
+    await cell.rig.changeVmList({leaving: ['executor-1']});
     await expectNothingNew('executor-1');
     await expectAllAnswered(load);
-    await cell.rig.switchVms({set: [cell.rig.targets.findVm('executor-1')]});
+    await cell.rig.changeVmList({set: [cell.rig.targets.findVm('executor-1')]});
   },
 );
 
--- a/packages/operator/test/ctl.process.test.ts
+++ b/packages/operator/test/ctl.process.test.ts
@@ -51,8 +51,8 @@
 
 ctl.before(async () => {
   writeFileSync(file, JSON.stringify(CONFIGURATION));
-  await rig.startPlatform();
-  await rig.switchVms({set: [entryVm('entry-1', ENTRY_IP, 'north-1')]});
+  await rig.startStandins();
+  await rig.changeVmList({set: [entryVm('entry-1', ENTRY_IP, 'north-1')]});
   const events = new EventRing('fake', new HybridClock(new SystemClock()));
   for (const port of [GATEWAY_ADMIN_PORT, SCHEDULER_ADMIN_PORT]) {
     const server = await serveAdmin(ENTRY_IP, port, {
@@ -92,7 +92,7 @@
 });
 
 ctl('survives a lost reply without writing twice', async () => {
-  await rig.switchLog({loseReplies: 1});
+  await rig.setLogFaults({loseReplies: 1});
   const {code, value} = await run('key', 'grant', 'roofs');
   assert.is(code, EXIT.ok);
   const {value: listed} = await run('key', 'list');
@@ -144,9 +144,9 @@
 );
 
 ctl('says that nothing changed when the log is down', async () => {
-  await rig.switchLog({outage: true});
+  await rig.setLogFaults({outage: true});
   const {code} = await run('key', 'grant', 'roofs');
-  await rig.switchLog({outage: false});
+  await rig.setLogFaults({outage: false});
   assert.is(code, EXIT.unavailable);
 });
 
--- a/packages/operator/test/fleet.process.test.ts
+++ b/packages/operator/test/fleet.process.test.ts
@@ -75,11 +75,11 @@
 
 fleet.before(async () => {
   writeFileSync(file, JSON.stringify(CONFIGURATION));
-  await rig.startPlatform();
+  await rig.startStandins();
   const {code} = await publish(-1);
   assert.is(code, EXIT.notEverywhere);
   await rig.startEntries();
-  await rig.untilReady();
+  await rig.waitUntilReady();
 });
 
 fleet.after(async () => {
@@ -92,7 +92,7 @@
   'config-in-force',
   'a publication is in force in every process within seconds',
   async () => {
-    await rig.switchLog({loseReplies: 1});
+    await rig.setLogFaults({loseReplies: 1});
     const {code, value} = await publish(0);
     assert.is(code, EXIT.ok);
     const report = value['inForce'] as {readonly inForce: readonly string[]};
@@ -113,7 +113,7 @@
     const {code} = await ctl('config', 'show');
     assert.is(code, EXIT.ok);
     rig.startRole('gateway', entry.id);
-    await rig.untilRoleReady('gateway', entry.id);
+    await rig.waitUntilRoleReady('gateway', entry.id);
     const show = await ctl('config', 'show');
     const {text} = await ctl('status');
     const gateway = new RegExp(
@@ -186,7 +186,7 @@
     await rig.kill('gateway', entry.id);
     assert.is((await ctl('status')).code, EXIT.unavailable);
     rig.startRole('gateway', entry.id);
-    await rig.untilRoleReady('gateway', entry.id);
+    await rig.waitUntilRoleReady('gateway', entry.id);
   },
 );
 
--- a/packages/operator/test/run-ctl.ts
+++ b/packages/operator/test/run-ctl.ts
@@ -69,7 +69,7 @@
     const env = {
       USER: 'ada',
       DRAGONFLYWARD_LOG_URL: this.rig.logUrl,
-      DRAGONFLYWARD_VM_LIST_URL: this.rig.vmsUrl,
+      DRAGONFLYWARD_VM_LIST_URL: this.rig.vmListUrl,
       ...this.env,
     };
     const code = await runProgram(program({sink, env}), args);
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -113,7 +113,7 @@
   }
 
   /** Records the demand that a shard's owner reported. */
-  noteReport(report: DemandReport): void {
+  recordReport(report: DemandReport): void {
     const atMs = this.parts.clock.monotonicMs();
     const {shard} = report;
     const demands = report.demands.map(demand => ({shard, ...demand}));
@@ -153,7 +153,7 @@
     const shard = this.budgetShard();
     if (shard === undefined) return;
     const vm = this.parts.membership.ownerVm(shard);
-    if (this.budgetTerm() !== undefined) return this.noteReport(report);
+    if (this.budgetTerm() !== undefined) return this.recordReport(report);
     if (vm === undefined) return;
     this.parts.mesh.connectionTo(vm)?.notify(report);
   }
--- a/packages/scheduler/src/claim-registry.ts
+++ b/packages/scheduler/src/claim-registry.ts
@@ -19,7 +19,7 @@
   private readonly pending: PassedClaim[] = [];
   /** Gateways that listed their claims and ran for the whole window. */
   private readonly reporters = new Set<string>();
-  private gateways = 1;
+  private gatewayCount = 1;
 
   constructor(private readonly clock: Clock) {}
 
@@ -32,7 +32,7 @@
 
   /** Sets how many gateways may have made claims. */
   setGatewayCount(count: number): void {
-    this.gateways = count;
+    this.gatewayCount = count;
   }
 
   /** Adds the claims that a gateway made at former owners. */
@@ -75,6 +75,6 @@
   private merge(): void {
     if (this.detector === undefined) return;
     this.detector.merge(this.pending.splice(0));
-    if (this.reporters.size >= this.gateways) this.detector.markComplete();
+    if (this.reporters.size >= this.gatewayCount) this.detector.markComplete();
   }
 }
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -100,14 +100,14 @@
   private perform(decision: Decision): void {
     switch (decision.kind) {
       case 'start':
-        this.parts.tracker.notePlaced(decision.task);
+        this.parts.tracker.recordPlaced(decision.task);
         return void this.start(decision.task);
       case 'preempt':
         return void this.preempt(decision.taskId, decision.workerId);
       case 'resize':
         return this.resize(decision.taskId, decision.workerId, decision.size);
       case 'setAside':
-        this.parts.tracker.noteSetAside(decision.jobId, decision.reason);
+        this.parts.tracker.recordSetAside(decision.jobId, decision.reason);
         return this.event('jobSetAside', decision.jobId, decision.reason);
       case 'worker':
         return this.parts.events.add(
--- a/packages/scheduler/src/duplicate-detector.ts
+++ b/packages/scheduler/src/duplicate-detector.ts
@@ -36,18 +36,18 @@
 /** The claims of one shard in one term. */
 export class DuplicateDetector {
   private readonly claims = new Map<string, Claim>();
-  private readonly bornMs: number;
-  private readonly bornWallMs: number;
+  private readonly startedMs: number;
+  private readonly startedWallMs: number;
   /** Whether the claims of all earlier owners are known. */
-  private isWhole: boolean;
+  private isComplete: boolean;
 
   constructor(
     private readonly clock: Clock,
     private readonly term: number,
   ) {
-    this.bornMs = clock.monotonicMs();
-    this.bornWallMs = clock.wallMs();
-    this.isWhole = term === FIRST_TERM;
+    this.startedMs = clock.monotonicMs();
+    this.startedWallMs = clock.wallMs();
+    this.isComplete = term === FIRST_TERM;
   }
 
   /**
@@ -96,7 +96,7 @@
   importClaims(passed: RequestClaims): void {
     if (passed.term !== this.term - 1) return;
     this.merge(passed.claims);
-    if (passed.isWhole) this.isWhole = true;
+    if (passed.isWhole) this.isComplete = true;
   }
 
   /** Adds a gateway's claims; of two claims for an id, the older one wins. */
@@ -115,7 +115,7 @@
 
   /** Records that the claims of all gateways are known. */
   markComplete(): void {
-    this.isWhole = true;
+    this.isComplete = true;
   }
 
   /** Number of ids that are remembered. */
@@ -124,8 +124,8 @@
   }
 
   private hasCompleteHistory(): boolean {
-    const ageMs = this.clock.monotonicMs() - this.bornMs;
-    return this.isWhole || ageMs >= UNTIMED_ID_WINDOW_MS;
+    const ageMs = this.clock.monotonicMs() - this.startedMs;
+    return this.isComplete || ageMs >= UNTIMED_ID_WINDOW_MS;
   }
 
   private canRuleOutReuse(issuedMs: number): boolean {
@@ -136,7 +136,7 @@
       raise('duplicateId', 'the id is older than what is remembered');
     }
     if (this.hasCompleteHistory()) return true;
-    return issuedMs >= this.bornWallMs + MAX_CLOCK_SKEW_MS;
+    return issuedMs >= this.startedWallMs + MAX_CLOCK_SKEW_MS;
   }
 
   private dropExpired(): void {
--- a/packages/scheduler/src/fair-queue.ts
+++ b/packages/scheduler/src/fair-queue.ts
@@ -8,7 +8,7 @@
 type RunFunction = () => Promise<unknown>;
 
 /** One ticket in this many goes to the request that waits longest. */
-const AGEING_PERIOD = 16;
+const AGEING_GRANT_INTERVAL = 16;
 /** Minimum wait before a request is served out of order by its age. */
 const AGEING_MIN_WAIT_MS = 5_000;
 const PRIORITIES: readonly Priority[] = ['urgent', 'normal', 'batch'];
@@ -135,7 +135,7 @@
 
   private choose(): Choice | undefined {
     const isAgeingTurn =
-      this.grantedCount % AGEING_PERIOD === AGEING_PERIOD - 1;
+      this.grantedCount % AGEING_GRANT_INTERVAL === AGEING_GRANT_INTERVAL - 1;
     const oldest = isAgeingTurn ? this.chooseOldest() : undefined;
     if (oldest !== undefined) return oldest;
     for (const priority of PRIORITIES) {
--- a/packages/scheduler/src/job-records.ts
+++ b/packages/scheduler/src/job-records.ts
@@ -66,8 +66,8 @@
     return entry.end !== null || this.pendingEnds.has(entry.spec.jobId);
   }
 
-  /** Records that a job's end was read back from the log. */
-  noteEnded(jobId: string): void {
+  /** Confirms a written end: it was read back from the log. */
+  confirmEnd(jobId: string): void {
     this.pendingEnds.delete(jobId);
   }
 
--- a/packages/scheduler/src/job-service.ts
+++ b/packages/scheduler/src/job-service.ts
@@ -42,7 +42,7 @@
    */
   async submit(ask: JobSubmit): Promise<void> {
     this.requireOwnership();
-    if (this.isRepeat(ask)) return;
+    if (this.isDuplicate(ask)) return;
     const job = toJobSpec(ask);
     const acceptedMs = this.parts.clock.wallMs();
     this.requireRunnable(job, acceptedMs);
@@ -89,7 +89,7 @@
     return newest.map(jobId => this.status(jobId));
   }
 
-  private isRepeat(ask: JobSubmit): boolean {
+  private isDuplicate(ask: JobSubmit): boolean {
     const known = this.parts.shardState.jobs.get(ask.jobId);
     if (known === undefined) return false;
     const {team, queue} = known.spec;
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -17,7 +17,7 @@
   constructor(private readonly shardState: ShardState) {}
 
   /** Records that a task was placed. */
-  notePlaced(task: PlacedTask): void {
+  recordPlaced(task: PlacedTask): void {
     const tasks = this.placed.get(task.jobId) ?? new Map<string, PlacedTask>();
     tasks.set(task.taskId, task);
     this.placed.set(task.jobId, tasks);
@@ -25,7 +25,7 @@
   }
 
   /** Records that a task no longer runs. */
-  noteNotRunning(task: PlacedTask): void {
+  recordNotRunning(task: PlacedTask): void {
     const tasks = this.placed.get(task.jobId);
     tasks?.delete(task.taskId);
     if (tasks?.size === 0) this.placed.delete(task.jobId);
@@ -40,7 +40,7 @@
   }
 
   /** Records why a job was set aside. */
-  noteSetAside(jobId: string, reason: string): void {
+  recordSetAside(jobId: string, reason: string): void {
     this.setAsideReasons.set(jobId, reason);
   }
 
--- a/packages/scheduler/src/lease-table.ts
+++ b/packages/scheduler/src/lease-table.ts
@@ -13,7 +13,7 @@
   /** When the newest start or renewal was sent. */
   sentMs: number;
   /** If a list requested after this time lacks the task, it is not running. */
-  decidedMs: number;
+  absentAfterMs: number;
 }
 
 /**
@@ -36,26 +36,26 @@
   constructor(private readonly leaseMs: number) {}
 
   /** Records a start that is about to be sent. */
-  noteStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
-    const decidedMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
-    this.entries.set(task.taskId, {task, sentMs: nowMs, decidedMs});
+  recordStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
+    const absentAfterMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
+    this.entries.set(task.taskId, {task, sentMs: nowMs, absentAfterMs});
   }
 
   /** Records a task that a worker was found to run after a takeover. */
-  noteAdopted(task: PlacedTask, nowMs: number): void {
-    const entry = {task, sentMs: nowMs, decidedMs: nowMs};
+  recordAdopted(task: PlacedTask, nowMs: number): void {
+    const entry = {task, sentMs: nowMs, absentAfterMs: nowMs};
     this.entries.set(task.taskId, entry);
   }
 
   /** Records that the worker reported the task as running. */
-  noteConfirmed(taskId: string, nowMs: number): void {
+  recordConfirmed(taskId: string, nowMs: number): void {
     const entry = this.entries.get(taskId);
     if (entry === undefined) return;
-    entry.decidedMs = Math.min(entry.decidedMs, nowMs);
+    entry.absentAfterMs = Math.min(entry.absentAfterMs, nowMs);
   }
 
   /** Records a renewal that is about to be sent; returns its task ids. */
-  noteRenewal(nowMs: number): readonly string[] {
+  recordRenewal(nowMs: number): readonly string[] {
     for (const entry of this.entries.values()) entry.sentMs = nowMs;
     return [...this.entries.keys()];
   }
@@ -85,9 +85,9 @@
    * that was requested at the given time.
    */
   *absent(listed: ReadonlySet<string>, askedMs: number): Generator<PlacedTask> {
-    for (const {task, decidedMs} of this.entries.values()) {
+    for (const {task, absentAfterMs} of this.entries.values()) {
       if (listed.has(task.taskId)) continue;
-      if (askedMs > decidedMs) yield task;
+      if (askedMs > absentAfterMs) yield task;
     }
   }
 
--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -74,7 +74,7 @@
   }
 
   /** Records a scheduler's heartbeat; ignores older incarnations. */
-  noteHeartbeat(from: PeerInfo, heartbeat: Heartbeat): void {
+  recordHeartbeat(from: PeerInfo, heartbeat: Heartbeat): void {
     if (from.role !== 'scheduler') return;
     const known = this.schedulers.get(from.process.vm);
     const isOlder =
--- a/packages/scheduler/src/scheduler-peer-handler.ts
+++ b/packages/scheduler/src/scheduler-peer-handler.ts
@@ -26,7 +26,7 @@
   readonly shards: ReadonlyMap<string, ShardReplica>;
   readonly isDraining: () => boolean;
   /** Records the demand of another shard; used to plan the allowances. */
-  readonly noteDemand: (report: DemandReport) => void;
+  readonly recordDemand: (report: DemandReport) => void;
 }
 
 /** Routes each message to the shard that it names. */
@@ -93,10 +93,10 @@
   override handleNotice(from: PeerInfo, notice: PeerNotice): void {
     if (notice.type === 'heartbeat') {
       this.parts.hybridClock.observe(notice.at);
-      return this.parts.membership.noteHeartbeat(from, notice);
+      return this.parts.membership.recordHeartbeat(from, notice);
     }
     if (notice.type === 'demandReport') {
-      return this.parts.noteDemand(notice);
+      return this.parts.recordDemand(notice);
     }
     const issuer = this.parts.shards.get(notice.shard)?.issuer;
     if (notice.type === 'requestRelease') return issuer?.release(notice);
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -123,8 +123,8 @@
       config: () => this.config,
       shards: this.shards,
       isDraining: () => this.isDraining,
-      noteDemand: report => {
-        this.allowances.noteReport(report);
+      recordDemand: report => {
+        this.allowances.recordReport(report);
       },
     });
   }
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -257,7 +257,7 @@
       this.dispatcher.stopTask(task);
     }
     this.tracker.forget(entry);
-    this.records.noteEnded(jobId);
+    this.records.confirmEnd(jobId);
     this.dispatcher.wake();
   }
 
--- a/packages/scheduler/src/slot-table.ts
+++ b/packages/scheduler/src/slot-table.ts
@@ -31,8 +31,8 @@
   private readonly held = new Map<string, HeldTicket>();
   private readonly usedByExecutor = new Map<string, number>();
   private readonly usedByTeam = new Map<string, number>();
-  private readonly usedByGateway = new Map<string, number>();
-  private gateways = 1;
+  private readonly usedByGatewayKey = new Map<string, number>();
+  private gatewayCount = 1;
 
   constructor(
     private readonly clock: Clock,
@@ -49,8 +49,8 @@
 
   /** Sets how many gateways may hold tickets. */
   setGatewayCount(count: number): void {
-    this.gateways = Math.max(1, count);
-    this.unreported.setGatewayCount(this.gateways);
+    this.gatewayCount = Math.max(1, count);
+    this.unreported.setGatewayCount(this.gatewayCount);
   }
 
   /** Whether any executor of the service accepts new work. */
@@ -113,13 +113,13 @@
   /** Releases the tickets that have expired; returns how many. */
   releaseExpired(): number {
     const nowMs = this.clock.monotonicMs();
-    let dropped = 0;
+    let released = 0;
     for (const ticket of this.held.values()) {
       if (ticket.untilMs > nowMs) continue;
       this.release(ticket.ticketId);
-      dropped += 1;
+      released += 1;
     }
-    return dropped;
+    return released;
   }
 
   /** Looks up a ticket that counts. */
@@ -134,7 +134,7 @@
 
   /** Slots in use by a team through one gateway. */
   slotsUsedByTeamVia(gateway: string, team: string): number {
-    return this.usedByGateway.get(teamKey(gateway, team)) ?? 0;
+    return this.usedByGatewayKey.get(teamKey(gateway, team)) ?? 0;
   }
 
   /** Slots in use on an executor. */
@@ -171,16 +171,16 @@
 
   private hasFreeSlot(entry: VmEntry, gateway: string): boolean {
     if (this.freeSlotsOn(entry) <= 0) return false;
-    const used = this.usedByGateway.get(executorKey(gateway, entry.id)) ?? 0;
-    return used < gatewayLimit(entry.capacity.slots, this.gateways);
+    const used = this.usedByGatewayKey.get(executorKey(gateway, entry.id)) ?? 0;
+    return used < gatewayLimit(entry.capacity.slots, this.gatewayCount);
   }
 
   private addUse(ticket: HeldTicket, delta: number): void {
     const {executorId, gateway, team} = ticket;
     addToCount(this.usedByExecutor, executorId, delta);
     addToCount(this.usedByTeam, team, delta);
-    addToCount(this.usedByGateway, executorKey(gateway, executorId), delta);
-    addToCount(this.usedByGateway, teamKey(gateway, team), delta);
+    addToCount(this.usedByGatewayKey, executorKey(gateway, executorId), delta);
+    addToCount(this.usedByGatewayKey, teamKey(gateway, team), delta);
   }
 }
 
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -122,7 +122,7 @@
     const {engine, tracker, events} = this.parts;
     engine.adopt(task);
     engine.submit(this.policyJobOf(task, report));
-    tracker.notePlaced(task);
+    tracker.recordPlaced(task);
     events.add('taskAdopted', subjectOf(task));
     if (this.unfinishedEntry(task) === undefined) this.parts.stopTask(task);
     return task;
@@ -200,7 +200,7 @@
   }
 
   private release(task: PlacedTask, end: PlacedTaskEnd): void {
-    this.parts.tracker.noteNotRunning(task);
+    this.parts.tracker.recordNotRunning(task);
     const nowMs = this.parts.clock.monotonicMs();
     this.parts.engine.ended(task.taskId, end, nowMs);
   }
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -79,7 +79,7 @@
   private readonly allowances = new Map<string, number>();
   private readonly claims: RequestClaimRegistry;
   private config: TicketConfig | undefined;
-  private gateways = 1;
+  private gatewayCount = 1;
   private term: number | undefined;
   private isStopped = false;
 
@@ -110,9 +110,9 @@
 
   /** Sets the number of gateways. */
   setGatewayCount(count: number): void {
-    this.gateways = Math.max(1, count);
-    this.slots.setGatewayCount(this.gateways);
-    this.claims.setGatewayCount(this.gateways);
+    this.gatewayCount = Math.max(1, count);
+    this.slots.setGatewayCount(this.gatewayCount);
+    this.claims.setGatewayCount(this.gatewayCount);
     this.grantWaiting();
   }
 
@@ -146,7 +146,7 @@
   /** Closes a ticket. */
   close(from: ProcessRef, close: TicketClose): void {
     const held = this.slots.get(close.ticketId);
-    if (close.isDraining) this.noteDraining(close.executorId);
+    if (close.isDraining) this.recordDraining(close.executorId);
     if (held === undefined || held.gateway !== from.vm) return;
     this.recordUse(held.service, held.heldSinceMs, close);
     if (freesSlot(close.use)) this.slots.release(close.ticketId);
@@ -340,11 +340,11 @@
     const allowance = this.allowanceOf(team);
     const reserved = this.unreported.teamSlots(team, allowance);
     if (this.slots.slotsUsedByTeam(team) + reserved >= allowance) return false;
-    const limit = gatewayLimit(allowance, this.gateways);
+    const limit = gatewayLimit(allowance, this.gatewayCount);
     return this.slots.slotsUsedByTeamVia(gateway, team) < limit;
   }
 
-  private noteDraining(executorId: string): void {
+  private recordDraining(executorId: string): void {
     const {health} = this.slots;
     if (health.isDraining(executorId)) return;
     health.recordDraining(executorId);
--- a/packages/scheduler/src/unreported-usage.ts
+++ b/packages/scheduler/src/unreported-usage.ts
@@ -23,16 +23,16 @@
  * @example
  * gatewayLimit(8, 9); // 3
  */
-export function gatewayLimit(total: number, gateways: number): number {
-  if (gateways <= LOAD_SKEW_FACTOR) return total;
-  return Math.min(total, Math.ceil((LOAD_SKEW_FACTOR * total) / gateways));
+export function gatewayLimit(total: number, gatewayCount: number): number {
+  if (gatewayCount <= LOAD_SKEW_FACTOR) return total;
+  return Math.min(total, Math.ceil((LOAD_SKEW_FACTOR * total) / gatewayCount));
 }
 
 /** Upper bounds on what gateways may hold without having reported it. */
 export class UnreportedUsage {
   private readonly reportedGateways = new Set<string>();
   private readonly reportedSlotsByTeam = new Map<string, number>();
-  private gateways = 1;
+  private gatewayCount = 1;
   private untilMs = -Infinity;
 
   constructor(private readonly clock: Clock) {}
@@ -44,7 +44,7 @@
 
   /** Sets how many gateways may hold tickets. */
   setGatewayCount(count: number): void {
-    this.gateways = count;
+    this.gatewayCount = count;
   }
 
   /** Records that a gateway reported its tickets: the team of each one. */
@@ -60,9 +60,9 @@
   }
 
   /** Slots of an executor that gateways may use without having reported. */
-  executorSlots(executorSlots: number): number {
-    const limit = gatewayLimit(executorSlots, this.minFormerGateways());
-    return Math.min(executorSlots, this.unreportedGateways() * limit);
+  executorSlots(totalSlots: number): number {
+    const limit = gatewayLimit(totalSlots, this.minFormerGateways());
+    return Math.min(totalSlots, this.unreportedGateways() * limit);
   }
 
   /** Slots of an allowance that gateways may use without having reported. */
@@ -75,10 +75,10 @@
   /** Number of gateways that may hold tickets unknown to this owner. */
   unreportedGateways(): number {
     if (this.clock.monotonicMs() >= this.untilMs) return 0;
-    return Math.max(0, this.gateways - this.reportedGateways.size);
+    return Math.max(0, this.gatewayCount - this.reportedGateways.size);
   }
 
   private minFormerGateways(): number {
-    return Math.max(1, this.gateways - GATEWAY_COUNT_MARGIN);
+    return Math.max(1, this.gatewayCount - GATEWAY_COUNT_MARGIN);
   }
 }
--- a/packages/scheduler/src/worker-calls.ts
+++ b/packages/scheduler/src/worker-calls.ts
@@ -82,10 +82,10 @@
   ): Promise<StartOutcome> {
     const {client, clock, leases, mayAct, mayStart} = this.parts;
     if (!mayAct() || !mayStart()) return 'notRun';
-    leases.noteStart(task, clock.monotonicMs(), START_WITHIN_MS);
+    leases.recordStart(task, clock.monotonicMs(), START_WITHIN_MS);
     try {
       await client.start(start);
-      leases.noteConfirmed(task.taskId, clock.monotonicMs());
+      leases.recordConfirmed(task.taskId, clock.monotonicMs());
       return 'started';
     } catch (err) {
       return this.startFailed(task, toFailure(err).kind);
--- a/packages/scheduler/src/worker-session.ts
+++ b/packages/scheduler/src/worker-session.ts
@@ -151,10 +151,10 @@
     if (this.isStopped) return;
     const nowMs = this.parts.clock.monotonicMs();
     const kept = this.parts.observer.adopt(this.vm, list.tasks);
-    for (const task of kept) this.leases.noteAdopted(task, nowMs);
+    for (const task of kept) this.leases.recordAdopted(task, nowMs);
     this.hasAnswered = true;
     this.sequence = list.sequence;
-    this.noteAnswer();
+    this.recordAnswer();
     this.parts.observer.workerChanged(this);
   }
 
@@ -164,12 +164,12 @@
     while (!this.isStopped) {
       await clock.sleep(timing.renewPeriodMs);
       if (this.isSilent || !this.mayAct()) continue;
-      const taskIds = this.leases.noteRenewal(clock.monotonicMs());
+      const taskIds = this.leases.recordRenewal(clock.monotonicMs());
       try {
         await client.renew(observer.term(), taskIds, timing.taskLeaseMs);
-        this.noteAnswer();
+        this.recordAnswer();
       } catch {
-        this.noteFailure();
+        this.recordFailure();
       }
     }
   }
@@ -186,7 +186,7 @@
         const list = await client.watch(this.sequence, WATCH_WAIT_MS);
         this.applyWatch(list, askedMs);
       } catch {
-        this.noteFailure();
+        this.recordFailure();
         await clock.sleep(INVENTORY_RETRY_MS);
       }
     }
@@ -195,13 +195,13 @@
   private applyWatch(list: Inventory, askedMs: number): void {
     if (this.isStopped || !this.mayAct()) return;
     this.sequence = list.sequence;
-    this.noteAnswer();
+    this.recordAnswer();
     const nowMs = this.parts.clock.monotonicMs();
     const listed = new Set<string>();
     for (const report of list.tasks) {
       listed.add(report.taskId);
       if (report.state === 'ended') this.reportEnd(report);
-      else this.leases.noteConfirmed(report.taskId, nowMs);
+      else this.leases.recordConfirmed(report.taskId, nowMs);
     }
     for (const task of [...this.leases.absent(listed, askedMs)]) {
       this.reportLost(task);
@@ -243,7 +243,7 @@
     }
   }
 
-  private noteAnswer(): void {
+  private recordAnswer(): void {
     this.failures = 0;
     if (!this.isSilent) return;
     this.isSilent = false;
@@ -251,7 +251,7 @@
     this.parts.observer.workerChanged(this);
   }
 
-  private noteFailure(): void {
+  private recordFailure(): void {
     this.failures += 1;
     if (this.isSilent || this.failures < FAILURES_UNTIL_SILENT) return;
     this.isSilent = true;
--- a/packages/scheduler/test/lease-table.test.ts
+++ b/packages/scheduler/test/lease-table.test.ts
@@ -85,7 +85,7 @@
 
 leases('a start without a reply is absent only after its start window', () => {
   const table = new LeaseTable(LEASE_MS);
-  table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  table.recordStart(task, 0, WORKER_CALL_TIMEOUT_MS);
   const none = new Set<string>();
   assert.equal([...table.absent(none, LONGEST_DELAY_MS)], []);
   assert.equal([...table.absent(none, LONGEST_DELAY_MS + 1)], [task]);
@@ -93,8 +93,8 @@
 
 leases('a confirmed task that the worker no longer lists is absent', () => {
   const table = new LeaseTable(LEASE_MS);
-  table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-  table.noteConfirmed(task.taskId, 5);
+  table.recordStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+  table.recordConfirmed(task.taskId, 5);
   assert.equal([...table.absent(new Set([task.taskId]), 6)], []);
   assert.equal([...table.absent(new Set(), 6)], [task]);
 });
@@ -105,8 +105,8 @@
   'a list requested before the confirmation shows no task as absent',
   () => {
     const table = new LeaseTable(LEASE_MS);
-    table.noteStart(task, 0, WORKER_CALL_TIMEOUT_MS);
-    table.noteConfirmed(task.taskId, 5);
+    table.recordStart(task, 0, WORKER_CALL_TIMEOUT_MS);
+    table.recordConfirmed(task.taskId, 5);
     assert.equal([...table.absent(new Set(), 5)], []);
   },
 );
--- a/packages/scheduler/test/membership.test.ts
+++ b/packages/scheduler/test/membership.test.ts
@@ -35,7 +35,7 @@
 
   async receive(seconds: number, configAgeMs: number): Promise<void> {
     for (let i = 0; i < seconds; i += 1) {
-      this.membership.noteHeartbeat(
+      this.membership.recordHeartbeat(
         {role: 'scheduler', process: SUCCESSOR},
         {
           type: 'heartbeat',
--- a/packages/standins/src/rig.ts
+++ b/packages/standins/src/rig.ts
@@ -66,19 +66,19 @@
     return `http://${this.subnet.ip(LOG_HOST)}:${SERVICE_PORT}`;
   }
 
-  get vmsUrl(): string {
+  get vmListUrl(): string {
     return `http://${this.subnet.ip(VMS_HOST)}:${SERVICE_PORT}`;
   }
 
   /** Starts the stand-ins and fills the list of VMs. */
-  async startPlatform(): Promise<void> {
+  async startStandins(): Promise<void> {
     this.startStandin('log', LOG_HOST);
     this.startStandin('vms', VMS_HOST);
     this.targets.start();
     await waitUntilReachable(`${this.logUrl}/admin`);
-    await waitUntilReachable(`${this.vmsUrl}/admin`);
+    await waitUntilReachable(`${this.vmListUrl}/admin`);
     await this.targets.waitUntilReachable();
-    await this.switchVms({set: this.targets.vms});
+    await this.changeVmList({set: this.targets.vms});
   }
 
   /** Adds the entry VMs of the plan and starts their programs. */
@@ -89,14 +89,14 @@
   }
 
   /** Waits until all programs on the entry VMs are ready. */
-  async untilReady(timeoutMs = START_TIMEOUT_MS): Promise<void> {
+  async waitUntilReady(timeoutMs = START_TIMEOUT_MS): Promise<void> {
     for (const {id} of this.entries) {
-      await this.untilRoleReady('gateway', id, timeoutMs);
-      await this.untilRoleReady('scheduler', id, timeoutMs);
+      await this.waitUntilRoleReady('gateway', id, timeoutMs);
+      await this.waitUntilRoleReady('scheduler', id, timeoutMs);
     }
   }
 
-  async untilRoleReady(
+  async waitUntilRoleReady(
     role: Role,
     id: string,
     timeoutMs = START_TIMEOUT_MS,
@@ -122,7 +122,7 @@
     this.nextEntry += 1;
     const vm = entryVm(`entry-${host}`, this.subnet.ip(host), domain);
     this.entriesById.set(vm.id, vm);
-    await this.switchVms({set: [vm]});
+    await this.changeVmList({set: [vm]});
     this.startRole('scheduler', vm.id);
     this.startRole('gateway', vm.id);
     return vm;
@@ -133,7 +133,7 @@
     await this.kill('gateway', id);
     await this.kill('scheduler', id);
     this.entriesById.delete(id);
-    await this.switchVms({remove: [id]});
+    await this.changeVmList({remove: [id]});
   }
 
   /** Starts a program on an entry VM, or restarts it after it ended. */
@@ -162,7 +162,7 @@
     return this.processes.waitForExit(processName(role, id));
   }
 
-  switchLog(change: Partial<LogFaults>): Promise<void> {
+  setLogFaults(change: Partial<LogFaults>): Promise<void> {
     return postAdmin(`${this.logUrl}/admin`, change);
   }
 
@@ -171,8 +171,8 @@
     return postAdmin(`${this.logUrl}/admin/mute`, {});
   }
 
-  switchVms(change: VmListChange): Promise<void> {
-    return postAdmin(`${this.vmsUrl}/admin`, change);
+  changeVmList(change: VmListChange): Promise<void> {
+    return postAdmin(`${this.vmListUrl}/admin`, change);
   }
 
   gatewayUrl(id: string): string {
@@ -192,8 +192,8 @@
 
   /** Ends all faults, resumes paused programs and restarts dead ones. */
   async clearFaults(): Promise<void> {
-    await this.switchLog(NO_LOG_FAULTS);
-    await this.switchVms({lagMs: 0, outage: false});
+    await this.setLogFaults(NO_LOG_FAULTS);
+    await this.changeVmList({lagMs: 0, outage: false});
     for (const {id} of this.entries) {
       this.recoverRole('scheduler', id);
       this.recoverRole('gateway', id);
@@ -222,7 +222,7 @@
     return {
       vm: {id, ip, region, domain, rack},
       logUrl: this.logUrl,
-      vmListUrl: this.vmsUrl,
+      vmListUrl: this.vmListUrl,
       ports: PORTS,
       timing: this.plan.timing ?? {},
     };
--- a/packages/standins/test/standins.process.test.ts
+++ b/packages/standins/test/standins.process.test.ts
@@ -62,22 +62,22 @@
   return page.records.length;
 }
 
-standins.before(() => rig.startPlatform());
+standins.before(() => rig.startStandins());
 standins.after(() => rig.stop());
 
 standins('an append without reply is unknown and took effect', async () => {
-  await rig.switchLog({loseReplies: 1});
+  await rig.setLogFaults({loseReplies: 1});
   const call = rig.log.append('lost', [newRecord()]);
   assert.is(await errorKindOf(call), 'appendUnknown');
   assert.is(await countRecords('lost'), 1);
 });
 
 standins('an append that is refused surely had no effect', async () => {
-  await rig.switchLog({outage: true});
+  await rig.setLogFaults({outage: true});
   assert.is(await errorKindOf(rig.log.append('out', [newRecord()])), 'logDown');
-  await rig.switchLog({outage: false, refuseAppends: true});
+  await rig.setLogFaults({outage: false, refuseAppends: true});
   assert.is(await errorKindOf(rig.log.append('out', [newRecord()])), 'logDown');
-  await rig.switchLog({refuseAppends: false});
+  await rig.setLogFaults({refuseAppends: false});
   assert.is(await countRecords('out'), 0);
 });
 
@@ -89,27 +89,27 @@
 });
 
 standins('old records are dropped and a read starts at the first', async () => {
-  await rig.switchLog({retainRecords: 2});
+  await rig.setLogFaults({retainRecords: 2});
   for (let i = 0; i < 5; i += 1) await rig.log.append('short', [newRecord()]);
   const page = await rig.log.read('short', 0, {maxRecords: 9, waitMs: 0});
   assert.equal([page.first, page.end, page.records.length], [3, 5, 2]);
-  await rig.switchLog({retainRecords: 1_000});
+  await rig.setLogFaults({retainRecords: 1_000});
 });
 
 standins('a cut client gets no service while others do', async () => {
   const {ip} = rig.targets.vms[0] as VmEntry;
   const cut = new HttpLogClient(rig.logUrl, {localAddress: ip});
-  await rig.switchLog({cutFrom: [ip]});
+  await rig.setLogFaults({cutFrom: [ip]});
   assert.is(await errorKindOf(cut.streams()), 'logDown');
   assert.is(await errorKindOf(rig.log.streams()), 'ok');
-  await rig.switchLog({cutFrom: []});
+  await rig.setLogFaults({cutFrom: []});
 });
 
 standins('the list of VMs lags behind', async () => {
-  const vms = new HttpVmListClient(rig.vmsUrl);
-  await rig.switchVms({lagMs: 1_000_000, remove: ['worker-2']});
+  const vms = new HttpVmListClient(rig.vmListUrl);
+  await rig.changeVmList({lagMs: 1_000_000, remove: ['worker-2']});
   assert.is((await vms.list()).length, 0);
-  await rig.switchVms({lagMs: 0});
+  await rig.changeVmList({lagMs: 0});
   assert.is((await vms.list()).length, 1);
 });
 
