--- a/packages/caller/src/mesh-ticket-source.ts
+++ b/packages/caller/src/mesh-ticket-source.ts
@@ -16,7 +16,7 @@
   Ticket,
   TicketClose,
 } from '@dragonflyward/peer';
-import {RequestClaimClient} from './claim-client.js';
+import {RequestClaimClient} from './request-claim-client.js';
 import type {OwnerDirectory} from './owner-directory.js';
 import {rejectOnAbort} from './request-lifetime.js';
 import type {TicketRegistry} from './ticket-registry.js';
--- a/packages/caller/src/relay-task.ts
+++ b/packages/caller/src/relay-task.ts
@@ -25,7 +25,7 @@
 import type {RelayParts} from './request-relay.js';
 import type {RequestSpec} from './request-spec.js';
 import type {RetryBudget} from './retry-budget.js';
-import type {ServiceTimeouts} from './adaptive-timeout.js';
+import type {ServiceTimeouts} from './service-timeouts.js';
 import type {TicketGrant} from './ticket-source.js';
 
 /** A body up to this size is kept in memory, so that it can be resent. */
--- a/packages/caller/src/request-relay.ts
+++ b/packages/caller/src/request-relay.ts
@@ -8,7 +8,7 @@
 import {RequestLifetime} from './request-lifetime.js';
 import {readRequestSpec} from './request-spec.js';
 import {RetryBudget} from './retry-budget.js';
-import {ServiceTimeouts} from './adaptive-timeout.js';
+import {ServiceTimeouts} from './service-timeouts.js';
 import type {TicketSource} from './ticket-source.js';
 
 /** The dependencies of a `RequestRelay`. */
--- a/packages/caller/test/adaptive-timeout.test.ts
+++ b/packages/caller/test/adaptive-timeout.test.ts
@@ -1,6 +1,6 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {ServiceTimeouts} from '../src/adaptive-timeout.js';
+import {ServiceTimeouts} from '../src/service-timeouts.js';
 
 const REMAINING_MS = 8_000;
 const MIN_SAMPLES = 50;
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's append-only log service. */
 export * from './types.js';
 export * from './client.js';
-export * from './fold.js';
+export * from './stream-state.js';
 export * from './tail.js';
 export * from './writer.js';
 export * from './memory-log.js';
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -1,7 +1,7 @@
 /** Follows one log stream and applies its records to a state. */
 import {DragonflywardError, type Clock} from '@dragonflyward/common';
 import type {LogClient} from './client.js';
-import type {ApplyResult, StreamState} from './fold.js';
+import type {ApplyResult, StreamState} from './stream-state.js';
 import type {LogPage, LogRecord} from './types.js';
 
 const RETRY_MIN_DELAY_MS = 50;
--- a/packages/log/src/writer.ts
+++ b/packages/log/src/writer.ts
@@ -7,7 +7,7 @@
 } from '@dragonflyward/common';
 import PQueue from 'p-queue';
 import type {LogClient} from './client.js';
-import type {ApplyResult} from './fold.js';
+import type {ApplyResult} from './stream-state.js';
 import type {StreamTail} from './tail.js';
 import type {NewRecord} from './types.js';
 
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -1,7 +1,7 @@
 /** The state of an engine, which the stages of a decision share. */
 import type {Resources} from '@dragonflyward/common';
-import {countFits} from './amounts.js';
-import {WorkerTable} from './cell.js';
+import {countFits} from './resource-math.js';
+import {WorkerTable} from './worker-table.js';
 import type {
   Decision,
   PlacedTask,
@@ -16,7 +16,7 @@
   type PlacementPolicy,
 } from './placement-policy.js';
 import {Estimates} from './estimates.js';
-import {JobFailures} from './failures.js';
+import {JobFailures} from './job-failures.js';
 import {HoldTable} from './holds.js';
 import {NeedTable} from './needs.js';
 import {
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,12 +1,12 @@
 /** Runs the stages of a decision in their order. */
-import {adjustReservations, probeReservations} from './adjust.js';
+import {adjustReservations, probeReservations} from './resize-reservations.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {refreshFairShares} from './fair-shares.js';
 import {flushDecisions, placeWaiting} from './place-waiting.js';
 import {preemptForUrgent, reclaimShares} from './preempt.js';
 import {placeHeldJobs, reserveForStarved} from './reserve.js';
-import {setAsideUnrunnable} from './unrunnable.js';
+import {setAsideUnrunnable} from './set-aside-unrunnable.js';
 import {refreshSizes} from './waiting-list.js';
 
 /** The minimum time between two computations of the fair shares. */
--- a/packages/policy/src/share-engine.ts
+++ b/packages/policy/src/fair-share-engine.ts
@@ -18,7 +18,7 @@
   type TeamDemand,
   type UsageSample,
 } from './engine.js';
-import {recordUsage} from './adjust.js';
+import {recordUsage} from './resize-reservations.js';
 import {decideAll} from './decide.js';
 import {newJobState, type JobState} from './state.js';
 import {enqueueOrSetAside, recordTaskEnd} from './task-ends.js';
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -4,7 +4,7 @@
   RESOURCE_NAMES,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {PolicyTeam, TeamDemand} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
 import {TeamTable} from './team-table.js';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,13 +2,13 @@
 export * from './engine.js';
 export * from './first-fit-engine.js';
 export * from './placement-policy.js';
-export * from './share-engine.js';
+export * from './fair-share-engine.js';
 export type {
   PlacementPolicies,
   FairShareFeatures as ShareFeatures,
   FairShareOptions as ShareOptions,
 } from './core.js';
-export * from './audit.js';
+export * from './decision-audit.js';
 export * from './trace.js';
 export * from './replay.js';
 export * from './replay-record.js';
@@ -16,5 +16,5 @@
 export {AGEING_STEP_MS} from './waiting-list.js';
 export {MAX_HOLD_MS} from './holds.js';
 export type {WorkerState} from './state.js';
-export {dominantShare} from './amounts.js';
+export {dominantShare} from './resource-math.js';
 export {newPolicies} from './core.js';
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -5,7 +5,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {countFits, sizeKey} from './amounts.js';
+import {countFits, sizeKey} from './resource-math.js';
 import {RoomLog} from './room-log.js';
 import {isSchedulable, type WorkerState} from './state.js';
 import type {WaitClass} from './wait-class.js';
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -1,6 +1,6 @@
 /** Places waiting jobs, those of the teams furthest below their share first. */
 import {NO_RESOURCES, type Resources} from '@dragonflyward/common';
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import {getPlacementPolicy, startTask, type EngineCore} from './core.js';
 import type {Decision, PlacedTask} from './engine.js';
 import type {PlacementRequest} from './placement-policy.js';
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -1,7 +1,7 @@
 /** Policies that choose workers for tasks: pack, spread and gang. */
 import {fitsIn, NO_RESOURCES, type Resources} from '@dragonflyward/common';
-import {countFits, isZeroAmount} from './amounts.js';
-import {rackKey, workerKey} from './cell.js';
+import {countFits, isZeroAmount} from './resource-math.js';
+import {rackKey, workerKey} from './worker-table.js';
 import {isSchedulable, type JobState, type WorkerState} from './state.js';
 
 /** A request to place tasks of one job. */
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -1,5 +1,5 @@
 /** Preempts tasks for urgent work and for teams below their share. */
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {
--- a/packages/policy/src/replay-record.ts
+++ b/packages/policy/src/replay-record.ts
@@ -6,8 +6,8 @@
   type Resources,
 } from '@dragonflyward/common';
 import * as hdr from 'hdr-histogram-js';
-import {dominantShare} from './amounts.js';
-import type {DecisionAudit} from './audit.js';
+import {dominantShare} from './resource-math.js';
+import type {DecisionAudit} from './decision-audit.js';
 import type {
   Decision,
   PlacedTask,
--- a/packages/policy/src/replay.ts
+++ b/packages/policy/src/replay.ts
@@ -1,5 +1,5 @@
 /** Simulates a trace on an engine with a virtual clock. */
-import {DecisionAudit} from './audit.js';
+import {DecisionAudit} from './decision-audit.js';
 import type {
   Decision,
   PlacedTask,
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -5,7 +5,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare, countFits} from './amounts.js';
+import {dominantShare, countFits} from './resource-math.js';
 import {getPlacementPolicy, type EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {MAX_HOLD_MS, type Hold} from './holds.js';
--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/resize-reservations.ts
@@ -1,6 +1,6 @@
 /** Resizes the reservations of running tasks to their measured use. */
 import {fitsIn, subtractResources, type Resources} from '@dragonflyward/common';
-import {isSameAmount} from './amounts.js';
+import {isSameAmount} from './resource-math.js';
 import type {EngineCore} from './core.js';
 import type {Decision, UsageSample} from './engine.js';
 import {queuePreemption} from './make-room.js';
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -7,7 +7,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {PolicyTeam} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
 
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -1,6 +1,6 @@
 /** Queues waiting jobs and selects the next job of a team. */
 import {addResources, scaleResources} from '@dragonflyward/common';
-import {sizeKey} from './amounts.js';
+import {sizeKey} from './resource-math.js';
 import {PRIORITIES, type EngineCore} from './core.js';
 import type {Tier} from './needs.js';
 import {MAX_HOLD_MS} from './holds.js';
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/worker-table.ts
@@ -6,7 +6,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare, maxAmount} from './amounts.js';
+import {dominantShare, maxAmount} from './resource-math.js';
 import type {PolicyWorker} from './engine.js';
 import {
   isSpread,
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -27,7 +27,7 @@
 import {UnreportedUsage, gatewayLimit} from './unreported-usage.js';
 import {CompletionEstimator} from './completion-estimator.js';
 import {ExecutorHealth} from './executor-health.js';
-import {RequestClaimRegistry} from './claim-registry.js';
+import {RequestClaimRegistry} from './request-claim-registry.js';
 import {
   makeTicketQueue,
   GrantPolicy,
--- a/packages/state/src/allowance-state.ts
+++ b/packages/state/src/allowance-state.ts
@@ -7,7 +7,7 @@
   AllowanceRecord,
   AllowanceStreamRecord,
 } from './records.js';
-import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshotted-state.js';
 
 /** An allowance and the version of the table that set it. */
 interface VersionedAmount {
--- a/packages/state/src/config-state.ts
+++ b/packages/state/src/config-state.ts
@@ -16,7 +16,7 @@
   ConfigStreamRecord,
   KeyGrantedRecord,
 } from './records.js';
-import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshotted-state.js';
 
 /** The revision of a cell without any published configuration. */
 export const NO_REVISION = -1;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -3,7 +3,7 @@
 export * from './job-types.js';
 export * from './records.js';
 export * from './record-schema.js';
-export * from './snapshot-fold.js';
+export * from './snapshotted-state.js';
 export * from './snapshot-task.js';
 export * from './shard-state.js';
 export * from './config-schema.js';
--- a/packages/state/src/shard-state.ts
+++ b/packages/state/src/shard-state.ts
@@ -13,7 +13,7 @@
   TaskEndedRecord,
   TaskStartingRecord,
 } from './records.js';
-import {SnapshottedState, type ChangeOf} from './snapshot-fold.js';
+import {SnapshottedState, type ChangeOf} from './snapshotted-state.js';
 
 /** How long an ended job is kept, by the timestamps of the log. */
 export const ENDED_JOB_RETENTION_MS = 15 * 60_000;
