--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,14 +5,14 @@
 export * from './fair-share-engine.js';
 export type {
   PlacementPolicies,
-  FairShareFeatures as ShareFeatures,
-  FairShareOptions as ShareOptions,
+  FairShareFeatures,
+  FairShareOptions,
 } from './core.js';
 export * from './decision-audit.js';
 export * from './trace.js';
 export * from './replay.js';
 export * from './replay-record.js';
-export {computeFairShares as fairSharesOf} from './fair-shares.js';
+export {computeFairShares} from './fair-shares.js';
 export {AGEING_STEP_MS} from './waiting-list.js';
 export {MAX_HOLD_MS} from './holds.js';
 export type {WorkerState} from './state.js';
--- a/packages/policy/test/starvation.test.ts
+++ b/packages/policy/test/starvation.test.ts
@@ -3,7 +3,7 @@
   MAX_HOLD_MS,
   Replay,
   FairShareEngine,
-  type ShareFeatures,
+  type FairShareFeatures,
   type Trace,
   type TraceJobGroup,
 } from '@dragonflyward/policy';
@@ -122,7 +122,7 @@
     },
   );
 
-function waitsTooLong(plan: Trace, features: ShareFeatures): boolean {
+function waitsTooLong(plan: Trace, features: FairShareFeatures): boolean {
   const record = new Replay(new FairShareEngine({features}), plan).run();
   if (record.countNeverStarted('hard') > 0) return true;
   return record.waitMs('hard', 100) > MAX_WAIT_MS;
--- a/packages/policy/test/traces.test.ts
+++ b/packages/policy/test/traces.test.ts
@@ -4,7 +4,7 @@
   Replay,
   FairShareEngine,
   type ReplayRecord,
-  type ShareFeatures,
+  type FairShareFeatures,
   type Trace,
 } from '@dragonflyward/policy';
 import {suite} from 'uvu';
@@ -64,7 +64,10 @@
 }
 
 /** Traces whose outcome must not hold for an engine without a feature. */
-const NEGATIVE_CONTROLS: readonly (readonly [string, keyof ShareFeatures])[] = [
+const NEGATIVE_CONTROLS: readonly (readonly [
+  string,
+  keyof FairShareFeatures,
+])[] = [
   ['valbrenta-day.json', 'preempts'],
   ['mtindo-day.json', 'preempts'],
 ];
