--- a/packages/common/src/events.ts
+++ b/packages/common/src/events.ts
@@ -78,7 +78,7 @@
  * Compares two hybrid logical timestamps, for sorting.
  *
  * @example
- * events.sort((a, b) => compareHybrid(a.at, b.at));
+ * events.sort((a, b) => compareHybridTimes(a.at, b.at));
  */
 export function compareHybridTimes(a: HybridTime, b: HybridTime): number {
   return a.wallMs - b.wallMs || a.count - b.count;
--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -154,8 +154,8 @@
   }
 
   private async simulateTransit(): Promise<void> {
-    const {clock, latencyMs: slowMs} = this.log;
-    await (slowMs > 0 ? clock.sleep(slowMs) : Promise.resolve());
+    const {clock, latencyMs} = this.log;
+    await (latencyMs > 0 ? clock.sleep(latencyMs) : Promise.resolve());
     this.checkReachable();
   }
 
--- a/packages/operator/src/config-log.ts
+++ b/packages/operator/src/config-log.ts
@@ -16,7 +16,7 @@
   readonly result: ApplyResult;
 }
 
-/** The state folded from the configuration stream. */
+/** The state computed from the configuration stream. */
 export class ConfigLog {
   readonly state = new ConfigState();
   private readonly tail: StreamTail;
--- a/packages/peer/src/config-tail.ts
+++ b/packages/peer/src/config-tail.ts
@@ -10,7 +10,7 @@
  *
  * @throws peerDown, peerLost
  * @example
- * const {records, ageMs, end} = await askConfigTail(mesh, 'vm-2', 17);
+ * const {records, ageMs, end} = await fetchConfigTail(mesh, 'vm-2', 17);
  */
 export async function fetchConfigTail(
   mesh: PeerMesh,
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -113,7 +113,7 @@
  * Creates the default placement policies of an engine.
  *
  * @example
- * const engine = new ShareEngine({policies: {...newPolicies(), pack}});
+ * const engine = new FairShareEngine({policies: {...newPolicies(), pack}});
  */
 export function newPolicies(): PlacementPolicies {
   return {
@@ -131,12 +131,12 @@
  */
 export function newCore(options: FairShareOptions): EngineCore {
   const teams = new TeamTable();
-  const cell = new WorkerTable(teams, worker => needs.noteFreed(worker));
-  const needs = new NeedTable(cell.workers);
+  const workerTable = new WorkerTable(teams, worker => needs.noteFreed(worker));
+  const needs = new NeedTable(workerTable.workers);
   return {
     teams,
     needs,
-    workerTable: cell,
+    workerTable,
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
@@ -174,7 +174,8 @@
  * Returns the policy that places the tasks of a job.
  *
  * @example
- * const workers = policyOf(core, state).choose(core.cell.workers, ask);
+ * const policy = getPlacementPolicy(core, state);
+ * const workers = policy.choose(core.workerTable.workers.values(), request);
  */
 export function getPlacementPolicy(
   core: EngineCore,
@@ -256,7 +257,7 @@
  * empty; empty if they could. A gang needs room for all its tasks at once.
  *
  * @example
- * const reason = obstacleOf(core, job);
+ * const reason = findUnplaceableReason(core, job);
  */
 export function findUnplaceableReason(
   core: EngineCore,
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -56,7 +56,7 @@
  * Returns the fair dominant share of each team by its demand.
  *
  * @example
- * const share = computeFairShares(teams, engine.demand(), total).get('kilns');
+ * const shares = computeFairShares(teams, engine.getDemand(), capacity);
  */
 export function computeFairShares(
   teams: readonly PolicyTeam[],
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -168,7 +168,7 @@
  * confirmed in time is not counted.
  *
  * @example
- * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
+ * const free = estimateFreeResources(worker, isUrgent, nowMs);
  */
 export function estimateFreeResources(
   worker: WorkerState,
@@ -176,8 +176,8 @@
   nowMs: number,
 ): Resources {
   let room = worker.free;
-  for (const {isStopping, stopRequestedMs: stoppingMs, task} of worker.tasks) {
-    const isDue = isStopping && nowMs - stoppingMs < STOP_TIMEOUT_MS;
+  for (const {isStopping, stopRequestedMs, task} of worker.tasks) {
+    const isDue = isStopping && nowMs - stopRequestedMs < STOP_TIMEOUT_MS;
     if (isDue) room = addResources(room, task.size);
   }
   return subtractResources(room, isUrgent ? worker.heldUrgent : worker.held);
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -83,7 +83,7 @@
 
 /**
  * Preempts the cheapest tasks that make room for a request, and holds that
- * room. The preemptions are added to the outbox.
+ * room. The preemptions are added to the pending decisions.
  *
  * @example
  * const made = makeRoom(core, candidates, request);
@@ -226,8 +226,8 @@
   const tasks = job.isGang ? running.job.running.size : 1;
   const priorityFactor = queue.priority === 'batch' ? 1 : NORMAL_COST_FACTOR;
   const serviceFactor = job.isService ? SERVICE_COST_FACTOR : 1;
-  const {netShare: keptShare, fairShare: fair} = running.job.team;
-  const shareFactor = keptShare > fair ? 1 : WITHIN_SHARE_COST_FACTOR;
+  const {netShare, fairShare} = running.job.team;
+  const shareFactor = netShare > fairShare ? 1 : WITHIN_SHARE_COST_FACTOR;
   const sizeMb = Math.max(1, running.task.size.memMb);
   return sizeMb * tasks * priorityFactor * serviceFactor * shareFactor;
 }
@@ -260,7 +260,7 @@
 }
 
 /**
- * Adds the preemption of a task to the outbox.
+ * Adds the preemption of a task to the pending decisions.
  *
  * @example
  * queuePreemption(core, running, 'urgent work of team a needs the room');
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -123,7 +123,7 @@
  * Returns the teams with waiting urgent jobs.
  *
  * @example
- * const order = new TeamOrder(teamsWithUrgent(core));
+ * const order = new TeamOrder(findTeamsWithUrgentJobs(core));
  */
 export function findTeamsWithUrgentJobs(
   core: EngineCore,
@@ -158,19 +158,19 @@
   const state = waitClass.first();
   const {need} = waitClass;
   if (state === undefined || need === null) return false;
-  const ask = newPlacementRequest(core, state, waitClass, tier);
-  if (!core.teams.canStart(team, ask.size, ask.count)) {
+  const request = newPlacementRequest(core, state, waitClass, tier);
+  if (!core.teams.canStart(team, request.size, request.count)) {
     waitClass.waitReason = 'the team has reached its limit in this shard';
     return false;
   }
   const workers = core.needs.getCandidates(need, tier);
-  const chosen = getPlacementPolicy(core, state).choose(workers, ask);
+  const chosen = getPlacementPolicy(core, state).choose(workers, request);
   if (chosen.length === 0) {
     core.needs.noteNoFit(need, tier);
     waitClass.waitReason = 'no worker has enough free resources';
     return false;
   }
-  startTasks(core, state, chosen, ask.size);
+  startTasks(core, state, chosen, request.size);
   return true;
 }
 
@@ -178,7 +178,7 @@
  * Builds the placement request for the next tasks of a job.
  *
  * @example
- * const ask = newAsk(core, state, waitClass, 'all');
+ * const request = newPlacementRequest(core, state, waitClass, 'all');
  */
 export function newPlacementRequest(
   core: EngineCore,
@@ -212,7 +212,7 @@
  * queues the decisions.
  *
  * @example
- * startAll(core, state, chosen, ask.size);
+ * startTasks(core, state, chosen, request.size);
  */
 export function startTasks(
   core: EngineCore,
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -77,10 +77,10 @@
     worker: WorkerState,
     request: PlacementRequest,
   ): number {
-    const {taskCountByLocation: placeCounts} = request.state;
+    const {taskCountByLocation} = request.state;
     const {rack, workerId} = worker.worker;
-    const inRack = placeCounts?.get(rackKey(rack)) ?? 0;
-    const onWorker = placeCounts?.get(workerKey(workerId)) ?? 0;
+    const inRack = taskCountByLocation?.get(rackKey(rack)) ?? 0;
+    const onWorker = taskCountByLocation?.get(workerKey(workerId)) ?? 0;
     const colocationCost =
       inRack * SAME_RACK_COST + onWorker * SAME_WORKER_COST;
     return colocationCost + freeFractionAfter(worker, request.size);
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -57,7 +57,7 @@
  * Starts jobs whose held room has become free, and ends expired holds.
  *
  * @example
- * yield* placeHeld(core);
+ * yield* placeHeldJobs(core);
  */
 export function* placeHeldJobs(core: EngineCore): Generator<Decision> {
   for (const hold of [...core.holds.values()]) {
@@ -96,7 +96,7 @@
   const wanted: PlacementRequest = {
     ...base,
     size: hold.size,
-    usableHeld: usableHeld,
+    usableHeld,
   };
   if (!core.teams.canStart(state.team, wanted.size, wanted.count)) return false;
   const chosen = getPlacementPolicy(core, state).choose(
@@ -112,7 +112,7 @@
  * task first, then the teams furthest below their share.
  *
  * @example
- * reserveForBlocked(core);
+ * reserveForStarved(core);
  */
 export function reserveForStarved(core: EngineCore): void {
   let holdsLeft = MAX_RESERVATIONS;
--- a/packages/policy/src/resize-reservations.ts
+++ b/packages/policy/src/resize-reservations.ts
@@ -28,7 +28,7 @@
  * Records measured use; reservations are resized by later stages.
  *
  * @example
- * learnUsage(core, samples);
+ * recordUsage(core, samples);
  */
 export function recordUsage(
   core: EngineCore,
--- a/packages/policy/src/resource-math.ts
+++ b/packages/policy/src/resource-math.ts
@@ -6,7 +6,7 @@
  * takes of any one resource.
  *
  * @example
- * const share = dominantShare(team.used, cell.total); // 0.25
+ * const share = dominantShare(team.used, teams.capacity); // 0.25
  */
 export function dominantShare(amount: Resources, total: Resources): number {
   return Math.max(
@@ -56,7 +56,7 @@
  * Returns whether two amounts are equal.
  *
  * @example
- * if (isSameSize(task.size, wanted)) return;
+ * if (isSameAmount(task.size, wanted)) return;
  */
 export function isSameAmount(a: Resources, b: Resources): boolean {
   return (
@@ -71,7 +71,7 @@
  * Returns whether an amount is zero for every resource.
  *
  * @example
- * if (isNothing(worker.held)) return worker.free;
+ * if (isZeroAmount(worker.held)) return worker.free;
  */
 export function isZeroAmount(amount: Resources): boolean {
   return isSameAmount(amount, NO_RESOURCES);
@@ -81,7 +81,7 @@
  * Returns the maximum of two amounts, resource by resource.
  *
  * @example
- * largest = mostOf(largest, worker.capacity);
+ * largest = maxAmount(largest, worker.capacity);
  */
 export function maxAmount(a: Resources, b: Resources): Resources {
   return {
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -167,7 +167,7 @@
  * and has no task yet if it is on probation.
  *
  * @example
- * if (!isUsable(state)) continue;
+ * if (!isSchedulable(state)) continue;
  */
 export function isSchedulable(state: WorkerState): boolean {
   if (state.worker.condition !== 'ready') return false;
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -14,7 +14,7 @@
  * Records how a task ended after its room was released.
  *
  * @example
- * noteEnd(core, running, 'failed');
+ * recordTaskEnd(core, running, 'failed');
  */
 export function recordTaskEnd(
   core: EngineCore,
@@ -162,9 +162,9 @@
   let count = 0;
   for (const {
     worker,
-    quarantinedUntilMs: setAsideUntilMs,
+    quarantinedUntilMs,
   } of core.workerTable.workers.values()) {
-    if (worker.condition === 'ready' && setAsideUntilMs === 0) count += 1;
+    if (worker.condition === 'ready' && quarantinedUntilMs === 0) count += 1;
   }
   return count;
 }
--- a/packages/policy/src/trace.ts
+++ b/packages/policy/src/trace.ts
@@ -58,7 +58,7 @@
   readonly succeed?: readonly string[];
   /** Job groups that must be set aside. */
   readonly setAside?: readonly string[];
-  /** Workers that must be set aside. */
+  /** Workers that must be quarantined. */
   readonly workersSetAside?: readonly string[];
   /** Whether measured use must stay within the capacity of each worker. */
   readonly noUseAboveCapacity?: boolean;
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -152,7 +152,7 @@
  * acceptance.
  *
  * @example
- * const rank = rankOf(core, waitClass, first.job.acceptedMs);
+ * const rank = computeRank(core, waitClass, first.job.acceptedMs);
  */
 export function computeRank(
   core: EngineCore,
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -12,9 +12,9 @@
 const MIN_FAILURE_RATE = 0.5;
 /** Jobs remembered as having succeeded on some worker. */
 const MAX_SUCCEEDED_JOBS = 10_000;
-/** Fraction of the workers that may be set aside at once. */
+/** Fraction of the workers that may be quarantined at once. */
 const MAX_SET_ASIDE_FRACTION = 1 / 3;
-/** How long a worker is set aside at first, and at most; doubles each time. */
+/** How long a worker is quarantined at first, and at most; doubles each time. */
 const FIRST_SET_ASIDE_MS = 30_000;
 const MAX_SET_ASIDE_MS = 960_000;
 
@@ -86,7 +86,7 @@
     return this.setAside(state, history, nowMs);
   }
 
-  /** Puts workers on probation whose time set aside is over. */
+  /** Puts workers on probation whose quarantine is over. */
   *startDueProbations(nowMs: number): Generator<WorkerState> {
     for (const state of this.setAsideWorkers) {
       if (state.quarantinedUntilMs === 0 || state.quarantinedUntilMs > nowMs) {
--- a/packages/policy/src/worker-table.ts
+++ b/packages/policy/src/worker-table.ts
@@ -210,7 +210,7 @@
  * The key under which a job counts its tasks in a rack.
  *
  * @example
- * const inRack = job.placeCounts.get(rackKey(worker.rack)) ?? 0;
+ * const inRack = job.taskCountByLocation.get(rackKey(worker.rack)) ?? 0;
  */
 export function rackKey(rack: string): string {
   return `rack ${rack}`;
@@ -220,7 +220,7 @@
  * The key under which a job counts its tasks on a worker.
  *
  * @example
- * const here = job.placeCounts.get(workerKey(worker.workerId)) ?? 0;
+ * const here = job.taskCountByLocation.get(workerKey(worker.workerId)) ?? 0;
  */
 export function workerKey(workerId: string): string {
   return `worker ${workerId}`;
--- a/packages/policy/test/engine-properties.test.ts
+++ b/packages/policy/test/engine-properties.test.ts
@@ -61,11 +61,13 @@
 
 /** Chooses the first ready worker, whether or not it has room. */
 class FirstWorkerPolicy extends PlacementPolicy {
-  override choose(workers: Iterable<WorkerState>, ask: PlacementRequest) {
+  override choose(workers: Iterable<WorkerState>, request: PlacementRequest) {
     const [first] = [...workers].filter(
       ({worker}) => worker.condition === 'ready',
     );
-    return first === undefined ? [] : Array<WorkerState>(ask.count).fill(first);
+    return first === undefined
+      ? []
+      : Array<WorkerState>(request.count).fill(first);
   }
 }
 
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -1,4 +1,4 @@
-/** Follows the allowance table; plans it if this process owns the budget. */
+/** Follows the allowance table; plans it if this process owns its shard. */
 import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
@@ -69,16 +69,16 @@
     const {clock, events} = this.parts;
     const common = {table, tail, writer, clock, events};
     const isWanted = (): boolean => !this.isStopped;
-    const budget = new AllowancePlanner({
+    const planner = new AllowancePlanner({
       ...common,
-      term: () => this.budgetTerm(),
+      term: () => this.plannerTerm(),
       input: () => this.input(),
     });
     const snapshots = new SnapshotTask({
       ...{fold: table, tail, writer, clock, events},
-      isAllowed: () => this.budgetTerm() !== undefined,
+      isAllowed: () => this.plannerTerm() !== undefined,
     });
-    void budget.run(isWanted);
+    void planner.run(isWanted);
     void snapshots.run(isWanted);
     void this.reportDemands();
   }
@@ -101,9 +101,9 @@
     return this.table.isComplete && this.tail.lastCaughtUpMs >= sinceMs;
   }
 
-  /** The budget owner's term; undefined if another process is the owner. */
-  budgetTerm(): number | undefined {
-    const shard = this.budgetShard();
+  /** The term in the planning shard; undefined if another process owns it. */
+  plannerTerm(): number | undefined {
+    const shard = this.plannerShard();
     const replica =
       shard === undefined ? undefined : this.parts.shards.get(shard);
     return replica?.isActive === true ? replica.ownership.term : undefined;
@@ -117,7 +117,7 @@
     this.reports.set(shard, {demands, atMs});
   }
 
-  private budgetShard(): string | undefined {
+  private plannerShard(): string | undefined {
     return plannerShard(this.parts.membership.domains());
   }
 
@@ -131,7 +131,7 @@
     return {limits, shards: membership.domains(), demands};
   }
 
-  /** Reports the demand of the shards owned here to the budget's owner. */
+  /** Reports the demand of the shards owned here to the planning owner. */
   private async reportDemands(): Promise<void> {
     while (!this.isStopped) {
       for (const report of this.ownReports()) this.send(report);
@@ -147,10 +147,10 @@
   }
 
   private send(report: DemandReport): void {
-    const shard = this.budgetShard();
+    const shard = this.plannerShard();
     if (shard === undefined) return;
     const vm = this.parts.membership.ownerVm(shard);
-    if (this.budgetTerm() !== undefined) return this.noteReport(report);
+    if (this.plannerTerm() !== undefined) return this.noteReport(report);
     if (vm === undefined) return;
     this.parts.mesh.connectionTo(vm)?.notify(report);
   }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -69,7 +69,7 @@
       ownVm: vm.id,
       domain: vm.domain,
       maxAgeMs: cfg.timing.configMaxAgeMs,
-      isSnapshotAllowed: () => this.allowances.budgetTerm() !== undefined,
+      isSnapshotAllowed: () => this.allowances.plannerTerm() !== undefined,
     });
     this.allowances = new AllowanceService({
       ...{mesh, log, membership, clock, events, metrics},
--- a/packages/state/src/allowance-tasks.ts
+++ b/packages/state/src/allowance-tasks.ts
@@ -24,7 +24,7 @@
  * Returns the shard whose owner plans the table of allowances.
  *
  * @example
- * if (budgetShard(domains) === shard) void planner.run(shouldRun);
+ * if (plannerShard(domains) === shard) void planner.run(shouldRun);
  */
 export function plannerShard(shards: readonly string[]): string | undefined {
   return [...shards].sort()[0];
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -34,7 +34,7 @@
 
 /** Input of the decision whether a snapshot is due. */
 export interface SnapshotAge {
-  readonly firstKept: number;
+  readonly oldestOffset: number;
   readonly covers: number;
   readonly nextOffset: number;
   /** Time since the newest snapshot was written or first read. */
@@ -47,15 +47,17 @@
  * what the log retains, is too old, or too many records follow it.
  *
  * @example
- * if (isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs})) write();
+ * if (isSnapshotDue(age)) await task.write();
  */
 export function isSnapshotDue(age: SnapshotAge): boolean {
-  const {firstKept, covers, nextOffset, ageMs, periodMs} = age;
+  const {oldestOffset, covers, nextOffset, ageMs, periodMs} = age;
   if (nextOffset === 0) return false;
   if (ageMs >= periodMs) return true;
   if (nextOffset - covers >= MAX_RECORDS_AFTER_SNAPSHOT) return true;
-  const isLogTruncated = firstKept > 0;
-  return isLogTruncated && covers - firstKept < (nextOffset - firstKept) / 2;
+  const isLogTruncated = oldestOffset > 0;
+  return (
+    isLogTruncated && covers - oldestOffset < (nextOffset - oldestOffset) / 2
+  );
 }
 
 /** Writes the snapshots of one stream. */
@@ -97,10 +99,10 @@
     const {nextOffset, snapshotCovers: covers} = fold;
     if (covers !== this.covers) this.recordSnapshot(covers);
     if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
-    const {oldestOffset: firstKept} = tail;
+    const {oldestOffset} = tail;
     const ageMs = clock.monotonicMs() - this.sinceMs;
     const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
-    return isSnapshotDue({firstKept, covers, nextOffset, ageMs, periodMs});
+    return isSnapshotDue({oldestOffset, covers, nextOffset, ageMs, periodMs});
   }
 
   private recordSnapshot(covers: number): void {
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -248,10 +248,10 @@
 
 snapshots('are due before the log forgets the newest one', () => {
   const age = {covers: 60, nextOffset: 100, ageMs: 0, periodMs: 1_000};
-  assert.not(isSnapshotDue({...age, firstKept: 0}));
-  assert.not(isSnapshotDue({...age, firstKept: 10}));
-  assert.ok(isSnapshotDue({...age, firstKept: 30}));
-  assert.ok(isSnapshotDue({...age, firstKept: 0, ageMs: 1_000}));
+  assert.not(isSnapshotDue({...age, oldestOffset: 0}));
+  assert.not(isSnapshotDue({...age, oldestOffset: 10}));
+  assert.ok(isSnapshotDue({...age, oldestOffset: 30}));
+  assert.ok(isSnapshotDue({...age, oldestOffset: 0, ageMs: 1_000}));
 });
 
 /** Runs one writer against a log that retains few records. */
