--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -14,7 +14,7 @@
 const MAX_SUCCEEDED_JOBS = 10_000;
 /** Fraction of the workers that may be quarantined at once. */
 const MAX_SET_ASIDE_FRACTION = 1 / 3;
-/** How long a worker is quarantined at first, and at most; doubles each time. */
+/** How long a worker is quarantined at first and at most; doubles each time. */
 const FIRST_SET_ASIDE_MS = 30_000;
 const MAX_SET_ASIDE_MS = 960_000;
 
