--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -107,7 +107,7 @@
   const claims = log.appends;
   log.latencyMs = appendMs;
   const base = {client: new MemoryLogClient(log), stream: STREAM, clock};
-  const tail = new StreamTail({...base, fold: new ShardState(), waitMs: 500});
+  const tail = new StreamTail({...base, state: new ShardState(), waitMs: 500});
   const writer = new StreamWriter({...base, tail});
   tail.start();
   const startMs = clock.monotonicMs();
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -15,7 +15,7 @@
 export interface StreamTailOptions {
   readonly client: LogClient;
   readonly stream: string;
-  readonly fold: StreamState;
+  readonly state: StreamState;
   readonly clock: Clock;
   /** How long one read may wait for a new record; above 0. */
   readonly waitMs: number;
@@ -89,7 +89,7 @@
    * await tail.waitFor(reply.offset);
    */
   waitFor(offset: number): Promise<void> {
-    if (this.options.fold.nextOffset > offset) return Promise.resolve();
+    if (this.options.state.nextOffset > offset) return Promise.resolve();
     return new Promise((resolve, reject) => {
       this.waiters = [...this.waiters, {offset, resolve, reject}];
     });
@@ -103,15 +103,15 @@
    * await tail.readOnce(0);
    */
   async readOnce(waitMs = this.options.waitMs): Promise<void> {
-    const {client, stream, fold, clock} = this.options;
+    const {client, stream, state, clock} = this.options;
     const sentMs = clock.monotonicMs();
-    const page = await client.read(stream, fold.nextOffset, {
+    const page = await client.read(stream, state.nextOffset, {
       maxRecords: MAX_RECORDS_PER_READ,
       waitMs,
     });
     this.isUp = true;
     this.applyPage(page);
-    if (fold.nextOffset !== page.end) return;
+    if (state.nextOffset !== page.end) return;
     this.lastCaughtUpMs = Math.max(this.lastCaughtUpMs, sentMs);
   }
 
@@ -140,22 +140,22 @@
   }
 
   private applyPage(page: LogPage): void {
-    const {fold} = this.options;
+    const {state} = this.options;
     this.oldestOffset = page.first;
-    if (page.first > fold.nextOffset) fold.skipTo(page.first);
+    if (page.first > state.nextOffset) state.skipTo(page.first);
     for (const record of page.records) this.applyRecord(record);
     this.wakeWaiters();
   }
 
   private applyRecord(record: LogRecord): void {
-    const {fold} = this.options;
-    if (record.offset !== fold.nextOffset) return;
-    const result = fold.apply(record);
+    const {state} = this.options;
+    if (record.offset !== state.nextOffset) return;
+    const result = state.apply(record);
     for (const listener of this.listeners) listener(record, result);
   }
 
   private wakeWaiters(): void {
-    const {nextOffset} = this.options.fold;
+    const {nextOffset} = this.options.state;
     const ready = this.waiters.filter(({offset}) => offset < nextOffset);
     if (ready.length === 0) return;
     this.waiters = this.waiters.filter(({offset}) => offset >= nextOffset);
--- a/packages/log/test/writer.test.ts
+++ b/packages/log/test/writer.test.ts
@@ -18,7 +18,7 @@
 const STREAM = 's';
 
 /** Applies each value once; duplicates are void. */
-class SetFold extends StreamState {
+class SetState extends StreamState {
   override nextOffset = 0;
   override readonly isComplete = true;
   readonly values = new Set<unknown>();
@@ -39,12 +39,12 @@
   const clock = new ManualClock();
   const log = new MemoryLog(clock);
   const client = new MemoryLogClient(log);
-  const fold = new SetFold();
+  const state = new SetState();
   const base = {client, stream: STREAM, clock};
-  const tail = new StreamTail({...base, fold, waitMs: 50});
+  const tail = new StreamTail({...base, state, waitMs: 50});
   const writer = new StreamWriter({...base, tail});
   tail.start();
-  return {clock, log, client, fold, tail, writer};
+  return {clock, log, client, state, tail, writer};
 }
 
 async function kindOf(promise: Promise<unknown>): Promise<ErrorKind | 'none'> {
@@ -70,13 +70,13 @@
 
 for (const delayedEffectMs of [0, 800, 4_000]) {
   writer(`applies once after a lost reply, ${delayedEffectMs} ms`, async () => {
-    const {clock, log, writer, fold, tail} = setUp();
+    const {clock, log, writer, state, tail} = setUp();
     log.lostReplies = 1;
     log.delayedEffectMs = delayedEffectMs;
     const write = writer.write('x');
     await clock.advance(10_000);
     assert.is(await write, 'applied');
-    assert.equal([...fold.values], ['x']);
+    assert.equal([...state.values], ['x']);
     tail.stop();
   });
 }
--- a/packages/operator/src/config-log.ts
+++ b/packages/operator/src/config-log.ts
@@ -29,7 +29,7 @@
     this.tail = new StreamTail({
       client,
       stream: CONFIG_STREAM,
-      fold: this.state,
+      state: this.state,
       clock,
       waitMs: 0,
       onApplied: ({id, offset}, result) => {
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -53,7 +53,7 @@
     const {table} = this;
     const stream = ALLOWANCE_STREAM;
     this.tail = new StreamTail({
-      ...{client: log, stream, fold: table, clock, waitMs: TAIL_WAIT_MS},
+      ...{client: log, stream, state: table, clock, waitMs: TAIL_WAIT_MS},
       onApplied: (_record, result) => {
         metrics.count(`allowance_records_total{result="${result}"}`);
       },
@@ -75,7 +75,7 @@
       input: () => this.input(),
     });
     const snapshots = new SnapshotTask({
-      ...{fold: table, tail, writer, clock, events},
+      ...{state: table, tail, writer, clock, events},
       isAllowed: () => this.plannerTerm() !== undefined,
     });
     void planner.run(isWanted);
--- a/packages/scheduler/src/config-feed.ts
+++ b/packages/scheduler/src/config-feed.ts
@@ -87,9 +87,9 @@
 
   private snapshotTask(): SnapshotTask {
     const {log, clock, events, isSnapshotAllowed: isAllowed} = this.parts;
-    const {state: fold, tail} = this.follower;
+    const {state, tail} = this.follower;
     const {stream} = tail;
     const writer = new StreamWriter({client: log, stream, tail, clock});
-    return new SnapshotTask({fold, tail, writer, clock, events, isAllowed});
+    return new SnapshotTask({state, tail, writer, clock, events, isAllowed});
   }
 }
--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -81,7 +81,7 @@
     this.tail = new StreamTail({
       client: log,
       stream: shardStream(shard),
-      fold: this.shardState,
+      state: this.shardState,
       clock,
       waitMs: TAIL_WAIT_MS,
       onApplied: (record, result) => {
@@ -100,7 +100,7 @@
     this.ownership = new ShardOwnership({
       ...{shard, self, clock, log, peers, timing, events},
       tail: this.tail,
-      fold: this.shardState,
+      state: this.shardState,
       rank: parts.rank,
     });
   }
@@ -176,7 +176,7 @@
     const {clock, events} = this.parts;
     const isAllowed = (): boolean => this.isActive;
     const task = new SnapshotTask({
-      ...{fold: shardState, tail, writer, clock, events, isAllowed},
+      ...{state: shardState, tail, writer, clock, events, isAllowed},
     });
     await task.run(() => !this.isStopped);
   }
--- a/packages/scheduler/test/simulated-shard.ts
+++ b/packages/scheduler/test/simulated-shard.ts
@@ -135,7 +135,7 @@
       ...{
         client,
         stream: STREAM,
-        fold: shardState,
+        state: shardState,
         clock,
         waitMs: READ_WAIT_MS,
       },
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -74,12 +74,12 @@
 
   /** Promises not to claim, unless a claim of this process may be pending. */
   answerPromise(request: PromiseRequest, from: ProcessRef): boolean {
-    const {fold, self, clock} = this.options;
-    if (!fold.isComplete || fold.owner === null) return false;
-    if (!isSameProcess(fold.owner, from)) return false;
-    if (request.term !== fold.term) return false;
-    if (request.listVersion !== fold.listVersion) return false;
-    if (!fold.successors.some(p => isSameProcess(p, self))) return false;
+    const {state, self, clock} = this.options;
+    if (!state.isComplete || state.owner === null) return false;
+    if (!isSameProcess(state.owner, from)) return false;
+    if (request.term !== state.term) return false;
+    if (request.listVersion !== state.listVersion) return false;
+    if (!state.successors.some(p => isSameProcess(p, self))) return false;
     if (this.isClaimPending()) return false;
     this.stallDetector.recordPromiseRequest();
     if (this.stallDetector.isStalled()) return false;
@@ -91,29 +91,29 @@
 
   /** The reason for which this process may claim now, if there is one. */
   claimReason(): ClaimReason | undefined {
-    const {fold, self, tail, clock} = this.options;
+    const {state, self, tail, clock} = this.options;
     const nowMs = clock.monotonicMs();
-    if (!fold.isComplete) return undefined;
+    if (!state.isComplete) return undefined;
     if (!tail.isUp) return undefined;
     if (nowMs - tail.lastCaughtUpMs > TAIL_MAX_AGE_MS) return undefined;
-    if (fold.owner === null) return this.reasonWithoutOwner(nowMs);
-    if (fold.owner.vm === self.vm) return this.reasonAfterRestart(fold.owner);
+    if (state.owner === null) return this.reasonWithoutOwner(nowMs);
+    if (state.owner.vm === self.vm) return this.reasonAfterRestart(state.owner);
     if (this.isBoundByPromise(nowMs)) return undefined;
-    return this.reasonToReplace(fold.owner);
+    return this.reasonToReplace(state.owner);
   }
 
   /** Whether a promise of this process to the owner is still in force. */
   protected isBoundByPromise(nowMs: number): boolean {
     const {term, untilMs} = this.promise;
-    return term === this.options.fold.term && nowMs < untilMs;
+    return term === this.options.state.term && nowMs < untilMs;
   }
 
   /** Whether a claim that this process sent may still take effect. */
   protected isClaimPending(): boolean {
-    const {fold} = this.options;
+    const {state} = this.options;
     this.sentClaims = this.sentClaims.filter(
       ({term, listVersion}) =>
-        term === fold.term && listVersion === fold.listVersion,
+        term === state.term && listVersion === state.listVersion,
     );
     return this.sentClaims.length > 0;
   }
@@ -129,18 +129,18 @@
   }
 
   private reasonToReplace(owner: ProcessRef): ClaimReason | undefined {
-    const {fold, self, rank, timing} = this.options;
-    const position = fold.successors.findIndex(p => p.vm === self.vm);
+    const {state, self, rank, timing} = this.options;
+    const position = state.successors.findIndex(p => p.vm === self.vm);
     const isSuccessor = position >= 0;
-    const claimOrder = isSuccessor ? position : fold.successors.length + rank;
+    const claimOrder = isSuccessor ? position : state.successors.length + rank;
     const silenceTimeoutMs =
       timing.ownerSilenceMs + claimOrder * CLAIM_STAGGER_MS;
     if (isSuccessor && this.stallDetector.isStalled()) return 'ownerStalled';
     if (this.observedSilenceMs(owner) < silenceTimeoutMs) return undefined;
     if (isSuccessor) return 'ownerSilent';
     if (this.isVmGone(owner)) return 'ownerGone';
-    if (fold.successors.length === 0) return undefined;
-    const areAllGone = fold.successors.every(p => this.isVmGone(p));
+    if (state.successors.length === 0) return undefined;
+    const areAllGone = state.successors.every(p => this.isVmGone(p));
     return areAllGone ? 'successorsGone' : undefined;
   }
 
@@ -162,18 +162,18 @@
   }
 
   private updateObservations(): void {
-    const {clock, fold, peers} = this.options;
-    if (fold.term !== this.knownTerm) this.ownerSinceMs = clock.monotonicMs();
-    this.knownTerm = fold.term;
-    const owners = fold.owner === null ? [] : [fold.owner];
-    for (const process of [...owners, ...fold.successors]) {
+    const {clock, state, peers} = this.options;
+    if (state.term !== this.knownTerm) this.ownerSinceMs = clock.monotonicMs();
+    this.knownTerm = state.term;
+    const owners = state.owner === null ? [] : [state.owner];
+    for (const process of [...owners, ...state.successors]) {
       if (peers.isListed(process)) this.seenVms.add(process.vm);
     }
   }
 
   private async claim(reason: ClaimReason): Promise<void> {
-    const {fold, self, log, peers, shard, events} = this.options;
-    const {term, listVersion} = fold;
+    const {state, self, log, peers, shard, events} = this.options;
+    const {term, listVersion} = state;
     const record: ClaimRecord = {
       v: RECORD_VERSION,
       type: 'claim',
--- a/packages/state/src/config-exchange.ts
+++ b/packages/state/src/config-exchange.ts
@@ -38,7 +38,7 @@
 
 /** Options of the exchange. */
 export interface ConfigExchangeOptions {
-  readonly fold: ConfigState;
+  readonly state: ConfigState;
   readonly tail: StreamTail;
   readonly clock: Clock;
   readonly freshness: ConfigFreshness;
@@ -71,11 +71,11 @@
    * return {type: 'configTail', ...exchange.answer(request.from)};
    */
   answer(from: number): ConfigTail {
-    const {fold, freshness} = this.options;
+    const {state, freshness} = this.options;
     this.recordOwnRead();
     const ageMs = freshness.ageMs();
-    const end = fold.nextOffset;
-    if (!fold.isComplete) return {records: [], ageMs: Infinity, end: 0};
+    const end = state.nextOffset;
+    if (!state.isComplete) return {records: [], ageMs: Infinity, end: 0};
     return {records: this.recordsFrom(from), ageMs, end};
   }
 
@@ -92,8 +92,8 @@
   }
 
   private recordOwnRead(): void {
-    const {fold, tail, freshness} = this.options;
-    if (fold.isComplete) freshness.recordLogRead(tail.lastCaughtUpMs);
+    const {state, tail, freshness} = this.options;
+    if (state.isComplete) freshness.recordLogRead(tail.lastCaughtUpMs);
   }
 
   private isPollDue(): boolean {
@@ -106,10 +106,10 @@
   }
 
   private async pollPeer(vm: string): Promise<void> {
-    const {clock, fold, freshness, peers} = this.options;
+    const {clock, state, freshness, peers} = this.options;
     const requestedMs = clock.monotonicMs();
     try {
-      const from = fold.isComplete ? fold.nextOffset : 0;
+      const from = state.isComplete ? state.nextOffset : 0;
       const {records, ageMs, end} = await peers.requestTail(vm, from);
       this.applyPeerRecords(records);
       freshness.recordPeerTail({vm, ageMs, end, requestedMs});
@@ -119,20 +119,20 @@
   }
 
   private applyPeerRecords(records: readonly unknown[]): void {
-    const {fold, tail} = this.options;
+    const {state, tail} = this.options;
     const [first] = records;
     if (first === undefined) return;
-    if (isSnapshotPart(first)) fold.adopt(records as SnapshotRecord[]);
+    if (isSnapshotPart(first)) state.adopt(records as SnapshotRecord[]);
     else tail.applyFromPeer(records as LogRecord[]);
   }
 
   private recordsFrom(from: number): readonly unknown[] {
-    const {fold} = this.options;
-    const missingCount = fold.nextOffset - from;
+    const {state} = this.options;
+    const missingCount = state.nextOffset - from;
     if (missingCount <= 0) return [];
     const records = this.recentRecords.filter(({offset}) => offset >= from);
     const areAllRecent = records.length === missingCount;
-    return areAllRecent ? records : fold.snapshot(newId('snapshot'));
+    return areAllRecent ? records : state.snapshot(newId('snapshot'));
   }
 }
 
--- a/packages/state/src/config-follower.ts
+++ b/packages/state/src/config-follower.ts
@@ -40,20 +40,20 @@
 
   constructor(private readonly options: ConfigFollowerOptions) {
     const {log, clock, maxAgeMs, domain, peers} = options;
-    const fold = this.state;
+    const state = this.state;
     this.tail = new StreamTail({
       client: log,
       stream: CONFIG_STREAM,
-      fold,
+      state,
       clock,
       waitMs: TAIL_READ_WAIT_MS,
       onApplied: (record, result) => {
         this.reportResult(record, result);
       },
     });
-    this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, fold});
+    this.freshness = new ConfigFreshness({clock, maxAgeMs, domain, state});
     const {tail, freshness} = this;
-    const exchangeOptions = {fold, tail, clock, freshness, peers, maxAgeMs};
+    const exchangeOptions = {state, tail, clock, freshness, peers, maxAgeMs};
     this.exchange = new ConfigExchange(exchangeOptions);
   }
 
--- a/packages/state/src/config-freshness.ts
+++ b/packages/state/src/config-freshness.ts
@@ -9,7 +9,7 @@
   /** The failure domain of this process's VM. */
   readonly domain: string;
   /** Progress of this process in the stream. */
-  readonly fold: {readonly nextOffset: number; readonly isComplete: boolean};
+  readonly state: {readonly nextOffset: number; readonly isComplete: boolean};
 }
 
 /** An entry VM of the list of VMs, other than this process's own. */
@@ -79,7 +79,7 @@
    * if (!freshness.isFresh()) raise('configStale', 'no read of the log');
    */
   isFresh(): boolean {
-    if (!this.options.fold.isComplete) return false;
+    if (!this.options.state.isComplete) return false;
     if (this.ageMs() <= this.options.maxAgeMs) return true;
     return this.isGlobalLogOutage();
   }
@@ -115,14 +115,14 @@
 
   /** Whether the peer reads the log, or has records that this process lacks. */
   private isReadingOrAhead({requestedMs, ageMs, end}: PeerTail): boolean {
-    const {clock, maxAgeMs, fold} = this.options;
+    const {clock, maxAgeMs, state} = this.options;
     const isReading = requestedMs - ageMs >= clock.monotonicMs() - maxAgeMs;
-    return isReading || end > fold.nextOffset;
+    return isReading || end > state.nextOffset;
   }
 
   /** Counts the reads of peers whose records were all applied here. */
   private countPeerReads(): void {
-    const {nextOffset, isComplete} = this.options.fold;
+    const {nextOffset, isComplete} = this.options.state;
     if (!isComplete) return;
     for (const {requestedMs, ageMs, end} of this.peerTails.values()) {
       if (end <= nextOffset) this.recordLogRead(requestedMs - ageMs);
--- a/packages/state/src/owner-tasks.ts
+++ b/packages/state/src/owner-tasks.ts
@@ -83,25 +83,25 @@
    * including lists that were sent but not read back yet.
    */
   protected possibleSuccessors(): readonly ProcessRef[] {
-    const {fold} = this.options;
+    const {state} = this.options;
     this.sentLists = this.sentLists.filter(
       ({term, listVersion}) =>
-        term === fold.term && listVersion === fold.listVersion,
+        term === state.term && listVersion === state.listVersion,
     );
     const sent = this.sentLists.flatMap(({successors}) => successors);
-    return [...fold.successors, ...sent].filter(isFirstOccurrence);
+    return [...state.successors, ...sent].filter(isFirstOccurrence);
   }
 
   private arePromisesNeeded(): boolean {
-    const {clock, tail, timing, fold} = this.options;
-    if (!fold.isComplete) return false;
+    const {clock, tail, timing, state} = this.options;
+    if (!state.isComplete) return false;
     const ageMs = clock.monotonicMs() - tail.lastCaughtUpMs;
     return ageMs > timing.ownerLeaseMs * PROMISE_REQUEST_LEASE_FRACTION;
   }
 
   private async requestPromises(): Promise<void> {
-    const {clock, fold, shard, timing} = this.options;
-    const {term, listVersion} = fold;
+    const {clock, state, shard, timing} = this.options;
+    const {term, listVersion} = state;
     const forMs = timing.ownerLeaseMs;
     const sentMs = clock.monotonicMs();
     const request = {shard, term, listVersion, forMs};
@@ -127,20 +127,20 @@
   }
 
   private dueSuccessorList(): readonly ProcessRef[] | undefined {
-    const {clock, fold, peers, tail} = this.options;
+    const {clock, state, peers, tail} = this.options;
     const ageMs = clock.monotonicMs() - tail.lastCaughtUpMs;
-    if (!fold.isComplete || !tail.isUp) return undefined;
+    if (!state.isComplete || !tail.isUp) return undefined;
     if (ageMs > TAIL_MAX_AGE_MS) return undefined;
-    const successors = chooseSuccessors(fold.successors, peers);
-    const isSame = isSameList(fold.successors, successors);
+    const successors = chooseSuccessors(state.successors, peers);
+    const isSame = isSameList(state.successors, successors);
     return isSame && !this.wasPromiseRefused ? undefined : successors;
   }
 
   private async writeSuccessorList(
     successors: readonly ProcessRef[],
   ): Promise<void> {
-    const {events, fold, log, shard} = this.options;
-    const {term, listVersion} = fold;
+    const {events, state, log, shard} = this.options;
+    const {term, listVersion} = state;
     const record: SuccessorsRecord = {
       v: RECORD_VERSION,
       type: 'successors',
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -47,9 +47,9 @@
   readonly shard: string;
   readonly self: ProcessRef;
   readonly clock: Clock;
-  /** Reads the shard's stream and applies its records to `fold`. */
+  /** Reads the shard's stream and applies its records to `state`. */
   readonly tail: StreamTail;
-  readonly fold: ShardState;
+  readonly state: ShardState;
   readonly log: LogClient;
   readonly peers: OwnershipPeers;
   readonly timing: OwnershipTiming;
--- a/packages/state/src/ownership.ts
+++ b/packages/state/src/ownership.ts
@@ -46,7 +46,7 @@
 
   /** The shard's current term, as of the newest record read. */
   get term(): number {
-    return this.options.fold.term;
+    return this.options.state.term;
   }
 
   /**
@@ -54,9 +54,9 @@
    * for the lease of the former owner to expire before it may act.
    */
   get isOwner(): boolean {
-    const {fold, self} = this.options;
-    if (!fold.isComplete || fold.owner === null) return false;
-    return isSameProcess(fold.owner, self);
+    const {state, self} = this.options;
+    if (!state.isComplete || state.owner === null) return false;
+    return isSameProcess(state.owner, self);
   }
 
   /**
--- a/packages/state/src/snapshot-task.ts
+++ b/packages/state/src/snapshot-task.ts
@@ -22,7 +22,7 @@
 
 /** Options of a snapshot task. */
 export interface SnapshotTaskOptions {
-  readonly fold: SnapshotSource;
+  readonly state: SnapshotSource;
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
   readonly clock: Clock;
@@ -87,18 +87,18 @@
    * await task.write();
    */
   async write(): Promise<void> {
-    const {fold, writer, events, tail} = this.options;
-    const parts = fold.snapshot(newId('snapshot'));
+    const {state, writer, events, tail} = this.options;
+    const parts = state.snapshot(newId('snapshot'));
     for (const part of parts) await writer.write(part);
     const detail = `${tail.stream}: ${parts.length} parts`;
     events.add('snapshotWritten', {}, detail);
   }
 
   private isDue(): boolean {
-    const {fold, tail, clock, isAllowed} = this.options;
-    const {nextOffset, snapshotCovers: covers} = fold;
+    const {state, tail, clock, isAllowed} = this.options;
+    const {nextOffset, snapshotCovers: covers} = state;
     if (covers !== this.covers) this.recordSnapshot(covers);
-    if (!fold.isComplete || !tail.isUp || !isAllowed()) return false;
+    if (!state.isComplete || !tail.isUp || !isAllowed()) return false;
     const {oldestOffset} = tail;
     const ageMs = clock.monotonicMs() - this.sinceMs;
     const {periodMs = SNAPSHOT_INTERVAL_MS} = this.options;
--- a/packages/state/src/snapshotted-state.ts
+++ b/packages/state/src/snapshotted-state.ts
@@ -77,7 +77,7 @@
    * Returns the records of a snapshot of the current state.
    *
    * @example
-   * for (const record of fold.snapshot(newId('s'))) await writer.write(record);
+   * const records = state.snapshot(newId('s'));
    */
   snapshot(snapshotId: string): readonly SnapshotRecord[] {
     const bodies = [...packEntries(this.logMs, this.entries())];
@@ -97,7 +97,7 @@
    *
    * @returns whether it was adopted
    * @example
-   * if (fold.adopt(parts)) events.add('configApplied', {});
+   * if (state.adopt(parts)) events.add('configApplied', {});
    */
   adopt(parts: readonly SnapshotRecord[]): boolean {
     const [first] = parts;
--- a/packages/state/src/successors.ts
+++ b/packages/state/src/successors.ts
@@ -15,7 +15,7 @@
  * maximum.
  *
  * @example
- * const successors = chooseSuccessors(fold.successors, peers);
+ * const successors = chooseSuccessors(state.successors, peers);
  */
 export function chooseSuccessors(
   current: readonly ProcessRef[],
@@ -32,7 +32,7 @@
  * Tells whether two lists name the same processes in the same order.
  *
  * @example
- * if (isSameList(fold.successors, successors)) return;
+ * if (isSameList(state.successors, successors)) return;
  */
 export function isSameList(
   a: readonly ProcessRef[],
--- a/packages/state/test/allowance.property.test.ts
+++ b/packages/state/test/allowance.property.test.ts
@@ -194,7 +194,7 @@
     const {clock} = this;
     const client = new MemoryLogClient(this.log);
     const base = {client, stream: ALLOWANCE_STREAM, clock};
-    const tail = new StreamTail({...base, fold: table, waitMs: 1});
+    const tail = new StreamTail({...base, state: table, waitMs: 1});
     return new ShardAllowances({
       table,
       tail,
--- a/packages/state/test/allowance.test.ts
+++ b/packages/state/test/allowance.test.ts
@@ -78,7 +78,7 @@
     const table = new AllowanceState();
     const client = new MemoryLogClient(this.log);
     const base = {client, stream: ALLOWANCE_STREAM, clock};
-    const tail = new StreamTail({...base, fold: table, waitMs: 100});
+    const tail = new StreamTail({...base, state: table, waitMs: 100});
     const writer = new StreamWriter({...base, tail});
     const events = new EventRing('p', new HybridClock(clock));
     tail.start();
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -113,7 +113,7 @@
   readonly clock: MemberClock;
   readonly client: MemoryLogClient;
   readonly log: LogClient;
-  readonly fold: ShardState;
+  readonly state: ShardState;
   readonly ownership: ShardOwnership;
   readonly tail: StreamTail;
   readonly writer: StreamWriter;
@@ -124,7 +124,7 @@
 /** Replacements with which tests disable a mechanism. */
 export interface CellOptions {
   readonly makeOwnership?: (options: OwnershipOptions) => ShardOwnership;
-  readonly makeFold?: () => ShardState;
+  readonly makeState?: () => ShardState;
   /**
    * Jobs count as accepted once the append was answered, without reading the
    * record back.
@@ -201,17 +201,17 @@
     const rate = CLOCK_RATES[rank % CLOCK_RATES.length] ?? 1;
     const clock = new MemberClock(this.clock, rate);
     const client = new MemoryLogClient(this.log);
-    const fold = this.options.makeFold?.() ?? new ShardState();
+    const state = this.options.makeState?.() ?? new ShardState();
     const log = new MemberLogClient(client, clock);
     const base = {client: log, stream: STREAM, clock};
-    const tail = new StreamTail({...base, fold, waitMs: READ_WAIT_MS});
+    const tail = new StreamTail({...base, state, waitMs: READ_WAIT_MS});
     const writer = new StreamWriter({...base, tail});
     const options = {
       shard: SHARD,
       self: ref,
       clock,
       tail,
-      fold,
+      state,
       log,
       peers: new CellPeers(this, ref),
       timing: {ownerLeaseMs: LEASE_MS, ownerSilenceMs: SILENCE_MS},
@@ -221,7 +221,7 @@
     const {makeOwnership} = this.options;
     const ownership = makeOwnership?.(options) ?? new ShardOwnership(options);
     const flags = {isCutFromPeers: false, isDead: false};
-    const parts = {ref, clock, client, log, fold, ownership, tail, writer};
+    const parts = {ref, clock, client, log, state, ownership, tail, writer};
     const member = {...parts, ...flags};
     this.members = [...this.members, member];
     tail.start();
--- a/packages/state/test/config.property.test.ts
+++ b/packages/state/test/config.property.test.ts
@@ -50,7 +50,7 @@
 
 interface Reader {
   readonly client: MemoryLogClient;
-  readonly fold: ConfigState;
+  readonly state: ConfigState;
   readonly exchange: ConfigExchange;
   readonly tail: StreamTail;
   readonly withdrawnKeyIds: Set<string>;
@@ -121,14 +121,14 @@
   }
 
   private checkReader(reader: Reader): void {
-    const {fold, withdrawnKeyIds} = reader;
-    if (fold.revision < reader.lastRevision) this.hasReverted = true;
-    reader.lastRevision = fold.revision;
-    for (const {keyId, isWithdrawn} of fold.keys()) {
+    const {state, withdrawnKeyIds} = reader;
+    if (state.revision < reader.lastRevision) this.hasReverted = true;
+    reader.lastRevision = state.revision;
+    for (const {keyId, isWithdrawn} of state.keys()) {
       if (isWithdrawn) withdrawnKeyIds.add(keyId);
     }
     for (const keyId of withdrawnKeyIds) {
-      if (fold.teamOfKey(`${keyId}.s`) !== undefined) this.hasReverted = true;
+      if (state.teamOfKey(`${keyId}.s`) !== undefined) this.hasReverted = true;
     }
   }
 
@@ -160,17 +160,17 @@
   private start(): Reader {
     const {clock, log} = this;
     const client = new MemoryLogClient(log);
-    const fold = new this.stateClass();
+    const state = new this.stateClass();
     const stream = CONFIG_STREAM;
-    const tail = new StreamTail({client, stream, fold, clock, waitMs: 300});
-    const base = {clock, fold, maxAgeMs: 1_000};
+    const tail = new StreamTail({client, stream, state, clock, waitMs: 300});
+    const base = {clock, state, maxAgeMs: 1_000};
     const freshness = new ConfigFreshness({...base, domain: 'north-1'});
     const peers = new SlowPeers(this);
     const parts = {tail, freshness, peers, maxRecentRecords: 1};
     const exchange = new ConfigExchange({...base, ...parts});
     const flags = {lastRevision: -1, isRunning: true};
     const withdrawnKeyIds = new Set<string>();
-    const reader = {client, fold, exchange, tail, withdrawnKeyIds, ...flags};
+    const reader = {client, state, exchange, tail, withdrawnKeyIds, ...flags};
     tail.start();
     void exchange.run(() => reader.isRunning);
     return reader;
--- a/packages/state/test/config.test.ts
+++ b/packages/state/test/config.test.ts
@@ -59,7 +59,7 @@
   return {...CONFIGURATION, defaults: {...defaults, teams: {roofs}}};
 }
 
-function fold(records: readonly unknown[]): ConfigState {
+function computeState(records: readonly unknown[]): ConfigState {
   const log = new MemoryLog(new ManualClock());
   const state = new ConfigState();
   for (const [i, data] of records.entries()) {
@@ -88,7 +88,7 @@
   'config-in-force',
   'gives a race to the earlier record and tells the later one',
   () => {
-    const state = fold([
+    const state = computeState([
       configRecord(-1, 'ada'),
       configRecord(0, 'ben'),
       configRecord(0, 'cid'),
@@ -109,7 +109,10 @@
   'skips a bad configuration and keeps the one in force',
   () => {
     const bad = {...CONFIGURATION, exceptions: 1} as unknown as Configuration;
-    const state = fold([configRecord(-1, 'ada'), configRecord(0, 'ben', bad)]);
+    const state = computeState([
+      configRecord(-1, 'ada'),
+      configRecord(0, 'ben', bad),
+    ]);
     assert.is(state.revision, 0);
     assert.is(state.history().at(-1)?.verdict, 'invalid');
     assert.is(state.skippedCount, 1);
@@ -117,7 +120,7 @@
 );
 
 config('applies exceptions over defaults', () => {
-  const state = fold([configRecord(-1, 'ada')]);
+  const state = computeState([configRecord(-1, 'ada')]);
   assert.is(state.queue('quotes')?.maxWaiting, 500);
   assert.is(state.queue('renders')?.maxWaiting, 100);
   assert.is(state.queue('toString'), undefined);
@@ -128,7 +131,10 @@
   'team-key',
   'keeps keys as digests and withdraws them for good',
   () => {
-    const state = fold([grant('k1', 's1', 'roofs'), grant('k2', 's2', 'huts')]);
+    const state = computeState([
+      grant('k1', 's1', 'roofs'),
+      grant('k2', 's2', 'huts'),
+    ]);
     assert.is(state.teamOfKey('k1.s1'), 'roofs');
     assert.is(state.teamOfKey('k1.s2'), undefined);
     assert.is(state.teamOfKey('k1'), undefined);
@@ -141,7 +147,7 @@
   'team-key',
   'refuses a key whose late grant follows its withdrawal',
   () => {
-    const state = fold([withdraw('k1'), grant('k1', 's1', 'roofs')]);
+    const state = computeState([withdraw('k1'), grant('k1', 's1', 'roofs')]);
     assert.is(state.teamOfKey('k1.s1'), undefined);
   },
 );
--- a/packages/state/test/freshness.test.ts
+++ b/packages/state/test/freshness.test.ts
@@ -33,7 +33,7 @@
 
 interface Gateway extends ListedPeer {
   readonly client: MemoryLogClient;
-  readonly fold: ConfigState;
+  readonly state: ConfigState;
   readonly freshness: ConfigFreshness;
   readonly exchange: ConfigExchange;
   isUnreachable: boolean;
@@ -79,7 +79,7 @@
   }
 
   acceptsKey(gateway: Gateway): boolean {
-    const isKnown = gateway.fold.teamOfKey(KEY) !== undefined;
+    const isKnown = gateway.state.teamOfKey(KEY) !== undefined;
     return isKnown && gateway.freshness.isFresh();
   }
 
@@ -90,16 +90,16 @@
   add(domain: string, i: number): Gateway {
     const vm = `${domain}-${i}`;
     const {clock, log} = this;
-    const fold = new ConfigState();
+    const state = new ConfigState();
     const client = new MemoryLogClient(log);
     const stream = CONFIG_STREAM;
-    const tail = new StreamTail({client, stream, fold, clock, waitMs: 500});
-    const base = {clock, maxAgeMs: MAX_AGE_MS, fold};
+    const tail = new StreamTail({client, stream, state, clock, waitMs: 500});
+    const base = {clock, maxAgeMs: MAX_AGE_MS, state};
     const freshness = new this.freshnessClass({...base, domain});
     const peers = new GatewayPeers(this, vm);
     const exchange = new ConfigExchange({...base, tail, freshness, peers});
     const flags = {isUnreachable: false, isRunning: true};
-    const parts = {client, fold, freshness, exchange};
+    const parts = {client, state, freshness, exchange};
     const gateway = {vm, domain, ...parts, ...flags};
     this.gateways = [...this.gateways, gateway];
     tail.start();
@@ -154,7 +154,7 @@
     first.client.isOffline = true;
     cell.publish('w', withdraw('k1'));
     await cell.clock.advance(WITHDRAWAL_TIMEOUT_MS);
-    assert.is(first.fold.teamOfKey(KEY), undefined);
+    assert.is(first.state.teamOfKey(KEY), undefined);
     assert.ok(first.freshness.isFresh());
     cell.end();
   },
--- a/packages/state/test/ownership.property.test.ts
+++ b/packages/state/test/ownership.property.test.ts
@@ -116,8 +116,8 @@
   cell.start(`vm${cell.members.length}`);
 }
 
-function handOver({ownership, fold}: Member): void {
-  const [first, ...others] = fold.successors;
+function handOver({ownership, state}: Member): void {
+  const [first, ...others] = state.successors;
   if (first !== undefined) void ownership.handOver(first, others);
 }
 
@@ -211,7 +211,7 @@
   const cell = await play([], options);
   const [owner, dropped, ...others] = cell.members;
   assert.ok(owner && dropped);
-  const {term: prevTerm, listVersion: prevListVersion} = dropped.fold;
+  const {term: prevTerm, listVersion: prevListVersion} = dropped.state;
   dropped.client.isOffline = true;
   dropped.isCutFromPeers = true;
   await cell.run(6_000);
@@ -320,7 +320,7 @@
 check(
   'a dropped successor wins where claims are not checked',
   APPEND_DELAY_MS,
-  ms => playLateClaim(ms, {makeFold: () => new UncheckedClaimState()}),
+  ms => playLateClaim(ms, {makeState: () => new UncheckedClaimState()}),
   false,
 );
 
@@ -328,7 +328,7 @@
   'fails without fencing by terms',
   STEPS,
   async steps => {
-    const cell = await play(steps, {makeFold: () => new UnfencedShardState()});
+    const cell = await play(steps, {makeState: () => new UnfencedShardState()});
     cell.end();
     return !hasJobOfNonOwner(cell, new UnfencedShardState());
   },
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -23,7 +23,7 @@
 ownership('gives a new shard one owner with two successors', async () => {
   const {cell, owner} = await startCell();
   assert.is(owner.ref.vm, 'a');
-  assert.is(owner.fold.successors.length, 2);
+  assert.is(owner.state.successors.length, 2);
   cell.end();
 });
 
@@ -68,7 +68,7 @@
 
 ownership('stays when a successor is restarted', async () => {
   const {cell, owner} = await startCell();
-  const [successor] = owner.fold.successors;
+  const [successor] = owner.state.successors;
   const member = successor && cell.find(successor);
   assert.ok(member);
   await cell.run(BETWEEN_HEARTBEATS_MS);
@@ -112,7 +112,7 @@
 
 ownership('is handed over without a gap', async () => {
   const {cell, owner} = await startCell();
-  const [successor] = owner.fold.successors;
+  const [successor] = owner.state.successors;
   assert.ok(successor);
   const done = owner.ownership.handOver(successor, []);
   await cell.run(1_000);
--- a/packages/state/test/snapshot.test.ts
+++ b/packages/state/test/snapshot.test.ts
@@ -100,8 +100,8 @@
   }));
 }
 
-function stateOf(fold: ShardState): string {
-  const bodies = fold.snapshot('x').map(({body}) => body);
+function stateOf(state: ShardState): string {
+  const bodies = state.snapshot('x').map(({body}) => body);
   return bodies.join('\n');
 }
 
@@ -120,9 +120,9 @@
   data: readonly unknown[],
   at: number,
   between: number,
-  makeFold: () => ShardState,
+  makeState: () => ShardState,
 ): SnapshotRun {
-  const full = makeFold();
+  const full = makeState();
   const before = toStream(data);
   const covers = Math.min(at, before.length);
   for (const record of before.slice(0, covers)) full.apply(record);
@@ -136,11 +136,11 @@
 
 function readFromSnapshot(
   {records, first}: SnapshotRun,
-  fold: ShardState,
+  state: ShardState,
 ): ShardState {
-  fold.skipTo(first);
-  for (const record of records.slice(first)) fold.apply(record);
-  return fold;
+  state.skipTo(first);
+  for (const record of records.slice(first)) state.apply(record);
+  return state;
 }
 
 /** Starts from a snapshot but drops the records after it. */
@@ -216,7 +216,7 @@
   const holds = fc.property(fc.array(DATA), data => {
     const records = toStream(data);
     const [a, b] = [new ShardState(), new ShardState()];
-    const verdicts = [a, b].map(fold => records.map(r => fold.apply(r)));
+    const verdicts = [a, b].map(state => records.map(r => state.apply(r)));
     assert.equal(verdicts[0], verdicts[1]);
     assert.is(stateOf(a), stateOf(b));
     const skipped = verdicts[0]?.filter(v => v === 'skipped').length;
@@ -256,32 +256,32 @@
 
 /** Runs one writer against a log that retains few records. */
 async function runWriter(log: MemoryLog, clock: ManualClock): Promise<string> {
-  const fold = new ShardState();
+  const state = new ShardState();
   const client = new MemoryLogClient(log);
   const base = {client, stream: STREAM, clock};
-  const tail = new StreamTail({...base, fold, waitMs: 100});
+  const tail = new StreamTail({...base, state, waitMs: 100});
   const writer = new StreamWriter({...base, tail});
   const events = new EventRing('p', new HybridClock(clock));
   const isAllowed = (): boolean => true;
-  const options = {fold, tail, writer, clock, events, isAllowed};
+  const options = {state, tail, writer, clock, events, isAllowed};
   const task = new SnapshotTask(options);
   let isRunning = true;
   tail.start();
   void task.run(() => isRunning);
-  const {term: prevTerm, listVersion: prevListVersion} = fold;
+  const {term: prevTerm, listVersion: prevListVersion} = state;
   const claim = {v: V, type: 'claim', prevTerm, prevListVersion};
   void writer.write({...claim, owner: processOf(1), successors: []});
   for (let i = 0; i < 300; i += 1) {
     await clock.advance(100);
     const job = jobSpec(`north-1:${i % 40}`);
-    const under = {v: V, type: 'jobAccepted', term: fold.term};
+    const under = {v: V, type: 'jobAccepted', term: state.term};
     void writer.write({...under, acceptedMs: 0, job});
   }
   await clock.advance(1_000);
   isRunning = false;
   tail.stop();
   await clock.advance(5_000);
-  return stateOf(fold);
+  return stateOf(state);
 }
 
 snapshots('a whole fleet starts again from what the log keeps', async () => {
@@ -290,13 +290,13 @@
   log.maxRetainedRecords = 80;
   const before = await runWriter(log, clock);
   assert.ok(log.page(STREAM, 0, 1).first > 0);
-  const fold = new ShardState();
+  const state = new ShardState();
   const client = new MemoryLogClient(log);
   const base = {client, stream: STREAM, clock};
-  const tail = new StreamTail({...base, fold, waitMs: 100});
+  const tail = new StreamTail({...base, state, waitMs: 100});
   await tail.readOnce();
-  assert.ok(fold.isComplete);
-  assert.is(stateOf(fold), before);
+  assert.ok(state.isComplete);
+  assert.is(stateOf(state), before);
 });
 
 snapshots.run();
--- a/packages/state/test/traces.test.ts
+++ b/packages/state/test/traces.test.ts
@@ -22,28 +22,28 @@
   readonly outcome: Readonly<Record<string, unknown>>;
 }
 
-function summarize(fold: ShardState | ConfigState): Trace['outcome'] {
-  if (fold instanceof ShardState) {
-    const {term, owner, jobs} = fold;
+function summarize(state: ShardState | ConfigState): Trace['outcome'] {
+  if (state instanceof ShardState) {
+    const {term, owner, jobs} = state;
     return {term, owner: owner?.vm, jobs: [...jobs.keys()]};
   }
-  const valid = fold.keys().filter(({isWithdrawn}) => !isWithdrawn);
+  const valid = state.keys().filter(({isWithdrawn}) => !isWithdrawn);
   return {
-    revision: fold.revision,
-    verdicts: fold.history().map(({verdict}) => verdict),
+    revision: state.revision,
+    verdicts: state.history().map(({verdict}) => verdict),
     validKeys: valid.map(({keyId}) => keyId),
   };
 }
 
 function replay(
   {stream, steps}: Trace,
-  fold: Pick<SnapshottedState<never>, 'apply'>,
+  state: Pick<SnapshottedState<never>, 'apply'>,
 ): readonly ApplyResult[] {
   const log = new MemoryLog(new ManualClock());
   for (const [i, {by, record}] of steps.entries()) {
     log.appendNow(stream, [{id: `${by}-${i}`, data: record}]);
   }
-  return log.records(stream).map(record => fold.apply(record));
+  return log.records(stream).map(record => state.apply(record));
 }
 
 const traces = suite('recorded traces');
@@ -53,13 +53,13 @@
   const trace = JSON.parse(text) as Trace;
   traces(`${file}: ${trace.what}`, () => {
     const isShard = trace.stream === 'shard';
-    const fold = isShard ? new ShardState() : new ConfigState();
-    const verdicts = replay(trace, fold);
+    const state = isShard ? new ShardState() : new ConfigState();
+    const verdicts = replay(trace, state);
     assert.equal(
       verdicts,
       trace.steps.map(({verdict}) => verdict),
     );
-    assert.equal(summarize(fold), trace.outcome);
+    assert.equal(summarize(state), trace.outcome);
   });
 }
 
