Name the quarantine of workers and the search for room plainly

The log of workers with freed room, a waiting job's entry number, requests that are all or nothing and the wait after a takeover get usual names.

--- a/packages/policy/src/room-log.ts
+++ b/packages/policy/src/freed-worker-log.ts
@@ -4,7 +4,7 @@
 const MAX_ENTRIES = 8_192;
 
 /** Workers in the order in which they got room; old entries are dropped. */
-export class RoomLog {
+export class FreedWorkerLog {
   private entries: WorkerState[] = [];
   /** The position of the first entry that is still kept. */
   start = 0;
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -31,7 +31,7 @@
 export class HoldTable {
   private readonly byJob = new Map<string, Hold>();
 
-  constructor(private readonly onRoom: (worker: WorkerState) => void) {}
+  constructor(private readonly onFreed: (worker: WorkerState) => void) {}
 
   get size(): number {
     return this.byJob.size;
@@ -63,7 +63,7 @@
     this.byJob.set(jobId, hold);
     for (const worker of former?.slots.keys() ?? []) {
       this.refreshWorker(worker);
-      this.onRoom(worker);
+      this.onFreed(worker);
     }
     for (const worker of hold.slots.keys()) this.refreshWorker(worker);
   }
@@ -75,7 +75,7 @@
     this.byJob.delete(jobId);
     for (const worker of hold.slots.keys()) {
       this.refreshWorker(worker);
-      this.onRoom(worker);
+      this.onFreed(worker);
     }
   }
 
@@ -142,7 +142,7 @@
     if (count > 0) hold.slots.set(worker, count);
     else hold.slots.delete(worker);
     this.refreshWorker(worker);
-    this.onRoom(worker);
+    this.onFreed(worker);
     if (hold.slots.size === 0) this.byJob.delete(hold.state.job.jobId);
   }
 
--- a/packages/policy/src/make-room.ts
+++ b/packages/policy/src/make-room.ts
@@ -33,7 +33,7 @@
   /** How many tasks need room. */
   readonly count: number;
   /** Whether the tasks need room all at once, as those of a gang do. */
-  readonly isWhole: boolean;
+  readonly isAllOrNothing: boolean;
   readonly isUrgent: boolean;
   readonly untilMs: number;
   readonly reason: string;
@@ -75,7 +75,7 @@
   ) {
     const worker = workers[core.nextWorkerIndex % workers.length];
     core.nextWorkerIndex = (core.nextWorkerIndex + 1) % workers.length;
-    const candidate = worker && candidateOn(core, worker, request);
+    const candidate = worker && findCandidateOn(core, worker, request);
     if (candidate !== undefined) candidates.push(candidate);
   }
   return candidates;
@@ -105,10 +105,10 @@
     slots.set(candidate.worker, (slots.get(candidate.worker) ?? 0) + 1);
     core.holds.add(newHold(core, request, slots));
     made += 1;
-    const next = candidateOn(core, candidate.worker, request);
+    const next = findCandidateOn(core, candidate.worker, request);
     if (next !== undefined) candidates.push(next);
   }
-  if (request.isWhole && made < request.count) {
+  if (request.isAllOrNothing && made < request.count) {
     revertPreemptions(core, request, stopped);
     return 0;
   }
@@ -125,7 +125,7 @@
   for (;;) {
     const candidate = candidates.pop();
     if (candidate === undefined) return undefined;
-    const fresh = candidateOn(core, candidate.worker, request);
+    const fresh = findCandidateOn(core, candidate.worker, request);
     if (fresh === undefined) continue;
     if (fresh.cost <= candidate.cost) return fresh;
     candidates.push(fresh);
@@ -148,7 +148,7 @@
 }
 
 /** The cheapest way to make room for one more task on a worker. */
-function candidateOn(
+function findCandidateOn(
   core: EngineCore,
   worker: WorkerState,
   request: RoomRequest,
@@ -157,14 +157,14 @@
   if (!fitsIn(request.size, worker.worker.capacity)) return undefined;
   const victims: RunningTask[] = [];
   let room = estimateFreeResources(worker, request.isUrgent, core.nowMs);
-  let teamRoom = teamRoomOf(core, request);
+  let teamRoom = computeTeamRoom(core, request);
   const isEnough = (): boolean =>
     fitsIn(request.size, room) && fitsIn(request.size, teamRoom);
   if (!isEnough()) {
-    for (const running of preemptibleByCost(worker, request)) {
+    for (const running of sortPreemptibleByCost(worker, request)) {
       victims.push(running);
       room = addResources(room, running.task.size);
-      teamRoom = addResources(teamRoom, teamRoomFreedBy(running, request));
+      teamRoom = addResources(teamRoom, computeTeamRoomFreed(running, request));
       if (isEnough()) break;
     }
   }
@@ -173,7 +173,7 @@
     const roomWithout = subtractResources(room, running.task.size);
     const teamRoomWithout = subtractResources(
       teamRoom,
-      teamRoomFreedBy(running, request),
+      computeTeamRoomFreed(running, request),
     );
     if (!fitsIn(request.size, roomWithout)) continue;
     if (!fitsIn(request.size, teamRoomWithout)) continue;
@@ -189,7 +189,7 @@
 }
 
 /** The team's allowance left once its stopping tasks have ended. */
-function teamRoomOf(core: EngineCore, request: RoomRequest): Resources {
+function computeTeamRoom(core: EngineCore, request: RoomRequest): Resources {
   const {team, job} = request.state;
   const kept = subtractResources(team.used, team.stoppingResources);
   const held = core.holds.getHeldResources(job.jobId);
@@ -199,7 +199,7 @@
 }
 
 /** What a task's end frees of the allowance of the requesting team. */
-function teamRoomFreedBy(
+function computeTeamRoomFreed(
   running: RunningTask,
   request: RoomRequest,
 ): Resources {
@@ -209,7 +209,7 @@
     : subtractResources(request.size, request.size);
 }
 
-function preemptibleByCost(
+function sortPreemptibleByCost(
   worker: WorkerState,
   request: RoomRequest,
 ): readonly RunningTask[] {
--- a/packages/policy/src/needs.ts
+++ b/packages/policy/src/needs.ts
@@ -6,7 +6,7 @@
   type Resources,
 } from '@dragonflyward/common';
 import {countFits, sizeKey} from './resource-math.js';
-import {RoomLog} from './room-log.js';
+import {FreedWorkerLog} from './freed-worker-log.js';
 import {isSchedulable, type WorkerState} from './state.js';
 import type {WaitClass} from './wait-class.js';
 
@@ -44,7 +44,7 @@
 /** The needs of all waiting jobs. */
 export class NeedTable {
   private readonly byKey = new Map<string, Need>();
-  private readonly log = new RoomLog();
+  private readonly log = new FreedWorkerLog();
   /** The number of workers that all searches have examined. */
   examinedWorkers = 0;
 
--- a/packages/policy/src/place-waiting.ts
+++ b/packages/policy/src/place-waiting.ts
@@ -59,7 +59,7 @@
  * Yields the pending decisions that still apply.
  *
  * @example
- * yield* flush(core);
+ * yield* flushDecisions(core);
  */
 export function* flushDecisions(core: EngineCore): Generator<Decision> {
   for (;;) {
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -190,8 +190,8 @@
   state: JobState,
   waitClass: WaitClass,
   count: number,
-): Pick<RoomRequest, 'state' | 'size' | 'count' | 'isWhole'> {
-  return {state, size: waitClass.size, count, isWhole: state.job.isGang};
+): Pick<RoomRequest, 'state' | 'size' | 'count' | 'isAllOrNothing'> {
+  return {state, size: waitClass.size, count, isAllOrNothing: state.job.isGang};
 }
 
 /** Work that is not idempotent must not run twice, so it is not preempted. */
--- a/packages/policy/src/reserve.ts
+++ b/packages/policy/src/reserve.ts
@@ -118,14 +118,14 @@
   let holdsLeft = MAX_RESERVATIONS;
   for (const hold of core.holds.values()) if (!hold.isUrgent) holdsLeft -= 1;
   if (holdsLeft <= 0) return;
-  const hardClass = oldestHardToPlaceClass(core);
+  const hardClass = findOldestHardToPlaceClass(core);
   if (hardClass !== undefined && reserveFirst(core, hardClass)) holdsLeft -= 1;
   const order = new TeamOrder(starvedTeams(core));
   for (; holdsLeft > 0; holdsLeft -= 1) {
     const team = order.first();
     if (team === undefined) return;
     order.dropFirst();
-    const waitClass = nextReservableClass(core, team);
+    const waitClass = findNextReservableClass(core, team);
     if (waitClass !== undefined) reserveFirst(core, waitClass);
   }
 }
@@ -135,7 +135,7 @@
   const state = waitClass.first();
   if (state === undefined) return false;
   const count = state.job.isGang ? state.pending.size : 1;
-  const expectedSlots = earliestSlots(core, waitClass, count);
+  const expectedSlots = findEarliestSlots(core, waitClass, count);
   const latestSlot = expectedSlots.at(-1);
   const untilMs = core.nowMs + MAX_HOLD_MS;
   if (
@@ -168,7 +168,7 @@
  * The class of best rank whose next task stays within the team's share and
  * that may get a hold.
  */
-function nextReservableClass(
+function findNextReservableClass(
   core: EngineCore,
   team: TeamState,
 ): WaitClass | undefined {
@@ -189,7 +189,7 @@
 }
 
 /** The class of the oldest gang or large task that may get a hold. */
-function oldestHardToPlaceClass(core: EngineCore): WaitClass | undefined {
+function findOldestHardToPlaceClass(core: EngineCore): WaitClass | undefined {
   let oldest: WaitClass | undefined;
   let oldestMs = core.nowMs - HARD_TO_PLACE_WAIT_MS;
   for (const need of core.needs.values()) {
@@ -225,7 +225,7 @@
 }
 
 /** The earliest slots that are expected to become free for the tasks. */
-function earliestSlots(
+function findEarliestSlots(
   core: EngineCore,
   waitClass: WaitClass,
   count: number,
@@ -240,14 +240,14 @@
     const worker = workers[core.nextWorkerIndex % workers.length];
     core.nextWorkerIndex = (core.nextWorkerIndex + 1) % workers.length;
     if (worker === undefined || !isSchedulable(worker)) continue;
-    expectedSlots.push(...expectedSlotsOn(core, worker, waitClass, count));
+    expectedSlots.push(...estimateSlotsOn(core, worker, waitClass, count));
   }
   expectedSlots.sort((a, b) => a.atMs - b.atMs);
   return expectedSlots.slice(0, count);
 }
 
 /** When a worker gets room for each further task, as running tasks end. */
-function* expectedSlotsOn(
+function* estimateSlotsOn(
   core: EngineCore,
   worker: WorkerState,
   waitClass: WaitClass,
@@ -258,7 +258,7 @@
   let slotCount = 0;
   const taskEnds = [...worker.tasks].map(running => ({
     size: running.task.size,
-    atMs: expectedEndMs(core, running),
+    atMs: estimateEndMs(core, running),
   }));
   taskEnds.sort((a, b) => a.atMs - b.atMs);
   taskEnds.unshift({size: NO_RESOURCES, atMs: core.nowMs});
@@ -278,7 +278,7 @@
  * When a running task is expected to end. An overdue task is expected to run
  * as long again as it has run.
  */
-function expectedEndMs(core: EngineCore, running: RunningTask): number {
+function estimateEndMs(core: EngineCore, running: RunningTask): number {
   const {job} = running.job;
   if (running.isStopping) return core.nowMs;
   if (job.isService) return Infinity;
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -85,7 +85,7 @@
   /** The class in which the job waits. */
   waitClass: WaitClass | null;
   /** The number of the job's current entry in its class; older ones differ. */
-  ticket: number;
+  entryNumber: number;
   /** Why the job was set aside; empty if it was not. */
   setAsideReason: string;
   /** The time before which the job gets no new hold. */
@@ -156,7 +156,7 @@
     running: new Map(),
     taskCountByLocation: isSpread(job, queue) ? new Map() : null,
     waitClass: null,
-    ticket: 0,
+    entryNumber: 0,
     setAsideReason: '',
     holdBackoffUntilMs: 0,
   };
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -61,7 +61,7 @@
  * Queues a job's pending tasks, or sets the job aside if it failed too often.
  *
  * @example
- * admit(core, state);
+ * enqueueOrSetAside(core, state);
  */
 export function enqueueOrSetAside(core: EngineCore, state: JobState): void {
   const [first] = state.pending;
--- a/packages/policy/src/wait-class.ts
+++ b/packages/policy/src/wait-class.ts
@@ -8,10 +8,10 @@
 /** Removed entries that a heap may keep beyond the number of current ones. */
 const MAX_EXTRA_STALE_ENTRIES = 64;
 
-/** A heap entry; it is stale once the ticket of its job has changed. */
+/** A heap entry; it is stale once the number of its job has changed. */
 interface Entry {
   readonly state: JobState;
-  readonly ticket: number;
+  readonly entryNumber: number;
   readonly acceptedMs: number;
 }
 
@@ -29,10 +29,10 @@
 /** The waiting jobs of one team that share a kind, the oldest first. */
 export class WaitClass {
   private readonly entries = new Heap<Entry>(
-    (a, b) => a.acceptedMs - b.acceptedMs || a.ticket - b.ticket,
+    (a, b) => a.acceptedMs - b.acceptedMs || a.entryNumber - b.entryNumber,
   );
   private jobCount = 0;
-  private nextTicket = 1;
+  private nextEntryNumber = 1;
   /** The number of waiting tasks. */
   taskCount = 0;
   /** The resources that a task of the class reserves at present. */
@@ -60,19 +60,19 @@
   /** Adds a job that is in no class. */
   add(state: JobState): void {
     state.waitClass = this;
-    state.ticket = this.nextTicket;
-    this.nextTicket += 1;
+    state.entryNumber = this.nextEntryNumber;
+    this.nextEntryNumber += 1;
     this.jobCount += 1;
     this.taskCount += state.pending.size;
-    const {ticket} = state;
-    this.entries.push({state, ticket, acceptedMs: state.job.acceptedMs});
+    const {entryNumber} = state;
+    this.entries.push({state, entryNumber, acceptedMs: state.job.acceptedMs});
   }
 
   /** Removes a job; its stale entry is dropped later. */
   remove(state: JobState): void {
     if (state.waitClass !== this) return;
     state.waitClass = null;
-    state.ticket = 0;
+    state.entryNumber = 0;
     this.jobCount -= 1;
     this.taskCount -= state.pending.size;
     this.removeStaleEntries();
@@ -103,8 +103,8 @@
   }
 
   private isCurrent(entry: Entry): boolean {
-    const {state, ticket} = entry;
-    return state.waitClass === this && state.ticket === ticket;
+    const {state, entryNumber} = entry;
+    return state.waitClass === this && state.entryNumber === entryNumber;
   }
 
   private removeStaleEntries(): void {
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -1,10 +1,10 @@
-/** Sets aside workers on which tasks keep failing, and retries them later. */
+/** Quarantines workers on which tasks keep failing, and retries them later. */
 import type {Decision} from './engine.js';
 import type {WorkerState} from './state.js';
 
 /** Most recent task ends that are kept for each worker. */
 const MAX_RECENT_ENDS = 8;
-/** Recent failures, and distinct jobs among them, that set a worker aside. */
+/** Recent failures, and distinct jobs among them, that quarantine a worker. */
 const MIN_FAILURES = 4;
 const MIN_FAILED_JOBS = 3;
 /** A failing worker has this multiple of the others' mean failure rate. */
@@ -13,10 +13,10 @@
 /** Jobs remembered as having succeeded on some worker. */
 const MAX_SUCCEEDED_JOBS = 10_000;
 /** Fraction of the workers that may be quarantined at once. */
-const MAX_SET_ASIDE_FRACTION = 1 / 3;
+const MAX_QUARANTINED_FRACTION = 1 / 3;
 /** How long a worker is quarantined at first and at most; doubles each time. */
-const FIRST_SET_ASIDE_MS = 30_000;
-const MAX_SET_ASIDE_MS = 960_000;
+const FIRST_QUARANTINE_MS = 30_000;
+const MAX_QUARANTINE_MS = 960_000;
 
 interface TaskOutcome {
   readonly isFailure: boolean;
@@ -25,13 +25,13 @@
 
 interface WorkerHistory {
   readonly recentEnds: TaskOutcome[];
-  setAsideMs: number;
+  quarantineMs: number;
 }
 
-/** Tracks how tasks end on each worker and sets failing workers aside. */
+/** Tracks how tasks end on each worker and quarantines failing workers. */
 export class WorkerHealth {
   private readonly records = new Map<string, WorkerHistory>();
-  private readonly setAsideWorkers = new Set<WorkerState>();
+  private readonly quarantinedWorkers = new Set<WorkerState>();
   private readonly succeededJobs = new Set<string>();
 
   /**
@@ -63,7 +63,7 @@
     return ended.size === 0 ? 0 : failed.size / ended.size;
   }
 
-  /** Records a task's end; returns a decision if it sets the worker aside. */
+  /** Records a task's end; returns a decision if it quarantines the worker. */
   recordEnd(
     state: WorkerState,
     end: TaskOutcome,
@@ -79,16 +79,16 @@
       return undefined;
     }
     if (state.quarantinedUntilMs > 0) return undefined;
-    if (state.isOnProbation) return this.setAside(state, history, nowMs);
-    const maxSetAside = Math.max(1, workerCount * MAX_SET_ASIDE_FRACTION);
-    if (this.setAsideWorkers.size + 1 > maxSetAside) return undefined;
+    if (state.isOnProbation) return this.quarantine(state, history, nowMs);
+    const maxQuarantined = Math.max(1, workerCount * MAX_QUARANTINED_FRACTION);
+    if (this.quarantinedWorkers.size + 1 > maxQuarantined) return undefined;
     if (!this.isFailingTooOften(history)) return undefined;
-    return this.setAside(state, history, nowMs);
+    return this.quarantine(state, history, nowMs);
   }
 
   /** Puts workers on probation whose quarantine is over. */
   *startDueProbations(nowMs: number): Generator<WorkerState> {
-    for (const state of this.setAsideWorkers) {
+    for (const state of this.quarantinedWorkers) {
       if (state.quarantinedUntilMs === 0 || state.quarantinedUntilMs > nowMs) {
         continue;
       }
@@ -101,7 +101,7 @@
   /** Drops the state of a removed worker. */
   removeWorker(state: WorkerState): void {
     this.records.delete(state.worker.workerId);
-    this.setAsideWorkers.delete(state);
+    this.quarantinedWorkers.delete(state);
   }
 
   private addSucceededJob(jobId: string): void {
@@ -115,21 +115,21 @@
   private endProbationIfAny(state: WorkerState, history: WorkerHistory): void {
     if (!state.isOnProbation) return;
     state.isOnProbation = false;
-    this.setAsideWorkers.delete(state);
-    history.setAsideMs = 0;
+    this.quarantinedWorkers.delete(state);
+    history.quarantineMs = 0;
     history.recentEnds.length = 0;
   }
 
-  private setAside(
+  private quarantine(
     state: WorkerState,
     history: WorkerHistory,
     nowMs: number,
   ): Decision {
-    const doubledMs = Math.max(FIRST_SET_ASIDE_MS, history.setAsideMs * 2);
-    history.setAsideMs = Math.min(MAX_SET_ASIDE_MS, doubledMs);
-    state.quarantinedUntilMs = nowMs + history.setAsideMs;
+    const doubledMs = Math.max(FIRST_QUARANTINE_MS, history.quarantineMs * 2);
+    history.quarantineMs = Math.min(MAX_QUARANTINE_MS, doubledMs);
+    state.quarantinedUntilMs = nowMs + history.quarantineMs;
     state.isOnProbation = false;
-    this.setAsideWorkers.add(state);
+    this.quarantinedWorkers.add(state);
     const failures = failuresOf(history.recentEnds).length;
     const rate = this.meanFailureRate(history).toFixed(2);
     return {
@@ -162,7 +162,7 @@
   private getHistory(workerId: string): WorkerHistory {
     const known = this.records.get(workerId);
     if (known !== undefined) return known;
-    const history: WorkerHistory = {recentEnds: [], setAsideMs: 0};
+    const history: WorkerHistory = {recentEnds: [], quarantineMs: 0};
     this.records.set(workerId, history);
     return history;
   }
--- a/packages/policy/src/worker-table.ts
+++ b/packages/policy/src/worker-table.ts
@@ -18,7 +18,7 @@
 import type {TeamTable} from './team-table.js';
 
 /** Called with each worker that may have got more room. */
-export type RoomListener = (worker: WorkerState) => void;
+export type FreedListener = (worker: WorkerState) => void;
 
 /** Tracks what is reserved on each worker and for each team. */
 export class WorkerTable {
@@ -31,7 +31,7 @@
 
   constructor(
     private readonly teams: TeamTable,
-    private readonly onRoom: RoomListener,
+    private readonly onFreed: FreedListener,
   ) {}
 
   /** Adds a worker or changes its capacity or condition. */
@@ -46,7 +46,7 @@
     state.free = subtractResources(worker.capacity, state.used);
     if (hasSameAvailability(previous, worker)) return;
     this.refreshCapacity();
-    this.onRoom(state);
+    this.onFreed(state);
   }
 
   /** Removes a worker and returns the tasks that had reservations on it. */
@@ -126,7 +126,7 @@
       job.running.delete(task.taskIndex);
     }
     addToPlaceCounts(job.taskCountByLocation, worker, -1);
-    this.onRoom(worker);
+    this.onFreed(worker);
   }
 
   /** Marks a task as stopping; its reservation stays until it ends. */
@@ -151,14 +151,14 @@
     running.task = {...running.task, size};
     this.addUsage(worker, change);
     this.teams.charge(running.job.team, change, running.isUrgent);
-    this.onRoom(worker);
+    this.onFreed(worker);
   }
 
   private addWorker(worker: PolicyWorker): WorkerState {
     const state = newWorkerState(worker);
     this.workers.set(worker.workerId, state);
     this.refreshCapacity();
-    this.onRoom(state);
+    this.onFreed(state);
     return state;
   }
 
--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -1,4 +1,4 @@
-/** Follows the allowance table; plans it if this process owns the planning shard. */
+/** Follows the allowance table; plans it as the owner of the planning shard. */
 import type {Clock, EventRing, Metrics, Resources} from '@dragonflyward/common';
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {DemandReport, PeerMesh} from '@dragonflyward/peer';
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -221,7 +221,7 @@
     if (!this.guard.isHoldOver) this.tryEndHold();
   }
 
-  /** Resumes the jobs of earlier terms once the takeover hold is over. */
+  /** Resumes the jobs of earlier terms once the takeover wait is over. */
   private tryEndHold(): void {
     const {membership, clock, shardState} = this.parts;
     const nowMs = clock.monotonicMs();
@@ -232,7 +232,7 @@
     this.dispatcher.wake();
   }
 
-  /** Submits a job of this term; earlier ones wait for the takeover hold. */
+  /** Submits a job of this term; earlier ones wait for the takeover guard. */
   private jobAccepted({term, job}: JobAcceptedRecord): void {
     const {jobId} = job;
     if (term !== this.ownedTerm) return;
--- a/packages/scheduler/src/takeover-guard.ts
+++ b/packages/scheduler/src/takeover-guard.ts
@@ -25,7 +25,7 @@
   }
 
   /**
-   * Updates the state of the hold; returns true once it is over.
+   * Updates the state of the wait; returns true once it is over.
    *
    * @example
    * if (guard.update(nowMs, membership.listSentMs, workers)) resumeAll();
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -93,7 +93,7 @@
   }
 
   /**
-   * Resumes a job of an earlier term after the takeover hold. A task that is
+   * Resumes a job of an earlier term after the takeover wait. A task that is
    * not idempotent and whose start was recorded may have run, so that its
    * result is unknown; the other unplaced tasks are submitted again.
    */
@@ -140,7 +140,7 @@
     };
   }
 
-  /** Other failed and stopped tasks are submitted again after the hold. */
+  /** Other failed and stopped tasks are submitted again after the wait. */
   private adoptEnded(task: PlacedTask, report: TaskReport): void {
     const entry = this.unfinishedEntry(task);
     if (entry === undefined) return;
