--- a/packages/caller/test/mesh-ticket-source.test.ts
+++ b/packages/caller/test/mesh-ticket-source.test.ts
@@ -300,7 +300,7 @@
 promiseTest(
   mesh,
   'at-most-once',
-  'a claim stands once both homes have it and one vouches',
+  'a claim stands once both replicas have it and one vouches',
   async () => {
     await withOwners(async ({owners, tickets}) => {
       const all = [...owners.values()];
--- a/packages/common/src/rendezvous.ts
+++ b/packages/common/src/rendezvous.ts
@@ -7,7 +7,7 @@
  * Ranks the members by their hash weight for the key, highest first.
  *
  * @example
- * const [home] = rankByHash(requestId, domains, name => name);
+ * const [replica] = rankByHash(requestId, domains, name => name);
  */
 export function rankByHash<T>(
   key: string,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -86,8 +86,8 @@
 }
 
 /**
- * Claims a request id at its home shard before a non-idempotent request is
- * sent, so that a duplicate id is detected.
+ * Claims a request id at a replica, one of the two shards that record its
+ * claims, before a non-idempotent request is sent. Detects duplicate ids.
  */
 export interface RequestClaim {
   readonly type: 'requestClaim';
@@ -100,14 +100,14 @@
   readonly issuedMs: number;
 }
 
-/** The home shard has recorded the claim. */
+/** The replica has recorded the claim. */
 export interface RequestClaimed {
   readonly type: 'requestClaimed';
-  /** Whether the home shard can rule out that the id was used before. */
+  /** Whether the replica can rule out that the id was used before. */
   readonly isVouched: boolean;
 }
 
-/** A claim as it is sent to the next owner of its home shard. */
+/** A claim as it is sent to the next owner of its shard. */
 export interface PassedClaim {
   readonly key: string;
   readonly claimId: string;
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -36,8 +36,8 @@
   }
 
   /** Sets the capacity of the shard. */
-  setCapacity(total: Resources): void {
-    this.capacity = total;
+  setCapacity(capacity: Resources): void {
+    this.capacity = capacity;
     this.refreshWeightedShares();
   }
 
