--- a/packages/operator/src/config-log.ts
+++ b/packages/operator/src/config-log.ts
@@ -16,7 +16,7 @@
   readonly result: ApplyResult;
 }
 
-/** The state folded from the configuration stream. */
+/** The state computed from the configuration stream. */
 export class ConfigLog {
   readonly state = new ConfigState();
   private readonly tail: StreamTail;
@@ -29,7 +29,7 @@
     this.tail = new StreamTail({
       client,
       stream: CONFIG_STREAM,
-      fold: this.state,
+      state: this.state,
       clock,
       waitMs: 0,
       onApplied: ({id, offset}, result) => {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -86,8 +86,8 @@
 }
 
 /**
- * Claims a request id at one of the two shards that record it, before a
- * non-idempotent request is sent, so that a duplicate id is detected.
+ * Claims a request id at a replica, one of the two shards that record its
+ * claims, before a non-idempotent request is sent. Detects duplicate ids.
  */
 export interface RequestClaim {
   readonly type: 'requestClaim';
@@ -100,10 +100,10 @@
   readonly issuedMs: number;
 }
 
-/** The shard has recorded the claim. */
+/** The replica has recorded the claim. */
 export interface RequestClaimed {
   readonly type: 'requestClaimed';
-  /** Whether the shard can rule out that the id was used before. */
+  /** Whether the replica can rule out that the id was used before. */
   readonly isVouched: boolean;
 }
 
--- a/packages/policy/src/core.ts
+++ b/packages/policy/src/core.ts
@@ -1,7 +1,7 @@
 /** The state of an engine, which the stages of a decision share. */
 import type {Resources} from '@dragonflyward/common';
-import {countFits} from './amounts.js';
-import {WorkerTable} from './cell.js';
+import {countFits} from './resource-math.js';
+import {WorkerTable} from './worker-table.js';
 import type {
   Decision,
   PlacedTask,
@@ -16,7 +16,7 @@
   type PlacementPolicy,
 } from './placement-policy.js';
 import {Estimates} from './estimates.js';
-import {JobFailures} from './failures.js';
+import {JobFailures} from './job-failures.js';
 import {HoldTable} from './holds.js';
 import {NeedTable} from './needs.js';
 import {
@@ -113,7 +113,7 @@
  * Creates the default placement policies of an engine.
  *
  * @example
- * const engine = new ShareEngine({policies: {...newPolicies(), pack}});
+ * const engine = new FairShareEngine({policies: {...newPolicies(), pack}});
  */
 export function newPolicies(): PlacementPolicies {
   return {
@@ -131,12 +131,12 @@
  */
 export function newCore(options: FairShareOptions): EngineCore {
   const teams = new TeamTable();
-  const cell = new WorkerTable(teams, worker => needs.noteFreed(worker));
-  const needs = new NeedTable(cell.workers);
+  const workerTable = new WorkerTable(teams, worker => needs.noteFreed(worker));
+  const needs = new NeedTable(workerTable.workers);
   return {
     teams,
     needs,
-    workerTable: cell,
+    workerTable,
     queues: new Map(),
     jobs: new Map(),
     failures: new JobFailures(),
@@ -174,7 +174,8 @@
  * Returns the policy that places the tasks of a job.
  *
  * @example
- * const workers = policyOf(core, state).choose(core.cell.workers, ask);
+ * const policy = getPlacementPolicy(core, state);
+ * const workers = policy.choose(core.workerTable.workers.values(), request);
  */
 export function getPlacementPolicy(
   core: EngineCore,
@@ -256,7 +257,7 @@
  * empty; empty if they could. A gang needs room for all its tasks at once.
  *
  * @example
- * const reason = obstacleOf(core, job);
+ * const reason = findUnplaceableReason(core, job);
  */
 export function findUnplaceableReason(
   core: EngineCore,
--- a/packages/policy/src/fair-shares.ts
+++ b/packages/policy/src/fair-shares.ts
@@ -4,7 +4,7 @@
   RESOURCE_NAMES,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {PolicyTeam, TeamDemand} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
 import {TeamTable} from './team-table.js';
@@ -56,7 +56,7 @@
  * Returns the fair dominant share of each team by its demand.
  *
  * @example
- * const share = fairSharesOf(teams, engine.demand(), total).get('kilns');
+ * const shares = computeFairShares(teams, engine.getDemand(), capacity);
  */
 export function computeFairShares(
   teams: readonly PolicyTeam[],
--- a/packages/policy/src/holds.ts
+++ b/packages/policy/src/holds.ts
@@ -31,7 +31,7 @@
 export class HoldTable {
   private readonly byJob = new Map<string, Hold>();
 
-  constructor(private readonly onRoom: (worker: WorkerState) => void) {}
+  constructor(private readonly onFreed: (worker: WorkerState) => void) {}
 
   get size(): number {
     return this.byJob.size;
@@ -63,7 +63,7 @@
     this.byJob.set(jobId, hold);
     for (const worker of former?.slots.keys() ?? []) {
       this.refreshWorker(worker);
-      this.onRoom(worker);
+      this.onFreed(worker);
     }
     for (const worker of hold.slots.keys()) this.refreshWorker(worker);
   }
@@ -75,7 +75,7 @@
     this.byJob.delete(jobId);
     for (const worker of hold.slots.keys()) {
       this.refreshWorker(worker);
-      this.onRoom(worker);
+      this.onFreed(worker);
     }
   }
 
@@ -142,7 +142,7 @@
     if (count > 0) hold.slots.set(worker, count);
     else hold.slots.delete(worker);
     this.refreshWorker(worker);
-    this.onRoom(worker);
+    this.onFreed(worker);
     if (hold.slots.size === 0) this.byJob.delete(hold.state.job.jobId);
   }
 
@@ -169,7 +169,7 @@
  * not counted.
  *
  * @example
- * const slots = countFits(size, comingRoom(worker, isUrgent, nowMs));
+ * const free = estimateFreeResources(worker, isUrgent, nowMs);
  */
 export function estimateFreeResources(
   worker: WorkerState,
@@ -177,8 +177,8 @@
   nowMs: number,
 ): Resources {
   let room = worker.free;
-  for (const {isStopping, stopRequestedMs: stoppingMs, task} of worker.tasks) {
-    const isDue = isStopping && nowMs - stoppingMs < STOP_TIMEOUT_MS;
+  for (const {isStopping, stopRequestedMs, task} of worker.tasks) {
+    const isDue = isStopping && nowMs - stopRequestedMs < STOP_TIMEOUT_MS;
     if (isDue) room = addResources(room, task.size);
   }
   return subtractResources(room, isUrgent ? worker.heldUrgent : worker.held);
--- a/packages/policy/src/placement-policy.ts
+++ b/packages/policy/src/placement-policy.ts
@@ -1,7 +1,7 @@
 /** Policies that choose workers for tasks: pack, spread and gang. */
 import {fitsIn, NO_RESOURCES, type Resources} from '@dragonflyward/common';
-import {countFits, isZeroAmount} from './amounts.js';
-import {rackKey, workerKey} from './cell.js';
+import {countFits, isZeroAmount} from './resource-math.js';
+import {rackKey, workerKey} from './worker-table.js';
 import {isSchedulable, type JobState, type WorkerState} from './state.js';
 
 /** A request to place tasks of one job. */
@@ -77,10 +77,10 @@
     worker: WorkerState,
     request: PlacementRequest,
   ): number {
-    const {taskCountByLocation: placeCounts} = request.state;
+    const {taskCountByLocation} = request.state;
     const {rack, workerId} = worker.worker;
-    const inRack = placeCounts?.get(rackKey(rack)) ?? 0;
-    const onWorker = placeCounts?.get(workerKey(workerId)) ?? 0;
+    const inRack = taskCountByLocation?.get(rackKey(rack)) ?? 0;
+    const onWorker = taskCountByLocation?.get(workerKey(workerId)) ?? 0;
     const colocationCost =
       inRack * SAME_RACK_COST + onWorker * SAME_WORKER_COST;
     return colocationCost + freeFractionAfter(worker, request.size);
--- a/packages/policy/src/preempt.ts
+++ b/packages/policy/src/preempt.ts
@@ -1,5 +1,5 @@
 /** Preempts tasks for urgent work and for teams below their share. */
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {EngineCore} from './core.js';
 import type {Decision} from './engine.js';
 import {
@@ -190,8 +190,8 @@
   state: JobState,
   waitClass: WaitClass,
   count: number,
-): Pick<RoomRequest, 'state' | 'size' | 'count' | 'isWhole'> {
-  return {state, size: waitClass.size, count, isWhole: state.job.isGang};
+): Pick<RoomRequest, 'state' | 'size' | 'count' | 'isAllOrNothing'> {
+  return {state, size: waitClass.size, count, isAllOrNothing: state.job.isGang};
 }
 
 /** Work that is not idempotent must not run twice, so it is not preempted. */
--- a/packages/policy/src/adjust.ts
+++ b/packages/policy/src/resize-reservations.ts
@@ -1,6 +1,6 @@
 /** Resizes the reservations of running tasks to their measured use. */
 import {fitsIn, subtractResources, type Resources} from '@dragonflyward/common';
-import {isSameAmount} from './amounts.js';
+import {isSameAmount} from './resource-math.js';
 import type {EngineCore} from './core.js';
 import type {Decision, UsageSample} from './engine.js';
 import {queuePreemption} from './make-room.js';
@@ -28,7 +28,7 @@
  * Records measured use; reservations are resized by later stages.
  *
  * @example
- * learnUsage(core, samples);
+ * recordUsage(core, samples);
  */
 export function recordUsage(
   core: EngineCore,
--- a/packages/policy/src/team-table.ts
+++ b/packages/policy/src/team-table.ts
@@ -7,7 +7,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare} from './amounts.js';
+import {dominantShare} from './resource-math.js';
 import type {PolicyTeam} from './engine.js';
 import type {OrganisationState, TeamState} from './state.js';
 
@@ -36,8 +36,8 @@
   }
 
   /** Sets the capacity of the shard. */
-  setCapacity(total: Resources): void {
-    this.capacity = total;
+  setCapacity(capacity: Resources): void {
+    this.capacity = capacity;
     this.refreshWeightedShares();
   }
 
--- a/packages/policy/src/cell.ts
+++ b/packages/policy/src/worker-table.ts
@@ -6,7 +6,7 @@
   subtractResources,
   type Resources,
 } from '@dragonflyward/common';
-import {dominantShare, maxAmount} from './amounts.js';
+import {dominantShare, maxAmount} from './resource-math.js';
 import type {PolicyWorker} from './engine.js';
 import {
   isSpread,
@@ -18,7 +18,7 @@
 import type {TeamTable} from './team-table.js';
 
 /** Called with each worker that may have got more room. */
-export type RoomListener = (worker: WorkerState) => void;
+export type FreedListener = (worker: WorkerState) => void;
 
 /** Tracks what is reserved on each worker and for each team. */
 export class WorkerTable {
@@ -31,7 +31,7 @@
 
   constructor(
     private readonly teams: TeamTable,
-    private readonly onRoom: RoomListener,
+    private readonly onFreed: FreedListener,
   ) {}
 
   /** Adds a worker or changes its capacity or condition. */
@@ -46,7 +46,7 @@
     state.free = subtractResources(worker.capacity, state.used);
     if (hasSameAvailability(previous, worker)) return;
     this.refreshCapacity();
-    this.onRoom(state);
+    this.onFreed(state);
   }
 
   /** Removes a worker and returns the tasks that had reservations on it. */
@@ -126,7 +126,7 @@
       job.running.delete(task.taskIndex);
     }
     addToPlaceCounts(job.taskCountByLocation, worker, -1);
-    this.onRoom(worker);
+    this.onFreed(worker);
   }
 
   /** Marks a task as stopping; its reservation stays until it ends. */
@@ -151,14 +151,14 @@
     running.task = {...running.task, size};
     this.addUsage(worker, change);
     this.teams.charge(running.job.team, change, running.isUrgent);
-    this.onRoom(worker);
+    this.onFreed(worker);
   }
 
   private addWorker(worker: PolicyWorker): WorkerState {
     const state = newWorkerState(worker);
     this.workers.set(worker.workerId, state);
     this.refreshCapacity();
-    this.onRoom(state);
+    this.onFreed(state);
     return state;
   }
 
@@ -210,7 +210,7 @@
  * The key under which a job counts its tasks in a rack.
  *
  * @example
- * const inRack = job.placeCounts.get(rackKey(worker.rack)) ?? 0;
+ * const inRack = job.taskCountByLocation.get(rackKey(worker.rack)) ?? 0;
  */
 export function rackKey(rack: string): string {
   return `rack ${rack}`;
@@ -220,7 +220,7 @@
  * The key under which a job counts its tasks on a worker.
  *
  * @example
- * const here = job.placeCounts.get(workerKey(worker.workerId)) ?? 0;
+ * const here = job.taskCountByLocation.get(workerKey(worker.workerId)) ?? 0;
  */
 export function workerKey(workerId: string): string {
   return `worker ${workerId}`;
--- a/packages/scheduler/src/task-outcomes.ts
+++ b/packages/scheduler/src/task-outcomes.ts
@@ -99,7 +99,7 @@
   }
 
   /**
-   * Resumes a job of an earlier term after the takeover hold. A task that is
+   * Resumes a job of an earlier term after the takeover wait. A task that is
    * not idempotent and whose start was recorded may have run, so that its
    * result is unknown; the other unplaced tasks are submitted again.
    */
