--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -43,7 +43,7 @@
   yield* probeReservations(core);
 }
 
-/** Lets workers whose time set aside is over take one task on probation. */
+/** Lets workers whose quarantine is over take one task on probation. */
 function retryWorkers(core: EngineCore): void {
   for (const state of core.health.startDueProbations(core.nowMs)) {
     const {workerId} = state.worker;
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -120,8 +120,8 @@
 }
 
 /**
- * A worker was set aside because its tasks keep failing, or gets tasks again
- * after it was set aside.
+ * A worker was quarantined because its tasks keep failing, or gets tasks again
+ * after its quarantine.
  */
 export interface WorkerDecision {
   readonly kind: 'worker';
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -163,8 +163,8 @@
 }
 
 /**
- * Returns whether a worker may get new tasks: it is ready, not set aside,
- * and has no task yet if it is on probation.
+ * Returns whether a worker may get new tasks: it is ready, not
+ * quarantined, and has no task yet if it is on probation.
  *
  * @example
  * if (!isSchedulable(state)) continue;
--- a/packages/policy/src/task-ends.ts
+++ b/packages/policy/src/task-ends.ts
@@ -148,7 +148,7 @@
 }
 
 /**
- * Counts the workers that are neither set aside nor on probation. Failures on
+ * Counts the workers that are neither quarantined nor on probation. Failures on
  * the others may be due to the worker and do not count against a job.
  */
 function countHealthy(core: EngineCore, workers: ReadonlySet<string>): number {
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -8,8 +8,9 @@
 const MIN_FAILURES = 4;
 const MIN_FAILED_JOBS = 3;
 /**
- * A worker that is not on probation is set aside only if its failure rate is at
- * least this multiple of the mean of the other workers and reaches the minimum.
+ * A worker that is not on probation is quarantined only if its failure rate is
+ * at least this multiple of the mean of the other workers and reaches the
+ * minimum.
  */
 const FLEET_RATE_FACTOR = 3;
 const MIN_FAILURE_RATE = 0.5;
