Test that an owner whose lease has ended sends no stops

A later owner may have adopted the run, so that a late stop ends work that callers still want. Two checks keep it off: stopsToSend, which picks the stops, and sendStop, which repeats them.

Trial, each restored afterwards: - without mayAct in sendStop, "ends the repeats of a stop with its lease" failed: Expected false, Actual true (the run is stopping); - without mayAct in both, "sends no stop once its lease has ended" failed too, with the same lines; - without mayAct in stopsToSend alone, all 19 tests of the file passed. That check can't be observed by itself: sendStop checks the same before its first order, and nothing else follows from the list of stops.

--- a/packages/cell/test/owner-orders.test.ts
+++ b/packages/cell/test/owner-orders.test.ts
@@ -17,6 +17,8 @@
 
 const SETTLE_MS = 3000;
 const LONG_MS = 60_000;
+/** Without the store, an owner that every VM is connected to acts so long. */
+const OWNER_LEASE_MS = 8000;
 /** The whole of an executor. */
 const WHOLE: StepSpec = {...STEP, size: {...STEP.size, cpuMilli: 3000}};
 const GANG: StepSpec = {...WHOLE, isGang: true, count: 2};
@@ -121,6 +123,39 @@
   assert.is(rig.checker.starts, 0);
 });
 
+// A later owner may have adopted the run.
+owner('sends no stop once its lease has ended', async () => {
+  const {rig, node} = await startRig(1, takes(LONG_MS));
+  node.isConnectedToAll = true;
+  rig.submit('job', [STEP], [node]);
+  await rig.run(1000);
+  node.store.faults.isRefusing = true;
+  await rig.run(OWNER_LEASE_MS);
+  const [run] = rig.executor('x0').runs.values();
+  assert.ok(run);
+  rig.cancel('job', [node]);
+  await rig.run(1000);
+  assert.is(run.isStopping, false);
+});
+
+// The stop is repeated until it is answered.
+owner('ends the repeats of a stop with its lease', async () => {
+  const {rig, node} = await startRig(1, takes(LONG_MS));
+  node.isConnectedToAll = true;
+  rig.submit('job', [STEP], [node]);
+  await rig.run(1000);
+  node.store.faults.isRefusing = true;
+  await rig.run(OWNER_LEASE_MS - 2000);
+  rig.executor('x0').isDisconnected = true;
+  rig.cancel('job', [node]);
+  await rig.run(2000);
+  rig.executor('x0').isDisconnected = false;
+  const [run] = rig.executor('x0').runs.values();
+  assert.ok(run);
+  await rig.run(1000);
+  assert.is(run.isStopping, false);
+});
+
 owner('stops a run that may start late on a restarted executor', async () => {
   const {rig, node} = await startRig(2, takes(LONG_MS));
   rig.executor('x0').restart();
