Test that a VM that is shutting down is no successor

It would release the cell at once, and the others would claim it after a delay: a second pause for callers. No test of packages/cell noticed it.

Trial: with the condition on isDraining taken out of chooseSuccessor, then restored, both new tests failed:

"hands the cell to no VM that is shutting down" Actual "b", which is shutting down; expected "c" "releases the cell if all VMs are shutting down" Actual "b", false; expected "a", true (released by "a")

--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -5,8 +5,10 @@
   Election,
   OWNER_HEARTBEAT_MS,
   readOwner,
+  type Member,
   type Members,
   type OwnerAddress,
+  type OwnerRecord,
   type Ownership,
 } from '@dragonflyward/cell';
 import {suite} from 'uvu';
@@ -29,6 +31,21 @@
   isOwnerSeen: () => false,
 } as unknown as Members;
 
+/** These VMs are connected. */
+function connectedTo(members: readonly Partial<Member>[]): Members {
+  return {
+    ...DISCONNECTED_MEMBERS,
+    connected: () => members,
+  } as unknown as Members;
+}
+
+function memberOf(vm: string, state: Partial<Member>): Partial<Member> {
+  const connection = {
+    notify: () => undefined,
+  } as unknown as Member['connection'];
+  return {connection, address: address(vm), domain: 'd', cores: 1, ...state};
+}
+
 class ElectionRig {
   readonly clock = new ManualClock(1000);
   readonly owned: Ownership[] = [];
@@ -45,14 +62,18 @@
     return ownership;
   }
 
-  startElection(vm: string, store = this.client()): Election {
+  startElection(
+    vm: string,
+    store = this.client(),
+    members = DISCONNECTED_MEMBERS,
+  ): Election {
     const {clock, owned} = this;
     const election = new Election(
       {
         self: address(vm),
         domain: 'd',
         cores: 1,
-        members: DISCONNECTED_MEMBERS,
+        members,
         store,
         clock,
         log: () => undefined,
@@ -72,6 +93,13 @@
     return election;
   }
 
+  /** Reads the newest record of the owner topic. */
+  async readRecord(): Promise<OwnerRecord | null> {
+    const reading = readOwner(this.client());
+    await this.clock.advance(10);
+    return (await reading).record;
+  }
+
   client(): StoreClient {
     return new StoreClient(this.memory, this.clock);
   }
@@ -130,14 +158,41 @@
     areFormerStopped: true,
   });
   await rig.clock.advance(LONG_MS);
-  const reading = readOwner(store);
-  await rig.clock.advance(10);
-  const {record} = await reading;
+  const record = await rig.readRecord();
   assert.equal([record?.term, record?.isReleased], [term, true]);
   assert.is(successor.knownOwner?.isReleased, true);
   assert.equal(rig.owned, []);
 });
 
+// It would release the cell or hand it on at once.
+election('hands the cell to no VM that is shutting down', async () => {
+  const rig = new ElectionRig();
+  const members = connectedTo([
+    memberOf('b', {isStoreOk: true, isDraining: true}),
+    memberOf('c', {isStoreOk: true, isDraining: false}),
+  ]);
+  const owner = rig.startElection('a', rig.client(), members);
+  await rig.clock.advance(LONG_MS);
+  assert.is(owner.isOwner, true);
+  void owner.drain();
+  await rig.clock.advance(LONG_MS);
+  const record = await rig.readRecord();
+  assert.equal([record?.vm, record?.isReleased], ['c', false]);
+});
+
+election('releases the cell if all VMs are shutting down', async () => {
+  const rig = new ElectionRig();
+  const members = connectedTo([
+    memberOf('b', {isStoreOk: true, isDraining: true}),
+  ]);
+  const owner = rig.startElection('a', rig.client(), members);
+  await rig.clock.advance(LONG_MS);
+  void owner.drain();
+  await rig.clock.advance(LONG_MS);
+  const record = await rig.readRecord();
+  assert.equal([record?.vm, record?.isReleased], ['a', true]);
+});
+
 // Other VMs stay connected to the process, which serves its calls to the end.
 for (const isRefusing of [false, true]) {
   const when = isRefusing ? 'without the store' : 'with the store';
