Test executors whose capacity changes while they run

The cell of the tests and its checker knew one fixed capacity for each executor, and the checker compared the processor only.

Executors of the tests can now change their capacity while they run, or restart with another description; their next record shows it.

--- a/packages/cell/src/resource-amounts.ts
+++ b/packages/cell/src/resource-amounts.ts
@@ -67,3 +67,15 @@
     accel: Math.min(a.accel, b.accel),
   };
 }
+
+/** Returns the larger amount of each resource. */
+export function maxAmounts(
+  a: ResourceAmounts,
+  b: ResourceAmounts,
+): ResourceAmounts {
+  return {
+    cpuMilli: Math.max(a.cpuMilli, b.cpuMilli),
+    memMb: Math.max(a.memMb, b.memMb),
+    accel: Math.max(a.accel, b.accel),
+  };
+}
--- /dev/null
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -0,0 +1,151 @@
+/** Executors whose capacity shrinks and grows while they run. */
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {StepSpec} from '@dragonflyward/cell';
+import {CONFIG, Rig, STEP, type CellNode} from './rig.js';
+
+const SETTLE_MS = 3000;
+/** By then, a change of the capacity is listed and read, in ms. */
+const LISTED_MS = 2100;
+/** By then, work that waits has started where the listed capacity grew. */
+const START_MS = 300;
+/** A decrease counts after this time, in ms. */
+const DECREASE_GRACE_MS = 5500;
+const LONG_RUN_MS = 600_000;
+const GANG: StepSpec = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
+
+interface Cell {
+  readonly rig: Rig;
+  readonly node: CellNode;
+}
+
+/** A cell whose owner has reached all executors. */
+async function startCell(
+  executors: number,
+  runMs = LONG_RUN_MS,
+  config = CONFIG,
+): Promise<Cell> {
+  const rig = new Rig(executors, () => ({ms: runMs, how: 'done'}), config);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  return {rig, node};
+}
+
+/** Ends the first runs on an executor. */
+function endRuns(rig: Rig, executorId: string, count: number): void {
+  const runs = [...rig.executor(executorId).runs.values()].slice(0, count);
+  for (const run of runs) run.endsMs = rig.clock.monotonicMs();
+}
+
+function countRuns(rig: Rig, executorId: string): number {
+  return rig.executor(executorId).runs.size;
+}
+
+const changing = suite('changing capacity');
+
+changing('starts nothing beside more than the capacity', async () => {
+  const {rig, node} = await startCell(1);
+  rig.submit('job', [{...STEP, count: 6}], [node]);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 3);
+  rig.executor('x0').setCapacity({cpuMilli: 1500});
+  await rig.run(DECREASE_GRACE_MS);
+  assert.is(countRuns(rig, 'x0'), 3, 'stops nothing');
+  endRuns(rig, 'x0', 2);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1, 'no room for a second one');
+  endRuns(rig, 'x0', 1);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1, 'room for one');
+  rig.executor('x0').setCapacity({cpuMilli: 3000});
+  await rig.run(LISTED_MS + START_MS);
+  assert.is(countRuns(rig, 'x0'), 3, 'room for all that are left');
+  assert.equal(rig.checker.violations, []);
+});
+
+for (const [resource, amounts] of [
+  ['memory', {memMb: 200}],
+  ['accelerators', {accel: 2}],
+] as const) {
+  changing(`starts no task beyond ${resource} that shrank`, async () => {
+    const {rig, node} = await startCell(1);
+    rig.executor('x0').setCapacity({accel: 3});
+    await rig.run(LISTED_MS);
+    const size = {...STEP.size, accel: 1};
+    rig.submit('job', [{...STEP, count: 9, size}], [node]);
+    await rig.run(START_MS);
+    assert.is(countRuns(rig, 'x0'), 3);
+    rig.executor('x0').setCapacity(amounts);
+    await rig.run(DECREASE_GRACE_MS);
+    endRuns(rig, 'x0', 3);
+    await rig.run(START_MS);
+    assert.is(countRuns(rig, 'x0'), 2);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
+changing('counts tasks that are being stopped', async () => {
+  const {rig, node} = await startCell(1);
+  rig.submit('old', [{...STEP, count: 3}], [node]);
+  await rig.run(START_MS);
+  rig.executor('x0').setCapacity({cpuMilli: 2000});
+  await rig.run(DECREASE_GRACE_MS);
+  rig.submit('new', [{...STEP, count: 3}], [node]);
+  rig.cancel('old', [node]);
+  await rig.run(SETTLE_MS);
+  assert.is(countRuns(rig, 'x0'), 2);
+  assert.equal(rig.checker.violations, []);
+});
+
+changing('keeps starts in flight within the capacity', async () => {
+  const {rig, node} = await startCell(2, 400);
+  for (const {id} of rig.executors) rig.executor(id).latencyMs = 150;
+  for (let i = 0; i < 60; i += 1) rig.submit(`job${i}`, [STEP], [node]);
+  const capacities = [2000, 0, 1000, 3000, 500, 2500];
+  for (const [i, cpuMilli] of capacities.entries()) {
+    rig.executor(`x${i % 2}`).setCapacity({cpuMilli});
+    await rig.run(1700);
+  }
+  for (const each of rig.executors) each.setCapacity({cpuMilli: 3000});
+  await rig.run(20_000);
+  assert.is(rig.checker.doneTasks.size, 60);
+  assert.equal(rig.checker.violations, []);
+});
+
+for (const [name, step] of [
+  ['a step', {...STEP, count: 2}],
+  ['a gang', GANG],
+] as const) {
+  changing(`${name} that fitted nowhere starts once it fits`, async () => {
+    const {rig, node} = await startCell(2);
+    for (const each of rig.executors) each.setCapacity({cpuMilli: 0, memMb: 0});
+    await rig.run(LISTED_MS);
+    rig.submit('job', [step], [node]);
+    await rig.run(20_000);
+    assert.is(rig.checker.starts, 0);
+    for (const each of rig.executors) {
+      each.setCapacity({cpuMilli: 1000, memMb: 100});
+    }
+    await rig.run(LISTED_MS + START_MS);
+    assert.is(rig.checker.starts, 2);
+    assert.is(rig.rows.get('job')?.phase, 'running');
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
+changing('starts fillers only on executors with free memory', async () => {
+  const {rig, node} = await startCell(1);
+  rig.submit('job', [{...STEP, count: 2}], [node]);
+  await rig.run(START_MS);
+  const memMb = 250;
+  rig.executor('x0').setCapacity({cpuMilli: 2000, memMb});
+  await rig.run(DECREASE_GRACE_MS);
+  const filler = {...STEP, isFiller: true, count: 2, savesProgress: true};
+  rig.submit('filler', [{...filler, size: {...STEP.size, memMb: 50}}], [node]);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 3, 'a filler takes no processor');
+  assert.equal(rig.checker.violations, []);
+});
+
+changing.run();
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -2,12 +2,14 @@
 import type {Clock} from '@dragonflyward/common';
 import {
   ExecutorClient,
+  maxAmounts,
   type ExecutorInfo,
   type RenewLeaseOrder,
   type Inventory,
   type EndedRun,
   type OrderFailure,
   type OrderReply,
+  type ResourceAmounts,
   type RunOutcome,
   type StartOrder,
 } from '@dragonflyward/cell';
@@ -46,6 +48,14 @@
 const TIMER_RESOLUTION_MS = 10;
 const LOST_REPLY_TIMEOUT_MS = 700;
 const NO_CLOCK = Number.NaN;
+/** The platform's `contact-ms` and one heartbeat interval, in ms. */
+const DECREASE_GRACE_MS = 5500;
+
+/** A capacity that was replaced. */
+interface FormerCapacity {
+  readonly capacity: ExecutorInfo['capacity'];
+  readonly untilMs: number;
+}
 
 /** One executor across restarts. */
 export class FakeExecutor {
@@ -78,6 +88,7 @@
   formerAddressAnswerMs = Infinity;
   /** Whether ends were acknowledged that this process has not listed. */
   hasWrongAck = false;
+  private formerCapacities: readonly FormerCapacity[] = [];
 
   constructor(
     readonly id: string,
@@ -130,6 +141,35 @@
     this.port = port;
   }
 
+  /** Restarts the executor, which then describes itself in another way. */
+  restartAs(change: Partial<ExecutorInfo>): void {
+    this.restart();
+    this.describe(change);
+  }
+
+  /** Changes the capacity beside what runs; the next record shows it. */
+  setCapacity(change: Partial<ExecutorInfo['capacity']>): void {
+    this.describe({capacity: {...this.info.capacity, ...change}});
+  }
+
+  private describe(change: Partial<ExecutorInfo>): void {
+    const {capacity} = this.info;
+    const untilMs = this.clock.monotonicMs();
+    this.formerCapacities = [...this.formerCapacities, {capacity, untilMs}];
+    this.info = {...this.info, ...change};
+  }
+
+  /** The most that starts may use now; a decrease counts some time later. */
+  usableCapacity(): ResourceAmounts {
+    const sinceMs = this.clock.monotonicMs() - DECREASE_GRACE_MS;
+    return this.formerCapacities
+      .filter(({untilMs}) => untilMs > sinceMs)
+      .reduce<ResourceAmounts>(
+        (most, {capacity}) => maxAmounts(most, capacity),
+        this.info.capacity,
+      );
+  }
+
   clockMs(): number {
     return Math.floor(this.clock.monotonicMs() - this.bornAtMs) + 1000;
   }
