Count no executor's free processors below zero

Callers of queues that aren't urgent saw nothing start while executors of the service had shrunk below what ran on them, though others were empty.

The headroom for urgent work is compared with the free processors of the whole service. An executor with more in use than its capacity counted there with a negative amount, which hid as much free room of other executors: two of four executors, full, that shrink to a tenth left 600 of the 6,000 free thousandths, less than the headroom. Now such an executor counts with 0, in the order of ticket requests and in the cellState line too.

Ruled out: placement itself compares each executor alone, and its other comparisons hold for amounts below zero.

The new test failed before: 'new' stayed queued for as long as the old tasks ran. A wait with room for it would break LOST as well.

--- a/packages/cell/src/service-capacity.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -67,14 +67,16 @@
   let freeCpuMilli = 0;
   let victimPriority = -1;
   const maxFree = {cpuMilli: 0, memMb: 0, accel: 0};
-  for (const {info, usedCpuMilli, usedMemMb, usedAccel, tasks} of schedulable) {
+  for (const executor of schedulable) {
+    const {info, usedMemMb, usedAccel} = executor;
     const {cpuMilli, memMb, accel} = info.capacity;
+    const executorFreeCpuMilli = freeCpuMilliOf(executor);
     totalCpuMilli += cpuMilli;
-    freeCpuMilli += cpuMilli - usedCpuMilli;
-    maxFree.cpuMilli = Math.max(maxFree.cpuMilli, cpuMilli - usedCpuMilli);
+    freeCpuMilli += executorFreeCpuMilli;
+    maxFree.cpuMilli = Math.max(maxFree.cpuMilli, executorFreeCpuMilli);
     maxFree.memMb = Math.max(maxFree.memMb, memMb - usedMemMb);
     maxFree.accel = Math.max(maxFree.accel, accel - usedAccel);
-    for (const task of tasks) {
+    for (const task of executor.tasks) {
       if (!isPreemptible(task)) continue;
       const {priority} = task.step.occurrence.job.queue;
       victimPriority = Math.max(victimPriority, priority);
@@ -141,7 +143,10 @@
   );
 }
 
-/** The free processor time of an executor, in thousandths of a core. */
+/**
+ * The free processor time of an executor, in thousandths of a core; 0 where
+ * more is in use than its capacity, which may have shrunk.
+ */
 export function freeCpuMilliOf({info, usedCpuMilli}: ExecutorState): number {
-  return info.capacity.cpuMilli - usedCpuMilli;
+  return Math.max(0, info.capacity.cpuMilli - usedCpuMilli);
 }
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -1,8 +1,8 @@
 /** Executors whose capacity shrinks and grows while they run. */
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {StepSpec} from '@dragonflyward/cell';
-import {CONFIG, Rig, STEP, type CellNode} from './rig.js';
+import type {CellConfig, Queue, StepSpec} from '@dragonflyward/cell';
+import {CONFIG, QUEUE, Rig, STEP, type CellNode} from './rig.js';
 
 const SETTLE_MS = 3000;
 /** By then, a change of the capacity is listed and read, in ms. */
@@ -12,6 +12,9 @@
 /** A decrease counts after this time, in ms. */
 const DECREASE_GRACE_MS = 5500;
 const LONG_RUN_MS = 600_000;
+const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
+const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
+const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
 const GANG: StepSpec = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
 
 interface Cell {
@@ -42,6 +45,13 @@
   return rig.executor(executorId).runs.size;
 }
 
+/** Executors of the given ids keep little of their capacity. */
+function shrink(rig: Rig, ids: readonly string[]): void {
+  for (const id of ids) {
+    rig.executor(id).setCapacity({cpuMilli: 300, memMb: 30, accel: 1});
+  }
+}
+
 const changing = suite('changing capacity');
 
 changing('starts nothing beside more than the capacity', async () => {
@@ -148,4 +158,21 @@
   assert.equal(rig.checker.violations, []);
 });
 
+changing('other work runs beside executors that shrank', async () => {
+  const {rig, node} = await startCell(4, LONG_RUN_MS, QUEUES);
+  rig.submit('old', [{...STEP, count: 6}], [node]);
+  await rig.run(START_MS);
+  const filled = rig.executors.filter(({runs}) => runs.size === 3);
+  assert.is(filled.length, 2);
+  shrink(
+    rig,
+    filled.map(({id}) => id),
+  );
+  await rig.run(DECREASE_GRACE_MS);
+  rig.submit('new', [STEP], [node]);
+  await rig.run(START_MS);
+  assert.is(rig.rows.get('new')?.phase, 'running');
+  assert.equal(rig.checker.violations, []);
+});
+
 changing.run();
