Count no executor as more than full in a busy service

A job with nothing running waited as long as a gang's reservations lasted, although it had room and most of the service was free.

A job that has had room for 1 s goes before others' reservations only while at most 0.6 of each resource of its service is in use. What ran on executors that had shrunk since counted in full against the capacity that was left: four executors of nine that lose their accelerators, with all 8 in use, made the service count as 33 of 40 in use, and the job was not overdue. What an executor has in use now counts up to its capacity: 1 of 40.

The new test failed before: no 'batch' job was completed 5 s after it was handed in, with 39 accelerators free.

--- a/packages/cell/src/service-capacity.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -107,9 +107,10 @@
     total.cpuMilli += info.capacity.cpuMilli;
     total.memMb += info.capacity.memMb;
     total.accel += info.capacity.accel;
-    used.cpuMilli += usedCpuMilli;
-    used.memMb += usedMemMb;
-    used.accel += usedAccel;
+    // More may be in use than a capacity that has shrunk.
+    used.cpuMilli += Math.min(usedCpuMilli, info.capacity.cpuMilli);
+    used.memMb += Math.min(usedMemMb, info.capacity.memMb);
+    used.accel += Math.min(usedAccel, info.capacity.accel);
   }
   return (
     used.cpuMilli > total.cpuMilli * BUSY_SHARE ||
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -2,6 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {CellConfig, Queue, StepSpec} from '@dragonflyward/cell';
+import {LoadSimulation, type RunPlan} from './load-simulation.js';
 import {CONFIG, QUEUE, Rig, STEP, type CellNode} from './rig.js';
 
 const SETTLE_MS = 3000;
@@ -175,4 +176,34 @@
   assert.equal(rig.checker.violations, []);
 });
 
+/** A gang that needs more executors than are free, beside batch work. */
+changing('executors that shrank do not make the others busy', async () => {
+  const simulation = new LoadSimulation({
+    queues: [QUEUE, BATCH],
+    vmCount: 1,
+    isPermitted: () => true,
+    planRun: ({step}): RunPlan => ({
+      runMs: step.occurrence.job.id.startsWith('long') ? LONG_RUN_MS : 500,
+      how: 'done',
+    }),
+  });
+  const whole = {cpuMilli: 32_000, memMb: 128_000, accel: 8, slots: 0};
+  simulation.addExecutors(QUEUE.service, 9, () => whole);
+  simulation.addJob('long', BATCH, [{...STEP, count: 4, size: whole}]);
+  await simulation.runUntil(2000);
+  for (const {info, tasks} of [...simulation.state.executors.values()]) {
+    if (tasks.size === 0) continue;
+    simulation.state.setExecutor({...info, capacity: {...whole, accel: 0}});
+  }
+  const small = {...STEP, size: {...STEP.size, accel: 1}};
+  simulation.addJob('long-small', BATCH, [small]);
+  const gang = {...GANG, count: 5, size: whole};
+  await simulation.runUntil(2500);
+  simulation.addJob('gang', QUEUE, [{...gang, estimatedMs: 20_000}]);
+  await simulation.runUntil(4000);
+  simulation.addJob('batch', BATCH, [small]);
+  await simulation.runUntil(9000);
+  assert.is(simulation.completed('batch'), 1);
+});
+
 changing.run();
