Count no room where a resource is over its capacity

Urgent tasks stayed queued for as long as a lasting task ran, though stopping one batch task on another executor would have made room.

An executor whose accelerators (or memory) have shrunk below what is in use starts nothing: hasRoom compares every resource. But the count of tasks that fit passed over the resources of which a task takes none. So a task without accelerators counted as fitting there, and the plan of preemption that needs no victim, on that executor, was always taken before the one that works. The same count decides on reservations, ticket requests, withheld executors and overdue steps; each could wait for room where no start is possible.

The count is now 0 where any resource is over the capacity. Reserved amounts count alike, as they do when a task is placed.

Ruled out: hasRoom is right as it stands. The rule doesn't say whether a start that takes none of the scarce resource is allowed; refusing it is safe.

The new test failed before: 'urgent' stayed queued, nothing was stopped.

--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -306,5 +306,7 @@
 }
 
 function countFittingUnits(free: number, perTask: number): number {
-  return perTask === 0 ? Infinity : Math.max(0, Math.floor(free / perTask));
+  // As in hasRoom, nothing fits where more than the capacity is in use.
+  if (free < 0) return 0;
+  return perTask === 0 ? Infinity : Math.floor(free / perTask);
 }
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -176,6 +176,30 @@
   assert.equal(rig.checker.violations, []);
 });
 
+changing('urgent work preempts where that makes room', async () => {
+  const {rig, node} = await startCell(2, LONG_RUN_MS, QUEUES);
+  for (const each of rig.executors) each.setCapacity({accel: 2});
+  await rig.run(LISTED_MS);
+  const size = {...STEP.size, accel: 1};
+  const lasting = {...STEP, isService: true, maxPerExecutor: 1, size};
+  rig.submit('lasting', [{...lasting, count: 2}], [node]);
+  await rig.run(START_MS);
+  rig.executor('x0').setCapacity({accel: 0});
+  await rig.run(DECREASE_GRACE_MS);
+  const batch = {
+    ...STEP,
+    size: {...STEP.size, cpuMilli: 2000},
+    savesProgress: true,
+  };
+  rig.submit('batch', [batch], [node], BATCH);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x1'), 2);
+  rig.submit('urgent', [STEP], [node], URGENT);
+  await rig.run(START_MS + 500);
+  assert.is(rig.rows.get('urgent')?.phase, 'running');
+  assert.equal(rig.checker.violations, []);
+});
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
