Start nothing on an executor that restarted as an unknown kind

A task with a label ran on an executor without that label, and tasks ran over the capacity of an executor, after it had restarted.

An executor may start again with another service, other labels and another capacity under its id. The owner sees the restart in the executor's list of runs at once, but its description only in the store's next record, which in an outage of the store doesn't come. Until then it used the description of the former process, and the tasks that the restart had ended were the first to be placed there.

Such an executor now gets no work until the description and the list of runs are of the same process, by its time of start. Either may come first. Executors that tell no time of start aren't affected. What callers pay: until the record is read, up to 0.4 s after it is written, the tasks go to other executors.

The three new tests (labels, capacity, service) failed before, each with one run on the executor instead of none.

--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -81,6 +81,14 @@
   };
 }
 
+/**
+ * Whether its description is that of the process that answers: an executor may
+ * restart with another service, other labels and another capacity.
+ */
+export function isDescriptionCurrent({info, bornMs}: ExecutorState): boolean {
+  return info.bornMs === 0 || info.bornMs === bornMs;
+}
+
 /** CPU that a task of the step takes of the capacity; none for fillers. */
 export function allocatedCpuMilli(spec: StepSpec): number {
   return spec.isFiller ? 0 : spec.size.cpuMilli;
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -2,6 +2,7 @@
 import {
   allocatedCpuMilli,
   hasRoom,
+  isDescriptionCurrent,
   type ExecutorState,
 } from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
@@ -53,6 +54,7 @@
   return (
     executor.isListed &&
     executor.isReached &&
+    isDescriptionCurrent(executor) &&
     executor.missedRenewals === 0 &&
     !executor.info.isDraining &&
     executor.avoidUntilMs <= nowMs
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -18,6 +18,13 @@
 const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
 const GANG: StepSpec = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
 
+/** How an executor describes itself before it restarts in another way. */
+const FORMER = {
+  labels: ['a'],
+  capacity: {cpuMilli: 3000, memMb: 10_000, accel: 0, slots: 0},
+  service: QUEUE.service,
+};
+
 interface Cell {
   readonly rig: Rig;
   readonly node: CellNode;
@@ -200,6 +207,34 @@
   assert.equal(rig.checker.violations, []);
 });
 
+for (const [what, change] of [
+  ['labels', {labels: ['b']}],
+  ['capacity', {capacity: {cpuMilli: 500, memMb: 50, accel: 0, slots: 0}}],
+  ['service', {service: 'other'}],
+] as const) {
+  changing(`starts nothing after a restart with unknown ${what}`, async () => {
+    const {rig, node} = await startCell(1);
+    rig.executor('x0').restartAs(FORMER);
+    await rig.run(LISTED_MS);
+    const step = {...STEP, isService: true, requiredLabel: 'a'};
+    rig.submit('job', [step], [node]);
+    await rig.run(START_MS);
+    assert.is(countRuns(rig, 'x0'), 1);
+    rig.isListingPaused = true;
+    rig.executor('x0').restartAs(change);
+    await rig.run(DECREASE_GRACE_MS);
+    assert.ok(rig.logLines.some(line => line.includes('executorRestarted')));
+    assert.is(countRuns(rig, 'x0'), 0);
+    rig.isListingPaused = false;
+    await rig.run(LISTED_MS + START_MS);
+    assert.is(countRuns(rig, 'x0'), 0);
+    rig.executor('x0').restartAs(FORMER);
+    await rig.run(LISTED_MS + START_MS);
+    assert.is(countRuns(rig, 'x0'), 1);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
