Log how long former owners may act and which leases a new owner waits for

The log of a takeover did not tell whether a handover starts the wait for a former owner again, nor whether executors count for a lease that an order gives or for the longest one after a restart. ownerTakesOver and ownerClaimed say formerActMs, formerRunsUnknown says restartLeases: one line a takeover, and one field of a line that is written every 5 s at most.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -187,11 +187,11 @@
     const {self, clock, log, store, members} = this.deps;
     if (this.ownership !== null) return;
     if (term <= (this.record?.term ?? 0)) return;
-    log('ownerTakesOver', {term});
     this.record = {...self, term, isReleased: false, areFormerStopped};
     const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
     const lastWrite = {sentMs, endOffset};
     const ownership = new Ownership(store, clock, this.record, lastWrite);
+    log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     if (this.isDrainStarted) return void this.releaseUnused(ownership);
     this.ownership = ownership;
     members.setOwner(self);
@@ -385,7 +385,7 @@
     log('ownerClaimed', {
       term: ownership.term,
       former: record?.vm ?? '',
-      areFormerStopped: ownership.areFormerStopped,
+      ...ownership.describeTakeover(),
     });
     this.record = {...self, term: ownership.term, isReleased: false};
     this.ownership = ownership;
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -168,16 +168,21 @@
 
   /**
    * The executors that may hold unknown runs, for the log: how many, the first
-   * ids, and the most time that is left until their leases have expired; null
-   * for none.
+   * ids, the most time that is left until their leases have expired, and for
+   * how many that is the longest lease, since they may have restarted.
+   *
+   * @returns null if there is none
    */
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
+    const {ownership} = this.takeover;
     const ids = [...this.unreachedExecutors(nowMs)].map(({info}) => info.id);
     if (ids.length === 0) return null;
+    const leaseUntilMs = ownership.formerActUntilMs + LOCAL_LEASE_MS;
     return {
       executors: ids.length,
       executorIds: ids.slice(0, MAX_LOGGED_IDS),
       atMostMs: Math.round(this.leasesUntilMs - nowMs),
+      restartLeases: nowMs > leaseUntilMs ? ids.length : 0,
     };
   }
 
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -193,6 +193,15 @@
     return this.clock.monotonicMs() >= this.formerActUntilMs;
   }
 
+  /** What this owner knows of former ones, for the log. */
+  describeTakeover(): Readonly<Record<string, unknown>> {
+    const leftMs = this.formerActUntilMs - this.clock.monotonicMs();
+    return {
+      areFormerStopped: this.areFormerStopped,
+      formerActMs: Math.round(Math.max(0, leftMs)),
+    };
+  }
+
   /**
    * Records that a VM runs a new process, which has just connected.
    *
--- a/packages/cell/test/former-owner-runs.test.ts
+++ b/packages/cell/test/former-owner-runs.test.ts
@@ -244,9 +244,11 @@
   await rig.run(5000);
   const lines = rig.logLines.filter(l => l.includes(' v1 formerRunsUnknown '));
   assert.match(lines.at(-1) ?? '', /"executors":1,"executorIds":\["x1"\]/);
+  assert.match(lines.at(-1) ?? '', /"restartLeases":0/);
   await rig.run(30_000);
   const all = rig.logLines.filter(l => l.includes(' v1 formerRunsUnknown '));
   assert.ok(all.length <= 4, `${all.length} lines`);
+  assert.match(all.at(-1) ?? '', /"restartLeases":1/);
 });
 
 // After a restart, a lease may be as long as executors grant.
