--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -8,6 +8,7 @@
   cancelKey,
   Owner,
   OWNER_HEARTBEAT_MS,
+  Ownership,
   Platform,
   readOwner,
   RelayedStore,
@@ -17,7 +18,7 @@
   type ExecutorClient,
   type ExecutorInfo,
   type JobRow,
-  type Ownership,
+  type OwnerAddress,
   type StoredRecord,
   type Queue,
   type StepSpec,
@@ -152,6 +153,10 @@
   readonly unreachable: Set<string>;
 }
 
+function addressOf({vm, incarnation}: CellNode): OwnerAddress {
+  return {vm, ip: '', port: 0, incarnation};
+}
+
 /** A small cell. */
 export class Rig {
   readonly clock = new RigClock(START_MS);
@@ -200,11 +205,33 @@
 
   /** Lets a process claim the cell and act; false if it was not first. */
   async claim(node: CellNode): Promise<boolean> {
-    const {store, vm, incarnation} = node;
+    const {store} = node;
     const snapshot = await readOwner(store);
-    const self = {vm, ip: '', port: 0, incarnation};
+    const self = addressOf(node);
     const ownership = await claimCell(store, this.clock, self, snapshot);
     if (ownership === null || node.isKilled) return false;
+    return this.act(node, ownership);
+  }
+
+  /** Hands the cell over in an orderly way; false if that is not certain. */
+  async handOver(from: CellNode, to: CellNode): Promise<boolean> {
+    const {owner, ownership} = from;
+    if (owner === null || ownership === null) return false;
+    owner.close();
+    const self = addressOf(to);
+    const endOffset = await ownership.handOver(self);
+    if (endOffset < 0 || to.isKilled) return false;
+    const {areFormerStopped} = ownership;
+    const term = ownership.term + 1;
+    const record = {...self, term, isReleased: false, areFormerStopped};
+    const sentMs = this.clock.monotonicMs();
+    const lastWrite = {sentMs, endOffset};
+    const next = new Ownership(to.store, this.clock, record, lastWrite);
+    return this.act(to, next);
+  }
+
+  private async act(node: CellNode, ownership: Ownership): Promise<boolean> {
+    const {store} = node;
     node.ownership = ownership;
     const owner = new Owner({
       platform: new RigPlatform(store, this, node),
