Log the crash of an executor with the runs that were lost

The log of an owner said that an executor was restarted or replaced, but not that runs were lost with it, nor which had just started there: the figures of the incident had to be rebuilt from runStarted and runEnded lines. A crash is a new process of the executor, another process at its address, or its departure without having drained once its leases have expired. An executor that drained, or that answers again with the same start time, has not crashed. No decision of the owner changes.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,4 +1,5 @@
 /** The owner's in-memory state and its transitions; does no I/O. */
+import type {Crash, LostRun} from './crash-suspects.js';
 import type {EndedRun} from './executor-client.js';
 import {
   addOrphan,
@@ -57,6 +58,8 @@
     task: string,
     run: number,
   ) => void;
+  /** An executor crashed with runs of tasks. */
+  readonly onCrash: (crash: Crash) => void;
 }
 
 /** Jobs, executors and the resource usage of organisations. */
@@ -158,6 +161,7 @@
       return executor;
     }
     if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
+    if (info.bornMs === known.bornMs) known.hasDrained ||= info.isDraining;
     known.info = info;
     known.isListed = true;
     const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
@@ -188,6 +192,7 @@
     // Without its clock no lease can be given there, and none counts as over.
     executor.isReached = false;
     executor.bornMs = bornMs;
+    executor.hasDrained = executor.info.isDraining;
     executor.clockMs = Number.NaN;
     executor.leaseUntilMs = 0;
     executor.processedThrough = 0;
@@ -197,6 +202,20 @@
     for (const step of this.pendingSteps) step.tickets.delete(executor.info.id);
   }
 
+  /**
+   * Records the crash of an executor that has lost runs.
+   *
+   * @param isConfirmed whether the executor is known to have started again
+   */
+  recordCrash(
+    executor: ExecutorState,
+    runs: readonly LostRun[],
+    isConfirmed: boolean,
+  ): void {
+    if (runs.length === 0) return;
+    this.listener.onCrash({executor, isConfirmed, runs});
+  }
+
   /** Requeues all tasks of an executor on which nothing runs any more. */
   requeueAll(executor: ExecutorState): void {
     for (const task of [...executor.tasks]) this.requeue(task);
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,6 +1,7 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
+import {runsLostBy} from './crash-suspects.js';
 import {
   dueStops,
   isStopDue,
@@ -358,8 +359,13 @@
       host.writeLog('executorReplaced', {executorId, what});
     }
     this.isReplaced = true;
-    host.state.recordRestart(executor, executor.bornMs, Infinity);
+    const {expired, hasDrained, bornMs} = executor;
+    const current = hasDrained ? [] : runsLostBy(executor, Infinity);
+    const lost = [...(expired?.runs ?? []), ...current];
+    executor.expired = null;
+    host.state.recordRestart(executor, bornMs, Infinity);
     host.state.requeueAll(executor);
+    host.state.recordCrash(executor, lost, true);
     executor.isListed = false;
     host.onChange(executor);
   }
@@ -382,6 +388,7 @@
         executorId: executor.info.id,
         tasks: executor.tasks.size,
       });
+      this.keepExpiredRuns();
       host.state.requeueAll(executor);
       host.onChange(executor);
     }
@@ -389,4 +396,13 @@
       host.onChange(executor);
     }
   }
+
+  /** Keeps what was lost in case the executor turns out to have crashed. */
+  private keepExpiredRuns(): void {
+    const {executor} = this;
+    if (executor.hasDrained) return;
+    const {bornMs, expired} = executor;
+    const runs = [...(expired?.runs ?? []), ...runsLostBy(executor, Infinity)];
+    executor.expired = {bornMs, runs};
+  }
 }
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,4 +1,5 @@
 /** The owner's state of each executor: resources, clock, lease and health. */
+import type {LostRun} from './crash-suspects.js';
 import type {TaskState} from './job-state.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
 
@@ -16,6 +17,13 @@
   isStopAnswered: boolean;
 }
 
+/** Runs that were lost if the executor has crashed since. */
+export interface ExpiredRuns {
+  /** Start time of the executor process that ran them. */
+  readonly bornMs: number;
+  readonly runs: readonly LostRun[];
+}
+
 /** The owner's state of an executor. */
 export interface ExecutorState {
   info: ExecutorInfo;
@@ -25,6 +33,10 @@
   isReached: boolean;
   /** Unix milliseconds of its start, as it reports it. */
   bornMs: number;
+  /** Whether it has announced that it will shut down. */
+  hasDrained: boolean;
+  /** Runs whose leases expired in silence; null while it answers. */
+  expired: ExpiredRuns | null;
   usedCpuMilli: number;
   usedMemMb: number;
   usedAccel: number;
@@ -63,6 +75,8 @@
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
+    hasDrained: info.isDraining,
+    expired: null,
     usedCpuMilli: 0,
     usedMemMb: 0,
     usedAccel: 0,
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -12,6 +12,7 @@
 export * from './job-state.js';
 export * from './executor-state.js';
 export * from './cell-state.js';
+export * from './crash-suspects.js';
 export * from './schedule.js';
 export * from './placement.js';
 export * from './preemption.js';
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,4 +1,5 @@
 /** Applies an executor's inventories to the owner's state. */
+import {runsLostBy, type LostRun} from './crash-suspects.js';
 import type {Inventory} from './executor-client.js';
 import {recordClock, type ExecutorState} from './executor-state.js';
 import type {ExecutorHost} from './executor-loop.js';
@@ -28,6 +29,7 @@
     // An executor that does not report its start time counts as never
     // restarted.
     const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
+    const lost = this.takeLostRuns(bornMs, sentMs);
     if (bornMs !== executor.bornMs) {
       host.writeLog('executorRestarted', {
         executorId: executor.info.id,
@@ -38,6 +40,7 @@
       // longest lease, to which the executor limits them.
       executor.leaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
     }
+    host.state.recordCrash(executor, lost, true);
     if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
     }
@@ -51,6 +54,17 @@
     return hasNewEnds || !wasReached;
   }
 
+  /** The runs that were lost if the executor was started at `bornMs`. */
+  private takeLostRuns(bornMs: number, sentMs: number): readonly LostRun[] {
+    const {executor} = this;
+    const {expired, hasDrained} = executor;
+    executor.expired = null;
+    const isExpired = expired !== null && expired.bornMs !== bornMs;
+    const earlier = isExpired ? expired.runs : [];
+    if (bornMs === executor.bornMs || hasDrained) return earlier;
+    return [...earlier, ...runsLostBy(executor, sentMs)];
+  }
+
   private applyEnds({ended}: Inventory, nowMs: number): boolean {
     const {executor, host} = this;
     let hasNewEnds = false;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -4,6 +4,7 @@
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
+import type {Crash, LostRun} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
@@ -35,6 +36,8 @@
 const MIN_ROUND_DELAY_MS = 3;
 /** Maximum delay before a scheduling round, in ms. */
 const MAX_ROUND_DELAY_MS = 250;
+/** The most runs that a line on a crash names. */
+const MAX_NAMED_RUNS = 10;
 /** Maximum age of a read that shows that a job does not exist, in ms. */
 const MAX_READ_AGE_MS = 2000;
 
@@ -117,6 +120,19 @@
       onStop: ({executor}) =>
         this.loops.get(executor?.info.id ?? '')?.sendStops(),
       onOrphan: ({info}) => this.loops.get(info.id)?.sendStops(),
+      onCrash: crash => this.reportCrash(crash),
+    });
+  }
+
+  private reportCrash({executor, isConfirmed, runs}: Crash): void {
+    const newRuns = runs.filter(({isNew}) => isNew);
+    this.deps.metrics.count('executor_crashes_total');
+    this.deps.log('executorCrashed', {
+      executorId: executor.info.id,
+      isConfirmed,
+      runs: runs.length,
+      newRuns: newRuns.length,
+      tasks: nameRuns(newRuns.length > 0 ? newRuns : runs),
     });
   }
 
@@ -410,6 +426,7 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
+      this.state.recordCrash(executor, executor.expired?.runs ?? [], false);
       this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
@@ -428,6 +445,13 @@
   }
 }
 
+/** Names the last of the runs that were lost in a crash. */
+function nameRuns(runs: readonly LostRun[]): readonly string[] {
+  return runs
+    .slice(-MAX_NAMED_RUNS)
+    .map(({task, run}) => `${taskName(task)}#${run}`);
+}
+
 function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
   return {id, phase: visiblePhase, queue: queue.name, organisation};
 }
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -39,6 +39,7 @@
     onPhaseChange: () => undefined,
     onStop: task => stopped.push(`${task.step.occurrence.job.id}`),
     onOrphan: () => undefined,
+    onCrash: () => undefined,
   });
   state.setConfig({...CONFIG, queues: [URGENT, QUEUE, BATCH]});
   return state;
--- a/packages/cell/test/load-simulation.ts
+++ b/packages/cell/test/load-simulation.ts
@@ -85,6 +85,7 @@
       onPhaseChange: () => undefined,
       onStop: task => this.endLater(task),
       onOrphan: () => undefined,
+      onCrash: () => undefined,
     });
     const {queues, organisations = [], vmCount} = options;
     this.state.setConfig({...CONFIG, queues, organisations});
