Test that tasks which crash executors are given up

The other three hold what must not count: a machine that fails under whatever it is given, an executor that drains, executors that are cut off.

--- /dev/null
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -0,0 +1,161 @@
+/** Tasks that crash the executors that start them. */
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {Behaviour} from './fake-executor.js';
+import {Rig, STEP, type CellNode} from './rig.js';
+
+const SETTLE_MS = 3000;
+/** Longer than any number of crashes that the tests allow. */
+const CRASHES_MS = 30_000;
+const DEADLY = 'deadly';
+const CRASH_DELAY_MS = 10;
+const LONG = 'long';
+const LONG_MS = 20_000;
+/** The most starts of a task that crashes each executor. */
+const MAX_CRASHES = 3;
+
+/** Tasks of jobs whose name begins so crash executors; others take a while. */
+function behave(task: string): ReturnType<Behaviour> {
+  if (task.startsWith(DEADLY)) return {ms: CRASH_DELAY_MS, how: 'crash'};
+  return {ms: task.startsWith(LONG) ? LONG_MS : 2000, how: 'done'};
+}
+
+/** Starts a rig with one owner that has reached all executors. */
+async function startRig(
+  executors: number,
+): Promise<{readonly rig: Rig; readonly node: CellNode}> {
+  const rig = new Rig(executors, behave);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  return {rig, node};
+}
+
+function phaseOf(rig: Rig, job: string): string | undefined {
+  return rig.rows.get(job)?.phase;
+}
+
+const crashes = suite('crashes of executors');
+
+crashes('gives up a task that crashes executor after executor', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(DEADLY, [STEP], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
+  assert.equal(rig.checker.violations, []);
+});
+
+crashes('completes tasks that ran beside one that crashed', async () => {
+  const {rig, node} = await startRig(4);
+  const jobs = ['a', 'b', 'c', 'd'];
+  rig.submit(DEADLY, [STEP], [node]);
+  for (const job of jobs) rig.submit(job, [{...STEP, count: 2}], [node]);
+  rig.submit(`${DEADLY}-2`, [STEP], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.is(phaseOf(rig, `${DEADLY}-2`), 'failed');
+  for (const job of jobs) assert.is(phaseOf(rig, job), 'completed');
+  assert.equal(rig.checker.violations, []);
+});
+
+crashes('keeps the count of crashes across a change of owner', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(DEADLY, [STEP], [node]);
+  await rig.run(SETTLE_MS + 2000);
+  rig.kill(node);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES + 1);
+});
+
+crashes('gives up a service whose task crashes executors', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(DEADLY, [{...STEP, isService: true}], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
+});
+
+crashes('gives up a gang whose tasks crash executors', async () => {
+  const {rig, node} = await startRig(6);
+  const gang = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
+  rig.submit(DEADLY, [gang], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
+});
+
+crashes(
+  'counts crashes of executors that come back under new ids',
+  async () => {
+    const {rig, node} = await startRig(8);
+    const [a, b, c, d, ...spare] = rig.executors;
+    [a, b, c, d].forEach((executor, i) => {
+      const replacement = spare[i];
+      assert.ok(executor !== undefined && replacement !== undefined);
+      replacement.crash();
+      executor.replacement = replacement;
+    });
+    await rig.run(2 * SETTLE_MS);
+    rig.submit(DEADLY, [STEP], [node]);
+    await rig.run(CRASHES_MS);
+    assert.is(phaseOf(rig, DEADLY), 'failed');
+    assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
+  },
+);
+
+crashes('does not give up what one failing machine loses', async () => {
+  const {rig, node} = await startRig(1);
+  const jobs = Array.from({length: 6}, (_, i) => `job-${i}`);
+  for (const job of jobs) {
+    rig.submit(job, [STEP], [node]);
+    await rig.run(500);
+    rig.executor('x0').crash();
+    await rig.run(SETTLE_MS);
+    rig.executor('x0').recover();
+    await rig.run(SETTLE_MS + 1000);
+  }
+  await rig.run(CRASHES_MS);
+  for (const job of jobs) assert.is(phaseOf(rig, job), 'completed');
+});
+
+crashes('does not count the loss of an executor that drains', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(LONG, [STEP], [node]);
+  for (let i = 0; i < MAX_CRASHES; i += 1) {
+    await rig.run(100);
+    const used = rig.executors.find(({runs}) => runs.size > 0);
+    assert.ok(used !== undefined);
+    used.isDraining = true;
+    await rig.run(1600);
+    used.crash();
+    await rig.run(8000);
+  }
+  await rig.run(LONG_MS);
+  assert.is(phaseOf(rig, LONG), 'completed');
+  assert.is(rig.logLines.filter(l => l.includes('executorCrashed')).length, 0);
+});
+
+crashes('does not count the loss of executors that are cut off', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(LONG, [STEP], [node]);
+  for (let i = 0; i < MAX_CRASHES; i += 1) {
+    await rig.run(100);
+    const used = rig.executors.find(({runs}) => runs.size > 0);
+    assert.ok(used !== undefined);
+    used.isDisconnected = true;
+    await rig.run(2000);
+    used.isUnlisted = true;
+    await rig.run(10_000);
+    used.isUnlisted = false;
+    used.isDisconnected = false;
+  }
+  await rig.run(LONG_MS);
+  assert.is(phaseOf(rig, LONG), 'completed');
+  assert.is(rig.logLines.filter(l => l.includes('"isConfirmed":true')).length, 0);
+});
+
+crashes.run();
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -33,11 +33,11 @@
   readonly acked: (task: string, run: number, how: RunOutcome) => void;
 }
 
-/** Decides how long a run takes and how it ends. */
+/** Decides how long a run takes and how it ends, or that it crashes. */
 export type Behaviour = (
   task: string,
   run: number,
-) => {readonly ms: number; readonly how: RunOutcome};
+) => {readonly ms: number; readonly how: RunOutcome | 'crash'};
 
 const STOP_MS = 300;
 /** The platform's `max-hold-ms`. */
@@ -45,6 +45,8 @@
 /** Interval at which ends of runs are checked, in ms. */
 const TIMER_RESOLUTION_MS = 10;
 const LOST_REPLY_TIMEOUT_MS = 700;
+/** How long an executor is down that a run has crashed. */
+const CRASH_DOWN_MS = 3000;
 const NO_CLOCK = Number.NaN;
 
 /** One executor across restarts. */
@@ -76,6 +78,8 @@
   isUnlisted = false;
   /** After this time, another executor answers at former addresses, in ms. */
   formerAddressAnswerMs = Infinity;
+  /** Starts at its address, under an id of its own, after a run's crash. */
+  replacement: FakeExecutor | null = null;
   /** Whether ends were acknowledged that this process has not listed. */
   hasWrongAck = false;
 
@@ -108,6 +112,16 @@
     this.isRefusing = false;
   }
 
+  private async crashForAWhile(): Promise<void> {
+    this.crash();
+    await this.clock.sleep(CRASH_DOWN_MS);
+    if (this.replacement === null) return this.recover();
+    this.port += 1;
+    this.formerAddressAnswerMs = this.latencyMs;
+    this.isRefusing = false;
+    this.replacement.recover();
+  }
+
   /** Restarts the executor, which loses all runs. */
   restart(): void {
     for (const {task, run} of this.runs.values()) {
@@ -217,7 +231,9 @@
       if (hasLeaseExpired) this.end(run, 'lapsed');
       else if (nowMs >= run.endsMs) {
         const {how} = this.behave(run.task, run.run);
-        this.end(run, run.isStopping ? 'stopped' : how);
+        if (run.isStopping) this.end(run, 'stopped');
+        else if (how !== 'crash') this.end(run, how);
+        else return void this.crashForAWhile();
       }
     }
   }
--- a/packages/cell/test/invariants.ts
+++ b/packages/cell/test/invariants.ts
@@ -27,6 +27,7 @@
   starts = 0;
   /** Ids of jobs of which a task was started. */
   readonly startedJobs = new Set<string>();
+  private readonly startCounts = new Map<string, number>();
   private readonly running = new Map<string, Running[]>();
   private readonly ackedDone = new Set<string>();
   private readonly ackedFailed = new Map<string, Set<number>>();
@@ -35,6 +36,7 @@
   readonly started = (executor: FakeExecutor, order: StartOrder): void => {
     this.starts += 1;
     const {task, run} = order;
+    this.startCounts.set(task, this.startCount(task) + 1);
     const [jobId = ''] = task.split('.');
     this.startedJobs.add(jobId);
     const job = this.jobs.get(jobId);
@@ -81,6 +83,11 @@
     this.ackedFailed.set(task, failed);
   };
 
+  /** How many runs of a task executors have started. */
+  startCount(task: string): number {
+    return this.startCounts.get(task) ?? 0;
+  }
+
   /** Whether the `done` end of a task was acknowledged. */
   isAcked(task: string): boolean {
     return this.ackedDone.has(task);
