--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -155,7 +155,10 @@
   }
   await rig.run(LONG_MS);
   assert.is(phaseOf(rig, LONG), 'completed');
-  assert.is(rig.logLines.filter(l => l.includes('"isConfirmed":true')).length, 0);
+  assert.is(
+    rig.logLines.filter(l => l.includes('"isConfirmed":true')).length,
+    0,
+  );
 });
 
 crashes.run();
