Refuse requests at an owner that cannot read the allowances

Cause: the shard of the cut VM's failure domain had just been handed to the scheduler on that VM, which could not read the allowance table in the new term. Without allowances each request waits, with no bound but its deadline: at the end of the cut that owner had 40 and 41 requests waiting, all other owners none. The gateway asks the shard of its own failure domain first, so it got nothing else.

Ruled out by the events: the gateway's view of the owners was right all the time, its configuration was fresh, its claims are not involved (requests without an id), and the owner kept its lease through promises.

Requests of a team now wait at most 1 s after the owner started to act. After that the owner refuses with `notOwner`, which the gateway answers by asking the next shard, and a caller, where no shard serves, sees at once as 503 with a Retry-After. Requests without a team need no allowance and are served as before.

The new test printed before: expected notOwner, actual undefined.

--- a/packages/scheduler/src/fair-queue.ts
+++ b/packages/scheduler/src/fair-queue.ts
@@ -107,6 +107,17 @@
     );
   }
 
+  /** Removes the requests that a condition selects. */
+  removeWhere(shouldRemove: (waiter: Waiter) => boolean): readonly Waiter[] {
+    const removed = [...this.lanes.values()].flatMap(lane =>
+      lane.entries
+        .filter(entry => shouldRemove(entry.waiter))
+        .map(entry => ({lane, entry})),
+    );
+    for (const {lane, entry} of removed) this.removeEntry(lane, entry);
+    return removed.map(({entry}) => entry.waiter);
+  }
+
   /** Removes all requests. */
   removeAll(): readonly Waiter[] {
     return this.removeWhere(() => true);
@@ -117,18 +128,6 @@
     for (const entry of this.entries()) yield entry.waiter;
   }
 
-  private removeWhere(
-    shouldRemove: (waiter: Waiter) => boolean,
-  ): readonly Waiter[] {
-    const removed = [...this.lanes.values()].flatMap(lane =>
-      lane.entries
-        .filter(entry => shouldRemove(entry.waiter))
-        .map(entry => ({lane, entry})),
-    );
-    for (const {lane, entry} of removed) this.removeEntry(lane, entry);
-    return removed.map(({entry}) => entry.waiter);
-  }
-
   private *entries(): Generator<Entry> {
     for (const lane of this.lanes.values()) yield* lane.entries;
   }
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -39,6 +39,8 @@
 
 /** How long after the ticket is issued a request may start to be sent. */
 export const START_WINDOW_MS = 1_000;
+/** How long requests wait for the allowances of a new term. */
+export const ALLOWANCE_WAIT_MS = 1_000;
 /** The owner treats a ticket as expired this much later than the gateway. */
 const EXPIRY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
@@ -81,11 +83,13 @@
   private config: TicketConfig | undefined;
   private gatewayCount = 1;
   private term: number | undefined;
+  private readonly startedMs: number;
   private isStopped = false;
 
   constructor(private readonly options: TicketIssuerOptions) {
     super();
     const {clock, metrics, shard} = options;
+    this.startedMs = clock.monotonicMs();
     this.unreported = new UnreportedUsage(clock);
     this.claims = new RequestClaimRegistry(clock);
     this.slots = new SlotTable(
@@ -131,7 +135,8 @@
   /**
    * Issues a ticket, at once or when the request's turn comes.
    *
-   * @throws noTarget, teamLimit, queueFull, deadlineUnmet, queueUnknown
+   * @throws noTarget, notOwner, teamLimit, queueFull, deadlineUnmet,
+   *     queueUnknown
    * @example
    * const ticket = await issuer.ask(from.process, ask, ownership.term);
    */
@@ -269,6 +274,9 @@
   private checkRequest(ask: TicketAsk, cfg: QueueConfig): void {
     const {service, team} = ask;
     if (!this.slots.hasLiveExecutors(service)) raise('noTarget', service);
+    if (team !== NO_TEAM && this.areAllowancesOverdue()) {
+      throw this.allowancesUnknown();
+    }
     // Without allowances, as after a takeover, requests wait for them.
     const isLimited = this.allowances.size > 0 && team !== NO_TEAM;
     if (isLimited && this.allowanceOf(team) <= 0) {
@@ -331,6 +339,19 @@
     };
   }
 
+  /** Whether this term has run for a while without knowing allowances. */
+  private areAllowancesOverdue(): boolean {
+    if (this.allowances.size > 0) return false;
+    const ageMs = this.options.clock.monotonicMs() - this.startedMs;
+    return ageMs >= ALLOWANCE_WAIT_MS;
+  }
+
+  private allowancesUnknown(): Error {
+    const {shard} = this.options;
+    const detail = `${shard}: its owner has not read the allowances`;
+    return new DragonflywardError('notOwner', detail);
+  }
+
   private allowanceOf(team: string): number {
     return this.allowances.get(team) ?? 0;
   }
@@ -388,6 +409,13 @@
     this.queue.concurrency = Infinity;
   }
 
+  /** Refuses requests that wait for allowances, so that others serve them. */
+  private refuseWithoutAllowances(): void {
+    if (!this.areAllowancesOverdue()) return;
+    const refused = this.fairQueue.removeWhere(({ask}) => ask.team !== NO_TEAM);
+    for (const waiter of refused) waiter.refuse(this.allowancesUnknown());
+  }
+
   private async sweepLoop(): Promise<void> {
     while (!this.isStopped) {
       await this.options.clock.sleep(SWEEP_PERIOD_MS);
@@ -398,6 +426,7 @@
   private sweep(): void {
     this.slots.releaseExpired();
     this.refuseLate();
+    this.refuseWithoutAllowances();
     this.grantWaiting();
   }
 }
--- a/packages/scheduler/test/ticket-issuer.test.ts
+++ b/packages/scheduler/test/ticket-issuer.test.ts
@@ -9,6 +9,7 @@
   DuplicateDetector,
   UNTIMED_ID_WINDOW_MS,
 } from '../src/duplicate-detector.js';
+import {ALLOWANCE_WAIT_MS} from '../src/ticket-issuer.js';
 import {
   IssuerHarness,
   executor,
@@ -117,6 +118,30 @@
   },
 );
 
+tickets('an owner without allowances refuses instead of waiting', async () => {
+  const made = new IssuerHarness();
+  made.issuer.setExecutors([executor('e-0')]);
+  const waiting = made.ask('roofs', ONE);
+  await made.advance(ALLOWANCE_WAIT_MS);
+  assert.is(waiting.refusal, 'notOwner');
+  const late = made.ask('roofs', ONE);
+  await made.settle();
+  assert.is(late.refusal, 'notOwner');
+  made.issuer.setAllowance('roofs', 1);
+  const served = made.ask('roofs', ONE);
+  await made.settle();
+  assert.ok(served.ticket);
+});
+
+tickets('requests without a team need no allowances', async () => {
+  const made = new IssuerHarness();
+  made.issuer.setExecutors([executor('e-0')]);
+  await made.advance(ALLOWANCE_WAIT_MS);
+  const open = made.ask('', ONE);
+  await made.settle();
+  assert.ok(open.ticket);
+});
+
 tickets('bounds what waits, for each team and in all', async () => {
   const made = harness();
   await fill(made);
