Read the allowances at once when a term starts

An owner that lost the log in that second stayed without allowances.

Cause: an allowance counts only if the table was read after the term started. The new owner left that to the running poll of the table (up to 500 ms), the next one (500 ms) and the periodic refresh (500 ms).

A new owner now reads the table as soon as it may act and applies it at once; it tries again every 200 ms while the read fails. The rule that only a read of this term counts is unchanged.

--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -39,6 +39,7 @@
 const CHECK_PERIOD_MS = 50;
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
+const ALLOWANCE_RETRY_MS = 200;
 const IMPORT_TIMEOUT_MS = 2_000;
 const MAX_SUCCESSOR_SILENCE_MS = 2_000;
 /** Size of each term's range of task numbers, so that ids never collide. */
@@ -205,6 +206,7 @@
     });
     this.refreshedMs = -Infinity;
     this.refresh();
+    void this.readAllowances(this.owner);
     void this.collectTickets(this.issuer);
     void this.acknowledgeAllowances(this.owner);
     void this.owner.run();
@@ -244,6 +246,19 @@
     return allowances.amountsOf(shard);
   }
 
+  /** Reads the allowances at once, as requests wait for them. */
+  private async readAllowances(owner: ShardOwner): Promise<void> {
+    const {allowances, clock} = this.parts;
+    while (this.owner === owner) {
+      await allowances.tail.readOnce(0).catch(() => undefined);
+      if (allowances.isReadSince(this.activeSinceMs)) break;
+      await clock.sleep(ALLOWANCE_RETRY_MS);
+    }
+    if (this.owner !== owner) return;
+    this.refreshedMs = -Infinity;
+    this.refresh();
+  }
+
   /** The team's usage in this shard that counts against its allowance. */
   private teamUsage(team: string): Resources {
     const demands = this.owner?.engine.getDemand() ?? [];
