Tell the next owner the last orders of the one that stops

Cause: what an owner had found out ended with its term. The next one counted every bound from its own start: 3 s for a killed owner that may still act, 6.5 s for leases, 10.6 s for executors that no list showed it. In a roll each handover began the wait anew, for executors to which nobody had given an order for long.

An owner that hands over or releases the cell now says, as times that count to the writing: which former owners may still act, and how long; and for each executor that does not answer it, when the last order was sent, since when no list shows it and with which start the last list did. Executors that are not named answered it: their leases count from the handover. The next owner counts on from there, on its own clock with a margin of 3 %. A notice holds 500 executors at most; if there are more, the longest bounds count for the others.

Only a handover's notice and a released record are used: after them the sender gives no orders. A record that names an owner says nothing about what that owner did since; its claimant takes the bounds from before, as do a lost notice, and records and messages of earlier versions. Those that may act are a list, so that a new process of a VM ends the wait for an owner before the last one too.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -2,13 +2,15 @@
 import type {Clock} from '@dragonflyward/common';
 import type {CellConnection, Member, Members} from './members.js';
 import type {HandoverNotice} from './messages.js';
+import type {OrdersNotice} from './last-orders.js';
 import {
+  acceptOwnership,
   claimCell,
-  Ownership,
   OWNER_HEARTBEAT_MS,
   readOwner,
   toAddress,
   type OwnerAddress,
+  type Ownership,
   type OwnerSnapshot,
   type OwnerRecord,
 } from './ownership.js';
@@ -31,8 +33,6 @@
 const SMALL_VM_DELAY_MS = 200;
 /** An owner to which no VM is connected releases the cell after this, in ms. */
 const ISOLATION_TIMEOUT_MS = 2000;
-/** Assumed delay between writing a handover and receiving its notice, in ms. */
-const MAX_HANDOVER_AGE_MS = 2000;
 /** The cell moves to a VM that has this multiple of the owner's cores. */
 const LARGER_VM_FACTOR = 1.5;
 /** Time as the owner before a larger VM is looked for, in ms. */
@@ -50,6 +50,11 @@
   readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
   /** Stops sending orders; does nothing on a VM that is not the owner. */
   readonly stopActing: () => void;
+  /**
+   * The last orders that were sent to executors, after `stopActing`; null on a
+   * VM whose owner has not started to act.
+   */
+  readonly describeOrders: () => OrdersNotice | null;
   /** Discards the owner's state. */
   readonly discardOwner: () => void;
   /** Called when the VM has had no owner for a while, or has one again. */
@@ -165,7 +170,7 @@
       successor: successor?.address.vm ?? '',
     });
     if (successor !== null) await this.handOver(ownership, successor);
-    else await ownership.release();
+    else await ownership.release(this.lastOrders(ownership));
     // Unless a successor is known, the other VMs have to look for an owner.
     this.markReleased(ownership.term);
     this.stopOwning();
@@ -183,15 +188,14 @@
   }
 
   /** Becomes the owner after the former one wrote this VM into the store. */
-  acceptHandover({term, endOffset, areFormerStopped}: HandoverNotice): void {
+  acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
+    const {term} = notice;
     if (this.ownership !== null) return;
     if (term <= (this.record?.term ?? 0)) return;
-    this.record = {...self, term, isReleased: false, areFormerStopped};
-    const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
-    const lastWrite = {sentMs, endOffset};
-    const ownership = new Ownership(store, clock, this.record, lastWrite);
+    const ownership = acceptOwnership(store, clock, self, notice);
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
+    this.record = {...self, term, isReleased: false};
     if (this.isDrainStarted) return void this.releaseUnused(ownership);
     this.ownership = ownership;
     members.setOwner(self);
@@ -250,14 +254,20 @@
     ownership: Ownership,
     {address, connection}: Member,
   ): Promise<void> {
+    const orders = this.lastOrders(ownership);
     const endOffset = await ownership.handOver(address);
     if (endOffset < 0) return;
-    const term = ownership.term + 1;
-    const {areFormerStopped} = ownership;
-    connection.notify({type: 'handover', term, areFormerStopped, endOffset});
+    const notice = ownership.handoverNotice(endOffset, orders);
+    connection.notify(notice);
+    const {term} = notice;
     this.follow({...address, term, isReleased: false});
   }
 
+  /** The last orders of this owner, which has stopped, and of former ones. */
+  private lastOrders(ownership: Ownership): OrdersNotice {
+    return this.host.describeOrders() ?? ownership.describeFormerOrders();
+  }
+
   private async heartbeatLoop(): Promise<void> {
     while (!this.isClosed) {
       const {ownership} = this;
@@ -324,7 +334,7 @@
     this.deps.log('ownerIsolated', {term, aloneMs: Math.round(isolatedMs)});
     this.hasHadPeers = false;
     this.host.stopActing();
-    await ownership.release();
+    await ownership.release(this.lastOrders(ownership));
     this.record = {...this.deps.self, term, isReleased: true};
     this.stopOwning();
     await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -168,3 +168,13 @@
   const slackMs = LEASE_END_SLACK_MS;
   return earliestClockMs(executor, nowMs) > executor.leaseUntilMs + slackMs;
 }
+
+/**
+ * The longest time until all leases of runs on the executor have expired, in
+ * ms; NaN while its clock is not known.
+ */
+export function leaseLeftMs(executor: ExecutorState, nowMs: number): number {
+  const endMs = executor.leaseUntilMs + LEASE_END_SLACK_MS;
+  const leftMs = endMs - earliestClockMs(executor, nowMs);
+  return Math.max(0, leftMs / (1 - MAX_CLOCK_DRIFT));
+}
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -2,9 +2,11 @@
 import type {Clock} from '@dragonflyward/common';
 import {EXECUTOR_LEASE_MS} from './executor-loop.js';
 import {MAX_EXECUTOR_LEASE_MS} from './inventory-reader.js';
-import type {ExecutorState} from './executor-state.js';
+import {leaseLeftMs, type ExecutorState} from './executor-state.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
-import {START_LEASE_MS, type Ownership} from './ownership.js';
+import {CLOCK_RATE_FACTOR} from './former-owners.js';
+import type {LastOrders, OrdersDeadline} from './last-orders.js';
+import type {Ownership} from './ownership.js';
 import {
   addAmounts,
   allocatedAmounts,
@@ -39,6 +41,14 @@
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
 
+/** Orders of this owner up to now, to an executor that may have restarted. */
+const UNKNOWN_ORDERS: LastOrders = {
+  agoMs: 0,
+  unlistedForMs: 0,
+  bornMs: 0,
+  wasReached: false,
+};
+
 /** The capacity of the unreached executors of each service that has any. */
 export type UnreachedCapacities = ReadonlyMap<string, ResourceAmounts>;
 
@@ -56,7 +66,7 @@
 export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
-  /** When those that the store did not list were added. */
+  /** Since when those are not listed that the store did not list at first. */
   private readonly unlistedMs = new Map<ExecutorState, number>();
   /** Jobs that may have been stored while a former owner could start tasks. */
   private readonly jobs = new Set<string>();
@@ -65,21 +75,16 @@
 
   constructor(private readonly takeover: Takeover) {
     const {claimedMs, ownership} = takeover;
-    const startLeaseMs = START_LEASE_MS * SLOW_CLOCK_FACTOR;
-    this.startsUntilMs =
-      claimedMs + (ownership.areFormerStopped ? 0 : startLeaseMs);
-  }
-
-  /** By then, the longest leases of former owners have expired. */
-  private get leasesUntilMs(): number {
-    return this.takeover.ownership.formerActUntilMs + MAX_LOCAL_LEASE_MS;
+    this.startsUntilMs = Math.max(claimedMs, ownership.formerStartUntilMs);
   }
 
   /** Adds an executor that a former owner has used. */
   addExecutor(executor: ExecutorState): void {
     this.executors.add(executor);
     if (executor.isListed) return;
-    this.unlistedMs.set(executor, this.takeover.clock.monotonicMs());
+    const nowMs = this.takeover.clock.monotonicMs();
+    const {unlistedMs} = this.formerOrders(executor);
+    this.unlistedMs.set(executor, Math.min(nowMs, unlistedMs));
   }
 
   /** Removes an executor that has reported its runs or is gone. */
@@ -120,7 +125,6 @@
 
   /** Computes the capacities of executors that may hold unknown runs. */
   unreachedCapacities(nowMs: number): UnreachedCapacities {
-    if (nowMs > this.leasesUntilMs) this.executors.clear();
     const capacities = new Map<string, ResourceAmounts>();
     for (const {info} of this.unreachedExecutors(nowMs)) {
       const known = capacities.get(info.service) ?? NOTHING_RESERVED;
@@ -174,42 +178,96 @@
    * @returns null if there is none
    */
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
-    const {ownership} = this.takeover;
-    const ids = [...this.unreachedExecutors(nowMs)].map(({info}) => info.id);
-    if (ids.length === 0) return null;
-    const leaseUntilMs = ownership.formerActUntilMs + LOCAL_LEASE_MS;
+    const unreached = [...this.unreachedExecutors(nowMs)];
+    if (unreached.length === 0) return null;
+    const untilMs = unreached.map(each => this.holdUntilMs(each, nowMs));
+    const ids = unreached.map(({info}) => info.id);
+    const restarted = unreached.filter(each => {
+      const ordersUntilMs = this.formerOrders(each).untilMs;
+      return nowMs > ordersUntilMs + LOCAL_LEASE_MS;
+    });
     return {
       executors: ids.length,
       executorIds: ids.slice(0, MAX_LOGGED_IDS),
-      atMostMs: Math.round(this.leasesUntilMs - nowMs),
-      restartLeases: nowMs > leaseUntilMs ? ids.length : 0,
+      atMostMs: Math.round(Math.max(...untilMs) - nowMs),
+      restartLeases: restarted.length,
     };
   }
 
   /** Whether the executor may have runs that it has not reported yet. */
   mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
     if (executor.isReached || !this.executors.has(executor)) return false;
-    const {formerActUntilMs} = this.takeover.ownership;
-    if (nowMs <= formerActUntilMs + LOCAL_LEASE_MS) return true;
-    if (nowMs > this.leasesUntilMs) return false;
-    return this.mayHaveRestartLease(executor, nowMs);
+    return nowMs <= this.holdUntilMs(executor, nowMs);
+  }
+
+  /**
+   * The last orders to the executor, for the next owner.
+   *
+   * @returns null if it answers and has a lease that an order gives
+   */
+  describeOrders(executor: ExecutorState, nowMs: number): LastOrders | null {
+    const {isReached, missedRenewals, clockMs} = executor;
+    const bornMs = this.listedBornMs(executor);
+    if (isReached) {
+      // Without its clock, the end of its leases is not known.
+      if (Number.isNaN(clockMs)) return UNKNOWN_ORDERS;
+      const leftMs = leaseLeftMs(executor, nowMs);
+      if (missedRenewals === 0 && leftMs <= LOCAL_LEASE_MS) return null;
+      const agoMs = LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
+      return {agoMs, unlistedForMs: 0, bornMs, wasReached: true};
+    }
+    // It has moved under this owner, which gave it orders before.
+    if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
+    const {untilMs, wasReached} = this.formerOrders(executor);
+    const unlistedMs = this.unlistedMs.get(executor) ?? nowMs;
+    return {
+      agoMs: nowMs - untilMs,
+      unlistedForMs: executor.isListed ? 0 : nowMs - unlistedMs,
+      bornMs,
+      wasReached,
+    };
+  }
+
+  private formerOrders({info}: ExecutorState): OrdersDeadline {
+    return this.takeover.ownership.formerOrders(info.id);
+  }
+
+  /** By when all leases that former owners gave there have expired. */
+  private holdUntilMs(executor: ExecutorState, nowMs: number): number {
+    const {untilMs} = this.formerOrders(executor);
+    return Math.max(
+      untilMs + LOCAL_LEASE_MS,
+      this.restartLeaseUntilMs(executor, nowMs),
+    );
   }
 
   /**
-   * Whether the executor may have restarted so late that an order with a time
-   * of the clock before the restart, whose lease is the longest one, counts.
+   * When an order with a time of the clock before a restart, whose lease is the
+   * longest one, counts no more; -Infinity if the executor has not restarted
+   * so late.
    */
-  private mayHaveRestartLease(executor: ExecutorState, nowMs: number): boolean {
-    const {ownership, clock, executorsReadMs} = this.takeover;
-    const knownMs = ownership.formerActUntilMs + REGISTRATION_MS;
-    if (executorsReadMs() < knownMs) return true;
+  private restartLeaseUntilMs(executor: ExecutorState, nowMs: number): number {
+    const {clock, executorsReadMs} = this.takeover;
+    const {untilMs, wasReached} = this.formerOrders(executor);
+    const latestMs = untilMs + MAX_LOCAL_LEASE_MS;
+    if (nowMs > latestMs) return -Infinity;
+    if (executorsReadMs() < untilMs + REGISTRATION_MS) return latestMs;
+    if (wasReached && !executor.isListed) return -Infinity;
     const unlistedMs = this.unlistedMs.get(executor);
-    if (unlistedMs !== undefined && !executor.isListed) {
-      if (executorsReadMs() < unlistedMs + RELISTING_MS) return true;
-      return nowMs <= unlistedMs + MAX_LOCAL_LEASE_MS;
+    const bornMs = this.listedBornMs(executor);
+    if (unlistedMs !== undefined && !executor.isListed && bornMs === 0) {
+      if (executorsReadMs() < unlistedMs + RELISTING_MS) return latestMs;
+      return Math.min(latestMs, unlistedMs + MAX_LOCAL_LEASE_MS);
     }
-    const {bornMs} = executor.info;
-    return bornMs === 0 || clock.wallMs() - bornMs <= RESTART_LEASE_MS;
+    const isNew = bornMs === 0 || clock.wallMs() - bornMs <= RESTART_LEASE_MS;
+    return isNew ? latestMs : -Infinity;
+  }
+
+  /** Its start in the last list that showed it to an owner; 0 if none did. */
+  private listedBornMs(executor: ExecutorState): number {
+    const {info, isListed} = executor;
+    if (isListed || !this.unlistedMs.has(executor)) return info.bornMs;
+    return this.formerOrders(executor).bornMs;
   }
 
   /** The steps of which a former owner may have started tasks. */
--- /dev/null
+++ b/packages/cell/src/former-owners.ts
@@ -0,0 +1,102 @@
+/** The owners of earlier terms that may still act. */
+import type {Clock} from '@dragonflyward/common';
+import type {OwnerAddress} from './ownership.js';
+
+/** The most by which the clocks of two VMs differ in rate, with a margin. */
+export const CLOCK_RATE_FACTOR = 1.03;
+/** The most owners that are named; the others are kept as one. */
+const MAX_NAMED_OWNERS = 8;
+
+/** An owner that may still act; times are in ms from when this was written. */
+export interface FormerOwner {
+  /** Empty for one whose VM is not known. */
+  readonly vm: string;
+  readonly incarnation: number;
+  /** How long it may start tasks at most. */
+  readonly startMs: number;
+  /** How long it may act at most. */
+  readonly actMs: number;
+}
+
+interface Deadline {
+  readonly vm: string;
+  readonly incarnation: number;
+  startUntilMs: number;
+  actUntilMs: number;
+}
+
+/** Follows until when former owners may act, on this VM's clock. */
+export class FormerOwners {
+  private readonly deadlines: readonly Deadline[];
+
+  /**
+   * @param readMs when the times in `owners` began to count, or later
+   */
+  constructor(
+    owners: readonly FormerOwner[],
+    readMs: number,
+    private readonly clock: Clock,
+  ) {
+    this.deadlines = owners.map(({vm, incarnation, startMs, actMs}) => ({
+      vm,
+      incarnation,
+      startUntilMs: readMs + startMs * CLOCK_RATE_FACTOR,
+      actUntilMs: readMs + actMs * CLOCK_RATE_FACTOR,
+    }));
+  }
+
+  /** By when all have surely stopped to start tasks; -Infinity for none. */
+  get startUntilMs(): number {
+    return Math.max(...this.deadlines.map(each => each.startUntilMs));
+  }
+
+  /** By when all have surely stopped acting; -Infinity for none. */
+  get actUntilMs(): number {
+    return Math.max(...this.deadlines.map(each => each.actUntilMs));
+  }
+
+  /**
+   * Records that a VM runs a new process: its earlier ones have ended.
+   *
+   * @returns whether one of the owners could still act until now
+   */
+  recordProcess({vm, incarnation}: OwnerAddress): boolean {
+    const nowMs = this.clock.monotonicMs();
+    const ended = this.deadlines.filter(
+      each =>
+        each.vm === vm &&
+        each.incarnation < incarnation &&
+        each.actUntilMs > nowMs,
+    );
+    for (const each of ended) {
+      each.startUntilMs = Math.min(each.startUntilMs, nowMs);
+      each.actUntilMs = nowMs;
+    }
+    return ended.length > 0;
+  }
+
+  /** The owners that may still act, for the next owner. */
+  describe(): readonly FormerOwner[] {
+    const nowMs = this.clock.monotonicMs();
+    const owners = this.deadlines
+      .filter(({actUntilMs}) => actUntilMs > nowMs)
+      .map(({vm, incarnation, startUntilMs, actUntilMs}) => ({
+        vm,
+        incarnation,
+        startMs: Math.max(0, startUntilMs - nowMs),
+        actMs: actUntilMs - nowMs,
+      }));
+    if (owners.length <= MAX_NAMED_OWNERS) return owners;
+    const unnamed = owners.slice(MAX_NAMED_OWNERS);
+    return [...owners.slice(0, MAX_NAMED_OWNERS), mergeOwners(unnamed)];
+  }
+}
+
+function mergeOwners(owners: readonly FormerOwner[]): FormerOwner {
+  return {
+    vm: '',
+    incarnation: 0,
+    startMs: Math.max(...owners.map(({startMs}) => startMs)),
+    actMs: Math.max(...owners.map(({actMs}) => actMs)),
+  };
+}
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -7,6 +7,8 @@
 export * from './vm.js';
 export * from './job-frontend.js';
 export * from './ownership.js';
+export * from './former-owners.js';
+export * from './last-orders.js';
 export * from './records.js';
 export * from './resource-amounts.js';
 export * from './job-state.js';
--- /dev/null
+++ b/packages/cell/src/last-orders.ts
@@ -0,0 +1,122 @@
+/** What an owner that stops tells the next one about its executors. */
+import {CLOCK_RATE_FACTOR} from './former-owners.js';
+
+/** The most executors that are named in one handover or release. */
+const MAX_NAMED_EXECUTORS = 500;
+
+/** The last orders that owners can have sent; times count to the writing. */
+export interface LastOrders {
+  /** Time since the last order, in ms; negative if some may follow. */
+  readonly agoMs: number;
+  /** How long no read of the executors' records has listed it, in ms. */
+  readonly unlistedForMs: number;
+  /** Its start in the last list that showed it; 0 if none did. */
+  readonly bornMs: number;
+  /** Whether it answered an owner, which thus knew of its restarts. */
+  readonly wasReached: boolean;
+}
+
+/** The last orders to one executor. */
+export interface NamedOrders extends LastOrders {
+  readonly id: string;
+}
+
+/** The last orders to all executors of the cell. */
+export interface OrdersNotice {
+  readonly executors: readonly NamedOrders[];
+  /** For executors that are not named. */
+  readonly others: LastOrders;
+}
+
+/** The last orders, on the clock of the VM that was told of them. */
+export interface OrdersDeadline {
+  /** When the last order was sent at the latest. */
+  readonly untilMs: number;
+  /** Since when the executor is not listed; Infinity if it was. */
+  readonly unlistedMs: number;
+  readonly bornMs: number;
+  readonly wasReached: boolean;
+}
+
+/** Orders of an owner that stops now and knows all that it does not name. */
+const JUST_NOW: LastOrders = {
+  agoMs: 0,
+  unlistedForMs: 0,
+  bornMs: 0,
+  wasReached: true,
+};
+
+/**
+ * Describes the last orders of an owner that has stopped just now.
+ *
+ * @param executors those that do not answer, or whose leases last longer than
+ *     an order gives
+ */
+export function ordersNotice(executors: readonly NamedOrders[]): OrdersNotice {
+  if (executors.length <= MAX_NAMED_EXECUTORS) {
+    return {executors, others: JUST_NOW};
+  }
+  const latestFirst = [...executors].sort((a, b) => a.agoMs - b.agoMs);
+  return {
+    executors: latestFirst.slice(0, MAX_NAMED_EXECUTORS),
+    others: {...JUST_NOW, wasReached: false},
+  };
+}
+
+/** The orders of former owners, as the last one told this one. */
+export class InheritedOrders {
+  private readonly named: ReadonlyMap<string, NamedOrders>;
+
+  /**
+   * @param readMs when the notice was read, on this VM's clock
+   */
+  constructor(
+    private readonly notice: OrdersNotice,
+    private readonly readMs: number,
+  ) {
+    this.named = new Map(notice.executors.map(each => [each.id, each]));
+  }
+
+  /** How much was told, for the log. */
+  get summary(): Readonly<Record<string, unknown>> {
+    const {executors, others} = this.notice;
+    return {
+      namedExecutors: executors.length,
+      areOthersKnown: others.wasReached,
+    };
+  }
+
+  /** The last orders of former owners to the executor. */
+  find(id: string): OrdersDeadline {
+    const orders = this.named.get(id) ?? this.notice.others;
+    const {agoMs, unlistedForMs, bornMs, wasReached} = orders;
+    return {
+      untilMs: this.toLatestMs(agoMs),
+      unlistedMs: unlistedForMs > 0 ? this.toLatestMs(unlistedForMs) : Infinity,
+      bornMs,
+      wasReached,
+    };
+  }
+
+  /** The same notice for the next owner; this one has sent no orders. */
+  describe(nowMs: number): OrdersNotice {
+    const age = <T extends LastOrders>(orders: T): T => ({
+      ...orders,
+      agoMs: nowMs - this.toLatestMs(orders.agoMs),
+      unlistedForMs:
+        orders.unlistedForMs > 0
+          ? nowMs - this.toLatestMs(orders.unlistedForMs)
+          : 0,
+    });
+    return {
+      executors: this.notice.executors.map(age),
+      others: age(this.notice.others),
+    };
+  }
+
+  /** The time of a past event on this VM's clock, however slow that of others. */
+  private toLatestMs(agoMs: number): number {
+    if (agoMs < 0) return this.readMs - agoMs * CLOCK_RATE_FACTOR;
+    return this.readMs - agoMs / CLOCK_RATE_FACTOR;
+  }
+}
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -1,5 +1,7 @@
 /** Messages between the processes of a cell, of which each VM runs one. */
 import type {Ticket} from './executor-client.js';
+import type {FormerOwner} from './former-owners.js';
+import type {OrdersNotice} from './last-orders.js';
 import type {OwnerAddress} from './ownership.js';
 import type {
   KeyedRecord,
@@ -72,6 +74,10 @@
   readonly term: number;
   /** Whether the owners before the sender had surely stopped acting. */
   readonly areFormerStopped: boolean;
+  /** Those that may not have; missing from a sender of an earlier version. */
+  readonly formerOwners?: readonly FormerOwner[];
+  /** The last orders to executors; also missing from an earlier version. */
+  readonly orders?: OrdersNotice;
   /** The end of the owner topic after that write. */
   readonly endOffset: number;
 }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -7,6 +7,11 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
+import {
+  ordersNotice,
+  type NamedOrders,
+  type OrdersNotice,
+} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -67,6 +72,8 @@
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private isActive = false;
+  /** Whether it has loaded the stored state and may have given orders. */
+  private isLoaded = false;
   private isClosed = false;
   private lastStateLogMs = 0;
   private isRoundDue = false;
@@ -167,6 +174,7 @@
     if (!(await this.feed.load())) return false;
     this.deps.publish(this.allRows());
     this.isActive = true;
+    this.isLoaded = true;
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -189,6 +197,23 @@
     this.commit.close();
   }
 
+  /**
+   * What the next owner has to know of this one's orders and of earlier ones;
+   * call it after `close`.
+   *
+   * @returns null if this owner has not started to act
+   */
+  describeOrders(): OrdersNotice | null {
+    if (!this.isLoaded) return null;
+    const nowMs = this.deps.clock.monotonicMs();
+    const executors: NamedOrders[] = [];
+    for (const executor of this.state.executors.values()) {
+      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
+      if (orders !== null) executors.push({id: executor.info.id, ...orders});
+    }
+    return ordersNotice(executors);
+  }
+
   /** Applies a configuration. */
   setConfig(config: CellConfig): void {
     this.state.setConfig(config);
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -2,6 +2,13 @@
 import type {Clock} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import PQueue from 'p-queue';
+import {FormerOwners, type FormerOwner} from './former-owners.js';
+import {
+  InheritedOrders,
+  type OrdersDeadline,
+  type OrdersNotice,
+} from './last-orders.js';
+import type {HandoverNotice} from './messages.js';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
@@ -24,11 +31,15 @@
  */
 export const UNCONNECTED_LEASE_MS = 3000;
 
-/**
- * The time for which an owner acts after another VM has claimed the cell, on
- * that VM's clock: the clocks' rates may differ by 1 %.
- */
-const MAX_SUPERSEDED_MS = UNCONNECTED_LEASE_MS * 1.01;
+/** Assumed delay between writing a handover and receiving its notice, in ms. */
+const MAX_HANDOVER_AGE_MS = 2000;
+/** A former owner of which an earlier version does not say when it stops. */
+const UNKNOWN_OWNER: FormerOwner = {
+  vm: '',
+  incarnation: 0,
+  startMs: START_LEASE_MS,
+  actMs: UNCONNECTED_LEASE_MS,
+};
 const OWNER_KEY = 'cell';
 const HEARTBEAT_TIMEOUT_MS = 1000;
 
@@ -54,6 +65,10 @@
   readonly isReleased: boolean;
   /** Whether all owners of earlier terms had surely stopped acting. */
   readonly areFormerStopped?: boolean;
+  /** Those that may not have; missing in records of earlier versions. */
+  readonly formerOwners?: readonly FormerOwner[];
+  /** Set by a release only: nobody gives orders after it. */
+  readonly orders?: OrdersNotice;
 }
 
 /** The newest record and the offset at which a claim must be appended. */
@@ -91,8 +106,15 @@
   snapshot: OwnerSnapshot,
 ): Promise<Ownership | null> {
   const term = (snapshot.record?.term ?? 0) + 1;
-  const areFormerStopped = haveAllStopped(snapshot.record, self);
-  const record = {...self, term, isReleased: false, areFormerStopped};
+  const formerOwners = formerOwnersOf(snapshot.record, self);
+  const areFormerStopped = formerOwners.length === 0;
+  const record = {
+    ...self,
+    term,
+    isReleased: false,
+    areFormerStopped,
+    formerOwners,
+  };
   const sentMs = clock.monotonicMs();
   try {
     const endOffset = await appendOwnerRecord(
@@ -101,24 +123,36 @@
       snapshot.endOffset,
     );
     const lastWrite = {sentMs, endOffset};
-    return new Ownership(store, clock, record, lastWrite, snapshot.record);
+    const orders = snapshot.record?.isReleased ? snapshot.record.orders : null;
+    return new Ownership(store, clock, record, lastWrite, orders);
   } catch (err) {
     if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
     return null;
   }
 }
 
-/**
- * Whether the owner of the record and all before it have surely stopped: it
- * released the cell, or was an earlier process of the claimant's VM.
- */
-function haveAllStopped(
+/** The owners that may act after the process claims or takes over the cell. */
+function formerOwnersOf(
   record: OwnerRecord | null,
-  {vm}: OwnerAddress,
-): boolean {
-  if (record === null) return true;
-  const hasStopped = record.isReleased || record.vm === vm;
-  return hasStopped && record.areFormerStopped === true;
+  self: OwnerAddress,
+): readonly FormerOwner[] {
+  if (record === null) return [];
+  const earlier = earlierOwners(record).filter(({vm}) => vm !== self.vm);
+  // Earlier processes of this VM have ended.
+  if (record.isReleased || record.vm === self.vm) return earlier;
+  const {vm, incarnation} = record;
+  const startMs = START_LEASE_MS;
+  const actMs = UNCONNECTED_LEASE_MS;
+  return [...earlier, {vm, incarnation, startMs, actMs}];
+}
+
+/** The owners before the one of the record that may still act. */
+function earlierOwners({
+  areFormerStopped,
+  formerOwners,
+}: OwnerRecord | HandoverNotice): readonly FormerOwner[] {
+  if (formerOwners !== undefined) return formerOwners;
+  return areFormerStopped === true ? [] : [UNKNOWN_OWNER];
 }
 
 /**
@@ -137,6 +171,31 @@
   return store.append(OWNER_TOPIC, records, {at, timeoutMs});
 }
 
+/**
+ * Takes the cell over from the sender of the notice.
+ *
+ * @example
+ * const ownership = acceptOwnership(store, clock, self, notice);
+ */
+export function acceptOwnership(
+  store: Store,
+  clock: Clock,
+  self: OwnerAddress,
+  notice: HandoverNotice,
+): Ownership {
+  const {term, endOffset, areFormerStopped, orders} = notice;
+  const earlier = earlierOwners(notice);
+  const record = {
+    ...toAddress(self),
+    term,
+    isReleased: false,
+    areFormerStopped,
+    formerOwners: earlier.filter(({vm}) => vm !== self.vm),
+  };
+  const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
+  return new Ownership(store, clock, record, {sentMs, endOffset}, orders);
+}
+
 /** The owner's last successful write. */
 interface LastWrite {
   /** When it was sent, on the owner's monotonic clock. */
@@ -151,9 +210,9 @@
   private confirmedMs: number;
   private confirmedWallMs: number;
   private isLost = false;
-  /** When all former owners had surely stopped; Infinity if not known. */
-  private stoppedMs: number;
   private readonly startedMs: number;
+  private readonly formerOwners: FormerOwners;
+  private readonly inheritedOrders: InheritedOrders | null;
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
@@ -162,15 +221,20 @@
     private readonly clock: Clock,
     private readonly record: OwnerRecord,
     {sentMs, endOffset}: LastWrite,
-    /** The record that this ownership replaced. */
-    private readonly former: OwnerRecord | null = null,
+    /** The last orders of the owner that released or handed over the cell. */
+    orders: OrdersNotice | null = null,
   ) {
     this.endOffset = endOffset;
     this.confirmedMs = sentMs;
     this.confirmedWallMs = clock.wallMs();
     this.startedMs = clock.monotonicMs();
-    const areFormerStopped = record.areFormerStopped === true;
-    this.stoppedMs = areFormerStopped ? this.startedMs : Infinity;
+    this.formerOwners = new FormerOwners(
+      earlierOwners(record),
+      this.startedMs,
+      clock,
+    );
+    this.inheritedOrders =
+      orders === null ? null : new InheritedOrders(orders, this.startedMs);
   }
 
   /** Fencing token; executors refuse orders with a lower one. */
@@ -178,14 +242,14 @@
     return this.record.term;
   }
 
-  /** The process that owned the cell before, or null. */
-  get formerOwner(): OwnerAddress | null {
-    return this.former;
-  }
-
   /** By when, on the monotonic clock, former owners have stopped acting. */
   get formerActUntilMs(): number {
-    return Math.min(this.stoppedMs, this.startedMs + MAX_SUPERSEDED_MS);
+    return Math.max(this.startedMs, this.formerOwners.actUntilMs);
+  }
+
+  /** By when, on the monotonic clock, former owners start nothing more. */
+  get formerStartUntilMs(): number {
+    return Math.max(this.startedMs, this.formerOwners.startUntilMs);
   }
 
   /** Whether all former owners have surely stopped acting. */
@@ -193,26 +257,43 @@
     return this.clock.monotonicMs() >= this.formerActUntilMs;
   }
 
+  /** Records that a VM runs a new process; see {@link FormerOwners}. */
+  recordProcess(address: OwnerAddress): boolean {
+    return this.formerOwners.recordProcess(address);
+  }
+
+  /** The last orders of former owners to the executor. */
+  formerOrders(executorId: string): OrdersDeadline {
+    const inherited = this.inheritedOrders?.find(executorId);
+    const untilMs = this.formerActUntilMs;
+    if (inherited === undefined) {
+      return {untilMs, unlistedMs: Infinity, bornMs: 0, wasReached: false};
+    }
+    const {actUntilMs} = this.formerOwners;
+    // An owner that may still act does so also after the one that handed over.
+    if (actUntilMs <= inherited.untilMs) return inherited;
+    return {...inherited, untilMs: actUntilMs, wasReached: false};
+  }
+
   /** What this owner knows of former ones, for the log. */
   describeTakeover(): Readonly<Record<string, unknown>> {
-    const leftMs = this.formerActUntilMs - this.clock.monotonicMs();
+    const nowMs = this.clock.monotonicMs();
     return {
       areFormerStopped: this.areFormerStopped,
-      formerActMs: Math.round(Math.max(0, leftMs)),
+      formerActMs: Math.round(Math.max(0, this.formerActUntilMs - nowMs)),
+      ...this.inheritedOrders?.summary,
     };
   }
 
-  /**
-   * Records that a VM runs a new process, which has just connected.
-   *
-   * @returns whether this shows that the former owners have stopped
-   */
-  recordProcess({vm, incarnation}: OwnerAddress): boolean {
-    const {former} = this;
-    if (former?.vm !== vm || former.incarnation >= incarnation) return false;
-    if (former.areFormerStopped !== true || this.areFormerStopped) return false;
-    this.stoppedMs = this.clock.monotonicMs();
-    return true;
+  /** What the next owner has to know if this one has sent no orders. */
+  describeFormerOrders(): OrdersNotice {
+    const nowMs = this.clock.monotonicMs();
+    if (this.inheritedOrders !== null) {
+      return this.inheritedOrders.describe(nowMs);
+    }
+    const agoMs = nowMs - this.formerActUntilMs;
+    const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
+    return {executors: [], others};
   }
 
   /** Whether the ownership has ended: released, handed over or superseded. */
@@ -263,18 +344,43 @@
       areFormerStopped,
     };
     await this.writes.onIdle();
+    const formerOwners = this.formerOwners.describe();
     try {
-      return await appendOwnerRecord(this.store, record, this.endOffset);
+      return await appendOwnerRecord(
+        this.store,
+        {...record, formerOwners},
+        this.endOffset,
+      );
     } catch (err) {
       if (err instanceof StoreError) return -1;
       throw err;
     }
   }
 
-  /** Releases the cell; the caller must have stopped acting. */
-  async release(): Promise<void> {
+  /** The notice to the successor, once the handover is stored. */
+  handoverNotice(endOffset: number, orders: OrdersNotice): HandoverNotice {
+    return {
+      type: 'handover',
+      term: this.record.term + 1,
+      areFormerStopped: this.areFormerStopped,
+      formerOwners: this.formerOwners.describe(),
+      orders,
+      endOffset,
+    };
+  }
+
+  /**
+   * Releases the cell; the caller must have stopped acting.
+   *
+   * @param orders the last orders that this owner and former ones have sent
+   */
+  async release(orders?: OrdersNotice): Promise<void> {
     this.isLost = true;
-    const record = {...this.record, isReleased: true};
+    const record = {
+      ...this.record,
+      isReleased: true,
+      orders: orders ?? this.describeFormerOrders(),
+    };
     await this.writes.add(() => this.write(record));
   }
 
@@ -284,7 +390,11 @@
     try {
       this.endOffset = await appendOwnerRecord(
         this.store,
-        {...record, areFormerStopped: this.areFormerStopped},
+        {
+          ...record,
+          areFormerStopped: this.areFormerStopped,
+          formerOwners: this.formerOwners.describe(),
+        },
         this.endOffset,
       );
       this.confirmedMs = sentMs;
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -102,6 +102,7 @@
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
         stopActing: () => this.owner?.close(),
+        describeOrders: () => this.owner?.describeOrders() ?? null,
         discardOwner: () => {
           this.owner = null;
         },
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -63,6 +63,7 @@
           return Promise.resolve(true);
         },
         stopActing: () => undefined,
+        describeOrders: () => null,
         discardOwner: () => undefined,
         setDetached: () => undefined,
         announce: () => undefined,
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -36,6 +36,16 @@
   | {readonly kind: 'cancel'; readonly job: number}
   | {readonly kind: 'kill'}
   | {readonly kind: 'supersede'}
+  /** The owner hands over in an orderly way, some time after it has stopped. */
+  | {
+      readonly kind: 'handOver';
+      readonly pauseMs: number;
+      readonly isNoticeLost: boolean;
+    }
+  /** The owner releases the cell, and another VM claims it. */
+  | {readonly kind: 'release'}
+  /** VMs whose process was killed run a new one, which connects. */
+  | {readonly kind: 'restartVms'}
   | {readonly kind: 'disconnectOwner'; readonly isDisconnected: boolean}
   | {readonly kind: 'store'; readonly isRefusing: boolean}
   | {readonly kind: 'loseAnswers'; readonly count: number}
@@ -84,6 +94,16 @@
   fc.record({kind: fc.constant('cancel' as const), job: fc.nat({max: 8})}),
   fc.record({kind: fc.constant('kill' as const)}),
   fc.record({kind: fc.constant('supersede' as const)}),
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('handOver' as const),
+      pauseMs: fc.constantFrom(0, 0, 300, 2000),
+      isNoticeLost: fc.constantFrom(false, false, true),
+    }),
+  },
+  fc.record({kind: fc.constant('release' as const)}),
+  fc.record({kind: fc.constant('restartVms' as const)}),
   fc.record({
     kind: fc.constant('disconnectOwner' as const),
     isDisconnected: fc.boolean(),
@@ -180,6 +200,12 @@
         return;
       case 'supersede':
         return this.supersede();
+      case 'handOver':
+        return this.handOver(fault.pauseMs, fault.isNoticeLost);
+      case 'release':
+        return this.release();
+      case 'restartVms':
+        return this.restartVms();
       case 'disconnectOwner':
         this.newest().isDisconnected = fault.isDisconnected;
         return;
@@ -269,16 +295,51 @@
     await this.claim();
   }
 
+  private async handOver(
+    pauseMs: number,
+    isNoticeLost: boolean,
+  ): Promise<void> {
+    const former = this.newest();
+    const node = this.addNode();
+    const options = {pauseMs, isNoticeLost};
+    void ignoringStore(this.rig.handOver(former, node, options));
+    await this.rig.run(pauseMs + 100);
+    if (!isNoticeLost) return;
+    // It finds its own record in the store and claims the cell.
+    await this.rig.run(HEARTBEAT_WAIT_MS);
+    void ignoringStore(this.rig.claim(node));
+    await this.rig.run(100);
+  }
+
+  private async release(): Promise<void> {
+    void ignoringStore(this.rig.release(this.newest()));
+    await this.rig.run(100);
+    await this.claim();
+  }
+
+  private restartVms(): void {
+    const {ownership} = this.newest();
+    for (const {vm, incarnation, isKilled} of this.nodes) {
+      const process = {vm, ip: '', port: 0, incarnation: incarnation + 1};
+      if (isKilled) ownership?.recordProcess(process);
+    }
+  }
+
   private newest(): CellNode {
     const node = this.nodes.at(-1);
     if (node === undefined) throw new Error('no node');
     return node;
   }
 
-  private async claim(): Promise<void> {
+  private addNode(): CellNode {
     const node = this.rig.newNode(`v${this.nodes.length}`);
     for (const id of this.hidden) node.unreachable.add(id);
     this.nodes.push(node);
+    return node;
+  }
+
+  private async claim(): Promise<void> {
+    const node = this.addNode();
     const claimed = ignoringStore(this.rig.claim(node));
     await this.rig.run(100);
     void claimed;
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -1,6 +1,7 @@
 /** Owners, executors and a store on one clock that the test advances. */
 import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
+  acceptOwnership,
   claimCell,
   encodeJob,
   jobKey,
@@ -8,7 +9,6 @@
   cancelKey,
   Owner,
   OWNER_HEARTBEAT_MS,
-  Ownership,
   Platform,
   readOwner,
   RelayedStore,
@@ -19,6 +19,7 @@
   type ExecutorInfo,
   type JobRow,
   type OwnerAddress,
+  type Ownership,
   type StoredRecord,
   type Queue,
   type StepSpec,
@@ -213,21 +214,35 @@
     return this.act(node, ownership);
   }
 
-  /** Hands the cell over in an orderly way; false if that is not certain. */
-  async handOver(from: CellNode, to: CellNode): Promise<boolean> {
+  /**
+   * Hands the cell over in an orderly way.
+   *
+   * @param pauseMs how long the process is frozen before it writes
+   * @returns false if that is not certain or the notice is lost
+   */
+  async handOver(
+    from: CellNode,
+    to: CellNode,
+    {pauseMs = 0, isNoticeLost = false} = {},
+  ): Promise<boolean> {
     const {owner, ownership} = from;
     if (owner === null || ownership === null) return false;
     owner.close();
+    const orders = owner.describeOrders() ?? ownership.describeFormerOrders();
+    await this.clock.sleep(pauseMs);
     const self = addressOf(to);
     const endOffset = await ownership.handOver(self);
-    if (endOffset < 0 || to.isKilled) return false;
-    const {areFormerStopped} = ownership;
-    const term = ownership.term + 1;
-    const record = {...self, term, isReleased: false, areFormerStopped};
-    const sentMs = this.clock.monotonicMs();
-    const lastWrite = {sentMs, endOffset};
-    const next = new Ownership(to.store, this.clock, record, lastWrite);
-    return this.act(to, next);
+    if (endOffset < 0 || isNoticeLost || to.isKilled) return false;
+    const notice = ownership.handoverNotice(endOffset, orders);
+    return this.act(to, acceptOwnership(to.store, this.clock, self, notice));
+  }
+
+  /** Releases the cell. */
+  async release({owner, ownership}: CellNode): Promise<void> {
+    if (owner === null || ownership === null) return;
+    owner.close();
+    const orders = owner.describeOrders() ?? undefined;
+    await ownership.release(orders);
   }
 
   private async act(node: CellNode, ownership: Ownership): Promise<boolean> {
