Tell the orders of stopped owners apart from those of others

The last order of owners that have stopped and the owners that were not seen to stop are now told separately; an owner that has passed its time is named for 20 s more, since nothing else says that its orders came so late.

Further tests of chains: releases, an owner that stops while it loads, a lost notice, an owner that died after it was told, limits, records of earlier versions, the cap. They passed before too.

--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -218,7 +218,8 @@
     }
     // It has moved under this owner, which gave it orders before.
     if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
-    const {untilMs, wasReached} = this.formerOrders(executor);
+    const {ownership} = this.takeover;
+    const {untilMs, wasReached} = ownership.stoppedOrders(executor.info.id);
     const unlistedMs = this.unlistedMs.get(executor) ?? nowMs;
     return {
       agoMs: nowMs - untilMs,
--- a/packages/cell/src/former-owners.ts
+++ b/packages/cell/src/former-owners.ts
@@ -1,4 +1,4 @@
-/** The owners of earlier terms that may still act. */
+/** The owners of earlier terms that were not seen to stop. */
 import type {Clock} from '@dragonflyward/common';
 import type {OwnerAddress} from './ownership.js';
 
@@ -6,8 +6,13 @@
 export const CLOCK_RATE_FACTOR = 1.03;
 /** The most owners that are named; the others are kept as one. */
 const MAX_NAMED_OWNERS = 8;
+/** An owner that stopped this long ago has no lease left, in ms. */
+const FORGET_AFTER_MS = 20_000;
 
-/** An owner that may still act; times are in ms from when this was written. */
+/**
+ * An owner that was not seen to stop. Times are in ms from when this was
+ * written, and negative if they have passed.
+ */
 export interface FormerOwner {
   /** Empty for one whose VM is not known. */
   readonly vm: string;
@@ -25,6 +30,17 @@
   actUntilMs: number;
 }
 
+/**
+ * A time to come, or one that has passed if negative, as it may at most be on
+ * the clock of another VM.
+ *
+ * @example
+ * const untilMs = nowMs + stretchTime(leftMs);
+ */
+export function stretchTime(ms: number): number {
+  return ms > 0 ? ms * CLOCK_RATE_FACTOR : ms / CLOCK_RATE_FACTOR;
+}
+
 /** Follows until when former owners may act, on this VM's clock. */
 export class FormerOwners {
   private readonly deadlines: readonly Deadline[];
@@ -40,8 +56,8 @@
     this.deadlines = owners.map(({vm, incarnation, startMs, actMs}) => ({
       vm,
       incarnation,
-      startUntilMs: readMs + startMs * CLOCK_RATE_FACTOR,
-      actUntilMs: readMs + actMs * CLOCK_RATE_FACTOR,
+      startUntilMs: readMs + stretchTime(startMs),
+      actUntilMs: readMs + stretchTime(actMs),
     }));
   }
 
@@ -75,15 +91,15 @@
     return ended.length > 0;
   }
 
-  /** The owners that may still act, for the next owner. */
+  /** What the next owner has to know of them. */
   describe(): readonly FormerOwner[] {
     const nowMs = this.clock.monotonicMs();
     const owners = this.deadlines
-      .filter(({actUntilMs}) => actUntilMs > nowMs)
+      .filter(({actUntilMs}) => actUntilMs + FORGET_AFTER_MS > nowMs)
       .map(({vm, incarnation, startUntilMs, actUntilMs}) => ({
         vm,
         incarnation,
-        startMs: Math.max(0, startUntilMs - nowMs),
+        startMs: startUntilMs - nowMs,
         actMs: actUntilMs - nowMs,
       }));
     if (owners.length <= MAX_NAMED_OWNERS) return owners;
--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -1,5 +1,5 @@
 /** What an owner that stops tells the next one about its executors. */
-import {CLOCK_RATE_FACTOR} from './former-owners.js';
+import {stretchTime} from './former-owners.js';
 
 /** The most executors that are named in one handover or release. */
 const MAX_NAMED_EXECUTORS = 500;
@@ -114,9 +114,7 @@
     };
   }
 
-  /** The time of a past event on this VM's clock, however slow that of others. */
   private toLatestMs(agoMs: number): number {
-    if (agoMs < 0) return this.readMs - agoMs * CLOCK_RATE_FACTOR;
-    return this.readMs - agoMs / CLOCK_RATE_FACTOR;
+    return this.readMs + stretchTime(-agoMs);
   }
 }
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -107,7 +107,7 @@
 ): Promise<Ownership | null> {
   const term = (snapshot.record?.term ?? 0) + 1;
   const formerOwners = formerOwnersOf(snapshot.record, self);
-  const areFormerStopped = formerOwners.length === 0;
+  const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
   const record = {
     ...self,
     term,
@@ -264,15 +264,22 @@
 
   /** The last orders of former owners to the executor. */
   formerOrders(executorId: string): OrdersDeadline {
-    const inherited = this.inheritedOrders?.find(executorId);
-    const untilMs = this.formerActUntilMs;
-    if (inherited === undefined) {
-      return {untilMs, unlistedMs: Infinity, bornMs: 0, wasReached: false};
-    }
+    const stopped = this.stoppedOrders(executorId);
     const {actUntilMs} = this.formerOwners;
-    // An owner that may still act does so also after the one that handed over.
-    if (actUntilMs <= inherited.untilMs) return inherited;
-    return {...inherited, untilMs: actUntilMs, wasReached: false};
+    if (actUntilMs <= stopped.untilMs) return stopped;
+    return {...stopped, untilMs: actUntilMs, wasReached: false};
+  }
+
+  /** The same without the owners that were not seen to stop. */
+  stoppedOrders(executorId: string): OrdersDeadline {
+    return (
+      this.inheritedOrders?.find(executorId) ?? {
+        untilMs: this.startedMs,
+        unlistedMs: Infinity,
+        bornMs: 0,
+        wasReached: false,
+      }
+    );
   }
 
   /** What this owner knows of former ones, for the log. */
@@ -291,7 +298,7 @@
     if (this.inheritedOrders !== null) {
       return this.inheritedOrders.describe(nowMs);
     }
-    const agoMs = nowMs - this.formerActUntilMs;
+    const agoMs = nowMs - this.startedMs;
     const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
     return {executors: [], others};
   }
--- a/packages/cell/test/owner-chain.test.ts
+++ b/packages/cell/test/owner-chain.test.ts
@@ -1,7 +1,15 @@
 /** How long tasks wait while the cell changes its owner several times. */
+import {
+  acceptOwnership,
+  InheritedOrders,
+  ordersNotice,
+  UNCONNECTED_LEASE_MS,
+} from '@dragonflyward/cell';
+import {ManualClock} from '@dragonflyward/common';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {Rig, STEP, type CellNode} from './rig.js';
+import {MemoryStore, StoreClient} from './memory-store.js';
+import {CONFIG, Rig, STEP, type CellNode} from './rig.js';
 
 const LONG_RUN_MS = 600_000;
 /** By then, no executor counts as having just started, in ms. */
@@ -26,8 +34,8 @@
 }
 
 /** An owner under which a task runs on x1, and none on x3. */
-async function startOwner(): Promise<Chain> {
-  const rig = new Rig(4, () => ({ms: LONG_RUN_MS, how: 'failed'}));
+async function startOwner(config = CONFIG): Promise<Chain> {
+  const rig = new Rig(4, () => ({ms: LONG_RUN_MS, how: 'failed'}), config);
   const owner = rig.newNode('v0');
   void rig.claim(owner);
   await rig.run(START_AGE_MS);
@@ -101,4 +109,216 @@
   },
 );
 
+chain('restarts a lasting task after releases of the cell', async () => {
+  const started = await startOwner();
+  const {rig} = started;
+  rig.executor('x1').crash();
+  await rig.run(300);
+  const releaseMs = rig.clock.monotonicMs();
+  let owner = started.owner;
+  for (const vm of ['v1', 'v2', 'v3']) {
+    void rig.release(owner);
+    await rig.run(100);
+    owner = rig.newNode(vm);
+    void rig.claim(owner);
+    await rig.run(1900);
+  }
+  await expectRunBy(started, releaseMs, LEASE_MS + START_MS);
+});
+
+// An owner that has not loaded the state yet knows only what it was told.
+chain('restarts a lasting task if an owner stops while it loads', async () => {
+  const started = await startOwner();
+  const {rig, owner} = started;
+  rig.executor('x1').crash();
+  await rig.run(1000);
+  const handoverMs = rig.clock.monotonicMs();
+  const second = rig.newNode('v1');
+  second.store.faults.delayMs = 1200;
+  void rig.handOver(owner, second);
+  await rig.run(500);
+  const isLoaded = rig.logLines.some(l => l.includes(' v1 ownerActive '));
+  assert.is(isLoaded, false);
+  second.store.faults.delayMs = 10;
+  await handOverAlong(rig, second, ['v2', 'v3'], 2000);
+  await expectRunBy(started, handoverMs, LEASE_MS + START_MS);
+});
+
+// Its VM runs a new process, which connects to the third owner.
+chain('waits less once a killed owner before the last one ended', async () => {
+  const started = await startOwner();
+  const {rig, owner} = started;
+  rig.executor('x1').crash();
+  await rig.run(300);
+  rig.kill(owner);
+  await rig.run(CLAIM_DELAY_MS);
+  const claimMs = rig.clock.monotonicMs();
+  const second = rig.newNode('v1');
+  void rig.claim(second);
+  await rig.run(300);
+  const third = await handOverAlong(rig, second, ['v2'], 200);
+  const process = {vm: 'v0', ip: '', port: 0, incarnation: 9};
+  assert.is(third.ownership?.recordProcess(process), true);
+  assert.is(third.ownership?.recordProcess(process), false);
+  await expectRunBy(started, claimMs, 500 + LEASE_MS + START_MS);
+});
+
+// The run goes on where no owner of the chain looks, until its lease ends.
+for (const silentMs of [200, 1500]) {
+  for (const intervalMs of [150, 700, 2500]) {
+    const when = `${silentMs} ms before handovers each ${intervalMs} ms`;
+    chain(`starts no second run, silent ${when}`, async () => {
+      const started = await startOwner();
+      const {rig, owner, task} = started;
+      rig.executor('x1').isDisconnected = true;
+      await rig.run(silentMs);
+      await handOverAlong(rig, owner, ['v1', 'v2', 'v3'], intervalMs);
+      await rig.run(2 * LEASE_MS);
+      assert.equal(rig.checker.violations, []);
+      assert.is(rig.executor('x1').runs.has(task), false);
+      assert.is(countRuns(rig, task), 1);
+    });
+  }
+}
+
+// The killed owner's run goes on, and so may the owner itself.
+chain('starts no second run after a kill and handovers', async () => {
+  const started = await startOwner();
+  const {rig, owner, task} = started;
+  // From now on, only the first owner reaches x1, and nothing else.
+  owner.store.faults.isRefusing = true;
+  for (const id of ['x0', 'x2', 'x3']) owner.unreachable.add(id);
+  await rig.run(CLAIM_DELAY_MS);
+  let last = rig.newNode('v1');
+  last.unreachable.add('x1');
+  void rig.claim(last);
+  await rig.run(300);
+  for (const vm of ['v2', 'v3', 'v4']) {
+    const next = rig.newNode(vm);
+    next.unreachable.add('x1');
+    void rig.handOver(last, next);
+    await rig.run(1000);
+    last = next;
+  }
+  await rig.run(2 * LEASE_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
+// The second owner acted before it was killed; what it was told is outdated.
+chain(
+  'starts no second run of an owner that died after a handover',
+  async () => {
+    const started = await startOwner();
+    const {rig, owner, task} = started;
+    rig.executor('x1').crash();
+    await rig.run(300);
+    const second = rig.newNode('v1');
+    void rig.handOver(owner, second);
+    await rig.run(LEASE_MS + START_MS);
+    assert.is(rig.executor('x3').runs.has(task), true);
+    rig.executor('x3').isDisconnected = true;
+    rig.executor('x1').recover();
+    rig.kill(second);
+    const third = rig.newNode('v1');
+    void rig.claim(third);
+    await rig.run(2 * LEASE_MS);
+    assert.equal(rig.checker.violations, []);
+    assert.is(countRuns(rig, task), 1);
+  },
+);
+
+chain('starts no second run if the notice of a handover is lost', async () => {
+  const started = await startOwner();
+  const {rig, owner, task} = started;
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(200);
+  const second = rig.newNode('v1');
+  void rig.handOver(owner, second, {isNoticeLost: true});
+  await rig.run(CLAIM_DELAY_MS);
+  void rig.claim(second);
+  await rig.run(3 * LEASE_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
+// A task that may still run on x1 uses the limit until its lease has ended.
+chain('counts a task that may run towards the limit', async () => {
+  const started = await startOwner({
+    ...CONFIG,
+    organisations: [
+      {
+        name: '',
+        weight: 1,
+        limit: {cpuMilli: 3000, memMb: 0, accel: 0, slots: 0},
+      },
+    ],
+  });
+  const {rig, owner} = started;
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(200);
+  const last = await handOverAlong(rig, owner, ['v1', 'v2'], 1000);
+  rig.submit('late', [LASTING], [last]);
+  let most = 0;
+  for (let passedMs = 0; passedMs < 2 * LEASE_MS; passedMs += 50) {
+    await rig.run(50);
+    const runs = rig.executors.map(each => each.runs.size);
+    most = Math.max(
+      most,
+      runs.reduce((sum, each) => sum + each, 0),
+    );
+  }
+  assert.is(most, 3);
+  assert.equal(rig.checker.violations, []);
+});
+
+const notices = suite('notices of an owner that stops');
+
+const NOTICE = {type: 'handover', term: 2, endOffset: 1} as const;
+const SELF = {vm: 'v1', ip: '', port: 0, incarnation: 1};
+
+notices('gives the longest bounds for one of an earlier version', () => {
+  const clock = new ManualClock(0);
+  const store = new StoreClient(new MemoryStore(), clock);
+  const notice = {...NOTICE, areFormerStopped: false};
+  const ownership = acceptOwnership(store, clock, SELF, notice);
+  const {untilMs, wasReached} = ownership.formerOrders('x0');
+  assert.ok(untilMs >= UNCONNECTED_LEASE_MS, `${untilMs} ms`);
+  assert.is(wasReached, false);
+});
+
+notices('gives longer bounds for executors beyond the cap', () => {
+  const orders = {agoMs: 5000, unlistedForMs: 0, bornMs: 1, wasReached: true};
+  const executors = Array.from({length: 600}, (_, i) => ({
+    ...orders,
+    id: `x${i}`,
+    agoMs: i,
+  }));
+  const notice = ordersNotice(executors);
+  assert.is(notice.executors.length, 500);
+  assert.is(Math.max(...notice.executors.map(({agoMs}) => agoMs)), 499);
+  assert.equal(notice.others, {
+    agoMs: 0,
+    unlistedForMs: 0,
+    bornMs: 0,
+    wasReached: false,
+  });
+  assert.is(ordersNotice(executors.slice(0, 9)).others.wasReached, true);
+});
+
+notices('never gives a shorter bound than the time that was told', () => {
+  const executors = [
+    {id: 'a', agoMs: 4000, unlistedForMs: 0, bornMs: 0, wasReached: true},
+    {id: 'b', agoMs: -2000, unlistedForMs: 100, bornMs: 0, wasReached: false},
+  ];
+  const inherited = new InheritedOrders(ordersNotice(executors), 10_000);
+  assert.ok(inherited.find('a').untilMs >= 6000);
+  assert.ok(inherited.find('b').untilMs >= 12_000);
+  assert.ok(inherited.find('b').unlistedMs >= 9900);
+  const next = new InheritedOrders(inherited.describe(11_000), 11_000);
+  assert.ok(next.find('a').untilMs >= inherited.find('a').untilMs);
+  assert.ok(next.find('b').untilMs >= inherited.find('b').untilMs);
+});
+
 chain.run();
+notices.run();
