Hand the cell to a VM that the roll has passed

Callers saw one pause after the other while VMs were restarted in turn: an owner that shut down gave the cell to a VM whose turn came next.

Cause: chooseSuccessor ranked by cores and failure domain only. Now an owner prefers, among equal cores, a VM that it has itself seen shut down and come back within 10 minutes. An owner is connected to all VMs, so it sees their last heartbeats and their next process. No wall clock of another machine is used. A VM that came back from a crash is not preferred: it may crash again, and nothing shows that a roll has passed it. VMs without a configuration, as those that have just started, come last.

Ruled out: the age of each process, told in its hello. It needs no evidence of the owner, but a VM that crashes again and again would always be the youngest.

In a roll that is faster than a restart, the first handovers stay a matter of luck.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -14,6 +14,7 @@
 } from './ownership.js';
 import type {LogFunction} from './platform.js';
 import {StoreError, type Store} from './store.js';
+import {chooseSuccessor} from './successor.js';
 
 /** Time between two checks of the owner, in ms. */
 const WATCH_INTERVAL_MS = 100;
@@ -219,15 +220,10 @@
     this.deps.log('ownerStopped', {});
   }
 
-  /** The best successor: the VM with most cores, then one in this domain. */
   private chooseSuccessor(): Member | null {
-    const candidates = [...this.deps.members.connected()].filter(
-      ({isStoreOk, isDraining}) => isStoreOk && !isDraining,
-    );
-    const isRemote = ({domain}: Member): number =>
-      Number(domain !== this.deps.domain);
-    candidates.sort((a, b) => b.cores - a.cores || isRemote(a) - isRemote(b));
-    return candidates[0] ?? null;
+    const {members, domain, clock} = this.deps;
+    const nowMs = clock.monotonicMs();
+    return chooseSuccessor(members.connected(), {domain, nowMs});
   }
 
   /** Hands the cell over to a VM that is much larger than this one. */
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -30,5 +30,6 @@
 export * from './election.js';
 export * from './messages.js';
 export * from './members.js';
+export * from './successor.js';
 export * from './owner.js';
 export * from './executor-loop.js';
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -48,6 +48,10 @@
   readonly cores: number;
   isStoreOk: boolean;
   isDraining: boolean;
+  /** The version of its configuration; -1 before the first or if not known. */
+  configVersion: number;
+  /** When it came back after it had shut down; -Infinity if not seen. */
+  readonly restartedMs: number;
   /** The term of the owner that the VM is connected to, or 0. */
   connectedOwnerTerm: number;
   /** When the last heartbeat arrived. */
@@ -60,6 +64,10 @@
   private readonly members = new Map<CellConnection, Member>();
   /** When each VM last sent a heartbeat, on the monotonic clock. */
   private readonly lastSeenMs = new Map<string, number>();
+  /** The process of each VM that was seen to shut down, by incarnation. */
+  private readonly drained = new Map<string, number>();
+  /** When a new process of such a VM was seen, on the monotonic clock. */
+  private readonly restartedMs = new Map<string, number>();
   private knownMembers: readonly OwnerAddress[] = [];
   private owner: OwnerAddress | null = null;
   private server: Server | null = null;
@@ -104,9 +112,12 @@
     const {info} = connection;
     if (info === undefined) return;
     const {self: address, domain, cores} = info;
+    this.recordRestart(address);
     const defaults = {
       isStoreOk: true,
       isDraining: false,
+      configVersion: -1,
+      restartedMs: this.restartedMs.get(address.vm) ?? -Infinity,
       connectedOwnerTerm: 0,
       heartbeatAt: this.now(),
     };
@@ -126,12 +137,22 @@
       if (member.address.vm !== vm) continue;
       member.isStoreOk = heartbeat.isStoreOk;
       member.isDraining = heartbeat.isDraining;
+      member.configVersion = heartbeat.configVersion;
+      if (member.isDraining) this.drained.set(vm, member.address.incarnation);
       member.connectedOwnerTerm = heartbeat.isOwnerSeen ? heartbeat.term : 0;
       member.heartbeatAt = this.now();
       this.lastSeenMs.set(vm, this.clock.monotonicMs());
     }
   }
 
+  /** Records that a VM is back after it had shut down. */
+  private recordRestart({vm, incarnation}: OwnerAddress): void {
+    const drained = this.drained.get(vm);
+    if (drained === undefined || drained === incarnation) return;
+    this.drained.delete(vm);
+    this.restartedMs.set(vm, this.clock.monotonicMs());
+  }
+
   /** Whether a connected VM is connected to an owner of this term or later. */
   isOwnerSeen(term: number): boolean {
     return [...this.connected()].some(
--- /dev/null
+++ b/packages/cell/src/successor.ts
@@ -0,0 +1,42 @@
+/** Chooses the VM to which an owner hands the cell. */
+import type {Member} from './members.js';
+
+/** Time within which a VM that has restarted is not restarted again, in ms. */
+const ROLL_MS = 600_000;
+
+/** The owner that hands the cell over. */
+export interface Predecessor {
+  readonly domain: string;
+  /** The time on its monotonic clock. */
+  readonly nowMs: number;
+}
+
+/**
+ * Returns the best successor, or null for none: a VM that knows the
+ * configuration, then the one with most cores, then one that was seen to shut
+ * down and start again lately, then one in the domain of the owner.
+ *
+ * @example
+ * const successor = chooseSuccessor(members.connected(), {domain, nowMs});
+ */
+export function chooseSuccessor(
+  members: Iterable<Member>,
+  {domain, nowMs}: Predecessor,
+): Member | null {
+  const ranked = [...members]
+    .filter(({isStoreOk, isDraining}) => isStoreOk && !isDraining)
+    .map(member => ({
+      member,
+      isLocal: member.domain === domain,
+      isConfigured: member.configVersion >= 0,
+      isRestarted: nowMs - member.restartedMs < ROLL_MS,
+    }));
+  ranked.sort(
+    (a, b) =>
+      Number(b.isConfigured) - Number(a.isConfigured) ||
+      b.member.cores - a.member.cores ||
+      Number(b.isRestarted) - Number(a.isRestarted) ||
+      Number(b.isLocal) - Number(a.isLocal),
+  );
+  return ranked[0]?.member ?? null;
+}
