Announce at once that a VM shuts down

Callers saw two pauses where an owner got SIGTERM less than 0.5 s after the VM that it then chose as its successor: only the next heartbeat said that this VM was shutting down, and it released the cell as soon as it got it.

The VM now sends its state to the others when it is told to stop. What remains is the time that the message needs.

The new test failed before:

"hands no cell to a VM that was told to stop just before" Expected 2, Actual 3 owners: the VM got the cell, and another one claimed it

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -55,7 +55,7 @@
   readonly discardOwner: () => void;
   /** Called when the VM has had no owner for a while, or has one again. */
   readonly setDetached: (isDetached: boolean) => void;
-  /** Sends the owner known here to the other VMs. */
+  /** Sends the owner known here, and the VM's state, to the other VMs. */
   readonly announce: () => void;
 }
 
@@ -158,7 +158,8 @@
   async drain(): Promise<void> {
     this.isDrainStarted = true;
     const {ownership} = this;
-    if (ownership === null) return;
+    // Until the others know, an owner may choose this VM as its successor.
+    if (ownership === null) return this.host.announce();
     this.host.stopActing();
     const successor = this.chooseSuccessor();
     this.deps.log('ownerHandsOver', {
--- a/packages/cell/test/roll.test.ts
+++ b/packages/cell/test/roll.test.ts
@@ -96,6 +96,10 @@
     this.cell.disconnect(this);
   }
 
+  clockMs(): number {
+    return this.cell.clock.monotonicMs();
+  }
+
   receive(from: Process, notice: CellProtocol['notice']): void {
     if (!this.isRunning) return;
     if (notice.type === 'handover') this.election.acceptHandover(notice);
@@ -272,6 +276,28 @@
   assert.ok(Math.max(...changes) <= 2, `changes of the owner: ${changes}`);
 });
 
+/** The VM that the owner would hand the cell to. */
+function nextOwner({owner}: Cell): string {
+  assert.ok(owner);
+  const {domain} = owner.spec;
+  const nowMs = owner.clockMs();
+  const members = owner.members.connected();
+  return chooseSuccessor(members, {domain, nowMs})?.address.vm ?? '';
+}
+
+rolls('hands no cell to a VM that was told to stop just before', async () => {
+  const cell = await startCell();
+  const leaving = nextOwner(cell);
+  const before = cell.owners.length;
+  void cell.restart(leaving);
+  // Shorter than the time to its next heartbeat.
+  await cell.clock.advance(HEARTBEAT_PERIOD_MS / 5);
+  void cell.restart(cell.owner?.spec.vm ?? '');
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.owners.length, before + 1);
+  assert.is.not(cell.owner?.spec.vm, leaving);
+});
+
 // It may crash again, and a crash does not show that a roll has passed it.
 rolls('does not prefer a VM that came back from a crash', async () => {
   const cell = await startCell();
