Hand the cell to a VM whose heartbeats arrive

Callers saw a pause of more than a second where an owner handed the cell to a VM that had just lost power: its connection counts as open until it has been silent for 1.5 s, and the others had to notice that the new owner writes nothing. Its end can't be told from a cut, so tasks may then wait for former owners' leases as well.

Heartbeats come every 500 ms. A VM whose last one is older than 0.9 s ranks behind all others, as one without a configuration does. It is not excluded: where the owner itself stood still, all heartbeats are old.

The new test failed before:

"hands no cell to a VM that has just lost power" Expected 1, Actual 2 claims

A second test, of a handover whose notice is lost, passed before: the successor learns from the others' heartbeats that it is the owner, and claims the cell. All 158 tests of packages/cell pass.

--- a/packages/cell/src/successor.ts
+++ b/packages/cell/src/successor.ts
@@ -1,6 +1,8 @@
 /** Chooses the VM to which an owner hands the cell. */
 import type {Member} from './members.js';
 
+/** A VM without a heartbeat for nearly two periods may be gone, in ms. */
+const MAX_SILENCE_MS = 900;
 /** Time within which a VM that has restarted is not restarted again, in ms. */
 const ROLL_MS = 600_000;
 
@@ -12,9 +14,9 @@
 }
 
 /**
- * Returns the best successor, or null for none: a VM that knows the
- * configuration, then the one with most cores, then one that was seen to shut
- * down and start again lately, then one in the domain of the owner.
+ * Returns the best successor, or null for none: a VM that can act at once, then
+ * the one with most cores, then one that was seen to shut down and start again
+ * lately, then one in the domain of the owner.
  *
  * @example
  * const successor = chooseSuccessor(members.connected(), {domain, nowMs});
@@ -28,12 +30,14 @@
     .map(member => ({
       member,
       isLocal: member.domain === domain,
-      isConfigured: member.configVersion >= 0,
+      isReady:
+        member.configVersion >= 0 &&
+        nowMs - member.heartbeatAt.monotonicMs < MAX_SILENCE_MS,
       isRestarted: nowMs - member.restartedMs < ROLL_MS,
     }));
   ranked.sort(
     (a, b) =>
-      Number(b.isConfigured) - Number(a.isConfigured) ||
+      Number(b.isReady) - Number(a.isReady) ||
       b.member.cores - a.member.cores ||
       Number(b.isRestarted) - Number(a.isRestarted) ||
       Number(b.isLocal) - Number(a.isLocal),
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -43,7 +43,9 @@
   const connection = {
     notify: () => undefined,
   } as unknown as Member['connection'];
-  return {connection, address: address(vm), domain: 'd', cores: 1, ...state};
+  const heartbeatAt = {monotonicMs: 0, wallMs: 0};
+  const defaults = {domain: 'd', cores: 1, heartbeatAt};
+  return {connection, address: address(vm), ...defaults, ...state};
 }
 
 class ElectionRig {
--- a/packages/cell/test/roll.test.ts
+++ b/packages/cell/test/roll.test.ts
@@ -20,6 +20,8 @@
 const UPTIME_MS = 60_000;
 const HEARTBEAT_PERIOD_MS = 500;
 const LATENCY_MS = 5;
+/** A connection is closed after this time without a message, in ms. */
+const SILENCE_TIMEOUT_MS = 1500;
 /** How long a process serves its calls after SIGTERM, in ms. */
 const GRACE_MS = 2500;
 /** Time from the end of a process to the start of the next one, in ms. */
@@ -144,6 +146,8 @@
   readonly owners: string[] = [];
   /** How many of them claimed the cell. */
   claims = 0;
+  /** How many of the next handovers get no notice. */
+  lostHandovers = 0;
   private nextIncarnation = 1;
 
   constructor(specs: readonly VmSpec[]) {
@@ -178,6 +182,17 @@
     this.start(process.spec);
   }
 
+  /** Ends a process whose connections are closed once they are silent. */
+  async cutPower(vm: string): Promise<void> {
+    const process = this.running.get(vm);
+    assert.ok(process);
+    process.isRunning = false;
+    process.election.close();
+    this.running.delete(vm);
+    await this.clock.sleep(SILENCE_TIMEOUT_MS);
+    this.disconnect(process);
+  }
+
   disconnect(process: Process): void {
     this.running.delete(process.spec.vm);
     for (const [other, link] of process.links) {
@@ -217,6 +232,10 @@
     notice: CellProtocol['notice'],
   ): Promise<void> {
     await this.clock.sleep(LATENCY_MS);
+    if (notice.type === 'handover' && this.lostHandovers > 0) {
+      this.lostHandovers -= 1;
+      return;
+    }
     to.receive(from, notice);
   }
 }
@@ -314,6 +333,29 @@
   assert.is(cell.claims, claims);
 });
 
+// Its connection stays open until it has been silent for a while.
+rolls('hands no cell to a VM that has just lost power', async () => {
+  const cell = await startCell();
+  const silent = nextOwner(cell);
+  const claims = cell.claims;
+  void cell.cutPower(silent);
+  await cell.clock.advance(2 * HEARTBEAT_PERIOD_MS);
+  void cell.restart(cell.owner?.spec.vm ?? '');
+  await cell.clock.advance(SETTLE_MS);
+  assert.ok(cell.owner);
+  assert.is(cell.claims, claims);
+});
+
+rolls('claims the cell if the notice of its handover is lost', async () => {
+  const cell = await startCell();
+  const next = nextOwner(cell);
+  cell.lostHandovers = 1;
+  void cell.restart(cell.owner?.spec.vm ?? '');
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.lostHandovers, 0);
+  assert.is(cell.owner?.spec.vm, next);
+});
+
 // It may crash again, and a crash does not show that a roll has passed it.
 rolls('does not prefer a VM that came back from a crash', async () => {
   const cell = await startCell();
@@ -340,6 +382,7 @@
     isDraining: false,
     configVersion: 1,
     restartedMs: -Infinity,
+    heartbeatAt: {monotonicMs: NOW_MS, wallMs: NOW_MS},
     ...state,
   } as Member;
 }
