--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -16,6 +16,7 @@
 } from './ownership.js';
 import type {LogFunction} from './platform.js';
 import {StoreError, type Store} from './store.js';
+import {chooseSuccessor} from './successor.js';
 
 /** Time between two checks of the owner, in ms. */
 const WATCH_INTERVAL_MS = 100;
@@ -59,7 +60,7 @@
   readonly discardOwner: () => void;
   /** Called when the VM has had no owner for a while, or has one again. */
   readonly setDetached: (isDetached: boolean) => void;
-  /** Sends the owner known here to the other VMs. */
+  /** Sends the owner known here, and the VM's state, to the other VMs. */
   readonly announce: () => void;
 }
 
@@ -162,7 +163,8 @@
   async drain(): Promise<void> {
     this.isDrainStarted = true;
     const {ownership} = this;
-    if (ownership === null) return;
+    // Until the others know, an owner may choose this VM as its successor.
+    if (ownership === null) return this.host.announce();
     this.host.stopActing();
     const successor = this.chooseSuccessor();
     this.deps.log('ownerHandsOver', {
@@ -196,17 +198,29 @@
     const ownership = acceptOwnership(store, clock, self, notice);
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.record = {...self, term, isReleased: false};
-    if (this.isDrainStarted) return void this.releaseUnused(ownership);
+    if (this.isDrainStarted) return void this.passOn(ownership);
     this.ownership = ownership;
     members.setOwner(self);
     void this.activate(ownership);
   }
 
-  /** Releases a cell that was handed over while this VM shuts down. */
-  private async releaseUnused(ownership: Ownership): Promise<void> {
-    this.deps.log('ownerReleases', {term: ownership.term});
-    await ownership.release();
-    this.markReleased(ownership.term);
+  /**
+   * Gives up a cell that was handed over while this VM shuts down: to a VM that
+   * is not smaller, since a small one would soon hand it on. Such a VM claims a
+   * released cell.
+   */
+  private async passOn(ownership: Ownership): Promise<void> {
+    const {term} = ownership;
+    const successor = this.chooseSuccessor();
+    if (successor === null || successor.cores < this.deps.cores) {
+      this.deps.log('ownerReleases', {term});
+      await ownership.release();
+    } else {
+      const {vm} = successor.address;
+      this.deps.log('ownerHandsOver', {term, successor: vm});
+      await this.handOver(ownership, successor);
+    }
+    this.markReleased(term);
     this.host.announce();
   }
 
@@ -223,15 +237,10 @@
     this.deps.log('ownerStopped', {});
   }
 
-  /** The best successor: the VM with most cores, then one in this domain. */
   private chooseSuccessor(): Member | null {
-    const candidates = [...this.deps.members.connected()].filter(
-      ({isStoreOk, isDraining}) => isStoreOk && !isDraining,
-    );
-    const isRemote = ({domain}: Member): number =>
-      Number(domain !== this.deps.domain);
-    candidates.sort((a, b) => b.cores - a.cores || isRemote(a) - isRemote(b));
-    return candidates[0] ?? null;
+    const {members, domain, clock} = this.deps;
+    const nowMs = clock.monotonicMs();
+    return chooseSuccessor(members.connected(), {domain, nowMs});
   }
 
   /** Hands the cell over to a VM that is much larger than this one. */
