Count unknown runs up to the capacity that executors had

After a change of the owner, an organisation had more running than its limit allows: 6 tasks where 4 are allowed, until the former owner's leases were over.

What may run on an executor that the new owner hasn't reached counts towards the limit, as far as the executor holds it. That was measured by the capacity listed now. An executor that shrinks stops nothing, so more may run there.

Each executor now keeps the most that it has had of each resource, as listed to this owner or stored by a former one, and that bounds the unknown usage.

Ruled out: an executor that isn't listed any more was counted right, by the stored record; the second of the two tests shows it and passed before. The first failed: 6 runs instead of 4.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -16,6 +16,7 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
+import {maxAmounts} from './resource-amounts.js';
 import type {LogPage, StoredRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
@@ -165,6 +166,8 @@
     const known = state.executors.get(info.id);
     const executor = known ?? state.setExecutor(info);
     if (known === undefined) executor.isListed = false;
+    const {largestCapacity} = executor;
+    executor.largestCapacity = maxAmounts(largestCapacity, info.capacity);
     formerOwnerRuns.addExecutor(executor);
     // At a new address, it is used once that address is stored.
     if (isSameAddress(info, executor.info)) onFormerExecutor(executor);
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -9,6 +9,7 @@
   type ExecutorState,
   type OrphanRun,
 } from './executor-state.js';
+import {maxAmounts} from './resource-amounts.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
 import {
   findTask,
@@ -159,6 +160,7 @@
     }
     if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
     known.info = info;
+    known.largestCapacity = maxAmounts(known.largestCapacity, info.capacity);
     known.isListed = true;
     const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
     if (isIdle && info.bornMs > known.bornMs) {
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,5 +1,6 @@
 /** The owner's state of each executor: resources, clock, lease and health. */
 import type {TaskState} from './job-state.js';
+import type {ResourceAmounts} from './resource-amounts.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
 
 /** The most by which an executor's clock runs slow, as the platform states. */
@@ -19,6 +20,8 @@
 /** The owner's state of an executor. */
 export interface ExecutorState {
   info: ExecutorInfo;
+  /** The most that it has had of each resource, under former owners too. */
+  largestCapacity: ResourceAmounts;
   /** Whether the platform's store lists it now. */
   isListed: boolean;
   /** Whether it has answered this owner since it started. */
@@ -60,6 +63,7 @@
 export function newExecutorState(info: ExecutorInfo): ExecutorState {
   return {
     info,
+    largestCapacity: info.capacity,
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -118,13 +118,16 @@
     return capacities.has(service) && this.mayHaveBeenStarted(task);
   }
 
-  /** Computes the capacities of executors that may hold unknown runs. */
+  /**
+   * Computes the capacities of executors that may hold unknown runs: those may
+   * use more than a capacity that has shrunk since they were started.
+   */
   unreachedCapacities(nowMs: number): UnreachedCapacities {
     if (nowMs > this.leasesUntilMs) this.executors.clear();
     const capacities = new Map<string, ResourceAmounts>();
-    for (const {info} of this.unreachedExecutors(nowMs)) {
+    for (const {info, largestCapacity} of this.unreachedExecutors(nowMs)) {
       const known = capacities.get(info.service) ?? NOTHING_RESERVED;
-      capacities.set(info.service, addAmounts(known, info.capacity));
+      capacities.set(info.service, addAmounts(known, largestCapacity));
     }
     return capacities;
   }
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -12,10 +12,21 @@
 const START_MS = 300;
 /** A decrease counts after this time, in ms. */
 const DECREASE_GRACE_MS = 5500;
+/** Time from the death of an owner to the claim of the next one, in ms. */
+const CLAIM_DELAY_MS = 900;
+/** By then, a former owner that has not surely stopped starts nothing. */
+const START_LEASE_END_MS = 2000;
 const LONG_RUN_MS = 600_000;
 const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
 const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
 const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
+/** Allows four tasks at a time. */
+const LIMITED: CellConfig = {
+  ...CONFIG,
+  organisations: [
+    {name: '', weight: 1, limit: {...STEP.size, cpuMilli: 4000, memMb: 0}},
+  ],
+};
 const GANG: StepSpec = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
 
 /** How an executor describes itself before it restarts in another way. */
@@ -235,6 +246,34 @@
   });
 }
 
+for (const isUnlisted of [false, true]) {
+  const when = isUnlisted ? 'left' : 'shrank';
+  changing(`runs where an executor ${when} count for the limit`, async () => {
+    const {rig, node} = await startCell(2, LONG_RUN_MS, LIMITED);
+    rig.submit('early', [{...STEP, count: 4}], [node]);
+    await rig.run(START_MS);
+    const filled = rig.executors.find(({runs}) => runs.size === 3);
+    assert.ok(filled);
+    filled.setCapacity({cpuMilli: 0});
+    await rig.run(LISTED_MS);
+    filled.isDisconnected = true;
+    filled.isUnlisted = isUnlisted;
+    rig.kill(node);
+    await rig.run(CLAIM_DELAY_MS);
+    const next = rig.newNode('v1');
+    void rig.claim(next);
+    await rig.run(START_LEASE_END_MS);
+    rig.submit('late', [{...STEP, count: 4}], [next]);
+    await rig.run(1000);
+    assert.is(filled.runs.size, 3);
+    assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 4);
+    await rig.run(20_000);
+    assert.is(filled.runs.size, 0);
+    assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 3);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
