Store an executor's record again when its capacity grows

After a change of the owner, an organisation had 6 tasks running where its limit allows 4, until the former owner's leases were over.

An executor that the new owner neither finds listed nor reaches counts with the capacity in its stored record. That was written when the executor was first used, or moved; if it had shrunk then, more ran there since it has grown.

The record now holds the most that the executor has had of each resource, and is written again when that grows. An executor that shrinks and grows back causes no append. A start in the moment before the append is stored may still count for too little.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -16,7 +16,7 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
-import {maxAmounts} from './resource-amounts.js';
+import {hasMore, maxAmounts, type ResourceAmounts} from './resource-amounts.js';
 import type {LogPage, StoredRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
@@ -43,6 +43,8 @@
   readonly onFormerExecutor: (executor: ExecutorState) => void;
   /** Called when an executor listens at another address. */
   readonly onAddressChanged: (executor: ExecutorState) => void;
+  /** Called when an executor has more of a resource than was stored. */
+  readonly onCapacityGrown: (executor: ExecutorState) => void;
   readonly onDraining: (executor: ExecutorState) => void;
 }
 
@@ -170,7 +172,9 @@
     executor.largestCapacity = maxAmounts(largestCapacity, info.capacity);
     formerOwnerRuns.addExecutor(executor);
     // At a new address, it is used once that address is stored.
-    if (isSameAddress(info, executor.info)) onFormerExecutor(executor);
+    if (!isSameAddress(info, executor.info)) return;
+    onFormerExecutor(executor);
+    this.reportGrowth(executor, info.capacity);
   }
 
   private applyJobsRecord({key, value}: StoredRecord): void {
@@ -191,16 +195,24 @@
     }
     const info = platform.decodeExecutor(record);
     if (info === null) return;
-    const before = state.executors.get(info.id)?.info;
+    const known = state.executors.get(info.id);
+    const before = known?.info;
+    const largestBefore = known?.largestCapacity;
     const executor = state.setExecutor(info);
     if (before === undefined) this.reportNewExecutor(executor);
     else if (!isSameAddress(before, executor.info)) {
       this.deps.onAddressChanged(executor);
     }
+    if (largestBefore !== undefined) this.reportGrowth(executor, largestBefore);
     const wasDraining = before?.isDraining ?? false;
     if (info.isDraining && !wasDraining) this.reportDraining(executor);
   }
 
+  private reportGrowth(executor: ExecutorState, stored: ResourceAmounts): void {
+    const {largestCapacity} = executor;
+    if (hasMore(largestCapacity, stored)) this.deps.onCapacityGrown(executor);
+  }
+
   private reportNewExecutor(executor: ExecutorState): void {
     const {id, service} = executor.info;
     this.deps.log('executorListed', {executorId: id, service});
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -152,6 +152,7 @@
         this.startExecutorLoop(executor);
       },
       onAddressChanged: executor => this.restartExecutorLoop(executor),
+      onCapacityGrown: executor => this.commit.addExecutor(executor),
       onDraining: executor => this.runtimeMonitor.drainExecutor(executor),
     });
   }
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -212,8 +212,11 @@
   return {key: PROGRESS_PREFIX + job.id, value: encodeProgress(job)};
 }
 
-function executorRecord({info}: ExecutorState): KeyedRecord {
-  return {key: EXECUTOR_PREFIX + info.id, value: encode(info)};
+function executorRecord(executor: ExecutorState): KeyedRecord {
+  const {info, largestCapacity} = executor;
+  const capacity = {...info.capacity, ...largestCapacity};
+  const value = encode({...info, capacity});
+  return {key: EXECUTOR_PREFIX + info.id, value};
 }
 
 function tombstone(key: string): KeyedRecord {
--- a/packages/cell/src/resource-amounts.ts
+++ b/packages/cell/src/resource-amounts.ts
@@ -79,3 +79,8 @@
     accel: Math.max(a.accel, b.accel),
   };
 }
+
+/** Whether there is more of any resource in `a` than in `b`. */
+export function hasMore(a: ResourceAmounts, b: ResourceAmounts): boolean {
+  return a.cpuMilli > b.cpuMilli || a.memMb > b.memMb || a.accel > b.accel;
+}
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -274,6 +274,33 @@
   });
 }
 
+changing('runs in room that was added count for the limit', async () => {
+  const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}), LIMITED);
+  for (const each of rig.executors) each.setCapacity({cpuMilli: 1000});
+  await rig.run(LISTED_MS);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  for (const each of rig.executors) each.setCapacity({cpuMilli: 3000});
+  await rig.run(LISTED_MS);
+  rig.submit('early', [{...STEP, count: 4}], [node]);
+  await rig.run(START_MS);
+  const filled = rig.executors.find(({runs}) => runs.size === 3);
+  assert.ok(filled);
+  filled.isUnlisted = true;
+  await rig.run(LISTED_MS);
+  filled.isDisconnected = true;
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(START_LEASE_END_MS);
+  rig.submit('late', [{...STEP, count: 4}], [next]);
+  await rig.run(1000);
+  assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 4);
+  assert.equal(rig.checker.violations, []);
+});
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
