Store an executor's record again when its service changes

A task ran twice at the same time after a change of the owner.

Until a new owner reaches an executor of a former one, tasks of its service may run there. An executor that isn't listed counts with its stored record, which was written again for a new address only. One that had restarted with another service at its address held back tasks of the former service, so the new owner started a task that still ran there.

A change of the service is now handled as a change of the address: the record is stored before the executor gets work again.

The new test failed before: concurrent runs 1 and 1001.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -41,8 +41,8 @@
   readonly onNewExecutor: (executor: ExecutorState) => void;
   /** Called for an executor that a former owner has used at its address. */
   readonly onFormerExecutor: (executor: ExecutorState) => void;
-  /** Called when an executor listens at another address. */
-  readonly onAddressChanged: (executor: ExecutorState) => void;
+  /** Called when an executor listens elsewhere or serves something else. */
+  readonly onServerChanged: (executor: ExecutorState) => void;
   /** Called when an executor has more of a resource than was stored. */
   readonly onCapacityGrown: (executor: ExecutorState) => void;
   readonly onDraining: (executor: ExecutorState) => void;
@@ -171,8 +171,8 @@
     const {largestCapacity} = executor;
     executor.largestCapacity = maxAmounts(largestCapacity, info.capacity);
     formerOwnerRuns.addExecutor(executor);
-    // At a new address, it is used once that address is stored.
-    if (!isSameAddress(info, executor.info)) return;
+    // With a new address or service, it is used once that is stored.
+    if (!isSameServer(info, executor.info)) return;
     onFormerExecutor(executor);
     this.reportGrowth(executor, info.capacity);
   }
@@ -200,8 +200,8 @@
     const largestBefore = known?.largestCapacity;
     const executor = state.setExecutor(info);
     if (before === undefined) this.reportNewExecutor(executor);
-    else if (!isSameAddress(before, executor.info)) {
-      this.deps.onAddressChanged(executor);
+    else if (!isSameServer(before, executor.info)) {
+      this.deps.onServerChanged(executor);
     }
     if (largestBefore !== undefined) this.reportGrowth(executor, largestBefore);
     const wasDraining = before?.isDraining ?? false;
@@ -242,6 +242,7 @@
   }
 }
 
-function isSameAddress(a: ExecutorInfo, b: ExecutorInfo): boolean {
-  return a.ip === b.ip && a.port === b.port;
+/** Whether a later owner would look for the same runs at the same place. */
+function isSameServer(a: ExecutorInfo, b: ExecutorInfo): boolean {
+  return a.ip === b.ip && a.port === b.port && a.service === b.service;
 }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -151,7 +151,7 @@
         this.commit.removeExecutor(executor);
         this.startExecutorLoop(executor);
       },
-      onAddressChanged: executor => this.restartExecutorLoop(executor),
+      onServerChanged: executor => this.restartExecutorLoop(executor),
       onCapacityGrown: executor => this.commit.addExecutor(executor),
       onDraining: executor => this.runtimeMonitor.drainExecutor(executor),
     });
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -301,6 +301,30 @@
   assert.equal(rig.checker.violations, []);
 });
 
+changing('waits for runs where an executor changed its service', async () => {
+  const other: Queue = {...QUEUE, name: 'other', service: 'other'};
+  const config = {...CONFIG, queues: [QUEUE, other]};
+  const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}), config);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  rig.executor('x0').restartAs({service: 'other'});
+  await rig.run(SETTLE_MS);
+  rig.submit('job', [{...STEP, isService: true}], [node], other);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1);
+  rig.executor('x0').isUnlisted = true;
+  rig.executor('x1').restartAs({service: 'other'});
+  await rig.run(LISTED_MS);
+  rig.executor('x0').isDisconnected = true;
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  void rig.claim(rig.newNode('v1'));
+  await rig.run(20_000);
+  assert.is(countRuns(rig, 'x1'), 1);
+  assert.equal(rig.checker.violations, []);
+});
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
