Log when an executor's listed capacity changes

Nothing in the log told that an executor had shrunk, so a step that waits for room could not be told from one whose executors had changed. The line names the former and the new capacity and what is in use; one at most for each record.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -16,7 +16,12 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
-import {hasMore, maxAmounts, type ResourceAmounts} from './resource-amounts.js';
+import {
+  hasMore,
+  maxAmounts,
+  toAmounts,
+  type ResourceAmounts,
+} from './resource-amounts.js';
 import type {LogPage, StoredRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
@@ -203,11 +208,28 @@
     else if (!isSameServer(before, executor.info)) {
       this.deps.onServerChanged(executor);
     }
+    if (before !== undefined) this.logCapacityChange(executor, before);
     if (largestBefore !== undefined) this.reportGrowth(executor, largestBefore);
     const wasDraining = before?.isDraining ?? false;
     if (info.isDraining && !wasDraining) this.reportDraining(executor);
   }
 
+  /** Logs a change of the capacity, and how much is in use now. */
+  private logCapacityChange(
+    executor: ExecutorState,
+    {capacity: former}: ExecutorInfo,
+  ): void {
+    const {info, usedCpuMilli, usedMemMb, usedAccel} = executor;
+    const {capacity} = info;
+    if (!hasMore(former, capacity) && !hasMore(capacity, former)) return;
+    this.deps.log('executorCapacityChanged', {
+      executorId: info.id,
+      former: toAmounts(former),
+      capacity: toAmounts(capacity),
+      used: {cpuMilli: usedCpuMilli, memMb: usedMemMb, accel: usedAccel},
+    });
+  }
+
   private reportGrowth(executor: ExecutorState, stored: ResourceAmounts): void {
     const {largestCapacity} = executor;
     if (hasMore(largestCapacity, stored)) this.deps.onCapacityGrown(executor);
--- a/packages/cell/src/resource-amounts.ts
+++ b/packages/cell/src/resource-amounts.ts
@@ -32,6 +32,15 @@
   };
 }
 
+/** Copies the amounts of what may have further fields. */
+export function toAmounts({
+  cpuMilli,
+  memMb,
+  accel,
+}: ResourceAmounts): ResourceAmounts {
+  return {cpuMilli, memMb, accel};
+}
+
 /** Adds amounts. */
 export function addAmounts(
   a: ResourceAmounts,
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -325,6 +325,28 @@
   assert.equal(rig.checker.violations, []);
 });
 
+changing(
+  'a change leaves one line in the log, with what is in use',
+  async () => {
+    const {rig, node} = await startCell(2);
+    rig.submit('job', [{...STEP, count: 3}], [node]);
+    await rig.run(START_MS);
+    const filled = rig.executors.find(({runs}) => runs.size > 0);
+    assert.ok(filled);
+    filled.setCapacity({cpuMilli: 1000});
+    await rig.run(10_000);
+    const lines = rig.logLines.filter(line => line.includes('CapacityChanged'));
+    assert.is(lines.length, 1);
+    const [line = ''] = lines;
+    assert.equal(JSON.parse(line.slice(line.indexOf('{'))), {
+      executorId: filled.id,
+      former: {cpuMilli: 3000, memMb: 10_000, accel: 0},
+      capacity: {cpuMilli: 1000, memMb: 10_000, accel: 0},
+      used: {cpuMilli: 3000, memMb: 300, accel: 0},
+    });
+  },
+);
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
