Tell what a decrease of a capacity counts for in an outage

In an outage of the store an owner that is connected to every VM goes on starting tasks, with the capacities that it has read before. The rule doesn't say whether a decrease counts from when it happens or from when the executor's record shows it; the record cannot be written in such an outage.

The new tests show that starts go on in an outage of 7 s, of the store for all or of the owner's reads alone, and that none is over the capacity from 2.1 s after its end on.

--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -16,6 +16,8 @@
 const CLAIM_DELAY_MS = 900;
 /** By then, a former owner that has not surely stopped starts nothing. */
 const START_LEASE_END_MS = 2000;
+/** Longer than the time after which a decrease counts, in ms. */
+const OUTAGE_MS = 7000;
 const LONG_RUN_MS = 600_000;
 const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
 const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
@@ -347,6 +349,31 @@
   },
 );
 
+for (const [name, isListingPaused] of [
+  ['executors and owner cannot use the store', true],
+  ['the owner cannot read the store', false],
+] as const) {
+  changing(`a decrease counts soon after ${name}`, async () => {
+    const {rig, node} = await startCell(2, 300);
+    node.isConnectedToAll = true;
+    for (let i = 0; i < 400; i += 1) rig.submit(`job${i}`, [STEP], [node]);
+    await rig.run(START_MS);
+    rig.isListingPaused = isListingPaused;
+    node.store.faults.isRefusing = true;
+    for (const each of rig.executors) each.setCapacity({cpuMilli: 1000});
+    await rig.run(START_MS);
+    const {starts} = rig.checker;
+    await rig.run(OUTAGE_MS);
+    assert.ok(rig.checker.starts > starts, 'starts go on');
+    rig.isListingPaused = false;
+    node.store.faults.isRefusing = false;
+    await rig.run(LISTED_MS);
+    const {length} = rig.checker.violations;
+    await rig.run(DECREASE_GRACE_MS);
+    assert.equal(rig.checker.violations.slice(length), []);
+  });
+}
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
