Let executors shrink and grow in the property test of the owner

The random faults have a new one: an executor's processors become 0, a third, five sixths or all of what they were. An order that the executor carries out late is checked by the capacity of the time at which it was sent, as the rule has it.

--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -89,6 +89,8 @@
   /** Whether ends were acknowledged that this process has not listed. */
   hasWrongAck = false;
   private formerCapacities: readonly FormerCapacity[] = [];
+  /** How long ago the order that is being carried out was sent, in ms. */
+  orderAgeMs = 0;
 
   constructor(
     readonly id: string,
@@ -159,9 +161,13 @@
     this.info = {...this.info, ...change};
   }
 
-  /** The most that starts may use now; a decrease counts some time later. */
+  /**
+   * The most that starts may use now. A decrease counts some time later, as of
+   * when the order was sent.
+   */
   usableCapacity(): ResourceAmounts {
-    const sinceMs = this.clock.monotonicMs() - DECREASE_GRACE_MS;
+    const sentMs = this.clock.monotonicMs() - this.orderAgeMs;
+    const sinceMs = sentMs - DECREASE_GRACE_MS;
     return this.formerCapacities
       .filter(({untilMs}) => untilMs > sinceMs)
       .reduce<ResourceAmounts>(
@@ -342,7 +348,10 @@
     await this.clock.sleep(orderDelayMs);
     // A restarted executor knows no token and could not refuse a late order, so
     // the order is dropped.
-    if (!this.executor.isDown && this.executor.bornMs === bornMs) order();
+    if (this.executor.isDown || this.executor.bornMs !== bornMs) return;
+    this.executor.orderAgeMs = orderDelayMs;
+    order();
+    this.executor.orderAgeMs = 0;
   }
 
   private isFormerAddress(): boolean {
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -16,6 +16,8 @@
 const HEARTBEAT_WAIT_MS = 800;
 /** By then, no executor counts as having just started, in ms. */
 const START_AGE_MS = 20_000;
+/** The processors of an executor that has not shrunk. */
+const FULL_CPU_MILLI = 3000;
 /** Long enough for all leases and retries to end, in ms. */
 const RECOVERY_MS = 40_000;
 /** Longer than the owner lease, in ms. */
@@ -47,6 +49,11 @@
   | {readonly kind: 'crash'; readonly executor: number}
   | {readonly kind: 'move'; readonly executor: number; readonly port: number}
   | {readonly kind: 'drain'; readonly executor: number}
+  | {
+      readonly kind: 'resize';
+      readonly executor: number;
+      readonly cpuMilli: number;
+    }
   | {readonly kind: 'outage'}
   | {readonly kind: 'stepWall'; readonly ms: number}
   | {readonly kind: 'end'; readonly executor: number}
@@ -112,6 +119,11 @@
     port: fc.integer({min: 2, max: 9}),
   }),
   fc.record({kind: fc.constant('drain' as const), executor}),
+  fc.record({
+    kind: fc.constant('resize' as const),
+    executor,
+    cpuMilli: fc.constantFrom(0, 1000, 2500, FULL_CPU_MILLI),
+  }),
   fc.record({kind: fc.constant('outage' as const)}),
   fc.record({
     kind: fc.constant('stepWall' as const),
@@ -203,6 +215,11 @@
       case 'drain':
         rig.executor(`x${fault.executor}`).isDraining = true;
         return;
+      case 'resize':
+        rig.executor(`x${fault.executor}`).setCapacity({
+          cpuMilli: fault.cpuMilli,
+        });
+        return;
       case 'outage':
         return this.loseStore();
       case 'stepWall':
@@ -232,6 +249,7 @@
     for (const each of this.rig.executors) {
       each.isDisconnected = false;
       each.isDraining = false;
+      each.setCapacity({cpuMilli: FULL_CPU_MILLI});
       each.delayedOrders = 0;
       each.recover();
     }
