--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -10,6 +10,7 @@
   type ExecutorState,
   type OrphanRun,
 } from './executor-state.js';
+import {maxAmounts} from './resource-amounts.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
 import {
   findTask,
@@ -163,6 +164,7 @@
     if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
     if (info.bornMs === known.bornMs) known.hasDrained ||= info.isDraining;
     known.info = info;
+    known.largestCapacity = maxAmounts(known.largestCapacity, info.capacity);
     known.isListed = true;
     const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
     if (isIdle && info.bornMs > known.bornMs) {
--- a/packages/cell/src/resource-amounts.ts
+++ b/packages/cell/src/resource-amounts.ts
@@ -32,6 +32,15 @@
   };
 }
 
+/** Copies the amounts of what may have further fields. */
+export function toAmounts({
+  cpuMilli,
+  memMb,
+  accel,
+}: ResourceAmounts): ResourceAmounts {
+  return {cpuMilli, memMb, accel};
+}
+
 /** Adds amounts. */
 export function addAmounts(
   a: ResourceAmounts,
@@ -79,3 +88,8 @@
     accel: Math.max(a.accel, b.accel),
   };
 }
+
+/** Whether there is more of any resource in `a` than in `b`. */
+export function hasMore(a: ResourceAmounts, b: ResourceAmounts): boolean {
+  return a.cpuMilli > b.cpuMilli || a.memMb > b.memMb || a.accel > b.accel;
+}
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -12,10 +12,23 @@
 const START_MS = 300;
 /** A decrease counts after this time, in ms. */
 const DECREASE_GRACE_MS = 5500;
+/** Time from the death of an owner to the claim of the next one, in ms. */
+const CLAIM_DELAY_MS = 900;
+/** By then, a former owner that has not surely stopped starts nothing. */
+const START_LEASE_END_MS = 2000;
+/** Longer than the time after which a decrease counts, in ms. */
+const OUTAGE_MS = 7000;
 const LONG_RUN_MS = 600_000;
 const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
 const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
 const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
+/** Allows four tasks at a time. */
+const LIMITED: CellConfig = {
+  ...CONFIG,
+  organisations: [
+    {name: '', weight: 1, limit: {...STEP.size, cpuMilli: 4000, memMb: 0}},
+  ],
+};
 const GANG: StepSpec = {...STEP, isGang: true, count: 2, maxPerExecutor: 1};
 
 /** How an executor describes itself before it restarts in another way. */
@@ -235,6 +248,132 @@
   });
 }
 
+for (const isUnlisted of [false, true]) {
+  const when = isUnlisted ? 'left' : 'shrank';
+  changing(`runs where an executor ${when} count for the limit`, async () => {
+    const {rig, node} = await startCell(2, LONG_RUN_MS, LIMITED);
+    rig.submit('early', [{...STEP, count: 4}], [node]);
+    await rig.run(START_MS);
+    const filled = rig.executors.find(({runs}) => runs.size === 3);
+    assert.ok(filled);
+    filled.setCapacity({cpuMilli: 0});
+    await rig.run(LISTED_MS);
+    filled.isDisconnected = true;
+    filled.isUnlisted = isUnlisted;
+    rig.kill(node);
+    await rig.run(CLAIM_DELAY_MS);
+    const next = rig.newNode('v1');
+    void rig.claim(next);
+    await rig.run(START_LEASE_END_MS);
+    rig.submit('late', [{...STEP, count: 4}], [next]);
+    await rig.run(1000);
+    assert.is(filled.runs.size, 3);
+    assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 4);
+    await rig.run(20_000);
+    assert.is(filled.runs.size, 0);
+    assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 3);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
+changing('runs in room that was added count for the limit', async () => {
+  const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}), LIMITED);
+  for (const each of rig.executors) each.setCapacity({cpuMilli: 1000});
+  await rig.run(LISTED_MS);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  for (const each of rig.executors) each.setCapacity({cpuMilli: 3000});
+  await rig.run(LISTED_MS);
+  rig.submit('early', [{...STEP, count: 4}], [node]);
+  await rig.run(START_MS);
+  const filled = rig.executors.find(({runs}) => runs.size === 3);
+  assert.ok(filled);
+  filled.isUnlisted = true;
+  await rig.run(LISTED_MS);
+  filled.isDisconnected = true;
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(START_LEASE_END_MS);
+  rig.submit('late', [{...STEP, count: 4}], [next]);
+  await rig.run(1000);
+  assert.is(countRuns(rig, 'x0') + countRuns(rig, 'x1'), 4);
+  assert.equal(rig.checker.violations, []);
+});
+
+changing('waits for runs where an executor changed its service', async () => {
+  const other: Queue = {...QUEUE, name: 'other', service: 'other'};
+  const config = {...CONFIG, queues: [QUEUE, other]};
+  const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}), config);
+  const node = rig.newNode('v0');
+  void rig.claim(node);
+  await rig.run(SETTLE_MS);
+  rig.executor('x0').restartAs({service: 'other'});
+  await rig.run(SETTLE_MS);
+  rig.submit('job', [{...STEP, isService: true}], [node], other);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1);
+  rig.executor('x0').isUnlisted = true;
+  rig.executor('x1').restartAs({service: 'other'});
+  await rig.run(LISTED_MS);
+  rig.executor('x0').isDisconnected = true;
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  void rig.claim(rig.newNode('v1'));
+  await rig.run(20_000);
+  assert.is(countRuns(rig, 'x1'), 1);
+  assert.equal(rig.checker.violations, []);
+});
+
+changing(
+  'a change leaves one line in the log, with what is in use',
+  async () => {
+    const {rig, node} = await startCell(2);
+    rig.submit('job', [{...STEP, count: 3}], [node]);
+    await rig.run(START_MS);
+    const filled = rig.executors.find(({runs}) => runs.size > 0);
+    assert.ok(filled);
+    filled.setCapacity({cpuMilli: 1000});
+    await rig.run(10_000);
+    const lines = rig.logLines.filter(line => line.includes('CapacityChanged'));
+    assert.is(lines.length, 1);
+    const [line = ''] = lines;
+    assert.equal(JSON.parse(line.slice(line.indexOf('{'))), {
+      executorId: filled.id,
+      former: {cpuMilli: 3000, memMb: 10_000, accel: 0},
+      capacity: {cpuMilli: 1000, memMb: 10_000, accel: 0},
+      used: {cpuMilli: 3000, memMb: 300, accel: 0},
+    });
+  },
+);
+
+for (const [name, isListingPaused] of [
+  ['executors and owner cannot use the store', true],
+  ['the owner cannot read the store', false],
+] as const) {
+  changing(`a decrease counts soon after ${name}`, async () => {
+    const {rig, node} = await startCell(2, 300);
+    node.isConnectedToAll = true;
+    for (let i = 0; i < 400; i += 1) rig.submit(`job${i}`, [STEP], [node]);
+    await rig.run(START_MS);
+    rig.isListingPaused = isListingPaused;
+    node.store.faults.isRefusing = true;
+    for (const each of rig.executors) each.setCapacity({cpuMilli: 1000});
+    await rig.run(START_MS);
+    const {starts} = rig.checker;
+    await rig.run(OUTAGE_MS);
+    assert.ok(rig.checker.starts > starts, 'starts go on');
+    rig.isListingPaused = false;
+    node.store.faults.isRefusing = false;
+    await rig.run(LISTED_MS);
+    const {length} = rig.checker.violations;
+    await rig.run(DECREASE_GRACE_MS);
+    assert.equal(rig.checker.violations.slice(length), []);
+  });
+}
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
