Give up tasks that crash the executors that start them

Callers saw a job that stays running for good, and their other jobs late or not done: a task that crashes its executor was started on the next one, with a budget for runs that end failed and none for runs that are lost with their executor, which no executor ever lists. Each crash takes the other runs of the executor with it.

A crash is now counted for each task that is known to have run there, and kept in the progress record beside the failed runs, so that the next owner goes on with the count; older versions ignore the two new fields and write records without them. The runs that had not been listed 0.3 s after their start are suspects. A suspect starts where no other run is that new, nothing else is placed there until its run is listed 0.3 s after its start, and at most half of a service is withheld for that. So at the next crash one task alone is new there, and it is given up after two crashes on two machines; its neighbours are not counted. Any other task is given up at the third crash that is confirmed by a restart. An executor that is gone without a known restart counts only for a suspect that alone was new there. A machine that crashed twice under unrelated tasks within a minute counts for nobody. Gangs count as one, by their runs; a service clears its count by running for 30 s.

Executors of the rig have addresses of their own now, as those of a cell do; they counted as one machine.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -2,10 +2,11 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {decode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
+import {isSuspect} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
 import type {FormerOwnerRuns} from './former-owner-runs.js';
-import type {JobState, NewJob} from './job-state.js';
+import {tasksOf, type JobState, type NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
 import type {ProgressWriter} from './progress-writer.js';
@@ -153,6 +154,8 @@
   private applyStoredProgress(job: JobState, value: Uint8Array): void {
     if (isFinal(job.phase)) return;
     applyProgress(job, value);
+    const {crashes} = this.deps.state;
+    crashes.isActive ||= [...tasksOf(job)].some(isSuspect);
     if (isFinal(job.phase)) this.deps.state.removePendingSteps(job);
   }
 
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,5 +1,10 @@
 /** The owner's in-memory state and its transitions; does no I/O. */
-import type {Crash, LostRun} from './crash-suspects.js';
+import {
+  CrashSuspects,
+  isSuspect,
+  type Crash,
+  type LostRun,
+} from './crash-suspects.js';
 import type {EndedRun} from './executor-client.js';
 import {
   addOrphan,
@@ -58,7 +63,7 @@
     task: string,
     run: number,
   ) => void;
-  /** An executor crashed with runs of tasks. */
+  /** An executor crashed with runs of tasks; called before any is given up. */
   readonly onCrash: (crash: Crash) => void;
 }
 
@@ -67,6 +72,7 @@
   readonly jobs = new Map<string, JobState>();
   readonly executors = new Map<string, ExecutorState>();
   readonly organisations = new OrganisationTable();
+  readonly crashes = new CrashSuspects();
   readonly estimates = new RunTimeEstimates();
   /** Steps that may have waiting tasks. */
   readonly pendingSteps = new Set<StepState>();
@@ -203,7 +209,8 @@
   }
 
   /**
-   * Records the crash of an executor that has lost runs.
+   * Records the crash of an executor that has lost runs, and gives up the jobs
+   * of tasks that crash executor after executor.
    *
    * @param isConfirmed whether the executor is known to have started again
    */
@@ -211,9 +218,17 @@
     executor: ExecutorState,
     runs: readonly LostRun[],
     isConfirmed: boolean,
+    nowMs: number,
   ): void {
     if (runs.length === 0) return;
-    this.listener.onCrash({executor, isConfirmed, runs});
+    const crash = this.crashes.record(executor, runs, isConfirmed, nowMs);
+    this.listener.onCrash(crash);
+    const jobs = new Set(crash.runs.map(({task}) => task.step.occurrence.job));
+    for (const job of jobs) this.listener.onProgress(job);
+    for (const {step} of crash.givenUp) {
+      const {job} = step.occurrence;
+      if (!isFinal(job.phase)) this.finish(job, 'failed');
+    }
   }
 
   /** Requeues all tasks of an executor on which nothing runs any more. */
@@ -242,6 +257,7 @@
     task.answeredMs = Infinity;
     task.isStartUnconfirmed = false;
     task.percent = 100;
+    if (isSuspect(task)) this.crashes.addProbe(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase !== 'queued') return;
@@ -271,6 +287,7 @@
     task.phase = 'running';
     task.startedMs = Number.NaN;
     task.answeredMs = nowMs;
+    if (isSuspect(task)) this.crashes.addProbe(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase === 'queued') {
@@ -340,6 +357,7 @@
     const isCurrent = task.executor === executor && task.run === end.run;
     if (isCurrent) this.unplace(task);
     if (task.phase === 'done') return;
+    if (end.how === 'done' || end.how === 'failed') this.crashes.clear(task);
     task.run = Math.max(task.run, end.run);
     if (end.how === 'done') {
       if (isCurrent) this.recordRunTime(executor, task, nowMs - task.startedMs);
--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -1,9 +1,25 @@
-/** Finds the tasks under which executors crash. */
+/**
+ * Finds the tasks that crash the executors that start them. Of all the tasks
+ * that an executor loses in a crash, those that had just started there are
+ * suspects. A suspect starts where nothing else has just started, so that a
+ * further crash shows whether it is the cause.
+ */
 import type {ExecutorState} from './executor-state.js';
-import type {TaskState} from './job-state.js';
+import type {StepState, TaskState} from './job-state.js';
+import {isFinal} from './types.js';
 
 /** A run that is listed this long after its start has started well, in ms. */
 const PROBATION_MS = 300;
+/** Crashes after which a task is given up that alone can explain the last. */
+const MAX_EXPLAINED_CRASHES = 2;
+/** Crashes after which any task is given up. */
+const MAX_CRASHES = 3;
+/** A service run that lasted this long clears the task of its crashes, in ms. */
+const SERVICE_CLEARANCE_MS = 30_000;
+/** Crashes under other tasks after which a machine itself is the suspect. */
+const MACHINE_CRASHES = 2;
+/** How long a crash of a machine is remembered, in ms. */
+const MACHINE_MEMORY_MS = 60_000;
 
 /** A run that was lost with its executor. */
 export interface LostRun {
@@ -21,6 +37,24 @@
   /** Whether the executor is known to have started again. */
   readonly isConfirmed: boolean;
   readonly runs: readonly LostRun[];
+  readonly suspects: readonly LostRun[];
+  /** Whether the machine crashes under different tasks again and again. */
+  readonly isMachineSuspect: boolean;
+  /** One task of each step or task that is given up. */
+  readonly givenUp: readonly TaskState[];
+}
+
+/** What is given up as a whole: a task, or the step of a gang. */
+type Unit = TaskState | StepState;
+
+interface MachineCrash {
+  readonly atMs: number;
+  readonly suspects: ReadonlySet<Unit>;
+}
+
+/** Whether the task may have crashed an executor and is not cleared of it. */
+export function isSuspect({suspectedRuns}: TaskState): boolean {
+  return suspectedRuns.length > 0;
 }
 
 /** Whether the task's run was listed long enough after its start. */
@@ -31,6 +65,13 @@
   return listedMs - sinceMs >= PROBATION_MS;
 }
 
+/** Counts the runs on the executor that have just started. */
+export function countNewRuns({tasks}: ExecutorState): number {
+  let count = 0;
+  for (const task of tasks) if (!hasStartedWell(task)) count += 1;
+  return count;
+}
+
 /**
  * The runs that are lost if the executor has crashed.
  *
@@ -57,3 +98,139 @@
 function isStartCertain({phase, listedMs, startedMs}: TaskState): boolean {
   return phase === 'running' || !(listedMs < startedMs);
 }
+
+/** Whether the task is a suspect whose run has not started well yet. */
+export function isOnProbation(task: TaskState): boolean {
+  return isSuspect(task) && !hasStartedWell(task);
+}
+
+/** Counts crashes, and decides which tasks are given up. */
+export class CrashSuspects {
+  private readonly machines = new Map<string, readonly MachineCrash[]>();
+  /** Suspects that were started and are not cleared yet. */
+  private readonly probes = new Set<TaskState>();
+  /** Whether there may be suspects. */
+  isActive = false;
+
+  /**
+   * Records a crash and counts it for the tasks that were lost.
+   *
+   * @param isConfirmed whether the executor is known to have started again
+   */
+  record(
+    executor: ExecutorState,
+    lost: readonly LostRun[],
+    isConfirmed: boolean,
+    nowMs: number,
+  ): Crash {
+    const runs = lost.filter(isCounted);
+    const suspects = runs.filter(({isNew}) => isNew);
+    const units = new Set(suspects.map(({task}) => unitOf(task)));
+    const isMachineSuspect = this.recordMachine(executor, units, nowMs);
+    const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
+    if (isMachineSuspect) return {...crash, givenUp: []};
+    if (suspects.length > 0) this.isActive = true;
+    const cause = units.size === 1 ? suspects : [];
+    const causeLimit = isRepeated(cause, executor)
+      ? MAX_EXPLAINED_CRASHES
+      : MAX_CRASHES;
+    for (const {task, run} of suspects) {
+      task.suspectedRuns = [...task.suspectedRuns, run];
+      task.crashedOn = machineOf(executor);
+    }
+    const convicted = countCrash(cause, causeLimit);
+    if (convicted.length > 0 || !isConfirmed) {
+      return {...crash, givenUp: convicted};
+    }
+    const others = runs.filter(each => !cause.includes(each));
+    return {...crash, givenUp: countCrash(others, MAX_CRASHES)};
+  }
+
+  /** Watches the run of a suspect, so that it is cleared once it has started well. */
+  addProbe(task: TaskState): void {
+    this.probes.add(task);
+  }
+
+  /** Clears a task whose run has ended by itself. */
+  clear(task: TaskState): void {
+    task.suspectedRuns = [];
+    this.probes.delete(task);
+  }
+
+  /** The executors on which the run of a suspect has just started. */
+  *probedExecutors(): Generator<ExecutorState> {
+    for (const task of [...this.probes]) {
+      const {executor} = task;
+      if (executor === null) this.probes.delete(task);
+      else if (hasStartedWell(task)) this.clear(task);
+      else yield executor;
+    }
+  }
+
+  /** Returns whether the machine itself is the likely cause. */
+  private recordMachine(
+    executor: ExecutorState,
+    suspects: ReadonlySet<Unit>,
+    nowMs: number,
+  ): boolean {
+    for (const [machine, past] of this.machines) {
+      const recent = past.filter(({atMs}) => nowMs - atMs < MACHINE_MEMORY_MS);
+      if (recent.length === 0) this.machines.delete(machine);
+      else this.machines.set(machine, recent);
+    }
+    const machine = machineOf(executor);
+    const recent = this.machines.get(machine) ?? [];
+    this.machines.set(machine, [...recent, {atMs: nowMs, suspects}]);
+    const unrelated = recent.filter(
+      each => ![...each.suspects].some(unit => suspects.has(unit)),
+    );
+    return unrelated.length >= MACHINE_CRASHES;
+  }
+}
+
+function isCounted({task, run}: LostRun): boolean {
+  const {crashedRuns, suspectedRuns, step, phase} = task;
+  if (phase === 'done' || isFinal(step.occurrence.job.phase)) return false;
+  return !crashedRuns.includes(run) && !suspectedRuns.includes(run);
+}
+
+/** Whether the runs are of a suspect that crashed another machine before. */
+function isRepeated(
+  cause: readonly LostRun[],
+  executor: ExecutorState,
+): boolean {
+  const machine = machineOf(executor);
+  return cause.some(({task}) => isSuspect(task) && task.crashedOn !== machine);
+}
+
+/** Counts a crash; returns a task of each unit that has reached the limit. */
+function countCrash(
+  runs: readonly LostRun[],
+  limit: number,
+): readonly TaskState[] {
+  const givenUp = new Map<Unit, TaskState>();
+  for (const {task, run, isCertain} of runs) {
+    if (!isCertain) continue;
+    task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
+    const unit = unitOf(task);
+    if (crashCount(unit) >= limit) givenUp.set(unit, task);
+  }
+  return [...givenUp.values()];
+}
+
+function hasLastedLong({step, listedMs, startedMs}: TaskState): boolean {
+  return step.spec.isService && listedMs - startedMs > SERVICE_CLEARANCE_MS;
+}
+
+function unitOf(task: TaskState): Unit {
+  return task.step.spec.isGang ? task.step : task;
+}
+
+function crashCount(unit: Unit): number {
+  if (!('tasks' in unit)) return unit.crashedRuns.length;
+  return new Set(unit.tasks.flatMap(({crashedRuns}) => crashedRuns)).size;
+}
+
+function machineOf({info}: ExecutorState): string {
+  return `${info.ip}:${info.port}`;
+}
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,7 +1,7 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
-import {runsLostBy} from './crash-suspects.js';
+import {isOnProbation, runsLostBy} from './crash-suspects.js';
 import {
   dueStops,
   isStopDue,
@@ -288,9 +288,11 @@
     const {tasks, isReached, missedRenewals} = this.executor;
     if (!isReached || missedRenewals > 0) return 0;
     let waitMs = RENEWAL_WAIT_MS;
-    for (const {phase, step} of tasks) {
+    for (const task of tasks) {
+      const {phase, step} = task;
       if (phase === 'starting') return STARTING_WAIT_MS;
       if (phase === 'stopping') return STARTING_WAIT_MS;
+      if (isOnProbation(task)) return STARTING_WAIT_MS;
       if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
     }
     return waitMs;
@@ -365,7 +367,7 @@
     executor.expired = null;
     host.state.recordRestart(executor, bornMs, Infinity);
     host.state.requeueAll(executor);
-    host.state.recordCrash(executor, lost, true);
+    host.state.recordCrash(executor, lost, true, host.clock.monotonicMs());
     executor.isListed = false;
     host.onChange(executor);
   }
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -40,7 +40,7 @@
       // longest lease, to which the executor limits them.
       executor.leaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
     }
-    host.state.recordCrash(executor, lost, true);
+    host.state.recordCrash(executor, lost, true, nowMs);
     if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
     }
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -32,6 +32,15 @@
   listedMs: number;
   /** Numbers of runs that ended `failed`; executors may list them unordered. */
   failedRuns: readonly number[];
+  /** Numbers of runs that were lost in a crash of their executor. */
+  crashedRuns: readonly number[];
+  /**
+   * Numbers of runs that were lost right after their start in a crash of their
+   * executor; empty once a later run has started well.
+   */
+  suspectedRuns: readonly number[];
+  /** The machine of the newest of these runs; empty for none. */
+  crashedOn: string;
   checkpoint: string;
   /** The executor of the newest failed run; empty for none. */
   lastFailedOn: string;
@@ -188,6 +197,9 @@
     answeredMs: Infinity,
     listedMs: -Infinity,
     failedRuns: [],
+    crashedRuns: [],
+    suspectedRuns: [],
+    crashedOn: '',
     checkpoint: '',
     lastFailedOn: '',
     isStartUnconfirmed: false,
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -124,16 +124,31 @@
     });
   }
 
-  private reportCrash({executor, isConfirmed, runs}: Crash): void {
-    const newRuns = runs.filter(({isNew}) => isNew);
-    this.deps.metrics.count('executor_crashes_total');
-    this.deps.log('executorCrashed', {
-      executorId: executor.info.id,
+  private reportCrash(crash: Crash): void {
+    const {executor, isConfirmed, isMachineSuspect, runs, suspects} = crash;
+    const {log, metrics} = this.deps;
+    const executorId = executor.info.id;
+    metrics.count('executor_crashes_total');
+    log('executorCrashed', {
+      executorId,
       isConfirmed,
+      isMachineSuspect,
       runs: runs.length,
-      newRuns: newRuns.length,
-      tasks: nameRuns(newRuns.length > 0 ? newRuns : runs),
+      newRuns: suspects.length,
+      tasks: nameRuns(suspects.length > 0 ? suspects : runs),
     });
+    for (const task of crash.givenUp) {
+      const {crashedRuns, suspectedRuns, step} = task;
+      const job = step.occurrence.job.id;
+      metrics.count('tasks_given_up_total');
+      log('taskGivenUp', {
+        task: taskName(task),
+        job,
+        executorId,
+        crashedRuns,
+        suspectedRuns,
+      });
+    }
   }
 
   private createCommit(): ProgressCommit {
@@ -426,7 +441,8 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
-      this.state.recordCrash(executor, executor.expired?.runs ?? [], false);
+      const lost = executor.expired?.runs ?? [];
+      this.state.recordCrash(executor, lost, false, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -6,6 +6,7 @@
   type JobState,
   type NewJob,
   type StepState,
+  type TaskState,
 } from './job-state.js';
 import {isFinal, type JobPhase} from './types.js';
 
@@ -91,6 +92,9 @@
   index: number,
   failedRuns: readonly number[],
   checkpoint: string,
+  /** Missing in records of versions that did not count crashes. */
+  crashedRuns?: readonly number[],
+  suspectedRuns?: readonly number[],
 ];
 
 /** Progress of a step: done tasks, and rows for tasks with other progress. */
@@ -130,11 +134,8 @@
   const tasks: TaskRow[] = [];
   const done = new Uint8Array(isDone ? 0 : Math.ceil(step.tasks.length / 8));
   for (const task of isDone ? [] : step.tasks) {
-    const {index, failedRuns, checkpoint} = task;
-    if (task.phase === 'done') setBit(done, index);
-    else if (failedRuns.length > 0 || checkpoint !== '') {
-      tasks.push([index, failedRuns, checkpoint]);
-    }
+    if (task.phase === 'done') setBit(done, task.index);
+    else if (hasProgress(task)) tasks.push(taskRow(task));
   }
   const {index, failedGangRuns} = step;
   const isEmpty = step.doneCount === 0 && tasks.length === 0;
@@ -142,6 +143,20 @@
   return {occurrence, step: index, done, isDone, tasks, failedGangRuns};
 }
 
+function hasProgress(task: TaskState): boolean {
+  const {failedRuns, crashedRuns, suspectedRuns, checkpoint} = task;
+  const runs = failedRuns.length + crashedRuns.length + suspectedRuns.length;
+  return runs > 0 || checkpoint !== '';
+}
+
+function taskRow(task: TaskState): TaskRow {
+  const {index, failedRuns, checkpoint, crashedRuns, suspectedRuns} = task;
+  if (crashedRuns.length + suspectedRuns.length === 0) {
+    return [index, failedRuns, checkpoint];
+  }
+  return [index, failedRuns, checkpoint, crashedRuns, suspectedRuns];
+}
+
 function setBit(bits: Uint8Array, index: number): void {
   const at = index >> 3;
   bits[at] = (bits[at] ?? 0) | (1 << (index & 7));
@@ -169,11 +184,14 @@
     const bits = row.done[task.index >> 3] ?? 0;
     if (row.isDone || (bits & (1 << (task.index & 7))) !== 0) markDone(task);
   }
-  for (const [index, failedRuns, checkpoint] of row.tasks) {
+  for (const taskRow of row.tasks) {
+    const [index, failedRuns, checkpoint, crashedRuns, suspectedRuns] = taskRow;
     const address = {jobId: job.id, occurrence, step: row.step, index};
     const task = findTask(job, address);
     if (task === undefined) continue;
     task.failedRuns = failedRuns;
     task.checkpoint = checkpoint;
+    task.crashedRuns = crashedRuns ?? [];
+    task.suspectedRuns = suspectedRuns ?? [];
   }
 }
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -20,7 +20,7 @@
 /** A scheduling round in progress. */
 export interface Round extends RoundContext, PlacementContext {
   readonly state: CellState;
-  /** Executors withheld for an earlier step that has no room yet. */
+  /** Executors withheld for earlier steps without room, or for suspects. */
   readonly withheld: Set<ExecutorState>;
   /** Resources that only the step they are reserved for may use. */
   readonly reserved: Map<ExecutorState, ResourceAmounts>;
@@ -33,5 +33,10 @@
   readonly ticketReserved: Map<ExecutorState, ResourceAmounts>;
   /** The part of these for which urgent steps request none either. */
   readonly ticketReservedFromUrgent: Map<ExecutorState, ResourceAmounts>;
+  /**
+   * The executor withheld for each suspect of a crash that may start; null
+   * while too many are withheld for others.
+   */
+  readonly probes: Map<TaskState, ExecutorState | null>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -16,6 +16,8 @@
   TOO_LATE,
   type RankedStep,
 } from './queue-order.js';
+import {isSuspect} from './crash-suspects.js';
+import {canProbe, probesOf, withholdForSuspects} from './probes.js';
 import {holdsRoom, overdueFirst, recordRoom, resetRoom} from './overdue.js';
 import type {Round, RoundContext} from './round.js';
 import {
@@ -78,9 +80,13 @@
     reservedFromUrgent: new Map(),
     ticketReserved: new Map(),
     ticketReservedFromUrgent: new Map(),
+    probes: new Map(),
     services: summarizeServices(state, context.nowMs),
   };
   const ranked = orderSteps(ready, state.estimates, context.wallMs);
+  if (state.crashes.isActive) {
+    withholdForSuspects(ranked, round, task => isStartable(task, context));
+  }
   for (const each of overdueFirst(ranked, context.nowMs)) {
     yield* scheduleStep(each, round);
   }
@@ -106,13 +112,14 @@
   if (started > 0) resetRoom(step);
   else recordRoom(step, missing, capacity, round);
   // A ticket would expire before the headroom rule lets the step start.
-  if (missing === 0 || !leavesHeadroom(ranked, capacity)) return;
-  const executorsWithRoom = findExecutorsWithRoom(
-    ranked,
-    missing,
-    capacity,
-    round,
-  );
+  if (!leavesHeadroom(ranked, capacity)) return;
+  const probes = probesOf(step, round);
+  if (missing === 0 && probes.length === 0) return;
+  const withRoom =
+    missing === 0
+      ? []
+      : findExecutorsWithRoom(ranked, missing, capacity, round);
+  const executorsWithRoom = [...probes, ...withRoom];
   const need = findNeededTickets(step, executorsWithRoom, capacity, round);
   if (need === null) return;
   yield {kind: 'advise', step, precedence: ticketPrecedence(ranked), ...need};
@@ -190,17 +197,21 @@
   const isPossible = mayFit(step, capacity);
   const maxCount = maxTasksPerRound(ranked);
   let missing = 0;
+  let isFull = !isPossible;
   for (const task of step.tasks) {
     if (started.length + missing >= maxCount) break;
     if (!isStartable(task, round)) continue;
     if (!organisations.mayRun(organisation, spec.size, 1)) break;
     if (!leavesHeadroom(ranked, capacity)) break;
-    const mayStart = isPossible && missing === 0;
-    const executor = mayStart
-      ? chooseExecutor(task, capacity.schedulable, round)
-      : null;
+    const probe = round.probes.get(task);
+    if (probe !== undefined && !canProbe(task, probe, round)) continue;
+    const mayChoose = probe === undefined && !isSuspect(task) && !isFull;
+    const executor =
+      probe ??
+      (mayChoose ? chooseExecutor(task, capacity.schedulable, round) : null);
     if (executor === null) {
       missing += 1;
+      isFull ||= mayChoose;
       continue;
     }
     const run = round.state.nextRun([task]);
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,4 +1,5 @@
 /** Why a ready step has not been started. */
+import {isSuspect} from './crash-suspects.js';
 import {hasRoom} from './executor-state.js';
 import type {StepState} from './job-state.js';
 import {holdsRequiredTicket, isCompatible, isPermitted} from './placement.js';
@@ -12,6 +13,8 @@
   | 'unsure'
   /** All its tasks are in a retry delay after a failure. */
   | 'pausing'
+  /** All its tasks are suspects of a crash and wait for an executor. */
+  | 'suspect'
   /** Its organisation has reached its limit. */
   | 'limit'
   /** The free capacity is headroom for urgent work. */
@@ -40,6 +43,8 @@
   const {spec, occurrence, tasks} = step;
   if (isUnsure(step, round)) return 'unsure';
   if (!tasks.some(each => each.notBeforeMs <= round.nowMs)) return 'pausing';
+  const waiting = tasks.filter(({phase}) => phase === 'waiting');
+  if (!spec.isGang && waiting.every(isSuspect)) return 'suspect';
   const {organisation} = occurrence.job;
   const count = spec.isGang ? tasks.length : 1;
   if (!round.state.organisations.mayRun(organisation, spec.size, count)) {
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -1,8 +1,17 @@
 /** Tasks that crash the executors that start them. */
+import {
+  applyProgress,
+  encodeProgress,
+  newJobState,
+  tasksOf,
+  type JobState,
+  type TaskState,
+} from '@dragonflyward/cell';
+import {encode} from 'cbor-x';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Behaviour} from './fake-executor.js';
-import {Rig, STEP, type CellNode} from './rig.js';
+import {QUEUE, Rig, STEP, type CellNode} from './rig.js';
 
 const SETTLE_MS = 3000;
 /** Longer than any number of crashes that the tests allow. */
@@ -35,6 +44,19 @@
   return rig.rows.get(job)?.phase;
 }
 
+function newJob(): JobState {
+  const repetition = {times: 1, firstMs: 0, intervalMs: 0};
+  const spec = {payload: '', steps: [STEP], repetition};
+  const queue = QUEUE;
+  return newJobState({id: 'job', spec, queue, organisation: '', acceptedMs: 0});
+}
+
+function firstTask(job: JobState): TaskState {
+  const [task] = tasksOf(job);
+  assert.ok(task !== undefined);
+  return task;
+}
+
 const crashes = suite('crashes of executors');
 
 crashes('gives up a task that crashes executor after executor', async () => {
@@ -161,4 +183,21 @@
   );
 });
 
+crashes('stores the count of crashes, and reads records without it', () => {
+  const crashed = newJob();
+  const task = firstTask(crashed);
+  task.crashedRuns = [1, 3];
+  task.suspectedRuns = [3];
+  const read = newJob();
+  applyProgress(read, encodeProgress(crashed));
+  assert.equal(firstTask(read).crashedRuns, [1, 3]);
+  assert.equal(firstTask(read).suspectedRuns, [3]);
+  const row = [0, [2], 'saved'];
+  const step = {occurrence: 0, step: 0, done: new Uint8Array(1)};
+  const former = {...step, isDone: false, tasks: [row], failedGangRuns: []};
+  applyProgress(read, encode({phase: 'running', steps: [former]}));
+  assert.equal(firstTask(read).failedRuns, [2]);
+  assert.equal(firstTask(read).crashedRuns, []);
+});
+
 crashes.run();
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -287,7 +287,7 @@
     const info: ExecutorInfo = {
       id,
       service: SERVICE,
-      ip: '',
+      ip: id,
       port: 1,
       domain: 'd',
       rack: 'r',
