Replace an owner that cannot read that it is the owner

Callers saw: a shard handed to a scheduler that had just lost the log had no owner for as long as the log stayed cut from that scheduler. Jobs of the shard were neither accepted nor run; requests went to the shards of other failure domains.

Cause: the scheduler named in the hand-over keeps sending heartbeats, so it is not silent, and it asks for no promises, as it has not read that it owns the shard, so it does not count as stalled. No successor had a ground to claim.

A successor now also claims when the owner is heard but has not said in its heartbeats that it acts, for 5 s beyond the wait of a claimant. Safety does not rest on the ground of a claim: promises bind the claimant as before, and it waits for the former lease to end. An owner that only waits for the log still holds off claims by its requests for promises; a test shows this for a log outage in which a successor died.

--- a/packages/scheduler/src/membership.ts
+++ b/packages/scheduler/src/membership.ts
@@ -107,6 +107,13 @@
     return newest?.process.vm;
   }
 
+  /** Whether the latest heartbeat of a process names it as the owner. */
+  isOwner(process: ProcessRef, {shard, term}: OwnedShard): boolean {
+    const presence = this.schedulers.get(process.vm);
+    if (presence?.process.incarnation !== process.incarnation) return false;
+    return presence.owns.some(o => o.shard === shard && o.term === term);
+  }
+
   /** Lists the VMs of one kind in one failure domain. */
   *vmsIn(domain: string, kind: VmEntry['kind']): Generator<VmEntry> {
     for (const vm of this.vms.values()) {
--- a/packages/scheduler/src/ownership-peers.ts
+++ b/packages/scheduler/src/ownership-peers.ts
@@ -25,6 +25,10 @@
     return this.membership.silentMs(process);
   }
 
+  override isActing(process: ProcessRef, term: number): boolean {
+    return this.membership.isOwner(process, {shard: this.shard, term});
+  }
+
   override isListed(process: ProcessRef): boolean {
     return this.membership.isListed(process);
   }
--- a/packages/state/src/claimant.ts
+++ b/packages/state/src/claimant.ts
@@ -16,6 +16,8 @@
 export const CLAIM_STAGGER_MS = 500;
 /** A running VM appears in the list of VMs within this time of its start. */
 export const VM_LIST_LAG_MS = 10_000;
+/** How long an owner may run without acting, after the wait of a claimant. */
+export const OWNER_IDLE_TIMEOUT_MS = 5_000;
 const CLAIM_RETRY_MS = 1_000;
 
 /** Why a process may claim a shard. */
@@ -24,6 +26,7 @@
   | 'ownRestart'
   | 'ownerSilent'
   | 'ownerStalled'
+  | 'ownerIdle'
   | 'ownerGone'
   | 'successorsGone';
 
@@ -51,10 +54,13 @@
   /** Term of the owner read last, and when that owner was first read. */
   private knownTerm = 0;
   private ownerSinceMs: number;
+  /** When the owner was last known to act, or was first read. */
+  private ownerActedMs: number;
 
   constructor(private readonly options: OwnershipOptions) {
     this.startMs = options.clock.monotonicMs();
     this.ownerSinceMs = this.startMs;
+    this.ownerActedMs = this.startMs;
     this.stallDetector = new StallDetector(options);
   }
 
@@ -136,6 +142,7 @@
     const silenceTimeoutMs =
       timing.ownerSilenceMs + claimOrder * CLAIM_STAGGER_MS;
     if (isSuccessor && this.stallDetector.isStalled()) return 'ownerStalled';
+    if (isSuccessor && this.isOwnerIdle(claimOrder)) return 'ownerIdle';
     if (this.observedSilenceMs(owner) < silenceTimeoutMs) return undefined;
     if (isSuccessor) return 'ownerSilent';
     if (this.isVmGone(owner)) return 'ownerGone';
@@ -154,6 +161,19 @@
     return Math.min(peers.silentMs(owner), listenedMs);
   }
 
+  /**
+   * Whether the owner is heard but does not act, as one that cannot read that
+   * the shard was handed over to it. One that only waits for the log holds off
+   * claims by its requests for promises.
+   */
+  private isOwnerIdle(claimOrder: number): boolean {
+    const {clock, timing} = this.options;
+    const idleMs = clock.monotonicMs() - this.ownerActedMs;
+    const claimWaitMs = timing.ownerLeaseMs * (1 + CLOCK_DRIFT_MARGIN);
+    const timeoutMs = claimWaitMs + OWNER_IDLE_TIMEOUT_MS;
+    return idleMs >= timeoutMs + claimOrder * CLAIM_STAGGER_MS;
+  }
+
   /** Whether the VM left the list of VMs, or never appeared in it. */
   private isVmGone(process: ProcessRef): boolean {
     const {peers, clock} = this.options;
@@ -164,9 +184,14 @@
 
   private updateObservations(): void {
     const {clock, state, peers} = this.options;
-    if (state.term !== this.knownTerm) this.ownerSinceMs = clock.monotonicMs();
-    this.knownTerm = state.term;
-    const owners = state.owner === null ? [] : [state.owner];
+    const {owner, term} = state;
+    const nowMs = clock.monotonicMs();
+    const isNewTerm = term !== this.knownTerm;
+    const isActing = owner !== null && peers.isActing(owner, term);
+    if (isNewTerm) this.ownerSinceMs = nowMs;
+    if (isNewTerm || isActing) this.ownerActedMs = nowMs;
+    this.knownTerm = term;
+    const owners = owner === null ? [] : [owner];
     for (const process of [...owners, ...state.successors]) {
       if (peers.isListed(process)) this.seenVms.add(process.vm);
     }
--- a/packages/state/src/ownership-types.ts
+++ b/packages/state/src/ownership-types.ts
@@ -20,6 +20,8 @@
   abstract candidates(): readonly ProcessRef[];
   /** Time since the last heartbeat of this incarnation of the process. */
   abstract silentMs(process: ProcessRef): number;
+  /** Whether the process's latest heartbeat says that it acts in the term. */
+  abstract isActing(process: ProcessRef, term: number): boolean;
   /**
    * Whether the process's VM is in the newest list of VMs; true until the first
    * list was read.
--- a/packages/state/test/cell.ts
+++ b/packages/state/test/cell.ts
@@ -154,6 +154,10 @@
     return this.cell.clock.monotonicMs() - heardMs;
   }
 
+  override isActing(process: ProcessRef, term: number): boolean {
+    return this.cell.lastActingTerm(process, this.self) === term;
+  }
+
   override isListed(process: ProcessRef): boolean {
     return !this.cell.droppedVms.has(process.vm);
   }
@@ -190,6 +194,7 @@
   /** Jobs whose writer was told that they are in the log. */
   readonly accepted = new Set<string>();
   private readonly heartbeatMs = new Map<string, number>();
+  private readonly actingTerms = new Map<string, number | undefined>();
   private nextJob = 1;
 
   constructor(private readonly options: CellOptions = {}) {}
@@ -268,6 +273,11 @@
     return this.heartbeatMs.get(`${keyOf(from)}>${keyOf(to)}`) ?? -Infinity;
   }
 
+  /** Returns the term in which a process acted at its last heartbeat. */
+  lastActingTerm(from: ProcessRef, to: ProcessRef): number | undefined {
+    return this.actingTerms.get(`${keyOf(from)}>${keyOf(to)}`);
+  }
+
   /** Stops all tasks. */
   end(): void {
     for (const member of this.members) this.kill(member);
@@ -302,9 +312,12 @@
   private sendHeartbeats(): void {
     const reachable = this.members.filter(isReachable);
     for (const from of reachable) {
+      const {ownership} = from;
+      const actingTerm = ownership.mayAct() ? ownership.term : undefined;
       for (const to of reachable) {
         const key = `${keyOf(from.ref)}>${keyOf(to.ref)}`;
         this.heartbeatMs.set(key, this.clock.monotonicMs());
+        this.actingTerms.set(key, actingTerm);
       }
     }
   }
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -1,4 +1,7 @@
-import {OWNER_STALL_TIMEOUT_MS} from '@dragonflyward/state';
+import {
+  OWNER_IDLE_TIMEOUT_MS,
+  OWNER_STALL_TIMEOUT_MS,
+} from '@dragonflyward/state';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Cell, LEASE_MS, SILENCE_MS, type Member} from './cell.js';
@@ -125,6 +128,45 @@
   cell.end();
 });
 
+ownership('passes on when the new owner cannot read the handover', async () => {
+  const {cell, owner} = await startCell();
+  const [successor, other] = owner.state.successors;
+  const member = successor && cell.find(successor);
+  assert.ok(member && other);
+  member.client.isOffline = true;
+  void owner.ownership.handOver(successor, [other, owner.ref]);
+  await cell.run(OWNER_IDLE_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS);
+  assert.is(cell.acting().length, 1);
+  assert.is.not(cell.acting()[0], member);
+  assert.is(cell.violations, 0);
+  cell.end();
+});
+
+/** Returns the term after a log outage in which a successor died. */
+async function termAfterOutage(outageMs: number): Promise<number> {
+  const {cell, owner} = await startCell();
+  const [successor] = owner.state.successors;
+  const member = successor && cell.find(successor);
+  assert.ok(member);
+  cell.log.isDown = true;
+  cell.kill(member);
+  await cell.run(outageMs);
+  assert.is(cell.acting().length, 0);
+  cell.log.isDown = false;
+  await cell.run(TAKEOVER_TIMEOUT_MS);
+  assert.is(cell.acting().length, 1);
+  const {term} = owner.ownership;
+  cell.end();
+  return term;
+}
+
+ownership('stays after a log outage in which a successor died', async () => {
+  const outageMs = OWNER_IDLE_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS;
+  for (let phaseMs = 0; phaseMs < 1_000; phaseMs += BETWEEN_HEARTBEATS_MS) {
+    assert.is(await termAfterOutage(outageMs + phaseMs), 1, `${phaseMs} ms`);
+  }
+});
+
 ownership('comes back to a restarted VM when all others are gone', async () => {
   const {cell, owner} = await startCell();
   for (const member of cell.members) cell.kill(member);
