Ask a gateway again whose open tickets did not arrive

Where one of three gateways did not list its open tickets to a new owner within 500 ms, or was not connected to it at that moment, the shard gave no tickets until the longest deadline had passed, and requests ended with `deadlineUnmet` after their whole deadline.

Cause: each gateway was asked once, one after another. One that has not answered counts with all slots that it may hold, which with up to three gateways is all slots of the shard.

The new owner now asks every 500 ms each connected gateway that has not answered yet, all at once. To ask again is harmless: tickets are kept by their ids, and a gateway's first answer counts.

The new test failed before: "the deadline cannot be met: quotes", after the deadline of 10 s.

--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -13,6 +13,7 @@
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {
   OpenTicketsAsk,
+  PeerConnection,
   PeerMesh,
   RequestClaims,
   TeamWants,
@@ -283,22 +284,43 @@
     await keeper.run(() => this.owner === owner);
   }
 
-  /** Asks all gateways for their tickets and claims from earlier owners. */
+  /**
+   * Asks all gateways for their tickets and claims from earlier owners, until
+   * each has answered, as a silent one counts with all that it may hold.
+   */
   private async collectTickets(issuer: TicketIssuer): Promise<void> {
-    const {shard} = this.parts;
+    const {membership, clock} = this.parts;
+    const answered = new Set<string>();
+    while (this.issuer === issuer) {
+      const silent = membership
+        .gatewayConnections()
+        .filter(({info}) => info && !answered.has(info.process.vm));
+      const vms = await Promise.all(
+        silent.map(connection => this.collectFrom(connection, issuer)),
+      );
+      for (const vm of vms) if (vm !== undefined) answered.add(vm);
+      await clock.sleep(REFRESH_PERIOD_MS);
+    }
+  }
+
+  /** Returns the VM of the gateway if it answered. */
+  private async collectFrom(
+    connection: PeerConnection,
+    issuer: TicketIssuer,
+  ): Promise<string | undefined> {
+    const {shard, metrics} = this.parts;
     const term = this.activeTerm;
     const ask: OpenTicketsAsk = {type: 'openTicketsAsk', shard, term};
-    const gateways = this.parts.membership.gatewayConnections();
-    for (const connection of gateways) {
-      try {
-        const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
-        if (reply.type !== 'openTickets' || !connection.info) continue;
-        const {process} = connection.info;
-        issuer.adoptTickets(process, reply.tickets);
-        issuer.addGatewayClaims(process, reply.claims, reply.upMs);
-      } catch {
-        this.parts.metrics.count('open_tickets_unanswered_total');
-      }
+    try {
+      const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
+      if (reply.type !== 'openTickets' || !connection.info) return undefined;
+      const {process} = connection.info;
+      issuer.adoptTickets(process, reply.tickets);
+      issuer.addGatewayClaims(process, reply.claims, reply.upMs);
+      return process.vm;
+    } catch {
+      metrics.count('open_tickets_unanswered_total');
+      return undefined;
     }
   }
 }
--- a/packages/scheduler/test/shard-replica.test.ts
+++ b/packages/scheduler/test/shard-replica.test.ts
@@ -5,12 +5,14 @@
   ManualClock,
   Metrics,
   NO_RESOURCES,
+  raise,
 } from '@dragonflyward/common';
 import {MemoryLog, MemoryLogClient} from '@dragonflyward/log';
 import {
   PeerHandler,
   PeerMesh,
   type Hello,
+  type PeerConnection,
   type PeerNotice,
   type PeerReply,
   type TicketAsk,
@@ -31,6 +33,8 @@
 const SETTLE_MS = 3_000;
 const MAX_TAKEOVER_MS = 30_000;
 const MAX_TICKET_WAIT_MS = 200;
+/** A gateway is asked again within a period of refreshes. */
+const MAX_SECOND_ANSWER_MS = 1_000;
 const TIMING = {
   ownerLeaseMs: 2_500,
   ownerSilenceMs: 1_500,
@@ -107,11 +111,27 @@
   return config;
 }
 
+/** A gateway's connection that loses the first replies. */
+class FakeGatewayConnection {
+  readonly info = {role: 'gateway', process: GATEWAY};
+  readonly isOpen = true;
+
+  constructor(private lostReplies: number) {}
+
+  ask(): Promise<PeerReply> {
+    this.lostReplies -= 1;
+    if (this.lostReplies >= 0) return raise('peerLost', 'lost');
+    const reply = {tickets: [], claims: [], upMs: 0};
+    return Promise.resolve({type: 'openTickets', ...reply});
+  }
+}
+
 /** One scheduler that follows the shard, with its own client of the log. */
 class Scheduler {
   readonly client: MemoryLogClient;
   readonly replica: ShardReplica;
   private readonly allowances: AllowanceService;
+  private readonly membership: Membership;
 
   constructor(
     readonly vm: string,
@@ -121,6 +141,7 @@
     const self = {vm, incarnation: 1};
     this.client = new MemoryLogClient(log);
     const membership = new Membership(self, clock);
+    this.membership = membership;
     membership.setVms([executor('e-0', {service: SERVICE})], 0);
     const shards = new Map<string, ShardReplica>();
     const common = {
@@ -151,6 +172,11 @@
     this.allowances.stop();
   }
 
+  connectGateway(lostReplies: number): void {
+    const connection = new FakeGatewayConnection(lostReplies);
+    this.membership.addConnection(connection as unknown as PeerConnection);
+  }
+
   async runUntilActive(): Promise<void> {
     for (let ms = 0; ms < MAX_TAKEOVER_MS; ms += STEP_MS) {
       if (this.replica.isActive) return;
@@ -168,7 +194,6 @@
       ...{service: SERVICE, deadlineMs: 10_000, avoid: []},
     };
     assert.ok(issuer);
-    issuer.adoptTickets(GATEWAY, []);
     const startMs = this.clock.monotonicMs();
     let isOver = false;
     const asked = issuer.ask(GATEWAY, ask, ownership.term).finally(() => {
@@ -183,7 +208,8 @@
 
 const replicas = suite('shard replica');
 
-replicas('a new owner gives tickets without waiting for a poll', async () => {
+/** Returns how long a request waits for a ticket after a takeover. */
+async function waitAfterTakeoverMs(lostReplies: number): Promise<number> {
   const clock = new ManualClock(1_000);
   const log = new MemoryLog(clock);
   const former = new Scheduler('vm-1', clock, log);
@@ -192,11 +218,22 @@
   const [owner, successor] = former.replica.isActive
     ? [former, next]
     : [next, former];
+  successor.connectGateway(lostReplies);
   owner.stop();
   await successor.runUntilActive();
   const waitMs = await successor.ticketWaitMs();
   successor.stop();
+  return waitMs;
+}
+
+replicas('a new owner gives tickets without waiting for a poll', async () => {
+  const waitMs = await waitAfterTakeoverMs(0);
   assert.ok(waitMs <= MAX_TICKET_WAIT_MS, `waited ${waitMs} ms`);
 });
 
+replicas('a gateway whose reply was lost is asked again', async () => {
+  const waitMs = await waitAfterTakeoverMs(1);
+  assert.ok(waitMs <= MAX_SECOND_ANSWER_MS, `waited ${waitMs} ms`);
+});
+
 replicas.run();
