Count an owner as stalled only in its own term

Cause: a successor's record that the owner depends on promises was kept for one lease after the last request, also when the log showed another owner by then. Each successor claimed again once a second, and each claim restarted the wait of the new owner.

The record now counts only in the term in which the request came. The test of a stalled owner, which now asserts the term, failed before: expected 2, actual 7. The property tests of ownership and the recorded sequences pass.

--- a/packages/state/src/stall-detector.ts
+++ b/packages/state/src/stall-detector.ts
@@ -7,7 +7,10 @@
  */
 export const OWNER_STALL_TIMEOUT_MS = 10_000;
 
-type StallDetectorOptions = Pick<OwnershipOptions, 'clock' | 'tail' | 'timing'>;
+type StallDetectorOptions = Pick<
+  OwnershipOptions,
+  'clock' | 'state' | 'tail' | 'timing'
+>;
 
 /**
  * Compares the owner's requests for promises with this process's own reads of
@@ -17,6 +20,8 @@
   private logUpSinceMs = Infinity;
   private requestingSinceMs = Infinity;
   private lastRequestMs = -Infinity;
+  /** The term of the owner that sent the latest request. */
+  private requestTerm = 0;
 
   constructor(private readonly options: StallDetectorOptions) {}
 
@@ -40,6 +45,7 @@
     const nowMs = this.options.clock.monotonicMs();
     if (!this.isOwnerRequesting(nowMs)) this.requestingSinceMs = nowMs;
     this.lastRequestMs = nowMs;
+    this.requestTerm = this.options.state.term;
   }
 
   /** Whether the owner has not read the log for too long. */
@@ -51,6 +57,8 @@
   }
 
   private isOwnerRequesting(nowMs: number): boolean {
-    return nowMs - this.lastRequestMs <= this.options.timing.ownerLeaseMs;
+    const {state, timing} = this.options;
+    if (this.requestTerm !== state.term) return false;
+    return nowMs - this.lastRequestMs <= timing.ownerLeaseMs;
   }
 }
--- a/packages/state/test/ownership.test.ts
+++ b/packages/state/test/ownership.test.ts
@@ -65,6 +65,7 @@
   await cell.run(OWNER_STALL_TIMEOUT_MS + TAKEOVER_TIMEOUT_MS);
   assert.is(cell.acting().length, 1);
   assert.is.not(cell.acting()[0], owner);
+  assert.is(cell.acting()[0]?.ownership.term, 2);
   assert.is(cell.violations, 0);
   cell.end();
 });
