--- a/packages/cell/test/roll.test.ts
+++ b/packages/cell/test/roll.test.ts
@@ -69,6 +69,7 @@
       {
         becomeOwner: () => Promise.resolve(true),
         stopActing: () => undefined,
+        describeOrders: () => null,
         discardOwner: () => undefined,
         setDetached: () => undefined,
         announce: () => this.broadcast(),
