Search chains of owners with a property of its own

The second property submits lasting tasks and then hands over, releases, kills, supersedes and restarts owners while executors are lost, hidden and found.

--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -152,6 +152,57 @@
   }),
 );
 
+/** Owners follow one another while executors are lost and found. */
+const chainFault: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({
+    kind: fc.constant('submitService' as const),
+    tasks: fc.integer({min: 1, max: 2}),
+  }),
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('wait' as const),
+      ms: fc.integer({min: 50, max: 3000}),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('handOver' as const),
+      pauseMs: fc.constantFrom(0, 0, 300),
+      isNoticeLost: fc.constantFrom(false, false, false, true),
+    }),
+  },
+  fc.record({kind: fc.constant('release' as const)}),
+  fc.record({kind: fc.constant('kill' as const)}),
+  fc.record({kind: fc.constant('supersede' as const)}),
+  fc.record({kind: fc.constant('restartVms' as const)}),
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('disconnect' as const),
+      executor,
+      isDisconnected: fc.constantFrom(true, true, true, false),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('hide' as const),
+      executor,
+      isHidden: fc.constantFrom(true, true, true, false),
+    }),
+  },
+  fc.record({kind: fc.constant('crash' as const), executor}),
+  fc.record({kind: fc.constant('end' as const), executor}),
+  fc.record({kind: fc.constant('recover' as const), executor}),
+  fc.record({
+    kind: fc.constant('delayOrders' as const),
+    executor,
+    count: fc.integer({min: 1, max: 3}),
+  }),
+);
+
 /** Runs of every second job take this multiple of the time. */
 const LONG_RUN_FACTOR = 5;
 
@@ -423,13 +474,17 @@
 
 const owner = suite('owner under faults');
 
-owner('breaks no rule and finishes every job', async () => {
-  const faults = fc.array(anyFault, {minLength: 5, maxLength: 40});
+/** Faults break no rule, and afterwards every job is finished. */
+async function checkFaults(
+  fault: fc.Arbitrary<Fault>,
+  prefix: readonly Fault[] = [],
+): Promise<void> {
+  const faults = fc.array(fault, {minLength: 5, maxLength: 40});
   const property = fc.asyncProperty(
     faults,
     fc.boolean(),
     async (list, isReclaimed) => {
-      const scenario = await runScenario(list, isReclaimed);
+      const scenario = await runScenario([...prefix, ...list], isReclaimed);
       const {rig, jobs} = scenario;
       assert.equal(rig.checker.violations, []);
       for (const id of jobs) checkJob(scenario, id);
@@ -443,6 +498,16 @@
     numRuns: RUNS,
     includeErrorInReport: true,
   });
-});
+}
+
+owner('breaks no rule and finishes every job', () => checkFaults(anyFault));
+
+owner('breaks no rule while owners follow one another', () =>
+  checkFaults(chainFault, [
+    {kind: 'submitService', tasks: 2},
+    {kind: 'submitService', tasks: 2},
+    {kind: 'wait', ms: 500},
+  ]),
+);
 
 if (process.argv[2] === undefined) owner.run();
