Count what an earlier process of the successor's VM ordered until it ended

A handover back to the VM of a former owner dropped that owner from the list, since its process has ended. But it may have acted after it was superseded: its last orders counted only until the claim that superseded it, and a task could run twice, with limits exceeded. It now stays in the list with an end at the reading at the latest.

The property now lets every second process be the next one of a VM whose process was killed.

--- a/packages/cell/src/former-owners.ts
+++ b/packages/cell/src/former-owners.ts
@@ -41,6 +41,28 @@
   return ms > 0 ? ms * CLOCK_RATE_FACTOR : ms / CLOCK_RATE_FACTOR;
 }
 
+/**
+ * Takes in that earlier processes and terms of a VM have ended by now. They
+ * stay in the list: what they ordered until then counts.
+ *
+ * @example
+ * const formerOwners = endOwnersOf(self.vm, notice.formerOwners);
+ */
+export function endOwnersOf(
+  vm: string,
+  owners: readonly FormerOwner[],
+): readonly FormerOwner[] {
+  return owners.map(owner =>
+    owner.vm === vm
+      ? {
+          ...owner,
+          startMs: Math.min(0, owner.startMs),
+          actMs: Math.min(0, owner.actMs),
+        }
+      : owner,
+  );
+}
+
 /** Follows until when former owners may act, on this VM's clock. */
 export class FormerOwners {
   private readonly deadlines: readonly Deadline[];
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import PQueue from 'p-queue';
-import {FormerOwners, type FormerOwner} from './former-owners.js';
+import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
 import {
   InheritedOrders,
   type OrdersDeadline,
@@ -137,8 +137,7 @@
   self: OwnerAddress,
 ): readonly FormerOwner[] {
   if (record === null) return [];
-  const earlier = earlierOwners(record).filter(({vm}) => vm !== self.vm);
-  // Earlier processes of this VM have ended.
+  const earlier = endOwnersOf(self.vm, earlierOwners(record));
   if (record.isReleased || record.vm === self.vm) return earlier;
   const {vm, incarnation} = record;
   const startMs = START_LEASE_MS;
@@ -184,13 +183,12 @@
   notice: HandoverNotice,
 ): Ownership {
   const {term, endOffset, areFormerStopped, orders} = notice;
-  const earlier = earlierOwners(notice);
   const record = {
     ...toAddress(self),
     term,
     isReleased: false,
     areFormerStopped,
-    formerOwners: earlier.filter(({vm}) => vm !== self.vm),
+    formerOwners: endOwnersOf(self.vm, earlierOwners(notice)),
   };
   const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
   return new Ownership(store, clock, record, {sentMs, endOffset}, orders);
--- a/packages/cell/test/owner-chain.test.ts
+++ b/packages/cell/test/owner-chain.test.ts
@@ -205,6 +205,27 @@
   assert.is(countRuns(rig, task), 1);
 });
 
+// The first owner acts on after it was superseded; then its process ends.
+chain('starts no second run after a handover back to a VM', async () => {
+  const started = await startOwner();
+  const {rig, owner, task} = started;
+  owner.store.faults.isRefusing = true;
+  for (const id of ['x0', 'x2', 'x3']) owner.unreachable.add(id);
+  await rig.run(CLAIM_DELAY_MS);
+  const second = rig.newNode('v1');
+  second.unreachable.add('x1');
+  void rig.claim(second);
+  await rig.run(2000);
+  rig.kill(owner);
+  await rig.run(100);
+  const third = rig.newNode('v0');
+  third.unreachable.add('x1');
+  void rig.handOver(second, third);
+  await rig.run(2 * LEASE_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
 // The second owner acted before it was killed; what it was told is outdated.
 chain(
   'starts no second run of an owner that died after a handover',
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -382,8 +382,12 @@
     return node;
   }
 
+  /** Every second process is the next one of a VM whose process was killed. */
   private addNode(): CellNode {
-    const node = this.rig.newNode(`v${this.nodes.length}`);
+    const count = this.nodes.length;
+    const ended = this.nodes.filter(({isKilled}) => isKilled).at(-1);
+    const isNext = count % 2 === 0 && ended !== undefined;
+    const node = this.rig.newNode(isNext ? ended.vm : `v${count}`);
     for (const id of this.hidden) node.unreachable.add(id);
     this.nodes.push(node);
     return node;
