--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -2,10 +2,11 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {decode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
+import {isSuspect} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
 import type {FormerOwnerRuns} from './former-owner-runs.js';
-import type {JobState, NewJob} from './job-state.js';
+import {tasksOf, type JobState, type NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
 import type {ProgressWriter} from './progress-writer.js';
@@ -16,6 +17,12 @@
   PROGRESS_PREFIX,
   PROGRESS_TOPIC,
 } from './records.js';
+import {
+  hasMore,
+  maxAmounts,
+  toAmounts,
+  type ResourceAmounts,
+} from './resource-amounts.js';
 import type {LogPage, StoredRecord, Store} from './store.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
@@ -40,8 +47,10 @@
   readonly onNewExecutor: (executor: ExecutorState) => void;
   /** Called for an executor that a former owner has used at its address. */
   readonly onFormerExecutor: (executor: ExecutorState) => void;
-  /** Called when an executor listens at another address. */
-  readonly onAddressChanged: (executor: ExecutorState) => void;
+  /** Called when an executor listens elsewhere or serves something else. */
+  readonly onServerChanged: (executor: ExecutorState) => void;
+  /** Called when an executor has more of a resource than was stored. */
+  readonly onCapacityGrown: (executor: ExecutorState) => void;
   readonly onDraining: (executor: ExecutorState) => void;
 }
 
@@ -153,6 +162,8 @@
   private applyStoredProgress(job: JobState, value: Uint8Array): void {
     if (isFinal(job.phase)) return;
     applyProgress(job, value);
+    const {crashes} = this.deps.state;
+    crashes.isActive ||= [...tasksOf(job)].some(isSuspect);
     if (isFinal(job.phase)) this.deps.state.removePendingSteps(job);
   }
 
@@ -165,9 +176,13 @@
     const known = state.executors.get(info.id);
     const executor = known ?? state.setExecutor(info);
     if (known === undefined) executor.isListed = false;
+    const {largestCapacity} = executor;
+    executor.largestCapacity = maxAmounts(largestCapacity, info.capacity);
     formerOwnerRuns.addExecutor(executor);
-    // At a new address, it is used once that address is stored.
-    if (isSameAddress(info, executor.info)) onFormerExecutor(executor);
+    // With a new address or service, it is used once that is stored.
+    if (!isSameServer(info, executor.info)) return;
+    onFormerExecutor(executor);
+    this.reportGrowth(executor, info.capacity);
   }
 
   private applyJobsRecord({key, value}: StoredRecord): void {
@@ -188,16 +203,41 @@
     }
     const info = platform.decodeExecutor(record);
     if (info === null) return;
-    const before = state.executors.get(info.id)?.info;
+    const known = state.executors.get(info.id);
+    const before = known?.info;
+    const largestBefore = known?.largestCapacity;
     const executor = state.setExecutor(info);
     if (before === undefined) this.reportNewExecutor(executor);
-    else if (!isSameAddress(before, executor.info)) {
-      this.deps.onAddressChanged(executor);
+    else if (!isSameServer(before, executor.info)) {
+      this.deps.onServerChanged(executor);
     }
+    if (before !== undefined) this.logCapacityChange(executor, before);
+    if (largestBefore !== undefined) this.reportGrowth(executor, largestBefore);
     const wasDraining = before?.isDraining ?? false;
     if (info.isDraining && !wasDraining) this.reportDraining(executor);
   }
 
+  /** Logs a change of the capacity, and how much is in use now. */
+  private logCapacityChange(
+    executor: ExecutorState,
+    {capacity: former}: ExecutorInfo,
+  ): void {
+    const {info, usedCpuMilli, usedMemMb, usedAccel} = executor;
+    const {capacity} = info;
+    if (!hasMore(former, capacity) && !hasMore(capacity, former)) return;
+    this.deps.log('executorCapacityChanged', {
+      executorId: info.id,
+      former: toAmounts(former),
+      capacity: toAmounts(capacity),
+      used: {cpuMilli: usedCpuMilli, memMb: usedMemMb, accel: usedAccel},
+    });
+  }
+
+  private reportGrowth(executor: ExecutorState, stored: ResourceAmounts): void {
+    const {largestCapacity} = executor;
+    if (hasMore(largestCapacity, stored)) this.deps.onCapacityGrown(executor);
+  }
+
   private reportNewExecutor(executor: ExecutorState): void {
     const {id, service} = executor.info;
     this.deps.log('executorListed', {executorId: id, service});
@@ -227,6 +267,7 @@
   }
 }
 
-function isSameAddress(a: ExecutorInfo, b: ExecutorInfo): boolean {
-  return a.ip === b.ip && a.port === b.port;
+/** Whether a later owner would look for the same runs at the same place. */
+function isSameServer(a: ExecutorInfo, b: ExecutorInfo): boolean {
+  return a.ip === b.ip && a.port === b.port && a.service === b.service;
 }
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,4 +1,10 @@
 /** The owner's in-memory state and its transitions; does no I/O. */
+import {
+  CrashSuspects,
+  isSuspect,
+  type Crash,
+  type LostRun,
+} from './crash-suspects.js';
 import type {EndedRun} from './executor-client.js';
 import {
   addOrphan,
@@ -9,6 +15,7 @@
   type ExecutorState,
   type OrphanRun,
 } from './executor-state.js';
+import {maxAmounts} from './resource-amounts.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
 import {
   findTask,
@@ -57,6 +64,8 @@
     task: string,
     run: number,
   ) => void;
+  /** An executor crashed with runs of tasks; called before any is given up. */
+  readonly onCrash: (crash: Crash) => void;
 }
 
 /** Jobs, executors and the resource usage of organisations. */
@@ -64,6 +73,7 @@
   readonly jobs = new Map<string, JobState>();
   readonly executors = new Map<string, ExecutorState>();
   readonly organisations = new OrganisationTable();
+  readonly crashes = new CrashSuspects();
   readonly estimates = new RunTimeEstimates();
   /** Steps that may have waiting tasks. */
   readonly pendingSteps = new Set<StepState>();
@@ -158,7 +168,9 @@
       return executor;
     }
     if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
+    if (info.bornMs === known.bornMs) known.hasDrained ||= info.isDraining;
     known.info = info;
+    known.largestCapacity = maxAmounts(known.largestCapacity, info.capacity);
     known.isListed = true;
     const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
     if (isIdle && info.bornMs > known.bornMs) {
@@ -188,6 +200,7 @@
     // Without its clock no lease can be given there, and none counts as over.
     executor.isReached = false;
     executor.bornMs = bornMs;
+    executor.hasDrained = executor.info.isDraining;
     executor.clockMs = Number.NaN;
     executor.leaseUntilMs = 0;
     executor.processedThrough = 0;
@@ -197,6 +210,29 @@
     for (const step of this.pendingSteps) step.tickets.delete(executor.info.id);
   }
 
+  /**
+   * Records the crash of an executor that has lost runs, and gives up the jobs
+   * of tasks that crash executor after executor.
+   *
+   * @param isConfirmed whether the executor is known to have started again
+   */
+  recordCrash(
+    executor: ExecutorState,
+    runs: readonly LostRun[],
+    isConfirmed: boolean,
+    nowMs: number,
+  ): void {
+    if (runs.length === 0) return;
+    const crash = this.crashes.record(executor, runs, isConfirmed, nowMs);
+    this.listener.onCrash(crash);
+    const jobs = new Set(crash.runs.map(({task}) => task.step.occurrence.job));
+    for (const job of jobs) this.listener.onProgress(job);
+    for (const {step} of crash.givenUp) {
+      const {job} = step.occurrence;
+      if (!isFinal(job.phase)) this.finish(job, 'failed');
+    }
+  }
+
   /** Requeues all tasks of an executor on which nothing runs any more. */
   requeueAll(executor: ExecutorState): void {
     for (const task of [...executor.tasks]) this.requeue(task);
@@ -223,6 +259,7 @@
     task.answeredMs = Infinity;
     task.isStartUnconfirmed = false;
     task.percent = 100;
+    if (isSuspect(task)) this.crashes.addProbe(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase !== 'queued') return;
@@ -252,6 +289,7 @@
     task.phase = 'running';
     task.startedMs = Number.NaN;
     task.answeredMs = nowMs;
+    if (isSuspect(task)) this.crashes.addProbe(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase === 'queued') {
@@ -321,6 +359,7 @@
     const isCurrent = task.executor === executor && task.run === end.run;
     if (isCurrent) this.unplace(task);
     if (task.phase === 'done') return;
+    if (end.how === 'done' || end.how === 'failed') this.crashes.clear(task);
     task.run = Math.max(task.run, end.run);
     if (end.how === 'done') {
       if (isCurrent) this.recordRunTime(executor, task, nowMs - task.startedMs);
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,6 +1,7 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
+import {isOnProbation, runsLostBy} from './crash-suspects.js';
 import {
   dueStops,
   isStopDue,
@@ -287,9 +288,11 @@
     const {tasks, isReached, missedRenewals} = this.executor;
     if (!isReached || missedRenewals > 0) return 0;
     let waitMs = RENEWAL_WAIT_MS;
-    for (const {phase, step} of tasks) {
+    for (const task of tasks) {
+      const {phase, step} = task;
       if (phase === 'starting') return STARTING_WAIT_MS;
       if (phase === 'stopping') return STARTING_WAIT_MS;
+      if (isOnProbation(task)) return STARTING_WAIT_MS;
       if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
     }
     return waitMs;
@@ -358,8 +361,13 @@
       host.writeLog('executorReplaced', {executorId, what});
     }
     this.isReplaced = true;
-    host.state.recordRestart(executor, executor.bornMs, Infinity);
+    const {expired, hasDrained, bornMs} = executor;
+    const current = hasDrained ? [] : runsLostBy(executor, Infinity);
+    const lost = [...(expired?.runs ?? []), ...current];
+    executor.expired = null;
+    host.state.recordRestart(executor, bornMs, Infinity);
     host.state.requeueAll(executor);
+    host.state.recordCrash(executor, lost, true, host.clock.monotonicMs());
     executor.isListed = false;
     host.onChange(executor);
   }
@@ -382,6 +390,7 @@
         executorId: executor.info.id,
         tasks: executor.tasks.size,
       });
+      this.keepExpiredRuns();
       host.state.requeueAll(executor);
       host.onChange(executor);
     }
@@ -389,4 +398,13 @@
       host.onChange(executor);
     }
   }
+
+  /** Keeps what was lost in case the executor turns out to have crashed. */
+  private keepExpiredRuns(): void {
+    const {executor} = this;
+    if (executor.hasDrained) return;
+    const {bornMs, expired} = executor;
+    const runs = [...(expired?.runs ?? []), ...runsLostBy(executor, Infinity)];
+    executor.expired = {bornMs, runs};
+  }
 }
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,5 +1,7 @@
 /** The owner's state of each executor: resources, clock, lease and health. */
+import type {LostRun} from './crash-suspects.js';
 import type {TaskState} from './job-state.js';
+import type {ResourceAmounts} from './resource-amounts.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
 
 /** The most by which an executor's clock runs slow, as the platform states. */
@@ -16,15 +18,28 @@
   isStopAnswered: boolean;
 }
 
+/** Runs that were lost if the executor has crashed since. */
+export interface ExpiredRuns {
+  /** Start time of the executor process that ran them. */
+  readonly bornMs: number;
+  readonly runs: readonly LostRun[];
+}
+
 /** The owner's state of an executor. */
 export interface ExecutorState {
   info: ExecutorInfo;
+  /** The most that it has had of each resource, under former owners too. */
+  largestCapacity: ResourceAmounts;
   /** Whether the platform's store lists it now. */
   isListed: boolean;
   /** Whether it has answered this owner since it started. */
   isReached: boolean;
   /** Unix milliseconds of its start, as it reports it. */
   bornMs: number;
+  /** Whether it has announced that it will shut down. */
+  hasDrained: boolean;
+  /** Runs whose leases expired in silence; null while it answers. */
+  expired: ExpiredRuns | null;
   usedCpuMilli: number;
   usedMemMb: number;
   usedAccel: number;
@@ -60,9 +75,12 @@
 export function newExecutorState(info: ExecutorInfo): ExecutorState {
   return {
     info,
+    largestCapacity: info.capacity,
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
+    hasDrained: info.isDraining,
+    expired: null,
     usedCpuMilli: 0,
     usedMemMb: 0,
     usedAccel: 0,
@@ -81,6 +99,14 @@
   };
 }
 
+/**
+ * Whether its description is that of the process that answers: an executor may
+ * restart with another service, other labels and another capacity.
+ */
+export function isDescriptionCurrent({info, bornMs}: ExecutorState): boolean {
+  return info.bornMs === 0 || info.bornMs === bornMs;
+}
+
 /** CPU that a task of the step takes of the capacity; none for fillers. */
 export function allocatedCpuMilli(spec: StepSpec): number {
   return spec.isFiller ? 0 : spec.size.cpuMilli;
@@ -168,3 +194,13 @@
   const slackMs = LEASE_END_SLACK_MS;
   return earliestClockMs(executor, nowMs) > executor.leaseUntilMs + slackMs;
 }
+
+/**
+ * The longest time until all leases of runs on the executor have expired, in
+ * ms; NaN while its clock is not known.
+ */
+export function leaseLeftMs(executor: ExecutorState, nowMs: number): number {
+  const endMs = executor.leaseUntilMs + LEASE_END_SLACK_MS;
+  const leftMs = endMs - earliestClockMs(executor, nowMs);
+  return Math.max(0, leftMs / (1 - MAX_CLOCK_DRIFT));
+}
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -4,9 +4,15 @@
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
+import type {Crash, LostRun} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
+import {
+  ordersNotice,
+  type NamedOrders,
+  type OrdersNotice,
+} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -35,6 +41,8 @@
 const MIN_ROUND_DELAY_MS = 3;
 /** Maximum delay before a scheduling round, in ms. */
 const MAX_ROUND_DELAY_MS = 250;
+/** The most runs that a line on a crash names. */
+const MAX_NAMED_RUNS = 10;
 /** Maximum age of a read that shows that a job does not exist, in ms. */
 const MAX_READ_AGE_MS = 2000;
 
@@ -67,6 +75,8 @@
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private isActive = false;
+  /** Whether it has loaded the stored state and may have given orders. */
+  private isLoaded = false;
   private isClosed = false;
   private lastStateLogMs = 0;
   private isRoundDue = false;
@@ -117,9 +127,37 @@
       onStop: ({executor}) =>
         this.loops.get(executor?.info.id ?? '')?.sendStops(),
       onOrphan: ({info}) => this.loops.get(info.id)?.sendStops(),
+      onCrash: crash => this.reportCrash(crash),
     });
   }
 
+  private reportCrash(crash: Crash): void {
+    const {executor, isConfirmed, isMachineSuspect, runs, suspects} = crash;
+    const {log, metrics} = this.deps;
+    const executorId = executor.info.id;
+    metrics.count('executor_crashes_total');
+    log('executorCrashed', {
+      executorId,
+      isConfirmed,
+      isMachineSuspect,
+      runs: runs.length,
+      newRuns: suspects.length,
+      tasks: nameRuns(suspects.length > 0 ? suspects : runs),
+    });
+    for (const task of crash.givenUp) {
+      const {crashedRuns, suspectedRuns, step} = task;
+      const job = step.occurrence.job.id;
+      metrics.count('tasks_given_up_total');
+      log('taskGivenUp', {
+        task: taskName(task),
+        job,
+        executorId,
+        crashedRuns,
+        suspectedRuns,
+      });
+    }
+  }
+
   private createCommit(): ProgressCommit {
     const {state, writer, deps} = this;
     return new ProgressCommit({
@@ -151,7 +189,8 @@
         this.commit.removeExecutor(executor);
         this.startExecutorLoop(executor);
       },
-      onAddressChanged: executor => this.restartExecutorLoop(executor),
+      onServerChanged: executor => this.restartExecutorLoop(executor),
+      onCapacityGrown: executor => this.commit.addExecutor(executor),
       onDraining: executor => this.runtimeMonitor.drainExecutor(executor),
     });
   }
@@ -167,6 +206,7 @@
     if (!(await this.feed.load())) return false;
     this.deps.publish(this.allRows());
     this.isActive = true;
+    this.isLoaded = true;
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -189,6 +229,23 @@
     this.commit.close();
   }
 
+  /**
+   * What the next owner has to know of this one's orders and of earlier ones;
+   * call it after `close`.
+   *
+   * @returns null if this owner has not started to act
+   */
+  describeOrders(): OrdersNotice | null {
+    if (!this.isLoaded) return null;
+    const nowMs = this.deps.clock.monotonicMs();
+    const executors: NamedOrders[] = [];
+    for (const executor of this.state.executors.values()) {
+      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
+      if (orders !== null) executors.push({id: executor.info.id, ...orders});
+    }
+    return ordersNotice(executors);
+  }
+
   /** Applies a configuration. */
   setConfig(config: CellConfig): void {
     this.state.setConfig(config);
@@ -410,6 +467,8 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
+      const lost = executor.expired?.runs ?? [];
+      this.state.recordCrash(executor, lost, false, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
@@ -428,6 +487,13 @@
   }
 }
 
+/** Names the last of the runs that were lost in a crash. */
+function nameRuns(runs: readonly LostRun[]): readonly string[] {
+  return runs
+    .slice(-MAX_NAMED_RUNS)
+    .map(({task, run}) => `${taskName(task)}#${run}`);
+}
+
 function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
   return {id, phase: visiblePhase, queue: queue.name, organisation};
 }
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -2,6 +2,7 @@
 import {
   allocatedCpuMilli,
   hasRoom,
+  isDescriptionCurrent,
   type ExecutorState,
 } from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
@@ -53,6 +54,7 @@
   return (
     executor.isListed &&
     executor.isReached &&
+    isDescriptionCurrent(executor) &&
     executor.missedRenewals === 0 &&
     !executor.info.isDraining &&
     executor.avoidUntilMs <= nowMs
@@ -306,5 +308,7 @@
 }
 
 function countFittingUnits(free: number, perTask: number): number {
-  return perTask === 0 ? Infinity : Math.max(0, Math.floor(free / perTask));
+  // As in hasRoom, nothing fits where more than the capacity is in use.
+  if (free < 0) return 0;
+  return perTask === 0 ? Infinity : Math.floor(free / perTask);
 }
--- a/packages/cell/src/resource-amounts.ts
+++ b/packages/cell/src/resource-amounts.ts
@@ -32,6 +32,15 @@
   };
 }
 
+/** Copies the amounts of what may have further fields. */
+export function toAmounts({
+  cpuMilli,
+  memMb,
+  accel,
+}: ResourceAmounts): ResourceAmounts {
+  return {cpuMilli, memMb, accel};
+}
+
 /** Adds amounts. */
 export function addAmounts(
   a: ResourceAmounts,
@@ -67,3 +76,20 @@
     accel: Math.min(a.accel, b.accel),
   };
 }
+
+/** Returns the larger amount of each resource. */
+export function maxAmounts(
+  a: ResourceAmounts,
+  b: ResourceAmounts,
+): ResourceAmounts {
+  return {
+    cpuMilli: Math.max(a.cpuMilli, b.cpuMilli),
+    memMb: Math.max(a.memMb, b.memMb),
+    accel: Math.max(a.accel, b.accel),
+  };
+}
+
+/** Whether there is more of any resource in `a` than in `b`. */
+export function hasMore(a: ResourceAmounts, b: ResourceAmounts): boolean {
+  return a.cpuMilli > b.cpuMilli || a.memMb > b.memMb || a.accel > b.accel;
+}
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -86,6 +86,7 @@
           return Promise.resolve(true);
         },
         stopActing: () => undefined,
+        describeOrders: () => null,
         discardOwner: () => undefined,
         setDetached: () => undefined,
         announce: () => undefined,
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -2,12 +2,14 @@
 import type {Clock} from '@dragonflyward/common';
 import {
   ExecutorClient,
+  maxAmounts,
   type ExecutorInfo,
   type RenewLeaseOrder,
   type Inventory,
   type EndedRun,
   type OrderFailure,
   type OrderReply,
+  type ResourceAmounts,
   type RunOutcome,
   type StartOrder,
 } from '@dragonflyward/cell';
@@ -33,11 +35,11 @@
   readonly acked: (task: string, run: number, how: RunOutcome) => void;
 }
 
-/** Decides how long a run takes and how it ends. */
+/** Decides how long a run takes and how it ends, or that it crashes. */
 export type Behaviour = (
   task: string,
   run: number,
-) => {readonly ms: number; readonly how: RunOutcome};
+) => {readonly ms: number; readonly how: RunOutcome | 'crash'};
 
 const STOP_MS = 300;
 /** The platform's `max-hold-ms`. */
@@ -45,7 +47,17 @@
 /** Interval at which ends of runs are checked, in ms. */
 const TIMER_RESOLUTION_MS = 10;
 const LOST_REPLY_TIMEOUT_MS = 700;
+/** How long an executor is down that a run has crashed. */
+const CRASH_DOWN_MS = 3000;
 const NO_CLOCK = Number.NaN;
+/** The platform's `contact-ms` and one heartbeat interval, in ms. */
+const DECREASE_GRACE_MS = 5500;
+
+/** A capacity that was replaced. */
+interface FormerCapacity {
+  readonly capacity: ExecutorInfo['capacity'];
+  readonly untilMs: number;
+}
 
 /** One executor across restarts. */
 export class FakeExecutor {
@@ -76,8 +88,13 @@
   isUnlisted = false;
   /** After this time, another executor answers at former addresses, in ms. */
   formerAddressAnswerMs = Infinity;
+  /** Starts at its address, under an id of its own, after a run's crash. */
+  replacement: FakeExecutor | null = null;
   /** Whether ends were acknowledged that this process has not listed. */
   hasWrongAck = false;
+  private formerCapacities: readonly FormerCapacity[] = [];
+  /** How long ago the order that is being carried out was sent, in ms. */
+  orderAgeMs = 0;
 
   constructor(
     readonly id: string,
@@ -108,6 +125,16 @@
     this.isRefusing = false;
   }
 
+  private async crashForAWhile(): Promise<void> {
+    this.crash();
+    await this.clock.sleep(CRASH_DOWN_MS);
+    if (this.replacement === null) return this.recover();
+    this.port += 1;
+    this.formerAddressAnswerMs = this.latencyMs;
+    this.isRefusing = false;
+    this.replacement.recover();
+  }
+
   /** Restarts the executor, which loses all runs. */
   restart(): void {
     for (const {task, run} of this.runs.values()) {
@@ -130,6 +157,39 @@
     this.port = port;
   }
 
+  /** Restarts the executor, which then describes itself in another way. */
+  restartAs(change: Partial<ExecutorInfo>): void {
+    this.restart();
+    this.describe(change);
+  }
+
+  /** Changes the capacity beside what runs; the next record shows it. */
+  setCapacity(change: Partial<ExecutorInfo['capacity']>): void {
+    this.describe({capacity: {...this.info.capacity, ...change}});
+  }
+
+  private describe(change: Partial<ExecutorInfo>): void {
+    const {capacity} = this.info;
+    const untilMs = this.clock.monotonicMs();
+    this.formerCapacities = [...this.formerCapacities, {capacity, untilMs}];
+    this.info = {...this.info, ...change};
+  }
+
+  /**
+   * The most that starts may use now. A decrease counts some time later, as of
+   * when the order was sent.
+   */
+  usableCapacity(): ResourceAmounts {
+    const sentMs = this.clock.monotonicMs() - this.orderAgeMs;
+    const sinceMs = sentMs - DECREASE_GRACE_MS;
+    return this.formerCapacities
+      .filter(({untilMs}) => untilMs > sinceMs)
+      .reduce<ResourceAmounts>(
+        (most, {capacity}) => maxAmounts(most, capacity),
+        this.info.capacity,
+      );
+  }
+
   clockMs(): number {
     return Math.floor(this.clock.monotonicMs() - this.bornAtMs) + 1000;
   }
@@ -217,7 +277,9 @@
       if (hasLeaseExpired) this.end(run, 'lapsed');
       else if (nowMs >= run.endsMs) {
         const {how} = this.behave(run.task, run.run);
-        this.end(run, run.isStopping ? 'stopped' : how);
+        if (run.isStopping) this.end(run, 'stopped');
+        else if (how !== 'crash') this.end(run, how);
+        else return void this.crashForAWhile();
       }
     }
   }
@@ -302,7 +364,10 @@
     await this.clock.sleep(orderDelayMs);
     // A restarted executor knows no token and could not refuse a late order, so
     // the order is dropped.
-    if (!this.executor.isDown && this.executor.bornMs === bornMs) order();
+    if (this.executor.isDown || this.executor.bornMs !== bornMs) return;
+    this.executor.orderAgeMs = orderDelayMs;
+    order();
+    this.executor.orderAgeMs = 0;
   }
 
   private isFormerAddress(): boolean {
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -61,6 +61,7 @@
       {
         becomeOwner: () => Promise.resolve(true),
         stopActing: () => undefined,
+        describeOrders: () => null,
         discardOwner: () => undefined,
         setDetached: () => undefined,
         announce: () => this.broadcast(),
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -1,6 +1,8 @@
 /** Owners, executors and a store on one clock that the test advances. */
 import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
+  acceptOwnership,
+  allocatedAmounts,
   claimCell,
   encodeJob,
   jobKey,
@@ -17,6 +19,7 @@
   type ExecutorClient,
   type ExecutorInfo,
   type JobRow,
+  type OwnerAddress,
   type Ownership,
   type StoredRecord,
   type Queue,
@@ -152,6 +155,10 @@
   readonly unreachable: Set<string>;
 }
 
+function addressOf({vm, incarnation}: CellNode): OwnerAddress {
+  return {vm, ip: '', port: 0, incarnation};
+}
+
 /** A small cell. */
 export class Rig {
   readonly clock = new RigClock(START_MS);
@@ -162,6 +169,8 @@
   readonly logLines: string[] = [];
   /** The VMs through which owners call the advice service. */
   adviceChannels: readonly AdviceChannel[] = [];
+  /** Whether executors cannot write their records. */
+  isListingPaused = false;
   /** Called for each log line of an owner. */
   onLog: (event: string) => void = () => undefined;
   private nextIncarnation = 1;
@@ -200,11 +209,47 @@
 
   /** Lets a process claim the cell and act; false if it was not first. */
   async claim(node: CellNode): Promise<boolean> {
-    const {store, vm, incarnation} = node;
+    const {store} = node;
     const snapshot = await readOwner(store);
-    const self = {vm, ip: '', port: 0, incarnation};
+    const self = addressOf(node);
     const ownership = await claimCell(store, this.clock, self, snapshot);
     if (ownership === null || node.isKilled) return false;
+    return this.act(node, ownership);
+  }
+
+  /**
+   * Hands the cell over in an orderly way.
+   *
+   * @param pauseMs how long the process is frozen before it writes
+   * @returns false if that is not certain or the notice is lost
+   */
+  async handOver(
+    from: CellNode,
+    to: CellNode,
+    {pauseMs = 0, isNoticeLost = false} = {},
+  ): Promise<boolean> {
+    const {owner, ownership} = from;
+    if (owner === null || ownership === null) return false;
+    owner.close();
+    const orders = owner.describeOrders() ?? ownership.describeFormerOrders();
+    await this.clock.sleep(pauseMs);
+    const self = addressOf(to);
+    const endOffset = await ownership.handOver(self);
+    if (endOffset < 0 || isNoticeLost || to.isKilled) return false;
+    const notice = ownership.handoverNotice(endOffset, orders);
+    return this.act(to, acceptOwnership(to.store, this.clock, self, notice));
+  }
+
+  /** Releases the cell. */
+  async release({owner, ownership}: CellNode): Promise<void> {
+    if (owner === null || ownership === null) return;
+    owner.close();
+    const orders = owner.describeOrders() ?? undefined;
+    await ownership.release(orders);
+  }
+
+  private async act(node: CellNode, ownership: Ownership): Promise<boolean> {
+    const {store} = node;
     node.ownership = ownership;
     const owner = new Owner({
       platform: new RigPlatform(store, this, node),
@@ -252,7 +297,7 @@
       id,
       counts: steps.map(({count}) => count),
       after: steps.map(({after}) => after),
-      cpuMilli: steps[0]?.size.cpuMilli ?? 0,
+      amounts: steps.map(step => allocatedAmounts(step, 1)),
       maxAttempts: queue.maxAttempts,
       isGang: steps.some(({isGang}) => isGang),
       isCancelled: false,
@@ -287,7 +332,7 @@
     const info: ExecutorInfo = {
       id,
       service: SERVICE,
-      ip: '',
+      ip: id,
       port: 1,
       domain: 'd',
       rack: 'r',
@@ -310,7 +355,7 @@
   /** Writes the executors' own records; those that are down are deleted. */
   private async listExecutors(): Promise<void> {
     for (;;) {
-      for (const executor of this.executors) {
+      for (const executor of this.isListingPaused ? [] : this.executors) {
         const isGone = executor.isDown || executor.isUnlisted;
         const {bornMs, isDraining, ip, port} = executor;
         const info = {...executor.info, bornMs, isDraining, ip, port};
--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -13,6 +13,7 @@
 import {StreamTail, StreamWriter, type LogClient} from '@dragonflyward/log';
 import type {
   OpenTicketsAsk,
+  PeerConnection,
   PeerMesh,
   RequestClaims,
   TeamWants,
@@ -39,6 +40,7 @@
 const CHECK_PERIOD_MS = 50;
 const REFRESH_PERIOD_MS = 500;
 const TAIL_WAIT_MS = 500;
+const ALLOWANCE_RETRY_MS = 200;
 const IMPORT_TIMEOUT_MS = 2_000;
 const MAX_SUCCESSOR_SILENCE_MS = 2_000;
 /** Size of each term's range of task numbers, so that ids never collide. */
@@ -205,6 +207,7 @@
     });
     this.refreshedMs = -Infinity;
     this.refresh();
+    void this.readAllowances(this.owner);
     void this.collectTickets(this.issuer);
     void this.acknowledgeAllowances(this.owner);
     void this.owner.run();
@@ -244,6 +247,19 @@
     return allowances.amountsOf(shard);
   }
 
+  /** Reads the allowances at once, as requests wait for them. */
+  private async readAllowances(owner: ShardOwner): Promise<void> {
+    const {allowances, clock} = this.parts;
+    while (this.owner === owner) {
+      await allowances.tail.readOnce(0).catch(() => undefined);
+      if (allowances.isReadSince(this.activeSinceMs)) break;
+      await clock.sleep(ALLOWANCE_RETRY_MS);
+    }
+    if (this.owner !== owner) return;
+    this.refreshedMs = -Infinity;
+    this.refresh();
+  }
+
   /** The team's usage in this shard that counts against its allowance. */
   private teamUsage(team: string): Resources {
     const demands = this.owner?.engine.getDemand() ?? [];
@@ -268,22 +284,43 @@
     await keeper.run(() => this.owner === owner);
   }
 
-  /** Asks all gateways for their tickets and claims from earlier owners. */
+  /**
+   * Asks all gateways for their tickets and claims from earlier owners, until
+   * each has answered, as a silent one counts with all that it may hold.
+   */
   private async collectTickets(issuer: TicketIssuer): Promise<void> {
-    const {shard} = this.parts;
+    const {membership, clock} = this.parts;
+    const answered = new Set<string>();
+    while (this.issuer === issuer) {
+      const silent = membership
+        .gatewayConnections()
+        .filter(({info}) => info && !answered.has(info.process.vm));
+      const vms = await Promise.all(
+        silent.map(connection => this.collectFrom(connection, issuer)),
+      );
+      for (const vm of vms) if (vm !== undefined) answered.add(vm);
+      await clock.sleep(REFRESH_PERIOD_MS);
+    }
+  }
+
+  /** Returns the VM of the gateway if it answered. */
+  private async collectFrom(
+    connection: PeerConnection,
+    issuer: TicketIssuer,
+  ): Promise<string | undefined> {
+    const {shard, metrics} = this.parts;
     const term = this.activeTerm;
     const ask: OpenTicketsAsk = {type: 'openTicketsAsk', shard, term};
-    const gateways = this.parts.membership.gatewayConnections();
-    for (const connection of gateways) {
-      try {
-        const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
-        if (reply.type !== 'openTickets' || !connection.info) continue;
-        const {process} = connection.info;
-        issuer.adoptTickets(process, reply.tickets);
-        issuer.addGatewayClaims(process, reply.claims, reply.upMs);
-      } catch {
-        this.parts.metrics.count('open_tickets_unanswered_total');
-      }
+    try {
+      const reply = await connection.ask(ask, REFRESH_PERIOD_MS);
+      if (reply.type !== 'openTickets' || !connection.info) return undefined;
+      const {process} = connection.info;
+      issuer.adoptTickets(process, reply.tickets);
+      issuer.addGatewayClaims(process, reply.claims, reply.upMs);
+      return process.vm;
+    } catch {
+      metrics.count('open_tickets_unanswered_total');
+      return undefined;
     }
   }
 }
