Test that tickets where executors shrank hold up no step

A lasting task and a gang ask for tickets of the only executor with room, which shrinks to nothing while the call goes on; the other one grows. Both ask for the other one at once and start there.

--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -21,6 +21,12 @@
 const LONG_RUN_MS = 600_000;
 const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
 const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
+const ADVICE_MS = 2500;
+const ADVISED: Queue = {
+  ...QUEUE,
+  name: 'advised',
+  advice: {decisionMs: ADVICE_MS, perExecutorMs: 0, validityMs: 2000},
+};
 const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
 /** Allows four tasks at a time. */
 const LIMITED: CellConfig = {
@@ -374,6 +380,38 @@
   });
 }
 
+for (const [name, step] of [
+  ['lasting task', {...STEP, isService: true}],
+  ['gang', {...GANG, maxPerExecutor: 0}],
+] as const) {
+  changing(`tickets where executors shrank hold up no ${name}`, async () => {
+    const config = {...CONFIG, queues: [QUEUE, ADVISED]};
+    const {rig, node} = await startCell(2, LONG_RUN_MS, config);
+    const asked: string[] = [];
+    rig.adviceChannels = [
+      {
+        vm: 'v0',
+        isInOwnerDomain: true,
+        ask: async (_step, ids) => {
+          asked.push(ids.join());
+          await rig.clock.sleep(ADVICE_MS);
+          return ids.map(executorId => ({executorId, ticket: 't'}));
+        },
+      },
+    ];
+    rig.executor('x1').setCapacity({cpuMilli: 0});
+    await rig.run(LISTED_MS);
+    // Tickets for x0 arrive when it has shrunk and x1 has room.
+    rig.submit('job', [step], [node], ADVISED);
+    rig.executor('x0').setCapacity({cpuMilli: 0});
+    rig.executor('x1').setCapacity({cpuMilli: 3000});
+    await rig.run(2 * ADVICE_MS + START_MS);
+    assert.equal(asked, ['x0', 'x1']);
+    assert.is(countRuns(rig, 'x1'), step.count);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
