Test late records and a new owner where executors shrank

A record of an executor's former process that is stored late is passed over, and a new owner starts by the capacity that is listed when it reads, not by the one that its predecessor stored.

--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -1,9 +1,17 @@
 /** Executors whose capacity shrinks and grows while they run. */
+import {encode} from 'cbor-x';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {CellConfig, Queue, StepSpec} from '@dragonflyward/cell';
 import {LoadSimulation, type RunPlan} from './load-simulation.js';
-import {CONFIG, QUEUE, Rig, STEP, type CellNode} from './rig.js';
+import {
+  CONFIG,
+  EXECUTORS_TOPIC,
+  QUEUE,
+  Rig,
+  STEP,
+  type CellNode,
+} from './rig.js';
 
 const SETTLE_MS = 3000;
 /** By then, a change of the capacity is listed and read, in ms. */
@@ -412,6 +420,47 @@
   });
 }
 
+changing('passes over a late record of the process before', async () => {
+  const {rig, node} = await startCell(1);
+  const executor = rig.executor('x0');
+  const former = {...executor.info, bornMs: executor.bornMs};
+  executor.restartAs({capacity: {...former.capacity, cpuMilli: 1000}});
+  await rig.run(LISTED_MS);
+  const records = [{key: 'x0', value: encode(former)}];
+  rig.isListingPaused = true;
+  rig.memory.append(EXECUTORS_TOPIC, records, {});
+  rig.submit('job', [{...STEP, count: 3}], [node]);
+  await rig.run(DECREASE_GRACE_MS);
+  endRuns(rig, 'x0', 1);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1);
+  assert.equal(rig.checker.violations, []);
+});
+
+changing('a new owner uses the capacity that is listed now', async () => {
+  const {rig, node} = await startCell(2);
+  rig.submit('early', [{...STEP, count: 4}], [node]);
+  await rig.run(START_MS);
+  shrink(rig, ['x0', 'x1']);
+  await rig.run(DECREASE_GRACE_MS);
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(START_LEASE_END_MS);
+  rig.submit('late', [STEP], [next]);
+  endRuns(rig, 'x0', 3);
+  endRuns(rig, 'x1', 3);
+  await rig.run(SETTLE_MS);
+  assert.is(rig.checker.starts, 4, 'no room for a task');
+  for (const each of rig.executors) {
+    each.setCapacity({cpuMilli: 1000, memMb: 100});
+  }
+  await rig.run(LISTED_MS + START_MS);
+  assert.is(rig.rows.get('late')?.phase, 'running');
+  assert.equal(rig.checker.violations, []);
+});
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
