Share tasks among executors by one function

Three functions walked over the executors of a service alike to count how many tasks of a step they take: for reservations, for overdue steps, and for gangs that would fit once all work has ended. shareTasks does that now, with the count for one executor as a parameter.

--- a/packages/cell/src/overdue.ts
+++ b/packages/cell/src/overdue.ts
@@ -7,7 +7,7 @@
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
 import {mayFit, type ServiceCapacity} from './service-capacity.js';
-import {mayBePermitted} from './ticket-needs.js';
+import {doTasksFit} from './ticket-needs.js';
 
 /** A step with room for this long without a start is overdue, in ms. */
 const OVERDUE_MS = 1000;
@@ -94,11 +94,8 @@
 
 function hasUnusedRoom(step: StepState, capacity: ServiceCapacity): boolean {
   if (!mayFit(step, capacity)) return false;
-  let missing = step.spec.isGang ? step.tasks.length : 1;
-  for (const executor of capacity.schedulable) {
-    if (!mayBePermitted(step, executor)) continue;
-    missing -= Math.max(0, countFittingTasks(step, executor));
-    if (missing <= 0) return true;
-  }
-  return false;
+  const wanted = step.spec.isGang ? step.tasks.length : 1;
+  return doTasksFit(step, wanted, capacity.schedulable, each =>
+    countFittingTasks(step, each),
+  );
 }
--- a/packages/cell/src/reserve-capacity.ts
+++ b/packages/cell/src/reserve-capacity.ts
@@ -16,7 +16,7 @@
 } from './resource-amounts.js';
 import type {Round} from './round.js';
 import type {ServiceCapacity} from './service-capacity.js';
-import {mayBePermitted} from './ticket-needs.js';
+import {doTasksFit} from './ticket-needs.js';
 
 /** A task that takes this share of every executor of its service is large. */
 const LARGE_TASK_SHARE = 0.25;
@@ -57,12 +57,19 @@
     withheld.has(each),
   ).length;
   if (withheldCount >= capacity.executors.length * MAX_WITHHELD_SHARE) return;
-  if (!fitsIfWorkEnds(step, wanted, capacity)) return;
+  const wantedAtOnce = step.spec.isGang ? wanted : 1;
+  const fitsIfWorkEnds = doTasksFit(
+    step,
+    wantedAtOnce,
+    capacity.schedulable,
+    each => countFittingIfWorkEnds(step, each),
+  );
+  if (!fitsIfWorkEnds) return;
   const usable = capacity.schedulable.filter(
     each => isCompatible(step, each) && isPermitted(step, each),
   );
   const leastUsed = usable.sort((a, b) => a.usedAccel - b.usedAccel);
-  let missing = step.spec.isGang ? wanted : 1;
+  let missing = wantedAtOnce;
   for (const each of leastUsed) {
     if (missing <= 0) return;
     withheld.add(each);
@@ -70,21 +77,6 @@
   }
 }
 
-/** Whether the tasks would fit once all work that ends has ended. */
-function fitsIfWorkEnds(
-  step: StepState,
-  wanted: number,
-  {schedulable}: ServiceCapacity,
-): boolean {
-  let missing = step.spec.isGang ? wanted : 1;
-  for (const executor of schedulable) {
-    if (!mayBePermitted(step, executor)) continue;
-    missing -= countFittingIfWorkEnds(step, executor);
-    if (missing <= 0) return true;
-  }
-  return false;
-}
-
 function countFittingIfWorkEnds(
   {spec}: StepState,
   {info, tasks}: ExecutorState,
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -119,36 +119,76 @@
     priority === URGENT_PRIORITY
       ? round.ticketReservedFromUrgent
       : round.ticketReserved;
-  const executors: ExecutorState[] = [];
-  const counts: number[] = [];
-  let missing = wanted;
-  for (const executor of capacity.schedulable) {
-    if (missing === 0) break;
-    if (round.withheld.has(executor)) continue;
-    if (!mayBePermitted(step, executor)) continue;
+  const countFitting = (executor: ExecutorState): number => {
+    if (round.withheld.has(executor)) return 0;
     const reserved = others.get(executor) ?? NOTHING_RESERVED;
-    const count = Math.min(
-      missing,
-      countFittingTasks(step, executor, reserved),
-    );
-    if (count <= 0) continue;
-    executors.push(executor);
-    counts.push(count);
-    missing -= count;
-  }
-  if (step.spec.isGang && missing > 0) return [];
-  executors.forEach((executor, i) => {
-    const count = counts[i] ?? 0;
+    return countFittingTasks(step, executor, reserved);
+  };
+  const shares = [
+    ...shareTasks(step, wanted, capacity.schedulable, countFitting),
+  ];
+  if (step.spec.isGang && sumCounts(shares) < wanted) return [];
+  for (const {executor, count} of shares) {
     reserve(round.ticketReserved, executor, step.spec, count);
     if (!hold.mayUrgentPass) {
       reserve(round.ticketReservedFromUrgent, executor, step.spec, count);
     }
-    if (!hold.isHard) return;
+    if (!hold.isHard) continue;
     reserve(round.reserved, executor, step.spec, count);
-    if (hold.mayUrgentPass) return;
+    if (hold.mayUrgentPass) continue;
     reserve(round.reservedFromUrgent, executor, step.spec, count);
-  });
-  return executors;
+  }
+  return shares.map(({executor}) => executor);
+}
+
+/** How many tasks of a step an executor takes. */
+interface TaskShare {
+  readonly executor: ExecutorState;
+  readonly count: number;
+}
+
+/**
+ * Shares tasks of the step among executors that may be permitted, in order,
+ * until none is left.
+ *
+ * @param countFitting how many of them fit on an executor
+ */
+function* shareTasks(
+  step: StepState,
+  wanted: number,
+  executors: Iterable<ExecutorState>,
+  countFitting: (executor: ExecutorState) => number,
+): Generator<TaskShare> {
+  let missing = wanted;
+  for (const executor of executors) {
+    if (missing <= 0) return;
+    if (!mayBePermitted(step, executor)) continue;
+    const count = Math.min(missing, countFitting(executor));
+    if (count <= 0) continue;
+    yield {executor, count};
+    missing -= count;
+  }
+}
+
+function sumCounts(shares: Iterable<TaskShare>): number {
+  let sum = 0;
+  for (const {count} of shares) sum += count;
+  return sum;
+}
+
+/**
+ * Whether tasks of the step fit on executors that may be permitted.
+ *
+ * @param countFitting how many of them fit on an executor
+ */
+export function doTasksFit(
+  step: StepState,
+  wanted: number,
+  executors: Iterable<ExecutorState>,
+  countFitting: (executor: ExecutorState) => number,
+): boolean {
+  const shares = shareTasks(step, wanted, executors, countFitting);
+  return sumCounts(shares) >= wanted;
 }
 
 /** Whether the step is permitted there or the advice service was not asked. */
