Count crashes of failing machines, and blame only repeated suspects

A machine that crashes under unrelated tasks counted for nobody, so a task that crashes executors could be started on failing machines for as long as they are remembered, a minute. Such crashes now count too, with a limit of four: one more start than for others and one less than the users' rule allows. Tasks avoid the machine that crashed last under them.

Only the last two made it a suspect, and only the first and last counted. A task is now given up at two crashes only if it was a suspect in both and is known to have run in both.

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -14,6 +14,8 @@
 const MAX_EXPLAINED_CRASHES = 2;
 /** Crashes after which any task is given up. */
 const MAX_CRASHES = 3;
+/** The same if the last crash was of a machine that is itself a suspect. */
+const MAX_CRASHES_OF_SUSPECT_MACHINE = 4;
 /** A service run that lasted this long clears the task of its crashes, in ms. */
 const SERVICE_CLEARANCE_MS = 30_000;
 /** Crashes under other tasks after which a machine itself is the suspect. */
@@ -113,7 +115,9 @@
   isActive = false;
 
   /**
-   * Records a crash and counts it for the tasks that were lost.
+   * Records a crash and counts it for the tasks that were lost. If a single
+   * task can explain it, it is not counted for the others once that task is
+   * given up.
    *
    * @param isConfirmed whether the executor is known to have started again
    */
@@ -128,22 +132,27 @@
     const units = new Set(suspects.map(({task}) => unitOf(task)));
     const isMachineSuspect = this.recordMachine(executor, units, nowMs);
     const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
-    if (isMachineSuspect) return {...crash, givenUp: []};
-    if (suspects.length > 0) this.isActive = true;
-    const cause = units.size === 1 ? suspects : [];
-    const causeLimit = isRepeated(cause, executor)
-      ? MAX_EXPLAINED_CRASHES
+    const isExplained = units.size === 1 && !isMachineSuspect;
+    const cause = isExplained ? suspects : [];
+    const isElsewhere = cause.some(({task}) => !hasCrashedOn(task, executor));
+    if (!isMachineSuspect) this.addSuspects(suspects);
+    for (const {task} of runs) task.crashedOn = machineOf(executor);
+    cause.forEach(countCrash);
+    const guilty = isElsewhere ? cause.find(isGuilty) : undefined;
+    if (guilty !== undefined) return {...crash, givenUp: [guilty.task]};
+    const counted = isConfirmed ? runs : cause;
+    counted.filter(each => !cause.includes(each)).forEach(countCrash);
+    const limit = isMachineSuspect
+      ? MAX_CRASHES_OF_SUSPECT_MACHINE
       : MAX_CRASHES;
+    return {...crash, givenUp: tasksOverLimit(counted, limit)};
+  }
+
+  private addSuspects(suspects: readonly LostRun[]): void {
+    if (suspects.length > 0) this.isActive = true;
     for (const {task, run} of suspects) {
       task.suspectedRuns = [...task.suspectedRuns, run];
-      task.crashedOn = machineOf(executor);
     }
-    const convicted = countCrash(cause, causeLimit);
-    if (convicted.length > 0 || !isConfirmed) {
-      return {...crash, givenUp: convicted};
-    }
-    const others = runs.filter(each => !cause.includes(each));
-    return {...crash, givenUp: countCrash(others, MAX_CRASHES)};
   }
 
   /** Watches the run of a suspect, so that it is cleared once it has started well. */
@@ -194,28 +203,31 @@
   return !crashedRuns.includes(run) && !suspectedRuns.includes(run);
 }
 
-/** Whether the runs are of a suspect that crashed another machine before. */
-function isRepeated(
-  cause: readonly LostRun[],
-  executor: ExecutorState,
-): boolean {
-  const machine = machineOf(executor);
-  return cause.some(({task}) => isSuspect(task) && task.crashedOn !== machine);
+/** Counts a crash for a task that is known to have run. */
+function countCrash({task, run, isCertain}: LostRun): void {
+  if (!isCertain) return;
+  task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
 }
 
-/** Counts a crash; returns a task of each unit that has reached the limit. */
-function countCrash(
+/** Whether the task was a suspect in enough crashes that it ran in. */
+function isGuilty({task}: LostRun): boolean {
+  const runs = membersOf(task).flatMap(({crashedRuns, suspectedRuns}) =>
+    crashedRuns.filter(run => suspectedRuns.includes(run)),
+  );
+  return new Set(runs).size >= MAX_EXPLAINED_CRASHES;
+}
+
+/** Returns a task of each unit that has reached the limit. */
+function tasksOverLimit(
   runs: readonly LostRun[],
   limit: number,
 ): readonly TaskState[] {
-  const givenUp = new Map<Unit, TaskState>();
-  for (const {task, run, isCertain} of runs) {
-    if (!isCertain) continue;
-    task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
-    const unit = unitOf(task);
-    if (crashCount(unit) >= limit) givenUp.set(unit, task);
+  const found = new Map<Unit, TaskState>();
+  for (const {task} of runs) {
+    const crashed = membersOf(task).flatMap(({crashedRuns}) => crashedRuns);
+    if (new Set(crashed).size >= limit) found.set(unitOf(task), task);
   }
-  return [...givenUp.values()];
+  return [...found.values()];
 }
 
 function hasLastedLong({step, listedMs, startedMs}: TaskState): boolean {
@@ -226,9 +238,16 @@
   return task.step.spec.isGang ? task.step : task;
 }
 
-function crashCount(unit: Unit): number {
-  if (!('tasks' in unit)) return unit.crashedRuns.length;
-  return new Set(unit.tasks.flatMap(({crashedRuns}) => crashedRuns)).size;
+function membersOf(task: TaskState): readonly TaskState[] {
+  return task.step.spec.isGang ? task.step.tasks : [task];
+}
+
+/** Whether a run of the task was lost there in the newest crash. */
+export function hasCrashedOn(
+  {crashedOn}: TaskState,
+  executor: ExecutorState,
+): boolean {
+  return crashedOn !== '' && crashedOn === machineOf(executor);
 }
 
 function machineOf({info}: ExecutorState): string {
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -1,4 +1,5 @@
 /** Placement: one executor for a task, a set of executors for a gang. */
+import {hasCrashedOn} from './crash-suspects.js';
 import {
   allocatedCpuMilli,
   hasRoom,
@@ -23,7 +24,7 @@
 const NON_URGENT_SLOWNESS_WEIGHT = 0.5;
 /** Cost per filler beside a task with a latency target, or the reverse. */
 const INTERFERENCE_COST = 4;
-/** Cost of the executor on which the last failed run of the task was. */
+/** Cost of the executor on which the task failed, or its run was lost, last. */
 const PRIOR_FAILURE_COST = 8;
 
 /** What placement depends on besides the executors and the task. */
@@ -181,7 +182,9 @@
   if (spec.targetMs > 0) {
     cost += INTERFERENCE_COST * countFillers(executor);
   }
-  if (task.lastFailedOn === executor.info.id) cost += PRIOR_FAILURE_COST;
+  if (task.lastFailedOn === executor.info.id || hasCrashedOn(task, executor)) {
+    cost += PRIOR_FAILURE_COST;
+  }
   return cost;
 }
 
--- a/packages/cell/src/probes.ts
+++ b/packages/cell/src/probes.ts
@@ -1,5 +1,5 @@
 /** Chooses executors on which suspects of crashes can start. */
-import {countNewRuns, isSuspect} from './crash-suspects.js';
+import {countNewRuns, hasCrashedOn, isSuspect} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
 import {countFittingTasks, holdsRequiredTicket} from './placement.js';
@@ -12,6 +12,8 @@
 const MAX_PROBED_SHARE = 0.5;
 /** Cost of a task that a crash would end; waiting for a new run costs 1. */
 const NEIGHBOUR_COST = 0.1;
+/** Cost of the machine that crashed last under the task. */
+const PRIOR_CRASH_COST = 8;
 
 /**
  * Withholds executors for suspects from all other tasks of the round: those on
@@ -59,7 +61,7 @@
     round.probes.set(task, null);
     return;
   }
-  const executor = chooseProbe(step, capacity, round);
+  const executor = chooseProbe(task, capacity, round);
   if (executor === null) return;
   round.withheld.add(executor);
   round.probes.set(task, executor);
@@ -67,10 +69,11 @@
 
 /** Prefers executors where the task can start at once, with few tasks. */
 function chooseProbe(
-  step: StepState,
+  task: TaskState,
   {schedulable}: ServiceCapacity,
   {withheld, nowMs}: Round,
 ): ExecutorState | null {
+  const {step} = task;
   let best: ExecutorState | null = null;
   let bestCost = Infinity;
   for (const executor of schedulable) {
@@ -80,6 +83,7 @@
     const cost =
       (needsTicket ? 1 : 0) +
       countNewRuns(executor) +
+      (hasCrashedOn(task, executor) ? PRIOR_CRASH_COST : 0) +
       NEIGHBOUR_COST * executor.tasks.size;
     if (cost >= bestCost) continue;
     best = executor;
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -18,6 +18,8 @@
 const CRASHES_MS = 30_000;
 const DEADLY = 'deadly';
 const CRASH_DELAY_MS = 10;
+/** Its tasks crash executors long after their start. */
+const LATE = 'late';
 const LONG = 'long';
 const LONG_MS = 20_000;
 /** The most starts of a task that crashes each executor. */
@@ -26,6 +28,7 @@
 /** Tasks of jobs whose name begins so crash executors; others take a while. */
 function behave(task: string): ReturnType<Behaviour> {
   if (task.startsWith(DEADLY)) return {ms: CRASH_DELAY_MS, how: 'crash'};
+  if (task.startsWith(LATE)) return {ms: 1500, how: 'crash'};
   return {ms: task.startsWith(LONG) ? LONG_MS : 2000, how: 'done'};
 }
 
@@ -81,6 +84,30 @@
   assert.equal(rig.checker.violations, []);
 });
 
+crashes('gives up a task that crashes executors later', async () => {
+  const {rig, node} = await startRig(4);
+  rig.submit(LATE, [STEP], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, LATE), 'failed');
+  assert.ok(rig.checker.startCount(`${LATE}.0.0.0`) <= MAX_CRASHES);
+});
+
+crashes('gives up a task that crashes a machine that fails too', async () => {
+  const {rig, node} = await startRig(1);
+  rig.submit(LONG, [STEP], [node]);
+  for (let i = 0; i < 2; i += 1) {
+    await rig.run(SETTLE_MS);
+    rig.executor('x0').crash();
+    await rig.run(SETTLE_MS);
+    rig.executor('x0').recover();
+  }
+  await rig.run(SETTLE_MS);
+  rig.submit(DEADLY, [STEP], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES + 1);
+});
+
 crashes('keeps the count of crashes across a change of owner', async () => {
   const {rig, node} = await startRig(4);
   rig.submit(DEADLY, [STEP], [node]);
--- a/packages/cell/test/invariants.ts
+++ b/packages/cell/test/invariants.ts
@@ -2,6 +2,9 @@
 import type {RunOutcome, StartOrder} from '@dragonflyward/cell';
 import type {FakeExecutor, RunObserver} from './fake-executor.js';
 
+/** Crashes under a task after which it may be given up. */
+const MAX_CRASHES = 2;
+
 /** A submitted job, as the checker knows it. */
 export interface CheckedJob {
   readonly id: string;
@@ -28,6 +31,7 @@
   /** Ids of jobs of which a task was started. */
   readonly startedJobs = new Set<string>();
   private readonly startCounts = new Map<string, number>();
+  private readonly lostCounts = new Map<string, number>();
   private readonly running = new Map<string, Running[]>();
   private readonly ackedDone = new Set<string>();
   private readonly ackedFailed = new Map<string, Set<number>>();
@@ -73,6 +77,7 @@
     const used = this.used.get(executor) ?? 0;
     this.used.set(executor, used - (job?.cpuMilli ?? 0));
     if (how === 'done') this.doneTasks.add(task);
+    if (how === 'lost') this.lostCounts.set(task, this.lostCount(task) + 1);
   };
 
   readonly acked = (task: string, run: number, how: RunOutcome): void => {
@@ -88,6 +93,19 @@
     return this.startCounts.get(task) ?? 0;
   }
 
+  /** How many runs of a task were lost as their executor crashed. */
+  lostCount(task: string): number {
+    return this.lostCounts.get(task) ?? 0;
+  }
+
+  /** Whether a task of the job may be given up for the executors it crashed. */
+  mayBeGivenUp(job: CheckedJob): boolean {
+    const names = job.counts.flatMap((count, step) =>
+      taskNames(job, step, count),
+    );
+    return names.some(name => this.lostCount(name) >= MAX_CRASHES);
+  }
+
   /** Whether the `done` end of a task was acknowledged. */
   isAcked(task: string): boolean {
     return this.ackedDone.has(task);
