Let a test lose its task to the executor that has restarted

Since tasks avoid the machine that crashed last under them, the task of the restarted executor went to the free one, and the test found no run where it needs one: expected 1, was 0. The free executor drains until the owner ends, so that the restarted one is the only choice; what is asserted is unchanged.

--- a/packages/cell/test/former-owner-runs.test.ts
+++ b/packages/cell/test/former-owner-runs.test.ts
@@ -258,10 +258,14 @@
   rig.submit('early', [{...SPREAD, count: 3}], [former]);
   await rig.run(SETTLE_MS);
   assert.is(rig.executor('x1').runs.size, 1);
+  // Leaves only the executor that restarts to the task that it loses.
+  rig.executor('x3').isDraining = true;
+  await rig.run(SETTLE_MS);
   rig.executor('x1').restart();
   await rig.run(1000);
   assert.is(rig.executor('x1').runs.size, 1);
   rig.executor('x1').isDisconnected = true;
+  rig.executor('x3').isDraining = false;
   rig.kill(former);
   await rig.run(100);
   void rig.claim(rig.newNode('v0'));
