Count crashes under starts that are never answered

It crashes its executor 10 ms after its start, and an answer from another region takes longer: after the change of owner two of its starts had no answer, so that two crashes did not count, and a third counted less, as two other tasks that were given up in the meantime had crashed that machine.

A crash now counts although the start has no answer, where the task was a suspect before and nothing else is new there. It does not count for giving a task up at two crashes: such a start may have come after a crash of another cause. A machine is not blamed for crashes under tasks that were given up since, and the higher limit holds only for a task that was lost on that very machine before.

The new test failed before: the job was running after 30 s.

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -14,7 +14,7 @@
 const MAX_EXPLAINED_CRASHES = 2;
 /** Crashes after which any task is given up. */
 const MAX_CRASHES = 3;
-/** The same if the last crash was of a machine that is itself a suspect. */
+/** The same if the last crashes were of one machine that is a suspect too. */
 const MAX_CRASHES_OF_SUSPECT_MACHINE = 4;
 /** A service run that lasted this long clears the task of its crashes, in ms. */
 const SERVICE_CLEARANCE_MS = 30_000;
@@ -132,20 +132,32 @@
     const units = new Set(suspects.map(({task}) => unitOf(task)));
     const isMachineSuspect = this.recordMachine(executor, units, nowMs);
     const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
-    const isExplained = units.size === 1 && !isMachineSuspect;
-    const cause = isExplained ? suspects : [];
-    const isElsewhere = cause.some(({task}) => !hasCrashedOn(task, executor));
-    if (!isMachineSuspect) this.addSuspects(suspects);
+    const cause = units.size === 1 ? suspects : [];
+    const crashedHere = runs.filter(({task}) => hasCrashedOn(task, executor));
+    const isElsewhere = cause.some(each => !crashedHere.includes(each));
+    // A start without an answer may have come after the crash. It counts if
+    // nothing else explains the crash, but not as much as one that is certain.
+    const doubtful = cause.filter(
+      ({task, isCertain}) => !isCertain && isSuspect(task),
+    );
+    if (!isMachineSuspect) {
+      this.addSuspects(suspects.filter(each => !doubtful.includes(each)));
+    }
     for (const {task} of runs) task.crashedOn = machineOf(executor);
-    cause.forEach(countCrash);
-    const guilty = isElsewhere ? cause.find(isGuilty) : undefined;
+    [...doubtful, ...cause.filter(isCertainRun)].forEach(countCrash);
+    const isExplained = isElsewhere && !isMachineSuspect;
+    const guilty = isExplained ? cause.find(isGuilty) : undefined;
     if (guilty !== undefined) return {...crash, givenUp: [guilty.task]};
     const counted = isConfirmed ? runs : cause;
-    counted.filter(each => !cause.includes(each)).forEach(countCrash);
-    const limit = isMachineSuspect
-      ? MAX_CRASHES_OF_SUSPECT_MACHINE
-      : MAX_CRASHES;
-    return {...crash, givenUp: tasksOverLimit(counted, limit)};
+    counted
+      .filter(each => isCertainRun(each) && !cause.includes(each))
+      .forEach(countCrash);
+    const givenUp = tasksOverLimit(counted, each =>
+      isMachineSuspect && crashedHere.includes(each)
+        ? MAX_CRASHES_OF_SUSPECT_MACHINE
+        : MAX_CRASHES,
+    );
+    return {...crash, givenUp};
   }
 
   private addSuspects(suspects: readonly LostRun[]): void {
@@ -191,7 +203,8 @@
     const recent = this.machines.get(machine) ?? [];
     this.machines.set(machine, [...recent, {atMs: nowMs, suspects}]);
     const unrelated = recent.filter(
-      each => ![...each.suspects].some(unit => suspects.has(unit)),
+      each =>
+        ![...each.suspects].some(unit => suspects.has(unit) || isGivenUp(unit)),
     );
     return unrelated.length >= MACHINE_CRASHES;
   }
@@ -203,13 +216,15 @@
   return !crashedRuns.includes(run) && !suspectedRuns.includes(run);
 }
 
-/** Counts a crash for a task that is known to have run. */
-function countCrash({task, run, isCertain}: LostRun): void {
-  if (!isCertain) return;
+function isCertainRun({isCertain}: LostRun): boolean {
+  return isCertain;
+}
+
+function countCrash({task, run}: LostRun): void {
   task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
 }
 
-/** Whether the task was a suspect in enough crashes that it ran in. */
+/** Whether the task was a suspect in enough crashes in which it surely ran. */
 function isGuilty({task}: LostRun): boolean {
   const runs = membersOf(task).flatMap(({crashedRuns, suspectedRuns}) =>
     crashedRuns.filter(run => suspectedRuns.includes(run)),
@@ -217,15 +232,16 @@
   return new Set(runs).size >= MAX_EXPLAINED_CRASHES;
 }
 
-/** Returns a task of each unit that has reached the limit. */
+/** Returns a task of each unit that has reached its limit. */
 function tasksOverLimit(
   runs: readonly LostRun[],
-  limit: number,
+  limitOf: (lost: LostRun) => number,
 ): readonly TaskState[] {
   const found = new Map<Unit, TaskState>();
-  for (const {task} of runs) {
+  for (const lost of runs) {
+    const {task} = lost;
     const crashed = membersOf(task).flatMap(({crashedRuns}) => crashedRuns);
-    if (new Set(crashed).size >= limit) found.set(unitOf(task), task);
+    if (new Set(crashed).size >= limitOf(lost)) found.set(unitOf(task), task);
   }
   return [...found.values()];
 }
@@ -238,6 +254,11 @@
   return task.step.spec.isGang ? task.step : task;
 }
 
+function isGivenUp(unit: Unit): boolean {
+  const step = 'step' in unit ? unit.step : unit;
+  return step.occurrence.job.phase === 'failed';
+}
+
 function membersOf(task: TaskState): readonly TaskState[] {
   return task.step.spec.isGang ? task.step.tasks : [task];
 }
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -32,7 +32,7 @@
   listedMs: number;
   /** Numbers of runs that ended `failed`; executors may list them unordered. */
   failedRuns: readonly number[];
-  /** Numbers of runs that were lost in a crash of their executor. */
+  /** Numbers of runs that were lost in a crash of their executor, as counted. */
   crashedRuns: readonly number[];
   /**
    * Numbers of runs that were lost right after their start in a crash of their
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -108,6 +108,15 @@
   assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES + 1);
 });
 
+crashes('gives up a task whose starts are never answered', async () => {
+  const {rig, node} = await startRig(4);
+  for (const executor of rig.executors) executor.latencyMs = 2 * CRASH_DELAY_MS;
+  rig.submit(DEADLY, [STEP], [node]);
+  await rig.run(CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES + 1);
+});
+
 crashes('keeps the count of crashes across a change of owner', async () => {
   const {rig, node} = await startRig(4);
   rig.submit(DEADLY, [STEP], [node]);
