Refuse requests while silent gateways may hold all slots of a shard

Cause: a scheduler handed a shard back while the gateway of an entry VM was being restarted. That gateway had not listed its tickets to the new owner, so with four gateways it counted with all slots of the shard, until the longest deadline of 10 s and 0.2 s had passed: the hand-over was at 2868 ms of the load and the first ticket at about 13.1 s. Requests from gateways that ask this shard first waited, although the other shard had free slots; those that got a ticket just before their deadline ran past it.

From 1 s after the start of the term the owner now refuses with `notOwner` what it can give no ticket because all is reserved, as it does without allowances, and the gateway asks the next shard. What is reserved, and for how long, is unchanged.

The new test waits with one of three gateways silent; the issuer before gave no refusal until the deadline of 10 s.

--- a/packages/scheduler/src/slot-table.ts
+++ b/packages/scheduler/src/slot-table.ts
@@ -72,6 +72,16 @@
     return sum;
   }
 
+  /** Whether silent gateways may hold all slots of the service. */
+  isReserved(service: string): boolean {
+    const entries = [...this.available(service)];
+    if (entries.length === 0) return false;
+    return entries.every(
+      ({capacity}) =>
+        this.unreported.executorSlots(capacity.slots) >= capacity.slots,
+    );
+  }
+
   /**
    * Chooses the executor with the most free slots. Executors that already
    * failed the request are considered only if there is no other.
--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -39,8 +39,11 @@
 
 /** How long after the ticket is issued a request may start to be sent. */
 export const START_WINDOW_MS = 1_000;
-/** How long requests wait for the allowances of a new term. */
-export const ALLOWANCE_WAIT_MS = 1_000;
+/**
+ * How long requests wait for what a new owner has to learn: the allowances, and
+ * the tickets that gateways hold from a former owner.
+ */
+export const TAKEOVER_WAIT_MS = 1_000;
 /** The owner treats a ticket as expired this much later than the gateway. */
 const EXPIRY_MARGIN_MS = 200;
 const SWEEP_PERIOD_MS = 50;
@@ -274,9 +277,7 @@
   private checkRequest(ask: TicketAsk, cfg: QueueConfig): void {
     const {service, team} = ask;
     if (!this.slots.hasLiveExecutors(service)) raise('noTarget', service);
-    if (team !== NO_TEAM && this.areAllowancesOverdue()) {
-      throw this.allowancesUnknown();
-    }
+    if (this.isTakeoverOverdue(ask)) throw this.takeoverUnfinished();
     // Without allowances, as after a takeover, requests wait for them.
     const isLimited = this.allowances.size > 0 && team !== NO_TEAM;
     if (isLimited && this.allowanceOf(team) <= 0) {
@@ -339,17 +340,25 @@
     };
   }
 
-  /** Whether this term has run for a while without knowing allowances. */
-  private areAllowancesOverdue(): boolean {
-    if (this.allowances.size > 0) return false;
+  /**
+   * Whether the request can get no ticket although the term has run for a
+   * while: the allowances are unknown, or all that the request could use is
+   * reserved for gateways that have not reported their tickets.
+   */
+  private isTakeoverOverdue({service, team}: TicketAsk): boolean {
     const ageMs = this.options.clock.monotonicMs() - this.startedMs;
-    return ageMs >= ALLOWANCE_WAIT_MS;
+    if (ageMs < TAKEOVER_WAIT_MS) return false;
+    if (this.slots.isReserved(service)) return true;
+    if (team === NO_TEAM) return false;
+    if (this.allowances.size === 0) return true;
+    const allowance = this.allowanceOf(team);
+    if (allowance <= 0) return false;
+    return this.unreported.teamSlots(team, allowance) >= allowance;
   }
 
-  private allowancesUnknown(): Error {
+  private takeoverUnfinished(): Error {
     const {shard} = this.options;
-    const detail = `${shard}: its owner has not read the allowances`;
-    return new DragonflywardError('notOwner', detail);
+    return new DragonflywardError('notOwner', `${shard}: taking over`);
   }
 
   private allowanceOf(team: string): number {
@@ -409,11 +418,12 @@
     this.queue.concurrency = Infinity;
   }
 
-  /** Refuses requests that wait for allowances, so that others serve them. */
-  private refuseWithoutAllowances(): void {
-    if (!this.areAllowancesOverdue()) return;
-    const refused = this.fairQueue.removeWhere(({ask}) => ask.team !== NO_TEAM);
-    for (const waiter of refused) waiter.refuse(this.allowancesUnknown());
+  /** Refuses requests that a takeover holds up, so that others serve them. */
+  private refuseHeldUp(): void {
+    const refused = this.fairQueue.removeWhere(({ask}) =>
+      this.isTakeoverOverdue(ask),
+    );
+    for (const waiter of refused) waiter.refuse(this.takeoverUnfinished());
   }
 
   private async sweepLoop(): Promise<void> {
@@ -426,7 +436,7 @@
   private sweep(): void {
     this.slots.releaseExpired();
     this.refuseLate();
-    this.refuseWithoutAllowances();
+    this.refuseHeldUp();
     this.grantWaiting();
   }
 }
--- a/packages/scheduler/test/ticket-issuer.test.ts
+++ b/packages/scheduler/test/ticket-issuer.test.ts
@@ -9,7 +9,7 @@
   DuplicateDetector,
   UNTIMED_ID_WINDOW_MS,
 } from '../src/duplicate-detector.js';
-import {ALLOWANCE_WAIT_MS} from '../src/ticket-issuer.js';
+import {TAKEOVER_WAIT_MS} from '../src/ticket-issuer.js';
 import {
   IssuerHarness,
   executor,
@@ -122,7 +122,7 @@
   const made = new IssuerHarness();
   made.issuer.setExecutors([executor('e-0')]);
   const waiting = made.ask('roofs', ONE);
-  await made.advance(ALLOWANCE_WAIT_MS);
+  await made.advance(TAKEOVER_WAIT_MS);
   assert.is(waiting.refusal, 'notOwner');
   const late = made.ask('roofs', ONE);
   await made.settle();
@@ -133,10 +133,30 @@
   assert.ok(served.ticket);
 });
 
+tickets('an owner whose slots are all reserved refuses', async () => {
+  const made = new IssuerHarness(new ManualClock(), 2);
+  made.issuer.setExecutors([executor('e-0')]);
+  made.issuer.setGatewayCount(3);
+  made.issuer.setAllowance('roofs', 100);
+  for (const from of [ONE, TWO]) made.issuer.adoptTickets(from, []);
+  const waiting = made.ask('roofs', ONE);
+  const open = made.ask('', ONE);
+  await made.advance(TAKEOVER_WAIT_MS);
+  assert.is(waiting.refusal, 'notOwner');
+  assert.is(open.refusal, 'notOwner');
+  const late = made.ask('roofs', ONE);
+  await made.settle();
+  assert.is(late.refusal, 'notOwner');
+  made.issuer.adoptTickets(gateway('vm-3'), []);
+  const served = made.ask('roofs', ONE);
+  await made.settle();
+  assert.ok(served.ticket);
+});
+
 tickets('requests without a team need no allowances', async () => {
   const made = new IssuerHarness();
   made.issuer.setExecutors([executor('e-0')]);
-  await made.advance(ALLOWANCE_WAIT_MS);
+  await made.advance(TAKEOVER_WAIT_MS);
   const open = made.ask('', ONE);
   await made.settle();
   assert.ok(open.ticket);
