Wait for the first plan of the allowances instead of refusing

Cause: a table without any record counted as read, and gave each team nothing.

The table now counts as read only once it was planned; until then requests wait, for at most 1 s as after a takeover. The new test failed before: "the team is at its limit: roofs has no slots in north-1".

--- a/packages/scheduler/src/allowance-service.ts
+++ b/packages/scheduler/src/allowance-service.ts
@@ -98,7 +98,9 @@
   }
 
   override isReadSince(sinceMs: number): boolean {
-    return this.table.isComplete && this.tail.lastCaughtUpMs >= sinceMs;
+    const {table, tail} = this;
+    const isPlanned = table.isComplete && table.nextOffset > 0;
+    return isPlanned && tail.lastCaughtUpMs >= sinceMs;
   }
 
   /** The term in the planning shard; undefined if another process owns it. */
--- a/packages/scheduler/src/allowance-view.ts
+++ b/packages/scheduler/src/allowance-view.ts
@@ -11,6 +11,9 @@
   /** The amounts that the latest table gives to a shard. */
   abstract amountsOf(shard: string): readonly Allowance[];
 
-  /** Whether the table was read to its end since a monotonic time. */
+  /**
+   * Whether the table was read to its end since a monotonic time, and was
+   * planned before.
+   */
   abstract isReadSince(sinceMs: number): boolean;
 }
--- a/packages/scheduler/test/shard-replica.test.ts
+++ b/packages/scheduler/test/shard-replica.test.ts
@@ -231,6 +231,17 @@
   assert.ok(waitMs <= MAX_TICKET_WAIT_MS, `waited ${waitMs} ms`);
 });
 
+replicas('requests wait for the first plan of the allowances', async () => {
+  const clock = new ManualClock(1_000);
+  const first = new Scheduler('vm-1', clock, new MemoryLog(clock));
+  first.connectGateway(0);
+  await first.runUntilActive();
+  await clock.advance(STEP_MS);
+  const waitMs = await first.ticketWaitMs();
+  first.stop();
+  assert.ok(waitMs <= MAX_SECOND_ANSWER_MS, `waited ${waitMs} ms`);
+});
+
 replicas('a gateway whose reply was lost is asked again', async () => {
   const waitMs = await waitAfterTakeoverMs(1);
   assert.ok(waitMs <= MAX_SECOND_ANSWER_MS, `waited ${waitMs} ms`);
