--- a/packages/scheduler/src/ticket-issuer.ts
+++ b/packages/scheduler/src/ticket-issuer.ts
@@ -348,9 +348,14 @@
   private isTakeoverOverdue({service, team}: TicketAsk): boolean {
     const ageMs = this.options.clock.monotonicMs() - this.startedMs;
     if (ageMs < TAKEOVER_WAIT_MS) return false;
-    if (this.slots.isReserved(service)) return true;
+    const areAnySilent = this.unreported.unreportedGateways() > 0;
+    if (areAnySilent && this.slots.isReserved(service)) return true;
     if (team === NO_TEAM) return false;
     if (this.allowances.size === 0) return true;
+    return areAnySilent && this.isAllowanceReserved(team);
+  }
+
+  private isAllowanceReserved(team: string): boolean {
     const allowance = this.allowanceOf(team);
     if (allowance <= 0) return false;
     return this.unreported.teamSlots(team, allowance) >= allowance;
