Test which heartbeats name an owner

The check decides whether a successor may claim from an owner that does not act; it is tested for another term and another run of the process on the same VM.

--- a/packages/scheduler/test/membership.test.ts
+++ b/packages/scheduler/test/membership.test.ts
@@ -81,4 +81,24 @@
   assert.ok(receiver.isSettled);
 });
 
+members('only a heartbeat of the same run names an owner', () => {
+  const receiver = new HeartbeatReceiver();
+  const owned = {shard: SHARD, term: 2};
+  receiver.membership.recordHeartbeat(
+    {role: 'scheduler', process: SUCCESSOR},
+    {
+      type: 'heartbeat',
+      at: {wallMs: 0, count: 0},
+      owns: [owned],
+      configOffset: 0,
+      configAgeMs: 0,
+      isDraining: false,
+    },
+  );
+  const restarted = {...SUCCESSOR, incarnation: 2};
+  assert.ok(receiver.membership.isOwner(SUCCESSOR, owned));
+  assert.not(receiver.membership.isOwner(SUCCESSOR, {...owned, term: 3}));
+  assert.not(receiver.membership.isOwner(restarted, owned));
+});
+
 members.run();
