Name the executors that have been waited for longest beyond the cap

Now those with the earliest orders are named, and the others count from the handover, or from the latest order among them if some may follow. The test of the cap asks for both.

--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -56,10 +56,13 @@
   if (executors.length <= MAX_NAMED_EXECUTORS) {
     return {executors, others: JUST_NOW};
   }
-  const latestFirst = [...executors].sort((a, b) => a.agoMs - b.agoMs);
+  // Those that have been waited for longest gain most by being named.
+  const earliestFirst = [...executors].sort((a, b) => b.agoMs - a.agoMs);
+  const unnamed = earliestFirst.slice(MAX_NAMED_EXECUTORS);
+  const agoMs = Math.min(0, ...unnamed.map(each => each.agoMs));
   return {
-    executors: latestFirst.slice(0, MAX_NAMED_EXECUTORS),
-    others: {...JUST_NOW, wasReached: false},
+    executors: earliestFirst.slice(0, MAX_NAMED_EXECUTORS),
+    others: {...JUST_NOW, agoMs, wasReached: false},
   };
 }
 
--- a/packages/cell/test/owner-chain.test.ts
+++ b/packages/cell/test/owner-chain.test.ts
@@ -226,6 +226,26 @@
   assert.is(countRuns(rig, task), 1);
 });
 
+// The next process of the owner's VM, which knows that the former one ended.
+chain('starts no second run if a claimant stops while it loads', async () => {
+  const started = await startOwner();
+  const {rig, owner, task} = started;
+  rig.executor('x1').isDisconnected = true;
+  rig.kill(owner);
+  const second = rig.newNode('v0');
+  second.store.faults.delayMs = 500;
+  void rig.claim(second);
+  await rig.run(1100);
+  assert.is(second.ownership?.term, 2);
+  assert.is(second.owner?.describeOrders(), null);
+  const third = rig.newNode('v1');
+  void rig.handOver(second, third);
+  await rig.run(2 * LEASE_MS);
+  assert.is(third.ownership?.term, 3);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
 // The second owner acted before it was killed; what it was told is outdated.
 chain(
   'starts no second run of an owner that died after a handover',
@@ -309,21 +329,23 @@
 });
 
 notices('gives longer bounds for executors beyond the cap', () => {
-  const orders = {agoMs: 5000, unlistedForMs: 0, bornMs: 1, wasReached: true};
+  const orders = {unlistedForMs: 0, bornMs: 1, wasReached: true};
   const executors = Array.from({length: 600}, (_, i) => ({
     ...orders,
     id: `x${i}`,
-    agoMs: i,
+    agoMs: i - 50,
   }));
   const notice = ordersNotice(executors);
   assert.is(notice.executors.length, 500);
-  assert.is(Math.max(...notice.executors.map(({agoMs}) => agoMs)), 499);
+  assert.is(Math.max(...notice.executors.map(({agoMs}) => agoMs)), 549);
   assert.equal(notice.others, {
-    agoMs: 0,
+    agoMs: -50,
     unlistedForMs: 0,
     bornMs: 0,
     wasReached: false,
   });
+  const late = executors.map(each => ({...each, agoMs: each.agoMs + 100}));
+  assert.is(ordersNotice(late).others.agoMs, 0);
   assert.is(ordersNotice(executors.slice(0, 9)).others.wasReached, true);
 });
 
