--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -8,6 +8,11 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
+import {
+  ordersNotice,
+  type NamedOrders,
+  type OrdersNotice,
+} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -70,6 +75,8 @@
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private isActive = false;
+  /** Whether it has loaded the stored state and may have given orders. */
+  private isLoaded = false;
   private isClosed = false;
   private lastStateLogMs = 0;
   private isRoundDue = false;
@@ -124,16 +131,31 @@
     });
   }
 
-  private reportCrash({executor, isConfirmed, runs}: Crash): void {
-    const newRuns = runs.filter(({isNew}) => isNew);
-    this.deps.metrics.count('executor_crashes_total');
-    this.deps.log('executorCrashed', {
-      executorId: executor.info.id,
+  private reportCrash(crash: Crash): void {
+    const {executor, isConfirmed, isMachineSuspect, runs, suspects} = crash;
+    const {log, metrics} = this.deps;
+    const executorId = executor.info.id;
+    metrics.count('executor_crashes_total');
+    log('executorCrashed', {
+      executorId,
       isConfirmed,
+      isMachineSuspect,
       runs: runs.length,
-      newRuns: newRuns.length,
-      tasks: nameRuns(newRuns.length > 0 ? newRuns : runs),
+      newRuns: suspects.length,
+      tasks: nameRuns(suspects.length > 0 ? suspects : runs),
     });
+    for (const task of crash.givenUp) {
+      const {crashedRuns, suspectedRuns, step} = task;
+      const job = step.occurrence.job.id;
+      metrics.count('tasks_given_up_total');
+      log('taskGivenUp', {
+        task: taskName(task),
+        job,
+        executorId,
+        crashedRuns,
+        suspectedRuns,
+      });
+    }
   }
 
   private createCommit(): ProgressCommit {
@@ -184,6 +206,7 @@
     if (!(await this.feed.load())) return false;
     this.deps.publish(this.allRows());
     this.isActive = true;
+    this.isLoaded = true;
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -206,6 +229,23 @@
     this.commit.close();
   }
 
+  /**
+   * What the next owner has to know of this one's orders and of earlier ones;
+   * call it after `close`.
+   *
+   * @returns null if this owner has not started to act
+   */
+  describeOrders(): OrdersNotice | null {
+    if (!this.isLoaded) return null;
+    const nowMs = this.deps.clock.monotonicMs();
+    const executors: NamedOrders[] = [];
+    for (const executor of this.state.executors.values()) {
+      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
+      if (orders !== null) executors.push({id: executor.info.id, ...orders});
+    }
+    return ordersNotice(executors);
+  }
+
   /** Applies a configuration. */
   setConfig(config: CellConfig): void {
     this.state.setConfig(config);
@@ -427,7 +467,8 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
-      this.state.recordCrash(executor, executor.expired?.runs ?? [], false);
+      const lost = executor.expired?.runs ?? [];
+      this.state.recordCrash(executor, lost, false, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
