--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -32,14 +32,14 @@
   listedMs: number;
   /** Numbers of runs that ended `failed`; executors may list them unordered. */
   failedRuns: readonly number[];
-  /** Numbers of runs that were lost in a crash of their executor. */
+  /** Numbers of runs that were lost in a crash of their executor, as counted. */
   crashedRuns: readonly number[];
   /**
    * Numbers of runs that were lost right after their start in a crash of their
    * executor; empty once a later run has started well.
    */
   suspectedRuns: readonly number[];
-  /** The machine of the newest of these runs; empty for none. */
+  /** The machine that crashed last under it; empty for none. */
   crashedOn: string;
   checkpoint: string;
   /** The executor of the newest failed run; empty for none. */
