--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -132,27 +132,18 @@
     const units = new Set(suspects.map(({task}) => unitOf(task)));
     const isMachineSuspect = this.recordMachine(executor, units, nowMs);
     const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
-    const cause = units.size === 1 ? suspects : [];
     const crashedHere = runs.filter(({task}) => hasCrashedOn(task, executor));
-    const isElsewhere = cause.some(each => !crashedHere.includes(each));
-    // A start without an answer may have come after the crash. It counts if
-    // nothing else explains the crash, but not as much as one that is certain.
-    const doubtful = cause.filter(
-      ({task, isCertain}) => !isCertain && isSuspect(task),
-    );
-    if (!isMachineSuspect) {
-      this.addSuspects(suspects.filter(each => !doubtful.includes(each)));
-    }
     for (const {task} of runs) task.crashedOn = machineOf(executor);
-    [...doubtful, ...cause.filter(isCertainRun)].forEach(countCrash);
+    const cause = units.size === 1 ? suspects : [];
+    this.markSuspects(isMachineSuspect ? [] : suspects, cause);
+    const isElsewhere = cause.some(each => !crashedHere.includes(each));
     const isExplained = isElsewhere && !isMachineSuspect;
     const guilty = isExplained ? cause.find(isGuilty) : undefined;
     if (guilty !== undefined) return {...crash, givenUp: [guilty.task]};
-    const counted = isConfirmed ? runs : cause;
-    counted
-      .filter(each => isCertainRun(each) && !cause.includes(each))
-      .forEach(countCrash);
-    const givenUp = tasksOverLimit(counted, each =>
+    const isOther = (each: LostRun): boolean => !cause.includes(each);
+    const others = isConfirmed ? runs.filter(isOther) : [];
+    others.filter(isCertainRun).forEach(countCrash);
+    const givenUp = tasksOverLimit([...cause, ...others], each =>
       isMachineSuspect && crashedHere.includes(each)
         ? MAX_CRASHES_OF_SUSPECT_MACHINE
         : MAX_CRASHES,
@@ -160,11 +151,24 @@
     return {...crash, givenUp};
   }
 
-  private addSuspects(suspects: readonly LostRun[]): void {
-    if (suspects.length > 0) this.isActive = true;
-    for (const {task, run} of suspects) {
-      task.suspectedRuns = [...task.suspectedRuns, run];
+  /**
+   * Marks the suspects of a crash, and counts it for its only cause. A start
+   * without an answer may have come after the crash: it counts for a task that
+   * was a suspect before, but not as much as one that is certain.
+   */
+  private markSuspects(
+    suspects: readonly LostRun[],
+    cause: readonly LostRun[],
+  ): void {
+    const doubtful = cause.filter(
+      ({task, isCertain}) => !isCertain && isSuspect(task),
+    );
+    for (const each of suspects) {
+      if (doubtful.includes(each)) continue;
+      each.task.suspectedRuns = [...each.task.suspectedRuns, each.run];
+      this.isActive = true;
     }
+    [...doubtful, ...cause.filter(isCertainRun)].forEach(countCrash);
   }
 
   /** Watches the run of a suspect, so that it is cleared once it has started well. */
