Take a run as new for 0.15 s instead of 0.3 s

The tasks of deadly.toml crash 0.01 s after their start; those that crash between 0.15 s and 0.3 s after it now need three crashes instead of two.

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -9,7 +9,7 @@
 import {isFinal} from './types.js';
 
 /** A run that is listed this long after its start has started well, in ms. */
-const PROBATION_MS = 300;
+const PROBATION_MS = 150;
 /** Crashes after which a task is given up that alone can explain the last. */
 const MAX_EXPLAINED_CRASHES = 2;
 /** Crashes after which any task is given up. */
