Test a restart that is listed after a former owner's start lease

Found while the start lease was tested: a task may run twice. A new owner has reached an idle executor; it restarts, knows no token, and within the 0.8 s of its start lease the former owner starts a task there. The new owner asks an idle executor nothing, and the store lists the restart up to 1.4 s later (1 s and a read each 0.4 s), so it starts the task elsewhere when the lease is over.

A remedy is to ask each executor once more after the start lease before a task counts as not running; what that costs after the death of an owner was not tried.

--- a/packages/cell/test/start-lease.test.ts
+++ b/packages/cell/test/start-lease.test.ts
@@ -56,4 +56,20 @@
   },
 );
 
+// Until it is listed, the new owner takes the executor for an idle one.
+startLease(
+  'keeps a task from a second run if a restart is listed late',
+  async () => {
+    const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}));
+    const {former, next} = await supersede(rig);
+    await rig.run(150);
+    rig.executor('x1').restart();
+    rig.submit('job', [STEP], [former, next]);
+    await rig.run(CALLS_MS);
+    assert.is(rig.executor('x1').runs.size, 1);
+    await rig.run(SETTLE_MS);
+    assert.equal(rig.checker.violations, []);
+  },
+);
+
 startLease.run();
