Take over by a handover notice that other messages overtake

Cause: acceptHandover took terms above the known one only. It now takes the known term too while that names this VM and is not released.

The new test failed before:

"takes over by a notice that other VMs overtake" Expected 1, Actual 2 claims

The second, with notices late by 250 to 350 ms, guards the two conditions (trials, each restored): without the one in claim it failed with "316 ms", without isClaiming with "320 ms", Expected 2, Actual 3 owners.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -82,6 +82,8 @@
   private ownership: Ownership | null = null;
   private isDrainStarted = false;
   private isClosed = false;
+  /** Whether a claim is on its way to the store. */
+  private isClaiming = false;
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
@@ -193,8 +195,8 @@
   acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
     const {term} = notice;
-    if (this.ownership !== null) return;
-    if (term <= (this.record?.term ?? 0)) return;
+    if (this.ownership !== null || this.isClaiming) return;
+    if (term <= (this.record?.term ?? 0) && !this.isNamedOwner(term)) return;
     const ownership = acceptOwnership(store, clock, self, notice);
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.record = {...self, term, isReleased: false};
@@ -204,6 +206,13 @@
     void this.activate(ownership);
   }
 
+  /** Whether another VM has already told this one that it owns the term. */
+  private isNamedOwner(term: number): boolean {
+    const {record, deps} = this;
+    if (record === null || record.isReleased) return false;
+    return record.term === term && record.vm === deps.self.vm;
+  }
+
   /**
    * Gives up a cell that was handed over while this VM shuts down: to a VM that
    * is not smaller, since a small one would soon hand it on. Such a VM claims a
@@ -397,8 +406,15 @@
   private async claim(snapshot: OwnerSnapshot): Promise<void> {
     const {self, clock, log, store, members} = this.deps;
     const {record} = snapshot;
-    if (this.isDrainStarted) return;
-    const ownership = await claimCell(store, clock, self, snapshot);
+    // A handover may have arrived since the snapshot was read.
+    if (this.isDrainStarted || this.ownership !== null) return;
+    this.isClaiming = true;
+    let ownership: Ownership | null;
+    try {
+      ownership = await claimCell(store, clock, self, snapshot);
+    } finally {
+      this.isClaiming = false;
+    }
     if (ownership === null) return;
     if (this.isDraining) return ownership.release();
     log('ownerClaimed', {
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -139,6 +139,8 @@
   readonly owners: string[] = [];
   /** How many of them claimed the cell. */
   claims = 0;
+  /** By how much notices of handovers are later than other messages, in ms. */
+  handoverDelayMs = 0;
   /** How many of the next handovers get no notice. */
   lostHandovers = 0;
   private nextIncarnation = 1;
@@ -224,7 +226,8 @@
     to: Process,
     notice: CellProtocol['notice'],
   ): Promise<void> {
-    await this.clock.sleep(LATENCY_MS);
+    const isLate = notice.type === 'handover';
+    await this.clock.sleep(LATENCY_MS + (isLate ? this.handoverDelayMs : 0));
     if (notice.type === 'handover' && this.lostHandovers > 0) {
       this.lostHandovers -= 1;
       return;
--- a/packages/cell/test/roll.test.ts
+++ b/packages/cell/test/roll.test.ts
@@ -34,9 +34,9 @@
 }
 
 /** Starts a cell and waits until it has an owner. */
-async function startCell(specs = largeVms()): Promise<Cell> {
-  const cell = new Cell(specs);
-  await cell.clock.advance(UPTIME_MS);
+async function startCell(uptimeMs = UPTIME_MS): Promise<Cell> {
+  const cell = new Cell(largeVms());
+  await cell.clock.advance(uptimeMs);
   assert.ok(cell.owner);
   return cell;
 }
@@ -118,6 +118,31 @@
   assert.is(cell.claims, claims);
 });
 
+// The notice tells what former owners ordered, which a claim would lose.
+rolls('takes over by a notice that other VMs overtake', async () => {
+  const cell = await startCell();
+  const next = nextOwner(cell);
+  const claims = cell.claims;
+  cell.handoverDelayMs = HEARTBEAT_PERIOD_MS / 5;
+  void cell.restart(cell.owner?.spec.vm ?? '');
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.owner?.spec.vm, next);
+  assert.is(cell.claims, claims);
+});
+
+rolls('owns the cell once if a notice meets its own claim', async () => {
+  for (let delayMs = 250; delayMs <= 350; delayMs += 2) {
+    const cell = await startCell(SETTLE_MS);
+    const next = nextOwner(cell);
+    const before = cell.owners.length;
+    cell.handoverDelayMs = delayMs;
+    void cell.restart(cell.owner?.spec.vm ?? '');
+    await cell.clock.advance(SETTLE_MS);
+    assert.is(cell.owner?.spec.vm, next);
+    assert.is(cell.owners.length, before + 1, `${delayMs} ms`);
+  }
+});
+
 rolls('claims the cell if the notice of its handover is lost', async () => {
   const cell = await startCell();
   const next = nextOwner(cell);
