--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -14,6 +14,8 @@
 const MAX_EXPLAINED_CRASHES = 2;
 /** Crashes after which any task is given up. */
 const MAX_CRASHES = 3;
+/** The same if the last crashes were of one machine that is a suspect too. */
+const MAX_CRASHES_OF_SUSPECT_MACHINE = 4;
 /** A service run that lasted this long clears the task of its crashes, in ms. */
 const SERVICE_CLEARANCE_MS = 30_000;
 /** Crashes under other tasks after which a machine itself is the suspect. */
@@ -113,7 +115,9 @@
   isActive = false;
 
   /**
-   * Records a crash and counts it for the tasks that were lost.
+   * Records a crash and counts it for the tasks that were lost. If a single
+   * task can explain it, it is not counted for the others once that task is
+   * given up.
    *
    * @param isConfirmed whether the executor is known to have started again
    */
@@ -128,22 +132,39 @@
     const units = new Set(suspects.map(({task}) => unitOf(task)));
     const isMachineSuspect = this.recordMachine(executor, units, nowMs);
     const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
-    if (isMachineSuspect) return {...crash, givenUp: []};
-    if (suspects.length > 0) this.isActive = true;
     const cause = units.size === 1 ? suspects : [];
-    const causeLimit = isRepeated(cause, executor)
-      ? MAX_EXPLAINED_CRASHES
-      : MAX_CRASHES;
+    const crashedHere = runs.filter(({task}) => hasCrashedOn(task, executor));
+    const isElsewhere = cause.some(each => !crashedHere.includes(each));
+    // A start without an answer may have come after the crash. It counts if
+    // nothing else explains the crash, but not as much as one that is certain.
+    const doubtful = cause.filter(
+      ({task, isCertain}) => !isCertain && isSuspect(task),
+    );
+    if (!isMachineSuspect) {
+      this.addSuspects(suspects.filter(each => !doubtful.includes(each)));
+    }
+    for (const {task} of runs) task.crashedOn = machineOf(executor);
+    [...doubtful, ...cause.filter(isCertainRun)].forEach(countCrash);
+    const isExplained = isElsewhere && !isMachineSuspect;
+    const guilty = isExplained ? cause.find(isGuilty) : undefined;
+    if (guilty !== undefined) return {...crash, givenUp: [guilty.task]};
+    const counted = isConfirmed ? runs : cause;
+    counted
+      .filter(each => isCertainRun(each) && !cause.includes(each))
+      .forEach(countCrash);
+    const givenUp = tasksOverLimit(counted, each =>
+      isMachineSuspect && crashedHere.includes(each)
+        ? MAX_CRASHES_OF_SUSPECT_MACHINE
+        : MAX_CRASHES,
+    );
+    return {...crash, givenUp};
+  }
+
+  private addSuspects(suspects: readonly LostRun[]): void {
+    if (suspects.length > 0) this.isActive = true;
     for (const {task, run} of suspects) {
       task.suspectedRuns = [...task.suspectedRuns, run];
-      task.crashedOn = machineOf(executor);
-    }
-    const convicted = countCrash(cause, causeLimit);
-    if (convicted.length > 0 || !isConfirmed) {
-      return {...crash, givenUp: convicted};
     }
-    const others = runs.filter(each => !cause.includes(each));
-    return {...crash, givenUp: countCrash(others, MAX_CRASHES)};
   }
 
   /** Watches the run of a suspect, so that it is cleared once it has started well. */
@@ -182,7 +203,8 @@
     const recent = this.machines.get(machine) ?? [];
     this.machines.set(machine, [...recent, {atMs: nowMs, suspects}]);
     const unrelated = recent.filter(
-      each => ![...each.suspects].some(unit => suspects.has(unit)),
+      each =>
+        ![...each.suspects].some(unit => suspects.has(unit) || isGivenUp(unit)),
     );
     return unrelated.length >= MACHINE_CRASHES;
   }
@@ -194,28 +216,34 @@
   return !crashedRuns.includes(run) && !suspectedRuns.includes(run);
 }
 
-/** Whether the runs are of a suspect that crashed another machine before. */
-function isRepeated(
-  cause: readonly LostRun[],
-  executor: ExecutorState,
-): boolean {
-  const machine = machineOf(executor);
-  return cause.some(({task}) => isSuspect(task) && task.crashedOn !== machine);
+function isCertainRun({isCertain}: LostRun): boolean {
+  return isCertain;
 }
 
-/** Counts a crash; returns a task of each unit that has reached the limit. */
-function countCrash(
+function countCrash({task, run}: LostRun): void {
+  task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
+}
+
+/** Whether the task was a suspect in enough crashes in which it surely ran. */
+function isGuilty({task}: LostRun): boolean {
+  const runs = membersOf(task).flatMap(({crashedRuns, suspectedRuns}) =>
+    crashedRuns.filter(run => suspectedRuns.includes(run)),
+  );
+  return new Set(runs).size >= MAX_EXPLAINED_CRASHES;
+}
+
+/** Returns a task of each unit that has reached its limit. */
+function tasksOverLimit(
   runs: readonly LostRun[],
-  limit: number,
+  limitOf: (lost: LostRun) => number,
 ): readonly TaskState[] {
-  const givenUp = new Map<Unit, TaskState>();
-  for (const {task, run, isCertain} of runs) {
-    if (!isCertain) continue;
-    task.crashedRuns = [...(hasLastedLong(task) ? [] : task.crashedRuns), run];
-    const unit = unitOf(task);
-    if (crashCount(unit) >= limit) givenUp.set(unit, task);
+  const found = new Map<Unit, TaskState>();
+  for (const lost of runs) {
+    const {task} = lost;
+    const crashed = membersOf(task).flatMap(({crashedRuns}) => crashedRuns);
+    if (new Set(crashed).size >= limitOf(lost)) found.set(unitOf(task), task);
   }
-  return [...givenUp.values()];
+  return [...found.values()];
 }
 
 function hasLastedLong({step, listedMs, startedMs}: TaskState): boolean {
@@ -226,9 +254,21 @@
   return task.step.spec.isGang ? task.step : task;
 }
 
-function crashCount(unit: Unit): number {
-  if (!('tasks' in unit)) return unit.crashedRuns.length;
-  return new Set(unit.tasks.flatMap(({crashedRuns}) => crashedRuns)).size;
+function isGivenUp(unit: Unit): boolean {
+  const step = 'step' in unit ? unit.step : unit;
+  return step.occurrence.job.phase === 'failed';
+}
+
+function membersOf(task: TaskState): readonly TaskState[] {
+  return task.step.spec.isGang ? task.step.tasks : [task];
+}
+
+/** Whether a run of the task was lost there in the newest crash. */
+export function hasCrashedOn(
+  {crashedOn}: TaskState,
+  executor: ExecutorState,
+): boolean {
+  return crashedOn !== '' && crashedOn === machineOf(executor);
 }
 
 function machineOf({info}: ExecutorState): string {
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -1,9 +1,17 @@
 /** Executors whose capacity shrinks and grows while they run. */
+import {encode} from 'cbor-x';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {CellConfig, Queue, StepSpec} from '@dragonflyward/cell';
 import {LoadSimulation, type RunPlan} from './load-simulation.js';
-import {CONFIG, QUEUE, Rig, STEP, type CellNode} from './rig.js';
+import {
+  CONFIG,
+  EXECUTORS_TOPIC,
+  QUEUE,
+  Rig,
+  STEP,
+  type CellNode,
+} from './rig.js';
 
 const SETTLE_MS = 3000;
 /** By then, a change of the capacity is listed and read, in ms. */
@@ -21,6 +29,12 @@
 const LONG_RUN_MS = 600_000;
 const URGENT: Queue = {...QUEUE, name: 'urgent', priority: 0};
 const BATCH: Queue = {...QUEUE, name: 'batch', priority: 2};
+const ADVICE_MS = 2500;
+const ADVISED: Queue = {
+  ...QUEUE,
+  name: 'advised',
+  advice: {decisionMs: ADVICE_MS, perExecutorMs: 0, validityMs: 2000},
+};
 const QUEUES: CellConfig = {...CONFIG, queues: [URGENT, QUEUE, BATCH]};
 /** Allows four tasks at a time. */
 const LIMITED: CellConfig = {
@@ -374,6 +388,79 @@
   });
 }
 
+for (const [name, step] of [
+  ['lasting task', {...STEP, isService: true}],
+  ['gang', {...GANG, maxPerExecutor: 0}],
+] as const) {
+  changing(`tickets where executors shrank hold up no ${name}`, async () => {
+    const config = {...CONFIG, queues: [QUEUE, ADVISED]};
+    const {rig, node} = await startCell(2, LONG_RUN_MS, config);
+    const asked: string[] = [];
+    rig.adviceChannels = [
+      {
+        vm: 'v0',
+        isInOwnerDomain: true,
+        ask: async (_step, ids) => {
+          asked.push(ids.join());
+          await rig.clock.sleep(ADVICE_MS);
+          return ids.map(executorId => ({executorId, ticket: 't'}));
+        },
+      },
+    ];
+    rig.executor('x1').setCapacity({cpuMilli: 0});
+    await rig.run(LISTED_MS);
+    // Tickets for x0 arrive when it has shrunk and x1 has room.
+    rig.submit('job', [step], [node], ADVISED);
+    rig.executor('x0').setCapacity({cpuMilli: 0});
+    rig.executor('x1').setCapacity({cpuMilli: 3000});
+    await rig.run(2 * ADVICE_MS + START_MS);
+    assert.equal(asked, ['x0', 'x1']);
+    assert.is(countRuns(rig, 'x1'), step.count);
+    assert.equal(rig.checker.violations, []);
+  });
+}
+
+changing('passes over a late record of the process before', async () => {
+  const {rig, node} = await startCell(1);
+  const executor = rig.executor('x0');
+  const former = {...executor.info, bornMs: executor.bornMs};
+  executor.restartAs({capacity: {...former.capacity, cpuMilli: 1000}});
+  await rig.run(LISTED_MS);
+  const records = [{key: 'x0', value: encode(former)}];
+  rig.isListingPaused = true;
+  rig.memory.append(EXECUTORS_TOPIC, records, {});
+  rig.submit('job', [{...STEP, count: 3}], [node]);
+  await rig.run(DECREASE_GRACE_MS);
+  endRuns(rig, 'x0', 1);
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'x0'), 1);
+  assert.equal(rig.checker.violations, []);
+});
+
+changing('a new owner uses the capacity that is listed now', async () => {
+  const {rig, node} = await startCell(2);
+  rig.submit('early', [{...STEP, count: 4}], [node]);
+  await rig.run(START_MS);
+  shrink(rig, ['x0', 'x1']);
+  await rig.run(DECREASE_GRACE_MS);
+  rig.kill(node);
+  await rig.run(CLAIM_DELAY_MS);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(START_LEASE_END_MS);
+  rig.submit('late', [STEP], [next]);
+  endRuns(rig, 'x0', 3);
+  endRuns(rig, 'x1', 3);
+  await rig.run(SETTLE_MS);
+  assert.is(rig.checker.starts, 4, 'no room for a task');
+  for (const each of rig.executors) {
+    each.setCapacity({cpuMilli: 1000, memMb: 100});
+  }
+  await rig.run(LISTED_MS + START_MS);
+  assert.is(rig.rows.get('late')?.phase, 'running');
+  assert.equal(rig.checker.violations, []);
+});
+
 /** A gang that needs more executors than are free, beside batch work. */
 changing('executors that shrank do not make the others busy', async () => {
   const simulation = new LoadSimulation({
