Keep the last orders in the record of a handover

If the notice of a handover is lost or its append has no answer, the successor finds itself in the owner's record and claims the cell, without the last orders of the owner before it: it waited up to 10.6 s again for each executor that was silent.

The record now carries the orders, as that of a release does. They count only for the process that the record names, and only if it cannot have acted in that term; the successor's heartbeats replace the record.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -81,6 +81,8 @@
   private record: OwnerRecord | null = null;
   private ownership: Ownership | null = null;
   private isDrainStarted = false;
+  /** The last term in which this process may have acted. */
+  private actedTerm = 0;
   private isClosed = false;
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
@@ -196,6 +198,7 @@
     if (this.ownership !== null) return;
     if (term <= (this.record?.term ?? 0)) return;
     const ownership = acceptOwnership(store, clock, self, notice);
+    this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.record = {...self, term, isReleased: false};
     if (this.isDrainStarted) return void this.passOn(ownership);
@@ -264,7 +267,7 @@
     {address, connection}: Member,
   ): Promise<void> {
     const orders = this.lastOrders(ownership);
-    const endOffset = await ownership.handOver(address);
+    const endOffset = await ownership.handOver(address, orders);
     if (endOffset < 0) return;
     const notice = ownership.handoverNotice(endOffset, orders);
     connection.notify(notice);
@@ -398,9 +401,16 @@
     const {self, clock, log, store, members} = this.deps;
     const {record} = snapshot;
     if (this.isDrainStarted) return;
-    const ownership = await claimCell(store, clock, self, snapshot);
+    const ownership = await claimCell(
+      store,
+      clock,
+      self,
+      snapshot,
+      this.actedTerm,
+    );
     if (ownership === null) return;
     if (this.isDraining) return ownership.release();
+    this.actedTerm = ownership.term;
     log('ownerClaimed', {
       term: ownership.term,
       former: record?.vm ?? '',
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -67,7 +67,10 @@
   readonly areFormerStopped?: boolean;
   /** Those that may not have; missing in records of earlier versions. */
   readonly formerOwners?: readonly FormerOwner[];
-  /** Set by a release only: nobody gives orders after it. */
+  /**
+   * Set by a release or a handover. They are the last orders unless a successor
+   * has acted since.
+   */
   readonly orders?: OrdersNotice;
 }
 
@@ -94,6 +97,7 @@
 /**
  * Claims the cell if nothing was written since the snapshot.
  *
+ * @param actedTerm the last term in which this process may have acted
  * @returns the claimed ownership, or null if another writer was first
  * @throws StoreError if it is unknown whether the claim took effect
  * @example
@@ -104,6 +108,7 @@
   clock: Clock,
   self: OwnerAddress,
   snapshot: OwnerSnapshot,
+  actedTerm = Infinity,
 ): Promise<Ownership | null> {
   const term = (snapshot.record?.term ?? 0) + 1;
   const formerOwners = formerOwnersOf(snapshot.record, self);
@@ -123,7 +128,7 @@
       snapshot.endOffset,
     );
     const lastWrite = {sentMs, endOffset};
-    const orders = snapshot.record?.isReleased ? snapshot.record.orders : null;
+    const orders = lastOrdersOf(snapshot.record, self, actedTerm);
     return new Ownership(store, clock, record, lastWrite, orders);
   } catch (err) {
     if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
@@ -131,6 +136,19 @@
   }
 }
 
+/** The orders of a record after which nobody has acted, or null. */
+function lastOrdersOf(
+  record: OwnerRecord | null,
+  {vm, incarnation}: OwnerAddress,
+  actedTerm: number,
+): OrdersNotice | null {
+  if (record === null) return null;
+  const isOwn = record.vm === vm && record.incarnation === incarnation;
+  // The notice of a handover to this process was lost or has not arrived.
+  const isUnused = isOwn && record.term > actedTerm;
+  return record.isReleased || isUnused ? (record.orders ?? null) : null;
+}
+
 /** The owners that may act after the process claims or takes over the cell. */
 function formerOwnersOf(
   record: OwnerRecord | null,
@@ -335,10 +353,14 @@
   /**
    * Makes another process the owner; the caller must have stopped acting.
    *
+   * @param orders the last orders that this owner and former ones have sent
    * @returns the end of the owner topic, or -1 if it is not certain that the
    *     handover is stored
    */
-  async handOver(successor: OwnerAddress): Promise<number> {
+  async handOver(
+    successor: OwnerAddress,
+    orders: OrdersNotice = this.describeFormerOrders(),
+  ): Promise<number> {
     this.isLost = true;
     const term = this.record.term + 1;
     const {areFormerStopped} = this;
@@ -353,7 +375,7 @@
     try {
       return await appendOwnerRecord(
         this.store,
-        {...record, formerOwners},
+        {...record, formerOwners, orders},
         this.endOffset,
       );
     } catch (err) {
--- a/packages/cell/test/owner-chain.test.ts
+++ b/packages/cell/test/owner-chain.test.ts
@@ -263,6 +263,19 @@
   assert.is(countRuns(rig, task), 1);
 });
 
+chain('restarts a lasting task if the notice is lost', async () => {
+  const started = await startOwner();
+  const {rig, owner} = started;
+  rig.executor('x1').crash();
+  const crashMs = rig.clock.monotonicMs();
+  await rig.run(5000);
+  const second = rig.newNode('v1');
+  void rig.handOver(owner, second, {isNoticeLost: true});
+  await rig.run(CLAIM_DELAY_MS);
+  void rig.claim(second);
+  await expectRunBy(started, crashMs, LEASE_MS + CLAIM_DELAY_MS + START_MS);
+});
+
 // A task that may still run on x1 uses the limit until its lease has ended.
 chain('counts a task that may run towards the limit', async () => {
   const started = await startOwner({
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -212,7 +212,13 @@
     const {store} = node;
     const snapshot = await readOwner(store);
     const self = addressOf(node);
-    const ownership = await claimCell(store, this.clock, self, snapshot);
+    const ownership = await claimCell(
+      store,
+      this.clock,
+      self,
+      snapshot,
+      node.ownership?.term ?? 0,
+    );
     if (ownership === null || node.isKilled) return false;
     return this.act(node, ownership);
   }
@@ -234,7 +240,7 @@
     const orders = owner.describeOrders() ?? ownership.describeFormerOrders();
     await this.clock.sleep(pauseMs);
     const self = addressOf(to);
-    const endOffset = await ownership.handOver(self);
+    const endOffset = await ownership.handOver(self, orders);
     if (endOffset < 0 || isNoticeLost || to.isKilled) return false;
     const notice = ownership.handoverNotice(endOffset, orders);
     return this.act(to, acceptOwnership(to.store, this.clock, self, notice));
