Release the cell if its handover is not certainly stored

If the append of a handover failed or got no answer, the owner told the other VMs that the cell is free but left its own record unreleased.

The owner now releases the cell with its last orders at the offset at which the handover was to be appended: at most one of the two is stored, also if the handover arrives later.

The new test failed before for the handover that is stored late (its record is the newest, and its successor has no notice).

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -268,7 +268,8 @@
   ): Promise<void> {
     const orders = this.lastOrders(ownership);
     const endOffset = await ownership.handOver(address, orders);
-    if (endOffset < 0) return;
+    // Appends at the same offset, so it fails if the handover is stored.
+    if (endOffset < 0) return ownership.release(orders);
     const notice = ownership.handoverNotice(endOffset, orders);
     connection.notify(notice);
     const {term} = notice;
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -193,6 +193,31 @@
   assert.equal([record?.vm, record?.isReleased], ['c', false]);
 });
 
+// The append of the handover gets no answer, whether or not it is stored.
+for (const [delayMs, vm, isReleased] of [
+  [0, 'b', false],
+  [LONG_MS, 'a', true],
+] as const) {
+  const when = `handover stored after ${delayMs} ms`;
+  election(`leaves a cell that can be claimed, ${when}`, async () => {
+    const rig = new ElectionRig();
+    const members = connectedTo([
+      memberOf('b', {isStoreOk: true, isDraining: false}),
+    ]);
+    const store = rig.client();
+    const owner = rig.startElection('a', store, members);
+    await rig.clock.advance(LONG_MS);
+    assert.is(owner.isOwner, true);
+    store.faults.lostAnswers = 1;
+    store.faults.lostAppendDelayMs = delayMs;
+    void owner.drain();
+    await rig.clock.advance(2 * LONG_MS);
+    const record = await rig.readRecord();
+    assert.equal([record?.vm, record?.isReleased], [vm, isReleased]);
+    assert.is.not(record?.orders, undefined);
+  });
+}
+
 election('releases the cell if all VMs are shutting down', async () => {
   const rig = new ElectionRig();
   const members = connectedTo([
