Clear an adopted service run of old crashes as any other

The time was counted from the start order, which is not known for a run that a new owner has adopted, so that such a run never cleared anything: in the rig an innocent service was shown as failed after three crashes 126 s apart with a handover before each, and ran on without the handovers.

The time now counts from the adoption for such a run, as it does for new runs. The new test failed before (phase failed).

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -61,10 +61,14 @@
 
 /** Whether the task's run was listed long enough after its start. */
 export function hasStartedWell(task: TaskState): boolean {
-  const {startedMs, answeredMs, listedMs} = task;
+  return listedForMs(task) >= PROBATION_MS;
+}
+
+/** The time from the run's start, or from its adoption, to its last listing. */
+function listedForMs({startedMs, answeredMs, listedMs}: TaskState): number {
   // An adopted run was listed when it counted as answered.
   const sinceMs = Number.isNaN(startedMs) ? answeredMs : startedMs;
-  return listedMs - sinceMs >= PROBATION_MS;
+  return listedMs - sinceMs;
 }
 
 /** Counts the runs on the executor that have just started. */
@@ -246,8 +250,8 @@
   return [...found.values()];
 }
 
-function hasLastedLong({step, listedMs, startedMs}: TaskState): boolean {
-  return step.spec.isService && listedMs - startedMs > SERVICE_CLEARANCE_MS;
+function hasLastedLong(task: TaskState): boolean {
+  return task.step.spec.isService && listedForMs(task) > SERVICE_CLEARANCE_MS;
 }
 
 function unitOf(task: TaskState): Unit {
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -22,6 +22,8 @@
 const LATE = 'late';
 const LONG = 'long';
 const LONG_MS = 20_000;
+const LASTING = 'lasting';
+const LASTING_MS = 900_000;
 /** The most starts of a task that crashes each executor. */
 const MAX_CRASHES = 3;
 
@@ -29,6 +31,7 @@
 function behave(task: string): ReturnType<Behaviour> {
   if (task.startsWith(DEADLY)) return {ms: CRASH_DELAY_MS, how: 'crash'};
   if (task.startsWith(LATE)) return {ms: 1500, how: 'crash'};
+  if (task.startsWith(LASTING)) return {ms: LASTING_MS, how: 'done'};
   return {ms: task.startsWith(LONG) ? LONG_MS : 2000, how: 'done'};
 }
 
@@ -180,6 +183,26 @@
   for (const job of jobs) assert.is(phaseOf(rig, job), 'completed');
 });
 
+crashes('does not add up crashes of a service across owners', async () => {
+  const {rig, node} = await startRig(8);
+  rig.submit(LASTING, [{...STEP, isService: true}], [node]);
+  let owner = node;
+  for (let i = 0; i < MAX_CRASHES; i += 1) {
+    await rig.run(SETTLE_MS);
+    const next = rig.newNode(`w${i}`);
+    void rig.handOver(owner, next);
+    owner = next;
+    await rig.run(2 * CRASHES_MS);
+    const used = rig.executors.find(({runs}) => runs.size > 0);
+    assert.ok(used !== undefined);
+    used.crash();
+    await rig.run(SETTLE_MS);
+    used.recover();
+  }
+  await rig.run(SETTLE_MS);
+  assert.is(phaseOf(rig, LASTING), 'running');
+});
+
 crashes('does not count the loss of an executor that drains', async () => {
   const {rig, node} = await startRig(4);
   rig.submit(LONG, [STEP], [node]);
