Count the crashes of a gang for each task by itself

The crashes under all tasks of a gang were added up. An innocent gang was shown as failed after each of three tasks had lost one executor, though a task may be given up only after two executors have crashed under it.

A task that crashes executors is part of each run of its gang, so its own count reaches the limit as soon as the sum did. The new test failed before (phase failed); the test of a deadly gang passes as before.

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -230,10 +230,9 @@
 
 /** Whether the task was a suspect in enough crashes in which it surely ran. */
 function isGuilty({task}: LostRun): boolean {
-  const runs = membersOf(task).flatMap(({crashedRuns, suspectedRuns}) =>
-    crashedRuns.filter(run => suspectedRuns.includes(run)),
-  );
-  return new Set(runs).size >= MAX_EXPLAINED_CRASHES;
+  const {crashedRuns, suspectedRuns} = task;
+  const runs = crashedRuns.filter(run => suspectedRuns.includes(run));
+  return runs.length >= MAX_EXPLAINED_CRASHES;
 }
 
 /** Returns a task of each unit that has reached its limit. */
@@ -244,8 +243,9 @@
   const found = new Map<Unit, TaskState>();
   for (const lost of runs) {
     const {task} = lost;
-    const crashed = membersOf(task).flatMap(({crashedRuns}) => crashedRuns);
-    if (new Set(crashed).size >= limitOf(lost)) found.set(unitOf(task), task);
+    // A crash under one task of a gang shows nothing about the others.
+    const crashes = task.crashedRuns.length;
+    if (crashes >= limitOf(lost)) found.set(unitOf(task), task);
   }
   return [...found.values()];
 }
@@ -263,10 +263,6 @@
   return step.occurrence.job.phase === 'failed';
 }
 
-function membersOf(task: TaskState): readonly TaskState[] {
-  return task.step.spec.isGang ? task.step.tasks : [task];
-}
-
 /** Whether a run of the task was lost there in the newest crash. */
 export function hasCrashedOn(
   {crashedOn}: TaskState,
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -149,6 +149,24 @@
   assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
 });
 
+// The platform lets a task be given up under which two executors have crashed.
+crashes('gives up no gang whose tasks each lost one executor', async () => {
+  const {rig, node} = await startRig(6);
+  const gang = {...STEP, isGang: true, count: 3, maxPerExecutor: 1};
+  rig.submit(LASTING, [gang], [node]);
+  for (let i = 0; i < MAX_CRASHES; i += 1) {
+    await rig.run(SETTLE_MS);
+    const name = `${LASTING}.0.0.${i}`;
+    const used = rig.executors.find(({runs}) => runs.has(name));
+    assert.ok(used !== undefined, `${name} has no run`);
+    used.crash();
+    await rig.run(SETTLE_MS);
+    used.recover();
+    await rig.run(2 * SETTLE_MS);
+  }
+  assert.is(phaseOf(rig, LASTING), 'running');
+});
+
 crashes(
   'counts crashes of executors that come back under new ids',
   async () => {
