--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -61,10 +61,14 @@
 
 /** Whether the task's run was listed long enough after its start. */
 export function hasStartedWell(task: TaskState): boolean {
-  const {startedMs, answeredMs, listedMs} = task;
+  return listedForMs(task) >= PROBATION_MS;
+}
+
+/** The time from the run's start, or from its adoption, to its last listing. */
+function listedForMs({startedMs, answeredMs, listedMs}: TaskState): number {
   // An adopted run was listed when it counted as answered.
   const sinceMs = Number.isNaN(startedMs) ? answeredMs : startedMs;
-  return listedMs - sinceMs >= PROBATION_MS;
+  return listedMs - sinceMs;
 }
 
 /** Counts the runs on the executor that have just started. */
@@ -230,10 +234,9 @@
 
 /** Whether the task was a suspect in enough crashes in which it surely ran. */
 function isGuilty({task}: LostRun): boolean {
-  const runs = membersOf(task).flatMap(({crashedRuns, suspectedRuns}) =>
-    crashedRuns.filter(run => suspectedRuns.includes(run)),
-  );
-  return new Set(runs).size >= MAX_EXPLAINED_CRASHES;
+  const {crashedRuns, suspectedRuns} = task;
+  const runs = crashedRuns.filter(run => suspectedRuns.includes(run));
+  return runs.length >= MAX_EXPLAINED_CRASHES;
 }
 
 /** Returns a task of each unit that has reached its limit. */
@@ -244,14 +247,15 @@
   const found = new Map<Unit, TaskState>();
   for (const lost of runs) {
     const {task} = lost;
-    const crashed = membersOf(task).flatMap(({crashedRuns}) => crashedRuns);
-    if (new Set(crashed).size >= limitOf(lost)) found.set(unitOf(task), task);
+    // A crash under one task of a gang shows nothing about the others.
+    const crashes = task.crashedRuns.length;
+    if (crashes >= limitOf(lost)) found.set(unitOf(task), task);
   }
   return [...found.values()];
 }
 
-function hasLastedLong({step, listedMs, startedMs}: TaskState): boolean {
-  return step.spec.isService && listedMs - startedMs > SERVICE_CLEARANCE_MS;
+function hasLastedLong(task: TaskState): boolean {
+  return task.step.spec.isService && listedForMs(task) > SERVICE_CLEARANCE_MS;
 }
 
 function unitOf(task: TaskState): Unit {
@@ -263,10 +267,6 @@
   return step.occurrence.job.phase === 'failed';
 }
 
-function membersOf(task: TaskState): readonly TaskState[] {
-  return task.step.spec.isGang ? task.step.tasks : [task];
-}
-
 /** Whether a run of the task was lost there in the newest crash. */
 export function hasCrashedOn(
   {crashedOn}: TaskState,
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -81,6 +81,8 @@
   private record: OwnerRecord | null = null;
   private ownership: Ownership | null = null;
   private isDrainStarted = false;
+  /** The last term in which this process may have acted. */
+  private actedTerm = 0;
   private isClosed = false;
   /** Whether a claim is on its way to the store. */
   private isClaiming = false;
@@ -198,6 +200,7 @@
     if (this.ownership !== null || this.isClaiming) return;
     if (term <= (this.record?.term ?? 0) && !this.isNamedOwner(term)) return;
     const ownership = acceptOwnership(store, clock, self, notice);
+    this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.record = {...self, term, isReleased: false};
     if (this.isDrainStarted) return void this.passOn(ownership);
@@ -273,8 +276,9 @@
     {address, connection}: Member,
   ): Promise<void> {
     const orders = this.lastOrders(ownership);
-    const endOffset = await ownership.handOver(address);
-    if (endOffset < 0) return;
+    const endOffset = await ownership.handOver(address, orders);
+    // Appends at the same offset, so it fails if the handover is stored.
+    if (endOffset < 0) return ownership.release(orders);
     const notice = ownership.handoverNotice(endOffset, orders);
     connection.notify(notice);
     const {term} = notice;
@@ -403,20 +407,25 @@
     return true;
   }
 
-  private async claim(snapshot: OwnerSnapshot): Promise<void> {
-    const {self, clock, log, store, members} = this.deps;
-    const {record} = snapshot;
-    // A handover may have arrived since the snapshot was read.
-    if (this.isDrainStarted || this.ownership !== null) return;
+  private async sendClaim(snapshot: OwnerSnapshot): Promise<Ownership | null> {
+    const {self, clock, store} = this.deps;
     this.isClaiming = true;
-    let ownership: Ownership | null;
     try {
-      ownership = await claimCell(store, clock, self, snapshot);
+      return await claimCell(store, clock, self, snapshot, this.actedTerm);
     } finally {
       this.isClaiming = false;
     }
+  }
+
+  private async claim(snapshot: OwnerSnapshot): Promise<void> {
+    const {self, log, members} = this.deps;
+    const {record} = snapshot;
+    // A handover may have arrived since the snapshot was read.
+    if (this.isDrainStarted || this.ownership !== null) return;
+    const ownership = await this.sendClaim(snapshot);
     if (ownership === null) return;
     if (this.isDraining) return ownership.release();
+    this.actedTerm = ownership.term;
     log('ownerClaimed', {
       term: ownership.term,
       former: record?.vm ?? '',
