Count processes that connected before a VM owned the cell

Callers waited up to 3 s longer than needed after a takeover: a former owner has ended once its VM runs a new process, but only connections that came up while the VM owned the cell were looked at. One that came up before, as with VMs that are neighbours, counted for nothing.

Found by a review of the takeover bounds, by reading. The new test failed before: areFormerStopped false 3 s after the start, true now.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -193,6 +193,13 @@
     this.deps.log('formerOwnerStopped', {term, former: address.vm});
   }
 
+  /** Records the processes that connected before this VM owned the cell. */
+  private recordConnectedProcesses(): void {
+    for (const {address} of this.deps.members.connected()) {
+      this.recordProcess(address);
+    }
+  }
+
   /** Becomes the owner after the former one wrote this VM into the store. */
   acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
@@ -206,6 +213,7 @@
     if (this.isDrainStarted) return void this.passOn(ownership);
     this.ownership = ownership;
     members.setOwner(self);
+    this.recordConnectedProcesses();
     void this.activate(ownership);
   }
 
@@ -435,6 +443,7 @@
     this.ownership = ownership;
     this.hasHadPeers = false;
     members.setOwner(toAddress(this.record));
+    this.recordConnectedProcesses();
     await this.activate(ownership);
   }
 }
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -177,6 +177,18 @@
   );
 }
 
+// A VM may have connected as a neighbour before this one owned the cell.
+election('counts a new process that connected before the claim', async () => {
+  const rig = new ElectionRig();
+  await rig.claimBy('a');
+  const restarted = {...address('a'), incarnation: 2};
+  const members = connectedTo([memberOf('a', {address: restarted})]);
+  rig.startElection('b', rig.client(), members);
+  await rig.clock.advance(LONG_MS);
+  assert.is(rig.owned.length, 1);
+  assert.is(rig.owned[0]?.areFormerStopped, true);
+});
+
 // It would release the cell or hand it on at once.
 election('hands the cell to no VM that is shutting down', async () => {
   const rig = new ElectionRig();
