Log handover notices that are ignored, and count failed reads

A notice of a handover that a VM did not use left no line, so that the log of a takeover did not show whether it was late or lost. Reads of the allowances at the start of a term failed silently. No decision changes.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -204,8 +204,7 @@
   acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
     const {term} = notice;
-    if (this.ownership !== null || this.isClaiming) return;
-    if (term <= (this.record?.term ?? 0) && !this.isNamedOwner(term)) return;
+    if (!this.mayAccept(term)) return log('handoverIgnored', {term});
     const ownership = acceptOwnership(store, clock, self, notice);
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
@@ -217,6 +216,12 @@
     void this.activate(ownership);
   }
 
+  /** Whether a handover is news, and no claim of this VM is on its way. */
+  private mayAccept(term: number): boolean {
+    if (this.ownership !== null || this.isClaiming) return false;
+    return term > (this.record?.term ?? 0) || this.isNamedOwner(term);
+  }
+
   /** Whether another VM has already told this one that it owns the term. */
   private isNamedOwner(term: number): boolean {
     const {record, deps} = this;
--- a/packages/scheduler/src/shard-replica.ts
+++ b/packages/scheduler/src/shard-replica.ts
@@ -249,9 +249,14 @@
 
   /** Reads the allowances at once, as requests wait for them. */
   private async readAllowances(owner: ShardOwner): Promise<void> {
-    const {allowances, clock} = this.parts;
+    const {allowances, clock, metrics} = this.parts;
     while (this.owner === owner) {
-      await allowances.tail.readOnce(0).catch(() => undefined);
+      try {
+        await allowances.tail.readOnce(0);
+      } catch {
+        // The log is down or cut off, which the tail's own reads report.
+        metrics.count('allowance_reads_failed_total');
+      }
       if (allowances.isReadSince(this.activeSinceMs)) break;
       await clock.sleep(ALLOWANCE_RETRY_MS);
     }
