Name isolated starts and suspects' VMs in the terms of the project

A probe is a health check in this field, so that starts of suspects on executors of their own are called isolated starts; machines are VMs. No behaviour changes.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -259,7 +259,7 @@
     task.answeredMs = Infinity;
     task.isStartUnconfirmed = false;
     task.percent = 100;
-    if (isSuspect(task)) this.crashes.addProbe(task);
+    if (isSuspect(task)) this.crashes.watchStart(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase !== 'queued') return;
@@ -289,7 +289,7 @@
     task.phase = 'running';
     task.startedMs = Number.NaN;
     task.answeredMs = nowMs;
-    if (isSuspect(task)) this.crashes.addProbe(task);
+    if (isSuspect(task)) this.crashes.watchStart(task);
     this.place(task, executor);
     const {job} = task.step.occurrence;
     if (job.phase === 'queued') {
--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -9,19 +9,19 @@
 import {isFinal} from './types.js';
 
 /** A run that is listed this long after its start has started well, in ms. */
-const PROBATION_MS = 150;
+const WELL_STARTED_MS = 150;
 /** Crashes after which a task is given up that alone can explain the last. */
 const MAX_EXPLAINED_CRASHES = 2;
 /** Crashes after which any task is given up. */
 const MAX_CRASHES = 3;
-/** The same if the last crashes were of one machine that is a suspect too. */
-const MAX_CRASHES_OF_SUSPECT_MACHINE = 4;
+/** The same if the last crashes were of one VM that is a suspect too. */
+const MAX_CRASHES_OF_SUSPECT_VM = 4;
 /** A service run that lasted this long clears the task of its crashes, in ms. */
 const SERVICE_CLEARANCE_MS = 30_000;
-/** Crashes under other tasks after which a machine itself is the suspect. */
-const MACHINE_CRASHES = 2;
-/** How long a crash of a machine is remembered, in ms. */
-const MACHINE_MEMORY_MS = 60_000;
+/** Crashes under other tasks after which a VM itself is the suspect. */
+const VM_CRASHES = 2;
+/** How long a crash of a VM is remembered, in ms. */
+const VM_CRASH_MEMORY_MS = 60_000;
 
 /** A run that was lost with its executor. */
 export interface LostRun {
@@ -40,8 +40,8 @@
   readonly isConfirmed: boolean;
   readonly runs: readonly LostRun[];
   readonly suspects: readonly LostRun[];
-  /** Whether the machine crashes under different tasks again and again. */
-  readonly isMachineSuspect: boolean;
+  /** Whether the VM crashes under different tasks again and again. */
+  readonly isVmSuspect: boolean;
   /** One task of each step or task that is given up. */
   readonly givenUp: readonly TaskState[];
 }
@@ -49,7 +49,7 @@
 /** What is given up as a whole: a task, or the step of a gang. */
 type Unit = TaskState | StepState;
 
-interface MachineCrash {
+interface VmCrash {
   readonly atMs: number;
   readonly suspects: ReadonlySet<Unit>;
 }
@@ -61,7 +61,7 @@
 
 /** Whether the task's run was listed long enough after its start. */
 export function hasStartedWell(task: TaskState): boolean {
-  return listedForMs(task) >= PROBATION_MS;
+  return listedForMs(task) >= WELL_STARTED_MS;
 }
 
 /** The time from the run's start, or from its adoption, to its last listing. */
@@ -106,15 +106,15 @@
 }
 
 /** Whether the task is a suspect whose run has not started well yet. */
-export function isOnProbation(task: TaskState): boolean {
+export function isStartObserved(task: TaskState): boolean {
   return isSuspect(task) && !hasStartedWell(task);
 }
 
 /** Counts crashes, and decides which tasks are given up. */
 export class CrashSuspects {
-  private readonly machines = new Map<string, readonly MachineCrash[]>();
+  private readonly vms = new Map<string, readonly VmCrash[]>();
   /** Suspects that were started and are not cleared yet. */
-  private readonly probes = new Set<TaskState>();
+  private readonly isolatedStarts = new Set<TaskState>();
   /** Whether there may be suspects. */
   isActive = false;
 
@@ -134,22 +134,23 @@
     const runs = lost.filter(isCounted);
     const suspects = runs.filter(({isNew}) => isNew);
     const units = new Set(suspects.map(({task}) => unitOf(task)));
-    const isMachineSuspect = this.recordMachine(executor, units, nowMs);
-    const crash = {executor, isConfirmed, runs, suspects, isMachineSuspect};
+    const isVmSuspect = this.recordVm(executor, units, nowMs);
+    const crash = {executor, isConfirmed, runs, suspects, isVmSuspect};
     const crashedHere = runs.filter(({task}) => hasCrashedOn(task, executor));
-    for (const {task} of runs) task.crashedOn = machineOf(executor);
+    for (const {task} of runs) task.crashedOn = vmOf(executor);
     const cause = units.size === 1 ? suspects : [];
-    this.markSuspects(isMachineSuspect ? [] : suspects, cause);
+    this.markSuspects(isVmSuspect ? [] : suspects, cause);
+    // A task that crashed one VM twice may have met a VM that fails.
     const isElsewhere = cause.some(each => !crashedHere.includes(each));
-    const isExplained = isElsewhere && !isMachineSuspect;
-    const guilty = isExplained ? cause.find(isGuilty) : undefined;
-    if (guilty !== undefined) return {...crash, givenUp: [guilty.task]};
+    const isExplained = isElsewhere && !isVmSuspect;
+    const proven = isExplained ? cause.find(isProvenCause) : undefined;
+    if (proven !== undefined) return {...crash, givenUp: [proven.task]};
     const isOther = (each: LostRun): boolean => !cause.includes(each);
     const others = isConfirmed ? runs.filter(isOther) : [];
     others.filter(isCertainRun).forEach(countCrash);
     const givenUp = tasksOverLimit([...cause, ...others], each =>
-      isMachineSuspect && crashedHere.includes(each)
-        ? MAX_CRASHES_OF_SUSPECT_MACHINE
+      isVmSuspect && crashedHere.includes(each)
+        ? MAX_CRASHES_OF_SUSPECT_VM
         : MAX_CRASHES,
     );
     return {...crash, givenUp};
@@ -176,45 +177,45 @@
   }
 
   /** Watches the run of a suspect, so that it is cleared once it has started well. */
-  addProbe(task: TaskState): void {
-    this.probes.add(task);
+  watchStart(task: TaskState): void {
+    this.isolatedStarts.add(task);
   }
 
   /** Clears a task whose run has ended by itself. */
   clear(task: TaskState): void {
     task.suspectedRuns = [];
-    this.probes.delete(task);
+    this.isolatedStarts.delete(task);
   }
 
   /** The executors on which the run of a suspect has just started. */
-  *probedExecutors(): Generator<ExecutorState> {
-    for (const task of [...this.probes]) {
+  *executorsWithIsolatedStarts(): Generator<ExecutorState> {
+    for (const task of [...this.isolatedStarts]) {
       const {executor} = task;
-      if (executor === null) this.probes.delete(task);
+      if (executor === null) this.isolatedStarts.delete(task);
       else if (hasStartedWell(task)) this.clear(task);
       else yield executor;
     }
   }
 
-  /** Returns whether the machine itself is the likely cause. */
-  private recordMachine(
+  /** Returns whether the VM itself is the likely cause. */
+  private recordVm(
     executor: ExecutorState,
     suspects: ReadonlySet<Unit>,
     nowMs: number,
   ): boolean {
-    for (const [machine, past] of this.machines) {
-      const recent = past.filter(({atMs}) => nowMs - atMs < MACHINE_MEMORY_MS);
-      if (recent.length === 0) this.machines.delete(machine);
-      else this.machines.set(machine, recent);
+    for (const [vm, past] of this.vms) {
+      const recent = past.filter(({atMs}) => nowMs - atMs < VM_CRASH_MEMORY_MS);
+      if (recent.length === 0) this.vms.delete(vm);
+      else this.vms.set(vm, recent);
     }
-    const machine = machineOf(executor);
-    const recent = this.machines.get(machine) ?? [];
-    this.machines.set(machine, [...recent, {atMs: nowMs, suspects}]);
+    const vm = vmOf(executor);
+    const recent = this.vms.get(vm) ?? [];
+    this.vms.set(vm, [...recent, {atMs: nowMs, suspects}]);
     const unrelated = recent.filter(
       each =>
         ![...each.suspects].some(unit => suspects.has(unit) || isGivenUp(unit)),
     );
-    return unrelated.length >= MACHINE_CRASHES;
+    return unrelated.length >= VM_CRASHES;
   }
 }
 
@@ -233,7 +234,7 @@
 }
 
 /** Whether the task was a suspect in enough crashes in which it surely ran. */
-function isGuilty({task}: LostRun): boolean {
+function isProvenCause({task}: LostRun): boolean {
   const {crashedRuns, suspectedRuns} = task;
   const runs = crashedRuns.filter(run => suspectedRuns.includes(run));
   return runs.length >= MAX_EXPLAINED_CRASHES;
@@ -272,9 +273,9 @@
   {crashedOn}: TaskState,
   executor: ExecutorState,
 ): boolean {
-  return crashedOn !== '' && crashedOn === machineOf(executor);
+  return crashedOn !== '' && crashedOn === vmOf(executor);
 }
 
-function machineOf({info}: ExecutorState): string {
+function vmOf({info}: ExecutorState): string {
   return `${info.ip}:${info.port}`;
 }
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,7 +1,7 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
-import {isOnProbation, runsLostBy} from './crash-suspects.js';
+import {isStartObserved, runsLostBy} from './crash-suspects.js';
 import {
   dueStops,
   isStopDue,
@@ -292,7 +292,7 @@
       const {phase, step} = task;
       if (phase === 'starting') return STARTING_WAIT_MS;
       if (phase === 'stopping') return STARTING_WAIT_MS;
-      if (isOnProbation(task)) return STARTING_WAIT_MS;
+      if (isStartObserved(task)) return STARTING_WAIT_MS;
       if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
     }
     return waitMs;
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -15,7 +15,7 @@
 export * from './executor-state.js';
 export * from './cell-state.js';
 export * from './crash-suspects.js';
-export * from './probes.js';
+export * from './isolated-starts.js';
 export * from './schedule.js';
 export * from './placement.js';
 export * from './preemption.js';
--- a/packages/cell/src/probes.ts
+++ b/packages/cell/src/isolated-starts.ts
@@ -9,10 +9,10 @@
 import {mayBePermitted} from './ticket-needs.js';
 
 /** Largest share of a service's executors that suspects use at a time. */
-const MAX_PROBED_SHARE = 0.5;
+const MAX_ISOLATED_SHARE = 0.5;
 /** Cost of a task that a crash would end; waiting for a new run costs 1. */
 const NEIGHBOUR_COST = 0.1;
-/** Cost of the machine that crashed last under the task. */
+/** Cost of the VM that crashed last under the task. */
 const PRIOR_CRASH_COST = 8;
 
 /**
@@ -27,7 +27,7 @@
   round: Round,
   mayStart: (task: TaskState) => boolean,
 ): void {
-  for (const executor of round.state.crashes.probedExecutors()) {
+  for (const executor of round.state.crashes.executorsWithIsolatedStarts()) {
     round.withheld.add(executor);
   }
   for (const each of ranked) {
@@ -56,19 +56,19 @@
   }
   const {schedulable} = capacity;
   const withheldCount = schedulable.filter(e => round.withheld.has(e)).length;
-  const maxCount = Math.max(1, schedulable.length * MAX_PROBED_SHARE);
+  const maxCount = Math.max(1, schedulable.length * MAX_ISOLATED_SHARE);
   if (withheldCount >= maxCount) {
-    round.probes.set(task, null);
+    round.isolatedExecutors.set(task, null);
     return;
   }
-  const executor = chooseProbe(task, capacity, round);
+  const executor = chooseIsolatedExecutor(task, capacity, round);
   if (executor === null) return;
   round.withheld.add(executor);
-  round.probes.set(task, executor);
+  round.isolatedExecutors.set(task, executor);
 }
 
 /** Prefers executors where the task can start at once, with few tasks. */
-function chooseProbe(
+function chooseIsolatedExecutor(
   task: TaskState,
   {schedulable}: ServiceCapacity,
   {withheld, nowMs}: Round,
@@ -93,21 +93,21 @@
 }
 
 /** The executors withheld for tasks of the step that have not started. */
-export function probesOf(
+export function isolatedExecutorsOf(
   {tasks}: StepState,
-  {probes}: Round,
+  {isolatedExecutors}: Round,
 ): readonly ExecutorState[] {
-  if (probes.size === 0) return [];
+  if (isolatedExecutors.size === 0) return [];
   const executors: ExecutorState[] = [];
   for (const task of tasks) {
-    const executor = probes.get(task) ?? null;
+    const executor = isolatedExecutors.get(task) ?? null;
     if (task.phase === 'waiting' && executor !== null) executors.push(executor);
   }
   return executors;
 }
 
 /** Whether the suspect can start now on the executor withheld for it. */
-export function canProbe(
+export function canStartIsolated(
   {step}: TaskState,
   executor: ExecutorState | null,
   {nowMs}: Round,
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -39,7 +39,7 @@
    * executor; empty once a later run has started well.
    */
   suspectedRuns: readonly number[];
-  /** The machine that crashed last under it; empty for none. */
+  /** The VM that crashed last under it; empty for none. */
   crashedOn: string;
   checkpoint: string;
   /** The executor of the newest failed run; empty for none. */
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -132,14 +132,14 @@
   }
 
   private reportCrash(crash: Crash): void {
-    const {executor, isConfirmed, isMachineSuspect, runs, suspects} = crash;
+    const {executor, isConfirmed, isVmSuspect, runs, suspects} = crash;
     const {log, metrics} = this.deps;
     const executorId = executor.info.id;
     metrics.count('executor_crashes_total');
     log('executorCrashed', {
       executorId,
       isConfirmed,
-      isMachineSuspect,
+      isVmSuspect,
       runs: runs.length,
       newRuns: suspects.length,
       tasks: nameRuns(suspects.length > 0 ? suspects : runs),
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -37,6 +37,6 @@
    * The executor withheld for each suspect of a crash that may start; null
    * while too many are withheld for others.
    */
-  readonly probes: Map<TaskState, ExecutorState | null>;
+  readonly isolatedExecutors: Map<TaskState, ExecutorState | null>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -17,7 +17,11 @@
   type RankedStep,
 } from './queue-order.js';
 import {isSuspect} from './crash-suspects.js';
-import {canProbe, probesOf, withholdForSuspects} from './probes.js';
+import {
+  canStartIsolated,
+  isolatedExecutorsOf,
+  withholdForSuspects,
+} from './isolated-starts.js';
 import {holdsRoom, overdueFirst, recordRoom, resetRoom} from './overdue.js';
 import type {Round, RoundContext} from './round.js';
 import {
@@ -80,7 +84,7 @@
     reservedFromUrgent: new Map(),
     ticketReserved: new Map(),
     ticketReservedFromUrgent: new Map(),
-    probes: new Map(),
+    isolatedExecutors: new Map(),
     services: summarizeServices(state, context.nowMs),
   };
   const ranked = orderSteps(ready, state.estimates, context.wallMs);
@@ -113,13 +117,13 @@
   else recordRoom(step, missing, capacity, round);
   // A ticket would expire before the headroom rule lets the step start.
   if (!leavesHeadroom(ranked, capacity)) return;
-  const probes = probesOf(step, round);
-  if (missing === 0 && probes.length === 0) return;
+  const isolatedExecutors = isolatedExecutorsOf(step, round);
+  if (missing === 0 && isolatedExecutors.length === 0) return;
   const withRoom =
     missing === 0
       ? []
       : findExecutorsWithRoom(ranked, missing, capacity, round);
-  const executorsWithRoom = [...probes, ...withRoom];
+  const executorsWithRoom = [...isolatedExecutors, ...withRoom];
   const need = findNeededTickets(step, executorsWithRoom, capacity, round);
   if (need === null) return;
   yield {kind: 'advise', step, precedence: ticketPrecedence(ranked), ...need};
@@ -203,11 +207,13 @@
     if (!isStartable(task, round)) continue;
     if (!organisations.mayRun(organisation, spec.size, 1)) break;
     if (!leavesHeadroom(ranked, capacity)) break;
-    const probe = round.probes.get(task);
-    if (probe !== undefined && !canProbe(task, probe, round)) continue;
-    const mayChoose = probe === undefined && !isSuspect(task) && !isFull;
+    const isolated = round.isolatedExecutors.get(task);
+    if (isolated !== undefined && !canStartIsolated(task, isolated, round)) {
+      continue;
+    }
+    const mayChoose = isolated === undefined && !isSuspect(task) && !isFull;
     const executor =
-      probe ??
+      isolated ??
       (mayChoose ? chooseExecutor(task, capacity.schedulable, round) : null);
     if (executor === null) {
       missing += 1;
--- a/packages/cell/src/state-lines.ts
+++ b/packages/cell/src/state-lines.ts
@@ -33,7 +33,7 @@
     reservedFromUrgent: reserved,
     ticketReserved: reserved,
     ticketReservedFromUrgent: reserved,
-    probes: reserved,
+    isolatedExecutors: reserved,
   };
   const round = {...context, ...overrides, state};
   const ready = [...state.readySteps(context.wallMs)].filter(({tasks}) =>
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -95,7 +95,7 @@
   assert.ok(rig.checker.startCount(`${LATE}.0.0.0`) <= MAX_CRASHES);
 });
 
-crashes('gives up a task that crashes a machine that fails too', async () => {
+crashes('gives up a task that crashes a VM that fails too', async () => {
   const {rig, node} = await startRig(1);
   rig.submit(LONG, [STEP], [node]);
   for (let i = 0; i < 2; i += 1) {
@@ -186,7 +186,7 @@
   },
 );
 
-crashes('does not give up what one failing machine loses', async () => {
+crashes('does not give up what one failing VM loses', async () => {
   const {rig, node} = await startRig(1);
   const jobs = Array.from({length: 6}, (_, i) => `job-${i}`);
   for (const job of jobs) {
