--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -60,9 +60,12 @@
   private readonly executors: Follower;
   /** Progress that was read before the job itself. */
   private readonly pendingProgress = new Map<string, Uint8Array>();
+  /** When the load last advanced, or the creation; monotonic clock, in ms. */
+  loadProgressMs: number;
 
   constructor(private readonly deps: CellFeedDeps) {
     const {store, clock, platform} = deps;
+    this.loadProgressMs = clock.monotonicMs();
     this.jobs = new JobsFollower(store, clock, JOBS_READ_INTERVAL_MS, record =>
       this.applyJobsRecord(record),
     );
@@ -86,12 +89,13 @@
    * @throws StoreError
    */
   async load(): Promise<boolean> {
-    const progressLoad = this.loadProgress();
+    const progressLoad = this.recordLoad(this.loadProgress());
     // All loads must have ended before a failed one is retried.
     const loads = [
       progressLoad,
-      ...this.jobs.startLoads(),
-      this.executors.load(),
+      ...[...this.jobs.startLoads(), this.executors.load()].map(load =>
+        this.recordLoad(load),
+      ),
     ];
     for (const load of await Promise.allSettled(loads)) {
       if (load.status === 'rejected') throw load.reason;
@@ -102,6 +106,12 @@
     return true;
   }
 
+  private async recordLoad<T>(load: Promise<T>): Promise<T> {
+    const loaded = await load;
+    this.loadProgressMs = this.deps.clock.monotonicMs();
+    return loaded;
+  }
+
   /** Starts to follow changes. */
   start(): void {
     this.jobs.run();
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -220,6 +220,11 @@
     return true;
   }
 
+  /** When the last page of the load arrived, or its creation; monotonic. */
+  get loadProgressMs(): number {
+    return this.feed.loadProgressMs;
+  }
+
   /** Stops scheduling; does not wait for orders in flight. */
   close(): void {
     this.isClosed = true;
