Read bulk pages of the store as long as data arrives

The load of a new owner read all topics at once, each page under a total timeout of 1.5 s. On a link of 10 Mbit/s parallel pages took longer and failed though data was still arriving; the relay then asked a peer for the same page over the same link.

Store.newestPage reads one page of newest records. It is not hedged by time: a peer is asked only after a failed direct call, with 5 s for a page. Bulk reads no longer count in the latency that hedges small calls.

All other calls keep their total timeout, Store.newest of small topics too, by which elections find the owner.

Between versions: a call without `after` returns all records, as before; a reply without `hasMore` is complete.

No user of newestPage yet.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -26,6 +26,7 @@
 export * from './runtime-monitor.js';
 export * from './ticket-requester.js';
 export * from './relayed-store.js';
+export * from './store-call.js';
 export * from './progress-writer.js';
 export * from './follower.js';
 export * from './stored-jobs.js';
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -131,7 +131,12 @@
       readonly producer: Producer | null;
     }
   | {readonly op: 'read'; readonly topic: string; readonly from: number}
-  | {readonly op: 'newest'; readonly topic: string};
+  | {
+      readonly op: 'newest';
+      readonly topic: string;
+      /** Asks for one page only; if missing, for all records. */
+      readonly after?: string;
+    };
 
 /** Asks a peer to make a store call. */
 export interface StoreAsk {
@@ -146,6 +151,11 @@
   readonly expectedSequence: number;
   readonly endOffset: number;
   readonly records: readonly StoredRecord[];
+  /**
+   * Whether more pages follow. If missing, none does: a VM of an earlier
+   * version returns all records at once.
+   */
+  readonly hasMore?: boolean;
 }
 
 /** All messages of the cell. */
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,11 +1,13 @@
 /** A store client that calls through peers when direct calls fail. */
 import type {Clock} from '@dragonflyward/common';
+import {recordSize} from './append-size.js';
 import {
   StoreError,
   Store,
   type AppendOptions,
   type KeyedRecord,
   type LogPage,
+  type NewestPage,
   type StoreFailure,
   type StoreLimits,
 } from './store.js';
@@ -22,6 +24,8 @@
 const PEER_PREFERENCE_MS = 1000;
 /** Timeout of a call through a peer, in ms. */
 const RELAY_TIMEOUT_MS = 900;
+/** The same for a page of a bulk read, which may be 1 MB; in ms. */
+const BULK_RELAY_TIMEOUT_MS = 5000;
 /** Maximum number of peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2;
 
@@ -81,6 +85,30 @@
     return this.execute(call, () => this.direct.newest(topic));
   }
 
+  /**
+   * Goes through a peer only after a failed direct call: a copy of a large
+   * response would take its share of the same link.
+   */
+  override async newestPage(
+    topic: string,
+    after: string,
+    onData: (bytes: number) => void = () => undefined,
+  ): Promise<NewestPage> {
+    const call = {op: 'newest', topic, after} as const;
+    const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
+    const direct = (): Promise<NewestPage> =>
+      this.trackDirect(() => this.direct.newestPage(topic, after, onData));
+    const throughPeers = async (): Promise<NewestPage> => {
+      const page = await callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
+      onData(page.records.reduce((sum, each) => sum + recordSize(each), 0));
+      return page;
+    };
+    if (peers.length === 0) return direct();
+    return this.isDirectAvailable
+      ? firstToSucceed(direct, throughPeers)
+      : firstToSucceed(throughPeers, direct);
+  }
+
   private async execute(
     call: StoreCall,
     direct: () => Promise<LogPage>,
@@ -125,12 +153,18 @@
     waitMs: number,
   ): Promise<LogPage> {
     const sentMs = this.clock.monotonicMs();
+    const page = await this.trackDirect(direct);
+    const tookMs = this.clock.monotonicMs() - sentMs;
+    if (waitMs === 0) {
+      this.latencyMs += (tookMs - this.latencyMs) * LATENCY_WEIGHT;
+    }
+    return page;
+  }
+
+  /** Records whether the store can be called directly. */
+  private async trackDirect<T>(direct: () => Promise<T>): Promise<T> {
     try {
       const page = await direct();
-      const tookMs = this.clock.monotonicMs() - sentMs;
-      if (waitMs === 0) {
-        this.latencyMs += (tookMs - this.latencyMs) * LATENCY_WEIGHT;
-      }
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
@@ -172,6 +206,25 @@
   return moreInformative(first.settled, other);
 }
 
+/** Makes one call after the other, unless the store itself answered. */
+async function firstToSucceed(
+  first: () => Promise<NewestPage>,
+  second: () => Promise<NewestPage>,
+): Promise<NewestPage> {
+  try {
+    return await first();
+  } catch (err) {
+    if (!(err instanceof StoreError) || isStoreAnswer(err)) throw err;
+    return await second().catch((other: unknown) => {
+      throw isStoreAnswer(other) ? other : err;
+    });
+  }
+}
+
+function isStoreAnswer(err: unknown): boolean {
+  return err instanceof StoreError && isDefinitive(err.failure);
+}
+
 /** Prefers a definitive failure, then one with an unknown outcome. */
 function moreInformative(
   a: {readonly err: StoreError},
@@ -185,16 +238,17 @@
 async function callThroughPeers(
   call: StoreCall,
   peers: readonly StorePeer[],
-): Promise<LogPage> {
+  timeoutMs = RELAY_TIMEOUT_MS,
+): Promise<NewestPage> {
   let failure: StoreFailure = 'refused';
   for (const peer of peers) {
-    const reply = await requestFromPeer(peer, call);
+    const reply = await requestFromPeer(peer, call, timeoutMs);
     if (reply === null) {
       if (call.op === 'append') failure = 'unknown';
       continue;
     }
-    const {endOffset, records, expectedSequence} = reply;
-    if (reply.failure === null) return {endOffset, records};
+    const {endOffset, records, expectedSequence, hasMore = false} = reply;
+    if (reply.failure === null) return {endOffset, records, hasMore};
     if (isDefinitive(reply.failure)) {
       throw new StoreError(
         reply.failure,
@@ -211,44 +265,12 @@
 async function requestFromPeer(
   peer: StorePeer,
   call: StoreCall,
+  timeoutMs: number,
 ): Promise<StoreReply | null> {
   try {
-    return await peer.callStore(call, RELAY_TIMEOUT_MS);
+    return await peer.callStore(call, timeoutMs);
   } catch {
     // The end of the connection is logged elsewhere; the outcome is unknown.
     return null;
   }
 }
-
-/**
- * Executes a store call on behalf of a peer.
- *
- * @example
- * return executeStoreCall(directStore, ask.call);
- */
-export async function executeStoreCall(
-  store: Store,
-  call: StoreCall,
-): Promise<StoreReply> {
-  const reply = {type: 'store', failure: null, expectedSequence: -1} as const;
-  try {
-    if (call.op === 'append') {
-      const {topic, records, at, producer} = call;
-      const options = {
-        ...(at < 0 ? {} : {at}),
-        ...(producer === null ? {} : {producer}),
-      };
-      const endOffset = await store.append(topic, records, options);
-      return {...reply, endOffset, records: []};
-    }
-    const page =
-      call.op === 'read'
-        ? await store.read(call.topic, call.from, 0)
-        : await store.newest(call.topic);
-    return {...reply, ...page};
-  } catch (err) {
-    if (!(err instanceof StoreError)) throw err;
-    const {failure, expectedSequence} = err;
-    return {...reply, failure, expectedSequence, endOffset: -1, records: []};
-  }
-}
--- /dev/null
+++ b/packages/cell/src/store-call.ts
@@ -0,0 +1,49 @@
+/** Store calls that a VM makes for a peer that the store refuses. */
+import type {StoreCall, StoreReply} from './messages.js';
+import {
+  StoreError,
+  type LogPage,
+  type NewestPage,
+  type Store,
+} from './store.js';
+
+/**
+ * Executes a store call on behalf of a peer.
+ *
+ * @example
+ * return executeStoreCall(directStore, ask.call);
+ */
+export async function executeStoreCall(
+  store: Store,
+  call: StoreCall,
+): Promise<StoreReply> {
+  const reply = {type: 'store', failure: null, expectedSequence: -1} as const;
+  try {
+    if (call.op === 'append') {
+      const {topic, records, at, producer} = call;
+      const options = {
+        ...(at < 0 ? {} : {at}),
+        ...(producer === null ? {} : {producer}),
+      };
+      const endOffset = await store.append(topic, records, options);
+      return {...reply, endOffset, records: []};
+    }
+    const page =
+      call.op === 'read'
+        ? await store.read(call.topic, call.from, 0)
+        : await readNewest(store, call);
+    return {...reply, ...page};
+  } catch (err) {
+    if (!(err instanceof StoreError)) throw err;
+    const {failure, expectedSequence} = err;
+    return {...reply, failure, expectedSequence, endOffset: -1, records: []};
+  }
+}
+
+function readNewest(
+  store: Store,
+  {topic, after}: StoreCall & {readonly op: 'newest'},
+): Promise<LogPage | NewestPage> {
+  if (after === undefined) return store.newest(topic);
+  return store.newestPage(topic, after);
+}
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -41,6 +41,11 @@
   readonly records: readonly StoredRecord[];
 }
 
+/** A page of the newest records; the next begins after the last key. */
+export interface NewestPage extends LogPage {
+  readonly hasMore: boolean;
+}
+
 /** Identifies a writer of a partition, for fencing and deduplication. */
 export interface Producer {
   readonly name: string;
@@ -96,10 +101,28 @@
   abstract read(topic: string, from: number, waitMs: number): Promise<LogPage>;
 
   /**
-   * Reads the newest record of each key. Records that are appended during the
-   * call may be missing; read on from `endOffset` to get them.
+   * Reads the newest record of each key of a small topic. Records that are
+   * appended during the call may be missing; read on from `endOffset` to get
+   * them.
    *
    * @throws StoreError
    */
   abstract newest(topic: string): Promise<LogPage>;
+
+  /**
+   * Reads a page of the newest records of keys after the given one, or the
+   * first page. It may take as long as data arrives. Pages are not a snapshot:
+   * read on from the first page's `endOffset` to get what has changed.
+   *
+   * @param onData called with 0 when the response begins, then with the size
+   *     of each part that arrives
+   * @throws StoreError
+   * @example
+   * const first = await store.newestPage('keyed.jobs-0', '');
+   */
+  abstract newestPage(
+    topic: string,
+    after: string,
+    onData?: (bytes: number) => void,
+  ): Promise<NewestPage>;
 }
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -7,9 +7,11 @@
   type AppendOptions,
   type KeyedRecord,
   type LogPage,
+  type NewestPage,
   type StoredRecord,
   type StoreLimits,
 } from '@dragonflyward/cell';
+import {NarrowLink, pageWireBytes, type TransferBound} from './narrow-link.js';
 
 interface LastAppend {
   epoch: number;
@@ -72,8 +74,31 @@
   /** Compacts a topic: only the newest record of each key stays. */
   compact(name: string): void {
     const topic = this.topic(name);
-    topic.first += topic.log.length;
-    topic.log.length = 0;
+    this.expire(name, this.endOffset(topic));
+  }
+
+  /** Deletes the history before an offset. */
+  expire(name: string, before: number): void {
+    const topic = this.topic(name);
+    topic.log.splice(0, before - topic.first);
+    topic.first = Math.max(topic.first, before);
+  }
+
+  /** A page of the newest records in key order, as the platform limits it. */
+  newestPage(name: string, after: string): NewestPage {
+    const topic = this.topic(name);
+    const rest = [...topic.newest.values()]
+      .filter(({key}) => key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const records: StoredRecord[] = [];
+    let bytes = 0;
+    for (const record of rest.slice(0, MAX_PAGE_RECORDS)) {
+      records.push(record);
+      bytes += pageWireBytes([record]);
+      if (bytes > MAX_PAGE_BYTES) break;
+    }
+    const hasMore = records.length < rest.length;
+    return {endOffset: this.endOffset(topic), records, hasMore};
   }
 
   private put(topic: Topic, {key, value}: KeyedRecord): void {
@@ -129,10 +154,19 @@
   limits: StoreLimits;
   /** Most records in one page of a read; the platform limits its size. */
   maxPageRecords: number;
+  /** The rate of the link that all calls of the client share. */
+  linkBytesPerS: number;
+  /** Refuses each call whose number is a multiple of it; 0 for none. */
+  refusedEvery: number;
 }
 
 /** Time after which a call to a silent store fails, in ms. */
 const CALL_TIMEOUT_MS = 1500;
+/** Limits of a page of newest records. */
+const MAX_PAGE_RECORDS = 500;
+const MAX_PAGE_BYTES = 1_000_000;
+const IN_TOTAL: TransferBound = {totalMs: CALL_TIMEOUT_MS, idleMs: Infinity};
+const WHILE_IDLE: TransferBound = {totalMs: Infinity, idleMs: 2000};
 
 /** One client of the store. */
 export class StoreClient extends Store {
@@ -145,13 +179,22 @@
     delayMs: 4,
     limits: DEFAULT_STORE_LIMITS,
     maxPageRecords: Infinity,
+    linkBytesPerS: Infinity,
+    refusedEvery: 0,
   };
+  private readonly link: NarrowLink;
+  /** Number of calls. */
+  calls = 0;
+  /** Number of pages of newest records that were read, and their size. */
+  newestPages = 0;
+  newestBytes = 0;
 
   constructor(
     readonly memory: MemoryStore,
     private readonly clock: Clock,
   ) {
     super();
+    this.link = new NarrowLink(clock, () => this.faults.linkBytesPerS);
   }
 
   override get limits(): StoreLimits {
@@ -185,14 +228,45 @@
     if (from < first) throw new StoreError('expired', topic);
     const start = from - first;
     const records = log.slice(start, start + this.faults.maxPageRecords);
-    return {endOffset: first + log.length, records};
+    const endOffset = first + log.length;
+    await this.link.carry(pageWireBytes(records), IN_TOTAL);
+    return {endOffset, records};
   }
 
   override async newest(topic: string): Promise<LogPage> {
+    const records: StoredRecord[] = [];
+    let endOffset = -1;
+    for (let after = ''; ;) {
+      const page = await this.fetchPage(topic, after, IN_TOTAL);
+      if (endOffset < 0) ({endOffset} = page);
+      records.push(...page.records);
+      if (!page.hasMore) return {endOffset, records};
+      after = records.at(-1)?.key ?? '';
+    }
+  }
+
+  override newestPage(
+    topic: string,
+    after: string,
+    onData?: (bytes: number) => void,
+  ): Promise<NewestPage> {
+    return this.fetchPage(topic, after, WHILE_IDLE, onData);
+  }
+
+  private async fetchPage(
+    topic: string,
+    after: string,
+    bound: TransferBound,
+    onData: (bytes: number) => void = () => undefined,
+  ): Promise<NewestPage> {
     await this.simulateCall();
-    const kept = this.memory.topic(topic);
-    const records = [...kept.newest.values()];
-    return {endOffset: this.memory.endOffset(kept), records};
+    const page = this.memory.newestPage(topic, after);
+    const bytes = pageWireBytes(page.records);
+    this.newestPages += 1;
+    this.newestBytes += bytes;
+    onData(0);
+    await this.link.carry(bytes, bound, onData);
+    return page;
   }
 
   /** Like the platform, the store refuses what is too large as a whole. */
@@ -221,7 +295,12 @@
 
   private async simulateCall(): Promise<void> {
     await this.clock.sleep(this.faults.delayMs);
-    if (this.faults.isRefusing) throw new StoreError('refused', 'all calls');
+    const {isRefusing, refusedEvery} = this.faults;
+    this.calls += 1;
+    if (isRefusing) throw new StoreError('refused', 'all calls');
+    if (refusedEvery > 0 && this.calls % refusedEvery === 0) {
+      throw new StoreError('refused', `call ${this.calls}`);
+    }
     if (!this.faults.isSilent) return;
     await this.clock.sleep(CALL_TIMEOUT_MS);
     throw new StoreError('unknown', 'no answer');
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -13,8 +13,11 @@
   readOwner,
   RelayedStore,
   StoreError,
+  type LogPage,
+  type NewestPage,
   type Ownership,
   type StorePeer,
+  type StoreReply,
 } from '@dragonflyward/cell';
 import {MemoryStore, StoreClient} from './memory-store.js';
 import {QUEUE, STEP} from './rig.js';
@@ -207,6 +210,87 @@
   assert.is(err.failure, 'unknown');
 });
 
+/** A page that takes three seconds on the link of one of two clients. */
+function bulkFixture(): {
+  readonly clock: ManualClock;
+  readonly own: StoreClient;
+  readonly other: StoreClient;
+  readonly relayed: RelayedStore;
+} {
+  const {clock, memory, client} = newFixture();
+  for (let i = 0; i < 100; i += 1) {
+    const record = {key: `k${i}`, value: new Uint8Array(3000)};
+    memory.append('keyed.t', [record], {});
+  }
+  const [own, other] = [client(), client()];
+  own.faults.linkBytesPerS = 100_000;
+  const relayed = new RelayedStore(own, () => [peerOf(other)], clock);
+  return {clock, own, other, relayed};
+}
+
+// A copy through a peer made a read that filled the link slower still.
+store('makes no second copy of a slow bulk read', async () => {
+  const {clock, own, other, relayed} = bulkFixture();
+  const page = (await settle(
+    clock,
+    relayed.newestPage('keyed.t', ''),
+  )) as LogPage;
+  assert.is(page.records.length, 100);
+  assert.equal([own.calls, other.calls], [1, 0]);
+});
+
+store('reads pages through a peer while the store refuses', async () => {
+  const {clock, own, other, relayed} = bulkFixture();
+  own.faults.isRefusing = true;
+  let bytes = 0;
+  const call = relayed.newestPage('keyed.t', 'k98', part => (bytes += part));
+  const {records, hasMore} = (await settle(clock, call)) as NewestPage;
+  assert.equal(
+    records.map(({key}) => key),
+    ['k99'],
+  );
+  assert.is(hasMore, false);
+  assert.ok(bytes > 3000, `${bytes} bytes`);
+  assert.is(other.calls, 1);
+});
+
+// A VM of the version before knows no pages and returns all records.
+store('reads all at once from a peer of an earlier version', async () => {
+  const {clock, own, other} = bulkFixture();
+  own.faults.isRefusing = true;
+  const earlier: StorePeer = {
+    callStore: async ({topic}) => {
+      const page = await other.newest(topic);
+      const reply = {type: 'store', failure: null, expectedSequence: -1};
+      return {...(reply as StoreReply), ...page};
+    },
+  };
+  const relayed = new RelayedStore(own, () => [earlier], clock);
+  const call = relayed.newestPage('keyed.t', 'k50');
+  const page = (await settle(clock, call)) as NewestPage;
+  assert.is(page.records.length, 100);
+  assert.is(page.hasMore, false);
+});
+
+// Its calls name no key to read on after.
+store('returns all to a peer of an earlier version', async () => {
+  const {clock, memory, client} = newFixture();
+  for (let i = 0; i < 600; i += 1) {
+    memory.append('keyed.t', [{key: `k${i}`, value: VALUE}], {});
+  }
+  const call = {op: 'newest', topic: 'keyed.t'} as const;
+  const all = (await settle(
+    clock,
+    executeStoreCall(client(), call),
+  )) as StoreReply;
+  assert.is(all.records.length, 600);
+  const page = (await settle(
+    clock,
+    executeStoreCall(client(), {...call, after: ''}),
+  )) as StoreReply;
+  assert.equal([page.records.length, page.hasMore], [500, true]);
+});
+
 function newFrontend(
   fixture: StoreFixture,
   client: StoreClient,
--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -7,6 +7,7 @@
   type BytesReply,
   type JsonCall,
   type JsonReply,
+  type TransferOptions,
 } from './json-http.js';
 
 const KEEP_ALIVE_MS = 5_000;
@@ -62,12 +63,13 @@
     path: string,
     timeoutMs: number,
     body: Buffer,
+    transfer: TransferOptions = {},
   ): Promise<BytesReply> {
     const {agent} = this;
     const url = this.baseUrl + path;
     return this.replaceAgentOnLoss(
       agent,
-      callBytes({method, url, timeoutMs, agent, body}),
+      callBytes({...transfer, method, url, timeoutMs, agent, body}),
     );
   }
 
--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -1,6 +1,7 @@
 /** JSON requests over Node's HTTP client, and helpers for JSON servers. */
 import http from 'node:http';
 import {DragonflywardError, raise} from './errors.js';
+import {TransferTimeout} from './transfer-timeout.js';
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -24,8 +25,21 @@
   readonly signal?: AbortSignal;
 }
 
+/** How the response to a large read is awaited. */
+export interface TransferOptions {
+  /**
+   * Longest time without data once the response has begun, in ms; the call's
+   * timeout then holds until it begins only. If missing, it holds for all.
+   */
+  readonly idleTimeoutMs?: number;
+  /** Called with 0 when the response begins, then with the size of each part. */
+  readonly onData?: (bytes: number) => void;
+  /** Aborts the call, which then fails like a lost connection. */
+  readonly signal?: AbortSignal;
+}
+
 /** A request with a raw body. */
-export interface BytesCall extends Omit<JsonCall, 'body'> {
+export interface BytesCall extends Omit<JsonCall, 'body'>, TransferOptions {
   readonly body: Buffer;
 }
 
@@ -70,29 +84,31 @@
       ...(call.signal === undefined ? {} : {signal: call.signal}),
     });
     let isConnected = false;
-    const timer = setTimeout(() => {
-      req.destroy(new Error(`no response within ${call.timeoutMs} ms`));
-    }, call.timeoutMs);
-    const stopTimer = (): void => {
-      clearTimeout(timer);
+    const fail = (reason: string): void => {
+      const kind = isConnected ? 'peerLost' : 'peerDown';
+      const detail = `${call.method} ${call.url}: ${reason}`;
+      reject(new DragonflywardError(kind, detail));
     };
+    const timeout = new TransferTimeout(call, reason => {
+      fail(reason);
+      req.destroy();
+    });
     req.on('socket', socket => {
       if (!socket.connecting) isConnected = true;
       else socket.once('connect', () => (isConnected = true));
     });
     req.on('error', err => {
-      stopTimer();
-      const kind = isConnected ? 'peerLost' : 'peerDown';
-      const detail = `${call.method} ${call.url}: ${err.message}`;
-      reject(new DragonflywardError(kind, detail));
+      timeout.stop();
+      fail(err.message);
     });
     req.on('response', res => {
-      readBytes(res, MAX_BODY_BYTES)
+      timeout.recordData(0);
+      readBytes(res, MAX_BODY_BYTES, bytes => timeout.recordData(bytes))
         .then(body => {
           const {headers} = res;
           resolve({status: res.statusCode ?? 0, body, headers});
         }, reject)
-        .finally(stopTimer);
+        .finally(() => timeout.stop());
     });
     req.end(call.body);
   });
@@ -131,6 +147,7 @@
 export async function readBytes(
   stream: http.IncomingMessage,
   maxBytes: number,
+  onChunk: (bytes: number) => void = () => undefined,
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -139,6 +156,7 @@
       size += chunk.length;
       if (size > maxBytes) raise('bodyTooLarge', `over ${maxBytes} bytes`);
       chunks.push(chunk);
+      onChunk(chunk.length);
     }
   } catch (err) {
     if (size > maxBytes) throw err;
