Read a bulk page through a peer once direct calls are known to fail

A direct bulk read over a path that is silent for good ends after 4 s only. If it has no data yet and another direct call has failed meanwhile, a peer is asked too; the first result counts. While data arrives, or direct calls succeed, no second copy is made.

Evidence: "reads pages through a peer once direct calls fail" takes under 2 s beside a silent direct path.

--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,6 +1,13 @@
 /** A store client that calls through peers when direct calls fail. */
 import type {Clock} from '@dragonflyward/common';
-import {recordSize} from './append-size.js';
+import {
+  firstSuccess,
+  isAnswered,
+  isDefinitive,
+  pageOf,
+  pageSize,
+  type Settled,
+} from './settled-call.js';
 import {
   StoreError,
   Store,
@@ -26,6 +33,8 @@
 const RELAY_TIMEOUT_MS = 900;
 /** The same for a page of a bulk read, which may be 1 MB; in ms. */
 const BULK_RELAY_TIMEOUT_MS = 5000;
+/** Interval at which it is checked whether direct calls fail, in ms. */
+const DIRECT_CHECK_INTERVAL_MS = 250;
 /** Maximum number of peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2;
 
@@ -86,27 +95,61 @@
   }
 
   /**
-   * Goes through a peer only after a failed direct call: a copy of a large
-   * response would take its share of the same link.
+   * Goes through a peer only after a failed direct call, or if it has no data
+   * yet and direct calls fail: a copy of a large response would take its share
+   * of the same link.
    */
   override async newestPage(
     topic: string,
     after: string,
     onData: (bytes: number) => void = () => undefined,
   ): Promise<NewestPage> {
-    const call = {op: 'newest', topic, after} as const;
     const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
-    const direct = (): Promise<NewestPage> =>
-      this.trackDirect(() => this.direct.newestPage(topic, after, onData));
-    const throughPeers = async (): Promise<NewestPage> => {
-      const page = await callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
-      onData(page.records.reduce((sum, each) => sum + recordSize(each), 0));
-      return page;
+    const call = {op: 'newest', topic, after} as const;
+    const relay = (): Promise<Settled<NewestPage>> =>
+      this.relayPage(call, peers, onData);
+    if (peers.length > 0 && !this.isDirectAvailable) {
+      const relayed = await relay();
+      if (isAnswered(relayed)) return pageOf(relayed);
+    }
+    let hasBegun = false;
+    const onDirectData = (bytes: number): void => {
+      hasBegun = true;
+      onData(bytes);
     };
-    if (peers.length === 0) return direct();
-    return this.isDirectAvailable
-      ? firstToSucceed(direct, throughPeers)
-      : firstToSucceed(throughPeers, direct);
+    const direct = this.settle(
+      this.trackDirect(() =>
+        this.direct.newestPage(topic, after, onDirectData),
+      ),
+    );
+    if (peers.length === 0) return pageOf(await direct);
+    const result = await this.settleUnlessCut(direct, () => hasBegun);
+    if (result !== null && isAnswered(result)) return pageOf(result);
+    return pageOf(await firstSuccess(direct, relay()));
+  }
+
+  private async relayPage(
+    call: StoreCall,
+    peers: readonly StorePeer[],
+    onData: (bytes: number) => void,
+  ): Promise<Settled<NewestPage>> {
+    const reply = callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
+    const relayed = await this.settle(reply);
+    if ('page' in relayed) onData(pageSize(relayed.page));
+    return relayed;
+  }
+
+  /** Resolves to null if a direct call has no data yet and others fail. */
+  private async settleUnlessCut<P extends LogPage>(
+    direct: Promise<Settled<P>>,
+    hasBegun: () => boolean,
+  ): Promise<Settled<P> | null> {
+    for (;;) {
+      const check = this.clock.sleep(DIRECT_CHECK_INTERVAL_MS);
+      const result = await Promise.race([direct, check.then(() => null)]);
+      if (result !== null) return result;
+      if (!hasBegun() && !this.isDirectAvailable) return null;
+    }
   }
 
   private async execute(
@@ -175,7 +218,9 @@
     }
   }
 
-  private async settle(page: Promise<LogPage>): Promise<Settled> {
+  private async settle<P extends LogPage>(
+    page: Promise<P>,
+  ): Promise<Settled<P>> {
     try {
       return {page: await page};
     } catch (err) {
@@ -185,56 +230,6 @@
   }
 }
 
-type Settled = {readonly page: LogPage} | {readonly err: StoreError};
-
-/** Whether the store itself answered, so that a retry elsewhere is useless. */
-function isDefinitive(failure: StoreFailure): boolean {
-  return failure === 'conflict' || failure === 'expired';
-}
-
-async function firstSuccess(
-  a: Promise<Settled>,
-  b: Promise<Settled>,
-): Promise<Settled> {
-  const first = await Promise.race([
-    a.then(settled => ({settled, other: b})),
-    b.then(settled => ({settled, other: a})),
-  ]);
-  if ('page' in first.settled) return first.settled;
-  const other = await first.other;
-  if ('page' in other) return other;
-  return moreInformative(first.settled, other);
-}
-
-/** Makes one call after the other, unless the store itself answered. */
-async function firstToSucceed(
-  first: () => Promise<NewestPage>,
-  second: () => Promise<NewestPage>,
-): Promise<NewestPage> {
-  try {
-    return await first();
-  } catch (err) {
-    if (!(err instanceof StoreError) || isStoreAnswer(err)) throw err;
-    return await second().catch((other: unknown) => {
-      throw isStoreAnswer(other) ? other : err;
-    });
-  }
-}
-
-function isStoreAnswer(err: unknown): boolean {
-  return err instanceof StoreError && isDefinitive(err.failure);
-}
-
-/** Prefers a definitive failure, then one with an unknown outcome. */
-function moreInformative(
-  a: {readonly err: StoreError},
-  b: {readonly err: StoreError},
-): Settled {
-  if (isDefinitive(a.err.failure)) return a;
-  if (isDefinitive(b.err.failure)) return b;
-  return a.err.failure === 'unknown' ? a : b;
-}
-
 async function callThroughPeers(
   call: StoreCall,
   peers: readonly StorePeer[],
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -165,8 +165,20 @@
 /** Limits of a page of newest records. */
 const MAX_PAGE_RECORDS = 500;
 const MAX_PAGE_BYTES = 1_000_000;
-const IN_TOTAL: TransferBound = {totalMs: CALL_TIMEOUT_MS, idleMs: Infinity};
-const WHILE_IDLE: TransferBound = {totalMs: Infinity, idleMs: 2000};
+const IN_TOTAL: CallBound = {
+  firstByteMs: CALL_TIMEOUT_MS,
+  totalMs: CALL_TIMEOUT_MS,
+  idleMs: Infinity,
+};
+const WHILE_IDLE: CallBound = {
+  firstByteMs: 4000,
+  totalMs: Infinity,
+  idleMs: 2000,
+};
+
+interface CallBound extends TransferBound {
+  readonly firstByteMs: number;
+}
 
 /** One client of the store. */
 export class StoreClient extends Store {
@@ -256,10 +268,10 @@
   private async fetchPage(
     topic: string,
     after: string,
-    bound: TransferBound,
+    bound: CallBound,
     onData: (bytes: number) => void = () => undefined,
   ): Promise<NewestPage> {
-    await this.simulateCall();
+    await this.simulateCall(bound.firstByteMs);
     const page = this.memory.newestPage(topic, after);
     const bytes = pageWireBytes(page.records);
     this.newestPages += 1;
@@ -293,7 +305,7 @@
     }
   }
 
-  private async simulateCall(): Promise<void> {
+  private async simulateCall(timeoutMs = CALL_TIMEOUT_MS): Promise<void> {
     await this.clock.sleep(this.faults.delayMs);
     const {isRefusing, refusedEvery} = this.faults;
     this.calls += 1;
@@ -302,7 +314,7 @@
       throw new StoreError('refused', `call ${this.calls}`);
     }
     if (!this.faults.isSilent) return;
-    await this.clock.sleep(CALL_TIMEOUT_MS);
+    await this.clock.sleep(timeoutMs);
     throw new StoreError('unknown', 'no answer');
   }
 }
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -254,6 +254,20 @@
   assert.is(other.calls, 1);
 });
 
+// A silent connection ends a bulk read after seconds only.
+store('reads pages through a peer once direct calls fail', async () => {
+  const {clock, own, other, relayed} = bulkFixture();
+  own.faults.isSilent = true;
+  const startMs = clock.monotonicMs();
+  const tookMs = relayed
+    .newestPage('keyed.t', '')
+    .then(() => clock.monotonicMs() - startMs);
+  void settle(clock, relayed.newest('keyed.t'));
+  const ms = (await settle(clock, tookMs)) as number;
+  assert.ok(ms < 2000, `took ${ms} ms`);
+  assert.is(other.calls, 2);
+});
+
 // A VM of the version before knows no pages and returns all records.
 store('reads all at once from a peer of an earlier version', async () => {
   const {clock, own, other} = bulkFixture();
