Let the load of a new owner go on where a failed call has ended

What callers saw: after the owner had died, a small VM (10 Mbit/s) claimed the cell and never acted. Its load failed every 3.2 s until the end; jobs were accepted and none ran.

Cause: all topics were read at once, each in a call with a total timeout of 1.5 s, over one link; one topic that failed discarded all that had been read.

Now a follower loads page by page (Store.newestPage, bounded while no data arrives) and keeps what it has read (TopicLoad). A topic of one page takes one call, as before. The first append, which shuts out former owners, is waited for 3 s; then the load fails and says so.

A closed owner whose load ends no longer becomes active.

loadProgressMs advances with the data that arrives; bytes of a page that fails at the same place again don't count. ownerActive and ownerLoadFailed say how many pages, records and bytes were read and how long responses (waitMs), their transfer (receiveMs) and applying them (applyMs) took; ownerLoadFailed names each topic that has failed. The report on crashes moved out of owner.ts.

stored-jobs.test.ts: the store that is late overrides newestPage, which the followers call now, instead of newest; what is expected is the same.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -9,13 +9,13 @@
 import {tasksOf, type JobState, type NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
+import {ProgressLoad} from './progress-load.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
   applyProgress,
   decodeJobsRecord,
   EXECUTOR_PREFIX,
   PROGRESS_PREFIX,
-  PROGRESS_TOPIC,
 } from './records.js';
 import {
   hasMore,
@@ -23,7 +23,8 @@
   toAmounts,
   type ResourceAmounts,
 } from './resource-amounts.js';
-import type {LogPage, StoredRecord, Store} from './store.js';
+import type {StoredRecord, Store} from './store.js';
+import type {TopicLoadReport} from './topic-load.js';
 import {isFinal, type ExecutorInfo} from './types.js';
 
 /** Interval of reads for jobs whose notice was lost, in ms. */
@@ -58,17 +59,26 @@
 export class CellFeed {
   private readonly jobs: JobsFollower;
   private readonly executors: Follower;
+  private readonly progress: ProgressLoad;
   /** Progress that was read before the job itself. */
   private readonly pendingProgress = new Map<string, Uint8Array>();
   /** When the load last advanced, or the creation; monotonic clock, in ms. */
   loadProgressMs: number;
+  private isStopped = false;
 
   constructor(private readonly deps: CellFeedDeps) {
     const {store, clock, platform} = deps;
     this.loadProgressMs = clock.monotonicMs();
-    this.jobs = new JobsFollower(store, clock, JOBS_READ_INTERVAL_MS, record =>
-      this.applyJobsRecord(record),
+    const onProgress = (): void => {
+      this.loadProgressMs = clock.monotonicMs();
+    };
+    this.jobs = new JobsFollower(
+      store,
+      clock,
+      {pauseMs: JOBS_READ_INTERVAL_MS, onProgress},
+      record => this.applyJobsRecord(record),
     );
+    this.progress = new ProgressLoad(store, clock, deps.writer, onProgress);
     this.executors = new Follower(
       store,
       clock,
@@ -76,6 +86,7 @@
         topic: platform.executorsTopic,
         pauseMs: EXECUTORS_READ_INTERVAL_MS,
         waitMs: 0,
+        onProgress,
       },
       record => this.applyExecutorRecord(record),
       ids => this.markUnlistedExcept(ids),
@@ -83,33 +94,33 @@
   }
 
   /**
-   * Loads the stored state.
+   * Loads the stored state. After a failure, the next call goes on with what
+   * was not read.
    *
-   * @returns false if another owner has taken over in the meantime
+   * @returns false if another owner has taken over or this one was closed
    * @throws StoreError
    */
   async load(): Promise<boolean> {
-    const progressLoad = this.recordLoad(this.loadProgress());
+    const progressLoad = this.progress.load();
     // All loads must have ended before a failed one is retried.
     const loads = [
       progressLoad,
-      ...[...this.jobs.startLoads(), this.executors.load()].map(load =>
-        this.recordLoad(load),
-      ),
+      ...this.jobs.startLoads(),
+      this.executors.load(),
     ];
     for (const load of await Promise.allSettled(loads)) {
       if (load.status === 'rejected') throw load.reason;
     }
     const progress = await progressLoad;
-    if (progress === null) return false;
-    for (const record of progress.records) this.applyProgressRecord(record);
+    if (progress === null || this.isStopped) return false;
+    for (const record of progress) this.applyProgressRecord(record);
     return true;
   }
 
-  private async recordLoad<T>(load: Promise<T>): Promise<T> {
-    const loaded = await load;
-    this.loadProgressMs = this.deps.clock.monotonicMs();
-    return loaded;
+  /** Describes how far the load of each topic has come, for the log. */
+  get loadReports(): readonly TopicLoadReport[] {
+    const {progress, executors, jobs} = this;
+    return [progress.report, executors.loadReport, ...jobs.loadReports];
   }
 
   /** Starts to follow changes. */
@@ -120,6 +131,7 @@
 
   /** Stops following. */
   stop(): void {
+    this.isStopped = true;
     this.jobs.stop();
     this.executors.stop();
   }
@@ -152,12 +164,6 @@
     onJob(added);
   }
 
-  /** Returns null if another owner has taken over in the meantime. */
-  private async loadProgress(): Promise<LogPage | null> {
-    if (!(await this.deps.writer.open())) return null;
-    return this.deps.store.newest(PROGRESS_TOPIC);
-  }
-
   private applyProgressRecord({key, value}: StoredRecord): void {
     if (value.length === 0) return;
     if (key.startsWith(EXECUTOR_PREFIX)) {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -29,6 +29,7 @@
 export * from './store-call.js';
 export * from './progress-writer.js';
 export * from './follower.js';
+export * from './topic-load.js';
 export * from './stored-jobs.js';
 export * from './job-table.js';
 export * from './table-freshness.js';
--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -3,26 +3,34 @@
 import {Follower} from './follower.js';
 import {JOBS_TOPICS} from './records.js';
 import type {StoredRecord, Store} from './store.js';
+import type {TopicLoadReport} from './topic-load.js';
 
 /** How long a caller's lookup waits until the jobs are read, in ms. */
 const READ_TIMEOUT_MS = 500;
 /** Interval at which it is checked whether all topics were read, in ms. */
 const POLL_INTERVAL_MS = 10;
 
+/** Options for following the jobs. */
+export interface JobsFollowerOptions {
+  /** Pause between two reads, in ms. */
+  readonly pauseMs: number;
+  /** Called when more of a load has arrived. */
+  readonly onProgress?: () => void;
+}
+
 /** Runs one follower for each jobs topic. */
 export class JobsFollower {
   private readonly followers: readonly Follower[];
 
-  /** @param pauseMs pause between two reads, in ms */
   constructor(
     store: Store,
     private readonly clock: Clock,
-    pauseMs: number,
+    options: JobsFollowerOptions,
     onRecord: (record: StoredRecord) => void,
   ) {
     this.followers = JOBS_TOPICS.map(
       topic =>
-        new Follower(store, clock, {topic, pauseMs, waitMs: 0}, onRecord),
+        new Follower(store, clock, {...options, topic, waitMs: 0}, onRecord),
     );
   }
 
@@ -31,6 +39,11 @@
     return this.followers.map(each => each.load());
   }
 
+  /** Describes the last load of each topic for the log. */
+  get loadReports(): readonly TopicLoadReport[] {
+    return this.followers.map(each => each.loadReport);
+  }
+
   /** Follows the topics until it is stopped. */
   run(): void {
     for (const follower of this.followers) void follower.run();
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -3,8 +3,9 @@
 import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
+import {describeLoad, type LoadDescription} from './load-description.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
-import type {Crash, LostRun} from './crash-suspects.js';
+import {reportCrash} from './crash-report.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
@@ -41,8 +42,6 @@
 const MIN_ROUND_DELAY_MS = 3;
 /** Maximum delay before a scheduling round, in ms. */
 const MAX_ROUND_DELAY_MS = 250;
-/** The most runs that a line on a crash names. */
-const MAX_NAMED_RUNS = 10;
 /** Maximum age of a read that shows that a job does not exist, in ms. */
 const MAX_READ_AGE_MS = 2000;
 
@@ -127,37 +126,10 @@
       onStop: ({executor}) =>
         this.loops.get(executor?.info.id ?? '')?.sendStops(),
       onOrphan: ({info}) => this.loops.get(info.id)?.sendStops(),
-      onCrash: crash => this.reportCrash(crash),
+      onCrash: crash => reportCrash(crash, this.deps.log, this.deps.metrics),
     });
   }
 
-  private reportCrash(crash: Crash): void {
-    const {executor, isConfirmed, isVmSuspect, runs, suspects} = crash;
-    const {log, metrics} = this.deps;
-    const executorId = executor.info.id;
-    metrics.count('executor_crashes_total');
-    log('executorCrashed', {
-      executorId,
-      isConfirmed,
-      isVmSuspect,
-      runs: runs.length,
-      newRuns: suspects.length,
-      tasks: nameRuns(suspects.length > 0 ? suspects : runs),
-    });
-    for (const task of crash.givenUp) {
-      const {crashedRuns, suspectedRuns, step} = task;
-      const job = step.occurrence.job.id;
-      metrics.count('tasks_given_up_total');
-      log('taskGivenUp', {
-        task: taskName(task),
-        job,
-        executorId,
-        crashedRuns,
-        suspectedRuns,
-      });
-    }
-  }
-
   private createCommit(): ProgressCommit {
     const {state, writer, deps} = this;
     return new ProgressCommit({
@@ -211,7 +183,7 @@
       term: this.state.term,
       jobs: this.state.jobs.size,
       executors: this.state.executors.size,
-      tookMs: Math.round(this.deps.clock.monotonicMs() - this.claimedMs),
+      ...this.describeLoad(),
     });
     this.feed.start();
     void this.commit.run();
@@ -220,6 +192,12 @@
     return true;
   }
 
+  /** Describes the load for the log: each topic, and what it waited for. */
+  describeLoad(): LoadDescription {
+    const tookMs = this.deps.clock.monotonicMs() - this.claimedMs;
+    return describeLoad(this.feed.loadReports, tookMs);
+  }
+
   /** When the last page of the load arrived, or its creation; monotonic. */
   get loadProgressMs(): number {
     return this.feed.loadProgressMs;
@@ -492,13 +470,6 @@
   }
 }
 
-/** Names the last of the runs that were lost in a crash. */
-function nameRuns(runs: readonly LostRun[]): readonly string[] {
-  return runs
-    .slice(-MAX_NAMED_RUNS)
-    .map(({task, run}) => `${taskName(task)}#${run}`);
-}
-
 function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
   return {id, phase: visiblePhase, queue: queue.name, organisation};
 }
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -40,8 +40,11 @@
   start(): void {
     if (this.followers !== null) return;
     const {store, clock} = this;
-    const jobs = new JobsFollower(store, clock, READ_INTERVAL_MS, record =>
-      this.applyJobRecord(record),
+    const jobs = new JobsFollower(
+      store,
+      clock,
+      {pauseMs: READ_INTERVAL_MS},
+      record => this.applyJobRecord(record),
     );
     const progress = new Follower(
       store,
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -371,7 +371,8 @@
         return await owner.start(this.config.current);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
-        this.deps.log('ownerLoadFailed', {failure: err.failure});
+        const {failure} = err;
+        this.deps.log('ownerLoadFailed', {failure, ...owner.describeLoad()});
         await this.deps.clock.sleep(LOAD_RETRY_DELAY_MS);
       }
     }
--- a/packages/cell/test/stored-jobs.test.ts
+++ b/packages/cell/test/stored-jobs.test.ts
@@ -9,8 +9,8 @@
   PROGRESS_TOPIC,
   StoredJobs,
   type KeyedRecord,
-  type LogPage,
   type Lookup,
+  type NewestPage,
 } from '@dragonflyward/cell';
 import {encode} from 'cbor-x';
 import {suite} from 'uvu';
@@ -101,9 +101,9 @@
     super(memory, testClock);
   }
 
-  override async newest(topic: string): Promise<LogPage> {
+  override async newestPage(topic: string, after: string): Promise<NewestPage> {
     if (topic === TOPIC) await this.testClock.sleep(LATE_MS);
-    return super.newest(topic);
+    return super.newestPage(topic, after);
   }
 }
 
