Read only the tail of a topic that is loaded already

When the load of one topic had failed, the loads of the others were called again. If that was over 1 s later, the follower read the tail, forgot which keys it had loaded and reported all of them as missing: every executor would have counted as unlisted.

Evidence: the new test fails without this change (onReload is called a second time, without keys) and passes with it.

--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -58,13 +58,14 @@
 
   /**
    * Reads the newest record of each key. After a failure, the next call goes on
-   * where this one ended.
+   * where this one ended; once all is read, it reads what was appended since.
    *
    * @throws StoreError
    * @example
    * await follower.load();
    */
   async load(): Promise<void> {
+    if (this.isLoaded) return this.keepUp();
     const {topicLoad} = this;
     for await (const records of topicLoad.readPages()) {
       if (this.isStopped) return;
@@ -118,7 +119,7 @@
     this.tailReadMs = sentMs;
   }
 
-  /** Reads the tail during a load, so that it does not expire. */
+  /** Reads the tail while not following it, so that it does not expire. */
   private async keepUp(): Promise<void> {
     const nowMs = this.clock.monotonicMs();
     if (nowMs - this.tailReadMs < MAX_TAIL_AGE_MS) return;
--- a/packages/cell/test/follower.test.ts
+++ b/packages/cell/test/follower.test.ts
@@ -109,6 +109,26 @@
   );
 });
 
+// The load of another topic has failed: all are called again.
+followers('reads the tail only when it is loaded again', async () => {
+  const fixture = newFixture();
+  const {clock, memory, client, follower, shown, reloads} = fixture;
+  for (let i = 0; i < 2; i += 1) {
+    const loading = follower.load();
+    await clock.advance(0);
+    await clock.advance(STEP_MS);
+    await loading;
+    put(memory, i, 2);
+    await clock.advance(2000);
+  }
+  assert.is(client.newestPages, 4);
+  assert.is(shown.get(keyOf(0)), 2);
+  assert.equal(
+    reloads.map(({size}) => size),
+    [KEYS],
+  );
+});
+
 // Pages are not a snapshot.
 followers('shows what has changed behind the pages it has read', async () => {
   const fixture = newFixture();
