Read stored jobs on a VM without an owner only once a caller needs them

What callers saw: while the store was slow, large VMs that had claimed the cell failed to load too. Each VM without an owner read all jobs and all progress 1 s after it had lost the owner, all of them at the same moment as the next owner, and through the same queue of reads.

Now such a VM reads from the first question on that its table cannot answer: a lookup of a job that it does not know, or a count. Nobody has asked: after 3 s and up to 2 s more at random, since callers are told phases from the table, and a VM may be cut off from an owner for long. A VM that loads as the owner stops reading for callers. A lookup waits for the phases too, within the same 500 ms, and a count needs them: both are read at the same time now. A lookup that is the first question on a VM with a narrow link may be answered with 503 until all is read.

Ruled out: reading only the topic that holds the asked id. A job is in the topic of the VM that took it, which its id does not tell.

stored-jobs.test.ts: its fixture asks once after the start, so that the tests that follow run on a reader that has loaded, as before.

--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -60,17 +60,21 @@
   }
 
   /**
-   * Waits until all jobs that were stored before the call have been read.
+   * Waits until all jobs that were stored before the given time, or else the
+   * call, have been read.
    *
    * @returns false if that takes longer than the given time or 500 ms
    * @example
    * const isSure = await jobs.waitUntilRead(remainingMs);
    */
-  async waitUntilRead(timeoutMs: number): Promise<boolean> {
+  async waitUntilRead(
+    timeoutMs: number,
+    sinceMs = this.clock.monotonicMs(),
+  ): Promise<boolean> {
     const startMs = this.clock.monotonicMs();
     const boundMs = Math.min(timeoutMs, READ_TIMEOUT_MS);
     for (const follower of this.followers) follower.requestRead();
-    while (this.freshMs < startMs) {
+    while (this.freshMs < sinceMs) {
       if (this.clock.monotonicMs() - startMs >= boundMs) return false;
       await this.clock.sleep(POLL_INTERVAL_MS);
     }
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -17,15 +17,32 @@
 const READ_INTERVAL_MS = 400;
 /** After an older read the table may not be used to count jobs, in ms. */
 const MAX_READ_AGE_MS = 1500;
+/**
+ * How long a VM that no caller asks waits for an owner before it reads, in ms.
+ * All VMs lose an owner at the same moment, and the next one has to read too.
+ */
+const MIN_IDLE_MS = 3000;
+/** Further delay by which the reads of such VMs are spread, in ms. */
+const IDLE_SPREAD_MS = 2000;
+/** Longest wait of a lookup for the phases of jobs, in ms. */
+const PROGRESS_TIMEOUT_MS = 500;
+/** Interval at which it is checked whether they were read, in ms. */
+const POLL_INTERVAL_MS = 10;
 
 interface Followers {
   readonly jobs: JobsFollower;
   readonly progress: Follower;
 }
 
-/** Fills the table of jobs from the store. */
+/**
+ * Fills the table of jobs from the store while the VM is detached, from the
+ * first caller's question on that needs it.
+ */
 export class StoredJobs {
   private followers: Followers | null = null;
+  private isDetached = false;
+  /** Number of times it was started, by which an older timer is known. */
+  private starts = 0;
   /** What was read of jobs that are not in the table yet. */
   private readonly earlyPhases = new Map<string, JobPhase>();
   private readonly earlyCancels = new Set<string>();
@@ -34,11 +51,31 @@
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly table: JobTable,
+    /** Returns a number from 0 to 1. */
+    private readonly random: () => number = Math.random,
   ) {}
 
-  /** Starts to read; does nothing if it has started already. */
+  /** Reads once that is needed; does nothing if it has started already. */
   start(): void {
-    if (this.followers !== null) return;
+    if (this.isDetached) return;
+    this.isDetached = true;
+    this.starts += 1;
+    void this.readLater(this.starts);
+  }
+
+  /** Keeps phases up to date that callers are told from the table. */
+  private async readLater(start: number): Promise<void> {
+    await this.clock.sleep(MIN_IDLE_MS + this.random() * IDLE_SPREAD_MS);
+    if (this.starts === start) this.startReading();
+  }
+
+  /** Returns null while the VM is not detached. */
+  private startReading(): Followers | null {
+    if (this.isDetached) this.followers ??= this.createFollowers();
+    return this.followers;
+  }
+
+  private createFollowers(): Followers {
     const {store, clock} = this;
     const jobs = new JobsFollower(
       store,
@@ -52,9 +89,9 @@
       {topic: PROGRESS_TOPIC, pauseMs: READ_INTERVAL_MS, waitMs: 0},
       record => this.applyProgressRecord(record),
     );
-    this.followers = {jobs, progress};
     jobs.run();
     void progress.run();
+    return {jobs, progress};
   }
 
   /** Stops reading. */
@@ -62,22 +99,46 @@
     this.followers?.jobs.stop();
     this.followers?.progress.stop();
     this.followers = null;
+    this.isDetached = false;
     this.earlyPhases.clear();
     this.earlyCancels.clear();
   }
 
   /** Looks up a job in the store that is not in the table, within the time. */
   async lookup(id: string, timeoutMs: number): Promise<Lookup> {
-    if (this.followers === null) return {row: null, isSure: false};
-    const isSure = await this.followers.jobs.waitUntilRead(timeoutMs);
+    const sinceMs = this.clock.monotonicMs();
+    const followers = this.startReading();
+    if (followers === null) return {row: null, isSure: false};
+    const [isSure] = await Promise.all([
+      followers.jobs.waitUntilRead(timeoutMs, sinceMs),
+      this.waitForProgress(followers, timeoutMs),
+    ]);
     return {row: this.table.get(id) ?? null, isSure};
   }
 
-  /** Whether all stored jobs were read recently enough to count them. */
-  get isFresh(): boolean {
-    if (this.followers === null) return false;
-    const ageMs = this.clock.monotonicMs() - this.followers.jobs.freshMs;
-    return ageMs < MAX_READ_AGE_MS;
+  /**
+   * Whether all stored jobs and their phases were read recently enough to count
+   * them. If not, they are being read from now on.
+   */
+  checkFresh(): boolean {
+    const followers = this.startReading();
+    if (followers === null) return false;
+    const {jobs, progress} = followers;
+    const freshMs = Math.min(jobs.freshMs, progress.freshMs);
+    return this.clock.monotonicMs() - freshMs < MAX_READ_AGE_MS;
+  }
+
+  /** A job that has ended would be shown as queued. */
+  private async waitForProgress(
+    {progress}: Followers,
+    timeoutMs: number,
+  ): Promise<void> {
+    const startMs = this.clock.monotonicMs();
+    const boundMs = Math.min(timeoutMs, PROGRESS_TIMEOUT_MS);
+    while (progress.freshMs === -Infinity) {
+      if (this.clock.monotonicMs() - startMs >= boundMs) return;
+      await this.clock.sleep(POLL_INTERVAL_MS);
+    }
   }
 
   private applyJobRecord({key, value}: StoredRecord): void {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -254,7 +254,8 @@
 
   private isTableFresh(): boolean {
     const connectedTerm = this.election.hasOwner() ? this.election.term : 0;
-    const knowsAllJobs = this.owner?.isJobListFresh ?? this.storedJobs.isFresh;
+    const knowsAllJobs =
+      this.owner?.isJobListFresh ?? this.storedJobs.checkFresh();
     return this.freshness.isFresh({
       connectedTerm,
       knowsAllJobs,
@@ -328,6 +329,8 @@
 
   private async becomeOwner(ownership: Ownership): Promise<boolean> {
     const owner = this.createOwner(ownership);
+    // Its own load needs the link.
+    this.storedJobs.stop();
     const isStarted = await this.loadOwner(owner, ownership);
     if (!isStarted || ownership.isRevoked) {
       owner.close();
--- a/packages/cell/test/stored-jobs.test.ts
+++ b/packages/cell/test/stored-jobs.test.ts
@@ -24,6 +24,14 @@
 /** Longer than a lookup waits for the store. */
 const LOOKUP_MS = 1000;
 
+/** A grown cell. */
+const VM_COUNT = 35;
+const JOB_COUNT = 600;
+/** From the time at which VMs notice that they have no owner to 3 s, in ms. */
+const TAKEOVER_MS = 2000;
+const LONG_MS = 6000;
+const STEP_MS = 100;
+
 /** Longer than a read of a topic takes, in ms. */
 const LATE_MS = 50;
 /** How long an impatient caller waits, in ms. */
@@ -50,6 +58,8 @@
   const client = new StoreClient(memory, clock);
   const jobs = new StoredJobs(client, clock, new JobTable(clock));
   jobs.start();
+  // It reads from the first lookup on.
+  void jobs.lookup('first', LOOKUP_MS);
   await clock.advance(START_MS);
   return {clock, memory, client, jobs};
 }
@@ -143,4 +153,119 @@
   assert.ok((await tookMs) <= CALLER_MS, `took ${await tookMs} ms`);
 });
 
+/** A cell whose owner is gone: each VM has noticed it at the same moment. */
+function detachedVms(count: number): readonly Fixture[] {
+  const clock = new ManualClock(1000);
+  const memory = new MemoryStore();
+  for (let i = 0; i < JOB_COUNT; i += 1) {
+    const topic = JOBS_TOPICS[i % JOBS_TOPICS.length] ?? '';
+    memory.append(topic, [jobRecord(`job-${i}`)], {});
+  }
+  return [...Array(count).keys()].map(index => {
+    const client = new StoreClient(memory, clock);
+    const table = new JobTable(clock);
+    const random = (): number => index / count;
+    const jobs = new StoredJobs(client, clock, table, random);
+    jobs.start();
+    return {clock, memory, client, jobs};
+  });
+}
+
+function clockOf([vm]: readonly Fixture[]): ManualClock {
+  if (vm === undefined) throw new Error('no VM');
+  return vm.clock;
+}
+
+function readBytes(vms: readonly Fixture[]): number {
+  return vms.reduce((sum, {client}) => sum + client.newestBytes, 0);
+}
+
+// All VMs read the whole state at the moment at which the next owner reads it.
+stored('reads nothing during a takeover if no caller asks', async () => {
+  const vms = detachedVms(VM_COUNT);
+  await clockOf(vms).advance(TAKEOVER_MS);
+  assert.is(readBytes(vms), 0);
+});
+
+stored('reads for the caller that asks, on its VM only', async () => {
+  const [asked, ...others] = detachedVms(VM_COUNT);
+  assert.ok(asked !== undefined);
+  const {row} = await lookUp(asked, 'job-7');
+  assert.is(row?.phase, 'queued');
+  assert.ok(asked.client.newestBytes > 0);
+  assert.is(readBytes(others), 0);
+});
+
+// A VM that is cut off from the owner for long would show old phases.
+stored('reads after some time though no caller asks', async () => {
+  const vms = detachedVms(VM_COUNT);
+  const clock = clockOf(vms);
+  const reading: number[] = [];
+  for (let atMs = 0; atMs < LONG_MS; atMs += STEP_MS) {
+    await clock.advance(STEP_MS);
+    reading.push(vms.filter(({client}) => client.calls > 0).length);
+  }
+  assert.is(reading.at(-1), VM_COUNT);
+  const starts = reading.map((count, i) => count - (reading[i - 1] ?? 0));
+  assert.ok(Math.max(...starts) <= 3, `starts: ${starts.join(' ')}`);
+});
+
+stored('reads nothing more once it has an owner', async () => {
+  const [vm] = detachedVms(1);
+  assert.ok(vm !== undefined);
+  vm.jobs.stop();
+  await vm.clock.advance(LONG_MS);
+  assert.is(vm.client.calls, 0);
+  assert.equal(await vm.jobs.lookup('job-1', LOOKUP_MS), {
+    row: null,
+    isSure: false,
+  });
+  // The timer of the first time does not count for the second one.
+  vm.jobs.start();
+  vm.jobs.stop();
+  vm.jobs.start();
+  await vm.clock.advance(TAKEOVER_MS);
+  assert.is(vm.client.calls, 0);
+});
+
+// Counts are asked for at each VM, and may not miss jobs.
+stored(
+  'counts once it has read all jobs, from the first count on',
+  async () => {
+    const [vm] = detachedVms(1);
+    assert.ok(vm !== undefined);
+    assert.is(vm.jobs.checkFresh(), false);
+    await vm.clock.advance(START_MS);
+    assert.is(vm.jobs.checkFresh(), true);
+  },
+);
+
+/** A store whose progress topic is read after the jobs. */
+class LateProgressClient extends StoreClient {
+  constructor(
+    memory: MemoryStore,
+    private readonly testClock: ManualClock,
+  ) {
+    super(memory, testClock);
+  }
+
+  override async newestPage(topic: string, after: string): Promise<NewestPage> {
+    if (topic === PROGRESS_TOPIC) await this.testClock.sleep(LATE_MS);
+    return super.newestPage(topic, after);
+  }
+}
+
+stored('shows no job as queued before its progress is read', async () => {
+  const clock = new ManualClock(1000);
+  const memory = new MemoryStore();
+  const client = new LateProgressClient(memory, clock);
+  const jobs = new StoredJobs(client, clock, new JobTable(clock));
+  memory.append(TOPIC, [jobRecord('done')], {});
+  const value = encode({phase: 'completed', steps: []});
+  memory.append(PROGRESS_TOPIC, [{key: 'p/done', value}], {});
+  jobs.start();
+  const {row} = await lookUp({clock, memory, client, jobs}, 'done');
+  assert.is(row?.phase, 'completed');
+});
+
 stored.run();
