--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,11 +1,20 @@
 /** A store client that calls through peers when direct calls fail. */
 import type {Clock} from '@dragonflyward/common';
+import {
+  firstSuccess,
+  isAnswered,
+  isDefinitive,
+  pageOf,
+  pageSize,
+  type Settled,
+} from './settled-call.js';
 import {
   StoreError,
   Store,
   type AppendOptions,
   type KeyedRecord,
   type LogPage,
+  type NewestPage,
   type StoreFailure,
   type StoreLimits,
 } from './store.js';
@@ -22,6 +31,10 @@
 const PEER_PREFERENCE_MS = 1000;
 /** Timeout of a call through a peer, in ms. */
 const RELAY_TIMEOUT_MS = 900;
+/** The same for a page of a bulk read, which may be 1 MB; in ms. */
+const BULK_RELAY_TIMEOUT_MS = 5000;
+/** Interval at which it is checked whether direct calls fail, in ms. */
+const DIRECT_CHECK_INTERVAL_MS = 250;
 /** Maximum number of peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2;
 
@@ -81,6 +94,64 @@
     return this.execute(call, () => this.direct.newest(topic));
   }
 
+  /**
+   * Goes through a peer only after a failed direct call, or if it has no data
+   * yet and direct calls fail: a copy of a large response would take its share
+   * of the same link.
+   */
+  override async newestPage(
+    topic: string,
+    after: string,
+    onData: (bytes: number) => void = () => undefined,
+  ): Promise<NewestPage> {
+    const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
+    const call = {op: 'newest', topic, after} as const;
+    const relay = (): Promise<Settled<NewestPage>> =>
+      this.relayPage(call, peers, onData);
+    if (peers.length > 0 && !this.isDirectAvailable) {
+      const relayed = await relay();
+      if (isAnswered(relayed)) return pageOf(relayed);
+    }
+    let hasBegun = false;
+    const onDirectData = (bytes: number): void => {
+      hasBegun = true;
+      onData(bytes);
+    };
+    const direct = this.settle(
+      this.trackDirect(() =>
+        this.direct.newestPage(topic, after, onDirectData),
+      ),
+    );
+    if (peers.length === 0) return pageOf(await direct);
+    const result = await this.settleUnlessCut(direct, () => hasBegun);
+    if (result !== null && isAnswered(result)) return pageOf(result);
+    return pageOf(await firstSuccess(direct, relay()));
+  }
+
+  private async relayPage(
+    call: StoreCall,
+    peers: readonly StorePeer[],
+    onData: (bytes: number) => void,
+  ): Promise<Settled<NewestPage>> {
+    const reply = callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
+    const relayed = await this.settle(reply);
+    if ('page' in relayed) onData(pageSize(relayed.page));
+    return relayed;
+  }
+
+  /** Resolves to null if a direct call has no data yet and others fail. */
+  private async settleUnlessCut<P extends LogPage>(
+    direct: Promise<Settled<P>>,
+    hasBegun: () => boolean,
+  ): Promise<Settled<P> | null> {
+    for (;;) {
+      const check = this.clock.sleep(DIRECT_CHECK_INTERVAL_MS);
+      const result = await Promise.race([direct, check.then(() => null)]);
+      if (result !== null) return result;
+      if (!hasBegun() && !this.isDirectAvailable) return null;
+    }
+  }
+
   private async execute(
     call: StoreCall,
     direct: () => Promise<LogPage>,
@@ -125,12 +196,18 @@
     waitMs: number,
   ): Promise<LogPage> {
     const sentMs = this.clock.monotonicMs();
+    const page = await this.trackDirect(direct);
+    const tookMs = this.clock.monotonicMs() - sentMs;
+    if (waitMs === 0) {
+      this.latencyMs += (tookMs - this.latencyMs) * LATENCY_WEIGHT;
+    }
+    return page;
+  }
+
+  /** Records whether the store can be called directly. */
+  private async trackDirect<T>(direct: () => Promise<T>): Promise<T> {
     try {
       const page = await direct();
-      const tookMs = this.clock.monotonicMs() - sentMs;
-      if (waitMs === 0) {
-        this.latencyMs += (tookMs - this.latencyMs) * LATENCY_WEIGHT;
-      }
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
@@ -141,7 +218,9 @@
     }
   }
 
-  private async settle(page: Promise<LogPage>): Promise<Settled> {
+  private async settle<P extends LogPage>(
+    page: Promise<P>,
+  ): Promise<Settled<P>> {
     try {
       return {page: await page};
     } catch (err) {
@@ -151,50 +230,20 @@
   }
 }
 
-type Settled = {readonly page: LogPage} | {readonly err: StoreError};
-
-/** Whether the store itself answered, so that a retry elsewhere is useless. */
-function isDefinitive(failure: StoreFailure): boolean {
-  return failure === 'conflict' || failure === 'expired';
-}
-
-async function firstSuccess(
-  a: Promise<Settled>,
-  b: Promise<Settled>,
-): Promise<Settled> {
-  const first = await Promise.race([
-    a.then(settled => ({settled, other: b})),
-    b.then(settled => ({settled, other: a})),
-  ]);
-  if ('page' in first.settled) return first.settled;
-  const other = await first.other;
-  if ('page' in other) return other;
-  return moreInformative(first.settled, other);
-}
-
-/** Prefers a definitive failure, then one with an unknown outcome. */
-function moreInformative(
-  a: {readonly err: StoreError},
-  b: {readonly err: StoreError},
-): Settled {
-  if (isDefinitive(a.err.failure)) return a;
-  if (isDefinitive(b.err.failure)) return b;
-  return a.err.failure === 'unknown' ? a : b;
-}
-
 async function callThroughPeers(
   call: StoreCall,
   peers: readonly StorePeer[],
-): Promise<LogPage> {
+  timeoutMs = RELAY_TIMEOUT_MS,
+): Promise<NewestPage> {
   let failure: StoreFailure = 'refused';
   for (const peer of peers) {
-    const reply = await requestFromPeer(peer, call);
+    const reply = await requestFromPeer(peer, call, timeoutMs);
     if (reply === null) {
       if (call.op === 'append') failure = 'unknown';
       continue;
     }
-    const {endOffset, records, expectedSequence} = reply;
-    if (reply.failure === null) return {endOffset, records};
+    const {endOffset, records, expectedSequence, hasMore = false} = reply;
+    if (reply.failure === null) return {endOffset, records, hasMore};
     if (isDefinitive(reply.failure)) {
       throw new StoreError(
         reply.failure,
@@ -211,44 +260,12 @@
 async function requestFromPeer(
   peer: StorePeer,
   call: StoreCall,
+  timeoutMs: number,
 ): Promise<StoreReply | null> {
   try {
-    return await peer.callStore(call, RELAY_TIMEOUT_MS);
+    return await peer.callStore(call, timeoutMs);
   } catch {
     // The end of the connection is logged elsewhere; the outcome is unknown.
     return null;
   }
 }
-
-/**
- * Executes a store call on behalf of a peer.
- *
- * @example
- * return executeStoreCall(directStore, ask.call);
- */
-export async function executeStoreCall(
-  store: Store,
-  call: StoreCall,
-): Promise<StoreReply> {
-  const reply = {type: 'store', failure: null, expectedSequence: -1} as const;
-  try {
-    if (call.op === 'append') {
-      const {topic, records, at, producer} = call;
-      const options = {
-        ...(at < 0 ? {} : {at}),
-        ...(producer === null ? {} : {producer}),
-      };
-      const endOffset = await store.append(topic, records, options);
-      return {...reply, endOffset, records: []};
-    }
-    const page =
-      call.op === 'read'
-        ? await store.read(call.topic, call.from, 0)
-        : await store.newest(call.topic);
-    return {...reply, ...page};
-  } catch (err) {
-    if (!(err instanceof StoreError)) throw err;
-    const {failure, expectedSequence} = err;
-    return {...reply, failure, expectedSequence, endOffset: -1, records: []};
-  }
-}
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -25,8 +25,9 @@
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
 import type {LogFunction, Platform} from './platform.js';
 import {jobsTopicFor} from './records.js';
-import {executeStoreCall, RelayedStore} from './relayed-store.js';
+import {RelayedStore} from './relayed-store.js';
 import {StoreError} from './store.js';
+import {executeStoreCall} from './store-call.js';
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
 import type {CellConfig} from './types.js';
@@ -253,7 +254,8 @@
 
   private isTableFresh(): boolean {
     const connectedTerm = this.election.hasOwner() ? this.election.term : 0;
-    const knowsAllJobs = this.owner?.isJobListFresh ?? this.storedJobs.isFresh;
+    const knowsAllJobs =
+      this.owner?.isJobListFresh ?? this.storedJobs.checkFresh();
     return this.freshness.isFresh({
       connectedTerm,
       knowsAllJobs,
@@ -327,6 +329,8 @@
 
   private async becomeOwner(ownership: Ownership): Promise<boolean> {
     const owner = this.createOwner(ownership);
+    // Its own load needs the link.
+    this.storedJobs.stop();
     const isStarted = await this.loadOwner(owner, ownership);
     if (!isStarted || ownership.isRevoked) {
       owner.close();
@@ -370,7 +374,8 @@
         return await owner.start(this.config.current);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
-        this.deps.log('ownerLoadFailed', {failure: err.failure});
+        const {failure} = err;
+        this.deps.log('ownerLoadFailed', {failure, ...owner.describeLoad()});
         await this.deps.clock.sleep(LOAD_RETRY_DELAY_MS);
       }
     }
