--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -220,6 +220,11 @@
     return true;
   }
 
+  /** When the load last received a part of the state; monotonic clock. */
+  get loadProgressMs(): number {
+    return this.claimedMs;
+  }
+
   /** Stops scheduling; does not wait for orders in flight. */
   close(): void {
     this.isClosed = true;
