Test who owns the cell where VMs differ in size or are cut off

The simulated processes can take a time to load the state, and a process can be cut off from the others but not from the store.

--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -9,9 +9,10 @@
   type CellProtocol,
   type MemberHandler,
   type OwnerAddress,
+  type Ownership,
 } from '@dragonflyward/cell';
 import * as assert from 'uvu/assert';
-import {MemoryStore, StoreClient} from './memory-store.js';
+import {MemoryStore, StoreClient, type StoreFaults} from './memory-store.js';
 
 /** Interval of the heartbeats between processes, in ms. */
 export const HEARTBEAT_PERIOD_MS = 500;
@@ -30,6 +31,19 @@
   readonly cores: number;
 }
 
+/** How a process loads the stored state when it becomes the owner. */
+export interface Load {
+  /** How long it takes while the store answers, in ms; Infinity: no end. */
+  readonly durationMs: number;
+  /** Whether it seems to make progress all the while. */
+  readonly isProgressing: boolean;
+}
+
+/** A load that ends at once. */
+const NO_LOAD: Load = {durationMs: 0, isProgressing: true};
+/** Interval at which a load checks whether it is done or given up, in ms. */
+const LOAD_STEP_MS = 50;
+
 /** One process, connected to all others. */
 export class Process {
   readonly election: Election;
@@ -38,6 +52,10 @@
   readonly store: StoreClient;
   readonly links = new Map<Process, CellConnection>();
   isRunning = true;
+  /** Whether it has loaded the state and sends orders. */
+  isActing = false;
+  /** Loads that have not ended. */
+  loads = 0;
 
   constructor(
     private readonly cell: Cell,
@@ -59,10 +77,12 @@
         log: event => cell.recordEvent(this, event),
       },
       {
-        becomeOwner: () => Promise.resolve(true),
+        becomeOwner: ownership => this.becomeOwner(ownership),
         stopActing: () => undefined,
         describeOrders: () => null,
-        discardOwner: () => undefined,
+        discardOwner: () => {
+          this.isActing = false;
+        },
         setDetached: () => undefined,
         announce: () => this.broadcast(),
       },
@@ -109,6 +129,22 @@
     for (const link of this.links.values()) link.notify(this.heartbeat());
   }
 
+  private async becomeOwner(ownership: Ownership): Promise<boolean> {
+    const {durationMs} = this.cell.loads.get(this.spec.vm) ?? NO_LOAD;
+    const {faults} = this.store;
+    this.loads += 1;
+    for (let loadedMs = 0; loadedMs < durationMs && !ownership.isRevoked;) {
+      await this.cell.clock.sleep(LOAD_STEP_MS);
+      if (!faults.isRefusing && !faults.isSilent) loadedMs += LOAD_STEP_MS;
+    }
+    this.loads -= 1;
+    if (ownership.isRevoked || !this.isRunning) return false;
+    this.isActing = true;
+    this.cell.active.push(this.spec.vm);
+    this.broadcast();
+    return true;
+  }
+
   private heartbeat(): CellHeartbeat {
     const {knownOwner, isDraining, isOwner} = this.election;
     return {
@@ -137,6 +173,10 @@
   readonly running = new Map<string, Process>();
   /** The VMs that have become the owner, in this order. */
   readonly owners: string[] = [];
+  /** Those that have loaded the state, in this order. */
+  readonly active: string[] = [];
+  /** How VMs load the state; those that are missing load it at once. */
+  readonly loads = new Map<string, Load>();
   /** How many of them claimed the cell. */
   claims = 0;
   /** By how much notices of handovers are later than other messages, in ms. */
@@ -144,6 +184,7 @@
   /** How many of the next handovers get no notice. */
   lostHandovers = 0;
   private nextIncarnation = 1;
+  private readonly isolated = new Set<Process>();
 
   constructor(specs: readonly VmSpec[]) {
     for (const spec of specs) this.start(spec);
@@ -153,6 +194,19 @@
     return [...this.running.values()].find(({election}) => election.isOwner);
   }
 
+  /** The VM that owns the cell and has loaded its state; empty for none. */
+  get actingOwner(): string {
+    const {owner} = this;
+    return owner?.isActing === true ? owner.spec.vm : '';
+  }
+
+  /** Sets the faults of the store for all VMs that run. */
+  setStoreFaults(faults: Partial<StoreFaults>): void {
+    for (const {store} of this.running.values()) {
+      Object.assign(store.faults, faults);
+    }
+  }
+
   recordEvent({spec}: Process, event: string): void {
     if (event === 'ownerClaimed') this.claims += 1;
     if (event === 'ownerClaimed' || event === 'ownerTakesOver') {
@@ -188,8 +242,20 @@
     this.disconnect(process);
   }
 
+  /** Cuts a VM off from all others, but not from the store. */
+  isolate(vm: string): void {
+    const process = this.running.get(vm);
+    assert.ok(process);
+    this.isolated.add(process);
+    this.closeLinks(process);
+  }
+
   disconnect(process: Process): void {
     this.running.delete(process.spec.vm);
+    this.closeLinks(process);
+  }
+
+  private closeLinks(process: Process): void {
     for (const [other, link] of process.links) {
       process.members.remove(link);
       const back = other.links.get(process);
@@ -199,10 +265,12 @@
     process.links.clear();
   }
 
-  private start(spec: VmSpec): void {
+  /** Starts a process of a VM that is not running. */
+  start(spec: VmSpec): void {
     const process = new Process(this, spec, this.nextIncarnation);
     this.nextIncarnation += 1;
     for (const other of this.running.values()) {
+      if (this.isolated.has(other)) continue;
       this.link(process, other);
       this.link(other, process);
     }
