Move the decision when an owner leaves the cell into a class of its own

Tenure holds what belongs to one term: since when the owner acts and when it last had a connection. These outlived the term before, so an owner that was handed the cell again could hand it on at once.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -17,6 +17,7 @@
 import type {LogFunction} from './platform.js';
 import {StoreError, type Store} from './store.js';
 import {chooseSuccessor} from './successor.js';
+import {Tenure, type Departure} from './tenure.js';
 
 /** Time between two checks of the owner, in ms. */
 const WATCH_INTERVAL_MS = 100;
@@ -32,12 +33,6 @@
 const MAX_CLAIM_DELAY_MS = 250;
 /** Extra delay of a VM that knows a VM with more cores, in ms. */
 const SMALL_VM_DELAY_MS = 200;
-/** An owner to which no VM is connected releases the cell after this, in ms. */
-const ISOLATION_TIMEOUT_MS = 2000;
-/** The cell moves to a VM that has this multiple of the owner's cores. */
-const LARGER_VM_FACTOR = 1.5;
-/** Time as the owner before a larger VM is looked for, in ms. */
-const MIN_OWNED_MS = 2500;
 /** Time without an owner after which a VM counts as detached, in ms. */
 const DETACHED_AFTER_MS = 1000;
 
@@ -79,7 +74,7 @@
 /** Takes part in the owner election for one VM. */
 export class Election {
   private record: OwnerRecord | null = null;
-  private ownership: Ownership | null = null;
+  private tenure: Tenure | null = null;
   private isDrainStarted = false;
   /** The last term in which this process may have acted. */
   private actedTerm = 0;
@@ -89,16 +84,12 @@
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
-  private lastPeerMs: number;
-  private hasHadPeers = false;
-  private ownedSinceMs = Infinity;
 
   constructor(
     private readonly deps: ElectionDeps,
     private readonly host: ElectionHost,
   ) {
     this.lastConnectedMs = deps.clock.monotonicMs();
-    this.lastPeerMs = deps.clock.monotonicMs();
   }
 
   /** Starts to watch the owner. */
@@ -124,7 +115,11 @@
 
   /** Whether this VM owns the cell or is becoming its owner. */
   get isOwner(): boolean {
-    return this.ownership !== null;
+    return this.tenure !== null;
+  }
+
+  private get ownership(): Ownership | null {
+    return this.tenure?.ownership ?? null;
   }
 
   /** Whether the VM is being shut down. */
@@ -210,10 +205,8 @@
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.record = {...self, term, isReleased: false};
     if (this.isDrainStarted) return void this.passOn(ownership);
-    this.ownership = ownership;
     members.setOwner(self);
-    this.recordConnectedProcesses();
-    void this.activate(ownership);
+    void this.beginTenure(ownership);
   }
 
   /** Whether a handover is news, and no claim of this VM is on its way. */
@@ -249,16 +242,21 @@
     this.host.announce();
   }
 
-  private async activate(ownership: Ownership): Promise<void> {
+  /** Starts to own the cell, and to act once the state is loaded. */
+  private async beginTenure(ownership: Ownership): Promise<void> {
+    const tenure = new Tenure({...this.deps, ownership});
+    this.tenure = tenure;
+    this.recordConnectedProcesses();
     const isActive = await this.host.becomeOwner(ownership);
-    if (isActive) this.ownedSinceMs = this.deps.clock.monotonicMs();
-    else if (this.ownership === ownership) this.stopOwning();
+    if (isActive) tenure.recordActive();
+    else if (this.tenure === tenure) this.stopOwning();
   }
 
   private stopOwning(): void {
     this.host.stopActing();
     this.host.discardOwner();
-    this.ownership = null;
+    this.tenure = null;
+    this.lastConnectedMs = this.deps.clock.monotonicMs();
     this.deps.log('ownerStopped', {});
   }
 
@@ -268,19 +266,20 @@
     return chooseSuccessor(members.connected(), {domain, nowMs});
   }
 
-  /** Hands the cell over to a VM that is much larger than this one. */
-  private async handOverToLarger(ownership: Ownership): Promise<void> {
-    const successor = this.chooseSuccessor();
-    if (successor === null) return;
-    if (successor.cores < this.deps.cores * LARGER_VM_FACTOR) return;
-    this.deps.log('ownerHandsToLarger', {
-      term: ownership.term,
-      successor: successor.address.vm,
-      cores: successor.cores,
-    });
+  /** Hands the cell over or releases it. */
+  private async leave(
+    {ownership}: Tenure,
+    {event, fields, successor}: Departure,
+  ): Promise<void> {
+    const {term} = ownership;
+    this.deps.log(event, {term, ...fields});
     this.host.stopActing();
-    await this.handOver(ownership, successor);
-    this.stopOwning();
+    if (successor !== null) await this.handOver(ownership, successor);
+    else await ownership.release(this.lastOrders(ownership));
+    // Unless a successor is known, the other VMs have to look for an owner.
+    this.markReleased(term);
+    if (this.ownership === ownership) this.stopOwning();
+    this.host.announce();
   }
 
   /** Writes the successor into the store and notifies it. */
@@ -324,8 +323,8 @@
   }
 
   private async watchOnce(): Promise<void> {
+    if (this.tenure !== null) return this.tickAsOwner(this.tenure);
     const nowMs = this.deps.clock.monotonicMs();
-    if (this.ownership !== null) return this.tickAsOwner(this.ownership, nowMs);
     if (this.hasOwner()) {
       this.lastConnectedMs = nowMs;
       this.connectedTerm = this.term;
@@ -338,40 +337,13 @@
     if (isReleased || disconnectedMs > SUSPECT_AFTER_MS) await this.findOwner();
   }
 
-  private async tickAsOwner(
-    ownership: Ownership,
-    nowMs: number,
-  ): Promise<void> {
-    if (ownership.isRevoked) {
-      this.stopOwning();
-      this.lastConnectedMs = nowMs;
-      return;
-    }
-    if (this.deps.members.count > 0) {
-      this.lastPeerMs = nowMs;
-      this.hasHadPeers = true;
-    }
-    if (nowMs - this.ownedSinceMs > MIN_OWNED_MS) {
-      await this.handOverToLarger(ownership);
-    }
-    const isolatedMs = nowMs - this.lastPeerMs;
-    if (this.hasHadPeers && isolatedMs >= ISOLATION_TIMEOUT_MS) {
-      await this.releaseIsolated(ownership, isolatedMs);
-    }
-  }
-
-  /** Releases the cell while isolated, so that a reachable VM can own it. */
-  private async releaseIsolated(
-    ownership: Ownership,
-    isolatedMs: number,
-  ): Promise<void> {
-    const {term} = ownership;
-    this.deps.log('ownerIsolated', {term, aloneMs: Math.round(isolatedMs)});
-    this.hasHadPeers = false;
-    this.host.stopActing();
-    await ownership.release(this.lastOrders(ownership));
-    this.record = {...this.deps.self, term, isReleased: true};
-    this.stopOwning();
+  private async tickAsOwner(tenure: Tenure): Promise<void> {
+    if (tenure.ownership.isRevoked) return this.stopOwning();
+    const departure = tenure.checkDeparture();
+    if (departure === null) return;
+    await this.leave(tenure, departure);
+    if (departure.successor !== null) return;
+    // A VM that is reachable claims the cell first.
     await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
   }
 
@@ -445,10 +417,7 @@
       ...ownership.describeTakeover(),
     });
     this.record = {...self, term: ownership.term, isReleased: false};
-    this.ownership = ownership;
-    this.hasHadPeers = false;
     members.setOwner(toAddress(this.record));
-    this.recordConnectedProcesses();
-    await this.activate(ownership);
+    await this.beginTenure(ownership);
   }
 }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -35,5 +35,6 @@
 export * from './messages.js';
 export * from './members.js';
 export * from './successor.js';
+export * from './tenure.js';
 export * from './owner.js';
 export * from './executor-loop.js';
