Hand the cell to a much larger VM before the owner has loaded

Callers saw accepted jobs that were never started: a small VM claimed the cell and loaded its state for ever, beside large VMs that could act at once. An owner looked for a larger VM only 2.5 s after it had become active, and after a claim it did not even check whether it was isolated: the loop that checks it waited for the load.

The loop no longer waits. An owner that still loads hands the cell at once to a VM with half as many cores again that can act; it has sent no orders and passes on what it was told of former ones. An owner that acts does so after 2.5 s as before, but no longer to a VM without a configuration, which would start nothing.

A load that ends after the handover publishes nothing and starts nothing: before, it published its rows under the old term and began to act, until the VM closed it. What it sends to executors was not in question, since a revoked ownership does not act.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -418,6 +418,6 @@
     });
     this.record = {...self, term: ownership.term, isReleased: false};
     members.setOwner(toAddress(this.record));
-    await this.beginTenure(ownership);
+    void this.beginTenure(ownership);
   }
 }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -204,6 +204,8 @@
   async start(config: CellConfig | null): Promise<boolean> {
     if (config !== null) this.state.setConfig(config);
     if (!(await this.feed.load())) return false;
+    // The cell may have been handed over while the load was under way.
+    if (this.isClosed || this.deps.ownership.isRevoked) return false;
     this.deps.publish(this.allRows());
     this.isActive = true;
     this.isLoaded = true;
--- a/packages/cell/src/successor.ts
+++ b/packages/cell/src/successor.ts
@@ -13,6 +13,19 @@
   readonly nowMs: number;
 }
 
+/**
+ * Whether a VM has what it needs to start tasks, and seems to be running.
+ *
+ * @example
+ * const isReady = canActAtOnce(member, clock.monotonicMs());
+ */
+export function canActAtOnce(
+  {configVersion, heartbeatAt}: Member,
+  nowMs: number,
+): boolean {
+  return configVersion >= 0 && nowMs - heartbeatAt.monotonicMs < MAX_SILENCE_MS;
+}
+
 /**
  * Returns the best successor, or null for none: a VM that can act at once, then
  * the one with most cores, then one that was seen to shut down and start again
@@ -30,9 +43,7 @@
     .map(member => ({
       member,
       isLocal: member.domain === domain,
-      isReady:
-        member.configVersion >= 0 &&
-        nowMs - member.heartbeatAt.monotonicMs < MAX_SILENCE_MS,
+      isReady: canActAtOnce(member, nowMs),
       isRestarted: nowMs - member.restartedMs < ROLL_MS,
     }));
   ranked.sort(
--- a/packages/cell/src/tenure.ts
+++ b/packages/cell/src/tenure.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 import type {Member, Members} from './members.js';
 import type {Ownership} from './ownership.js';
-import {chooseSuccessor} from './successor.js';
+import {canActAtOnce, chooseSuccessor} from './successor.js';
 
 /** An owner to which no VM is connected releases the cell after this, in ms. */
 const ISOLATION_TIMEOUT_MS = 2000;
@@ -41,6 +41,11 @@
     this.lastPeerMs = deps.clock.monotonicMs();
   }
 
+  /** Whether the owner has loaded the state and acts. */
+  get isActive(): boolean {
+    return this.activeSinceMs < Infinity;
+  }
+
   /** Records that the owner has loaded the state and acts. */
   recordActive(): void {
     this.activeSinceMs = this.deps.clock.monotonicMs();
@@ -62,14 +67,16 @@
     return this.departToLarger(nowMs) ?? this.departIsolated(nowMs);
   }
 
+  /** An owner that still loads has sent no orders and can leave at once. */
   private departToLarger(nowMs: number): Departure | null {
-    if (nowMs - this.activeSinceMs <= MIN_ACTIVE_MS) return null;
+    const isNew = nowMs - this.activeSinceMs <= MIN_ACTIVE_MS;
+    if (this.isActive && isNew) return null;
     const {members, domain, cores: ownCores} = this.deps;
     const successor = chooseSuccessor(members.connected(), {domain, nowMs});
-    if (successor === null) return null;
+    if (successor === null || !canActAtOnce(successor, nowMs)) return null;
     const {address, cores} = successor;
     if (cores < ownCores * LARGER_VM_FACTOR) return null;
-    const fields = {successor: address.vm, cores};
+    const fields = {successor: address.vm, cores, isLoading: !this.isActive};
     return {event: 'ownerHandsToLarger', fields, successor};
   }
 
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -60,6 +60,8 @@
   private readonly freshness: TableFreshness;
   private readonly election: Election;
   private owner: Owner | null = null;
+  /** An owner that still loads its state. */
+  private loading: Owner | null = null;
 
   constructor(private readonly deps: VmDeps) {
     super();
@@ -101,7 +103,7 @@
       {...deps, store, members},
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
-        stopActing: () => this.owner?.close(),
+        stopActing: () => this.closeOwners(),
         describeOrders: () => this.owner?.describeOrders() ?? null,
         discardOwner: () => {
           this.owner = null;
@@ -138,7 +140,7 @@
   /** Stops everything that the VM runs. */
   close(): void {
     this.election.close();
-    this.owner?.close();
+    this.closeOwners();
     this.config.stop();
     this.storedJobs.stop();
     this.members.close();
@@ -325,9 +327,16 @@
     }
   }
 
+  private closeOwners(): void {
+    this.owner?.close();
+    this.loading?.close();
+  }
+
   private async becomeOwner(ownership: Ownership): Promise<boolean> {
     const owner = this.createOwner(ownership);
+    this.loading = owner;
     const isStarted = await this.loadOwner(owner, ownership);
+    if (this.loading === owner) this.loading = null;
     if (!isStarted || ownership.isRevoked) {
       owner.close();
       return false;
