Pass the cell on if its owner makes no progress in loading the state

An owner whose load made no progress for 3 s while the store took its heartbeats gives the cell up: to the best VM that can act at once, else it releases it. If no other VM that may own the cell is connected, it goes on. Time in which the store takes no heartbeats does not count, so in an outage for all nothing changes hands.

Log: ownerGivesUpLoad with the time of the load, the time without progress and the successor. Metric: owner_loads_given_up_total, which also counts loads of 3 s or more that ended as another VM took over.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,6 +1,7 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
-import type {Clock} from '@dragonflyward/common';
+import type {Clock, Metrics} from '@dragonflyward/common';
 import type {CellConnection, Member, Members} from './members.js';
+import {LoadBackoff} from './load-backoff.js';
 import type {HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
@@ -16,7 +17,7 @@
 } from './ownership.js';
 import type {LogFunction} from './platform.js';
 import {StoreError, type Store} from './store.js';
-import {chooseSuccessor} from './successor.js';
+import {chooseSuccessor, mayOwn} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
 
 /** Time between two checks of the owner, in ms. */
@@ -35,6 +36,8 @@
 const SMALL_VM_DELAY_MS = 200;
 /** Time without an owner after which a VM counts as detached, in ms. */
 const DETACHED_AFTER_MS = 1000;
+/** Time for which a VM whose load failed leaves the claim to others, in ms. */
+const OTHERS_CLAIM_MS = 5000;
 
 /** Callbacks of the VM for changes of the owner. */
 export interface ElectionHost {
@@ -44,6 +47,8 @@
    * @returns false if the ownership was lost in the meantime
    */
   readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
+  /** When the load of `becomeOwner` last made progress; monotonic clock. */
+  readonly loadProgressMs: () => number;
   /** Stops sending orders; does nothing on a VM that is not the owner. */
   readonly stopActing: () => void;
   /**
@@ -68,6 +73,7 @@
   readonly members: Members;
   readonly store: Store;
   readonly clock: Clock;
+  readonly metrics: Metrics;
   readonly log: LogFunction;
 }
 
@@ -84,6 +90,7 @@
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
+  private readonly backoff = new LoadBackoff();
 
   constructor(
     private readonly deps: ElectionDeps,
@@ -118,6 +125,11 @@
     return this.tenure !== null;
   }
 
+  /** Whether this VM gave up a load lately and leaves the cell to others. */
+  get hasLoadFailed(): boolean {
+    return this.backoff.isWaiting(this.deps.clock.monotonicMs());
+  }
+
   private get ownership(): Ownership | null {
     return this.tenure?.ownership ?? null;
   }
@@ -244,19 +256,28 @@
 
   /** Starts to own the cell, and to act once the state is loaded. */
   private async beginTenure(ownership: Ownership): Promise<void> {
-    const tenure = new Tenure({...this.deps, ownership});
+    const tenure = new Tenure({...this.deps, ...this.host, ownership});
     this.tenure = tenure;
     this.recordConnectedProcesses();
     const isActive = await this.host.becomeOwner(ownership);
-    if (isActive) tenure.recordActive();
-    else if (this.tenure === tenure) this.stopOwning();
+    if (!isActive) {
+      if (this.tenure === tenure) this.stopOwning();
+      return;
+    }
+    tenure.recordActive();
+    this.backoff.recordSuccess();
   }
 
   private stopOwning(): void {
     this.host.stopActing();
     this.host.discardOwner();
+    const nowMs = this.deps.clock.monotonicMs();
+    if (this.tenure?.hasFailedToLoad === true) {
+      this.deps.metrics.count('owner_loads_given_up_total');
+      this.backoff.recordFailure(nowMs);
+    }
     this.tenure = null;
-    this.lastConnectedMs = this.deps.clock.monotonicMs();
+    this.lastConnectedMs = nowMs;
     this.deps.log('ownerStopped', {});
   }
 
@@ -353,7 +374,7 @@
     const sentMs = clock.monotonicMs();
     const snapshot = await readOwner(store);
     const rttMs = clock.monotonicMs() - sentMs;
-    if (this.followIfNewer(snapshot)) return;
+    if (this.followIfNewer(snapshot) || this.isLeftToOthers()) return;
     if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
     // VMs with a short round trip claim first, so that claims do not race.
     const rttDelayMs = Math.min(
@@ -374,6 +395,14 @@
     if (!this.hasOwner()) await this.claim(snapshot);
   }
 
+  /** Whether this VM could not load the state, and another one may claim. */
+  private isLeftToOthers(): boolean {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (nowMs - this.lastConnectedMs > OTHERS_CLAIM_MS) return false;
+    const others = [...this.deps.members.connected()];
+    return this.hasLoadFailed && others.some(mayOwn);
+  }
+
   /**
    * Whether this VM was connected to the owner. An owner that it never reached
    * may have just started and not be connected to any VM yet.
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -48,6 +48,8 @@
   readonly cores: number;
   isStoreOk: boolean;
   isDraining: boolean;
+  /** Whether it gave up a load of the state lately. */
+  hasLoadFailed: boolean;
   /** The version of its configuration; -1 before the first or if not known. */
   configVersion: number;
   /** When it came back after it had shut down; -Infinity if not seen. */
@@ -116,6 +118,7 @@
     const defaults = {
       isStoreOk: true,
       isDraining: false,
+      hasLoadFailed: false,
       configVersion: -1,
       restartedMs: this.restartedMs.get(address.vm) ?? -Infinity,
       connectedOwnerTerm: 0,
@@ -137,6 +140,7 @@
       if (member.address.vm !== vm) continue;
       member.isStoreOk = heartbeat.isStoreOk;
       member.isDraining = heartbeat.isDraining;
+      member.hasLoadFailed = heartbeat.hasLoadFailed ?? false;
       member.configVersion = heartbeat.configVersion;
       if (member.isDraining) this.drained.set(vm, member.address.incarnation);
       member.connectedOwnerTerm = heartbeat.isOwnerSeen ? heartbeat.term : 0;
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -32,6 +32,11 @@
   readonly isDraining: boolean;
   /** Whether the sender is the owner or connected to it. */
   readonly isOwnerSeen: boolean;
+  /**
+   * Whether the sender gave up a load of the state lately and leaves the cell
+   * to others; missing from a sender of an earlier version, which never does.
+   */
+  readonly hasLoadFailed?: boolean;
 }
 
 /** A job that the sender has stored; saves the owner the wait for a read. */
--- a/packages/cell/src/successor.ts
+++ b/packages/cell/src/successor.ts
@@ -13,17 +13,28 @@
   readonly nowMs: number;
 }
 
+/** Whether a VM claims the cell or accepts it for long. */
+export function mayOwn({
+  isStoreOk,
+  isDraining,
+  hasLoadFailed,
+}: Member): boolean {
+  return isStoreOk && !isDraining && !hasLoadFailed;
+}
+
 /**
- * Whether a VM has what it needs to start tasks, and seems to be running.
+ * Whether a VM has what it needs to start tasks, seems to be running and has
+ * not failed to load the state lately.
  *
  * @example
  * const isReady = canActAtOnce(member, clock.monotonicMs());
  */
 export function canActAtOnce(
-  {configVersion, heartbeatAt}: Member,
+  {configVersion, heartbeatAt, hasLoadFailed}: Member,
   nowMs: number,
 ): boolean {
-  return configVersion >= 0 && nowMs - heartbeatAt.monotonicMs < MAX_SILENCE_MS;
+  if (configVersion < 0 || hasLoadFailed) return false;
+  return nowMs - heartbeatAt.monotonicMs < MAX_SILENCE_MS;
 }
 
 /**
--- a/packages/cell/src/tenure.ts
+++ b/packages/cell/src/tenure.ts
@@ -2,19 +2,23 @@
 import type {Clock} from '@dragonflyward/common';
 import type {Member, Members} from './members.js';
 import type {Ownership} from './ownership.js';
-import {canActAtOnce, chooseSuccessor} from './successor.js';
+import {canActAtOnce, chooseSuccessor, mayOwn} from './successor.js';
 
 /** An owner to which no VM is connected releases the cell after this, in ms. */
 const ISOLATION_TIMEOUT_MS = 2000;
 /** The cell moves to a VM that has this multiple of the owner's cores. */
 const LARGER_VM_FACTOR = 1.5;
+/** Time without progress after which an owner gives its load up, in ms. */
+export const LOAD_STALL_MS = 3000;
+/** The store is out if no heartbeat of this time has succeeded, in ms. */
+const STORE_CHECK_MS = 1500;
 /** Time for which an owner acts before a larger VM is looked for, in ms. */
 const MIN_ACTIVE_MS = 2500;
 
 /** Why an owner leaves the cell, and to which VM; null for any. */
 export interface Departure {
   /** The event that is logged. */
-  readonly event: 'ownerHandsToLarger' | 'ownerIsolated';
+  readonly event: 'ownerHandsToLarger' | 'ownerIsolated' | 'ownerGivesUpLoad';
   readonly fields: Readonly<Record<string, unknown>>;
   readonly successor: Member | null;
 }
@@ -27,6 +31,8 @@
   readonly cores: number;
   readonly members: Members;
   readonly clock: Clock;
+  /** When the load last made progress, on the monotonic clock. */
+  readonly loadProgressMs: () => number;
 }
 
 /** Decides when the owner leaves the cell to another VM. */
@@ -35,10 +41,16 @@
   private activeSinceMs = Infinity;
   private lastPeerMs: number;
   private hasHadPeers = false;
+  private readonly startedMs: number;
+  /** Since when the load has made no progress although the store answers. */
+  private stalledSinceMs: number;
+  private progressMs = -Infinity;
 
   constructor(private readonly deps: TenureDeps) {
     this.ownership = deps.ownership;
-    this.lastPeerMs = deps.clock.monotonicMs();
+    this.startedMs = deps.clock.monotonicMs();
+    this.lastPeerMs = this.startedMs;
+    this.stalledSinceMs = this.startedMs;
   }
 
   /** Whether the owner has loaded the state and acts. */
@@ -46,6 +58,11 @@
     return this.activeSinceMs < Infinity;
   }
 
+  /** Whether it had time enough to load the state, and has not. */
+  get hasFailedToLoad(): boolean {
+    return !this.isActive && this.ageMs >= LOAD_STALL_MS;
+  }
+
   /** Records that the owner has loaded the state and acts. */
   recordActive(): void {
     this.activeSinceMs = this.deps.clock.monotonicMs();
@@ -64,7 +81,11 @@
       this.lastPeerMs = nowMs;
       this.hasHadPeers = true;
     }
-    return this.departToLarger(nowMs) ?? this.departIsolated(nowMs);
+    return (
+      this.departToLarger(nowMs) ??
+      this.departStalled(nowMs) ??
+      this.departIsolated(nowMs)
+    );
   }
 
   /** An owner that still loads has sent no orders and can leave at once. */
@@ -80,6 +101,37 @@
     return {event: 'ownerHandsToLarger', fields, successor};
   }
 
+  /** Another VM may reach the store better; if none is connected, it stays. */
+  private departStalled(nowMs: number): Departure | null {
+    const {members, domain} = this.deps;
+    const stalledMs = Math.round(this.updateStalledMs(nowMs));
+    if (this.isActive || stalledMs < LOAD_STALL_MS) return null;
+    if (![...members.connected()].some(mayOwn)) return null;
+    const best = chooseSuccessor(members.connected(), {domain, nowMs});
+    const isReady = best !== null && canActAtOnce(best, nowMs);
+    const successor = isReady ? best : null;
+    const fields = {
+      loadingMs: Math.round(this.ageMs),
+      stalledMs,
+      successor: successor?.address.vm ?? '',
+    };
+    return {event: 'ownerGivesUpLoad', fields, successor};
+  }
+
+  /** While the store takes no heartbeats either, nobody could load. */
+  private updateStalledMs(nowMs: number): number {
+    const {ownership, loadProgressMs} = this.deps;
+    const progressMs = loadProgressMs();
+    const isStoreOut = !ownership.isConfirmedWithin(STORE_CHECK_MS);
+    if (progressMs > this.progressMs || isStoreOut) this.stalledSinceMs = nowMs;
+    this.progressMs = progressMs;
+    return nowMs - this.stalledSinceMs;
+  }
+
+  private get ageMs(): number {
+    return this.deps.clock.monotonicMs() - this.startedMs;
+  }
+
   /** While isolated, the cell is released so that a reachable VM can own it. */
   private departIsolated(nowMs: number): Departure | null {
     const aloneMs = Math.round(nowMs - this.lastPeerMs);
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -103,6 +103,7 @@
       {...deps, store, members},
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
+        loadProgressMs: () => this.loading?.loadProgressMs ?? -Infinity,
         stopActing: () => this.closeOwners(),
         describeOrders: () => this.owner?.describeOrders() ?? null,
         discardOwner: () => {
@@ -164,6 +165,7 @@
       isStoreOk: this.store.isDirectAvailable,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
+      hasLoadFailed: this.election.hasLoadFailed,
     };
   }
 
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -1,5 +1,5 @@
 /** When a VM claims the cell, and when it leaves it to the current owner. */
-import {ManualClock} from '@dragonflyward/common';
+import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   claimCell,
   Election,
@@ -78,6 +78,7 @@
         members,
         store,
         clock,
+        metrics: new Metrics(),
         log: () => undefined,
       },
       {
@@ -85,6 +86,7 @@
           owned.push(ownership);
           return Promise.resolve(true);
         },
+        loadProgressMs: () => clock.monotonicMs(),
         stopActing: () => undefined,
         describeOrders: () => null,
         discardOwner: () => undefined,
--- a/packages/cell/test/never-active.test.ts
+++ b/packages/cell/test/never-active.test.ts
@@ -37,6 +37,89 @@
   assert.is(cell.claims, 1);
 });
 
+/** Starts small VMs of which the first owns the cell and loads for ever. */
+async function startSmall(others: number): Promise<Cell> {
+  const cell = new Cell([small('s')]);
+  cell.loads.set('s', ENDLESS);
+  await cell.clock.advance(1000);
+  for (let i = 0; i < others; i += 1) cell.start(small(`s${i}`));
+  return cell;
+}
+
+loading('leaves the cell to a VM of its size if the load stalls', async () => {
+  const cell = await startSmall(2);
+  await cell.clock.advance(4000);
+  assert.ok(['s0', 's1'].includes(cell.actingOwner), cell.actingOwner);
+  await cell.clock.advance(10 * SETTLE_MS);
+  assert.is(cell.owners.length, 2);
+  assert.is(cell.running.get('s')?.loads, 0);
+});
+
+// They wait for a configuration, and claim the cell meanwhile.
+loading('releases the cell if no other VM can act at once', async () => {
+  const cell = await startSmall(2);
+  for (const vm of ['s0', 's1']) {
+    cell.unconfigured.add(vm);
+    // They need longer for a claim than the VM that releases the cell.
+    Object.assign(cell.running.get(vm)?.store.faults ?? {}, {delayMs: 70});
+  }
+  await cell.clock.advance(6000);
+  assert.ok(['s0', 's1'].includes(cell.actingOwner), cell.actingOwner);
+  assert.is(cell.claims, 2);
+});
+
+loading('keeps the cell while it is the only VM', async () => {
+  const cell = await startSmall(0);
+  await cell.clock.advance(3 * SETTLE_MS);
+  assert.is(cell.owner?.spec.vm, 's');
+  cell.loads.delete('s');
+  await cell.clock.advance(200);
+  assert.is(cell.actingOwner, 's');
+  assert.is(cell.claims, 1);
+});
+
+loading('claims the cell again if the other VMs are gone', async () => {
+  const cell = await startSmall(1);
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.actingOwner, 's0');
+  cell.loads.delete('s');
+  void cell.cutPower('s0');
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.actingOwner, 's');
+});
+
+// The small one prefers the large one as its successor.
+loading('goes to and fro ever more rarely if a large VM fails', async () => {
+  const cell = new Cell([large('l'), small('s0'), small('s1')]);
+  cell.loads.set('l', ENDLESS);
+  await cell.clock.advance(15_000);
+  assert.is(cell.owners.filter(vm => vm === 'l').length, 1);
+  assert.ok(['s0', 's1'].includes(cell.actingOwner), cell.actingOwner);
+  await cell.clock.advance(165_000);
+  const returns = cell.owners.filter(vm => vm === 'l').length;
+  assert.ok(returns <= 4, `the large VM owned the cell ${returns} times`);
+});
+
+// A load that nobody can end must not go round for that.
+loading('keeps the cell while the store is out for all', async () => {
+  for (const fault of ['isRefusing', 'isSilent']) {
+    const cell = new Cell([small('s'), small('s0'), large('l0'), large('l1')]);
+    for (const vm of cell.running.keys()) {
+      cell.loads.set(vm, {durationMs: 2500, isProgressing: true});
+    }
+    await cell.clock.advance(1500);
+    const {owner} = cell;
+    assert.ok(owner?.spec.vm.startsWith('l'));
+    const before = cell.owners.length;
+    cell.setStoreFaults({[fault]: true});
+    await cell.clock.advance(3 * SETTLE_MS);
+    cell.setStoreFaults({[fault]: false});
+    await cell.clock.advance(SETTLE_MS);
+    assert.is(cell.actingOwner, owner?.spec.vm);
+    assert.is(cell.owners.length, before);
+  }
+});
+
 // The end of its load must publish no rows: they would count as those of a
 // full update under the old term.
 loading('does not act once it has handed the cell over', async () => {
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -1,5 +1,5 @@
 /** Processes that take part in the elections of one cell, on one clock. */
-import {ManualClock} from '@dragonflyward/common';
+import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   Election,
   Members,
@@ -56,6 +56,8 @@
   isActing = false;
   /** Loads that have not ended. */
   loads = 0;
+  readonly metrics = new Metrics();
+  private loadProgressMs = 0;
 
   constructor(
     private readonly cell: Cell,
@@ -74,9 +76,11 @@
         members,
         store,
         clock,
+        metrics: this.metrics,
         log: event => cell.recordEvent(this, event),
       },
       {
+        loadProgressMs: () => this.loadProgressMs,
         becomeOwner: ownership => this.becomeOwner(ownership),
         stopActing: () => undefined,
         describeOrders: () => null,
@@ -129,13 +133,20 @@
     for (const link of this.links.values()) link.notify(this.heartbeat());
   }
 
+  private get load(): Load {
+    return this.cell.loads.get(this.spec.vm) ?? NO_LOAD;
+  }
+
   private async becomeOwner(ownership: Ownership): Promise<boolean> {
-    const {durationMs} = this.cell.loads.get(this.spec.vm) ?? NO_LOAD;
-    const {faults} = this.store;
     this.loads += 1;
-    for (let loadedMs = 0; loadedMs < durationMs && !ownership.isRevoked;) {
+    this.loadProgressMs = this.clockMs();
+    for (let loadedMs = 0; loadedMs < this.load.durationMs;) {
       await this.cell.clock.sleep(LOAD_STEP_MS);
-      if (!faults.isRefusing && !faults.isSilent) loadedMs += LOAD_STEP_MS;
+      if (ownership.isRevoked) break;
+      const {isRefusing, isSilent} = this.store.faults;
+      if (isRefusing || isSilent) continue;
+      loadedMs += LOAD_STEP_MS;
+      if (this.load.isProgressing) this.loadProgressMs = this.clockMs();
     }
     this.loads -= 1;
     if (ownership.isRevoked || !this.isRunning) return false;
@@ -151,10 +162,11 @@
       type: 'heartbeat',
       owner: knownOwner?.isReleased === false ? knownOwner : null,
       term: knownOwner?.term ?? 0,
-      configVersion: 1,
+      configVersion: this.cell.unconfigured.has(this.spec.vm) ? -1 : 1,
       isStoreOk: true,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
+      hasLoadFailed: this.election.hasLoadFailed,
     };
   }
 
@@ -177,6 +189,8 @@
   readonly active: string[] = [];
   /** How VMs load the state; those that are missing load it at once. */
   readonly loads = new Map<string, Load>();
+  /** The VMs that have not received a configuration. */
+  readonly unconfigured = new Set<string>();
   /** How many of them claimed the cell. */
   claims = 0;
   /** By how much notices of handovers are later than other messages, in ms. */
