Claim the cell of an owner that is connected but never acts

Callers saw accepted jobs that were never started: all VMs were connected to an owner that never ended its load, and took it for a working one, since a VM looked for another owner only without a connection. An owner whose process hangs in the load, or whose handover fails, does not give the cell up itself.

Heartbeats tell whether the sender acts as the owner (isActing; missing from the version before, which counts as acting): it has loaded the state and was activated. Whether it may send orders at the moment does not count, so nobody claims against an owner that waits for the store. A VM that is connected to an owner which has not acted for 8 s since the VM learned of its term claims the cell after the usual delay, by the ground that docs/design/ownership.md calls ownerIdle. From 2 s on the VM reads the owner record every second; a failed read starts the time anew, so that an outage of the store for all is no reason to claim. Each owner that follows one that did not act has twice as long, up to 64 s, so that a load that is slow everywhere ends.

A claim is as safe as one against an owner that was killed: by its term, and by the leases that it assumes of the owner before.

The test of a process that hangs in the load fails without the check; the others fail each without the part that they are named for.

Log: ownerIdle with the term, the owner, the time, and whether the record shows a release. Metric: idle_owner_claims_total.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,8 +1,8 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
-import type {Clock, Metrics} from '@dragonflyward/common';
-import type {CellConnection, Member, Members} from './members.js';
+import type {ElectionDeps, ElectionHost} from './election-host.js';
+import type {CellConnection, Member} from './members.js';
 import {LoadBackoff} from './load-backoff.js';
-import type {HandoverNotice} from './messages.js';
+import type {CellHeartbeat, HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
   acceptOwnership,
@@ -15,8 +15,8 @@
   type OwnerSnapshot,
   type OwnerRecord,
 } from './ownership.js';
-import type {LogFunction} from './platform.js';
-import {StoreError, type Store} from './store.js';
+import {OwnerActivity} from './owner-activity.js';
+import {StoreError} from './store.js';
 import {chooseSuccessor, mayOwn} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
 
@@ -39,44 +39,6 @@
 /** Time for which a VM whose load failed leaves the claim to others, in ms. */
 const OTHERS_CLAIM_MS = 5000;
 
-/** Callbacks of the VM for changes of the owner. */
-export interface ElectionHost {
-  /**
-   * Starts to act as the owner.
-   *
-   * @returns false if the ownership was lost in the meantime
-   */
-  readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
-  /** When the load of `becomeOwner` last made progress; monotonic clock. */
-  readonly loadProgressMs: () => number;
-  /** Stops sending orders; does nothing on a VM that is not the owner. */
-  readonly stopActing: () => void;
-  /**
-   * The last orders that were sent to executors, after `stopActing`; null on a
-   * VM whose owner has not started to act.
-   */
-  readonly describeOrders: () => OrdersNotice | null;
-  /** Discards the owner's state. */
-  readonly discardOwner: () => void;
-  /** Called when the VM has had no owner for a while, or has one again. */
-  readonly setDetached: (isDetached: boolean) => void;
-  /** Sends the owner known here, and the VM's state, to the other VMs. */
-  readonly announce: () => void;
-}
-
-/** Dependencies of an election. */
-export interface ElectionDeps {
-  readonly self: OwnerAddress;
-  readonly domain: string;
-  /** Cores that the VM may use. */
-  readonly cores: number;
-  readonly members: Members;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly metrics: Metrics;
-  readonly log: LogFunction;
-}
-
 /** Takes part in the owner election for one VM. */
 export class Election {
   private record: OwnerRecord | null = null;
@@ -90,6 +52,7 @@
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
+  private readonly activity = new OwnerActivity();
   private readonly backoff = new LoadBackoff();
 
   constructor(
@@ -151,6 +114,17 @@
     return this.ownerConnection() !== undefined;
   }
 
+  /** Learns from another VM who owns the cell, and whether the owner acts. */
+  recordHeartbeat(
+    {vm, incarnation}: OwnerAddress,
+    {owner, term, isActing = true}: CellHeartbeat,
+  ): void {
+    if (owner === null) return this.markReleased(term);
+    this.follow({...owner, term, isReleased: false});
+    const isSender = owner.vm === vm && owner.incarnation === incarnation;
+    if (isSender) this.activity.record(term, isActing);
+  }
+
   /** Follows an owner whose term is higher than the known one. */
   follow(record: OwnerRecord): void {
     if (record.term <= (this.record?.term ?? 0)) return;
@@ -161,6 +135,7 @@
       this.stopOwning();
     }
     this.lastConnectedMs = this.deps.clock.monotonicMs();
+    this.activity.begin(record.term, this.lastConnectedMs);
     this.deps.members.setOwner(toAddress(record));
   }
 
@@ -258,6 +233,7 @@
   private async beginTenure(ownership: Ownership): Promise<void> {
     const tenure = new Tenure({...this.deps, ...this.host, ownership});
     this.tenure = tenure;
+    this.activity.begin(ownership.term, this.deps.clock.monotonicMs());
     this.recordConnectedProcesses();
     const isActive = await this.host.becomeOwner(ownership);
     if (!isActive) {
@@ -265,6 +241,7 @@
       return;
     }
     tenure.recordActive();
+    this.activity.record(ownership.term, true);
     this.backoff.recordSuccess();
   }
 
@@ -350,7 +327,7 @@
       this.lastConnectedMs = nowMs;
       this.connectedTerm = this.term;
       this.host.setDetached(false);
-      return;
+      return this.checkLoadingOwner(nowMs);
     }
     const disconnectedMs = nowMs - this.lastConnectedMs;
     if (disconnectedMs > DETACHED_AFTER_MS) this.host.setDetached(true);
@@ -368,22 +345,55 @@
     await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
   }
 
+  /** Claims the cell of an owner that is connected but does not get to act. */
+  private async checkLoadingOwner(nowMs: number): Promise<void> {
+    if (!this.activity.takeCheck(nowMs)) return;
+    const rttMs = await this.measureStore();
+    if (!this.activity.isIdle(nowMs) || this.isLeftToOthers()) return;
+    await this.deps.clock.sleep(this.claimDelayMs(rttMs));
+    await this.claimFromIdle();
+  }
+
+  /** While the store fails for this VM too, it does not blame the owner. */
+  private async measureStore(): Promise<number> {
+    const {clock, store} = this.deps;
+    const sentMs = clock.monotonicMs();
+    try {
+      this.followIfNewer(await readOwner(store));
+      return clock.monotonicMs() - sentMs;
+    } catch (err) {
+      this.activity.recordStoreFailure(clock.monotonicMs());
+      throw err;
+    }
+  }
+
+  private async claimFromIdle(): Promise<void> {
+    const {clock, store, log, metrics} = this.deps;
+    // The idle owner's heartbeats move the end at which a claim is appended.
+    const snapshot = await readOwner(store);
+    const nowMs = clock.monotonicMs();
+    if (this.followIfNewer(snapshot) || !this.activity.isIdle(nowMs)) return;
+    metrics.count('idle_owner_claims_total');
+    log('ownerIdle', {
+      term: this.term,
+      owner: this.record?.vm ?? '',
+      idleMs: Math.round(this.activity.idleMs(nowMs)),
+      isReleased: snapshot.record?.isReleased ?? true,
+    });
+    await this.claim(snapshot);
+  }
+
   /** Finds the owner, or claims the cell if it has no running owner. */
   private async findOwner(): Promise<void> {
-    const {clock, store, members, self, cores} = this.deps;
+    const {clock, store, members, self} = this.deps;
     const sentMs = clock.monotonicMs();
     const snapshot = await readOwner(store);
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.followIfNewer(snapshot) || this.isLeftToOthers()) return;
     if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
     // VMs with a short round trip claim first, so that claims do not race.
-    const rttDelayMs = Math.min(
-      MAX_CLAIM_DELAY_MS,
-      rttMs * CLAIM_DELAY_RTT_FACTOR,
-    );
-    const isSmall = members.maxPeerCores() > cores;
     const isUnowned = snapshot.record === null || snapshot.record.isReleased;
-    await clock.sleep(rttDelayMs + (isSmall ? SMALL_VM_DELAY_MS : 0));
+    await clock.sleep(this.claimDelayMs(rttMs));
     if (this.hasOwner()) return;
     if (isUnowned) return this.claim(snapshot);
     if (members.isOwnerSeen(snapshot.record?.term ?? 0)) return;
@@ -395,11 +405,23 @@
     if (!this.hasOwner()) await this.claim(snapshot);
   }
 
+  private claimDelayMs(rttMs: number): number {
+    const {members, cores} = this.deps;
+    const rttDelayMs = Math.min(
+      MAX_CLAIM_DELAY_MS,
+      rttMs * CLAIM_DELAY_RTT_FACTOR,
+    );
+    const isSmall = members.maxPeerCores() > cores;
+    return rttDelayMs + (isSmall ? SMALL_VM_DELAY_MS : 0);
+  }
+
   /** Whether this VM could not load the state, and another one may claim. */
   private isLeftToOthers(): boolean {
     const nowMs = this.deps.clock.monotonicMs();
     if (nowMs - this.lastConnectedMs > OTHERS_CLAIM_MS) return false;
-    const others = [...this.deps.members.connected()];
+    const others = [...this.deps.members.connected()].filter(
+      ({address}) => address.vm !== this.record?.vm,
+    );
     return this.hasLoadFailed && others.some(mayOwn);
   }
 
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -37,6 +37,11 @@
    * to others; missing from a sender of an earlier version, which never does.
    */
   readonly hasLoadFailed?: boolean;
+  /**
+   * Whether the sender, if it owns the cell, has loaded the state and acts;
+   * missing from a sender of an earlier version, which counts as acting.
+   */
+  readonly isActing?: boolean;
 }
 
 /** A job that the sender has stored; saves the owner the wait for a read. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -166,6 +166,7 @@
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
       hasLoadFailed: this.election.hasLoadFailed,
+      isActing: this.owner !== null,
     };
   }
 
@@ -234,14 +235,7 @@
 
   private handleHeartbeat(from: CellPeerInfo, heartbeat: CellHeartbeat): void {
     this.members.recordHeartbeat(from.self.vm, heartbeat);
-    if (heartbeat.owner === null) this.election.markReleased(heartbeat.term);
-    else {
-      this.election.follow({
-        ...heartbeat.owner,
-        term: heartbeat.term,
-        isReleased: false,
-      });
-    }
+    this.election.recordHeartbeat(from.self, heartbeat);
     if (heartbeat.configVersion > this.config.version) {
       void this.config.requestFromPeer(from.self);
     }
--- a/packages/cell/test/never-active.test.ts
+++ b/packages/cell/test/never-active.test.ts
@@ -5,6 +5,8 @@
 import {Rig, STEP} from './rig.js';
 
 const ENDLESS: Load = {durationMs: Infinity, isProgressing: false};
+/** A load that seems to go on: the process does not notice that it hangs. */
+const HUNG: Load = {durationMs: Infinity, isProgressing: true};
 const SETTLE_MS = 8000;
 
 function large(vm: string): VmSpec {
@@ -100,6 +102,58 @@
   assert.ok(returns <= 4, `the large VM owned the cell ${returns} times`);
 });
 
+// Its heartbeats go on, in the store and to the other VMs.
+loading('loses the cell if its process hangs in the load', async () => {
+  const cell = new Cell([large('l0'), large('l1'), small('s')]);
+  await cell.clock.advance(SETTLE_MS);
+  const former = cell.actingOwner;
+  const hung = former === 'l0' ? 'l1' : 'l0';
+  cell.loads.set(hung, HUNG);
+  void cell.cutPower(former);
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.owner?.spec.vm, hung);
+  await cell.clock.advance(5000);
+  assert.is(cell.actingOwner, 's');
+  assert.is(cell.running.get(hung)?.isActing, false);
+  assert.is(cell.running.get('s')?.metrics.read('idle_owner_claims_total'), 1);
+  await cell.clock.advance(10_000);
+  assert.is(cell.actingOwner, 's');
+});
+
+loading('loses the cell to a VM that failed before it', async () => {
+  const cell = await startSmall(0);
+  await cell.clock.advance(4000);
+  cell.loads.set('l', HUNG).delete('s');
+  cell.start(large('l'));
+  await cell.clock.advance(1000);
+  assert.is(cell.owner?.spec.vm, 'l');
+  // Twice the usual time, since the owner before has not acted either.
+  await cell.clock.advance(17_000);
+  assert.is(cell.actingOwner, 's');
+});
+
+// Else no owner of a large state would ever end its load.
+loading('ends a load that is slow on all VMs', async () => {
+  const cell = new Cell([large('l0'), large('l1'), large('l2')]);
+  for (const vm of cell.running.keys()) {
+    cell.loads.set(vm, {durationMs: 20_000, isProgressing: true});
+  }
+  await cell.clock.advance(60_000);
+  assert.is.not(cell.actingOwner, '');
+  assert.ok(cell.owners.length <= 4, `owners: ${cell.owners}`);
+});
+
+// Its heartbeats lack the field that tells whether it acts.
+loading('keeps the cell if it is of an earlier version', async () => {
+  const cell = new Cell([large('l0'), large('l1')]);
+  for (const process of cell.running.values()) {
+    process.isEarlierVersion = true;
+    cell.loads.set(process.spec.vm, HUNG);
+  }
+  await cell.clock.advance(5 * SETTLE_MS);
+  assert.is(cell.owners.length, 1);
+});
+
 // A load that nobody can end must not go round for that.
 loading('keeps the cell while the store is out for all', async () => {
   for (const fault of ['isRefusing', 'isSilent']) {
@@ -117,6 +171,7 @@
     await cell.clock.advance(SETTLE_MS);
     assert.is(cell.actingOwner, owner?.spec.vm);
     assert.is(cell.owners.length, before);
+    assert.is(cell.claims, 1);
   }
 });
 
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -52,6 +52,8 @@
   readonly store: StoreClient;
   readonly links = new Map<Process, CellConnection>();
   isRunning = true;
+  /** Whether its heartbeats lack the newest fields. */
+  isEarlierVersion = false;
   /** Whether it has loaded the state and sends orders. */
   isActing = false;
   /** Loads that have not ended. */
@@ -124,9 +126,7 @@
     if (notice.type === 'handover') this.election.acceptHandover(notice);
     if (notice.type !== 'heartbeat') return;
     this.members.recordHeartbeat(from.spec.vm, notice);
-    const {owner, term} = notice;
-    if (owner === null) this.election.markReleased(term);
-    else this.election.follow({...owner, term, isReleased: false});
+    this.election.recordHeartbeat(from.self, notice);
   }
 
   broadcast(): void {
@@ -158,6 +158,10 @@
 
   private heartbeat(): CellHeartbeat {
     const {knownOwner, isDraining, isOwner} = this.election;
+    const fields = {
+      hasLoadFailed: this.election.hasLoadFailed,
+      isActing: this.isActing,
+    };
     return {
       type: 'heartbeat',
       owner: knownOwner?.isReleased === false ? knownOwner : null,
@@ -166,7 +170,7 @@
       isStoreOk: true,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
-      hasLoadFailed: this.election.hasLoadFailed,
+      ...(this.isEarlierVersion ? {} : fields),
     };
   }
 
