Answer callers from the store while the owner loads the state

Callers got no answer about jobs that their VM had not in its table while the owner loaded: the VM asked the owner, which answered that it did not know, and took that for the answer. The store was read only by a VM without a connection to the owner, and a queue's length was not known.

A VM goes on to the store if the owner neither knows the job nor is sure, and counts as detached once the owner that it is connected to has loaded for 2 s. A VM that becomes the owner stops reading the store for callers: before, it read on beside its load and for as long as it owned the cell, if it was detached when it claimed the cell.

A VM stays ready while the owner loads. It accepts jobs durably and answers from the store, and if all VMs were not ready nobody would.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -36,6 +36,8 @@
 const SMALL_VM_DELAY_MS = 200;
 /** Time without an owner after which a VM counts as detached, in ms. */
 const DETACHED_AFTER_MS = 1000;
+/** Time after which a VM counts as detached from an owner that loads, in ms. */
+const LOADING_DETACHED_MS = 2000;
 /** Time for which a VM whose load failed leaves the claim to others, in ms. */
 const OTHERS_CLAIM_MS = 5000;
 
@@ -235,6 +237,8 @@
     this.tenure = tenure;
     this.activity.begin(ownership.term, this.deps.clock.monotonicMs());
     this.recordConnectedProcesses();
+    // The load reads the store, and the VM is not ready for callers meanwhile.
+    this.host.setDetached(false);
     const isActive = await this.host.becomeOwner(ownership);
     if (!isActive) {
       if (this.tenure === tenure) this.stopOwning();
@@ -326,7 +330,7 @@
     if (this.hasOwner()) {
       this.lastConnectedMs = nowMs;
       this.connectedTerm = this.term;
-      this.host.setDetached(false);
+      this.host.setDetached(this.activity.idleMs(nowMs) > LOADING_DETACHED_MS);
       return this.checkLoadingOwner(nowMs);
     }
     const disconnectedMs = nowMs - this.lastConnectedMs;
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -6,6 +6,7 @@
 export * from './platform.js';
 export * from './vm.js';
 export * from './job-frontend.js';
+export * from './job-lookup.js';
 export * from './ownership.js';
 export * from './former-owners.js';
 export * from './last-orders.js';
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -4,7 +4,8 @@
 import {adviceChannels} from './advice-channels.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
-import {JobFrontend, type Lookup, type SourcedLookup} from './job-frontend.js';
+import {JobFrontend} from './job-frontend.js';
+import {JobLookup} from './job-lookup.js';
 import {JobTable} from './job-table.js';
 import {
   MemberHandler,
@@ -33,8 +34,6 @@
 
 /** Delay before a failed load of the owner's state is retried, in ms. */
 const LOAD_RETRY_DELAY_MS = 100;
-/** Timeout of a request to the owner for a job's phase, in ms. */
-const PHASE_ASK_TIMEOUT_MS = 700;
 
 /** Dependencies of a VM. */
 export interface VmDeps {
@@ -57,6 +56,7 @@
   private readonly store: RelayedStore;
   private readonly config: ConfigFeed;
   private readonly storedJobs: StoredJobs;
+  private readonly lookups: JobLookup;
   private readonly freshness: TableFreshness;
   private readonly election: Election;
   private owner: Owner | null = null;
@@ -86,6 +86,14 @@
       },
     });
     this.storedJobs = new StoredJobs(this.store, clock, this.table);
+    this.lookups = new JobLookup({
+      owner: () => this.owner,
+      ownerConnection: () => this.election.ownerConnection(),
+      term: () => this.election.term,
+      storedJobs: this.storedJobs,
+      clock,
+      log,
+    });
     this.frontend = new JobFrontend({
       store: this.store,
       jobsTopic: jobsTopicFor(self.vm),
@@ -93,7 +101,7 @@
       metrics,
       log,
       table: this.table,
-      lookup: (id, timeoutMs) => this.lookup(id, timeoutMs),
+      lookup: (id, timeoutMs) => this.lookups.find(id, timeoutMs),
       notifyJob: (id, value) => this.notifyJob(id, value),
       notifyCancel: id => this.notifyCancel(id),
       isTableFresh: () => this.isTableFresh(),
@@ -132,7 +140,10 @@
     return this.config.current;
   }
 
-  /** Whether this VM is ready to serve callers. */
+  /**
+   * Whether this VM is ready to serve callers. It is while the owner that it is
+   * connected to loads the state: it stores jobs and answers from the store.
+   */
   get isReady(): boolean {
     if (this.election.isDraining || this.config.current === null) return false;
     return this.owner !== null || this.election.hasOwner();
@@ -176,7 +187,7 @@
   ): Promise<CellProtocol['reply']> {
     switch (ask.type) {
       case 'phaseAsk':
-        return {type: 'phase', ...(await this.lookupAsOwner(ask.id))};
+        return {type: 'phase', ...(await this.lookups.answer(ask.id))};
       case 'adviceAsk':
         return {type: 'advice', tickets: await this.advise(ask)};
       case 'configAsk':
@@ -286,43 +297,6 @@
     this.election.ownerConnection()?.notify({type: 'cancel', id});
   }
 
-  private async lookupAsOwner(id: string): Promise<Lookup> {
-    const timeoutMs = PHASE_ASK_TIMEOUT_MS;
-    const lookup = await this.owner?.lookup(id, timeoutMs);
-    return lookup ?? {row: null, isSure: false};
-  }
-
-  private async lookup(id: string, timeoutMs: number): Promise<SourcedLookup> {
-    const {term} = this.election;
-    if (this.owner !== null) {
-      const own = await this.owner.lookup(id, timeoutMs);
-      return {...own, source: 'ownState', term};
-    }
-    const startMs = this.deps.clock.monotonicMs();
-    const reply = await this.askOwner(id, timeoutMs);
-    if (reply !== null) return {...reply, source: 'owner', term};
-    const elapsedMs = this.deps.clock.monotonicMs() - startMs;
-    const stored = await this.storedJobs.lookup(id, timeoutMs - elapsedMs);
-    return {...stored, source: 'store', term};
-  }
-
-  /** Returns the owner's answer, or null if there is none. */
-  private async askOwner(
-    id: string,
-    timeoutMs: number,
-  ): Promise<Lookup | null> {
-    const connection = this.election.ownerConnection();
-    if (connection === undefined) return null;
-    const askTimeoutMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
-    try {
-      const reply = await connection.ask({type: 'phaseAsk', id}, askTimeoutMs);
-      return reply.type === 'phase' ? reply : null;
-    } catch (err) {
-      this.deps.log('phaseAskFailed', {job: id, err: String(err)});
-      return null;
-    }
-  }
-
   private closeOwners(): void {
     this.owner?.close();
     this.loading?.close();
--- a/packages/cell/test/never-active.test.ts
+++ b/packages/cell/test/never-active.test.ts
@@ -102,6 +102,42 @@
   assert.ok(returns <= 4, `the large VM owned the cell ${returns} times`);
 });
 
+// Callers got no answers about jobs that the VM had not in its table.
+loading('does not keep others from answering by the store', async () => {
+  const cell = new Cell([large('l0'), large('l1')]);
+  for (const vm of ['l0', 'l1']) {
+    cell.loads.set(vm, {durationMs: 5000, isProgressing: true});
+  }
+  await cell.clock.advance(1000);
+  const {owner} = cell;
+  assert.ok(owner);
+  const others = [...cell.running.values()].filter(each => each !== owner);
+  const areDetached = (): readonly boolean[] => others.map(o => o.isDetached);
+  await cell.clock.advance(2500);
+  assert.equal([owner.isDetached, ...areDetached()], [false, true]);
+  await cell.clock.advance(3000);
+  assert.is(cell.actingOwner, owner.spec.vm);
+  assert.equal([owner.isDetached, ...areDetached()], [false, false]);
+});
+
+// It served callers from the store before, and has its own state now.
+loading(
+  'reads the jobs for callers no more once it owns the cell',
+  async () => {
+    const cell = new Cell([large('l0'), large('l1')]);
+    await cell.clock.advance(SETTLE_MS);
+    cell.setStoreFaults({isRefusing: true});
+    void cell.cutPower(cell.actingOwner);
+    await cell.clock.advance(SETTLE_MS);
+    const [left] = cell.running.values();
+    assert.is(left?.isDetached, true);
+    cell.setStoreFaults({isRefusing: false});
+    await cell.clock.advance(SETTLE_MS);
+    assert.is(cell.actingOwner, left?.spec.vm);
+    assert.is(left?.isDetached, false);
+  },
+);
+
 // Its heartbeats go on, in the store and to the other VMs.
 loading('loses the cell if its process hangs in the load', async () => {
   const cell = new Cell([large('l0'), large('l1'), small('s')]);
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -56,6 +56,8 @@
   isEarlierVersion = false;
   /** Whether it has loaded the state and sends orders. */
   isActing = false;
+  /** Whether it reads the jobs from the store for callers. */
+  isDetached = false;
   /** Loads that have not ended. */
   loads = 0;
   readonly metrics = new Metrics();
@@ -89,7 +91,9 @@
         discardOwner: () => {
           this.isActing = false;
         },
-        setDetached: () => undefined,
+        setDetached: isDetached => {
+          this.isDetached = isDetached;
+        },
         announce: () => this.broadcast(),
       },
     );
