Let a small VM claim only after the larger ones had their turn

Callers saw an owner that could not follow its executors, or none that acted for a while: a small VM waited 200 ms longer than a larger one before it claimed the cell, while the delay by the round trip to the store alone may differ by 250 ms. So a small VM with a short round trip was first.

The delays add up now: up to 250 ms by the round trip, 400 ms for a VM that knows a larger one that may own the cell (it is not shutting down, reaches the store and has not failed to load), 150 ms for a VM without a configuration, whose owner would start nothing; 800 ms in all. VMs that are all of one size don't wait for each other.

With the former delay the test with slow calls fails, without the one for the configuration that test, and without the exceptions the one with a VM that shuts down. The simulated processes now tell each other of the loss of the owner, as VMs do; without it stale heartbeats hid the fault.

--- a/packages/cell/src/election-host.ts
+++ b/packages/cell/src/election-host.ts
@@ -16,6 +16,8 @@
   readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
   /** When the load of `becomeOwner` last made progress; monotonic clock. */
   readonly loadProgressMs: () => number;
+  /** Whether the VM has a configuration, without which an owner starts nothing. */
+  readonly hasConfig: () => boolean;
   /** Stops sending orders; does nothing on a VM that is not the owner. */
   readonly stopActing: () => void;
   /**
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,4 +1,5 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
+import {claimDelayMs, MAX_CLAIM_DELAY_MS} from './claim-delay.js';
 import type {ElectionDeps, ElectionHost} from './election-host.js';
 import type {CellConnection, Member} from './members.js';
 import {LoadBackoff} from './load-backoff.js';
@@ -28,12 +29,6 @@
 const HEARTBEAT_WAIT_MS = OWNER_HEARTBEAT_MS * 1.6;
 /** The same if this VM and its peers lost their connections to it, in ms. */
 const CONFIRMED_LOSS_WAIT_MS = 100;
-/** A VM waits this multiple of its store round trip before it claims. */
-const CLAIM_DELAY_RTT_FACTOR = 4;
-/** Upper bound of that delay, in ms. */
-const MAX_CLAIM_DELAY_MS = 250;
-/** Extra delay of a VM that knows a VM with more cores, in ms. */
-const SMALL_VM_DELAY_MS = 200;
 /** Time without an owner after which a VM counts as detached, in ms. */
 const DETACHED_AFTER_MS = 1000;
 /** Time after which a VM counts as detached from an owner that loads, in ms. */
@@ -395,7 +390,6 @@
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.followIfNewer(snapshot) || this.isLeftToOthers()) return;
     if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
-    // VMs with a short round trip claim first, so that claims do not race.
     const isUnowned = snapshot.record === null || snapshot.record.isReleased;
     await clock.sleep(this.claimDelayMs(rttMs));
     if (this.hasOwner()) return;
@@ -411,12 +405,12 @@
 
   private claimDelayMs(rttMs: number): number {
     const {members, cores} = this.deps;
-    const rttDelayMs = Math.min(
-      MAX_CLAIM_DELAY_MS,
-      rttMs * CLAIM_DELAY_RTT_FACTOR,
-    );
-    const isSmall = members.maxPeerCores() > cores;
-    return rttDelayMs + (isSmall ? SMALL_VM_DELAY_MS : 0);
+    const isLargerKnown = members.maxPeerCores(this.record?.vm) > cores;
+    return claimDelayMs({
+      rttMs,
+      isLargerKnown,
+      hasConfig: this.host.hasConfig(),
+    });
   }
 
   /** Whether this VM could not load the state, and another one may claim. */
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -32,6 +32,7 @@
 export * from './stored-jobs.js';
 export * from './job-table.js';
 export * from './table-freshness.js';
+export * from './claim-delay.js';
 export * from './election-host.js';
 export * from './election.js';
 export * from './messages.js';
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -16,6 +16,7 @@
 } from './messages.js';
 import type {OwnerAddress} from './ownership.js';
 import type {StorePeer} from './relayed-store.js';
+import {mayOwn} from './successor.js';
 
 /** A connection is closed after this time without a message, in ms. */
 const SILENCE_TIMEOUT_MS = 1500;
@@ -188,9 +189,15 @@
     return Math.max(now.monotonicMs - monotonicMs, now.wallMs - wallMs);
   }
 
-  /** Returns the highest number of cores of a connected VM. */
-  maxPeerCores(): number {
-    return Math.max(0, ...[...this.connected()].map(({cores}) => cores));
+  /**
+   * Returns the highest number of cores of a connected VM that may own the
+   * cell, without the VM that is named.
+   */
+  maxPeerCores(exceptVm = ''): number {
+    const others = [...this.connected()].filter(
+      member => mayOwn(member) && member.address.vm !== exceptVm,
+    );
+    return Math.max(0, ...others.map(({cores}) => cores));
   }
 
   /** The number of connected VMs. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -112,6 +112,7 @@
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
         loadProgressMs: () => this.loading?.loadProgressMs ?? -Infinity,
+        hasConfig: () => this.config.current !== null,
         stopActing: () => this.closeOwners(),
         describeOrders: () => this.owner?.describeOrders() ?? null,
         discardOwner: () => {
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -87,6 +87,7 @@
           return Promise.resolve(true);
         },
         loadProgressMs: () => clock.monotonicMs(),
+        hasConfig: () => true,
         stopActing: () => undefined,
         describeOrders: () => null,
         discardOwner: () => undefined,
--- a/packages/cell/test/owner-choice.test.ts
+++ b/packages/cell/test/owner-choice.test.ts
@@ -1,9 +1,13 @@
 /** Which VM owns the cell where VMs differ in size or are cut off. */
+import {claimDelayMs} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Cell, type VmSpec} from './processes.js';
 
 const SETTLE_MS = 8000;
+const FAST_CALL_MS = 4;
+/** A call to the store at which the claim delay reaches its bound, in ms. */
+const SLOW_CALL_MS = 70;
 function large(vm: string): VmSpec {
   return {vm, domain: 'd', cores: 2};
 }
@@ -28,15 +32,59 @@
 });
 
 // Each owner that is too small makes two changes of one.
-choice('goes to a large VM rather than to a small one first', async () => {
-  const cell = new Cell([small('s1'), small('s2'), large('l1'), large('l2')]);
+for (const delayMs of [FAST_CALL_MS, SLOW_CALL_MS]) {
+  const when = `calls of large VMs take ${delayMs} ms`;
+  choice(`goes to a large VM rather than a small one, ${when}`, async () => {
+    const cell = new Cell([small('s1'), small('s2'), large('l1'), large('l2')]);
+    await cell.clock.advance(SETTLE_MS);
+    const before = cell.owners.length;
+    for (const {spec, store} of cell.running.values()) {
+      if (spec.cores > 1) store.faults.delayMs = delayMs;
+    }
+    cell.owner?.end();
+    await cell.clock.advance(SETTLE_MS);
+    const next = cell.owners.slice(before);
+    assert.is(next.length, 1, `owners: ${next}`);
+    assert.ok(next[0]?.startsWith('l'), `owners: ${next}`);
+  });
+}
+
+// The larger one does not claim, so nobody has to wait for it.
+choice('goes to a small VM at once if the large one shuts down', async () => {
+  const cell = new Cell([large('l0'), large('l1'), small('s')]);
+  await cell.clock.advance(SETTLE_MS);
+  const former = cell.actingOwner;
+  void cell.restart(former === 'l0' ? 'l1' : 'l0');
+  await cell.clock.advance(50);
+  cell.owner?.end();
+  await cell.clock.advance(700);
+  assert.is(cell.actingOwner, 's');
+});
+
+// An owner without a configuration starts nothing.
+choice('goes to a VM that has a configuration', async () => {
+  const cell = new Cell([large('a'), large('b'), large('c')]);
   await cell.clock.advance(SETTLE_MS);
-  const before = cell.owners.length;
-  void cell.crash(cell.actingOwner);
+  const [first = '', second = ''] = [...cell.running.keys()].filter(
+    vm => vm !== cell.actingOwner,
+  );
+  cell.unconfigured.add(first);
+  cell.owner?.end();
   await cell.clock.advance(SETTLE_MS);
-  const next = cell.owners.slice(before);
-  assert.is(next.length, 1, `owners: ${next}`);
-  assert.ok(next[0]?.startsWith('l'), `owners: ${next}`);
+  assert.is(cell.actingOwner, second);
+});
+
+choice('goes to a VM without a configuration if no VM has one', async () => {
+  const cell = new Cell([]);
+  for (const vm of ['s1', 's2']) cell.unconfigured.add(vm);
+  for (const vm of ['s1', 's2']) cell.start(small(vm));
+  await cell.clock.advance(700);
+  assert.is.not(cell.actingOwner, '');
+});
+
+choice('waits for less than a second before a claim', () => {
+  const worst = {rttMs: 10_000, isLargerKnown: true, hasConfig: false};
+  assert.ok(claimDelayMs(worst) < 900);
 });
 
 // A small VM can't follow all executors of a large cell.
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -86,6 +86,7 @@
       {
         loadProgressMs: () => this.loadProgressMs,
         becomeOwner: ownership => this.becomeOwner(ownership),
+        hasConfig: () => this.configVersion >= 0,
         stopActing: () => undefined,
         describeOrders: () => null,
         discardOwner: () => {
@@ -137,6 +138,16 @@
     for (const link of this.links.values()) link.notify(this.heartbeat());
   }
 
+  /** Tells the other processes if the one that is gone was the owner. */
+  reportLoss({spec}: Process): void {
+    const isOwner = spec.vm === this.election.knownOwner?.vm;
+    if (isOwner && !this.election.hasOwner()) this.broadcast();
+  }
+
+  private get configVersion(): number {
+    return this.cell.unconfigured.has(this.spec.vm) ? -1 : 1;
+  }
+
   private get load(): Load {
     return this.cell.loads.get(this.spec.vm) ?? NO_LOAD;
   }
@@ -170,7 +181,7 @@
       type: 'heartbeat',
       owner: knownOwner?.isReleased === false ? knownOwner : null,
       term: knownOwner?.term ?? 0,
-      configVersion: this.cell.unconfigured.has(this.spec.vm) ? -1 : 1,
+      configVersion: this.configVersion,
       isStoreOk: true,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
@@ -283,6 +294,7 @@
       const back = other.links.get(process);
       if (back !== undefined) other.members.remove(back);
       other.links.delete(process);
+      other.reportLoss(process);
     }
     process.links.clear();
   }
