Pass over a VM that owned the cell and did not act

A property of random VMs, loads and kills found two ways round:

- A small VM claims the cell of a large one that hangs in its load, and hands it back at once, before the large one has learned of the claim and can say that its load failed.
The VMs that saw it idle now pass the process over for 20 s themselves.
- A VM that failed and is handed the cell nevertheless ignores the handover while it still gives its own term up.
The store and the others name it as the owner, and it left the claim to them for 5 s.
It now claims a cell whose record names it at once.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -126,16 +126,25 @@
   follow(record: OwnerRecord): void {
     if (record.term <= (this.record?.term ?? 0)) return;
     this.deps.log('ownerChanged', {term: record.term, owner: record.vm});
-    this.record = record;
+    this.setRecord(record);
     if (this.ownership !== null && this.ownership.term < record.term) {
       this.ownership.revoke();
       this.stopOwning();
     }
     this.lastConnectedMs = this.deps.clock.monotonicMs();
-    this.activity.begin(record.term, this.lastConnectedMs);
     this.deps.members.setOwner(toAddress(record));
   }
 
+  /** Records a new owner; the one before is passed over if it was idle. */
+  private setRecord(record: OwnerRecord): void {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (this.record !== null && this.activity.wasIdle(nowMs)) {
+      this.deps.members.recordIdle(this.record);
+    }
+    this.record = record;
+    this.activity.begin(record.term, nowMs);
+  }
+
   /** Records that the owner of a term has released the cell. */
   markReleased(term: number): void {
     if (this.record === null || this.record.term !== term) return;
@@ -187,7 +196,7 @@
     const ownership = acceptOwnership(store, clock, self, notice);
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
-    this.record = {...self, term, isReleased: false};
+    this.setRecord({...self, term, isReleased: false});
     if (this.isDrainStarted) return void this.passOn(ownership);
     members.setOwner(self);
     void this.beginTenure(ownership);
@@ -230,7 +239,6 @@
   private async beginTenure(ownership: Ownership): Promise<void> {
     const tenure = new Tenure({...this.deps, ...this.host, ownership});
     this.tenure = tenure;
-    this.activity.begin(ownership.term, this.deps.clock.monotonicMs());
     this.recordConnectedProcesses();
     // The load reads the store, and the VM is not ready for callers meanwhile.
     this.host.setDetached(false);
@@ -388,8 +396,12 @@
     const sentMs = clock.monotonicMs();
     const snapshot = await readOwner(store);
     const rttMs = clock.monotonicMs() - sentMs;
-    if (this.followIfNewer(snapshot) || this.isLeftToOthers()) return;
-    if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
+    if (this.followIfNewer(snapshot)) return;
+    const isOwn = snapshot.record?.vm === self.vm;
+    // The others wait for a VM that the record names as the owner.
+    const isNamed = isOwn && snapshot.record?.isReleased === false;
+    if (!isNamed && this.isLeftToOthers()) return;
+    if (isOwn) return this.claim(snapshot);
     const isUnowned = snapshot.record === null || snapshot.record.isReleased;
     await clock.sleep(this.claimDelayMs(rttMs));
     if (this.hasOwner()) return;
@@ -465,8 +477,8 @@
       former: record?.vm ?? '',
       ...ownership.describeTakeover(),
     });
-    this.record = {...self, term: ownership.term, isReleased: false};
-    members.setOwner(toAddress(this.record));
+    this.setRecord({...self, term: ownership.term, isReleased: false});
+    members.setOwner(self);
     void this.beginTenure(ownership);
   }
 }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -24,6 +24,8 @@
 const MAX_HEARTBEAT_AGE_MS = 1200;
 /** How long a VM without heartbeats is assumed to be running, in ms. */
 const MEMBER_RETENTION_MS = 60_000;
+/** How long a process that owned the cell and did not act is passed over. */
+const IDLE_RETENTION_MS = 20_000;
 /** Number of VMs besides the owner to which each VM keeps a connection. */
 const NEIGHBOUR_COUNT = 2;
 
@@ -41,6 +43,12 @@
   readonly wallMs: number;
 }
 
+interface IdleProcess {
+  readonly incarnation: number;
+  /** Until when it is passed over, on the monotonic clock. */
+  readonly untilMs: number;
+}
+
 /** State of a connected VM. */
 export interface Member {
   readonly connection: CellConnection;
@@ -49,7 +57,7 @@
   readonly cores: number;
   isStoreOk: boolean;
   isDraining: boolean;
-  /** Whether it gave up a load of the state lately. */
+  /** Whether it says or has shown that it could not load the state lately. */
   hasLoadFailed: boolean;
   /** The version of its configuration; -1 before the first or if not known. */
   configVersion: number;
@@ -71,6 +79,8 @@
   private readonly drained = new Map<string, number>();
   /** When a new process of such a VM was seen, on the monotonic clock. */
   private readonly restartedMs = new Map<string, number>();
+  /** The last process of each VM that owned the cell and did not act. */
+  private readonly idle = new Map<string, IdleProcess>();
   private knownMembers: readonly OwnerAddress[] = [];
   private owner: OwnerAddress | null = null;
   private server: Server | null = null;
@@ -119,7 +129,7 @@
     const defaults = {
       isStoreOk: true,
       isDraining: false,
-      hasLoadFailed: false,
+      hasLoadFailed: this.isIdle(address),
       configVersion: -1,
       restartedMs: this.restartedMs.get(address.vm) ?? -Infinity,
       connectedOwnerTerm: 0,
@@ -141,7 +151,8 @@
       if (member.address.vm !== vm) continue;
       member.isStoreOk = heartbeat.isStoreOk;
       member.isDraining = heartbeat.isDraining;
-      member.hasLoadFailed = heartbeat.hasLoadFailed ?? false;
+      const hasSaidSo = heartbeat.hasLoadFailed ?? false;
+      member.hasLoadFailed = hasSaidSo || this.isIdle(member.address);
       member.configVersion = heartbeat.configVersion;
       if (member.isDraining) this.drained.set(vm, member.address.incarnation);
       member.connectedOwnerTerm = heartbeat.isOwnerSeen ? heartbeat.term : 0;
@@ -150,6 +161,22 @@
     }
   }
 
+  /** Records that a process owned the cell for a while and did not act. */
+  recordIdle(address: OwnerAddress): void {
+    const {vm, incarnation} = address;
+    const untilMs = this.clock.monotonicMs() + IDLE_RETENTION_MS;
+    this.idle.set(vm, {incarnation, untilMs});
+    for (const member of this.members.values()) {
+      member.hasLoadFailed ||= this.isIdle(member.address);
+    }
+  }
+
+  private isIdle({vm, incarnation}: OwnerAddress): boolean {
+    const known = this.idle.get(vm);
+    if (known === undefined || known.incarnation !== incarnation) return false;
+    return this.clock.monotonicMs() < known.untilMs;
+  }
+
   /** Records that a VM is back after it had shut down. */
   private recordRestart({vm, incarnation}: OwnerAddress): void {
     const drained = this.drained.get(vm);
--- a/packages/cell/src/owner-activity.ts
+++ b/packages/cell/src/owner-activity.ts
@@ -29,13 +29,18 @@
    * activity.begin(record.term, clock.monotonicMs());
    */
   begin(term: number, nowMs: number): void {
-    // Other VMs claim the cell somewhat before this one would.
-    if (this.idleMs(nowMs) >= IDLE_OWNER_MS / 2) this.idleOwners += 1;
+    if (this.wasIdle(nowMs)) this.idleOwners += 1;
     this.term = term;
     this.hasActed = false;
     this.sinceMs = nowMs;
   }
 
+  /** Whether the owner before was idle, when this VM learns of another one. */
+  wasIdle(nowMs: number): boolean {
+    // Other VMs claim the cell somewhat before this one would.
+    return this.idleMs(nowMs) >= IDLE_OWNER_MS / 2;
+  }
+
   /** Records whether the owner of the term has said that it acts. */
   record(term: number, isActing: boolean): void {
     if (term !== this.term || !isActing) return;
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -29,6 +29,7 @@
   setOwner: () => undefined,
   maxPeerCores: () => 0,
   isOwnerSeen: () => false,
+  recordIdle: () => undefined,
 } as unknown as Members;
 
 /** These VMs are connected. */
--- a/packages/cell/test/never-active.test.ts
+++ b/packages/cell/test/never-active.test.ts
@@ -168,6 +168,20 @@
   assert.is(cell.actingOwner, 's');
 });
 
+// It claims the cell before the hung process learns of that and can say it.
+loading('does not return at once to a large VM that hung in it', async () => {
+  const cell = new Cell([small('s')]);
+  cell.loads.set('s', {durationMs: 1000, isProgressing: true});
+  cell.loads.set('l', HUNG);
+  await cell.clock.advance(500);
+  cell.start(large('l'));
+  await cell.clock.advance(1000);
+  assert.is(cell.owner?.spec.vm, 'l');
+  await cell.clock.advance(10_000);
+  assert.is(cell.actingOwner, 's');
+  assert.equal(cell.owners, ['s', 'l', 's']);
+});
+
 // Else no owner of a large state would ever end its load.
 loading('ends a load that is slow on all VMs', async () => {
   const cell = new Cell([large('l0'), large('l1'), large('l2')]);
