--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,7 +1,9 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
-import type {Clock} from '@dragonflyward/common';
-import type {CellConnection, Member, Members} from './members.js';
-import type {HandoverNotice} from './messages.js';
+import {claimDelayMs, MAX_CLAIM_DELAY_MS} from './claim-delay.js';
+import type {ElectionDeps, ElectionHost} from './election-host.js';
+import type {CellConnection, Member} from './members.js';
+import {LoadBackoff} from './load-backoff.js';
+import type {CellHeartbeat, HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
   acceptOwnership,
@@ -14,9 +16,10 @@
   type OwnerSnapshot,
   type OwnerRecord,
 } from './ownership.js';
-import type {LogFunction} from './platform.js';
-import {StoreError, type Store} from './store.js';
-import {chooseSuccessor} from './successor.js';
+import {OwnerActivity} from './owner-activity.js';
+import {StoreError} from './store.js';
+import {chooseSuccessor, mayOwn} from './successor.js';
+import {Tenure, type Departure} from './tenure.js';
 
 /** Time between two checks of the owner, in ms. */
 const WATCH_INTERVAL_MS = 100;
@@ -26,60 +29,17 @@
 const HEARTBEAT_WAIT_MS = OWNER_HEARTBEAT_MS * 1.6;
 /** The same if this VM and its peers lost their connections to it, in ms. */
 const CONFIRMED_LOSS_WAIT_MS = 100;
-/** A VM waits this multiple of its store round trip before it claims. */
-const CLAIM_DELAY_RTT_FACTOR = 4;
-/** Upper bound of that delay, in ms. */
-const MAX_CLAIM_DELAY_MS = 250;
-/** Extra delay of a VM that knows a VM with more cores, in ms. */
-const SMALL_VM_DELAY_MS = 200;
-/** An owner to which no VM is connected releases the cell after this, in ms. */
-const ISOLATION_TIMEOUT_MS = 2000;
-/** The cell moves to a VM that has this multiple of the owner's cores. */
-const LARGER_VM_FACTOR = 1.5;
-/** Time as the owner before a larger VM is looked for, in ms. */
-const MIN_OWNED_MS = 2500;
 /** Time without an owner after which a VM counts as detached, in ms. */
 const DETACHED_AFTER_MS = 1000;
-
-/** Callbacks of the VM for changes of the owner. */
-export interface ElectionHost {
-  /**
-   * Starts to act as the owner.
-   *
-   * @returns false if the ownership was lost in the meantime
-   */
-  readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
-  /** Stops sending orders; does nothing on a VM that is not the owner. */
-  readonly stopActing: () => void;
-  /**
-   * The last orders that were sent to executors, after `stopActing`; null on a
-   * VM whose owner has not started to act.
-   */
-  readonly describeOrders: () => OrdersNotice | null;
-  /** Discards the owner's state. */
-  readonly discardOwner: () => void;
-  /** Called when the VM has had no owner for a while, or has one again. */
-  readonly setDetached: (isDetached: boolean) => void;
-  /** Sends the owner known here, and the VM's state, to the other VMs. */
-  readonly announce: () => void;
-}
-
-/** Dependencies of an election. */
-export interface ElectionDeps {
-  readonly self: OwnerAddress;
-  readonly domain: string;
-  /** Cores that the VM may use. */
-  readonly cores: number;
-  readonly members: Members;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly log: LogFunction;
-}
+/** Time after which a VM counts as detached from an owner that loads, in ms. */
+const LOADING_DETACHED_MS = 2000;
+/** Time for which a VM whose load failed leaves the claim to others, in ms. */
+const OTHERS_CLAIM_MS = 5000;
 
 /** Takes part in the owner election for one VM. */
 export class Election {
   private record: OwnerRecord | null = null;
-  private ownership: Ownership | null = null;
+  private tenure: Tenure | null = null;
   private isDrainStarted = false;
   /** The last term in which this process may have acted. */
   private actedTerm = 0;
@@ -89,16 +49,14 @@
   private lastConnectedMs: number;
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
-  private lastPeerMs: number;
-  private hasHadPeers = false;
-  private ownedSinceMs = Infinity;
+  private readonly activity = new OwnerActivity();
+  private readonly backoff = new LoadBackoff();
 
   constructor(
     private readonly deps: ElectionDeps,
     private readonly host: ElectionHost,
   ) {
     this.lastConnectedMs = deps.clock.monotonicMs();
-    this.lastPeerMs = deps.clock.monotonicMs();
   }
 
   /** Starts to watch the owner. */
@@ -124,7 +82,16 @@
 
   /** Whether this VM owns the cell or is becoming its owner. */
   get isOwner(): boolean {
-    return this.ownership !== null;
+    return this.tenure !== null;
+  }
+
+  /** Whether this VM gave up a load lately and leaves the cell to others. */
+  get hasLoadFailed(): boolean {
+    return this.backoff.isWaiting(this.deps.clock.monotonicMs());
+  }
+
+  private get ownership(): Ownership | null {
+    return this.tenure?.ownership ?? null;
   }
 
   /** Whether the VM is being shut down. */
@@ -144,11 +111,22 @@
     return this.ownerConnection() !== undefined;
   }
 
+  /** Learns from another VM who owns the cell, and whether the owner acts. */
+  recordHeartbeat(
+    {vm, incarnation}: OwnerAddress,
+    {owner, term, isActing = true}: CellHeartbeat,
+  ): void {
+    if (owner === null) return this.markReleased(term);
+    this.follow({...owner, term, isReleased: false});
+    const isSender = owner.vm === vm && owner.incarnation === incarnation;
+    if (isSender) this.activity.record(term, isActing);
+  }
+
   /** Follows an owner whose term is higher than the known one. */
   follow(record: OwnerRecord): void {
     if (record.term <= (this.record?.term ?? 0)) return;
     this.deps.log('ownerChanged', {term: record.term, owner: record.vm});
-    this.record = record;
+    this.setRecord(record);
     if (this.ownership !== null && this.ownership.term < record.term) {
       this.ownership.revoke();
       this.stopOwning();
@@ -157,6 +135,16 @@
     this.deps.members.setOwner(toAddress(record));
   }
 
+  /** Records a new owner; the one before is passed over if it was idle. */
+  private setRecord(record: OwnerRecord): void {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (this.record !== null && this.activity.wasIdle(nowMs)) {
+      this.deps.members.recordIdle(this.record);
+    }
+    this.record = record;
+    this.activity.begin(record.term, nowMs);
+  }
+
   /** Records that the owner of a term has released the cell. */
   markReleased(term: number): void {
     if (this.record === null || this.record.term !== term) return;
@@ -208,12 +196,10 @@
     const ownership = acceptOwnership(store, clock, self, notice);
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
-    this.record = {...self, term, isReleased: false};
+    this.setRecord({...self, term, isReleased: false});
     if (this.isDrainStarted) return void this.passOn(ownership);
-    this.ownership = ownership;
     members.setOwner(self);
-    this.recordConnectedProcesses();
-    void this.activate(ownership);
+    void this.beginTenure(ownership);
   }
 
   /** Whether a handover is news, and no claim of this VM is on its way. */
@@ -249,16 +235,33 @@
     this.host.announce();
   }
 
-  private async activate(ownership: Ownership): Promise<void> {
+  /** Starts to own the cell, and to act once the state is loaded. */
+  private async beginTenure(ownership: Ownership): Promise<void> {
+    const tenure = new Tenure({...this.deps, ...this.host, ownership});
+    this.tenure = tenure;
+    this.recordConnectedProcesses();
+    // The load reads the store, and the VM is not ready for callers meanwhile.
+    this.host.setDetached(false);
     const isActive = await this.host.becomeOwner(ownership);
-    if (isActive) this.ownedSinceMs = this.deps.clock.monotonicMs();
-    else if (this.ownership === ownership) this.stopOwning();
+    if (!isActive) {
+      if (this.tenure === tenure) this.stopOwning();
+      return;
+    }
+    tenure.recordActive();
+    this.activity.record(ownership.term, true);
+    this.backoff.recordSuccess();
   }
 
   private stopOwning(): void {
     this.host.stopActing();
     this.host.discardOwner();
-    this.ownership = null;
+    const nowMs = this.deps.clock.monotonicMs();
+    if (this.tenure?.hasFailedToLoad === true) {
+      this.deps.metrics.count('owner_loads_given_up_total');
+      this.backoff.recordFailure(nowMs);
+    }
+    this.tenure = null;
+    this.lastConnectedMs = nowMs;
     this.deps.log('ownerStopped', {});
   }
 
@@ -268,19 +271,20 @@
     return chooseSuccessor(members.connected(), {domain, nowMs});
   }
 
-  /** Hands the cell over to a VM that is much larger than this one. */
-  private async handOverToLarger(ownership: Ownership): Promise<void> {
-    const successor = this.chooseSuccessor();
-    if (successor === null) return;
-    if (successor.cores < this.deps.cores * LARGER_VM_FACTOR) return;
-    this.deps.log('ownerHandsToLarger', {
-      term: ownership.term,
-      successor: successor.address.vm,
-      cores: successor.cores,
-    });
+  /** Hands the cell over or releases it. */
+  private async leave(
+    {ownership}: Tenure,
+    {event, fields, successor}: Departure,
+  ): Promise<void> {
+    const {term} = ownership;
+    this.deps.log(event, {term, ...fields});
     this.host.stopActing();
-    await this.handOver(ownership, successor);
-    this.stopOwning();
+    if (successor !== null) await this.handOver(ownership, successor);
+    else await ownership.release(this.lastOrders(ownership));
+    // Unless a successor is known, the other VMs have to look for an owner.
+    this.markReleased(term);
+    if (this.ownership === ownership) this.stopOwning();
+    this.host.announce();
   }
 
   /** Writes the successor into the store and notifies it. */
@@ -324,13 +328,13 @@
   }
 
   private async watchOnce(): Promise<void> {
+    if (this.tenure !== null) return this.tickAsOwner(this.tenure);
     const nowMs = this.deps.clock.monotonicMs();
-    if (this.ownership !== null) return this.tickAsOwner(this.ownership, nowMs);
     if (this.hasOwner()) {
       this.lastConnectedMs = nowMs;
       this.connectedTerm = this.term;
-      this.host.setDetached(false);
-      return;
+      this.host.setDetached(this.activity.idleMs(nowMs) > LOADING_DETACHED_MS);
+      return this.checkLoadingOwner(nowMs);
     }
     const disconnectedMs = nowMs - this.lastConnectedMs;
     if (disconnectedMs > DETACHED_AFTER_MS) this.host.setDetached(true);
@@ -338,59 +342,68 @@
     if (isReleased || disconnectedMs > SUSPECT_AFTER_MS) await this.findOwner();
   }
 
-  private async tickAsOwner(
-    ownership: Ownership,
-    nowMs: number,
-  ): Promise<void> {
-    if (ownership.isRevoked) {
-      this.stopOwning();
-      this.lastConnectedMs = nowMs;
-      return;
-    }
-    if (this.deps.members.count > 0) {
-      this.lastPeerMs = nowMs;
-      this.hasHadPeers = true;
-    }
-    if (nowMs - this.ownedSinceMs > MIN_OWNED_MS) {
-      await this.handOverToLarger(ownership);
-    }
-    const isolatedMs = nowMs - this.lastPeerMs;
-    if (this.hasHadPeers && isolatedMs >= ISOLATION_TIMEOUT_MS) {
-      await this.releaseIsolated(ownership, isolatedMs);
+  private async tickAsOwner(tenure: Tenure): Promise<void> {
+    if (tenure.ownership.isRevoked) return this.stopOwning();
+    const departure = tenure.checkDeparture();
+    if (departure === null) return;
+    await this.leave(tenure, departure);
+    if (departure.successor !== null) return;
+    // A VM that is reachable claims the cell first.
+    await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
+  }
+
+  /** Claims the cell of an owner that is connected but does not get to act. */
+  private async checkLoadingOwner(nowMs: number): Promise<void> {
+    if (!this.activity.takeCheck(nowMs)) return;
+    const rttMs = await this.measureStore();
+    if (!this.activity.isIdle(nowMs) || this.isLeftToOthers()) return;
+    await this.deps.clock.sleep(this.claimDelayMs(rttMs));
+    await this.claimFromIdle();
+  }
+
+  /** While the store fails for this VM too, it does not blame the owner. */
+  private async measureStore(): Promise<number> {
+    const {clock, store} = this.deps;
+    const sentMs = clock.monotonicMs();
+    try {
+      this.followIfNewer(await readOwner(store));
+      return clock.monotonicMs() - sentMs;
+    } catch (err) {
+      this.activity.recordStoreFailure(clock.monotonicMs());
+      throw err;
     }
   }
 
-  /** Releases the cell while isolated, so that a reachable VM can own it. */
-  private async releaseIsolated(
-    ownership: Ownership,
-    isolatedMs: number,
-  ): Promise<void> {
-    const {term} = ownership;
-    this.deps.log('ownerIsolated', {term, aloneMs: Math.round(isolatedMs)});
-    this.hasHadPeers = false;
-    this.host.stopActing();
-    await ownership.release(this.lastOrders(ownership));
-    this.record = {...this.deps.self, term, isReleased: true};
-    this.stopOwning();
-    await this.deps.clock.sleep(MAX_CLAIM_DELAY_MS);
+  private async claimFromIdle(): Promise<void> {
+    const {clock, store, log, metrics} = this.deps;
+    // The idle owner's heartbeats move the end at which a claim is appended.
+    const snapshot = await readOwner(store);
+    const nowMs = clock.monotonicMs();
+    if (this.followIfNewer(snapshot) || !this.activity.isIdle(nowMs)) return;
+    metrics.count('idle_owner_claims_total');
+    log('ownerIdle', {
+      term: this.term,
+      owner: this.record?.vm ?? '',
+      idleMs: Math.round(this.activity.idleMs(nowMs)),
+      isReleased: snapshot.record?.isReleased ?? true,
+    });
+    await this.claim(snapshot);
   }
 
   /** Finds the owner, or claims the cell if it has no running owner. */
   private async findOwner(): Promise<void> {
-    const {clock, store, members, self, cores} = this.deps;
+    const {clock, store, members, self} = this.deps;
     const sentMs = clock.monotonicMs();
     const snapshot = await readOwner(store);
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.followIfNewer(snapshot)) return;
-    if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
-    // VMs with a short round trip claim first, so that claims do not race.
-    const rttDelayMs = Math.min(
-      MAX_CLAIM_DELAY_MS,
-      rttMs * CLAIM_DELAY_RTT_FACTOR,
-    );
-    const isSmall = members.maxPeerCores() > cores;
+    const isOwn = snapshot.record?.vm === self.vm;
+    // The others wait for a VM that the record names as the owner.
+    const isNamed = isOwn && snapshot.record?.isReleased === false;
+    if (!isNamed && this.isLeftToOthers()) return;
+    if (isOwn) return this.claim(snapshot);
     const isUnowned = snapshot.record === null || snapshot.record.isReleased;
-    await clock.sleep(rttDelayMs + (isSmall ? SMALL_VM_DELAY_MS : 0));
+    await clock.sleep(this.claimDelayMs(rttMs));
     if (this.hasOwner()) return;
     if (isUnowned) return this.claim(snapshot);
     if (members.isOwnerSeen(snapshot.record?.term ?? 0)) return;
@@ -402,6 +415,26 @@
     if (!this.hasOwner()) await this.claim(snapshot);
   }
 
+  private claimDelayMs(rttMs: number): number {
+    const {members, cores} = this.deps;
+    const isLargerKnown = members.maxPeerCores(this.record?.vm) > cores;
+    return claimDelayMs({
+      rttMs,
+      isLargerKnown,
+      hasConfig: this.host.hasConfig(),
+    });
+  }
+
+  /** Whether this VM could not load the state, and another one may claim. */
+  private isLeftToOthers(): boolean {
+    const nowMs = this.deps.clock.monotonicMs();
+    if (nowMs - this.lastConnectedMs > OTHERS_CLAIM_MS) return false;
+    const others = [...this.deps.members.connected()].filter(
+      ({address}) => address.vm !== this.record?.vm,
+    );
+    return this.hasLoadFailed && others.some(mayOwn);
+  }
+
   /**
    * Whether this VM was connected to the owner. An owner that it never reached
    * may have just started and not be connected to any VM yet.
@@ -444,11 +477,8 @@
       former: record?.vm ?? '',
       ...ownership.describeTakeover(),
     });
-    this.record = {...self, term: ownership.term, isReleased: false};
-    this.ownership = ownership;
-    this.hasHadPeers = false;
-    members.setOwner(toAddress(this.record));
-    this.recordConnectedProcesses();
-    await this.activate(ownership);
+    this.setRecord({...self, term: ownership.term, isReleased: false});
+    members.setOwner(self);
+    void this.beginTenure(ownership);
   }
 }
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -32,6 +32,16 @@
   readonly isDraining: boolean;
   /** Whether the sender is the owner or connected to it. */
   readonly isOwnerSeen: boolean;
+  /**
+   * Whether the sender gave up a load of the state lately and leaves the cell
+   * to others; missing from a sender of an earlier version, which never does.
+   */
+  readonly hasLoadFailed?: boolean;
+  /**
+   * Whether the sender, if it owns the cell, has loaded the state and acts;
+   * missing from a sender of an earlier version, which counts as acting.
+   */
+  readonly isActing?: boolean;
 }
 
 /** A job that the sender has stored; saves the owner the wait for a read. */
--- a/packages/cell/src/successor.ts
+++ b/packages/cell/src/successor.ts
@@ -13,6 +13,30 @@
   readonly nowMs: number;
 }
 
+/** Whether a VM claims the cell or accepts it for long. */
+export function mayOwn({
+  isStoreOk,
+  isDraining,
+  hasLoadFailed,
+}: Member): boolean {
+  return isStoreOk && !isDraining && !hasLoadFailed;
+}
+
+/**
+ * Whether a VM has what it needs to start tasks, seems to be running and has
+ * not failed to load the state lately.
+ *
+ * @example
+ * const isReady = canActAtOnce(member, clock.monotonicMs());
+ */
+export function canActAtOnce(
+  {configVersion, heartbeatAt, hasLoadFailed}: Member,
+  nowMs: number,
+): boolean {
+  if (configVersion < 0 || hasLoadFailed) return false;
+  return nowMs - heartbeatAt.monotonicMs < MAX_SILENCE_MS;
+}
+
 /**
  * Returns the best successor, or null for none: a VM that can act at once, then
  * the one with most cores, then one that was seen to shut down and start again
@@ -30,9 +54,7 @@
     .map(member => ({
       member,
       isLocal: member.domain === domain,
-      isReady:
-        member.configVersion >= 0 &&
-        nowMs - member.heartbeatAt.monotonicMs < MAX_SILENCE_MS,
+      isReady: canActAtOnce(member, nowMs),
       isRestarted: nowMs - member.restartedMs < ROLL_MS,
     }));
   ranked.sort(
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -4,7 +4,8 @@
 import {adviceChannels} from './advice-channels.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
-import {JobFrontend, type Lookup, type SourcedLookup} from './job-frontend.js';
+import {JobFrontend} from './job-frontend.js';
+import {JobLookup} from './job-lookup.js';
 import {JobTable} from './job-table.js';
 import {
   MemberHandler,
@@ -34,8 +35,6 @@
 
 /** Delay before a failed load of the owner's state is retried, in ms. */
 const LOAD_RETRY_DELAY_MS = 100;
-/** Timeout of a request to the owner for a job's phase, in ms. */
-const PHASE_ASK_TIMEOUT_MS = 700;
 
 /** Dependencies of a VM. */
 export interface VmDeps {
@@ -58,9 +57,12 @@
   private readonly store: RelayedStore;
   private readonly config: ConfigFeed;
   private readonly storedJobs: StoredJobs;
+  private readonly lookups: JobLookup;
   private readonly freshness: TableFreshness;
   private readonly election: Election;
   private owner: Owner | null = null;
+  /** An owner that still loads its state. */
+  private loading: Owner | null = null;
 
   constructor(private readonly deps: VmDeps) {
     super();
@@ -85,6 +87,14 @@
       },
     });
     this.storedJobs = new StoredJobs(this.store, clock, this.table);
+    this.lookups = new JobLookup({
+      owner: () => this.owner,
+      ownerConnection: () => this.election.ownerConnection(),
+      term: () => this.election.term,
+      storedJobs: this.storedJobs,
+      clock,
+      log,
+    });
     this.frontend = new JobFrontend({
       store: this.store,
       jobsTopic: jobsTopicFor(self.vm),
@@ -92,7 +102,7 @@
       metrics,
       log,
       table: this.table,
-      lookup: (id, timeoutMs) => this.lookup(id, timeoutMs),
+      lookup: (id, timeoutMs) => this.lookups.find(id, timeoutMs),
       notifyJob: (id, value) => this.notifyJob(id, value),
       notifyCancel: id => this.notifyCancel(id),
       isTableFresh: () => this.isTableFresh(),
@@ -102,7 +112,9 @@
       {...deps, store, members},
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
-        stopActing: () => this.owner?.close(),
+        loadProgressMs: () => this.loading?.loadProgressMs ?? -Infinity,
+        hasConfig: () => this.config.current !== null,
+        stopActing: () => this.closeOwners(),
         describeOrders: () => this.owner?.describeOrders() ?? null,
         discardOwner: () => {
           this.owner = null;
@@ -130,7 +142,10 @@
     return this.config.current;
   }
 
-  /** Whether this VM is ready to serve callers. */
+  /**
+   * Whether this VM is ready to serve callers. It is while the owner that it is
+   * connected to loads the state: it stores jobs and answers from the store.
+   */
   get isReady(): boolean {
     if (this.election.isDraining || this.config.current === null) return false;
     return this.owner !== null || this.election.hasOwner();
@@ -139,7 +154,7 @@
   /** Stops everything that the VM runs. */
   close(): void {
     this.election.close();
-    this.owner?.close();
+    this.closeOwners();
     this.config.stop();
     this.storedJobs.stop();
     this.members.close();
@@ -163,6 +178,8 @@
       isStoreOk: this.store.isDirectAvailable,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
+      hasLoadFailed: this.election.hasLoadFailed,
+      isActing: this.owner !== null,
     };
   }
 
@@ -172,7 +189,7 @@
   ): Promise<CellProtocol['reply']> {
     switch (ask.type) {
       case 'phaseAsk':
-        return {type: 'phase', ...(await this.lookupAsOwner(ask.id))};
+        return {type: 'phase', ...(await this.lookups.answer(ask.id))};
       case 'adviceAsk':
         return {type: 'advice', tickets: await this.advise(ask)};
       case 'configAsk':
@@ -231,14 +248,7 @@
 
   private handleHeartbeat(from: CellPeerInfo, heartbeat: CellHeartbeat): void {
     this.members.recordHeartbeat(from.self.vm, heartbeat);
-    if (heartbeat.owner === null) this.election.markReleased(heartbeat.term);
-    else {
-      this.election.follow({
-        ...heartbeat.owner,
-        term: heartbeat.term,
-        isReleased: false,
-      });
-    }
+    this.election.recordHeartbeat(from.self, heartbeat);
     if (heartbeat.configVersion > this.config.version) {
       void this.config.requestFromPeer(from.self);
     }
@@ -290,48 +300,18 @@
     this.election.ownerConnection()?.notify({type: 'cancel', id});
   }
 
-  private async lookupAsOwner(id: string): Promise<Lookup> {
-    const timeoutMs = PHASE_ASK_TIMEOUT_MS;
-    const lookup = await this.owner?.lookup(id, timeoutMs);
-    return lookup ?? {row: null, isSure: false};
-  }
-
-  private async lookup(id: string, timeoutMs: number): Promise<SourcedLookup> {
-    const {term} = this.election;
-    if (this.owner !== null) {
-      const own = await this.owner.lookup(id, timeoutMs);
-      return {...own, source: 'ownState', term};
-    }
-    const startMs = this.deps.clock.monotonicMs();
-    const reply = await this.askOwner(id, timeoutMs);
-    if (reply !== null) return {...reply, source: 'owner', term};
-    const elapsedMs = this.deps.clock.monotonicMs() - startMs;
-    const stored = await this.storedJobs.lookup(id, timeoutMs - elapsedMs);
-    return {...stored, source: 'store', term};
-  }
-
-  /** Returns the owner's answer, or null if there is none. */
-  private async askOwner(
-    id: string,
-    timeoutMs: number,
-  ): Promise<Lookup | null> {
-    const connection = this.election.ownerConnection();
-    if (connection === undefined) return null;
-    const askTimeoutMs = Math.max(1, Math.min(timeoutMs, PHASE_ASK_TIMEOUT_MS));
-    try {
-      const reply = await connection.ask({type: 'phaseAsk', id}, askTimeoutMs);
-      return reply.type === 'phase' ? reply : null;
-    } catch (err) {
-      this.deps.log('phaseAskFailed', {job: id, err: String(err)});
-      return null;
-    }
+  private closeOwners(): void {
+    this.owner?.close();
+    this.loading?.close();
   }
 
   private async becomeOwner(ownership: Ownership): Promise<boolean> {
     const owner = this.createOwner(ownership);
     // Its own load needs the link.
     this.storedJobs.stop();
+    this.loading = owner;
     const isStarted = await this.loadOwner(owner, ownership);
+    if (this.loading === owner) this.loading = null;
     if (!isStarted || ownership.isRevoked) {
       owner.close();
       return false;
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -1,5 +1,5 @@
 /** When a VM claims the cell, and when it leaves it to the current owner. */
-import {ManualClock} from '@dragonflyward/common';
+import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   claimCell,
   Election,
@@ -29,6 +29,7 @@
   setOwner: () => undefined,
   maxPeerCores: () => 0,
   isOwnerSeen: () => false,
+  recordIdle: () => undefined,
 } as unknown as Members;
 
 /** These VMs are connected. */
@@ -78,6 +79,7 @@
         members,
         store,
         clock,
+        metrics: new Metrics(),
         log: () => undefined,
       },
       {
@@ -85,6 +87,8 @@
           owned.push(ownership);
           return Promise.resolve(true);
         },
+        loadProgressMs: () => clock.monotonicMs(),
+        hasConfig: () => true,
         stopActing: () => undefined,
         describeOrders: () => null,
         discardOwner: () => undefined,
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -1,5 +1,5 @@
 /** Processes that take part in the elections of one cell, on one clock. */
-import {ManualClock} from '@dragonflyward/common';
+import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   Election,
   Members,
@@ -9,9 +9,10 @@
   type CellProtocol,
   type MemberHandler,
   type OwnerAddress,
+  type Ownership,
 } from '@dragonflyward/cell';
 import * as assert from 'uvu/assert';
-import {MemoryStore, StoreClient} from './memory-store.js';
+import {MemoryStore, StoreClient, type StoreFaults} from './memory-store.js';
 
 /** Interval of the heartbeats between processes, in ms. */
 export const HEARTBEAT_PERIOD_MS = 500;
@@ -30,6 +31,19 @@
   readonly cores: number;
 }
 
+/** How a process loads the stored state when it becomes the owner. */
+export interface Load {
+  /** How long it takes while the store answers, in ms; Infinity: no end. */
+  readonly durationMs: number;
+  /** Whether it seems to make progress all the while. */
+  readonly isProgressing: boolean;
+}
+
+/** A load that ends at once. */
+const NO_LOAD: Load = {durationMs: 0, isProgressing: true};
+/** Interval at which a load checks whether it is done or given up, in ms. */
+const LOAD_STEP_MS = 50;
+
 /** One process, connected to all others. */
 export class Process {
   readonly election: Election;
@@ -38,6 +52,16 @@
   readonly store: StoreClient;
   readonly links = new Map<Process, CellConnection>();
   isRunning = true;
+  /** Whether its heartbeats lack the newest fields. */
+  isEarlierVersion = false;
+  /** Whether it has loaded the state and sends orders. */
+  isActing = false;
+  /** Whether it reads the jobs from the store for callers. */
+  isDetached = false;
+  /** Loads that have not ended. */
+  loads = 0;
+  readonly metrics = new Metrics();
+  private loadProgressMs = 0;
 
   constructor(
     private readonly cell: Cell,
@@ -56,14 +80,21 @@
         members,
         store,
         clock,
+        metrics: this.metrics,
         log: event => cell.recordEvent(this, event),
       },
       {
-        becomeOwner: () => Promise.resolve(true),
+        loadProgressMs: () => this.loadProgressMs,
+        becomeOwner: ownership => this.becomeOwner(ownership),
+        hasConfig: () => this.configVersion >= 0,
         stopActing: () => undefined,
         describeOrders: () => null,
-        discardOwner: () => undefined,
-        setDetached: () => undefined,
+        discardOwner: () => {
+          this.isActing = false;
+        },
+        setDetached: isDetached => {
+          this.isDetached = isDetached;
+        },
         announce: () => this.broadcast(),
       },
     );
@@ -100,25 +131,61 @@
     if (notice.type === 'handover') this.election.acceptHandover(notice);
     if (notice.type !== 'heartbeat') return;
     this.members.recordHeartbeat(from.spec.vm, notice);
-    const {owner, term} = notice;
-    if (owner === null) this.election.markReleased(term);
-    else this.election.follow({...owner, term, isReleased: false});
+    this.election.recordHeartbeat(from.self, notice);
   }
 
   broadcast(): void {
     for (const link of this.links.values()) link.notify(this.heartbeat());
   }
 
+  /** Tells the other processes if the one that is gone was the owner. */
+  reportLoss({spec}: Process): void {
+    const isOwner = spec.vm === this.election.knownOwner?.vm;
+    if (isOwner && !this.election.hasOwner()) this.broadcast();
+  }
+
+  private get configVersion(): number {
+    return this.cell.unconfigured.has(this.spec.vm) ? -1 : 1;
+  }
+
+  private get load(): Load {
+    return this.cell.loads.get(this.spec.vm) ?? NO_LOAD;
+  }
+
+  private async becomeOwner(ownership: Ownership): Promise<boolean> {
+    this.loads += 1;
+    this.loadProgressMs = this.clockMs();
+    for (let loadedMs = 0; loadedMs < this.load.durationMs;) {
+      await this.cell.clock.sleep(LOAD_STEP_MS);
+      if (ownership.isRevoked) break;
+      const {isRefusing, isSilent} = this.store.faults;
+      if (isRefusing || isSilent) continue;
+      loadedMs += LOAD_STEP_MS;
+      if (this.load.isProgressing) this.loadProgressMs = this.clockMs();
+    }
+    this.loads -= 1;
+    if (ownership.isRevoked || !this.isRunning) return false;
+    this.isActing = true;
+    this.cell.active.push(this.spec.vm);
+    this.broadcast();
+    return true;
+  }
+
   private heartbeat(): CellHeartbeat {
     const {knownOwner, isDraining, isOwner} = this.election;
+    const fields = {
+      hasLoadFailed: this.election.hasLoadFailed,
+      isActing: this.isActing,
+    };
     return {
       type: 'heartbeat',
       owner: knownOwner?.isReleased === false ? knownOwner : null,
       term: knownOwner?.term ?? 0,
-      configVersion: 1,
+      configVersion: this.configVersion,
       isStoreOk: true,
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
+      ...(this.isEarlierVersion ? {} : fields),
     };
   }
 
@@ -137,6 +204,12 @@
   readonly running = new Map<string, Process>();
   /** The VMs that have become the owner, in this order. */
   readonly owners: string[] = [];
+  /** Those that have loaded the state, in this order. */
+  readonly active: string[] = [];
+  /** How VMs load the state; those that are missing load it at once. */
+  readonly loads = new Map<string, Load>();
+  /** The VMs that have not received a configuration. */
+  readonly unconfigured = new Set<string>();
   /** How many of them claimed the cell. */
   claims = 0;
   /** By how much notices of handovers are later than other messages, in ms. */
@@ -144,6 +217,7 @@
   /** How many of the next handovers get no notice. */
   lostHandovers = 0;
   private nextIncarnation = 1;
+  private readonly isolated = new Set<Process>();
 
   constructor(specs: readonly VmSpec[]) {
     for (const spec of specs) this.start(spec);
@@ -153,6 +227,19 @@
     return [...this.running.values()].find(({election}) => election.isOwner);
   }
 
+  /** The VM that owns the cell and has loaded its state; empty for none. */
+  get actingOwner(): string {
+    const {owner} = this;
+    return owner?.isActing === true ? owner.spec.vm : '';
+  }
+
+  /** Sets the faults of the store for all VMs that run. */
+  setStoreFaults(faults: Partial<StoreFaults>): void {
+    for (const {store} of this.running.values()) {
+      Object.assign(store.faults, faults);
+    }
+  }
+
   recordEvent({spec}: Process, event: string): void {
     if (event === 'ownerClaimed') this.claims += 1;
     if (event === 'ownerClaimed' || event === 'ownerTakesOver') {
@@ -188,21 +275,36 @@
     this.disconnect(process);
   }
 
+  /** Cuts a VM off from all others, but not from the store. */
+  isolate(vm: string): void {
+    const process = this.running.get(vm);
+    assert.ok(process);
+    this.isolated.add(process);
+    this.closeLinks(process);
+  }
+
   disconnect(process: Process): void {
     this.running.delete(process.spec.vm);
+    this.closeLinks(process);
+  }
+
+  private closeLinks(process: Process): void {
     for (const [other, link] of process.links) {
       process.members.remove(link);
       const back = other.links.get(process);
       if (back !== undefined) other.members.remove(back);
       other.links.delete(process);
+      other.reportLoss(process);
     }
     process.links.clear();
   }
 
-  private start(spec: VmSpec): void {
+  /** Starts a process of a VM that is not running. */
+  start(spec: VmSpec): void {
     const process = new Process(this, spec, this.nextIncarnation);
     this.nextIncarnation += 1;
     for (const other of this.running.values()) {
+      if (this.isolated.has(other)) continue;
       this.link(process, other);
       this.link(other, process);
     }
