--- a/packages/cell/test/narrow-load.test.ts
+++ b/packages/cell/test/narrow-load.test.ts
@@ -25,6 +25,8 @@
 const SETTLE_MS = 4000;
 /** How long a load waits until the progress topic is open, with a margin. */
 const OPEN_BOUND_MS = 4000;
+/** Between regions, in ms. */
+const ROUND_TRIP_MS = 34;
 const PAYLOAD = 'x'.repeat(900);
 const REPETITION = {times: 1, firstMs: 0, intervalMs: 0};
 
@@ -199,4 +201,14 @@
   rig.kill(node);
 });
 
+// Each call in turn costs a round trip: the claim and the read before it, the
+// first append to the progress topic, and then one page of each topic at once.
+load('takes four round trips if each topic is one page', async () => {
+  const rig = await storedCell(600);
+  const node = rig.newNode('v0');
+  node.store.faults.delayMs = ROUND_TRIP_MS;
+  const tookMs = await loadTimeMs(rig, node, NEVER_MS);
+  assert.is(tookMs, 4 * ROUND_TRIP_MS);
+});
+
 load.run();
