Let a VM that has not failed claim before those that have

A VM whose last load failed, however long ago, claims after all others (800 ms more). All VMs check an idle owner when its time is over, and not within a second of that, so that the delays of the claims count; and an owner counts as idle for the doubling only after about its whole time, not after the first 4 s.

--- a/packages/cell/src/claim-delay.ts
+++ b/packages/cell/src/claim-delay.ts
@@ -13,6 +13,10 @@
 /** Extra delay of a VM that could start nothing yet, in ms. */
 const NO_CONFIG_DELAY_MS = MAX_NOTICE_DELAY_MS + CLAIM_MS;
 
+/** Extra delay of a VM whose last load failed: longer than all others, in ms. */
+const FAILED_LOAD_DELAY_MS =
+  MAX_CLAIM_DELAY_MS + SMALL_VM_DELAY_MS + NO_CONFIG_DELAY_MS;
+
 /** What a VM knows of itself and of others before it claims. */
 export interface Claimant {
   /** The round trip of its newest call to the store, in ms. */
@@ -20,6 +24,8 @@
   /** Whether a VM with more cores is connected that may own the cell. */
   readonly isLargerKnown: boolean;
   readonly hasConfig: boolean;
+  /** Whether the last load of the state failed here, however long ago. */
+  readonly hasFailed: boolean;
 }
 
 /**
@@ -27,16 +33,18 @@
  * claims do not race; but after the larger ones had their turn.
  *
  * @example
- * await clock.sleep(claimDelayMs({rttMs, isLargerKnown, hasConfig}));
+ * await clock.sleep(claimDelayMs(claimant));
  */
 export function claimDelayMs({
   rttMs,
   isLargerKnown,
   hasConfig,
+  hasFailed,
 }: Claimant): number {
   return (
     Math.min(MAX_CLAIM_DELAY_MS, rttMs * CLAIM_DELAY_RTT_FACTOR) +
     (isLargerKnown ? SMALL_VM_DELAY_MS : 0) +
-    (hasConfig ? 0 : NO_CONFIG_DELAY_MS)
+    (hasConfig ? 0 : NO_CONFIG_DELAY_MS) +
+    (hasFailed ? FAILED_LOAD_DELAY_MS : 0)
   );
 }
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -422,6 +422,7 @@
       rttMs,
       isLargerKnown,
       hasConfig: this.host.hasConfig(),
+      hasFailed: this.backoff.hasFailed,
     });
   }
 
--- a/packages/cell/src/load-backoff.ts
+++ b/packages/cell/src/load-backoff.ts
@@ -28,6 +28,11 @@
     this.untilMs = -Infinity;
   }
 
+  /** Whether the last load failed. */
+  get hasFailed(): boolean {
+    return this.failures > 0;
+  }
+
   /** Whether the VM leaves the cell to others. */
   isWaiting(nowMs: number): boolean {
     return nowMs < this.untilMs;
--- a/packages/cell/src/owner-activity.ts
+++ b/packages/cell/src/owner-activity.ts
@@ -8,6 +8,8 @@
 /** The longest such time, in ms. */
 const MAX_IDLE_OWNER_MS = 64_000;
 
+/** By how much another VM may claim the cell before this one would, in ms. */
+const MAX_LEAD_MS = 2500;
 /** Time after which the store is read to check an owner that loads, in ms. */
 const CHECK_AFTER_MS = 2000;
 /** Time between two such reads, in ms. */
@@ -37,8 +39,7 @@
 
   /** Whether the owner before was idle, when this VM learns of another one. */
   wasIdle(nowMs: number): boolean {
-    // Other VMs claim the cell somewhat before this one would.
-    return this.idleMs(nowMs) >= IDLE_OWNER_MS / 2;
+    return this.idleMs(nowMs) >= this.boundMs - MAX_LEAD_MS;
   }
 
   /** Records whether the owner of the term has said that it acts. */
@@ -51,7 +52,11 @@
   /** Whether it is time to check by the store whether a load could go on. */
   takeCheck(nowMs: number): boolean {
     if (this.idleMs(nowMs) < CHECK_AFTER_MS) return false;
-    if (nowMs - this.checkedMs < CHECK_INTERVAL_MS) return false;
+    // All VMs check when the time is over, else the delays of claims mix up.
+    const isOver = this.isIdle(nowMs);
+    const isNew = this.checkedMs < this.sinceMs + this.boundMs;
+    const isDue = nowMs - this.checkedMs >= CHECK_INTERVAL_MS;
+    if (!isDue && !(isOver && isNew)) return false;
     this.checkedMs = nowMs;
     return true;
   }
@@ -71,7 +76,10 @@
    * has twice as long, so that a load that is slow everywhere ends.
    */
   isIdle(nowMs: number): boolean {
-    const boundMs = IDLE_OWNER_MS * 2 ** this.idleOwners;
-    return this.idleMs(nowMs) >= Math.min(MAX_IDLE_OWNER_MS, boundMs);
+    return this.idleMs(nowMs) >= this.boundMs;
+  }
+
+  private get boundMs(): number {
+    return Math.min(MAX_IDLE_OWNER_MS, IDLE_OWNER_MS * 2 ** this.idleOwners);
   }
 }
--- a/packages/cell/test/never-active.test.ts
+++ b/packages/cell/test/never-active.test.ts
@@ -182,6 +182,19 @@
   assert.equal(cell.owners, ['s', 'l', 's']);
 });
 
+// Its back-off has ended, and its round trip to the store is shorter.
+loading('goes to a VM that has not failed before one that has', async () => {
+  const cell = await startSmall(2);
+  await cell.clock.advance(30_000);
+  assert.equal(cell.running.get('s')?.election.hasLoadFailed, false);
+  const [, former] = cell.owners;
+  const other = former === 's0' ? 's1' : 's0';
+  Object.assign(cell.running.get(other)?.store.faults ?? {}, {delayMs: 70});
+  cell.owner?.end();
+  await cell.clock.advance(SETTLE_MS);
+  assert.equal(cell.owners, ['s', former, other]);
+});
+
 // Else no owner of a large state would ever end its load.
 loading('ends a load that is slow on all VMs', async () => {
   const cell = new Cell([large('l0'), large('l1'), large('l2')]);
