End the transfers of a load that is given up

Callers waited 2 s longer for an owner that acts: a small VM that loaded the state wanted to hand the cell to a larger one, but what it had asked for kept its link of 10 Mbit/s full.

An owner that is closed aborts its page reads.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -132,6 +132,7 @@
   /** Stops following. */
   stop(): void {
     this.isStopped = true;
+    this.progress.stop();
     this.jobs.stop();
     this.executors.stop();
   }
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -106,6 +106,7 @@
   /** Stops following. */
   stop(): void {
     this.isStopped = true;
+    this.topicLoad.abort();
   }
 
   private newLoad(): TopicLoad {
--- a/packages/cell/src/progress-load.ts
+++ b/packages/cell/src/progress-load.ts
@@ -39,6 +39,11 @@
     return this.records;
   }
 
+  /** Stops reading; a load that is under way fails. */
+  stop(): void {
+    this.topicLoad.abort();
+  }
+
   /** Describes the load for the log. */
   get report(): TopicLoadReport {
     const {report} = this.topicLoad;
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -103,6 +103,7 @@
     topic: string,
     after: string,
     onData: (bytes: number) => void = () => undefined,
+    signal?: AbortSignal,
   ): Promise<NewestPage> {
     const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
     const call = {op: 'newest', topic, after} as const;
@@ -119,12 +120,13 @@
     };
     const direct = this.settle(
       this.trackDirect(() =>
-        this.direct.newestPage(topic, after, onDirectData),
+        this.direct.newestPage(topic, after, onDirectData, signal),
       ),
     );
     if (peers.length === 0) return pageOf(await direct);
     const result = await this.settleUnlessCut(direct, () => hasBegun);
     if (result !== null && isAnswered(result)) return pageOf(result);
+    if (signal?.aborted === true) return pageOf(await direct);
     return pageOf(await firstSuccess(direct, relay()));
   }
 
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -116,6 +116,7 @@
    *
    * @param onData called with 0 when the response begins, then with the size
    *     of each part that arrives
+   * @param signal ends the transfer, so that the link is free; the call fails
    * @throws StoreError
    * @example
    * const first = await store.newestPage('keyed.jobs-0', '');
@@ -124,5 +125,6 @@
     topic: string,
     after: string,
     onData?: (bytes: number) => void,
+    signal?: AbortSignal,
   ): Promise<NewestPage>;
 }
--- a/packages/cell/src/topic-load.ts
+++ b/packages/cell/src/topic-load.ts
@@ -43,6 +43,7 @@
     applyMs: 0,
   };
   private err = '';
+  private readonly aborter = new AbortController();
   /** The most bytes of the next page that have arrived in one call. */
   private pageBytes = 0;
 
@@ -70,6 +71,11 @@
     }
   }
 
+  /** Ends the transfer of a page: other calls of the VM need its link. */
+  abort(): void {
+    this.aborter.abort();
+  }
+
   /** Describes the load for the log. */
   get report(): TopicLoadReport {
     const {topic, counts, err} = this;
@@ -103,11 +109,13 @@
     let begunMs = NaN;
     let bytes = 0;
     try {
-      return await store.newestPage(topic, after, part => {
+      const onData = (part: number): void => {
         if (Number.isNaN(begunMs)) begunMs = clock.monotonicMs();
         bytes += part;
         this.recordBytes(part, bytes);
-      });
+      };
+      const {signal} = this.aborter;
+      return await store.newestPage(topic, after, onData, signal);
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
       counts.failures += 1;
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -354,6 +354,7 @@
         return await owner.start(this.config.current);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
+        if (ownership.isRevoked) break;
         const {failure} = err;
         this.deps.log('ownerLoadFailed', {failure, ...owner.describeLoad()});
         await this.deps.clock.sleep(LOAD_RETRY_DELAY_MS);
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -261,8 +261,9 @@
     topic: string,
     after: string,
     onData?: (bytes: number) => void,
+    signal?: AbortSignal,
   ): Promise<NewestPage> {
-    return this.fetchPage(topic, after, WHILE_IDLE, onData);
+    return this.fetchPage(topic, after, WHILE_IDLE, onData, signal);
   }
 
   private async fetchPage(
@@ -270,6 +271,7 @@
     after: string,
     bound: CallBound,
     onData: (bytes: number) => void = () => undefined,
+    signal?: AbortSignal,
   ): Promise<NewestPage> {
     await this.simulateCall(bound.firstByteMs);
     const page = this.memory.newestPage(topic, after);
@@ -277,7 +279,7 @@
     this.newestPages += 1;
     this.newestBytes += bytes;
     onData(0);
-    await this.link.carry(bytes, bound, onData);
+    await this.link.carry(bytes, bound, onData, signal);
     return page;
   }
 
--- a/packages/cell/test/narrow-link.ts
+++ b/packages/cell/test/narrow-link.ts
@@ -42,6 +42,7 @@
     bytes: number,
     bound: TransferBound,
     onData: (bytes: number) => void = () => undefined,
+    signal?: AbortSignal,
   ): Promise<void> {
     // An unlimited link takes no turn of the clock.
     if (this.bytesPerS() === Infinity) return onData(bytes);
@@ -51,6 +52,7 @@
       const partMs = clock.monotonicMs();
       const part = Math.min(PART_BYTES, bytes - sent);
       await this.carryPart(part);
+      if (signal?.aborted === true) throw new StoreError('unknown', 'aborted');
       const nowMs = clock.monotonicMs();
       if (nowMs - startMs > bound.totalMs || nowMs - partMs > bound.idleMs) {
         throw new StoreError('unknown', `${sent} of ${bytes} bytes arrived`);
--- a/packages/cell/test/narrow-load.test.ts
+++ b/packages/cell/test/narrow-load.test.ts
@@ -201,6 +201,26 @@
   rig.kill(node);
 });
 
+// The rest of the load kept the link full, so that the handover that ended it
+// took too long to be confirmed.
+load('leaves the link to other calls once the owner is closed', async () => {
+  const rig = await storedCell(2400);
+  const node = rig.newNode('small');
+  node.store.faults.linkBytesPerS = 10e6 / 8;
+  void ignoringStore(rig.claim(node));
+  await rig.run(1000);
+  ownerOf(node).close();
+  await rig.run(STEP_MS);
+  const closedMs = rig.clock.monotonicMs();
+  const reading = node.store.newestPage(JOBS_TOPICS[0] ?? '', '');
+  let tookMs = Infinity;
+  void reading.then(() => (tookMs = rig.clock.monotonicMs() - closedMs));
+  await rig.run(NEVER_MS);
+  const aloneMs = (storedBytes(rig) / node.store.faults.linkBytesPerS) * 1000;
+  assert.ok(tookMs < aloneMs / 4, `${tookMs} ms for a page, ${aloneMs} ms all`);
+  rig.kill(node);
+});
+
 // Each call in turn costs a round trip: the claim and the read before it, the
 // first append to the progress topic, and then one page of each topic at once.
 load('takes four round trips if each topic is one page', async () => {
