Keep a released request id released when a claim is passed on

Callers saw duplicateId for a request that had been refused as not run and was sent again. The owner of a shard handles a release only if it has recorded the claim and its term has started. A release that comes before the former owner's claims, or before the first request of the term, was dropped, and the claim that was passed on then counted as used for the rest of its window.

The detector now remembers released claims for the window (bounded), and the registry keeps releases until the term starts. A release names the id of one attempt, so that it cannot end the claim of another one.

--- a/packages/scheduler/src/duplicate-detector.ts
+++ b/packages/scheduler/src/duplicate-detector.ts
@@ -36,6 +36,8 @@
 /** The claims of one shard in one term. */
 export class DuplicateDetector {
   private readonly claims = new Map<string, Claim>();
+  /** When each released claim was released, by its id; the oldest first. */
+  private readonly releasedMs = new Map<string, number>();
   private readonly startedMs: number;
   private readonly startedWallMs: number;
   /** Whether the claims of all earlier owners are known. */
@@ -73,8 +75,16 @@
     return isVouched;
   }
 
-  /** Releases a claim; only the attempt that made it may do so. */
+  /**
+   * Releases a claim; only the attempt that made it may do so. A former owner
+   * or a gateway may pass the claim on only after that.
+   */
   release(notice: RequestRelease): void {
+    this.dropExpired();
+    const [oldest] = this.releasedMs.keys();
+    const isFull = this.releasedMs.size >= MAX_CLAIMS;
+    if (isFull && oldest !== undefined) this.releasedMs.delete(oldest);
+    this.releasedMs.set(notice.claimId, this.clock.monotonicMs());
     const claim = this.claims.get(notice.key);
     if (claim?.claimId === notice.claimId) this.claims.delete(notice.key);
   }
@@ -104,6 +114,7 @@
     const nowMs = this.clock.monotonicMs();
     const all = [...this.claims];
     for (const {key, claimId, ageMs} of claims) {
+      if (this.releasedMs.has(claimId)) continue;
       all.push([key, {claimId, atMs: nowMs - ageMs}]);
     }
     all.sort(([, a], [, b]) => a.atMs - b.atMs);
@@ -142,8 +153,12 @@
   private dropExpired(): void {
     const beforeMs = this.clock.monotonicMs() - REQUEST_CLAIM_WINDOW_MS;
     for (const [key, claim] of this.claims) {
-      if (claim.atMs > beforeMs) return;
+      if (claim.atMs > beforeMs) break;
       this.claims.delete(key);
     }
+    for (const [claimId, atMs] of this.releasedMs) {
+      if (atMs > beforeMs) break;
+      this.releasedMs.delete(claimId);
+    }
   }
 }
--- a/packages/scheduler/src/request-claim-registry.ts
+++ b/packages/scheduler/src/request-claim-registry.ts
@@ -12,11 +12,16 @@
 } from '@dragonflyward/peer';
 import {DuplicateDetector, UNTIMED_ID_WINDOW_MS} from './duplicate-detector.js';
 
+/** Releases kept until the term starts; the oldest are dropped first. */
+const MAX_PENDING_RELEASES = 10_000;
+
 /** The claimed request ids of one shard; confirms none before a term starts. */
 export class RequestClaimRegistry {
   private detector: DuplicateDetector | undefined;
   private imported: RequestClaims | undefined;
   private readonly pending: PassedClaim[] = [];
+  /** Releases that came before the term started. */
+  private readonly pendingReleases: RequestRelease[] = [];
   /** Gateways that listed their claims and ran for the whole window. */
   private readonly reporters = new Set<string>();
   private gatewayCount = 1;
@@ -26,6 +31,9 @@
   /** Starts a term, with the claims that were reported before it. */
   startTerm(term: number): void {
     this.detector = new DuplicateDetector(this.clock, term);
+    for (const notice of this.pendingReleases.splice(0)) {
+      this.detector.release(notice);
+    }
     if (this.imported !== undefined) this.detector.importClaims(this.imported);
     this.merge();
   }
@@ -64,7 +72,11 @@
 
   /** Releases a claim. */
   release(notice: RequestRelease): void {
-    this.detector?.release(notice);
+    if (this.detector !== undefined) return this.detector.release(notice);
+    if (this.pendingReleases.length >= MAX_PENDING_RELEASES) {
+      this.pendingReleases.shift();
+    }
+    this.pendingReleases.push(notice);
   }
 
   /** Lists the claims for the next owner; undefined before a term started. */
--- a/packages/scheduler/test/ticket-issuer.test.ts
+++ b/packages/scheduler/test/ticket-issuer.test.ts
@@ -411,6 +411,42 @@
   },
 );
 
+// The former owner passed on a claim whose release it had not read.
+promiseTest(
+  tickets,
+  'not-run-true',
+  'a claim that was released before it is passed on stays released',
+  async () => {
+    const clock = new ManualClock(1_000_000);
+    const first = new DuplicateDetector(clock, 1);
+    assert.is(claimResult(first, claimOf('a')), 'new');
+    const second = new DuplicateDetector(clock, 2);
+    second.release({...claimOf('a'), type: 'requestRelease'});
+    second.importClaims(first.exportClaims('north-1'));
+    const repeat = {...claimOf('a'), claimId: 'c-2'};
+    assert.is(claimResult(second, repeat), 'new');
+    const other = {...claimOf('a'), claimId: 'c-3'};
+    assert.is(claimResult(second, other), 'duplicateId');
+  },
+);
+
+// No request of the term had come before the release.
+promiseTest(
+  tickets,
+  'not-run-true',
+  'a release before the first claim of a term counts',
+  async () => {
+    const made = new IssuerHarness(new ManualClock(1_000_000), 2);
+    const former = new DuplicateDetector(made.clock, 1);
+    assert.is(claimResult(former, claimOf('a')), 'new');
+    made.issuer.importClaims(former.exportClaims('north-1'));
+    made.issuer.release({...claimOf('a'), type: 'requestRelease'});
+    const repeat = {...claimOf('a'), claimId: 'c-2'};
+    assert.is(made.issuer.claim(repeat, 2).isVouched, true);
+    await made.settle();
+  },
+);
+
 tickets(
   'a detector that wrongly assumes the first term misses a duplicate',
   async () => {
