Send a release that the owner may not have read again

Callers saw duplicateId for a request that had been refused as not run and was sent again. A gateway dropped the release of the id's claim where it had no connection to the owner, and did not notice that a release was lost on a connection that had ended, as after a stall of its process.

Repetitions do no harm: a release names the id of one attempt. A gateway that ends still loses what it has not sent.

--- a/packages/caller/src/gateway.ts
+++ b/packages/caller/src/gateway.ts
@@ -175,7 +175,10 @@
       configAgeMs: () => this.config.ageMs(),
       isDraining: () => this.isDraining,
       onOwnerHeartbeat: shards => {
-        for (const shard of shards) this.tickets.sendPendingCloses(shard);
+        for (const shard of shards) {
+          this.tickets.sendPendingCloses(shard);
+          this.tickets.sendPendingReleases(shard);
+        }
       },
     });
   }
--- a/packages/caller/src/mesh-ticket-source.ts
+++ b/packages/caller/src/mesh-ticket-source.ts
@@ -115,6 +115,11 @@
     }
   }
 
+  /** Sends the releases that the owner of the shard may not have read. */
+  sendPendingReleases(shard: string): void {
+    this.claimClient.sendPendingReleases(shard);
+  }
+
   /**
    * Sends a request to the owner of a shard.
    *
@@ -137,6 +142,13 @@
     return connection !== undefined;
   }
 
+  /** The open connection to the owner of a shard. */
+  connectionTo(shard: string): PeerConnection | undefined {
+    const owner = this.parts.owners.ownerOf(shard);
+    if (owner === undefined) return undefined;
+    return this.parts.mesh.connectionTo(owner.vm);
+  }
+
   private async acquireFrom(
     {shard, isCrossRegion}: ServingShard,
     request: TicketRequest,
@@ -174,12 +186,6 @@
     const use = 'notSent';
     this.close({ticketId, shard, executorId, use, isDraining: false});
   }
-
-  private connectionTo(shard: string): PeerConnection | undefined {
-    const owner = this.parts.owners.ownerOf(shard);
-    if (owner === undefined) return undefined;
-    return this.parts.mesh.connectionTo(owner.vm);
-  }
 }
 
 /**
--- a/packages/caller/src/request-claim-client.ts
+++ b/packages/caller/src/request-claim-client.ts
@@ -17,6 +17,7 @@
 } from '@dragonflyward/peer';
 import {rejectOnAbort} from './request-lifetime.js';
 import type {ClaimRequest, ReleaseRequest} from './ticket-source.js';
+import {UnreadReleases} from './unread-releases.js';
 
 /** Each claim is recorded by two owners, so that losing one loses no claim. */
 const CLAIM_REPLICAS = 2;
@@ -34,6 +35,8 @@
     timeoutMs: number,
   ): Promise<PeerReply>;
   notify(shard: string, notice: PeerNotice): boolean;
+  /** The connection that messages to the owner take now, if there is one. */
+  connectionTo(shard: string): object | undefined;
 }
 
 interface RecordedClaim {
@@ -47,12 +50,18 @@
 /** Claims request ids at their replicas, and retains the claims made. */
 export class RequestClaimClient {
   private readonly claims = new Map<string, RecordedClaim>();
+  private readonly unread: UnreadReleases;
 
   constructor(
     private readonly owners: OwnerClient,
     private readonly clock: Clock,
     private readonly listDomains: () => readonly string[],
-  ) {}
+  ) {
+    this.unread = new UnreadReleases(clock, {
+      retentionMs: CLAIM_RETENTION_MS,
+      maxPerShard: MAX_RETAINED_CLAIMS,
+    });
+  }
 
   /**
    * Claims an id: both replicas must record it, and at least one must confirm
@@ -81,13 +90,24 @@
       .map(([key, {claimId, atMs}]) => ({key, claimId, ageMs: nowMs - atMs}));
   }
 
-  /** Releases a claim at its replicas. */
+  /** Releases a claim at its replicas, now or once they are connected. */
   release(request: ReleaseRequest): void {
     if (this.claims.get(request.key)?.claimId === request.claimId) {
       this.claims.delete(request.key);
     }
     for (const shard of this.replicasOf(request.key)) {
-      this.owners.notify(shard, {type: 'requestRelease', shard, ...request});
+      const release = {type: 'requestRelease', shard, ...request} as const;
+      this.unread.add(release, this.owners.connectionTo(shard));
+      this.owners.notify(shard, release);
+    }
+  }
+
+  /** Sends the releases that the owner of a shard may not have read. */
+  sendPendingReleases(shard: string): void {
+    const connection = this.owners.connectionTo(shard);
+    if (connection === undefined) return;
+    for (const release of this.unread.take(shard, connection)) {
+      this.owners.notify(shard, release);
     }
   }
 
--- a/packages/caller/test/mesh-ticket-source.test.ts
+++ b/packages/caller/test/mesh-ticket-source.test.ts
@@ -327,6 +327,24 @@
   },
 );
 
+// The id of a refused request counted as used where the release was dropped.
+mesh('keeps a release until the shard has an owner', async () => {
+  await withOwners(async ({owners, directory, tickets}) => {
+    const all = [...owners.values()];
+    for (const owner of all) owner.script = claimScript(true);
+    await tickets.claim(CLAIM, signal());
+    const [replica] = await waitForReplicas(all);
+    assert.ok(replica);
+    const {shard, notices} = replica;
+    directory.remove(shard);
+    tickets.release({key: CLAIM.key, claimId: CLAIM.claimId});
+    directory.update(shard, [{shard, term: 1}]);
+    tickets.sendPendingReleases(shard);
+    while (notices.length === 0) await clock.sleep(5);
+    assert.is(notices[0]?.type, 'requestRelease');
+  });
+});
+
 async function waitForReplicas(
   owners: readonly FakeOwner[],
 ): Promise<readonly FakeOwner[]> {
