Count a lost owner's leases from the reading before a claim

What callers saw: after an owner lost power, the tasks that might still run waited for 3 s and the leases of executors from the claim on, though the claimant had read the owner's record 0.1 to 1.1 s before.

A claim takes effect only if nothing was stored since that reading. So the newest heartbeat that counts was executed before the answer of the reading arrived, and sent before that: the leases that need a heartbeat (0.8 s to start, 3 s to act) end that long after the arrival, lengthened by 3 % for the clocks. A heartbeat without an answer that is stored later, or a second copy through a peer, moves the end of the topic, and the claim fails; the owner counts it only once it is answered.

While every VM is connected to it, an owner acts without a heartbeat, so this part counts from elsewhere: it ends 1.2 s after the last heartbeat of the claimant arrived, which was sent before their last connection ended (`Members.connectedMs`). The act lease covers 1.8 s of delay from there, as it did from the claim. What stays as it was:

- No bound is longer than the one of the claim.
- A claimant that was not connected to the owner in the last 30 s may be unknown to it: all counts from the claim.
- The owner is given 1.2 s from the claim at least, for a connection that is up on its side only.
- The record of the claim names the full bounds: who reads it does not know whether the claimant has told anyone of its claim.
- Owners before the last one, and a VM's own record, count from the claim.

The claim moves out of ownership.ts into cell-claim.ts.

In the property, a claimant waits up to 1.25 s between reading and claim, and says when it was connected. `readOwner` takes the clock, so calls in store.test.ts and election.test.ts pass it; no assertion there has changed.

--- /dev/null
+++ b/packages/cell/src/cell-claim.ts
@@ -0,0 +1,109 @@
+/** Claims of the cell, and what they tell of the owner before. */
+import type {Clock} from '@dragonflyward/common';
+import {LEASES, supersededLeases, type Leases} from './claim-bounds.js';
+import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
+import type {OrdersNotice} from './last-orders.js';
+import {
+  appendOwnerRecord,
+  earlierOwners,
+  Ownership,
+  type OwnerAddress,
+  type OwnerRecord,
+  type OwnerSnapshot,
+} from './ownership.js';
+import {StoreError, type Store} from './store.js';
+
+/** What the claimant knows of its own past. */
+export interface ClaimOptions {
+  /** The last term in which this process may have acted; Infinity if missing. */
+  readonly actedTerm?: number;
+  /**
+   * When it was last connected to a VM, on its monotonic clock; the time now if
+   * it is, -Infinity if it was not.
+   */
+  readonly connectedMs?: (vm: string) => number;
+}
+
+/**
+ * Claims the cell if nothing was written since the snapshot.
+ *
+ * @returns the claimed ownership, or null if another writer was first
+ * @throws StoreError if it is unknown whether the claim took effect
+ * @example
+ * const ownership = await claimCell(store, clock, self, snapshot);
+ */
+export async function claimCell(
+  store: Store,
+  clock: Clock,
+  self: OwnerAddress,
+  snapshot: OwnerSnapshot,
+  {actedTerm = Infinity, connectedMs = () => -Infinity}: ClaimOptions = {},
+): Promise<Ownership | null> {
+  const term = (snapshot.record?.term ?? 0) + 1;
+  // Whoever reads it does not know that this VM has told anyone of the claim.
+  const formerOwners = formerOwnersOf(snapshot.record, self, LEASES);
+  const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
+  const record = {
+    ...self,
+    term,
+    isReleased: false,
+    areFormerStopped,
+    formerOwners,
+  };
+  const sentMs = clock.monotonicMs();
+  try {
+    const endOffset = await appendOwnerRecord(
+      store,
+      record,
+      snapshot.endOffset,
+    );
+    const lastWrite = {sentMs, endOffset};
+    const orders = lastOrdersOf(snapshot.record, self, actedTerm);
+    const former = formerAtClaim(clock, self, snapshot, connectedMs);
+    return new Ownership(store, clock, record, lastWrite, {orders, former});
+  } catch (err) {
+    if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
+    return null;
+  }
+}
+
+/** The orders of a record after which nobody has acted, or null. */
+function lastOrdersOf(
+  record: OwnerRecord | null,
+  {vm, incarnation}: OwnerAddress,
+  actedTerm: number,
+): OrdersNotice | null {
+  if (record === null) return null;
+  const isOwn = record.vm === vm && record.incarnation === incarnation;
+  // The notice of a handover to this process was lost or has not arrived.
+  const isUnused = isOwn && record.term > actedTerm;
+  return record.isReleased || isUnused ? (record.orders ?? null) : null;
+}
+
+/** The former owners, once the claim is confirmed. */
+function formerAtClaim(
+  clock: Clock,
+  self: OwnerAddress,
+  {record, readMs}: OwnerSnapshot,
+  connectedMs: (vm: string) => number,
+): FormerOwners {
+  const nowMs = clock.monotonicMs();
+  const leases = supersededLeases({
+    readAgoMs: nowMs - readMs,
+    connectedAgoMs: nowMs - connectedMs(record?.vm ?? ''),
+  });
+  return new FormerOwners(formerOwnersOf(record, self, leases), nowMs, clock);
+}
+
+/** The owners that may act after the process claims the cell. */
+function formerOwnersOf(
+  record: OwnerRecord | null,
+  self: OwnerAddress,
+  leases: Leases,
+): readonly FormerOwner[] {
+  if (record === null) return [];
+  const earlier = endOwnersOf(self.vm, earlierOwners(record));
+  if (record.isReleased || record.vm === self.vm) return earlier;
+  const {vm, incarnation} = record;
+  return [...earlier, {vm, incarnation, ...leases}];
+}
--- /dev/null
+++ b/packages/cell/src/claim-bounds.ts
@@ -0,0 +1,74 @@
+/** How long the owner that a claim supersedes may still act. */
+import {stretchTime} from './former-owners.js';
+import {MAX_HEARTBEAT_AGE_MS} from './members.js';
+
+/**
+ * The owner's lease for starting tasks. With an older heartbeat it starts
+ * nothing unless every VM is connected to it: a VM that claims the cell would
+ * have notified it.
+ */
+export const START_LEASE_MS = 800;
+
+/**
+ * The owner's lease on the cell unless every VM is connected to it. It covers
+ * the heartbeat of a VM that claims the cell: that may count for 1.2 s and
+ * arrive late.
+ */
+export const UNCONNECTED_LEASE_MS = 3000;
+
+/**
+ * A claimant that was connected to the owner this recently, in ms, is among the
+ * VMs without which the owner is not connected to all.
+ */
+const KNOWN_CLAIMANT_MS = 30_000;
+
+/** How long an owner may start tasks and act, in ms. */
+export interface Leases {
+  readonly startMs: number;
+  readonly actMs: number;
+}
+
+/** The leases from the newest heartbeat on, or from an event after it. */
+export const LEASES: Leases = {
+  startMs: START_LEASE_MS,
+  actMs: UNCONNECTED_LEASE_MS,
+};
+
+/** When what a claim rests on happened, in ms before it was confirmed. */
+export interface ClaimTimes {
+  /** When the answer arrived that showed the owner's newest heartbeat. */
+  readonly readAgoMs: number;
+  /** When the claimant was last connected to the owner; Infinity for never. */
+  readonly connectedAgoMs: number;
+}
+
+/**
+ * How long the owner may act after a claim is confirmed, by two arguments.
+ * Unless every VM is connected to it, its leases count from a heartbeat that was
+ * stored before the reading: the claim would have failed otherwise. While every
+ * VM is connected to it, it has had a heartbeat of the claimant in the last
+ * 1.2 s, which was sent before their connection ended.
+ *
+ * @example
+ * const leases = supersededLeases({readAgoMs, connectedAgoMs});
+ */
+export function supersededLeases({
+  readAgoMs,
+  connectedAgoMs,
+}: ClaimTimes): Leases {
+  // It may not know this VM, and take itself to be connected to all.
+  if (connectedAgoMs > KNOWN_CLAIMANT_MS) return LEASES;
+  const startMs = Math.max(
+    stretchTime(START_LEASE_MS) - readAgoMs,
+    stretchTime(MAX_HEARTBEAT_AGE_MS) - connectedAgoMs,
+  );
+  const actMs = Math.max(
+    stretchTime(UNCONNECTED_LEASE_MS) - Math.min(readAgoMs, connectedAgoMs),
+    // A connection that began before the claim may be up on its side only.
+    MAX_HEARTBEAT_AGE_MS,
+  );
+  return {
+    startMs: Math.min(startMs, LEASES.startMs),
+    actMs: Math.min(actMs, LEASES.actMs),
+  };
+}
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,11 +1,11 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
 import type {Clock} from '@dragonflyward/common';
+import {claimCell} from './cell-claim.js';
 import type {CellConnection, Member, Members} from './members.js';
 import type {HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
   acceptOwnership,
-  claimCell,
   OWNER_HEARTBEAT_MS,
   readOwner,
   toAddress,
@@ -379,7 +379,7 @@
   private async findOwner(): Promise<void> {
     const {clock, store, members, self, cores} = this.deps;
     const sentMs = clock.monotonicMs();
-    const snapshot = await readOwner(store);
+    const snapshot = await readOwner(store, clock);
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.followIfNewer(snapshot)) return;
     if (snapshot.record?.vm === self.vm) return this.claim(snapshot);
@@ -421,10 +421,13 @@
   }
 
   private async sendClaim(snapshot: OwnerSnapshot): Promise<Ownership | null> {
-    const {self, clock, store} = this.deps;
+    const {self, clock, store, members} = this.deps;
     this.isClaiming = true;
     try {
-      return await claimCell(store, clock, self, snapshot, this.actedTerm);
+      return await claimCell(store, clock, self, snapshot, {
+        actedTerm: this.actedTerm,
+        connectedMs: vm => members.connectedMs(vm),
+      });
     } finally {
       this.isClaiming = false;
     }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -7,6 +7,8 @@
 export * from './vm.js';
 export * from './job-frontend.js';
 export * from './ownership.js';
+export * from './cell-claim.js';
+export * from './claim-bounds.js';
 export * from './former-owners.js';
 export * from './last-orders.js';
 export * from './records.js';
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -20,7 +20,7 @@
 /** A connection is closed after this time without a message, in ms. */
 const SILENCE_TIMEOUT_MS = 1500;
 /** Maximum age of the last heartbeat of a connected VM, in ms. */
-const MAX_HEARTBEAT_AGE_MS = 1200;
+export const MAX_HEARTBEAT_AGE_MS = 1200;
 /** How long a VM without heartbeats is assumed to be running, in ms. */
 const MEMBER_RETENTION_MS = 60_000;
 /** Number of VMs besides the owner to which each VM keeps a connection. */
@@ -64,6 +64,8 @@
   private readonly members = new Map<CellConnection, Member>();
   /** When each VM last sent a heartbeat, on the monotonic clock. */
   private readonly lastSeenMs = new Map<string, number>();
+  /** When the last connection to each VM ended, on the monotonic clock. */
+  private readonly disconnectedMs = new Map<string, number>();
   /** The process of each VM that was seen to shut down, by incarnation. */
   private readonly drained = new Map<string, number>();
   /** When a new process of such a VM was seen, on the monotonic clock. */
@@ -129,6 +131,17 @@
   /** Removes a closed connection. */
   remove(connection: CellConnection): void {
     this.members.delete(connection);
+    const vm = connection.info?.self.vm;
+    if (vm === undefined) return;
+    this.disconnectedMs.set(vm, this.clock.monotonicMs());
+  }
+
+  /** When this VM was last connected to another one; -Infinity for never. */
+  connectedMs(vm: string): number {
+    for (const {address} of this.members.values()) {
+      if (address.vm === vm) return this.clock.monotonicMs();
+    }
+    return this.disconnectedMs.get(vm) ?? -Infinity;
   }
 
   /** Updates a peer's state from its heartbeat. */
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -2,6 +2,7 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
+import {START_LEASE_MS, UNCONNECTED_LEASE_MS} from './claim-bounds.js';
 import {CellState} from './cell-state.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
 import type {Crash, LostRun} from './crash-suspects.js';
@@ -17,11 +18,7 @@
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
-import {
-  START_LEASE_MS,
-  UNCONNECTED_LEASE_MS,
-  type Ownership,
-} from './ownership.js';
+import type {Ownership} from './ownership.js';
 import type {LogFunction, Platform} from './platform.js';
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import PQueue from 'p-queue';
+import {LEASES} from './claim-bounds.js';
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
 import {
   InheritedOrders,
@@ -17,28 +18,13 @@
 /** The owner's lease on the cell: with an older heartbeat it stops acting. */
 export const OWNER_LEASE_MS = 8000;
 
-/**
- * The owner's lease for starting tasks. With an older heartbeat it starts
- * nothing unless every VM is connected to it: a VM that claims the cell would
- * have notified it.
- */
-export const START_LEASE_MS = 800;
-
-/**
- * The owner's lease on the cell unless every VM is connected to it. It covers
- * the heartbeat of a VM that claims the cell: that may count for 1.2 s and
- * arrive late.
- */
-export const UNCONNECTED_LEASE_MS = 3000;
-
 /** Assumed delay between writing a handover and receiving its notice, in ms. */
 const MAX_HANDOVER_AGE_MS = 2000;
 /** A former owner of which an earlier version does not say when it stops. */
 const UNKNOWN_OWNER: FormerOwner = {
   vm: '',
   incarnation: 0,
-  startMs: START_LEASE_MS,
-  actMs: UNCONNECTED_LEASE_MS,
+  ...LEASES,
 };
 const OWNER_KEY = 'cell';
 const HEARTBEAT_TIMEOUT_MS = 1000;
@@ -78,6 +64,8 @@
 export interface OwnerSnapshot {
   readonly record: OwnerRecord | null;
   readonly endOffset: number;
+  /** When the answer arrived, on the reader's monotonic clock. */
+  readonly readMs: number;
 }
 
 /**
@@ -85,86 +73,27 @@
  *
  * @throws StoreError
  * @example
- * const {record} = await readOwner(store);
+ * const {record} = await readOwner(store, clock);
  */
-export async function readOwner(store: Store): Promise<OwnerSnapshot> {
+export async function readOwner(
+  store: Store,
+  clock: Clock,
+): Promise<OwnerSnapshot> {
   const {records, endOffset} = await store.newest(OWNER_TOPIC);
+  const readMs = clock.monotonicMs();
   const newest = records.find(({key}) => key === OWNER_KEY);
-  if (newest === undefined) return {record: null, endOffset};
-  return {record: decode(newest.value as Buffer) as OwnerRecord, endOffset};
+  if (newest === undefined) return {record: null, endOffset, readMs};
+  const record = decode(newest.value as Buffer) as OwnerRecord;
+  return {record, endOffset, readMs};
 }
 
 /**
- * Claims the cell if nothing was written since the snapshot.
+ * The owners before the one of the record that may still act.
  *
- * @param actedTerm the last term in which this process may have acted
- * @returns the claimed ownership, or null if another writer was first
- * @throws StoreError if it is unknown whether the claim took effect
  * @example
- * const ownership = await claimCell(store, clock, self, snapshot);
+ * const owners = earlierOwners(snapshot.record);
  */
-export async function claimCell(
-  store: Store,
-  clock: Clock,
-  self: OwnerAddress,
-  snapshot: OwnerSnapshot,
-  actedTerm = Infinity,
-): Promise<Ownership | null> {
-  const term = (snapshot.record?.term ?? 0) + 1;
-  const formerOwners = formerOwnersOf(snapshot.record, self);
-  const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
-  const record = {
-    ...self,
-    term,
-    isReleased: false,
-    areFormerStopped,
-    formerOwners,
-  };
-  const sentMs = clock.monotonicMs();
-  try {
-    const endOffset = await appendOwnerRecord(
-      store,
-      record,
-      snapshot.endOffset,
-    );
-    const lastWrite = {sentMs, endOffset};
-    const orders = lastOrdersOf(snapshot.record, self, actedTerm);
-    return new Ownership(store, clock, record, lastWrite, orders);
-  } catch (err) {
-    if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
-    return null;
-  }
-}
-
-/** The orders of a record after which nobody has acted, or null. */
-function lastOrdersOf(
-  record: OwnerRecord | null,
-  {vm, incarnation}: OwnerAddress,
-  actedTerm: number,
-): OrdersNotice | null {
-  if (record === null) return null;
-  const isOwn = record.vm === vm && record.incarnation === incarnation;
-  // The notice of a handover to this process was lost or has not arrived.
-  const isUnused = isOwn && record.term > actedTerm;
-  return record.isReleased || isUnused ? (record.orders ?? null) : null;
-}
-
-/** The owners that may act after the process claims or takes over the cell. */
-function formerOwnersOf(
-  record: OwnerRecord | null,
-  self: OwnerAddress,
-): readonly FormerOwner[] {
-  if (record === null) return [];
-  const earlier = endOwnersOf(self.vm, earlierOwners(record));
-  if (record.isReleased || record.vm === self.vm) return earlier;
-  const {vm, incarnation} = record;
-  const startMs = START_LEASE_MS;
-  const actMs = UNCONNECTED_LEASE_MS;
-  return [...earlier, {vm, incarnation, startMs, actMs}];
-}
-
-/** The owners before the one of the record that may still act. */
-function earlierOwners({
+export function earlierOwners({
   areFormerStopped,
   formerOwners,
 }: OwnerRecord | HandoverNotice): readonly FormerOwner[] {
@@ -177,8 +106,12 @@
  * would not be enough for a claim: two claimants of one term would send the
  * same sequence number, and the store would treat the second append as a retry
  * of the first.
+ *
+ * @throws StoreError
+ * @example
+ * const endOffset = await appendOwnerRecord(store, record, at);
  */
-function appendOwnerRecord(
+export function appendOwnerRecord(
   store: Store,
   record: OwnerRecord,
   at: number,
@@ -200,16 +133,19 @@
   self: OwnerAddress,
   notice: HandoverNotice,
 ): Ownership {
-  const {term, endOffset, areFormerStopped, orders} = notice;
+  const {term, endOffset, areFormerStopped, orders = null} = notice;
+  const formerOwners = endOwnersOf(self.vm, earlierOwners(notice));
   const record = {
     ...toAddress(self),
     term,
     isReleased: false,
     areFormerStopped,
-    formerOwners: endOwnersOf(self.vm, earlierOwners(notice)),
+    formerOwners,
   };
-  const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
-  return new Ownership(store, clock, record, {sentMs, endOffset}, orders);
+  const nowMs = clock.monotonicMs();
+  const lastWrite = {sentMs: nowMs - MAX_HANDOVER_AGE_MS, endOffset};
+  const former = new FormerOwners(formerOwners, nowMs, clock);
+  return new Ownership(store, clock, record, lastWrite, {orders, former});
 }
 
 /** The owner's last successful write. */
@@ -220,6 +156,13 @@
   readonly endOffset: number;
 }
 
+/** What a new owner knows of former ones. */
+interface Takeover {
+  /** The last orders of the owner that released or handed over the cell. */
+  readonly orders: OrdersNotice | null;
+  readonly former: FormerOwners;
+}
+
 /** The owner's lease on the cell under one term. */
 export class Ownership {
   private endOffset: number;
@@ -237,18 +180,13 @@
     private readonly clock: Clock,
     private readonly record: OwnerRecord,
     {sentMs, endOffset}: LastWrite,
-    /** The last orders of the owner that released or handed over the cell. */
-    orders: OrdersNotice | null = null,
+    {orders, former}: Takeover,
   ) {
     this.endOffset = endOffset;
     this.confirmedMs = sentMs;
     this.confirmedWallMs = clock.wallMs();
     this.startedMs = clock.monotonicMs();
-    this.formerOwners = new FormerOwners(
-      earlierOwners(record),
-      this.startedMs,
-      clock,
-    );
+    this.formerOwners = former;
     this.inheritedOrders =
       orders === null ? null : new InheritedOrders(orders, this.startedMs);
   }
@@ -438,7 +376,7 @@
    */
   private async resolveConflict(): Promise<void> {
     try {
-      const {record, endOffset} = await readOwner(this.store);
+      const {record, endOffset} = await readOwner(this.store, this.clock);
       const {term, vm, incarnation} = this.record;
       const isOwn = record?.vm === vm && record.incarnation === incarnation;
       if (isOwn && record.term === term) this.endOffset = endOffset;
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -29,6 +29,7 @@
   setOwner: () => undefined,
   maxPeerCores: () => 0,
   isOwnerSeen: () => false,
+  connectedMs: () => -Infinity,
 } as unknown as Members;
 
 /** These VMs are connected. */
@@ -55,7 +56,7 @@
 
   async claimBy(vm: string): Promise<Ownership> {
     const store = this.client();
-    const reading = readOwner(store);
+    const reading = readOwner(store, this.clock);
     await this.clock.advance(10);
     const claim = claimCell(store, this.clock, address(vm), await reading);
     await this.clock.advance(10);
@@ -98,7 +99,7 @@
 
   /** Reads the newest record of the owner topic. */
   async readRecord(): Promise<OwnerRecord | null> {
-    const reading = readOwner(this.client());
+    const reading = readOwner(this.client(), this.clock);
     await this.clock.advance(10);
     return (await reading).record;
   }
@@ -143,6 +144,27 @@
   );
 });
 
+// Its last heartbeat was stored before the reading that the claim rests on.
+election(
+  'counts the leases of a lost owner from before the claim',
+  async () => {
+    const waits: number[] = [];
+    for (const connectedMs of [() => 1000, () => -Infinity]) {
+      const rig = new ElectionRig();
+      await rig.claimBy('a');
+      const members = {
+        ...DISCONNECTED_MEMBERS,
+        connectedMs,
+      } as unknown as Members;
+      rig.startElection('b', rig.client(), members);
+      await rig.clock.advance(LONG_MS);
+      waits.push(rig.owned[0]?.formerActUntilMs ?? NaN);
+    }
+    const [fromReading = NaN, fromClaim = NaN] = waits;
+    assert.ok(fromClaim - fromReading >= 700, `${fromClaim - fromReading} ms`);
+  },
+);
+
 // The VM was told to stop after its last heartbeat to the former owner. A small
 // VM would soon have to hand the cell on.
 for (const members of [
--- a/packages/cell/test/members.test.ts
+++ b/packages/cell/test/members.test.ts
@@ -82,4 +82,27 @@
   assert.is(members.isConnectedToAll(), true);
 });
 
+// A claimant counts the leases of the owner from the end of the connection.
+connected('tells when the last connection to a VM ended', () => {
+  const clock = new StepClock();
+  const members = new Members(SELF, {} as MemberHandler, [], clock);
+  assert.is(members.connectedMs('b'), -Infinity);
+  const info = {self: OTHER, domain: 'd', cores: 1};
+  const links = [1, 2].map(
+    () => ({info, isOpen: true}) as unknown as CellConnection,
+  );
+  for (const link of links) members.add(link);
+  for (const link of links) {
+    clock.monotonic += 100;
+    assert.is(
+      members.connectedMs('b'),
+      10_000 + links.indexOf(link) * 100 + 100,
+    );
+    members.remove(link);
+  }
+  clock.monotonic += 1000;
+  assert.is(members.connectedMs('b'), 10_200);
+  assert.is(members.connectedMs('c'), -Infinity);
+});
+
 connected.run();
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -15,6 +15,8 @@
 const RUNS = Number(process.env['CELL_RUNS'] ?? 80);
 /** Time without a heartbeat after which other VMs claim the cell, in ms. */
 const HEARTBEAT_WAIT_MS = 800;
+/** The longest time between a reading and the claim that rests on it, in ms. */
+const LONG_CLAIM_WAIT_MS = 1250;
 /** By then, no executor counts as having just started, in ms. */
 const START_AGE_MS = 20_000;
 /** The processors of an executor that has not shrunk. */
@@ -44,8 +46,8 @@
   | {readonly kind: 'submitService'; readonly tasks: number}
   | {readonly kind: 'submitDeadly'; readonly tasks: number}
   | {readonly kind: 'cancel'; readonly job: number}
-  | {readonly kind: 'kill'}
-  | {readonly kind: 'supersede'}
+  | {readonly kind: 'kill'; readonly waitMs: number}
+  | {readonly kind: 'supersede'; readonly waitMs: number}
   /** The owner hands over in an orderly way, some time after it has stopped. */
   | {
       readonly kind: 'handOver';
@@ -107,8 +109,14 @@
     }),
   },
   fc.record({kind: fc.constant('cancel' as const), job: fc.nat({max: 8})}),
-  fc.record({kind: fc.constant('kill' as const)}),
-  fc.record({kind: fc.constant('supersede' as const)}),
+  fc.record({
+    kind: fc.constant('kill' as const),
+    waitMs: fc.constantFrom(0, 0, LONG_CLAIM_WAIT_MS),
+  }),
+  fc.record({
+    kind: fc.constant('supersede' as const),
+    waitMs: fc.constantFrom(0, HEARTBEAT_WAIT_MS, LONG_CLAIM_WAIT_MS),
+  }),
   {
     weight: 3,
     arbitrary: fc.record({
@@ -198,8 +206,14 @@
     }),
   },
   fc.record({kind: fc.constant('release' as const)}),
-  fc.record({kind: fc.constant('kill' as const)}),
-  fc.record({kind: fc.constant('supersede' as const)}),
+  fc.record({
+    kind: fc.constant('kill' as const),
+    waitMs: fc.constantFrom(0, 0, LONG_CLAIM_WAIT_MS),
+  }),
+  fc.record({
+    kind: fc.constant('supersede' as const),
+    waitMs: fc.constantFrom(0, HEARTBEAT_WAIT_MS, LONG_CLAIM_WAIT_MS),
+  }),
   fc.record({kind: fc.constant('restartVms' as const)}),
   {
     weight: 2,
@@ -272,10 +286,9 @@
         return rig.run(fault.ms);
       case 'kill':
         rig.kill(this.newest());
-        await this.claim();
-        return;
+        return this.claim(fault.waitMs);
       case 'supersede':
-        return this.supersede();
+        return this.supersede(fault.waitMs);
       case 'handOver':
         return this.handOver(fault.pauseMs, fault.isNoticeLost);
       case 'release':
@@ -371,11 +384,15 @@
     faults.isRefusing = this.newest().isKilled;
   }
 
-  /** The owner loses the store and continues; another one claims the cell. */
-  private async supersede(): Promise<void> {
+  /**
+   * The owner loses the store and continues; another one claims the cell.
+   *
+   * @param waitMs how long that one waits between its reading and its claim
+   */
+  private async supersede(waitMs: number): Promise<void> {
     this.newest().store.faults.isRefusing = true;
-    await this.rig.run(HEARTBEAT_WAIT_MS);
-    await this.claim();
+    await this.rig.run(Math.max(0, HEARTBEAT_WAIT_MS - waitMs));
+    await this.claim(waitMs);
   }
 
   private async handOver(
@@ -425,10 +442,11 @@
     return node;
   }
 
-  private async claim(): Promise<void> {
+  private async claim(waitMs = 0): Promise<void> {
     const node = this.addNode();
-    const claimed = ignoringStore(this.rig.claim(node));
-    await this.rig.run(100);
+    node.connectedMs = this.rig.clock.monotonicMs();
+    const claimed = ignoringStore(this.rig.claim(node, waitMs));
+    await this.rig.run(waitMs + 100);
     void claimed;
   }
 
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -151,6 +151,8 @@
   isDisconnected: boolean;
   /** Whether it is connected to every VM, none of which knows a newer owner. */
   isConnectedToAll: boolean;
+  /** When it was last connected to the owner that it supersedes. */
+  connectedMs: number;
   /** Ids of executors that only this process cannot reach. */
   readonly unreachable: Set<string>;
 }
@@ -203,22 +205,25 @@
       isKilled: false,
       isDisconnected: false,
       isConnectedToAll: false,
+      connectedMs: -Infinity,
       unreachable: new Set(),
     };
   }
 
-  /** Lets a process claim the cell and act; false if it was not first. */
-  async claim(node: CellNode): Promise<boolean> {
+  /**
+   * Lets a process claim the cell and act; false if it was not first.
+   *
+   * @param waitMs how long it waits for another heartbeat of the owner
+   */
+  async claim(node: CellNode, waitMs = 0): Promise<boolean> {
     const {store} = node;
-    const snapshot = await readOwner(store);
+    const snapshot = await readOwner(store, this.clock);
+    await this.clock.sleep(waitMs);
     const self = addressOf(node);
-    const ownership = await claimCell(
-      store,
-      this.clock,
-      self,
-      snapshot,
-      node.ownership?.term ?? 0,
-    );
+    const ownership = await claimCell(store, this.clock, self, snapshot, {
+      actedTerm: node.ownership?.term ?? 0,
+      connectedMs: () => node.connectedMs,
+    });
     if (ownership === null || node.isKilled) return false;
     return this.act(node, ownership);
   }
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -61,11 +61,12 @@
 store('gives a term to one of two claimants only', async () => {
   const {clock, client} = newFixture();
   const [a, b] = [client(), client()];
-  const both = Promise.all([readOwner(a), readOwner(b)]).then(([ra, rb]) =>
-    Promise.all([
-      claimCell(a, clock, self('a'), ra),
-      claimCell(b, clock, self('b'), rb),
-    ]),
+  const both = Promise.all([readOwner(a, clock), readOwner(b, clock)]).then(
+    ([ra, rb]) =>
+      Promise.all([
+        claimCell(a, clock, self('a'), ra),
+        claimCell(b, clock, self('b'), rb),
+      ]),
   );
   const claims = (await settle(clock, both)) as (Ownership | null)[];
   assert.is(claims.filter(claim => claim !== null).length, 1);
@@ -78,7 +79,7 @@
     each: StoreClient,
     vm: string,
   ): Promise<Ownership | null> =>
-    claimCell(each, clock, self(vm), await readOwner(each));
+    claimCell(each, clock, self(vm), await readOwner(each, clock));
   const first = (await settle(clock, claim(a, 'a'))) as Ownership;
   const second = (await settle(clock, claim(b, 'b'))) as Ownership;
   await settle(clock, first.renew());
@@ -91,7 +92,9 @@
 store('keeps the ownership if the answer to a heartbeat is lost', async () => {
   const {clock, client} = newFixture();
   const a = client();
-  const claim = readOwner(a).then(r => claimCell(a, clock, self('a'), r));
+  const claim = readOwner(a, clock).then(r =>
+    claimCell(a, clock, self('a'), r),
+  );
   const owner = (await settle(clock, claim)) as Ownership;
   a.faults.lostAnswers = 1;
   await settle(clock, owner.renew());
@@ -104,7 +107,9 @@
 store('stops an owner whose heartbeats are not answered', async () => {
   const {clock, client} = newFixture();
   const a = client();
-  const claim = readOwner(a).then(r => claimCell(a, clock, self('a'), r));
+  const claim = readOwner(a, clock).then(r =>
+    claimCell(a, clock, self('a'), r),
+  );
   const owner = (await settle(clock, claim)) as Ownership;
   a.faults.isSilent = true;
   await settle(clock, owner.renew());
