Let heartbeats tell which executors get no orders

What callers saw: an executor left for good, and a few seconds later the owner lost power. The next one knew of neither: it waited for the 3 s of the killed owner and the 6.5 s to 10.6 s of a lease, counted from its claim, before it started the executor's tasks elsewhere. Where the next owner was killed too, the wait began anew.

A heartbeat in the store names up to 40 executors that have not answered for 1 s or more, with what a handover tells of them (`heldOrders`). The owner promises that a named executor gets no start and no lease from it until a heartbeat that does not name it is confirmed. A claimant counts for it from the last order that is told; the record of its claim passes that on, and `FormerOwner.heldIds` says which executors a former owner's own time does not count for. All others get the bounds of the claim, as before.

Why this is as safe as a handover, where the sender has stopped:

- The promise begins with the description, before the heartbeat is sent.
An order in flight cannot last longer than the lease end that is told.
- A heartbeat without an answer may be stored: what it names stays held beside what the confirmed one names.
Once a heartbeat is confirmed, none before it is stored later, since all are appended at fixed offsets.
After a claim none is confirmed any more, so the promise lasts, also while the owner goes on without the store for 8 s.
- Renewals of a held executor carry no lease, so that repeats of an old lease end cannot keep a run on a process that has restarted.
- It is held by its id: a new address, a new process, or a state that was dropped and made anew change nothing.
- Owners before the last one promise for themselves; without a promise their time counts for each executor as before.
- Records of handovers and releases name none: the successor has promised nothing.

Price: an executor that answers again gets its next lease or start after the next heartbeat, 0.5 s later. Without the store it gets none, and its runs lapse. Times count to the writing, and nobody knows how long ago that was, so each further kill adds the time since the last heartbeat.

Tests: held-orders.test.ts. Three tests of lasting tasks and the one of the bounds fail if a former owner's time counts for each executor as before. If the lease of a held executor is extended, if it gets a start, or if a heartbeat counts only once it is confirmed, one to three others fail.

--- a/packages/cell/src/cell-claim.ts
+++ b/packages/cell/src/cell-claim.ts
@@ -2,7 +2,12 @@
 import type {Clock} from '@dragonflyward/common';
 import {LEASES, supersededLeases, type Leases} from './claim-bounds.js';
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
-import type {OrdersNotice} from './last-orders.js';
+import {
+  InheritedOrders,
+  type NamedOrders,
+  type OrdersNotice,
+} from './last-orders.js';
+import {chooseHeld} from './order-holds.js';
 import {
   appendOwnerRecord,
   earlierOwners,
@@ -49,6 +54,7 @@
     isReleased: false,
     areFormerStopped,
     formerOwners,
+    heldOrders: chooseHeld(ordersToPassOn(clock, self, snapshot, actedTerm)),
   };
   const sentMs = clock.monotonicMs();
   try {
@@ -58,7 +64,7 @@
       snapshot.endOffset,
     );
     const lastWrite = {sentMs, endOffset};
-    const orders = lastOrdersOf(snapshot.record, self, actedTerm);
+    const orders = ordersAtClaim(clock, self, snapshot, actedTerm);
     const former = formerAtClaim(clock, self, snapshot, connectedMs);
     return new Ownership(store, clock, record, lastWrite, {orders, former});
   } catch (err) {
@@ -67,6 +73,45 @@
   }
 }
 
+/** What the next owner has to know if this one is killed at once. */
+function ordersToPassOn(
+  clock: Clock,
+  self: OwnerAddress,
+  snapshot: OwnerSnapshot,
+  actedTerm: number,
+): readonly NamedOrders[] {
+  const orders = ordersAtClaim(clock, self, snapshot, actedTerm);
+  return orders?.describe(clock.monotonicMs()).executors ?? [];
+}
+
+/** The last orders of former owners, or null if they do not tell. */
+function ordersAtClaim(
+  clock: Clock,
+  self: OwnerAddress,
+  snapshot: OwnerSnapshot,
+  actedTerm: number,
+): InheritedOrders | null {
+  const nowMs = clock.monotonicMs();
+  const last = lastOrdersOf(snapshot.record, self, actedTerm);
+  if (last !== null) return new InheritedOrders(last, nowMs);
+  return heldOrdersOf(snapshot, nowMs);
+}
+
+/**
+ * The last orders to executors to which the owner of the record gives none. All
+ * others may have had orders until now.
+ */
+function heldOrdersOf(
+  {record, readMs}: OwnerSnapshot,
+  nowMs: number,
+): InheritedOrders | null {
+  const executors = record?.heldOrders ?? [];
+  if (executors.length === 0) return null;
+  const agoMs = readMs - nowMs;
+  const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
+  return new InheritedOrders({executors, others}, readMs);
+}
+
 /** The orders of a record after which nobody has acted, or null. */
 function lastOrdersOf(
   record: OwnerRecord | null,
@@ -104,6 +149,7 @@
   if (record === null) return [];
   const earlier = endOwnersOf(self.vm, earlierOwners(record));
   if (record.isReleased || record.vm === self.vm) return earlier;
-  const {vm, incarnation} = record;
-  return [...earlier, {vm, incarnation, ...leases}];
+  const {vm, incarnation, heldOrders = []} = record;
+  const heldIds = heldOrders.map(({id}) => id);
+  return [...earlier, {vm, incarnation, ...leases, heldIds}];
 }
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -65,6 +65,8 @@
   readonly clock: Clock;
   readonly token: number;
   readonly mayAct: () => boolean;
+  /** Whether the executor may get no start and no longer lease now. */
+  readonly isHeld: (executorId: string) => boolean;
   /** Called when the executor has seen a higher token. */
   readonly onFenced: () => void;
   /** Called when the executor's state has changed. */
@@ -299,12 +301,13 @@
   }
 
   /**
-   * Returns the end of the lease for the next order. The lease is extended only
-   * while the executor answers: a delayed order must not keep runs alive on an
-   * executor that counts as lost.
+   * Returns the end of the lease for the next order; NaN for none. The lease is
+   * extended only while the executor answers: a delayed order must not keep runs
+   * alive on an executor that counts as lost.
    */
   private extendLease(): number {
     const {executor, host} = this;
+    if (host.isHeld(executor.info.id)) return Number.NaN;
     if (Number.isNaN(executor.clockMs)) return Number.NaN;
     if (executor.missedRenewals > 0 && executor.leaseUntilMs > 0) {
       return executor.leaseUntilMs;
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -56,6 +56,8 @@
   ackedThrough: number;
   /** Consecutive lease renewals without an answer. */
   missedRenewals: number;
+  /** Whether a record of the owner may say that it gets no orders. */
+  isHeld: boolean;
   /** No new tasks before this time, on the owner's monotonic clock. */
   avoidUntilMs: number;
   /** Failed runs since the last completed one. */
@@ -92,6 +94,7 @@
     processedThrough: 0,
     ackedThrough: 0,
     missedRenewals: 0,
+    isHeld: false,
     avoidUntilMs: 0,
     consecutiveFailures: 0,
     slowness: 1,
--- a/packages/cell/src/former-owners.ts
+++ b/packages/cell/src/former-owners.ts
@@ -21,11 +21,14 @@
   readonly startMs: number;
   /** How long it may act at most. */
   readonly actMs: number;
+  /** Executors that surely get no more orders from it; none if missing. */
+  readonly heldIds?: readonly string[];
 }
 
 interface Deadline {
   readonly vm: string;
   readonly incarnation: number;
+  readonly heldIds: ReadonlySet<string>;
   startUntilMs: number;
   actUntilMs: number;
 }
@@ -75,12 +78,15 @@
     readMs: number,
     private readonly clock: Clock,
   ) {
-    this.deadlines = owners.map(({vm, incarnation, startMs, actMs}) => ({
-      vm,
-      incarnation,
-      startUntilMs: readMs + stretchTime(startMs),
-      actUntilMs: readMs + stretchTime(actMs),
-    }));
+    this.deadlines = owners.map(
+      ({vm, incarnation, startMs, actMs, heldIds}) => ({
+        vm,
+        incarnation,
+        heldIds: new Set(heldIds),
+        startUntilMs: readMs + stretchTime(startMs),
+        actUntilMs: readMs + stretchTime(actMs),
+      }),
+    );
   }
 
   /** By when all have surely stopped to start tasks; -Infinity for none. */
@@ -93,6 +99,14 @@
     return Math.max(...this.deadlines.map(each => each.actUntilMs));
   }
 
+  /** By when all have surely stopped to give orders to the executor. */
+  ordersUntilMs(executorId: string): number {
+    const owners = this.deadlines.filter(
+      ({heldIds}) => !heldIds.has(executorId),
+    );
+    return Math.max(...owners.map(each => each.actUntilMs));
+  }
+
   /**
    * Records that a VM runs a new process: its earlier ones have ended.
    *
@@ -118,11 +132,12 @@
     const nowMs = this.clock.monotonicMs();
     const owners = this.deadlines
       .filter(({actUntilMs}) => actUntilMs + FORGET_AFTER_MS > nowMs)
-      .map(({vm, incarnation, startUntilMs, actUntilMs}) => ({
+      .map(({vm, incarnation, startUntilMs, actUntilMs, heldIds}) => ({
         vm,
         incarnation,
         startMs: startUntilMs - nowMs,
         actMs: actUntilMs - nowMs,
+        ...(heldIds.size === 0 ? {} : {heldIds: [...heldIds]}),
       }));
     if (owners.length <= MAX_NAMED_OWNERS) return owners;
     const unnamed = owners.slice(MAX_NAMED_OWNERS);
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -11,6 +11,7 @@
 export * from './claim-bounds.js';
 export * from './former-owners.js';
 export * from './last-orders.js';
+export * from './order-holds.js';
 export * from './records.js';
 export * from './resource-amounts.js';
 export * from './job-state.js';
--- /dev/null
+++ b/packages/cell/src/order-holds.ts
@@ -0,0 +1,76 @@
+/** Executors that get no orders until a record says so no more. */
+import type {ExecutorState} from './executor-state.js';
+import type {NamedOrders} from './last-orders.js';
+
+/** The most executors that one heartbeat of an owner names. */
+const MAX_HELD_EXECUTORS = 40;
+/** An executor that was silent for less time may just be slow, in ms. */
+const HELD_AFTER_MS = 1000;
+
+/**
+ * Chooses the executors that a heartbeat names: those that have had no order
+ * for longest, for which a claimant would wait in vain.
+ *
+ * @example
+ * const held = chooseHeld(executors);
+ */
+export function chooseHeld(
+  executors: readonly NamedOrders[],
+): readonly NamedOrders[] {
+  return executors
+    .filter(({agoMs}) => agoMs >= HELD_AFTER_MS)
+    .sort((a, b) => b.agoMs - a.agoMs)
+    .slice(0, MAX_HELD_EXECUTORS);
+}
+
+/**
+ * Follows which executors a record of this owner may name. A claimant counts
+ * on it that the owner starts nothing there and extends no lease.
+ */
+export class OrderHolds {
+  private ids: ReadonlySet<string>;
+
+  /**
+   * @param executors those that the stored record names
+   */
+  constructor(executors: readonly NamedOrders[]) {
+    this.ids = toIds(executors);
+  }
+
+  /** Whether the executor may get no orders. */
+  isHeld(id: string): boolean {
+    return this.ids.has(id);
+  }
+
+  /** Call it before a record is sent: it may be stored without an answer. */
+  recordSent(executors: readonly NamedOrders[]): void {
+    this.ids = new Set([...this.ids, ...toIds(executors)]);
+  }
+
+  /**
+   * Call it when a record is confirmed: of those before it, none is stored
+   * later, since all are appended at fixed offsets.
+   */
+  recordConfirmed(executors: readonly NamedOrders[]): void {
+    this.ids = toIds(executors);
+  }
+}
+
+/**
+ * Marks the executors that get no orders, before a scheduling round.
+ *
+ * @example
+ * markHeld(state.executors.values(), ownership);
+ */
+export function markHeld(
+  executors: Iterable<ExecutorState>,
+  holds: Pick<OrderHolds, 'isHeld'>,
+): void {
+  for (const executor of executors) {
+    executor.isHeld = holds.isHeld(executor.info.id);
+  }
+}
+
+function toIds(executors: readonly NamedOrders[]): ReadonlySet<string> {
+  return new Set(executors.map(({id}) => id));
+}
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -9,11 +9,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
-import {
-  ordersNotice,
-  type NamedOrders,
-  type OrdersNotice,
-} from './last-orders.js';
+import {ordersNotice, type OrdersNotice} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -23,9 +19,11 @@
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
 import {decodeJobsRecord, jobKey} from './records.js';
+import {markHeld} from './order-holds.js';
 import {RuntimeMonitor} from './runtime-monitor.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
+import {SilentExecutors} from './silent-executors.js';
 import {stateLines} from './state-lines.js';
 import type {Store} from './store.js';
 import {isFinal, type CellConfig} from './types.js';
@@ -68,6 +66,7 @@
   private readonly feed: CellFeed;
   private readonly commit: ProgressCommit;
   private readonly formerOwnerRuns: FormerOwnerRuns;
+  private readonly silentExecutors: SilentExecutors;
   private readonly runtimeMonitor: RuntimeMonitor;
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
@@ -90,6 +89,8 @@
       clock,
       executorsReadMs: () => this.feed.executorsReadMs,
     });
+    const {state, formerOwnerRuns} = this;
+    this.silentExecutors = new SilentExecutors({state, formerOwnerRuns, clock});
     this.ticketRequester = new TicketRequester(
       deps.adviceChannels,
       () => clock.monotonicMs(),
@@ -204,6 +205,9 @@
     this.deps.publish(this.allRows());
     this.isActive = true;
     this.isLoaded = true;
+    this.deps.ownership.setSilentExecutors(() =>
+      this.silentExecutors.describe(),
+    );
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -233,14 +237,7 @@
    * @returns null if this owner has not started to act
    */
   describeOrders(): OrdersNotice | null {
-    if (!this.isLoaded) return null;
-    const nowMs = this.deps.clock.monotonicMs();
-    const executors: NamedOrders[] = [];
-    for (const executor of this.state.executors.values()) {
-      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
-      if (orders !== null) executors.push({id: executor.info.id, ...orders});
-    }
-    return ordersNotice(executors);
+    return this.isLoaded ? ordersNotice(this.silentExecutors.describe()) : null;
   }
 
   /** Applies a configuration. */
@@ -316,6 +313,7 @@
       clock,
       token: ownership.term,
       mayAct: () => this.mayAct(),
+      isHeld: id => ownership.isHeld(id),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
         ownership.revoke();
@@ -372,6 +370,7 @@
     if (!this.mayStart()) return;
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
+    markHeld(this.state.executors.values(), this.deps.ownership);
     const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
     const context = this.roundContext(nowMs, capacities);
     const {organisations, jobs} = this.state;
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -6,10 +6,12 @@
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
 import {
   InheritedOrders,
+  type NamedOrders,
   type OrdersDeadline,
   type OrdersNotice,
 } from './last-orders.js';
 import type {HandoverNotice} from './messages.js';
+import {chooseHeld, OrderHolds} from './order-holds.js';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
@@ -58,6 +60,13 @@
    * has acted since.
    */
   readonly orders?: OrdersNotice;
+  /**
+   * The last orders to executors that do not answer the owner. It gives them
+   * none until a record that does not name them is confirmed. Missing in
+   * records of earlier versions, of releases and of handovers: the owner may
+   * give orders to all.
+   */
+  readonly heldOrders?: readonly NamedOrders[];
 }
 
 /** The newest record and the offset at which a claim must be appended. */
@@ -133,7 +142,7 @@
   self: OwnerAddress,
   notice: HandoverNotice,
 ): Ownership {
-  const {term, endOffset, areFormerStopped, orders = null} = notice;
+  const {term, endOffset, areFormerStopped} = notice;
   const formerOwners = endOwnersOf(self.vm, earlierOwners(notice));
   const record = {
     ...toAddress(self),
@@ -145,6 +154,10 @@
   const nowMs = clock.monotonicMs();
   const lastWrite = {sentMs: nowMs - MAX_HANDOVER_AGE_MS, endOffset};
   const former = new FormerOwners(formerOwners, nowMs, clock);
+  const orders =
+    notice.orders === undefined
+      ? null
+      : new InheritedOrders(notice.orders, nowMs);
   return new Ownership(store, clock, record, lastWrite, {orders, former});
 }
 
@@ -158,8 +171,8 @@
 
 /** What a new owner knows of former ones. */
 interface Takeover {
-  /** The last orders of the owner that released or handed over the cell. */
-  readonly orders: OrdersNotice | null;
+  /** Their last orders, as far as they told; null if they did not. */
+  readonly orders: InheritedOrders | null;
   readonly former: FormerOwners;
 }
 
@@ -172,6 +185,10 @@
   private readonly startedMs: number;
   private readonly formerOwners: FormerOwners;
   private readonly inheritedOrders: InheritedOrders | null;
+  private readonly holds: OrderHolds;
+  /** The last orders to executors that do not answer. */
+  private silentExecutors = (): readonly NamedOrders[] =>
+    this.describeFormerOrders().executors;
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
@@ -187,8 +204,8 @@
     this.confirmedWallMs = clock.wallMs();
     this.startedMs = clock.monotonicMs();
     this.formerOwners = former;
-    this.inheritedOrders =
-      orders === null ? null : new InheritedOrders(orders, this.startedMs);
+    this.inheritedOrders = orders;
+    this.holds = new OrderHolds(record.heldOrders ?? []);
   }
 
   /** Fencing token; executors refuse orders with a lower one. */
@@ -219,9 +236,9 @@
   /** The last orders of former owners to the executor. */
   formerOrders(executorId: string): OrdersDeadline {
     const stopped = this.stoppedOrders(executorId);
-    const {actUntilMs} = this.formerOwners;
-    if (actUntilMs <= stopped.untilMs) return stopped;
-    return {...stopped, untilMs: actUntilMs, wasReached: false};
+    const untilMs = this.formerOwners.ordersUntilMs(executorId);
+    if (untilMs <= stopped.untilMs) return stopped;
+    return {...stopped, untilMs, wasReached: false};
   }
 
   /** The same without the owners that were not seen to stop. */
@@ -278,6 +295,16 @@
     return monotonicMs < boundMs && wallMs < boundMs;
   }
 
+  /** Sets who tells of executors that do not answer, once that is known. */
+  setSilentExecutors(describe: () => readonly NamedOrders[]): void {
+    this.silentExecutors = describe;
+  }
+
+  /** Whether a record may say that the executor gets no orders. */
+  isHeld(executorId: string): boolean {
+    return this.holds.isHeld(executorId);
+  }
+
   /** Ends the ownership at once, as when an executor saw a higher token. */
   revoke(): void {
     this.isLost = true;
@@ -285,7 +312,7 @@
 
   /** Writes a heartbeat; failures other than a conflict have no effect. */
   async renew(): Promise<void> {
-    await this.writes.add(() => this.write(this.record));
+    await this.writes.add(() => this.writeHeartbeat());
   }
 
   /**
@@ -343,13 +370,22 @@
     this.isLost = true;
     const record = {
       ...this.record,
+      heldOrders: [],
       isReleased: true,
       orders: orders ?? this.describeFormerOrders(),
     };
     await this.writes.add(() => this.write(record));
   }
 
-  private async write(record: OwnerRecord): Promise<void> {
+  private async writeHeartbeat(): Promise<void> {
+    const heldOrders = chooseHeld(this.silentExecutors());
+    this.holds.recordSent(heldOrders);
+    const isStored = await this.write({...this.record, heldOrders});
+    if (isStored) this.holds.recordConfirmed(heldOrders);
+  }
+
+  /** Returns whether the record is surely stored. */
+  private async write(record: OwnerRecord): Promise<boolean> {
     const sentMs = this.clock.monotonicMs();
     const sentWallMs = this.clock.wallMs();
     try {
@@ -364,9 +400,11 @@
       );
       this.confirmedMs = sentMs;
       this.confirmedWallMs = sentWallMs;
+      return true;
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
       if (err.failure === 'conflict') await this.resolveConflict();
+      return false;
     }
   }
 
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -57,6 +57,7 @@
     executor.isReached &&
     isDescriptionCurrent(executor) &&
     executor.missedRenewals === 0 &&
+    !executor.isHeld &&
     !executor.info.isDraining &&
     executor.avoidUntilMs <= nowMs
   );
--- /dev/null
+++ b/packages/cell/test/held-orders.test.ts
@@ -0,0 +1,263 @@
+/** What the heartbeats of an owner tell, in case that it is killed. */
+import {
+  chooseHeld,
+  claimCell,
+  OrderHolds,
+  readOwner,
+  type NamedOrders,
+} from '@dragonflyward/cell';
+import {ManualClock} from '@dragonflyward/common';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {MemoryStore, StoreClient} from './memory-store.js';
+import {Rig, STEP, type CellNode} from './rig.js';
+
+const LONG_RUN_MS = 600_000;
+/** By then, no executor counts as having just started, in ms. */
+const START_AGE_MS = 21_000;
+const SETTLE_MS = 3000;
+const OWNER_HEARTBEAT_MS = 500;
+/** Time from the death of an owner to the claim of the next one, in ms. */
+const CLAIM_DELAY_MS = 900;
+/** The lease that an owner gives, with the margin for clocks, in ms. */
+const LEASE_MS = 6500;
+/** The start lease of a killed owner, and time to start a task, in ms. */
+const START_MS = 2000;
+const LASTING = {...STEP, isService: true};
+const SPREAD = {...LASTING, count: 3, maxPerExecutor: 1};
+
+interface Started {
+  readonly rig: Rig;
+  readonly owner: CellNode;
+  /** The task that runs on x1. */
+  readonly task: string;
+}
+
+/** An owner under which a task runs on x1, and none on x3. */
+async function startOwner(): Promise<Started> {
+  const rig = new Rig(4, () => ({ms: LONG_RUN_MS, how: 'failed'}));
+  const owner = rig.newNode('v0');
+  void rig.claim(owner);
+  await rig.run(START_AGE_MS);
+  rig.submit('early', [SPREAD], [owner]);
+  await rig.run(SETTLE_MS);
+  const [task = ''] = rig.executor('x1').runs.keys();
+  assert.is.not(task, '');
+  return {rig, owner, task};
+}
+
+function countRuns(rig: Rig, task: string): number {
+  return rig.executors.filter(({runs}) => runs.has(task)).length;
+}
+
+/** Runs the clock to a time after a start; fails if the task runs late. */
+async function expectRunBy(
+  {rig, task}: Started,
+  startMs: number,
+  boundMs: number,
+): Promise<void> {
+  await rig.run(startMs + boundMs - rig.clock.monotonicMs());
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1, `${task} has no run`);
+}
+
+/** Kills the owner; a new process claims the cell some time later. */
+async function replaceKilled(
+  rig: Rig,
+  killed: CellNode,
+  vm: string,
+): Promise<CellNode> {
+  rig.kill(killed);
+  await rig.run(CLAIM_DELAY_MS);
+  const next = rig.newNode(vm);
+  void rig.claim(next);
+  return next;
+}
+
+const held = suite('orders that are held');
+
+// Its executor leaves for good, 5 s before the owner is killed.
+held('restarts a lasting task soon after its owner is killed', async () => {
+  const started = await startOwner();
+  const {rig, owner} = started;
+  rig.executor('x1').crash();
+  await rig.run(5000);
+  const killMs = rig.clock.monotonicMs();
+  await replaceKilled(rig, owner, 'v1');
+  await expectRunBy(started, killMs, CLAIM_DELAY_MS + START_MS);
+});
+
+// Nobody knows how long ago a heartbeat was stored: each kill adds that time.
+held('restarts a lasting task though owner after owner is killed', async () => {
+  const started = await startOwner();
+  const {rig} = started;
+  rig.executor('x1').crash();
+  const crashMs = rig.clock.monotonicMs();
+  let {owner} = started;
+  const aliveMs = [3000, 300, 700, 100];
+  for (const [i, ms] of aliveMs.entries()) {
+    await rig.run(ms);
+    owner = await replaceKilled(rig, owner, `v${i + 1}`);
+  }
+  const unknownMs = aliveMs.length * (CLAIM_DELAY_MS + OWNER_HEARTBEAT_MS);
+  await expectRunBy(started, crashMs, LEASE_MS + unknownMs + START_MS);
+});
+
+// A successor passes on what a killed owner told.
+held('restarts a lasting task after a kill and a handover', async () => {
+  const started = await startOwner();
+  const {rig, owner} = started;
+  rig.executor('x1').crash();
+  await rig.run(4000);
+  const killMs = rig.clock.monotonicMs();
+  const second = await replaceKilled(rig, owner, 'v1');
+  await rig.run(300);
+  void rig.handOver(second, rig.newNode('v2'));
+  const leftMs = LEASE_MS - 4000;
+  await expectRunBy(started, killMs, leftMs + START_MS);
+});
+
+// Only the first owner reaches x1 again, after it has told that it does not.
+for (const isConnectedToAll of [false, true]) {
+  const connected = isConnectedToAll ? 'connected' : 'unconnected';
+  held(`extends no lease that it gave up, ${connected}`, async () => {
+    const {rig, owner, task} = await startOwner();
+    rig.executor('x1').isDisconnected = true;
+    await rig.run(2000);
+    owner.store.faults.isRefusing = true;
+    owner.isConnectedToAll = isConnectedToAll;
+    for (const id of ['x0', 'x2', 'x3']) owner.unreachable.add(id);
+    const next = rig.newNode('v1');
+    next.unreachable.add('x1');
+    await rig.run(CLAIM_DELAY_MS);
+    rig.executor('x1').isDisconnected = false;
+    void rig.claim(next);
+    await rig.run(3 * LEASE_MS);
+    assert.is(next.ownership?.term, 2);
+    assert.equal(rig.checker.violations, []);
+    assert.is(countRuns(rig, task), 1);
+  });
+}
+
+// x3 is idle and silent; then only the first owner reaches it, and it alone.
+held('starts nothing where it has given up', async () => {
+  const {rig, owner} = await startOwner();
+  rig.executor('x3').isDisconnected = true;
+  rig.submit('probe', [{...SPREAD, count: 4}], [owner]);
+  await rig.run(LEASE_MS + SETTLE_MS);
+  const lines = rig.logLines.length;
+  owner.store.faults.isRefusing = true;
+  owner.isConnectedToAll = true;
+  for (const id of ['x0', 'x1', 'x2']) owner.unreachable.add(id);
+  rig.executor('x3').isDisconnected = false;
+  await rig.run(SETTLE_MS);
+  assert.is(rig.executor('x3').runs.size, 0);
+  const starts = rig.logLines
+    .slice(lines)
+    .filter(line => line.includes(' runStarted '));
+  assert.equal(starts, []);
+  owner.store.faults.isRefusing = false;
+  await rig.run(SETTLE_MS);
+  assert.is(rig.executor('x3').runs.size, 1);
+  assert.equal(rig.checker.violations, []);
+});
+
+// The heartbeats that name the executor have no answer, and are stored.
+held('keeps its word if the answer to the heartbeat is lost', async () => {
+  const {rig, owner, task} = await startOwner();
+  rig.executor('x1').isDisconnected = true;
+  owner.store.faults.lostAnswers = 9;
+  await rig.run(2000);
+  for (const id of ['x0', 'x2', 'x3']) owner.unreachable.add(id);
+  owner.isConnectedToAll = true;
+  owner.store.faults.isRefusing = true;
+  const next = rig.newNode('v1');
+  next.unreachable.add('x1');
+  rig.executor('x1').isDisconnected = false;
+  await rig.run(CLAIM_DELAY_MS);
+  void rig.claim(next);
+  await rig.run(3 * LEASE_MS);
+  assert.is(next.ownership?.term, 2);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
+// It may get orders once a heartbeat is stored that does not name it.
+held('goes on with an executor that answers again', async () => {
+  const {rig, task} = await startOwner();
+  const {runs} = rig.executor('x1');
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(4500);
+  rig.executor('x1').isDisconnected = false;
+  await rig.run(2 * LEASE_MS);
+  assert.is(runs.has(task), true);
+  assert.is(rig.checker.startCount(task), 1);
+});
+
+// An executor is dropped and comes back before the next heartbeat.
+held('holds orders by id', () => {
+  const named = {agoMs: 2000, unlistedForMs: 0, bornMs: 0, wasReached: true};
+  const holds = new OrderHolds([{...named, id: 'a'}]);
+  holds.recordSent([{...named, id: 'b'}]);
+  assert.equal(
+    ['a', 'b', 'c'].map(each => holds.isHeld(each)),
+    [true, true, false],
+  );
+  holds.recordConfirmed([{...named, id: 'c'}]);
+  assert.equal(
+    ['a', 'b', 'c'].map(each => holds.isHeld(each)),
+    [false, false, true],
+  );
+});
+
+held('names few executors, those first that waited for longest', () => {
+  const executors = Array.from({length: 100}, (_, i) => ({
+    id: `x${i}`,
+    agoMs: i * 100 - 500,
+    unlistedForMs: 0,
+    bornMs: 0,
+    wasReached: true,
+  }));
+  const chosen = chooseHeld(executors);
+  assert.is(chosen.length, 40);
+  assert.is(chosen[0]?.id, 'x99');
+  assert.is(chosen.at(-1)?.id, 'x60');
+  assert.is(chooseHeld(executors.slice(0, 16)).length, 1);
+});
+
+/** Runs a step that calls the store. */
+async function settle<T>(clock: ManualClock, step: Promise<T>): Promise<T> {
+  await clock.advance(20);
+  return step;
+}
+
+// An owner of an earlier version promises nothing.
+held('counts from the claim for executors that are not named', async () => {
+  const clock = new ManualClock(100_000);
+  const client = new StoreClient(new MemoryStore(), clock);
+  const claim = async (vm: string) =>
+    claimCell(
+      client,
+      clock,
+      {vm, ip: '', port: 0, incarnation: 1},
+      await readOwner(client, clock),
+    );
+  const first = await settle(clock, claim('a'));
+  const named: readonly NamedOrders[] = [
+    {id: 'x1', agoMs: 4000, unlistedForMs: 0, bornMs: 5, wasReached: true},
+  ];
+  first?.setSilentExecutors(() => named);
+  await settle(clock, first?.renew() ?? Promise.resolve());
+  assert.is(first?.isHeld('x1'), true);
+  const second = await settle(clock, claim('b'));
+  const nowMs = clock.monotonicMs();
+  const x1 = second?.formerOrders('x1');
+  assert.ok((x1?.untilMs ?? Infinity) < nowMs - 3800);
+  assert.equal([x1?.bornMs, x1?.wasReached], [5, true]);
+  const x2 = second?.formerOrders('x2');
+  assert.ok((x2?.untilMs ?? 0) > nowMs + 2900);
+  assert.equal([x2?.bornMs, x2?.wasReached], [0, false]);
+  assert.is(second?.isHeld('x1'), true);
+});
+
+held.run();
