Tell the next owner of executors that were just dropped

What callers saw: a task that ended while the owner changed waited for executors that the former owner had given up before, as long as for those that had just answered it: it had dropped them, and the mark in the store was still missing.

The owner keeps the last orders to an executor that it drops for 5 s and tells them as it does for those that do not answer, in heartbeats, handovers and releases.

Test: "restarts a task though a dropped executor is still stored" fails if dropped executors are not told.

--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -39,7 +39,7 @@
 }
 
 /** Orders of an owner that stops now and knows all that it does not name. */
-const JUST_NOW: LastOrders = {
+export const JUST_NOW: LastOrders = {
   agoMs: 0,
   unlistedForMs: 0,
   bornMs: 0,
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -180,6 +180,7 @@
       },
       onCancel: () => this.requestRound(),
       onNewExecutor: executor => {
+        this.silentExecutors.recordUsed(executor);
         this.commit.addExecutor(executor);
         this.requestRound();
       },
@@ -463,6 +464,7 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
+      this.silentExecutors.recordGone(executor);
       const lost = executor.expired?.runs ?? [];
       this.state.recordCrash(executor, lost, false, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
--- a/packages/cell/src/silent-executors.ts
+++ b/packages/cell/src/silent-executors.ts
@@ -1,8 +1,12 @@
 /** The executors that do not answer an owner, for the next one. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
+import type {ExecutorState} from './executor-state.js';
 import type {FormerOwnerRuns} from './former-owner-runs.js';
-import type {NamedOrders} from './last-orders.js';
+import {JUST_NOW, type LastOrders, type NamedOrders} from './last-orders.js';
+
+/** By then, it is stored that an executor is gone, in ms. */
+const STORED_AFTER_MS = 5000;
 
 /** Dependencies of the description. */
 export interface SilentExecutorsDeps {
@@ -11,19 +15,57 @@
   readonly clock: Clock;
 }
 
+interface GoneExecutor {
+  readonly orders: LastOrders;
+  readonly goneMs: number;
+}
+
 /** Describes the last orders to executors that do not answer. */
 export class SilentExecutors {
+  /** Those that the owner has dropped; the store may still name them. */
+  private readonly gone = new Map<string, GoneExecutor>();
+
   constructor(private readonly deps: SilentExecutorsDeps) {}
 
-  /** The last orders to those that do not answer. */
+  /** Records an executor that the owner drops now. */
+  recordGone(executor: ExecutorState): void {
+    const {formerOwnerRuns, clock} = this.deps;
+    const goneMs = clock.monotonicMs();
+    const orders = formerOwnerRuns.describeOrders(executor, goneMs) ?? JUST_NOW;
+    this.gone.set(executor.info.id, {orders, goneMs});
+  }
+
+  /** Records that an executor is used, perhaps again. */
+  recordUsed({info}: ExecutorState): void {
+    this.gone.delete(info.id);
+  }
+
+  /** The last orders to those that do not answer or were just dropped. */
   describe(): readonly NamedOrders[] {
     const {state, formerOwnerRuns, clock} = this.deps;
     const nowMs = clock.monotonicMs();
-    const named: NamedOrders[] = [];
+    const named = [...this.describeGone(nowMs)];
     for (const executor of state.executors.values()) {
       const orders = formerOwnerRuns.describeOrders(executor, nowMs);
       if (orders !== null) named.push({id: executor.info.id, ...orders});
     }
     return named;
   }
+
+  private *describeGone(nowMs: number): Generator<NamedOrders> {
+    for (const [id, {orders, goneMs}] of this.gone) {
+      const passedMs = nowMs - goneMs;
+      if (passedMs > STORED_AFTER_MS) this.gone.delete(id);
+      else yield {id, ...ageOrders(orders, passedMs)};
+    }
+  }
+}
+
+function ageOrders(orders: LastOrders, passedMs: number): LastOrders {
+  const {agoMs, unlistedForMs} = orders;
+  return {
+    ...orders,
+    agoMs: agoMs + passedMs,
+    unlistedForMs: unlistedForMs > 0 ? unlistedForMs + passedMs : 0,
+  };
 }
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -3,6 +3,7 @@
   chooseHeld,
   claimCell,
   OrderHolds,
+  PROGRESS_TOPIC,
   readOwner,
   type NamedOrders,
 } from '@dragonflyward/cell';
@@ -103,6 +104,27 @@
   await expectRunBy(started, crashMs, LEASE_MS + unknownMs + START_MS);
 });
 
+// The store names it to the next owner, which cannot reach it either.
+held('restarts a task though a dropped executor is still stored', async () => {
+  const {rig, owner} = await startOwner();
+  owner.store.faults.refusedTopics = PROGRESS_TOPIC;
+  rig.executor('x1').crash();
+  const isGone = (): boolean =>
+    rig.logLines.some(line => line.includes(' v0 executorGone '));
+  for (let ms = 0; ms < 2 * LEASE_MS && !isGone(); ms += 100) {
+    await rig.run(100);
+  }
+  assert.is(isGone(), true);
+  await rig.run(700);
+  const [run] = rig.executor('x0').runs.values();
+  assert.ok(run);
+  run.endsMs = rig.clock.monotonicMs();
+  await replaceKilled(rig, owner, 'v1');
+  await rig.run(START_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, run.task), 1);
+});
+
 // A successor passes on what a killed owner told.
 held('restarts a lasting task after a kill and a handover', async () => {
   const started = await startOwner();
