Check chains of kills for second runs and for a bound in time

Owners of a chain of up to five are killed one after the other; the executor of a lasting task has crashed or cannot be reached, between 0 and 6 s before. The task never runs twice, and runs again once the lease that its executor had when it was last heard of has ended. Each kill may add the time since the last heartbeat. An executor that was lost less than 2.6 s before the first kill may not be named; for it, 3.1 s of the killed owner count.

The property fails if a former owner's time counts for each executor.

--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -8,6 +8,7 @@
   type NamedOrders,
 } from '@dragonflyward/cell';
 import {ManualClock} from '@dragonflyward/common';
+import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {MemoryStore, StoreClient} from './memory-store.js';
@@ -17,6 +18,13 @@
 /** By then, no executor counts as having just started, in ms. */
 const START_AGE_MS = 21_000;
 const SETTLE_MS = 3000;
+/** CELL_SEED and CELL_RUNS set another seed and more runs for a long search. */
+const SEED = Number(process.env['CELL_SEED'] ?? 20261205);
+const RUNS = Number(process.env['CELL_RUNS'] ?? 30);
+/** Silent for that long, an executor is named in a heartbeat, in ms. */
+const NAMED_AFTER_MS = 2600;
+/** How long a killed owner counts, with the margin for clocks, in ms. */
+const KILLED_MS = 3100;
 const OWNER_HEARTBEAT_MS = 500;
 /** Time from the death of an owner to the claim of the next one, in ms. */
 const CLAIM_DELAY_MS = 900;
@@ -67,9 +75,10 @@
   rig: Rig,
   killed: CellNode,
   vm: string,
+  claimDelayMs = CLAIM_DELAY_MS,
 ): Promise<CellNode> {
   rig.kill(killed);
-  await rig.run(CLAIM_DELAY_MS);
+  await rig.run(claimDelayMs);
   const next = rig.newNode(vm);
   void rig.claim(next);
   return next;
@@ -104,6 +113,58 @@
   await expectRunBy(started, crashMs, LEASE_MS + unknownMs + START_MS);
 });
 
+/** How owners of a chain are killed, and how the executor is lost. */
+const chainOfKills = fc.record({
+  silentMs: fc.integer({min: 0, max: 6000}),
+  isCrashed: fc.boolean(),
+  kills: fc.array(
+    fc.record({
+      aliveMs: fc.integer({min: 60, max: 3500}),
+      claimDelayMs: fc.integer({min: 100, max: 2500}),
+    }),
+    {minLength: 1, maxLength: 5},
+  ),
+});
+
+type ChainOfKills =
+  typeof chainOfKills extends fc.Arbitrary<infer T> ? T : never;
+
+/** By when a task of the lost executor runs again, after that was lost. */
+function boundMs({silentMs, kills}: ChainOfKills): number {
+  let passedMs = silentMs;
+  let unknownMs = 0;
+  for (const [i, {aliveMs, claimDelayMs}] of kills.entries()) {
+    passedMs += (i === 0 ? 0 : aliveMs) + claimDelayMs;
+    unknownMs += claimDelayMs + OWNER_HEARTBEAT_MS;
+  }
+  const first = kills[0]?.claimDelayMs ?? 0;
+  const fromFirstClaim = silentMs + first + KILLED_MS;
+  const fromOrdersMs = silentMs < NAMED_AFTER_MS ? fromFirstClaim : 0;
+  return Math.max(passedMs, fromOrdersMs + LEASE_MS + unknownMs) + START_MS;
+}
+
+held('runs a lasting task once, and soon, in chains of kills', async () => {
+  const property = fc.asyncProperty(chainOfKills, async kills => {
+    const started = await startOwner();
+    const {rig} = started;
+    if (kills.isCrashed) rig.executor('x1').crash();
+    else rig.executor('x1').isDisconnected = true;
+    const lostMs = rig.clock.monotonicMs();
+    let {owner} = started;
+    await rig.run(kills.silentMs);
+    for (const [i, {aliveMs, claimDelayMs}] of kills.kills.entries()) {
+      if (i > 0) await rig.run(aliveMs);
+      owner = await replaceKilled(rig, owner, `v${i + 1}`, claimDelayMs);
+    }
+    await expectRunBy(started, lostMs, boundMs(kills));
+  });
+  await fc.assert(property, {
+    seed: SEED,
+    numRuns: RUNS,
+    includeErrorInReport: true,
+  });
+});
+
 // The store names it to the next owner, which cannot reach it either.
 held('restarts a task though a dropped executor is still stored', async () => {
   const {rig, owner} = await startOwner();
