Check an owner that lives on beside a claimant for second runs

The owner is cut from the store and reaches only the executor that it could not reach before, at any time around the claim.

--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -23,6 +23,8 @@
 const RUNS = Number(process.env['CELL_RUNS'] ?? 30);
 /** Silent for that long, an executor is named in a heartbeat, in ms. */
 const NAMED_AFTER_MS = 2600;
+/** Within this time, an owner hears of the claim of a connected VM, in ms. */
+const TOLD_MS = 700;
 /** How long a killed owner counts, with the margin for clocks, in ms. */
 const KILLED_MS = 3100;
 const OWNER_HEARTBEAT_MS = 500;
@@ -222,6 +224,44 @@
   });
 }
 
+/** The owner lives on without the store, and reaches only x1 again. */
+const survivor = fc.record({
+  silentMs: fc.integer({min: 500, max: 5500}),
+  reachedAfterMs: fc.integer({min: 0, max: 1500}),
+  claimAfterMs: fc.integer({min: 0, max: 1000}),
+  waitMs: fc.constantFrom(0, 800, 1250),
+  isConnectedToAll: fc.boolean(),
+});
+
+held('starts no second run beside an owner that lives on', async () => {
+  const property = fc.asyncProperty(survivor, async times => {
+    const {rig, owner, task} = await startOwner();
+    rig.executor('x1').isDisconnected = true;
+    await rig.run(times.silentMs);
+    owner.store.faults.isRefusing = true;
+    owner.isConnectedToAll = times.isConnectedToAll;
+    for (const id of ['x0', 'x2', 'x3']) owner.unreachable.add(id);
+    const next = rig.newNode('v1');
+    next.unreachable.add('x1');
+    await rig.run(times.reachedAfterMs);
+    rig.executor('x1').isDisconnected = false;
+    await rig.run(times.claimAfterMs);
+    void rig.claim(next, times.waitMs);
+    // By then, a VM that claims the cell has told an owner that hears it.
+    await rig.run(times.waitMs + TOLD_MS);
+    owner.isConnectedToAll = false;
+    await rig.run(3 * LEASE_MS);
+    assert.is(next.ownership?.term, 2);
+    assert.equal(rig.checker.violations, []);
+    assert.is(countRuns(rig, task), 1);
+  });
+  await fc.assert(property, {
+    seed: SEED,
+    numRuns: RUNS,
+    includeErrorInReport: true,
+  });
+});
+
 // x3 is idle and silent; then only the first owner reaches it, and it alone.
 held('starts nothing where it has given up', async () => {
   const {rig, owner} = await startOwner();
