--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,4 +1,5 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
+import {claimCell} from './cell-claim.js';
 import {claimDelayMs, MAX_CLAIM_DELAY_MS} from './claim-delay.js';
 import type {ElectionDeps, ElectionHost} from './election-host.js';
 import type {CellConnection, Member} from './members.js';
@@ -7,7 +8,6 @@
 import type {OrdersNotice} from './last-orders.js';
 import {
   acceptOwnership,
-  claimCell,
   OWNER_HEARTBEAT_MS,
   readOwner,
   toAddress,
@@ -366,7 +366,7 @@
     const {clock, store} = this.deps;
     const sentMs = clock.monotonicMs();
     try {
-      this.followIfNewer(await readOwner(store));
+      this.followIfNewer(await readOwner(store, clock));
       return clock.monotonicMs() - sentMs;
     } catch (err) {
       this.activity.recordStoreFailure(clock.monotonicMs());
@@ -377,7 +377,7 @@
   private async claimFromIdle(): Promise<void> {
     const {clock, store, log, metrics} = this.deps;
     // The idle owner's heartbeats move the end at which a claim is appended.
-    const snapshot = await readOwner(store);
+    const snapshot = await readOwner(store, clock);
     const nowMs = clock.monotonicMs();
     if (this.followIfNewer(snapshot) || !this.activity.isIdle(nowMs)) return;
     metrics.count('idle_owner_claims_total');
@@ -394,7 +394,7 @@
   private async findOwner(): Promise<void> {
     const {clock, store, members, self} = this.deps;
     const sentMs = clock.monotonicMs();
-    const snapshot = await readOwner(store);
+    const snapshot = await readOwner(store, clock);
     const rttMs = clock.monotonicMs() - sentMs;
     if (this.followIfNewer(snapshot)) return;
     const isOwn = snapshot.record?.vm === self.vm;
@@ -455,10 +455,13 @@
   }
 
   private async sendClaim(snapshot: OwnerSnapshot): Promise<Ownership | null> {
-    const {self, clock, store} = this.deps;
+    const {self, clock, store, members} = this.deps;
     this.isClaiming = true;
     try {
-      return await claimCell(store, clock, self, snapshot, this.actedTerm);
+      return await claimCell(store, clock, self, snapshot, {
+        actedTerm: this.actedTerm,
+        connectedMs: vm => members.connectedMs(vm),
+      });
     } finally {
       this.isClaiming = false;
     }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -2,6 +2,7 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
+import {START_LEASE_MS, UNCONNECTED_LEASE_MS} from './claim-bounds.js';
 import {CellState} from './cell-state.js';
 import {describeLoad, type LoadDescription} from './load-description.js';
 import {ExecutorLoop, type ExecutorHost} from './executor-loop.js';
@@ -9,27 +10,21 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
-import {
-  ordersNotice,
-  type NamedOrders,
-  type OrdersNotice,
-} from './last-orders.js';
+import {ordersNotice, type OrdersNotice} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
-import {
-  START_LEASE_MS,
-  UNCONNECTED_LEASE_MS,
-  type Ownership,
-} from './ownership.js';
+import type {Ownership} from './ownership.js';
 import type {LogFunction, Platform} from './platform.js';
 import {ProgressCommit} from './progress-commit.js';
 import {ProgressWriter} from './progress-writer.js';
 import {decodeJobsRecord, jobKey} from './records.js';
+import {markHeld} from './order-holds.js';
 import {RuntimeMonitor} from './runtime-monitor.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
+import {SilentExecutors} from './silent-executors.js';
 import {stateLines} from './state-lines.js';
 import type {Store} from './store.js';
 import {isFinal, type CellConfig} from './types.js';
@@ -70,6 +65,7 @@
   private readonly feed: CellFeed;
   private readonly commit: ProgressCommit;
   private readonly formerOwnerRuns: FormerOwnerRuns;
+  private readonly silentExecutors: SilentExecutors;
   private readonly runtimeMonitor: RuntimeMonitor;
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
@@ -92,6 +88,8 @@
       clock,
       executorsReadMs: () => this.feed.executorsReadMs,
     });
+    const {state, formerOwnerRuns} = this;
+    this.silentExecutors = new SilentExecutors({state, formerOwnerRuns, clock});
     this.ticketRequester = new TicketRequester(
       deps.adviceChannels,
       () => clock.monotonicMs(),
@@ -154,6 +152,7 @@
       },
       onCancel: () => this.requestRound(),
       onNewExecutor: executor => {
+        this.silentExecutors.recordUsed(executor);
         this.commit.addExecutor(executor);
         this.requestRound();
       },
@@ -181,6 +180,9 @@
     this.deps.publish(this.allRows());
     this.isActive = true;
     this.isLoaded = true;
+    this.deps.ownership.setSilentExecutors(() =>
+      this.silentExecutors.describe(),
+    );
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -221,14 +223,7 @@
    * @returns null if this owner has not started to act
    */
   describeOrders(): OrdersNotice | null {
-    if (!this.isLoaded) return null;
-    const nowMs = this.deps.clock.monotonicMs();
-    const executors: NamedOrders[] = [];
-    for (const executor of this.state.executors.values()) {
-      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
-      if (orders !== null) executors.push({id: executor.info.id, ...orders});
-    }
-    return ordersNotice(executors);
+    return this.isLoaded ? ordersNotice(this.silentExecutors.describe()) : null;
   }
 
   /** Applies a configuration. */
@@ -304,6 +299,7 @@
       clock,
       token: ownership.term,
       mayAct: () => this.mayAct(),
+      isHeld: id => ownership.isHeld(id),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
         ownership.revoke();
@@ -360,6 +356,7 @@
     if (!this.mayStart()) return;
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
+    markHeld(this.state.executors.values(), this.deps.ownership);
     const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
     const context = this.roundContext(nowMs, capacities);
     const {organisations, jobs} = this.state;
@@ -452,6 +449,7 @@
       if (isListed || tasks.size > 0 || orphans.size > 0) continue;
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
+      this.silentExecutors.recordGone(executor);
       const lost = executor.expired?.runs ?? [];
       this.state.recordCrash(executor, lost, false, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -2,13 +2,16 @@
 import type {Clock} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import PQueue from 'p-queue';
+import {LEASES} from './claim-bounds.js';
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
 import {
   InheritedOrders,
+  type NamedOrders,
   type OrdersDeadline,
   type OrdersNotice,
 } from './last-orders.js';
 import type {HandoverNotice} from './messages.js';
+import {chooseHeld, OrderHolds} from './order-holds.js';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
@@ -17,28 +20,13 @@
 /** The owner's lease on the cell: with an older heartbeat it stops acting. */
 export const OWNER_LEASE_MS = 8000;
 
-/**
- * The owner's lease for starting tasks. With an older heartbeat it starts
- * nothing unless every VM is connected to it: a VM that claims the cell would
- * have notified it.
- */
-export const START_LEASE_MS = 800;
-
-/**
- * The owner's lease on the cell unless every VM is connected to it. It covers
- * the heartbeat of a VM that claims the cell: that may count for 1.2 s and
- * arrive late.
- */
-export const UNCONNECTED_LEASE_MS = 3000;
-
 /** Assumed delay between writing a handover and receiving its notice, in ms. */
 const MAX_HANDOVER_AGE_MS = 2000;
 /** A former owner of which an earlier version does not say when it stops. */
 const UNKNOWN_OWNER: FormerOwner = {
   vm: '',
   incarnation: 0,
-  startMs: START_LEASE_MS,
-  actMs: UNCONNECTED_LEASE_MS,
+  ...LEASES,
 };
 const OWNER_KEY = 'cell';
 const HEARTBEAT_TIMEOUT_MS = 1000;
@@ -72,12 +60,21 @@
    * has acted since.
    */
   readonly orders?: OrdersNotice;
+  /**
+   * The last orders to executors that do not answer the owner. It gives them
+   * none until a record that does not name them is confirmed. Missing in
+   * records of earlier versions, of releases and of handovers: the owner may
+   * give orders to all.
+   */
+  readonly heldOrders?: readonly NamedOrders[];
 }
 
 /** The newest record and the offset at which a claim must be appended. */
 export interface OwnerSnapshot {
   readonly record: OwnerRecord | null;
   readonly endOffset: number;
+  /** When the answer arrived, on the reader's monotonic clock. */
+  readonly readMs: number;
 }
 
 /**
@@ -85,86 +82,27 @@
  *
  * @throws StoreError
  * @example
- * const {record} = await readOwner(store);
+ * const {record} = await readOwner(store, clock);
  */
-export async function readOwner(store: Store): Promise<OwnerSnapshot> {
+export async function readOwner(
+  store: Store,
+  clock: Clock,
+): Promise<OwnerSnapshot> {
   const {records, endOffset} = await store.newest(OWNER_TOPIC);
+  const readMs = clock.monotonicMs();
   const newest = records.find(({key}) => key === OWNER_KEY);
-  if (newest === undefined) return {record: null, endOffset};
-  return {record: decode(newest.value as Buffer) as OwnerRecord, endOffset};
+  if (newest === undefined) return {record: null, endOffset, readMs};
+  const record = decode(newest.value as Buffer) as OwnerRecord;
+  return {record, endOffset, readMs};
 }
 
 /**
- * Claims the cell if nothing was written since the snapshot.
+ * The owners before the one of the record that may still act.
  *
- * @param actedTerm the last term in which this process may have acted
- * @returns the claimed ownership, or null if another writer was first
- * @throws StoreError if it is unknown whether the claim took effect
  * @example
- * const ownership = await claimCell(store, clock, self, snapshot);
+ * const owners = earlierOwners(snapshot.record);
  */
-export async function claimCell(
-  store: Store,
-  clock: Clock,
-  self: OwnerAddress,
-  snapshot: OwnerSnapshot,
-  actedTerm = Infinity,
-): Promise<Ownership | null> {
-  const term = (snapshot.record?.term ?? 0) + 1;
-  const formerOwners = formerOwnersOf(snapshot.record, self);
-  const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
-  const record = {
-    ...self,
-    term,
-    isReleased: false,
-    areFormerStopped,
-    formerOwners,
-  };
-  const sentMs = clock.monotonicMs();
-  try {
-    const endOffset = await appendOwnerRecord(
-      store,
-      record,
-      snapshot.endOffset,
-    );
-    const lastWrite = {sentMs, endOffset};
-    const orders = lastOrdersOf(snapshot.record, self, actedTerm);
-    return new Ownership(store, clock, record, lastWrite, orders);
-  } catch (err) {
-    if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
-    return null;
-  }
-}
-
-/** The orders of a record after which nobody has acted, or null. */
-function lastOrdersOf(
-  record: OwnerRecord | null,
-  {vm, incarnation}: OwnerAddress,
-  actedTerm: number,
-): OrdersNotice | null {
-  if (record === null) return null;
-  const isOwn = record.vm === vm && record.incarnation === incarnation;
-  // The notice of a handover to this process was lost or has not arrived.
-  const isUnused = isOwn && record.term > actedTerm;
-  return record.isReleased || isUnused ? (record.orders ?? null) : null;
-}
-
-/** The owners that may act after the process claims or takes over the cell. */
-function formerOwnersOf(
-  record: OwnerRecord | null,
-  self: OwnerAddress,
-): readonly FormerOwner[] {
-  if (record === null) return [];
-  const earlier = endOwnersOf(self.vm, earlierOwners(record));
-  if (record.isReleased || record.vm === self.vm) return earlier;
-  const {vm, incarnation} = record;
-  const startMs = START_LEASE_MS;
-  const actMs = UNCONNECTED_LEASE_MS;
-  return [...earlier, {vm, incarnation, startMs, actMs}];
-}
-
-/** The owners before the one of the record that may still act. */
-function earlierOwners({
+export function earlierOwners({
   areFormerStopped,
   formerOwners,
 }: OwnerRecord | HandoverNotice): readonly FormerOwner[] {
@@ -177,8 +115,12 @@
  * would not be enough for a claim: two claimants of one term would send the
  * same sequence number, and the store would treat the second append as a retry
  * of the first.
+ *
+ * @throws StoreError
+ * @example
+ * const endOffset = await appendOwnerRecord(store, record, at);
  */
-function appendOwnerRecord(
+export function appendOwnerRecord(
   store: Store,
   record: OwnerRecord,
   at: number,
@@ -200,16 +142,23 @@
   self: OwnerAddress,
   notice: HandoverNotice,
 ): Ownership {
-  const {term, endOffset, areFormerStopped, orders} = notice;
+  const {term, endOffset, areFormerStopped} = notice;
+  const formerOwners = endOwnersOf(self.vm, earlierOwners(notice));
   const record = {
     ...toAddress(self),
     term,
     isReleased: false,
     areFormerStopped,
-    formerOwners: endOwnersOf(self.vm, earlierOwners(notice)),
+    formerOwners,
   };
-  const sentMs = clock.monotonicMs() - MAX_HANDOVER_AGE_MS;
-  return new Ownership(store, clock, record, {sentMs, endOffset}, orders);
+  const nowMs = clock.monotonicMs();
+  const lastWrite = {sentMs: nowMs - MAX_HANDOVER_AGE_MS, endOffset};
+  const former = new FormerOwners(formerOwners, nowMs, clock);
+  const orders =
+    notice.orders === undefined
+      ? null
+      : new InheritedOrders(notice.orders, nowMs);
+  return new Ownership(store, clock, record, lastWrite, {orders, former});
 }
 
 /** The owner's last successful write. */
@@ -220,6 +169,13 @@
   readonly endOffset: number;
 }
 
+/** What a new owner knows of former ones. */
+interface Takeover {
+  /** Their last orders, as far as they told; null if they did not. */
+  readonly orders: InheritedOrders | null;
+  readonly former: FormerOwners;
+}
+
 /** The owner's lease on the cell under one term. */
 export class Ownership {
   private endOffset: number;
@@ -229,6 +185,10 @@
   private readonly startedMs: number;
   private readonly formerOwners: FormerOwners;
   private readonly inheritedOrders: InheritedOrders | null;
+  private readonly holds: OrderHolds;
+  /** The last orders to executors that do not answer. */
+  private silentExecutors = (): readonly NamedOrders[] =>
+    this.describeFormerOrders().executors;
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
@@ -237,20 +197,15 @@
     private readonly clock: Clock,
     private readonly record: OwnerRecord,
     {sentMs, endOffset}: LastWrite,
-    /** The last orders of the owner that released or handed over the cell. */
-    orders: OrdersNotice | null = null,
+    {orders, former}: Takeover,
   ) {
     this.endOffset = endOffset;
     this.confirmedMs = sentMs;
     this.confirmedWallMs = clock.wallMs();
     this.startedMs = clock.monotonicMs();
-    this.formerOwners = new FormerOwners(
-      earlierOwners(record),
-      this.startedMs,
-      clock,
-    );
-    this.inheritedOrders =
-      orders === null ? null : new InheritedOrders(orders, this.startedMs);
+    this.formerOwners = former;
+    this.inheritedOrders = orders;
+    this.holds = new OrderHolds(record.heldOrders ?? []);
   }
 
   /** Fencing token; executors refuse orders with a lower one. */
@@ -281,9 +236,9 @@
   /** The last orders of former owners to the executor. */
   formerOrders(executorId: string): OrdersDeadline {
     const stopped = this.stoppedOrders(executorId);
-    const {actUntilMs} = this.formerOwners;
-    if (actUntilMs <= stopped.untilMs) return stopped;
-    return {...stopped, untilMs: actUntilMs, wasReached: false};
+    const untilMs = this.formerOwners.ordersUntilMs(executorId);
+    if (untilMs <= stopped.untilMs) return stopped;
+    return {...stopped, untilMs, wasReached: false};
   }
 
   /** The same without the owners that were not seen to stop. */
@@ -340,6 +295,16 @@
     return monotonicMs < boundMs && wallMs < boundMs;
   }
 
+  /** Sets who tells of executors that do not answer, once that is known. */
+  setSilentExecutors(describe: () => readonly NamedOrders[]): void {
+    this.silentExecutors = describe;
+  }
+
+  /** Whether a record may say that the executor gets no orders. */
+  isHeld(executorId: string): boolean {
+    return this.holds.isHeld(executorId);
+  }
+
   /** Ends the ownership at once, as when an executor saw a higher token. */
   revoke(): void {
     this.isLost = true;
@@ -347,7 +312,7 @@
 
   /** Writes a heartbeat; failures other than a conflict have no effect. */
   async renew(): Promise<void> {
-    await this.writes.add(() => this.write(this.record));
+    await this.writes.add(() => this.writeHeartbeat());
   }
 
   /**
@@ -405,13 +370,22 @@
     this.isLost = true;
     const record = {
       ...this.record,
+      heldOrders: [],
       isReleased: true,
       orders: orders ?? this.describeFormerOrders(),
     };
     await this.writes.add(() => this.write(record));
   }
 
-  private async write(record: OwnerRecord): Promise<void> {
+  private async writeHeartbeat(): Promise<void> {
+    const heldOrders = chooseHeld(this.silentExecutors());
+    this.holds.recordSent(heldOrders);
+    const isStored = await this.write({...this.record, heldOrders});
+    if (isStored) this.holds.recordConfirmed(heldOrders);
+  }
+
+  /** Returns whether the record is surely stored. */
+  private async write(record: OwnerRecord): Promise<boolean> {
     const sentMs = this.clock.monotonicMs();
     const sentWallMs = this.clock.wallMs();
     try {
@@ -426,9 +400,11 @@
       );
       this.confirmedMs = sentMs;
       this.confirmedWallMs = sentWallMs;
+      return true;
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
       if (err.failure === 'conflict') await this.resolveConflict();
+      return false;
     }
   }
 
@@ -438,7 +414,7 @@
    */
   private async resolveConflict(): Promise<void> {
     try {
-      const {record, endOffset} = await readOwner(this.store);
+      const {record, endOffset} = await readOwner(this.store, this.clock);
       const {term, vm, incarnation} = this.record;
       const isOwn = record?.vm === vm && record.incarnation === incarnation;
       if (isOwn && record.term === term) this.endOffset = endOffset;
