Ask executors once more after a former owner's start lease

What callers saw: one task ran twice. An executor that has answered a new owner restarts before the former owner's start lease (0.8 s) is over, and the former owner starts a task there. The new process knows no fencing token. The new owner took the executor for idle until the store listed the restart, and started the task elsewhere.

Cause: an executor's first inventory counted as the last word on the runs of a former owner, also if it was requested while that owner could still start tasks.

Now an inventory counts only if it was requested after the start lease. Renewals end by the end of the lease, so that the next one is sent at once; idle executors are asked once more. An executor that falls silent in between counts until a list that was read 1 s after the lease shows no restart, else until the leases have expired. After that inventory a further life of the executor can't hold such a run: the former owner starts nothing after the lease, and a start that was sent before it is refused by the process that answered, for its token, and by a later one, which is not the process that it was sent to.

After an orderly handover the lease is over at the takeover: the first inventory counts, as before.

Ruled out: the list alone as the proof, which takes 1 s to 1.4 s for each claim.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,7 +1,7 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
 import type {CellState} from './cell-state.js';
-import {isStartObserved, runsLostBy} from './crash-suspects.js';
+import {runsLostBy} from './crash-suspects.js';
 import {
   dueStops,
   isStopDue,
@@ -21,26 +21,22 @@
   recordClock,
   type ExecutorState,
 } from './executor-state.js';
+import type {FormerOwnerRuns} from './former-owner-runs.js';
 import {InventoryReader} from './inventory-reader.js';
 import {taskName, type TaskState} from './job-state.js';
+import {
+  RENEWAL_WAIT_MS,
+  renewalPauseMs,
+  renewalWaitMs,
+} from './renewal-timing.js';
 import {Signal} from './signal.js';
 
 /** Lease of an executor, in ms; runs continue that long without an owner. */
 export const EXECUTOR_LEASE_MS = 6000;
-/** How long an executor may wait for a run to end before it answers, in ms. */
-const RENEWAL_WAIT_MS = 700;
 /** Timeout of the answer in addition to that wait, in ms. */
 const RENEWAL_TIMEOUT_MS = 300;
 /** The same timeout after an unanswered renewal, in ms. */
 const MISSED_RENEWAL_TIMEOUT_MS = 900;
-/** Wait of a renewal while tail latencies are monitored, in ms. */
-const LATENCY_WATCH_WAIT_MS = 400;
-/** Wait of a renewal while a run is starting or stopping, in ms. */
-const STARTING_WAIT_MS = 100;
-/** Minimum pause between two lease renewals, in ms. */
-const MIN_RENEWAL_INTERVAL_MS = 15;
-/** Pause after an inventory without changes, in ms. */
-const UNCHANGED_RENEWAL_INTERVAL_MS = 60;
 /** Delay before an unanswered order is retried, in ms. */
 const MISSED_RETRY_DELAY_MS = 150;
 /** Delay after the first unanswered renewal, in ms. */
@@ -64,6 +60,10 @@
   readonly state: CellState;
   readonly clock: Clock;
   readonly token: number;
+  readonly formerOwnerRuns: Pick<
+    FormerOwnerRuns,
+    'recordAnswer' | 'inventoryDueMs'
+  >;
   readonly mayAct: () => boolean;
   /** Called when the executor has seen a higher token. */
   readonly onFenced: () => void;
@@ -99,10 +99,14 @@
   /** Renews the executor's lease until the loop is closed. */
   async run(): Promise<void> {
     while (!this.isClosed) {
-      if (!this.host.mayAct() || !this.needsRenewal()) {
+      if (!this.host.mayAct()) {
         await this.signal.wait(RENEWAL_WAIT_MS);
         continue;
       }
+      if (!this.needsRenewal()) {
+        await this.signal.wait(Math.min(RENEWAL_WAIT_MS, this.dueInMs()));
+        continue;
+      }
       this.resumeStops();
       await this.renewOnce();
     }
@@ -217,7 +221,14 @@
     const {tasks, orphans, isReached, missedRenewals, ackedThrough} =
       this.executor;
     if (tasks.size > 0 || orphans.size > 0 || missedRenewals > 0) return true;
-    return !isReached || this.sentAck < ackedThrough;
+    if (!isReached || this.sentAck < ackedThrough) return true;
+    return this.dueInMs() <= 0;
+  }
+
+  /** The time until an inventory has to be requested; Infinity for never. */
+  private dueInMs(): number {
+    const {clock, formerOwnerRuns} = this.host;
+    return formerOwnerRuns.inventoryDueMs(this.executor) - clock.monotonicMs();
   }
 
   /** A restarted executor numbers its ends from 1 again. */
@@ -230,7 +241,9 @@
 
   private async renewOnce(): Promise<void> {
     const {executor, host} = this;
-    const reply = await this.sendRenewal(this.chooseWaitMs());
+    const reply = await this.sendRenewal(
+      renewalWaitMs(executor, this.dueInMs()),
+    );
     if (this.isClosed || reply === null) return;
     if (!isInventory(reply)) {
       this.handleMissedRenewal(reply);
@@ -278,26 +291,10 @@
     this.isReplaced = false;
     const hasChanges = this.reader.apply(reply, sentMs);
     if (isAckNew && executor.bornMs === bornMs) this.sentAck = ackedThrough;
-    await host.clock.sleep(
-      hasChanges ? MIN_RENEWAL_INTERVAL_MS : UNCHANGED_RENEWAL_INTERVAL_MS,
-    );
+    await host.clock.sleep(renewalPauseMs(hasChanges, this.dueInMs()));
     return reply;
   }
 
-  private chooseWaitMs(): number {
-    const {tasks, isReached, missedRenewals} = this.executor;
-    if (!isReached || missedRenewals > 0) return 0;
-    let waitMs = RENEWAL_WAIT_MS;
-    for (const task of tasks) {
-      const {phase, step} = task;
-      if (phase === 'starting') return STARTING_WAIT_MS;
-      if (phase === 'stopping') return STARTING_WAIT_MS;
-      if (isStartObserved(task)) return STARTING_WAIT_MS;
-      if (step.spec.targetMs > 0) waitMs = LATENCY_WATCH_WAIT_MS;
-    }
-    return waitMs;
-  }
-
   /**
    * Returns the end of the lease for the next order. The lease is extended only
    * while the executor answers: a delayed order must not keep runs alive on an
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -15,6 +15,10 @@
   subtractAmounts,
   type ResourceAmounts,
 } from './resource-amounts.js';
+import {
+  REGISTRATION_MS,
+  UnconfirmedExecutors,
+} from './unconfirmed-executors.js';
 
 /** The most by which an executor's clock is slower, as the platform states. */
 const SLOW_CLOCK_FACTOR = 1.03;
@@ -35,8 +39,6 @@
   RESTART_NOTICE_MS + MAX_LOCAL_LEASE_MS + MAX_WALL_SKEW_MS;
 /** After an outage, the store lists executors again within this time, in ms. */
 const RELISTING_MS = 3000;
-/** The store lists an executor after a restart within this time, in ms. */
-const REGISTRATION_MS = 1000;
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -70,12 +72,18 @@
   private readonly unlistedMs = new Map<ExecutorState, number>();
   /** Jobs that may have been stored while a former owner could start tasks. */
   private readonly jobs = new Set<string>();
+  /** Executors that have answered, but not after the last start. */
+  private readonly unconfirmed: UnconfirmedExecutors;
   /** A former owner starts nothing after this time. */
   private readonly startsUntilMs: number;
 
   constructor(private readonly takeover: Takeover) {
-    const {claimedMs, ownership} = takeover;
+    const {claimedMs, ownership, executorsReadMs} = takeover;
     this.startsUntilMs = Math.max(claimedMs, ownership.formerStartUntilMs);
+    this.unconfirmed = new UnconfirmedExecutors(
+      this.startsUntilMs,
+      executorsReadMs,
+    );
   }
 
   /** Adds an executor that a former owner has used. */
@@ -87,9 +95,36 @@
     this.unlistedMs.set(executor, Math.min(nowMs, unlistedMs));
   }
 
-  /** Removes an executor that has reported its runs or is gone. */
+  /** Removes an executor that is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
+    this.unconfirmed.remove(executor);
+  }
+
+  /**
+   * Records that an executor has reported its runs.
+   *
+   * @param sentMs when they were requested
+   * @returns whether its runs were not known until now
+   * @example
+   * const wasAwaited = formerOwnerRuns.recordAnswer(executor, sentMs);
+   */
+  recordAnswer(executor: ExecutorState, sentMs: number): boolean {
+    const wasUnconfirmed = this.unconfirmed.has(executor);
+    if (!this.executors.delete(executor) && !wasUnconfirmed) return false;
+    this.unconfirmed.recordAnswer(executor, sentMs);
+    return !this.unconfirmed.has(executor);
+  }
+
+  /**
+   * When the executor has to be asked for its runs again, on the monotonic
+   * clock; Infinity for never.
+   *
+   * @example
+   * const dueInMs = formerOwnerRuns.inventoryDueMs(executor) - nowMs;
+   */
+  inventoryDueMs(executor: ExecutorState): number {
+    return this.unconfirmed.has(executor) ? this.startsUntilMs : Infinity;
   }
 
   /**
@@ -103,9 +138,11 @@
 
   /**
    * Whether an unknown run of the task may exist: on an executor that has not
-   * answered yet, until all leases that a former owner can have granted there
-   * have expired. While the former owner may still start tasks, any task may
-   * run on an executor that has restarted and thus knows no fencing token.
+   * answered yet, or may have restarted since it answered a moment before the
+   * former owner's last start, until all leases that a former owner can have
+   * granted there have expired. While the former owner may still start tasks,
+   * any task may run on an executor that has restarted and thus knows no
+   * fencing token.
    *
    * @param capacities the unreached capacities at that time
    * @example
@@ -199,7 +236,10 @@
 
   /** Whether the executor may have runs that it has not reported yet. */
   mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
-    if (executor.isReached || !this.executors.has(executor)) return false;
+    const isUnreached = this.executors.has(executor);
+    if (!isUnreached && !this.unconfirmed.mayHaveRestarted(executor)) {
+      return false;
+    }
     return nowMs <= this.holdUntilMs(executor, nowMs);
   }
 
@@ -217,7 +257,8 @@
       const leftMs = leaseLeftMs(executor, nowMs);
       if (missedRenewals === 0 && leftMs <= LOCAL_LEASE_MS) return null;
       const agoMs = LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
-      return {agoMs, unlistedForMs: 0, bornMs, wasReached: true};
+      const wasReached = !this.unconfirmed.mayHaveRestarted(executor);
+      return {agoMs, unlistedForMs: 0, bornMs, wasReached};
     }
     // It has moved under this owner, which gave it orders before.
     if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
@@ -287,7 +328,8 @@
   }
 
   private *unreachedExecutors(nowMs: number): Generator<ExecutorState> {
-    for (const executor of this.executors) {
+    const candidates = [...this.executors, ...this.unconfirmed.restartable()];
+    for (const executor of candidates) {
       if (this.mayHoldUnknownRuns(executor, nowMs)) yield executor;
     }
   }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -37,3 +37,4 @@
 export * from './successor.js';
 export * from './owner.js';
 export * from './executor-loop.js';
+export * from './renewal-timing.js';
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -47,10 +47,11 @@
     executor.missedRenewals = 0;
     const wasReached = executor.isReached;
     executor.isReached = true;
+    const wasAwaited = host.formerOwnerRuns.recordAnswer(executor, sentMs);
     recordClock(executor, inventory.clockMs, nowMs);
     const hasNewEnds = this.applyEnds(inventory, nowMs);
     this.applyRuns(inventory, sentMs, nowMs);
-    if (hasNewEnds || !wasReached) host.onChange(executor);
+    if (hasNewEnds || !wasReached || wasAwaited) host.onChange(executor);
     return hasNewEnds || !wasReached;
   }
 
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -318,14 +318,13 @@
       state: this.state,
       clock,
       token: ownership.term,
+      formerOwnerRuns: this.formerOwnerRuns,
       mayAct: () => this.mayAct(),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
         ownership.revoke();
       },
-      onChange: executor => {
-        // If another process answers at its address, it may still have runs.
-        if (executor.isReached) this.formerOwnerRuns.removeExecutor(executor);
+      onChange: () => {
         this.commit.wake();
         this.requestRound();
       },
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -93,6 +93,8 @@
   /** Whether ends were acknowledged that this process has not listed. */
   hasWrongAck = false;
   private formerCapacities: readonly FormerCapacity[] = [];
+  /** Number of lease renewals that were answered with a list of runs. */
+  inventories = 0;
   /** How long ago the order that is being carried out was sent, in ms. */
   orderAgeMs = 0;
 
@@ -242,6 +244,7 @@
       this.observer.acked(end.task, end.run, end.how);
     }
     this.ended = this.ended.filter(({number}) => number > ackedThrough);
+    this.inventories += 1;
     return {
       clockMs: this.clockMs(),
       bornMs: this.bornMs,
