Move the leases of former owners into a file of their own

former-owner-runs.ts had grown to 362 lines. The code moves unchanged, but for names: former-leases.ts computes by when these leases have expired.

--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -1,12 +1,9 @@
 /** Runs that a former owner may have started and that are not known here. */
-import type {Clock} from '@dragonflyward/common';
-import {EXECUTOR_LEASE_MS} from './executor-loop.js';
-import {MAX_EXECUTOR_LEASE_MS} from './inventory-reader.js';
 import {leaseLeftMs, type ExecutorState} from './executor-state.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
+import {FormerLeases, LOCAL_LEASE_MS, type Takeover} from './former-leases.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
-import type {LastOrders, OrdersDeadline} from './last-orders.js';
-import type {Ownership} from './ownership.js';
+import type {LastOrders} from './last-orders.js';
 import {
   addAmounts,
   allocatedAmounts,
@@ -15,30 +12,7 @@
   subtractAmounts,
   type ResourceAmounts,
 } from './resource-amounts.js';
-import {
-  REGISTRATION_MS,
-  UnconfirmedExecutors,
-} from './unconfirmed-executors.js';
-
-/** The most by which an executor's clock is slower, as the platform states. */
-const SLOW_CLOCK_FACTOR = 1.03;
-/** Safety margin after the end of a former owner's leases, in ms. */
-const FORMER_LEASE_SLACK_MS = 300;
-/** The lease that an owner gives, measured on this owner's clock. */
-const LOCAL_LEASE_MS =
-  EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
-/** The longest executor lease, measured on this owner's clock. */
-const MAX_LOCAL_LEASE_MS =
-  MAX_EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
-/** Within this time of a restart of an executor, its owner knows, in ms. */
-const RESTART_NOTICE_MS = 3000;
-/** The most by which the wall clocks of two machines differ, in ms. */
-const MAX_WALL_SKEW_MS = 5000;
-/** Leases that are due to the restart of an executor have expired by then. */
-const RESTART_LEASE_MS =
-  RESTART_NOTICE_MS + MAX_LOCAL_LEASE_MS + MAX_WALL_SKEW_MS;
-/** After an outage, the store lists executors again within this time, in ms. */
-const RELISTING_MS = 3000;
+import {UnconfirmedExecutors} from './unconfirmed-executors.js';
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -54,32 +28,22 @@
 /** The capacity of the unreached executors of each service that has any. */
 export type UnreachedCapacities = ReadonlyMap<string, ResourceAmounts>;
 
-/** The takeover from a former owner. */
-export interface Takeover {
-  /** When this owner claimed the cell, on its monotonic clock. */
-  readonly claimedMs: number;
-  readonly ownership: Ownership;
-  readonly clock: Clock;
-  /** When the newest read of the executors' records was sent. */
-  readonly executorsReadMs: () => number;
-}
-
 /** Tracks executors and jobs from before this owner claimed the cell. */
 export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
-  /** Since when those are not listed that the store did not list at first. */
-  private readonly unlistedMs = new Map<ExecutorState, number>();
   /** Jobs that may have been stored while a former owner could start tasks. */
   private readonly jobs = new Set<string>();
   /** Executors that have answered, but not after the last start. */
   private readonly unconfirmed: UnconfirmedExecutors;
+  private readonly leases: FormerLeases;
   /** A former owner starts nothing after this time. */
   private readonly startsUntilMs: number;
 
   constructor(private readonly takeover: Takeover) {
     const {claimedMs, ownership, executorsReadMs} = takeover;
     this.startsUntilMs = Math.max(claimedMs, ownership.formerStartUntilMs);
+    this.leases = new FormerLeases(takeover);
     this.unconfirmed = new UnconfirmedExecutors(
       this.startsUntilMs,
       executorsReadMs,
@@ -89,10 +53,7 @@
   /** Adds an executor that a former owner has used. */
   addExecutor(executor: ExecutorState): void {
     this.executors.add(executor);
-    if (executor.isListed) return;
-    const nowMs = this.takeover.clock.monotonicMs();
-    const {unlistedMs} = this.formerOrders(executor);
-    this.unlistedMs.set(executor, Math.min(nowMs, unlistedMs));
+    this.leases.addExecutor(executor);
   }
 
   /** Removes an executor that is gone. */
@@ -220,12 +181,11 @@
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
     const unreached = [...this.unreachedExecutors(nowMs)];
     if (unreached.length === 0) return null;
-    const untilMs = unreached.map(each => this.holdUntilMs(each, nowMs));
+    const untilMs = unreached.map(each => this.leases.untilMs(each, nowMs));
     const ids = unreached.map(({info}) => info.id);
-    const restarted = unreached.filter(each => {
-      const ordersUntilMs = this.formerOrders(each).untilMs;
-      return nowMs > ordersUntilMs + LOCAL_LEASE_MS;
-    });
+    const restarted = unreached.filter(
+      each => nowMs > this.leases.usuallyUntilMs(each),
+    );
     return {
       executors: ids.length,
       executorIds: ids.slice(0, MAX_LOGGED_IDS),
@@ -240,7 +200,7 @@
     if (!isUnreached && !this.unconfirmed.mayHaveRestarted(executor)) {
       return false;
     }
-    return nowMs <= this.holdUntilMs(executor, nowMs);
+    return nowMs <= this.leases.untilMs(executor, nowMs);
   }
 
   /**
@@ -250,7 +210,7 @@
    */
   describeOrders(executor: ExecutorState, nowMs: number): LastOrders | null {
     const {isReached, missedRenewals, clockMs} = executor;
-    const bornMs = this.listedBornMs(executor);
+    const bornMs = this.leases.listedBornMs(executor);
     if (isReached) {
       // Without its clock, the end of its leases is not known.
       if (Number.isNaN(clockMs)) return UNKNOWN_ORDERS;
@@ -264,57 +224,14 @@
     if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
     const {ownership} = this.takeover;
     const {untilMs, wasReached} = ownership.stoppedOrders(executor.info.id);
-    const unlistedMs = this.unlistedMs.get(executor) ?? nowMs;
     return {
       agoMs: nowMs - untilMs,
-      unlistedForMs: executor.isListed ? 0 : nowMs - unlistedMs,
+      unlistedForMs: this.leases.unlistedForMs(executor, nowMs),
       bornMs,
       wasReached,
     };
   }
 
-  private formerOrders({info}: ExecutorState): OrdersDeadline {
-    return this.takeover.ownership.formerOrders(info.id);
-  }
-
-  /** By when all leases that former owners gave there have expired. */
-  private holdUntilMs(executor: ExecutorState, nowMs: number): number {
-    const {untilMs} = this.formerOrders(executor);
-    return Math.max(
-      untilMs + LOCAL_LEASE_MS,
-      this.restartLeaseUntilMs(executor, nowMs),
-    );
-  }
-
-  /**
-   * When an order with a time of the clock before a restart, whose lease is the
-   * longest one, counts no more; -Infinity if the executor has not restarted
-   * so late.
-   */
-  private restartLeaseUntilMs(executor: ExecutorState, nowMs: number): number {
-    const {clock, executorsReadMs} = this.takeover;
-    const {untilMs, wasReached} = this.formerOrders(executor);
-    const latestMs = untilMs + MAX_LOCAL_LEASE_MS;
-    if (nowMs > latestMs) return -Infinity;
-    if (executorsReadMs() < untilMs + REGISTRATION_MS) return latestMs;
-    if (wasReached && !executor.isListed) return -Infinity;
-    const unlistedMs = this.unlistedMs.get(executor);
-    const bornMs = this.listedBornMs(executor);
-    if (unlistedMs !== undefined && !executor.isListed && bornMs === 0) {
-      if (executorsReadMs() < unlistedMs + RELISTING_MS) return latestMs;
-      return Math.min(latestMs, unlistedMs + MAX_LOCAL_LEASE_MS);
-    }
-    const isNew = bornMs === 0 || clock.wallMs() - bornMs <= RESTART_LEASE_MS;
-    return isNew ? latestMs : -Infinity;
-  }
-
-  /** Its start in the last list that showed it to an owner; 0 if none did. */
-  private listedBornMs(executor: ExecutorState): number {
-    const {info, isListed} = executor;
-    if (isListed || !this.unlistedMs.has(executor)) return info.bornMs;
-    return this.formerOrders(executor).bornMs;
-  }
-
   /** The steps of which a former owner may have started tasks. */
   private *unfinishedSteps(jobs: Iterable<JobState>): Generator<StepState> {
     for (const {id, phase, occurrences} of jobs) {
