Tell the next owner how long ago executors that answer got an order

What callers saw: an executor was lost in the second before a handover, and tasks of its service that nobody lists waited 6.5 s from the handover. An executor without runs gets no renewals, so its loss is not noticed at all until the store lists it no more: the next owner waited for it though nothing could run there.

Cause: a handover named only executors that had missed a renewal; the leases of all others counted from the handover.

The notice of a handover or release now names executors that answer too, if their last lease ends at least 0.25 s earlier than that of an order sent now: the time since their last order follows from the lease end that was sent last, as for those that do not answer. Names of executors that do not answer come first in the cap of 500, and the others keep their bounds.

Why it is safe: no order that extends a lease was sent after the one that the lease end belongs to, and a start extends the lease of its executor. Runs of owners before that were not seen to stop count from their own last moment, as before.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -9,6 +9,7 @@
 export * from './ownership.js';
 export * from './former-owners.js';
 export * from './last-orders.js';
+export * from './answering-executors.js';
 export * from './records.js';
 export * from './resource-amounts.js';
 export * from './job-state.js';
--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -51,10 +51,16 @@
  *
  * @param executors those that do not answer, or whose leases last longer than
  *     an order gives
+ * @param answering those that answer, which need not be named
  */
-export function ordersNotice(executors: readonly NamedOrders[]): OrdersNotice {
+export function ordersNotice(
+  executors: readonly NamedOrders[],
+  answering: readonly NamedOrders[] = [],
+): OrdersNotice {
   if (executors.length <= MAX_NAMED_EXECUTORS) {
-    return {executors, others: JUST_NOW};
+    const gainful = [...answering].sort((a, b) => b.agoMs - a.agoMs);
+    const all = [...executors, ...gainful].slice(0, MAX_NAMED_EXECUTORS);
+    return {executors: all, others: JUST_NOW};
   }
   // Those that have been waited for longest gain most by being named.
   const earliestFirst = [...executors].sort((a, b) => b.agoMs - a.agoMs);
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,5 +1,6 @@
 /** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
+import {describeAnswering} from './answering-executors.js';
 import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
@@ -243,7 +244,8 @@
       const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
       if (orders !== null) executors.push({id: executor.info.id, ...orders});
     }
-    return ordersNotice(executors);
+    const all = this.state.executors.values();
+    return ordersNotice(executors, describeAnswering(all, nowMs));
   }
 
   /** Applies a configuration. */
