Tell the next owner which tasks may run on silent executors

What callers saw: an executor did not answer when the cell changed its owner, and all tasks of its service that nobody lists waited up to 6.5 s, though the owner that handed over knew which tasks ran there.

A handover or release now names these tasks for each executor that does not answer (`runs`, optional, 500 names at most). The next owner keeps only these from starting, and counts only these towards the limits, until the executor answers or its leases have expired.

An owner tells the tasks and orphan runs that it has placed on an executor that has answered it. That list is complete:

- The last inventory was requested after the start lease of former owners, or a list shows that the executor has not restarted before its end.
Otherwise nothing is told.
- Runs after that were started by this owner: the task is placed there until an answer, an inventory or the end of the leases shows that it does not run.
It could have been started elsewhere then by this owner too.
- Nobody acts after the notice is written.
Heartbeats must not carry it: an owner in office may start others there.
- Where the executor has moved or restarted and not answered since, nothing is told.
- An owner that has not reached the executor has started nothing there and passes on what it was told.

Tests in handover-orders.test.ts: the three "starts other tasks at once ..." fail if no tasks are told, and also if none is told to run there; "starts no second run, handed over after 1450 ms" fails if the tasks are told of an executor that may have restarted in the start lease of a former owner.

The description for a stop moves from owner.ts to stop-notice.ts, the sums of unreached executors to unreached-services.ts.

--- a/packages/cell/src/answering-executors.ts
+++ b/packages/cell/src/answering-executors.ts
@@ -1,5 +1,6 @@
 /** The executors that answer an owner, for the next one. */
-import {leaseLeftMs, type ExecutorState} from './executor-state.js';
+import type {CellState} from './cell-state.js';
+import {leaseLeftMs} from './executor-state.js';
 import {LOCAL_LEASE_MS} from './former-leases.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
 import type {NamedOrders} from './last-orders.js';
@@ -12,14 +13,14 @@
  * before a handover has missed no renewal yet, and one without runs gets none.
  *
  * @example
- * const named = describeAnswering(state.executors.values(), nowMs);
+ * const named = describeAnswering(state, nowMs);
  */
 export function describeAnswering(
-  executors: Iterable<ExecutorState>,
+  {executors}: Pick<CellState, 'executors'>,
   nowMs: number,
 ): readonly NamedOrders[] {
   const named: NamedOrders[] = [];
-  for (const executor of executors) {
+  for (const executor of executors.values()) {
     const {info, isReached, missedRenewals, clockMs} = executor;
     // Without its clock, the end of its leases is not known.
     if (!isReached || missedRenewals > 0 || Number.isNaN(clockMs)) continue;
--- a/packages/cell/src/former-leases.ts
+++ b/packages/cell/src/former-leases.ts
@@ -58,6 +58,11 @@
     return nowMs - (this.unlistedMs.get(executor) ?? nowMs);
   }
 
+  /** The tasks that may run there, as told; undefined if any task may. */
+  toldRuns(executor: ExecutorState): readonly string[] | undefined {
+    return this.formerOrders(executor).runs;
+  }
+
   /** By when the leases have expired of an executor that has not restarted. */
   usuallyUntilMs(executor: ExecutorState): number {
     return this.formerOrders(executor).untilMs + LOCAL_LEASE_MS;
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -1,6 +1,11 @@
 /** Runs that a former owner may have started and that are not known here. */
 import {leaseLeftMs, type ExecutorState} from './executor-state.js';
-import type {JobState, StepState, TaskState} from './job-state.js';
+import {
+  taskName,
+  type JobState,
+  type StepState,
+  type TaskState,
+} from './job-state.js';
 import {FormerLeases, LOCAL_LEASE_MS, type Takeover} from './former-leases.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
 import type {LastOrders} from './last-orders.js';
@@ -13,6 +18,7 @@
   type ResourceAmounts,
 } from './resource-amounts.js';
 import {UnconfirmedExecutors} from './unconfirmed-executors.js';
+import {sumServices, type UnreachedServices} from './unreached-services.js';
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -25,9 +31,6 @@
   wasReached: false,
 };
 
-/** The capacity of the unreached executors of each service that has any. */
-export type UnreachedCapacities = ReadonlyMap<string, ResourceAmounts>;
-
 /** Tracks executors and jobs from before this owner claimed the cell. */
 export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
@@ -105,33 +108,28 @@
    * any task may run on an executor that has restarted and thus knows no
    * fencing token.
    *
-   * @param capacities the unreached capacities at that time
+   * @param services the unreached executors at that time
    * @example
-   * const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
-   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, capacities)) return;
+   * const services = formerOwnerRuns.unreachedServices(nowMs);
+   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services)) return;
    */
   mayHaveUnknownRuns(
     task: TaskState,
     nowMs: number,
-    capacities: UnreachedCapacities,
+    services: UnreachedServices,
   ): boolean {
     if (nowMs < this.startsUntilMs) return true;
-    if (capacities.size === 0) return false;
-    const {service} = task.step.occurrence.job.queue;
-    return capacities.has(service) && this.mayHaveBeenStarted(task);
+    if (services.size === 0) return false;
+    const service = services.get(task.step.occurrence.job.queue.service);
+    if (service === undefined || !this.mayHaveBeenStarted(task)) return false;
+    return service.runs === null || service.runs.has(taskName(task));
   }
 
-  /**
-   * Computes the capacities of executors that may hold unknown runs: those may
-   * use more than a capacity that has shrunk since they were started.
-   */
-  unreachedCapacities(nowMs: number): UnreachedCapacities {
-    const capacities = new Map<string, ResourceAmounts>();
-    for (const {info, largestCapacity} of this.unreachedExecutors(nowMs)) {
-      const known = capacities.get(info.service) ?? NOTHING_RESERVED;
-      capacities.set(info.service, addAmounts(known, largestCapacity));
-    }
-    return capacities;
+  /** Finds the services whose executors may hold unknown runs. */
+  unreachedServices(nowMs: number): UnreachedServices {
+    return sumServices(this.unreachedExecutors(nowMs), executor =>
+      this.leases.toldRuns(executor),
+    );
   }
 
   /**
@@ -142,19 +140,19 @@
   unknownUsage(
     jobs: Iterable<JobState>,
     nowMs: number,
-    capacities: UnreachedCapacities,
+    services: UnreachedServices,
   ): ReadonlyMap<string, ResourceAmounts> {
     const usage = new Map<string, ResourceAmounts>();
-    if (capacities.size === 0) return usage;
+    if (services.size === 0) return usage;
     const left = new Map<string, ResourceAmounts>();
     for (const step of this.unfinishedSteps(jobs)) {
       const {organisation, queue} = step.occurrence.job;
-      const capacity = capacities.get(queue.service);
+      const capacity = services.get(queue.service)?.capacity;
       if (capacity === undefined) continue;
       const count = step.tasks.filter(
         task =>
           task.phase === 'waiting' &&
-          this.mayHaveUnknownRuns(task, nowMs, capacities),
+          this.mayHaveUnknownRuns(task, nowMs, services),
       ).length;
       const key = `${queue.service} ${organisation}`;
       const rest = left.get(key) ?? capacity;
@@ -194,6 +192,22 @@
     };
   }
 
+  /**
+   * Names the tasks that may run on the executor, for the next owner.
+   *
+   * @returns null if any task may
+   */
+  describeRuns(executor: ExecutorState): readonly string[] | null {
+    if (this.executors.has(executor)) {
+      return this.leases.toldRuns(executor) ?? null;
+    }
+    // Another process may run there, or one that a former owner has used.
+    if (!executor.isReached) return null;
+    if (this.unconfirmed.mayHaveRestarted(executor)) return null;
+    const orphans = [...executor.orphans.values()].map(({task}) => task);
+    return [...[...executor.tasks].map(taskName), ...orphans];
+  }
+
   /** Whether the executor may have runs that it has not reported yet. */
   mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
     const isUnreached = this.executors.has(executor);
--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -14,6 +14,11 @@
   readonly bornMs: number;
   /** Whether it answered an owner, which thus knew of its restarts. */
   readonly wasReached: boolean;
+  /**
+   * Names of the tasks that may run there. Missing if any task may, also in
+   * notices of earlier versions.
+   */
+  readonly runs?: readonly string[];
 }
 
 /** The last orders to one executor. */
@@ -36,6 +41,8 @@
   readonly unlistedMs: number;
   readonly bornMs: number;
   readonly wasReached: boolean;
+  /** Names of the tasks that may run there; missing if any task may. */
+  readonly runs?: readonly string[];
 }
 
 /** Orders of an owner that stops now and knows all that it does not name. */
@@ -98,12 +105,13 @@
   /** The last orders of former owners to the executor. */
   find(id: string): OrdersDeadline {
     const orders = this.named.get(id) ?? this.notice.others;
-    const {agoMs, unlistedForMs, bornMs, wasReached} = orders;
+    const {agoMs, unlistedForMs, bornMs, wasReached, runs} = orders;
     return {
       untilMs: this.toLatestMs(agoMs),
       unlistedMs: unlistedForMs > 0 ? this.toLatestMs(unlistedForMs) : Infinity,
       bornMs,
       wasReached,
+      ...(runs === undefined ? {} : {runs}),
     };
   }
 
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,6 +1,5 @@
 /** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import {describeAnswering} from './answering-executors.js';
 import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
 import {CellState} from './cell-state.js';
@@ -9,11 +8,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
-import {
-  ordersNotice,
-  type NamedOrders,
-  type OrdersNotice,
-} from './last-orders.js';
+import type {OrdersNotice} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -31,6 +26,7 @@
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
 import {stateLines} from './state-lines.js';
+import {describeSilent, stopNotice} from './stop-notice.js';
 import type {Store} from './store.js';
 import {isFinal, type CellConfig} from './types.js';
 
@@ -239,13 +235,9 @@
   describeOrders(): OrdersNotice | null {
     if (!this.isLoaded) return null;
     const nowMs = this.deps.clock.monotonicMs();
-    const executors: NamedOrders[] = [];
-    for (const executor of this.state.executors.values()) {
-      const orders = this.formerOwnerRuns.describeOrders(executor, nowMs);
-      if (orders !== null) executors.push({id: executor.info.id, ...orders});
-    }
-    const all = this.state.executors.values();
-    return ordersNotice(executors, describeAnswering(all, nowMs));
+    const {state, formerOwnerRuns} = this;
+    const silent = describeSilent(state, formerOwnerRuns, nowMs);
+    return stopNotice(silent, state, formerOwnerRuns, nowMs);
   }
 
   /** Applies a configuration. */
@@ -376,11 +368,11 @@
     if (!this.mayStart()) return;
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
-    const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
-    const context = this.roundContext(nowMs, capacities);
+    const services = formerOwnerRuns.unreachedServices(nowMs);
+    const context = this.roundContext(nowMs, services);
     const {organisations, jobs} = this.state;
     organisations.setUnknownUsage(
-      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, capacities),
+      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, services),
     );
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
@@ -396,13 +388,13 @@
 
   private roundContext(
     nowMs: number,
-    capacities = this.formerOwnerRuns.unreachedCapacities(nowMs),
+    services = this.formerOwnerRuns.unreachedServices(nowMs),
   ): RoundContext {
     return {
       nowMs,
       wallMs: this.deps.clock.wallMs(),
       mayHaveUnknownRuns: task =>
-        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, capacities),
+        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services),
     };
   }
 
--- a/packages/cell/test/handover-orders.test.ts
+++ b/packages/cell/test/handover-orders.test.ts
@@ -2,7 +2,7 @@
 import {describeAnswering, ordersNotice} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {Rig, STEP, type CellNode} from './rig.js';
+import {CONFIG, Rig, STEP, type CellNode} from './rig.js';
 
 const LONG_RUN_MS = 600_000;
 /** By then, no executor counts as having just started, in ms. */
@@ -27,8 +27,8 @@
 }
 
 /** An owner under which a task runs on x0, x1 and x2, and none on x3. */
-async function startOwner(): Promise<Started> {
-  const rig = new Rig(4, () => ({ms: LONG_RUN_MS, how: 'failed'}));
+async function startOwner(config = CONFIG): Promise<Started> {
+  const rig = new Rig(4, () => ({ms: LONG_RUN_MS, how: 'failed'}), config);
   const owner = rig.newNode('v0');
   void rig.claim(owner);
   await rig.run(START_AGE_MS);
@@ -111,14 +111,107 @@
   );
   assert.ok(x3);
   const nowMs = 1e9;
-  const answering = Array.from({length: 600}, () => x3);
-  const named = describeAnswering(answering, nowMs);
+  const executors = new Map(
+    Array.from({length: 600}, (_, i) => [`y${i}`, x3] as const),
+  );
+  const named = describeAnswering({executors}, nowMs);
   assert.is(named.length, 600);
   assert.is(ordersNotice([], named).executors.length, 500);
   assert.is(ordersNotice([], named).others.wasReached, true);
   assert.is(ordersNotice([], named).others.agoMs, 0);
   x3.missedRenewals = 1;
-  assert.is(describeAnswering([x3], nowMs).length, 0);
+  assert.is(describeAnswering({executors}, nowMs).length, 0);
 });
 
+/** Calls of a silent executor fail by then, in ms. */
+const SILENT_MS = 2000;
+
+// The owner knows which tasks may run on the silent executor.
+for (const vms of [['v1'], ['v1', 'v2']]) {
+  handover(`starts other tasks at once in ${vms.join(', ')}`, async () => {
+    const {rig, owner, task} = await startOwner();
+    rig.executor('x1').isDisconnected = true;
+    await rig.run(SILENT_MS);
+    rig.submit('late', [STEP], []);
+    let last = owner;
+    for (const vm of vms) {
+      const next = rig.newNode(vm);
+      void rig.handOver(last, next);
+      await rig.run(vm === vms.at(-1) ? START_MS : 20);
+      last = next;
+    }
+    assert.is(countRuns(rig, 'late.0.0.0'), 1);
+    assert.is(countRuns(rig, task), 1);
+    await rig.run(2 * LEASE_MS);
+    assert.equal(rig.checker.violations, []);
+    assert.is(countRuns(rig, task), 1);
+  });
+}
+
+// The second owner reaches x1 no more, the third one never does.
+handover('starts other tasks at once after owners that act', async () => {
+  const {rig, owner} = await startOwner();
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(SILENT_MS);
+  const second = rig.newNode('v1');
+  void rig.handOver(owner, second);
+  await rig.run(1000);
+  rig.submit('late', [STEP], []);
+  void rig.handOver(second, rig.newNode('v2'));
+  await rig.run(START_MS);
+  assert.is(countRuns(rig, 'late.0.0.0'), 1);
+  await rig.run(2 * LEASE_MS);
+  assert.equal(rig.checker.violations, []);
+});
+
+// The next owner must not take the run of a cancelled job for ended either.
+handover('counts told runs towards the limit', async () => {
+  const limit = {cpuMilli: 3000, memMb: 0, accel: 0, slots: 0};
+  const {rig, owner} = await startOwner({
+    ...CONFIG,
+    organisations: [{name: '', weight: 1, limit}],
+  });
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(SILENT_MS);
+  rig.submit('late', [STEP], []);
+  void rig.handOver(owner, rig.newNode('v1'));
+  await rig.run(1000);
+  assert.is(countRuns(rig, 'late.0.0.0'), 0);
+});
+
+/**
+ * The second owner has reached x1 before a former one started a task there; it
+ * stops before it has asked again. The third owner can't reach x1.
+ */
+for (const afterMs of [100, 900, 1450]) {
+  handover(
+    `starts no second run, handed over after ${afterMs} ms`,
+    async () => {
+      const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}));
+      const former = rig.newNode('v0');
+      void rig.claim(former);
+      rig.executor('x0').isDraining = true;
+      await rig.run(SETTLE_MS);
+      former.store.faults.isRefusing = true;
+      rig.executor('x0').isDraining = false;
+      rig.listNow('x0');
+      const second = rig.newNode('v1');
+      void rig.claim(second);
+      await rig.run(50);
+      second.unreachable.add('x1');
+      rig.executor('x1').restart();
+      rig.submit('job', [STEP], [former, second]);
+      await rig.run(50);
+      assert.is(rig.executor('x1').runs.size, 1);
+      await rig.run(afterMs);
+      const third = rig.newNode('v2');
+      third.unreachable.add('x1');
+      void rig.handOver(second, third);
+      await rig.run(3 * LEASE_MS);
+      assert.equal(rig.checker.violations, []);
+      assert.is(countRuns(rig, 'job.0.0.0'), 1);
+    },
+  );
+}
+
 handover.run();
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -358,6 +358,13 @@
     this.executors.push(executor);
   }
 
+  /** Writes what the store lists of an executor at once. */
+  listNow(id: string): void {
+    const {info, bornMs, isDraining} = this.executor(id);
+    const value = encode({...info, bornMs, isDraining});
+    this.memory.append(EXECUTORS_TOPIC, [{key: id, value}], {});
+  }
+
   /** Writes the executors' own records; those that are down are deleted. */
   private async listExecutors(): Promise<void> {
     for (;;) {
--- a/packages/cell/test/start-lease.test.ts
+++ b/packages/cell/test/start-lease.test.ts
@@ -4,11 +4,10 @@
   OWNER_TOPIC,
   START_LEASE_MS,
 } from '@dragonflyward/cell';
-import {encode} from 'cbor-x';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Behaviour} from './fake-executor.js';
-import {EXECUTORS_TOPIC, Rig, STEP, type CellNode} from './rig.js';
+import {Rig, STEP, type CellNode} from './rig.js';
 
 const SETTLE_MS = 3000;
 const LONG_RUN_MS = 600_000;
@@ -24,13 +23,6 @@
 const LEASES_MS = 20_000;
 const MANY_EXECUTORS = 24;
 
-/** Writes what the store lists of an executor at once. */
-function list(rig: Rig, id: string): void {
-  const {info, bornMs, isDraining} = rig.executor(id);
-  const value = encode({...info, bornMs, isDraining});
-  rig.memory.append(EXECUTORS_TOPIC, [{key: id, value}], {});
-}
-
 /**
  * Two owners that have reached both executors. The former one is cut from the
  * store and thinks that x0 is leaving; the new one thinks that x1 is.
@@ -45,7 +37,7 @@
   former.store.faults.isRefusing = true;
   rig.executor('x0').isDraining = false;
   rig.executor('x1').isDraining = true;
-  for (const {id} of rig.executors) list(rig, id);
+  for (const {id} of rig.executors) rig.listNow(id);
   const next = rig.newNode('v1');
   void rig.claim(next);
   await rig.run(CALLS_MS);
@@ -61,7 +53,7 @@
     const rig = new Rig(2, () => ({ms: LONG_RUN_MS, how: 'done'}));
     const {former, next} = await supersede(rig);
     rig.executor('x1').restart();
-    list(rig, 'x1');
+    rig.listNow('x1');
     rig.submit('job', [STEP], [former, next]);
     await rig.run(CALLS_MS);
     assert.is(rig.executor('x1').runs.size, 1);
@@ -124,7 +116,7 @@
     await rig.run(CALLS_MS);
     rig.executor('x1').restart();
     next.unreachable.add('x1');
-    list(rig, 'x1');
+    rig.listNow('x1');
     await rig.run(600);
     assert.is(rig.executor('x1').runs.size, 1);
     await rig.run(LEASES_MS);
