Tell no runs of an executor whose ends are not stored

Nothing is told now of an executor while an end that it has listed is not stored. Once it is stored, the next owner knows the task as done.

Test: "starts no task whose end is not stored, beside 1 runs" failed before and passes after.

--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -193,7 +193,8 @@
   }
 
   /**
-   * Names the tasks that may run on the executor, for the next owner.
+   * Names the tasks that may run on the executor, or may have ended there
+   * unknown to the next owner.
    *
    * @returns null if any task may
    */
@@ -204,6 +205,8 @@
     // Another process may run there, or one that a former owner has used.
     if (!executor.isReached) return null;
     if (this.unconfirmed.mayHaveRestarted(executor)) return null;
+    // An end that is not stored will be listed to the next owner later.
+    if (executor.processedThrough !== executor.ackedThrough) return null;
     const orphans = [...executor.orphans.values()].map(({task}) => task);
     return [...[...executor.tasks].map(taskName), ...orphans];
   }
--- a/packages/cell/test/handover-orders.test.ts
+++ b/packages/cell/test/handover-orders.test.ts
@@ -1,5 +1,9 @@
 /** How long tasks wait for executors that are lost just before a handover. */
-import {describeAnswering, ordersNotice} from '@dragonflyward/cell';
+import {
+  describeAnswering,
+  ordersNotice,
+  PROGRESS_TOPIC,
+} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {CONFIG, Rig, STEP, type CellNode} from './rig.js';
@@ -179,6 +183,38 @@
   assert.is(countRuns(rig, 'late.0.0.0'), 0);
 });
 
+// The end is listed on x1 only; it is acknowledged once x1 answers again.
+for (const others of [0, 1]) {
+  const beside = `beside ${others} runs`;
+  handover(`starts no task whose end is not stored, ${beside}`, async () => {
+    const rig = new Rig(2, task => ({
+      ms: task.startsWith('job') ? 1000 : LONG_RUN_MS,
+      how: 'done',
+    }));
+    const owner = rig.newNode('v0');
+    void rig.claim(owner);
+    rig.executor('x0').isDraining = true;
+    await rig.run(SETTLE_MS);
+    if (others > 0) rig.submit('other', [LASTING], [owner]);
+    rig.submit('job', [STEP], [owner]);
+    await rig.run(500);
+    assert.is(rig.executor('x1').runs.size, 1 + others);
+    owner.store.faults.refusedTopics = PROGRESS_TOPIC;
+    await rig.run(700);
+    assert.is(rig.executor('x1').runs.size, others);
+    assert.ok(rig.logLines.some(line => line.includes(' v0 runEnded ')));
+    rig.executor('x1').isDisconnected = true;
+    rig.executor('x0').isDraining = false;
+    await rig.run(SILENT_MS);
+    void rig.handOver(owner, rig.newNode('v1'));
+    await rig.run(1000);
+    rig.executor('x1').isDisconnected = false;
+    await rig.run(SETTLE_MS);
+    assert.equal(rig.checker.violations, []);
+    assert.is(rig.checker.starts, 1 + others);
+  });
+}
+
 /**
  * The second owner has reached x1 before a former one started a task there; it
  * stops before it has asked again. The third owner can't reach x1.
