Tell that nothing runs on idle executors instead of when orders ended

A handover named an executor without runs by the time since its last order, which may be minutes. To a successor it looked like one that has been silent for that long.

Such an executor is named with an empty list of tasks now, and no time before the handover. Tasks need not wait for it, as before. Executors whose runs are not known are not named while they answer. In the cap, those without runs come first, then those whose last order was sent earliest.

The test of the cap follows the new form, and is stricter: it says which executors go first, and that none looks like a silent one.

--- a/packages/cell/src/answering-executors.ts
+++ b/packages/cell/src/answering-executors.ts
@@ -1,7 +1,8 @@
 /** The executors that answer an owner, for the next one. */
 import type {CellState} from './cell-state.js';
-import {leaseLeftMs} from './executor-state.js';
+import {leaseLeftMs, type ExecutorState} from './executor-state.js';
 import {LOCAL_LEASE_MS} from './former-leases.js';
+import type {FormerOwnerRuns} from './former-owner-runs.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
 import type {NamedOrders} from './last-orders.js';
 
@@ -9,26 +10,38 @@
 const MIN_GAIN_MS = 250;
 
 /**
- * Describes the last orders to executors that answer. One that is lost just
- * before a handover has missed no renewal yet, and one without runs gets none.
+ * Describes the last orders to executors that answer, those without runs first.
+ * One that is lost just before a handover has missed no renewal yet, and one
+ * without runs gets none.
  *
  * @example
- * const named = describeAnswering(state, nowMs);
+ * const named = describeAnswering(state, formerOwnerRuns, nowMs);
  */
 export function describeAnswering(
   {executors}: Pick<CellState, 'executors'>,
+  formerOwnerRuns: Pick<FormerOwnerRuns, 'describeRuns'>,
   nowMs: number,
 ): readonly NamedOrders[] {
-  const named: NamedOrders[] = [];
+  const idle: NamedOrders[] = [];
+  const busy: NamedOrders[] = [];
   for (const executor of executors.values()) {
     const {info, isReached, missedRenewals, clockMs} = executor;
     // Without its clock, the end of its leases is not known.
     if (!isReached || missedRenewals > 0 || Number.isNaN(clockMs)) continue;
-    const leftMs = leaseLeftMs(executor, nowMs);
-    const agoMs = LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
-    if (agoMs < MIN_GAIN_MS) continue;
     const {id, bornMs} = info;
-    named.push({id, agoMs, unlistedForMs: 0, bornMs, wasReached: true});
+    const orders = {id, unlistedForMs: 0, bornMs, wasReached: true};
+    const runs = formerOwnerRuns.describeRuns(executor);
+    const agoMs = lastOrderAgoMs(executor, nowMs);
+    // An idle executor has not been silent since its last order.
+    if (runs?.length === 0) idle.push({...orders, agoMs: 0, runs});
+    else if (runs !== null && agoMs >= MIN_GAIN_MS) {
+      busy.push({...orders, agoMs});
+    }
   }
-  return named;
+  return [...idle, ...busy.sort((a, b) => b.agoMs - a.agoMs)];
+}
+
+function lastOrderAgoMs(executor: ExecutorState, nowMs: number): number {
+  const leftMs = leaseLeftMs(executor, nowMs);
+  return LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
 }
--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -58,15 +58,15 @@
  *
  * @param executors those that do not answer, or whose leases last longer than
  *     an order gives
- * @param answering those that answer, which need not be named
+ * @param answering those that answer, which need not be named, the most
+ *     important ones first
  */
 export function ordersNotice(
   executors: readonly NamedOrders[],
   answering: readonly NamedOrders[] = [],
 ): OrdersNotice {
   if (executors.length <= MAX_NAMED_EXECUTORS) {
-    const gainful = [...answering].sort((a, b) => b.agoMs - a.agoMs);
-    const all = [...executors, ...gainful].slice(0, MAX_NAMED_EXECUTORS);
+    const all = [...executors, ...answering].slice(0, MAX_NAMED_EXECUTORS);
     return {executors: all, others: JUST_NOW};
   }
   // Those that have been waited for longest gain most by being named.
--- a/packages/cell/src/stop-notice.ts
+++ b/packages/cell/src/stop-notice.ts
@@ -47,7 +47,7 @@
   nowMs: number,
 ): OrdersNotice {
   const named = addRuns(silent, state, formerOwnerRuns);
-  return ordersNotice(named, describeAnswering(state, nowMs));
+  return ordersNotice(named, describeAnswering(state, formerOwnerRuns, nowMs));
 }
 
 /** Adds the tasks that may run on each executor, as far as they are known. */
--- a/packages/cell/test/handover-orders.test.ts
+++ b/packages/cell/test/handover-orders.test.ts
@@ -3,6 +3,7 @@
   describeAnswering,
   ordersNotice,
   PROGRESS_TOPIC,
+  taskName,
 } from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -110,21 +111,30 @@
   const {owner} = await startOwner();
   const state = owner.owner?.state;
   assert.ok(state);
-  const [x3] = [...state.executors.values()].filter(
-    ({tasks}) => tasks.size === 0,
-  );
-  assert.ok(x3);
-  const nowMs = 1e9;
+  const all = [...state.executors.values()];
+  const x3 = all.find(({tasks}) => tasks.size === 0);
+  const x1 = all.find(({tasks}) => tasks.size > 0);
+  assert.ok(x1 && x3);
   const executors = new Map(
-    Array.from({length: 600}, (_, i) => [`y${i}`, x3] as const),
+    Array.from({length: 600}, (_, i) => [`y${i}`, i < 9 ? x1 : x3] as const),
   );
-  const named = describeAnswering({executors}, nowMs);
+  const runs = {
+    describeRuns: ({tasks}: typeof x1) => [...tasks].map(taskName),
+  };
+  const nowMs = 1e9;
+  const named = describeAnswering({executors}, runs, nowMs);
   assert.is(named.length, 600);
-  assert.is(ordersNotice([], named).executors.length, 500);
-  assert.is(ordersNotice([], named).others.wasReached, true);
-  assert.is(ordersNotice([], named).others.agoMs, 0);
-  x3.missedRenewals = 1;
-  assert.is(describeAnswering({executors}, nowMs).length, 0);
+  const notice = ordersNotice([], named);
+  assert.is(notice.executors.length, 500);
+  assert.ok(notice.executors.every(each => each.runs?.length === 0));
+  // A successor takes none of them for one that has been silent for long.
+  assert.ok(notice.executors.every(({agoMs}) => agoMs === 0));
+  assert.is(notice.others.wasReached, true);
+  assert.is(notice.others.agoMs, 0);
+  x1.missedRenewals = 1;
+  assert.is(describeAnswering({executors}, runs, nowMs).length, 591);
+  const unknown = {describeRuns: () => null};
+  assert.is(describeAnswering({executors}, unknown, nowMs).length, 0);
 });
 
 /** Calls of a silent executor fail by then, in ms. */
