--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -1,12 +1,14 @@
 /** Runs that a former owner may have started and that are not known here. */
-import type {Clock} from '@dragonflyward/common';
-import {EXECUTOR_LEASE_MS} from './executor-loop.js';
-import {MAX_EXECUTOR_LEASE_MS} from './inventory-reader.js';
 import {leaseLeftMs, type ExecutorState} from './executor-state.js';
-import type {JobState, StepState, TaskState} from './job-state.js';
+import {
+  taskName,
+  type JobState,
+  type StepState,
+  type TaskState,
+} from './job-state.js';
+import {FormerLeases, LOCAL_LEASE_MS, type Takeover} from './former-leases.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
-import type {LastOrders, OrdersDeadline} from './last-orders.js';
-import type {Ownership} from './ownership.js';
+import type {LastOrders} from './last-orders.js';
 import {
   addAmounts,
   allocatedAmounts,
@@ -15,28 +17,8 @@
   subtractAmounts,
   type ResourceAmounts,
 } from './resource-amounts.js';
-
-/** The most by which an executor's clock is slower, as the platform states. */
-const SLOW_CLOCK_FACTOR = 1.03;
-/** Safety margin after the end of a former owner's leases, in ms. */
-const FORMER_LEASE_SLACK_MS = 300;
-/** The lease that an owner gives, measured on this owner's clock. */
-const LOCAL_LEASE_MS =
-  EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
-/** The longest executor lease, measured on this owner's clock. */
-const MAX_LOCAL_LEASE_MS =
-  MAX_EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
-/** Within this time of a restart of an executor, its owner knows, in ms. */
-const RESTART_NOTICE_MS = 3000;
-/** The most by which the wall clocks of two machines differ, in ms. */
-const MAX_WALL_SKEW_MS = 5000;
-/** Leases that are due to the restart of an executor have expired by then. */
-const RESTART_LEASE_MS =
-  RESTART_NOTICE_MS + MAX_LOCAL_LEASE_MS + MAX_WALL_SKEW_MS;
-/** After an outage, the store lists executors again within this time, in ms. */
-const RELISTING_MS = 3000;
-/** The store lists an executor after a restart within this time, in ms. */
-const REGISTRATION_MS = 1000;
+import {UnconfirmedExecutors} from './unconfirmed-executors.js';
+import {sumServices, type UnreachedServices} from './unreached-services.js';
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -49,47 +31,64 @@
   wasReached: false,
 };
 
-/** The capacity of the unreached executors of each service that has any. */
-export type UnreachedCapacities = ReadonlyMap<string, ResourceAmounts>;
-
-/** The takeover from a former owner. */
-export interface Takeover {
-  /** When this owner claimed the cell, on its monotonic clock. */
-  readonly claimedMs: number;
-  readonly ownership: Ownership;
-  readonly clock: Clock;
-  /** When the newest read of the executors' records was sent. */
-  readonly executorsReadMs: () => number;
-}
-
 /** Tracks executors and jobs from before this owner claimed the cell. */
 export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
-  /** Since when those are not listed that the store did not list at first. */
-  private readonly unlistedMs = new Map<ExecutorState, number>();
   /** Jobs that may have been stored while a former owner could start tasks. */
   private readonly jobs = new Set<string>();
+  /** Executors that have answered, but not after the last start. */
+  private readonly unconfirmed: UnconfirmedExecutors;
+  private readonly leases: FormerLeases;
   /** A former owner starts nothing after this time. */
   private readonly startsUntilMs: number;
 
   constructor(private readonly takeover: Takeover) {
-    const {claimedMs, ownership} = takeover;
+    const {claimedMs, ownership, executorsReadMs} = takeover;
     this.startsUntilMs = Math.max(claimedMs, ownership.formerStartUntilMs);
+    this.leases = new FormerLeases(takeover);
+    this.unconfirmed = new UnconfirmedExecutors(
+      this.startsUntilMs,
+      executorsReadMs,
+    );
   }
 
   /** Adds an executor that a former owner has used. */
   addExecutor(executor: ExecutorState): void {
     this.executors.add(executor);
-    if (executor.isListed) return;
-    const nowMs = this.takeover.clock.monotonicMs();
-    const {unlistedMs} = this.formerOrders(executor);
-    this.unlistedMs.set(executor, Math.min(nowMs, unlistedMs));
+    this.leases.addExecutor(executor);
   }
 
-  /** Removes an executor that has reported its runs or is gone. */
+  /** Removes an executor that is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
+    this.unconfirmed.remove(executor);
+  }
+
+  /**
+   * Records that an executor has reported its runs.
+   *
+   * @param sentMs when they were requested
+   * @returns whether its runs were not known until now
+   * @example
+   * const wasAwaited = formerOwnerRuns.recordAnswer(executor, sentMs);
+   */
+  recordAnswer(executor: ExecutorState, sentMs: number): boolean {
+    const wasUnconfirmed = this.unconfirmed.has(executor);
+    if (!this.executors.delete(executor) && !wasUnconfirmed) return false;
+    this.unconfirmed.recordAnswer(executor, sentMs);
+    return !this.unconfirmed.has(executor);
+  }
+
+  /**
+   * When the executor has to be asked for its runs again, on the monotonic
+   * clock; Infinity for never.
+   *
+   * @example
+   * const dueInMs = formerOwnerRuns.inventoryDueMs(executor) - nowMs;
+   */
+  inventoryDueMs(executor: ExecutorState): number {
+    return this.unconfirmed.has(executor) ? this.startsUntilMs : Infinity;
   }
 
   /**
@@ -103,37 +102,34 @@
 
   /**
    * Whether an unknown run of the task may exist: on an executor that has not
-   * answered yet, until all leases that a former owner can have granted there
-   * have expired. While the former owner may still start tasks, any task may
-   * run on an executor that has restarted and thus knows no fencing token.
+   * answered yet, or may have restarted since it answered a moment before the
+   * former owner's last start, until all leases that a former owner can have
+   * granted there have expired. While the former owner may still start tasks,
+   * any task may run on an executor that has restarted and thus knows no
+   * fencing token.
    *
-   * @param capacities the unreached capacities at that time
+   * @param services the unreached executors at that time
    * @example
-   * const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
-   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, capacities)) return;
+   * const services = formerOwnerRuns.unreachedServices(nowMs);
+   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services)) return;
    */
   mayHaveUnknownRuns(
     task: TaskState,
     nowMs: number,
-    capacities: UnreachedCapacities,
+    services: UnreachedServices,
   ): boolean {
     if (nowMs < this.startsUntilMs) return true;
-    if (capacities.size === 0) return false;
-    const {service} = task.step.occurrence.job.queue;
-    return capacities.has(service) && this.mayHaveBeenStarted(task);
+    if (services.size === 0) return false;
+    const service = services.get(task.step.occurrence.job.queue.service);
+    if (service === undefined || !this.mayHaveBeenStarted(task)) return false;
+    return service.runs === null || service.runs.has(taskName(task));
   }
 
-  /**
-   * Computes the capacities of executors that may hold unknown runs: those may
-   * use more than a capacity that has shrunk since they were started.
-   */
-  unreachedCapacities(nowMs: number): UnreachedCapacities {
-    const capacities = new Map<string, ResourceAmounts>();
-    for (const {info, largestCapacity} of this.unreachedExecutors(nowMs)) {
-      const known = capacities.get(info.service) ?? NOTHING_RESERVED;
-      capacities.set(info.service, addAmounts(known, largestCapacity));
-    }
-    return capacities;
+  /** Finds the services whose executors may hold unknown runs. */
+  unreachedServices(nowMs: number): UnreachedServices {
+    return sumServices(this.unreachedExecutors(nowMs), executor =>
+      this.leases.toldRuns(executor),
+    );
   }
 
   /**
@@ -144,19 +140,19 @@
   unknownUsage(
     jobs: Iterable<JobState>,
     nowMs: number,
-    capacities: UnreachedCapacities,
+    services: UnreachedServices,
   ): ReadonlyMap<string, ResourceAmounts> {
     const usage = new Map<string, ResourceAmounts>();
-    if (capacities.size === 0) return usage;
+    if (services.size === 0) return usage;
     const left = new Map<string, ResourceAmounts>();
     for (const step of this.unfinishedSteps(jobs)) {
       const {organisation, queue} = step.occurrence.job;
-      const capacity = capacities.get(queue.service);
+      const capacity = services.get(queue.service)?.capacity;
       if (capacity === undefined) continue;
       const count = step.tasks.filter(
         task =>
           task.phase === 'waiting' &&
-          this.mayHaveUnknownRuns(task, nowMs, capacities),
+          this.mayHaveUnknownRuns(task, nowMs, services),
       ).length;
       const key = `${queue.service} ${organisation}`;
       const rest = left.get(key) ?? capacity;
@@ -183,12 +179,11 @@
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
     const unreached = [...this.unreachedExecutors(nowMs)];
     if (unreached.length === 0) return null;
-    const untilMs = unreached.map(each => this.holdUntilMs(each, nowMs));
+    const untilMs = unreached.map(each => this.leases.untilMs(each, nowMs));
     const ids = unreached.map(({info}) => info.id);
-    const restarted = unreached.filter(each => {
-      const ordersUntilMs = this.formerOrders(each).untilMs;
-      return nowMs > ordersUntilMs + LOCAL_LEASE_MS;
-    });
+    const restarted = unreached.filter(
+      each => nowMs > this.leases.usuallyUntilMs(each),
+    );
     return {
       executors: ids.length,
       executorIds: ids.slice(0, MAX_LOGGED_IDS),
@@ -197,10 +192,32 @@
     };
   }
 
+  /**
+   * Names the tasks that may run on the executor, or may have ended there
+   * unknown to the next owner.
+   *
+   * @returns null if any task may
+   */
+  describeRuns(executor: ExecutorState): readonly string[] | null {
+    if (this.executors.has(executor)) {
+      return this.leases.toldRuns(executor) ?? null;
+    }
+    // Another process may run there, or one that a former owner has used.
+    if (!executor.isReached) return null;
+    if (this.unconfirmed.mayHaveRestarted(executor)) return null;
+    // An end that is not stored will be listed to the next owner later.
+    if (executor.processedThrough !== executor.ackedThrough) return null;
+    const orphans = [...executor.orphans.values()].map(({task}) => task);
+    return [...[...executor.tasks].map(taskName), ...orphans];
+  }
+
   /** Whether the executor may have runs that it has not reported yet. */
   mayHoldUnknownRuns(executor: ExecutorState, nowMs: number): boolean {
-    if (executor.isReached || !this.executors.has(executor)) return false;
-    return nowMs <= this.holdUntilMs(executor, nowMs);
+    const isUnreached = this.executors.has(executor);
+    if (!isUnreached && !this.unconfirmed.mayHaveRestarted(executor)) {
+      return false;
+    }
+    return nowMs <= this.leases.untilMs(executor, nowMs);
   }
 
   /**
@@ -210,70 +227,28 @@
    */
   describeOrders(executor: ExecutorState, nowMs: number): LastOrders | null {
     const {isReached, missedRenewals, clockMs} = executor;
-    const bornMs = this.listedBornMs(executor);
+    const bornMs = this.leases.listedBornMs(executor);
     if (isReached) {
       // Without its clock, the end of its leases is not known.
       if (Number.isNaN(clockMs)) return UNKNOWN_ORDERS;
       const leftMs = leaseLeftMs(executor, nowMs);
       if (missedRenewals === 0 && leftMs <= LOCAL_LEASE_MS) return null;
       const agoMs = LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
-      return {agoMs, unlistedForMs: 0, bornMs, wasReached: true};
+      const wasReached = !this.unconfirmed.mayHaveRestarted(executor);
+      return {agoMs, unlistedForMs: 0, bornMs, wasReached};
     }
     // It has moved under this owner, which gave it orders before.
     if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
     const {ownership} = this.takeover;
     const {untilMs, wasReached} = ownership.stoppedOrders(executor.info.id);
-    const unlistedMs = this.unlistedMs.get(executor) ?? nowMs;
     return {
       agoMs: nowMs - untilMs,
-      unlistedForMs: executor.isListed ? 0 : nowMs - unlistedMs,
+      unlistedForMs: this.leases.unlistedForMs(executor, nowMs),
       bornMs,
       wasReached,
     };
   }
 
-  private formerOrders({info}: ExecutorState): OrdersDeadline {
-    return this.takeover.ownership.formerOrders(info.id);
-  }
-
-  /** By when all leases that former owners gave there have expired. */
-  private holdUntilMs(executor: ExecutorState, nowMs: number): number {
-    const {untilMs} = this.formerOrders(executor);
-    return Math.max(
-      untilMs + LOCAL_LEASE_MS,
-      this.restartLeaseUntilMs(executor, nowMs),
-    );
-  }
-
-  /**
-   * When an order with a time of the clock before a restart, whose lease is the
-   * longest one, counts no more; -Infinity if the executor has not restarted
-   * so late.
-   */
-  private restartLeaseUntilMs(executor: ExecutorState, nowMs: number): number {
-    const {clock, executorsReadMs} = this.takeover;
-    const {untilMs, wasReached} = this.formerOrders(executor);
-    const latestMs = untilMs + MAX_LOCAL_LEASE_MS;
-    if (nowMs > latestMs) return -Infinity;
-    if (executorsReadMs() < untilMs + REGISTRATION_MS) return latestMs;
-    if (wasReached && !executor.isListed) return -Infinity;
-    const unlistedMs = this.unlistedMs.get(executor);
-    const bornMs = this.listedBornMs(executor);
-    if (unlistedMs !== undefined && !executor.isListed && bornMs === 0) {
-      if (executorsReadMs() < unlistedMs + RELISTING_MS) return latestMs;
-      return Math.min(latestMs, unlistedMs + MAX_LOCAL_LEASE_MS);
-    }
-    const isNew = bornMs === 0 || clock.wallMs() - bornMs <= RESTART_LEASE_MS;
-    return isNew ? latestMs : -Infinity;
-  }
-
-  /** Its start in the last list that showed it to an owner; 0 if none did. */
-  private listedBornMs(executor: ExecutorState): number {
-    const {info, isListed} = executor;
-    if (isListed || !this.unlistedMs.has(executor)) return info.bornMs;
-    return this.formerOrders(executor).bornMs;
-  }
-
   /** The steps of which a former owner may have started tasks. */
   private *unfinishedSteps(jobs: Iterable<JobState>): Generator<StepState> {
     for (const {id, phase, occurrences} of jobs) {
@@ -287,7 +262,8 @@
   }
 
   private *unreachedExecutors(nowMs: number): Generator<ExecutorState> {
-    for (const executor of this.executors) {
+    const candidates = [...this.executors, ...this.unconfirmed.restartable()];
+    for (const executor of candidates) {
       if (this.mayHoldUnknownRuns(executor, nowMs)) yield executor;
     }
   }
--- a/packages/cell/src/order-holds.ts
+++ b/packages/cell/src/order-holds.ts
@@ -18,9 +18,21 @@
   executors: readonly NamedOrders[],
 ): readonly NamedOrders[] {
   return executors
-    .filter(({agoMs}) => agoMs >= HELD_AFTER_MS)
+    .filter(({agoMs, runs}) => agoMs >= HELD_AFTER_MS && !isIdle(runs))
     .sort((a, b) => b.agoMs - a.agoMs)
-    .slice(0, MAX_HELD_EXECUTORS);
+    .slice(0, MAX_HELD_EXECUTORS)
+    .map(withoutRuns);
+}
+
+/** No task waits for an executor of which it was told that it runs nothing. */
+function isIdle(runs: readonly string[] | undefined): boolean {
+  return runs?.length === 0;
+}
+
+/** An owner in office may not tell what runs; see `stopNotice`. */
+function withoutRuns(orders: NamedOrders): NamedOrders {
+  const {id, agoMs, unlistedForMs, bornMs, wasReached} = orders;
+  return {id, agoMs, unlistedForMs, bornMs, wasReached};
 }
 
 /**
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -10,7 +10,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
-import {ordersNotice, type OrdersNotice} from './last-orders.js';
+import type {OrdersNotice} from './last-orders.js';
 import type {JobState, TaskState} from './job-state.js';
 import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
@@ -26,6 +26,7 @@
 import type {RoundContext} from './round.js';
 import {SilentExecutors} from './silent-executors.js';
 import {stateLines} from './state-lines.js';
+import {stopNotice} from './stop-notice.js';
 import type {Store} from './store.js';
 import {isFinal, type CellConfig} from './types.js';
 
@@ -223,7 +224,11 @@
    * @returns null if this owner has not started to act
    */
   describeOrders(): OrdersNotice | null {
-    return this.isLoaded ? ordersNotice(this.silentExecutors.describe()) : null;
+    if (!this.isLoaded) return null;
+    const nowMs = this.deps.clock.monotonicMs();
+    const {state, formerOwnerRuns} = this;
+    const silent = this.silentExecutors.describe();
+    return stopNotice(silent, state, formerOwnerRuns, nowMs);
   }
 
   /** Applies a configuration. */
@@ -298,15 +303,14 @@
       state: this.state,
       clock,
       token: ownership.term,
+      formerOwnerRuns: this.formerOwnerRuns,
       mayAct: () => this.mayAct(),
       isHeld: id => ownership.isHeld(id),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
         ownership.revoke();
       },
-      onChange: executor => {
-        // If another process answers at its address, it may still have runs.
-        if (executor.isReached) this.formerOwnerRuns.removeExecutor(executor);
+      onChange: () => {
         this.commit.wake();
         this.requestRound();
       },
@@ -357,11 +361,11 @@
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
     markHeld(this.state.executors.values(), this.deps.ownership);
-    const capacities = formerOwnerRuns.unreachedCapacities(nowMs);
-    const context = this.roundContext(nowMs, capacities);
+    const services = formerOwnerRuns.unreachedServices(nowMs);
+    const context = this.roundContext(nowMs, services);
     const {organisations, jobs} = this.state;
     organisations.setUnknownUsage(
-      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, capacities),
+      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, services),
     );
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
@@ -377,13 +381,13 @@
 
   private roundContext(
     nowMs: number,
-    capacities = this.formerOwnerRuns.unreachedCapacities(nowMs),
+    services = this.formerOwnerRuns.unreachedServices(nowMs),
   ): RoundContext {
     return {
       nowMs,
       wallMs: this.deps.clock.wallMs(),
       mayHaveUnknownRuns: task =>
-        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, capacities),
+        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services),
     };
   }
 
