--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,8 +1,8 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
-import {claimDelayMs, MAX_CLAIM_DELAY_MS} from './claim-delay.js';
+import {MAX_CLAIM_DELAY_MS} from './claim-delay.js';
+import {ClaimTurn} from './claim-turn.js';
 import type {ElectionDeps, ElectionHost} from './election-host.js';
 import type {CellConnection, Member} from './members.js';
-import {LoadBackoff} from './load-backoff.js';
 import type {CellHeartbeat, HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
@@ -18,7 +18,7 @@
 } from './ownership.js';
 import {OwnerActivity} from './owner-activity.js';
 import {StoreError} from './store.js';
-import {chooseSuccessor, mayOwn} from './successor.js';
+import {chooseSuccessor} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
 
 /** Time between two checks of the owner, in ms. */
@@ -33,8 +33,6 @@
 const DETACHED_AFTER_MS = 1000;
 /** Time after which a VM counts as detached from an owner that loads, in ms. */
 const LOADING_DETACHED_MS = 2000;
-/** Time for which a VM whose load failed leaves the claim to others, in ms. */
-const OTHERS_CLAIM_MS = 5000;
 
 /** Takes part in the owner election for one VM. */
 export class Election {
@@ -50,13 +48,14 @@
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
   private readonly activity = new OwnerActivity();
-  private readonly backoff = new LoadBackoff();
+  private readonly turn: ClaimTurn;
 
   constructor(
     private readonly deps: ElectionDeps,
     private readonly host: ElectionHost,
   ) {
     this.lastConnectedMs = deps.clock.monotonicMs();
+    this.turn = new ClaimTurn(deps, host);
   }
 
   /** Starts to watch the owner. */
@@ -87,7 +86,7 @@
 
   /** Whether this VM gave up a load lately and leaves the cell to others. */
   get hasLoadFailed(): boolean {
-    return this.backoff.isWaiting(this.deps.clock.monotonicMs());
+    return this.turn.hasLoadFailed;
   }
 
   private get ownership(): Ownership | null {
@@ -249,19 +248,15 @@
     }
     tenure.recordActive();
     this.activity.record(ownership.term, true);
-    this.backoff.recordSuccess();
+    this.turn.recordLoad(true);
   }
 
   private stopOwning(): void {
     this.host.stopActing();
     this.host.discardOwner();
-    const nowMs = this.deps.clock.monotonicMs();
-    if (this.tenure?.hasFailedToLoad === true) {
-      this.deps.metrics.count('owner_loads_given_up_total');
-      this.backoff.recordFailure(nowMs);
-    }
+    if (this.tenure?.hasFailedToLoad === true) this.turn.recordLoad(false);
     this.tenure = null;
-    this.lastConnectedMs = nowMs;
+    this.lastConnectedMs = this.deps.clock.monotonicMs();
     this.deps.log('ownerStopped', {});
   }
 
@@ -357,7 +352,7 @@
     if (!this.activity.takeCheck(nowMs)) return;
     const rttMs = await this.measureStore();
     if (!this.activity.isIdle(nowMs) || this.isLeftToOthers()) return;
-    await this.deps.clock.sleep(this.claimDelayMs(rttMs));
+    await this.deps.clock.sleep(this.turn.delayMs(rttMs, this.record?.vm));
     await this.claimFromIdle();
   }
 
@@ -403,7 +398,7 @@
     if (!isNamed && this.isLeftToOthers()) return;
     if (isOwn) return this.claim(snapshot);
     const isUnowned = snapshot.record === null || snapshot.record.isReleased;
-    await clock.sleep(this.claimDelayMs(rttMs));
+    await clock.sleep(this.turn.delayMs(rttMs, this.record?.vm));
     if (this.hasOwner()) return;
     if (isUnowned) return this.claim(snapshot);
     if (members.isOwnerSeen(snapshot.record?.term ?? 0)) return;
@@ -415,25 +410,10 @@
     if (!this.hasOwner()) await this.claim(snapshot);
   }
 
-  private claimDelayMs(rttMs: number): number {
-    const {members, cores} = this.deps;
-    const isLargerKnown = members.maxPeerCores(this.record?.vm) > cores;
-    return claimDelayMs({
-      rttMs,
-      isLargerKnown,
-      hasConfig: this.host.hasConfig(),
-      hasFailed: this.backoff.hasFailed,
-    });
-  }
-
-  /** Whether this VM could not load the state, and another one may claim. */
   private isLeftToOthers(): boolean {
     const nowMs = this.deps.clock.monotonicMs();
-    if (nowMs - this.lastConnectedMs > OTHERS_CLAIM_MS) return false;
-    const others = [...this.deps.members.connected()].filter(
-      ({address}) => address.vm !== this.record?.vm,
-    );
-    return this.hasLoadFailed && others.some(mayOwn);
+    const unownedMs = nowMs - this.lastConnectedMs;
+    return this.turn.isLeftToOthers(unownedMs, this.record?.vm);
   }
 
   /**
