Test over TCP that a VM hands the cell on while it loads

Two VMs with a store whose reads of the progress can be held up: the larger one acts, and the end of the smaller one's load changes nothing. The test fails if the heartbeat always says that the sender acts, if the VM keeps the dropped owner, or if that owner starts after its load.

--- /dev/null
+++ b/packages/cell/test/vm.test.ts
@@ -0,0 +1,144 @@
+/** VMs that are connected over TCP: what happens while an owner loads. */
+import {Metrics, SystemClock} from '@dragonflyward/common';
+import {
+  Platform,
+  PROGRESS_TOPIC,
+  Vm,
+  type CellConfig,
+  type ExecutorClient,
+  type LogPage,
+  type OwnerAddress,
+} from '@dragonflyward/cell';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {MemoryStore, StoreClient} from './memory-store.js';
+import {CONFIG, EXECUTORS_TOPIC} from './rig.js';
+
+const LOOPBACK = '127.0.0.1';
+const CONFIG_TOPIC = 'keyed.config';
+const POLL_MS = 50;
+/** Time within which a larger VM has the cell, in ms. */
+const HANDOVER_TIMEOUT_MS = 6000;
+const GRACE_MS = 300;
+
+/** A store whose reads of the progress can be held up. */
+class HeldStore extends StoreClient {
+  isHeld = false;
+  private readonly waiting: (() => void)[] = [];
+
+  override async newest(topic: string): Promise<LogPage> {
+    if (topic === PROGRESS_TOPIC && this.isHeld) {
+      await new Promise<void>(resolve => this.waiting.push(resolve));
+    }
+    return super.newest(topic);
+  }
+
+  release(): void {
+    this.isHeld = false;
+    for (const resolve of this.waiting) resolve();
+  }
+}
+
+class TestPlatform extends Platform {
+  override readonly advice = null;
+  override readonly executorsTopic = EXECUTORS_TOPIC;
+  override readonly operatorTopic = CONFIG_TOPIC;
+
+  constructor(override readonly store: StoreClient) {
+    super();
+  }
+
+  override decodeExecutor(): null {
+    return null;
+  }
+
+  override decodeConfig(): CellConfig {
+    return CONFIG;
+  }
+
+  override connect(): ExecutorClient {
+    throw new Error('there are no executors');
+  }
+}
+
+interface TestVm {
+  readonly vm: Vm;
+  readonly store: HeldStore;
+  readonly events: string[];
+}
+
+async function startVm(
+  memory: MemoryStore,
+  self: OwnerAddress,
+  cores: number,
+  seeds: readonly OwnerAddress[],
+  isHeld: boolean,
+): Promise<TestVm> {
+  const clock = new SystemClock();
+  const store = new HeldStore(memory, clock);
+  store.isHeld = isHeld;
+  const events: string[] = [];
+  const vm = new Vm({
+    self,
+    domain: 'd',
+    cores,
+    seeds,
+    platform: new TestPlatform(store),
+    clock,
+    metrics: new Metrics(),
+    log: event => events.push(event),
+  });
+  await vm.start();
+  return {vm, store, events};
+}
+
+async function waitFor(
+  what: string,
+  isTrue: () => boolean,
+  timeoutMs = HANDOVER_TIMEOUT_MS,
+): Promise<void> {
+  const clock = new SystemClock();
+  for (let ms = 0; !isTrue(); ms += POLL_MS) {
+    assert.ok(ms < timeoutMs, what);
+    await clock.sleep(POLL_MS);
+  }
+}
+
+/** Returns an address with a port that is free. */
+async function newAddress(vm: string): Promise<OwnerAddress> {
+  const server = createServer().listen(0, LOOPBACK);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return {vm, ip: LOOPBACK, port, incarnation: port};
+}
+
+const vms = suite('VMs');
+
+// What it was still loading must not make it act.
+vms('hand the cell to a larger one in the middle of a load', async () => {
+  const memory = new MemoryStore();
+  const value = Uint8Array.of(1);
+  memory.append(CONFIG_TOPIC, [{key: 'config', value}], {});
+  const at = await newAddress('small');
+  const small = await startVm(memory, at, 0.3, [], true);
+  await waitFor('claim', () => small.events.includes('ownerClaimed'));
+  assert.is(small.vm.heartbeat().isActing, false);
+  const other = await newAddress('large');
+  const large = await startVm(memory, other, 2, [at], false);
+  await waitFor('handover', () => large.events.includes('ownerActive'));
+  assert.is(large.vm.heartbeat().isActing, true);
+  small.store.release();
+  await new SystemClock().sleep(GRACE_MS);
+  assert.not.ok(small.events.includes('ownerActive'));
+  assert.is(small.vm.heartbeat().isActing, false);
+  assert.is(small.vm.heartbeat().owner?.vm, 'large');
+  assert.is(small.vm.isReady, true);
+  small.vm.close();
+  large.vm.close();
+});
+
+vms.run();
