Give up a load after 3 s without progress again

With some 2 s until the claim, 3 s leave the next owner time to renew the executors' leases of 6 s; with 5 s they expire.

--- a/packages/cell/src/tenure.ts
+++ b/packages/cell/src/tenure.ts
@@ -9,10 +9,10 @@
 /** The cell moves to a VM that has this multiple of the owner's cores. */
 const LARGER_VM_FACTOR = 1.5;
 /**
- * Time without progress after which an owner gives its load up, in ms: longer
- * than a slow store may take to begin a page.
+ * Time without progress after which an owner gives its load up, in ms: the next
+ * one can still renew the executors' leases.
  */
-export const LOAD_STALL_MS = 5000;
+export const LOAD_STALL_MS = 3000;
 /** The store is out if no heartbeat of this time has succeeded, in ms. */
 const STORE_CHECK_MS = 1500;
 /** Time for which an owner acts before a larger VM is looked for, in ms. */
