Call the advice service ahead of its answers, and withdraw old requests

Cause: each VM had one call on its way at a time, so the service worked 11 to 40 ms of each 115 to 168 ms; requests of urgent steps queued without a bound, in an order that was fixed when they came, so that each ticket served a step that was already late. Steps reserved room for tickets that nobody had asked for yet.

Now a lane for each VM tells how long a call would wait at the service, and calls are sent while that is under 100 ms. A round replaces the requests that are not sent, and makes no more than can be sent before the next one. Rounds pass over steps that may neither start nor request tickets, and look for executors among those of the tickets held.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -29,6 +29,7 @@
 export * from './organisations.js';
 export * from './filler-throttle.js';
 export * from './runtime-monitor.js';
+export * from './advice-lane.js';
 export * from './ticket-requester.js';
 export * from './relayed-store.js';
 export * from './store-call.js';
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -69,6 +69,8 @@
   readonly occurrence: OccurrenceState;
   readonly index: number;
   readonly spec: StepSpec;
+  /** Names the queue and the image: tasks of the same have similar run times. */
+  readonly imageKey: string;
   readonly tasks: readonly TaskState[];
   doneCount: number;
   /** Executors that the advice service permits; a permission never changes. */
@@ -172,6 +174,7 @@
     occurrence,
     index,
     spec,
+    imageKey: `${occurrence.job.queue.name} ${spec.image}`,
     tasks,
     doneCount: 0,
     allowed: new Set(),
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -1,6 +1,10 @@
 /** The cell's owner: schedules tasks, commands executors, stores progress. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import {TicketRequester, type AdviceChannel} from './ticket-requester.js';
+import {
+  TicketRequester,
+  type AdviceChannel,
+  type TicketRequest,
+} from './ticket-requester.js';
 import {CellFeed} from './cell-feed.js';
 import {START_LEASE_MS, UNCONNECTED_LEASE_MS} from './claim-bounds.js';
 import {CellState} from './cell-state.js';
@@ -78,6 +82,8 @@
   private isRoundDue = false;
   /** Duration of the last scheduling round, in ms. */
   private roundMs = 0;
+  /** Rounds since the last log entry on the state of the cell. */
+  private rounds = NO_ROUNDS;
 
   constructor(private readonly deps: OwnerDeps) {
     const {clock, store, ownership} = deps;
@@ -367,14 +373,17 @@
     organisations.setUnknownUsage(
       formerOwnerRuns.unknownUsage(jobs.values(), nowMs, services),
     );
+    const requests: TicketRequest[] = [];
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
         decision.tasks.forEach(t => this.sendStart(t));
       } else {
-        this.ticketRequester.request(decision);
+        requests.push(decision);
       }
     }
+    this.ticketRequester.replaceRequests(requests);
     this.roundMs = clock.monotonicMs() - nowMs;
+    this.rounds = addRound(this.rounds, this.roundMs);
     metrics.record('round_us', this.roundMs * 1000);
     this.publishPhases();
   }
@@ -388,6 +397,7 @@
       wallMs: this.deps.clock.wallMs(),
       mayHaveUnknownRuns: task =>
         this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services),
+      ticketBudget: this.ticketRequester.newBudget(),
     };
   }
 
@@ -439,6 +449,8 @@
     for (const {event, fields} of stateLines(this.state, context)) {
       this.deps.log(event, fields);
     }
+    this.deps.log('roundState', describeRounds(this.rounds));
+    this.rounds = NO_ROUNDS;
     const wait = this.formerOwnerRuns.describeWait(nowMs);
     if (wait !== null) this.deps.log('formerRunsUnknown', wait);
     for (const row of this.ticketRequester.takeReport()) {
@@ -474,6 +486,27 @@
   }
 }
 
+/** How many rounds there were, and how long they took. */
+interface RoundTimes {
+  readonly count: number;
+  readonly sumMs: number;
+  readonly maxMs: number;
+}
+
+const NO_ROUNDS: RoundTimes = {count: 0, sumMs: 0, maxMs: 0};
+
+function addRound(times: RoundTimes, tookMs: number): RoundTimes {
+  return {
+    count: times.count + 1,
+    sumMs: times.sumMs + tookMs,
+    maxMs: Math.max(times.maxMs, tookMs),
+  };
+}
+
+function describeRounds({count, sumMs, maxMs}: RoundTimes): object {
+  return {rounds: count, sumMs: Math.round(sumMs), maxMs: Math.round(maxMs)};
+}
+
 function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
   return {id, phase: visiblePhase, queue: queue.name, organisation};
 }
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -1,4 +1,5 @@
 /** Placement: one executor for a task, a set of executors for a gang. */
+import type {CellState} from './cell-state.js';
 import {hasCrashedOn} from './crash-suspects.js';
 import {
   allocatedCpuMilli,
@@ -31,6 +32,7 @@
 /** What placement depends on besides the executors and the task. */
 export interface PlacementContext {
   readonly nowMs: number;
+  readonly state: Pick<CellState, 'executors'>;
   /** Executors withheld for earlier steps of the round. */
   readonly withheld: ReadonlySet<ExecutorState>;
   /** Resources reserved in this round, on top of those in use. */
@@ -104,6 +106,24 @@
   return count;
 }
 
+/**
+ * The executors on which the step may start: all, or those for which it holds
+ * a valid ticket, where it needs one.
+ */
+export function candidatesFor(
+  step: StepState,
+  executors: readonly ExecutorState[],
+  {nowMs, state}: PlacementContext,
+): readonly ExecutorState[] {
+  if (step.occurrence.job.queue.advice === null) return executors;
+  const candidates: ExecutorState[] = [];
+  for (const [id, {validUntilMs}] of step.tickets) {
+    const executor = validUntilMs > nowMs ? state.executors.get(id) : undefined;
+    if (executor !== undefined) candidates.push(executor);
+  }
+  return candidates;
+}
+
 /**
  * Chooses the executor for one task.
  *
@@ -280,6 +300,7 @@
   reserved: ResourceAmounts = NOTHING_RESERVED,
 ): number {
   const {spec} = step;
+  if (!hasRoom(executor, spec)) return 0;
   const fits = countFittingIn(spec, freeResources(executor, reserved));
   const {maxPerExecutor} = spec;
   if (maxPerExecutor === 0) return fits;
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -98,6 +98,9 @@
   estimates: RunTimeEstimates,
 ): number {
   const {steps} = step.occurrence;
+  if (steps.length === 1) {
+    return queue.objectiveMs + queue.stretch * estimates.expectedMs(step);
+  }
   const finishMs: number[] = [];
   for (const each of steps) {
     const dependencyMs = each.spec.after.map(i => finishMs[i] ?? 0);
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -5,6 +5,7 @@
 import type {PlacementContext} from './placement.js';
 import type {ResourceAmounts} from './resource-amounts.js';
 import type {ServiceCapacity} from './service-capacity.js';
+import type {TicketBudget} from './ticket-requester.js';
 
 /** What a round is given by the owner. */
 export interface RoundContext {
@@ -15,6 +16,8 @@
    * does not know of.
    */
   readonly mayHaveUnknownRuns: (task: TaskState) => boolean;
+  /** The requests for tickets that can be sent before the next round. */
+  readonly ticketBudget: TicketBudget;
 }
 
 /** A scheduling round in progress. */
--- a/packages/cell/src/run-time-estimates.ts
+++ b/packages/cell/src/run-time-estimates.ts
@@ -19,15 +19,15 @@
   /** Records the run time of a task that completed. */
   record(step: StepState, ranMs: number): void {
     this.byStep.set(step, average(this.byStep.get(step), ranMs));
-    const key = imageKey(step);
-    const known = this.byImage.get(key);
+    const {imageKey} = step;
+    const known = this.byImage.get(imageKey);
     if (known === undefined && this.byImage.size >= MAX_IMAGES) return;
-    this.byImage.set(key, average(known, ranMs));
+    this.byImage.set(imageKey, average(known, ranMs));
   }
 
   /** The expected run time of a task of the step. */
   expectedMs(step: StepState): number {
-    const known = this.byStep.get(step) ?? this.byImage.get(imageKey(step));
+    const known = this.byStep.get(step) ?? this.byImage.get(step.imageKey);
     return known?.meanMs ?? step.spec.estimatedMs;
   }
 
@@ -39,6 +39,7 @@
   /** Expected time of the longest chain of unfinished steps. */
   criticalPathMs(step: StepState): number {
     const {steps} = step.occurrence;
+    if (steps.length === 1) return this.expectedMs(step);
     const finishMs: number[] = [];
     for (const each of steps) {
       const isDone = each.doneCount === each.tasks.length;
@@ -50,10 +51,6 @@
   }
 }
 
-function imageKey({spec, occurrence}: StepState): string {
-  return `${occurrence.job.queue.name} ${spec.image}`;
-}
-
 function average(known: RunTime | undefined, ranMs: number): RunTime {
   if (known === undefined) return {meanMs: ranMs, count: 1};
   const meanMs = known.meanMs + (ranMs - known.meanMs) * NEW_RUN_WEIGHT;
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -8,7 +8,12 @@
   isLargeTask,
   preemptFor,
 } from './reserve-capacity.js';
-import {chooseExecutor, chooseGang, URGENT_PRIORITY} from './placement.js';
+import {
+  candidatesFor,
+  chooseExecutor,
+  chooseGang,
+  URGENT_PRIORITY,
+} from './placement.js';
 import {
   orderSteps,
   LASTING_PRECEDENCE,
@@ -31,10 +36,12 @@
   type ServiceCapacity,
 } from './service-capacity.js';
 import {
+  FIRST_EXECUTORS,
   reserveCapacity,
   findNeededTickets,
   type TicketNeed,
 } from './ticket-needs.js';
+import {decisionTimeMs} from './ticket-requester.js';
 
 /** The most waiting tasks of one step that one round considers. */
 const TASKS_PER_ROUND = 200;
@@ -92,7 +99,7 @@
     withholdForSuspects(ranked, round, task => isStartable(task, context));
   }
   for (const each of overdueFirst(ranked, context.nowMs)) {
-    yield* scheduleStep(each, round);
+    if (mayProceed(each.step, round)) yield* scheduleStep(each, round);
   }
   for (const [step, count] of losses) yield* prepareMove(step, count, round);
 }
@@ -103,13 +110,25 @@
   return notBeforeMs <= context.nowMs && !context.mayHaveUnknownRuns(task);
 }
 
-function* scheduleStep(ranked: RankedStep, round: Round): Generator<Decision> {
-  const {step} = ranked;
+/**
+ * Whether the step may start a task or request tickets in this round. Under
+ * overload most steps may not, and a round passes over them.
+ */
+function mayProceed(step: StepState, round: Round): boolean {
   const capacity = round.services.get(step.occurrence.job.queue.service);
   if (capacity === undefined) {
     resetRoom(step);
-    return;
+    return false;
   }
+  if (mayRequestTickets(step, round)) return true;
+  recordRoom(step, 1, capacity, round);
+  return false;
+}
+
+function* scheduleStep(ranked: RankedStep, round: Round): Generator<Decision> {
+  const {step} = ranked;
+  const capacity = round.services.get(step.occurrence.job.queue.service);
+  if (capacity === undefined) return;
   const {started, missing} = step.spec.isGang
     ? yield* scheduleGang(step, capacity, round)
     : yield* scheduleTasks(ranked, capacity, round);
@@ -126,9 +145,33 @@
   const executorsWithRoom = [...isolatedExecutors, ...withRoom];
   const need = findNeededTickets(step, executorsWithRoom, capacity, round);
   if (need === null) return;
+  takeTicketRequest(step, need, round);
   yield {kind: 'advise', step, precedence: ticketPrecedence(ranked), ...need};
 }
 
+/**
+ * Whether the step holds or requests tickets, or may request some now. What any
+ * other step reserved would stay unused until then.
+ */
+function mayRequestTickets(step: StepState, round: Round): boolean {
+  const {advice} = step.occurrence.job.queue;
+  if (advice === null || step.isRequestingTickets) return true;
+  for (const {validUntilMs} of step.tickets.values()) {
+    if (validUntilMs > round.nowMs) return true;
+  }
+  return round.ticketBudget.has(decisionTimeMs(advice, FIRST_EXECUTORS));
+}
+
+function takeTicketRequest(
+  step: StepState,
+  {executorIds}: TicketNeed,
+  round: Round,
+): void {
+  const {advice} = step.occurrence.job.queue;
+  if (advice === null) return;
+  round.ticketBudget.take(decisionTimeMs(advice, executorIds.length));
+}
+
 /** Requests tickets for tasks that will have to start elsewhere. */
 function* prepareMove(
   step: StepState,
@@ -200,6 +243,7 @@
   const started: TaskState[] = [];
   const isPossible = mayFit(step, capacity);
   const maxCount = maxTasksPerRound(ranked);
+  const candidates = candidatesFor(step, capacity.schedulable, round);
   let missing = 0;
   let isFull = !isPossible;
   for (const task of step.tasks) {
@@ -213,8 +257,7 @@
     }
     const mayChoose = isolated === undefined && !isSuspect(task) && !isFull;
     const executor =
-      isolated ??
-      (mayChoose ? chooseExecutor(task, capacity.schedulable, round) : null);
+      isolated ?? (mayChoose ? chooseExecutor(task, candidates, round) : null);
     if (executor === null) {
       missing += 1;
       isFull ||= mayChoose;
@@ -247,7 +290,7 @@
     return NO_PASS;
   }
   const chosen = mayFit(step, capacity)
-    ? chooseGang(step, capacity.schedulable, round)
+    ? chooseGang(step, candidatesFor(step, capacity.schedulable, round), round)
     : null;
   if (chosen === null) return {started: 0, missing: tasks.length};
   const run = round.state.nextRun(tasks);
--- a/packages/cell/src/service-capacity.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -29,6 +29,8 @@
   /** Whether much of its processors, memory or accelerators is in use. */
   readonly isBusy: boolean;
   freeCpuMilli: number;
+  /** These by their free processors as the round starts, the most first. */
+  readonly byFreeCpu: () => readonly ExecutorState[];
   /** How many more steps without room may renew tickets in this round. */
   renewalsLeft: number;
 }
@@ -87,6 +89,9 @@
   );
   const headroomCpuMilli = totalCpuMilli * URGENT_HEADROOM_SHARE;
   const renewalsLeft = MAX_BLOCKED_RENEWALS;
+  let sorted: readonly ExecutorState[] | null = null;
+  const byFreeCpu = (): readonly ExecutorState[] =>
+    (sorted ??= sortByFreeCpu(schedulable));
   return {
     executors,
     schedulable,
@@ -96,6 +101,7 @@
     headroomCpuMilli,
     isBusy: isBusy(schedulable),
     freeCpuMilli,
+    byFreeCpu,
     renewalsLeft,
   };
 }
@@ -144,6 +150,12 @@
   );
 }
 
+function sortByFreeCpu(
+  executors: readonly ExecutorState[],
+): readonly ExecutorState[] {
+  return [...executors].sort((a, b) => freeCpuMilliOf(b) - freeCpuMilliOf(a));
+}
+
 /**
  * The free processor time of an executor, in thousandths of a core; 0 where
  * more is in use than its capacity, which may have shrunk.
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -16,14 +16,10 @@
 } from './placement.js';
 import {NOTHING_RESERVED} from './resource-amounts.js';
 import type {Round} from './round.js';
-import {
-  freeCpuMilliOf,
-  mayFit,
-  type ServiceCapacity,
-} from './service-capacity.js';
+import {mayFit, type ServiceCapacity} from './service-capacity.js';
 
 /** Executors in a first request; each adds decision time. */
-const FIRST_EXECUTORS = 30;
+export const FIRST_EXECUTORS = 30;
 /** The least executors in a request that renews tickets. */
 const MIN_RENEWAL_EXECUTORS = 12;
 /** Executors in a renewal for each one with room, as not all may be allowed. */
@@ -59,22 +55,34 @@
   const maxCount = maxExecutorsPerRequest(step, executorsWithRoom.length);
   const callMs = decisionMs + perExecutorMs * maxCount;
   const atMs = step.spec.isGang ? round.nowMs + callMs : round.nowMs;
-  const candidates = capacity.schedulable.filter(each =>
-    mayBePermitted(step, each),
-  );
-  const withoutTicket = candidates.filter(
-    each => !holdsRequiredTicket(step, each, atMs),
-  );
-  if (isSpeculative && withoutTicket.length < candidates.length) return null;
-  const withRoom = executorsWithRoom.filter(each =>
-    withoutTicket.includes(each),
-  );
-  if (!isSpeculative && withRoom.length === 0) return null;
-  const others = sortByFreeCpu(
-    withoutTicket.filter(each => !withRoom.includes(each)),
-  );
-  const executorIds = firstIds([...withRoom, ...others], maxCount);
-  return executorIds.length === 0 ? null : {executorIds, isSpeculative};
+  if (isSpeculative && holdsAnyTicket(step, capacity, atMs)) return null;
+  const lacksTicket = (each: ExecutorState): boolean =>
+    mayBePermitted(step, each) && !holdsRequiredTicket(step, each, atMs);
+  const wanted = new Set<string>();
+  for (const each of executorsWithRoom) {
+    if (wanted.size < maxCount && lacksTicket(each)) wanted.add(each.info.id);
+  }
+  if (!isSpeculative && wanted.size === 0) return null;
+  for (const each of capacity.byFreeCpu()) {
+    if (wanted.size >= maxCount) break;
+    if (lacksTicket(each)) wanted.add(each.info.id);
+  }
+  return wanted.size === 0 ? null : {executorIds: [...wanted], isSpeculative};
+}
+
+/** Whether the step holds a ticket that it could use, given room. */
+function holdsAnyTicket(
+  step: StepState,
+  {schedulable}: ServiceCapacity,
+  atMs: number,
+): boolean {
+  for (const {validUntilMs} of step.tickets.values()) {
+    if (validUntilMs <= atMs) continue;
+    return schedulable.some(
+      each => isCompatible(step, each) && holdsRequiredTicket(step, each, atMs),
+    );
+  }
+  return false;
 }
 
 /**
@@ -216,16 +224,3 @@
   capacity.renewalsLeft -= 1;
   return true;
 }
-
-function sortByFreeCpu(
-  executors: readonly ExecutorState[],
-): readonly ExecutorState[] {
-  return [...executors].sort((a, b) => freeCpuMilliOf(b) - freeCpuMilliOf(a));
-}
-
-function firstIds(
-  executors: readonly ExecutorState[],
-  maxCount: number,
-): readonly string[] {
-  return executors.slice(0, maxCount).map(each => each.info.id);
-}
--- a/packages/cell/src/ticket-requester.ts
+++ b/packages/cell/src/ticket-requester.ts
@@ -1,21 +1,23 @@
 /** Requests tickets from the advice service through the VMs of the cell. */
+import {AdviceLane} from './advice-lane.js';
 import type {Ticket} from './executor-client.js';
-import {URGENT_PRIORITY} from './placement.js';
 import type {LogFunction} from './platform.js';
 import type {TicketNeed} from './ticket-needs.js';
 import {recordTickets, stepName, type StepState} from './job-state.js';
+import type {AdvicePolicy} from './types.js';
 
-/**
- * Requests expected to take longer than this avoid the owner's VM and its
- * failure domain where possible, and never take the last idle VM there.
- */
+/** Requests expected to take longer are not sent through the nearest VMs. */
 const SHORT_DECISION_MS = 150;
-/** Queue bound per VM; tickets of more requests would expire before use. */
-const MAX_QUEUED_PER_VM = 1;
+/** Share of the answering VMs that takes short requests only. */
+const SHORT_VM_SHARE = 0.2;
+/** Short requests of one round: as many as are sent before the next one. */
+const SHORT_REQUESTS_PER_VM = 4;
+const MIN_SHORT_REQUESTS = 8;
+const MAX_SHORT_REQUESTS = 128;
+/** Long requests of one round besides those that can be sent at once. */
+const SPARE_LONG_REQUESTS = 2;
 /** Share of the VMs that may request tickets for steps without room. */
 const SPECULATIVE_VM_SHARE = 0.34;
-/** How long a VM is not used after a failed call, in ms; doubles each time. */
-const VM_BACKOFF_MS = 500;
 /** The longest time for which a VM is not used, in ms. */
 const MAX_VM_BACKOFF_MS = 8000;
 /** The same while no VM answers, in ms: the service may be back soon. */
@@ -27,7 +29,7 @@
 /** Subtracted from a ticket's validity for its way to the executor, in ms. */
 const TICKET_MARGIN_MS = 250;
 
-/** A VM through which the advice service is called, one call at a time. */
+/** A VM through which the advice service is called. */
 export interface AdviceChannel {
   readonly vm: string;
   /** Whether the VM is the owner's own or in the same failure domain. */
@@ -60,17 +62,54 @@
   busyMs: number;
 }
 
-/** The failed calls through a VM since the last one that was answered. */
-interface VmFailures {
-  readonly count: number;
-  readonly lastMs: number;
+/**
+ * Limits the requests of one round to those that can be sent before the next
+ * one. What a step reserves for more than that would stay unused.
+ */
+export class TicketBudget {
+  constructor(
+    private shortLeft: number,
+    private longLeft: number,
+  ) {}
+
+  /** Whether one more request may be made. */
+  has(expectedMs: number): boolean {
+    return (isShort(expectedMs) ? this.shortLeft : this.longLeft) > 0;
+  }
+
+  /** Counts a request. */
+  take(expectedMs: number): void {
+    if (isShort(expectedMs)) this.shortLeft -= 1;
+    else this.longLeft -= 1;
+  }
+}
+
+/** The time of the advice service for a request, in ms. */
+export function decisionTimeMs(
+  {decisionMs, perExecutorMs}: AdvicePolicy,
+  executorCount: number,
+): number {
+  return decisionMs + perExecutorMs * executorCount;
+}
+
+function isShort(expectedMs: number): boolean {
+  return expectedMs <= SHORT_DECISION_MS;
+}
+
+/** A VM that may take calls now. */
+interface Candidate {
+  readonly channel: AdviceChannel;
+  readonly lane: AdviceLane;
 }
 
-/** Distributes ticket requests over the VMs, the most urgent first. */
+/**
+ * Distributes ticket requests over the VMs, the most urgent first. Each round
+ * replaces the requests that have not been sent, so that none is sent for a step
+ * that has lost its place in the order.
+ */
 export class TicketRequester {
-  private readonly queued: QueuedRequest[] = [];
-  private readonly busy = new Set<string>();
-  private readonly failures = new Map<string, VmFailures>();
+  private queued: readonly QueuedRequest[] = [];
+  private readonly lanes = new Map<string, AdviceLane>();
   private statsByQueue = new Map<string, AdviceStats>();
   private speculativeCalls = 0;
 
@@ -81,48 +120,42 @@
     private readonly log: LogFunction,
   ) {}
 
-  /**
-   * Requests tickets for a step; `onTickets` reports the answer. Non-urgent
-   * requests are not queued beyond what the VMs take next, and speculative ones
-   * not at all: a later round repeats them in its own order.
-   */
-  request({step, executorIds, precedence, isSpeculative}: TicketRequest): void {
-    const {queue} = step.occurrence.job;
-    if (step.isRequestingTickets || queue.advice === null) return;
-    if (isSpeculative && !this.mayRequestSpeculatively()) return;
-    const {decisionMs, perExecutorMs} = queue.advice;
-    const expectedMs = decisionMs + perExecutorMs * executorIds.length;
-    step.isRequestingTickets = true;
-    this.queued.push({
-      step,
-      executorIds,
-      expectedMs,
-      precedence,
-      isSpeculative,
-    });
-    this.queued.sort(
-      (a, b) => a.precedence - b.precedence || a.expectedMs - b.expectedMs,
+  /** How many requests a round that begins now may make. */
+  newBudget(): TicketBudget {
+    const nowMs = this.nowMs();
+    const answering = this.candidates().filter(({lane}) => lane.isAnswering);
+    const free = withoutNearest(answering).filter(({lane}) =>
+      lane.hasRoom(nowMs),
     );
-    this.dispatch();
-    this.dropExcess(MAX_QUEUED_PER_VM * this.channels().length);
-  }
-
-  /** Whether few enough speculative calls are in progress. */
-  private mayRequestSpeculatively(): boolean {
-    if (this.queued.length > 0) return false;
-    return (
-      this.speculativeCalls <
-      Math.floor(this.channels().length * SPECULATIVE_VM_SHARE)
+    const shortCount =
+      MIN_SHORT_REQUESTS + SHORT_REQUESTS_PER_VM * answering.length;
+    return new TicketBudget(
+      Math.min(MAX_SHORT_REQUESTS, shortCount),
+      free.length + SPARE_LONG_REQUESTS,
     );
   }
 
-  private dropExcess(maxCount: number): void {
-    while (this.queued.length > maxCount) {
-      const last = this.queued.at(-1);
-      if (last === undefined || last.precedence <= URGENT_PRIORITY) return;
-      last.step.isRequestingTickets = false;
-      this.queued.pop();
+  /**
+   * Replaces the requests that have not been sent by those of a new round, in
+   * its order; `onTickets` reports each answer.
+   *
+   * @example
+   * requester.replaceRequests(decisions.filter(isTicketRequest));
+   */
+  replaceRequests(requests: readonly TicketRequest[]): void {
+    const queued: QueuedRequest[] = [];
+    for (const each of requests) {
+      const {advice} = each.step.occurrence.job.queue;
+      if (each.step.isRequestingTickets || advice === null) continue;
+      const expectedMs = decisionTimeMs(advice, each.executorIds.length);
+      queued.push({...each, expectedMs});
     }
+    this.queued = queued.sort(
+      (a, b) =>
+        Number(a.isSpeculative) - Number(b.isSpeculative) ||
+        a.precedence - b.precedence,
+    );
+    this.dispatch();
   }
 
   /** Returns and resets the statistics of each queue. */
@@ -133,81 +166,96 @@
   }
 
   /**
-   * Sends queued requests through idle VMs. A VM whose last call failed gets
-   * what the others leave, the least urgent first: it may fail again.
+   * Sends queued requests through the VMs that will answer them first. A VM
+   * whose last call failed gets what the others leave, the least urgent first:
+   * it may fail again.
    */
   dispatch(): void {
     if (this.queued.length === 0) return;
     const nowMs = this.nowMs();
-    const all = this.channels();
-    const answeringCount = all.filter(c => this.isAnswering(c)).length;
-    const maxPauseMs =
-      answeringCount === 0 ? MAX_BACKOFF_OF_ALL_MS : MAX_VM_BACKOFF_MS;
-    const idle = all.filter(({vm}) => this.isIdle(vm, nowMs, maxPauseMs));
-    // A VM is kept for short requests only where long ones have another.
-    const mayTakeLast = answeringCount <= 1;
-    const answering = ownDomainFirst(idle.filter(c => this.isAnswering(c)));
-    const failing = idle.filter(each => !this.isAnswering(each));
-    for (const request of [...this.queued]) {
-      const isShort = request.expectedMs <= SHORT_DECISION_MS;
-      this.send(request, takeChannel(answering, isShort, mayTakeLast));
+    const all = this.candidates();
+    const answering = all.filter(({lane}) => lane.isAnswering);
+    const left: QueuedRequest[] = [];
+    for (const request of this.queued) {
+      const lanes = this.lanesFor(request, answering, left.length > 0);
+      const lane = fastestLane(request, lanes, nowMs);
+      if (lane === null) left.push(request);
+      else this.send(request, lane, nowMs);
     }
-    for (const request of [...this.queued].reverse()) {
-      this.send(request, failing.pop());
+    const maxPauseMs =
+      answering.length === 0 ? MAX_BACKOFF_OF_ALL_MS : MAX_VM_BACKOFF_MS;
+    for (const each of all) {
+      if (each.lane.isAnswering) continue;
+      if (!each.lane.mayRetry(nowMs, maxPauseMs)) continue;
+      const request = left.pop();
+      if (request !== undefined) this.send(request, each, nowMs);
     }
+    this.queued = left;
   }
 
-  private send(
-    request: QueuedRequest,
-    channel: AdviceChannel | undefined,
-  ): void {
-    if (channel === undefined) return;
-    this.queued.splice(this.queued.indexOf(request), 1);
-    this.busy.add(channel.vm);
-    void this.ask(channel, request);
+  private candidates(): readonly Candidate[] {
+    return this.channels().map(channel => ({
+      channel,
+      lane: this.laneOf(channel),
+    }));
   }
 
-  private isIdle(vm: string, nowMs: number, maxPauseMs: number): boolean {
-    if (this.busy.has(vm)) return false;
-    const failures = this.failures.get(vm);
-    if (failures === undefined) return true;
-    const pauseMs = VM_BACKOFF_MS * 2 ** (failures.count - 1);
-    return failures.lastMs + Math.min(maxPauseMs, pauseMs) <= nowMs;
+  private laneOf(channel: AdviceChannel): AdviceLane {
+    const known = this.lanes.get(channel.vm);
+    if (known !== undefined) return known;
+    const lane = new AdviceLane(channel);
+    this.lanes.set(channel.vm, lane);
+    return lane;
   }
 
-  /** Whether the last call through the VM, if any, was answered. */
-  private isAnswering({vm}: AdviceChannel): boolean {
-    return !this.failures.has(vm);
+  /** The VMs that may take a request. */
+  private lanesFor(
+    {expectedMs, isSpeculative}: QueuedRequest,
+    answering: readonly Candidate[],
+    areOthersLeft: boolean,
+  ): readonly Candidate[] {
+    const lanes = isShort(expectedMs) ? answering : withoutNearest(answering);
+    if (!isSpeculative) return lanes;
+    const maxCalls = Math.floor(answering.length * SPECULATIVE_VM_SHARE);
+    if (areOthersLeft || this.speculativeCalls >= maxCalls) return [];
+    return lanes.filter(({lane}) => lane.isIdle);
   }
 
-  private recordFailure(vm: string): void {
-    const count = (this.failures.get(vm)?.count ?? 0) + 1;
-    this.failures.set(vm, {count, lastMs: this.nowMs()});
+  private send(
+    request: QueuedRequest,
+    {channel, lane}: Candidate,
+    nowMs: number,
+  ): void {
+    request.step.isRequestingTickets = true;
+    const timeoutMs =
+      lane.answerInMs(request.expectedMs, nowMs) + CALL_SLACK_MS;
+    void this.ask(channel, lane, request, timeoutMs);
   }
 
   private async ask(
     channel: AdviceChannel,
-    request: QueuedRequest,
+    lane: AdviceLane,
+    {step, executorIds, expectedMs, isSpeculative}: QueuedRequest,
+    timeoutMs: number,
   ): Promise<void> {
-    const {step, executorIds, expectedMs, isSpeculative} = request;
     if (isSpeculative) this.speculativeCalls += 1;
-    const timeoutMs = expectedMs + CALL_SLACK_MS;
     const name = stepName(step);
     const sentMs = this.nowMs();
+    const call = lane.begin(expectedMs, sentMs);
     const tickets = await this.call(channel, name, executorIds, timeoutMs);
-    this.busy.delete(channel.vm);
+    const nowMs = this.nowMs();
     step.isRequestingTickets = false;
     if (isSpeculative) this.speculativeCalls -= 1;
     this.recordCall(step.occurrence.job.queue.name, tickets, sentMs);
     if (tickets === null) {
-      this.recordFailure(channel.vm);
+      lane.fail(call, nowMs);
     } else {
-      this.failures.delete(channel.vm);
+      lane.end(call, nowMs);
       const {advice} = step.occurrence.job.queue;
       const lifeMs = (advice?.validityMs ?? 0) - TICKET_MARGIN_MS;
-      const issuedMs = Math.min(this.nowMs(), sentMs + expectedMs);
-      const validUntilMs = issuedMs + lifeMs;
-      recordTickets(step, tickets, validUntilMs, executorIds);
+      // The service issues a ticket when it has decided, not before that.
+      const issuedMs = Math.min(nowMs, sentMs + expectedMs);
+      recordTickets(step, tickets, issuedMs + lifeMs, executorIds);
     }
     this.onTickets(step);
     this.dispatch();
@@ -248,20 +296,32 @@
   return {queue, calls: 0, failed: 0, tickets: 0, busyMs: 0};
 }
 
-function ownDomainFirst(channels: readonly AdviceChannel[]): AdviceChannel[] {
-  return [
-    ...channels.filter(each => each.isInOwnerDomain),
-    ...channels.filter(each => !each.isInOwnerDomain),
-  ];
+/** Leaves out the nearest VMs, unless there is no other. */
+function withoutNearest(
+  candidates: readonly Candidate[],
+): readonly Candidate[] {
+  if (candidates.length <= 1) return candidates;
+  const count = Math.ceil(candidates.length * SHORT_VM_SHARE);
+  const byDistance = [...candidates].sort(
+    (a, b) => a.lane.distanceMs - b.lane.distanceMs,
+  );
+  return byDistance.slice(count);
 }
 
-function takeChannel(
-  channels: AdviceChannel[],
-  isShort: boolean,
-  mayTakeLast: boolean,
-): AdviceChannel | undefined {
-  if (isShort) return channels.shift();
-  const isLast = channels.length === 1;
-  if (isLast && channels[0]?.isInOwnerDomain && !mayTakeLast) return undefined;
-  return channels.pop();
+/** The VM with the earliest answer; null while all have enough to do. */
+function fastestLane(
+  {expectedMs}: QueuedRequest,
+  candidates: readonly Candidate[],
+  nowMs: number,
+): Candidate | null {
+  let best: Candidate | null = null;
+  let bestMs = Infinity;
+  for (const each of candidates) {
+    if (!each.lane.hasRoom(nowMs)) continue;
+    const answerInMs = each.lane.answerInMs(expectedMs, nowMs);
+    if (answerInMs >= bestMs) continue;
+    best = each;
+    bestMs = answerInMs;
+  }
+  return best;
 }
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -6,6 +6,7 @@
   CellState,
   decideRound,
   RunTimeEstimates,
+  TicketBudget,
   RuntimeMonitor,
   newJobState,
   nextFillerPercent,
@@ -94,6 +95,7 @@
       nowMs,
       wallMs: NOW_MS,
       mayHaveUnknownRuns,
+      ticketBudget: new TicketBudget(Infinity, Infinity),
     }),
   ];
 }
--- a/packages/cell/test/grown-load.ts
+++ b/packages/cell/test/grown-load.ts
@@ -1,73 +1,19 @@
 /** A random load with the figures of the users' largest deployment. */
-import type {Queue, StepSpec, TaskState} from '@dragonflyward/cell';
-import {QUEUE, STEP} from './rig.js';
-import {hash, LoadSimulation, type RunPlan} from './load-simulation.js';
+import {STEP} from './rig.js';
+import type {LoadSimulation} from './load-simulation.js';
+import {
+  maxPerExecutor,
+  newAdvice,
+  newQueue,
+  newRandomLoad,
+  size,
+  type Kind,
+} from './random-load.js';
 
 const VM_COUNT = 35;
 /** Factors on the capacity of the executors of the one service. */
 const SMALL_SIZES = [1, 1, 0.5, 2];
 
-interface Kind {
-  readonly queue: Queue;
-  readonly perSecond: number;
-  /** Share of the executors on which a step is permitted. */
-  readonly permittedShare: number;
-  /** Share of the runs that fail, and of the jobs whose runs all fail. */
-  readonly failedShare: number;
-  readonly poisonShare: number;
-  readonly newSteps: (random: Random) => readonly StepSpec[];
-}
-
-/** Random numbers of a seed. */
-export class Random {
-  constructor(private value: number) {}
-
-  /** A number from 0 to 1. */
-  next(): number {
-    this.value = (this.value * 1_664_525 + 1_013_904_223) % 4_294_967_296;
-    return this.value / 4_294_967_296;
-  }
-
-  /** A number with the mean and a relative spread, at most `max`. */
-  around(mean: number, spread: number, max: number): number {
-    const normal =
-      Math.sqrt(-2 * Math.log(1 - this.next())) *
-      Math.cos(2 * Math.PI * this.next());
-    const sigma = Math.sqrt(Math.log(1 + spread * spread));
-    return Math.min(max, mean * Math.exp(sigma * normal - sigma ** 2 / 2));
-  }
-
-  count(mean: number, spread: number, max: number): number {
-    return Math.max(1, Math.round(this.around(mean, spread, max)));
-  }
-
-  pick<T>(values: readonly [T, ...T[]]): T {
-    return values[Math.floor(this.next() * values.length)] ?? values[0];
-  }
-}
-
-function newQueue(
-  name: string,
-  service: string,
-  priority: number,
-  change: Partial<Queue>,
-): Queue {
-  return {...QUEUE, name, service, priority, ...change};
-}
-
-function newAdvice(decisionMs: number, perExecutorMs: number): Queue['advice'] {
-  return {decisionMs, perExecutorMs, validityMs: 2000};
-}
-
-function size(cpuMilli: number, memMb: number, accel = 0): StepSpec['size'] {
-  return {cpuMilli, memMb, accel, slots: 0};
-}
-
-/** The most tasks of a step on one executor, for a share of the steps. */
-function maxPerExecutor(random: Random, share: number): number {
-  return random.next() < share ? random.pick([1, 2]) : 0;
-}
-
 export const QUOTE = newQueue('quote', 'small', 0, {
   maxAttempts: 2,
   stretch: 1.5,
@@ -213,15 +159,9 @@
   rate = 1,
   endMs,
 }: GrownLoadOptions): LoadSimulation {
-  const random = new Random(seed);
-  const poison = new Set<string>();
-  const simulation = new LoadSimulation({
-    queues: KINDS.map(({queue}) => queue),
-    vmCount,
-    isPermitted: (step, executorId) =>
-      hash(step + executorId) < permittedShareOf(step),
-    planRun: task => planRun(task, poison, random),
-  });
+  const rateOf = (): number => rate;
+  const options = {seed, kinds: KINDS, vmCount, rateOf, endMs};
+  const simulation = newRandomLoad(options);
   simulation.addExecutors(
     'small',
     174,
@@ -232,47 +172,5 @@
     12,
   );
   simulation.addExecutors('large', 68, () => size(32_000, 131_072, 8));
-  for (const kind of KINDS) {
-    addArrivals(simulation, kind, random, poison, rate, endMs);
-  }
   return simulation;
 }
-
-function permittedShareOf(step: string): number {
-  const kind = KINDS.find(({queue}) => step.startsWith(queue.name));
-  return kind?.permittedShare ?? 1;
-}
-
-function addArrivals(
-  simulation: LoadSimulation,
-  {queue, perSecond, poisonShare, newSteps}: Kind,
-  random: Random,
-  poison: Set<string>,
-  rate: number,
-  endMs: number,
-): void {
-  let atMs = simulation.nowMs;
-  for (let i = 0; ; i += 1) {
-    atMs += (-Math.log(1 - random.next()) * 1000) / (perSecond * rate);
-    if (atMs > endMs) return;
-    const id = `${queue.name}${i}`;
-    if (random.next() < poisonShare) poison.add(id);
-    const steps = newSteps(random);
-    simulation.at(atMs, () => simulation.addJob(id, queue, steps));
-  }
-}
-
-function planRun(
-  {step}: TaskState,
-  poison: ReadonlySet<string>,
-  random: Random,
-): RunPlan {
-  const {isService, estimatedMs} = step.spec;
-  const {job} = step.occurrence;
-  const kind = KINDS.find(({queue}) => queue.name === job.queue.name);
-  const isFailed =
-    poison.has(job.id) || random.next() < (kind?.failedShare ?? 0);
-  const runMs = estimatedMs * (0.7 + 0.6 * random.next());
-  if (isFailed) return {runMs: runMs * random.next(), how: 'failed'};
-  return {runMs: isService ? Infinity : runMs, how: 'done'};
-}
--- a/packages/cell/test/load-simulation.ts
+++ b/packages/cell/test/load-simulation.ts
@@ -13,6 +13,7 @@
   type StepSpec,
   type StepState,
   type TaskState,
+  type TicketRequest,
 } from '@dragonflyward/cell';
 import {CONFIG} from './rig.js';
 
@@ -41,12 +42,25 @@
   readonly queues: readonly Queue[];
   readonly organisations?: CellConfig['organisations'];
   readonly vmCount: number;
+  /** One way from the owner to the service through a VM, in ms; else 0. */
+  readonly adviceOneWayMs?: ((vm: number) => number) | undefined;
   /** Whether the advice service permits the step on the executor. */
   readonly isPermitted: (step: string, executorId: string) => boolean;
   /** How a run that starts now goes; by default it is done as estimated. */
   readonly planRun?: (task: TaskState) => RunPlan;
 }
 
+/** A job that has ended, or not yet, and when it came. */
+export interface JobTiming {
+  readonly id: string;
+  readonly queue: string;
+  readonly acceptedMs: number;
+  /** Infinity until the job has completed. */
+  readonly completedMs: number;
+  /** When a job without a delay of the scheduler's would have completed. */
+  readonly objectiveMs: number;
+}
+
 /** A task that waited too long although there was room for it twice over. */
 export interface Overdue {
   readonly task: string;
@@ -68,6 +82,8 @@
   readonly overdue: Overdue[] = [];
   /** Jobs with nothing running that waited too long after the traffic. */
   readonly stalled: Overdue[] = [];
+  /** Calls that the advice service has answered, and its time for them. */
+  readonly advice = {calls: 0, workMs: 0};
   /** From when on no job may stall. */
   trafficEndMs = Infinity;
   readonly state: CellState;
@@ -76,13 +92,16 @@
   private readonly endedMs = new Map<TaskState, number>();
   private readonly hadRoomMs = new Map<TaskState, number>();
   private readonly mayRunSinceMs = new Map<JobState, number>();
+  private readonly completedMs = new Map<JobState, number>();
   private timed: Timed[] = [];
   private endNumber = 0;
 
   constructor(private readonly options: LoadOptions) {
     this.state = new CellState(1, {
       onProgress: () => undefined,
-      onPhaseChange: () => undefined,
+      onPhaseChange: job => {
+        if (job.phase === 'completed') this.completedMs.set(job, this.nowMs);
+      },
       onStop: task => this.endLater(task),
       onOrphan: () => undefined,
       onCrash: () => undefined,
@@ -212,22 +231,50 @@
     return room;
   }
 
+  /** Yields the jobs that came in a span of time. */
+  *timings(fromMs: number, untilMs: number): Generator<JobTiming> {
+    for (const job of this.state.jobs.values()) {
+      const {id, acceptedMs, queue} = job;
+      if (acceptedMs < fromMs || acceptedMs >= untilMs) continue;
+      const completedMs = this.completedMs.get(job) ?? Infinity;
+      const chainMs = job.occurrences[0]?.steps
+        .map(({spec}) => spec.estimatedMs + firstCallMs(queue))
+        .reduce((sum, each) => sum + each, 0);
+      const objectiveMs = queue.objectiveMs + queue.stretch * (chainMs ?? 0);
+      yield {id, queue: queue.name, acceptedMs, completedMs, objectiveMs};
+    }
+  }
+
+  /** The service takes one call of a VM at a time, in the order of arrival. */
   private newChannel(index: number): AdviceChannel {
     const vm = `vm-${index}`;
+    const oneWayMs = this.options.adviceOneWayMs?.(index) ?? 0;
+    let freeMs = 0;
     return {
       vm,
       isInOwnerDomain: index === 0,
       ask: (step, executorIds, timeoutMs) =>
         new Promise(resolve => {
-          const isFailing = this.failingVms.has(vm);
-          const tookMs = isFailing
-            ? timeoutMs
-            : this.decisionMs(step, executorIds.length);
+          const atMs = this.nowMs;
+          if (this.failingVms.has(vm)) {
+            this.at(atMs + timeoutMs, () => resolve(null));
+            return;
+          }
+          const workMs = this.decisionMs(step, executorIds.length);
+          freeMs = Math.max(freeMs, atMs + oneWayMs) + workMs;
           const tickets = executorIds
             .filter(id => this.options.isPermitted(step, id))
             .map(executorId => ({executorId, ticket: 't'}));
-          const answer = (): void => resolve(isFailing ? null : tickets);
-          this.at(this.nowMs + tookMs, answer);
+          const doneMs = freeMs + oneWayMs;
+          if (doneMs > atMs + timeoutMs) {
+            this.at(atMs + timeoutMs, () => resolve(null));
+            return;
+          }
+          this.at(doneMs, () => {
+            this.advice.calls += 1;
+            this.advice.workMs += workMs;
+            resolve(tickets);
+          });
         }),
     };
   }
@@ -280,14 +327,14 @@
       nowMs: this.nowMs,
       wallMs: this.nowMs,
       mayHaveUnknownRuns: () => false,
+      ticketBudget: this.ticketRequester.newBudget(),
     };
+    const requests: TicketRequest[] = [];
     for (const decision of decideRound(this.state, context)) {
-      if (decision.kind === 'advise') {
-        this.ticketRequester.request(decision);
-        continue;
-      }
-      for (const task of decision.tasks) this.beginRun(task);
+      if (decision.kind === 'advise') requests.push(decision);
+      else for (const task of decision.tasks) this.beginRun(task);
     }
+    this.ticketRequester.replaceRequests(requests);
     // As the owner does: a VM may be idle again by then.
     this.ticketRequester.dispatch();
   }
@@ -396,6 +443,11 @@
   }
 }
 
+/** The time of the advice service for a first call. */
+function firstCallMs({advice}: Queue): number {
+  return advice === null ? 0 : advice.decisionMs + 30 * advice.perExecutorMs;
+}
+
 function isOpen({phase}: JobState): boolean {
   return phase === 'queued' || phase === 'running';
 }
--- a/packages/cell/test/starvation.test.ts
+++ b/packages/cell/test/starvation.test.ts
@@ -237,7 +237,7 @@
 starvation('a call that throws counts as failed', async () => {
   const ask = async (): Promise<null> => Promise.reject(new Error('refused'));
   const {requester, step, request, lines} = newRequester(ask);
-  requester.request(request);
+  requester.replaceRequests([request]);
   for (let i = 0; i < 4; i += 1) await Promise.resolve();
   assert.is(step.isRequestingTickets, false);
   assert.is(requester.takeReport()[0]?.failed, 1);
@@ -364,7 +364,7 @@
   const escaped: unknown[] = [];
   const onEscape = (error: unknown): number => escaped.push(error);
   process.on('unhandledRejection', onEscape);
-  requester.request(request);
+  requester.replaceRequests([request]);
   await new Promise(resolve => setImmediate(resolve));
   process.off('unhandledRejection', onEscape);
   assert.equal(escaped, []);
