Join the appends of all VMs while the store is slow

Cause: a partition takes one append at a time, then 152 ms each; 24 VMs append to each of four topics, so that appends waited over 2 s and were refused; and a VM with an append of over 0.5 s under way refuses jobs.

The owner tells in its heartbeats how long its calls take. From 60 ms on, VMs send their appends to it, and it joins those of one topic; what counts as a stalled append grows with that time.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -33,6 +33,7 @@
 export * from './advice-lane.js';
 export * from './ticket-requester.js';
 export * from './relayed-store.js';
+export * from './shared-appends.js';
 export * from './store-call.js';
 export * from './progress-writer.js';
 export * from './follower.js';
--- a/packages/cell/src/job-frontend.ts
+++ b/packages/cell/src/job-frontend.ts
@@ -17,8 +17,12 @@
  * outcome is unknown, so the store gets most of their timeout to answer.
  */
 const SENT_TIMEOUT_FRACTION = 0.8;
-/** An append that takes longer delays those queued behind it, in ms. */
+/**
+ * An append that takes this long, in addition to twice the usual time, delays
+ * those queued behind it; in ms.
+ */
 const STALL_THRESHOLD_MS = 500;
+const USUAL_TIME_FACTOR = 2;
 /** Bounds of the retry delay that refused callers are given, in seconds. */
 const MIN_RETRY_AFTER_S = 1;
 const MAX_RETRY_AFTER_S = 4;
@@ -88,6 +92,8 @@
   readonly lookup: (id: string, timeoutMs: number) => Promise<SourcedLookup>;
   readonly notifyJob: (id: string, value: Uint8Array) => void;
   readonly notifyCancel: (id: string) => void;
+  /** How long calls to the store take now, in ms. */
+  readonly storeMs: () => number;
   /** Whether the table is complete enough to count waiting jobs. */
   readonly isTableFresh: () => boolean;
 }
@@ -304,7 +310,9 @@
   /** While stalled, unsent jobs are refused so that callers retry elsewhere. */
   private isStalled(): boolean {
     const elapsedMs = this.deps.clock.monotonicMs() - this.sentMs;
-    return this.isWriting && elapsedMs > STALL_THRESHOLD_MS;
+    const boundMs =
+      STALL_THRESHOLD_MS + USUAL_TIME_FACTOR * this.deps.storeMs();
+    return this.isWriting && elapsedMs > boundMs;
   }
 
   private async flush(): Promise<void> {
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -56,6 +56,8 @@
   readonly domain: string;
   readonly cores: number;
   isStoreOk: boolean;
+  /** How long its calls to the store take, in ms; 0 if not known. */
+  storeMs: number;
   isDraining: boolean;
   /** Whether it says or has shown that it could not load the state lately. */
   hasLoadFailed: boolean;
@@ -130,6 +132,7 @@
     this.recordRestart(address);
     const defaults = {
       isStoreOk: true,
+      storeMs: 0,
       isDraining: false,
       hasLoadFailed: this.isIdle(address),
       configVersion: -1,
@@ -163,6 +166,7 @@
     for (const member of this.members.values()) {
       if (member.address.vm !== vm) continue;
       member.isStoreOk = heartbeat.isStoreOk;
+      member.storeMs = heartbeat.storeMs ?? 0;
       member.isDraining = heartbeat.isDraining;
       const hasSaidSo = heartbeat.hasLoadFailed ?? false;
       member.hasLoadFailed = hasSaidSo || this.isIdle(member.address);
@@ -282,6 +286,15 @@
     return usable.map(({connection}) => toStorePeer(connection));
   }
 
+  /** Returns the owner, if it is connected, and how long its calls take. */
+  ownerStore(): {readonly peer: StorePeer; readonly callMs: number} | null {
+    for (const {address, connection, storeMs, isStoreOk} of this.connected()) {
+      if (address.vm !== this.owner?.vm || !isStoreOk) continue;
+      return {peer: toStorePeer(connection), callMs: storeMs};
+    }
+    return null;
+  }
+
   private connect(): void {
     const targets = new Map<string, OwnerAddress>();
     const isOther = (each: OwnerAddress): boolean =>
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -29,6 +29,11 @@
   readonly configVersion: number;
   /** Whether the sender's newest call to the store succeeded. */
   readonly isStoreOk: boolean;
+  /**
+   * How long the sender's calls to the store take, in ms; missing from a sender
+   * of an earlier version.
+   */
+  readonly storeMs?: number;
   readonly isDraining: boolean;
   /** Whether the sender is the owner or connected to it. */
   readonly isOwnerSeen: boolean;
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -38,6 +38,18 @@
 /** Maximum number of peers that are tried for one call. */
 const MAX_PEERS_PER_CALL = 2;
 
+/** From this time of a call on, plain appends of all VMs are joined, in ms. */
+const SLOW_STORE_MS = 60;
+/** Timeout of an append that is joined with those of other VMs, in ms. */
+const SHARED_APPEND_TIMEOUT_MS = 2300;
+
+/** The owner, which joins appends of all VMs while the store is slow. */
+export interface OwnerStore {
+  readonly peer: StorePeer;
+  /** How long the owner's calls to the store take, in ms. */
+  readonly callMs: number;
+}
+
 /** A peer that can call the store. */
 export interface StorePeer {
   readonly callStore: (
@@ -56,10 +68,16 @@
     private readonly direct: Store,
     private readonly peers: () => readonly StorePeer[],
     private readonly clock: Clock,
+    private readonly ownerStore: () => OwnerStore | null = () => null,
   ) {
     super();
   }
 
+  /** How long direct calls take that do not wait for records, in ms. */
+  get callMs(): number {
+    return this.latencyMs;
+  }
+
   override get limits(): StoreLimits {
     return this.direct.limits;
   }
@@ -76,6 +94,16 @@
   ): Promise<number> {
     const {at = -1, producer = null} = options;
     const call = {op: 'append', topic, records, at, producer} as const;
+    const owner = this.ownerStore();
+    const isPlain = at < 0 && producer === null;
+    if (isPlain && owner !== null && owner.callMs >= SLOW_STORE_MS) {
+      const peers = [owner.peer];
+      const shared = await this.settle(
+        callThroughPeers(call, peers, SHARED_APPEND_TIMEOUT_MS),
+      );
+      if ('page' in shared) return shared.page.endOffset;
+      if (shared.err.failure !== 'refused') throw shared.err;
+    }
     const page = await this.execute(call, async () => ({
       endOffset: await this.direct.append(topic, records, options),
       records: [],
--- a/packages/cell/src/store-call.ts
+++ b/packages/cell/src/store-call.ts
@@ -1,5 +1,6 @@
 /** Store calls that a VM makes for a peer that the store refuses. */
 import type {StoreCall, StoreReply} from './messages.js';
+import type {SharedAppends} from './shared-appends.js';
 import {
   StoreError,
   type LogPage,
@@ -11,21 +12,17 @@
  * Executes a store call on behalf of a peer.
  *
  * @example
- * return executeStoreCall(directStore, ask.call);
+ * return executeStoreCall(directStore, ask.call, sharedAppends);
  */
 export async function executeStoreCall(
   store: Store,
   call: StoreCall,
+  sharedAppends: SharedAppends,
 ): Promise<StoreReply> {
   const reply = {type: 'store', failure: null, expectedSequence: -1} as const;
   try {
     if (call.op === 'append') {
-      const {topic, records, at, producer} = call;
-      const options = {
-        ...(at < 0 ? {} : {at}),
-        ...(producer === null ? {} : {producer}),
-      };
-      const endOffset = await store.append(topic, records, options);
+      const endOffset = await append(store, call, sharedAppends);
       return {...reply, endOffset, records: []};
     }
     const page =
@@ -40,6 +37,19 @@
   }
 }
 
+/** Plain appends are joined with those of other VMs. */
+function append(
+  store: Store,
+  {topic, records, at, producer}: StoreCall & {readonly op: 'append'},
+  sharedAppends: SharedAppends,
+): Promise<number> {
+  if (at < 0 && producer === null) return sharedAppends.append(topic, records);
+  return store.append(topic, records, {
+    ...(at < 0 ? {} : {at}),
+    ...(producer === null ? {} : {producer}),
+  });
+}
+
 function readNewest(
   store: Store,
   {topic, after}: StoreCall & {readonly op: 'newest'},
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -30,6 +30,7 @@
 import {RelayedStore} from './relayed-store.js';
 import {RowPublisher, type RowReceiver} from './row-publisher.js';
 import {StoreError} from './store.js';
+import {SharedAppends} from './shared-appends.js';
 import {executeStoreCall} from './store-call.js';
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
@@ -57,6 +58,7 @@
   private readonly table: JobTable;
   private readonly members: Members;
   private readonly store: RelayedStore;
+  private readonly sharedAppends: SharedAppends;
   private readonly config: ConfigFeed;
   private readonly storedJobs: StoredJobs;
   private readonly lookups: JobLookup;
@@ -78,7 +80,9 @@
       platform.store,
       () => this.members.storePeers(),
       clock,
+      () => this.members.ownerStore(),
     );
+    this.sharedAppends = new SharedAppends(platform.store);
     this.config = new ConfigFeed({
       platform,
       store: this.store,
@@ -109,6 +113,7 @@
       lookup: (id, timeoutMs) => this.lookups.find(id, timeoutMs),
       notifyJob: (id, value) => this.notifyJob(id, value),
       notifyCancel: id => this.notifyCancel(id),
+      storeMs: () => this.members.ownerStore()?.callMs ?? this.store.callMs,
       isTableFresh: () => this.isTableFresh(),
     });
     const {store, members} = this;
@@ -180,6 +185,7 @@
       term: knownOwner?.term ?? 0,
       configVersion: this.config.version,
       isStoreOk: this.store.isDirectAvailable,
+      storeMs: Math.round(this.store.callMs),
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
       hasLoadFailed: this.election.hasLoadFailed,
@@ -199,7 +205,11 @@
       case 'configAsk':
         return {type: 'config', value: this.config.stored};
       case 'storeAsk':
-        return executeStoreCall(this.deps.platform.store, ask.call);
+        return executeStoreCall(
+          this.deps.platform.store,
+          ask.call,
+          this.sharedAppends,
+        );
     }
   }
 
