Survive malformed messages and unexpected errors; hand over when most executors fall silent

What operators of similar systems met, looked for here and found:

- One malformed message took a process down.
An inventory with a row that is no array, an answer that is no JSON, an executor's entry with a port over 65,535 or a line break in its id, a reply of the store without a field, an empty record of another writer: each rejected a promise that nobody awaited, and the process ended.
Tasks that run on end with a log line and begin again; a record that cannot be applied is left out; what still escapes is logged by the process.
A load that fails unexpectedly releases the cell.
- A machine that was only silent had its running work started again.
After a pause of the owner all its calls timed out before the answers were read that had arrived meanwhile; timeouts now look at what has arrived.
An owner to which more than half of the executors with work do not answer now hands over to another VM before their leases expire, after 10 s in office at the earliest.

Also: lost and regained connections between VMs are logged.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -1,6 +1,7 @@
 /** Reads jobs, progress and executors from the store into the owner's state. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {decode} from 'cbor-x';
+import {keepRunning, skipInvalid} from './background.js';
 import type {CellState} from './cell-state.js';
 import {isSuspect} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
@@ -15,6 +16,7 @@
   applyProgress,
   decodeJobsRecord,
   EXECUTOR_PREFIX,
+  jobIdOf,
   PROGRESS_PREFIX,
 } from './records.js';
 import {
@@ -67,7 +69,7 @@
   private isStopped = false;
 
   constructor(private readonly deps: CellFeedDeps) {
-    const {store, clock, platform} = deps;
+    const {store, clock, platform, log} = deps;
     this.loadProgressMs = clock.monotonicMs();
     const onProgress = (): void => {
       this.loadProgressMs = clock.monotonicMs();
@@ -76,7 +78,7 @@
       store,
       clock,
       {pauseMs: JOBS_READ_INTERVAL_MS, onProgress},
-      record => this.applyJobsRecord(record),
+      skipInvalid(log, record => this.applyJobsRecord(record)),
     );
     this.progress = new ProgressLoad(store, clock, deps.writer, onProgress);
     this.executors = new Follower(
@@ -88,7 +90,7 @@
         waitMs: 0,
         onProgress,
       },
-      record => this.applyExecutorRecord(record),
+      skipInvalid(log, record => this.applyExecutorRecord(record)),
       ids => this.markUnlistedExcept(ids),
     );
   }
@@ -113,7 +115,10 @@
     }
     const progress = await progressLoad;
     if (progress === null || this.isStopped) return false;
-    for (const record of progress) this.applyProgressRecord(record);
+    const apply = skipInvalid(this.deps.log, record =>
+      this.applyProgressRecord(record),
+    );
+    for (const record of progress) apply(record);
     return true;
   }
 
@@ -125,8 +130,9 @@
 
   /** Starts to follow changes. */
   start(): void {
-    this.jobs.run();
-    void this.executors.run();
+    this.jobs.run(this.deps.log);
+    const run = (): Promise<void> => this.executors.run();
+    void keepRunning('executorReads', run, this.deps);
   }
 
   /** Stops following. */
@@ -203,6 +209,10 @@
   }
 
   private applyJobsRecord({key, value}: StoredRecord): void {
+    // Mostly, the VM that stored it has sent a notice.
+    const id = jobIdOf(key);
+    const isKnown = id !== null && this.deps.state.jobs.has(id);
+    if (isKnown && value.length > 0) return;
     const entry = decodeJobsRecord(key, value);
     if (entry === null) return;
     if (entry.kind === 'job') return this.addJob(entry.job);
--- a/packages/cell/src/config-feed.ts
+++ b/packages/cell/src/config-feed.ts
@@ -1,5 +1,6 @@
 /** The configuration in force on a VM, from the store or from a peer. */
 import type {Clock} from '@dragonflyward/common';
+import {keepRunning, skipInvalid} from './background.js';
 import {Follower} from './follower.js';
 import type {Members} from './members.js';
 import type {OwnerAddress} from './ownership.js';
@@ -34,18 +35,18 @@
   private isRequesting = false;
 
   constructor(private readonly deps: ConfigFeedDeps) {
-    const {platform, store, clock} = deps;
+    const {platform, store, clock, log} = deps;
     this.follower = new Follower(
       store,
       clock,
       {topic: platform.operatorTopic, pauseMs: 0, waitMs: CONFIG_READ_WAIT_MS},
-      record => this.applyRecord(record, 'store'),
+      skipInvalid(log, record => this.applyRecord(record, 'store')),
     );
   }
 
   /** Starts to follow the store. */
   start(): void {
-    void this.follower.run();
+    void keepRunning('configReads', () => this.follower.run(), this.deps);
   }
 
   /** Stops following the store. */
--- a/packages/cell/src/election-host.ts
+++ b/packages/cell/src/election-host.ts
@@ -5,6 +5,7 @@
 import type {OwnerAddress, Ownership} from './ownership.js';
 import type {LogFunction} from './platform.js';
 import type {Store} from './store.js';
+import type {ExecutorSilence} from './tenure.js';
 
 /** Callbacks of the VM for changes of the owner. */
 export interface ElectionHost {
@@ -16,6 +17,8 @@
   readonly becomeOwner: (ownership: Ownership) => Promise<boolean>;
   /** When the load of `becomeOwner` last made progress; monotonic clock. */
   readonly loadProgressMs: () => number;
+  /** How many executors with work do not answer the owner on this VM. */
+  readonly executorSilence: () => ExecutorSilence;
   /** Whether the VM has a configuration, without which an owner starts nothing. */
   readonly hasConfig: () => boolean;
   /** Stops sending orders; does nothing on a VM that is not the owner. */
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -1,4 +1,5 @@
 /** Owner election: watches the owner, claims the cell and hands it over. */
+import {describeError, keepRunning, runInBackground} from './background.js';
 import {claimCell} from './cell-claim.js';
 import {MAX_CLAIM_DELAY_MS} from './claim-delay.js';
 import {ClaimTurn} from './claim-turn.js';
@@ -60,8 +61,8 @@
 
   /** Starts to watch the owner. */
   start(): void {
-    void this.watchLoop();
-    void this.heartbeatLoop();
+    void keepRunning('ownerWatch', () => this.watchLoop(), this.deps);
+    void keepRunning('ownerHeartbeats', () => this.heartbeatLoop(), this.deps);
   }
 
   /** Stops watching the owner. */
@@ -196,9 +197,11 @@
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
     this.setRecord({...self, term, isReleased: false});
-    if (this.isDrainStarted) return void this.passOn(ownership);
+    if (this.isDrainStarted) {
+      return runInBackground('passOn', this.passOn(ownership), log);
+    }
     members.setOwner(self);
-    void this.beginTenure(ownership);
+    runInBackground('tenure', this.beginTenure(ownership), log);
   }
 
   /** Whether a handover is news, and no claim of this VM is on its way. */
@@ -241,7 +244,7 @@
     this.recordConnectedProcesses();
     // The load reads the store, and the VM is not ready for callers meanwhile.
     this.host.setDetached(false);
-    const isActive = await this.host.becomeOwner(ownership);
+    const isActive = await this.becomeOwner(ownership);
     if (!isActive) {
       if (this.tenure === tenure) this.stopOwning();
       return;
@@ -251,6 +254,19 @@
     this.turn.recordLoad(true);
   }
 
+  /** An owner that cannot load the state must not keep the cell. */
+  private async becomeOwner(ownership: Ownership): Promise<boolean> {
+    try {
+      return await this.host.becomeOwner(ownership);
+    } catch (err) {
+      const {term} = ownership;
+      this.deps.log('ownerLoadFailed', {term, failure: describeError(err)});
+      this.turn.recordLoad(false);
+      await ownership.release();
+      return false;
+    }
+  }
+
   private stopOwning(): void {
     this.host.stopActing();
     this.host.discardOwner();
@@ -463,6 +479,6 @@
     });
     this.setRecord({...self, term: ownership.term, isReleased: false});
     members.setOwner(self);
-    void this.beginTenure(ownership);
+    runInBackground('tenure', this.beginTenure(ownership), log);
   }
 }
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -1,5 +1,6 @@
 /** Control loop of one executor: extends its lease and reads its inventory. */
 import type {Clock} from '@dragonflyward/common';
+import {runInBackground} from './background.js';
 import type {CellState} from './cell-state.js';
 import {runsLostBy} from './crash-suspects.js';
 import {
@@ -155,7 +156,7 @@
 
   /** Sends the stops that are due and not being sent. */
   sendStops(): void {
-    for (const due of this.stopsToSend()) void this.stop(due);
+    for (const due of this.stopsToSend()) this.stopInBackground(due);
   }
 
   /**
@@ -167,10 +168,14 @@
     for (const due of this.stopsToSend()) {
       const {name, run} = due;
       this.host.writeLog('stopResumed', {task: name, run, executorId});
-      void this.stop(due);
+      this.stopInBackground(due);
     }
   }
 
+  private stopInBackground(due: DueStop): void {
+    runInBackground('stop', this.stop(due), this.host.writeLog);
+  }
+
   private stopsToSend(): readonly DueStop[] {
     if (this.isClosed || !this.host.mayAct()) return [];
     const stops = [...dueStops(this.executor)];
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -4,6 +4,7 @@
 export * from './append-size.js';
 export * from './executor-client.js';
 export * from './platform.js';
+export * from './background.js';
 export * from './vm.js';
 export * from './job-frontend.js';
 export * from './job-lookup.js';
--- a/packages/cell/src/job-frontend.ts
+++ b/packages/cell/src/job-frontend.ts
@@ -1,6 +1,7 @@
 /** The API of a VM for callers: submits, cancels and looks up jobs. */
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {countForAppend, recordSize} from './append-size.js';
+import {describeError} from './background.js';
 import type {JobTable} from './job-table.js';
 import type {JobRow} from './messages.js';
 import type {LogFunction} from './platform.js';
@@ -345,12 +346,13 @@
       this.outageStartMs = Number.NaN;
       return 'stored';
     } catch (err) {
-      if (!(err instanceof StoreError)) throw err;
+      const failure = err instanceof StoreError ? err.failure : 'unknown';
       this.deps.log('storeFailed', {
         records: records.length,
-        failure: err.failure,
+        failure,
+        err: describeError(err),
       });
-      return err.failure === 'unknown' ? 'unknown' : 'refused';
+      return failure === 'unknown' ? 'unknown' : 'refused';
     }
   }
 
--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -1,6 +1,8 @@
 /** Follows all topics in which accepted jobs and cancels are stored. */
 import type {Clock} from '@dragonflyward/common';
+import {keepRunning} from './background.js';
 import {Follower} from './follower.js';
+import type {LogFunction} from './platform.js';
 import {JOBS_TOPICS} from './records.js';
 import type {StoredRecord, Store} from './store.js';
 import type {TopicLoadReport} from './topic-load.js';
@@ -45,8 +47,11 @@
   }
 
   /** Follows the topics until it is stopped. */
-  run(): void {
-    for (const follower of this.followers) void follower.run();
+  run(log: LogFunction): void {
+    const {clock} = this;
+    for (const follower of this.followers) {
+      void keepRunning('jobReads', () => follower.run(), {clock, log});
+    }
   }
 
   /** Stops following. */
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -5,6 +5,7 @@
   type AdviceChannel,
   type TicketRequest,
 } from './ticket-requester.js';
+import {keepRunning, runInBackground} from './background.js';
 import {CellFeed} from './cell-feed.js';
 import {START_LEASE_MS, UNCONNECTED_LEASE_MS} from './claim-bounds.js';
 import {CellState} from './cell-state.js';
@@ -32,8 +33,11 @@
 import {stateLines} from './state-lines.js';
 import {stopNotice} from './stop-notice.js';
 import type {Store} from './store.js';
+import type {ExecutorSilence} from './tenure.js';
 import {isFinal, type CellConfig} from './types.js';
 
+/** An executor that misses one renewal may just be slow. */
+const MISSED_RENEWALS_OF_SILENCE = 2;
 /** Time between two log entries on the state of the cell, in ms. */
 const STATE_LOG_INTERVAL_MS = 5000;
 /** Time between checks of what changes with time alone, in ms. */
@@ -128,7 +132,9 @@
       deps.log,
       (task, percent) => {
         const executorId = task.executor?.info.id ?? '';
-        void this.loops.get(executorId)?.limitCpu(task, percent);
+        const loop = this.loops.get(executorId);
+        if (loop === undefined) return;
+        runInBackground('limitCpu', loop.limitCpu(task, percent), deps.log);
       },
     );
   }
@@ -205,8 +211,8 @@
       ...this.describeLoad(),
     });
     this.feed.start();
-    void this.commit.run();
-    void this.tickLoop();
+    void keepRunning('commit', () => this.commit.run(), this.deps);
+    void keepRunning('ownerTick', () => this.tickLoop(), this.deps);
     this.requestRound();
     return true;
   }
@@ -217,6 +223,18 @@
     return describeLoad(this.feed.loadReports, tookMs);
   }
 
+  /** How many of the executors with work do not answer. */
+  get executorSilence(): ExecutorSilence {
+    let silent = 0;
+    let total = 0;
+    for (const executor of this.state.executors.values()) {
+      if (executor.tasks.size + executor.orphans.size === 0) continue;
+      total += 1;
+      if (executor.missedRenewals >= MISSED_RENEWALS_OF_SILENCE) silent += 1;
+    }
+    return {silent, total};
+  }
+
   /** When the last page of the load arrived, or its creation; monotonic. */
   get loadProgressMs(): number {
     return this.feed.loadProgressMs;
@@ -307,7 +325,7 @@
     const client = this.deps.platform.connect(executor.info);
     const loop = new ExecutorLoop(executor, client, this.executorHost());
     this.loops.set(id, loop);
-    void loop.run();
+    void keepRunning('executorLoop', () => loop.run(), this.deps);
   }
 
   private restartExecutorLoop(executor: ExecutorState): void {
@@ -366,7 +384,7 @@
   private requestRound(): void {
     if (this.isRoundDue || !this.isActive) return;
     this.isRoundDue = true;
-    void this.runRoundAfterDelay();
+    runInBackground('round', this.runRoundAfterDelay(), this.deps.log);
   }
 
   private async runRoundAfterDelay(): Promise<void> {
@@ -440,7 +458,9 @@
       executorId: id,
     });
     this.deps.metrics.count('starts_total');
-    void this.loops.get(id)?.start(task, ticket);
+    const loop = this.loops.get(id);
+    if (loop === undefined) return;
+    runInBackground('start', loop.start(task, ticket), this.deps.log);
   }
 
   private publishPhases(): void {
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -128,7 +128,16 @@
       ...deleted.map(id => tombstone(PROGRESS_PREFIX + id)),
     ];
     if (expired.length > 0) void this.deleteStoredJobs(expired);
-    if (records.length > 0 && !(await this.store(records))) return false;
+    try {
+      if (records.length > 0 && !(await this.store(records))) return false;
+    } catch (err) {
+      // They are stored by the next commit.
+      for (const job of jobs) this.changedJobs.add(job);
+      for (const executor of executors) this.newExecutors.add(executor);
+      for (const id of gone) this.goneExecutors.add(id);
+      this.deletedJobs.push(...deleted);
+      throw err;
+    }
     for (const executor of executors) {
       // Its address may have changed while the former one was being stored.
       if (this.newExecutors.has(executor)) continue;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -52,6 +52,11 @@
   return JOB_PREFIX + id;
 }
 
+/** Returns the id of the job that a key of a jobs topic is for, or null. */
+export function jobIdOf(key: string): string | null {
+  return key.startsWith(JOB_PREFIX) ? key.slice(JOB_PREFIX.length) : null;
+}
+
 /** Returns the key of a job's cancel record. */
 export function cancelKey(id: string): string {
   return CANCEL_PREFIX + id;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -1,9 +1,11 @@
 /** Reads the jobs from the store while a VM is not connected to an owner. */
 import type {Clock} from '@dragonflyward/common';
+import {keepRunning, skipInvalid} from './background.js';
 import {Follower} from './follower.js';
 import type {Lookup} from './job-frontend.js';
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
+import type {LogFunction} from './platform.js';
 import {
   decodeJobsRecord,
   decodePhase,
@@ -51,6 +53,7 @@
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly table: JobTable,
+    private readonly log: LogFunction,
     /** Returns a number from 0 to 1. */
     private readonly random: () => number = Math.random,
   ) {}
@@ -76,21 +79,21 @@
   }
 
   private createFollowers(): Followers {
-    const {store, clock} = this;
+    const {store, clock, log} = this;
     const jobs = new JobsFollower(
       store,
       clock,
       {pauseMs: READ_INTERVAL_MS},
-      record => this.applyJobRecord(record),
+      skipInvalid(log, record => this.applyJobRecord(record)),
     );
     const progress = new Follower(
       store,
       clock,
       {topic: PROGRESS_TOPIC, pauseMs: READ_INTERVAL_MS, waitMs: 0},
-      record => this.applyProgressRecord(record),
+      skipInvalid(log, record => this.applyProgressRecord(record)),
     );
-    jobs.run();
-    void progress.run();
+    jobs.run(log);
+    void keepRunning('progressReads', () => progress.run(), {clock, log});
     return {jobs, progress};
   }
 
--- a/packages/cell/src/tenure.ts
+++ b/packages/cell/src/tenure.ts
@@ -18,10 +18,27 @@
 /** Time for which an owner acts before a larger VM is looked for, in ms. */
 const MIN_ACTIVE_MS = 2500;
 
+/** An owner hands over if more than this share of its executors is silent. */
+const MAX_SILENT_SHARE = 0.5;
+/** Fewer silent executors say little of the owner. */
+const MIN_SILENT_EXECUTORS = 4;
+/** Time for which an owner acts before it blames its own VM for that, in ms. */
+const MIN_ACTIVE_FOR_SILENCE_MS = 10_000;
+
+/** How many of the executors with work do not answer the owner. */
+export interface ExecutorSilence {
+  readonly silent: number;
+  readonly total: number;
+}
+
 /** Why an owner leaves the cell, and to which VM; null for any. */
 export interface Departure {
   /** The event that is logged. */
-  readonly event: 'ownerHandsToLarger' | 'ownerIsolated' | 'ownerGivesUpLoad';
+  readonly event:
+    | 'ownerHandsToLarger'
+    | 'ownerIsolated'
+    | 'ownerGivesUpLoad'
+    | 'ownerUnanswered';
   readonly fields: Readonly<Record<string, unknown>>;
   readonly successor: Member | null;
 }
@@ -36,6 +53,7 @@
   readonly clock: Clock;
   /** When the load last made progress, on the monotonic clock. */
   readonly loadProgressMs: () => number;
+  readonly executorSilence: () => ExecutorSilence;
 }
 
 /** Decides when the owner leaves the cell to another VM. */
@@ -87,6 +105,7 @@
     return (
       this.departToLarger(nowMs) ??
       this.departStalled(nowMs) ??
+      this.departUnanswered(nowMs) ??
       this.departIsolated(nowMs)
     );
   }
@@ -135,6 +154,23 @@
     return this.deps.clock.monotonicMs() - this.startedMs;
   }
 
+  /**
+   * Most executors do not fall silent at once, but the link of one VM may be
+   * cut or choked. Another VM renews their leases before these expire.
+   */
+  private departUnanswered(nowMs: number): Departure | null {
+    if (nowMs - this.activeSinceMs < MIN_ACTIVE_FOR_SILENCE_MS) return null;
+    const {silent, total} = this.deps.executorSilence();
+    const isMost = silent > total * MAX_SILENT_SHARE;
+    if (silent < MIN_SILENT_EXECUTORS || !isMost) return null;
+    const {members, domain, cores} = this.deps;
+    const successor = chooseSuccessor(members.connected(), {domain, nowMs});
+    if (successor === null || !canActAtOnce(successor, nowMs)) return null;
+    if (successor.cores < cores) return null;
+    const fields = {successor: successor.address.vm, silent, total};
+    return {event: 'ownerUnanswered', fields, successor};
+  }
+
   /** While isolated, the cell is released so that a reachable VM can own it. */
   private departIsolated(nowMs: number): Departure | null {
     const aloneMs = Math.round(nowMs - this.lastPeerMs);
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -3,6 +3,7 @@
 import {notifyAll} from '@dragonflyward/peer';
 import type {AdviceChannel} from './ticket-requester.js';
 import {adviceChannels} from './advice-channels.js';
+import {describeError, keepRunning, runInBackground} from './background.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
 import {JobFrontend} from './job-frontend.js';
@@ -34,11 +35,14 @@
 import {executeStoreCall} from './store-call.js';
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
+import type {ExecutorSilence} from './tenure.js';
 import type {CellConfig} from './types.js';
 
 /** Delay before a failed load of the owner's state is retried, in ms. */
 const LOAD_RETRY_DELAY_MS = 100;
 
+const NO_SILENCE: ExecutorSilence = {silent: 0, total: 0};
+
 /** Dependencies of a VM. */
 export interface VmDeps {
   readonly self: OwnerAddress;
@@ -94,7 +98,7 @@
         this.broadcast(this.heartbeat());
       },
     });
-    this.storedJobs = new StoredJobs(this.store, clock, this.table);
+    this.storedJobs = new StoredJobs(this.store, clock, this.table, log);
     this.lookups = new JobLookup({
       owner: () => this.owner,
       ownerConnection: () => this.election.ownerConnection(),
@@ -122,6 +126,7 @@
       {
         becomeOwner: ownership => this.becomeOwner(ownership),
         loadProgressMs: () => this.loading?.loadProgressMs ?? -Infinity,
+        executorSilence: () => this.owner?.executorSilence ?? NO_SILENCE,
         hasConfig: () => this.config.current !== null,
         stopActing: () => this.closeOwners(),
         describeOrders: () => this.owner?.describeOrders() ?? null,
@@ -233,8 +238,17 @@
     }
   }
 
+  override onMessageError = (
+    from: CellPeerInfo | undefined,
+    err: unknown,
+  ): void => {
+    const vm = from?.self.vm ?? '';
+    this.deps.log('peerMessageFailed', {vm, err: describeError(err)});
+  };
+
   override onPeerUp(connection: CellConnection): void {
     this.members.add(connection);
+    this.logPeer('peerConnected', connection);
     if (connection.info !== undefined) {
       this.election.recordProcess(connection.info.self);
     }
@@ -243,10 +257,20 @@
 
   override onPeerDown(connection: CellConnection): void {
     this.members.remove(connection);
+    this.logPeer('peerLost', connection);
     const isOwner = connection.info?.self.vm === this.election.knownOwner?.vm;
     if (isOwner && !this.election.hasOwner()) this.broadcast(this.heartbeat());
   }
 
+  private logPeer(
+    event: 'peerConnected' | 'peerLost',
+    {info}: CellConnection,
+  ): void {
+    const vm = info?.self.vm ?? '';
+    const isOwner = vm === this.election.knownOwner?.vm;
+    this.deps.log(event, {vm, isOwner, connected: this.members.count});
+  }
+
   private async advise(
     ask: Omit<AdviceAsk, 'type'>,
   ): Promise<readonly Ticket[] | null> {
@@ -259,7 +283,11 @@
     this.members.recordHeartbeat(from.self.vm, heartbeat);
     this.election.recordHeartbeat(from.self, heartbeat);
     if (heartbeat.configVersion > this.config.version) {
-      void this.config.requestFromPeer(from.self);
+      runInBackground(
+        'configRequest',
+        this.config.requestFromPeer(from.self),
+        this.deps.log,
+      );
     }
   }
 
@@ -350,7 +378,7 @@
       send: notifyAll,
       onNewReceivers: () => this.sendMembers(),
     });
-    void publisher.run();
+    void keepRunning('publisher', () => publisher.run(), this.deps);
     return publisher;
   }
 
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -89,6 +89,7 @@
           return Promise.resolve(true);
         },
         loadProgressMs: () => clock.monotonicMs(),
+        executorSilence: () => ({silent: 0, total: 0}),
         hasConfig: () => true,
         stopActing: () => undefined,
         describeOrders: () => null,
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -10,6 +10,7 @@
   type MemberHandler,
   type OwnerAddress,
   type Ownership,
+  type ExecutorSilence,
 } from '@dragonflyward/cell';
 import * as assert from 'uvu/assert';
 import {MemoryStore, StoreClient, type StoreFaults} from './memory-store.js';
@@ -40,6 +41,7 @@
 }
 
 /** A load that ends at once. */
+const NO_SILENCE: ExecutorSilence = {silent: 0, total: 0};
 const NO_LOAD: Load = {durationMs: 0, isProgressing: true};
 /** Interval at which a load checks whether it is done or given up, in ms. */
 const LOAD_STEP_MS = 50;
@@ -85,6 +87,8 @@
       },
       {
         loadProgressMs: () => this.loadProgressMs,
+        executorSilence: () =>
+          this.cell.silence.get(this.spec.vm) ?? NO_SILENCE,
         becomeOwner: ownership => this.becomeOwner(ownership),
         hasConfig: () => this.configVersion >= 0,
         stopActing: () => undefined,
@@ -208,6 +212,8 @@
   readonly active: string[] = [];
   /** How VMs load the state; those that are missing load it at once. */
   readonly loads = new Map<string, Load>();
+  /** The executors that do not answer a VM, if it is the owner. */
+  readonly silence = new Map<string, ExecutorSilence>();
   /** The VMs that have not received a configuration. */
   readonly unconfigured = new Set<string>();
   /** How many of them claimed the cell. */
--- a/packages/cell/test/stored-jobs.test.ts
+++ b/packages/cell/test/stored-jobs.test.ts
@@ -56,7 +56,12 @@
   const clock = new ManualClock(1000);
   const memory = new MemoryStore();
   const client = new StoreClient(memory, clock);
-  const jobs = new StoredJobs(client, clock, new JobTable(clock));
+  const jobs = new StoredJobs(
+    client,
+    clock,
+    new JobTable(clock),
+    () => undefined,
+  );
   jobs.start();
   // It reads from the first lookup on.
   void jobs.lookup('first', LOOKUP_MS);
@@ -125,6 +130,7 @@
     new LateJobsClient(memory, clock),
     clock,
     new JobTable(clock),
+    () => undefined,
   );
   memory.append(TOPIC, ['done', 'cut', 'other'].map(jobRecord), {});
   const cancel = {key: cancelKey('cut'), value: Uint8Array.of(1)};
@@ -165,7 +171,7 @@
     const client = new StoreClient(memory, clock);
     const table = new JobTable(clock);
     const random = (): number => index / count;
-    const jobs = new StoredJobs(client, clock, table, random);
+    const jobs = new StoredJobs(client, clock, table, () => undefined, random);
     jobs.start();
     return {clock, memory, client, jobs};
   });
@@ -259,7 +265,12 @@
   const clock = new ManualClock(1000);
   const memory = new MemoryStore();
   const client = new LateProgressClient(memory, clock);
-  const jobs = new StoredJobs(client, clock, new JobTable(clock));
+  const jobs = new StoredJobs(
+    client,
+    clock,
+    new JobTable(clock),
+    () => undefined,
+  );
   memory.append(TOPIC, [jobRecord('done')], {});
   const value = encode({phase: 'completed', steps: []});
   memory.append(PROGRESS_TOPIC, [{key: 'p/done', value}], {});
--- a/packages/common/src/transfer-timeout.ts
+++ b/packages/common/src/transfer-timeout.ts
@@ -1,5 +1,8 @@
 /** Timeout of an HTTP call: in total, or since the last data arrived. */
 
+/** Time for the rest of a response that has begun after a stall, in ms. */
+const REST_TIMEOUT_MS = 50;
+
 /** The bounds of one call. */
 export interface TransferBounds {
   readonly timeoutMs: number;
@@ -20,7 +23,7 @@
   ) {
     const {timeoutMs} = bounds;
     this.timer = setTimeout(() => {
-      this.expire(`no response within ${timeoutMs} ms`);
+      this.expireUnlessReceived(`no response within ${timeoutMs} ms`);
     }, timeoutMs);
   }
 
@@ -42,16 +45,19 @@
   private restart(idleTimeoutMs: number): void {
     clearTimeout(this.timer);
     this.timer = setTimeout(() => {
-      this.expireUnlessReceived(idleTimeoutMs);
+      this.expireUnlessReceived(`no data for ${idleTimeoutMs} ms`);
     }, idleTimeoutMs);
   }
 
   /** After a stall of the process, data may wait that has not been read. */
-  private expireUnlessReceived(idleTimeoutMs: number): void {
+  private expireUnlessReceived(reason: string): void {
     const {parts} = this;
     setImmediate(() => {
-      if (this.isStopped || this.parts > parts) return;
-      this.expire(`no data for ${idleTimeoutMs} ms`);
+      if (this.isStopped) return;
+      if (this.parts === parts) return this.expire(reason);
+      // What has arrived now may be all; if not, the rest has little time.
+      if (this.bounds.idleTimeoutMs !== undefined) return;
+      this.timer = setTimeout(() => this.expire(reason), REST_TIMEOUT_MS);
     });
   }
 
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -39,6 +39,9 @@
   abstract onPeerUp(connection: PeerConnection<P>): void;
   /** Called when a connection that was up has closed. */
   abstract onPeerDown(connection: PeerConnection<P>): void;
+  /** Called for a frame that is invalid, or a notice that was not handled. */
+  onMessageError: (from: PeerInfo<P> | undefined, err: unknown) => void = () =>
+    undefined;
 }
 
 interface PendingAsk<P extends PeerProtocol> {
@@ -139,7 +142,8 @@
     this.lastReceivedMs = performance.now();
     try {
       for (const frame of this.reader.push(chunk)) this.dispatch(frame);
-    } catch {
+    } catch (err) {
+      this.handler.onMessageError(this.info, err);
       this.close();
     }
   }
@@ -149,15 +153,29 @@
     if (frame.kind === 'reply') return this.settleAsk(frame.id, frame.reply);
     if (this.info === undefined) return this.close();
     if (frame.kind === 'notice') {
-      return this.handler.handleNotice(this.info, frame.notice);
+      return this.handleNotice(this.info, frame.notice);
     }
     void this.answerAsk(frame.id, this.info, frame.ask);
   }
 
+  /** A notice that cannot be handled does not end the connection. */
+  private handleNotice(from: PeerInfo<P>, notice: P['notice']): void {
+    try {
+      this.handler.handleNotice(from, notice);
+    } catch (err) {
+      this.handler.onMessageError(from, err);
+    }
+  }
+
   private handleHello(hello: P['hello']): void {
     if (this.info !== undefined) return;
     this.info = hello;
-    this.handler.onPeerUp(this);
+    try {
+      this.handler.onPeerUp(this);
+    } catch (err) {
+      this.info = undefined;
+      throw err;
+    }
   }
 
   private async answerAsk(
