Find the peers that reach the store, and tell a run's lines by decision

Cause: the owner was among those cut off and called the store through the same two VMs again and again, cut off as well, 0.9 s each: no job ended for 6 s. A VM said that it reached the store from 1 s after a failed call on. Callers' VMs tried one peer after the other, 0.9 s each.

Now heartbeats say whether the newest direct call succeeded; peers through which a call has failed within 10 s come last, those whose heartbeats arrive first; after 0.25 s the next peer makes the call too, except for appends at an offset, whose second copy would look like a claim. Tests: an owner finds the one good peer among eight within 6 s and keeps to it; a silent first peer costs less than 0.5 s.

--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,9 +1,10 @@
 /** Applies an executor's inventories to the owner's state. */
 import {runsLostBy, type LostRun} from './crash-suspects.js';
-import type {Inventory} from './executor-client.js';
+import type {EndedRun, Inventory} from './executor-client.js';
 import {recordClock, type ExecutorState} from './executor-state.js';
 import type {ExecutorHost} from './executor-loop.js';
 import {taskName, type TaskState} from './job-state.js';
+import {logEnds} from './run-lines.js';
 
 /** Longest lease that executors grant, in ms; set by the platform. */
 export const MAX_EXECUTOR_LEASE_MS = 10_000;
@@ -68,20 +69,15 @@
 
   private applyEnds({ended}: Inventory, nowMs: number): boolean {
     const {executor, host} = this;
-    let hasNewEnds = false;
+    const newEnds: EndedRun[] = [];
     for (const end of ended) {
       if (end.number <= executor.processedThrough) continue;
       executor.processedThrough = end.number;
-      host.state.recordEnd(executor, end, nowMs);
-      host.writeLog('runEnded', {
-        task: end.task,
-        run: end.run,
-        how: end.how,
-        executorId: executor.info.id,
-      });
-      hasNewEnds = true;
+      newEnds.push(end);
     }
-    return hasNewEnds;
+    logEnds(executor.info.id, newEnds, host.writeLog);
+    for (const end of newEnds) host.state.recordEnd(executor, end, nowMs);
+    return newEnds.length > 0;
   }
 
   private applyRuns(
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -22,6 +22,8 @@
 const SILENCE_TIMEOUT_MS = 1500;
 /** Maximum age of the last heartbeat of a connected VM, in ms. */
 export const MAX_HEARTBEAT_AGE_MS = 1200;
+/** Store calls go through peers with newer heartbeats first, in ms. */
+const MAX_PEER_SILENCE_MS = 900;
 /** How long a VM without heartbeats is assumed to be running, in ms. */
 const MEMBER_RETENTION_MS = 60_000;
 /** How long a process that owned the cell and did not act is passed over. */
@@ -275,22 +277,25 @@
     return [...this.connected()].map(({address}) => address);
   }
 
-  /** Returns the peers that can call the store, the owner first. */
+  /**
+   * Returns the peers that can call the store: those first whose heartbeats
+   * arrive, and the owner before others.
+   */
   storePeers(): readonly StorePeer[] {
     const usable = [...this.connected()].filter(({isStoreOk}) => isStoreOk);
-    const ownerVm = this.owner?.vm;
-    usable.sort(
-      (a, b) =>
-        Number(b.address.vm === ownerVm) - Number(a.address.vm === ownerVm),
-    );
-    return usable.map(({connection}) => toStorePeer(connection));
+    const rank = ({address, heartbeatAt}: Member): number =>
+      Number(this.ageMs(heartbeatAt) >= MAX_PEER_SILENCE_MS) * 2 +
+      Number(address.vm !== this.owner?.vm);
+    usable.sort((a, b) => rank(a) - rank(b));
+    return usable.map(toStorePeer);
   }
 
   /** Returns the owner, if it is connected, and how long its calls take. */
   ownerStore(): {readonly peer: StorePeer; readonly callMs: number} | null {
-    for (const {address, connection, storeMs, isStoreOk} of this.connected()) {
+    for (const member of this.connected()) {
+      const {address, storeMs, isStoreOk} = member;
       if (address.vm !== this.owner?.vm || !isStoreOk) continue;
-      return {peer: toStorePeer(connection), callMs: storeMs};
+      return {peer: toStorePeer(member), callMs: storeMs};
     }
     return null;
   }
@@ -329,8 +334,9 @@
   return {vm: `${ip}:${port}`, ip, port};
 }
 
-function toStorePeer(connection: CellConnection): StorePeer {
+function toStorePeer({address, connection}: Member): StorePeer {
   return {
+    vm: address.vm,
     callStore: async (
       call: StoreCall,
       timeoutMs: number,
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -17,7 +17,6 @@
 import {FormerOwnerRuns} from './former-owner-runs.js';
 import type {OrdersNotice} from './last-orders.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
-import {taskName} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
 import type {Ownership} from './ownership.js';
@@ -26,6 +25,7 @@
 import {ProgressWriter} from './progress-writer.js';
 import {decodeJobsRecord, jobKey} from './records.js';
 import {markHeld} from './order-holds.js';
+import {logStarts} from './run-lines.js';
 import {RuntimeMonitor} from './runtime-monitor.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
@@ -414,6 +414,7 @@
     const requests: TicketRequest[] = [];
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
+        logStarts(decision.tasks, this.deps.log);
         decision.tasks.forEach(t => this.sendStart(t));
       } else {
         requests.push(decision);
@@ -452,11 +453,6 @@
     if (executor === null) return;
     const {id} = executor.info;
     const ticket = step.tickets.get(id)?.ticket ?? '';
-    this.deps.log('runStarted', {
-      task: taskName(task),
-      run: task.run,
-      executorId: id,
-    });
     this.deps.metrics.count('starts_total');
     const loop = this.loops.get(id);
     if (loop === undefined) return;
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -36,7 +36,11 @@
 /** Interval at which it is checked whether direct calls fail, in ms. */
 const DIRECT_CHECK_INTERVAL_MS = 250;
 /** Maximum number of peers that are tried for one call. */
-const MAX_PEERS_PER_CALL = 2;
+const MAX_PEERS_PER_CALL = 3;
+/** Other peers are called first for this time after a failed call, in ms. */
+const PEER_AVOID_MS = 10_000;
+/** After this time without an answer, the next peer makes the call too, in ms. */
+const NEXT_PEER_MS = 250;
 
 /** From this time of a call on, plain appends of all VMs are joined, in ms. */
 const SLOW_STORE_MS = 60;
@@ -52,6 +56,7 @@
 
 /** A peer that can call the store. */
 export interface StorePeer {
+  readonly vm: string;
   readonly callStore: (
     call: StoreCall,
     timeoutMs: number,
@@ -63,6 +68,8 @@
   private directFailedMs = -Infinity;
   /** Average latency of direct calls that do not wait for records. */
   private latencyMs = 0;
+  /** When a call through a peer last failed, by VM. */
+  private readonly peerFailedMs = new Map<string, number>();
 
   constructor(
     private readonly direct: Store,
@@ -82,8 +89,13 @@
     return this.direct.limits;
   }
 
+  /** Whether the newest direct call succeeded; true before the first. */
+  get isReachable(): boolean {
+    return this.directFailedMs === -Infinity;
+  }
+
   /** Whether no direct call has failed recently without a later success. */
-  get isDirectAvailable(): boolean {
+  private get isDirectAvailable(): boolean {
     return this.clock.monotonicMs() - this.directFailedMs > PEER_PREFERENCE_MS;
   }
 
@@ -99,7 +111,7 @@
     if (isPlain && owner !== null && owner.callMs >= SLOW_STORE_MS) {
       const peers = [owner.peer];
       const shared = await this.settle(
-        callThroughPeers(call, peers, SHARED_APPEND_TIMEOUT_MS),
+        this.callThroughPeers(call, peers, SHARED_APPEND_TIMEOUT_MS),
       );
       if ('page' in shared) return shared.page.endOffset;
       if (shared.err.failure !== 'refused') throw shared.err;
@@ -133,7 +145,7 @@
     onData: (bytes: number) => void = () => undefined,
     signal?: AbortSignal,
   ): Promise<NewestPage> {
-    const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
+    const peers = this.usablePeers();
     const call = {op: 'newest', topic, after} as const;
     const relay = (): Promise<Settled<NewestPage>> =>
       this.relayPage(call, peers, onData);
@@ -163,7 +175,7 @@
     peers: readonly StorePeer[],
     onData: (bytes: number) => void,
   ): Promise<Settled<NewestPage>> {
-    const reply = callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
+    const reply = this.callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
     const relayed = await this.settle(reply);
     if ('page' in relayed) onData(pageSize(relayed.page));
     return relayed;
@@ -187,10 +199,10 @@
     direct: () => Promise<LogPage>,
     waitMs = 0,
   ): Promise<LogPage> {
-    const peers = this.peers().slice(0, MAX_PEERS_PER_CALL);
+    const peers = this.usablePeers();
     if (peers.length === 0) return this.callDirect(direct, waitMs);
     if (!this.isDirectAvailable) {
-      const relayed = await this.settle(callThroughPeers(call, peers));
+      const relayed = await this.settle(this.callPeers(call, peers));
       if ('page' in relayed) return relayed.page;
       if (relayed.err.failure !== 'refused') throw relayed.err;
       return this.callDirect(direct, waitMs);
@@ -215,12 +227,72 @@
       if ('page' in result) return result.page;
       if (isDefinitive(result.err.failure)) throw result.err;
     }
-    const second = this.settle(callThroughPeers(call, peers));
+    const second = this.settle(this.callPeers(call, peers));
     const winner = await firstSuccess(first, second);
     if ('page' in winner) return winner.page;
     throw winner.err;
   }
 
+  /** The peers to call, those last through which a call has failed lately. */
+  private usablePeers(): readonly StorePeer[] {
+    const nowMs = this.clock.monotonicMs();
+    const hasFailed = ({vm}: StorePeer): boolean =>
+      nowMs - (this.peerFailedMs.get(vm) ?? -Infinity) < PEER_AVOID_MS;
+    const peers = this.peers();
+    const sound = peers.filter(each => !hasFailed(each));
+    return [...sound, ...peers.filter(hasFailed)].slice(0, MAX_PEERS_PER_CALL);
+  }
+
+  /** A peer may be cut off too, which its connection shows only later. */
+  private async callPeers(
+    call: StoreCall,
+    peers: readonly StorePeer[],
+  ): Promise<LogPage> {
+    const [first, ...others] = peers;
+    if (first === undefined || others.length === 0 || !mayRepeat(call)) {
+      return this.callThroughPeers(call, peers);
+    }
+    const reply = this.settle(this.callThroughPeers(call, [first]));
+    const timeout = this.clock.sleep(NEXT_PEER_MS).then(() => null);
+    const result = await Promise.race([reply, timeout]);
+    if (result !== null && isAnswered(result)) return pageOf(result);
+    const rest = this.settle(this.callThroughPeers(call, others));
+    return pageOf(await firstSuccess(reply, rest));
+  }
+
+  private async callThroughPeers(
+    call: StoreCall,
+    peers: readonly StorePeer[],
+    timeoutMs = RELAY_TIMEOUT_MS,
+  ): Promise<NewestPage> {
+    let failure: StoreFailure = 'refused';
+    for (const peer of peers) {
+      const reply = await requestFromPeer(peer, call, timeoutMs);
+      this.recordPeer(peer, reply);
+      if (reply === null) {
+        if (call.op === 'append') failure = 'unknown';
+        continue;
+      }
+      const {endOffset, records, expectedSequence, hasMore = false} = reply;
+      if (reply.failure === null) return {endOffset, records, hasMore};
+      if (isDefinitive(reply.failure)) {
+        throw new StoreError(
+          reply.failure,
+          'reported through a peer',
+          expectedSequence,
+        );
+      }
+      if (reply.failure === 'unknown') failure = 'unknown';
+    }
+    throw new StoreError(failure, 'no peer could make the call');
+  }
+
+  private recordPeer({vm}: StorePeer, reply: StoreReply | null): void {
+    const failure = reply === null ? 'unknown' : reply.failure;
+    if (failure === null || isDefinitive(failure)) this.peerFailedMs.delete(vm);
+    else this.peerFailedMs.set(vm, this.clock.monotonicMs());
+  }
+
   private async callDirect(
     direct: () => Promise<LogPage>,
     waitMs: number,
@@ -260,30 +332,12 @@
   }
 }
 
-async function callThroughPeers(
-  call: StoreCall,
-  peers: readonly StorePeer[],
-  timeoutMs = RELAY_TIMEOUT_MS,
-): Promise<NewestPage> {
-  let failure: StoreFailure = 'refused';
-  for (const peer of peers) {
-    const reply = await requestFromPeer(peer, call, timeoutMs);
-    if (reply === null) {
-      if (call.op === 'append') failure = 'unknown';
-      continue;
-    }
-    const {endOffset, records, expectedSequence, hasMore = false} = reply;
-    if (reply.failure === null) return {endOffset, records, hasMore};
-    if (isDefinitive(reply.failure)) {
-      throw new StoreError(
-        reply.failure,
-        'reported through a peer',
-        expectedSequence,
-      );
-    }
-    if (reply.failure === 'unknown') failure = 'unknown';
-  }
-  throw new StoreError(failure, 'no peer could make the call');
+/**
+ * Whether a call may be made twice at the same time. A repeated append of a
+ * producer gets the first answer again, but one with an offset a conflict.
+ */
+function mayRepeat(call: StoreCall): boolean {
+  return call.op !== 'append' || call.at < 0;
 }
 
 /** Returns null if the peer gave no answer: the call may have been made. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -189,7 +189,7 @@
           : toAddress(knownOwner),
       term: knownOwner?.term ?? 0,
       configVersion: this.config.version,
-      isStoreOk: this.store.isDirectAvailable,
+      isStoreOk: this.store.isReachable,
       storeMs: Math.round(this.store.callMs),
       isDraining,
       isOwnerSeen: isOwner || this.election.hasOwner(),
--- a/packages/cell/test/handover-orders.test.ts
+++ b/packages/cell/test/handover-orders.test.ts
@@ -212,7 +212,7 @@
     owner.store.faults.refusedTopics = PROGRESS_TOPIC;
     await rig.run(700);
     assert.is(rig.executor('x1').runs.size, others);
-    assert.ok(rig.logLines.some(line => line.includes(' v0 runEnded ')));
+    assert.ok(rig.logLines.some(line => line.includes(' v0 runsEnded ')));
     rig.executor('x1').isDisconnected = true;
     rig.executor('x0').isDraining = false;
     await rig.run(SILENT_MS);
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -277,7 +277,7 @@
   assert.is(rig.executor('x3').runs.size, 0);
   const starts = rig.logLines
     .slice(lines)
-    .filter(line => line.includes(' runStarted '));
+    .filter(line => line.includes(' runsStarted '));
   assert.equal(starts, []);
   owner.store.faults.isRefusing = false;
   await rig.run(SETTLE_MS);
--- a/packages/cell/test/slow-store.test.ts
+++ b/packages/cell/test/slow-store.test.ts
@@ -79,6 +79,7 @@
   const store = new SlowStore(clock);
   const shared = new SharedAppends(store);
   const peer = {
+    vm: 'owner',
     callStore: async (call: Parameters<typeof executeStoreCall>[1]) => {
       await clock.sleep(30);
       return executeStoreCall(store, call, shared);
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -169,9 +169,15 @@
   assert.is(memory.topic(PROGRESS_TOPIC).log.length, 0);
 });
 
+let peerCount = 0;
+
 function peerOf(client: StoreClient): StorePeer {
   const shared = new SharedAppends(client);
-  return {callStore: call => executeStoreCall(client, call, shared)};
+  peerCount += 1;
+  return {
+    vm: `peer ${peerCount}`,
+    callStore: call => executeStoreCall(client, call, shared),
+  };
 }
 
 store('calls through a peer if the store refuses the VM', async () => {
@@ -210,13 +216,95 @@
   const {clock, client} = newFixture();
   const own = client();
   own.faults.isRefusing = true;
-  const lost: StorePeer = {callStore: () => Promise.reject(new Error('cut'))};
+  const lost: StorePeer = {
+    vm: 'lost',
+    callStore: () => Promise.reject(new Error('cut')),
+  };
   const relayed = new RelayedStore(own, () => [lost], clock);
   const append = relayed.append('keyed.t', [{key: 'k', value: VALUE}]);
   const err = (await settle(clock, append)) as StoreError;
   assert.is(err.failure, 'unknown');
 });
 
+// The first peer was cut off as well, which its connection did not show yet.
+store('asks the next peer before the first one has timed out', async () => {
+  const {clock, memory, client} = newFixture();
+  const own = client();
+  own.faults.isRefusing = true;
+  const silent: StorePeer = {
+    vm: 'silent',
+    callStore: (_call, timeoutMs) =>
+      clock.sleep(timeoutMs).then(() => Promise.reject(new Error('cut'))),
+  };
+  const peers = [silent, peerOf(client())];
+  const relayed = new RelayedStore(own, () => peers, clock);
+  const append = (key: string): Promise<number> =>
+    relayed.append('keyed.t', [{key, value: VALUE}]);
+  await settle(clock, append('a'));
+  const sentMs = clock.monotonicMs();
+  const stored = append('b').then(() => clock.monotonicMs() - sentMs);
+  const tookMs = await settle(clock, stored);
+  assert.ok(Number(tookMs) < 500, `${String(tookMs)} ms`);
+  assert.is(memory.topic('keyed.t').newest.size, 2);
+});
+
+// An owner that was cut off called the same two VMs, cut off as well, for 6 s.
+store('passes over peers through which calls have failed', async () => {
+  const {clock, memory, client} = newFixture();
+  const own = client();
+  own.faults.isRefusing = true;
+  const silent = (vm: string): StorePeer => ({
+    vm,
+    callStore: (_call, timeoutMs) =>
+      clock.sleep(timeoutMs).then(() => Promise.reject(new Error('cut'))),
+  });
+  const peers = [...'abcdefg'].map(silent);
+  const relayed = new RelayedStore(
+    own,
+    () => [...peers, peerOf(client())],
+    clock,
+  );
+  const writer = new ProgressWriter(
+    relayed,
+    clock,
+    1,
+    () => true,
+    () => undefined,
+  );
+  const write = async (key: string): Promise<number> => {
+    const sentMs = clock.monotonicMs();
+    let tookMs = Infinity;
+    void writer.write([{key, value: VALUE}]).then(() => {
+      tookMs = clock.monotonicMs() - sentMs;
+    });
+    await clock.advance(7000);
+    return tookMs;
+  };
+  assert.ok((await write('p/1')) < 6000);
+  assert.ok((await write('p/2')) < 500);
+  assert.is(memory.topic(PROGRESS_TOPIC).newest.size, 2);
+});
+
+// Its second copy would fail, and the owner would take that for a claim.
+store('asks one peer at a time for an append with a condition', async () => {
+  const {clock, client} = newFixture();
+  const own = client();
+  own.faults.isRefusing = true;
+  let calls = 0;
+  const slow: StorePeer = {
+    vm: 'slow',
+    callStore: async call => {
+      calls += 1;
+      await clock.sleep(600);
+      return peerOf(client()).callStore(call, 900);
+    },
+  };
+  const relayed = new RelayedStore(own, () => [slow, slow], clock);
+  const append = relayed.append('keyed.t', [{key: 'k', value: VALUE}], {at: 0});
+  assert.is(await settle(clock, append), 1);
+  assert.is(calls, 1);
+});
+
 /** A page that takes three seconds on the link of one of two clients. */
 function bulkFixture(): {
   readonly clock: ManualClock;
@@ -280,6 +368,7 @@
   const {clock, own, other} = bulkFixture();
   own.faults.isRefusing = true;
   const earlier: StorePeer = {
+    vm: 'earlier',
     callStore: async ({topic}) => {
       const page = await other.newest(topic);
       const reply = {type: 'store', failure: null, expectedSequence: -1};
--- a/packages/operator/src/ctl-context.ts
+++ b/packages/operator/src/ctl-context.ts
@@ -90,7 +90,7 @@
 }
 
 /** Runs a command and returns its exit code. */
-export type CommandHandler<O, A extends readonly string[]> = (
+export type CommandHandler<O, A extends readonly unknown[]> = (
   context: CtlContext,
   options: O,
   ...args: A
@@ -102,7 +102,7 @@
  * @example
  * config.command('show').action(makeAction(io, showConfig));
  */
-export function makeAction<O, A extends readonly string[]>(
+export function makeAction<O, A extends readonly unknown[]>(
   io: ProgramIo,
   handler: CommandHandler<O, A>,
 ): (...params: unknown[]) => Promise<void> {
--- a/packages/operator/src/job-commands.ts
+++ b/packages/operator/src/job-commands.ts
@@ -2,9 +2,18 @@
 import type {JobStatus} from '@dragonflyward/state';
 import {raise} from '@dragonflyward/common';
 import type {Command} from 'commander';
+import {createReadStream} from 'node:fs';
+import {createInterface} from 'node:readline';
 import {makeAction, type CtlContext, type ProgramIo} from './ctl-context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {GatewayClient, type KeyOptions} from './gateway-client.js';
+import {
+  explainJob,
+  formatExplanation,
+  isUseful,
+  parseLogLine,
+  type LogLine,
+} from './log-explanation.js';
 import {toTable} from './output.js';
 
 interface ListOptions extends KeyOptions {
@@ -75,11 +84,40 @@
   return `/v1/jobs/${encodeURIComponent(jobId)}`;
 }
 
-/** Asks all schedulers, as only the owner of the job's shard can explain it. */
+/** Reads log files, or asks the schedulers. */
 async function explain(
-  {fleet, output}: CtlContext,
+  context: CtlContext,
   _options: object,
   jobId: string,
+  files: readonly string[] = [],
+): Promise<ExitCode> {
+  if (files.length > 0) return explainFromLogs(context, jobId, files);
+  return explainFromSchedulers(context, jobId);
+}
+
+async function explainFromLogs(
+  {output}: CtlContext,
+  jobId: string,
+  files: readonly string[],
+): Promise<ExitCode> {
+  const logLines: LogLine[] = [];
+  for (const file of files) {
+    const input = createReadStream(file);
+    for await (const text of createInterface({input})) {
+      const line = parseLogLine(text);
+      if (line !== null && isUseful(jobId, line)) logLines.push(line);
+    }
+  }
+  const explanation = explainJob(jobId, logLines);
+  if (explanation.lines.length === 0) return raise('jobUnknown', jobId);
+  output.print(explanation, [...formatExplanation(jobId, explanation)]);
+  return EXIT.ok;
+}
+
+/** Asks all schedulers, as only the owner of the job's shard can explain it. */
+async function explainFromSchedulers(
+  {fleet, output}: CtlContext,
+  jobId: string,
 ): Promise<ExitCode> {
   const path = `/explain?job=${encodeURIComponent(jobId)}`;
   const replies = await fleet.readAll(path, 'scheduler');
@@ -135,8 +173,11 @@
     .option(...keyFile)
     .action(makeAction(io, cancel));
   program
-    .command('explain <job>')
-    .description('explain why a job waits, or why its tasks run where they do')
+    .command('explain <job> [files...]')
+    .description(
+      'explain why a job waits, or why its tasks run where they do; with log ' +
+        'files of VMs, what became of it',
+    )
     .action(makeAction(io, explain));
 }
 
