Begin no wait anew for an owner that gave no orders

Callers saw LOST: each change of the owner began the wait for the executors that a former owner may have used, also where the owner in between was lost before it had given an order.

Cause: a claim tells the next owner nothing of executors that are not named; all of them may have had orders until then, and the new owner counted as one that acts from its claim on.

Now the record of a claim says that the owner gives no orders at all, and passes on the bounds of all executors. It gives orders once a record is confirmed that names those which have not answered it. That record is written when all have answered, at the latest 0.4 s after the load or 0.1 s before the former owner's start lease ends, when nothing may start anyway. A heartbeat names up to 400 executors instead of 40, more than a failure domain holds.

Tests: an owner whose record is refused gives no orders; bounds pass an owner that gave none. The test of the limit on names uses 1,000 executors now; OrderHolds and beginOrders have other signatures, the checks are the same. The bound in time of restart-budget does not change by this alone: each reading of a record still adds its age.

--- a/packages/cell/src/cell-claim.ts
+++ b/packages/cell/src/cell-claim.ts
@@ -2,12 +2,7 @@
 import type {Clock} from '@dragonflyward/common';
 import {LEASES, supersededLeases, type Leases} from './claim-bounds.js';
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
-import {
-  InheritedOrders,
-  type NamedOrders,
-  type OrdersNotice,
-} from './last-orders.js';
-import {chooseHeld} from './order-holds.js';
+import {InheritedOrders, type OrdersNotice} from './last-orders.js';
 import {
   appendOwnerRecord,
   earlierOwners,
@@ -48,13 +43,15 @@
   // Whoever reads it does not know that this VM has told anyone of the claim.
   const formerOwners = formerOwnersOf(snapshot.record, self, LEASES);
   const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
+  const orders = ordersToPassOn(clock, self, snapshot, actedTerm);
   const record = {
     ...self,
     term,
     isReleased: false,
     areFormerStopped,
     formerOwners,
-    heldOrders: chooseHeld(ordersToPassOn(clock, self, snapshot, actedTerm)),
+    heldOrders: orders.executors,
+    heldOthers: orders.others,
   };
   const sentMs = clock.monotonicMs();
   try {
@@ -64,9 +61,11 @@
       snapshot.endOffset,
     );
     const lastWrite = {sentMs, endOffset};
-    const orders = ordersAtClaim(clock, self, snapshot, actedTerm);
     const former = formerAtClaim(clock, self, snapshot, connectedMs);
-    return new Ownership(store, clock, record, lastWrite, {orders, former});
+    return new Ownership(store, clock, record, lastWrite, {
+      orders: ordersAtClaim(clock, self, snapshot, actedTerm),
+      former,
+    });
   } catch (err) {
     if (!(err instanceof StoreError) || err.failure !== 'conflict') throw err;
     return null;
@@ -79,11 +78,17 @@
   self: OwnerAddress,
   snapshot: OwnerSnapshot,
   actedTerm: number,
-): readonly NamedOrders[] {
+): OrdersNotice {
   const orders = ordersAtClaim(clock, self, snapshot, actedTerm);
-  return orders?.describe(clock.monotonicMs()).executors ?? [];
+  return orders?.describe(clock.monotonicMs()) ?? NOT_TOLD;
 }
 
+/** What is known at a claim if former owners did not tell. */
+const NOT_TOLD: OrdersNotice = {
+  executors: [],
+  others: {agoMs: 0, unlistedForMs: 0, bornMs: 0, wasReached: false},
+};
+
 /** The last orders of former owners, or null if they do not tell. */
 function ordersAtClaim(
   clock: Clock,
@@ -99,13 +104,16 @@
 
 /**
  * The last orders to executors to which the owner of the record gives none. All
- * others may have had orders until now.
+ * others may have had orders until now, unless it has given none at all.
  */
 function heldOrdersOf(
   {record, readMs}: OwnerSnapshot,
   nowMs: number,
 ): InheritedOrders | null {
   const executors = record?.heldOrders ?? [];
+  if (record?.heldOthers !== undefined) {
+    return new InheritedOrders({executors, others: record.heldOthers}, readMs);
+  }
   if (executors.length === 0) return null;
   const agoMs = readMs - nowMs;
   const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
@@ -148,7 +156,9 @@
 ): readonly FormerOwner[] {
   if (record === null) return [];
   const earlier = endOwnersOf(self.vm, earlierOwners(record));
-  if (record.isReleased || record.vm === self.vm) return earlier;
+  // An owner that holds all executors could not act: the claim would fail.
+  const isIdle = record.isReleased || record.heldOthers !== undefined;
+  if (isIdle || record.vm === self.vm) return earlier;
   const {vm, incarnation, heldOrders = []} = record;
   const heldIds = heldOrders.map(({id}) => id);
   return [...earlier, {vm, incarnation, ...leases, heldIds}];
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -59,6 +59,11 @@
     this.leases.addExecutor(executor);
   }
 
+  /** Whether the executor has not answered, and so has no order of this owner. */
+  isAwaited(executor: ExecutorState): boolean {
+    return this.executors.has(executor);
+  }
+
   /** Removes an executor that is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
--- a/packages/cell/src/order-holds.ts
+++ b/packages/cell/src/order-holds.ts
@@ -2,23 +2,36 @@
 import type {ExecutorState} from './executor-state.js';
 import type {NamedOrders} from './last-orders.js';
 
-/** The most executors that one heartbeat of an owner names. */
-const MAX_HELD_EXECUTORS = 40;
+/**
+ * The most executors that one heartbeat of an owner names: more than a failure
+ * domain holds.
+ */
+const MAX_HELD_EXECUTORS = 400;
 /** An executor that was silent for less time may just be slow, in ms. */
 const HELD_AFTER_MS = 1000;
 
+/** Executors that get no orders from an owner. */
+export interface HeldOrders {
+  readonly executors: readonly NamedOrders[];
+  /** Whether no others get any either. */
+  readonly isAll: boolean;
+}
+
 /**
  * Chooses the executors that a heartbeat names: those that have had no order
  * for longest, for which a claimant would wait in vain.
  *
+ * @param isUntouched whether an executor has had no order of this owner
  * @example
- * const held = chooseHeld(executors);
+ * const held = chooseHeld(executors, id => !reachedIds.has(id));
  */
 export function chooseHeld(
   executors: readonly NamedOrders[],
+  isUntouched: (id: string) => boolean = () => false,
 ): readonly NamedOrders[] {
   return executors
-    .filter(({agoMs, runs}) => agoMs >= HELD_AFTER_MS && !isIdle(runs))
+    .filter(({runs}) => !isIdle(runs))
+    .filter(({id, agoMs}) => agoMs >= HELD_AFTER_MS || isUntouched(id))
     .sort((a, b) => b.agoMs - a.agoMs)
     .slice(0, MAX_HELD_EXECUTORS)
     .map(withoutRuns);
@@ -41,30 +54,34 @@
  */
 export class OrderHolds {
   private ids: ReadonlySet<string>;
+  private isAll: boolean;
 
   /**
-   * @param executors those that the stored record names
+   * @param held what the stored record says
    */
-  constructor(executors: readonly NamedOrders[]) {
+  constructor({executors, isAll}: HeldOrders) {
     this.ids = toIds(executors);
+    this.isAll = isAll;
   }
 
   /** Whether the executor may get no orders. */
   isHeld(id: string): boolean {
-    return this.ids.has(id);
+    return this.isAll || this.ids.has(id);
   }
 
   /** Call it before a record is sent: it may be stored without an answer. */
-  recordSent(executors: readonly NamedOrders[]): void {
+  recordSent({executors, isAll}: HeldOrders): void {
     this.ids = new Set([...this.ids, ...toIds(executors)]);
+    this.isAll ||= isAll;
   }
 
   /**
    * Call it when a record is confirmed: of those before it, none is stored
    * later, since all are appended at fixed offsets.
    */
-  recordConfirmed(executors: readonly NamedOrders[]): void {
+  recordConfirmed({executors, isAll}: HeldOrders): void {
     this.ids = toIds(executors);
+    this.isAll = isAll;
   }
 }
 
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -53,6 +53,14 @@
 const START_AND_REPORT_MS = 150;
 /** Maximum delay before a scheduling round, in ms. */
 const MAX_ROUND_DELAY_MS = 250;
+/** How long a new owner that holds all executors waits for answers, in ms. */
+const ANSWER_WAIT_MS = 400;
+/** The same for one that may give orders at once, in ms. */
+const HANDOVER_ANSWER_WAIT_MS = 1000;
+/** Time between checks of whether all have answered, in ms. */
+const ANSWER_CHECK_MS = 20;
+/** Usual time until a record is confirmed, in ms. */
+const CONFIRMATION_MS = 100;
 /** A VM that connects is told of jobs that ended within this time, in ms. */
 const JUST_ENDED_MS = 10_000;
 /** Maximum age of a read that shows that a job does not exist, in ms. */
@@ -201,9 +209,6 @@
     if (this.isClosed || this.deps.ownership.isRevoked) return false;
     this.isActive = true;
     this.isLoaded = true;
-    this.deps.ownership.setSilentExecutors(() =>
-      this.silentExecutors.describe(),
-    );
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -213,10 +218,37 @@
     this.feed.start();
     void keepRunning('commit', () => this.commit.run(), this.deps);
     void keepRunning('ownerTick', () => this.tickLoop(), this.deps);
+    runInBackground('beginOrders', this.beginOrders(), this.deps.log);
     this.requestRound();
     return true;
   }
 
+  /**
+   * Gives orders once it is stored which executors get none. Those that answer
+   * in time need not be among them; after a claim nothing may start meanwhile.
+   */
+  private async beginOrders(): Promise<void> {
+    const {clock, ownership} = this.deps;
+    const nowMs = clock.monotonicMs();
+    const untilMs = ownership.isHoldingAll
+      ? Math.max(
+          nowMs + ANSWER_WAIT_MS,
+          ownership.formerStartUntilMs - CONFIRMATION_MS,
+        )
+      : nowMs + HANDOVER_ANSWER_WAIT_MS;
+    while (!this.isClosed && clock.monotonicMs() < untilMs) {
+      if (!this.isAnyAwaited()) break;
+      await clock.sleep(ANSWER_CHECK_MS);
+    }
+    await ownership.beginOrders(() => this.silentExecutors.describeHeld());
+    this.requestRound();
+  }
+
+  private isAnyAwaited(): boolean {
+    const executors = [...this.state.executors.values()];
+    return executors.some(each => this.formerOwnerRuns.isAwaited(each));
+  }
+
   /** Describes the load for the log: each topic, and what it waited for. */
   describeLoad(): LoadDescription {
     const tookMs = this.deps.clock.monotonicMs() - this.claimedMs;
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -6,12 +6,13 @@
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
 import {
   InheritedOrders,
+  type LastOrders,
   type NamedOrders,
   type OrdersDeadline,
   type OrdersNotice,
 } from './last-orders.js';
 import type {HandoverNotice} from './messages.js';
-import {chooseHeld, OrderHolds} from './order-holds.js';
+import {chooseHeld, OrderHolds, type HeldOrders} from './order-holds.js';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
@@ -67,6 +68,12 @@
    * give orders to all.
    */
   readonly heldOrders?: readonly NamedOrders[];
+  /**
+   * The last orders to all other executors. The owner gives no orders at all
+   * until a record without this field is confirmed. Missing in records of an
+   * owner that may act, and of earlier versions.
+   */
+  readonly heldOthers?: LastOrders;
 }
 
 /** The newest record and the offset at which a claim must be appended. */
@@ -178,6 +185,7 @@
 
 /** The owner's lease on the cell under one term. */
 export class Ownership {
+  private readonly record: OwnerRecord;
   private endOffset: number;
   private confirmedMs: number;
   private confirmedWallMs: number;
@@ -186,16 +194,19 @@
   private readonly formerOwners: FormerOwners;
   private readonly inheritedOrders: InheritedOrders | null;
   private readonly holds: OrderHolds;
-  /** The last orders to executors that do not answer. */
-  private silentExecutors = (): readonly NamedOrders[] =>
-    this.describeFormerOrders().executors;
+  /** The last orders to executors that get none from this owner. */
+  private heldExecutors = (): readonly NamedOrders[] => {
+    const {executors} = this.describeFormerOrders();
+    return this.isHolding ? executors : chooseHeld(executors);
+  };
+  private isHolding: boolean;
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
-    private readonly record: OwnerRecord,
+    record: OwnerRecord,
     {sentMs, endOffset}: LastWrite,
     {orders, former}: Takeover,
   ) {
@@ -205,7 +216,13 @@
     this.startedMs = clock.monotonicMs();
     this.formerOwners = former;
     this.inheritedOrders = orders;
-    this.holds = new OrderHolds(record.heldOrders ?? []);
+    const {heldOrders = [], heldOthers, ...own} = record;
+    this.record = own;
+    this.isHolding = heldOthers !== undefined;
+    this.holds = new OrderHolds({
+      executors: heldOrders,
+      isAll: this.isHolding,
+    });
   }
 
   /** Fencing token; executors refuse orders with a lower one. */
@@ -295,9 +312,24 @@
     return monotonicMs < boundMs && wallMs < boundMs;
   }
 
-  /** Sets who tells of executors that do not answer, once that is known. */
-  setSilentExecutors(describe: () => readonly NamedOrders[]): void {
-    this.silentExecutors = describe;
+  /**
+   * Lets this owner give orders, once a record is confirmed that says to which
+   * executors it gives none. Until then it holds all if it has claimed the cell.
+   *
+   * @param describe the last orders to executors that get none
+   * @example
+   * await ownership.beginOrders(() => silentExecutors.describeHeld());
+   */
+  async beginOrders(describe: () => readonly NamedOrders[]): Promise<void> {
+    this.heldExecutors = describe;
+    if (!this.isHolding) return;
+    this.isHolding = false;
+    await this.renew();
+  }
+
+  /** Whether this owner has not begun to give orders. */
+  get isHoldingAll(): boolean {
+    return this.isHolding;
   }
 
   /** Whether a record may say that the executor gets no orders. */
@@ -378,10 +410,18 @@
   }
 
   private async writeHeartbeat(): Promise<void> {
-    const heldOrders = chooseHeld(this.silentExecutors());
-    this.holds.recordSent(heldOrders);
-    const isStored = await this.write({...this.record, heldOrders});
-    if (isStored) this.holds.recordConfirmed(heldOrders);
+    const held = this.describeHeld();
+    this.holds.recordSent(held);
+    const others = held.isAll
+      ? {heldOthers: this.describeFormerOrders().others}
+      : {};
+    const heldOrders = held.executors;
+    const isStored = await this.write({...this.record, heldOrders, ...others});
+    if (isStored) this.holds.recordConfirmed(held);
+  }
+
+  private describeHeld(): HeldOrders {
+    return {executors: this.heldExecutors(), isAll: this.isHolding};
   }
 
   /** Returns whether the record is surely stored. */
--- a/packages/cell/src/silent-executors.ts
+++ b/packages/cell/src/silent-executors.ts
@@ -4,6 +4,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {FormerOwnerRuns} from './former-owner-runs.js';
 import {JUST_NOW, type LastOrders, type NamedOrders} from './last-orders.js';
+import {chooseHeld} from './order-holds.js';
 
 /** By then, it is stored that an executor is gone, in ms. */
 const STORED_AFTER_MS = 5000;
@@ -52,6 +53,15 @@
     return named;
   }
 
+  /** The last orders to those that get none while a heartbeat names them. */
+  describeHeld(): readonly NamedOrders[] {
+    const {state, formerOwnerRuns} = this.deps;
+    return chooseHeld(this.describe(), id => {
+      const executor = state.executors.get(id);
+      return executor !== undefined && formerOwnerRuns.isAwaited(executor);
+    });
+  }
+
   private *describeGone(nowMs: number): Generator<NamedOrders> {
     for (const [id, {orders, goneMs}] of this.gone) {
       const passedMs = nowMs - goneMs;
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -3,8 +3,10 @@
   chooseHeld,
   claimCell,
   OrderHolds,
+  OWNER_TOPIC,
   PROGRESS_TOPIC,
   readOwner,
+  type HeldOrders,
   type NamedOrders,
 } from '@dragonflyward/cell';
 import {ManualClock} from '@dragonflyward/common';
@@ -320,13 +322,17 @@
 // An executor is dropped and comes back before the next heartbeat.
 held('holds orders by id', () => {
   const named = {agoMs: 2000, unlistedForMs: 0, bornMs: 0, wasReached: true};
-  const holds = new OrderHolds([{...named, id: 'a'}]);
-  holds.recordSent([{...named, id: 'b'}]);
+  const hold = (id: string): HeldOrders => ({
+    executors: [{...named, id}],
+    isAll: false,
+  });
+  const holds = new OrderHolds(hold('a'));
+  holds.recordSent(hold('b'));
   assert.equal(
     ['a', 'b', 'c'].map(each => holds.isHeld(each)),
     [true, true, false],
   );
-  holds.recordConfirmed([{...named, id: 'c'}]);
+  holds.recordConfirmed(hold('c'));
   assert.equal(
     ['a', 'b', 'c'].map(each => holds.isHeld(each)),
     [false, false, true],
@@ -334,7 +340,7 @@
 });
 
 held('names few executors, those first that waited for longest', () => {
-  const executors = Array.from({length: 100}, (_, i) => ({
+  const executors = Array.from({length: 1000}, (_, i) => ({
     id: `x${i}`,
     agoMs: i * 100 - 500,
     unlistedForMs: 0,
@@ -342,12 +348,62 @@
     wasReached: true,
   }));
   const chosen = chooseHeld(executors);
-  assert.is(chosen.length, 40);
-  assert.is(chosen[0]?.id, 'x99');
-  assert.is(chosen.at(-1)?.id, 'x60');
+  assert.is(chosen.length, 400);
+  assert.is(chosen[0]?.id, 'x999');
+  assert.is(chosen.at(-1)?.id, 'x600');
   assert.is(chooseHeld(executors.slice(0, 16)).length, 1);
 });
 
+// The store refuses the record that says to which executors it gives orders.
+held('gives no orders before that is stored', async () => {
+  const {rig, owner} = await startOwner();
+  const {runs} = rig.executor('x1');
+  const next = await replaceKilled(rig, owner, 'v1');
+  rig.onLog = event => {
+    if (event === 'ownerActive') next.store.faults.refusedTopics = OWNER_TOPIC;
+  };
+  next.isConnectedToAll = true;
+  rig.submit('late', [LASTING], [next]);
+  await rig.run(SETTLE_MS);
+  assert.is(next.owner?.state.jobs.has('late'), true);
+  rig.submit('later', [LASTING], [next]);
+  await rig.run(SETTLE_MS);
+  assert.is(runs.size, 0);
+  const starts = rig.logLines.filter(l => l.includes(' v1 runsStarted '));
+  assert.equal(starts, []);
+  const last = rig.newNode('v2');
+  void rig.claim(last);
+  await rig.run(2 * LEASE_MS);
+  assert.is(last.ownership?.term, 3);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, 'later.0.0.0'), 1);
+});
+
+// It has given no orders, so those of the first owner are the last ones.
+held('passes on the bounds of an owner that gave no orders', async () => {
+  const clock = new ManualClock(100_000);
+  const client = new StoreClient(new MemoryStore(), clock);
+  const claim = async (vm: string) =>
+    claimCell(
+      client,
+      clock,
+      {vm, ip: '', port: 0, incarnation: 1},
+      await readOwner(client, clock),
+    );
+  const first = await settle(clock, claim('a'));
+  await settle(clock, first?.beginOrders(() => []) ?? Promise.resolve());
+  const second = await settle(clock, claim('b'));
+  const untilMs = second?.formerOrders('x1').untilMs ?? 0;
+  await clock.advance(3000);
+  await settle(clock, second?.renew() ?? Promise.resolve());
+  const third = await settle(clock, claim('c'));
+  const passedOnMs = third?.formerOrders('x1').untilMs ?? 0;
+  assert.ok(passedOnMs >= untilMs);
+  assert.ok(passedOnMs <= untilMs + 200, `${passedOnMs - untilMs} ms`);
+  await settle(clock, second?.beginOrders(() => []) ?? Promise.resolve());
+  assert.is(second?.isRevoked, true);
+});
+
 /** Runs a step that calls the store. */
 async function settle<T>(clock: ManualClock, step: Promise<T>): Promise<T> {
   await clock.advance(20);
@@ -369,8 +425,9 @@
   const named: readonly NamedOrders[] = [
     {id: 'x1', agoMs: 4000, unlistedForMs: 0, bornMs: 5, wasReached: true},
   ];
-  first?.setSilentExecutors(() => named);
-  await settle(clock, first?.renew() ?? Promise.resolve());
+  const isHolding = first?.isHoldingAll;
+  await settle(clock, first?.beginOrders(() => named) ?? Promise.resolve());
+  assert.equal([isHolding, first?.isHoldingAll], [true, false]);
   assert.is(first?.isHeld('x1'), true);
   const second = await settle(clock, claim('b'));
   const nowMs = clock.monotonicMs();
