Count the leases of former owners on executors that have answered

Callers would see a task run twice: an executor that answers a new owner and falls silent before that has renewed its lease counted as lost at the first missed renewal, though the former owner's lease still kept its runs.

Cause: a silent executor counts as lost once the leases that this owner gave have ended, and it had given none. Until now the time between the first answer and the first lease was short, but for executors that a killed owner's heartbeats name: these get no lease until the next heartbeat is confirmed. Since a claimant holds all executors at first, it is longer for all.

Now the first answer sets by when former leases have ended, and a handover in between passes that on.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -207,6 +207,7 @@
     executor.hasDrained = executor.info.isDraining;
     executor.clockMs = Number.NaN;
     executor.leaseUntilMs = 0;
+    executor.formerLeaseUntilMs = 0;
     executor.processedThrough = 0;
     executor.ackedThrough = 0;
     executor.fillerPercent = 100;
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -63,7 +63,7 @@
   readonly token: number;
   readonly formerOwnerRuns: Pick<
     FormerOwnerRuns,
-    'recordAnswer' | 'inventoryDueMs'
+    'recordAnswer' | 'inventoryDueMs' | 'leaseLeftMs'
   >;
   readonly mayAct: () => boolean;
   /** Whether the executor may get no start and no longer lease now. */
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -50,6 +50,8 @@
   clockReadMs: number;
   /** The latest lease end that was sent, on the executor's clock. */
   leaseUntilMs: number;
+  /** By when the leases of former owners have ended, on the same clock. */
+  formerLeaseUntilMs: number;
   /** Ends of runs through this number are applied to the owner's state. */
   processedThrough: number;
   /** Ends of runs through this number are stored. */
@@ -91,6 +93,7 @@
     clockMs: Number.NaN,
     clockReadMs: 0,
     leaseUntilMs: 0,
+    formerLeaseUntilMs: 0,
     processedThrough: 0,
     ackedThrough: 0,
     missedRenewals: 0,
@@ -195,7 +198,15 @@
 ): boolean {
   if (Number.isNaN(executor.clockMs)) return false;
   const slackMs = LEASE_END_SLACK_MS;
-  return earliestClockMs(executor, nowMs) > executor.leaseUntilMs + slackMs;
+  return earliestClockMs(executor, nowMs) > lastLeaseMs(executor) + slackMs;
+}
+
+/** The end of the last lease that this owner or a former one may have given. */
+function lastLeaseMs({
+  leaseUntilMs,
+  formerLeaseUntilMs,
+}: ExecutorState): number {
+  return Math.max(leaseUntilMs, formerLeaseUntilMs);
 }
 
 /**
@@ -203,7 +214,7 @@
  * ms; NaN while its clock is not known.
  */
 export function leaseLeftMs(executor: ExecutorState, nowMs: number): number {
-  const endMs = executor.leaseUntilMs + LEASE_END_SLACK_MS;
+  const endMs = lastLeaseMs(executor) + LEASE_END_SLACK_MS;
   const leftMs = endMs - earliestClockMs(executor, nowMs);
   return Math.max(0, leftMs / (1 - MAX_CLOCK_DRIFT));
 }
--- a/packages/cell/src/former-leases.ts
+++ b/packages/cell/src/former-leases.ts
@@ -83,6 +83,18 @@
     );
   }
 
+  /**
+   * How long these leases last on an executor that has just answered, in ms on
+   * its clock. It accepts no more orders of former owners.
+   */
+  leftOnAnswerMs(executor: ExecutorState, nowMs: number): number {
+    const {bornMs} = executor;
+    const ageMs = this.takeover.clock.wallMs() - bornMs;
+    if (bornMs === 0 || ageMs <= RESTART_LEASE_MS) return MAX_EXECUTOR_LEASE_MS;
+    const leftMs = this.usuallyUntilMs(executor) - nowMs;
+    return Math.min(EXECUTOR_LEASE_MS, Math.max(0, leftMs));
+  }
+
   /**
    * When an order with a time of the clock before a restart, whose lease is the
    * longest one, counts no more; -Infinity if the executor has not restarted
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -64,6 +64,15 @@
     return this.executors.has(executor);
   }
 
+  /**
+   * How long the leases of former owners last on an executor that answers for
+   * the first time, in ms on its clock; 0 for any other.
+   */
+  leaseLeftMs(executor: ExecutorState, nowMs: number): number {
+    if (!this.executors.has(executor)) return 0;
+    return this.leases.leftOnAnswerMs(executor, nowMs);
+  }
+
   /** Removes an executor that is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -48,6 +48,10 @@
     executor.missedRenewals = 0;
     const wasReached = executor.isReached;
     executor.isReached = true;
+    const formerLeaseMs = host.formerOwnerRuns.leaseLeftMs(executor, sentMs);
+    if (formerLeaseMs > 0) {
+      executor.formerLeaseUntilMs = inventory.clockMs + formerLeaseMs;
+    }
     const wasAwaited = host.formerOwnerRuns.recordAnswer(executor, sentMs);
     recordClock(executor, inventory.clockMs, nowMs);
     const hasNewEnds = this.applyEnds(inventory, nowMs);
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -354,6 +354,24 @@
   assert.is(chooseHeld(executors.slice(0, 16)).length, 1);
 });
 
+// It answers the next owner once, while that may not renew its lease yet.
+held('counts the lease of a killed owner after an answer', async () => {
+  const {rig, owner, task} = await startOwner();
+  rig.executor('x1').isDisconnected = true;
+  await rig.run(NAMED_AFTER_MS);
+  rig.executor('x1').isDisconnected = false;
+  rig.onLog = event => {
+    if (event !== 'runAdopted' || !rig.logLines.at(-1)?.includes('"x1"'))
+      return;
+    rig.executor('x1').isDisconnected = true;
+  };
+  await replaceKilled(rig, owner, 'v1');
+  await rig.run(3 * LEASE_MS);
+  assert.is(rig.executor('x1').isDisconnected, true);
+  assert.equal(rig.checker.violations, []);
+  assert.is(countRuns(rig, task), 1);
+});
+
 // The store refuses the record that says to which executors it gives orders.
 held('gives no orders before that is stored', async () => {
   const {rig, owner} = await startOwner();
