--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -362,7 +362,7 @@
   rig.executor('x1').isDisconnected = false;
   rig.onLog = event => {
     if (event !== 'runAdopted' || !rig.logLines.at(-1)?.includes('"x1"'))
-      return;
+      {return;}
     rig.executor('x1').isDisconnected = true;
   };
   await replaceKilled(rig, owner, 'v1');
