--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -361,8 +361,8 @@
   await rig.run(NAMED_AFTER_MS);
   rig.executor('x1').isDisconnected = false;
   rig.onLog = event => {
-    if (event !== 'runAdopted' || !rig.logLines.at(-1)?.includes('"x1"'))
-      {return;}
+    const isOfX1 = rig.logLines.at(-1)?.includes('"x1"') ?? false;
+    if (event !== 'runAdopted' || !isOfX1) return;
     rig.executor('x1').isDisconnected = true;
   };
   await replaceKilled(rig, owner, 'v1');
