Count the times in an owner's record from when it told the VMs of it

A VM that loses its power is noticed after 1.2 s and more, and the next owner reads its newest record about 2 s after the loss. The times in the record count to its writing, and the claimant knew only that this was before the reading. So each loss of an owner added 2 to 2.6 s to the waits for executors that do not answer, and the lost owner counted as acting for the full 3 s from the claim.

The owner now tells the VMs the end of the owner topic after its newest record that is surely stored, at once after each renewal and in each heartbeat. All appends are conditional on the end, so a claim at an end that the owner told of shows that this record is the newest one and was stored before the message.

The earlier owners in the record, whose times counted from the claim, count from that message too, but not from the reading: only a VM that was told has been telling them since then that they are superseded. What was told counts from 1 s before the claim at most for the act lease of the superseded owner, since a connection that is up on its side only may bring it a late message.

--- a/packages/cell/src/cell-claim.ts
+++ b/packages/cell/src/cell-claim.ts
@@ -12,6 +12,7 @@
   appendOwnerRecord,
   earlierOwners,
   Ownership,
+  storedByMs,
   type OwnerAddress,
   type OwnerRecord,
   type OwnerSnapshot,
@@ -102,14 +103,15 @@
  * others may have had orders until now.
  */
 function heldOrdersOf(
-  {record, readMs}: OwnerSnapshot,
+  snapshot: OwnerSnapshot,
   nowMs: number,
 ): InheritedOrders | null {
-  const executors = record?.heldOrders ?? [];
+  const storedMs = storedByMs(snapshot);
+  const executors = snapshot.record?.heldOrders ?? [];
   if (executors.length === 0) return null;
-  const agoMs = readMs - nowMs;
+  const agoMs = storedMs - nowMs;
   const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
-  return new InheritedOrders({executors, others}, readMs);
+  return new InheritedOrders({executors, others}, storedMs);
 }
 
 /** The orders of a record after which nobody has acted, or null. */
@@ -125,19 +127,30 @@
   return record.isReleased || isUnused ? (record.orders ?? null) : null;
 }
 
-/** The former owners, once the claim is confirmed. */
+/**
+ * The former owners, once the claim is confirmed. The times of those before the
+ * owner of the record began to count when it was written. They count from the
+ * claim unless that owner told this VM of it: from then on, the heartbeats of
+ * this VM tell them that they are superseded.
+ */
 function formerAtClaim(
   clock: Clock,
   self: OwnerAddress,
-  {record, readMs}: OwnerSnapshot,
+  {record, readMs, toldMs = Infinity}: OwnerSnapshot,
   connectedMs: (vm: string) => number,
 ): FormerOwners {
   const nowMs = clock.monotonicMs();
   const leases = supersededLeases({
     readAgoMs: nowMs - readMs,
+    toldAgoMs: Math.max(0, nowMs - toldMs),
     connectedAgoMs: nowMs - connectedMs(record?.vm ?? ''),
   });
-  return new FormerOwners(formerOwnersOf(record, self, leases), nowMs, clock);
+  const earlier = record === null ? [] : earlierOwners(record);
+  const former = new FormerOwners(earlier, Math.min(nowMs, toldMs), clock);
+  former.endAll(self.vm);
+  const all = formerOwnersOf(record, self, leases);
+  former.add(all.slice(earlier.length), nowMs);
+  return former;
 }
 
 /** The owners that may act after the process claims the cell. */
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -21,6 +21,7 @@
 import {StoreError} from './store.js';
 import {chooseSuccessor} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
+import {ToldRecord} from './told-record.js';
 
 /** Time between two checks of the owner, in ms. */
 const WATCH_INTERVAL_MS = 100;
@@ -49,6 +50,7 @@
   /** The highest term whose owner this VM was connected to. */
   private connectedTerm = 0;
   private readonly activity = new OwnerActivity();
+  private readonly told = new ToldRecord();
   private readonly turn: ClaimTurn;
 
   constructor(
@@ -90,6 +92,17 @@
     return this.turn.hasLoadFailed;
   }
 
+  /**
+   * The end of the owner topic after the newest record known to be stored, if
+   * this VM owns the cell under the highest term that it knows.
+   */
+  get storedEndOffset(): number | undefined {
+    const {ownership, record} = this;
+    if (ownership === null || ownership.isRevoked) return undefined;
+    if (record?.term !== ownership.term || record.isReleased) return undefined;
+    return ownership.storedEndOffset;
+  }
+
   private get ownership(): Ownership | null {
     return this.tenure?.ownership ?? null;
   }
@@ -114,12 +127,16 @@
   /** Learns from another VM who owns the cell, and whether the owner acts. */
   recordHeartbeat(
     {vm, incarnation}: OwnerAddress,
-    {owner, term, isActing = true}: CellHeartbeat,
+    {owner, term, isActing = true, storedEndOffset}: CellHeartbeat,
   ): void {
     if (owner === null) return this.markReleased(term);
     this.follow({...owner, term, isReleased: false});
     const isSender = owner.vm === vm && owner.incarnation === incarnation;
-    if (isSender) this.activity.record(term, isActing);
+    if (!isSender) return;
+    this.activity.record(term, isActing);
+    if (storedEndOffset === undefined) return;
+    const nowMs = this.deps.clock.monotonicMs();
+    this.told.record(owner, {term, endOffset: storedEndOffset}, nowMs);
   }
 
   /** Follows an owner whose term is higher than the known one. */
@@ -321,11 +338,21 @@
   private async heartbeatLoop(): Promise<void> {
     while (!this.isClosed) {
       const {ownership} = this;
-      if (ownership !== null && !ownership.isRevoked) await ownership.renew();
+      if (ownership !== null && !ownership.isRevoked) {
+        await this.renew(ownership);
+      }
       await this.deps.clock.sleep(OWNER_HEARTBEAT_MS);
     }
   }
 
+  /** Writes a heartbeat, and tells the other VMs at once that it is stored. */
+  private async renew(ownership: Ownership): Promise<void> {
+    const before = ownership.storedEndOffset;
+    await ownership.renew();
+    if (ownership.isRevoked || ownership.storedEndOffset === before) return;
+    this.host.announce();
+  }
+
   private async watchLoop(): Promise<void> {
     while (!this.isClosed) {
       try {
@@ -454,7 +481,9 @@
     const {self, clock, store, members} = this.deps;
     this.isClaiming = true;
     try {
-      return await claimCell(store, clock, self, snapshot, {
+      const toldMs = this.told.sinceMs(snapshot);
+      const claimed = {...snapshot, toldMs};
+      return await claimCell(store, clock, self, claimed, {
         actedTerm: this.actedTerm,
         connectedMs: vm => members.connectedMs(vm),
       });
--- a/packages/cell/src/former-owners.ts
+++ b/packages/cell/src/former-owners.ts
@@ -68,7 +68,7 @@
 
 /** Follows until when former owners may act, on this VM's clock. */
 export class FormerOwners {
-  private readonly deadlines: readonly Deadline[];
+  private readonly deadlines: Deadline[] = [];
 
   /**
    * @param readMs when the times in `owners` began to count, or later
@@ -78,15 +78,32 @@
     readMs: number,
     private readonly clock: Clock,
   ) {
-    this.deadlines = owners.map(
-      ({vm, incarnation, startMs, actMs, heldIds}) => ({
-        vm,
-        incarnation,
-        heldIds: new Set(heldIds),
-        startUntilMs: readMs + stretchTime(startMs),
-        actUntilMs: readMs + stretchTime(actMs),
-      }),
-    );
+    this.add(owners, readMs);
+  }
+
+  /**
+   * Adds owners whose times began to count at another moment.
+   *
+   * @param sinceMs when they did, or later
+   */
+  add(owners: readonly FormerOwner[], sinceMs: number): void {
+    const added = owners.map(({vm, incarnation, startMs, actMs, heldIds}) => ({
+      vm,
+      incarnation,
+      heldIds: new Set(heldIds),
+      startUntilMs: sinceMs + stretchTime(startMs),
+      actUntilMs: sinceMs + stretchTime(actMs),
+    }));
+    this.deadlines.push(...added);
+  }
+
+  /** Takes in that all owners of a VM have ended by now. */
+  endAll(vm: string): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const each of this.deadlines.filter(owner => owner.vm === vm)) {
+      each.startUntilMs = Math.min(each.startUntilMs, nowMs);
+      each.actUntilMs = Math.min(each.actUntilMs, nowMs);
+    }
   }
 
   /** By when all have surely stopped to start tasks; -Infinity for none. */
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -11,6 +11,7 @@
 export * from './ownership.js';
 export * from './cell-claim.js';
 export * from './claim-bounds.js';
+export * from './told-record.js';
 export * from './former-owners.js';
 export * from './last-orders.js';
 export * from './order-holds.js';
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -47,6 +47,12 @@
    * missing from a sender of an earlier version, which counts as acting.
    */
   readonly isActing?: boolean;
+  /**
+   * The end of the owner topic after the newest record that the sender knows to
+   * be stored; missing unless the sender owns the cell under `term`, and from a
+   * sender of an earlier version.
+   */
+  readonly storedEndOffset?: number;
 }
 
 /** A job that the sender has stored; saves the owner the wait for a read. */
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -75,6 +75,22 @@
   readonly endOffset: number;
   /** When the answer arrived, on the reader's monotonic clock. */
   readonly readMs: number;
+  /**
+   * When the owner had told the reader that the record is stored, on the same
+   * clock; Infinity or missing if it did not.
+   */
+  readonly toldMs?: number;
+}
+
+/**
+ * By when the record of a snapshot was stored, if a claim shows that it is the
+ * newest one.
+ *
+ * @example
+ * const agoMs = clock.monotonicMs() - storedByMs(snapshot);
+ */
+export function storedByMs({readMs, toldMs = Infinity}: OwnerSnapshot): number {
+  return Math.min(readMs, toldMs);
 }
 
 /**
@@ -213,6 +229,11 @@
     return this.record.term;
   }
 
+  /** The end of the owner topic after the newest record known to be stored. */
+  get storedEndOffset(): number {
+    return this.endOffset;
+  }
+
   /** By when, on the monotonic clock, former owners have stopped acting. */
   get formerActUntilMs(): number {
     return Math.max(this.startedMs, this.formerOwners.actUntilMs);
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -180,7 +180,7 @@
   }
 
   override heartbeat(): CellHeartbeat {
-    const {knownOwner, isDraining, isOwner} = this.election;
+    const {knownOwner, isDraining, isOwner, storedEndOffset} = this.election;
     return {
       type: 'heartbeat',
       owner:
@@ -195,6 +195,7 @@
       isOwnerSeen: isOwner || this.election.hasOwner(),
       hasLoadFailed: this.election.hasLoadFailed,
       isActing: this.owner !== null,
+      ...(storedEndOffset === undefined ? {} : {storedEndOffset}),
     };
   }
 
--- a/packages/cell/test/claim-bounds.test.ts
+++ b/packages/cell/test/claim-bounds.test.ts
@@ -202,6 +202,23 @@
   assert.equal(late, {startMs: 800, actMs: 3000});
 });
 
+// The owner told of its newest heartbeat before the claimant read it.
+bounds('count from when the owner told of its heartbeat', () => {
+  const times = {readAgoMs: 100, toldAgoMs: 900, connectedAgoMs: 1300};
+  const {startMs, actMs} = supersededLeases(times);
+  assert.equal([startMs, Math.round(actMs)], [800, 2190]);
+  const late = supersededLeases({...times, connectedAgoMs: 200});
+  assert.is(Math.round(late.actMs), 2890);
+});
+
+// It may hear this VM on a connection that is up on its side only.
+bounds('cover a late message before the claim, told long before', () => {
+  const times = {readAgoMs: 100, toldAgoMs: 5000, connectedAgoMs: 5100};
+  assert.is(Math.round(supersededLeases(times).actMs), 2090);
+  const {actMs} = supersededLeases({...times, connectedAgoMs: Infinity});
+  assert.is(actMs, 3000);
+});
+
 // A claim that took long: the owner may have heard this VM until then.
 bounds('cover a connection that begins with the claim', () => {
   const times = {readAgoMs: 5000, connectedAgoMs: 5100};
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -5,6 +5,7 @@
   Election,
   OWNER_HEARTBEAT_MS,
   readOwner,
+  type CellHeartbeat,
   type Member,
   type Members,
   type OwnerAddress,
@@ -170,6 +171,87 @@
   },
 );
 
+/** Lets another VM claim the cell after the owner told it of its record. */
+async function claimAfterTelling(
+  tell: (election: Election, owner: Ownership) => void,
+): Promise<Ownership> {
+  const rig = new ElectionRig();
+  const owner = await rig.claimBy('a');
+  owner.setSilentExecutors(() => [
+    {id: 'x', agoMs: 2000, unlistedForMs: 0, bornMs: 5, wasReached: true},
+  ]);
+  const renewal = owner.renew();
+  await rig.clock.advance(10);
+  await renewal;
+  const store = rig.client();
+  // Its first reading follows what it is told.
+  store.faults.delayMs = 300;
+  const other = rig.startElection('b', store);
+  tell(other, owner);
+  await rig.clock.advance(LONG_MS);
+  const [next] = rig.owned;
+  assert.ok(next);
+  return next;
+}
+
+function tellingHeartbeat(
+  owner: OwnerAddress,
+  term: number,
+  storedEndOffset?: number,
+): CellHeartbeat {
+  const state = {configVersion: 1, isStoreOk: true, isDraining: false};
+  const told = storedEndOffset === undefined ? {} : {storedEndOffset};
+  const heartbeat = {type: 'heartbeat', isOwnerSeen: true} as const;
+  return {...heartbeat, ...state, owner, term, ...told};
+}
+
+// Its record was stored before it told this VM, long before the reading.
+election('counts the times in a record from when it was told', async () => {
+  const a = address('a');
+  const told = await claimAfterTelling((other, {term, storedEndOffset}) => {
+    other.recordHeartbeat(a, tellingHeartbeat(a, term, storedEndOffset));
+  });
+  const {untilMs} = told.formerOrders('x');
+  assert.ok(untilMs < 1030 - 1900, `${untilMs} ms`);
+  const notTold: readonly (readonly [
+    string,
+    CellHeartbeat['owner'],
+    number,
+  ])[] = [
+    ['another end', a, 1],
+    ['another process', {...a, incarnation: 2}, 0],
+    ['another VM', address('c'), 0],
+  ];
+  for (const [what, sender, behind] of notTold) {
+    const next = await claimAfterTelling((other, {term, storedEndOffset}) => {
+      const endOffset = storedEndOffset - behind;
+      const from = sender ?? a;
+      other.recordHeartbeat(from, tellingHeartbeat(a, term, endOffset));
+    });
+    const lateMs = next.formerOrders('x').untilMs - untilMs;
+    assert.ok(lateMs >= 200, `${what}: ${lateMs} ms`);
+  }
+});
+
+election('tells of its newest record while it owns the cell', async () => {
+  const rig = new ElectionRig();
+  const store = rig.client();
+  const owner = rig.startElection('a', store);
+  assert.is(owner.storedEndOffset, undefined);
+  await rig.clock.advance(LONG_MS);
+  const reading = readOwner(rig.client(), rig.clock);
+  await rig.clock.advance(5);
+  assert.is(owner.storedEndOffset, (await reading).endOffset);
+  // A record without an answer is not told of.
+  store.faults.lostAnswers = 1;
+  const before = owner.storedEndOffset;
+  await rig.clock.advance(1000);
+  assert.is(owner.storedEndOffset, before);
+  await rig.clock.advance(LONG_MS);
+  void owner.drain();
+  assert.is(owner.storedEndOffset, undefined);
+});
+
 // The VM was told to stop after its last heartbeat to the former owner. A small
 // VM would soon have to hand the cell on.
 for (const members of [
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -14,6 +14,7 @@
   readOwner,
   RelayedStore,
   StoreError,
+  ToldRecord,
   type AdviceChannel,
   type CellConfig,
   type ExecutorClient,
@@ -153,6 +154,8 @@
   isConnectedToAll: boolean;
   /** When it was last connected to the owner that it supersedes. */
   connectedMs: number;
+  /** Whether owners tell it of their records; see {@link Rig.tellMs}. */
+  isTold: boolean;
   /** Ids of executors that only this process cannot reach. */
   readonly unreachable: Set<string>;
 }
@@ -173,9 +176,12 @@
   adviceChannels: readonly AdviceChannel[] = [];
   /** Whether executors cannot write their records. */
   isListingPaused = false;
+  /** How long what an owner tells of its records takes to arrive, in ms. */
+  tellMs = 5;
   /** Called for each log line of an owner. */
   onLog: (event: string) => void = () => undefined;
   private nextIncarnation = 1;
+  private readonly told = new ToldRecord();
 
   constructor(
     executorCount: number,
@@ -206,6 +212,7 @@
       isDisconnected: false,
       isConnectedToAll: false,
       connectedMs: -Infinity,
+      isTold: false,
       unreachable: new Set(),
     };
   }
@@ -220,7 +227,9 @@
     const snapshot = await readOwner(store, this.clock);
     await this.clock.sleep(waitMs);
     const self = addressOf(node);
-    const ownership = await claimCell(store, this.clock, self, snapshot, {
+    const toldMs = node.isTold ? this.told.sinceMs(snapshot) : Infinity;
+    const claimed = {...snapshot, toldMs};
+    const ownership = await claimCell(store, this.clock, self, claimed, {
       actedTerm: node.ownership?.term ?? 0,
       connectedMs: () => node.connectedMs,
     });
@@ -387,11 +396,21 @@
   private async keepAlive(node: CellNode, ownership: Ownership): Promise<void> {
     while (!ownership.isRevoked && !node.isKilled) {
       await ownership.renew();
+      void this.tell(node, ownership);
       await this.clock.sleep(OWNER_HEARTBEAT_MS);
     }
     if (node.ownership === ownership) node.owner?.close();
   }
 
+  /** Tells the other VMs of the owner's newest record. */
+  private async tell(node: CellNode, ownership: Ownership): Promise<void> {
+    if (node.isKilled || ownership.isRevoked) return;
+    const {term, storedEndOffset: endOffset} = ownership;
+    await this.clock.sleep(this.tellMs);
+    const nowMs = this.clock.monotonicMs();
+    this.told.record(addressOf(node), {term, endOffset}, nowMs);
+  }
+
   private publish(node: CellNode, rows: readonly JobRow[]): void {
     if (node.isKilled) return;
     for (const row of rows) this.rows.set(row.id, row);
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -1,6 +1,7 @@
 /** VMs that are connected over TCP: what happens while an owner loads. */
 import {Metrics, SystemClock} from '@dragonflyward/common';
 import {
+  OWNER_TOPIC,
   Platform,
   PROGRESS_TOPIC,
   Vm,
@@ -141,4 +142,26 @@
   large.vm.close();
 });
 
+// If the owner is killed, a claimant knows since when its record is stored.
+vms('tell of the newest record if they own the cell', async () => {
+  const memory = new MemoryStore();
+  memory.append(CONFIG_TOPIC, [{key: 'config', value: Uint8Array.of(1)}], {});
+  const at = await newAddress('owner');
+  const owner = await startVm(memory, at, 2, [], false);
+  await waitFor('owner', () => owner.events.includes('ownerActive'));
+  const other = await startVm(memory, await newAddress('b'), 1, [at], false);
+  await waitFor('connection', () => other.vm.isReady);
+  const ownerTopic = memory.topic(OWNER_TOPIC);
+  const {storedEndOffset = Infinity} = owner.vm.heartbeat();
+  assert.ok(storedEndOffset <= memory.endOffset(ownerTopic));
+  await waitFor('renewal', () => {
+    const {storedEndOffset: later = 0} = owner.vm.heartbeat();
+    return later > storedEndOffset;
+  });
+  assert.is(other.vm.heartbeat().owner?.vm, 'owner');
+  assert.is(other.vm.heartbeat().storedEndOffset, undefined);
+  owner.vm.close();
+  other.vm.close();
+});
+
 vms.run();
