Name the executors that have not answered while an owner holds all

Callers saw the wait grow for an executor that the store does not list, if owners were lost before they gave orders: each counted from its own first list. A claimant's heartbeats now tell since when an executor is not listed, beside the bounds that it was told of.

--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -209,6 +209,10 @@
     if (this.isClosed || this.deps.ownership.isRevoked) return false;
     this.isActive = true;
     this.isLoaded = true;
+    const {ownership} = this.deps;
+    ownership.setHeldExecutors(() =>
+      this.silentExecutors.describeHeld(ownership.isHoldingAll),
+    );
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -240,7 +244,7 @@
       if (!this.isAnyAwaited()) break;
       await clock.sleep(ANSWER_CHECK_MS);
     }
-    await ownership.beginOrders(() => this.silentExecutors.describeHeld());
+    await ownership.beginOrders(() => this.silentExecutors.describeHeld(true));
     this.requestRound();
   }
 
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -211,10 +211,7 @@
   private readonly inheritedOrders: InheritedOrders | null;
   private readonly holds: OrderHolds;
   /** The last orders to executors that get none from this owner. */
-  private heldExecutors = (): readonly NamedOrders[] => {
-    const {executors} = this.describeFormerOrders();
-    return this.isHolding ? executors : chooseHeld(executors);
-  };
+  private heldExecutors: (() => readonly NamedOrders[]) | null = null;
   private isHolding: boolean;
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
@@ -342,12 +339,17 @@
    * await ownership.beginOrders(() => silentExecutors.describeHeld());
    */
   async beginOrders(describe: () => readonly NamedOrders[]): Promise<void> {
-    this.heldExecutors = describe;
+    this.setHeldExecutors(describe);
     if (!this.isHolding) return;
     this.isHolding = false;
     await this.renew();
   }
 
+  /** Sets who describes the executors that get no orders, once known. */
+  setHeldExecutors(describe: () => readonly NamedOrders[]): void {
+    this.heldExecutors = describe;
+  }
+
   /** Whether this owner has not begun to give orders. */
   get isHoldingAll(): boolean {
     return this.isHolding;
@@ -442,7 +444,13 @@
   }
 
   private describeHeld(): HeldOrders {
-    return {executors: this.heldExecutors(), isAll: this.isHolding};
+    const isAll = this.isHolding;
+    const former = this.describeFormerOrders().executors;
+    const own = this.heldExecutors?.() ?? [];
+    // Those that answered have had no order either, and the same bounds.
+    if (isAll) return {executors: mergeNamed(former, own), isAll};
+    const executors = this.heldExecutors === null ? chooseHeld(former) : own;
+    return {executors, isAll};
   }
 
   /** Returns whether the record is surely stored. */
@@ -486,3 +494,12 @@
     }
   }
 }
+
+function mergeNamed(
+  former: readonly NamedOrders[],
+  own: readonly NamedOrders[],
+): readonly NamedOrders[] {
+  const named = new Map(former.map(each => [each.id, each]));
+  for (const each of own) named.set(each.id, {...named.get(each.id), ...each});
+  return [...named.values()];
+}
--- a/packages/cell/src/silent-executors.ts
+++ b/packages/cell/src/silent-executors.ts
@@ -53,12 +53,17 @@
     return named;
   }
 
-  /** The last orders to those that get none while a heartbeat names them. */
-  describeHeld(): readonly NamedOrders[] {
+  /**
+   * The last orders to those that get none while a heartbeat names them.
+   *
+   * @param isAnswerDue whether all that can answer have had time to
+   */
+  describeHeld(isAnswerDue: boolean): readonly NamedOrders[] {
     const {state, formerOwnerRuns} = this.deps;
     return chooseHeld(this.describe(), id => {
       const executor = state.executors.get(id);
-      return executor !== undefined && formerOwnerRuns.isAwaited(executor);
+      if (executor === undefined || !isAnswerDue) return false;
+      return formerOwnerRuns.isAwaited(executor);
     });
   }
 
