Send one call for tickets at a time for a step

A round can request tickets for a step twice: for tasks that can start and for tasks whose executors are about to count as lost. Both requests were queued and sent through two VMs at once. The first answer then marked the step as free for a third call while the second was still open. Each step now keeps its first request in the order of the queue.

--- a/packages/cell/src/ticket-requester.ts
+++ b/packages/cell/src/ticket-requester.ts
@@ -148,7 +148,7 @@
 
   /**
    * Replaces the requests that have not been sent by those of a new round, in
-   * its order; `onTickets` reports each answer.
+   * its order; `onTickets` reports each answer. A step has one call at a time.
    *
    * @example
    * requester.replaceRequests(decisions.filter(isTicketRequest));
@@ -161,11 +161,12 @@
       const expectedMs = decisionTimeMs(advice, each.executorIds.length);
       queued.push({...each, expectedMs});
     }
-    this.queued = queued.sort(
+    const sorted = queued.sort(
       (a, b) =>
         Number(a.isSpeculative) - Number(b.isSpeculative) ||
         a.precedence - b.precedence,
     );
+    this.queued = firstOfEachStep(sorted);
     this.dispatch();
   }
 
@@ -308,6 +309,17 @@
   return {queue, calls: 0, failed: 0, tickets: 0, busyMs: 0};
 }
 
+function firstOfEachStep(
+  requests: readonly QueuedRequest[],
+): readonly QueuedRequest[] {
+  const steps = new Set<StepState>();
+  return requests.filter(({step}) => {
+    const isFirst = !steps.has(step);
+    steps.add(step);
+    return isFirst;
+  });
+}
+
 /** Leaves out the nearest VMs, unless there is no other. */
 function withoutNearest(
   candidates: readonly Candidate[],
--- a/packages/cell/test/starvation.test.ts
+++ b/packages/cell/test/starvation.test.ts
@@ -208,8 +208,11 @@
   });
 }
 
-/** Creates a requester with one VM, and a request for its only step. */
-function newRequester(ask: () => Promise<null>): {
+/** Creates a requester with some VMs, and a request for its only step. */
+function newRequester(
+  ask: () => Promise<null>,
+  vms: readonly string[] = ['vm'],
+): {
   readonly requester: TicketRequester;
   readonly step: StepState;
   readonly request: TicketRequest;
@@ -218,7 +221,7 @@
   const rig = newWatchSimulation(0);
   const lines: object[] = [];
   const requester = new TicketRequester(
-    () => [{vm: 'vm', isInOwnerDomain: false, ask}],
+    () => vms.map(vm => ({vm, isInOwnerDomain: false, ask})),
     () => rig.nowMs,
     () => undefined,
     (event, fields) => lines.push({event, ...fields}),
@@ -246,6 +249,18 @@
   ]);
 });
 
+// A round may request tickets for tasks that can start and for others.
+starvation('a step has one call at a time', () => {
+  let calls = 0;
+  const ask = (): Promise<null> => {
+    calls += 1;
+    return new Promise(() => undefined);
+  };
+  const {requester, request} = newRequester(ask, ['a', 'b', 'c']);
+  requester.replaceRequests([request, {...request, executorIds: ['y']}]);
+  assert.is(calls, 1);
+});
+
 const CORES: ExecutorInfo['capacity'] = {
   cpuMilli: 4000,
   memMb: 16_000,
