Request tickets ahead of the end of a wait for former runs

After a change of the owner, such a task waits until a run that the former owner started elsewhere has surely ended, which alone may take 14 s. Rounds passed over it until then, so that the call for its tickets, 0.6 to 0.8 s for the slowest queue, began only afterwards.

Lasting tasks that wait only for that, or for the end of the former owner's start lease, now get tickets ahead of time, as those do whose executors are about to count as lost. The wait counts for each task: its end is the latest one of the unreached executors that may run it, as told. An executor that has answered is expected to answer again when the start lease ends. The time is an estimate only: a start still needs what it needed before, and tickets that have expired are requested again.

The first call of an owner for a step asks for up to 30 executors. It is now expected to take as long as that, also for tasks of lost executors. In a service with fewer executors, the call is therefore made earlier, by up to the time for the missing ones.

--- a/packages/cell/src/expected-losses.ts
+++ b/packages/cell/src/expected-losses.ts
@@ -2,11 +2,13 @@
 import type {CellState} from './cell-state.js';
 import {haveLeasesExpired, type ExecutorState} from './executor-state.js';
 import type {StepState} from './job-state.js';
-import {isFinal} from './types.js';
+import {FIRST_EXECUTORS} from './ticket-needs.js';
+import {decisionTimeMs} from './ticket-requester.js';
+import {isFinal, type AdvicePolicy} from './types.js';
 
 /** Tickets are requested this much earlier than the call takes, in ms. */
 const REQUEST_MARGIN_MS = 100;
-/** Executors in a call that gets tickets for tasks of lost executors. */
+/** Executors in a later call that gets tickets for tasks of lost executors. */
 const EXPECTED_EXECUTORS = 12;
 
 /**
@@ -35,14 +37,30 @@
   return counts;
 }
 
+/**
+ * By when tickets for lasting tasks of the step arrive if they are requested
+ * now. The first request is the longest one.
+ *
+ * @example
+ * const isDue = untilMs <= ticketArrivalMs(step, advice, nowMs);
+ */
+export function ticketArrivalMs(
+  {checkedExecutors}: StepState,
+  advice: AdvicePolicy,
+  nowMs: number,
+): number {
+  const isFirst = checkedExecutors.size === 0;
+  const count = isFirst ? FIRST_EXECUTORS : EXPECTED_EXECUTORS;
+  return nowMs + decisionTimeMs(advice, count) + REQUEST_MARGIN_MS;
+}
+
 function willBeLost(
-  {occurrence}: StepState,
+  step: StepState,
   executor: ExecutorState,
   nowMs: number,
 ): boolean {
-  const {advice} = occurrence.job.queue;
-  if (advice === null || isFinal(occurrence.job.phase)) return false;
-  const {decisionMs, perExecutorMs} = advice;
-  const callMs = decisionMs + perExecutorMs * EXPECTED_EXECUTORS;
-  return haveLeasesExpired(executor, nowMs + callMs + REQUEST_MARGIN_MS);
+  const {queue, phase} = step.occurrence.job;
+  if (queue.advice === null || isFinal(phase)) return false;
+  const arrivalMs = ticketArrivalMs(step, queue.advice, nowMs);
+  return haveLeasesExpired(executor, arrivalMs);
 }
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -18,7 +18,11 @@
   type ResourceAmounts,
 } from './resource-amounts.js';
 import {UnconfirmedExecutors} from './unconfirmed-executors.js';
-import {sumServices, type UnreachedServices} from './unreached-services.js';
+import {
+  sumServices,
+  type UnreachedExecutor,
+  type UnreachedServices,
+} from './unreached-services.js';
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -122,14 +126,40 @@
     if (services.size === 0) return false;
     const service = services.get(task.step.occurrence.job.queue.service);
     if (service === undefined || !this.mayHaveBeenStarted(task)) return false;
-    return service.runs === null || service.runs.has(taskName(task));
+    const {anyUntilMs, namedUntilMs} = service;
+    return anyUntilMs !== null || namedUntilMs.has(taskName(task));
+  }
+
+  /**
+   * By when unknown runs of the task, if it may have any, are expected to have
+   * ended. An executor may answer before that, and a restart may be noticed
+   * that makes the time longer.
+   *
+   * @param services the unreached executors now
+   * @example
+   * const waitMs = formerOwnerRuns.expectedUntilMs(task, services) - nowMs;
+   */
+  expectedUntilMs(task: TaskState, services: UnreachedServices): number {
+    const service = services.get(task.step.occurrence.job.queue.service);
+    if (service === undefined || !this.mayHaveBeenStarted(task)) {
+      return this.startsUntilMs;
+    }
+    const {anyUntilMs, namedUntilMs} = service;
+    return Math.max(
+      this.startsUntilMs,
+      anyUntilMs ?? -Infinity,
+      namedUntilMs.get(taskName(task)) ?? -Infinity,
+    );
+  }
+
+  /** Whether any task may wait for unknown runs. */
+  mayAnyWait(nowMs: number, services: UnreachedServices): boolean {
+    return nowMs < this.startsUntilMs || services.size > 0;
   }
 
   /** Finds the services whose executors may hold unknown runs. */
   unreachedServices(nowMs: number): UnreachedServices {
-    return sumServices(this.unreachedExecutors(nowMs), executor =>
-      this.leases.toldRuns(executor),
-    );
+    return sumServices(this.unreachedExecutors(nowMs));
   }
 
   /**
@@ -179,10 +209,12 @@
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
     const unreached = [...this.unreachedExecutors(nowMs)];
     if (unreached.length === 0) return null;
-    const untilMs = unreached.map(each => this.leases.untilMs(each, nowMs));
-    const ids = unreached.map(({info}) => info.id);
+    const untilMs = unreached.map(({executor}) =>
+      this.leases.untilMs(executor, nowMs),
+    );
+    const ids = unreached.map(({executor}) => executor.info.id);
     const restarted = unreached.filter(
-      each => nowMs > this.leases.usuallyUntilMs(each),
+      ({executor}) => nowMs > this.leases.usuallyUntilMs(executor),
     );
     return {
       executors: ids.length,
@@ -261,13 +293,24 @@
     }
   }
 
-  private *unreachedExecutors(nowMs: number): Generator<ExecutorState> {
+  private *unreachedExecutors(nowMs: number): Generator<UnreachedExecutor> {
     const candidates = [...this.executors, ...this.unconfirmed.restartable()];
     for (const executor of candidates) {
-      if (this.mayHoldUnknownRuns(executor, nowMs)) yield executor;
+      const leasesUntilMs = this.leases.untilMs(executor, nowMs);
+      if (nowMs > leasesUntilMs) continue;
+      const untilMs = this.willBeConfirmed(executor)
+        ? this.startsUntilMs
+        : leasesUntilMs;
+      yield {executor, runs: this.leases.toldRuns(executor), untilMs};
     }
   }
 
+  /** Whether it answers, and so will again as soon as the start lease ends. */
+  private willBeConfirmed(executor: ExecutorState): boolean {
+    if (!executor.isReached || executor.missedRenewals > 0) return false;
+    return this.unconfirmed.has(executor);
+  }
+
   /** Whether a former owner may have started a run that is not known here. */
   private mayHaveBeenStarted(task: TaskState): boolean {
     const {step} = task;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -436,6 +436,9 @@
       wallMs: this.deps.clock.wallMs(),
       mayHaveUnknownRuns: task =>
         this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services),
+      unknownRunsUntilMs: this.formerOwnerRuns.mayAnyWait(nowMs, services)
+        ? task => this.formerOwnerRuns.expectedUntilMs(task, services)
+        : null,
       leadMs: step => this.leadMs(step),
       ticketBudget: this.ticketRequester.newBudget(),
     };
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -16,6 +16,11 @@
    * does not know of.
    */
   readonly mayHaveUnknownRuns: (task: TaskState) => boolean;
+  /**
+   * By when these are expected to have ended, on the monotonic clock; null if
+   * no task may have any.
+   */
+  readonly unknownRunsUntilMs: ((task: TaskState) => number) | null;
   /** How long a start of the step takes from now on, in ms. */
   readonly leadMs: (step: StepState) => number;
   /** The requests for tickets that can be sent before the next round. */
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -1,6 +1,7 @@
 /** One scheduling round: starts, preemptions and ticket requests. */
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
+import {findEndingWaits} from './ending-waits.js';
 import {findExpectedLosses} from './expected-losses.js';
 import type {StepState, TaskState} from './job-state.js';
 import {
@@ -86,7 +87,9 @@
     onIdle: resetRoom,
   });
   const losses = findExpectedLosses(state, context.nowMs);
-  if (ranked.length === 0 && losses.size === 0) return;
+  const endingWaits = findEndingWaits(state, context);
+  const expectedCount = losses.size + endingWaits.size;
+  if (ranked.length === 0 && expectedCount === 0) return;
   const round: Round = {
     ...context,
     state,
@@ -104,7 +107,9 @@
   for (const each of overdueFirst(ranked, context.nowMs)) {
     if (mayProceed(each.step, round)) yield* scheduleStep(each, round);
   }
-  for (const [step, count] of losses) yield* prepareMove(step, count, round);
+  for (const [step, count] of [...losses, ...endingWaits]) {
+    yield* prepareStart(step, count, round);
+  }
 }
 
 function isStartable(task: TaskState, context: RoundContext): boolean {
@@ -173,8 +178,8 @@
   round.ticketBudget.take(decisionTimeMs(advice, executorIds.length));
 }
 
-/** Requests tickets for tasks that will have to start elsewhere. */
-function* prepareMove(
+/** Requests tickets for tasks that will have to start soon. */
+function* prepareStart(
   step: StepState,
   count: number,
   round: Round,
--- a/packages/cell/src/unreached-services.ts
+++ b/packages/cell/src/unreached-services.ts
@@ -9,39 +9,55 @@
 /** The executors of a service that may hold unknown runs. */
 export interface UnreachedService {
   readonly capacity: ResourceAmounts;
-  /** Names of the tasks that may run there; null if any task may. */
-  readonly runs: ReadonlySet<string> | null;
+  /** Until when any task may run there; null if only those named may. */
+  readonly anyUntilMs: number | null;
+  /** Until when the tasks that may run there by name may do so. */
+  readonly namedUntilMs: ReadonlyMap<string, number>;
 }
 
 /** Each service that has such executors. */
 export type UnreachedServices = ReadonlyMap<string, UnreachedService>;
 
-const NO_EXECUTORS: UnreachedService = {
-  capacity: NOTHING_RESERVED,
-  runs: new Set(),
-};
+/** An executor that may hold unknown runs. */
+export interface UnreachedExecutor {
+  readonly executor: ExecutorState;
+  /** The tasks that may run there; undefined if any task may. */
+  readonly runs: readonly string[] | undefined;
+  /** By when they are expected to have ended. */
+  readonly untilMs: number;
+}
 
 /**
  * Adds up the largest capacities of executors that may hold unknown runs: those
  * may use more than a capacity that has shrunk since they were started.
  *
- * @param toldRuns the tasks that may run there; undefined if any task may
  * @example
- * const services = sumServices(executors, each => leases.toldRuns(each));
+ * const services = sumServices(unreachedExecutors);
  */
 export function sumServices(
-  executors: Iterable<ExecutorState>,
-  toldRuns: (executor: ExecutorState) => readonly string[] | undefined,
+  executors: Iterable<UnreachedExecutor>,
 ): UnreachedServices {
   const services = new Map<string, UnreachedService>();
-  for (const executor of executors) {
+  const namedBy = new Map<string, Map<string, number>>();
+  for (const {executor, runs, untilMs} of executors) {
     const {info, largestCapacity} = executor;
-    const known = services.get(info.service) ?? NO_EXECUTORS;
-    const told = toldRuns(executor);
-    const isAnyPossible = known.runs === null || told === undefined;
-    services.set(info.service, {
-      capacity: addAmounts(known.capacity, largestCapacity),
-      runs: isAnyPossible ? null : new Set([...known.runs, ...told]),
+    const {service} = info;
+    const known = services.get(service);
+    const namedUntilMs = namedBy.get(service) ?? new Map<string, number>();
+    namedBy.set(service, namedUntilMs);
+    for (const name of runs ?? []) {
+      const knownMs = namedUntilMs.get(name) ?? -Infinity;
+      namedUntilMs.set(name, Math.max(knownMs, untilMs));
+    }
+    const anyMs = known?.anyUntilMs ?? null;
+    services.set(service, {
+      capacity: addAmounts(
+        known?.capacity ?? NOTHING_RESERVED,
+        largestCapacity,
+      ),
+      anyUntilMs:
+        runs === undefined ? Math.max(anyMs ?? -Infinity, untilMs) : anyMs,
+      namedUntilMs,
     });
   }
   return services;
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -95,6 +95,7 @@
       nowMs,
       wallMs: NOW_MS,
       mayHaveUnknownRuns,
+      unknownRunsUntilMs: null,
       leadMs: () => 0,
       ticketBudget: new TicketBudget(Infinity, Infinity),
     }),
--- a/packages/cell/test/load-simulation.ts
+++ b/packages/cell/test/load-simulation.ts
@@ -327,6 +327,7 @@
       nowMs: this.nowMs,
       wallMs: this.nowMs,
       mayHaveUnknownRuns: () => false,
+      unknownRunsUntilMs: null,
       leadMs: (step: StepState) =>
         ROUND_MS + this.ticketRequester.expectedWaitMs(step),
       ticketBudget: this.ticketRequester.newBudget(),
