Age the times of earlier owners in the record of a claim

An owner that was lost before its first heartbeat passed on the times that it had read as if they had just been written.

--- a/packages/cell/src/cell-claim.ts
+++ b/packages/cell/src/cell-claim.ts
@@ -1,7 +1,7 @@
 /** Claims of the cell, and what they tell of the owner before. */
 import type {Clock} from '@dragonflyward/common';
 import {LEASES, supersededLeases, type Leases} from './claim-bounds.js';
-import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
+import {FormerOwners, type FormerOwner} from './former-owners.js';
 import {InheritedOrders, type OrdersNotice} from './last-orders.js';
 import {
   appendOwnerRecord,
@@ -42,7 +42,10 @@
 ): Promise<Ownership | null> {
   const term = (snapshot.record?.term ?? 0) + 1;
   // Whoever reads it does not know that this VM has told anyone of the claim.
-  const formerOwners = formerOwnersOf(snapshot.record, self, LEASES);
+  const formerOwners = [
+    ...earlierAtClaim(clock, self, snapshot).describe(),
+    ...supersededOwner(snapshot.record, self, LEASES),
+  ];
   const areFormerStopped = formerOwners.every(({actMs}) => actMs <= 0);
   const orders = ordersToPassOn(clock, self, snapshot, actedTerm);
   const record = {
@@ -135,44 +138,52 @@
   return record.isReleased || isUnused ? (record.orders ?? null) : null;
 }
 
-/**
- * The former owners, once the claim is confirmed. The times of those before the
- * owner of the record began to count when it was written. They count from the
- * claim unless that owner told this VM of it: from then on, the heartbeats of
- * this VM tell them that they are superseded.
- */
+/** The former owners, once the claim is confirmed. */
 function formerAtClaim(
   clock: Clock,
   self: OwnerAddress,
-  {record, readMs, toldMs = Infinity}: OwnerSnapshot,
+  snapshot: OwnerSnapshot,
   connectedMs: (vm: string) => number,
 ): FormerOwners {
+  const {record, readMs, toldMs = Infinity} = snapshot;
   const nowMs = clock.monotonicMs();
   const leases = supersededLeases({
     readAgoMs: nowMs - readMs,
     toldAgoMs: Math.max(0, nowMs - toldMs),
     connectedAgoMs: nowMs - connectedMs(record?.vm ?? ''),
   });
+  const former = earlierAtClaim(clock, self, snapshot);
+  former.add(supersededOwner(record, self, leases), nowMs);
+  return former;
+}
+
+/**
+ * The owners before the one of the record. Their times began to count when it
+ * was written. They count from the claim unless that owner told this VM of it:
+ * from then on, the heartbeats of this VM tell them that they are superseded.
+ */
+function earlierAtClaim(
+  clock: Clock,
+  self: OwnerAddress,
+  {record, toldMs = Infinity}: OwnerSnapshot,
+): FormerOwners {
+  const sinceMs = Math.min(clock.monotonicMs(), toldMs);
   const earlier = record === null ? [] : earlierOwners(record);
-  const former = new FormerOwners(earlier, Math.min(nowMs, toldMs), clock);
+  const former = new FormerOwners(earlier, sinceMs, clock);
   former.endAll(self.vm);
-  const all = formerOwnersOf(record, self, leases);
-  former.add(all.slice(earlier.length), nowMs);
   return former;
 }
 
-/** The owners that may act after the process claims the cell. */
-function formerOwnersOf(
+/** The owner of the record, unless it has stopped or could not act. */
+function supersededOwner(
   record: OwnerRecord | null,
   self: OwnerAddress,
   leases: Leases,
 ): readonly FormerOwner[] {
-  if (record === null) return [];
-  const earlier = endOwnersOf(self.vm, earlierOwners(record));
-  // An owner that holds all executors could not act: the claim would fail.
-  const isIdle = record.isReleased || record.heldOthers !== undefined;
-  if (isIdle || record.vm === self.vm) return earlier;
+  if (record === null || record.isReleased || record.vm === self.vm) return [];
+  // One that holds all executors gives no order before the claim would fail.
+  if (record.heldOthers !== undefined) return [];
   const {vm, incarnation, heldOrders = []} = record;
   const heldIds = heldOrders.map(({id}) => id);
-  return [...earlier, {vm, incarnation, ...leases, heldIds}];
+  return [{vm, incarnation, ...leases, heldIds}];
 }
--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -509,5 +509,6 @@
     this.setRecord({...self, term: ownership.term, isReleased: false});
     members.setOwner(self);
     runInBackground('tenure', this.beginTenure(ownership), log);
+    this.host.announce();
   }
 }
