Count no transfer that a VM ends itself as a failed call

A VM that gives up a load ends the transfer of its page, so that its link is free for the handover. The store's client counted that as a lost call: for 1 s the handover that follows went through a peer first, heartbeats said that the VM's store was not usable, and kept connections were dropped, so that the next calls had to connect anew.

A call whose signal was aborted now changes nothing: neither whether the store counts as reachable, nor the kept connections. A failure before the abort still counts, and so does one that is known from before.

--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -159,8 +159,9 @@
       onData(bytes);
     };
     const direct = this.settle(
-      this.trackDirect(() =>
-        this.direct.newestPage(topic, after, onDirectData, signal),
+      this.trackDirect(
+        () => this.direct.newestPage(topic, after, onDirectData, signal),
+        signal,
       ),
     );
     if (peers.length === 0) return pageOf(await direct);
@@ -306,14 +307,21 @@
     return page;
   }
 
-  /** Records whether the store can be called directly. */
-  private async trackDirect<T>(direct: () => Promise<T>): Promise<T> {
+  /**
+   * Records whether the store can be called directly. A call that this VM ends
+   * itself does not show it.
+   */
+  private async trackDirect<T>(
+    direct: () => Promise<T>,
+    signal?: AbortSignal,
+  ): Promise<T> {
     try {
       const page = await direct();
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
-      if (err instanceof StoreError && !isDefinitive(err.failure)) {
+      const isFailure = err instanceof StoreError && signal?.aborted !== true;
+      if (isFailure && !isDefinitive(err.failure)) {
         this.directFailedMs = this.clock.monotonicMs();
       }
       throw err;
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -363,6 +363,42 @@
   assert.is(other.calls, 2);
 });
 
+// A VM that gave up a load called peers first and reported an unusable store.
+store('counts no transfer that it ends itself as a failed call', async () => {
+  const {clock, other, relayed} = bulkFixture();
+  const aborter = new AbortController();
+  const onData = (bytes: number): void => {
+    if (bytes > 0) aborter.abort();
+  };
+  const ended = relayed.newestPage('keyed.t', '', onData, aborter.signal);
+  let isReachable = false;
+  const next = ended.catch(() => {
+    ({isReachable} = relayed);
+    return relayed.newestPage('keyed.t', '');
+  });
+  const page = (await settle(clock, next)) as NewestPage;
+  assert.is(aborter.signal.aborted, true);
+  assert.is(isReachable, true);
+  assert.is(page.records.length, 100);
+  assert.is(other.calls, 0);
+});
+
+// Nothing is known of the store after a transfer that was ended.
+store('still knows of failed calls after it ends a transfer', async () => {
+  const {clock, own, relayed} = bulkFixture();
+  own.faults.isRefusing = true;
+  await settle(clock, relayed.newestPage('keyed.t', ''));
+  assert.is(relayed.isReachable, false);
+  own.faults.isRefusing = false;
+  const aborter = new AbortController();
+  const onData = (bytes: number): void => {
+    if (bytes > 0) aborter.abort();
+  };
+  const ended = relayed.newestPage('keyed.t', '', onData, aborter.signal);
+  assert.instance(await settle(clock, ended), StoreError);
+  assert.is(relayed.isReachable, false);
+});
+
 // A VM of the version before knows no pages and returns all records.
 store('reads all at once from a peer of an earlier version', async () => {
   const {clock, own, other} = bulkFixture();
--- a/packages/common/src/json-client.ts
+++ b/packages/common/src/json-client.ts
@@ -70,6 +70,7 @@
     return this.replaceAgentOnLoss(
       agent,
       callBytes({...transfer, method, url, timeoutMs, agent, body}),
+      transfer.signal,
     );
   }
 
@@ -81,11 +82,16 @@
   private async replaceAgentOnLoss<T>(
     agent: http.Agent,
     reply: Promise<T>,
+    signal?: AbortSignal,
   ): Promise<T> {
     try {
       return await reply;
     } catch (err) {
-      if (toFailure(err).kind === 'peerLost') this.replaceAgent(agent);
+      // A call that this process ends says nothing about other connections.
+      const isLost = signal?.aborted !== true;
+      if (isLost && toFailure(err).kind === 'peerLost') {
+        this.replaceAgent(agent);
+      }
       throw err;
     }
   }
