Leave out stored records that are not whole

Fuzzing the stored records of a cell showed that one malformed job stops all jobs: it was added to the owner's state, and each round failed with it from then on (a queue without fields: taskFailed of the round each 100 ms, 87 times in 8.5 s of the rig, and another job that was submitted afterwards never ran). A step without a size did the same to the rounds that came to it. The same job in a VM's notice did so too. An unknown phase in a progress record counted as final, so that its job was never run, and a job with countless tasks took all memory of one owner after the other.

Jobs, progress and the records of former executors are now checked as they are decoded. One that is not whole is left out with the log line recordSkipped, as before for what is not CBOR. Fields that an earlier version may lack stay optional where nothing fails without them. Nothing of a progress record is applied if a part of it cannot be read.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -1,6 +1,5 @@
 /** Reads jobs, progress and executors from the store into the owner's state. */
 import type {Clock, Metrics} from '@dragonflyward/common';
-import {decode} from 'cbor-x';
 import {keepRunning, skipInvalid} from './background.js';
 import type {CellState} from './cell-state.js';
 import {isSuspect} from './crash-suspects.js';
@@ -14,6 +13,7 @@
 import type {ProgressWriter} from './progress-writer.js';
 import {
   applyProgress,
+  decodeFormerExecutor,
   decodeJobsRecord,
   EXECUTOR_PREFIX,
   jobIdOf,
@@ -174,7 +174,7 @@
   private applyProgressRecord({key, value}: StoredRecord): void {
     if (value.length === 0) return;
     if (key.startsWith(EXECUTOR_PREFIX)) {
-      return this.addFormerExecutor(decode(value as Buffer) as ExecutorInfo);
+      return this.addFormerExecutor(decodeFormerExecutor(value));
     }
     const id = key.slice(PROGRESS_PREFIX.length);
     const job = this.deps.state.jobs.get(id);
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -16,6 +16,7 @@
 export * from './order-holds.js';
 export * from './answering-executors.js';
 export * from './records.js';
+export * from './record-checks.js';
 export * from './resource-amounts.js';
 export * from './job-state.js';
 export * from './executor-state.js';
--- /dev/null
+++ b/packages/cell/src/record-checks.ts
@@ -0,0 +1,204 @@
+/** Checks of what another version or writer may have stored or sent. */
+import {raise, type Resources} from '@dragonflyward/common';
+import type {NewJob} from './job-state.js';
+import type {
+  AdvicePolicy,
+  ExecutorInfo,
+  JobPhase,
+  JobSpec,
+  Queue,
+  Repetition,
+  StepSpec,
+} from './types.js';
+
+/** Most tasks of a job in all occurrences; each takes about 350 bytes. */
+export const MAX_JOB_TASKS = 1_000_000;
+
+const PHASES: ReadonlySet<unknown> = new Set<JobPhase>([
+  'queued',
+  'running',
+  'completed',
+  'failed',
+  'cancelled',
+]);
+
+type Check = (value: unknown) => boolean;
+/** A check for each field of a type. */
+type Checks<T> = {readonly [K in keyof Required<T>]: Check};
+
+const isText: Check = value => typeof value === 'string';
+const isNumber: Check = Number.isFinite;
+const isCount: Check = value =>
+  Number.isSafeInteger(value) && (value as number) >= 0;
+const isPositive: Check = value => isCount(value) && value !== 0;
+const isFlag: Check = value => typeof value === 'boolean';
+
+function isList(check: Check): Check {
+  return value => Array.isArray(value) && value.every(check);
+}
+
+function isObject<T>(checks: Checks<T>): Check {
+  const names = Object.keys(checks) as (keyof T & string)[];
+  return value => {
+    if (typeof value !== 'object' || value === null) return false;
+    const fields = value as Readonly<Record<string, unknown>>;
+    return names.every(name => checks[name](fields[name]));
+  };
+}
+
+/** A field that an earlier version may have left out. */
+function isOptional(check: Check): Check {
+  return value => value === undefined || check(value);
+}
+
+const isResources = isObject<Resources>({
+  cpuMilli: isNumber,
+  memMb: isNumber,
+  accel: isNumber,
+  slots: isOptional(isNumber),
+});
+
+const isStep = isObject<StepSpec>({
+  count: isPositive,
+  size: isResources,
+  estimatedMs: isNumber,
+  after: isList(isCount),
+  savesProgress: isOptional(isFlag),
+  isGang: isOptional(isFlag),
+  isRackSensitive: isOptional(isFlag),
+  requiredLabel: isOptional(isText),
+  rack: isOptional(isText),
+  maxPerExecutor: isOptional(isCount),
+  mayDuplicate: isOptional(isFlag),
+  isService: isOptional(isFlag),
+  image: isOptional(isText),
+  targetMs: isOptional(isNumber),
+  isFiller: isOptional(isFlag),
+  missAllowed: isOptional(isCount),
+});
+
+const isAdvice = isObject<AdvicePolicy>({
+  decisionMs: isNumber,
+  perExecutorMs: isNumber,
+  validityMs: isNumber,
+});
+
+const isQueue = isObject<Queue>({
+  name: isText,
+  host: isOptional(isText),
+  pathPrefix: isOptional(isText),
+  service: isText,
+  priority: isNumber,
+  maxAttempts: isNumber,
+  stretch: isNumber,
+  objectiveMs: isNumber,
+  isPublic: isOptional(isFlag),
+  advice: value => value === null || isAdvice(value),
+});
+
+const isJob = isObject<NewJob>({
+  id: isText,
+  spec: isObject<JobSpec>({
+    payload: isText,
+    steps: value => isList(isStep)(value) && (value as unknown[]).length > 0,
+    repetition: isObject<Repetition>({
+      times: isPositive,
+      firstMs: isNumber,
+      intervalMs: isNumber,
+    }),
+  }),
+  organisation: isText,
+  queue: isQueue,
+  acceptedMs: isNumber,
+});
+
+const isExecutor = isObject<ExecutorInfo>({
+  id: isText,
+  service: isText,
+  ip: isText,
+  port: isNumber,
+  domain: isText,
+  rack: isText,
+  labels: isList(isText),
+  capacity: isResources,
+  isDraining: isOptional(isFlag),
+  drainRemainingMs: isOptional(isNumber),
+  bornMs: isNumber,
+});
+
+/** Number of tasks of a job in all occurrences. */
+export function countTasks({steps, repetition}: JobSpec): number {
+  const each = steps.reduce((sum, {count}) => sum + count, 0);
+  return each * repetition.times;
+}
+
+/**
+ * Checks a decoded job. Rounds of the owner would fail with one that is not
+ * whole, and one with countless tasks would take all memory.
+ *
+ * @throws badRequest
+ * @example
+ * const job = checkJob(decode(value));
+ */
+export function checkJob(value: unknown): NewJob {
+  if (!isJob(value)) return raise('badRequest', 'not a job');
+  const job = value as NewJob;
+  const tasks = countTasks(job.spec);
+  if (tasks <= MAX_JOB_TASKS) return job;
+  return raise('badRequest', `a job of ${tasks} tasks`);
+}
+
+/**
+ * Checks the decoded record of an executor that an owner has used.
+ *
+ * @throws badRequest
+ * @example
+ * const info = checkExecutor(decode(value));
+ */
+export function checkExecutor(value: unknown): ExecutorInfo {
+  if (!isExecutor(value)) return raise('badRequest', 'not an executor');
+  return value as ExecutorInfo;
+}
+
+/**
+ * Checks the phase of a progress record: an unknown one would count as final.
+ *
+ * @throws badRequest
+ * @example
+ * const phase = checkPhase(record.phase);
+ */
+export function checkPhase(value: unknown): JobPhase {
+  if (!PHASES.has(value)) return raise('badRequest', 'not a phase');
+  return value as JobPhase;
+}
+
+const isRuns = isList(isCount);
+
+/** Whether a row of a progress record can be applied to a step. */
+export const isStepRow = isObject<{
+  readonly occurrence: number;
+  readonly step: number;
+  readonly done: Uint8Array;
+  readonly isDone: boolean;
+  readonly tasks: readonly unknown[];
+  readonly failedGangRuns: readonly number[];
+}>({
+  occurrence: isCount,
+  step: isCount,
+  done: value => value instanceof Uint8Array,
+  isDone: isFlag,
+  tasks: isList(isTaskRow),
+  failedGangRuns: isRuns,
+});
+
+function isTaskRow(value: unknown): boolean {
+  if (!Array.isArray(value)) return false;
+  const [index, failed, checkpoint, crashed, suspected] = value as unknown[];
+  return (
+    isCount(index) &&
+    isRuns(failed) &&
+    isText(checkpoint) &&
+    isOptional(isRuns)(crashed) &&
+    isOptional(isRuns)(suspected)
+  );
+}
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -1,4 +1,5 @@
 /** The records of the cell in the store, and their encoding. */
+import {raise} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
 import {
   findTask,
@@ -8,7 +9,13 @@
   type StepState,
   type TaskState,
 } from './job-state.js';
-import {isFinal, type JobPhase} from './types.js';
+import {
+  checkExecutor,
+  checkJob,
+  checkPhase,
+  isStepRow,
+} from './record-checks.js';
+import {isFinal, type ExecutorInfo, type JobPhase} from './types.js';
 
 /**
  * Accepted jobs and cancels, written by every VM. The store handles one append
@@ -73,9 +80,22 @@
   return encode(job);
 }
 
-/** Decodes a job from a record or a message. */
+/**
+ * Decodes a job from a record or a message.
+ *
+ * @throws if it is not one
+ */
 export function decodeJob(value: Uint8Array): NewJob {
-  return decode(value as Buffer) as NewJob;
+  return checkJob(decode(value as Buffer));
+}
+
+/**
+ * Decodes the record of an executor that an owner has used.
+ *
+ * @throws if it is not one
+ */
+export function decodeFormerExecutor(value: Uint8Array): ExecutorInfo {
+  return checkExecutor(decode(value as Buffer));
 }
 
 /** Decodes a record of a jobs topic; returns null for unknown keys. */
@@ -167,14 +187,33 @@
   bits[at] = (bits[at] ?? 0) | (1 << (index & 7));
 }
 
-/** Decodes the phase of a progress record. */
+/** Checks all before any of it is applied. */
+function decodeProgress(value: Uint8Array): ProgressRecord {
+  const record = decode(value as Buffer) as ProgressRecord | null;
+  checkPhase(record?.phase);
+  const steps: unknown = record?.steps;
+  if (record !== null && Array.isArray(steps) && steps.every(isStepRow)) {
+    return record;
+  }
+  return raise('badRequest', 'no rows of steps');
+}
+
+/**
+ * Decodes the phase of a progress record.
+ *
+ * @throws if it cannot be read
+ */
 export function decodePhase(value: Uint8Array): JobPhase {
-  return (decode(value as Buffer) as ProgressRecord).phase;
+  return decodeProgress(value).phase;
 }
 
-/** Applies a stored progress record to a job's state. */
+/**
+ * Applies a stored progress record to a job's state.
+ *
+ * @throws if it cannot be read; nothing of it is applied then
+ */
 export function applyProgress(job: JobState, value: Uint8Array): void {
-  const record = decode(value as Buffer) as ProgressRecord;
+  const record = decodeProgress(value);
   for (const row of record.steps) applyStepRow(job, row);
   if (record.phase !== 'queued') job.phase = record.phase;
   job.visiblePhase = job.phase;
