--- a/packages/peer/test/framing.test.ts
+++ b/packages/peer/test/framing.test.ts
@@ -1,9 +1,13 @@
+import {toFailure} from '@dragonflyward/common';
 import {encodeFrame, FrameReader, type Frame} from '@dragonflyward/peer';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 
 const SEED = 20261204;
+const DAMAGED_RUNS = 2000;
+/** Bound of the time for one damaged frame, in ms. */
+const DAMAGED_MS = 1000;
 
 function tailAsk(id: number): Frame {
   return {kind: 'ask', id, ask: {type: 'configTailAsk', from: id}};
@@ -35,4 +39,52 @@
   assert.throws(() => [...reader.push(Buffer.from([255, 255, 255, 255]))]);
 });
 
+/** Whole frames of any content, of which some bytes are changed or missing. */
+const damagedBytes = fc
+  .tuple(
+    fc.array(fc.anything({maxDepth: 3}), {minLength: 1, maxLength: 3}),
+    fc.array(fc.tuple(fc.nat(), fc.integer({min: 0, max: 255})), {
+      maxLength: 4,
+    }),
+    fc.nat(),
+  )
+  .map(([contents, changes, end]) => {
+    const frames = contents.map(content => encodeFrame(content as Frame));
+    const bytes = Buffer.concat(frames);
+    for (const [at, byte] of changes) bytes[at % bytes.length] = byte;
+    return changes.length > 0 ? bytes : bytes.subarray(0, end % bytes.length);
+  });
+
+framing('fails damaged bytes in one way only', () => {
+  const property = fc.property(damagedBytes, bytes => {
+    try {
+      for (const frame of new FrameReader().push(bytes)) void frame;
+    } catch (err) {
+      assert.is(toFailure(err).kind, 'badRequest');
+    }
+  });
+  fc.assert(property, {numRuns: DAMAGED_RUNS});
+});
+
+function framed(body: Buffer): Buffer {
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(body.length);
+  return Buffer.concat([length, body]);
+}
+
+// A few bytes may announce gigabytes, or nest without end.
+framing('fails what announces more than it has', () => {
+  const huge = [0x9a, 0xba, 0x5a, 0x7a].map(type =>
+    Buffer.from([type, 0xff, 0xff, 0xff, 0xff, 0]),
+  );
+  const deep = [0x81, 0xa1, 0xc1].map(type => Buffer.alloc(1_000_000, type));
+  for (const body of [...huge, ...deep]) {
+    const reader = new FrameReader();
+    const startMs = performance.now();
+    assert.throws(() => [...reader.push(framed(body))], /badRequest|not CBOR/);
+    const tookMs = performance.now() - startMs;
+    assert.ok(tookMs < DAMAGED_MS, `took ${tookMs} ms`);
+  }
+});
+
 framing.run();
