Check the store calls of peers, and their replies

A VM makes store calls for peers, and joins their appends with those of other VMs. An append with a record that has no key threw while appends were joined: the error escaped, and from then on the VM took no more appends to that topic, as one still seemed to be under way. A reply without a list of records threw other errors than those of the store, which ended the read that had asked.

A call that is not whole is now refused before it is joined, and a reply that is not whole counts as none: the outcome of an append is then unknown.

--- a/packages/cell/src/record-checks.ts
+++ b/packages/cell/src/record-checks.ts
@@ -1,5 +1,15 @@
 /** Checks of what another version or writer may have stored or sent. */
 import {raise, type Resources} from '@dragonflyward/common';
+import {
+  isCount,
+  isFlag,
+  isList,
+  isNumber,
+  isObject,
+  isOptional,
+  isPositive,
+  isText,
+} from './checks.js';
 import type {NewJob} from './job-state.js';
 import type {
   AdvicePolicy,
@@ -22,35 +32,6 @@
   'cancelled',
 ]);
 
-type Check = (value: unknown) => boolean;
-/** A check for each field of a type. */
-type Checks<T> = {readonly [K in keyof Required<T>]: Check};
-
-const isText: Check = value => typeof value === 'string';
-const isNumber: Check = Number.isFinite;
-const isCount: Check = value =>
-  Number.isSafeInteger(value) && (value as number) >= 0;
-const isPositive: Check = value => isCount(value) && value !== 0;
-const isFlag: Check = value => typeof value === 'boolean';
-
-function isList(check: Check): Check {
-  return value => Array.isArray(value) && value.every(check);
-}
-
-function isObject<T>(checks: Checks<T>): Check {
-  const names = Object.keys(checks) as (keyof T & string)[];
-  return value => {
-    if (typeof value !== 'object' || value === null) return false;
-    const fields = value as Readonly<Record<string, unknown>>;
-    return names.every(name => checks[name](fields[name]));
-  };
-}
-
-/** A field that an earlier version may have left out. */
-function isOptional(check: Check): Check {
-  return value => value === undefined || check(value);
-}
-
 const isResources = isObject<Resources>({
   cpuMilli: isNumber,
   memMb: isNumber,
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -18,6 +18,7 @@
   type StoreFailure,
   type StoreLimits,
 } from './store.js';
+import {isStoreReply} from './store-checks.js';
 import type {StoreCall, StoreReply} from './messages.js';
 
 /** A peer repeats a direct call that takes this multiple of the latency. */
@@ -348,14 +349,15 @@
   return call.op !== 'append' || call.at < 0;
 }
 
-/** Returns null if the peer gave no answer: the call may have been made. */
+/** Returns null if the peer gave no valid answer: the call may have been made. */
 async function requestFromPeer(
   peer: StorePeer,
   call: StoreCall,
   timeoutMs: number,
 ): Promise<StoreReply | null> {
   try {
-    return await peer.callStore(call, timeoutMs);
+    const reply = await peer.callStore(call, timeoutMs);
+    return isStoreReply(reply) ? reply : null;
   } catch {
     // The end of the connection is logged elsewhere; the outcome is unknown.
     return null;
--- a/packages/cell/src/store-call.ts
+++ b/packages/cell/src/store-call.ts
@@ -1,6 +1,8 @@
 /** Store calls that a VM makes for a peer that the store refuses. */
+import {raise} from '@dragonflyward/common';
 import type {StoreCall, StoreReply} from './messages.js';
 import type {SharedAppends} from './shared-appends.js';
+import {isStoreCall} from './store-checks.js';
 import {
   StoreError,
   type LogPage,
@@ -11,6 +13,7 @@
 /**
  * Executes a store call on behalf of a peer.
  *
+ * @throws badRequest if it is not one
  * @example
  * return executeStoreCall(directStore, ask.call, sharedAppends);
  */
@@ -19,6 +22,8 @@
   call: StoreCall,
   sharedAppends: SharedAppends,
 ): Promise<StoreReply> {
+  // A call that cannot be sent would fail the appends that are joined with it.
+  if (!isStoreCall(call)) return raise('badRequest', 'not a store call');
   const reply = {type: 'store', failure: null, expectedSequence: -1} as const;
   try {
     if (call.op === 'append') {
