--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -18,6 +18,7 @@
   type StoreFailure,
   type StoreLimits,
 } from './store.js';
+import {isStoreReply} from './store-checks.js';
 import type {StoreCall, StoreReply} from './messages.js';
 
 /** A peer repeats a direct call that takes this multiple of the latency. */
@@ -159,8 +160,9 @@
       onData(bytes);
     };
     const direct = this.settle(
-      this.trackDirect(() =>
-        this.direct.newestPage(topic, after, onDirectData, signal),
+      this.trackDirect(
+        () => this.direct.newestPage(topic, after, onDirectData, signal),
+        signal,
       ),
     );
     if (peers.length === 0) return pageOf(await direct);
@@ -306,14 +308,21 @@
     return page;
   }
 
-  /** Records whether the store can be called directly. */
-  private async trackDirect<T>(direct: () => Promise<T>): Promise<T> {
+  /**
+   * Records whether the store can be called directly. A call that this VM ends
+   * itself does not show it.
+   */
+  private async trackDirect<T>(
+    direct: () => Promise<T>,
+    signal?: AbortSignal,
+  ): Promise<T> {
     try {
       const page = await direct();
       this.directFailedMs = -Infinity;
       return page;
     } catch (err) {
-      if (err instanceof StoreError && !isDefinitive(err.failure)) {
+      const isFailure = err instanceof StoreError && signal?.aborted !== true;
+      if (isFailure && !isDefinitive(err.failure)) {
         this.directFailedMs = this.clock.monotonicMs();
       }
       throw err;
@@ -340,14 +349,15 @@
   return call.op !== 'append' || call.at < 0;
 }
 
-/** Returns null if the peer gave no answer: the call may have been made. */
+/** Returns null if the peer gave no valid answer: the call may have been made. */
 async function requestFromPeer(
   peer: StorePeer,
   call: StoreCall,
   timeoutMs: number,
 ): Promise<StoreReply | null> {
   try {
-    return await peer.callStore(call, timeoutMs);
+    const reply = await peer.callStore(call, timeoutMs);
+    return isStoreReply(reply) ? reply : null;
   } catch {
     // The end of the connection is logged elsewhere; the outcome is unknown.
     return null;
