Wait 10.6 s again for an executor that the store does not list

In an outage of the store an executor that restarts writes no record, an owner that is connected to all VMs goes on starting tasks, and it may not learn of the restart within 3 s: the last order with a time of the clock before the restart may be sent right before the first list without the executor.

--- a/packages/cell/src/former-leases.ts
+++ b/packages/cell/src/former-leases.ts
@@ -19,13 +19,6 @@
   MAX_EXECUTOR_LEASE_MS * SLOW_CLOCK_FACTOR + FORMER_LEASE_SLACK_MS;
 /** Within this time of a restart of an executor, its owner knows, in ms. */
 const RESTART_NOTICE_MS = 3000;
-/** The store lists an executor for this long after its last record, in ms. */
-const RECORD_LIFETIME_MS = 4500;
-/**
- * An executor that restarted and is not listed got its last order with a time
- * of the clock before the restart this long before it was missed, in ms.
- */
-const MISSED_AFTER_ORDER_MS = RECORD_LIFETIME_MS - RESTART_NOTICE_MS;
 /** The most by which the wall clocks of two machines differ, in ms. */
 const MAX_WALL_SKEW_MS = 5000;
 /** Leases that are due to the restart of an executor have expired by then. */
@@ -111,8 +104,7 @@
     const bornMs = this.listedBornMs(executor);
     if (unlistedMs !== undefined && !executor.isListed && bornMs === 0) {
       if (executorsReadMs() < unlistedMs + RELISTING_MS) return latestMs;
-      const orderedMs = unlistedMs - MISSED_AFTER_ORDER_MS;
-      return Math.min(latestMs, orderedMs + MAX_LOCAL_LEASE_MS);
+      return Math.min(latestMs, unlistedMs + MAX_LOCAL_LEASE_MS);
     }
     const isNew = bornMs === 0 || clock.wallMs() - bornMs <= RESTART_LEASE_MS;
     return isNew ? latestMs : -Infinity;
