Release for good, renew in time and count each restart in an owner that holds all

Orders now begin 0.1 s before the former owner's start lease ends, loaded or not; - a task ran twice if the list showed the restart of an executor before its inventory did, and the executor fell silent before it got a lease: the longest lease counts after each restart now, however it is learned of; - a silent executor that had no lease of this owner got one.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -34,6 +34,8 @@
 
 /** Lease of an executor, in ms; runs continue that long without an owner. */
 export const EXECUTOR_LEASE_MS = 6000;
+/** Such a renewal extends no lease; one that does has to follow soon, in ms. */
+const HELD_WAIT_MS = 100;
 /** Timeout of the answer in addition to that wait, in ms. */
 const RENEWAL_TIMEOUT_MS = 300;
 /** The same timeout after an unanswered renewal, in ms. */
@@ -248,8 +250,10 @@
 
   private async renewOnce(): Promise<void> {
     const {executor, host} = this;
+    const waitMs = renewalWaitMs(executor, this.dueInMs());
+    const isHeld = host.isHeld(executor.info.id);
     const reply = await this.sendRenewal(
-      renewalWaitMs(executor, this.dueInMs()),
+      isHeld ? Math.min(waitMs, HELD_WAIT_MS) : waitMs,
     );
     if (this.isClosed || reply === null) return;
     if (!isInventory(reply)) {
@@ -311,8 +315,8 @@
     const {executor, host} = this;
     if (host.isHeld(executor.info.id)) return Number.NaN;
     if (Number.isNaN(executor.clockMs)) return Number.NaN;
-    if (executor.missedRenewals > 0 && executor.leaseUntilMs > 0) {
-      return executor.leaseUntilMs;
+    if (executor.missedRenewals > 0) {
+      return executor.leaseUntilMs > 0 ? executor.leaseUntilMs : Number.NaN;
     }
     const nowMs = host.clock.monotonicMs();
     const untilMs = Math.round(
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -50,8 +50,13 @@
   clockReadMs: number;
   /** The latest lease end that was sent, on the executor's clock. */
   leaseUntilMs: number;
-  /** By when the leases of former owners have ended, on the same clock. */
+  /**
+   * By when leases have ended that this owner did not give, or gave before a
+   * restart, on the same clock.
+   */
   formerLeaseUntilMs: number;
+  /** Whether it restarted and has not told its clock since. */
+  hasJustRestarted: boolean;
   /** Ends of runs through this number are applied to the owner's state. */
   processedThrough: number;
   /** Ends of runs through this number are stored. */
@@ -94,6 +99,7 @@
     clockReadMs: 0,
     leaseUntilMs: 0,
     formerLeaseUntilMs: 0,
+    hasJustRestarted: false,
     processedThrough: 0,
     ackedThrough: 0,
     missedRenewals: 0,
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -37,9 +37,12 @@
         bornMs,
       });
       host.state.recordRestart(executor, bornMs, sentMs);
+    }
+    if (executor.hasJustRestarted) {
       // Orders with times on the clock before the restart may last for the
       // longest lease, to which the executor limits them.
-      executor.leaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
+      executor.formerLeaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
+      executor.hasJustRestarted = false;
     }
     host.state.recordCrash(executor, lost, true, nowMs);
     if (executor.missedRenewals > 0) {
@@ -49,9 +52,10 @@
     const wasReached = executor.isReached;
     executor.isReached = true;
     const formerLeaseMs = host.formerOwnerRuns.leaseLeftMs(executor, sentMs);
-    if (formerLeaseMs > 0) {
-      executor.formerLeaseUntilMs = inventory.clockMs + formerLeaseMs;
-    }
+    executor.formerLeaseUntilMs = Math.max(
+      executor.formerLeaseUntilMs,
+      formerLeaseMs > 0 ? inventory.clockMs + formerLeaseMs : 0,
+    );
     const wasAwaited = host.formerOwnerRuns.recordAnswer(executor, sentMs);
     recordClock(executor, inventory.clockMs, nowMs);
     const hasNewEnds = this.applyEnds(inventory, nowMs);
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -15,7 +15,7 @@
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
-import type {OrdersNotice} from './last-orders.js';
+import type {NamedOrders, OrdersNotice} from './last-orders.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
@@ -53,10 +53,10 @@
 const START_AND_REPORT_MS = 150;
 /** Maximum delay before a scheduling round, in ms. */
 const MAX_ROUND_DELAY_MS = 250;
-/** How long a new owner that holds all executors waits for answers, in ms. */
-const ANSWER_WAIT_MS = 400;
-/** The same for one that may give orders at once, in ms. */
-const HANDOVER_ANSWER_WAIT_MS = 1000;
+/** An executor that can answer a new owner has done so by then, in ms. */
+const ANSWER_TIME_MS = 300;
+/** The same for an owner that may give orders at once, in ms. */
+const HANDOVER_ANSWER_TIME_MS = 1000;
 /** Time between checks of whether all have answered, in ms. */
 const ANSWER_CHECK_MS = 20;
 /** Usual time until a record is confirmed, in ms. */
@@ -99,6 +99,8 @@
   /** Whether it has loaded the stored state and may have given orders. */
   private isLoaded = false;
   private isClosed = false;
+  /** When those that have not answered get no orders until they have. */
+  private answersDueMs = Infinity;
   private lastStateLogMs = 0;
   private isRoundDue = false;
   /** Duration of the last scheduling round, in ms. */
@@ -204,15 +206,18 @@
    */
   async start(config: CellConfig | null): Promise<boolean> {
     if (config !== null) this.state.setConfig(config);
+    runInBackground('beginOrders', this.beginOrders(), this.deps.log);
     if (!(await this.feed.load())) return false;
     // The cell may have been handed over while the load was under way.
     if (this.isClosed || this.deps.ownership.isRevoked) return false;
     this.isActive = true;
     this.isLoaded = true;
-    const {ownership} = this.deps;
-    ownership.setHeldExecutors(() =>
-      this.silentExecutors.describeHeld(ownership.isHoldingAll),
-    );
+    const {clock, ownership} = this.deps;
+    const answerMs = ownership.isHoldingAll
+      ? ANSWER_TIME_MS
+      : HANDOVER_ANSWER_TIME_MS;
+    this.answersDueMs = clock.monotonicMs() + answerMs;
+    ownership.setHeldExecutors(() => this.describeHeld());
     this.deps.log('ownerActive', {
       term: this.state.term,
       jobs: this.state.jobs.size,
@@ -222,32 +227,37 @@
     this.feed.start();
     void keepRunning('commit', () => this.commit.run(), this.deps);
     void keepRunning('ownerTick', () => this.tickLoop(), this.deps);
-    runInBackground('beginOrders', this.beginOrders(), this.deps.log);
     this.requestRound();
     return true;
   }
 
   /**
-   * Gives orders once it is stored which executors get none. Those that answer
-   * in time need not be among them; after a claim nothing may start meanwhile.
+   * Gives orders once it is stored which executors get none. After a claim that
+   * is shortly before the former owner can start nothing more, or when all have
+   * answered: those that have not get no orders.
    */
   private async beginOrders(): Promise<void> {
     const {clock, ownership} = this.deps;
-    const nowMs = clock.monotonicMs();
-    const untilMs = ownership.isHoldingAll
-      ? Math.max(
-          nowMs + ANSWER_WAIT_MS,
-          ownership.formerStartUntilMs - CONFIRMATION_MS,
-        )
-      : nowMs + HANDOVER_ANSWER_WAIT_MS;
-    while (!this.isClosed && clock.monotonicMs() < untilMs) {
-      if (!this.isAnyAwaited()) break;
+    const untilMs = ownership.formerStartUntilMs - CONFIRMATION_MS;
+    while (clock.monotonicMs() < untilMs) {
+      if (this.isLoaded && !this.isAnyAwaited()) break;
       await clock.sleep(ANSWER_CHECK_MS);
     }
-    await ownership.beginOrders(() => this.silentExecutors.describeHeld(true));
+    if (this.isClosed) return;
+    await ownership.beginOrders();
     this.requestRound();
   }
 
+  /** The executors that get no orders, for the next owner. */
+  private describeHeld(): readonly NamedOrders[] {
+    const {clock, ownership} = this.deps;
+    const areAnswersDue =
+      ownership.isHoldingAll || clock.monotonicMs() >= this.answersDueMs;
+    const told = ownership.describeFormerOrders().executors;
+    const toldIds = new Set(told.map(({id}) => id));
+    return this.silentExecutors.describeHeld(areAnswersDue, toldIds);
+  }
+
   private isAnyAwaited(): boolean {
     const executors = [...this.state.executors.values()];
     return executors.some(each => this.formerOwnerRuns.isAwaited(each));
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -334,12 +334,11 @@
    * Lets this owner give orders, once a record is confirmed that says to which
    * executors it gives none. Until then it holds all if it has claimed the cell.
    *
-   * @param describe the last orders to executors that get none
    * @example
-   * await ownership.beginOrders(() => silentExecutors.describeHeld());
+   * ownership.setHeldExecutors(() => named);
+   * await ownership.beginOrders();
    */
-  async beginOrders(describe: () => readonly NamedOrders[]): Promise<void> {
-    this.setHeldExecutors(describe);
+  async beginOrders(): Promise<void> {
     if (!this.isHolding) return;
     this.isHolding = false;
     await this.renew();
@@ -433,6 +432,8 @@
   }
 
   private async writeHeartbeat(): Promise<void> {
+    // A record after a release or a handover would take it back.
+    if (this.isLost) return;
     const held = this.describeHeld();
     this.holds.recordSent(held);
     const others = held.isAll
--- a/packages/cell/src/silent-executors.ts
+++ b/packages/cell/src/silent-executors.ts
@@ -56,15 +56,22 @@
   /**
    * The last orders to those that get none while a heartbeat names them.
    *
-   * @param isAnswerDue whether all that can answer have had time to
+   * @param areAnswersDue whether one that has not answered by now gets none
+   * @param toldIds those that a former owner named, which get none before
    */
-  describeHeld(isAnswerDue: boolean): readonly NamedOrders[] {
+  describeHeld(
+    areAnswersDue: boolean,
+    toldIds: ReadonlySet<string>,
+  ): readonly NamedOrders[] {
     const {state, formerOwnerRuns} = this.deps;
-    return chooseHeld(this.describe(), id => {
+    const isAwaited = (id: string): boolean => {
       const executor = state.executors.get(id);
-      if (executor === undefined || !isAnswerDue) return false;
-      return formerOwnerRuns.isAwaited(executor);
-    });
+      return executor !== undefined && formerOwnerRuns.isAwaited(executor);
+    };
+    const named = this.describe().filter(
+      ({id}) => areAnswersDue || toldIds.has(id) || !isAwaited(id),
+    );
+    return chooseHeld(named, id => areAnswersDue && isAwaited(id));
   }
 
   private *describeGone(nowMs: number): Generator<NamedOrders> {
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -158,7 +158,7 @@
     for (const connectedMs of [() => 1000, () => -Infinity]) {
       const rig = new ElectionRig();
       const owner = await rig.claimBy('a');
-      void owner.beginOrders(() => []);
+      void owner.beginOrders();
       const members = {
         ...DISCONNECTED_MEMBERS,
         connectedMs,
@@ -178,9 +178,10 @@
 ): Promise<Ownership> {
   const rig = new ElectionRig();
   const owner = await rig.claimBy('a');
-  const begun = owner.beginOrders(() => [
+  owner.setHeldExecutors(() => [
     {id: 'x', agoMs: 2000, unlistedForMs: 0, bornMs: 5, wasReached: true},
   ]);
+  const begun = owner.beginOrders();
   await rig.clock.advance(10);
   await begun;
   const store = rig.client();
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -409,7 +409,7 @@
       await readOwner(client, clock),
     );
   const first = await settle(clock, claim('a'));
-  await settle(clock, first?.beginOrders(() => []) ?? Promise.resolve());
+  await settle(clock, first?.beginOrders() ?? Promise.resolve());
   const second = await settle(clock, claim('b'));
   const untilMs = second?.formerOrders('x1').untilMs ?? 0;
   await clock.advance(3000);
@@ -418,7 +418,7 @@
   const passedOnMs = third?.formerOrders('x1').untilMs ?? 0;
   assert.ok(passedOnMs >= untilMs);
   assert.ok(passedOnMs <= untilMs + 200, `${passedOnMs - untilMs} ms`);
-  await settle(clock, second?.beginOrders(() => []) ?? Promise.resolve());
+  await settle(clock, second?.beginOrders() ?? Promise.resolve());
   assert.is(second?.isRevoked, true);
 });
 
@@ -444,7 +444,8 @@
     {id: 'x1', agoMs: 4000, unlistedForMs: 0, bornMs: 5, wasReached: true},
   ];
   const isHolding = first?.isHoldingAll;
-  await settle(clock, first?.beginOrders(() => named) ?? Promise.resolve());
+  first?.setHeldExecutors(() => named);
+  await settle(clock, first?.beginOrders() ?? Promise.resolve());
   assert.equal([isHolding, first?.isHoldingAll], [true, false]);
   assert.is(first?.isHeld('x1'), true);
   const second = await settle(clock, claim('b'));
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -178,6 +178,8 @@
   isListingPaused = false;
   /** How long what an owner tells of its records takes to arrive, in ms. */
   tellMs = 5;
+  /** Time from a takeover to the owner's first heartbeat, in ms. */
+  firstHeartbeatMs = 0;
   /** Called for each log line of an owner. */
   onLog: (event: string) => void = () => undefined;
   private nextIncarnation = 1;
@@ -394,6 +396,7 @@
   }
 
   private async keepAlive(node: CellNode, ownership: Ownership): Promise<void> {
+    await this.clock.sleep(this.firstHeartbeatMs);
     while (!ownership.isRevoked && !node.isKilled) {
       await ownership.renew();
       void this.tell(node, ownership);
--- a/packages/cell/test/told-record.test.ts
+++ b/packages/cell/test/told-record.test.ts
@@ -133,7 +133,7 @@
     const toldMs = record.sinceMs(snapshot);
     const self = {vm, ip: '', port: 0, incarnation: 1};
     const claimed = await claimCell(client, clock, self, {...snapshot, toldMs});
-    await claimed?.beginOrders(() => []);
+    await claimed?.beginOrders();
     return claimed;
   };
   await settle(clock, claim('a'));
