--- /dev/null
+++ b/packages/cell/test/malformed-notices.test.ts
@@ -0,0 +1,196 @@
+/** Notices of peers and records of owners that are not whole. */
+import {Metrics, SystemClock} from '@dragonflyward/common';
+import {
+  OWNER_TOPIC,
+  Platform,
+  Vm,
+  type CellConfig,
+  type CellPeerInfo,
+  type CellProtocol,
+  type ExecutorClient,
+} from '@dragonflyward/cell';
+import {encode} from 'cbor-x';
+import fc from 'fast-check';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {MemoryStore, StoreClient} from './memory-store.js';
+import {Cell} from './processes.js';
+import {CONFIG, EXECUTORS_TOPIC} from './rig.js';
+
+const LOOPBACK = '127.0.0.1';
+const CONFIG_TOPIC = 'keyed.config';
+const RUNS = 300;
+const START_TIMEOUT_MS = 5000;
+const POLL_MS = 50;
+/** Longer than an owner's heartbeats and rounds take, in ms. */
+const AFTER_MS = 2000;
+/** Longer than all leases of a former owner, in ms. */
+const CLAIM_MS = 30_000;
+const VALUE = Uint8Array.of(1);
+
+class TestPlatform extends Platform {
+  override readonly advice = null;
+  override readonly executorsTopic = EXECUTORS_TOPIC;
+  override readonly operatorTopic = CONFIG_TOPIC;
+
+  constructor(override readonly store: StoreClient) {
+    super();
+  }
+
+  override decodeExecutor(): null {
+    return null;
+  }
+
+  override decodeConfig(): CellConfig {
+    return CONFIG;
+  }
+
+  override connect(): ExecutorClient {
+    throw new Error('there are no executors');
+  }
+}
+
+const anyValue = fc.oneof(
+  fc.constantFrom<unknown>(undefined, null, 'text', -1, NaN, true, [], {}),
+  fc.constantFrom<unknown>([null], [{}], [[]], Infinity, 2 ** 53),
+  fc.anything({maxDepth: 2}),
+);
+
+/** Replaces some fields of a value. */
+function mutationsOf(value: object): fc.Arbitrary<object> {
+  const names = fc.subarray(Object.keys(value), {minLength: 1});
+  return names.chain(chosen =>
+    fc.tuple(...chosen.map(() => anyValue)).map(wrong => ({
+      ...value,
+      ...Object.fromEntries(chosen.map((name, i) => [name, wrong[i]])),
+    })),
+  );
+}
+
+const notices = suite('malformed notices');
+
+const FROM = {vm: 'p', ip: LOOPBACK, port: 1, incarnation: 1};
+const OWNER = {...FROM, vm: 'o'};
+const NOTICES: readonly object[] = [
+  {
+    type: 'heartbeat',
+    owner: OWNER,
+    term: 0,
+    configVersion: 0,
+    isStoreOk: true,
+    storeMs: 4,
+    isDraining: false,
+    isOwnerSeen: true,
+    hasLoadFailed: false,
+    isActing: true,
+  },
+  {type: 'job', value: VALUE},
+  {type: 'cancel', id: 'j'},
+  {
+    type: 'jobs',
+    term: 0,
+    isFull: false,
+    rows: [{id: 'j', phase: 'queued', queue: 'q', organisation: ''}],
+  },
+  {type: 'members', members: [OWNER]},
+  {type: 'handover', term: 0, areFormerStopped: true, endOffset: 0},
+  {type: 'phaseAsk', id: 'j'},
+  {type: 'adviceAsk', step: 's', executorIds: ['x'], timeoutMs: 10},
+  {type: 'configAsk'},
+  {type: 'storeAsk', call: {op: 'newest', topic: 'keyed.t'}},
+];
+
+async function startVm(): Promise<{readonly vm: Vm; readonly log: string[]}> {
+  const server = createServer().listen(0, LOOPBACK);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  const memory = new MemoryStore();
+  memory.append(CONFIG_TOPIC, [{key: 'config', value: VALUE}], {});
+  const clock = new SystemClock();
+  const log: string[] = [];
+  const vm = new Vm({
+    self: {vm: 'v', ip: LOOPBACK, port, incarnation: 1},
+    domain: 'd',
+    cores: 1,
+    seeds: [],
+    platform: new TestPlatform(new StoreClient(memory, clock)),
+    clock,
+    metrics: new Metrics(),
+    log: (event, fields) => log.push(`${event} ${JSON.stringify(fields)}`),
+  });
+  await vm.start();
+  return {vm, log};
+}
+
+// A list of members that is none made each watch of the owner fail.
+notices('of any kind leave an owner in office and at work', async () => {
+  const escaped: unknown[] = [];
+  const onEscape = (err: unknown): number => escaped.push(err);
+  process.on('unhandledRejection', onEscape);
+  const {vm, log} = await startVm();
+  const clock = new SystemClock();
+  for (let ms = 0; vm.heartbeat().isActing !== true; ms += POLL_MS) {
+    assert.ok(ms < START_TIMEOUT_MS, 'the VM does not own the cell');
+    await clock.sleep(POLL_MS);
+  }
+  const from = {
+    type: 'hello',
+    self: FROM,
+    domain: 'd',
+    cores: 0.1,
+  } as unknown as CellPeerInfo;
+  const sent = fc
+    .constantFrom(...NOTICES)
+    .chain(notice => fc.oneof(mutationsOf(notice), anyValue));
+  const property = fc.asyncProperty(sent, async message => {
+    try {
+      vm.handleNotice(from, message as CellProtocol['notice']);
+      await vm.handleAsk(from, message as CellProtocol['ask']);
+    } catch {
+      // The connection logs it and goes on.
+    }
+  });
+  await fc.assert(property, {numRuns: RUNS});
+  const members = {type: 'members', members: [null, OWNER, null]} as unknown;
+  try {
+    vm.handleNotice(from, members as CellProtocol['notice']);
+  } catch {
+    // Likewise.
+  }
+  await clock.sleep(AFTER_MS);
+  const failed = log.filter(line => line.startsWith('taskFailed'));
+  assert.equal(failed, []);
+  assert.equal(escaped, []);
+  assert.is(vm.heartbeat().owner?.vm, 'v');
+  assert.is(vm.heartbeat().isActing, true);
+  assert.is(vm.isReady, true);
+  vm.close();
+  process.off('unhandledRejection', onEscape);
+});
+
+/** Records of another version or writer under the key of the owner. */
+const OWNER_RECORDS: readonly unknown[] = [
+  {},
+  7,
+  {...OWNER, term: 1, isReleased: false, formerOwners: 7},
+  {...OWNER, term: 1, isReleased: false, heldOrders: [null]},
+  {...OWNER, term: 1, isReleased: true, formerOwners: [], orders: 7},
+];
+
+// No VM could claim the cell again.
+notices('records of an owner that are not whole end with a claim', async () => {
+  for (const record of OWNER_RECORDS) {
+    const cell = new Cell([]);
+    const value = Uint8Array.from(encode(record));
+    cell.memory.append(OWNER_TOPIC, [{key: 'cell', value}], {});
+    for (const vm of ['a', 'b']) cell.start({vm, domain: 'd', cores: 1});
+    await cell.clock.advance(CLAIM_MS);
+    assert.ok(cell.actingOwner !== '', `no owner after ${String(record)}`);
+  }
+});
+
+notices.run();
