--- a/review/standin/cell.mjs
+++ b/review/standin/cell.mjs
@@ -61,6 +61,7 @@
     memory = 64000,
     cpu = 16000,
     isQuiet = false,
+    uptimeMs = 0,
   }) {
     const hosts = [...Array(vms).keys()].map(i => i + 1);
     this.base = await findSubnet(Object.values(PORTS), hosts);
@@ -74,6 +75,7 @@
         ip: `${this.base}.${101 + i}`,
         zone: 'veneto-a',
         capacity: {cpu, 'requested-memory-mb': memory, gpus: 0},
+        uptimeMs,
         labels: ['a', `r1-${Math.floor(i / 5)}`],
       };
       const record = isQuiet ? () => undefined : (e, f) => this.record(e, f);
--- a/review/standin/platform.mjs
+++ b/review/standin/platform.mjs
@@ -263,6 +263,12 @@
   leaseUntilMs = 0;
   lastEnd = 0;
   isUp = false;
+  /** Whether the path to all machines is cut; the executor runs on. */
+  isCut = false;
+  cuts = 0;
+  /** Delay of the answer to a start, in ms; null for none. Called once each. */
+  delayAnswer = () => null;
+  delayedOn = null;
   sequence = 0;
   waiters = new Set();
 
@@ -286,12 +292,12 @@
   async start() {
     if (this.port === undefined)
       this.port = await listen(this.server, this.options.ip);
-    this.boot();
+    this.boot(this.options.uptimeMs);
     this.timer = setInterval(() => this.tick(), 10);
     this.publisher = setInterval(() => this.publish(), LIMITS.heartbeatMs);
   }
 
-  boot() {
+  boot(uptimeMs = 0) {
     this.runs.clear();
     this.ended = [];
     this.stopped.clear();
@@ -299,9 +305,11 @@
     this.leaseUntilMs = 0;
     this.lastEnd = 0;
     this.sequence = 0;
-    this.born = Date.now();
-    this.bootMs = nowMs();
+    this.born = Date.now() - uptimeMs;
+    this.bootMs = nowMs() - uptimeMs;
     this.isUp = true;
+    /** Whether this process has told its runs to anybody. */
+    this.hasListed = false;
     this.publish();
   }
 
@@ -314,8 +322,15 @@
     this.runs.clear();
     this.isUp = false;
     this.wake();
-    for (const socket of this.sockets) socket.resetAndDestroy();
-    await new Promise(resolve => this.server.close(resolve));
+    for (const socket of this.sockets) {
+      // What the process had handed to its system is still on the way.
+      if (socket !== this.delayedOn) socket.resetAndDestroy();
+    }
+    if (this.delayedOn === null) {
+      await new Promise(resolve => this.server.close(resolve));
+    } else {
+      this.server.close();
+    }
     // The store drops an entry after three heartbeats of silence.
     const gone = setTimeout(
       () => this.store.put('keyed.servers', this.id, Buffer.alloc(0)),
@@ -342,6 +357,16 @@
     return open;
   }
 
+  /** Cuts the path to all machines: nothing arrives, in either direction. */
+  async cut(forMs) {
+    this.record('cut', {executor: this.id, running: this.runs.size});
+    this.isCut = true;
+    this.cuts += 1;
+    await sleep(forMs);
+    this.isCut = false;
+    this.record('healed', {executor: this.id, running: this.runs.size});
+  }
+
   close() {
     this.isClosed = true;
     this.isUp = false;
@@ -352,7 +377,7 @@
   }
 
   publish() {
-    if (!this.isUp) return;
+    if (!this.isUp || this.isCut) return;
     this.sequence += 1;
     const {service, ip, zone, capacity, labels} = this.options;
     const entry = {
@@ -405,6 +430,7 @@
   async serve(req, res) {
     void this.sockets;
     const body = JSON.parse((await readBody(req)).toString() || '{}');
+    if (this.isCut) return;
     const boot = this.born;
     const instance = req.headers['x-dragonflyward-expected-instance'];
     if (instance !== undefined && instance !== this.id) {
@@ -446,7 +472,21 @@
     const startedMs = nowMs();
     this.runs.set(task, {task, run, startedMs, endsMs: startedMs + ms, how});
     this.record('start', {executor: this.id, task, run});
-    sendJson(res, 200, {'clock-ms': clock});
+    const delayMs = this.delayAnswer(this);
+    if (delayMs === null) return sendJson(res, 200, {'clock-ms': clock});
+    this.delayedOn = res.socket;
+    setTimeout(() => {
+      this.delayedOn = null;
+      const {hasListed} = this;
+      this.record('lateAnswer', {
+        executor: this.id,
+        task,
+        run,
+        clock,
+        hasListed,
+      });
+      sendJson(res, 200, {'clock-ms': clock});
+    }, delayMs);
   }
 
   runStop({task, run}, res) {
@@ -468,6 +508,7 @@
         this.record('acked', {executor: this.id, task, run, how});
     }
     this.ended = this.ended.filter(([number]) => number > acked);
+    const {cuts} = this;
     const waitMs = Math.min(2000, body['wait-ms'] ?? 0);
     if (waitMs > 0 && this.ended.length === 0) {
       await new Promise(resolve => {
@@ -480,7 +521,9 @@
         this.waiters.add(done);
       });
     }
+    if (this.cuts !== cuts) return;
     if (!this.isUp || this.born !== boot) return res.destroy();
+    this.hasListed = true;
     sendJson(res, 200, {
       'clock-ms': this.clockMs(),
       born: this.born,
