--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -2,17 +2,15 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {keepRunning, skipInvalid} from './background.js';
 import type {CellState} from './cell-state.js';
-import {isSuspect} from './crash-suspects.js';
 import type {ExecutorState} from './executor-state.js';
 import {Follower} from './follower.js';
 import type {FormerOwnerRuns} from './former-owner-runs.js';
-import {tasksOf, type JobState, type NewJob} from './job-state.js';
+import type {JobState, NewJob} from './job-state.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
 import {ProgressLoad} from './progress-load.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
-  applyProgress,
   decodeFormerExecutor,
   decodeJobsRecord,
   EXECUTOR_PREFIX,
@@ -184,10 +182,7 @@
 
   private applyStoredProgress(job: JobState, value: Uint8Array): void {
     if (isFinal(job.phase)) return;
-    applyProgress(job, value);
-    const {crashes} = this.deps.state;
-    crashes.isActive ||= [...tasksOf(job)].some(isSuspect);
-    if (isFinal(job.phase)) this.deps.state.removePendingSteps(job);
+    this.deps.state.restoreProgress(job, value);
   }
 
   /**
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -19,16 +19,24 @@
 import {RunTimeEstimates} from './run-time-estimates.js';
 import {
   findTask,
+  hasTask,
+  isOver,
   isStepReady,
   markDone,
+  newDoneTask,
   newJobState,
   parseTaskName,
   tasksOf,
   type JobState,
   type NewJob,
+  type OccurrenceState,
   type StepState,
+  type TaskAddress,
   type TaskState,
 } from './job-state.js';
+import {specBytes} from './job-size.js';
+import {applyProgress} from './records.js';
+import {OccurrenceWindow} from './occurrence-window.js';
 import {OrganisationTable} from './organisations.js';
 import {StepOrder} from './step-order.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
@@ -79,6 +87,7 @@
   /** Steps that may have waiting tasks. */
   readonly pendingSteps = new Set<StepState>();
   readonly order = new StepOrder();
+  private readonly window = new OccurrenceWindow();
   config: CellConfig | null = null;
   /** Ids of jobs that were cancelled before they were added. */
   private readonly earlyCancels = new Set<string>();
@@ -111,24 +120,65 @@
     this.jobs.set(job.id, state);
     this.countEarlierOrphans(state);
     if (this.earlyCancels.delete(job.id)) this.cancelJob(job.id);
-    else this.addPendingSteps(state);
+    else this.openFirst(state);
     return state;
   }
 
-  /** Adds the unfinished steps of a job to the pending steps. */
-  addPendingSteps(job: JobState): void {
-    if (isFinal(job.phase)) return;
-    for (const {steps} of job.occurrences) {
-      for (const step of steps) {
-        if (step.doneCount < step.tasks.length) this.pendingSteps.add(step);
-      }
+  /** Takes the occurrences into memory that are due or nearly due. */
+  openDue(wallMs: number): void {
+    for (const each of this.window.openDue(wallMs)) this.addPendingSteps(each);
+  }
+
+  /** Opens what has no time. The others wait for the next round. */
+  private openFirst(job: JobState): void {
+    this.window.add(job);
+    if (job.spec.repetition.firstMs > 0) return;
+    for (const each of this.window.openDueOf(job, 0)) {
+      this.addPendingSteps(each);
+    }
+  }
+
+  /**
+   * Applies stored progress, which may be for occurrences that are not in
+   * memory; those that are over are dropped again.
+   */
+  restoreProgress(job: JobState, value: Uint8Array): void {
+    applyProgress(job, value, index => this.openOccurrence(job, index));
+    this.crashes.isActive ||= [...tasksOf(job)].some(isSuspect);
+    if (isFinal(job.phase)) {
+      job.bytes = specBytes(job.spec);
+      this.removePendingSteps(job);
+    }
+    for (const each of [...job.occurrences.values()]) this.closeIfOver(each);
+  }
+
+  private openOccurrence(job: JobState, index: number): OccurrenceState {
+    const known = job.occurrences.get(index);
+    if (known !== undefined) return known;
+    const occurrence = this.window.open(job, index);
+    this.addPendingSteps(occurrence);
+    return occurrence;
+  }
+
+  /** Drops an occurrence that is over, with its steps. */
+  private closeIfOver(occurrence: OccurrenceState): void {
+    if (!isOver(occurrence)) return;
+    for (const step of occurrence.steps) this.pendingSteps.delete(step);
+    this.window.close(occurrence);
+  }
+
+  /** Adds the unfinished steps of an occurrence to the pending steps. */
+  private addPendingSteps(occurrence: OccurrenceState): void {
+    if (isFinal(occurrence.job.phase)) return;
+    for (const step of occurrence.steps) {
+      if (step.doneCount < step.tasks.length) this.pendingSteps.add(step);
     }
-    this.order.markJobChanged(job);
+    this.order.markOccurrenceChanged(occurrence);
   }
 
   /** Removes the steps of a job from the pending steps. */
-  removePendingSteps(job: JobState): void {
-    for (const {steps} of job.occurrences) {
+  private removePendingSteps(job: JobState): void {
+    for (const {steps} of job.occurrences.values()) {
       for (const step of steps) this.pendingSteps.delete(step);
     }
   }
@@ -148,6 +198,7 @@
     const job = this.jobs.get(id);
     if (job === undefined || !isFinal(job.phase)) return;
     for (const task of tasksOf(job)) if (task.executor !== null) return;
+    this.window.remove(job);
     this.jobs.delete(id);
   }
 
@@ -281,7 +332,7 @@
 
   /** Computes a run number above all that the tasks have used so far. */
   nextRun(tasks: readonly TaskState[]): number {
-    return Math.max(this.firstRun, ...tasks.map(({run}) => run + 1));
+    return tasks.reduce((max, {run}) => Math.max(max, run + 1), this.firstRun);
   }
 
   /** Adopts a run that an executor lists and that was not known here. */
@@ -305,12 +356,26 @@
     }
   }
 
-  /** Finds a task by the name that executors use for it. */
+  /**
+   * Finds a task by the name that executors use for it, and takes its occurrence
+   * into memory if something of it is left to do.
+   *
+   * @returns undefined if the job is not known or all of that is over
+   */
   findTaskByName(name: string): TaskState | undefined {
     const address = parseTaskName(name);
     if (address === null) return undefined;
     const job = this.jobs.get(address.jobId);
-    return job === undefined ? undefined : findTask(job, address);
+    if (job === undefined || !hasTask(job, address)) return undefined;
+    if (!this.isOver(job, address)) {
+      this.openOccurrence(job, address.occurrence);
+    }
+    return findTask(job, address);
+  }
+
+  /** Whether nothing of a task's occurrence is left to do. */
+  private isOver(job: JobState, {occurrence}: TaskAddress): boolean {
+    return isFinal(job.phase) || job.doneOccurrences.has(occurrence);
   }
 
   /** Records an orphan run, which must be stopped and uses resources. */
@@ -333,11 +398,21 @@
     executor: ExecutorState,
     orphan: Omit<OrphanRun, 'countedFor'>,
   ): void {
-    const countedFor = this.findTaskByName(orphan.task) ?? null;
+    const countedFor = this.taskToCount(orphan.task);
     addOrphan(executor, {...orphan, countedFor});
     if (countedFor !== null) this.addUsage(countedFor, 1);
   }
 
+  /** Finds the task of a run that uses resources, also of one that is over. */
+  private taskToCount(name: string): TaskState | null {
+    const task = this.findTaskByName(name);
+    if (task !== undefined) return task;
+    const address = parseTaskName(name);
+    const job = this.jobs.get(address?.jobId ?? '');
+    if (address === null || job === undefined) return null;
+    return hasTask(job, address) ? newDoneTask(job, address) : null;
+  }
+
   /** Counts the orphan runs that were listed before their job was known. */
   private countEarlierOrphans(job: JobState): void {
     for (const executor of this.executors.values()) {
@@ -407,10 +482,11 @@
     if (isFinal(job.phase)) return;
     if (step.doneCount === step.tasks.length) {
       this.pendingSteps.delete(step);
-      this.order.markJobChanged(job);
+      this.order.markOccurrenceChanged(step.occurrence);
     }
     this.listener.onProgress(job);
     if (isCompleted) this.finish(job, 'completed');
+    else this.closeIfOver(step.occurrence);
   }
 
   /** Compares a run with completed tasks of its step to find slow executors. */
@@ -475,8 +551,10 @@
     phase: 'completed' | 'failed' | 'cancelled',
   ): void {
     job.phase = phase;
+    job.bytes = specBytes(job.spec);
     this.removePendingSteps(job);
     for (const task of tasksOf(job)) this.stopTask(task);
+    for (const each of [...job.occurrences.values()]) this.closeIfOver(each);
     this.listener.onProgress(job);
     this.listener.onPhaseChange(job);
   }
@@ -494,13 +572,17 @@
 
   private place(task: TaskState, executor: ExecutorState): void {
     placeTask(executor, task);
+    task.step.occurrence.placedTasks += 1;
     this.addUsage(task, 1);
   }
 
   private unplace(task: TaskState): void {
     if (task.executor === null) return;
     removeTask(task);
+    const {occurrence} = task.step;
+    occurrence.placedTasks -= 1;
     this.addUsage(task, -1);
+    this.closeIfOver(occurrence);
   }
 
   private addUsage({step}: TaskState, sign: 1 | -1): void {
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -1,9 +1,11 @@
 /** Runs that a former owner may have started and that are not known here. */
 import {leaseLeftMs, type ExecutorState} from './executor-state.js';
 import {
+  parseTaskName,
   taskName,
   type JobState,
   type StepState,
+  type TaskAddress,
   type TaskState,
 } from './job-state.js';
 import {FormerLeases, LOCAL_LEASE_MS, type Takeover} from './former-leases.js';
@@ -23,6 +25,7 @@
   type UnreachedExecutor,
   type UnreachedServices,
 } from './unreached-services.js';
+import type {StepSpec} from './types.js';
 
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
@@ -189,23 +192,18 @@
     const usage = new Map<string, ResourceAmounts>();
     if (services.size === 0) return usage;
     const left = new Map<string, ResourceAmounts>();
-    for (const step of this.unfinishedSteps(jobs)) {
-      const {organisation, queue} = step.occurrence.job;
+    for (const {job, spec, count} of this.unknownRuns(jobs, nowMs, services)) {
+      const {organisation, queue} = job;
       const capacity = services.get(queue.service)?.capacity;
       if (capacity === undefined) continue;
-      const count = step.tasks.filter(
-        task =>
-          task.phase === 'waiting' &&
-          this.mayHaveUnknownRuns(task, nowMs, services),
-      ).length;
       const key = `${queue.service} ${organisation}`;
       const rest = left.get(key) ?? capacity;
-      const allocated = allocatedAmounts(step.spec, count);
+      const allocated = allocatedAmounts(spec, count);
       const fitting = minAmounts(allocated, rest);
       left.set(key, subtractAmounts(rest, fitting));
       // A filler's cpu counts towards the limit, not towards the capacity.
-      const cpuMilli = step.spec.isFiller
-        ? count * step.spec.size.cpuMilli
+      const cpuMilli = spec.isFiller
+        ? count * spec.size.cpuMilli
         : fitting.cpuMilli;
       const known = usage.get(organisation) ?? NOTHING_RESERVED;
       usage.set(organisation, addAmounts(known, {...fitting, cpuMilli}));
@@ -295,15 +293,46 @@
     };
   }
 
-  /** The steps of which a former owner may have started tasks. */
-  private *unfinishedSteps(jobs: Iterable<JobState>): Generator<StepState> {
-    for (const {id, phase, occurrences} of jobs) {
-      if (phase === 'completed' || !this.jobs.has(id)) continue;
-      for (const {steps} of occurrences) {
+  /** How many tasks of each step may have runs that are not known. */
+  private *unknownRuns(
+    jobs: Iterable<JobState>,
+    nowMs: number,
+    services: UnreachedServices,
+  ): Generator<UnknownRuns> {
+    for (const job of jobs) {
+      if (job.phase === 'completed' || !this.jobs.has(job.id)) continue;
+      for (const {steps} of job.occurrences.values()) {
         for (const step of steps) {
-          if (step.doneCount < step.tasks.length) yield step;
+          if (step.doneCount === step.tasks.length) continue;
+          const waiting = step.tasks.filter(
+            task =>
+              task.phase === 'waiting' &&
+              this.mayHaveUnknownRuns(task, nowMs, services),
+          );
+          yield {job, spec: step.spec, count: waiting.length};
         }
       }
+      yield* this.unknownRunsElsewhere(job, nowMs, services);
+    }
+  }
+
+  /** The same for occurrences that are not in memory. */
+  private *unknownRunsElsewhere(
+    job: JobState,
+    nowMs: number,
+    services: UnreachedServices,
+  ): Generator<UnknownRuns> {
+    const count = countUnopened(job);
+    const service = services.get(job.queue.service);
+    if (count === 0 || service === undefined) return;
+    const {anyUntilMs, namedUntilMs} = service;
+    const mayBeAny = anyUntilMs !== null || nowMs < this.startsUntilMs;
+    const named = mayBeAny ? [] : unopenedTasks(job, namedUntilMs.keys());
+    for (const [i, spec] of job.spec.steps.entries()) {
+      const runs = mayBeAny
+        ? count * spec.count
+        : named.filter(({step}) => step === i).length;
+      yield {job, spec, count: runs};
     }
   }
 
@@ -351,3 +380,35 @@
     );
   }
 }
+
+/** How many tasks of a step may have runs that are not known. */
+interface UnknownRuns {
+  readonly job: JobState;
+  readonly spec: StepSpec;
+  readonly count: number;
+}
+
+/** How many occurrences are not done and not in memory. */
+function countUnopened({spec, occurrences, doneOccurrences}: JobState): number {
+  let count = spec.repetition.times - doneOccurrences.size;
+  for (const index of occurrences.keys()) {
+    if (!doneOccurrences.has(index)) count -= 1;
+  }
+  return count;
+}
+
+/** Those of the named tasks that are of such occurrences of the job. */
+function unopenedTasks(
+  {id, occurrences, doneOccurrences}: JobState,
+  names: Iterable<string>,
+): readonly TaskAddress[] {
+  const found: TaskAddress[] = [];
+  for (const name of names) {
+    const address = parseTaskName(name);
+    if (address === null || address.jobId !== id) continue;
+    const {occurrence} = address;
+    if (occurrences.has(occurrence)) continue;
+    if (!doneOccurrences.has(occurrence)) found.push(address);
+  }
+  return found;
+}
--- a/packages/cell/src/job-frontend.ts
+++ b/packages/cell/src/job-frontend.ts
@@ -2,6 +2,12 @@
 import type {Clock, Metrics} from '@dragonflyward/common';
 import {countForAppend, recordSize} from './append-size.js';
 import {describeError} from './background.js';
+import type {
+  Admission,
+  AdmissionRequest,
+  JobAdmission,
+} from './job-admission.js';
+import {jobBytes} from './job-size.js';
 import type {JobTable} from './job-table.js';
 import type {JobRow} from './messages.js';
 import type {LogFunction} from './platform.js';
@@ -54,7 +60,9 @@
   | {readonly kind: 'noSuchJob'}
   /** Certainly not done; may be retried after that time. */
   | {readonly kind: 'refused'; readonly retryAfterS: number}
-  /** The store has no room for a record of this size. */
+  /** The cell has no memory for it; it may be retried after that time. */
+  | {readonly kind: 'full'; readonly retryAfterS: number}
+  /** Neither the store nor the cell can ever hold it. */
   | {readonly kind: 'tooLarge'}
   /** May have been done; the caller should retry. */
   | {readonly kind: 'unknown'};
@@ -90,6 +98,7 @@
   readonly metrics: Metrics;
   readonly log: LogFunction;
   readonly table: JobTable;
+  readonly admission: JobAdmission;
   readonly lookup: (id: string, timeoutMs: number) => Promise<SourcedLookup>;
   readonly notifyJob: (id: string, value: Uint8Array) => void;
   readonly notifyCancel: (id: string) => void;
@@ -132,7 +141,7 @@
     if (this.deps.table.get(id) !== undefined) return {kind: 'done'};
     const inFlight = this.inFlightSubmissions.get(id);
     if (inFlight !== undefined) return inFlight;
-    const answer = this.storeJob(submission);
+    const answer = this.admitJob(submission);
     this.inFlightSubmissions.set(id, answer);
     try {
       return await answer;
@@ -210,8 +219,39 @@
     });
   }
 
-  private async storeJob(submission: Submission): Promise<WriteAnswer> {
-    const {clock, store, table, metrics, log} = this.deps;
+  private async admitJob(submission: Submission): Promise<WriteAnswer> {
+    const {clock, admission} = this.deps;
+    const {id, organisation, spec, timeoutMs} = submission;
+    const req = {id, organisation, bytes: jobBytes(spec)};
+    const startMs = clock.monotonicMs();
+    const answer =
+      admission.decide(req) ?? (await admission.ask(req, timeoutMs));
+    const leftMs = timeoutMs - (clock.monotonicMs() - startMs);
+    return answer.kind === 'admitted'
+      ? this.storeJob({...submission, timeoutMs: leftMs}, req.bytes)
+      : this.refuseJob(req, answer, leftMs);
+  }
+
+  /** An earlier attempt of the caller may have been accepted elsewhere. */
+  private async refuseJob(
+    req: AdmissionRequest,
+    refusal: Exclude<Admission, {kind: 'admitted'}>,
+    timeoutMs: number,
+  ): Promise<WriteAnswer> {
+    const {id, organisation, bytes} = req;
+    this.deps.log('jobNotAdmitted', {job: id, organisation, bytes, ...refusal});
+    this.deps.metrics.count(`jobs_total{outcome="${refusal.kind}"}`);
+    const {row, isSure} = await this.find(id, timeoutMs);
+    if (row !== null) return {kind: 'done'};
+    if (!isSure) return {kind: 'unknown'};
+    return refusal.kind === 'never' ? {kind: 'tooLarge'} : refusal;
+  }
+
+  private async storeJob(
+    submission: Submission,
+    memoryBytes: number,
+  ): Promise<WriteAnswer> {
+    const {clock, store, table, metrics, log, admission} = this.deps;
     const {id, queue, organisation, spec} = submission;
     const acceptedMs = clock.wallMs();
     const value = encodeJob({id, queue, organisation, spec, acceptedMs});
@@ -220,16 +260,25 @@
     const bytes = recordSize(record);
     if (bytes > store.limits.recordBytes) {
       log('jobNotStored', {job: id, reason: 'too large', bytes});
+      admission.release(id);
       return {kind: 'tooLarge'};
     }
     if (this.isStalled()) {
       log('jobNotStored', {job: id, reason: 'the store does not answer'});
+      admission.release(id);
       return this.toAnswer('refused');
     }
     const written = this.write(record);
     void written.then(outcome => {
+      if (outcome === 'refused') admission.release(id);
       if (outcome !== 'stored') return;
-      table.set({id, phase: 'queued', queue: queue.name, organisation});
+      const row = {
+        id,
+        phase: 'queued',
+        queue: queue.name,
+        organisation,
+      } as const;
+      table.addStored({...row, bytes: memoryBytes});
       this.deps.notifyJob(id, value);
     });
     const {timeoutMs} = submission;
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -1,7 +1,15 @@
 /** The owner's state of each job, step and task. */
 import type {Ticket} from './executor-client.js';
 import type {ExecutorState} from './executor-state.js';
-import type {JobPhase, JobSpec, Queue, StepSpec} from './types.js';
+import {IndexRanges} from './index-ranges.js';
+import {jobBytes} from './job-size.js';
+import {
+  isFinal,
+  type JobPhase,
+  type JobSpec,
+  type Queue,
+  type StepSpec,
+} from './types.js';
 
 /** The life cycle of a task. */
 export type TaskPhase =
@@ -71,7 +79,7 @@
   readonly spec: StepSpec;
   /** Names the queue and the image: tasks of the same have similar run times. */
   readonly imageKey: string;
-  readonly tasks: readonly TaskState[];
+  readonly tasks: TaskState[];
   doneCount: number;
   /** Executors that the advice service permits; a permission never changes. */
   readonly allowed: Set<string>;
@@ -96,8 +104,10 @@
   readonly index: number;
   /** Wall-clock time before which nothing may start; 0 for none. */
   readonly dueMs: number;
-  readonly steps: readonly StepState[];
+  steps: readonly StepState[];
   doneSteps: number;
+  /** How many of its tasks are placed on an executor. */
+  placedTasks: number;
 }
 
 /** The owner's state of a job. */
@@ -108,13 +118,16 @@
   /** The queue as configured when the job was accepted, or later. */
   queue: Queue;
   readonly acceptedMs: number;
-  readonly occurrences: readonly OccurrenceState[];
-  doneOccurrences: number;
+  /** The occurrences in memory, by index: those that are near and not done. */
+  readonly occurrences: Map<number, OccurrenceState>;
+  readonly doneOccurrences: IndexRanges;
   phase: JobPhase;
   /** The phase shown to callers: final phases only once they are stored. */
   visiblePhase: JobPhase;
   /** When the phase became final, on the owner's monotonic clock. */
   finalMs: number;
+  /** The memory that it needs, in bytes; less once its phase is final. */
+  bytes: number;
   /** Whether the job exceeded the submission rate of its organisation. */
   isOverRate: boolean;
 }
@@ -129,55 +142,77 @@
 }
 
 /**
- * Creates the state of a job that has not run yet.
+ * Creates the state of a job that has not run yet. It has no occurrence in
+ * memory; `openOccurrence` adds one.
  *
  * @example
  * const job = newJobState({id, spec, organisation, queue, acceptedMs});
  */
 export function newJobState(job: NewJob): JobState {
-  const occurrences: OccurrenceState[] = [];
-  const state: JobState = {
+  return {
     ...job,
-    occurrences,
-    doneOccurrences: 0,
+    occurrences: new Map(),
+    doneOccurrences: new IndexRanges(),
     phase: 'queued',
     visiblePhase: 'queued',
     finalMs: 0,
+    bytes: jobBytes(job.spec),
     isOverRate: false,
   };
-  const {times, firstMs, intervalMs} = job.spec.repetition;
-  for (let k = 0; k < times; k += 1) {
-    const dueMs = firstMs === 0 ? 0 : firstMs + k * intervalMs;
-    occurrences.push(newOccurrence(state, k, dueMs));
-  }
-  return state;
 }
 
-function newOccurrence(
-  job: JobState,
-  index: number,
-  dueMs: number,
-): OccurrenceState {
-  const steps: StepState[] = [];
-  const occurrence = {job, index, dueMs, steps, doneSteps: 0};
-  job.spec.steps.forEach((spec, i) => {
-    steps.push(newStep(occurrence, i, spec));
-  });
+/**
+ * Returns an occurrence of a job; creates its state if it is not in memory.
+ *
+ * @example
+ * const {steps} = openOccurrence(job, 0);
+ */
+export function openOccurrence(job: JobState, index: number): OccurrenceState {
+  const known = job.occurrences.get(index);
+  if (known !== undefined) return known;
+  const occurrence = newOccurrence(job, index);
+  addSteps(occurrence);
+  job.occurrences.set(index, occurrence);
   return occurrence;
 }
 
+/** Wall-clock time before which nothing of an occurrence may start. */
+export function dueMsOf({spec}: JobState, index: number): number {
+  const {firstMs, intervalMs} = spec.repetition;
+  // A negative interval would make later occurrences due before earlier ones.
+  return firstMs === 0 ? 0 : firstMs + index * Math.max(0, intervalMs);
+}
+
+/** Whether nothing of an occurrence in memory is left to do or to stop. */
+export function isOver({job, index, placedTasks}: OccurrenceState): boolean {
+  if (placedTasks > 0) return false;
+  return isFinal(job.phase) || job.doneOccurrences.has(index);
+}
+
+function newOccurrence(job: JobState, index: number): OccurrenceState {
+  const dueMs = dueMsOf(job, index);
+  return {job, index, dueMs, steps: [], doneSteps: 0, placedTasks: 0};
+}
+
+function addSteps(occurrence: OccurrenceState): void {
+  occurrence.steps = occurrence.job.spec.steps.map((spec, i) => {
+    const step = newStep(occurrence, i, spec);
+    for (let k = 0; k < spec.count; k += 1) step.tasks.push(newTask(step, k));
+    return step;
+  });
+}
+
 function newStep(
   occurrence: OccurrenceState,
   index: number,
   spec: StepSpec,
 ): StepState {
-  const tasks: TaskState[] = [];
-  const step: StepState = {
+  return {
     occurrence,
     index,
     spec,
     imageKey: `${occurrence.job.queue.name} ${spec.image}`,
-    tasks,
+    tasks: [],
     doneCount: 0,
     allowed: new Set(),
     checkedExecutors: new Set(),
@@ -187,8 +222,6 @@
     hadRoomSinceMs: Infinity,
     failedGangRuns: [],
   };
-  for (let i = 0; i < spec.count; i += 1) tasks.push(newTask(step, i));
-  return step;
 }
 
 function newTask(step: StepState, index: number): TaskState {
@@ -256,12 +289,37 @@
   return {jobId, occurrence, step, index};
 }
 
-/** Finds a task of a job; undefined where the job has no such task. */
+/** Finds a task of a job; undefined where it is not in memory. */
 export function findTask(
   job: JobState,
   {occurrence, step, index}: TaskAddress,
 ): TaskState | undefined {
-  return job.occurrences[occurrence]?.steps[step]?.tasks[index];
+  return job.occurrences.get(occurrence)?.steps[step]?.tasks[index];
+}
+
+/** Whether the job has a task of that name, in memory or not. */
+export function hasTask(
+  {spec}: JobState,
+  {occurrence, step, index}: TaskAddress,
+): boolean {
+  const isOccurrence = isIndex(occurrence, spec.repetition.times);
+  return isOccurrence && isIndex(index, spec.steps[step]?.count ?? 0);
+}
+
+function isIndex(index: number, count: number): boolean {
+  return Number.isInteger(index) && index >= 0 && index < count;
+}
+
+/**
+ * Creates the state of a task of which all is over, to count a run that an
+ * executor still lists.
+ */
+export function newDoneTask(job: JobState, address: TaskAddress): TaskState {
+  const occurrence = newOccurrence(job, address.occurrence);
+  const spec = job.spec.steps[address.step];
+  if (spec === undefined) throw new RangeError('the job has no such step');
+  const step = newStep(occurrence, address.step, spec);
+  return {...newTask(step, address.index), phase: 'done'};
 }
 
 /** Whether an unfinished step is due and its dependencies are done. */
@@ -289,13 +347,14 @@
   if (step.doneCount < step.tasks.length) return false;
   occurrence.doneSteps += 1;
   if (occurrence.doneSteps < occurrence.steps.length) return false;
-  occurrence.job.doneOccurrences += 1;
-  return occurrence.job.doneOccurrences === occurrence.job.occurrences.length;
+  const {doneOccurrences, spec} = occurrence.job;
+  doneOccurrences.add(occurrence.index);
+  return doneOccurrences.size === spec.repetition.times;
 }
 
-/** All tasks of a job. */
+/** All tasks of a job that are in memory. */
 export function* tasksOf(job: JobState): Generator<TaskState> {
-  for (const {steps} of job.occurrences) {
+  for (const {steps} of job.occurrences.values()) {
     for (const {tasks} of steps) yield* tasks;
   }
 }
--- a/packages/cell/src/job-table.ts
+++ b/packages/cell/src/job-table.ts
@@ -1,5 +1,6 @@
 /** A VM's table of job phases, from which it answers callers at once. */
 import type {Clock} from '@dragonflyward/common';
+import {JobLoad, type SizedJob} from './job-load.js';
 import type {JobRow} from './messages.js';
 import {isFinal} from './types.js';
 
@@ -15,6 +16,12 @@
 export class JobTable {
   private readonly rows = new Map<string, JobRow>();
   private readonly waiting = new Map<string, number>();
+  /** Jobs that this VM has stored and the owner may not know, in bytes each. */
+  private readonly unconfirmed = new Map<string, number>();
+  /** The memory that the jobs need in the process that owns the cell. */
+  readonly load = new JobLoad();
+  /** The same for the jobs that the owner may not know, in bytes. */
+  unconfirmedBytes = 0;
   /** Final rows, oldest first. */
   private readonly final: FinalRow[] = [];
 
@@ -29,18 +36,37 @@
   set(row: JobRow): void {
     const known = this.rows.get(row.id);
     if (known !== undefined) {
-      if (isFinal(known.phase)) return;
+      if (isFinal(known.phase)) return this.updateSize(known, row);
       if (known.phase === 'running' && row.phase === 'queued') return;
-      this.count(known, -1);
+      this.uncount(known);
     }
     this.rows.set(row.id, row);
-    this.count(row, 1);
+    this.count(row);
     if (!isFinal(row.phase)) return;
     const nowMs = this.clock.monotonicMs();
     this.final.push({id: row.id, atMs: nowMs});
     this.removeExpired(nowMs);
   }
 
+  /** Sets the row of a job that this VM has stored. */
+  addStored(row: JobRow): void {
+    this.set(row);
+    this.unconfirmed.set(row.id, row.bytes ?? 0);
+    this.unconfirmedBytes += row.bytes ?? 0;
+  }
+
+  /** Records that the owner, or whoever reads the store, knows the job. */
+  confirm(id: string): void {
+    this.unconfirmedBytes -= this.unconfirmed.get(id) ?? 0;
+    this.unconfirmed.delete(id);
+  }
+
+  /** Records that the owner knows all jobs. */
+  confirmAll(): void {
+    this.unconfirmed.clear();
+    this.unconfirmedBytes = 0;
+  }
+
   /**
    * Sets all open rows. Others that are open here may have ended: they are
    * removed, so that a question for them is passed on to the owner.
@@ -50,7 +76,7 @@
     for (const row of this.rows.values()) {
       if (isFinal(row.phase) || ids.has(row.id)) continue;
       this.rows.delete(row.id);
-      this.count(row, -1);
+      this.uncount(row);
     }
     for (const row of rows) this.set(row);
   }
@@ -68,12 +94,42 @@
   private removeExpired(nowMs: number): void {
     while (nowMs - (this.final[0]?.atMs ?? nowMs) > FINAL_TTL_MS) {
       const oldest = this.final.shift();
-      if (oldest !== undefined) this.rows.delete(oldest.id);
+      if (oldest !== undefined) this.remove(oldest.id);
     }
   }
 
-  private count({phase, queue}: JobRow, change: number): void {
+  private remove(id: string): void {
+    const row = this.rows.get(id);
+    if (row === undefined) return;
+    this.rows.delete(id);
+    this.uncount(row);
+  }
+
+  /** The owner tells what is left of a job of which this VM knew the end. */
+  private updateSize(known: JobRow, {phase, bytes}: JobRow): void {
+    if (phase !== known.phase || bytes === undefined) return;
+    this.uncount(known);
+    const row = {...known, bytes};
+    this.rows.set(row.id, row);
+    this.count(row);
+  }
+
+  private count(row: JobRow): void {
+    this.load.add(sizedJob(row));
+    this.countQueued(row, 1);
+  }
+
+  private uncount(row: JobRow): void {
+    this.load.remove(sizedJob(row), this.clock.monotonicMs());
+    this.countQueued(row, -1);
+  }
+
+  private countQueued({phase, queue}: JobRow, change: number): void {
     if (phase !== 'queued') return;
     this.waiting.set(queue, this.countWaiting(queue) + change);
   }
 }
+
+function sizedJob({organisation, bytes}: JobRow): SizedJob {
+  return {organisation, bytes: bytes ?? 0};
+}
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -272,6 +272,11 @@
     }
   }
 
+  /** The number of VMs of the cell, this one included, as far as known. */
+  get knownCount(): number {
+    return Math.max(this.knownMembers.length, this.count + 1);
+  }
+
   /** Returns the addresses of the connected VMs. */
   addresses(): readonly OwnerAddress[] {
     return [...this.connected()].map(({address}) => address);
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the processes of a cell, of which each VM runs one. */
 import type {Ticket} from './executor-client.js';
 import type {FormerOwner} from './former-owners.js';
+import type {Admission, AdmissionRequest} from './job-admission.js';
 import type {OrdersNotice} from './last-orders.js';
 import type {OwnerAddress} from './ownership.js';
 import type {
@@ -73,6 +74,11 @@
   readonly phase: JobPhase;
   readonly queue: string;
   readonly organisation: string;
+  /**
+   * The memory that it needs in the process that owns the cell, in bytes;
+   * missing from a sender of an earlier version.
+   */
+  readonly bytes?: number;
 }
 
 /**
@@ -134,6 +140,18 @@
   readonly tickets: readonly Ticket[] | null;
 }
 
+/** Asks the owner whether the cell has memory for a job. */
+export interface AdmissionAsk {
+  readonly type: 'admissionAsk';
+  readonly req: AdmissionRequest;
+}
+
+/** The owner's answer; null if the receiver does not own the cell. */
+export interface AdmissionReply {
+  readonly type: 'admission';
+  readonly admission: Admission | null;
+}
+
 /** Requests the newest configuration that the peer has. */
 export interface ConfigAsk {
   readonly type: 'configAsk';
@@ -185,8 +203,9 @@
 /** All messages of the cell. */
 export interface CellProtocol {
   readonly hello: CellHello;
-  readonly ask: PhaseAsk | AdviceAsk | ConfigAsk | StoreAsk;
-  readonly reply: PhaseReply | AdviceReply | ConfigReply | StoreReply;
+  readonly ask: PhaseAsk | AdviceAsk | AdmissionAsk | ConfigAsk | StoreAsk;
+  readonly reply:
+    PhaseReply | AdviceReply | AdmissionReply | ConfigReply | StoreReply;
   readonly notice:
     | CellHeartbeat
     | JobNotice
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -600,6 +600,7 @@
   return {rounds: count, sumMs: Math.round(sumMs), maxMs: Math.round(maxMs)};
 }
 
-function toRow({id, visiblePhase, queue, organisation}: JobState): JobRow {
-  return {id, phase: visiblePhase, queue: queue.name, organisation};
+function toRow(job: JobState): JobRow {
+  const {id, visiblePhase: phase, queue, organisation, bytes} = job;
+  return {id, phase, queue: queue.name, organisation, bytes};
 }
--- a/packages/cell/src/queue-order.ts
+++ b/packages/cell/src/queue-order.ts
@@ -1,6 +1,6 @@
 /** The order in which waiting steps are considered. */
 import type {RunTimeEstimates} from './run-time-estimates.js';
-import type {JobState, StepState} from './job-state.js';
+import type {JobState, OccurrenceState, StepState} from './job-state.js';
 
 /** A job is too late after this many times its latency objective. */
 const TOO_LATE_FACTOR = 3;
@@ -73,15 +73,33 @@
   leadMs: (step: StepState) => number = () => 0,
 ): readonly RankedStep[] {
   const ranked: RankedStep[] = [];
+  const pathTimes = new Map<OccurrenceState, PathTimes>();
   for (const step of steps) {
-    ranked.push(rankStep(step, estimates, wallMs, leadMs(step)));
+    const {occurrence} = step;
+    const times = pathTimes.get(occurrence) ?? pathTimesOf(step, estimates);
+    pathTimes.set(occurrence, times);
+    ranked.push(rankStep(step, times, wallMs, leadMs(step)));
   }
   return ranked.sort(compareRanked);
 }
 
+/** Expected times of an occurrence, which are those of each of its steps. */
+interface PathTimes {
+  /** Of the longest chain of unfinished steps, in ms. */
+  readonly criticalMs: number;
+  /** From the start until the job is late, in ms. */
+  readonly allowedMs: number;
+}
+
+function pathTimesOf(step: StepState, estimates: RunTimeEstimates): PathTimes {
+  const criticalMs = estimates.criticalPathMs(step);
+  const allowedMs = allowedLatencyMs(step.occurrence.job, step, estimates);
+  return {criticalMs, allowedMs};
+}
+
 function rankStep(
   step: StepState,
-  estimates: RunTimeEstimates,
+  {criticalMs, allowedMs}: PathTimes,
   wallMs: number,
   leadMs: number,
 ): RankedStep {
@@ -89,10 +107,8 @@
   const {isOverRate} = job;
   const {priority} = job.queue;
   const sinceMs = Math.max(job.acceptedMs, dueMs);
-  const criticalPathMs = estimates.criticalPathMs(step);
-  const allowedMs = allowedLatencyMs(job, step, estimates);
-  const slackMs = sinceMs + allowedMs - criticalPathMs - wallMs;
-  const neededMs = leadMs + RUN_TIME_MARGIN * criticalPathMs;
+  const slackMs = sinceMs + allowedMs - criticalMs - wallMs;
+  const neededMs = leadMs + RUN_TIME_MARGIN * criticalMs;
   const isOnTime = step.spec.isService || slackMs >= neededMs;
   const isTooLate = wallMs - sinceMs > TOO_LATE_FACTOR * allowedMs;
   const latenessIfMissed = isTooLate ? TOO_LATE : LATE;
--- a/packages/cell/src/record-checks.ts
+++ b/packages/cell/src/record-checks.ts
@@ -9,7 +9,9 @@
   isOptional,
   isPositive,
   isText,
+  type Check,
 } from './checks.js';
+import {withoutImpliedDependencies} from './dependencies.js';
 import type {NewJob} from './job-state.js';
 import type {
   AdvicePolicy,
@@ -21,8 +23,10 @@
   StepSpec,
 } from './types.js';
 
-/** Most tasks of a job in all occurrences; each takes about 350 bytes. */
-export const MAX_JOB_TASKS = 1_000_000;
+/** Most tasks of one occurrence of a job, which is held in memory as a whole. */
+export const MAX_OCCURRENCE_TASKS = 100_000;
+/** Most repetitions of a job: its occurrences are numbered up to this. */
+export const MAX_REPETITIONS = 1_000_000_000;
 
 const PHASES: ReadonlySet<unknown> = new Set<JobPhase>([
   'queued',
@@ -107,12 +111,6 @@
   bornMs: isNumber,
 });
 
-/** Number of tasks of a job in all occurrences. */
-export function countTasks({steps, repetition}: JobSpec): number {
-  const each = steps.reduce((sum, {count}) => sum + count, 0);
-  return each * repetition.times;
-}
-
 /**
  * Checks a decoded job. Rounds of the owner would fail with one that is not
  * whole, and one with countless tasks would take all memory.
@@ -124,9 +122,16 @@
 export function checkJob(value: unknown): NewJob {
   if (!isJob(value)) return raise('badRequest', 'not a job');
   const job = value as NewJob;
-  const tasks = countTasks(job.spec);
-  if (tasks <= MAX_JOB_TASKS) return job;
-  return raise('badRequest', `a job of ${tasks} tasks`);
+  const {steps, repetition} = job.spec;
+  const tasks = steps.reduce((sum, {count}) => sum + count, 0);
+  if (tasks > MAX_OCCURRENCE_TASKS) {
+    return raise('badRequest', `an occurrence of ${tasks} tasks`);
+  }
+  if (repetition.times > MAX_REPETITIONS) {
+    return raise('badRequest', `a job of ${repetition.times} occurrences`);
+  }
+  const spec = {...job.spec, steps: withoutImpliedDependencies(steps)};
+  return {...job, spec};
 }
 
 /**
@@ -155,6 +160,14 @@
 
 const isRuns = isList(isCount);
 
+/** Whether these are pairs of indexes, each of a range that is not empty. */
+export const isRanges: Check = value =>
+  isRuns(value) &&
+  (value as number[]).length % 2 === 0 &&
+  (value as number[]).every(
+    (each, i, all) => i === 0 || each > (all[i - 1] ?? 0),
+  );
+
 /** Whether a row of a progress record can be applied to a step. */
 export const isStepRow = isObject<{
   readonly occurrence: number;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -1,11 +1,14 @@
 /** The records of the cell in the store, and their encoding. */
 import {raise} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
+import {isOptional} from './checks.js';
+import type {RangeRows} from './index-ranges.js';
 import {
   findTask,
   markDone,
   type JobState,
   type NewJob,
+  type OccurrenceState,
   type StepState,
   type TaskState,
 } from './job-state.js';
@@ -13,6 +16,7 @@
   checkExecutor,
   checkJob,
   checkPhase,
+  isRanges,
   isStepRow,
 } from './record-checks.js';
 import {isFinal, type ExecutorInfo, type JobPhase} from './types.js';
@@ -135,18 +139,24 @@
 
 interface ProgressRecord {
   readonly phase: JobPhase;
+  /** Steps of the occurrences that are not done. */
   readonly steps: readonly StepRow[];
+  /** The occurrences that are done; missing in records of earlier versions. */
+  readonly done?: RangeRows;
 }
 
 /** Encodes the progress of a job. */
 export function encodeProgress(job: JobState): Uint8Array {
-  const steps = isFinal(job.phase) ? [] : [...stepRows(job)];
-  const record: ProgressRecord = {phase: job.phase, steps};
+  const {phase, doneOccurrences} = job;
+  const record: ProgressRecord = isFinal(phase)
+    ? {phase, steps: []}
+    : {phase, steps: [...stepRows(job)], done: doneOccurrences.toRows()};
   return encode(record);
 }
 
 function* stepRows(job: JobState): Generator<StepRow> {
-  for (const {index, steps} of job.occurrences) {
+  for (const {index, steps} of job.occurrences.values()) {
+    if (job.doneOccurrences.has(index)) continue;
     for (const step of steps) {
       const row = stepRow(index, step);
       if (row !== null) yield row;
@@ -192,10 +202,13 @@
   const record = decode(value as Buffer) as ProgressRecord | null;
   checkPhase(record?.phase);
   const steps: unknown = record?.steps;
-  if (record !== null && Array.isArray(steps) && steps.every(isStepRow)) {
-    return record;
+  if (record === null || !Array.isArray(steps) || !steps.every(isStepRow)) {
+    return raise('badRequest', 'no rows of steps');
   }
-  return raise('badRequest', 'no rows of steps');
+  if (!isOptional(isRanges)(record.done)) {
+    return raise('badRequest', 'no ranges of occurrences');
+  }
+  return record;
 }
 
 /**
@@ -210,18 +223,31 @@
 /**
  * Applies a stored progress record to a job's state.
  *
+ * @param open returns an occurrence of the job, from now on in memory
  * @throws if it cannot be read; nothing of it is applied then
  */
-export function applyProgress(job: JobState, value: Uint8Array): void {
+export function applyProgress(
+  job: JobState,
+  value: Uint8Array,
+  open: (index: number) => OccurrenceState,
+): void {
   const record = decodeProgress(value);
-  for (const row of record.steps) applyStepRow(job, row);
+  job.doneOccurrences.addRows(record.done ?? []);
+  for (const row of record.steps) applyStepRow(job, row, open);
   if (record.phase !== 'queued') job.phase = record.phase;
   job.visiblePhase = job.phase;
 }
 
-function applyStepRow(job: JobState, row: StepRow): void {
+function applyStepRow(
+  job: JobState,
+  row: StepRow,
+  open: (index: number) => OccurrenceState,
+): void {
   const {occurrence} = row;
-  const step = job.occurrences[occurrence]?.steps[row.step];
+  const {steps, repetition} = job.spec;
+  if (occurrence >= repetition.times || row.step >= steps.length) return;
+  if (job.doneOccurrences.has(occurrence)) return;
+  const step = open(occurrence).steps[row.step];
   if (step === undefined) return;
   step.failedGangRuns = row.failedGangRuns;
   for (const task of step.tasks) {
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -77,6 +77,7 @@
   context: RoundContext,
 ): Generator<Decision> {
   const {order, pendingSteps, estimates} = state;
+  state.openDue(context.wallMs);
   const ranked = order.update({
     nowMs: context.nowMs,
     wallMs: context.wallMs,
--- a/packages/cell/src/step-order.ts
+++ b/packages/cell/src/step-order.ts
@@ -2,7 +2,11 @@
  * Keeps the order of the waiting steps between scheduling rounds. With hundreds
  * of steps, ranking all of them in each round would take most of its time.
  */
-import {isStepReady, type JobState, type StepState} from './job-state.js';
+import {
+  isStepReady,
+  type OccurrenceState,
+  type StepState,
+} from './job-state.js';
 import {compareRanked, orderSteps, type RankedStep} from './queue-order.js';
 import type {RunTimeEstimates} from './run-time-estimates.js';
 
@@ -35,11 +39,9 @@
     this.changed.add(step);
   }
 
-  /** Records that the steps of a job may have become ready. */
-  markJobChanged({occurrences}: JobState): void {
-    for (const {steps} of occurrences) {
-      for (const step of steps) this.markChanged(step);
-    }
+  /** Records that steps of an occurrence may have become ready. */
+  markOccurrenceChanged({steps}: OccurrenceState): void {
+    for (const step of steps) this.markChanged(step);
   }
 
   /** Ranks all steps anew in the next round. */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -3,6 +3,7 @@
 import {keepRunning, skipInvalid} from './background.js';
 import {Follower} from './follower.js';
 import type {Lookup} from './job-frontend.js';
+import {jobBytes} from './job-size.js';
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction} from './platform.js';
@@ -148,9 +149,11 @@
     const entry = decodeJobsRecord(key, value);
     if (entry?.kind === 'cancel') this.applyCancel(entry.id);
     if (entry?.kind !== 'job') return;
-    const {id, queue, organisation} = entry.job;
+    const {id, queue, organisation, spec} = entry.job;
     const phase = this.takeEarlyPhase(id);
-    this.table.set({id, phase, queue: queue.name, organisation});
+    const bytes = jobBytes(spec);
+    this.table.set({id, phase, queue: queue.name, organisation, bytes});
+    this.table.confirm(id);
   }
 
   private applyCancel(id: string): void {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -6,6 +6,11 @@
 import {describeError, keepRunning, runInBackground} from './background.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
+import {
+  JobAdmission,
+  type Admission,
+  type AdmissionRequest,
+} from './job-admission.js';
 import {JobFrontend} from './job-frontend.js';
 import {JobLookup} from './job-lookup.js';
 import {JobTable} from './job-table.js';
@@ -60,6 +65,7 @@
 export class Vm extends MemberHandler {
   readonly frontend: JobFrontend;
   private readonly table: JobTable;
+  private readonly admission: JobAdmission;
   private readonly members: Members;
   private readonly store: RelayedStore;
   private readonly sharedAppends: SharedAppends;
@@ -107,6 +113,13 @@
       clock,
       log,
     });
+    this.admission = new JobAdmission({
+      table: this.table,
+      clock,
+      vmCount: () => this.members.knownCount,
+      isOwner: () => this.owner !== null,
+      askOwner: (req, timeoutMs) => this.askAdmission(req, timeoutMs),
+    });
     this.frontend = new JobFrontend({
       store: this.store,
       jobsTopic: jobsTopicFor(self.vm),
@@ -114,6 +127,7 @@
       metrics,
       log,
       table: this.table,
+      admission: this.admission,
       lookup: (id, timeoutMs) => this.lookups.find(id, timeoutMs),
       notifyJob: (id, value) => this.notifyJob(id, value),
       notifyCancel: id => this.notifyCancel(id),
@@ -208,6 +222,11 @@
         return {type: 'phase', ...(await this.lookups.answer(ask.id))};
       case 'adviceAsk':
         return {type: 'advice', tickets: await this.advise(ask)};
+      case 'admissionAsk': {
+        const isOwner = this.owner !== null;
+        const admission = isOwner ? this.admission.grant(ask.req) : null;
+        return {type: 'admission', admission};
+      }
       case 'configAsk':
         return {type: 'config', value: this.config.stored};
       case 'storeAsk':
@@ -272,6 +291,22 @@
     this.deps.log(event, {vm, isOwner, connected: this.members.count});
   }
 
+  private async askAdmission(
+    req: AdmissionRequest,
+    timeoutMs: number,
+  ): Promise<Admission | null> {
+    const connection = this.election.ownerConnection();
+    if (connection === undefined) return null;
+    try {
+      const ask = {type: 'admissionAsk', req} as const;
+      const reply = await connection.ask(ask, timeoutMs);
+      return reply.type === 'admission' ? reply.admission : null;
+    } catch (err) {
+      this.deps.log('admissionAskFailed', {job: req.id, err: String(err)});
+      return null;
+    }
+  }
+
   private async advise(
     ask: Omit<AdviceAsk, 'type'>,
   ): Promise<readonly Ticket[] | null> {
@@ -295,7 +330,10 @@
   private handleJobRows({rows, isFull, term}: JobsNotice): void {
     if (isFull) this.table.replaceOpen(rows);
     else for (const row of rows) this.table.set(row);
-    for (const {id} of rows) this.freshness.recordPublished(id);
+    for (const {id} of rows) {
+      this.freshness.recordPublished(id);
+      this.table.confirm(id);
+    }
     if (isFull) this.freshness.recordFullUpdate(term);
   }
 
@@ -367,6 +405,7 @@
     this.broadcast(this.heartbeat());
     this.publisher = this.startPublisher(owner);
     for (const row of owner.currentRows()) this.table.set(row);
+    this.table.confirmAll();
     return true;
   }
 
@@ -428,7 +467,10 @@
   }
 
   private publish(rows: readonly JobRow[]): void {
-    for (const row of rows) this.table.set(row);
+    for (const row of rows) {
+      this.table.set(row);
+      this.table.confirm(row.id);
+    }
     this.publisher?.publish(rows);
   }
 }
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -3,6 +3,7 @@
   applyProgress,
   encodeProgress,
   newJobState,
+  openOccurrence,
   tasksOf,
   type JobState,
   type TaskState,
@@ -54,7 +55,14 @@
   const repetition = {times: 1, firstMs: 0, intervalMs: 0};
   const spec = {payload: '', steps: [STEP], repetition};
   const queue = QUEUE;
-  return newJobState({id: 'job', spec, queue, organisation: '', acceptedMs: 0});
+  const job = {id: 'job', spec, queue, organisation: '', acceptedMs: 0};
+  const state = newJobState(job);
+  openOccurrence(state, 0);
+  return state;
+}
+
+function apply(job: JobState, value: Uint8Array): void {
+  applyProgress(job, value, index => openOccurrence(job, index));
 }
 
 function firstTask(job: JobState): TaskState {
@@ -266,13 +274,13 @@
   task.crashedRuns = [1, 3];
   task.suspectedRuns = [3];
   const read = newJob();
-  applyProgress(read, encodeProgress(crashed));
+  apply(read, encodeProgress(crashed));
   assert.equal(firstTask(read).crashedRuns, [1, 3]);
   assert.equal(firstTask(read).suspectedRuns, [3]);
   const row = [0, [2], 'saved'];
   const step = {occurrence: 0, step: 0, done: new Uint8Array(1)};
   const former = {...step, isDone: false, tasks: [row], failedGangRuns: []};
-  applyProgress(read, encode({phase: 'running', steps: [former]}));
+  apply(read, encode({phase: 'running', steps: [former]}));
   assert.equal(firstTask(read).failedRuns, [2]);
   assert.equal(firstTask(read).crashedRuns, []);
 });
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -9,6 +9,8 @@
   TicketBudget,
   RuntimeMonitor,
   newJobState,
+  openOccurrence,
+  tasksOf,
   nextFillerPercent,
   orderSteps,
   type Decision,
@@ -108,12 +110,12 @@
 
 /** The executors on which a job's tasks were placed, in order. */
 function executorIdsOf(job: JobState): readonly string[] {
-  const tasks = job.occurrences.flatMap(o => o.steps.flatMap(s => s.tasks));
+  const tasks = [...tasksOf(job)];
   return tasks.map(({executor}) => executor?.info.id ?? '');
 }
 
 function markRunning(job: JobState): void {
-  for (const task of job.occurrences[0]?.steps[0]?.tasks ?? []) {
+  for (const task of job.occurrences.get(0)?.steps[0]?.tasks ?? []) {
     if (task.phase === 'starting') task.phase = 'running';
   }
 }
@@ -236,7 +238,7 @@
   const [ask] = decide(state);
   assert.is(ask?.kind, 'advise');
   assert.equal(executorIdsOf(job), ['']);
-  const step = job.occurrences[0]?.steps[0];
+  const step = job.occurrences.get(0)?.steps[0];
   step?.checkedExecutors.add('x').add('y');
   step?.allowed.add('y');
   step?.tickets.set('y', {ticket: 't', validUntilMs: NOW_MS + 1000});
@@ -249,7 +251,7 @@
   addExecutor(state, 'x');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   const job = addJob(state, 'j', queue, [STEP]);
-  const step = job.occurrences[0]?.steps[0];
+  const step = job.occurrences.get(0)?.steps[0];
   step?.checkedExecutors.add('x');
   step?.allowed.add('x');
   step?.tickets.set('x', {ticket: 't', validUntilMs: NOW_MS});
@@ -266,7 +268,7 @@
   // A queue may move to another service after its tickets were issued.
   const advised = {...QUEUE, name: 'advised', advice: ADVICE};
   const moved = addJob(state, 'moved', advised, [STEP]);
-  const step = moved.occurrences[0]?.steps[0];
+  const step = moved.occurrences.get(0)?.steps[0];
   step?.checkedExecutors.add('other');
   step?.allowed.add('other');
   step?.tickets.set('other', {ticket: 't', validUntilMs: NOW_MS + 1000});
@@ -280,7 +282,7 @@
   const job = addJob(state, 'j', QUEUE, [GANG]);
   decide(state);
   markRunning(job);
-  const [first] = job.occurrences[0]?.steps[0]?.tasks ?? [];
+  const [first] = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
   const end = {number: 1, task: 'j.0.0.0', run: 1, checkpoint: ''};
   state.recordEnd(x, {...end, how: 'failed'}, NOW_MS);
   assert.is(first?.phase, 'waiting');
@@ -292,7 +294,7 @@
   addExecutor(state, 'x');
   const queue = {...QUEUE, name: 'advised', advice: ADVICE};
   const job = addJob(state, 'j', queue, [STEP]);
-  job.occurrences[0]?.steps[0]?.checkedExecutors.add('x');
+  job.occurrences.get(0)?.steps[0]?.checkedExecutors.add('x');
   assert.equal(decide(state), []);
   addExecutor(state, 'new');
   const [ask] = decide(state);
@@ -319,13 +321,13 @@
   x.usedCpuMilli = 1000;
   for (let i = 0; i < 9; i += 1) {
     const job = addJob(state, `gang${i}`, queue, [whole]);
-    const step = job.occurrences[0]?.steps[0];
+    const step = job.occurrences.get(0)?.steps[0];
     step?.checkedExecutors.add('x').add('y');
     step?.allowed.add('x').add('y');
   }
   assert.is(countTicketRequests(state), 3);
   for (const job of state.jobs.values()) {
-    const step = job.occurrences[0]?.steps[0];
+    const step = job.occurrences.get(0)?.steps[0];
     if (step !== undefined) step.isRequestingTickets = true;
   }
   assert.is(countTicketRequests(state), 0);
@@ -363,7 +365,7 @@
     make('tight', QUEUE, NOW_MS - 500),
     make('urgent', URGENT, NOW_MS),
   ];
-  const steps = jobs.flatMap(job => job.occurrences.flatMap(o => o.steps));
+  const steps = jobs.flatMap(job => openOccurrence(job, 0).steps);
   const order = orderSteps(steps, estimates, NOW_MS);
   const ids = order.map(({step}) => step.occurrence.job.id);
   assert.equal(ids, ['urgent', 'tight', 'fresh', 'late', 'lost']);
@@ -403,7 +405,7 @@
   const x = addExecutor(state, 'x');
   const spec = {...STEP, isService: true, count: 300};
   const job = addJob(state, 'j', QUEUE, [spec]);
-  const tasks = job.occurrences[0]?.steps[0]?.tasks ?? [];
+  const tasks = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
   for (let run = 1; run <= 400; run += 1) {
     for (const task of tasks) {
       const end = {number: run, task: taskName(task), run, checkpoint: ''};
@@ -418,7 +420,7 @@
   const state = newState();
   const executor = addExecutor(state, 'x');
   const job = addJob(state, 'j', QUEUE, [{...STEP, isFiller: true}]);
-  const task = job.occurrences[0]?.steps[0]?.tasks[0];
+  const task = job.occurrences.get(0)?.steps[0]?.tasks[0];
   if (task === undefined) throw new Error('no task');
   state.adoptRun(executor, task, 1, NOW_MS);
   task.percent = 0;
--- a/packages/cell/test/load-simulation.ts
+++ b/packages/cell/test/load-simulation.ts
@@ -3,6 +3,7 @@
   CellState,
   decideRound,
   isStepReady,
+  tasksOf,
   TicketRequester,
   type AdviceChannel,
   type CellConfig,
@@ -194,8 +195,8 @@
 
   /** Counts the tasks of a job that run. */
   running(id: string): number {
-    const {occurrences} = this.state.jobs.get(id) ?? {occurrences: []};
-    const tasks = occurrences.flatMap(o => o.steps.flatMap(s => s.tasks));
+    const job = this.state.jobs.get(id);
+    const tasks = job === undefined ? [] : [...tasksOf(job)];
     return tasks.filter(({phase}) => phase === 'running').length;
   }
 
@@ -237,10 +238,10 @@
       const {id, acceptedMs, queue} = job;
       if (acceptedMs < fromMs || acceptedMs >= untilMs) continue;
       const completedMs = this.completedMs.get(job) ?? Infinity;
-      const chainMs = job.occurrences[0]?.steps
-        .map(({spec}) => spec.estimatedMs + firstCallMs(queue))
+      const chainMs = job.spec.steps
+        .map(({estimatedMs}) => estimatedMs + firstCallMs(queue))
         .reduce((sum, each) => sum + each, 0);
-      const objectiveMs = queue.objectiveMs + queue.stretch * (chainMs ?? 0);
+      const objectiveMs = queue.objectiveMs + queue.stretch * chainMs;
       yield {id, queue: queue.name, acceptedMs, completedMs, objectiveMs};
     }
   }
@@ -410,7 +411,8 @@
 
   /** Whether nothing of the job runs, and a step could start twice over. */
   private mayRun(job: JobState): boolean {
-    const steps = job.occurrences.flatMap(each => each.steps);
+    const occurrences = [...job.occurrences.values()];
+    const steps = occurrences.flatMap(each => each.steps);
     const tasks = steps.flatMap(each => each.tasks);
     if (tasks.some(({executor}) => executor !== null)) return false;
     return steps.some(step => {
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -24,6 +24,7 @@
   type Ownership,
   type StoredRecord,
   type Queue,
+  type Repetition,
   type StepSpec,
 } from '@dragonflyward/cell';
 import {decode, encode} from 'cbor-x';
@@ -75,6 +76,9 @@
   missAllowed: 0,
 };
 
+/** Of a job that has no time. */
+export const ONCE: Repetition = {times: 1, firstMs: 0, intervalMs: 0};
+
 export const CONFIG: CellConfig = {
   version: 1,
   queues: [QUEUE],
@@ -303,6 +307,7 @@
     steps: readonly StepSpec[],
     owners: readonly CellNode[],
     queue: Queue = QUEUE,
+    repetition: Repetition = ONCE,
   ): void {
     const job = {
       id,
@@ -311,7 +316,7 @@
       spec: {
         payload: id,
         steps,
-        repetition: {times: 1, firstMs: 0, intervalMs: 0},
+        repetition,
       },
       acceptedMs: this.clock.wallMs(),
     };
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -20,6 +20,7 @@
   type StorePeer,
   type StoreReply,
 } from '@dragonflyward/cell';
+import {ownAdmission} from './admissions.js';
 import {MemoryStore, StoreClient} from './memory-store.js';
 import {QUEUE, STEP} from './rig.js';
 
@@ -446,13 +447,15 @@
   client: StoreClient,
   notifyCancel: (id: string) => void = () => undefined,
 ): JobFrontend {
+  const table = new JobTable(fixture.clock);
   return new JobFrontend({
     store: client,
     jobsTopic: JOBS_TOPICS[0] ?? '',
     clock: fixture.clock,
     metrics: new Metrics(),
     log: (event, fields) => void fixture.events.push([event, fields]),
-    table: new JobTable(fixture.clock),
+    table,
+    admission: ownAdmission(table, fixture.clock),
     lookup: () =>
       Promise.resolve({row: null, isSure: true, source: 'store', term: 3}),
     notifyJob: () => undefined,
--- a/packages/cell/test/testing.ts
+++ b/packages/cell/test/testing.ts
@@ -2,3 +2,4 @@
 export * from './fake-executor.js';
 export * from './memory-store.js';
 export * from './invariants.js';
+export * from './admissions.js';
