Count no lapsed run as a crash of its task

Cause: runs whose leases expired in silence were kept as lost and counted as a crash once the executor was gone, or was back with another start time. A run that was started just before its executor was cut off had never been listed, so that it looked like the cause; after a second cut its job was given up.

Now only an executor that has started again has crashed, and lapsed runs count only if its address refused connections meanwhile. So a lapse is never a crash, and deadly tasks are still given up where executors are down for longer than a lease.

Tests: four new ones and "does not count the loss of executors that are cut off" fail without the change, which passes over `isConfirmed`, a field that is gone, and asks for no crash line at all instead. "gives up a task whose executors are down for long" passed before and guards what has to stay.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -268,19 +268,16 @@
   }
 
   /**
-   * Records the crash of an executor that has lost runs, and gives up the jobs
-   * of tasks that crash executor after executor.
-   *
-   * @param isConfirmed whether the executor is known to have started again
+   * Records the crash of an executor that has started again and has lost runs,
+   * and gives up the jobs of tasks that crash executor after executor.
    */
   recordCrash(
     executor: ExecutorState,
     runs: readonly LostRun[],
-    isConfirmed: boolean,
     nowMs: number,
   ): void {
     if (runs.length === 0) return;
-    const crash = this.crashes.record(executor, runs, isConfirmed, nowMs);
+    const crash = this.crashes.record(executor, runs, nowMs);
     this.listener.onCrash(crash);
     const jobs = new Set(crash.runs.map(({task}) => task.step.occurrence.job));
     for (const job of jobs) this.listener.onProgress(job);
--- a/packages/cell/src/crash-report.ts
+++ b/packages/cell/src/crash-report.ts
@@ -18,12 +18,11 @@
   log: LogFunction,
   metrics: Metrics,
 ): void {
-  const {executor, isConfirmed, isVmSuspect, runs, suspects} = crash;
+  const {executor, isVmSuspect, runs, suspects} = crash;
   const executorId = executor.info.id;
   metrics.count('executor_crashes_total');
   log('executorCrashed', {
     executorId,
-    isConfirmed,
     isVmSuspect,
     runs: runs.length,
     newRuns: suspects.length,
--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -4,9 +4,9 @@
  * suspects. A suspect starts where nothing else has just started, so that a
  * further crash shows whether it is the cause.
  */
-import type {ExecutorState} from './executor-state.js';
+import type {ExecutorState, ExpiredRuns} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
-import {isFinal} from './types.js';
+import {isFinal, type ExecutorInfo} from './types.js';
 
 /** A run that is listed this long after its start has started well, in ms. */
 const WELL_STARTED_MS = 150;
@@ -36,8 +36,6 @@
 /** The crash of an executor with the runs that were lost. */
 export interface Crash {
   readonly executor: ExecutorState;
-  /** Whether the executor is known to have started again. */
-  readonly isConfirmed: boolean;
   readonly runs: readonly LostRun[];
   readonly suspects: readonly LostRun[];
   /** Whether the VM crashes under different tasks again and again. */
@@ -110,9 +108,16 @@
   return isSuspect(task) && !hasStartedWell(task);
 }
 
+/** What an executor has lost that is gone and may have crashed. */
+interface GoneRuns extends ExpiredRuns {
+  readonly atMs: number;
+}
+
 /** Counts crashes, and decides which tasks are given up. */
 export class CrashSuspects {
   private readonly vms = new Map<string, readonly VmCrash[]>();
+  /** By VM. */
+  private readonly gone = new Map<string, GoneRuns>();
   /** Suspects that were started and are not cleared yet. */
   private readonly isolatedStarts = new Set<TaskState>();
   /** Whether there may be suspects. */
@@ -122,20 +127,17 @@
    * Records a crash and counts it for the tasks that were lost. If a single
    * task can explain it, it is not counted for the others once that task is
    * given up.
-   *
-   * @param isConfirmed whether the executor is known to have started again
    */
   record(
     executor: ExecutorState,
     lost: readonly LostRun[],
-    isConfirmed: boolean,
     nowMs: number,
   ): Crash {
     const runs = lost.filter(isCounted);
     const suspects = runs.filter(({isNew}) => isNew);
     const units = new Set(suspects.map(({task}) => unitOf(task)));
     const isVmSuspect = this.recordVm(executor, units, nowMs);
-    const crash = {executor, isConfirmed, runs, suspects, isVmSuspect};
+    const crash = {executor, runs, suspects, isVmSuspect};
     const crashedHere = runs.filter(({task}) => hasCrashedOn(task, executor));
     for (const {task} of runs) task.crashedOn = vmOf(executor);
     const cause = units.size === 1 ? suspects : [];
@@ -145,8 +147,7 @@
     const isExplained = isElsewhere && !isVmSuspect;
     const proven = isExplained ? cause.find(isProvenCause) : undefined;
     if (proven !== undefined) return {...crash, givenUp: [proven.task]};
-    const isOther = (each: LostRun): boolean => !cause.includes(each);
-    const others = isConfirmed ? runs.filter(isOther) : [];
+    const others = runs.filter(each => !cause.includes(each));
     others.filter(isCertainRun).forEach(countCrash);
     const givenUp = tasksOverLimit([...cause, ...others], each =>
       isVmSuspect && crashedHere.includes(each)
@@ -176,6 +177,23 @@
     [...doubtful, ...cause.filter(isCertainRun)].forEach(countCrash);
   }
 
+  /** Keeps what a gone executor has lost until its VM is heard of again. */
+  recordGone({info, expired}: ExecutorState, nowMs: number): void {
+    for (const [vm, {atMs}] of this.gone) {
+      if (nowMs - atMs >= VM_CRASH_MEMORY_MS) this.gone.delete(vm);
+    }
+    if (expired === null) return;
+    this.gone.set(vmAddress(info), {...expired, atMs: nowMs});
+  }
+
+  /** Returns what was lost on the executor's VM by the process before. */
+  takeGone({info}: ExecutorState, bornMs: number): readonly LostRun[] {
+    const vm = vmAddress(info);
+    const gone = this.gone.get(vm);
+    this.gone.delete(vm);
+    return gone === undefined || gone.bornMs === bornMs ? [] : gone.runs;
+  }
+
   /** Watches the run of a suspect, so that it is cleared once it has started well. */
   watchStart(task: TaskState): void {
     this.isolatedStarts.add(task);
@@ -277,5 +295,9 @@
 }
 
 function vmOf({info}: ExecutorState): string {
-  return `${info.ip}:${info.port}`;
+  return vmAddress(info);
+}
+
+function vmAddress({ip, port}: ExecutorInfo): string {
+  return `${ip}:${port}`;
 }
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -78,6 +78,8 @@
   readonly failure: OrderFailure | null;
   /** The executor's clock; NaN if it sent none. */
   readonly clockMs: number;
+  /** Whether its address refused the connection; missing for false. */
+  readonly isRefused?: boolean;
 }
 
 /** A client of one executor process. */
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -376,7 +376,7 @@
     executor.expired = null;
     host.state.recordRestart(executor, bornMs, Infinity);
     host.state.requeueAll(executor);
-    host.state.recordCrash(executor, lost, true, host.clock.monotonicMs());
+    host.state.recordCrash(executor, lost, host.clock.monotonicMs());
     executor.isListed = false;
     host.onChange(executor);
   }
@@ -387,6 +387,7 @@
       return this.handleFailure(reply, 'hold');
     }
     executor.missedRenewals += 1;
+    executor.hasRefused ||= reply.isRefused === true;
     if (executor.missedRenewals === 1) {
       host.writeLog('executorSilent', {
         executorId: executor.info.id,
@@ -408,10 +409,13 @@
     }
   }
 
-  /** Keeps what was lost in case the executor turns out to have crashed. */
+  /**
+   * Keeps what was lost in case the executor turns out to have crashed. Runs on
+   * one that was only cut off ended with their leases.
+   */
   private keepExpiredRuns(): void {
     const {executor} = this;
-    if (executor.hasDrained) return;
+    if (executor.hasDrained || !executor.hasRefused) return;
     const {bornMs, expired} = executor;
     const runs = [...(expired?.runs ?? []), ...runsLostBy(executor, Infinity)];
     executor.expired = {bornMs, runs};
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -18,7 +18,7 @@
   isStopAnswered: boolean;
 }
 
-/** Runs that were lost if the executor has crashed since. */
+/** Runs that were lost in a crash if the executor starts again. */
 export interface ExpiredRuns {
   /** Start time of the executor process that ran them. */
   readonly bornMs: number;
@@ -38,8 +38,13 @@
   bornMs: number;
   /** Whether it has announced that it will shut down. */
   hasDrained: boolean;
-  /** Runs whose leases expired in silence; null while it answers. */
+  /**
+   * Runs whose leases expired while its address refused connections; null while
+   * it answers.
+   */
   expired: ExpiredRuns | null;
+  /** Whether its address has refused a connection since it last answered. */
+  hasRefused: boolean;
   usedCpuMilli: number;
   usedMemMb: number;
   usedAccel: number;
@@ -90,6 +95,7 @@
     bornMs: info.bornMs,
     hasDrained: info.isDraining,
     expired: null,
+    hasRefused: false,
     usedCpuMilli: 0,
     usedMemMb: 0,
     usedAccel: 0,
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -44,7 +44,7 @@
       executor.formerLeaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
       executor.hasJustRestarted = false;
     }
-    host.state.recordCrash(executor, lost, true, nowMs);
+    host.state.recordCrash(executor, lost, nowMs);
     if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
     }
@@ -67,10 +67,13 @@
   /** The runs that were lost if the executor was started at `bornMs`. */
   private takeLostRuns(bornMs: number, sentMs: number): readonly LostRun[] {
     const {executor} = this;
-    const {expired, hasDrained} = executor;
+    const {expired, hasDrained, isReached} = executor;
     executor.expired = null;
+    executor.hasRefused = false;
     const isExpired = expired !== null && expired.bornMs !== bornMs;
-    const earlier = isExpired ? expired.runs : [];
+    const {crashes} = this.host.state;
+    const gone = isReached ? [] : crashes.takeGone(executor, bornMs);
+    const earlier = isExpired ? [...gone, ...expired.runs] : gone;
     if (bornMs === executor.bornMs || hasDrained) return earlier;
     return [...earlier, ...runsLostBy(executor, sentMs)];
   }
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -559,8 +559,7 @@
       if (this.formerOwnerRuns.mayHoldUnknownRuns(executor, nowMs)) continue;
       this.deps.log('executorGone', {executorId: info.id});
       this.silentExecutors.recordGone(executor);
-      const lost = executor.expired?.runs ?? [];
-      this.state.recordCrash(executor, lost, false, nowMs);
+      this.state.crashes.recordGone(executor, nowMs);
       this.formerOwnerRuns.removeExecutor(executor);
       this.loops.get(info.id)?.close();
       this.loops.delete(info.id);
--- a/packages/cell/test/crash-suspects.test.ts
+++ b/packages/cell/test/crash-suspects.test.ts
@@ -11,7 +11,7 @@
 import {encode} from 'cbor-x';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {Behaviour} from './fake-executor.js';
+import type {Behaviour, FakeExecutor} from './fake-executor.js';
 import {QUEUE, Rig, STEP, type CellNode} from './rig.js';
 
 const SETTLE_MS = 3000;
@@ -25,6 +25,10 @@
 const LONG_MS = 20_000;
 const LASTING = 'lasting';
 const LASTING_MS = 900_000;
+/** Executors are cut off so soon after a start that no list shows the run. */
+const CUT_AFTER_MS = 30;
+const UNLISTED_AFTER_MS = 3500;
+const CUT_MS = 4000;
 /** The most starts of a task that crashes each executor. */
 const MAX_CRASHES = 3;
 
@@ -262,10 +266,61 @@
   }
   await rig.run(LONG_MS);
   assert.is(phaseOf(rig, LONG), 'completed');
-  assert.is(
-    rig.logLines.filter(l => l.includes('"isConfirmed":true')).length,
-    0,
-  );
+  assert.is(rig.logLines.filter(l => l.includes('executorCrashed')).length, 0);
+});
+
+/** How an executor goes on that was cut off right after a start. */
+const AFTER_CUTS = new Map<string, (executor: FakeExecutor) => void>([
+  ['run on', () => undefined],
+  ['start again behind the cut', executor => executor.restart()],
+]);
+
+// A job was shown as failed though its runs had only lost their leases.
+for (const [how, goOn] of AFTER_CUTS) {
+  for (const isService of [true, false]) {
+    const kind = isService ? 'service' : 'task';
+    crashes(
+      `gives up no ${kind} whose executors are cut off and ${how}`,
+      async () => {
+        const {rig, node} = await startRig(6);
+        rig.submit(LASTING, [{...STEP, isService}], [node]);
+        const cutOff = new Set<FakeExecutor>();
+        const cut = async (executor: FakeExecutor): Promise<void> => {
+          await rig.clock.sleep(CUT_AFTER_MS);
+          executor.isDisconnected = true;
+          await rig.clock.sleep(UNLISTED_AFTER_MS);
+          executor.isUnlisted = true;
+          await rig.clock.sleep(CUT_MS);
+          goOn(executor);
+          executor.isUnlisted = false;
+          executor.isDisconnected = false;
+        };
+        for (let passedMs = 0; passedMs < 2 * CRASHES_MS; passedMs += 5) {
+          await rig.run(5);
+          const used = rig.executors.find(each =>
+            each.runs.has(`${LASTING}.0.0.0`),
+          );
+          if (used === undefined || cutOff.has(used) || cutOff.size > 3) {
+            continue;
+          }
+          cutOff.add(used);
+          void cut(used);
+        }
+        assert.is(cutOff.size, 4);
+        assert.is(phaseOf(rig, LASTING), 'running');
+        assert.equal(rig.checker.violations, []);
+      },
+    );
+  }
+}
+
+crashes('gives up a task whose executors are down for long', async () => {
+  const {rig, node} = await startRig(4);
+  for (const each of rig.executors) each.crashDownMs = 9000;
+  rig.submit(DEADLY, [STEP], [node]);
+  await rig.run(2 * CRASHES_MS);
+  assert.is(phaseOf(rig, DEADLY), 'failed');
+  assert.ok(rig.checker.startCount(`${DEADLY}.0.0.0`) <= MAX_CRASHES);
 });
 
 crashes('stores the count of crashes, and reads records without it', () => {
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -47,8 +47,6 @@
 /** Interval at which ends of runs are checked, in ms. */
 const TIMER_RESOLUTION_MS = 10;
 const LOST_REPLY_TIMEOUT_MS = 700;
-/** How long an executor is down that a run has crashed. */
-const CRASH_DOWN_MS = 3000;
 const NO_CLOCK = Number.NaN;
 /** The platform's `contact-ms` and one heartbeat interval, in ms. */
 const DECREASE_GRACE_MS = 5500;
@@ -84,6 +82,8 @@
   /** Delay of such orders. */
   orderDelayMs = 4000;
   latencyMs = 10;
+  /** How long it is down when a run has crashed it, in ms. */
+  crashDownMs = 3000;
   /** Whether the executor's own record has expired though it runs. */
   isUnlisted = false;
   /** After this time, another executor answers at former addresses, in ms. */
@@ -129,7 +129,7 @@
 
   private async crashForAWhile(): Promise<void> {
     this.crash();
-    await this.clock.sleep(CRASH_DOWN_MS);
+    await this.clock.sleep(this.crashDownMs);
     if (this.replacement === null) return this.recover();
     this.port += 1;
     this.formerAddressAnswerMs = this.latencyMs;
@@ -342,7 +342,7 @@
     const {executor, clock} = this;
     await clock.sleep(executor.latencyMs);
     if (executor.isDown && executor.isRefusing && this.isReachable()) {
-      return {failure: 'unknown', clockMs: NO_CLOCK};
+      return {failure: 'unknown', clockMs: NO_CLOCK, isRefused: true};
     }
     if (this.isFormerAddress() && this.isReachable()) {
       if (executor.formerAddressAnswerMs < Infinity) {
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -76,8 +76,9 @@
   constructor(
     readonly kind: ErrorKind,
     readonly detail: string,
+    options?: ErrorOptions,
   ) {
-    super(`${ERRORS[kind].text}: ${detail}`);
+    super(`${ERRORS[kind].text}: ${detail}`, options);
     this.name = 'DragonflywardError';
   }
 }
--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -85,10 +85,10 @@
       ...(call.signal === undefined ? {} : {signal: call.signal}),
     });
     let isConnected = false;
-    const fail = (reason: string): void => {
+    const fail = (reason: string, cause?: Error): void => {
       const kind = isConnected ? 'peerLost' : 'peerDown';
       const detail = `${call.method} ${call.url}: ${reason}`;
-      reject(new DragonflywardError(kind, detail));
+      reject(new DragonflywardError(kind, detail, {cause}));
     };
     const timeout = new TransferTimeout(call, reason => {
       fail(reason);
@@ -100,7 +100,7 @@
     });
     req.on('error', err => {
       timeout.stop();
-      fail(err.message);
+      fail(err.message, err);
     });
     req.on('response', res => {
       timeout.recordData(0);
