Take no clock from the answer of a former process to a start

Cause: the answer to the start arrived after the list of the next process and set the clock of the former one, which is far ahead. Leases were sent beyond what the executor grants, which shortened them to 10 s, and the owner counted 6 s.

The clock now counts only if the executor is reached and has the start time that it had when the order was sent; each way in which a restart is noticed resets one of the two. Ruled out by reading: late lists, and answers to stops.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -134,6 +134,7 @@
     const {executor} = this;
     const {clock, token} = this.host;
     const {run} = task;
+    const {bornMs} = executor;
     const leaseUntilMs = this.extendLease();
     const {payload} = task.step.occurrence.job.spec;
     const order = {
@@ -146,7 +147,9 @@
       ticket,
     };
     const reply = await this.client.start(order);
-    if (!this.isClosed) {
+    // The answer of a former process tells nothing of the clock of the next.
+    const isSameProcess = executor.isReached && executor.bornMs === bornMs;
+    if (!this.isClosed && isSameProcess) {
       recordClock(executor, reply.clockMs, clock.monotonicMs());
     }
     if (task.executor !== executor || task.run !== run) return;
