Split progress that does not fit into one record of the store

Cause: a row for each finished step of each occurrence; the store answers 400 to a record that is too large, and the append was repeated without end, with all other changes behind it.

Now the rows go into parts by a hash of what they are for, as many as it takes. Parts are stored before the main record and deleted after it, so that a row is in some record at each moment, and rows only grow. A part that is unchanged is not written again.

Ruled out as a way: leaving out checkpoints or failures.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -9,13 +9,17 @@
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction, Platform} from './platform.js';
 import {ProgressLoad} from './progress-load.js';
+import {
+  parseProgressKey,
+  partCountOf,
+  recordReadPart,
+} from './progress-records.js';
 import type {ProgressWriter} from './progress-writer.js';
 import {
   decodeFormerExecutor,
   decodeJobsRecord,
   EXECUTOR_PREFIX,
   jobIdOf,
-  PROGRESS_PREFIX,
 } from './records.js';
 import {
   hasMore,
@@ -25,7 +29,7 @@
 } from './resource-amounts.js';
 import type {StoredRecord, Store} from './store.js';
 import type {TopicLoadReport} from './topic-load.js';
-import {isFinal, type ExecutorInfo} from './types.js';
+import type {ExecutorInfo} from './types.js';
 
 /** Interval of reads for jobs whose notice was lost, in ms. */
 const JOBS_READ_INTERVAL_MS = 600;
@@ -61,7 +65,7 @@
   private readonly executors: Follower;
   private readonly progress: ProgressLoad;
   /** Progress that was read before the job itself. */
-  private readonly pendingProgress = new Map<string, Uint8Array>();
+  private readonly pendingProgress = new Map<string, ReadProgress[]>();
   /** When the load last advanced, or the creation; monotonic clock, in ms. */
   loadProgressMs: number;
   private isStopped = false;
@@ -116,7 +120,7 @@
     const apply = skipInvalid(this.deps.log, record =>
       this.applyProgressRecord(record),
     );
-    for (const record of progress) apply(record);
+    for (const record of inWrittenOrder(progress)) apply(record);
     return true;
   }
 
@@ -162,8 +166,8 @@
     if (state.jobs.has(job.id)) return;
     formerOwnerRuns.addJob(job.id, this.jobsFreshMs);
     const added = state.addJob(job);
-    const progress = this.pendingProgress.get(job.id);
-    if (progress !== undefined) this.applyStoredProgress(added, progress);
+    const progress = this.pendingProgress.get(job.id) ?? [];
+    for (const each of progress) this.applyStoredProgress(added, each);
     this.pendingProgress.delete(job.id);
     metrics.count('jobs_added_total');
     onJob(added);
@@ -174,14 +178,18 @@
     if (key.startsWith(EXECUTOR_PREFIX)) {
       return this.addFormerExecutor(decodeFormerExecutor(value));
     }
-    const id = key.slice(PROGRESS_PREFIX.length);
-    const job = this.deps.state.jobs.get(id);
-    if (job === undefined) this.pendingProgress.set(id, value);
-    else this.applyStoredProgress(job, value);
+    const {jobId, part} = parseProgressKey(key);
+    const job = this.deps.state.jobs.get(jobId);
+    if (job !== undefined) return this.applyStoredProgress(job, {part, value});
+    const earlier = this.pendingProgress.get(jobId) ?? [];
+    this.pendingProgress.set(jobId, [...earlier, {part, value}]);
   }
 
-  private applyStoredProgress(job: JobState, value: Uint8Array): void {
-    if (isFinal(job.phase)) return;
+  private applyStoredProgress(
+    job: JobState,
+    {part, value}: ReadProgress,
+  ): void {
+    if (part !== '') recordReadPart(job, part);
     this.deps.state.restoreProgress(job, value);
   }
 
@@ -289,6 +297,26 @@
   }
 }
 
+/** A record of a job's progress; `part` is empty for the main one. */
+interface ReadProgress {
+  readonly part: string;
+  readonly value: Uint8Array;
+}
+
+/**
+ * Main records first: they say which jobs have ended. What was written when a
+ * job had more parts is newer.
+ */
+function inWrittenOrder(
+  records: readonly StoredRecord[],
+): readonly StoredRecord[] {
+  const orderOf = ({key}: StoredRecord): number => {
+    const {part} = parseProgressKey(key);
+    return part === '' ? 0 : partCountOf(part);
+  };
+  return [...records].sort((a, b) => orderOf(a) - orderOf(b));
+}
+
 /** Whether a later owner would look for the same runs at the same place. */
 function isSameServer(a: ExecutorInfo, b: ExecutorInfo): boolean {
   return a.ip === b.ip && a.port === b.port && a.service === b.service;
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -143,6 +143,7 @@
    * memory; those that are over are dropped again.
    */
   restoreProgress(job: JobState, value: Uint8Array): void {
+    if (isFinal(job.phase)) return;
     applyProgress(job, value, index => this.openOccurrence(job, index));
     this.crashes.isActive ||= [...tasksOf(job)].some(isSuspect);
     if (isFinal(job.phase)) {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -17,6 +17,7 @@
 export * from './order-holds.js';
 export * from './answering-executors.js';
 export * from './records.js';
+export * from './progress-records.js';
 export * from './record-checks.js';
 export * from './resource-amounts.js';
 export * from './index-ranges.js';
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -128,6 +128,9 @@
   finalMs: number;
   /** The memory that it needs, in bytes; less once its phase is final. */
   bytes: number;
+  /** In how many parts its progress is stored, and the digest of each. */
+  partCount: number;
+  readonly storedParts: Map<string, string>;
   /** Whether the job exceeded the submission rate of its organisation. */
   isOverRate: boolean;
 }
@@ -157,6 +160,8 @@
     visiblePhase: 'queued',
     finalMs: 0,
     bytes: jobBytes(job.spec),
+    partCount: 1,
+    storedParts: new Map(),
     isOverRate: false,
   };
 }
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -6,15 +6,13 @@
 import type {JobState} from './job-state.js';
 import type {Ownership} from './ownership.js';
 import type {LogFunction} from './platform.js';
-import type {ProgressWriter} from './progress-writer.js';
 import {
-  cancelKey,
-  encodeProgress,
-  EXECUTOR_PREFIX,
-  jobKey,
-  JOBS_TOPICS,
+  forgetStoredParts,
   PROGRESS_PREFIX,
-} from './records.js';
+  progressRecords,
+} from './progress-records.js';
+import type {ProgressWriter} from './progress-writer.js';
+import {cancelKey, EXECUTOR_PREFIX, jobKey, JOBS_TOPICS} from './records.js';
 import {Signal} from './signal.js';
 import type {KeyedRecord, Store} from './store.js';
 import {isFinal} from './types.js';
@@ -122,7 +120,7 @@
     this.newExecutors.clear();
     this.goneExecutors.clear();
     const records = [
-      ...jobs.map(progressRecord),
+      ...jobs.flatMap(job => progressRecords(job, this.deps.store.limits)),
       ...executors.map(executorRecord),
       ...gone.map(id => tombstone(EXECUTOR_PREFIX + id)),
       ...deleted.map(id => tombstone(PROGRESS_PREFIX + id)),
@@ -132,7 +130,10 @@
       if (records.length > 0 && !(await this.store(records))) return false;
     } catch (err) {
       // They are stored by the next commit.
-      for (const job of jobs) this.changedJobs.add(job);
+      for (const job of jobs) {
+        forgetStoredParts(job);
+        this.changedJobs.add(job);
+      }
       for (const executor of executors) this.newExecutors.add(executor);
       for (const id of gone) this.goneExecutors.add(id);
       this.deletedJobs.push(...deleted);
@@ -217,10 +218,6 @@
   readonly bornMs: number;
 }
 
-function progressRecord(job: JobState): KeyedRecord {
-  return {key: PROGRESS_PREFIX + job.id, value: encodeProgress(job)};
-}
-
 function executorRecord(executor: ExecutorState): KeyedRecord {
   const {info, largestCapacity} = executor;
   const capacity = {...info.capacity, ...largestCapacity};
--- a/packages/cell/src/record-checks.ts
+++ b/packages/cell/src/record-checks.ts
@@ -172,6 +172,7 @@
 export const isStepRow = isObject<{
   readonly occurrence: number;
   readonly step: number;
+  readonly chunk?: number;
   readonly done: Uint8Array;
   readonly isDone: boolean;
   readonly tasks: readonly unknown[];
@@ -179,6 +180,7 @@
 }>({
   occurrence: isCount,
   step: isCount,
+  chunk: isOptional(isCount),
   done: value => value instanceof Uint8Array,
   isDone: isFlag,
   tasks: isList(isTaskRow),
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -41,10 +41,11 @@
 const HASH_FACTOR = 31;
 const JOB_PREFIX = 'j/';
 const CANCEL_PREFIX = 'c/';
+/** The most tasks with failures or checkpoints in one row. */
+const TASKS_PER_ROW = 500;
+const NO_BITS = new Uint8Array(0);
 /** Key prefix of the records of executors in use. */
 export const EXECUTOR_PREFIX = 'e/';
-/** Key prefix of progress records. */
-export const PROGRESS_PREFIX = 'p/';
 
 /**
  * Returns the topic to which a VM appends jobs and cancels.
@@ -127,9 +128,11 @@
 ];
 
 /** Progress of a step: done tasks, and rows for tasks with other progress. */
-interface StepRow {
+export interface StepRow {
   readonly occurrence: number;
   readonly step: number;
+  /** Numbers the rows of a step whose tasks do not fit into one; 0 if missing. */
+  readonly chunk?: number;
   /** One bit for each task; empty if all are done. */
   readonly done: Uint8Array;
   readonly isDone: boolean;
@@ -145,25 +148,56 @@
   readonly done?: RangeRows;
 }
 
-/** Encodes the progress of a job. */
-export function encodeProgress(job: JobState): Uint8Array {
+/**
+ * Encodes the progress of a job.
+ *
+ * @param steps the rows that are not in parts
+ */
+export function encodeProgress(
+  job: JobState,
+  steps: readonly StepRow[] = [...progressRows(job)],
+): Uint8Array {
   const {phase, doneOccurrences} = job;
   const record: ProgressRecord = isFinal(phase)
     ? {phase, steps: []}
-    : {phase, steps: [...stepRows(job)], done: doneOccurrences.toRows()};
+    : {phase, steps, done: doneOccurrences.toRows()};
   return encode(record);
 }
 
-function* stepRows(job: JobState): Generator<StepRow> {
+/** Encodes a part of a job's progress. */
+export function encodePart(steps: readonly StepRow[]): Uint8Array {
+  const record: ProgressRecord = {phase: 'running', steps};
+  return encode(record);
+}
+
+/** The rows of what is done of a job, besides occurrences that are done. */
+export function* progressRows(job: JobState): Generator<StepRow> {
   for (const {index, steps} of job.occurrences.values()) {
     if (job.doneOccurrences.has(index)) continue;
     for (const step of steps) {
       const row = stepRow(index, step);
-      if (row !== null) yield row;
+      if (row !== null) yield* splitRow(row);
     }
   }
 }
 
+/** Splits a row with many tasks; the first part says which are done. */
+function* splitRow(row: StepRow): Generator<StepRow> {
+  const {tasks} = row;
+  if (tasks.length <= TASKS_PER_ROW) return yield row;
+  const byChunk = new Map<number, TaskRow[]>([[0, []]]);
+  for (const task of tasks) {
+    const chunk = Math.floor(task[0] / TASKS_PER_ROW);
+    const others = byChunk.get(chunk);
+    if (others === undefined) byChunk.set(chunk, [task]);
+    else others.push(task);
+  }
+  for (const [chunk, own] of byChunk) {
+    const done = chunk === 0 ? row.done : NO_BITS;
+    yield {...row, chunk, done, tasks: own};
+  }
+}
+
 function stepRow(occurrence: number, step: StepState): StepRow | null {
   const isDone = step.doneCount === step.tasks.length;
   const tasks: TaskRow[] = [];
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -7,12 +7,8 @@
 import type {JobTable} from './job-table.js';
 import {JobsFollower} from './jobs-follower.js';
 import type {LogFunction} from './platform.js';
-import {
-  decodeJobsRecord,
-  decodePhase,
-  PROGRESS_PREFIX,
-  PROGRESS_TOPIC,
-} from './records.js';
+import {parseProgressKey, PROGRESS_PREFIX} from './progress-records.js';
+import {decodeJobsRecord, decodePhase, PROGRESS_TOPIC} from './records.js';
 import type {StoredRecord, Store} from './store.js';
 import {isFinal, type JobPhase} from './types.js';
 
@@ -162,9 +158,10 @@
 
   private applyProgressRecord({key, value}: StoredRecord): void {
     if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
+    const {jobId: id, part} = parseProgressKey(key);
+    if (part !== '') return;
     const stored = decodePhase(value);
     const phase = isFinal(stored) ? stored : 'running';
-    const id = key.slice(PROGRESS_PREFIX.length);
     if (!this.setPhase(id, phase)) this.earlyPhases.set(id, phase);
   }
 
