Delete jobs that had ended before their owner loaded them

The state of each owner and the store kept every job that was final when an owner loaded it, so that both grew with each change of the owner.

Cause: removeExpiredJobs passes over jobs whose finalMs is 0, which publishFinal alone sets. Now it counts from the first look at a loaded job, as of before the time in which a job counts as just ended, so that nothing more is published.

Test: expiry "deletes jobs that ended under a former owner" failed before.

--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -571,6 +571,10 @@
   private removeExpiredJobs(): void {
     const nowMs = this.deps.clock.monotonicMs();
     for (const job of this.state.jobs.values()) {
+      // It had ended when this owner loaded it.
+      if (job.finalMs === 0 && isFinal(job.visiblePhase)) {
+        job.finalMs = nowMs - JUST_ENDED_MS;
+      }
       if (job.finalMs === 0 || nowMs - job.finalMs < FINAL_TTL_MS) continue;
       this.state.removeJob(job.id);
       if (!this.state.jobs.has(job.id)) this.commit.addExpiredJob(job.id);
--- a/packages/cell/test/expiry.test.ts
+++ b/packages/cell/test/expiry.test.ts
@@ -1,5 +1,10 @@
 /** Jobs that ended long ago and are deleted from the store. */
-import {JOBS_TOPICS, StoreError} from '@dragonflyward/cell';
+import {
+  EXECUTOR_PREFIX,
+  JOBS_TOPICS,
+  PROGRESS_TOPIC,
+  StoreError,
+} from '@dragonflyward/cell';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {Rig, STEP} from './rig.js';
@@ -34,4 +39,29 @@
   assert.is(rig.checker.starts, 1);
 });
 
+// They stayed in the store and in the memory of each owner for good.
+expiry('deletes jobs that ended under a former owner', async () => {
+  const rig = new Rig(1, () => ({ms: RUN_MS, how: 'done'}));
+  const first = rig.newNode('v0');
+  void rig.claim(first);
+  await rig.run(SETTLE_MS);
+  for (const id of ['a', 'b', 'c']) rig.submit(id, [STEP], [first]);
+  await rig.run(SETTLE_MS);
+  rig.kill(first);
+  const second = rig.newNode('v1');
+  void rig.claim(second);
+  await rig.run(SETTLE_MS);
+  assert.is(second.owner?.state.jobs.size, 3);
+  await rig.run(EXPIRY_MS);
+  assert.is(second.owner?.state.jobs.size, 0);
+  const topics = [...JOBS_TOPICS, PROGRESS_TOPIC];
+  const keys = topics.flatMap(each => [
+    ...rig.memory.topic(each).newest.keys(),
+  ]);
+  assert.equal(
+    keys.filter(key => !key.startsWith(EXECUTOR_PREFIX)),
+    [],
+  );
+});
+
 expiry.run();
