Show no job as open that had ended before its VM owned the cell

Cause: the new owner set the rows of its open jobs in its own table and left stale ones, unlike the other VMs. It now replaces them; what is missing is looked up in its state.

--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -404,7 +404,7 @@
     if (current !== null) owner.setConfig(current);
     this.broadcast(this.heartbeat());
     this.publisher = this.startPublisher(owner);
-    for (const row of owner.currentRows()) this.table.set(row);
+    this.table.replaceOpen(owner.currentRows());
     this.table.confirmAll();
     return true;
   }
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -10,12 +10,13 @@
   type NewestPage,
   type OwnerAddress,
 } from '@dragonflyward/cell';
+import {encode} from 'cbor-x';
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {MemoryStore, StoreClient} from './memory-store.js';
-import {CONFIG, EXECUTORS_TOPIC} from './rig.js';
+import {CONFIG, EXECUTORS_TOPIC, ONCE, QUEUE, STEP} from './rig.js';
 
 const LOOPBACK = '127.0.0.1';
 const CONFIG_TOPIC = 'keyed.config';
@@ -23,6 +24,14 @@
 /** Time within which a larger VM has the cell, in ms. */
 const HANDOVER_TIMEOUT_MS = 6000;
 const GRACE_MS = 300;
+const UPTIME_MS = 3_600_000;
+
+/** The clock of a machine that has been up for long. */
+class UptimeClock extends SystemClock {
+  override monotonicMs(): number {
+    return super.monotonicMs() + UPTIME_MS;
+  }
+}
 
 /** A store whose reads of the progress can be held up. */
 class HeldStore extends StoreClient {
@@ -77,7 +86,7 @@
   seeds: readonly OwnerAddress[],
   isHeld: boolean,
 ): Promise<TestVm> {
-  const clock = new SystemClock();
+  const clock = new UptimeClock();
   const store = new HeldStore(memory, clock);
   store.isHeld = isHeld;
   const events: string[] = [];
@@ -164,4 +173,27 @@
   other.vm.close();
 });
 
+// The end had been stored, and the owner before was lost before it told of it.
+vms('show no job as open that had ended before they own the cell', async () => {
+  const memory = new MemoryStore();
+  memory.append(CONFIG_TOPIC, [{key: 'config', value: Uint8Array.of(1)}], {});
+  const at = await newAddress('owner');
+  const owner = await startVm(memory, at, 2, [], false);
+  await waitFor('owner', () => owner.events.includes('ownerActive'));
+  const other = await startVm(memory, await newAddress('b'), 1, [at], false);
+  await waitFor('connection', () => other.vm.isReady);
+  const id = 'job';
+  const caller = {organisation: '', queue: QUEUE, timeoutMs: 3000};
+  const spec = {payload: '', steps: [STEP], repetition: ONCE};
+  const answer = await other.vm.frontend.submit({...caller, id, spec});
+  assert.equal(answer, {kind: 'done'});
+  const value = encode({phase: 'completed', steps: []});
+  memory.append(PROGRESS_TOPIC, [{key: `p/${id}`, value}], {});
+  owner.vm.close();
+  await waitFor('claim', () => other.events.includes('ownerActive'));
+  const phase = await other.vm.frontend.phase(id, caller);
+  other.vm.close();
+  assert.equal(phase, {kind: 'phase', phase: 'completed'});
+});
+
 vms.run();
