Count a job that is stored twice once, and no size that is none

Tests: job-admission "counts a job once, whatever is stored or sent of it" and "takes no other message for a request".

--- a/packages/cell/src/job-admission.ts
+++ b/packages/cell/src/job-admission.ts
@@ -4,6 +4,7 @@
  * refused any more.
  */
 import type {Clock} from '@dragonflyward/common';
+import {isObject, isPositive, isText} from './checks.js';
 import {
   CLASS_BYTES,
   sizeClassOf,
@@ -35,6 +36,13 @@
   readonly id: string;
 }
 
+/** Whether a message of another VM asks for the admission of a job. */
+export const isAdmissionRequest = isObject<AdmissionRequest>({
+  id: isText,
+  organisation: isText,
+  bytes: isPositive,
+});
+
 /** Whether a job may be accepted. */
 export type Admission =
   | {readonly kind: 'admitted'}
--- a/packages/cell/src/job-load.ts
+++ b/packages/cell/src/job-load.ts
@@ -55,7 +55,7 @@
     this.classes[sizeClassOf(bytes)].add(organisation, bytes);
   }
 
-  /** Removes a job; by default, the memory counts as becoming free. */
+  /** Removes a job, whose memory becomes free. */
   remove({organisation, bytes}: SizedJob, nowMs: number): void {
     const load = this.classes[sizeClassOf(bytes)];
     load.add(organisation, -bytes);
--- a/packages/cell/src/job-table.ts
+++ b/packages/cell/src/job-table.ts
@@ -51,8 +51,12 @@
   /** Sets the row of a job that this VM has stored. */
   addStored(row: JobRow): void {
     this.set(row);
-    this.unconfirmed.set(row.id, row.bytes ?? 0);
-    this.unconfirmedBytes += row.bytes ?? 0;
+    this.confirm(row.id);
+    const {phase = row.phase} = this.rows.get(row.id) ?? {};
+    if (isFinal(phase)) return;
+    const {bytes} = sizedJob(row);
+    this.unconfirmed.set(row.id, bytes);
+    this.unconfirmedBytes += bytes;
   }
 
   /** Records that the owner, or whoever reads the store, knows the job. */
@@ -130,6 +134,7 @@
   }
 }
 
-function sizedJob({organisation, bytes}: JobRow): SizedJob {
-  return {organisation, bytes: bytes ?? 0};
+/** Other VMs send rows; a size that is none would spoil the sums. */
+function sizedJob({organisation, bytes = 0}: JobRow): SizedJob {
+  return {organisation, bytes: bytes > 0 && bytes < Infinity ? bytes : 0};
 }
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -7,6 +7,7 @@
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
 import {
+  isAdmissionRequest,
   JobAdmission,
   type Admission,
   type AdmissionRequest,
@@ -223,8 +224,9 @@
       case 'adviceAsk':
         return {type: 'advice', tickets: await this.advise(ask)};
       case 'admissionAsk': {
-        const isOwner = this.owner !== null;
-        const admission = isOwner ? this.admission.grant(ask.req) : null;
+        const {req} = ask;
+        const mayGrant = this.owner !== null && isAdmissionRequest(req);
+        const admission = mayGrant ? this.admission.grant(req) : null;
         return {type: 'admission', admission};
       }
       case 'configAsk':
--- a/packages/cell/test/job-admission.test.ts
+++ b/packages/cell/test/job-admission.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   CLASS_BYTES,
+  isAdmissionRequest,
   JobAdmission,
   JobFrontend,
   JobTable,
@@ -162,6 +163,39 @@
   assert.equal(admission.decide(newRequest(SMALL_BYTES)), ADMITTED);
 });
 
+// A job that was counted for ever kept a VM from accepting others by itself.
+admissions('counts a job once, whatever is stored or sent of it', () => {
+  const {table} = newFixture();
+  const row = {
+    ...newRequest(SMALL_BYTES),
+    phase: 'queued',
+    queue: 'q',
+  } as const;
+  table.addStored(row);
+  table.addStored(row);
+  assert.is(table.unconfirmedBytes, SMALL_BYTES);
+  assert.is(table.load.total('small'), SMALL_BYTES);
+  table.confirm(row.id);
+  assert.is(table.unconfirmedBytes, 0);
+  table.set({...row, phase: 'completed', bytes: 1000});
+  table.addStored(row);
+  assert.is(table.unconfirmedBytes, 0);
+  assert.is(table.load.total('small'), 1000);
+  for (const bytes of [Number.NaN, Infinity, -1]) {
+    table.set({...newRequest(0), phase: 'queued', queue: 'q', bytes});
+  }
+  assert.is(table.load.total('small'), 1000);
+});
+
+admissions('takes no other message for a request', () => {
+  const req = newRequest(SMALL_BYTES);
+  assert.is(isAdmissionRequest(req), true);
+  for (const bytes of [Number.NaN, -1, '1', undefined]) {
+    assert.is(isAdmissionRequest({...req, bytes}), false);
+  }
+  assert.is(isAdmissionRequest(null), false);
+});
+
 admissions('refuses large jobs for a moment without an owner', async () => {
   const {admission} = newFixture({isOwner: () => false});
   const answer = await admission.ask(newRequest(LARGE_BYTES), 3000);
