--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -310,11 +310,11 @@
 function inWrittenOrder(
   records: readonly StoredRecord[],
 ): readonly StoredRecord[] {
-  const orderOf = ({key}: StoredRecord): number => {
-    const {part} = parseProgressKey(key);
-    return part === '' ? 0 : partCountOf(part);
-  };
-  return [...records].sort((a, b) => orderOf(a) - orderOf(b));
+  const partOf = ({key}: StoredRecord): string => parseProgressKey(key).part;
+  const parts = records.filter(each => partOf(each) !== '');
+  if (parts.length === 0) return records;
+  parts.sort((a, b) => partCountOf(partOf(a)) - partCountOf(partOf(b)));
+  return [...records.filter(each => partOf(each) === ''), ...parts];
 }
 
 /** Whether a later owner would look for the same runs at the same place. */
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -31,7 +31,6 @@
   type NewJob,
   type OccurrenceState,
   type StepState,
-  type TaskAddress,
   type TaskState,
 } from './job-state.js';
 import {specBytes} from './job-size.js';
@@ -163,7 +162,8 @@
 
   /** Drops an occurrence that is over, with its steps. */
   private closeIfOver(occurrence: OccurrenceState): void {
-    if (!isOver(occurrence)) return;
+    const {job, index, placedTasks} = occurrence;
+    if (placedTasks > 0 || !isOver(job, index)) return;
     for (const step of occurrence.steps) this.pendingSteps.delete(step);
     this.window.close(occurrence);
   }
@@ -365,17 +365,11 @@
     if (address === null) return undefined;
     const job = this.jobs.get(address.jobId);
     if (job === undefined || !hasTask(job, address)) return undefined;
-    if (!this.isOver(job, address)) {
-      this.openOccurrence(job, address.occurrence);
-    }
+    const {occurrence} = address;
+    if (!isOver(job, occurrence)) this.openOccurrence(job, occurrence);
     return findTask(job, address);
   }
 
-  /** Whether nothing of a task's occurrence is left to do. */
-  private isOver(job: JobState, {occurrence}: TaskAddress): boolean {
-    return isFinal(job.phase) || job.doneOccurrences.has(occurrence);
-  }
-
   /** Records an orphan run, which must be stopped and uses resources. */
   recordOrphan(executor: ExecutorState, name: string, run: number): void {
     if (executor.orphans.has(`${name}#${run}`)) return;
--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -6,7 +6,7 @@
  */
 import type {ExecutorState, ExpiredRuns} from './executor-state.js';
 import type {StepState, TaskState} from './job-state.js';
-import {isFinal, type ExecutorInfo} from './types.js';
+import {isFinal} from './types.js';
 
 /** A run that is listed this long after its start has started well, in ms. */
 const WELL_STARTED_MS = 150;
@@ -178,17 +178,18 @@
   }
 
   /** Keeps what a gone executor has lost until its VM is heard of again. */
-  recordGone({info, expired}: ExecutorState, nowMs: number): void {
+  recordGone(executor: ExecutorState, nowMs: number): void {
     for (const [vm, {atMs}] of this.gone) {
       if (nowMs - atMs >= VM_CRASH_MEMORY_MS) this.gone.delete(vm);
     }
+    const {expired} = executor;
     if (expired === null) return;
-    this.gone.set(vmAddress(info), {...expired, atMs: nowMs});
+    this.gone.set(vmOf(executor), {...expired, atMs: nowMs});
   }
 
   /** Returns what was lost on the executor's VM by the process before. */
-  takeGone({info}: ExecutorState, bornMs: number): readonly LostRun[] {
-    const vm = vmAddress(info);
+  takeGone(executor: ExecutorState, bornMs: number): readonly LostRun[] {
+    const vm = vmOf(executor);
     const gone = this.gone.get(vm);
     this.gone.delete(vm);
     return gone === undefined || gone.bornMs === bornMs ? [] : gone.runs;
@@ -295,9 +296,5 @@
 }
 
 function vmOf({info}: ExecutorState): string {
-  return vmAddress(info);
-}
-
-function vmAddress({ip, port}: ExecutorInfo): string {
-  return `${ip}:${port}`;
+  return `${info.ip}:${info.port}`;
 }
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -404,6 +404,8 @@
 ): readonly TaskAddress[] {
   const found: TaskAddress[] = [];
   for (const name of names) {
+    // Most names are of other jobs.
+    if (!name.startsWith(id)) continue;
     const address = parseTaskName(name);
     if (address === null || address.jobId !== id) continue;
     const {occurrence} = address;
--- a/packages/cell/src/job-admission.ts
+++ b/packages/cell/src/job-admission.ts
@@ -5,12 +5,7 @@
  */
 import type {Clock} from '@dragonflyward/common';
 import {isObject, isPositive, isText} from './checks.js';
-import {
-  CLASS_BYTES,
-  sizeClassOf,
-  UNCONFIRMED_BYTES,
-  type SizeClass,
-} from './job-size.js';
+import {CLASS_BYTES, sizeClassOf, UNCONFIRMED_BYTES} from './job-size.js';
 import type {SizedJob} from './job-load.js';
 import type {JobTable} from './job-table.js';
 
@@ -155,7 +150,7 @@
 
   private retryAfterS({bytes}: AdmissionRequest, missingBytes: number): number {
     const {table, clock} = this.deps;
-    const sizeClass: SizeClass = sizeClassOf(bytes);
+    const sizeClass = sizeClassOf(bytes);
     const nowMs = clock.monotonicMs();
     const waitMs = table.load.untilFreeMs(sizeClass, missingBytes, nowMs);
     const seconds = Math.ceil(waitMs / 1000);
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -104,7 +104,7 @@
   readonly index: number;
   /** Wall-clock time before which nothing may start; 0 for none. */
   readonly dueMs: number;
-  steps: readonly StepState[];
+  readonly steps: StepState[];
   doneSteps: number;
   /** How many of its tasks are placed on an executor. */
   placedTasks: number;
@@ -188,9 +188,8 @@
   return firstMs === 0 ? 0 : firstMs + index * Math.max(0, intervalMs);
 }
 
-/** Whether nothing of an occurrence in memory is left to do or to stop. */
-export function isOver({job, index, placedTasks}: OccurrenceState): boolean {
-  if (placedTasks > 0) return false;
+/** Whether nothing of an occurrence is left to do. */
+export function isOver(job: JobState, index: number): boolean {
   return isFinal(job.phase) || job.doneOccurrences.has(index);
 }
 
@@ -200,10 +199,10 @@
 }
 
 function addSteps(occurrence: OccurrenceState): void {
-  occurrence.steps = occurrence.job.spec.steps.map((spec, i) => {
+  occurrence.job.spec.steps.forEach((spec, i) => {
     const step = newStep(occurrence, i, spec);
     for (let k = 0; k < spec.count; k += 1) step.tasks.push(newTask(step, k));
-    return step;
+    occurrence.steps.push(step);
   });
 }
 
--- a/packages/cell/src/occurrence-window.ts
+++ b/packages/cell/src/occurrence-window.ts
@@ -69,7 +69,7 @@
    * for (const {steps} of window.openDue(Date.now())) steps.forEach(addPending);
    */
   *openDue(wallMs: number): Generator<OccurrenceState> {
-    for (const job of [...this.waiting]) yield* this.openDueOf(job, wallMs);
+    for (const job of this.waiting) yield* this.openDueOf(job, wallMs);
   }
 
   /** Opens the occurrences of one job that are due or nearly due. */
@@ -88,12 +88,11 @@
   }
 
   /**
-   * Opens an occurrence whatever there is of memory: an executor or a record
-   * names it.
+   * Opens an occurrence that is not in memory whatever there is of that: an
+   * executor or a record names it.
    */
   open(job: JobState, index: number): OccurrenceState {
-    const known = job.occurrences.get(index);
-    return known ?? this.openCharged(job, index, this.chargeFor(job));
+    return this.openCharged(job, index, this.chargeFor(job));
   }
 
   /** Drops an occurrence from memory. */
--- a/packages/cell/src/progress-records.ts
+++ b/packages/cell/src/progress-records.ts
@@ -48,18 +48,23 @@
   job: JobState,
   limits: StoreLimits,
 ): readonly KeyedRecord[] {
-  const main = {key: PROGRESS_PREFIX + job.id, value: encodeProgress(job, [])};
-  if (isFinal(job.phase)) return [main, ...dropParts(job, new Set())];
+  const mainRecord = (rows: readonly StepRow[]): KeyedRecord => ({
+    key: PROGRESS_PREFIX + job.id,
+    value: encodeProgress(job, rows),
+  });
+  if (isFinal(job.phase)) {
+    return [mainRecord([]), ...dropParts(job, new Set())];
+  }
   const rows = [...progressRows(job)];
   if (job.partCount === 1) {
-    const single = {...main, value: encodeProgress(job, rows)};
+    const single = mainRecord(rows);
     if (recordSize(single) <= limits.recordBytes) return [single];
     job.partCount = 2;
   }
   const parts = splitRows(job, rows, limits);
   const changed = parts.filter(each => recordChange(job, each));
   const dropped = dropParts(job, new Set(parts.map(({key}) => key)));
-  return [...changed, main, ...dropped];
+  return [...changed, mainRecord([]), ...dropped];
 }
 
 /** Marks all parts to be stored again, after an append that failed. */
--- a/packages/cell/src/record-checks.ts
+++ b/packages/cell/src/record-checks.ts
@@ -111,6 +111,11 @@
   bornMs: isNumber,
 });
 
+/** Number of tasks of an occurrence with these steps. */
+export function countTasks(steps: readonly StepSpec[]): number {
+  return steps.reduce((sum, {count}) => sum + count, 0);
+}
+
 /**
  * Checks a decoded job. Rounds of the owner would fail with one that is not
  * whole, and one with countless tasks would take all memory.
@@ -123,7 +128,7 @@
   if (!isJob(value)) return raise('badRequest', 'not a job');
   const job = value as NewJob;
   const {steps, repetition} = job.spec;
-  const tasks = steps.reduce((sum, {count}) => sum + count, 0);
+  const tasks = countTasks(steps);
   if (tasks > MAX_OCCURRENCE_TASKS) {
     return raise('badRequest', `an occurrence of ${tasks} tasks`);
   }
--- a/packages/cell/test/progress-records.test.ts
+++ b/packages/cell/test/progress-records.test.ts
@@ -7,7 +7,6 @@
   tasksOf,
   type JobState,
   type KeyedRecord,
-  type Repetition,
   type StepSpec,
 } from '@dragonflyward/cell';
 import {suite} from 'uvu';
@@ -20,11 +19,8 @@
 
 const progress = suite('progress in parts');
 
-function newJob(
-  steps: readonly StepSpec[],
-  repetition: Repetition = ONCE,
-): JobState {
-  const spec = {payload: '', steps, repetition};
+function newJob(steps: readonly StepSpec[]): JobState {
+  const spec = {payload: '', steps, repetition: ONCE};
   const job = {id: 'job', spec, queue: QUEUE, organisation: '', acceptedMs: 0};
   const state = newJobState(job);
   state.phase = 'running';
@@ -32,9 +28,8 @@
   return state;
 }
 
-function failSome(job: JobState, every: number): void {
+function failAll(job: JobState): void {
   for (const task of tasksOf(job)) {
-    if (task.index % every > 0) continue;
     task.failedRuns = [1001, 2001, 3001];
     task.checkpoint = `checkpoint of ${task.index}`;
   }
@@ -43,7 +38,7 @@
 // The record was refused for ever, and no progress of any job was stored.
 progress('of any job fits into records of the store', () => {
   const many = newJob([{...STEP, count: 20_000}]);
-  failSome(many, 1);
+  failAll(many);
   const steps = newJob(Array<StepSpec>(20_000).fill(STEP));
   for (const step of openOccurrence(steps, 0).steps) {
     step.doneCount = step.tasks.length;
@@ -59,7 +54,7 @@
 
 progress('is written again only where it has changed', () => {
   const job = newJob([{...STEP, count: 20_000}]);
-  failSome(job, 1);
+  failAll(job);
   const all = progressRecords(job, LIMITS).length;
   const [task] = tasksOf(job);
   assert.ok(task !== undefined && all > 2);
@@ -69,7 +64,7 @@
 
 progress('leaves no part behind once the job has ended', () => {
   const job = newJob([{...STEP, count: 20_000}]);
-  failSome(job, 1);
+  failAll(job);
   const stored = new Map<string, KeyedRecord>();
   const store = (): void => {
     for (const record of progressRecords(job, LIMITS)) {
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -126,6 +126,22 @@
   return {vm, ip: LOOPBACK, port, incarnation: port};
 }
 
+/** Starts an owner and another VM that is connected to it. */
+async function startPair(): Promise<{
+  readonly memory: MemoryStore;
+  readonly owner: TestVm;
+  readonly other: TestVm;
+}> {
+  const memory = new MemoryStore();
+  memory.append(CONFIG_TOPIC, [{key: 'config', value: Uint8Array.of(1)}], {});
+  const at = await newAddress('owner');
+  const owner = await startVm(memory, at, 2, [], false);
+  await waitFor('owner', () => owner.events.includes('ownerActive'));
+  const other = await startVm(memory, await newAddress('b'), 1, [at], false);
+  await waitFor('connection', () => other.vm.isReady);
+  return {memory, owner, other};
+}
+
 const vms = suite('VMs');
 
 // What it was still loading must not make it act.
@@ -153,13 +169,7 @@
 
 // If the owner is killed, a claimant knows since when its record is stored.
 vms('tell of the newest record if they own the cell', async () => {
-  const memory = new MemoryStore();
-  memory.append(CONFIG_TOPIC, [{key: 'config', value: Uint8Array.of(1)}], {});
-  const at = await newAddress('owner');
-  const owner = await startVm(memory, at, 2, [], false);
-  await waitFor('owner', () => owner.events.includes('ownerActive'));
-  const other = await startVm(memory, await newAddress('b'), 1, [at], false);
-  await waitFor('connection', () => other.vm.isReady);
+  const {memory, owner, other} = await startPair();
   const ownerTopic = memory.topic(OWNER_TOPIC);
   const {storedEndOffset = Infinity} = owner.vm.heartbeat();
   assert.ok(storedEndOffset <= memory.endOffset(ownerTopic));
@@ -175,13 +185,7 @@
 
 // The end had been stored, and the owner before was lost before it told of it.
 vms('show no job as open that had ended before they own the cell', async () => {
-  const memory = new MemoryStore();
-  memory.append(CONFIG_TOPIC, [{key: 'config', value: Uint8Array.of(1)}], {});
-  const at = await newAddress('owner');
-  const owner = await startVm(memory, at, 2, [], false);
-  await waitFor('owner', () => owner.events.includes('ownerActive'));
-  const other = await startVm(memory, await newAddress('b'), 1, [at], false);
-  await waitFor('connection', () => other.vm.isReady);
+  const {memory, owner, other} = await startPair();
   const id = 'job';
   const caller = {organisation: '', queue: QUEUE, timeoutMs: 3000};
   const spec = {payload: '', steps: [STEP], repetition: ONCE};
