Wait for no executor at whose address another process answers

Callers saw LOST: a lasting task stood still for up to 14 s after its executor had crashed, although another process had taken over the executor's address and answered there.

Cause: such an answer (421) ended the runs of the owner itself, but not those that a former owner might have started there; while one executor is unknown, all tasks of its service wait.

The answer now ends the wait once the former owner can start nothing more. The process at the recorded address has ended, and owners store a new address before they give orders there, which a new test shows. A record without a start time may be older than the process that was used last, so it ends no wait: the test 'waits for an executor whose address was reused' stores such a record and stays as it is.

Ruled out: refused connections, which a cut can cause too.

The log says formerRunsEnded with the executor.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -65,7 +65,7 @@
   readonly token: number;
   readonly formerOwnerRuns: Pick<
     FormerOwnerRuns,
-    'recordAnswer' | 'inventoryDueMs' | 'leaseLeftMs'
+    'recordAnswer' | 'recordReplaced' | 'inventoryDueMs' | 'leaseLeftMs'
   >;
   readonly mayAct: () => boolean;
   /** Whether the executor may get no start and no longer lease now. */
@@ -255,12 +255,13 @@
     const {executor, host} = this;
     const waitMs = renewalWaitMs(executor, this.dueInMs());
     const isHeld = host.isHeld(executor.info.id);
+    const sentMs = host.clock.monotonicMs();
     const reply = await this.sendRenewal(
       isHeld ? Math.min(waitMs, HELD_WAIT_MS) : waitMs,
     );
     if (this.isClosed || reply === null) return;
     if (!isInventory(reply)) {
-      this.handleMissedRenewal(reply);
+      this.handleMissedRenewal(reply, sentMs);
       const isFirst = executor.missedRenewals === 1;
       return host.clock.sleep(
         isFirst ? FIRST_MISSED_RETRY_DELAY_MS : MISSED_RETRY_DELAY_MS,
@@ -384,8 +385,9 @@
     host.onChange(executor);
   }
 
-  private handleMissedRenewal(reply: OrderReply): void {
+  private handleMissedRenewal(reply: OrderReply, sentMs: number): void {
     const {executor, host} = this;
+    if (reply.failure === 'otherLife') this.recordReplaced(sentMs);
     if (reply.failure === 'otherLife' || reply.failure === 'fenced') {
       return this.handleFailure(reply, 'hold');
     }
@@ -412,6 +414,13 @@
     }
   }
 
+  private recordReplaced(sentMs: number): void {
+    const {executor, host} = this;
+    if (!host.formerOwnerRuns.recordReplaced(executor, sentMs)) return;
+    const executorId = executor.info.id;
+    host.writeLog('formerRunsEnded', {executorId, by: 'replaced'});
+  }
+
   /**
    * Keeps what was lost in case the executor turns out to have crashed. Runs on
    * one that was only cut off ended with their leases.
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -101,6 +101,26 @@
     return !this.unconfirmed.has(executor);
   }
 
+  /**
+   * Records that another process answers at the executor's address: the one
+   * there has ended with its runs, and owners store a new address before they
+   * give orders there. While a former owner may still start tasks, it may yet
+   * start one on a process that takes the address back. A record without a
+   * start time may be older than the process that a former owner used.
+   *
+   * @param sentMs when the order was sent that the other process has answered
+   * @returns whether runs there were unknown until now
+   * @example
+   * const wasUnknown = formerOwnerRuns.recordReplaced(executor, sentMs);
+   */
+  recordReplaced(executor: ExecutorState, sentMs: number): boolean {
+    if (sentMs < this.startsUntilMs || executor.info.bornMs === 0) return false;
+    const wasAwaited = this.executors.has(executor);
+    const wasUnconfirmed = this.unconfirmed.has(executor);
+    this.removeExecutor(executor);
+    return wasAwaited || wasUnconfirmed;
+  }
+
   /**
    * When the executor has to be asked for its runs again, on the monotonic
    * clock; Infinity for never.
--- a/packages/cell/test/former-owner-runs.test.ts
+++ b/packages/cell/test/former-owner-runs.test.ts
@@ -365,6 +365,18 @@
   assert.ok(rig.executor('x1').runs.has(task));
 });
 
+formerRuns('gives no order at a new address before it is stored', async () => {
+  const {rig, former} = await moveExecutor(10);
+  former.store.faults.refusedTopics = PROGRESS_TOPIC;
+  const movedBefore = rig.executor('x1').inventories;
+  await rig.run(2 * SETTLE_MS);
+  assert.is(rig.executor('x1').inventories, movedBefore);
+  assert.is(rig.executor('x1').runs.size, 0);
+  former.store.faults.refusedTopics = '';
+  await rig.run(2 * SETTLE_MS);
+  assert.is(rig.executor('x1').runs.size, 1);
+});
+
 // Where only an older address is stored, the lease of the run must expire.
 formerRuns('waits for an executor whose address was reused', async () => {
   const {rig, former} = await moveExecutor(10);
--- a/packages/cell/test/replaced-executors.test.ts
+++ b/packages/cell/test/replaced-executors.test.ts
@@ -3,6 +3,8 @@
 import * as assert from 'uvu/assert';
 import {Rig, STEP, type CellNode} from './rig.js';
 
+/** For how long a former owner may start tasks after a claim, in ms. */
+const START_LEASE_MS = 800;
 const LONG_RUN_MS = 600_000;
 /** By then, no executor counts as having just started, in ms. */
 const START_AGE_MS = 21_000;
@@ -79,4 +81,18 @@
   });
 }
 
+// It may take the address back, and get a start of the former owner there.
+replaced('count while the former owner may start tasks there', async () => {
+  const {rig, former, task} = await newCell();
+  const claimedMs = rig.clock.monotonicMs() + CLAIM_DELAY_MS;
+  let endedMs = 0;
+  rig.onLog = event => {
+    if (event === 'formerRunsEnded') endedMs = rig.clock.monotonicMs();
+  };
+  replace(rig);
+  await claimFrom(rig, former, 'v1');
+  await nextRunAfterMs(rig, task, claimedMs);
+  assert.ok(endedMs >= claimedMs + START_LEASE_MS, `${endedMs - claimedMs} ms`);
+});
+
 replaced.run();
