Send starts and leases only to the process that has answered

An order names the executor by its id, and an executor may start again under the same id. The next process knows no fencing token and its clock begins anew, so that a start that was meant for the former one would run there, for the longest lease instead of 6 s. All waits for former runs have to allow for such an order.

A start, a lease or an acknowledgement is now sent only on a connection on which the process that it is meant for has answered a request for its runs. A connection ends with its process, so no such order reaches a later one. A new connection costs one such request more; connections are kept.

Ruled out: tickets hold for one life of an executor, but not all queues have them; a lease end that suits both clocks does not exist.

Evidence: restarted-executor, with processes that listen at the same port one after the other; the fake executor behaves likewise.

--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -38,6 +38,8 @@
   readonly payload: string;
   /** When all runs on the executor end unless extended, on its clock. */
   readonly leaseUntilMs: number;
+  /** Start time of the process that has that clock: no other one gets it. */
+  readonly bornMs: number;
   readonly token: number;
   readonly checkpoint: string;
   readonly ticket: string;
@@ -49,6 +51,11 @@
   readonly ackedThrough: number;
   /** Missing if the executor's clock is not yet known. */
   readonly leaseUntilMs?: number;
+  /**
+   * Start time of the process that gets the lease and the acknowledgement;
+   * another one only returns its inventory. Missing for any process.
+   */
+  readonly bornMs?: number;
   /** How long the executor may wait for a run to end before it answers. */
   readonly waitMs: number;
   /** Time after which the order counts as not answered. */
@@ -82,7 +89,10 @@
   readonly isRefused?: boolean;
 }
 
-/** A client of one executor process. */
+/**
+ * A client of one executor. An order that names a process has an effect on that
+ * process only, however late it is carried out.
+ */
 export abstract class ExecutorClient {
   abstract start(order: StartOrder): Promise<OrderReply>;
   abstract stop(task: string, run: number, token: number): Promise<OrderReply>;
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -142,6 +142,7 @@
       run,
       payload,
       leaseUntilMs,
+      bornMs,
       token,
       checkpoint: task.checkpoint,
       ticket,
@@ -297,6 +298,7 @@
       waitMs,
       timeoutMs: waitMs + answerTimeoutMs,
       ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
+      ...(isReached ? {bornMs} : {}),
     });
     if (this.isClosed || !isInventory(reply)) return reply;
     // Answers may arrive out of order: an older inventory would list runs that
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -310,7 +310,9 @@
   }
 
   override start(order: StartOrder): Promise<OrderReply> {
-    return this.send(() => this.executor.start(order));
+    return this.send(() =>
+      this.isOf(order.bornMs) ? this.executor.start(order) : 'unknown',
+    );
   }
 
   override stop(task: string, run: number, token: number): Promise<OrderReply> {
@@ -326,7 +328,7 @@
   ): Promise<Inventory | OrderReply> {
     let inventory: Inventory | OrderFailure = 'unknown';
     const reply = await this.send(() => {
-      inventory = this.executor.renewLease(order);
+      inventory = this.executor.renewLease(this.toReceived(order));
       return typeof inventory === 'string' ? inventory : null;
     });
     return reply.failure === null && typeof inventory !== 'string'
@@ -334,6 +336,18 @@
       : reply;
   }
 
+  /** Whether the process that the order names is the one that runs. */
+  private isOf(bornMs: number): boolean {
+    return this.executor.bornMs === bornMs;
+  }
+
+  /** Another process than the named one is asked for its runs only. */
+  private toReceived(order: RenewLeaseOrder): RenewLeaseOrder {
+    const {token, waitMs, timeoutMs, bornMs} = order;
+    if (bornMs === undefined || this.isOf(bornMs)) return order;
+    return {token, waitMs, timeoutMs, ackedThrough: 0};
+  }
+
   override close(): void {
     // A fake has no connection to close.
   }
--- a/packages/common/src/json-http.ts
+++ b/packages/common/src/json-http.ts
@@ -1,5 +1,6 @@
 /** JSON requests over Node's HTTP client, and helpers for JSON servers. */
 import http from 'node:http';
+import type net from 'node:net';
 import {DragonflywardError, raise} from './errors.js';
 import {TransferTimeout} from './transfer-timeout.js';
 
@@ -23,6 +24,11 @@
   readonly agent?: http.Agent;
   /** Aborts the call, which then fails like a lost connection. */
   readonly signal?: AbortSignal;
+  /**
+   * Called with the connection before anything is sent; if it returns false,
+   * the call fails as one that was not sent.
+   */
+  readonly acceptSocket?: (socket: net.Socket) => boolean;
 }
 
 /** How the response to a large read is awaited. */
@@ -95,6 +101,12 @@
       req.destroy();
     });
     req.on('socket', socket => {
+      if (call.acceptSocket?.(socket) === false) {
+        timeout.stop();
+        fail('the connection is not the one to be used');
+        req.destroy();
+        return;
+      }
       if (!socket.connecting) isConnected = true;
       else socket.once('connect', () => (isConnected = true));
     });
