Count no longer lease than an owner gives for executors that may have restarted

Callers saw LOST: a task whose executor was cut off, and dropped by the store, waited for up to 10.6 s from the first list of each new owner, since a start for its former process might have reached the next one, for the longest lease.

No order reaches another process than the one it is meant for any more, so all former leases have ended 6.5 s after the last order. The start times, lists and answers that owners passed on to bound the longer one are gone from records and notices, and so is the lease of 10 s that an owner assumed after a restart.

Ruled out: a shorter wait by what the store listed before; it fails in an outage of the store, as a review showed before.

Tests in which a former owner cut off from the store started a task on a restarted executor (start-lease, handover-orders, claim-bounds, former-owner-runs) had it do so by what it knew of the former process. That start is not sent now; they let it see the restart and check the same afterwards. Checks of the fields that are gone are gone with them; formerRunsUnknown is checked to last no longer than the lease.

--- a/packages/cell/src/answering-executors.ts
+++ b/packages/cell/src/answering-executors.ts
@@ -28,15 +28,12 @@
     const {info, isReached, missedRenewals, clockMs} = executor;
     // Without its clock, the end of its leases is not known.
     if (!isReached || missedRenewals > 0 || Number.isNaN(clockMs)) continue;
-    const {id, bornMs} = info;
-    const orders = {id, unlistedForMs: 0, bornMs, wasReached: true};
+    const {id} = info;
     const runs = formerOwnerRuns.describeRuns(executor);
     const agoMs = lastOrderAgoMs(executor, nowMs);
     // An idle executor has not been silent since its last order.
-    if (runs?.length === 0) idle.push({...orders, agoMs: 0, runs});
-    else if (runs !== null && agoMs >= MIN_GAIN_MS) {
-      busy.push({...orders, agoMs});
-    }
+    if (runs?.length === 0) idle.push({id, agoMs: 0, runs});
+    else if (runs !== null && agoMs >= MIN_GAIN_MS) busy.push({id, agoMs});
   }
   return [...idle, ...busy.sort((a, b) => b.agoMs - a.agoMs)];
 }
--- a/packages/cell/src/cell-claim.ts
+++ b/packages/cell/src/cell-claim.ts
@@ -90,7 +90,7 @@
 /** What is known at a claim if former owners did not tell. */
 const NOT_TOLD: OrdersNotice = {
   executors: [],
-  others: {agoMs: 0, unlistedForMs: 0, bornMs: 0, wasReached: false},
+  others: {agoMs: 0},
 };
 
 /** The last orders of former owners, or null if they do not tell. */
@@ -121,8 +121,7 @@
   }
   if (executors.length === 0) return null;
   const agoMs = storedMs - nowMs;
-  const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
-  return new InheritedOrders({executors, others}, storedMs);
+  return new InheritedOrders({executors, others: {agoMs}}, storedMs);
 }
 
 /** The orders of a record after which nobody has acted, or null. */
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -260,7 +260,6 @@
     executor.clockMs = Number.NaN;
     executor.leaseUntilMs = 0;
     executor.formerLeaseUntilMs = 0;
-    executor.hasJustRestarted = true;
     executor.processedThrough = 0;
     executor.ackedThrough = 0;
     executor.fillerPercent = 100;
--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -75,8 +75,10 @@
   /** The executor is unhealthy and did nothing. */
   | 'unhealthy'
   | 'badOrder'
-  /** The executor has restarted, or another executor answered. */
+  /** Another executor answered. */
   | 'otherLife'
+  /** Another process of the executor answers, so the order was not sent. */
+  | 'restarted'
   /** No answer: the order may have been or may yet be carried out. */
   | 'unknown';
 
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -55,6 +55,7 @@
   ['unhealthy', 1000],
   ['noRoom', 200],
   ['late', 100],
+  ['restarted', 50],
   ['badOrder', 500],
 ]);
 
@@ -156,7 +157,8 @@
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.handleStarted(task);
     else this.handleStartFailure(task, reply);
-    if (task.isStartUnconfirmed) await this.refreshInventory();
+    const isRestarted = reply.failure === 'restarted';
+    if (isRestarted || task.isStartUnconfirmed) await this.refreshInventory();
     this.wake();
   }
 
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -56,12 +56,9 @@
   /** The latest lease end that was sent, on the executor's clock. */
   leaseUntilMs: number;
   /**
-   * By when leases have ended that this owner did not give, or gave before a
-   * restart, on the same clock.
+   * By when leases have ended that this owner did not give, on the same clock.
    */
   formerLeaseUntilMs: number;
-  /** Whether it restarted and has not told its clock since. */
-  hasJustRestarted: boolean;
   /** Ends of runs through this number are applied to the owner's state. */
   processedThrough: number;
   /** Ends of runs through this number are stored. */
@@ -105,7 +102,6 @@
     clockReadMs: 0,
     leaseUntilMs: 0,
     formerLeaseUntilMs: 0,
-    hasJustRestarted: false,
     processedThrough: 0,
     ackedThrough: 0,
     missedRenewals: 0,
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -8,9 +8,10 @@
   type TaskAddress,
   type TaskState,
 } from './job-state.js';
-import {FormerLeases, LOCAL_LEASE_MS, type Takeover} from './former-leases.js';
+import {FormerLeases, LOCAL_LEASE_MS} from './former-leases.js';
 import {CLOCK_RATE_FACTOR} from './former-owners.js';
 import type {LastOrders} from './last-orders.js';
+import type {Ownership} from './ownership.js';
 import {
   addAmounts,
   allocatedAmounts,
@@ -30,13 +31,17 @@
 /** The most ids in one line of the log. */
 const MAX_LOGGED_IDS = 5;
 
-/** Orders of this owner up to now, to an executor that may have restarted. */
-const UNKNOWN_ORDERS: LastOrders = {
-  agoMs: 0,
-  unlistedForMs: 0,
-  bornMs: 0,
-  wasReached: false,
-};
+/** Orders of this owner up to now. */
+const ORDERS_UNTIL_NOW: LastOrders = {agoMs: 0};
+
+/** The takeover from a former owner. */
+interface Takeover {
+  /** When this owner claimed the cell, on its monotonic clock. */
+  readonly claimedMs: number;
+  readonly ownership: Ownership;
+  /** When the newest read of the executors' records was sent. */
+  readonly executorsReadMs: () => number;
+}
 
 /** Tracks executors and jobs from before this owner claimed the cell. */
 export class FormerOwnerRuns {
@@ -53,7 +58,7 @@
   constructor(private readonly takeover: Takeover) {
     const {claimedMs, ownership, executorsReadMs} = takeover;
     this.startsUntilMs = Math.max(claimedMs, ownership.formerStartUntilMs);
-    this.leases = new FormerLeases(takeover);
+    this.leases = new FormerLeases(ownership);
     this.unconfirmed = new UnconfirmedExecutors(
       this.startsUntilMs,
       executorsReadMs,
@@ -63,7 +68,6 @@
   /** Adds an executor that a former owner has used. */
   addExecutor(executor: ExecutorState): void {
     this.executors.add(executor);
-    this.leases.addExecutor(executor);
   }
 
   /** Whether the executor has not answered, and so has no order of this owner. */
@@ -233,8 +237,7 @@
 
   /**
    * The executors that may hold unknown runs, for the log: how many, the first
-   * ids, the most time that is left until their leases have expired, and for
-   * how many that is the longest lease, since they may have restarted.
+   * ids, and the most time that is left until their leases have expired.
    *
    * @returns null if there is none
    */
@@ -242,17 +245,13 @@
     const unreached = [...this.unreachedExecutors(nowMs)];
     if (unreached.length === 0) return null;
     const untilMs = unreached.map(({executor}) =>
-      this.leases.untilMs(executor, nowMs),
+      this.leases.untilMs(executor),
     );
     const ids = unreached.map(({executor}) => executor.info.id);
-    const restarted = unreached.filter(
-      ({executor}) => nowMs > this.leases.usuallyUntilMs(executor),
-    );
     return {
       executors: ids.length,
       executorIds: ids.slice(0, MAX_LOGGED_IDS),
       atMostMs: Math.round(Math.max(...untilMs) - nowMs),
-      restartLeases: restarted.length,
     };
   }
 
@@ -281,7 +280,7 @@
     if (!isUnreached && !this.unconfirmed.mayHaveRestarted(executor)) {
       return false;
     }
-    return nowMs <= this.leases.untilMs(executor, nowMs);
+    return nowMs <= this.leases.untilMs(executor);
   }
 
   /**
@@ -290,27 +289,18 @@
    * @returns null if it answers and has a lease that an order gives
    */
   describeOrders(executor: ExecutorState, nowMs: number): LastOrders | null {
-    const {isReached, missedRenewals, clockMs} = executor;
-    const bornMs = this.leases.listedBornMs(executor);
+    const {isReached, missedRenewals, clockMs, info} = executor;
     if (isReached) {
       // Without its clock, the end of its leases is not known.
-      if (Number.isNaN(clockMs)) return UNKNOWN_ORDERS;
+      if (Number.isNaN(clockMs)) return ORDERS_UNTIL_NOW;
       const leftMs = leaseLeftMs(executor, nowMs);
       if (missedRenewals === 0 && leftMs <= LOCAL_LEASE_MS) return null;
-      const agoMs = LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR;
-      const wasReached = !this.unconfirmed.mayHaveRestarted(executor);
-      return {agoMs, unlistedForMs: 0, bornMs, wasReached};
+      return {agoMs: LOCAL_LEASE_MS - leftMs * CLOCK_RATE_FACTOR};
     }
     // It has moved under this owner, which gave it orders before.
-    if (!this.executors.has(executor)) return UNKNOWN_ORDERS;
-    const {ownership} = this.takeover;
-    const {untilMs, wasReached} = ownership.stoppedOrders(executor.info.id);
-    return {
-      agoMs: nowMs - untilMs,
-      unlistedForMs: this.leases.unlistedForMs(executor, nowMs),
-      bornMs,
-      wasReached,
-    };
+    if (!this.executors.has(executor)) return ORDERS_UNTIL_NOW;
+    const {untilMs} = this.takeover.ownership.stoppedOrders(info.id);
+    return {agoMs: nowMs - untilMs};
   }
 
   /** How many tasks of each step may have runs that are not known. */
@@ -359,7 +349,7 @@
   private *unreachedExecutors(nowMs: number): Generator<UnreachedExecutor> {
     const candidates = [...this.executors, ...this.unconfirmed.restartable()];
     for (const executor of candidates) {
-      const leasesUntilMs = this.leases.untilMs(executor, nowMs);
+      const leasesUntilMs = this.leases.untilMs(executor);
       if (nowMs > leasesUntilMs) continue;
       const untilMs = this.willBeConfirmed(executor)
         ? this.startsUntilMs
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -6,8 +6,6 @@
 import {taskName, type TaskState} from './job-state.js';
 import {logEnds} from './run-lines.js';
 
-/** Longest lease that executors grant, in ms; set by the platform. */
-export const MAX_EXECUTOR_LEASE_MS = 10_000;
 /** Maximum number of ends in one inventory; set by the platform. */
 const MAX_LISTED_ENDS = 500;
 
@@ -38,12 +36,6 @@
       });
       host.state.recordRestart(executor, bornMs, sentMs);
     }
-    if (executor.hasJustRestarted) {
-      // Orders with times on the clock before the restart may last for the
-      // longest lease, to which the executor limits them.
-      executor.formerLeaseUntilMs = inventory.clockMs + MAX_EXECUTOR_LEASE_MS;
-      executor.hasJustRestarted = false;
-    }
     host.state.recordCrash(executor, lost, nowMs);
     if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
--- a/packages/cell/src/last-orders.ts
+++ b/packages/cell/src/last-orders.ts
@@ -8,12 +8,6 @@
 export interface LastOrders {
   /** Time since the last order, in ms; negative if some may follow. */
   readonly agoMs: number;
-  /** How long no read of the executors' records has listed it, in ms. */
-  readonly unlistedForMs: number;
-  /** Its start in the last list that showed it; 0 if none did. */
-  readonly bornMs: number;
-  /** Whether it answered an owner, which thus knew of its restarts. */
-  readonly wasReached: boolean;
   /**
    * Names of the tasks that may run there. Missing if any task may, also in
    * notices of earlier versions.
@@ -37,21 +31,12 @@
 export interface OrdersDeadline {
   /** When the last order was sent at the latest. */
   readonly untilMs: number;
-  /** Since when the executor is not listed; Infinity if it was. */
-  readonly unlistedMs: number;
-  readonly bornMs: number;
-  readonly wasReached: boolean;
   /** Names of the tasks that may run there; missing if any task may. */
   readonly runs?: readonly string[];
 }
 
 /** Orders of an owner that stops now and knows all that it does not name. */
-export const JUST_NOW: LastOrders = {
-  agoMs: 0,
-  unlistedForMs: 0,
-  bornMs: 0,
-  wasReached: true,
-};
+export const JUST_NOW: LastOrders = {agoMs: 0};
 
 /**
  * Describes the last orders of an owner that has stopped just now.
@@ -75,7 +60,7 @@
   const agoMs = Math.min(0, ...unnamed.map(each => each.agoMs));
   return {
     executors: earliestFirst.slice(0, MAX_NAMED_EXECUTORS),
-    others: {...JUST_NOW, agoMs, wasReached: false},
+    others: {agoMs},
   };
 }
 
@@ -95,22 +80,15 @@
 
   /** How much was told, for the log. */
   get summary(): Readonly<Record<string, unknown>> {
-    const {executors, others} = this.notice;
-    return {
-      namedExecutors: executors.length,
-      areOthersKnown: others.wasReached,
-    };
+    return {namedExecutors: this.notice.executors.length};
   }
 
   /** The last orders of former owners to the executor. */
   find(id: string): OrdersDeadline {
     const orders = this.named.get(id) ?? this.notice.others;
-    const {agoMs, unlistedForMs, bornMs, wasReached, runs} = orders;
+    const {agoMs, runs} = orders;
     return {
       untilMs: this.toLatestMs(agoMs),
-      unlistedMs: unlistedForMs > 0 ? this.toLatestMs(unlistedForMs) : Infinity,
-      bornMs,
-      wasReached,
       ...(runs === undefined ? {} : {runs}),
     };
   }
@@ -120,10 +98,6 @@
     const age = <T extends LastOrders>(orders: T): T => ({
       ...orders,
       agoMs: nowMs - this.toLatestMs(orders.agoMs),
-      unlistedForMs:
-        orders.unlistedForMs > 0
-          ? nowMs - this.toLatestMs(orders.unlistedForMs)
-          : 0,
     });
     return {
       executors: this.notice.executors.map(age),
--- a/packages/cell/src/order-holds.ts
+++ b/packages/cell/src/order-holds.ts
@@ -43,9 +43,8 @@
 }
 
 /** An owner in office may not tell what runs; see `stopNotice`. */
-function withoutRuns(orders: NamedOrders): NamedOrders {
-  const {id, agoMs, unlistedForMs, bornMs, wasReached} = orders;
-  return {id, agoMs, unlistedForMs, bornMs, wasReached};
+function withoutRuns({id, agoMs}: NamedOrders): NamedOrders {
+  return {id, agoMs};
 }
 
 /**
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -115,7 +115,6 @@
     this.formerOwnerRuns = new FormerOwnerRuns({
       claimedMs: this.claimedMs,
       ownership,
-      clock,
       executorsReadMs: () => this.feed.executorsReadMs,
     });
     const {state, formerOwnerRuns} = this;
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -273,19 +273,12 @@
     const stopped = this.stoppedOrders(executorId);
     const untilMs = this.formerOwners.ordersUntilMs(executorId);
     if (untilMs <= stopped.untilMs) return stopped;
-    return {...stopped, untilMs, wasReached: false};
+    return {...stopped, untilMs};
   }
 
   /** The same without the owners that were not seen to stop. */
   stoppedOrders(executorId: string): OrdersDeadline {
-    return (
-      this.inheritedOrders?.find(executorId) ?? {
-        untilMs: this.startedMs,
-        unlistedMs: Infinity,
-        bornMs: 0,
-        wasReached: false,
-      }
-    );
+    return this.inheritedOrders?.find(executorId) ?? {untilMs: this.startedMs};
   }
 
   /** What this owner knows of former ones, for the log. */
@@ -305,8 +298,7 @@
       return this.inheritedOrders.describe(nowMs);
     }
     const agoMs = nowMs - this.startedMs;
-    const others = {agoMs, unlistedForMs: 0, bornMs: 0, wasReached: false};
-    return {executors: [], others};
+    return {executors: [], others: {agoMs}};
   }
 
   /** Whether the ownership has ended: released, handed over or superseded. */
--- a/packages/cell/src/silent-executors.ts
+++ b/packages/cell/src/silent-executors.ts
@@ -84,10 +84,5 @@
 }
 
 function ageOrders(orders: LastOrders, passedMs: number): LastOrders {
-  const {agoMs, unlistedForMs} = orders;
-  return {
-    ...orders,
-    agoMs: agoMs + passedMs,
-    unlistedForMs: unlistedForMs > 0 ? unlistedForMs + passedMs : 0,
-  };
+  return {...orders, agoMs: orders.agoMs + passedMs};
 }
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -42,6 +42,9 @@
 /** Time after which no task of a cancelled job may be started, in ms. */
 const CANCEL_TIMEOUT_MS = 3000;
 
+/** Time in which a node sees a restart and starts a task, in ms. */
+const RESTART_SEEN_MS = 400;
+
 /** A queue without advice. */
 export const QUEUE: Queue = {
   name: 'q',
@@ -379,6 +382,21 @@
     this.executors.push(executor);
   }
 
+  /**
+   * Lets a node whose reads fail see a restart that the store lists, and waits
+   * for the start that the node then orders there.
+   */
+  async startAfterRestart(node: CellNode, id: string): Promise<void> {
+    const {bornMs, runs} = this.executor(id);
+    const state = node.owner?.state;
+    const untilMs = this.clock.monotonicMs() + RESTART_SEEN_MS;
+    while (runs.size === 0 && this.clock.monotonicMs() < untilMs) {
+      const known = state?.executors.get(id);
+      if (known?.bornMs === bornMs) state?.setExecutor({...known.info, bornMs});
+      await this.run(10);
+    }
+  }
+
   /** Writes what the store lists of an executor at once. */
   listNow(id: string): void {
     const {info, bornMs, isDraining} = this.executor(id);
