Wait for answers before an early owner gives orders, and name who gave none

Callers saw LOST after several owners in a row: one that claimed when the former owner could start nothing any more gave orders at once, named no executor that it had not reached, and was lost before it told anyone. The next owner had to take it that all executors had orders until then, and waited for their leases anew.

--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -233,16 +233,24 @@
   /**
    * Gives orders once it is stored which executors get none. After a claim that
    * is shortly before the former owner can start nothing more, or when all have
-   * answered: those that have not get no orders.
+   * answered: those that have not get no orders. Where the former owner can
+   * start nothing already, they have as long to answer.
    */
   private async beginOrders(): Promise<void> {
     const {clock, ownership} = this.deps;
-    const untilMs = ownership.formerStartUntilMs - CONFIRMATION_MS;
+    const startsUntilMs = Math.max(
+      ownership.formerStartUntilMs,
+      ownership.isHoldingAll ? this.claimedMs + START_LEASE_MS : -Infinity,
+    );
+    const untilMs = startsUntilMs - CONFIRMATION_MS;
     while (clock.monotonicMs() < untilMs) {
       if (this.isLoaded && !this.isAnyAwaited()) break;
       await clock.sleep(ANSWER_CHECK_MS);
     }
     if (this.isClosed) return;
+    if (this.isLoaded && ownership.isHoldingAll) {
+      this.answersDueMs = clock.monotonicMs();
+    }
     await ownership.beginOrders();
     this.requestRound();
   }
@@ -257,9 +265,14 @@
     return this.silentExecutors.describeHeld(areAnswersDue, toldIds);
   }
 
+  /** Whether an executor may yet answer that no record says to get no orders. */
   private isAnyAwaited(): boolean {
-    const executors = [...this.state.executors.values()];
-    return executors.some(each => this.formerOwnerRuns.isAwaited(each));
+    const told = this.deps.ownership.describeFormerOrders().executors;
+    const toldIds = new Set(told.map(({id}) => id));
+    const awaited = [...this.state.executors.values()].filter(each =>
+      this.formerOwnerRuns.isAwaited(each),
+    );
+    return awaited.some(({info}) => !toldIds.has(info.id));
   }
 
   /** Describes the load for the log: each topic, and what it waited for. */
