Request tickets ahead for each step that waits for former runs

Tickets were asked for only when the wait had ended; ahead of that, for lasting tasks alone. The advice service was idle until then.

Tickets are now requested ahead for every step that waits only for runs of a former owner: lasting tasks first, as before, then others in the order of starts, within the budget of a round, room that is reserved, headroom and limits. What lasting tasks reserve early does not keep urgent steps from requesting tickets: they start before them in any case.

The order of these steps is kept between rounds like that of steps that may start, and is ranked each 100 ms at most.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -86,6 +86,8 @@
   /** Steps that may have waiting tasks. */
   readonly pendingSteps = new Set<StepState>();
   readonly order = new StepOrder();
+  /** Of steps that will soon wait no more for runs of a former owner. */
+  readonly endingOrder = new StepOrder();
   private readonly window = new OccurrenceWindow();
   config: CellConfig | null = null;
   /** Ids of jobs that were cancelled before they were added. */
@@ -100,6 +102,7 @@
   setConfig(config: CellConfig): void {
     this.config = config;
     this.order.invalidate();
+    this.endingOrder.invalidate();
     this.organisations.setConfig(config);
     const byName = new Map(config.queues.map(queue => [queue.name, queue]));
     for (const job of this.jobs.values()) {
--- a/packages/cell/src/organisations.ts
+++ b/packages/cell/src/organisations.ts
@@ -42,10 +42,28 @@
 
   /** Whether the limit allows that many more tasks of the size. */
   mayRun(organisation: string, size: Resources, count: number): boolean {
+    const unknown = this.unknownUsage.get(organisation) ?? NO_RESOURCES;
+    return this.hasRoom(organisation, size, count, unknown);
+  }
+
+  /**
+   * The same, provided that there are no runs that are not known.
+   *
+   * @example
+   * const maySoon = organisations.mayRunIfKnown(organisation, spec.size, 1);
+   */
+  mayRunIfKnown(organisation: string, size: Resources, count: number): boolean {
+    return this.hasRoom(organisation, size, count, NO_RESOURCES);
+  }
+
+  private hasRoom(
+    organisation: string,
+    size: Resources,
+    count: number,
+    {cpuMilli, memMb, accel}: ResourceAmounts,
+  ): boolean {
     const limit = this.limits.get(organisation)?.limit ?? NO_RESOURCES;
     const usage = this.usageOf(organisation);
-    const {cpuMilli, memMb, accel} =
-      this.unknownUsage.get(organisation) ?? NO_RESOURCES;
     return (
       isWithin(
         usage.cpuMilli + cpuMilli + count * size.cpuMilli,
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -1,8 +1,7 @@
 /** One scheduling round: starts, preemptions and ticket requests. */
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
-import {findEndingWaits} from './ending-waits.js';
-import {findExpectedLosses} from './expected-losses.js';
+import {findEarlyNeeds, requestEarlyTickets} from './early-tickets.js';
 import type {StepState, TaskState} from './job-state.js';
 import {
   withholdExecutors,
@@ -15,12 +14,7 @@
   chooseGang,
   URGENT_PRIORITY,
 } from './placement.js';
-import {
-  LASTING_PRECEDENCE,
-  ticketPrecedence,
-  TOO_LATE,
-  type RankedStep,
-} from './queue-order.js';
+import {ticketPrecedence, TOO_LATE, type RankedStep} from './queue-order.js';
 import {isSuspect} from './crash-suspects.js';
 import {
   canStartIsolated,
@@ -35,13 +29,9 @@
   mayFit,
   type ServiceCapacity,
 } from './service-capacity.js';
-import {
-  FIRST_EXECUTORS,
-  reserveCapacity,
-  findNeededTickets,
-  type TicketNeed,
-} from './ticket-needs.js';
-import {decisionTimeMs} from './ticket-requester.js';
+import {mayRequestTickets, takeTicketRequest} from './ticket-budget.js';
+import {reserveCapacity, findNeededTickets} from './ticket-needs.js';
+import type {TicketRequest} from './ticket-requester.js';
 
 /** The most waiting tasks of one step that one round considers. */
 const TASKS_PER_ROUND = 200;
@@ -49,12 +39,7 @@
 /** What the owner has to carry out; the state already reflects it. */
 export type Decision =
   | {readonly kind: 'start'; readonly tasks: readonly TaskState[]}
-  | ({
-      readonly kind: 'advise';
-      readonly step: StepState;
-      /** Lower values go first. */
-      readonly precedence: number;
-    } & TicketNeed);
+  | ({readonly kind: 'advise'} & TicketRequest);
 
 /** What became of a step in a round. */
 interface Pass {
@@ -87,10 +72,9 @@
     isStartable: ({tasks}) => tasks.some(each => isStartable(each, context)),
     onIdle: resetRoom,
   });
-  const losses = findExpectedLosses(state, context.nowMs);
-  const endingWaits = findEndingWaits(state, context);
-  const expectedCount = losses.size + endingWaits.size;
-  if (ranked.length === 0 && expectedCount === 0) return;
+  const needs = findEarlyNeeds(state, context);
+  const earlyCount = needs.lasting.length + needs.others.length;
+  if (ranked.length === 0 && earlyCount === 0) return;
   const round: Round = {
     ...context,
     state,
@@ -108,8 +92,8 @@
   for (const each of overdueFirst(ranked, context.nowMs)) {
     if (mayProceed(each.step, round)) yield* scheduleStep(each, round);
   }
-  for (const [step, count] of [...losses, ...endingWaits]) {
-    yield* prepareStart(step, count, round);
+  for (const request of requestEarlyTickets(needs, round)) {
+    yield {kind: 'advise', ...request};
   }
 }
 
@@ -158,49 +142,6 @@
   yield {kind: 'advise', step, precedence: ticketPrecedence(ranked), ...need};
 }
 
-/**
- * Whether the step holds or requests tickets, or may request some now. What any
- * other step reserved would stay unused until then.
- */
-function mayRequestTickets(step: StepState, round: Round): boolean {
-  const {advice} = step.occurrence.job.queue;
-  if (advice === null || step.isRequestingTickets) return true;
-  if (step.ticketsUntilMs > round.nowMs) return true;
-  return round.ticketBudget.has(decisionTimeMs(advice, FIRST_EXECUTORS));
-}
-
-function takeTicketRequest(
-  step: StepState,
-  {executorIds}: TicketNeed,
-  round: Round,
-): void {
-  const {advice} = step.occurrence.job.queue;
-  if (advice === null) return;
-  round.ticketBudget.take(decisionTimeMs(advice, executorIds.length));
-}
-
-/** Requests tickets for tasks that will have to start soon. */
-function* prepareStart(
-  step: StepState,
-  count: number,
-  round: Round,
-): Generator<Decision> {
-  const {service} = step.occurrence.job.queue;
-  const capacity = round.services.get(service);
-  if (capacity === undefined) return;
-  const executors = reserveCapacity(
-    step,
-    count,
-    capacity,
-    {isHard: false, mayUrgentPass: false},
-    round,
-  );
-  if (executors.length === 0) return;
-  const need = findNeededTickets(step, executors, capacity, round);
-  if (need === null) return;
-  yield {kind: 'advise', step, precedence: LASTING_PRECEDENCE, ...need};
-}
-
 /**
  * Finds executors that have or will have room for the step: by preemption,
  * else in free capacity. Without either, withholds executors from less urgent
--- a/packages/cell/src/step-order.ts
+++ b/packages/cell/src/step-order.ts
@@ -47,6 +47,7 @@
   /** Ranks all steps anew in the next round. */
   invalidate(): void {
     this.rankedMs = -Infinity;
+    this.ranked = [];
   }
 
   /**
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -312,6 +312,101 @@
   assert.equal(decide(state), []);
 });
 
+const ADVISED = {...QUEUE, name: 'advised', advice: ADVICE};
+
+/** Requests of a round in which any task may have unknown runs. */
+function earlyRequests(
+  state: CellState,
+  {leftMs = 0, budget = Infinity} = {},
+): readonly string[] {
+  const round = decideRound(state, {
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    mayHaveUnknownRuns: () => true,
+    unknownRunsUntilMs: () => NOW_MS + leftMs,
+    leadMs: () => 0,
+    ticketBudget: new TicketBudget(budget, budget),
+  });
+  return [...round].map(each => {
+    assert.is(each.kind, 'advise');
+    return each.kind === 'advise' ? each.step.occurrence.job.id : '';
+  });
+}
+
+decisions('requests early tickets in the order of starts', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  addJob(state, 'batch', {...BATCH, name: 'advisedBatch', advice: ADVICE}, [
+    STEP,
+  ]);
+  addJob(state, 'usual', ADVISED, [STEP]);
+  addJob(state, 'urgent', {...ADVISED, name: 'advisedUrgent', priority: 0}, [
+    STEP,
+  ]);
+  assert.equal(earlyRequests(state), ['urgent', 'usual', 'batch']);
+  assert.equal(earlyRequests(state, {budget: 2}), ['urgent', 'usual']);
+});
+
+decisions('requests early tickets for no more than has room', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const large = {...STEP, size: {...STEP.size, cpuMilli: 3000}};
+  addJob(state, 'usual', ADVISED, [large]);
+  addJob(state, 'urgent', {...ADVISED, name: 'advisedUrgent', priority: 0}, [
+    large,
+  ]);
+  assert.equal(earlyRequests(state), ['urgent']);
+});
+
+decisions('requests no early tickets long before the wait ends', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  addJob(state, 'j', ADVISED, [STEP]);
+  addJob(state, 'lasting', ADVISED, [{...STEP, isService: true}]);
+  assert.equal(earlyRequests(state, {leftMs: ADVICE.validityMs}), []);
+});
+
+decisions('requests no early tickets for a step that is not ready', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const steps = [STEP, {...STEP, after: [0]}];
+  addJob(state, 'j', ADVISED, steps);
+  assert.equal(earlyRequests(state), ['j']);
+});
+
+decisions('requests no early tickets for a gang that is not complete', () => {
+  const state = newState();
+  const executor = addExecutor(state, 'x');
+  const job = addJob(state, 'j', ADVISED, [GANG]);
+  const task = job.occurrences.get(0)?.steps[0]?.tasks[1];
+  assert.ok(task);
+  state.adoptRun(executor, task, 1, NOW_MS);
+  assert.equal(earlyRequests(state), []);
+});
+
+decisions('requests no early tickets at the limit of an organisation', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const limit = {cpuMilli: 500, memMb: 0, accel: 0, slots: 0};
+  const organisations = [{name: '', weight: 1, limit}];
+  state.setConfig({...CONFIG, queues: [QUEUE], organisations});
+  addJob(state, 'j', ADVISED, [STEP]);
+  assert.equal(earlyRequests(state), []);
+});
+
+// They end with the wait.
+decisions('requests early tickets whatever unknown runs may use', () => {
+  const state = newState();
+  addExecutor(state, 'x');
+  const limit = {cpuMilli: 1000, memMb: 0, accel: 0, slots: 0};
+  const organisations = [{name: '', weight: 1, limit}];
+  state.setConfig({...CONFIG, queues: [QUEUE], organisations});
+  const used = {cpuMilli: 1000, memMb: 100, accel: 0};
+  state.organisations.setUnknownUsage(new Map([['', used]]));
+  addJob(state, 'j', ADVISED, [STEP]);
+  assert.equal(earlyRequests(state), ['j']);
+});
+
 decisions('limits ticket renewals of gangs without room', () => {
   const state = newState();
   const x = addExecutor(state, 'x');
