Request tickets while the record is stored that lets an owner start

Callers saw the first starts wait for tickets after a claim where the store is slow, also for lasting tasks.

Cause: an owner that claims a cell gives no orders until a record is stored that names those executors that get none. Until then no executor is schedulable, so no room was found for which tickets could be requested.

Tickets are orders to nobody. They are now requested as soon as that record is due: when all executors have answered, or 0.3 s after the load, or when the start lease is nearly over. Before that, they would be requested for the few that answered first. An executor that a record names stays out.

Waits are ranked anew then. The answers of executors make them shorter, and the ranking may be 100 ms old.

--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -70,6 +70,8 @@
   missedRenewals: number;
   /** Whether a record of the owner may say that it gets no orders. */
   isHeld: boolean;
+  /** Whether it gets orders as soon as the next record is stored. */
+  isHeldBriefly: boolean;
   /** No new tasks before this time, on the owner's monotonic clock. */
   avoidUntilMs: number;
   /** Failed runs since the last completed one. */
@@ -110,6 +112,7 @@
     ackedThrough: 0,
     missedRenewals: 0,
     isHeld: false,
+    isHeldBriefly: false,
     avoidUntilMs: 0,
     consecutiveFailures: 0,
     slowness: 1,
--- a/packages/cell/src/order-holds.ts
+++ b/packages/cell/src/order-holds.ts
@@ -69,6 +69,11 @@
     return this.isAll || this.ids.has(id);
   }
 
+  /** Whether it gets none even where a record does not say so of all. */
+  isNamed(id: string): boolean {
+    return this.ids.has(id);
+  }
+
   /** Call it before a record is sent: it may be stored without an answer. */
   recordSent({executors, isAll}: HeldOrders): void {
     this.ids = new Set([...this.ids, ...toIds(executors)]);
@@ -88,15 +93,19 @@
 /**
  * Marks the executors that get no orders, before a scheduling round.
  *
+ * @param isEnding whether the next record names only some executors
  * @example
- * markHeld(state.executors.values(), ownership);
+ * markHeld(state.executors.values(), ownership, true);
  */
 export function markHeld(
   executors: Iterable<ExecutorState>,
-  holds: Pick<OrderHolds, 'isHeld'>,
+  holds: Pick<OrderHolds, 'isHeld' | 'isNamed'>,
+  isEnding: boolean,
 ): void {
   for (const executor of executors) {
-    executor.isHeld = holds.isHeld(executor.info.id);
+    const {id} = executor.info;
+    executor.isHeld = holds.isHeld(id);
+    executor.isHeldBriefly = executor.isHeld && isEnding && !holds.isNamed(id);
   }
 }
 
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -244,7 +244,12 @@
       await clock.sleep(ANSWER_CHECK_MS);
     }
     if (this.isClosed) return;
-    await ownership.beginOrders();
+    const stored = ownership.beginOrders();
+    // Tickets may be requested while the record is being stored. As executors
+    // have answered, more waits are expected to end soon.
+    this.state.endingOrder.invalidate();
+    this.requestRound();
+    await stored;
     this.requestRound();
   }
 
@@ -450,7 +455,7 @@
     if (!this.mayStart()) return;
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
-    markHeld(this.state.executors.values(), this.deps.ownership);
+    this.markHeld();
     const services = formerOwnerRuns.unreachedServices(nowMs);
     const context = this.roundContext(nowMs, services);
     const {organisations, jobs} = this.state;
@@ -473,6 +478,14 @@
     this.publishPhases();
   }
 
+  private markHeld(): void {
+    const {clock, ownership} = this.deps;
+    // Before, tickets would be requested for the first that answer alone.
+    const isEnding =
+      !ownership.isHoldingAll || clock.monotonicMs() >= this.answersDueMs;
+    markHeld(this.state.executors.values(), ownership, isEnding);
+  }
+
   private roundContext(
     nowMs: number,
     services = this.formerOwnerRuns.unreachedServices(nowMs),
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -359,6 +359,11 @@
     return this.holds.isHeld(executorId);
   }
 
+  /** Whether a record may say so of this executor alone. */
+  isNamed(executorId: string): boolean {
+    return this.holds.isNamed(executorId);
+  }
+
   /** Ends the ownership at once, as when an executor saw a higher token. */
   revoke(): void {
     this.isLost = true;
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -54,12 +54,20 @@
 
 /** Whether new tasks may be placed on the executor at all. */
 export function isSchedulable(executor: ExecutorState, nowMs: number): boolean {
+  return !executor.isHeld && isSchedulableSoon(executor, nowMs);
+}
+
+/** Whether they may be as soon as the next record of the owner is stored. */
+export function isSchedulableSoon(
+  executor: ExecutorState,
+  nowMs: number,
+): boolean {
   return (
     executor.isListed &&
     executor.isReached &&
     isDescriptionCurrent(executor) &&
     executor.missedRenewals === 0 &&
-    !executor.isHeld &&
+    (!executor.isHeld || executor.isHeldBriefly) &&
     !executor.info.isDraining &&
     executor.avoidUntilMs <= nowMs
   );
--- a/packages/cell/src/service-capacity.ts
+++ b/packages/cell/src/service-capacity.ts
@@ -35,10 +35,17 @@
   renewalsLeft: number;
 }
 
-/** Summarizes the free capacity of each service. */
+/**
+ * Summarizes the free capacity of each service.
+ *
+ * @param isUsable whether new tasks may be placed on an executor
+ * @example
+ * const services = summarizeServices(state, nowMs);
+ */
 export function summarizeServices(
   state: CellState,
   nowMs: number,
+  isUsable = isSchedulable,
 ): ReadonlyMap<string, ServiceCapacity> {
   const groups = new Map<string, ExecutorState[]>();
   for (const executor of state.executors.values()) {
@@ -52,19 +59,21 @@
   for (const [service, executors] of groups) {
     capacities.set(
       service,
-      summarizeService(service, executors, queues, nowMs),
+      summarizeService(
+        executors,
+        executors.filter(each => isUsable(each, nowMs)),
+        queues.filter(each => each.service === service),
+      ),
     );
   }
   return capacities;
 }
 
 function summarizeService(
-  service: string,
   executors: readonly ExecutorState[],
+  schedulable: readonly ExecutorState[],
   queues: readonly Queue[],
-  nowMs: number,
 ): ServiceCapacity {
-  const schedulable = executors.filter(each => isSchedulable(each, nowMs));
   let totalCpuMilli = 0;
   let freeCpuMilli = 0;
   const maxFree = {cpuMilli: 0, memMb: 0, accel: 0};
@@ -79,7 +88,7 @@
     maxFree.accel = Math.max(maxFree.accel, accel - usedAccel);
   }
   const hasUrgentQueue = queues.some(
-    each => each.service === service && each.priority === URGENT_PRIORITY,
+    ({priority}) => priority === URGENT_PRIORITY,
   );
   const headroomCpuMilli = totalCpuMilli * URGENT_HEADROOM_SHARE;
   const renewalsLeft = MAX_BLOCKED_RENEWALS;
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -347,6 +347,19 @@
   assert.equal(earlyRequests(state, {budget: 2}), ['urgent', 'usual']);
 });
 
+decisions('requests early tickets where orders will soon be given', () => {
+  const state = newState();
+  const executor = addExecutor(state, 'x');
+  addJob(state, 'j', ADVISED, [STEP]);
+  addJob(state, 'lasting', ADVISED, [{...STEP, isService: true}]);
+  executor.isHeld = true;
+  assert.equal(earlyRequests(state), []);
+  executor.isHeldBriefly = true;
+  assert.equal(earlyRequests(state), ['lasting', 'j']);
+  addJob(state, 'startable', QUEUE, [STEP]);
+  assert.equal(decide(state), []);
+});
+
 decisions('requests early tickets for no more than has room', () => {
   const state = newState();
   addExecutor(state, 'x');
--- a/packages/cell/test/first-starts.test.ts
+++ b/packages/cell/test/first-starts.test.ts
@@ -20,6 +20,8 @@
 const MARGIN_MS = 100;
 /** Requests that a round makes besides those that can be sent at once. */
 const SPARE_REQUESTS = 2;
+/** Time of a call of a slow store, in ms. */
+const SLOW_STORE_MS = 250;
 const EXECUTORS = 4;
 const ADVICE = {decisionMs: 460, perExecutorMs: 8, validityMs: 1500};
 const ADVISED = {...QUEUE, name: 'advised', advice: ADVICE};
@@ -55,7 +57,7 @@
   readonly vms?: readonly string[];
   /** How many executors run something all the time. */
   readonly full?: number;
-  /** How long each call of the store takes since then, in ms. */
+  /** How long each call of the store takes after the claim, in ms. */
   readonly storeMs?: number;
 }
 
@@ -96,6 +98,7 @@
   const claimMs = rig.clock.monotonicMs();
   const next = rig.newNode('v1');
   void rig.claim(next);
+  while (next.ownership === null) await rig.run(1);
   next.store.faults.delayMs = storeMs;
   await rig.run(LOAD_MS);
   const endMs = next.ownership?.formerStartUntilMs ?? Infinity;
@@ -204,4 +207,14 @@
   assert.is(new Set(asked.map(({step}) => step)).size, asked.length);
 });
 
+// Until that record is stored, the owner gives no orders.
+firstStarts('do not wait for tickets after a slow record', async () => {
+  const takeover = await takeOver({
+    jobs: [{id: 'plain', step: {...STEP, count: 3}}],
+    storeMs: SLOW_STORE_MS,
+  });
+  await expectFirstStart(takeover, 'plain');
+  assert.is(countCalls(takeover.asked, 'plain'), 1);
+});
+
 firstStarts.run();
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -339,6 +339,24 @@
   );
 });
 
+held('tells executors that a record names from all others', () => {
+  const executors = [
+    {id: 'a', agoMs: 0, unlistedForMs: 0, bornMs: 0, wasReached: true},
+  ];
+  const holds = new OrderHolds({executors: [], isAll: true});
+  assert.is(holds.isHeld('a'), true);
+  assert.is(holds.isNamed('a'), false);
+  holds.recordSent({executors, isAll: false});
+  assert.equal(
+    ['a', 'b'].map(each => holds.isHeld(each)),
+    [true, true],
+  );
+  assert.equal(
+    ['a', 'b'].map(each => holds.isNamed(each)),
+    [true, false],
+  );
+});
+
 held('names few executors, those first that waited for longest', () => {
   const executors = Array.from({length: 1000}, (_, i) => ({
     id: `x${i}`,
