Log what the first starts of a new owner waited for

Operators could not tell whether the first starts after a change of the owner waited for the start lease, the load or tickets: `queueState` comes once before and then 5 s later.

An owner now logs `firstStart` at the first start of each queue with a job that was accepted before it was active, within 5 s: the time since the claim, the end of the start lease and the load, and how many steps of the queue hold tickets or ask for some. At most one line for each queue and term.

Evidence: first-starts, 'are logged, one for each queue that waited'.

--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -16,6 +16,7 @@
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
 import type {NamedOrders, OrdersNotice} from './last-orders.js';
+import {FirstStarts} from './first-starts.js';
 import type {JobState, StepState, TaskState} from './job-state.js';
 import {FINAL_TTL_MS} from './job-table.js';
 import type {JobRow} from './messages.js';
@@ -95,6 +96,7 @@
   private readonly runtimeMonitor: RuntimeMonitor;
   private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
+  private firstStarts: FirstStarts | null = null;
   private isActive = false;
   /** Whether it has loaded the stored state and may have given orders. */
   private isLoaded = false;
@@ -216,7 +218,9 @@
     const answerMs = ownership.isHoldingAll
       ? ANSWER_TIME_MS
       : HANDOVER_ANSWER_TIME_MS;
-    this.answersDueMs = clock.monotonicMs() + answerMs;
+    const activeMs = clock.monotonicMs();
+    this.answersDueMs = activeMs + answerMs;
+    this.firstStarts = this.createFirstStarts(activeMs);
     ownership.setHeldExecutors(() => this.describeHeld());
     this.deps.log('ownerActive', {
       term: this.state.term,
@@ -231,6 +235,15 @@
     return true;
   }
 
+  private createFirstStarts(activeMs: number): FirstStarts {
+    const {clock, log, ownership} = this.deps;
+    const {claimedMs} = this;
+    const leaseEndMs = Math.max(claimedMs, ownership.formerStartUntilMs);
+    const activeWallMs = clock.wallMs();
+    const times = {claimedMs, leaseEndMs, activeMs, activeWallMs};
+    return new FirstStarts(times, log);
+  }
+
   /**
    * Gives orders once it is stored which executors get none. After a claim that
    * is shortly before the former owner can start nothing more, or when all have
@@ -465,7 +478,9 @@
     const requests: TicketRequest[] = [];
     for (const decision of decideRound(this.state, context)) {
       if (decision.kind === 'start') {
-        logStarts(decision.tasks, this.deps.log);
+        const {tasks} = decision;
+        this.firstStarts?.record(tasks, this.state.pendingSteps, nowMs);
+        logStarts(tasks, this.deps.log);
         decision.tasks.forEach(t => this.sendStart(t));
       } else {
         requests.push(decision);
--- a/packages/cell/test/first-starts.test.ts
+++ b/packages/cell/test/first-starts.test.ts
@@ -36,6 +36,14 @@
   readonly atMs: number;
 }
 
+interface LoggedStart {
+  readonly sinceClaimMs: number;
+  readonly sinceLeaseMs: number;
+  readonly sinceActiveMs: number;
+  readonly withTickets: number;
+  readonly asking: number;
+}
+
 interface Job {
   readonly id: string;
   readonly step: StepSpec;
@@ -217,4 +225,32 @@
   assert.is(countCalls(takeover.asked, 'plain'), 1);
 });
 
+// The log tells whether a first start waited for the load, or for tickets.
+firstStarts('are logged, one for each queue that waited', async () => {
+  const takeover = await takeOver({
+    jobs: [
+      {id: 'plain', step: {...STEP, count: 2}},
+      {id: 'second', step: STEP},
+      {id: 'direct', step: STEP, queue: QUEUE},
+    ],
+  });
+  const {rig, next, claimMs, endMs} = takeover;
+  await expectFirstStart(takeover, 'plain');
+  const sinceClaimMs = rig.clock.monotonicMs() - claimMs;
+  const sinceLeaseMs = rig.clock.monotonicMs() - endMs;
+  rig.submit('late', [STEP], [next], URGENT);
+  await rig.run(SETTLE_MS);
+  const lines = rig.logLines.filter(each => each.includes(' firstStart '));
+  assert.is(lines.length, 2, lines.join('\n'));
+  const [fields] = lines
+    .filter(each => each.includes('"queue":"advised"'))
+    .map(each => JSON.parse(each.slice(each.indexOf('{'))) as LoggedStart);
+  assert.ok(fields);
+  assert.is(fields.withTickets, 2);
+  assert.is(fields.asking, 0);
+  assert.ok(Math.abs(fields.sinceClaimMs - sinceClaimMs) <= 2 * ROUND_TRIP_MS);
+  assert.ok(Math.abs(fields.sinceLeaseMs - sinceLeaseMs) <= ROUND_TRIP_MS);
+  assert.ok(fields.sinceActiveMs < fields.sinceClaimMs);
+});
+
 firstStarts.run();
