Let small VMs wait for large ones that they are not connected to

What callers saw: after the loss of an owner on a grown deployment a small VM may claim the cell as early as a large one, and hand it on: two changes of the owner for one loss.

Cause: a VM waits 400 ms longer below a larger one, but it knew the sizes of connected VMs only, and after the loss these are its four neighbours by name.

Now the owner's list of VMs gives the cores of each, and a VM waits below a larger one on the list too, unless that one is a neighbour that is not connected, cannot own the cell or is the lost owner. Leases, detection and the length of the delays are as before. A list of an earlier version has no cores: then it is as before.

Before: the new test "goes to a large VM that small ones are not connected to" had two owners, the first of them small. After: one, a large one. Price, in a test with all large VMs gone: a small one acts within 1.5 s of the loss of their connections; up to 0.4 s later than before.

--- a/packages/cell/src/claim-delay.ts
+++ b/packages/cell/src/claim-delay.ts
@@ -8,7 +8,7 @@
 const MAX_NOTICE_DELAY_MS = 100;
 /** Time that a claim usually takes to be stored, in ms. */
 const CLAIM_MS = 50;
-/** Extra delay of a VM that knows a VM with more cores, in ms. */
+/** Extra delay of a VM that knows of a VM with more cores, in ms. */
 const SMALL_VM_DELAY_MS = MAX_CLAIM_DELAY_MS + MAX_NOTICE_DELAY_MS + CLAIM_MS;
 /** Extra delay of a VM that could start nothing yet, in ms. */
 const NO_CONFIG_DELAY_MS = MAX_NOTICE_DELAY_MS + CLAIM_MS;
@@ -21,7 +21,7 @@
 export interface Claimant {
   /** The round trip of its newest call to the store, in ms. */
   readonly rttMs: number;
-  /** Whether a VM with more cores is connected that may own the cell. */
+  /** Whether a VM with more cores is connected or listed that may own it. */
   readonly isLargerKnown: boolean;
   readonly hasConfig: boolean;
   /** Whether the last load of the state failed here, however long ago. */
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -8,9 +8,11 @@
   type PeerInfo,
 } from '@dragonflyward/peer';
 import type {Server} from 'node:net';
+import {neighbourNames, nextInRing} from './member-ring.js';
 import type {
   CellHeartbeat,
   CellProtocol,
+  ListedMember,
   StoreCall,
   StoreReply,
 } from './messages.js';
@@ -28,8 +30,6 @@
 const MEMBER_RETENTION_MS = 60_000;
 /** How long a process that owned the cell and did not act is passed over. */
 const IDLE_RETENTION_MS = 20_000;
-/** Number of VMs besides the owner to which each VM keeps a connection. */
-const NEIGHBOUR_COUNT = 2;
 
 export type CellConnection = PeerConnection<CellProtocol>;
 export type CellPeerInfo = PeerInfo<CellProtocol>;
@@ -87,7 +87,9 @@
   private readonly restartedMs = new Map<string, number>();
   /** The last process of each VM that owned the cell and did not act. */
   private readonly idle = new Map<string, IdleProcess>();
-  private knownMembers: readonly OwnerAddress[] = [];
+  private knownMembers: readonly ListedMember[] = [];
+  /** The cores of the VMs that the owner has listed with their sizes. */
+  private listedCores: ReadonlyMap<string, number> = new Map();
   private owner: OwnerAddress | null = null;
   private server: Server | null = null;
 
@@ -121,9 +123,10 @@
   }
 
   /** Sets the list of VMs that the owner has sent. */
-  setKnownMembers(members: readonly OwnerAddress[]): void {
+  setKnownMembers(members: readonly ListedMember[]): void {
     this.knownMembers = members;
     this.connect();
+    this.listedCores = new Map(members.map(({vm, cores = 0}) => [vm, cores]));
   }
 
   /** Adds an established connection to a peer. */
@@ -236,14 +239,24 @@
   }
 
   /**
-   * Returns the highest number of cores of a connected VM that may own the
-   * cell, without the VM that is named.
+   * Returns the highest number of cores of another VM that may own the cell,
+   * without the VM that is named: of the connected ones, and of those that the
+   * owner has listed. Most VMs are connected to the owner and neighbours only.
+   *
+   * @example
+   * const isLargerKnown = members.maxPeerCores(record.vm) > cores;
    */
   maxPeerCores(exceptVm = ''): number {
-    const others = [...this.connected()].filter(
-      member => mayOwn(member) && member.address.vm !== exceptVm,
-    );
-    return Math.max(0, ...others.map(({cores}) => cores));
+    const sizes = new Map(this.listedCores);
+    // A neighbour that is listed and not connected has gone.
+    for (const vm of neighbourNames(this.knownMembers, this.self.vm)) {
+      sizes.delete(vm);
+    }
+    for (const member of this.connected()) {
+      sizes.set(member.address.vm, mayOwn(member) ? member.cores : 0);
+    }
+    for (const vm of [exceptVm, this.self.vm]) sizes.delete(vm);
+    return Math.max(0, ...sizes.values());
   }
 
   /** The number of connected VMs. */
@@ -282,6 +295,20 @@
     return [...this.connected()].map(({address}) => address);
   }
 
+  /**
+   * Returns this VM, which has the given cores, and the connected ones.
+   *
+   * @example
+   * const notice = {type: 'members', members: members.listed(cores)};
+   */
+  listed(ownCores: number): readonly ListedMember[] {
+    const others = [...this.connected()].map(({address, cores}) => ({
+      ...address,
+      cores,
+    }));
+    return [{...this.self, cores: ownCores}, ...others];
+  }
+
   /**
    * Returns the peers that can call the store: those first whose heartbeats
    * arrive, and the owner before others.
@@ -309,7 +336,9 @@
     const targets = new Map<string, OwnerAddress>();
     const isOther = (each: OwnerAddress): boolean =>
       each.ip !== this.self.ip || each.port !== this.self.port;
-    const wanted = [...this.neighbours()];
+    const wanted: OwnerAddress[] = [
+      ...nextInRing(this.knownMembers, this.self.vm),
+    ];
     if (this.owner !== null) wanted.push(this.owner);
     if (this.knownMembers.length === 0) wanted.push(...this.seeds);
     for (const each of wanted) {
@@ -317,18 +346,6 @@
     }
     this.mesh.setPeers([...targets.values()].map(toPeerAddress));
   }
-
-  /** Yields the next VMs in name order, which connects all in a ring. */
-  private *neighbours(): Generator<OwnerAddress> {
-    const sorted = [...this.knownMembers].sort((a, b) =>
-      a.vm.localeCompare(b.vm),
-    );
-    const at = sorted.findIndex(({vm}) => vm === this.self.vm);
-    for (let i = 1; i <= NEIGHBOUR_COUNT && i < sorted.length; i += 1) {
-      const next = sorted[(at + i) % sorted.length];
-      if (next !== undefined) yield next;
-    }
-  }
 }
 
 function toPeerAddress({ip, port}: OwnerAddress): {
--- a/packages/cell/src/messages.ts
+++ b/packages/cell/src/messages.ts
@@ -92,10 +92,16 @@
   readonly rows: readonly JobRow[];
 }
 
-/** The VMs that are connected to the owner. */
+/** A VM of the cell, as the owner names it to the others. */
+export interface ListedMember extends OwnerAddress {
+  /** Its number of cores; missing from a sender of an earlier version. */
+  readonly cores?: number;
+}
+
+/** The owner and the VMs that are connected to it. */
 export interface MembersNotice {
   readonly type: 'members';
-  readonly members: readonly OwnerAddress[];
+  readonly members: readonly ListedMember[];
 }
 
 /** The sender owned the cell and has stored the receiver as its owner. */
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -368,7 +368,7 @@
   }
 
   private sendMembers(): void {
-    const members = [this.deps.self, ...this.members.addresses()];
+    const members = this.members.listed(this.deps.cores);
     this.members.setKnownMembers(members);
     this.broadcast({type: 'members', members});
   }
--- a/packages/cell/test/members.test.ts
+++ b/packages/cell/test/members.test.ts
@@ -3,6 +3,7 @@
 import {
   Members,
   type CellConnection,
+  type ListedMember,
   type MemberHandler,
 } from '@dragonflyward/cell';
 import {suite} from 'uvu';
@@ -106,3 +107,48 @@
 });
 
 connected.run();
+
+const sizes = suite('sizes of other VMs');
+
+function listed(vm: string, cores: number): ListedMember {
+  return {...OTHER, vm, cores};
+}
+
+// Names after 'a' and 'b': c is a neighbour of a, and so are y and z.
+const LIST = ['b', 'c', 'y', 'z'].map(vm => listed(vm, 1));
+
+sizes('count for VMs that the owner has listed', () => {
+  const members = newMembers(new StepClock());
+  assert.is(members.maxPeerCores(), 1);
+  members.setKnownMembers([listed('a', 9), ...LIST, listed('m', 4)]);
+  assert.is(members.maxPeerCores(), 4);
+  assert.is(members.maxPeerCores('m'), 1);
+});
+
+sizes('do not count for listed neighbours that are not connected', () => {
+  const members = newMembers(new StepClock());
+  const large = ['c', 'y', 'z'].map(vm => listed(vm, 4));
+  const others = [listed('b', 1), listed('m', 2)];
+  members.setKnownMembers([listed('a', 1), ...large, ...others]);
+  assert.is(members.maxPeerCores(), 2);
+});
+
+sizes('do not count for a connected VM that may not own the cell', () => {
+  const members = newMembers(new StepClock());
+  members.setKnownMembers([listed('a', 1), listed('b', 4)]);
+  members.recordHeartbeat('b', {...HEARTBEAT, isDraining: true});
+  assert.is(members.maxPeerCores(), 0);
+});
+
+sizes('are not known from an owner of an earlier version', () => {
+  const members = newMembers(new StepClock());
+  members.setKnownMembers([SELF, OTHER, {...OTHER, vm: 'm'}]);
+  assert.is(members.maxPeerCores(), 1);
+});
+
+sizes('are told with the list of VMs', () => {
+  const members = newMembers(new StepClock());
+  assert.equal(members.listed(3), [listed('a', 3), listed('b', 1)]);
+});
+
+sizes.run();
--- a/packages/cell/test/owner-choice.test.ts
+++ b/packages/cell/test/owner-choice.test.ts
@@ -49,6 +49,43 @@
   });
 }
 
+const RING = [
+  large('l1'),
+  large('l2'),
+  ...['1', '2', '3', '4', '5', '6'].map(n => small(`s${n}`)),
+];
+
+/** A cell in a ring: s3 and s4 are connected to small VMs and to the owner. */
+async function startRing(): Promise<Cell> {
+  const cell = new Cell(RING);
+  await cell.clock.advance(SETTLE_MS);
+  void cell.connectInRing();
+  await cell.clock.advance(SETTLE_MS);
+  assert.is(cell.running.get('s3')?.members.count, 5);
+  for (const {spec, store} of cell.running.values()) {
+    store.faults.delayMs = spec.cores > 1 ? SLOW_CALL_MS : FAST_CALL_MS;
+  }
+  return cell;
+}
+
+// It claimed as early as a large one, and had to hand the cell on.
+choice('goes to a large VM that small ones are not connected to', async () => {
+  const cell = await startRing();
+  const before = cell.owners.length;
+  cell.owner?.end();
+  await cell.clock.advance(SETTLE_MS);
+  const next = cell.owners.slice(before);
+  assert.is(next.length, 1, `owners: ${next}`);
+  assert.ok(next[0]?.startsWith('l'), `owners: ${next}`);
+});
+
+choice('goes to a small VM soon after all large ones are gone', async () => {
+  const cell = await startRing();
+  for (const vm of ['l1', 'l2']) cell.running.get(vm)?.end();
+  await cell.clock.advance(1500);
+  assert.ok(cell.actingOwner.startsWith('s'), cell.actingOwner);
+});
+
 // The larger one does not claim, so nobody has to wait for it.
 choice('goes to a small VM at once if the large one shuts down', async () => {
   const cell = new Cell([large('l0'), large('l1'), small('s')]);
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -22,6 +22,10 @@
 const SILENCE_TIMEOUT_MS = 1500;
 /** How long a process serves its calls after SIGTERM, in ms. */
 const GRACE_MS = 2500;
+/** Number of VMs on each side to which a VM in a ring is connected. */
+const NEIGHBOUR_COUNT = 2;
+/** Interval at which VMs in a ring connect to an owner they hear of, in ms. */
+const RING_INTERVAL_MS = 20;
 /** Time from the end of a process to the start of the next one, in ms. */
 const START_MS = 700;
 
@@ -64,6 +68,8 @@
   loads = 0;
   readonly metrics = new Metrics();
   private loadProgressMs = 0;
+  /** The processes to which it has sent its list of VMs. */
+  private informed = new Set<Process>();
 
   constructor(
     private readonly cell: Cell,
@@ -133,6 +139,9 @@
   receive(from: Process, notice: CellProtocol['notice']): void {
     if (!this.isRunning) return;
     if (notice.type === 'handover') this.election.acceptHandover(notice);
+    if (notice.type === 'members') {
+      this.members.setKnownMembers(notice.members);
+    }
     if (notice.type !== 'heartbeat') return;
     this.members.recordHeartbeat(from.spec.vm, notice);
     this.election.recordHeartbeat(from.self, notice);
@@ -193,9 +202,22 @@
     };
   }
 
+  /** Lists the connected VMs, as an owner does when one has connected. */
+  private listMembers(): void {
+    const others = [...this.links.keys()];
+    if (!this.isActing || others.every(each => this.informed.has(each))) return;
+    this.informed = new Set(others);
+    const members = this.members.listed(this.spec.cores);
+    this.members.setKnownMembers(members);
+    for (const link of this.links.values()) {
+      link.notify({type: 'members', members});
+    }
+  }
+
   private async sendHeartbeats(): Promise<void> {
     while (this.isRunning) {
       this.broadcast();
+      this.listMembers();
       await this.cell.clock.sleep(HEARTBEAT_PERIOD_MS);
     }
   }
@@ -317,6 +339,53 @@
     this.running.set(spec.vm, process);
   }
 
+  /**
+   * Connects each VM to its neighbours in name order and to the owner that it
+   * knows, and to no other one, from now on.
+   */
+  async connectInRing(): Promise<void> {
+    const names = [...this.running.keys()].sort();
+    for (;;) {
+      for (const [from, to] of this.pairs()) this.updateLink(names, from, to);
+      await this.clock.sleep(RING_INTERVAL_MS);
+    }
+  }
+
+  private *pairs(): Generator<readonly [Process, Process]> {
+    const processes = [...this.running.values()];
+    for (const [i, from] of processes.entries()) {
+      for (const to of processes.slice(i + 1)) yield [from, to];
+    }
+  }
+
+  private updateLink(
+    names: readonly string[],
+    from: Process,
+    to: Process,
+  ): void {
+    const gap = Math.abs(
+      names.indexOf(from.spec.vm) - names.indexOf(to.spec.vm),
+    );
+    const isWanted =
+      Math.min(gap, names.length - gap) <= NEIGHBOUR_COUNT ||
+      from.election.knownOwner?.vm === to.spec.vm ||
+      to.election.knownOwner?.vm === from.spec.vm;
+    if (isWanted === from.links.has(to)) return;
+    for (const [one, other] of [
+      [from, to],
+      [to, from],
+    ] as const) {
+      if (isWanted) this.link(one, other);
+      else this.unlink(one, other);
+    }
+  }
+
+  private unlink(from: Process, to: Process): void {
+    const link = from.links.get(to);
+    if (link !== undefined) from.members.remove(link);
+    from.links.delete(to);
+  }
+
   private link(from: Process, to: Process): void {
     const connection = {
       info: to.hello(),
