Say in ownerClaimed why a VM claimed the cell

What operators saw: the log did not tell why a small VM had claimed the cell: whether it was alone, or took no larger VM to be able to claim. It had to be put together from the lines of peers of all VMs.

ownerClaimed now gives unownedMs, cores, maxPeerCores and connected. One line for each claim, as before.

The new test "is claimed with a log line that says why" failed without the fields and passes with them.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -492,11 +492,23 @@
     }
   }
 
+  /** For how long this VM had no owner, and its place among the others. */
+  private describeClaim(): Readonly<Record<string, unknown>> {
+    const {clock, cores, members} = this.deps;
+    return {
+      unownedMs: Math.round(clock.monotonicMs() - this.lastConnectedMs),
+      cores,
+      maxPeerCores: members.maxPeerCores(this.record?.vm),
+      connected: members.count,
+    };
+  }
+
   private async claim(snapshot: OwnerSnapshot): Promise<void> {
     const {self, log, members} = this.deps;
     const {record} = snapshot;
     // A handover may have arrived since the snapshot was read.
     if (this.isDrainStarted || this.ownership !== null) return;
+    const reason = this.describeClaim();
     const ownership = await this.sendClaim(snapshot);
     if (ownership === null) return;
     if (this.isDraining) return ownership.release();
@@ -504,6 +516,7 @@
     log('ownerClaimed', {
       term: ownership.term,
       former: record?.vm ?? '',
+      ...reason,
       ...ownership.describeTakeover(),
     });
     this.setRecord({...self, term: ownership.term, isReleased: false});
--- a/packages/cell/test/owner-choice.test.ts
+++ b/packages/cell/test/owner-choice.test.ts
@@ -79,6 +79,20 @@
   assert.ok(next[0]?.startsWith('l'), `owners: ${next}`);
 });
 
+// The log did not tell why a small VM had claimed the cell.
+choice('is claimed with a log line that says why', async () => {
+  const cell = await startRing();
+  const former = cell.actingOwner;
+  cell.owner?.end();
+  await cell.clock.advance(SETTLE_MS);
+  const {unownedMs, ...claim} = cell.lastClaim;
+  assert.ok(Number(unownedMs) >= 250 && Number(unownedMs) < 1000);
+  assert.is(claim['former'], former);
+  assert.is(claim['cores'], 2);
+  assert.is(claim['maxPeerCores'], 0.3);
+  assert.is(claim['connected'], 3);
+});
+
 choice('goes to a small VM soon after all large ones are gone', async () => {
   const cell = await startRing();
   for (const vm of ['l1', 'l2']) cell.running.get(vm)?.end();
--- a/packages/cell/test/processes.ts
+++ b/packages/cell/test/processes.ts
@@ -89,7 +89,7 @@
         store,
         clock,
         metrics: this.metrics,
-        log: event => cell.recordEvent(this, event),
+        log: (event, fields) => cell.recordEvent(this, event, fields),
       },
       {
         loadProgressMs: () => this.loadProgressMs,
@@ -240,6 +240,8 @@
   readonly unconfigured = new Set<string>();
   /** How many of them claimed the cell. */
   claims = 0;
+  /** What the log says of the last claim. */
+  lastClaim: Readonly<Record<string, unknown>> = {};
   /** By how much notices of handovers are later than other messages, in ms. */
   handoverDelayMs = 0;
   /** How many of the next handovers get no notice. */
@@ -268,8 +270,11 @@
     }
   }
 
-  recordEvent({spec}: Process, event: string): void {
-    if (event === 'ownerClaimed') this.claims += 1;
+  recordEvent({spec}: Process, event: string, fields: Readonly<object>): void {
+    if (event === 'ownerClaimed') {
+      this.claims += 1;
+      this.lastClaim = {...fields};
+    }
     if (event === 'ownerClaimed' || event === 'ownerTakesOver') {
       this.owners.push(spec.vm);
     }
