Look up the jobs that a new owner has loaded as ended in the property

Cause, in the test cell: the end of the gang was stored by an append whose answer was lost, and its owner stopped before it told of it. The next owner loaded the gang as completed. A VM then replaces its open rows by those of the new owner and looks up what it misses; the test cell kept the row of the former owner.

The check is as strict as before: a row that the new owner takes for open counts, and a job that it does not know is not shown.

Ruled out: a fault of VMs. The new test 'replace what an owner has told when the next one has loaded' passes without a change of them, and fails if they keep their rows.

Evidence: 'shows the end of a job whose owner was lost as it stored it' failed before.

--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -570,4 +570,24 @@
   ]),
 );
 
+// The end was stored by an append whose answer was lost, and the handover that
+// followed has no effect: the next owner loads it and has nothing left to do.
+owner(
+  'shows the end of a job whose owner was lost as it stored it',
+  async () => {
+    const scenario = await runScenario(
+      [
+        {kind: 'submitGang', tasks: 2},
+        {kind: 'wait', ms: 283},
+        {kind: 'loseAnswers', count: 2},
+        {kind: 'handOver', pauseMs: 0, isNoticeLost: false},
+        {kind: 'kill', waitMs: LONG_CLAIM_WAIT_MS},
+      ],
+      false,
+    );
+    assert.equal(scenario.rig.checker.violations, []);
+    for (const id of scenario.jobs) checkJob(scenario, id);
+  },
+);
+
 if (process.argv[2] === undefined) owner.run();
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -5,6 +5,7 @@
   allocatedAmounts,
   claimCell,
   encodeJob,
+  isFinal,
   jobKey,
   jobsTopicFor,
   cancelKey,
@@ -173,6 +174,7 @@
   readonly clock = new RigClock(START_MS);
   readonly memory = new MemoryStore();
   readonly checker = new InvariantChecker();
+  /** What a VM that is connected to all owners shows of each job. */
   readonly rows = new Map<string, JobRow>();
   readonly executors: FakeExecutor[] = [];
   readonly logLines: string[] = [];
@@ -290,7 +292,9 @@
     });
     node.owner = owner;
     void this.keepAlive(node, ownership);
-    return owner.start(this.config);
+    const isActive = await owner.start(this.config);
+    if (isActive && !node.isKilled) this.replaceRows(owner);
+    return isActive;
   }
 
   /** Ends a process at once; calls that it has sent may still take effect. */
@@ -424,6 +428,21 @@
     for (const row of rows) this.rows.set(row.id, row);
   }
 
+  /**
+   * A VM replaces its open rows by those of a new owner, and looks up there what
+   * it is asked for and misses: a job may have ended without a row that says so.
+   */
+  private replaceRows(owner: Owner): void {
+    const current = new Map(owner.currentRows().map(row => [row.id, row]));
+    for (const id of this.checker.jobs.keys()) {
+      const known = this.rows.get(id);
+      if (known !== undefined && isFinal(known.phase)) continue;
+      const row = current.get(id) ?? owner.findRow(id);
+      if (row === null) this.rows.delete(id);
+      else this.rows.set(id, row);
+    }
+  }
+
   private writeLog(
     node: CellNode,
     event: string,
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -200,4 +200,33 @@
   assert.equal(phase, {kind: 'phase', phase: 'completed'});
 });
 
+vms('replace what an owner has told when the next one has loaded', async () => {
+  const {memory, owner, other} = await startPair();
+  const seeds = [owner.vm, other.vm].map(vm => vm.hello().self);
+  const third = await startVm(memory, await newAddress('c'), 0.5, seeds, false);
+  await waitFor('connection', () => third.vm.isReady);
+  const id = 'job';
+  const caller = {organisation: '', queue: QUEUE, timeoutMs: 3000};
+  const spec = {payload: '', steps: [STEP], repetition: ONCE};
+  const answer = await third.vm.frontend.submit({...caller, id, spec});
+  assert.equal(answer, {kind: 'done'});
+  const before = await third.vm.frontend.phase(id, caller);
+  assert.equal(before, {kind: 'phase', phase: 'queued'});
+  const value = encode({phase: 'completed', steps: []});
+  memory.append(PROGRESS_TOPIC, [{key: `p/${id}`, value}], {});
+  owner.vm.close();
+  const isActive = ({events}: TestVm): boolean =>
+    events.includes('ownerActive');
+  await waitFor('claim', () => isActive(other) || isActive(third));
+  await new SystemClock().sleep(GRACE_MS);
+  const phases = [
+    await other.vm.frontend.phase(id, caller),
+    await third.vm.frontend.phase(id, caller),
+  ];
+  other.vm.close();
+  third.vm.close();
+  const completed = {kind: 'phase', phase: 'completed'} as const;
+  assert.equal(phases, [completed, completed]);
+});
+
 vms.run();
