Take only ends from a former owner whose rows arrive late

What callers saw, if an owner froze before it sent the row of a job and woke after the next one had loaded the job as ended: each VM that the row reached answered `running` until the next change of the owner. A late list of all rows also took the count of waiting jobs from a VM for as long.

Cause: a VM applied the rows of any owner, whatever its term. It now keeps the term of the owner whose rows it holds, also of its own, and takes only final rows of earlier ones: these are stored.

Ruled out: dropping all rows of earlier owners; while the next one loads, callers learn of ends by them.

--- a/packages/cell/src/table-freshness.ts
+++ b/packages/cell/src/table-freshness.ts
@@ -17,7 +17,8 @@
 
 /** Tracks the owner's updates and the jobs that it was notified of. */
 export class TableFreshness {
-  private fullUpdateTerm = 0;
+  /** The term of the owner whose rows the table holds; 0 before the first. */
+  fullUpdateTerm = 0;
   private freshMs = -Infinity;
   /** When the owner was notified of jobs that it has not yet published. */
   private readonly notifiedMs = new Map<string, number>();
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -42,7 +42,7 @@
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
 import type {ExecutorSilence} from './tenure.js';
-import type {CellConfig} from './types.js';
+import {isFinal, type CellConfig} from './types.js';
 
 /** Delay before a failed load of the owner's state is retried, in ms. */
 const LOAD_RETRY_DELAY_MS = 100;
@@ -329,7 +329,14 @@
     }
   }
 
-  private handleJobRows({rows, isFull, term}: JobsNotice): void {
+  private handleJobRows(notice: JobsNotice): void {
+    const {term} = notice;
+    // A former owner may be late; of its rows, only those of ends still hold.
+    const isLate = term < this.freshness.fullUpdateTerm;
+    const isFull = notice.isFull && !isLate;
+    const rows = isLate
+      ? notice.rows.filter(({phase}) => isFinal(phase))
+      : notice.rows;
     if (isFull) this.table.replaceOpen(rows);
     else for (const row of rows) this.table.set(row);
     for (const {id} of rows) {
@@ -408,6 +415,7 @@
     this.publisher = this.startPublisher(owner);
     this.table.replaceOpen(owner.currentRows());
     this.table.confirmAll();
+    this.freshness.recordFullUpdate(owner.state.term);
     return true;
   }
 
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -25,6 +25,8 @@
 const HANDOVER_TIMEOUT_MS = 6000;
 const GRACE_MS = 300;
 const UPTIME_MS = 3_600_000;
+/** A count of waiting jobs that was known this long ago is unknown, in ms. */
+const STALE_MS = 2500;
 
 /** The clock of a machine that has been up for long. */
 class UptimeClock extends SystemClock {
@@ -229,4 +231,48 @@
   assert.equal(phases, [completed, completed]);
 });
 
+// It was frozen before it sent the row, and wakes after the next owner's claim.
+vms('show no job as open for a late row of a former owner', async () => {
+  const {memory, owner, other} = await startPair();
+  const seeds = [owner.vm, other.vm].map(vm => vm.hello().self);
+  const third = await startVm(memory, await newAddress('c'), 0.5, seeds, false);
+  await waitFor('connection', () => third.vm.isReady);
+  const id = 'job';
+  const caller = {organisation: '', queue: QUEUE, timeoutMs: 3000};
+  const spec = {payload: '', steps: [STEP], repetition: ONCE};
+  const answer = await third.vm.frontend.submit({...caller, id, spec});
+  assert.equal(answer, {kind: 'done'});
+  const vms = [other, third];
+  const haveAll = (count: number): boolean =>
+    vms.every(({vm}) => vm.frontend.countWaiting(QUEUE.name) === count);
+  await waitFor('row', () => haveAll(1));
+  const value = encode({phase: 'completed', steps: []});
+  memory.append(PROGRESS_TOPIC, [{key: `p/${id}`, value}], {});
+  const {term} = owner.vm.heartbeat();
+  owner.vm.close();
+  const isActive = ({events}: TestVm): boolean =>
+    events.includes('ownerActive');
+  await waitFor('claim', () => vms.some(isActive));
+  await waitFor('rows of the next owner', () => haveAll(0));
+  const phases = [];
+  for (const {vm} of vms) {
+    const late = {id, phase: 'running', queue: 'q', organisation: ''} as const;
+    const rows = {type: 'jobs', term, rows: [late]} as const;
+    vm.handleNotice(owner.vm.hello(), {...rows, isFull: false});
+    vm.handleNotice(owner.vm.hello(), {...rows, isFull: true});
+    phases.push(await vm.frontend.phase(id, caller));
+  }
+  await new SystemClock().sleep(STALE_MS);
+  const counts = vms.map(({vm}) => vm.frontend.countWaiting(QUEUE.name));
+  for (const {vm} of vms) vm.close();
+  const completed = {kind: 'phase', phase: 'completed'} as const;
+  assert.equal(
+    {phases, counts},
+    {
+      phases: [completed, completed],
+      counts: [0, 0],
+    },
+  );
+});
+
 vms.run();
