Claim the cell after a record of the owner that is not whole

No VM claims it, so no job starts.

Cause: readOwner decoded the record without a check. Each read threw (bytes cut off), or each claim did (lists that are none, orders without fields). Where nothing threw, times that are no numbers became NaN, and a term that is missing made the claim's term NaN.

Change: readOwner checks all fields, as those of jobs and executors are. A record that is not whole counts as that of an unknown owner that may still act for all its leases and has told nothing, with an unknown owner before it. Its term is the one that can be read, and never below the end of the topic: each term begins with an append, so no owner had a higher one. Terms above 2^52 are not read, since the next ones could not be told apart. No VM follows such an owner, as it has no address. The claim logs ownerRecordMalformed.

Ruled out: progress records and records of jobs and executors; they were checked before (record-checks.ts, malformed-records.test.ts). A whole record of another writer with a lower term can't be told from a true one.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -18,6 +18,7 @@
   type OwnerRecord,
 } from './ownership.js';
 import {OwnerActivity} from './owner-activity.js';
+import {isOfUnknownOwner} from './owner-record-checks.js';
 import {StoreError} from './store.js';
 import {chooseSuccessor} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
@@ -470,6 +471,8 @@
   /** Follows the owner in the store if it is newer than the known one. */
   private followIfNewer({record}: OwnerSnapshot): boolean {
     if (record === null || record.isReleased) return false;
+    // It has no address; it is superseded as one that stopped its heartbeats.
+    if (isOfUnknownOwner(record)) return false;
     if (record.term <= (this.record?.term ?? 0)) return false;
     // This VM's claim: its answer was lost, or an earlier process made it.
     if (record.vm === this.deps.self.vm) return false;
@@ -499,6 +502,9 @@
     if (this.isDrainStarted || this.ownership !== null) return;
     const ownership = await this.sendClaim(snapshot);
     if (ownership === null) return;
+    if (record !== null && isOfUnknownOwner(record)) {
+      log('ownerRecordMalformed', {term: record.term});
+    }
     if (this.isDraining) return ownership.release();
     this.actedTerm = ownership.term;
     log('ownerClaimed', {
--- /dev/null
+++ b/packages/cell/src/owner-record-checks.ts
@@ -0,0 +1,102 @@
+/** Checks of owners' records of other writers. */
+import {decode} from 'cbor-x';
+import {
+  isCount,
+  isFlag,
+  isList,
+  isNumber,
+  isObject,
+  isOptional,
+  isPositive,
+  isText,
+  type Check,
+} from './checks.js';
+import type {FormerOwner} from './former-owners.js';
+import type {LastOrders, NamedOrders, OrdersNotice} from './last-orders.js';
+import type {OwnerRecord} from './ownership.js';
+
+/** Terms above it could not be counted on. */
+const MAX_TERM = 2 ** 52;
+
+const isTerm: Check = value =>
+  isPositive(value) && (value as number) <= MAX_TERM;
+const isName: Check = value => isText(value) && value !== '';
+
+const isFormerOwner = isObject<FormerOwner>({
+  vm: isText,
+  incarnation: isNumber,
+  startMs: isNumber,
+  actMs: isNumber,
+  heldIds: isOptional(isList(isText)),
+});
+
+const ORDERS_CHECKS = {
+  agoMs: isNumber,
+  unlistedForMs: isNumber,
+  bornMs: isNumber,
+  wasReached: isFlag,
+  runs: isOptional(isList(isText)),
+};
+const isLastOrders = isObject<LastOrders>(ORDERS_CHECKS);
+const isNamedOrders = isObject<NamedOrders>({...ORDERS_CHECKS, id: isText});
+
+const isOrders = isObject<OrdersNotice>({
+  executors: isList(isNamedOrders),
+  others: isLastOrders,
+});
+
+const isOwnerRecord = isObject<OwnerRecord>({
+  vm: isName,
+  ip: isText,
+  port: isCount,
+  incarnation: isNumber,
+  term: isTerm,
+  isReleased: isFlag,
+  areFormerStopped: isOptional(isFlag),
+  formerOwners: isOptional(isList(isFormerOwner)),
+  orders: isOptional(isOrders),
+  heldOrders: isOptional(isList(isNamedOrders)),
+  heldOthers: isOptional(isLastOrders),
+});
+
+/**
+ * Whether the record was not whole, so that its owner is not known.
+ *
+ * @example
+ * if (isOfUnknownOwner(record)) return false;
+ */
+export function isOfUnknownOwner({vm}: OwnerRecord): boolean {
+  return vm === '';
+}
+
+/**
+ * Decodes the record of an owner. One that is not whole counts as that of an
+ * unknown owner that may act and has told nothing.
+ *
+ * @param endOffset the end of the owner topic after it
+ * @example
+ * const record = decodeOwner(value, endOffset);
+ */
+export function decodeOwner(value: Uint8Array, endOffset: number): OwnerRecord {
+  const decoded = tryDecode(value);
+  if (isOwnerRecord(decoded)) return decoded as OwnerRecord;
+  const {term} = (decoded ?? {}) as {readonly term?: unknown};
+  const readTerm = isTerm(term) ? (term as number) : 0;
+  return {
+    vm: '',
+    ip: '',
+    port: 0,
+    incarnation: 0,
+    // Each term begins with an append, so none is above the end of the topic.
+    term: Math.max(readTerm, endOffset),
+    isReleased: false,
+  };
+}
+
+function tryDecode(value: Uint8Array): unknown {
+  try {
+    return decode(value as Buffer);
+  } catch {
+    return null;
+  }
+}
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -1,6 +1,6 @@
 /** Cell ownership: claims and heartbeats in the store, each with a term. */
 import type {Clock} from '@dragonflyward/common';
-import {decode, encode} from 'cbor-x';
+import {encode} from 'cbor-x';
 import PQueue from 'p-queue';
 import {LEASES} from './claim-bounds.js';
 import {endOwnersOf, FormerOwners, type FormerOwner} from './former-owners.js';
@@ -13,6 +13,7 @@
 } from './last-orders.js';
 import type {HandoverNotice} from './messages.js';
 import {chooseHeld, OrderHolds, type HeldOrders} from './order-holds.js';
+import {decodeOwner} from './owner-record-checks.js';
 import {OWNER_TOPIC} from './records.js';
 import {StoreError, type Store} from './store.js';
 
@@ -101,7 +102,8 @@
 }
 
 /**
- * Reads who owns the cell.
+ * Reads who owns the cell; see {@link decodeOwner} for records that are not
+ * whole.
  *
  * @throws StoreError
  * @example
@@ -115,7 +117,7 @@
   const readMs = clock.monotonicMs();
   const newest = records.find(({key}) => key === OWNER_KEY);
   if (newest === undefined) return {record: null, endOffset, readMs};
-  const record = decode(newest.value as Buffer) as OwnerRecord;
+  const record = decodeOwner(newest.value, endOffset);
   return {record, endOffset, readMs};
 }
 
