Ignore handover notices that are not whole

By the tests, a VM became the owner by a notice with an end that is no offset, with times that are no numbers, or with a term that is a text. Its heartbeats then fail, or it never counts former owners as stopped, since NaN is compared with the time.

Cause: as for records of owners, the fields were not checked.

Change: such a notice is ignored and logged (handoverIgnored). The record in the store names the VM too, which then claims the cell.

Evidence: the four tests "make no VM the owner by a notice" of owner-records.test.ts failed before and pass. malformed-notices, election and told-record pass.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -18,7 +18,7 @@
   type OwnerRecord,
 } from './ownership.js';
 import {OwnerActivity} from './owner-activity.js';
-import {isOfUnknownOwner} from './owner-record-checks.js';
+import {isHandover, isOfUnknownOwner} from './owner-record-checks.js';
 import {StoreError} from './store.js';
 import {chooseSuccessor} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
@@ -210,7 +210,9 @@
   acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
     const {term} = notice;
-    if (!this.mayAccept(term)) return log('handoverIgnored', {term});
+    if (!isHandover(notice) || !this.mayAccept(term)) {
+      return log('handoverIgnored', {term});
+    }
     const ownership = acceptOwnership(store, clock, self, notice);
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
--- a/packages/cell/src/owner-record-checks.ts
+++ b/packages/cell/src/owner-record-checks.ts
@@ -1,4 +1,4 @@
-/** Checks of owners' records of other writers. */
+/** Checks of owners' records and handover notices of other writers. */
 import {decode} from 'cbor-x';
 import {
   isCount,
@@ -13,6 +13,7 @@
 } from './checks.js';
 import type {FormerOwner} from './former-owners.js';
 import type {LastOrders, NamedOrders, OrdersNotice} from './last-orders.js';
+import type {HandoverNotice} from './messages.js';
 import type {OwnerRecord} from './ownership.js';
 
 /** Terms above it could not be counted on. */
@@ -59,6 +60,24 @@
   heldOthers: isOptional(isLastOrders),
 });
 
+const isNotice = isObject<Omit<HandoverNotice, 'type'>>({
+  term: isTerm,
+  areFormerStopped: isFlag,
+  formerOwners: isOptional(isList(isFormerOwner)),
+  orders: isOptional(isOrders),
+  endOffset: isCount,
+});
+
+/**
+ * Whether all fields of a handover notice can be used.
+ *
+ * @example
+ * if (!isHandover(notice)) return;
+ */
+export function isHandover(notice: HandoverNotice): boolean {
+  return isNotice(notice);
+}
+
 /**
  * Whether the record was not whole, so that its owner is not known.
  *
--- a/packages/cell/test/owner-records.test.ts
+++ b/packages/cell/test/owner-records.test.ts
@@ -1,10 +1,14 @@
-/** Records of owners that another writer left half. */
-import {ManualClock} from '@dragonflyward/common';
+/** Records of owners and handover notices that another writer left half. */
+import {ManualClock, Metrics} from '@dragonflyward/common';
 import {
   claimCell,
+  Election,
   LEASES,
+  Members,
   OWNER_TOPIC,
   readOwner,
+  type HandoverNotice,
+  type MemberHandler,
   type Ownership,
 } from '@dragonflyward/cell';
 import {encode} from 'cbor-x';
@@ -140,4 +144,57 @@
   });
 }
 
+const HANDOVER = {
+  type: 'handover',
+  term: 9,
+  areFormerStopped: true,
+  endOffset: 0,
+} as const;
+
+for (const fields of [
+  {formerOwners: [{...FORMER, actMs: 'x'}]},
+  {orders: {executors: [], others: {...NAMED, agoMs: null}}},
+  {endOffset: -1},
+  {term: '9'},
+]) {
+  const name = JSON.stringify(fields);
+  records(`make no VM the owner by a notice: ${name}`, async () => {
+    const clock = new ManualClock(1000);
+    const store = new StoreClient(new MemoryStore(), clock);
+    const lines: string[] = [];
+    const self = {...ADDRESS, vm: 'v'};
+    const election = new Election(
+      {
+        self,
+        domain: 'd',
+        cores: 1,
+        members: new Members(self, {} as MemberHandler, [], clock),
+        store,
+        clock,
+        metrics: new Metrics(),
+        log: event => lines.push(event),
+      },
+      {
+        becomeOwner: () => Promise.resolve(true),
+        loadProgressMs: () => clock.monotonicMs(),
+        executorSilence: () => ({silent: 0, total: 0}),
+        hasConfig: () => true,
+        stopActing: () => undefined,
+        describeOrders: () => null,
+        discardOwner: () => undefined,
+        setDetached: () => undefined,
+        announce: () => undefined,
+      },
+    );
+    const notice = {...HANDOVER, ...fields} as unknown as HandoverNotice;
+    election.acceptHandover(notice);
+    await clock.advance(STEP_MS);
+    assert.equal(lines, ['handoverIgnored']);
+    assert.is(election.isOwner, false);
+    // A whole one is accepted.
+    election.acceptHandover(HANDOVER);
+    assert.is(election.isOwner, true);
+  });
+}
+
 records.run();
