--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -18,6 +18,7 @@
   type OwnerRecord,
 } from './ownership.js';
 import {OwnerActivity} from './owner-activity.js';
+import {isHandover, isOfUnknownOwner} from './owner-record-checks.js';
 import {StoreError} from './store.js';
 import {chooseSuccessor} from './successor.js';
 import {Tenure, type Departure} from './tenure.js';
@@ -209,7 +210,9 @@
   acceptHandover(notice: HandoverNotice): void {
     const {self, clock, log, store, members} = this.deps;
     const {term} = notice;
-    if (!this.mayAccept(term)) return log('handoverIgnored', {term});
+    if (!isHandover(notice) || !this.mayAccept(term)) {
+      return log('handoverIgnored', {term});
+    }
     const ownership = acceptOwnership(store, clock, self, notice);
     this.actedTerm = term;
     log('ownerTakesOver', {term, ...ownership.describeTakeover()});
@@ -470,6 +473,8 @@
   /** Follows the owner in the store if it is newer than the known one. */
   private followIfNewer({record}: OwnerSnapshot): boolean {
     if (record === null || record.isReleased) return false;
+    // It has no address; it is superseded as one that stopped its heartbeats.
+    if (isOfUnknownOwner(record)) return false;
     if (record.term <= (this.record?.term ?? 0)) return false;
     // This VM's claim: its answer was lost, or an earlier process made it.
     if (record.vm === this.deps.self.vm) return false;
@@ -511,6 +516,9 @@
     const reason = this.describeClaim();
     const ownership = await this.sendClaim(snapshot);
     if (ownership === null) return;
+    if (record !== null && isOfUnknownOwner(record)) {
+      log('ownerRecordMalformed', {term: record.term});
+    }
     if (this.isDraining) return ownership.release();
     this.actedTerm = ownership.term;
     log('ownerClaimed', {
