--- a/packages/cell/src/early-tickets.ts
+++ b/packages/cell/src/early-tickets.ts
@@ -36,7 +36,12 @@
   readonly others: readonly RankedStep[];
 }
 
-/** Finds the steps for which tickets may be requested early. */
+/**
+ * Finds the steps for which tickets may be requested early.
+ *
+ * @example
+ * const needs = findEarlyNeeds(state, context);
+ */
 export function findEarlyNeeds(
   state: CellState,
   context: RoundContext,
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -57,7 +57,12 @@
   return !executor.isHeld && isSchedulableSoon(executor, nowMs);
 }
 
-/** Whether they may be as soon as the next record of the owner is stored. */
+/**
+ * Whether they may be as soon as the next record of the owner is stored.
+ *
+ * @example
+ * const usable = executors.filter(each => isSchedulableSoon(each, nowMs));
+ */
 export function isSchedulableSoon(
   executor: ExecutorState,
   nowMs: number,
