Ignore heartbeats of VMs that are not whole

By the tests, one heartbeat that names an owner with a term that is missing, no number or beyond all numbers, or with an address that is not whole, ends an owner at work or makes it name another one.

Cause: the fields were not checked. A comparison with what is no number is false, so the term counted as higher; and a term beyond all others stays the highest, so that no later owner is followed.

Change: such a heartbeat is refused, and logged by the connection (peerMessageFailed). Its sender counts as silent, as one whose heartbeats are lost. Fields that earlier versions leave out may be missing.

--- a/packages/cell/src/owner-record-checks.ts
+++ b/packages/cell/src/owner-record-checks.ts
@@ -1,4 +1,4 @@
-/** Checks of owners' records and handover notices of other writers. */
+/** Checks of what other writers tell of owners, in records and notices. */
 import {decode} from 'cbor-x';
 import {
   isCount,
@@ -13,8 +13,8 @@
 } from './checks.js';
 import type {FormerOwner} from './former-owners.js';
 import type {LastOrders, NamedOrders, OrdersNotice} from './last-orders.js';
-import type {HandoverNotice} from './messages.js';
-import type {OwnerRecord} from './ownership.js';
+import type {CellHeartbeat, HandoverNotice} from './messages.js';
+import type {OwnerAddress, OwnerRecord} from './ownership.js';
 
 /** Terms above it could not be counted on. */
 const MAX_TERM = 2 ** 52;
@@ -46,11 +46,16 @@
   others: isLastOrders,
 });
 
-const isOwnerRecord = isObject<OwnerRecord>({
+const ADDRESS_CHECKS = {
   vm: isName,
   ip: isText,
   port: isCount,
   incarnation: isNumber,
+};
+const isAddress = isObject<OwnerAddress>(ADDRESS_CHECKS);
+
+const isOwnerRecord = isObject<OwnerRecord>({
+  ...ADDRESS_CHECKS,
   term: isTerm,
   isReleased: isFlag,
   areFormerStopped: isOptional(isFlag),
@@ -68,6 +73,29 @@
   endOffset: isCount,
 });
 
+const isBeat = isObject<Omit<CellHeartbeat, 'type'>>({
+  owner: value => value === null || isAddress(value),
+  term: value => value === 0 || isTerm(value),
+  configVersion: isNumber,
+  isStoreOk: isFlag,
+  storeMs: isOptional(isNumber),
+  isDraining: isFlag,
+  isOwnerSeen: isFlag,
+  hasLoadFailed: isOptional(isFlag),
+  isActing: isOptional(isFlag),
+  storedEndOffset: isOptional(isCount),
+});
+
+/**
+ * Whether all fields of a heartbeat can be used.
+ *
+ * @example
+ * if (!isHeartbeat(heartbeat)) return raise('badRequest', 'not a heartbeat');
+ */
+export function isHeartbeat(heartbeat: CellHeartbeat): boolean {
+  return isBeat(heartbeat);
+}
+
 /**
  * Whether all fields of a handover notice can be used.
  *
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -1,5 +1,5 @@
 /** One VM of the cell: wires up peers, configuration, election and callers. */
-import type {Clock, Metrics} from '@dragonflyward/common';
+import {raise, type Clock, type Metrics} from '@dragonflyward/common';
 import {notifyAll} from '@dragonflyward/peer';
 import type {AdviceChannel} from './ticket-requester.js';
 import {adviceChannels} from './advice-channels.js';
@@ -31,6 +31,7 @@
   JobsNotice,
 } from './messages.js';
 import {Owner} from './owner.js';
+import {isHeartbeat} from './owner-record-checks.js';
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
 import type {LogFunction, Platform} from './platform.js';
 import {jobsTopicFor} from './records.js';
@@ -318,6 +319,7 @@
   }
 
   private handleHeartbeat(from: CellPeerInfo, heartbeat: CellHeartbeat): void {
+    if (!isHeartbeat(heartbeat)) return raise('badRequest', 'not a heartbeat');
     this.members.recordHeartbeat(from.self.vm, heartbeat);
     this.election.recordHeartbeat(from.self, heartbeat);
     if (heartbeat.configVersion > this.config.version) {
--- a/packages/cell/test/malformed-notices.test.ts
+++ b/packages/cell/test/malformed-notices.test.ts
@@ -112,6 +112,57 @@
   process.off('unhandledRejection', onEscape);
 });
 
+const HEARTBEAT = {
+  type: 'heartbeat',
+  owner: null,
+  term: 0,
+  configVersion: -1,
+  isStoreOk: true,
+  isDraining: false,
+  isOwnerSeen: false,
+};
+
+// A term that is no number ends each comparison with it, and one beyond all
+// numbers would stay the highest.
+for (const fields of [
+  {owner: OWNER},
+  {owner: OWNER, term: null},
+  {owner: OWNER, term: 'x'},
+  {owner: OWNER, term: Infinity},
+  {owner: OWNER, term: Number.MAX_SAFE_INTEGER},
+  {owner: {vm: 'o'}, term: 9},
+]) {
+  const isTermLeftOut = !('term' in fields);
+  const name = isTermLeftOut
+    ? 'no term'
+    : `${JSON.stringify(fields.owner)} of term ${fields.term}`;
+  notices(`of a heartbeat with ${name} leave an owner at work`, async () => {
+    const {vm} = await startVm();
+    const clock = new SystemClock();
+    for (let ms = 0; vm.heartbeat().isActing !== true; ms += POLL_MS) {
+      assert.ok(ms < START_TIMEOUT_MS, 'the VM does not own the cell');
+      await clock.sleep(POLL_MS);
+    }
+    const {term} = vm.heartbeat();
+    const from = {type: 'hello', self: FROM, domain: 'd', cores: 1} as const;
+    const heartbeat = {
+      ...HEARTBEAT,
+      ...(isTermLeftOut ? {term: undefined} : {}),
+      ...fields,
+    } as unknown;
+    try {
+      vm.handleNotice(from, heartbeat as CellProtocol['notice']);
+    } catch {
+      // The connection logs it and goes on.
+    }
+    await clock.sleep(2 * POLL_MS);
+    const {owner, isActing} = vm.heartbeat();
+    vm.close();
+    assert.equal([owner?.vm, isActing], ['v', true]);
+    assert.is(vm.heartbeat().term, term);
+  });
+}
+
 /** Records of another version or writer under the key of the owner. */
 const OWNER_RECORDS: readonly unknown[] = [
   {},
