List the successors before a test takes the owner away

Seen once in `npm test` beside other work: owner-failure 'the owner pauses past its lease and wakes, workers do not fence' failed with "a term after 3: not met within 30000 ms".

Cause, in the test: the case before it ends with the restart of both other schedulers. The owner lists them as successors some time later, and nothing made the test wait for that.

The tests that kill or pause the owner now wait until it lists two successors, and read owner and term at once. What they check afterwards is unchanged.

Ruled out, by the number of the term: a return of the shard between the reads of owner and term. The failed run itself left no logs, so that this is the cause there is not shown.

--- a/packages/demo/test/owner-failure.process.test.ts
+++ b/packages/demo/test/owner-failure.process.test.ts
@@ -21,10 +21,6 @@
 owners.after.each(() => cell.clearFaults());
 owners.after(() => cell.stop());
 
-async function ownerOfShard(): Promise<string> {
-  return waitUntil('an owner', RECOVERY_TIMEOUT_MS, () => cell.ownerOf(SHARD));
-}
-
 async function waitUntilTermAfter(term: number): Promise<void> {
   await waitUntil(`a term after ${term}`, RECOVERY_TIMEOUT_MS, async () => {
     return (await cell.termOf(SHARD)) > term;
@@ -38,6 +34,20 @@
   return shard.successors.length === count ? shard : undefined;
 }
 
+/** Reads a shard whose owner may be lost: without a successor nobody claims. */
+async function shardWithAllSuccessors(): Promise<{
+  readonly owner: string;
+  readonly term: number;
+}> {
+  const {owner, term} = await waitUntil(
+    'two successors',
+    RECOVERY_TIMEOUT_MS,
+    () => shardWithSuccessors(2),
+  );
+  assert.ok(owner);
+  return {owner: owner.vm, term};
+}
+
 async function restart(vm: string): Promise<void> {
   cell.rig.startRole('scheduler', vm);
   await cell.rig.waitUntilRoleReady('scheduler', vm);
@@ -52,8 +62,7 @@
   await cell.waitUntilRunning(long, 2);
   await cell.waitUntilRunning(nonIdempotent, 2);
   const load = cell.startLoad(20, {isIdempotent: false});
-  const owner = await ownerOfShard();
-  const term = await cell.termOf(SHARD);
+  const {owner, term} = await shardWithAllSuccessors();
   await cell.rig.kill('scheduler', owner);
   await waitUntilTermAfter(term);
   await cell.submit(shortJob({domain}));
@@ -98,8 +107,7 @@
     const jobs = Array.from({length: 8}, () => longJob(LONG_TASK_MS, {domain}));
     const jobIds = await cell.submitAll(jobs);
     await cell.waitUntilRunning(jobIds[0] ?? '', 2);
-    const owner = await ownerOfShard();
-    const term = await cell.termOf(SHARD);
+    const {owner, term} = await shardWithAllSuccessors();
     cell.rig.pause('scheduler', owner);
     await waitUntilTermAfter(term);
     await cell.submit(shortJob({domain}));
@@ -136,7 +144,7 @@
     );
     await cell.waitUntilRunning(long, 2);
     await cell.waitUntilRunning(nonIdempotent, 2);
-    const owner = await ownerOfShard();
+    const {owner} = await shardWithAllSuccessors();
     await cell.rig.setLogFaults({outage: true});
     await cell.rig.kill('scheduler', owner);
     const load = cell.startLoad(20, {isIdempotent: false});
