--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -79,6 +79,8 @@
   | 'otherLife'
   /** Another process of the executor answers, so the order was not sent. */
   | 'restarted'
+  /** Nobody answered in time to whom the order could be sent. */
+  | 'notSent'
   /** No answer: the order may have been or may yet be carried out. */
   | 'unknown';
 
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -56,6 +56,7 @@
   ['noRoom', 200],
   ['late', 100],
   ['restarted', 50],
+  ['notSent', 100],
   ['badOrder', 500],
 ]);
 
