Wait in a test of late rows until the count of waiting jobs is known

The test failed once in the whole check, at a load of 26 on 8 cores: a VM did not know the count 2.5 s after the late rows. A count is unknown while the owner's rows are more than 2 s old, which a loaded machine may cause for a moment; the fault that the test guards against made it unknown until the next change of the owner.

--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -263,6 +263,8 @@
     phases.push(await vm.frontend.phase(id, caller));
   }
   await new SystemClock().sleep(STALE_MS);
+  // It is unknown for a moment where the owner's rows are late.
+  await waitFor('counts', () => haveAll(0));
   const counts = vms.map(({vm}) => vm.frontend.countWaiting(QUEUE.name));
   for (const {vm} of vms) vm.close();
   const completed = {kind: 'phase', phase: 'completed'} as const;
