Order no more than 200 steps for early tickets

Ranking the steps that wait for former runs looks at each of their tasks, beside the usual ranking. With more than 200 steps it is left out now, as before those tickets. What asking before a start costs there is open.

--- a/packages/cell/src/ending-waits.ts
+++ b/packages/cell/src/ending-waits.ts
@@ -5,6 +5,9 @@
 import type {RankedStep} from './queue-order.js';
 import type {RoundContext} from './round.js';
 
+/** With more steps, a round would take too much of a processor. */
+const MAX_ORDERED_STEPS = 200;
+
 /**
  * Counts, for each step, the lasting tasks that wait only because runs of them
  * may exist that are not known, and are expected to wait no more when tickets
@@ -42,7 +45,8 @@
   {endingOrder, pendingSteps, estimates}: CellState,
   context: RoundContext,
 ): readonly RankedStep[] {
-  if (context.unknownRunsUntilMs === null) {
+  const isTooMany = pendingSteps.size > MAX_ORDERED_STEPS;
+  if (context.unknownRunsUntilMs === null || isTooMany) {
     endingOrder.invalidate();
     return [];
   }
