--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -79,6 +79,8 @@
   | 'otherLife'
   /** Another process of the executor answers, so the order was not sent. */
   | 'restarted'
+  /** The owner may not give it any more, so it was not sent. */
+  | 'notAllowed'
   /** Nobody answered in time to whom the order could be sent. */
   | 'notSent'
   /** No answer: the order may have been or may yet be carried out. */
@@ -98,7 +100,18 @@
  * process only, however late it is carried out.
  */
 export abstract class ExecutorClient {
-  abstract start(order: StartOrder): Promise<OrderReply>;
+  /**
+   * Sends a start.
+   *
+   * @param mayStart whether the order may still be given, right before it is
+   *     sent
+   * @example
+   * const reply = await client.start(order, () => owner.mayStart());
+   */
+  abstract start(
+    order: StartOrder,
+    mayStart: () => boolean,
+  ): Promise<OrderReply>;
   abstract stop(task: string, run: number, token: number): Promise<OrderReply>;
   abstract limitCpu(
     task: string,
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -57,6 +57,7 @@
   ['late', 100],
   ['restarted', 50],
   ['notSent', 100],
+  ['notAllowed', 0],
   ['badOrder', 500],
 ]);
 
@@ -70,6 +71,7 @@
     'recordAnswer' | 'recordReplaced' | 'inventoryDueMs' | 'leaseLeftMs'
   >;
   readonly mayAct: () => boolean;
+  readonly mayStart: () => boolean;
   /** Whether the executor may get no start and no longer lease now. */
   readonly isHeld: (executorId: string) => boolean;
   /** Called when the executor has seen a higher token. */
@@ -149,7 +151,9 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    const reply = await this.client.start(order);
+    const reply = await this.client.start(order, () =>
+      this.mayStart(task, run),
+    );
     // The answer of a former process tells nothing of the clock of the next.
     const isSameProcess = executor.isReached && executor.bornMs === bornMs;
     if (!this.isClosed && isSameProcess) {
@@ -163,6 +167,14 @@
     this.wake();
   }
 
+  /** Whether a start that was ordered may be sent now. */
+  private mayStart(task: TaskState, run: number): boolean {
+    const {executor, host} = this;
+    if (this.isClosed || !host.mayStart()) return false;
+    if (host.isHeld(executor.info.id)) return false;
+    return task.executor === executor && task.run === run;
+  }
+
   /** Sends the stops that are due and not being sent. */
   sendStops(): void {
     for (const due of this.stopsToSend()) this.stopInBackground(due);
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -424,6 +424,7 @@
       token: ownership.term,
       formerOwnerRuns: this.formerOwnerRuns,
       mayAct: () => this.mayAct(),
+      mayStart: () => this.mayStart(),
       isHeld: id => ownership.isHeld(id),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -82,6 +82,8 @@
   /** Delay of such orders. */
   orderDelayMs = 4000;
   latencyMs = 10;
+  /** How long a start waits for a connection before it is sent. */
+  connectMs = 0;
   /** How long it is down when a run has crashed it, in ms. */
   crashDownMs = 3000;
   /** Whether the executor's own record has expired though it runs. */
@@ -309,7 +311,13 @@
     super();
   }
 
-  override start(order: StartOrder): Promise<OrderReply> {
+  override async start(
+    order: StartOrder,
+    mayStart: () => boolean,
+  ): Promise<OrderReply> {
+    const {connectMs} = this.executor;
+    if (connectMs > 0) await this.clock.sleep(connectMs);
+    if (!mayStart()) return {failure: 'notAllowed', clockMs: NO_CLOCK};
     return this.send(() =>
       this.isOf(order.bornMs) ? this.executor.start(order) : 'restarted',
     );
