--- a/packages/cell/test/unsent-starts.test.ts
+++ b/packages/cell/test/unsent-starts.test.ts
@@ -58,13 +58,16 @@
   assert.is(rig.checker.starts, 0);
 });
 
-unsentStarts('are not sent where the executor is gone meanwhile', async () => {
-  const {rig} = await orderStart(ORDER_MS);
-  rig.executor('x0').restart();
-  rig.listNow('x0');
-  await rig.run(SETTLE_MS);
-  assert.is(rig.checker.starts, 1);
-  assert.equal(rig.checker.violations, []);
-});
+unsentStarts(
+  'are sent once where the executor starts again meanwhile',
+  async () => {
+    const {rig} = await orderStart(ORDER_MS);
+    rig.executor('x0').restart();
+    rig.listNow('x0');
+    await rig.run(SETTLE_MS);
+    assert.is(rig.checker.starts, 1);
+    assert.equal(rig.checker.violations, []);
+  },
+);
 
 unsentStarts.run();
