Log what becomes of tickets, starts and rounds

Cause: on the deployment with 97 VMs 380 of 420 urgent steps wait for a ticket while some 16,000 tickets arrive in 5 s for about 700 starts. No line tells whether tickets expire before a round uses them, are for executors that are full, or come for steps that need none; why starts end with `notAllowed`; or how long a round is waited for.

Change: `adviceState` counts the tickets that arrived with room, for steps with nothing left to start, and that were used. The new `startState` counts starts and their failures by reason; `startFailed` says in `obstacle` why the owner no longer gave a start. `roundState` adds the time for which rounds were waited for, and those that were skipped.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -31,6 +31,7 @@
   renewalWaitMs,
 } from './renewal-timing.js';
 import {Signal} from './signal.js';
+import type {StartObstacle} from './start-counts.js';
 
 /** Lease of an executor, in ms; runs continue that long without an owner. */
 export const EXECUTOR_LEASE_MS = 6000;
@@ -78,6 +79,11 @@
   readonly onFenced: () => void;
   /** Called when the executor's state has changed. */
   readonly onChange: (executor: ExecutorState) => void;
+  /** Called when a start was not carried out, or not surely. */
+  readonly onStartFailed: (
+    failure: OrderFailure | null,
+    obstacle: StartObstacle | null,
+  ) => void;
   readonly writeLog: (event: string, fields: Readonly<object>) => void;
 }
 
@@ -151,9 +157,11 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    const reply = await this.client.start(order, () =>
-      this.mayStart(task, run),
-    );
+    let obstacle: StartObstacle | null = null;
+    const reply = await this.client.start(order, () => {
+      obstacle = this.findObstacle(task, run);
+      return obstacle === null;
+    });
     // The answer of a former process tells nothing of the clock of the next.
     const isSameProcess = executor.isReached && executor.bornMs === bornMs;
     if (!this.isClosed && isSameProcess) {
@@ -161,19 +169,19 @@
     }
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.handleStarted(task);
-    else this.handleStartFailure(task, reply);
+    else this.handleStartFailure(task, reply, obstacle);
     const isRestarted = reply.failure === 'restarted';
     if (isRestarted || task.isStartUnconfirmed) await this.refreshInventory();
     this.wake();
   }
 
-  /** Whether a start that was ordered may be sent now. */
-  private mayStart(task: TaskState, run: number): boolean {
+  /** Why a start that was ordered may not be sent now; null if it may. */
+  private findObstacle(task: TaskState, run: number): StartObstacle | null {
     const {executor, host} = this;
-    if (this.isClosed || !host.mayStart()) return false;
-    if (host.isHeld(executor.info.id)) return false;
-    if (host.state.isDomainClosed(executor.info.domain)) return false;
-    return task.executor === executor && task.run === run;
+    if (this.isClosed || !host.mayStart()) return 'lease';
+    if (host.isHeld(executor.info.id)) return 'held';
+    if (host.state.isDomainClosed(executor.info.domain)) return 'closed';
+    return task.executor === executor && task.run === run ? null : 'moved';
   }
 
   /** Sends the stops that are due and not being sent. */
@@ -356,15 +364,21 @@
     task.phase = 'running';
   }
 
-  private handleStartFailure(task: TaskState, reply: OrderReply): void {
-    const {state, clock, writeLog} = this.host;
+  private handleStartFailure(
+    task: TaskState,
+    reply: OrderReply,
+    obstacle: StartObstacle | null,
+  ): void {
+    const {state, clock, writeLog, onStartFailed} = this.host;
     const {failure} = reply;
     const executorId = this.executor.info.id;
+    onStartFailed(failure, obstacle);
     writeLog('startFailed', {
       task: taskName(task),
       run: task.run,
       executorId,
       failure,
+      ...(obstacle === null ? {} : {obstacle}),
     });
     if (failure === 'unknown' || failure === 'oldRun') {
       // Only a later inventory shows whether the executor runs the task.
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -17,6 +17,7 @@
   type ClosedDomains,
   type DomainUse,
 } from './evacuation/index.js';
+import type {Ticket} from './executor-client.js';
 import type {ExecutorState} from './executor-state.js';
 import type {Lookup} from './job-frontend.js';
 import {FormerOwnerRuns} from './former-owner-runs.js';
@@ -32,14 +33,17 @@
 import {decodeJobsRecord, jobKey} from './records.js';
 import {markHeld} from './order-holds.js';
 import {logStarts} from './run-lines.js';
+import {RoundStatistics} from './round-times.js';
 import {RuntimeMonitor} from './runtime-monitor.js';
 import {decideRound} from './schedule.js';
 import type {RoundContext} from './round.js';
 import {SilentExecutors} from './silent-executors.js';
+import {StartCounts} from './start-counts.js';
 import {stateLines} from './state-lines.js';
 import {stopNotice} from './stop-notice.js';
 import type {Store} from './store.js';
 import type {ExecutorSilence} from './tenure.js';
+import {TicketUse} from './tickets/index.js';
 import {isFinal, type CellConfig} from './types.js';
 
 /** An executor that misses one renewal may just be slow. */
@@ -118,8 +122,10 @@
   private isRoundDue = false;
   /** Duration of the last scheduling round, in ms. */
   private roundMs = 0;
-  /** Rounds since the last log entry on the state of the cell. */
-  private rounds = NO_ROUNDS;
+  /** What happened since the last log entry on the state of the cell. */
+  private readonly rounds = new RoundStatistics();
+  private readonly starts = new StartCounts();
+  private readonly ticketUse = new TicketUse();
 
   constructor(private readonly deps: OwnerDeps) {
     const {clock, store, ownership} = deps;
@@ -136,7 +142,7 @@
     this.ticketRequester = new TicketRequester(
       deps.adviceChannels,
       () => clock.monotonicMs(),
-      () => this.requestRound(),
+      (step, tickets) => this.recordTickets(step, tickets),
       deps.log,
     );
     const mayWrite = (): boolean => !this.isClosed && !ownership.isRevoked;
@@ -162,6 +168,11 @@
     );
   }
 
+  private recordTickets(step: StepState, tickets: readonly Ticket[]): void {
+    this.ticketUse.recordArrival(step, tickets, this.state.executors);
+    this.requestRound();
+  }
+
   private createState(): CellState {
     return new CellState(this.deps.ownership.term, {
       onProgress: job => this.commit.addJob(job),
@@ -462,6 +473,8 @@
         this.commit.wake();
         this.requestRound();
       },
+      onStartFailed: (failure, obstacle) =>
+        this.starts.recordFailure(failure, obstacle),
       writeLog: log,
     };
   }
@@ -496,6 +509,7 @@
   }
 
   private async runRoundAfterDelay(): Promise<void> {
+    const dueMs = this.deps.clock.monotonicMs();
     // The delay limits rounds to a third of a processor, also on a slow one. A
     // freeze of the process makes a round long.
     const delayMs = Math.min(
@@ -504,12 +518,16 @@
     );
     await this.deps.clock.sleep(Math.max(MIN_ROUND_DELAY_MS, delayMs));
     this.isRoundDue = false;
-    this.runRound();
+    this.runRound(dueMs);
   }
 
-  private runRound(): void {
+  /** @param dueMs when the round was requested */
+  private runRound(dueMs: number): void {
     const {clock, metrics} = this.deps;
-    if (!this.mayStart()) return;
+    if (!this.mayStart()) {
+      this.rounds.addSkipped();
+      return;
+    }
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
     this.markHeld();
@@ -524,6 +542,8 @@
       if (decision.kind === 'start') {
         const {tasks} = decision;
         this.firstStarts?.record(tasks, this.state.pendingSteps, nowMs);
+        this.starts.recordStarts(tasks.length);
+        this.ticketUse.recordStart(tasks);
         logStarts(tasks, this.deps.log);
         decision.tasks.forEach(t => this.sendStart(t));
       } else {
@@ -532,7 +552,7 @@
     }
     this.ticketRequester.replaceRequests(requests);
     this.roundMs = clock.monotonicMs() - nowMs;
-    this.rounds = addRound(this.rounds, this.roundMs);
+    this.rounds.add(this.roundMs, nowMs - dueMs);
     metrics.record('round_us', this.roundMs * 1000);
     this.publishPhases();
   }
@@ -622,12 +642,13 @@
     }
     this.closedWaitCount = closedWaitCount;
     if (!this.deps.areClosuresKnown()) this.deps.log('closuresUnknown', {});
-    this.deps.log('roundState', describeRounds(this.rounds));
-    this.rounds = NO_ROUNDS;
+    this.deps.log('roundState', {...this.rounds.takeReport()});
+    this.deps.log('startState', {...this.starts.takeReport()});
     const wait = this.formerOwnerRuns.describeWait(nowMs);
     if (wait !== null) this.deps.log('formerRunsUnknown', wait);
+    const ticketCounts = this.ticketUse.takeReport();
     for (const row of this.ticketRequester.takeReport()) {
-      this.deps.log('adviceState', {...row});
+      this.deps.log('adviceState', {...row, ...ticketCounts.get(row.queue)});
     }
   }
 
@@ -662,27 +683,6 @@
   }
 }
 
-/** How many rounds there were, and how long they took. */
-interface RoundTimes {
-  readonly count: number;
-  readonly sumMs: number;
-  readonly maxMs: number;
-}
-
-const NO_ROUNDS: RoundTimes = {count: 0, sumMs: 0, maxMs: 0};
-
-function addRound(times: RoundTimes, tookMs: number): RoundTimes {
-  return {
-    count: times.count + 1,
-    sumMs: times.sumMs + tookMs,
-    maxMs: Math.max(times.maxMs, tookMs),
-  };
-}
-
-function describeRounds({count, sumMs, maxMs}: RoundTimes): object {
-  return {rounds: count, sumMs: Math.round(sumMs), maxMs: Math.round(maxMs)};
-}
-
 function toRow(job: JobState): JobRow {
   const {id, visiblePhase: phase, queue, organisation, bytes} = job;
   return {id, phase, queue: queue.name, organisation, bytes};
--- a/packages/cell/src/ticket-requester.ts
+++ b/packages/cell/src/ticket-requester.ts
@@ -120,7 +120,10 @@
   constructor(
     private readonly channels: () => readonly AdviceChannel[],
     private readonly nowMs: () => number,
-    private readonly onTickets: (step: StepState) => void,
+    private readonly onTickets: (
+      step: StepState,
+      tickets: readonly Ticket[],
+    ) => void,
     private readonly log: LogFunction,
   ) {}
 
@@ -270,7 +273,7 @@
       const issuedMs = Math.min(nowMs, sentMs + expectedMs);
       recordTickets(step, tickets, issuedMs + lifeMs, executorIds);
     }
-    this.onTickets(step);
+    this.onTickets(step, tickets ?? []);
     this.dispatch();
   }
 
--- /dev/null
+++ b/packages/cell/src/tickets/index.ts
@@ -0,0 +1,1 @@
+export {TicketUse, type TicketCounts} from './ticket-use.js';
