Pass over full executors in scheduling rounds

Cause: a round of the owner takes 90 to 104 ms there, and the next one begins after twice that, so that an arrived ticket or a free executor waits for up to 0.3 s. Nearly half of a round is spent on looking for room: each waiting step looks at each executor of its service until its tasks are placed, and under load nearly all are full. That is steps times executors.

Change: a round keeps, for each kind of reservations, the executors on which the smallest task of its steps still fits (`OpenExecutors`). What is in use or reserved only grows in a round, so one that is left out stays full. Checks of room go before look-ups of permissions, and permissions before the rest of preemption.

Ruled out: the order of steps (2 % of a round) and the sort of executors.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -34,6 +34,7 @@
 export * from './crash-suspects.js';
 export * from './isolated-starts.js';
 export * from './round-times.js';
+export * from './room/index.js';
 export * from './schedule.js';
 export * from './start-counts.js';
 export * from './placement.js';
--- a/packages/cell/src/overdue.ts
+++ b/packages/cell/src/overdue.ts
@@ -15,6 +15,8 @@
 const HOLD_MS = 1000;
 const HOLD_PERIOD_MS = 3000;
 
+const NO_RESERVATIONS = new Map<never, never>();
+
 /**
  * Puts overdue steps first, those with tasks that last before others, which may
  * wait for tickets in the room that they hold; each group keeps its order.
@@ -60,14 +62,14 @@
   step: StepState,
   missing: number,
   capacity: ServiceCapacity,
-  {nowMs}: Round,
+  round: Round,
 ): void {
   const isHeld =
     missing > 0 &&
     mayBecomeOverdue(step, capacity) &&
-    hasUnusedRoom(step, capacity);
+    hasUnusedRoom(step, capacity, round);
   if (!isHeld) resetRoom(step);
-  else step.hadRoomSinceMs = Math.min(step.hadRoomSinceMs, nowMs);
+  else step.hadRoomSinceMs = Math.min(step.hadRoomSinceMs, round.nowMs);
 }
 
 /** Records that the step got on, or has nothing to start. */
@@ -92,10 +94,14 @@
   return true;
 }
 
-function hasUnusedRoom(step: StepState, capacity: ServiceCapacity): boolean {
+function hasUnusedRoom(
+  step: StepState,
+  capacity: ServiceCapacity,
+  {openExecutors}: Pick<Round, 'openExecutors'>,
+): boolean {
   if (!mayFit(step, capacity)) return false;
   const wanted = step.spec.isGang ? step.tasks.length : 1;
-  return doTasksFit(step, wanted, capacity.schedulable, each =>
-    countFittingTasks(step, each),
-  );
+  const {service} = step.occurrence.job.queue;
+  const open = openExecutors.in(capacity.schedulable, service, NO_RESERVATIONS);
+  return doTasksFit(step, wanted, open, each => countFittingTasks(step, each));
 }
--- a/packages/cell/src/preemption.ts
+++ b/packages/cell/src/preemption.ts
@@ -58,9 +58,10 @@
   const plans: PreemptionPlan[] = [];
   for (const executor of executors) {
     const {nowMs, withheld} = context;
-    if (!isSchedulable(executor, nowMs) || withheld.has(executor)) continue;
+    // The cheapest check that leaves out most executors goes first.
+    if (!isPermitted(step, executor) || withheld.has(executor)) continue;
+    if (!isSchedulable(executor, nowMs)) continue;
     if (!isCompatible(step, executor)) continue;
-    if (!isPermitted(step, executor)) continue;
     const plan = planOnExecutor(step, wanted, executor, context);
     if (plan !== null) plans.push(plan);
   }
--- /dev/null
+++ b/packages/cell/src/room/index.ts
@@ -0,0 +1,1 @@
+export {OpenExecutors, smallestTasks} from './open-executors.js';
--- a/packages/cell/src/round.ts
+++ b/packages/cell/src/round.ts
@@ -4,6 +4,7 @@
 import type {StepState, TaskState} from './job-state.js';
 import type {PlacementContext} from './placement.js';
 import type {ResourceAmounts} from './resource-amounts.js';
+import type {OpenExecutors} from './room/index.js';
 import type {ServiceCapacity} from './service-capacity.js';
 import type {TicketBudget} from './ticket-requester.js';
 
@@ -49,4 +50,5 @@
    */
   readonly isolatedExecutors: Map<TaskState, ExecutorState | null>;
   readonly services: ReadonlyMap<string, ServiceCapacity>;
+  readonly openExecutors: OpenExecutors;
 }
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -1,7 +1,11 @@
 /** One scheduling round: starts, preemptions and ticket requests. */
 import type {CellState} from './cell-state.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
-import {findEarlyNeeds, requestEarlyTickets} from './early-tickets.js';
+import {
+  findEarlyNeeds,
+  requestEarlyTickets,
+  type EarlyNeeds,
+} from './early-tickets.js';
 import type {StepState, TaskState} from './job-state.js';
 import {
   withholdExecutors,
@@ -23,6 +27,7 @@
   withholdForSuspects,
 } from './isolated-starts.js';
 import {holdsRoom, overdueFirst, recordRoom, resetRoom} from './overdue.js';
+import {OpenExecutors, smallestTasks} from './room/index.js';
 import type {Round, RoundContext} from './round.js';
 import {
   summarizeServices,
@@ -87,6 +92,7 @@
     ticketReservedFromUrgent: new Map(),
     isolatedExecutors: new Map(),
     services: summarizeServices(state, context.nowMs),
+    openExecutors: new OpenExecutors(smallestTasks(stepsOf(ranked, needs))),
   };
   if (state.crashes.isActive) {
     withholdForSuspects(ranked, round, task => isStartable(task, context));
@@ -99,6 +105,16 @@
   }
 }
 
+/** All steps for which a round may look for room. */
+function* stepsOf(
+  ranked: readonly RankedStep[],
+  {lasting, others}: EarlyNeeds,
+): Generator<StepState> {
+  for (const {step} of ranked) yield step;
+  for (const [step] of lasting) yield step;
+  for (const {step} of others) yield step;
+}
+
 function isStartable(task: TaskState, context: RoundContext): boolean {
   const {phase, notBeforeMs, orphanCount} = task;
   if (phase !== 'waiting' || orphanCount > 0) return false;
--- a/packages/cell/src/state-lines.ts
+++ b/packages/cell/src/state-lines.ts
@@ -3,6 +3,7 @@
 import {describeDomain, type ClosedDomain} from './evacuation/index.js';
 import {measurePressure, type PressureTable} from './overload/index.js';
 import {orderSteps, type RankedStep} from './queue-order.js';
+import {OpenExecutors} from './room/index.js';
 import type {Round, RoundContext} from './round.js';
 import {
   summarizeServices,
@@ -39,6 +40,7 @@
     ticketReserved: reserved,
     ticketReservedFromUrgent: reserved,
     isolatedExecutors: reserved,
+    openExecutors: new OpenExecutors(new Map()),
   };
   const round = {...context, ...overrides, state};
   const ready = [...state.readySteps(context.wallMs)].filter(({tasks}) =>
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -122,7 +122,8 @@
   round: Round,
 ): readonly ExecutorState[] {
   if (!mayFit(step, capacity)) return [];
-  const {priority} = step.occurrence.job.queue;
+  const {priority, service} = step.occurrence.job.queue;
+  const {schedulable} = capacity;
   const others =
     priority === URGENT_PRIORITY
       ? round.ticketReservedFromUrgent
@@ -133,7 +134,12 @@
     return countFittingTasks(step, executor, reserved);
   };
   const shares = [
-    ...shareTasks(step, wanted, capacity.schedulable, countFitting),
+    ...shareTasks(
+      step,
+      wanted,
+      round.openExecutors.in(schedulable, service, others),
+      countFitting,
+    ),
   ];
   if (step.spec.isGang && sumCounts(shares) < wanted) return [];
   for (const {executor, count} of shares) {
@@ -146,6 +152,9 @@
     if (hold.mayUrgentPass) continue;
     reserve(round.reservedFromUrgent, executor, step.spec, count);
   }
+  if (shares.length > 0) {
+    round.openExecutors.update(schedulable, service, others);
+  }
   return shares.map(({executor}) => executor);
 }
 
@@ -170,9 +179,9 @@
   let missing = wanted;
   for (const executor of executors) {
     if (missing <= 0) return;
-    if (!mayBePermitted(step, executor)) continue;
     const count = Math.min(missing, countFitting(executor));
-    if (count <= 0) continue;
+    // Most executors have no room under load, which is cheaper to find out.
+    if (count <= 0 || !mayBePermitted(step, executor)) continue;
     yield {executor, count};
     missing -= count;
   }
