Start with arrived tickets by the capacity of the newest round

Cause: each arrival of tickets summed up the executors of all services, for a check of the headroom that urgent steps and gangs do not need.

Change: the summary of the newest round is kept, less what has started since. What has ended since counts from the next round on.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -38,6 +38,7 @@
 import {applyProgress} from './records.js';
 import {OccurrenceWindow} from './occurrence-window.js';
 import {OrganisationTable} from './organisations.js';
+import type {ServiceCapacity} from './service-capacity.js';
 import {StepOrder} from './step-order.js';
 import {isFinal, type CellConfig, type ExecutorInfo} from './types.js';
 
@@ -89,6 +90,8 @@
   readonly order = new StepOrder();
   /** Of steps that will soon wait no more for runs of a former owner. */
   readonly endingOrder = new StepOrder();
+  /** Free capacity of each service in the newest round, less later starts. */
+  services: ReadonlyMap<string, ServiceCapacity> = new Map();
   private readonly window = new OccurrenceWindow();
   config: CellConfig | null = null;
   private closedDomains: Pick<ClosedDomains, 'has'> | null = null;
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -65,6 +65,7 @@
   const needs = findEarlyNeeds(state, context);
   const earlyCount = needs.lasting.length + needs.others.length;
   if (ranked.length === 0 && earlyCount === 0) return;
+  state.services = summarizeServices(state, context.nowMs);
   const round: Round = {
     ...context,
     state,
@@ -74,7 +75,7 @@
     ticketReserved: new Map(),
     ticketReservedFromUrgent: new Map(),
     isolatedExecutors: new Map(),
-    services: summarizeServices(state, context.nowMs),
+    services: state.services,
     openExecutors: new OpenExecutors(smallestTasks(stepsOf(ranked, needs))),
   };
   if (state.crashes.isActive) {
--- a/packages/cell/src/tickets/arrived-tickets.ts
+++ b/packages/cell/src/tickets/arrived-tickets.ts
@@ -5,7 +5,6 @@
 import {orderSteps} from '../queue-order.js';
 import {resetRoom} from '../overdue.js';
 import type {StartContext, StartRound} from '../round.js';
-import {summarizeServices} from '../service-capacity.js';
 import {
   startGang,
   startTasks,
@@ -54,9 +53,8 @@
   round: StartRound,
 ): Generator<StartDecision, Pass> {
   if (step.spec.isGang) return yield* startGang(step, candidates, round);
-  const {state, nowMs, wallMs} = round;
-  const [ranked] = orderSteps([step], state.estimates, wallMs);
-  const services = summarizeServices(state, nowMs);
+  const {estimates, services} = round.state;
+  const [ranked] = orderSteps([step], estimates, round.wallMs);
   const capacity = services.get(step.occurrence.job.queue.service);
   if (ranked === undefined || capacity === undefined) {
     return {started: 0, missing: 0};
