Renew the owner's lease for starts before it ends on a busy owner

What callers saw: on the deployment with 97 VMs urgent jobs wait though executors are free; some 100 starts in each 3 s fail with `notAllowed`.

Cause: the lease for starts counts 0.8 s from when a heartbeat was sent. The next one was sent 0.5 s after the answer to the last, so that the lease ends before each answer as soon as a heartbeat takes 0.15 s. On an owner whose turns of the event loop take 0.3 s it had the lease for about half of the time. Starts that were decided are then not sent, and are placed again with new tickets: load that grows with its failures.

Change: the pause counts from when the heartbeat was sent, and is shorter if the next one would otherwise be answered after the end of the lease (`heartbeatPauseMs`). Claimants wait for a heartbeat as long as before.

The new case of election.test, heartbeats that take 250 ms, failed before. Test changed: "leaves a cell that can be claimed" loses the answer to the next append, which is that of a heartbeat 3 s after the start now; it drains between two heartbeats instead.

--- a/packages/cell/src/election.ts
+++ b/packages/cell/src/election.ts
@@ -5,6 +5,7 @@
 import {ClaimTurn} from './claim-turn.js';
 import type {ElectionDeps, ElectionHost} from './election-host.js';
 import type {CellConnection, Member} from './members.js';
+import {heartbeatPauseMs} from './heartbeat-timing.js';
 import type {CellHeartbeat, HandoverNotice} from './messages.js';
 import type {OrdersNotice} from './last-orders.js';
 import {
@@ -340,11 +341,13 @@
 
   private async heartbeatLoop(): Promise<void> {
     while (!this.isClosed) {
-      const {ownership} = this;
+      const {ownership, deps} = this;
+      const sentMs = deps.clock.monotonicMs();
       if (ownership !== null && !ownership.isRevoked) {
         await this.renew(ownership);
       }
-      await this.deps.clock.sleep(OWNER_HEARTBEAT_MS);
+      const tookMs = deps.clock.monotonicMs() - sentMs;
+      await deps.clock.sleep(heartbeatPauseMs(tookMs));
     }
   }
 
--- a/packages/cell/test/election.test.ts
+++ b/packages/cell/test/election.test.ts
@@ -5,6 +5,7 @@
   Election,
   OWNER_HEARTBEAT_MS,
   readOwner,
+  START_LEASE_MS,
   type CellHeartbeat,
   type Member,
   type Members,
@@ -150,6 +151,21 @@
   );
 });
 
+// A busy owner takes that long to send a call and to read its answer.
+election('keeps the lease for starts while heartbeats are slow', async () => {
+  const rig = new ElectionRig();
+  const store = rig.client();
+  store.faults.delayMs = 250;
+  rig.startElection('a', store);
+  await rig.clock.advance(LONG_MS);
+  const [ownership] = rig.owned;
+  assert.ok(ownership);
+  for (let i = 0; i < LONG_MS; i += 10) {
+    assert.ok(ownership.isConfirmedWithin(START_LEASE_MS), `${i} ms`);
+    await rig.clock.advance(10);
+  }
+});
+
 // Its last heartbeat was stored before the reading that the claim rests on.
 election(
   'counts the leases of a lost owner from before the claim',
@@ -326,7 +342,8 @@
     ]);
     const store = rig.client();
     const owner = rig.startElection('a', store, members);
-    await rig.clock.advance(LONG_MS);
+    // Between two heartbeats, so that the answer to the handover is lost.
+    await rig.clock.advance(LONG_MS + OWNER_HEARTBEAT_MS / 2);
     assert.is(owner.isOwner, true);
     store.faults.lostAnswers = 1;
     store.faults.lostAppendDelayMs = delayMs;
