Ask executors that are shutting down first for their runs

What callers saw: after the owner was lost, jobs of one service stood still for 5 s beside free executors.

Cause: seven executors had announced at 12.9 s that they would end 1.8 s later. The next owner listed them at 13.79 s, 0.9 s before their end, but asked all 452 executors at once when its load was complete, in the order of their keys; the first answers were read at 14.6 s. These seven had gone by then, so that their runs stayed unknown until their leases ended, and with them those of each task of their service.

Change: the records of executors are applied before those of jobs, and those that are shutting down before others, so that they are asked first.

What remains: an executor that is lost without a notice at the same time as the owner still holds up its service for 6.5 s.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -27,7 +27,7 @@
   toAmounts,
   type ResourceAmounts,
 } from './resource-amounts.js';
-import type {StoredRecord, Store} from './store.js';
+import type {KeyedRecord, StoredRecord, Store} from './store.js';
 import type {TopicLoadReport} from './topic-load.js';
 import type {ExecutorInfo} from './types.js';
 
@@ -120,10 +120,31 @@
     const apply = skipInvalid(this.deps.log, record =>
       this.applyProgressRecord(record),
     );
-    for (const record of inWrittenOrder(progress)) apply(record);
+    const executors = progress.filter(isExecutorRecord);
+    for (const record of this.endingFirst(executors)) apply(record);
+    const others = progress.filter(each => !isExecutorRecord(each));
+    for (const record of inWrittenOrder(others)) apply(record);
     return true;
   }
 
+  /**
+   * Orders executors as they are asked for their runs: all of them at once take
+   * a while, and those that are shutting down may end before that. Their runs
+   * would stay unknown until all leases have expired.
+   */
+  private endingFirst(
+    records: readonly StoredRecord[],
+  ): readonly StoredRecord[] {
+    const {executors} = this.deps.state;
+    const isEnding = ({key}: StoredRecord): boolean =>
+      executors.get(key.slice(EXECUTOR_PREFIX.length))?.info.isDraining ??
+      false;
+    return [
+      ...records.filter(isEnding),
+      ...records.filter(each => !isEnding(each)),
+    ];
+  }
+
   /** Describes how far the load of each topic has come, for the log. */
   get loadReports(): readonly TopicLoadReport[] {
     const {progress, executors, jobs} = this;
@@ -175,7 +196,7 @@
 
   private applyProgressRecord({key, value}: StoredRecord): void {
     if (value.length === 0) return;
-    if (key.startsWith(EXECUTOR_PREFIX)) {
+    if (isExecutorRecord({key, value})) {
       return this.addFormerExecutor(decodeFormerExecutor(value));
     }
     const {jobId, part} = parseProgressKey(key);
@@ -303,6 +324,10 @@
   readonly value: Uint8Array;
 }
 
+function isExecutorRecord({key}: KeyedRecord): boolean {
+  return key.startsWith(EXECUTOR_PREFIX);
+}
+
 /**
  * Main records first: they say which jobs have ended. What was written when a
  * job had more parts is newer.
