Count unknown runs by step instead of by task

Cause: while executors may hold unknown runs, each round counts for each organisation what these may use. It looked at each waiting task of each job, also of services of which all executors have answered, and found out for each of them anew whether its step could have begun.

Change: services without such executors are passed over, and whether a step could have begun is found out once. The counts are the same.

--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -24,6 +24,7 @@
 import {
   sumServices,
   type UnreachedExecutor,
+  type UnreachedService,
   type UnreachedServices,
 } from './unreached-services.js';
 import type {StepSpec} from './types.js';
@@ -311,21 +312,37 @@
   ): Generator<UnknownRuns> {
     for (const job of jobs) {
       if (job.phase === 'completed' || !this.jobs.has(job.id)) continue;
+      const service = services.get(job.queue.service);
+      if (service === undefined) continue;
       for (const {steps} of job.occurrences.values()) {
         for (const step of steps) {
-          if (step.doneCount === step.tasks.length) continue;
-          const waiting = step.tasks.filter(
-            task =>
-              task.phase === 'waiting' &&
-              this.mayHaveUnknownRuns(task, nowMs, services),
-          );
-          yield {job, spec: step.spec, count: waiting.length};
+          const count = this.countUnknownRuns(step, nowMs, service);
+          if (count > 0) yield {job, spec: step.spec, count};
         }
       }
       yield* this.unknownRunsElsewhere(job, nowMs, services);
     }
   }
 
+  /** As {@link mayHaveUnknownRuns} of each waiting task of a known job. */
+  private countUnknownRuns(
+    step: StepState,
+    nowMs: number,
+    {anyUntilMs, namedUntilMs}: UnreachedService,
+  ): number {
+    if (step.doneCount === step.tasks.length) return 0;
+    const mayBeAll = nowMs < this.startsUntilMs;
+    if (!mayBeAll && this.wasBlocked(step)) return 0;
+    const waiting = step.tasks.filter(({phase}) => phase === 'waiting');
+    if (mayBeAll) return waiting.length;
+    const unknown = waiting.filter(
+      task =>
+        !this.isAccountedFor(task) &&
+        (anyUntilMs !== null || namedUntilMs.has(taskName(task))),
+    );
+    return unknown.length;
+  }
+
   /** The same for occurrences that are not in memory. */
   private *unknownRunsElsewhere(
     job: JobState,
