Let urgent steps with tickets use room that waits for tickets

Cause: an urgent step without tickets reserves its room against all others until its tickets arrive, 0.3 to 0.6 s on a busy owner. Another urgent step with tickets for that room, which are valid for 1.75 s, may not use it meanwhile; the room is idle and the tickets expire.

Change: room that waits for tickets of an urgent step is kept from less urgent work, and from requests of other steps, but an urgent step that holds tickets may start there (`Hold.mayUrgentStart`). Gangs, large tasks and overdue steps that hold room keep it, since small tasks would starve them.

--- a/packages/cell/src/early-tickets.ts
+++ b/packages/cell/src/early-tickets.ts
@@ -116,7 +116,7 @@
   if (capacity === undefined) return null;
   // Urgent steps start before others that hold tickets for the same room.
   const mayUrgentPass = priority !== URGENT_PRIORITY;
-  const hold = {isHard: false, mayUrgentPass};
+  const hold = {isHard: false, mayUrgentPass, mayUrgentStart: true};
   const executors = reserveCapacity(step, count, capacity, hold, round);
   if (executors.length === 0) return null;
   return findNeededTickets(step, executors, capacity, round);
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -168,6 +168,8 @@
     {
       isHard: isLargeStep || isUrgent || isHolding,
       mayUrgentPass: isOverdue && !isUrgent,
+      // Otherwise the room would be idle until the tickets of this step arrive.
+      mayUrgentStart: isUrgent && !isLargeStep && !isHolding,
     },
     round,
   );
--- a/packages/cell/src/ticket-needs.ts
+++ b/packages/cell/src/ticket-needs.ts
@@ -108,6 +108,8 @@
   readonly isHard: boolean;
   /** Whether urgent steps may nevertheless, and may request tickets. */
   readonly mayUrgentPass: boolean;
+  /** Whether urgent steps that hold tickets may nevertheless. */
+  readonly mayUrgentStart: boolean;
 }
 
 /**
@@ -153,7 +155,7 @@
     }
     if (!hold.isHard) continue;
     reserve(round.reserved, executor, step.spec, count);
-    if (hold.mayUrgentPass) continue;
+    if (hold.mayUrgentPass || hold.mayUrgentStart) continue;
     reserve(round.reservedFromUrgent, executor, step.spec, count);
   }
   if (shares.length > 0) {
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -272,6 +272,31 @@
   assert.equal(executorIdsOf(job), ['y']);
 });
 
+// Until the first step's tickets arrive, its room would stay idle.
+for (const [cpuMilli, startedOn] of [
+  [1000, 'y'],
+  [8000, ''],
+] as const) {
+  const what = `tasks of ${cpuMilli} millicores`;
+  decisions(`uses urgent room that waits for tickets, ${what}`, () => {
+    const state = newState();
+    const capacity = {cpuMilli: 16_000, memMb: 10_000, accel: 0, slots: 0};
+    addExecutor(state, 'y', {capacity});
+    const queue = {...URGENT, name: 'advised', advice: ADVICE};
+    const step = {...STEP, size: {...STEP.size, cpuMilli}};
+    const wide = {...step, count: 16_000 / cpuMilli};
+    addJob(state, 'first', queue, [{...wide, estimatedMs: 100}]);
+    const later = addJob(state, 'later', queue, [step]);
+    const held = later.occurrences.get(0)?.steps[0];
+    held?.checkedExecutors.add('y');
+    held?.allowed.add('y');
+    held?.tickets.set('y', {ticket: 't', validUntilMs: NOW_MS + 1000});
+    const asked = decide(state).filter(({kind}) => kind === 'advise');
+    assert.is(asked.length, 1);
+    assert.equal(executorIdsOf(later), [startedOn]);
+  });
+}
+
 decisions('starts nothing with an expired ticket', () => {
   const state = newState();
   addExecutor(state, 'x');
