Let starts wait for the owner's next lease instead of a new place

What callers saw: urgent jobs late on the deployment with 97 VMs, most after a change of the owner.

Cause: the owner's lease for starts is looked at right before a start is sent. Where it has ended since the decision, the start failed at once, and the task waited for a round, and often for new tickets, though the next heartbeat gives the lease back within 0.5 s.

Change: such a start, which was surely not sent, waits for the next confirmed record of the owner, 0.8 s at most, and is then tried again; all that is checked before a start is checked again. It keeps its run number and place.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -15,6 +15,7 @@
   type Inventory,
   type OrderFailure,
   type OrderReply,
+  type StartOrder,
 } from './executor-client.js';
 import {
   earliestClockMs,
@@ -45,6 +46,8 @@
 const MISSED_RETRY_DELAY_MS = 150;
 /** Delay after the first unanswered renewal, in ms. */
 const FIRST_MISSED_RETRY_DELAY_MS = 10;
+/** Longer than the time between two heartbeats of an owner, in ms. */
+const MAX_LEASE_WAIT_MS = 800;
 /**
  * An executor that the store does not list counts as gone after more than this
  * many unanswered renewals in a row.
@@ -73,6 +76,8 @@
   >;
   readonly mayAct: () => boolean;
   readonly mayStart: () => boolean;
+  /** Resolves when the owner may start tasks again, or after the timeout. */
+  readonly awaitStartLease: (timeoutMs: number) => Promise<void>;
   /** Whether the executor may get no start and no longer lease now. */
   readonly isHeld: (executorId: string) => boolean;
   /** Called when the executor has seen a higher token. */
@@ -87,6 +92,12 @@
   readonly writeLog: (event: string, fields: Readonly<object>) => void;
 }
 
+/** An executor's answer to a start, or why the owner did not send it. */
+interface StartAnswer {
+  readonly reply: OrderReply;
+  readonly obstacle: StartObstacle | null;
+}
+
 /** Sends orders to one executor and applies its answers. */
 export class ExecutorLoop {
   private isClosed = false;
@@ -157,11 +168,7 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    let obstacle: StartObstacle | null = null;
-    const reply = await this.client.start(order, () => {
-      obstacle = this.findObstacle(task, run);
-      return obstacle === null;
-    });
+    const {reply, obstacle} = await this.sendStart(order, task);
     // The answer of a former process tells nothing of the clock of the next.
     const isSameProcess = executor.isReached && executor.bornMs === bornMs;
     if (!this.isClosed && isSameProcess) {
@@ -175,6 +182,41 @@
     this.wake();
   }
 
+  /**
+   * Sends a start. If the owner's lease for starts has ended since the start
+   * was decided, waits for the next one: placing the task anew would take new
+   * tickets, and more of the owner's time.
+   */
+  private async sendStart(
+    order: StartOrder,
+    task: TaskState,
+  ): Promise<StartAnswer> {
+    const {clock, awaitStartLease} = this.host;
+    let answer = await this.trySendStart(order, task);
+    const untilMs = clock.monotonicMs() + MAX_LEASE_WAIT_MS;
+    while (answer.obstacle === 'lease' && !this.isClosed) {
+      const leftMs = untilMs - clock.monotonicMs();
+      if (leftMs <= 0) break;
+      await awaitStartLease(leftMs);
+      answer = await this.trySendStart(order, task);
+    }
+    return answer;
+  }
+
+  private async trySendStart(
+    order: StartOrder,
+    task: TaskState,
+  ): Promise<StartAnswer> {
+    const obstacles: Array<StartObstacle | null> = [];
+    const reply = await this.client.start(order, () => {
+      const obstacle = this.findObstacle(task, order.run);
+      obstacles.push(obstacle);
+      return obstacle === null;
+    });
+    const isRefused = reply.failure === 'notAllowed';
+    return {reply, obstacle: isRefused ? (obstacles.at(-1) ?? null) : null};
+  }
+
   /** Why a start that was ordered may not be sent now; null if it may. */
   private findObstacle(task: TaskState, run: number): StartObstacle | null {
     const {executor, host} = this;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -482,6 +482,8 @@
       formerOwnerRuns: this.formerOwnerRuns,
       mayAct: () => this.mayAct(),
       mayStart: () => this.mayStart(),
+      awaitStartLease: timeoutMs =>
+        Promise.race([ownership.nextConfirmation(), clock.sleep(timeoutMs)]),
       isHeld: id => ownership.isHeld(id),
       onFenced: () => {
         if (!ownership.isRevoked) log('ownerFenced', {term: ownership.term});
--- a/packages/cell/src/ownership.ts
+++ b/packages/cell/src/ownership.ts
@@ -215,6 +215,8 @@
   /** The last orders to executors that get none from this owner. */
   private heldExecutors: (() => readonly NamedOrders[]) | null = null;
   private isHolding: boolean;
+  /** Called when the next record is confirmed. */
+  private confirmationWaits: Array<() => void> = [];
   /** Serializes writes: each appends at the end offset of the one before. */
   private readonly writes = new PQueue({concurrency: 1});
 
@@ -324,6 +326,16 @@
     return monotonicMs < boundMs && wallMs < boundMs;
   }
 
+  /**
+   * Resolves when the next record is confirmed.
+   *
+   * @example
+   * await Promise.race([ownership.nextConfirmation(), clock.sleep(500)]);
+   */
+  nextConfirmation(): Promise<void> {
+    return new Promise(resolve => this.confirmationWaits.push(resolve));
+  }
+
   /**
    * Lets this owner give orders, once a record is confirmed that says to which
    * executors it gives none. Until then it holds all if it has claimed the cell.
@@ -469,6 +481,9 @@
       );
       this.confirmedMs = sentMs;
       this.confirmedWallMs = sentWallMs;
+      const waits = this.confirmationWaits;
+      this.confirmationWaits = [];
+      for (const resolve of waits) resolve();
       return true;
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
--- a/packages/cell/test/unsent-starts.test.ts
+++ b/packages/cell/test/unsent-starts.test.ts
@@ -51,6 +51,20 @@
   assert.is(rig.checker.starts, 1);
 });
 
+// A task that is placed anew takes new tickets and another run number.
+unsentStarts('wait for the next lease instead of a new place', async () => {
+  const connectMs = START_LEASE_MS + HEARTBEAT_MS;
+  const {rig, owner} = await orderStart(connectMs);
+  owner.store.faults.isRefusing = true;
+  await rig.run(connectMs);
+  rig.executor('x0').connectMs = 0;
+  owner.store.faults.isRefusing = false;
+  await rig.run(SETTLE_MS);
+  const [run] = rig.executor('x0').runs.values();
+  assert.is(run?.run, 1);
+  assert.equal(rig.checker.violations, []);
+});
+
 unsentStarts('are not sent by an owner that was closed', async () => {
   const {rig, owner} = await orderStart(ORDER_MS);
   owner.owner?.close();
