Encode frames to peers into memory that is used again

Cause: each reply was encoded into the memory of the encoder, then copied into a buffer of its own and from there into the blocks of the queue. V8 frees such buffers only after about 64 MB of them, so that 30 peers that did not read took the process over its bound. Ruled out: `useBuffer` of cbor-x, which sets the memory of all encoders and overwrote stored jobs. Change: a frame is encoded with RESET_BUFFER_MODE. The next value of any encoder is written over it, so it is copied at once: up to 16 KB into a buffer of its own, otherwise into the blocks of the queue. Values of other encoders are left alone, which a test shows, as are frames.

--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -1,7 +1,12 @@
 /** A connection between two processes: asks, replies, notices, heartbeats. */
 import net from 'node:net';
 import {raise, toFailure, DragonflywardError} from '@dragonflyward/common';
-import {encodeFrame, FrameReader, MAX_FRAME_BYTES} from './framing.js';
+import {
+  encodeFrame,
+  encodeShortLived,
+  FrameReader,
+  MAX_FRAME_BYTES,
+} from './framing.js';
 import type {
   FailureReply,
   Frame,
@@ -181,7 +186,7 @@
   }
 
   private send(frame: Frame<P>): void {
-    this.queue.write(encodeFrame<P>(frame));
+    this.queue.write(...encodeShortLived<P>(frame));
     this.limitQueue();
   }
 
--- a/packages/peer/src/framing.ts
+++ b/packages/peer/src/framing.ts
@@ -7,7 +7,21 @@
 /** A longer frame closes the connection. */
 export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
+/** An encoder with the options that its types leave out. */
+interface ResettingEncoder {
+  encode(value: unknown, options: number): Buffer;
+}
+
+/**
+ * Lets an encoder of cbor-x write the next value over this one. `useBuffer`
+ * instead sets the memory of all encoders, whose values are then overwritten.
+ */
+const RESET_BUFFER_MODE = 1024;
+
+const encoder = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+}) as ResettingEncoder;
 const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
 
 /**
@@ -19,11 +33,23 @@
 export function encodeFrame<P extends PeerProtocol = GatewayProtocol>(
   frame: Frame<P>,
 ): Buffer {
-  const body = encoder.encode(frame);
-  const out = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  out.writeUInt32BE(body.length, 0);
-  body.copy(out, LENGTH_BYTES);
-  return out;
+  return Buffer.concat(encodeShortLived(frame));
+}
+
+/**
+ * Encodes a frame into the memory that the next call of any encoder uses again.
+ * The parts, length prefix and content, must be copied before that.
+ *
+ * @example
+ * queue.write(...encodeShortLived({kind: 'notice', notice: heartbeat}));
+ */
+export function encodeShortLived<P extends PeerProtocol = GatewayProtocol>(
+  frame: Frame<P>,
+): readonly Buffer[] {
+  const body = encoder.encode(frame, RESET_BUFFER_MODE);
+  const prefix = Buffer.allocUnsafe(LENGTH_BYTES);
+  prefix.writeUInt32BE(body.length, 0);
+  return [prefix, body];
 }
 
 /** Splits a byte stream into frames. */
--- a/packages/peer/src/send-queue.ts
+++ b/packages/peer/src/send-queue.ts
@@ -8,6 +8,11 @@
  * connections may be closed.
  */
 const SOCKET_BYTES = 64 * 1024;
+/**
+ * Longer data of one connection goes through blocks at once: V8 frees buffers
+ * of their own only after about 64 MB of them.
+ */
+const MAX_UNPOOLED_BYTES = 16 * 1024;
 /** A longer buffer that several connections share is not copied. */
 const MAX_COPIED_BYTES = 64 * 1024;
 
@@ -37,17 +42,26 @@
     return this.heldBytes + this.socket.writableLength;
   }
 
-  /** Sends data of this connection alone. */
-  write(data: Buffer): void {
-    if (this.canTake(data)) this.socket.write(data);
-    else this.hold(data);
+  /** Sends a copy of the data, which this connection alone holds. */
+  write(...parts: readonly Buffer[]): void {
+    const length = parts.reduce((sum, each) => sum + each.length, 0);
+    if (length <= MAX_UNPOOLED_BYTES && this.canTake(length)) {
+      this.socket.write(Buffer.concat(parts, length));
+      return;
+    }
+    for (const part of parts) this.hold(part);
+    this.flush();
   }
 
   /** Sends data that other connections may share. */
   writeShared(data: Buffer): void {
-    if (this.canTake(data)) this.socket.write(data);
-    else if (data.length <= MAX_COPIED_BYTES) this.hold(data);
+    if (this.canTake(data.length)) {
+      this.socket.write(data);
+      return;
+    }
+    if (data.length <= MAX_COPIED_BYTES) this.hold(data);
     else this.holdShared(data);
+    this.flush();
   }
 
   /** Drops the data that waits. */
@@ -59,9 +73,9 @@
     }
   }
 
-  private canTake(data: Buffer): boolean {
+  private canTake(bytes: number): boolean {
     const isFree = this.socket.writableLength < SOCKET_BYTES;
-    return this.heldBytes === 0 && isFree && data.length <= SOCKET_BYTES;
+    return this.heldBytes === 0 && isFree && bytes <= SOCKET_BYTES;
   }
 
   private hold(data: Buffer): void {
@@ -73,14 +87,12 @@
       rest = rest.subarray(copied);
     }
     this.heldBytes += data.length;
-    this.flush();
   }
 
   private holdShared(data: Buffer): void {
     if (this.isClosed) return;
     this.parts.push({buffer: data, used: data.length, isPooled: false});
     this.heldBytes += data.length;
-    this.flush();
   }
 
   private partWithRoom(): Part {
--- a/packages/peer/test/framing.test.ts
+++ b/packages/peer/test/framing.test.ts
@@ -52,6 +52,20 @@
   );
 });
 
+// Frames are encoded into memory that the next value overwrites.
+framing('are not overwritten by values that are encoded later', () => {
+  const other = new Encoder({useRecords: false});
+  const asks = [...Array(100).keys()].map(tailAsk);
+  const encoded = asks.map(ask => {
+    const bytes = encodeFrame(ask);
+    other.encode({text: 'x'.repeat(100)});
+    encodeFrame(tailAsk(1000));
+    return bytes;
+  });
+  const read = [...new FrameReader().push(Buffer.concat(encoded))];
+  assert.equal(read, asks);
+});
+
 framing('refuses a frame that is too long', () => {
   const reader = new FrameReader();
   assert.throws(() => [...reader.push(Buffer.from([255, 255, 255, 255]))]);
