Bound the bytes of the asks of peers that are being answered

Cause: a connection may have 1,000 asks that are not answered yet, each of up to 16 MB, and 64 connections or more are accepted. With asks that take long, such as calls to a slow store, peers could fill the memory. Ruled out: pausing reading at a number of bytes, since two peers that both pause wait for each other; counting open connections only, since an ask that is being handled stays in memory when its connection is closed. Change: each process counts the bytes of asks until they are answered. Above 16 MB of one connection it is closed, above 32 MB in total the one with the most bytes if it has over 1 MB. peers_closed_total has the reason openAsks. Asks of a connection that is closed are no longer handled.

--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -13,6 +13,7 @@
   GatewayProtocol,
   PeerProtocol,
 } from './messages.js';
+import {OpenAsks} from './open-asks.js';
 import {selectLongQueues, SMALL_QUEUE_BYTES} from './queue-limit.js';
 import {SendQueue} from './send-queue.js';
 
@@ -42,12 +43,18 @@
 
 /** The limit for which a connection was closed or not accepted. */
 export type PeerLimit =
-  'connections' | 'incompleteFrames' | 'queuedBytes' | 'helloTimeout';
+  | 'connections'
+  | 'incompleteFrames'
+  | 'queuedBytes'
+  | 'openAsks'
+  | 'helloTimeout';
 
 /** Handles the messages and connection changes of peers. */
 export abstract class PeerHandler<P extends PeerProtocol = GatewayProtocol> {
   /** Time without received data after which a connection is closed. */
   readonly heartbeatTimeoutMs: number = HEARTBEAT_TIMEOUT_MS;
+  /** The asks of all connections that are being answered. */
+  readonly openAsks = new OpenAsks();
 
   /** Returns the hello that describes this process to its peers. */
   abstract hello(): P['hello'];
@@ -99,7 +106,7 @@
   private readonly openedMs = performance.now();
   private lastReceivedMs = performance.now();
   private isClosed = false;
-  private openAsks = 0;
+  private askCount = 0;
 
   constructor(
     private readonly socket: net.Socket,
@@ -259,18 +266,22 @@
     from: PeerInfo<P>,
     ask: P['ask'],
   ): Promise<void> {
-    this.openAsks += 1;
-    if (this.openAsks === MAX_OPEN_ASKS) this.socket.pause();
+    const {openAsks} = this.handler;
+    const bytes = this.reader.frameBytes;
+    if (this.isClosed || !openAsks.add(this, bytes)) return;
+    this.askCount += 1;
+    if (this.askCount === MAX_OPEN_ASKS) this.socket.pause();
     let reply: P['reply'] | FailureReply;
     try {
       reply = await this.handler.handleAsk(from, ask);
     } catch (err) {
       reply = {type: 'failure', failure: toFailure(err)};
     }
-    this.openAsks -= 1;
+    openAsks.remove(this, bytes);
+    this.askCount -= 1;
     if (this.isClosed) return;
     this.send({kind: 'reply', id, reply});
-    if (this.openAsks < MAX_OPEN_ASKS) this.socket.resume();
+    if (this.askCount < MAX_OPEN_ASKS) this.socket.resume();
   }
 
   private settleAsk(id: number, reply: P['reply'] | FailureReply): void {
@@ -289,6 +300,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.queue.close();
+    this.handler.openAsks.forget(this);
     clearInterval(this.heartbeatTimer);
     for (const pending of this.pending.values()) {
       clearTimeout(pending.timer);
--- a/packages/peer/src/framing.ts
+++ b/packages/peer/src/framing.ts
@@ -59,6 +59,8 @@
   private used = 0;
   /** A longer frame is an error; a connection may change it. */
   maxFrameBytes = MAX_FRAME_BYTES;
+  /** The size of the frame that was yielded last, in bytes. */
+  frameBytes = 0;
 
   /** The size of the memory that holds an incomplete frame, in bytes. */
   get heldBytes(): number {
@@ -84,6 +86,7 @@
       if (data.length < end) break;
       const body = data.subarray(LENGTH_BYTES, end);
       data = data.subarray(end);
+      this.frameBytes = end;
       yield decodeFrame<P>(body);
     }
     const isUnchanged = this.used > 0 && data.length === received;
