Bound the calls to the store that a VM makes for its peers

Cause: each ask for a call to the store was executed at once, with a connection of its own: as many as open asks, 1,000 for each peer. Ruled out: turns in one order for all, where a peer with many calls delays the others; turns for the asks of plain appends at the store, since those wait to be joined; turns for this VM's own calls. Calls for the owner's records have turns of their own, since heartbeats of an owner that is cut off from the store go through a peer.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -48,6 +48,7 @@
 export * from './advice-lane.js';
 export * from './ticket-requester.js';
 export * from './tickets/index.js';
+export * from './peer-calls/index.js';
 export * from './relayed-store.js';
 export * from './shared-appends.js';
 export * from './store-call.js';
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -65,6 +65,24 @@
   ) => Promise<StoreReply>;
 }
 
+/** Whether records are appended without an offset and a producer. */
+export function isPlainAppend(call: StoreCall): boolean {
+  return call.op === 'append' && call.at < 0 && call.producer === null;
+}
+
+/**
+ * Returns the longest time for which a VM waits for a call through a peer, in
+ * ms.
+ *
+ * @example
+ * const endMs = clock.monotonicMs() + maxRelayMs(call);
+ */
+export function maxRelayMs(call: StoreCall): number {
+  if (isPlainAppend(call)) return SHARED_APPEND_TIMEOUT_MS;
+  const isPage = call.op === 'newest' && call.after !== undefined;
+  return isPage ? BULK_RELAY_TIMEOUT_MS : RELAY_TIMEOUT_MS;
+}
+
 /** Makes each call directly, through a peer, or both. */
 export class RelayedStore extends Store {
   private directFailedMs = -Infinity;
--- a/packages/cell/src/shared-appends.ts
+++ b/packages/cell/src/shared-appends.ts
@@ -25,7 +25,7 @@
 export class SharedAppends {
   private readonly topics = new Map<string, TopicAppends>();
 
-  constructor(private readonly store: Store) {}
+  constructor(private readonly store: Pick<Store, 'append' | 'limits'>) {}
 
   /**
    * Appends records, perhaps together with those of other calls.
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -34,14 +34,13 @@
 import {Owner} from './owner.js';
 import {isHeartbeat} from './owner-record-checks.js';
 import {toAddress, type OwnerAddress, type Ownership} from './ownership.js';
+import {PeerStoreCalls} from './peer-calls/index.js';
 import {PeerClosures} from './peer-closures.js';
 import type {LogFunction, Platform} from './platform.js';
 import {jobsTopicFor} from './records.js';
 import {RelayedStore} from './relayed-store.js';
 import {RowPublisher, type RowReceiver} from './row-publisher.js';
 import {StoreError} from './store.js';
-import {SharedAppends} from './shared-appends.js';
-import {executeStoreCall} from './store-call.js';
 import {StoredJobs} from './stored-jobs.js';
 import {TableFreshness} from './table-freshness.js';
 import type {ExecutorSilence} from './tenure.js';
@@ -75,7 +74,7 @@
   private readonly members: Members;
   private readonly peerClosures: PeerClosures;
   private readonly store: RelayedStore;
-  private readonly sharedAppends: SharedAppends;
+  private readonly storeCalls: PeerStoreCalls;
   private readonly config: ConfigFeed;
   private readonly storedJobs: StoredJobs;
   private readonly lookups: JobLookup;
@@ -101,7 +100,7 @@
       clock,
       () => this.members.ownerStore(),
     );
-    this.sharedAppends = new SharedAppends(platform.store);
+    this.storeCalls = new PeerStoreCalls(platform.store, clock);
     this.config = new ConfigFeed({
       platform,
       store: this.store,
@@ -232,7 +231,7 @@
   }
 
   override async handleAsk(
-    _from: CellPeerInfo,
+    from: CellPeerInfo,
     ask: CellProtocol['ask'],
   ): Promise<CellProtocol['reply']> {
     switch (ask.type) {
@@ -249,11 +248,7 @@
       case 'configAsk':
         return {type: 'config', value: this.config.stored};
       case 'storeAsk':
-        return executeStoreCall(
-          this.deps.platform.store,
-          ask.call,
-          this.sharedAppends,
-        );
+        return this.storeCalls.make(from.self.vm, ask.call);
     }
   }
 
--- a/packages/cell/test/vm.test.ts
+++ b/packages/cell/test/vm.test.ts
@@ -9,6 +9,7 @@
   type ExecutorClient,
   type NewestPage,
   type OwnerAddress,
+  type StoreReply,
 } from '@dragonflyward/cell';
 import {encode} from 'cbor-x';
 import {once} from 'node:events';
@@ -19,6 +20,7 @@
 import {CONFIG, EXECUTORS_TOPIC, ONCE, QUEUE, STEP} from './rig.js';
 
 const LOOPBACK = '127.0.0.1';
+const SELF = {vm: 'a', ip: LOOPBACK, port: 1, incarnation: 1};
 const CONFIG_TOPIC = 'keyed.config';
 const POLL_MS = 50;
 /** Time within which a larger VM has the cell, in ms. */
@@ -47,6 +49,10 @@
     return super.newestPage(topic, after);
   }
 
+  get heldCalls(): number {
+    return this.waiting.length;
+  }
+
   release(): void {
     this.isHeld = false;
     for (const resolve of this.waiting) resolve();
@@ -282,4 +288,33 @@
   );
 });
 
+// Each call takes a connection, and those that were asked for had no bound.
+vms('make a bounded number of calls to the store for peers', async () => {
+  const {owner, other} = await startPair();
+  const {vm, store} = other;
+  store.isHeld = true;
+  const ask = (by: string, topic: string, after = '') => {
+    const from = {...owner.vm.hello(), self: {...SELF, vm: by}};
+    const call = {op: 'newest', topic, after} as const;
+    return vm.handleAsk(from, {type: 'storeAsk', call});
+  };
+  const held = Array.from({length: 1000}, () => ask('a', PROGRESS_TOPIC));
+  const clock = new SystemClock();
+  await clock.sleep(GRACE_MS);
+  const {heldCalls} = store;
+  assert.ok(heldCalls > 0 && heldCalls < 100, `${heldCalls} calls`);
+  const sentMs = clock.monotonicMs();
+  for (const [by, topic] of [
+    ['a', OWNER_TOPIC],
+    ['b', CONFIG_TOPIC],
+  ] as const) {
+    assert.is(((await ask(by, topic)) as StoreReply).failure, null, by);
+  }
+  assert.ok(clock.monotonicMs() - sentMs < GRACE_MS, 'another call waited');
+  store.release();
+  assert.is((await Promise.all(held)).length, 1000);
+  owner.vm.close();
+  other.vm.close();
+});
+
 vms.run();
