Bound the cancels of unknown jobs that notices name

Cause: a cancel in a notice was kept until a job had its id, however long, and was logged. A peer could name any number of ids. Ruled out: dropping cancels of unknown jobs, since a cancel may come just before the notice of its job, which would run until the cancel is read. Change: of these only the newest 1,000 are remembered, apart from those that were read from the store, which has all of them. A notice whose id is no text or longer than 1,000 characters is refused and logged.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -16,6 +16,7 @@
   type ExecutorState,
   type OrphanRun,
 } from './executor-state.js';
+import {setRecent} from './recent-entries.js';
 import {maxAmounts} from './resource-amounts.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
 import {
@@ -94,6 +95,8 @@
   private closedDomains: Pick<ClosedDomains, 'has'> | null = null;
   /** Ids of jobs that were cancelled before they were added. */
   private readonly earlyCancels = new Set<string>();
+  /** The newest of those that only a notice has named. */
+  private readonly notifiedCancels = new Map<string, true>();
 
   constructor(
     readonly term: number,
@@ -123,7 +126,9 @@
     state.isOverRate = this.organisations.countJob(state);
     this.jobs.set(job.id, state);
     this.countEarlierOrphans(state);
-    if (this.earlyCancels.delete(job.id)) this.cancelJob(job.id);
+    const isNotified = this.notifiedCancels.delete(job.id);
+    const isCancelled = this.earlyCancels.delete(job.id) || isNotified;
+    if (isCancelled) this.cancelJob(job.id);
     else this.openFirst(state);
     return state;
   }
@@ -199,6 +204,15 @@
     if (!isFinal(job.phase)) this.finish(job, 'cancelled');
   }
 
+  /**
+   * Cancels a job that a notice names. Of those that are not known yet, only the
+   * newest are remembered: each cancel is stored and read from there later.
+   */
+  cancelNotified(id: string): void {
+    if (this.jobs.has(id)) return this.cancelJob(id);
+    setRecent(this.notifiedCancels, id, true);
+  }
+
   /** Removes a job that has ended and has no placed tasks. */
   removeJob(id: string): void {
     const job = this.jobs.get(id);
--- a/packages/cell/src/checks.ts
+++ b/packages/cell/src/checks.ts
@@ -6,6 +6,10 @@
 export type Checks<T> = {readonly [K in keyof Required<T>]: Check};
 
 export const isText: Check = value => typeof value === 'string';
+/** The longest id of a job that another process may name, in characters. */
+const MAX_JOB_ID_LENGTH = 1000;
+export const isJobId: Check = value =>
+  typeof value === 'string' && value.length <= MAX_JOB_ID_LENGTH;
 export const isNumber: Check = Number.isFinite;
 export const isCount: Check = value =>
   Number.isSafeInteger(value) && (value as number) >= 0;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -401,7 +401,7 @@
   /** Applies a cancel that a VM has stored. */
   addStoredCancel(id: string): void {
     this.deps.log('jobCancelled', {job: id, by: 'notice'});
-    this.state.cancelJob(id);
+    this.state.cancelNotified(id);
     this.requestRound();
   }
 
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -3,6 +3,7 @@
 import {notifyAll, type PeerLimit} from '@dragonflyward/peer';
 import type {AdviceChannel} from './ticket-requester.js';
 import {adviceChannels} from './advice-channels.js';
+import {isJobId} from './checks.js';
 import {describeError, keepRunning, runInBackground} from './background.js';
 import {ConfigFeed} from './config-feed.js';
 import {Election} from './election.js';
@@ -262,7 +263,7 @@
       case 'job':
         return this.addNotifiedJob(from, notice.value);
       case 'cancel':
-        return this.owner?.addStoredCancel(notice.id);
+        return this.addNotifiedCancel(notice.id);
       case 'jobs':
         return this.handleJobRows(notice);
       case 'members':
@@ -367,6 +368,11 @@
     if (id !== null) this.publisher?.recordTaker(id, self.vm);
   }
 
+  private addNotifiedCancel(id: string): void {
+    if (!isJobId(id)) return raise('badRequest', 'not the id of a job');
+    this.owner?.addStoredCancel(id);
+  }
+
   private isTableFresh(): boolean {
     const connectedTerm = this.election.hasOwner() ? this.election.term : 0;
     const knowsAllJobs =
--- a/packages/cell/test/decisions.test.ts
+++ b/packages/cell/test/decisions.test.ts
@@ -533,6 +533,19 @@
   assert.is(decide(state).length, 1);
 });
 
+// A peer may name any number of them. The store has the cancels of all.
+decisions('remember few cancels of unknown jobs that notices name', () => {
+  const state = newState();
+  const ids = [...Array(5000).keys()].map(i => `j-${i}`);
+  for (const id of ids) state.cancelNotified(id);
+  const phases = ids.map(id => addJob(state, id, QUEUE, [STEP]).phase);
+  assert.is(phases.filter(phase => phase === 'cancelled').length, 1000);
+  assert.is(phases.at(-1), 'cancelled');
+  state.cancelJob('stored');
+  for (const id of ids) state.cancelNotified(`other-${id}`);
+  assert.is(addJob(state, 'stored', QUEUE, [STEP]).phase, 'cancelled');
+});
+
 // A former owner slowed it down beside a service task that is gone since.
 decisions('keeps a record of progress small while a service fails', () => {
   const state = newState();
--- a/packages/cell/test/malformed-notices.test.ts
+++ b/packages/cell/test/malformed-notices.test.ts
@@ -117,6 +117,22 @@
   process.off('unhandledRejection', onEscape);
 });
 
+// Such an id was kept until a job had it, and went into the log.
+notices('of cancels whose ids are too long are refused', async () => {
+  const {vm, log} = await startVm();
+  const clock = new SystemClock();
+  for (let ms = 0; vm.heartbeat().isActing !== true; ms += POLL_MS) {
+    assert.ok(ms < START_TIMEOUT_MS, 'the VM does not own the cell');
+    await clock.sleep(POLL_MS);
+  }
+  const from = {type: 'hello', self: FROM, domain: 'd', cores: 0.1} as const;
+  for (const id of ['x'.repeat(1_000_000), 1 as unknown as string]) {
+    assert.throws(() => vm.handleNotice(from, {type: 'cancel', id}));
+  }
+  assert.not.ok(log.some(line => line.startsWith('jobCancelled')));
+  vm.close();
+});
+
 const HEARTBEAT = {
   type: 'heartbeat',
   owner: null,
