Count the store calls for peers that are refused

A call that is refused, since too many wait or its VM has stopped waiting, left no trace in the VM that refused it. peer_store_calls_refused_total counts them.

--- a/packages/cell/src/peer-calls/peer-store-calls.ts
+++ b/packages/cell/src/peer-calls/peer-store-calls.ts
@@ -1,5 +1,5 @@
 /** The store calls that this VM makes for its peers, within bounds. */
-import {raise, type Clock} from '@dragonflyward/common';
+import {raise, type Clock, type Metrics} from '@dragonflyward/common';
 import type {StoreCall, StoreReply} from '../messages.js';
 import {OWNER_TOPIC} from '../records.js';
 import {isPlainAppend, maxRelayMs} from '../relayed-store.js';
@@ -9,7 +9,7 @@
 import {StoreError, type Store} from '../store.js';
 import {CallTurns, type CallLimits} from './call-turns.js';
 
-/** Calls by VM; a VM has about 20 followers, of which few read at a time. */
+/** Calls by VM, of which each follower and writer has one open at a time. */
 const CALLS: CallLimits = {perKey: 16, total: 64};
 /**
  * Calls for the owner's records by VM. An owner whose heartbeats wait for 1 s
@@ -43,6 +43,7 @@
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
+    private readonly metrics: Metrics,
   ) {
     this.sharedAppends = new SharedAppends({
       get limits() {
@@ -66,9 +67,11 @@
     const reply = await this.turnsOf(call).run(vm, async () =>
       clock.monotonicMs() < endMs
         ? executeStoreCall(store, call, sharedAppends)
-        : REFUSED,
+        : null,
     );
-    return reply ?? REFUSED;
+    if (reply !== null) return reply;
+    this.metrics.count('peer_store_calls_refused_total');
+    return REFUSED;
   }
 
   private turnsOf(call: StoreCall): CallTurns {
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -101,7 +101,7 @@
       clock,
       () => this.members.ownerStore(),
     );
-    this.storeCalls = new PeerStoreCalls(platform.store, clock);
+    this.storeCalls = new PeerStoreCalls(platform.store, clock, metrics);
     this.config = new ConfigFeed({
       platform,
       store: this.store,
