--- a/packages/peer/src/framing.ts
+++ b/packages/peer/src/framing.ts
@@ -7,7 +7,21 @@
 /** A longer frame closes the connection. */
 export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
+/** An encoder with the options that its types leave out. */
+interface ResettingEncoder {
+  encode(value: unknown, options: number): Buffer;
+}
+
+/**
+ * Lets an encoder of cbor-x write the next value over this one. `useBuffer`
+ * instead sets the memory of all encoders, whose values are then overwritten.
+ */
+const RESET_BUFFER_MODE = 1024;
+
+const encoder = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+}) as ResettingEncoder;
 const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
 
 /**
@@ -19,11 +33,23 @@
 export function encodeFrame<P extends PeerProtocol = GatewayProtocol>(
   frame: Frame<P>,
 ): Buffer {
-  const body = encoder.encode(frame);
-  const out = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  out.writeUInt32BE(body.length, 0);
-  body.copy(out, LENGTH_BYTES);
-  return out;
+  return Buffer.concat(encodeShortLived(frame));
+}
+
+/**
+ * Encodes a frame into the memory that the next call of any encoder uses again.
+ * The parts, length prefix and content, must be copied before that.
+ *
+ * @example
+ * queue.write(...encodeShortLived({kind: 'notice', notice: heartbeat}));
+ */
+export function encodeShortLived<P extends PeerProtocol = GatewayProtocol>(
+  frame: Frame<P>,
+): readonly Buffer[] {
+  const body = encoder.encode(frame, RESET_BUFFER_MODE);
+  const prefix = Buffer.allocUnsafe(LENGTH_BYTES);
+  prefix.writeUInt32BE(body.length, 0);
+  return [prefix, body];
 }
 
 /** Splits a byte stream into frames. */
@@ -33,6 +59,8 @@
   private used = 0;
   /** A longer frame is an error; a connection may change it. */
   maxFrameBytes = MAX_FRAME_BYTES;
+  /** The size of the frame that was yielded last, in bytes. */
+  frameBytes = 0;
 
   /** The size of the memory that holds an incomplete frame, in bytes. */
   get heldBytes(): number {
@@ -58,6 +86,7 @@
       if (data.length < end) break;
       const body = data.subarray(LENGTH_BYTES, end);
       data = data.subarray(end);
+      this.frameBytes = end;
       yield decodeFrame<P>(body);
     }
     const isUnchanged = this.used > 0 && data.length === received;
