Leave room for the store calls of all VMs that a peer may relay

Cause: where the store turns many VMs away, all of them relay their calls through the owner first, each with a call of each follower and writer. With 64 calls in total, those of a cell of 97 VMs would wait for each other, and be refused once their askers have given up.

Change: 512 calls, and 256 for the owner's records, each at most one connection of the 4,100 descriptors of the smallest VM. The bound for each VM stays at 16.

By reading; no run showed calls that waited.

--- a/packages/cell/src/peer-calls/peer-store-calls.ts
+++ b/packages/cell/src/peer-calls/peer-store-calls.ts
@@ -10,12 +10,12 @@
 import {CallTurns, type CallLimits} from './call-turns.js';
 
 /** Calls by VM, of which each follower and writer has one open at a time. */
-const CALLS: CallLimits = {perKey: 16, total: 64};
+const CALLS: CallLimits = {perKey: 16, total: 512};
 /**
  * Calls for the owner's records by VM. An owner whose heartbeats wait for 1 s
  * loses the cell, so other calls do not delay them.
  */
-const OWNER_CALLS: CallLimits = {perKey: 16, total: 32};
+const OWNER_CALLS: CallLimits = {perKey: 16, total: 256};
 /** Appends by VM that wait for one that joins them; they take no connection. */
 const PLAIN_APPENDS: CallLimits = {perKey: 16, total: 1024};
 /** Appends that join others, by topic. */
