Take executors' records in the order of the store

A record of an executor with an earlier start time was taken for an old one. Start times are wall time: after a clock is set back, the record of the next process is the newer one. It was passed over, so that the owner went on calling the former address, and `mayHaveRestarted` saw no restart of a silent executor: a task that the former owner had started on the new process was started again elsewhere.

Records reach the state in the order of the store (`Follower` drops those of a load that are older than the tail, and the reverse), so the newest one now describes the executor, and a start time is only an identity. One order remains that the store does not give: a record that a process wrote may be stored after those of the next one. Such a record is recognised by its start time, which is remembered for 10 s after another process has answered or is described (`executor-processes`). It is forgotten then, as a later process may have the same start time.

Ruled out: older pages of a load, which `Follower` handles already; and taking each record as it comes, which fails `changing-capacity` ("passes over a late record of the process before").

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -230,9 +230,10 @@
   }
 
   /**
-   * Adds an executor or updates its description. A restart is applied here
-   * only where the executor has no tasks; otherwise only its own inventory
-   * shows whether they run in the old process or in the new one.
+   * Adds an executor or updates its description. Records come in the order of
+   * the store; a late one of a process that has ended is passed over. A restart
+   * is applied here only where the executor has no tasks; otherwise only its own
+   * inventory shows whether they run in the old process or in the new one.
    *
    * @param nowMs when it described itself, on the owner's monotonic clock; if
    *     missing, long ago
@@ -246,17 +247,20 @@
       this.executors.set(info.id, executor);
       return executor;
     }
-    if (info.bornMs !== 0 && info.bornMs < known.bornMs) return known;
-    if (info.bornMs === known.bornMs) known.hasDrained ||= info.isDraining;
+    const {bornMs} = info;
+    const isOther = bornMs !== 0 && bornMs !== known.bornMs;
+    if (isOther && known.endedProcesses.has(bornMs, nowMs)) return known;
+    if (bornMs !== known.info.bornMs) {
+      known.endedProcesses.add(known.info.bornMs, nowMs);
+    }
+    if (bornMs === known.bornMs) known.hasDrained ||= info.isDraining;
     known.info = info;
     known.coldUntilMs = coldUntilMs(info, nowMs);
     known.isDomainClosed = this.isDomainClosed(info.domain);
     known.largestCapacity = maxAmounts(known.largestCapacity, info.capacity);
     known.isListed = true;
     const isIdle = known.tasks.size === 0 && known.orphans.size === 0;
-    if (isIdle && info.bornMs > known.bornMs) {
-      this.recordRestart(known, info.bornMs, Infinity);
-    }
+    if (isIdle && isOther) this.recordRestart(known, bornMs, Infinity);
     return known;
   }
 
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,5 +1,6 @@
 /** The owner's state of each executor: resources, clock, lease and health. */
 import type {LostRun} from './crash-suspects.js';
+import {EndedProcesses} from './executor-processes/index.js';
 import type {TaskState} from './job-state.js';
 import type {ResourceAmounts} from './resource-amounts.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
@@ -36,6 +37,8 @@
   isReached: boolean;
   /** Unix milliseconds of its start, as it reports it. */
   bornMs: number;
+  /** Processes before the one that is described or has answered. */
+  readonly endedProcesses: EndedProcesses;
   /** Whether it has announced that it will shut down. */
   hasDrained: boolean;
   /**
@@ -96,6 +99,7 @@
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
+    endedProcesses: new EndedProcesses(),
     hasDrained: info.isDraining,
     expired: null,
     hasRefused: false,
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -34,8 +34,12 @@
         executorId: executor.info.id,
         bornMs,
       });
+      if (executor.isReached) {
+        executor.endedProcesses.add(executor.bornMs, nowMs);
+      }
       host.state.recordRestart(executor, bornMs, sentMs);
     }
+    executor.endedProcesses.delete(bornMs);
     host.state.recordCrash(executor, lost, nowMs);
     if (executor.missedRenewals > 0) {
       host.writeLog('executorReachable', {executorId: executor.info.id});
--- a/packages/cell/test/wall-clock.property.test.ts
+++ b/packages/cell/test/wall-clock.property.test.ts
@@ -4,11 +4,13 @@
  * another machine, must neither lose a task nor let one run twice.
  */
 import type {Repetition, StepSpec} from '@dragonflyward/cell';
+import {encode} from 'cbor-x';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Behaviour} from './fake-executor.js';
 import {
+  EXECUTORS_TOPIC,
   ignoringStore,
   ONCE,
   QUEUE,
@@ -412,6 +414,28 @@
     assert.is(rig.executor('x1').runs.size, 1);
   });
 
+  wallClock(
+    `let no late record lead to a former one, ${stepMs} ms`,
+    async () => {
+      const rig = new Rig(1, behave);
+      const node = rig.newNode('v0');
+      void rig.claim(node);
+      await rig.run(START_MS);
+      const x0 = rig.executor('x0');
+      const former = {...x0.info, bornMs: x0.bornMs};
+      x0.wallStepMs = stepMs;
+      x0.restartAt('', 2);
+      await rig.run(START_MS);
+      rig.isListingPaused = true;
+      const records = [{key: 'x0', value: encode(former)}];
+      rig.memory.append(EXECUTORS_TOPIC, records, {});
+      await rig.run(START_MS);
+      rig.submit(LASTING, [everywhere(1)], [node]);
+      await rig.run(START_MS);
+      assert.is(x0.runs.size, 1);
+    },
+  );
+
   // The new process knows no token, and the former owner starts a task there,
   // of which the next owner hears nothing. Each thinks that the other executor
   // is leaving.
