Tell a restart from any other start time, also once it is listed no more

An executor answers a new owner while the former one may still start tasks, restarts, gets a task of the former owner, and is silent for the new one. `mayHaveRestarted` compared start times by order: one that was set back showed the restart only while the store still listed the executor. After that the task was started elsewhere while it ran.

Now any record of another process that was read since the answer was requested shows a restart. One that was read before is that of the process that answered or of an earlier one, as the record of an executor that a former owner has stored is. A record that is passed over counts too: the price is a wait until the leases end where a late record arrives and the executor is silent.

Ruled out: comparing for inequality alone. An executor that the store does not list and whose stored record is older than its process would be waited for by each owner.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -249,6 +249,7 @@
     }
     const {bornMs} = info;
     const isOther = bornMs !== 0 && bornMs !== known.bornMs;
+    if (isOther) known.otherRecordReadMs = nowMs;
     if (isOther && known.endedProcesses.has(bornMs, nowMs)) return known;
     if (bornMs !== known.info.bornMs) {
       known.endedProcesses.add(known.info.bornMs, nowMs);
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -39,6 +39,11 @@
   bornMs: number;
   /** Processes before the one that is described or has answered. */
   readonly endedProcesses: EndedProcesses;
+  /**
+   * When a record of another process than the known one was last read, on the
+   * owner's monotonic clock.
+   */
+  otherRecordReadMs: number;
   /** Whether it has announced that it will shut down. */
   hasDrained: boolean;
   /**
@@ -100,6 +105,7 @@
     isReached: false,
     bornMs: info.bornMs,
     endedProcesses: new EndedProcesses(),
+    otherRecordReadMs: -Infinity,
     hasDrained: info.isDraining,
     expired: null,
     hasRefused: false,
--- a/packages/cell/src/unconfirmed-executors.ts
+++ b/packages/cell/src/unconfirmed-executors.ts
@@ -4,6 +4,14 @@
 /** The store lists an executor after a restart within this time, in ms. */
 export const REGISTRATION_MS = 1000;
 
+/** The last answer of an executor. */
+interface Answer {
+  /** The start time of the process that answered. */
+  readonly bornMs: number;
+  /** When it was requested, on the owner's monotonic clock. */
+  readonly sentMs: number;
+}
+
 /**
  * Follows executors that answered while a former owner could still start tasks.
  * One that restarts after its answer knows no fencing token, so that the former
@@ -11,8 +19,7 @@
  * answered again after that, its runs are not known.
  */
 export class UnconfirmedExecutors {
-  /** The start time of the process that answered. */
-  private readonly answeredBornMs = new Map<ExecutorState, number>();
+  private readonly answers = new Map<ExecutorState, Answer>();
 
   /**
    * @param startsUntilMs former owners start nothing after this time
@@ -32,40 +39,41 @@
    * unconfirmed.recordAnswer(executor, sentMs);
    */
   recordAnswer(executor: ExecutorState, sentMs: number): void {
-    if (sentMs >= this.startsUntilMs) this.answeredBornMs.delete(executor);
-    else this.answeredBornMs.set(executor, executor.bornMs);
+    const {bornMs} = executor;
+    if (sentMs >= this.startsUntilMs) this.answers.delete(executor);
+    else this.answers.set(executor, {bornMs, sentMs});
   }
 
   /** Whether the executor has answered, but not after the start lease. */
   has(executor: ExecutorState): boolean {
-    return this.answeredBornMs.has(executor);
+    return this.answers.has(executor);
   }
 
   /** Removes an executor that is gone. */
   remove(executor: ExecutorState): void {
-    this.answeredBornMs.delete(executor);
+    this.answers.delete(executor);
   }
 
   /** Yields the executors that may have restarted since they answered. */
   *restartable(): Generator<ExecutorState> {
-    for (const executor of this.answeredBornMs.keys()) {
+    for (const executor of this.answers.keys()) {
       if (this.mayHaveRestarted(executor)) yield executor;
     }
   }
 
   /**
    * Whether it may have restarted between its answer and the end of the start
-   * lease. A list that was read later shows a restart; one that is missing
-   * there has not written a record either.
+   * lease. A list that was read later shows a restart: since the answer was
+   * requested, a record of another process was read, or the list still has one.
    */
   mayHaveRestarted(executor: ExecutorState): boolean {
-    const answeredBornMs = this.answeredBornMs.get(executor);
-    if (answeredBornMs === undefined) return false;
+    const answer = this.answers.get(executor);
+    if (answer === undefined) return false;
     if (this.executorsReadMs() < this.startsUntilMs + REGISTRATION_MS) {
       return true;
     }
-    const {info, isListed} = executor;
-    if (info.bornMs === 0 || info.bornMs > answeredBornMs) return true;
-    return isListed && info.bornMs < answeredBornMs;
+    const {info, isListed, otherRecordReadMs} = executor;
+    if (info.bornMs === 0 || otherRecordReadMs >= answer.sentMs) return true;
+    return isListed && info.bornMs !== answer.bornMs;
   }
 }
--- a/packages/cell/test/wall-clock.property.test.ts
+++ b/packages/cell/test/wall-clock.property.test.ts
@@ -36,6 +36,8 @@
  * so that an executor may restart with an earlier start time than before.
  */
 const START_MS = 3000;
+/** By then the store lists an executor, and the owner has read it, in ms. */
+const LISTED_MS = 2000;
 /** Longer than the leases of an owner and of its executors together, in ms. */
 const LEASES_MS = 10_000;
 /** Long enough for all leases and retries to end, in ms. */
@@ -437,31 +439,59 @@
   );
 
   // The new process knows no token, and the former owner starts a task there,
-  // of which the next owner hears nothing. Each thinks that the other executor
-  // is leaving.
+  // of which the next owner hears nothing.
   wallClock(`show a restart to the next owner, ${stepMs} ms`, async () => {
-    const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
-    const former = rig.newNode('v0');
-    void rig.claim(former);
-    rig.executor('x0').isDraining = true;
-    await rig.run(START_MS);
-    former.store.faults.isRefusing = true;
-    rig.executor('x0').isDraining = false;
-    rig.executor('x1').isDraining = true;
-    for (const {id} of rig.executors) rig.listNow(id);
-    const next = rig.newNode('v1');
-    void rig.claim(next);
-    await rig.run(200);
+    const {rig, former, next} = await takeOver();
     rig.executor('x1').wallStepMs = stepMs;
     rig.executor('x1').restart();
-    next.unreachable.add('x1');
-    rig.submit('job', [STEP], [former, next]);
-    await rig.startAfterRestart(former, 'x1');
-    assert.is(rig.executor('x1').runs.size, 1);
-    await rig.run(RECOVERY_MS);
-    assert.equal(rig.checker.violations, []);
-    assert.is(rig.executor('x0').runs.size, 1);
+    await startUnseen(rig, former, next);
+    await checkWait(rig);
+  });
+
+  wallClock(`show a restart that is listed no more, ${stepMs} ms`, async () => {
+    const {rig, former, next} = await takeOver();
+    rig.executor('x1').wallStepMs = stepMs;
+    rig.executor('x1').restart();
+    await startUnseen(rig, former, next);
+    await rig.run(LISTED_MS);
+    rig.executor('x1').isUnlisted = true;
+    await checkWait(rig);
   });
 }
 
+/**
+ * The next owner takes over from one that may still start tasks. Each thinks
+ * that the other executor is leaving.
+ */
+async function takeOver() {
+  const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
+  const former = rig.newNode('v0');
+  void rig.claim(former);
+  rig.executor('x0').isDraining = true;
+  await rig.run(START_MS);
+  former.store.faults.isRefusing = true;
+  rig.executor('x0').isDraining = false;
+  rig.executor('x1').isDraining = true;
+  for (const {id} of rig.executors) rig.listNow(id);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(200);
+  return {rig, former, next};
+}
+
+/** The former owner starts a task on x1, which the next one cannot reach. */
+async function startUnseen(rig: Rig, former: CellNode, next: CellNode) {
+  next.unreachable.add('x1');
+  rig.submit('job', [STEP], [former, next]);
+  await rig.startAfterRestart(former, 'x1');
+  assert.is(rig.executor('x1').runs.size, 1);
+}
+
+/** The task is started elsewhere when it can run on x1 no more. */
+async function checkWait(rig: Rig) {
+  await rig.run(RECOVERY_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(rig.executor('x0').runs.size, 1);
+}
+
 wallClock.run();
