Tell a process with the start time of an earlier one by its clock

A clock that is set back may give a process the start time of one before, to the millisecond. Orders and leases were then taken to be for the same process. The former one's clock is ahead, so that the lease was shortened by the executor to 10 s while the owner counted 6 s, and a task was started elsewhere while it ran.

An executor's clock counts from the start of its process. The owner now sends the least that it must show: an order whose connection shows less is not sent, and a list that shows less is that of another process. One that shows as much gets a lease that ends no later than it counts for. This relies on the bound on slow clocks that leases rely on already.

Ruled out: comparing with the last reading alone, as an idle executor is not asked for long. Taking a lower clock for another process where the list was requested before the last reading: answers overtake each other.

Not decidable: whether a silent executor has restarted with the start time of the process that answered last. Then a task of a former owner may be started elsewhere while it runs.

The fake executor follows the same rule as the client over HTTP.

--- a/packages/cell/src/executor-client.ts
+++ b/packages/cell/src/executor-client.ts
@@ -40,6 +40,11 @@
   readonly leaseUntilMs: number;
   /** Start time of the process that has that clock: no other one gets it. */
   readonly bornMs: number;
+  /**
+   * The least that this clock shows: a process whose clock shows less is another
+   * one, which may have the same start time. NaN or missing if not known.
+   */
+  readonly leastClockMs?: number;
   readonly token: number;
   readonly checkpoint: string;
   readonly ticket: string;
@@ -56,6 +61,8 @@
    * another one only returns its inventory. Missing for any process.
    */
   readonly bornMs?: number;
+  /** The least that the clock of that process shows, as for a start. */
+  readonly leastClockMs?: number;
   /** How long the executor may wait for a run to end before it answers. */
   readonly waitMs: number;
   /** Time after which the order counts as not answered. */
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -19,6 +19,7 @@
 import {
   earliestClockMs,
   haveLeasesExpired,
+  leastClockMs,
   recordClock,
   type ExecutorState,
 } from './executor-state.js';
@@ -153,6 +154,7 @@
       payload,
       leaseUntilMs,
       bornMs,
+      leastClockMs: leastClockMs(executor, clock.monotonicMs()),
       token,
       checkpoint: task.checkpoint,
       ticket,
@@ -322,7 +324,9 @@
       waitMs,
       timeoutMs: waitMs + answerTimeoutMs,
       ...(Number.isNaN(leaseUntilMs) ? {} : {leaseUntilMs}),
-      ...(isReached ? {bornMs} : {}),
+      ...(isReached
+        ? {bornMs, leastClockMs: leastClockMs(executor, sentMs)}
+        : {}),
     });
     if (this.isClosed || !isInventory(reply)) return reply;
     // Answers may arrive out of order: an older inventory would list runs that
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -218,6 +218,33 @@
   return executor.clockMs + passedMs;
 }
 
+/**
+ * The least that the clock of the known process shows, which counts from its
+ * start; NaN if not known. A later process that shows as much gets leases that
+ * end no later than they count for.
+ *
+ * @param nowMs not before the last reading, on the owner's monotonic clock
+ */
+export function leastClockMs(executor: ExecutorState, nowMs: number): number {
+  return earliestClockMs(executor, nowMs) - LEASE_END_SLACK_MS;
+}
+
+/**
+ * Whether the clock began anew: another process has the same start time.
+ *
+ * @param sentMs when the reading was requested, on the owner's monotonic clock
+ * @example
+ * if (hasClockBegunAnew(executor, inventory.clockMs, sentMs)) return;
+ */
+export function hasClockBegunAnew(
+  executor: ExecutorState,
+  clockMs: number,
+  sentMs: number,
+): boolean {
+  if (sentMs < executor.clockReadMs) return false;
+  return clockMs < leastClockMs(executor, sentMs);
+}
+
 /** Whether all leases of runs on the executor must have expired. */
 export function haveLeasesExpired(
   executor: ExecutorState,
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -1,7 +1,11 @@
 /** Applies an executor's inventories to the owner's state. */
 import {runsLostBy, type LostRun} from './crash-suspects.js';
 import type {EndedRun, Inventory} from './executor-client.js';
-import {recordClock, type ExecutorState} from './executor-state.js';
+import {
+  hasClockBegunAnew,
+  recordClock,
+  type ExecutorState,
+} from './executor-state.js';
 import type {ExecutorHost} from './executor-loop.js';
 import {taskName, type TaskState} from './job-state.js';
 import {logEnds} from './run-lines.js';
@@ -28,8 +32,11 @@
     // An executor that does not report its start time counts as never
     // restarted.
     const bornMs = inventory.bornMs === 0 ? executor.bornMs : inventory.bornMs;
-    const lost = this.takeLostRuns(bornMs, sentMs);
-    if (bornMs !== executor.bornMs) {
+    const isOther =
+      bornMs !== executor.bornMs ||
+      hasClockBegunAnew(executor, inventory.clockMs, sentMs);
+    const lost = this.takeLostRuns(bornMs, isOther, sentMs);
+    if (isOther) {
       host.writeLog('executorRestarted', {
         executorId: executor.info.id,
         bornMs,
@@ -60,8 +67,17 @@
     return hasNewEnds || !wasReached;
   }
 
-  /** The runs that were lost if the executor was started at `bornMs`. */
-  private takeLostRuns(bornMs: number, sentMs: number): readonly LostRun[] {
+  /**
+   * The runs that were lost.
+   *
+   * @param bornMs start time of the process that has answered
+   * @param isOther whether it is another one than the known one
+   */
+  private takeLostRuns(
+    bornMs: number,
+    isOther: boolean,
+    sentMs: number,
+  ): readonly LostRun[] {
     const {executor} = this;
     const {expired, hasDrained, isReached} = executor;
     executor.expired = null;
@@ -70,7 +86,7 @@
     const {crashes} = this.host.state;
     const gone = isReached ? [] : crashes.takeGone(executor, bornMs);
     const earlier = isExpired ? [...gone, ...expired.runs] : gone;
-    if (bornMs === executor.bornMs || hasDrained) return earlier;
+    if (!isOther || hasDrained) return earlier;
     return [...earlier, ...runsLostBy(executor, sentMs)];
   }
 
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -41,6 +41,9 @@
   run: number,
 ) => {readonly ms: number; readonly how: RunOutcome | 'crash'};
 
+/** The process that an order is meant for. */
+type Wanted = Pick<RenewLeaseOrder, 'bornMs' | 'leastClockMs'>;
+
 const STOP_MS = 300;
 /** The platform's `max-hold-ms`. */
 const MAX_LEASE_MS = 10_000;
@@ -324,7 +327,7 @@
     if (connectMs > 0) await this.clock.sleep(connectMs);
     if (!mayStart()) return {failure: 'notAllowed', clockMs: NO_CLOCK};
     return this.send(() =>
-      this.isOf(order.bornMs) ? this.executor.start(order) : 'restarted',
+      this.isOf(order) ? this.executor.start(order) : 'restarted',
     );
   }
 
@@ -350,14 +353,15 @@
   }
 
   /** Whether the process that the order names is the one that runs. */
-  private isOf(bornMs: number): boolean {
-    return this.executor.bornMs === bornMs;
+  private isOf({bornMs, leastClockMs = Number.NaN}: Wanted): boolean {
+    const {executor} = this;
+    return executor.bornMs === bornMs && !(executor.clockMs() < leastClockMs);
   }
 
   /** Another process than the named one is asked for its runs only. */
   private toReceived(order: RenewLeaseOrder): RenewLeaseOrder {
     const {token, waitMs, timeoutMs, bornMs} = order;
-    if (bornMs === undefined || this.isOf(bornMs)) return order;
+    if (bornMs === undefined || this.isOf(order)) return order;
     return {token, waitMs, timeoutMs, ackedThrough: 0};
   }
 
--- a/packages/cell/test/wall-clock.property.test.ts
+++ b/packages/cell/test/wall-clock.property.test.ts
@@ -8,7 +8,7 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {Behaviour} from './fake-executor.js';
+import type {Behaviour, FakeExecutor} from './fake-executor.js';
 import {
   EXECUTORS_TOPIC,
   ignoringStore,
@@ -38,6 +38,8 @@
 const START_MS = 3000;
 /** By then the store lists an executor, and the owner has read it, in ms. */
 const LISTED_MS = 2000;
+/** The interval at which an owner reads what the store lists, in ms. */
+const READ_MS = 420;
 /** Longer than the leases of an owner and of its executors together, in ms. */
 const LEASES_MS = 10_000;
 /** Long enough for all leases and retries to end, in ms. */
@@ -459,16 +461,59 @@
   });
 }
 
+wallClock('show a restart that repeats an earlier start time', async () => {
+  const {rig, former, next} = await takeOver(START_MS + 50);
+  const x1 = rig.executor('x1');
+  const firstBornMs = x1.bornMs;
+  x1.restart();
+  rig.listNow('x1');
+  await rig.run(READ_MS);
+  restartWith(x1, firstBornMs);
+  await startUnseen(rig, former, next);
+  await checkWait(rig);
+});
+
+wallClock(
+  'give no longer lease to a process with the same start time',
+  async () => {
+    const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
+    const node = rig.newNode('v0');
+    void rig.claim(node);
+    rig.executor('x0').isDraining = true;
+    await rig.run(START_MS);
+    rig.submit('job', [STEP], [node]);
+    await rig.run(START_MS);
+    const x1 = rig.executor('x1');
+    restartWith(x1, x1.bornMs);
+    await rig.run(START_MS);
+    assert.is(x1.runs.size, 1);
+    x1.isDisconnected = true;
+    rig.executor('x0').isDraining = false;
+    await checkWait(rig);
+  },
+);
+
+/** Restarts the executor with this start time. */
+function restartWith(executor: FakeExecutor, bornMs: number) {
+  executor.wallStepMs = 0;
+  executor.restart();
+  executor.wallStepMs = bornMs - executor.bornMs;
+  executor.restart();
+}
+
 /**
  * The next owner takes over from one that may still start tasks. Each thinks
  * that the other executor is leaving.
+ *
+ * @param ageMs when the former owner loses the store: right after one of its
+ *     heartbeats it may start tasks for longer
  */
-async function takeOver() {
+async function takeOver(ageMs = START_MS) {
   const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
   const former = rig.newNode('v0');
   void rig.claim(former);
   rig.executor('x0').isDraining = true;
-  await rig.run(START_MS);
+  await rig.run(ageMs);
   former.store.faults.isRefusing = true;
   rig.executor('x0').isDraining = false;
   rig.executor('x1').isDraining = true;
