Stop nothing for a late record of a process that was draining

A record that is passed over still was read for its state: if it said that the former process drained, the lasting tasks of the next one were stopped. The feed now leaves such a record at once, and logs it.

Measured: changing-capacity "stops nothing for a late record of a process that drained" failed before, and passes now with the other 25 of the file.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -237,6 +237,7 @@
     const before = known?.info;
     const largestBefore = known?.largestCapacity;
     const executor = state.setExecutor(info, this.deps.clock.monotonicMs());
+    if (executor.info !== info) return this.logPassedOver(info);
     if (before === undefined) this.reportNewExecutor(executor);
     else if (!isSameServer(before, executor.info)) {
       this.deps.onServerChanged(executor);
@@ -247,6 +248,11 @@
     if (info.isDraining && !wasDraining) this.reportDraining(executor);
   }
 
+  /** Logs a late record of a process that another one has followed. */
+  private logPassedOver({id: executorId, bornMs}: ExecutorInfo): void {
+    this.deps.log('executorRecordPassedOver', {executorId, bornMs});
+  }
+
   /** Logs a change of the capacity, and how much is in use now. */
   private logCapacityChange(
     executor: ExecutorState,
--- a/packages/cell/test/changing-capacity.test.ts
+++ b/packages/cell/test/changing-capacity.test.ts
@@ -437,6 +437,29 @@
   assert.equal(rig.checker.violations, []);
 });
 
+changing(
+  'stops nothing for a late record of a process that drained',
+  async () => {
+    const {rig, node} = await startCell(1);
+    const executor = rig.executor('x0');
+    const former = {
+      ...executor.info,
+      bornMs: executor.bornMs,
+      isDraining: true,
+    };
+    executor.restart();
+    await rig.run(LISTED_MS);
+    rig.submit('job', [{...STEP, isService: true}], [node]);
+    await rig.run(START_MS);
+    rig.isListingPaused = true;
+    const records = [{key: 'x0', value: encode(former)}];
+    rig.memory.append(EXECUTORS_TOPIC, records, {});
+    await rig.run(START_MS);
+    assert.not.ok(rig.logLines.some(line => line.includes('runMoved')));
+    assert.is(countRuns(rig, 'x0'), 1);
+  },
+);
+
 changing('a new owner uses the capacity that is listed now', async () => {
   const {rig, node} = await startCell(2);
   rig.submit('early', [{...STEP, count: 4}], [node]);
