--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -1,5 +1,6 @@
 /** The owner's state of each executor: resources, clock, lease and health. */
 import type {LostRun} from './crash-suspects.js';
+import {EndedProcesses} from './executor-processes/index.js';
 import type {TaskState} from './job-state.js';
 import type {ResourceAmounts} from './resource-amounts.js';
 import type {ExecutorInfo, StepSpec} from './types.js';
@@ -36,6 +37,13 @@
   isReached: boolean;
   /** Unix milliseconds of its start, as it reports it. */
   bornMs: number;
+  /** Processes before the one that is described or has answered. */
+  readonly endedProcesses: EndedProcesses;
+  /**
+   * When a record of another process than the known one was last read, on the
+   * owner's monotonic clock.
+   */
+  otherRecordReadMs: number;
   /** Whether it has announced that it will shut down. */
   hasDrained: boolean;
   /**
@@ -96,6 +104,8 @@
     isListed: true,
     isReached: false,
     bornMs: info.bornMs,
+    endedProcesses: new EndedProcesses(),
+    otherRecordReadMs: -Infinity,
     hasDrained: info.isDraining,
     expired: null,
     hasRefused: false,
@@ -208,6 +218,33 @@
   return executor.clockMs + passedMs;
 }
 
+/**
+ * The least that the clock of the known process shows, which counts from its
+ * start; NaN if not known. A later process that shows as much gets leases that
+ * end no later than they count for.
+ *
+ * @param nowMs not before the last reading, on the owner's monotonic clock
+ */
+export function leastClockMs(executor: ExecutorState, nowMs: number): number {
+  return earliestClockMs(executor, nowMs) - LEASE_END_SLACK_MS;
+}
+
+/**
+ * Whether the clock began anew: another process has the same start time.
+ *
+ * @param sentMs when the reading was requested, on the owner's monotonic clock
+ * @example
+ * if (hasClockBegunAnew(executor, inventory.clockMs, sentMs)) return;
+ */
+export function hasClockBegunAnew(
+  executor: ExecutorState,
+  clockMs: number,
+  sentMs: number,
+): boolean {
+  if (sentMs < executor.clockReadMs) return false;
+  return clockMs < leastClockMs(executor, sentMs);
+}
+
 /** Whether all leases of runs on the executor must have expired. */
 export function haveLeasesExpired(
   executor: ExecutorState,
--- a/packages/cell/test/wall-clock.property.test.ts
+++ b/packages/cell/test/wall-clock.property.test.ts
@@ -4,11 +4,13 @@
  * another machine, must neither lose a task nor let one run twice.
  */
 import type {Repetition, StepSpec} from '@dragonflyward/cell';
+import {encode} from 'cbor-x';
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {Behaviour} from './fake-executor.js';
+import type {Behaviour, FakeExecutor} from './fake-executor.js';
 import {
+  EXECUTORS_TOPIC,
   ignoringStore,
   ONCE,
   QUEUE,
@@ -34,6 +36,10 @@
  * so that an executor may restart with an earlier start time than before.
  */
 const START_MS = 3000;
+/** By then the store lists an executor, and the owner has read it, in ms. */
+const LISTED_MS = 2000;
+/** The interval at which an owner reads what the store lists, in ms. */
+const READ_MS = 420;
 /** Longer than the leases of an owner and of its executors together, in ms. */
 const LEASES_MS = 10_000;
 /** Long enough for all leases and retries to end, in ms. */
@@ -412,32 +418,125 @@
     assert.is(rig.executor('x1').runs.size, 1);
   });
 
+  wallClock(
+    `let no late record lead to a former one, ${stepMs} ms`,
+    async () => {
+      const rig = new Rig(1, behave);
+      const node = rig.newNode('v0');
+      void rig.claim(node);
+      await rig.run(START_MS);
+      const x0 = rig.executor('x0');
+      const former = {...x0.info, bornMs: x0.bornMs};
+      x0.wallStepMs = stepMs;
+      x0.restartAt('', 2);
+      await rig.run(START_MS);
+      rig.isListingPaused = true;
+      const records = [{key: 'x0', value: encode(former)}];
+      rig.memory.append(EXECUTORS_TOPIC, records, {});
+      await rig.run(START_MS);
+      rig.submit(LASTING, [everywhere(1)], [node]);
+      await rig.run(START_MS);
+      assert.is(x0.runs.size, 1);
+    },
+  );
+
   // The new process knows no token, and the former owner starts a task there,
-  // of which the next owner hears nothing. Each thinks that the other executor
-  // is leaving.
+  // of which the next owner hears nothing.
   wallClock(`show a restart to the next owner, ${stepMs} ms`, async () => {
+    const {rig, former, next} = await takeOver();
+    rig.executor('x1').wallStepMs = stepMs;
+    rig.executor('x1').restart();
+    await startUnseen(rig, former, next);
+    await checkWait(rig);
+  });
+
+  wallClock(`show a restart that is listed no more, ${stepMs} ms`, async () => {
+    const {rig, former, next} = await takeOver();
+    rig.executor('x1').wallStepMs = stepMs;
+    rig.executor('x1').restart();
+    await startUnseen(rig, former, next);
+    await rig.run(LISTED_MS);
+    rig.executor('x1').isUnlisted = true;
+    await checkWait(rig);
+  });
+}
+
+wallClock('show a restart that repeats an earlier start time', async () => {
+  const {rig, former, next} = await takeOver(START_MS + 50);
+  const x1 = rig.executor('x1');
+  const firstBornMs = x1.bornMs;
+  x1.restart();
+  rig.listNow('x1');
+  await rig.run(READ_MS);
+  restartWith(x1, firstBornMs);
+  await startUnseen(rig, former, next);
+  await checkWait(rig);
+});
+
+wallClock(
+  'give no longer lease to a process with the same start time',
+  async () => {
     const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
-    const former = rig.newNode('v0');
-    void rig.claim(former);
+    const node = rig.newNode('v0');
+    void rig.claim(node);
     rig.executor('x0').isDraining = true;
     await rig.run(START_MS);
-    former.store.faults.isRefusing = true;
+    rig.submit('job', [STEP], [node]);
+    await rig.run(START_MS);
+    const x1 = rig.executor('x1');
+    restartWith(x1, x1.bornMs);
+    await rig.run(START_MS);
+    assert.is(x1.runs.size, 1);
+    x1.isDisconnected = true;
     rig.executor('x0').isDraining = false;
-    rig.executor('x1').isDraining = true;
-    for (const {id} of rig.executors) rig.listNow(id);
-    const next = rig.newNode('v1');
-    void rig.claim(next);
-    await rig.run(200);
-    rig.executor('x1').wallStepMs = stepMs;
-    rig.executor('x1').restart();
-    next.unreachable.add('x1');
-    rig.submit('job', [STEP], [former, next]);
-    await rig.startAfterRestart(former, 'x1');
-    assert.is(rig.executor('x1').runs.size, 1);
-    await rig.run(RECOVERY_MS);
-    assert.equal(rig.checker.violations, []);
-    assert.is(rig.executor('x0').runs.size, 1);
-  });
+    await checkWait(rig);
+  },
+);
+
+/** Restarts the executor with this start time. */
+function restartWith(executor: FakeExecutor, bornMs: number) {
+  executor.wallStepMs = 0;
+  executor.restart();
+  executor.wallStepMs = bornMs - executor.bornMs;
+  executor.restart();
+}
+
+/**
+ * The next owner takes over from one that may still start tasks. Each thinks
+ * that the other executor is leaving.
+ *
+ * @param ageMs when the former owner loses the store: right after one of its
+ *     heartbeats it may start tasks for longer
+ */
+async function takeOver(ageMs = START_MS) {
+  const rig = new Rig(2, () => ({ms: LASTING_MS, how: 'done'}));
+  const former = rig.newNode('v0');
+  void rig.claim(former);
+  rig.executor('x0').isDraining = true;
+  await rig.run(ageMs);
+  former.store.faults.isRefusing = true;
+  rig.executor('x0').isDraining = false;
+  rig.executor('x1').isDraining = true;
+  for (const {id} of rig.executors) rig.listNow(id);
+  const next = rig.newNode('v1');
+  void rig.claim(next);
+  await rig.run(200);
+  return {rig, former, next};
+}
+
+/** The former owner starts a task on x1, which the next one cannot reach. */
+async function startUnseen(rig: Rig, former: CellNode, next: CellNode) {
+  next.unreachable.add('x1');
+  rig.submit('job', [STEP], [former, next]);
+  await rig.startAfterRestart(former, 'x1');
+  assert.is(rig.executor('x1').runs.size, 1);
+}
+
+/** The task is started elsewhere when it can run on x1 no more. */
+async function checkWait(rig: Rig) {
+  await rig.run(RECOVERY_MS);
+  assert.equal(rig.checker.violations, []);
+  assert.is(rig.executor('x0').runs.size, 1);
 }
 
 wallClock.run();
