Log why a VM does not hear of a configuration, and since when

topicReadFailed tells the offset, the age of the last complete read and the bytes that arrived; configBehind that a peer has a newer version, and for how long; configApplied the size and the lag. Gauges config_version, config_lag_ms and config_read_age_ms. No decision changes.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -79,7 +79,7 @@
     this.jobs = new JobsFollower(
       store,
       clock,
-      {pauseMs: JOBS_READ_INTERVAL_MS, onProgress},
+      {pauseMs: JOBS_READ_INTERVAL_MS, onProgress, log},
       skipInvalid(log, record => this.applyJobsRecord(record)),
     );
     this.progress = new ProgressLoad(store, clock, deps.writer, onProgress);
@@ -91,6 +91,7 @@
         pauseMs: EXECUTORS_READ_INTERVAL_MS,
         waitMs: 0,
         onProgress,
+        log,
       },
       skipInvalid(log, record => this.applyExecutorRecord(record)),
       ids => this.markUnlistedExcept(ids),
--- a/packages/cell/src/config-feed.ts
+++ b/packages/cell/src/config-feed.ts
@@ -3,6 +3,7 @@
 import {keepRunning, skipInvalid} from './background.js';
 import {ClosedDomains, type DomainClosure} from './evacuation/index.js';
 import {Follower} from './follower.js';
+import {ConfigLag} from './following/index.js';
 import type {Members} from './members.js';
 import type {OwnerAddress} from './ownership.js';
 import type {LogFunction, Platform} from './platform.js';
@@ -13,6 +14,8 @@
 const CONFIG_READ_WAIT_MS = 1000;
 /** Timeout of a request to a peer for its configuration, in ms. */
 const CONFIG_ASK_TIMEOUT_MS = 800;
+/** A newer version that is not applied within this time is logged, in ms. */
+const LAG_REPORT_MS = 2000;
 
 /** Where a configuration came from. */
 type ConfigSource = 'store' | 'peer';
@@ -44,13 +47,21 @@
   readonly closedDomains = new ClosedDomains();
   private readonly follower: Follower;
   private isRequesting = false;
+  private readonly lag: ConfigLag;
+  private lagReportedMs = -Infinity;
 
   constructor(private readonly deps: ConfigFeedDeps) {
     const {platform, store, clock, log} = deps;
+    this.lag = new ConfigLag(clock);
     this.follower = new Follower(
       store,
       clock,
-      {topic: platform.operatorTopic, pauseMs: 0, waitMs: CONFIG_READ_WAIT_MS},
+      {
+        topic: platform.operatorTopic,
+        pauseMs: 0,
+        waitMs: CONFIG_READ_WAIT_MS,
+        log,
+      },
       skipInvalid(log, record => this.applyStored(record)),
       keys => this.openDeleted(keys),
     );
@@ -86,6 +97,32 @@
     return this.value;
   }
 
+  /** How long a newer version has been known, in ms; 0 if none is. */
+  get lagMs(): number {
+    return this.lag.lagMs;
+  }
+
+  /**
+   * Time since the operator's topic was known to be read to its end, in ms; -1
+   * before that.
+   */
+  get readAgeMs(): number {
+    const {freshMs} = this.follower;
+    if (freshMs === -Infinity) return -1;
+    return Math.round(this.deps.clock.monotonicMs() - freshMs);
+  }
+
+  /** Learns the version of a peer, and requests it if it is newer. */
+  async recordPeerVersion(
+    address: OwnerAddress,
+    version: number,
+  ): Promise<void> {
+    if (version <= this.version) return;
+    this.lag.recordPeer(version);
+    this.reportLag(address, version);
+    await this.requestFromPeer(address);
+  }
+
   /** Requests the configuration of a peer that has a newer one. */
   async requestFromPeer(address: OwnerAddress): Promise<void> {
     const connection = this.deps.members.connectionTo(address);
@@ -98,12 +135,32 @@
       const record = {key: 'config', value: reply.value, offset: -1};
       this.applyRecord(record, 'peer');
     } catch (err) {
-      this.deps.log('configAskFailed', {peer: address.vm, err: String(err)});
+      const {version} = this;
+      const fields = {peer: address.vm, version, err: String(err)};
+      this.deps.log('configAskFailed', fields);
     } finally {
       this.isRequesting = false;
     }
   }
 
+  private reportLag({vm: peer}: OwnerAddress, peerVersion: number): void {
+    const {version, lagMs, readAgeMs} = this;
+    const nowMs = this.deps.clock.monotonicMs();
+    if (lagMs < LAG_REPORT_MS || nowMs - this.lagReportedMs < LAG_REPORT_MS) {
+      return;
+    }
+    this.lagReportedMs = nowMs;
+    const {offset} = this.follower.position;
+    this.deps.log('configBehind', {
+      version,
+      peer,
+      peerVersion,
+      lagMs: Math.round(lagMs),
+      readAgeMs,
+      offset,
+    });
+  }
+
   private applyStored(record: StoredRecord): void {
     const closure = this.deps.platform.decodeDomainClosure(record);
     if (closure === null) return this.applyRecord(record, 'store');
@@ -123,9 +180,13 @@
     if (config === null || config.version <= this.version) return;
     this.config = config;
     this.value = record.value;
+    const lagMs = Math.round(this.lag.lagMs);
+    this.lag.recordApplied(config.version);
     this.deps.log('configApplied', {
       version: config.version,
       source,
+      lagMs,
+      bytes: record.value.length,
       queues: config.queues.length,
       keys: config.keys.size,
     });
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -1,5 +1,7 @@
 /** Follows a keyed topic: the newest record of each key, then new records. */
 import type {Clock} from '@dragonflyward/common';
+import {ReadFailures, type ReadPosition} from './following/index.js';
+import type {LogFunction} from './platform.js';
 import {Signal} from './signal.js';
 import {
   StoreError,
@@ -26,6 +28,8 @@
   readonly waitMs: number;
   /** Called when more of a load has arrived. */
   readonly onProgress?: () => void;
+  /** Receives a line for failed reads, at most one in 2 s. */
+  readonly log?: LogFunction;
 }
 
 /** Follows one topic until it is stopped. */
@@ -42,6 +46,7 @@
   private readonly loadedOffsets = new Map<string, number>();
   private isStopped = false;
   private readonly pause: Signal;
+  private readonly failures: ReadFailures;
 
   constructor(
     private readonly store: Store,
@@ -53,6 +58,8 @@
       undefined,
   ) {
     this.pause = new Signal(clock);
+    const {topic, log = () => undefined} = options;
+    this.failures = new ReadFailures(topic, clock, log);
     this.topicLoad = this.newLoad();
   }
 
@@ -77,6 +84,12 @@
     this.onReload(new Set(this.loadedOffsets.keys()));
     this.freshMs = this.tailReadMs;
     this.isLoaded = true;
+    this.failures.recordSuccess();
+  }
+
+  /** How far the topic was read. */
+  get position(): ReadPosition {
+    return {offset: this.nextOffset, freshMs: this.freshMs};
   }
 
   /** Describes the last load for the log. */
@@ -93,6 +106,7 @@
         await this.pause.wait(this.options.pauseMs);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
+        this.failures.record(err, this.position);
         await this.clock.sleep(RETRY_DELAY_MS);
       }
     }
@@ -137,6 +151,7 @@
     const sentMs = this.clock.monotonicMs();
     const page = await this.readTail(waitMs);
     if (this.isStopped) return false;
+    this.failures.recordSuccess();
     for (const record of page.records) this.applyTail(record);
     const last = page.records.at(-1);
     if (last !== undefined) this.nextOffset = last.offset + 1;
--- a/packages/cell/src/jobs-follower.ts
+++ b/packages/cell/src/jobs-follower.ts
@@ -18,6 +18,8 @@
   readonly pauseMs: number;
   /** Called when more of a load has arrived. */
   readonly onProgress?: () => void;
+  /** Receives a line for failed reads of a topic, at most one in 2 s. */
+  readonly log?: LogFunction;
 }
 
 /** Runs one follower for each jobs topic. */
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -80,13 +80,13 @@
     const jobs = new JobsFollower(
       store,
       clock,
-      {pauseMs: READ_INTERVAL_MS},
+      {pauseMs: READ_INTERVAL_MS, log},
       skipInvalid(log, record => this.applyJobRecord(record)),
     );
     const progress = new Follower(
       store,
       clock,
-      {topic: PROGRESS_TOPIC, pauseMs: READ_INTERVAL_MS, waitMs: 0},
+      {topic: PROGRESS_TOPIC, pauseMs: READ_INTERVAL_MS, waitMs: 0, log},
       skipInvalid(log, record => this.applyProgressRecord(record)),
     );
     jobs.run(log);
--- a/packages/cell/src/vm.ts
+++ b/packages/cell/src/vm.ts
@@ -114,6 +114,9 @@
       },
       onClosure: (closure, offset) => this.applyClosure(closure, offset),
     });
+    metrics.gauge('config_version', () => this.config.version);
+    metrics.gauge('config_lag_ms', () => this.config.lagMs);
+    metrics.gauge('config_read_age_ms', () => this.config.readAgeMs);
     metrics.gauge(
       'closed_domains',
       () => this.config.closedDomains.list.length,
@@ -337,13 +340,11 @@
     if (!isHeartbeat(heartbeat)) return raise('badRequest', 'not a heartbeat');
     this.members.recordHeartbeat(from.self.vm, heartbeat);
     this.election.recordHeartbeat(from.self, heartbeat);
-    if (heartbeat.configVersion > this.config.version) {
-      runInBackground(
-        'configRequest',
-        this.config.requestFromPeer(from.self),
-        this.deps.log,
-      );
-    }
+    runInBackground(
+      'configRequest',
+      this.config.recordPeerVersion(from.self, heartbeat.configVersion),
+      this.deps.log,
+    );
   }
 
   private handleJobRows(notice: JobsNotice): void {
