Reproduce a large configuration that does not reach a small VM

Callers saw requests handled by version 9 of the configuration 6 to 21 s after version 14 was acknowledged.

toStorePeer is exported for it, and takes a name and a connection.

--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -327,7 +327,9 @@
       Number(this.ageMs(heartbeatAt) >= MAX_PEER_SILENCE_MS) * 2 +
       Number(address.vm !== this.owner?.vm);
     usable.sort((a, b) => rank(a) - rank(b));
-    return usable.map(toStorePeer);
+    return usable.map(({address, connection}) =>
+      toStorePeer(address.vm, connection),
+    );
   }
 
   /** Returns the owner, if it is connected, and how long its calls take. */
@@ -335,7 +337,8 @@
     for (const member of this.connected()) {
       const {address, storeMs, isStoreOk} = member;
       if (address.vm !== this.owner?.vm || !isStoreOk) continue;
-      return {peer: toStorePeer(member), callMs: storeMs};
+      const peer = toStorePeer(address.vm, member.connection);
+      return {peer, callMs: storeMs};
     }
     return null;
   }
@@ -364,9 +367,15 @@
   return {vm: `${ip}:${port}`, ip, port};
 }
 
-function toStorePeer({address, connection}: Member): StorePeer {
+/**
+ * Returns a VM as a peer that makes store calls.
+ *
+ * @example
+ * const page = await toStorePeer(vm, connection).callStore(call, timeoutMs);
+ */
+export function toStorePeer(vm: string, connection: CellConnection): StorePeer {
   return {
-    vm: address.vm,
+    vm,
     callStore: async (
       call: StoreCall,
       timeoutMs: number,
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -206,9 +206,11 @@
   constructor(
     readonly memory: MemoryStore,
     private readonly clock: Clock,
+    /** What the client receives takes a link of its own if missing. */
+    link?: NarrowLink,
   ) {
     super();
-    this.link = new NarrowLink(clock, () => this.faults.linkBytesPerS);
+    this.link = link ?? new NarrowLink(clock, () => this.faults.linkBytesPerS);
   }
 
   override get limits(): StoreLimits {
@@ -236,7 +238,11 @@
     return memory.append(topic, records, options);
   }
 
-  override async read(topic: string, from: number): Promise<LogPage> {
+  override async read(
+    topic: string,
+    from: number,
+    waitMs = 0,
+  ): Promise<LogPage> {
     await this.simulateCall();
     const {log, first} = this.memory.topic(topic);
     if (from < first) throw new StoreError('expired', topic);
@@ -244,7 +250,8 @@
     const newer = log.slice(start, start + this.faults.maxPageRecords);
     const records = [...firstBytes(newer, READ_PAGE_BYTES)];
     const endOffset = first + log.length;
-    await this.link.carry(pageWireBytes(records), IN_TOTAL);
+    const totalMs = IN_TOTAL.totalMs + waitMs;
+    await this.link.carry(pageWireBytes(records), {...IN_TOTAL, totalMs});
     return {endOffset, records};
   }
 
