Let a read of new records take as long as data arrives

Small VMs kept an old configuration: a read of the operator's topic had 2.5 s for its whole response, and after 1.25 s up to three copies of it were read through peers, without a look at whether it was arriving. A configuration of 616 KB takes a link of 7 Mbit/s for 0.7 s alone; with the copies, none arrived, and each retry began anew.

Loads of a topic were bounded by silence already, reads of its tail were not.

--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -143,10 +143,20 @@
     return page.endOffset;
   }
 
-  override read(topic: string, from: number, waitMs: number): Promise<LogPage> {
+  override read(
+    topic: string,
+    from: number,
+    waitMs: number,
+    onData: (bytes: number) => void = () => undefined,
+  ): Promise<LogPage> {
     const call = {op: 'read', topic, from} as const;
-    const direct = () => this.direct.read(topic, from, waitMs);
-    return this.execute(call, direct, waitMs);
+    let hasBegun = false;
+    const onDirectData = (bytes: number): void => {
+      hasBegun = true;
+      onData(bytes);
+    };
+    const direct = () => this.direct.read(topic, from, waitMs, onDirectData);
+    return this.execute(call, direct, waitMs, () => hasBegun);
   }
 
   override newest(topic: string): Promise<LogPage> {
@@ -219,6 +229,7 @@
     call: StoreCall,
     direct: () => Promise<LogPage>,
     waitMs = 0,
+    hasBegun: () => boolean = () => false,
   ): Promise<LogPage> {
     const peers = this.usablePeers();
     if (peers.length === 0) return this.callDirect(direct, waitMs);
@@ -228,22 +239,25 @@
       if (relayed.err.failure !== 'refused') throw relayed.err;
       return this.callDirect(direct, waitMs);
     }
-    return this.callHedged(call, peers, direct, waitMs);
+    return this.callHedged(call, peers, direct, waitMs, hasBegun);
   }
 
-  /** Calls directly, and through a peer if that fails or takes long. */
+  /** Calls directly, and through a peer if that fails or does not begin. */
   private async callHedged(
     call: StoreCall,
     peers: readonly StorePeer[],
     direct: () => Promise<LogPage>,
     waitMs: number,
+    hasBegun: () => boolean,
   ): Promise<LogPage> {
     const first = this.settle(this.callDirect(direct, waitMs));
     const scaledMs = HEDGE_LATENCY_FACTOR * this.latencyMs;
     const hedgeMs =
       waitMs + Math.max(MIN_HEDGE_MS, Math.min(MAX_HEDGE_MS, scaledMs));
     const timeout = this.clock.sleep(hedgeMs).then(() => null);
-    const result = await Promise.race([first, timeout]);
+    let result = await Promise.race([first, timeout]);
+    // A copy of a response that arrives would take its share of the link.
+    if (result === null && hasBegun()) result = await first;
     if (result !== null) {
       if ('page' in result) return result.page;
       if (isDefinitive(result.err.failure)) throw result.err;
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -94,11 +94,22 @@
   ): Promise<number>;
 
   /**
-   * Reads records from an offset on; waits for one if there is none yet.
+   * Reads records from an offset on; waits for one if there is none yet. One
+   * record may be longer than the platform's pages, so once the response has
+   * begun, it may take as long as data arrives.
    *
+   * @param onData called with 0 when the response begins, then with the size
+   *     of each part that arrives
    * @throws StoreError
+   * @example
+   * const {records} = await store.read('keyed.config', 17, 1000);
    */
-  abstract read(topic: string, from: number, waitMs: number): Promise<LogPage>;
+  abstract read(
+    topic: string,
+    from: number,
+    waitMs: number,
+    onData?: (bytes: number) => void,
+  ): Promise<LogPage>;
 
   /**
    * Reads the newest record of each key of a small topic. Records that are
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -227,6 +227,28 @@
   assert.is(err.failure, 'unknown');
 });
 
+// The copies shared the link with the response, and none arrived in time.
+store('sends no copy of a read whose response arrives', async () => {
+  const {clock, memory, client} = newFixture();
+  const own = client();
+  own.faults.linkBytesPerS = 2000;
+  const value = new Uint8Array(1500);
+  memory.append('keyed.t', [{key: 'k', value}], {});
+  const peer = peerOf(client());
+  let calls = 0;
+  const counted: StorePeer = {
+    ...peer,
+    callStore: (call, timeoutMs) => {
+      calls += 1;
+      return peer.callStore(call, timeoutMs);
+    },
+  };
+  const relayed = new RelayedStore(own, () => [counted], clock);
+  const page = await settle(clock, relayed.read('keyed.t', 0, 0));
+  assert.is((page as LogPage).records.length, 1);
+  assert.is(calls, 0);
+});
+
 // The first peer was cut off as well, which its connection did not show yet.
 store('asks the next peer before the first one has timed out', async () => {
   const {clock, memory, client} = newFixture();
