Ask no peer for a configuration that the store sends

On a link of 7 Mbit/s the two took 1.4 s, the ask to the peer ended after 0.8 s, and the next heartbeat began another one while the first was still arriving.

A peer is asked only while no records arrive from the store, and 0.4 s after the version became known; at once by a VM that has none. A version that the store does not deliver comes up to a heartbeat later than before.

Failed before: 'asks no peer for what the store sends'.

--- a/packages/cell/src/config-feed.ts
+++ b/packages/cell/src/config-feed.ts
@@ -14,6 +14,8 @@
 const CONFIG_READ_WAIT_MS = 1000;
 /** Timeout of a request to a peer for its configuration, in ms. */
 const CONFIG_ASK_TIMEOUT_MS = 800;
+/** A peer is asked for what the store has not begun to send by then, in ms. */
+const CONFIG_ASK_DELAY_MS = 400;
 /** A newer version that is not applied within this time is logged, in ms. */
 const LAG_REPORT_MS = 2000;
 
@@ -112,7 +114,10 @@
     return Math.round(this.deps.clock.monotonicMs() - freshMs);
   }
 
-  /** Learns the version of a peer, and requests it if it is newer. */
+  /**
+   * Learns the version of a peer, and requests it if it is newer and the store
+   * does not send it: two copies would share the link.
+   */
   async recordPeerVersion(
     address: OwnerAddress,
     version: number,
@@ -120,6 +125,7 @@
     if (version <= this.version) return;
     this.lag.recordPeer(version);
     this.reportLag(address, version);
+    if (this.follower.isReceiving || this.isJustKnown) return;
     await this.requestFromPeer(address);
   }
 
@@ -143,6 +149,11 @@
     }
   }
 
+  /** The read that waits in the store may be about to return. */
+  private get isJustKnown(): boolean {
+    return this.config !== null && this.lag.lagMs < CONFIG_ASK_DELAY_MS;
+  }
+
   private reportLag({vm: peer}: OwnerAddress, peerVersion: number): void {
     const {version, lagMs, readAgeMs} = this;
     const nowMs = this.deps.clock.monotonicMs();
--- a/packages/cell/src/follower.ts
+++ b/packages/cell/src/follower.ts
@@ -45,6 +45,7 @@
   /** Offsets of the records of a load until the tail has passed them. */
   private readonly loadedOffsets = new Map<string, number>();
   private isStopped = false;
+  private isTailArriving = false;
   private readonly pause: Signal;
   private readonly failures: ReadFailures;
 
@@ -87,6 +88,11 @@
     this.failures.recordSuccess();
   }
 
+  /** Whether records are arriving. */
+  get isReceiving(): boolean {
+    return this.isTailArriving || this.topicLoad.isReceiving;
+  }
+
   /** How far the topic was read. */
   get position(): ReadPosition {
     return {offset: this.nextOffset, freshMs: this.freshMs};
@@ -166,12 +172,17 @@
 
   private async readTail(waitMs: number): Promise<LogPage> {
     const {topic} = this.options;
+    const onData = (): void => {
+      this.isTailArriving = true;
+    };
     try {
-      return await this.store.read(topic, this.nextOffset, waitMs);
+      return await this.store.read(topic, this.nextOffset, waitMs, onData);
     } catch (err) {
       const isExpired = err instanceof StoreError && err.failure === 'expired';
       if (isExpired) this.restart();
       throw err;
+    } finally {
+      this.isTailArriving = false;
     }
   }
 
--- a/packages/cell/src/topic-load.ts
+++ b/packages/cell/src/topic-load.ts
@@ -32,6 +32,8 @@
   /** When the first page was requested; older records are read by the end. */
   sentMs = -Infinity;
   isComplete = false;
+  /** Whether a page is arriving. */
+  isReceiving = false;
   private after = '';
   private readonly counts = {
     pages: 0,
@@ -111,6 +113,7 @@
     try {
       const onData = (part: number): void => {
         if (Number.isNaN(begunMs)) begunMs = clock.monotonicMs();
+        this.isReceiving = true;
         bytes += part;
         this.recordBytes(part, bytes);
       };
@@ -122,6 +125,7 @@
       this.err = err.message;
       throw err;
     } finally {
+      this.isReceiving = false;
       const endMs = clock.monotonicMs();
       const waitedMs = Number.isNaN(begunMs) ? endMs : begunMs;
       counts.waitMs += waitedMs - sentMs;
