Ask one peer for a response that arrives

A VM that the store turns away read each record through its three first peers within 0.25 s, however long it was, and received all copies to their end; so it did where direct calls were slow. A large configuration took three times its share of a narrow link.

The next peer is asked only while the first has sent nothing, and once a copy is complete the others are ended. The request of a configuration to a peer is ended by its arrival from the store.

--- a/packages/cell/src/config-feed.ts
+++ b/packages/cell/src/config-feed.ts
@@ -48,7 +48,8 @@
   /** The failure domains in which no task may start. */
   readonly closedDomains = new ClosedDomains();
   private readonly follower: Follower;
-  private isRequesting = false;
+  /** Ends the request to a peer; null while there is none. */
+  private request: AbortController | null = null;
   private readonly lag: ConfigLag;
   private lagReportedMs = -Infinity;
 
@@ -132,20 +133,23 @@
   /** Requests the configuration of a peer that has a newer one. */
   async requestFromPeer(address: OwnerAddress): Promise<void> {
     const connection = this.deps.members.connectionTo(address);
-    if (connection === undefined || this.isRequesting) return;
-    this.isRequesting = true;
+    if (connection === undefined || this.request !== null) return;
+    const request = new AbortController();
+    const {signal} = request;
+    this.request = request;
     try {
-      const timeoutMs = CONFIG_ASK_TIMEOUT_MS;
-      const reply = await connection.ask({type: 'configAsk'}, timeoutMs);
+      const ask = {type: 'configAsk'} as const;
+      const reply = await connection.ask(ask, CONFIG_ASK_TIMEOUT_MS, {signal});
       if (reply.type !== 'config' || reply.value.length === 0) return;
       const record = {key: 'config', value: reply.value, offset: -1};
       this.applyRecord(record, 'peer');
     } catch (err) {
+      if (signal.aborted) return;
       const {version} = this;
       const fields = {peer: address.vm, version, err: String(err)};
       this.deps.log('configAskFailed', fields);
     } finally {
-      this.isRequesting = false;
+      this.request = null;
     }
   }
 
@@ -174,7 +178,11 @@
 
   private applyStored(record: StoredRecord): void {
     const closure = this.deps.platform.decodeDomainClosure(record);
-    if (closure === null) return this.applyRecord(record, 'store');
+    if (closure === null) {
+      this.applyRecord(record, 'store');
+      if (this.lagMs === 0) this.request?.abort();
+      return;
+    }
     if (!this.closedDomains.apply(closure, record)) return;
     this.deps.onClosure(closure, record.offset);
   }
--- a/packages/cell/src/members.ts
+++ b/packages/cell/src/members.ts
@@ -4,6 +4,7 @@
   listenPeers,
   PeerHandler,
   PeerMesh,
+  type AskOptions,
   type PeerConnection,
   type PeerInfo,
 } from '@dragonflyward/peer';
@@ -379,8 +380,10 @@
     callStore: async (
       call: StoreCall,
       timeoutMs: number,
+      options?: AskOptions,
     ): Promise<StoreReply> => {
-      const reply = await connection.ask({type: 'storeAsk', call}, timeoutMs);
+      const ask = {type: 'storeAsk', call} as const;
+      const reply = await connection.ask(ask, timeoutMs, options);
       if (reply.type !== 'store') throw new Error(`unexpected ${reply.type}`);
       return reply;
     },
--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -1,5 +1,6 @@
 /** A store client that calls through peers when direct calls fail. */
 import type {Clock} from '@dragonflyward/common';
+import type {AskOptions} from '@dragonflyward/peer';
 import {setRecent} from './recent-entries.js';
 import {
   firstSuccess,
@@ -62,9 +63,34 @@
   readonly callStore: (
     call: StoreCall,
     timeoutMs: number,
+    options?: AskOptions,
   ) => Promise<StoreReply>;
 }
 
+/** The response to a call, of which several copies may be under way. */
+class Arrival {
+  /** Whether one of them has begun to arrive. */
+  hasBegun = false;
+  private readonly aborter = new AbortController();
+
+  constructor(
+    private readonly onData: (bytes: number) => void = () => undefined,
+  ) {}
+
+  readonly record = (bytes: number): void => {
+    this.hasBegun = true;
+    this.onData(bytes);
+  };
+
+  /** Ends the copies that peers send. */
+  readonly signal = this.aborter.signal;
+
+  /** Records that one is complete: the others would go on to use the link. */
+  end(): void {
+    this.aborter.abort();
+  }
+}
+
 /** Whether records are appended without an offset and a producer. */
 export function isPlainAppend(call: StoreCall): boolean {
   return call.op === 'append' && call.at < 0 && call.producer === null;
@@ -150,13 +176,9 @@
     onData: (bytes: number) => void = () => undefined,
   ): Promise<LogPage> {
     const call = {op: 'read', topic, from} as const;
-    let hasBegun = false;
-    const onDirectData = (bytes: number): void => {
-      hasBegun = true;
-      onData(bytes);
-    };
-    const direct = () => this.direct.read(topic, from, waitMs, onDirectData);
-    return this.execute(call, direct, waitMs, () => hasBegun);
+    const arrival = new Arrival(onData);
+    const direct = () => this.direct.read(topic, from, waitMs, arrival.record);
+    return this.execute(call, direct, waitMs, arrival);
   }
 
   override newest(topic: string): Promise<LogPage> {
@@ -206,9 +228,13 @@
     peers: readonly StorePeer[],
     onData: (bytes: number) => void,
   ): Promise<Settled<NewestPage>> {
-    const reply = this.callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS);
-    const relayed = await this.settle(reply);
-    if ('page' in relayed) onData(pageSize(relayed.page));
+    const arrival = new Arrival(onData);
+    const options = {onData: arrival.record};
+    const relayed = await this.settle(
+      this.callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS, options),
+    );
+    // A short reply arrives in one piece.
+    if ('page' in relayed && !arrival.hasBegun) onData(pageSize(relayed.page));
     return relayed;
   }
 
@@ -229,17 +255,17 @@
     call: StoreCall,
     direct: () => Promise<LogPage>,
     waitMs = 0,
-    hasBegun: () => boolean = () => false,
+    arrival = new Arrival(),
   ): Promise<LogPage> {
     const peers = this.usablePeers();
     if (peers.length === 0) return this.callDirect(direct, waitMs);
     if (!this.isDirectAvailable) {
-      const relayed = await this.settle(this.callPeers(call, peers));
+      const relayed = await this.settle(this.callPeers(call, peers, arrival));
       if ('page' in relayed) return relayed.page;
       if (relayed.err.failure !== 'refused') throw relayed.err;
       return this.callDirect(direct, waitMs);
     }
-    return this.callHedged(call, peers, direct, waitMs, hasBegun);
+    return this.callHedged(call, peers, direct, waitMs, arrival);
   }
 
   /** Calls directly, and through a peer if that fails or does not begin. */
@@ -248,7 +274,7 @@
     peers: readonly StorePeer[],
     direct: () => Promise<LogPage>,
     waitMs: number,
-    hasBegun: () => boolean,
+    arrival: Arrival,
   ): Promise<LogPage> {
     const first = this.settle(this.callDirect(direct, waitMs));
     const scaledMs = HEDGE_LATENCY_FACTOR * this.latencyMs;
@@ -257,13 +283,14 @@
     const timeout = this.clock.sleep(hedgeMs).then(() => null);
     let result = await Promise.race([first, timeout]);
     // A copy of a response that arrives would take its share of the link.
-    if (result === null && hasBegun()) result = await first;
+    if (result === null && arrival.hasBegun) result = await first;
     if (result !== null) {
       if ('page' in result) return result.page;
       if (isDefinitive(result.err.failure)) throw result.err;
     }
-    const second = this.settle(this.callPeers(call, peers));
+    const second = this.settle(this.callPeers(call, peers, arrival));
     const winner = await firstSuccess(first, second);
+    arrival.end();
     if ('page' in winner) return winner.page;
     throw winner.err;
   }
@@ -282,27 +309,39 @@
   private async callPeers(
     call: StoreCall,
     peers: readonly StorePeer[],
+    arrival: Arrival,
   ): Promise<LogPage> {
     const [first, ...others] = peers;
+    const options = {signal: arrival.signal, onData: arrival.record};
+    const relay = (through: readonly StorePeer[]): Promise<Settled> =>
+      this.settle(
+        this.callThroughPeers(call, through, RELAY_TIMEOUT_MS, options),
+      );
     if (first === undefined || others.length === 0 || !mayRepeat(call)) {
-      return this.callThroughPeers(call, peers);
+      return pageOf(await relay(peers));
     }
-    const reply = this.settle(this.callThroughPeers(call, [first]));
+    const reply = relay([first]);
     const timeout = this.clock.sleep(NEXT_PEER_MS).then(() => null);
-    const result = await Promise.race([reply, timeout]);
+    let result = await Promise.race([reply, timeout]);
+    if (result === null && arrival.hasBegun) result = await reply;
     if (result !== null && isAnswered(result)) return pageOf(result);
-    const rest = this.settle(this.callThroughPeers(call, others));
-    return pageOf(await firstSuccess(reply, rest));
+    const answer = await firstSuccess(reply, relay(others));
+    arrival.end();
+    return pageOf(answer);
   }
 
   private async callThroughPeers(
     call: StoreCall,
     peers: readonly StorePeer[],
-    timeoutMs = RELAY_TIMEOUT_MS,
+    timeoutMs: number,
+    options: AskOptions = {},
   ): Promise<NewestPage> {
     let failure: StoreFailure = 'refused';
     for (const peer of peers) {
-      const reply = await requestFromPeer(peer, call, timeoutMs);
+      const reply = await requestFromPeer(peer, call, timeoutMs, options);
+      if (options.signal?.aborted === true) {
+        throw new StoreError('unknown', 'answered elsewhere');
+      }
       this.recordPeer(peer, reply);
       if (reply === null) {
         if (call.op === 'append') failure = 'unknown';
@@ -387,9 +426,10 @@
   peer: StorePeer,
   call: StoreCall,
   timeoutMs: number,
+  options: AskOptions,
 ): Promise<StoreReply | null> {
   try {
-    const reply = await peer.callStore(call, timeoutMs);
+    const reply = await peer.callStore(call, timeoutMs, options);
     return isStoreReply(reply) ? reply : null;
   } catch {
     // The end of the connection is logged elsewhere; the outcome is unknown.
--- a/packages/cell/test/store.test.ts
+++ b/packages/cell/test/store.test.ts
@@ -249,6 +249,56 @@
   assert.is(calls, 0);
 });
 
+// A VM that the store turned away read the same record through three peers.
+store('asks one peer for a response that arrives', async () => {
+  const {clock, memory, client} = newFixture();
+  const own = client();
+  own.faults.isRefusing = true;
+  memory.append('keyed.t', [{key: 'k', value: VALUE}], {});
+  let calls = 0;
+  const slow = (): StorePeer => {
+    const peer = peerOf(client());
+    return {
+      ...peer,
+      callStore: async (call, timeoutMs, options) => {
+        calls += 1;
+        options?.onData?.(1);
+        await clock.sleep(timeoutMs - 1);
+        return peer.callStore(call, timeoutMs);
+      },
+    };
+  };
+  const peers = [slow(), slow(), slow()];
+  const relayed = new RelayedStore(own, () => peers, clock);
+  const page = await settle(clock, relayed.read('keyed.t', 0, 0));
+  assert.is((page as LogPage).records.length, 1);
+  assert.is(calls, 1);
+});
+
+// The first peer did not answer; its copy used the link beside the other.
+store('ends the slower of two copies through peers', async () => {
+  const {clock, memory, client} = newFixture();
+  const own = client();
+  own.faults.isRefusing = true;
+  memory.append('keyed.t', [{key: 'k', value: VALUE}], {});
+  let isEnded = false;
+  const silent: StorePeer = {
+    vm: 'silent',
+    callStore: (_call, _timeoutMs, options) =>
+      new Promise((_resolve, reject) => {
+        options?.signal?.addEventListener('abort', () => {
+          isEnded = true;
+          reject(new Error('ended'));
+        });
+      }),
+  };
+  const peers = [silent, peerOf(client())];
+  const relayed = new RelayedStore(own, () => peers, clock);
+  const page = await settle(clock, relayed.read('keyed.t', 0, 0));
+  assert.is((page as LogPage).records.length, 1);
+  assert.is(isEnded, true);
+});
+
 // The first peer was cut off as well, which its connection did not show yet.
 store('asks the next peer before the first one has timed out', async () => {
   const {clock, memory, client} = newFixture();
