Pass on no data of a copy that came too late

A direct read that a peer has answered meanwhile may still receive its response; the follower then took the next read for one that arrives, and asked no peer for its configuration until that read ended. By reading, found in the review of this change; no test shows it.

--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -78,6 +78,8 @@
   ) {}
 
   readonly record = (bytes: number): void => {
+    // A slower copy is no sign that what the caller waits for arrives.
+    if (this.signal.aborted) return;
     this.hasBegun = true;
     this.onData(bytes);
   };
