--- a/packages/cell/src/relayed-store.ts
+++ b/packages/cell/src/relayed-store.ts
@@ -68,7 +68,7 @@
 }
 
 /** The response to a call, of which several copies may be under way. */
-class Arrival {
+class CallProgress {
   /** Whether one of them has begun to arrive. */
   hasBegun = false;
   private readonly aborter = new AbortController();
@@ -178,9 +178,9 @@
     onData: (bytes: number) => void = () => undefined,
   ): Promise<LogPage> {
     const call = {op: 'read', topic, from} as const;
-    const arrival = new Arrival(onData);
-    const direct = () => this.direct.read(topic, from, waitMs, arrival.record);
-    return this.execute(call, direct, waitMs, arrival);
+    const progress = new CallProgress(onData);
+    const direct = () => this.direct.read(topic, from, waitMs, progress.record);
+    return this.execute(call, direct, waitMs, progress);
   }
 
   override newest(topic: string): Promise<LogPage> {
@@ -230,13 +230,13 @@
     peers: readonly StorePeer[],
     onData: (bytes: number) => void,
   ): Promise<Settled<NewestPage>> {
-    const arrival = new Arrival(onData);
-    const options = {onData: arrival.record};
+    const progress = new CallProgress(onData);
+    const options = {onData: progress.record};
     const relayed = await this.settle(
       this.callThroughPeers(call, peers, BULK_RELAY_TIMEOUT_MS, options),
     );
     // A short reply arrives in one piece.
-    if ('page' in relayed && !arrival.hasBegun) onData(pageSize(relayed.page));
+    if ('page' in relayed && !progress.hasBegun) onData(pageSize(relayed.page));
     return relayed;
   }
 
@@ -257,17 +257,17 @@
     call: StoreCall,
     direct: () => Promise<LogPage>,
     waitMs = 0,
-    arrival = new Arrival(),
+    progress = new CallProgress(),
   ): Promise<LogPage> {
     const peers = this.usablePeers();
     if (peers.length === 0) return this.callDirect(direct, waitMs);
     if (!this.isDirectAvailable) {
-      const relayed = await this.settle(this.callPeers(call, peers, arrival));
+      const relayed = await this.settle(this.callPeers(call, peers, progress));
       if ('page' in relayed) return relayed.page;
       if (relayed.err.failure !== 'refused') throw relayed.err;
       return this.callDirect(direct, waitMs);
     }
-    return this.callHedged(call, peers, direct, waitMs, arrival);
+    return this.callHedged(call, peers, direct, waitMs, progress);
   }
 
   /** Calls directly, and through a peer if that fails or does not begin. */
@@ -276,7 +276,7 @@
     peers: readonly StorePeer[],
     direct: () => Promise<LogPage>,
     waitMs: number,
-    arrival: Arrival,
+    progress: CallProgress,
   ): Promise<LogPage> {
     const first = this.settle(this.callDirect(direct, waitMs));
     const scaledMs = HEDGE_LATENCY_FACTOR * this.latencyMs;
@@ -285,14 +285,14 @@
     const timeout = this.clock.sleep(hedgeMs).then(() => null);
     let result = await Promise.race([first, timeout]);
     // A copy of a response that arrives would take its share of the link.
-    if (result === null && arrival.hasBegun) result = await first;
+    if (result === null && progress.hasBegun) result = await first;
     if (result !== null) {
       if ('page' in result) return result.page;
       if (isDefinitive(result.err.failure)) throw result.err;
     }
-    const second = this.settle(this.callPeers(call, peers, arrival));
+    const second = this.settle(this.callPeers(call, peers, progress));
     const winner = await firstSuccess(first, second);
-    arrival.end();
+    progress.end();
     if ('page' in winner) return winner.page;
     throw winner.err;
   }
@@ -311,10 +311,10 @@
   private async callPeers(
     call: StoreCall,
     peers: readonly StorePeer[],
-    arrival: Arrival,
+    progress: CallProgress,
   ): Promise<LogPage> {
     const [first, ...others] = peers;
-    const options = {signal: arrival.signal, onData: arrival.record};
+    const options = {signal: progress.signal, onData: progress.record};
     const relay = (through: readonly StorePeer[]): Promise<Settled> =>
       this.settle(
         this.callThroughPeers(call, through, RELAY_TIMEOUT_MS, options),
@@ -325,10 +325,10 @@
     const reply = relay([first]);
     const timeout = this.clock.sleep(NEXT_PEER_MS).then(() => null);
     let result = await Promise.race([reply, timeout]);
-    if (result === null && arrival.hasBegun) result = await reply;
+    if (result === null && progress.hasBegun) result = await reply;
     if (result !== null && isAnswered(result)) return pageOf(result);
     const answer = await firstSuccess(reply, relay(others));
-    arrival.end();
+    progress.end();
     return pageOf(answer);
   }
 
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -91,8 +91,8 @@
   onLongQueue: () => undefined,
 };
 
-/** An ask that is being answered. */
-interface OpenAsk {
+/** An ask of the peer that is being answered. */
+interface AnsweredAsk {
   isCancelled: boolean;
 }
 
@@ -111,7 +111,7 @@
   /** Whether the peer takes parts and cancels. */
   private takesParts = false;
   /** The asks of the peer that are being answered, by id. */
-  private readonly openAsks = new Map<number, OpenAsk>();
+  private readonly answered = new Map<number, AnsweredAsk>();
 
   constructor(
     private readonly socket: net.Socket,
@@ -278,8 +278,8 @@
   }
 
   private stopAnswering(id: number): void {
-    const open = this.openAsks.get(id);
-    if (open !== undefined) open.isCancelled = true;
+    const answered = this.answered.get(id);
+    if (answered !== undefined) answered.isCancelled = true;
     this.queue.dropReply(id);
   }
 
@@ -291,8 +291,8 @@
     const {openAsks} = this.handler;
     const bytes = this.reader.frameBytes;
     if (this.isClosed || !openAsks.add(this, bytes)) return;
-    const open: OpenAsk = {isCancelled: false};
-    this.openAsks.set(id, open);
+    const answered: AnsweredAsk = {isCancelled: false};
+    this.answered.set(id, answered);
     this.askCount += 1;
     if (this.askCount === MAX_OPEN_ASKS) this.socket.pause();
     let reply: P['reply'] | FailureReply;
@@ -303,9 +303,9 @@
     }
     openAsks.remove(this, bytes);
     this.askCount -= 1;
-    if (this.openAsks.get(id) === open) this.openAsks.delete(id);
+    if (this.answered.get(id) === answered) this.answered.delete(id);
     if (this.isClosed) return;
-    if (!open.isCancelled) this.sendReply(id, reply);
+    if (!answered.isCancelled) this.sendReply(id, reply);
     if (this.askCount < MAX_OPEN_ASKS) this.socket.resume();
   }
 
