--- a/review/standin-2/cell.mjs
+++ b/review/standin-2/cell.mjs
@@ -17,7 +17,10 @@
 import {Advice, Executor, Store} from './platform.mjs';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+/** Zones of the VMs, each in a region of its own. */
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+/** A zone without VMs, in a region of its own. */
+export const FAR_ZONE = 'zone-d';
 export const HOST = 'site.example';
 export const KEY = 'key-one';
 
@@ -136,7 +139,7 @@
       `ip-address=${ip}`,
       `zone=${zone}`,
       `region=${zone}`,
-      ...ZONES.map(each => `zones.${each}=${each}`),
+      ...[...ZONES, FAR_ZONE].map(each => `zones.${each}=${each}`),
       `listen-addresses.frontend=${ip}:8686`,
       `listen-addresses.ready=${ip}:8689`,
       `listen-addresses.control=${ip}:8688`,
