review: case 8, a VM answers 410 for accepted jobs as a new owner begins to act

Seen: while a new owner loads its state for over 2 s, other VMs answer callers from the store; one that has read the jobs and still reads their progress loses the rows of completed jobs to the owner's first update, and then answers that there are no such jobs.

--- a/review/standin-2/cell.mjs
+++ b/review/standin-2/cell.mjs
@@ -87,9 +87,10 @@
     return executor;
   }
 
-  addVm() {
+  /** @param size what differs from the other VMs */
+  addVm(size = {}) {
     const i = this.vms.length;
-    const vm = new VmProcess(this, i);
+    const vm = new VmProcess(this, i, size);
     this.vms.push(vm);
     return vm;
   }
@@ -116,8 +117,10 @@
 
 /** The process of one VM. */
 class VmProcess {
-  constructor(cell, i) {
+  constructor(cell, i, {cpuShare = 0.675, linkMbps = 1000}) {
     this.cell = cell;
+    this.cpuShare = cpuShare;
+    this.linkMbps = linkMbps;
     this.name = `frontend-${ZONES[i % ZONES.length]}-${1 + i}`;
     this.ip = `${cell.net}.${10 + i}`;
     this.zone = ZONES[i % ZONES.length];
@@ -147,11 +150,11 @@
       `seeds=${seeds.join(',')}`,
       'bootstrap=true',
       'loss-counts=false',
-      'limits.cpu-share=0.675',
+      `limits.cpu-share=${this.cpuShare}`,
       'limits.cores=1',
       'limits.memory-mb=350',
       'limits.file-descriptors=4100',
-      'limits.link-mbps=1000.0',
+      `limits.link-mbps=${this.linkMbps.toFixed(1)}`,
       'limits.disk-mb=0',
       'discovery=platform',
       'entry=virtual_ip',
