Show jobs as running once an executor has started a task

Cause: `CellState.startTask` set the phase when a start was decided, before the executor had answered, and published it; nothing took it back after a refusal. Ruled out: taking it back, since tables pass over rows that go from `running` to `queued`, and the owner may be lost before the answer.

A job is `running` once an executor has answered a start, or lists a run or an end of a task. Phases are published as they change, not in rounds, which an owner without a lease for starts skips. Stored progress says `queued` of a job that has not begun.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -362,7 +362,24 @@
     task.percent = 100;
     if (isSuspect(task)) this.crashes.watchStart(task);
     this.place(task, executor);
-    const {job} = task.step.occurrence;
+  }
+
+  /**
+   * Records that an executor has answered a start or lists the run. Where the
+   * run is being stopped by now, the answer to the stop counts.
+   */
+  recordStarted(task: TaskState, nowMs: number): void {
+    this.recordBegun(task.step.occurrence.job);
+    if (task.phase !== 'starting') return;
+    task.phase = 'running';
+    task.answeredMs = nowMs;
+  }
+
+  /**
+   * Records that an executor has started a task of the job, whatever has become
+   * of that run since. A start that was only decided may still be refused.
+   */
+  recordBegun(job: JobState): void {
     if (job.phase !== 'queued') return;
     job.phase = 'running';
     job.visiblePhase = 'running';
@@ -392,12 +409,7 @@
     task.answeredMs = nowMs;
     if (isSuspect(task)) this.crashes.watchStart(task);
     this.place(task, executor);
-    const {job} = task.step.occurrence;
-    if (job.phase === 'queued') {
-      job.phase = 'running';
-      job.visiblePhase = 'running';
-      this.listener.onPhaseChange(job);
-    }
+    this.recordBegun(task.step.occurrence.job);
   }
 
   /**
@@ -438,7 +450,9 @@
   ): void {
     const countedFor = this.taskToCount(orphan.task);
     addOrphan(executor, {...orphan, countedFor});
-    if (countedFor !== null) this.addUsage(countedFor, 1);
+    if (countedFor === null) return;
+    this.addUsage(countedFor, 1);
+    this.recordBegun(countedFor.step.occurrence.job);
   }
 
   /** Finds the task of a run that uses resources, also of one that is over. */
@@ -475,6 +489,7 @@
     this.dropOrphan(executor, end.task, end.run);
     const task = this.findTaskByName(end.task);
     if (task === undefined) return;
+    this.recordBegun(task.step.occurrence.job);
     const isCurrent = task.executor === executor && task.run === end.run;
     if (isCurrent) this.unplace(task);
     if (task.phase === 'done') return;
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -176,6 +176,9 @@
     if (!this.isClosed && isSameProcess) {
       recordClock(executor, reply.clockMs, clock.monotonicMs());
     }
+    if (reply.failure === null) {
+      this.host.state.recordBegun(task.step.occurrence.job);
+    }
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.handleStarted(task);
     else this.handleStartFailure(task, reply, obstacle);
@@ -404,10 +407,7 @@
 
   private handleStarted(task: TaskState): void {
     this.executor.missedRenewals = 0;
-    // Where the run is being stopped by now, the answer to the stop counts.
-    if (task.phase !== 'starting') return;
-    task.answeredMs = this.host.clock.monotonicMs();
-    task.phase = 'running';
+    this.host.state.recordStarted(task, this.host.clock.monotonicMs());
   }
 
   private handleStartFailure(
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -143,10 +143,7 @@
     usage: number,
     nowMs: number,
   ): void {
-    if (task.phase === 'starting') {
-      task.phase = 'running';
-      task.answeredMs = nowMs;
-    }
+    this.host.state.recordStarted(task, nowMs);
     task.percent = percent;
     task.usage = usage;
     this.host.state.recordCheckpoint(task, checkpoint);
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -121,6 +121,7 @@
   /** The occurrences in memory, by index: those that are near and not done. */
   readonly occurrences: Map<number, OccurrenceState>;
   readonly doneOccurrences: IndexRanges;
+  /** `running` from when an executor has started one of its tasks. */
   phase: JobPhase;
   /** The phase shown to callers: final phases only once they are stored. */
   visiblePhase: JobPhase;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -108,7 +108,6 @@
   private readonly formerOwnerRuns: FormerOwnerRuns;
   private readonly silentExecutors: SilentExecutors;
   private readonly runtimeMonitor: RuntimeMonitor;
-  private readonly phaseChanges = new Set<JobState>();
   private readonly claimedMs: number;
   private firstStarts: FirstStarts | null = null;
   private isActive = false;
@@ -194,7 +193,7 @@
   private createState(): CellState {
     return new CellState(this.deps.ownership.term, {
       onProgress: job => this.commit.addJob(job),
-      onPhaseChange: job => this.recordPhaseChange(job),
+      onPhaseChange: job => this.recordPhase(job),
       onStop: ({executor}) =>
         this.loops.get(executor?.info.id ?? '')?.sendStops(),
       onOrphan: ({info}) => this.loops.get(info.id)?.sendStops(),
@@ -222,7 +221,9 @@
       writer,
       formerOwnerRuns,
       onJob: job => {
-        if (this.isActive) this.recordPhaseChange(job);
+        if (!this.isActive) return;
+        this.recordPhase(job);
+        this.requestRound();
       },
       onCancel: () => this.requestRound(),
       onNewExecutor: executor => {
@@ -515,10 +516,14 @@
     return ownership.isConfirmedWithin(boundMs) || isConnectedToAll();
   }
 
-  private recordPhaseChange(job: JobState): void {
-    if (isFinal(job.phase)) this.commit.addJob(job);
-    else this.phaseChanges.add(job);
-    this.requestRound();
+  /** Publishes the phase of a job; a final one is stored before that. */
+  private recordPhase(job: JobState): void {
+    if (isFinal(job.phase)) {
+      this.commit.addJob(job);
+      this.requestRound();
+    } else if (this.isActive) {
+      this.deps.publish([toRow(job)]);
+    }
   }
 
   /** Schedules a round unless one is already due. */
@@ -569,7 +574,6 @@
     this.roundMs = clock.monotonicMs() - nowMs;
     this.rounds.add(this.roundMs, nowMs - dueMs);
     metrics.record('round_us', this.roundMs * 1000);
-    this.publishPhases();
   }
 
   private carryOutStart({tasks}: StartDecision, nowMs: number): void {
@@ -632,13 +636,6 @@
     runInBackground('start', loop.start(task, ticket), this.deps.log);
   }
 
-  private publishPhases(): void {
-    if (this.phaseChanges.size === 0) return;
-    const rows = [...this.phaseChanges].map(toRow);
-    this.phaseChanges.clear();
-    this.deps.publish(rows);
-  }
-
   private async tickLoop(): Promise<void> {
     while (!this.isClosed) {
       await this.deps.clock.sleep(TICK_INTERVAL_MS);
--- a/packages/cell/src/progress-records.ts
+++ b/packages/cell/src/progress-records.ts
@@ -112,7 +112,7 @@
   }
   for (const [part, own] of byPart) {
     const key = partKey(job, `${job.partCount}.${part}`);
-    yield {key, value: encodePart(own)};
+    yield {key, value: encodePart(job, own)};
   }
 }
 
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -165,8 +165,11 @@
 }
 
 /** Encodes a part of a job's progress. */
-export function encodePart(steps: readonly StepRow[]): Uint8Array {
-  const record: ProgressRecord = {phase: 'running', steps};
+export function encodePart(
+  {phase}: JobState,
+  steps: readonly StepRow[],
+): Uint8Array {
+  const record: ProgressRecord = {phase, steps};
   return encode(record);
 }
 
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -160,8 +160,7 @@
     if (!key.startsWith(PROGRESS_PREFIX) || value.length === 0) return;
     const {jobId: id, part} = parseProgressKey(key);
     if (part !== '') return;
-    const stored = decodePhase(value);
-    const phase = isFinal(stored) ? stored : 'running';
+    const phase = decodePhase(value);
     if (!this.setPhase(id, phase)) this.earlyPhases.set(id, phase);
   }
 
--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -85,6 +85,8 @@
   isDown = false;
   /** Whether connections are refused while it is down: no process listens. */
   isRefusing = false;
+  /** Whether starts are refused, and nothing else is. */
+  isGrey = false;
   /** Number of next orders that get no answer and are carried out late. */
   delayedOrders = 0;
   /** Delay of such orders. */
@@ -207,6 +209,7 @@
   }
 
   start(order: StartOrder): OrderFailure | null {
+    if (this.isGrey) return 'unhealthy';
     if (order.token < this.token) return 'fenced';
     this.token = order.token;
     if (Number.isNaN(order.leaseUntilMs)) return 'badOrder';
--- a/packages/cell/test/invariants.ts
+++ b/packages/cell/test/invariants.ts
@@ -3,6 +3,7 @@
   addAmounts,
   NOTHING_RESERVED,
   subtractAmounts,
+  type JobRow,
   type ResourceAmounts,
   type RunOutcome,
   type StartOrder,
@@ -98,6 +99,13 @@
     this.ackedFailed.set(task, failed);
   };
 
+  /** Checks what a VM shows of a job against what executors have started. */
+  checkRow({id, phase}: JobRow): void {
+    const isShownAsBegun = phase === 'running' || phase === 'completed';
+    if (!isShownAsBegun || this.startedJobs.has(id)) return;
+    this.report(`shown as ${phase}, not begun: ${id}`);
+  }
+
   /** How many runs of a task executors have started. */
   startCount(task: string): number {
     return this.startCounts.get(task) ?? 0;
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -502,7 +502,10 @@
 
   private publish(node: CellNode, rows: readonly JobRow[]): void {
     if (node.isKilled) return;
-    for (const row of rows) this.rows.set(row.id, row);
+    for (const row of rows) {
+      this.checker.checkRow(row);
+      this.rows.set(row.id, row);
+    }
   }
 
   /**
--- a/packages/cell/test/stored-jobs.test.ts
+++ b/packages/cell/test/stored-jobs.test.ts
@@ -132,19 +132,25 @@
     new JobTable(clock),
     () => undefined,
   );
-  memory.append(TOPIC, ['done', 'cut', 'other'].map(jobRecord), {});
+  memory.append(TOPIC, ['done', 'cut', 'lost', 'other'].map(jobRecord), {});
   const cancel = {key: cancelKey('cut'), value: Uint8Array.of(1)};
   memory.append(JOBS_TOPICS[1] ?? '', [cancel], {});
   const value = encode({phase: 'completed', steps: []});
-  memory.append(PROGRESS_TOPIC, [{key: 'p/done', value}], {});
+  // Its executor crashed, and may have done so before the start reached it.
+  const lost = encode({phase: 'queued', steps: []});
+  const progress = [
+    {key: 'p/done', value},
+    {key: 'p/lost', value: lost},
+  ];
+  memory.append(PROGRESS_TOPIC, progress, {});
   jobs.start();
   await clock.advance(START_MS);
   const fixture = {clock, memory, client: new StoreClient(memory, clock), jobs};
   const phases: (string | undefined)[] = [];
-  for (const id of ['done', 'cut', 'other']) {
+  for (const id of ['done', 'cut', 'lost', 'other']) {
     phases.push((await lookUp(fixture, id)).row?.phase);
   }
-  assert.equal(phases, ['completed', 'cancelled', 'queued']);
+  assert.equal(phases, ['completed', 'cancelled', 'queued', 'queued']);
 });
 
 stored('answers within the time of the caller', async () => {
