Count tasks as running once a worker has started them

`dragonflyward-ctl` showed a job as running, and counted its tasks, as soon as they were placed: also while the worker did not answer, or its domain was closed before the start was sent.

The lease table knows which starts a worker has answered or listed; the status counts these. What is placed beside them is named in the reason, as before.

--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -14,7 +14,11 @@
   private readonly attempts = new Map<string, number>();
   private readonly setAsideReasons = new Map<string, string>();
 
-  constructor(private readonly shardState: ShardState) {}
+  /** @param isStarted whether a worker is known to have started the task */
+  constructor(
+    private readonly shardState: ShardState,
+    private readonly isStarted: (task: PlacedTask) => boolean,
+  ) {}
 
   /** Records that a task was placed. */
   recordPlaced(task: PlacedTask): void {
@@ -91,7 +95,7 @@
   status(shard: string, jobId: string, waitReason: string): JobStatus | null {
     const entry = this.shardState.jobs.get(jobId);
     if (entry === undefined) return null;
-    const running = this.placed.get(jobId)?.size ?? 0;
+    const running = [...this.tasksOf(jobId)].filter(this.isStarted).length;
     const setAsideReason = this.setAsideReasons.get(jobId);
     const {spec} = entry;
     return {
--- a/packages/scheduler/src/lease-table.ts
+++ b/packages/scheduler/src/lease-table.ts
@@ -14,6 +14,8 @@
   sentMs: number;
   /** If a list requested after this time lacks the task, it is not running. */
   absentAfterMs: number;
+  /** Whether the worker has answered the start or listed the task. */
+  isConfirmed: boolean;
 }
 
 /**
@@ -38,13 +40,14 @@
   /** Records a start that is about to be sent. */
   recordStart(task: PlacedTask, nowMs: number, startWithinMs: number): void {
     const absentAfterMs = nowMs + startWithinMs + NETWORK_DELAY_MARGIN_MS;
-    this.entries.set(task.taskId, {task, sentMs: nowMs, absentAfterMs});
+    const times = {sentMs: nowMs, absentAfterMs};
+    this.entries.set(task.taskId, {task, ...times, isConfirmed: false});
   }
 
   /** Records a task that a worker was found to run after a takeover. */
   recordAdopted(task: PlacedTask, nowMs: number): void {
-    const entry = {task, sentMs: nowMs, absentAfterMs: nowMs};
-    this.entries.set(task.taskId, entry);
+    const times = {sentMs: nowMs, absentAfterMs: nowMs};
+    this.entries.set(task.taskId, {task, ...times, isConfirmed: true});
   }
 
   /** Records that the worker reported the task as running. */
@@ -52,6 +55,12 @@
     const entry = this.entries.get(taskId);
     if (entry === undefined) return;
     entry.absentAfterMs = Math.min(entry.absentAfterMs, nowMs);
+    entry.isConfirmed = true;
+  }
+
+  /** Whether the worker is known to have started the task. */
+  isConfirmed(taskId: string): boolean {
+    return this.entries.get(taskId)?.isConfirmed ?? false;
   }
 
   /** Records a renewal that is about to be sent; returns its task ids. */
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -75,10 +75,13 @@
     const {clock, timing, shardState} = parts;
     const term = parts.ownership.term;
     this.ownedTerm = term;
-    this.tracker = new JobTracker(shardState);
+    this.workers = new WorkerSet(parts, this);
+    this.tracker = new JobTracker(shardState, ({taskId, workerId}) => {
+      const worker = this.workers.get(workerId);
+      return worker?.leases.isConfirmed(taskId) ?? false;
+    });
     this.records = new JobRecords({...parts, term});
     this.guard = this.makeGuard(clock.monotonicMs(), timing.taskLeaseMs);
-    this.workers = new WorkerSet(parts, this);
     this.outcomes = new TaskOutcomes({
       ...parts,
       tracker: this.tracker,
