Name the log event of decided starts for what it tells

`runsStarted` was written when a start was decided, also where the executor then refused it; an operator who reads it takes the task for running. It is `startsDecided` now, as `startState` and its page call it. Names only, no change of behaviour.

--- a/packages/cell/src/run-lines.ts
+++ b/packages/cell/src/run-lines.ts
@@ -6,7 +6,7 @@
 /** The most runs that one line names; the others are counted. */
 const MAX_RUNS_PER_LINE = 40;
 
-/** Logs the tasks of a step that are started, with run numbers and executors. */
+/** Logs the starts of a step that were decided: tasks, run numbers, executors. */
 export function logStarts(tasks: readonly TaskState[], log: LogFunction): void {
   const [first] = tasks;
   if (first === undefined) return;
@@ -15,7 +15,7 @@
     run,
     executor?.info.id ?? '',
   ]);
-  log('runsStarted', {step: stepName(first.step), ...cut(runs)});
+  log('startsDecided', {step: stepName(first.step), ...cut(runs)});
 }
 
 /** Logs the ends of runs that an executor has listed. */
--- a/packages/cell/test/held-orders.test.ts
+++ b/packages/cell/test/held-orders.test.ts
@@ -279,7 +279,7 @@
   assert.is(rig.executor('x3').runs.size, 0);
   const starts = rig.logLines
     .slice(lines)
-    .filter(line => line.includes(' runsStarted '));
+    .filter(line => line.includes(' startsDecided '));
   assert.equal(starts, []);
   owner.store.faults.isRefusing = false;
   await rig.run(SETTLE_MS);
@@ -402,7 +402,7 @@
   rig.submit('later', [LASTING], [next]);
   await rig.run(SETTLE_MS);
   assert.is(runs.size, 0);
-  const starts = rig.logLines.filter(l => l.includes(' v1 runsStarted '));
+  const starts = rig.logLines.filter(l => l.includes(' v1 startsDecided '));
   assert.equal(starts, []);
   const last = rig.newNode('v2');
   void rig.claim(last);
--- a/packages/cell/test/owner-orders.test.ts
+++ b/packages/cell/test/owner-orders.test.ts
@@ -280,7 +280,7 @@
 owner('starts tasks soon after the process was frozen', async () => {
   const {rig, node} = await startRig(1, takes(LONG_MS));
   rig.onLog = event => {
-    if (event !== 'runsStarted') return;
+    if (event !== 'startsDecided') return;
     rig.onLog = () => undefined;
     rig.clock.freeze(5000);
   };
--- a/packages/operator/test/log-explanation.test.ts
+++ b/packages/operator/test/log-explanation.test.ts
@@ -23,7 +23,7 @@
 const OWNER = [
   '{"level":30,"time":1500,"vm":"a","event":"queueState","queue":"r-azf","steps":2,"reasons":{"ticket":2}}',
   '{"level":30,"time":1600,"vm":"a","event":"queueState","queue":"other","steps":9,"reasons":{"room":9}}',
-  `{"level":30,"time":1900,"vm":"a","event":"runsStarted","step":"${JOB}.0.0","runs":[[0,1,"i-1"],[1,1,"i-2"]]}`,
+  `{"level":30,"time":1900,"vm":"a","event":"startsDecided","step":"${JOB}.0.0","runs":[[0,1,"i-1"],[1,1,"i-2"]]}`,
   `{"level":30,"time":2500,"vm":"a","event":"runsEnded","executorId":"i-1","runs":[["${JOB}.0.0.0",1,"done"],["0000000000000001.0.0.0",1,"done"]]}`,
   `{"level":30,"time":5747,"vm":"a","event":"jobEnded","job":"${JOB}","phase":"completed","queue":"r-azf","tookMs":4747}`,
   'Sat Dec 5 a {"level":30,"time":60000,"vm":"a","event":"cellState","jobs":3}',
@@ -43,7 +43,7 @@
   assert.equal(rows, [
     '    0.000   b jobStored job="9738ad83c4e45784" queue="r-azf" organisation="jele" outcome="stored" tookMs=74',
     '    0.500 | a queueState queue="r-azf" steps=2 reasons={"ticket":2}',
-    '    0.900   a runsStarted step="9738ad83c4e45784.0.0" runs=[[0,1,"i-1"],[1,1,"i-2"]]',
+    '    0.900   a startsDecided step="9738ad83c4e45784.0.0" runs=[[0,1,"i-1"],[1,1,"i-2"]]',
     '    1.500   a runsEnded executorId="i-1" runs=[["9738ad83c4e45784.0.0.0",1,"done"]]',
     '    4.747   a jobEnded job="9738ad83c4e45784" phase="completed" queue="r-azf" tookMs=4747',
     '    8.000 | b ownerClaimed term=2 former="a"',
@@ -78,7 +78,7 @@
     }
   };
   await run(JOB);
-  assert.match(out, /0\.900 +a runsStarted/);
+  assert.match(out, /0\.900 +a startsDecided/);
   await run('ffffffffffffffff');
   assert.equal(exits.filter(code => code !== EXIT.ok).length, 1);
   rmSync(dir, {recursive: true});
