Look for former owners' runs where they may have started them

Cause: `FormerOwnerRuns` looked for unknown runs on executors of the service to which the queue is sent now. A former owner went by its own configuration, and several versions may lie between. Executors counted for their present service in the same way, and runs named by a handover were looked up by service.

Ruled out: waiting for all unreached executors, which every ordinary takeover would pay for; remembering configurations, of which VMs may skip some.

Services are stored with a job's progress before a task starts on another one than that of its acceptance, and later owners look for its runs on all of them.

--- a/packages/cell/src/cell-feed.ts
+++ b/packages/cell/src/cell-feed.ts
@@ -226,7 +226,7 @@
     if (known === undefined) executor.isListed = false;
     const {largestCapacity} = executor;
     executor.largestCapacity = maxAmounts(largestCapacity, info.capacity);
-    formerOwnerRuns.addExecutor(executor);
+    formerOwnerRuns.addExecutor(executor, info.service);
     // With a new address or service, it is used once that is stored.
     if (!isSameServer(info, executor.info)) return;
     onFormerExecutor(executor);
--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -23,6 +23,7 @@
   findTask,
   hasTask,
   isOver,
+  isServiceStored,
   isStepReady,
   markDone,
   newDoneTask,
@@ -115,9 +116,15 @@
     const byName = new Map(config.queues.map(queue => [queue.name, queue]));
     for (const job of this.jobs.values()) {
       job.queue = byName.get(job.queue.name) ?? job.queue;
+      this.storeService(job);
     }
   }
 
+  private storeService(job: JobState): void {
+    if (isFinal(job.phase) || isServiceStored(job)) return;
+    this.listener.onProgress(job);
+  }
+
   /** Adds an accepted job; idempotent by job id. */
   addJob(job: NewJob): JobState {
     const known = this.jobs.get(job.id);
@@ -128,6 +135,7 @@
     if (queue !== undefined) state.queue = queue;
     state.isOverRate = this.organisations.countJob(state);
     this.jobs.set(job.id, state);
+    this.storeService(state);
     this.countEarlierOrphans(state);
     const isNotified = this.notifiedCancels.delete(job.id);
     const isCancelled = this.earlyCancels.delete(job.id) || isNotified;
--- a/packages/cell/src/former-owner-runs.ts
+++ b/packages/cell/src/former-owner-runs.ts
@@ -2,6 +2,7 @@
 import {leaseLeftMs, type ExecutorState} from './executor-state.js';
 import {
   parseTaskName,
+  servicesOf,
   taskName,
   type JobState,
   type StepState,
@@ -22,11 +23,9 @@
 } from './resource-amounts.js';
 import {UnconfirmedExecutors} from './unconfirmed-executors.js';
 import {
-  sumServices,
+  UnreachedExecutors,
   type UnreachedExecutor,
-  type UnreachedService,
-  type UnreachedServices,
-} from './unreached-services.js';
+} from './unreached-executors.js';
 import type {StepSpec} from './types.js';
 
 /** The most ids in one line of the log. */
@@ -48,6 +47,8 @@
 export class FormerOwnerRuns {
   /** Executors that a former owner may have used and that have not answered. */
   private readonly executors = new Set<ExecutorState>();
+  /** The services under which former owners have used executors, as stored. */
+  private readonly formerServices = new Map<ExecutorState, string>();
   /** Jobs that may have been stored while a former owner could start tasks. */
   private readonly jobs = new Set<string>();
   /** Executors that have answered, but not after the last start. */
@@ -66,9 +67,10 @@
     );
   }
 
-  /** Adds an executor that a former owner has used. */
-  addExecutor(executor: ExecutorState): void {
+  /** Adds an executor that a former owner has used under that service. */
+  addExecutor(executor: ExecutorState, service: string): void {
     this.executors.add(executor);
+    this.formerServices.set(executor, service);
   }
 
   /** Whether the executor has not answered, and so has no order of this owner. */
@@ -88,6 +90,7 @@
   /** Removes an executor that is gone. */
   removeExecutor(executor: ExecutorState): void {
     this.executors.delete(executor);
+    this.formerServices.delete(executor);
     this.unconfirmed.remove(executor);
   }
 
@@ -154,22 +157,19 @@
    * any task may run on an executor that has restarted and thus knows no
    * fencing token.
    *
-   * @param services the unreached executors at that time
+   * @param unreached the unreached executors at that time
    * @example
-   * const services = formerOwnerRuns.unreachedServices(nowMs);
-   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services)) return;
+   * const unreached = formerOwnerRuns.unreachedExecutors(nowMs);
+   * if (formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, unreached)) return;
    */
   mayHaveUnknownRuns(
     task: TaskState,
     nowMs: number,
-    services: UnreachedServices,
+    unreached: UnreachedExecutors,
   ): boolean {
     if (nowMs < this.startsUntilMs) return true;
-    if (services.size === 0) return false;
-    const service = services.get(task.step.occurrence.job.queue.service);
-    if (service === undefined || !this.mayHaveBeenStarted(task)) return false;
-    const {anyUntilMs, namedUntilMs} = service;
-    return anyUntilMs !== null || namedUntilMs.has(taskName(task));
+    if (unreached.isEmpty || unreached.untilMs(task) === null) return false;
+    return this.mayHaveBeenStarted(task);
   }
 
   /**
@@ -177,31 +177,26 @@
    * ended. An executor may answer before that, and a restart may be noticed
    * that makes the time longer.
    *
-   * @param services the unreached executors now
+   * @param unreached the unreached executors now
    * @example
-   * const waitMs = formerOwnerRuns.expectedUntilMs(task, services) - nowMs;
+   * const waitMs = formerOwnerRuns.expectedUntilMs(task, unreached) - nowMs;
    */
-  expectedUntilMs(task: TaskState, services: UnreachedServices): number {
-    const service = services.get(task.step.occurrence.job.queue.service);
-    if (service === undefined || !this.mayHaveBeenStarted(task)) {
+  expectedUntilMs(task: TaskState, unreached: UnreachedExecutors): number {
+    const untilMs = unreached.untilMs(task);
+    if (untilMs === null || !this.mayHaveBeenStarted(task)) {
       return this.startsUntilMs;
     }
-    const {anyUntilMs, namedUntilMs} = service;
-    return Math.max(
-      this.startsUntilMs,
-      anyUntilMs ?? -Infinity,
-      namedUntilMs.get(taskName(task)) ?? -Infinity,
-    );
+    return Math.max(this.startsUntilMs, untilMs);
   }
 
   /** Whether any task may wait for unknown runs. */
-  mayAnyWait(nowMs: number, services: UnreachedServices): boolean {
-    return nowMs < this.startsUntilMs || services.size > 0;
+  mayAnyWait(nowMs: number, unreached: UnreachedExecutors): boolean {
+    return nowMs < this.startsUntilMs || !unreached.isEmpty;
   }
 
-  /** Finds the services whose executors may hold unknown runs. */
-  unreachedServices(nowMs: number): UnreachedServices {
-    return sumServices(this.unreachedExecutors(nowMs));
+  /** Finds the executors that may hold unknown runs. */
+  unreachedExecutors(nowMs: number): UnreachedExecutors {
+    return new UnreachedExecutors([...this.unreachedAt(nowMs)]);
   }
 
   /**
@@ -212,17 +207,17 @@
   unknownUsage(
     jobs: Iterable<JobState>,
     nowMs: number,
-    services: UnreachedServices,
+    unreached: UnreachedExecutors,
   ): ReadonlyMap<string, ResourceAmounts> {
     const usage = new Map<string, ResourceAmounts>();
-    if (services.size === 0) return usage;
+    if (unreached.isEmpty) return usage;
     const left = new Map<string, ResourceAmounts>();
-    for (const {job, spec, count} of this.unknownRuns(jobs, nowMs, services)) {
-      const {organisation, queue} = job;
-      const capacity = services.get(queue.service)?.capacity;
-      if (capacity === undefined) continue;
-      const key = `${queue.service} ${organisation}`;
-      const rest = left.get(key) ?? capacity;
+    for (const {job, spec, count} of this.unknownRuns(jobs, nowMs, unreached)) {
+      const {organisation} = job;
+      const services = servicesOf(job);
+      // Jobs that were sent to other services as well are bounded on their own.
+      const key = `${[...services].sort().join()} ${organisation}`;
+      const rest = left.get(key) ?? unreached.capacityOf(services);
       const allocated = allocatedAmounts(spec, count);
       const fitting = minAmounts(allocated, rest);
       left.set(key, subtractAmounts(rest, fitting));
@@ -230,8 +225,8 @@
       const cpuMilli = spec.isFiller
         ? count * spec.size.cpuMilli
         : fitting.cpuMilli;
-      const known = usage.get(organisation) ?? NOTHING_RESERVED;
-      usage.set(organisation, addAmounts(known, {...fitting, cpuMilli}));
+      const sum = usage.get(organisation) ?? NOTHING_RESERVED;
+      usage.set(organisation, addAmounts(sum, {...fitting, cpuMilli}));
     }
     return usage;
   }
@@ -243,7 +238,7 @@
    * @returns null if there is none
    */
   describeWait(nowMs: number): Readonly<Record<string, unknown>> | null {
-    const unreached = [...this.unreachedExecutors(nowMs)];
+    const unreached = [...this.unreachedAt(nowMs)];
     if (unreached.length === 0) return null;
     const untilMs = unreached.map(({executor}) =>
       this.leases.untilMs(executor),
@@ -308,19 +303,18 @@
   private *unknownRuns(
     jobs: Iterable<JobState>,
     nowMs: number,
-    services: UnreachedServices,
+    unreached: UnreachedExecutors,
   ): Generator<UnknownRuns> {
     for (const job of jobs) {
       if (job.phase === 'completed' || !this.jobs.has(job.id)) continue;
-      const service = services.get(job.queue.service);
-      if (service === undefined) continue;
+      if (!unreached.serveAny(servicesOf(job))) continue;
       for (const {steps} of job.occurrences.values()) {
         for (const step of steps) {
-          const count = this.countUnknownRuns(step, nowMs, service);
+          const count = this.countUnknownRuns(step, nowMs, unreached);
           if (count > 0) yield {job, spec: step.spec, count};
         }
       }
-      yield* this.unknownRunsElsewhere(job, nowMs, services);
+      yield* this.unknownRunsElsewhere(job, nowMs, unreached);
     }
   }
 
@@ -328,7 +322,7 @@
   private countUnknownRuns(
     step: StepState,
     nowMs: number,
-    {anyUntilMs, namedUntilMs}: UnreachedService,
+    unreached: UnreachedExecutors,
   ): number {
     if (step.doneCount === step.tasks.length) return 0;
     const mayBeAll = nowMs < this.startsUntilMs;
@@ -336,9 +330,7 @@
     const waiting = step.tasks.filter(({phase}) => phase === 'waiting');
     if (mayBeAll) return waiting.length;
     const unknown = waiting.filter(
-      task =>
-        !this.isAccountedFor(task) &&
-        (anyUntilMs !== null || namedUntilMs.has(taskName(task))),
+      task => !this.isAccountedFor(task) && unreached.untilMs(task) !== null,
     );
     return unknown.length;
   }
@@ -347,14 +339,14 @@
   private *unknownRunsElsewhere(
     job: JobState,
     nowMs: number,
-    services: UnreachedServices,
+    unreached: UnreachedExecutors,
   ): Generator<UnknownRuns> {
     const count = countUnopened(job);
-    const service = services.get(job.queue.service);
-    if (count === 0 || service === undefined) return;
-    const {anyUntilMs, namedUntilMs} = service;
-    const mayBeAny = anyUntilMs !== null || nowMs < this.startsUntilMs;
-    const named = mayBeAny ? [] : unopenedTasks(job, namedUntilMs.keys());
+    if (count === 0) return;
+    const mayBeAny =
+      nowMs < this.startsUntilMs ||
+      unreached.untilOnMs(servicesOf(job)) !== null;
+    const named = mayBeAny ? [] : unopenedTasks(job, unreached.taskNames);
     for (const [i, spec] of job.spec.steps.entries()) {
       const runs = mayBeAny
         ? count * spec.count
@@ -363,7 +355,7 @@
     }
   }
 
-  private *unreachedExecutors(nowMs: number): Generator<UnreachedExecutor> {
+  private *unreachedAt(nowMs: number): Generator<UnreachedExecutor> {
     const candidates = [...this.executors, ...this.unconfirmed.restartable()];
     for (const executor of candidates) {
       const leasesUntilMs = this.leases.untilMs(executor);
@@ -371,10 +363,18 @@
       const untilMs = this.willBeConfirmed(executor)
         ? this.startsUntilMs
         : leasesUntilMs;
-      yield {executor, runs: this.leases.toldRuns(executor), untilMs};
+      const services = this.servicesOfExecutor(executor);
+      yield {executor, services, runs: this.leases.toldRuns(executor), untilMs};
     }
   }
 
+  /** It may have another one by now, which owners store before they use it. */
+  private servicesOfExecutor(executor: ExecutorState): readonly string[] {
+    const {service} = executor.info;
+    const former = this.formerServices.get(executor) ?? service;
+    return former === service ? [service] : [former, service];
+  }
+
   /** Whether it answers, and so will again as soon as the start lease ends. */
   private willBeConfirmed(executor: ExecutorState): boolean {
     if (!executor.isReached || executor.missedRenewals > 0) return false;
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -117,6 +117,11 @@
   readonly organisation: string;
   /** The queue as configured when the job was accepted, or later. */
   queue: Queue;
+  /**
+   * The services to which the queue was sent since then, as stored. Tasks start
+   * only on these, so that a later owner knows where their runs may be.
+   */
+  readonly services: Set<string>;
   readonly acceptedMs: number;
   /** The occurrences in memory, by index: those that are near and not done. */
   readonly occurrences: Map<number, OccurrenceState>;
@@ -155,6 +160,7 @@
 export function newJobState(job: NewJob): JobState {
   return {
     ...job,
+    services: new Set([job.queue.service]),
     occurrences: new Map(),
     doneOccurrences: new IndexRanges(),
     phase: 'queued',
@@ -182,6 +188,21 @@
   return occurrence;
 }
 
+/** Whether tasks may start on the service to which the queue is sent now. */
+export function isServiceStored({services, queue}: JobState): boolean {
+  return services.has(queue.service);
+}
+
+/**
+ * The services on which tasks of the job may run. Owners of earlier versions
+ * have used a new one without storing it.
+ */
+export function servicesOf(job: JobState): ReadonlySet<string> {
+  const {services, queue} = job;
+  if (isServiceStored(job)) return services;
+  return new Set([...services, queue.service]);
+}
+
 /** Wall-clock time before which nothing of an occurrence may start. */
 export function dueMsOf({spec}: JobState, index: number): number {
   const {firstMs, intervalMs} = spec.repetition;
--- a/packages/cell/src/owner.ts
+++ b/packages/cell/src/owner.ts
@@ -209,6 +209,7 @@
       writer,
       onExecutorStored: executor => this.startExecutorLoop(executor),
       onAck: executor => this.loops.get(executor.info.id)?.wake(),
+      onServiceStored: () => this.requestRound(),
       onFinal: jobs => deps.publish(jobs.map(toRow)),
     });
   }
@@ -556,11 +557,11 @@
     const nowMs = clock.monotonicMs();
     const {formerOwnerRuns} = this;
     this.markHeld();
-    const services = formerOwnerRuns.unreachedServices(nowMs);
-    const context = this.roundContext(nowMs, services);
+    const unreached = formerOwnerRuns.unreachedExecutors(nowMs);
+    const context = this.roundContext(nowMs, unreached);
     const {organisations, jobs} = this.state;
     organisations.setUnknownUsage(
-      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, services),
+      formerOwnerRuns.unknownUsage(jobs.values(), nowMs, unreached),
     );
     const requests: TicketRequest[] = [];
     for (const decision of decideRound(this.state, context)) {
@@ -594,24 +595,24 @@
 
   private startContext(
     nowMs: number,
-    services = this.formerOwnerRuns.unreachedServices(nowMs),
+    unreached = this.formerOwnerRuns.unreachedExecutors(nowMs),
   ): StartContext {
     return {
       nowMs,
       wallMs: this.deps.clock.wallMs(),
       mayHaveUnknownRuns: task =>
-        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, services),
+        this.formerOwnerRuns.mayHaveUnknownRuns(task, nowMs, unreached),
     };
   }
 
   private roundContext(
     nowMs: number,
-    services = this.formerOwnerRuns.unreachedServices(nowMs),
+    unreached = this.formerOwnerRuns.unreachedExecutors(nowMs),
   ): RoundContext {
     return {
-      ...this.startContext(nowMs, services),
-      unknownRunsUntilMs: this.formerOwnerRuns.mayAnyWait(nowMs, services)
-        ? task => this.formerOwnerRuns.expectedUntilMs(task, services)
+      ...this.startContext(nowMs, unreached),
+      unknownRunsUntilMs: this.formerOwnerRuns.mayAnyWait(nowMs, unreached)
+        ? task => this.formerOwnerRuns.expectedUntilMs(task, unreached)
         : null,
       leadMs: step => this.leadMs(step),
       ticketBudget: this.ticketRequester.newBudget(),
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -37,6 +37,8 @@
   readonly onExecutorStored: (executor: ExecutorState) => void;
   /** Called when ends of an executor are stored: it may forget them. */
   readonly onAck: (executor: ExecutorState) => void;
+  /** Called when a service is stored on which tasks may start from now on. */
+  readonly onServiceStored: () => void;
   /** Called when the final phases of jobs are stored. */
   readonly onFinal: (jobs: readonly JobState[]) => void;
 }
@@ -112,6 +114,7 @@
     const jobs = [...this.changedJobs];
     // Others may become final while their earlier progress is being stored.
     const final = jobs.filter(({phase}) => isFinal(phase));
+    const services = jobs.map(job => ({job, service: job.queue.service}));
     const executors = [...this.newExecutors];
     const gone = [...this.goneExecutors];
     const expired = this.expiredJobs.splice(0);
@@ -145,6 +148,7 @@
       this.deps.onExecutorStored(executor);
     }
     for (const ack of acks) this.acknowledge(ack);
+    this.recordServices(services);
     this.publishFinal(final);
     return records.length > 0 || acks.length > 0;
   }
@@ -192,6 +196,12 @@
     this.deps.onAck(executor);
   }
 
+  private recordServices(stored: readonly StoredService[]): void {
+    const added = stored.filter(({job, service}) => !job.services.has(service));
+    for (const {job, service} of added) job.services.add(service);
+    if (added.length > 0) this.deps.onServiceStored();
+  }
+
   private publishFinal(jobs: readonly JobState[]): void {
     const final = jobs.filter(({finalMs}) => finalMs === 0);
     if (final.length === 0) return;
@@ -212,6 +222,12 @@
   }
 }
 
+/** The service that a job's queue was sent to when its progress was written. */
+interface StoredService {
+  readonly job: JobState;
+  readonly service: string;
+}
+
 interface Ack {
   readonly executor: ExecutorState;
   readonly through: number;
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -1,11 +1,12 @@
 /** The records of the cell in the store, and their encoding. */
 import {raise} from '@dragonflyward/common';
 import {decode, encode} from 'cbor-x';
-import {isOptional} from './checks.js';
+import {isList, isOptional, isText} from './checks.js';
 import type {RangeRows} from './index-ranges.js';
 import {
   findTask,
   markDone,
+  servicesOf,
   type JobState,
   type NewJob,
   type OccurrenceState,
@@ -146,6 +147,11 @@
   readonly steps: readonly StepRow[];
   /** The occurrences that are done; missing in records of earlier versions. */
   readonly done?: RangeRows;
+  /**
+   * The services to which the queue was sent; missing if it is one and in
+   * records of earlier versions.
+   */
+  readonly services?: readonly string[];
 }
 
 /**
@@ -158,9 +164,13 @@
   steps: readonly StepRow[] = [...progressRows(job)],
 ): Uint8Array {
   const {phase, doneOccurrences} = job;
-  const record: ProgressRecord = isFinal(phase)
-    ? {phase, steps: []}
-    : {phase, steps, done: doneOccurrences.toRows()};
+  const services = [...servicesOf(job)];
+  const record: ProgressRecord = {
+    phase,
+    steps: isFinal(phase) ? [] : steps,
+    ...(isFinal(phase) ? {} : {done: doneOccurrences.toRows()}),
+    ...(services.length > 1 ? {services} : {}),
+  };
   return encode(record);
 }
 
@@ -245,6 +255,9 @@
   if (!isOptional(isRanges)(record.done)) {
     return raise('badRequest', 'no ranges of occurrences');
   }
+  if (!isOptional(isList(isText))(record.services)) {
+    return raise('badRequest', 'no names of services');
+  }
   return record;
 }
 
@@ -270,6 +283,7 @@
 ): void {
   const record = decodeProgress(value);
   job.doneOccurrences.addRows(record.done ?? []);
+  for (const each of record.services ?? []) job.services.add(each);
   for (const row of record.steps) applyStepRow(job, row, open);
   if (record.phase !== 'queued') job.phase = record.phase;
   job.visiblePhase = job.phase;
--- a/packages/cell/src/starts.ts
+++ b/packages/cell/src/starts.ts
@@ -2,7 +2,7 @@
 import {isSuspect} from './crash-suspects.js';
 import {allocatedCpuMilli, type ExecutorState} from './executor-state.js';
 import {canStartIsolated} from './isolated-starts.js';
-import type {StepState, TaskState} from './job-state.js';
+import {isServiceStored, type StepState, type TaskState} from './job-state.js';
 import {chooseExecutor, chooseGang} from './placement.js';
 import type {RankedStep} from './queue-order.js';
 import type {StartContext, StartRound} from './round.js';
@@ -33,8 +33,9 @@
  * const isWaiting = step.tasks.some(each => isStartable(each, context));
  */
 export function isStartable(task: TaskState, context: StartContext): boolean {
-  const {phase, notBeforeMs, orphanCount} = task;
+  const {phase, notBeforeMs, orphanCount, step} = task;
   if (phase !== 'waiting' || orphanCount > 0) return false;
+  if (!isServiceStored(step.occurrence.job)) return false;
   return notBeforeMs <= context.nowMs && !context.mayHaveUnknownRuns(task);
 }
 
--- a/packages/cell/src/wait-reason.ts
+++ b/packages/cell/src/wait-reason.ts
@@ -1,7 +1,7 @@
 /** Why a ready step has not been started. */
 import {isSuspect} from './crash-suspects.js';
 import {hasRoom} from './executor-state.js';
-import type {StepState} from './job-state.js';
+import {isServiceStored, type StepState} from './job-state.js';
 import {holdsRequiredTicket, isCompatible, isPermitted} from './placement.js';
 import type {RankedStep} from './queue-order.js';
 import type {Round} from './round.js';
@@ -12,6 +12,8 @@
 export type WaitReason =
   /** A former owner may have started what waits of it. */
   | 'unsure'
+  /** It is not stored yet that its queue is sent to another service. */
+  | 'unstored'
   /** All its tasks are in a retry delay after a failure. */
   | 'pausing'
   /** All its tasks are suspects of a crash and wait for an executor. */
@@ -44,6 +46,7 @@
 ): WaitReason {
   const {step} = ranked;
   const {spec, occurrence, tasks} = step;
+  if (!isServiceStored(occurrence.job)) return 'unstored';
   if (isUnsure(step, round)) return 'unsure';
   if (!tasks.some(each => each.notBeforeMs <= round.nowMs)) return 'pausing';
   const waiting = tasks.filter(({phase}) => phase === 'waiting');
--- a/packages/cell/test/owner.property.test.ts
+++ b/packages/cell/test/owner.property.test.ts
@@ -7,7 +7,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Behaviour} from './fake-executor.js';
-import {ignoringStore, Rig, STEP, type CellNode} from './rig.js';
+import {CONFIG, ignoringStore, QUEUE, Rig, STEP, type CellNode} from './rig.js';
 
 /** CELL_SEED and CELL_RUNS set another seed and more runs for a long search. */
 const SEED = Number(process.env['CELL_SEED'] ?? 20261204);
@@ -35,8 +35,8 @@
 const DEADLY_MS = 10;
 /** Added for the crashes until such tasks are given up, in ms. */
 const CRASHES_MS = 20_000;
-/** The most jobs of service tasks, which keep their room, of a scenario. */
-const MAX_SERVICES = 3;
+/** A service to which the queue is not sent at first. */
+const OTHER_SERVICE = 'other';
 /** How long a service task runs, in ms: beyond the scenario. */
 const SERVICE_MS = 10_000_000;
 
@@ -84,6 +84,14 @@
       readonly executor: number;
       readonly isHidden: boolean;
     }
+  /** The executor refuses starts, and nothing else. */
+  | {readonly kind: 'grey'; readonly executor: number; readonly isGrey: boolean}
+  /** The queue is sent to a service, which owners in office learn late. */
+  | {
+      readonly kind: 'sendTo';
+      readonly service: string;
+      readonly isLate: boolean;
+    }
   | {
       readonly kind: 'delayOrders';
       readonly executor: number;
@@ -92,6 +100,11 @@
   | {readonly kind: 'wait'; readonly ms: number};
 
 const executor = fc.nat({max: EXECUTORS - 1});
+const grey = fc.record({
+  kind: fc.constant('grey' as const),
+  executor,
+  isGrey: fc.boolean(),
+});
 const anyFault: fc.Arbitrary<Fault> = fc.oneof(
   {
     weight: 5,
@@ -182,6 +195,7 @@
     executor,
     count: fc.integer({min: 1, max: 3}),
   }),
+  grey,
 );
 
 /** Owners follow one another while executors are lost and found. */
@@ -241,6 +255,44 @@
   }),
 );
 
+/** The same while the queue is sent from one service to another. */
+const movedFault: fc.Arbitrary<Fault> = fc.oneof(
+  {weight: 8, arbitrary: chainFault},
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('sendTo' as const),
+      service: fc.constantFrom(QUEUE.service, OTHER_SERVICE),
+      isLate: fc.boolean(),
+    }),
+  },
+  fc.record({
+    kind: fc.constant('submit' as const),
+    tasks: fc.integer({min: 1, max: 3}),
+    steps: fc.integer({min: 1, max: 2}),
+  }),
+  grey,
+);
+
+/** The executors of a scenario. */
+interface Pool {
+  readonly serviceOf: (executorId: string) => string;
+  /** The most jobs of service tasks, which keep their room. */
+  readonly maxLastingJobs: number;
+}
+
+const ONE_SERVICE: Pool = {
+  serviceOf: () => QUEUE.service,
+  maxLastingJobs: 3,
+};
+
+/** Every second executor is of the other service. */
+const TWO_SERVICES: Pool = {
+  serviceOf: id =>
+    Number(id.slice(1)) % 2 === 0 ? QUEUE.service : OTHER_SERVICE,
+  maxLastingJobs: 2,
+};
+
 /** Runs of every second job take this multiple of the time. */
 const LONG_RUN_FACTOR = 5;
 
@@ -258,12 +310,16 @@
 
 /** Applies faults to one cell. */
 class Scenario {
-  readonly rig = new Rig(EXECUTORS, behave);
+  readonly rig: Rig;
   readonly jobs: string[] = [];
   private readonly nodes: CellNode[] = [];
   /** Ids of executors that owners cannot reach if they claim the cell now. */
   private readonly hidden = new Set<string>();
 
+  constructor(private readonly pool: Pool) {
+    this.rig = new Rig(EXECUTORS, behave, CONFIG, pool.serviceOf);
+  }
+
   async start(): Promise<void> {
     await this.claim();
     await this.rig.run(START_AGE_MS);
@@ -338,6 +394,11 @@
         if (fault.isHidden) this.hidden.add(`x${fault.executor}`);
         else this.hidden.delete(`x${fault.executor}`);
         return;
+      case 'grey':
+        rig.executor(`x${fault.executor}`).isGrey = fault.isGrey;
+        return;
+      case 'sendTo':
+        return this.sendTo(fault.service, fault.isLate);
       case 'delayOrders':
         rig.executor(`x${fault.executor}`).delayedOrders = fault.count;
     }
@@ -352,6 +413,7 @@
     for (const each of this.rig.executors) {
       each.isDisconnected = false;
       each.isDraining = false;
+      each.isGrey = false;
       each.setCapacity({cpuMilli: FULL_CPU_MILLI});
       each.delayedOrders = 0;
       each.recover();
@@ -363,6 +425,7 @@
       node.unreachable.clear();
     }
     this.hidden.clear();
+    for (const {owner} of this.nodes) owner?.setConfig(this.rig.config);
     // The heartbeats of a living owner reach the store again.
     if (!isReclaimed) await this.rig.run(HEARTBEAT_WAIT_MS);
     if (isReclaimed || this.actingOwner() === null) await this.claim();
@@ -417,6 +480,14 @@
     await this.claim();
   }
 
+  private sendTo(service: string, isLate: boolean): void {
+    const {rig} = this;
+    const version = rig.config.version + 1;
+    rig.config = {...CONFIG, version, queues: [{...QUEUE, service}]};
+    if (isLate) return;
+    for (const {owner} of this.nodes) owner?.setConfig(rig.config);
+  }
+
   private restartVms(): void {
     const {ownership} = this.newest();
     for (const {vm, incarnation, isKilled} of this.nodes) {
@@ -461,7 +532,7 @@
 
   private submitService(count: number): void {
     const services = this.jobs.filter(id => id.startsWith(SERVICE_PREFIX));
-    if (services.length >= MAX_SERVICES) return;
+    if (services.length >= this.pool.maxLastingJobs) return;
     this.submitJob(SERVICE_PREFIX, [{...STEP, count, isService: true}]);
   }
 
@@ -484,8 +555,9 @@
 export async function runScenario(
   faults: readonly Fault[],
   isReclaimed: boolean,
+  pool = ONE_SERVICE,
 ): Promise<Scenario> {
-  const scenario = new Scenario();
+  const scenario = new Scenario(pool);
   await scenario.start();
   for (const fault of faults) await scenario.apply(fault);
   await scenario.recover(isReclaimed);
@@ -538,13 +610,15 @@
 async function checkFaults(
   fault: fc.Arbitrary<Fault>,
   prefix: readonly Fault[] = [],
+  pool = ONE_SERVICE,
 ): Promise<void> {
   const faults = fc.array(fault, {minLength: 5, maxLength: 40});
   const property = fc.asyncProperty(
     faults,
     fc.boolean(),
     async (list, isReclaimed) => {
-      const scenario = await runScenario([...prefix, ...list], isReclaimed);
+      const all = [...prefix, ...list];
+      const scenario = await runScenario(all, isReclaimed, pool);
       const {rig, jobs} = scenario;
       assert.equal(rig.checker.violations, []);
       for (const id of jobs) checkJob(scenario, id);
@@ -570,6 +644,18 @@
   ]),
 );
 
+owner('breaks no rule while its queue is sent to other services', () =>
+  checkFaults(
+    movedFault,
+    [
+      {kind: 'submitService', tasks: 2},
+      {kind: 'submit', tasks: 2, steps: 2},
+      {kind: 'wait', ms: 500},
+    ],
+    TWO_SERVICES,
+  ),
+);
+
 // The end was stored by an append whose answer was lost, and the handover that
 // followed has no effect: the next owner loads it and has nothing left to do.
 owner(
--- a/packages/cell/test/rig.ts
+++ b/packages/cell/test/rig.ts
@@ -242,9 +242,13 @@
   constructor(
     executorCount: number,
     private readonly behave: Behaviour,
-    private readonly config: CellConfig = CONFIG,
+    /** The configuration of owners that start from now on. */
+    public config: CellConfig = CONFIG,
+    serviceOf: (executorId: string) => string = () => SERVICE,
   ) {
-    for (let i = 0; i < executorCount; i += 1) this.addExecutor(`x${i}`);
+    for (let i = 0; i < executorCount; i += 1) {
+      this.addExecutor(`x${i}`, serviceOf(`x${i}`));
+    }
     void this.listExecutors();
   }
 
@@ -420,10 +424,10 @@
     await this.clock.advance(ms);
   }
 
-  private addExecutor(id: string): void {
+  private addExecutor(id: string, service: string): void {
     const info: ExecutorInfo = {
       id,
-      service: SERVICE,
+      service,
       ip: id,
       port: 1,
       domain: 'd',
