Send no start to the former service of a moved route

A start that was decided and waits for a connection, or for the owner's lease for starts, was sent although its queue had been sent to another service meanwhile. Its obstacle is `rerouted` now, and the task is placed anew.

The test fails on the former code and passes.

--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -228,6 +228,8 @@
     if (this.isClosed || !host.mayStart()) return 'lease';
     if (host.isHeld(executor.info.id)) return 'held';
     if (host.state.isDomainClosed(executor.info.domain)) return 'closed';
+    const {service} = task.step.occurrence.job.queue;
+    if (executor.info.service !== service) return 'rerouted';
     return task.executor === executor && task.run === run ? null : 'moved';
   }
 
--- a/packages/cell/src/start-counts.ts
+++ b/packages/cell/src/start-counts.ts
@@ -9,6 +9,8 @@
   | 'held'
   /** The failure domain was closed in the meantime. */
   | 'closed'
+  /** The queue is sent to another service now. */
+  | 'rerouted'
   /** The task has been stopped or placed elsewhere. */
   | 'moved';
 
--- a/packages/cell/test/moved-routes.test.ts
+++ b/packages/cell/test/moved-routes.test.ts
@@ -220,6 +220,18 @@
   assert.is(runsOn(next, 'x2', 'x3'), 0);
 });
 
+// The start waits for a connection meanwhile.
+moved('is not started on the former one', async () => {
+  const cell = await startCell();
+  const {rig, owner} = cell;
+  for (const each of rig.executors) each.connectMs = 600;
+  rig.submit('job', [SPREAD], [owner]);
+  await rig.run(300);
+  await configure(cell, BETA);
+  assert.is(rig.checker.starts, 2);
+  assert.is(runsOn(cell, 'x2', 'x3'), 2);
+});
+
 const waits = suite('a task waits for no executor');
 
 waits('of a service to which its queue was never sent', async () => {
