Ask a new owner for jobs whose rows it has replaced

Cause: a VM without an owner reads the store into its table, and concludes from it that a job does not exist; a new owner's rows may have replaced what was read, and jobs that ended before it loaded them are not among these.

A lookup is not sure of a missing job once rows were replaced since the reading began, and then asks the owner that has begun to act.

--- a/packages/cell/src/job-lookup.ts
+++ b/packages/cell/src/job-lookup.ts
@@ -26,29 +26,42 @@
   constructor(private readonly deps: JobLookupDeps) {}
 
   /**
-   * Asks the owner, and the store if the owner does not know.
+   * Asks the owner, and the store if the owner does not know; then an owner that
+   * has begun to act meanwhile.
    *
    * @example
    * const {row, isSure} = await jobLookup.find(id, remainingMs);
    */
   async find(id: string, timeoutMs: number): Promise<SourcedLookup> {
     const {clock, storedJobs} = this.deps;
+    const untilMs = clock.monotonicMs() + timeoutMs;
+    const known = await this.findAtOwner(id, timeoutMs);
+    if (known !== null) return known;
+    const term = this.deps.term();
+    const leftMs = untilMs - clock.monotonicMs();
+    const stored = await storedJobs.lookup(id, leftMs);
+    const lookup = {...stored, source: 'store', term} as const;
+    if (stored.row !== null || stored.isSure) return lookup;
+    const restMs = untilMs - clock.monotonicMs();
+    if (restMs <= 0) return lookup;
+    return (await this.findAtOwner(id, restMs)) ?? lookup;
+  }
+
+  /** Returns null if there is no owner, or it still loads the state. */
+  private async findAtOwner(
+    id: string,
+    timeoutMs: number,
+  ): Promise<SourcedLookup | null> {
     const term = this.deps.term();
     const owner = this.deps.owner();
     if (owner !== null) {
       const own = await owner.lookup(id, timeoutMs);
       return {...own, source: 'ownState', term};
     }
-    const startMs = clock.monotonicMs();
     const reply = await this.askOwner(id, timeoutMs);
-    // An owner that still loads the state answers that it does not know.
-    if (reply !== null && (reply.row !== null || reply.isSure)) {
-      const {row, isSure} = reply;
-      return {row, isSure, source: 'owner', term};
-    }
-    const elapsedMs = clock.monotonicMs() - startMs;
-    const stored = await storedJobs.lookup(id, timeoutMs - elapsedMs);
-    return {...stored, source: 'store', term};
+    if (reply === null || (reply.row === null && !reply.isSure)) return null;
+    const {row, isSure} = reply;
+    return {row, isSure, source: 'owner', term};
   }
 
   /** Answers another VM, which takes this one for the owner. */
--- a/packages/cell/src/job-table.ts
+++ b/packages/cell/src/job-table.ts
@@ -22,6 +22,8 @@
   readonly load = new JobLoad();
   /** The same for the jobs that the owner may not know, in bytes. */
   unconfirmedBytes = 0;
+  /** How often open rows were replaced, which may have removed some. */
+  replacements = 0;
   /** Final rows, oldest first. */
   private readonly final: FinalRow[] = [];
 
@@ -76,6 +78,7 @@
    * removed, so that a question for them is passed on to the owner.
    */
   replaceOpen(rows: readonly JobRow[]): void {
+    this.replacements += 1;
     const ids = new Set(rows.map(({id}) => id));
     for (const row of this.rows.values()) {
       if (isFinal(row.phase) || ids.has(row.id)) continue;
--- a/packages/cell/src/stored-jobs.ts
+++ b/packages/cell/src/stored-jobs.ts
@@ -39,6 +39,8 @@
  */
 export class StoredJobs {
   private followers: Followers | null = null;
+  /** How often the open rows of the table had been replaced by then. */
+  private replacementsBefore = 0;
   private isDetached = false;
   /** Number of times it was started, by which an older timer is known. */
   private starts = 0;
@@ -77,6 +79,7 @@
 
   private createFollowers(): Followers {
     const {store, clock, log} = this;
+    this.replacementsBefore = this.table.replacements;
     const jobs = new JobsFollower(
       store,
       clock,
@@ -104,15 +107,21 @@
     this.earlyCancels.clear();
   }
 
-  /** Looks up a job in the store that is not in the table, within the time. */
+  /**
+   * Looks up a job in the store that is not in the table, within the time. It is
+   * not sure that a job is missing once a new owner has replaced the rows that
+   * were read: that owner removes those of jobs that ended before it loaded them.
+   */
   async lookup(id: string, timeoutMs: number): Promise<Lookup> {
     const sinceMs = this.clock.monotonicMs();
     const followers = this.startReading();
     if (followers === null) return {row: null, isSure: false};
-    const [isSure] = await Promise.all([
+    const {replacementsBefore} = this;
+    const [isRead] = await Promise.all([
       followers.jobs.waitUntilRead(timeoutMs, sinceMs),
       this.waitForProgress(followers, timeoutMs),
     ]);
+    const isSure = isRead && this.table.replacements === replacementsBefore;
     return {row: this.table.get(id) ?? null, isSure};
   }
 
--- a/packages/cell/test/job-lookup.test.ts
+++ b/packages/cell/test/job-lookup.test.ts
@@ -43,6 +43,26 @@
   assert.equal(await find(FOUND, UNKNOWN), {...FOUND, ...rest});
 });
 
+// Callers got 410 for accepted jobs as a new owner began to act.
+lookups('asks an owner that begins to act meanwhile', async () => {
+  const replies = [UNKNOWN, FOUND];
+  const deps: JobLookupDeps = {
+    owner: () => null,
+    ownerConnection: () => ({
+      ask: () => {
+        const reply = replies.shift() ?? UNKNOWN;
+        return Promise.resolve({type: 'phase', ...reply} as const);
+      },
+    }),
+    term: () => 1,
+    storedJobs: {lookup: () => Promise.resolve(UNKNOWN)},
+    clock: new ManualClock(),
+    log: () => undefined,
+  };
+  const {row, source} = await new JobLookup(deps).find('j', 1000);
+  assert.equal([row, source], [ROW, 'owner']);
+});
+
 // Another VM takes it for the owner before it has loaded the state.
 lookups('answers as not sure on a VM that loads', async () => {
   const deps = {owner: () => null} as unknown as JobLookupDeps;
--- a/packages/cell/test/stored-jobs.test.ts
+++ b/packages/cell/test/stored-jobs.test.ts
@@ -52,21 +52,21 @@
   readonly jobs: StoredJobs;
 }
 
-async function startedFixture(): Promise<Fixture> {
+interface StartedFixture extends Fixture {
+  readonly table: JobTable;
+}
+
+async function startedFixture(): Promise<StartedFixture> {
   const clock = new ManualClock(1000);
   const memory = new MemoryStore();
   const client = new StoreClient(memory, clock);
-  const jobs = new StoredJobs(
-    client,
-    clock,
-    new JobTable(clock),
-    () => undefined,
-  );
+  const table = new JobTable(clock);
+  const jobs = new StoredJobs(client, clock, table, () => undefined);
   jobs.start();
   // It reads from the first lookup on.
   void jobs.lookup('first', LOOKUP_MS);
   await clock.advance(START_MS);
-  return {clock, memory, client, jobs};
+  return {clock, memory, client, jobs, table};
 }
 
 async function lookUp({clock, jobs}: Fixture, id: string): Promise<Lookup> {
@@ -100,6 +100,30 @@
   assert.equal({phase: row?.phase, isSure}, {phase: 'queued', isSure: true});
 });
 
+// A new owner tells of open jobs only; this one had ended when it loaded it.
+stored('is not sure of a job whose row an owner has removed', async () => {
+  const fixture = await startedFixture();
+  const {clock, memory, jobs, table} = fixture;
+  memory.append(TOPIC, [jobRecord('a')], {});
+  await lookUp(fixture, 'a');
+  table.replaceOpen([]);
+  assert.equal(await lookUp(fixture, 'a'), {row: null, isSure: false});
+  memory.append(TOPIC, [jobRecord('b')], {});
+  const lookup = jobs.lookup('b', LOOKUP_MS);
+  await clock.advance(START_MS);
+  assert.is((await lookup).row?.phase, 'queued');
+});
+
+stored('is not sure of one that is removed during the lookup', async () => {
+  const {clock, memory, jobs, table} = await startedFixture();
+  memory.append(TOPIC, [jobRecord('a')], {});
+  const lookup = jobs.lookup('a', LOOKUP_MS);
+  while (table.get('a') === undefined) await clock.advance(1);
+  table.replaceOpen([]);
+  await clock.advance(LOOKUP_MS);
+  assert.equal(await lookup, {row: null, isSure: false});
+});
+
 stored('is not sure while the store gives no answer', async () => {
   const fixture = await startedFixture();
   fixture.client.faults.isSilent = true;
