--- a/packages/cell/test/fake-executor.ts
+++ b/packages/cell/test/fake-executor.ts
@@ -120,7 +120,7 @@
     this.ip = info.ip;
     this.port = info.port;
     this.bornAtMs = clock.monotonicMs();
-    this.bornMs = clock.monotonicMs() + 1;
+    this.bornMs = Math.floor(clock.monotonicMs()) + 1;
     void this.runTimers();
   }
 
@@ -161,7 +161,7 @@
     this.leaseUntilMs = 0;
     this.lastEnd = 0;
     this.bornAtMs = this.clock.monotonicMs();
-    this.bornMs = this.clock.monotonicMs() + 1 + this.wallStepMs;
+    this.bornMs = Math.floor(this.clock.monotonicMs()) + 1 + this.wallStepMs;
   }
 
   /** Restarts the executor, which then listens at another address. */
