Append no more at once than a narrow link carries

Cause: changes are joined in appends of up to 2 MB, which such a link takes 2.4 s for; an append was given up after 1.5 s and sent again as it was, for ever, with all later progress behind it. Submitted jobs are joined in the same way.

--- a/packages/cell/src/append-size.ts
+++ b/packages/cell/src/append-size.ts
@@ -1,6 +1,11 @@
 /** Splits records into appends that the store accepts. */
 import type {KeyedRecord, StoreLimits} from './store.js';
 
+/**
+ * Records that take more are sent in several appends: one that a narrow link
+ * cannot carry within its timeout would fail each time.
+ */
+const MAX_APPEND_BYTES = 131_072;
 /** Bytes of a record besides its key and its value: two length fields. */
 const RECORD_OVERHEAD_BYTES = 5;
 
@@ -10,7 +15,7 @@
 }
 
 /**
- * Returns how many of the first records fit into one append; at least one.
+ * Returns how many of the first records to send in one append; at least one.
  *
  * @example
  * const batch = records.slice(0, countForAppend(records, store.limits));
@@ -19,10 +24,11 @@
   records: readonly KeyedRecord[],
   {appendBytes}: StoreLimits,
 ): number {
+  const maxBytes = Math.min(appendBytes, MAX_APPEND_BYTES);
   let totalBytes = 0;
   for (const [i, record] of records.entries()) {
     totalBytes += recordSize(record);
-    if (totalBytes > appendBytes) return Math.max(1, i);
+    if (totalBytes > maxBytes) return Math.max(1, i);
   }
   return records.length;
 }
@@ -33,12 +39,14 @@
  * @example
  * for (const batch of splitIntoAppends(records, store.limits)) …
  */
-export function splitIntoAppends(
+export function* splitIntoAppends(
   records: readonly KeyedRecord[],
   limits: StoreLimits,
-): readonly (readonly KeyedRecord[])[] {
-  const count = countForAppend(records, limits);
-  if (count === records.length) return [records];
-  const rest = splitIntoAppends(records.slice(count), limits);
-  return [records.slice(0, count), ...rest];
+): Generator<readonly KeyedRecord[]> {
+  let rest = records;
+  do {
+    const count = countForAppend(rest, limits);
+    yield rest.slice(0, count);
+    rest = rest.slice(count);
+  } while (rest.length > 0);
 }
--- a/packages/cell/test/memory-store.ts
+++ b/packages/cell/test/memory-store.ts
@@ -10,6 +10,7 @@
   type NewestPage,
   type StoredRecord,
   type StoreLimits,
+  recordSize,
 } from '@dragonflyward/cell';
 import {NarrowLink, pageWireBytes, type TransferBound} from './narrow-link.js';
 
@@ -197,6 +198,8 @@
     refusedEvery: 0,
   };
   private readonly link: NarrowLink;
+  /** Carries what the client sends. */
+  private readonly uplink: NarrowLink;
   /** Number of calls. */
   calls = 0;
   /** Number of pages of newest records that were read, and their size. */
@@ -210,7 +213,9 @@
     link?: NarrowLink,
   ) {
     super();
-    this.link = link ?? new NarrowLink(clock, () => this.faults.linkBytesPerS);
+    const bytesPerS = (): number => this.faults.linkBytesPerS;
+    this.link = link ?? new NarrowLink(clock, bytesPerS);
+    this.uplink = new NarrowLink(clock, bytesPerS);
   }
 
   override get limits(): StoreLimits {
@@ -224,6 +229,9 @@
   ): Promise<number> {
     await this.simulateCall();
     this.checkSizes(records);
+    const {timeoutMs: totalMs = CALL_TIMEOUT_MS} = options;
+    const bytes = records.reduce((sum, each) => sum + recordSize(each), 0);
+    await this.uplink.carry(bytes, {totalMs, idleMs: totalMs});
     const {faults, memory} = this;
     const {refusedTopics} = faults;
     if (refusedTopics !== '' && topic.startsWith(refusedTopics)) {
