Give up a task at the fifth crash that comes later than its start

Cause: any three crashes under a task gave it up.

What shows the cause keeps its limits: crashes right after starts, with no run between that started well.

--- a/packages/cell/src/crash-suspects.ts
+++ b/packages/cell/src/crash-suspects.ts
@@ -12,12 +12,17 @@
 const WELL_STARTED_MS = 150;
 /** Crashes after which a task is given up that alone can explain the last. */
 const MAX_EXPLAINED_CRASHES = 2;
-/** Crashes after which any task is given up. */
+/** Crashes right after a start after which the task is given up. */
 const MAX_CRASHES = 3;
 /** The same if the last crashes were of one VM that is a suspect too. */
 const MAX_CRASHES_OF_SUSPECT_VM = 4;
-/** A service run that lasted this long clears the task of its crashes, in ms. */
-const SERVICE_CLEARANCE_MS = 30_000;
+/**
+ * Crashes at any time of a run after which the task is given up. Executors may
+ * crash for other causes while a long task works.
+ */
+const MAX_CRASHES_IN_ALL = 5;
+/** A run that lasted this long clears the task of its crashes, in ms. */
+const CLEARANCE_MS = 30_000;
 /** Crashes under other tasks after which a VM itself is the suspect. */
 const VM_CRASHES = 2;
 /** How long a crash of a VM is remembered, in ms. */
@@ -150,9 +155,9 @@
     const others = runs.filter(each => !cause.includes(each));
     others.filter(isCertainRun).forEach(countCrash);
     const givenUp = tasksOverLimit([...cause, ...others], each =>
-      isVmSuspect && crashedHere.includes(each)
+      isVmSuspect && crashedHere.includes(each) && each.isNew
         ? MAX_CRASHES_OF_SUSPECT_VM
-        : MAX_CRASHES,
+        : MAX_CRASHES_IN_ALL,
     );
     return {...crash, givenUp};
   }
@@ -259,7 +264,17 @@
   return runs.length >= MAX_EXPLAINED_CRASHES;
 }
 
-/** Returns a task of each unit that has reached its limit. */
+/** Crashes since it has been a suspect: no run has started well since then. */
+function countNewCrashes({crashedRuns, suspectedRuns}: TaskState): number {
+  const [firstRun = Infinity] = suspectedRuns;
+  return crashedRuns.filter(run => run >= firstRun).length;
+}
+
+/**
+ * Returns a task of each unit that has reached its limit.
+ *
+ * @param limitOf the limit on crashes at any time
+ */
 function tasksOverLimit(
   runs: readonly LostRun[],
   limitOf: (lost: LostRun) => number,
@@ -268,14 +283,16 @@
   for (const lost of runs) {
     const {task} = lost;
     // A crash under one task of a gang shows nothing about the others.
-    const crashes = task.crashedRuns.length;
-    if (crashes >= limitOf(lost)) found.set(unitOf(task), task);
+    const isOver =
+      countNewCrashes(task) >= MAX_CRASHES ||
+      task.crashedRuns.length >= limitOf(lost);
+    if (isOver) found.set(unitOf(task), task);
   }
   return [...found.values()];
 }
 
 function hasLastedLong(task: TaskState): boolean {
-  return task.step.spec.isService && listedForMs(task) > SERVICE_CLEARANCE_MS;
+  return listedForMs(task) > CLEARANCE_MS;
 }
 
 function unitOf(task: TaskState): Unit {
