--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -120,6 +120,7 @@
     }
   }
 
+  /** Tasks of the job start once its service is stored with its progress. */
   private storeService(job: JobState): void {
     if (isFinal(job.phase) || isServiceStored(job)) return;
     this.listener.onProgress(job);
@@ -376,8 +377,8 @@
    * Records that an executor has answered a start or lists the run. Where the
    * run is being stopped by now, the answer to the stop counts.
    */
-  recordStarted(task: TaskState, nowMs: number): void {
-    this.recordBegun(task.step.occurrence.job);
+  recordTaskStarted(task: TaskState, nowMs: number): void {
+    this.recordJobStarted(task.step.occurrence.job);
     if (task.phase !== 'starting') return;
     task.phase = 'running';
     task.answeredMs = nowMs;
@@ -387,7 +388,7 @@
    * Records that an executor has started a task of the job, whatever has become
    * of that run since. A start that was only decided may still be refused.
    */
-  recordBegun(job: JobState): void {
+  recordJobStarted(job: JobState): void {
     if (job.phase !== 'queued') return;
     job.phase = 'running';
     job.visiblePhase = 'running';
@@ -417,7 +418,7 @@
     task.answeredMs = nowMs;
     if (isSuspect(task)) this.crashes.watchStart(task);
     this.place(task, executor);
-    this.recordBegun(task.step.occurrence.job);
+    this.recordJobStarted(task.step.occurrence.job);
   }
 
   /**
@@ -460,7 +461,7 @@
     addOrphan(executor, {...orphan, countedFor});
     if (countedFor === null) return;
     this.addUsage(countedFor, 1);
-    this.recordBegun(countedFor.step.occurrence.job);
+    this.recordJobStarted(countedFor.step.occurrence.job);
   }
 
   /** Finds the task of a run that uses resources, also of one that is over. */
@@ -497,7 +498,7 @@
     this.dropOrphan(executor, end.task, end.run);
     const task = this.findTaskByName(end.task);
     if (task === undefined) return;
-    this.recordBegun(task.step.occurrence.job);
+    this.recordJobStarted(task.step.occurrence.job);
     const isCurrent = task.executor === executor && task.run === end.run;
     if (isCurrent) this.unplace(task);
     if (task.phase === 'done') return;
--- a/packages/cell/src/executor-loop.ts
+++ b/packages/cell/src/executor-loop.ts
@@ -177,7 +177,7 @@
       recordClock(executor, reply.clockMs, clock.monotonicMs());
     }
     if (reply.failure === null) {
-      this.host.state.recordBegun(task.step.occurrence.job);
+      this.host.state.recordJobStarted(task.step.occurrence.job);
     }
     if (task.executor !== executor || task.run !== run) return;
     if (reply.failure === null) this.handleStarted(task);
@@ -409,7 +409,7 @@
 
   private handleStarted(task: TaskState): void {
     this.executor.missedRenewals = 0;
-    this.host.state.recordStarted(task, this.host.clock.monotonicMs());
+    this.host.state.recordTaskStarted(task, this.host.clock.monotonicMs());
   }
 
   private handleStartFailure(
--- a/packages/cell/src/inventory-reader.ts
+++ b/packages/cell/src/inventory-reader.ts
@@ -143,7 +143,7 @@
     usage: number,
     nowMs: number,
   ): void {
-    this.host.state.recordStarted(task, nowMs);
+    this.host.state.recordTaskStarted(task, nowMs);
     task.percent = percent;
     task.usage = usage;
     this.host.state.recordCheckpoint(task, checkpoint);
--- a/packages/cell/test/job-phases.test.ts
+++ b/packages/cell/test/job-phases.test.ts
@@ -21,7 +21,7 @@
 interface Cell {
   readonly rig: Rig;
   readonly owner: CellNode;
-  readonly executors: readonly FakeExecutor[];
+  readonly first: FakeExecutor;
 }
 
 async function startCell(executorCount: number): Promise<Cell> {
@@ -29,7 +29,7 @@
   const owner = rig.newNode('v0');
   void rig.claim(owner);
   await rig.run(FOUND_MS);
-  return {rig, owner, executors: rig.executors};
+  return {rig, owner, first: rig.executor('x0')};
 }
 
 /** Submits a job and lets the owner decide to start it. */
@@ -52,18 +52,18 @@
 
 waiting('while an executor refuses its starts', async () => {
   const cell = await startCell(1);
-  for (const each of cell.executors) each.isGrey = true;
+  for (const each of cell.rig.executors) each.isGrey = true;
   await submit(cell);
   await cell.rig.run(4000);
   assertShown(cell, 'queued');
-  for (const each of cell.executors) each.isGrey = false;
+  for (const each of cell.rig.executors) each.isGrey = false;
   await cell.rig.run(2000);
   assertShown(cell, 'running');
 });
 
 waiting('until its start is answered', async () => {
   const cell = await startCell(1);
-  for (const each of cell.executors) each.latencyMs = 100;
+  for (const each of cell.rig.executors) each.latencyMs = 100;
   await submit(cell);
   assertShown(cell, 'queued');
   await cell.rig.run(ANSWERED_MS);
@@ -72,7 +72,7 @@
 
 waiting('while its start waits for a connection', async () => {
   const cell = await startCell(1);
-  for (const each of cell.executors) each.connectMs = 1000;
+  for (const each of cell.rig.executors) each.connectMs = 1000;
   await submit(cell);
   await cell.rig.run(ANSWERED_MS);
   assertShown(cell, 'queued');
@@ -80,8 +80,7 @@
 
 waiting('if its executor restarts before the start arrives', async () => {
   const cell = await startCell(1);
-  const [executor] = cell.executors;
-  if (executor === undefined) throw new Error('no executor');
+  const {first: executor} = cell;
   executor.connectMs = 30;
   cell.rig.submit('job', [STEP], [cell.owner]);
   await cell.rig.run(20);
@@ -93,7 +92,7 @@
 
 waiting('if all starts of its gang are refused', async () => {
   const cell = await startCell(2);
-  for (const each of cell.executors) each.isGrey = true;
+  for (const each of cell.rig.executors) each.isGrey = true;
   await submit(cell, [GANG]);
   await cell.rig.run(2000);
   assertShown(cell, 'queued');
@@ -101,8 +100,8 @@
 
 waiting('if its owner is lost before the start is answered', async () => {
   const cell = await startCell(1);
-  const {rig, owner, executors} = cell;
-  for (const each of executors) each.isDisconnected = true;
+  const {rig, owner} = cell;
+  for (const each of rig.executors) each.isDisconnected = true;
   await submit(cell);
   rig.kill(owner);
   const next = rig.newNode('v1');
@@ -115,8 +114,7 @@
 
 running('if the answer to its start is lost', async () => {
   const cell = await startCell(1);
-  const [executor] = cell.executors;
-  if (executor === undefined) throw new Error('no executor');
+  const {first: executor} = cell;
   cell.rig.submit('job', [STEP], [cell.owner]);
   while (executor.runs.size === 0) await cell.rig.run(1);
   executor.isDisconnected = true;
@@ -129,9 +127,7 @@
 
 running('if a member of its gang has been accepted', async () => {
   const cell = await startCell(2);
-  const [first] = cell.executors;
-  if (first === undefined) throw new Error('no executor');
-  first.isGrey = true;
+  cell.first.isGrey = true;
   await submit(cell, [GANG]);
   await cell.rig.run(ANSWERED_MS);
   assertShown(cell, 'running');
@@ -141,9 +137,8 @@
   const cell = await startCell(1);
   await submit(cell);
   await cell.rig.run(ANSWERED_MS);
-  const [executor] = cell.executors;
-  executor?.restart();
-  if (executor !== undefined) executor.isGrey = true;
+  cell.first.restart();
+  cell.first.isGrey = true;
   await cell.rig.run(3000);
   assertShown(cell, 'running');
 });
@@ -162,8 +157,7 @@
 
 running('while the owner may start nothing', async () => {
   const cell = await startCell(1);
-  const [executor] = cell.executors;
-  if (executor === undefined) throw new Error('no executor');
+  const {first: executor} = cell;
   cell.rig.submit('job', [STEP], [cell.owner]);
   while (executor.runs.size === 0) await cell.rig.run(1);
   cell.rig.closuresOf = () => ({
--- a/packages/cell/test/moved-routes.test.ts
+++ b/packages/cell/test/moved-routes.test.ts
@@ -63,7 +63,13 @@
   await rig.run(ms);
 }
 
-async function crashOwner({rig, owner}: Cell): Promise<Cell> {
+/** Kills the owner and cuts executors off; another process takes over. */
+async function loseOwner(
+  cell: Cell,
+  ...executorIds: readonly string[]
+): Promise<Cell> {
+  const {rig, owner} = cell;
+  cutOff(cell, ...executorIds);
   rig.kill(owner);
   await rig.run(CLAIM_DELAY_MS);
   const next = rig.newNode('v1');
@@ -93,8 +99,7 @@
 moved('runs once after a crash of the owner', async () => {
   const cell = await startJob();
   await configure(cell, BETA);
-  cutOff(cell, 'x0', 'x1');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x0', 'x1');
   assert.is(runsOn(next, 'x2', 'x3'), 0);
   assertSound(next);
   reconnect(next);
@@ -122,8 +127,7 @@
   await configure(cell, BETA);
   assert.is(runsOn(cell, 'x2', 'x3'), 2);
   await configure(cell, GAMMA);
-  cutOff(cell, 'x2', 'x3');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x2', 'x3');
   assert.is(runsOn(next, 'x0', 'x1', 'x4', 'x5'), 0);
   assertSound(next);
 });
@@ -134,8 +138,7 @@
   await configure(cell, BETA);
   assert.is(runsOn(cell, 'x2', 'x3'), 2);
   await configure(cell, REMOVED);
-  cutOff(cell, 'x2', 'x3');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x2', 'x3');
   assert.is(runsOn(next, 'x0', 'x1'), 0);
   assertSound(next);
 });
@@ -143,9 +146,8 @@
 moved('runs once through two changes of the owner', async () => {
   const cell = await startJob();
   await configure(cell, BETA);
-  cutOff(cell, 'x0', 'x1');
-  const second = await crashOwner(cell);
-  const third = await crashOwner(second);
+  const second = await loseOwner(cell, 'x0', 'x1');
+  const third = await loseOwner(second);
   assert.is(runsOn(third, 'x2', 'x3'), 0);
   assertSound(third);
 });
@@ -167,8 +169,7 @@
 moved('runs once as a gang', async () => {
   const cell = await startJob([{...SPREAD, isGang: true}]);
   await configure(cell, BETA);
-  cutOff(cell, 'x0', 'x1');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x0', 'x1');
   assert.is(runsOn(next, 'x2', 'x3'), 0);
   assertSound(next);
 });
@@ -182,7 +183,7 @@
   assert.ok(executor);
   executor.isDisconnected = true;
   executor.info = {...executor.info, service: 'beta'};
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell);
   assert.is(runsOn(next, 'x0', 'x1'), 1);
   assertSound(next);
 });
@@ -190,8 +191,7 @@
 moved('starts again once all leases there have ended', async () => {
   const cell = await startJob();
   await configure(cell, BETA);
-  cutOff(cell, 'x0', 'x1');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x0', 'x1');
   await next.rig.run(ALL_LEASES_MS);
   assert.is(runsOn(next, 'x2', 'x3'), 2);
   assertSound(next);
@@ -200,8 +200,7 @@
 moved('is stopped there once its job is cancelled', async () => {
   const cell = await startJob();
   await configure(cell, BETA);
-  cutOff(cell, 'x0', 'x1');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x0', 'x1');
   next.rig.cancel('job', [next.owner]);
   reconnect(next);
   await next.rig.run(SETTLE_MS);
@@ -213,8 +212,7 @@
   const organisations = [{name: '', weight: 1, limit: LIMIT}];
   const cell = await startJob([SPREAD], {...CONFIG, organisations});
   await configure(cell, {...BETA, organisations});
-  cutOff(cell, 'x0', 'x1');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x0', 'x1');
   next.rig.submit('late', [SPREAD], [next.owner]);
   await next.rig.run(SETTLE_MS);
   assert.is(runsOn(next, 'x2', 'x3'), 0);
@@ -238,8 +236,7 @@
   const cell = await startCell();
   await configure(cell, BETA);
   cell.rig.submit('job', [SPREAD], []);
-  cutOff(cell, 'x4');
-  const next = await crashOwner(cell);
+  const next = await loseOwner(cell, 'x4');
   await next.rig.run(SETTLE_MS);
   assert.is(runsOn(next, 'x2', 'x3'), 2);
 });
