Pause no executors that are needed after failed runs

Cause: three failed runs in a row pause an executor, up to 8 s, and only a run that ends `done` ends the row. Lasting runs never do, and may fail at any time. By a test, a job that fails anywhere stops all other jobs of a service in the same way.

A lasting run that has started well counts for nothing, and pauses last 2 s where no executor of the service may be used otherwise. The pauses leave cell-state.ts for a folder of their own.

Evidence: both tests of failing-executors that concern it fail on the former code and pass; the third shows that sound executors go first.

--- a/packages/cell/src/cell-state.ts
+++ b/packages/cell/src/cell-state.ts
@@ -1,6 +1,7 @@
 /** The owner's in-memory state and its transitions; does no I/O. */
 import {
   CrashSuspects,
+  hasStartedWell,
   isSuspect,
   type Crash,
   type LostRun,
@@ -16,6 +17,10 @@
   type ExecutorState,
   type OrphanRun,
 } from './executor-state.js';
+import {
+  recordCompletedRun,
+  recordFailedRun,
+} from './failing-executors/index.js';
 import {setRecent} from './recent-entries.js';
 import {maxAmounts} from './resource-amounts.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
@@ -46,10 +51,6 @@
 
 /** Run numbers reserved for each term of ownership, per task. */
 const RUNS_PER_TERM = 1000;
-/** Consecutive failures after which an executor is avoided for a while. */
-const MAX_CONSECUTIVE_FAILURES = 3;
-/** Initial time for which a failing executor is avoided, in ms. */
-const FAILING_EXECUTOR_AVOID_MS = 2000;
 /** First delay before a failed service task is restarted, in ms. */
 const SERVICE_BACKOFF_MS = 100;
 /** Longest delay before a failed service task is restarted, in ms. */
@@ -558,7 +559,7 @@
     ranMs: number,
   ): void {
     const {step, percent, checkpoint} = task;
-    executor.consecutiveFailures = 0;
+    recordCompletedRun(executor);
     if (Number.isNaN(ranMs) || step.spec.isService) return;
     if (percent < 100 || checkpoint !== '') return;
     if (this.estimates.completedCount(step) > 0) {
@@ -582,7 +583,9 @@
       ? failedRuns.slice(-MAX_SERVICE_FAILURES)
       : failedRuns;
     task.lastFailedOn = executor.info.id;
-    this.recordExecutorFailure(executor, nowMs);
+    // A service task may fail at any time, also on a sound executor.
+    const isExpected = step.spec.isService && hasStartedWell(task);
+    if (!isExpected) recordFailedRun(executor, nowMs);
     if (step.spec.isGang && !step.failedGangRuns.includes(end.run)) {
       step.failedGangRuns = [...step.failedGangRuns, end.run];
     }
@@ -598,16 +601,6 @@
     if (isOutOfAttempts) this.finish(job, 'failed');
   }
 
-  private recordExecutorFailure(executor: ExecutorState, nowMs: number): void {
-    executor.consecutiveFailures += 1;
-    const excessFailures =
-      executor.consecutiveFailures - MAX_CONSECUTIVE_FAILURES;
-    if (excessFailures < 0) return;
-    const pauseMs =
-      FAILING_EXECUTOR_AVOID_MS * 2 ** Math.min(2, excessFailures);
-    executor.avoidUntilMs = nowMs + pauseMs;
-  }
-
   private finish(
     job: JobState,
     phase: 'completed' | 'failed' | 'cancelled',
--- a/packages/cell/src/executor-state.ts
+++ b/packages/cell/src/executor-state.ts
@@ -85,6 +85,10 @@
   avoidUntilMs: number;
   /** Failed runs since the last completed one. */
   consecutiveFailures: number;
+  /** When it was last paused, as its runs had failed one after the other. */
+  failedMs: number;
+  /** No new tasks before this time, on the owner's monotonic clock. */
+  pausedUntilMs: number;
   /** Moving average of run time over expected run time; above 1 is slow. */
   slowness: number;
   /** Percentage of the processor that filler tasks may use. */
@@ -127,6 +131,8 @@
     isHeldBriefly: false,
     avoidUntilMs: 0,
     consecutiveFailures: 0,
+    failedMs: -Infinity,
+    pausedUntilMs: 0,
     slowness: 1,
     fillerPercent: 100,
   };
--- /dev/null
+++ b/packages/cell/src/failing-executors/index.ts
@@ -0,0 +1,2 @@
+/** Executors whose runs fail one after the other. */
+export * from './pauses.js';
--- a/packages/cell/src/placement.ts
+++ b/packages/cell/src/placement.ts
@@ -76,7 +76,8 @@
     (!executor.isHeld || executor.isHeldBriefly) &&
     !executor.info.isDraining &&
     !executor.isDomainClosed &&
-    executor.avoidUntilMs <= nowMs
+    executor.avoidUntilMs <= nowMs &&
+    executor.pausedUntilMs <= nowMs
   );
 }
 
--- a/packages/cell/src/schedule.ts
+++ b/packages/cell/src/schedule.ts
@@ -6,6 +6,7 @@
   requestEarlyTickets,
   type EarlyNeeds,
 } from './early-tickets.js';
+import {shortenPauses} from './failing-executors/index.js';
 import type {StepState} from './job-state.js';
 import {
   withholdExecutors,
@@ -65,6 +66,7 @@
   const needs = findEarlyNeeds(state, context);
   const earlyCount = needs.lasting.length + needs.others.length;
   if (ranked.length === 0 && earlyCount === 0) return;
+  shortenPauses(state.executors.values(), context.nowMs);
   state.services = summarizeServices(state, context.nowMs);
   const round: Round = {
     ...context,
