--- a/packages/cell/src/job-size.ts
+++ b/packages/cell/src/job-size.ts
@@ -7,7 +7,7 @@
 
 const MB = 1024 * 1024;
 /** A job without its steps and its occurrences, in bytes. */
-const JOB_BYTES = 1000;
+const JOB_BYTES = 1100;
 /** A step as submitted, in bytes. */
 const STEP_SPEC_BYTES = 300;
 /** A dependency of a step, in bytes. */
--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -121,7 +121,7 @@
    * The services to which the queue was sent since then, as stored. Tasks start
    * only on these, so that a later owner knows where their runs may be.
    */
-  readonly services: Set<string>;
+  services: readonly string[];
   readonly acceptedMs: number;
   /** The occurrences in memory, by index: those that are near and not done. */
   readonly occurrences: Map<number, OccurrenceState>;
@@ -160,7 +160,7 @@
 export function newJobState(job: NewJob): JobState {
   return {
     ...job,
-    services: new Set([job.queue.service]),
+    services: [job.queue.service],
     occurrences: new Map(),
     doneOccurrences: new IndexRanges(),
     phase: 'queued',
@@ -190,17 +190,22 @@
 
 /** Whether tasks may start on the service to which the queue is sent now. */
 export function isServiceStored({services, queue}: JobState): boolean {
-  return services.has(queue.service);
+  return services.includes(queue.service);
 }
 
 /**
  * The services on which tasks of the job may run. Owners of earlier versions
  * have used a new one without storing it.
  */
-export function servicesOf(job: JobState): ReadonlySet<string> {
+export function servicesOf(job: JobState): readonly string[] {
   const {services, queue} = job;
-  if (isServiceStored(job)) return services;
-  return new Set([...services, queue.service]);
+  return isServiceStored(job) ? services : [...services, queue.service];
+}
+
+/** Records that it is stored that the queue was sent to a service. */
+export function addService(job: JobState, service: string): void {
+  if (job.services.includes(service)) return;
+  job.services = [...job.services, service];
 }
 
 /** Wall-clock time before which nothing of an occurrence may start. */
--- a/packages/cell/src/progress-commit.ts
+++ b/packages/cell/src/progress-commit.ts
@@ -3,7 +3,7 @@
 import {encode} from 'cbor-x';
 import type {CellState} from './cell-state.js';
 import type {ExecutorState} from './executor-state.js';
-import type {JobState} from './job-state.js';
+import {addService, type JobState} from './job-state.js';
 import type {Ownership} from './ownership.js';
 import type {LogFunction} from './platform.js';
 import {
@@ -197,8 +197,10 @@
   }
 
   private recordServices(stored: readonly StoredService[]): void {
-    const added = stored.filter(({job, service}) => !job.services.has(service));
-    for (const {job, service} of added) job.services.add(service);
+    const added = stored.filter(
+      ({job, service}) => !job.services.includes(service),
+    );
+    for (const {job, service} of added) addService(job, service);
     if (added.length > 0) this.deps.onServiceStored();
   }
 
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -4,6 +4,7 @@
 import {isList, isOptional, isText} from './checks.js';
 import type {RangeRows} from './index-ranges.js';
 import {
+  addService,
   findTask,
   markDone,
   servicesOf,
@@ -164,7 +165,7 @@
   steps: readonly StepRow[] = [...progressRows(job)],
 ): Uint8Array {
   const {phase, doneOccurrences} = job;
-  const services = [...servicesOf(job)];
+  const services = servicesOf(job);
   const record: ProgressRecord = {
     phase,
     steps: isFinal(phase) ? [] : steps,
@@ -283,7 +284,7 @@
 ): void {
   const record = decodeProgress(value);
   job.doneOccurrences.addRows(record.done ?? []);
-  for (const each of record.services ?? []) job.services.add(each);
+  for (const each of record.services ?? []) addService(job, each);
   for (const row of record.steps) applyStepRow(job, row, open);
   if (record.phase !== 'queued') job.phase = record.phase;
   job.visiblePhase = job.phase;
--- a/packages/cell/src/unreached-executors.ts
+++ b/packages/cell/src/unreached-executors.ts
@@ -65,7 +65,7 @@
   }
 
   /** Until when any task that was sent to the services may run there. */
-  untilOnMs(services: Iterable<string>): number | null {
+  untilOnMs(services: readonly string[]): number | null {
     let latestMs: number | null = null;
     for (const service of services) {
       const untilMs = this.anyUntilMs.get(service);
@@ -76,18 +76,17 @@
   }
 
   /** Whether one of them was used under any of the services. */
-  serveAny(services: ReadonlySet<string>): boolean {
-    for (const service of services) if (this.services.has(service)) return true;
-    return false;
+  serveAny(services: readonly string[]): boolean {
+    return services.some(service => this.services.has(service));
   }
 
   /**
    * Adds up the largest capacities of those of the services: runs may use more
    * than a capacity that has shrunk since they were started.
    */
-  capacityOf(services: ReadonlySet<string>): ResourceAmounts {
+  capacityOf(services: readonly string[]): ResourceAmounts {
     return this.executors
-      .filter(each => each.services.some(service => services.has(service)))
+      .filter(each => each.services.some(service => services.includes(service)))
       .reduce(
         (sum, {executor}) => addAmounts(sum, executor.largestCapacity),
         NOTHING_RESERVED,
