Split rows of progress that no record holds

Cause: a row held up to 500 tasks, and a part holds at least a row. Rows are halved now together with the parts; checkpoints of over 65,536 characters are left out, since no record could hold a longer one with certainty.

Evidence: the new test of progress-records fails on the former code with 520 tasks, and passes with four shapes that are read back.

--- a/packages/cell/src/job-state.ts
+++ b/packages/cell/src/job-state.ts
@@ -11,6 +11,9 @@
   type StepSpec,
 } from './types.js';
 
+/** The most tasks in a row of progress, if their checkpoints are short. */
+const MAX_TASKS_PER_ROW = 500;
+
 /** The life cycle of a task. */
 export type TaskPhase =
   /** Not done, and no run of it is known. */
@@ -134,6 +137,8 @@
   finalMs: number;
   /** The memory that it needs, in bytes; less once its phase is final. */
   bytes: number;
+  /** The most tasks with failures or checkpoints in one row of its progress. */
+  tasksPerRow: number;
   /** In how many parts its progress is stored, and the digest of each. */
   partCount: number;
   readonly storedParts: Map<string, string>;
@@ -167,6 +172,7 @@
     visiblePhase: 'queued',
     finalMs: 0,
     bytes: jobBytes(job.spec),
+    tasksPerRow: MAX_TASKS_PER_ROW,
     partCount: 1,
     storedParts: new Map(),
     isOverRate: false,
--- a/packages/cell/src/progress-records.ts
+++ b/packages/cell/src/progress-records.ts
@@ -17,7 +17,7 @@
 
 /** Key prefix of progress records. */
 export const PROGRESS_PREFIX = 'p/';
-/** Parts are halved up to this many; a single row is far below the limit. */
+/** Parts are halved up to this many. */
 const MAX_PARTS = 4096;
 /** Multiplier of the hash by which rows are spread over parts. */
 const HASH_FACTOR = 31;
@@ -61,7 +61,7 @@
     if (recordSize(single) <= limits.recordBytes) return [single];
     job.partCount = 2;
   }
-  const parts = splitRows(job, rows, limits);
+  const parts = splitRows(job, limits);
   const changed = parts.filter(each => recordChange(job, each));
   const dropped = dropParts(job, new Set(parts.map(({key}) => key)));
   return [...changed, mainRecord([]), ...dropped];
@@ -85,24 +85,30 @@
   return Math.min(MAX_PARTS, Math.max(1, Math.floor(Number(count)) || 1));
 }
 
-/** Doubles the number of parts until the store accepts each of them. */
+/**
+ * Doubles the number of parts until the store accepts each of them. Rows are
+ * halved together with it, so that what was written before counts as older.
+ */
 function splitRows(
   job: JobState,
-  rows: readonly StepRow[],
   {recordBytes}: StoreLimits,
 ): readonly KeyedRecord[] {
   for (;;) {
-    const parts = [...partRecords(job, rows)];
-    const fit = parts.every(each => recordSize(each) <= recordBytes);
-    if (fit || job.partCount >= MAX_PARTS) return parts;
+    const parts = [...partRecords(job, progressRows(job))];
+    const large = parts.filter(({part}) => recordSize(part) > recordBytes);
+    if (large.length === 0 || job.partCount >= MAX_PARTS) {
+      return parts.map(({part}) => part);
+    }
     job.partCount *= 2;
+    const isRowLarge = large.some(({rowCount}) => rowCount === 1);
+    if (isRowLarge) job.tasksPerRow = Math.ceil(job.tasksPerRow / 2);
   }
 }
 
 function* partRecords(
   job: JobState,
-  rows: readonly StepRow[],
-): Generator<KeyedRecord> {
+  rows: Iterable<StepRow>,
+): Generator<{readonly part: KeyedRecord; readonly rowCount: number}> {
   const byPart = new Map<number, StepRow[]>();
   for (const row of rows) {
     const part = rowHash(row) % job.partCount;
@@ -112,7 +118,8 @@
   }
   for (const [part, own] of byPart) {
     const key = partKey(job, `${job.partCount}.${part}`);
-    yield {key, value: encodePart(job, own)};
+    const rowCount = own.length;
+    yield {part: {key, value: encodePart(job, own)}, rowCount};
   }
 }
 
--- a/packages/cell/src/records.ts
+++ b/packages/cell/src/records.ts
@@ -43,8 +43,11 @@
 const HASH_FACTOR = 31;
 const JOB_PREFIX = 'j/';
 const CANCEL_PREFIX = 'c/';
-/** The most tasks with failures or checkpoints in one row. */
-const TASKS_PER_ROW = 500;
+/**
+ * The longest checkpoint that is stored, in characters: a record must hold it.
+ * With a longer one, a task starts anew if its executor and the owner are lost.
+ */
+const MAX_CHECKPOINT_CHARS = 65_536;
 const NO_BITS = new Uint8Array(0);
 /** Key prefix of the records of executors in use. */
 export const EXECUTOR_PREFIX = 'e/';
@@ -190,18 +193,18 @@
     if (job.doneOccurrences.has(index)) continue;
     for (const step of steps) {
       const row = stepRow(index, step);
-      if (row !== null) yield* splitRow(row);
+      if (row !== null) yield* splitRow(row, job.tasksPerRow);
     }
   }
 }
 
 /** Splits a row with many tasks; the first part says which are done. */
-function* splitRow(row: StepRow): Generator<StepRow> {
+function* splitRow(row: StepRow, tasksPerRow: number): Generator<StepRow> {
   const {tasks} = row;
-  if (tasks.length <= TASKS_PER_ROW) return yield row;
+  if (tasks.length <= tasksPerRow) return yield row;
   const byChunk = new Map<number, TaskRow[]>([[0, []]]);
   for (const task of tasks) {
-    const chunk = Math.floor(task[0] / TASKS_PER_ROW);
+    const chunk = Math.floor(task[0] / tasksPerRow);
     const others = byChunk.get(chunk);
     if (others === undefined) byChunk.set(chunk, [task]);
     else others.push(task);
@@ -233,7 +236,9 @@
 }
 
 function taskRow(task: TaskState): TaskRow {
-  const {index, failedRuns, checkpoint, crashedRuns, suspectedRuns} = task;
+  const {index, failedRuns, crashedRuns, suspectedRuns} = task;
+  const isStorable = task.checkpoint.length <= MAX_CHECKPOINT_CHARS;
+  const checkpoint = isStorable ? task.checkpoint : '';
   if (crashedRuns.length + suspectedRuns.length === 0) {
     return [index, failedRuns, checkpoint];
   }
--- a/packages/cell/test/progress-records.test.ts
+++ b/packages/cell/test/progress-records.test.ts
@@ -1,9 +1,11 @@
 /** Progress of jobs that does not fit into one record of the store. */
 import {
+  applyProgress,
   newJobState,
   openOccurrence,
   progressRecords,
   PROGRESS_TOPIC,
+  recordSize,
   tasksOf,
   type JobState,
   type KeyedRecord,
@@ -52,6 +54,34 @@
   }
 });
 
+// Up to 500 tasks were written in one row, however long their checkpoints.
+progress('fits into records with the longest checkpoints', () => {
+  for (const [count, length] of [
+    [520, 640],
+    [3000, 6000],
+    [40, 60_000],
+    [3, 300_000],
+  ] as const) {
+    const job = newJob([{...STEP, count}]);
+    for (const task of tasksOf(job)) {
+      task.checkpoint = `${task.index} `.padEnd(length, 'c');
+    }
+    const records = progressRecords(job, LIMITS);
+    for (const record of records) {
+      assert.ok(recordSize(record) <= LIMITS.recordBytes, `${count} tasks`);
+    }
+    const read = newJob([{...STEP, count}]);
+    for (const {value} of records) {
+      applyProgress(read, value, index => openOccurrence(read, index));
+    }
+    const isStored = length < LIMITS.recordBytes;
+    for (const [i, {checkpoint}] of [...tasksOf(read)].entries()) {
+      const expected = isStored ? `${i} `.padEnd(length, 'c') : '';
+      assert.ok(checkpoint === expected, `task ${i} of ${count}`);
+    }
+  }
+});
+
 progress('is written again only where it has changed', () => {
   const job = newJob([{...STEP, count: 20_000}]);
   failAll(job);
